--- /dev/null
+++ b/src/redwingrudder/_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages between nodes; ``generated`` is the compiler's output."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of redwingrudder."""
