--- a/src/redwingrudder/exceptions.py
+++ b/src/redwingrudder/exceptions.py
@@ -65,8 +65,14 @@
     http_status = 400
     exit_code = 3
 
-    def __init__(self, detail: str, problems: tuple[str, ...] = ()) -> None:
-        super().__init__(detail)
+    def __init__(
+        self,
+        detail: str,
+        problems: tuple[str, ...] = (),
+        *,
+        code: str | None = None,
+    ) -> None:
+        super().__init__(detail, code=code)
         self.problems = problems
 
 
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,60 @@
+"""Tests of settings files."""
+
+import pathlib
+import tempfile
+import unittest
+
+from redwingrudder.exceptions import SettingsError
+from redwingrudder.settings import load_deployment, load_node_settings
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+
+
+class SettingsTests(unittest.TestCase):
+    def write(self, text):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name, "node.jsonc")
+        path.write_text(text, "utf-8")
+        return str(path)
+
+    def problems(self, text):
+        with self.assertRaises(SettingsError) as caught:
+            load_node_settings(self.write(text))
+        return caught.exception.problems
+
+    def test_examples_are_valid(self):
+        sizes = {"huon": (24, 9), "saengthong": (24, 8)}
+        for name, expected in sizes.items():
+            path = str(EXAMPLES / name / "deployment.jsonc")
+            domains = load_deployment(path)["failure_domains"]
+            workers = sum(r["workers"] for d in domains for r in d["racks"])
+            nodes = sum(d["nodes"] for d in domains)
+            self.assertEqual((workers, nodes), expected)
+        for path in EXAMPLES.glob("*/node-*.jsonc"):
+            load_node_settings(str(path))
+
+    def test_all_problems_are_reported_at_once(self):
+        """A person mends a file in one go, not one error at a time."""
+        text = (EXAMPLES / "huon/node-hobart-1.jsonc").read_text("utf-8")
+        text = text.replace('"rank": 1', '"rank": -1, "colour": "red"')
+        text = text.replace("127.0.0.1:9090", "localhost:9090")
+        text = text.replace('"platform"', '"plattform"')
+        problems = self.problems(text)
+        found = {line.split(": ")[1] for line in problems}
+        expected = {"rank", "colour", "listen.thrift", "platform", "plattform"}
+        self.assertEqual(found, expected)
+        self.assertTrue(all("found" in line and "allowed" in line for line in problems))
+
+    def test_malformed_documents(self):
+        for text in ("{", '{"a": 1, "a": 2}', '{"a": NaN}', "[" * 100_000, "[]"):
+            with self.subTest(text[:20]):
+                self.assertEqual(len(self.problems(text)), 1)
+
+    def test_missing_file_and_unknown_domain(self):
+        with self.assertRaises(SettingsError) as caught:
+            load_node_settings("/nonexistent.jsonc")
+        self.assertEqual(caught.exception.code, "unreadable_file")
+        text = (EXAMPLES / "huon/node-hobart-1.jsonc").read_text("utf-8")
+        text = text.replace('"failure_domain": "hobart"', '"failure_domain": "perth"')
+        self.assertIn("'perth'", self.problems(text)[0])
