Assign guaranteed cells and place gangs by best fit

Cause: the guarantee book was a skeleton and no policy placed gangs.

Change: GuaranteeBook keeps disjoint cells of adjacent accelerators and moves them only when they stop being valid; plan_cells chooses failure domains; BestFitPlacement, FirstFitPlacement and CellReclaim place and reclaim. Slots, cores and memory are kept back for each cell accelerator (see _worker_room), since CPU-only tasks could otherwise fill the slots of a cell. Fleet indexes gangs by worker, usable workers by free accelerators, and kinds by rack.

Ruled out: quota counters per organisation, which cannot promise adjacency; a full pass over the gangs per decision, which grows with the task count.

--- /dev/null
+++ b/src/redwingrudder/_first_fit.py
@@ -0,0 +1,64 @@
+"""First-fit placement, the baseline that the shipped policy is measured by."""
+
+from ._cells import Level
+from ._offers import (
+    Offer,
+    Tier,
+    count_offered,
+    fill_offers,
+    gang_level,
+    group_by_rack,
+    make_offer,
+    tiers,
+    usable_rooms,
+)
+from ._placement import largest_adjacent_gang
+from .fleet import Fleet
+from .guarantees import GuaranteeBook
+from .model import JobSpec, Placement
+from .policies import PlacementPolicy
+
+
+class FirstFitPlacement(PlacementPolicy):
+    """Takes the first workers, by id, that hold the gang.
+
+    Adjacency and guarantees are kept; only the choice among the workers that
+    qualify is naive.
+    """
+
+    def place(
+        self,
+        spec: JobSpec,
+        fleet: Fleet,
+        guarantees: GuaranteeBook,
+        avoid: frozenset[str] = frozenset(),
+    ) -> Placement | None:
+        """Return a placement on free resources that keeps all guarantees."""
+        rooms = usable_rooms(spec, fleet, guarantees, avoid)
+        rooms.sort(key=lambda room: room.worker.info.worker_id)
+        level = gang_level(spec, fleet)
+        for tier in (Tier.OWN_CELLS, tiers(spec)[-1]):
+            offers = [make_offer(spec, room, tier) for room in rooms]
+            placement = _place(spec, offers, level, tier)
+            if placement is not None:
+                return placement
+        return None
+
+    def largest_gang(self, fleet: Fleet) -> int:
+        """Return the largest gang of accelerators that could be placed now."""
+        return largest_adjacent_gang(fleet)
+
+
+def _place(
+    spec: JobSpec, offers: list[Offer], level: Level, tier: Tier
+) -> Placement | None:
+    if level is Level.DOMAIN:
+        return fill_offers(spec, offers, tier)
+    if level is Level.RACK:
+        units = list(group_by_rack(offers).values())
+    else:
+        units = [[offer] for offer in offers]
+    for unit in units:
+        if count_offered(unit) >= spec.tasks:
+            return fill_offers(spec, unit, tier)
+    return None
--- /dev/null
+++ b/src/redwingrudder/_offers.py
@@ -0,0 +1,118 @@
+"""What each worker offers a gang, and how a gang is filled into offers."""
+
+import enum
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ._cells import Level
+from ._worker_room import WorkerRoom, fitting_tasks, is_borrower
+from .fleet import Fleet
+from .guarantees import GuaranteeBook
+from .model import JobSpec, MemberPlacement, Placement
+
+
+class Tier(enum.IntEnum):
+    """Which accelerators are considered; a higher tier includes the lower."""
+
+    UNASSIGNED = 0
+    OWN_CELLS = 1
+    FOREIGN_CELLS = 2
+
+
+class Offer(NamedTuple):
+    """Accelerators of a worker in order of use, and the tasks they hold."""
+
+    room: WorkerRoom
+    tasks: int
+    accelerators: tuple[int, ...]
+
+
+def tiers(spec: JobSpec) -> tuple[Tier, ...]:
+    """Return the tiers that a job may use, in the order of preference."""
+    return tuple(Tier) if is_borrower(spec) else (Tier.UNASSIGNED, Tier.OWN_CELLS)
+
+
+def gang_level(spec: JobSpec, fleet: Fleet) -> Level:
+    """Return the unit that a gang has to stay within.
+
+    It depends on what the workers and racks of the fleet can hold when they
+    are empty, so a busy fleet does not spread a gang more widely.
+    """
+    if not spec.accelerators_per_task:
+        return Level.DOMAIN
+    if fleet.could_worker_hold(spec):
+        return Level.WORKER
+    if fleet.could_rack_hold(spec):
+        return Level.RACK
+    return Level.DOMAIN
+
+
+def usable_rooms(
+    spec: JobSpec,
+    fleet: Fleet,
+    guarantees: GuaranteeBook,
+    avoid: frozenset[str],
+) -> list[WorkerRoom]:
+    """Return the rooms with accelerators for a task, the fullest first."""
+    layout = guarantees.layout_of(fleet)
+    return [
+        layout.room(worker)
+        for worker in fleet.workers_by_free(spec.accelerators_per_task)
+        if worker.free_slots > 0 and worker.info.worker_id not in avoid
+    ]
+
+
+def make_offer(spec: JobSpec, room: WorkerRoom, tier: Tier) -> Offer:
+    """Return what a worker offers within a tier; it may hold no task."""
+    per_task = spec.accelerators_per_task
+    firm = tier is not Tier.FOREIGN_CELLS
+    if not room.has_cells:
+        return Offer(room, fitting_tasks(spec, room, room.unassigned), room.unassigned)
+    own: tuple[int, ...] = ()
+    foreign: tuple[int, ...] = ()
+    if tier >= Tier.OWN_CELLS:
+        own = room.free_by_owner.get(spec.organisation, ())
+    if not firm:
+        foreign = room.foreign(spec.organisation)
+    accelerators = room.unassigned + own + foreign
+    if per_task and len(accelerators) < per_task:
+        return Offer(room, 0, ())
+    tasks = fitting_tasks(spec, room, accelerators, firm)
+    if own and tasks * per_task < min(len(accelerators), spec.accelerators):
+        # Work on own cells may use their share of slots, cores and memory.
+        other = own + room.unassigned + foreign
+        other_tasks = fitting_tasks(spec, room, other, firm)
+        if other_tasks > tasks:
+            return Offer(room, other_tasks, other)
+    return Offer(room, tasks, accelerators)
+
+
+def fill_offers(spec: JobSpec, offers: Iterable[Offer], tier: Tier) -> Placement | None:
+    """Place the tasks of a gang onto offers in the given order."""
+    members = []
+    placed = 0
+    for offer in offers:
+        count = min(offer.tasks, spec.tasks - placed)
+        if count > 0:
+            accelerators = offer.accelerators[: count * spec.accelerators_per_task]
+            tasks = tuple(range(placed, placed + count))
+            worker_id = offer.room.worker.info.worker_id
+            members.append(MemberPlacement(worker_id, accelerators, tasks))
+            placed += count
+        if placed == spec.tasks:
+            return Placement(tuple(members), tier is Tier.FOREIGN_CELLS)
+    return None
+
+
+def group_by_rack(offers: Iterable[Offer]) -> dict[str, list[Offer]]:
+    """Return the offers that hold a task, by rack."""
+    by_rack: dict[str, list[Offer]] = {}
+    for offer in offers:
+        if offer.tasks:
+            by_rack.setdefault(offer.room.worker.info.rack, []).append(offer)
+    return by_rack
+
+
+def count_offered(offers: Iterable[Offer]) -> int:
+    """Return the tasks that all offers hold together."""
+    return sum(offer.tasks for offer in offers)
--- /dev/null
+++ b/src/redwingrudder/_reclaim.py
@@ -0,0 +1,184 @@
+"""Reclaim of cells for work that is within its guarantee."""
+
+from typing import NamedTuple
+
+from ._cells import Cell, CellLayout, Level
+from ._offers import Offer, Tier, count_offered, fill_offers, gang_level
+from ._worker_room import fitting_tasks, is_borrower, member_use
+from .fleet import Fleet, WorkerState
+from .guarantees import GuaranteeBook
+from .model import JobSpec
+from .policies import ReclaimPlan, ReclaimPolicy
+
+
+class CellUnit(NamedTuple):
+    """The part of a cell within which a gang is adjacent."""
+
+    layout: CellLayout
+    accelerators_by_worker: dict[str, tuple[int, ...]]
+
+
+class RatedPlan(NamedTuple):
+    """A plan with its cost; lower is better.
+
+    ``age_rank`` is higher for older gangs, ``spare`` counts accelerators that
+    the plan leaves unused in the unit.
+    """
+
+    stopped: int
+    age_rank: int
+    spare: int
+    plan: ReclaimPlan
+
+
+class CellReclaim(ReclaimPolicy):
+    """Uses a free own cell, or stops the borrowers that occupy one.
+
+    The plan with the fewest gangs to stop is chosen, among equals the one
+    that stops the youngest gangs, because they lose the least work.
+    """
+
+    def reclaim(
+        self, spec: JobSpec, fleet: Fleet, guarantees: GuaranteeBook
+    ) -> ReclaimPlan | None:
+        """Return a plan within the organisation's own cells, or None."""
+        if not spec.accelerators_per_task:
+            return None
+        level = gang_level(spec, fleet)
+        layout = guarantees.layout_of(fleet)
+        best: RatedPlan | None = None
+        for cell in guarantees.cells():
+            if cell.key.organisation != spec.organisation:
+                continue
+            if cell.size < spec.accelerators:
+                continue
+            for unit in _units(cell, layout, level):
+                plan = _cheapest_plan(spec, unit)
+                if plan and (best is None or plan[:3] < best[:3]):
+                    best = plan
+        return best.plan if best else None
+
+
+def _units(cell: Cell, layout: CellLayout, level: Level) -> list[CellUnit]:
+    by_unit: dict[str, dict[str, tuple[int, ...]]] = {}
+    for worker_id, indexes in sorted(cell.accelerators_by_worker.items()):
+        worker = layout.fleet.workers_by_id.get(worker_id)
+        if worker is None or not worker.accepts_work:
+            continue
+        name = (worker_id, worker.info.rack, "")[level]
+        by_unit.setdefault(name, {})[worker_id] = indexes
+    return [CellUnit(layout, accelerators) for accelerators in by_unit.values()]
+
+
+def _cheapest_plan(spec: JobSpec, unit: CellUnit) -> RatedPlan | None:
+    """Spare the oldest gangs or those that free the least, by cost."""
+    fleet = unit.layout.fleet
+    gang_ids = _stoppable(spec.organisation, unit)
+    by_age = sorted(gang_ids, key=fleet.gang_sequence)
+    by_size = sorted(by_age, key=lambda gang_id: _freed(gang_id, unit))
+    plans = [_plan_sparing(spec, unit, order) for order in (by_age, by_size)]
+    return min((p for p in plans if p), key=lambda p: p[:3], default=None)
+
+
+def _stoppable(organisation: str, unit: CellUnit) -> set[str]:
+    """Return the borrowers on the workers of a unit.
+
+    They include those that hold no accelerator of the cell, because their
+    slots, cores or memory may be needed.
+    """
+    fleet = unit.layout.fleet
+    gang_ids: set[str] = set()
+    for worker_id in unit.accelerators_by_worker:
+        for gang_id in fleet.gang_ids_by_worker[worker_id]:
+            spec = fleet.gangs_by_id[gang_id].spec
+            if spec.organisation != organisation and is_borrower(spec):
+                gang_ids.add(gang_id)
+    return gang_ids
+
+
+def _freed(gang_id: str, unit: CellUnit) -> int:
+    members = unit.layout.fleet.gangs_by_id[gang_id].members_by_worker
+    return sum(
+        len(set(members[worker_id].accelerators).intersection(indexes))
+        for worker_id, indexes in unit.accelerators_by_worker.items()
+        if worker_id in members
+    )
+
+
+def _plan_sparing(
+    spec: JobSpec, unit: CellUnit, gang_ids: list[str]
+) -> RatedPlan | None:
+    """Plan to stop all gangs, then spare each one that is not needed."""
+    stopped = set(gang_ids)
+    offers_by_worker = {
+        worker_id: _offer(spec, unit, worker_id, stopped)
+        for worker_id in unit.accelerators_by_worker
+    }
+    if count_offered(offers_by_worker.values()) < spec.tasks:
+        return None
+    members_by_gang = {
+        gang_id: unit.layout.fleet.gangs_by_id[gang_id].members_by_worker
+        for gang_id in gang_ids
+    }
+    for gang_id in gang_ids:
+        stopped.discard(gang_id)
+        changed = {
+            worker_id: _offer(spec, unit, worker_id, stopped)
+            for worker_id in members_by_gang[gang_id]
+            if worker_id in offers_by_worker
+        }
+        if count_offered((offers_by_worker | changed).values()) >= spec.tasks:
+            offers_by_worker |= changed
+        else:
+            stopped.add(gang_id)
+    return _rate(spec, unit, offers_by_worker, stopped)
+
+
+def _rate(
+    spec: JobSpec, unit: CellUnit, offers_by_worker: dict[str, Offer], stopped: set[str]
+) -> RatedPlan:
+    offers = sorted(offers_by_worker.values(), key=lambda offer: -offer.tasks)
+    placement = fill_offers(spec, offers, Tier.OWN_CELLS)
+    fleet = unit.layout.fleet
+    oldest = min(map(fleet.gang_sequence, stopped), default=0)
+    available = sum(len(offer.accelerators) for offer in offers)
+    ordered = tuple(sorted(stopped, key=fleet.gang_sequence))
+    return RatedPlan(
+        len(stopped),
+        -oldest,
+        available - spec.accelerators,
+        ReclaimPlan(placement, ordered),
+    )
+
+
+def _offer(spec: JobSpec, unit: CellUnit, worker_id: str, stopped: set[str]) -> Offer:
+    """Return what a worker offers once some gangs have stopped."""
+    worker = unit.layout.fleet.workers_by_id[worker_id]
+    room = unit.layout.room(worker)
+    freed = _without(worker, unit, stopped)
+    accelerators = tuple(
+        index
+        for index in unit.accelerators_by_worker[worker_id]
+        if freed.gangs_by_accelerator[index] is None
+    )
+    tasks = fitting_tasks(spec, room._replace(worker=freed), accelerators)
+    return Offer(room, tasks, accelerators)
+
+
+def _without(worker: WorkerState, unit: CellUnit, stopped: set[str]) -> WorkerState:
+    fleet = unit.layout.fleet
+    worker_id = worker.info.worker_id
+    use = [0, 0, 0]
+    for gang_id in stopped & fleet.gang_ids_by_worker[worker_id]:
+        gang = fleet.gangs_by_id[gang_id]
+        count = len(gang.members_by_worker[worker_id].tasks)
+        use = [a + b for a, b in zip(use, member_use(gang.spec, count), strict=True)]
+    return worker._replace(
+        gangs_by_accelerator=tuple(
+            None if gang_id in stopped else gang_id
+            for gang_id in worker.gangs_by_accelerator
+        ),
+        free_slots=worker.free_slots + use[0],
+        free_cores=worker.free_cores + use[1],
+        free_memory_mb=worker.free_memory_mb + use[2],
+    )
--- a/src/redwingrudder/fleet.py
+++ b/src/redwingrudder/fleet.py
@@ -5,6 +5,7 @@
 on one accelerator.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -12,6 +13,33 @@
 from .model import JobSpec, MemberPlacement, Placement, WorkerInfo
 
 
+class WorkerKind(NamedTuple):
+    """The resources of a worker when nothing is held on it."""
+
+    accelerators: int
+    slots: int
+    cores: int
+    memory_mb: int
+
+    def task_capacity(self, spec: JobSpec) -> int:
+        """Return how many tasks of a job an empty worker could hold."""
+        return count_tasks(spec, *self)
+
+
+def count_tasks(
+    spec: JobSpec, accelerators: int, slots: int, cores: int, memory_mb: int
+) -> int:
+    """Return how many tasks of a job fit into the given resources."""
+    tasks = slots
+    if spec.accelerators_per_task:
+        tasks = min(tasks, accelerators // spec.accelerators_per_task)
+    if spec.cores_per_task:
+        tasks = min(tasks, cores // spec.cores_per_task)
+    if spec.memory_mb_per_task:
+        tasks = min(tasks, memory_mb // spec.memory_mb_per_task)
+    return max(tasks, 0)
+
+
 class WorkerState(NamedTuple):
     """A worker with its free resources; replaced on every change.
 
@@ -52,17 +80,30 @@
 
 
 class Fleet:
-    """All workers of one failure domain, by id and by rack."""
+    """All workers of one failure domain, by id and by rack.
+
+    The indexes (gangs by worker, kinds by rack, usable workers by their free
+    accelerators, free accelerators by rack) are kept up to date with every
+    change, so that a placement decision needs no pass over the gangs. A
+    changed worker gets a new ``WorkerState``, which lets other parts cache
+    what they derive from one by its identity.
+    """
 
     def __init__(self) -> None:
         self.workers_by_id: dict[str, WorkerState] = {}
         self.worker_ids_by_rack: dict[str, set[str]] = {}
         self.gangs_by_id: dict[str, HeldGang] = {}
+        self.gang_ids_by_worker: dict[str, set[str]] = {}
+        self.kinds_by_rack: dict[str, Counter[WorkerKind]] = {}
+        self._workers_by_free: dict[int, dict[str, WorkerState]] = {}
+        self._free_by_rack: Counter[str] = Counter()
+        self._sequences_by_gang: dict[str, int] = {}
+        self._last_sequence = 0
 
     def add_worker(self, info: WorkerInfo, boot_id: str, draining: bool) -> None:
         """Add a worker with nothing held; an existing one is replaced."""
         self.remove_worker(info.worker_id)
-        self.workers_by_id[info.worker_id] = WorkerState(
+        worker = WorkerState(
             info,
             boot_id,
             draining,
@@ -72,24 +113,25 @@
             info.cores,
             info.memory_mb,
         )
+        self.workers_by_id[info.worker_id] = worker
+        self._count(worker)
         self.worker_ids_by_rack.setdefault(info.rack, set()).add(info.worker_id)
+        self.gang_ids_by_worker[info.worker_id] = set()
+        self.kinds_by_rack.setdefault(info.rack, Counter())[_kind(info)] += 1
 
     def remove_worker(self, worker_id: str) -> tuple[str, ...]:
         """Remove a worker; returns the gangs that held resources there."""
         worker = self.workers_by_id.pop(worker_id, None)
         if worker is None:
             return ()
-        rack = self.worker_ids_by_rack[worker.info.rack]
-        rack.discard(worker_id)
-        if not rack:
-            del self.worker_ids_by_rack[worker.info.rack]
+        self._discount(worker)
+        self._leave_rack(worker.info)
         affected = tuple(
-            gang.gang_id
-            for gang in self.gangs_by_id.values()
-            if worker_id in gang.members_by_worker
+            sorted(self.gang_ids_by_worker[worker_id], key=self.gang_sequence)
         )
         for gang_id in affected:
             self._drop_member(gang_id, worker_id)
+        del self.gang_ids_by_worker[worker_id]
         return affected
 
     def set_draining(self, worker_id: str) -> None:
@@ -110,17 +152,19 @@
             self._check_free(spec, member)
         if gang_id in self.gangs_by_id:
             raise ConflictError(f"gang {gang_id} holds resources already")
-        self.gangs_by_id[gang_id] = HeldGang(gang_id, spec, {})
+        if len({m.worker_id for m in placement.members}) < len(placement.members):
+            raise ConflictError(f"gang {gang_id} names a worker twice")
         for member in placement.members:
             self.hold_member(gang_id, spec, member)
 
     def hold_member(self, gang_id: str, spec: JobSpec, member: MemberPlacement) -> None:
         """Hold one member, as a worker reports it during recovery."""
         self._check_free(spec, member)
-        gang = self.gangs_by_id.setdefault(gang_id, HeldGang(gang_id, spec, {}))
+        gang = self.gangs_by_id.get(gang_id) or self._add_gang(gang_id, spec)
         if member.worker_id in gang.members_by_worker:
             raise ConflictError(f"gang {gang_id} already holds {member.worker_id}")
         gang.members_by_worker[member.worker_id] = member
+        self.gang_ids_by_worker[member.worker_id].add(gang_id)
         self._occupy(member, spec, gang_id, sign=-1)
 
     def release_member(self, gang_id: str, worker_id: str) -> None:
@@ -132,6 +176,65 @@
         self._occupy(member, gang.spec, None, sign=1)
         self._drop_member(gang_id, worker_id)
 
+    def gang_sequence(self, gang_id: str) -> int:
+        """Return a number that is higher for gangs that were held later."""
+        return self._sequences_by_gang[gang_id]
+
+    def workers_by_free(self, least: int) -> list[WorkerState]:
+        """Return workers that accept work, those with few free ones first.
+
+        Args:
+            least: Free accelerators that a worker needs to be included.
+        """
+        return [
+            worker
+            for free in sorted(self._workers_by_free)
+            if free >= least
+            for worker in self._workers_by_free[free].values()
+        ]
+
+    def most_free_on_worker(self) -> int:
+        """Return the most free accelerators on a worker that accepts work."""
+        return max(
+            (n for n, group in self._workers_by_free.items() if group), default=0
+        )
+
+    def most_free_on_rack(self) -> int:
+        """Return the most free accelerators on a rack that accept work."""
+        return max(self._free_by_rack.values(), default=0)
+
+    def free_in_domain(self) -> int:
+        """Return the free accelerators of all workers that accept work."""
+        return sum(self._free_by_rack.values())
+
+    def largest_worker(self) -> int:
+        """Return the accelerators of the largest worker."""
+        kinds = set().union(*self.kinds_by_rack.values())
+        return max((kind.accelerators for kind in kinds), default=0)
+
+    def largest_rack(self) -> int:
+        """Return the accelerators of the largest rack."""
+        return max(
+            (
+                sum(kind.accelerators * count for kind, count in kinds.items())
+                for kinds in self.kinds_by_rack.values()
+            ),
+            default=0,
+        )
+
+    def could_worker_hold(self, spec: JobSpec) -> bool:
+        """Whether some worker, when empty, could hold the whole gang."""
+        kinds = set().union(*self.kinds_by_rack.values())
+        return any(kind.task_capacity(spec) >= spec.tasks for kind in kinds)
+
+    def could_rack_hold(self, spec: JobSpec) -> bool:
+        """Whether some rack, when empty, could hold the whole gang."""
+        return any(
+            sum(kind.task_capacity(spec) * count for kind, count in kinds.items())
+            >= spec.tasks
+            for kinds in self.kinds_by_rack.values()
+        )
+
     def total_accelerators(self) -> int:
         """Return the number of accelerators of all workers."""
         return sum(w.info.accelerators for w in self.workers_by_id.values())
@@ -172,7 +275,8 @@
         for index in member.accelerators:
             holders[index] = gang_id
         count = len(member.tasks)
-        self.workers_by_id[member.worker_id] = worker._replace(
+        self._replace(
+            worker,
             gangs_by_accelerator=tuple(holders),
             free_slots=worker.free_slots + sign * count,
             free_cores=worker.free_cores + sign * count * spec.cores_per_task,
@@ -180,13 +284,57 @@
             + sign * count * spec.memory_mb_per_task,
         )
 
+    def _add_gang(self, gang_id: str, spec: JobSpec) -> HeldGang:
+        gang = HeldGang(gang_id, spec, {})
+        self.gangs_by_id[gang_id] = gang
+        self._last_sequence += 1
+        self._sequences_by_gang[gang_id] = self._last_sequence
+        return gang
+
     def _drop_member(self, gang_id: str, worker_id: str) -> None:
         gang = self.gangs_by_id[gang_id]
         del gang.members_by_worker[worker_id]
+        self.gang_ids_by_worker[worker_id].discard(gang_id)
         if not gang.members_by_worker:
             del self.gangs_by_id[gang_id]
+            del self._sequences_by_gang[gang_id]
+
+    def _leave_rack(self, info: WorkerInfo) -> None:
+        worker_ids = self.worker_ids_by_rack[info.rack]
+        worker_ids.discard(info.worker_id)
+        kinds = self.kinds_by_rack[info.rack]
+        kinds[_kind(info)] -= 1
+        if not kinds[_kind(info)]:
+            del kinds[_kind(info)]
+        if not worker_ids:
+            del self.worker_ids_by_rack[info.rack]
+            del self.kinds_by_rack[info.rack]
+            del self._free_by_rack[info.rack]
 
     def _update(self, worker_id: str, **changes: bool) -> None:
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
-            self.workers_by_id[worker_id] = worker._replace(**changes)
+            self._replace(worker, **changes)
+
+    def _replace(self, worker: WorkerState, **changes: object) -> None:
+        self._discount(worker)
+        changed = worker._replace(**changes)
+        self.workers_by_id[worker.info.worker_id] = changed
+        self._count(changed)
+
+    def _count(self, worker: WorkerState) -> None:
+        if worker.accepts_work:
+            free = worker.gangs_by_accelerator.count(None)
+            group = self._workers_by_free.setdefault(free, {})
+            group[worker.info.worker_id] = worker
+            self._free_by_rack[worker.info.rack] += free
+
+    def _discount(self, worker: WorkerState) -> None:
+        if worker.accepts_work:
+            free = worker.gangs_by_accelerator.count(None)
+            del self._workers_by_free[free][worker.info.worker_id]
+            self._free_by_rack[worker.info.rack] -= free
+
+
+def _kind(info: WorkerInfo) -> WorkerKind:
+    return WorkerKind(info.accelerators, info.slots, info.cores, info.memory_mb)
--- a/src/redwingrudder/guarantees.py
+++ b/src/redwingrudder/guarantees.py
@@ -1,14 +1,28 @@
 """Standing assignment of guaranteed shapes to accelerators (cells)."""
 
+from ._cell_check import find_violations
+from ._cell_plan import plan_cells
+from ._cells import Cell, CellLayout, WantedCell, fill, wanted_cells
+from ._worker_room import RECLAIM_BOUND_S, fitting_tasks, is_borrower
 from .fleet import Fleet
-from .model import CellAssignment, Configuration, GuaranteeShortage, JobSpec, WorkerInfo
+from .model import CellAssignment, Configuration, GuaranteeShortage, JobSpec
+
+__all__ = ["RECLAIM_BOUND_S", "GuaranteeBook", "is_borrower", "plan_cells"]
 
 
 class GuaranteeBook:
-    """The cells of one failure domain, kept disjoint and reclaimable."""
+    """The cells of one failure domain, kept disjoint and reclaimable.
+
+    After every change of the configuration or the fleet, and after gangs
+    were found on a claimed worker, ``assign`` has to be called.
+    """
 
     shortages: tuple[GuaranteeShortage, ...] = ()
 
+    def __init__(self) -> None:
+        self._layout: CellLayout | None = None
+        self._wanted: list[WantedCell] = []
+
     def assign(
         self,
         configuration: Configuration,
@@ -16,24 +30,85 @@
         fleet: Fleet,
         now: float,
     ) -> None:
-        """Recompute the cells after a change of configuration or fleet."""
-        raise NotImplementedError
+        """Recompute the cells after a change of configuration or fleet.
+
+        A valid cell stays where it is, unless a copy fits nowhere and laying
+        out all cells anew reduces the shortage.
+        """
+        layout = self.layout_of(fleet)
+        layout.follow_fleet()
+        self._wanted = wanted_cells(configuration, failure_domain)
+        _drop_invalid(layout, self._wanted)
+        missing = fill(layout, self._wanted)
+        if missing and _may_fit(layout, self._wanted, missing):
+            fresh = CellLayout(fleet)
+            fresh_missing = fill(fresh, self._wanted)
+            if sum(fresh_missing.values()) < sum(missing.values()):
+                self._layout, missing = fresh, fresh_missing
+        self.shortages = self._shortages(missing, now)
+
+    def cells(self) -> tuple[Cell, ...]:
+        """Return the cells that are assigned, in a stable order."""
+        if self._layout is None:
+            return ()
+        return tuple(cell for _, cell in sorted(self._layout.cells_by_key.items()))
 
     def usable_accelerators(self, spec: JobSpec, worker_id: str) -> tuple[int, ...]:
-        """Return the free accelerators that a job may use on a worker."""
-        raise NotImplementedError
+        """Return the free accelerators that a job may use on a worker.
+
+        Accelerators outside all cells come first, then those of the cells of
+        the job's organisation, then, for a borrower, those of other cells.
+        """
+        worker = self._layout and self._layout.fleet.workers_by_id.get(worker_id)
+        if worker is None or not worker.accepts_work:
+            return ()
+        room = self._layout.room(worker)
+        accelerators = room.unassigned + room.free_by_owner.get(spec.organisation, ())
+        if is_borrower(spec):
+            accelerators += room.foreign(spec.organisation)
+        return accelerators if fitting_tasks(spec, room, accelerators) else ()
 
     def violations(self, fleet: Fleet) -> tuple[str, ...]:
         """Describe every cell that could not be reclaimed; empty if none."""
-        raise NotImplementedError
+        return find_violations(fleet, self._wanted, self.cells(), self.shortages)
 
+    def layout_of(self, fleet: Fleet) -> CellLayout:
+        """Return the cells on a fleet; none if ``assign`` did not see it."""
+        if self._layout is None or self._layout.fleet is not fleet:
+            self._layout = CellLayout(fleet)
+        return self._layout
 
-def plan_cells(
-    configuration: Configuration, workers: tuple[WorkerInfo, ...]
-) -> tuple[CellAssignment, ...]:
-    """Choose a failure domain for every copy of every guaranteed shape.
+    def _shortages(
+        self, missing: dict[CellAssignment, int], now: float
+    ) -> tuple[GuaranteeShortage, ...]:
+        since = {
+            (s.organisation, s.shape_index, s.copy_index): s.since
+            for s in self.shortages
+        }
+        return tuple(
+            GuaranteeShortage(*key[:3], count, since.get(key[:3], now))
+            for key, count in sorted(missing.items())
+        )
 
-    Raises:
-        UnprocessableError: ``guarantees_do_not_fit``.
-    """
-    raise NotImplementedError
+
+def _may_fit(
+    layout: CellLayout,
+    wanted: list[WantedCell],
+    missing: dict[CellAssignment, int],
+) -> bool:
+    """Whether another layout could hold more; a cheap necessary condition."""
+    smallest = min(cell.size for cell in wanted if cell.key in missing)
+    return bool(layout.cells_by_key) and layout.unassigned() >= smallest
+
+
+def _drop_invalid(layout: CellLayout, wanted: list[WantedCell]) -> None:
+    sizes_by_key = {cell.key: cell.size for cell in wanted}
+    for key, cell in list(layout.cells_by_key.items()):
+        if sizes_by_key.get(key) != cell.size:
+            layout.drop(key)
+    # Dropping a cell may free the share that another one on the same worker
+    # lacks, so the smallest ones are checked first.
+    for cell in reversed(wanted):
+        current = layout.cells_by_key.get(cell.key)
+        if current is not None and not layout.is_valid(current):
+            layout.drop(cell.key)
