--- a/src/redwingrudder/_first_fit.py
+++ b/src/redwingrudder/_first_fit.py
@@ -3,14 +3,12 @@
 from ._cells import Level
 from ._offers import (
     Offer,
+    Space,
     Tier,
     count_offered,
     fill_offers,
     gang_level,
-    group_by_rack,
-    make_offer,
     tiers,
-    usable_rooms,
 )
 from ._placement import largest_adjacent_gang
 from .fleet import Fleet
@@ -34,11 +32,11 @@
         avoid: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Return a placement on free resources that keeps all guarantees."""
-        rooms = usable_rooms(spec, fleet, guarantees, avoid)
-        rooms.sort(key=lambda room: room.worker.info.worker_id)
+        space = Space(spec, fleet, guarantees.layout_of(fleet), avoid)
+        workers = sorted(fleet.workers_by_free(spec.accelerators_per_task))
         level = gang_level(spec, fleet)
         for tier in (Tier.OWN_CELLS, tiers(spec)[-1]):
-            offers = [make_offer(spec, room, tier) for room in rooms]
+            offers = list(space.offers(workers, tier))
             placement = _place(spec, offers, level, tier)
             if placement is not None:
                 return placement
@@ -54,11 +52,12 @@
 ) -> Placement | None:
     if level is Level.DOMAIN:
         return fill_offers(spec, offers, tier)
-    if level is Level.RACK:
-        units = list(group_by_rack(offers).values())
-    else:
-        units = [[offer] for offer in offers]
-    for unit in units:
+    units: dict[str, list[Offer]] = {}
+    for offer in offers:
+        info = offer.room.worker.info
+        name = info.rack if level is Level.RACK else info.worker_id
+        units.setdefault(name, []).append(offer)
+    for unit in units.values():
         if count_offered(unit) >= spec.tasks:
             return fill_offers(spec, unit, tier)
     return None
--- a/src/redwingrudder/_offers.py
+++ b/src/redwingrudder/_offers.py
@@ -1,13 +1,12 @@
 """What each worker offers a gang, and how a gang is filled into offers."""
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from ._cells import Level
+from ._cells import CellLayout, Level
 from ._worker_room import WorkerRoom, fitting_tasks, is_borrower
-from .fleet import Fleet
-from .guarantees import GuaranteeBook
+from .fleet import Fleet, WorkerState
 from .model import JobSpec, MemberPlacement, Placement
 
 
@@ -47,19 +46,28 @@
     return Level.DOMAIN
 
 
-def usable_rooms(
-    spec: JobSpec,
-    fleet: Fleet,
-    guarantees: GuaranteeBook,
-    avoid: frozenset[str],
-) -> list[WorkerRoom]:
-    """Return the rooms with accelerators for a task, the fullest first."""
-    layout = guarantees.layout_of(fleet)
-    return [
-        layout.room(worker)
-        for worker in fleet.workers_by_free(spec.accelerators_per_task)
-        if worker.free_slots > 0 and worker.info.worker_id not in avoid
-    ]
+class Space(NamedTuple):
+    """Where a gang may be placed."""
+
+    spec: JobSpec
+    fleet: Fleet
+    layout: CellLayout
+    avoid: frozenset[str]
+
+    def offers(self, workers: Iterable[WorkerState], tier: Tier) -> Iterator[Offer]:
+        """Yield the offers of workers that can hold a task of the gang."""
+        for worker in workers:
+            if not worker.free_slots or worker.info.worker_id in self.avoid:
+                continue
+            offer = make_offer(self.spec, self.layout.room(worker), tier)
+            if offer.tasks:
+                yield offer
+
+    def rack_offers(self, rack: str, tier: Tier) -> list[Offer]:
+        """Return the offers of the workers of a rack, the fullest first."""
+        per_task = self.spec.accelerators_per_task
+        workers = self.fleet.workers_in_rack(rack, per_task)
+        return list(self.offers(workers, tier))
 
 
 def make_offer(spec: JobSpec, room: WorkerRoom, tier: Tier) -> Offer:
@@ -104,15 +112,6 @@
     return None
 
 
-def group_by_rack(offers: Iterable[Offer]) -> dict[str, list[Offer]]:
-    """Return the offers that hold a task, by rack."""
-    by_rack: dict[str, list[Offer]] = {}
-    for offer in offers:
-        if offer.tasks:
-            by_rack.setdefault(offer.room.worker.info.rack, []).append(offer)
-    return by_rack
-
-
 def count_offered(offers: Iterable[Offer]) -> int:
     """Return the tasks that all offers hold together."""
     return sum(offer.tasks for offer in offers)
--- a/src/redwingrudder/_placement.py
+++ b/src/redwingrudder/_placement.py
@@ -1,20 +1,19 @@
 """Best-fit placement that keeps whole workers and racks free."""
 
-from ._cells import Level
+from collections.abc import Callable
+from itertools import chain
+
 from ._offers import (
     Offer,
+    Space,
     Tier,
     count_offered,
     fill_offers,
     gang_level,
-    group_by_rack,
-    make_offer,
     tiers,
-    usable_rooms,
 )
 from ._reclaim import CellReclaim
-from ._worker_room import WorkerRoom
-from .fleet import Fleet
+from .fleet import Fleet, WorkerState
 from .guarantees import GuaranteeBook
 from .model import JobSpec, Placement
 from .policies import PlacementPolicy
@@ -37,10 +36,10 @@
         avoid: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Return a placement on free resources that keeps all guarantees."""
-        level = gang_level(spec, fleet)
-        rooms = usable_rooms(spec, fleet, guarantees, avoid)
+        space = Space(spec, fleet, guarantees.layout_of(fleet), avoid)
+        place_in_tier = _placer(spec, fleet)
         for tier in tiers(spec):
-            placement = _place_in_tier(spec, rooms, level, tier)
+            placement = place_in_tier(space, tier)
             if placement is not None:
                 return placement
         return None
@@ -65,79 +64,111 @@
     return fleet.most_free_on_worker()
 
 
-def _place_in_tier(
-    spec: JobSpec, rooms: list[WorkerRoom], level: Level, tier: Tier
-) -> Placement | None:
+def _placer(spec: JobSpec, fleet: Fleet) -> Callable[[Space, Tier], Placement | None]:
     if not spec.accelerators_per_task:
-        return _place_cpu_only(spec, rooms, tier)
-    if level is Level.WORKER:
-        return _place_on_worker(spec, rooms, tier)
-    by_rack = group_by_rack(make_offer(spec, room, tier) for room in rooms)
-    if level is Level.RACK:
-        return _place_on_rack(spec, by_rack, tier)
-    return _place_on_racks(spec, by_rack, tier)
-
-
-def _place_on_worker(
-    spec: JobSpec, rooms: list[WorkerRoom], tier: Tier
-) -> Placement | None:
-    for room in rooms:
-        if room.free_accelerators < spec.accelerators:
-            continue
-        offer = make_offer(spec, room, tier)
-        if offer.tasks >= spec.tasks:
-            return fill_offers(spec, [offer], tier)
+        return _place_cpu_only
+    level = gang_level(spec, fleet)
+    return (_place_on_worker, _place_on_rack, _place_on_racks)[level]
+
+
+def _place_on_worker(space: Space, tier: Tier) -> Placement | None:
+    workers = space.fleet.workers_by_free(space.spec.accelerators)
+    for offer in space.offers(workers, tier):
+        if offer.tasks >= space.spec.tasks:
+            return fill_offers(space.spec, [offer], tier)
     return None
 
 
-def _place_on_rack(
-    spec: JobSpec, by_rack: dict[str, list[Offer]], tier: Tier
-) -> Placement | None:
-    racks = [
-        (count_offered(offers), rack)
-        for rack, offers in by_rack.items()
-        if count_offered(offers) >= spec.tasks
-    ]
-    if not racks:
-        return None
-    return fill_offers(spec, by_rack[min(racks)[1]], tier)
+def _place_on_rack(space: Space, tier: Tier) -> Placement | None:
+    for _, rack in space.fleet.racks_by_free(space.spec.accelerators):
+        offers = space.rack_offers(rack, tier)
+        if count_offered(offers) >= space.spec.tasks:
+            return fill_offers(space.spec, offers, tier)
+    return None
 
 
-def _place_on_racks(
-    spec: JobSpec, by_rack: dict[str, list[Offer]], tier: Tier
-) -> Placement | None:
-    """Fill the fewest racks: the largest first, the rest into the smallest."""
-    racks = sorted(
-        ((count_offered(offers), rack) for rack, offers in by_rack.items()),
-        key=lambda entry: (-entry[0], entry[1]),
-    )
+def _place_on_racks(space: Space, tier: Tier) -> Placement | None:
+    """Fill the fewest racks: the emptiest first, the rest into a full one."""
+    racks = _RackChoice(space, tier)
     chosen: list[Offer] = []
-    left = spec.tasks
-    for position, (count, rack) in enumerate(racks):
-        if count < left:
-            chosen += by_rack[rack]
-            left -= count
-            continue
-        last = [entry for entry in racks[position:] if entry[0] >= left][-1]
-        return fill_offers(spec, chosen + by_rack[last[1]], tier)
-    return None
+    left = space.spec.tasks
+    while True:
+        last = racks.fullest_holding(left)
+        if last is not None:
+            return fill_offers(space.spec, chosen + racks.offers(last), tier)
+        next_rack = racks.pop_emptiest()
+        if next_rack is None:
+            return None
+        chosen += racks.offers(next_rack)
+        left -= racks.count(next_rack)
+
+
+class _RackChoice:
+    """Racks that are left for a gang, with what each offers.
+
+    Free accelerators bound what a rack offers, so that the offers of most
+    racks need not be computed.
+    """
 
+    def __init__(self, space: Space, tier: Tier) -> None:
+        per_task = space.spec.accelerators_per_task
+        self._bounds_by_rack = {
+            rack: free // per_task for free, rack in space.fleet.racks_by_free(per_task)
+        }
+        self._space = space
+        self._tier = tier
+        self._offers_by_rack: dict[str, list[Offer]] = {}
+        self._counts_by_rack: dict[str, int] = {}
+
+    def offers(self, rack: str) -> list[Offer]:
+        """Return the offers of a rack."""
+        if rack not in self._offers_by_rack:
+            offers = self._space.rack_offers(rack, self._tier)
+            self._offers_by_rack[rack] = offers
+            self._counts_by_rack[rack] = count_offered(offers)
+        return self._offers_by_rack[rack]
+
+    def count(self, rack: str) -> int:
+        """Return how many tasks a rack holds."""
+        self.offers(rack)
+        return self._counts_by_rack[rack]
+
+    def fullest_holding(self, tasks: int) -> str | None:
+        """Return the fullest rack that holds a number of tasks."""
+        for rack, bound in self._bounds_by_rack.items():
+            if bound >= tasks and self.count(rack) >= tasks:
+                return rack
+        return None
 
-def _place_cpu_only(
-    spec: JobSpec, rooms: list[WorkerRoom], tier: Tier
-) -> Placement | None:
+    def pop_emptiest(self) -> str | None:
+        """Remove and return the rack that holds the most tasks."""
+        best = None
+        best_count = 0
+        for rack, bound in reversed(self._bounds_by_rack.items()):
+            if bound <= best_count:
+                break
+            if self.count(rack) > best_count:
+                best, best_count = rack, self.count(rack)
+        if best is not None:
+            del self._bounds_by_rack[best]
+        return best
+
+
+def _place_cpu_only(space: Space, tier: Tier) -> Placement | None:
     """Fill workers without free accelerators first.
 
     Among these the fullest worker that holds the whole gang is used. If none
     does, workers with much room come first, because each member costs calls.
     """
-    busy = [
-        make_offer(spec, room, tier) for room in rooms if not room.free_accelerators
-    ]
-    whole = [offer for offer in busy if offer.tasks >= spec.tasks]
-    if whole:
-        fullest = min(whole, key=lambda offer: offer.room.worker.free_slots)
-        return fill_offers(spec, [fullest], tier)
-    busy.sort(key=lambda offer: -offer.tasks)
-    others = (make_offer(spec, room, tier) for room in rooms if room.free_accelerators)
-    return fill_offers(spec, (*busy, *others), tier)
+    spec = space.spec
+    busy: list[WorkerState] = []
+    others: list[WorkerState] = []
+    for worker in space.fleet.workers_by_free(0):
+        (others if None in worker.gangs_by_accelerator else busy).append(worker)
+    busy.sort(key=lambda worker: worker.free_slots)
+    enough = (worker for worker in busy if worker.free_slots >= spec.tasks)
+    for offer in space.offers(enough, tier):
+        if offer.tasks >= spec.tasks:
+            return fill_offers(spec, [offer], tier)
+    offers = space.offers(chain(reversed(busy), others), tier)
+    return fill_offers(spec, offers, tier)
--- a/src/redwingrudder/_reclaim.py
+++ b/src/redwingrudder/_reclaim.py
@@ -39,7 +39,11 @@
     """
 
     def reclaim(
-        self, spec: JobSpec, fleet: Fleet, guarantees: GuaranteeBook
+        self,
+        spec: JobSpec,
+        fleet: Fleet,
+        guarantees: GuaranteeBook,
+        avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
         """Return a plan within the organisation's own cells, or None."""
         if not spec.accelerators_per_task:
@@ -52,18 +56,20 @@
                 continue
             if cell.size < spec.accelerators:
                 continue
-            for unit in _units(cell, layout, level):
+            for unit in _units(cell, layout, level, avoid):
                 plan = _cheapest_plan(spec, unit)
                 if plan and (best is None or plan[:3] < best[:3]):
                     best = plan
         return best.plan if best else None
 
 
-def _units(cell: Cell, layout: CellLayout, level: Level) -> list[CellUnit]:
+def _units(
+    cell: Cell, layout: CellLayout, level: Level, avoid: frozenset[str]
+) -> list[CellUnit]:
     by_unit: dict[str, dict[str, tuple[int, ...]]] = {}
     for worker_id, indexes in sorted(cell.accelerators_by_worker.items()):
         worker = layout.fleet.workers_by_id.get(worker_id)
-        if worker is None or not worker.accepts_work:
+        if worker is None or not worker.accepts_work or worker_id in avoid:
             continue
         name = (worker_id, worker.info.rack, "")[level]
         by_unit.setdefault(name, {})[worker_id] = indexes
--- a/src/redwingrudder/fleet.py
+++ b/src/redwingrudder/fleet.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from .exceptions import ConflictError, NotFoundError
@@ -180,18 +180,39 @@
         """Return a number that is higher for gangs that were held later."""
         return self._sequences_by_gang[gang_id]
 
-    def workers_by_free(self, least: int) -> list[WorkerState]:
-        """Return workers that accept work, those with few free ones first.
+    def workers_by_free(self, least: int) -> Iterator[WorkerState]:
+        """Yield workers that accept work, those with few free ones first.
 
         Args:
             least: Free accelerators that a worker needs to be included.
         """
-        return [
-            worker
-            for free in sorted(self._workers_by_free)
-            if free >= least
-            for worker in self._workers_by_free[free].values()
-        ]
+        for free in sorted(self._workers_by_free):
+            if free >= least:
+                yield from self._workers_by_free[free].values()
+
+    def racks_by_free(self, least: int) -> list[tuple[int, str]]:
+        """Return free accelerators and name of racks, the fullest first.
+
+        Args:
+            least: Free accelerators that a rack needs to be included.
+        """
+        racks = ((free, rack) for rack, free in self._free_by_rack.items())
+        return sorted(entry for entry in racks if entry[0] >= least)
+
+    def workers_in_rack(self, rack: str, least: int) -> list[WorkerState]:
+        """Return workers of a rack that accept work, the fullest first.
+
+        Args:
+            rack: Name of the rack.
+            least: Free accelerators that a worker needs to be included.
+        """
+        found = []
+        for worker_id in self.worker_ids_by_rack[rack]:
+            worker = self.workers_by_id[worker_id]
+            free = worker.gangs_by_accelerator.count(None)
+            if free >= least and worker.accepts_work:
+                found.append((free, worker_id, worker))
+        return [worker for _, _, worker in sorted(found)]
 
     def most_free_on_worker(self) -> int:
         """Return the most free accelerators on a worker that accepts work."""
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -107,9 +107,21 @@
 
     @abc.abstractmethod
     def reclaim(
-        self, spec: JobSpec, fleet: Fleet, guarantees: GuaranteeBook
+        self,
+        spec: JobSpec,
+        fleet: Fleet,
+        guarantees: GuaranteeBook,
+        avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
-        """Return a plan within the organisation's own cells, or None."""
+        """Return a plan within the organisation's own cells, or None.
+
+        Args:
+            spec: The job that is within its organisation's guarantee.
+            fleet: Workers and what is held on them.
+            guarantees: The cells.
+            avoid: Workers that must not be used, such as those on which
+                borrowers are being stopped for another job.
+        """
 
 
 class AdmissionPolicy(abc.ABC):
