--- /dev/null
+++ b/src/redwingrudder/standins/_key_value.py
@@ -0,0 +1,312 @@
+"""In-memory key-value store with revisions, leases and watches.
+
+Pure: the caller passes the time. It follows the published semantics of etcd
+v3 as far as docs/design.md section 5 uses them.
+"""
+
+import bisect
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..exceptions import (
+    BadRequestError,
+    NotFoundError,
+    OverloadedError,
+    PayloadTooLargeError,
+)
+
+VALUE_LIMIT = 1_000_000  # bytes
+KEY_LIMIT = 200_000  # keys
+LEASE_LIMIT = 10_000  # leases
+WATCH_LIMIT = 10_000  # watches
+HISTORY_LIMIT = 10_000  # changes kept for watches that resume
+HISTORY_BYTES_LIMIT = 64_000_000  # bytes
+
+
+class Record(NamedTuple):
+    """A key with its value; ``value`` is None for a deleted key."""
+
+    key: bytes
+    value: bytes | None
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease_id: int
+
+
+class Put(NamedTuple):
+    """A write within a transaction."""
+
+    key: bytes
+    value: bytes
+    lease_id: int = 0
+
+
+class Delete(NamedTuple):
+    """A deletion within a transaction; ``range_end`` empty for one key."""
+
+    key: bytes
+    range_end: bytes = b""
+
+
+class ModCompare(NamedTuple):
+    """Holds when the key's last change has this revision, 0 if absent."""
+
+    key: bytes
+    mod_revision: int
+
+
+class CompactedError(NotFoundError):
+    """The history that a watch asks for is gone."""
+
+    code = "compacted"
+
+    def __init__(self, compact_revision: int) -> None:
+        super().__init__(f"revisions up to {compact_revision} are compacted")
+        self.compact_revision = compact_revision
+
+
+WatchCallback = Callable[[tuple[Record, ...], int], None]
+
+
+class _Lease(NamedTuple):
+    ttl_s: int
+    expires_at: float
+    keys: set[bytes]
+
+
+class _Watch(NamedTuple):
+    key: bytes
+    range_end: bytes
+    callback: WatchCallback
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """Return the ``range_end`` that selects all keys with this prefix."""
+    trimmed = prefix.rstrip(b"\xff")
+    if not trimmed:
+        return b"\x00"
+    return trimmed[:-1] + bytes([trimmed[-1] + 1])
+
+
+class KeyValueCore:
+    """Keys in order, their revisions, leases and the history of changes."""
+
+    def __init__(self, history_limit: int = HISTORY_LIMIT) -> None:
+        self.revision = 1
+        self.compact_revision = 0
+        self._history_limit = history_limit
+        self._records_by_key: dict[bytes, Record] = {}
+        self._keys: list[bytes] = []
+        self._leases_by_id: dict[int, _Lease] = {}
+        self._next_lease_id = 1000
+        self._history: deque[Record] = deque()
+        self._history_bytes = 0
+        self._watches_by_id: dict[int, _Watch] = {}
+        self._next_watch_id = 1
+
+    def range(self, key: bytes, range_end: bytes = b"") -> tuple[Record, ...]:
+        """Return the records from ``key`` up to ``range_end``, in order."""
+        if not range_end:
+            record = self._records_by_key.get(key)
+            return () if record is None else (record,)
+        start = bisect.bisect_left(self._keys, key)
+        end = len(self._keys)
+        if range_end != b"\x00":
+            end = bisect.bisect_left(self._keys, range_end)
+        return tuple(self._records_by_key[name] for name in self._keys[start:end])
+
+    def transact(
+        self,
+        compares: tuple[ModCompare, ...],
+        operations: tuple[Put | Delete, ...],
+        now: float,
+    ) -> bool:
+        """Carry out all operations if all compares hold.
+
+        Returns:
+            Whether the compares held.
+
+        Raises:
+            BadRequestError: A key is written twice.
+            NotFoundError: A lease does not exist.
+            PayloadTooLargeError: A value exceeds ``VALUE_LIMIT``.
+            OverloadedError: The store holds ``KEY_LIMIT`` keys.
+        """
+        self.expire(now)
+        self._check(operations)
+        if not all(self._holds(compare) for compare in compares):
+            return False
+        changes = self._apply(operations)
+        if changes:
+            self.revision += 1
+            self._publish(tuple(changes))
+        return True
+
+    def grant_lease(self, ttl_s: int, now: float) -> int:
+        """Create a lease and return its id."""
+        self.expire(now)
+        if len(self._leases_by_id) >= LEASE_LIMIT:
+            raise OverloadedError(f"the store holds {LEASE_LIMIT} leases")
+        self._next_lease_id += 1
+        self._leases_by_id[self._next_lease_id] = _Lease(ttl_s, now + ttl_s, set())
+        return self._next_lease_id
+
+    def keep_alive(self, lease_id: int, now: float) -> int:
+        """Renew a lease and return its TTL in seconds, 0 if it lapsed."""
+        self.expire(now)
+        lease = self._leases_by_id.get(lease_id)
+        if lease is None:
+            return 0
+        renewed = lease._replace(expires_at=now + lease.ttl_s)
+        self._leases_by_id[lease_id] = renewed
+        return lease.ttl_s
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys.
+
+        Raises:
+            NotFoundError: The lease does not exist.
+        """
+        lease = self._leases_by_id.pop(lease_id, None)
+        if lease is None:
+            raise NotFoundError(f"no lease {lease_id}", code="no_such_lease")
+        changes = self._apply(tuple(Delete(key) for key in sorted(lease.keys)))
+        if changes:
+            self.revision += 1
+            self._publish(tuple(changes))
+
+    def expire(self, now: float) -> None:
+        """End all leases that have lapsed."""
+        lapsed = [
+            lease_id
+            for lease_id, lease in self._leases_by_id.items()
+            if lease.expires_at <= now
+        ]
+        for lease_id in lapsed:
+            self.revoke_lease(lease_id)
+
+    def next_expiry(self) -> float | None:
+        """Return when the next lease lapses unless it is renewed."""
+        times = [lease.expires_at for lease in self._leases_by_id.values()]
+        return min(times, default=None)
+
+    def watch(
+        self,
+        key: bytes,
+        range_end: bytes,
+        start_revision: int,
+        callback: WatchCallback,
+    ) -> int:
+        """Deliver changes from ``start_revision`` on; 0 means from now.
+
+        Raises:
+            CompactedError: The history no longer holds the revision.
+            OverloadedError: ``WATCH_LIMIT`` watches are open.
+        """
+        if 0 < start_revision <= self.compact_revision:
+            raise CompactedError(self.compact_revision)
+        if len(self._watches_by_id) >= WATCH_LIMIT:
+            raise OverloadedError(f"{WATCH_LIMIT} watches are open")
+        watch = _Watch(key, range_end, callback)
+        if start_revision > 0:
+            missed = (r for r in self._history if r.mod_revision >= start_revision)
+            self._deliver(watch, tuple(missed))
+        watch_id = self._next_watch_id
+        self._next_watch_id += 1
+        self._watches_by_id[watch_id] = watch
+        return watch_id
+
+    def unwatch(self, watch_id: int) -> None:
+        """End a watch; unknown ids are ignored."""
+        self._watches_by_id.pop(watch_id, None)
+
+    def compact(self, revision: int) -> None:
+        """Drop the history up to and including a revision."""
+        self.compact_revision = max(self.compact_revision, revision)
+        while self._history and self._history[0].mod_revision <= revision:
+            self._history_bytes -= len(self._history.popleft().value or b"")
+
+    def _check(self, operations: tuple[Put | Delete, ...]) -> None:
+        puts = [operation for operation in operations if isinstance(operation, Put)]
+        if len({put.key for put in puts}) < len(puts):
+            raise BadRequestError("duplicate key given in txn request")
+        for put in puts:
+            if len(put.value) > VALUE_LIMIT:
+                raise PayloadTooLargeError(
+                    f"value has {len(put.value)} bytes, allowed are {VALUE_LIMIT}"
+                )
+            if put.lease_id and put.lease_id not in self._leases_by_id:
+                raise NotFoundError("requested lease not found", code="no_such_lease")
+        if len(self._keys) + len(puts) > KEY_LIMIT:
+            raise OverloadedError(f"the store holds {KEY_LIMIT} keys")
+
+    def _holds(self, compare: ModCompare) -> bool:
+        record = self._records_by_key.get(compare.key)
+        found = 0 if record is None else record.mod_revision
+        return found == compare.mod_revision
+
+    def _apply(self, operations: tuple[Put | Delete, ...]) -> list[Record]:
+        changes: list[Record] = []
+        for operation in operations:
+            if isinstance(operation, Put):
+                changes.append(self._put(operation))
+                continue
+            for record in self.range(operation.key, operation.range_end):
+                changes.append(self._delete(record))
+        return changes
+
+    def _put(self, put: Put) -> Record:
+        revision = self.revision + 1
+        old = self._records_by_key.get(put.key)
+        if old is None:
+            bisect.insort(self._keys, put.key)
+            record = Record(put.key, put.value, revision, revision, 1, put.lease_id)
+        else:
+            self._detach(old)
+            record = old._replace(
+                value=put.value,
+                mod_revision=revision,
+                version=old.version + 1,
+                lease_id=put.lease_id,
+            )
+        self._records_by_key[put.key] = record
+        if put.lease_id:
+            self._leases_by_id[put.lease_id].keys.add(put.key)
+        return record
+
+    def _delete(self, record: Record) -> Record:
+        del self._records_by_key[record.key]
+        del self._keys[bisect.bisect_left(self._keys, record.key)]
+        self._detach(record)
+        return Record(record.key, None, 0, self.revision + 1, 0, 0)
+
+    def _detach(self, record: Record) -> None:
+        lease = self._leases_by_id.get(record.lease_id)
+        if lease is not None:
+            lease.keys.discard(record.key)
+
+    def _publish(self, changes: tuple[Record, ...]) -> None:
+        self._history.extend(changes)
+        self._history_bytes += sum(len(change.value or b"") for change in changes)
+        while self._history and (
+            len(self._history) > self._history_limit
+            or self._history_bytes > HISTORY_BYTES_LIMIT
+        ):
+            self.compact(self._history[0].mod_revision)
+        for watch in list(self._watches_by_id.values()):
+            self._deliver(watch, changes)
+
+    def _deliver(self, watch: _Watch, changes: tuple[Record, ...]) -> None:
+        seen = tuple(c for c in changes if _selects(watch, c.key))
+        if seen:
+            watch.callback(seen, self.revision)
+
+
+def _selects(watch: _Watch, key: bytes) -> bool:
+    if not watch.range_end:
+        return key == watch.key
+    if watch.range_end == b"\x00":
+        return key >= watch.key
+    return watch.key <= key < watch.range_end
