Add the platform stand-in over HTTP

The store client and the end-to-end runs need the platform's key-value service and VM list with its faults. The service (budget, counters, faults) is apart from the twisted.web server so that tests can call it without sockets. Fault switches close connections instead of answering 5xx, because a lost reply is seen by a client as a closed connection.

--- /dev/null
+++ b/src/redwingrudder/standins/_platform_service.py
@@ -0,0 +1,259 @@
+"""Calls of the platform stand-in: budget, counters and fault switches.
+
+Independent of the HTTP server, so that tests can call it directly.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, NotRequired
+
+from pydantic import TypeAdapter
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from typing_extensions import TypedDict
+
+from .._token_bucket import TokenBucket
+from ..exceptions import NotFoundError, OverloadedError, RedwingrudderError
+from ..platform_api import ErrorReply, VmBody, WatchLine
+from ._gateway import Gateway, decode_watch, parse
+from ._key_value import CompactedError, KeyValueCore, Record
+from ._vm_list import VmList
+
+WRITES_PER_S = 500.0
+READS_PER_S = 2000.0
+NOT_FOUND_CODE = 5  # gRPC NOT_FOUND
+OVERLOADED_CODE = 8  # gRPC RESOURCE_EXHAUSTED
+INVALID_CODE = 3  # gRPC INVALID_ARGUMENT
+
+_CALLS_BY_PATH = {
+    "/v3/kv/range": "range",
+    "/v3/kv/txn": "txn",
+    "/v3/lease/grant": "lease_grant",
+    "/v3/lease/keepalive": "lease_keepalive",
+    "/v3/lease/revoke": "lease_revoke",
+    "/v3/watch": "watch",
+    "/v1/vms": "vms",
+}
+_WRITES = frozenset({"txn", "lease_grant", "lease_keepalive", "lease_revoke"})
+# A lost keepalive reply has no effect worth testing, so it is not counted.
+_LOSABLE = frozenset({"txn", "lease_grant", "lease_revoke"})
+
+
+class Budget(NamedTuple):
+    """Calls a second that the platform answers; beyond it 429."""
+
+    writes_per_s: float = WRITES_PER_S
+    reads_per_s: float = READS_PER_S
+
+
+class Call(NamedTuple):
+    """One request; ``failure_domain`` is that of the client or ""."""
+
+    path: str
+    body: bytes = b""
+    failure_domain: str = ""
+    vm_domain: str = ""
+
+
+class Reply(NamedTuple):
+    """An answer; ``dropped`` closes the connection instead."""
+
+    status: int
+    body: Any
+    delay_s: float = 0.0
+    dropped: bool = False
+
+
+class Faults(TypedDict):
+    """Fault switches; fields that are left out keep their value."""
+
+    outage: NotRequired[bool]
+    slow_s: NotRequired[float]
+    lost_replies: NotRequired[int]
+    cut_domains: NotRequired[list[str]]
+
+
+class VmChange(TypedDict):
+    """A change of the VM list."""
+
+    register: NotRequired[list[VmBody]]
+    leaving: NotRequired[list[str]]
+    remove: NotRequired[list[str]]
+    lag_s: NotRequired[float]
+
+
+class WatchStream(NamedTuple):
+    """Where the lines of a watch go; ``close`` ends its connection."""
+
+    send: Callable[[WatchLine], None]
+    close: Callable[[], None]
+
+
+class _OpenWatch(NamedTuple):
+    watch_id: int
+    failure_domain: str
+    stream: WatchStream
+
+
+_FAULTS = TypeAdapter(Faults)
+_VM_CHANGE = TypeAdapter(VmChange)
+_DROPPED = Reply(0, None, dropped=True)
+
+
+class PlatformService:
+    """The store and the VM list behind their budget and faults."""
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        budget: Budget | None = None,
+        vm_lag_s: float = 0.0,
+        core: KeyValueCore | None = None,
+    ) -> None:
+        budget = budget or Budget()
+        now = clock.seconds()
+        self.core = core or KeyValueCore()
+        self.vms = VmList(vm_lag_s)
+        self.counters: dict[str, int] = dict.fromkeys(_CALLS_BY_PATH.values(), 0)
+        self.counters["refused"] = 0
+        self._clock = clock
+        self._gateway = Gateway(self.core)
+        self._writes = TokenBucket(budget.writes_per_s, budget.writes_per_s, now)
+        self._reads = TokenBucket(budget.reads_per_s, budget.reads_per_s, now)
+        self._faults = Faults(outage=False, slow_s=0.0, lost_replies=0, cut_domains=[])
+        self._watches_by_id: dict[int, _OpenWatch] = {}
+        self._expiry_call: IDelayedCall | None = None
+
+    def handle(self, call: Call) -> Reply:
+        """Carry out one call other than a watch."""
+        kind = _CALLS_BY_PATH.get(call.path)
+        if kind is None or kind == "watch":
+            return Reply(404, ErrorReply(code=NOT_FOUND_CODE, message="not found"))
+        if self._is_cut(call.failure_domain):
+            return _DROPPED
+        reply = self._answer(kind, call)
+        if reply.status == 200 and kind in _LOSABLE and self._faults["lost_replies"]:
+            self._faults["lost_replies"] -= 1
+            return _DROPPED
+        return reply._replace(delay_s=self._faults["slow_s"])
+
+    def open_watch(self, call: Call, stream: WatchStream) -> Reply | int:
+        """Open a watch; returns its id, or the answer when it is refused."""
+        if self._is_cut(call.failure_domain):
+            return _DROPPED
+        try:
+            self._admit("watch")
+            return self._start_watch(call, stream)
+        except RedwingrudderError as error:
+            return _error_reply(error)
+
+    def close_watch(self, watch_id: int) -> None:
+        """Forget a watch whose connection is closed."""
+        if self._watches_by_id.pop(watch_id, None) is not None:
+            self.core.unwatch(watch_id)
+
+    def open_watches(self) -> int:
+        """Return the number of waiting watches."""
+        return len(self._watches_by_id)
+
+    def set_faults(self, body: bytes) -> Faults:
+        """Change the fault switches and return them all."""
+        self._faults.update(parse(_FAULTS, body))
+        for watch in list(self._watches_by_id.values()):
+            if self._is_cut(watch.failure_domain):
+                self.close_watch(watch.watch_id)
+                watch.stream.close()
+        return self._faults
+
+    def change_vms(self, body: bytes) -> None:
+        """Change the VM list."""
+        change = parse(_VM_CHANGE, body)
+        self.vms.lag_s = change.get("lag_s", self.vms.lag_s)
+        self.vms.change(
+            change.get("register", []),
+            change.get("leaving", []),
+            change.get("remove", []),
+            self._clock.seconds(),
+        )
+
+    def stop(self) -> None:
+        """Close all watches and cancel the lease timer."""
+        for watch in list(self._watches_by_id.values()):
+            self.close_watch(watch.watch_id)
+            watch.stream.close()
+        if self._expiry_call is not None:
+            self._expiry_call.cancel()
+            self._expiry_call = None
+
+    def _is_cut(self, failure_domain: str) -> bool:
+        cut = failure_domain in self._faults["cut_domains"]
+        return self._faults["outage"] or cut
+
+    def _answer(self, kind: str, call: Call) -> Reply:
+        try:
+            self._admit(kind)
+            return Reply(200, self._carry_out(kind, call))
+        except RedwingrudderError as error:
+            return _error_reply(error)
+
+    def _admit(self, kind: str) -> None:
+        self.counters[kind] += 1
+        bucket = self._writes if kind in _WRITES else self._reads
+        wait_s = bucket.take(self._clock.seconds())
+        if wait_s > 0:
+            self.counters["refused"] += 1
+            raise OverloadedError("too many requests", retry_after_s=wait_s)
+
+    def _carry_out(self, kind: str, call: Call) -> Any:
+        now = self._clock.seconds()
+        self.core.expire(now)
+        if kind == "range":
+            return self._gateway.range(call.body)
+        if kind == "txn":
+            return self._gateway.txn(call.body, now)
+        if kind == "lease_grant":
+            reply = self._gateway.grant(call.body, now)
+            self._schedule_expiry()
+            return reply
+        if kind == "lease_keepalive":
+            return self._gateway.keep_alive(call.body, now)
+        if kind == "lease_revoke":
+            return self._gateway.revoke(call.body)
+        return {"vms": self.vms.read(call.vm_domain, now)}
+
+    def _start_watch(self, call: Call, stream: WatchStream) -> Reply | int:
+        selection = decode_watch(call.body)
+
+        def deliver(records: tuple[Record, ...], revision: int) -> None:
+            stream.send(self._gateway.watch_changes(records))
+
+        stream.send(self._gateway.watch_created())
+        try:
+            watch_id = self.core.watch(*selection, deliver)
+        except CompactedError as error:
+            stream.send(self._gateway.watch_compacted(error.compact_revision))
+            stream.close()
+            return _DROPPED
+        self._watches_by_id[watch_id] = _OpenWatch(
+            watch_id, call.failure_domain, stream
+        )
+        return watch_id
+
+    def _schedule_expiry(self) -> None:
+        expires_at = self.core.next_expiry()
+        if self._expiry_call is not None or expires_at is None:
+            return
+        delay_s = max(0.0, expires_at - self._clock.seconds())
+        self._expiry_call = self._clock.callLater(delay_s, self._expire)
+
+    def _expire(self) -> None:
+        self._expiry_call = None
+        self.core.expire(self._clock.seconds())
+        self._schedule_expiry()
+
+
+def _error_reply(error: RedwingrudderError) -> Reply:
+    code = INVALID_CODE
+    if isinstance(error, OverloadedError):
+        code = OVERLOADED_CODE
+    elif isinstance(error, NotFoundError):
+        code = NOT_FOUND_CODE
+    return Reply(error.http_status, ErrorReply(code=code, message=error.detail))
--- /dev/null
+++ b/src/redwingrudder/standins/_vm_list.py
@@ -0,0 +1,64 @@
+"""The platform's list of live and leaving VMs, which lags."""
+
+from collections import deque
+from typing import NamedTuple
+
+from ..exceptions import OverloadedError
+from ..platform_api import VmBody
+
+VM_LIMIT = 20_000  # entries
+SNAPSHOT_LIMIT = 1_000  # changes that wait for the lag to pass
+
+
+class _Snapshot(NamedTuple):
+    changed_at: float
+    vms: tuple[VmBody, ...]
+
+
+class VmList:
+    """VMs by id; readers see the list as it was ``lag_s`` seconds ago."""
+
+    def __init__(self, lag_s: float = 0.0) -> None:
+        self.lag_s = lag_s
+        self._vms_by_id: dict[str, VmBody] = {}
+        self._snapshots: deque[_Snapshot] = deque(maxlen=SNAPSHOT_LIMIT)
+
+    def change(
+        self,
+        register: list[VmBody],
+        leaving: list[str],
+        remove: list[str],
+        now: float,
+    ) -> None:
+        """Add or replace VMs, mark VMs as leaving and remove VMs.
+
+        Raises:
+            OverloadedError: The list would exceed ``VM_LIMIT`` entries.
+        """
+        if len(self._vms_by_id) + len(register) > VM_LIMIT:
+            raise OverloadedError(f"the list holds at most {VM_LIMIT} VMs")
+        for vm in register:
+            self._vms_by_id[vm["vm_id"]] = vm
+        for vm_id in leaving:
+            if vm_id in self._vms_by_id:
+                leaver = VmBody(**{**self._vms_by_id[vm_id], "state": "leaving"})
+                self._vms_by_id[vm_id] = leaver
+        for vm_id in remove:
+            self._vms_by_id.pop(vm_id, None)
+        vms = tuple(self._vms_by_id[vm_id] for vm_id in sorted(self._vms_by_id))
+        self._snapshots.append(_Snapshot(now, vms))
+
+    def read(self, failure_domain: str, now: float) -> list[VmBody]:
+        """Return the VMs of one failure domain, or of all for ""."""
+        while len(self._snapshots) > 1 and self._is_visible(self._snapshots[1], now):
+            self._snapshots.popleft()
+        if not self._snapshots or not self._is_visible(self._snapshots[0], now):
+            return []
+        return [
+            vm
+            for vm in self._snapshots[0].vms
+            if failure_domain in ("", vm["failure_domain"])
+        ]
+
+    def _is_visible(self, snapshot: _Snapshot, now: float) -> bool:
+        return snapshot.changed_at + self.lag_s <= now
--- /dev/null
+++ b/src/redwingrudder/standins/platform.py
@@ -0,0 +1,214 @@
+"""Stand-in of the platform: key-value store and VM list over HTTP.
+
+It answers the calls of ``platform_api`` and, for tests, ``POST
+/admin/faults``, ``POST /admin/vms`` and ``GET /admin/counters``.
+"""
+
+import json
+from collections import deque
+from typing import Any
+
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
+from twisted.internet.interfaces import IPushProducer, IReactorTime
+from twisted.python.failure import Failure
+from twisted.web import resource, server
+from zope.interface import implementer
+
+from ..exceptions import RedwingrudderError
+from ..platform_api import BODY_LIMIT, DOMAIN_HEADER, WatchLine
+from ._platform_service import Budget, Call, PlatformService, Reply, WatchStream
+
+TOO_MANY_REQUESTS = 429
+STREAM_QUEUE_LIMIT = 8_000_000  # bytes that wait for a slow reader of a watch
+CONNECTION_TIMEOUT_S = 120.0  # idle persistent connections
+
+
+class PlatformStandin:
+    """The platform as an HTTP server.
+
+    Args:
+        clock: The reactor, or a ``twisted.internet.task.Clock`` in tests.
+        budget: Calls a second that are answered.
+        vm_lag_s: Seconds by which the VM list lags.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        budget: Budget | None = None,
+        vm_lag_s: float = 0.0,
+    ) -> None:
+        self.service = PlatformService(clock, budget, vm_lag_s)
+        self._clock = clock
+        self._port: Any = None
+        self._site: server.Site | None = None
+
+    def listen(self, reactor: Any, host: str, port: int) -> Deferred:
+        """Open the server; the Deferred fires with the port number."""
+        root = _PlatformResource(self.service, self._clock)
+        self._site = server.Site(
+            root, requestFactory=_BoundedRequest, timeout=CONNECTION_TIMEOUT_S
+        )
+        self._port = reactor.listenTCP(port, self._site, interface=host)
+        return succeed(self._port.getHost().port)
+
+    def stop(self) -> Deferred:
+        """Close the server; the Deferred fires when the port is closed."""
+        self.service.stop()
+        if self._port is None:
+            return succeed(None)
+        return maybeDeferred(self._port.stopListening)
+
+
+class _BoundedRequest(server.Request):
+    """Closes the connection of a request whose body exceeds the limit."""
+
+    _received = 0
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        self._received += len(data)
+        if self._received > BODY_LIMIT:
+            self.channel.forceAbortClient()
+            return
+        super().handleContentChunk(data)
+
+
+class _PlatformResource(resource.Resource):
+    """Passes requests to the service and writes its replies."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, service: PlatformService, clock: IReactorTime) -> None:
+        super().__init__()
+        self._service = service
+        self._clock = clock
+
+    def render(self, request: server.Request) -> Any:
+        path = request.path.decode("utf-8", "replace")
+        if path.startswith("/admin/"):
+            _write(request, self._administer(path, request))
+        elif path == "/v3/watch":
+            self._watch(request)
+        else:
+            self._answer(request, self._service.handle(_decode_call(request)))
+        return server.NOT_DONE_YET
+
+    def _administer(self, path: str, request: server.Request) -> Reply:
+        try:
+            if path == "/admin/faults":
+                return Reply(200, self._service.set_faults(request.content.read()))
+            if path == "/admin/vms":
+                self._service.change_vms(request.content.read())
+                return Reply(200, {})
+        except RedwingrudderError as error:
+            return Reply(error.http_status, {"message": error.detail})
+        if path == "/admin/counters":
+            watches = self._service.open_watches()
+            body = {"counters": self._service.counters, "open_watches": watches}
+            return Reply(200, body)
+        return Reply(404, {"message": f"no {path}"})
+
+    def _answer(self, request: server.Request, reply: Reply) -> None:
+        if reply.delay_s <= 0:
+            _write(request, reply)
+            return
+        call = self._clock.callLater(reply.delay_s, _write, request, reply)
+
+        def cancel(failure: Failure) -> None:
+            if call.active():
+                call.cancel()
+
+        request.notifyFinish().addErrback(cancel)
+
+    def _watch(self, request: server.Request) -> None:
+        lines = _LineProducer(request)
+        stream = WatchStream(lines.send, lines.close)
+        outcome = self._service.open_watch(_decode_call(request), stream)
+        if isinstance(outcome, int):
+            closed = request.notifyFinish()
+            closed.addBoth(lambda _: self._service.close_watch(outcome))
+        elif not lines.closed:
+            self._answer(request, outcome)
+
+
+@implementer(IPushProducer)
+class _LineProducer:
+    """Writes lines to a request and bounds what a slow reader leaves."""
+
+    def __init__(self, request: server.Request) -> None:
+        self.closed = False
+        self._request = request
+        self._paused = False
+        self._started = False
+        self._lines: deque[bytes] = deque()
+        self._waiting_bytes = 0
+        request.notifyFinish().addBoth(self._finished)
+
+    def send(self, line: WatchLine) -> None:
+        if self.closed:
+            return
+        if not self._started:
+            self._started = True
+            self._request.setHeader("Content-Type", "application/json")
+            self._request.registerProducer(self, True)
+        data = json.dumps(line).encode() + b"\n"
+        self._waiting_bytes += len(data)
+        if self._waiting_bytes > STREAM_QUEUE_LIMIT:
+            # The client resumes after the last revision that it received.
+            self.close()
+            return
+        self._lines.append(data)
+        self._flush()
+
+    def close(self) -> None:
+        """End the stream after what has been written."""
+        if self.closed:
+            return
+        self.closed = True
+        self._lines.clear()
+        if self._started:
+            self._request.unregisterProducer()
+        self._request.channel.loseConnection()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        self._paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self._paused = False
+        self._flush()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        self.closed = True
+
+    def _flush(self) -> None:
+        while self._lines and not self._paused and not self.closed:
+            data = self._lines.popleft()
+            self._waiting_bytes -= len(data)
+            self._request.write(data)
+
+    def _finished(self, result: Any) -> None:
+        self.closed = True
+
+
+def _decode_call(request: server.Request) -> Call:
+    domains = request.args.get(b"failure_domain", [b""])
+    return Call(
+        request.path.decode("utf-8", "replace"),
+        request.content.read(),
+        request.getHeader(DOMAIN_HEADER) or "",
+        domains[0].decode("utf-8", "replace"),
+    )
+
+
+def _write(request: server.Request, reply: Reply) -> None:
+    if request.finished or request.channel is None:
+        return
+    if reply.dropped:
+        request.channel.forceAbortClient()
+        return
+    request.setResponseCode(reply.status)
+    request.setHeader("Content-Type", "application/json")
+    if reply.status == TOO_MANY_REQUESTS:
+        request.setHeader("Retry-After", "1")
+    request.write(json.dumps(reply.body).encode())
+    request.finish()
--- /dev/null
+++ b/tests/test_platform_standin.py
@@ -0,0 +1,185 @@
+"""Tests of the platform stand-in: store semantics, budget and faults."""
+
+import base64
+import json
+import unittest
+
+import treq
+from twisted.internet import reactor
+from twisted.internet.task import Clock
+from twisted.trial.unittest import TestCase
+from twisted.web.client import Agent, HTTPConnectionPool
+
+from redwingrudder.exceptions import (
+    BadRequestError,
+    NotFoundError,
+    PayloadTooLargeError,
+)
+from redwingrudder.standins._key_value import (
+    VALUE_LIMIT,
+    CompactedError,
+    Delete,
+    KeyValueCore,
+    ModCompare,
+    Put,
+    prefix_end,
+)
+from redwingrudder.standins._platform_service import (
+    Budget,
+    Call,
+    PlatformService,
+    WatchStream,
+)
+from redwingrudder.standins.platform import PlatformStandin
+
+
+def b64(text):
+    return base64.b64encode(text.encode()).decode()
+
+
+def put_body(key, value, mod_revision=None):
+    body = {"success": [{"request_put": {"key": b64(key), "value": b64(value)}}]}
+    if mod_revision is not None:
+        compare = {"target": "MOD", "key": b64(key), "mod_revision": mod_revision}
+        body["compare"] = [compare]
+    return json.dumps(body).encode()
+
+
+class KeyValueCoreTests(unittest.TestCase):
+    def setUp(self):
+        self.core = KeyValueCore(history_limit=4)
+
+    def put(self, key, value=b"v", lease_id=0):
+        return self.core.transact((), (Put(key, value, lease_id),), 0.0)
+
+    def test_only_one_of_two_creates_wins(self):
+        absent = (ModCompare(b"a", 0),)
+        self.assertTrue(self.core.transact(absent, (Put(b"a", b"1"),), 0.0))
+        self.assertFalse(self.core.transact(absent, (Put(b"a", b"2"),), 0.0))
+        self.assertEqual(self.core.range(b"a")[0].value, b"1")
+
+    def test_a_refused_transaction_changes_nothing(self):
+        large = Put(b"b", b"x" * (VALUE_LIMIT + 1))
+        for error, operations in (
+            (PayloadTooLargeError, (Put(b"a", b"1"), large)),
+            (BadRequestError, (Put(b"a", b"1"), Put(b"a", b"2"))),
+            (NotFoundError, (Put(b"a", b"1"), Put(b"b", b"2", 77))),
+        ):
+            with self.assertRaises(error):
+                self.core.transact((), operations, 0.0)
+        self.assertEqual((self.core.range(b"a"), self.core.revision), ((), 1))
+
+    def test_keys_of_a_lapsed_lease_vanish_unless_written_anew(self):
+        lease = self.core.grant_lease(3, 0.0)
+        self.put(b"a", b"1", lease)
+        self.put(b"b", b"1", lease)
+        self.put(b"b", b"2")
+        self.assertEqual(self.core.keep_alive(lease, 2.0), 3)
+        self.core.expire(4.9)
+        self.assertTrue(self.core.range(b"a"))
+        self.assertEqual(self.core.keep_alive(lease, 5.0), 0)
+        self.assertFalse(self.core.range(b"a"))
+        self.assertTrue(self.core.range(b"b"))
+
+    def test_watch_resumes_in_order_and_fails_after_compaction(self):
+        for key in (b"p/1", b"q", b"p/2"):
+            self.put(key)
+        seen = []
+        self.core.watch(b"p/", prefix_end(b"p/"), 2, lambda r, _: seen.extend(r))
+        self.core.transact((), (Delete(b"p/1"),), 0.0)
+        self.assertEqual(
+            [(r.key, r.value, r.mod_revision) for r in seen],
+            [(b"p/1", b"v", 2), (b"p/2", b"v", 4), (b"p/1", None, 5)],
+        )
+        self.put(b"q")
+        with self.assertRaises(CompactedError):
+            self.core.watch(b"p/", prefix_end(b"p/"), 2, lambda *_: None)
+
+
+class PlatformServiceTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.service = PlatformService(self.clock, Budget(2.0, 3.0))
+
+    def test_budget_refuses_reads_and_writes_apart_and_recovers(self):
+        put = Call("/v3/kv/txn", put_body("a", "1"))
+        read = Call("/v3/kv/range", json.dumps({"key": b64("a")}).encode())
+        writes = [self.service.handle(put).status for _ in range(3)]
+        reads = [self.service.handle(read).status for _ in range(4)]
+        self.assertEqual(writes, [200, 200, 429])
+        self.assertEqual(reads, [200, 200, 200, 429])
+        self.clock.advance(0.5)
+        self.assertEqual(self.service.handle(put).status, 200)
+        counters = self.service.counters
+        self.assertEqual(
+            (counters["txn"], counters["range"], counters["refused"]), (4, 4, 2)
+        )
+
+    def test_cut_domain_loses_calls_and_its_watch_and_others_do_not(self):
+        closed = []
+        body = json.dumps({"create_request": {"key": b64("a")}}).encode()
+        for domain in ("north", "south"):
+            stream = WatchStream(lambda _: None, lambda d=domain: closed.append(d))
+            self.service.open_watch(Call("/v3/watch", body, domain), stream)
+        self.service.set_faults(b'{"cut_domains": ["north"]}')
+        self.assertEqual((closed, self.service.open_watches()), (["north"], 1))
+        put = Call("/v3/kv/txn", put_body("a", "1"))
+        self.assertTrue(
+            self.service.handle(put._replace(failure_domain="north")).dropped
+        )
+        self.assertFalse(
+            self.service.handle(put._replace(failure_domain="south")).dropped
+        )
+
+    def test_malformed_bodies_are_refused(self):
+        for body in (b"", b"[]", b'{"key": "*"}'):
+            reply = self.service.handle(Call("/v3/kv/range", body))
+            self.assertEqual(reply.status, 400, body)
+
+    def test_vm_list_lags(self):
+        vm = {
+            "vm_id": "w1", "role": "worker", "state": "live", "address": "a:1",
+            "failure_domain": "north", "rack": "r1", "rank": 0, "accelerators": 8,
+            "slots": 8, "cores": 1, "memory_mb": 1,
+        }  # fmt: skip
+        self.service.change_vms(json.dumps({"register": [vm], "lag_s": 2.0}).encode())
+        call = Call("/v1/vms", vm_domain="north")
+        self.assertEqual(self.service.handle(call).body, {"vms": []})
+        self.clock.advance(2.0)
+        self.assertEqual(self.service.handle(call).body, {"vms": [vm]})
+        self.service.change_vms(b'{"leaving": ["w1"]}')
+        self.clock.advance(1.9)
+        self.assertEqual(self.service.handle(call).body["vms"][0]["state"], "live")
+        self.clock.advance(0.1)
+        self.assertEqual(self.service.handle(call).body["vms"][0]["state"], "leaving")
+
+
+class PlatformStandinTests(TestCase):
+    async def start(self):
+        self.standin = PlatformStandin(reactor)
+        port = await self.standin.listen(reactor, "127.0.0.1", 0)
+        self.addCleanup(self.standin.stop)
+        self.pool = HTTPConnectionPool(reactor, persistent=False)
+        self.client = treq.client.HTTPClient(Agent(reactor, pool=self.pool))
+        self.url = f"http://127.0.0.1:{port}"
+
+    async def post(self, path, body):
+        response = await self.client.post(self.url + path, data=body)
+        return response.code, json.loads(await response.content())
+
+    async def test_a_lost_reply_leaves_its_effect(self):
+        await self.start()
+        await self.post("/admin/faults", b'{"lost_replies": 1}')
+        with self.assertRaises(Exception):  # noqa: B017
+            await self.post("/v3/kv/txn", put_body("a", "1", 0))
+        code, reply = await self.post("/v3/kv/txn", put_body("a", "1", 0))
+        self.assertEqual((code, reply.get("succeeded")), (200, None))
+
+    async def test_outage_closes_connections_and_ends(self):
+        await self.start()
+        await self.post("/admin/faults", b'{"outage": true}')
+        with self.assertRaises(Exception):  # noqa: B017
+            await self.post("/v3/kv/txn", put_body("a", "1"))
+        await self.post("/admin/faults", b'{"outage": false}')
+        code, _ = await self.post("/v3/kv/txn", put_body("a", "1"))
+        self.assertEqual(code, 200)
