Add the store client

All parts reach the platform through one actor that keeps its sockets. The chart store_link decides when the store counts as unavailable: a lost answer leads to a probe, and only a failed probe ends calls, so that a single lost reply does not look like an outage. Treating every failed call as an outage was ruled out because the store is known to lose answers.

--- /dev/null
+++ b/src/redwingrudder/_store_codec.py
@@ -0,0 +1,222 @@
+"""Conversion between store messages and the platform's HTTP bodies."""
+
+import base64
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+from . import requests
+from .exceptions import (
+    BadRequestError,
+    NotFoundError,
+    OverloadedError,
+    PayloadTooLargeError,
+    RedwingrudderError,
+)
+
+VALUE_LIMIT = 1_000_000  # bytes, limit of the platform store
+
+
+class EncodedCall(NamedTuple):
+    """An HTTP request: a GET when ``body`` is None, else a POST."""
+
+    path: str
+    body: bytes | None
+    writes: bool
+
+
+class WatchProgress(NamedTuple):
+    """What one line of a watch stream says."""
+
+    changes: tuple[requests.KeyChange, ...]
+    compacted: bool
+
+
+def encode(message: Any) -> EncodedCall:
+    """Encode a message of ``requests``.
+
+    Raises:
+        PayloadTooLargeError: A value exceeds the limit of the store.
+    """
+    return _ENCODERS_BY_TYPE[type(message)](message)
+
+
+def decode(message: Any, body: bytes) -> Any:
+    """Decode the answer to a message.
+
+    Raises:
+        ValueError: The answer is malformed.
+    """
+    try:
+        return _DECODERS_BY_TYPE[type(message)](json.loads(body))
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"malformed answer of the store: {error!r}") from None
+
+
+def decode_error(status: int, body: bytes) -> RedwingrudderError | None:
+    """Return the error for an HTTP status, None when it has no own class."""
+    detail = f"the store answered {status}: {body[:200].decode('utf-8', 'replace')}"
+    if status == 429:
+        return OverloadedError(detail, code="store_busy", retry_after_s=1.0)
+    if status == 404:
+        return NotFoundError(detail)
+    if status == 413:
+        return PayloadTooLargeError(detail)
+    if 400 <= status < 500:
+        return BadRequestError(detail)
+    return None
+
+
+def encode_watch(prefix: str, start_revision: int) -> EncodedCall:
+    """Encode the request that opens a watch stream."""
+    selection = {**_prefix_range(prefix), "start_revision": str(start_revision)}
+    body = _dump({"create_request": selection})
+    return EncodedCall("/v3/watch", body, False)
+
+
+def decode_watch_line(line: bytes) -> WatchProgress:
+    """Decode one line of a watch stream.
+
+    Raises:
+        ValueError: The line is malformed or reports an error.
+    """
+    try:
+        result = json.loads(line)["result"]
+        changes = tuple(_change(event) for event in result.get("events", []))
+        compacted = int(result.get("compact_revision", 0)) > 0
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"malformed line of a watch: {error!r}") from None
+    if result.get("canceled") and not compacted:
+        raise ValueError("the store ended the watch")
+    return WatchProgress(changes, compacted)
+
+
+def _dump(body: dict[str, Any]) -> bytes:
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def _text(text: str) -> str:
+    return base64.b64encode(text.encode()).decode("ascii")
+
+
+def _plain(text: str) -> str:
+    return base64.b64decode(text).decode()
+
+
+def _prefix_range(prefix: str) -> dict[str, str]:
+    data = prefix.encode()
+    # No prefix used here ends in the highest byte.
+    end = data[:-1] + bytes([data[-1] + 1])
+    return {"key": _text(prefix), "range_end": base64.b64encode(end).decode()}
+
+
+def _encode_get(message: requests.GetKey) -> EncodedCall:
+    return EncodedCall("/v3/kv/range", _dump({"key": _text(message.key)}), False)
+
+
+def _encode_prefix(message: requests.GetPrefix) -> EncodedCall:
+    return EncodedCall("/v3/kv/range", _dump(_prefix_range(message.prefix)), False)
+
+
+def _encode_transact(message: requests.Transact) -> EncodedCall:
+    compares = [
+        {
+            "target": "MOD",
+            "result": "EQUAL",
+            "key": _text(compare.key),
+            "mod_revision": str(compare.mod_revision),
+        }
+        for compare in message.compares
+    ]
+    success = [_encode_operation(operation) for operation in message.operations]
+    body = _dump({"compare": compares, "success": success})
+    return EncodedCall("/v3/kv/txn", body, True)
+
+
+def _encode_operation(
+    operation: requests.PutKey | requests.DeleteKey,
+) -> dict[str, Any]:
+    if isinstance(operation, requests.DeleteKey):
+        return {"request_delete_range": {"key": _text(operation.key)}}
+    size = len(operation.value.encode())
+    if size > VALUE_LIMIT:
+        raise PayloadTooLargeError(
+            f"the value of {operation.key} has {size} bytes, allowed are {VALUE_LIMIT}"
+        )
+    put = {"key": _text(operation.key), "value": _text(operation.value)}
+    if operation.lease_id:
+        put["lease"] = str(operation.lease_id)
+    return {"request_put": put}
+
+
+def _encode_lease(path: str) -> Callable[[Any], EncodedCall]:
+    def encode_lease(message: Any) -> EncodedCall:
+        return EncodedCall(path, _dump({"ID": str(message.lease_id)}), True)
+
+    return encode_lease
+
+
+def _encode_grant(message: requests.GrantLease) -> EncodedCall:
+    return EncodedCall("/v3/lease/grant", _dump({"TTL": str(message.ttl_s)}), True)
+
+
+def _encode_list(message: requests.ListVms) -> EncodedCall:
+    domain = quote(message.failure_domain, safe="")
+    return EncodedCall(f"/v1/vms?failure_domain={domain}", None, False)
+
+
+def _pair(body: dict[str, Any]) -> requests.KeyValue:
+    return requests.KeyValue(
+        _plain(body["key"]), _plain(body.get("value", "")), int(body["mod_revision"])
+    )
+
+
+def _change(event: dict[str, Any]) -> requests.KeyChange:
+    pair = _pair(event["kv"])
+    deleted = event.get("type") == "DELETE"
+    value = None if deleted else pair.value
+    return requests.KeyChange(pair.key, value, pair.mod_revision)
+
+
+def _decode_get(body: dict[str, Any]) -> requests.KeyValue | None:
+    pairs = body.get("kvs", [])
+    return _pair(pairs[0]) if pairs else None
+
+
+def _decode_prefix(body: dict[str, Any]) -> requests.PrefixReply:
+    pairs = tuple(_pair(pair) for pair in body.get("kvs", []))
+    return requests.PrefixReply(pairs, int(body["header"]["revision"]))
+
+
+def _decode_transact(body: dict[str, Any]) -> requests.TransactReply:
+    revision = int(body["header"]["revision"])
+    return requests.TransactReply(bool(body.get("succeeded", False)), revision)
+
+
+def _decode_vms(body: dict[str, Any]) -> tuple[requests.VmInfo, ...]:
+    fields = requests.VmInfo._fields
+    return tuple(
+        requests.VmInfo(**{name: vm[name] for name in fields}) for vm in body["vms"]
+    )
+
+
+_ENCODERS_BY_TYPE: dict[type, Callable[[Any], EncodedCall]] = {
+    requests.GetKey: _encode_get,
+    requests.GetPrefix: _encode_prefix,
+    requests.Transact: _encode_transact,
+    requests.GrantLease: _encode_grant,
+    requests.KeepLeaseAlive: _encode_lease("/v3/lease/keepalive"),
+    requests.RevokeLease: _encode_lease("/v3/lease/revoke"),
+    requests.ListVms: _encode_list,
+}
+_DECODERS_BY_TYPE: dict[type, Callable[[dict[str, Any]], Any]] = {
+    requests.GetKey: _decode_get,
+    requests.GetPrefix: _decode_prefix,
+    requests.Transact: _decode_transact,
+    requests.GrantLease: lambda body: int(body["ID"]),
+    requests.KeepLeaseAlive: lambda body: int(body["result"].get("TTL", 0)),
+    requests.RevokeLease: lambda body: None,
+    requests.ListVms: _decode_vms,
+}
+CALL_TYPES = tuple(_ENCODERS_BY_TYPE)
--- /dev/null
+++ b/src/redwingrudder/store.py
@@ -0,0 +1,257 @@
+"""Client actor of the platform's key-value store and VM list."""
+
+import logging
+import random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from . import requests
+from ._store_codec import CALL_TYPES, EncodedCall, decode, decode_error, encode
+from ._store_transport import HttpTransport, StoreTransport, TransportReply
+from ._store_watch import Watch
+from ._token_bucket import TokenBucket
+from .actors import Actor, ActorSystem, Handler
+from .exceptions import (
+    MailboxFullError,
+    NotFoundError,
+    OutcomeUnknownError,
+    OverloadedError,
+    StoreUnavailableError,
+    UnavailableError,
+)
+from .statecharts import load_chart
+from .timers import TIMERS, Subscribe, TimerFired, Unsubscribe
+
+__all__ = ["HttpTransport", "StoreClient", "StoreTransport"]
+
+CALL_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 1.0
+PROBE_INTERVAL_S = 1.0
+PROBE_JITTER_S = 0.2  # spreads the nodes' probes
+WRITES_PER_S = 200.0  # of all failure domains together, docs/design.md 4.3
+CALLS_IN_FLIGHT = 256
+PROBE = requests.GetKey("/probe")
+
+_logger = logging.getLogger(__name__)
+_EVENTS = frozenset({"probe_due", "answered", "call_failed", "probe_failed"})
+_ACTIONS = frozenset(
+    {
+        "probe",
+        "schedule_probe",
+        "report_available",
+        "report_unavailable",
+        "open_watches",
+        "close_watches",
+    }
+)
+
+
+class StoreClient(Actor):
+    """Answers the store messages of ``requests``; the chart is store_link.
+
+    Args:
+        system: The node's actors.
+        transport: Connection to the platform.
+        seed: Seed of the jitter.
+        writes_per_s: Transactions that this node may send a second; the
+            total of 200 divided by the number of failure domains.
+        call_timeout_s: Seconds after which a call counts as unanswered.
+    """
+
+    def __init__(
+        self,
+        system: ActorSystem,
+        transport: StoreTransport,
+        seed: int = 0,
+        writes_per_s: float = WRITES_PER_S,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._chart = load_chart("store_link", _EVENTS, _ACTIONS)
+        self._state = self._chart.initial
+        self._transport = transport
+        self._jitter = random.Random(seed)
+        self._bucket = TokenBucket(writes_per_s, writes_per_s, system.clock.seconds())
+        self._call_timeout_s = call_timeout_s
+        self._in_flight = 0
+        self._probing = False
+        self._watches_by_key: dict[tuple[str, str], Watch] = {}
+        self._status_subscribers: list[str] = []
+        super().__init__(system, requests.STORE)
+
+    def handlers(self) -> dict[type, Handler]:
+        """See base class."""
+        handlers: dict[type, Handler] = dict.fromkeys(CALL_TYPES, self._call)
+        handlers[requests.WatchPrefix] = self._watch
+        handlers[requests.SubscribeStoreStatus] = self._subscribe_status
+        handlers[TimerFired] = self._timer_fired
+        return handlers
+
+    def start(self) -> None:
+        """Find out whether the store answers."""
+        self.tell(TIMERS, Subscribe(self.name, "probe", 0.0))
+
+    def stop(self) -> Any:
+        """Close the watches and the connections."""
+        for watch in self._watches_by_key.values():
+            watch.close()
+        self._watches_by_key.clear()
+        return self._transport.close()
+
+    async def _call(self, message: Any) -> Any:
+        if self._state == "unavailable":
+            raise StoreUnavailableError("the store does not answer")
+        call = encode(message)
+        self._admit(message)
+        try:
+            reply = await self._send(call, self._call_timeout_s)
+        except (StoreUnavailableError, OutcomeUnknownError):
+            self._step("call_failed")
+            raise
+        self._step("answered")
+        return self._read_reply(message, call, reply)
+
+    def _admit(self, message: Any) -> None:
+        if self._in_flight >= CALLS_IN_FLIGHT:
+            raise OverloadedError(
+                f"{CALLS_IN_FLIGHT} calls of the store are in progress",
+                code="store_busy",
+                retry_after_s=1.0,
+            )
+        # Lease calls are few, and refusing them would end an ownership.
+        if isinstance(message, requests.Transact):
+            wait_s = self._bucket.take(self.system.clock.seconds())
+            if wait_s > 0:
+                raise OverloadedError(
+                    "the budget of store writes is used up",
+                    code="store_busy",
+                    retry_after_s=wait_s,
+                )
+
+    async def _send(self, call: EncodedCall, timeout_s: float) -> TransportReply:
+        self._in_flight += 1
+        try:
+            reply = await self._transport.call(call, timeout_s)
+        except OutcomeUnknownError as error:
+            raise _unanswered(call, error.detail) from None
+        finally:
+            self._in_flight -= 1
+        if reply.status >= 500:
+            raise _unanswered(call, f"the store answered {reply.status}")
+        return reply
+
+    def _read_reply(
+        self, message: Any, call: EncodedCall, reply: TransportReply
+    ) -> Any:
+        error = decode_error(reply.status, reply.body)
+        if error is not None:
+            lapsed = isinstance(message, requests.RevokeLease)
+            if lapsed and isinstance(error, NotFoundError):
+                return None
+            raise error
+        try:
+            return decode(message, reply.body)
+        except ValueError as malformed:
+            raise _unanswered(call, str(malformed)) from None
+
+    def _step(self, event: str) -> None:
+        transition = self._chart.step(self._state, event)
+        self._state = transition.target
+        for action in transition.actions:
+            getattr(self, f"_{action}")()
+
+    def _timer_fired(self, fired: TimerFired) -> None:
+        if fired.timer == "probe":
+            self._step("probe_due")
+            return
+        for key, watch in list(self._watches_by_key.items()):
+            if _timer_name(key) == fired.timer and self._state != "unavailable":
+                watch.open()
+
+    def _probe(self) -> None:
+        if not self._probing:
+            self._probing = True
+            Deferred.fromCoroutine(self._send_probe())
+
+    async def _send_probe(self) -> None:
+        try:
+            await self._send(encode(PROBE), PROBE_TIMEOUT_S)
+            event = "answered"
+        except UnavailableError:
+            event = "probe_failed"
+        finally:
+            self._probing = False
+        self._step(event)
+
+    def _schedule_probe(self) -> None:
+        delay_s = PROBE_INTERVAL_S + self._jitter.uniform(0.0, PROBE_JITTER_S)
+        self.tell(TIMERS, Subscribe(self.name, "probe", delay_s))
+
+    def _report_available(self) -> None:
+        self._report(True)
+
+    def _report_unavailable(self) -> None:
+        self._report(False)
+
+    def _report(self, available: bool) -> None:
+        _logger.info("store status changed", extra={"available": available})
+        for subscriber in self._status_subscribers:
+            self._tell_status(subscriber, available)
+
+    def _tell_status(self, subscriber: str, available: bool) -> None:
+        try:
+            self.tell(subscriber, requests.StoreStatus(available))
+        except MailboxFullError:
+            _logger.warning("store status refused", extra={"actor": subscriber})
+
+    def _open_watches(self) -> None:
+        for watch in list(self._watches_by_key.values()):
+            watch.open()
+
+    def _close_watches(self) -> None:
+        for key, watch in list(self._watches_by_key.items()):
+            self.tell(TIMERS, Unsubscribe(self.name, _timer_name(key)))
+            watch.close()
+
+    def _subscribe_status(self, request: requests.SubscribeStoreStatus) -> None:
+        if request.subscriber not in self._status_subscribers:
+            self._status_subscribers.append(request.subscriber)
+        available = self._state != "unavailable"
+        self._tell_status(request.subscriber, available)
+
+    def _watch(self, request: requests.WatchPrefix) -> None:
+        key = (request.subscriber, request.prefix)
+        old = self._watches_by_key.pop(key, None)
+        if old is not None:
+            old.close()
+        watch = Watch(
+            request,
+            self._transport,
+            tell=lambda message: self.tell(request.subscriber, message),
+            retry=lambda delay_s: self.tell(
+                TIMERS, Subscribe(self.name, _timer_name(key), delay_s)
+            ),
+            ended=lambda: self._forget(key, watch),
+            failed=lambda: self._step("call_failed"),
+            jitter=self._jitter,
+        )
+        self._watches_by_key[key] = watch
+        if self._state != "unavailable":
+            watch.open()
+
+    def _forget(self, key: tuple[str, str], watch: Watch) -> None:
+        if self._watches_by_key.get(key) is watch:
+            del self._watches_by_key[key]
+
+
+def _timer_name(key: tuple[str, str]) -> str:
+    subscriber, prefix = key
+    return f"watch {subscriber} {prefix}"
+
+
+def _unanswered(
+    call: EncodedCall, detail: str
+) -> StoreUnavailableError | OutcomeUnknownError:
+    if call.writes:
+        return OutcomeUnknownError(detail)
+    return StoreUnavailableError(detail)
