--- /dev/null
+++ b/src/redwingrudder/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the outside systems, with switches for faults."""
--- /dev/null
+++ b/src/redwingrudder/standins/_worker_core.py
@@ -0,0 +1,386 @@
+"""What a worker does, without sockets: the rules of ``worker_api``."""
+
+import uuid
+from collections import deque
+from typing import NamedTuple
+
+from .._worker_codec import spec_from_body
+from ..exceptions import StaleEpochError
+from ..model import Epoch, JobSpec, MemberState, TaskOutcome, WorkerInfo
+from ..worker_api import (
+    ClaimReply,
+    ClaimRequest,
+    CommandReply,
+    MemberBody,
+    MemberRequest,
+    PollReply,
+    PollRequest,
+    ReserveRequest,
+    StopRequest,
+    TaskEndedBody,
+    TaskResultBody,
+    ThrottleRequest,
+    UsageBody,
+)
+from ._worker_tasks import TaskPlan, plan_task
+
+RETENTION_S = 600.0  # results are kept this long after the end
+USAGE_LAG_S = 5.0  # usage is reported this late
+HISTORY_LIMIT = 100_000  # entries
+CHECKPOINT_SHARE = 0.5  # of the stop bound of a job
+
+_UNCLAIMED = Epoch(-1, -1, -1)
+
+
+class RejectedEpochError(StaleEpochError):
+    """A command came with an epoch that the worker does not accept.
+
+    ``not_claimed`` is the code for an epoch above the highest one seen, as
+    after a restart: only a claim raises the epoch.
+    """
+
+    def __init__(self, highest: Epoch, code: str) -> None:
+        super().__init__(f"highest epoch seen is {tuple(highest)}", code=code)
+        self.highest = highest
+
+
+class HistoryEntry(NamedTuple):
+    """Something that happened at the worker, for checks of histories.
+
+    ``what`` is "reserved", "started", "ended" or "released"; the task index
+    is -1 unless a task ended.
+    """
+
+    at: float
+    what: str
+    gang_id: str
+    job_id: str
+    epoch: Epoch
+    task_index: int = -1
+    outcome: str = ""
+
+
+class _Member(NamedTuple):
+    """A gang member; replaced on every change."""
+
+    request: ReserveRequest
+    spec: JobSpec
+    state: MemberState
+    running: tuple[TaskPlan, ...] = ()
+    results: tuple[TaskResultBody, ...] = ()
+    ended_at: float = 0.0
+
+    @property
+    def holds_resources(self) -> bool:
+        return self.state is not MemberState.ENDED
+
+
+class _Usage(NamedTuple):
+    at: float
+    busy_accelerators: int
+    busy_slots: int
+
+
+class WorkerCore:
+    """A worker under a lease; every method first catches up with ``now``.
+
+    Args:
+        info: What the worker has.
+        now: Time of the start, in seconds.
+        boot_id: Identity of this start; a new one by default.
+    """
+
+    def __init__(self, info: WorkerInfo, now: float, boot_id: str = "") -> None:
+        self.info = info
+        self.boot_id = boot_id or uuid.uuid4().hex
+        self.draining = False
+        self.fail_everything = False
+        self.highest_epoch = _UNCLAIMED
+        self.lease_until = now
+        self.history: deque[HistoryEntry] = deque(maxlen=HISTORY_LIMIT)
+        self._lease_s = 0.0
+        self._sequence = 0
+        self._events: deque[TaskEndedBody] = deque()
+        self._members_by_gang: dict[str, _Member] = {}
+        self._closed_gang_ids: set[str] = set()
+        self._started_gang_ids: set[str] = set()
+        self._usage: deque[_Usage] = deque([_Usage(now, 0, 0)])
+
+    def claim(self, request: ClaimRequest, now: float) -> ClaimReply:
+        """Take the worker over under an epoch that is not lower.
+
+        Raises:
+            RejectedEpochError: A higher epoch has been seen.
+        """
+        self.advance(now)
+        epoch = Epoch(*request["epoch"])
+        if epoch < self.highest_epoch:
+            raise RejectedEpochError(self.highest_epoch, "stale_epoch")
+        self.highest_epoch = epoch
+        self._lease_s = request["lease_s"]
+        self.lease_until = now + self._lease_s
+        return self.state(now)
+
+    def state(self, now: float) -> ClaimReply:
+        """Return everything that the worker holds."""
+        self.advance(now)
+        return ClaimReply(
+            boot_id=self.boot_id,
+            draining=self.draining,
+            worker_id=self.info.worker_id,
+            failure_domain=self.info.failure_domain,
+            rack=self.info.rack,
+            accelerators=self.info.accelerators,
+            slots=self.info.slots,
+            cores=self.info.cores,
+            memory_mb=self.info.memory_mb,
+            members=[_member_body(m) for m in self._members_by_gang.values()],
+            sequence=self._sequence,
+        )
+
+    def poll(self, request: PollRequest, now: float) -> PollReply:
+        """Renew the lease and return the events after ``after`` at once.
+
+        Events up to ``after`` are acknowledged and dropped.
+        """
+        self._accept(request["epoch"], now)
+        while self._events and self._events[0]["sequence"] <= request["after"]:
+            self._events.popleft()
+        return PollReply(
+            boot_id=self.boot_id,
+            draining=self.draining,
+            events=list(self._events),
+            usage=self._lagged_usage(now),
+        )
+
+    def has_news(self, request: PollRequest, now: float) -> bool:
+        """Whether a waiting poll must be answered; renews no lease."""
+        self.advance(now)
+        return bool(self._events) or Epoch(*request["epoch"]) != self.highest_epoch
+
+    def reserve(self, request: ReserveRequest, now: float) -> CommandReply:
+        """Hold resources for a gang member until it is released."""
+        self._accept(request["epoch"], now)
+        gang_id = request["gang_id"]
+        held = self._members_by_gang.get(gang_id)
+        if held is not None and held.state is MemberState.RESERVED:
+            return self._reply()
+        # A late duplicate must not hold what was released before it came.
+        if gang_id in self._started_gang_ids:
+            return self._reply("already_started")
+        if gang_id in self._closed_gang_ids:
+            return self._reply("already_ended")
+        spec = spec_from_body(request["spec"])
+        code = self._refusal(request, spec)
+        if code:
+            return self._reply(code)
+        member = _Member(request, spec, MemberState.RESERVED)
+        self._members_by_gang[gang_id] = member
+        self._record("reserved", member, now)
+        return self._reply()
+
+    def start(self, request: MemberRequest, now: float) -> CommandReply:
+        """Start a reserved member; repeating it has no further effect."""
+        self._accept(request["epoch"], now)
+        gang_id = request["gang_id"]
+        member = self._members_by_gang.get(gang_id)
+        if member is None:
+            known = gang_id in self._started_gang_ids
+            return self._reply("already_started" if known else "unknown_gang")
+        if member.state is not MemberState.RESERVED:
+            return self._reply()
+        self._started_gang_ids.add(gang_id)
+        plans = tuple(
+            plan_task(member.spec, index, now, self.fail_everything)
+            for index in member.request["tasks"]
+        )
+        started = member._replace(state=MemberState.STARTED, running=plans)
+        self._members_by_gang[gang_id] = started
+        self._record("started", started, now)
+        return self._reply()
+
+    def release(self, request: MemberRequest, now: float) -> CommandReply:
+        """Drop a reservation or retained results."""
+        self._accept(request["epoch"], now)
+        member = self._members_by_gang.get(request["gang_id"])
+        if member is not None and member.state is MemberState.STARTED:
+            return self._reply("member_running")
+        self._close(request["gang_id"], now)
+        return self._reply()
+
+    def stop(self, request: StopRequest, now: float) -> CommandReply:
+        """Stop a started member; a mere reservation is dropped instead."""
+        self._accept(request["epoch"], now)
+        gang_id = request["gang_id"]
+        member = self._members_by_gang.get(gang_id)
+        if member is None or member.state is MemberState.RESERVED:
+            self._close(gang_id, now)
+            return self._reply("unknown_gang")
+        if member.state is MemberState.ENDED:
+            return self._reply("already_ended")
+        outcome, ends_at = TaskOutcome.STOPPED, now
+        if request["checkpoint"] and member.spec.preemptible:
+            outcome = TaskOutcome.CHECKPOINTED
+            ends_at = now + member.spec.stop_bound_s * CHECKPOINT_SHARE
+        self._stop_tasks(gang_id, ends_at, outcome)
+        self.advance(now)
+        return self._reply()
+
+    def throttle(self, request: ThrottleRequest, now: float) -> CommandReply:
+        """Limit a member to a share of its cores, which slows its tasks."""
+        self._accept(request["epoch"], now)
+        gang_id = request["gang_id"]
+        member = self._members_by_gang.get(gang_id)
+        if member is None:
+            return self._reply("unknown_gang")
+        if member.state is MemberState.ENDED:
+            return self._reply("already_ended")
+        slower = tuple(p.throttled(request["share"], now) for p in member.running)
+        self._members_by_gang[gang_id] = member._replace(running=slower)
+        return self._reply()
+
+    def advance(self, now: float) -> None:
+        """End the tasks that are due and everything when the lease lapsed."""
+        self._end_due_tasks(min(now, self.lease_until))
+        if now >= self.lease_until:
+            self._lapse()
+        self._drop_expired_results(now)
+
+    def next_change(self) -> float | None:
+        """Return when the next task ends or the lease lapses, if any."""
+        times = [p.ends_at for m in self._members_by_gang.values() for p in m.running]
+        if any(m.holds_resources for m in self._members_by_gang.values()):
+            times.append(self.lease_until)
+        return min(times, default=None)
+
+    def _accept(self, numbers: list[int], now: float) -> None:
+        self.advance(now)
+        epoch = Epoch(*numbers)
+        if epoch < self.highest_epoch:
+            raise RejectedEpochError(self.highest_epoch, "stale_epoch")
+        if epoch > self.highest_epoch:
+            raise RejectedEpochError(self.highest_epoch, "not_claimed")
+        self.lease_until = now + self._lease_s
+
+    def _reply(self, code: str = "") -> CommandReply:
+        reply = CommandReply(
+            boot_id=self.boot_id, draining=self.draining, accepted=not code
+        )
+        if code:
+            reply["code"] = code
+        return reply
+
+    def _refusal(self, request: ReserveRequest, spec: JobSpec) -> str:
+        wanted = set(request["accelerators"])
+        if self.draining:
+            return "draining"
+        if not wanted <= set(range(self.info.accelerators)):
+            return "no_such_accelerator"
+        holding = [m for m in self._members_by_gang.values() if m.holds_resources]
+        if any(wanted & set(m.request["accelerators"]) for m in holding):
+            return "busy"
+        count = len(request["tasks"])
+        slots = count
+        cores = count * spec.cores_per_task
+        memory_mb = count * spec.memory_mb_per_task
+        for member in holding:
+            held = len(member.request["tasks"])
+            slots += held
+            cores += held * member.spec.cores_per_task
+            memory_mb += held * member.spec.memory_mb_per_task
+        fits = (
+            slots <= self.info.slots
+            and cores <= self.info.cores
+            and memory_mb <= self.info.memory_mb
+        )
+        return "" if fits else "busy"
+
+    def _end_due_tasks(self, until: float) -> None:
+        due = [
+            (plan.ends_at, gang_id, plan)
+            for gang_id, member in self._members_by_gang.items()
+            for plan in member.running
+            if plan.ends_at <= until
+        ]
+        for _, gang_id, plan in sorted(due):
+            self._end_task(gang_id, plan)
+
+    def _end_task(self, gang_id: str, plan: TaskPlan) -> None:
+        member = self._members_by_gang[gang_id]
+        running = tuple(p for p in member.running if p.task_index != plan.task_index)
+        body = TaskResultBody(
+            task_index=plan.task_index, outcome=plan.outcome, result=plan.result
+        )
+        member = member._replace(running=running, results=(*member.results, body))
+        if not running:
+            member = member._replace(state=MemberState.ENDED, ended_at=plan.ends_at)
+        self._members_by_gang[gang_id] = member
+        self._sequence += 1
+        event = TaskEndedBody(sequence=self._sequence, gang_id=gang_id, **body)
+        self._events.append(event)
+        self._record("ended", member, plan.ends_at, plan)
+
+    def _stop_tasks(self, gang_id: str, ends_at: float, outcome: TaskOutcome) -> None:
+        member = self._members_by_gang[gang_id]
+        plans = tuple(plan.stopped(ends_at, outcome) for plan in member.running)
+        self._members_by_gang[gang_id] = member._replace(running=plans)
+
+    def _lapse(self) -> None:
+        for gang_id, member in list(self._members_by_gang.items()):
+            if member.state is MemberState.RESERVED:
+                self._close(gang_id, self.lease_until)
+            elif member.state is MemberState.STARTED:
+                self._stop_tasks(gang_id, self.lease_until, TaskOutcome.STOPPED)
+        self._end_due_tasks(self.lease_until)
+
+    def _drop_expired_results(self, now: float) -> None:
+        for gang_id, member in list(self._members_by_gang.items()):
+            ended = member.state is MemberState.ENDED
+            if ended and now >= member.ended_at + RETENTION_S:
+                self._close(gang_id, now)
+
+    def _close(self, gang_id: str, now: float) -> None:
+        self._closed_gang_ids.add(gang_id)
+        member = self._members_by_gang.pop(gang_id, None)
+        if member is not None:
+            self._record("released", member, now)
+
+    def _record(
+        self, what: str, member: _Member, at: float, plan: TaskPlan | None = None
+    ) -> None:
+        request = member.request
+        entry = HistoryEntry(
+            at, what, request["gang_id"], request["job_id"], self.highest_epoch
+        )
+        if plan is not None:
+            entry = entry._replace(task_index=plan.task_index, outcome=plan.outcome)
+        self.history.append(entry)
+        holding = [m for m in self._members_by_gang.values() if m.holds_resources]
+        accelerators = sum(len(m.request["accelerators"]) for m in holding)
+        slots = sum(len(m.request["tasks"]) for m in holding)
+        self._usage.append(_Usage(at, accelerators, slots))
+
+    def _lagged_usage(self, now: float) -> UsageBody:
+        while len(self._usage) > 1 and self._usage[1].at <= now - USAGE_LAG_S:
+            self._usage.popleft()
+        usage = self._usage[0]
+        return UsageBody(
+            lag_s=USAGE_LAG_S,
+            busy_accelerators=usage.busy_accelerators,
+            busy_slots=usage.busy_slots,
+        )
+
+
+def _member_body(member: _Member) -> MemberBody:
+    request = member.request
+    return MemberBody(
+        gang_id=request["gang_id"],
+        job_id=request["job_id"],
+        spec=request["spec"],
+        submitted_at=request["submitted_at"],
+        accelerators=request["accelerators"],
+        tasks=request["tasks"],
+        gang_members=request["gang_members"],
+        state=member.state,
+        results=list(member.results),
+    )
--- /dev/null
+++ b/src/redwingrudder/standins/_worker_http.py
@@ -0,0 +1,298 @@
+"""HTTP shell of the worker stand-in (twisted.web)."""
+
+import json
+from typing import Any, NamedTuple
+
+from pydantic import TypeAdapter, ValidationError
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTCP
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+from typing_extensions import TypedDict
+
+from ..actors import Actor, ActorSystem, Handler
+from ..exceptions import RedwingrudderError
+from ..model import WorkerInfo
+from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
+from ..worker_api import (
+    ClaimRequest,
+    MemberRequest,
+    PollRequest,
+    ReserveRequest,
+    StopRequest,
+    ThrottleRequest,
+)
+from ._worker_core import RejectedEpochError, WorkerCore
+
+BODY_LIMIT_BYTES = 1_048_576
+
+_POLL_PATH = "/v1/poll"
+_CHANGE_TIMER = "change"
+
+
+class FaultOrders(TypedDict, total=False):
+    """Body of ``POST /admin/faults``; absent fields stay as they are."""
+
+    fail_everything: bool
+    slow_s: float
+    drop_replies: int
+    cut_s: float
+    drain: bool
+
+
+class Answer(NamedTuple):
+    """An HTTP answer; ``status`` 0 closes the connection without one."""
+
+    status: int
+    body: Any = None
+
+
+class _Call(NamedTuple):
+    """Ask -> ``Answer``: one HTTP request."""
+
+    method: str
+    path: str
+    content: bytes
+
+
+class _Waiter(NamedTuple):
+    request: PollRequest
+    reply: Deferred
+
+
+class _Faults(NamedTuple):
+    slow_s: float = 0.0
+    drop_replies: int = 0
+    cut_until: float = 0.0
+
+
+_ADAPTERS_BY_PATH: dict[str, TypeAdapter] = {
+    "/v1/claim": TypeAdapter(ClaimRequest),
+    _POLL_PATH: TypeAdapter(PollRequest),
+    "/v1/reserve": TypeAdapter(ReserveRequest),
+    "/v1/start": TypeAdapter(MemberRequest),
+    "/v1/release": TypeAdapter(MemberRequest),
+    "/v1/stop": TypeAdapter(StopRequest),
+    "/v1/throttle": TypeAdapter(ThrottleRequest),
+    "/admin/faults": TypeAdapter(FaultOrders),
+}
+
+
+class WorkerStandIn(Actor):
+    """Serves a ``WorkerCore`` over HTTP; a restart makes a new core.
+
+    Args:
+        system: Actors of the process.
+        info: The worker; its address is filled in when the port is bound.
+        reactor: Provides the listening port.
+        port: TCP port, 0 for any.
+        interface: Address to listen on.
+    """
+
+    def __init__(
+        self,
+        system: ActorSystem,
+        info: WorkerInfo,
+        reactor: IReactorTCP,
+        port: int = 0,
+        interface: str = "127.0.0.1",
+    ) -> None:
+        self._reactor = reactor
+        self._port_number = port
+        self._interface = interface
+        self._port: Any = None
+        self._faults = _Faults()
+        self._waiters_by_timer: dict[str, _Waiter] = {}
+        self._waiter_count = 0
+        self._delayed_by_timer: dict[str, tuple[Deferred, Answer]] = {}
+        self.address = ""
+        self.core = WorkerCore(info, system.clock.seconds())
+        super().__init__(system, f"standin:{info.worker_id}")
+
+    def handlers(self) -> dict[type, Handler]:
+        """See base class."""
+        return {_Call: self._answer_call, TimerFired: self._fire}
+
+    def start(self) -> None:
+        """Listen; the same port again after a restart."""
+        site = Site(_Root(self))
+        self._port = self._reactor.listenTCP(
+            self._port_number, site, interface=self._interface
+        )
+        self._port_number = self._port.getHost().port
+        self.address = f"{self._interface}:{self._port_number}"
+        info = self.core.info._replace(address=self.address)
+        self.core = WorkerCore(info, self._now())
+
+    def stop(self) -> Deferred | None:
+        """Stop listening and answer the waiting polls."""
+        for waiter in self._waiters_by_timer.values():
+            waiter.reply.callback(Answer(0))
+        self._waiters_by_timer.clear()
+        return self._port and self._port.stopListening()
+
+    def restart(self) -> None:
+        """Lose everything and come back with a new boot id."""
+        self.core = WorkerCore(self.core.info, self._now())
+        self._wake_waiters()
+
+    def _now(self) -> float:
+        return self.system.clock.seconds()
+
+    def _answer_call(self, call: _Call) -> Answer | Deferred:
+        if call.path == "/admin/faults":
+            return self._answer_checked(call)
+        if call.path == "/admin/history":
+            return Answer(200, [entry._asdict() for entry in self.core.history])
+        if self._now() < self._faults.cut_until:
+            return Answer(0)
+        answer = self._answer_checked(call)
+        if self._faults.drop_replies > 0 and call.path != _POLL_PATH:
+            rest = self._faults.drop_replies - 1
+            self._faults = self._faults._replace(drop_replies=rest)
+            return Answer(0)
+        if self._faults.slow_s > 0 and isinstance(answer, Answer):
+            return self._delay(answer)
+        return answer
+
+    def _answer_checked(self, call: _Call) -> Answer | Deferred:
+        if call.method == "GET" and call.path == "/v1/state":
+            return Answer(200, self.core.state(self._now()))
+        adapter = _ADAPTERS_BY_PATH.get(call.path)
+        if adapter is None or call.method != "POST":
+            return _problem(404, "not_found", f"{call.method} {call.path}")
+        try:
+            return self._execute(call.path, adapter.validate_json(call.content))
+        except ValidationError as error:
+            return _problem(400, "bad_request", str(error)[:300])
+        except RejectedEpochError as error:
+            return _rejection(error)
+        except RedwingrudderError as error:
+            return _problem(error.http_status, error.code, error.detail)
+
+    def _execute(self, path: str, body: Any) -> Answer | Deferred:
+        now = self._now()
+        if path == "/admin/faults":
+            return self._set_faults(body)
+        if path == _POLL_PATH:
+            return self._poll(body)
+        commands_by_path = {
+            "/v1/claim": self.core.claim,
+            "/v1/reserve": self.core.reserve,
+            "/v1/start": self.core.start,
+            "/v1/release": self.core.release,
+            "/v1/stop": self.core.stop,
+            "/v1/throttle": self.core.throttle,
+        }
+        reply = commands_by_path[path](body, now)
+        self._wake_waiters()
+        return Answer(200, reply)
+
+    def _set_faults(self, orders: FaultOrders) -> Answer:
+        faults = self._faults
+        self._faults = _Faults(
+            orders.get("slow_s", faults.slow_s),
+            orders.get("drop_replies", faults.drop_replies),
+            self._now() + orders["cut_s"] if "cut_s" in orders else faults.cut_until,
+        )
+        core = self.core
+        core.fail_everything = orders.get("fail_everything", core.fail_everything)
+        changed = "drain" in orders and orders["drain"] != core.draining
+        core.draining = orders.get("drain", core.draining)
+        self._wake_waiters(all_of_them=changed)
+        return Answer(200, {})
+
+    def _poll(self, request: PollRequest) -> Answer | Deferred:
+        reply = self.core.poll(request, self._now())
+        if reply["events"] or request["wait_s"] <= 0:
+            return Answer(200, reply)
+        self._waiter_count += 1
+        timer = f"poll:{self._waiter_count}"
+        waiter = _Waiter(request, Deferred())
+        self._waiters_by_timer[timer] = waiter
+        self.tell(TIMERS, Subscribe(self.name, timer, request["wait_s"]))
+        return waiter.reply
+
+    def _fire(self, fired: TimerFired) -> None:
+        if fired.timer in self._waiters_by_timer:
+            self._settle(fired.timer)
+        elif fired.timer in self._delayed_by_timer:
+            reply, answer = self._delayed_by_timer.pop(fired.timer)
+            reply.callback(answer)
+        self._wake_waiters()
+
+    def _wake_waiters(self, all_of_them: bool = False) -> None:
+        for timer, waiter in list(self._waiters_by_timer.items()):
+            if all_of_them or self.core.has_news(waiter.request, self._now()):
+                self._settle(timer)
+        change_at = self.core.next_change()
+        if change_at is not None:
+            delay_s = change_at - self._now()
+            self.tell(TIMERS, Subscribe(self.name, _CHANGE_TIMER, delay_s))
+
+    def _settle(self, timer: str) -> None:
+        waiter = self._waiters_by_timer.pop(timer)
+        self.tell(TIMERS, Unsubscribe(self.name, timer))
+        try:
+            # The wait is no renewal: the lease counts from the request.
+            lease_until = self.core.lease_until
+            reply = self.core.poll(waiter.request, self._now())
+            self.core.lease_until = lease_until
+            answer = Answer(200, reply)
+        except RejectedEpochError as error:
+            answer = _rejection(error)
+        waiter.reply.callback(answer)
+
+    def _delay(self, answer: Answer) -> Deferred:
+        self._waiter_count += 1
+        timer = f"slow:{self._waiter_count}"
+        reply: Deferred = Deferred()
+        self._delayed_by_timer[timer] = (reply, answer)
+        self.tell(TIMERS, Subscribe(self.name, timer, self._faults.slow_s))
+        return reply
+
+
+def _problem(status: int, code: str, detail: str) -> Answer:
+    return Answer(status, {"code": code, "detail": detail})
+
+
+def _rejection(error: RejectedEpochError) -> Answer:
+    body = {
+        "code": error.code,
+        "detail": error.detail,
+        "highest": list(error.highest),
+    }
+    return Answer(409, body)
+
+
+class _Root(Resource):
+    """Passes every request to the actor."""
+
+    def __init__(self, actor: Actor) -> None:
+        super().__init__()
+        self.isLeaf = True
+        self._actor = actor
+
+    def render(self, request: Request) -> int | bytes:
+        """See base class."""
+        content = request.content.read(BODY_LIMIT_BYTES + 1)
+        if len(content) > BODY_LIMIT_BYTES:
+            request.setResponseCode(413)
+            return b'{"code":"payload_too_large","detail":""}'
+        call = _Call(request.method.decode(), request.path.decode(), content)
+        gone: list[Any] = []
+        request.notifyFinish().addErrback(gone.append)
+        answered = self._actor.ask(self._actor.name, call)
+        answered.addCallback(lambda answer: gone or _write(request, answer))
+        answered.addErrback(lambda _: gone or _write(request, _problem(500, "", "")))
+        return NOT_DONE_YET
+
+
+def _write(request: Request, answer: Answer) -> None:
+    if answer.status == 0:
+        request.transport.abortConnection()
+        return
+    request.setResponseCode(answer.status)
+    request.setHeader(b"content-type", b"application/json")
+    request.write(json.dumps(answer.body).encode())
+    request.finish()
--- a/src/redwingrudder/worker_api.py
+++ b/src/redwingrudder/worker_api.py
@@ -22,7 +22,9 @@
 ``GET /v1/state`` returns a ``ClaimReply`` without an epoch check.
 """
 
-from typing import NotRequired, TypedDict
+from typing import NotRequired
+
+from typing_extensions import TypedDict
 
 
 class EpochRequest(TypedDict):
--- /dev/null
+++ b/tests/test_worker_standin.py
@@ -0,0 +1,201 @@
+"""Tests of the worker stand-in against the rules of ``worker_api``."""
+
+import json
+import unittest
+
+import treq
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.trial import unittest as trial
+from twisted.web.client import ResponseNeverReceived
+
+from redwingrudder._worker_codec import spec_to_body
+from redwingrudder.actors import ActorSystem
+from redwingrudder.model import JobSpec, WorkerInfo
+from redwingrudder.standins.worker import (
+    RejectedEpochError,
+    WorkerCore,
+    WorkerStandIn,
+)
+from redwingrudder.timers import TimerService
+
+INFO = WorkerInfo("w1", "", "north", "r1", 8, 8, 128, 262_144)
+LEASE_S = 30.0
+
+
+def make_spec(payload="{}", **changes):
+    spec = JobSpec(
+        "saengthong", "urgent", "c", "k", 2, 1, 1, 10, True, True, 5.0, 2.0, payload
+    )
+    return spec._replace(**changes)
+
+
+def claim(term=1):
+    return {"epoch": [term, 0, 0], "node_id": "n1", "lease_s": LEASE_S}
+
+
+def reserve(gang_id, accelerators=(0, 1), spec=None, term=1):
+    return {
+        "epoch": [term, 0, 0],
+        "gang_id": gang_id,
+        "job_id": f"job-{gang_id}",
+        "spec": spec_to_body(spec or make_spec()),
+        "submitted_at": 0.0,
+        "accelerators": list(accelerators),
+        "tasks": [0, 1],
+        "gang_members": 1,
+    }
+
+
+def member(gang_id, term=1, **more):
+    return {"epoch": [term, 0, 0], "gang_id": gang_id, **more}
+
+
+def poll(after=0, term=1, wait_s=0.0):
+    return {"epoch": [term, 0, 0], "after": after, "wait_s": wait_s}
+
+
+class WorkerCoreTests(unittest.TestCase):
+    def setUp(self):
+        self.core = WorkerCore(INFO, 0.0, "boot-1")
+        self.core.claim(claim(), 0.0)
+
+    def run_gang(self, gang_id="g", spec=None):
+        self.core.reserve(reserve(gang_id, spec=spec), 0.0)
+        self.core.start(member(gang_id), 0.0)
+
+    def outcomes(self, now, after=0):
+        events = self.core.poll(poll(after), now)["events"]
+        return [event["outcome"] for event in events]
+
+    def test_only_a_claim_raises_the_epoch_and_lower_ones_are_rejected(self):
+        with self.assertRaises(RejectedEpochError) as caught:
+            self.core.reserve(reserve("g", term=2), 1.0)
+        self.assertEqual(caught.exception.code, "not_claimed")
+        self.core.claim(claim(2), 1.0)
+        for command in (self.core.start, self.core.release):
+            with self.assertRaises(RejectedEpochError) as caught:
+                command(member("g"), 1.0)
+            self.assertEqual(caught.exception.code, "stale_epoch")
+        self.assertEqual(self.core.state(1.0)["members"], [])
+
+    def test_a_repeated_start_runs_the_gang_once_even_after_its_release(self):
+        spec = make_spec('{"run_s": 1}')
+        self.run_gang(spec=spec)
+        self.assertTrue(self.core.start(member("g"), 0.5)["accepted"])
+        self.assertEqual(self.outcomes(2.0), ["succeeded", "succeeded"])
+        self.assertTrue(self.core.release(member("g"), 2.0)["accepted"])
+        for late in (reserve("g"), member("g")):
+            command = self.core.reserve if "spec" in late else self.core.start
+            self.assertEqual(command(late, 3.0)["code"], "already_started")
+        started = [e for e in self.core.history if e.what == "started"]
+        self.assertEqual(len(started), 1)
+
+    def test_a_late_duplicate_of_a_released_reservation_holds_nothing(self):
+        self.core.reserve(reserve("g"), 0.0)
+        self.core.release(member("g"), 0.0)
+        self.assertEqual(self.core.reserve(reserve("g"), 0.0)["code"], "already_ended")
+        self.assertTrue(self.core.reserve(reserve("h"), 0.0)["accepted"])
+
+    def test_a_reservation_outlives_everything_but_the_lease(self):
+        self.core.reserve(reserve("g"), 0.0)
+        for now in range(10, 300, 10):
+            self.core.poll(poll(), float(now))
+        self.assertEqual(self.core.reserve(reserve("h"), 300.0)["code"], "busy")
+        self.assertEqual(self.core.start(member("g"), 331.0)["code"], "unknown_gang")
+
+    def test_tasks_stop_when_the_lease_lapses_while_nobody_asks(self):
+        self.run_gang(spec=make_spec('{"run_s": 100}'))
+        self.core.advance(1_000.0)
+        ended = [e for e in self.core.history if e.what == "ended"]
+        self.assertEqual([e.at for e in ended], [LEASE_S, LEASE_S])
+        self.assertEqual({e.outcome for e in ended}, {"stopped"})
+
+    def test_events_stay_until_a_poll_acknowledges_them(self):
+        self.run_gang(spec=make_spec('{"run_s": 1, "fail_tasks": [1]}'))
+        self.assertEqual(self.outcomes(2.0), ["succeeded", "failed"])
+        self.assertEqual(self.outcomes(2.0), ["succeeded", "failed"])
+        self.assertEqual(self.outcomes(2.0, after=1), ["failed"])
+        self.assertEqual(self.outcomes(2.0, after=2), [])
+        results = self.core.state(3.0)["members"][0]["results"]
+        self.assertEqual(len(results), 2)
+
+    def test_running_work_is_not_released_and_results_expire(self):
+        self.run_gang(spec=make_spec('{"run_s": 1}'))
+        self.assertEqual(self.core.release(member("g"), 0.5)["code"], "member_running")
+        self.core.claim(claim(), 601.1)
+        self.assertEqual(len(self.core.state(600.5)["members"]), 0)
+
+    def test_refusals_name_their_cause(self):
+        too_many = reserve("g", accelerators=(7, 8))
+        self.assertEqual(
+            self.core.reserve(too_many, 0.0)["code"], "no_such_accelerator"
+        )
+        too_big = reserve("g", spec=make_spec(cores_per_task=65))
+        self.assertEqual(self.core.reserve(too_big, 0.0)["code"], "busy")
+        self.core.draining = True
+        self.assertEqual(self.core.reserve(reserve("g"), 0.0)["code"], "draining")
+
+    def test_checkpoint_throttle_and_usage_lag(self):
+        self.run_gang(spec=make_spec('{"run_s": 8}'))
+        self.core.throttle(member("g", share=0.5), 4.0)
+        usage = self.core.poll(poll(), 4.0)["usage"]
+        self.assertEqual(usage["busy_accelerators"], 0)
+        self.assertEqual(self.outcomes(10.0), [])
+        self.core.stop(member("g", checkpoint=True), 10.5)
+        self.assertEqual(self.outcomes(12.0), ["checkpointed"] * 2)
+
+
+class WorkerStandInTests(trial.TestCase):
+    timeout = 10
+
+    def setUp(self):
+        self.system = ActorSystem(reactor)
+        TimerService(self.system)
+        self.worker = WorkerStandIn(self.system, INFO, reactor)
+        self.system.start()
+
+    async def tearDown(self):
+        await self.system.stop()
+
+    async def post(self, path, body):
+        url = f"http://{self.worker.address}{path}"
+        response = await treq.post(url, json.dumps(body).encode(), persistent=False)
+        return response.code, await response.json()
+
+    async def test_a_waiting_poll_returns_when_a_task_ends(self):
+        await self.post("/v1/claim", claim())
+        spec = make_spec('{"run_s": 0.05}')
+        await self.post("/v1/reserve", reserve("g", spec=spec))
+        waiting = treq.post(
+            f"http://{self.worker.address}/v1/poll",
+            json.dumps(poll(wait_s=8.0)).encode(),
+            persistent=False,
+        )
+        await self.post("/v1/start", member("g"))
+        events = (await (await waiting).json())["events"]
+        self.assertEqual(events[0]["outcome"], "succeeded")
+
+    async def test_a_waiting_poll_of_a_fenced_owner_is_rejected(self):
+        await self.post("/v1/claim", claim(1))
+        waiting = self.post("/v1/poll", poll(wait_s=8.0))
+        answered = ensureDeferred(waiting)
+        await self.post("/v1/claim", claim(2))
+        status, body = await answered
+        self.assertEqual((status, body["highest"]), (409, [2, 0, 0]))
+
+    async def test_a_dropped_reply_has_taken_effect(self):
+        await self.post("/v1/claim", claim())
+        await self.post("/admin/faults", {"drop_replies": 1})
+        with self.assertRaises((ResponseNeverReceived, ConnectionLost, ConnectionDone)):
+            await self.post("/v1/reserve", reserve("g"))
+        self.assertEqual(len(self.worker.core.state(0.0)["members"]), 1)
+        status, body = await self.post("/v1/reserve", reserve("g"))
+        self.assertTrue(body["accepted"])
+
+    async def test_malformed_bodies_are_refused_with_a_code(self):
+        status, body = await self.post("/v1/reserve", {"epoch": "x"})
+        self.assertEqual((status, body["code"]), (400, "bad_request"))
+        status, body = await self.post("/v1/nothing", {})
+        self.assertEqual(status, 404)
