Add the link between a domain's owner and one worker

The owner needs claims, lease renewal and ordered commands for each worker. One actor per worker follows charts/worker_link.scxml, which is refined: a link without answers only sends probes (GET /v1/state). A command whose reply is lost still renews the lease, so retrying polls would have kept work running that the owner takes for lost; counting from the last acknowledged renewal alone was ruled out for that reason.

--- /dev/null
+++ b/src/redwingrudder/_worker_chart.py
@@ -0,0 +1,31 @@
+"""The chart of a worker link with the events and actions of its code."""
+
+from .statecharts import load_chart
+
+_EVENTS = frozenset(
+    {
+        "claimed",
+        "unreachable",
+        "fenced",
+        "lease_lapsed",
+        "epoch_raised",
+        "close",
+        "polled",
+        "reachable",
+        "restarted",
+    }
+)
+_ACTIONS = frozenset(
+    {
+        "report_claimed",
+        "poll",
+        "retry_probe",
+        "report_fenced",
+        "report_lost",
+        "claim",
+        "deliver_events",
+        "watch_lease",
+        "resume_commands",
+    }
+)
+CHART = load_chart("worker_link", _EVENTS, _ACTIONS)
--- /dev/null
+++ b/tests/test_workers.py
@@ -0,0 +1,259 @@
+"""Tests of the worker link against the worker stand-in's core."""
+
+import unittest
+from unittest import mock
+
+from twisted.internet.task import Clock
+
+from redwingrudder import _worker_commands
+from redwingrudder.actors import Actor, ActorSystem
+from redwingrudder.exceptions import MailboxFullError
+from redwingrudder.messages import (
+    ReleaseAnswered,
+    ReleaseMember,
+    ReserveAnswered,
+    ReserveMember,
+    StartAnswered,
+    StartMember,
+    StopMember,
+    TaskEnded,
+    WorkerClaimed,
+    WorkerDraining,
+    WorkerLost,
+)
+from redwingrudder.model import (
+    Epoch,
+    JobSpec,
+    MemberPlacement,
+    MemberState,
+    WorkerInfo,
+)
+from redwingrudder.requests import DISPATCHER, OWNERSHIP, EpochRaised, Fenced
+from redwingrudder.timers import TimerService
+from redwingrudder.workers import ClaimSeen, LinkEvent, LinkSettings, WorkerLink
+from tests.worker_fakes import FakeTransport, run_clock
+
+ADDRESS = "w1:1"
+INFO = WorkerInfo("w1", ADDRESS, "north", "r1", 8, 8, 128, 262_144)
+LEASE_S = 3.0
+SPEC = JobSpec(
+    "huon", "proof", "c", "k", 1, 1, 1, 1, True, True, 1.0, 1.0, '{"run_s": 1}'
+)
+
+
+class Recorder(Actor):
+    def __init__(self, system, name):
+        self.received = []
+        super().__init__(system, name)
+
+    def handlers(self):
+        return {LinkEvent: self.take_event, Fenced: self.received.append}
+
+    def take_event(self, message):
+        self.received.append(message.event)
+        if isinstance(message.event, WorkerClaimed):
+            self.tell("worker:w1", ClaimSeen())
+
+
+class WorkerLinkTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.system = ActorSystem(self.clock)
+        TimerService(self.system)
+        self.dispatcher = Recorder(self.system, DISPATCHER)
+        self.ownership = Recorder(self.system, OWNERSHIP)
+        self.transport = FakeTransport(self.clock, [INFO])
+        self.link = self.make_link(Epoch(1, 0, 0))
+
+    def make_link(self, epoch):
+        settings = LinkSettings(1, "w1", ADDRESS, "n1", epoch, LEASE_S)
+        link = WorkerLink(self.system, settings, self.transport)
+        link.start()
+        return link
+
+    @property
+    def core(self):
+        return self.transport.cores_by_address[ADDRESS]
+
+    def run_for(self, duration_s):
+        run_clock(self.clock, duration_s)
+
+    def take(self):
+        self.run_for(0.5)
+        received, self.dispatcher.received = self.dispatcher.received, []
+        return received
+
+    def send(self, *commands):
+        for command in commands:
+            self.system.tell("worker:w1", command)
+
+    def reserve(self, gang_id, accelerator=0):
+        member = MemberPlacement("w1", (accelerator,), (0,))
+        return ReserveMember(gang_id, f"j-{gang_id}", SPEC, 0.0, member, 1)
+
+    def test_commands_of_a_gang_arrive_in_order_and_results_return(self):
+        self.take()
+        release = ReleaseMember("g", "w1")
+        self.send(self.reserve("g"), StartMember("g", "w1"))
+        self.assertEqual(
+            self.take(),
+            [ReserveAnswered("g", "w1", True), StartAnswered("g", "w1", True)],
+        )
+        self.run_for(1.0)
+        self.send(release)
+        ended, released = self.take()
+        self.assertEqual(ended.result.outcome, "succeeded")
+        self.assertEqual(released, ReleaseAnswered("g", "w1"))
+
+    def test_lost_replies_are_retried_without_a_second_start(self):
+        self.take()
+        self.transport.dropped_replies = 2
+        self.send(self.reserve("g"), StartMember("g", "w1"))
+        answers = self.take() + self.take()
+        self.assertEqual([type(a) for a in answers[:1]], [ReserveAnswered])
+        self.assertTrue(all(a.accepted for a in answers[:2]))
+        self.run_for(2.0)
+        started = [e for e in self.core.history if e.what == "started"]
+        self.assertEqual(len(started), 1)
+
+    def test_the_worker_stops_its_tasks_before_the_owner_calls_it_lost(self):
+        self.take()
+        self.send(self.reserve("g"), StartMember("g", "w1"))
+        self.run_for(0.9)
+        self.transport.cut.add(ADDRESS)
+        self.dispatcher.received.clear()
+        for _ in range(200):
+            self.run_for(0.05)
+            if self.dispatcher.received:
+                break
+        lost_at = self.clock.seconds()
+        self.assertEqual(self.dispatcher.received, [WorkerLost("w1", "lease_lapsed")])
+        self.assertGreaterEqual(lost_at, self.core.lease_until + 0.9)
+        self.assertLess(lost_at, self.core.lease_until + 1.2)
+        self.assertEqual(self.core.state(lost_at)["members"][0]["state"], "ended")
+
+    def test_lost_replies_to_renewals_do_not_keep_lost_work_running(self):
+        # With every reply lost, requests still reach the worker.
+        self.take()
+        self.send(self.reserve("g"), StartMember("g", "w1"))
+        self.run_for(0.2)
+        self.transport.deaf.add(ADDRESS)
+        self.run_for(7.0)
+        self.assertIn(WorkerLost("w1", "lease_lapsed"), self.take())
+        self.assertLess(self.core.lease_until, self.clock.seconds())
+
+    def test_a_short_cut_costs_nothing(self):
+        self.take()
+        self.transport.cut.add(ADDRESS)
+        self.run_for(2.0)
+        self.transport.cut.clear()
+        self.run_for(6.0)
+        self.assertEqual(self.take(), [])
+        self.assertGreater(self.core.lease_until, self.clock.seconds())
+
+    def test_a_new_boot_id_is_a_loss_followed_by_a_new_claim(self):
+        self.take()
+        self.send(self.reserve("g"))
+        self.take()
+        self.transport.restart(ADDRESS)
+        lost, claimed = self.take() + self.take() + self.take()
+        self.assertEqual(lost, WorkerLost("w1", "restarted"))
+        self.assertEqual(claimed.report.members, ())
+
+    def test_commands_sent_before_the_loss_was_known_reach_no_new_claim(self):
+        # An orphaned reservation would hold the accelerator for ever.
+        self.take()
+        self.dispatcher.take_event = None
+        self.dispatcher._handlers_by_type[LinkEvent] = lambda message: None
+        self.transport.restart(ADDRESS)
+        self.run_for(2.0)
+        self.send(self.reserve("g"))
+        self.run_for(1.0)
+        self.assertNotIn("/v1/reserve", self.transport.paths())
+        self.send(ClaimSeen(), self.reserve("h"))
+        self.run_for(1.0)
+        self.assertEqual(len(self.core.state(0.0)["members"]), 1)
+
+    def test_a_stale_epoch_is_told_to_ownership_and_ends_the_link(self):
+        self.take()
+        claim = {"epoch": [2, 0, 0], "node_id": "n2", "lease_s": LEASE_S}
+        self.core.claim(claim, self.clock.seconds())
+        self.run_for(2.0)
+        fenced = Fenced(Epoch(1, 0, 0), Epoch(2, 0, 0))
+        self.assertEqual(self.ownership.received, [fenced])
+        self.assertNotIn("worker:w1", self.system.names())
+        self.assertEqual(self.core.highest_epoch, Epoch(2, 0, 0))
+
+    def test_a_raised_epoch_keeps_work_and_queued_commands(self):
+        self.take()
+        self.send(self.reserve("g"), EpochRaised(Epoch(3, 0, 0)))
+        self.send(StartMember("g", "w1"))
+        self.run_for(2.0)
+        kinds = [type(e) for e in self.take()]
+        self.assertEqual(kinds, [ReserveAnswered, StartAnswered, TaskEnded])
+        self.assertEqual(self.core.highest_epoch, Epoch(3, 0, 0))
+        self.assertEqual(self.ownership.received, [])
+
+    def test_a_new_owner_learns_running_gangs_and_their_results(self):
+        self.take()
+        self.send(self.reserve("g"), StartMember("g", "w1"), self.reserve("h", 1))
+        self.run_for(2.0)
+        self.link.stop()
+        self.dispatcher.received.clear()
+        self.make_link(Epoch(2, 0, 0))
+        (claimed,) = self.take()
+        members = {m.gang_id: m for m in claimed.report.members}
+        self.assertIs(members["g"].state, MemberState.ENDED)
+        self.assertEqual(len(members["g"].results), 1)
+        self.assertIs(members["h"].state, MemberState.RESERVED)
+        self.assertEqual(members["h"].spec, SPEC)
+
+    def test_a_full_queue_refuses_new_work_but_no_release(self):
+        self.take()
+        self.transport.cut.add(ADDRESS)
+        with mock.patch.object(_worker_commands, "QUEUE_LIMIT", 2):
+            self.send(*(self.reserve(f"g{i}", i) for i in range(3)))
+            self.send(ReleaseMember("g0", "w1"))
+            self.run_for(0.1)
+        refused = [ReserveAnswered("g2", "w1", False, "overloaded")]
+        self.assertEqual(self.dispatcher.received, refused)
+        self.transport.cut.clear()
+        self.run_for(6.0)
+        self.assertIn(ReleaseAnswered("g0", "w1"), self.dispatcher.received)
+
+    def test_a_full_mailbox_delays_events_and_loses_none(self):
+        self.take()
+        self.send(self.reserve("g"))
+        full = MailboxFullError("full")
+        with mock.patch.object(self.dispatcher, "deliver", side_effect=full):
+            self.link._tell_event(WorkerDraining("w1"))
+        self.run_for(1.0)
+        self.assertIn(WorkerDraining("w1"), self.dispatcher.received)
+
+    def test_malformed_replies_are_logged_with_a_code_and_retried(self):
+        self.take()
+        garbled = {
+            "/v1/reserve": b"<html>",
+            "/v1/poll": b'{"boot_id": 1, "events": "none"}',
+        }
+        self.transport.garbled = garbled
+        with self.assertLogs("redwingrudder._worker_link", "WARNING") as logs:
+            self.send(self.reserve("g"))
+            self.run_for(1.5)
+        self.assertEqual({r.code for r in logs.records}, {"bad_worker_reply"})
+        self.transport.garbled = {}
+        self.run_for(2.0)
+        self.assertEqual(self.take(), [ReserveAnswered("g", "w1", True)])
+
+    def test_an_announced_stop_of_the_worker_is_told_once(self):
+        self.take()
+        self.core.draining = True
+        self.send(self.reserve("g"))
+        self.run_for(4.0)
+        refused = ReserveAnswered("g", "w1", False, "draining")
+        self.assertEqual(self.take(), [refused, WorkerDraining("w1")])
+
+    def test_stopping_an_unknown_gang_tells_that_nothing_is_held(self):
+        self.take()
+        self.send(StopMember("g", "w1", False))
+        self.assertEqual(self.take(), [ReleaseAnswered("g", "w1")])
--- /dev/null
+++ b/tests/worker_fakes.py
@@ -0,0 +1,100 @@
+"""Workers without sockets for tests on a virtual clock."""
+
+import json
+
+from twisted.internet.defer import Deferred
+
+from redwingrudder.exceptions import UnavailableError
+from redwingrudder.standins.worker import RejectedEpochError, WorkerCore
+from redwingrudder.workers import WorkerAnswer, WorkerTransport
+
+
+class FakeTransport(WorkerTransport):
+    """Carries requests to ``WorkerCore`` objects, through JSON text.
+
+    ``cut`` holds the addresses that cannot be reached, ``deaf`` those whose
+    replies are all lost, ``dropped_replies``
+    counts commands that take effect without an answer, and ``garbled`` maps
+    a path to the text that is answered instead.
+    """
+
+    def __init__(self, clock, infos):
+        self.clock = clock
+        self.cores_by_address = {
+            info.address: WorkerCore(info, clock.seconds()) for info in infos
+        }
+        self.cut = set()
+        self.deaf = set()
+        self.dropped_replies = 0
+        self.garbled = {}
+        self.posted = []
+
+    def restart(self, address):
+        info = self.cores_by_address[address].info
+        self.cores_by_address[address] = WorkerCore(info, self.clock.seconds())
+
+    def paths(self):
+        return [path for _, path, _ in self.posted]
+
+    async def post(self, address, path, body, timeout_s):
+        self.posted.append((address, path, body))
+        await self._sleep(0.001)
+        if path == "/v1/poll":
+            await self._wait_for_news(address, body)
+        if address in self.cut:
+            await self._sleep(timeout_s)
+            raise UnavailableError("cut")
+        status, reply = self._execute(address, path, json.loads(json.dumps(body)))
+        if address in self.deaf:
+            await self._sleep(timeout_s)
+            raise UnavailableError("replies lost")
+        if self.dropped_replies and path != "/v1/poll":
+            self.dropped_replies -= 1
+            raise UnavailableError("reply dropped")
+        if path in self.garbled:
+            return WorkerAnswer(200, self.garbled[path])
+        return WorkerAnswer(status, json.dumps(reply).encode())
+
+    async def get(self, address, path, timeout_s):
+        self.posted.append((address, path, None))
+        if address in self.cut | self.deaf:
+            await self._sleep(timeout_s)
+            raise UnavailableError("cut")
+        await self._sleep(0.001)
+        reply = self.cores_by_address[address].state(self.clock.seconds())
+        return WorkerAnswer(200, json.dumps(reply).encode())
+
+    def _execute(self, address, path, body):
+        core = self.cores_by_address[address]
+        method = getattr(core, path.removeprefix("/v1/"))
+        try:
+            return 200, method(body, self.clock.seconds())
+        except RejectedEpochError as error:
+            rejection = {"code": error.code, "detail": "", "highest": error.highest}
+            return 409, rejection
+
+    async def _wait_for_news(self, address, body):
+        until = self.clock.seconds() + body["wait_s"]
+        core = self.cores_by_address[address]
+        try:
+            core.poll(body, self.clock.seconds())
+        except RejectedEpochError:
+            return
+        while self.clock.seconds() < until and address not in self.cut:
+            core = self.cores_by_address[address]
+            if core.has_news(body, self.clock.seconds()):
+                return
+            await self._sleep(0.1)
+
+    def _sleep(self, delay_s):
+        waited = Deferred()
+        self.clock.callLater(delay_s, waited.callback, None)
+        return waited
+
+
+def run_clock(clock, duration_s, step_s=0.05):
+    """Advance in small steps, so that all actors take their turns."""
+    for _ in range(round(duration_s / step_s)):
+        clock.advance(step_s)
+        for _ in range(4):
+            clock.advance(0)
