--- a/src/redwingrudder/standins/__init__.py
+++ b/src/redwingrudder/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of the outside systems, with switches for faults."""
+"""Stand-ins of the outside systems: platform and workers."""
