--- /dev/null
+++ b/src/redwingrudder/_http_server.py
@@ -0,0 +1,123 @@
+"""Requests and connections of the HTTP server, with limits on their size."""
+
+from collections.abc import Callable
+from io import BytesIO
+
+from twisted.web import server
+from twisted.web.resource import Resource
+
+from ._problems import Answer, problem_answer
+from .exceptions import PayloadTooLargeError
+
+BODY_LIMIT_BYTES = 256 * 1024
+CONNECTION_TIMEOUT_S = 60  # without any data while a request is awaited
+REFUSAL_LINGER_S = 1.0
+
+Responder = Callable[["LimitedRequest"], None]
+
+
+class LimitedRequest(server.Request):
+    """A request whose body is refused as soon as it exceeds the limit."""
+
+    refused = False
+    _received_bytes = 0
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse an announced length before any of the body is read."""
+        self.content = BytesIO()
+        if length is not None and length > BODY_LIMIT_BYTES:
+            self._refuse()
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part of the body; after a refusal it is discarded."""
+        self._received_bytes += len(data)
+        if self.refused:
+            return
+        if self._received_bytes > BODY_LIMIT_BYTES:
+            self._refuse()
+            return
+        self.content.write(data)
+
+    def requestReceived(self, *arguments: bytes) -> None:  # noqa: N802
+        """Process the request unless it is answered already."""
+        if not self.refused:
+            super().requestReceived(*arguments)
+
+    def write_answer(self, answer: Answer) -> None:
+        """Write a whole answer and end the request."""
+        self.setResponseCode(answer.status)
+        self.setHeader(b"Content-Type", answer.content_type.encode("ascii"))
+        for name, value in answer.headers:
+            self.setHeader(name.encode("ascii"), value.encode("ascii", "replace"))
+        self.setHeader(b"Content-Length", str(len(answer.body)).encode("ascii"))
+        if self.method != b"HEAD":
+            self.write(answer.body)
+        else:
+            self.write(b"")
+        self.finish()
+
+    def header(self, name: str) -> str | None:
+        """Return a request header, or None; repeated ones are joined."""
+        values = self.requestHeaders.getRawHeaders(name)
+        return None if values is None else ",".join(values)
+
+    def _refuse(self) -> None:
+        """Answer 413 and close without reading the rest of the body.
+
+        The connection is closed after a delay because the kernel resets a
+        connection that is closed with unread data, and the caller would then
+        lose the answer.
+        """
+        self.refused = True
+        self.content = BytesIO()
+        correlation_id = self.channel.site.correlation_id(self)
+        answer = problem_answer(
+            PayloadTooLargeError(f"the body exceeds {BODY_LIMIT_BYTES} bytes"),
+            correlation_id,
+        )
+        head = (
+            f"HTTP/1.1 {answer.status} Payload Too Large\r\n"
+            f"Content-Type: {answer.content_type}\r\n"
+            f"Content-Length: {len(answer.body)}\r\n"
+            f"X-Correlation-Id: {correlation_id}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        self.channel.transport.write(head.encode("ascii") + answer.body)
+        self.channel.callLater(REFUSAL_LINGER_S, self.channel.loseConnection)
+
+
+class RootResource(Resource):
+    """Hands every request to one responder, whatever its path."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, responder: Responder) -> None:
+        super().__init__()
+        self._responder = responder
+
+    def render(self, request: LimitedRequest) -> int:
+        """See base class."""
+        self._responder(request)
+        return server.NOT_DONE_YET
+
+
+class ApiSite(server.Site):
+    """Connections of the HTTP interface."""
+
+    def __init__(
+        self,
+        responder: Responder,
+        correlation_id: Callable[[LimitedRequest], str],
+        reactor: object,
+    ) -> None:
+        super().__init__(
+            RootResource(responder),
+            requestFactory=LimitedRequest,
+            parsePOSTFormSubmission=False,
+            timeout=CONNECTION_TIMEOUT_S,
+            reactor=reactor,
+        )
+        self.correlation_id = correlation_id
+
+    def log(self, request: LimitedRequest) -> None:
+        """Write no access log: metrics count the requests."""
--- a/src/redwingrudder/exceptions.py
+++ b/src/redwingrudder/exceptions.py
@@ -58,6 +58,37 @@
     http_status = 413
 
 
+class MethodNotAllowedError(BadRequestError):
+    """The resource exists but does not support the method."""
+
+    code = "method_not_allowed"
+    http_status = 405
+
+
+class UnsupportedMediaTypeError(BadRequestError):
+    """The body is not of the type that the resource takes."""
+
+    code = "unsupported_media_type"
+    http_status = 415
+
+
+class PreconditionRequiredError(BadRequestError):
+    """A change was sent without the version that it is based on."""
+
+    code = "precondition_required"
+    http_status = 428
+
+
+class InvalidBodyError(BadRequestError):
+    """The body has wrong fields; ``problems`` holds every finding."""
+
+    code = "invalid_body"
+
+    def __init__(self, detail: str, problems: tuple[str, ...] = ()) -> None:
+        super().__init__(detail)
+        self.problems = problems
+
+
 class SettingsError(RedwingrudderError):
     """A settings file cannot be used; ``problems`` holds every finding."""
 
--- /dev/null
+++ b/src/redwingrudder/http_api.py
@@ -0,0 +1,239 @@
+"""HTTP front end for callers and operators (twisted.web).
+
+The paths are in ``_http_resources``; this actor owns the listening socket,
+bounds the requests in progress and carries out the drain.
+"""
+
+import logging
+import re
+import uuid
+from typing import NamedTuple
+from urllib.parse import unquote
+
+from twisted.internet.defer import Deferred, ensureDeferred, maybeDeferred
+from twisted.internet.interfaces import IListeningPort, IReactorTCP
+from twisted.python.failure import Failure
+
+from . import requests
+from ._http_resources import Call, Resources
+from ._http_server import ApiSite, LimitedRequest
+from ._problems import Answer, internal_problem, problem_answer
+from .actors import Actor, ActorSystem, Handler
+from .exceptions import RedwingrudderError, UnavailableError
+from .messages import ConfigurationChanged
+from .metrics import NodeMetrics
+from .statecharts import load_chart
+
+REQUESTS_LIMIT = 10_000  # requests in progress
+OVERLOAD_RETRY_S = 1.0
+
+_CORRELATION_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_CHART = load_chart(
+    "drain",
+    frozenset({"drain_while_busy", "drain_while_idle", "last_request_ended"}),
+    frozenset({"report_drained"}),
+)
+_logger = logging.getLogger(__name__)
+
+
+class HttpApiSettings(NamedTuple):
+    """Where the front end listens; port 0 takes any free port."""
+
+    interface: str
+    port: int
+    requests_limit: int = REQUESTS_LIMIT
+
+
+class HttpApi(Actor):
+    """Answers callers, operators, the balancer and the metrics reader."""
+
+    def __init__(
+        self,
+        system: ActorSystem,
+        reactor: IReactorTCP,
+        settings: HttpApiSettings,
+        metrics: NodeMetrics,
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._metrics = metrics
+        self._resources = Resources(system.ask)
+        self._state = _CHART.initial
+        self._configured = False
+        self._asks_outstanding = 0
+        self._live_requests: set[LimitedRequest] = set()
+        self._drain_waiters: list[Deferred] = []
+        self._port: IListeningPort | None = None
+        self.site = ApiSite(self._respond, _correlation_id, reactor)
+        super().__init__(system, requests.HTTP_API)
+
+    def handlers(self) -> dict[type, Handler]:
+        """See base class."""
+        return {
+            ConfigurationChanged: self._configuration_changed,
+            requests.Drain: self._drain,
+        }
+
+    @property
+    def port(self) -> int:
+        """The port that the front end listens on."""
+        return self._port.getHost().port
+
+    def start(self) -> None:
+        """See base class."""
+        self._port = self._reactor.listenTCP(
+            self._settings.port,
+            self.site,
+            backlog=1024,
+            interface=self._settings.interface,
+        )
+
+    def stop(self) -> Deferred | None:
+        """See base class."""
+        if self._port is None:
+            return None
+        return maybeDeferred(self._port.stopListening)
+
+    def _configuration_changed(self, message: ConfigurationChanged) -> None:
+        self._configured = True
+
+    def _drain(self, message: requests.Drain) -> Deferred:
+        waiter: Deferred = Deferred()
+        self._drain_waiters.append(waiter)
+        busy = bool(self._live_requests)
+        self._step("drain_while_busy" if busy else "drain_while_idle")
+        return waiter
+
+    def _step(self, event: str) -> None:
+        transition = _CHART.step(self._state, event)
+        self._state = transition.target
+        if "report_drained" in transition.actions:
+            waiters, self._drain_waiters = self._drain_waiters, []
+            for waiter in waiters:
+                waiter.callback(None)
+
+    def _respond(self, request: LimitedRequest) -> None:
+        """Answer a request of the site; never raises."""
+        correlation_id = _correlation_id(request)
+        request.setHeader(b"X-Correlation-Id", correlation_id.encode("ascii"))
+        request.setHeader(b"Cache-Control", b"no-store")
+        answer = self._probe_answer(request, correlation_id)
+        if answer is None and self._asks_outstanding >= self._settings.requests_limit:
+            answer = problem_answer(_overloaded(), correlation_id)
+        if answer is not None:
+            self._write(request, answer)
+            return
+        self._begin(request, correlation_id)
+
+    def _probe_answer(
+        self, request: LimitedRequest, correlation_id: str
+    ) -> Answer | None:
+        """Answer the balancer and the metrics reader, even when overloaded."""
+        if request.method not in (b"GET", b"HEAD"):
+            return None
+        if request.path == b"/livez":
+            return Answer(200, "text/plain", b"ok\n")
+        if request.path == b"/metrics":
+            return Answer(200, self._metrics.content_type, self._metrics.render())
+        if request.path == b"/readyz":
+            problem = self._not_ready()
+            if problem is not None:
+                return problem_answer(problem, correlation_id)
+            return Answer(200, "text/plain", b"ready\n")
+        return None
+
+    def _not_ready(self) -> RedwingrudderError | None:
+        if self._state != _CHART.initial:
+            return UnavailableError("the node is shutting down", code="draining")
+        if not self._configured:
+            return UnavailableError(
+                "the node has no configuration yet", code="no_configuration"
+            )
+        return None
+
+    def _begin(self, request: LimitedRequest, correlation_id: str) -> None:
+        self._asks_outstanding += 1
+        self._live_requests.add(request)
+        # The request also ends when the caller disconnects; what was asked
+        # for goes on, because a job outlives the connection of its caller.
+        request.notifyFinish().addBoth(self._request_ended, request)
+        answering = ensureDeferred(self._answer(request, correlation_id))
+        answering.addErrback(_log_unexpected, correlation_id)
+        answering.addCallback(self._answered, request)
+
+    async def _answer(self, request: LimitedRequest, correlation_id: str) -> Answer:
+        try:
+            return await self._resources.answer(_call(request, correlation_id))
+        except RedwingrudderError as error:
+            self._metrics.count_refusal(error.code)
+            if error.http_status >= 500:
+                _logger.warning(
+                    "request refused",
+                    extra={"correlation_id": correlation_id, "error": str(error)},
+                )
+            return problem_answer(error, correlation_id)
+
+    def _answered(self, answer: Answer, request: LimitedRequest) -> None:
+        self._asks_outstanding -= 1
+        if request in self._live_requests:
+            self._write(request, answer)
+
+    def _write(self, request: LimitedRequest, answer: Answer) -> None:
+        if self._state != _CHART.initial:
+            request.setHeader(b"Connection", b"close")
+            request.channel.persistent = False
+        request.write_answer(answer)
+
+    def _request_ended(self, _: object, request: LimitedRequest) -> None:
+        self._live_requests.discard(request)
+        if not self._live_requests:
+            self._step("last_request_ended")
+
+
+def _correlation_id(request: LimitedRequest) -> str:
+    """Return the caller's correlation id if well formed, or a new one."""
+    given = request.header("X-Correlation-Id")
+    if given is not None and _CORRELATION_ID_PATTERN.fullmatch(given):
+        return given
+    return uuid.uuid4().hex
+
+
+def _call(request: LimitedRequest, correlation_id: str) -> Call:
+    raw_path = request.path.decode("ascii", "replace")
+    return Call(
+        method=request.method.decode("ascii", "replace"),
+        path=tuple(unquote(part) for part in raw_path.split("/")[1:]),
+        query={
+            name.decode("ascii", "replace"): tuple(
+                value.decode("ascii", "replace") for value in values
+            )
+            for name, values in request.args.items()
+        },
+        headers={
+            name: value
+            for name in ("content-type", "idempotency-key", "if-match")
+            if (value := request.header(name)) is not None
+        },
+        content=request.content.read(),
+        correlation_id=correlation_id,
+    )
+
+
+def _log_unexpected(failure: Failure, correlation_id: str) -> Answer:
+    _logger.error(
+        "request failed unexpectedly",
+        extra={
+            "correlation_id": correlation_id,
+            "error": repr(failure.value),
+            "traceback": failure.getTraceback(),
+        },
+    )
+    return internal_problem(correlation_id)
+
+
+def _overloaded() -> RedwingrudderError:
+    return UnavailableError(
+        "too many requests are in progress at this node",
+        code="overloaded",
+        retry_after_s=OVERLOAD_RETRY_S,
+    )
