Test routing and avoid domains that failed a try

A submission that was not sent chose the same domain again while that domain's last report showed the most room. The router now prefers domains that have not failed the request.

--- a/src/redwingrudder/router.py
+++ b/src/redwingrudder/router.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred
 
 from . import requests
-from ._domain_choice import DomainChoice, FreeGangChoice
+from ._domain_choice import DomainChoice, DomainLoad, FreeGangChoice
 from ._domain_directory import DomainDirectory
 from .actors import Actor, ActorSystem, Handler
 from .exceptions import (
@@ -97,11 +97,18 @@
         self.domain = domain
         self.state = _CHART.initial if domain is None else _PINNED
         self.attempts = 0
+        self.failed_domains: set[str] = set()
         self.last_event = ""
         wait_s = request.wait_s if isinstance(request, requests.PollJob) else 0.0
         self.poll_until = now + wait_s
         self.deadline = now + max(wait_s, PATIENCE_S)
 
+    def release_domain(self) -> None:
+        """Prefer other domains for the next try."""
+        if self.domain is not None:
+            self.failed_domains.add(self.domain)
+        self.domain = None
+
     def current_request(self, now: float) -> Request:
         """Return the request with what is left of the caller's wait."""
         if isinstance(self.request, requests.PollJob):
@@ -196,7 +203,7 @@
             if action == "pin_domain":
                 forward.domain = _named_domain(outcome.error)
             elif action == "release_domain":
-                forward.domain = None
+                forward.release_domain()
             elif action == "report_no_owner":
                 raise _no_owner()
             elif action == "report_unreachable":
@@ -230,7 +237,7 @@
 
     async def _attempt(self, forward: _Forward) -> _Outcome:
         forward.attempts += 1
-        domain = forward.domain = forward.domain or self._choose(forward.request)
+        domain = forward.domain = forward.domain or self._choose(forward)
         if domain is None:
             return _Outcome("not_sent")
         try:
@@ -239,15 +246,21 @@
             return _Outcome(_event(error, forward.request), error=error)
         return _Outcome("answered", reply)
 
-    def _choose(self, request: requests.SubmitJob) -> str | None:
-        spec: JobSpec = request.spec
+    def _choose(self, forward: _Forward) -> str | None:
+        spec: JobSpec = forward.request.spec
         loads = self._directory.loads()
-        own_domain = self._directory.own_domain
-        domain = self._choice.choose(spec, own_domain, loads, self._configuration)
+        untried = tuple(
+            load for load in loads if load.failure_domain not in forward.failed_domains
+        )
+        domain = self._choose_among(spec, untried) or self._choose_among(spec, loads)
         if domain is not None:
             self._directory.note_sent(domain, spec.accelerators)
         return domain
 
+    def _choose_among(self, spec: JobSpec, loads: tuple[DomainLoad, ...]) -> str | None:
+        own_domain = self._directory.own_domain
+        return self._choice.choose(spec, own_domain, loads, self._configuration)
+
     def _send(self, domain: str, request: Request) -> Awaitable[Any]:
         if self._directory.is_local(domain):
             return self.ask(requests.DISPATCHER, request)
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,261 @@
+"""Tests of routing: choice of the domain, retries and unknown outcomes."""
+
+import unittest
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from redwingrudder import requests
+from redwingrudder._domain_choice import DomainLoad, FreeGangChoice
+from redwingrudder.actors import Actor, ActorSystem
+from redwingrudder.exceptions import (
+    ConflictError,
+    NotFoundError,
+    OutcomeUnknownError,
+    OverloadedError,
+    StoreUnavailableError,
+    UnavailableError,
+    UnprocessableError,
+)
+from redwingrudder.messages import ConfigurationChanged
+from redwingrudder.model import (
+    CellAssignment,
+    Configuration,
+    Epoch,
+    JobSpec,
+    JobState,
+    JobView,
+    Organisation,
+    Shape,
+)
+from redwingrudder.router import Router, RouterSettings
+from redwingrudder.timers import TimerService
+
+SPEC = JobSpec("shop", "proof", "c", "key-1", 2, 4, 1, 64, False, False, 5.0, 1.0, "")
+VIEW = JobView("d1-a", "shop", "proof", JobState.QUEUED, "", True, False, 1.5, None, ())
+SUBMISSION = requests.SubmitJob(SPEC, "corr")
+IDEMPOTENT = requests.SubmitJob(SPEC._replace(idempotent=True), "corr")
+NOT_SENT = UnavailableError("connection refused")
+UNKNOWN = OutcomeUnknownError("connection broke")
+
+
+class Scripted(Actor):
+    """Answers each request with the next entry of its script."""
+
+    def __init__(self, system, name, kinds):
+        self.script = []
+        self.received = []
+        self.kinds = kinds
+        super().__init__(system, name)
+
+    def handlers(self):
+        return dict.fromkeys(self.kinds, self.handle)
+
+    def handle(self, message):
+        self.received.append(message)
+        answer = self.script.pop(0) if self.script else VIEW
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class RouterTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.system = ActorSystem(self.clock)
+        TimerService(self.system)
+        jobs = (requests.SubmitJob, requests.PollJob, requests.CancelJob)
+        self.dispatcher = Scripted(self.system, requests.DISPATCHER, jobs)
+        self.peers = Scripted(self.system, requests.PEERS, (requests.AskPeer,))
+        Router(self.system, RouterSettings("n1", "d1", seed=5))
+        members = tuple(
+            requests.VmInfo(f"{d}-n", "node", "live", "", d, "", 0, 0, 0, 0, 0)
+            for d in ("d1", "d2")
+        )
+        self.tell(requests.MembersChanged(members))
+
+    def tell(self, message):
+        self.system.tell(requests.ROUTER, message)
+        self.clock.advance(0)
+
+    def own(self):
+        self.tell(requests.OwnershipGained(Epoch(1, 0, 1)))
+
+    def owner(self, domain, node_id, term=1):
+        epoch = Epoch(term, 0, 0)
+        self.tell(requests.OwnerChanged(domain, node_id, f"{node_id}:1", epoch))
+
+    def load(self, domain, node_id, free, term=1):
+        self.tell(
+            requests.PeerReport(
+                node_id, 0, domain, f"{node_id}:1", True, Epoch(term, 0, 0), 1,
+                free, free, 0, False,
+            )
+        )  # fmt: skip
+
+    def ask(self, request, seconds=0.0):
+        outcomes = []
+        reply = self.system.ask(requests.ROUTER, request)
+        reply.addErrback(lambda failure: failure.value)
+        reply.addCallback(outcomes.append)
+        self.clock.pump([0.0] * 4 + [0.05] * int(seconds / 0.05))
+        return outcomes
+
+    def asked(self):
+        return [message.address for message in self.peers.received]
+
+    def test_owner_answers_itself(self):
+        self.own()
+        self.assertEqual(self.ask(SUBMISSION), [VIEW])
+        self.assertEqual(self.dispatcher.received, [SUBMISSION])
+
+    def test_job_goes_to_the_domain_of_its_id(self):
+        self.own()
+        self.owner("d2", "n2")
+        self.ask(requests.CancelJob("d2-abc"))
+        self.assertEqual(self.asked(), ["n2:1"])
+        self.assertEqual(self.dispatcher.received, [])
+
+    def test_id_of_an_unknown_domain_is_not_found_at_once(self):
+        (error,) = self.ask(requests.PollJob("d77-abc", 30.0))
+        self.assertIsInstance(error, NotFoundError)
+
+    def test_submission_goes_where_it_fits_and_spreads(self):
+        """A burst between two reports must not all go to one domain."""
+        self.own()
+        self.load("d1", "n1", 4)
+        self.load("d2", "n2", 16)
+        self.load("d3", "n3", 12)
+        for _ in range(3):
+            self.ask(SUBMISSION)
+        self.assertEqual(self.asked(), ["n2:1", "n3:1", "n2:1"])
+
+    def test_poll_follows_a_change_of_owner_within_its_wait(self):
+        self.owner("d2", "n2")
+        self.peers.script = [UNKNOWN, NOT_SENT]
+        waiting = self.ask(requests.PollJob("d2-a", 6.0), seconds=0.3)
+        self.owner("d2", "n3", term=2)
+        self.clock.pump([0.05] * 40)
+        self.assertEqual(waiting, [VIEW])
+        self.assertEqual(self.asked()[-1], "n3:1")
+        waits = [message.request.wait_s for message in self.peers.received]
+        self.assertEqual(waits[0], 6.0)
+        self.assertLess(waits[-1], 6.0)
+
+    def test_submission_with_unknown_outcome_stays_in_its_domain(self):
+        """A second domain would start a second copy of the job."""
+        self.load("d1", "n1a", 4)
+        self.load("d2", "n2", 16)
+        self.load("d3", "n3", 12)
+        self.peers.script = [UNKNOWN, UNKNOWN]
+        waiting = self.ask(SUBMISSION, seconds=0.3)
+        self.owner("d2", "n4", term=2)
+        self.clock.pump([0.05] * 40)
+        self.assertEqual(waiting, [VIEW])
+        self.assertEqual(set(self.asked()), {"n2:1", "n4:1"})
+
+    def test_idempotent_submission_may_go_elsewhere(self):
+        self.load("d2", "n2", 160)
+        self.load("d3", "n3", 12)
+        self.peers.script = [UNKNOWN]
+        waiting = self.ask(IDEMPOTENT, seconds=2.0)
+        self.assertEqual(waiting, [VIEW])
+        self.assertEqual(self.asked(), ["n2:1", "n3:1"])
+
+    def test_refusal_after_an_unknown_outcome_does_not_say_not_run(self):
+        """The first try may have been accepted and be running."""
+        for refusal in (OverloadedError("full"), StoreUnavailableError("down")):
+            self.load("d2", "n2", 16)
+            self.peers.script = [UNKNOWN, refusal]
+            (error,) = self.ask(SUBMISSION, seconds=2.0)
+            self.assertIsInstance(error, OutcomeUnknownError)
+            self.assertEqual(error.code, "domain_unreachable")
+
+    def test_refusals_of_a_first_try_are_passed_on_at_once(self):
+        self.own()
+        for refusal in (
+            OverloadedError("full", retry_after_s=2.0),
+            StoreUnavailableError("down"),
+            UnprocessableError("too wide", code="shape_never_fits"),
+        ):
+            self.dispatcher.script = [refusal]
+            self.assertEqual(self.ask(SUBMISSION), [refusal])
+
+    def test_submission_without_any_owner_was_not_sent(self):
+        (error,) = self.ask(SUBMISSION, seconds=10.0)
+        self.assertNotIsInstance(error, OutcomeUnknownError)
+        self.assertEqual(error.code, "no_owner")
+        self.assertIsNotNone(error.retry_after_s)
+
+    def test_poll_of_an_unreachable_domain_is_an_unknown_outcome(self):
+        self.owner("d2", "n2")
+        self.peers.script = [NOT_SENT] * 50
+        (error,) = self.ask(requests.PollJob("d2-a", 0.0), seconds=10.0)
+        self.assertIsInstance(error, OutcomeUnknownError)
+        self.assertEqual(error.code, "domain_unreachable")
+        self.assertLessEqual(len(self.peers.received), 16)
+
+    def test_unsent_submission_takes_another_domain(self):
+        self.load("d2", "n2", 160)
+        self.load("d3", "n3", 12)
+        self.peers.script = [NOT_SENT]
+        self.assertEqual(self.ask(SUBMISSION, seconds=1.0), [VIEW])
+        self.assertEqual(self.asked(), ["n2:1", "n3:1"])
+
+    def test_key_recorded_elsewhere_is_followed(self):
+        """A retry through another node must find the same job."""
+        self.own()
+        self.owner("d2", "n2")
+        self.dispatcher.script = [ConflictError("d2 has it", code="other_domain")]
+        self.peers.script = [NOT_SENT]
+        self.assertEqual(self.ask(SUBMISSION, seconds=1.0), [VIEW])
+        self.assertEqual(self.asked(), ["n2:1", "n2:1"])
+        self.assertEqual(len(self.dispatcher.received), 1)
+
+    def test_domains_that_point_at_each_other_end(self):
+        self.own()
+        self.owner("d2", "n2")
+        self.dispatcher.script = [ConflictError("d2", code="other_domain")] * 99
+        self.peers.script = [ConflictError("d1", code="other_domain")] * 99
+        (error,) = self.ask(SUBMISSION, seconds=10.0)
+        self.assertEqual(error.code, "domain_unreachable")
+        self.assertLessEqual(len(self.peers.received), 8)
+
+    def test_lost_ownership_sends_the_request_to_the_successor(self):
+        self.own()
+        self.load("d1", "n1", 64)
+        pending = Deferred()
+        self.dispatcher.script = [pending]
+        waiting = self.ask(SUBMISSION)
+        self.tell(requests.OwnershipEnded("fenced"))
+        self.owner("d1", "n5", term=2)
+        pending.errback(UnavailableError("no owner any more", code="not_owner"))
+        self.clock.pump([0.05] * 20)
+        self.assertEqual(waiting, [VIEW])
+        self.assertEqual(self.asked(), ["n5:1"])
+
+    def test_silent_owner_gets_no_submission(self):
+        self.load("d1", "n1a", 64)
+        self.load("d2", "n2", 16)
+        self.tell(requests.PeerSilent("n1a", "d1", 2.5))
+        self.ask(SUBMISSION)
+        self.assertEqual(self.asked(), ["n2:1"])
+
+    def test_full_domains_leave_the_job_where_it_can_be_reclaimed(self):
+        """A guaranteed job that queues elsewhere would wait for nothing."""
+        cells = (CellAssignment("shop", 0, 0, "d2"),)
+        shop = Organisation("shop", (Shape(8, 1),))
+        self.own()
+        self.load("d1", "n1", 0)
+        self.load("d2", "n2", 0)
+        self.tell(ConfigurationChanged(Configuration(1, {"shop": shop}, {}, cells)))
+        self.ask(SUBMISSION)
+        self.assertEqual(self.asked(), ["n2:1"])
+
+
+class FreeGangChoiceTests(unittest.TestCase):
+    def test_unreachable_domains_are_never_chosen(self):
+        loads = (DomainLoad("d1", False, 64, 0), DomainLoad("d2", True, 0, 900))
+        choice = FreeGangChoice()
+        self.assertEqual(choice.choose(SPEC, "d1", loads, None), "d2")
+        self.assertIsNone(choice.choose(SPEC, "d1", loads[:1], None))
