--- a/src/redwingrudder/settings.py
+++ b/src/redwingrudder/settings.py
@@ -12,6 +12,7 @@
 
 from ._validation import InvalidDocumentError, Problem, parse_document
 from .exceptions import SettingsError
+from .model import WorkerInfo
 
 _CONFIG = pydantic.ConfigDict(extra="forbid")
 
@@ -63,12 +64,28 @@
     log_level: NotRequired[Literal["debug", "info", "warning", "error"]]
 
 
+@pydantic.with_config(_CONFIG)
+class WorkerShape(TypedDict):
+    """Resources of every worker of a deployment or of a rack."""
+
+    accelerators: Annotated[int, pydantic.Field(ge=0, le=64)]
+    slots: Annotated[int, pydantic.Field(ge=1, le=1_024)]
+    cores: Annotated[int, pydantic.Field(ge=1, le=4_096)]
+    memory_mb: Annotated[int, pydantic.Field(ge=1)]
+
+
 @pydantic.with_config(_CONFIG)
 class RackSettings(TypedDict):
-    """A rack with a number of equal workers."""
+    """Racks with a number of equal workers each.
+
+    ``count`` racks (one by default) are named ``name``, ``name-2`` and so
+    on. ``worker`` replaces the deployment's worker shape.
+    """
 
     name: Name
     workers: Annotated[int, pydantic.Field(ge=1, le=1_000)]
+    count: NotRequired[Annotated[int, pydantic.Field(ge=1, le=1_000)]]
+    worker: NotRequired[WorkerShape]
 
 
 @pydantic.with_config(_CONFIG)
@@ -80,16 +97,6 @@
     racks: Annotated[list[RackSettings], pydantic.Field(min_length=1)]
 
 
-@pydantic.with_config(_CONFIG)
-class WorkerShape(TypedDict):
-    """Resources of every worker of a deployment."""
-
-    accelerators: Annotated[int, pydantic.Field(ge=0, le=64)]
-    slots: Annotated[int, pydantic.Field(ge=1, le=1_024)]
-    cores: Annotated[int, pydantic.Field(ge=1, le=4_096)]
-    memory_mb: Annotated[int, pydantic.Field(ge=1)]
-
-
 @pydantic.with_config(_CONFIG)
 class DeploymentSettings(TypedDict):
     """A whole deployment, for one process or for measurements."""
@@ -101,6 +108,7 @@
     worker_lease_s: NotRequired[Seconds]
 
 
+_ANY = pydantic.TypeAdapter(object)
 _NODE = pydantic.TypeAdapter(NodeSettings)
 _DEPLOYMENT = pydantic.TypeAdapter(DeploymentSettings)
 
@@ -134,13 +142,35 @@
     """
     settings = _load(path, _DEPLOYMENT)
     domains = settings["failure_domains"]
-    racks = [rack["name"] for domain in domains for rack in domain["racks"]]
+    racks = [
+        name
+        for domain in domains
+        for rack in domain["racks"]
+        for name in _rack_names(rack)
+    ]
     names = [domain["name"] for domain in domains]
     problems = _repeated(path, "failure_domains", names)
     problems += _repeated(path, "failure_domains.racks", racks)
     return _accept(path, settings, problems)
 
 
+def deployment_workers(deployment: DeploymentSettings) -> tuple[WorkerInfo, ...]:
+    """Return all workers of a deployment, without addresses."""
+    return tuple(
+        WorkerInfo(f"{rack_name}-w{index}", "", domain["name"], rack_name, **shape)
+        for domain in deployment["failure_domains"]
+        for rack in domain["racks"]
+        for rack_name in _rack_names(rack)
+        for shape in (rack.get("worker", deployment["worker"]),)
+        for index in range(1, rack["workers"] + 1)
+    )
+
+
+def _rack_names(rack: RackSettings) -> list[str]:
+    name = rack["name"]
+    return [name] + [f"{name}-{n}" for n in range(2, rack.get("count", 1) + 1)]
+
+
 def read_file(path: str) -> str:
     """Read a UTF-8 text file.
 
@@ -153,6 +183,16 @@
         raise SettingsError(f"{path}: {error}", code="unreadable_file") from None
 
 
+def read_kind(path: str) -> str:
+    """Return the ``kind`` that a file declares, or an empty string."""
+    try:
+        document = parse_document(read_file(path), _ANY, path)
+    except InvalidDocumentError as error:
+        raise _settings_error(path, error.problems) from None
+    kind = document.get("kind") if isinstance(document, dict) else None
+    return kind if isinstance(kind, str) else ""
+
+
 def _load(path: str, schema: pydantic.TypeAdapter):
     try:
         return parse_document(read_file(path), schema, path)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,7 +5,11 @@
 import unittest
 
 from redwingrudder.exceptions import SettingsError
-from redwingrudder.settings import load_deployment, load_node_settings
+from redwingrudder.settings import (
+    deployment_workers,
+    load_deployment,
+    load_node_settings,
+)
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 
@@ -24,13 +28,18 @@
         return caught.exception.problems
 
     def test_examples_are_valid(self):
-        sizes = {"huon": (24, 9), "saengthong": (24, 8)}
+        sizes = {
+            "huon": (24, 192, 9),
+            "saengthong": (24, 192, 8),
+            "target": (1700, 2500, 40),
+        }
         for name, expected in sizes.items():
-            path = str(EXAMPLES / name / "deployment.jsonc")
-            domains = load_deployment(path)["failure_domains"]
-            workers = sum(r["workers"] for d in domains for r in d["racks"])
-            nodes = sum(d["nodes"] for d in domains)
-            self.assertEqual((workers, nodes), expected)
+            deployment = load_deployment(str(EXAMPLES / name / "deployment.jsonc"))
+            workers = deployment_workers(deployment)
+            accelerators = sum(worker.accelerators for worker in workers)
+            nodes = sum(d["nodes"] for d in deployment["failure_domains"])
+            self.assertEqual((len(workers), accelerators, nodes), expected)
+            self.assertEqual(len({w.worker_id for w in workers}), len(workers))
         for path in EXAMPLES.glob("*/node-*.jsonc"):
             load_node_settings(str(path))
 
