--- a/src/redwingrudder/exceptions.py
+++ b/src/redwingrudder/exceptions.py
@@ -51,6 +51,16 @@
     http_status = 422
 
 
+class InvalidConfigurationError(UnprocessableError):
+    """The operators' document cannot be used; ``problems`` holds all."""
+
+    code = "invalid_configuration"
+
+    def __init__(self, detail: str, problems: tuple[str, ...] = ()) -> None:
+        super().__init__(detail)
+        self.problems = problems
+
+
 class PayloadTooLargeError(BadRequestError):
     """A body, frame or value exceeds its limit."""
 
--- a/src/redwingrudder/store.py
+++ b/src/redwingrudder/store.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from . import requests
+from ._chart_runner import ChartRunner
 from ._store_codec import CALL_TYPES, EncodedCall, decode, decode_error, encode
 from ._store_transport import HttpTransport, StoreTransport, TransportReply
 from ._store_watch import Watch
@@ -67,8 +68,17 @@
         writes_per_s: float = WRITES_PER_S,
         call_timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
-        self._chart = load_chart("store_link", _EVENTS, _ACTIONS)
-        self._state = self._chart.initial
+        self._chart = ChartRunner(
+            load_chart("store_link", _EVENTS, _ACTIONS),
+            {
+                "probe": lambda _: self._probe(),
+                "schedule_probe": lambda _: self._schedule_probe(),
+                "report_available": lambda _: self._report(True),
+                "report_unavailable": lambda _: self._report(False),
+                "open_watches": lambda _: self._open_watches(),
+                "close_watches": lambda _: self._close_watches(),
+            },
+        )
         self._transport = transport
         self._jitter = random.Random(seed)
         self._bucket = TokenBucket(writes_per_s, writes_per_s, system.clock.seconds())
@@ -98,17 +108,21 @@
         self._watches_by_key.clear()
         return self._transport.close()
 
+    @property
+    def _available(self) -> bool:
+        return self._chart.state != "unavailable"
+
     async def _call(self, message: Any) -> Any:
-        if self._state == "unavailable":
+        if not self._available:
             raise StoreUnavailableError("the store does not answer")
         call = encode(message)
         self._admit(message)
         try:
             reply = await self._send(call, self._call_timeout_s)
         except (StoreUnavailableError, OutcomeUnknownError):
-            self._step("call_failed")
+            self._chart.step("call_failed")
             raise
-        self._step("answered")
+        self._chart.step("answered")
         return self._read_reply(message, call, reply)
 
     def _admit(self, message: Any) -> None:
@@ -154,18 +168,12 @@
         except ValueError as malformed:
             raise _unanswered(call, str(malformed)) from None
 
-    def _step(self, event: str) -> None:
-        transition = self._chart.step(self._state, event)
-        self._state = transition.target
-        for action in transition.actions:
-            getattr(self, f"_{action}")()
-
     def _timer_fired(self, fired: TimerFired) -> None:
         if fired.timer == "probe":
-            self._step("probe_due")
+            self._chart.step("probe_due")
             return
         for key, watch in list(self._watches_by_key.items()):
-            if _timer_name(key) == fired.timer and self._state != "unavailable":
+            if _timer_name(key) == fired.timer and self._available:
                 watch.open()
 
     def _probe(self) -> None:
@@ -181,18 +189,12 @@
             event = "probe_failed"
         finally:
             self._probing = False
-        self._step(event)
+        self._chart.step(event)
 
     def _schedule_probe(self) -> None:
         delay_s = PROBE_INTERVAL_S + self._jitter.uniform(0.0, PROBE_JITTER_S)
         self.tell(TIMERS, Subscribe(self.name, "probe", delay_s))
 
-    def _report_available(self) -> None:
-        self._report(True)
-
-    def _report_unavailable(self) -> None:
-        self._report(False)
-
     def _report(self, available: bool) -> None:
         _logger.info("store status changed", extra={"available": available})
         for subscriber in self._status_subscribers:
@@ -216,8 +218,7 @@
     def _subscribe_status(self, request: requests.SubscribeStoreStatus) -> None:
         if request.subscriber not in self._status_subscribers:
             self._status_subscribers.append(request.subscriber)
-        available = self._state != "unavailable"
-        self._tell_status(request.subscriber, available)
+        self._tell_status(request.subscriber, self._available)
 
     def _watch(self, request: requests.WatchPrefix) -> None:
         key = (request.subscriber, request.prefix)
@@ -232,11 +233,11 @@
                 TIMERS, Subscribe(self.name, _timer_name(key), delay_s)
             ),
             ended=lambda: self._forget(key, watch),
-            failed=lambda: self._step("call_failed"),
+            failed=lambda: self._chart.step("call_failed"),
             jitter=self._jitter,
         )
         self._watches_by_key[key] = watch
-        if self._state != "unavailable":
+        if self._available:
             watch.open()
 
     def _forget(self, key: tuple[str, str], watch: Watch) -> None:
