--- /dev/null
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -0,0 +1,249 @@
+"""Life of gangs: facts that workers confirm and the state chart over them."""
+
+from ._scheduler_chart import GANG_CHART
+from ._scheduler_gang_life import GangLife, service_units
+from ._scheduler_state import Cause, GangRecord, JobRecord
+from .exceptions import RedwingrudderError
+from .messages import (
+    ReserveAnswered,
+    StartAnswered,
+    StartRecordAnswered,
+    TaskEnded,
+)
+from .model import MemberPlacement, Placement, TaskOutcome
+from .policies import RunningGang
+
+# Answers to a start that a worker has seen before: the member runs or ran.
+STARTED_REASONS = frozenset({"already_started", "already_ended"})
+
+
+class GangTable(GangLife):
+    """All gangs that hold resources or wait for answers of workers."""
+
+    def create(self, job: JobRecord, placement: Placement, probed: str | None) -> None:
+        """Hold a placement for a queued job and reserve it on the workers."""
+        gang = self._new_gang(job, placement)._replace(probed_worker=probed)
+        self._context.fleet.hold(gang.gang_id, job.spec, placement)
+        self._add(gang, job)
+        self.fire(gang.gang_id, "placed")
+
+    def create_reclaiming(
+        self, job: JobRecord, placement: Placement, borrowers: tuple[str, ...]
+    ) -> None:
+        """Stop the borrowers of a placement and place the job after them."""
+        gang = self._new_gang(job, placement)._replace(borrowers=borrowers)
+        gang.unheld.update(gang.members_by_worker)
+        self._add(gang, job)
+        self.reclaiming.add(gang.gang_id)
+        self.fire(gang.gang_id, "reclaim_planned")
+
+    def add_recovered(self, gang: GangRecord) -> None:
+        """Add a gang that a worker reported."""
+        self.gangs_by_id[gang.gang_id] = gang
+        self.recovering.add(gang.gang_id)
+
+    def advance_reclaims(self) -> None:
+        """Hold what stopped borrowers have freed."""
+        for gang_id in sorted(self.reclaiming):
+            gang = self.gangs_by_id[gang_id]
+            for worker_id in sorted(gang.unheld):
+                self._try_hold(gang, gang.members_by_worker[worker_id])
+            if not gang.unheld:
+                self.fire(gang_id, "placed")
+
+    def pending_workers(self) -> frozenset[str]:
+        """Return the workers on which borrowers are still being stopped."""
+        return frozenset(
+            worker_id
+            for gang_id in self.reclaiming
+            for worker_id in self.gangs_by_id[gang_id].unheld
+        )
+
+    def reserve_answered(self, event: ReserveAnswered) -> None:
+        """Take the answer of a worker to a reservation."""
+        gang = self._find(event.gang_id, event.worker_id)
+        if gang is None or event.worker_id in gang.reserved or gang.asked:
+            return
+        if event.accepted:
+            gang.reserved.add(event.worker_id)
+            self.fire(gang.gang_id, "member_reserved")
+            self.settle(gang.gang_id)
+            return
+        if event.reason == "draining":
+            self._context.fleet.set_draining(event.worker_id)
+            self._context.cells_changed = True
+        cause = Cause.REFUSED if event.reason == "draining" else Cause.BUSY
+        self._leave(gang, event.worker_id)
+        self.set_cause(gang.gang_id, cause, event.reason)
+        self.fire(gang.gang_id, "member_refused")
+        self.settle(gang.gang_id)
+
+    def start_record_answered(self, event: StartRecordAnswered) -> None:
+        """Take the answer of the store to the record of a start."""
+        gang = self.gangs_by_id.get(event.gang_id)
+        if gang is None or gang.spec.idempotent:
+            return
+        if event.accepted:
+            self.fire(gang.gang_id, "start_recorded")
+            return
+        if gang.state == "recording":
+            self.set_cause(gang.gang_id, Cause.BUSY, event.reason or "record_refused")
+        self.fire(gang.gang_id, "record_refused")
+        self.settle(gang.gang_id)
+
+    def start_answered(self, event: StartAnswered) -> None:
+        """Take the answer of a worker to a start."""
+        gang = self._find(event.gang_id, event.worker_id)
+        if gang is None or event.worker_id not in gang.start_sent:
+            return
+        if event.worker_id in gang.started:
+            return
+        if event.accepted or event.reason in STARTED_REASONS:
+            self._member_started(gang, event.worker_id)
+        else:
+            gang.start_sent.discard(event.worker_id)
+            gang.asked.discard(event.worker_id)
+            self.set_cause(gang.gang_id, Cause.LOST, event.reason or "start_refused")
+            self.fire(gang.gang_id, "start_refused")
+        self.settle(gang.gang_id)
+
+    def task_ended(self, event: TaskEnded) -> None:
+        """Take the end of one task; repeated and foreign ones are ignored."""
+        gang = self._find(event.gang_id, event.worker_id)
+        result = event.result
+        if gang is None or event.worker_id not in gang.start_sent:
+            return
+        if result.task_index not in gang.members_by_worker[event.worker_id].tasks:
+            return
+        if result.task_index in gang.results_by_task:
+            return
+        gang.results_by_task[result.task_index] = result
+        if event.worker_id not in gang.started:
+            self._member_started(gang, event.worker_id)
+        if gang.member_ended(event.worker_id):
+            self._context.release(gang.gang_id, event.worker_id)
+        self._judge(gang, event)
+        self.settle(gang.gang_id)
+
+    def release_answered(self, gang_id: str, worker_id: str) -> None:
+        """Take the confirmation that a member holds nothing any more."""
+        gang = self._find(gang_id, worker_id)
+        if gang is None or worker_id not in gang.asked or worker_id in gang.start_sent:
+            return
+        self._leave(gang, worker_id)
+        self.settle(gang_id)
+
+    def worker_lost(self, worker_id: str, reason: str) -> None:
+        """Let every gang know that its member on a worker is lost."""
+        affected = [
+            gang
+            for gang in self.gangs_by_id.values()
+            if worker_id in gang.members_by_worker and worker_id not in gang.gone
+        ]
+        for gang in affected:
+            self.member_lost(gang.gang_id, worker_id, reason)
+
+    def member_lost(self, gang_id: str, worker_id: str, reason: str) -> None:
+        """Count a member as gone; what it has answered stays valid."""
+        gang = self.gangs_by_id[gang_id]
+        ended = gang.member_ended(worker_id)
+        self._leave(gang, worker_id)
+        if not ended:
+            self.set_cause(gang_id, Cause.LOST, reason)
+            self.fire(gang_id, "member_lost")
+        self.settle(gang_id)
+
+    def cancel(self, gang_id: str, cause: Cause) -> None:
+        """Release or stop a gang because its job is not wanted any more."""
+        gang = self.gangs_by_id[gang_id]
+        self.gangs_by_id[gang_id] = gang._replace(cause=cause, reason=cause.value)
+        self.fire(gang_id, "cancel")
+        self.settle(gang_id)
+
+    def running_gangs(self) -> list[RunningGang]:
+        """Return the gangs that hold resources with their expected ends."""
+        now = self._context.now
+        return [
+            RunningGang(
+                gang.gang_id,
+                gang.job_id,
+                gang.spec,
+                gang.started_at,
+                max(gang.started_at + gang.expected_run_s, now),
+                gang.state in ("stopping", "releasing"),
+            )
+            for gang in self.gangs_by_id.values()
+        ]
+
+    def _new_gang(self, job: JobRecord, placement: Placement) -> GangRecord:
+        now = self._context.now
+        self._serial += 1
+        # Unique over owners as well: a worker never runs a gang id twice.
+        gang_id = f"{job.job_id}.{int(now * 1000):x}.{self._serial:x}"
+        members = {member.worker_id: member for member in placement.members}
+        gang = empty_gang(gang_id, job, len(members))
+        gang.members_by_worker.update(members)
+        expected = self._context.policies.order.expected_run_s(job.spec)
+        return gang._replace(started_at=now, expected_run_s=expected)
+
+    def _add(self, gang: GangRecord, job: JobRecord) -> None:
+        charged = gang.expected_run_s * service_units(gang)
+        policies = self._context.policies
+        policies.order.observe_service(job.spec, charged, self._context.now)
+        self.gangs_by_id[gang.gang_id] = gang._replace(charged=charged)
+        self._jobs.fire(job.job_id, "gang_created", gang_id=gang.gang_id, reason="")
+
+    def _find(self, gang_id: str, worker_id: str) -> GangRecord | None:
+        gang = self.gangs_by_id.get(gang_id)
+        if gang is None or worker_id not in gang.members_by_worker:
+            return None
+        return None if worker_id in gang.gone else gang
+
+    def _leave(self, gang: GangRecord, worker_id: str) -> None:
+        gang.gone.add(worker_id)
+        gang.unheld.discard(worker_id)
+        self._context.release(gang.gang_id, worker_id)
+
+    def _member_started(self, gang: GangRecord, worker_id: str) -> None:
+        gang.started.add(worker_id)
+        self.fire(gang.gang_id, "member_started")
+
+    def _judge(self, gang: GangRecord, event: TaskEnded) -> None:
+        outcome = event.result.outcome
+        health, now = self._context.policies.health, self._context.now
+        if outcome is TaskOutcome.SUCCEEDED:
+            health.observe(event.worker_id, gang.job_id, False, now)
+            self.fire(gang.gang_id, "task_ended")
+            return
+        if outcome is TaskOutcome.FAILED:
+            health.observe(event.worker_id, gang.job_id, True, now)
+            self.set_cause(gang.gang_id, Cause.FAILED, "task_failed")
+        self.set_cause(gang.gang_id, Cause.LOST, "stopped_by_worker")
+        self.fire(gang.gang_id, "task_failed")
+
+    def _try_hold(self, gang: GangRecord, member: MemberPlacement) -> None:
+        try:
+            self._context.fleet.hold_member(gang.gang_id, gang.spec, member)
+        except RedwingrudderError:
+            return
+        gang.unheld.discard(member.worker_id)
+
+
+def empty_gang(gang_id: str, job: JobRecord, member_count: int) -> GangRecord:
+    """Return a gang of a job without members."""
+    return GangRecord(
+        gang_id,
+        job.job_id,
+        job.spec,
+        job.submitted_at,
+        GANG_CHART.initial,
+        member_count,
+        members_by_worker={},
+        reserved=set(),
+        started=set(),
+        start_sent=set(),
+        asked=set(),
+        gone=set(),
+        unheld=set(),
+        results_by_task={},
+    )
--- /dev/null
+++ b/src/redwingrudder/_scheduler_recovery.py
@@ -0,0 +1,164 @@
+"""What a new owner concludes from the workers' reports."""
+
+from ._scheduler_gangs import GangTable, empty_gang
+from ._scheduler_jobs import JobTable
+from ._scheduler_state import Cause, Context, GangRecord
+from .exceptions import RedwingrudderError
+from .messages import TaskEnded
+from .model import JobState, MemberReport, MemberState, TaskOutcome, WorkerReport
+
+
+class Recovery:
+    """Rebuilds gangs from reports and rolls them forward or back."""
+
+    def __init__(self, context: Context, jobs: JobTable, gangs: GangTable) -> None:
+        self._context = context
+        self._jobs = jobs
+        self._gangs = gangs
+
+    def worker_claimed(self, report: WorkerReport) -> None:
+        """Take a worker with everything that it holds."""
+        fleet, worker_id = self._context.fleet, report.worker.worker_id
+        known = fleet.workers_by_id.get(worker_id)
+        if known is not None and known.boot_id == report.boot_id:
+            if report.draining:
+                fleet.set_draining(worker_id)
+            self._reconcile(report)
+        else:
+            if known is not None:
+                self._gangs.worker_lost(worker_id, "worker_restarted")
+                self._context.policies.health.forget(worker_id)
+            fleet.add_worker(report.worker, report.boot_id, report.draining)
+            for member in report.members:
+                self._take(worker_id, member)
+        self._decide()
+
+    def recovery_ended(self) -> None:
+        """Decide about all gangs: members not reported by now are lost."""
+        self._context.recovered = True
+        self._decide_rest()
+        self._jobs.recovery_ended()
+
+    def _decide(self) -> None:
+        """Continue complete gangs; the others wait for the last report."""
+        for gang_id in sorted(self._gangs.recovering):
+            gang = self._gangs.gangs_by_id[gang_id]
+            if _can_continue(gang) and self._attach(gang):
+                self._gangs.fire(gang_id, "roll_forward")
+                self._gangs.settle(gang_id)
+        if self._context.recovered:
+            self._decide_rest()
+
+    def _decide_rest(self) -> None:
+        """Stop or release the gangs that cannot continue."""
+        gangs = self._gangs
+        waiting = [gangs.gangs_by_id[gang_id] for gang_id in gangs.recovering]
+        # A started gang decides about its job before one that is reserved.
+        waiting.sort(key=lambda gang: (not gang.start_sent, gang.gang_id))
+        for gang in waiting:
+            if gang.start_sent:
+                self._stop(gang)
+            else:
+                self._roll_back(gang)
+            gangs.settle(gang.gang_id)
+
+    def _stop(self, gang: GangRecord) -> None:
+        self._attach(gang)
+        outcomes = {result.outcome for result in gang.results_by_task.values()}
+        if TaskOutcome.FAILED in outcomes:
+            self._gangs.set_cause(gang.gang_id, Cause.FAILED, "task_failed")
+        self._gangs.set_cause(gang.gang_id, Cause.LOST, "worker_lost")
+        self._gangs.fire(gang.gang_id, "stop")
+
+    def _roll_back(self, gang: GangRecord) -> None:
+        job = self._jobs.jobs_by_id.get(gang.job_id)
+        if job is not None and not job.known and job.gang_id is None:
+            # Nothing ran, and the record of the job may be final already.
+            self._jobs.drop(gang.job_id)
+        elif self._attach(gang) and job.start_recorded:
+            # The previous owner may have sent a start, so there is no second.
+            gang = gang._replace(may_have_run=True)
+            self._gangs.gangs_by_id[gang.gang_id] = gang
+        self._gangs.set_cause(gang.gang_id, Cause.LOST, "recovered")
+        self._gangs.fire(gang.gang_id, "roll_back")
+
+    def _attach(self, gang: GangRecord) -> bool:
+        """Make a gang the one of its job, unless the job has moved on."""
+        job = self._jobs.jobs_by_id.get(gang.job_id)
+        if job is None or job.state != JobState.QUEUED:
+            return False
+        self._jobs.fire(job.job_id, "gang_created", gang_id=gang.gang_id)
+        return True
+
+    def _take(self, worker_id: str, report: MemberReport) -> None:
+        gang = self._gangs.gangs_by_id.get(report.gang_id)
+        if gang is None:
+            gang = self._new_gang(report)
+        gang.members_by_worker[worker_id] = report.placement
+        gang.gone.discard(worker_id)
+        gang.asked.discard(worker_id)
+        gang.reserved.add(worker_id)
+        if report.state is MemberState.RESERVED:
+            # Commands sent before the worker was lost are void.
+            gang.start_sent.discard(worker_id)
+        else:
+            gang.started.add(worker_id)
+            gang.start_sent.add(worker_id)
+        for result in report.results:
+            gang.results_by_task.setdefault(result.task_index, result)
+        if report.state is not MemberState.ENDED:
+            self._hold(gang, report)
+        self._gangs.fire(gang.gang_id, "reported")
+        self._gangs.settle(gang.gang_id)
+
+    def _hold(self, gang: GangRecord, report: MemberReport) -> None:
+        fleet = self._context.fleet
+        try:
+            fleet.hold_member(gang.gang_id, gang.spec, report.placement)
+        except RedwingrudderError:
+            # The worker refuses a double holding itself; the member is only
+            # not counted here until it is released.
+            return
+
+    def _new_gang(self, report: MemberReport) -> GangRecord:
+        if report.job_id not in self._jobs.jobs_by_id:
+            self._jobs.adopt(report)
+        job = self._jobs.jobs_by_id[report.job_id]
+        expected = self._context.policies.order.expected_run_s(report.spec)
+        gang = empty_gang(report.gang_id, job, report.gang_members)
+        gang = gang._replace(started_at=self._context.now, expected_run_s=expected)
+        self._gangs.add_recovered(gang)
+        return gang
+
+    def _reconcile(self, report: WorkerReport) -> None:
+        """Compare the report of a worker that stayed with what is known."""
+        worker_id = report.worker.worker_id
+        reported = {member.gang_id: member for member in report.members}
+        for gang in list(self._gangs.gangs_by_id.values()):
+            if worker_id in gang.started - gang.gone and gang.gang_id not in reported:
+                self._gangs.member_lost(gang.gang_id, worker_id, "member_dropped")
+        for member in report.members:
+            gang = self._gangs.gangs_by_id.get(member.gang_id)
+            if gang is None or worker_id not in gang.members_by_worker:
+                self._take(worker_id, member)
+                continue
+            for result in member.results:
+                event = TaskEnded(member.gang_id, worker_id, result)
+                self._gangs.task_ended(event)
+
+
+def _is_complete(gang: GangRecord) -> bool:
+    return len(gang.members_by_worker) == gang.member_count and not gang.gone
+
+
+def _can_continue(gang: GangRecord) -> bool:
+    """Whether some member started and no member is lost or failed."""
+    return (
+        bool(gang.start_sent)
+        and _is_complete(gang)
+        and gang.cause is Cause.NONE
+        and all(
+            result.outcome is TaskOutcome.SUCCEEDED
+            for result in gang.results_by_task.values()
+        )
+    )
--- /dev/null
+++ b/src/redwingrudder/_slack_policy.py
@@ -0,0 +1,262 @@
+"""The shipped policies: order by slack, fair shares, bounds and health."""
+
+from collections import deque
+from typing import NamedTuple
+
+from .fleet import Fleet
+from .model import Configuration, JobSpec
+from .policies import (
+    AdmissionPolicy,
+    HealthPolicy,
+    OrderPolicy,
+    QueuedJob,
+    QueueSize,
+    Refusal,
+)
+
+RUNS_KEPT = 50
+RUNS_UNTIL_TRUSTED = 5
+RUN_PERCENTILE = 0.8
+# Attained service halves in this time, so that old use does not count forever.
+SERVICE_HALF_LIFE_S = 1800.0
+AGED_TARGETS = 4.0
+# Aged jobs come first during one tenth of the time. All of the time would let
+# the aged part of a flood displace the work that can still meet its target.
+AGED_PERIOD_S = 10.0
+AGED_WINDOW_S = 1.0
+FINISH_BY_TARGET_S = 86_400.0
+
+QUEUED_TOTAL_LIMIT = 20_000
+QUEUED_GROUP_LIMIT = 5_000
+OVERLOADED_RETRY_S = 5.0
+
+FAILURES_IN_A_ROW = 3
+PROBE_AFTER_S = 60.0
+PROBE_AFTER_MAX_S = 900.0
+# Jobs whose failures are remembered until they succeed elsewhere.
+FAILURES_KEPT = 32
+
+
+class _Service(NamedTuple):
+    accelerator_seconds: float
+    at: float
+
+    def decayed(self, now: float) -> float:
+        age = max(0.0, now - self.at)
+        return self.accelerator_seconds * 0.5 ** (age / SERVICE_HALF_LIFE_S)
+
+
+class SlackOrder(OrderPolicy):
+    """Least slack first; within a class, least attained service first."""
+
+    def __init__(self) -> None:
+        self._runs_by_group: dict[tuple[str, str], deque[float]] = {}
+        self._percentiles: dict[tuple[str, str], float] = {}
+        self._service: dict[tuple[str, ...], _Service] = {}
+
+    def order(self, jobs: list[QueuedJob], now: float) -> list[QueuedJob]:
+        """Order by slack, then give each class's places to its fair order.
+
+        Jobs that can still meet their target come first. Those that cannot
+        follow, but the one that has waited longest beyond its age limit is
+        first in a tenth of the time and second otherwise, so that it gets the
+        reservation of a waiting gang.
+        """
+        keyed = [(self._slack(job, now), job) for job in jobs]
+        on_time = [job for slack, job in sorted(keyed, key=_by_slack) if slack >= 0]
+        late = [job for slack, job in keyed if slack < 0]
+        late.sort(key=lambda job: (*self._attained(job, now), job.target_at))
+        ordered = self._share(on_time, now) + late
+        aged = max(late, key=lambda job: _age(job, now), default=None)
+        if aged is None or _age(aged, now) < AGED_TARGETS:
+            return ordered
+        ordered.remove(aged)
+        first = now % AGED_PERIOD_S < AGED_WINDOW_S
+        ordered.insert(0 if first else 1, aged)
+        return ordered
+
+    def expected_run_s(self, spec: JobSpec) -> float:
+        """Return the 80th percentile, blended with the declared run time."""
+        group = (spec.organisation, spec.job_class)
+        runs = self._runs_by_group.get(group)
+        if not runs:
+            return spec.declared_run_s
+        trust = min(1.0, len(runs) / RUNS_UNTIL_TRUSTED)
+        learned = self._percentiles[group]
+        return trust * learned + (1.0 - trust) * spec.declared_run_s
+
+    def observe_run(self, spec: JobSpec, run_s: float, now: float) -> None:
+        """Keep the latest run times of each organisation and class."""
+        group = (spec.organisation, spec.job_class)
+        runs = self._runs_by_group.setdefault(group, deque(maxlen=RUNS_KEPT))
+        runs.append(run_s)
+        rank = int(RUN_PERCENTILE * (len(runs) - 1) + 0.5)
+        self._percentiles[group] = sorted(runs)[rank]
+
+    def observe_service(
+        self, spec: JobSpec, accelerator_seconds: float, now: float
+    ) -> None:
+        """Add service; a negative amount corrects what was charged before."""
+        organisation = (spec.organisation,)
+        for key in (organisation, (spec.organisation, spec.caller)):
+            current = self._service.get(key, _Service(0.0, now)).decayed(now)
+            total = max(0.0, current + accelerator_seconds)
+            self._service[key] = _Service(total, now)
+
+    def _slack(self, job: QueuedJob, now: float) -> float:
+        return job.target_at - now - job.expected_run_s
+
+    def _attained(self, job: QueuedJob, now: float) -> tuple[float, float]:
+        spec = job.spec
+        none = _Service(0.0, now)
+        organisation = self._service.get((spec.organisation,), none)
+        caller = self._service.get((spec.organisation, spec.caller), none)
+        return organisation.decayed(now), caller.decayed(now)
+
+    def _share(self, by_slack: list[QueuedJob], now: float) -> list[QueuedJob]:
+        jobs_by_class: dict[str, list[QueuedJob]] = {}
+        for job in by_slack:
+            jobs_by_class.setdefault(job.spec.job_class, []).append(job)
+        fair_by_class = {
+            name: iter(sorted(jobs, key=lambda job: self._attained(job, now)))
+            for name, jobs in jobs_by_class.items()
+        }
+        return [next(fair_by_class[job.spec.job_class]) for job in by_slack]
+
+
+class SlackAdmission(AdmissionPolicy):
+    """Bounds the queue per organisation and class and in total."""
+
+    def admit(
+        self,
+        spec: JobSpec,
+        queued: QueueSize,
+        fleet: Fleet,
+        configuration: Configuration,
+    ) -> Refusal | None:
+        """Refuse what can never fit and what exceeds a bound."""
+        if fleet.workers_by_id and not fits_fleet(spec, fleet):
+            detail = (
+                f"{spec.tasks} tasks with {spec.accelerators_per_task} accelerators,"
+                f" {spec.cores_per_task} cores and {spec.memory_mb_per_task} MB each"
+                f" exceed the {len(fleet.workers_by_id)} workers of the domain"
+            )
+            return Refusal("shape_never_fits", detail, None)
+        if queued.of_group >= QUEUED_GROUP_LIMIT:
+            detail = (
+                f"{queued.of_group} jobs of {spec.organisation} and class"
+                f" {spec.job_class} are queued, the limit is {QUEUED_GROUP_LIMIT}"
+            )
+            return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
+        if queued.total >= QUEUED_TOTAL_LIMIT:
+            detail = (
+                f"{queued.total} jobs are queued, the limit is {QUEUED_TOTAL_LIMIT}"
+            )
+            return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
+        return None
+
+
+class _Quarantine(NamedTuple):
+    until: float
+    duration_s: float
+
+
+class StreakHealth(HealthPolicy):
+    """Quarantines a worker after failures of jobs that work elsewhere."""
+
+    def __init__(self) -> None:
+        self._streaks_by_worker: dict[str, dict[str, bool]] = {}
+        self._workers_by_job: dict[str, set[str]] = {}
+        self._quarantines_by_worker: dict[str, _Quarantine] = {}
+
+    def observe(self, worker_id: str, job_id: str, failed: bool, now: float) -> None:
+        """Extend or end the worker's streak, and confirm those of others."""
+        if failed:
+            self._failed(worker_id, job_id, now)
+            return
+        self.forget(worker_id)
+        for other in self._workers_by_job.pop(job_id, ()):
+            if other in self._streaks_by_worker:
+                self._streaks_by_worker[other][job_id] = True
+                self._judge(other, now)
+
+    def quarantined(self, now: float) -> frozenset[str]:
+        """Return the workers in quarantine, including those to be probed."""
+        return frozenset(self._quarantines_by_worker)
+
+    def probes(self, now: float) -> frozenset[str]:
+        """Return the workers whose quarantine time has passed."""
+        return frozenset(
+            worker_id
+            for worker_id, quarantine in self._quarantines_by_worker.items()
+            if quarantine.until <= now
+        )
+
+    def forget(self, worker_id: str) -> None:
+        """Drop the streak and the quarantine of a worker."""
+        self._quarantines_by_worker.pop(worker_id, None)
+        for job_id in self._streaks_by_worker.pop(worker_id, ()):
+            self._drop(worker_id, job_id)
+
+    def next_change(self, now: float) -> float | None:
+        """Return when the next worker may be probed."""
+        times = [q.until for q in self._quarantines_by_worker.values() if q.until > now]
+        return min(times, default=None)
+
+    def _failed(self, worker_id: str, job_id: str, now: float) -> None:
+        quarantine = self._quarantines_by_worker.get(worker_id)
+        if quarantine is not None:
+            if quarantine.until <= now:
+                duration_s = min(2 * quarantine.duration_s, PROBE_AFTER_MAX_S)
+                renewed = _Quarantine(now + duration_s, duration_s)
+                self._quarantines_by_worker[worker_id] = renewed
+            return
+        streak = self._streaks_by_worker.setdefault(worker_id, {})
+        streak.setdefault(job_id, False)
+        self._workers_by_job.setdefault(job_id, set()).add(worker_id)
+        if len(streak) > FAILURES_KEPT:
+            oldest = next(iter(streak))
+            del streak[oldest]
+            self._drop(worker_id, oldest)
+
+    def _judge(self, worker_id: str, now: float) -> None:
+        confirmed = sum(self._streaks_by_worker[worker_id].values())
+        if confirmed >= FAILURES_IN_A_ROW:
+            quarantine = _Quarantine(now + PROBE_AFTER_S, PROBE_AFTER_S)
+            self._quarantines_by_worker.setdefault(worker_id, quarantine)
+
+    def _drop(self, worker_id: str, job_id: str) -> None:
+        workers = self._workers_by_job.get(job_id)
+        if workers is not None:
+            workers.discard(worker_id)
+            if not workers:
+                del self._workers_by_job[job_id]
+
+
+def fits_fleet(spec: JobSpec, fleet: Fleet) -> bool:
+    """Whether all tasks of a job would fit on the empty fleet."""
+    missing = spec.tasks
+    for worker in fleet.workers_by_id.values():
+        info = worker.info
+        limits = [info.slots]
+        if spec.accelerators_per_task:
+            limits.append(info.accelerators // spec.accelerators_per_task)
+        if spec.cores_per_task:
+            limits.append(info.cores // spec.cores_per_task)
+        if spec.memory_mb_per_task:
+            limits.append(info.memory_mb // spec.memory_mb_per_task)
+        missing -= min(limits)
+        if missing <= 0:
+            return True
+    return False
+
+
+def _by_slack(entry: tuple[float, QueuedJob]) -> tuple[float, float, str]:
+    slack, job = entry
+    return slack, job.submitted_at, job.job_id
+
+
+def _age(job: QueuedJob, now: float) -> float:
+    """Return how many targets a job has waited."""
+    target_s = job.job_class.target_s or FINISH_BY_TARGET_S
+    return (now - job.submitted_at) / target_s
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -112,6 +112,13 @@
         """Return a plan within the organisation's own cells, or None."""
 
 
+class QueueSize(NamedTuple):
+    """Queued jobs in total and of one organisation and class."""
+
+    total: int
+    of_group: int
+
+
 class AdmissionPolicy(abc.ABC):
     """Bounds the queue."""
 
@@ -119,11 +126,14 @@
     def admit(
         self,
         spec: JobSpec,
-        queued: list[QueuedJob],
+        queued: QueueSize,
         fleet: Fleet,
         configuration: Configuration,
     ) -> Refusal | None:
-        """Return None to accept the job, or why it is refused."""
+        """Return None to accept the job, or why it is refused.
+
+        The fleet is empty until it is known after a change of the owner.
+        """
 
 
 class HealthPolicy(abc.ABC):
@@ -158,3 +168,32 @@
     reclaim: ReclaimPolicy
     admission: AdmissionPolicy
     health: HealthPolicy
+
+
+def slack_policies() -> PolicySet:
+    """Return the shipped policies, with nothing learned yet."""
+    from ._placement import BestFitPlacement, CellReclaim
+    from ._slack_policy import SlackAdmission, SlackOrder, StreakHealth
+
+    return PolicySet(
+        SlackOrder(),
+        BestFitPlacement(),
+        CellReclaim(),
+        SlackAdmission(),
+        StreakHealth(),
+    )
+
+
+def fcfs_policies() -> PolicySet:
+    """Return the baseline: first come first served, first fit."""
+    from ._fcfs_policy import (
+        FcfsOrder,
+        FirstFitPlacement,
+        NoHealth,
+        NoReclaim,
+        TotalAdmission,
+    )
+
+    return PolicySet(
+        FcfsOrder(), FirstFitPlacement(), NoReclaim(), TotalAdmission(), NoHealth()
+    )
--- /dev/null
+++ b/src/redwingrudder/scheduler.py
@@ -0,0 +1,255 @@
+"""Decision core of the owner of a failure domain.
+
+Pure: it takes typed events with the time and returns typed effects. It reads
+no clock and performs no input or output.
+"""
+
+from ._scheduler_gangs import GangTable
+from ._scheduler_jobs import JobTable
+from ._scheduler_placing import Placer
+from ._scheduler_recovery import Recovery
+from ._scheduler_state import Cause, Context, Due, JobRecord, TimerKind
+from ._scheduler_status import NO_EPOCH, domain_status, explain_job
+from .guarantees import GuaranteeBook
+from .messages import (
+    CancelRequested,
+    ConfigurationChanged,
+    Effect,
+    Event,
+    JobSubmitted,
+    RecoveryEnded,
+    ReleaseAnswered,
+    ReserveAnswered,
+    ShortagesChanged,
+    StartAnswered,
+    StartRecordAnswered,
+    TaskEnded,
+    Tick,
+    WakeAt,
+    WorkerClaimed,
+    WorkerDraining,
+    WorkerLost,
+)
+from .model import Epoch, JobSpec, JobState, JobView
+from .policies import PolicySet, QueueSize, Refusal
+from .requests import DomainStatus, Explanation
+
+# While a new owner claims its workers, placement passes are at least this far
+# apart, because each pass lays the guarantees out again.
+RECOVERY_PASS_INTERVAL_S = 0.1
+
+
+class Scheduler:
+    """Queue, gangs, guarantees and occupancy of one failure domain.
+
+    Args:
+        failure_domain: The domain whose workers are scheduled.
+        policies: Decisions that vary.
+        guarantees: Replaces the cell assignment in tests.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        policies: PolicySet,
+        guarantees: GuaranteeBook | None = None,
+    ) -> None:
+        book = GuaranteeBook() if guarantees is None else guarantees
+        self._context = Context(failure_domain, policies, book)
+        self._jobs = JobTable(self._context)
+        self._gangs = GangTable(self._context, self._jobs)
+        self._placer = Placer(self._context, self._jobs, self._gangs)
+        self._recovery = Recovery(self._context, self._jobs, self._gangs)
+        self._wake_at: float | None = None
+        self._next_pass_at = 0.0
+        self._handlers = {
+            ConfigurationChanged: self._configuration_changed,
+            WorkerClaimed: self._worker_claimed,
+            WorkerLost: self._worker_lost,
+            WorkerDraining: self._worker_draining,
+            RecoveryEnded: self._recovery_ended,
+            JobSubmitted: self._jobs.submit,
+            CancelRequested: self._cancel_requested,
+            ReserveAnswered: self._gangs.reserve_answered,
+            StartRecordAnswered: self._gangs.start_record_answered,
+            StartAnswered: self._gangs.start_answered,
+            ReleaseAnswered: self._release_answered,
+            TaskEnded: self._gangs.task_ended,
+            Tick: self._tick,
+        }
+
+    @property
+    def jobs_by_id(self) -> dict[str, JobRecord]:
+        """All jobs that are known, by id; final ones for 10 minutes."""
+        return self._jobs.jobs_by_id
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take one event and return the effects to carry out, in order."""
+        context = self._context
+        context.now = now
+        context.effects = []
+        if context.created_at is None:
+            context.created_at = now
+        self._handlers[type(event)](event)
+        self._run_due()
+        self._update_quarantine()
+        self._place()
+        self._wake()
+        return context.effects
+
+    def admit(self, spec: JobSpec) -> Refusal | None:
+        """Return None to accept a job, or why it is refused and not run."""
+        context, jobs = self._context, self._jobs
+        configuration = context.configuration
+        if configuration is None:
+            return Refusal("no_configuration", "no configuration is in force", 1.0)
+        if spec.organisation not in configuration.organisations_by_name:
+            detail = f"organisation {spec.organisation!r} is not configured"
+            return Refusal("unknown_organisation", detail, None)
+        if spec.job_class not in configuration.classes_by_name:
+            detail = f"class {spec.job_class!r} is not configured"
+            return Refusal("unknown_class", detail, None)
+        group = (spec.organisation, spec.job_class)
+        size = QueueSize(jobs.queued_total, jobs.queued_by_group[group])
+        return context.policies.admission.admit(
+            spec, size, context.fleet, configuration
+        )
+
+    def view(self, job_id: str) -> JobView | None:
+        """Return what a caller is told of a job, None when it is unknown."""
+        return self._jobs.view(job_id)
+
+    def explain(self, job_id: str, now: float) -> Explanation:
+        """Return why a job waits, runs or ended."""
+        self._context.now = now
+        return explain_job(job_id, self._context, self._jobs, self._gangs, self._placer)
+
+    def status(
+        self, now: float, owner: str = "", epoch: Epoch = NO_EPOCH
+    ) -> DomainStatus:
+        """Return the state of the domain; the dispatcher knows the owner."""
+        self._context.now = now
+        return domain_status(self._context, self._jobs, self._gangs, owner, epoch)
+
+    def _configuration_changed(self, event: ConfigurationChanged) -> None:
+        current = self._context.configuration
+        if current is not None and event.configuration.version <= current.version:
+            return
+        self._context.configuration = event.configuration
+        self._jobs.configuration_changed()
+        self._fleet_changed()
+
+    def _worker_claimed(self, event: WorkerClaimed) -> None:
+        self._recovery.worker_claimed(event.report)
+        self._fleet_changed()
+
+    def _worker_lost(self, event: WorkerLost) -> None:
+        self._gangs.worker_lost(event.worker_id, event.reason)
+        self._context.fleet.remove_worker(event.worker_id)
+        self._context.policies.health.forget(event.worker_id)
+        self._fleet_changed()
+
+    def _worker_draining(self, event: WorkerDraining) -> None:
+        fleet = self._context.fleet
+        fleet.set_draining(event.worker_id)
+        for gang in list(fleet.gangs_by_id.values()):
+            if event.worker_id in gang.members_by_worker:
+                self._gangs.preempt(gang.gang_id)
+        self._fleet_changed()
+
+    def _recovery_ended(self, _event: RecoveryEnded) -> None:
+        if not self._context.recovered:
+            self._recovery.recovery_ended()
+            self._fleet_changed()
+
+    def _cancel_requested(self, event: CancelRequested) -> None:
+        job = self._jobs.jobs_by_id.get(event.job_id)
+        if job is None:
+            return
+        if job.gang_id is not None:
+            self._gangs.cancel(job.gang_id, Cause.CANCELLED)
+        elif job.state == JobState.QUEUED:
+            self._jobs.give_up(job.job_id, "cancelled", "cancelled")
+
+    def _release_answered(self, event: ReleaseAnswered) -> None:
+        self._gangs.release_answered(event.gang_id, event.worker_id)
+
+    def _tick(self, _event: Tick) -> None:
+        self._wake_at = None
+
+    def _fleet_changed(self) -> None:
+        self._context.cells_changed = True
+        self._context.resources_changed = True
+
+    def _run_due(self) -> None:
+        due = self._context.times.pop_due(self._context.now)
+        while due is not None:
+            self._handle_due(due)
+            due = self._context.times.pop_due(self._context.now)
+
+    def _handle_due(self, due: Due) -> None:
+        if due.kind is TimerKind.EXPIRY:
+            self._expire(due.job_id)
+        elif due.kind is TimerKind.TARGET:
+            self._jobs.check_target(due.job_id)
+        elif due.kind is TimerKind.UNPARK:
+            self._jobs.unpark(due.job_id)
+        elif due.kind is TimerKind.FORGET:
+            self._jobs.forget(due.job_id)
+
+    def _expire(self, job_id: str) -> None:
+        job = self._jobs.jobs_by_id.get(job_id)
+        if job is None or job.attempts or job.waits_for_recovery:
+            return
+        if job.state == JobState.QUEUED:
+            self._jobs.give_up(job_id, "refused", "expired")
+        elif job.state == JobState.PLACING:
+            gang = self._gangs.gangs_by_id[job.gang_id]
+            if not gang.start_sent and gang.cause is Cause.NONE:
+                self._gangs.cancel(job.gang_id, Cause.EXPIRED)
+
+    def _update_quarantine(self) -> None:
+        fleet = self._context.fleet
+        quarantined = self._context.policies.health.quarantined(self._context.now)
+        for worker_id in sorted(quarantined ^ self._context.quarantined):
+            fleet.set_quarantined(worker_id, worker_id in quarantined)
+            self._fleet_changed()
+        self._context.quarantined = quarantined
+        probes = self._context.policies.health.probes(self._context.now)
+        if probes - self._context.probes:
+            self._context.resources_changed = True
+        self._context.probes = probes
+
+    def _place(self) -> None:
+        context = self._context
+        if context.configuration is None:
+            return
+        if not context.recovered and context.resources_changed:
+            if context.now < self._next_pass_at:
+                return
+            self._next_pass_at = context.now + RECOVERY_PASS_INTERVAL_S
+            context.times.add(self._next_pass_at, TimerKind.PLACEMENT)
+        if context.cells_changed:
+            context.cells_changed = False
+            self._assign_cells()
+        self._placer.run()
+
+    def _assign_cells(self) -> None:
+        context, book = self._context, self._context.guarantees
+        before = book.shortages
+        book.assign(
+            context.configuration, context.failure_domain, context.fleet, context.now
+        )
+        if book.shortages != before:
+            context.emit(ShortagesChanged(book.shortages))
+
+    def _wake(self) -> None:
+        context = self._context
+        times = [
+            context.times.next_at(),
+            context.policies.health.next_change(context.now),
+        ]
+        wake_at = min((at for at in times if at is not None), default=None)
+        if wake_at is not None and wake_at != self._wake_at:
+            self._wake_at = wake_at
+            context.emit(WakeAt(wake_at))
