Add the dispatcher of the owner of a failure domain

A node that owns its domain has to join scheduler, worker links, job records and waiting callers. A Tenure holds all of it for one ownership and is dropped as a whole; the ledger writes one record of a job at a time and resolves lost replies by reading. A not_run answer is told only after its record is confirmed, because another owner could still start the job. Releases of ended members wait for the final record. A job whose start is recorded is not judged while a worker is silent.

--- /dev/null
+++ b/src/redwingrudder/_job_intake.py
@@ -0,0 +1,166 @@
+"""Acceptance of new jobs by the owner of a failure domain."""
+
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
+
+from ._job_records import JobRecordBody, body_digest, job_id_for
+from ._tenure import Tenure
+from ._token_bucket import TokenBucket
+from .exceptions import (
+    ConflictError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RedwingrudderError,
+    StoreUnavailableError,
+    UnavailableError,
+    UnprocessableError,
+)
+from .messages import JobSubmitted
+from .model import JobSpec, JobView
+from .policies import Refusal
+from .requests import SubmitJob
+
+STORE_RETRY_S = 2.0
+
+
+class JobIntake:
+    """Checks, records and submits jobs; a key is handled once at a time.
+
+    Args:
+        failure_domain: Domain of the owner.
+        writes_per_s: Bound on new records a second.
+        owned: Returns the current tenure or raises.
+        now: Returns the time of the node's clock.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        writes_per_s: float,
+        owned: Callable[[], Tenure],
+        now: Callable[[], float],
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._writes_per_s = writes_per_s
+        self._owned = owned
+        self._now = now
+        self._bucket = TokenBucket(writes_per_s, writes_per_s, now())
+        self._creating: dict[str, list[Deferred]] = {}
+        self.draining = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a record is being created."""
+        return bool(self._creating)
+
+    async def submit(self, message: SubmitJob) -> JobView:
+        """Accept a job; the same key and body give the same job."""
+        spec = message.spec
+        job_id = self._job_id(spec)
+        while job_id in self._creating:
+            await self._after_creation(job_id)
+        tenure = self._owned()
+        known = self._find_known(tenure, job_id, spec)
+        if known is not None:
+            return known
+        self._check_admission(tenure, spec)
+        self._creating[job_id] = []
+        try:
+            return await self._create(tenure, spec, message.correlation_id)
+        finally:
+            for waiting in self._creating.pop(job_id):
+                waiting.callback(None)
+
+    def _after_creation(self, job_id: str) -> Deferred:
+        waiting: Deferred = Deferred()
+        self._creating[job_id].append(waiting)
+        return waiting
+
+    def _job_id(self, spec: JobSpec) -> str:
+        domain = self._failure_domain
+        return job_id_for(domain, spec.organisation, spec.idempotency_key)
+
+    def _find_known(self, tenure: Tenure, job_id: str, spec: JobSpec) -> JobView | None:
+        digest = tenure.ledger.digest(job_id)
+        if digest:
+            _check_same_body(digest, spec)
+            return tenure.known_view(job_id)
+        return tenure.view(job_id)
+
+    def _check_admission(self, tenure: Tenure, spec: JobSpec) -> None:
+        if self.draining:
+            raise UnavailableError(
+                "this node is stopping", code="draining", retry_after_s=1.0
+            )
+        refusal = tenure.scheduler.admit(spec)
+        if refusal is not None:
+            raise _refusal_error(refusal)
+        wait_s = self._bucket.take(self._now())
+        if wait_s > 0:
+            rate = self._writes_per_s
+            detail = f"this domain accepts {rate:g} jobs a second"
+            raise OverloadedError(detail, code="store_busy", retry_after_s=wait_s)
+
+    async def _create(
+        self, tenure: Tenure, spec: JobSpec, correlation_id: str
+    ) -> JobView:
+        body = tenure.ledger.new_record(spec, self._now())
+        try:
+            stored = await tenure.ledger.create(body)
+        except (StoreUnavailableError, OutcomeUnknownError) as error:
+            return self._accept_unrecorded(tenure, body, spec, error, correlation_id)
+        if stored.body["nonce"] != body["nonce"]:
+            _check_same_body(stored.body["digest"], spec)
+            self._check_domain(stored.body)
+        if tenure.closed:
+            raise OutcomeUnknownError(
+                "the owner changed while the job was recorded", retry_after_s=0.5
+            )
+        if stored.body["nonce"] == body["nonce"]:
+            tenure.note_accepted(body["job_id"], spec, correlation_id)
+        tenure.take_record(stored)
+        return tenure.known_view(body["job_id"])
+
+    def _accept_unrecorded(
+        self,
+        tenure: Tenure,
+        body: JobRecordBody,
+        spec: JobSpec,
+        error: UnavailableError,
+        correlation_id: str,
+    ) -> JobView:
+        sent = isinstance(error, OutcomeUnknownError)
+        if tenure.closed or not spec.idempotent:
+            raise type(error)(error.detail, retry_after_s=STORE_RETRY_S)
+        job_id = body["job_id"]
+        tenure.ledger.add_unrecorded(body, sent)
+        tenure.note_accepted(body["job_id"], spec, correlation_id)
+        tenure.feed(JobSubmitted(job_id, spec, body["submitted_at"], False))
+        return tenure.known_view(job_id)
+
+    def _check_domain(self, body: JobRecordBody) -> None:
+        if body["domain"] != self._failure_domain:
+            raise ConflictError(
+                f"{body['domain']} holds the job of this key", code="other_domain"
+            )
+
+
+def _check_same_body(digest: str, spec: JobSpec) -> None:
+    if digest != body_digest(spec):
+        raise ConflictError(
+            f"key {spec.idempotency_key!r} was used with another body",
+            code="idempotency_key_reused",
+        )
+
+
+def _refusal_error(refusal: Refusal) -> RedwingrudderError:
+    if refusal.retry_after_s is None:
+        return UnprocessableError(refusal.detail, code=refusal.code)
+    if refusal.code == "no_configuration":
+        return UnavailableError(
+            refusal.detail, code=refusal.code, retry_after_s=refusal.retry_after_s
+        )
+    return OverloadedError(
+        refusal.detail, code=refusal.code, retry_after_s=refusal.retry_after_s
+    )
--- /dev/null
+++ b/src/redwingrudder/_job_waiters.py
@@ -0,0 +1,78 @@
+"""Callers that wait for the end of a job, in a bounded number."""
+
+import itertools
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from .actors import ActorSystem
+from .exceptions import OverloadedError, RedwingrudderError
+from .timers import TIMERS, Subscribe, Unsubscribe
+
+WAITERS_LIMIT = 10_000
+TIMER_PREFIX = "wait:"
+
+
+class _Waiter(NamedTuple):
+    job_id: str
+    ended: Deferred
+
+
+class JobWaiters:
+    """Waits end with the job, after their time, or with an error.
+
+    Args:
+        system: Actors of the node.
+        owner: Name of the actor that passes its timers to ``time_out``.
+    """
+
+    def __init__(self, system: ActorSystem, owner: str) -> None:
+        self._system = system
+        self._owner = owner
+        self._numbers = itertools.count()
+        self._waiters_by_timer: dict[str, _Waiter] = {}
+        self._timers_by_job: dict[str, set[str]] = {}
+
+    def wait(self, job_id: str, wait_s: float) -> Deferred:
+        """Return a Deferred that fires when the wait ends.
+
+        Raises:
+            OverloadedError: Too many callers wait.
+        """
+        if len(self._waiters_by_timer) >= WAITERS_LIMIT:
+            raise OverloadedError(
+                f"{WAITERS_LIMIT} callers wait already", retry_after_s=1.0
+            )
+        timer = f"{TIMER_PREFIX}{next(self._numbers)}"
+        waiter = _Waiter(job_id, Deferred())
+        self._waiters_by_timer[timer] = waiter
+        self._timers_by_job.setdefault(job_id, set()).add(timer)
+        self._system.tell(TIMERS, Subscribe(self._owner, timer, wait_s))
+        return waiter.ended
+
+    def time_out(self, timer: str) -> None:
+        """End the wait of a timer that fired."""
+        self._end(timer, None)
+
+    def job_ended(self, job_id: str) -> None:
+        """End all waits for a job."""
+        for timer in list(self._timers_by_job.get(job_id, ())):
+            self._system.tell(TIMERS, Unsubscribe(self._owner, timer))
+            self._end(timer, None)
+
+    def fail_all(self, error: RedwingrudderError) -> None:
+        """End all waits with an error."""
+        for timer in list(self._waiters_by_timer):
+            self._system.tell(TIMERS, Unsubscribe(self._owner, timer))
+            self._end(timer, Failure(error))
+
+    def _end(self, timer: str, outcome: Failure | None) -> None:
+        waiter = self._waiters_by_timer.pop(timer, None)
+        if waiter is None:
+            return
+        timers = self._timers_by_job[waiter.job_id]
+        timers.discard(timer)
+        if not timers:
+            del self._timers_by_job[waiter.job_id]
+        waiter.ended.callback(outcome)
--- /dev/null
+++ b/src/redwingrudder/_tenure.py
@@ -0,0 +1,421 @@
+"""One period in which a node owns its failure domain.
+
+It joins the pure scheduler, the worker links, the job records and the
+waiting callers. The dispatcher drops it when the ownership ends.
+"""
+
+import logging
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import NamedTuple
+
+from twisted.internet.defer import ensureDeferred
+from twisted.python.failure import Failure
+
+from ._job_ledger import JobLedger, LedgerCallbacks
+from ._job_observer import JobObserver
+from ._job_records import STARTING, JobRecordBody, StoredRecord, is_final, spec_of
+from ._job_store import JobStore
+from ._job_waiters import JobWaiters
+from ._release_gate import ReleaseGate
+from ._worker_messages import LinkEvent
+from ._worker_roster import RosterSettings, WorkerRoster
+from ._worker_transport import WorkerTransport
+from .actors import ActorSystem
+from .exceptions import StoreUnavailableError, UnavailableError
+from .messages import (
+    CancelRequested,
+    ConfigurationChanged,
+    Event,
+    JobChanged,
+    JobSubmitted,
+    RecordStart,
+    RecoveryEnded,
+    ReleaseMember,
+    ReserveMember,
+    ShortagesChanged,
+    StartMember,
+    StartRecordAnswered,
+    StopMember,
+    TargetMissed,
+    Tick,
+    WakeAt,
+    WorkerClaimed,
+)
+from .model import FINAL_JOB_STATES, Epoch, JobSpec, JobState, JobView, MemberState
+from .requests import DISPATCHER, VmInfo
+from .scheduler import Scheduler
+from .timers import TIMERS, Subscribe, Unsubscribe
+
+RECOVERY_LIMIT_S = 3.0  # placement resumes within 5 s of an owner's death
+LOAD_RETRY_S = 1.0
+RECORD_RETRY_S = 1.0
+SWEEP_INTERVAL_S = 30.0
+FLUSH_INTERVAL_S = 0.5
+
+WAKE_TIMER = "wake"
+RECOVERY_TIMER = "recovery"
+LOAD_TIMER = "load"
+RECORDS_TIMER = "records"
+SWEEP_TIMER = "sweep"
+FLUSH_TIMER = "flush"
+
+NOT_RECORDED_YET = "recording_the_end"
+
+_logger = logging.getLogger(__name__)
+
+
+class TenureParts(NamedTuple):
+    """What a tenure is built from."""
+
+    system: ActorSystem
+    settings: RosterSettings
+    scheduler: Scheduler
+    transport: WorkerTransport
+    observer: JobObserver
+
+
+class Tenure:
+    """Everything that an owner keeps in memory.
+
+    Args:
+        parts: Collaborators.
+        epoch: Fencing epoch of this ownership.
+    """
+
+    def __init__(self, parts: TenureParts, epoch: Epoch) -> None:
+        self._parts = parts
+        self._system = parts.system
+        self._domain = parts.settings.failure_domain
+        self.epoch = epoch
+        self.scheduler = parts.scheduler
+        self.waiters = JobWaiters(parts.system, DISPATCHER)
+        self.roster = WorkerRoster(parts.system, parts.settings, epoch, parts.transport)
+        callbacks = LedgerCallbacks(
+            self._published, self._results_safe, self._recorded, self._retry_records
+        )
+        self.ledger = JobLedger(JobStore(parts.system), self._domain, callbacks)
+        self._loaded = False
+        self.closed = False
+        self._gate = ReleaseGate(self.ledger.is_pending)
+        self._recovered = False
+        self._members_known = False
+        self._specs_by_ended_job: dict[str, JobSpec] = {}
+        self._correlation_ids_by_job: dict[str, str] = {}
+        self._events: deque[Event] = deque()
+        self._feeding = False
+        # Jobs whose start is recorded are not judged before every worker
+        # was claimed or is surely without tasks.
+        self._uncertain: dict[str, JobRecordBody] = {}
+        self._carriers_by_type: dict[type, Callable] = {
+            ReserveMember: self._reserve,
+            StartMember: self._start,
+            ReleaseMember: self._release,
+            StopMember: self._stop,
+            RecordStart: self._record_start,
+            JobChanged: self._job_changed,
+            TargetMissed: self._target_missed,
+            ShortagesChanged: self._shortages_changed,
+            WakeAt: self._wake_at,
+        }
+        self._timers_by_name: dict[str, Callable[[], None]] = {
+            WAKE_TIMER: lambda: self.feed(Tick()),
+            RECOVERY_TIMER: self._end_recovery,
+            LOAD_TIMER: lambda: self.run(self._load()),
+            RECORDS_TIMER: lambda: self.run(self.ledger.write_all()),
+            SWEEP_TIMER: lambda: self.run(self.ledger.sweep(self.now())),
+            FLUSH_TIMER: self.roster.flush,
+        }
+
+    def begin(
+        self, configuration: ConfigurationChanged | None, vms: tuple[VmInfo, ...] | None
+    ) -> None:
+        """Claim the workers and read the job records."""
+        if configuration is not None:
+            self.feed(configuration)
+        if vms is not None:
+            self.follow_members(vms)
+        self._subscribe(RECOVERY_TIMER, RECOVERY_LIMIT_S)
+        self._subscribe(SWEEP_TIMER, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S)
+        self._subscribe(FLUSH_TIMER, FLUSH_INTERVAL_S, FLUSH_INTERVAL_S)
+        self.run(self._load())
+
+    def end(self, reason: str) -> None:
+        """Drop everything; running tasks are left to the next owner."""
+        self.closed = True
+        self.ledger.close()
+        self.roster.close()
+        for timer in self._timers_by_name:
+            self._system.tell(TIMERS, Unsubscribe(DISPATCHER, timer))
+        detail = f"this node no longer owns {self._domain}: {reason}"
+        error = UnavailableError(detail, code="not_owner", retry_after_s=0.5)
+        self.waiters.fail_all(error)
+
+    def now(self) -> float:
+        """Return the time of the node's clock."""
+        return self._system.clock.seconds()
+
+    def run(self, work: Coroutine) -> None:
+        """Run a coroutine whose result nobody awaits."""
+        ensureDeferred(work).addErrback(self._log_fault)
+
+    def fire(self, timer: str) -> None:
+        """Take a timer of this tenure."""
+        if not self.closed and timer in self._timers_by_name:
+            self._timers_by_name[timer]()
+
+    def feed(self, event: Event) -> None:
+        """Give an event to the scheduler and carry out its effects."""
+        self._events.append(event)
+        if self._feeding:
+            # Carrying out an effect raised this event; effects of one event
+            # are carried out before those of the next.
+            return
+        self._feeding = True
+        try:
+            while self._events and not self.closed:
+                self._handle(self._events.popleft())
+        finally:
+            self._feeding = False
+
+    def _handle(self, event: Event) -> None:
+        for effect in self.scheduler.handle(event, self.now()):
+            self._carriers_by_type[type(effect)](effect)
+
+    def follow_members(self, vms: tuple[VmInfo, ...]) -> None:
+        """Take the VM list."""
+        self._members_known = True
+        for event in self.roster.sync(vms):
+            self.feed(event)
+        self._check_recovery()
+
+    def take_link_event(self, message: LinkEvent) -> None:
+        """Take what a worker link tells."""
+        for event in self.roster.take(message):
+            if isinstance(event, WorkerClaimed):
+                self._note_members(event)
+            self.feed(event)
+        self._judge_reported()
+        self._check_recovery()
+
+    def raise_epoch(self, epoch: Epoch) -> None:
+        """Go on under a higher epoch."""
+        self.epoch = epoch
+        self.roster.raise_epoch(epoch)
+
+    def view(self, job_id: str) -> JobView | None:
+        """Return what a caller may be told of a job now, None if unknown.
+
+        Raises:
+            ResultExpiredError: The results are no longer kept.
+        """
+        answer = self.ledger.answer(job_id, self.now())
+        if answer is not None:
+            return answer
+        view = self.scheduler.view(job_id)
+        if view is None:
+            return None
+        view = view._replace(durable=self.ledger.durable(job_id))
+        if view.state in FINAL_JOB_STATES:
+            # The end is not recorded yet, so another owner could run the job.
+            return view._replace(
+                state=JobState.QUEUED, reason=NOT_RECORDED_YET, finished_at=None
+            )
+        return view
+
+    def known_view(self, job_id: str) -> JobView:
+        """Return what a caller may be told of a job that is recorded.
+
+        Raises:
+            UnavailableError: Its start is recorded and not every worker has
+                reported yet whether it runs.
+        """
+        view = self.view(job_id)
+        if view is None:
+            self.check_recovered(job_id)
+            raise UnavailableError(f"{job_id} is not known", retry_after_s=1.0)
+        return view
+
+    def check_recovered(self, job_id: str) -> None:
+        """Refuse to tell that a job is unknown before that is certain."""
+        if not self._loaded or job_id in self._uncertain:
+            raise UnavailableError(
+                f"{job_id} may still be recovered",
+                code="recovering",
+                retry_after_s=1.0,
+            )
+
+    def note_accepted(self, job_id: str, spec: JobSpec, correlation_id: str) -> None:
+        """Log a job that was accepted and tell the observer."""
+        self._correlation_ids_by_job[job_id] = correlation_id
+        self._log_job(job_id, spec, "job accepted")
+        self._parts.observer.job_submitted(spec)
+
+    def take_record(self, record: StoredRecord) -> None:
+        """Know a job of this domain from its record."""
+        body = record.body
+        job_id = body["job_id"]
+        self.ledger.add_stored(record)
+        if is_final(body):
+            self._take_final(job_id)
+        elif not self.ledger.has_ended(job_id):
+            self._uncertain[job_id] = body
+            if body["state"] != STARTING or self._is_certain(job_id):
+                self._submit_uncertain(job_id)
+
+    # Recovery.
+
+    async def _load(self) -> None:
+        try:
+            stored = await JobStore(self._system).load(self._domain)
+        except StoreUnavailableError:
+            self._subscribe(LOAD_TIMER, LOAD_RETRY_S)
+            return
+        if self.closed:
+            return
+        ends = [record.body["finished_at"] or 0.0 for record in stored]
+        for _, record in sorted(zip(ends, stored, strict=True), key=lambda p: p[0]):
+            self.take_record(record)
+        self._loaded = True
+        self._check_recovery()
+
+    def _take_final(self, job_id: str) -> None:
+        view = self.scheduler.view(job_id)
+        if view is not None and view.state not in FINAL_JOB_STATES:
+            # A worker still holds a gang of a job that has ended.
+            self.feed(CancelRequested(job_id))
+        self.waiters.job_ended(job_id)
+
+    def _is_certain(self, job_id: str) -> bool:
+        everyone = self._members_known and self.roster.settled
+        return everyone or self.scheduler.view(job_id) is not None
+
+    def _judge_reported(self) -> None:
+        for job_id in list(self._uncertain):
+            if self._is_certain(job_id):
+                self._submit_uncertain(job_id)
+
+    def _submit_uncertain(self, job_id: str) -> None:
+        body = self._uncertain.pop(job_id)
+        started = body["state"] == STARTING
+        spec = spec_of(body)
+        submitted_at = body["submitted_at"]
+        self.feed(JobSubmitted(job_id, spec, submitted_at, True, started))
+
+    def _check_recovery(self) -> None:
+        if self._loaded and self._members_known and self.roster.settled:
+            self._judge_reported()
+            self._end_recovery()
+
+    def _end_recovery(self) -> None:
+        if not self._recovered:
+            self._recovered = True
+            self._system.tell(TIMERS, Unsubscribe(DISPATCHER, RECOVERY_TIMER))
+            self.feed(RecoveryEnded())
+
+    def _note_members(self, event: WorkerClaimed) -> None:
+        for member in event.report.members:
+            self._gate.note_member(member.gang_id, member.job_id)
+            if member.state is not MemberState.RESERVED:
+                self._gate.note_started(member.gang_id)
+
+    # Effects.
+
+    def _reserve(self, effect: ReserveMember) -> None:
+        self._gate.note_member(effect.gang_id, effect.job_id)
+        self.roster.send(effect.member.worker_id, effect)
+
+    def _start(self, effect: StartMember) -> None:
+        self._gate.note_started(effect.gang_id)
+        self.roster.send(effect.worker_id, effect)
+
+    def _release(self, effect: ReleaseMember) -> None:
+        if self._gate.admit(effect):
+            self.roster.send(effect.worker_id, effect)
+
+    def _stop(self, effect: StopMember) -> None:
+        self.roster.send(effect.worker_id, effect)
+
+    def _record_start(self, effect: RecordStart) -> None:
+        self.run(self._write_start(effect))
+
+    async def _write_start(self, effect: RecordStart) -> None:
+        refusal = await self.ledger.record_start(
+            effect.job_id, effect.gang_id, self.epoch
+        )
+        self.feed(StartRecordAnswered(effect.gang_id, not refusal, refusal))
+
+    def _job_changed(self, effect: JobChanged) -> None:
+        job = self.scheduler.jobs_by_id[effect.job_id]
+        self._log_job(effect.job_id, job.spec, f"job {effect.state.value}")
+        if effect.state not in FINAL_JOB_STATES:
+            return
+        view = self.scheduler.view(effect.job_id)
+        self._correlation_ids_by_job.pop(effect.job_id, None)
+        self._uncertain.pop(effect.job_id, None)
+        self._specs_by_ended_job[effect.job_id] = job.spec
+        self.ledger.finish(view, job.spec, self.now())
+        self.run(self.ledger.write(effect.job_id))
+
+    def _target_missed(self, effect: TargetMissed) -> None:
+        job = self.scheduler.jobs_by_id[effect.job_id]
+        self._log_job(effect.job_id, job.spec, "target missed")
+        self._parts.observer.target_missed(job.spec)
+
+    def _shortages_changed(self, effect: ShortagesChanged) -> None:
+        for shortage in effect.shortages:
+            _logger.warning(
+                "guarantee shortage",
+                extra={
+                    "organisation": shortage.organisation,
+                    "shape_index": shortage.shape_index,
+                    "copy_index": shortage.copy_index,
+                    "missing_accelerators": shortage.missing_accelerators,
+                },
+            )
+        self._parts.observer.shortages(effect.shortages)
+
+    def _wake_at(self, effect: WakeAt) -> None:
+        self._subscribe(WAKE_TIMER, effect.at - self.now())
+
+    # Callbacks of the ledger.
+
+    def _published(self, job_id: str) -> None:
+        spec = self._specs_by_ended_job.pop(job_id, None)
+        view = self.ledger.answer(job_id, self.now())
+        if spec is not None and view is not None:
+            self._parts.observer.job_finished(view, spec)
+        self.waiters.job_ended(job_id)
+
+    def _results_safe(self, job_id: str) -> None:
+        for release in self._gate.open(job_id):
+            self.roster.send(release.worker_id, release)
+
+    def _recorded(self, job_id: str) -> None:
+        job = self.scheduler.jobs_by_id.get(job_id)
+        if job is not None:
+            self.feed(JobSubmitted(job_id, job.spec, job.submitted_at, True))
+
+    def _retry_records(self) -> None:
+        self._subscribe(RECORDS_TIMER, RECORD_RETRY_S)
+
+    # Helpers.
+
+    def _subscribe(self, timer: str, delay_s: float, interval_s: float = 0.0) -> None:
+        subscription = Subscribe(DISPATCHER, timer, delay_s, interval_s)
+        self._system.tell(TIMERS, subscription)
+
+    def _log_job(self, job_id: str, spec: JobSpec, text: str) -> None:
+        _logger.info(
+            text,
+            extra={
+                "job": job_id,
+                "organisation": spec.organisation,
+                "job_class": spec.job_class,
+                "node": self._parts.settings.node_id,
+                "correlation_id": self._correlation_ids_by_job.get(job_id, ""),
+            },
+        )
+
+    def _log_fault(self, failure: Failure) -> None:
+        _logger.error("dispatcher failed", extra={"error": failure.getTraceback()})
--- /dev/null
+++ b/src/redwingrudder/dispatcher.py
@@ -0,0 +1,277 @@
+"""Owner of a failure domain: drives the scheduler and answers callers."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from ._job_intake import JobIntake
+from ._job_observer import JobObserver, SilentObserver
+from ._job_records import domain_of_job, job_id_for
+from ._job_waiters import TIMER_PREFIX
+from ._tenure import Tenure, TenureParts
+from ._worker_messages import LinkEvent
+from ._worker_roster import RosterSettings
+from ._worker_transport import WorkerTransport
+from .actors import Actor, ActorSystem, Handler
+from .exceptions import (
+    NotFoundError,
+    OutcomeUnknownError,
+    UnavailableError,
+)
+from .messages import CancelRequested, ConfigurationChanged
+from .model import FINAL_JOB_STATES, JobView
+from .requests import (
+    DISPATCHER,
+    PEERS,
+    CancelJob,
+    DomainStatus,
+    Drain,
+    EpochRaised,
+    ExplainJob,
+    Explanation,
+    GetStatus,
+    LocalLoad,
+    MembersChanged,
+    OwnershipEnded,
+    OwnershipGained,
+    PollJob,
+    SubmitJob,
+)
+from .scheduler import Scheduler
+from .timers import TIMERS, Subscribe, TimerFired, Unsubscribe
+
+__all__ = [
+    "Dispatcher",
+    "DispatcherSettings",
+    "JobObserver",
+    "SilentObserver",
+    "domain_of_job",
+    "job_id_for",
+]
+
+CANCEL_LIMIT_S = 30.0  # a cancellation is answered as unknown after this
+STORE_RETRY_S = 2.0
+DRAIN_LIMIT_S = 5.0
+DRAIN_CHECK_S = 0.1
+LOAD_INTERVAL_S = 1.0
+
+_LOAD_TIMER = "local_load"
+_DRAIN_TIMER = "drain"
+
+
+class DispatcherSettings(NamedTuple):
+    """Settings of the dispatcher of one node.
+
+    ``store_writes_per_s`` is this domain's share of the store's writes; it
+    bounds the acceptance of new jobs.
+    """
+
+    failure_domain: str
+    node_id: str
+    lease_s: float = 30.0
+    store_writes_per_s: float = 50.0
+
+
+class Dispatcher(Actor):
+    """Answers requests about jobs while its node owns the failure domain.
+
+    Args:
+        system: Actors of the node.
+        settings: Identity and limits.
+        make_scheduler: Returns an empty scheduler for each ownership.
+        transport: Reaches the workers.
+        observer: Told about jobs, for metrics.
+    """
+
+    def __init__(
+        self,
+        system: ActorSystem,
+        settings: DispatcherSettings,
+        make_scheduler: Callable[[], Scheduler],
+        transport: WorkerTransport,
+        observer: JobObserver | None = None,
+    ) -> None:
+        self._settings = settings
+        self._make_scheduler = make_scheduler
+        self._transport = transport
+        self._observer = observer or SilentObserver()
+        self._tenure: Tenure | None = None
+        self._configuration: ConfigurationChanged | None = None
+        self._members: MembersChanged | None = None
+        self._intake = JobIntake(
+            settings.failure_domain,
+            settings.store_writes_per_s,
+            self._owned,
+            system.clock.seconds,
+        )
+        self._draining: list[Deferred] = []
+        self._drain_until = 0.0
+        super().__init__(system, DISPATCHER)
+
+    def handlers(self) -> dict[type, Handler]:
+        """See base class."""
+        return {
+            OwnershipGained: self._gain,
+            EpochRaised: self._raise_epoch,
+            OwnershipEnded: self._end,
+            ConfigurationChanged: self._configure,
+            MembersChanged: self._follow_members,
+            LinkEvent: self._take_link_event,
+            TimerFired: self._fire,
+            SubmitJob: self._intake.submit,
+            PollJob: self._poll,
+            CancelJob: self._cancel,
+            ExplainJob: self._explain,
+            GetStatus: self._status,
+            Drain: self._drain,
+        }
+
+    def stop(self) -> None:
+        """Close the links; the workers are left to the next owner."""
+        self._drop_tenure("stopped")
+
+    def _now(self) -> float:
+        return self.system.clock.seconds()
+
+    # Ownership.
+
+    def _gain(self, message: OwnershipGained) -> None:
+        self._drop_tenure("gained again")
+        settings = RosterSettings(
+            self._settings.failure_domain,
+            self._settings.node_id,
+            self._settings.lease_s,
+        )
+        parts = TenureParts(
+            self.system,
+            settings,
+            self._make_scheduler(),
+            self._transport,
+            self._observer,
+        )
+        self._tenure = Tenure(parts, message.epoch)
+        vms = self._members.vms if self._members else None
+        self._tenure.begin(self._configuration, vms)
+        load = Subscribe(self.name, _LOAD_TIMER, LOAD_INTERVAL_S, LOAD_INTERVAL_S)
+        self.tell(TIMERS, load)
+
+    def _raise_epoch(self, message: EpochRaised) -> None:
+        if self._tenure is not None:
+            self._tenure.raise_epoch(message.epoch)
+
+    def _end(self, message: OwnershipEnded) -> None:
+        self._drop_tenure(message.reason)
+
+    def _drop_tenure(self, reason: str) -> None:
+        tenure, self._tenure = self._tenure, None
+        if tenure is not None:
+            tenure.end(reason)
+            self.tell(TIMERS, Unsubscribe(self.name, _LOAD_TIMER))
+
+    def _configure(self, message: ConfigurationChanged) -> None:
+        self._configuration = message
+        if self._tenure is not None:
+            self._tenure.feed(message)
+
+    def _follow_members(self, message: MembersChanged) -> None:
+        self._members = message
+        if self._tenure is not None:
+            self._tenure.follow_members(message.vms)
+
+    def _take_link_event(self, message: LinkEvent) -> None:
+        if self._tenure is not None:
+            self._tenure.take_link_event(message)
+
+    def _fire(self, fired: TimerFired) -> None:
+        if fired.timer == _DRAIN_TIMER:
+            self._check_drained()
+        elif self._tenure is None:
+            return
+        elif fired.timer == _LOAD_TIMER:
+            self._tell_load(self._tenure)
+        elif fired.timer.startswith(TIMER_PREFIX):
+            self._tenure.waiters.time_out(fired.timer)
+        else:
+            self._tenure.fire(fired.timer)
+
+    def _tell_load(self, tenure: Tenure) -> None:
+        status = tenure.scheduler.status(self._now())
+        load = LocalLoad(
+            status.free_accelerators, status.largest_gang, status.queued_jobs
+        )
+        if PEERS in self.system.names():
+            self.tell(PEERS, load)
+
+    def _owned(self) -> Tenure:
+        if self._tenure is None:
+            domain = self._settings.failure_domain
+            detail = f"this node does not own {domain}"
+            raise UnavailableError(detail, code="not_owner", retry_after_s=0.5)
+        return self._tenure
+
+    # Other requests of callers.
+
+    async def _poll(self, message: PollJob) -> JobView:
+        view = self._find(message.job_id)
+        if view.state in FINAL_JOB_STATES or message.wait_s <= 0:
+            return view
+        await self._owned().waiters.wait(message.job_id, message.wait_s)
+        return self._find(message.job_id)
+
+    async def _cancel(self, message: CancelJob) -> JobView:
+        view = self._find(message.job_id)
+        if view.state in FINAL_JOB_STATES:
+            return view
+        tenure = self._owned()
+        ended = tenure.waiters.wait(message.job_id, CANCEL_LIMIT_S)
+        tenure.feed(CancelRequested(message.job_id))
+        await ended
+        view = self._find(message.job_id)
+        if view.state not in FINAL_JOB_STATES:
+            raise OutcomeUnknownError(
+                f"the end of {message.job_id} is not confirmed yet",
+                retry_after_s=1.0,
+            )
+        return view
+
+    def _explain(self, message: ExplainJob) -> Explanation:
+        view = self._find(message.job_id)
+        if view.state in FINAL_JOB_STATES:
+            reasons = (view.reason,) if view.reason else ()
+            return Explanation(message.job_id, view.state.value, reasons)
+        return self._owned().scheduler.explain(message.job_id, self._now())
+
+    def _status(self, _: GetStatus) -> DomainStatus:
+        tenure = self._owned()
+        return tenure.scheduler.status(
+            self._now(), self._settings.node_id, tenure.epoch
+        )
+
+    def _find(self, job_id: str) -> JobView:
+        tenure = self._owned()
+        view = tenure.view(job_id)
+        if view is not None:
+            return view
+        tenure.check_recovered(job_id)
+        raise NotFoundError(f"no job {job_id!r}", code="no_such_job")
+
+    # Graceful shutdown.
+
+    def _drain(self, _: Drain) -> Deferred:
+        drained: Deferred = Deferred()
+        self._draining.append(drained)
+        self._intake.draining = True
+        self._drain_until = self._now() + DRAIN_LIMIT_S
+        self.tell(TIMERS, Subscribe(self.name, _DRAIN_TIMER, 0.0, DRAIN_CHECK_S))
+        return drained
+
+    def _check_drained(self) -> None:
+        idle = self._tenure is None or self._tenure.ledger.idle
+        busy = self._intake.busy or not idle
+        if busy and self._now() < self._drain_until:
+            return
+        self.tell(TIMERS, Unsubscribe(self.name, _DRAIN_TIMER))
+        for drained in self._draining:
+            if not drained.called:
+                drained.callback(None)
--- a/src/redwingrudder/exceptions.py
+++ b/src/redwingrudder/exceptions.py
@@ -138,6 +138,13 @@
     exit_code = 4
 
 
+class ResultExpiredError(NotFoundError):
+    """The job succeeded but its results are no longer kept."""
+
+    code = "result_expired"
+    http_status = 410
+
+
 class ConflictError(RedwingrudderError):
     """The request contradicts what is already recorded."""
 
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,399 @@
+"""Tests of the dispatcher with scheduler, links and worker cores."""
+
+import itertools
+import json
+import unittest
+from unittest import mock
+
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from redwingrudder import _job_waiters
+from redwingrudder import requests as r
+from redwingrudder._job_records import body_digest, job_id_for, record_key
+from redwingrudder.actors import ActorSystem
+from redwingrudder.dispatcher import Dispatcher, DispatcherSettings, JobObserver
+from redwingrudder.exceptions import (
+    ConflictError,
+    NotFoundError,
+    OutcomeUnknownError,
+    OverloadedError,
+    ResultExpiredError,
+    StoreUnavailableError,
+    UnavailableError,
+)
+from redwingrudder.messages import ConfigurationChanged
+from redwingrudder.model import (
+    Configuration,
+    Epoch,
+    JobClass,
+    JobSpec,
+    JobState,
+    Organisation,
+    WorkerInfo,
+)
+from redwingrudder.policies import slack_policies
+from redwingrudder.scheduler import Scheduler
+from redwingrudder.timers import TimerService
+from tests.fakes import FakeStore, Recorder
+from tests.worker_fakes import FakeTransport, run_clock
+
+DOMAIN = "hobart"
+LEASE_S = 12.0
+CONFIGURATION = Configuration(
+    1,
+    {"huon": Organisation("huon", ())},
+    {"proof": JobClass("proof", 60.0, None)},
+    (),
+)
+WORKERS = [
+    WorkerInfo(f"w{i}", f"w{i}:1", DOMAIN, "r1", 2, 4, 16, 1_000) for i in (1, 2)
+]
+SPEC = JobSpec(
+    "huon", "proof", "shop", "key", 2, 1, 1, 1, True, False, 1.0, 1.0, '{"run_s": 1}'
+)
+ONCE = SPEC._replace(idempotent=False)
+
+
+class CountingObserver(JobObserver):
+    def __init__(self):
+        self.finished = []
+        self.submitted = []
+
+    def job_submitted(self, spec):
+        self.submitted.append(spec)
+
+    def job_finished(self, view, spec):
+        self.finished.append(view.state)
+
+    def target_missed(self, spec):
+        pass
+
+    def shortages(self, shortages):
+        pass
+
+
+def list_worker(info, state="live"):
+    return r.VmInfo(
+        info.worker_id,
+        "worker",
+        state,
+        info.address,
+        info.failure_domain,
+        info.rack,
+        0,
+        info.accelerators,
+        info.slots,
+        info.cores,
+        info.memory_mb,
+    )
+
+
+class Node:
+    """One node with its own actors; nodes share clock, store and workers."""
+
+    def __init__(self, clock, core, transport, rate=50.0):
+        self.clock = clock
+        self.system = ActorSystem(clock)
+        TimerService(self.system)
+        self.store = FakeStore(self.system, core)
+        Recorder(self.system, r.PEERS, r.LocalLoad)
+        self.ownership = Recorder(self.system, r.OWNERSHIP, r.Fenced)
+        self.observer = CountingObserver()
+        self.dispatcher = Dispatcher(
+            self.system,
+            DispatcherSettings(DOMAIN, "node", LEASE_S, rate),
+            lambda: Scheduler(DOMAIN, slack_policies()),
+            transport,
+            self.observer,
+        )
+        self.system.tell(r.DISPATCHER, ConfigurationChanged(CONFIGURATION))
+        self.list_workers(*(list_worker(info) for info in WORKERS))
+
+    def list_workers(self, *vms):
+        self.system.tell(r.DISPATCHER, r.MembersChanged(vms))
+
+    def own(self, term):
+        self.system.tell(r.DISPATCHER, r.OwnershipGained(Epoch(term, 0, 0)))
+        self.run_for(1.0)
+
+    def run_for(self, duration_s):
+        run_clock(self.clock, duration_s)
+
+    def ask(self, message, wait_s=0.5):
+        outcomes = []
+        self.system.ask(r.DISPATCHER, message).addBoth(outcomes.append)
+        self.run_for(wait_s)
+        if not outcomes:
+            return None
+        if isinstance(outcomes[0], Failure):
+            outcomes[0].raiseException()
+        return outcomes[0]
+
+    def submit(self, spec=SPEC):
+        return self.ask(r.SubmitJob(spec, "c-1"))
+
+    def poll(self, job_id, wait_s=0.0):
+        return self.ask(r.PollJob(job_id, wait_s), wait_s + 0.5)
+
+
+class DispatcherTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.clock.advance(1_000.0)
+        self.transport = FakeTransport(self.clock, WORKERS)
+        self.node = Node(self.clock, None, self.transport)
+        self.core = self.node.store.core
+        self.node.own(1)
+
+    def second_node(self, term):
+        node = Node(self.clock, self.core, self.transport)
+        node.own(term)
+        return node
+
+    def record(self, spec=SPEC):
+        return json.loads(self.node.store.value(record_key(spec)) or "null")
+
+    def starts(self):
+        cores = self.transport.cores_by_address.values()
+        entries = itertools.chain.from_iterable(core.history for core in cores)
+        return [entry for entry in entries if entry.what == "started"]
+
+    def members(self):
+        cores = self.transport.cores_by_address.values()
+        return [
+            m for core in cores for m in core.state(self.clock.seconds())["members"]
+        ]
+
+    def test_a_job_runs_whole_and_is_released_after_its_final_record(self):
+        view = self.node.submit()
+        self.assertTrue(view.durable)
+        self.node.store.set_available(False)
+        done = self.node.poll(view.job_id, 3.0)
+        self.assertEqual((done.state, len(done.results)), (JobState.SUCCEEDED, 2))
+        self.assertEqual({m["state"] for m in self.members()}, {"ended"})
+        self.node.store.set_available(True)
+        self.node.run_for(2.0)
+        self.assertEqual(self.record()["results"], list(done.results))
+        self.assertEqual(self.members(), [])
+        self.assertEqual(self.node.observer.finished, [JobState.SUCCEEDED])
+
+    def test_a_key_gives_one_job_and_no_other_body(self):
+        first = self.node.submit()
+        self.assertEqual(self.node.submit().job_id, first.job_id)
+        with self.assertRaises(ConflictError) as caught:
+            self.node.submit(SPEC._replace(payload="other"))
+        self.assertEqual(caught.exception.code, "idempotency_key_reused")
+        self.assertEqual(len(self.node.observer.submitted), 1)
+
+    def test_concurrent_submissions_of_a_key_start_one_job(self):
+        replies = []
+        for _ in range(3):
+            asked = self.node.system.ask(r.DISPATCHER, r.SubmitJob(ONCE, ""))
+            asked.addCallback(replies.append)
+        self.node.run_for(3.0)
+        self.assertEqual(len({view.job_id for view in replies}), 1)
+        self.assertEqual((len(replies), len(self.starts())), (3, 1))
+
+    def test_a_lost_reply_of_the_store_does_not_lose_or_repeat_a_job(self):
+        self.node.store.lost_replies = 1
+        view = self.node.submit(ONCE)
+        self.node.store.lost_replies = 2
+        done = self.node.poll(view.job_id, 4.0)
+        self.assertIs(done.state, JobState.SUCCEEDED)
+        self.assertEqual(len(self.starts()), 1)
+
+    def test_a_key_of_another_domain_names_that_domain(self):
+        record = {"domain": "launceston", "job_id": "launceston-1"}
+        self.node.submit()
+        stored = {**self.record(), **record}
+        other = SPEC._replace(idempotency_key="other")
+        stored["spec"]["idempotency_key"] = "other"
+        stored["digest"] = ""
+        self.node.store.put(record_key(other), json.dumps(stored))
+        with self.assertRaises(ConflictError) as caught:
+            self.node.submit(other)
+        self.assertEqual(caught.exception.code, "idempotency_key_reused")
+        stored["digest"] = body_digest(other)
+        self.node.store.put(record_key(other), json.dumps(stored))
+        with self.assertRaises(ConflictError) as caught:
+            self.node.submit(other)
+        self.assertEqual(caught.exception.code, "other_domain")
+        self.assertEqual(caught.exception.detail.split()[0], "launceston")
+
+    def test_an_outage_admits_idempotent_work_only_and_records_it_later(self):
+        self.node.store.set_available(False)
+        view = self.node.submit()
+        self.assertFalse(view.durable)
+        with self.assertRaises(StoreUnavailableError):
+            self.node.submit(ONCE._replace(idempotency_key="once"))
+        done = self.node.poll(view.job_id, 3.0)
+        self.assertIs(done.state, JobState.SUCCEEDED)
+        self.node.store.set_available(True)
+        self.node.run_for(2.0)
+        self.assertEqual(self.record()["state"], "succeeded")
+        self.assertTrue(self.node.poll(view.job_id).durable)
+
+    def test_a_recorded_job_waits_in_an_outage_instead_of_starting_twice(self):
+        for core in self.transport.cores_by_address.values():
+            core.draining = True
+        view = self.node.submit(ONCE)
+        self.node.store.set_available(False)
+        for core in self.transport.cores_by_address.values():
+            core.draining = False
+        self.node.run_for(2.0)
+        self.assertEqual(self.starts(), [])
+        self.assertIn(self.node.poll(view.job_id).state, ("queued", "placing"))
+
+    def test_a_new_owner_keeps_running_gangs_and_fences_the_old_one(self):
+        view = self.node.submit(ONCE._replace(payload='{"run_s": 4}'))
+        self.node.run_for(1.0)
+        self.assertEqual(len(self.starts()), 1)
+        successor = self.second_node(2)
+        self.assertIs(successor.poll(view.job_id).state, JobState.RUNNING)
+        done = successor.poll(view.job_id, 5.0)
+        self.assertIs(done.state, JobState.SUCCEEDED)
+        self.assertEqual(len(self.starts()), 1)
+        fenced = r.Fenced(Epoch(1, 0, 0), Epoch(2, 0, 0))
+        self.assertIn(fenced, self.node.ownership.messages)
+
+    def test_a_recorded_start_without_a_gang_is_never_repeated(self):
+        view = self.node.submit(ONCE._replace(payload='{"run_s": 40}'))
+        self.node.run_for(0.5)
+        self.assertEqual(self.record(ONCE)["state"], "starting")
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        for info in WORKERS:
+            self.transport.restart(info.address)
+        successor = self.second_node(2)
+        done = successor.poll(view.job_id, 2.0)
+        self.assertIs(done.state, JobState.INTERRUPTED)
+        self.assertEqual(self.starts(), [])
+
+    def test_a_recorded_start_is_not_judged_while_a_worker_is_silent(self):
+        view = self.node.submit(ONCE._replace(payload='{"run_s": 6}'))
+        self.node.run_for(0.5)
+        (held,) = self.members()
+        self.assertEqual(held["state"], "started")
+        (busy,) = (
+            address
+            for address, core in self.transport.cores_by_address.items()
+            if core.history
+        )
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        self.transport.cut.add(busy)
+        successor = self.second_node(2)
+        successor.run_for(3.0)
+        with self.assertRaises(UnavailableError) as caught:
+            successor.poll(view.job_id)
+        self.assertEqual(caught.exception.code, "recovering")
+        self.transport.cut.clear()
+        successor.run_for(3.0)
+        done = successor.poll(view.job_id, 5.0)
+        self.assertIs(done.state, JobState.SUCCEEDED)
+
+    def test_recovery_without_the_store_still_places_new_work(self):
+        successor = Node(self.clock, self.core, self.transport)
+        successor.store.set_available(False)
+        successor.own(2)
+        successor.run_for(3.0)
+        view = successor.submit()
+        self.assertIs(successor.poll(view.job_id, 3.0).state, JobState.SUCCEEDED)
+
+    def test_a_cancelled_job_is_not_run_only_once_that_is_recorded(self):
+        for core in self.transport.cores_by_address.values():
+            core.draining = True
+        view = self.node.submit()
+        self.node.store.set_available(False)
+        self.assertIsNone(self.node.ask(r.CancelJob(view.job_id)))
+        self.assertIs(self.node.poll(view.job_id).state, JobState.QUEUED)
+        self.node.store.set_available(True)
+        self.node.run_for(2.0)
+        self.assertIs(self.node.poll(view.job_id).state, JobState.NOT_RUN)
+        self.assertEqual(self.record()["state"], "not_run")
+
+    def test_a_cancellation_without_confirmation_has_an_unknown_outcome(self):
+        for core in self.transport.cores_by_address.values():
+            core.draining = True
+        view = self.node.submit()
+        self.node.store.set_available(False)
+        with self.assertRaises(OutcomeUnknownError):
+            self.node.ask(r.CancelJob(view.job_id), 31.0)
+
+    def test_a_leaving_worker_gets_no_new_work(self):
+        leaving = list_worker(WORKERS[0], "leaving")
+        self.node.list_workers(leaving, list_worker(WORKERS[1]))
+        self.node.run_for(0.1)
+        for i in range(3):
+            self.node.submit(SPEC._replace(idempotency_key=f"k{i}"))
+        self.node.run_for(4.0)
+        self.assertFalse(self.transport.cores_by_address["w1:1"].history)
+        self.assertEqual(len(self.starts()), 3)
+
+    def test_a_worker_that_left_the_list_is_lost_only_after_its_lease(self):
+        view = self.node.submit(ONCE._replace(payload='{"run_s": 3}'))
+        self.node.run_for(0.5)
+        self.node.list_workers()
+        self.assertIs(self.node.poll(view.job_id, 4.0).state, JobState.SUCCEEDED)
+        self.transport.cut.update(info.address for info in WORKERS)
+        self.node.run_for(20.0)
+        names = self.node.system.names()
+        self.assertFalse([name for name in names if name.startswith("worker:")])
+
+    def test_limits_refuse_with_a_code_and_run_nothing(self):
+        with mock.patch.object(_job_waiters, "WAITERS_LIMIT", 0):
+            view = self.node.submit(SPEC._replace(payload='{"run_s": 9}'))
+            with self.assertRaises(OverloadedError):
+                self.node.poll(view.job_id, 1.0)
+        slow = Node(self.clock, None, FakeTransport(self.clock, WORKERS), rate=1.0)
+        slow.own(1)
+        slow.submit()
+        with self.assertRaises(OverloadedError) as caught:
+            slow.submit(SPEC._replace(idempotency_key="second"))
+        self.assertEqual(caught.exception.code, "store_busy")
+        self.assertEqual(len(slow.store.core.range(b"/jobs/", b"/jobs0")), 1)
+
+    def test_large_results_stay_at_the_workers_for_ten_minutes(self):
+        payload = json.dumps({"run_s": 0.1, "result": "x" * 40_000})
+        view = self.node.submit(SPEC._replace(payload=payload))
+        done = self.node.poll(view.job_id, 2.0)
+        self.assertEqual(sum(map(len, done.results)), 80_000)
+        self.assertFalse(self.record()["results_kept"])
+        successor = self.second_node(2)
+        self.assertEqual(successor.poll(view.job_id).results, done.results)
+        run_clock(self.clock, 640.0, 1.0)
+        with self.assertRaises(ResultExpiredError):
+            successor.poll(view.job_id)
+        self.assertEqual(self.members(), [])
+
+    def test_old_records_are_deleted_in_one_transaction(self):
+        for i in range(3):
+            self.node.submit(SPEC._replace(idempotency_key=f"k{i}"))
+        self.node.run_for(6.0)
+        self.node.store.calls.clear()
+        run_clock(self.clock, 3_640.0, 1.0)
+        self.assertFalse(self.core.range(b"/jobs/", b"/jobs0"))
+        writes = [c for c in self.node.store.calls if isinstance(c, r.Transact)]
+        self.assertEqual(len(writes), 1)
+        with self.assertRaises(NotFoundError):
+            self.node.poll(job_id_for(DOMAIN, "huon", "k0"))
+
+    def test_waiting_callers_learn_that_the_owner_changed(self):
+        view = self.node.submit(SPEC._replace(payload='{"run_s": 9}'))
+        outcomes = []
+        waiting = self.node.system.ask(r.DISPATCHER, r.PollJob(view.job_id, 9.0))
+        waiting.addBoth(outcomes.append)
+        self.node.run_for(0.2)
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("fenced"))
+        self.node.run_for(0.2)
+        self.assertEqual(outcomes[0].value.code, "not_owner")
+        self.assertEqual(len(self.members()), 1)
+
+    def test_drain_waits_for_records_in_progress(self):
+        self.node.submit()
+        drained = []
+        self.node.system.ask(r.DISPATCHER, r.Drain()).addCallback(drained.append)
+        self.node.run_for(0.5)
+        self.assertEqual(drained, [None])
+        with self.assertRaises(UnavailableError) as caught:
+            self.node.submit(SPEC._replace(idempotency_key="late"))
+        self.assertEqual(caught.exception.code, "draining")
