--- a/src/redwingrudder/_job_intake.py
+++ b/src/redwingrudder/_job_intake.py
@@ -118,7 +118,7 @@
                 "the owner changed while the job was recorded", retry_after_s=0.5
             )
         if stored.body["nonce"] == body["nonce"]:
-            tenure.note_accepted(body["job_id"], spec, correlation_id)
+            tenure.reporter.accepted(body["job_id"], spec, correlation_id)
         tenure.take_record(stored)
         return tenure.known_view(body["job_id"])
 
@@ -135,7 +135,7 @@
             raise type(error)(error.detail, retry_after_s=STORE_RETRY_S)
         job_id = body["job_id"]
         tenure.ledger.add_unrecorded(body, sent)
-        tenure.note_accepted(body["job_id"], spec, correlation_id)
+        tenure.reporter.accepted(body["job_id"], spec, correlation_id)
         tenure.feed(JobSubmitted(job_id, spec, body["submitted_at"], False))
         return tenure.known_view(job_id)
 
--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_tenure.py
@@ -15,6 +15,7 @@
 from ._job_ledger import JobLedger, LedgerCallbacks
 from ._job_observer import JobObserver
 from ._job_records import STARTING, JobRecordBody, StoredRecord, is_final, spec_of
+from ._job_reporter import JobReporter
 from ._job_store import JobStore
 from ._job_waiters import JobWaiters
 from ._release_gate import ReleaseGate
@@ -42,7 +43,7 @@
     WakeAt,
     WorkerClaimed,
 )
-from .model import FINAL_JOB_STATES, Epoch, JobSpec, JobState, JobView, MemberState
+from .model import FINAL_JOB_STATES, Epoch, JobState, JobView, MemberState
 from .requests import DISPATCHER, VmInfo
 from .scheduler import Scheduler
 from .timers import TIMERS, Subscribe, Unsubscribe
@@ -89,6 +90,7 @@
         self._domain = parts.settings.failure_domain
         self.epoch = epoch
         self.scheduler = parts.scheduler
+        self.reporter = JobReporter(parts.settings.node_id, parts.observer)
         self.waiters = JobWaiters(parts.system, DISPATCHER)
         self.roster = WorkerRoster(parts.system, parts.settings, epoch, parts.transport)
         callbacks = LedgerCallbacks(
@@ -100,8 +102,6 @@
         self._gate = ReleaseGate(self.ledger.is_pending)
         self._recovered = False
         self._members_known = False
-        self._specs_by_ended_job: dict[str, JobSpec] = {}
-        self._correlation_ids_by_job: dict[str, str] = {}
         self._events: deque[Event] = deque()
         self._feeding = False
         # Jobs whose start is recorded are not judged before every worker
@@ -245,12 +245,6 @@
                 retry_after_s=1.0,
             )
 
-    def note_accepted(self, job_id: str, spec: JobSpec, correlation_id: str) -> None:
-        """Log a job that was accepted and tell the observer."""
-        self._correlation_ids_by_job[job_id] = correlation_id
-        self._log_job(job_id, spec, "job accepted")
-        self._parts.observer.job_submitted(spec)
-
     def take_record(self, record: StoredRecord) -> None:
         """Know a job of this domain from its record."""
         body = record.body
@@ -347,33 +341,20 @@
 
     def _job_changed(self, effect: JobChanged) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
-        self._log_job(effect.job_id, job.spec, f"job {effect.state.value}")
+        self.reporter.changed(effect.job_id, job.spec, effect.state)
         if effect.state not in FINAL_JOB_STATES:
             return
         view = self.scheduler.view(effect.job_id)
-        self._correlation_ids_by_job.pop(effect.job_id, None)
         self._uncertain.pop(effect.job_id, None)
-        self._specs_by_ended_job[effect.job_id] = job.spec
         self.ledger.finish(view, job.spec, self.now())
         self.run(self.ledger.write(effect.job_id))
 
     def _target_missed(self, effect: TargetMissed) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
-        self._log_job(effect.job_id, job.spec, "target missed")
-        self._parts.observer.target_missed(job.spec)
+        self.reporter.target_missed(effect.job_id, job.spec)
 
     def _shortages_changed(self, effect: ShortagesChanged) -> None:
-        for shortage in effect.shortages:
-            _logger.warning(
-                "guarantee shortage",
-                extra={
-                    "organisation": shortage.organisation,
-                    "shape_index": shortage.shape_index,
-                    "copy_index": shortage.copy_index,
-                    "missing_accelerators": shortage.missing_accelerators,
-                },
-            )
-        self._parts.observer.shortages(effect.shortages)
+        self.reporter.shortages(effect.shortages)
 
     def _wake_at(self, effect: WakeAt) -> None:
         self._subscribe(WAKE_TIMER, effect.at - self.now())
@@ -381,10 +362,9 @@
     # Callbacks of the ledger.
 
     def _published(self, job_id: str) -> None:
-        spec = self._specs_by_ended_job.pop(job_id, None)
         view = self.ledger.answer(job_id, self.now())
-        if spec is not None and view is not None:
-            self._parts.observer.job_finished(view, spec)
+        if view is not None:
+            self.reporter.finished(view)
         self.waiters.job_ended(job_id)
 
     def _results_safe(self, job_id: str) -> None:
@@ -405,17 +385,5 @@
         subscription = Subscribe(DISPATCHER, timer, delay_s, interval_s)
         self._system.tell(TIMERS, subscription)
 
-    def _log_job(self, job_id: str, spec: JobSpec, text: str) -> None:
-        _logger.info(
-            text,
-            extra={
-                "job": job_id,
-                "organisation": spec.organisation,
-                "job_class": spec.job_class,
-                "node": self._parts.settings.node_id,
-                "correlation_id": self._correlation_ids_by_job.get(job_id, ""),
-            },
-        )
-
     def _log_fault(self, failure: Failure) -> None:
         _logger.error("dispatcher failed", extra={"error": failure.getTraceback()})
--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -1,10 +1,8 @@
 """The actor that links a domain's owner to one worker."""
 
-import logging
 from collections.abc import Callable, Coroutine
 
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
-from twisted.python.failure import Failure
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from . import _worker_codec as codec
 from ._worker_chart import CHART
@@ -19,6 +17,7 @@
     path_of,
     refusal_of,
 )
+from ._worker_log import LinkLog
 from ._worker_messages import (
     ClaimSeen,
     CloseLink,
@@ -70,8 +69,6 @@
 
 _Read = Callable[[WorkerAnswer, Expectation], Signal]
 
-_logger = logging.getLogger(__name__)
-
 
 class WorkerLink(Actor):
     """Claims one worker, renews its lease and carries commands to it.
@@ -96,6 +93,7 @@
         # Replies to requests of an earlier call or claim are ignored.
         self._call_number = 0
         self._session = 0
+        self._log = LinkLog(settings.worker_id)
         self._queue = CommandQueue()
         self._outbox = Outbox(system, DISPATCHER)
         self._calls: set[Deferred] = set()
@@ -294,9 +292,7 @@
     def _take_command(self, command: Command) -> None:
         if not self._boot_id or self._claims_unseen:
             # WorkerLost has been told and settles this command.
-            self._log(
-                logging.INFO, "command to a lost worker dropped", gang=command.gang_id
-            )
+            self._log.dropped(command)
             return
         if self._queue.add(command):
             self._send_commands()
@@ -336,7 +332,7 @@
             self._step(reply)
             return
         if not reply["accepted"]:
-            self._log_refusal(pending.command, reply.get("code", ""))
+            self._log.refusal(pending.command, reply.get("code", ""))
         worker_id = self._settings.worker_id
         self._queue.settle(pending.command.gang_id)
         event = answer_of(pending, worker_id, reply)
@@ -358,7 +354,7 @@
 
     def _run(self, call: Coroutine) -> None:
         running = ensureDeferred(call)
-        running.addErrback(self._log_fault)
+        running.addErrback(self._log.fault)
         self._calls.add(running)
         running.addBoth(lambda _: self._calls.discard(running))
 
@@ -377,29 +373,5 @@
 
     def _note_failure(self, path: str, error: UnavailableError) -> Signal:
         if self._state not in CHART.final_states:
-            self._log(
-                logging.WARNING,
-                "worker call failed",
-                path=path,
-                code=error.code,
-                detail=error.detail,
-            )
+            self._log.failure(path, error)
         return Signal("unreachable")
-
-    def _log_refusal(self, command: Command, code: str) -> None:
-        self._log(
-            logging.INFO,
-            "worker refused a command",
-            path=path_of(command),
-            gang=command.gang_id,
-            code=code,
-        )
-
-    def _log_fault(self, failure: Failure) -> None:
-        if failure.check(CancelledError) is None:
-            text = failure.getTraceback()
-            self._log(logging.ERROR, "worker link failed", error=text)
-
-    def _log(self, level: int, text: str, **fields: str) -> None:
-        worker_id = self._settings.worker_id
-        _logger.log(level, text, extra={"worker": worker_id, **fields})
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -237,7 +237,7 @@
             "/v1/poll": b'{"boot_id": 1, "events": "none"}',
         }
         self.transport.garbled = garbled
-        with self.assertLogs("redwingrudder._worker_link", "WARNING") as logs:
+        with self.assertLogs("redwingrudder._worker_log", "WARNING") as logs:
             self.send(self.reserve("g"))
             self.run_for(1.5)
         self.assertEqual({r.code for r in logs.records}, {"bad_worker_reply"})
