Test the HTTP front end, metrics and log lines

A header that is not UTF-8 raised outside of the guarded part and would have been answered without a code; headers are now decoded with replacement.

--- a/src/redwingrudder/_http_server.py
+++ b/src/redwingrudder/_http_server.py
@@ -58,8 +58,10 @@
 
     def header(self, name: str) -> str | None:
         """Return a request header, or None; repeated ones are joined."""
-        values = self.requestHeaders.getRawHeaders(name)
-        return None if values is None else ",".join(values)
+        values = self.requestHeaders.getRawHeaders(name.encode("ascii"))
+        if values is None:
+            return None
+        return b",".join(values).decode("utf-8", "replace")
 
     def _refuse(self) -> None:
         """Answer 413 and close without reading the rest of the body.
--- /dev/null
+++ b/tests/test_http_api.py
@@ -0,0 +1,375 @@
+"""Tests of the HTTP front end, its limits and its drain."""
+
+import json
+import math
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+from twisted.trial import unittest
+
+from redwingrudder import requests
+from redwingrudder._http_server import BODY_LIMIT_BYTES
+from redwingrudder._job_body import parse_job
+from redwingrudder.actors import Actor, ActorSystem
+from redwingrudder.exceptions import (
+    BadRequestError,
+    InvalidBodyError,
+    OverloadedError,
+    RedwingrudderError,
+)
+from redwingrudder.http_api import HttpApi, HttpApiSettings
+from redwingrudder.messages import ConfigurationChanged
+from redwingrudder.metrics import NodeMetrics
+from redwingrudder.model import Configuration, JobState, JobView
+
+QUEUED = JobView(
+    "d1-a", "shop", "proof", JobState.QUEUED, "", True, False, 1.5, None, ()
+)
+DONE = QUEUED._replace(state=JobState.SUCCEEDED, finished_at=2.5, results=("r",))
+CONFIGURATION = Configuration(7, {}, {}, ())
+JOB = {"organisation": "shop", "class": "proof"}
+JSON = "application/json"
+
+
+class Backend(Actor):
+    """Stands in for router and configuration; answers from a table."""
+
+    def __init__(self, system, name, answers):
+        self.received = []
+        self.answers = answers
+        super().__init__(system, name)
+
+    def handlers(self):
+        return dict.fromkeys(self.answers, self.handle)
+
+    def handle(self, message):
+        self.received.append(message)
+        answer = self.answers[type(message)]
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class Response:
+    """A parsed HTTP/1.1 response."""
+
+    def __init__(self, raw):
+        head, _, self.body = raw.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        self.status = int(lines[0].split()[1])
+        pairs = (line.split(": ", 1) for line in lines[1:])
+        self.headers = {name.lower(): value for name, value in pairs}
+
+    @property
+    def problem(self):
+        return json.loads(self.body)
+
+
+class HttpApiTestCase(unittest.SynchronousTestCase):
+    def setUp(self):
+        self.clock = MemoryReactorClock()
+        self.system = ActorSystem(self.clock)
+        answers = {
+            requests.SubmitJob: QUEUED,
+            requests.PollJob: DONE,
+            requests.CancelJob: DONE,
+            requests.ExplainJob: requests.Explanation("d1-a", "queued", ("why",)),
+        }
+        self.router = Backend(self.system, requests.ROUTER, answers)
+        answers = {
+            requests.GetConfiguration: CONFIGURATION,
+            requests.ApplyConfiguration: CONFIGURATION,
+        }
+        self.configuration = Backend(self.system, requests.CONFIGURATION, answers)
+        self.api = HttpApi(
+            self.system,
+            self.clock,
+            HttpApiSettings("127.0.0.1", 0, requests_limit=3),
+            NodeMetrics(),
+        )
+
+    def connect(self):
+        channel = self.api.site.buildProtocol(None)
+        transport = StringTransport()
+        channel.makeConnection(transport)
+        return channel, transport
+
+    def send(self, method, path, body=b"", **headers):
+        """Send a request on a new connection; returns both of its ends."""
+        if isinstance(body, dict):
+            body = json.dumps(body).encode()
+        lines = [f"{method} {path} HTTP/1.1", "Host: h"]
+        lines.extend(f"{k.replace('_', '-')}: {v}" for k, v in headers.items())
+        if "Transfer_Encoding" not in headers:
+            lines.append(f"Content-Length: {len(body)}")
+        channel, transport = self.connect()
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        channel.dataReceived(head + body)
+        self.settle()
+        return channel, transport
+
+    def settle(self):
+        self.clock.pump([0.0] * 6)
+
+    def request(self, *arguments, **headers):
+        _, transport = self.send(*arguments, **headers)
+        return Response(transport.value())
+
+    def submit(self, body, key="k", content_type=JSON):
+        return self.request(
+            "POST", "/v1/jobs", body, Idempotency_Key=key, Content_Type=content_type
+        )
+
+
+class HttpApiTests(HttpApiTestCase):
+    def test_job_that_goes_on_is_answered_with_its_location(self):
+        response = self.submit(JOB)
+        self.assertEqual(response.status, 202)
+        self.assertEqual(response.headers["location"], "/v1/jobs/d1-a")
+        self.assertEqual(len(self.router.received), 1)
+
+    def test_waiting_submission_returns_the_final_answer(self):
+        response = self.submit({**JOB, "wait_s": 5.0, "payload": {"b": [1, None]}})
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.problem["results"], ["r"])
+        submission, poll = self.router.received
+        self.assertEqual(submission.spec.payload, '{"b":[1,null]}')
+        self.assertEqual(poll, requests.PollJob("d1-a", 5.0))
+
+    def test_all_wrong_fields_are_named_at_once(self):
+        body = {"organisation": "a b", "tasks": 0, "idempotent": "yes", "color": 1}
+        response = self.submit({**body, "declared_run_s": -1, "cores_per_task": 1.5})
+        self.assertEqual(
+            (response.status, response.problem["code"]), (400, "invalid_body")
+        )
+        named = {text.partition(":")[0] for text in response.problem["problems"]}
+        self.assertEqual(
+            named,
+            {"organisation", "class", "tasks", "idempotent", "color",
+             "declared_run_s", "cores_per_task"},
+        )  # fmt: skip
+        self.assertEqual(self.router.received, [])
+
+    def test_unusable_bodies_have_codes(self):
+        deep = b'{"payload":' + b"[" * 90 + b"]" * 90 + b"}"
+        cases = (
+            (b"{", "malformed_json"),
+            (b"\xff", "malformed_json"),
+            (b'{"class":"a","class":"b"}', "malformed_json"),
+            (b'{"declared_run_s":NaN}', "malformed_json"),
+            (b'{"payload":[1e999]}', "malformed_json"),
+            (b'{"payload":"\\ud800"}', "malformed_json"),
+            (b'{"payload":' + b"9" * 5000 + b"}", "malformed_json"),
+            (deep, "nested_too_deep"),
+            (b"[" * 100_000, "nested_too_deep"),
+            (b"[]", "invalid_body"),
+        )
+        for body, code in cases:
+            response = self.submit(body)
+            self.assertEqual((response.status, response.problem["code"]), (400, code))
+        self.assertEqual(self.submit(JOB, content_type="text/plain").status, 415)
+        self.assertEqual(self.router.received, [])
+
+    def test_wide_gangs_are_for_processors_only(self):
+        wide = {**JOB, "tasks": 1024}
+        self.assertEqual(self.submit(wide).status, 202)
+        response = self.submit({**wide, "accelerators_per_task": 1})
+        self.assertEqual(response.problem["problems"][0].partition(":")[0], "tasks")
+        self.assertEqual(self.submit({**JOB, "tasks": 1025}).status, 400)
+
+    def test_key_is_required_and_printable(self):
+        missing = self.request("POST", "/v1/jobs", JOB, Content_Type=JSON)
+        self.assertEqual(missing.problem["code"], "missing_idempotency_key")
+        for key in ("", "x" * 201, "a\x01b", "kéy"):
+            response = self.submit(JOB, key=key)
+            self.assertEqual(response.problem["code"], "invalid_idempotency_key")
+
+    def test_announced_body_above_the_limit_is_refused_before_it_is_read(self):
+        channel, transport = self.connect()
+        length = BODY_LIMIT_BYTES + 1
+        channel.dataReceived(
+            f"POST /v1/jobs HTTP/1.1\r\nContent-Length: {length}\r\n\r\n".encode()
+        )
+        response = Response(transport.value())
+        self.assertEqual(response.problem["code"], "payload_too_large")
+        self.assertEqual(response.status, 413)
+
+    def test_chunked_body_above_the_limit_is_refused_while_it_is_read(self):
+        """A body without a length must not fill the memory of a node."""
+        channel, transport = self.send(
+            "POST", "/v1/jobs", Transfer_Encoding="chunked", Content_Type=JSON
+        )
+        chunk = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
+        for _ in range(20):
+            channel.dataReceived(chunk)
+        self.assertEqual(Response(transport.value()).status, 413)
+        self.assertEqual(len(channel._channel.requests[0].content.getvalue()), 0)
+        channel.dataReceived(b"0\r\n\r\n")
+        self.clock.advance(1.0)
+        self.assertTrue(transport.disconnecting)
+        self.assertEqual(self.router.received, [])
+
+    def test_unexpected_exception_is_coded_logged_and_not_shown(self):
+        self.router.answers[requests.PollJob] = ValueError("secret value")
+        with self.assertLogs("redwingrudder.http_api", "ERROR") as logs:
+            response = self.request("GET", "/v1/jobs/d1-a", X_Correlation_Id="c-1")
+        self.assertEqual(
+            (response.status, response.problem["code"]), (500, "internal_error")
+        )
+        self.assertNotIn(b"secret", response.body)
+        self.assertEqual(response.problem["correlation_id"], "c-1")
+        self.assertEqual(logs.records[0].correlation_id, "c-1")
+        self.assertIn("secret value", logs.records[0].traceback)
+
+    def test_retry_time_is_a_header(self):
+        self.router.answers[requests.SubmitJob] = OverloadedError(
+            "full", code="queue_full", retry_after_s=2.2
+        )
+        response = self.submit(JOB)
+        self.assertEqual(response.status, 429)
+        self.assertEqual(response.headers["retry-after"], "3")
+
+    def test_malformed_correlation_id_is_replaced(self):
+        response = self.request("GET", "/livez", X_Correlation_Id="a b" + "c" * 99)
+        self.assertRegex(response.headers["x-correlation-id"], "^[0-9a-f]{32}$")
+
+    def test_paths_methods_and_parameters_that_do_not_exist(self):
+        cases = (
+            ("GET", "/nope", 404),
+            ("GET", "/v1/jobs", 405),
+            ("BREW", "/v1/status", 405),
+            ("GET", "/v1/jobs/%2e%2e%2fetc", 404),
+            ("GET", "/v1/jobs/d1-a?wait=31", 400),
+            ("GET", "/v1/jobs/d1-a?wait=nan", 400),
+            ("GET", "/v1/jobs/d1-a?wait=1&wait=2", 400),
+        )
+        for method, path, status in cases:
+            self.assertEqual(self.request(method, path).status, status, path)
+        self.assertEqual(self.router.received, [])
+
+    def test_configuration_changes_need_their_base_version(self):
+        """Without it one operator would overwrite another's change."""
+        put = ("PUT", "/v1/configuration", b'{"a":1}')
+        missing = self.request(*put, Content_Type=JSON)
+        self.assertEqual(missing.status, 428)
+        self.assertEqual(missing.problem["code"], "precondition_required")
+        wrong = self.request(*put, Content_Type=JSON, If_Match="*")
+        self.assertEqual(wrong.status, 400)
+        response = self.request(*put, Content_Type=JSON, If_Match='"6"')
+        self.assertEqual(response.headers["etag"], '"7"')
+        self.assertEqual(
+            self.configuration.received, [requests.ApplyConfiguration('{"a":1}', 6)]
+        )
+
+    def test_requests_above_the_bound_are_refused(self):
+        pending = []
+        for _ in range(3):
+            pending.append(Deferred())
+            self.router.answers[requests.PollJob] = pending[-1]
+            self.send("GET", "/v1/jobs/d1-a?wait=30")
+        response = self.request("GET", "/v1/jobs/d1-a")
+        self.assertEqual(
+            (response.status, response.problem["code"]), (503, "overloaded")
+        )
+        self.assertIn("retry-after", response.headers)
+        self.assertEqual(self.request("GET", "/livez").status, 200)
+        pending[0].callback(DONE)
+        self.settle()
+        self.router.answers[requests.PollJob] = DONE
+        self.assertEqual(self.request("GET", "/v1/jobs/d1-a").status, 200)
+
+    def test_disconnected_caller_ends_only_its_waiting(self):
+        pending = self.router.answers[requests.PollJob] = Deferred()
+        channel, transport = self.send("GET", "/v1/jobs/d1-a?wait=30")
+        channel.connectionLost(Failure(ConnectionDone()))
+        pending.callback(DONE)
+        self.settle()
+        self.assertEqual(transport.value(), b"")
+        kinds = [type(message) for message in self.router.received]
+        self.assertEqual(kinds, [requests.PollJob])
+
+
+class DrainTests(HttpApiTestCase):
+    def drain(self):
+        drained = self.system.ask(requests.HTTP_API, requests.Drain())
+        self.settle()
+        return drained
+
+    def configure(self):
+        self.system.tell(requests.HTTP_API, ConfigurationChanged(CONFIGURATION))
+        self.settle()
+
+    def test_node_is_ready_only_with_a_configuration_and_until_its_drain(self):
+        self.assertEqual(
+            self.request("GET", "/readyz").problem["code"], "no_configuration"
+        )
+        self.configure()
+        self.assertEqual(self.request("GET", "/readyz").status, 200)
+        self.successResultOf(self.drain())
+        response = self.request("GET", "/readyz")
+        self.assertEqual(response.status, 503)
+        self.assertEqual(response.problem["code"], "draining")
+        self.assertEqual(self.request("GET", "/livez").status, 200)
+
+    def test_drain_ends_after_the_last_request_in_progress(self):
+        """A planned stop must not interrupt a request (I7)."""
+        pending = self.router.answers[requests.PollJob] = Deferred()
+        _, transport = self.send("GET", "/v1/jobs/d1-a?wait=30")
+        first, second = self.drain(), self.drain()
+        self.router.answers[requests.PollJob] = DONE
+        late = self.request("GET", "/v1/jobs/d1-b")
+        self.assertEqual((late.status, late.headers["connection"]), (200, "close"))
+        self.assertNoResult(first)
+        pending.callback(DONE)
+        self.settle()
+        response = Response(transport.value())
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.headers["connection"], "close")
+        self.assertTrue(transport.disconnecting)
+        self.successResultOf(first)
+        self.successResultOf(second)
+
+    def test_caller_that_left_does_not_delay_the_drain(self):
+        self.router.answers[requests.PollJob] = Deferred()
+        channel, _ = self.send("GET", "/v1/jobs/d1-a?wait=30")
+        drained = self.drain()
+        channel.connectionLost(Failure(ConnectionDone()))
+        self.successResultOf(drained)
+
+
+_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+_FIELDS = st.sampled_from(
+    ["organisation", "class", "caller", "tasks", "accelerators_per_task",
+     "cores_per_task", "memory_mb_per_task", "idempotent", "preemptible",
+     "declared_run_s", "stop_bound_s", "expire_s", "payload", "wait_s", "x"]
+)  # fmt: skip
+
+
+class JobBodyTests(unittest.SynchronousTestCase):
+    @given(st.dictionaries(_FIELDS, _VALUES, max_size=6))
+    @settings(max_examples=300, derandomize=True, database=None)
+    def test_any_object_gives_a_job_within_limits_or_a_coded_error(self, fields):
+        body = json.dumps({**JOB, **fields}).encode()
+        try:
+            spec, wait_s = parse_job(body, JSON, "k")
+        except BadRequestError as error:
+            if isinstance(error, InvalidBodyError):
+                self.assertTrue(error.problems)
+            return
+        self.assertTrue(1 <= spec.tasks <= 1024 and 0 <= wait_s <= 30)
+        self.assertTrue(math.isfinite(spec.declared_run_s))
+        self.assertIsInstance(spec.payload.encode("utf-8"), bytes)
+
+    @given(st.binary(max_size=200))
+    @settings(max_examples=200, derandomize=True, database=None)
+    def test_any_bytes_give_a_coded_error(self, body):
+        with self.assertRaises(RedwingrudderError):
+            parse_job(body, JSON, "k")
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,86 @@
+"""Tests of metrics and log lines."""
+
+import io
+import json
+import logging
+import unittest
+
+from redwingrudder.logs import LineFormatter
+from redwingrudder.metrics import CODES_LIMIT, JobTimes, NodeMetrics
+from redwingrudder.model import (
+    Configuration,
+    GuaranteeShortage,
+    JobClass,
+    JobState,
+    Organisation,
+)
+
+CONFIGURATION = Configuration(
+    3, {"shop": Organisation("shop", ())}, {"proof": JobClass("proof", 5.0, None)}, ()
+)
+
+
+class MetricsTests(unittest.TestCase):
+    def setUp(self):
+        self.metrics = NodeMetrics()
+        self.metrics.set_configuration(CONFIGURATION)
+
+    def sample(self, name, **labels):
+        return self.metrics.registry.get_sample_value(f"redwingrudder_{name}", labels)
+
+    def test_unknown_names_share_one_series(self):
+        """Callers could otherwise fill the node's memory with series."""
+        for number in range(100):
+            self.metrics.count_submitted(f"made-up-{number}", f"class-{number}")
+            self.metrics.count_refusal(f"code-{number}")
+        submitted = self.sample(
+            "jobs_submitted_total", organisation="other", job_class="other"
+        )
+        self.assertEqual(submitted, 100)
+        refused = self.sample("requests_refused_total", code="other")
+        self.assertEqual(refused, 100 - CODES_LIMIT)
+
+    def test_times_of_a_job_are_observed_by_organisation_and_class(self):
+        times = JobTimes(completion_s=4.0, queue_wait_s=1.0, target_s=5.0)
+        self.metrics.count_finished("shop", "proof", JobState.SUCCEEDED, times)
+        never_ran = JobTimes(9.0, None, 5.0)
+        self.metrics.count_finished("shop", "proof", JobState.NOT_RUN, never_ran)
+        labels = {"organisation": "shop", "job_class": "proof"}
+        self.assertEqual(self.sample("completion_seconds_sum", **labels), 4.0)
+        self.assertEqual(self.sample("queue_wait_seconds_count", **labels), 1)
+        self.assertEqual(self.sample("completion_target_ratio_sum", **labels), 0.8)
+        not_run = self.sample("jobs_finished_total", **labels, state="not_run")
+        self.assertEqual(not_run, 1)
+
+    def test_shortage_that_ended_disappears(self):
+        self.metrics.set_shortages((GuaranteeShortage("shop", 0, 0, 8, 1.0),) * 2)
+        name = "guarantee_shortage_accelerators"
+        self.assertEqual(self.sample(name, organisation="shop"), 16)
+        self.metrics.set_shortages(())
+        self.assertIsNone(self.sample(name, organisation="shop"))
+
+    def test_nodes_of_one_process_have_separate_metrics(self):
+        self.metrics.set_owner(True)
+        self.assertIn(b"redwingrudder_owner 0.0", NodeMetrics().render())
+
+
+class LogTests(unittest.TestCase):
+    def test_line_is_json_with_the_extra_fields(self):
+        stream = io.StringIO()
+        handler = logging.StreamHandler(stream)
+        handler.setFormatter(LineFormatter("n1"))
+        logger = logging.Logger("redwingrudder.test")
+        logger.addHandler(handler)
+        logger.warning("job %s\nended", "a", extra={"job": "d1-a", "job_class": "x"})
+        (line,) = stream.getvalue().splitlines()
+        fields = json.loads(line)
+        self.assertRegex(fields.pop("time"), r"^\d{4}-\d\d-\d\dT.*\+00:00$")
+        expected = {
+            "level": "WARNING",
+            "logger": "redwingrudder.test",
+            "message": "job a\nended",
+            "node": "n1",
+            "job": "d1-a",
+            "job_class": "x",
+        }
+        self.assertEqual(fields, expected)
