Bound connections and correct the silence of peers

A peer that had not been asked for a while counted as silent as soon as it was asked, which could have started a succession against a live owner. The silence now starts with the first report that stayed without an answer.

--- a/src/redwingrudder/_http_server.py
+++ b/src/redwingrudder/_http_server.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from io import BytesIO
 
+from twisted.internet.interfaces import IAddress, IProtocol
+from twisted.protocols.policies import WrappingFactory
 from twisted.web import server
 from twisted.web.resource import Resource
 
@@ -10,6 +12,7 @@
 from .exceptions import PayloadTooLargeError
 
 BODY_LIMIT_BYTES = 256 * 1024
+CONNECTIONS_LIMIT = 20_000
 CONNECTION_TIMEOUT_S = 60  # without any data while a request is awaited
 REFUSAL_LINGER_S = 1.0
 
@@ -72,6 +75,8 @@
         """
         self.refused = True
         self.content = BytesIO()
+        # Nothing may follow the answer, not even "100 Continue".
+        self.requestHeaders.removeHeader(b"Expect")
         correlation_id = self.channel.site.correlation_id(self)
         answer = problem_answer(
             PayloadTooLargeError(f"the body exceeds {BODY_LIMIT_BYTES} bytes"),
@@ -123,3 +128,20 @@
 
     def log(self, request: LimitedRequest) -> None:
         """Write no access log: metrics count the requests."""
+
+
+class BoundedConnections(WrappingFactory):
+    """Closes new connections above a bound and knows the open ones."""
+
+    noisy = False
+
+    def buildProtocol(self, address: IAddress) -> IProtocol | None:  # noqa: N802
+        """Return None at the bound, which closes the connection."""
+        if len(self.protocols) >= CONNECTIONS_LIMIT:
+            return None
+        return super().buildProtocol(address)
+
+    def close(self) -> None:
+        """Close all connections; what was written is still sent."""
+        for connection in list(self.protocols):
+            connection.transport.loseConnection()
--- a/src/redwingrudder/_peer_plan.py
+++ b/src/redwingrudder/_peer_plan.py
@@ -42,7 +42,7 @@
         self._peers_by_id: dict[str, _Peer] = {}
         self._owners_by_domain: dict[str, OwnerChanged] = {}
         self._heard_by_id: dict[str, float] = {}
-        self._asked_since_by_id: dict[str, float] = {}
+        self._unanswered_since_by_id: dict[str, float] = {}
         self._asked_by_id: dict[str, float] = {}
         self._probes = 0
 
@@ -87,6 +87,7 @@
             See ``set_owner``.
         """
         self._heard_by_id[report.node_id] = now
+        self._unanswered_since_by_id.pop(report.node_id, None)
         if not report.owner:
             return None
         return self.set_owner(
@@ -103,28 +104,35 @@
                 (peer.node_id, peer) for peer in self._remote_peers(domain, now)
             )
         for node_id in chosen:
-            self._asked_by_id[node_id] = now
-            self._asked_since_by_id.setdefault(node_id, now)
+            self._note_asked(node_id, now)
         return tuple(sorted({peer.address for peer in chosen.values()}))
 
     def silent(self, now: float) -> tuple[SilentPeer, ...]:
-        """Return the peers that were asked recently and do not answer."""
+        """Return the peers that are being asked and do not answer."""
         found = []
-        for node_id, asked in self._asked_by_id.items():
+        for node_id in self._unanswered_since_by_id:
             peer = self._peer(node_id)
-            if peer is None or now - asked > 2 * REMOTE_INTERVAL_S:
+            if peer is None or not self._is_being_asked(peer, now):
                 continue
             silent_s = self._silent_s(node_id, now)
             if silent_s >= self._silence_limit_s(peer):
                 found.append(SilentPeer(node_id, peer.failure_domain, silent_s))
         return tuple(found)
 
+    def _note_asked(self, node_id: str, now: float) -> None:
+        self._asked_by_id[node_id] = now
+        heard = self._heard_by_id.get(node_id, 0.0)
+        # A peer that was not asked for a while has not been silent.
+        recent = now - heard <= 1.5 * EXCHANGE_INTERVAL_S
+        self._unanswered_since_by_id.setdefault(node_id, heard if recent else now)
+
+    def _is_being_asked(self, peer: _Peer, now: float) -> bool:
+        local = peer.failure_domain == self._failure_domain
+        interval_s = EXCHANGE_INTERVAL_S if local else REMOTE_INTERVAL_S
+        return now - self._asked_by_id.get(peer.node_id, 0.0) <= 2 * interval_s
+
     def _silent_s(self, node_id: str, now: float) -> float:
-        since = max(
-            self._heard_by_id.get(node_id, 0.0),
-            self._asked_since_by_id.get(node_id, now),
-        )
-        return now - since
+        return now - self._unanswered_since_by_id.get(node_id, now)
 
     def _silence_limit_s(self, peer: _Peer) -> float:
         local = peer.failure_domain == self._failure_domain
@@ -135,26 +143,24 @@
         return owner is not None and owner.node_id == self._node_id
 
     def _domain_peers(self, now: float) -> list[_Peer]:
-        ring = sorted(
-            (peer.rank, peer.node_id, peer)
+        peers = sorted(
+            peer
             for peer in self._peers_by_id.values()
             if peer.failure_domain == self._failure_domain
         )
-        peers = [peer for _, _, peer in ring]
-        owner = self._owner_peer(self._failure_domain)
         if self._is_owner():
             return self._ring_next(peers)
-        if owner is None or self._silent_s(owner.node_id, now) >= SILENT_AFTER_S:
-            return peers if owner is None else [owner, *peers]
+        owner = self._owner_peer(self._failure_domain)
+        if owner is None:
+            return peers
+        if self._silent_s(owner.node_id, now) >= SILENT_AFTER_S:
+            return [owner, *peers]
         return [owner, *self._ring_next(peers)]
 
     def _ring_next(self, peers: list[_Peer]) -> list[_Peer]:
         """Return the neighbour; the other neighbour asks this node."""
-        if not peers:
-            return []
         after = [peer for peer in peers if peer.node_id > self._node_id]
-        by_id = sorted(after or peers, key=lambda peer: peer.node_id)
-        return by_id[:1]
+        return (after or peers)[:1]
 
     def _other_domains(self) -> list[str]:
         domains = {peer.failure_domain for peer in self._peers_by_id.values()}
@@ -207,7 +213,7 @@
         return None
 
     def _forget_all_but(self, known: set[str]) -> None:
-        tables = (self._heard_by_id, self._asked_by_id, self._asked_since_by_id)
+        tables = (self._heard_by_id, self._asked_by_id, self._unanswered_since_by_id)
         for table in tables:
             for node_id in set(table) - known:
                 del table[node_id]
--- a/src/redwingrudder/_peer_wire.py
+++ b/src/redwingrudder/_peer_wire.py
@@ -15,6 +15,7 @@
     ThriftServerFactory,
     ThriftServerProtocol,
 )
+from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
@@ -22,6 +23,7 @@
 from .exceptions import PayloadTooLargeError
 
 FRAME_LIMIT_BYTES = 1024 * 1024
+CONNECTIONS_LIMIT = 1_000  # from other nodes
 CONTAINER_LIMIT = 10_000  # entries of a list
 SERVER_IDLE_S = 120.0  # clients close their own idle connections earlier
 
@@ -141,6 +143,12 @@
         self.seconds = seconds
         self.connections: set[PeerServerProtocol] = set()
 
+    def buildProtocol(self, address: IAddress) -> PeerServerProtocol | None:  # noqa: N802
+        """Return None at the bound, which closes the connection."""
+        if len(self.connections) >= CONNECTIONS_LIMIT:
+            return None
+        return super().buildProtocol(address)
+
 
 class PeerClientProtocol(ThriftClientProtocol):
     """The client's end of a connection; ``lost`` is told of its end."""
--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -16,7 +16,7 @@
 
 from . import requests
 from ._http_resources import Call, Resources
-from ._http_server import ApiSite, LimitedRequest
+from ._http_server import ApiSite, BoundedConnections, LimitedRequest
 from ._problems import Answer, internal_problem, problem_answer
 from .actors import Actor, ActorSystem, Handler
 from .exceptions import RedwingrudderError, UnavailableError
@@ -24,6 +24,7 @@
 from .metrics import NodeMetrics
 from .statecharts import load_chart
 
+LISTEN_BACKLOG = 1_024  # connections that the kernel holds for accept
 REQUESTS_LIMIT = 10_000  # requests in progress
 OVERLOAD_RETRY_S = 1.0
 
@@ -65,6 +66,7 @@
         self._drain_waiters: list[Deferred] = []
         self._port: IListeningPort | None = None
         self.site = ApiSite(self._respond, _correlation_id, reactor)
+        self._connections = BoundedConnections(self.site)
         super().__init__(system, requests.HTTP_API)
 
     def handlers(self) -> dict[type, Handler]:
@@ -83,19 +85,21 @@
         """See base class."""
         self._port = self._reactor.listenTCP(
             self._settings.port,
-            self.site,
-            backlog=1024,
+            self._connections,
+            backlog=LISTEN_BACKLOG,
             interface=self._settings.interface,
         )
 
     def stop(self) -> Deferred | None:
         """See base class."""
+        self._connections.close()
         if self._port is None:
             return None
         return maybeDeferred(self._port.stopListening)
 
     def _configuration_changed(self, message: ConfigurationChanged) -> None:
         self._configured = True
+        self._metrics.set_configuration(message.configuration)
 
     def _drain(self, message: requests.Drain) -> Deferred:
         waiter: Deferred = Deferred()
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -192,8 +192,10 @@
         channel, transport = self.connect()
         length = BODY_LIMIT_BYTES + 1
         channel.dataReceived(
-            f"POST /v1/jobs HTTP/1.1\r\nContent-Length: {length}\r\n\r\n".encode()
+            b"POST /v1/jobs HTTP/1.1\r\nExpect: 100-continue\r\n"
+            b"Content-Length: %d\r\n\r\n" % length
         )
+        self.assertNotIn(b"100 Continue", transport.value())
         response = Response(transport.value())
         self.assertEqual(response.problem["code"], "payload_too_large")
         self.assertEqual(response.status, 413)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -286,12 +286,13 @@
 
     async def test_random_frames_never_reach_the_dispatcher(self):
         generator = random.Random(7)
-        for _ in range(30):
-            client = await self.raw(self.two.address)
-            body = generator.randbytes(generator.randrange(1, 60))
-            client.transport.write(struct.pack("!I", len(body)) + body)
-            client.transport.loseConnection()
-            await client.closed
+        with self.assertLogs("redwingrudder._peer_wire", "WARNING"):
+            for _ in range(30):
+                client = await self.raw(self.two.address)
+                body = generator.randbytes(generator.randrange(1, 60))
+                client.transport.write(struct.pack("!I", len(body)) + body)
+                client.transport.loseConnection()
+                await client.closed
         poll = requests.PollJob("d1-a", 0.0)
         self.assertEqual(await self.one.ask(self.two.address, poll), VIEW)
         self.assertEqual(self.two.dispatcher.received, [poll])
@@ -427,6 +428,15 @@
             asked.update(a for a in plan.due(float(now)) if a.startswith("d2"))
         self.assertEqual(len(asked), 10)
 
+    def test_peer_that_was_not_asked_has_not_been_silent(self):
+        """Succession must not take a live node for dead."""
+        plan = self.plan("d1-5")
+        plan.heard(report_of("d1-7", owner=False), 1.0)
+        plan.set_owner(requests.OwnerChanged("d1", "", "", Epoch(1, 0, 0)))
+        self.assertIn("d1-7:1", plan.due(100.0))
+        self.assertEqual(plan.silent(100.0), ())
+        self.assertIn("d1-7", [peer.node_id for peer in plan.silent(102.0)])
+
     def test_owner_of_a_lower_epoch_is_ignored(self):
         plan = self.plan("d1-5")
         new = requests.OwnerChanged("d1", "d1-3", "d1-3:1", Epoch(2, 0, 3))
