--- a/src/redwingrudder/exceptions.py
+++ b/src/redwingrudder/exceptions.py
@@ -51,6 +51,16 @@
     http_status = 422
 
 
+class InvalidConfigurationError(UnprocessableError):
+    """The operators' document cannot be used; ``problems`` holds all."""
+
+    code = "invalid_configuration"
+
+    def __init__(self, detail: str, problems: tuple[str, ...] = ()) -> None:
+        super().__init__(detail)
+        self.problems = problems
+
+
 class PayloadTooLargeError(BadRequestError):
     """A body, frame or value exceeds its limit."""
 
@@ -96,8 +106,14 @@
     http_status = 400
     exit_code = 3
 
-    def __init__(self, detail: str, problems: tuple[str, ...] = ()) -> None:
-        super().__init__(detail)
+    def __init__(
+        self,
+        detail: str,
+        problems: tuple[str, ...] = (),
+        *,
+        code: str | None = None,
+    ) -> None:
+        super().__init__(detail, code=code)
         self.problems = problems
 
 
