Return the operators' document and copy configuration late

The answer of /v1/configuration could not be edited and sent back, and a document with comments was refused before its own parser saw it. Reports are no longer passed to the configuration actor: it copied the whole document on every report of a higher version, which the store's watch is about to bring.

--- a/src/redwingrudder/_http_resources.py
+++ b/src/redwingrudder/_http_resources.py
@@ -11,16 +11,17 @@
 from urllib.parse import quote
 
 from . import requests
-from ._job_body import WAIT_LIMIT_S, decode_json, parse_job
+from ._job_body import WAIT_LIMIT_S, check_content_type, parse_job
 from ._json_values import to_json
 from ._problems import Answer
+from .configuration import ConfigurationDocument, to_document
 from .exceptions import (
     BadRequestError,
     MethodNotAllowedError,
     NotFoundError,
     PreconditionRequiredError,
 )
-from .model import FINAL_JOB_STATES, Configuration, JobView
+from .model import FINAL_JOB_STATES, CellAssignment, Configuration, JobView
 
 JSON_TYPE = "application/json"
 _JOB_ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,199}")
@@ -55,6 +56,18 @@
     results: list[str]
 
 
+class ConfigurationBody(TypedDict):
+    """The configuration in force.
+
+    ``document`` is in the form that operators send; ``cells`` tells the
+    failure domain of each copy of each guaranteed shape.
+    """
+
+    version: int
+    document: ConfigurationDocument
+    cells: tuple[CellAssignment, ...]
+
+
 Handler = Callable[[Call], Awaitable[Answer]]
 
 
@@ -125,8 +138,9 @@
 
     async def _put_configuration(self, call: Call) -> Answer:
         base_version = _base_version(call.headers.get("if-match"))
-        decode_json(call.content, call.headers.get("content-type"))
-        change = requests.ApplyConfiguration(call.content.decode(), base_version)
+        check_content_type(call.headers.get("content-type"))
+        document = _decode_text(call.content)
+        change = requests.ApplyConfiguration(document, base_version)
         return _configuration_answer(await self._ask(requests.CONFIGURATION, change))
 
 
@@ -164,6 +178,16 @@
     return int(match[1] or match[2])
 
 
+def _decode_text(content: bytes) -> str:
+    """Decode the operators' document, which may have comments."""
+    try:
+        return content.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise BadRequestError(
+            f"the body is not UTF-8: {error.reason}", code="malformed_json"
+        ) from None
+
+
 def _view_answer(view: JobView) -> Answer:
     body: JobViewBody = {
         "job_id": view.job_id,
@@ -184,7 +208,12 @@
 
 def _configuration_answer(configuration: Configuration) -> Answer:
     headers = (("ETag", f'"{configuration.version}"'),)
-    return _json_answer(configuration, 200, headers)
+    body: ConfigurationBody = {
+        "version": configuration.version,
+        "document": to_document(configuration),
+        "cells": configuration.cells,
+    }
+    return _json_answer(body, 200, headers)
 
 
 def _json_answer(
--- a/src/redwingrudder/peers.py
+++ b/src/redwingrudder/peers.py
@@ -227,8 +227,9 @@
             return self._local
         now = self.system.clock.seconds()
         self._abandon(self._plan.heard(report, now))
-        receivers = (requests.OWNERSHIP, requests.ROUTER, requests.CONFIGURATION)
-        self._inform(receivers, report)
+        # CONFIGURATION would copy the document on every report of a higher
+        # version; ``_copy_configuration`` waits for the store's watch first.
+        self._inform((requests.OWNERSHIP, requests.ROUTER), report)
         if report.configuration_version > self._local.configuration_version:
             self._newer = report
             if self._behind_since is None:
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -255,7 +255,7 @@
 
     def test_configuration_changes_need_their_base_version(self):
         """Without it one operator would overwrite another's change."""
-        put = ("PUT", "/v1/configuration", b'{"a":1}')
+        put = ("PUT", "/v1/configuration", b'{"a":1} // note')
         missing = self.request(*put, Content_Type=JSON)
         self.assertEqual(missing.status, 428)
         self.assertEqual(missing.problem["code"], "precondition_required")
@@ -263,8 +263,11 @@
         self.assertEqual(wrong.status, 400)
         response = self.request(*put, Content_Type=JSON, If_Match='"6"')
         self.assertEqual(response.headers["etag"], '"7"')
+        self.assertEqual(response.problem["version"], 7)
+        self.assertEqual(response.problem["document"]["organisations"], {})
         self.assertEqual(
-            self.configuration.received, [requests.ApplyConfiguration('{"a":1}', 6)]
+            self.configuration.received,
+            [requests.ApplyConfiguration('{"a":1} // note', 6)],
         )
 
     def test_requests_above_the_bound_are_refused(self):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -326,7 +326,7 @@
         report = self.one.ownership.received[0]
         self.assertEqual((report.node_id, report.owner), ("n2", True))
         self.assertEqual(report.largest_free_gang, 8)
-        self.assertEqual(self.two.configuration.received[0].node_id, "n1")
+        self.assertEqual(self.two.ownership.received[0].node_id, "n1")
 
     async def test_silence_is_told_to_ownership_and_router(self):
         self.introduce()
@@ -355,6 +355,22 @@
             self.one.configuration.received,
         )
 
+    async def test_change_that_the_watch_brings_is_not_copied_from_a_peer(self):
+        """Copies of the document would exceed the traffic budget."""
+        old = CONFIGURATION._replace(version=6)
+        self.one.system.tell(requests.PEERS, ConfigurationChanged(old))
+        self.two.system.tell(requests.PEERS, ConfigurationChanged(CONFIGURATION))
+        self.introduce()
+        now = self.one.system.clock.seconds()
+        self.tick(self.one, now)
+        await pause(0.1)
+        self.tick(self.one, now + 1.0)
+        await pause(0.1)
+        self.assertEqual(self.two.configuration.received, [])
+        self.tick(self.one, now + 3.0)
+        await pause(0.1)
+        self.assertEqual(self.two.configuration.received, [requests.GetConfiguration()])
+
     def test_exchange_stays_under_its_size(self):
         """The traffic budget of a node counts on 150 bytes each way."""
         report = requests.PeerReport(
