Use the tightest own cell so that small jobs spare large shapes

A job of 4 was put on the free cell of 12 of the same organisation, after which the shape of 12 could not be reclaimed.

Change: reclaim and placement on own cells choose the cell of which the least stays claimable, then the fewest and youngest borrowers. A job that would need to stop borrowers in that cell is left to the reclaim instead of taking a free larger cell.

Ruled out: fewest borrowers first, which is what failed.

--- a/src/redwingrudder/_placement.py
+++ b/src/redwingrudder/_placement.py
@@ -12,7 +12,7 @@
     gang_level,
     tiers,
 )
-from ._reclaim import CellReclaim
+from ._reclaim import CellReclaim, fitting_cells
 from .fleet import Fleet, WorkerState
 from .guarantees import GuaranteeBook
 from .model import JobSpec, Placement
@@ -39,7 +39,10 @@
         space = Space(spec, fleet, guarantees.layout_of(fleet), avoid)
         place_in_tier = _placer(spec, fleet)
         for tier in tiers(spec):
-            placement = place_in_tier(space, tier)
+            if tier is Tier.OWN_CELLS and fitting_cells(spec, guarantees):
+                placement = _place_in_cell(space, guarantees)
+            else:
+                placement = place_in_tier(space, tier)
             if placement is not None:
                 return placement
         return None
@@ -64,6 +67,16 @@
     return fleet.most_free_on_worker()
 
 
+def _place_in_cell(space: Space, guarantees: GuaranteeBook) -> Placement | None:
+    """Use the cell that a reclaim would use, if nothing has to stop there.
+
+    Another cell might be free, but a job on a cell that is larger than
+    needed uses up the large shape.
+    """
+    plan = CellReclaim().reclaim(space.spec, space.fleet, guarantees, space.avoid)
+    return plan.placement if plan and not plan.gangs_to_stop else None
+
+
 def _placer(spec: JobSpec, fleet: Fleet) -> Callable[[Space, Tier], Placement | None]:
     if not spec.accelerators_per_task:
         return _place_cpu_only
--- a/src/redwingrudder/_reclaim.py
+++ b/src/redwingrudder/_reclaim.py
@@ -21,21 +21,23 @@
 class RatedPlan(NamedTuple):
     """A plan with its cost; lower is better.
 
-    ``age_rank`` is higher for older gangs, ``spare`` counts accelerators that
-    the plan leaves unused in the unit.
+    ``spare`` counts the accelerators of the cell that the organisation could
+    still claim afterwards. ``age_rank`` is higher for older gangs.
     """
 
+    spare: int
     stopped: int
     age_rank: int
-    spare: int
     plan: ReclaimPlan
 
 
 class CellReclaim(ReclaimPolicy):
     """Uses a free own cell, or stops the borrowers that occupy one.
 
-    The plan with the fewest gangs to stop is chosen, among equals the one
-    that stops the youngest gangs, because they lose the least work.
+    The cell of which the least stays unused comes first, because a small job
+    on a large cell would use up the large shape. Among equals the plan with
+    the fewest gangs to stop is chosen, then the one that stops the youngest
+    gangs, because they lose the least work.
     """
 
     def reclaim(
@@ -51,18 +53,41 @@
         level = gang_level(spec, fleet)
         layout = guarantees.layout_of(fleet)
         best: RatedPlan | None = None
-        for cell in guarantees.cells():
-            if cell.key.organisation != spec.organisation:
-                continue
-            if cell.size < spec.accelerators:
+        for cell in fitting_cells(spec, guarantees):
+            spare = _claimable(cell, layout) - spec.accelerators
+            if spare < 0 or (best is not None and spare > best.spare):
                 continue
             for unit in _units(cell, layout, level, avoid):
-                plan = _cheapest_plan(spec, unit)
+                plan = _cheapest_plan(spec, unit, spare)
                 if plan and (best is None or plan[:3] < best[:3]):
                     best = plan
         return best.plan if best else None
 
 
+def fitting_cells(spec: JobSpec, guarantees: GuaranteeBook) -> list[Cell]:
+    """Return the cells of the job's organisation that are large enough."""
+    return [
+        cell
+        for cell in guarantees.cells_of(spec.organisation)
+        if cell.size >= spec.accelerators
+    ]
+
+
+def _claimable(cell: Cell, layout: CellLayout) -> int:
+    """Return the accelerators that the owner itself does not hold."""
+    fleet = layout.fleet
+    count = 0
+    for worker_id, indexes in cell.accelerators_by_worker.items():
+        worker = fleet.workers_by_id.get(worker_id)
+        if worker is None:
+            continue
+        for index in indexes:
+            gang_id = worker.gangs_by_accelerator[index]
+            gang = fleet.gangs_by_id[gang_id] if gang_id else None
+            count += gang is None or gang.spec.organisation != cell.key.organisation
+    return count
+
+
 def _units(
     cell: Cell, layout: CellLayout, level: Level, avoid: frozenset[str]
 ) -> list[CellUnit]:
@@ -76,13 +101,13 @@
     return [CellUnit(layout, accelerators) for accelerators in by_unit.values()]
 
 
-def _cheapest_plan(spec: JobSpec, unit: CellUnit) -> RatedPlan | None:
+def _cheapest_plan(spec: JobSpec, unit: CellUnit, spare: int) -> RatedPlan | None:
     """Spare the oldest gangs or those that free the least, by cost."""
     fleet = unit.layout.fleet
     gang_ids = _stoppable(spec.organisation, unit)
     by_age = sorted(gang_ids, key=fleet.gang_sequence)
     by_size = sorted(by_age, key=lambda gang_id: _freed(gang_id, unit))
-    plans = [_plan_sparing(spec, unit, order) for order in (by_age, by_size)]
+    plans = [_plan_sparing(spec, unit, order, spare) for order in (by_age, by_size)]
     return min((p for p in plans if p), key=lambda p: p[:3], default=None)
 
 
@@ -112,7 +137,7 @@
 
 
 def _plan_sparing(
-    spec: JobSpec, unit: CellUnit, gang_ids: list[str]
+    spec: JobSpec, unit: CellUnit, gang_ids: list[str], spare: int
 ) -> RatedPlan | None:
     """Plan to stop all gangs, then spare each one that is not needed."""
     stopped = set(gang_ids)
@@ -137,24 +162,12 @@
             offers_by_worker |= changed
         else:
             stopped.add(gang_id)
-    return _rate(spec, unit, offers_by_worker, stopped)
-
-
-def _rate(
-    spec: JobSpec, unit: CellUnit, offers_by_worker: dict[str, Offer], stopped: set[str]
-) -> RatedPlan:
     offers = sorted(offers_by_worker.values(), key=lambda offer: -offer.tasks)
     placement = fill_offers(spec, offers, Tier.OWN_CELLS)
     fleet = unit.layout.fleet
-    oldest = min(map(fleet.gang_sequence, stopped), default=0)
-    available = sum(len(offer.accelerators) for offer in offers)
     ordered = tuple(sorted(stopped, key=fleet.gang_sequence))
-    return RatedPlan(
-        len(stopped),
-        -oldest,
-        available - spec.accelerators,
-        ReclaimPlan(placement, ordered),
-    )
+    oldest = min(map(fleet.gang_sequence, stopped), default=0)
+    return RatedPlan(spare, len(stopped), -oldest, ReclaimPlan(placement, ordered))
 
 
 def _offer(spec: JobSpec, unit: CellUnit, worker_id: str, stopped: set[str]) -> Offer:
--- a/src/redwingrudder/guarantees.py
+++ b/src/redwingrudder/guarantees.py
@@ -53,6 +53,10 @@
             return ()
         return tuple(cell for _, cell in sorted(self._layout.cells_by_key.items()))
 
+    def cells_of(self, organisation: str) -> tuple[Cell, ...]:
+        """Return the cells of one organisation, in a stable order."""
+        return tuple(c for c in self.cells() if c.key.organisation == organisation)
+
     def usable_accelerators(self, spec: JobSpec, worker_id: str) -> tuple[int, ...]:
         """Return the free accelerators that a job may use on a worker.
 
--- /dev/null
+++ b/tests/_fleet_steps.py
@@ -0,0 +1,140 @@
+"""A small failure domain that generated steps change, for several tests."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from redwingrudder._placement import BestFitPlacement
+from redwingrudder.exceptions import UnprocessableError
+from redwingrudder.fleet import Fleet
+from redwingrudder.guarantees import GuaranteeBook, plan_cells
+from redwingrudder.model import Configuration, JobSpec, Organisation, Shape, WorkerInfo
+
+GENERATED = settings(derandomize=True, max_examples=60, deadline=None)
+SHAPES = (Shape(1, 2), Shape(2, 1), Shape(3, 2), Shape(4, 1), Shape(8, 1), Shape(12, 1))
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ("place", "place", "place", "place", "release", "lose", "return")
+            + ("drain", "quarantine", "configure")
+        ),
+        st.integers(0, 2**32),
+    ),
+    max_size=40,
+)
+
+
+def make_spec(
+    organisation="a",
+    tasks=1,
+    per_task=1,
+    borrower=False,
+    cores=1,
+    memory_mb=1,
+    stop_bound_s=2.0,
+):
+    return JobSpec(
+        organisation,
+        *("class", "caller", "key"),
+        *(tasks, per_task, cores, memory_mb, borrower, borrower),
+        *(10.0, stop_bound_s, ""),
+    )
+
+
+def make_workers(count=8, per_rack=4, accelerators=4, slots=4, domain="d0"):
+    return tuple(
+        WorkerInfo(
+            *(f"{domain}w{i}", "", domain, f"{domain}r{i // per_rack}"),
+            *(accelerators, slots, accelerators * 4, accelerators * 10),
+        )
+        for i in range(count)
+    )
+
+
+def configure(guarantees, workers, cells=()):
+    organisations = {
+        name: Organisation(name, tuple(shapes)) for name, shapes in guarantees.items()
+    }
+    configuration = Configuration(1, organisations, {}, tuple(cells))
+    return configuration._replace(cells=plan_cells(configuration, workers))
+
+
+class Domain:
+    """A domain whose cells are reassigned after each change of hardware."""
+
+    def __init__(self, guarantees, workers=None, policy=None):
+        self.workers = workers or make_workers()
+        self.policy = policy or BestFitPlacement()
+        self.fleet = Fleet()
+        self.book = GuaranteeBook()
+        self.configuration = configure(guarantees, self.workers)
+        self.now = 0.0
+        self.serial = 0
+        for info in self.workers:
+            self.fleet.add_worker(info, "boot", draining=False)
+        self.assign()
+
+    def assign(self):
+        self.now += 1.0
+        self.book.assign(self.configuration, "d0", self.fleet, self.now)
+
+    def place(self, spec):
+        placement = self.policy.place(spec, self.fleet, self.book)
+        return self.hold(spec, placement) if placement else None
+
+    def hold(self, spec, placement):
+        self.serial += 1
+        gang_id = f"g{self.serial:05}"
+        self.fleet.hold(gang_id, spec, placement)
+        return gang_id
+
+    def release(self, gang_id):
+        for worker_id in list(self.fleet.gangs_by_id[gang_id].members_by_worker):
+            self.fleet.release_member(gang_id, worker_id)
+
+    def step(self, name, seed):
+        rng = random.Random(seed)
+        info = rng.choice(self.workers)
+        if name == "place":
+            self.place(random_spec(rng))
+            return
+        if name == "release":
+            if self.fleet.gangs_by_id:
+                self.release(rng.choice(list(self.fleet.gangs_by_id)))
+            return
+        if name == "lose":
+            self.fleet.remove_worker(info.worker_id)
+        elif name == "return":
+            self.fleet.add_worker(info, "boot2", draining=False)
+        elif name == "drain":
+            self.fleet.set_draining(info.worker_id)
+        elif name == "quarantine":
+            self.fleet.set_quarantined(info.worker_id, rng.random() < 0.5)
+        else:
+            self.reconfigure(rng)
+        self.assign()
+
+    def reconfigure(self, rng):
+        guarantees = {
+            name: rng.sample(SHAPES, rng.randrange(3)) for name in ("a", "b", "c")
+        }
+        try:
+            self.configuration = configure(
+                guarantees, self.workers, self.configuration.cells
+            )
+        except UnprocessableError:
+            return
+
+
+def random_spec(rng):
+    per_task = rng.choice((0, 1, 1, 1, 2, 3))
+    return make_spec(
+        rng.choice("abcd"),
+        rng.choice((1, 1, 2, 3, 4, 6, 12)),
+        per_task,
+        rng.random() < 0.5,
+        rng.choice((1, 2, 4, 7)),
+        rng.choice((0, 1, 10, 25)),
+        rng.choice((1.0, 2.0, 2.1)),
+    )
