Test the fleet's indexes and the placement policies

Cause: the indexes of the fleet and the placement policies had no tests.

Change: generated sequences of placements, releases and changes of hardware and configuration check them, for the baseline too. largest_gang counts free accelerators of all cells, as they are for a borrower; its text says so.

--- a/src/redwingrudder/_placement.py
+++ b/src/redwingrudder/_placement.py
@@ -56,7 +56,8 @@
     """Return the largest adjacent gang that the free accelerators hold.
 
     A gang that a worker or rack could hold when empty may not be spread
-    wider, so free accelerators that are scattered do not count for it.
+    wider, so free accelerators that are scattered do not count for it. Free
+    accelerators of all cells count, as they do for a borrower.
     """
     in_domain = fleet.free_in_domain()
     if in_domain > fleet.largest_rack():
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,165 @@
+"""Gangs are placed whole, adjacent, compact and off foreign cells."""
+
+import random
+import unittest
+from collections import Counter
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from redwingrudder import _cells
+from redwingrudder._first_fit import FirstFitPlacement
+from redwingrudder._placement import BestFitPlacement
+from redwingrudder._placement_cost import measure_placement
+from redwingrudder.model import Shape
+
+from ._fleet_steps import (
+    GENERATED,
+    STEPS,
+    Domain,
+    make_spec,
+    make_workers,
+    random_spec,
+)
+
+
+def racks_of(domain, placement):
+    workers = domain.fleet.workers_by_id
+    return {workers[m.worker_id].info.rack for m in placement.members}
+
+
+class AnyPolicyTest(unittest.TestCase):
+    @GENERATED
+    @given(STEPS, st.integers(0, 2**32), st.sampled_from((0, 1)))
+    def test_placement_is_whole_adjacent_and_keeps_guarantees(self, steps, seed, kind):
+        """Guards I1 and I2 for the shipped policy and for the baseline."""
+        policy = (BestFitPlacement, FirstFitPlacement)[kind]()
+        guarantees = {"a": (Shape(4, 1), Shape(8, 1)), "b": (Shape(3, 1),)}
+        domain = Domain(guarantees, policy=policy)
+        for name, step_seed in steps:
+            domain.step(name, step_seed)
+        rng = random.Random(seed)
+        for _ in range(12):
+            spec = random_spec(rng)
+            placement = policy.place(spec, domain.fleet, domain.book)
+            if placement is not None:
+                self._check(domain, spec, placement)
+                domain.hold(spec, placement)
+                self.assertEqual(domain.book.violations(domain.fleet), ())
+
+    def _check(self, domain, spec, placement):
+        tasks = [task for member in placement.members for task in member.tasks]
+        self.assertEqual(tasks, list(range(spec.tasks)))
+        for worker_id, accelerators, member_tasks in placement.members:
+            needed = len(member_tasks) * spec.accelerators_per_task
+            self.assertEqual(len(set(accelerators)), needed)
+            self.assertTrue(domain.fleet.workers_by_id[worker_id].accepts_work)
+        if spec.accelerators_per_task and domain.fleet.could_worker_hold(spec):
+            self.assertEqual(len(placement.members), 1)
+        elif spec.accelerators_per_task and domain.fleet.could_rack_hold(spec):
+            self.assertEqual(len(racks_of(domain, placement)), 1)
+
+
+class BestFitTest(unittest.TestCase):
+    @GENERATED
+    @given(STEPS)
+    def test_largest_gang_is_the_largest_that_can_be_placed(self, steps):
+        """Guards the reported fragmentation."""
+        domain = Domain({"a": ()})
+        gang = make_spec("z", borrower=True, cores=0, memory_mb=0)
+        for name, seed in steps:
+            if name != "place":
+                domain.step(name, seed)
+            else:
+                domain.place(gang._replace(tasks=1 + seed % 6))
+        largest = domain.policy.largest_gang(domain.fleet)
+        placeable = [
+            tasks
+            for tasks in range(1, 34)
+            if domain.policy.place(
+                gang._replace(tasks=tasks), domain.fleet, domain.book
+            )
+        ]
+        self.assertEqual(max(placeable, default=0), largest)
+
+    def test_small_jobs_leave_whole_workers_and_racks_free(self):
+        """Guards against scattered free accelerators that starve gangs."""
+        domain = Domain({"a": ()})
+        for _ in range(6):
+            domain.place(make_spec("a", 2))
+        workers = domain.fleet.workers_by_id.values()
+        used = Counter(w.info.rack for w in workers if len(w.free_accelerators) < 4)
+        self.assertEqual(sorted(used.values()), [3])
+        self.assertIsNotNone(domain.place(make_spec("a", 16)))
+
+    def test_rack_gang_takes_the_fullest_rack(self):
+        """Guards the empty rack against a gang that fits elsewhere."""
+        domain = Domain({"a": ()}, make_workers(12))
+        domain.place(make_spec("a", 4))
+        placement = domain.policy.place(make_spec("a", 12), domain.fleet, domain.book)
+        self.assertEqual(racks_of(domain, placement), {"d0r0"})
+
+    def test_large_gang_uses_the_fewest_racks(self):
+        """Guards adjacency beyond one rack."""
+        domain = Domain({"a": ()}, make_workers(16))
+        for tasks in (16, 12, 4):
+            domain.place(make_spec("a", tasks))
+        placement = domain.policy.place(make_spec("a", 20), domain.fleet, domain.book)
+        self.assertEqual(len(racks_of(domain, placement)), 2)
+        self.assertIsNone(domain.place(make_spec("a", 33)))
+
+    def test_cells_are_used_in_order_of_preference(self):
+        """Guards unassigned before own, own before foreign cells."""
+        domain = Domain({"a": (Shape(4, 1),), "b": (Shape(4, 1),)}, make_workers(3))
+        borrower = make_spec("a", 4, borrower=True)
+        owners = []
+        for _ in range(3):
+            placement = domain.policy.place(borrower, domain.fleet, domain.book)
+            worker = domain.fleet.workers_by_id[placement.members[0].worker_id]
+            owner = domain.book.layout_of(domain.fleet).owners(worker)[0]
+            owners.append((owner, placement.borrowed))
+            domain.hold(borrower, placement)
+        self.assertEqual(owners, [(None, False), ("a", False), ("b", True)])
+
+    def test_cpu_only_gangs_keep_off_free_accelerators(self):
+        """Guards slots beside free accelerators, and the shares of cells."""
+        workers = make_workers(4) + tuple(
+            info._replace(worker_id=f"cpu{i}", accelerators=0)
+            for i, info in enumerate(make_workers(2))
+        )
+        domain = Domain({"a": (Shape(4, 4),)}, workers)
+        spec = make_spec("z", 4, 0)
+        placed = [domain.policy.place(spec, domain.fleet, domain.book)]
+        domain.hold(spec, placed[0])
+        placed.append(domain.policy.place(spec, domain.fleet, domain.book))
+        domain.hold(spec, placed[1])
+        ids = {m.worker_id for p in placed for m in p.members}
+        self.assertEqual(ids, {"cpu0", "cpu1"})
+        self.assertIsNone(domain.place(spec))
+        self.assertIsNotNone(domain.place(spec._replace(organisation="a")))
+
+    def test_avoided_workers_are_not_used(self):
+        """Guards the retry on another worker after a failure."""
+        domain = Domain({"a": ()}, make_workers(2))
+        avoid = frozenset({"d0w0"})
+        for spec in (make_spec("a", 1), make_spec("a", 4), make_spec("a", 1, 0)):
+            found = domain.policy.place(spec, domain.fleet, domain.book, avoid)
+            self.assertEqual({m.worker_id for m in found.members}, {"d0w1"})
+        spec = make_spec("a", 8)
+        self.assertIsNone(domain.policy.place(spec, domain.fleet, domain.book, avoid))
+
+    def test_decision_rebuilds_only_changed_workers(self):
+        """Guards the cost bound: one change must not void every cache."""
+        domain = Domain({"a": (Shape(4, 4),)}, make_workers(40))
+        spec = make_spec("b", 20)
+        domain.place(spec)
+        with mock.patch.object(_cells, "build_room", wraps=_cells.build_room) as build:
+            domain.place(spec)
+        self.assertLessEqual(build.call_count, 10)
+
+    def test_measurement_runs(self):
+        """Guards the command that prints the cost of decisions."""
+        cost = measure_placement(48, seed=1)
+        self.assertEqual(cost.decisions, 400)
+        self.assertLessEqual(cost.p50_ms, cost.p99_ms)
