--- /dev/null
+++ b/src/redwingrudder/_background.py
@@ -0,0 +1,22 @@
+"""Coroutines of an actor that no message waits for."""
+
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+_logger = logging.getLogger(__name__)
+
+
+def run(coroutine: Coroutine[Any, Any, Any], actor: str) -> Deferred:
+    """Run a coroutine; an error that it raises is logged."""
+
+    def log(failure: Failure) -> None:
+        _logger.error(
+            "background work failed",
+            extra={"actor": actor, "traceback": failure.getTraceback()},
+        )
+
+    return Deferred.fromCoroutine(coroutine).addErrback(log)
--- a/src/redwingrudder/configuration.py
+++ b/src/redwingrudder/configuration.py
@@ -7,10 +7,9 @@
 import random
 from typing import Any, NamedTuple
 
-from twisted.internet.defer import Deferred
-
 from . import _configuration_codec as codec
 from . import requests
+from ._background import run
 from ._chart_runner import ChartRunner
 from ._configuration_document import (
     ConfigurationDocument,
@@ -154,7 +153,7 @@
             self._tell_subscribers()
 
     def _read_document(self, argument: Any) -> None:
-        Deferred.fromCoroutine(self._read())
+        run(self._read(), self.name)
 
     async def _read(self) -> None:
         try:
--- a/src/redwingrudder/store.py
+++ b/src/redwingrudder/store.py
@@ -4,9 +4,8 @@
 import random
 from typing import Any
 
-from twisted.internet.defer import Deferred
-
 from . import requests
+from ._background import run
 from ._chart_runner import ChartRunner
 from ._store_codec import CALL_TYPES, EncodedCall, decode, decode_error, encode
 from ._store_transport import HttpTransport, StoreTransport, TransportReply
@@ -179,7 +178,7 @@
     def _probe(self) -> None:
         if not self._probing:
             self._probing = True
-            Deferred.fromCoroutine(self._send_probe())
+            run(self._send_probe(), self.name)
 
     async def _send_probe(self) -> None:
         try:
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,313 @@
+"""Tests of ownership: takeover, outages, pauses, races and lost replies."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
+
+from redwingrudder.actors import ActorSystem
+from redwingrudder.model import Epoch
+from redwingrudder.ownership import OwnershipActor
+from redwingrudder.requests import (
+    OWNERSHIP,
+    Drain,
+    EpochRaised,
+    Fenced,
+    GrantLease,
+    MembersChanged,
+    OwnerChanged,
+    OwnershipEnded,
+    OwnershipGained,
+    PeerReport,
+    PeerSilent,
+    Transact,
+)
+from redwingrudder.standins._key_value import KeyValueCore
+from redwingrudder.timers import TimerService
+from tests.fakes import FakeStore, Recorder, settle
+
+KINDS = (OwnershipGained, EpochRaised, OwnershipEnded, OwnerChanged)
+ZERO = Epoch(0, 0, 0)
+
+
+class Node:
+    """A node with its own clock, so that it can be paused."""
+
+    def __init__(self, core, rank, now, available=True, domain="north"):
+        self.clock = Clock()
+        self.clock.advance(now)
+        self.system = ActorSystem(self.clock)
+        TimerService(self.system)
+        self.store = FakeStore(self.system, core, available)
+        self.rank, self.domain = rank, domain
+        self.node_id = f"{domain}-{rank}"
+        OwnershipActor(
+            self.system, ("seen",), domain, self.node_id, f"10.0.0.{rank}:1", rank
+        )
+        self.seen = Recorder(self.system, "seen", *KINDS).messages
+        self.running = True
+        self.system.start()
+        settle(self.system, 5)
+
+    @property
+    def epoch(self):
+        """The epoch while it owns, as its subscribers know it."""
+        epoch = None
+        for message in self.seen:
+            if isinstance(message, OwnershipGained | EpochRaised):
+                epoch = message.epoch
+            elif isinstance(message, OwnershipEnded):
+                epoch = None
+        return epoch
+
+    def tell(self, message):
+        self.system.tell(OWNERSHIP, message)
+        settle(self.system, 5)
+
+    def count(self, kind):
+        return sum(isinstance(message, kind) for message in self.seen)
+
+
+class OwnershipTests(unittest.TestCase):
+    def setUp(self):
+        self.core = KeyValueCore()
+        self.now = 0.0
+        self.nodes = []
+
+    def start(self, count, first_rank=0, available=True, domain="north"):
+        ranks = range(first_rank, first_rank + count)
+        new = [Node(self.core, rank, self.now, available, domain) for rank in ranks]
+        self.nodes += new
+        for node in new:
+            node.tell(MembersChanged(()))
+        return new
+
+    def run_for(self, seconds, report=True):
+        """Advance all running nodes; they exchange reports each second."""
+        for step in range(round(seconds * 10)):
+            self.now += 0.1
+            for node in self.nodes:
+                if node.running:
+                    node.clock.advance(self.now - node.clock.seconds())
+                    settle(node.system, 5)
+            if report and step % 10 == 0:
+                self.exchange()
+
+    def exchange(self):
+        running = [node for node in self.nodes if node.running]
+        for sender in running:
+            report = PeerReport(
+                sender.node_id, sender.rank, sender.domain, "a:1",
+                sender.epoch is not None, sender.epoch or ZERO, 0, 0, 0, 0, False,
+            )  # fmt: skip
+            for receiver in running:
+                if receiver is not sender:
+                    receiver.tell(report)
+
+    def set_available(self, available):
+        for node in self.nodes:
+            node.store.set_available(available)
+
+    def owners(self):
+        return [n for n in self.nodes if n.running and n.epoch is not None]
+
+    def test_cold_start_of_nine_nodes_costs_few_calls(self):
+        nodes = self.start(9)
+        self.run_for(3.0)
+        self.assertEqual(self.owners(), nodes[:1])
+        self.assertEqual(nodes[0].epoch, Epoch(1, 0, 0))
+        calls = [call for node in nodes for call in node.store.calls]
+        self.assertEqual(sum(isinstance(c, GrantLease) for c in calls), 1)
+        self.assertLess(len(calls), 20)
+        changed = OwnerChanged("north", "north-0", "10.0.0.0:1", Epoch(1, 0, 0))
+        self.assertIn(changed, nodes[8].seen)
+
+    def test_a_dead_owner_is_replaced_in_time_under_a_higher_epoch(self):
+        nodes = self.start(3)
+        self.run_for(4.3)
+        nodes[0].running = False
+        self.run_for(4.5)
+        self.assertEqual(self.owners(), [nodes[1]])
+        self.assertEqual(nodes[1].epoch, Epoch(2, 0, 1))
+
+    def test_an_owner_goes_on_in_an_outage_and_reacquires_higher(self):
+        nodes = self.start(2)
+        self.run_for(2.0)
+        self.set_available(False)
+        self.run_for(30.0)
+        self.assertEqual([n.epoch for n in nodes], [Epoch(1, 0, 0), None])
+        self.set_available(True)
+        self.run_for(2.0)
+        self.assertEqual([n.epoch for n in nodes], [Epoch(2, 0, 0), None])
+        self.assertEqual(nodes[0].count(OwnershipEnded), 0)
+        self.assertEqual(nodes[0].count(EpochRaised), 1)
+
+    def test_succession_without_the_store_by_the_lowest_live_rank(self):
+        nodes = self.start(4)
+        self.run_for(2.0)
+        self.set_available(False)
+        nodes[0].running = nodes[1].running = False
+        self.run_for(4.0)
+        self.assertEqual(self.owners(), [nodes[2]])
+        self.assertEqual(nodes[2].epoch, Epoch(1, 1, 2))
+        self.set_available(True)
+        self.run_for(2.0)
+        self.assertEqual([n.epoch for n in self.owners()], [Epoch(2, 0, 2)])
+
+    def test_peer_silent_of_the_owner_counts_in_an_outage(self):
+        nodes = self.start(2)
+        self.run_for(4.0)
+        self.set_available(False)
+        self.run_for(1.0)
+        nodes[1].tell(PeerSilent("north-0", "north", 3.0))
+        self.assertEqual(nodes[1].epoch, Epoch(1, 1, 1))
+
+    def test_two_candidates_are_ordered_by_epoch(self):
+        nodes = self.start(2, available=False)
+        self.run_for(5.0, report=False)
+        self.assertEqual([n.epoch for n in nodes], [(0, 1, 0), (0, 1, 1)])
+        self.run_for(1.0)
+        self.assertEqual(self.owners(), [nodes[1]])
+        self.set_available(True)
+        self.run_for(2.0)
+        self.assertEqual(self.owners(), [nodes[1]])
+        self.assertEqual(nodes[1].epoch, Epoch(1, 0, 1))
+
+    def test_a_start_in_an_outage_follows_the_living_owner(self):
+        nodes = self.start(1, first_rank=3)
+        self.run_for(2.0)
+        self.set_available(False)
+        self.start(1, first_rank=0, available=False)
+        self.run_for(10.0)
+        self.assertEqual(self.owners(), nodes)
+
+    def test_a_paused_owner_reads_the_record_before_anything_else(self):
+        nodes = self.start(2)
+        self.run_for(2.0)
+        nodes[0].running = False
+        self.run_for(6.0)
+        self.assertEqual(nodes[1].epoch, Epoch(2, 0, 1))
+        nodes[0].store.calls.clear()
+        nodes[0].running = True
+        self.run_for(0.1)
+        self.assertIn(OwnershipEnded("north-1 holds the owner record"), nodes[0].seen)
+        kinds = [type(call).__name__ for call in nodes[0].store.calls]
+        self.assertEqual(kinds[0], "GetPrefix")
+        self.assertNotIn(Transact, map(type, nodes[0].store.calls))
+        self.run_for(5.0)
+        self.assertEqual(self.owners(), [nodes[1]])
+
+    def test_a_pause_with_no_successor_reacquires_under_a_higher_epoch(self):
+        (node,) = self.start(1)
+        self.run_for(2.0)
+        node.running = False
+        self.now += 60.0
+        node.running = True
+        self.run_for(1.0)
+        self.assertEqual(node.epoch, Epoch(2, 0, 0))
+
+    def test_a_paused_follower_in_an_outage_does_not_claim_at_once(self):
+        nodes = self.start(2, first_rank=1)
+        self.run_for(2.0)
+        follower = next(node for node in nodes if node.epoch is None)
+        self.set_available(False)
+        follower.running = False
+        self.run_for(20.0)
+        follower.running = True
+        self.run_for(5.0)
+        self.assertIsNone(follower.epoch)
+
+    def test_a_fenced_owner_lets_go_and_old_fences_are_ignored(self):
+        nodes = self.start(2)
+        self.run_for(2.0)
+        nodes[0].tell(Fenced(Epoch(0, 9, 0), Epoch(1, 0, 0)))
+        self.assertEqual(nodes[0].epoch, Epoch(1, 0, 0))
+        nodes[0].tell(Fenced(Epoch(1, 0, 0), Epoch(7, 2, 5)))
+        self.assertIsNone(nodes[0].epoch)
+        self.run_for(5.0)
+        self.assertEqual([n.epoch.store_term for n in self.owners()], [8])
+
+    def test_lost_replies_leave_one_owner_and_no_second_term(self):
+        nodes = self.start(2)
+        nodes[0].store.lost_replies = 2
+        self.run_for(6.0)
+        self.assertEqual(len(self.owners()), 1)
+        nodes[0].store.unsent = nodes[1].store.unsent = 1
+        self.owners()[0].running = False
+        self.run_for(6.0)
+        self.assertEqual(len(self.owners()), 1)
+
+    def test_drain_hands_over_within_two_seconds(self):
+        nodes = self.start(2)
+        self.run_for(2.0)
+        done = []
+        nodes[0].system.ask(OWNERSHIP, Drain()).addCallback(done.append)
+        settle(nodes[0].system)
+        self.assertEqual((done, nodes[0].epoch), ([None], None))
+        self.run_for(2.0)
+        self.assertEqual(self.owners(), [nodes[1]])
+        nodes[0].tell(Fenced(Epoch(1, 0, 0), Epoch(7, 2, 5)))
+        self.assertIsNone(nodes[0].epoch)
+
+    def test_owners_of_other_domains_are_told(self):
+        (north,) = self.start(1)
+        (south,) = self.start(1, domain="south")
+        self.run_for(2.0)
+        for node, domain in ((north, "south"), (south, "north")):
+            domains = [m.failure_domain for m in node.seen if type(m) is OwnerChanged]
+            self.assertIn(domain, domains)
+
+    def test_a_lost_watch_is_made_up_for_by_reading(self):
+        nodes = self.start(2)
+        self.run_for(2.0)
+        nodes[1].store.core.unwatch(nodes[1].store._watch_ids[OWNERSHIP, "/owner/"])
+        nodes[0].running = False
+        self.run_for(10.0)
+        self.assertEqual(self.owners(), [nodes[1]])
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["pause", "resume", "store", "lose", "unsent", "wait"]),
+        st.integers(0, 3),
+        st.sampled_from([0.3, 1.0, 3.5, 7.0]),
+    ),
+    max_size=25,
+)
+
+
+class OwnershipScheduleTests(unittest.TestCase):
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(ACTIONS)
+    def test_faults_never_share_an_epoch_and_end_with_one_owner(self, actions):
+        cluster = OwnershipTests()
+        cluster.setUp()
+        nodes = cluster.start(4)
+        for kind, index, wait_s in actions:
+            node = nodes[index]
+            if kind in ("pause", "resume"):
+                node.running = kind == "resume"
+            elif kind == "store":
+                node.store.set_available(not node.store.available)
+            elif kind == "lose":
+                node.store.lost_replies += 1
+            elif kind == "unsent":
+                node.store.unsent += 1
+            cluster.run_for(wait_s)
+        for node in nodes:
+            node.running = True
+            node.store.set_available(True)
+        cluster.run_for(25.0)
+        self.assertEqual(len(cluster.owners()), 1)
+        epochs = [
+            message.epoch
+            for node in nodes
+            for message in node.seen
+            if isinstance(message, OwnershipGained | EpochRaised)
+        ]
+        self.assertEqual(len(epochs), len(set(epochs)))
+        for node in nodes:
+            changes = [m.epoch for m in node.seen if isinstance(m, OwnerChanged)]
+            self.assertEqual(changes, sorted(changes))
+            self.assertEqual(changes[-1], cluster.owners()[0].epoch)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -15,7 +15,7 @@
     StreamEnded,
     TransportReply,
 )
-from redwingrudder.actors import ActorSystem
+from redwingrudder.actors import Actor, ActorSystem
 from redwingrudder.exceptions import (
     NotFoundError,
     OutcomeUnknownError,
@@ -247,6 +247,26 @@
         self.assertLessEqual(_store_watch.BACKOFF_LIMIT_S, 5.0)
 
 
+class FirstMessages(Actor):
+    """Fires when the store is available and at the first change."""
+
+    def __init__(self, system, name):
+        self.ready = Deferred()
+        self.changed = Deferred()
+        super().__init__(system, name)
+
+    def handlers(self):
+        return {StoreStatus: self.note_status, WatchChanged: self.note_change}
+
+    def note_status(self, message):
+        if message.available and not self.ready.called:
+            self.ready.callback(None)
+
+    def note_change(self, message):
+        if not self.changed.called:
+            self.changed.callback(message)
+
+
 class HttpTransportTests(TestCase):
     async def test_calls_and_watches_over_sockets(self):
         standin = PlatformStandin(reactor)
@@ -256,22 +276,16 @@
         TimerService(system)
         url = f"http://127.0.0.1:{port}"
         StoreClient(system, HttpTransport(reactor, url, "north"))
-        changed = Deferred()
-        recorder = Recorder(system, "seen", WatchChanged, StoreStatus)
-        ready = Deferred()
-        recorder._handlers_by_type[StoreStatus] = lambda m: (
-            m.available and ready.callback(None)
-        )
-        recorder._handlers_by_type[WatchChanged] = changed.callback
+        first = FirstMessages(system, "seen")
         system.start()
         self.addCleanup(lambda: Deferred.fromCoroutine(system.stop()))
         system.tell(STORE, SubscribeStoreStatus("seen"))
-        await ready
+        await first.ready
         system.tell(STORE, WatchPrefix("seen", "/w/", 1))
         large = "x" * 900_000
         await system.ask(STORE, Transact((), (PutKey("/w/1", large),)))
         change = KeyChange("/w/1", large, 2)
-        self.assertEqual(await changed, WatchChanged("/w/", (change,), 2))
+        self.assertEqual(await first.changed, WatchChanged("/w/", (change,), 2))
         standin.service.set_faults(b'{"lost_replies": 1}')
         with self.assertRaises(OutcomeUnknownError):
             await system.ask(STORE, Transact((), (PutKey("/w/2", "1"),)))
