--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -107,9 +107,28 @@
 
     @abc.abstractmethod
     def reclaim(
-        self, spec: JobSpec, fleet: Fleet, guarantees: GuaranteeBook
+        self,
+        spec: JobSpec,
+        fleet: Fleet,
+        guarantees: GuaranteeBook,
+        avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
-        """Return a plan within the organisation's own cells, or None."""
+        """Return a plan within the organisation's own cells, or None.
+
+        Args:
+            spec: The job that is within its organisation's guarantee.
+            fleet: Workers and what is held on them.
+            guarantees: The cells.
+            avoid: Workers that must not be used, such as those on which
+                borrowers are being stopped for another job.
+        """
+
+
+class QueueSize(NamedTuple):
+    """Queued jobs in total and of one organisation and class."""
+
+    total: int
+    of_group: int
 
 
 class AdmissionPolicy(abc.ABC):
@@ -119,11 +138,14 @@
     def admit(
         self,
         spec: JobSpec,
-        queued: list[QueuedJob],
+        queued: QueueSize,
         fleet: Fleet,
         configuration: Configuration,
     ) -> Refusal | None:
-        """Return None to accept the job, or why it is refused."""
+        """Return None to accept the job, or why it is refused.
+
+        The fleet is empty until it is known after a change of the owner.
+        """
 
 
 class HealthPolicy(abc.ABC):
@@ -158,3 +180,32 @@
     reclaim: ReclaimPolicy
     admission: AdmissionPolicy
     health: HealthPolicy
+
+
+def slack_policies() -> PolicySet:
+    """Return the shipped policies, with nothing learned yet."""
+    from ._placement import BestFitPlacement, CellReclaim
+    from ._slack_policy import SlackAdmission, SlackOrder, StreakHealth
+
+    return PolicySet(
+        SlackOrder(),
+        BestFitPlacement(),
+        CellReclaim(),
+        SlackAdmission(),
+        StreakHealth(),
+    )
+
+
+def fcfs_policies() -> PolicySet:
+    """Return the baseline: first come first served, first fit."""
+    from ._fcfs_policy import (
+        FcfsOrder,
+        FirstFitPlacement,
+        NoHealth,
+        NoReclaim,
+        TotalAdmission,
+    )
+
+    return PolicySet(
+        FcfsOrder(), FirstFitPlacement(), NoReclaim(), TotalAdmission(), NoHealth()
+    )
