--- a/src/redwingrudder/_domain_choice.py
+++ b/src/redwingrudder/_domain_choice.py
@@ -5,6 +5,9 @@
 
 from .model import Configuration, JobSpec
 
+LONG_QUEUE_FACTOR = 2  # over the shortest queue
+LONG_QUEUE_SLACK = 8  # jobs
+
 
 class DomainLoad(NamedTuple):
     """What is known of a failure domain.
@@ -46,7 +49,9 @@
 
     When no domain has room now, the job waits where its organisation holds a
     guaranteed shape of that size, because only there it can be reclaimed;
-    without one it waits in the own domain, or in the shortest queue.
+    without one it waits in the own domain. A domain whose queue is far longer
+    than the shortest one is passed over, because an organisation that floods
+    would otherwise wait in one domain while the others are idle.
     """
 
     def choose(
@@ -61,8 +66,11 @@
         if not reachable:
             return None
         cells = _cells_by_domain(spec, configuration)
+        shortest = min(load.queued_jobs or 0 for load in reachable)
+        limit = LONG_QUEUE_FACTOR * shortest + LONG_QUEUE_SLACK
         best = min(
-            reachable, key=lambda load: self._rank(load, spec, own_domain, cells)
+            reachable,
+            key=lambda load: self._rank(load, spec, own_domain, cells, limit),
         )
         return best.failure_domain
 
@@ -72,7 +80,8 @@
         spec: JobSpec,
         own_domain: str,
         cells: dict[str, int],
-    ) -> tuple[int, int, int, int, str]:
+        queue_limit: int,
+    ) -> tuple[int, int, int, int, int, str]:
         """Return the sort key of a domain, best first."""
         own = load.failure_domain == own_domain
         free = load.largest_free_gang
@@ -80,10 +89,11 @@
         fits = own if free is None else free >= spec.accelerators
         if fits:
             stage = 0 if own else 1
-            return stage, 0, -(free or 0), 0, load.failure_domain
+            return stage, 0, -(free or 0), 0, 0, load.failure_domain
         queued = load.queued_jobs or 0
-        copies = cells.get(load.failure_domain, 0)
-        return 2, int(copies == 0), int(not own), queued, load.failure_domain
+        long = int(queued > queue_limit)
+        no_cell = int(load.failure_domain not in cells)
+        return 2, long, no_cell, int(not own), queued, load.failure_domain
 
 
 def _cells_by_domain(
--- a/src/redwingrudder/settings.py
+++ b/src/redwingrudder/settings.py
@@ -184,12 +184,15 @@
 
 
 def read_kind(path: str) -> str:
-    """Return the ``kind`` that a file declares, or an empty string."""
+    """Return ``node``, ``deployment`` or ``configuration``, or "" if unclear."""
     try:
         document = parse_document(read_file(path), _ANY, path)
     except InvalidDocumentError as error:
         raise _settings_error(path, error.problems) from None
-    kind = document.get("kind") if isinstance(document, dict) else None
+    if not isinstance(document, dict):
+        return ""
+    # The operators' document has a format version instead of a kind.
+    kind = "configuration" if "format_version" in document else document.get("kind")
     return kind if isinstance(kind, str) else ""
 
 
