Answer for all failure domains and share the drain

GET /v1/status of any node now answers for every failure domain and names those that cannot be reached, because operators do not know which node owns what. A submission that was accepted keeps its answer when the wait after it fails.

--- a/src/redwingrudder/_domain_directory.py
+++ b/src/redwingrudder/_domain_directory.py
@@ -74,14 +74,16 @@
         """Whether the domain exists, as far as this node can tell."""
         if not self._member_domains:
             return True
-        return domain in self._member_domains or domain in self._domains()
+        return domain in self.domains()
+
+    def domains(self) -> tuple[str, ...]:
+        """Return the names of all known domains."""
+        known = {self.own_domain, *self._owners_by_domain, *self._member_domains}
+        return tuple(sorted(known))
 
     def loads(self) -> tuple[DomainLoad, ...]:
         """Return what is known of every domain."""
-        return tuple(self._load(domain) for domain in sorted(self._domains()))
-
-    def _domains(self) -> set[str]:
-        return {self.own_domain, *self._owners_by_domain, *self._loads_by_domain}
+        return tuple(self._load(domain) for domain in self.domains())
 
     def _load(self, domain: str) -> DomainLoad:
         report = self._loads_by_domain.get(domain)
--- a/src/redwingrudder/_http_resources.py
+++ b/src/redwingrudder/_http_resources.py
@@ -20,6 +20,7 @@
     MethodNotAllowedError,
     NotFoundError,
     PreconditionRequiredError,
+    RedwingrudderError,
 )
 from .model import FINAL_JOB_STATES, CellAssignment, Configuration, JobView
 
@@ -41,19 +42,22 @@
     correlation_id: str
 
 
-class JobViewBody(TypedDict):
-    """``model.JobView`` as JSON."""
-
-    job_id: str
-    organisation: str
-    job_class: str
-    state: str
-    reason: str
-    durable: bool
-    target_missed: bool
-    submitted_at: float
-    finished_at: float | None
-    results: list[str]
+# "class" is a keyword, hence the functional form.
+JobViewBody = TypedDict(
+    "JobViewBody",
+    {
+        "job_id": str,
+        "organisation": str,
+        "class": str,
+        "state": str,
+        "reason": str,
+        "durable": bool,
+        "target_missed": bool,
+        "submitted_at": float,
+        "finished_at": float | None,
+        "results": list[str],
+    },
+)
 
 
 class ConfigurationBody(TypedDict):
@@ -113,10 +117,17 @@
         submission = requests.SubmitJob(spec, call.correlation_id)
         view = await self._ask(requests.ROUTER, submission)
         if wait_s > 0 and view.state not in FINAL_JOB_STATES:
-            poll = requests.PollJob(view.job_id, wait_s)
-            view = await self._ask(requests.ROUTER, poll)
+            view = await self._wait(view, wait_s)
         return _view_answer(view)
 
+    async def _wait(self, accepted: JobView, wait_s: float) -> JobView:
+        """Wait for an accepted job; its id reaches the caller anyhow."""
+        poll = requests.PollJob(accepted.job_id, wait_s)
+        try:
+            return await self._ask(requests.ROUTER, poll)
+        except RedwingrudderError:
+            return accepted
+
     async def _poll(self, call: Call) -> Answer:
         poll = requests.PollJob(_job_id(call), _wait_s(call))
         return _view_answer(await self._ask(requests.ROUTER, poll))
@@ -130,7 +141,8 @@
         return _json_answer(await self._ask(requests.ROUTER, question))
 
     async def _status(self, call: Call) -> Answer:
-        return _json_answer(await self._ask(requests.ROUTER, requests.GetStatus()))
+        question = requests.GetDeploymentStatus()
+        return _json_answer(await self._ask(requests.ROUTER, question))
 
     async def _get_configuration(self, call: Call) -> Answer:
         message = requests.GetConfiguration()
@@ -192,7 +204,7 @@
     body: JobViewBody = {
         "job_id": view.job_id,
         "organisation": view.organisation,
-        "job_class": view.job_class,
+        "class": view.job_class,
         "state": str(view.state),
         "reason": view.reason,
         "durable": view.durable,
--- a/src/redwingrudder/_peer_handler.py
+++ b/src/redwingrudder/_peer_handler.py
@@ -7,6 +7,7 @@
 from zope.interface import implementer
 
 from . import requests
+from ._drain import DrainGate
 from ._json_values import to_json
 from ._peer_codec import (
     decode_report,
@@ -54,7 +55,7 @@
     def __init__(self, ask: Ask, exchange: ReportHandler) -> None:
         self._ask = ask
         self._exchange = exchange
-        self._calls_in_progress = 0
+        self._gate = DrainGate()
 
     def submit(self, spec: WireJobSpec, correlation_id: str) -> Deferred:
         """See ``requests.SubmitJob``."""
@@ -84,8 +85,12 @@
         """Return the configuration as JSON, or "" when it is not newer."""
         return self._serve(self._configuration(above_version))
 
+    def drain(self) -> Deferred:
+        """Return a Deferred that fires when no call is in progress."""
+        return self._gate.drain()
+
     def _serve(self, answering: Awaitable[Any]) -> Deferred:
-        if self._calls_in_progress >= SERVED_CALLS_LIMIT:
+        if self._gate.in_progress >= SERVED_CALLS_LIMIT:
             answering.close()
             error = OverloadedError(
                 "too many calls of other nodes are in progress",
@@ -95,13 +100,13 @@
         return ensureDeferred(self._guarded(answering))
 
     async def _guarded(self, answering: Awaitable[Any]) -> Any:
-        self._calls_in_progress += 1
+        self._gate.enter()
         try:
             return await answering
         except RedwingrudderError as error:
             raise encode_error(error) from None
         finally:
-            self._calls_in_progress -= 1
+            self._gate.leave()
 
     async def _submit(self, spec: WireJobSpec, correlation_id: str) -> WireJobView:
         submission = requests.SubmitJob(decode_spec(spec), correlation_id or "")
--- a/src/redwingrudder/_peer_link.py
+++ b/src/redwingrudder/_peer_link.py
@@ -149,14 +149,13 @@
 
     def _connect(self, _: object) -> None:
         host, _, port = self.address.rpartition(":")
-        protocol = PeerClientProtocol(self._seconds, self._lost)
-        try:
-            endpoint = TCP4ClientEndpoint(
-                self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
-            )
-        except ValueError:
-            self._step("connect_failed", f"no valid address: {self.address!r}")
+        if not host or not port.isascii() or not port.isdecimal() or len(port) > 5:
+            self._step("connect_failed", "the address is no host:port")
             return
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        protocol = PeerClientProtocol(self._seconds, self._lost)
         self._connecting = connectProtocol(endpoint, protocol)
         self._connecting.addCallbacks(self._connected, self._connect_failed)
 
--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -15,6 +15,7 @@
 from twisted.python.failure import Failure
 
 from . import requests
+from ._drain import DrainGate
 from ._http_resources import Call, Resources
 from ._http_server import ApiSite, BoundedConnections, LimitedRequest
 from ._problems import Answer, internal_problem, problem_answer
@@ -22,18 +23,12 @@
 from .exceptions import RedwingrudderError, UnavailableError
 from .messages import ConfigurationChanged
 from .metrics import NodeMetrics
-from .statecharts import load_chart
 
 LISTEN_BACKLOG = 1_024  # connections that the kernel holds for accept
 REQUESTS_LIMIT = 10_000  # requests in progress
 OVERLOAD_RETRY_S = 1.0
 
 _CORRELATION_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
-_CHART = load_chart(
-    "drain",
-    frozenset({"drain_while_busy", "drain_while_idle", "last_request_ended"}),
-    frozenset({"report_drained"}),
-)
 _logger = logging.getLogger(__name__)
 
 
@@ -59,11 +54,10 @@
         self._settings = settings
         self._metrics = metrics
         self._resources = Resources(system.ask)
-        self._state = _CHART.initial
+        self._gate = DrainGate()
         self._configured = False
         self._asks_outstanding = 0
         self._live_requests: set[LimitedRequest] = set()
-        self._drain_waiters: list[Deferred] = []
         self._port: IListeningPort | None = None
         self.site = ApiSite(self._respond, _correlation_id, reactor)
         self._connections = BoundedConnections(self.site)
@@ -102,19 +96,7 @@
         self._metrics.set_configuration(message.configuration)
 
     def _drain(self, message: requests.Drain) -> Deferred:
-        waiter: Deferred = Deferred()
-        self._drain_waiters.append(waiter)
-        busy = bool(self._live_requests)
-        self._step("drain_while_busy" if busy else "drain_while_idle")
-        return waiter
-
-    def _step(self, event: str) -> None:
-        transition = _CHART.step(self._state, event)
-        self._state = transition.target
-        if "report_drained" in transition.actions:
-            waiters, self._drain_waiters = self._drain_waiters, []
-            for waiter in waiters:
-                waiter.callback(None)
+        return self._gate.drain()
 
     def _respond(self, request: LimitedRequest) -> None:
         """Answer a request of the site; never raises."""
@@ -147,7 +129,7 @@
         return None
 
     def _not_ready(self) -> RedwingrudderError | None:
-        if self._state != _CHART.initial:
+        if self._gate.is_draining:
             return UnavailableError("the node is shutting down", code="draining")
         if not self._configured:
             return UnavailableError(
@@ -158,11 +140,12 @@
     def _begin(self, request: LimitedRequest, correlation_id: str) -> None:
         self._asks_outstanding += 1
         self._live_requests.add(request)
+        self._gate.enter()
         # The request also ends when the caller disconnects; what was asked
         # for goes on, because a job outlives the connection of its caller.
         request.notifyFinish().addBoth(self._request_ended, request)
         answering = ensureDeferred(self._answer(request, correlation_id))
-        answering.addErrback(_log_unexpected, correlation_id)
+        answering.addErrback(self._log_unexpected, correlation_id)
         answering.addCallback(self._answered, request)
 
     async def _answer(self, request: LimitedRequest, correlation_id: str) -> Answer:
@@ -177,21 +160,32 @@
                 )
             return problem_answer(error, correlation_id)
 
+    def _log_unexpected(self, failure: Failure, correlation_id: str) -> Answer:
+        _logger.error(
+            "request failed unexpectedly",
+            extra={
+                "correlation_id": correlation_id,
+                "error": repr(failure.value),
+                "traceback": failure.getTraceback(),
+            },
+        )
+        self._metrics.count_refusal(RedwingrudderError.code)
+        return internal_problem(correlation_id)
+
     def _answered(self, answer: Answer, request: LimitedRequest) -> None:
         self._asks_outstanding -= 1
         if request in self._live_requests:
             self._write(request, answer)
 
     def _write(self, request: LimitedRequest, answer: Answer) -> None:
-        if self._state != _CHART.initial:
+        if self._gate.is_draining:
             request.setHeader(b"Connection", b"close")
             request.channel.persistent = False
         request.write_answer(answer)
 
     def _request_ended(self, _: object, request: LimitedRequest) -> None:
         self._live_requests.discard(request)
-        if not self._live_requests:
-            self._step("last_request_ended")
+        self._gate.leave()
 
 
 def _correlation_id(request: LimitedRequest) -> str:
@@ -223,18 +217,6 @@
     )
 
 
-def _log_unexpected(failure: Failure, correlation_id: str) -> Answer:
-    _logger.error(
-        "request failed unexpectedly",
-        extra={
-            "correlation_id": correlation_id,
-            "error": repr(failure.value),
-            "traceback": failure.getTraceback(),
-        },
-    )
-    return internal_problem(correlation_id)
-
-
 def _overloaded() -> RedwingrudderError:
     return UnavailableError(
         "too many requests are in progress at this node",
--- a/src/redwingrudder/peers.py
+++ b/src/redwingrudder/peers.py
@@ -75,8 +75,8 @@
         self._local = _first_report(settings)
         self._behind_since: float | None = None
         self._newer: requests.PeerReport | None = None
-        handler = PeerHandler(system.ask, self._exchanged)
-        self.server = PeerServerFactory(handler, system.clock.seconds)
+        self._handler = PeerHandler(system.ask, self._exchanged)
+        self.server = PeerServerFactory(self._handler, system.clock.seconds)
         super().__init__(system, requests.PEERS)
 
     def handlers(self) -> dict[type, Handler]:
@@ -184,8 +184,9 @@
             self._local = self._local._replace(**load._asdict())
             self._inform((requests.ROUTER,), self._local)
 
-    def _drain(self, message: requests.Drain) -> None:
+    def _drain(self, message: requests.Drain) -> Deferred:
         self._local = self._local._replace(draining=True)
+        return self._handler.drain()
 
     def _configuration_changed(self, message: ConfigurationChanged) -> None:
         version = message.configuration.version
--- a/src/redwingrudder/requests.py
+++ b/src/redwingrudder/requests.py
@@ -109,6 +109,17 @@
     shortages: tuple[GuaranteeShortage, ...]
 
 
+class GetDeploymentStatus(NamedTuple):
+    """Ask of ROUTER -> ``DeploymentStatus``."""
+
+
+class DeploymentStatus(NamedTuple):
+    """The failure domains whose owners answered, and the others' names."""
+
+    failure_domains: tuple[DomainStatus, ...]
+    unreachable: tuple[str, ...]
+
+
 class AskPeer(NamedTuple):
     """Ask of PEERS -> the reply of ``request`` at the node's dispatcher.
 
--- a/src/redwingrudder/router.py
+++ b/src/redwingrudder/router.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable
 from typing import Any, NamedTuple
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
 
 from . import requests
 from ._domain_choice import DomainChoice, DomainLoad, FreeGangChoice
@@ -30,6 +30,7 @@
 
 # An owner is replaced within 5 s; the rest covers one more try.
 PATIENCE_S = 8.0
+STATUS_PATIENCE_S = 1.0
 FIRST_RETRY_S = 0.1
 RETRY_LIMIT_S = 1.0
 ATTEMPTS_LIMIT = 16
@@ -92,7 +93,13 @@
 class _Forward:
     """One request and what has become of its tries so far."""
 
-    def __init__(self, request: Request, domain: str | None, now: float) -> None:
+    def __init__(
+        self,
+        request: Request,
+        domain: str | None,
+        now: float,
+        patience_s: float = PATIENCE_S,
+    ) -> None:
         self.request = request
         self.domain = domain
         self.state = _CHART.initial if domain is None else _PINNED
@@ -101,7 +108,7 @@
         self.last_event = ""
         wait_s = request.wait_s if isinstance(request, requests.PollJob) else 0.0
         self.poll_until = now + wait_s
-        self.deadline = now + max(wait_s, PATIENCE_S)
+        self.deadline = now + max(wait_s, patience_s)
 
     def release_domain(self) -> None:
         """Prefer other domains for the next try."""
@@ -141,6 +148,7 @@
             requests.CancelJob: self._ask_for_job,
             requests.ExplainJob: self._ask_for_job,
             requests.GetStatus: self._get_status,
+            requests.GetDeploymentStatus: self._get_deployment_status,
             requests.OwnershipGained: self._own,
             requests.EpochRaised: self._own,
             requests.OwnershipEnded: self._disown,
@@ -180,6 +188,27 @@
         domain = self._directory.own_domain
         return self._forward(_Forward(message, domain, self._now()))
 
+    async def _get_deployment_status(
+        self, message: requests.GetDeploymentStatus
+    ) -> requests.DeploymentStatus:
+        domains = self._directory.domains()
+        results = await DeferredList(
+            [ensureDeferred(self._domain_status(domain)) for domain in domains],
+            consumeErrors=True,
+        )
+        return requests.DeploymentStatus(
+            tuple(status for answered, status in results if answered),
+            tuple(
+                domain
+                for domain, (answered, _) in zip(domains, results, strict=True)
+                if not answered
+            ),
+        )
+
+    def _domain_status(self, domain: str) -> Awaitable[requests.DomainStatus]:
+        question = requests.GetStatus()
+        return self._forward(_Forward(question, domain, self._now(), STATUS_PATIENCE_S))
+
     async def _forward(self, forward: _Forward) -> Any:
         while True:
             outcome = await self._attempt(forward)
