Exchange once for each pair of nodes

Two nodes that exchange with each other both asked, which doubled that traffic without new knowledge. A node now leaves out a peer that it heard in the last half interval.

--- a/src/redwingrudder/_peer_plan.py
+++ b/src/redwingrudder/_peer_plan.py
@@ -103,9 +103,10 @@
             chosen.update(
                 (peer.node_id, peer) for peer in self._remote_peers(domain, now)
             )
-        for node_id in chosen:
-            self._note_asked(node_id, now)
-        return tuple(sorted({peer.address for peer in chosen.values()}))
+        asked = [peer for peer in chosen.values() if not self._has_asked(peer, now)]
+        for peer in asked:
+            self._note_asked(peer.node_id, now)
+        return tuple(sorted({peer.address for peer in asked}))
 
     def silent(self, now: float) -> tuple[SilentPeer, ...]:
         """Return the peers that are being asked and do not answer."""
@@ -119,6 +120,11 @@
                 found.append(SilentPeer(node_id, peer.failure_domain, silent_s))
         return tuple(found)
 
+    def _has_asked(self, peer: _Peer, now: float) -> bool:
+        """Whether the peer itself exchanged just now; one side is enough."""
+        heard = self._heard_by_id.get(peer.node_id)
+        return heard is not None and now - heard < EXCHANGE_INTERVAL_S / 2
+
     def _note_asked(self, node_id: str, now: float) -> None:
         self._asked_by_id[node_id] = now
         heard = self._heard_by_id.get(node_id, 0.0)
