--- a/src/redwingrudder/_peer_link.py
+++ b/src/redwingrudder/_peer_link.py
@@ -63,6 +63,7 @@
         self.call = call
         self.deadline = now + call.timeout_s
         self.sent_at: float | None = None
+        self.sequence = 0
         self.reply: Deferred = Deferred()
 
 
@@ -179,8 +180,9 @@
 
     def _send(self, outstanding: _Outstanding) -> None:
         outstanding.sent_at = self._seconds()
-        method = getattr(self._connection.client, outstanding.call.method)
-        reply = method(*outstanding.call.arguments)
+        client = self._connection.client
+        reply = getattr(client, outstanding.call.method)(*outstanding.call.arguments)
+        outstanding.sequence = client._seqid
         reply.addBoth(self._replied, outstanding)
 
     def _replied(self, result: Any, outstanding: _Outstanding) -> None:
@@ -248,10 +250,13 @@
             connection.transport.abortConnection()
 
     def _settle(self, outstanding: _Outstanding, result: Any) -> None:
-        if outstanding in self._outstanding:
-            self._outstanding.discard(outstanding)
-            self._outstanding_bytes -= outstanding.call.size
-            outstanding.reply.callback(result)
+        if outstanding not in self._outstanding:
+            return
+        self._outstanding.discard(outstanding)
+        self._outstanding_bytes -= outstanding.call.size
+        if self._connection is not None:
+            self._connection.forget(outstanding.sequence)
+        outstanding.reply.callback(result)
 
     def _outcome_unknown(self) -> OutcomeUnknownError:
         return OutcomeUnknownError(f"{self.address} gave no answer to a call sent")
--- a/src/redwingrudder/_peer_wire.py
+++ b/src/redwingrudder/_peer_wire.py
@@ -193,6 +193,11 @@
         except Exception as error:
             self._close("bad_frame", repr(error))
 
+    def forget(self, sequence: int) -> None:
+        """Drop a call whose reply is no longer awaited."""
+        if self.client is not None:
+            self.client._reqs.pop(sequence, None)
+
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """See base class."""
         self._close("frame_too_large", f"{length} bytes, {FRAME_LIMIT_BYTES} allowed")
--- a/src/redwingrudder/router.py
+++ b/src/redwingrudder/router.py
@@ -16,6 +16,7 @@
 from .actors import Actor, ActorSystem, Handler
 from .exceptions import (
     ConflictError,
+    MailboxFullError,
     NotFoundError,
     OutcomeUnknownError,
     OverloadedError,
@@ -247,11 +248,14 @@
         late = self._now() + delay_s > forward.deadline
         if late or forward.attempts >= ATTEMPTS_LIMIT:
             self._step(forward, _Outcome("deadline"))
-        waiting: Deferred = Deferred()
         self._timers_started += 1
         timer = f"retry-{self._timers_started}"
-        self._waiting_by_timer[timer] = waiting
-        self.tell(TIMERS, Subscribe(self.name, timer, delay_s))
+        try:
+            self.tell(TIMERS, Subscribe(self.name, timer, delay_s))
+        except MailboxFullError:
+            # An earlier try may have succeeded, so overload is no answer.
+            self._step(forward, _Outcome("deadline"))
+        waiting = self._waiting_by_timer[timer] = Deferred()
         await waiting
 
     def _timer_fired(self, event: TimerFired) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -188,6 +188,19 @@
         await pause(0.05)
         self.assertEqual(link._state, "closed")
 
+    async def test_late_reply_is_dropped_and_the_connection_stays(self):
+        late = defer.Deferred()
+        self.two.dispatcher.script = [late]
+        ask = self.one.ask(self.two.address, POLL)
+        await pause(0.05)
+        link = self.one.peers._links_by_address[self.two.address]
+        link._connection.last_received = self.one.system.clock.seconds() + 1.0
+        link.sweep(self.one.system.clock.seconds() + 60.0)
+        await self.assertFailure(ask, exceptions.OutcomeUnknownError)
+        late.callback(VIEW._replace(job_id="d1-late"))
+        self.assertEqual(await self.one.ask(self.two.address, POLL), VIEW)
+        self.assertEqual(len(self.two.peers.server.connections), 1)
+
     async def test_new_owner_ends_the_calls_to_the_old_one(self):
         address = self.listen(Raw)
         self.one.tell(requests.OwnerChanged("d1", "n9", address, Epoch(1, 0, 9)))
