--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -13,9 +13,9 @@
 from .exceptions import (
     OutcomeUnknownError,
     ResultExpiredError,
-    StoreUnavailableError,
+    UnavailableError,
 )
-from .model import Epoch, JobSpec, JobState, JobView
+from .model import JobSpec, JobState, JobView
 
 RESULT_RETENTION_S = 600.0  # as long as workers keep results
 ANSWERS_LIMIT = 20_000  # final answers kept in memory
@@ -31,12 +31,14 @@
 
     ``published``: callers may be told the answer. ``safe``: workers may
     drop the results. ``recorded``: a job accepted without a record has one.
+    ``contested``: another owner has changed the record of a queued job.
     ``retry_later``: call ``write_all`` after a while.
     """
 
     published: Callable[[str], None]
     safe: Callable[[str], None]
     recorded: Callable[[str], None]
+    contested: Callable[[StoredRecord], None]
     retry_later: Callable[[], None]
 
 
@@ -112,6 +114,11 @@
             )
         return entry.answer._replace(durable=self.durable(job_id))
 
+    def unpublished(self, job_id: str) -> JobView | None:
+        """Return the answer that may not be told before it is recorded."""
+        entry = self._entries_by_job.get(job_id)
+        return None if entry is None or entry.published else entry.answer
+
     def is_pending(self, job_id: str) -> bool:
         """Whether the answer of a job exists only here and at its workers."""
         entry = self._entries_by_job.get(job_id)
@@ -139,7 +146,7 @@
         job_id = body["job_id"]
         known = self._entries_by_job.get(job_id)
         newer = known is not None and (known.mod_revision or 0) >= record.mod_revision
-        if newer or self.has_ended(job_id):
+        if newer or self.has_ended(job_id) or job_id in self._writing:
             return
         self._unwritten.pop(job_id, None)
         entry = _Entry(body, record.mod_revision, True, True)
@@ -158,7 +165,7 @@
         self._unwritten[job_id] = None
         self._callbacks.retry_later()
 
-    async def record_start(self, job_id: str, gang_id: str, epoch: Epoch) -> str:
+    async def record_start(self, job_id: str, gang_id: str) -> str:
         """Record that a job is about to start.
 
         Returns:
@@ -167,11 +174,11 @@
         entry = self._entries_by_job.get(job_id)
         if entry is None or not entry.stored or self._is_blocked(job_id):
             return BUSY
-        body = records.starting_record(entry.body, gang_id, epoch)
+        body = records.starting_record(entry.body, gang_id, self._store.epoch)
         self._writing.add(job_id)
         try:
-            reply = await self._store.save(body, entry.mod_revision)
-        except (OutcomeUnknownError, StoreUnavailableError) as error:
+            reply = await self._store.save(body, entry.mod_revision, entry.body)
+        except UnavailableError as error:
             if isinstance(error, OutcomeUnknownError):
                 self._change(job_id, mod_revision=None)
             return error.code
@@ -181,7 +188,7 @@
                 # The job ended meanwhile.
                 self._callbacks.retry_later()
         if not reply.saved:
-            self._change(job_id, mod_revision=None)
+            self._callbacks.contested(reply.stored)
             return CONFLICT
         self._change(job_id, mod_revision=reply.stored.mod_revision)
         if not self.has_ended(job_id):
@@ -273,7 +280,7 @@
         try:
             body = await self._complete(entry.body)
             reply = await self._store.save(body, entry.mod_revision)
-        except (OutcomeUnknownError, StoreUnavailableError) as error:
+        except UnavailableError as error:
             if isinstance(error, OutcomeUnknownError):
                 self._change(job_id, mod_revision=None, sent=True)
             self._callbacks.retry_later()
@@ -303,17 +310,18 @@
         }
 
     def _take_reply(self, job_id: str, written: _Entry, reply: SaveReply) -> None:
-        entry = self._entries_by_job[job_id]
-        if not reply.saved and not _agrees(entry, reply.stored.body):
-            self._note_conflict(job_id)
+        entry = self._entries_by_job.get(job_id)
+        if entry is None or job_id not in self._unwritten:
+            return
+        body, revision = reply.stored
+        if not reply.saved and not _tells_end(entry, body):
+            self._resolve_conflict(job_id, entry, reply.stored)
             return
-        revision = reply.stored.mod_revision
         if entry.body is not written.body:
             # The job ended while its first record was written.
             self._change(job_id, mod_revision=revision, sent=True)
             self._callbacks.retry_later()
             return
-        body = reply.stored.body
         self._change(job_id, body=body, mod_revision=revision, stored=True, sent=True)
         del self._unwritten[job_id]
         if entry.answer is None:
@@ -325,26 +333,67 @@
             self._change(job_id, answer=records.view_of(body))
         self._settle(job_id)
 
+    def _resolve_conflict(
+        self, job_id: str, entry: _Entry, stored: StoredRecord
+    ) -> None:
+        """Decide about a record that was found in place of the own one."""
+        self._change(job_id, mod_revision=None, sent=True)
+        fields = {"job": job_id, "found": stored.body["job_id"]}
+        if stored.body["job_id"] != job_id:
+            # Another domain accepted the key; this job goes on unrecorded.
+            _logger.error("job record belongs to another job", extra=fields)
+            del self._unwritten[job_id]
+            if self.has_ended(job_id):
+                self._settle(job_id)
+        elif stored.body["nonce"] != entry.body["nonce"]:
+            _logger.warning("job was recorded before", extra=fields)
+            self._join_record(job_id, entry, stored)
+        elif records.epoch_of(stored.body) < self._store.epoch:
+            self._note_start(job_id, entry, stored)
+        else:
+            # A later owner has the job, and only it may tell the answer.
+            _logger.error("job record was changed by another owner", extra=fields)
+            del self._unwritten[job_id]
+
+    def _note_start(self, job_id: str, entry: _Entry, stored: StoredRecord) -> None:
+        """Take note that a previous owner had recorded a start."""
+        del self._unwritten[job_id]
+        if entry.answer is None:
+            self._callbacks.contested(stored)
+            return
+        reason = "start_recorded"
+        answer = entry.answer._replace(state=JobState.INTERRUPTED, reason=reason)
+        body = records.final_record(stored.body, answer)
+        revision = stored.mod_revision
+        self._change(job_id, answer=answer, body=body, mod_revision=revision)
+        self._unwritten[job_id] = None
+        self._callbacks.retry_later()
+
+    def _join_record(self, job_id: str, entry: _Entry, stored: StoredRecord) -> None:
+        """Go on with the record that a previous owner made of the same job."""
+        if entry.answer is not None:
+            nonce = stored.body["nonce"]
+            self._change(job_id, body={**entry.body, "nonce": nonce})
+            self._callbacks.retry_later()
+            return
+        del self._unwritten[job_id]
+        if not records.is_final(stored.body):
+            body, revision = stored
+            self._change(job_id, body=body, mod_revision=revision, stored=True)
+            self._callbacks.recorded(job_id)
+
     def _settle(self, job_id: str) -> None:
         self._publish(job_id)
         if self._entries_by_job[job_id].body["results_kept"]:
             self._callbacks.safe(job_id)
 
-    def _note_conflict(self, job_id: str) -> None:
-        """Another job holds the key; this one goes on without a record."""
-        _logger.error("job record belongs to another job", extra={"job": job_id})
-        del self._unwritten[job_id]
-        self._change(job_id, mod_revision=None, sent=True)
-        if self.has_ended(job_id):
-            self._settle(job_id)
-
     def _change(self, job_id: str, **changes: object) -> None:
         entry = self._entries_by_job.get(job_id)
         if entry is not None:
             self._entries_by_job[job_id] = entry._replace(**changes)
 
 
-def _agrees(entry: _Entry, stored: JobRecordBody) -> bool:
+def _tells_end(entry: _Entry, stored: JobRecordBody) -> bool:
     """Whether the stored record already tells the end of the same job."""
     same = stored["job_id"] == entry.body["job_id"]
     return same and entry.answer is not None and records.is_final(stored)
--- a/src/redwingrudder/_job_records.py
+++ b/src/redwingrudder/_job_records.py
@@ -124,6 +124,11 @@
     return body["state"] in _FINAL_STATES
 
 
+def epoch_of(body: JobRecordBody) -> Epoch:
+    """Return the epoch of the recorded start, the lowest one if none."""
+    return Epoch(*body["epoch"]) if body["epoch"] else Epoch(0, 0, 0)
+
+
 def spec_of(body: JobRecordBody) -> JobSpec:
     """Return the job of a record."""
     return spec_from_body(body["spec"])
--- a/src/redwingrudder/_job_store.py
+++ b/src/redwingrudder/_job_store.py
@@ -6,21 +6,26 @@
 from ._job_records import (
     JOBS_PREFIX,
     OPEN,
+    STARTING,
     JobRecordBody,
     StoredRecord,
     decode_record,
     encode_record,
+    epoch_of,
     is_final,
     record_key,
     spec_of,
 )
+from ._ownership_record import OWNER_PREFIX
+from ._ownership_record import decode_record as decode_record_of_owner
 from .actors import ActorSystem
 from .exceptions import (
     OutcomeUnknownError,
     OverloadedError,
     StoreUnavailableError,
+    UnavailableError,
 )
-from .model import Epoch
+from .model import Epoch, JobState
 from .requests import (
     STORE,
     Compare,
@@ -29,8 +34,11 @@
     GetPrefix,
     PutKey,
     Transact,
+    TransactReply,
 )
 
+_GUARDED_STATES = frozenset({OPEN, STARTING, JobState.NOT_RUN.value})
+
 SAVE_ROUNDS = 4  # writes of one record before its outcome is given up
 
 _logger = logging.getLogger(__name__)
@@ -51,12 +59,36 @@
 
 
 class JobStore:
-    """Job records; a lost reply of a write is resolved by reading."""
+    """Job records of one owner; lost replies are resolved by reading.
 
-    def __init__(self, system: ActorSystem) -> None:
-        self._system = system
+    Writes that a successor could not know of hold only while the owner
+    record names this owner's epoch: a successor reads the job records after
+    it has taken the owner record.
+
+    Args:
+        system: Actors of the node.
+        failure_domain: Domain of the owner.
+        epoch: Epoch of the owner; changed when it is raised.
+    """
 
-    async def load(self, failure_domain: str) -> list[StoredRecord]:
+    def __init__(self, system: ActorSystem, failure_domain: str, epoch: Epoch) -> None:
+        self._system = system
+        self._owner_key = f"{OWNER_PREFIX}{failure_domain}"
+        self._failure_domain = failure_domain
+        self._epoch = epoch
+        self._owner_revision: int | None = None
+
+    @property
+    def epoch(self) -> Epoch:
+        """Epoch of the owner."""
+        return self._epoch
+
+    @epoch.setter
+    def epoch(self, epoch: Epoch) -> None:
+        self._epoch = epoch
+        self._owner_revision = None
+
+    async def load(self) -> list[StoredRecord]:
         """Return all records of a failure domain.
 
         Raises:
@@ -68,7 +100,7 @@
             body = decode_record(pair.value)
             if body is None:
                 _logger.error("malformed job record", extra={"key": pair.key})
-            elif body["domain"] == failure_domain:
+            elif body["domain"] == self._failure_domain:
                 records.append(StoredRecord(body, pair.mod_revision))
         return records
 
@@ -86,27 +118,36 @@
             raise StoreUnavailableError(f"malformed job record at {key}")
         return StoredRecord(body, pair.mod_revision)
 
-    async def save(self, body: JobRecordBody, mod_revision: int | None) -> SaveReply:
+    async def save(
+        self,
+        body: JobRecordBody,
+        mod_revision: int | None,
+        known: JobRecordBody | None = None,
+    ) -> SaveReply:
         """Write a record over the revision that is known, None if unknown.
 
+        Args:
+            body: The record to write.
+            mod_revision: Revision that it replaces, 0 for a new record.
+            known: A record that it may replace at any revision.
+
         Raises:
             StoreUnavailableError: Nothing was written.
             OutcomeUnknownError: A write was sent and cannot be resolved.
+            UnavailableError: ``not_owner``; a successor has the domain.
         """
-        key = record_key(spec_of(body))
         sent = False
         for _ in range(SAVE_ROUNDS):
             try:
                 if mod_revision is None:
-                    stored = await self.read(key)
+                    stored = await self.read(record_key(spec_of(body)))
                     if stored is not None and stored.body == body:
                         return SaveReply(True, stored)
-                    if stored is not None and not _replaces(body, stored.body):
+                    free = stored is None or stored.body == known
+                    if not free and not _replaces(body, stored.body):
                         return SaveReply(False, stored)
                     mod_revision = stored.mod_revision if stored else 0
-                compare = Compare(key, mod_revision)
-                put = PutKey(key, encode_record(body))
-                reply = await self._ask(Transact((compare,), (put,)))
+                reply = await self._write(body, mod_revision)
                 if reply.succeeded:
                     return SaveReply(True, StoredRecord(body, reply.revision))
             except OutcomeUnknownError:
@@ -116,7 +157,8 @@
                     raise OutcomeUnknownError(error.detail) from error
                 raise
             mod_revision = None
-        raise OutcomeUnknownError(f"the write of {key} cannot be resolved")
+            self._owner_revision = None
+        raise OutcomeUnknownError("the write of a job record cannot be resolved")
 
     async def delete(self, records: list[ExpiredRecord]) -> bool:
         """Delete records in one transaction; false when one has changed."""
@@ -125,6 +167,26 @@
         reply = await self._ask(Transact(compares, deletions))
         return reply.succeeded
 
+    async def _write(self, body: JobRecordBody, mod_revision: int) -> TransactReply:
+        key = record_key(spec_of(body))
+        compares = (Compare(key, mod_revision),)
+        if body["state"] in _GUARDED_STATES:
+            compares += (await self._owner_compare(),)
+        put = PutKey(key, encode_record(body))
+        return await self._ask(Transact(compares, (put,)))
+
+    async def _owner_compare(self) -> Compare:
+        if self._owner_revision is None:
+            pair = await self._ask(GetKey(self._owner_key))
+            epoch = decode_record_of_owner(pair.value).epoch if pair else None
+            if epoch is not None and epoch > self._epoch:
+                detail = f"the owner record has the epoch {tuple(epoch)}"
+                raise UnavailableError(detail, code="not_owner", retry_after_s=0.5)
+            if epoch != self._epoch:
+                raise StoreUnavailableError("the owner record is not held")
+            self._owner_revision = pair.mod_revision
+        return Compare(self._owner_key, self._owner_revision)
+
     async def _ask(self, request: Any) -> Any:
         try:
             return await self._system.ask(STORE, request)
@@ -136,15 +198,13 @@
     """Whether a record may be written over one of the same key.
 
     A final record stands, and so does one that an owner with a higher epoch
-    has changed.
+    has changed, or a start that another owner recorded.
     """
+    if old["state"] == new["state"] == STARTING and old["epoch"] != new["epoch"]:
+        return False
     return (
         new["nonce"] == old["nonce"]
         and new["state"] != OPEN
         and not is_final(old)
-        and _epoch_of(old) <= _epoch_of(new)
+        and epoch_of(old) <= epoch_of(new)
     )
-
-
-def _epoch_of(body: JobRecordBody) -> Epoch:
-    return Epoch(*body["epoch"]) if body["epoch"] else Epoch(0, 0, 0)
--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_tenure.py
@@ -94,9 +94,14 @@
         self.waiters = JobWaiters(parts.system, DISPATCHER)
         self.roster = WorkerRoster(parts.system, parts.settings, epoch, parts.transport)
         callbacks = LedgerCallbacks(
-            self._published, self._results_safe, self._recorded, self._retry_records
+            self._published,
+            self._results_safe,
+            self._recorded,
+            self._contested,
+            self._retry_records,
         )
-        self.ledger = JobLedger(JobStore(parts.system), self._domain, callbacks)
+        self._store = JobStore(parts.system, self._domain, epoch)
+        self.ledger = JobLedger(self._store, self._domain, callbacks)
         self._loaded = False
         self.closed = False
         self._gate = ReleaseGate(self.ledger.is_pending)
@@ -201,7 +206,10 @@
     def raise_epoch(self, epoch: Epoch) -> None:
         """Go on under a higher epoch."""
         self.epoch = epoch
+        self._store.epoch = epoch
         self.roster.raise_epoch(epoch)
+        # Writes may have waited for the owner record.
+        self._retry_records()
 
     def view(self, job_id: str) -> JobView | None:
         """Return what a caller may be told of a job now, None if unknown.
@@ -212,16 +220,14 @@
         answer = self.ledger.answer(job_id, self.now())
         if answer is not None:
             return answer
-        view = self.scheduler.view(job_id)
-        if view is None:
-            return None
-        view = view._replace(durable=self.ledger.durable(job_id))
-        if view.state in FINAL_JOB_STATES:
+        held_back = self.ledger.unpublished(job_id)
+        if held_back is not None:
             # The end is not recorded yet, so another owner could run the job.
-            return view._replace(
+            return held_back._replace(
                 state=JobState.QUEUED, reason=NOT_RECORDED_YET, finished_at=None
             )
-        return view
+        view = self.scheduler.view(job_id)
+        return view and view._replace(durable=self.ledger.durable(job_id))
 
     def known_view(self, job_id: str) -> JobView:
         """Return what a caller may be told of a job that is recorded.
@@ -261,7 +267,7 @@
 
     async def _load(self) -> None:
         try:
-            stored = await JobStore(self._system).load(self._domain)
+            stored = await self._store.load()
         except StoreUnavailableError:
             self._subscribe(LOAD_TIMER, LOAD_RETRY_S)
             return
@@ -297,6 +303,8 @@
         self.feed(JobSubmitted(job_id, spec, submitted_at, True, started))
 
     def _check_recovery(self) -> None:
+        if self._recovered:
+            return
         if self._loaded and self._members_known and self.roster.settled:
             self._judge_reported()
             self._end_recovery()
@@ -334,9 +342,7 @@
         self.run(self._write_start(effect))
 
     async def _write_start(self, effect: RecordStart) -> None:
-        refusal = await self.ledger.record_start(
-            effect.job_id, effect.gang_id, self.epoch
-        )
+        refusal = await self.ledger.record_start(effect.job_id, effect.gang_id)
         self.feed(StartRecordAnswered(effect.gang_id, not refusal, refusal))
 
     def _job_changed(self, effect: JobChanged) -> None:
@@ -376,6 +382,13 @@
         if job is not None:
             self.feed(JobSubmitted(job_id, job.spec, job.submitted_at, True))
 
+    def _contested(self, record: StoredRecord) -> None:
+        """Another owner ended the job or recorded a start of it."""
+        job_id = record.body["job_id"]
+        self.take_record(record)
+        if not is_final(record.body):
+            self.feed(CancelRequested(job_id))
+
     def _retry_records(self) -> None:
         self._subscribe(RECORDS_TIMER, RECORD_RETRY_S)
 
--- a/src/redwingrudder/_worker_chart.py
+++ b/src/redwingrudder/_worker_chart.py
@@ -12,6 +12,7 @@
         "close",
         "polled",
         "reachable",
+        "probe_due",
         "restarted",
     }
 )
@@ -19,6 +20,7 @@
     {
         "report_claimed",
         "poll",
+        "probe",
         "retry_probe",
         "report_fenced",
         "report_lost",
--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -101,6 +101,7 @@
             "claim": self._claim,
             "report_claimed": self._report_claimed,
             "poll": self._poll,
+            "probe": self._probe,
             "retry_probe": self._retry_probe,
             "report_fenced": self._report_fenced,
             "report_lost": self._report_lost,
@@ -159,7 +160,7 @@
         if self._state in CHART.final_states:
             return
         if fired.timer == _PROBE_TIMER:
-            self._probe()
+            self._step(Signal("probe_due"))
         elif fired.timer == _LAPSE_TIMER:
             self._check_lapse()
         elif fired.timer == _OUTBOX_TIMER:
@@ -186,7 +187,7 @@
         timeout_s = wait_s + self._timeout_s(POLL_MARGIN_S)
         self._call("/v1/poll", request, timeout_s, read_poll)
 
-    def _probe(self) -> None:
+    def _probe(self, _: Signal) -> None:
         self._call(_PROBE_PATH, None, self._timeout_s(CLAIM_TIMEOUT_S), read_probe)
 
     def _call(self, path: str, body: object, timeout_s: float, read: _Read) -> None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -11,6 +11,7 @@
 from redwingrudder import _job_waiters
 from redwingrudder import requests as r
 from redwingrudder._job_records import body_digest, job_id_for, record_key
+from redwingrudder._ownership_record import OwnerRecord, encode_record
 from redwingrudder.actors import ActorSystem
 from redwingrudder.dispatcher import Dispatcher, DispatcherSettings, JobObserver
 from redwingrudder.exceptions import (
@@ -114,6 +115,8 @@
         self.system.tell(r.DISPATCHER, r.MembersChanged(vms))
 
     def own(self, term):
+        owner = OwnerRecord("node", "", Epoch(term, 0, 0), "")
+        self.store.put(f"/owner/{DOMAIN}", encode_record(owner))
         self.system.tell(r.DISPATCHER, r.OwnershipGained(Epoch(term, 0, 0)))
         self.run_for(1.0)
 
--- a/tests/worker_fakes.py
+++ b/tests/worker_fakes.py
@@ -23,6 +23,7 @@
         self.cores_by_address = {
             info.address: WorkerCore(info, clock.seconds()) for info in infos
         }
+        self.retired_cores = []
         self.cut = set()
         self.deaf = set()
         self.dropped_replies = 0
@@ -30,20 +31,28 @@
         self.posted = []
 
     def restart(self, address):
+        self.retired_cores.append(self.cores_by_address[address])
         info = self.cores_by_address[address].info
         self.cores_by_address[address] = WorkerCore(info, self.clock.seconds())
 
+    def history(self):
+        cores = [*self.retired_cores, *self.cores_by_address.values()]
+        return [entry for core in cores for entry in core.history]
+
     def paths(self):
         return [path for _, path, _ in self.posted]
 
     async def post(self, address, path, body, timeout_s):
         self.posted.append((address, path, body))
+        core = self.cores_by_address[address]
         await self._sleep(0.001)
         if path == "/v1/poll":
             await self._wait_for_news(address, body)
         if address in self.cut:
             await self._sleep(timeout_s)
             raise UnavailableError("cut")
+        if self.cores_by_address[address] is not core:
+            raise UnavailableError("the connection ended with the process")
         status, reply = self._execute(address, path, json.loads(json.dumps(body)))
         if address in self.deaf:
             await self._sleep(timeout_s)
