--- a/src/redwingrudder/_bench_report.py
+++ b/src/redwingrudder/_bench_report.py
@@ -6,9 +6,9 @@
 from typing import NamedTuple
 
 from ._bench_runner import START_OF_RUN_S, JobRecord, RunResult, Sample
+from ._scheduler_jobs import find_target
 from .model import FINAL_JOB_STATES, Configuration, JobClass, JobState
 
-DAY_S = 86_400.0
 RECLAIM_START_S = 2.6  # a guaranteed job starts within this time
 
 
@@ -75,7 +75,8 @@
     """Return whether a job succeeded by the target of its class."""
     if record.state is not JobState.SUCCEEDED or record.finished_at is None:
         return False
-    return record.finished_at <= _target_at(record.arrival.at, job_class)
+    target_at = find_target(job_class, START_OF_RUN_S + record.arrival.at)
+    return START_OF_RUN_S + record.finished_at <= target_at
 
 
 def met_share(records: Iterable[JobRecord], configuration: Configuration) -> float:
@@ -154,17 +155,6 @@
     ]
 
 
-def _target_at(submitted_at: float, job_class: JobClass) -> float:
-    if job_class.target_s is not None:
-        return submitted_at + job_class.target_s
-    hours, minutes = map(int, (job_class.finish_by or "00:00").split(":"))
-    wall = START_OF_RUN_S + submitted_at
-    finish = wall - wall % DAY_S + hours * 3_600 + minutes * 60
-    if finish < wall:
-        finish += DAY_S
-    return finish - START_OF_RUN_S
-
-
 def _group(
     records: Iterable[JobRecord], key: Callable[[JobRecord], str]
 ) -> dict[str, list[JobRecord]]:
--- a/src/redwingrudder/settings.py
+++ b/src/redwingrudder/settings.py
@@ -184,7 +184,7 @@
 
 
 def read_kind(path: str) -> str:
-    """Return ``node``, ``deployment`` or ``configuration``, or "" if unclear."""
+    """Return what a file is: its kind, ``configuration``, or ""."""
     try:
         document = parse_document(read_file(path), _ANY, path)
     except InvalidDocumentError as error:
--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -60,6 +60,23 @@
         return maybeDeferred(self._port.stopListening)
 
 
+def run_platform(host: str, port: int, reactor: Any) -> None:
+    """Serve the platform until the process ends.
+
+    The bound address is printed as ``platform <host>:<port>``.
+    """
+    platform = PlatformStandin(reactor)
+
+    def announce(bound: int) -> None:
+        print(f"platform {host}:{bound}", flush=True)
+
+    def begin() -> None:
+        platform.listen(reactor, host, port).addCallback(announce)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+
+
 class _BoundedRequest(server.Request):
     """Closes the connection of a request whose body exceeds the limit."""
 
--- a/src/redwingrudder/standins/worker.py
+++ b/src/redwingrudder/standins/worker.py
@@ -8,8 +8,7 @@
 started and ended.
 """
 
-import fire
-from twisted.internet import reactor
+from typing import Any
 
 from ..actors import ActorSystem
 from ..model import WorkerInfo
@@ -23,42 +22,22 @@
     "RejectedEpochError",
     "WorkerCore",
     "WorkerStandIn",
-    "main",
+    "run_worker",
 ]
 
 
-def serve(
-    worker_id: str,
-    failure_domain: str,
-    rack: str,
-    port: int = 0,
-    interface: str = "127.0.0.1",
-    accelerators: int = 8,
-    slots: int = 8,
-    cores: int = 128,
-    memory_mb: int = 262_144,
-) -> None:
+def run_worker(info: WorkerInfo, host: str, port: int, reactor: Any) -> None:
     """Serve one worker until the process ends.
 
     The bound address is printed as ``worker <id> <host>:<port>``.
     """
-    info = WorkerInfo(
-        worker_id, "", failure_domain, rack, accelerators, slots, cores, memory_mb
-    )
     system = ActorSystem(reactor)
     TimerService(system)
-    stand_in = WorkerStandIn(system, info, reactor, port, interface)
-    reactor.callWhenRunning(system.start)
-    reactor.callWhenRunning(
-        lambda: print("worker", worker_id, stand_in.address, flush=True)
-    )
-    reactor.run()
-
+    stand_in = WorkerStandIn(system, info, reactor, port, host)
 
-def main() -> None:
-    """Run the stand-in from the command line."""
-    fire.Fire(serve)
+    def begin() -> None:
+        system.start()
+        print(f"worker {info.worker_id} {stand_in.address}", flush=True)
 
-
-if __name__ == "__main__":
-    main()
+    reactor.callWhenRunning(begin)
+    reactor.run()
