Limit the cost of a placement pass and use the real placement

Cause: with 10,000 queued jobs in 3,800 lanes, the end of one task cost 40 to 150 ms, because a pass ordered all lanes and searched for shapes that the freed worker cannot help. Change: a release forgets only the shapes for which the freed worker has room, and orders only the lanes that were first at the last full pass, which runs at most once a second. Organisations without a cell share their shapes. The baseline uses _first_fit, reclaim gets the workers to avoid, and the schedule test runs on the real cells and placement. Ruled out: ordering by a key per job, because the order policy compares jobs with each other.

--- a/src/redwingrudder/_fcfs_policy.py
+++ b/src/redwingrudder/_fcfs_policy.py
@@ -1,17 +1,12 @@
-"""Baseline policies: first come first served and first fit.
+"""Baseline policies around first-fit placement; they learn nothing."""
 
-They keep the guarantees, because the placement uses only accelerators that
-the guarantees allow, and learn nothing.
-"""
-
-from .fleet import Fleet, WorkerState
+from .fleet import Fleet
 from .guarantees import GuaranteeBook
-from .model import Configuration, JobSpec, MemberPlacement, Placement
+from .model import Configuration, JobSpec
 from .policies import (
     AdmissionPolicy,
     HealthPolicy,
     OrderPolicy,
-    PlacementPolicy,
     QueuedJob,
     QueueSize,
     ReclaimPlan,
@@ -43,45 +38,15 @@
         """Learn nothing."""
 
 
-class FirstFitPlacement(PlacementPolicy):
-    """Takes workers in the order of their ids; ignores racks."""
+class NoReclaim(ReclaimPolicy):
+    """Never stops a borrower."""
 
-    def place(
+    def reclaim(
         self,
         spec: JobSpec,
         fleet: Fleet,
         guarantees: GuaranteeBook,
         avoid: frozenset[str] = frozenset(),
-    ) -> Placement | None:
-        """Return the first fit on allowed accelerators."""
-        members: list[MemberPlacement] = []
-        placed = 0
-        for worker_id in sorted(fleet.workers_by_id):
-            worker = fleet.workers_by_id[worker_id]
-            if worker_id in avoid or not worker.accepts_work:
-                continue
-            usable = guarantees.usable_accelerators(spec, worker_id)
-            count = min(_capacity(spec, worker, len(usable)), spec.tasks - placed)
-            if count <= 0:
-                continue
-            accelerators = tuple(usable[: count * spec.accelerators_per_task])
-            tasks = tuple(range(placed, placed + count))
-            members.append(MemberPlacement(worker_id, accelerators, tasks))
-            placed += count
-            if placed == spec.tasks:
-                return Placement(tuple(members))
-        return None
-
-    def largest_gang(self, fleet: Fleet) -> int:
-        """Return the free accelerators, as adjacency is ignored."""
-        return fleet.count_free_accelerators(fleet.placeable_workers())
-
-
-class NoReclaim(ReclaimPolicy):
-    """Never stops a borrower."""
-
-    def reclaim(
-        self, spec: JobSpec, fleet: Fleet, guarantees: GuaranteeBook
     ) -> ReclaimPlan | None:
         """Return None."""
         return None
@@ -124,14 +89,3 @@
     def next_change(self, now: float) -> float | None:
         """Return None."""
         return None
-
-
-def _capacity(spec: JobSpec, worker: WorkerState, usable: int) -> int:
-    limits = [worker.free_slots]
-    if spec.accelerators_per_task:
-        limits.append(usable // spec.accelerators_per_task)
-    if spec.cores_per_task:
-        limits.append(worker.free_cores // spec.cores_per_task)
-    if spec.memory_mb_per_task:
-        limits.append(worker.free_memory_mb // spec.memory_mb_per_task)
-    return min(limits)
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -42,14 +42,17 @@
         self.gangs_by_id[gang.gang_id] = gang
         self.recovering.add(gang.gang_id)
 
-    def advance_reclaims(self) -> None:
-        """Hold what stopped borrowers have freed."""
+    def advance_reclaims(self) -> bool:
+        """Hold what borrowers have freed; returns whether a gang is placed."""
+        placed = False
         for gang_id in sorted(self.reclaiming):
             gang = self.gangs_by_id[gang_id]
             for worker_id in sorted(gang.unheld):
                 self._try_hold(gang, gang.members_by_worker[worker_id])
             if not gang.unheld:
                 self.fire(gang_id, "placed")
+                placed = True
+        return placed
 
     def pending_workers(self) -> frozenset[str]:
         """Return the workers on which borrowers are still being stopped."""
--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -140,6 +140,7 @@
 
     def configuration_changed(self) -> None:
         """Look up the classes again and refuse jobs that have none."""
+        self._regroup()
         for job in list(self.jobs_by_id.values()):
             if job.state in FINAL_JOB_STATES:
                 continue
@@ -148,6 +149,21 @@
             elif job.job_class is None and job.state == JobState.QUEUED:
                 self._refuse_unknown(job.job_id)
 
+    def _regroup(self) -> None:
+        """Build the lanes again when other organisations have cells."""
+        context = self._context
+        owners = frozenset(
+            cell.organisation
+            for cell in context.configuration.cells
+            if cell.failure_domain == context.failure_domain
+        )
+        if owners == self.queue.cell_owners:
+            return
+        job_ids = self.queue.take_all()
+        self.queue.cell_owners = owners
+        for job_id in job_ids:
+            self.queue.add(self.jobs_by_id[job_id])
+
     def queued_job(self, job_id: str) -> QueuedJob:
         """Return a queued job as policies see it."""
         job = self.jobs_by_id[job_id]
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -1,22 +1,31 @@
 """Placement passes over the queue."""
 
+import heapq
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from ._scheduler_backfill import Reservation, reserve
 from ._scheduler_gangs import GangTable
 from ._scheduler_jobs import JobTable
-from ._scheduler_queue import ShapeKey
+from ._scheduler_queue import LaneKey, ShapeKey
 from ._scheduler_state import Context
-from .fleet import Fleet
+from .fleet import Fleet, WorkerState
+from .guarantees import GuaranteeBook
+from .model import JobSpec
 from .policies import QueuedJob
 
-# After a placement, the next job of the lane is ordered among this many
-# candidates, so that a pass does not sort all candidates for each placement.
-ORDER_WINDOW = 16
+# Candidates that are ordered at a time between two full passes, and among
+# which the next job of a lane is ordered after a placement.
+ORDER_WINDOW = 32
 # Candidates for the probe of a quarantined worker that are tried per pass.
 PROBE_CANDIDATES = 8
 
 
+# Ordering all lanes costs time linear in their number, so a release of
+# resources orders only the lanes that it helps until this time has passed.
+FULL_PASS_INTERVAL_S = 1.0
+
+
 class _Room(NamedTuple):
     """Upper bounds of what is free, to skip searches that cannot succeed."""
 
@@ -49,6 +58,8 @@
         self.limited: set[ShapeKey] = set()
         self.reservation: Reservation | None = None
         self._reservation_tried = False
+        self._ranks_by_lane: dict[LaneKey, int] = {}
+        self._full_pass_at = float("-inf")
         self._room = _Room(0, 0, 0)
 
     def run(self) -> None:
@@ -57,34 +68,87 @@
         if context.configuration is None:
             return
         fresh, self._jobs.fresh = self._jobs.fresh, []
+        freed, context.freed_workers = context.freed_workers, set()
+        if freed and self._gangs.advance_reclaims():
+            context.resources_changed = True
         if context.resources_changed:
             context.resources_changed = False
-            self._gangs.advance_reclaims()
+            self.blocked.clear()
             self._full_pass()
+        elif freed:
+            self._unblock(freed)
+            self._pass_after_release()
         elif self._can_lift_limits() or (fresh and self._due_probes()):
-            self._pass()
+            self._full_pass()
         elif fresh:
             self._try_fresh(fresh)
 
-    def _full_pass(self) -> None:
-        self.blocked.clear()
+    def _unblock(self, freed: set[str]) -> None:
+        """Forget the shapes for which a freed worker makes a difference."""
+        context = self._context
+        workers = [context.fleet.workers_by_id.get(worker_id) for worker_id in freed]
+        workers = [worker for worker in workers if worker and worker.accepts_work]
+        for shape in list(self.blocked | self.limited):
+            job_id = self._jobs.queue.example(shape)
+            if job_id is not None:
+                spec = self._jobs.jobs_by_id[job_id].spec
+                if not any(_takes_task(spec, w, context.guarantees) for w in workers):
+                    continue
+            self.blocked.discard(shape)
+            self.limited.discard(shape)
+
+    def _pass_after_release(self) -> None:
+        now = self._context.now
+        if now - self._full_pass_at >= FULL_PASS_INTERVAL_S:
+            self._full_pass()
+            return
         self._room = _measure(self._context.fleet)
-        self._pass()
+        tried: set[LaneKey] = set()
+        keys = self._next_lanes(tried)
+        while keys:
+            tried.update(keys)
+            self._try_all(self._order(self._heads(keys)))
+            keys = self._next_lanes(tried)
+
+    def _next_lanes(self, tried: set[LaneKey]) -> list[LaneKey]:
+        """Return the lanes that were first at the last full pass.
+
+        Lanes that are new since then get a rank in the middle of the window,
+        so that neither they nor the older ones are left out.
+        """
+        queue, ranks = self._jobs.queue, self._ranks_by_lane
+        shapes = queue.shapes() - self.blocked - self.limited
+        keys = (key for key in queue.lanes_of(shapes) if key not in tried)
+        middle = ORDER_WINDOW // 2
+        return heapq.nsmallest(ORDER_WINDOW, keys, lambda k: ranks.get(k, middle))
 
-    def _pass(self) -> None:
+    def _heads(self, keys: Iterable[LaneKey]) -> list[QueuedJob]:
+        jobs = self._jobs
+        return [jobs.queued_job(jobs.queue.head(key)) for key in keys]
+
+    def _full_pass(self) -> None:
+        """Try all lanes and choose the head of the queue anew."""
+        self._ranks_by_lane: dict[LaneKey, int] = {}
+        self._full_pass_at = self._context.now
+        self._room = _measure(self._context.fleet)
         self.limited.clear()
         self.reservation = None
-        self._reservation_tried = False
         jobs = self._jobs
-        waiting = [jobs.queued_job(job_id) for job_id in jobs.queue.heads()]
-        waiting = self._order(waiting)
+        self._reservation_tried = not any(
+            shape.tasks * shape.accelerators_per_task > 1
+            for shape in jobs.queue.shapes()
+        )
+        waiting = self._order(self._heads(jobs.queue.lanes()))
+        self._ranks_by_lane = {
+            jobs.queue.key(job.job_id): rank for rank, job in enumerate(waiting)
+        }
         self._probe(waiting)
         self._try_all(waiting)
 
     def _try_all(self, waiting: list[QueuedJob]) -> None:
         queue = self._jobs.queue
         index = 0
-        while index < len(waiting):
+        while index < len(waiting) and not self._nothing_fits():
             job = waiting[index]
             index += 1
             if job.job_id not in queue:
@@ -98,31 +162,26 @@
                 window = [self._jobs.queued_job(following), *waiting[index:end]]
                 waiting[index:end] = self._order(window)
 
+    def _nothing_fits(self) -> bool:
+        """Whether all queued shapes were tried and the head is chosen."""
+        open_shapes = self._jobs.queue.shapes() - self.blocked - self.limited
+        return not open_shapes and self._reservation_tried
+
     def _try_fresh(self, fresh: list[str]) -> None:
         queue = self._jobs.queue
         for job_id in fresh:
             if job_id not in queue:
                 continue
             shape = queue.key(job_id).shape
-            if shape in self.blocked or shape in self.limited:
-                continue
-            job = self._jobs.queued_job(job_id)
-            self._try(job, shape, self._precedes_head(job))
-
-    def _precedes_head(self, job: QueuedJob) -> bool:
-        if self._reservation_is_stale():
-            return True
-        head = self._jobs.queued_job(self.reservation.job_id)
-        return self._order([head, job])[0] is job
+            if shape not in self.blocked and shape not in self.limited:
+                self._try(self._jobs.queued_job(job_id), shape)
 
-    def _try(
-        self, job: QueuedJob, shape: ShapeKey, ignore_reservation: bool = False
-    ) -> bool:
+    def _try(self, job: QueuedJob, shape: ShapeKey) -> bool:
         if shape in self.blocked or shape in self.limited:
             self._reserve_for(job)
             return False
         avoid = self._gangs.pending_workers() | shape.avoided
-        reserved = frozenset() if ignore_reservation else self._reserved(job)
+        reserved = self._reserved(job)
         if self._room.may_hold(job) and self._place(job, avoid | reserved):
             return True
         if self._reclaim(job):
@@ -148,13 +207,13 @@
     def _reclaim(self, job: QueuedJob) -> bool:
         context = self._context
         plan = context.policies.reclaim.reclaim(
-            job.spec, context.fleet, context.guarantees
+            job.spec,
+            context.fleet,
+            context.guarantees,
+            self._gangs.pending_workers(),
         )
         if plan is None:
             return False
-        workers = {member.worker_id for member in plan.placement.members}
-        if workers & self._gangs.pending_workers():
-            return False
         record = self._jobs.jobs_by_id[job.job_id]
         if plan.gangs_to_stop:
             self._gangs.create_reclaiming(record, plan.placement, plan.gangs_to_stop)
@@ -168,7 +227,11 @@
         if reservation is None or reservation.job_id == job.job_id:
             return frozenset()
         ends_at = self._context.now + job.expected_run_s
-        return reservation.workers if ends_at > reservation.at else frozenset()
+        if ends_at <= reservation.at or self._reservation_is_stale():
+            return frozenset()
+        head = self._jobs.queued_job(reservation.job_id)
+        precedes_head = self._order([head, job])[0] is job
+        return frozenset() if precedes_head else reservation.workers
 
     def _reserve_for(self, job: QueuedJob) -> None:
         """Reserve workers for the first gang of the pass that does not fit."""
@@ -219,10 +282,22 @@
 
 
 def _measure(fleet: Fleet) -> _Room:
-    accelerators = widest = slots = 0
+    slots = 0
     for worker in fleet.placeable_workers():
-        free = worker.gangs_by_accelerator.count(None)
-        accelerators += free
-        widest = max(widest, free)
         slots += worker.free_slots
-    return _Room(accelerators, widest, slots)
+    return _Room(fleet.free_in_domain(), fleet.most_free_on_worker(), slots)
+
+
+def _takes_task(spec: JobSpec, worker: WorkerState, guarantees: GuaranteeBook) -> bool:
+    """Whether a worker has room for at least one task of a job."""
+    needed = spec.accelerators_per_task
+    return (
+        worker.free_slots > 0
+        and worker.free_cores >= spec.cores_per_task
+        and worker.free_memory_mb >= spec.memory_mb_per_task
+        and (
+            needed == 0
+            or len(guarantees.usable_accelerators(spec, worker.info.worker_id))
+            >= needed
+        )
+    )
--- a/src/redwingrudder/_scheduler_state.py
+++ b/src/redwingrudder/_scheduler_state.py
@@ -192,6 +192,7 @@
         self.created_at: float | None = None
         self.recovered = False
         self.resources_changed = False
+        self.freed_workers: set[str] = set()
         self.cells_changed = False
         self.quarantined: frozenset[str] = frozenset()
         self.probes: frozenset[str] = frozenset()
@@ -203,4 +204,4 @@
     def release(self, gang_id: str, worker_id: str) -> None:
         """Free what a member holds."""
         self.fleet.release_member(gang_id, worker_id)
-        self.resources_changed = True
+        self.freed_workers.add(worker_id)
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -65,8 +65,9 @@
         keyed = [(self._slack(job, now), job) for job in jobs]
         on_time = [job for slack, job in sorted(keyed, key=_by_slack) if slack >= 0]
         late = [job for slack, job in keyed if slack < 0]
-        late.sort(key=lambda job: (*self._attained(job, now), job.target_at))
-        ordered = self._share(on_time, now) + late
+        attained = self._attained(jobs, now)
+        late.sort(key=lambda job: (attained[_party(job)], job.target_at, job.job_id))
+        ordered = _share(on_time, attained) + late
         aged = max(late, key=lambda job: _age(job, now), default=None)
         if aged is None or _age(aged, now) < AGED_TARGETS:
             return ordered
@@ -106,22 +107,18 @@
     def _slack(self, job: QueuedJob, now: float) -> float:
         return job.target_at - now - job.expected_run_s
 
-    def _attained(self, job: QueuedJob, now: float) -> tuple[float, float]:
-        spec = job.spec
+    def _attained(
+        self, jobs: list[QueuedJob], now: float
+    ) -> dict[tuple[str, str], tuple[float, float]]:
+        """Return the service of the organisation and caller of each job."""
         none = _Service(0.0, now)
-        organisation = self._service.get((spec.organisation,), none)
-        caller = self._service.get((spec.organisation, spec.caller), none)
-        return organisation.decayed(now), caller.decayed(now)
-
-    def _share(self, by_slack: list[QueuedJob], now: float) -> list[QueuedJob]:
-        jobs_by_class: dict[str, list[QueuedJob]] = {}
-        for job in by_slack:
-            jobs_by_class.setdefault(job.spec.job_class, []).append(job)
-        fair_by_class = {
-            name: iter(sorted(jobs, key=lambda job: self._attained(job, now)))
-            for name, jobs in jobs_by_class.items()
+        return {
+            party: (
+                self._service.get(party[:1], none).decayed(now),
+                self._service.get(party, none).decayed(now),
+            )
+            for party in {_party(job) for job in jobs}
         }
-        return [next(fair_by_class[job.spec.job_class]) for job in by_slack]
 
 
 class SlackAdmission(AdmissionPolicy):
@@ -235,20 +232,30 @@
 
 def fits_fleet(spec: JobSpec, fleet: Fleet) -> bool:
     """Whether all tasks of a job would fit on the empty fleet."""
-    missing = spec.tasks
-    for worker in fleet.workers_by_id.values():
-        info = worker.info
-        limits = [info.slots]
-        if spec.accelerators_per_task:
-            limits.append(info.accelerators // spec.accelerators_per_task)
-        if spec.cores_per_task:
-            limits.append(info.cores // spec.cores_per_task)
-        if spec.memory_mb_per_task:
-            limits.append(info.memory_mb // spec.memory_mb_per_task)
-        missing -= min(limits)
-        if missing <= 0:
-            return True
-    return False
+    capacity = sum(
+        kind.task_capacity(spec) * count
+        for kinds in fleet.kinds_by_rack.values()
+        for kind, count in kinds.items()
+    )
+    return capacity >= spec.tasks
+
+
+def _share(
+    by_slack: list[QueuedJob], attained: dict[tuple[str, str], tuple[float, float]]
+) -> list[QueuedJob]:
+    """Fill the places of each class with its jobs, least attained first."""
+    jobs_by_class: dict[str, list[QueuedJob]] = {}
+    for job in by_slack:
+        jobs_by_class.setdefault(job.spec.job_class, []).append(job)
+    fair_by_class = {
+        name: iter(sorted(jobs, key=lambda job: attained[_party(job)]))
+        for name, jobs in jobs_by_class.items()
+    }
+    return [next(fair_by_class[job.spec.job_class]) for job in by_slack]
+
+
+def _party(job: QueuedJob) -> tuple[str, str]:
+    return job.spec.organisation, job.spec.caller
 
 
 def _by_slack(entry: tuple[float, QueuedJob]) -> tuple[float, float, str]:
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -198,13 +198,8 @@
 
 def fcfs_policies() -> PolicySet:
     """Return the baseline: first come first served, first fit."""
-    from ._fcfs_policy import (
-        FcfsOrder,
-        FirstFitPlacement,
-        NoHealth,
-        NoReclaim,
-        TotalAdmission,
-    )
+    from ._fcfs_policy import FcfsOrder, NoHealth, NoReclaim, TotalAdmission
+    from ._first_fit import FirstFitPlacement
 
     return PolicySet(
         FcfsOrder(), FirstFitPlacement(), NoReclaim(), TotalAdmission(), NoHealth()
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -229,6 +229,8 @@
                 return
             self._next_pass_at = context.now + RECOVERY_PASS_INTERVAL_S
             context.times.add(self._next_pass_at, TimerKind.PLACEMENT)
+        if context.freed_workers and context.guarantees.shortages:
+            context.cells_changed = True
         if context.cells_changed:
             context.cells_changed = False
             self._assign_cells()
@@ -241,6 +243,7 @@
             context.configuration, context.failure_domain, context.fleet, context.now
         )
         if book.shortages != before:
+            context.resources_changed = True
             context.emit(ShortagesChanged(book.shortages))
 
     def _wake(self) -> None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,31 +8,27 @@
 from hypothesis import strategies as st
 
 from redwingrudder import messages as m
-from redwingrudder._fcfs_policy import FirstFitPlacement
-from redwingrudder._slack_policy import SlackAdmission, SlackOrder, StreakHealth
 from redwingrudder.guarantees import GuaranteeBook
 from redwingrudder.model import (
     FINAL_JOB_STATES,
+    CellAssignment,
     Configuration,
     JobClass,
     JobSpec,
     JobState,
-    MemberPlacement,
     MemberReport,
     MemberState,
     Organisation,
-    Placement,
     Shape,
     TaskOutcome,
     TaskResult,
     WorkerInfo,
     WorkerReport,
 )
-from redwingrudder.policies import PolicySet, ReclaimPlan, ReclaimPolicy
+from redwingrudder.policies import slack_policies
 from redwingrudder.scheduler import Scheduler
 
 DOMAIN = "bangkok-1"
-CELL_WORKER = "w0"
 CONFIGURATION = Configuration(
     1,
     {
@@ -43,63 +39,13 @@
         "urgent": JobClass("urgent", 5.0, None),
         "later": JobClass("later", 600.0, None),
     },
-    (),
+    (CellAssignment("gold", 0, 0, DOMAIN),),
 )
 SPEC = JobSpec(
     "iron", "urgent", "counter-1", "key", 1, 1, 1, 1, True, False, 2.0, 1.0, ""
 )
 
 
-class CellOnOneWorker(GuaranteeBook):
-    """All accelerators of one worker belong to ``gold``."""
-
-    fleet = None
-
-    def __init__(self):
-        """Start without a fleet."""
-
-    def assign(self, configuration, failure_domain, fleet, now):
-        self.fleet = fleet
-
-    def usable_accelerators(self, spec, worker_id):
-        borrows = spec.preemptible and spec.idempotent
-        if worker_id == CELL_WORKER and spec.organisation != "gold" and not borrows:
-            return ()
-        return self.fleet.workers_by_id[worker_id].free_accelerators
-
-
-class ReclaimOneWorker(ReclaimPolicy):
-    def reclaim(self, spec, fleet, guarantees):
-        worker = fleet.workers_by_id.get(CELL_WORKER)
-        needed = spec.accelerators
-        if spec.organisation != "gold" or worker is None or not worker.accepts_work:
-            return None
-        if spec.tasks > worker.info.slots or needed > worker.info.accelerators:
-            return None
-        holders = worker.gangs_by_accelerator
-        usable = [i for i, h in enumerate(holders) if h is None or is_foreign(fleet, h)]
-        if len(usable) < needed or needed == 0:
-            return None
-        stop = {holders[i] for i in usable[:needed]} - {None}
-        tasks = tuple(range(spec.tasks))
-        member = MemberPlacement(CELL_WORKER, tuple(usable[:needed]), tasks)
-        return ReclaimPlan(Placement((member,)), tuple(sorted(stop))) if stop else None
-
-
-def is_foreign(fleet, gang_id):
-    return fleet.gangs_by_id[gang_id].spec.organisation != "gold"
-
-
-def make_policies():
-    return PolicySet(
-        SlackOrder(),
-        FirstFitPlacement(),
-        ReclaimOneWorker(),
-        SlackAdmission(),
-        StreakHealth(),
-    )
-
-
 def make_worker(index):
     rack = f"r{index // 2}"
     return WorkerInfo(f"w{index}", f"10.0.0.{index}:1", DOMAIN, rack, 4, 8, 64, 1000)
@@ -193,7 +139,7 @@
 class World:
     """A scheduler, its workers and the store, driven by a seeded generator."""
 
-    def __init__(self, seed, policies=make_policies):
+    def __init__(self, seed, policies=slack_policies):
         self.random = random.Random(seed)
         self.now = 1_700_000_000.0
         self.workers = {w.worker_id: FakeWorker(w) for w in map(make_worker, range(6))}
@@ -213,7 +159,8 @@
 
     def take_over(self):
         """Start a new owner; commands and events of the old one are void."""
-        self.scheduler = Scheduler(DOMAIN, self.policies(), CellOnOneWorker())
+        self.guarantees = GuaranteeBook()
+        self.scheduler = Scheduler(DOMAIN, self.policies(), self.guarantees)
         self.events.clear()
         for worker in self.workers.values():
             worker.commands.clear()
