Release reserved gangs of a draining worker and forecast by cells

Cause: a gang that was reserved when its worker announced its stop was still started there, and the reservation for a waiting gang could name accelerators in cells that the gang may not use. Change: the chart event member_draining releases gangs that have not sent a start. The forecast counts only accelerators outside foreign cells, leaves out places that fit already, and expects overrunning gangs to run half as long again. Recovered gangs do not teach run times.

--- a/src/redwingrudder/_scheduler_backfill.py
+++ b/src/redwingrudder/_scheduler_backfill.py
@@ -1,9 +1,12 @@
 """Reservation of workers for the gang at the head of the queue."""
 
-from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import NamedTuple
 
+from ._cells import Level
+from ._offers import gang_level
 from .fleet import Fleet, WorkerState
+from .guarantees import GuaranteeBook, is_borrower
 from .model import JobSpec
 
 
@@ -18,69 +21,71 @@
 class _Freed(NamedTuple):
     at: float
     worker_id: str
-    accelerators: int
 
 
-def reserve(
-    job_id: str, spec: JobSpec, fleet: Fleet, ends_by_gang: dict[str, float], now: float
-) -> Reservation | None:
+class Forecast(NamedTuple):
+    """What is known of the ends of the running gangs."""
+
+    fleet: Fleet
+    guarantees: GuaranteeBook
+    ends_by_gang: dict[str, float]
+    now: float
+
+
+def reserve(job_id: str, spec: JobSpec, forecast: Forecast) -> Reservation | None:
     """Estimate when a gang can be placed from the ends of the running gangs.
 
-    The narrowest scope that can hold the gang is used: one worker, one rack
-    or the whole domain. Cells are not considered, so the estimate can be too
-    early; it is computed again whenever resources are freed.
+    Each worker, each rack or the whole domain is considered, depending on
+    what the gang has to stay within. A place that has enough accelerators
+    now is left out, because the placement has just found it unsuitable.
 
     Returns:
         None when the gang cannot be expected to fit at a later time.
     """
-    best: Reservation | None = None
-    for scope in _scopes(spec, fleet):
-        found = _earliest(job_id, spec, scope, ends_by_gang, now)
-        if found is not None and (best is None or found.at < best.at):
-            best = found
-    return best if best is not None and best.at > now else None
+    found = (
+        _earliest(job_id, spec, scope, forecast)
+        for scope in _scopes(spec, forecast.fleet)
+    )
+    later = [entry for entry in found if entry and entry.at > forecast.now]
+    return min(later, key=lambda entry: entry.at, default=None)
 
 
 def _scopes(spec: JobSpec, fleet: Fleet) -> list[list[WorkerState]]:
     workers = fleet.placeable_workers()
-    needed = spec.accelerators
-    single = [[w] for w in workers if w.info.accelerators >= needed]
-    if single:
-        return single
-    by_rack: dict[str, list[WorkerState]] = {}
+    level = gang_level(spec, fleet)
+    if level is Level.DOMAIN:
+        return [workers]
+    scopes: dict[str, list[WorkerState]] = {}
     for worker in workers:
-        by_rack.setdefault(worker.info.rack, []).append(worker)
-    racks = [
-        rack
-        for rack in by_rack.values()
-        if sum(w.info.accelerators for w in rack) >= needed
-    ]
-    return racks or [workers]
+        info = worker.info
+        name = info.rack if level is Level.RACK else info.worker_id
+        scopes.setdefault(name, []).append(worker)
+    return list(scopes.values())
 
 
 def _earliest(
-    job_id: str,
-    spec: JobSpec,
-    scope: list[WorkerState],
-    ends_by_gang: dict[str, float],
-    now: float,
+    job_id: str, spec: JobSpec, scope: list[WorkerState], forecast: Forecast
 ) -> Reservation | None:
     missing = spec.accelerators
     workers = set()
-    for freed in sorted(_freed(scope, ends_by_gang, now)):
-        missing -= freed.accelerators
+    for freed in sorted(_freed(spec, scope, forecast)):
+        missing -= 1
         workers.add(freed.worker_id)
-        if missing <= 0:
+        if missing == 0:
             return Reservation(job_id, freed.at, frozenset(workers))
     return None
 
 
 def _freed(
-    scope: Iterable[WorkerState], ends_by_gang: dict[str, float], now: float
-) -> list[_Freed]:
-    entries = []
+    spec: JobSpec, scope: list[WorkerState], forecast: Forecast
+) -> Iterator[_Freed]:
+    """Yield when each accelerator that the job may use becomes free."""
+    layout = forecast.guarantees.layout_of(forecast.fleet)
+    borrows = is_borrower(spec)
     for worker in scope:
-        for gang_id in worker.gangs_by_accelerator:
-            at = now if gang_id is None else ends_by_gang.get(gang_id, now)
-            entries.append(_Freed(at, worker.info.worker_id, 1))
-    return entries
+        owners = layout.owners(worker)
+        for owner, gang_id in zip(owners, worker.gangs_by_accelerator, strict=True):
+            if owner not in (None, spec.organisation) and not borrows:
+                continue
+            at = forecast.ends_by_gang.get(gang_id or "", forecast.now)
+            yield _Freed(at, worker.info.worker_id)
--- a/src/redwingrudder/_scheduler_chart.py
+++ b/src/redwingrudder/_scheduler_chart.py
@@ -23,6 +23,7 @@
         "task_failed",
         "all_ended",
         "member_lost",
+        "member_draining",
         "all_released",
         "cancel",
         "preempt",
--- a/src/redwingrudder/_scheduler_gang_life.py
+++ b/src/redwingrudder/_scheduler_gang_life.py
@@ -95,6 +95,8 @@
             if worker_id not in gang.start_sent:
                 gang.start_sent.add(worker_id)
                 self._context.emit(StartMember(gang.gang_id, worker_id))
+        started = gang._replace(started_at=self._context.now)
+        self.gangs_by_id[gang.gang_id] = started
         self._count_attempt(gang)
 
     def _release_members(self, gang: GangRecord) -> None:
@@ -140,7 +142,7 @@
             job, self._jobs.first_attempts_by_class[name], retries[name]
         )
         outcome = decide_ended(gang, job, now, allowed)
-        if outcome.event == "succeeded":
+        if outcome.event == "succeeded" and not gang.recovered:
             self._context.policies.order.observe_run(gang.spec, run_s, now)
         elif outcome.event == "retry" and gang.cause is not Cause.PREEMPTED:
             retries[name] += 1
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -16,6 +16,8 @@
 # Answers to a start that a worker has seen before: the member runs or ran.
 STARTED_REASONS = frozenset({"already_started", "already_ended"})
 
+OVERRUN_SHARE = 0.5
+
 
 class GangTable(GangLife):
     """All gangs that hold resources or wait for answers of workers."""
@@ -72,14 +74,13 @@
             self.fire(gang.gang_id, "member_reserved")
             self.settle(gang.gang_id)
             return
-        if event.reason == "draining":
-            self._context.fleet.set_draining(event.worker_id)
-            self._context.cells_changed = True
         cause = Cause.REFUSED if event.reason == "draining" else Cause.BUSY
         self._leave(gang, event.worker_id)
         self.set_cause(gang.gang_id, cause, event.reason)
         self.fire(gang.gang_id, "member_refused")
         self.settle(gang.gang_id)
+        if event.reason == "draining":
+            self.worker_draining(event.worker_id)
 
     def start_record_answered(self, event: StartRecordAnswered) -> None:
         """Take the answer of the store to the record of a start."""
@@ -136,6 +137,23 @@
         self._leave(gang, worker_id)
         self.settle(gang_id)
 
+    def worker_draining(self, worker_id: str) -> None:
+        """Start nothing more on a worker and checkpoint what can be moved."""
+        fleet = self._context.fleet
+        worker = fleet.workers_by_id.get(worker_id)
+        if worker is None or worker.draining:
+            return
+        fleet.set_draining(worker_id)
+        self._context.cells_changed = self._context.resources_changed = True
+        for gang in list(self.gangs_by_id.values()):
+            if worker_id not in gang.members_by_worker or worker_id in gang.gone:
+                continue
+            if not gang.start_sent:
+                self.set_cause(gang.gang_id, Cause.REFUSED, "draining")
+            self.fire(gang.gang_id, "member_draining")
+            self.preempt(gang.gang_id)
+            self.settle(gang.gang_id)
+
     def worker_lost(self, worker_id: str, reason: str) -> None:
         """Let every gang know that its member on a worker is lost."""
         affected = [
@@ -172,7 +190,7 @@
                 gang.job_id,
                 gang.spec,
                 gang.started_at,
-                max(gang.started_at + gang.expected_run_s, now),
+                expected_end(gang, now),
                 gang.state in ("stopping", "releasing"),
             )
             for gang in self.gangs_by_id.values()
@@ -232,6 +250,17 @@
         gang.unheld.discard(member.worker_id)
 
 
+def expected_end(gang: GangRecord, now: float) -> float:
+    """Return when a gang is expected to free its resources."""
+    if gang.state in ("stopping", "releasing"):
+        return now + gang.spec.stop_bound_s
+    end = gang.started_at + gang.expected_run_s
+    if end > now:
+        return end
+    # A gang beyond its expected end is expected to run half as long again.
+    return now + OVERRUN_SHARE * (now - gang.started_at)
+
+
 def empty_gang(gang_id: str, job: JobRecord, member_count: int) -> GangRecord:
     """Return a gang of a job without members."""
     return GangRecord(
--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -92,13 +92,15 @@
                 known=False,
                 recorded=False,
                 start_recorded=False,
-                may_have_run=report.spec.idempotent,
+                may_have_run=True,
             )
         )
 
     def drop(self, job_id: str) -> None:
         """Forget a job that is known only from a report and never ran."""
-        self._count(self.jobs_by_id.pop(job_id), -1)
+        job = self.jobs_by_id.pop(job_id)
+        self._count(job, -1)
+        self._counts(job)["submitted"] -= 1
 
     def fire(self, job_id: str, event: str, **changes: object) -> None:
         """Raise an event of the chart and carry out its actions."""
@@ -225,12 +227,14 @@
         )
 
     def _merge(self, job: JobRecord, event: JobSubmitted) -> None:
+        # A recorded job without the record of a start has never run.
+        may_have_run = job.may_have_run and (job.known or job.spec.idempotent)
         job = self.update(
             job.job_id,
             known=True,
             recorded=job.recorded or event.recorded,
             start_recorded=job.start_recorded or event.start_recorded,
-            may_have_run=job.may_have_run or event.start_recorded,
+            may_have_run=may_have_run or event.start_recorded,
         )
         if job.state in FINAL_JOB_STATES:
             # The record of a job that ended during recovery may still be open.
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ._scheduler_backfill import Reservation, reserve
+from ._scheduler_backfill import Forecast, Reservation, reserve
 from ._scheduler_gangs import GangTable
 from ._scheduler_jobs import JobTable
 from ._scheduler_queue import LaneKey, ShapeKey
@@ -239,9 +239,9 @@
             return
         self._reservation_tried = True
         ends = {gang.gang_id: gang.expected_end for gang in self._gangs.running_gangs()}
-        self.reservation = reserve(
-            job.job_id, job.spec, self._context.fleet, ends, self._context.now
-        )
+        context = self._context
+        forecast = Forecast(context.fleet, context.guarantees, ends, context.now)
+        self.reservation = reserve(job.job_id, job.spec, forecast)
 
     def _can_lift_limits(self) -> bool:
         return bool(self.limited) and self._reservation_is_stale()
--- a/src/redwingrudder/_scheduler_recovery.py
+++ b/src/redwingrudder/_scheduler_recovery.py
@@ -22,7 +22,7 @@
         known = fleet.workers_by_id.get(worker_id)
         if known is not None and known.boot_id == report.boot_id:
             if report.draining:
-                fleet.set_draining(worker_id)
+                self._gangs.worker_draining(worker_id)
             self._reconcile(report)
         else:
             if known is not None:
@@ -126,7 +126,9 @@
         job = self._jobs.jobs_by_id[report.job_id]
         expected = self._context.policies.order.expected_run_s(report.spec)
         gang = empty_gang(report.gang_id, job, report.gang_members)
-        gang = gang._replace(started_at=self._context.now, expected_run_s=expected)
+        gang = gang._replace(
+            started_at=self._context.now, expected_run_s=expected, recovered=True
+        )
         self._gangs.add_recovered(gang)
         return gang
 
--- a/src/redwingrudder/_scheduler_state.py
+++ b/src/redwingrudder/_scheduler_state.py
@@ -113,7 +113,8 @@
     release or stop, and members that hold nothing any more. ``charged`` is
     the service that was accounted for in advance, in accelerator-seconds.
     ``borrowers`` are the gangs that must stop first. ``may_have_run`` is
-    true when an unreported member may have started.
+    true when an unreported member may have started. The start time of a
+    ``recovered`` gang is not known.
     """
 
     gang_id: str
@@ -134,6 +135,7 @@
     cause: Cause = Cause.NONE
     reason: str = ""
     may_have_run: bool = False
+    recovered: bool = False
     probed_worker: str | None = None
     started_at: float = 0.0
     expected_run_s: float = 0.0
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -10,6 +10,7 @@
 from ._scheduler_recovery import Recovery
 from ._scheduler_state import Cause, Context, Due, JobRecord, TimerKind
 from ._scheduler_status import NO_EPOCH, domain_status, explain_job
+from .fleet import Fleet
 from .guarantees import GuaranteeBook
 from .messages import (
     CancelRequested,
@@ -83,6 +84,11 @@
         """All jobs that are known, by id; final ones for 10 minutes."""
         return self._jobs.jobs_by_id
 
+    @property
+    def fleet(self) -> Fleet:
+        """Workers and what is held on them, to be read only."""
+        return self._context.fleet
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return the effects to carry out, in order."""
         context = self._context
@@ -150,12 +156,7 @@
         self._fleet_changed()
 
     def _worker_draining(self, event: WorkerDraining) -> None:
-        fleet = self._context.fleet
-        fleet.set_draining(event.worker_id)
-        for gang in list(fleet.gangs_by_id.values()):
-            if event.worker_id in gang.members_by_worker:
-                self._gangs.preempt(gang.gang_id)
-        self._fleet_changed()
+        self._gangs.worker_draining(event.worker_id)
 
     def _recovery_ended(self, _event: RecoveryEnded) -> None:
         if not self._context.recovered:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -108,8 +108,8 @@
     def _reserve(self, command):
         if self.draining:
             return "draining"
-        if self.held() & set(command.member.accelerators):
-            return "busy"
+        taken = self.held() & set(command.member.accelerators)
+        assert not taken, f"accelerators {taken} were given away twice"
         self.members[command.gang_id] = MemberReport(
             command.gang_id,
             command.job_id,
@@ -150,6 +150,8 @@
         self.final = {}
         self.start_sent = defaultdict(set)
         self.job_of_gang, self.members_of_gang = {}, {}
+        self.acknowledged = set()
+        self.restarted = set()
         self.policies = policies
         self.known_workers = set()
         self.recovering = False
@@ -159,9 +161,11 @@
 
     def take_over(self):
         """Start a new owner; commands and events of the old one are void."""
+        self.recovering = True
         self.guarantees = GuaranteeBook()
         self.scheduler = Scheduler(DOMAIN, self.policies(), self.guarantees)
         self.events.clear()
+        self.restarted.clear()
         for worker in self.workers.values():
             worker.commands.clear()
         self.final_before = set(self.final)
@@ -170,7 +174,6 @@
         open_jobs = [job_id for job_id in self.specs if job_id not in self.final]
         for job_id in open_jobs:
             self.submit_recorded(job_id)
-        self.recovering = True
         self.unclaimed = sorted(self.workers)
         self.random.shuffle(self.unclaimed)
         self.known_workers = set()
@@ -185,6 +188,11 @@
     def claim(self, worker_id):
         worker = self.workers[worker_id]
         self.known_workers.add(worker_id)
+        if worker_id in self.restarted:
+            self.restarted.discard(worker_id)
+            worker.commands.clear()
+        for gang_id in worker.members:
+            self.acknowledged.add((gang_id, worker_id))
         self.send(m.WorkerClaimed(worker.report()))
 
     def submit(self, **changes):
@@ -201,8 +209,14 @@
         self.send(event)
 
     def send(self, event):
+        if isinstance(event, m.ReserveAnswered) and event.accepted:
+            self.acknowledged.add((event.gang_id, event.worker_id))
         for effect in self.scheduler.handle(event, self.now):
             self.carry_out(effect)
+        if not self.recovering:
+            # During recovery the cells are laid out again only at intervals.
+            violations = self.guarantees.violations(self.scheduler.fleet)
+            assert not violations, violations
 
     def carry_out(self, effect):
         if isinstance(effect, m.ReserveMember):
@@ -228,12 +242,9 @@
 
     def check_start(self, effect):
         job_id = self.job_of_gang[effect.gang_id]
-        members = self.members_of_gang[effect.gang_id]
-        for worker_id in members:
-            held = self.workers[worker_id].members
-            # A member may have started already and restarted since.
-            started = self.start_sent[job_id] & {effect.gang_id}
-            assert started or effect.gang_id in held, "start before all reserved"
+        for worker_id in self.members_of_gang[effect.gang_id]:
+            reserved = (effect.gang_id, worker_id) in self.acknowledged
+            assert reserved, "start before all reserved"
         self.start_sent[job_id].add(effect.gang_id)
         if not self.specs[job_id].idempotent:
             assert len(self.start_sent[job_id]) == 1, "two gangs of one job started"
@@ -298,7 +309,10 @@
             accepted = self.random.random() < 0.8
         if accepted:
             self.start_recorded.add(event.job_id)
-        self.send(m.StartRecordAnswered(event.gang_id, accepted))
+        answer = m.StartRecordAnswered(event.gang_id, accepted)
+        self.send(answer)
+        if self.random.random() < 0.2:
+            self.events.append(answer)
 
     def end_some_task(self, failure_share):
         running = [
@@ -334,6 +348,15 @@
         self.known_workers.discard(worker_id)
         self.send(m.WorkerLost(worker_id, "lease_lapsed"))
 
+    def restart_unseen(self):
+        """Restart a worker that still gets commands from its link."""
+        worker_id = self.random.choice(sorted(self.known_workers))
+        worker = self.workers[worker_id]
+        commands = list(worker.commands)
+        worker.restart()
+        worker.commands.extend(commands)
+        self.restarted.add(worker_id)
+
     def drain_worker(self):
         worker_id = self.random.choice(sorted(self.workers))
         self.workers[worker_id].draining = True
@@ -343,7 +366,8 @@
     def return_workers(self):
         for worker_id in sorted(self.workers):
             waits = self.recovering and worker_id in self.unclaimed
-            if worker_id not in self.known_workers and not waits:
+            known = worker_id in self.known_workers - self.restarted
+            if not known and not waits:
                 self.claim(worker_id)
 
     def submit_random(self):
@@ -382,6 +406,7 @@
             (1, self.lose_worker),
             (2, self.return_workers),
             (0.5, self.drain_worker),
+            (0.5, lambda: self.known_workers and self.restart_unseen()),
             (4, lambda: self.tick(self.random.choice([0.01, 1, 10]))),
             (0.4, self.take_over),
             (4, lambda: self.recovering and self.claim_next()),
