--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_tenure.py
@@ -12,38 +12,20 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.python.failure import Failure
 
+from . import messages
+from ._gang_commands import GangCommands
 from ._job_ledger import JobLedger, LedgerCallbacks
 from ._job_observer import JobObserver
 from ._job_records import STARTING, JobRecordBody, StoredRecord, is_final, spec_of
 from ._job_reporter import JobReporter
 from ._job_store import JobStore
 from ._job_waiters import JobWaiters
-from ._release_gate import ReleaseGate
 from ._worker_messages import LinkEvent
 from ._worker_roster import RosterSettings, WorkerRoster
 from ._worker_transport import WorkerTransport
 from .actors import ActorSystem
 from .exceptions import StoreUnavailableError, UnavailableError
-from .messages import (
-    CancelRequested,
-    ConfigurationChanged,
-    Event,
-    JobChanged,
-    JobSubmitted,
-    RecordStart,
-    RecoveryEnded,
-    ReleaseMember,
-    ReserveMember,
-    ShortagesChanged,
-    StartMember,
-    StartRecordAnswered,
-    StopMember,
-    TargetMissed,
-    Tick,
-    WakeAt,
-    WorkerClaimed,
-)
-from .model import FINAL_JOB_STATES, Epoch, JobState, JobView, MemberState
+from .model import FINAL_JOB_STATES, Epoch, JobState, JobView
 from .requests import DISPATCHER, VmInfo
 from .scheduler import Scheduler
 from .timers import TIMERS, Subscribe, Unsubscribe
@@ -104,27 +86,27 @@
         self.ledger = JobLedger(self._store, self._domain, callbacks)
         self._loaded = False
         self.closed = False
-        self._gate = ReleaseGate(self.ledger.is_pending)
+        self._commands = GangCommands(self.roster, self.ledger.is_pending)
         self._recovered = False
         self._members_known = False
-        self._events: deque[Event] = deque()
+        self._events: deque[messages.Event] = deque()
         self._feeding = False
         # Jobs whose start is recorded are not judged before every worker
         # was claimed or is surely without tasks.
         self._uncertain: dict[str, JobRecordBody] = {}
         self._carriers_by_type: dict[type, Callable] = {
-            ReserveMember: self._reserve,
-            StartMember: self._start,
-            ReleaseMember: self._release,
-            StopMember: self._stop,
-            RecordStart: self._record_start,
-            JobChanged: self._job_changed,
-            TargetMissed: self._target_missed,
-            ShortagesChanged: self._shortages_changed,
-            WakeAt: self._wake_at,
+            messages.ReserveMember: self._commands.reserve,
+            messages.StartMember: self._commands.start,
+            messages.ReleaseMember: self._commands.release,
+            messages.StopMember: self._commands.stop,
+            messages.RecordStart: self._record_start,
+            messages.JobChanged: self._job_changed,
+            messages.TargetMissed: self._target_missed,
+            messages.ShortagesChanged: self._shortages_changed,
+            messages.WakeAt: self._wake_at,
         }
         self._timers_by_name: dict[str, Callable[[], None]] = {
-            WAKE_TIMER: lambda: self.feed(Tick()),
+            WAKE_TIMER: lambda: self.feed(messages.Tick()),
             RECOVERY_TIMER: self._end_recovery,
             LOAD_TIMER: lambda: self.run(self._load()),
             RECORDS_TIMER: lambda: self.run(self.ledger.write_all()),
@@ -133,7 +115,9 @@
         }
 
     def begin(
-        self, configuration: ConfigurationChanged | None, vms: tuple[VmInfo, ...] | None
+        self,
+        configuration: messages.ConfigurationChanged | None,
+        vms: tuple[VmInfo, ...] | None,
     ) -> None:
         """Claim the workers and read the job records."""
         if configuration is not None:
@@ -169,7 +153,7 @@
         if not self.closed and timer in self._timers_by_name:
             self._timers_by_name[timer]()
 
-    def feed(self, event: Event) -> None:
+    def feed(self, event: messages.Event) -> None:
         """Give an event to the scheduler and carry out its effects."""
         self._events.append(event)
         if self._feeding:
@@ -183,7 +167,7 @@
         finally:
             self._feeding = False
 
-    def _handle(self, event: Event) -> None:
+    def _handle(self, event: messages.Event) -> None:
         for effect in self.scheduler.handle(event, self.now()):
             self._carriers_by_type[type(effect)](effect)
 
@@ -197,8 +181,8 @@
     def take_link_event(self, message: LinkEvent) -> None:
         """Take what a worker link tells."""
         for event in self.roster.take(message):
-            if isinstance(event, WorkerClaimed):
-                self._note_members(event)
+            if isinstance(event, messages.WorkerClaimed):
+                self._commands.note_report(event.report)
             self.feed(event)
         self._judge_reported()
         self._check_recovery()
@@ -251,6 +235,21 @@
                 retry_after_s=1.0,
             )
 
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job.
+
+        Raises:
+            UnavailableError: ``recovering``; workers that have not reported
+                yet may run the job.
+        """
+        if not self._recovered:
+            raise UnavailableError(
+                "the workers are still being claimed",
+                code="recovering",
+                retry_after_s=1.0,
+            )
+        self.feed(messages.CancelRequested(job_id))
+
     def take_record(self, record: StoredRecord) -> None:
         """Know a job of this domain from its record."""
         body = record.body
@@ -283,7 +282,7 @@
         view = self.scheduler.view(job_id)
         if view is not None and view.state not in FINAL_JOB_STATES:
             # A worker still holds a gang of a job that has ended.
-            self.feed(CancelRequested(job_id))
+            self.feed(messages.CancelRequested(job_id))
         self.waiters.job_ended(job_id)
 
     def _is_certain(self, job_id: str) -> bool:
@@ -300,7 +299,7 @@
         started = body["state"] == STARTING
         spec = spec_of(body)
         submitted_at = body["submitted_at"]
-        self.feed(JobSubmitted(job_id, spec, submitted_at, True, started))
+        self.feed(messages.JobSubmitted(job_id, spec, submitted_at, True, started))
 
     def _check_recovery(self) -> None:
         if self._recovered:
@@ -313,56 +312,49 @@
         if not self._recovered:
             self._recovered = True
             self._system.tell(TIMERS, Unsubscribe(DISPATCHER, RECOVERY_TIMER))
-            self.feed(RecoveryEnded())
-
-    def _note_members(self, event: WorkerClaimed) -> None:
-        for member in event.report.members:
-            self._gate.note_member(member.gang_id, member.job_id)
-            if member.state is not MemberState.RESERVED:
-                self._gate.note_started(member.gang_id)
+            self.feed(messages.RecoveryEnded())
 
     # Effects.
 
-    def _reserve(self, effect: ReserveMember) -> None:
-        self._gate.note_member(effect.gang_id, effect.job_id)
-        self.roster.send(effect.member.worker_id, effect)
-
-    def _start(self, effect: StartMember) -> None:
-        self._gate.note_started(effect.gang_id)
-        self.roster.send(effect.worker_id, effect)
-
-    def _release(self, effect: ReleaseMember) -> None:
-        if self._gate.admit(effect):
-            self.roster.send(effect.worker_id, effect)
-
-    def _stop(self, effect: StopMember) -> None:
-        self.roster.send(effect.worker_id, effect)
-
-    def _record_start(self, effect: RecordStart) -> None:
+    def _record_start(self, effect: messages.RecordStart) -> None:
         self.run(self._write_start(effect))
 
-    async def _write_start(self, effect: RecordStart) -> None:
+    async def _write_start(self, effect: messages.RecordStart) -> None:
         refusal = await self.ledger.record_start(effect.job_id, effect.gang_id)
-        self.feed(StartRecordAnswered(effect.gang_id, not refusal, refusal))
+        self.feed(messages.StartRecordAnswered(effect.gang_id, not refusal, refusal))
 
-    def _job_changed(self, effect: JobChanged) -> None:
+    def _job_changed(self, effect: messages.JobChanged) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
         self.reporter.changed(effect.job_id, job.spec, effect.state)
         if effect.state not in FINAL_JOB_STATES:
             return
-        view = self.scheduler.view(effect.job_id)
+        view = self._certain_view(effect.job_id)
         self._uncertain.pop(effect.job_id, None)
         self.ledger.finish(view, job.spec, self.now())
         self.run(self.ledger.write(effect.job_id))
 
-    def _target_missed(self, effect: TargetMissed) -> None:
+    def _certain_view(self, job_id: str) -> JobView:
+        """Return the end of a job without claiming more than is known.
+
+        A job without a record may have run for a previous owner, and only
+        the job records and the reports of all workers could tell.
+        """
+        view = self.scheduler.view(job_id)
+        complete = self._loaded and self._members_known and self.roster.settled
+        if view.state is not JobState.NOT_RUN or complete:
+            return view
+        if self.ledger.durable(job_id):
+            return view
+        return view._replace(state=JobState.INTERRUPTED, reason="may_have_run")
+
+    def _target_missed(self, effect: messages.TargetMissed) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
         self.reporter.target_missed(effect.job_id, job.spec)
 
-    def _shortages_changed(self, effect: ShortagesChanged) -> None:
+    def _shortages_changed(self, effect: messages.ShortagesChanged) -> None:
         self.reporter.shortages(effect.shortages)
 
-    def _wake_at(self, effect: WakeAt) -> None:
+    def _wake_at(self, effect: messages.WakeAt) -> None:
         self._subscribe(WAKE_TIMER, effect.at - self.now())
 
     # Callbacks of the ledger.
@@ -374,20 +366,19 @@
         self.waiters.job_ended(job_id)
 
     def _results_safe(self, job_id: str) -> None:
-        for release in self._gate.open(job_id):
-            self.roster.send(release.worker_id, release)
+        self._commands.release_held(job_id)
 
     def _recorded(self, job_id: str) -> None:
         job = self.scheduler.jobs_by_id.get(job_id)
         if job is not None:
-            self.feed(JobSubmitted(job_id, job.spec, job.submitted_at, True))
+            self.feed(messages.JobSubmitted(job_id, job.spec, job.submitted_at, True))
 
     def _contested(self, record: StoredRecord) -> None:
         """Another owner ended the job or recorded a start of it."""
         job_id = record.body["job_id"]
         self.take_record(record)
         if not is_final(record.body):
-            self.feed(CancelRequested(job_id))
+            self.feed(messages.CancelRequested(job_id))
 
     def _retry_records(self) -> None:
         self._subscribe(RECORDS_TIMER, RECORD_RETRY_S)
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -19,7 +19,7 @@
     OutcomeUnknownError,
     UnavailableError,
 )
-from .messages import CancelRequested, ConfigurationChanged
+from .messages import ConfigurationChanged
 from .model import FINAL_JOB_STATES, JobView
 from .requests import (
     DISPATCHER,
@@ -224,9 +224,10 @@
         if view.state in FINAL_JOB_STATES:
             return view
         tenure = self._owned()
-        ended = tenure.waiters.wait(message.job_id, CANCEL_LIMIT_S)
-        tenure.feed(CancelRequested(message.job_id))
-        await ended
+        tenure.cancel(message.job_id)
+        view = self._find(message.job_id)
+        if view.state not in FINAL_JOB_STATES:
+            await tenure.waiters.wait(message.job_id, CANCEL_LIMIT_S)
         view = self._find(message.job_id)
         if view.state not in FINAL_JOB_STATES:
             raise OutcomeUnknownError(
