--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -46,7 +46,7 @@
     """Tries queued jobs when something changed, never otherwise.
 
     After a pass, every queued job is known not to fit: its shape is in
-    ``blocked``, or in ``limited`` when only the reservation for the head of
+    ``blocked``, or in ``limited`` when the reservation for the head of
     the queue stands against it. A new job of such a shape costs no search.
     """
 
@@ -134,10 +134,7 @@
         self.limited.clear()
         self.reservation = None
         jobs = self._jobs
-        self._reservation_tried = not any(
-            shape.tasks * shape.accelerators_per_task > 1
-            for shape in jobs.queue.shapes()
-        )
+        self._reservation_tried = False
         waiting = self._order(self._heads(jobs.queue.lanes()))
         self._ranks_by_lane = {
             jobs.queue.key(job.job_id): rank for rank, job in enumerate(waiting)
@@ -164,27 +161,33 @@
 
     def _nothing_fits(self) -> bool:
         """Whether all queued shapes were tried and the head is chosen."""
-        open_shapes = self._jobs.queue.shapes() - self.blocked - self.limited
-        return not open_shapes and self._reservation_tried
+        shapes = self._jobs.queue.shapes()
+        if shapes - self.blocked:
+            return False
+        return self._reservation_tried or not any(map(_is_gang, shapes))
 
     def _try_fresh(self, fresh: list[str]) -> None:
         queue = self._jobs.queue
+        if self._reservation_is_stale():
+            self._reservation_tried = False
         for job_id in fresh:
             if job_id not in queue:
                 continue
             shape = queue.key(job_id).shape
-            if shape not in self.blocked and shape not in self.limited:
+            if shape not in self.blocked:
                 self._try(self._jobs.queued_job(job_id), shape)
 
     def _try(self, job: QueuedJob, shape: ShapeKey) -> bool:
-        if shape in self.blocked or shape in self.limited:
+        if shape in self.blocked:
             self._reserve_for(job)
             return False
-        avoid = self._gangs.pending_workers() | shape.avoided
         reserved = self._reserved(job)
+        if reserved and shape in self.limited:
+            return False
+        avoid = self._gangs.pending_workers() | shape.avoided
         if self._room.may_hold(job) and self._place(job, avoid | reserved):
             return True
-        if self._reclaim(job):
+        if self._reclaim(job, avoid):
             return True
         (self.limited if reserved else self.blocked).add(shape)
         self._reserve_for(job)
@@ -204,13 +207,10 @@
         self._gangs.create(record, placement, probed)
         return True
 
-    def _reclaim(self, job: QueuedJob) -> bool:
+    def _reclaim(self, job: QueuedJob, avoid: frozenset[str]) -> bool:
         context = self._context
         plan = context.policies.reclaim.reclaim(
-            job.spec,
-            context.fleet,
-            context.guarantees,
-            self._gangs.pending_workers(),
+            job.spec, context.fleet, context.guarantees, avoid
         )
         if plan is None:
             return False
@@ -229,9 +229,17 @@
         ends_at = self._context.now + job.expected_run_s
         if ends_at <= reservation.at or self._reservation_is_stale():
             return frozenset()
-        head = self._jobs.queued_job(reservation.job_id)
-        precedes_head = self._order([head, job])[0] is job
-        return frozenset() if precedes_head else reservation.workers
+        return frozenset() if self._precedes_head(job) else reservation.workers
+
+    def _precedes_head(self, job: QueuedJob) -> bool:
+        queue, ranks = self._jobs.queue, self._ranks_by_lane
+        head_id = self.reservation.job_id
+        rank = ranks.get(queue.key(job.job_id))
+        head_rank = ranks.get(queue.key(head_id))
+        if rank is not None and head_rank is not None:
+            return rank < head_rank
+        head = self._jobs.queued_job(head_id)
+        return self._order([head, job])[0] is job
 
     def _reserve_for(self, job: QueuedJob) -> None:
         """Reserve workers for the first gang of the pass that does not fit."""
@@ -288,6 +296,10 @@
     return _Room(fleet.free_in_domain(), fleet.most_free_on_worker(), slots)
 
 
+def _is_gang(shape: ShapeKey) -> bool:
+    return shape.tasks * shape.accelerators_per_task > 1
+
+
 def _takes_task(spec: JobSpec, worker: WorkerState, guarantees: GuaranteeBook) -> bool:
     """Whether a worker has room for at least one task of a job."""
     needed = spec.accelerators_per_task
