Test the slack order, admission bounds and worker health

Cause: the shipped policies had only indirect tests. Change: unit tests for order, learned run times, bounds and quarantine. Ruled out: tests through the scheduler, because they would not show the order of single decisions.

--- /dev/null
+++ b/tests/test_slack_policy.py
@@ -0,0 +1,149 @@
+"""Tests of order, admission and health of the shipped policies."""
+
+import unittest
+
+from redwingrudder._slack_policy import (
+    QUEUED_GROUP_LIMIT,
+    QUEUED_TOTAL_LIMIT,
+    SlackAdmission,
+    SlackOrder,
+    StreakHealth,
+)
+from redwingrudder.fleet import Fleet
+from redwingrudder.policies import QueuedJob, QueueSize
+
+from .scheduler_world import CONFIGURATION, SPEC
+
+NOW = 1_700_000_005.0
+
+
+class SlackOrderTests(unittest.TestCase):
+    def setUp(self):
+        self.policy = SlackOrder()
+
+    def job(self, name, job_class="urgent", waited=0.0, run_s=1.0, **changes):
+        spec = SPEC._replace(job_class=job_class, **changes)
+        definition = CONFIGURATION.classes_by_name[job_class]
+        at = NOW - waited
+        target_at = at + definition.target_s
+        return QueuedJob(name, spec, definition, at, target_at, run_s, 0)
+
+    def names(self, *jobs, now=NOW):
+        return [job.job_id for job in self.policy.order(list(jobs), now)]
+
+    def test_least_slack_first_and_late_jobs_last(self):
+        """A job that has missed its target must not cost others theirs."""
+        jobs = [
+            self.job("relaxed", "later"),
+            self.job("late", waited=6.0),
+            self.job("soon"),
+            self.job("long", "later", run_s=599.0),
+        ]
+        self.assertEqual(self.names(*jobs), ["long", "soon", "relaxed", "late"])
+
+    def test_large_callers_wait_for_small_ones_of_the_class(self):
+        """A small caller must not queue behind a large caller's run."""
+        large = SPEC._replace(organisation="gold", caller="chain")
+        self.policy.observe_service(large, 5000.0, NOW)
+        busy = SPEC._replace(caller="busy")
+        self.policy.observe_service(busy, 100.0, NOW)
+        jobs = [
+            self.job("chain", waited=3.0, organisation="gold", caller="chain"),
+            self.job("busy", waited=2.0, caller="busy"),
+            self.job("small", waited=1.0, caller="small"),
+        ]
+        self.assertEqual(self.names(*jobs), ["small", "busy", "chain"])
+
+    def test_service_decays(self):
+        """A caller must not wait for its use of the day before."""
+        self.policy.observe_service(SPEC._replace(caller="old"), 5000.0, NOW - 36_000)
+        self.policy.observe_service(SPEC._replace(caller="new"), 100.0, NOW)
+        jobs = [self.job("new", caller="new"), self.job("old", caller="old")]
+        self.assertEqual(self.names(*jobs), ["old", "new"])
+
+    def test_aged_job_gets_a_bounded_share(self):
+        """Work that waits must run at last, but a late flood must not rule."""
+        aged = self.job("aged", waited=30.0)
+        late = self.job("late", waited=10.0)
+        soon = self.job("soon")
+        jobs = (late, aged, soon)
+        self.assertEqual(self.names(*jobs), ["soon", "aged", "late"])
+        window = NOW - NOW % 10
+        first = [self.names(*jobs, now=window + i / 10)[0] for i in range(100)]
+        self.assertEqual(first.count("aged"), 10)
+
+    def test_run_time_is_the_learned_80th_percentile(self):
+        """Declared run times may be far off."""
+        expected = [self.policy.expected_run_s(SPEC._replace(declared_run_s=100.0))]
+        for run_s in (10.0, 10.0, 10.0, 20.0, 90.0):
+            self.policy.observe_run(SPEC, run_s, NOW)
+            expected.append(
+                self.policy.expected_run_s(SPEC._replace(declared_run_s=100.0))
+            )
+        self.assertEqual([expected[i] for i in (0, 1, 5)], [100.0, 82.0, 20.0])
+        other = SPEC._replace(organisation="gold")
+        self.assertEqual(self.policy.expected_run_s(other), SPEC.declared_run_s)
+
+
+class SlackAdmissionTests(unittest.TestCase):
+    def test_bounds_give_a_retry_time(self):
+        """A flood of one class must not fill the queue of the others."""
+        policy = SlackAdmission()
+        for total, of_group, code in [
+            (QUEUED_GROUP_LIMIT, QUEUED_GROUP_LIMIT - 1, None),
+            (QUEUED_GROUP_LIMIT, QUEUED_GROUP_LIMIT, "overloaded"),
+            (QUEUED_TOTAL_LIMIT, 0, "overloaded"),
+        ]:
+            size = QueueSize(total, of_group)
+            refusal = policy.admit(SPEC, size, Fleet(), CONFIGURATION)
+            self.assertEqual(refusal and refusal.code, code)
+            self.assertTrue(refusal is None or refusal.retry_after_s > 0)
+
+
+class StreakHealthTests(unittest.TestCase):
+    def setUp(self):
+        self.policy = StreakHealth()
+
+    def fail(self, *job_ids, worker="w0", now=NOW):
+        for job_id in job_ids:
+            self.policy.observe(worker, job_id, True, now)
+
+    def succeed(self, *job_ids, worker="w1"):
+        for job_id in job_ids:
+            self.policy.observe(worker, job_id, False, NOW)
+
+    def test_jobs_that_fail_everywhere_do_not_blame_a_worker(self):
+        """A flood of jobs that can never run must not empty the fleet."""
+        self.fail("a", "b", "c", "d")
+        self.fail("a", "b", "c", "d", worker="w1")
+        self.assertEqual(self.policy.quarantined(NOW), frozenset())
+
+    def test_three_jobs_in_a_row_that_succeed_elsewhere(self):
+        self.fail("a", "a", "b")
+        self.succeed("a", "b")
+        self.assertEqual(self.policy.quarantined(NOW), frozenset())
+        self.fail("c")
+        self.succeed("c")
+        self.assertEqual(self.policy.quarantined(NOW), {"w0"})
+
+    def test_a_success_ends_the_row(self):
+        self.fail("a", "b")
+        self.succeed("d", worker="w0")
+        self.fail("c")
+        self.succeed("a", "b", "c")
+        self.assertEqual(self.policy.quarantined(NOW), frozenset())
+
+    def test_probe_interval_doubles_up_to_its_limit(self):
+        self.fail("a", "b", "c")
+        self.succeed("a", "b", "c")
+        now, waits = NOW, []
+        for probe in range(6):
+            due = self.policy.next_change(now)
+            waits.append(due - now)
+            self.assertEqual(self.policy.probes(due - 1), frozenset())
+            self.assertEqual(self.policy.probes(due), {"w0"})
+            now = due
+            self.fail(f"probe-{probe}", now=now)
+        self.assertEqual(waits, [60, 120, 240, 480, 900, 900])
+        self.succeed("last", worker="w0")
+        self.assertEqual(self.policy.quarantined(now), frozenset())
