--- a/src/redwingrudder/_worker_transport.py
+++ b/src/redwingrudder/_worker_transport.py
@@ -12,7 +12,7 @@
 
 CONNECTIONS_PER_WORKER = 6  # one long poll and the commands in flight
 CONNECT_TIMEOUT_S = 1.0
-IDLE_TIMEOUT_S = 120.0  # above the interval of the polls
+IDLE_TIMEOUT_S = 45.0  # below the 60 s after which many servers close
 REPLY_LIMIT_BYTES = 16_777_216
 
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -1,9 +1,13 @@
 """Tests of the worker link against the worker stand-in's core."""
 
+import json
 import unittest
 from unittest import mock
 
-from twisted.internet.task import Clock
+import treq
+from twisted.internet import reactor
+from twisted.internet.task import Clock, deferLater
+from twisted.trial import unittest as trial
 
 from redwingrudder import _worker_commands
 from redwingrudder.actors import Actor, ActorSystem
@@ -29,8 +33,15 @@
     WorkerInfo,
 )
 from redwingrudder.requests import DISPATCHER, OWNERSHIP, EpochRaised, Fenced
+from redwingrudder.standins.worker import WorkerStandIn
 from redwingrudder.timers import TimerService
-from redwingrudder.workers import ClaimSeen, LinkEvent, LinkSettings, WorkerLink
+from redwingrudder.workers import (
+    ClaimSeen,
+    HttpTransport,
+    LinkEvent,
+    LinkSettings,
+    WorkerLink,
+)
 from tests.worker_fakes import FakeTransport, run_clock
 
 ADDRESS = "w1:1"
@@ -55,6 +66,60 @@
             self.tell("worker:w1", ClaimSeen())
 
 
+class HttpTransportTests(trial.TestCase):
+    """The link and the stand-in over sockets."""
+
+    timeout = 20
+
+    def setUp(self):
+        self.system = ActorSystem(reactor)
+        TimerService(self.system)
+        self.dispatcher = Recorder(self.system, DISPATCHER)
+        self.worker = WorkerStandIn(self.system, INFO, reactor)
+        self.system.start()
+        self.transport = HttpTransport(reactor)
+        address = self.worker.address
+        settings = LinkSettings(1, "w1", address, "n1", Epoch(1, 0, 0), LEASE_S)
+        WorkerLink(self.system, settings, self.transport).start()
+
+    async def tearDown(self):
+        await self.system.stop()
+        await self.transport.close()
+
+    async def wait_for(self, kind, count=1):
+        while True:
+            found = [e for e in self.dispatcher.received if isinstance(e, kind)]
+            if len(found) >= count:
+                return found
+            await deferLater(reactor, 0.02)
+
+    async def faults(self, **orders):
+        url = f"http://{self.worker.address}/admin/faults"
+        await treq.post(url, json.dumps(orders).encode(), persistent=False)
+
+    async def test_a_gang_runs_through_dropped_replies_and_a_cut(self):
+        await self.wait_for(WorkerClaimed)
+        await self.faults(drop_replies=2, slow_s=0.05)
+        member = MemberPlacement("w1", (0,), (0,))
+        spec = SPEC._replace(payload='{"run_s": 0.8, "result": "done"}')
+        self.system.tell("worker:w1", ReserveMember("g", "j", spec, 0.0, member, 1))
+        self.system.tell("worker:w1", StartMember("g", "w1"))
+        (started,) = await self.wait_for(StartAnswered)
+        self.assertTrue(started.accepted)
+        await self.faults(cut_s=1.0, slow_s=0.0)
+        (ended,) = await self.wait_for(TaskEnded)
+        self.assertEqual(ended.result.result, "done")
+        history = self.worker.core.history
+        self.assertEqual([e.what for e in history], ["reserved", "started", "ended"])
+
+    async def test_a_restart_is_noticed_within_a_poll(self):
+        await self.wait_for(WorkerClaimed)
+        self.worker.restart()
+        (lost,) = await self.wait_for(WorkerLost)
+        self.assertEqual(lost.reason, "restarted")
+        await self.wait_for(WorkerClaimed, 2)
+
+
 class WorkerLinkTests(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
