--- a/src/redwingrudder/_worker_transport.py
+++ b/src/redwingrudder/_worker_transport.py
@@ -1,12 +1,21 @@
 """How a worker link reaches its worker: HTTP with persistent connections."""
 
 import abc
+import io
 import json
 from typing import Any, NamedTuple
 
-import treq
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTCP
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import (
+    Agent,
+    FileBodyProducer,
+    HTTPConnectionPool,
+    ResponseDone,
+)
+from twisted.web.http_headers import Headers
 
 from .exceptions import UnavailableError
 
@@ -46,75 +55,93 @@
 
 
 class HttpTransport(WorkerTransport):
-    """The shipped transport.
+    """The shipped transport; it sends few bytes, as most polls are empty.
 
     Args:
         reactor: Provides connections.
     """
 
     def __init__(self, reactor: IReactorTCP) -> None:
+        self._reactor = reactor
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = CONNECTIONS_PER_WORKER
         self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
         # The link retries itself, with a bound on its attempts in flight.
         self._pool.retryAutomatically = False
-        agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
-        self._client = treq.client.HTTPClient(agent)
-        self._reactor = reactor
+        self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
 
     async def post(
         self, address: str, path: str, body: Any, timeout_s: float
     ) -> WorkerAnswer:
         """See base class."""
-        content = json.dumps(body).encode()
-        return await self._request("POST", address, path, content, timeout_s)
+        content = json.dumps(body, separators=(",", ":")).encode()
+        return await self._request(b"POST", address, path, content, timeout_s)
 
     async def get(self, address: str, path: str, timeout_s: float) -> WorkerAnswer:
         """See base class."""
-        return await self._request("GET", address, path, None, timeout_s)
+        return await self._request(b"GET", address, path, None, timeout_s)
+
+    async def close(self) -> None:
+        """See base class."""
+        await self._pool.closeCachedConnections()
 
     async def _request(
         self,
-        method: str,
+        method: bytes,
         address: str,
         path: str,
         content: bytes | None,
         timeout_s: float,
     ) -> WorkerAnswer:
+        exchange = ensureDeferred(self._exchange(method, address, path, content))
+        exchange.addTimeout(timeout_s, self._reactor)
         try:
-            response = await self._client.request(
-                method,
-                f"http://{address}{path}",
-                data=content,
-                headers={"content-type": "application/json"},
-                timeout=timeout_s,
-                reactor=self._reactor,
-                unbuffered=True,
-            )
-            reply = await self._read(response, timeout_s)
+            return await exchange
         except Exception as error:
             # The HTTP client raises many unrelated types for a broken
             # connection; all of them mean that there is no answer.
             detail = f"{path} at {address}: {type(error).__name__}"
             raise UnavailableError(detail) from error
-        return WorkerAnswer(response.code, reply)
 
-    async def close(self) -> None:
+    async def _exchange(
+        self, method: bytes, address: str, path: str, content: bytes | None
+    ) -> WorkerAnswer:
+        headers, producer = None, None
+        if content is not None:
+            headers = Headers({b"content-type": [b"application/json"]})
+            producer = FileBodyProducer(io.BytesIO(content))
+        url = f"http://{address}{path}".encode()
+        response = await self._agent.request(method, url, headers, producer)
+        collector = _Collector()
+        response.deliverBody(collector)
+        return WorkerAnswer(response.code, await collector.collected)
+
+
+class _Collector(Protocol):
+    """Collects the body of an answer up to a limit."""
+
+    def __init__(self) -> None:
+        self.collected: Deferred = Deferred(lambda _: self._abort())
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """See base class."""
-        await self._pool.closeCachedConnections()
+        self._size += len(data)
+        if self._size > REPLY_LIMIT_BYTES:
+            self._abort()
+        else:
+            self._parts.append(data)
 
-    async def _read(self, response: Any, timeout_s: float) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-
-        def collect(part: bytes) -> None:
-            nonlocal size
-            size += len(part)
-            if size > REPLY_LIMIT_BYTES:
-                raise ValueError(f"reply exceeds {REPLY_LIMIT_BYTES} bytes")
-            parts.append(part)
-
-        reading = treq.collect(response, collect)
-        reading.addTimeout(timeout_s, self._reactor)
-        await reading
-        return b"".join(parts)
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """See base class."""
+        if self.collected.called:
+            return
+        if reason.check(ResponseDone):
+            self.collected.callback(b"".join(self._parts))
+        else:
+            self.collected.errback(reason)
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abortConnection()
--- a/src/redwingrudder/standins/_worker_http.py
+++ b/src/redwingrudder/standins/_worker_http.py
@@ -294,5 +294,7 @@
         return
     request.setResponseCode(answer.status)
     request.setHeader(b"content-type", b"application/json")
-    request.write(json.dumps(answer.body).encode())
+    content = json.dumps(answer.body, separators=(",", ":")).encode()
+    request.setHeader(b"content-length", b"%d" % len(content))
+    request.write(content)
     request.finish()
