--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_tenure.py
@@ -25,7 +25,7 @@
 from ._worker_transport import WorkerTransport
 from .actors import ActorSystem
 from .exceptions import StoreUnavailableError, UnavailableError
-from .model import FINAL_JOB_STATES, Epoch, JobState, JobView
+from .model import FINAL_JOB_STATES, Epoch, GuaranteeShortage, JobState, JobView
 from .requests import DISPATCHER, VmInfo
 from .scheduler import Scheduler
 from .timers import TIMERS, Subscribe, Unsubscribe
@@ -88,6 +88,7 @@
         self.closed = False
         self._commands = GangCommands(self.roster, self.ledger.is_pending)
         self._recovered = False
+        self._early_shortages: tuple[GuaranteeShortage, ...] = ()
         self._members_known = False
         self._events: deque[messages.Event] = deque()
         self._feeding = False
@@ -310,9 +311,10 @@
 
     def _end_recovery(self) -> None:
         if not self._recovered:
-            self._recovered = True
             self._system.tell(TIMERS, Unsubscribe(DISPATCHER, RECOVERY_TIMER))
             self.feed(messages.RecoveryEnded())
+            self._recovered = True
+            self.reporter.shortages(self._early_shortages)
 
     # Effects.
 
@@ -352,7 +354,11 @@
         self.reporter.target_missed(effect.job_id, job.spec)
 
     def _shortages_changed(self, effect: messages.ShortagesChanged) -> None:
-        self.reporter.shortages(effect.shortages)
+        # Before the workers are claimed, every guarantee seems short.
+        if self._recovered:
+            self.reporter.shortages(effect.shortages)
+        else:
+            self._early_shortages = effect.shortages
 
     def _wake_at(self, effect: messages.WakeAt) -> None:
         self._subscribe(WAKE_TIMER, effect.at - self.now())
--- a/tests/test_dispatcher_faults.py
+++ b/tests/test_dispatcher_faults.py
@@ -151,10 +151,16 @@
     def test_every_schedule_keeps_the_promises(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                trial = Trial(seed)
-                trial.run()
-                self.check_jobs(trial)
-                self.check_nothing_is_left(trial)
+                self.check_schedule(seed)
+
+    def test_a_reservation_does_not_keep_its_own_job_from_free_workers(self):
+        self.check_schedule(470)
+
+    def check_schedule(self, seed):
+        trial = Trial(seed)
+        trial.run()
+        self.check_jobs(trial)
+        self.check_nothing_is_left(trial)
 
     def check_jobs(self, trial):
         started_gangs = {}
