Keep headroom for classes that cannot wait for a long job

Change: OrderPolicy.leaves_headroom (true by default) keeps the learned mean demand of such classes plus two deviations free outside the cells, at most half of the domain. The first gang that is held back claims its size, so that small jobs do not use it up. Borrowers may still use cells. Ruled out: preemption for urgent work without a guarantee, because it breaks other callers' targets; a fixed share, because operators set no weights.

--- a/src/redwingrudder/_scheduler_gang_life.py
+++ b/src/redwingrudder/_scheduler_gang_life.py
@@ -1,5 +1,7 @@
 """The state chart of a gang with its actions."""
 
+from collections import Counter
+
 from ._scheduler_chart import GANG_CHART
 from ._scheduler_jobs import JobTable
 from ._scheduler_outcome import decide_ended, decide_released, may_retry
@@ -24,6 +26,10 @@
         self.reclaiming: set[str] = set()
         self.recovering: set[str] = set()
         self.running_count = 0
+        self.held_by_class: dict[bool, Counter[str]] = {
+            False: Counter(),
+            True: Counter(),
+        }
 
     def fire(self, gang_id: str, event: str) -> None:
         """Raise an event of the chart and carry out its actions."""
@@ -39,7 +45,7 @@
         for action in step.actions:
             getattr(self, f"_{action}")(self.gangs_by_id[gang_id])
         if step.target in GANG_CHART.final_states:
-            self.gangs_by_id.pop(gang_id, None)
+            self._count_held(self.gangs_by_id.pop(gang_id), -1)
 
     def settle(self, gang_id: str) -> None:
         """Raise the chart's events that follow from the confirmed facts."""
@@ -177,6 +183,13 @@
         if job.attempts == 0:
             self._jobs.first_attempts_by_class[gang.spec.job_class] += 1
 
+    def _count_held(self, gang: GangRecord, sign: int) -> None:
+        """Count accelerators by class, and slots of work without them."""
+        spec = gang.spec
+        accelerated = spec.accelerators_per_task > 0
+        units = spec.accelerators if accelerated else spec.tasks
+        self.held_by_class[accelerated][spec.job_class] += sign * units
+
     def _count_running(self, old: str, new: str) -> None:
         self.running_count += (new == "running") - (old == "running")
 
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -42,6 +42,7 @@
     def add_recovered(self, gang: GangRecord) -> None:
         """Add a gang that a worker reported."""
         self.gangs_by_id[gang.gang_id] = gang
+        self._count_held(gang, 1)
         self.recovering.add(gang.gang_id)
 
     def advance_reclaims(self) -> bool:
@@ -212,6 +213,7 @@
         policies = self._context.policies
         policies.order.observe_service(job.spec, charged, self._context.now)
         self.gangs_by_id[gang.gang_id] = gang._replace(charged=charged)
+        self._count_held(gang, 1)
         self._jobs.fire(job.job_id, "gang_created", gang_id=gang.gang_id, reason="")
 
     def _find(self, gang_id: str, worker_id: str) -> GangRecord | None:
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -2,17 +2,15 @@
 
 import heapq
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from ._scheduler_backfill import Forecast, Reservation, reserve
 from ._scheduler_gangs import GangTable
 from ._scheduler_jobs import JobTable
 from ._scheduler_queue import LaneKey, ShapeKey
-from ._scheduler_state import Context
-from .fleet import Fleet, WorkerState
-from .guarantees import GuaranteeBook
-from .model import JobSpec
-from .policies import QueuedJob
+from ._scheduler_room import EMPTY_ROOM, measure, takes_task
+from ._scheduler_state import Context, TimerKind
+from .guarantees import is_borrower
+from .policies import QueuedJob, ResourceUse
 
 # Candidates that are ordered at a time between two full passes, and among
 # which the next job of a lane is ordered after a placement.
@@ -24,22 +22,8 @@
 # Ordering all lanes costs time linear in their number, so a release of
 # resources orders only the lanes that it helps until this time has passed.
 FULL_PASS_INTERVAL_S = 1.0
-
-
-class _Room(NamedTuple):
-    """Upper bounds of what is free, to skip searches that cannot succeed."""
-
-    accelerators: int
-    widest: int
-    slots: int
-
-    def may_hold(self, job: QueuedJob) -> bool:
-        spec = job.spec
-        return (
-            spec.accelerators <= self.accelerators
-            and spec.accelerators_per_task <= self.widest
-            and spec.tasks <= self.slots
-        )
+# While a class leaves headroom to others, it is tried again after this time.
+HEADROOM_RECHECK_S = 1.0
 
 
 class Placer:
@@ -47,7 +31,8 @@
 
     After a pass, every queued job is known not to fit: its shape is in
     ``blocked``, or in ``limited`` when the reservation for the head of
-    the queue stands against it. A new job of such a shape costs no search.
+    the queue stands against it, or its class is ``restrained`` to leave
+    headroom for other work. A new job of such a shape costs no search.
     """
 
     def __init__(self, context: Context, jobs: JobTable, gangs: GangTable) -> None:
@@ -56,11 +41,13 @@
         self._gangs = gangs
         self.blocked: set[ShapeKey] = set()
         self.limited: set[ShapeKey] = set()
+        self.restrained: set[str] = set()
+        self._claimant: QueuedJob | None = None
         self.reservation: Reservation | None = None
         self._reservation_tried = False
         self._ranks_by_lane: dict[LaneKey, int] = {}
         self._full_pass_at = float("-inf")
-        self._room = _Room(0, 0, 0)
+        self._room = EMPTY_ROOM
 
     def run(self) -> None:
         """Place what can be placed after the events since the last run."""
@@ -78,7 +65,11 @@
         elif freed:
             self._unblock(freed)
             self._pass_after_release()
-        elif self._can_lift_limits() or (fresh and self._due_probes()):
+        elif (
+            self._must_look_again()
+            or self._can_lift_limits()
+            or (fresh and self._due_probes())
+        ):
             self._full_pass()
         elif fresh:
             self._try_fresh(fresh)
@@ -92,7 +83,7 @@
             job_id = self._jobs.queue.example(shape)
             if job_id is not None:
                 spec = self._jobs.jobs_by_id[job_id].spec
-                if not any(_takes_task(spec, w, context.guarantees) for w in workers):
+                if not any(takes_task(spec, w, context.guarantees) for w in workers):
                     continue
             self.blocked.discard(shape)
             self.limited.discard(shape)
@@ -102,7 +93,8 @@
         if now - self._full_pass_at >= FULL_PASS_INTERVAL_S:
             self._full_pass()
             return
-        self._room = _measure(self._context.fleet)
+        self._room = measure(self._context)
+        self.restrained.clear()
         tried: set[LaneKey] = set()
         keys = self._next_lanes(tried)
         while keys:
@@ -118,7 +110,11 @@
         """
         queue, ranks = self._jobs.queue, self._ranks_by_lane
         shapes = queue.shapes() - self.blocked - self.limited
-        keys = (key for key in queue.lanes_of(shapes) if key not in tried)
+        keys = (
+            key
+            for key in queue.lanes_of(shapes)
+            if key not in tried and key.job_class not in self.restrained
+        )
         middle = ORDER_WINDOW // 2
         return heapq.nsmallest(ORDER_WINDOW, keys, lambda k: ranks.get(k, middle))
 
@@ -128,10 +124,11 @@
 
     def _full_pass(self) -> None:
         """Try all lanes and choose the head of the queue anew."""
-        self._ranks_by_lane: dict[LaneKey, int] = {}
         self._full_pass_at = self._context.now
-        self._room = _measure(self._context.fleet)
+        self._room = measure(self._context)
         self.limited.clear()
+        self.restrained.clear()
+        self._claimant = None
         self.reservation = None
         jobs = self._jobs
         self._reservation_tried = False
@@ -185,7 +182,9 @@
         if reserved and shape in self.limited:
             return False
         avoid = self._gangs.pending_workers() | shape.avoided
-        if self._room.may_hold(job) and self._place(job, avoid | reserved):
+        if not self._leaves_headroom(job):
+            return self._try_outside_headroom(job, avoid | reserved)
+        if self._room.may_hold(job.spec) and self._place(job, avoid | reserved):
             return True
         if self._reclaim(job, avoid):
             return True
@@ -193,6 +192,49 @@
         self._reserve_for(job)
         return False
 
+    def _leaves_headroom(self, job: QueuedJob) -> bool:
+        room, spec = self._room, job.spec
+        accelerated = spec.accelerators_per_task > 0
+        free = room.open_accelerators if accelerated else room.slots
+        use = ResourceUse(
+            room.total_accelerators if accelerated else room.total_slots,
+            free - self._claimed_by_other(job),
+            self._gangs.held_by_class[accelerated],
+        )
+        order = self._context.policies.order
+        return order.leaves_headroom(job, use, self._context.now)
+
+    def _claimed_by_other(self, job: QueuedJob) -> int:
+        """Return what the first restrained gang needs beside the headroom.
+
+        Without it, small jobs would use up each accelerator as it gets free.
+        """
+        claimant = self._claimant
+        if claimant is None or claimant.job_id not in self._jobs.queue:
+            return 0
+        same_kind = (claimant.spec.accelerators_per_task > 0) == (
+            job.spec.accelerators_per_task > 0
+        )
+        if claimant.job_id == job.job_id or not same_kind:
+            return 0
+        return claimant.spec.accelerators or claimant.spec.tasks
+
+    def _try_outside_headroom(self, job: QueuedJob, avoid: frozenset[str]) -> bool:
+        """Use only cells, so that the accelerators outside stay free."""
+        context = self._context
+        if not self.restrained:
+            # Demand fades without an event, so the passes go on with time.
+            again_at = context.now + HEADROOM_RECHECK_S
+            context.times.add(again_at, TimerKind.PLACEMENT)
+        self.restrained.add(job.spec.job_class)
+        if self._claimant is None or self._claimant.job_id not in self._jobs.queue:
+            self._claimant = job
+        if self._reclaim(job, avoid):
+            return True
+        if not is_borrower(job.spec) or not self._room.may_hold(job.spec):
+            return False
+        return self._place(job, avoid | self._room.open_workers)
+
     def _place(
         self, job: QueuedJob, avoid: frozenset[str], probed: str | None = None
     ) -> bool:
@@ -202,7 +244,7 @@
         )
         if placement is None:
             return False
-        self._take_room(job)
+        self._room = self._room.without(job.spec)
         record = self._jobs.jobs_by_id[job.job_id]
         self._gangs.create(record, placement, probed)
         return True
@@ -251,6 +293,10 @@
         forecast = Forecast(context.fleet, context.guarantees, ends, context.now)
         self.reservation = reserve(job.job_id, job.spec, forecast)
 
+    def _must_look_again(self) -> bool:
+        passed_s = self._context.now - self._full_pass_at
+        return bool(self.restrained) and passed_s >= HEADROOM_RECHECK_S
+
     def _can_lift_limits(self) -> bool:
         return bool(self.limited) and self._reservation_is_stale()
 
@@ -281,35 +327,6 @@
     def _order(self, jobs: list[QueuedJob]) -> list[QueuedJob]:
         return self._context.policies.order.order(jobs, self._context.now)
 
-    def _take_room(self, job: QueuedJob) -> None:
-        room = self._room
-        self._room = room._replace(
-            accelerators=room.accelerators - job.spec.accelerators,
-            slots=room.slots - job.spec.tasks,
-        )
-
-
-def _measure(fleet: Fleet) -> _Room:
-    slots = 0
-    for worker in fleet.placeable_workers():
-        slots += worker.free_slots
-    return _Room(fleet.free_in_domain(), fleet.most_free_on_worker(), slots)
-
 
 def _is_gang(shape: ShapeKey) -> bool:
     return shape.tasks * shape.accelerators_per_task > 1
-
-
-def _takes_task(spec: JobSpec, worker: WorkerState, guarantees: GuaranteeBook) -> bool:
-    """Whether a worker has room for at least one task of a job."""
-    needed = spec.accelerators_per_task
-    return (
-        worker.free_slots > 0
-        and worker.free_cores >= spec.cores_per_task
-        and worker.free_memory_mb >= spec.memory_mb_per_task
-        and (
-            needed == 0
-            or len(guarantees.usable_accelerators(spec, worker.info.worker_id))
-            >= needed
-        )
-    )
--- a/src/redwingrudder/_scheduler_status.py
+++ b/src/redwingrudder/_scheduler_status.py
@@ -51,6 +51,8 @@
     if shape in placer.limited:
         return "would delay the gang at the head of the queue"
     spec = job.spec
+    if shape not in placer.blocked and spec.job_class in placer.restrained:
+        return "its class leaves room to work that cannot wait for it"
     return (
         f"no free place for {spec.tasks} tasks with"
         f" {spec.accelerators_per_task} adjacent accelerators each"
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -1,5 +1,6 @@
 """The shipped policies: order by slack, fair shares, bounds and health."""
 
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
     QueuedJob,
     QueueSize,
     Refusal,
+    ResourceUse,
 )
 
 RUNS_KEPT = 50
@@ -26,6 +28,13 @@
 AGED_WINDOW_S = 1.0
 FINISH_BY_TARGET_S = 86_400.0
 
+# Demand of a class is averaged over this time.
+DEMAND_WINDOW_S = 300.0
+# Headroom covers the mean demand and this many deviations of a Poisson count.
+HEADROOM_DEVIATIONS = 2.0
+# Without a bound, a flood of one class would keep the others from starting.
+HEADROOM_MAX_SHARE = 0.5
+
 QUEUED_TOTAL_LIMIT = 20_000
 QUEUED_GROUP_LIMIT = 5_000
 OVERLOADED_RETRY_S = 5.0
@@ -53,6 +62,7 @@
         self._runs_by_group: dict[tuple[str, str], deque[float]] = {}
         self._percentiles: dict[tuple[str, str], float] = {}
         self._service: dict[tuple[str, ...], _Service] = {}
+        self._headroom = _Headroom()
 
     def order(self, jobs: list[QueuedJob], now: float) -> list[QueuedJob]:
         """Order by slack, then give each class's places to its fair order.
@@ -98,12 +108,17 @@
         self, spec: JobSpec, accelerator_seconds: float, now: float
     ) -> None:
         """Add service; a negative amount corrects what was charged before."""
+        self._headroom.observe(spec, accelerator_seconds, now)
         organisation = (spec.organisation,)
         for key in (organisation, (spec.organisation, spec.caller)):
             current = self._service.get(key, _Service(0.0, now)).decayed(now)
             total = max(0.0, current + accelerator_seconds)
             self._service[key] = _Service(total, now)
 
+    def leaves_headroom(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
+        """Keep room for classes that cannot wait until the job has ended."""
+        return self._headroom.allows(job, use, now)
+
     def _slack(self, job: QueuedJob, now: float) -> float:
         return job.target_at - now - job.expected_run_s
 
@@ -121,6 +136,63 @@
         }
 
 
+class _Demand(NamedTuple):
+    """Decaying sum of the service that a class asked for."""
+
+    accelerator_seconds: float
+    at: float
+
+    def mean(self, now: float) -> float:
+        """Return the accelerators in use on average."""
+        age = max(0.0, now - self.at)
+        decayed = self.accelerator_seconds * math.exp(-age / DEMAND_WINDOW_S)
+        return decayed / DEMAND_WINDOW_S
+
+
+class _Headroom:
+    """Room for classes whose jobs cannot wait for a long job to end.
+
+    In a flood of long jobs, all accelerators would be taken by jobs that end
+    long after the targets of shorter classes.
+    """
+
+    def __init__(self) -> None:
+        self._demands: dict[bool, dict[str, _Demand]] = {False: {}, True: {}}
+        self._slack_by_class: dict[str, float] = {}
+
+    def observe(self, spec: JobSpec, accelerator_seconds: float, now: float) -> None:
+        """Learn from a job that starts; corrections are left out."""
+        if accelerator_seconds <= 0:
+            return
+        # A job that runs longer than the window counts once for its size.
+        bound = max(spec.accelerators, spec.tasks) * DEMAND_WINDOW_S
+        demands = self._demands[spec.accelerators_per_task > 0]
+        before = demands.get(spec.job_class, _Demand(0.0, now)).mean(now)
+        total = before * DEMAND_WINDOW_S + min(accelerator_seconds, bound)
+        demands[spec.job_class] = _Demand(total, now)
+
+    def allows(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
+        """Whether the room for the other classes is kept."""
+        spec = job.spec
+        slack_s = job.target_at - job.submitted_at - job.expected_run_s
+        self._slack_by_class[spec.job_class] = slack_s
+        wanted = held = 0.0
+        for name, demand in self._demands[spec.accelerators_per_task > 0].items():
+            patience_s = self._slack_by_class.get(name, math.inf)
+            if name == spec.job_class or patience_s >= job.expected_run_s:
+                continue
+            mean = demand.mean(now)
+            wanted += mean + HEADROOM_DEVIATIONS * math.sqrt(mean)
+            held += use.held_by_class.get(name, 0)
+        wanted = min(wanted, HEADROOM_MAX_SHARE * use.total)
+        units = spec.accelerators or spec.tasks
+        if units > use.total - wanted and job.target_at - now < job.expected_run_s:
+            # The job can never leave the room, and must not wait for ever.
+            return True
+        missing = round(wanted - held)
+        return missing <= 0 or units + missing <= use.free
+
+
 class SlackAdmission(AdmissionPolicy):
     """Bounds the queue per organisation and class and in total."""
 
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from .fleet import Fleet
@@ -55,6 +56,18 @@
     retry_after_s: float | None
 
 
+class ResourceUse(NamedTuple):
+    """Accelerators, or slots when a job takes no accelerators.
+
+    ``free`` counts those outside all cells; ``held_by_class`` all that are
+    held, by class.
+    """
+
+    total: int
+    free: int
+    held_by_class: Mapping[str, int]
+
+
 class OrderPolicy(abc.ABC):
     """Decides which queued jobs are tried first."""
 
@@ -76,6 +89,13 @@
     ) -> None:
         """Account for service that a caller and organisation received."""
 
+    def leaves_headroom(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
+        """Whether other work keeps enough room when a job starts now.
+
+        A job for which this is false is placed only within cells.
+        """
+        return True
+
 
 class PlacementPolicy(abc.ABC):
     """Finds accelerators for a gang."""
--- a/tests/test_slack_policy.py
+++ b/tests/test_slack_policy.py
@@ -10,7 +10,7 @@
     StreakHealth,
 )
 from redwingrudder.fleet import Fleet
-from redwingrudder.policies import QueuedJob, QueueSize
+from redwingrudder.policies import QueuedJob, QueueSize, ResourceUse
 
 from .scheduler_world import CONFIGURATION, SPEC
 
@@ -85,6 +85,43 @@
         self.assertEqual(self.policy.expected_run_s(other), SPEC.declared_run_s)
 
 
+class HeadroomTests(unittest.TestCase):
+    """A flood of long jobs must not take the room of urgent ones."""
+
+    def setUp(self):
+        self.policy = SlackOrder()
+        later = CONFIGURATION.classes_by_name["later"]
+        spec = SPEC._replace(job_class="later", declared_run_s=100.0)
+        self.flood = QueuedJob("f", spec, later, NOW, NOW + 600, 100.0, 0)
+        urgent = CONFIGURATION.classes_by_name["urgent"]
+        self.urgent = QueuedJob("u", SPEC, urgent, NOW, NOW + 5, 2.0, 0)
+
+    def allows(self, job, free, held=0, now=NOW):
+        use = ResourceUse(40, free, {"urgent": held})
+        return self.policy.leaves_headroom(job, use, now)
+
+    def observe(self, jobs):
+        self.allows(self.urgent, 40)
+        for _ in range(jobs):
+            self.policy.observe_service(SPEC, 2.0, NOW)
+
+    def test_room_is_kept_for_the_demand_that_is_not_served(self):
+        self.assertTrue(self.allows(self.flood, 1))
+        # 600 jobs of 2 s in 300 s: 4 in use on average, 8 with deviations.
+        self.observe(600)
+        self.assertFalse(self.allows(self.flood, 8))
+        self.assertTrue(self.allows(self.flood, 9))
+        self.assertTrue(self.allows(self.flood, 1, held=8))
+        self.assertTrue(self.allows(self.urgent, 1))
+
+    def test_demand_fades_and_is_bounded(self):
+        """Neither a past nor an endless flood may stop all other work."""
+        self.observe(60_000)
+        self.assertFalse(self.allows(self.flood, 20))
+        self.assertTrue(self.allows(self.flood, 21))
+        self.assertTrue(self.allows(self.flood, 1, now=NOW + 7200))
+
+
 class SlackAdmissionTests(unittest.TestCase):
     def test_bounds_give_a_retry_time(self):
         """A flood of one class must not fill the queue of the others."""
