Keep using workers that a gap in the VM list leaves out

A worker that was missing from one reading of the list was told to the scheduler as leaving, which only its restart ends; one wrong reading would have taken the whole fleet out of use. Only the state leaving or another address now counts. Random faults with leaving, stopping and failing workers are added.

--- a/src/redwingrudder/_worker_roster.py
+++ b/src/redwingrudder/_worker_roster.py
@@ -95,6 +95,7 @@
             return [event, *self._note_claim(worker_id, link)]
         if isinstance(event, WorkerLost):
             self._update(worker_id, claimed=False, settled=True)
+            self._forget_leaving(worker_id)
             if not link.listed:
                 self._close(worker_id)
                 self._open_missing()
@@ -128,7 +129,10 @@
         link = self._links_by_worker[worker_id]
         vm = self._vms_by_id.get(worker_id)
         listed = vm is not None and vm.address == link.address
-        leaving = not listed or vm.state == "leaving"
+        # A gap in the list is no reason to stop using a worker that answers;
+        # once the scheduler was told, only a restart ends the leaving.
+        told = link.leaving and link.claimed
+        leaving = told or (vm is not None and not _stays(vm, link.address))
         self._update(worker_id, listed=listed, leaving=leaving)
         if not listed and not link.claimed and link.settled:
             self._close(worker_id)
@@ -141,6 +145,10 @@
         self.send(worker_id, ClaimSeen())
         return [WorkerDraining(worker_id)] if link.leaving else []
 
+    def _forget_leaving(self, worker_id: str) -> None:
+        vm = self._vms_by_id.get(worker_id)
+        self._update(worker_id, leaving=vm is not None and vm.state == "leaving")
+
     def _open_missing(self) -> None:
         if self._closed:
             return
@@ -175,3 +183,7 @@
     def _update(self, worker_id: str, **changes: bool) -> None:
         link = self._links_by_worker[worker_id]
         self._links_by_worker[worker_id] = link._replace(**changes)
+
+
+def _stays(vm: VmInfo, address: str) -> bool:
+    return vm.state != "leaving" and vm.address == address
--- a/tests/test_dispatcher_faults.py
+++ b/tests/test_dispatcher_faults.py
@@ -9,10 +9,11 @@
 from redwingrudder import requests as r
 from redwingrudder.exceptions import NotFoundError, RedwingrudderError
 from redwingrudder.model import FINAL_JOB_STATES, JobState
-from tests.test_dispatcher import LEASE_S, SPEC, WORKERS, Node
+from tests.test_dispatcher import LEASE_S, SPEC, WORKERS, Node, list_worker
 from tests.worker_fakes import FakeTransport, run_clock
 
 SEEDS = range(40)
+SEEDS_OF_LEAVING = range(200)
 STEPS = 40
 HEALING_S = 4 * LEASE_S
 
@@ -20,7 +21,9 @@
 class Trial:
     """One schedule of faults; the seed decides about everything."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, leaving=False):
+        self.leaving = leaving
+        self.left = set()
         self.random = random.Random(seed)
         self.clock = Clock()
         self.clock.advance(1_000.0)
@@ -55,11 +58,15 @@
             self.take_over,
             self.heal,
         ]
+        if self.leaving:
+            actions += [self.leave, self.announce_stop, self.fail_everything]
         for _ in range(STEPS):
             self.random.choice(actions)()
             self.node.run_for(self.random.choice((0.05, 0.3, 1.0, 3.0)))
         self.heal()
-        run_clock(self.clock, HEALING_S, 0.1)
+        # A quarantined worker is probed after 60 s, then after 120 s.
+        healing_s = HEALING_S + (180.0 if self.leaving else 0.0)
+        run_clock(self.clock, healing_s, 0.1)
 
     def submit(self):
         # A key always comes with the same body.
@@ -135,7 +142,33 @@
         self.node.store.available = available
         self.node.own(self.term)
 
+    def leave(self):
+        vms = [list_worker(info) for info in WORKERS]
+        if self.random.random() < 0.5:
+            leaving = self.random.choice(WORKERS)
+            self.left.add(leaving.worker_id)
+            vms.append(list_worker(leaving, "leaving"))
+        else:
+            vms.pop()
+        self.node.list_workers(*vms)
+
+    def announce_stop(self):
+        self.random_core().draining = True
+
+    def fail_everything(self):
+        self.random_core().fail_everything = True
+
+    def random_core(self):
+        address = self.random.choice(WORKERS).address
+        return self.transport.cores_by_address[address]
+
     def heal(self):
+        self.node.list_workers(*(list_worker(info) for info in WORKERS))
+        for address, core in list(self.transport.cores_by_address.items()):
+            core.fail_everything = False
+            if core.draining or core.info.worker_id in self.left:
+                self.transport.restart(address)
+        self.left.clear()
         self.transport.cut.clear()
         self.transport.deaf.clear()
         self.transport.dropped_replies = 0
@@ -156,8 +189,13 @@
     def test_a_reservation_does_not_keep_its_own_job_from_free_workers(self):
         self.check_schedule(470)
 
-    def check_schedule(self, seed):
-        trial = Trial(seed)
+    def test_leaving_and_failing_workers_keep_the_promises(self):
+        for seed in SEEDS_OF_LEAVING:
+            with self.subTest(seed=seed):
+                self.check_schedule(seed, leaving=True)
+
+    def check_schedule(self, seed, leaving=False):
+        trial = Trial(seed, leaving)
         trial.run()
         self.check_jobs(trial)
         self.check_nothing_is_left(trial)
