Add the bench command and the module entry point

Cause: the figures of the bench were only reachable from Python. Change: redwingrudder bench with tables and JSON; python -m redwingrudder. Ruled out: a second JSON conversion; the one of the HTTP front serves.

--- /dev/null
+++ b/src/redwingrudder/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with ``python -m redwingrudder``."""
+
+from .cli import main
+
+main()
--- a/src/redwingrudder/bench.py
+++ b/src/redwingrudder/bench.py
@@ -3,6 +3,7 @@
 The clock is virtual: the same seed gives the same figures on any machine.
 """
 
+import pathlib
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -18,9 +19,12 @@
 )
 from ._bench_report import Figures, completion_p95_s, figures, met_share
 from ._bench_runner import BenchRun, JobRecord, RunResult
+from .configuration import parse_document, to_configuration
 from .exceptions import NotFoundError
+from .guarantees import plan_cells
 from .model import Configuration, WorkerInfo
 from .policies import PolicySet, fcfs_policies, slack_policies
+from .settings import deployment_workers, load_deployment, read_file
 
 POLICIES_BY_NAME: dict[str, Callable[[], PolicySet]] = {
     "slack": slack_policies,
@@ -81,6 +85,26 @@
     return WORKLOADS_BY_DEPLOYMENT.get(name, WORKLOADS_BY_DEPLOYMENT["huon"])
 
 
+def load_fleet(folder: str) -> Fleet:
+    """Load an example folder with a deployment and its configuration.
+
+    Raises:
+        SettingsError: A file has problems.
+    """
+    path = pathlib.Path(folder)
+    deployment = load_deployment(str(path / "deployment.jsonc"))
+    document = parse_document(read_file(str(path / "configuration.jsonc")))
+    workers = deployment_workers(deployment)
+    configuration = to_configuration(document, 1)
+    cells = plan_cells(configuration, workers)
+    return Fleet(
+        deployment["name"],
+        workers,
+        configuration._replace(cells=cells),
+        find_workload(deployment["name"]),
+    )
+
+
 def run_scenario(
     fleet: Fleet,
     scenario: Scenario,
--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import react
 
 from . import settings
-from ._tables import print_fields, print_json, print_table
+from ._tables import print_fields, print_json, print_reports, print_table
 from .client import Client
 from .configuration import ConfigurationDocument, parse_document
 from .exceptions import BadRequestError, RedwingrudderError, SettingsError
@@ -77,6 +77,39 @@
         if not run_demo(example, int(seed), default_reactor):
             raise RedwingrudderError("not every job was accounted for")
 
+    def bench(
+        self,
+        scenario: str = "all",
+        example: str = "examples/huon",
+        policy: str = "both",
+        seed: int = 1,
+        horizon: float = 3600.0,
+        json: bool = False,
+    ) -> None:
+        """Measure policies on the real decision code with a virtual clock.
+
+        Args:
+            scenario: Name of a scenario, several with commas, or "all".
+            example: Folder with deployment.jsonc and configuration.jsonc.
+            policy: "slack" (shipped), "fcfs" (baseline) or "both".
+            seed: The same seed gives the same figures.
+            horizon: Seconds of virtual time in which jobs arrive.
+            json: Print JSON.
+        """
+        from . import bench
+
+        fleet = bench.load_fleet(example)
+        names = bench.SCENARIOS_BY_NAME if scenario == "all" else _split(scenario)
+        policies = ("slack", "fcfs") if policy == "both" else (policy,)
+        reports = [
+            bench.run_scenario(
+                fleet, bench.find_scenario(name), each, int(seed), float(horizon)
+            )
+            for name in names
+            for each in policies
+        ]
+        print_reports(reports, json)
+
     def submit(
         self,
         job: str,
