Let jobs of a removed class run to their end

Cause: after a change of the owner, a running job whose class had been removed was interrupted at once, and its retry would have failed in the order policy. Change: unknown classes and organisations are refused when a job enters the queue, after recovery; a retry is reported before it is queued. The order policy bounds the callers it remembers. The fake worker of the schedule test has its own module. Ruled out: keeping removed classes in the configuration of a new owner, because nothing records them.

--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -78,7 +78,7 @@
         self._add(job)
         if context.recovered and event.start_recorded:
             self.fire(job.job_id, "outcome_lost", reason="start_recorded")
-        elif not self._refuse_unknown(job.job_id):
+        else:
             self.fire(job.job_id, "submitted")
 
     def adopt(self, report: MemberReport) -> None:
@@ -148,7 +148,7 @@
                 continue
             if self._class_of(job.spec) not in (None, job.job_class):
                 self._set_target(job)
-            elif job.job_class is None and job.state == JobState.QUEUED:
+            elif job.job_class is None and job.job_id in self.queue:
                 self._refuse_unknown(job.job_id)
 
     def _regroup(self) -> None:
@@ -308,6 +308,8 @@
         if job.waits_for_recovery and not context.recovered:
             self.waiting_for_recovery.add(job.job_id)
             return
+        if self._refuse_unknown(job.job_id):
+            return
         if job.parked_until > context.now:
             context.times.add(job.parked_until, TimerKind.UNPARK, job.job_id)
             return
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -17,8 +17,6 @@
 ORDER_WINDOW = 32
 # Candidates for the probe of a quarantined worker that are tried per pass.
 PROBE_CANDIDATES = 8
-
-
 # Ordering all lanes costs time linear in their number, so a release of
 # resources orders only the lanes that it helps until this time has passed.
 FULL_PASS_INTERVAL_S = 1.0
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -21,6 +21,8 @@
 RUN_PERCENTILE = 0.8
 # Attained service halves in this time, so that old use does not count forever.
 SERVICE_HALF_LIFE_S = 1800.0
+# Callers are named by requests, so their number has to be bounded.
+SERVICE_ENTRIES_LIMIT = 20_000
 AGED_TARGETS = 4.0
 # Aged jobs come first during one tenth of the time. All of the time would let
 # the aged part of a flood displace the work that can still meet its target.
@@ -114,6 +116,12 @@
             current = self._service.get(key, _Service(0.0, now)).decayed(now)
             total = max(0.0, current + accelerator_seconds)
             self._service[key] = _Service(total, now)
+        if len(self._service) > SERVICE_ENTRIES_LIMIT:
+            self._forget_small_service(now)
+
+    def _forget_small_service(self, now: float) -> None:
+        entries = sorted(self._service.items(), key=lambda entry: entry[1].decayed(now))
+        self._service = dict(entries[SERVICE_ENTRIES_LIMIT // 2 :])
 
     def leaves_headroom(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
         """Keep room for classes that cannot wait until the job has ended."""
--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -12,19 +12,16 @@
     JobClass,
     JobSpec,
     JobState,
-    MemberReport,
     MemberState,
     Organisation,
     Shape,
     TaskOutcome,
-    TaskResult,
-    WorkerInfo,
-    WorkerReport,
 )
 from redwingrudder.policies import slack_policies
 from redwingrudder.scheduler import Scheduler
 
-DOMAIN = "bangkok-1"
+from .scheduler_worker import DOMAIN, FakeWorker, make_worker
+
 CONFIGURATION = Configuration(
     1,
     {
@@ -42,101 +39,12 @@
 )
 
 
-def make_worker(index):
-    rack = f"r{index // 2}"
-    return WorkerInfo(f"w{index}", f"10.0.0.{index}:1", DOMAIN, rack, 4, 8, 64, 1000)
-
-
-class FakeWorker:
-    """Holds members as ``worker_api`` says; members are keyed by gang."""
-
-    def __init__(self, info):
-        self.info = info
-        self.boot = 0
-        self.draining = False
-        self.members = {}
-        self.ran = set()
-        self.commands = []
-
-    def restart(self):
-        self.boot += 1
-        self.draining = False
-        self.members.clear()
-        self.ran.clear()
-        self.commands.clear()
-
-    def report(self):
-        boot_id = f"{self.info.worker_id}.{self.boot}"
-        members = tuple(self.members.values())
-        return WorkerReport(self.info, boot_id, self.draining, members)
-
-    def held(self):
-        return {
-            accelerator
-            for member in self.members.values()
-            if member.state is not MemberState.ENDED
-            for accelerator in member.placement.accelerators
-        }
-
-    def execute(self, command):
-        """Carry out a command; returns the answering event, if any."""
-        gang_id, worker_id = command.gang_id, self.info.worker_id
-        member = self.members.get(gang_id)
-        if isinstance(command, m.ReserveMember):
-            code = self._reserve(command)
-            return m.ReserveAnswered(gang_id, worker_id, not code, code)
-        if isinstance(command, m.StartMember):
-            code = "" if member else "unknown_gang"
-            if member and member.state is not MemberState.RESERVED:
-                code = "already_started"
-            elif member:
-                started = member._replace(state=MemberState.STARTED)
-                self.members[gang_id] = started
-                self.ran.add(gang_id)
-            return m.StartAnswered(gang_id, worker_id, not code, code)
-        if isinstance(command, m.ReleaseMember):
-            if member and member.state is MemberState.STARTED:
-                raise AssertionError("release of a running member")
-            self.members.pop(gang_id, None)
-            return m.ReleaseAnswered(gang_id, worker_id)
-        return None
-
-    def _reserve(self, command):
-        if self.draining:
-            return "draining"
-        taken = self.held() & set(command.member.accelerators)
-        assert not taken, f"accelerators {taken} were given away twice"
-        self.members[command.gang_id] = MemberReport(
-            command.gang_id,
-            command.job_id,
-            command.spec,
-            command.submitted_at,
-            command.member,
-            command.gang_members,
-            MemberState.RESERVED,
-            (),
-        )
-        return ""
-
-    def end_task(self, gang_id, task, outcome):
-        member = self.members.get(gang_id)
-        if member is None or member.state is not MemberState.STARTED:
-            return None
-        if any(result.task_index == task for result in member.results):
-            return None
-        result = TaskResult(task, outcome, f"{gang_id}:{task}")
-        results = (*member.results, result)
-        ended = len(results) == len(member.placement.tasks)
-        state = MemberState.ENDED if ended else MemberState.STARTED
-        self.members[gang_id] = member._replace(results=results, state=state)
-        return m.TaskEnded(gang_id, self.info.worker_id, result)
-
-
 class World:
     """A scheduler, its workers and the store, driven by a seeded generator."""
 
     def __init__(self, seed, policies=slack_policies, record_share=0.8):
         self.record_share = record_share
+        self.configuration = CONFIGURATION
         self.random = random.Random(seed)
         self.now = 1_700_000_000.0
         self.workers = {w.worker_id: FakeWorker(w) for w in map(make_worker, range(6))}
@@ -169,7 +77,7 @@
             worker.commands.clear()
         self.final_before = set(self.final)
         self.now += 3
-        self.send(m.ConfigurationChanged(CONFIGURATION))
+        self.send(m.ConfigurationChanged(self.configuration))
         open_jobs = [job_id for job_id in self.specs if job_id not in self.final]
         for job_id in open_jobs:
             self.submit_recorded(job_id)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -11,7 +11,7 @@
 from redwingrudder.model import JobClass, JobState, TaskOutcome
 from redwingrudder.policies import fcfs_policies
 
-from .scheduler_world import SPEC, World
+from .scheduler_world import CONFIGURATION, SPEC, World
 
 
 class GeneratedScheduleTests(unittest.TestCase):
@@ -179,6 +179,20 @@
         self.assertEqual(states, ["running", "running", "interrupted"])
         self.assertEqual(len(world.start_sent[running]), 1)
 
+    def test_job_of_a_removed_class_runs_to_its_end(self):
+        """A change of the configuration must not stop what runs."""
+        world = self.world
+        running, failing = world.run(), world.run()
+        later = {"later": CONFIGURATION.classes_by_name["later"]}
+        world.configuration = CONFIGURATION._replace(classes_by_name=later)
+        world.take_over()
+        while world.recovering:
+            world.claim_next()
+        world.end(running)
+        world.end(failing, TaskOutcome.FAILED)
+        states = [world.state(job) for job in (running, failing)]
+        self.assertEqual(states, ["succeeded", "interrupted"])
+
     def test_worker_that_fails_everything_is_quarantined_and_probed(self):
         world = self.world
         world.end(self.fill()[0])
