Decide only about reported gangs while workers are claimed

Cause: each claim looked at all recovering gangs, and each reservation built a list of all gangs, which is quadratic in a takeover. Change: a claim decides about the gangs that it reports; the forecast looks up the ends of the gangs on the accelerators in question. The unused RunningGang is removed. Ruled out: deciding only at the end of the recovery, because running jobs would be told as queued until then.

--- a/src/redwingrudder/_scheduler_backfill.py
+++ b/src/redwingrudder/_scheduler_backfill.py
@@ -1,6 +1,6 @@
 """Reservation of workers for the gang at the head of the queue."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from ._cells import Level
@@ -24,11 +24,11 @@
 
 
 class Forecast(NamedTuple):
-    """What is known of the ends of the running gangs."""
+    """What is held; ``end_of`` returns when a gang is expected to end."""
 
     fleet: Fleet
     guarantees: GuaranteeBook
-    ends_by_gang: dict[str, float]
+    end_of: Callable[[str], float]
     now: float
 
 
@@ -87,5 +87,5 @@
         for owner, gang_id in zip(owners, worker.gangs_by_accelerator, strict=True):
             if owner not in (None, spec.organisation) and not borrows:
                 continue
-            at = forecast.ends_by_gang.get(gang_id or "", forecast.now)
+            at = forecast.now if gang_id is None else forecast.end_of(gang_id)
             yield _Freed(at, worker.info.worker_id)
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -11,7 +11,6 @@
     TaskEnded,
 )
 from .model import MemberPlacement, Placement, TaskOutcome
-from .policies import RunningGang
 
 # Answers to a start that a worker has seen before: the member runs or ran.
 STARTED_REASONS = frozenset({"already_started", "already_ended"})
@@ -182,20 +181,16 @@
         self.fire(gang_id, "cancel")
         self.settle(gang_id)
 
-    def running_gangs(self) -> list[RunningGang]:
-        """Return the gangs that hold resources with their expected ends."""
-        now = self._context.now
-        return [
-            RunningGang(
-                gang.gang_id,
-                gang.job_id,
-                gang.spec,
-                gang.started_at,
-                expected_end(gang, now),
-                gang.state in ("stopping", "releasing"),
-            )
-            for gang in self.gangs_by_id.values()
-        ]
+    def expected_end(self, gang_id: str) -> float:
+        """Return when a gang is expected to free its resources."""
+        gang, now = self.gangs_by_id[gang_id], self._context.now
+        if gang.state in ("stopping", "releasing"):
+            return now + gang.spec.stop_bound_s
+        end = gang.started_at + gang.expected_run_s
+        if end > now:
+            return end
+        # A gang beyond its expected end may run half as long again.
+        return now + OVERRUN_SHARE * (now - gang.started_at)
 
     def _new_gang(self, job: JobRecord, placement: Placement) -> GangRecord:
         now = self._context.now
@@ -252,17 +247,6 @@
         gang.unheld.discard(member.worker_id)
 
 
-def expected_end(gang: GangRecord, now: float) -> float:
-    """Return when a gang is expected to free its resources."""
-    if gang.state in ("stopping", "releasing"):
-        return now + gang.spec.stop_bound_s
-    end = gang.started_at + gang.expected_run_s
-    if end > now:
-        return end
-    # A gang beyond its expected end is expected to run half as long again.
-    return now + OVERRUN_SHARE * (now - gang.started_at)
-
-
 def empty_gang(gang_id: str, job: JobRecord, member_count: int) -> GangRecord:
     """Return a gang of a job without members."""
     return GangRecord(
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -286,9 +286,13 @@
         if self._reservation_tried or job.spec.accelerators <= 1:
             return
         self._reservation_tried = True
-        ends = {gang.gang_id: gang.expected_end for gang in self._gangs.running_gangs()}
         context = self._context
-        forecast = Forecast(context.fleet, context.guarantees, ends, context.now)
+        forecast = Forecast(
+            context.fleet,
+            context.guarantees,
+            self._gangs.expected_end,
+            context.now,
+        )
         self.reservation = reserve(job.job_id, job.spec, forecast)
 
     def _must_look_again(self) -> bool:
--- a/src/redwingrudder/_scheduler_recovery.py
+++ b/src/redwingrudder/_scheduler_recovery.py
@@ -31,7 +31,7 @@
             fleet.add_worker(report.worker, report.boot_id, report.draining)
             for member in report.members:
                 self._take(worker_id, member)
-        self._decide()
+        self._decide({member.gang_id for member in report.members})
 
     def recovery_ended(self) -> None:
         """Decide about all gangs: members not reported by now are lost."""
@@ -39,9 +39,9 @@
         self._decide_rest()
         self._jobs.recovery_ended()
 
-    def _decide(self) -> None:
+    def _decide(self, reported: set[str]) -> None:
         """Continue complete gangs; the others wait for the last report."""
-        for gang_id in sorted(self._gangs.recovering):
+        for gang_id in sorted(reported & self._gangs.recovering):
             gang = self._gangs.gangs_by_id[gang_id]
             if _can_continue(gang) and self._attach(gang):
                 self._gangs.fire(gang_id, "roll_forward")
@@ -136,9 +136,11 @@
         """Compare the report of a worker that stayed with what is known."""
         worker_id = report.worker.worker_id
         reported = {member.gang_id: member for member in report.members}
-        for gang in list(self._gangs.gangs_by_id.values()):
-            if worker_id in gang.started - gang.gone and gang.gang_id not in reported:
-                self._gangs.member_lost(gang.gang_id, worker_id, "member_dropped")
+        held = self._context.fleet.gang_ids_by_worker[worker_id]
+        for gang_id in sorted(held - reported.keys()):
+            gang = self._gangs.gangs_by_id.get(gang_id)
+            if gang is not None and worker_id in gang.started - gang.gone:
+                self._gangs.member_lost(gang_id, worker_id, "member_dropped")
         for member in report.members:
             gang = self._gangs.gangs_by_id.get(member.gang_id)
             if gang is None or worker_id not in gang.members_by_worker:
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -30,17 +30,6 @@
     attempts: int
 
 
-class RunningGang(NamedTuple):
-    """A gang that holds resources; ``expected_end`` is an absolute time."""
-
-    gang_id: str
-    job_id: str
-    spec: JobSpec
-    started_at: float
-    expected_end: float
-    stopping: bool
-
-
 class ReclaimPlan(NamedTuple):
     """A placement that is possible once the named gangs have stopped."""
 
