Bound the queued jobs of one caller

Change: a caller may queue half of what its organisation may queue in a class; AdmissionPolicy is told the number. Ruled out: a share by the number of callers, because it is not known who will call.

--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -42,6 +42,7 @@
         self.waiting_for_recovery: set[str] = set()
         self.counts_by_class: dict[str, Counter[str]] = {}
         self.queued_by_group: Counter[tuple[str, str]] = Counter()
+        self.queued_by_caller: Counter[tuple[str, str, str]] = Counter()
         self.retries_by_class: Counter[str] = Counter()
         self.first_attempts_by_class: Counter[str] = Counter()
         self._actions = {
@@ -302,6 +303,10 @@
         if job.state == JobState.QUEUED:
             group = (job.spec.organisation, job.spec.job_class)
             self.queued_by_group[group] += change
+            caller = (*group, job.spec.caller)
+            self.queued_by_caller[caller] += change
+            if not self.queued_by_caller[caller]:
+                del self.queued_by_caller[caller]
 
     def _enqueue(self, job: JobRecord) -> None:
         context = self._context
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -39,6 +39,8 @@
 
 QUEUED_TOTAL_LIMIT = 20_000
 QUEUED_GROUP_LIMIT = 5_000
+# One caller must not use up the bound of its organisation.
+QUEUED_CALLER_LIMIT = 2_500
 OVERLOADED_RETRY_S = 5.0
 
 FAILURES_IN_A_ROW = 3
@@ -202,7 +204,7 @@
 
 
 class SlackAdmission(AdmissionPolicy):
-    """Bounds the queue per organisation and class and in total."""
+    """Bounds the queue by caller, by organisation and class, and in total."""
 
     def admit(
         self,
@@ -219,17 +221,15 @@
                 f" exceed the {len(fleet.workers_by_id)} workers of the domain"
             )
             return Refusal("shape_never_fits", detail, None)
-        if queued.of_group >= QUEUED_GROUP_LIMIT:
-            detail = (
-                f"{queued.of_group} jobs of {spec.organisation} and class"
-                f" {spec.job_class} are queued, the limit is {QUEUED_GROUP_LIMIT}"
-            )
-            return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
-        if queued.total >= QUEUED_TOTAL_LIMIT:
-            detail = (
-                f"{queued.total} jobs are queued, the limit is {QUEUED_TOTAL_LIMIT}"
-            )
-            return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
+        bounds = (
+            (queued.of_caller, QUEUED_CALLER_LIMIT, f"caller {spec.caller}"),
+            (queued.of_group, QUEUED_GROUP_LIMIT, f"organisation {spec.organisation}"),
+            (queued.total, QUEUED_TOTAL_LIMIT, "the failure domain"),
+        )
+        for count, limit, name in bounds:
+            if count >= limit:
+                detail = f"{count} jobs of {name} are queued, the limit is {limit}"
+                return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
         return None
 
 
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -134,10 +134,11 @@
 
 
 class QueueSize(NamedTuple):
-    """Queued jobs in total and of one organisation and class."""
+    """Queued jobs: all, of one organisation and class, of one caller in it."""
 
     total: int
     of_group: int
+    of_caller: int
 
 
 class AdmissionPolicy(abc.ABC):
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -116,7 +116,11 @@
             detail = f"class {spec.job_class!r} is not configured"
             return Refusal("unknown_class", detail, None)
         group = (spec.organisation, spec.job_class)
-        size = QueueSize(jobs.queued_total, jobs.queued_by_group[group])
+        size = QueueSize(
+            jobs.queued_total,
+            jobs.queued_by_group[group],
+            jobs.queued_by_caller[(*group, spec.caller)],
+        )
         return context.policies.admission.admit(
             spec, size, context.fleet, configuration
         )
--- a/tests/test_slack_policy.py
+++ b/tests/test_slack_policy.py
@@ -3,6 +3,7 @@
 import unittest
 
 from redwingrudder._slack_policy import (
+    QUEUED_CALLER_LIMIT,
     QUEUED_GROUP_LIMIT,
     QUEUED_TOTAL_LIMIT,
     SlackAdmission,
@@ -124,14 +125,15 @@
 
 class SlackAdmissionTests(unittest.TestCase):
     def test_bounds_give_a_retry_time(self):
-        """A flood of one class must not fill the queue of the others."""
+        """A flood of one class or caller must not fill the queue."""
         policy = SlackAdmission()
-        for total, of_group, code in [
-            (QUEUED_GROUP_LIMIT, QUEUED_GROUP_LIMIT - 1, None),
-            (QUEUED_GROUP_LIMIT, QUEUED_GROUP_LIMIT, "overloaded"),
-            (QUEUED_TOTAL_LIMIT, 0, "overloaded"),
+        group, caller = QUEUED_GROUP_LIMIT, QUEUED_CALLER_LIMIT
+        for size, code in [
+            (QueueSize(group, group - 1, caller - 1), None),
+            (QueueSize(group, group - 1, caller), "overloaded"),
+            (QueueSize(group, group, 0), "overloaded"),
+            (QueueSize(QUEUED_TOTAL_LIMIT, 0, 0), "overloaded"),
         ]:
-            size = QueueSize(total, of_group)
             refusal = policy.admit(SPEC, size, Fleet(), CONFIGURATION)
             self.assertEqual(refusal and refusal.code, code)
             self.assertTrue(refusal is None or refusal.retry_after_s > 0)
