--- a/src/redwingrudder/_scheduler_gang_life.py
+++ b/src/redwingrudder/_scheduler_gang_life.py
@@ -1,5 +1,7 @@
 """The state chart of a gang with its actions."""
 
+from collections import Counter
+
 from ._scheduler_chart import GANG_CHART
 from ._scheduler_jobs import JobTable
 from ._scheduler_outcome import decide_ended, decide_released, may_retry
@@ -24,6 +26,10 @@
         self.reclaiming: set[str] = set()
         self.recovering: set[str] = set()
         self.running_count = 0
+        self.held_by_class: dict[bool, Counter[str]] = {
+            False: Counter(),
+            True: Counter(),
+        }
 
     def fire(self, gang_id: str, event: str) -> None:
         """Raise an event of the chart and carry out its actions."""
@@ -39,7 +45,7 @@
         for action in step.actions:
             getattr(self, f"_{action}")(self.gangs_by_id[gang_id])
         if step.target in GANG_CHART.final_states:
-            self.gangs_by_id.pop(gang_id, None)
+            self._count_held(self.gangs_by_id.pop(gang_id), -1)
 
     def settle(self, gang_id: str) -> None:
         """Raise the chart's events that follow from the confirmed facts."""
@@ -95,6 +101,8 @@
             if worker_id not in gang.start_sent:
                 gang.start_sent.add(worker_id)
                 self._context.emit(StartMember(gang.gang_id, worker_id))
+        started = gang._replace(started_at=self._context.now)
+        self.gangs_by_id[gang.gang_id] = started
         self._count_attempt(gang)
 
     def _release_members(self, gang: GangRecord) -> None:
@@ -140,7 +148,7 @@
             job, self._jobs.first_attempts_by_class[name], retries[name]
         )
         outcome = decide_ended(gang, job, now, allowed)
-        if outcome.event == "succeeded":
+        if outcome.event == "succeeded" and not gang.recovered:
             self._context.policies.order.observe_run(gang.spec, run_s, now)
         elif outcome.event == "retry" and gang.cause is not Cause.PREEMPTED:
             retries[name] += 1
@@ -175,6 +183,13 @@
         if job.attempts == 0:
             self._jobs.first_attempts_by_class[gang.spec.job_class] += 1
 
+    def _count_held(self, gang: GangRecord, sign: int) -> None:
+        """Count accelerators by class, and slots of work without them."""
+        spec = gang.spec
+        accelerated = spec.accelerators_per_task > 0
+        units = spec.accelerators if accelerated else spec.tasks
+        self.held_by_class[accelerated][spec.job_class] += sign * units
+
     def _count_running(self, old: str, new: str) -> None:
         self.running_count += (new == "running") - (old == "running")
 
--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -42,6 +42,7 @@
         self.waiting_for_recovery: set[str] = set()
         self.counts_by_class: dict[str, Counter[str]] = {}
         self.queued_by_group: Counter[tuple[str, str]] = Counter()
+        self.queued_by_caller: Counter[tuple[str, str, str]] = Counter()
         self.retries_by_class: Counter[str] = Counter()
         self.first_attempts_by_class: Counter[str] = Counter()
         self._actions = {
@@ -78,7 +79,7 @@
         self._add(job)
         if context.recovered and event.start_recorded:
             self.fire(job.job_id, "outcome_lost", reason="start_recorded")
-        elif not self._refuse_unknown(job.job_id):
+        else:
             self.fire(job.job_id, "submitted")
 
     def adopt(self, report: MemberReport) -> None:
@@ -92,13 +93,15 @@
                 known=False,
                 recorded=False,
                 start_recorded=False,
-                may_have_run=report.spec.idempotent,
+                may_have_run=True,
             )
         )
 
     def drop(self, job_id: str) -> None:
         """Forget a job that is known only from a report and never ran."""
-        self._count(self.jobs_by_id.pop(job_id), -1)
+        job = self.jobs_by_id.pop(job_id)
+        self._count(job, -1)
+        self._counts(job)["submitted"] -= 1
 
     def fire(self, job_id: str, event: str, **changes: object) -> None:
         """Raise an event of the chart and carry out its actions."""
@@ -140,14 +143,30 @@
 
     def configuration_changed(self) -> None:
         """Look up the classes again and refuse jobs that have none."""
+        self._regroup()
         for job in list(self.jobs_by_id.values()):
             if job.state in FINAL_JOB_STATES:
                 continue
             if self._class_of(job.spec) not in (None, job.job_class):
                 self._set_target(job)
-            elif job.job_class is None and job.state == JobState.QUEUED:
+            elif job.job_class is None and job.job_id in self.queue:
                 self._refuse_unknown(job.job_id)
 
+    def _regroup(self) -> None:
+        """Build the lanes again when other organisations have cells."""
+        context = self._context
+        owners = frozenset(
+            cell.organisation
+            for cell in context.configuration.cells
+            if cell.failure_domain == context.failure_domain
+        )
+        if owners == self.queue.cell_owners:
+            return
+        job_ids = self.queue.take_all()
+        self.queue.cell_owners = owners
+        for job_id in job_ids:
+            self.queue.add(self.jobs_by_id[job_id])
+
     def queued_job(self, job_id: str) -> QueuedJob:
         """Return a queued job as policies see it."""
         job = self.jobs_by_id[job_id]
@@ -209,12 +228,14 @@
         )
 
     def _merge(self, job: JobRecord, event: JobSubmitted) -> None:
+        # A recorded job without the record of a start has never run.
+        may_have_run = job.may_have_run and (job.known or job.spec.idempotent)
         job = self.update(
             job.job_id,
             known=True,
             recorded=job.recorded or event.recorded,
             start_recorded=job.start_recorded or event.start_recorded,
-            may_have_run=job.may_have_run or event.start_recorded,
+            may_have_run=may_have_run or event.start_recorded,
         )
         if job.state in FINAL_JOB_STATES:
             # The record of a job that ended during recovery may still be open.
@@ -282,12 +303,18 @@
         if job.state == JobState.QUEUED:
             group = (job.spec.organisation, job.spec.job_class)
             self.queued_by_group[group] += change
+            caller = (*group, job.spec.caller)
+            self.queued_by_caller[caller] += change
+            if not self.queued_by_caller[caller]:
+                del self.queued_by_caller[caller]
 
     def _enqueue(self, job: JobRecord) -> None:
         context = self._context
         if job.waits_for_recovery and not context.recovered:
             self.waiting_for_recovery.add(job.job_id)
             return
+        if self._refuse_unknown(job.job_id):
+            return
         if job.parked_until > context.now:
             context.times.add(job.parked_until, TimerKind.UNPARK, job.job_id)
             return
--- a/src/redwingrudder/_scheduler_state.py
+++ b/src/redwingrudder/_scheduler_state.py
@@ -113,7 +113,8 @@
     release or stop, and members that hold nothing any more. ``charged`` is
     the service that was accounted for in advance, in accelerator-seconds.
     ``borrowers`` are the gangs that must stop first. ``may_have_run`` is
-    true when an unreported member may have started.
+    true when an unreported member may have started. The start time of a
+    ``recovered`` gang is not known.
     """
 
     gang_id: str
@@ -134,6 +135,7 @@
     cause: Cause = Cause.NONE
     reason: str = ""
     may_have_run: bool = False
+    recovered: bool = False
     probed_worker: str | None = None
     started_at: float = 0.0
     expected_run_s: float = 0.0
@@ -192,6 +194,7 @@
         self.created_at: float | None = None
         self.recovered = False
         self.resources_changed = False
+        self.freed_workers: set[str] = set()
         self.cells_changed = False
         self.quarantined: frozenset[str] = frozenset()
         self.probes: frozenset[str] = frozenset()
@@ -203,4 +206,4 @@
     def release(self, gang_id: str, worker_id: str) -> None:
         """Free what a member holds."""
         self.fleet.release_member(gang_id, worker_id)
-        self.resources_changed = True
+        self.freed_workers.add(worker_id)
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -1,5 +1,6 @@
 """The shipped policies: order by slack, fair shares, bounds and health."""
 
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
     QueuedJob,
     QueueSize,
     Refusal,
+    ResourceUse,
 )
 
 RUNS_KEPT = 50
@@ -19,6 +21,8 @@
 RUN_PERCENTILE = 0.8
 # Attained service halves in this time, so that old use does not count forever.
 SERVICE_HALF_LIFE_S = 1800.0
+# Callers are named by requests, so their number has to be bounded.
+SERVICE_ENTRIES_LIMIT = 20_000
 AGED_TARGETS = 4.0
 # Aged jobs come first during one tenth of the time. All of the time would let
 # the aged part of a flood displace the work that can still meet its target.
@@ -26,8 +30,17 @@
 AGED_WINDOW_S = 1.0
 FINISH_BY_TARGET_S = 86_400.0
 
+# Demand of a class is averaged over this time.
+DEMAND_WINDOW_S = 300.0
+# Headroom covers the mean demand and this many deviations of a Poisson count.
+HEADROOM_DEVIATIONS = 2.0
+# Without a bound, a flood of one class would keep the others from starting.
+HEADROOM_MAX_SHARE = 0.5
+
 QUEUED_TOTAL_LIMIT = 20_000
 QUEUED_GROUP_LIMIT = 5_000
+# One caller must not use up the bound of its organisation.
+QUEUED_CALLER_LIMIT = 2_500
 OVERLOADED_RETRY_S = 5.0
 
 FAILURES_IN_A_ROW = 3
@@ -53,6 +66,7 @@
         self._runs_by_group: dict[tuple[str, str], deque[float]] = {}
         self._percentiles: dict[tuple[str, str], float] = {}
         self._service: dict[tuple[str, ...], _Service] = {}
+        self._headroom = _Headroom()
 
     def order(self, jobs: list[QueuedJob], now: float) -> list[QueuedJob]:
         """Order by slack, then give each class's places to its fair order.
@@ -65,8 +79,9 @@
         keyed = [(self._slack(job, now), job) for job in jobs]
         on_time = [job for slack, job in sorted(keyed, key=_by_slack) if slack >= 0]
         late = [job for slack, job in keyed if slack < 0]
-        late.sort(key=lambda job: (*self._attained(job, now), job.target_at))
-        ordered = self._share(on_time, now) + late
+        attained = self._attained(jobs, now)
+        late.sort(key=lambda job: (attained[_party(job)], job.target_at, job.job_id))
+        ordered = _share(on_time, attained) + late
         aged = max(late, key=lambda job: _age(job, now), default=None)
         if aged is None or _age(aged, now) < AGED_TARGETS:
             return ordered
@@ -97,35 +112,99 @@
         self, spec: JobSpec, accelerator_seconds: float, now: float
     ) -> None:
         """Add service; a negative amount corrects what was charged before."""
+        self._headroom.observe(spec, accelerator_seconds, now)
         organisation = (spec.organisation,)
         for key in (organisation, (spec.organisation, spec.caller)):
             current = self._service.get(key, _Service(0.0, now)).decayed(now)
             total = max(0.0, current + accelerator_seconds)
             self._service[key] = _Service(total, now)
+        if len(self._service) > SERVICE_ENTRIES_LIMIT:
+            self._forget_small_service(now)
+
+    def _forget_small_service(self, now: float) -> None:
+        entries = sorted(self._service.items(), key=lambda entry: entry[1].decayed(now))
+        self._service = dict(entries[SERVICE_ENTRIES_LIMIT // 2 :])
+
+    def leaves_headroom(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
+        """Keep room for classes that cannot wait until the job has ended."""
+        return self._headroom.allows(job, use, now)
 
     def _slack(self, job: QueuedJob, now: float) -> float:
         return job.target_at - now - job.expected_run_s
 
-    def _attained(self, job: QueuedJob, now: float) -> tuple[float, float]:
-        spec = job.spec
+    def _attained(
+        self, jobs: list[QueuedJob], now: float
+    ) -> dict[tuple[str, str], tuple[float, float]]:
+        """Return the service of the organisation and caller of each job."""
         none = _Service(0.0, now)
-        organisation = self._service.get((spec.organisation,), none)
-        caller = self._service.get((spec.organisation, spec.caller), none)
-        return organisation.decayed(now), caller.decayed(now)
-
-    def _share(self, by_slack: list[QueuedJob], now: float) -> list[QueuedJob]:
-        jobs_by_class: dict[str, list[QueuedJob]] = {}
-        for job in by_slack:
-            jobs_by_class.setdefault(job.spec.job_class, []).append(job)
-        fair_by_class = {
-            name: iter(sorted(jobs, key=lambda job: self._attained(job, now)))
-            for name, jobs in jobs_by_class.items()
+        return {
+            party: (
+                self._service.get(party[:1], none).decayed(now),
+                self._service.get(party, none).decayed(now),
+            )
+            for party in {_party(job) for job in jobs}
         }
-        return [next(fair_by_class[job.spec.job_class]) for job in by_slack]
+
+
+class _Demand(NamedTuple):
+    """Decaying sum of the service that a class asked for."""
+
+    accelerator_seconds: float
+    at: float
+
+    def mean(self, now: float) -> float:
+        """Return the accelerators in use on average."""
+        age = max(0.0, now - self.at)
+        decayed = self.accelerator_seconds * math.exp(-age / DEMAND_WINDOW_S)
+        return decayed / DEMAND_WINDOW_S
+
+
+class _Headroom:
+    """Room for classes whose jobs cannot wait for a long job to end.
+
+    In a flood of long jobs, all accelerators would be taken by jobs that end
+    long after the targets of shorter classes.
+    """
+
+    def __init__(self) -> None:
+        self._demands: dict[bool, dict[str, _Demand]] = {False: {}, True: {}}
+        self._slack_by_class: dict[str, float] = {}
+
+    def observe(self, spec: JobSpec, accelerator_seconds: float, now: float) -> None:
+        """Learn from a job that starts; corrections are left out."""
+        if accelerator_seconds <= 0:
+            return
+        # A job that runs longer than the window counts once for its size.
+        bound = max(spec.accelerators, spec.tasks) * DEMAND_WINDOW_S
+        demands = self._demands[spec.accelerators_per_task > 0]
+        before = demands.get(spec.job_class, _Demand(0.0, now)).mean(now)
+        total = before * DEMAND_WINDOW_S + min(accelerator_seconds, bound)
+        demands[spec.job_class] = _Demand(total, now)
+
+    def allows(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
+        """Whether the room for the other classes is kept."""
+        spec = job.spec
+        slack_s = job.target_at - job.submitted_at - job.expected_run_s
+        self._slack_by_class[spec.job_class] = slack_s
+        wanted = held = 0.0
+        for name, demand in self._demands[spec.accelerators_per_task > 0].items():
+            patience_s = self._slack_by_class.get(name, math.inf)
+            if name == spec.job_class or patience_s >= job.expected_run_s:
+                continue
+            mean = demand.mean(now)
+            wanted += mean + HEADROOM_DEVIATIONS * math.sqrt(mean)
+            held += use.held_by_class.get(name, 0)
+        wanted = min(wanted, HEADROOM_MAX_SHARE * use.total)
+        units = spec.accelerators or spec.tasks
+        if units > use.total - wanted and job.target_at - now < job.expected_run_s:
+            # The job can never leave the room, and must not wait for ever.
+            return True
+        missing = round(wanted - held)
+        return missing <= 0 or units + missing <= use.free
 
 
 class SlackAdmission(AdmissionPolicy):
-    """Bounds the queue per organisation and class and in total."""
+    """Bounds the queue by caller, by organisation and class, and in total."""
 
     def admit(
         self,
@@ -142,17 +221,15 @@
                 f" exceed the {len(fleet.workers_by_id)} workers of the domain"
             )
             return Refusal("shape_never_fits", detail, None)
-        if queued.of_group >= QUEUED_GROUP_LIMIT:
-            detail = (
-                f"{queued.of_group} jobs of {spec.organisation} and class"
-                f" {spec.job_class} are queued, the limit is {QUEUED_GROUP_LIMIT}"
-            )
-            return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
-        if queued.total >= QUEUED_TOTAL_LIMIT:
-            detail = (
-                f"{queued.total} jobs are queued, the limit is {QUEUED_TOTAL_LIMIT}"
-            )
-            return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
+        bounds = (
+            (queued.of_caller, QUEUED_CALLER_LIMIT, f"caller {spec.caller}"),
+            (queued.of_group, QUEUED_GROUP_LIMIT, f"organisation {spec.organisation}"),
+            (queued.total, QUEUED_TOTAL_LIMIT, "the failure domain"),
+        )
+        for count, limit, name in bounds:
+            if count >= limit:
+                detail = f"{count} jobs of {name} are queued, the limit is {limit}"
+                return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
         return None
 
 
@@ -235,20 +312,30 @@
 
 def fits_fleet(spec: JobSpec, fleet: Fleet) -> bool:
     """Whether all tasks of a job would fit on the empty fleet."""
-    missing = spec.tasks
-    for worker in fleet.workers_by_id.values():
-        info = worker.info
-        limits = [info.slots]
-        if spec.accelerators_per_task:
-            limits.append(info.accelerators // spec.accelerators_per_task)
-        if spec.cores_per_task:
-            limits.append(info.cores // spec.cores_per_task)
-        if spec.memory_mb_per_task:
-            limits.append(info.memory_mb // spec.memory_mb_per_task)
-        missing -= min(limits)
-        if missing <= 0:
-            return True
-    return False
+    capacity = sum(
+        kind.task_capacity(spec) * count
+        for kinds in fleet.kinds_by_rack.values()
+        for kind, count in kinds.items()
+    )
+    return capacity >= spec.tasks
+
+
+def _share(
+    by_slack: list[QueuedJob], attained: dict[tuple[str, str], tuple[float, float]]
+) -> list[QueuedJob]:
+    """Fill the places of each class with its jobs, least attained first."""
+    jobs_by_class: dict[str, list[QueuedJob]] = {}
+    for job in by_slack:
+        jobs_by_class.setdefault(job.spec.job_class, []).append(job)
+    fair_by_class = {
+        name: iter(sorted(jobs, key=lambda job: attained[_party(job)]))
+        for name, jobs in jobs_by_class.items()
+    }
+    return [next(fair_by_class[job.spec.job_class]) for job in by_slack]
+
+
+def _party(job: QueuedJob) -> tuple[str, str]:
+    return job.spec.organisation, job.spec.caller
 
 
 def _by_slack(entry: tuple[float, QueuedJob]) -> tuple[float, float, str]:
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from .fleet import Fleet
@@ -29,17 +30,6 @@
     attempts: int
 
 
-class RunningGang(NamedTuple):
-    """A gang that holds resources; ``expected_end`` is an absolute time."""
-
-    gang_id: str
-    job_id: str
-    spec: JobSpec
-    started_at: float
-    expected_end: float
-    stopping: bool
-
-
 class ReclaimPlan(NamedTuple):
     """A placement that is possible once the named gangs have stopped."""
 
@@ -55,6 +45,18 @@
     retry_after_s: float | None
 
 
+class ResourceUse(NamedTuple):
+    """Accelerators, or slots when a job takes no accelerators.
+
+    ``free`` counts those outside all cells; ``held_by_class`` all that are
+    held, by class.
+    """
+
+    total: int
+    free: int
+    held_by_class: Mapping[str, int]
+
+
 class OrderPolicy(abc.ABC):
     """Decides which queued jobs are tried first."""
 
@@ -76,6 +78,13 @@
     ) -> None:
         """Account for service that a caller and organisation received."""
 
+    def leaves_headroom(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
+        """Whether other work keeps enough room when a job starts now.
+
+        A job for which this is false is placed only within cells.
+        """
+        return True
+
 
 class PlacementPolicy(abc.ABC):
     """Finds accelerators for a gang."""
@@ -125,10 +134,11 @@
 
 
 class QueueSize(NamedTuple):
-    """Queued jobs in total and of one organisation and class."""
+    """Queued jobs: all, of one organisation and class, of one caller in it."""
 
     total: int
     of_group: int
+    of_caller: int
 
 
 class AdmissionPolicy(abc.ABC):
@@ -198,13 +208,8 @@
 
 def fcfs_policies() -> PolicySet:
     """Return the baseline: first come first served, first fit."""
-    from ._fcfs_policy import (
-        FcfsOrder,
-        FirstFitPlacement,
-        NoHealth,
-        NoReclaim,
-        TotalAdmission,
-    )
+    from ._fcfs_policy import FcfsOrder, NoHealth, NoReclaim, TotalAdmission
+    from ._first_fit import FirstFitPlacement
 
     return PolicySet(
         FcfsOrder(), FirstFitPlacement(), NoReclaim(), TotalAdmission(), NoHealth()
