Test cells after reports of workers and after hardware returns

Cause: broken variants of is_valid, the adjacency check, the repacking and the reclaim passed the tests.

Change: generated steps include members that a worker reports after a claim, whatever cells are there; single tests cover each variant that had passed.

--- a/tests/_fleet_steps.py
+++ b/tests/_fleet_steps.py
@@ -1,15 +1,23 @@
 """A small failure domain that generated steps change, for several tests."""
 
+import contextlib
 import random
 
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from redwingrudder._placement import BestFitPlacement
-from redwingrudder.exceptions import UnprocessableError
+from redwingrudder.exceptions import ConflictError, NotFoundError, UnprocessableError
 from redwingrudder.fleet import Fleet
 from redwingrudder.guarantees import GuaranteeBook, plan_cells
-from redwingrudder.model import Configuration, JobSpec, Organisation, Shape, WorkerInfo
+from redwingrudder.model import (
+    Configuration,
+    JobSpec,
+    MemberPlacement,
+    Organisation,
+    Shape,
+    WorkerInfo,
+)
 
 GENERATED = settings(derandomize=True, max_examples=60, deadline=None)
 SHAPES = (Shape(1, 2), Shape(2, 1), Shape(3, 2), Shape(4, 1), Shape(8, 1), Shape(12, 1))
@@ -17,7 +25,7 @@
     st.tuples(
         st.sampled_from(
             ("place", "place", "place", "place", "release", "lose", "return")
-            + ("drain", "quarantine", "configure")
+            + ("drain", "quarantine", "configure", "report")
         ),
         st.integers(0, 2**32),
     ),
@@ -109,12 +117,26 @@
             self.fleet.add_worker(info, "boot2", draining=False)
         elif name == "drain":
             self.fleet.set_draining(info.worker_id)
+        elif name == "report":
+            self.report(info, rng)
         elif name == "quarantine":
             self.fleet.set_quarantined(info.worker_id, rng.random() < 0.5)
         else:
             self.reconfigure(rng)
         self.assign()
 
+    def report(self, info, rng):
+        """Hold a member that a worker reported, whatever cells are there."""
+        spec = random_spec(rng)
+        per_task = spec.accelerators_per_task
+        tasks = rng.randint(1, spec.tasks)
+        first = rng.randrange(2)
+        accelerators = tuple(range(first, first + tasks * per_task))
+        member = MemberPlacement(info.worker_id, accelerators, tuple(range(tasks)))
+        self.serial += 1
+        with contextlib.suppress(ConflictError, NotFoundError):
+            self.fleet.hold_member(f"g{self.serial:05}", spec, member)
+
     def reconfigure(self, rng):
         guarantees = {
             name: rng.sample(SHAPES, rng.randrange(3)) for name in ("a", "b", "c")
@@ -129,7 +151,7 @@
 
 def random_spec(rng):
     per_task = rng.choice((0, 1, 1, 1, 2, 3))
-    return make_spec(
+    spec = make_spec(
         rng.choice("abcd"),
         rng.choice((1, 1, 2, 3, 4, 6, 12)),
         per_task,
@@ -138,3 +160,4 @@
         rng.choice((0, 1, 10, 25)),
         rng.choice((1.0, 2.0, 2.1)),
     )
+    return spec._replace(preemptible=spec.idempotent and rng.random() < 0.8)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -148,15 +148,10 @@
 
     def test_small_cells_make_way_when_a_large_one_fits_nowhere(self):
         """Guards against a shortage that only the order of changes causes."""
-        domain = Domain({"a": (Shape(2, 4),)}, make_workers(4))
-        domain.fleet.remove_worker("d0w0")
-        domain.fleet.remove_worker("d0w1")
-        domain.assign()
-        for info in domain.workers[:2]:
-            domain.fleet.add_worker(info, "boot2", draining=False)
-        domain.configuration = configure(
-            {"a": (Shape(2, 2),), "b": (Shape(4, 3),)}, domain.workers
-        )
+        small = {name: (Shape(2, 1),) for name in "abcd"}
+        domain = Domain(small, make_workers(4))
+        large = {"a": small["a"], "c": small["c"], "e": (Shape(4, 3),)}
+        domain.configuration = configure(large, domain.workers)
         domain.assign()
         self.assertEqual(domain.book.shortages, ())
         self.assertEqual(domain.book.violations(domain.fleet), ())
@@ -170,13 +165,64 @@
             domain.place(spec._replace(idempotent=True, preemptible=True))
         )
 
-    def test_job_with_long_stop_bound_is_no_borrower(self):
-        """Guards the reclaim time of 2 s."""
+    def test_only_work_that_stops_in_time_without_harm_borrows(self):
+        """Guards the reclaim time of 2 s, and work that may not run twice."""
         domain = Domain({"a": (Shape(4, 8),)})
-        for stop_bound_s, usable in ((2.0, 4), (2.1, 0)):
-            spec = make_spec("z", borrower=True, stop_bound_s=stop_bound_s)
-            accelerators = domain.book.usable_accelerators(spec, "d0w0")
-            self.assertEqual(len(accelerators), usable)
+        spec = make_spec("z", borrower=True)
+        for changes, usable in (
+            ({"stop_bound_s": 2.0}, 4),
+            ({"stop_bound_s": 2.1}, 0),
+            ({"idempotent": False}, 0),
+            ({"preemptible": False}, 0),
+        ):
+            with self.subTest(changes):
+                found = domain.book.usable_accelerators(
+                    spec._replace(**changes), "d0w0"
+                )
+                self.assertEqual(len(found), usable)
+
+    def test_spread_cell_moves_into_a_rack_that_came_back(self):
+        """Guards adjacency after a loss has spread a cell over racks."""
+        domain = Domain({"a": (Shape(12, 1),)})
+        for worker_id in ("d0w0", "d0w1", "d0w4", "d0w5"):
+            domain.fleet.remove_worker(worker_id)
+        domain.assign()
+        self.assertEqual(len(domain.book.cells()[0].accelerators_by_worker), 3)
+        domain.fleet.add_worker(domain.workers[0], "boot2", draining=False)
+        domain.assign()
+        self.assertEqual(domain.book.violations(domain.fleet), ())
+
+    def test_work_outside_cells_does_not_reduce_the_claim(self):
+        """Guards against a moved cell that counts such work as its use."""
+        domain = Domain({"a": (Shape(2, 1),)}, make_workers(2))
+        (worker_id,) = domain.book.cells()[0].accelerators_by_worker
+        other = {"d0w0": "d0w1", "d0w1": "d0w0"}[worker_id]
+        member = MemberPlacement(other, (0, 1), (0, 1))
+        domain.fleet.hold_member("g", make_spec("a", 2), member)
+        domain.fleet.remove_worker(worker_id)
+        domain.assign()
+        self.assertEqual(domain.book.cells()[0].accelerators_by_worker, {other: (2, 3)})
+
+    def test_reclaim_stops_no_gang_of_the_owner(self):
+        """Guards an owner's own preemptible work in its cell."""
+        domain = Domain({"a": (Shape(4, 1),)}, make_workers(1))
+        domain.place(make_spec("a", 3, borrower=True))
+        reclaim = CellReclaim().reclaim
+        self.assertIsNone(reclaim(make_spec("a", 4), domain.fleet, domain.book))
+        plan = reclaim(make_spec("a", 1), domain.fleet, domain.book)
+        self.assertEqual(plan.gangs_to_stop, ())
+
+    def test_reclaim_stops_only_borrowers_for_slots(self):
+        """Guards CPU-only work that cannot be stopped, even if younger."""
+        domain = Domain({"a": (Shape(4, 1),)}, make_workers(1, slots=8))
+        cpu_only = make_spec("z", 4, 0, borrower=True, cores=0, memory_mb=0)
+        borrower = domain.place(cpu_only)
+        self.assertIsNotNone(domain.place(cpu_only._replace(preemptible=False)))
+        spec = make_spec("a", 4)
+        plan = CellReclaim().reclaim(spec, domain.fleet, domain.book)
+        self.assertEqual(plan.gangs_to_stop, (borrower,))
+        avoid = frozenset({"d0w0"})
+        self.assertIsNone(CellReclaim().reclaim(spec, domain.fleet, domain.book, avoid))
 
     def test_violations_names_a_gang_that_cannot_be_stopped(self):
         """Guards the check itself against being blind."""
@@ -223,8 +269,9 @@
 
     def test_exact_fit_is_found_by_packing(self):
         """Guards against a refusal that only the spreading causes."""
-        guarantees = {"a": (Shape(32, 1),), "b": (Shape(4, 8),), "c": (Shape(16, 2),)}
-        self.assertEqual(len(configure(guarantees, self.WORKERS).cells), 11)
+        sizes = (20, 20, 12, 12, 8, 8, 8)
+        guarantees = {f"o{i}": (Shape(size, 1),) for i, size in enumerate(sizes)}
+        self.assertEqual(len(configure(guarantees, self.WORKERS).cells), 7)
 
     def test_refusal_names_organisations_and_shortages(self):
         """Guards what an operator needs to mend the document."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -122,6 +122,13 @@
             domain.hold(borrower, placement)
         self.assertEqual(owners, [(None, False), ("a", False), ("b", True)])
 
+    def test_small_job_of_an_owner_spares_its_large_cell(self):
+        """Guards a large shape against the owner's own small work."""
+        domain = Domain({"a": (Shape(12, 1), Shape(4, 1))}, make_workers(4))
+        placement = domain.policy.place(make_spec("a"), domain.fleet, domain.book)
+        small = domain.book.cells()[1].accelerators_by_worker
+        self.assertEqual({m.worker_id for m in placement.members}, set(small))
+
     def test_cpu_only_gangs_keep_off_free_accelerators(self):
         """Guards slots beside free accelerators, and the shares of cells."""
         workers = make_workers(4) + tuple(
