Test shares of own cells and workers that return larger

Cause: two more broken variants passed the tests: one that stopped the owner's own CPU-only gangs, and one that dropped the owners of a worker that returns with more accelerators.

Change: single tests for both, and for work that uses the shares of own cells.

--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -192,6 +192,15 @@
         domain.assign()
         self.assertEqual(domain.book.violations(domain.fleet), ())
 
+    def test_worker_that_returns_larger_keeps_its_cell(self):
+        """Guards against a cell whose owner is forgotten."""
+        domain = Domain({"a": (Shape(2, 1),)}, make_workers(1, accelerators=2))
+        grown = domain.workers[0]._replace(accelerators=4)
+        domain.fleet.add_worker(grown, "boot2", draining=False)
+        domain.assign()
+        found = domain.book.usable_accelerators(make_spec("z"), "d0w0")
+        self.assertEqual(found, (2, 3))
+
     def test_work_outside_cells_does_not_reduce_the_claim(self):
         """Guards against a moved cell that counts such work as its use."""
         domain = Domain({"a": (Shape(2, 1),)}, make_workers(2))
@@ -211,6 +220,8 @@
         self.assertIsNone(reclaim(make_spec("a", 4), domain.fleet, domain.book))
         plan = reclaim(make_spec("a", 1), domain.fleet, domain.book)
         self.assertEqual(plan.gangs_to_stop, ())
+        domain.place(make_spec("a", 1, 0, borrower=True))
+        self.assertIsNone(reclaim(make_spec("a", 1), domain.fleet, domain.book))
 
     def test_reclaim_stops_only_borrowers_for_slots(self):
         """Guards CPU-only work that cannot be stopped, even if younger."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -129,6 +129,14 @@
         small = domain.book.cells()[1].accelerators_by_worker
         self.assertEqual({m.worker_id for m in placement.members}, set(small))
 
+    def test_shares_of_own_cells_are_used_when_others_have_no_slots(self):
+        """Guards against a job that waits beside the slots kept for it."""
+        workers = make_workers(1, accelerators=8, slots=8)
+        domain = Domain({"a": (Shape(2, 2),)}, workers)
+        domain.place(make_spec("z", 4, 0, cores=0, memory_mb=0))
+        placement = domain.policy.place(make_spec("a", 4), domain.fleet, domain.book)
+        self.assertEqual(placement.members[0].accelerators, (0, 1, 2, 3))
+
     def test_cpu_only_gangs_keep_off_free_accelerators(self):
         """Guards slots beside free accelerators, and the shares of cells."""
         workers = make_workers(4) + tuple(
