Place CPU-only work of an owner by the general rule

Cause: every cell counted as large enough for a job without accelerators, so such a job of an organisation with cells skipped the tier of its own cells.

Change: fitting_cells returns none for CPU-only work.

--- a/src/redwingrudder/_reclaim.py
+++ b/src/redwingrudder/_reclaim.py
@@ -48,8 +48,6 @@
         avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
         """Return a plan within the organisation's own cells, or None."""
-        if not spec.accelerators_per_task:
-            return None
         level = gang_level(spec, fleet)
         layout = guarantees.layout_of(fleet)
         best: RatedPlan | None = None
@@ -65,7 +63,12 @@
 
 
 def fitting_cells(spec: JobSpec, guarantees: GuaranteeBook) -> list[Cell]:
-    """Return the cells of the job's organisation that are large enough."""
+    """Return the cells of the job's organisation that are large enough.
+
+    Cells are claimed by accelerators, so CPU-only work has none.
+    """
+    if not spec.accelerators_per_task:
+        return []
     return [
         cell
         for cell in guarantees.cells_of(spec.organisation)
