Let the scheduler check a reclaim again before it is carried out

Cause: while borrowers of a reclaim stop, a change of the configuration may give the cell to another organisation, whose borrowers-only rule the waiting job would then break.

Change: GuaranteeBook.allows tells whether a member can be held now.

Ruled out: a check in Fleet.hold, because the fleet does not know the cells and must accept what a worker reports.

--- a/src/redwingrudder/guarantees.py
+++ b/src/redwingrudder/guarantees.py
@@ -5,7 +5,13 @@
 from ._cells import Cell, CellLayout, WantedCell, fill, wanted_cells
 from ._worker_room import RECLAIM_BOUND_S, fitting_tasks, is_borrower
 from .fleet import Fleet
-from .model import CellAssignment, Configuration, GuaranteeShortage, JobSpec
+from .model import (
+    CellAssignment,
+    Configuration,
+    GuaranteeShortage,
+    JobSpec,
+    MemberPlacement,
+)
 
 __all__ = ["RECLAIM_BOUND_S", "GuaranteeBook", "is_borrower", "plan_cells"]
 
@@ -72,6 +78,25 @@
             accelerators += room.foreign(spec.organisation)
         return accelerators if fitting_tasks(spec, room, accelerators) else ()
 
+    def allows(self, spec: JobSpec, member: MemberPlacement) -> bool:
+        """Whether a member can be held now without breaking a cell.
+
+        The cells may have changed since a plan was made whose borrowers had
+        to stop first, so such a plan is checked again before it is carried
+        out.
+        """
+        worker = self._layout and self._layout.fleet.workers_by_id.get(member.worker_id)
+        if worker is None or not worker.accepts_work:
+            return False
+        room = self._layout.room(worker)
+        allowed = {None, spec.organisation}
+        for index in member.accelerators:
+            if worker.gangs_by_accelerator[index] is not None:
+                return False
+            if room.owners[index] not in allowed and not is_borrower(spec):
+                return False
+        return fitting_tasks(spec, room, member.accelerators) >= len(member.tasks)
+
     def violations(self, fleet: Fleet) -> tuple[str, ...]:
         """Describe every cell that could not be reclaimed; empty if none."""
         return find_violations(fleet, self._wanted, self.cells(), self.shortages)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -232,6 +232,12 @@
         spec = make_spec("a", 4)
         plan = CellReclaim().reclaim(spec, domain.fleet, domain.book)
         self.assertEqual(plan.gangs_to_stop, (borrower,))
+        member = plan.placement.members[0]
+        self.assertFalse(domain.book.allows(spec, member))
+        domain.release(borrower)
+        self.assertTrue(domain.book.allows(spec, member))
+        foreign = spec._replace(organisation="z")
+        self.assertFalse(domain.book.allows(foreign, member))
         avoid = frozenset({"d0w0"})
         self.assertIsNone(CellReclaim().reclaim(spec, domain.fleet, domain.book, avoid))
 
