Count a shortage once all other cells have their place

Cause: a trial with 1,500 examples per property found that two assignments in a row reported different missing accelerators, because the first one counted while small cells had no place yet (place, lose three workers, release).

Change: fill searches again for what is missing after all others are placed.

--- a/src/redwingrudder/_cells.py
+++ b/src/redwingrudder/_cells.py
@@ -300,16 +300,24 @@
 
 
 def fill(layout: CellLayout, wanted: list[WantedCell]) -> dict[CellAssignment, int]:
-    """Search a place for every copy without one; returns what is missing."""
-    missing = {}
-    for cell in wanted:
-        if cell.key in layout.cells_by_key:
-            continue
-        found = layout.search(cell)
-        if found.cell is None:
-            missing[cell.key] = found.missing
-        else:
-            layout.put(found.cell)
+    """Search a place for every copy without one; returns what is missing.
+
+    What a copy lacks is counted once all others have their place, so that it
+    does not depend on how the cells came about.
+    """
+    missing: dict[CellAssignment, int] = {}
+    for _ in range(2):
+        missing = {}
+        for cell in wanted:
+            if cell.key in layout.cells_by_key:
+                continue
+            found = layout.search(cell)
+            if found.cell is None:
+                missing[cell.key] = found.missing
+            else:
+                layout.put(found.cell)
+        if not missing:
+            break
     return missing
 
 
