Check the guarantee alone before a reclaimed member is held

Change: GuaranteeBook.allows tells whether a member may be held, without regard to what is still occupied, so that the scheduler can tell a plan that has to wait from one that is void.

--- a/src/redwingrudder/_worker_room.py
+++ b/src/redwingrudder/_worker_room.py
@@ -223,18 +223,31 @@
         worker.free_memory_mb,
     )
     tasks = min(tasks, spec.tasks)
-    if not tasks or not room.has_cells:
-        return tasks
-    if not firm and is_borrower(spec) and spec.organisation not in room.owners:
-        return tasks
-    while tasks > 0 and not _keeps_cells(spec, room, tasks, accelerators):
+    while tasks > 0 and not keeps_cells(spec, room, tasks, accelerators, firm):
         tasks -= 1
     return tasks
 
 
-def _keeps_cells(
-    spec: JobSpec, room: WorkerRoom, tasks: int, accelerators: tuple[int, ...]
+def keeps_cells(
+    spec: JobSpec,
+    room: WorkerRoom,
+    tasks: int,
+    accelerators: tuple[int, ...],
+    firm: bool = False,
 ) -> bool:
+    """Whether slots, cores and memory suffice for the cells next to a member.
+
+    Args:
+        spec: The job of the member.
+        room: The worker.
+        tasks: Tasks of the member; they take the first accelerators.
+        accelerators: Accelerators that the member may use.
+        firm: Whether a borrower, too, leaves alone what is kept for cells.
+    """
+    if not room.has_cells:
+        return True
+    if not firm and is_borrower(spec) and spec.organisation not in room.owners:
+        return True
     taken = accelerators[: tasks * spec.accelerators_per_task]
     inside, outside = split_use(spec, tasks, taken, room.owners)
     share = room.unused_shares.get(spec.organisation, NOTHING)
--- a/src/redwingrudder/guarantees.py
+++ b/src/redwingrudder/guarantees.py
@@ -3,7 +3,7 @@
 from ._cell_check import find_violations
 from ._cell_plan import plan_cells
 from ._cells import Cell, CellLayout, WantedCell, fill, wanted_cells
-from ._worker_room import RECLAIM_BOUND_S, fitting_tasks, is_borrower
+from ._worker_room import RECLAIM_BOUND_S, fitting_tasks, is_borrower, keeps_cells
 from .fleet import Fleet
 from .model import (
     CellAssignment,
@@ -79,23 +79,20 @@
         return accelerators if fitting_tasks(spec, room, accelerators) else ()
 
     def allows(self, spec: JobSpec, member: MemberPlacement) -> bool:
-        """Whether a member can be held now without breaking a cell.
+        """Whether a member may be held without breaking a cell.
 
-        The cells may have changed since a plan was made whose borrowers had
-        to stop first, so such a plan is checked again before it is carried
-        out.
+        Whether its accelerators are free is left to the fleet. Cells may move
+        while the borrowers of a reclaim stop, so each member of the plan is
+        checked again before it is held.
         """
         worker = self._layout and self._layout.fleet.workers_by_id.get(member.worker_id)
         if worker is None or not worker.accepts_work:
             return False
         room = self._layout.room(worker)
-        allowed = {None, spec.organisation}
-        for index in member.accelerators:
-            if worker.gangs_by_accelerator[index] is not None:
-                return False
-            if room.owners[index] not in allowed and not is_borrower(spec):
-                return False
-        return fitting_tasks(spec, room, member.accelerators) >= len(member.tasks)
+        owners = {room.owners[index] for index in member.accelerators}
+        if not is_borrower(spec) and owners - {None, spec.organisation}:
+            return False
+        return keeps_cells(spec, room, len(member.tasks), member.accelerators)
 
     def violations(self, fleet: Fleet) -> tuple[str, ...]:
         """Describe every cell that could not be reclaimed; empty if none."""
