--- a/src/redwingrudder/guarantees.py
+++ b/src/redwingrudder/guarantees.py
@@ -3,9 +3,15 @@
 from ._cell_check import find_violations
 from ._cell_plan import plan_cells
 from ._cells import Cell, CellLayout, WantedCell, fill, wanted_cells
-from ._worker_room import RECLAIM_BOUND_S, fitting_tasks, is_borrower
+from ._worker_room import RECLAIM_BOUND_S, fitting_tasks, is_borrower, keeps_cells
 from .fleet import Fleet
-from .model import CellAssignment, Configuration, GuaranteeShortage, JobSpec
+from .model import (
+    CellAssignment,
+    Configuration,
+    GuaranteeShortage,
+    JobSpec,
+    MemberPlacement,
+)
 
 __all__ = ["RECLAIM_BOUND_S", "GuaranteeBook", "is_borrower", "plan_cells"]
 
@@ -72,6 +78,22 @@
             accelerators += room.foreign(spec.organisation)
         return accelerators if fitting_tasks(spec, room, accelerators) else ()
 
+    def allows(self, spec: JobSpec, member: MemberPlacement) -> bool:
+        """Whether a member may be held without breaking a cell.
+
+        Whether its accelerators are free is left to the fleet. Cells may move
+        while the borrowers of a reclaim stop, so each member of the plan is
+        checked again before it is held.
+        """
+        worker = self._layout and self._layout.fleet.workers_by_id.get(member.worker_id)
+        if worker is None or not worker.accepts_work:
+            return False
+        room = self._layout.room(worker)
+        owners = {room.owners[index] for index in member.accelerators}
+        if not is_borrower(spec) and owners - {None, spec.organisation}:
+            return False
+        return keeps_cells(spec, room, len(member.tasks), member.accelerators)
+
     def violations(self, fleet: Fleet) -> tuple[str, ...]:
         """Describe every cell that could not be reclaimed; empty if none."""
         return find_violations(fleet, self._wanted, self.cells(), self.shortages)
