Cancel store calls in progress when the transport closes

One of 30 runs of the socket test left a connection open: a probe that was under way at the stop returned its connection to the pool after the pool had been closed.

--- a/src/redwingrudder/_store_transport.py
+++ b/src/redwingrudder/_store_transport.py
@@ -71,7 +71,7 @@
 
     @abc.abstractmethod
     def close(self) -> Deferred | None:
-        """Close all idle connections."""
+        """Cancel all calls and close all idle connections."""
 
 
 class HttpTransport(StoreTransport):
@@ -95,17 +95,24 @@
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
         agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
         self._client = treq.client.HTTPClient(agent)
+        self._exchanges: set[Deferred] = set()
+        self._closed = False
 
     async def call(self, request: EncodedCall, timeout_s: float) -> TransportReply:
         """See base class."""
+        if self._closed:
+            raise StoreUnavailableError("the connection is closed")
         exchange = Deferred.fromCoroutine(self._exchange(request))
         exchange.addTimeout(timeout_s, self._reactor)
+        self._exchanges.add(exchange)
         try:
             return await exchange
         except (ConnectError, ConnectingCancelledError, RequestNotSent) as error:
             raise StoreUnavailableError(f"not connected: {error}") from None
         except Exception as error:
             raise OutcomeUnknownError(f"no answer: {error!r}") from None
+        finally:
+            self._exchanges.discard(exchange)
 
     def open_stream(
         self,
@@ -120,6 +127,9 @@
 
     def close(self) -> Deferred:
         """See base class."""
+        self._closed = True
+        for exchange in list(self._exchanges):
+            exchange.cancel()
         return self._pool.closeCachedConnections()
 
     async def _exchange(self, request: EncodedCall) -> TransportReply:
