Fit ownership to the sparse exchange between nodes

Nodes exchange reports only with their owner and one neighbour while the owner lives, so silence of another node is no sign of its death. Nodes of the VM list now count as live until an exchange with them failed; 5 s after the owner's last report only nodes that were heard of count, so that an entry of a node that never answers holds nobody up.

--- /dev/null
+++ b/src/redwingrudder/_ownership_chart.py
@@ -0,0 +1,34 @@
+"""Events and actions of the chart ``ownership``."""
+
+from .statecharts import Chart, load_chart
+
+EVENTS = frozenset(
+    {
+        "record_absent",
+        "record_held",
+        "record_own",
+        "store_lost",
+        "lease_lapsed",
+        "fenced",
+        "acquired",
+        "owner_silent",
+        "drain",
+    }
+)
+ACTIONS = frozenset(
+    {
+        "acquire_record",
+        "read_record",
+        "release_record",
+        "hand_over",
+        "raise_local_term",
+        "begin_owning",
+        "raise_epoch",
+        "end_owning",
+    }
+)
+
+
+def load_ownership_chart() -> Chart:
+    """Load the chart."""
+    return load_chart("ownership", EVENTS, ACTIONS)
--- a/src/redwingrudder/_ownership_lease.py
+++ b/src/redwingrudder/_ownership_lease.py
@@ -21,6 +21,7 @@
         self._keeper = keeper
         self._seconds = seconds
         self._lease_id = 0
+        self._revision = 0
         self._valid_until = 0.0
         self._renewed_at = 0.0
         self._renewing = False
@@ -28,6 +29,7 @@
     def take(self, acquisition: Acquisition) -> None:
         """Hold the lease of an acquisition."""
         self._lease_id = acquisition.lease_id
+        self._revision = acquisition.revision
         self._valid_until = acquisition.valid_until
         self._renewed_at = self._seconds()
 
@@ -62,7 +64,17 @@
 
     async def release(self) -> None:
         """Give the lease up, and the record with it."""
-        lease_id, self._lease_id = self._lease_id, 0
-        self._valid_until = 0.0
+        lease_id = self._drop()
         if lease_id:
             await self._keeper.release(lease_id)
+
+    async def hand_over(self) -> None:
+        """Give the record up so that another node takes over at once."""
+        lease_id = self._drop()
+        if lease_id:
+            await self._keeper.hand_over(lease_id, self._revision)
+
+    def _drop(self) -> int:
+        lease_id, self._lease_id = self._lease_id, 0
+        self._valid_until = 0.0
+        return lease_id
--- a/src/redwingrudder/_ownership_peers.py
+++ b/src/redwingrudder/_ownership_peers.py
@@ -1,43 +1,74 @@
 """What a node knows of the other nodes of its failure domain."""
 
+import math
 from typing import NamedTuple
 
-from .requests import PeerReport
+from .requests import PeerReport, VmInfo
 
-SILENT_S = 3.0  # exchanges take place each second
+SILENT_S = 3.0  # a node exchanges each second with its domain's owner
 PEER_LIMIT = 1_000
 
 
 class _Peer(NamedTuple):
+    """A node that sent a report; ``silent`` when it answers no more."""
+
     rank: int
     seen_at: float
     owner: bool
     draining: bool
+    silent: bool
 
 
 class PeerBook:
-    """The nodes of one failure domain by id, as their reports show them."""
+    """The nodes of one failure domain, from the VM list and their reports.
+
+    A node exchanges reports with few others while the owner lives, so a node
+    of the VM list counts as live until an exchange with it failed.
+    """
 
     def __init__(self, node_id: str, rank: int) -> None:
         self._node_id = node_id
         self._rank = rank
+        self._member_ranks_by_id: dict[str, int] = {}
+        self._silent_members: set[str] = set()
         self._peers_by_id: dict[str, _Peer] = {}
 
+    def set_members(self, vms: tuple[VmInfo, ...], failure_domain: str) -> None:
+        """Take over the domain's nodes that are not leaving."""
+        self._member_ranks_by_id = {
+            vm.vm_id: vm.rank
+            for vm in vms
+            if vm.role == "node"
+            and vm.state == "live"
+            and vm.failure_domain == failure_domain
+            and vm.vm_id != self._node_id
+        }
+        self._silent_members &= self._member_ranks_by_id.keys()
+
     def report(self, report: PeerReport, now: float) -> None:
         """Take over a report; the least recent peer gives way at the limit."""
         peers = self._peers_by_id
         if report.node_id not in peers and len(peers) >= PEER_LIMIT:
             del peers[min(peers, key=lambda node_id: peers[node_id].seen_at)]
         peers[report.node_id] = _Peer(
-            report.node_rank, now, report.owner, report.draining
+            report.node_rank, now, report.owner, report.draining, False
         )
+        self._silent_members.discard(report.node_id)
 
     def silent(self, node_id: str, silent_s: float, now: float) -> None:
-        """Note that a node has not been heard of for some seconds."""
+        """Note that a node has not answered for some seconds."""
+        if node_id in self._member_ranks_by_id:
+            self._silent_members.add(node_id)
         peer = self._peers_by_id.get(node_id)
         if peer is not None:
             seen_at = min(peer.seen_at, now - silent_s)
-            self._peers_by_id[node_id] = peer._replace(seen_at=seen_at)
+            self._peers_by_id[node_id] = peer._replace(seen_at=seen_at, silent=True)
+
+    def released(self, node_id: str) -> None:
+        """Note that a node handed its ownership over."""
+        peer = self._peers_by_id.get(node_id)
+        if peer is not None:
+            self._peers_by_id[node_id] = peer._replace(owner=False, draining=True)
 
     def excuse(self, paused_s: float) -> None:
         """Discount a time during which this node itself was paused."""
@@ -47,26 +78,41 @@
 
     def is_owner_alive(self, now: float) -> bool:
         """Whether a node that claims to own the domain was heard of."""
-        return any(peer.owner for peer in self._live(now))
-
-    def count_before(self, now: float) -> int:
-        """Return how many live nodes come before this one by rank."""
-        if not self._peers_by_id:
-            return 0
+        return now - self.owner_seen_at() < SILENT_S
+
+    def owner_seen_at(self) -> float:
+        """Return when an owner of the domain was last heard of."""
+        times = [
+            peer.seen_at
+            for peer in self._peers_by_id.values()
+            if peer.owner and not peer.draining
+        ]
+        return max(times, default=-math.inf)
+
+    def count_heard_before(self, now: float) -> int:
+        """Return how many nodes before this one were heard of lately."""
         own = (self._rank, self._node_id)
         return sum(
             (peer.rank, node_id) < own
             for node_id, peer in self._peers_by_id.items()
-            if self._is_live(peer, now)
+            if now - peer.seen_at < SILENT_S and not peer.draining
         )
 
-    def is_empty(self) -> bool:
-        """Whether no node was ever heard of."""
-        return not self._peers_by_id
-
-    def _live(self, now: float) -> list[_Peer]:
-        peers = self._peers_by_id.values()
-        return [peer for peer in peers if self._is_live(peer, now)]
+    def count_before(self) -> int:
+        """Return how many nodes that may be live come before this one."""
+        ranks_by_id = {
+            node_id: rank
+            for node_id, rank in self._member_ranks_by_id.items()
+            if node_id not in self._silent_members
+        }
+        for node_id, peer in self._peers_by_id.items():
+            if peer.silent or peer.draining:
+                ranks_by_id.pop(node_id, None)
+            else:
+                ranks_by_id[node_id] = peer.rank
+        own = (self._rank, self._node_id)
+        return sum((rank, node_id) < own for node_id, rank in ranks_by_id.items())
 
-    def _is_live(self, peer: _Peer, now: float) -> bool:
-        return now - peer.seen_at < SILENT_S and not peer.draining
+    def is_empty(self) -> bool:
+        """Whether no other node is known."""
+        return not self._peers_by_id and not self._member_ranks_by_id
--- a/src/redwingrudder/_ownership_record.py
+++ b/src/redwingrudder/_ownership_record.py
@@ -13,6 +13,7 @@
 from .model import Epoch
 from .requests import (
     Compare,
+    DeleteKey,
     GetKey,
     GetPrefix,
     GrantLease,
@@ -25,6 +26,9 @@
 
 OWNER_PREFIX = "/owner/"
 EPOCH_PREFIX = "/epoch/"
+# Below an owner key: the node that handed the domain over. Without it, other
+# nodes would wait for an owner whose last report is recent.
+RELEASED_SUFFIX = "/released"
 LEASE_S = 3
 ATTEMPTS = 2  # of one acquisition; the lease is short
 
@@ -114,6 +118,7 @@
         records = {
             pair.key.removeprefix(OWNER_PREFIX): decode_record(pair.value)
             for pair in reply.pairs
+            if not pair.key.endswith(RELEASED_SUFFIX)
         }
         return Owners(records, reply.revision)
 
@@ -150,6 +155,25 @@
         ttl_s = await self._ask_store(KeepLeaseAlive(lease_id))
         return sent_at + ttl_s if ttl_s > 0 else None
 
+    async def hand_over(self, lease_id: int, revision: int) -> None:
+        """Delete the record and name this node as the one that left.
+
+        Args:
+            lease_id: The record's lease, under which the name lapses too.
+            revision: The record's revision.
+        """
+        transaction = Transact(
+            (Compare(self._key, revision),),
+            (
+                DeleteKey(self._key),
+                PutKey(self._key + RELEASED_SUFFIX, self._node_id, lease_id),
+            ),
+        )
+        try:
+            await self._ask_store(transaction)
+        except RedwingrudderError:
+            await self.release(lease_id)
+
     async def release(self, lease_id: int) -> None:
         """Revoke the lease, which deletes only what was written under it."""
         try:
--- a/src/redwingrudder/_ownership_rules.py
+++ b/src/redwingrudder/_ownership_rules.py
@@ -7,9 +7,12 @@
 TURN_S = 0.2  # between the attempts of the nodes, in the order of their ranks
 TURN_JITTER_S = 0.1
 TURN_LIMIT = 10  # turns waited while no other node is known
-# A living owner without a record cannot write job records, so another node
-# that reaches the store takes over after this time.
-ABSENT_LIMIT_S = 10.0
+# After an outage the owner finds the store again up to 1.2 s later than other
+# nodes, by the interval of the probes. An owner that stays without a record
+# for longer cannot write job records, so another node takes over.
+ABSENT_LIMIT_S = 2.5
+# Time for a node of the VM list to be heard of once all nodes exchange.
+UNHEARD_S = 2.0
 
 
 class TakeoverRules:
@@ -54,13 +57,17 @@
 
     def may_claim(self, now: float) -> bool:
         """Whether to claim the domain while the store is unreachable."""
-        if self._patience_from is None or now - self._patience_from < SILENT_S:
+        if self._patience_from is None:
+            return False
+        silent_s = now - max(self._patience_from, self._peers.owner_seen_at())
+        if silent_s < SILENT_S:
             return False
-        alive = self._peers.is_owner_alive(now)
-        return not alive and self._peers.count_before(now) == 0
+        if silent_s < SILENT_S + UNHEARD_S:
+            return self._peers.count_before() == 0
+        return self._peers.count_heard_before(now) == 0
 
     def _await_turn(self, now: float) -> float:
-        turns = self._peers.count_before(now)
+        turns = self._peers.count_before()
         if self._peers.is_empty():
             turns = min(self._rank, TURN_LIMIT)
         delay_s = turns * TURN_S + self._jitter.uniform(0.0, TURN_JITTER_S)
--- a/src/redwingrudder/configuration.py
+++ b/src/redwingrudder/configuration.py
@@ -79,7 +79,6 @@
         self._jitter = random.Random(seed)
         self._in_force: Configuration | None = None
         self._untold: set[str] = set()
-        self._fetching = False
         self._writer = ConfigurationWriter(lambda m: self.ask(requests.STORE, m))
         self._chart = ChartRunner(
             load_chart("configuration", _EVENTS, _ACTIONS),
@@ -99,7 +98,6 @@
             requests.GetConfiguration: self._get,
             requests.ApplyConfiguration: self._accept,
             requests.OfferConfiguration: self._offered,
-            requests.PeerReport: self._compare_with_peer,
             requests.StoreStatus: self._store_status,
             requests.WatchChanged: self._watch_changed,
             requests.WatchReset: lambda message: self._chart.step("watch_reset"),
@@ -125,19 +123,6 @@
     def _offered(self, message: requests.OfferConfiguration) -> None:
         self._chart.step("offered", _Read(message.configuration, 0))
 
-    async def _compare_with_peer(self, report: requests.PeerReport) -> None:
-        version = 0 if self._in_force is None else self._in_force.version
-        if report.configuration_version <= version or self._fetching:
-            return
-        self._fetching = True
-        request = requests.GetPeerConfiguration(report.address, version)
-        try:
-            configuration = await self.ask(requests.PEERS, request)
-        finally:
-            self._fetching = False
-        if configuration is not None:
-            self._chart.step("offered", _Read(configuration, 0))
-
     def _store_status(self, status: requests.StoreStatus) -> None:
         self._chart.step("store_available" if status.available else "store_lost")
 
--- a/src/redwingrudder/ownership.py
+++ b/src/redwingrudder/ownership.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Coroutine
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -11,12 +12,14 @@
 from ._announcer import Announcer
 from ._background import run
 from ._chart_runner import ChartRunner
+from ._ownership_chart import load_ownership_chart
 from ._ownership_lease import HeldLease
 from ._ownership_news import OwnershipNews
 from ._ownership_peers import PeerBook
 from ._ownership_record import (
     LEASE_S,
     OWNER_PREFIX,
+    RELEASED_SUFFIX,
     Acquisition,
     OwnerRecord,
     RecordKeeper,
@@ -27,7 +30,6 @@
 from .actors import Actor, ActorSystem, Handler
 from .exceptions import RedwingrudderError
 from .model import Epoch
-from .statecharts import load_chart
 from .timers import TIMERS, Subscribe, TimerFired
 
 __all__ = ["LEASE_S", "OwnershipActor"]
@@ -38,30 +40,6 @@
 REREAD_S = 5.0
 
 _logger = logging.getLogger(__name__)
-_EVENTS = frozenset(
-    {
-        "record_absent",
-        "record_held",
-        "record_own",
-        "store_lost",
-        "lease_lapsed",
-        "fenced",
-        "acquired",
-        "owner_silent",
-        "drain",
-    }
-)
-_ACTIONS = frozenset(
-    {
-        "acquire_record",
-        "read_record",
-        "release_record",
-        "raise_local_term",
-        "begin_owning",
-        "raise_epoch",
-        "end_owning",
-    }
-)
 
 
 class OwnershipActor(Actor):
@@ -106,11 +84,12 @@
         self._lease = HeldLease(self._keeper, system.clock.seconds)
         self._view = RecordView()
         self._chart = ChartRunner(
-            load_chart("ownership", _EVENTS, _ACTIONS),
+            load_ownership_chart(),
             {
                 "acquire_record": lambda _: run(self._acquire(), self.name),
                 "read_record": lambda _: run(self._verify(), self.name),
-                "release_record": lambda _: self._release(),
+                "release_record": lambda _: self._let_go(self._lease.release()),
+                "hand_over": lambda _: self._let_go(self._lease.hand_over()),
                 "raise_local_term": lambda _: self._raise_local_term(),
                 "begin_owning": self._begin_owning,
                 "raise_epoch": self._raise_epoch,
@@ -136,7 +115,7 @@
             requests.StoreStatus: self._store_status,
             requests.WatchChanged: self._watch_changed,
             requests.WatchReset: self._watch_reset,
-            requests.MembersChanged: lambda _: self._rules.members_known(self._now()),
+            requests.MembersChanged: self._members_changed,
             requests.PeerReport: self._peer_report,
             requests.PeerSilent: self._peer_silent,
             requests.Fenced: self._fenced,
@@ -190,19 +169,26 @@
         self._evaluate()
 
     def _watch_changed(self, message: requests.WatchChanged) -> None:
-        changed = False
-        for change in message.changes:
-            domain = change.key.removeprefix(OWNER_PREFIX)
-            value = change.value
-            record = None if value is None else decode_record(value)
-            changed |= self._learn_record(domain, record, change.mod_revision)
-        if changed:
+        changed = [self._learn_change(change) for change in message.changes]
+        if any(changed):
             self._judge_news()
 
+    def _learn_change(self, change: requests.KeyChange) -> bool:
+        domain = change.key.removeprefix(OWNER_PREFIX)
+        if domain.endswith(RELEASED_SUFFIX):
+            self._peers.released(change.value or "")
+            return False
+        record = None if change.value is None else decode_record(change.value)
+        return self._learn_record(domain, record, change.mod_revision)
+
     def _watch_reset(self, message: requests.WatchReset) -> None:
         self._watching = False
         self._watch_if_due()
 
+    def _members_changed(self, message: requests.MembersChanged) -> None:
+        self._peers.set_members(message.vms, self._failure_domain)
+        self._rules.members_known(self._now())
+
     def _peer_report(self, report: requests.PeerReport) -> None:
         if report.failure_domain == self._failure_domain:
             self._peers.report(report, self._now())
@@ -366,8 +352,8 @@
         await self._lease.renew()
         self._notice_lapse()
 
-    def _release(self) -> None:
-        self._releasing = run(self._lease.release(), self.name)
+    def _let_go(self, releasing: Coroutine[Any, Any, None]) -> None:
+        self._releasing = run(releasing, self.name)
 
     def _raise_local_term(self) -> None:
         term = self._highest.local_term + 1
