Send the VM list only when it changed and read prefixes in pages

At the target size the VM list is 355 KB as JSON, so an owner that reads its domain each second and a node that reads the list every 10 s would exceed 5 KB/s many times over. Long prefixes such as the job records are read in pages of 200 keys, because one answer could exceed the limit of 32 MB. An answer for the whole list that arrives late no longer replaces the owner's own reads: it could have shown a leaving worker as live.

--- a/src/redwingrudder/_store_codec.py
+++ b/src/redwingrudder/_store_codec.py
@@ -15,15 +15,20 @@
     RedwingrudderError,
 )
 
+PAGE_KEYS = 200  # bounds an answer: job records hold up to 64 KB
 VALUE_LIMIT = 1_000_000  # bytes, limit of the platform store
 
 
 class EncodedCall(NamedTuple):
-    """An HTTP request: a GET when ``body`` is None, else a POST."""
+    """An HTTP request: a GET when ``body`` is None, else a POST.
+
+    ``etag`` is that of an answer which need not be sent again.
+    """
 
     path: str
     body: bytes | None
     writes: bool
+    etag: str = ""
 
 
 class WatchProgress(NamedTuple):
@@ -68,6 +73,13 @@
     return None
 
 
+def encode_page(prefix: str, first_key: str) -> EncodedCall:
+    """Encode the read of one page of a prefix, from a key on."""
+    selection = {**_prefix_range(prefix), "key": _text(first_key)}
+    body = _dump({**selection, "limit": str(PAGE_KEYS)})
+    return EncodedCall("/v3/kv/range", body, False)
+
+
 def encode_watch(prefix: str, start_revision: int) -> EncodedCall:
     """Encode the request that opens a watch stream."""
     selection = {**_prefix_range(prefix), "start_revision": str(start_revision)}
@@ -116,7 +128,7 @@
 
 
 def _encode_prefix(message: requests.GetPrefix) -> EncodedCall:
-    return EncodedCall("/v3/kv/range", _dump(_prefix_range(message.prefix)), False)
+    return encode_page(message.prefix, message.prefix)
 
 
 def _encode_transact(message: requests.Transact) -> EncodedCall:
--- a/src/redwingrudder/_store_transport.py
+++ b/src/redwingrudder/_store_transport.py
@@ -27,6 +27,7 @@
 
     status: int
     body: bytes
+    etag: str = ""
 
 
 class StreamEnded(NamedTuple):
@@ -136,14 +137,18 @@
         response = await self._send(request)
         reader = _BodyReader()
         response.deliverBody(reader)
-        return TransportReply(response.code, await reader.body)
+        etags = response.headers.getRawHeaders("ETag", [""])
+        return TransportReply(response.code, await reader.body, etags[0])
 
     def _send(self, request: EncodedCall) -> Deferred:
         method = "GET" if request.body is None else "POST"
+        headers = self._headers
+        if request.etag:
+            headers = {**headers, "If-None-Match": request.etag}
         return self._client.request(
             method,
             self._base_url + request.path,
-            headers=self._headers,
+            headers=headers,
             data=request.body,
             allow_redirects=False,
             unbuffered=True,
--- a/src/redwingrudder/membership.py
+++ b/src/redwingrudder/membership.py
@@ -44,6 +44,8 @@
         self._jitter = random.Random(seed)
         self._announcer = Announcer(self, subscribers)
         self._vms: tuple[requests.VmInfo, ...] | None = None
+        self._last_read: tuple[requests.VmInfo, ...] | None = None
+        self._domain_read = False
         self._reads_in_progress: set[str] = set()
         self._owning = False
         self._store_available = False
@@ -70,6 +72,7 @@
 
     def _ownership_ended(self, message: requests.OwnershipEnded) -> None:
         self._owning = False
+        self._domain_read = False
 
     def _store_status(self, status: requests.StoreStatus) -> None:
         returned = status.available and not self._store_available
@@ -117,11 +120,21 @@
         self.tell(TIMERS, Subscribe(self.name, timer, delay_s))
 
     def _take_over(self, failure_domain: str, vms: tuple[requests.VmInfo, ...]) -> None:
-        others = self._vms or ()
-        kept = tuple(
-            vm for vm in others if failure_domain not in ("", vm.failure_domain)
-        )
-        merged = tuple(sorted((*kept, *vms)))
+        if vms is self._last_read:
+            return
+        self._last_read = vms
+        own = self._failure_domain
+        if failure_domain == own:
+            self._domain_read = True
+            replaced = {own}
+        else:
+            replaced = {vm.failure_domain for vm in (*vms, *(self._vms or ()))}
+            if self._domain_read:
+                # The owner's own reads are later than those of the list.
+                replaced.discard(own)
+        kept = [vm for vm in self._vms or () if vm.failure_domain not in replaced]
+        fresh = [vm for vm in vms if vm.failure_domain in replaced]
+        merged = tuple(sorted((*kept, *fresh)))
         if merged != self._vms:
             self._vms = merged
             self._announcer.announce(requests.MembersChanged(merged))
--- a/src/redwingrudder/platform_api.py
+++ b/src/redwingrudder/platform_api.py
@@ -18,7 +18,9 @@
 ``GET /v1/vms?failure_domain=``                         ``VmListReply``
 ================================  ====================  ==================
 
-The header ``X-Failure-Domain`` names the domain of the client.
+The header ``X-Failure-Domain`` names the domain of the client. The VM list
+has an ``ETag``; a request with ``If-None-Match`` gets 304 while it is the
+same. Large bodies are sent with gzip to clients that accept it.
 """
 
 from typing import NotRequired
@@ -49,17 +51,22 @@
 
 
 class RangeRequest(TypedDict):
-    """Reads one key, or all keys from ``key`` up to ``range_end``."""
+    """Reads one key, or all keys from ``key`` up to ``range_end``.
+
+    At most ``limit`` keys are returned when it is not 0.
+    """
 
     key: str
     range_end: NotRequired[str]
+    limit: NotRequired[Int64]
 
 
 class RangeReply(TypedDict):
-    """The pairs in the order of their keys."""
+    """The pairs in the order of their keys; ``more`` when some are left."""
 
     header: Header
     kvs: NotRequired[list[KeyValueBody]]
+    more: NotRequired[bool]
     count: NotRequired[str]
 
 
--- a/src/redwingrudder/standins/_gateway.py
+++ b/src/redwingrudder/standins/_gateway.py
@@ -55,10 +55,13 @@
         request = parse(_RANGE, body)
         key = _decode(request["key"])
         records = self._core.range(key, _decode(request.get("range_end", "")))
+        limit = _integer(request.get("limit", 0)) or len(records)
         reply = RangeReply(header=self.header())
         if records:
-            reply["kvs"] = [_key_value(record) for record in records]
+            reply["kvs"] = [_key_value(record) for record in records[:limit]]
             reply["count"] = str(len(records))
+        if len(records) > limit:
+            reply["more"] = True
         return reply
 
     def txn(self, body: bytes, now: float) -> TxnReply:
--- a/src/redwingrudder/standins/_platform_service.py
+++ b/src/redwingrudder/standins/_platform_service.py
@@ -51,6 +51,7 @@
     body: bytes = b""
     failure_domain: str = ""
     vm_domain: str = ""
+    if_none_match: str = ""
 
 
 class Reply(NamedTuple):
@@ -60,6 +61,7 @@
     body: Any
     delay_s: float = 0.0
     dropped: bool = False
+    etag: str = ""
 
 
 class Faults(TypedDict):
@@ -190,6 +192,8 @@
     def _answer(self, kind: str, call: Call) -> Reply:
         try:
             self._admit(kind)
+            if kind == "vms":
+                return self._list_vms(call)
             return Reply(200, self._carry_out(kind, call))
         except RedwingrudderError as error:
             return _error_reply(error)
@@ -215,9 +219,14 @@
             return reply
         if kind == "lease_keepalive":
             return self._gateway.keep_alive(call.body, now)
-        if kind == "lease_revoke":
-            return self._gateway.revoke(call.body)
-        return {"vms": self.vms.read(call.vm_domain, now)}
+        return self._gateway.revoke(call.body)
+
+    def _list_vms(self, call: Call) -> Reply:
+        now = self._clock.seconds()
+        etag = self.vms.etag(now)
+        if call.if_none_match == etag:
+            return Reply(304, None, etag=etag)
+        return Reply(200, {"vms": self.vms.read(call.vm_domain, now)}, etag=etag)
 
     def _start_watch(self, call: Call, stream: WatchStream) -> Reply | int:
         selection = decode_watch(call.body)
--- a/src/redwingrudder/standins/_vm_list.py
+++ b/src/redwingrudder/standins/_vm_list.py
@@ -1,5 +1,6 @@
 """The platform's list of live and leaving VMs, which lags."""
 
+import uuid
 from collections import deque
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 
 
 class _Snapshot(NamedTuple):
+    number: int
     changed_at: float
     vms: tuple[VmBody, ...]
 
@@ -22,6 +24,8 @@
         self.lag_s = lag_s
         self._vms_by_id: dict[str, VmBody] = {}
         self._snapshots: deque[_Snapshot] = deque(maxlen=SNAPSHOT_LIMIT)
+        self._snapshots.append(_Snapshot(0, 0.0, ()))
+        self._instance = uuid.uuid4().hex[:8]
 
     def change(
         self,
@@ -46,19 +50,23 @@
         for vm_id in remove:
             self._vms_by_id.pop(vm_id, None)
         vms = tuple(self._vms_by_id[vm_id] for vm_id in sorted(self._vms_by_id))
-        self._snapshots.append(_Snapshot(now, vms))
+        number = self._snapshots[-1].number + 1
+        self._snapshots.append(_Snapshot(number, now, vms))
 
     def read(self, failure_domain: str, now: float) -> list[VmBody]:
         """Return the VMs of one failure domain, or of all for ""."""
-        while len(self._snapshots) > 1 and self._is_visible(self._snapshots[1], now):
-            self._snapshots.popleft()
-        if not self._snapshots or not self._is_visible(self._snapshots[0], now):
-            return []
         return [
             vm
-            for vm in self._snapshots[0].vms
+            for vm in self._visible(now).vms
             if failure_domain in ("", vm["failure_domain"])
         ]
 
-    def _is_visible(self, snapshot: _Snapshot, now: float) -> bool:
-        return snapshot.changed_at + self.lag_s <= now
+    def etag(self, now: float) -> str:
+        """Return a tag that differs whenever the visible list does."""
+        return f'"{self._instance}-{self._visible(now).number}"'
+
+    def _visible(self, now: float) -> _Snapshot:
+        snapshots = self._snapshots
+        while len(snapshots) > 1 and snapshots[1].changed_at + self.lag_s <= now:
+            snapshots.popleft()
+        return snapshots[0]
--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -4,6 +4,7 @@
 /admin/faults``, ``POST /admin/vms`` and ``GET /admin/counters``.
 """
 
+import gzip
 import json
 from collections import deque
 from typing import Any
@@ -19,6 +20,7 @@
 from ._platform_service import Budget, Call, PlatformService, Reply, WatchStream
 
 TOO_MANY_REQUESTS = 429
+GZIP_FROM = 1_000  # bytes
 STREAM_QUEUE_LIMIT = 8_000_000  # bytes that wait for a slow reader of a watch
 CONNECTION_TIMEOUT_S = 120.0  # idle persistent connections
 
@@ -214,6 +216,7 @@
         request.content.read(),
         request.getHeader(DOMAIN_HEADER) or "",
         domains[0].decode("utf-8", "replace"),
+        request.getHeader("If-None-Match") or "",
     )
 
 
@@ -227,5 +230,17 @@
     request.setHeader("Content-Type", "application/json")
     if reply.status == TOO_MANY_REQUESTS:
         request.setHeader("Retry-After", "1")
-    request.write(json.dumps(reply.body).encode())
+    if reply.etag:
+        request.setHeader("ETag", reply.etag)
+    if reply.body is not None:
+        request.write(_encode_body(request, reply))
     request.finish()
+
+
+def _encode_body(request: server.Request, reply: Reply) -> bytes:
+    body = json.dumps(reply.body).encode()
+    accepted = request.getHeader("Accept-Encoding") or ""
+    if len(body) < GZIP_FROM or "gzip" not in accepted:
+        return body
+    request.setHeader("Content-Encoding", "gzip")
+    return gzip.compress(body, compresslevel=1)
--- a/src/redwingrudder/store.py
+++ b/src/redwingrudder/store.py
@@ -2,12 +2,20 @@
 
 import logging
 import random
-from typing import Any
+from typing import Any, NamedTuple
 
 from . import requests
 from ._background import run
 from ._chart_runner import ChartRunner
-from ._store_codec import CALL_TYPES, EncodedCall, decode, decode_error, encode
+from ._store_codec import (
+    CALL_TYPES,
+    PAGE_KEYS,
+    EncodedCall,
+    decode,
+    decode_error,
+    encode,
+    encode_page,
+)
 from ._store_transport import HttpTransport, StoreTransport, TransportReply
 from ._store_watch import Watch
 from ._token_bucket import TokenBucket
@@ -31,6 +39,8 @@
 PROBE_JITTER_S = 0.2  # spreads the nodes' probes
 WRITES_PER_S = 200.0  # of all failure domains together, docs/design.md 4.3
 CALLS_IN_FLIGHT = 256
+LIST_LIMIT = 64  # VM lists kept, one for each failure domain that is read
+NOT_MODIFIED = 304
 PROBE = requests.GetKey("/probe")
 
 _logger = logging.getLogger(__name__)
@@ -47,6 +57,11 @@
 )
 
 
+class _VmList(NamedTuple):
+    etag: str
+    vms: tuple[requests.VmInfo, ...]
+
+
 class StoreClient(Actor):
     """Answers the store messages of ``requests``; the chart is store_link.
 
@@ -86,11 +101,14 @@
         self._probing = False
         self._watches_by_key: dict[tuple[str, str], Watch] = {}
         self._status_subscribers: list[str] = []
+        self._lists_by_domain: dict[str, _VmList] = {}
         super().__init__(system, requests.STORE)
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         handlers: dict[type, Handler] = dict.fromkeys(CALL_TYPES, self._call)
+        handlers[requests.GetPrefix] = self._read_prefix
+        handlers[requests.ListVms] = self._list_vms
         handlers[requests.WatchPrefix] = self._watch
         handlers[requests.SubscribeStoreStatus] = self._subscribe_status
         handlers[TimerFired] = self._timer_fired
@@ -112,9 +130,43 @@
         return self._chart.state != "unavailable"
 
     async def _call(self, message: Any) -> Any:
+        return await self._exchange(message, encode(message))
+
+    async def _read_prefix(self, message: requests.GetPrefix) -> requests.PrefixReply:
+        """Read page by page; the revision is that of the first page.
+
+        A watch from there on repeats what changed between two pages.
+        """
+        pairs: list[requests.KeyValue] = []
+        first_key = message.prefix
+        revision = 0
+        while True:
+            call = encode_page(message.prefix, first_key)
+            page = await self._exchange(message, call)
+            pairs.extend(page.pairs)
+            revision = revision or page.revision
+            if len(page.pairs) < PAGE_KEYS:
+                return requests.PrefixReply(tuple(pairs), revision)
+            first_key = page.pairs[-1].key + "\0"
+
+    async def _list_vms(self, message: requests.ListVms) -> tuple[requests.VmInfo, ...]:
+        """Read the list, or repeat the last answer if it is unchanged."""
+        domain = message.failure_domain
+        last = self._lists_by_domain.get(domain, _VmList("", ()))
+        reply = await self._send_call(message, encode(message)._replace(etag=last.etag))
+        if reply.status == NOT_MODIFIED and last.etag:
+            return last.vms
+        vms = self._read_reply(message, encode(message), reply)
+        if domain in self._lists_by_domain or len(self._lists_by_domain) < LIST_LIMIT:
+            self._lists_by_domain[domain] = _VmList(reply.etag, vms)
+        return vms
+
+    async def _exchange(self, message: Any, call: EncodedCall) -> Any:
+        return self._read_reply(message, call, await self._send_call(message, call))
+
+    async def _send_call(self, message: Any, call: EncodedCall) -> TransportReply:
         if not self._available:
             raise StoreUnavailableError("the store does not answer")
-        call = encode(message)
         self._admit(message)
         try:
             reply = await self._send(call, self._call_timeout_s)
@@ -122,7 +174,7 @@
             self._chart.step("call_failed")
             raise
         self._chart.step("answered")
-        return self._read_reply(message, call, reply)
+        return reply
 
     def _admit(self, message: Any) -> None:
         if self._in_flight >= CALLS_IN_FLIGHT:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -69,6 +69,16 @@
         advance(self.system, 1.2)
         self.assertEqual(self.states(), {"w2": "leaving"})
 
+    def test_a_late_answer_does_not_bring_a_leaving_worker_back(self):
+        self.start(owning=True)
+        membership = self.system._actors_by_name[MEMBERSHIP]
+        earlier = self.store.vms
+        self.store.vms = (vm("w1", state="leaving"), vm("w2", "south"))
+        advance(self.system, 1.2)
+        membership._take_over("", (*earlier, vm("w3", "south")))
+        settle(self.system)
+        self.assertEqual(self.states(), {"w1": "leaving", "w2": "live", "w3": "live"})
+
     def test_an_outage_keeps_the_list_and_costs_no_calls(self):
         self.start(owning=True)
         self.store.set_available(False)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -54,6 +54,12 @@
 from redwingrudder.timers import TimerService
 from tests.fakes import Recorder, advance, ask, settle
 
+VM = {
+    "vm_id": "w1", "role": "worker", "state": "live", "address": "a:1",
+    "failure_domain": "north", "rack": "r1", "rank": 0, "accelerators": 8,
+    "slots": 8, "cores": 1, "memory_mb": 1,
+}  # fmt: skip
+
 
 class ServiceTransport(StoreTransport):
     """Calls a PlatformService without sockets; ``calls`` counts all calls."""
@@ -62,16 +68,20 @@
         self.clock = clock
         self.service = service
         self.calls = []
+        self.replies = []
 
     async def call(self, request, timeout_s):
         self.calls.append(request.path)
         path = request.path.split("?")[0]
-        reply = self.service.handle(Call(path, request.body or b"", "north"))
+        call = Call(path, request.body or b"", "north", "", request.etag)
+        reply = self.service.handle(call)
+        self.replies.append(reply)
         if reply.delay_s > timeout_s or reply.dropped:
             await self.sleep(min(timeout_s, reply.delay_s))
             raise OutcomeUnknownError("no answer")
         await self.sleep(reply.delay_s)
-        return TransportReply(reply.status, json.dumps(reply.body).encode())
+        body = json.dumps(reply.body).encode()
+        return TransportReply(reply.status, body, reply.etag)
 
     def sleep(self, delay_s):
         done = Deferred()
@@ -163,6 +173,24 @@
         self.fails(bad, PayloadTooLargeError)
         self.fails(Transact((), (PutKey("/b", "x", 5),)), NotFoundError)
 
+    def test_a_prefix_is_read_in_pages(self):
+        puts = tuple(Put(b"/p/%03d" % n, b"v") for n in range(450))
+        self.service.core.transact((), puts, 0.0)
+        reply = self.ask(GetPrefix("/p/"))
+        self.assertEqual(
+            [pair.key for pair in reply.pairs], [f"/p/{n:03}" for n in range(450)]
+        )
+        self.assertEqual(self.transport.calls.count("/v3/kv/range"), 4)
+
+    def test_an_unchanged_vm_list_is_not_sent_again(self):
+        change = {"register": [VM], "lag_s": 0.0}
+        self.service.change_vms(json.dumps(change).encode())
+        first = self.ask(ListVms("north"))
+        self.assertIs(self.ask(ListVms("north")), first)
+        self.assertEqual(self.transport.replies[-1].status, 304)
+        self.service.change_vms(b'{"leaving": ["w1"]}')
+        self.assertEqual(self.ask(ListVms("north"))[0].state, "leaving")
+
     def test_lost_reply_of_a_write_is_unknown_and_of_a_read_unavailable(self):
         self.faults(lost_replies=1)
         self.fails(Transact((), (PutKey("/a", "1"),)), OutcomeUnknownError)
@@ -286,6 +314,11 @@
         await system.ask(STORE, Transact((), (PutKey("/w/1", large),)))
         change = KeyChange("/w/1", large, 2)
         self.assertEqual(await first.changed, WatchChanged("/w/", (change,), 2))
+        vms = [{**VM, "vm_id": f"w{number}"} for number in range(1700)]
+        standin.service.change_vms(json.dumps({"register": vms}).encode())
+        listed = await system.ask(STORE, ListVms(""))
+        self.assertEqual(len(listed), 1700)
+        self.assertIs(await system.ask(STORE, ListVms("")), listed)
         standin.service.set_faults(b'{"lost_replies": 1}')
         with self.assertRaises(OutcomeUnknownError):
             await system.ask(STORE, Transact((), (PutKey("/w/2", "1"),)))
