--- a/src/redwingrudder/_ownership_rules.py
+++ b/src/redwingrudder/_ownership_rules.py
@@ -29,7 +29,7 @@
         self._rank = rank
         self._jitter = jitter
         self._absent_since = 0.0
-        self._turn_at = 0.0
+        self._turn_s = 0.0
         self._patience_from: float | None = None
 
     def members_known(self, now: float) -> None:
@@ -42,18 +42,19 @@
         if self._patience_from is not None:
             self._patience_from = now
 
-    def record_vanished(self, now: float) -> float:
-        """Note that the record is absent; returns the wait in seconds."""
+    def record_vanished(self, now: float) -> None:
+        """Note that the record is absent from now on."""
+        turns = self._peers.count_before()
+        if self._peers.is_empty():
+            turns = min(self._rank, TURN_LIMIT)
         self._absent_since = now
-        return self._await_turn(now)
+        self._turn_s = turns * TURN_S + self._jitter.uniform(0.0, TURN_JITTER_S)
 
-    def may_acquire(self, now: float) -> bool:
-        """Whether to acquire the absent record now."""
-        overdue = now - self._absent_since >= ABSENT_LIMIT_S
-        if self._peers.is_owner_alive(now) and not overdue:
-            self._await_turn(now)
-            return False
-        return now >= self._turn_at
+    def acquire_at(self) -> float:
+        """Return when to acquire the absent record."""
+        silent_at = self._peers.owner_seen_at() + SILENT_S
+        latest = self._absent_since + ABSENT_LIMIT_S
+        return max(self._absent_since, min(silent_at, latest)) + self._turn_s
 
     def may_claim(self, now: float) -> bool:
         """Whether to claim the domain while the store is unreachable."""
@@ -65,11 +66,3 @@
         if silent_s < SILENT_S + UNHEARD_S:
             return self._peers.count_before() == 0
         return self._peers.count_heard_before(now) == 0
-
-    def _await_turn(self, now: float) -> float:
-        turns = self._peers.count_before()
-        if self._peers.is_empty():
-            turns = min(self._rank, TURN_LIMIT)
-        delay_s = turns * TURN_S + self._jitter.uniform(0.0, TURN_JITTER_S)
-        self._turn_at = now + delay_s
-        return delay_s
--- a/src/redwingrudder/ownership.py
+++ b/src/redwingrudder/ownership.py
@@ -36,6 +36,7 @@
 
 TICK_S = 0.25
 PAUSE_S = 1.0  # a tick that is later than this shows a pause of the process
+RETRY_S = 1.0  # after a failed call for the record; half to a whole of it
 # A watch may break unnoticed, so a silent owner's record is read again.
 REREAD_S = 5.0
 
@@ -105,6 +106,7 @@
         self._releasing: Deferred | None = None
         self._store_available = False
         self._read_at = system.clock.seconds()
+        self._retry_at = 0.0
         self._ticked_at = system.clock.seconds()
         super().__init__(system, requests.OWNERSHIP)
 
@@ -149,7 +151,8 @@
 
     def _notice_lapse(self) -> None:
         owning = self._chart.state == "owning"
-        if owning and self._store_available and self._lease.is_lapsed():
+        ready = self._store_available and self._now() >= self._retry_at
+        if owning and ready and self._lease.is_lapsed():
             self._step("lease_lapsed")
 
     def _timer_fired(self, fired: TimerFired) -> None:
@@ -164,6 +167,7 @@
 
     def _store_status(self, status: requests.StoreStatus) -> None:
         self._store_available = status.available
+        self._retry_at = 0.0
         self._watch_if_due()
         self._notice_lapse()
         self._evaluate()
@@ -230,11 +234,18 @@
         elif not self._watching:
             return
         elif self._view.record is None:
-            if self._rules.may_acquire(now):
-                self._step("record_absent")
+            self._await_turn(now)
         elif now - self._read_at >= REREAD_S and not self._peers.is_owner_alive(now):
             run(self._reread(), self.name)
 
+    def _await_turn(self, now: float) -> None:
+        """Acquire the record at this node's turn; ticks are too coarse."""
+        wait_s = max(self._rules.acquire_at(), self._retry_at) - now
+        if wait_s <= 0:
+            self._step("record_absent")
+        elif wait_s < TICK_S:
+            self.tell(TIMERS, Subscribe(self.name, "turn", wait_s))
+
     def _watch_if_due(self) -> None:
         if self._store_available and not self._watching and not self._reading:
             run(self._read_and_watch(), self.name)
@@ -255,7 +266,7 @@
         if await self._read_records():
             self._judge_record()
         else:
-            self._step("store_lost")
+            self._store_failed()
 
     async def _read_records(self) -> int:
         """Read all records; returns the revision, 0 when it failed."""
@@ -304,8 +315,8 @@
         if self._chart.state != "following":
             self._step("record_absent")
             return
-        delay_s = self._rules.record_vanished(self._now())
-        self.tell(TIMERS, Subscribe(self.name, "turn", delay_s))
+        self._rules.record_vanished(self._now())
+        self._evaluate()
 
     def _record_confirmed(self) -> None:
         if self._chart.state == "verifying":
@@ -322,7 +333,7 @@
             outcome = await self._keeper.acquire(self._highest)
         except (RedwingrudderError, ValueError) as error:
             _logger.info("owner record not acquired", extra={"error": str(error)})
-            self._step("store_lost")
+            self._store_failed()
             return
         finally:
             self._acquiring = False
@@ -332,6 +343,10 @@
             self._highest = max(self._highest, outcome.epoch)
             self._step("record_held", outcome)
 
+    def _store_failed(self) -> None:
+        self._retry_at = self._now() + RETRY_S * self._jitter.uniform(0.5, 1.0)
+        self._step("store_lost")
+
     async def _take_over(self, acquisition: Acquisition) -> None:
         if self._chart.state == "retired":
             await self._keeper.release(acquisition.lease_id)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,7 +21,8 @@
     """The store actor without sockets; nodes may share one ``core``.
 
     ``lost_replies`` writes take effect and fail with OutcomeUnknownError;
-    ``unsent`` writes fail so without an effect. ``calls`` holds all requests
+    ``unsent`` writes fail so without an effect; both concern messages of the
+    types ``losable`` only. ``calls`` holds all requests
     that reached the store. ``vms`` is what ListVms answers from. Call
     ``set_available`` to begin and end an outage.
     """
@@ -29,6 +30,7 @@
     def __init__(self, system, core=None, available=True):
         self.core = core or KeyValueCore()
         self.available = available
+        self.losable = WRITES
         self.lost_replies = 0
         self.unsent = 0
         self.vms = ()
@@ -87,13 +89,13 @@
             if not self.available:
                 raise StoreUnavailableError("outage")
             self.calls.append(message)
-            if self.unsent and isinstance(message, WRITES):
+            if self.unsent and isinstance(message, self.losable):
                 self.unsent -= 1
                 raise OutcomeUnknownError("request lost")
             self.core.expire(self.now())
             reply = method(message)
             self._schedule_expiry()
-            if self.lost_replies and isinstance(message, WRITES):
+            if self.lost_replies and isinstance(message, self.losable):
                 self.lost_replies -= 1
                 raise OutcomeUnknownError("reply lost")
             return reply
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -96,6 +96,7 @@
         """Advance all running nodes; they exchange reports each second."""
         for step in range(round(seconds * 10)):
             self.now += 0.1
+            self.core.expire(self.now)
             for node in self.nodes:
                 if node.running:
                     node.clock.advance(self.now - node.clock.seconds())
@@ -245,15 +246,41 @@
         self.run_for(5.0)
         self.assertEqual([n.epoch.store_term for n in self.owners()], [8])
 
-    def test_lost_replies_leave_one_owner_and_no_second_term(self):
-        nodes = self.start(2)
-        nodes[0].store.lost_replies = 2
-        self.run_for(6.0)
-        self.assertEqual(len(self.owners()), 1)
-        nodes[0].store.unsent = nodes[1].store.unsent = 1
-        self.owners()[0].running = False
-        self.run_for(6.0)
-        self.assertEqual(len(self.owners()), 1)
+    def test_a_lost_reply_of_the_acquisition_costs_no_second_term(self):
+        node = Node(self.core, 0, self.now, available=False)
+        self.nodes.append(node)
+        node.store.losable = (Transact,)
+        node.store.lost_replies = 1
+        self.set_available(True)
+        self.run_for(2.0)
+        self.assertEqual(node.epoch, Epoch(1, 0, 0))
+        kinds = [type(call) for call in node.store.calls]
+        self.assertEqual(kinds.count(GrantLease), 1)
+
+    def test_failing_acquisitions_are_spaced(self):
+        nodes = self.start(1)
+        self.run_for(2.0)
+        node = nodes[0]
+        node.store.losable = (GrantLease,)
+        node.store.unsent = 1000
+        node.store.calls.clear()
+        self.core.revoke_lease(1001)
+        self.run_for(10.0)
+        self.assertEqual(node.epoch, Epoch(1, 0, 0))
+        kinds = [type(call) for call in node.store.calls]
+        self.assertIn(kinds.count(GrantLease), range(9, 23))
+
+    def test_an_owner_that_finds_the_store_later_keeps_its_domain(self):
+        nodes = self.start(3)
+        self.run_for(2.0)
+        self.set_available(False)
+        self.run_for(5.0)
+        for node in nodes[1:]:
+            node.store.set_available(True)
+        self.run_for(1.3)
+        nodes[0].store.set_available(True)
+        self.run_for(3.0)
+        self.assertEqual([n.epoch for n in nodes], [Epoch(2, 0, 0), None, None])
 
     def test_a_member_that_is_never_heard_of_holds_nobody_up(self):
         nodes = self.start(2)
