--- a/src/redwingrudder/_ownership_rules.py
+++ b/src/redwingrudder/_ownership_rules.py
@@ -7,9 +7,12 @@
 TURN_S = 0.2  # between the attempts of the nodes, in the order of their ranks
 TURN_JITTER_S = 0.1
 TURN_LIMIT = 10  # turns waited while no other node is known
-# A living owner without a record cannot write job records, so another node
-# that reaches the store takes over after this time.
-ABSENT_LIMIT_S = 10.0
+# After an outage the owner finds the store again up to 1.2 s later than other
+# nodes, by the interval of the probes. An owner that stays without a record
+# for longer cannot write job records, so another node takes over.
+ABSENT_LIMIT_S = 2.5
+# Time for a node of the VM list to be heard of once all nodes exchange.
+UNHEARD_S = 2.0
 
 
 class TakeoverRules:
@@ -26,7 +29,7 @@
         self._rank = rank
         self._jitter = jitter
         self._absent_since = 0.0
-        self._turn_at = 0.0
+        self._turn_s = 0.0
         self._patience_from: float | None = None
 
     def members_known(self, now: float) -> None:
@@ -39,30 +42,27 @@
         if self._patience_from is not None:
             self._patience_from = now
 
-    def record_vanished(self, now: float) -> float:
-        """Note that the record is absent; returns the wait in seconds."""
+    def record_vanished(self, now: float) -> None:
+        """Note that the record is absent from now on."""
+        turns = self._peers.count_before()
+        if self._peers.is_empty():
+            turns = min(self._rank, TURN_LIMIT)
         self._absent_since = now
-        return self._await_turn(now)
+        self._turn_s = turns * TURN_S + self._jitter.uniform(0.0, TURN_JITTER_S)
 
-    def may_acquire(self, now: float) -> bool:
-        """Whether to acquire the absent record now."""
-        overdue = now - self._absent_since >= ABSENT_LIMIT_S
-        if self._peers.is_owner_alive(now) and not overdue:
-            self._await_turn(now)
-            return False
-        return now >= self._turn_at
+    def acquire_at(self) -> float:
+        """Return when to acquire the absent record."""
+        silent_at = self._peers.owner_seen_at() + SILENT_S
+        latest = self._absent_since + ABSENT_LIMIT_S
+        return max(self._absent_since, min(silent_at, latest)) + self._turn_s
 
     def may_claim(self, now: float) -> bool:
         """Whether to claim the domain while the store is unreachable."""
-        if self._patience_from is None or now - self._patience_from < SILENT_S:
+        if self._patience_from is None:
             return False
-        alive = self._peers.is_owner_alive(now)
-        return not alive and self._peers.count_before(now) == 0
-
-    def _await_turn(self, now: float) -> float:
-        turns = self._peers.count_before(now)
-        if self._peers.is_empty():
-            turns = min(self._rank, TURN_LIMIT)
-        delay_s = turns * TURN_S + self._jitter.uniform(0.0, TURN_JITTER_S)
-        self._turn_at = now + delay_s
-        return delay_s
+        silent_s = now - max(self._patience_from, self._peers.owner_seen_at())
+        if silent_s < SILENT_S:
+            return False
+        if silent_s < SILENT_S + UNHEARD_S:
+            return self._peers.count_before() == 0
+        return self._peers.count_heard_before(now) == 0
--- a/src/redwingrudder/ownership.py
+++ b/src/redwingrudder/ownership.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Coroutine
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -11,12 +12,14 @@
 from ._announcer import Announcer
 from ._background import run
 from ._chart_runner import ChartRunner
+from ._ownership_chart import load_ownership_chart
 from ._ownership_lease import HeldLease
 from ._ownership_news import OwnershipNews
 from ._ownership_peers import PeerBook
 from ._ownership_record import (
     LEASE_S,
     OWNER_PREFIX,
+    RELEASED_SUFFIX,
     Acquisition,
     OwnerRecord,
     RecordKeeper,
@@ -27,41 +30,17 @@
 from .actors import Actor, ActorSystem, Handler
 from .exceptions import RedwingrudderError
 from .model import Epoch
-from .statecharts import load_chart
 from .timers import TIMERS, Subscribe, TimerFired
 
 __all__ = ["LEASE_S", "OwnershipActor"]
 
 TICK_S = 0.25
 PAUSE_S = 1.0  # a tick that is later than this shows a pause of the process
+RETRY_S = 1.0  # after a failed call for the record; half to a whole of it
 # A watch may break unnoticed, so a silent owner's record is read again.
 REREAD_S = 5.0
 
 _logger = logging.getLogger(__name__)
-_EVENTS = frozenset(
-    {
-        "record_absent",
-        "record_held",
-        "record_own",
-        "store_lost",
-        "lease_lapsed",
-        "fenced",
-        "acquired",
-        "owner_silent",
-        "drain",
-    }
-)
-_ACTIONS = frozenset(
-    {
-        "acquire_record",
-        "read_record",
-        "release_record",
-        "raise_local_term",
-        "begin_owning",
-        "raise_epoch",
-        "end_owning",
-    }
-)
 
 
 class OwnershipActor(Actor):
@@ -106,11 +85,12 @@
         self._lease = HeldLease(self._keeper, system.clock.seconds)
         self._view = RecordView()
         self._chart = ChartRunner(
-            load_chart("ownership", _EVENTS, _ACTIONS),
+            load_ownership_chart(),
             {
                 "acquire_record": lambda _: run(self._acquire(), self.name),
                 "read_record": lambda _: run(self._verify(), self.name),
-                "release_record": lambda _: self._release(),
+                "release_record": lambda _: self._let_go(self._lease.release()),
+                "hand_over": lambda _: self._let_go(self._lease.hand_over()),
                 "raise_local_term": lambda _: self._raise_local_term(),
                 "begin_owning": self._begin_owning,
                 "raise_epoch": self._raise_epoch,
@@ -126,6 +106,7 @@
         self._releasing: Deferred | None = None
         self._store_available = False
         self._read_at = system.clock.seconds()
+        self._retry_at = 0.0
         self._ticked_at = system.clock.seconds()
         super().__init__(system, requests.OWNERSHIP)
 
@@ -136,7 +117,7 @@
             requests.StoreStatus: self._store_status,
             requests.WatchChanged: self._watch_changed,
             requests.WatchReset: self._watch_reset,
-            requests.MembersChanged: lambda _: self._rules.members_known(self._now()),
+            requests.MembersChanged: self._members_changed,
             requests.PeerReport: self._peer_report,
             requests.PeerSilent: self._peer_silent,
             requests.Fenced: self._fenced,
@@ -170,7 +151,8 @@
 
     def _notice_lapse(self) -> None:
         owning = self._chart.state == "owning"
-        if owning and self._store_available and self._lease.is_lapsed():
+        ready = self._store_available and self._now() >= self._retry_at
+        if owning and ready and self._lease.is_lapsed():
             self._step("lease_lapsed")
 
     def _timer_fired(self, fired: TimerFired) -> None:
@@ -185,24 +167,32 @@
 
     def _store_status(self, status: requests.StoreStatus) -> None:
         self._store_available = status.available
+        self._retry_at = 0.0
         self._watch_if_due()
         self._notice_lapse()
         self._evaluate()
 
     def _watch_changed(self, message: requests.WatchChanged) -> None:
-        changed = False
-        for change in message.changes:
-            domain = change.key.removeprefix(OWNER_PREFIX)
-            value = change.value
-            record = None if value is None else decode_record(value)
-            changed |= self._learn_record(domain, record, change.mod_revision)
-        if changed:
+        changed = [self._learn_change(change) for change in message.changes]
+        if any(changed):
             self._judge_news()
 
+    def _learn_change(self, change: requests.KeyChange) -> bool:
+        domain = change.key.removeprefix(OWNER_PREFIX)
+        if domain.endswith(RELEASED_SUFFIX):
+            self._peers.released(change.value or "")
+            return False
+        record = None if change.value is None else decode_record(change.value)
+        return self._learn_record(domain, record, change.mod_revision)
+
     def _watch_reset(self, message: requests.WatchReset) -> None:
         self._watching = False
         self._watch_if_due()
 
+    def _members_changed(self, message: requests.MembersChanged) -> None:
+        self._peers.set_members(message.vms, self._failure_domain)
+        self._rules.members_known(self._now())
+
     def _peer_report(self, report: requests.PeerReport) -> None:
         if report.failure_domain == self._failure_domain:
             self._peers.report(report, self._now())
@@ -244,11 +234,18 @@
         elif not self._watching:
             return
         elif self._view.record is None:
-            if self._rules.may_acquire(now):
-                self._step("record_absent")
+            self._await_turn(now)
         elif now - self._read_at >= REREAD_S and not self._peers.is_owner_alive(now):
             run(self._reread(), self.name)
 
+    def _await_turn(self, now: float) -> None:
+        """Acquire the record at this node's turn; ticks are too coarse."""
+        wait_s = max(self._rules.acquire_at(), self._retry_at) - now
+        if wait_s <= 0:
+            self._step("record_absent")
+        elif wait_s < TICK_S:
+            self.tell(TIMERS, Subscribe(self.name, "turn", wait_s))
+
     def _watch_if_due(self) -> None:
         if self._store_available and not self._watching and not self._reading:
             run(self._read_and_watch(), self.name)
@@ -269,7 +266,7 @@
         if await self._read_records():
             self._judge_record()
         else:
-            self._step("store_lost")
+            self._store_failed()
 
     async def _read_records(self) -> int:
         """Read all records; returns the revision, 0 when it failed."""
@@ -318,8 +315,8 @@
         if self._chart.state != "following":
             self._step("record_absent")
             return
-        delay_s = self._rules.record_vanished(self._now())
-        self.tell(TIMERS, Subscribe(self.name, "turn", delay_s))
+        self._rules.record_vanished(self._now())
+        self._evaluate()
 
     def _record_confirmed(self) -> None:
         if self._chart.state == "verifying":
@@ -336,7 +333,7 @@
             outcome = await self._keeper.acquire(self._highest)
         except (RedwingrudderError, ValueError) as error:
             _logger.info("owner record not acquired", extra={"error": str(error)})
-            self._step("store_lost")
+            self._store_failed()
             return
         finally:
             self._acquiring = False
@@ -346,6 +343,10 @@
             self._highest = max(self._highest, outcome.epoch)
             self._step("record_held", outcome)
 
+    def _store_failed(self) -> None:
+        self._retry_at = self._now() + RETRY_S * self._jitter.uniform(0.5, 1.0)
+        self._step("store_lost")
+
     async def _take_over(self, acquisition: Acquisition) -> None:
         if self._chart.state == "retired":
             await self._keeper.release(acquisition.lease_id)
@@ -366,8 +367,8 @@
         await self._lease.renew()
         self._notice_lapse()
 
-    def _release(self) -> None:
-        self._releasing = run(self._lease.release(), self.name)
+    def _let_go(self, releasing: Coroutine[Any, Any, None]) -> None:
+        self._releasing = run(releasing, self.name)
 
     def _raise_local_term(self) -> None:
         term = self._highest.local_term + 1
