--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_tenure.py
@@ -12,38 +12,20 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.python.failure import Failure
 
+from . import messages
+from ._gang_commands import GangCommands
 from ._job_ledger import JobLedger, LedgerCallbacks
 from ._job_observer import JobObserver
 from ._job_records import STARTING, JobRecordBody, StoredRecord, is_final, spec_of
 from ._job_reporter import JobReporter
 from ._job_store import JobStore
 from ._job_waiters import JobWaiters
-from ._release_gate import ReleaseGate
 from ._worker_messages import LinkEvent
 from ._worker_roster import RosterSettings, WorkerRoster
 from ._worker_transport import WorkerTransport
 from .actors import ActorSystem
 from .exceptions import StoreUnavailableError, UnavailableError
-from .messages import (
-    CancelRequested,
-    ConfigurationChanged,
-    Event,
-    JobChanged,
-    JobSubmitted,
-    RecordStart,
-    RecoveryEnded,
-    ReleaseMember,
-    ReserveMember,
-    ShortagesChanged,
-    StartMember,
-    StartRecordAnswered,
-    StopMember,
-    TargetMissed,
-    Tick,
-    WakeAt,
-    WorkerClaimed,
-)
-from .model import FINAL_JOB_STATES, Epoch, JobState, JobView, MemberState
+from .model import FINAL_JOB_STATES, Epoch, GuaranteeShortage, JobState, JobView
 from .requests import DISPATCHER, VmInfo
 from .scheduler import Scheduler
 from .timers import TIMERS, Subscribe, Unsubscribe
@@ -94,32 +76,38 @@
         self.waiters = JobWaiters(parts.system, DISPATCHER)
         self.roster = WorkerRoster(parts.system, parts.settings, epoch, parts.transport)
         callbacks = LedgerCallbacks(
-            self._published, self._results_safe, self._recorded, self._retry_records
+            self._published,
+            self._results_safe,
+            self._recorded,
+            self._contested,
+            self._retry_records,
         )
-        self.ledger = JobLedger(JobStore(parts.system), self._domain, callbacks)
+        self._store = JobStore(parts.system, self._domain, epoch)
+        self.ledger = JobLedger(self._store, self._domain, callbacks)
         self._loaded = False
         self.closed = False
-        self._gate = ReleaseGate(self.ledger.is_pending)
+        self._commands = GangCommands(self.roster, self.ledger.is_pending)
         self._recovered = False
+        self._early_shortages: tuple[GuaranteeShortage, ...] = ()
         self._members_known = False
-        self._events: deque[Event] = deque()
+        self._events: deque[messages.Event] = deque()
         self._feeding = False
         # Jobs whose start is recorded are not judged before every worker
         # was claimed or is surely without tasks.
         self._uncertain: dict[str, JobRecordBody] = {}
         self._carriers_by_type: dict[type, Callable] = {
-            ReserveMember: self._reserve,
-            StartMember: self._start,
-            ReleaseMember: self._release,
-            StopMember: self._stop,
-            RecordStart: self._record_start,
-            JobChanged: self._job_changed,
-            TargetMissed: self._target_missed,
-            ShortagesChanged: self._shortages_changed,
-            WakeAt: self._wake_at,
+            messages.ReserveMember: self._commands.reserve,
+            messages.StartMember: self._commands.start,
+            messages.ReleaseMember: self._commands.release,
+            messages.StopMember: self._commands.stop,
+            messages.RecordStart: self._record_start,
+            messages.JobChanged: self._job_changed,
+            messages.TargetMissed: self._target_missed,
+            messages.ShortagesChanged: self._shortages_changed,
+            messages.WakeAt: self._wake_at,
         }
         self._timers_by_name: dict[str, Callable[[], None]] = {
-            WAKE_TIMER: lambda: self.feed(Tick()),
+            WAKE_TIMER: lambda: self.feed(messages.Tick()),
             RECOVERY_TIMER: self._end_recovery,
             LOAD_TIMER: lambda: self.run(self._load()),
             RECORDS_TIMER: lambda: self.run(self.ledger.write_all()),
@@ -128,7 +116,9 @@
         }
 
     def begin(
-        self, configuration: ConfigurationChanged | None, vms: tuple[VmInfo, ...] | None
+        self,
+        configuration: messages.ConfigurationChanged | None,
+        vms: tuple[VmInfo, ...] | None,
     ) -> None:
         """Claim the workers and read the job records."""
         if configuration is not None:
@@ -164,7 +154,7 @@
         if not self.closed and timer in self._timers_by_name:
             self._timers_by_name[timer]()
 
-    def feed(self, event: Event) -> None:
+    def feed(self, event: messages.Event) -> None:
         """Give an event to the scheduler and carry out its effects."""
         self._events.append(event)
         if self._feeding:
@@ -178,7 +168,7 @@
         finally:
             self._feeding = False
 
-    def _handle(self, event: Event) -> None:
+    def _handle(self, event: messages.Event) -> None:
         for effect in self.scheduler.handle(event, self.now()):
             self._carriers_by_type[type(effect)](effect)
 
@@ -192,8 +182,8 @@
     def take_link_event(self, message: LinkEvent) -> None:
         """Take what a worker link tells."""
         for event in self.roster.take(message):
-            if isinstance(event, WorkerClaimed):
-                self._note_members(event)
+            if isinstance(event, messages.WorkerClaimed):
+                self._commands.note_report(event.report)
             self.feed(event)
         self._judge_reported()
         self._check_recovery()
@@ -201,7 +191,10 @@
     def raise_epoch(self, epoch: Epoch) -> None:
         """Go on under a higher epoch."""
         self.epoch = epoch
+        self._store.epoch = epoch
         self.roster.raise_epoch(epoch)
+        # Writes may have waited for the owner record.
+        self._retry_records()
 
     def view(self, job_id: str) -> JobView | None:
         """Return what a caller may be told of a job now, None if unknown.
@@ -212,16 +205,14 @@
         answer = self.ledger.answer(job_id, self.now())
         if answer is not None:
             return answer
-        view = self.scheduler.view(job_id)
-        if view is None:
-            return None
-        view = view._replace(durable=self.ledger.durable(job_id))
-        if view.state in FINAL_JOB_STATES:
+        held_back = self.ledger.unpublished(job_id)
+        if held_back is not None:
             # The end is not recorded yet, so another owner could run the job.
-            return view._replace(
+            return held_back._replace(
                 state=JobState.QUEUED, reason=NOT_RECORDED_YET, finished_at=None
             )
-        return view
+        view = self.scheduler.view(job_id)
+        return view and view._replace(durable=self.ledger.durable(job_id))
 
     def known_view(self, job_id: str) -> JobView:
         """Return what a caller may be told of a job that is recorded.
@@ -245,6 +236,21 @@
                 retry_after_s=1.0,
             )
 
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job.
+
+        Raises:
+            UnavailableError: ``recovering``; workers that have not reported
+                yet may run the job.
+        """
+        if not self._recovered:
+            raise UnavailableError(
+                "the workers are still being claimed",
+                code="recovering",
+                retry_after_s=1.0,
+            )
+        self.feed(messages.CancelRequested(job_id))
+
     def take_record(self, record: StoredRecord) -> None:
         """Know a job of this domain from its record."""
         body = record.body
@@ -261,7 +267,7 @@
 
     async def _load(self) -> None:
         try:
-            stored = await JobStore(self._system).load(self._domain)
+            stored = await self._store.load()
         except StoreUnavailableError:
             self._subscribe(LOAD_TIMER, LOAD_RETRY_S)
             return
@@ -277,7 +283,7 @@
         view = self.scheduler.view(job_id)
         if view is not None and view.state not in FINAL_JOB_STATES:
             # A worker still holds a gang of a job that has ended.
-            self.feed(CancelRequested(job_id))
+            self.feed(messages.CancelRequested(job_id))
         self.waiters.job_ended(job_id)
 
     def _is_certain(self, job_id: str) -> bool:
@@ -294,69 +300,67 @@
         started = body["state"] == STARTING
         spec = spec_of(body)
         submitted_at = body["submitted_at"]
-        self.feed(JobSubmitted(job_id, spec, submitted_at, True, started))
+        self.feed(messages.JobSubmitted(job_id, spec, submitted_at, True, started))
 
     def _check_recovery(self) -> None:
+        if self._recovered:
+            return
         if self._loaded and self._members_known and self.roster.settled:
             self._judge_reported()
             self._end_recovery()
 
     def _end_recovery(self) -> None:
         if not self._recovered:
-            self._recovered = True
             self._system.tell(TIMERS, Unsubscribe(DISPATCHER, RECOVERY_TIMER))
-            self.feed(RecoveryEnded())
-
-    def _note_members(self, event: WorkerClaimed) -> None:
-        for member in event.report.members:
-            self._gate.note_member(member.gang_id, member.job_id)
-            if member.state is not MemberState.RESERVED:
-                self._gate.note_started(member.gang_id)
+            self.feed(messages.RecoveryEnded())
+            self._recovered = True
+            self.reporter.shortages(self._early_shortages)
 
     # Effects.
 
-    def _reserve(self, effect: ReserveMember) -> None:
-        self._gate.note_member(effect.gang_id, effect.job_id)
-        self.roster.send(effect.member.worker_id, effect)
-
-    def _start(self, effect: StartMember) -> None:
-        self._gate.note_started(effect.gang_id)
-        self.roster.send(effect.worker_id, effect)
-
-    def _release(self, effect: ReleaseMember) -> None:
-        if self._gate.admit(effect):
-            self.roster.send(effect.worker_id, effect)
-
-    def _stop(self, effect: StopMember) -> None:
-        self.roster.send(effect.worker_id, effect)
-
-    def _record_start(self, effect: RecordStart) -> None:
+    def _record_start(self, effect: messages.RecordStart) -> None:
         self.run(self._write_start(effect))
 
-    async def _write_start(self, effect: RecordStart) -> None:
-        refusal = await self.ledger.record_start(
-            effect.job_id, effect.gang_id, self.epoch
-        )
-        self.feed(StartRecordAnswered(effect.gang_id, not refusal, refusal))
+    async def _write_start(self, effect: messages.RecordStart) -> None:
+        refusal = await self.ledger.record_start(effect.job_id, effect.gang_id)
+        self.feed(messages.StartRecordAnswered(effect.gang_id, not refusal, refusal))
 
-    def _job_changed(self, effect: JobChanged) -> None:
+    def _job_changed(self, effect: messages.JobChanged) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
         self.reporter.changed(effect.job_id, job.spec, effect.state)
         if effect.state not in FINAL_JOB_STATES:
             return
-        view = self.scheduler.view(effect.job_id)
+        view = self._certain_view(effect.job_id)
         self._uncertain.pop(effect.job_id, None)
         self.ledger.finish(view, job.spec, self.now())
         self.run(self.ledger.write(effect.job_id))
 
-    def _target_missed(self, effect: TargetMissed) -> None:
+    def _certain_view(self, job_id: str) -> JobView:
+        """Return the end of a job without claiming more than is known.
+
+        A job without a record may have run for a previous owner, and only
+        the job records and the reports of all workers could tell.
+        """
+        view = self.scheduler.view(job_id)
+        complete = self._loaded and self._members_known and self.roster.settled
+        if view.state is not JobState.NOT_RUN or complete:
+            return view
+        if self.ledger.durable(job_id):
+            return view
+        return view._replace(state=JobState.INTERRUPTED, reason="may_have_run")
+
+    def _target_missed(self, effect: messages.TargetMissed) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
         self.reporter.target_missed(effect.job_id, job.spec)
 
-    def _shortages_changed(self, effect: ShortagesChanged) -> None:
-        self.reporter.shortages(effect.shortages)
+    def _shortages_changed(self, effect: messages.ShortagesChanged) -> None:
+        # Before the workers are claimed, every guarantee seems short.
+        if self._recovered:
+            self.reporter.shortages(effect.shortages)
+        else:
+            self._early_shortages = effect.shortages
 
-    def _wake_at(self, effect: WakeAt) -> None:
+    def _wake_at(self, effect: messages.WakeAt) -> None:
         self._subscribe(WAKE_TIMER, effect.at - self.now())
 
     # Callbacks of the ledger.
@@ -368,13 +372,19 @@
         self.waiters.job_ended(job_id)
 
     def _results_safe(self, job_id: str) -> None:
-        for release in self._gate.open(job_id):
-            self.roster.send(release.worker_id, release)
+        self._commands.release_held(job_id)
 
     def _recorded(self, job_id: str) -> None:
         job = self.scheduler.jobs_by_id.get(job_id)
         if job is not None:
-            self.feed(JobSubmitted(job_id, job.spec, job.submitted_at, True))
+            self.feed(messages.JobSubmitted(job_id, job.spec, job.submitted_at, True))
+
+    def _contested(self, record: StoredRecord) -> None:
+        """Another owner ended the job or recorded a start of it."""
+        job_id = record.body["job_id"]
+        self.take_record(record)
+        if not is_final(record.body):
+            self.feed(messages.CancelRequested(job_id))
 
     def _retry_records(self) -> None:
         self._subscribe(RECORDS_TIMER, RECORD_RETRY_S)
