Give malformed HTTP requests a code and bound replies between nodes

twisted.web answers a malformed request line, header or chunk without a body, and a line above its limit not at all. The channel now answers with a coded problem.

--- a/src/redwingrudder/_http_server.py
+++ b/src/redwingrudder/_http_server.py
@@ -1,15 +1,18 @@
 """Requests and connections of the HTTP server, with limits on their size."""
 
+import uuid
 from collections.abc import Callable
+from http import HTTPStatus
 from io import BytesIO
 
 from twisted.internet.interfaces import IAddress, IProtocol
 from twisted.protocols.policies import WrappingFactory
 from twisted.web import server
+from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 
 from ._problems import Answer, problem_answer
-from .exceptions import PayloadTooLargeError
+from .exceptions import BadRequestError, PayloadTooLargeError, RedwingrudderError
 
 BODY_LIMIT_BYTES = 256 * 1024
 CONNECTIONS_LIMIT = 20_000
@@ -67,7 +70,7 @@
         return b",".join(values).decode("utf-8", "replace")
 
     def _refuse(self) -> None:
-        """Answer 413 and close without reading the rest of the body.
+        """Answer 413 and close without keeping the rest of the body.
 
         The connection is closed after a delay because the kernel resets a
         connection that is closed with unread data, and the caller would then
@@ -77,20 +80,39 @@
         self.content = BytesIO()
         # Nothing may follow the answer, not even "100 Continue".
         self.requestHeaders.removeHeader(b"Expect")
-        correlation_id = self.channel.site.correlation_id(self)
-        answer = problem_answer(
-            PayloadTooLargeError(f"the body exceeds {BODY_LIMIT_BYTES} bytes"),
-            correlation_id,
-        )
+        error = PayloadTooLargeError(f"the body exceeds {BODY_LIMIT_BYTES} bytes")
+        self.channel.refuse(error, self.channel.site.correlation_id(self))
+        self.channel.callLater(REFUSAL_LINGER_S, self.channel.loseConnection)
+
+
+class ApiChannel(HTTPChannel):
+    """One connection; answers with a code to what is no HTTP request."""
+
+    def refuse(self, error: RedwingrudderError, correlation_id: str) -> None:
+        """Write an answer outside of any request, with a close."""
+        answer = problem_answer(error, correlation_id)
         head = (
-            f"HTTP/1.1 {answer.status} Payload Too Large\r\n"
+            f"HTTP/1.1 {answer.status} {HTTPStatus(answer.status).phrase}\r\n"
             f"Content-Type: {answer.content_type}\r\n"
             f"Content-Length: {len(answer.body)}\r\n"
             f"X-Correlation-Id: {correlation_id}\r\n"
             "Connection: close\r\n\r\n"
         )
-        self.channel.transport.write(head.encode("ascii") + answer.body)
-        self.channel.callLater(REFUSAL_LINGER_S, self.channel.loseConnection)
+        self.transport.write(head.encode("ascii") + answer.body)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Answer before the connection closes."""
+        self._respondToBadRequestAndDisconnect()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        """Replace the answer of the base class, which has no body."""
+        error = BadRequestError(
+            "the request line, a header or a chunk is malformed or too long",
+            code="malformed_request",
+        )
+        self.refuse(error, uuid.uuid4().hex)
+        # The base class goes on to parse unless the connection is closing.
+        self.loseConnection()
 
 
 class RootResource(Resource):
@@ -111,6 +133,8 @@
 class ApiSite(server.Site):
     """Connections of the HTTP interface."""
 
+    protocol = ApiChannel
+
     def __init__(
         self,
         responder: Responder,
--- a/src/redwingrudder/_peer_handler.py
+++ b/src/redwingrudder/_peer_handler.py
@@ -7,6 +7,7 @@
 from zope.interface import implementer
 
 from . import requests
+from ._configuration_codec import encode_configuration
 from ._drain import DrainGate
 from ._json_values import to_json
 from ._peer_codec import (
@@ -130,7 +131,8 @@
         return encode_explanation(await self._ask(requests.DISPATCHER, question))
 
     async def _status(self) -> str:
-        return to_json(await self._ask(requests.DISPATCHER, requests.GetStatus()))
+        status = await self._ask(requests.DISPATCHER, requests.GetStatus())
+        return _checked_text(to_json(status))
 
     async def _answer_exchange(self, report: WirePeerReport) -> WirePeerReport:
         return encode_report(self._exchange(decode_report(report)))
@@ -140,7 +142,7 @@
         configuration = await self._ask(requests.CONFIGURATION, question)
         if configuration.version <= (above_version or 0):
             return ""
-        return to_json(configuration)
+        return _checked_text(encode_configuration(configuration))
 
 
 def _check_job_id(job_id: str | None) -> None:
@@ -149,11 +151,19 @@
 
 
 def _checked_view(view: JobView) -> WireJobView:
-    size = sum(len(result.encode("utf-8")) for result in view.results)
+    _check_size(sum(len(result.encode("utf-8")) for result in view.results))
+    return encode_view(view)
+
+
+def _checked_text(text: str) -> str:
+    _check_size(len(text.encode("utf-8")))
+    return text
+
+
+def _check_size(size: int) -> None:
     if size > REPLY_LIMIT_BYTES:
         raise PayloadTooLargeError(
-            f"the result has {size} bytes, {REPLY_LIMIT_BYTES} are allowed between "
-            "nodes; ask a node of the job's failure domain",
+            f"the answer has {size} bytes, {REPLY_LIMIT_BYTES} are allowed between "
+            "nodes; ask a node of the owner's failure domain",
             code="result_too_large",
         )
-    return encode_view(view)
--- a/src/redwingrudder/peers.py
+++ b/src/redwingrudder/peers.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from . import requests
+from ._configuration_codec import decode_configuration
 from ._json_values import from_json
 from ._peer_codec import (
     decode_explanation,
@@ -135,7 +136,7 @@
         reply = await self._link(address).call(call)
         try:
             return decode(reply)
-        except (RedwingrudderError, ValueError) as error:
+        except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
             raise OutcomeUnknownError(
                 f"{address} answered {call.method} with an unreadable reply: {error}"
             ) from None
@@ -314,4 +315,4 @@
 
 
 def _decode_configuration(text: str) -> Configuration | None:
-    return from_json(Configuration, text) if text else None
+    return decode_configuration(text) if text else None
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -182,12 +182,25 @@
         for _ in range(20):
             channel.dataReceived(b"8000\r\n" + b"x" * 0x8000 + b"\r\n")
         self.assertEqual(Response(transport.value()).status, 413)
-        self.assertEqual(len(channel._channel.requests[0].content.getvalue()), 0)
+        self.assertEqual(len(channel.requests[0].content.getvalue()), 0)
         channel.dataReceived(b"0\r\n\r\n")
         self.clock.advance(1.0)
         self.assertTrue(transport.disconnecting)
         self.assertEqual(self.router.received, [])
 
+    def test_what_is_no_http_request_has_a_code(self):
+        for data in (
+            b"HELLO\r\n\r\n",
+            b"GET / HTTP/1.1\r\nno colon\r\n\r\n",
+            b"GET /" + b"x" * 20_000 + b" HTTP/1.1\r\n\r\n",
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        ):
+            channel, transport = self.connect()
+            channel.dataReceived(data + b"GET /livez HTTP/1.1\r\n\r\n")
+            response = Response(transport.value())
+            self.assertEqual(response.error, (400, "malformed_request"))
+            self.assertTrue(transport.disconnecting)
+
     def test_unexpected_exception_is_coded_logged_and_not_shown(self):
         self.router.script = [ValueError("secret value")]
         with self.assertLogs("redwingrudder.http_api", "ERROR") as logs:
