--- a/src/redwingrudder/metrics.py
+++ b/src/redwingrudder/metrics.py
@@ -101,6 +101,12 @@
         self._queued_jobs.set(status.queued_jobs)
         self.set_shortages(status.shortages)
 
+    def clear_domain(self) -> None:
+        """Show nothing of a failure domain that this node does not own."""
+        for gauge in (self._free_accelerators, self._largest_gang, self._queued_jobs):
+            gauge.set(0)
+        self.set_shortages(())
+
     def set_shortages(self, shortages: tuple[GuaranteeShortage, ...]) -> None:
         """Show the accelerators that are missing for guaranteed shapes."""
         self._shortages.clear()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,11 +7,15 @@
 
 from twisted.internet.task import Clock
 
+from redwingrudder import requests
+from redwingrudder._metrics_collector import METRICS, MetricsCollector
 from redwingrudder._metrics_observer import MetricsObserver
+from redwingrudder.actors import ActorSystem
 from redwingrudder.logs import LineFormatter
 from redwingrudder.metrics import CODES_LIMIT, JobTimes, NodeMetrics
 from redwingrudder.model import (
     Configuration,
+    Epoch,
     GuaranteeShortage,
     JobClass,
     JobSpec,
@@ -19,6 +23,9 @@
     JobView,
     Organisation,
 )
+from redwingrudder.timers import TimerService
+
+from .scripted import Scripted
 
 CONFIGURATION = Configuration(
     3, {"shop": Organisation("shop", ())}, {"proof": JobClass("proof", 5.0, None)}, ()
@@ -81,6 +88,30 @@
         self.metrics.set_shortages(())
         self.assertIsNone(self.sample(name, organisation="shop"))
 
+    def test_gauges_follow_ownership_and_store(self):
+        """A former owner must not go on to show its old domain."""
+        clock = Clock()
+        system = ActorSystem(clock)
+        TimerService(system)
+        Scripted(system, requests.STORE, (requests.SubscribeStoreStatus,))
+        status = requests.DomainStatus(
+            "d1", "n1", Epoch(1, 0, 0), 3, 2, 0, 0, 16, 9, 8, 5, 1, (), (), ()
+        )
+        Scripted(system, requests.DISPATCHER, (requests.GetStatus,), status)
+        MetricsCollector(system, self.metrics)
+        system.start()
+        for message in (
+            requests.StoreStatus(True),
+            requests.OwnershipGained(Epoch(1, 0, 0)),
+        ):
+            system.tell(METRICS, message)
+        clock.pump([0.0, 10.0, 0.0, 0.0, 0.0])
+        names = ("store_available", "owner", "free_accelerators", "queued_jobs")
+        self.assertEqual([self.sample(name) for name in names], [1, 1, 9, 5])
+        system.tell(METRICS, requests.OwnershipEnded("fenced"))
+        clock.pump([0.0, 30.0, 0.0, 0.0])
+        self.assertEqual([self.sample(name) for name in names], [1, 0, 0, 0])
+
     def test_nodes_of_one_process_have_separate_metrics(self):
         self.metrics.set_owner(True)
         self.assertIn(b"redwingrudder_owner 0.0", NodeMetrics().render())
