--- a/src/redwingrudder/_metrics_actor.py
+++ b/src/redwingrudder/_metrics_actor.py
@@ -14,6 +14,9 @@
 
 METRICS = "metrics"
 DOMAIN_INTERVAL_S = 5.0  # age of the gauges of the failure domain at most
+WAITING_LIMIT = 50_000  # jobs whose queue wait is being measured
+
+_JobKey = tuple[str, str]
 
 
 class MetricsActor(Actor):
@@ -53,6 +56,7 @@
 
     def _lose(self, message: requests.OwnershipEnded) -> None:
         self._metrics.set_owner(False)
+        self._metrics.clear_domain()
         self.tell(TIMERS, Unsubscribe(self.name, "domain"))
 
     async def _read_domain(self, fired: TimerFired) -> None:
@@ -66,26 +70,45 @@
 class MetricsObserver(JobObserver):
     """Counts jobs and observes their times.
 
+    The queue wait of a job that another owner accepted is not measured.
+
     Args:
         metrics: The metrics of the node.
         configuration: Returns the configuration in force, if any.
+        seconds: The clock.
     """
 
     def __init__(
-        self, metrics: NodeMetrics, configuration: Callable[[], Configuration | None]
+        self,
+        metrics: NodeMetrics,
+        configuration: Callable[[], Configuration | None],
+        seconds: Callable[[], float],
     ) -> None:
         self._metrics = metrics
         self._configuration = configuration
+        self._seconds = seconds
+        self._submitted_at_by_key: dict[_JobKey, float] = {}
+        self._queue_wait_by_key: dict[_JobKey, float] = {}
 
     def job_submitted(self, spec: JobSpec) -> None:
         """See base class."""
         self._metrics.count_submitted(spec.organisation, spec.job_class)
+        if len(self._submitted_at_by_key) < WAITING_LIMIT:
+            self._submitted_at_by_key[_key(spec)] = self._seconds()
+
+    def job_started(self, spec: JobSpec) -> None:
+        """See base class; later attempts of a job change nothing."""
+        submitted_at = self._submitted_at_by_key.pop(_key(spec), None)
+        if submitted_at is not None:
+            self._queue_wait_by_key[_key(spec)] = self._seconds() - submitted_at
 
     def job_finished(self, view: JobView, spec: JobSpec) -> None:
         """See base class."""
+        self._submitted_at_by_key.pop(_key(spec), None)
+        queue_wait_s = self._queue_wait_by_key.pop(_key(spec), None)
         finished_at = view.finished_at or view.submitted_at
         completion_s = finished_at - view.submitted_at
-        times = JobTimes(completion_s, None, self._target_s(view))
+        times = JobTimes(completion_s, queue_wait_s, self._target_s(view))
         self._metrics.count_finished(
             spec.organisation, spec.job_class, view.state, times
         )
@@ -106,3 +129,7 @@
         if job_class is None:
             return 0.0
         return find_target(job_class, view.submitted_at) - view.submitted_at
+
+
+def _key(spec: JobSpec) -> _JobKey:
+    return spec.organisation, spec.idempotency_key
--- a/src/redwingrudder/metrics.py
+++ b/src/redwingrudder/metrics.py
@@ -5,7 +5,6 @@
 series by inventing names.
 """
 
-from collections.abc import Container
 from typing import NamedTuple
 
 from prometheus_client import (
@@ -17,7 +16,7 @@
     generate_latest,
 )
 
-from .model import Configuration, GuaranteeShortage, JobClass, JobState
+from .model import Configuration, GuaranteeShortage, JobState
 from .requests import DomainStatus
 
 OTHER = "other"
@@ -49,7 +48,7 @@
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         self._organisations: frozenset[str] = frozenset()
-        self.classes_by_name: dict[str, JobClass] = {}
+        self._classes: frozenset[str] = frozenset()
         self._codes: set[str] = set()
         self._create_job_metrics()
         self._create_gauges()
@@ -61,7 +60,7 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Take over the names that may appear as label values."""
         self._organisations = frozenset(configuration.organisations_by_name)
-        self.classes_by_name = dict(configuration.classes_by_name)
+        self._classes = frozenset(configuration.classes_by_name)
         self._configuration_version.set(configuration.version)
 
     def count_submitted(self, organisation: str, job_class: str) -> None:
@@ -125,11 +124,11 @@
     def _names(self, organisation: str, job_class: str) -> tuple[str, str]:
         return (
             self._bounded(organisation, self._organisations),
-            self._bounded(job_class, self.classes_by_name),
+            self._bounded(job_class, self._classes),
         )
 
     @staticmethod
-    def _bounded(name: str, known: Container[str]) -> str:
+    def _bounded(name: str, known: frozenset[str]) -> str:
         return name if name in known else OTHER
 
     def _create_job_metrics(self) -> None:
--- a/src/redwingrudder/node.py
+++ b/src/redwingrudder/node.py
@@ -138,7 +138,11 @@
             ),
             lambda: Scheduler(domain, slack_policies()),
             WorkerHttpTransport(self._reactor),
-            MetricsObserver(self.metrics, lambda: metrics_actor.configuration),
+            MetricsObserver(
+                self.metrics,
+                lambda: metrics_actor.configuration,
+                self.system.clock.seconds,
+            ),
         )
 
     def _add_request_actors(self) -> None:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,8 +8,7 @@
 from twisted.internet.task import Clock
 
 from redwingrudder import requests
-from redwingrudder._metrics_collector import METRICS, MetricsCollector
-from redwingrudder._metrics_observer import MetricsObserver
+from redwingrudder._metrics_actor import METRICS, MetricsActor, MetricsObserver
 from redwingrudder.actors import ActorSystem
 from redwingrudder.logs import LineFormatter
 from redwingrudder.metrics import CODES_LIMIT, JobTimes, NodeMetrics
@@ -66,7 +65,7 @@
 
     def test_observer_measures_the_wait_and_the_share_of_the_target(self):
         clock = Clock()
-        observer = MetricsObserver(self.metrics, clock.seconds)
+        observer = MetricsObserver(self.metrics, lambda: CONFIGURATION, clock.seconds)
         spec = JobSpec("shop", "proof", "", "k", 1, 1, 1, 1, True, True, 1.0, 1.0, "")
         view = JobView(
             "d1-a", "shop", "proof", JobState.SUCCEEDED, "", True, False, 0.0, 4.0, ()
@@ -98,7 +97,7 @@
             "d1", "n1", Epoch(1, 0, 0), 3, 2, 0, 0, 16, 9, 8, 5, 1, (), (), ()
         )
         Scripted(system, requests.DISPATCHER, (requests.GetStatus,), status)
-        MetricsCollector(system, self.metrics)
+        MetricsActor(system, self.metrics)
         system.start()
         for message in (
             requests.StoreStatus(True),
