Keep room for reports and prompt calls beside waiting callers

1,000 callers that wait for jobs of one owner used up the bound on calls to it; the exchange of reports was refused then, and the owner would have been taken for dead.

--- a/src/redwingrudder/_peer_link.py
+++ b/src/redwingrudder/_peer_link.py
@@ -1,5 +1,6 @@
 """The connection to one peer node and its outstanding calls."""
 
+import enum
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -23,6 +24,9 @@
 from .statecharts import load_chart
 
 OUTSTANDING_LIMIT = 1_000  # calls per peer, queued and sent
+# Callers that wait for the end of a job hold their call for up to 30 s; the
+# rest of the bound is left to calls that are answered at once.
+WAITING_LIMIT = 900
 OUTSTANDING_LIMIT_BYTES = 16 * 1024 * 1024  # of request payloads per peer
 CONNECT_TIMEOUT_S = 2.0
 IDLE_S = 60.0
@@ -47,6 +51,17 @@
 _logger = logging.getLogger(__name__)
 
 
+class CallKind(enum.Enum):
+    """Which share of the bound on outstanding calls a call counts against.
+
+    Reports are exempt: a node that is refused its reports counts as dead.
+    """
+
+    PROMPT = enum.auto()
+    WAITING = enum.auto()
+    REPORT = enum.auto()
+
+
 class PeerCall(NamedTuple):
     """A call of ``NodeService``; ``size`` is its payload in bytes."""
 
@@ -54,6 +69,7 @@
     arguments: tuple[Any, ...]
     timeout_s: float
     size: int = 0
+    kind: CallKind = CallKind.PROMPT
 
 
 class _Outstanding:
@@ -96,8 +112,7 @@
         Errors are ``OverloadedError`` and ``UnavailableError`` (not sent),
         ``OutcomeUnknownError`` (sent, no reply) or the peer's own.
         """
-        full = len(self._outstanding) >= OUTSTANDING_LIMIT
-        if full or self._outstanding_bytes + call.size > OUTSTANDING_LIMIT_BYTES:
+        if self._is_full(call):
             error = OverloadedError(
                 f"too many calls to {self.address} wait for a reply",
                 retry_after_s=OVERLOAD_RETRY_S,
@@ -110,6 +125,15 @@
         self._step("call", outstanding)
         return outstanding.reply
 
+    def _is_full(self, call: PeerCall) -> bool:
+        count = len(self._outstanding)
+        if call.kind is CallKind.REPORT:
+            return False
+        if call.kind is CallKind.WAITING and count >= WAITING_LIMIT:
+            return True
+        size = self._outstanding_bytes + call.size
+        return count >= OUTSTANDING_LIMIT or size > OUTSTANDING_LIMIT_BYTES
+
     def sweep(self, now: float) -> None:
         """End calls whose time is over; close an idle connection."""
         late = [item for item in self._outstanding if item.deadline <= now]
--- a/src/redwingrudder/peers.py
+++ b/src/redwingrudder/peers.py
@@ -23,7 +23,7 @@
     encode_spec,
 )
 from ._peer_handler import PeerHandler
-from ._peer_link import PeerCall, PeerLink
+from ._peer_link import CallKind, PeerCall, PeerLink
 from ._peer_plan import EXCHANGE_INTERVAL_S, PeerPlan
 from ._peer_wire import PeerServerFactory
 from .actors import Actor, ActorSystem, Handler
@@ -215,7 +215,7 @@
 
     async def _exchange(self, address: str) -> None:
         report = encode_report(self._local)
-        call = PeerCall("exchange", (report,), EXCHANGE_TIMEOUT_S)
+        call = PeerCall("exchange", (report,), EXCHANGE_TIMEOUT_S, kind=CallKind.REPORT)
         try:
             self._exchanged(await self._call(address, call, decode_report))
         except RedwingrudderError as error:
@@ -300,7 +300,9 @@
             return PeerCall("submit", arguments, CALL_TIMEOUT_S, size), decode_view
         case requests.PollJob(job_id, wait_s):
             arguments = (job_id, round(wait_s * 1_000))
-            return PeerCall("poll", arguments, wait_s + POLL_MARGIN_S), decode_view
+            kind = CallKind.WAITING if wait_s > 0 else CallKind.PROMPT
+            timeout_s = wait_s + POLL_MARGIN_S
+            return PeerCall("poll", arguments, timeout_s, kind=kind), decode_view
         case requests.CancelJob(job_id):
             return PeerCall("cancel", (job_id,), CANCEL_TIMEOUT_S), decode_view
         case requests.ExplainJob(job_id):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -217,6 +217,23 @@
         self.assertEqual([ok for ok, _ in results], [True] * 3 + [False] * 2)
         results[4][1].trap(exceptions.OverloadedError)
 
+    async def test_waiting_callers_leave_room_for_other_calls_and_reports(self):
+        """A node that is refused its reports would be taken for dead."""
+        self.patch(_peer_link, "OUTSTANDING_LIMIT", 3)
+        self.patch(_peer_link, "WAITING_LIMIT", 2)
+        self.two.dispatcher.script = [defer.Deferred() for _ in range(3)]
+        wait = requests.PollJob("d1-a", 30.0)
+        waiting = [self.one.ask(self.two.address, wait) for _ in range(3)]
+        await self.assertFailure(waiting.pop(), exceptions.OverloadedError)
+        prompt = self.one.ask(self.two.address, POLL)
+        refused = self.one.ask(self.two.address, POLL)
+        await self.assertFailure(refused, exceptions.OverloadedError)
+        await self.one.peers._exchange(self.two.address)
+        await pause(0.01)
+        self.assertEqual(self.one.ownership.received[0].node_id, "n2")
+        for ask in (*waiting, prompt):
+            ask.addErrback(lambda failure: None)
+
 
 class BadFrameTests(PeersTestCase):
     async def test_bad_frames_close_only_their_connection(self):
