Bound the memory of request bodies and never refuse a report

10,000 requests in progress with bodies of the allowed size would take 2.5 GB; the bodies of all requests together are bounded by 32 MB and beyond it answered with 503. A serving node no longer refuses an exchange when its bound on calls is reached.

--- a/src/redwingrudder/_http_server.py
+++ b/src/redwingrudder/_http_server.py
@@ -7,14 +7,23 @@
 
 from twisted.internet.interfaces import IAddress, IProtocol
 from twisted.protocols.policies import WrappingFactory
+from twisted.python.failure import Failure
 from twisted.web import server
 from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 
 from ._problems import Answer, problem_answer
-from .exceptions import BadRequestError, PayloadTooLargeError, RedwingrudderError
+from .exceptions import (
+    BadRequestError,
+    PayloadTooLargeError,
+    RedwingrudderError,
+    UnavailableError,
+)
 
 BODY_LIMIT_BYTES = 256 * 1024
+# Of all requests in progress; a node has 256 MB.
+BODIES_LIMIT_BYTES = 32 * 1024 * 1024
+OVERLOAD_RETRY_S = 1.0
 CONNECTIONS_LIMIT = 20_000
 CONNECTION_TIMEOUT_S = 60  # without any data while a request is awaited
 REFUSAL_LINGER_S = 1.0
@@ -26,23 +35,37 @@
     """A request whose body is refused as soon as it exceeds the limit."""
 
     refused = False
-    _received_bytes = 0
+    _kept_bytes = 0
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse an announced length before any of the body is read."""
         self.content = BytesIO()
         if length is not None and length > BODY_LIMIT_BYTES:
-            self._refuse()
+            self._refuse(_too_large())
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Keep a part of the body; after a refusal it is discarded."""
-        self._received_bytes += len(data)
         if self.refused:
             return
-        if self._received_bytes > BODY_LIMIT_BYTES:
-            self._refuse()
-            return
-        self.content.write(data)
+        site = self.channel.site
+        if self._kept_bytes + len(data) > BODY_LIMIT_BYTES:
+            self._refuse(_too_large())
+        elif site.body_bytes + len(data) > BODIES_LIMIT_BYTES:
+            self._refuse(_too_many_bodies())
+        else:
+            self._kept_bytes += len(data)
+            site.body_bytes += len(data)
+            self.content.write(data)
+
+    def finish(self) -> None:
+        """See base class."""
+        self._release_body()
+        super().finish()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """See base class."""
+        self._release_body()
+        super().connectionLost(reason)
 
     def requestReceived(self, *arguments: bytes) -> None:  # noqa: N802
         """Process the request unless it is answered already."""
@@ -69,21 +92,37 @@
             return None
         return b",".join(values).decode("utf-8", "replace")
 
-    def _refuse(self) -> None:
-        """Answer 413 and close without keeping the rest of the body.
+    def _refuse(self, error: RedwingrudderError) -> None:
+        """Answer and close without keeping the rest of the body.
 
         The connection is closed after a delay because the kernel resets a
         connection that is closed with unread data, and the caller would then
         lose the answer.
         """
         self.refused = True
-        self.content = BytesIO()
+        self._release_body()
         # Nothing may follow the answer, not even "100 Continue".
         self.requestHeaders.removeHeader(b"Expect")
-        error = PayloadTooLargeError(f"the body exceeds {BODY_LIMIT_BYTES} bytes")
         self.channel.refuse(error, self.channel.site.correlation_id(self))
         self.channel.callLater(REFUSAL_LINGER_S, self.channel.loseConnection)
 
+    def _release_body(self) -> None:
+        self.channel.site.body_bytes -= self._kept_bytes
+        self._kept_bytes = 0
+        self.content = BytesIO()
+
+
+def _too_large() -> RedwingrudderError:
+    return PayloadTooLargeError(f"the body exceeds {BODY_LIMIT_BYTES} bytes")
+
+
+def _too_many_bodies() -> RedwingrudderError:
+    return UnavailableError(
+        "the bodies of the requests in progress take too much memory",
+        code="overloaded",
+        retry_after_s=OVERLOAD_RETRY_S,
+    )
+
 
 class ApiChannel(HTTPChannel):
     """One connection; answers with a code to what is no HTTP request."""
@@ -91,13 +130,17 @@
     def refuse(self, error: RedwingrudderError, correlation_id: str) -> None:
         """Write an answer outside of any request, with a close."""
         answer = problem_answer(error, correlation_id)
-        head = (
-            f"HTTP/1.1 {answer.status} {HTTPStatus(answer.status).phrase}\r\n"
-            f"Content-Type: {answer.content_type}\r\n"
-            f"Content-Length: {len(answer.body)}\r\n"
-            f"X-Correlation-Id: {correlation_id}\r\n"
-            "Connection: close\r\n\r\n"
+        headers = (
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(answer.body))),
+            ("X-Correlation-Id", correlation_id),
+            ("Connection", "close"),
+            *answer.headers,
         )
+        phrase = HTTPStatus(answer.status).phrase
+        lines = [f"HTTP/1.1 {answer.status} {phrase}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        head = "\r\n".join((*lines, "", ""))
         self.transport.write(head.encode("ascii") + answer.body)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
@@ -149,6 +192,7 @@
             reactor=reactor,
         )
         self.correlation_id = correlation_id
+        self.body_bytes = 0
 
     def log(self, request: LimitedRequest) -> None:
         """Write no access log: metrics count the requests."""
--- a/src/redwingrudder/_peer_handler.py
+++ b/src/redwingrudder/_peer_handler.py
@@ -80,7 +80,8 @@
 
     def exchange(self, report: WirePeerReport) -> Deferred:
         """Take a peer's report and return that of this node."""
-        return self._serve(self._answer_exchange(report))
+        # Never refused: a node that gets no report back counts as dead.
+        return ensureDeferred(self._guarded(self._answer_exchange(report)))
 
     def configuration(self, above_version: int) -> Deferred:
         """Return the configuration as JSON, or "" when it is not newer."""
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 from twisted.trial import unittest
 
-from redwingrudder import exceptions, requests
+from redwingrudder import _http_server, exceptions, requests
 from redwingrudder._http_server import BODY_LIMIT_BYTES
 from redwingrudder._job_body import parse_job
 from redwingrudder.actors import ActorSystem
@@ -188,6 +188,24 @@
         self.assertTrue(transport.disconnecting)
         self.assertEqual(self.router.received, [])
 
+    def test_bodies_together_are_bounded_and_released(self):
+        """Many bodies of the allowed size would exceed a node's memory."""
+        self.patch(_http_server, "BODIES_LIMIT_BYTES", 1_500)
+        head = b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 1000\r\n\r\n"
+        (first, _), (second, refused) = self.connect(), self.connect()
+        first.dataReceived(head + b"x" * 999)
+        second.dataReceived(head + b"x" * 999)
+        response = Response(refused.value())
+        self.assertEqual(response.error, (503, "overloaded"))
+        self.assertEqual(response.headers["retry-after"], "1")
+        first.dataReceived(b"x")
+        self.settle()
+        self.assertEqual(self.api.site.body_bytes, 0)
+        third, _ = self.connect()
+        third.dataReceived(head + b"x" * 999)
+        third.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual(self.api.site.body_bytes, 0)
+
     def test_what_is_no_http_request_has_a_code(self):
         for data in (
             b"HELLO\r\n\r\n",
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,7 +12,13 @@
 from twisted.internet.task import deferLater
 from twisted.trial import unittest
 
-from redwingrudder import _peer_codec, _peer_link, exceptions, requests
+from redwingrudder import (
+    _peer_codec,
+    _peer_handler,
+    _peer_link,
+    exceptions,
+    requests,
+)
 from redwingrudder._peer_plan import PeerPlan
 from redwingrudder._peer_wire import protocol_factory
 from redwingrudder._wire.generated.node import NodeService
@@ -221,6 +227,7 @@
         """A node that is refused its reports would be taken for dead."""
         self.patch(_peer_link, "OUTSTANDING_LIMIT", 3)
         self.patch(_peer_link, "WAITING_LIMIT", 2)
+        self.patch(_peer_handler, "SERVED_CALLS_LIMIT", 3)
         self.two.dispatcher.script = [defer.Deferred() for _ in range(3)]
         wait = requests.PollJob("d1-a", 30.0)
         waiting = [self.one.ask(self.two.address, wait) for _ in range(3)]
