--- a/src/redwingrudder/peers.py
+++ b/src/redwingrudder/peers.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from . import requests
+from ._configuration_codec import decode_configuration
 from ._json_values import from_json
 from ._peer_codec import (
     decode_explanation,
@@ -22,7 +23,7 @@
     encode_spec,
 )
 from ._peer_handler import PeerHandler
-from ._peer_link import PeerCall, PeerLink
+from ._peer_link import CallKind, PeerCall, PeerLink
 from ._peer_plan import EXCHANGE_INTERVAL_S, PeerPlan
 from ._peer_wire import PeerServerFactory
 from .actors import Actor, ActorSystem, Handler
@@ -135,7 +136,7 @@
         reply = await self._link(address).call(call)
         try:
             return decode(reply)
-        except (RedwingrudderError, ValueError) as error:
+        except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
             raise OutcomeUnknownError(
                 f"{address} answered {call.method} with an unreadable reply: {error}"
             ) from None
@@ -214,7 +215,7 @@
 
     async def _exchange(self, address: str) -> None:
         report = encode_report(self._local)
-        call = PeerCall("exchange", (report,), EXCHANGE_TIMEOUT_S)
+        call = PeerCall("exchange", (report,), EXCHANGE_TIMEOUT_S, kind=CallKind.REPORT)
         try:
             self._exchanged(await self._call(address, call, decode_report))
         except RedwingrudderError as error:
@@ -299,7 +300,9 @@
             return PeerCall("submit", arguments, CALL_TIMEOUT_S, size), decode_view
         case requests.PollJob(job_id, wait_s):
             arguments = (job_id, round(wait_s * 1_000))
-            return PeerCall("poll", arguments, wait_s + POLL_MARGIN_S), decode_view
+            kind = CallKind.WAITING if wait_s > 0 else CallKind.PROMPT
+            timeout_s = wait_s + POLL_MARGIN_S
+            return PeerCall("poll", arguments, timeout_s, kind=kind), decode_view
         case requests.CancelJob(job_id):
             return PeerCall("cancel", (job_id,), CANCEL_TIMEOUT_S), decode_view
         case requests.ExplainJob(job_id):
@@ -314,4 +317,4 @@
 
 
 def _decode_configuration(text: str) -> Configuration | None:
-    return from_json(Configuration, text) if text else None
+    return decode_configuration(text) if text else None
