Stop a gang whose member is reported as started during release

Cause: a new owner ends its recovery after 3 s even if a worker is still silent, and releases the reserved members of a gang. If the previous owner reached the silent worker and started its member there, the late report led to a release, which the worker refuses while the member runs. The gang then kept its accelerators for ever, and the end of the task raised UnexpectedEventError, because the chart does not list it while releasing. A cancelled job could also end as not_run although one member had ended.

Change: a report of a started or ended member moves a releasing gang to stopping, so the member is stopped and the job ends as one that may have run.

Ruled out: waiting for every worker before a release, because placement must resume within 5 s of an owner's death.

--- a/src/redwingrudder/_scheduler_recovery.py
+++ b/src/redwingrudder/_scheduler_recovery.py
@@ -108,7 +108,8 @@
             gang.results_by_task.setdefault(result.task_index, result)
         if report.state is not MemberState.ENDED:
             self._hold(gang, report)
-        self._gangs.fire(gang.gang_id, "reported")
+        late = gang.state == "releasing" and worker_id in gang.start_sent
+        self._gangs.fire(gang.gang_id, "stop" if late else "reported")
         self._gangs.settle(gang.gang_id)
 
     def _hold(self, gang: GangRecord, report: MemberReport) -> None:
