Add the model check of gangs, ownership, configuration and guarantees

Cause: the invariants I1, I2, I4, I5 and I8 rest on interleavings of owners, workers and store that tests of single parts do not enumerate.

Change: explicit-state models that interpret the same charts as the code, for a gang job under two owners, the ownership of a domain, the configuration and the guaranteed cells (with the real GuaranteeBook, BestFitPlacement and CellReclaim). Each property has a broken variant that must be rejected, and a transition of a chart that no model takes must be listed with a reason. python -m redwingrudder.specification prints the tables.

It also shows that a member may start after another was released when a new owner gives a worker up that its predecessor still reaches; the property is therefore checked only where recovery ends with every worker claimed or lost.

Ruled out: the real Scheduler as the transition function of the gang model, because its state is neither hashable nor cheap to copy.

--- /dev/null
+++ b/src/redwingrudder/_spec_ownership.py
@@ -0,0 +1,239 @@
+"""Model of two nodes that may own one failure domain with one worker.
+
+A node may pause at any step, because no step of it is ever forced.
+"""
+
+import enum
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from ._spec_common import Coverage, Model
+from .model import Epoch
+from .ownership import _ACTIONS, _EVENTS
+from .statecharts import load_chart
+
+FENCED = "I2: a worker accepts no command below an epoch that it has seen"
+UNIQUE = "I5: no two ownerships have the same epoch"
+RISING = "I5: the store gives every new owner a higher epoch than before"
+
+CHART = load_chart("ownership", _EVENTS, _ACTIONS)
+UNCLAIMED = Epoch(0, 0, 0)
+OUTAGES = 1
+LAPSES = 1
+DRAINS = 1
+LOCAL_TERMS = 1  # by which a node may follow in an outage
+STORE_TERMS = 3
+
+SENT, HELD, RACED = "sent", "held", "raced"
+
+
+class Flaw(enum.StrEnum):
+    """A rule that a broken variant leaves out."""
+
+    NONE = ""
+    NO_FENCING = "the worker accepts every epoch"
+    NO_RANK = "epochs without the rank of the node"
+    NO_COUNTER = "store terms from the record instead of a lasting counter"
+
+
+FLAWS = (
+    (Flaw.NO_FENCING, FENCED),
+    (Flaw.NO_RANK, UNIQUE),
+    (Flaw.NO_COUNTER, RISING),
+)
+
+
+class Node(NamedTuple):
+    """A node; ``call`` is "", "sent", "held", "raced" or what it acquired."""
+
+    state: str
+    epoch: Epoch | None = None
+    highest: Epoch = UNCLAIMED
+    call: str | Epoch = ""
+
+
+class Domain(NamedTuple):
+    """Everything; the last fields only judge."""
+
+    nodes: tuple[Node, ...]
+    record: tuple[int, Epoch] | None = None
+    counter: int = 0
+    store_up: bool = True
+    outages: int = OUTAGES
+    lapses: int = LAPSES
+    drains: int = DRAINS
+    worker_epoch: Epoch = UNCLAIMED
+    used: frozenset[Epoch] = frozenset()
+    top_stored: Epoch = UNCLAIMED
+    accepted_stale: bool = False
+    repeated: bool = False
+    fell: bool = False
+
+
+Steps = Iterator[tuple[str, Domain]]
+
+
+def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
+    """Return the model, or a broken variant of it."""
+    initial = Domain((Node(CHART.initial), Node(CHART.initial)))
+    invariants = {
+        FENCED: lambda domain: not domain.accepted_stale,
+        UNIQUE: lambda domain: not domain.repeated,
+        RISING: lambda domain: not domain.fell,
+    }
+    successors = _Successors(coverage, flaw)
+    return Model("ownership", flaw, initial, successors, invariants)
+
+
+class _Successors:
+    """All steps that may follow a state."""
+
+    def __init__(self, coverage: Coverage, flaw: Flaw) -> None:
+        self._coverage = coverage
+        self._flaw = flaw
+
+    def __call__(self, domain: Domain) -> Steps:
+        yield from self._environment(domain)
+        for index, node in enumerate(domain.nodes):
+            if node.state in CHART.final_states:
+                continue
+            for event in self._observations(domain, index, node):
+                yield f"node {index}: {event}", self._fire(domain, index, event)
+            yield from self._store_steps(domain, index, node)
+            if node.epoch is not None:
+                yield from self._worker_steps(domain, index, node.epoch)
+            # One of the nodes stops; the other may take the domain over.
+            if domain.drains and index == 0:
+                drained = domain._replace(drains=domain.drains - 1)
+                yield f"node {index}: drain", self._fire(drained, index, "drain")
+
+    def _environment(self, domain: Domain) -> Steps:
+        if domain.record is not None and domain.lapses:
+            lapsed = domain._replace(record=None, lapses=domain.lapses - 1)
+            yield "lease of the record lapses", lapsed
+        if domain.store_up and domain.outages:
+            down = domain._replace(store_up=False, outages=domain.outages - 1)
+            yield "store goes down", down
+        if not domain.store_up:
+            yield "store comes back", domain._replace(store_up=True)
+
+    def _observations(self, domain: Domain, index: int, node: Node) -> Iterator[str]:
+        """Yield what a node may notice by itself."""
+        if domain.store_up:
+            yield self._record_event(domain, index)
+        elif node.state == "verifying":
+            yield "store_lost"
+        elif node.state == "following" and node.highest.local_term < LOCAL_TERMS:
+            yield "owner_silent"
+        if domain.store_up and node.state != "following":
+            yield "lease_lapsed"
+
+    def _record_event(self, domain: Domain, index: int) -> str:
+        if domain.record is None:
+            return "record_absent"
+        return "record_own" if domain.record[0] == index else "record_held"
+
+    def _store_steps(self, domain: Domain, index: int, node: Node) -> Steps:
+        name = f"node {index}"
+        if node.call == SENT and not domain.store_up:
+            yield f"{name}: call failed", self._answer(domain, index, "store_lost")
+        elif node.call == SENT and domain.record is not None:
+            held = _put(domain, index, node._replace(call=HELD))
+            yield f"{name}: record is held", held
+        elif node.call == SENT and domain.counter < STORE_TERMS:
+            yield f"{name}: record written", self._write(domain, index, node)
+        elif node.call == HELD:
+            yield f"{name}: call answered", self._answer(domain, index, "record_held")
+        elif isinstance(node.call, Epoch):
+            yield f"{name}: call answered", self._answer(domain, index, "acquired")
+            yield f"{name}: reply lost", self._answer(domain, index, "store_lost")
+
+    def _write(self, domain: Domain, index: int, node: Node) -> Domain:
+        term = max(domain.counter, node.highest.store_term) + 1
+        if self._flaw is Flaw.NO_COUNTER:
+            term = node.highest.store_term + 1
+        epoch = Epoch(term, 0, self._rank(index))
+        return _put(domain, index, node._replace(call=epoch))._replace(
+            record=(index, epoch),
+            counter=domain.counter + 1,
+            top_stored=max(domain.top_stored, epoch),
+            fell=domain.fell or epoch <= domain.top_stored,
+        )
+
+    def _worker_steps(self, domain: Domain, index: int, epoch: Epoch) -> Steps:
+        if epoch < domain.worker_epoch:
+            node = domain.nodes[index]
+            highest = max(node.highest, domain.worker_epoch)
+            told = _put(domain, index, node._replace(highest=highest))
+            yield f"node {index}: fenced", self._fire(told, index, "fenced")
+        else:
+            claimed = domain._replace(worker_epoch=epoch)
+            yield f"node {index}: claims the worker", claimed
+        if self._flaw is Flaw.NO_FENCING or epoch == domain.worker_epoch:
+            stale = domain.accepted_stale or epoch < domain.worker_epoch
+            accepted = domain._replace(accepted_stale=stale)
+            yield f"node {index}: command accepted", accepted
+
+    def _answer(self, domain: Domain, index: int, event: str) -> Domain:
+        node = domain.nodes[index]
+        cleared = _put(domain, index, node._replace(call=""))
+        return self._fire(cleared, index, event, node.call)
+
+    def _fire(
+        self, domain: Domain, index: int, event: str, acquired: str | Epoch = ""
+    ) -> Domain:
+        node = domain.nodes[index]
+        step = self._coverage.step(CHART, node.state, event)
+        if event == "record_held" and domain.record is not None:
+            highest = max(node.highest, domain.record[1])
+            node = node._replace(highest=highest)
+        domain = _put(domain, index, node._replace(state=step.target))
+        for action in step.actions:
+            domain = getattr(self, f"_{action}")(domain, index, acquired)
+        return domain
+
+    # Actions of the chart.
+
+    def _acquire_record(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
+        node = domain.nodes[index]
+        # One acquisition at a time; the answer of an earlier one counts.
+        return _put(domain, index, node._replace(call=node.call or SENT))
+
+    def _read_record(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
+        return domain
+
+    def _release_record(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
+        own = domain.record is not None and domain.record[0] == index
+        return domain._replace(record=None) if own and domain.store_up else domain
+
+    def _raise_local_term(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
+        node = domain.nodes[index]
+        term = node.highest.local_term + 1
+        epoch = Epoch(node.highest.store_term, term, self._rank(index))
+        return _put(domain, index, node._replace(epoch=epoch))
+
+    def _begin_owning(
+        self, domain: Domain, index: int, acquired: str | Epoch
+    ) -> Domain:
+        node = domain.nodes[index]
+        epoch = acquired if isinstance(acquired, Epoch) else node.epoch
+        highest = max(node.highest, epoch)
+        owner = node._replace(epoch=epoch, highest=highest)
+        return _put(domain, index, owner)._replace(
+            used=domain.used | {epoch},
+            repeated=domain.repeated or epoch in domain.used,
+        )
+
+    def _raise_epoch(self, domain: Domain, index: int, acquired: str | Epoch) -> Domain:
+        return self._begin_owning(domain, index, acquired)
+
+    def _end_owning(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
+        return _put(domain, index, domain.nodes[index]._replace(epoch=None))
+
+    def _rank(self, index: int) -> int:
+        return 0 if self._flaw is Flaw.NO_RANK else index + 1
+
+
+def _put(domain: Domain, index: int, node: Node) -> Domain:
+    nodes = (*domain.nodes[:index], node, *domain.nodes[index + 1 :])
+    return domain._replace(nodes=nodes)
--- /dev/null
+++ b/src/redwingrudder/specification.py
@@ -0,0 +1,196 @@
+"""Model check of the core protocol: ``python -m redwingrudder.specification``.
+
+The models interpret the same charts as the code and use the same guarantee
+policies. Every property also has a broken variant of its model, in which one
+rule is left out and which the checker must reject.
+"""
+
+import sys
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tabulate import tabulate
+
+from . import _spec_configuration, _spec_gang, _spec_guarantee, _spec_ownership
+from ._spec_common import Coverage, Finding, Model, check, find_violation
+
+__all__ = [
+    "UNREACHED",
+    "Coverage",
+    "Rejection",
+    "Result",
+    "check_models",
+    "check_rejections",
+    "main",
+    "report",
+]
+
+_PREEMPTION = "the job is no borrower; tests.test_scheduler preempts gangs"
+_RECLAIM = "the model of guarantees stops borrowers without the chart of gangs"
+_ONE_RECORD = "an owner has one start record in flight, of the gang that waits"
+_NO_JOB_YET = "a gang gets its job when it leaves this state"
+_REPORTED_AT_ONCE = "a reported member has its state from the report"
+_LOST_FIRST = "a worker is lost to its owner before it is claimed again"
+_NO_FAILURE = "tasks do not fail by themselves; a stopped task counts as failed"
+_NO_REFUSAL = "admission and expiry of jobs are not modelled"
+_NO_SUBMISSION = "the job is in the queue from the beginning"
+_ALL_STARTED = "an idempotent job ends in one attempt unless it is cancelled"
+_ONE_READ = "the model has one read in flight"
+_ONE_BREAK = "the model breaks a watch once, while it is followed"
+_NOT_OWNING = "the code raises it only while the node owns"
+
+_UNREACHED_BY_REASON: dict[str, tuple[str, ...]] = {
+    _PREEMPTION: (
+        "gang reclaiming preempt",
+        "gang recovering preempt",
+        "gang reserving preempt",
+        "gang recording preempt",
+        "gang starting preempt",
+        "gang running preempt",
+        "gang stopping preempt",
+        "gang releasing preempt",
+    ),
+    _RECLAIM: (
+        "gang created reclaim_planned",
+        "gang reclaiming placed",
+        "gang reclaiming member_lost",
+        "gang reclaiming cancel",
+    ),
+    _ONE_RECORD: (
+        "gang recovering start_recorded",
+        "gang recovering record_refused",
+        "gang starting start_recorded",
+        "gang starting record_refused",
+        "gang running start_recorded",
+        "gang running record_refused",
+        "gang stopping start_recorded",
+        "gang stopping record_refused",
+    ),
+    _NO_JOB_YET: ("gang recovering cancel",),
+    _REPORTED_AT_ONCE: ("gang recovering member_started",),
+    _LOST_FIRST: ("gang starting reported", "gang running reported"),
+    _NO_FAILURE: ("job placing failed", "job running failed"),
+    _NO_REFUSAL: ("job queued refused", "job placing refused"),
+    _NO_SUBMISSION: ("job queued submitted",),
+    _ALL_STARTED: ("job running retry",),
+    _ONE_READ: (
+        "configuration following document_read",
+        "configuration following read_failed",
+    ),
+    _ONE_BREAK: (
+        "configuration reading watch_reset",
+        "configuration waiting watch_reset",
+    ),
+    _NOT_OWNING: (
+        "ownership following fenced",
+        "ownership following lease_lapsed",
+        "ownership acquiring fenced",
+    ),
+}
+
+# Transitions (chart, state, event) that no model takes, with the reason.
+UNREACHED: dict[tuple[str, str, str], str] = {
+    (chart, state, event): reason
+    for reason, names in _UNREACHED_BY_REASON.items()
+    for chart, state, event in (name.split() for name in names)
+}
+
+
+class Result(NamedTuple):
+    """A property of a model with the number of states that it covers."""
+
+    model: str
+    finding: Finding
+
+
+class Rejection(NamedTuple):
+    """A broken variant and the violation that was found, if any."""
+
+    model: str
+    flaw: str
+    finding: Finding
+
+    @property
+    def steps(self) -> int:
+        """Length of the counterexample."""
+        return len(self.finding.trace)
+
+
+def check_models(coverage: Coverage) -> tuple[Result, ...]:
+    """Check all properties of all models."""
+    models = (
+        *_spec_gang.gang_models(coverage),
+        _spec_ownership.build_model(coverage),
+        _spec_configuration.build_model(coverage),
+        _spec_guarantee.build_model(coverage),
+    )
+    return tuple(
+        Result(model.name, finding) for model in models for finding in check(model)
+    )
+
+
+def check_rejections() -> tuple[Rejection, ...]:
+    """Look for the violation in every broken variant."""
+    return tuple(
+        Rejection(model.name, model.flaw, find_violation(model, property_name))
+        for model, property_name in _broken_models()
+    )
+
+
+def _broken_models() -> list[tuple[Model, str]]:
+    coverage = Coverage()  # of no interest here
+    broken = [
+        (_spec_gang.build_broken_model(coverage, name, flaw), property_name)
+        for name, flaw, property_name in _spec_gang.FLAWS
+    ]
+    for module in (_spec_ownership, _spec_configuration, _spec_guarantee):
+        broken += [
+            (module.build_model(coverage, flaw), property_name)
+            for flaw, property_name in module.FLAWS
+        ]
+    return broken
+
+
+def report(
+    results: tuple[Result, ...],
+    rejections: tuple[Rejection, ...],
+    write: Callable[[str], object],
+) -> bool:
+    """Write the outcome as tables; returns whether all is as it must be."""
+    rows = [
+        (result.model, finding.states, finding.property_name, _verdict(finding.holds))
+        for result in results
+        for finding in (result.finding,)
+    ]
+    write(tabulate(rows, ("model", "states", "property", "holds")) + "\n\n")
+    broken = [
+        (r.model, r.flaw, r.finding.property_name, _rejected(r)) for r in rejections
+    ]
+    write(tabulate(broken, ("model", "left out", "property", "rejected")) + "\n")
+    for result in results:
+        if result.finding.trace:
+            write(f"\n{result.model}: {result.finding.property_name}\n")
+            write("".join(f"  {step}\n" for step in result.finding.trace))
+    held = all(result.finding.holds for result in results)
+    return held and all(r.finding.holds is False for r in rejections)
+
+
+def _verdict(holds: bool | None) -> str:
+    return {True: "yes", False: "NO", None: "not decided"}[holds]
+
+
+def _rejected(rejection: Rejection) -> str:
+    if rejection.finding.holds is False:
+        return f"after {rejection.steps} steps"
+    return "NOT REJECTED"
+
+
+def main() -> int:
+    """Check everything, print the tables and return the exit status."""
+    results = check_models(Coverage())
+    passed = report(results, check_rejections(), sys.stdout.write)
+    return 0 if passed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
