Test that the first result of a task stands

Cause: a mutation of the guard against repeated results passed all tests. Change: a test with a late result of another gang and a second result. Ruled out: random results in the schedule test, because workers repeat the same event.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,7 +8,7 @@
 
 from redwingrudder import messages as m
 from redwingrudder._scheduler_jobs import find_target
-from redwingrudder.model import JobClass, JobState, TaskOutcome
+from redwingrudder.model import JobClass, JobState, TaskOutcome, TaskResult
 from redwingrudder.policies import fcfs_policies
 
 from .scheduler_world import CONFIGURATION, SPEC, World
@@ -135,6 +135,19 @@
         self.assertEqual(self.world.state(job), JobState.FAILED)
         self.assertEqual(len(self.world.start_sent[job]), 3)
 
+    def test_first_result_of_a_task_stands(self):
+        """Guards I3: a late or repeated part must not replace another."""
+        job = self.world.run(tasks=2)
+        (worker_id,) = self.world.holders(job)
+        (gang_id,) = self.world.start_sent[job]
+        for gang, task, text in [("old", 0, "x"), (gang_id, 0, "a"), (gang_id, 0, "b")]:
+            result = TaskResult(task, TaskOutcome.SUCCEEDED, f"{gang_id}{text}:{task}")
+            self.world.send(m.TaskEnded(gang, worker_id, result))
+        last = TaskResult(1, TaskOutcome.SUCCEEDED, f"{gang_id}a:1")
+        self.world.send(m.TaskEnded(gang_id, worker_id, last))
+        results = self.world.scheduler.view(job).results
+        self.assertEqual(results, (f"{gang_id}a:0", f"{gang_id}a:1"))
+
     def test_retry_budget_bounds_the_total_work(self):
         """Jobs that always fail must not multiply the load of a class."""
         jobs = []
