Check a reclaim again before it is carried out; try the reserved job

Change: GuaranteeBook.allows is asked before members are held; the reserved job is tried first after a release. Ruled out: a full pass after every release; its cost is linear in lanes.

--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -49,6 +49,12 @@
         placed = False
         for gang_id in sorted(self.reclaiming):
             gang = self.gangs_by_id[gang_id]
+            if not self._is_still_allowed(gang):
+                # The cells have moved since the reclaim was planned.
+                self.set_cause(gang_id, Cause.BUSY, "cells_changed")
+                self.fire(gang_id, "member_draining")
+                self.settle(gang_id)
+                continue
             for worker_id in sorted(gang.unheld):
                 self._try_hold(gang, gang.members_by_worker[worker_id])
             if not gang.unheld:
@@ -239,6 +245,13 @@
         self.set_cause(gang.gang_id, Cause.LOST, "stopped_by_worker")
         self.fire(gang.gang_id, "task_failed")
 
+    def _is_still_allowed(self, gang: GangRecord) -> bool:
+        book = self._context.guarantees
+        return all(
+            book.allows(gang.spec, gang.members_by_worker[worker_id])
+            for worker_id in gang.unheld
+        )
+
     def _try_hold(self, gang: GangRecord, member: MemberPlacement) -> None:
         try:
             self._context.fleet.hold_member(gang.gang_id, gang.spec, member)
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -93,6 +93,7 @@
             return
         self._room = measure(self._context)
         self.restrained.clear()
+        self._try_reserved()
         tried: set[LaneKey] = set()
         keys = self._next_lanes(tried)
         while keys:
@@ -100,6 +101,18 @@
             self._try_all(self._order(self._heads(keys)))
             keys = self._next_lanes(tried)
 
+    def _try_reserved(self) -> None:
+        """Try the job that holds the reservation.
+
+        It may stand behind a job of its own lane and shape, which the
+        reservation limits; no head of a lane would stand for it then.
+        """
+        queue, reservation = self._jobs.queue, self.reservation
+        if reservation is None or reservation.job_id not in queue:
+            return
+        shape = queue.key(reservation.job_id).shape
+        self._try(self._jobs.queued_job(reservation.job_id), shape)
+
     def _next_lanes(self, tried: set[LaneKey]) -> list[LaneKey]:
         """Return the lanes that were first at the last full pass.
 
