Model a draining worker

Cause: the chart of a gang now lists member_draining, and the check of the charts' coverage failed until the model knew it.

Change: in the scenario with one owner a worker may drain at any step.

Ruled out: draining during a recovery, which would double the states; the transition is listed with this reason.

--- /dev/null
+++ b/src/redwingrudder/_history_jobs.py
@@ -0,0 +1,174 @@
+"""Checks of I2 to I5 over the entries of a history, ordered by time."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from ._history_types import (
+    AnswerGiven,
+    Entry,
+    JobRequested,
+    MemberReleased,
+    MemberReserved,
+    MemberStarted,
+    TaskFinished,
+    Violation,
+    WorkerBooted,
+)
+from .model import JobState, TaskOutcome
+
+
+class _Gang:
+    """What the workers did with one gang."""
+
+    def __init__(self) -> None:
+        self.members = 0
+        self.reserved: set[str] = set()
+        self.running: dict[str, set[int]] = {}
+        self.started: set[str] = set()
+        self.part_since: float | None = None
+
+    @property
+    def runs_in_part(self) -> bool:
+        """Whether some members run while others never started."""
+        return bool(self.running) and len(self.started) < self.members
+
+
+def check_gangs(entries: list[Entry], part_s: float) -> Iterator[Violation]:
+    """I2: a gang starts after all reservations and never runs in part.
+
+    A part may run for ``part_s``, the time in which a lost or refused member
+    stops the others.
+    """
+    gangs: dict[str, _Gang] = defaultdict(_Gang)
+    for entry in entries:
+        if isinstance(entry, MemberReserved):
+            gang = gangs[entry.gang_id]
+            gang.members = entry.members
+            gang.reserved.add(entry.worker_id)
+        elif isinstance(entry, MemberStarted):
+            gang = gangs[entry.gang_id]
+            if len(gang.reserved) < gang.members or not gang.members:
+                text = f"{entry.gang_id} starts before every member was reserved"
+                yield Violation(entry.at, "I2", text)
+            gang.running[entry.worker_id] = set(entry.tasks)
+            gang.started.add(entry.worker_id)
+        elif isinstance(entry, TaskFinished):
+            _end_task(gangs[entry.gang_id], entry)
+        elif isinstance(entry, WorkerBooted):
+            for gang in gangs.values():
+                gang.running.pop(entry.worker_id, None)
+        yield from _check_parts(gangs, entry.at, part_s)
+
+
+def _end_task(gang: _Gang, entry: TaskFinished) -> None:
+    tasks = gang.running.get(entry.worker_id, set())
+    tasks.discard(entry.task_index)
+    if not tasks:
+        gang.running.pop(entry.worker_id, None)
+
+
+def _check_parts(
+    gangs: dict[str, _Gang], now: float, part_s: float
+) -> Iterator[Violation]:
+    for gang_id, gang in gangs.items():
+        if not gang.runs_in_part:
+            gang.part_since = None
+        elif gang.part_since is None:
+            gang.part_since = now
+        elif now - gang.part_since > part_s:
+            text = f"{gang_id} runs on {sorted(gang.running)} only"
+            yield Violation(now, "I2", text)
+            gang.part_since = now
+
+
+def check_answers(entries: list[Entry]) -> Iterator[Violation]:
+    """I3: a success carries one result per task, all from a single gang."""
+    tasks_by_job: dict[str, int] = {}
+    results: dict[str, dict[str, dict[int, str]]] = defaultdict(
+        lambda: defaultdict(dict)
+    )
+    told: dict[str, tuple[str, ...]] = {}
+    for entry in entries:
+        if isinstance(entry, JobRequested):
+            tasks_by_job[entry.job_id] = entry.tasks
+        elif isinstance(entry, TaskFinished):
+            if entry.outcome is TaskOutcome.SUCCEEDED:
+                gang = results[entry.job_id][entry.gang_id]
+                gang[entry.task_index] = entry.result
+        elif isinstance(entry, AnswerGiven) and entry.state is JobState.SUCCEEDED:
+            whole = (
+                tuple(parts[index] for index in sorted(parts))
+                for parts in results[entry.job_id].values()
+                if len(parts) == tasks_by_job.get(entry.job_id)
+            )
+            if entry.results not in whole:
+                text = f"{entry.job_id}: the results are of no single gang"
+                yield Violation(entry.at, "I3", text)
+            if told.setdefault(entry.job_id, entry.results) != entry.results:
+                text = f"{entry.job_id}: two callers got different results"
+                yield Violation(entry.at, "I3", text)
+
+
+def check_not_run(entries: list[Entry]) -> Iterator[Violation]:
+    """I4: a job that was told not_run does not run.
+
+    An answer without a record may be lost with its owner; a caller who asks
+    again with the same key after it asks for new work.
+    """
+    last_start: dict[str, float] = {}
+    denied: dict[str, AnswerGiven] = {}
+    for entry in entries:
+        if isinstance(entry, MemberStarted):
+            last_start[entry.job_id] = entry.at
+            if entry.job_id in denied:
+                text = f"{entry.job_id} starts after it was told not to run"
+                yield Violation(entry.at, "I4", text)
+        elif isinstance(entry, JobRequested):
+            answer = denied.get(entry.job_id)
+            if answer is not None and not answer.durable:
+                del denied[entry.job_id]
+        elif isinstance(entry, AnswerGiven) and entry.state is JobState.NOT_RUN:
+            denied[entry.job_id] = entry
+            if entry.job_id in last_start:
+                text = f"{entry.job_id} was told not to run after it had started"
+                yield Violation(entry.at, "I4", text)
+
+
+def check_once(entries: list[Entry]) -> Iterator[Violation]:
+    """I5: a job that is not idempotent starts in one gang at most."""
+    once = {
+        entry.job_id
+        for entry in entries
+        if isinstance(entry, JobRequested) and not entry.idempotent
+    }
+    first: dict[str, str] = {}
+    members: set[tuple[str, str]] = set()
+    for entry in _of(entries, MemberStarted):
+        if entry.job_id not in once:
+            continue
+        if first.setdefault(entry.job_id, entry.gang_id) != entry.gang_id:
+            text = f"{entry.job_id} starts again as {entry.gang_id}"
+            yield Violation(entry.at, "I5", text)
+        for task in entry.tasks:
+            if (entry.job_id, task) in members:
+                text = f"task {task} of {entry.job_id} starts twice"
+                yield Violation(entry.at, "I5", text)
+            members.add((entry.job_id, task))
+
+
+def _of(entries: Iterable[Entry], kind: type) -> Iterator:
+    return (entry for entry in entries if isinstance(entry, kind))
+
+
+def held_at_end(entries: list[Entry]) -> dict[str, set[str]]:
+    """Return the workers that still hold members, by gang."""
+    held: dict[str, set[str]] = defaultdict(set)
+    for entry in entries:
+        if isinstance(entry, MemberReserved):
+            held[entry.gang_id].add(entry.worker_id)
+        elif isinstance(entry, MemberReleased):
+            held[entry.gang_id].discard(entry.worker_id)
+        elif isinstance(entry, WorkerBooted):
+            for workers in held.values():
+                workers.discard(entry.worker_id)
+    return {gang_id: workers for gang_id, workers in held.items() if workers}
--- a/src/redwingrudder/_spec_gang.py
+++ b/src/redwingrudder/_spec_gang.py
@@ -41,7 +41,7 @@
 AT_MOST_ONCE = "I5: at most one gang of a job starts"
 
 SCENARIOS_BY_NAME = {
-    "gang, one owner": Scenario(False, False, 2, 1),
+    "gang, one owner": Scenario(False, False, 2, 1, drains=True),
     "gang, two owners": Scenario(False, True, 0, 1),
     "gang, worker fault": Scenario(False, True, 1, 0, tasks_end=False),
     "gang, short recovery": Scenario(False, True, 0, 0, patient=False),
@@ -116,6 +116,8 @@
     def _environment(self, world: World) -> Steps:
         if self._scenario.takeover and world.owners[1] is None:
             yield "owner 2 takes over", self._take_over(world)
+        if self._scenario.drains and not world.draining:
+            yield "worker 0 drains", world._replace(draining=True)
         for index, worker in enumerate(world.workers):
             # The workers are alike, so it is enough that one of them fails.
             if world.faults and (index == 0 or not self._scenario.takeover):
@@ -159,6 +161,10 @@
             step.cancel()
             after = _with_owner(world, index, step)._replace(cancellations=0)
             yield f"owner {index + 1} cancels", after
+        if world.draining and not owner.drain_seen:
+            step = self._step(owner)
+            step.worker_draining(0)
+            yield f"owner {index + 1} sees the drain", _with_owner(world, index, step)
         lost = sum(1 << w for w in WORKERS if world.workers[w].lost_to >> index & 1)
         settled = owner.linked | lost == ALL_WORKERS or not self._scenario.patient
         if not owner.recovered and settled:
@@ -289,7 +295,8 @@
     For a release and a stop, the answer tells whether nothing is held.
     """
     state = world.workers[number].members[gang_id]
-    if command == RESERVE and state == ABSENT:
+    refuses = world.draining and number == 0
+    if command == RESERVE and state == ABSENT and not refuses:
         ever = world.ever_reserved[gang_id] | 1 << number
         ever_reserved = replace_at(world.ever_reserved, gang_id, ever)
         after = _with_member(world, number, gang_id, RESERVED)
--- a/src/redwingrudder/_spec_gang_owner.py
+++ b/src/redwingrudder/_spec_gang_owner.py
@@ -8,6 +8,7 @@
     ALL_WORKERS,
     CLOSED,
     DONE,
+    GANGS,
     RELEASE,
     RESERVE,
     RESERVED,
@@ -131,6 +132,18 @@
             if gang is not None and gang.members & ~gang.gone & (1 << worker):
                 self._lose(gang_id, gang, worker)
 
+    def worker_draining(self, worker: int) -> None:
+        """Release the gangs of a leaving worker that have not started."""
+        self.owner = self.owner._replace(drain_seen=True)
+        for gang_id in GANGS:
+            gang = self._find(gang_id, worker)
+            if gang is None:
+                continue
+            if not gang.start_sent:
+                self._change(gang_id, cause=gang.cause or "refused")
+            self._fire(gang_id, "member_draining")
+            self._settle(gang_id)
+
     def worker_claimed(self, worker: int, members: tuple[str, ...]) -> None:
         """Take a worker with the state of its member of each gang."""
         self.owner = self.owner._replace(linked=self.owner.linked | 1 << worker)
--- a/src/redwingrudder/_spec_gang_types.py
+++ b/src/redwingrudder/_spec_gang_types.py
@@ -38,6 +38,7 @@
     cancellations: int
     patient: bool = True
     tasks_end: bool = True
+    drains: bool = False
     flaw: Flaw = Flaw.NONE
 
 
@@ -79,6 +80,7 @@
     revision: int
     write: str = ""
     record_final: bool = False
+    drain_seen: bool = False
 
 
 class Worker(NamedTuple):
@@ -93,7 +95,10 @@
 
 
 class World(NamedTuple):
-    """Everything; the fields from ``not_run_told`` on only judge."""
+    """Everything; the fields from ``not_run_told`` on only judge.
+
+    ``draining`` tells that worker 0 takes no new work.
+    """
 
     owners: tuple[Owner | None, ...]
     workers: tuple[Worker, ...]
@@ -101,6 +106,7 @@
     revision: int
     faults: int
     cancellations: int
+    draining: bool = False
     not_run_told: bool = False
     ever_reserved: tuple[int, ...] = (0, 0)
     ever_released: tuple[int, ...] = (0, 0)
--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -28,8 +28,7 @@
 _PREEMPTION = "the job is no borrower; tests.test_scheduler preempts gangs"
 _RECLAIM = "the model of guarantees stops borrowers without the chart of gangs"
 _ONE_RECORD = "an owner has one start record in flight, of the gang that waits"
-_NO_JOB_YET = "a gang gets its job when it leaves this state"
-_REPORTED_AT_ONCE = "a reported member has its state from the report"
+_CLAIMED_DRAINING = "the worker drains under one owner only, without recovery"
 _LOST_FIRST = "a worker is lost to its owner before it is claimed again"
 _NO_FAILURE = "tasks do not fail by themselves; a stopped task counts as failed"
 _NO_REFUSAL = "admission and expiry of jobs are not modelled"
@@ -44,7 +43,6 @@
         "gang reclaiming preempt",
         "gang recovering preempt",
         "gang reserving preempt",
-        "gang recording preempt",
         "gang starting preempt",
         "gang running preempt",
         "gang stopping preempt",
@@ -55,6 +53,7 @@
         "gang reclaiming placed",
         "gang reclaiming member_lost",
         "gang reclaiming cancel",
+        "gang reclaiming member_draining",
     ),
     _ONE_RECORD: (
         "gang recovering start_recorded",
@@ -66,8 +65,7 @@
         "gang stopping start_recorded",
         "gang stopping record_refused",
     ),
-    _NO_JOB_YET: ("gang recovering cancel",),
-    _REPORTED_AT_ONCE: ("gang recovering member_started",),
+    _CLAIMED_DRAINING: ("gang recovering member_draining",),
     _LOST_FIRST: ("gang starting reported", "gang running reported"),
     _NO_FAILURE: ("job placing failed", "job running failed"),
     _NO_REFUSAL: ("job queued refused", "job placing refused"),
