--- a/tests/test_scheduler_recovery.py
+++ b/tests/test_scheduler_recovery.py
@@ -14,7 +14,7 @@
 )
 from redwingrudder.policies import slack_policies
 from redwingrudder.scheduler import Scheduler
-from tests.test_scheduler import CONFIGURATION, DOMAIN, SPEC, make_worker
+from tests.scheduler_world import CONFIGURATION, DOMAIN, SPEC, make_worker
 
 ONCE = SPEC._replace(tasks=2, idempotent=False)
 
