--- a/src/redwingrudder/_history_nodes.py
+++ b/src/redwingrudder/_history_nodes.py
@@ -57,7 +57,8 @@
         elif isinstance(entry, WorkerBooted):
             barred_from.pop(entry.worker_id, None)
         elif isinstance(entry, MemberReserved):
-            if entry.at > barred_from.get(entry.worker_id, entry.at):
+            barred = entry.at > barred_from.get(entry.worker_id, entry.at)
+            if barred:
                 text = f"{entry.worker_id} leaves and gets {entry.gang_id}"
                 yield Violation(entry.at, "I6", text)
 
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,428 @@
+"""Nodes, workers and a store in memory, under faults, with their history.
+
+Each node has its own clock, so it can be frozen and woken. The actors of a
+node are the real ones, but for its links to the store and to other nodes.
+"""
+
+import json
+
+from twisted.internet.task import Clock
+
+from redwingrudder import history as h
+from redwingrudder import requests as r
+from redwingrudder.actors import Actor, ActorSystem
+from redwingrudder.configuration import ConfigurationActor
+from redwingrudder.dispatcher import Dispatcher, DispatcherSettings, job_id_for
+from redwingrudder.exceptions import ConflictError, RedwingrudderError
+from redwingrudder.messages import ConfigurationChanged
+from redwingrudder.model import FINAL_JOB_STATES, Epoch, WorkerInfo
+from redwingrudder.ownership import OwnershipActor
+from redwingrudder.policies import slack_policies
+from redwingrudder.scheduler import Scheduler
+from redwingrudder.standins._key_value import KeyValueCore
+from redwingrudder.standins.worker import WorkerCore
+from redwingrudder.timers import TimerService
+from tests.fakes import FakeStore
+from tests.worker_fakes import FakeTransport
+
+DOMAIN = "hobart"
+LEASE_S = 6.0
+STEP_S = 0.1
+TURNS = 60
+NO_EPOCH = Epoch(0, 0, 0)
+WORKERS = [
+    WorkerInfo(f"w{i}", f"w{i}:1", DOMAIN, "r1", 2, 4, 16, 1_000) for i in (1, 2, 3)
+]
+SEEN = "seen"
+
+
+class RecordingWorker(WorkerCore):
+    """Adds what happens at the worker to the history."""
+
+    def __init__(self, info, now, entries):
+        super().__init__(info, now)
+        self.entries = entries
+        entries.append(h.WorkerBooted(now, info.worker_id, self.boot_id))
+
+    def claim(self, request, now):
+        reply = super().claim(request, now)
+        self._note_epoch(request["epoch"], now)
+        return reply
+
+    def _accept(self, numbers, now):
+        super()._accept(numbers, now)
+        self._note_epoch(numbers, now)
+
+    def _note_epoch(self, numbers, now):
+        entry = h.CommandAccepted(
+            now, self.info.worker_id, self.boot_id, Epoch(*numbers)
+        )
+        self.entries.append(entry)
+
+    def _record(self, what, member, at, plan=None):
+        super()._record(what, member, at, plan)
+        request, worker = member.request, self.info.worker_id
+        gang, job = request["gang_id"], request["job_id"]
+        entry = {
+            "reserved": lambda: h.MemberReserved(
+                at, worker, gang, job, request["gang_members"]
+            ),
+            "started": lambda: h.MemberStarted(
+                at, worker, gang, job, tuple(request["tasks"])
+            ),
+            "ended": lambda: h.TaskFinished(
+                at, worker, gang, job, plan.task_index, plan.outcome, plan.result
+            ),
+            "released": lambda: h.MemberReleased(at, worker, gang),
+        }[what]()
+        self.entries.append(entry)
+
+
+class UnfencedWorker(RecordingWorker):
+    """A faulty worker that follows every owner at any time."""
+
+    def claim(self, request, now):
+        self.highest_epoch = Epoch(*request["epoch"])
+        return super().claim(request, now)
+
+    def _accept(self, numbers, now):
+        self.highest_epoch = Epoch(*numbers)
+        super()._accept(numbers, now)
+
+
+class Workers:
+    """The workers of the domain, reached by all nodes."""
+
+    def __init__(self, entries, kind=RecordingWorker):
+        self.entries = entries
+        self.kind = kind
+        self.cut = set()
+        self.deaf = set()
+        self.dropped_replies = 0
+        self.cores_by_address = {}
+        for info in WORKERS:
+            self.restart(info, 0.0)
+
+    def restart(self, info, now):
+        self.cores_by_address[info.address] = self.kind(info, now, self.entries)
+
+
+class Transport(FakeTransport):
+    """Reaches the workers on the clock of one node."""
+
+    def __init__(self, clock, workers):
+        self.clock = clock
+        self.workers = workers
+        self.cores_by_address = workers.cores_by_address
+        self.cut, self.deaf = workers.cut, workers.deaf
+        self.garbled, self.posted = {}, []
+
+    @property
+    def dropped_replies(self):
+        return self.workers.dropped_replies
+
+    @dropped_replies.setter
+    def dropped_replies(self, count):
+        self.workers.dropped_replies = count
+
+
+class Peers(Actor):
+    """Copies configurations from other nodes."""
+
+    def __init__(self, system, deployment):
+        self.deployment = deployment
+        super().__init__(system, r.PEERS)
+
+    def handlers(self):
+        return {r.GetPeerConfiguration: self._copy, r.LocalLoad: lambda _: None}
+
+    def _copy(self, message):
+        node = self.deployment.nodes_by_id[message.address]
+        found = node.in_force if node.running else None
+        newer = found is not None and found.version > message.above_version
+        return found if newer else None
+
+
+class Seen(Actor):
+    """Adds what a node's subscribers are told to the history."""
+
+    def __init__(self, system, node):
+        self.node = node
+        super().__init__(system, SEEN)
+
+    def handlers(self):
+        return {
+            r.OwnershipGained: self._own,
+            r.EpochRaised: self._own,
+            r.OwnershipEnded: self._end,
+            r.OwnerChanged: lambda _: None,
+            ConfigurationChanged: self._configure,
+        }
+
+    def _own(self, message):
+        self.node.epoch = message.epoch
+        entry = h.EpochTaken(self.node.now, self.node.node_id, DOMAIN, message.epoch)
+        self.node.entries.append(entry)
+
+    def _end(self, message):
+        self.node.epoch = None
+
+    def _configure(self, message):
+        node, found = self.node, message.configuration
+        node.in_force = found
+        entry = h.ConfigurationInForce(
+            node.now, node.node_id, found.version, name_of(found)
+        )
+        node.entries.append(entry)
+
+
+class Node:
+    """One node; ``running`` is false while it is frozen or dead."""
+
+    def __init__(self, deployment, rank):
+        self.node_id, self.rank = f"n{rank}", rank
+        self.entries = deployment.entries
+        self.running, self.epoch, self.in_force = True, None, None
+        self.clock = Clock()
+        self.clock.advance(deployment.now)
+        self.system = ActorSystem(self.clock)
+        TimerService(self.system)
+        self.store = FakeStore(self.system, deployment.core, deployment.store_up)
+        self.store.vms = tuple(list_vm(info) for info in WORKERS)
+        Peers(self.system, deployment)
+        Seen(self.system, self)
+        ConfigurationActor(self.system, (r.DISPATCHER, SEEN), rank)
+        OwnershipActor(
+            self.system, (SEEN, r.DISPATCHER), DOMAIN, self.node_id, self.node_id, rank
+        )
+        Dispatcher(
+            self.system,
+            DispatcherSettings(DOMAIN, self.node_id, LEASE_S),
+            lambda: Scheduler(DOMAIN, slack_policies()),
+            Transport(self.clock, deployment.workers),
+        )
+        self.system.start()
+        self.list_workers(())
+        self.entries.append(h.NodeUp(self.now, self.node_id))
+
+    @property
+    def now(self):
+        return self.clock.seconds()
+
+    def list_workers(self, leaving):
+        vms = tuple(
+            list_vm(info, "leaving" if info in leaving else "live") for info in WORKERS
+        )
+        for name in (r.OWNERSHIP, r.DISPATCHER):
+            self.system.tell(name, r.MembersChanged(vms))
+
+    def advance_to(self, now):
+        self.clock.advance(now - self.now)
+        for _ in range(TURNS):
+            calls = self.clock.getDelayedCalls()
+            if not calls or min(call.getTime() for call in calls) > self.now:
+                return
+            self.clock.advance(0)
+
+    def report(self):
+        version = self.in_force.version if self.in_force else 0
+        return r.PeerReport(
+            self.node_id,
+            self.rank,
+            DOMAIN,
+            self.node_id,
+            self.epoch is not None,
+            self.epoch or NO_EPOCH,
+            version,
+            *(0, 0, 0, False),
+        )
+
+
+class Deployment:
+    """Two nodes, three workers, one store and their history."""
+
+    def __init__(self, worker_kind=RecordingWorker):
+        self.entries = []
+        self.now = 0.0
+        self.core = KeyValueCore()
+        self.store_up = True
+        self.outage_from = 0.0
+        self.workers = Workers(self.entries, worker_kind)
+        self.nodes_by_id = {}
+        self.leaving = ()
+        self.specs_by_job = {}
+        self.changes = 0
+        self.started_nodes = 0
+        for _ in range(2):
+            self.start_node()
+        self.run_for(1.0)
+        self.configure(self.nodes[0])
+        self.run_for(2.0)
+
+    @property
+    def nodes(self):
+        return list(self.nodes_by_id.values())
+
+    @property
+    def owners(self):
+        """Nodes that think that they own the domain."""
+        return [node for node in self.nodes if node.running and node.epoch]
+
+    def run_for(self, duration_s):
+        for _ in range(round(duration_s / STEP_S)):
+            before, self.now = self.now, self.now + STEP_S
+            for node in self.nodes:
+                if node.running:
+                    node.advance_to(self.now)
+            if int(before) != int(self.now):
+                self._exchange()
+
+    def _exchange(self):
+        for sender in self.nodes:
+            for receiver in self.nodes:
+                if sender.running and receiver.running and sender is not receiver:
+                    for name in (r.OWNERSHIP, r.CONFIGURATION):
+                        receiver.system.tell(name, sender.report())
+
+    # Faults.
+
+    def start_node(self):
+        node = Node(self, self.started_nodes)
+        self.started_nodes += 1
+        self.nodes_by_id[node.node_id] = node
+        return node
+
+    def kill(self, node):
+        self.freeze(node)
+        del self.nodes_by_id[node.node_id]
+
+    def freeze(self, node):
+        node.running = False
+        self.entries.append(h.NodeDown(self.now, node.node_id, planned=False))
+
+    def wake(self, node):
+        node.running = True
+        self.entries.append(h.NodeUp(self.now, node.node_id))
+
+    def set_store(self, up):
+        if up and not self.store_up:
+            self.entries.append(h.StoreOutage(self.outage_from, self.now))
+        elif self.store_up:
+            self.outage_from = self.now
+        self.store_up = up
+        for node in self.nodes:
+            if node.running:
+                node.store.set_available(up)
+
+    def drain_worker(self, info, announced):
+        if announced:
+            self.workers.cores_by_address[info.address].draining = True
+            self.entries.append(h.DrainAnnounced(self.now, info.worker_id))
+            return
+        self.entries.append(h.LeavingListed(self.now, info.worker_id))
+        self.leaving = (info,)
+        self._list_workers()
+
+    def _list_workers(self):
+        for node in self.nodes:
+            node.list_workers(self.leaving)
+
+    def heal(self):
+        """End all faults; leaving workers are replaced."""
+        self.workers.cut.clear()
+        self.workers.deaf.clear()
+        self.workers.dropped_replies = 0
+        for node in self.nodes:
+            node.store.lost_replies = 0
+            if not node.running:
+                self.wake(node)
+        self.set_store(True)
+        for node in self.nodes:
+            node.store.set_available(True)
+        for info in WORKERS:
+            core = self.workers.cores_by_address[info.address]
+            if core.draining or info in self.leaving:
+                self.workers.restart(info, self.now)
+        self.leaving = ()
+        self._list_workers()
+
+    # Requests of callers and operators.
+
+    def submit(self, node, spec):
+        asked = self._ask(node, r.DISPATCHER, r.SubmitJob(spec, ""))
+        asked.addCallbacks(lambda view: self._note_view(view, spec), _ignore_refusal)
+
+    def cancel(self, node, job_id):
+        asked = self._ask(node, r.DISPATCHER, r.CancelJob(job_id))
+        asked.addCallbacks(self._note_view, _ignore_refusal)
+
+    def poll(self, node, job_id):
+        asked = self._ask(node, r.DISPATCHER, r.PollJob(job_id, 0.0))
+        asked.addCallbacks(self._note_view, _ignore_refusal)
+
+    def configure(self, node):
+        """Let an operator change the configuration that a node knows."""
+        self.changes += 1
+        name = f"{60.0 + self.changes}"
+        document = json.dumps(
+            {
+                "format_version": 1,
+                "organisations": {"huon": {"guarantees": []}},
+                "classes": {"proof": {"target_s": float(name)}},
+            }
+        )
+        base = node.in_force.version if node.in_force else 0
+        message = r.ApplyConfiguration(document, base)
+        asked = self._ask(node, r.CONFIGURATION, message)
+        asked.addCallbacks(self._note_accepted, lambda f: self._note_refused(f, name))
+
+    def _ask(self, node, name, message):
+        if isinstance(message, r.SubmitJob):
+            spec = message.spec
+            job_id = job_id_for(DOMAIN, spec.organisation, spec.idempotency_key)
+            entry = h.JobRequested(self.now, job_id, spec.idempotent, spec.tasks)
+            self.entries.append(entry)
+        return node.system.ask(name, message)
+
+    def _note_view(self, view, spec=None):
+        if spec is not None:
+            self.specs_by_job[view.job_id] = spec
+        if view.state in FINAL_JOB_STATES:
+            answer = h.AnswerGiven(
+                self.now, view.job_id, view.state, view.durable, view.results
+            )
+            self.entries.append(answer)
+
+    def _note_accepted(self, configuration):
+        entry = h.ConfigurationAccepted(
+            self.now, configuration.version, name_of(configuration)
+        )
+        self.entries.append(entry)
+
+    def _note_refused(self, failure, name):
+        if failure.trap(RedwingrudderError) and failure.check(ConflictError):
+            self.entries.append(h.ConfigurationRefused(self.now, name))
+
+
+def name_of(configuration):
+    return str(configuration.classes_by_name["proof"].target_s)
+
+
+def list_vm(info, state="live"):
+    return r.VmInfo(
+        info.worker_id,
+        "worker",
+        state,
+        info.address,
+        info.failure_domain,
+        info.rack,
+        0,
+        info.accelerators,
+        info.slots,
+        info.cores,
+        info.memory_mb,
+    )
+
+
+def _ignore_refusal(failure):
+    failure.trap(RedwingrudderError)
