--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -11,7 +11,6 @@
     TaskEnded,
 )
 from .model import MemberPlacement, Placement, TaskOutcome
-from .policies import RunningGang
 
 # Answers to a start that a worker has seen before: the member runs or ran.
 STARTED_REASONS = frozenset({"already_started", "already_ended"})
@@ -50,6 +49,12 @@
         placed = False
         for gang_id in sorted(self.reclaiming):
             gang = self.gangs_by_id[gang_id]
+            if not self._is_still_allowed(gang):
+                # The cells have moved since the reclaim was planned.
+                self.set_cause(gang_id, Cause.BUSY, "cells_changed")
+                self.fire(gang_id, "member_draining")
+                self.settle(gang_id)
+                continue
             for worker_id in sorted(gang.unheld):
                 self._try_hold(gang, gang.members_by_worker[worker_id])
             if not gang.unheld:
@@ -182,20 +187,16 @@
         self.fire(gang_id, "cancel")
         self.settle(gang_id)
 
-    def running_gangs(self) -> list[RunningGang]:
-        """Return the gangs that hold resources with their expected ends."""
-        now = self._context.now
-        return [
-            RunningGang(
-                gang.gang_id,
-                gang.job_id,
-                gang.spec,
-                gang.started_at,
-                expected_end(gang, now),
-                gang.state in ("stopping", "releasing"),
-            )
-            for gang in self.gangs_by_id.values()
-        ]
+    def expected_end(self, gang_id: str) -> float:
+        """Return when a gang is expected to free its resources."""
+        gang, now = self.gangs_by_id[gang_id], self._context.now
+        if gang.state in ("stopping", "releasing"):
+            return now + gang.spec.stop_bound_s
+        end = gang.started_at + gang.expected_run_s
+        if end > now:
+            return end
+        # A gang beyond its expected end may run half as long again.
+        return now + OVERRUN_SHARE * (now - gang.started_at)
 
     def _new_gang(self, job: JobRecord, placement: Placement) -> GangRecord:
         now = self._context.now
@@ -244,6 +245,13 @@
         self.set_cause(gang.gang_id, Cause.LOST, "stopped_by_worker")
         self.fire(gang.gang_id, "task_failed")
 
+    def _is_still_allowed(self, gang: GangRecord) -> bool:
+        book = self._context.guarantees
+        return all(
+            book.allows(gang.spec, gang.members_by_worker[worker_id])
+            for worker_id in gang.unheld
+        )
+
     def _try_hold(self, gang: GangRecord, member: MemberPlacement) -> None:
         try:
             self._context.fleet.hold_member(gang.gang_id, gang.spec, member)
@@ -252,17 +260,6 @@
         gang.unheld.discard(member.worker_id)
 
 
-def expected_end(gang: GangRecord, now: float) -> float:
-    """Return when a gang is expected to free its resources."""
-    if gang.state in ("stopping", "releasing"):
-        return now + gang.spec.stop_bound_s
-    end = gang.started_at + gang.expected_run_s
-    if end > now:
-        return end
-    # A gang beyond its expected end is expected to run half as long again.
-    return now + OVERRUN_SHARE * (now - gang.started_at)
-
-
 def empty_gang(gang_id: str, job: JobRecord, member_count: int) -> GangRecord:
     """Return a gang of a job without members."""
     return GangRecord(
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -17,8 +17,6 @@
 ORDER_WINDOW = 32
 # Candidates for the probe of a quarantined worker that are tried per pass.
 PROBE_CANDIDATES = 8
-
-
 # Ordering all lanes costs time linear in their number, so a release of
 # resources orders only the lanes that it helps until this time has passed.
 FULL_PASS_INTERVAL_S = 1.0
@@ -95,6 +93,7 @@
             return
         self._room = measure(self._context)
         self.restrained.clear()
+        self._try_reserved()
         tried: set[LaneKey] = set()
         keys = self._next_lanes(tried)
         while keys:
@@ -102,6 +101,18 @@
             self._try_all(self._order(self._heads(keys)))
             keys = self._next_lanes(tried)
 
+    def _try_reserved(self) -> None:
+        """Try the job that holds the reservation.
+
+        It may stand behind a job of its own lane and shape, which the
+        reservation limits; no head of a lane would stand for it then.
+        """
+        queue, reservation = self._jobs.queue, self.reservation
+        if reservation is None or reservation.job_id not in queue:
+            return
+        shape = queue.key(reservation.job_id).shape
+        self._try(self._jobs.queued_job(reservation.job_id), shape)
+
     def _next_lanes(self, tried: set[LaneKey]) -> list[LaneKey]:
         """Return the lanes that were first at the last full pass.
 
@@ -288,9 +299,13 @@
         if self._reservation_tried or job.spec.accelerators <= 1:
             return
         self._reservation_tried = True
-        ends = {gang.gang_id: gang.expected_end for gang in self._gangs.running_gangs()}
         context = self._context
-        forecast = Forecast(context.fleet, context.guarantees, ends, context.now)
+        forecast = Forecast(
+            context.fleet,
+            context.guarantees,
+            self._gangs.expected_end,
+            context.now,
+        )
         self.reservation = reserve(job.job_id, job.spec, forecast)
 
     def _must_look_again(self) -> bool:
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -21,6 +21,8 @@
 RUN_PERCENTILE = 0.8
 # Attained service halves in this time, so that old use does not count forever.
 SERVICE_HALF_LIFE_S = 1800.0
+# Callers are named by requests, so their number has to be bounded.
+SERVICE_ENTRIES_LIMIT = 20_000
 AGED_TARGETS = 4.0
 # Aged jobs come first during one tenth of the time. All of the time would let
 # the aged part of a flood displace the work that can still meet its target.
@@ -37,6 +39,8 @@
 
 QUEUED_TOTAL_LIMIT = 20_000
 QUEUED_GROUP_LIMIT = 5_000
+# One caller must not use up the bound of its organisation.
+QUEUED_CALLER_LIMIT = 2_500
 OVERLOADED_RETRY_S = 5.0
 
 FAILURES_IN_A_ROW = 3
@@ -114,6 +118,12 @@
             current = self._service.get(key, _Service(0.0, now)).decayed(now)
             total = max(0.0, current + accelerator_seconds)
             self._service[key] = _Service(total, now)
+        if len(self._service) > SERVICE_ENTRIES_LIMIT:
+            self._forget_small_service(now)
+
+    def _forget_small_service(self, now: float) -> None:
+        entries = sorted(self._service.items(), key=lambda entry: entry[1].decayed(now))
+        self._service = dict(entries[SERVICE_ENTRIES_LIMIT // 2 :])
 
     def leaves_headroom(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
         """Keep room for classes that cannot wait until the job has ended."""
@@ -194,7 +204,7 @@
 
 
 class SlackAdmission(AdmissionPolicy):
-    """Bounds the queue per organisation and class and in total."""
+    """Bounds the queue by caller, by organisation and class, and in total."""
 
     def admit(
         self,
@@ -211,17 +221,15 @@
                 f" exceed the {len(fleet.workers_by_id)} workers of the domain"
             )
             return Refusal("shape_never_fits", detail, None)
-        if queued.of_group >= QUEUED_GROUP_LIMIT:
-            detail = (
-                f"{queued.of_group} jobs of {spec.organisation} and class"
-                f" {spec.job_class} are queued, the limit is {QUEUED_GROUP_LIMIT}"
-            )
-            return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
-        if queued.total >= QUEUED_TOTAL_LIMIT:
-            detail = (
-                f"{queued.total} jobs are queued, the limit is {QUEUED_TOTAL_LIMIT}"
-            )
-            return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
+        bounds = (
+            (queued.of_caller, QUEUED_CALLER_LIMIT, f"caller {spec.caller}"),
+            (queued.of_group, QUEUED_GROUP_LIMIT, f"organisation {spec.organisation}"),
+            (queued.total, QUEUED_TOTAL_LIMIT, "the failure domain"),
+        )
+        for count, limit, name in bounds:
+            if count >= limit:
+                detail = f"{count} jobs of {name} are queued, the limit is {limit}"
+                return Refusal("overloaded", detail, OVERLOADED_RETRY_S)
         return None
 
 
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -30,17 +30,6 @@
     attempts: int
 
 
-class RunningGang(NamedTuple):
-    """A gang that holds resources; ``expected_end`` is an absolute time."""
-
-    gang_id: str
-    job_id: str
-    spec: JobSpec
-    started_at: float
-    expected_end: float
-    stopping: bool
-
-
 class ReclaimPlan(NamedTuple):
     """A placement that is possible once the named gangs have stopped."""
 
@@ -145,10 +134,11 @@
 
 
 class QueueSize(NamedTuple):
-    """Queued jobs in total and of one organisation and class."""
+    """Queued jobs: all, of one organisation and class, of one caller in it."""
 
     total: int
     of_group: int
+    of_caller: int
 
 
 class AdmissionPolicy(abc.ABC):
