Make gang ids unique over owners

Gang ids now contain the epoch, which the dispatcher gives to its scheduler. Renaming gangs at the border to the workers was ruled out, as ids in reports and log lines would differ.

--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -202,7 +202,8 @@
         now = self._context.now
         self._serial += 1
         # Unique over owners as well: a worker never runs a gang id twice.
-        gang_id = f"{job.job_id}.{int(now * 1000):x}.{self._serial:x}"
+        owner = self._context.owner
+        gang_id = f"{job.job_id}.{owner}{int(now * 1000):x}.{self._serial:x}"
         members = {member.worker_id: member for member in placement.members}
         gang = empty_gang(gang_id, job, len(members))
         gang.members_by_worker.update(members)
--- a/src/redwingrudder/_scheduler_state.py
+++ b/src/redwingrudder/_scheduler_state.py
@@ -184,6 +184,8 @@
         self, failure_domain: str, policies: PolicySet, guarantees: GuaranteeBook
     ) -> None:
         self.failure_domain = failure_domain
+        # Part of every gang id, so that two owners never form the same one.
+        self.owner = ""
         self.policies = policies
         self.guarantees = guarantees
         self.fleet = Fleet()
--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_tenure.py
@@ -72,6 +72,7 @@
         self._domain = parts.settings.failure_domain
         self.epoch = epoch
         self.scheduler = parts.scheduler
+        parts.scheduler.set_owner(epoch)
         self.reporter = JobReporter(parts.settings.node_id, parts.observer)
         self.waiters = JobWaiters(parts.system, DISPATCHER)
         self.roster = WorkerRoster(parts.system, parts.settings, epoch, parts.transport)
@@ -273,8 +274,7 @@
             return
         if self.closed:
             return
-        ends = [record.body["finished_at"] or 0.0 for record in stored]
-        for _, record in sorted(zip(ends, stored, strict=True), key=lambda p: p[0]):
+        for record in sorted(stored, key=lambda r: r.body["finished_at"] or 0.0):
             self.take_record(record)
         self._loaded = True
         self._check_recovery()
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -89,6 +89,10 @@
         """Workers and what is held on them, to be read only."""
         return self._context.fleet
 
+    def set_owner(self, epoch: Epoch) -> None:
+        """Make the gang ids unique over owners by the epoch of this one."""
+        self._context.owner = "-".join(map(str, epoch)) + "."
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return the effects to carry out, in order."""
         context = self._context
