Let the ownership model follow the hand-over action

Cause: the chart gained hand_over, which the model did not know, and the check failed as intended. Change: the model treats it as the release of the record.

--- a/src/redwingrudder/_spec_ownership.py
+++ b/src/redwingrudder/_spec_ownership.py
@@ -7,16 +7,15 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from ._ownership_chart import load_ownership_chart
 from ._spec_common import Coverage, Model
 from .model import Epoch
-from .ownership import _ACTIONS, _EVENTS
-from .statecharts import load_chart
 
 FENCED = "I2: a worker accepts no command below an epoch that it has seen"
 UNIQUE = "I5: no two ownerships have the same epoch"
 RISING = "I5: the store gives every new owner a higher epoch than before"
 
-CHART = load_chart("ownership", _EVENTS, _ACTIONS)
+CHART = load_ownership_chart()
 UNCLAIMED = Epoch(0, 0, 0)
 OUTAGES = 1
 LAPSES = 1
@@ -206,6 +205,9 @@
         own = domain.record is not None and domain.record[0] == index
         return domain._replace(record=None) if own and domain.store_up else domain
 
+    def _hand_over(self, domain: Domain, index: int, cause: str | Epoch) -> Domain:
+        return self._release_record(domain, index, cause)
+
     def _raise_local_term(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
         node = domain.nodes[index]
         term = node.highest.local_term + 1
