Place nothing on a leaving worker that a new owner claims

A new owner told the scheduler first that the worker was claimed and then that it leaves, and the scheduler reserved on it in between; the generated histories of test_history found it (I6, worker w2). The report itself now says that the worker drains.

--- a/src/redwingrudder/_worker_roster.py
+++ b/src/redwingrudder/_worker_roster.py
@@ -92,7 +92,7 @@
         link = self._links_by_worker[worker_id]
         event = message.event
         if isinstance(event, WorkerClaimed):
-            return [event, *self._note_claim(worker_id, link)]
+            return self._note_claim(worker_id, link, event)
         if isinstance(event, WorkerLost):
             self._update(worker_id, claimed=False, settled=True)
             self._forget_leaving(worker_id)
@@ -140,10 +140,16 @@
         newly = leaving and not link.leaving and link.claimed
         return [WorkerDraining(worker_id)] if newly else []
 
-    def _note_claim(self, worker_id: str, link: _Link) -> list[Event]:
+    def _note_claim(
+        self, worker_id: str, link: _Link, event: WorkerClaimed
+    ) -> list[Event]:
         self._update(worker_id, claimed=True, settled=True)
         self.send(worker_id, ClaimSeen())
-        return [WorkerDraining(worker_id)] if link.leaving else []
+        if not link.leaving:
+            return [event]
+        # The report says so too: work could be placed between two events.
+        report = event.report._replace(draining=True)
+        return [WorkerClaimed(report), WorkerDraining(worker_id)]
 
     def _forget_leaving(self, worker_id: str) -> None:
         vm = self._vms_by_id.get(worker_id)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -332,6 +332,25 @@
         self.assertFalse(self.transport.cores_by_address["w1:1"].history)
         self.assertEqual(len(self.starts()), 3)
 
+    def test_a_new_owner_places_nothing_on_a_leaving_worker(self):
+        for core in self.transport.cores_by_address.values():
+            core.draining = True
+        view = self.node.submit(ONCE)
+        for info in WORKERS:
+            self.transport.restart(info.address)
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        successor = Node(self.clock, self.core, self.transport)
+        leaving = [list_worker(info, "leaving") for info in WORKERS]
+        successor.list_workers(*leaving)
+        self.transport.cut.update(info.address for info in WORKERS)
+        successor.own(2)
+        successor.run_for(3.0)
+        self.transport.cut.clear()
+        successor.run_for(4.0)
+        self.assertIs(successor.poll(view.job_id).state, JobState.QUEUED)
+        cores = self.transport.cores_by_address.values()
+        self.assertEqual([entry for core in cores for entry in core.history], [])
+
     def test_a_worker_that_left_the_list_is_lost_only_after_its_lease(self):
         view = self.node.submit(ONCE._replace(payload='{"run_s": 3}'))
         self.node.run_for(0.5)
