Read the record of a key before a new job is refused

Cause: admission came before the lookup of the key. Change: a refusal reads the record first and names the other domain; beyond 100 such reads a second, or without the store, the answer is outcome_unknown. Ruled out: reading the record before every admission; it costs one store call for each job although only refused ones need it.

--- a/src/redwingrudder/_job_intake.py
+++ b/src/redwingrudder/_job_intake.py
@@ -22,6 +22,9 @@
 from .requests import SubmitJob
 
 STORE_RETRY_S = 2.0
+# Refusals that read the store first, per second; the store serves about
+# 2,000 reads a second to all domains.
+REFUSAL_READS_PER_S = 100.0
 
 
 class JobIntake:
@@ -46,6 +49,7 @@
         self._owned = owned
         self._now = now
         self._bucket = TokenBucket(writes_per_s, writes_per_s, now())
+        self._reads = TokenBucket(REFUSAL_READS_PER_S, REFUSAL_READS_PER_S, now())
         self._creating: dict[str, list[Deferred]] = {}
         self.draining = False
 
@@ -64,7 +68,10 @@
         known = self._find_known(tenure, job_id, spec)
         if known is not None:
             return known
-        self._check_admission(tenure, spec)
+        try:
+            self._check_admission(tenure, spec)
+        except RedwingrudderError as refusal:
+            await self._refuse(tenure, spec, refusal)
         self._creating[job_id] = []
         try:
             return await self._create(tenure, spec, message.correlation_id)
@@ -102,6 +109,30 @@
             detail = f"this domain accepts {rate:g} jobs a second"
             raise OverloadedError(detail, code="store_busy", retry_after_s=wait_s)
 
+    async def _refuse(
+        self, tenure: Tenure, spec: JobSpec, refusal: RedwingrudderError
+    ) -> None:
+        """Raise the refusal, unless another domain may run the same key.
+
+        A refusal tells the caller that nothing was run, so the record of the
+        key is read first. Where that is not possible the answer says so.
+        """
+        wait_s = self._reads.take(self._now())
+        try:
+            if wait_s > 0:
+                raise StoreUnavailableError("too many refusals at once")
+            stored = await tenure.ledger.find(spec)
+        except UnavailableError as error:
+            raise OutcomeUnknownError(
+                f"not accepted now ({refusal.code}); whether an earlier request "
+                f"with this key was accepted is not known: {error.detail}",
+                retry_after_s=refusal.retry_after_s or STORE_RETRY_S,
+            ) from None
+        if stored is not None:
+            _check_same_body(stored.body["digest"], spec)
+            self._check_domain(stored.body)
+        raise refusal
+
     async def _create(
         self, tenure: Tenure, spec: JobSpec, correlation_id: str
     ) -> JobView:
--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -140,6 +140,14 @@
         reply = await self._store.save(body, 0)
         return reply.stored
 
+    async def find(self, spec: JobSpec) -> StoredRecord | None:
+        """Read the record that holds the key of a job, if any.
+
+        Raises:
+            StoreUnavailableError: The store cannot be read.
+        """
+        return await self._store.read(records.record_key(spec))
+
     def add_stored(self, record: StoredRecord) -> None:
         """Know a job from its record, unless its end is known already."""
         body = record.body
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -35,6 +35,7 @@
 )
 from redwingrudder.policies import slack_policies
 from redwingrudder.scheduler import Scheduler
+from redwingrudder.standins._key_value import Put
 from redwingrudder.timers import TimerService
 from tests.fakes import FakeStore, Recorder
 from tests.worker_fakes import FakeTransport, run_clock
@@ -374,6 +375,24 @@
         self.assertEqual(caught.exception.code, "store_busy")
         self.assertEqual(len(slow.store.core.range(b"/jobs/", b"/jobs0")), 1)
 
+    def test_refusal_of_a_key_that_runs_elsewhere_does_not_say_not_run(self):
+        """A retry through a full domain must not look like a job not run."""
+        self.node.submit(ONCE)
+        self.node.run_for(4.0)
+        key = record_key(ONCE).encode()
+        record = self.record()
+        record["domain"] = "devonport"
+        self.core.transact((), (Put(key, json.dumps(record).encode()),), 0.0)
+        full = Node(self.clock, self.core, FakeTransport(self.clock, WORKERS), 1.0)
+        full.own(9)
+        full.submit(SPEC._replace(idempotency_key="second"))
+        with self.assertRaises(ConflictError) as caught:
+            full.submit(ONCE)
+        self.assertEqual(caught.exception.code, "other_domain")
+        full.store.set_available(False)
+        with self.assertRaises(OutcomeUnknownError):
+            full.submit(ONCE)
+
     def test_large_results_stay_at_the_workers_for_ten_minutes(self):
         payload = json.dumps({"run_s": 0.1, "result": "x" * 40_000})
         view = self.node.submit(SPEC._replace(payload=payload))
