--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format unittest
+.PHONY: demo test lint format modelcheck unittest
 
 demo: $(STAMP)
 	$(VENV)/bin/redwingrudder demo
 
-test: lint unittest
+test: lint modelcheck unittest
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests
@@ -17,6 +17,9 @@
 	$(VENV)/bin/ruff format src tests
 	$(VENV)/bin/ruff check --fix src tests
 
+modelcheck: $(STAMP)
+	$(PYTHON) -m redwingrudder.specification
+
 unittest: $(STAMP)
 	$(PYTHON) -m tests.run
 
--- a/src/redwingrudder/_bench_load.py
+++ b/src/redwingrudder/_bench_load.py
@@ -137,6 +137,18 @@
     ),
 }
 
+# About 3,400 jobs a day, most of which run for hours.
+WORKLOADS_BY_DEPLOYMENT["target"] = _workload(
+    WorkKind("counter-proof", "shop-counters", 0.01, (1, 2), 600.0, 0.5, True, False),
+    WorkKind("swatch-check", "swatch-lab", 0.35, (4, 8), 7_200.0, 0.5, True, True),
+    WorkKind(
+        "pattern-run", "seasonal-buyers", 0.30, (16, 32), 5_400.0, 0.5, False, False
+    ),
+    WorkKind(
+        "swatch-check", "franchise-office", 0.34, (8, 64), 7_200.0, 0.5, True, True
+    ),
+)
+
 
 def arrivals(
     workload: Workload,
