Tell the truth on targets and on a failed local start; mend the commands

Change: a final job's target_missed is what happened; the job text reaches the server as it is; the command object lists its commands; local ends with not_started; explain, show and status print readable text. Ruled out: dropping predicted misses; operators want them early.

--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -290,10 +290,12 @@
             context.now + FINAL_JOB_RETENTION_S, TimerKind.FORGET, job.job_id
         )
         self.waiting_for_recovery.discard(job.job_id)
+        missed = job.target_missed
         if job.state != JobState.NOT_RUN:
-            met = job.state == JobState.SUCCEEDED and context.now <= job.target_at
-            self._counts(job)["target_met" if met else "target_missed"] += 1
-        return job._replace(finished_at=context.now, gang_id=None)
+            # A miss that was predicted from a wrong run time is taken back.
+            missed = job.state != JobState.SUCCEEDED or context.now > job.target_at
+            self._counts(job)["target_missed" if missed else "target_met"] += 1
+        return job._replace(finished_at=context.now, gang_id=None, target_missed=missed)
 
     def _counts(self, job: JobRecord) -> Counter[str]:
         return self.counts_by_class.setdefault(job.spec.job_class, Counter())
--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import fire
+from fire.decorators import SetParseFn
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import react
@@ -110,6 +111,8 @@
         ]
         print_reports(reports, json)
 
+    # Without this, fire reads the JSON text as a Python expression.
+    @SetParseFn(str, "job", "key")
     def submit(
         self,
         job: str,
@@ -172,7 +175,9 @@
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
-        self._call(node, lambda client: client.explain(job_id), json)
+        self._call(
+            node, lambda client: client.explain(job_id), json, _print_explanation
+        )
 
     def show(self, node: str = DEFAULT_NODE, json: bool = False) -> None:
         """Show the configuration in force.
@@ -181,7 +186,9 @@
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
-        self._call(node, lambda client: client.configuration(), json)
+        self._call(
+            node, lambda client: client.configuration(), json, _print_configuration
+        )
 
     def apply(
         self,
@@ -200,7 +207,12 @@
         """
         document = _read_configuration(file)
         version = int(base_version)
-        self._call(node, lambda client: client.apply(document, version), json)
+        self._call(
+            node,
+            lambda client: client.apply(document, version),
+            json,
+            _print_configuration,
+        )
 
     def platform(self, port: int = 7000, host: str = "127.0.0.1") -> None:
         """Run the stand-in of the platform's store and VM list.
@@ -272,7 +284,7 @@
 def main() -> None:
     """Entry point; maps errors to exit codes."""
     try:
-        fire.Fire(Commands, name="redwingrudder")
+        fire.Fire(Commands(), name="redwingrudder")
     except RedwingrudderError as error:
         for line in getattr(error, "problems", ()):
             print(line, file=sys.stderr)
@@ -307,19 +319,17 @@
     return tuple(nodes)
 
 
-def _read_job(job: Any) -> dict[str, Any]:
-    # fire parses a JSON object on the command line into a dict by itself.
-    if isinstance(job, str):
-        text = settings.read_file(job[1:]) if job.startswith("@") else job
-        try:
-            job = json_module.loads(text)
-        except ValueError as error:
-            raise BadRequestError(
-                f"the job is not a JSON document: {error}", code="malformed_json"
-            ) from None
-    if not isinstance(job, dict):
+def _read_job(job: str) -> dict[str, Any]:
+    text = settings.read_file(job[1:]) if job.startswith("@") else job
+    try:
+        body = json_module.loads(text)
+    except ValueError as error:
+        raise BadRequestError(
+            f"the job is not a JSON document: {error}", code="malformed_json"
+        ) from None
+    if not isinstance(body, dict):
         raise BadRequestError("the job must be a JSON object", code="invalid_job")
-    return job
+    return body
 
 
 def _check_file(path: str) -> list[str]:
@@ -347,13 +357,39 @@
         raise
 
 
+def _print_configuration(body: dict[str, Any]) -> None:
+    print(f"version {body['version']}")
+    for section in ("organisations", "classes"):
+        print(f"\n{section}")
+        print_fields(
+            {
+                name: json_module.dumps(entry)
+                for name, entry in body["document"][section].items()
+            }
+        )
+    print("\nfailure domains of the guaranteed shapes")
+    print_table(body["cells"])
+
+
+def _print_explanation(body: dict[str, Any]) -> None:
+    print(f"{body['job_id']} is {body['state']}")
+    for reason in body["reasons"]:
+        print(f"- {reason}")
+
+
+def _domain_row(domain: dict[str, Any]) -> dict[str, Any]:
+    plain = {
+        key.replace("_", " "): value
+        for key, value in domain.items()
+        if not isinstance(value, list)
+    }
+    plain["epoch"] = ".".join(str(part) for part in domain["epoch"].values())
+    return plain
+
+
 def _print_domains(body: dict[str, Any]) -> None:
     domains = body["failure_domains"]
-    plain = [
-        {key: value for key, value in domain.items() if not isinstance(value, list)}
-        for domain in domains
-    ]
-    print_table(plain)
+    print_table([_domain_row(domain) for domain in domains])
     for name in body["unreachable"]:
         print(f"{name}: its owner gives no answer")
     for section in ("organisations", "classes", "shortages"):
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -33,6 +33,7 @@
     GetStatus,
     LocalLoad,
     MembersChanged,
+    OwnerChanged,
     OwnershipEnded,
     OwnershipGained,
     PollJob,
@@ -115,6 +116,7 @@
             OwnershipGained: self._gain,
             EpochRaised: self._raise_epoch,
             OwnershipEnded: self._end,
+            OwnerChanged: lambda _: None,  # told to all followers of ownership
             ConfigurationChanged: self._configure,
             MembersChanged: self._follow_members,
             LinkEvent: self._take_link_event,
--- a/src/redwingrudder/local.py
+++ b/src/redwingrudder/local.py
@@ -7,14 +7,16 @@
 import json
 from typing import Any
 
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from . import requests
-from ._background import run
 from .actors import ActorSystem
 from .client import Client
 from .configuration import ConfigurationDocument, parse_document
-from .exceptions import ConflictError, UnavailableError
+from .exceptions import ConflictError, RedwingrudderError, UnavailableError
 from .logs import configure_logging
 from .model import WorkerInfo
 from .node import Node, stop_on_signals
@@ -177,14 +179,26 @@
     configure_logging(settings["name"], "WARNING")
     local = LocalDeployment(settings, reactor, port)
 
+    failures: list[Failure] = []
+
     async def start() -> None:
         await local.start(document)
         for url in local.urls:
             print(url, flush=True)
 
+    def abandon(failure: Failure) -> None:
+        failures.append(failure)
+        reactor.stop()
+
+    def begin() -> None:
+        Deferred.fromCoroutine(start()).addErrback(abandon)
+
     stop_on_signals(reactor, local.stop)
-    reactor.callWhenRunning(run, start(), settings["name"])
+    reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
+    for failure in failures:
+        failure.trap(RedwingrudderError, CannotListenError)
+        raise UnavailableError(str(failure.value), code="not_started")
 
 
 def worker_vm(info: WorkerInfo) -> VmBody:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -113,6 +113,13 @@
         self.assertEqual(missed.count(late), 1)
         self.assertEqual(self.world.state(late), JobState.QUEUED)
 
+    def test_miss_that_was_predicted_wrongly_is_taken_back(self):
+        """A caller must not read a miss on an answer that came in time."""
+        job = self.world.run(declared_run_s=60.0)
+        self.world.end(job)
+        self.assertIs(self.world.state(job), JobState.SUCCEEDED)
+        self.assertFalse(self.world.scheduler.view(job).target_missed)
+
     def test_finish_by_is_a_time_of_day_in_utc(self):
         press = JobClass("press", None, "22:15")
         # 2023-11-14 22:13:20 and, after the press time, the next day.
