--- a/src/redwingrudder/_http_server.py
+++ b/src/redwingrudder/_http_server.py
@@ -1,17 +1,29 @@
 """Requests and connections of the HTTP server, with limits on their size."""
 
+import uuid
 from collections.abc import Callable
+from http import HTTPStatus
 from io import BytesIO
 
 from twisted.internet.interfaces import IAddress, IProtocol
 from twisted.protocols.policies import WrappingFactory
+from twisted.python.failure import Failure
 from twisted.web import server
+from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 
 from ._problems import Answer, problem_answer
-from .exceptions import PayloadTooLargeError
+from .exceptions import (
+    BadRequestError,
+    PayloadTooLargeError,
+    RedwingrudderError,
+    UnavailableError,
+)
 
 BODY_LIMIT_BYTES = 256 * 1024
+# Of all requests in progress; a node has 256 MB.
+BODIES_LIMIT_BYTES = 32 * 1024 * 1024
+OVERLOAD_RETRY_S = 1.0
 CONNECTIONS_LIMIT = 20_000
 CONNECTION_TIMEOUT_S = 60  # without any data while a request is awaited
 REFUSAL_LINGER_S = 1.0
@@ -23,23 +35,37 @@
     """A request whose body is refused as soon as it exceeds the limit."""
 
     refused = False
-    _received_bytes = 0
+    _kept_bytes = 0
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse an announced length before any of the body is read."""
         self.content = BytesIO()
         if length is not None and length > BODY_LIMIT_BYTES:
-            self._refuse()
+            self._refuse(_too_large())
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Keep a part of the body; after a refusal it is discarded."""
-        self._received_bytes += len(data)
         if self.refused:
             return
-        if self._received_bytes > BODY_LIMIT_BYTES:
-            self._refuse()
-            return
-        self.content.write(data)
+        site = self.channel.site
+        if self._kept_bytes + len(data) > BODY_LIMIT_BYTES:
+            self._refuse(_too_large())
+        elif site.body_bytes + len(data) > BODIES_LIMIT_BYTES:
+            self._refuse(_too_many_bodies())
+        else:
+            self._kept_bytes += len(data)
+            site.body_bytes += len(data)
+            self.content.write(data)
+
+    def finish(self) -> None:
+        """See base class."""
+        self._release_body()
+        super().finish()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """See base class."""
+        self._release_body()
+        super().connectionLost(reason)
 
     def requestReceived(self, *arguments: bytes) -> None:  # noqa: N802
         """Process the request unless it is answered already."""
@@ -66,31 +92,70 @@
             return None
         return b",".join(values).decode("utf-8", "replace")
 
-    def _refuse(self) -> None:
-        """Answer 413 and close without reading the rest of the body.
+    def _refuse(self, error: RedwingrudderError) -> None:
+        """Answer and close without keeping the rest of the body.
 
         The connection is closed after a delay because the kernel resets a
         connection that is closed with unread data, and the caller would then
         lose the answer.
         """
         self.refused = True
-        self.content = BytesIO()
+        self._release_body()
         # Nothing may follow the answer, not even "100 Continue".
         self.requestHeaders.removeHeader(b"Expect")
-        correlation_id = self.channel.site.correlation_id(self)
-        answer = problem_answer(
-            PayloadTooLargeError(f"the body exceeds {BODY_LIMIT_BYTES} bytes"),
-            correlation_id,
+        self.channel.refuse(error, self.channel.site.correlation_id(self))
+        self.channel.callLater(REFUSAL_LINGER_S, self.channel.loseConnection)
+
+    def _release_body(self) -> None:
+        self.channel.site.body_bytes -= self._kept_bytes
+        self._kept_bytes = 0
+        self.content = BytesIO()
+
+
+def _too_large() -> RedwingrudderError:
+    return PayloadTooLargeError(f"the body exceeds {BODY_LIMIT_BYTES} bytes")
+
+
+def _too_many_bodies() -> RedwingrudderError:
+    return UnavailableError(
+        "the bodies of the requests in progress take too much memory",
+        code="overloaded",
+        retry_after_s=OVERLOAD_RETRY_S,
+    )
+
+
+class ApiChannel(HTTPChannel):
+    """One connection; answers with a code to what is no HTTP request."""
+
+    def refuse(self, error: RedwingrudderError, correlation_id: str) -> None:
+        """Write an answer outside of any request, with a close."""
+        answer = problem_answer(error, correlation_id)
+        headers = (
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(answer.body))),
+            ("X-Correlation-Id", correlation_id),
+            ("Connection", "close"),
+            *answer.headers,
         )
-        head = (
-            f"HTTP/1.1 {answer.status} Payload Too Large\r\n"
-            f"Content-Type: {answer.content_type}\r\n"
-            f"Content-Length: {len(answer.body)}\r\n"
-            f"X-Correlation-Id: {correlation_id}\r\n"
-            "Connection: close\r\n\r\n"
+        phrase = HTTPStatus(answer.status).phrase
+        lines = [f"HTTP/1.1 {answer.status} {phrase}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        head = "\r\n".join((*lines, "", ""))
+        self.transport.write(head.encode("ascii") + answer.body)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Answer before the connection closes."""
+        self._respondToBadRequestAndDisconnect()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        """Replace the answer of the base class, which has no body."""
+        error = BadRequestError(
+            "the request line, a header or a chunk is malformed or too long",
+            code="malformed_request",
         )
-        self.channel.transport.write(head.encode("ascii") + answer.body)
-        self.channel.callLater(REFUSAL_LINGER_S, self.channel.loseConnection)
+        self.refuse(error, uuid.uuid4().hex)
+        # The base class goes on to parse unless the connection is closing.
+        self.loseConnection()
 
 
 class RootResource(Resource):
@@ -111,6 +176,8 @@
 class ApiSite(server.Site):
     """Connections of the HTTP interface."""
 
+    protocol = ApiChannel
+
     def __init__(
         self,
         responder: Responder,
@@ -125,6 +192,7 @@
             reactor=reactor,
         )
         self.correlation_id = correlation_id
+        self.body_bytes = 0
 
     def log(self, request: LimitedRequest) -> None:
         """Write no access log: metrics count the requests."""
--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -42,6 +42,7 @@
         self.waiting_for_recovery: set[str] = set()
         self.counts_by_class: dict[str, Counter[str]] = {}
         self.queued_by_group: Counter[tuple[str, str]] = Counter()
+        self.queued_by_caller: Counter[tuple[str, str, str]] = Counter()
         self.retries_by_class: Counter[str] = Counter()
         self.first_attempts_by_class: Counter[str] = Counter()
         self._actions = {
@@ -78,7 +79,7 @@
         self._add(job)
         if context.recovered and event.start_recorded:
             self.fire(job.job_id, "outcome_lost", reason="start_recorded")
-        elif not self._refuse_unknown(job.job_id):
+        else:
             self.fire(job.job_id, "submitted")
 
     def adopt(self, report: MemberReport) -> None:
@@ -148,7 +149,7 @@
                 continue
             if self._class_of(job.spec) not in (None, job.job_class):
                 self._set_target(job)
-            elif job.job_class is None and job.state == JobState.QUEUED:
+            elif job.job_class is None and job.job_id in self.queue:
                 self._refuse_unknown(job.job_id)
 
     def _regroup(self) -> None:
@@ -302,12 +303,18 @@
         if job.state == JobState.QUEUED:
             group = (job.spec.organisation, job.spec.job_class)
             self.queued_by_group[group] += change
+            caller = (*group, job.spec.caller)
+            self.queued_by_caller[caller] += change
+            if not self.queued_by_caller[caller]:
+                del self.queued_by_caller[caller]
 
     def _enqueue(self, job: JobRecord) -> None:
         context = self._context
         if job.waits_for_recovery and not context.recovered:
             self.waiting_for_recovery.add(job.job_id)
             return
+        if self._refuse_unknown(job.job_id):
+            return
         if job.parked_until > context.now:
             context.times.add(job.parked_until, TimerKind.UNPARK, job.job_id)
             return
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -89,6 +89,10 @@
         """Workers and what is held on them, to be read only."""
         return self._context.fleet
 
+    def set_owner(self, epoch: Epoch) -> None:
+        """Make the gang ids unique over owners by the epoch of this one."""
+        self._context.owner = "-".join(map(str, epoch)) + "."
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return the effects to carry out, in order."""
         context = self._context
@@ -116,7 +120,11 @@
             detail = f"class {spec.job_class!r} is not configured"
             return Refusal("unknown_class", detail, None)
         group = (spec.organisation, spec.job_class)
-        size = QueueSize(jobs.queued_total, jobs.queued_by_group[group])
+        size = QueueSize(
+            jobs.queued_total,
+            jobs.queued_by_group[group],
+            jobs.queued_by_caller[(*group, spec.caller)],
+        )
         return context.policies.admission.admit(
             spec, size, context.fleet, configuration
         )
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,15 +5,26 @@
 import logging
 import unittest
 
+from twisted.internet.task import Clock
+
+from redwingrudder import requests
+from redwingrudder._metrics_actor import METRICS, MetricsActor, MetricsObserver
+from redwingrudder.actors import ActorSystem
 from redwingrudder.logs import LineFormatter
 from redwingrudder.metrics import CODES_LIMIT, JobTimes, NodeMetrics
 from redwingrudder.model import (
     Configuration,
+    Epoch,
     GuaranteeShortage,
     JobClass,
+    JobSpec,
     JobState,
+    JobView,
     Organisation,
 )
+from redwingrudder.timers import TimerService
+
+from .scripted import Scripted
 
 CONFIGURATION = Configuration(
     3, {"shop": Organisation("shop", ())}, {"proof": JobClass("proof", 5.0, None)}, ()
@@ -52,6 +63,23 @@
         not_run = self.sample("jobs_finished_total", **labels, state="not_run")
         self.assertEqual(not_run, 1)
 
+    def test_observer_measures_the_wait_and_the_share_of_the_target(self):
+        clock = Clock()
+        observer = MetricsObserver(self.metrics, lambda: CONFIGURATION, clock.seconds)
+        spec = JobSpec("shop", "proof", "", "k", 1, 1, 1, 1, True, True, 1.0, 1.0, "")
+        view = JobView(
+            "d1-a", "shop", "proof", JobState.SUCCEEDED, "", True, False, 0.0, 4.0, ()
+        )
+        observer.job_submitted(spec)
+        clock.advance(3.0)
+        observer.job_started(spec)
+        clock.advance(1.0)
+        observer.job_started(spec)
+        observer.job_finished(view, spec)
+        labels = {"organisation": "shop", "job_class": "proof"}
+        self.assertEqual(self.sample("queue_wait_seconds_sum", **labels), 3.0)
+        self.assertEqual(self.sample("completion_target_ratio_sum", **labels), 0.8)
+
     def test_shortage_that_ended_disappears(self):
         self.metrics.set_shortages((GuaranteeShortage("shop", 0, 0, 8, 1.0),) * 2)
         name = "guarantee_shortage_accelerators"
@@ -59,6 +87,30 @@
         self.metrics.set_shortages(())
         self.assertIsNone(self.sample(name, organisation="shop"))
 
+    def test_gauges_follow_ownership_and_store(self):
+        """A former owner must not go on to show its old domain."""
+        clock = Clock()
+        system = ActorSystem(clock)
+        TimerService(system)
+        Scripted(system, requests.STORE, (requests.SubscribeStoreStatus,))
+        status = requests.DomainStatus(
+            "d1", "n1", Epoch(1, 0, 0), 3, 2, 0, 0, 16, 9, 8, 5, 1, (), (), ()
+        )
+        Scripted(system, requests.DISPATCHER, (requests.GetStatus,), status)
+        MetricsActor(system, self.metrics)
+        system.start()
+        for message in (
+            requests.StoreStatus(True),
+            requests.OwnershipGained(Epoch(1, 0, 0)),
+        ):
+            system.tell(METRICS, message)
+        clock.pump([0.0, 10.0, 0.0, 0.0, 0.0])
+        names = ("store_available", "owner", "free_accelerators", "queued_jobs")
+        self.assertEqual([self.sample(name) for name in names], [1, 1, 9, 5])
+        system.tell(METRICS, requests.OwnershipEnded("fenced"))
+        clock.pump([0.0, 30.0, 0.0, 0.0])
+        self.assertEqual([self.sample(name) for name in names], [1, 0, 0, 0])
+
     def test_nodes_of_one_process_have_separate_metrics(self):
         self.metrics.set_owner(True)
         self.assertIn(b"redwingrudder_owner 0.0", NodeMetrics().render())
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,10 +8,10 @@
 
 from redwingrudder import messages as m
 from redwingrudder._scheduler_jobs import find_target
-from redwingrudder.model import JobClass, JobState, TaskOutcome
+from redwingrudder.model import JobClass, JobState, TaskOutcome, TaskResult
 from redwingrudder.policies import fcfs_policies
 
-from .scheduler_world import SPEC, World
+from .scheduler_world import CONFIGURATION, SPEC, World
 
 
 class GeneratedScheduleTests(unittest.TestCase):
@@ -135,6 +135,19 @@
         self.assertEqual(self.world.state(job), JobState.FAILED)
         self.assertEqual(len(self.world.start_sent[job]), 3)
 
+    def test_first_result_of_a_task_stands(self):
+        """Guards I3: a late or repeated part must not replace another."""
+        job = self.world.run(tasks=2)
+        (worker_id,) = self.world.holders(job)
+        (gang_id,) = self.world.start_sent[job]
+        for gang, task, text in [("old", 0, "x"), (gang_id, 0, "a"), (gang_id, 0, "b")]:
+            result = TaskResult(task, TaskOutcome.SUCCEEDED, f"{gang_id}{text}:{task}")
+            self.world.send(m.TaskEnded(gang, worker_id, result))
+        last = TaskResult(1, TaskOutcome.SUCCEEDED, f"{gang_id}a:1")
+        self.world.send(m.TaskEnded(gang_id, worker_id, last))
+        results = self.world.scheduler.view(job).results
+        self.assertEqual(results, (f"{gang_id}a:0", f"{gang_id}a:1"))
+
     def test_retry_budget_bounds_the_total_work(self):
         """Jobs that always fail must not multiply the load of a class."""
         jobs = []
@@ -179,6 +192,20 @@
         self.assertEqual(states, ["running", "running", "interrupted"])
         self.assertEqual(len(world.start_sent[running]), 1)
 
+    def test_job_of_a_removed_class_runs_to_its_end(self):
+        """A change of the configuration must not stop what runs."""
+        world = self.world
+        running, failing = world.run(), world.run()
+        later = {"later": CONFIGURATION.classes_by_name["later"]}
+        world.configuration = CONFIGURATION._replace(classes_by_name=later)
+        world.take_over()
+        while world.recovering:
+            world.claim_next()
+        world.end(running)
+        world.end(failing, TaskOutcome.FAILED)
+        states = [world.state(job) for job in (running, failing)]
+        self.assertEqual(states, ["succeeded", "interrupted"])
+
     def test_worker_that_fails_everything_is_quarantined_and_probed(self):
         world = self.world
         world.end(self.fill()[0])
