Test real processes that are killed, paused and restarted

The parts were tested together only in one process and on virtual clocks, so nothing showed that the daemons survive SIGKILL, SIGSTOP, SIGTERM and a stopped platform. tests/processes.py starts them on the loopback interface.

--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,305 @@
+"""Starts the daemons as separate processes on the loopback interface."""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import select
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+import redwingrudder
+
+HOST = "127.0.0.1"
+DOMAIN, REMOTE = "hobart", "devonport"
+# Longer than a takeover: workers stop their tasks after this time without an
+# owner, and a store lease of 3 s has to lapse before the next owner claims.
+WORKER_LEASE_S = 7.0
+WAIT_S = 30.0  # generous: only its end fails a test
+POLL_S = 0.05
+REQUEST_S = 35.0  # longer than the long poll of a node
+ACCELERATORS = 4
+CONFIGURATION = {
+    "format_version": 1,
+    "organisations": {"huon": {"guarantees": []}},
+    "classes": {"proof": {"target_s": 60.0}},
+}
+UNREACHED = 0  # status of a request that found no listening node
+BROKEN = -1  # status of a request whose connection broke
+_SOURCES = pathlib.Path(redwingrudder.__file__).parent.parent
+
+
+class Daemon:
+    """One process of the project."""
+
+    def __init__(self, case, *arguments, log=subprocess.DEVNULL):
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", "redwingrudder", *arguments],
+            env={**os.environ, "PYTHONPATH": str(_SOURCES)},
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=log,
+        )
+        case.addCleanup(self.kill)
+
+    def printed_address(self):
+        if not select.select([self._popen.stdout], [], [], WAIT_S)[0]:
+            raise AssertionError("a stand-in prints no address")
+        return self._popen.stdout.readline().split()[-1].decode()
+
+    def send(self, number):
+        self._popen.send_signal(number)
+
+    def kill(self):
+        """End the process, also a stopped one."""
+        self._popen.kill()
+        self._popen.wait()
+        self._popen.stdout.close()
+
+    def exit_code(self):
+        return self._popen.poll()
+
+
+class Cluster:
+    """Platform, workers and nodes of one test; all end with the test."""
+
+    def __init__(self, case, workers=3, remote=False):
+        self._case = case
+        folder = tempfile.TemporaryDirectory()
+        case.addCleanup(folder.cleanup)
+        self._folder = pathlib.Path(folder.name)
+        self.platform = Daemon(case, "platform", "--port=0")
+        self._platform_url = f"http://{self.platform.printed_address()}"
+        self.workers, self.addresses, self.nodes, self.urls = {}, {}, {}, {}
+        self._thrift = {}
+        names = [(f"w{n}", DOMAIN) for n in range(1, workers + 1)]
+        names += [("w9", REMOTE)] if remote else []
+        for name, domain in names:
+            self.start_worker(name, domain)
+        names = [(f"hobart-{n}", DOMAIN, n) for n in (1, 2, 3)]
+        names += [("devonport-1", REMOTE, 1)] if remote else []
+        for name, domain, rank in names:
+            self._write_settings(name, domain, rank, remote)
+            self.start_node(name)
+        vms = [_node_vm(*each, self._thrift[each[0]]) for each in names]
+        vms += [_worker_vm(name, *each) for name, each in self.addresses.items()]
+        call("POST", f"{self._platform_url}/admin/vms", {"register": vms})
+        self._configure()
+
+    def start_worker(self, name, domain=DOMAIN):
+        """Start a worker, again at its address."""
+        address, _ = self.addresses.get(name, (f"{HOST}:0", ""))
+        size = (f"--accelerators={ACCELERATORS}", "--slots=16")
+        daemon = Daemon(
+            self._case, "worker", name, domain, "r1", f"--port={_port(address)}", *size
+        )
+        self.workers[name] = daemon
+        self.addresses[name] = (daemon.printed_address(), domain)
+
+    def start_node(self, name):
+        with (self._folder / f"{name}.log").open("ab") as log:
+            settings = str(self._folder / f"{name}.json")
+            self.nodes[name] = Daemon(self._case, "node", settings, log=log)
+
+    def wait_ready(self, *names):
+        for name in names or self.nodes:
+            url = f"{self.urls[name]}/readyz"
+            self.wait_for(lambda url=url: call("GET", url)[0] == 200, f"{name} ready")
+
+    def wait_for(self, condition, what):
+        """Return the first true result of a condition."""
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            result = condition()
+            if result:
+                return result
+            time.sleep(POLL_S)
+        logs = [path.read_text()[-1500:] for path in self._folder.glob("*.log")]
+        raise AssertionError("\n".join([f"not seen: {what}", *logs]))
+
+    def owner(self, through, domain=DOMAIN):
+        """Return the node that owns a domain and its epoch, or None."""
+        status, body = call("GET", f"{self.urls[through]}/v1/status")
+        domains = body["failure_domains"] if status == 200 else ()
+        for each in domains:
+            if each["failure_domain"] == domain and each["owner"]:
+                return each["owner"], list(each["epoch"].values())
+        return None
+
+    def others(self, name):
+        return [node for node in self.nodes if node != name]
+
+    def submit(self, node, key, timeout=REQUEST_S, **fields):
+        url = f"{self.urls[node]}/v1/jobs"
+        return call("POST", url, job(**fields), {"Idempotency-Key": key}, timeout)
+
+    def accept(self, node, key, **fields):
+        """Submit until the job is accepted; returns its body."""
+
+        def accepted():
+            status, body = self.submit(node, key, **fields)
+            return body if status in (200, 202) else None
+
+        return self.wait_for(accepted, f"{key} accepted by {node}")
+
+    def finish(self, node, job_id):
+        """Return the final answer of a job."""
+
+        def ended():
+            url = f"{self.urls[node]}/v1/jobs/{job_id}?wait=5"
+            status, body = call("GET", url)
+            return body if status == 200 else None
+
+        return self.wait_for(ended, f"end of {job_id}")
+
+    def wait_running(self, node, *job_ids):
+        for job_id in job_ids:
+            url = f"{self.urls[node]}/v1/jobs/{job_id}"
+            self.wait_for(
+                lambda url=url: call("GET", url)[1].get("state") == "running",
+                f"{job_id} running",
+            )
+
+    def history(self, job_id=None, what=None):
+        """Return what happened at the workers that are up, in order."""
+        entries = []
+        for name, (address, _) in self.addresses.items():
+            status, body = call("GET", f"http://{address}/admin/history")
+            found = body if status == 200 else ()
+            entries += [{**entry, "worker": name} for entry in found]
+        return sorted(
+            (
+                entry
+                for entry in entries
+                if job_id in (None, entry["job_id"]) and what in (None, entry["what"])
+            ),
+            key=lambda entry: entry["at"],
+        )
+
+    def _write_settings(self, name, domain, rank, remote):
+        http_port, thrift_port = _free_ports(2)
+        self.urls[name] = f"http://{HOST}:{http_port}"
+        self._thrift[name] = f"{HOST}:{thrift_port}"
+        settings = {
+            "kind": "node",
+            "node_id": name,
+            "rank": rank,
+            "failure_domain": domain,
+            "failure_domains": [DOMAIN, REMOTE] if remote else [DOMAIN],
+            "listen": {
+                "http": f"{HOST}:{http_port}",
+                "thrift": f"{HOST}:{thrift_port}",
+            },
+            "platform": self._platform_url,
+            "worker_lease_s": WORKER_LEASE_S,
+        }
+        (self._folder / f"{name}.json").write_text(json.dumps(settings))
+
+    def _configure(self):
+        first = next(iter(self.urls.values()))
+
+        def applied():
+            header = {"If-Match": "0"}
+            url = f"{first}/v1/configuration"
+            return call("PUT", url, CONFIGURATION, header)[0] in (200, 409)
+
+        self.wait_for(applied, "configuration accepted")
+        self.wait_ready()
+        for name in self.nodes:
+            self.wait_for(lambda name=name: self.owner(name), "an owner")
+
+
+def job(payload=None, **fields):
+    """Return the body of a job whose task runs a tenth of a second."""
+    body = {"organisation": "huon", "class": "proof", "idempotent": True}
+    body["payload"] = {"run_s": 0.1, **(payload or {})}
+    return {**body, "declared_run_s": body["payload"]["run_s"], **fields}
+
+
+def call(method, url, body=None, headers=None, timeout=REQUEST_S):
+    """Return status and parsed body of one request."""
+    data = None if body is None else json.dumps(body).encode()
+    headers = {"Content-Type": "application/json", **(headers or {})}
+    request = urllib.request.Request(url, data, headers, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as reply:
+            return reply.status, _parse(reply.read())
+    except urllib.error.HTTPError as error:
+        with error:
+            return error.code, _parse(error.read())
+    except urllib.error.URLError as error:
+        refused = isinstance(error.reason, ConnectionRefusedError)
+        return (UNREACHED if refused else BROKEN), {"detail": repr(error)}
+    except (OSError, http.client.HTTPException) as error:
+        return BROKEN, {"detail": repr(error)}
+
+
+@contextlib.contextmanager
+def long_poll(url):
+    """Send a GET and give a function that reads its answer later."""
+    connection = http.client.HTTPConnection(url.split("/")[2], timeout=REQUEST_S)
+    with contextlib.closing(connection):
+        connection.request("GET", url)
+
+        def answer():
+            reply = connection.getresponse()
+            return reply.status, _parse(reply.read())
+
+        yield answer
+
+
+def pause(daemon):
+    daemon.send(signal.SIGSTOP)
+
+
+def resume(daemon):
+    daemon.send(signal.SIGCONT)
+
+
+def _parse(content):
+    try:
+        return json.loads(content)
+    except ValueError:
+        return {}
+
+
+def _free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind((HOST, 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+def _port(address):
+    return int(address.rpartition(":")[2])
+
+
+def _worker_vm(name, address, domain):
+    size = {"accelerators": ACCELERATORS, "slots": 16, "cores": 128}
+    return _vm(name, "worker", address, domain, memory_mb=262_144, **size)
+
+
+def _node_vm(name, domain, rank, address):
+    return _vm(name, "node", address, domain, rank=rank)
+
+
+def _vm(name, role, address, domain, **fields):
+    numbers = ("rank", "accelerators", "slots", "cores", "memory_mb")
+    return {
+        "vm_id": name,
+        "role": role,
+        "state": "live",
+        "address": address,
+        "failure_domain": domain,
+        "rack": "r1" if role == "worker" else "",
+        **dict.fromkeys(numbers, 0),
+        **fields,
+    }
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,221 @@
+"""Faults of real processes: killed, paused and restarted daemons."""
+
+import signal
+import time
+import unittest
+
+from tests.processes import (
+    ACCELERATORS,
+    BROKEN,
+    DOMAIN,
+    Cluster,
+    call,
+    long_poll,
+    pause,
+    resume,
+)
+
+# After an owner's death, work is placed within 5 s of the end of its lease.
+PLACING_BOUND_S = 5.0
+OWNER_LEASE_S = 3.0  # section 4.1 of docs/design.md
+WHOLE_WORKER = {"accelerators_per_task": ACCELERATORS}
+
+
+class ProcessesTest(unittest.TestCase):
+    def test_same_answer_through_every_node(self):
+        """Guards against partial answers and against a key that runs twice."""
+        cluster = Cluster(self, remote=True)
+        nodes = list(cluster.nodes)
+        for index, node in enumerate(nodes):
+            fields = {"tasks": 5, "accelerators_per_task": 1, "idempotent": False}
+            fields["payload"] = {"result": f"by {node}"}
+            accepted = cluster.accept(node, node, **fields)
+            answer = cluster.finish(node, accepted["job_id"])
+            self.assertEqual("succeeded", answer["state"])
+            self.assertEqual([f"by {node}"] * 5, answer["results"])
+            again = cluster.accept(nodes[index - 1], node, **fields)
+            self.assertEqual(answer, again)
+            gangs = _gangs(cluster.history(answer["job_id"], "started"))
+            self.assertEqual(1, len(gangs))
+
+    def test_kill_of_owner(self):
+        """Guards against lost or repeated gangs when the owner dies."""
+        cluster = Cluster(self)
+        owner, epoch = cluster.owner("hobart-1")
+        other, *_ = cluster.others(owner)
+        gang = cluster.accept(
+            other, "gang", tasks=2, payload={"run_s": 9.0}, **WHOLE_WORKER
+        )
+        filler = cluster.accept(other, "filler", payload={"run_s": 1.0}, **WHOLE_WORKER)
+        cluster.wait_running(other, gang["job_id"], filler["job_id"])
+        queued = [cluster.accept(other, f"q{n}", **WHOLE_WORKER) for n in range(3)]
+        self.assertEqual({"queued"}, {view["state"] for view in queued})
+
+        killed_at = time.time()
+        cluster.nodes[owner].kill()
+        for view in queued:
+            answer = cluster.finish(other, view["job_id"])
+            self.assertEqual("succeeded", answer["state"])
+        answer = cluster.finish(other, gang["job_id"])
+        self.assertEqual("succeeded", answer["state"])
+        self.assertEqual(2, len(answer["results"]))
+
+        starts = cluster.history(gang["job_id"], "started")
+        self.assertEqual(2, len(starts))
+        self.assertEqual(1, len(_gangs(starts)))
+        ends = cluster.history(gang["job_id"], "ended")
+        self.assertEqual(["succeeded"] * 2, [entry["outcome"] for entry in ends])
+        placed = [
+            entry
+            for entry in cluster.history(what="started")
+            if entry["job_id"] in {view["job_id"] for view in queued}
+        ]
+        self.assertEqual(3, len(placed))
+        self.assertTrue(all(entry["epoch"] > epoch for entry in placed))
+        self.assertLess(placed[0]["at"], ends[0]["at"])
+        placed_s = placed[0]["at"] - killed_at
+        print(f"work placed {placed_s:.2f} s after the owner's death")
+        self.assertLess(placed_s, OWNER_LEASE_S + PLACING_BOUND_S)
+
+    def test_paused_owner_is_fenced(self):
+        """Guards against a second start by an owner that wakes up late."""
+        cluster = Cluster(self, workers=1)
+        owner, epoch = cluster.owner("hobart-1")
+        other, *_ = cluster.others(owner)
+        filler = cluster.accept(other, "filler", payload={"run_s": 1.5}, **WHOLE_WORKER)
+        cluster.wait_running(other, filler["job_id"])
+        once = {"idempotent": False, **WHOLE_WORKER}
+        view = cluster.accept(other, "once", **once)
+        self.assertEqual("queued", view["state"])
+
+        pause(cluster.nodes[owner])
+        answer = cluster.finish(other, view["job_id"])
+        self.assertEqual("succeeded", answer["state"])
+        successor, raised = cluster.owner(other)
+        self.assertNotEqual(owner, successor)
+        self.assertGreater(raised, epoch)
+        resume(cluster.nodes[owner])
+        late = cluster.accept(owner, "late", **once)
+        self.assertEqual("succeeded", cluster.finish(owner, late["job_id"])["state"])
+        self.assertEqual((successor, raised), cluster.owner(owner))
+        for job_id in (view["job_id"], late["job_id"]):
+            starts = cluster.history(job_id, "started")
+            self.assertEqual([raised], [entry["epoch"] for entry in starts])
+
+    def test_store_outage(self):
+        """Guards against refused idempotent work and unrecorded other work."""
+        cluster = Cluster(self)
+        running = cluster.accept(
+            "hobart-1", "running", payload={"run_s": 3.0}, idempotent=False
+        )
+        cluster.wait_running("hobart-1", running["job_id"])
+        pause(cluster.platform)
+        for node in cluster.nodes:
+            body = cluster.accept(node, f"again {node}")
+            self.assertFalse(body["durable"])
+            answer = cluster.finish(node, body["job_id"])
+            self.assertEqual("succeeded", answer["state"])
+            status, problem = cluster.submit(node, f"once {node}", idempotent=False)
+            self.assertEqual((503, "store_unavailable"), (status, problem["code"]))
+        answer = cluster.finish("hobart-2", running["job_id"])
+        self.assertEqual("succeeded", answer["state"])
+        resume(cluster.platform)
+        for node in cluster.nodes:
+            body = cluster.accept(node, f"once {node}", idempotent=False)
+            self.assertTrue(body["durable"])
+            answer = cluster.finish(node, body["job_id"])
+            self.assertEqual("succeeded", answer["state"])
+            starts = cluster.history(body["job_id"], "started")
+            self.assertEqual(1, len(starts))
+
+    def test_rolling_restart(self):
+        """Guards against requests that a planned stop fails or doubles."""
+        cluster = Cluster(self)
+        trickle = _Trickle(self, cluster)
+        for name in list(cluster.nodes):
+            running = cluster.accept(name, f"long {name}", payload={"run_s": 1.0})
+            url = f"{cluster.urls[name]}/v1/jobs/{running['job_id']}?wait=20"
+            with long_poll(url) as answer:
+                cluster.nodes[name].send(signal.SIGTERM)
+                trickle.run_until(cluster.nodes[name].exit_code)
+                status, body = answer()
+            self.assertEqual((200, "succeeded"), (status, body["state"]))
+            self.assertEqual(0, cluster.nodes[name].exit_code())
+            cluster.start_node(name)
+            ready = f"{cluster.urls[name]}/readyz"
+            trickle.run_until(lambda ready=ready: call("GET", ready)[0] == 200)
+        self.assertGreater(len(trickle.job_ids_by_key), 10)
+        for key, job_id in trickle.job_ids_by_key.items():
+            answer = cluster.finish("hobart-1", job_id)
+            self.assertEqual(("succeeded", [key]), (answer["state"], answer["results"]))
+            self.assertEqual(1, len(cluster.history(job_id, "started")))
+
+    def test_worker_restarts_empty(self):
+        """Guards against gangs that go on in part after a worker's death."""
+        cluster = Cluster(self)
+        # Each gang fills a worker and half of a third one, which they share.
+        size = {"tasks": ACCELERATORS * 3 // 2, "accelerators_per_task": 1}
+        size["payload"] = {"run_s": 3.0}
+        again = cluster.accept("hobart-1", "again", **size)["job_id"]
+        once = cluster.accept("hobart-2", "once", idempotent=False, **size)["job_id"]
+        cluster.wait_running("hobart-1", again, once)
+        before = cluster.history(what="started")
+        hosts = [
+            {entry["worker"] for entry in before if entry["job_id"] == job_id}
+            for job_id in (again, once)
+        ]
+        shared = min(hosts[0] & hosts[1])
+        cluster.workers[shared].kill()
+        cluster.start_worker(shared, DOMAIN)
+
+        self.assertEqual("interrupted", cluster.finish("hobart-3", once)["state"])
+        answer = cluster.finish("hobart-3", again)
+        self.assertEqual("succeeded", answer["state"])
+        self.assertEqual(size["tasks"], len(answer["results"]))
+        after = cluster.history()
+        first, *_ = _gangs(e for e in before if e["job_id"] == again)
+        self.assertEqual(1, len(_gangs(e for e in after if e["job_id"] == once)))
+        second = [
+            entry["at"]
+            for entry in cluster.history(again, "started")
+            if entry["gang_id"] != first
+        ]
+        stopped = [e["at"] for e in after if e["gang_id"] == first and e["outcome"]]
+        self.assertTrue(stopped)
+        self.assertLess(max(stopped), min(second))
+
+
+class _Trickle:
+    """A caller that submits job after job and fails over between nodes."""
+
+    def __init__(self, case, cluster):
+        self._case = case
+        self._cluster = cluster
+        self.job_ids_by_key = {}
+
+    def run_until(self, condition):
+        done = False
+        while not done:
+            done = condition() not in (None, False)
+            key = f"trickle {len(self.job_ids_by_key)}"
+            body = self._cluster.wait_for(lambda key=key: self._submit(key), key)
+            self.job_ids_by_key[key] = body["job_id"]
+
+    def _submit(self, key):
+        fields = {"idempotent": False, "payload": {"run_s": 0.02, "result": key}}
+        for node in self._cluster.nodes:
+            status, body = self._cluster.submit(node, key, **fields)
+            # A node that stops refuses; it breaks no connection.
+            self._case.assertNotEqual(BROKEN, status, (node, body))
+            if status in (200, 202):
+                return body
+            self._case.assertIn(status, (0, 503), body)
+        return None
+
+
+def _gangs(entries):
+    return {entry["gang_id"] for entry in entries}
+
+
+if __name__ == "__main__":
+    unittest.main()
