Add a command that measures what each part costs

`redwingrudder measure` measures placement, scheduler state, idle worker links, the exchange between nodes, idle nodes, jobs and configuration changes, with stand-ins at the interfaces. A reactor that passes everything on counts bytes and processor time of one node, so that several nodes in one process can be told apart; LocalDeployment takes it as an optional argument. The part "process" reads /proc of a node in a process of its own.

--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -110,6 +110,28 @@
         ]
         print_reports(reports, json)
 
+    def measure(
+        self,
+        parts: str = "all",
+        seed: int = 1,
+        pid: int = 0,
+        node: str = DEFAULT_NODE,
+        json: bool = False,
+    ) -> None:
+        """Measure the cost of each part on this machine, with stand-ins.
+
+        Args:
+            parts: "all", or any of placement, state, links, exchange, nodes,
+                jobs and configuration; "process" measures a running node.
+            seed: Seed of the generated load.
+            pid: Process of the node, for the part "process" (Linux).
+            node: Entry node URL of that process.
+            json: Print JSON.
+        """
+        from .measure import run_measure
+
+        run_measure(_split(parts), int(seed), int(pid), node, json, default_reactor)
+
     def submit(
         self,
         job: str,
--- a/src/redwingrudder/local.py
+++ b/src/redwingrudder/local.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.task import deferLater
@@ -43,13 +44,20 @@
         deployment: Checked deployment settings.
         reactor: The twisted reactor.
         first_port: HTTP port of the first node; the others follow it.
+        node_reactor: Returns the reactor of a node, to measure each of them;
+            all nodes use ``reactor`` unless given.
     """
 
     def __init__(
-        self, deployment: DeploymentSettings, reactor: Any, first_port: int
+        self,
+        deployment: DeploymentSettings,
+        reactor: Any,
+        first_port: int,
+        node_reactor: Callable[[NodeSettings], Any] | None = None,
     ) -> None:
         self._deployment = deployment
         self._reactor = reactor
+        self._node_reactor = node_reactor or (lambda settings: reactor)
         self._first_port = first_port
         self._platform = PlatformStandin(reactor)
         self._workers: list[WorkerStandIn] = []
@@ -98,7 +106,7 @@
                 settings = self._node_settings(domain["name"], rank, port)
                 settings["failure_domains"] = names
                 settings["platform"] = platform
-                self.nodes.append(Node(settings, self._reactor))
+                self.nodes.append(Node(settings, self._node_reactor(settings)))
                 port += 1
 
     def _node_settings(self, domain: str, rank: int, port: int) -> NodeSettings:
--- /dev/null
+++ b/tests/test_measure.py
@@ -0,0 +1,46 @@
+"""Smoke test of the measurements; it sets no bound on any time."""
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.trial.unittest import TestCase
+
+from redwingrudder._measure_decisions import (
+    measure_configurations,
+    measure_placements,
+    measure_states,
+)
+from redwingrudder._measure_links import measure_exchanges, measure_links
+from redwingrudder.exceptions import BadRequestError
+from redwingrudder.measure import measure
+
+
+class MeasureTest(TestCase):
+    """Guards against measurements that measure nothing."""
+
+    def test_decisions(self):
+        """The measured scheduler holds the tasks that the row names."""
+        (state,) = measure_states(1, (24,), ended=5)
+        self.assertGreater(state.tasks, 24 * 9)
+        self.assertGreaterEqual(state.events, 5)
+        (change,) = measure_configurations((8,))
+        self.assertGreater(change.document_bytes, change.change_bytes)
+        (placement,) = measure_placements(1, (120,))
+        self.assertGreater(placement.p99_ms, 0)
+
+    def test_links_and_exchange(self):
+        """Links poll, nodes exchange, and their bytes are counted."""
+        from twisted.internet import reactor
+
+        async def run():
+            (links,) = await measure_links(reactor, (2,), 2.5)
+            self.assertGreater(links.polls, 0)
+            self.assertGreater(links.bytes_per_poll, 100)
+            (exchange,) = await measure_exchanges(reactor, (3,), 1.5)
+            self.assertGreater(exchange.owner_bytes_per_s, 0)
+            self.assertGreater(exchange.bytes_per_exchange, 50)
+
+        return ensureDeferred(run())
+
+    def test_unknown_part(self):
+        """A misspelt part is refused instead of measuring nothing."""
+        running = Deferred.fromCoroutine(measure("plcement", 1, None))
+        return self.assertFailure(running, BadRequestError)
