--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -121,8 +121,8 @@
         """Measure the cost of each part on this machine, with stand-ins.
 
         Args:
-            parts: "all", or any of placement, state, links, exchange, nodes,
-                jobs and configuration; "process" measures a running node.
+            parts: "all", or any of placement, state, links, exchange, members,
+                nodes, jobs and configuration; "process" is a running node.
             seed: Seed of the generated load.
             pid: Process of the node, for the part "process" (Linux).
             node: Entry node URL of that process.
--- a/src/redwingrudder/measure.py
+++ b/src/redwingrudder/measure.py
@@ -19,6 +19,7 @@
     measure_states,
 )
 from ._measure_links import ExchangeRow, LinkRow, measure_exchanges, measure_links
+from ._measure_members import MembersRow, measure_members
 from ._measure_nodes import (
     JobRow,
     NodeRow,
@@ -36,6 +37,7 @@
     "state",
     "links",
     "exchange",
+    "members",
     "nodes",
     "jobs",
     "configuration",
@@ -47,6 +49,7 @@
     | StateRow
     | LinkRow
     | ExchangeRow
+    | MembersRow
     | NodeRow
     | JobRow
     | ProcessRow
@@ -68,6 +71,7 @@
         "state": lambda: measure_states(seed),
         "links": lambda: measure_links(reactor),
         "exchange": lambda: measure_exchanges(reactor),
+        "members": lambda: measure_members(reactor),
         "nodes": lambda: measure_nodes(reactor),
         "jobs": lambda: measure_jobs(reactor),
         "configuration": measure_configurations,
