--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -12,7 +12,14 @@
 from twisted.internet.task import react
 
 from . import settings
-from ._tables import print_fields, print_json, print_reports, print_table
+from ._tables import (
+    print_configuration,
+    print_domains,
+    print_explanation,
+    print_fields,
+    print_json,
+    print_reports,
+)
 from .client import Client
 from .configuration import ConfigurationDocument, parse_document
 from .exceptions import BadRequestError, RedwingrudderError, SettingsError
@@ -111,6 +118,28 @@
         ]
         print_reports(reports, json)
 
+    def measure(
+        self,
+        parts: str = "all",
+        seed: int = 1,
+        pid: int = 0,
+        node: str = DEFAULT_NODE,
+        json: bool = False,
+    ) -> None:
+        """Measure the cost of each part on this machine, with stand-ins.
+
+        Args:
+            parts: "all", or any of placement, state, links, exchange, members,
+                nodes, jobs and configuration; "process" is a running node.
+            seed: Seed of the generated load.
+            pid: Process of the node, for the part "process" (Linux).
+            node: Entry node URL of that process.
+            json: Print JSON.
+        """
+        from .measure import run_measure
+
+        run_measure(_split(parts), int(seed), int(pid), node, json, default_reactor)
+
     # Without this, fire reads the JSON text as a Python expression.
     @SetParseFn(str, "job", "key")
     def submit(
@@ -153,7 +182,7 @@
         if job_id:
             self._call(node, lambda client: client.job(job_id, float(wait)), json)
         else:
-            self._call(node, lambda client: client.status(), json, _print_domains)
+            self._call(node, lambda client: client.status(), json, print_domains)
 
     def cancel(self, job_id: str, node: str = DEFAULT_NODE, json: bool = False) -> None:
         """Cancel a job.
@@ -175,9 +204,7 @@
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
-        self._call(
-            node, lambda client: client.explain(job_id), json, _print_explanation
-        )
+        self._call(node, lambda client: client.explain(job_id), json, print_explanation)
 
     def show(self, node: str = DEFAULT_NODE, json: bool = False) -> None:
         """Show the configuration in force.
@@ -187,7 +214,7 @@
             json: Print JSON.
         """
         self._call(
-            node, lambda client: client.configuration(), json, _print_configuration
+            node, lambda client: client.configuration(), json, print_configuration
         )
 
     def apply(
@@ -211,7 +238,7 @@
             node,
             lambda client: client.apply(document, version),
             json,
-            _print_configuration,
+            print_configuration,
         )
 
     def platform(self, port: int = 7000, host: str = "127.0.0.1") -> None:
@@ -355,49 +382,3 @@
     except RedwingrudderError as error:
         error.detail = f"{path}: {error.detail}"
         raise
-
-
-def _print_configuration(body: dict[str, Any]) -> None:
-    print(f"version {body['version']}")
-    for section in ("organisations", "classes"):
-        print(f"\n{section}")
-        print_fields(
-            {
-                name: json_module.dumps(entry)
-                for name, entry in body["document"][section].items()
-            }
-        )
-    print("\nfailure domains of the guaranteed shapes")
-    print_table(body["cells"])
-
-
-def _print_explanation(body: dict[str, Any]) -> None:
-    print(f"{body['job_id']} is {body['state']}")
-    for reason in body["reasons"]:
-        print(f"- {reason}")
-
-
-def _domain_row(domain: dict[str, Any]) -> dict[str, Any]:
-    plain = {
-        key.replace("_", " "): value
-        for key, value in domain.items()
-        if not isinstance(value, list)
-    }
-    plain["epoch"] = ".".join(str(part) for part in domain["epoch"].values())
-    return plain
-
-
-def _print_domains(body: dict[str, Any]) -> None:
-    domains = body["failure_domains"]
-    print_table([_domain_row(domain) for domain in domains])
-    for name in body["unreachable"]:
-        print(f"{name}: its owner gives no answer")
-    for section in ("organisations", "classes", "shortages"):
-        rows = [
-            {"failure_domain": domain["failure_domain"], **row}
-            for domain in domains
-            for row in domain.get(section, ())
-        ]
-        if rows:
-            print(f"\n{section}")
-            print_table(rows)
