Count a job as guaranteed only where a cell of its size stands

Cause: the bench counted a job of 16 as guaranteed in a domain with two cells of 8, and ignored shortages that the owner had reported. Change: the largest cell of the domain and the shortage bound the measure.

--- a/src/redwingrudder/_bench_runner.py
+++ b/src/redwingrudder/_bench_runner.py
@@ -197,16 +197,24 @@
         return self._status_by_domain
 
     def _is_guaranteed(self, spec: JobSpec, key: tuple[str, str]) -> bool:
-        """Return whether a job fits what its organisation leaves unused."""
-        shapes = self._configuration.organisations_by_name[spec.organisation].guarantees
-        promised = sum(
+        """Return whether a job fits what its organisation leaves unused.
+
+        What the hardware cannot hold, as the owner reports it, is left out.
+        """
+        domain, organisation = key
+        shapes = self._configuration.organisations_by_name[organisation].guarantees
+        sizes = [
             shapes[cell.shape_index].accelerators
             for cell in self._configuration.cells
             if (cell.failure_domain, cell.organisation) == key
+        ]
+        short = sum(
+            shapes[shortage.shape_index].accelerators
+            for shortage in self._statuses()[domain].shortages
+            if shortage.organisation == organisation
         )
-        fits_shape = any(spec.accelerators <= s.accelerators for s in shapes)
-        in_use = self._in_use_by_key[key]
-        return fits_shape and in_use + spec.accelerators <= promised
+        unused = sum(sizes) - short - self._in_use_by_key[key]
+        return spec.accelerators <= min(max(sizes, default=0), unused)
 
     def _send(self, domain: str, event: messages.Event) -> None:
         self._events += 1
