--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -9,6 +9,7 @@
     measure_states,
 )
 from redwingrudder._measure_links import measure_exchanges, measure_links
+from redwingrudder._measure_members import measure_members
 from redwingrudder.exceptions import BadRequestError
 from redwingrudder.measure import measure
 
@@ -37,6 +38,8 @@
             (exchange,) = await measure_exchanges(reactor, (3,), 1.5)
             self.assertGreater(exchange.owner_bytes_per_s, 0)
             self.assertGreater(exchange.bytes_per_exchange, 50)
+            (members,) = await measure_members(reactor, (30,))
+            self.assertGreater(members.changed_bytes, members.unchanged_bytes)
 
         return ensureDeferred(run())
 
