Let no job expire while its gang is found again

Cause: during a takeover an expired job whose gang was only partly reported ended as interrupted, although a member that reported later was running. Change: expiry is looked at again each second while the gang recovers.

--- a/src/redwingrudder/_scheduler_gang_life.py
+++ b/src/redwingrudder/_scheduler_gang_life.py
@@ -63,6 +63,11 @@
         elif gang.state == "releasing" and gang.all_released:
             self.fire(gang_id, "all_released")
 
+    def is_recovering(self, job_id: str) -> bool:
+        """Whether members of a job's gang may not have reported yet."""
+        gangs = (self.gangs_by_id[gang_id] for gang_id in self.recovering)
+        return any(gang.job_id == job_id for gang in gangs)
+
     def preempt(self, gang_id: str) -> None:
         """Checkpoint and stop a gang whose job is queued again."""
         gang = self.gangs_by_id.get(gang_id)
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -38,6 +38,7 @@
 # While a new owner claims its workers, placement passes are at least this far
 # apart, because each pass lays the guarantees out again.
 RECOVERY_PASS_INTERVAL_S = 0.1
+EXPIRY_RECHECK_S = 1.0  # while a new owner collects the reports of a gang
 
 
 class Scheduler:
@@ -210,7 +211,11 @@
         job = self._jobs.jobs_by_id.get(job_id)
         if job is None or job.attempts or job.waits_for_recovery:
             return
-        if job.state == JobState.QUEUED:
+        if self._gangs.is_recovering(job_id):
+            # A member that has not reported yet may have started.
+            again_at = self._context.now + EXPIRY_RECHECK_S
+            self._context.times.add(again_at, TimerKind.EXPIRY, job_id)
+        elif job.state == JobState.QUEUED:
             self._jobs.give_up(job_id, "refused", "expired")
         elif job.state == JobState.PLACING:
             gang = self._gangs.gangs_by_id[job.gang_id]
--- a/tests/test_scheduler_recovery.py
+++ b/tests/test_scheduler_recovery.py
@@ -19,11 +19,11 @@
 ONCE = SPEC._replace(tasks=2, idempotent=False)
 
 
-def report(index, state, results=()):
+def report(index, state, results=(), spec=ONCE):
     member = MemberReport(
         "g1",
         "j1",
-        ONCE,
+        spec,
         0.0,
         MemberPlacement(f"w{index}", (0,), (index,)),
         2,
@@ -66,3 +66,20 @@
         self.feed(m.WorkerClaimed(report(1, MemberState.ENDED, (result,))))
         self.feed(m.ReleaseAnswered("g1", "w0"))
         self.assertEqual(self.scheduler.view("j1").state, JobState.INTERRUPTED)
+
+
+class ExpiryTests(unittest.TestCase):
+    def test_expiry_waits_for_the_report_of_every_member(self):
+        """A running job must not expire while its gang is found again."""
+        scheduler = Scheduler(DOMAIN, slack_policies())
+        expiring = SPEC._replace(tasks=2, expire_s=5.0)
+        scheduler.handle(m.ConfigurationChanged(CONFIGURATION), 1.0)
+        scheduler.handle(
+            m.WorkerClaimed(report(0, MemberState.RESERVED, (), expiring)), 1.0
+        )
+        scheduler.handle(m.JobSubmitted("j1", expiring, 0.0, recorded=True), 1.0)
+        scheduler.handle(m.Tick(), 6.0)
+        effects = scheduler.handle(
+            m.WorkerClaimed(report(1, MemberState.STARTED, (), expiring)), 6.5
+        )
+        self.assertIn(m.StartMember("g1", "w0"), effects)
