--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -3,19 +3,18 @@
 import logging
 import uuid
 from collections import deque
-from collections.abc import Callable
-from typing import NamedTuple
 
 from . import _job_records as records
 from ._job_records import JobRecordBody, StoredRecord
 from ._job_store import JobStore, SaveReply
+from ._ledger_entry import LedgerCallbacks, LedgerEntry, disproves, tells_end
 from ._record_sweeper import RECORD_RETENTION_S, RecordSweeper
 from .exceptions import (
     OutcomeUnknownError,
     ResultExpiredError,
     UnavailableError,
 )
-from .model import FINAL_JOB_STATES, JobSpec, JobState, JobView
+from .model import JobSpec, JobState, JobView
 
 RESULT_RETENTION_S = 600.0  # as long as workers keep results
 ANSWERS_LIMIT = 20_000  # final answers kept in memory
@@ -26,39 +25,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class LedgerCallbacks(NamedTuple):
-    """What the ledger tells its owner, mostly about a job id.
-
-    ``published``: callers may be told the answer. ``safe``: workers may
-    drop the results. ``recorded``: a job accepted without a record has one.
-    ``contested``: another owner has changed the record of a queued job.
-    ``retry_later``: call ``write_all`` after a while.
-    """
-
-    published: Callable[[str], None]
-    safe: Callable[[str], None]
-    recorded: Callable[[str], None]
-    contested: Callable[[StoredRecord], None]
-    retry_later: Callable[[], None]
-
-
-class _Entry(NamedTuple):
-    """A job with the record that the store should hold.
-
-    ``stored`` tells that it does, ``sent`` that some record may be there.
-    ``mod_revision`` is None when it is not known. ``answer`` is set when
-    the job has ended, ``published`` when callers may be told.
-    """
-
-    body: JobRecordBody
-    mod_revision: int | None
-    stored: bool
-    sent: bool
-    answer: JobView | None = None
-    published: bool = False
-    results_until: float = 0.0
-
-
 class JobLedger:
     """Job records of one owner; one write of a record is sent at a time."""
 
@@ -69,7 +35,7 @@
         self._failure_domain = failure_domain
         self._callbacks = callbacks
         self._sweeper = RecordSweeper(store)
-        self._entries_by_job: dict[str, _Entry] = {}
+        self._entries_by_job: dict[str, LedgerEntry] = {}
         self._unwritten: dict[str, None] = {}
         self._writing: set[str] = set()
         self._ended: deque[str] = deque()
@@ -157,7 +123,7 @@
         if newer or self.has_ended(job_id) or job_id in self._writing:
             return
         self._unwritten.pop(job_id, None)
-        entry = _Entry(body, record.mod_revision, True, True)
+        entry = LedgerEntry(body, record.mod_revision, True, True)
         if records.is_final(body):
             entry = entry._replace(answer=records.view_of(body), published=True)
             self._ended.append(job_id)
@@ -169,7 +135,7 @@
         """Know a job that was accepted without a record; write it later."""
         job_id = body["job_id"]
         revision = None if sent else 0
-        self._entries_by_job[job_id] = _Entry(body, revision, False, sent)
+        self._entries_by_job[job_id] = LedgerEntry(body, revision, False, sent)
         self._unwritten[job_id] = None
         self._callbacks.retry_later()
 
@@ -209,10 +175,10 @@
         entry = self._entries_by_job.get(job_id)
         if entry is None:
             body = self._adopted_body(view, spec)
-            entry = _Entry(body, None, False, True)
+            entry = LedgerEntry(body, None, False, True)
         if entry.answer is None:
             self._ended.append(job_id)
-        elif not _disproves(view, entry.answer.state):
+        elif not disproves(view, entry.answer.state):
             self._complete_answer(entry, view, now)
             return
         self._entries_by_job[job_id] = entry._replace(
@@ -270,7 +236,7 @@
         body = records.open_record(domain, spec, view.submitted_at, "")
         return {**body, "job_id": view.job_id}
 
-    def _complete_answer(self, entry: _Entry, view: JobView, now: float) -> None:
+    def _complete_answer(self, entry: LedgerEntry, view: JobView, now: float) -> None:
         """Take the results at the workers for a record without them."""
         until = (entry.answer.finished_at or now) + RESULT_RETENTION_S
         if not entry.body["results_kept"] and view.results and now < until:
@@ -318,12 +284,12 @@
             "gang_id": stored.body["gang_id"],
         }
 
-    def _take_reply(self, job_id: str, written: _Entry, reply: SaveReply) -> None:
+    def _take_reply(self, job_id: str, written: LedgerEntry, reply: SaveReply) -> None:
         entry = self._entries_by_job.get(job_id)
         if entry is None or job_id not in self._unwritten:
             return
         body, revision = reply.stored
-        if not reply.saved and not _tells_end(entry, body):
+        if not reply.saved and not tells_end(entry, body):
             self._resolve_conflict(job_id, entry, reply.stored)
             return
         if entry.body is not written.body:
@@ -343,7 +309,7 @@
         self._settle(job_id)
 
     def _resolve_conflict(
-        self, job_id: str, entry: _Entry, stored: StoredRecord
+        self, job_id: str, entry: LedgerEntry, stored: StoredRecord
     ) -> None:
         """Decide about a record that was found in place of the own one."""
         self._change(job_id, mod_revision=None, sent=True)
@@ -364,7 +330,9 @@
             _logger.error("job record was changed by another owner", extra=fields)
             del self._unwritten[job_id]
 
-    def _note_start(self, job_id: str, entry: _Entry, stored: StoredRecord) -> None:
+    def _note_start(
+        self, job_id: str, entry: LedgerEntry, stored: StoredRecord
+    ) -> None:
         """Take note that a previous owner had recorded a start."""
         del self._unwritten[job_id]
         if entry.answer is None:
@@ -378,7 +346,9 @@
         self._unwritten[job_id] = None
         self._callbacks.retry_later()
 
-    def _join_record(self, job_id: str, entry: _Entry, stored: StoredRecord) -> None:
+    def _join_record(
+        self, job_id: str, entry: LedgerEntry, stored: StoredRecord
+    ) -> None:
         """Go on with the record that a previous owner made of the same job."""
         if entry.answer is not None:
             nonce = stored.body["nonce"]
@@ -400,20 +370,3 @@
         entry = self._entries_by_job.get(job_id)
         if entry is not None:
             self._entries_by_job[job_id] = entry._replace(**changes)
-
-
-def _tells_end(entry: _Entry, stored: JobRecordBody) -> bool:
-    """Whether the stored record already tells the end of the same job."""
-    if stored["job_id"] != entry.body["job_id"] or entry.answer is None:
-        return False
-    return records.is_final(stored) and not _disproves(entry.answer, stored["state"])
-
-
-def _disproves(view: JobView, recorded_state: str) -> bool:
-    """Whether a job ran although its record says that it did not.
-
-    An idempotent job that ended as not_run may be submitted again in an
-    outage of the store, where its record cannot be seen.
-    """
-    ran = view.state in FINAL_JOB_STATES and view.state is not JobState.NOT_RUN
-    return ran and recorded_state == JobState.NOT_RUN
--- /dev/null
+++ b/src/redwingrudder/_ledger_entry.py
@@ -0,0 +1,57 @@
+"""What the ledger of job records knows of one job."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ._job_records import JobRecordBody, StoredRecord, is_final
+from .model import FINAL_JOB_STATES, JobState, JobView
+
+
+class LedgerCallbacks(NamedTuple):
+    """What the ledger tells its owner, mostly about a job id.
+
+    ``published``: callers may be told the answer. ``safe``: workers may
+    drop the results. ``recorded``: a job accepted without a record has one.
+    ``contested``: another owner has changed the record of a queued job.
+    ``retry_later``: call ``write_all`` after a while.
+    """
+
+    published: Callable[[str], None]
+    safe: Callable[[str], None]
+    recorded: Callable[[str], None]
+    contested: Callable[[StoredRecord], None]
+    retry_later: Callable[[], None]
+
+
+class LedgerEntry(NamedTuple):
+    """A job with the record that the store should hold.
+
+    ``stored`` tells that it does, ``sent`` that some record may be there.
+    ``mod_revision`` is None when it is not known. ``answer`` is set when
+    the job has ended, ``published`` when callers may be told.
+    """
+
+    body: JobRecordBody
+    mod_revision: int | None
+    stored: bool
+    sent: bool
+    answer: JobView | None = None
+    published: bool = False
+    results_until: float = 0.0
+
+
+def tells_end(entry: LedgerEntry, stored: JobRecordBody) -> bool:
+    """Whether the stored record already tells the end of the same job."""
+    if stored["job_id"] != entry.body["job_id"] or entry.answer is None:
+        return False
+    return is_final(stored) and not disproves(entry.answer, stored["state"])
+
+
+def disproves(view: JobView, recorded_state: str) -> bool:
+    """Whether a job ran although its record says that it did not.
+
+    An idempotent job that ended as not_run may be submitted again in an
+    outage of the store, where its record cannot be seen.
+    """
+    ran = view.state in FINAL_JOB_STATES and view.state is not JobState.NOT_RUN
+    return ran and recorded_state == JobState.NOT_RUN
--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_tenure.py
@@ -7,27 +7,24 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Coroutine
-from typing import NamedTuple
 
 from twisted.internet.defer import ensureDeferred
 from twisted.python.failure import Failure
 
 from . import messages
 from ._gang_commands import GangCommands
-from ._job_ledger import JobLedger, LedgerCallbacks
-from ._job_observer import JobObserver
+from ._job_ledger import JobLedger
 from ._job_records import STARTING, JobRecordBody, StoredRecord, is_final, spec_of
 from ._job_reporter import JobReporter
 from ._job_store import JobStore
 from ._job_waiters import JobWaiters
+from ._ledger_entry import LedgerCallbacks
+from ._tenure_parts import TenureParts
 from ._worker_messages import LinkEvent
-from ._worker_roster import RosterSettings, WorkerRoster
-from ._worker_transport import WorkerTransport
-from .actors import ActorSystem
+from ._worker_roster import WorkerRoster
 from .exceptions import StoreUnavailableError, UnavailableError
 from .model import FINAL_JOB_STATES, Epoch, GuaranteeShortage, JobState, JobView
 from .requests import DISPATCHER, VmInfo
-from .scheduler import Scheduler
 from .timers import TIMERS, Subscribe, Unsubscribe
 
 RECOVERY_LIMIT_S = 3.0  # placement resumes within 5 s of an owner's death
@@ -48,16 +45,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class TenureParts(NamedTuple):
-    """What a tenure is built from."""
-
-    system: ActorSystem
-    settings: RosterSettings
-    scheduler: Scheduler
-    transport: WorkerTransport
-    observer: JobObserver
-
-
 class Tenure:
     """Everything that an owner keeps in memory.
 
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -9,7 +9,8 @@
 from ._job_observer import JobObserver, SilentObserver
 from ._job_records import domain_of_job, job_id_for
 from ._job_waiters import TIMER_PREFIX
-from ._tenure import Tenure, TenureParts
+from ._tenure import Tenure
+from ._tenure_parts import TenureParts
 from ._worker_messages import LinkEvent
 from ._worker_roster import RosterSettings
 from ._worker_transport import WorkerTransport
