Correct the test of the rolling restart

The exit code 0 compared equal to False, so the loop never ended, and the long poll asked for an absolute URL as its path.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -63,6 +63,9 @@
         self._popen.wait()
         self._popen.stdout.close()
 
+    def has_ended(self):
+        return self._popen.poll() is not None
+
     def exit_code(self):
         return self._popen.poll()
 
@@ -242,11 +245,14 @@
 
 
 @contextlib.contextmanager
-def long_poll(url):
+def long_poll(base_url, path):
     """Send a GET and give a function that reads its answer later."""
-    connection = http.client.HTTPConnection(url.split("/")[2], timeout=REQUEST_S)
+    host = base_url.removeprefix("http://")
+    connection = http.client.HTTPConnection(host, timeout=REQUEST_S)
     with contextlib.closing(connection):
-        connection.request("GET", url)
+        connection.request("GET", path)
+        # Connections are accepted in order: now the first one is in progress.
+        call("GET", f"{base_url}/livez")
 
         def answer():
             reply = connection.getresponse()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -134,21 +134,22 @@
         trickle = _Trickle(self, cluster)
         for name in list(cluster.nodes):
             running = cluster.accept(name, f"long {name}", payload={"run_s": 1.0})
-            url = f"{cluster.urls[name]}/v1/jobs/{running['job_id']}?wait=20"
-            with long_poll(url) as answer:
+            path = f"/v1/jobs/{running['job_id']}?wait=20"
+            with long_poll(cluster.urls[name], path) as answer:
                 cluster.nodes[name].send(signal.SIGTERM)
-                trickle.run_until(cluster.nodes[name].exit_code)
+                trickle.run_until(cluster.nodes[name].has_ended)
                 status, body = answer()
-            self.assertEqual((200, "succeeded"), (status, body["state"]))
+            self.assertEqual((200, "succeeded"), (status, body.get("state")), body)
             self.assertEqual(0, cluster.nodes[name].exit_code())
             cluster.start_node(name)
             ready = f"{cluster.urls[name]}/readyz"
             trickle.run_until(lambda ready=ready: call("GET", ready)[0] == 200)
         self.assertGreater(len(trickle.job_ids_by_key), 10)
+        started = [entry["job_id"] for entry in cluster.history(what="started")]
         for key, job_id in trickle.job_ids_by_key.items():
             answer = cluster.finish("hobart-1", job_id)
             self.assertEqual(("succeeded", [key]), (answer["state"], answer["results"]))
-            self.assertEqual(1, len(cluster.history(job_id, "started")))
+            self.assertEqual(1, started.count(job_id))
 
     def test_worker_restarts_empty(self):
         """Guards against gangs that go on in part after a worker's death."""
@@ -196,7 +197,7 @@
     def run_until(self, condition):
         done = False
         while not done:
-            done = condition() not in (None, False)
+            done = condition()
             key = f"trickle {len(self.job_ids_by_key)}"
             body = self._cluster.wait_for(lambda key=key: self._submit(key), key)
             self.job_ids_by_key[key] = body["job_id"]
