Answer the requests that reach a node late in its drain

The front end now accepts what waits in the kernel's queue, stops listening, leaves half a second for requests on accepted connections, waits for the requests in progress and only then closes. Waiting for idle connections without a bound was ruled out, because callers keep connections open.

--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -23,11 +23,16 @@
 from .exceptions import RedwingrudderError, UnavailableError
 from .messages import ConfigurationChanged
 from .metrics import NodeMetrics
+from .timers import TIMERS, Subscribe, TimerFired
 
 LISTEN_BACKLOG = 1_024  # connections that the kernel holds for accept
 REQUESTS_LIMIT = 10_000  # requests in progress
 OVERLOAD_RETRY_S = 1.0
+# A caller that connected just before the listening socket closed still sends
+# its request; closing at once would leave it without an answer.
+LINGER_S = 0.5
 
+_LINGER_TIMER = "linger"
 _CORRELATION_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _logger = logging.getLogger(__name__)
 
@@ -59,6 +64,7 @@
         self._asks_outstanding = 0
         self._live_requests: set[LimitedRequest] = set()
         self._port: IListeningPort | None = None
+        self._lingered = Deferred()
         self.site = ApiSite(self._respond, _correlation_id, reactor)
         self._connections = BoundedConnections(self.site)
         super().__init__(system, requests.HTTP_API)
@@ -68,6 +74,7 @@
         return {
             ConfigurationChanged: self._configuration_changed,
             requests.Drain: self._drain,
+            TimerFired: self._timer_fired,
         }
 
     @property
@@ -85,11 +92,23 @@
         )
 
     def stop(self) -> Deferred | None:
-        """See base class."""
-        self._connections.close()
+        """Refuse new connections, end the requests in progress, then close."""
         if self._port is None:
             return None
-        return maybeDeferred(self._port.stopListening)
+        # The kernel resets connections that wait for accept at the close.
+        self._port.doRead()
+        closing = maybeDeferred(self._port.stopListening)
+        return closing.addCallback(lambda _: ensureDeferred(self._end_connections()))
+
+    async def _end_connections(self) -> None:
+        self._lingered = Deferred()
+        self.tell(TIMERS, Subscribe(self.name, _LINGER_TIMER, LINGER_S))
+        await self._lingered
+        await self._gate.drain()
+        self._connections.close()
+
+    def _timer_fired(self, fired: TimerFired) -> None:
+        self._lingered.callback(None)
 
     def _configuration_changed(self, message: ConfigurationChanged) -> None:
         self._configured = True
