--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -145,10 +145,13 @@
             ready = f"{cluster.urls[name]}/readyz"
             trickle.run_until(lambda ready=ready: call("GET", ready)[0] == 200)
         self.assertGreater(len(trickle.job_ids_by_key), 10)
-        started = [entry["job_id"] for entry in cluster.history(what="started")]
         for key, job_id in trickle.job_ids_by_key.items():
             answer = cluster.finish("hobart-1", job_id)
-            self.assertEqual(("succeeded", [key]), (answer["state"], answer["results"]))
+            found = (answer["state"], answer["results"])
+            seen = cluster.history(job_id) if found[0] != "succeeded" else ()
+            self.assertEqual(("succeeded", [key]), found, (answer, seen))
+        started = [entry["job_id"] for entry in cluster.history(what="started")]
+        for job_id in trickle.job_ids_by_key.values():
             self.assertEqual(1, started.count(job_id))
 
     def test_worker_restarts_empty(self):
