--- a/src/redwingrudder/_tables.py
+++ b/src/redwingrudder/_tables.py
@@ -37,3 +37,52 @@
         print_fields(found | report["comparison"])
         for line in report["shortfalls"]:
             print(f"shortfall: {line}")
+
+
+def print_configuration(body: dict[str, Any]) -> None:
+    """Print a configuration by its sections."""
+    print(f"version {body['version']}")
+    for section in ("organisations", "classes"):
+        print(f"\n{section}")
+        print_fields(
+            {
+                name: json.dumps(entry)
+                for name, entry in body["document"][section].items()
+            }
+        )
+    print("\nfailure domains of the guaranteed shapes")
+    print_table(body["cells"])
+
+
+def print_explanation(body: dict[str, Any]) -> None:
+    """Print why a job waits, runs or ended."""
+    print(f"{body['job_id']} is {body['state']}")
+    for reason in body["reasons"]:
+        print(f"- {reason}")
+
+
+def _domain_row(domain: dict[str, Any]) -> dict[str, Any]:
+    plain = {
+        key.replace("_", " "): value
+        for key, value in domain.items()
+        if not isinstance(value, list)
+    }
+    plain["epoch"] = ".".join(str(part) for part in domain["epoch"].values())
+    return plain
+
+
+def print_domains(body: dict[str, Any]) -> None:
+    """Print the state of the failure domains."""
+    domains = body["failure_domains"]
+    print_table([_domain_row(domain) for domain in domains])
+    for name in body["unreachable"]:
+        print(f"{name}: its owner gives no answer")
+    for section in ("organisations", "classes", "shortages"):
+        rows = [
+            {"failure_domain": domain["failure_domain"], **row}
+            for domain in domains
+            for row in domain.get(section, ())
+        ]
+        if rows:
+            print(f"\n{section}")
+            print_table(rows)
--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -6,12 +6,20 @@
 from typing import Any
 
 import fire
+from fire.decorators import SetParseFn
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import react
 
 from . import settings
-from ._tables import print_fields, print_json, print_reports, print_table
+from ._tables import (
+    print_configuration,
+    print_domains,
+    print_explanation,
+    print_fields,
+    print_json,
+    print_reports,
+)
 from .client import Client
 from .configuration import ConfigurationDocument, parse_document
 from .exceptions import BadRequestError, RedwingrudderError, SettingsError
@@ -110,6 +118,30 @@
         ]
         print_reports(reports, json)
 
+    def measure(
+        self,
+        parts: str = "all",
+        seed: int = 1,
+        pid: int = 0,
+        node: str = DEFAULT_NODE,
+        json: bool = False,
+    ) -> None:
+        """Measure the cost of each part on this machine, with stand-ins.
+
+        Args:
+            parts: "all", or any of placement, state, links, exchange, members,
+                nodes, jobs and configuration; "process" is a running node.
+            seed: Seed of the generated load.
+            pid: Process of the node, for the part "process" (Linux).
+            node: Entry node URL of that process.
+            json: Print JSON.
+        """
+        from .measure import run_measure
+
+        run_measure(_split(parts), int(seed), int(pid), node, json, default_reactor)
+
+    # Without this, fire reads the JSON text as a Python expression.
+    @SetParseFn(str, "job", "key")
     def submit(
         self,
         job: str,
@@ -150,7 +182,7 @@
         if job_id:
             self._call(node, lambda client: client.job(job_id, float(wait)), json)
         else:
-            self._call(node, lambda client: client.status(), json, _print_domains)
+            self._call(node, lambda client: client.status(), json, print_domains)
 
     def cancel(self, job_id: str, node: str = DEFAULT_NODE, json: bool = False) -> None:
         """Cancel a job.
@@ -172,7 +204,7 @@
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
-        self._call(node, lambda client: client.explain(job_id), json)
+        self._call(node, lambda client: client.explain(job_id), json, print_explanation)
 
     def show(self, node: str = DEFAULT_NODE, json: bool = False) -> None:
         """Show the configuration in force.
@@ -181,7 +213,9 @@
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
-        self._call(node, lambda client: client.configuration(), json)
+        self._call(
+            node, lambda client: client.configuration(), json, print_configuration
+        )
 
     def apply(
         self,
@@ -200,7 +234,12 @@
         """
         document = _read_configuration(file)
         version = int(base_version)
-        self._call(node, lambda client: client.apply(document, version), json)
+        self._call(
+            node,
+            lambda client: client.apply(document, version),
+            json,
+            print_configuration,
+        )
 
     def platform(self, port: int = 7000, host: str = "127.0.0.1") -> None:
         """Run the stand-in of the platform's store and VM list.
@@ -272,7 +311,7 @@
 def main() -> None:
     """Entry point; maps errors to exit codes."""
     try:
-        fire.Fire(Commands, name="redwingrudder")
+        fire.Fire(Commands(), name="redwingrudder")
     except RedwingrudderError as error:
         for line in getattr(error, "problems", ()):
             print(line, file=sys.stderr)
@@ -307,19 +346,17 @@
     return tuple(nodes)
 
 
-def _read_job(job: Any) -> dict[str, Any]:
-    # fire parses a JSON object on the command line into a dict by itself.
-    if isinstance(job, str):
-        text = settings.read_file(job[1:]) if job.startswith("@") else job
-        try:
-            job = json_module.loads(text)
-        except ValueError as error:
-            raise BadRequestError(
-                f"the job is not a JSON document: {error}", code="malformed_json"
-            ) from None
-    if not isinstance(job, dict):
+def _read_job(job: str) -> dict[str, Any]:
+    text = settings.read_file(job[1:]) if job.startswith("@") else job
+    try:
+        body = json_module.loads(text)
+    except ValueError as error:
+        raise BadRequestError(
+            f"the job is not a JSON document: {error}", code="malformed_json"
+        ) from None
+    if not isinstance(body, dict):
         raise BadRequestError("the job must be a JSON object", code="invalid_job")
-    return job
+    return body
 
 
 def _check_file(path: str) -> list[str]:
@@ -345,23 +382,3 @@
     except RedwingrudderError as error:
         error.detail = f"{path}: {error.detail}"
         raise
-
-
-def _print_domains(body: dict[str, Any]) -> None:
-    domains = body["failure_domains"]
-    plain = [
-        {key: value for key, value in domain.items() if not isinstance(value, list)}
-        for domain in domains
-    ]
-    print_table(plain)
-    for name in body["unreachable"]:
-        print(f"{name}: its owner gives no answer")
-    for section in ("organisations", "classes", "shortages"):
-        rows = [
-            {"failure_domain": domain["failure_domain"], **row}
-            for domain in domains
-            for row in domain.get(section, ())
-        ]
-        if rows:
-            print(f"\n{section}")
-            print_table(rows)
--- a/src/redwingrudder/local.py
+++ b/src/redwingrudder/local.py
@@ -5,16 +5,19 @@
 """
 
 import json
+from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from . import requests
-from ._background import run
 from .actors import ActorSystem
 from .client import Client
 from .configuration import ConfigurationDocument, parse_document
-from .exceptions import ConflictError, UnavailableError
+from .exceptions import ConflictError, RedwingrudderError, UnavailableError
 from .logs import configure_logging
 from .model import WorkerInfo
 from .node import Node, stop_on_signals
@@ -43,13 +46,20 @@
         deployment: Checked deployment settings.
         reactor: The twisted reactor.
         first_port: HTTP port of the first node; the others follow it.
+        node_reactor: Returns the reactor of a node, to measure each of them;
+            all nodes use ``reactor`` unless given.
     """
 
     def __init__(
-        self, deployment: DeploymentSettings, reactor: Any, first_port: int
+        self,
+        deployment: DeploymentSettings,
+        reactor: Any,
+        first_port: int,
+        node_reactor: Callable[[NodeSettings], Any] | None = None,
     ) -> None:
         self._deployment = deployment
         self._reactor = reactor
+        self._node_reactor = node_reactor or (lambda settings: reactor)
         self._first_port = first_port
         self._platform = PlatformStandin(reactor)
         self._workers: list[WorkerStandIn] = []
@@ -98,7 +108,7 @@
                 settings = self._node_settings(domain["name"], rank, port)
                 settings["failure_domains"] = names
                 settings["platform"] = platform
-                self.nodes.append(Node(settings, self._reactor))
+                self.nodes.append(Node(settings, self._node_reactor(settings)))
                 port += 1
 
     def _node_settings(self, domain: str, rank: int, port: int) -> NodeSettings:
@@ -177,14 +187,26 @@
     configure_logging(settings["name"], "WARNING")
     local = LocalDeployment(settings, reactor, port)
 
+    failures: list[Failure] = []
+
     async def start() -> None:
         await local.start(document)
         for url in local.urls:
             print(url, flush=True)
 
+    def abandon(failure: Failure) -> None:
+        failures.append(failure)
+        reactor.stop()
+
+    def begin() -> None:
+        Deferred.fromCoroutine(start()).addErrback(abandon)
+
     stop_on_signals(reactor, local.stop)
-    reactor.callWhenRunning(run, start(), settings["name"])
+    reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
+    for failure in failures:
+        failure.trap(RedwingrudderError, CannotListenError)
+        raise UnavailableError(str(failure.value), code="not_started")
 
 
 def worker_vm(info: WorkerInfo) -> VmBody:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -17,6 +17,7 @@
 from redwingrudder.messages import ConfigurationChanged
 from redwingrudder.model import FINAL_JOB_STATES, Epoch, WorkerInfo
 from redwingrudder.ownership import OwnershipActor
+from redwingrudder.peers import CONFIGURATION_LAG_S
 from redwingrudder.policies import slack_policies
 from redwingrudder.scheduler import Scheduler
 from redwingrudder.standins._key_value import KeyValueCore
@@ -90,6 +91,16 @@
         super()._accept(numbers, now)
 
 
+class EagerWorker(RecordingWorker):
+    """A faulty worker that starts a member as soon as it is reserved."""
+
+    def reserve(self, request, now):
+        reply = super().reserve(request, now)
+        if reply["accepted"]:
+            self.start({"epoch": request["epoch"], "gang_id": request["gang_id"]}, now)
+        return reply
+
+
 class Workers:
     """The workers of the domain, reached by all nodes."""
 
@@ -127,20 +138,27 @@
 
 
 class Peers(Actor):
-    """Copies configurations from other nodes."""
+    """Offers the configuration of other nodes when the store's watch lags."""
 
-    def __init__(self, system, deployment):
-        self.deployment = deployment
+    def __init__(self, system, node):
+        self.node = node
+        self.version, self.behind_since = 0, None
         super().__init__(system, r.PEERS)
 
     def handlers(self):
-        return {r.GetPeerConfiguration: self._copy, r.LocalLoad: lambda _: None}
-
-    def _copy(self, message):
-        node = self.deployment.nodes_by_id[message.address]
-        found = node.in_force if node.running else None
-        newer = found is not None and found.version > message.above_version
-        return found if newer else None
+        return {r.LocalLoad: lambda _: None}
+
+    def hear(self, sender):
+        self.tell(r.OWNERSHIP, sender.report())
+        own = self.node.in_force.version if self.node.in_force else 0
+        if own != self.version:
+            self.version, self.behind_since = own, None
+        if sender.in_force is None or sender.in_force.version <= own:
+            return
+        if self.behind_since is None:
+            self.behind_since = self.node.now
+        elif self.node.now - self.behind_since >= CONFIGURATION_LAG_S:
+            self.tell(r.CONFIGURATION, r.OfferConfiguration(sender.in_force))
 
 
 class Seen(Actor):
@@ -189,7 +207,7 @@
         TimerService(self.system)
         self.store = FakeStore(self.system, deployment.core, deployment.store_up)
         self.store.vms = tuple(list_vm(info) for info in WORKERS)
-        Peers(self.system, deployment)
+        self.peers = Peers(self.system, self)
         Seen(self.system, self)
         ConfigurationActor(self.system, (r.DISPATCHER, SEEN), rank)
         OwnershipActor(
@@ -202,7 +220,7 @@
             Transport(self.clock, deployment.workers),
         )
         self.system.start()
-        self.list_workers(())
+        self.list_workers(deployment.leaving)
         self.entries.append(h.NodeUp(self.now, self.node_id))
 
     @property
@@ -248,8 +266,8 @@
         self.store_up = True
         self.outage_from = 0.0
         self.workers = Workers(self.entries, worker_kind)
-        self.nodes_by_id = {}
         self.leaving = ()
+        self.nodes_by_id = {}
         self.specs_by_job = {}
         self.changes = 0
         self.started_nodes = 0
@@ -281,8 +299,7 @@
         for sender in self.nodes:
             for receiver in self.nodes:
                 if sender.running and receiver.running and sender is not receiver:
-                    for name in (r.OWNERSHIP, r.CONFIGURATION):
-                        receiver.system.tell(name, sender.report())
+                    receiver.peers.hear(sender)
 
     # Faults.
 
