--- a/src/redwingrudder/_bench_runner.py
+++ b/src/redwingrudder/_bench_runner.py
@@ -21,7 +21,7 @@
 SAMPLE_INTERVAL_S = 30.0
 LOAD_INTERVAL_S = 1.0  # as often as nodes exchange their load
 START_OF_RUN_S = 17 * 3_600.0  # time of day (UTC) at which a run starts
-LIMIT_FACTOR = 6  # a run ends at this multiple of its horizon at the latest
+AFTER_HORIZON_S = 18_000.0  # time for the accepted jobs to end
 
 
 class JobRecord(NamedTuple):
@@ -109,7 +109,7 @@
         self._schedule_faults()
         self._next_arrival(arrivals)
         self._clock.at(SAMPLE_INTERVAL_S, self._sample, horizon_s)
-        self._clock.run(horizon_s * LIMIT_FACTOR)
+        self._clock.run(horizon_s + AFTER_HORIZON_S)
         return self._result()
 
     def _choose_failing(self) -> frozenset[str]:
--- a/src/redwingrudder/bench.py
+++ b/src/redwingrudder/bench.py
@@ -105,6 +105,16 @@
     )
 
 
+class _Plan(NamedTuple):
+    """What a run is made from; runs that are compared differ in one field."""
+
+    fleet: Fleet
+    scenario: Scenario
+    policy: str
+    seed: int
+    horizon_s: float
+
+
 def run_scenario(
     fleet: Fleet,
     scenario: Scenario,
@@ -120,10 +130,10 @@
     if policy not in POLICIES_BY_NAME:
         known = ", ".join(POLICIES_BY_NAME)
         raise NotFoundError(f"no policy {policy!r}; there are: {known}")
-    result = _run(fleet, scenario, policy, seed, horizon_s)
+    plan = _Plan(fleet, scenario, policy, seed, horizon_s)
+    result = _run(plan)
     comparison = Comparison(
-        _kept_share(fleet, scenario, policy, seed, horizon_s, result),
-        _small_caller_ratio(fleet, scenario, policy, seed, horizon_s, result),
+        _kept_share(plan, result), _small_caller_ratio(plan, result)
     )
     found = figures(result, fleet.configuration)
     return BenchReport(
@@ -132,70 +142,54 @@
 
 
 def _run(
-    fleet: Fleet,
-    scenario: Scenario,
-    policy: str,
-    seed: int,
-    horizon_s: float,
-    keep: Callable[[Arrival], bool] = lambda arrival: True,
+    plan: _Plan, keep: Callable[[Arrival], bool] = lambda arrival: True
 ) -> RunResult:
-    jobs = filter(keep, _arrivals(fleet, scenario, seed, horizon_s))
     run = BenchRun(
-        fleet.workers, fleet.configuration, scenario, POLICIES_BY_NAME[policy], seed
+        plan.fleet.workers,
+        plan.fleet.configuration,
+        plan.scenario,
+        POLICIES_BY_NAME[plan.policy],
+        plan.seed,
     )
-    return run.run(jobs, horizon_s)
+    return run.run(filter(keep, _arrivals(plan)), plan.horizon_s)
 
 
-def _arrivals(
-    fleet: Fleet, scenario: Scenario, seed: int, horizon_s: float
-) -> Iterator[Arrival]:
+def _arrivals(plan: _Plan) -> Iterator[Arrival]:
     by_domain: dict[str, int] = {}
-    for worker in fleet.workers:
+    for worker in plan.fleet.workers:
         name = worker.failure_domain
         by_domain[name] = by_domain.get(name, 0) + worker.accelerators
     total, smallest = sum(by_domain.values()), min(by_domain.values())
-    jobs = arrivals(fleet.workload, scenario, total, smallest, seed)
-    return (job for job in jobs if job.at < horizon_s)
+    jobs = arrivals(plan.fleet.workload, plan.scenario, total, smallest, plan.seed)
+    return (job for job in jobs if job.at < plan.horizon_s)
 
 
-def _kept_share(
-    fleet: Fleet,
-    scenario: Scenario,
-    policy: str,
-    seed: int,
-    horizon_s: float,
-    result: RunResult,
-) -> float | None:
-    if not scenario.flood_role:
+def _kept_share(plan: _Plan, result: RunResult) -> float | None:
+    fleet = plan.fleet
+    if not plan.scenario.flood_role:
         return None
-    flooded = fleet.workload.kinds_by_role[scenario.flood_role].job_class
+    flooded = fleet.workload.kinds_by_role[plan.scenario.flood_role].job_class
 
     def others(records: tuple[JobRecord, ...]) -> list[JobRecord]:
         return [r for r in records if r.arrival.spec.job_class != flooded]
 
-    calm = _run(fleet, find_scenario("steady"), policy, seed, horizon_s)
+    calm = _run(plan._replace(scenario=find_scenario("steady")))
     without = met_share(others(calm.records), fleet.configuration)
     with_flood = met_share(others(result.records), fleet.configuration)
     return with_flood / without if without else None
 
 
-def _small_caller_ratio(
-    fleet: Fleet,
-    scenario: Scenario,
-    policy: str,
-    seed: int,
-    horizon_s: float,
-    result: RunResult,
-) -> float | None:
+def _small_caller_ratio(plan: _Plan, result: RunResult) -> float | None:
+    scenario = plan.scenario
     if not scenario.large_caller:
         return None
-    flooded = fleet.workload.kinds_by_role[scenario.flood_role].job_class
+    flooded = plan.fleet.workload.kinds_by_role[scenario.flood_role].job_class
 
     def small(arrival: Arrival) -> bool:
         spec = arrival.spec
         return spec.job_class == flooded and spec.caller != LARGE_CALLER
 
-    alone = _run(fleet, scenario, policy, seed, horizon_s, keep=small)
+    alone = _run(plan, keep=small)
     beside = [record for record in result.records if small(record.arrival)]
     return completion_p95_s(beside) / completion_p95_s(alone.records)
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,57 @@
+"""Tests of the command line: exit codes and what a person is told."""
+
+import contextlib
+import io
+import pathlib
+import sys
+import tempfile
+import unittest
+from unittest import mock
+
+from redwingrudder import cli
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+
+
+class CommandTests(unittest.TestCase):
+    def run_command(self, *arguments):
+        """Return the exit code and everything that was printed."""
+        printed = io.StringIO()
+        with (
+            mock.patch.object(sys, "argv", ["redwingrudder", *arguments]),
+            contextlib.redirect_stdout(printed),
+            contextlib.redirect_stderr(printed),
+        ):
+            try:
+                cli.main()
+            except SystemExit as stop:
+                return stop.code, printed.getvalue()
+        return 0, printed.getvalue()
+
+    def test_check_accepts_all_examples(self):
+        files = map(str, sorted(EXAMPLES.glob("*/*.jsonc")))
+        code, text = self.run_command("check", *files)
+        self.assertEqual((code, "no problems" in text), (0, True), text)
+
+    def test_check_names_file_path_found_and_allowed(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "wrong.jsonc")
+            text = (EXAMPLES / "huon/configuration.jsonc").read_text("utf-8")
+            path.write_text(text.replace('"copies": 3', '"copies": 0'), "utf-8")
+            code, text = self.run_command("check", str(path))
+        self.assertEqual(code, 3)
+        self.assertIn("organisations.shop-counters.guarantees", text)
+        self.assertIn("found 0", text)
+        self.assertIn("allowed", text)
+
+    def test_errors_of_each_family_have_their_exit_code(self):
+        cases = {
+            2: ("submit", "not json", "--key", "k"),
+            3: ("check", "/nonexistent.jsonc"),
+            4: ("bench", "--scenario", "nothing"),
+        }
+        for expected, arguments in cases.items():
+            with self.subTest(arguments):
+                code, text = self.run_command(*arguments)
+                self.assertEqual(code, expected, text)
+                self.assertNotIn("Traceback", text)
