Finish recorded starts before an owner hands over

A draining owner waited only for its store writes.

A gang that is only reserved is released by the next owner and placed again.

--- a/src/redwingrudder/_gang_commands.py
+++ b/src/redwingrudder/_gang_commands.py
@@ -26,6 +26,25 @@
         self._gangs_by_job: dict[str, set[str]] = {}
         self._started_gangs: set[str] = set()
         self._held_by_job: dict[str, list[ReleaseMember]] = {}
+        # Jobs whose start is being recorded or sent; the next owner could not
+        # tell whether they ran.
+        self.starting_jobs: set[str] = set()
+        self._draining = False
+
+    def drain(self) -> bool:
+        """Record no further starts; returns whether one is in progress."""
+        self._draining = True
+        return bool(self.starting_jobs)
+
+    def may_record(self, job_id: str) -> bool:
+        """Note that a start is recorded, unless the owner is leaving.
+
+        The next owner releases a gang without a recorded start and places
+        its job again.
+        """
+        if not self._draining:
+            self.starting_jobs.add(job_id)
+        return not self._draining
 
     def note_report(self, report: WorkerReport) -> None:
         """Remember the gangs that a worker holds."""
--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_tenure.py
@@ -129,6 +129,10 @@
         error = UnavailableError(detail, code="not_owner", retry_after_s=0.5)
         self.waiters.fail_all(error)
 
+    def drain(self) -> bool:
+        """Record no further starts; returns whether one is in progress."""
+        return self._commands.drain() or not self.ledger.idle
+
     def now(self) -> float:
         """Return the time of the node's clock."""
         return self._system.clock.seconds()
@@ -313,7 +317,8 @@
     # Effects.
 
     def _record_start(self, effect: messages.RecordStart) -> None:
-        self.run(self._write_start(effect))
+        if self._commands.may_record(effect.job_id):
+            self.run(self._write_start(effect))
 
     async def _write_start(self, effect: messages.RecordStart) -> None:
         refusal = await self.ledger.record_start(effect.job_id, effect.gang_id)
@@ -322,6 +327,7 @@
     def _job_changed(self, effect: messages.JobChanged) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
         self.reporter.changed(effect.job_id, job.spec, effect.state)
+        self._commands.starting_jobs.discard(effect.job_id)
         if effect.state not in FINAL_JOB_STATES:
             return
         view = self._certain_view(effect.job_id)
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -271,8 +271,8 @@
         return drained
 
     def _check_drained(self) -> None:
-        idle = self._tenure is None or self._tenure.ledger.idle
-        busy = self._intake.busy or not idle
+        starting = self._tenure is not None and self._tenure.drain()
+        busy = self._intake.busy or starting
         if busy and self._now() < self._drain_until:
             return
         self.tell(TIMERS, Unsubscribe(self.name, _DRAIN_TIMER))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -438,3 +438,25 @@
         with self.assertRaises(UnavailableError) as caught:
             self.node.submit(SPEC._replace(idempotency_key="late"))
         self.assertEqual(caught.exception.code, "draining")
+
+    def test_drain_waits_for_recorded_starts(self):
+        """A next owner ends a job whose start may have been sent (I7)."""
+        once = SPEC._replace(idempotent=False)
+        self.node.system.ask(r.DISPATCHER, r.SubmitJob(once, ""))
+        self.step_until(lambda: (self.record(once) or {}).get("state") == "starting")
+        self.assertEqual(self.starts(), [])
+        drained = []
+        self.node.system.ask(r.DISPATCHER, r.Drain()).addCallback(drained.append)
+        self.step_until(lambda: drained)
+        self.assertTrue(self.starts())
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("drained"))
+        successor = self.second_node(2)
+        view = successor.poll(job_id_for(DOMAIN, "huon", once.idempotency_key), 5.0)
+        self.assertEqual(view.state, JobState.SUCCEEDED)
+
+    def step_until(self, condition):
+        for _ in range(2_000):
+            if condition():
+                return
+            self.clock.advance(0.0002)
+        self.fail("the condition is never met")
