--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -18,7 +18,7 @@
         return bench.run_scenario(fleet, scenario, policy, 1, HORIZON_S)
 
     def test_same_seed_gives_the_same_figures(self):
-        """Rounds are compared by figures, which must not vary by themselves."""
+        """Rounds are compared by figures, so these must not vary."""
         self.assertEqual(self.run_scenario("gangs"), self.run_scenario("gangs"))
 
     def test_no_job_is_lost_or_doubled_under_faults(self):
