--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -212,8 +212,8 @@
             node.apply(0)
         self.assertIsNone(node.store.value(codec.HEAD_KEY))
 
-    def test_a_target_changes_while_lost_hardware_cannot_hold_the_guarantees(self):
-        """The loss of a rack must not keep operators from changing a target."""
+    def test_a_target_changes_while_lost_hardware_breaks_guarantees(self):
+        """The loss of a rack must not keep operators from other changes."""
         node = self.node()
         before = node.apply(0)
         error = UnprocessableError("x", code="guarantees_do_not_fit")
