Drain the calls of other nodes too

Cause: a stopping node waited for callers, records and the handover, but not for the calls of other nodes. Change: PEERS drains last, when the ownership is handed over. Ruled out: draining it first; the owner still serves other nodes then.

--- a/src/redwingrudder/node.py
+++ b/src/redwingrudder/node.py
@@ -30,6 +30,13 @@
 WORKER_LEASE_S = 30.0
 STORE_WRITES_PER_S = 200
 REQUESTS_IN_PROGRESS = 10_000
+# Callers first; calls of other nodes end once the ownership is handed over.
+DRAIN_ORDER = (
+    requests.HTTP_API,
+    requests.DISPATCHER,
+    requests.OWNERSHIP,
+    requests.PEERS,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -64,7 +71,7 @@
             return
         self._stopping = True
         _logger.info("node drains")
-        for name in (requests.HTTP_API, requests.DISPATCHER, requests.OWNERSHIP):
+        for name in DRAIN_ORDER:
             try:
                 await self.system.ask(name, requests.Drain())
             except RedwingrudderError as error:
