--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -23,7 +23,7 @@
 from redwingrudder.standins._key_value import KeyValueCore
 from redwingrudder.standins.worker import WorkerCore
 from redwingrudder.timers import TimerService
-from tests.fakes import FakeStore
+from tests.fakes import FakeStore, list_vm
 from tests.worker_fakes import FakeTransport
 
 DOMAIN = "hobart"
@@ -425,21 +425,5 @@
     return str(configuration.classes_by_name["proof"].target_s)
 
 
-def list_vm(info, state="live"):
-    return r.VmInfo(
-        info.worker_id,
-        "worker",
-        state,
-        info.address,
-        info.failure_domain,
-        info.rack,
-        0,
-        info.accelerators,
-        info.slots,
-        info.cores,
-        info.memory_mb,
-    )
-
-
 def _ignore_refusal(failure):
     failure.trap(RedwingrudderError)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -221,3 +221,20 @@
 def _change(record):
     value = None if record.value is None else record.value.decode()
     return requests.KeyChange(record.key.decode(), value, record.mod_revision)
+
+
+def list_vm(info, state="live"):
+    """Return the VM list's entry of a worker."""
+    return requests.VmInfo(
+        info.worker_id,
+        "worker",
+        state,
+        info.address,
+        info.failure_domain,
+        info.rack,
+        0,
+        info.accelerators,
+        info.slots,
+        info.cores,
+        info.memory_mb,
+    )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -37,7 +37,7 @@
 from redwingrudder.scheduler import Scheduler
 from redwingrudder.standins._key_value import Put
 from redwingrudder.timers import TimerService
-from tests.fakes import FakeStore, Recorder
+from tests.fakes import FakeStore, Recorder, list_vm
 from tests.worker_fakes import FakeTransport, run_clock
 
 DOMAIN = "hobart"
@@ -75,22 +75,6 @@
         pass
 
 
-def list_worker(info, state="live"):
-    return r.VmInfo(
-        info.worker_id,
-        "worker",
-        state,
-        info.address,
-        info.failure_domain,
-        info.rack,
-        0,
-        info.accelerators,
-        info.slots,
-        info.cores,
-        info.memory_mb,
-    )
-
-
 class Node:
     """One node with its own actors; nodes share clock, store and workers."""
 
@@ -110,7 +94,7 @@
             self.observer,
         )
         self.system.tell(r.DISPATCHER, ConfigurationChanged(CONFIGURATION))
-        self.list_workers(*(list_worker(info) for info in WORKERS))
+        self.list_workers(*(list_vm(info) for info in WORKERS))
 
     def list_workers(self, *vms):
         self.system.tell(r.DISPATCHER, r.MembersChanged(vms))
@@ -324,8 +308,8 @@
             self.node.ask(r.CancelJob(view.job_id), 31.0)
 
     def test_a_leaving_worker_gets_no_new_work(self):
-        leaving = list_worker(WORKERS[0], "leaving")
-        self.node.list_workers(leaving, list_worker(WORKERS[1]))
+        leaving = list_vm(WORKERS[0], "leaving")
+        self.node.list_workers(leaving, list_vm(WORKERS[1]))
         self.node.run_for(0.1)
         for i in range(3):
             self.node.submit(SPEC._replace(idempotency_key=f"k{i}"))
@@ -341,7 +325,7 @@
             self.transport.restart(info.address)
         self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
         successor = Node(self.clock, self.core, self.transport)
-        leaving = [list_worker(info, "leaving") for info in WORKERS]
+        leaving = [list_vm(info, "leaving") for info in WORKERS]
         successor.list_workers(*leaving)
         self.transport.cut.update(info.address for info in WORKERS)
         successor.own(2)
--- a/tests/test_dispatcher_faults.py
+++ b/tests/test_dispatcher_faults.py
@@ -9,7 +9,8 @@
 from redwingrudder import requests as r
 from redwingrudder.exceptions import NotFoundError, RedwingrudderError
 from redwingrudder.model import FINAL_JOB_STATES, JobState
-from tests.test_dispatcher import LEASE_S, SPEC, WORKERS, Node, list_worker
+from tests.fakes import list_vm
+from tests.test_dispatcher import LEASE_S, SPEC, WORKERS, Node
 from tests.worker_fakes import FakeTransport, run_clock
 
 SEEDS = range(40)
@@ -143,11 +144,11 @@
         self.node.own(self.term)
 
     def leave(self):
-        vms = [list_worker(info) for info in WORKERS]
+        vms = [list_vm(info) for info in WORKERS]
         if self.random.random() < 0.5:
             leaving = self.random.choice(WORKERS)
             self.left.add(leaving.worker_id)
-            vms.append(list_worker(leaving, "leaving"))
+            vms.append(list_vm(leaving, "leaving"))
         else:
             vms.pop()
         self.node.list_workers(*vms)
@@ -163,7 +164,7 @@
         return self.transport.cores_by_address[address]
 
     def heal(self):
-        self.node.list_workers(*(list_worker(info) for info in WORKERS))
+        self.node.list_workers(*(list_vm(info) for info in WORKERS))
         for address, core in list(self.transport.cores_by_address.items()):
             core.fail_everything = False
             if core.draining or core.info.worker_id in self.left:
