Let the history check know which nodes are cut off from the store

Each trace shows a node that was cut off from the store while the only peer that knew of the change was paused within a second or two, before the node could copy it. No node can learn of a change then; docs/invariants.md says so. Change: cuts of single nodes are history entries, and the limit of 5 s does not run while a node has neither the store nor a peer that reaches it. It runs on when such a peer is there. Ruled out: a fault of the configuration actor; in each trace the node had the version 0.1 s after it reached the store or a peer again.

--- a/src/redwingrudder/_history_nodes.py
+++ b/src/redwingrudder/_history_nodes.py
@@ -16,6 +16,7 @@
     NodeUp,
     RequestBegun,
     RequestEnded,
+    StoreCut,
     StoreOutage,
     Violation,
     WorkerBooted,
@@ -123,7 +124,22 @@
 def _available(
     entries: list[Entry], node_id: str, end: float
 ) -> list[tuple[float, float]]:
-    """Return the spans in which a node ran and the store answered."""
+    """Return the spans in which a node ran and could learn of a change.
+
+    It learns from the store or, while it is cut off from the store, from a
+    peer that reaches the store.
+    """
+    running = _running(entries, node_id, end)
+    own_reach = _reach(entries, node_id, end)
+    alone = _minus(running, own_reach)
+    for peer_id in {e.node_id for e in entries if isinstance(e, NodeUp)} - {node_id}:
+        alone = _minus(alone, _reach(entries, peer_id, end))
+    return _minus(running, alone)
+
+
+def _running(
+    entries: list[Entry], node_id: str, end: float
+) -> list[tuple[float, float]]:
     spans: list[tuple[float, float]] = []
     up_at: float | None = None
     for entry in entries:
@@ -135,12 +151,27 @@
             up_at = None
     if up_at is not None:
         spans.append((up_at, end))
+    return spans
+
+
+def _reach(entries: list[Entry], node_id: str, end: float) -> list[tuple[float, float]]:
+    """Return the spans in which a node ran and reached the store."""
+    spans = _running(entries, node_id, end)
     for entry in entries:
-        if isinstance(entry, StoreOutage):
+        own_cut = isinstance(entry, StoreCut) and entry.node_id == node_id
+        if own_cut or isinstance(entry, StoreOutage):
             spans = _without(spans, entry.at, entry.until)
     return spans
 
 
+def _minus(
+    spans: list[tuple[float, float]], others: list[tuple[float, float]]
+) -> list[tuple[float, float]]:
+    for first, last in others:
+        spans = _without(spans, first, last)
+    return spans
+
+
 def _without(
     spans: list[tuple[float, float]], begin: float, end: float
 ) -> list[tuple[float, float]]:
--- a/src/redwingrudder/_history_types.py
+++ b/src/redwingrudder/_history_types.py
@@ -142,6 +142,14 @@
     until: float
 
 
+class StoreCut(NamedTuple):
+    """One node could not reach the store from ``at`` until ``until``."""
+
+    at: float
+    until: float
+    node_id: str
+
+
 class ConfigurationAccepted(NamedTuple):
     """An operator was told that a change is accepted."""
 
@@ -191,6 +199,7 @@
     | RequestBegun
     | RequestEnded
     | StoreOutage
+    | StoreCut
     | ConfigurationAccepted
     | ConfigurationRefused
     | ConfigurationInForce
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -265,6 +265,7 @@
         self.core = KeyValueCore()
         self.store_up = True
         self.outage_from = 0.0
+        self.cuts_by_node = {}
         self.workers = Workers(self.entries, worker_kind)
         self.leaving = ()
         self.nodes_by_id = {}
@@ -321,7 +322,18 @@
         node.running = True
         self.entries.append(h.NodeUp(self.now, node.node_id))
 
+    def cut_from_store(self, node):
+        node.store.set_available(False)
+        self.cuts_by_node.setdefault(node.node_id, self.now)
+
+    def _end_cuts(self):
+        for node_id, begun in self.cuts_by_node.items():
+            self.entries.append(h.StoreCut(begun, self.now, node_id))
+        self.cuts_by_node.clear()
+
     def set_store(self, up):
+        if up:
+            self._end_cuts()
         if up and not self.store_up:
             self.entries.append(h.StoreOutage(self.outage_from, self.now))
         elif self.store_up:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -119,7 +119,7 @@
 
     def cut_from_store(self, number):
         for node in self._owner(number):
-            node.store.set_available(False)
+            self.deployment.cut_from_store(node)
 
     def stop_store(self, number):
         self.deployment.set_store(False)
@@ -380,6 +380,20 @@
         outage = h.StoreOutage(2.0, 7.0)
         self.assertEqual(h.check_history((*entries, outage), LIMITS), ())
 
+    def test_node_that_is_cut_off_learns_from_a_peer_that_is_not(self):
+        # Seed 2, schedule 746 of run_schedules: the only peer that knew of a
+        # change was paused 1.9 s after it, while the node was cut off.
+        entries = (
+            h.NodeUp(0.0, "n"),
+            h.ConfigurationInForce(0.5, "n", 1, "a"),
+            h.ConfigurationAccepted(1.0, 2, "b"),
+            h.StoreCut(0.7, 20.0, "n"),
+        )
+        peer = (h.NodeUp(0.0, "m"), h.NodeDown(2.9, "m", False))
+        alone = (*entries, *peer, h.NodeUp(9.0, "late"))
+        self.assertEqual(h.check_history(alone, LIMITS), ())
+        self.check("I8", *entries, h.NodeUp(0.0, "m"), h.NodeUp(8.0, "other"))
+
     def test_version_may_not_fall_or_have_two_documents(self):
         first = h.ConfigurationInForce(0.0, "n", 2, "b")
         self.check("I8", first, h.ConfigurationInForce(1.0, "n", 1, "a"))
