Let HTTP clients connect to addresses without host name checks

A profile of that process showed the checks of each address as an international host name, for every request, and the URL and cookie handling of treq in the store calls (0.9 of 4.2 s under the profiler). Change: an endpoint factory for addresses, used by the clients of store and workers; the store calls use twisted's Agent.

--- a/src/redwingrudder/_store_transport.py
+++ b/src/redwingrudder/_store_transport.py
@@ -1,16 +1,26 @@
 """HTTP connections to the platform."""
 
 import abc
+import io
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-import treq
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent, ResponseDone
-
+from twisted.web.client import (
+    Agent,
+    ContentDecoderAgent,
+    FileBodyProducer,
+    GzipDecoder,
+    HTTPConnectionPool,
+    RequestNotSent,
+    ResponseDone,
+)
+from twisted.web.http_headers import Headers
+
+from ._http_endpoints import AddressEndpoints
 from ._store_codec import EncodedCall
 from .exceptions import OutcomeUnknownError, StoreUnavailableError
 from .platform_api import DOMAIN_HEADER
@@ -87,15 +97,15 @@
     def __init__(self, reactor: Any, base_url: str, failure_domain: str) -> None:
         self._reactor = reactor
         self._base_url = base_url.rstrip("/")
-        self._headers = {
-            DOMAIN_HEADER: failure_domain,
-            "Content-Type": "application/json",
-        }
+        self._headers = Headers(
+            {DOMAIN_HEADER: [failure_domain], "Content-Type": ["application/json"]}
+        )
         self._pool = HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = CONNECTIONS
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
-        agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
-        self._client = treq.client.HTTPClient(agent)
+        endpoints = AddressEndpoints(reactor, CONNECT_TIMEOUT_S)
+        agent = Agent.usingEndpointFactory(reactor, endpoints, self._pool)
+        self._agent = ContentDecoderAgent(agent, [(b"gzip", GzipDecoder)])
         self._exchanges: set[Deferred] = set()
         self._closed = False
 
@@ -141,18 +151,15 @@
         return TransportReply(response.code, await reader.body, etags[0])
 
     def _send(self, request: EncodedCall) -> Deferred:
-        method = "GET" if request.body is None else "POST"
+        method, producer = b"GET", None
+        if request.body is not None:
+            method, producer = b"POST", FileBodyProducer(io.BytesIO(request.body))
         headers = self._headers
         if request.etag:
-            headers = {**headers, "If-None-Match": request.etag}
-        return self._client.request(
-            method,
-            self._base_url + request.path,
-            headers=headers,
-            data=request.body,
-            allow_redirects=False,
-            unbuffered=True,
-        )
+            headers = headers.copy()
+            headers.setRawHeaders("If-None-Match", [request.etag])
+        url = f"{self._base_url}{request.path}".encode()
+        return self._agent.request(method, url, headers, producer)
 
 
 class _BodyReader(Protocol):
--- a/src/redwingrudder/_worker_transport.py
+++ b/src/redwingrudder/_worker_transport.py
@@ -17,6 +17,7 @@
 )
 from twisted.web.http_headers import Headers
 
+from ._http_endpoints import AddressEndpoints
 from .exceptions import UnavailableError
 
 CONNECTIONS_PER_WORKER = 6  # one long poll and the commands in flight
@@ -68,7 +69,8 @@
         self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
         # The link retries itself, with a bound on its attempts in flight.
         self._pool.retryAutomatically = False
-        self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        endpoints = AddressEndpoints(reactor, CONNECT_TIMEOUT_S)
+        self._agent = Agent.usingEndpointFactory(reactor, endpoints, self._pool)
 
     async def post(
         self, address: str, path: str, body: Any, timeout_s: float
