--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -101,7 +101,7 @@
             example: Folder with deployment.jsonc and configuration.jsonc.
             policy: "slack" (shipped), "fcfs" (baseline) or "both".
             seed: The same seed gives the same figures.
-            horizon: Seconds of virtual time in which jobs arrive.
+            horizon: Seconds of virtual time in which jobs arrive, up to 3600.
             json: Print JSON.
         """
         from . import bench
--- a/src/redwingrudder/settings.py
+++ b/src/redwingrudder/settings.py
@@ -22,7 +22,9 @@
 ]
 Url = Annotated[str, pydantic.Field(pattern=r"^https?://[^/\s]+$")]
 Count = Annotated[int, pydantic.Field(ge=1, le=100_000)]
-Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+# A worker stops its tasks when its lease lapses. At an owner's death a third of
+# the lease may have passed, and the next owner needs up to 4.5 s to claim.
+LeaseSeconds = Annotated[float, pydantic.Field(ge=7, le=86_400)]
 
 
 @pydantic.with_config(_CONFIG)
@@ -59,7 +61,7 @@
     listen: ListenSettings
     advertise_thrift: NotRequired[HostPort]
     platform: Url
-    worker_lease_s: NotRequired[Seconds]
+    worker_lease_s: NotRequired[LeaseSeconds]
     limits: NotRequired[LimitSettings]
     log_level: NotRequired[Literal["debug", "info", "warning", "error"]]
 
@@ -105,7 +107,7 @@
     name: Name
     worker: WorkerShape
     failure_domains: Annotated[list[DomainSettings], pydantic.Field(min_length=1)]
-    worker_lease_s: NotRequired[Seconds]
+    worker_lease_s: NotRequired[LeaseSeconds]
 
 
 _ANY = pydantic.TypeAdapter(object)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -48,10 +48,12 @@
         text = (EXAMPLES / "huon/node-hobart-1.jsonc").read_text("utf-8")
         text = text.replace('"rank": 1', '"rank": -1, "colour": "red"')
         text = text.replace("127.0.0.1:9090", "localhost:9090")
+        text = text.replace('"worker_lease_s": 30.0', '"worker_lease_s": 3.0')
         text = text.replace('"platform"', '"plattform"')
         problems = self.problems(text)
         found = {line.split(": ")[1] for line in problems}
         expected = {"rank", "colour", "listen.thrift", "platform", "plattform"}
+        expected.add("worker_lease_s")
         self.assertEqual(found, expected)
         self.assertTrue(all("found" in line and "allowed" in line for line in problems))
 
