--- a/src/redwingrudder/settings.py
+++ b/src/redwingrudder/settings.py
@@ -22,8 +22,8 @@
 ]
 Url = Annotated[str, pydantic.Field(pattern=r"^https?://[^/\s]+$")]
 Count = Annotated[int, pydantic.Field(ge=1, le=100_000)]
-# A worker stops its tasks when its lease lapses. At an owner's death a third of
-# the lease may have passed, and the next owner needs up to 4.5 s to claim.
+# A worker stops its tasks when its lease lapses. At an owner's death a third
+# of the lease may have passed, and the next owner needs up to 4.5 s to claim.
 LeaseSeconds = Annotated[float, pydantic.Field(ge=7, le=86_400)]
 
 
