Show in the demo whether each guarantee held

Cause: the summary named the guaranteed accelerators but not whether the hardware could hold them throughout. Change: a column from the shortages that the status reports. Ruled out: nothing.

--- a/src/redwingrudder/demo.py
+++ b/src/redwingrudder/demo.py
@@ -81,6 +81,7 @@
         self._peak_by_organisation: Counter[str] = Counter()
         self._guaranteed_by_organisation: Counter[str] = Counter()
         self._free_shares: list[float] = []
+        self._short_organisations: set[str] = set()
 
     async def run(self, kinds: tuple[DemoKind, ...]) -> bool:
         """Run all jobs; returns whether every job is accounted for."""
@@ -163,6 +164,8 @@
             if domain["free_accelerators"]:
                 share = domain["largest_gang"] / domain["free_accelerators"]
                 self._free_shares.append(1.0 - share)
+            for shortage in domain["shortages"]:
+                self._short_organisations.add(shortage["organisation"])
             for row in domain["organisations"]:
                 in_use[row["organisation"]] += row["in_use"]
                 guaranteed[row["organisation"]] += row["guaranteed"]
@@ -182,6 +185,7 @@
                 {
                     "organisation": name,
                     "guaranteed accelerators": guaranteed,
+                    "guarantee held": name not in self._short_organisations,
                     "most in use": self._peak_by_organisation[name],
                 }
                 for name, guaranteed in sorted(self._guaranteed_by_organisation.items())
