Collect HTTP bodies in one place and close stalled ones

Cause: the clients of store and workers each had a collector of bodies. They differed in one call: the workers' one used abortConnection, which the transport of an answer's body does not have. A worker that stalled within a body, or sent one above the limit, raised AttributeError in place of closing the connection. Change: BodyCollector serves both and uses loseConnection. Ruled out: a difference that is wanted; the limits stay as they were, as an argument.

--- a/src/redwingrudder/_store_transport.py
+++ b/src/redwingrudder/_store_transport.py
@@ -16,10 +16,10 @@
     GzipDecoder,
     HTTPConnectionPool,
     RequestNotSent,
-    ResponseDone,
 )
 from twisted.web.http_headers import Headers
 
+from ._http_body import BodyCollector
 from ._http_endpoints import AddressEndpoints
 from ._store_codec import EncodedCall
 from .exceptions import OutcomeUnknownError, StoreUnavailableError
@@ -145,7 +145,7 @@
 
     async def _exchange(self, request: EncodedCall) -> TransportReply:
         response = await self._send(request)
-        reader = _BodyReader()
+        reader = BodyCollector(REPLY_LIMIT)
         response.deliverBody(reader)
         etags = response.headers.getRawHeaders("ETag", [""])
         return TransportReply(response.code, await reader.body, etags[0])
@@ -162,34 +162,6 @@
         return self._agent.request(method, url, headers, producer)
 
 
-class _BodyReader(Protocol):
-    """Collects a body; cancelling ``body`` closes the connection."""
-
-    def __init__(self) -> None:
-        self.body: Deferred = Deferred(lambda _: self._abort())
-        self._parts: list[bytes] = []
-        self._size = 0
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self._size += len(data)
-        if self._size > REPLY_LIMIT:
-            self._abort()
-            return
-        self._parts.append(data)
-
-    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
-        if self.body.called:
-            return
-        if reason.check(ResponseDone):
-            self.body.callback(b"".join(self._parts))
-        else:
-            self.body.errback(reason)
-
-    def _abort(self) -> None:
-        if self.transport is not None:
-            self.transport.loseConnection()
-
-
 class _HttpStream(OpenStream):
     """Splits the body of a response into lines."""
 
--- a/src/redwingrudder/_worker_transport.py
+++ b/src/redwingrudder/_worker_transport.py
@@ -5,18 +5,16 @@
 import json
 from typing import Any, NamedTuple
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTCP
-from twisted.internet.protocol import Protocol, connectionDone
-from twisted.python.failure import Failure
 from twisted.web.client import (
     Agent,
     FileBodyProducer,
     HTTPConnectionPool,
-    ResponseDone,
 )
 from twisted.web.http_headers import Headers
 
+from ._http_body import BodyCollector
 from ._http_endpoints import AddressEndpoints
 from .exceptions import UnavailableError
 
@@ -114,36 +112,6 @@
             producer = FileBodyProducer(io.BytesIO(content))
         url = f"http://{address}{path}".encode()
         response = await self._agent.request(method, url, headers, producer)
-        collector = _Collector()
+        collector = BodyCollector(REPLY_LIMIT_BYTES)
         response.deliverBody(collector)
-        return WorkerAnswer(response.code, await collector.collected)
-
-
-class _Collector(Protocol):
-    """Collects the body of an answer up to a limit."""
-
-    def __init__(self) -> None:
-        self.collected: Deferred = Deferred(lambda _: self._abort())
-        self._parts: list[bytes] = []
-        self._size = 0
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """See base class."""
-        self._size += len(data)
-        if self._size > REPLY_LIMIT_BYTES:
-            self._abort()
-        else:
-            self._parts.append(data)
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """See base class."""
-        if self.collected.called:
-            return
-        if reason.check(ResponseDone):
-            self.collected.callback(b"".join(self._parts))
-        else:
-            self.collected.errback(reason)
-
-    def _abort(self) -> None:
-        if self.transport is not None:
-            self.transport.abortConnection()
+        return WorkerAnswer(response.code, await collector.body)
