--- a/src/redwingrudder/_http_endpoints.py
+++ b/src/redwingrudder/_http_endpoints.py
@@ -8,7 +8,6 @@
     wrapClientTLS,
 )
 from twisted.internet.interfaces import IReactorTCP, IStreamClientEndpoint
-from twisted.internet.ssl import optionsForClientTLS
 from twisted.web.client import URI
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
@@ -41,5 +40,8 @@
             kind = HostnameEndpoint
         endpoint = kind(self._reactor, host, uri.port, timeout=self._timeout_s)
         if uri.scheme == b"https":
+            # Nodes without TLS do not install the library for it.
+            from twisted.internet.ssl import optionsForClientTLS
+
             endpoint = wrapClientTLS(optionsForClientTLS(host), endpoint)
         return endpoint
--- a/src/redwingrudder/_peer_wire.py
+++ b/src/redwingrudder/_peer_wire.py
@@ -66,7 +66,7 @@
         """Process one frame, or answer and close when it is not a call."""
         try:
             name = self._method(frame)
-            if name not in NodeService.Iface:
+            if name not in self.factory.service.Iface:
                 self._refuse_method(frame)
                 return
             self.calls_in_progress += 1
@@ -138,8 +138,11 @@
     protocol = PeerServerProtocol
     noisy = False
 
-    def __init__(self, handler: Any, seconds: Callable[[], float]) -> None:
-        super().__init__(NodeService.Processor(handler), protocol_factory())
+    def __init__(
+        self, handler: Any, seconds: Callable[[], float], service: Any = NodeService
+    ) -> None:
+        super().__init__(service.Processor(handler), protocol_factory())
+        self.service = service
         self.seconds = seconds
         self.connections: set[PeerServerProtocol] = set()
 
@@ -160,8 +163,10 @@
         self,
         seconds: Callable[[], float],
         lost: Callable[["PeerClientProtocol"], None],
+        service: Any = NodeService,
     ) -> None:
-        super().__init__(NodeService.Client, protocol_factory())
+        super().__init__(service.Client, protocol_factory())
+        self._service = service
         self._seconds = seconds
         self._lost = lost
 
@@ -185,7 +190,7 @@
             name, kind, sequence = protocol.readMessageBegin()
             if sequence not in self.client._reqs:
                 return
-            if name not in NodeService.Iface:
+            if name not in self._service.Iface:
                 raise TApplicationException(
                     TApplicationException.UNKNOWN_METHOD, f"reply to {name[:64]!r}"
                 )
--- /dev/null
+++ b/src/redwingrudder/coordination/gateways.py
@@ -0,0 +1,207 @@
+"""What a platform provides, as abstract classes and plain types."""
+
+import abc
+from typing import NamedTuple
+
+from ..workflows.model import QueuePolicy, RunEnd, RunReport, StartRun, WorkerFacts
+
+STORE = "store"
+CONFIGURATION = "configuration"
+NEIGHBOURS = "neighbours"
+LEADERSHIP = "leadership"
+COORDINATOR = "coordinator"
+INTAKE = "intake"
+
+INTAKE_PREFIX = "intake/"
+PROGRESS_PREFIX = "progress/"
+NODES_PREFIX = "node/"
+COORDINATOR_KEY = "coordination/holder"
+TERM_KEY = "coordination/term"
+
+
+class AwaitChanges(NamedTuple):
+    """Ask of STORE -> ``Changes``, when there is one or after the wait.
+
+    Args:
+        prefix: Beginning of the keys.
+        after: Changes after this revision.
+        wait_s: Longest wait.
+    """
+
+    prefix: str
+    after: int
+    wait_s: float
+
+
+class Change(NamedTuple):
+    """A change of a key; ``value`` is None for a removal."""
+
+    key: str
+    value: str | None
+    revision: int
+
+
+class Changes(NamedTuple):
+    """Changes in order; ``revision`` is where to continue.
+
+    ``expired`` means that the store no longer has this history.
+    """
+
+    changes: tuple[Change, ...]
+    revision: int
+    expired: bool = False
+
+
+class Queue(NamedTuple):
+    """A queue of the operators' configuration.
+
+    Attributes:
+        name: Unique name.
+        host: Host that callers address.
+        prefix: Path that its calls begin with.
+        open: Calls need no key.
+        timeout_s: Longest wait for an answer.
+        policy: How its workflows are served.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    open: bool
+    timeout_s: float
+    policy: QueuePolicy
+
+
+class OperatorConfiguration(NamedTuple):
+    """The configuration in force.
+
+    Attributes:
+        version: Rises with each change.
+        queues: All queues.
+        organisations_by_key: Owner of each access key.
+        guaranteed_by_organisation: Accelerators for urgent work.
+        pools: Names of the pools of workers.
+    """
+
+    version: int
+    queues: tuple[Queue, ...]
+    organisations_by_key: dict[str, str]
+    guaranteed_by_organisation: dict[str, int]
+    pools: frozenset[str]
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of a path."""
+        found = [
+            queue
+            for queue in self.queues
+            if queue.host == host and path.startswith(queue.prefix)
+        ]
+        return max(found, key=lambda queue: len(queue.prefix), default=None)
+
+
+class ConfigurationCodec(abc.ABC):
+    """Reads the operators' configuration document."""
+
+    key: str
+
+    @abc.abstractmethod
+    def decode(self, document: str) -> OperatorConfiguration:
+        """Return the configuration.
+
+        Raises:
+            InvalidConfigurationError: The document cannot be used.
+        """
+
+
+class RegistryCodec(abc.ABC):
+    """Reads the entries that workers leave in the store."""
+
+    prefix: str
+
+    @abc.abstractmethod
+    def decode(self, key: str, document: str) -> WorkerFacts | None:
+        """Return the worker, or None for an entry that names none."""
+
+
+class WorkerReport(NamedTuple):
+    """A worker's answer to a look.
+
+    Attributes:
+        clock_ms: The worker's steady clock.
+        born_ms: Start of its life, 0 if it does not say.
+        running: Runs that are present.
+        ended: Ends that were not yet acknowledged.
+    """
+
+    clock_ms: int
+    born_ms: int
+    running: tuple[RunReport, ...]
+    ended: tuple[RunEnd, ...]
+
+
+class CommandReply(NamedTuple):
+    """A worker's answer to a command.
+
+    Attributes:
+        accepted: The command took effect.
+        reason: Why not: "fenced", "outdated", "lapsed", "room", "permit",
+            "unhealthy", "other_life" or "invalid".
+        clock_ms: The worker's steady clock, 0 if it does not say.
+    """
+
+    accepted: bool
+    reason: str = ""
+    clock_ms: int = 0
+
+
+class WorkerChannel(abc.ABC):
+    """Connections to one life of a worker.
+
+    Every call raises ``UnavailableError`` when there is no answer in time;
+    the command may then have taken effect, or may do so later.
+    """
+
+    @abc.abstractmethod
+    async def start(
+        self, run: StartRun, lease_until_ms: int, fence: int, timeout_s: float
+    ) -> CommandReply:
+        """Start a run; the lease holds until a time of the worker's clock."""
+
+    @abc.abstractmethod
+    async def stop(self, run: StartRun, fence: int, timeout_s: float) -> CommandReply:
+        """Stop a run, or keep it from starting later."""
+
+    @abc.abstractmethod
+    async def look(
+        self,
+        fence: int,
+        seen: int,
+        lease_until_ms: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> WorkerReport | CommandReply:
+        """Extend the lease, acknowledge ends and list the runs.
+
+        Args:
+            fence: Fencing token.
+            seen: Number of the last end that is on record.
+            lease_until_ms: Time of the worker's clock, 0 to leave the lease.
+            wait_s: How long the worker may wait for an end.
+            timeout_s: Longest wait for the answer.
+        """
+
+    @abc.abstractmethod
+    def reset(self) -> None:
+        """Drop idle connections, which may have gone silent."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close all connections."""
+
+
+class ChannelFactory(abc.ABC):
+    """Opens channels to workers."""
+
+    @abc.abstractmethod
+    def open(self, facts: WorkerFacts) -> WorkerChannel:
+        """Return a channel; connections open with the first command."""
--- /dev/null
+++ b/src/redwingrudder/coordination/leadership.py
@@ -0,0 +1,324 @@
+"""Election of the coordinator through the store."""
+
+import json
+import logging
+import random
+import time
+from typing import NamedTuple
+
+from .._background import run
+from .._chart_runner import ChartRunner
+from .._store_requests import (
+    Compare,
+    DeleteKey,
+    GetKey,
+    GrantLease,
+    KeepLeaseAlive,
+    KeyValue,
+    PutKey,
+    Transact,
+)
+from ..actors import Actor, ActorSystem, Handler
+from ..exceptions import OutcomeUnknownError, RedwingrudderError
+from ..statecharts import load_chart
+from ..timers import TIMERS, Subscribe, TimerFired
+from .gateways import (
+    COORDINATOR,
+    COORDINATOR_KEY,
+    LEADERSHIP,
+    STORE,
+    TERM_KEY,
+    AwaitChanges,
+)
+from .messages import (
+    BeginTerm,
+    CoordinatorKnown,
+    CoordinatorSilent,
+    Drain,
+    EndTerm,
+    Fenced,
+    LeaseConfirmed,
+)
+
+LEASE_TTL_S = 2.5  # work stands still this long after a coordinator's power loss
+RENEW_S = 0.6  # four attempts within the TTL
+WATCH_S = 1.0
+RETRY_S = 0.25
+# Nodes that find the record vacant wait up to this long, so that mostly one
+# of them writes.
+CAMPAIGN_JITTER_S = 0.15
+
+_EVENTS = frozenset({"vacant", "acquired", "failed", "deposed", "drain"})
+_ACTIONS = frozenset({"acquire", "begin_term", "end_term", "withdraw_record"})
+_logger = logging.getLogger(__name__)
+
+
+class Identity(NamedTuple):
+    """This process among the nodes."""
+
+    node_id: str
+    address: str
+    life: str
+
+
+class Holder(NamedTuple):
+    """The record of the coordinator."""
+
+    node_id: str
+    address: str
+    life: str
+    term: int
+    revision: int
+
+
+def boot_clock() -> float:
+    """Return seconds that count on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Leadership(Actor):
+    """Watches the coordinator's record and acquires it when it is vacant.
+
+    Args:
+        system: The node's actors.
+        identity: This process.
+        subscribers: Actors told of each known coordinator.
+        seed: Seed of the jitter.
+    """
+
+    def __init__(
+        self,
+        system: ActorSystem,
+        identity: Identity,
+        subscribers: tuple[str, ...],
+        seed: int = 0,
+    ) -> None:
+        self._chart = ChartRunner(
+            load_chart("coordinator", _EVENTS, _ACTIONS),
+            {
+                "acquire": lambda _: run(self._acquire(), self.name),
+                "begin_term": self._begin_term,
+                "end_term": lambda reason: self.tell(COORDINATOR, EndTerm(str(reason))),
+                "withdraw_record": lambda _: run(self._withdraw(), self.name),
+            },
+        )
+        self._identity = identity
+        self._subscribers = subscribers
+        self._jitter = random.Random(f"{identity.life}{seed}")
+        self._holder: Holder | None = None
+        self._announced: tuple[str, int] | None = None
+        self._lease = 0
+        self._last_term_led = 0
+        self._stopping = False
+        super().__init__(system, LEADERSHIP)
+
+    @property
+    def leading(self) -> bool:
+        """Whether this node holds the record."""
+        return self._chart.state == "leading"
+
+    def handlers(self) -> dict[type, Handler]:
+        """See base class."""
+        return {
+            TimerFired: self._timer_fired,
+            CoordinatorSilent: self._coordinator_silent,
+            Fenced: self._fenced,
+            Drain: self._drain,
+        }
+
+    def start(self) -> None:
+        """Begin to follow the record."""
+        self.tell(TIMERS, Subscribe(self.name, "follow", 0.0))
+        self.tell(TIMERS, Subscribe(self.name, "renew", RENEW_S, RENEW_S))
+
+    def _drain(self, message: Drain) -> None:
+        """Give up the record so that another node takes over at once."""
+        self._stopping = True
+        self._chart.step("drain", "drain")
+
+    def stop(self) -> None:
+        """End the watch with its next answer."""
+        self._stopping = True
+
+    def _timer_fired(self, fired: TimerFired) -> None:
+        if fired.timer == "follow":
+            run(self._follow(), self.name)
+        elif fired.timer == "renew" and self.leading:
+            run(self._renew(), self.name)
+        elif fired.timer == "campaign" and not self._stopping:
+            self._chart.step("vacant", "vacant")
+
+    async def _follow(self) -> None:
+        try:
+            revision = await self._read_holder()
+            while not self._stopping:
+                changes = await self.ask(
+                    STORE, AwaitChanges(COORDINATOR_KEY, revision, WATCH_S)
+                )
+                if changes.expired:
+                    break
+                if changes.changes:
+                    last = changes.changes[-1]
+                    self._observe(last.value, last.revision)
+                elif self._holder is None:
+                    self._observe(None, changes.revision)
+                revision = changes.revision
+        except RedwingrudderError as error:
+            _logger.info("coordinator watch lost", extra={"error": str(error)})
+        if not self._stopping:
+            self.tell(TIMERS, Subscribe(self.name, "follow", RETRY_S))
+
+    async def _read_holder(self) -> int:
+        item: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+        self._observe(item.value if item else None, item.mod_revision if item else 0)
+        if item is not None:
+            return item.mod_revision
+        term = await self.ask(STORE, GetKey(TERM_KEY))
+        return term.mod_revision if term is not None else 1
+
+    def _observe(self, value: str | None, revision: int) -> None:
+        """Take over the newest state of the record."""
+        if value is None:
+            self._holder = None
+            self._announce("", "", 0)
+            if not self._stopping:
+                # The last holder is given the first chance: it knows all.
+                delay = (
+                    0.0
+                    if self.leading
+                    else self._jitter.uniform(0.02, CAMPAIGN_JITTER_S)
+                )
+                self.tell(TIMERS, Subscribe(self.name, "campaign", delay))
+            return
+        document = json.loads(value)
+        holder = Holder(
+            document["node"],
+            document["address"],
+            document["life"],
+            document["term"],
+            revision,
+        )
+        self._holder = holder
+        self._announce(holder.node_id, holder.address, holder.term)
+        mine = holder.life == self._identity.life
+        if not mine and self.leading:
+            self._chart.step("deposed", f"{holder.node_id} holds term {holder.term}")
+        elif not mine and holder.node_id == self._identity.node_id:
+            # The record of an earlier life of this process.
+            self._chart.step("vacant", "earlier life")
+
+    def _announce(self, node_id: str, address: str, term: int) -> None:
+        if self._announced == (node_id, term):
+            return
+        self._announced = (node_id, term)
+        _logger.info("coordinator known", extra={"coordinator": node_id, "term": term})
+        for subscriber in self._subscribers:
+            self.tell(subscriber, CoordinatorKnown(node_id, address, term))
+
+    def _coordinator_silent(self, message: CoordinatorSilent) -> None:
+        if self._stopping or self._holder is None:
+            return
+        if self._holder.address == message.address and not self.leading:
+            delay = self._jitter.uniform(0.0, CAMPAIGN_JITTER_S)
+            self.tell(TIMERS, Subscribe(self.name, "campaign", delay))
+
+    def _fenced(self, message: Fenced) -> None:
+        _logger.warning("higher term seen", extra={"source": message.source})
+        self._chart.step("deposed", message.source)
+
+    async def _acquire(self) -> None:
+        """Write the record, on the condition that it did not change."""
+        event = "failed"
+        result: tuple[int, int] | None = None
+        try:
+            holder: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+            known = self._holder.revision if self._holder is not None else 0
+            if holder is None or holder.mod_revision == known:
+                result = await self._write_record(holder)
+                event = "acquired" if result else "failed"
+        except RedwingrudderError as error:
+            _logger.info("election failed", extra={"error": str(error)})
+        if result is not None:
+            self._chart.step(event, result)
+            return
+        self._chart.step(event, "race or store")
+        if not self._stopping and self._holder is None:
+            self.tell(TIMERS, Subscribe(self.name, "campaign", RETRY_S))
+
+    async def _write_record(self, holder: KeyValue | None) -> tuple[int, int] | None:
+        term_item: KeyValue | None = await self.ask(STORE, GetKey(TERM_KEY))
+        last_term = int(term_item.value) if term_item is not None else 0
+        term = last_term + 1
+        sent_at = boot_clock()
+        lease = await self.ask(STORE, GrantLease(LEASE_TTL_S))
+        record = json.dumps(
+            {
+                "node": self._identity.node_id,
+                "address": self._identity.address,
+                "life": self._identity.life,
+                "term": term,
+            }
+        )
+        compares = (
+            Compare(COORDINATOR_KEY, holder.mod_revision if holder else 0),
+            Compare(TERM_KEY, term_item.mod_revision if term_item else 0),
+        )
+        puts = (PutKey(COORDINATOR_KEY, record, lease), PutKey(TERM_KEY, str(term)))
+        try:
+            reply = await self.ask(STORE, Transact(compares, puts))
+        except OutcomeUnknownError:
+            written: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+            if written is None or written.value != record:
+                return None
+            reply = None
+        if reply is not None and not reply.succeeded:
+            return None
+        current: KeyValue | None = await self.ask(STORE, GetKey(TERM_KEY))
+        if current is None or int(current.value) != term:
+            return None
+        self._lease = lease
+        self.tell(COORDINATOR, LeaseConfirmed(sent_at + LEASE_TTL_S))
+        return term, current.mod_revision
+
+    def _begin_term(self, result: tuple[int, int]) -> None:
+        term, revision = result
+        previous = self._last_term_led if self._last_term_led == term - 1 else 0
+        self._last_term_led = term
+        self._holder = Holder(*self._identity, term, revision)
+        self._announce(self._identity.node_id, self._identity.address, term)
+        self.tell(COORDINATOR, BeginTerm(term, revision, previous))
+
+    async def _renew(self) -> None:
+        sent_at = boot_clock()
+        lease = self._lease
+        try:
+            remaining_s = await self.ask(STORE, KeepLeaseAlive(lease))
+        except RedwingrudderError as error:
+            _logger.info("lease not renewed", extra={"error": str(error)})
+            return
+        if not self.leading or lease != self._lease:
+            return
+        if remaining_s:
+            self.tell(COORDINATOR, LeaseConfirmed(sent_at + LEASE_TTL_S))
+        else:
+            _logger.warning("lease has ended", extra={"lease": lease})
+            await self._read_after_lapse()
+
+    async def _read_after_lapse(self) -> None:
+        try:
+            item: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+        except RedwingrudderError as error:
+            _logger.info("record not read", extra={"error": str(error)})
+            return
+        self._observe(item.value if item else None, item.mod_revision if item else 0)
+
+    async def _withdraw(self) -> None:
+        """Remove the record if it is still this process's own."""
+        try:
+            item: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+            if item is None or json.loads(item.value)["life"] != self._identity.life:
+                return
+            compare = Compare(COORDINATOR_KEY, item.mod_revision)
+            await self.ask(STORE, Transact((compare,), (DeleteKey(COORDINATOR_KEY),)))
+        except RedwingrudderError as error:
+            _logger.info("record not withdrawn", extra={"error": str(error)})
--- /dev/null
+++ b/src/redwingrudder/coordination/neighbours.py
@@ -0,0 +1,374 @@
+"""The other nodes: discovery, exchange of summaries and calls by thrift."""
+
+import logging
+import random
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from thrift.Thrift import TException
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionRefusedError
+from zope.interface import implementer
+
+from .._background import run
+from .._peer_wire import PeerClientProtocol, PeerServerFactory
+from .._store_requests import GetPrefix, PutKey, Transact
+from .._wire.generated.coordination import CoordinationService
+from .._wire.generated.coordination.ttypes import Fault, WireNodeSummary
+from ..actors import Actor, ActorSystem, Handler
+from ..exceptions import RedwingrudderError, UnavailableError
+from ..timers import TIMERS, Subscribe, TimerFired
+from .gateways import (
+    CONFIGURATION,
+    COORDINATOR,
+    INTAKE,
+    LEADERSHIP,
+    NEIGHBOURS,
+    NODES_PREFIX,
+    STORE,
+)
+from .leadership import Identity
+from .messages import (
+    CancelForNeighbour,
+    CancelStored,
+    ConfigurationInForce,
+    CoordinatorKnown,
+    CoordinatorSilent,
+    GetConfigurationDocument,
+    GetQueueLength,
+    GetState,
+    NodeSummary,
+    OfferConfigurationDocument,
+    ReadStateForNeighbour,
+    StoreAvailability,
+    StoreForNeighbour,
+    WorkflowStored,
+)
+
+EXCHANGE_S = 0.5
+EXCHANGE_FANOUT = 2  # random neighbours beside the coordinator
+CALL_TIMEOUT_S = 0.6
+CONNECT_TIMEOUT_S = 0.5
+DISCOVERY_S = 5.0
+FIRST_DISCOVERY_S = 1.0
+FRESH_S = 2.0  # age up to which a summary counts
+FORGET_S = 30.0  # without an exchange
+
+_logger = logging.getLogger(__name__)
+
+
+class CallNeighbour(NamedTuple):
+    """Ask NEIGHBOURS -> the reply of a thrift call.
+
+    Args:
+        address: "host:port" of the node.
+        method: Method of ``CoordinationService``.
+        arguments: Its arguments.
+        timeout_s: Longest wait.
+    """
+
+    address: str
+    method: str
+    arguments: tuple
+    timeout_s: float = CALL_TIMEOUT_S
+
+
+class ListNeighbours(NamedTuple):
+    """Ask NEIGHBOURS -> fresh ``NodeSummary`` entries of other nodes."""
+
+
+class _Link:
+    """A connection to one node, opened with the first call."""
+
+    def __init__(self, reactor: Any, address: str) -> None:
+        self._reactor = reactor
+        host, _, port = address.rpartition(":")
+        self._endpoint = TCP4ClientEndpoint(
+            reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        self._protocol: PeerClientProtocol | None = None
+        self._connecting: Deferred | None = None
+
+    async def call(self, method: str, arguments: tuple, timeout_s: float) -> Any:
+        """Return the reply.
+
+        Raises:
+            UnavailableError: There is no answer in time.
+            RedwingrudderError: The other node refused, with its code.
+        """
+        work = ensureDeferred(self._call(method, arguments))
+        work.addTimeout(timeout_s, self._reactor)
+        try:
+            return await work
+        except Fault as fault:
+            raise RedwingrudderError(
+                fault.detail, code=fault.code, retry_after_s=fault.retry_after_s
+            ) from fault
+        except ConnectionRefusedError as error:
+            raise UnavailableError(str(error), code="connection_refused") from error
+        except (TException, Exception) as error:
+            self.close()
+            raise UnavailableError(f"{method}: {error!r}") from error
+
+    async def _call(self, method: str, arguments: tuple) -> Any:
+        if self._protocol is None:
+            protocol = PeerClientProtocol(
+                self._reactor.seconds, self._lost, CoordinationService
+            )
+            self._protocol = await connectProtocol(self._endpoint, protocol)
+        return await getattr(self._protocol.client, method)(*arguments)
+
+    def close(self) -> None:
+        """Drop the connection, which may have gone silent."""
+        protocol, self._protocol = self._protocol, None
+        if protocol is not None and protocol.transport is not None:
+            protocol.transport.abortConnection()
+
+    def _lost(self, protocol: PeerClientProtocol) -> None:
+        if self._protocol is protocol:
+            self._protocol = None
+
+
+@implementer(CoordinationService.Iface)
+class _Handler:
+    """Calls of other nodes; each asks a local actor."""
+
+    def __init__(
+        self,
+        ask: Callable[[str, Any], Deferred],
+        tell: Callable[[str, Any], None],
+        exchange: Callable[[WireNodeSummary], WireNodeSummary],
+    ) -> None:
+        self._ask = ask
+        self._tell = tell
+        self.exchange = exchange
+
+    def configuration(self, above_version: int) -> Deferred:
+        return self._serve(CONFIGURATION, GetConfigurationDocument(above_version))
+
+    def store_workflow(self, workflow_id: str, document: str) -> Deferred:
+        return self._serve(INTAKE, StoreForNeighbour(workflow_id, document), None)
+
+    def announce_workflow(self, workflow_id: str, document: str) -> None:
+        self._tell(COORDINATOR, WorkflowStored(workflow_id, document))
+
+    def store_cancel(self, workflow_id: str) -> Deferred:
+        return self._serve(INTAKE, CancelForNeighbour(workflow_id))
+
+    def announce_cancel(self, workflow_id: str) -> None:
+        self._tell(COORDINATOR, CancelStored(workflow_id))
+
+    def state(self, workflow_id: str) -> Deferred:
+        return self._serve(COORDINATOR, GetState(workflow_id))
+
+    def read_state(self, workflow_id: str) -> Deferred:
+        return self._serve(INTAKE, ReadStateForNeighbour(workflow_id))
+
+    def queue_length(self, queue: str) -> Deferred:
+        return self._serve(COORDINATOR, GetQueueLength(queue))
+
+    def _serve(self, actor: str, message: Any, *fixed: Any) -> Deferred:
+        reply = self._ask(actor, message)
+        if fixed:
+            reply.addCallback(lambda _: fixed[0])
+        return reply.addErrback(self._fault)
+
+    def _fault(self, failure: Any) -> None:
+        error = failure.value
+        if isinstance(error, RedwingrudderError):
+            raise Fault(error.code, error.detail, error.retry_after_s or 0.0)
+        _logger.error("call failed", extra={"traceback": failure.getTraceback()})
+        raise Fault("internal_error", "unexpected error", 1.0)
+
+
+class Neighbours(Actor):
+    """Knows the other nodes and carries calls to them.
+
+    Args:
+        system: The node's actors.
+        reactor: Provides connections.
+        identity: This process.
+        port_address: Host and port of the thrift server.
+    """
+
+    def __init__(
+        self,
+        system: ActorSystem,
+        reactor: Any,
+        identity: Identity,
+        port_address: tuple[str, int],
+    ) -> None:
+        self._reactor = reactor
+        self._identity = identity
+        self._bind = port_address
+        self._random = random.Random(identity.life)
+        self._links_by_address: dict[str, _Link] = {}
+        self._summaries_by_id: dict[str, tuple[float, NodeSummary]] = {}
+        self._version = 0
+        self._coordinator = CoordinatorKnown("", "", 0)
+        self._store_available = False
+        self._registered = False
+        self._port: Any = None
+        super().__init__(system, NEIGHBOURS)
+
+    def handlers(self) -> dict[type, Handler]:
+        """See base class."""
+        return {
+            TimerFired: self._timer_fired,
+            ConfigurationInForce: self._set_version,
+            CoordinatorKnown: self._set_coordinator,
+            StoreAvailability: self._set_store,
+            CallNeighbour: self._call,
+            ListNeighbours: lambda _: self._fresh(),
+        }
+
+    def start(self) -> None:
+        """Listen for calls and look for other nodes."""
+        handler = _Handler(self.ask, self.tell, self._exchanged)
+        factory = PeerServerFactory(handler, self._reactor.seconds, CoordinationService)
+        host, port = self._bind
+        self._port = self._reactor.listenTCP(port, factory, interface=host)
+        self.tell(TIMERS, Subscribe(self.name, "discover", 0.0))
+        self.tell(TIMERS, Subscribe(self.name, "exchange", EXCHANGE_S, EXCHANGE_S))
+
+    def stop(self) -> Any:
+        """Close the server and all links."""
+        for link in self._links_by_address.values():
+            link.close()
+        return self._port.stopListening() if self._port is not None else None
+
+    def _timer_fired(self, fired: TimerFired) -> None:
+        work = self._discover() if fired.timer == "discover" else self._exchange_all()
+        run(work, self.name)
+
+    def _set_version(self, message: ConfigurationInForce) -> None:
+        self._version = message.configuration.version
+
+    def _set_coordinator(self, message: CoordinatorKnown) -> None:
+        self._coordinator = message
+
+    def _set_store(self, message: StoreAvailability) -> None:
+        self._store_available = message.available
+
+    async def _call(self, message: CallNeighbour) -> Any:
+        link = self._link(message.address)
+        return await link.call(message.method, message.arguments, message.timeout_s)
+
+    def _link(self, address: str) -> _Link:
+        if address not in self._links_by_address:
+            self._links_by_address[address] = _Link(self._reactor, address)
+        return self._links_by_address[address]
+
+    async def _discover(self) -> None:
+        """Register this node and read the others."""
+        delay_s = DISCOVERY_S if self._registered else FIRST_DISCOVERY_S
+        try:
+            if not self._registered:
+                key = NODES_PREFIX + self._identity.node_id
+                await self.ask(
+                    STORE, Transact((), (PutKey(key, self._identity.address),))
+                )
+                self._registered = True
+            reply = await self.ask(STORE, GetPrefix(NODES_PREFIX))
+            for pair in reply.pairs:
+                node_id = pair.key.removeprefix(NODES_PREFIX)
+                if node_id != self._identity.node_id:
+                    self._summaries_by_id.setdefault(
+                        node_id,
+                        (
+                            self._reactor.seconds() - FRESH_S,
+                            NodeSummary(
+                                node_id, pair.value, "", 0, "", "", 0, False, 0
+                            ),
+                        ),
+                    )
+        except RedwingrudderError as error:
+            _logger.info("discovery failed", extra={"error": str(error)})
+        self.tell(TIMERS, Subscribe(self.name, "discover", delay_s))
+
+    async def _exchange_all(self) -> None:
+        now = self._reactor.seconds()
+        for node_id, (heard_at, _) in list(self._summaries_by_id.items()):
+            if now - heard_at > FORGET_S:
+                del self._summaries_by_id[node_id]
+        others = [entry.address for _, entry in self._summaries_by_id.values()]
+        chosen = set(self._random.sample(others, min(EXCHANGE_FANOUT, len(others))))
+        coordinator = self._coordinator.address
+        if coordinator and coordinator != self._identity.address:
+            chosen.add(coordinator)
+        for address in chosen:
+            run(self._exchange(address), self.name)
+
+    async def _exchange(self, address: str) -> None:
+        try:
+            reply = await self._link(address).call(
+                "exchange", (self._summary(),), CALL_TIMEOUT_S
+            )
+        except UnavailableError as error:
+            if error.code == "connection_refused" and (
+                address == self._coordinator.address
+            ):
+                self.tell(LEADERSHIP, CoordinatorSilent(address))
+            return
+        self._take(reply, address)
+
+    def _exchanged(self, wire: WireNodeSummary) -> WireNodeSummary:
+        """Serve an exchange that another node began."""
+        self._take(wire, wire.address)
+        return self._summary()
+
+    def _take(self, wire: WireNodeSummary, address: str) -> None:
+        summary = NodeSummary(
+            wire.node_id,
+            wire.address,
+            wire.life,
+            wire.configuration_version,
+            wire.coordinator_id,
+            wire.coordinator_address,
+            wire.term,
+            wire.store_available,
+            wire.unix_time,
+        )
+        self._summaries_by_id[summary.node_id] = (self._reactor.seconds(), summary)
+        if summary.configuration_version > self._version:
+            run(self._fetch_configuration(address), self.name)
+        if summary.term > self._coordinator.term and summary.coordinator_id:
+            known = CoordinatorKnown(
+                summary.coordinator_id, summary.coordinator_address, summary.term
+            )
+            self._coordinator = known
+            self.tell(INTAKE, known)
+
+    async def _fetch_configuration(self, address: str) -> None:
+        try:
+            document = await self._link(address).call(
+                "configuration", (self._version,), CALL_TIMEOUT_S
+            )
+        except RedwingrudderError as error:
+            _logger.info("configuration not fetched", extra={"error": str(error)})
+            return
+        if document:
+            self.tell(CONFIGURATION, OfferConfigurationDocument(document))
+
+    def _summary(self) -> WireNodeSummary:
+        return WireNodeSummary(
+            self._identity.node_id,
+            self._identity.address,
+            self._identity.life,
+            self._version,
+            self._coordinator.node_id,
+            self._coordinator.address,
+            self._coordinator.term,
+            self._store_available,
+            time.time(),
+        )
+
+    def _fresh(self) -> tuple[NodeSummary, ...]:
+        now = self._reactor.seconds()
+        return tuple(
+            summary
+            for heard_at, summary in self._summaries_by_id.values()
+            if now - heard_at < FRESH_S
+        )
--- /dev/null
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -0,0 +1,302 @@
+"""The coordinator's conversation with one worker."""
+
+import logging
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from .._background import run
+from .._chart_runner import ChartRunner
+from ..actors import Actor, ActorSystem, Handler
+from ..exceptions import RedwingrudderError
+from ..statecharts import load_chart
+from ..timers import TIMERS, Subscribe, TimerFired
+from ..workflows.model import StartRun, StopRun, WorkerFacts
+from .gateways import COORDINATOR, LEADERSHIP, CommandReply, WorkerChannel
+from .leadership import boot_clock
+from .messages import (
+    AcknowledgeEnds,
+    Fenced,
+    LeaseWorker,
+    StartSettled,
+    UpdateFacts,
+    WorkerLapsed,
+    WorkerLooked,
+    WorkerSilent,
+)
+
+LOOK_WAIT_S = 1.0  # an idle look; also how old progress figures may be
+LOOK_MARGIN_S = 0.8  # answer time on top of the wait
+COMMAND_TIMEOUTS_S = (0.4, 0.5, 0.8)  # of a start, sent again each time
+STOP_TIMEOUT_S = 0.5
+STOP_RETRY_S = 0.3
+SILENT_AFTER_S = 2.0  # without any answer
+RETRY_S = 0.3
+BUSY_LOOK_S = 0.25  # between looks while ends wait for their record
+CLOCK_DRIFT = 0.02  # a worker's clock may be this much slow
+LAPSE_MARGIN_S = 0.3
+
+_EVENTS = frozenset({"answered", "unanswered", "silent", "lapsed"})
+_ACTIONS = frozenset({"report_silent", "report_lapsed"})
+_CHART = load_chart("worker_session", _EVENTS, _ACTIONS)
+_logger = logging.getLogger(__name__)
+
+
+class WorkerSession(Actor):
+    """Owns the connections to one life of a worker.
+
+    Args:
+        system: The node's actors.
+        facts: The worker.
+        channel: Connections to it.
+        fence: Term of the coordinator.
+        longest_lease_s: Longest lease that workers accept.
+    """
+
+    def __init__(
+        self,
+        system: ActorSystem,
+        facts: WorkerFacts,
+        channel: WorkerChannel,
+        fence: int,
+        longest_lease_s: float,
+    ) -> None:
+        self._facts = facts
+        self._channel = channel
+        self._fence = fence
+        self._lease_s = longest_lease_s
+        self._chart = ChartRunner(
+            _CHART,
+            {
+                "report_silent": lambda _: self._report_silent(),
+                "report_lapsed": lambda _: self._report_lapsed(),
+            },
+        )
+        self._allowed = True
+        self._seen = 0
+        self._unseen = 0
+        self._answered_at = boot_clock()
+        # Until this boot-clock time a run of any coordinator may exist.
+        self._leased_until = (
+            boot_clock() + longest_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
+        )
+        self._clock_ms = 0
+        self._clock_at = 0.0
+        self._looking = False
+        self._present = False
+        self._closed = False
+        self._starting: set[tuple] = set()
+        super().__init__(system, session_name(facts.worker_id))
+
+    def handlers(self) -> dict[type, Handler]:
+        """See base class."""
+        return {
+            TimerFired: lambda _: self._look_soon(),
+            StartRun: lambda message: run(self._start(message), self.name) and None,
+            StopRun: lambda message: run(self._stop(message), self.name) and None,
+            AcknowledgeEnds: self._acknowledge,
+            LeaseWorker: self._set_allowed,
+            UpdateFacts: self._update,
+        }
+
+    def start(self) -> None:
+        """Raise the worker's fence and list its runs."""
+        self._look_soon()
+
+    def stop(self) -> None:
+        """Close the connections."""
+        self._closed = True
+        self._channel.close()
+
+    def _update(self, message: UpdateFacts) -> None:
+        self._facts = message.facts
+
+    def _set_allowed(self, message: LeaseWorker) -> None:
+        self._allowed = message.allowed
+
+    def _acknowledge(self, message: AcknowledgeEnds) -> None:
+        self._seen = max(self._seen, message.number)
+        self._look_soon()
+
+    def _look_soon(self) -> None:
+        if not self._looking and not self._closed:
+            self._looking = True
+            run(self._look(), self.name)
+
+    async def _look(self) -> None:
+        """Look once; the answer decides when to look again."""
+        wait_s = LOOK_WAIT_S if self._unseen <= self._seen else 0.0
+        if self._chart.state != "answering":
+            wait_s = 0.0
+        try:
+            reply = await self._channel.look(
+                self._fence,
+                self._seen,
+                self._extend_lease(),
+                wait_s,
+                wait_s + LOOK_MARGIN_S,
+            )
+        except RedwingrudderError as error:
+            reply = None
+            _logger.info(
+                "look unanswered",
+                extra={"worker": self._facts.worker_id, "error": str(error)},
+            )
+        finally:
+            self._looking = False
+        if self._closed:
+            return
+        if reply is None:
+            self._unanswered()
+            self._look_later(RETRY_S)
+        elif isinstance(reply, CommandReply):
+            self._refused(reply)
+            self._look_later(RETRY_S)
+        else:
+            self._take_report(reply)
+
+    def _take_report(self, reply) -> None:
+        self._answered(reply.clock_ms)
+        self._present = bool(reply.running) or bool(self._starting)
+        self._unseen = max((end.number for end in reply.ended), default=self._unseen)
+        self.tell(COORDINATOR, WorkerLooked(self._facts.worker_id, reply))
+        if self._unseen > self._seen:
+            self._look_later(BUSY_LOOK_S)
+        elif self._present:
+            self._look_soon()
+        else:
+            self._look_later(LOOK_WAIT_S)
+
+    def _look_later(self, delay_s: float) -> None:
+        if not self._closed:
+            self.tell(TIMERS, Subscribe(self.name, "look", delay_s))
+
+    def _refused(self, reply: CommandReply) -> None:
+        if reply.reason == "fenced":
+            self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
+        elif reply.reason == "other_life":
+            # The life that this session talks to is over.
+            self._leased_until = 0.0
+        self._unanswered()
+
+    def _answered(self, clock_ms: int) -> None:
+        self._answered_at = boot_clock()
+        if clock_ms:
+            self._clock_ms, self._clock_at = clock_ms, self._answered_at
+        self._chart.step("answered")
+
+    def _unanswered(self) -> None:
+        self._channel.reset()
+        self._chart.step("unanswered")
+        now = boot_clock()
+        if now - self._answered_at > SILENT_AFTER_S:
+            self._chart.step("silent")
+        if now > self._leased_until:
+            self._chart.step("lapsed")
+
+    def _extend_lease(self) -> int:
+        """Return the lease's new end on the worker's clock, 0 for none.
+
+        A silent worker's lease is left to lapse, so that its tasks can be
+        started elsewhere.
+        """
+        if not self._allowed or not self._clock_ms:
+            return 0
+        if self._chart.state in ("silent", "lapsed"):
+            return 0
+        return self._lease_until()
+
+    def _lease_until(self) -> int:
+        now = boot_clock()
+        elapsed = now - self._clock_at
+        until_ms = self._clock_ms + int((elapsed + self._lease_s) * 1000)
+        # The clock read at least clock_ms at clock_at and may be slow.
+        longest = (until_ms - self._clock_ms) / 1000 / (1 - CLOCK_DRIFT)
+        self._leased_until = max(
+            self._leased_until, self._clock_at + longest + LAPSE_MARGIN_S
+        )
+        return until_ms
+
+    async def _start(self, message: StartRun) -> None:
+        identity = (message.key, message.run)
+        self._starting.add(identity)
+        try:
+            reply = await self._send_start(message)
+        finally:
+            self._starting.discard(identity)
+        if self._closed:
+            return
+        if reply.reason == "fenced":
+            self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
+        self.tell(COORDINATOR, StartSettled(message, reply))
+        if not self._looking and reply.accepted:
+            self._look_soon()
+
+    async def _send_start(self, message: StartRun) -> CommandReply:
+        """Send a start until it is answered, else make it void."""
+        for timeout_s in COMMAND_TIMEOUTS_S:
+            if self._closed or not self._allowed or not self._clock_ms:
+                break
+            try:
+                reply = await self._channel.start(
+                    message, self._lease_until(), self._fence, timeout_s
+                )
+                self._answered(reply.clock_ms)
+                return reply
+            except RedwingrudderError as error:
+                _logger.info(
+                    "start unanswered",
+                    extra={
+                        "job": message.key.workflow_id,
+                        "worker": self._facts.worker_id,
+                        "run": message.run,
+                        "error": str(error),
+                    },
+                )
+                self._unanswered()
+        await self._send_stop(message)
+        return CommandReply(False, "unanswered")
+
+    async def _stop(self, message: StopRun) -> None:
+        await self._send_stop(message)
+        if not self._closed:
+            self._look_soon()
+
+    async def _send_stop(self, message: StartRun | StopRun) -> None:
+        """Repeat a stop until the worker answers or its lease has lapsed."""
+        while not self._closed and self._chart.state != "lapsed":
+            try:
+                reply = await self._channel.stop(message, self._fence, STOP_TIMEOUT_S)
+                self._answered(reply.clock_ms)
+                if reply.reason == "fenced":
+                    self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
+                return
+            except RedwingrudderError as error:
+                _logger.info(
+                    "stop unanswered",
+                    extra={
+                        "job": message.key.workflow_id,
+                        "worker": self._facts.worker_id,
+                        "run": message.run,
+                        "error": str(error),
+                    },
+                )
+                self._unanswered()
+            await pause(self.system.clock, STOP_RETRY_S)
+
+    def _report_silent(self) -> None:
+        self.tell(COORDINATOR, WorkerSilent(self._facts.worker_id))
+
+    def _report_lapsed(self) -> None:
+        self.tell(COORDINATOR, WorkerLapsed(self._facts.worker_id))
+
+
+def session_name(worker_id: str) -> str:
+    """Return the name of a worker's session among the actors."""
+    return f"worker {worker_id}"
+
+
+def pause(clock: IReactorTime, delay_s: float) -> Deferred:
+    """Return a Deferred that fires after a delay."""
+    return deferLater(clock, delay_s, lambda: None)
--- /dev/null
+++ b/src/redwingrudder/platform/__main__.py
@@ -0,0 +1,7 @@
+"""Runs a node on the users' platform."""
+
+import sys
+
+from .node import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/redwingrudder/platform/node.py
@@ -0,0 +1,126 @@
+"""A node on the users' platform: its actors and its shutdown."""
+
+import logging
+import os
+import signal
+import sys
+import uuid
+from typing import Any
+
+from .._background import run
+from ..actors import ActorSystem
+from ..coordination.configuration_feed import ConfigurationFeed
+from ..coordination.coordinator import Coordinator
+from ..coordination.gateways import COORDINATOR, INTAKE, LEADERSHIP, NEIGHBOURS
+from ..coordination.intake import Intake
+from ..coordination.leadership import Identity, Leadership
+from ..coordination.messages import Drain
+from ..coordination.neighbours import Neighbours
+from ..coordination.worker_session import pause
+from ..exceptions import SettingsError
+from ..logs import configure_logging
+from ..timers import TimerService
+from .front import FRONT, Front
+from .http_client import JsonClient
+from .readiness import readiness_site
+from .registry import PlatformConfiguration, PlatformRegistry
+from .settings import PlatformSettings, load_settings
+from .store import CONNECTIONS, PlatformStore
+from .workers import PlatformChannels
+
+SETTINGS_VARIABLE = "REDWINGRUDDER_CONFIG"
+# Time kept at the end of the grace for the last answers.
+LAST_ANSWERS_S = 1.0
+LOOP_S = 0.05
+
+_logger = logging.getLogger(__name__)
+
+
+class PlatformNode:
+    """All actors of one node.
+
+    Args:
+        settings: Decoded settings.
+        reactor: The twisted reactor.
+    """
+
+    def __init__(self, settings: PlatformSettings, reactor: Any) -> None:
+        self.system = ActorSystem(reactor)
+        self._settings = settings
+        self._reactor = reactor
+        self._stopping = False
+        host, port = settings.peers
+        identity = Identity(settings.node_id, f"{host}:{port}", uuid.uuid4().hex)
+        TimerService(self.system)
+        client = JsonClient(reactor, settings.store_address, CONNECTIONS)
+        self._store = PlatformStore(self.system, client, (NEIGHBOURS,))
+        self._feed = ConfigurationFeed(
+            self.system,
+            PlatformConfiguration(),
+            (FRONT, NEIGHBOURS, COORDINATOR),
+        )
+        Leadership(self.system, identity, (NEIGHBOURS, INTAKE))
+        Neighbours(self.system, reactor, identity, settings.peers)
+        Coordinator(
+            self.system,
+            PlatformRegistry(),
+            PlatformChannels(reactor),
+            settings.longest_lease_s,
+        )
+        Intake(self.system, identity)
+        self._front = Front(self.system, reactor, settings.front)
+
+    def start(self) -> None:
+        """Open the sockets and begin to follow the platform."""
+        host, port = self._settings.readiness
+        site = readiness_site(self._is_ready)
+        self._reactor.listenTCP(port, site, interface=host)
+        self.system.start()
+        _logger.info("node started", extra={"domain": self._settings.failure_domain})
+
+    def _is_ready(self) -> bool:
+        return self._feed.current is not None and not self._stopping
+
+    def reload(self) -> None:
+        """Take note of a changed settings file; addresses stay as they are."""
+        _logger.info("settings reloaded")
+
+    def stop(self) -> None:
+        """Hand the coordination over, serve to the end of the grace, exit."""
+        if not self._stopping:
+            self._stopping = True
+            _logger.info("node drains")
+            run(self._drain(), "node")
+
+    async def _drain(self) -> None:
+        self.system.tell(LEADERSHIP, Drain())
+        deadline = self._reactor.seconds() + self._settings.grace_s - LAST_ANSWERS_S
+        while self._reactor.seconds() < deadline:
+            await pause(self._reactor, LOOP_S)
+        self.system.tell(FRONT, Drain())
+        last = self._reactor.seconds() + 0.7 * LAST_ANSWERS_S
+        while self._front.open_requests and self._reactor.seconds() < last:
+            await pause(self._reactor, LOOP_S)
+        await self.system.stop()
+        _logger.info("node stopped")
+        self._reactor.stop()
+
+
+def main() -> int:
+    """Run a node until SIGTERM; returns the exit status."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        sys.stderr.write(f"{error}\n")
+        return error.exit_code
+    configure_logging(settings.node_id, stream=sys.stdout)
+    from twisted.internet import reactor
+
+    node = PlatformNode(settings, reactor)
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(node.stop))
+    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(node.stop))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
+    reactor.callWhenRunning(node.start)
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/src/redwingrudder/platform/registry.py
@@ -0,0 +1,125 @@
+"""Decodes workers' entries and the operator's configuration."""
+
+import json
+import logging
+from typing import Any
+
+from ..coordination.gateways import (
+    ConfigurationCodec,
+    OperatorConfiguration,
+    Queue,
+    RegistryCodec,
+)
+from ..exceptions import InvalidConfigurationError
+from ..workflows.model import QueuePolicy, Resources, WorkerFacts
+
+_logger = logging.getLogger(__name__)
+
+
+class PlatformRegistry(RegistryCodec):
+    """Reads what workers say of themselves under ``servers/``."""
+
+    prefix = "servers/"
+
+    def decode(self, key: str, document: str) -> WorkerFacts | None:
+        """See base class."""
+        worker_id = key.removeprefix(self.prefix)
+        try:
+            entry = json.loads(document)
+            return _worker(worker_id, entry)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            _logger.warning(
+                "registry entry unusable",
+                extra={"worker": worker_id, "error": repr(error)},
+            )
+            return None
+
+
+class PlatformConfiguration(ConfigurationCodec):
+    """Reads the operator's document under ``op/config``."""
+
+    key = "op/config"
+
+    def decode(self, document: str) -> OperatorConfiguration:
+        """See base class."""
+        try:
+            return _configuration(json.loads(document))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise InvalidConfigurationError(f"{self.key}: {error!r}") from error
+
+
+def _worker(worker_id: str, entry: dict[str, Any]) -> WorkerFacts:
+    state = entry["state"]
+    if state not in ("ready", "draining"):
+        raise ValueError(f"unknown state {state!r}")
+    labels = _texts(entry.get("labels") or [])
+    return WorkerFacts(
+        worker_id=worker_id,
+        born_ms=_integer(entry.get("born", 0)),
+        address=_text(entry["address"]),
+        pool=_text(entry["service"]),
+        failure_domain=_text(entry["zone"]),
+        # The labels are the worker's kind and then its rack.
+        rack=labels[1] if len(labels) > 1 else "",
+        labels=frozenset(labels),
+        capacity=resources(entry["capacity"]),
+        draining=state == "draining",
+        remaining_s=_integer(entry.get("remainingMs", 0)) / 1000,
+    )
+
+
+def resources(entry: dict[str, Any]) -> Resources:
+    """Return an amount; fields that are left out are 0."""
+    return Resources(
+        _integer(entry.get("cpu", 0)),
+        _integer(entry.get("memMb", 0)),
+        _integer(entry.get("gpu", 0)),
+    )
+
+
+def _configuration(document: dict[str, Any]) -> OperatorConfiguration:
+    pools = frozenset(service["name"] for service in document.get("services") or [])
+    organisations_by_key: dict[str, str] = {}
+    guaranteed: dict[str, int] = {}
+    for tenant in document.get("tenants") or []:
+        for key in tenant.get("apiKeys") or []:
+            organisations_by_key[key] = tenant["name"]
+        guaranteed[tenant["name"]] = int((tenant.get("guaranteed") or {}).get("gpu", 0))
+    queues = tuple(_queue(route) for route in document.get("routes") or [])
+    return OperatorConfiguration(
+        int(document["version"]), queues, organisations_by_key, guaranteed, pools
+    )
+
+
+def _queue(route: dict[str, Any]) -> Queue:
+    return Queue(
+        name=route["name"],
+        host=route["host"],
+        prefix=route["prefix"],
+        open=bool(route.get("public", False)),
+        timeout_s=route.get("timeoutMs", 0) / 1000,
+        policy=QueuePolicy(
+            pool=route["service"],
+            priority=int(route.get("priority", 1)),
+            attempts=int(route.get("maxAttempts", 1)),
+            stretch=float(route.get("stretchFactor", 1.0)),
+            latency_s=route.get("targetLatencyMs", 0) / 1000,
+            advised=bool(route.get("advice")),
+        ),
+    )
+
+
+def _integer(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{value!r} is no number")
+    return int(value)
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is no text")
+    return value
+
+
+def _texts(value: Any) -> list[str]:
+    return [_text(entry) for entry in value]
--- /dev/null
+++ b/src/redwingrudder/platform/settings.py
@@ -0,0 +1,77 @@
+"""The platform's settings file, decoded into the product's terms."""
+
+import tomllib
+from typing import Any, NamedTuple
+
+from ..exceptions import SettingsError
+
+
+class PlatformSettings(NamedTuple):
+    """What a process learns when it starts.
+
+    Attributes:
+        node_id: Name of this node.
+        failure_domain: Where it runs.
+        front: Host and port for callers.
+        readiness: Host and port of the readiness probe.
+        peers: Host and port of the thrift server, this node's internal side.
+        metrics: Host and port of the metrics.
+        store_address: "host:port" of the store.
+        advice_address: "host:port" of the advice service, "" without one.
+        longest_lease_s: Longest lease that workers accept.
+        grace_s: From SIGTERM until the process is killed.
+    """
+
+    node_id: str
+    failure_domain: str
+    front: tuple[str, int]
+    readiness: tuple[str, int]
+    peers: tuple[str, int]
+    metrics: tuple[str, int]
+    store_address: str
+    advice_address: str
+    longest_lease_s: float
+    grace_s: float
+
+
+def load_settings(path: str) -> PlatformSettings:
+    """Read and check the file.
+
+    Raises:
+        SettingsError: The file cannot be read or lacks a field.
+    """
+    try:
+        with open(path, "rb") as source:
+            document = tomllib.load(source)
+        return _decode(document)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except KeyError as error:
+        raise SettingsError(f"{path}: field {error} is missing") from error
+    except (TypeError, ValueError, IndexError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def _decode(document: dict[str, Any]) -> PlatformSettings:
+    ip = document["ip"]
+    first_port = int(document["internalPorts"][0])
+    bounds = document["bounds"]
+    return PlatformSettings(
+        node_id=document["nodeName"],
+        failure_domain=document["zone"],
+        front=_address(document["listen"]["front"]),
+        readiness=_address(document["listen"]["readiness"]),
+        peers=(ip, first_port),
+        metrics=(ip, first_port + 1),
+        store_address=document["platform"]["address"],
+        advice_address=document.get("advice", ""),
+        longest_lease_s=bounds["maxHoldMs"] / 1000,
+        grace_s=float(bounds["graceS"]),
+    )
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/redwingrudder/platform/workers.py
@@ -0,0 +1,169 @@
+"""Commands to the platform's workers."""
+
+from typing import Any
+
+from twisted.internet.interfaces import IReactorTCP
+
+from ..coordination.gateways import (
+    ChannelFactory,
+    CommandReply,
+    WorkerChannel,
+    WorkerReport,
+)
+from ..exceptions import UnavailableError
+from ..workflows.model import (
+    EndKind,
+    RunEnd,
+    RunReport,
+    StartRun,
+    StopRun,
+    TaskKey,
+    WorkerFacts,
+)
+from .http_client import JsonClient, JsonReply
+
+CONNECTIONS = 12  # idle ones that are kept, of the 64 that a worker takes
+
+# Reasons for which a worker rejects an order, by the platform's word.
+REASONS = {
+    "fence": "fenced",
+    "old": "outdated",
+    "late": "lapsed",
+    "room": "room",
+    "ticket": "permit",
+}
+
+
+class PlatformChannels(ChannelFactory):
+    """Opens channels over HTTP."""
+
+    def __init__(self, reactor: IReactorTCP) -> None:
+        self._reactor = reactor
+
+    def open(self, facts: WorkerFacts) -> WorkerChannel:
+        """See base class."""
+        client = JsonClient(self._reactor, facts.address, CONNECTIONS)
+        return PlatformChannel(client, facts.worker_id)
+
+
+class PlatformChannel(WorkerChannel):
+    """Speaks to one worker.
+
+    Args:
+        client: Connections to it.
+        worker_id: Intended worker; another one at its address refuses.
+    """
+
+    def __init__(self, client: JsonClient, worker_id: str) -> None:
+        self._client = client
+        self._headers = {"X-Expect-Instance": worker_id}
+
+    async def start(
+        self, run: StartRun, lease_until_ms: int, fence: int, timeout_s: float
+    ) -> CommandReply:
+        """See base class."""
+        body = {
+            "task": task_name(run.key),
+            "runId": run.run,
+            "spec": run.payload,
+            "deadlineAtMs": lease_until_ms,
+            "fencingToken": fence,
+        }
+        if run.checkpoint:
+            body["checkpoint"] = run.checkpoint
+        return _command(await self._post("run-start", body, timeout_s))
+
+    async def stop(
+        self, run: StartRun | StopRun, fence: int, timeout_s: float
+    ) -> CommandReply:
+        """See base class."""
+        body = {"task": task_name(run.key), "runId": run.run, "fencingToken": fence}
+        return _command(await self._post("run-stop", body, timeout_s))
+
+    async def look(
+        self,
+        fence: int,
+        seen: int,
+        lease_until_ms: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> WorkerReport | CommandReply:
+        """See base class."""
+        body: dict[str, Any] = {"fencingToken": fence, "observed": seen}
+        if lease_until_ms:
+            body["deadlineAtMs"] = lease_until_ms
+        if wait_s:
+            body["waitMs"] = int(wait_s * 1000)
+        reply = await self._post("hold", body, timeout_s)
+        if reply.status != 200:
+            return _command(reply)
+        return _report(reply.body)
+
+    def reset(self) -> None:
+        """See base class."""
+        self._client.reset()
+
+    def close(self) -> None:
+        """See base class."""
+        self._client.reset()
+
+    async def _post(
+        self, name: str, body: dict[str, Any], timeout_s: float
+    ) -> JsonReply:
+        path = f"/redwingrudder/{name}"
+        return await self._client.call("POST", path, body, timeout_s, self._headers)
+
+
+def task_name(key: TaskKey) -> str:
+    """Return the platform's name of a task."""
+    return f"{key.workflow_id}.{key.occurrence}.{key.step}.{key.index}"
+
+
+def parse_task_name(name: str) -> TaskKey:
+    """Return the task of a platform's name."""
+    workflow_id, occurrence, step, index = name.split(".")
+    return TaskKey(workflow_id, int(occurrence), int(step), int(index))
+
+
+def _command(reply: JsonReply) -> CommandReply:
+    clock_ms = int(reply.body.get("clockMs") or 0)
+    if reply.status == 200:
+        return CommandReply(True, "", clock_ms)
+    if reply.status == 409:
+        reason = REASONS.get(reply.body.get("reason", ""), "invalid")
+    elif reply.status == 421:
+        reason = "other_life"
+    elif reply.status in (429, 503):
+        reason = "unhealthy"
+    else:
+        reason = "invalid"
+    return CommandReply(False, reason, clock_ms)
+
+
+def _report(body: dict[str, Any]) -> WorkerReport:
+    try:
+        return WorkerReport(
+            int(body["clockMs"]),
+            int(body.get("born") or 0),
+            tuple(_running(row) for row in body.get("running") or []),
+            tuple(_ended(row) for row in body.get("ended") or []),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise UnavailableError(f"unreadable list of runs: {error!r}") from error
+
+
+def _running(row: list[Any]) -> RunReport:
+    usage = float(row[4]) if len(row) > 4 else 0.0
+    return RunReport(
+        parse_task_name(row[0]), int(row[1]), row[2] or "", float(row[3]), usage
+    )
+
+
+def _ended(row: list[Any]) -> RunEnd:
+    return RunEnd(
+        int(row[0]),
+        parse_task_name(row[1]),
+        int(row[2]),
+        EndKind(row[3]),
+        row[4] or "",
+    )
--- /dev/null
+++ b/src/redwingrudder/workflows/planner.py
@@ -0,0 +1,235 @@
+"""Which waiting tasks start now, where, and which runs make room."""
+
+import abc
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .ordering import (
+    SlackOrder,
+    StageOrder,
+    estimate_s,
+    slack_s,
+)
+from .placement import (
+    IdleRoom,
+    PreemptibleRoom,
+    ReleasedRoom,
+    RoomSource,
+    Slot,
+    choose,
+    eligible,
+    fits_when_empty,
+)
+from .state import Stage, Task, Worker, WorkflowProgress, room_taken
+
+ENTITLED_RANK = -1  # urgent work within its organisation's guarantee
+# A step of a middle priority preempts lower ones in its last seconds of slack.
+PREEMPT_SLACK_S = 2.0
+# Steps in waiting that room is kept free for; more would idle the fleet.
+CLAIMS_LIMIT = 3
+# Share of the run time that a task waits for a worker next to its data, as
+# elsewhere it takes a multiple of the run time.
+DATA_WAIT_SHARE = 1.0
+
+
+class Decision(NamedTuple):
+    """Tasks to start, with their workers, and tasks to stop first."""
+
+    starts: tuple[tuple[Task, Worker], ...]
+    stops: tuple[Task, ...]
+
+
+class Planner(abc.ABC):
+    """Decides on starts and stops from the state alone."""
+
+    @abc.abstractmethod
+    def plan(
+        self,
+        progress: Iterable[WorkflowProgress],
+        workers: list[Worker],
+        guaranteed_by_organisation: dict[str, int],
+        now: float,
+        wall: float,
+    ) -> Decision:
+        """Return the next decision.
+
+        Args:
+            progress: Workflows that have not ended.
+            workers: All known workers.
+            guaranteed_by_organisation: Accelerators for urgent work.
+            now: Steady-clock seconds.
+            wall: Unix seconds.
+        """
+
+
+class PriorityPlanner(Planner):
+    """Strict priorities, guarantees, claims for steps that wait for room."""
+
+    def __init__(self, order: StageOrder | None = None) -> None:
+        self._order = order or SlackOrder()
+
+    def plan(
+        self,
+        progress: Iterable[WorkflowProgress],
+        workers: list[Worker],
+        guaranteed_by_organisation: dict[str, int],
+        now: float,
+        wall: float,
+    ) -> Decision:
+        """See base class."""
+        active = list(progress)
+        for worker in workers:
+            worker.claimed = worker.claimed._make((0, 0, 0))
+        entitled = entitled_organisations(active, guaranteed_by_organisation)
+        stages = ready_stages(active, now, wall)
+        ranks = {id(stage): rank(stage, entitled) for stage in stages}
+        stages.sort(key=lambda s: (ranks[id(s)], *self._order.key(s, now)))
+        pass_ = _Pass(workers, entitled, now)
+        for stage in stages:
+            pass_.place(stage, ranks[id(stage)])
+        return Decision(tuple(pass_.starts), tuple(pass_.stops.values()))
+
+
+class _Pass:
+    """One planning pass; collects starts and stops."""
+
+    def __init__(self, workers: list[Worker], entitled: frozenset[str], now: float):
+        self.starts: list[tuple[Task, Worker]] = []
+        self.stops: dict[tuple, Task] = {}
+        self._workers = workers
+        self._entitled = entitled
+        self._now = now
+        self._claims = 0
+
+    def place(self, stage: Stage, stage_rank: int) -> None:
+        waiting = waiting_tasks(stage)
+        candidates = eligible(stage, self._workers, self._now)
+        if not waiting or not candidates:
+            return
+        near = self._near_data(stage, candidates)
+        slots = choose(stage, waiting, near, IdleRoom())
+        self._start(stage, waiting, slots)
+        rest = waiting[len(slots) :]
+        if not rest:
+            return
+        if self._may_preempt(stage, stage_rank):
+            source = PreemptibleRoom(
+                self._now, stage_rank, lambda s: rank(s, self._entitled)
+            )
+            self._make_room(stage, rest, candidates, source)
+        elif self._claims < CLAIMS_LIMIT and not stage.spec.service:
+            if stage.spec.gang and not fits_when_empty(stage, len(rest), candidates):
+                return
+            self._claims += 1
+            self._claim(stage, choose(stage, rest, near, ReleasedRoom(self._now)))
+
+    def _near_data(self, stage: Stage, candidates: list[Worker]) -> list[Worker]:
+        """Return the workers beside the data while waiting for them pays."""
+        rack = stage.spec.data_rack
+        waited = self._now - (stage.ready_at or self._now)
+        if not rack or waited > DATA_WAIT_SHARE * estimate_s(stage):
+            return candidates
+        near = [worker for worker in candidates if worker.facts.rack == rack]
+        if stage.spec.gang and not fits_when_empty(stage, stage.spec.tasks, near):
+            return candidates
+        return near or candidates
+
+    def _may_preempt(self, stage: Stage, stage_rank: int) -> bool:
+        if stage_rank <= 0:
+            return True
+        return 0.0 <= slack_s(stage, self._now) < PREEMPT_SLACK_S
+
+    def _make_room(
+        self,
+        stage: Stage,
+        rest: list[Task],
+        candidates: list[Worker],
+        source: RoomSource,
+    ) -> None:
+        near = self._near_data(stage, candidates)
+        slots = choose(stage, rest, near, source)
+        if len(slots) < len(rest) and near is not candidates:
+            slots = choose(stage, rest, candidates, source) or slots
+        for slot in slots:
+            for victim in slot.victims:
+                self._stop(victim)
+        self._claim(stage, slots)
+
+    def _stop(self, victim: Task) -> None:
+        """Stop a run, and with it the other members of a gang."""
+        members = victim.stage.tasks if victim.stage.spec.gang else [victim]
+        for task in members:
+            if task.state in ("starting", "running"):
+                self.stops[task.key] = task
+
+    def _claim(self, stage: Stage, slots: list[Slot]) -> None:
+        demand = room_taken(stage.spec)
+        for slot in slots:
+            slot.worker.claimed = slot.worker.claimed.plus(demand)
+
+    def _start(self, stage: Stage, tasks: list[Task], slots: list[Slot]) -> None:
+        """Note starts and count them as claims within this pass."""
+        pairs = zip(tasks, slots, strict=False)
+        self.starts.extend((task, slot.worker) for task, slot in pairs)
+        self._claim(stage, slots)
+
+
+def rank(stage: Stage, entitled: frozenset[str]) -> int:
+    """Return the priority of a step; lower may preempt higher."""
+    workflow = stage.workflow.workflow
+    if workflow.policy.priority == 0 and workflow.organisation in entitled:
+        return ENTITLED_RANK
+    return workflow.policy.priority
+
+
+def entitled_organisations(
+    active: list[WorkflowProgress], guaranteed_by_organisation: dict[str, int]
+) -> frozenset[str]:
+    """Return the organisations whose urgent work fits their guarantee."""
+    needed: dict[str, int] = {}
+    for progress in active:
+        workflow = progress.workflow
+        if workflow.policy.priority == 0 and progress.ended_at is None:
+            total = sum(s.tasks * s.demand.accelerators for s in workflow.steps)
+            needed[workflow.organisation] = needed.get(workflow.organisation, 0) + total
+    return frozenset(
+        name
+        for name, total in needed.items()
+        if total <= guaranteed_by_organisation.get(name, 0)
+    )
+
+
+def ready_stages(
+    active: list[WorkflowProgress], now: float, wall: float
+) -> list[Stage]:
+    """Return the steps with tasks that may start."""
+    ready = []
+    for progress in active:
+        if progress.ended_at is not None:
+            continue
+        for occurrence in progress.occurrences:
+            if occurrence.due_at > wall:
+                break
+            for stage in occurrence.stages:
+                if _startable(stage, occurrence.stages):
+                    if stage.ready_at is None:
+                        stage.ready_at = now
+                    ready.append(stage)
+    return ready
+
+
+def _startable(stage: Stage, stages: list[Stage]) -> bool:
+    if not any(task.state == "waiting" for task in stage.tasks):
+        return False
+    return all(stages[index].done for index in stage.spec.after)
+
+
+def waiting_tasks(stage: Stage) -> list[Task]:
+    """Return the tasks to start: of a gang all or none.
+
+    The members of a gang share a run, so none may be left from the last one.
+    """
+    if stage.spec.gang:
+        ready = all(task.state == "waiting" for task in stage.tasks)
+        return list(stage.tasks) if ready else []
+    return [task for task in stage.tasks if task.state == "waiting"]
--- /dev/null
+++ b/src/redwingrudder/workflows/state.py
@@ -0,0 +1,242 @@
+"""Mutable state of the engine: tasks, steps, workflows and workers."""
+
+from collections.abc import Iterator
+
+from ..statecharts import load_chart
+from .model import (
+    NOTHING,
+    Resources,
+    StepSpec,
+    TaskKey,
+    WorkerFacts,
+    Workflow,
+    WorkflowState,
+)
+
+TASK_CHART = load_chart(
+    "task",
+    frozenset(
+        {
+            "assign",
+            "started",
+            "rejected",
+            "stop",
+            "run_done",
+            "run_failed",
+            "run_interrupted",
+            "give_up",
+            "withdraw",
+        }
+    ),
+    frozenset({"occupy", "release", "count_failure"}),
+)
+PLACED_STATES = frozenset({"starting", "running", "stopping"})
+
+
+class Task:
+    """One task and its newest run."""
+
+    __slots__ = (
+        "checkpoint",
+        "checkpoint_percent",
+        "failed_workers",
+        "failures",
+        "key",
+        "percent",
+        "progressed_at",
+        "run",
+        "stage",
+        "started_at",
+        "state",
+        "usage",
+        "worker_id",
+    )
+
+    def __init__(self, key: TaskKey, stage: "Stage") -> None:
+        self.key = key
+        self.stage = stage
+        self.state = TASK_CHART.initial
+        self.run = 0
+        self.worker_id = ""
+        self.checkpoint = ""
+        self.failures = 0
+        self.failed_workers: set[str] = set()
+        self.started_at = 0.0
+        self.percent = 0.0
+        self.progressed_at = 0.0
+        self.checkpoint_percent = 0.0
+        self.usage = 0.0
+
+    @property
+    def placed(self) -> bool:
+        """Whether a run exists or may exist on a worker."""
+        return self.state in PLACED_STATES
+
+    @property
+    def ended(self) -> bool:
+        """Whether no further run is needed."""
+        return self.state in TASK_CHART.final_states
+
+
+class Stage:
+    """A step of one occurrence of a workflow."""
+
+    __slots__ = (
+        "failed_runs",
+        "index",
+        "occurrence",
+        "ready_at",
+        "spec",
+        "tasks",
+        "workflow",
+    )
+
+    def __init__(self, workflow: "WorkflowProgress", occurrence: int, index: int):
+        self.workflow = workflow
+        self.occurrence = occurrence
+        self.index = index
+        self.spec: StepSpec = workflow.workflow.steps[index]
+        self.ready_at: float | None = None
+        self.failed_runs: set[int] = set()
+        self.tasks = [
+            Task(TaskKey(workflow.workflow.workflow_id, occurrence, index, i), self)
+            for i in range(self.spec.tasks)
+        ]
+
+    @property
+    def done(self) -> bool:
+        """Whether all tasks ended as done."""
+        return all(task.state == "done" for task in self.tasks)
+
+
+class Occurrence:
+    """One pass through the steps."""
+
+    __slots__ = ("due_at", "index", "stages")
+
+    def __init__(self, workflow: "WorkflowProgress", index: int, due_at: float):
+        self.index = index
+        self.due_at = due_at
+        self.stages = [
+            Stage(workflow, index, step) for step in range(len(workflow.workflow.steps))
+        ]
+
+    @property
+    def done(self) -> bool:
+        """Whether all steps are done."""
+        return all(stage.done for stage in self.stages)
+
+
+class WorkflowProgress:
+    """A workflow and how far it has come.
+
+    Attributes:
+        recorded_state: State in the newest stored record; callers see it
+            because a later one could be forgotten.
+        accepted_mono: Steady-clock seconds of the acceptance.
+    """
+
+    __slots__ = (
+        "accepted_mono",
+        "begun",
+        "cancelled",
+        "ended_at",
+        "occurrences",
+        "recorded_state",
+        "workflow",
+    )
+
+    def __init__(self, workflow: Workflow, now: float) -> None:
+        self.workflow = workflow
+        self.accepted_mono = now
+        self.cancelled = False
+        self.begun = False
+        self.recorded_state = WorkflowState.QUEUED
+        self.ended_at: float | None = None
+        self.occurrences = [
+            Occurrence(self, index, workflow.first_due_at + index * workflow.interval_s)
+            for index in range(max(workflow.occurrences, 1))
+        ]
+
+    def tasks(self) -> Iterator[Task]:
+        """Iterate over all tasks."""
+        for occurrence in self.occurrences:
+            for stage in occurrence.stages:
+                yield from stage.tasks
+
+    def find(self, key: TaskKey) -> Task | None:
+        """Return a task, or None for a key outside of the workflow."""
+        try:
+            stage = self.occurrences[key.occurrence].stages[key.step]
+            return stage.tasks[key.index]
+        except IndexError:
+            return None
+
+    @property
+    def state(self) -> WorkflowState:
+        """The state as the engine knows it."""
+        if self.cancelled:
+            return WorkflowState.CANCELLED
+        states = {task.state for task in self.tasks()}
+        if "exhausted" in states:
+            return WorkflowState.FAILED
+        if states <= {"done"}:
+            return WorkflowState.DONE
+        return WorkflowState.RUNNING if self.begun else WorkflowState.QUEUED
+
+    @property
+    def settled(self) -> bool:
+        """Whether the state is final and nothing is left on a worker."""
+        return self.ended_at is not None and not any(
+            task.placed for task in self.tasks()
+        )
+
+
+class Worker:
+    """A worker, what it runs and how it behaves."""
+
+    __slots__ = (
+        "claimed",
+        "facts",
+        "failures",
+        "listed",
+        "quarantined_until",
+        "reachable",
+        "speed",
+        "successes",
+        "tasks_by_key",
+        "used",
+    )
+
+    def __init__(self, facts: WorkerFacts) -> None:
+        self.facts = facts
+        self.tasks_by_key: dict[TaskKey, Task] = {}
+        self.used = NOTHING
+        self.claimed = NOTHING
+        self.listed = True
+        self.reachable = True
+        self.failures = 0
+        self.successes = 0
+        self.quarantined_until = 0.0
+        self.speed = 1.0
+
+    @property
+    def free(self) -> Resources:
+        """What is neither used nor claimed for a waiting step."""
+        return self.facts.capacity.minus(self.used).minus(self.claimed)
+
+    def usable(self, now: float) -> bool:
+        """Return whether new runs may be sent here."""
+        return (
+            self.listed
+            and self.reachable
+            and not self.facts.draining
+            and now >= self.quarantined_until
+        )
+
+
+def room_taken(spec: StepSpec) -> Resources:
+    """Return what a task counts against its worker's capacity."""
+    if spec.fills:
+        return spec.demand._replace(cpu_millis=0)
+    return spec.demand
