--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -21,7 +21,7 @@
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import OutcomeUnknownError, RedwingrudderError
 from ..statecharts import load_chart
-from ..timers import TIMERS, Subscribe, TimerFired
+from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 from .gateways import (
     COORDINATOR,
     COORDINATOR_KEY,
@@ -106,6 +106,8 @@
         self._subscribers = subscribers
         self._jitter = random.Random(f"{identity.life}{seed}")
         self._holder: Holder | None = None
+        # Revision of a record whose holder is surely dead, 0 for none.
+        self._dead_revision = 0
         self._announced: tuple[str, int] | None = None
         self._lease = 0
         self._last_term_led = 0
@@ -205,7 +207,10 @@
             self._chart.step("deposed", f"{holder.node_id} holds term {holder.term}")
         elif not mine and holder.node_id == self._identity.node_id:
             # The record of an earlier life of this process.
+            self._dead_revision = revision
             self._chart.step("vacant", "earlier life")
+        else:
+            self.tell(TIMERS, Unsubscribe(self.name, "campaign"))
 
     def _announce(self, node_id: str, address: str, term: int) -> None:
         if self._announced == (node_id, term):
@@ -219,6 +224,7 @@
         if self._stopping or self._holder is None:
             return
         if self._holder.address == message.address and not self.leading:
+            self._dead_revision = self._holder.revision
             delay = self._jitter.uniform(0.0, CAMPAIGN_JITTER_S)
             self.tell(TIMERS, Subscribe(self.name, "campaign", delay))
 
@@ -232,8 +238,7 @@
         result: tuple[int, int] | None = None
         try:
             holder: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
-            known = self._holder.revision if self._holder is not None else 0
-            if holder is None or holder.mod_revision == known:
+            if holder is None or holder.mod_revision == self._dead_revision:
                 result = await self._write_record(holder)
                 event = "acquired" if result else "failed"
         except RedwingrudderError as error:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -31,9 +31,9 @@
 # Failures in a row after which a worker gets no work for a while.
 QUARANTINE_FAILURES = 2
 QUARANTINE_S = 4.0
-# A run without progress for this share of its estimate counts as stuck.
-STUCK_SHARE = 0.6
-STUCK_LEAST_S = 2.5
+# A run whose progress stands still this long is stuck; a run that is six
+# times slower than usual still gains a percent a second.
+STUCK_S = 3.0
 
 _logger = logging.getLogger(__name__)
 _END_EVENTS = {EndKind.DONE: "run_done", EndKind.FAILED: "run_failed"}
@@ -114,7 +114,7 @@
         """Take note that a worker began a run."""
         task = self._current(key, run)
         if task is not None:
-            task.started_at = task.progressed_at = now
+            task.started_at = task.progressed_at = task.reported_at = now
             self._step(task, "started", now)
 
     def start_rejected(self, key: TaskKey, run: int, reason: str, now: float) -> None:
@@ -137,11 +137,11 @@
                 continue
             if task.state == "starting":
                 self.start_confirmed(entry.key, entry.run, now)
-            if entry.checkpoint:
-                task.checkpoint = entry.checkpoint
+            self._keep_checkpoint(task, entry.checkpoint)
             if entry.percent != task.percent:
                 task.progressed_at = now
             task.percent = entry.percent
+            task.reported_at = now
             task.usage = entry.usage
 
     def end(self, worker_id: str, ended: RunEnd, now: float) -> str | None:
@@ -169,8 +169,7 @@
             return self._end_done(task, worker_id, current, now)
         if not current or task.ended or not task.placed:
             return None
-        if ended.checkpoint:
-            task.checkpoint = ended.checkpoint
+        self._keep_checkpoint(task, ended.checkpoint)
         if ended.kind is EndKind.FAILED:
             task.failed_workers.add(worker_id)
             self._blame(worker_id, task, now)
@@ -222,7 +221,7 @@
         if worker_id not in self.workers_by_id:
             return
         task.run, task.worker_id = run, worker_id
-        task.started_at = task.progressed_at = now
+        task.started_at = task.progressed_at = task.reported_at = now
         self._step(task, "assign", now)
         if started:
             self._step(task, "started", now)
@@ -337,16 +336,14 @@
                 max(member.run for member in stage.tasks)
             )
             runs_by_stage[id(stage)] = run
-            checkpoint = max(
-                stage.tasks, key=lambda member: member.checkpoint_percent
-            ).checkpoint
+            checkpoint = stage.tasks[0].checkpoint
         else:
             run = self._next_run(task.run)
             checkpoint = task.checkpoint
         task.run = run
         task.worker_id = worker.facts.worker_id
         task.percent = 0.0
-        task.started_at = task.progressed_at = now
+        task.started_at = task.progressed_at = task.reported_at = now
         self._step(task, "assign", now)
         workflow = stage.workflow
         workflow.begun = True
@@ -395,11 +392,17 @@
         if entry.run <= task.run or task.ended:
             self._effects.append(StopRun(worker_id, entry.key, entry.run))
 
+    def _keep_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Keep the newest saved state; a gang shares one, with its first."""
+        if checkpoint:
+            keeper = task.stage.tasks[0] if task.stage.spec.gang else task
+            keeper.checkpoint = checkpoint
+
     def _is_stuck(self, task: Task, worker: Worker, now: float) -> bool:
-        if task.stage.spec.service or not worker.reachable:
+        """A gang's member that is ready waits for the slower ones."""
+        if task.stage.spec.service or not worker.reachable or task.percent >= 100:
             return False
-        limit = max(STUCK_LEAST_S, STUCK_SHARE * task.stage.spec.estimate_s)
-        return now - task.progressed_at > limit
+        return task.reported_at - task.progressed_at > STUCK_S
 
     def _blame(self, worker_id: str, task: Task, now: float) -> None:
         """Count a failure against a worker unless the task fails anywhere."""
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -95,7 +95,8 @@
         if task.placed:
             born = born_by_worker.get(task.worker_id, 0)
             placed.append([*key, task.run, task.worker_id, born])
-        elif task.checkpoint:
+        # A placed run reports its state itself, a gang through any member.
+        if task.checkpoint and (task.stage.spec.gang or not task.placed):
             checkpoints.append([*key, task.checkpoint])
     document = {
         "term": term,
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -38,12 +38,12 @@
 
     __slots__ = (
         "checkpoint",
-        "checkpoint_percent",
         "failed_workers",
         "failures",
         "key",
         "percent",
         "progressed_at",
+        "reported_at",
         "run",
         "stage",
         "started_at",
@@ -64,7 +64,7 @@
         self.started_at = 0.0
         self.percent = 0.0
         self.progressed_at = 0.0
-        self.checkpoint_percent = 0.0
+        self.reported_at = 0.0
         self.usage = 0.0
 
     @property
