--- /dev/null
+++ b/tests/test_workflow_engine.py
@@ -0,0 +1,247 @@
+"""Tests of the workflow engine: one failure each."""
+
+import unittest
+
+from redwingrudder.workflows.model import EndKind, WorkflowState
+
+from . import workflow_fixtures as fx
+
+
+class LifeTests(unittest.TestCase):
+    """A workflow from acceptance to its end."""
+
+    def test_steps_run_in_order(self):
+        """Guards against a start before the steps it waits for are done."""
+        engine = fx.engine()
+        engine.accept(fx.workflow("job", fx.step(2), fx.step(1, after=(0,))), 0.0)
+        first = fx.starts(engine.plan(0.0, 0.0))
+        self.assertEqual([s.key.step for s in first], [0, 0])
+        fx.confirm(engine, first)
+        engine.end(first[0].worker_id, fx.ended(first[0]), 1.0)
+        self.assertEqual(fx.starts(engine.plan(1.0, 1.0)), [])
+        engine.end(first[1].worker_id, fx.ended(first[1], number=2), 2.0)
+        second = fx.starts(engine.plan(2.0, 2.0))
+        self.assertEqual([s.key.step for s in second], [1])
+
+    def test_done_only_after_all_tasks(self):
+        """Guards against a workflow shown as done while a task runs."""
+        engine = fx.engine()
+        progress = engine.accept(fx.workflow("job", fx.step(2)), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        engine.end(begun[0].worker_id, fx.ended(begun[0]), 1.0)
+        self.assertIs(progress.state, WorkflowState.RUNNING)
+        engine.end(begun[1].worker_id, fx.ended(begun[1]), 1.0)
+        self.assertIs(progress.state, WorkflowState.DONE)
+        self.assertIs(progress.recorded_state, WorkflowState.QUEUED)
+
+    def test_no_start_after_last_attempt(self):
+        """Guards against more failed runs than the queue's attempts."""
+        engine = fx.engine()
+        progress = engine.accept(fx.workflow(attempts=2), 0.0)
+        for number in (1, 2):
+            begun = fx.starts(engine.plan(0.0, 0.0))
+            fx.confirm(engine, begun)
+            end = fx.ended(begun[0], EndKind.FAILED, number)
+            engine.end(begun[0].worker_id, end, 0.0)
+        self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
+        self.assertIs(progress.state, WorkflowState.FAILED)
+
+    def test_interruptions_are_no_attempts(self):
+        """Guards against a failed state without failed runs."""
+        engine = fx.engine()
+        progress = engine.accept(fx.workflow(attempts=1), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        engine.end(begun[0].worker_id, fx.ended(begun[0], EndKind.LAPSED), 0.0)
+        again = fx.starts(engine.plan(0.0, 0.0))
+        self.assertGreater(again[0].run, begun[0].run)
+        self.assertIs(progress.state, WorkflowState.RUNNING)
+
+    def test_end_of_an_older_run_changes_nothing(self):
+        """Guards against an old run's failure counted for the newest."""
+        engine = fx.engine()
+        engine.accept(fx.workflow(), 0.0)
+        first = fx.starts(engine.plan(0.0, 0.0))[0]
+        engine.start_rejected(first.key, first.run, "room", 0.0)
+        second = fx.starts(engine.plan(0.0, 0.0))[0]
+        fx.confirm(engine, [second])
+        late = fx.ended(first, EndKind.FAILED)
+        self.assertIsNone(engine.end(first.worker_id, late, 0.0))
+        task = engine.workflows_by_id["job"].find(second.key)
+        self.assertEqual((task.state, task.failures), ("running", 0))
+
+    def test_cancel_stops_runs_and_starts_nothing(self):
+        """Guards against runs of a cancelled workflow that go on."""
+        engine = fx.engine(fx.worker("w1"))
+        progress = engine.accept(fx.workflow("job", fx.step(20)), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        engine.cancel("job", 1.0)
+        stopped = fx.stops(engine.plan(1.0, 1.0))
+        self.assertEqual({s.key for s in stopped}, {s.key for s in begun})
+        for number, start in enumerate(begun, 1):
+            end = fx.ended(start, EndKind.STOPPED, number)
+            engine.end(start.worker_id, end, 1.1)
+        self.assertEqual(fx.starts(engine.plan(2.0, 2.0)), [])
+        self.assertIs(progress.state, WorkflowState.CANCELLED)
+        self.assertTrue(progress.settled)
+
+
+class GangTests(unittest.TestCase):
+    """Gangs run as a whole or not at all."""
+
+    def test_gang_waits_for_room_for_all(self):
+        """Guards against members that start alone."""
+        engine = fx.engine(fx.worker("w1"))
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
+        engine.accept(fx.workflow("job", gang), 0.0)
+        self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
+        engine.set_worker(fx.worker("w2"), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        self.assertEqual(len({s.run for s in begun}), 1)
+        self.assertEqual(len(begun), 2)
+
+    def test_rejected_member_stops_the_others(self):
+        """Guards against members that wait until they end alone."""
+        engine = fx.engine()
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
+        engine.accept(fx.workflow("job", gang), 0.0)
+        first, second = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, [first])
+        engine.start_rejected(second.key, second.run, "room", 0.0)
+        stopped = fx.stops(engine.take_effects())
+        self.assertEqual([s.key for s in stopped], [first.key])
+
+    def test_failed_gang_counts_once_for_each_run(self):
+        """Guards against a gang given up before its last attempt."""
+        engine = fx.engine()
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
+        progress = engine.accept(fx.workflow("job", gang, attempts=2), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        for number, start in enumerate(begun, 1):
+            end = fx.ended(start, EndKind.FAILED, number)
+            engine.end(start.worker_id, end, 0.0)
+        self.assertIs(progress.state, WorkflowState.RUNNING)
+
+    def test_one_end_stands_for_all_members(self):
+        """Guards against a second run of a gang that is done."""
+        engine = fx.engine()
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
+        progress = engine.accept(fx.workflow("job", gang), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        engine.end(begun[0].worker_id, fx.ended(begun[0]), 1.0)
+        engine.interrupt_worker(begun[1].worker_id, 1.0, "lease_lapsed")
+        self.assertIs(progress.state, WorkflowState.DONE)
+
+    def test_member_that_waits_at_the_end_is_not_stuck(self):
+        """Guards against stopping a gang whose slower members still work."""
+        engine = fx.engine()
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
+        engine.accept(fx.workflow("job", gang), 0.0)
+        first, second = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, [first, second])
+        for now in range(1, 12):
+            engine.report(first.worker_id, [fx.running(first, 100.0)], float(now))
+            engine.report(second.worker_id, [fx.running(second, now * 3.0)], float(now))
+            engine.stop_stuck(float(now))
+        self.assertEqual(fx.stops(engine.take_effects()), [])
+
+
+class WorkerTests(unittest.TestCase):
+    """Workers that restart, fail, hang or leave."""
+
+    def test_restart_frees_all_runs(self):
+        """Guards against runs that wait for a worker's past life."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow(), 0.0)
+        first = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, first)
+        engine.set_worker(fx.worker("w1", born_ms=2), 1.0)
+        again = fx.starts(engine.plan(1.0, 1.0))
+        self.assertGreater(again[0].run, first[0].run)
+
+    def test_draining_worker_gets_nothing(self):
+        """Guards against starts on a worker that leaves."""
+        engine = fx.engine(fx.worker("w1", draining=True))
+        engine.accept(fx.workflow(), 0.0)
+        self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
+
+    def test_worker_that_fails_twice_is_avoided(self):
+        """Guards against a worker that fails all it starts."""
+        engine = fx.engine(fx.worker("w1"))
+        for name in ("a", "b"):
+            engine.accept(fx.workflow(name, attempts=3), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        for number, start in enumerate(begun, 1):
+            engine.end("w1", fx.ended(start, EndKind.FAILED, number), 0.1)
+        self.assertEqual(fx.starts(engine.plan(0.2, 0.2)), [])
+
+    def test_standing_progress_is_stopped(self):
+        """Guards against a run that hangs for ever."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow(), 0.0)
+        start = fx.starts(engine.plan(0.0, 0.0))[0]
+        fx.confirm(engine, [start])
+        for now in (1.0, 2.0, 3.0, 4.5):
+            engine.report("w1", [fx.running(start, 7.0)], now)
+            engine.stop_stuck(now)
+        self.assertEqual([s.key for s in fx.stops(engine.take_effects())], [start.key])
+
+    def test_run_that_is_not_listed_after_a_takeover_starts_again(self):
+        """Guards against a recorded run that was never sent."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow(), 0.0)
+        engine.adopt_run(fx.key(), 3, "w1", False, 0.0)
+        self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
+        engine.reconcile("w1", set(), 0.1)
+        again = fx.starts(engine.plan(0.2, 0.2))
+        self.assertEqual(again[0].run, 4)
+
+
+class PriorityTests(unittest.TestCase):
+    """Urgent work and guarantees."""
+
+    def test_urgent_work_preempts(self):
+        """Guards against urgent work that waits for patient work."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow("slow", fx.step(8), priority=2), 0.0)
+        slow = fx.starts(engine.plan(0.0, 0.0))
+        self.assertEqual(len(slow), 8)
+        fx.confirm(engine, slow)
+        urgent = fx.workflow("fast", fx.step(1, fx.WHOLE_WORKER), priority=0)
+        engine.accept(urgent, 1.0)
+        effects = engine.plan(1.0, 1.0)
+        self.assertEqual(len(fx.stops(effects)), 8)
+        for number, start in enumerate(slow, 1):
+            engine.end("w1", fx.ended(start, EndKind.STOPPED, number), 1.2)
+        begun = fx.starts(engine.plan(1.2, 1.2))
+        self.assertEqual([s.key.workflow_id for s in begun], ["fast"])
+
+    def test_guarantee_goes_before_other_urgent_work(self):
+        """Guards against a guarantee that another organisation occupies."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.guaranteed_by_organisation = {"owner": 8}
+        other = fx.workflow("a", fx.step(8), priority=0, organisation="other")
+        engine.accept(other, 0.0)
+        fx.confirm(engine, engine.plan(0.0, 0.0))
+        own = fx.step(1, fx.WHOLE_WORKER)
+        engine.accept(fx.workflow("b", own, priority=0, organisation="owner"), 1.0)
+        self.assertEqual(len(fx.stops(engine.plan(1.0, 1.0))), 8)
+
+    def test_room_is_kept_for_a_large_step(self):
+        """Guards against small steps that starve a large one."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow("small", fx.step(4)), 0.0)
+        fx.confirm(engine, engine.plan(0.0, 0.0))
+        engine.accept(fx.workflow("large", fx.step(1, fx.WHOLE_WORKER)), 1.0)
+        engine.plan(1.0, 1.0)
+        engine.accept(fx.workflow("later", fx.step(4), priority=2), 2.0)
+        self.assertEqual(fx.starts(engine.plan(2.0, 2.0)), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/workflow_fixtures.py
@@ -0,0 +1,78 @@
+"""Workflows, workers and reports for the tests of the engine."""
+
+from redwingrudder.workflows.engine import Engine
+from redwingrudder.workflows.model import (
+    EndKind,
+    QueuePolicy,
+    Resources,
+    RunEnd,
+    RunReport,
+    StartRun,
+    StepSpec,
+    StopRun,
+    TaskKey,
+    WorkerFacts,
+    Workflow,
+)
+
+WORKER_SIZE = Resources(128_000, 262_144, 8)
+ONE_GPU = Resources(11_000, 29_000, 1)
+WHOLE_WORKER = Resources(52_000, 75_000, 8)
+
+
+def worker(worker_id, rack="r1", born_ms=1, **changes):
+    facts = WorkerFacts(
+        worker_id,
+        born_ms,
+        f"10.0.0.1:{len(worker_id)}",
+        "pool",
+        "domain",
+        rack,
+        frozenset({"a", rack}),
+        WORKER_SIZE,
+    )
+    return facts._replace(**changes)
+
+
+def step(tasks=1, demand=ONE_GPU, **changes):
+    return StepSpec(tasks, demand, 5.0)._replace(**changes)
+
+
+def workflow(workflow_id="job", *steps, priority=1, organisation="org", attempts=2):
+    policy = QueuePolicy("pool", priority, attempts, 3.0, 1.0)
+    return Workflow(
+        workflow_id, "queue", organisation, "payload", steps or (step(),), policy, 0.0
+    )
+
+
+def engine(*workers):
+    made = Engine()
+    for facts in workers or (worker("w1"), worker("w2")):
+        made.set_worker(facts, 0.0)
+    return made
+
+
+def starts(effects):
+    return [effect for effect in effects if isinstance(effect, StartRun)]
+
+
+def stops(effects):
+    return [effect for effect in effects if isinstance(effect, StopRun)]
+
+
+def confirm(made, effects, now=0.0):
+    """Let the workers accept all starts."""
+    for start in starts(effects):
+        made.start_confirmed(start.key, start.run, now)
+
+
+def ended(start, kind=EndKind.DONE, number=1, checkpoint=""):
+    return RunEnd(number, start.key, start.run, kind, checkpoint)
+
+
+def running(start, percent=10.0, checkpoint=""):
+    return RunReport(start.key, start.run, checkpoint, percent)
+
+
+def key(workflow_id="job", occurrence=0, step_index=0, index=0):
+    return TaskKey(workflow_id, occurrence, step_index, index)
