Answer 503, not 404, while no coordinator can be asked

An unconfirmed write was also repeated without a pause. Change: not_coordinator is an UnavailableError with a retry time; refusals of other nodes keep their kind; 50 ms between writes of a submission. Tests of intake, election and recording on a store in memory. Ruled out: a configuration that fell back: the log shows rising versions only.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -6,7 +6,7 @@
 from .._background import run
 from .._store_requests import GetPrefix, KeyValue
 from ..actors import Actor, ActorSystem, Handler
-from ..exceptions import BadRequestError, NotFoundError, RedwingrudderError
+from ..exceptions import BadRequestError, RedwingrudderError, UnavailableError
 from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 from ..workflows import records
 from ..workflows.engine import Engine
@@ -58,6 +58,7 @@
 WATCH_S = 1.0
 RETRY_S = 0.25
 UNLISTED_GONE_S = 2.5  # after the store's return, above what entries may take
+NOT_COORDINATOR_RETRY_S = 1.0  # an election takes about this long
 
 _logger = logging.getLogger(__name__)
 
@@ -308,7 +309,7 @@
 
     def _get_state(self, message: GetState) -> str:
         if not self._ready:
-            raise NotFoundError("this node does not coordinate", code="not_coordinator")
+            raise not_coordinator()
         progress = self._engine.workflows_by_id.get(message.workflow_id)
         if progress is None:
             return ""
@@ -318,7 +319,7 @@
 
     def _get_queue_length(self, message: GetQueueLength) -> int:
         if not self._ready:
-            raise NotFoundError("this node does not coordinate", code="not_coordinator")
+            raise not_coordinator()
         return self._engine.queue_length(message.queue)
 
     # Workers.
@@ -615,5 +616,14 @@
         await pause(self.system.clock, delay_s)
 
 
+def not_coordinator() -> UnavailableError:
+    """Return the error of a node that is asked but does not lead."""
+    return UnavailableError(
+        "this node does not coordinate",
+        code="not_coordinator",
+        retry_after_s=NOT_COORDINATOR_RETRY_S,
+    )
+
+
 def _workflow_id(key: str) -> str:
     return key.removeprefix(INTAKE_PREFIX).removesuffix("/cancel")
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -36,8 +36,10 @@
     WorkflowStored,
 )
 from .neighbours import CallNeighbour, ListNeighbours
+from .worker_session import pause
 
 RETRY_AFTER_S = 1.0  # told to callers while the store turns all nodes away
+WRITE_RETRY_S = 0.05  # keeps a store that resets connections from being flooded
 RELAYS = 2  # neighbours that are asked to store on this node's behalf
 
 _logger = logging.getLogger(__name__)
@@ -126,6 +128,7 @@
                     ) from error
             if self.system.clock.seconds() > deadline:
                 raise OutcomeUnknownError("the store did not confirm the write")
+            await pause(self.system.clock, WRITE_RETRY_S)
 
     async def _relay(self, method: str, arguments: tuple, deadline: float) -> Any:
         """Let a node that the store serves carry out a call.
@@ -191,6 +194,7 @@
             except OutcomeUnknownError:
                 if self.system.clock.seconds() > deadline:
                     raise
+                await pause(self.system.clock, WRITE_RETRY_S)
 
     async def _cancel_for_neighbour(self, message: CancelForNeighbour) -> bool:
         deadline = self.system.clock.seconds() + 1.0
--- a/src/redwingrudder/coordination/neighbours.py
+++ b/src/redwingrudder/coordination/neighbours.py
@@ -18,7 +18,7 @@
 from .._wire.generated.coordination import CoordinationService
 from .._wire.generated.coordination.ttypes import Fault, WireNodeSummary
 from ..actors import Actor, ActorSystem, Handler
-from ..exceptions import RedwingrudderError, UnavailableError
+from ..exceptions import OutcomeUnknownError, RedwingrudderError, UnavailableError
 from ..timers import TIMERS, Subscribe, TimerFired
 from .gateways import (
     CONFIGURATION,
@@ -96,14 +96,19 @@
 
         Raises:
             UnavailableError: There is no answer in time.
-            RedwingrudderError: The other node refused, with its code.
+            UnavailableError: The other node refused, with its code.
         """
         work = ensureDeferred(self._call(method, arguments))
         work.addTimeout(timeout_s, self._reactor)
         try:
             return await work
         except Fault as fault:
-            raise RedwingrudderError(
+            kind = (
+                OutcomeUnknownError
+                if fault.code == OutcomeUnknownError.code
+                else UnavailableError
+            )
+            raise kind(
                 fault.detail, code=fault.code, retry_after_s=fault.retry_after_s
             ) from fault
         except ConnectionRefusedError as error:
--- /dev/null
+++ b/tests/test_coordination.py
@@ -0,0 +1,277 @@
+"""Tests of intake, election and recording on a store in memory."""
+
+import unittest
+
+from twisted.internet.defer import ensureDeferred
+
+from redwingrudder.coordination.coordinator import Coordinator
+from redwingrudder.coordination.gateways import (
+    COORDINATOR,
+    COORDINATOR_KEY,
+    INTAKE,
+    INTAKE_PREFIX,
+    LEADERSHIP,
+    NEIGHBOURS,
+    TERM_KEY,
+    ChannelFactory,
+    RegistryCodec,
+)
+from redwingrudder.coordination.intake import Intake
+from redwingrudder.coordination.leadership import Identity, Leadership
+from redwingrudder.coordination.messages import (
+    BeginTerm,
+    CancelStored,
+    CancelWorkflow,
+    CoordinatorKnown,
+    CoordinatorSilent,
+    EndTerm,
+    GetQueueLength,
+    GetState,
+    LeaseConfirmed,
+    SubmitWorkflow,
+    WorkflowStored,
+)
+from redwingrudder.coordination.neighbours import CallNeighbour, ListNeighbours
+from redwingrudder.coordination.recorder import Recorder
+from redwingrudder.exceptions import (
+    OutcomeUnknownError,
+    StoreUnavailableError,
+    UnavailableError,
+)
+from redwingrudder.timers import TimerService
+from redwingrudder.workflows import records
+from redwingrudder.workflows.model import WorkflowState
+
+from . import workflow_fixtures as fx
+from .coordination_fakes import (
+    Recording,
+    StoreContents,
+    node_system,
+    outcome,
+    run_for,
+)
+
+
+class NoRegistry(RegistryCodec):
+    prefix = "servers/"
+
+    def decode(self, key, document):
+        return None
+
+
+class NoChannels(ChannelFactory):
+    def open(self, facts):
+        raise AssertionError("no worker in this test")
+
+
+class IntakeTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        self.neighbours = Recording(
+            self.system,
+            NEIGHBOURS,
+            {ListNeighbours: (), CallNeighbour: UnavailableError("cut off")},
+        )
+        self.coordinator = Recording(
+            self.system,
+            COORDINATOR,
+            {
+                WorkflowStored: None,
+                CancelStored: None,
+                GetState: "",
+                GetQueueLength: UnavailableError("no", code="not_coordinator"),
+            },
+        )
+        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"))
+        self.system.tell(INTAKE, CoordinatorKnown("n1", "10.0.0.1:1", 1))
+
+    def ask(self, message, seconds=0.1):
+        reply = self.system.ask(INTAKE, message)
+        run_for(self.clock, seconds)
+        return outcome(reply)
+
+    def submit(self, seconds=0.1):
+        return self.ask(SubmitWorkflow(fx.workflow(), 2.0), seconds)
+
+    def test_acceptance_is_stored_first(self):
+        """Guards against an accepted workflow that is lost with its node."""
+        self.assertIs(self.submit(), True)
+        self.assertIn(INTAKE_PREFIX + "job", self.store.contents.items_by_key)
+
+    def test_lost_answer_is_resolved_by_a_second_write(self):
+        """Guards against refusing what the store has taken."""
+        self.store.lose_answers = 1
+        self.assertIs(self.submit(), True)
+
+    def test_unconfirmed_write_is_not_called_not_run(self):
+        """Guards against a refusal of a workflow that is stored later."""
+        self.store.put_off = 1000
+        error = self.submit(seconds=2.5)
+        self.assertIsInstance(error, OutcomeUnknownError)
+        self.assertTrue(self.store.carry_out()[0])
+
+    def test_store_that_does_nothing_is_a_refusal_with_retry_time(self):
+        """Guards against a refusal without a time to come back."""
+        self.store.down = True
+        error = self.submit()
+        self.assertIsInstance(error, UnavailableError)
+        self.assertNotIsInstance(error, OutcomeUnknownError)
+        self.assertGreater(error.retry_after_s, 0)
+        self.assertEqual(self.store.contents.items_by_key, {})
+
+    def test_refusal_after_an_unconfirmed_write_stays_unknown(self):
+        """Guards against "not run" while an earlier write may take effect."""
+        self.store.put_off = 1
+        self.store.down_after_put_off = True
+        self.assertIsInstance(self.submit(seconds=2.5), OutcomeUnknownError)
+
+    def test_same_id_again_is_the_same_job(self):
+        """Guards against a second job for a repeated submission."""
+        self.submit()
+        before = dict(self.store.contents.items_by_key)
+        self.assertIs(self.submit(), True)
+        self.assertEqual(self.store.contents.items_by_key, before)
+
+    def test_unknown_id_is_looked_up_in_the_store(self):
+        """Guards against "no such job" from a coordinator that lags."""
+        self.submit()
+        self.assertEqual(self.ask(GetState("job")), WorkflowState.QUEUED)
+        self.assertEqual(self.ask(GetState("other")), "")
+
+    def test_cancel_is_stored(self):
+        """Guards against a cancellation that a takeover forgets."""
+        self.submit()
+        self.assertIs(self.ask(CancelWorkflow("job", 1.0)), True)
+        self.assertEqual(self.ask(GetState("job")), WorkflowState.CANCELLED)
+        self.assertIs(self.ask(CancelWorkflow("other", 1.0)), False)
+
+    def test_queue_without_coordinator_is_unavailable_not_absent(self):
+        """Guards against 404 for a queue that the configuration has."""
+        error = self.ask(GetQueueLength("queue"))
+        self.assertEqual(error.http_status, 503)
+
+
+class NotLeadingTests(unittest.TestCase):
+    def test_idle_coordinator_refuses_with_503(self):
+        """Guards against 404 for a queue when the coordinator changes."""
+        clock, system, _ = node_system()
+        Coordinator(system, NoRegistry(), NoChannels(), 6.0)
+        reply = system.ask(COORDINATOR, GetQueueLength("queue"))
+        run_for(clock, 0.05)
+        error = outcome(reply)
+        self.assertEqual((error.code, error.http_status), ("not_coordinator", 503))
+
+
+class ElectionTests(unittest.TestCase):
+    def setUp(self):
+        self.contents = StoreContents()
+        self.nodes = [self.node(f"n{index}") for index in range(3)]
+
+    def node(self, name):
+        clock, system, store = node_system(self.contents)
+        TimerService(system)
+        coordinator = Recording(
+            system, COORDINATOR, {BeginTerm: None, EndTerm: None, LeaseConfirmed: None}
+        )
+        identity = Identity(name, f"10.0.0.1:{name}", f"life-{name}")
+        leadership = Leadership(system, identity, ())
+        leadership.start()
+        return clock, system, store, coordinator, leadership
+
+    def advance(self, seconds):
+        for _ in range(int(seconds / 0.01)):
+            for clock, _, store, _, _ in self.nodes:
+                clock.advance(0.01)
+                store.notify()
+
+    def leaders(self):
+        return [node[4] for node in self.nodes if node[4].leading]
+
+    def test_one_term_at_the_start(self):
+        """Guards against nodes that replace a record just written."""
+        self.advance(2.0)
+        self.assertEqual(len(self.leaders()), 1)
+        self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "1")
+
+    def test_vacant_record_begins_a_higher_term(self):
+        """Guards against a fence that does not rise with the holder."""
+        self.advance(1.0)
+        self.contents.remove(COORDINATOR_KEY)
+        self.advance(1.0)
+        self.assertEqual(len(self.leaders()), 1)
+        self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "2")
+
+    def test_refused_connection_replaces_a_live_lease(self):
+        """Guards against waiting out the lease of a killed process."""
+        self.advance(1.0)
+        leader = self.leaders()[0]
+        others = [node for node in self.nodes if node[4] is not leader]
+        address = f"10.0.0.1:{leader._identity.node_id}"
+        for _, system, _, _, _ in others:
+            system.tell(LEADERSHIP, CoordinatorSilent(address))
+        self.advance(1.0)
+        self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "2")
+        self.assertNotIn(leader, self.leaders())
+
+
+class RecorderTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        self.store.contents.put(TERM_KEY, "1")
+        term = self.store.contents.items_by_key[TERM_KEY]
+        self.recorder = Recorder(self.system.ask, 1, term.mod_revision)
+        self.engine = fx.engine()
+        self.engine.accept(fx.workflow("job", fx.step(2)), 0.0)
+
+    def write(self):
+        reply = ensureDeferred(self.recorder.write(self.engine, ["job"]))
+        run_for(self.clock, 0.05)
+        return outcome(reply)
+
+    def record(self):
+        item = self.store.contents.items_by_key["progress/job"]
+        return records.decode_progress("job", item.value.encode())
+
+    def test_record_restores_the_progress(self):
+        """Guards against a successor that repeats finished tasks."""
+        begun = fx.starts(self.engine.plan(0.0, 0.0))
+        fx.confirm(self.engine, begun)
+        self.engine.end(begun[0].worker_id, fx.ended(begun[0]), 0.0)
+        self.write()
+        record = self.record()
+        self.assertEqual(record.done, (begun[0].key,))
+        self.assertEqual([p.key for p in record.placed], [begun[1].key])
+
+    def test_late_write_cannot_replace_a_newer_one(self):
+        """Guards against an old record that takes effect seconds later."""
+        self.store.put_off = 1
+        self.assertIsInstance(self.write(), OutcomeUnknownError)
+        begun = fx.starts(self.engine.plan(0.0, 0.0))
+        self.write()
+        self.assertEqual(self.store.carry_out(), [False])
+        self.assertEqual(len(self.record().placed), len(begun))
+
+    def test_write_of_an_older_term_is_refused(self):
+        """Guards against a deposed coordinator that records progress."""
+        self.store.contents.put(TERM_KEY, "2")
+        written = self.write()
+        self.assertTrue(written.deposed)
+        self.assertNotIn("progress/job", self.store.contents.items_by_key)
+
+    def test_state_shows_only_what_is_recorded(self):
+        """Guards against a state that a takeover would take back."""
+        self.store.down = True
+        begun = fx.starts(self.engine.plan(0.0, 0.0))
+        fx.confirm(self.engine, begun)
+        for number, start in enumerate(begun, 1):
+            self.engine.end(start.worker_id, fx.ended(start, number=number), 0.0)
+        self.assertIsInstance(self.write(), StoreUnavailableError)
+        progress = self.engine.workflows_by_id["job"]
+        self.assertIs(progress.recorded_state, WorkflowState.QUEUED)
+        self.store.down = False
+        self.write()
+        self.assertIs(progress.recorded_state, WorkflowState.DONE)
+
+
+if __name__ == "__main__":
+    unittest.main()
