Send no write to a store that does not answer; log refusals

Change: two failed calls in a row mark the store unavailable; a submission then goes to a neighbour that is served or gets 503 with a retry time at once. Ruled out: holding submissions until the store is back, as it holds answers back; a longer retry time, as callers come back after a second on their own.

--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -31,6 +31,7 @@
     GetQueueLength,
     GetState,
     ReadStateForNeighbour,
+    StoreAvailability,
     StoreForNeighbour,
     SubmitWorkflow,
     WorkflowStored,
@@ -38,7 +39,7 @@
 from .neighbours import CallNeighbour, ListNeighbours
 from .worker_session import pause
 
-RETRY_AFTER_S = 1.0  # told to callers while the store turns all nodes away
+RETRY_AFTER_S = 1.0  # told to callers while the store answers no node
 WRITE_RETRY_S = 0.05  # keeps a store that resets connections from being flooded
 RELAYS = 2  # neighbours that are asked to store on this node's behalf
 
@@ -56,12 +57,14 @@
     def __init__(self, system: ActorSystem, identity: Identity) -> None:
         self._identity = identity
         self._coordinator = CoordinatorKnown("", "", 0)
+        self._store_available = True
         super().__init__(system, INTAKE)
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
             CoordinatorKnown: self._set_coordinator,
+            StoreAvailability: self._set_store,
             SubmitWorkflow: self._submit,
             CancelWorkflow: self._cancel,
             GetState: self._state,
@@ -71,6 +74,9 @@
             ReadStateForNeighbour: lambda m: self._read_state(m.workflow_id),
         }
 
+    def _set_store(self, message: StoreAvailability) -> None:
+        self._store_available = message.available
+
     def _set_coordinator(self, message: CoordinatorKnown) -> None:
         self._coordinator = message
 
@@ -79,6 +85,7 @@
         document = records.encode_workflow(workflow).decode()
         deadline = self.system.clock.seconds() + message.give_up_s
         try:
+            self._check_store()
             await self._store_until(workflow.workflow_id, document, deadline)
             via = "store"
         except StoreUnavailableError:
@@ -101,6 +108,15 @@
         )
         return True
 
+    def _check_store(self) -> None:
+        """Send no write to a store that does not answer.
+
+        Such a write may take effect later, so the caller could be told
+        neither that its workflow was accepted nor that it will never run.
+        """
+        if not self._store_available:
+            raise StoreUnavailableError("the store does not answer")
+
     async def _store_until(
         self, workflow_id: str, document: str, deadline: float
     ) -> None:
@@ -165,6 +181,7 @@
         return served[:RELAYS]
 
     async def _store_for_neighbour(self, message: StoreForNeighbour) -> None:
+        self._check_store()
         deadline = self.system.clock.seconds() + 1.0
         await self._store_until(message.workflow_id, message.document, deadline)
 
--- a/src/redwingrudder/platform/front.py
+++ b/src/redwingrudder/platform/front.py
@@ -9,6 +9,7 @@
 from .._background import run
 from .._http_server import ApiSite, BoundedConnections, LimitedRequest
 from .._problems import Answer
+from .._token_bucket import TokenBucket
 from ..actors import Actor, ActorSystem, Handler
 from ..coordination.gateways import INTAKE, OperatorConfiguration, Queue
 from ..coordination.messages import (
@@ -32,6 +33,7 @@
 ANSWER_SHARE = 0.8  # of the caller's patience, spent before an answer is due
 DEFAULT_PATIENCE_S = 3.0
 RETRY_AFTER_S = 1.0
+REFUSAL_LOGS_PER_S = 20.0  # lines of one node; refusals above are counted only
 ID_LENGTH = 16
 STEPS_LIMIT = 64
 TASKS_LIMIT = 20_000  # of one workflow
@@ -56,6 +58,9 @@
         self._configuration: OperatorConfiguration | None = None
         self._draining = False
         self._open = 0
+        self._refusal_logs = TokenBucket(
+            REFUSAL_LOGS_PER_S, REFUSAL_LOGS_PER_S, reactor.seconds()
+        )
         self._port: Any = None
         self._site = BoundedConnections(
             ApiSite(self._respond, lambda _: uuid.uuid4().hex, reactor)
@@ -108,12 +113,30 @@
             answer = _json(500, {"error": "internal_error"})
         finally:
             self._open -= 1
+        if answer.status >= 400:
+            self._log_refusal(request, answer)
         if lost:
             return
         if self._draining:
             request.setHeader(b"Connection", b"close")
         request.write_answer(answer)
 
+    def _log_refusal(self, request: LimitedRequest, answer: Answer) -> None:
+        """Log what was not done for a caller, in bounded volume."""
+        if not self._refusal_logs.take(self._reactor.seconds()):
+            _logger.info(
+                "request refused",
+                extra={
+                    "job": request.path.decode("ascii", "replace").rpartition("/")[2],
+                    "method": request.method.decode("ascii", "replace"),
+                    "status": answer.status,
+                    "answer": answer.body.decode("utf-8", "replace")[:200],
+                    "configuration_version": (
+                        self._configuration.version if self._configuration else 0
+                    ),
+                },
+            )
+
     async def _handle(self, request: LimitedRequest) -> Answer:
         configuration = self._configuration
         if configuration is None:
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -53,7 +53,7 @@
         identity = Identity(settings.node_id, f"{host}:{port}", uuid.uuid4().hex)
         TimerService(self.system)
         client = JsonClient(reactor, settings.store_address, CONNECTIONS)
-        self._store = PlatformStore(self.system, client, (NEIGHBOURS,))
+        self._store = PlatformStore(self.system, client, (NEIGHBOURS, INTAKE))
         self._feed = ConfigurationFeed(
             self.system,
             PlatformConfiguration(),
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -35,6 +35,8 @@
 LATENCY_FACTOR = 6  # of the mean answer time, for a store that is slow
 LATENCY_WEIGHT = 0.2  # of the newest answer in the mean
 CONNECTIONS = 8
+# Single answers get lost while the store works; a row of failures means more.
+FAILURES_LIMIT = 2
 PAGES_LIMIT = 200  # about 500 items a page
 
 _logger = logging.getLogger(__name__)
@@ -56,6 +58,7 @@
         self._subscribers = subscribers
         self._timeout_s = TIMEOUT_S
         self._latency_s = 0.0
+        self._failures = 0
         self.available = False
         super().__init__(system, STORE)
 
@@ -183,9 +186,10 @@
         if reply.status in (200, 404, 410, 412):
             if not wait_s:
                 self._answered(self.system.clock.seconds() - begun)
+            self._failures = 0
             self._report(True)
             return reply
-        self._report(False)
+        self._count_failure()
         raise StoreUnavailableError(f"the store answered {reply.status}")
 
     def _answered(self, latency_s: float) -> None:
@@ -197,7 +201,12 @@
     def _failed(self) -> None:
         self._client.reset()
         self._timeout_s = min(self._timeout_s * 1.5, LONGEST_TIMEOUT_S)
-        self._report(False)
+        self._count_failure()
+
+    def _count_failure(self) -> None:
+        self._failures += 1
+        if self._failures >= FAILURES_LIMIT:
+            self._report(False)
 
     def _report(self, available: bool) -> None:
         if available == self.available:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -28,6 +28,7 @@
     GetQueueLength,
     GetState,
     LeaseConfirmed,
+    StoreAvailability,
     SubmitWorkflow,
     WorkflowStored,
 )
@@ -119,6 +120,14 @@
         self.assertGreater(error.retry_after_s, 0)
         self.assertEqual(self.store.contents.items_by_key, {})
 
+    def test_silent_store_gets_no_write(self):
+        """Guards against an unknown outcome where a refusal can be true."""
+        self.system.tell(INTAKE, StoreAvailability(False))
+        error = self.submit()
+        self.assertNotIsInstance(error, OutcomeUnknownError)
+        self.assertGreater(error.retry_after_s, 0)
+        self.assertEqual(self.store.calls, [])
+
     def test_refusal_after_an_unconfirmed_write_stays_unknown(self):
         """Guards against "not run" while an earlier write may take effect."""
         self.store.put_off = 1
