Learn run times and keep urgent work off slow workers

Cause: callers' estimates are off by factors, and a gang lasts as long as its slowest worker (a dunning-tone gang of 4 took 6.5 s beside srv_slow). Change: SpeedBook learns run times by queue and image; a worker whose runs go at under 0.45 of their peers is chosen last, and a run there that would end sooner elsewhere is started anew, at most twice a step. Ruled out: estimates as reference, since they differ by a factor of 100.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -16,6 +16,7 @@
     WorkflowState,
 )
 from .planner import Planner, PriorityPlanner
+from .speeds import SpeedBook, is_slow, note_speed, pays_to_restart
 from .state import (
     TASK_CHART,
     Stage,
@@ -55,7 +56,8 @@
         self.guaranteed_by_organisation: dict[str, int] = {}
         self.dirty: set[str] = set()
         self.term = 1
-        self._planner = planner or PriorityPlanner()
+        self.speeds = SpeedBook()
+        self._planner = planner or PriorityPlanner(self.speeds)
         self._effects: list[Effect] = []
         self._actions: dict[str, Callable[[Task], None]] = {
             "occupy": self._occupy,
@@ -70,6 +72,8 @@
             return known
         progress = WorkflowProgress(workflow, now)
         self.workflows_by_id[workflow.workflow_id] = progress
+        for stage in progress.occurrences[0].stages:
+            self.speeds.note_estimate(stage)
         return progress
 
     def cancel(self, workflow_id: str, now: float) -> None:
@@ -143,6 +147,9 @@
             task.percent = entry.percent
             task.reported_at = now
             task.usage = entry.usage
+        worker = self.workers_by_id.get(worker_id)
+        if worker is not None:
+            note_speed(worker, self.speeds, now)
 
     def end(self, worker_id: str, ended: RunEnd, now: float) -> str | None:
         """Take over the end of a run.
@@ -200,12 +207,18 @@
         return effects
 
     def stop_stuck(self, now: float) -> None:
-        """Stop runs that make no progress, to start them elsewhere."""
+        """Stop runs that stand still or crawl, to start them elsewhere."""
         for worker in self.workers_by_id.values():
             for task in list(worker.tasks_by_key.values()):
-                if task.state == "running" and self._is_stuck(task, worker, now):
+                if task.state != "running":
+                    continue
+                if self._is_stuck(task, worker, now):
                     self._blame(worker.facts.worker_id, task, now)
                     self._stop(task, "no_progress")
+                elif is_slow(worker) and pays_to_restart(task, self.speeds):
+                    task.stage.restarts += 1
+                    self._stop(task, "slow_worker")
+                    self._stop_gang(task.stage, task.run)
 
     def adopt_run(
         self, key: TaskKey, run: int, worker_id: str, started: bool, now: float
@@ -269,6 +282,8 @@
         if worker is not None:
             worker.successes += 1
             worker.failures = 0
+        if current and task.state == "running":
+            self.speeds.note_end(task, now)
         # A gang ends as a whole, and one listed end stands for all members.
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
@@ -343,6 +358,7 @@
         task.run = run
         task.worker_id = worker.facts.worker_id
         task.percent = 0.0
+        task.run_resumed = bool(checkpoint)
         task.started_at = task.progressed_at = task.reported_at = now
         self._step(task, "assign", now)
         workflow = stage.workflow
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from .model import NOTHING, Resources
-from .ordering import UNKNOWN_ESTIMATE_S
+from .speeds import SpeedBook, is_slow
 from .state import Stage, Task, Worker, room_taken
 
 
@@ -47,10 +47,12 @@
 
     Args:
         now: Steady-clock seconds.
+        book: Expected run times.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, book: SpeedBook) -> None:
         self._now = now
+        self._book = book
 
     def slots(self, worker: Worker, demand: Resources, most: int) -> list[Slot]:
         """See base class."""
@@ -71,7 +73,7 @@
         return slots
 
     def _left_s(self, task: Task) -> float:
-        return left_s(task, self._now)
+        return left_s(task, self._book, self._now)
 
 
 class PreemptibleRoom(RoomSource):
@@ -127,11 +129,11 @@
         )
 
 
-def left_s(task: Task, now: float) -> float:
+def left_s(task: Task, book: SpeedBook, now: float) -> float:
     """Return the expected seconds until a run ends."""
     if task.state == "stopping":
         return 0.1
-    estimate = task.stage.spec.estimate_s or UNKNOWN_ESTIMATE_S
+    estimate = book.expected_s(task.stage)
     spent = max(now - task.started_at, 0.0)
     if task.percent >= 5 and spent > 0.3:
         return max(spent * (100 - task.percent) / task.percent, 0.05)
@@ -214,6 +216,7 @@
         chosen = found[:count]
         key = (
             rack != spec.data_rack if spec.data_rack else False,
+            sum(is_slow(slot.worker) for slot in chosen),
             max(slot.at for slot in chosen),
             sum(slot.cost for slot in chosen),
             len(found),
@@ -268,6 +271,7 @@
     left = worker.free.minus(demand)
     return (
         away,
+        is_slow(worker),
         slot.cost > 0,
         slot.at,
         slot.cost,
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -7,7 +7,6 @@
 from .ordering import (
     SlackOrder,
     StageOrder,
-    estimate_s,
     slack_s,
 )
 from .placement import (
@@ -20,6 +19,7 @@
     eligible,
     fits_when_empty,
 )
+from .speeds import SpeedBook
 from .state import Stage, Task, Worker, WorkflowProgress, room_taken
 
 ENTITLED_RANK = -1  # urgent work within its organisation's guarantee
@@ -63,10 +63,16 @@
 
 
 class PriorityPlanner(Planner):
-    """Strict priorities, guarantees, claims for steps that wait for room."""
+    """Strict priorities, guarantees, claims for steps that wait for room.
 
-    def __init__(self, order: StageOrder | None = None) -> None:
-        self._order = order or SlackOrder()
+    Args:
+        book: Expected run times.
+        order: Order of steps of equal rank.
+    """
+
+    def __init__(self, book: SpeedBook, order: StageOrder | None = None) -> None:
+        self._book = book
+        self._order = order or SlackOrder(book)
 
     def plan(
         self,
@@ -84,7 +90,7 @@
         stages = ready_stages(active, now, wall)
         ranks = {id(stage): rank(stage, entitled) for stage in stages}
         stages.sort(key=lambda s: (ranks[id(s)], *self._order.key(s, now)))
-        pass_ = _Pass(workers, entitled, now)
+        pass_ = _Pass(workers, entitled, self._book, now)
         for stage in stages:
             pass_.place(stage, ranks[id(stage)])
         return Decision(tuple(pass_.starts), tuple(pass_.stops.values()))
@@ -93,11 +99,18 @@
 class _Pass:
     """One planning pass; collects starts and stops."""
 
-    def __init__(self, workers: list[Worker], entitled: frozenset[str], now: float):
+    def __init__(
+        self,
+        workers: list[Worker],
+        entitled: frozenset[str],
+        book: SpeedBook,
+        now: float,
+    ) -> None:
         self.starts: list[tuple[Task, Worker]] = []
         self.stops: dict[tuple, Task] = {}
         self._workers = workers
         self._entitled = entitled
+        self._book = book
         self._now = now
         self._claims = 0
 
@@ -121,13 +134,15 @@
             if stage.spec.gang and not fits_when_empty(stage, len(rest), candidates):
                 return
             self._claims += 1
-            self._claim(stage, choose(stage, rest, near, ReleasedRoom(self._now)))
+            self._claim(
+                stage, choose(stage, rest, near, ReleasedRoom(self._now, self._book))
+            )
 
     def _near_data(self, stage: Stage, candidates: list[Worker]) -> list[Worker]:
         """Return the workers beside the data while waiting for them pays."""
         rack = stage.spec.data_rack
         waited = self._now - (stage.ready_at or self._now)
-        if not rack or waited > DATA_WAIT_SHARE * estimate_s(stage):
+        if not rack or waited > DATA_WAIT_SHARE * self._book.expected_s(stage):
             return candidates
         near = [worker for worker in candidates if worker.facts.rack == rack]
         if stage.spec.gang and not fits_when_empty(stage, stage.spec.tasks, near):
@@ -137,7 +152,7 @@
     def _may_preempt(self, stage: Stage, stage_rank: int) -> bool:
         if stage_rank <= 0:
             return True
-        return 0.0 <= slack_s(stage, self._now) < PREEMPT_SLACK_S
+        return 0.0 <= slack_s(stage, self._book, self._now) < PREEMPT_SLACK_S
 
     def _make_room(
         self,
--- /dev/null
+++ b/src/redwingrudder/workflows/speeds.py
@@ -0,0 +1,114 @@
+"""Learned run times, and workers that are slower than the others."""
+
+import statistics
+
+from .state import Stage, Task, Worker
+
+# Estimates of callers are off by factors; each observed run counts more.
+OBSERVATION_WEIGHT = 0.2
+ESTIMATES_WEIGHT = 0.1
+UNKNOWN_S = 5.0  # run time while nothing is known
+SLOW_SPEED = 0.45  # ordinary workers differ by a third at most
+# Progress below this says little about the whole run.
+LEAST_PERCENT = 2.0
+LEAST_SPENT_S = 0.7
+# A slow worker is tried again after this time.
+SLOW_FORGET_S = 6.0
+# Stopping throws work away, so the gain must be clear.
+RESTART_GAIN = 2.0
+RESTARTS_LIMIT = 2
+
+
+class SpeedBook:
+    """Mean run times by kind of work, fed by ends and progress."""
+
+    def __init__(self) -> None:
+        self._mean_s_by_kind: dict[tuple[str, str], float] = {}
+        self._observed: set[tuple[str, str]] = set()
+
+    def expected_s(self, stage: Stage) -> float:
+        """Return the expected run time of one task of a step."""
+        known = self._mean_s_by_kind.get(_kind(stage))
+        return known or stage.spec.estimate_s or UNKNOWN_S
+
+    def note_estimate(self, stage: Stage) -> None:
+        """Take a caller's estimate into the mean until runs have ended."""
+        kind = _kind(stage)
+        if stage.spec.estimate_s and kind not in self._observed:
+            self._move(kind, stage.spec.estimate_s, ESTIMATES_WEIGHT)
+
+    def note_end(self, task: Task, now: float) -> None:
+        """Take the run time of a task that was done in one run."""
+        if task.run_resumed or task.started_at <= 0:
+            return
+        kind = _kind(task.stage)
+        spent = max(now - task.started_at, 0.05)
+        weight = OBSERVATION_WEIGHT if kind in self._observed else 0.5
+        self._observed.add(kind)
+        self._move(kind, spent, weight)
+
+    def knows(self, stage: Stage) -> bool:
+        """Return whether runs of this kind have ended."""
+        return _kind(stage) in self._observed
+
+    def _move(self, kind: tuple[str, str], value_s: float, weight: float) -> None:
+        mean = self._mean_s_by_kind.get(kind, value_s)
+        self._mean_s_by_kind[kind] = mean + weight * (value_s - mean)
+
+
+def projected_s(task: Task) -> float | None:
+    """Return a run's whole time as its progress predicts, None if unclear."""
+    spent = task.reported_at - task.started_at
+    if task.state != "running" or spent < LEAST_SPENT_S:
+        return None
+    if task.percent >= 100 or task.run_resumed:
+        return None
+    return spent * 100 / max(task.percent, LEAST_PERCENT)
+
+
+def reference_s(task: Task, book: SpeedBook) -> float | None:
+    """Return what the run should take: as its peers, or as learned."""
+    peers = [
+        projected
+        for other in task.stage.tasks
+        if other is not task and (projected := projected_s(other)) is not None
+    ]
+    if len(peers) >= 2:
+        return statistics.median(peers)
+    return book.expected_s(task.stage) if book.knows(task.stage) else None
+
+
+def note_speed(worker: Worker, book: SpeedBook, now: float) -> None:
+    """Judge a worker by the progress of its runs."""
+    ratios = []
+    for task in worker.tasks_by_key.values():
+        projected = projected_s(task)
+        reference = reference_s(task, book) if projected is not None else None
+        if projected is not None and reference is not None:
+            ratios.append(reference / projected)
+    if ratios:
+        worker.speed = statistics.median(ratios)
+        worker.speed_at = now
+    elif now - worker.speed_at > SLOW_FORGET_S:
+        worker.speed = 1.0
+
+
+def is_slow(worker: Worker) -> bool:
+    """Return whether a worker is far slower than the others."""
+    return worker.speed < SLOW_SPEED
+
+
+def pays_to_restart(task: Task, book: SpeedBook) -> bool:
+    """Return whether a run ends sooner when started anew elsewhere."""
+    projected = projected_s(task)
+    reference = reference_s(task, book)
+    if projected is None or reference is None:
+        return False
+    if task.stage.restarts >= RESTARTS_LIMIT or task.stage.spec.service:
+        return False
+    left = projected * (100 - task.percent) / 100
+    return left > RESTART_GAIN * reference
+
+
+def _kind(stage: Stage) -> tuple[str, str]:
+    return stage.workflow.workflow.queue, stage.spec.image
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -45,6 +45,7 @@
         "progressed_at",
         "reported_at",
         "run",
+        "run_resumed",
         "stage",
         "started_at",
         "state",
@@ -57,6 +58,7 @@
         self.stage = stage
         self.state = TASK_CHART.initial
         self.run = 0
+        self.run_resumed = False
         self.worker_id = ""
         self.checkpoint = ""
         self.failures = 0
@@ -86,6 +88,7 @@
         "index",
         "occurrence",
         "ready_at",
+        "restarts",
         "spec",
         "tasks",
         "workflow",
@@ -98,6 +101,7 @@
         self.spec: StepSpec = workflow.workflow.steps[index]
         self.ready_at: float | None = None
         self.failed_runs: set[int] = set()
+        self.restarts = 0
         self.tasks = [
             Task(TaskKey(workflow.workflow.workflow_id, occurrence, index, i), self)
             for i in range(self.spec.tasks)
@@ -203,6 +207,7 @@
         "quarantined_until",
         "reachable",
         "speed",
+        "speed_at",
         "successes",
         "tasks_by_key",
         "used",
@@ -219,6 +224,7 @@
         self.successes = 0
         self.quarantined_until = 0.0
         self.speed = 1.0
+        self.speed_at = 0.0
 
     @property
     def free(self) -> Resources:
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -202,6 +202,39 @@
         self.assertEqual(again[0].run, 4)
 
 
+class SpeedTests(unittest.TestCase):
+    """Workers that are far slower than the others."""
+
+    def test_member_on_a_slow_worker_moves(self):
+        """Guards against a gang that waits for its slowest worker."""
+        engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
+        gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
+        engine.accept(fx.workflow("job", gang), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        for start, percent in zip(begun, (20.0, 20.0, 3.0), strict=True):
+            engine.report(start.worker_id, [fx.running(start, percent)], 1.0)
+        engine.stop_stuck(1.0)
+        self.assertEqual(len(fx.stops(engine.take_effects())), 3)
+        for number, start in enumerate(begun, 1):
+            end = fx.ended(start, EndKind.STOPPED, number)
+            engine.end(start.worker_id, end, 1.2)
+        again = fx.starts(engine.plan(1.2, 1.2))
+        self.assertNotIn(begun[2].worker_id, {s.worker_id for s in again})
+
+    def test_even_progress_moves_nothing(self):
+        """Guards against work thrown away on ordinary workers."""
+        engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
+        gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
+        engine.accept(fx.workflow("job", gang), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        for start, percent in zip(begun, (20.0, 25.0, 16.0), strict=True):
+            engine.report(start.worker_id, [fx.running(start, percent)], 1.0)
+        engine.stop_stuck(1.0)
+        self.assertEqual(fx.stops(engine.take_effects()), [])
+
+
 class PriorityTests(unittest.TestCase):
     """Urgent work and guarantees."""
 
