Serve advised queues, service tasks, filling tasks and metrics

Cause: queues with an advice service could not start anything, a service task that ended was called done, filling tasks were never paced, and a node had no metrics. Clocks that jump decided on due times.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -11,13 +11,16 @@
 from ..workflows import records
 from ..workflows.engine import Engine
 from ..workflows.model import (
+    FINAL_STATES,
     NOTHING,
+    AskAdvice,
     Effect,
     StartRun,
-    StopRun,
+    TaskKey,
     WorkerFacts,
     WorkflowState,
 )
+from ..workflows.state import WorkflowProgress
 from .gateways import (
     COORDINATOR,
     INTAKE_PREFIX,
@@ -25,6 +28,7 @@
     NEIGHBOURS,
     PROGRESS_PREFIX,
     STORE,
+    AdviceService,
     AwaitChanges,
     ChannelFactory,
     RegistryCodec,
@@ -32,6 +36,7 @@
 from .leadership import boot_clock
 from .messages import (
     AcknowledgeEnds,
+    AdviceGiven,
     BeginTerm,
     CancelStored,
     ConfigurationInForce,
@@ -41,6 +46,7 @@
     GetState,
     LeaseConfirmed,
     LeaseWorker,
+    PaceLost,
     StartSettled,
     UpdateFacts,
     WorkerLapsed,
@@ -48,7 +54,8 @@
     WorkerSilent,
     WorkflowStored,
 )
-from .neighbours import ListNeighbours
+from .metrics import METRICS, Counted, Measured, Observed
+from .neighbours import GetTimeOfDay, ListNeighbours
 from .recorder import BATCH, Recorder
 from .worker_session import WorkerSession, pause, session_name
 
@@ -71,6 +78,7 @@
         registry: Reads the workers' entries.
         channels: Opens connections to workers.
         longest_lease_s: Longest lease that workers accept.
+        advice: Service that permits starts of some queues.
     """
 
     def __init__(
@@ -79,10 +87,14 @@
         registry: RegistryCodec,
         channels: ChannelFactory,
         longest_lease_s: float,
+        advice: AdviceService | None = None,
     ) -> None:
         self._registry = registry
         self._channels = channels
         self._lease_s = longest_lease_s
+        self._advice = advice
+        # Time of day less the steady clock.
+        self._wall_offset = time.time() - system.clock.seconds()
         self._engine = Engine()
         self._recorder: Recorder | None = None
         self._term = 0
@@ -117,6 +129,8 @@
             WorkerLapsed: self._worker_lapsed,
             StartSettled: self._start_settled,
             TimerFired: self._timer_fired,
+            PaceLost: self._pace_lost,
+            AdviceGiven: self._advice_given,
         }
 
     @property
@@ -131,6 +145,7 @@
         self._close_sessions()
         self._term = message.term
         self._leading, self._ready = True, False
+        self.tell(METRICS, Measured("coordinator", 1.0))
         _logger.info("term began", extra={"term": message.term})
         self._recorder = Recorder(self.ask, message.term, message.term_revision)
         self._engine = Engine()
@@ -215,17 +230,16 @@
             return ()
         self._recorder.know(workflow_id, pair.mod_revision)
         records.restore_progress(progress, record)
-        if record.state in (
-            WorkflowState.DONE,
-            WorkflowState.FAILED,
-            WorkflowState.CANCELLED,
-        ):
+        progress.wait_observed = progress.begun
+        if record.state in FINAL_STATES:
+            progress.end_observed = True
             self._engine.close(workflow_id, record.state, self.system.clock.seconds())
         return record.placed
 
     def _end(self, message: EndTerm) -> None:
         _logger.info("term ended", extra={"term": self._term, "reason": message.reason})
         self._leading = self._ready = False
+        self.tell(METRICS, Measured("coordinator", 0.0))
         self.tell(TIMERS, Unsubscribe(self.name, "tick"))
         self._close_sessions()
         self._engine = Engine()
@@ -443,6 +457,7 @@
             if end.number <= last:
                 continue
             last = end.number
+            self.tell(METRICS, Counted("run_ends", (str(end.kind),)))
             workflow_id = self._engine.end(worker_id, end, now)
             if workflow_id is not None:
                 unrecorded[end.number] = workflow_id
@@ -476,6 +491,8 @@
     def _start_settled(self, message: StartSettled) -> None:
         now = self.system.clock.seconds()
         start, reply = message.run, message.reply
+        outcome = "accepted" if reply.accepted else reply.reason
+        self.tell(METRICS, Counted("starts", (outcome,)))
         if reply.accepted:
             self._engine.start_confirmed(start.key, start.run, now)
         else:
@@ -488,8 +505,10 @@
         if fired.timer != "tick" or not self._ready:
             return
         run(self._check_authority(), self.name)
+        run(self._read_time_of_day(), self.name)
         now = self.system.clock.seconds()
         self._engine.stop_stuck(now)
+        self._engine.pace(now)
         for worker_id, since in list(self._unlisted_since.items()):
             worker = self._engine.workers_by_id.get(worker_id)
             if worker is None:
@@ -501,6 +520,10 @@
                     self._drop_session(worker_id)
         self._plan_soon()
 
+    async def _read_time_of_day(self) -> None:
+        wall = await self.ask(NEIGHBOURS, GetTimeOfDay())
+        self._wall_offset = wall - self.system.clock.seconds()
+
     async def _check_authority(self) -> None:
         """Stop extending leases when a successor may exist.
 
@@ -529,7 +552,7 @@
             return
         now = self.system.clock.seconds()
         if self._may_act:
-            effects = self._engine.plan(now, time.time())
+            effects = self._engine.plan(now, now + self._wall_offset)
         else:
             effects = self._engine.take_effects()
         for effect in effects:
@@ -539,11 +562,35 @@
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, StartRun):
             self._waiting_starts.append(effect)
-        elif isinstance(effect, StopRun) and (
-            effect.worker_id in self._sessions_by_worker
-        ):
+        elif isinstance(effect, AskAdvice):
+            run(self._ask_advice(effect), self.name)
+        elif effect.worker_id in self._sessions_by_worker:
             self.tell(session_name(effect.worker_id), effect)
 
+    async def _ask_advice(self, question: AskAdvice) -> None:
+        asked_at = self.system.clock.seconds()
+        advice = None
+        step = TaskKey(question.workflow_id, question.occurrence, question.step, 0)
+        if self._advice is not None:
+            try:
+                advice = await self._advice.ask(step, question.worker_ids)
+            except RedwingrudderError as error:
+                _logger.info(
+                    "advice unanswered",
+                    extra={"job": question.workflow_id, "error": str(error)},
+                )
+                await self._sleep(RETRY_S)
+        self.tell(COORDINATOR, AdviceGiven(question, advice, asked_at))
+
+    def _advice_given(self, message: AdviceGiven) -> None:
+        tickets, valid_s = message.advice or (None, 0.0)
+        self._engine.take_advice(message.question, tickets, valid_s, message.asked_at)
+        self._plan_soon()
+
+    def _pace_lost(self, message: PaceLost) -> None:
+        """Assume full speed again, so that the policy repeats the change."""
+        self._engine.pace_lost(message.run.key, message.run.run)
+
     def _write_soon(self) -> None:
         if not self._writing and (self._engine.dirty or self._waiting_starts):
             self._writing = True
@@ -586,6 +633,8 @@
         if not written.workflow_ids:
             engine.dirty.update(batch)
             return
+        for workflow_id in written.workflow_ids:
+            self._observe(engine.workflows_by_id[workflow_id])
         sent = {(start.key, start.run) for start in starts}
         self._waiting_starts = [
             s for s in self._waiting_starts if (s.key, s.run) not in sent
@@ -597,6 +646,20 @@
         for worker_id in {worker_id for worker_id, _ in ends}:
             self._acknowledge(worker_id)
 
+    def _observe(self, progress: WorkflowProgress) -> None:
+        """Count a recorded step of a workflow's life, each once."""
+        workflow = progress.workflow
+        labels = (workflow.queue, workflow.organisation)
+        waited = self.system.clock.seconds() - progress.accepted_mono
+        if progress.begun and not progress.wait_observed:
+            progress.wait_observed = True
+            self.tell(METRICS, Observed("queue_wait_seconds", labels, waited))
+        if progress.recorded_state in FINAL_STATES and not progress.end_observed:
+            progress.end_observed = True
+            state = str(progress.recorded_state)
+            self.tell(METRICS, Counted("workflows_ended", (*labels, state)))
+            self.tell(METRICS, Observed("completion_seconds", labels, waited))
+
     def _send_start(self, start: StartRun) -> None:
         progress = self._engine.workflows_by_id.get(start.key.workflow_id)
         task = progress.find(start.key) if progress is not None else None
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -3,7 +3,16 @@
 import abc
 from typing import NamedTuple
 
-from ..workflows.model import QueuePolicy, RunEnd, RunReport, StartRun, WorkerFacts
+from ..workflows.model import (
+    PaceRun,
+    QueuePolicy,
+    RunEnd,
+    RunReport,
+    StartRun,
+    StopRun,
+    TaskKey,
+    WorkerFacts,
+)
 
 STORE = "store"
 CONFIGURATION = "configuration"
@@ -168,9 +177,15 @@
         """Start a run; the lease holds until a time of the worker's clock."""
 
     @abc.abstractmethod
-    async def stop(self, run: StartRun, fence: int, timeout_s: float) -> CommandReply:
+    async def stop(
+        self, run: StartRun | StopRun, fence: int, timeout_s: float
+    ) -> CommandReply:
         """Stop a run, or keep it from starting later."""
 
+    @abc.abstractmethod
+    async def pace(self, run: PaceRun, fence: int, timeout_s: float) -> CommandReply:
+        """Let a run work at a share of its speed."""
+
     @abc.abstractmethod
     async def look(
         self,
@@ -199,6 +214,28 @@
         """Close all connections."""
 
 
+class Advice(NamedTuple):
+    """Workers that may run a step, and for how many seconds.
+
+    ``tickets`` holds what a start there has to carry, by worker.
+    """
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class AdviceService(abc.ABC):
+    """Tells which workers a queue's policy allows."""
+
+    @abc.abstractmethod
+    async def ask(self, step: TaskKey, worker_ids: tuple[str, ...]) -> Advice:
+        """Return the answer for a step; the key's index is ignored.
+
+        Raises:
+            RedwingrudderError: There is no answer.
+        """
+
+
 class ChannelFactory(abc.ABC):
     """Opens channels to workers."""
 
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -2,8 +2,15 @@
 
 from typing import NamedTuple
 
-from ..workflows.model import StartRun, StopRun, WorkerFacts, Workflow
-from .gateways import CommandReply, OperatorConfiguration, WorkerReport
+from ..workflows.model import (
+    AskAdvice,
+    PaceRun,
+    StartRun,
+    StopRun,
+    WorkerFacts,
+    Workflow,
+)
+from .gateways import Advice, CommandReply, OperatorConfiguration, WorkerReport
 
 
 class ConfigurationInForce(NamedTuple):
@@ -173,6 +180,20 @@
     reply: CommandReply
 
 
+class PaceLost(NamedTuple):
+    """Tell COORDINATOR: a change of pace got no answer."""
+
+    run: PaceRun
+
+
+class AdviceGiven(NamedTuple):
+    """Tell COORDINATOR: the answer to a question, None without one."""
+
+    question: AskAdvice
+    advice: Advice | None
+    asked_at: float
+
+
 class LeaseWorker(NamedTuple):
     """Tell a worker session: whether leases may be extended."""
 
--- a/src/redwingrudder/coordination/neighbours.py
+++ b/src/redwingrudder/coordination/neighbours.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import statistics
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -79,6 +80,10 @@
     """Ask NEIGHBOURS -> fresh ``NodeSummary`` entries of other nodes."""
 
 
+class GetTimeOfDay(NamedTuple):
+    """Ask NEIGHBOURS -> Unix seconds that most nodes agree on."""
+
+
 class _Link:
     """A connection to one node, opened with the first call."""
 
@@ -227,6 +232,7 @@
             StoreAvailability: self._set_store,
             CallNeighbour: self._call,
             ListNeighbours: lambda _: self._fresh(),
+            GetTimeOfDay: lambda _: self._time_of_day(),
         }
 
     def start(self) -> None:
@@ -370,6 +376,16 @@
             time.time(),
         )
 
+    def _time_of_day(self) -> float:
+        """Return the median of the nodes' clocks, as single ones may jump."""
+        now = self._reactor.seconds()
+        readings = [
+            summary.unix_time + now - heard_at
+            for heard_at, summary in self._summaries_by_id.values()
+            if now - heard_at < FRESH_S
+        ]
+        return statistics.median([time.time(), *readings])
+
     def _fresh(self) -> tuple[NodeSummary, ...]:
         now = self._reactor.seconds()
         return tuple(
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -12,13 +12,14 @@
 from ..exceptions import RedwingrudderError
 from ..statecharts import load_chart
 from ..timers import TIMERS, Subscribe, TimerFired
-from ..workflows.model import StartRun, StopRun, WorkerFacts
+from ..workflows.model import PaceRun, StartRun, StopRun, WorkerFacts
 from .gateways import COORDINATOR, LEADERSHIP, CommandReply, WorkerChannel
 from .leadership import boot_clock
 from .messages import (
     AcknowledgeEnds,
     Fenced,
     LeaseWorker,
+    PaceLost,
     StartSettled,
     UpdateFacts,
     WorkerLapsed,
@@ -94,6 +95,7 @@
         return {
             TimerFired: lambda _: self._look_soon(),
             StartRun: lambda message: run(self._start(message), self.name) and None,
+            PaceRun: lambda message: run(self._pace(message), self.name) and None,
             StopRun: lambda message: run(self._stop(message), self.name) and None,
             AcknowledgeEnds: self._acknowledge,
             LeaseWorker: self._set_allowed,
@@ -263,6 +265,18 @@
         if not self._closed:
             self._look_soon()
 
+    async def _pace(self, message: PaceRun) -> None:
+        """Send a pace; a later change corrects one that is lost."""
+        try:
+            reply = await self._channel.pace(message, self._fence, STOP_TIMEOUT_S)
+            self._answered(reply.clock_ms)
+        except RedwingrudderError as error:
+            _logger.info(
+                "pace unanswered",
+                extra={"worker": self._facts.worker_id, "error": str(error)},
+            )
+            self.tell(COORDINATOR, PaceLost(message))
+
     async def _send_stop(self, message: StartRun | StopRun) -> None:
         """Repeat a stop until the worker answers or its lease has lapsed."""
         while not self._closed and self._chart.state != "lapsed":
--- a/src/redwingrudder/platform/front.py
+++ b/src/redwingrudder/platform/front.py
@@ -20,6 +20,7 @@
     GetState,
     SubmitWorkflow,
 )
+from ..coordination.metrics import METRICS, Counted, Observed
 from ..exceptions import (
     BadRequestError,
     OutcomeUnknownError,
@@ -102,6 +103,7 @@
         run(self._answer(request, lost), FRONT)
 
     async def _answer(self, request: LimitedRequest, lost: list[object]) -> None:
+        begun = self._reactor.seconds()
         try:
             answer = await self._handle(request)
         except OutcomeUnknownError as error:
@@ -113,6 +115,7 @@
             answer = _json(500, {"error": "internal_error"})
         finally:
             self._open -= 1
+        self._count(request, answer.status, self._reactor.seconds() - begun)
         if answer.status >= 400:
             self._log_refusal(request, answer)
         if lost:
@@ -121,6 +124,13 @@
             request.setHeader(b"Connection", b"close")
         request.write_answer(answer)
 
+    def _count(self, request: LimitedRequest, status: int, seconds: float) -> None:
+        method = request.method.decode("ascii", "replace")
+        if method not in ("GET", "POST", "DELETE"):
+            method = "other"
+        self.tell(METRICS, Counted("requests", (method, str(status))))
+        self.tell(METRICS, Observed("request_seconds", (method,), seconds))
+
     def _log_refusal(self, request: LimitedRequest, answer: Answer) -> None:
         """Log what was not done for a caller, in bounded volume."""
         if not self._refusal_logs.take(self._reactor.seconds()):
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -15,11 +15,14 @@
 from ..coordination.intake import Intake
 from ..coordination.leadership import Identity, Leadership
 from ..coordination.messages import Drain
+from ..coordination.metrics import Metrics
 from ..coordination.neighbours import Neighbours
 from ..coordination.worker_session import pause
 from ..exceptions import SettingsError
 from ..logs import configure_logging
 from ..timers import TimerService
+from .advice import CONNECTIONS as ADVICE_CONNECTIONS
+from .advice import PlatformAdvice
 from .front import FRONT, Front
 from .http_client import JsonClient
 from .readiness import readiness_site
@@ -52,6 +55,7 @@
         host, port = settings.peers
         identity = Identity(settings.node_id, f"{host}:{port}", uuid.uuid4().hex)
         TimerService(self.system)
+        Metrics(self.system, reactor, settings.metrics)
         client = JsonClient(reactor, settings.store_address, CONNECTIONS)
         self._store = PlatformStore(self.system, client, (NEIGHBOURS, INTAKE))
         self._feed = ConfigurationFeed(
@@ -66,6 +70,7 @@
             PlatformRegistry(),
             PlatformChannels(reactor),
             settings.longest_lease_s,
+            _advice(reactor, settings.advice_address),
         )
         Intake(self.system, identity)
         self._front = Front(self.system, reactor, settings.front)
@@ -106,6 +111,12 @@
         self._reactor.stop()
 
 
+def _advice(reactor: Any, address: str) -> PlatformAdvice | None:
+    if not address:
+        return None
+    return PlatformAdvice(JsonClient(reactor, address, ADVICE_CONNECTIONS))
+
+
 def main() -> int:
     """Run a node until SIGTERM; returns the exit status."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
--- a/src/redwingrudder/platform/settings.py
+++ b/src/redwingrudder/platform/settings.py
@@ -66,7 +66,7 @@
         peers=(ip, first_port),
         metrics=(ip, first_port + 1),
         store_address=document["platform"]["address"],
-        advice_address=document.get("advice", ""),
+        advice_address=document.get("advice") or "",
         longest_lease_s=bounds["maxHoldMs"] / 1000,
         grace_s=float(bounds["graceS"]),
     )
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -22,6 +22,7 @@
 from ..actors import Actor, ActorSystem, Handler
 from ..coordination.gateways import STORE, AwaitChanges, Change, Changes
 from ..coordination.messages import StoreAvailability
+from ..coordination.metrics import METRICS, Counted, Measured
 from ..exceptions import (
     NotFoundError,
     OutcomeUnknownError,
@@ -173,16 +174,20 @@
     ) -> JsonReply:
         """Send a call; 429 and 503 mean that nothing was done."""
         begun = self.system.clock.seconds()
+        outcome = "unanswered"
         try:
             reply = await self._client.call(
                 method, path, body, wait_s + self._timeout_s
             )
+            outcome = str(reply.status)
         except OutcomeUnknownError:
             self._failed()
             raise
         except UnavailableError as error:
             self._failed()
             raise StoreUnavailableError(error.detail) from error
+        finally:
+            self.tell(METRICS, Counted("store_calls", (outcome,)))
         if reply.status in (200, 404, 410, 412):
             if not wait_s:
                 self._answered(self.system.clock.seconds() - begun)
@@ -212,6 +217,7 @@
         if available == self.available:
             return
         self.available = available
+        self.tell(METRICS, Measured("store_available", float(available)))
         _logger.info("store availability", extra={"available": available})
         for subscriber in self._subscribers:
             self.tell(subscriber, StoreAvailability(available))
--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -13,6 +13,7 @@
 from ..exceptions import UnavailableError
 from ..workflows.model import (
     EndKind,
+    PaceRun,
     RunEnd,
     RunReport,
     StartRun,
@@ -71,6 +72,8 @@
         }
         if run.checkpoint:
             body["checkpoint"] = run.checkpoint
+        if run.ticket:
+            body["ticket"] = run.ticket
         return _command(await self._post("run-start", body, timeout_s))
 
     async def stop(
@@ -80,6 +83,16 @@
         body = {"task": task_name(run.key), "runId": run.run, "fencingToken": fence}
         return _command(await self._post("run-stop", body, timeout_s))
 
+    async def pace(self, run: PaceRun, fence: int, timeout_s: float) -> CommandReply:
+        """See base class."""
+        body = {
+            "task": task_name(run.key),
+            "runId": run.run,
+            "percent": run.percent,
+            "fencingToken": fence,
+        }
+        return _command(await self._post("pace", body, timeout_s))
+
     async def look(
         self,
         fence: int,
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -4,8 +4,11 @@
 from collections.abc import Callable, Iterable
 
 from .model import (
+    FINAL_STATES,
+    AskAdvice,
     Effect,
     EndKind,
+    PaceRun,
     RunEnd,
     RunReport,
     StartRun,
@@ -15,10 +18,12 @@
     Workflow,
     WorkflowState,
 )
+from .pacing import FULL_PACE, MeasuredHarmPolicy, PacePolicy
 from .planner import Planner, PriorityPlanner
 from .speeds import SpeedBook, is_slow, note_speed, pays_to_restart
 from .state import (
     TASK_CHART,
+    Permit,
     Stage,
     Task,
     Worker,
@@ -32,6 +37,8 @@
 # Failures in a row after which a worker gets no work for a while.
 QUARANTINE_FAILURES = 2
 QUARANTINE_S = 4.0
+# A start takes a moment, so a ticket is not used in the last part of its time.
+TICKET_SHARE = 0.8
 # A run whose progress stands still this long is stuck; a run that is six
 # times slower than usual still gains a percent a second.
 STUCK_S = 3.0
@@ -57,6 +64,7 @@
         self.dirty: set[str] = set()
         self.term = 1
         self.speeds = SpeedBook()
+        self._pace_policy: PacePolicy = MeasuredHarmPolicy()
         self._planner = planner or PriorityPlanner(self.speeds)
         self._effects: list[Effect] = []
         self._actions: dict[str, Callable[[Task], None]] = {
@@ -127,6 +135,8 @@
         if task is None:
             return
         _logger.info("start rejected", extra={**_where(task), "reason": reason})
+        if reason == "permit":
+            task.stage.permits_by_worker.pop(task.worker_id, None)
         self._step(task, "rejected", now)
         self._stop_gang(task.stage, run)
 
@@ -172,7 +182,7 @@
                 "current": current,
             },
         )
-        if ended.kind is EndKind.DONE:
+        if ended.kind is EndKind.DONE and not task.stage.spec.service:
             return self._end_done(task, worker_id, current, now)
         if not current or task.ended or not task.placed:
             return None
@@ -180,7 +190,11 @@
         if ended.kind is EndKind.FAILED:
             task.failed_workers.add(worker_id)
             self._blame(worker_id, task, now)
-        self._step(task, _END_EVENTS.get(ended.kind, "run_interrupted"), now)
+        event = _END_EVENTS.get(ended.kind, "run_interrupted")
+        if task.stage.spec.service:
+            # Service tasks start again however they end.
+            event = "run_interrupted"
+        self._step(task, event, now)
         self._after_failure(task, ended.kind, now)
         return ended.key.workflow_id
 
@@ -196,6 +210,12 @@
         )
         for task in decision.stops:
             self._stop(task, "preempted")
+        for stage, names in decision.questions:
+            stage.question_open = True
+            workflow_id = stage.workflow.workflow.workflow_id
+            self._effects.append(
+                AskAdvice(workflow_id, stage.occurrence, stage.index, names)
+            )
         runs_by_stage: dict[int, int] = {}
         for task, worker in decision.starts:
             self._assign(task, worker, runs_by_stage, now)
@@ -206,6 +226,60 @@
         effects, self._effects = self._effects, []
         return effects
 
+    def take_advice(
+        self,
+        question: AskAdvice,
+        tickets: dict[str, str] | None,
+        valid_s: float,
+        now: float,
+    ) -> None:
+        """Take over the answer of the advice service.
+
+        Args:
+            question: What was asked.
+            tickets: Ticket by worker that may run the step; None if the
+                service gave no answer.
+            valid_s: For how long the tickets hold.
+            now: Steady-clock seconds of the question.
+        """
+        progress = self.workflows_by_id.get(question.workflow_id)
+        if progress is None:
+            return
+        stage = progress.occurrences[question.occurrence].stages[question.step]
+        stage.question_open = False
+        if tickets is None:
+            return
+        until = now + valid_s * TICKET_SHARE
+        for worker_id in question.worker_ids:
+            if worker_id in tickets:
+                stage.permits_by_worker[worker_id] = Permit(tickets[worker_id], until)
+            else:
+                stage.denied_workers.add(worker_id)
+
+    def pace(self, now: float) -> None:
+        """Adjust the pace of filling tasks to the harm that is measured."""
+        for worker in self.workers_by_id.values():
+            for change in self._pace_policy.changes(worker, now):
+                task = change.task
+                task.pace = change.percent
+                _logger.info(
+                    "pace changed",
+                    extra={
+                        **_where(task),
+                        "worker": task.worker_id,
+                        "percent": change.percent,
+                    },
+                )
+                self._effects.append(
+                    PaceRun(task.worker_id, task.key, task.run, change.percent)
+                )
+
+    def pace_lost(self, key: TaskKey, run: int) -> None:
+        """Take note that a change of pace may not have taken effect."""
+        task = self._current(key, run)
+        if task is not None:
+            task.pace = FULL_PACE
+
     def stop_stuck(self, now: float) -> None:
         """Stop runs that stand still or crawl, to start them elsewhere."""
         for worker in self.workers_by_id.values():
@@ -325,11 +399,7 @@
     def _settle(self, progress: WorkflowProgress, now: float) -> None:
         self.dirty.add(progress.workflow.workflow_id)
         state = progress.state
-        if progress.ended_at is None and state in (
-            WorkflowState.DONE,
-            WorkflowState.FAILED,
-            WorkflowState.CANCELLED,
-        ):
+        if progress.ended_at is None and state in FINAL_STATES:
             progress.ended_at = now
             _logger.info(
                 "workflow ended",
@@ -359,6 +429,7 @@
         task.worker_id = worker.facts.worker_id
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
+        task.pace = FULL_PACE
         task.started_at = task.progressed_at = task.reported_at = now
         self._step(task, "assign", now)
         workflow = stage.workflow
@@ -380,10 +451,14 @@
                 run,
                 workflow.workflow.payload,
                 checkpoint if stage.spec.checkpoints else "",
-                workflow.workflow.policy.advised,
+                self._ticket(stage, task.worker_id),
             )
         )
 
+    def _ticket(self, stage: Stage, worker_id: str) -> str:
+        permit = stage.permits_by_worker.get(worker_id)
+        return permit.ticket if permit is not None else ""
+
     def _next_run(self, last: int) -> int:
         return max(last, (self.term - 1) * RUNS_PER_TERM) + 1
 
@@ -425,6 +500,8 @@
         worker = self.workers_by_id.get(worker_id)
         if worker is None or len(task.failed_workers) > 1:
             return
+        if task.stage.spec.service:
+            return
         worker.failures += 1
         if worker.failures >= QUARANTINE_FAILURES:
             worker.quarantined_until = now + QUARANTINE_S
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -238,7 +238,7 @@
     run: int
     payload: str
     checkpoint: str
-    advised: bool = False
+    ticket: str = ""
 
 
 class StopRun(NamedTuple):
@@ -249,6 +249,15 @@
     run: int
 
 
+class AskAdvice(NamedTuple):
+    """Effect: ask which of some workers may run a step."""
+
+    workflow_id: str
+    occurrence: int
+    step: int
+    worker_ids: tuple[str, ...]
+
+
 class PaceRun(NamedTuple):
     """Effect: let a filling task work at a share of its speed."""
 
@@ -258,4 +267,4 @@
     percent: int
 
 
-Effect = StartRun | StopRun | PaceRun
+Effect = StartRun | StopRun | PaceRun | AskAdvice
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -167,13 +167,33 @@
     spec = stage.spec
     pool = stage.workflow.workflow.policy.pool
     label = spec.worker_label
-    return [
+    usable = [
         worker
         for worker in workers
         if worker.facts.pool == pool
         and (not label or label in worker.facts.labels)
         and worker.usable(now)
     ]
+    if not stage.workflow.workflow.policy.advised:
+        return usable
+    return [worker for worker in usable if _permitted(stage, worker, now)]
+
+
+def unadvised(stage: Stage, workers: Iterable[Worker], now: float) -> list[Worker]:
+    """Return usable workers that the advice service may still allow."""
+    return [
+        worker
+        for worker in workers
+        if worker.facts.pool == stage.workflow.workflow.policy.pool
+        and worker.usable(now)
+        and worker.facts.worker_id not in stage.denied_workers
+        and not _permitted(stage, worker, now)
+    ]
+
+
+def _permitted(stage: Stage, worker: Worker, now: float) -> bool:
+    permit = stage.permits_by_worker.get(worker.facts.worker_id)
+    return permit is not None and now < permit.until
 
 
 def choose(
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -18,6 +18,7 @@
     choose,
     eligible,
     fits_when_empty,
+    unadvised,
 )
 from .speeds import SpeedBook
 from .state import Stage, Task, Worker, WorkflowProgress, room_taken
@@ -30,13 +31,18 @@
 # Share of the run time that a task waits for a worker next to its data, as
 # elsewhere it takes a multiple of the run time.
 DATA_WAIT_SHARE = 1.0
+# Workers named in a question to the advice service, which takes time for each.
+ADVICE_SPARE = 2  # for each waiting task
+ADVICE_LEAST = 8
+ADVICE_MOST = 30
 
 
 class Decision(NamedTuple):
-    """Tasks to start, with their workers, and tasks to stop first."""
+    """Tasks to start and stop, and workers to ask the advice service about."""
 
     starts: tuple[tuple[Task, Worker], ...]
     stops: tuple[Task, ...]
+    questions: tuple[tuple[Stage, tuple[str, ...]], ...] = ()
 
 
 class Planner(abc.ABC):
@@ -93,7 +99,9 @@
         pass_ = _Pass(workers, entitled, self._book, now)
         for stage in stages:
             pass_.place(stage, ranks[id(stage)])
-        return Decision(tuple(pass_.starts), tuple(pass_.stops.values()))
+        return Decision(
+            tuple(pass_.starts), tuple(pass_.stops.values()), tuple(pass_.questions)
+        )
 
 
 class _Pass:
@@ -108,6 +116,7 @@
     ) -> None:
         self.starts: list[tuple[Task, Worker]] = []
         self.stops: dict[tuple, Task] = {}
+        self.questions: list[tuple[Stage, tuple[str, ...]]] = []
         self._workers = workers
         self._entitled = entitled
         self._book = book
@@ -117,6 +126,8 @@
     def place(self, stage: Stage, stage_rank: int) -> None:
         waiting = waiting_tasks(stage)
         candidates = eligible(stage, self._workers, self._now)
+        if waiting and stage.workflow.workflow.policy.advised:
+            self._ask(stage, len(waiting), candidates)
         if not waiting or not candidates:
             return
         near = self._near_data(stage, candidates)
@@ -138,6 +149,21 @@
                 stage, choose(stage, rest, near, ReleasedRoom(self._now, self._book))
             )
 
+    def _ask(self, stage: Stage, wanted: int, permitted: list[Worker]) -> None:
+        """Ask about a few likely workers; each one named costs time."""
+        if stage.question_open:
+            return
+        most = min(max(ADVICE_SPARE * wanted, ADVICE_LEAST), ADVICE_MOST)
+        demand = room_taken(stage.spec)
+        roomy = [w for w in permitted if w.free.covers(demand)]
+        if len(roomy) >= min(wanted, ADVICE_LEAST):
+            return
+        asked = unadvised(stage, self._workers, self._now)
+        asked.sort(key=lambda w: (not w.free.covers(demand), -w.free.accelerators))
+        if asked:
+            names = tuple(worker.facts.worker_id for worker in asked[:most])
+            self.questions.append((stage, names))
+
     def _near_data(self, stage: Stage, candidates: list[Worker]) -> list[Worker]:
         """Return the workers beside the data while waiting for them pays."""
         rack = stage.spec.data_rack
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -1,6 +1,7 @@
 """Mutable state of the engine: tasks, steps, workflows and workers."""
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from ..statecharts import load_chart
 from .model import (
@@ -33,6 +34,13 @@
 PLACED_STATES = frozenset({"starting", "running", "stopping"})
 
 
+class Permit(NamedTuple):
+    """Leave to run a step on a worker until a steady-clock time."""
+
+    ticket: str
+    until: float
+
+
 class Task:
     """One task and its newest run."""
 
@@ -41,6 +49,7 @@
         "failed_workers",
         "failures",
         "key",
+        "pace",
         "percent",
         "progressed_at",
         "reported_at",
@@ -68,6 +77,7 @@
         self.progressed_at = 0.0
         self.reported_at = 0.0
         self.usage = 0.0
+        self.pace = 100
 
     @property
     def placed(self) -> bool:
@@ -84,9 +94,12 @@
     """A step of one occurrence of a workflow."""
 
     __slots__ = (
+        "denied_workers",
         "failed_runs",
         "index",
         "occurrence",
+        "permits_by_worker",
+        "question_open",
         "ready_at",
         "restarts",
         "spec",
@@ -102,6 +115,9 @@
         self.ready_at: float | None = None
         self.failed_runs: set[int] = set()
         self.restarts = 0
+        self.permits_by_worker: dict[str, Permit] = {}
+        self.denied_workers: set[str] = set()
+        self.question_open = False
         self.tasks = [
             Task(TaskKey(workflow.workflow.workflow_id, occurrence, index, i), self)
             for i in range(self.spec.tasks)
@@ -144,9 +160,11 @@
         "accepted_mono",
         "begun",
         "cancelled",
+        "end_observed",
         "ended_at",
         "occurrences",
         "recorded_state",
+        "wait_observed",
         "workflow",
     )
 
@@ -157,6 +175,8 @@
         self.begun = False
         self.recorded_state = WorkflowState.QUEUED
         self.ended_at: float | None = None
+        self.wait_observed = False
+        self.end_observed = False
         self.occurrences = [
             Occurrence(self, index, workflow.first_due_at + index * workflow.interval_s)
             for index in range(max(workflow.occurrences, 1))
@@ -204,6 +224,7 @@
         "facts",
         "failures",
         "listed",
+        "paced_at",
         "quarantined_until",
         "reachable",
         "speed",
@@ -225,6 +246,7 @@
         self.quarantined_until = 0.0
         self.speed = 1.0
         self.speed_at = 0.0
+        self.paced_at = 0.0
 
     @property
     def free(self) -> Resources:
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -21,6 +21,12 @@
     Change,
     Changes,
 )
+from redwingrudder.coordination.metrics import (
+    METRICS,
+    Counted,
+    Measured,
+    Observed,
+)
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
 
 
@@ -171,6 +177,7 @@
     """Return a clock, an actor system on it and a store actor."""
     clock = Clock()
     system = ActorSystem(clock)
+    Recording(system, METRICS, {Counted: None, Observed: None, Measured: None})
     store = MemoryStore(system, contents or StoreContents())
     return clock, system, store
 
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from redwingrudder.workflows.model import EndKind, WorkflowState
+from redwingrudder.workflows.model import AskAdvice, EndKind, WorkflowState
 
 from . import workflow_fixtures as fx
 
@@ -235,6 +235,87 @@
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
 
+class AdviceTests(unittest.TestCase):
+    """Queues whose policy allows only some workers."""
+
+    def advised(self):
+        engine = fx.engine()
+        job = fx.workflow()
+        engine.accept(job._replace(policy=job.policy._replace(advised=True)), 0.0)
+        return engine, engine.plan(0.0, 0.0)
+
+    def test_no_start_without_a_permit(self):
+        """Guards against starts on workers that the policy does not allow."""
+        engine, effects = self.advised()
+        self.assertEqual(fx.starts(effects), [])
+        self.assertIsInstance(effects[0], AskAdvice)
+        engine.take_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        begun = fx.starts(engine.plan(0.1, 0.1))
+        self.assertEqual([(s.worker_id, s.ticket) for s in begun], [("w2", "ticket")])
+
+    def test_permit_is_not_used_at_its_end(self):
+        """Guards against a start that arrives after its permit expired."""
+        engine, effects = self.advised()
+        engine.take_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        effects = engine.plan(2.9, 2.9)
+        self.assertEqual(fx.starts(effects), [])
+        self.assertEqual(effects[0].worker_ids, ("w2",))
+
+    def test_unanswered_question_is_asked_again(self):
+        """Guards against a queue that stands still after one lost answer."""
+        engine, effects = self.advised()
+        self.assertEqual(engine.plan(0.1, 0.1), [])
+        engine.take_advice(effects[0], None, 0.0, 0.0)
+        self.assertIsInstance(engine.plan(0.2, 0.2)[0], AskAdvice)
+
+
+class ServiceTests(unittest.TestCase):
+    """Tasks that run until they are cancelled, and tasks that fill."""
+
+    def shared(self):
+        engine = fx.engine(fx.worker("w1"))
+        serving = fx.step(service=True, latency_target_ms=100)
+        engine.accept(fx.workflow("serve", serving), 0.0)
+        engine.accept(fx.workflow("fill", fx.step(fills=True)), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        return engine, {start.key.workflow_id: start for start in begun}
+
+    def test_ended_service_task_starts_again(self):
+        """Guards against a service that is called done or failed."""
+        engine, begun = self.shared()
+        for number, kind in enumerate((EndKind.DONE, EndKind.FAILED) * 3, 1):
+            end = fx.ended(begun["serve"], kind, number)
+            engine.end("w1", end, 1.0)
+            start = fx.starts(engine.plan(1.0, 1.0))[0]
+            fx.confirm(engine, [start])
+            begun["serve"] = start
+        self.assertEqual(start.key.workflow_id, "serve")
+
+    def test_pace_falls_while_the_target_is_missed(self):
+        """Guards against filling tasks that harm a service for long."""
+        engine, begun = self.shared()
+        paces = []
+        for step in range(8):
+            now = 1.0 + step * 0.5
+            tail = fx.running(begun["serve"], 100.0)._replace(usage=150.0)
+            engine.report("w1", [tail, fx.running(begun["fill"], now)], now)
+            engine.pace(now)
+            paces.extend(effect.percent for effect in engine.take_effects())
+        self.assertEqual(paces, [40, 16, 0])
+
+    def test_pace_rises_again_in_steps(self):
+        """Guards against filling tasks that stay stopped for ever."""
+        engine, begun = self.shared()
+        task = engine.workflows_by_id["fill"].find(begun["fill"].key)
+        task.pace = 40
+        for now in (2.0, 4.0, 6.0):
+            tail = fx.running(begun["serve"], 100.0)._replace(usage=20.0)
+            engine.report("w1", [tail], now)
+            engine.pace(now)
+        self.assertEqual(task.pace, 85)
+
+
 class PriorityTests(unittest.TestCase):
     """Urgent work and guarantees."""
 
