Overlap the store calls of an election and a recovery

Change: independent calls overlap, the answer of the transaction gives the term's revision, and the record is withdrawn by its known revision. Ruled out: a shorter lease, as the record was withdrawn at once.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -3,6 +3,8 @@
 import logging
 import time
 
+from twisted.internet.defer import FirstError, gatherResults
+
 from .._background import run
 from .._store_requests import GetPrefix, KeyValue
 from ..actors import Actor, ActorSystem, Handler
@@ -164,9 +166,17 @@
                 await self._sleep(RETRY_S)
 
     async def _recover(self, term: int) -> None:
-        intake = await self.ask(STORE, GetPrefix(INTAKE_PREFIX))
-        progress = await self.ask(STORE, GetPrefix(PROGRESS_PREFIX))
-        workers = await self.ask(STORE, GetPrefix(self._registry.prefix))
+        try:
+            intake, progress, workers = await gatherResults(
+                [
+                    self.ask(STORE, GetPrefix(INTAKE_PREFIX)),
+                    self.ask(STORE, GetPrefix(PROGRESS_PREFIX)),
+                    self.ask(STORE, GetPrefix(self._registry.prefix)),
+                ],
+                consumeErrors=True,
+            )
+        except FirstError as error:
+            raise error.subFailure.value from error
         if not self._leading or self._term != term:
             return
         cancelled = []
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -6,6 +6,8 @@
 import time
 from typing import NamedTuple
 
+from twisted.internet.defer import FirstError, gatherResults
+
 from .._background import run
 from .._chart_runner import ChartRunner
 from .._store_requests import (
@@ -237,10 +239,23 @@
         event = "failed"
         result: tuple[int, int] | None = None
         try:
-            holder: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+            # A slow store answers each call late, so independent calls overlap.
+            sent_at = boot_clock()
+            holder, term_item, lease = await gatherResults(
+                [
+                    self.ask(STORE, GetKey(COORDINATOR_KEY)),
+                    self.ask(STORE, GetKey(TERM_KEY)),
+                    self.ask(STORE, GrantLease(LEASE_TTL_S)),
+                ],
+                consumeErrors=True,
+            )
             if holder is None or holder.mod_revision == self._dead_revision:
-                result = await self._write_record(holder)
+                result = await self._write_record(holder, term_item, lease, sent_at)
                 event = "acquired" if result else "failed"
+        except FirstError as error:
+            _logger.info(
+                "election failed", extra={"error": str(error.subFailure.value)}
+            )
         except RedwingrudderError as error:
             _logger.info("election failed", extra={"error": str(error)})
         if result is not None:
@@ -250,12 +265,15 @@
         if not self._stopping and self._holder is None:
             self.tell(TIMERS, Subscribe(self.name, "campaign", RETRY_S))
 
-    async def _write_record(self, holder: KeyValue | None) -> tuple[int, int] | None:
-        term_item: KeyValue | None = await self.ask(STORE, GetKey(TERM_KEY))
-        last_term = int(term_item.value) if term_item is not None else 0
-        term = last_term + 1
-        sent_at = boot_clock()
-        lease = await self.ask(STORE, GrantLease(LEASE_TTL_S))
+    async def _write_record(
+        self,
+        holder: KeyValue | None,
+        term_item: KeyValue | None,
+        lease: int,
+        sent_at: float,
+    ) -> tuple[int, int] | None:
+        """Return the new term and the revision of its key, None if it lost."""
+        term = int(term_item.value) + 1 if term_item is not None else 1
         record = json.dumps(
             {
                 "node": self._identity.node_id,
@@ -272,18 +290,24 @@
         try:
             reply = await self.ask(STORE, Transact(compares, puts))
         except OutcomeUnknownError:
-            written: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
-            if written is None or written.value != record:
-                return None
-            reply = None
-        if reply is not None and not reply.succeeded:
-            return None
-        current: KeyValue | None = await self.ask(STORE, GetKey(TERM_KEY))
-        if current is None or int(current.value) != term:
+            revision = await self._read_own_term(record, term)
+        else:
+            revision = reply.revision if reply.succeeded else 0
+        if not revision:
             return None
         self._lease = lease
         self.tell(COORDINATOR, LeaseConfirmed(sent_at + LEASE_TTL_S))
-        return term, current.mod_revision
+        return term, revision
+
+    async def _read_own_term(self, record: str, term: int) -> int:
+        """Return the revision of an unanswered write, 0 if it is void."""
+        written: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+        if written is None or written.value != record:
+            return 0
+        current: KeyValue | None = await self.ask(STORE, GetKey(TERM_KEY))
+        if current is None or int(current.value) != term:
+            return 0
+        return current.mod_revision
 
     def _begin_term(self, result: tuple[int, int]) -> None:
         term, revision = result
@@ -320,10 +344,10 @@
     async def _withdraw(self) -> None:
         """Remove the record if it is still this process's own."""
         try:
-            item: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
-            if item is None or json.loads(item.value)["life"] != self._identity.life:
+            holder = self._holder
+            if holder is None or holder.life != self._identity.life:
                 return
-            compare = Compare(COORDINATOR_KEY, item.mod_revision)
+            compare = Compare(COORDINATOR_KEY, holder.revision)
             await self.ask(STORE, Transact((compare,), (DeleteKey(COORDINATOR_KEY),)))
         except RedwingrudderError as error:
             _logger.info("record not withdrawn", extra={"error": str(error)})
