Wait out an earlier coordinator that may be cut off, not dead

Change: a successor adds the election lease to the longest hold of unreachable workers; only a majority of all known nodes without the store makes an outage.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -59,7 +59,7 @@
 from .metrics import METRICS, Counted, Measured, Observed
 from .neighbours import GetTimeOfDay, ListNeighbours
 from .recorder import BATCH, Recorder
-from .worker_session import WorkerSession, pause, session_name
+from .worker_session import WorkerSession, longest_hold_s, pause, session_name
 
 PLAN_DELAY_S = 0.005  # collects events that arrive together
 TICK_S = 0.2
@@ -199,7 +199,7 @@
                 self._engine.workers_by_id[run_.worker_id].listed = False
                 self._unlisted_since[run_.worker_id] = now
                 self.system.clock.callLater(
-                    self._lease_s / 0.98 + 0.5, self._give_up_worker, facts, term
+                    longest_hold_s(self._lease_s), self._give_up_worker, facts, term
                 )
             self._engine.adopt_run(run_.key, run_.run, run_.worker_id, False, now)
         for workflow_id in cancelled:
@@ -542,9 +542,8 @@
         """
         allowed = boot_clock() < self._confirmed_until
         if not allowed:
-            others = await self.ask(NEIGHBOURS, ListNeighbours())
-            served = sum(1 for other in others if other.store_available)
-            allowed = bool(others) and served == 0
+            view = await self.ask(NEIGHBOURS, ListNeighbours())
+            allowed = view.store_is_down
         if allowed != self._may_act:
             self._may_act = allowed
             _logger.warning("authority changed", extra={"allowed": allowed})
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -175,8 +175,8 @@
         )
 
     async def _relays(self) -> list[str]:
-        others = await self.ask(NEIGHBOURS, ListNeighbours())
-        served = [other.address for other in others if other.store_available]
+        view = await self.ask(NEIGHBOURS, ListNeighbours())
+        served = [other.address for other in view.fresh if other.store_available]
         served.sort(key=lambda address: address != self._coordinator.address)
         return served[:RELAYS]
 
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -239,7 +239,7 @@
         event = "failed"
         result: tuple[int, int] | None = None
         try:
-            # A slow store answers each call late, so independent calls overlap.
+            # A slow store answers each call late, so the calls overlap.
             sent_at = boot_clock()
             holder, term_item, lease = await gatherResults(
                 [
--- a/src/redwingrudder/coordination/neighbours.py
+++ b/src/redwingrudder/coordination/neighbours.py
@@ -77,7 +77,29 @@
 
 
 class ListNeighbours(NamedTuple):
-    """Ask NEIGHBOURS -> fresh ``NodeSummary`` entries of other nodes."""
+    """Ask NEIGHBOURS -> ``NeighbourView``."""
+
+
+class NeighbourView(NamedTuple):
+    """The other nodes.
+
+    Attributes:
+        fresh: Summaries that are not older than ``FRESH_S``.
+        known: Number of other nodes, those not heard of lately included.
+    """
+
+    fresh: tuple[NodeSummary, ...]
+    known: int
+
+    @property
+    def store_is_down(self) -> bool:
+        """Whether most nodes of the system see no store, and none sees it.
+
+        A minority says nothing: a partition may have cut it off together.
+        """
+        if any(summary.store_available for summary in self.fresh):
+            return False
+        return 2 * (len(self.fresh) + 1) > self.known + 1
 
 
 class GetTimeOfDay(NamedTuple):
@@ -231,7 +253,7 @@
             CoordinatorKnown: self._set_coordinator,
             StoreAvailability: self._set_store,
             CallNeighbour: self._call,
-            ListNeighbours: lambda _: self._fresh(),
+            ListNeighbours: lambda _: self._view(),
             GetTimeOfDay: lambda _: self._time_of_day(),
         }
 
@@ -386,10 +408,11 @@
         ]
         return statistics.median([time.time(), *readings])
 
-    def _fresh(self) -> tuple[NodeSummary, ...]:
+    def _view(self) -> NeighbourView:
         now = self._reactor.seconds()
-        return tuple(
+        fresh = tuple(
             summary
             for heard_at, summary in self._summaries_by_id.values()
             if now - heard_at < FRESH_S
         )
+        return NeighbourView(fresh, len(self._summaries_by_id))
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -14,7 +14,7 @@
 from ..timers import TIMERS, Subscribe, TimerFired
 from ..workflows.model import PaceRun, StartRun, StopRun, WorkerFacts
 from .gateways import COORDINATOR, LEADERSHIP, CommandReply, WorkerChannel
-from .leadership import boot_clock
+from .leadership import LEASE_TTL_S, boot_clock
 from .messages import (
     AcknowledgeEnds,
     Fenced,
@@ -79,9 +79,7 @@
         self._unseen = 0
         self._answered_at = boot_clock()
         # Until this boot-clock time a run of any coordinator may exist.
-        self._leased_until = (
-            boot_clock() + longest_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
-        )
+        self._leased_until = boot_clock() + longest_hold_s(longest_lease_s)
         self._clock_ms = 0
         self._clock_at = 0.0
         self._looking = False
@@ -311,6 +309,15 @@
     return f"worker {worker_id}"
 
 
+def longest_hold_s(longest_lease_s: float) -> float:
+    """Return for how long runs of an earlier coordinator may go on.
+
+    That coordinator may be cut off and extend leases until its own lease at
+    the store lapses, also when it refuses connections.
+    """
+    return LEASE_TTL_S + longest_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
+
+
 def pause(clock: IReactorTime, delay_s: float) -> Deferred:
     """Return a Deferred that fires after a delay."""
     return deferLater(clock, delay_s, lambda: None)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -28,11 +28,16 @@
     GetQueueLength,
     GetState,
     LeaseConfirmed,
+    NodeSummary,
     StoreAvailability,
     SubmitWorkflow,
     WorkflowStored,
 )
-from redwingrudder.coordination.neighbours import CallNeighbour, ListNeighbours
+from redwingrudder.coordination.neighbours import (
+    CallNeighbour,
+    ListNeighbours,
+    NeighbourView,
+)
 from redwingrudder.coordination.recorder import Recorder
 from redwingrudder.exceptions import (
     OutcomeUnknownError,
@@ -71,7 +76,10 @@
         self.neighbours = Recording(
             self.system,
             NEIGHBOURS,
-            {ListNeighbours: (), CallNeighbour: UnavailableError("cut off")},
+            {
+                ListNeighbours: NeighbourView((), 0),
+                CallNeighbour: UnavailableError("cut off"),
+            },
         )
         self.coordinator = Recording(
             self.system,
@@ -171,6 +179,22 @@
         self.assertEqual((error.code, error.http_status), ("not_coordinator", 503))
 
 
+class NeighbourViewTests(unittest.TestCase):
+    def view(self, available, known):
+        summary = NodeSummary("n", "a", "l", 1, "", "", 0, False, 0.0)
+        fresh = [summary._replace(store_available=value) for value in available]
+        return NeighbourView(tuple(fresh), known)
+
+    def test_minority_without_store_is_no_outage(self):
+        """Guards against leases extended by a coordinator that is cut off."""
+        self.assertFalse(self.view([False, False], 8).store_is_down)
+
+    def test_majority_without_store_is_an_outage(self):
+        """Guards against runs that lapse while the store is down for all."""
+        self.assertTrue(self.view([False] * 5, 8).store_is_down)
+        self.assertFalse(self.view([False] * 5 + [True], 8).store_is_down)
+
+
 class ElectionTests(unittest.TestCase):
     def setUp(self):
         self.contents = StoreContents()
