--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -78,6 +78,10 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def _log_failed_election(error: BaseException) -> None:
+    _logger.info("election failed", extra={"error": str(error)})
+
+
 class Leadership(Actor):
     """Watches the coordinator's record and acquires it when it is vacant.
 
@@ -253,11 +257,9 @@
                 result = await self._write_record(holder, term_item, lease, sent_at)
                 event = "acquired" if result else "failed"
         except FirstError as error:
-            _logger.info(
-                "election failed", extra={"error": str(error.subFailure.value)}
-            )
+            _log_failed_election(error.subFailure.value)
         except RedwingrudderError as error:
-            _logger.info("election failed", extra={"error": str(error)})
+            _log_failed_election(error)
         if result is not None:
             self._chart.step(event, result)
             return
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -35,6 +35,7 @@
 SILENT_AFTER_S = 2.0  # without any answer
 RETRY_S = 0.3
 BUSY_LOOK_S = 0.25  # between looks while ends wait for their record
+LEAST_LOOK_S = 0.05  # an answer sooner than this did not wait
 CLOCK_DRIFT = 0.02  # a worker's clock may be this much slow
 LAPSE_MARGIN_S = 0.3
 
@@ -83,6 +84,7 @@
         self._clock_ms = 0
         self._clock_at = 0.0
         self._looking = False
+        self._looked_at = 0.0
         self._present = False
         self._closed = False
         self._starting: set[tuple] = set()
@@ -129,6 +131,7 @@
         wait_s = LOOK_WAIT_S if self._unseen <= self._seen else 0.0
         if self._chart.state != "answering":
             wait_s = 0.0
+        self._looked_at = boot_clock()
         try:
             reply = await self._channel.look(
                 self._fence,
@@ -158,13 +161,17 @@
 
     def _take_report(self, reply) -> None:
         self._answered(reply.clock_ms)
+        at_once = boot_clock() - self._looked_at < LEAST_LOOK_S
         self._present = bool(reply.running) or bool(self._starting)
         self._unseen = max((end.number for end in reply.ended), default=self._unseen)
         self.tell(COORDINATOR, WorkerLooked(self._facts.worker_id, reply))
         if self._unseen > self._seen:
             self._look_later(BUSY_LOOK_S)
-        elif self._present:
+        elif self._present and not (at_once and not reply.ended):
             self._look_soon()
+        elif self._present:
+            # A worker that does not wait would be asked without a pause.
+            self._look_later(BUSY_LOOK_S)
         else:
             self._look_later(LOOK_WAIT_S)
 
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import logging
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -65,15 +66,24 @@
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
-        return {
+        reads = {
             GetKey: self._get,
             GetPrefix: self._range,
+            AwaitChanges: self._watch,
+        }
+        writes = {
             Transact: self._transact,
             GrantLease: self._grant,
             KeepLeaseAlive: self._keep,
             RevokeLease: self._revoke,
-            AwaitChanges: self._watch,
         }
+        handlers = {
+            kind: _readable(handler, StoreUnavailableError)
+            for kind, handler in reads.items()
+        }
+        for kind, handler in writes.items():
+            handlers[kind] = _readable(handler, OutcomeUnknownError)
+        return handlers
 
     def stop(self) -> None:
         """Close idle connections."""
@@ -223,6 +233,20 @@
             self.tell(subscriber, StoreAvailability(available))
 
 
+def _readable(
+    handler: Callable[[Any], Awaitable[Any]], kind: type[UnavailableError]
+) -> Handler:
+    """Turn an answer that cannot be read into an error with a code."""
+
+    async def handle(message: Any) -> Any:
+        try:
+            return await handler(message)
+        except (KeyError, TypeError, ValueError) as error:
+            raise kind(f"unreadable answer of the store: {error!r}") from error
+
+    return handle
+
+
 def _put(operation: PutKey) -> dict[str, Any]:
     return {
         "key": operation.key,
