--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -3,7 +3,7 @@
 import logging
 
 from .._background import run
-from .._store_requests import GetKey, KeyValue
+from .._store_requests import GetPrefix, PrefixReply
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import InvalidConfigurationError, RedwingrudderError
 from ..timers import TIMERS, Subscribe, TimerFired
@@ -68,11 +68,13 @@
     async def _follow(self) -> None:
         """Read the key, then follow its changes until a call fails."""
         try:
-            item: KeyValue | None = await self.ask(STORE, GetKey(self._codec.key))
-            if item is not None:
-                self._take(item.value, "store")
-            revision = item.mod_revision if item is not None else 0
-            while not self._stopping and revision:
+            reply: PrefixReply = await self.ask(STORE, GetPrefix(self._codec.key))
+            for pair in reply.pairs:
+                if pair.key == self._codec.key:
+                    self._take(pair.value, "store")
+            # The key's own revision may be older than the kept history.
+            revision = reply.revision
+            while not self._stopping:
                 changes = await self.ask(
                     STORE, AwaitChanges(self._codec.key, revision, WATCH_S)
                 )
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -212,7 +212,7 @@
     facts: WorkerFacts
 
 
-SessionCommand = StartRun | StopRun
+SessionCommand = StartRun | StopRun | PaceRun
 
 
 class Drain(NamedTuple):
--- a/src/redwingrudder/coordination/neighbours.py
+++ b/src/redwingrudder/coordination/neighbours.py
@@ -4,26 +4,18 @@
 import random
 import statistics
 import time
-from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from thrift.Thrift import TException
-from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-from twisted.internet.error import ConnectionRefusedError
-from zope.interface import implementer
-
 from .._background import run
-from .._peer_wire import PeerClientProtocol, PeerServerFactory
+from .._peer_wire import PeerServerFactory
 from .._store_requests import GetPrefix, PutKey, Transact
 from .._wire.generated.coordination import CoordinationService
-from .._wire.generated.coordination.ttypes import Fault, WireNodeSummary
+from .._wire.generated.coordination.ttypes import WireNodeSummary
 from ..actors import Actor, ActorSystem, Handler
-from ..exceptions import OutcomeUnknownError, RedwingrudderError, UnavailableError
+from ..exceptions import RedwingrudderError, UnavailableError
 from ..timers import TIMERS, Subscribe, TimerFired
 from .gateways import (
     CONFIGURATION,
-    COORDINATOR,
     INTAKE,
     LEADERSHIP,
     NEIGHBOURS,
@@ -32,26 +24,18 @@
 )
 from .leadership import Identity
 from .messages import (
-    CancelForNeighbour,
-    CancelStored,
     ConfigurationInForce,
     CoordinatorKnown,
     CoordinatorSilent,
-    GetConfigurationDocument,
-    GetQueueLength,
-    GetState,
     NodeSummary,
     OfferConfigurationDocument,
-    ReadStateForNeighbour,
     StoreAvailability,
-    StoreForNeighbour,
-    WorkflowStored,
 )
+from .neighbour_calls import NeighbourHandler, NeighbourLink
 
 EXCHANGE_S = 0.5
 EXCHANGE_FANOUT = 2  # random neighbours beside the coordinator
 CALL_TIMEOUT_S = 0.6
-CONNECT_TIMEOUT_S = 0.5
 DISCOVERY_S = 5.0
 FIRST_DISCOVERY_S = 1.0
 FRESH_S = 2.0  # age up to which a summary counts
@@ -106,115 +90,6 @@
     """Ask NEIGHBOURS -> Unix seconds that most nodes agree on."""
 
 
-class _Link:
-    """A connection to one node, opened with the first call."""
-
-    def __init__(self, reactor: Any, address: str) -> None:
-        self._reactor = reactor
-        host, _, port = address.rpartition(":")
-        self._endpoint = TCP4ClientEndpoint(
-            reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
-        )
-        self._protocol: PeerClientProtocol | None = None
-        self._connecting: Deferred | None = None
-
-    async def call(self, method: str, arguments: tuple, timeout_s: float) -> Any:
-        """Return the reply.
-
-        Raises:
-            UnavailableError: There is no answer in time.
-            UnavailableError: The other node refused, with its code.
-        """
-        work = ensureDeferred(self._call(method, arguments))
-        work.addTimeout(timeout_s, self._reactor)
-        try:
-            return await work
-        except Fault as fault:
-            kind = (
-                OutcomeUnknownError
-                if fault.code == OutcomeUnknownError.code
-                else UnavailableError
-            )
-            raise kind(
-                fault.detail, code=fault.code, retry_after_s=fault.retry_after_s
-            ) from fault
-        except ConnectionRefusedError as error:
-            raise UnavailableError(str(error), code="connection_refused") from error
-        except (TException, Exception) as error:
-            self.close()
-            raise UnavailableError(f"{method}: {error!r}") from error
-
-    async def _call(self, method: str, arguments: tuple) -> Any:
-        if self._protocol is None:
-            protocol = PeerClientProtocol(
-                self._reactor.seconds, self._lost, CoordinationService
-            )
-            self._protocol = await connectProtocol(self._endpoint, protocol)
-        return await getattr(self._protocol.client, method)(*arguments)
-
-    def close(self) -> None:
-        """Drop the connection, which may have gone silent."""
-        protocol, self._protocol = self._protocol, None
-        if protocol is not None and protocol.transport is not None:
-            protocol.transport.abortConnection()
-
-    def _lost(self, protocol: PeerClientProtocol) -> None:
-        if self._protocol is protocol:
-            self._protocol = None
-
-
-@implementer(CoordinationService.Iface)
-class _Handler:
-    """Calls of other nodes; each asks a local actor."""
-
-    def __init__(
-        self,
-        ask: Callable[[str, Any], Deferred],
-        tell: Callable[[str, Any], None],
-        exchange: Callable[[WireNodeSummary], WireNodeSummary],
-    ) -> None:
-        self._ask = ask
-        self._tell = tell
-        self.exchange = exchange
-
-    def configuration(self, above_version: int) -> Deferred:
-        return self._serve(CONFIGURATION, GetConfigurationDocument(above_version))
-
-    def store_workflow(self, workflow_id: str, document: str) -> Deferred:
-        return self._serve(INTAKE, StoreForNeighbour(workflow_id, document), None)
-
-    def announce_workflow(self, workflow_id: str, document: str) -> None:
-        self._tell(COORDINATOR, WorkflowStored(workflow_id, document))
-
-    def store_cancel(self, workflow_id: str) -> Deferred:
-        return self._serve(INTAKE, CancelForNeighbour(workflow_id))
-
-    def announce_cancel(self, workflow_id: str) -> None:
-        self._tell(COORDINATOR, CancelStored(workflow_id))
-
-    def state(self, workflow_id: str) -> Deferred:
-        return self._serve(COORDINATOR, GetState(workflow_id))
-
-    def read_state(self, workflow_id: str) -> Deferred:
-        return self._serve(INTAKE, ReadStateForNeighbour(workflow_id))
-
-    def queue_length(self, queue: str) -> Deferred:
-        return self._serve(COORDINATOR, GetQueueLength(queue))
-
-    def _serve(self, actor: str, message: Any, *fixed: Any) -> Deferred:
-        reply = self._ask(actor, message)
-        if fixed:
-            reply.addCallback(lambda _: fixed[0])
-        return reply.addErrback(self._fault)
-
-    def _fault(self, failure: Any) -> None:
-        error = failure.value
-        if isinstance(error, RedwingrudderError):
-            raise Fault(error.code, error.detail, error.retry_after_s or 0.0)
-        _logger.error("call failed", extra={"traceback": failure.getTraceback()})
-        raise Fault("internal_error", "unexpected error", 1.0)
-
-
 class Neighbours(Actor):
     """Knows the other nodes and carries calls to them.
 
@@ -236,7 +111,7 @@
         self._identity = identity
         self._bind = port_address
         self._random = random.Random(identity.life)
-        self._links_by_address: dict[str, _Link] = {}
+        self._links_by_address: dict[str, NeighbourLink] = {}
         self._summaries_by_id: dict[str, tuple[float, NodeSummary]] = {}
         self._version = 0
         self._coordinator = CoordinatorKnown("", "", 0)
@@ -259,7 +134,7 @@
 
     def start(self) -> None:
         """Listen for calls and look for other nodes."""
-        handler = _Handler(self.ask, self.tell, self._exchanged)
+        handler = NeighbourHandler(self.ask, self.tell, self._exchanged)
         factory = PeerServerFactory(handler, self._reactor.seconds, CoordinationService)
         host, port = self._bind
         self._port = self._reactor.listenTCP(port, factory, interface=host)
@@ -289,9 +164,9 @@
         link = self._link(message.address)
         return await link.call(message.method, message.arguments, message.timeout_s)
 
-    def _link(self, address: str) -> _Link:
+    def _link(self, address: str) -> NeighbourLink:
         if address not in self._links_by_address:
-            self._links_by_address[address] = _Link(self._reactor, address)
+            self._links_by_address[address] = NeighbourLink(self._reactor, address)
         return self._links_by_address[address]
 
     async def _discover(self) -> None:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -122,6 +122,11 @@
         self.interrupt_worker(worker_id, now, reason)
         self.workers_by_id.pop(worker_id, None)
 
+    def is_starting(self, key: TaskKey, run: int) -> bool:
+        """Return whether a run is still to be started."""
+        task = self._current(key, run)
+        return task is not None and task.state == "starting"
+
     def start_confirmed(self, key: TaskKey, run: int, now: float) -> None:
         """Take note that a worker began a run."""
         task = self._current(key, run)
