--- /dev/null
+++ b/tests/test_worker_session.py
@@ -0,0 +1,157 @@
+"""Tests of a worker's session on a channel in memory."""
+
+import unittest
+from unittest import mock
+
+from redwingrudder.coordination import worker_session
+from redwingrudder.coordination.gateways import (
+    COORDINATOR,
+    LEADERSHIP,
+    CommandReply,
+    WorkerChannel,
+    WorkerReport,
+)
+from redwingrudder.coordination.messages import (
+    Fenced,
+    StartSettled,
+    WorkerLapsed,
+    WorkerLooked,
+    WorkerSilent,
+)
+from redwingrudder.coordination.worker_session import WorkerSession, longest_hold_s
+from redwingrudder.exceptions import UnavailableError
+from redwingrudder.timers import TimerService
+from redwingrudder.workflows.model import StartRun
+
+from . import workflow_fixtures as fx
+from .coordination_fakes import Recording, node_system, run_for
+
+LEASE_S = 6.0
+
+
+class FakeChannel(WorkerChannel):
+    """Answers at once, or not at all.
+
+    Attributes:
+        deaf: No call is answered.
+        deaf_starts: So many starts are not answered.
+        refusal: Reason with which all commands are rejected.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.deaf = False
+        self.deaf_starts = 0
+        self.refusal = ""
+        self.calls = []
+
+    def _reply(self, name):
+        self.calls.append(name)
+        if self.deaf:
+            raise UnavailableError("deaf")
+        if self.refusal:
+            return CommandReply(False, self.refusal)
+        return CommandReply(True, "", int(self.clock.seconds() * 1000) + 1)
+
+    async def start(self, run, lease_until_ms, fence, timeout_s):
+        if self.deaf_starts:
+            self.deaf_starts -= 1
+            self.calls.append("lost start")
+            raise UnavailableError("lost")
+        return self._reply("start")
+
+    async def stop(self, run, fence, timeout_s):
+        return self._reply("stop")
+
+    async def pace(self, run, fence, timeout_s):
+        return self._reply("pace")
+
+    async def look(self, fence, seen, lease_until_ms, wait_s, timeout_s):
+        reply = self._reply(f"look {bool(lease_until_ms)}")
+        if not reply.accepted:
+            return reply
+        return WorkerReport(reply.clock_ms, 1, (), ())
+
+    def reset(self):
+        pass
+
+    def close(self):
+        pass
+
+
+class SessionTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, _ = node_system()
+        TimerService(self.system)
+        kinds = (WorkerLooked, WorkerSilent, WorkerLapsed, StartSettled)
+        self.coordinator = Recording(
+            self.system, COORDINATOR, dict.fromkeys(kinds, None)
+        )
+        self.leadership = Recording(self.system, LEADERSHIP, {Fenced: None})
+        patch = mock.patch.object(worker_session, "boot_clock", self.clock.seconds)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.channel = FakeChannel(self.clock)
+        self.session = WorkerSession(
+            self.system, fx.worker("w1"), self.channel, 3, LEASE_S
+        )
+        self.session.start()
+        run_for(self.clock, 0.1)
+
+    def told(self, kind):
+        return [m for m in self.coordinator.received if isinstance(m, kind)]
+
+    def start_run(self):
+        run = StartRun("w1", fx.key(), 1, "payload", "")
+        self.system.tell(self.session.name, run)
+
+    def test_first_look_extends_no_lease(self):
+        """Guards against a lease on a clock that is not known yet."""
+        self.assertEqual(self.channel.calls[0], "look False")
+
+    def test_lost_start_is_sent_again(self):
+        """Guards against a run given up for one lost answer."""
+        self.channel.deaf_starts = 1
+        self.start_run()
+        run_for(self.clock, 0.5)
+        self.assertTrue(self.told(StartSettled)[0].reply.accepted)
+
+    def test_unanswered_start_is_closed_before_it_is_given_up(self):
+        """Guards against a start carried out late beside its successor."""
+        self.channel.deaf_starts = 3
+        self.start_run()
+        run_for(self.clock, 0.5)
+        self.assertIn("stop", self.channel.calls)
+        self.assertEqual(self.told(StartSettled)[0].reply.reason, "unanswered")
+
+    def test_silent_worker_lapses_only_after_its_longest_lease(self):
+        """Guards against a second run while a lease may still hold."""
+        self.channel.deaf = True
+        run_for(self.clock, LEASE_S)
+        self.assertTrue(self.told(WorkerSilent))
+        self.assertFalse(self.told(WorkerLapsed))
+        run_for(self.clock, longest_hold_s(LEASE_S) - LEASE_S + 2.0)
+        self.assertTrue(self.told(WorkerLapsed))
+
+    def test_start_to_a_lapsed_worker_settles(self):
+        """Guards against a task that waits for a lost worker for ever."""
+        self.channel.deaf = True
+        self.start_run()
+        run_for(self.clock, longest_hold_s(LEASE_S) + 5.0)
+        self.assertEqual(len(self.told(StartSettled)), 1)
+
+    def test_fence_is_reported(self):
+        """Guards against a deposed coordinator that does not notice."""
+        self.channel.refusal = "fenced"
+        run_for(self.clock, 2.0)
+        self.assertTrue(self.leadership.received)
+
+    def test_idle_worker_is_not_asked_without_a_pause(self):
+        """Guards against looks that take all of a node's processor time."""
+        before = len(self.channel.calls)
+        run_for(self.clock, 5.0)
+        self.assertLess(len(self.channel.calls) - before, 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
