Let strong nodes campaign first

Change: a node with less than a core waits up to 0.2 s longer at a vacancy. Ruled out: excluding weak nodes, as they may be the only ones left.

--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -49,6 +49,9 @@
 # Nodes that find the record vacant wait up to this long, so that mostly one
 # of them writes.
 CAMPAIGN_JITTER_S = 0.15
+# A node of half a core waits this much longer, as the coordinator of 176
+# workers takes half a core.
+WEAK_NODE_DELAY_S = 0.2  # times the share of a core that is missing
 
 _EVENTS = frozenset({"vacant", "acquired", "failed", "deposed", "drain"})
 _ACTIONS = frozenset({"acquire", "begin_term", "end_term", "withdraw_record"})
@@ -89,7 +92,7 @@
         system: The node's actors.
         identity: This process.
         subscribers: Actors told of each known coordinator.
-        seed: Seed of the jitter.
+        cores: Processor share of this node.
     """
 
     def __init__(
@@ -97,7 +100,7 @@
         system: ActorSystem,
         identity: Identity,
         subscribers: tuple[str, ...],
-        seed: int = 0,
+        cores: float = 1.0,
     ) -> None:
         self._chart = ChartRunner(
             load_chart("coordinator", _EVENTS, _ACTIONS),
@@ -110,7 +113,8 @@
         )
         self._identity = identity
         self._subscribers = subscribers
-        self._jitter = random.Random(f"{identity.life}{seed}")
+        self._jitter = random.Random(identity.life)
+        self._handicap_s = WEAK_NODE_DELAY_S * max(1.0 - cores, 0.0)
         self._holder: Holder | None = None
         # Revision of a record whose holder is surely dead, 0 for none.
         self._dead_revision = 0
@@ -191,11 +195,7 @@
             self._announce("", "", 0)
             if not self._stopping:
                 # The last holder is given the first chance: it knows all.
-                delay = (
-                    0.0
-                    if self.leading
-                    else self._jitter.uniform(0.02, CAMPAIGN_JITTER_S)
-                )
+                delay = 0.0 if self.leading else self._campaign_delay_s()
                 self.tell(TIMERS, Subscribe(self.name, "campaign", delay))
             return
         document = json.loads(value)
@@ -231,9 +231,12 @@
             return
         if self._holder.address == message.address and not self.leading:
             self._dead_revision = self._holder.revision
-            delay = self._jitter.uniform(0.0, CAMPAIGN_JITTER_S)
+            delay = self._campaign_delay_s()
             self.tell(TIMERS, Subscribe(self.name, "campaign", delay))
 
+    def _campaign_delay_s(self) -> float:
+        return self._handicap_s + self._jitter.uniform(0.02, CAMPAIGN_JITTER_S)
+
     def _fenced(self, message: Fenced) -> None:
         _logger.warning("higher term seen", extra={"source": message.source})
         self._chart.step("deposed", message.source)
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -63,7 +63,7 @@
             PlatformConfiguration(),
             (FRONT, NEIGHBOURS, COORDINATOR),
         )
-        Leadership(self.system, identity, (NEIGHBOURS, INTAKE))
+        Leadership(self.system, identity, (NEIGHBOURS, INTAKE), settings.cores)
         Neighbours(self.system, reactor, identity, settings.peers)
         Coordinator(
             self.system,
--- a/src/redwingrudder/platform/settings.py
+++ b/src/redwingrudder/platform/settings.py
@@ -20,6 +20,7 @@
         advice_address: "host:port" of the advice service, "" without one.
         longest_lease_s: Longest lease that workers accept.
         grace_s: From SIGTERM until the process is killed.
+        cores: Share of a processor that this node has.
     """
 
     node_id: str
@@ -32,6 +33,7 @@
     advice_address: str
     longest_lease_s: float
     grace_s: float
+    cores: float
 
 
 def load_settings(path: str) -> PlatformSettings:
@@ -58,6 +60,7 @@
     ip = document["ip"]
     first_port = int(document["internalPorts"][0])
     bounds = document["bounds"]
+    limits = document.get("limits") or {}
     return PlatformSettings(
         node_id=document["nodeName"],
         failure_domain=document["zone"],
@@ -69,6 +72,8 @@
         advice_address=document.get("advice") or "",
         longest_lease_s=bounds["maxHoldMs"] / 1000,
         grace_s=float(bounds["graceS"]),
+        # The platform gives the share of each of several processors.
+        cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
     )
 
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -17,7 +17,11 @@
     RegistryCodec,
 )
 from redwingrudder.coordination.intake import Intake
-from redwingrudder.coordination.leadership import Identity, Leadership
+from redwingrudder.coordination.leadership import (
+    CAMPAIGN_JITTER_S,
+    Identity,
+    Leadership,
+)
 from redwingrudder.coordination.messages import (
     BeginTerm,
     CancelStored,
@@ -226,6 +230,15 @@
         self.assertEqual(len(self.leaders()), 1)
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "1")
 
+    def test_weak_node_campaigns_later(self):
+        """Guards against a coordinator on the weakest node."""
+        _, system, _ = node_system(self.contents)
+        identity = Identity("weak", "10.0.0.1:9", "life-weak")
+        weak = Leadership(system, identity, (), 0.25)
+        strong = self.nodes[0][4]
+        self.assertGreater(weak._campaign_delay_s(), CAMPAIGN_JITTER_S)
+        self.assertLessEqual(strong._campaign_delay_s(), CAMPAIGN_JITTER_S)
+
     def test_vacant_record_begins_a_higher_term(self):
         """Guards against a fence that does not rise with the holder."""
         self.advance(1.0)
