--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -54,6 +54,8 @@
         channel: Connections to it.
         fence: Term of the coordinator.
         longest_lease_s: Longest lease that workers accept.
+        voided: Runs whose orders may still arrive; they are stopped before
+            the first look.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         channel: WorkerChannel,
         fence: int,
         longest_lease_s: float,
+        voided: tuple[StopRun, ...] = (),
     ) -> None:
         self._facts = facts
         self._channel = channel
@@ -75,6 +78,7 @@
                 "report_lapsed": lambda _: self._report_lapsed(),
             },
         )
+        self._voided = voided
         self._allowed = True
         self._seen = 0
         self._unseen = 0
@@ -104,7 +108,11 @@
 
     def start(self) -> None:
         """Raise the worker's fence and list its runs."""
-        self._look_soon()
+        if self._voided:
+            self._looking = True
+            run(self._void_then_look(), self.name)
+        else:
+            self._look_soon()
 
     def stop(self) -> None:
         """Close the connections."""
@@ -126,6 +134,12 @@
             self._looking = True
             run(self._look(), self.name)
 
+    async def _void_then_look(self) -> None:
+        for stop in self._voided:
+            await self._send_stop(stop)
+        self._looking = False
+        self._look_soon()
+
     async def _look(self) -> None:
         """Look once; the answer decides when to look again."""
         wait_s = LOOK_WAIT_S if self._unseen <= self._seen else 0.0
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -225,6 +225,7 @@
             self._channels.open(facts),
             self._engine.term,
             self._lease_s,
+            self._engine.unsettled_runs(facts.worker_id),
         )
         self._sessions_by_worker[facts.worker_id] = session
         session.start()
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -10,6 +10,7 @@
     PaceRun,
     RunEnd,
     RunReport,
+    StopRun,
     TaskKey,
     WorkerFacts,
     Workflow,
@@ -75,7 +76,7 @@
             self.workers_by_id[facts.worker_id] = Worker(facts)
             return
         if facts.born_ms and worker.facts.born_ms != facts.born_ms:
-            self.interrupt_worker(facts.worker_id, now, "worker_restarted")
+            self._interrupt_confirmed(worker, now)
             worker.failures = worker.successes = 0
             worker.quarantined_until = 0.0
         worker.facts = facts
@@ -93,6 +94,28 @@
             )
             self.step(task, "run_interrupted", now)
 
+    def _interrupt_confirmed(self, worker: Worker, now: float) -> None:
+        """Interrupt the runs of a past life.
+
+        An order without an answer may still reach the new life, so its run is
+        kept until the first report of that life, see ``unsettled_runs``.
+        """
+        for task in list(worker.tasks_by_key.values()):
+            if task.state == "running":
+                extra = {**where(task), "worker": worker.facts.worker_id}
+                _logger.info("run lost as its worker restarted", extra=extra)
+                self.step(task, "run_interrupted", now)
+
+    def unsettled_runs(self, worker_id: str) -> tuple[StopRun, ...]:
+        """Return stops for the runs whose start or stop has no answer."""
+        worker = self.workers_by_id.get(worker_id)
+        tasks = worker.tasks_by_key.values() if worker is not None else ()
+        return tuple(
+            StopRun(worker_id, task.key, task.run)
+            for task in tasks
+            if task.state in ("starting", "stopping")
+        )
+
     def remove_worker(self, worker_id: str, now: float, reason: str) -> None:
         """Forget a worker that is surely gone."""
         self.interrupt_worker(worker_id, now, reason)
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,413 @@
+"""A small stand-in of the users' platform: store, operator and workers.
+
+Run as ``python -m tests.platform_standin PORT WORKERS``. The store listens on
+PORT, worker N on PORT + 1 + N. ``/control`` sets faults and shows what ran.
+"""
+
+import base64
+import json
+import random
+import sys
+import time
+
+from twisted.internet import reactor
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+HISTORY_LIMIT = 5000  # changes; older watches get 410
+LOOK_LIMIT_S = 2.0
+LEASE_LIMIT_S = 6.0
+POOL = "pool"
+
+
+class Store:
+    """Keys, leases, watches and the fault switches of the store."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.leases = {}
+        self.next_lease = 1
+        self.watches = []
+        self.mode = "up"
+        self.random = random.Random(0)
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        self.items[key] = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": created,
+            "lease": lease,
+        }
+        self._changed(dict(self.items[key]))
+
+    def remove(self, key):
+        if key in self.items:
+            self.revision += 1
+            del self.items[key]
+            self._changed({"key": key, "revision": self.revision, "deleted": True})
+
+    def _changed(self, event):
+        self.history.append(event)
+        del self.history[:-HISTORY_LIMIT]
+        waiting, self.watches = self.watches, []
+        for watch in waiting:
+            self.answer_watch(*watch)
+
+    def answer_watch(self, prefix, after, request, timer):
+        events = [
+            event
+            for event in self.history
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+        if events:
+            if timer.active():
+                timer.cancel()
+            reply(request, 200, {"events": events, "currentRev": self.revision})
+        else:
+            self.watches.append((prefix, after, request, timer))
+
+    def end_watch(self, request):
+        for watch in list(self.watches):
+            if watch[2] is request:
+                self.watches.remove(watch)
+                reply(request, 200, {"events": [], "currentRev": self.revision})
+
+    def transact(self, body):
+        for row in body.get("precondition", []):
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return 412, {"items": []}
+        for put in body.get("puts", []):
+            if put.get("lease") and put["lease"] not in self.leases:
+                return 404, {}
+        for put in body.get("puts", []):
+            value = base64.b64decode(put["value"])
+            self.put(put["key"], value, put.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+    def grant(self, ttl_s):
+        lease = self.next_lease
+        self.next_lease += 1
+        self.leases[lease] = (ttl_s, None)
+        self.keep(lease)
+        return lease
+
+    def keep(self, lease):
+        ttl_s, timer = self.leases[lease]
+        if timer is not None and timer.active():
+            timer.cancel()
+        self.leases[lease] = (ttl_s, reactor.callLater(ttl_s, self.end_lease, lease))
+        return ttl_s
+
+    def end_lease(self, lease):
+        _, timer = self.leases.pop(lease, (0, None))
+        if timer is not None and timer.active():
+            timer.cancel()
+        for key in [k for k, i in self.items.items() if i["lease"] == lease]:
+            self.remove(key)
+
+
+class StoreResource(Resource):
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, store, workers):
+        super().__init__()
+        self.store = store
+        self.workers = workers
+
+    def render(self, request):
+        path = request.path.decode()
+        body = json.loads(request.content.read() or b"{}")
+        if path == "/control":
+            return self._control(request, body)
+        mode = self.store.mode
+        if mode == "down":
+            return reply(request, 503, {})
+        if mode == "silent":
+            return NOT_DONE_YET
+        if mode == "slow":
+            reactor.callLater(0.2, self._serve, request, path, body)
+            return NOT_DONE_YET
+        write = path.endswith("kv-txn")
+        if mode == "lossy" and write and self.store.random.random() < 0.3:
+            # Half of the unanswered writes take effect seconds later.
+            late = self.store.random.random() < 0.5
+            reactor.callLater(2.0 if late else 0, self.store.transact, body)
+            return NOT_DONE_YET
+        self._serve(request, path, body)
+        return NOT_DONE_YET
+
+    def _control(self, request, body):
+        if "store" in body:
+            self.store.mode = body["store"]
+        for index, change in body.get("workers", {}).items():
+            self.workers[int(index)].change(change)
+        runs = [run for worker in self.workers for run in worker.runs]
+        return reply(request, 200, {"runs": runs, "now": time.monotonic()})
+
+    def _serve(self, request, path, body):
+        def argument(name):
+            return request.args.get(name, [b""])[0].decode()
+
+        name = path.rpartition("/redwingrudder/")[2]
+        store = self.store
+        if name == "kv-key":
+            item = store.items.get(argument(b"key"))
+            status = 200 if item else 404
+            reply(request, status, {**(item or {}), "currentRev": store.revision})
+        elif name == "kv-range":
+            prefix = argument(b"prefix")
+            items = [i for k, i in sorted(store.items.items()) if k.startswith(prefix)]
+            page = {"items": items, "hasMore": False, "currentRev": store.revision}
+            reply(request, 200, page)
+        elif name == "kv-watch":
+            wait_s = int(argument(b"waitMs")) / 1000
+            timer = reactor.callLater(wait_s, store.end_watch, request)
+            store.answer_watch(
+                argument(b"prefix"), int(argument(b"after")), request, timer
+            )
+        elif name == "kv-txn":
+            reply(request, *store.transact(body))
+        elif name == "kv-lease":
+            lease = store.grant(body["ttlMs"] / 1000)
+            reply(request, 200, {"lease": lease, "ttlMs": body["ttlMs"]})
+        elif name.startswith("kv-keep/"):
+            lease = int(name.rpartition("/")[2])
+            if lease in store.leases:
+                reply(request, 200, {"ttlMs": int(store.keep(lease) * 1000)})
+            else:
+                reply(request, 404, {})
+        else:
+            reply(request, 404, {})
+
+
+class Worker:
+    """Runs tasks under one lease and one fence, and keeps what it did.
+
+    ``runs`` has rows of task, run, begin, end (0 while it runs) and how.
+    """
+
+    def __init__(self, index, address, store):
+        self.worker_id = f"w{index}"
+        self.address = address
+        self.store = store
+        self.runs = []
+        self.looks = []
+        self.mode = "up"
+        self.born = 0
+        self.reset()
+
+    def reset(self):
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        self.begun = time.monotonic()
+        self.fence = 0
+        self.running = {}
+        self.ended = []
+        self.number = 0
+        self.void = {}
+        self.lease = None
+        self.register()
+
+    def register(self, state="ready"):
+        entry = {
+            "service": POOL,
+            "address": self.address,
+            "zone": "z",
+            "state": state,
+            "born": self.born,
+            "capacity": {"cpu": 16000, "memMb": 32000, "gpu": 8},
+            "labels": ["a", "r1"],
+            "remainingMs": 2000,
+        }
+        self.store.put(f"servers/{self.worker_id}", json.dumps(entry).encode())
+
+    def change(self, mode):
+        if mode == "crash":
+            for task in list(self.running):
+                self._finish(task, "crashed", listed=False)
+            self.reset()
+        else:
+            self.mode = mode
+
+    @property
+    def clock_ms(self):
+        return int((time.monotonic() - self.begun) * 1000)
+
+    def extend(self, until_ms):
+        until_ms = min(until_ms, self.clock_ms + int(LEASE_LIMIT_S * 1000))
+        if self.lease is not None and self.lease.active():
+            until_ms = max(until_ms, self.lease_until_ms)
+            self.lease.cancel()
+        self.lease_until_ms = until_ms
+        delay_s = max(until_ms - self.clock_ms, 0) / 1000
+        self.lease = reactor.callLater(delay_s, self.lapse)
+
+    def lapse(self):
+        for task in list(self.running):
+            self._finish(task, "lapsed")
+
+    def start(self, body):
+        task, run = body["task"], body["runId"]
+        present = self.running.get(task)
+        if present is not None and present["run"] == run:
+            return 200, {}
+        if run <= self.void.get(task, 0) or present is not None:
+            return 409, {"reason": "old"}
+        if body["deadlineAtMs"] <= self.clock_ms:
+            return 409, {"reason": "late"}
+        self.extend(body["deadlineAtMs"])
+        spec = json.loads(body["spec"])
+        row = [task, run, time.monotonic(), 0, "", self.worker_id]
+        self.runs.append(row)
+        how = "failed" if spec.get("fails") else "done"
+        timer = reactor.callLater(spec["run_s"], self._finish, task, how)
+        self.running[task] = {"run": run, "row": row, "timer": timer}
+        self.running[task]["run_s"] = spec["run_s"]
+        return 200, {}
+
+    def stop(self, body):
+        task, run = body["task"], body["runId"]
+        present = self.running.get(task)
+        if present is not None and present["run"] == run:
+            self._finish(task, "stopped")
+        self.void[task] = max(self.void.get(task, 0), run)
+        return 200, {}
+
+    def _finish(self, task, how, listed=True):
+        present = self.running.pop(task)
+        if present["timer"].active():
+            present["timer"].cancel()
+        present["row"][3], present["row"][4] = time.monotonic(), how
+        self.void[task] = max(self.void.get(task, 0), present["run"])
+        if listed:
+            self.number += 1
+            self.ended.append([self.number, task, present["run"], how, ""])
+            looks, self.looks = self.looks, []
+            for request, timer in looks:
+                if timer.active():
+                    timer.cancel()
+                    self.answer_look(request)
+
+    def look(self, request, body):
+        if body.get("deadlineAtMs"):
+            self.extend(body["deadlineAtMs"])
+        self.ended = [end for end in self.ended if end[0] > body.get("observed", 0)]
+        wait_s = min(body.get("waitMs", 0) / 1000, LOOK_LIMIT_S)
+        if self.ended or not wait_s:
+            self.answer_look(request)
+            return
+        self.looks.append(
+            (request, reactor.callLater(wait_s, self.answer_look, request))
+        )
+
+    def answer_look(self, request):
+        running = []
+        for task, present in self.running.items():
+            spent = time.monotonic() - present["row"][2]
+            percent = min(100, int(100 * spent / present["run_s"]))
+            running.append([task, present["run"], "", percent, 1])
+        reply(
+            request,
+            200,
+            {
+                "clockMs": self.clock_ms,
+                "born": self.born,
+                "running": running,
+                "ended": self.ended[:500],
+            },
+        )
+
+
+class WorkerResource(Resource):
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, worker):
+        super().__init__()
+        self.worker = worker
+
+    def render(self, request):
+        worker = self.worker
+        body = json.loads(request.content.read() or b"{}")
+        name = request.path.decode().rpartition("/")[2]
+        if worker.mode == "silent":
+            return NOT_DONE_YET
+        if worker.mode == "late" and name == "run-start":
+            reactor.callLater(2.0, self._order, name, body)
+            return NOT_DONE_YET
+        if body.get("fencingToken", 0) < worker.fence:
+            return reply(request, 409, {"clockMs": worker.clock_ms, "reason": "fence"})
+        worker.fence = body.get("fencingToken", 0)
+        if name == "hold":
+            worker.look(request, body)
+            return NOT_DONE_YET
+        status, answer = self._order(name, body)
+        return reply(request, status, {**answer, "clockMs": worker.clock_ms})
+
+    def _order(self, name, body):
+        worker = self.worker
+        if body.get("fencingToken", 0) < worker.fence:
+            return 409, {"reason": "fence"}
+        return worker.start(body) if name == "run-start" else worker.stop(body)
+
+
+def reply(request, status, body):
+    """Write an answer, unless the caller has gone."""
+    if not request.finished and not getattr(request, "_disconnected", False):
+        request.setResponseCode(status)
+        request.setHeader(b"Content-Type", b"application/json")
+        request.write(json.dumps(body).encode())
+        request.finish()
+    return NOT_DONE_YET
+
+
+def configuration():
+    """Return the operator's document."""
+    routes = [
+        {
+            "name": name,
+            "host": "jobs.example",
+            "prefix": f"/{name}/",
+            "service": POOL,
+            "priority": priority,
+            "maxAttempts": 2,
+            "stretchFactor": 3.0,
+            "targetLatencyMs": 1000,
+            "timeoutMs": 3000,
+        }
+        for name, priority in (("urgent", 0), ("patient", 2))
+    ]
+    return {
+        "version": 1,
+        "routes": routes,
+        "services": [{"name": POOL, "enforceCapacity": False}],
+        "tenants": [{"name": "t", "apiKeys": ["key"], "guaranteed": {"gpu": 8}}],
+        "limits": {},
+    }
+
+
+def main(port, count):
+    """Serve until the process is ended."""
+    store = Store()
+    store.put("op/config", json.dumps(configuration()).encode())
+    workers = []
+    for index in range(count):
+        address = f"127.0.0.1:{port + 1 + index}"
+        worker = Worker(index, address, store)
+        workers.append(worker)
+        reactor.listenTCP(
+            port + 1 + index, Site(WorkerResource(worker)), interface="127.0.0.1"
+        )
+    site = Site(StoreResource(store, workers))
+    reactor.listenTCP(port, site, interface="127.0.0.1")
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), int(sys.argv[2]))
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -21,7 +21,7 @@
 from redwingrudder.coordination.worker_session import WorkerSession, longest_hold_s
 from redwingrudder.exceptions import UnavailableError
 from redwingrudder.timers import TimerService
-from redwingrudder.workflows.model import StartRun
+from redwingrudder.workflows.model import StartRun, StopRun
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, node_system, run_for
@@ -140,6 +140,17 @@
         run_for(self.clock, longest_hold_s(LEASE_S) + 5.0)
         self.assertEqual(len(self.told(StartSettled)), 1)
 
+    def test_unsettled_runs_are_stopped_before_the_first_look(self):
+        """Guards against a report that misses an order still on its way."""
+        channel = FakeChannel(self.clock)
+        voided = (StopRun("w2", fx.key(), 4),)
+        session = WorkerSession(
+            self.system, fx.worker("w2"), channel, 3, LEASE_S, voided
+        )
+        session.start()
+        run_for(self.clock, 0.1)
+        self.assertEqual(channel.calls[:2], ["stop", "look True"])
+
     def test_fence_is_reported(self):
         """Guards against a deposed coordinator that does not notice."""
         self.channel.refusal = "fenced"
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -163,6 +163,18 @@
         again = fx.starts(engine.plan(1.0, 1.0))
         self.assertGreater(again[0].run, first[0].run)
 
+    def test_unanswered_start_outlives_its_workers_life(self):
+        """Guards against a start that reaches the worker's next life."""
+        engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
+        engine.accept(fx.workflow(), 0.0)
+        start = fx.starts(engine.plan(0.0, 0.0))[0]
+        engine.set_worker(fx.worker(start.worker_id, born_ms=2), 1.0)
+        self.assertEqual(fx.starts(engine.plan(1.0, 1.0)), [])
+        voided = engine.unsettled_runs(start.worker_id)
+        self.assertEqual([(v.key, v.run) for v in voided], [(start.key, start.run)])
+        engine.reconcile(start.worker_id, set(), 1.1)
+        self.assertEqual(len(fx.starts(engine.plan(1.2, 1.2))), 1)
+
     def test_draining_worker_gets_nothing(self):
         """Guards against starts on a worker that leaves."""
         engine = fx.engine(fx.worker("w1", draining=True))
