--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -2,10 +2,11 @@
 
 import logging
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .._background import run
-from .._store_requests import GetPrefix
+from .._store_requests import KeyValue
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import RedwingrudderError, UnavailableError
 from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
@@ -16,11 +17,11 @@
     INTAKE_PREFIX,
     LEADERSHIP,
     NEIGHBOURS,
-    STORE,
     AdviceService,
-    AwaitChanges,
+    Change,
     ChannelFactory,
     RegistryCodec,
+    not_coordinator,
 )
 from .leadership import boot_clock
 from .messages import (
@@ -52,14 +53,13 @@
     restore_all,
     workflow_id_of,
 )
+from .watching import follow
 from .worker_session import pause
 from .worker_table import WorkerTable
 
 PLAN_DELAY_S = 0.005  # collects events that arrive together
 TICK_S = 0.2
-WATCH_S = 1.0  # a watch that has gone silent is noticed within this time
 RETRY_S = 0.25
-NOT_COORDINATOR_RETRY_S = 1.0  # an election takes about this long
 
 _logger = logging.getLogger(__name__)
 
@@ -179,11 +179,44 @@
                 "placed_runs": len(placed),
             },
         )
-        run(self._watch_registry(term, state.workers.revision), self.name)
-        run(self._watch_intake(term, state.intake.revision), self.name)
+        self._follow(
+            term,
+            self._registry.prefix,
+            state.workers.revision,
+            self._apply_entries,
+            self._replace_entries,
+        )
+        self._follow(
+            term,
+            INTAKE_PREFIX,
+            state.intake.revision,
+            self._take_all_intake,
+            self._take_all_intake,
+        )
         self.tell(TIMERS, Subscribe(self.name, "tick", TICK_S, TICK_S))
         self._plan_soon()
 
+    def _follow(
+        self,
+        term: _Term,
+        prefix: str,
+        revision: int,
+        apply: Callable[[tuple[Change, ...]], None],
+        replace: Callable[[tuple[KeyValue, ...]], None],
+    ) -> None:
+        """Follow a prefix for as long as the term lasts."""
+        clock = self.system.clock
+        watch = follow(
+            self.ask,
+            clock,
+            prefix,
+            revision,
+            lambda: self._term is term,
+            apply,
+            replace,
+        )
+        run(watch, self.name)
+
     def _end(self, message: EndTerm) -> None:
         number = self._term.number if self._term is not None else 0
         _logger.info("term ended", extra={"term": number, "reason": message.reason})
@@ -228,23 +261,9 @@
 
     # Submissions and cancellations.
 
-    async def _watch_intake(self, term: _Term, revision: int) -> None:
-        while self._term is term:
-            try:
-                changes = await self.ask(
-                    STORE, AwaitChanges(INTAKE_PREFIX, revision, WATCH_S)
-                )
-                revision = changes.revision
-                items = changes.changes
-                if changes.expired:
-                    reply = await self.ask(STORE, GetPrefix(INTAKE_PREFIX))
-                    revision, items = reply.revision, reply.pairs
-                if self._term is term:
-                    for item in items:
-                        self._take_intake(item.key, item.value)
-            except RedwingrudderError as error:
-                _logger.info("intake watch lost", extra={"error": str(error)})
-                await pause(self.system.clock, RETRY_S)
+    def _take_all_intake(self, items: tuple[Change | KeyValue, ...]) -> None:
+        for item in items:
+            self._take_intake(item.key, item.value)
 
     def _take_intake(self, key: str, value: str | None) -> None:
         if value is None:
@@ -284,25 +303,14 @@
 
     # Workers.
 
-    async def _watch_registry(self, term: _Term, revision: int) -> None:
-        prefix = self._registry.prefix
-        while self._term is term:
-            try:
-                changes = await self.ask(STORE, AwaitChanges(prefix, revision, WATCH_S))
-                if changes.expired:
-                    reply = await self.ask(STORE, GetPrefix(prefix))
-                    revision = reply.revision
-                    if self._term is term:
-                        entries = {pair.key: pair.value for pair in reply.pairs}
-                        term.workers.set_all_entries(entries)
-                elif self._term is term:
-                    revision = changes.revision
-                    for change in changes.changes:
-                        term.workers.set_entry(change.key, change.value)
-                self._plan_soon()
-            except RedwingrudderError as error:
-                _logger.info("registry watch lost", extra={"error": str(error)})
-                await pause(self.system.clock, RETRY_S)
+    def _apply_entries(self, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            self._term.workers.set_entry(change.key, change.value)
+        self._plan_soon()
+
+    def _replace_entries(self, pairs: tuple[KeyValue, ...]) -> None:
+        self._term.workers.set_all_entries({pair.key: pair.value for pair in pairs})
+        self._plan_soon()
 
     def _worker_looked(self, message: WorkerLooked) -> None:
         if self._ready:
@@ -404,12 +412,3 @@
         """Assume full speed again, so that the policy repeats the change."""
         if self._ready:
             self._term.engine.pace_lost(message.run.key, message.run.run)
-
-
-def not_coordinator() -> UnavailableError:
-    """Return the error of a node that is asked but does not lead."""
-    return UnavailableError(
-        "this node does not coordinate",
-        code="not_coordinator",
-        retry_after_s=NOT_COORDINATOR_RETRY_S,
-    )
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -3,6 +3,7 @@
 import abc
 from typing import NamedTuple
 
+from ..exceptions import UnavailableError
 from ..workflows.model import (
     PaceRun,
     QueuePolicy,
@@ -27,6 +28,8 @@
 COORDINATOR_KEY = "coordination/holder"
 TERM_KEY = "coordination/term"
 
+NOT_COORDINATOR_RETRY_S = 1.0  # an election takes about this long
+
 
 class AwaitChanges(NamedTuple):
     """Ask of STORE -> ``Changes``, when there is one or after the wait.
@@ -242,3 +245,12 @@
     @abc.abstractmethod
     def open(self, facts: WorkerFacts) -> WorkerChannel:
         """Return a channel; connections open with the first command."""
+
+
+def not_coordinator() -> UnavailableError:
+    """Return the error of a node that is asked but does not lead."""
+    return UnavailableError(
+        "this node does not coordinate",
+        code="not_coordinator",
+        retry_after_s=NOT_COORDINATOR_RETRY_S,
+    )
