Move runs off leaving workers, keep attempts off suspects, plan cheaper

Runs stayed on workers that left 1.5 s later. A run of two hours would have been called stuck between two percents of progress. Change: supervision.py decides on runs to stop: stuck by a share of their time, too slow, or longer than a draining worker stays. A step with failed runs waits for workers without a recent failure; suspects come last for others. Free room is kept as a figure, usable workers are listed once a pass, and room that was missing once is not looked for again in a pass. Ruled out: a probe of the workers' health, as it may lie; quarantine after one failure, as jobs that can never be done blame sound workers. The new tests fail without.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -19,7 +19,7 @@
 from .pacing import FULL_PACE, MeasuredHarmPolicy, PacePolicy
 from .planner import Planner, PriorityPlanner
 from .run_book import RunBook, where
-from .speeds import SpeedBook, is_slow, note_speed, pays_to_restart
+from .speeds import note_speed
 from .state import (
     TASK_CHART,
     Permit,
@@ -28,6 +28,7 @@
     Worker,
     WorkflowProgress,
 )
+from .supervision import interventions
 
 # A start takes a moment, so a ticket is not used in the last part of its time.
 TICKET_SHARE = 0.8
@@ -46,7 +47,6 @@
     def __init__(self, planner: Planner | None = None) -> None:
         super().__init__()
         self.guaranteed_by_organisation: dict[str, int] = {}
-        self.speeds = SpeedBook()
         self._pace_policy: PacePolicy = MeasuredHarmPolicy()
         self._planner = planner or PriorityPlanner(self.speeds)
 
@@ -73,14 +73,16 @@
         """Take over the registry's entry of a worker."""
         worker = self.workers_by_id.get(facts.worker_id)
         if worker is None:
-            self.workers_by_id[facts.worker_id] = Worker(facts)
+            worker = self.workers_by_id[facts.worker_id] = Worker(facts)
+            worker.note_drain(now)
             return
         if facts.born_ms and worker.facts.born_ms != facts.born_ms:
             self._interrupt_confirmed(worker, now)
-            worker.failures = worker.successes = 0
+            worker.failures = 0
             worker.quarantined_until = 0.0
         worker.facts = facts
         worker.listed = True
+        worker.note_drain(now)
 
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
         """Take note that nothing runs on a worker any more."""
@@ -279,19 +281,16 @@
         if task is not None:
             task.pace = FULL_PACE
 
-    def stop_stuck(self, now: float) -> None:
-        """Stop runs that stand still or crawl, to start them elsewhere."""
-        for worker in self.workers_by_id.values():
-            for task in list(worker.tasks_by_key.values()):
-                if task.state != "running":
-                    continue
-                if self.is_stuck(task, worker, now):
-                    self.blame(worker.facts.worker_id, task, now)
-                    self.stop(task, "no_progress")
-                elif is_slow(worker) and pays_to_restart(task, self.speeds):
-                    task.stage.restarts += 1
-                    self.stop(task, "slow_worker")
-                    self.stop_gang(task.stage, task.run)
+    def supervise(self, now: float) -> None:
+        """Stop runs that are stuck, far too slow, or on leaving workers."""
+        workers = list(self.workers_by_id.values())
+        for task, reason, blames_worker in interventions(workers, self.speeds, now):
+            if blames_worker:
+                self.blame(task.worker_id, task, now)
+            if reason == "slow_worker":
+                task.stage.restarts += 1
+            self.stop(task, reason)
+            self.stop_gang(task.stage, task.run)
 
     def adopt_run(
         self, key: TaskKey, run: int, worker_id: str, started: bool, now: float
@@ -336,6 +335,10 @@
                 event = "give_up" if state is WorkflowState.FAILED else "withdraw"
                 task.state = TASK_CHART.step("waiting", event).target
 
+    def forget(self, workflow_id: str) -> None:
+        """Drop an ended workflow whose records are removed."""
+        self.workflows_by_id.pop(workflow_id, None)
+
     def queue_length(self, queue: str) -> int:
         """Return the accepted workflows of a queue without a started task."""
         return sum(
@@ -353,7 +356,6 @@
             return None
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
-            worker.successes += 1
             worker.failures = 0
         if current and task.state == "running":
             self.speeds.note_end(task, now)
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -1,10 +1,10 @@
 """Where the tasks of a step run, and what makes room for them."""
 
 import abc
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from .model import NOTHING, Resources
+from .model import Resources
 from .speeds import SpeedBook, is_slow
 from .state import Stage, Task, Worker, room_taken
 
@@ -133,11 +133,14 @@
     """Return the expected seconds until a run ends."""
     if task.state == "stopping":
         return 0.1
-    estimate = book.expected_s(task.stage)
-    spent = max(now - task.started_at, 0.0)
-    if task.percent >= 5 and spent > 0.3:
-        return max(spent * (100 - task.percent) / task.percent, 0.05)
-    return max(estimate - spent, 0.1 * estimate)
+    unseen_s = now - task.reported_at
+    share_left = (100 - task.percent) / 100
+    worked_s = task.reported_at - task.started_at
+    # A resumed run begins above 0 percent, so its progress shows no speed.
+    if task.run_resumed or task.percent < 5 or worked_s < 0.3:
+        estimate = book.expected_s(task.stage) * share_left
+        return max(estimate - unseen_s, 0.1 * estimate)
+    return max(worked_s * 100 / task.percent * share_left - unseen_s, 0.05)
 
 
 def stop_cost(task: Task, now: float) -> float:
@@ -154,39 +157,54 @@
 def _fitting(free: Resources, demand: Resources, most: int) -> int:
     """Return how many times ``demand`` fits into ``free``, up to ``most``."""
     count = most
-    for have, need in zip(free, demand, strict=True):
-        if have < 0 and need:
-            return 0
-        if need > 0:
+    # Accelerators come first, as they are the scarcest.
+    for have, need in zip(reversed(free), reversed(demand), strict=True):
+        if need:
             count = min(count, have // need)
-    return max(count, 0)
+            if count <= 0:
+                return 0
+    return count
 
 
-def eligible(stage: Stage, workers: Iterable[Worker], now: float) -> list[Worker]:
-    """Return the workers that may run a step's tasks."""
-    spec = stage.spec
-    pool = stage.workflow.workflow.policy.pool
-    label = spec.worker_label
-    usable = [
+def usable_workers(
+    pool: str, label: str, workers: Iterable[Worker], now: float
+) -> list[Worker]:
+    """Return the workers of a pool that have a label and take new runs."""
+    return [
         worker
         for worker in workers
         if worker.facts.pool == pool
         and (not label or label in worker.facts.labels)
         and worker.usable(now)
     ]
-    if not stage.workflow.workflow.policy.advised:
+
+
+def eligible(stage: Stage, usable: list[Worker], now: float) -> list[Worker]:
+    """Return the usable workers that may run a step's tasks.
+
+    A step with failed runs has few attempts left, so it goes to workers that
+    are not suspected to cause failures, as long as there are enough.
+    """
+    if stage.workflow.workflow.policy.advised:
+        usable = [worker for worker in usable if _permitted(stage, worker, now)]
+    if not any(task.failures for task in stage.tasks):
         return usable
-    return [worker for worker in usable if _permitted(stage, worker, now)]
+    failed = set().union(*(task.failed_workers for task in stage.tasks))
+    trusted = [
+        worker
+        for worker in usable
+        if worker.facts.worker_id not in failed and not worker.is_suspect(now)
+    ]
+    needed = len(stage.tasks) if stage.spec.gang else 1
+    return trusted if fits_when_empty(stage, needed, trusted) else usable
 
 
-def unadvised(stage: Stage, workers: Iterable[Worker], now: float) -> list[Worker]:
+def unadvised(stage: Stage, usable: list[Worker], now: float) -> list[Worker]:
     """Return usable workers that the advice service may still allow."""
     return [
         worker
-        for worker in workers
-        if worker.facts.pool == stage.workflow.workflow.policy.pool
-        and worker.usable(now)
-        and worker.facts.worker_id not in stage.denied_workers
+        for worker in usable
+        if worker.facts.worker_id not in stage.denied_workers
         and not _permitted(stage, worker, now)
     ]
 
@@ -197,7 +215,11 @@
 
 
 def choose(
-    stage: Stage, tasks: list[Task], workers: list[Worker], source: RoomSource
+    stage: Stage,
+    tasks: list[Task],
+    workers: list[Worker],
+    source: RoomSource,
+    now: float,
 ) -> list[Slot]:
     """Choose slots for tasks of one step, at most one for each task.
 
@@ -213,9 +235,9 @@
         if found:
             by_rack.setdefault(worker.facts.rack, []).extend(found)
     if spec.gang and spec.same_rack and len(tasks) > 1:
-        return _within_rack(stage, len(tasks), by_rack, workers)
+        return _within_rack(stage, len(tasks), by_rack, workers, now)
     slots = [slot for found in by_rack.values() for slot in found]
-    slots.sort(key=lambda slot: _preference(slot, spec.data_rack, demand))
+    slots.sort(key=_preference(spec.data_rack, demand, now))
     chosen = slots[: len(tasks)]
     if spec.gang and len(chosen) < len(tasks):
         return []
@@ -223,20 +245,26 @@
 
 
 def _within_rack(
-    stage: Stage, count: int, by_rack: dict[str, list[Slot]], workers: list[Worker]
+    stage: Stage,
+    count: int,
+    by_rack: dict[str, list[Slot]],
+    workers: list[Worker],
+    now: float,
 ) -> list[Slot]:
     spec = stage.spec
     demand = room_taken(spec)
+    preference = _preference("", demand, now)
     best: list[Slot] = []
     best_key: tuple | None = None
     for rack, found in by_rack.items():
         if len(found) < count:
             continue
-        found.sort(key=lambda slot: _preference(slot, "", demand))
+        found.sort(key=preference)
         chosen = found[:count]
         key = (
             rack != spec.data_rack if spec.data_rack else False,
             sum(is_slow(slot.worker) for slot in chosen),
+            sum(slot.worker.is_suspect(now) for slot in chosen),
             max(slot.at for slot in chosen),
             sum(slot.cost for slot in chosen),
             len(found),
@@ -285,25 +313,31 @@
     return max(min(wanted, limit - present), 0)
 
 
-def _preference(slot: Slot, data_rack: str, demand: Resources) -> tuple:
+def _preference(
+    data_rack: str, demand: Resources, now: float
+) -> Callable[[Slot], tuple]:
+    """Return the sort key of slots; workers repeat, so keys are kept."""
+    keys: dict[int, tuple] = {}
+
+    def key(slot: Slot) -> tuple:
+        known = keys.get(id(slot))
+        if known is None:
+            known = keys[id(slot)] = _rate(slot, data_rack, demand, now)
+        return known
+
+    return key
+
+
+def _rate(slot: Slot, data_rack: str, demand: Resources, now: float) -> tuple:
     worker = slot.worker
-    away = bool(data_rack) and worker.facts.rack != data_rack
     left = worker.free.minus(demand)
     return (
-        away,
+        bool(data_rack) and worker.facts.rack != data_rack,
         is_slow(worker),
+        worker.is_suspect(now),
         slot.cost > 0,
         slot.at,
         slot.cost,
-        worker.failures > worker.successes,
         left.accelerators,
         left.memory_mb,
     )
-
-
-def total_demand(tasks: Iterable[Task]) -> Resources:
-    """Return the room that tasks take together."""
-    total = NOTHING
-    for task in tasks:
-        total = total.plus(room_taken(task.stage.spec))
-    return total
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .model import Resources
 from .ordering import (
     SlackOrder,
     StageOrder,
@@ -19,6 +20,7 @@
     eligible,
     fits_when_empty,
     unadvised,
+    usable_workers,
 )
 from .speeds import SpeedBook
 from .state import Stage, Task, Worker, WorkflowProgress, room_taken
@@ -91,7 +93,7 @@
         """See base class."""
         active = list(progress)
         for worker in workers:
-            worker.claimed = worker.claimed._make((0, 0, 0))
+            worker.clear_claims()
         entitled = entitled_organisations(active, guaranteed_by_organisation)
         stages = ready_stages(active, now, wall)
         ranks = {id(stage): rank(stage, entitled) for stage in stages}
@@ -122,16 +124,21 @@
         self._book = book
         self._now = now
         self._claims = 0
+        self._usable_by_kind: dict[tuple[str, str], list[Worker]] = {}
+        self._missing_by_pool: dict[str, list[tuple[Resources, int]]] = {}
 
     def place(self, stage: Stage, stage_rank: int) -> None:
         waiting = waiting_tasks(stage)
-        candidates = eligible(stage, self._workers, self._now)
-        if waiting and stage.workflow.workflow.policy.advised:
-            self._ask(stage, len(waiting), candidates)
-        if not waiting or not candidates:
+        if not waiting:
+            return
+        usable = self._usable(stage)
+        candidates = eligible(stage, usable, self._now)
+        if stage.workflow.workflow.policy.advised:
+            self._ask(stage, len(waiting), candidates, usable)
+        if not candidates:
             return
         near = self._near_data(stage, candidates)
-        slots = choose(stage, waiting, near, IdleRoom())
+        slots = self._choose_idle(stage, waiting, near)
         self._start(stage, waiting, slots)
         rest = waiting[len(slots) :]
         if not rest:
@@ -145,11 +152,46 @@
             if stage.spec.gang and not fits_when_empty(stage, len(rest), candidates):
                 return
             self._claims += 1
-            self._claim(
-                stage, choose(stage, rest, near, ReleasedRoom(self._now, self._book))
-            )
+            released = ReleasedRoom(self._now, self._book)
+            self._claim(stage, choose(stage, rest, near, released, self._now))
+
+    def _usable(self, stage: Stage) -> list[Worker]:
+        kind = (stage.workflow.workflow.policy.pool, stage.spec.worker_label)
+        if kind not in self._usable_by_kind:
+            self._usable_by_kind[kind] = usable_workers(*kind, self._workers, self._now)
+        return self._usable_by_kind[kind]
+
+    def _choose_idle(
+        self, stage: Stage, waiting: list[Task], workers: list[Worker]
+    ) -> list[Slot]:
+        """Choose idle room; room only shrinks within a pass.
+
+        What did not fit once is not looked for again, which bounds the cost
+        of a pass while many steps wait.
+        """
+        demand = room_taken(stage.spec)
+        count = len(waiting) if stage.spec.gang else 1
+        pool = stage.workflow.workflow.policy.pool
+        for missing, missing_count in self._missing_by_pool.get(pool, ()):
+            if demand.covers(missing) and count >= missing_count:
+                return []
+        slots = choose(stage, waiting, workers, IdleRoom(), self._now)
+        unrestricted = (
+            workers is self._usable_by_kind.get((pool, ""))
+            and not stage.spec.same_rack
+            and not stage.spec.worker_limit
+        )
+        if not slots and unrestricted:
+            self._missing_by_pool.setdefault(pool, []).append((demand, count))
+        return slots
 
-    def _ask(self, stage: Stage, wanted: int, permitted: list[Worker]) -> None:
+    def _ask(
+        self,
+        stage: Stage,
+        wanted: int,
+        permitted: list[Worker],
+        usable: list[Worker],
+    ) -> None:
         """Ask about a few likely workers; each one named costs time."""
         if stage.question_open:
             return
@@ -158,7 +200,7 @@
         roomy = [w for w in permitted if w.free.covers(demand)]
         if len(roomy) >= min(wanted, ADVICE_LEAST):
             return
-        asked = unadvised(stage, self._workers, self._now)
+        asked = unadvised(stage, usable, self._now)
         asked.sort(key=lambda w: (not w.free.covers(demand), -w.free.accelerators))
         if asked:
             names = tuple(worker.facts.worker_id for worker in asked[:most])
@@ -188,9 +230,9 @@
         source: RoomSource,
     ) -> None:
         near = self._near_data(stage, candidates)
-        slots = choose(stage, rest, near, source)
+        slots = choose(stage, rest, near, source, self._now)
         if len(slots) < len(rest) and near is not candidates:
-            slots = choose(stage, rest, candidates, source) or slots
+            slots = choose(stage, rest, candidates, source, self._now) or slots
         for slot in slots:
             for victim in slot.victims:
                 self._stop(victim)
@@ -206,7 +248,7 @@
     def _claim(self, stage: Stage, slots: list[Slot]) -> None:
         demand = room_taken(stage.spec)
         for slot in slots:
-            slot.worker.claimed = slot.worker.claimed.plus(demand)
+            slot.worker.claim(demand)
 
     def _start(self, stage: Stage, tasks: list[Task], slots: list[Slot]) -> None:
         """Note starts and count them as claims within this pass."""
--- a/src/redwingrudder/workflows/run_book.py
+++ b/src/redwingrudder/workflows/run_book.py
@@ -12,13 +12,13 @@
     TaskKey,
 )
 from .pacing import FULL_PACE
+from .speeds import SpeedBook
 from .state import (
     TASK_CHART,
     Stage,
     Task,
     Worker,
     WorkflowProgress,
-    room_taken,
 )
 
 # Runs of one term; a successor numbers its runs above all that this term can
@@ -27,9 +27,6 @@
 # Failures in a row after which a worker gets no work for a while.
 QUARANTINE_FAILURES = 2
 QUARANTINE_S = 4.0
-# A run whose progress stands still this long is stuck; a run that is six
-# times slower than usual still gains a percent a second.
-STUCK_S = 3.0
 
 _logger = logging.getLogger(__name__)
 
@@ -41,6 +38,7 @@
         dirty: Ids of workflows whose progress differs from its record.
         effects: What is to be carried out.
         term: Number of the coordinator's term.
+        speeds: Expected run times.
     """
 
     def __init__(self) -> None:
@@ -49,6 +47,7 @@
         self.dirty: set[str] = set()
         self.effects: list[Effect] = []
         self.term = 1
+        self.speeds = SpeedBook()
         self._actions: dict[str, Callable[[Task], None]] = {
             "occupy": self._occupy,
             "release": self._release,
@@ -183,12 +182,6 @@
             keeper = task.stage.tasks[0] if task.stage.spec.gang else task
             keeper.checkpoint = checkpoint
 
-    def is_stuck(self, task: Task, worker: Worker, now: float) -> bool:
-        """A gang's member that is ready waits for the slower ones."""
-        if task.stage.spec.service or not worker.reachable or task.percent >= 100:
-            return False
-        return task.reported_at - task.progressed_at > STUCK_S
-
     def blame(self, worker_id: str, task: Task, now: float) -> None:
         """Count a failure against a worker unless the task fails anywhere."""
         worker = self.workers_by_id.get(worker_id)
@@ -197,6 +190,7 @@
         if task.stage.spec.service:
             return
         worker.failures += 1
+        worker.failed_at = now
         if worker.failures >= QUARANTINE_FAILURES:
             worker.quarantined_until = now + QUARANTINE_S
             _logger.warning(
@@ -212,14 +206,12 @@
         return max(last, (self.term - 1) * RUNS_PER_TERM) + 1
 
     def _occupy(self, task: Task) -> None:
-        worker = self.workers_by_id[task.worker_id]
-        worker.tasks_by_key[task.key] = task
-        worker.used = worker.used.plus(room_taken(task.stage.spec))
+        self.workers_by_id[task.worker_id].add(task)
 
     def _release(self, task: Task) -> None:
         worker = self.workers_by_id.get(task.worker_id)
-        if worker is not None and worker.tasks_by_key.pop(task.key, None) is not None:
-            worker.used = worker.used.minus(room_taken(task.stage.spec))
+        if worker is not None:
+            worker.remove(task)
 
     def _count_failure(self, task: Task) -> None:
         """Count a failed run; of a gang once, with its first member."""
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -1,5 +1,6 @@
 """Mutable state of the engine: tasks, steps, workflows and workers."""
 
+import math
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -31,6 +32,9 @@
     ),
     frozenset({"occupy", "release", "count_failure"}),
 )
+# For this long after a failure without a success, a worker gets runs last.
+# Above the time for which failing workers were seen to fail, some 7 s.
+SUSPECT_S = 8.0
 PLACED_STATES = frozenset({"starting", "running", "stopping"})
 
 
@@ -217,41 +221,96 @@
 
 
 class Worker:
-    """A worker, what it runs and how it behaves."""
+    """A worker, what it runs and how it behaves.
+
+    Attributes:
+        free: Room that is neither used nor claimed for a waiting step.
+        failures: Failed runs since the last run that was done here.
+        failed_at: Steady-clock seconds of the newest of them.
+        leaves_at: Steady-clock seconds until which a draining worker surely
+            stays, infinite for one that does not drain.
+    """
 
     __slots__ = (
-        "claimed",
-        "facts",
+        "_claimed",
+        "_facts",
+        "_used",
+        "failed_at",
         "failures",
+        "free",
+        "leaves_at",
         "listed",
         "paced_at",
         "quarantined_until",
         "reachable",
         "speed",
         "speed_at",
-        "successes",
         "tasks_by_key",
-        "used",
     )
 
     def __init__(self, facts: WorkerFacts) -> None:
-        self.facts = facts
+        self._facts = facts
+        self._used = NOTHING
+        self._claimed = NOTHING
+        self.free = facts.capacity
         self.tasks_by_key: dict[TaskKey, Task] = {}
-        self.used = NOTHING
-        self.claimed = NOTHING
         self.listed = True
         self.reachable = True
         self.failures = 0
-        self.successes = 0
+        self.failed_at = 0.0
         self.quarantined_until = 0.0
+        self.leaves_at = math.inf
         self.speed = 1.0
         self.speed_at = 0.0
         self.paced_at = 0.0
 
     @property
-    def free(self) -> Resources:
-        """What is neither used nor claimed for a waiting step."""
-        return self.facts.capacity.minus(self.used).minus(self.claimed)
+    def facts(self) -> WorkerFacts:
+        """What the registry says."""
+        return self._facts
+
+    @facts.setter
+    def facts(self, facts: WorkerFacts) -> None:
+        self._facts = facts
+        self._count_free()
+
+    def add(self, task: Task) -> None:
+        """Take room for a run."""
+        self.tasks_by_key[task.key] = task
+        self._used = self._used.plus(room_taken(task.stage.spec))
+        self._count_free()
+
+    def remove(self, task: Task) -> None:
+        """Give the room of a run back, if it has any."""
+        if self.tasks_by_key.pop(task.key, None) is not None:
+            self._used = self._used.minus(room_taken(task.stage.spec))
+            self._count_free()
+
+    def claim(self, amount: Resources) -> None:
+        """Keep room for a step that waits, until the next planning pass."""
+        self._claimed = self._claimed.plus(amount)
+        self._count_free()
+
+    def clear_claims(self) -> None:
+        """Drop the claims of the last planning pass."""
+        if self._claimed is not NOTHING:
+            self._claimed = NOTHING
+            self._count_free()
+
+    def _count_free(self) -> None:
+        # Planning reads this for each worker and step, so it is kept.
+        self.free = self._facts.capacity.minus(self._used).minus(self._claimed)
+
+    def note_drain(self, now: float) -> None:
+        """Take over from the facts how long the worker stays."""
+        if not self.facts.draining:
+            self.leaves_at = math.inf
+        elif math.isinf(self.leaves_at):
+            self.leaves_at = now + self.facts.remaining_s
+
+    def is_suspect(self, now: float) -> bool:
+        """Return whether the newest run that ended here failed, lately."""
+        return self.failures > 0 and now - self.failed_at < SUSPECT_S
 
     def usable(self, now: float) -> bool:
         """Return whether new runs may be sent here."""
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -146,7 +146,7 @@
         for now in range(1, 12):
             engine.report(first.worker_id, [fx.running(first, 100.0)], float(now))
             engine.report(second.worker_id, [fx.running(second, now * 3.0)], float(now))
-            engine.stop_stuck(float(now))
+            engine.supervise(float(now))
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
 
@@ -200,9 +200,43 @@
         fx.confirm(engine, [start])
         for now in (1.0, 2.0, 3.0, 4.5):
             engine.report("w1", [fx.running(start, 7.0)], now)
-            engine.stop_stuck(now)
+            engine.supervise(now)
         self.assertEqual([s.key for s in fx.stops(engine.take_effects())], [start.key])
 
+    def test_long_run_is_not_stuck_between_two_percents(self):
+        """Guards against stops of runs that take hours."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow("job", fx.step(estimate_s=7200.0)), 0.0)
+        start = fx.starts(engine.plan(0.0, 0.0))[0]
+        fx.confirm(engine, [start])
+        for now in (1.0, 30.0, 60.0):
+            engine.report("w1", [fx.running(start, 0.0)], now)
+            engine.supervise(now)
+        self.assertEqual(fx.stops(engine.take_effects()), [])
+
+    def test_last_attempt_waits_for_a_sound_worker(self):
+        """Guards against attempts that are used up on a worker that fails."""
+        engine = fx.engine()
+        for name in ("a", "b"):
+            engine.accept(fx.workflow(name, fx.step(1, fx.WHOLE_WORKER)), 0.0)
+        first, other = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, (first, other))
+        end = fx.ended(first, EndKind.FAILED)
+        engine.end(first.worker_id, end, 0.1)
+        self.assertEqual(fx.starts(engine.plan(0.2, 0.2)), [])
+        engine.end(other.worker_id, fx.ended(other), 1.0)
+        again = fx.starts(engine.plan(1.0, 1.0))
+        self.assertEqual([s.worker_id for s in again], [other.worker_id])
+
+    def test_suspect_worker_is_used_when_there_is_no_other(self):
+        """Guards against a job that waits for ever after a failure."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow(), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        engine.end("w1", fx.ended(begun[0], EndKind.FAILED), 0.1)
+        self.assertEqual(len(fx.starts(engine.plan(0.2, 0.2))), 1)
+
     def test_run_that_is_not_listed_after_a_takeover_starts_again(self):
         """Guards against a recorded run that was never sent."""
         engine = fx.engine(fx.worker("w1"))
@@ -226,7 +260,7 @@
         fx.confirm(engine, begun)
         for start, percent in zip(begun, (20.0, 20.0, 3.0), strict=True):
             engine.report(start.worker_id, [fx.running(start, percent)], 1.0)
-        engine.stop_stuck(1.0)
+        engine.supervise(1.0)
         self.assertEqual(len(fx.stops(engine.take_effects())), 3)
         for number, start in enumerate(begun, 1):
             end = fx.ended(start, EndKind.STOPPED, number)
@@ -243,7 +277,7 @@
         fx.confirm(engine, begun)
         for start, percent in zip(begun, (20.0, 25.0, 16.0), strict=True):
             engine.report(start.worker_id, [fx.running(start, percent)], 1.0)
-        engine.stop_stuck(1.0)
+        engine.supervise(1.0)
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
     def test_long_job_stays_on_a_sound_worker(self):
@@ -261,10 +295,47 @@
         begun = fx.starts(engine.plan(3.0, 3.0))
         fx.confirm(engine, begun, 3.0)
         engine.report(begun[0].worker_id, [fx.running(begun[0], 16.0)], 4.0)
-        engine.stop_stuck(4.0)
+        engine.supervise(4.0)
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
 
+class EvacuationTests(unittest.TestCase):
+    """Runs on workers that drain."""
+
+    def evacuated(self, percent, remaining_s=2.0):
+        """Return the stops after 1 s of work on a worker that leaves."""
+        engine = fx.engine()
+        engine.accept(fx.workflow("job", fx.step(2)), 1.0)
+        begun = fx.starts(engine.plan(1.0, 1.0))
+        fx.confirm(engine, begun, 1.0)
+        for start in begun:
+            engine.report(start.worker_id, [fx.running(start, percent)], 2.0)
+        leaving = fx.worker(begun[0].worker_id, draining=True, remaining_s=remaining_s)
+        engine.set_worker(leaving, 2.0)
+        engine.supervise(2.0)
+        return fx.stops(engine.take_effects()), leaving.worker_id
+
+    def test_run_that_outlasts_its_worker_moves(self):
+        """Guards against work that is lost when its worker leaves."""
+        stopped, worker_id = self.evacuated(10.0)
+        self.assertTrue(stopped)
+        self.assertEqual({stop.worker_id for stop in stopped}, {worker_id})
+
+    def test_run_that_ends_in_time_stays(self):
+        """Guards against work thrown away although its worker still stays."""
+        self.assertEqual(self.evacuated(50.0)[0], [])
+
+    def test_new_life_does_not_leave(self):
+        """Guards against a drain that outlives its worker's life."""
+        engine = fx.engine()
+        engine.set_worker(fx.worker("w1", draining=True, remaining_s=1.0), 0.0)
+        engine.set_worker(fx.worker("w1", born_ms=2), 5.0)
+        engine.set_worker(
+            fx.worker("w1", born_ms=2, draining=True, remaining_s=9.0), 6.0
+        )
+        self.assertEqual(engine.workers_by_id["w1"].leaves_at, 15.0)
+
+
 class AdviceTests(unittest.TestCase):
     """Queues whose policy allows only some workers."""
 
