--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -8,16 +8,17 @@
 from .._background import run
 from .._store_requests import KeyValue
 from ..actors import Actor, ActorSystem, Handler
-from ..exceptions import RedwingrudderError, UnavailableError
+from ..exceptions import RedwingrudderError
 from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 from ..workflows.engine import Engine
-from ..workflows.model import AskAdvice, Effect, StartRun, TaskKey, WorkflowState
+from ..workflows.model import AskAdvice, Effect, StartRun, WorkflowState
 from .gateways import (
+    ADVISOR,
+    CANCEL_SUFFIX,
     COORDINATOR,
     INTAKE_PREFIX,
     LEADERSHIP,
     NEIGHBOURS,
-    AdviceService,
     Change,
     ChannelFactory,
     RegistryCodec,
@@ -46,18 +47,21 @@
 from .progress_writer import ProgressWriter
 from .recorder import Recorder
 from .recovery import (
-    CANCEL_SUFFIX,
     accept_stored,
     cancel_all,
     read_state,
     restore_all,
     workflow_id_of,
 )
+from .retention import RecordRetention
 from .watching import follow
 from .worker_session import pause
 from .worker_table import WorkerTable
 
 PLAN_DELAY_S = 0.005  # collects events that arrive together
+# Pause after a planning pass, as a multiple of what the pass took: under load
+# at most a third of the node's time goes into planning.
+PLAN_PAUSE_FACTOR = 2.0
 TICK_S = 0.2
 RETRY_S = 0.25
 
@@ -72,6 +76,7 @@
     recorder: Recorder
     workers: WorkerTable
     writer: ProgressWriter
+    retention: RecordRetention
 
 
 class Coordinator(Actor):
@@ -82,7 +87,7 @@
         registry: Reads the workers' entries.
         channels: Opens connections to workers.
         longest_lease_s: Longest lease that workers accept.
-        advice: Service that permits starts of some queues.
+        keep_ended_s: Seconds for which ended workflows can be asked for.
     """
 
     def __init__(
@@ -91,17 +96,18 @@
         registry: RegistryCodec,
         channels: ChannelFactory,
         longest_lease_s: float,
-        advice: AdviceService | None = None,
+        keep_ended_s: float,
     ) -> None:
         self._registry = registry
         self._channels = channels
         self._lease_s = longest_lease_s
-        self._advice = advice
+        self._keep_ended_s = keep_ended_s
         self._term: _Term | None = None
         self._ready = False
         self._confirmed_until = 0.0
         self._may_act = True
         self._plan_scheduled = False
+        self._plan_pause_s = PLAN_DELAY_S
         self._guaranteed: dict[str, int] = {}
         # Time of day less the steady clock.
         self._wall_offset = time.time() - system.clock.seconds()
@@ -157,7 +163,8 @@
             self.system, engine, self._registry, self._channels, self._lease_s
         )
         writer = ProgressWriter(self.system, engine, recorder, workers, self._deposed)
-        return _Term(message.term, engine, recorder, workers, writer)
+        retention = RecordRetention(self.system, engine, recorder, self._keep_ended_s)
+        return _Term(message.term, engine, recorder, workers, writer, retention)
 
     async def _recover(self, term: _Term) -> None:
         state = await read_state(self.ask, self._registry.prefix)
@@ -347,9 +354,10 @@
         run(self._check_authority(), self.name)
         run(self._read_time_of_day(), self.name)
         now = self.system.clock.seconds()
-        self._term.engine.stop_stuck(now)
+        self._term.engine.supervise(now)
         self._term.engine.pace(now)
         self._term.workers.sweep()
+        self._term.retention.sweep(now)
         self._plan_soon()
 
     async def _read_time_of_day(self) -> None:
@@ -359,7 +367,7 @@
     def _plan_soon(self) -> None:
         if self._ready and not self._plan_scheduled:
             self._plan_scheduled = True
-            self.system.clock.callLater(PLAN_DELAY_S, self._plan)
+            self.system.clock.callLater(self._plan_pause_s, self._plan)
 
     def _plan(self) -> None:
         self._plan_scheduled = False
@@ -374,31 +382,17 @@
         for effect in effects:
             self._carry_out(effect)
         self._term.writer.write_soon()
+        spent_s = self.system.clock.seconds() - now
+        self._plan_pause_s = max(PLAN_DELAY_S, PLAN_PAUSE_FACTOR * spent_s)
 
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, StartRun):
             self._term.writer.add_start(effect)
         elif isinstance(effect, AskAdvice):
-            run(self._ask_advice(effect), self.name)
+            self.tell(ADVISOR, effect)
         else:
             self._term.workers.send(effect)
 
-    async def _ask_advice(self, question: AskAdvice) -> None:
-        asked_at = self.system.clock.seconds()
-        advice = None
-        step = TaskKey(question.workflow_id, question.occurrence, question.step, 0)
-        try:
-            if self._advice is None:
-                raise UnavailableError("no advice service is configured")
-            advice = await self._advice.ask(step, question.worker_ids)
-        except RedwingrudderError as error:
-            _logger.info(
-                "advice unanswered",
-                extra={"job": question.workflow_id, "error": str(error)},
-            )
-            await pause(self.system.clock, RETRY_S)
-        self.tell(COORDINATOR, AdviceGiven(question, advice, asked_at))
-
     def _advice_given(self, message: AdviceGiven) -> None:
         if not self._ready:
             return
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -20,9 +20,11 @@
 NEIGHBOURS = "neighbours"
 LEADERSHIP = "leadership"
 COORDINATOR = "coordinator"
+ADVISOR = "advisor"
 INTAKE = "intake"
 
 INTAKE_PREFIX = "intake/"
+CANCEL_SUFFIX = "/cancel"
 PROGRESS_PREFIX = "progress/"
 NODES_PREFIX = "node/"
 COORDINATOR_KEY = "coordination/holder"
@@ -247,6 +249,12 @@
         """Return a channel; connections open with the first command."""
 
 
+def intake_keys(workflow_id: str) -> tuple[str, str]:
+    """Return the keys of a submission and of its cancellation."""
+    key = INTAKE_PREFIX + workflow_id
+    return key, key + CANCEL_SUFFIX
+
+
 def not_coordinator() -> UnavailableError:
     """Return the error of a node that is asked but does not lead."""
     return UnavailableError(
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -15,12 +15,14 @@
 from ..workflows import records
 from ..workflows.model import WorkflowState
 from .gateways import (
+    CANCEL_SUFFIX,
     COORDINATOR,
     INTAKE,
     INTAKE_PREFIX,
     NEIGHBOURS,
     PROGRESS_PREFIX,
     STORE,
+    intake_keys,
 )
 from .leadership import Identity
 from .messages import (
@@ -198,14 +200,14 @@
 
     async def _store_cancel(self, workflow_id: str, deadline: float) -> bool:
         """Store a cancellation; it is the same however often it is written."""
-        key = INTAKE_PREFIX + workflow_id
+        key, cancel_key = intake_keys(workflow_id)
         while True:
             try:
                 item: KeyValue | None = await self.ask(STORE, GetKey(key))
                 if item is None:
                     return False
                 compare = Compare(key, item.mod_revision)
-                put = PutKey(key + "/cancel", str(time.time()))
+                put = PutKey(cancel_key, str(time.time()))
                 await self.ask(STORE, Transact((compare,), (put,)))
                 return True
             except OutcomeUnknownError:
@@ -242,7 +244,7 @@
         if item is not None:
             record = records.decode_progress(workflow_id, item.value.encode())
             state = record.state
-        cancelled = any(pair.key.endswith("/cancel") for pair in reply.pairs)
+        cancelled = any(pair.key.endswith(CANCEL_SUFFIX) for pair in reply.pairs)
         if cancelled and state in (WorkflowState.QUEUED, WorkflowState.RUNNING):
             return WorkflowState.CANCELLED
         return state
--- a/src/redwingrudder/coordination/neighbours.py
+++ b/src/redwingrudder/coordination/neighbours.py
@@ -8,12 +8,19 @@
 
 from .._background import run
 from .._peer_wire import PeerServerFactory
-from .._store_requests import GetPrefix, PutKey, Transact
+from .._store_requests import (
+    GetPrefix,
+    GrantLease,
+    KeepLeaseAlive,
+    PutKey,
+    RevokeLease,
+    Transact,
+)
 from .._wire.generated.coordination import CoordinationService
 from .._wire.generated.coordination.ttypes import WireNodeSummary
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import RedwingrudderError, UnavailableError
-from ..timers import TIMERS, Subscribe, TimerFired
+from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 from .gateways import (
     CONFIGURATION,
     INTAKE,
@@ -27,6 +34,7 @@
     ConfigurationInForce,
     CoordinatorKnown,
     CoordinatorSilent,
+    Drain,
     NodeSummary,
     OfferConfigurationDocument,
     StoreAvailability,
@@ -36,8 +44,17 @@
 EXCHANGE_S = 0.5
 EXCHANGE_FANOUT = 2  # random neighbours beside the coordinator
 CALL_TIMEOUT_S = 0.6
+# All nodes together exchange this often with the coordinator, so that its
+# load does not grow with their number.
+COORDINATOR_EXCHANGES_PER_S = 40.0
 DISCOVERY_S = 5.0
+# All nodes together read the list of nodes this often, a hundredth of the
+# reads that the platform's stores serve.
+DISCOVERIES_PER_S = 20.0
 FIRST_DISCOVERY_S = 1.0
+# A node that is gone for good leaves the list after this time; several times
+# the interval between two discoveries at the largest size.
+NODE_LEASE_S = 300.0
 FRESH_S = 2.0  # age up to which a summary counts
 FORGET_S = 30.0  # without an exchange
 
@@ -116,7 +133,8 @@
         self._version = 0
         self._coordinator = CoordinatorKnown("", "", 0)
         self._store_available = False
-        self._registered = False
+        self._lease = 0
+        self._draining = False
         self._port: Any = None
         super().__init__(system, NEIGHBOURS)
 
@@ -130,6 +148,7 @@
             CallNeighbour: self._call,
             ListNeighbours: lambda _: self._view(),
             GetTimeOfDay: lambda _: self._time_of_day(),
+            Drain: lambda _: run(self._unregister(), self.name) and None,
         }
 
     def start(self) -> None:
@@ -171,30 +190,50 @@
 
     async def _discover(self) -> None:
         """Register this node and read the others."""
-        delay_s = DISCOVERY_S if self._registered else FIRST_DISCOVERY_S
+        delay_s = FIRST_DISCOVERY_S
         try:
-            if not self._registered:
-                key = NODES_PREFIX + self._identity.node_id
-                await self.ask(
-                    STORE, Transact((), (PutKey(key, self._identity.address),))
-                )
-                self._registered = True
+            await self._register()
+            known = len(self._summaries_by_id) + 1
+            delay_s = max(DISCOVERY_S, known / DISCOVERIES_PER_S)
             reply = await self.ask(STORE, GetPrefix(NODES_PREFIX))
             for pair in reply.pairs:
-                node_id = pair.key.removeprefix(NODES_PREFIX)
-                if node_id != self._identity.node_id:
-                    self._summaries_by_id.setdefault(
-                        node_id,
-                        (
-                            self._reactor.seconds() - FRESH_S,
-                            NodeSummary(
-                                node_id, pair.value, "", 0, "", "", 0, False, 0
-                            ),
-                        ),
-                    )
+                self._note_listed(pair.key.removeprefix(NODES_PREFIX), pair.value)
         except RedwingrudderError as error:
             _logger.info("discovery failed", extra={"error": str(error)})
-        self.tell(TIMERS, Subscribe(self.name, "discover", delay_s))
+        if not self._draining:
+            self.tell(TIMERS, Subscribe(self.name, "discover", delay_s))
+
+    def _note_listed(self, node_id: str, address: str) -> None:
+        """Take a listed node as known but not heard of."""
+        if node_id != self._identity.node_id:
+            heard_at = self._reactor.seconds() - FRESH_S
+            unheard = NodeSummary(node_id, address, "", 0, "", "", 0, False, 0)
+            self._summaries_by_id.setdefault(node_id, (heard_at, unheard))
+
+    async def _register(self) -> None:
+        """Write this node's entry, or renew the lease that it is under."""
+        if self._lease:
+            if await self.ask(STORE, KeepLeaseAlive(self._lease)):
+                return
+            _logger.warning("registration has lapsed", extra={"lease": self._lease})
+            self._lease = 0
+        lease = await self.ask(STORE, GrantLease(NODE_LEASE_S))
+        key = NODES_PREFIX + self._identity.node_id
+        await self.ask(
+            STORE, Transact((), (PutKey(key, self._identity.address, lease),))
+        )
+        self._lease = lease
+
+    async def _unregister(self) -> None:
+        """Remove this node's entry; without an answer, its lease ends it."""
+        self._draining = True
+        lease, self._lease = self._lease, 0
+        self.tell(TIMERS, Unsubscribe(self.name, "discover"))
+        if lease:
+            try:
+                await self.ask(STORE, RevokeLease(lease))
+            except RedwingrudderError as error:
+                _logger.info("registration not ended", extra={"error": str(error)})
 
     async def _exchange_all(self) -> None:
         now = self._reactor.seconds()
@@ -204,7 +243,12 @@
         others = [entry.address for _, entry in self._summaries_by_id.values()]
         chosen = set(self._random.sample(others, min(EXCHANGE_FANOUT, len(others))))
         coordinator = self._coordinator.address
-        if coordinator and coordinator != self._identity.address:
+        share = COORDINATOR_EXCHANGES_PER_S * EXCHANGE_S / (len(others) + 1)
+        if (
+            coordinator
+            and coordinator != self._identity.address
+            and self._random.random() < share
+        ):
             chosen.add(coordinator)
         for address in chosen:
             run(self._exchange(address), self.name)
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -31,12 +31,15 @@
         ask: Sends a message to an actor and returns the reply.
         term: Term of the coordinator.
         term_revision: Revision of the term's key, on which writes depend.
+
+    Attributes:
+        term_revision: The newest one that is known.
     """
 
     def __init__(self, ask: Callable[..., Any], term: int, term_revision: int) -> None:
         self._ask = ask
         self._term = term
-        self._term_revision = term_revision
+        self.term_revision = term_revision
         self._revisions_by_id: dict[str, int] = {}
 
     def know(self, workflow_id: str, revision: int) -> None:
@@ -63,7 +66,7 @@
             document = records.encode_progress(progress, self._term, born)
             puts.append(PutKey(PROGRESS_PREFIX + workflow_id, document.decode()))
             states[workflow_id] = progress.state
-        compares = [Compare(TERM_KEY, self._term_revision)]
+        compares = [Compare(TERM_KEY, self.term_revision)]
         compares.extend(
             Compare(put.key, self._revisions_by_id.get(workflow_id, 0))
             for put, workflow_id in zip(puts, workflow_ids, strict=True)
@@ -86,7 +89,7 @@
         term: KeyValue | None = await self._ask(STORE, GetKey(TERM_KEY))
         if term is None or int(term.value) != self._term:
             return False
-        self._term_revision = term.mod_revision
+        self.term_revision = term.mod_revision
         for workflow_id in workflow_ids:
             try:
                 item = await self._ask(STORE, GetKey(PROGRESS_PREFIX + workflow_id))
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -12,10 +12,9 @@
 from ..workflows import records
 from ..workflows.engine import Engine
 from ..workflows.model import FINAL_STATES
-from .gateways import INTAKE_PREFIX, PROGRESS_PREFIX, STORE
+from .gateways import CANCEL_SUFFIX, INTAKE_PREFIX, PROGRESS_PREFIX, STORE
 from .recorder import Recorder
 
-CANCEL_SUFFIX = "/cancel"
 OLDEST_S = 3600.0  # bounds the age that a clock which jumped can give
 
 _logger = logging.getLogger(__name__)
@@ -72,14 +71,16 @@
         return False
     age = min(max(time.time() - workflow.accepted_at, 0.0), OLDEST_S) if aged else 0.0
     engine.accept(workflow, now - age)
-    _logger.info(
-        "job known to the coordinator",
-        extra={
-            "job": workflow.workflow_id,
-            "queue": workflow.queue,
-            "term": engine.term,
-        },
-    )
+    if not aged:
+        # A recovery logs the number of its jobs instead.
+        _logger.info(
+            "job known to the coordinator",
+            extra={
+                "job": workflow.workflow_id,
+                "queue": workflow.queue,
+                "term": engine.term,
+            },
+        )
     return True
 
 
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -9,6 +9,7 @@
 
 from .._background import run
 from ..actors import ActorSystem
+from ..coordination.advisor import Advisor
 from ..coordination.configuration_feed import ConfigurationFeed
 from ..coordination.coordinator import Coordinator
 from ..coordination.gateways import COORDINATOR, INTAKE, LEADERSHIP, NEIGHBOURS
@@ -70,8 +71,9 @@
             PlatformRegistry(),
             PlatformChannels(reactor),
             settings.longest_lease_s,
-            _advice(reactor, settings.advice_address),
+            settings.keep_ended_s,
         )
+        Advisor(self.system, _advice(reactor, settings.advice_address))
         Intake(self.system, identity)
         self._front = Front(self.system, reactor, settings.front)
 
@@ -99,6 +101,7 @@
 
     async def _drain(self) -> None:
         self.system.tell(LEADERSHIP, Drain())
+        self.system.tell(NEIGHBOURS, Drain())
         deadline = self._reactor.seconds() + self._settings.grace_s - LAST_ANSWERS_S
         while self._reactor.seconds() < deadline:
             await pause(self._reactor, LOOP_S)
--- a/src/redwingrudder/platform/settings.py
+++ b/src/redwingrudder/platform/settings.py
@@ -5,6 +5,9 @@
 
 from ..exceptions import SettingsError
 
+# The platform counts the time from the client's answer, nodes from the end.
+KEEP_ENDED_FACTOR = 1.25
+
 
 class PlatformSettings(NamedTuple):
     """What a process learns when it starts.
@@ -19,6 +22,7 @@
         store_address: "host:port" of the store.
         advice_address: "host:port" of the advice service, "" without one.
         longest_lease_s: Longest lease that workers accept.
+        keep_ended_s: For how long ended jobs can be asked for.
         grace_s: From SIGTERM until the process is killed.
         cores: Share of a processor that this node has.
     """
@@ -32,6 +36,7 @@
     store_address: str
     advice_address: str
     longest_lease_s: float
+    keep_ended_s: float
     grace_s: float
     cores: float
 
@@ -71,6 +76,7 @@
         store_address=document["platform"]["address"],
         advice_address=document.get("advice") or "",
         longest_lease_s=bounds["maxHoldMs"] / 1000,
+        keep_ended_s=KEEP_ENDED_FACTOR * bounds["status_s"],
         grace_s=float(bounds["graceS"]),
         # The platform gives the share of each of several processors.
         cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -11,6 +11,7 @@
     KeepLeaseAlive,
     KeyValue,
     PrefixReply,
+    RevokeLease,
     Transact,
     TransactReply,
 )
@@ -72,6 +73,7 @@
         lose_answers: So many writes take effect without an answer.
         put_off: So many writes are put off; ``carry_out`` does them.
         down_after_put_off: The store goes down with a write that is put off.
+        renewals: Answer to renewals of leases; 0.0 says that one has ended.
     """
 
     def __init__(self, system, contents):
@@ -80,6 +82,7 @@
         self.lose_answers = 0
         self.put_off = 0
         self.down_after_put_off = False
+        self.renewals = 1.5
         self.late_writes = []
         self.calls = []
         self.watches = []
@@ -91,7 +94,8 @@
             GetPrefix: self._range,
             Transact: self._transact,
             GrantLease: lambda _: self._checked(7),
-            KeepLeaseAlive: lambda _: self._checked(2.5),
+            KeepLeaseAlive: lambda _: self._checked(self.renewals),
+            RevokeLease: self._revoke,
             AwaitChanges: self._watch,
         }
 
@@ -111,6 +115,12 @@
             raise StoreUnavailableError("down")
         return value
 
+    def _revoke(self, message):
+        self._checked(None)
+        for key, lease in list(self.contents.leases.items()):
+            if lease == message.lease_id:
+                self.contents.remove(key)
+
     def _get(self, message):
         return self._checked(self.contents.items_by_key.get(message.key))
 
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -39,6 +39,7 @@
 readiness = "127.0.0.1:{ready}"
 [bounds]
 maxHoldMs = 6000
+status_s = 120
 graceS = 3
 [platform]
 address = "127.0.0.1:{store}"
--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,57 @@
+"""Tests of the registration of nodes in the store."""
+
+import unittest
+
+from redwingrudder.coordination.gateways import NEIGHBOURS, NODES_PREFIX
+from redwingrudder.coordination.leadership import Identity
+from redwingrudder.coordination.messages import Drain
+from redwingrudder.coordination.neighbours import (
+    DISCOVERY_S,
+    ListNeighbours,
+    Neighbours,
+)
+from redwingrudder.timers import TIMERS, Subscribe, TimerService
+
+from .test_coordination import node_system, outcome, run_for
+
+KEY = NODES_PREFIX + "n1"
+
+
+class RegistrationTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        TimerService(self.system)
+        identity = Identity("n1", "10.0.0.1:7000", "life")
+        Neighbours(self.system, self.clock, identity, ("10.0.0.1", 7000))
+        self.system.tell(TIMERS, Subscribe(NEIGHBOURS, "discover", 0.0))
+        run_for(self.clock, 0.1)
+
+    def test_entry_is_under_a_lease(self):
+        """Guards against nodes that are gone but counted for ever."""
+        self.assertTrue(self.store.contents.leases[KEY])
+
+    def test_lapsed_entry_is_written_again(self):
+        """Guards against a node that an outage of the store makes unknown."""
+        self.store.contents.remove(KEY)
+        self.store.renewals = 0.0
+        run_for(self.clock, DISCOVERY_S + 0.1)
+        self.assertIn(KEY, self.store.contents.items_by_key)
+
+    def test_drained_node_leaves(self):
+        """Guards against calls to a node that was stopped as planned."""
+        self.system.tell(NEIGHBOURS, Drain())
+        run_for(self.clock, 3 * DISCOVERY_S)
+        self.assertNotIn(KEY, self.store.contents.items_by_key)
+
+    def test_listed_node_is_known_but_not_fresh(self):
+        """Guards against an outage that is judged from one node's view."""
+        self.store.contents.put(NODES_PREFIX + "n2", "10.0.0.2:7000")
+        run_for(self.clock, DISCOVERY_S + 0.1)
+        reply = self.system.ask(NEIGHBOURS, ListNeighbours())
+        run_for(self.clock, 0.05)
+        view = outcome(reply)
+        self.assertEqual((view.fresh, view.known), ((), 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -45,6 +45,7 @@
 readiness = "10.0.0.1:81"
 [bounds]
 maxHoldMs = 6000
+status_s = 120
 graceS = 6
 [platform]
 address = "10.0.0.2:90"
