--- /dev/null
+++ b/tests/platform_proxy.py
@@ -0,0 +1,134 @@
+"""Loopback proxies with fault switches, between nodes and the stand-in.
+
+Run as ``python -m tests.platform_proxy CONTROL_PORT LISTEN:TARGET...``. Each
+pair is one link. A POST of ``{"LISTEN": "MODE"}`` to the control port sets a
+link's mode:
+
+- ``up``: bytes pass.
+- ``delay``: bytes arrive ``DELAY_S`` later, in order.
+- ``cut``: bytes vanish in both directions; connections stay open.
+- ``one_way``: only what the nodes send vanishes.
+- ``reset``: the present connections are reset; new ones work.
+- ``mute``: the present connections carry nothing any more; new ones work.
+"""
+
+import json
+import sys
+
+from twisted.internet import reactor
+from twisted.protocols.portforward import (
+    ProxyClient,
+    ProxyClientFactory,
+    ProxyFactory,
+    ProxyServer,
+)
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+DELAY_S = 0.3  # below the time-outs of the nodes, above all usual answers
+
+
+class Link:
+    """The mode and the connections of one link."""
+
+    def __init__(self):
+        self.mode = "up"
+        self.ends = set()
+
+    def set_mode(self, mode):
+        if mode == "reset":
+            for end in list(self.ends):
+                end.transport.abortConnection()
+        elif mode == "mute":
+            for end in self.ends:
+                end.muted = True
+        self.mode = mode
+
+
+class _End:
+    """What both ends of a forwarded connection do with bytes."""
+
+    muted = False
+    due = 0.0
+    inward = False
+
+    def connectionMade(self):  # noqa: N802
+        self.link.ends.add(self)
+        super().connectionMade()
+
+    def connectionLost(self, reason):  # noqa: N802
+        self.link.ends.discard(self)
+        if not self.muted and self.link.mode not in ("cut", "one_way"):
+            super().connectionLost(reason)
+
+    def dataReceived(self, data):  # noqa: N802
+        mode = self.link.mode
+        if self.muted or mode == "cut" or (mode == "one_way" and self.inward):
+            return
+        now = reactor.seconds()
+        self.due = max(now + DELAY_S if mode == "delay" else now, self.due)
+        if self.due > now:
+            reactor.callLater(self.due - now, self._pass, data)
+        else:
+            self._pass(data)
+
+    def _pass(self, data):
+        if self.peer is not None and self.peer.transport is not None:
+            self.peer.transport.write(data)
+
+
+class ServerEnd(_End, ProxyServer):
+    """The connection from a node."""
+
+    inward = True
+
+    @property
+    def link(self):
+        return self.factory.link
+
+    def clientProtocolFactory(self):  # noqa: N802
+        made = ProxyClientFactory()
+        made.protocol = ClientEnd
+        made.link = self.link
+        return made
+
+
+class ClientEnd(_End, ProxyClient):
+    """The connection to the stand-in."""
+
+    @property
+    def link(self):
+        return self.factory.link
+
+
+class Control(Resource):
+    """Sets the modes of links by their port."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, links):
+        super().__init__()
+        self.links = links
+
+    def render_POST(self, request):  # noqa: N802
+        for port, mode in json.loads(request.content.read()).items():
+            self.links[port].set_mode(mode)
+        return b"{}"
+
+
+def main(control, pairs):
+    """Serve until the process is ended."""
+    links = {}
+    for pair in pairs:
+        listen, _, target = pair.partition(":")
+        factory = ProxyFactory("127.0.0.1", int(target))
+        factory.noisy = False
+        factory.protocol = ServerEnd
+        factory.link = links[listen] = Link()
+        reactor.listenTCP(int(listen), factory, interface="127.0.0.1")
+    reactor.listenTCP(control, Site(Control(links)), interface="127.0.0.1")
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), sys.argv[2:])
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -24,6 +24,21 @@
 NODES = 3
 WORKERS = 3
 ANSWER_S = 4.0
+KINDS = (
+    "kill",
+    "term",
+    "pause",
+    "store",
+    "worker",
+    "crash",
+    "late",
+    "hup",
+    "cancel",
+)
+LINK_KINDS = (*KINDS, "link", "link")
+# Seeds below were drawn before there were proxies and keep their faults.
+FIRST_LINK_SEED = 500
+LINK_MODES = ("delay", "cut", "one_way", "reset", "mute")
 SETTLE_S = 40.0  # from the last fault until all jobs must have ended
 # Seeds that failed once. 3 and 105: a start without an answer reached the next
 # life of a worker that had restarted, beside the run that replaced it.
@@ -91,9 +106,21 @@
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
-        self.base = free_ports(1 + WORKERS + 4 * NODES)
+        self.base = free_ports(2 * (1 + WORKERS) + 5 * NODES)
+        # The last ports are those of the proxies: control, a way to each
+        # worker, a way from each node to the store.
+        self.proxy = self.base + 1 + WORKERS + 4 * NODES
+        shown = self.proxy + 1
+        self.store_links = [shown + WORKERS + index for index in range(NODES)]
+        self.worker_links = [shown + index for index in range(WORKERS)]
+        pairs = [f"{port}:{self.base}" for port in self.store_links]
+        for index, port in enumerate(self.worker_links):
+            pairs.append(f"{port}:{self.base + 1 + index}")
         self.processes = {}
-        self.begin("standin", ["-m", "tests.platform_standin", self.base, WORKERS])
+        self.begin(
+            "standin", ["-m", "tests.platform_standin", self.base, WORKERS, shown]
+        )
+        self.begin("proxy", ["-m", "tests.platform_proxy", self.proxy, *pairs])
         for index in range(NODES):
             self.begin_node(index)
 
@@ -115,7 +142,7 @@
             metrics=first + 1,
             front=first + 2,
             ready=first + 3,
-            store=self.base,
+            store=self.store_links[index],
         )
         path = self.folder / f"n{index}.toml"
         path.write_text(settings, "utf-8")
@@ -128,6 +155,10 @@
     def control(self, body=None):
         return call("POST", f"http://127.0.0.1:{self.base}/control", body or {})[1]
 
+    def set_link(self, port, mode):
+        """Set the mode of a proxy, see ``platform_proxy``."""
+        call("POST", f"http://127.0.0.1:{self.proxy}/", {str(port): mode})
+
     def signal(self, index, number):
         process = self.processes[f"n{index}"]
         if process.poll() is None:
@@ -153,6 +184,7 @@
 
     def __init__(self, system, seed):
         self.system = system
+        self.seed = seed
         self.random = random.Random(seed)
         self.accepted = {}
         self.refused = set()
@@ -205,19 +237,7 @@
     def _fault(self):
         system, choose = self.system, self.random.choice
         index = self.random.randrange(NODES)
-        kind = choose(
-            (
-                "kill",
-                "term",
-                "pause",
-                "store",
-                "worker",
-                "crash",
-                "late",
-                "hup",
-                "cancel",
-            )
-        )
+        kind = choose(KINDS if self.seed < FIRST_LINK_SEED else LINK_KINDS)
         if kind == "kill":
             system.restart(index)
         elif kind == "term":
@@ -242,6 +262,11 @@
         elif kind == "crash":
             name = str(self.random.randrange(WORKERS))
             system.control({"workers": {name: "crash"}})
+        elif kind == "link":
+            port = choose(system.store_links + system.worker_links)
+            system.set_link(port, choose(LINK_MODES))
+            time.sleep(self.random.uniform(0.3, 4.0))
+            system.set_link(port, "up")
         elif kind == "hup":
             system.signal(index, signal.SIGHUP)
         elif self.accepted:
@@ -260,6 +285,8 @@
         self.system.control(
             {"store": "up", "workers": {str(i): "up" for i in range(WORKERS)}}
         )
+        for port in self.system.store_links + self.system.worker_links:
+            self.system.set_link(port, "up")
         for index in range(NODES):
             self.system.signal(index, signal.SIGCONT)
         time.sleep(0.2)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -1,7 +1,8 @@
 """A small stand-in of the users' platform: store, operator and workers.
 
-Run as ``python -m tests.platform_standin PORT WORKERS``. The store listens on
-PORT, worker N on PORT + 1 + N. ``/control`` sets faults and shows what ran.
+Run as ``python -m tests.platform_standin PORT WORKERS [SHOWN]``. The store
+listens on PORT, worker N on PORT + 1 + N and is registered at SHOWN + N, where
+a proxy may listen. ``/control`` sets faults and shows what ran.
 """
 
 import base64
@@ -398,13 +399,13 @@
     }
 
 
-def main(port, count):
+def main(port, count, shown=0):
     """Serve until the process is ended."""
     store = Store()
     store.put("op/config", json.dumps(configuration()).encode())
     workers = []
     for index in range(count):
-        address = f"127.0.0.1:{port + 1 + index}"
+        address = f"127.0.0.1:{(shown or port + 1) + index}"
         worker = Worker(index, address, store)
         workers.append(worker)
         reactor.listenTCP(
@@ -416,4 +417,4 @@
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]), int(sys.argv[2]))
+    main(*map(int, sys.argv[1:4]))
