Free room for every preempting task; keep new runs off slow workers

Cause: a stopped run frees room for several tasks of a step, but only the first of these slots named its victim. The others looked free of cost, were preferred, and no run was stopped for them: in a probe, an urgent step of three tasks on full workers claimed room on three workers and stopped nothing. Change: the cost that slots are ordered by never falls along a worker's slots, so a slot is chosen only after those whose victims it needs. A worker's speed is also judged by the change of its runs' rate of progress, and slow workers get nothing new while enough others could hold the step. Ruled out: a mean cost for each slot, as a step that takes one slot of many would still pay the whole price.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -19,7 +19,7 @@
 from .pacing import FULL_PACE, MeasuredHarmPolicy, PacePolicy
 from .planner import Planner, PriorityPlanner
 from .run_book import RunBook, where
-from .speeds import note_speed
+from .speeds import LEAST_SPENT_S, note_speed
 from .state import (
     TASK_CHART,
     Permit,
@@ -132,7 +132,7 @@
         """Take note that a worker began a run."""
         task = self.current(key, run)
         if task is not None:
-            task.started_at = task.progressed_at = task.reported_at = now
+            task.begin(now)
             self.step(task, "started", now)
 
     def start_rejected(self, key: TaskKey, run: int, reason: str, now: float) -> None:
@@ -158,6 +158,8 @@
             if task.state == "starting":
                 self.start_confirmed(entry.key, entry.run, now)
             self.keep_checkpoint(task, entry.checkpoint)
+            if task.reported_at - task.rated_at > LEAST_SPENT_S:
+                task.rated_at, task.rated_percent = task.reported_at, task.percent
             if entry.percent != task.percent:
                 task.progressed_at = now
             task.percent = entry.percent
@@ -306,7 +308,7 @@
         if worker_id not in self.workers_by_id:
             return
         task.run, task.worker_id = run, worker_id
-        task.started_at = task.progressed_at = task.reported_at = now
+        task.begin(now)
         self.step(task, "assign", now)
         if started:
             self.step(task, "started", now)
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -17,12 +17,18 @@
         at: Seconds from now until it is free, 0.0 for room that is idle.
         cost: Core-seconds that preemption throws away for it.
         victims: Tasks to stop first.
+        order_cost: Cost that it is ordered by. The victims of a worker's
+            earlier slots make room for the later ones too, so this never
+            falls from one slot of a worker to the next.
+        position: Number of the slot on its worker.
     """
 
     worker: Worker
     at: float = 0.0
     cost: float = 0.0
     victims: tuple[Task, ...] = ()
+    order_cost: float = 0.0
+    position: int = 0
 
 
 class RoomSource(abc.ABC):
@@ -101,7 +107,7 @@
         count = _fitting(free, demand, most)
         slots.extend([Slot(worker, 0.1)] * (count - len(slots)))
         victims: list[Task] = []
-        cost = 0.0
+        cost = order_cost = 0.0
         for task in self._victims(worker):
             if len(slots) >= most:
                 break
@@ -110,8 +116,13 @@
             cost += stop_cost(task, self._now)
             count = _fitting(free, demand, most)
             if count > len(slots):
-                slots.append(Slot(worker, 0.2, cost, tuple(victims)))
-                slots.extend([Slot(worker, 0.2)] * (count - len(slots)))
+                order_cost = max(order_cost, cost)
+                first = Slot(worker, 0.2, cost, tuple(victims), order_cost)
+                slots.append(first._replace(position=len(slots)))
+                slots.extend(
+                    Slot(worker, 0.2, order_cost=order_cost, position=position)
+                    for position in range(len(slots), count)
+                )
                 victims, cost = [], 0.0
         return slots
 
@@ -179,22 +190,34 @@
     ]
 
 
-def eligible(stage: Stage, usable: list[Worker], now: float) -> list[Worker]:
-    """Return the usable workers that may run a step's tasks.
+def eligible(
+    stage: Stage, usable: list[Worker], sound: list[Worker], now: float
+) -> list[Worker]:
+    """Return the workers that may run a step's tasks.
+
+    Slow workers are left out as long as there are enough others. So are, for
+    a step with failed runs, workers that are suspected to cause failures, as
+    it has few attempts left.
 
-    A step with failed runs has few attempts left, so it goes to workers that
-    are not suspected to cause failures, as long as there are enough.
+    Args:
+        stage: The step.
+        usable: Workers of its pool, with its label, that take new runs.
+        sound: Those of them that are not slow.
+        now: Steady-clock seconds.
     """
+    trusted = sound
     if stage.workflow.workflow.policy.advised:
         usable = [worker for worker in usable if _permitted(stage, worker, now)]
-    if not any(task.failures for task in stage.tasks):
-        return usable
-    failed = set().union(*(task.failed_workers for task in stage.tasks))
-    trusted = [
-        worker
-        for worker in usable
-        if worker.facts.worker_id not in failed and not worker.is_suspect(now)
-    ]
+        trusted = [worker for worker in sound if _permitted(stage, worker, now)]
+    if any(task.failures for task in stage.tasks):
+        failed = set().union(*(task.failed_workers for task in stage.tasks))
+        trusted = [
+            worker
+            for worker in trusted
+            if worker.facts.worker_id not in failed and not worker.is_suspect(now)
+        ]
+    if len(trusted) == len(usable):
+        return trusted
     needed = len(stage.tasks) if stage.spec.gang else 1
     return trusted if fits_when_empty(stage, needed, trusted) else usable
 
@@ -335,9 +358,11 @@
         bool(data_rack) and worker.facts.rack != data_rack,
         is_slow(worker),
         worker.is_suspect(now),
-        slot.cost > 0,
+        slot.order_cost > 0,
         slot.at,
-        slot.cost,
+        slot.order_cost,
         left.accelerators,
         left.memory_mb,
+        worker.facts.worker_id,
+        slot.position,
     )
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -22,7 +22,7 @@
     unadvised,
     usable_workers,
 )
-from .speeds import SpeedBook
+from .speeds import SpeedBook, is_slow
 from .state import Stage, Task, Worker, WorkflowProgress, room_taken
 
 ENTITLED_RANK = -1  # urgent work within its organisation's guarantee
@@ -124,15 +124,17 @@
         self._book = book
         self._now = now
         self._claims = 0
-        self._usable_by_kind: dict[tuple[str, str], list[Worker]] = {}
+        self._usable_by_kind: dict[
+            tuple[str, str], tuple[list[Worker], list[Worker]]
+        ] = {}
         self._missing_by_pool: dict[str, list[tuple[Resources, int]]] = {}
 
     def place(self, stage: Stage, stage_rank: int) -> None:
         waiting = waiting_tasks(stage)
         if not waiting:
             return
-        usable = self._usable(stage)
-        candidates = eligible(stage, usable, self._now)
+        usable, sound = self._usable(stage)
+        candidates = eligible(stage, usable, sound, self._now)
         if stage.workflow.workflow.policy.advised:
             self._ask(stage, len(waiting), candidates, usable)
         if not candidates:
@@ -155,10 +157,13 @@
             released = ReleasedRoom(self._now, self._book)
             self._claim(stage, choose(stage, rest, near, released, self._now))
 
-    def _usable(self, stage: Stage) -> list[Worker]:
+    def _usable(self, stage: Stage) -> tuple[list[Worker], list[Worker]]:
+        """Return the usable workers, and those of them that are not slow."""
         kind = (stage.workflow.workflow.policy.pool, stage.spec.worker_label)
         if kind not in self._usable_by_kind:
-            self._usable_by_kind[kind] = usable_workers(*kind, self._workers, self._now)
+            usable = usable_workers(*kind, self._workers, self._now)
+            sound = [worker for worker in usable if not is_slow(worker)]
+            self._usable_by_kind[kind] = usable, sound
         return self._usable_by_kind[kind]
 
     def _choose_idle(
@@ -172,17 +177,18 @@
         demand = room_taken(stage.spec)
         count = len(waiting) if stage.spec.gang else 1
         pool = stage.workflow.workflow.policy.pool
-        for missing, missing_count in self._missing_by_pool.get(pool, ()):
-            if demand.covers(missing) and count >= missing_count:
-                return []
+        whole_pool = self._usable_by_kind.get((pool, ""))
+        remembered = whole_pool is not None and workers is whole_pool[1]
+        missing_here = self._missing_by_pool.setdefault(pool, [])
+        if remembered and any(
+            demand.covers(missing) and count >= missing_count
+            for missing, missing_count in missing_here
+        ):
+            return []
         slots = choose(stage, waiting, workers, IdleRoom(), self._now)
-        unrestricted = (
-            workers is self._usable_by_kind.get((pool, ""))
-            and not stage.spec.same_rack
-            and not stage.spec.worker_limit
-        )
-        if not slots and unrestricted:
-            self._missing_by_pool.setdefault(pool, []).append((demand, count))
+        restricted = stage.spec.same_rack or stage.spec.worker_limit
+        if remembered and not slots and not restricted:
+            missing_here.append((demand, count))
         return slots
 
     def _ask(
--- a/src/redwingrudder/workflows/run_book.py
+++ b/src/redwingrudder/workflows/run_book.py
@@ -88,7 +88,7 @@
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
         task.pace = FULL_PACE
-        task.started_at = task.progressed_at = task.reported_at = now
+        task.begin(now)
         self.step(task, "assign", now)
         workflow = stage.workflow
         workflow.begun = True
--- a/src/redwingrudder/workflows/speeds.py
+++ b/src/redwingrudder/workflows/speeds.py
@@ -12,6 +12,10 @@
 # Progress below this says little about the whole run.
 LEAST_PERCENT = 2.0
 LEAST_SPENT_S = 0.7
+# Whole percents are reported, so smaller steps show no rate of progress.
+LEAST_STEP_PERCENT = 4.0
+# A run that goes on this much faster than before was on a slow worker.
+RECOVERED_RATIO = 1.5
 # Sound workers need up to this multiple of the mean run time, as jobs of one
 # queue differ; without runs of the same step to compare, more means slow.
 LONG_RUN_FACTOR = 2.0
@@ -89,12 +93,8 @@
 
 def note_speed(worker: Worker, book: SpeedBook, now: float) -> None:
     """Judge a worker by the progress of its runs."""
-    ratios = []
-    for task in worker.tasks_by_key.values():
-        projected = projected_s(task)
-        reference = reference_s(task, book) if projected is not None else None
-        if projected is not None and reference is not None:
-            ratios.append(reference / projected)
+    found = (_speed_ratio(task, book) for task in worker.tasks_by_key.values())
+    ratios = [ratio for ratio in found if ratio is not None]
     if ratios:
         worker.speed = statistics.median(ratios)
         worker.speed_at = now
@@ -102,6 +102,37 @@
         worker.speed = 1.0
 
 
+def _speed_ratio(task: Task, book: SpeedBook) -> float | None:
+    """Return a run's speed as a share of what is usual, None if unclear."""
+    change = _change_of_rate(task)
+    if change is not None and change > RECOVERED_RATIO:
+        return change
+    projected = projected_s(task)
+    reference = reference_s(task, book) if projected is not None else None
+    if projected is None or reference is None:
+        return change
+    ratio = reference / projected
+    return ratio if change is None else min(ratio, change)
+
+
+def _change_of_rate(task: Task) -> float | None:
+    """Return a run's newest rate of progress as a share of its earlier rate.
+
+    A worker that turns slow, or recovers, shows it here first: the projected
+    time is a mean over the whole run.
+    """
+    spent = task.reported_at - task.rated_at
+    before = task.rated_at - task.started_at
+    if task.state != "running" or task.percent >= 100 or task.run_resumed:
+        return None
+    if spent < LEAST_SPENT_S or before < LEAST_SPENT_S:
+        return None
+    usual = task.rated_percent / before * spent
+    if usual < LEAST_STEP_PERCENT:
+        return None
+    return (task.percent - task.rated_percent) / usual
+
+
 def is_slow(worker: Worker) -> bool:
     """Return whether a worker is far slower than the others."""
     return worker.speed < SLOW_SPEED
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -56,6 +56,8 @@
         "pace",
         "percent",
         "progressed_at",
+        "rated_at",
+        "rated_percent",
         "reported_at",
         "run",
         "run_resumed",
@@ -80,9 +82,17 @@
         self.percent = 0.0
         self.progressed_at = 0.0
         self.reported_at = 0.0
+        # An earlier report, for the rate of progress since.
+        self.rated_at = 0.0
+        self.rated_percent = 0.0
         self.usage = 0.0
         self.pace = 100
 
+    def begin(self, now: float) -> None:
+        """Take note that a run begins, or that a worker has confirmed it."""
+        self.started_at = self.progressed_at = self.reported_at = now
+        self.rated_at, self.rated_percent = now, 0.0
+
     @property
     def placed(self) -> bool:
         """Whether a run exists or may exist on a worker."""
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -298,6 +298,39 @@
         engine.supervise(4.0)
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
+    def report_all(self, engine, begun, percents, now):
+        for start, percent in zip(begun, percents, strict=True):
+            engine.report(start.worker_id, [fx.running(start, percent)], now)
+
+    def test_worker_that_turns_slow_is_avoided(self):
+        """Guards against urgent runs on a worker that has just turned slow."""
+        engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
+        for name in ("a", "b", "c"):
+            engine.accept(fx.workflow(name, fx.step(1, fx.WHOLE_WORKER)), 1.0)
+        begun = fx.starts(engine.plan(1.0, 1.0))
+        fx.confirm(engine, begun, 1.0)
+        self.report_all(engine, begun, (20.0, 20.0, 20.0), 2.0)
+        self.report_all(engine, begun, (40.0, 40.0, 40.0), 3.0)
+        self.report_all(engine, begun, (60.0, 60.0, 43.0), 4.0)
+        self.assertLess(engine.workers_by_id[begun[2].worker_id].speed, 0.3)
+        engine.accept(fx.workflow("urgent", fx.step(3), priority=0), 4.0)
+        stopped = [s.worker_id for s in fx.stops(engine.plan(4.0, 4.0))]
+        self.assertEqual(len(stopped), 1)
+        self.assertNotIn(begun[2].worker_id, stopped)
+
+    def test_worker_that_recovers_is_used(self):
+        """Guards against a worker that is avoided after it was slow."""
+        engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
+        engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 1.0)
+        begun = fx.starts(engine.plan(1.0, 1.0))
+        fx.confirm(engine, begun, 1.0)
+        self.report_all(engine, begun, (20.0, 20.0, 5.0), 2.0)
+        self.report_all(engine, begun, (40.0, 40.0, 10.0), 3.0)
+        slow = engine.workers_by_id[begun[2].worker_id]
+        self.assertLess(slow.speed, 0.45)
+        self.report_all(engine, begun, (60.0, 60.0, 30.0), 4.0)
+        self.assertGreater(slow.speed, 0.45)
+
 
 class EvacuationTests(unittest.TestCase):
     """Runs on workers that drain."""
@@ -420,6 +453,21 @@
 class PriorityTests(unittest.TestCase):
     """Urgent work and guarantees."""
 
+    def test_every_urgent_task_gets_its_room(self):
+        """Guards against tasks that wait for room which no stop frees.
+
+        One stopped run makes room for several tasks; the later ones need
+        its stop as well, though it is counted with the first.
+        """
+        engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
+        half = fx.ONE_GPU._replace(accelerators=4)
+        for number in range(8):
+            engine.accept(fx.workflow(f"p{number}", fx.step(1, half)), 0.0)
+        fx.confirm(engine, fx.starts(engine.plan(0.0, 0.0)))
+        engine.accept(fx.workflow("urgent", fx.step(9), priority=0), 1.0)
+        stopped = fx.stops(engine.plan(1.0, 1.0))
+        self.assertEqual(len(stopped), 3)
+
     def test_urgent_work_preempts(self):
         """Guards against urgent work that waits for patient work."""
         engine = fx.engine(fx.worker("w1"))
