Tell a worker that left from one that fell silent

Change: a worker that had announced to leave, has stayed as long as announced, was heard of less than two heartbeats before its entry went and does not answer once more, has left by itself, and its runs have ended with it. Ruled out: the end of the entry alone, as a silence of three heartbeats ends it too; a refused connection alone, as partitions may refuse.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -22,6 +22,7 @@
     Change,
     ChannelFactory,
     RegistryCodec,
+    WorkerTimes,
     not_coordinator,
 )
 from .leadership import boot_clock
@@ -86,7 +87,7 @@
         system: The node's actors.
         registry: Reads the workers' entries.
         channels: Opens connections to workers.
-        longest_lease_s: Longest lease that workers accept.
+        times: What the platform says of workers.
         keep_ended_s: Seconds for which ended workflows can be asked for.
     """
 
@@ -95,12 +96,12 @@
         system: ActorSystem,
         registry: RegistryCodec,
         channels: ChannelFactory,
-        longest_lease_s: float,
+        times: WorkerTimes,
         keep_ended_s: float,
     ) -> None:
         self._registry = registry
         self._channels = channels
-        self._lease_s = longest_lease_s
+        self._times = times
         self._keep_ended_s = keep_ended_s
         self._term: _Term | None = None
         self._ready = False
@@ -160,7 +161,7 @@
         engine.guaranteed_by_organisation = self._guaranteed
         recorder = Recorder(self.ask, message.term, message.term_revision)
         workers = WorkerTable(
-            self.system, engine, self._registry, self._channels, self._lease_s
+            self.system, engine, self._registry, self._channels, self._times
         )
         writer = ProgressWriter(self.system, engine, recorder, workers, self._deposed)
         retention = RecordRetention(self.system, engine, recorder, self._keep_ended_s)
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -137,6 +137,18 @@
         """Return the worker, or None for an entry that names none."""
 
 
+class WorkerTimes(NamedTuple):
+    """Times that the platform states for all workers.
+
+    Attributes:
+        longest_lease_s: Longest lease that workers accept.
+        heartbeat_s: Between two updates of a worker's registry entry.
+    """
+
+    longest_lease_s: float
+    heartbeat_s: float
+
+
 class WorkerReport(NamedTuple):
     """A worker's answer to a look.
 
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -212,6 +212,16 @@
     facts: WorkerFacts
 
 
+class EntryRemoved(NamedTuple):
+    """Tell a worker session: the registry no longer lists the worker.
+
+    ``drained`` says that it had announced to leave, and that it has stayed
+    for as long as it announced.
+    """
+
+    drained: bool
+
+
 SessionCommand = StartRun | StopRun | PaceRun
 
 
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -1,6 +1,7 @@
 """The coordinator's conversation with one worker."""
 
 import logging
+import math
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
@@ -13,10 +14,17 @@
 from ..statecharts import load_chart
 from ..timers import TIMERS, Subscribe, TimerFired
 from ..workflows.model import PaceRun, StartRun, StopRun, WorkerFacts
-from .gateways import COORDINATOR, LEADERSHIP, CommandReply, WorkerChannel
+from .gateways import (
+    COORDINATOR,
+    LEADERSHIP,
+    CommandReply,
+    WorkerChannel,
+    WorkerTimes,
+)
 from .leadership import LEASE_TTL_S, boot_clock
 from .messages import (
     AcknowledgeEnds,
+    EntryRemoved,
     Fenced,
     LeaseWorker,
     PaceLost,
@@ -38,6 +46,8 @@
 LEAST_LOOK_S = 0.05  # an answer sooner than this did not wait
 CLOCK_DRIFT = 0.02  # a worker's clock may be this much slow
 LAPSE_MARGIN_S = 0.3
+# Below the three heartbeats after which a silent worker's entry ends.
+LEFT_HEARTBEATS = 2
 
 _EVENTS = frozenset({"answered", "unanswered", "silent", "lapsed"})
 _ACTIONS = frozenset({"report_silent", "report_lapsed"})
@@ -53,7 +63,7 @@
         facts: The worker.
         channel: Connections to it.
         fence: Term of the coordinator.
-        longest_lease_s: Longest lease that workers accept.
+        times: What the platform says of workers.
         voided: Runs whose orders may still arrive; they are stopped before
             the first look.
     """
@@ -64,13 +74,14 @@
         facts: WorkerFacts,
         channel: WorkerChannel,
         fence: int,
-        longest_lease_s: float,
+        times: WorkerTimes,
         voided: tuple[StopRun, ...] = (),
     ) -> None:
         self._facts = facts
         self._channel = channel
         self._fence = fence
-        self._lease_s = longest_lease_s
+        self._lease_s = times.longest_lease_s
+        self._heartbeat_s = times.heartbeat_s
         self._chart = ChartRunner(
             _CHART,
             {
@@ -84,11 +95,15 @@
         self._unseen = 0
         self._answered_at = boot_clock()
         # Until this boot-clock time a run of any coordinator may exist.
-        self._leased_until = boot_clock() + longest_hold_s(longest_lease_s)
+        self._leased_until = boot_clock() + longest_hold_s(self._lease_s)
         self._clock_ms = 0
         self._clock_at = 0.0
         self._looking = False
         self._looked_at = 0.0
+        # When the newest look that was answered had been sent.
+        self._heard_at = 0.0
+        # When the worker left the registry by itself, as it seems.
+        self._left_at = math.inf
         self._present = False
         self._closed = False
         self._starting: set[tuple] = set()
@@ -104,6 +119,7 @@
             AcknowledgeEnds: self._acknowledge,
             LeaseWorker: self._set_allowed,
             UpdateFacts: self._update,
+            EntryRemoved: self._entry_removed,
         }
 
     def start(self) -> None:
@@ -121,6 +137,21 @@
 
     def _update(self, message: UpdateFacts) -> None:
         self._facts = message.facts
+        self._left_at = math.inf
+
+    def _entry_removed(self, message: EntryRemoved) -> None:
+        """Tell a worker that has left from one that has fallen silent.
+
+        An entry that ends by silence does so after three heartbeats, so a
+        drained worker that was heard of later than that has left by itself,
+        and nothing runs on it. It is looked at once more to be sure.
+        """
+        now = boot_clock()
+        if message.drained and now - self._heard_at < LEFT_HEARTBEATS * (
+            self._heartbeat_s
+        ):
+            self._left_at = now
+            self._look_soon()
 
     def _set_allowed(self, message: LeaseWorker) -> None:
         self._allowed = message.allowed
@@ -175,6 +206,7 @@
 
     def _take_report(self, reply) -> None:
         self._answered(reply.clock_ms)
+        self._heard_at = self._looked_at
         at_once = boot_clock() - self._looked_at < LEAST_LOOK_S
         self._present = bool(reply.running) or bool(self._starting)
         self._unseen = max((end.number for end in reply.ended), default=self._unseen)
@@ -203,6 +235,7 @@
 
     def _answered(self, clock_ms: int) -> None:
         self._answered_at = boot_clock()
+        self._left_at = math.inf
         if clock_ms:
             self._clock_ms, self._clock_at = clock_ms, self._answered_at
         self._chart.step("answered")
@@ -211,7 +244,10 @@
         self._channel.reset()
         self._chart.step("unanswered")
         now = boot_clock()
-        if now - self._answered_at > SILENT_AFTER_S:
+        left = self._looked_at > self._left_at
+        if left:
+            self._leased_until = 0.0
+        if left or now - self._answered_at > SILENT_AFTER_S:
             self._chart.step("silent")
         if now > self._leased_until:
             self._chart.step("lapsed")
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -6,9 +6,10 @@
 from ..workflows.engine import Engine
 from ..workflows.model import NOTHING, WorkerFacts
 from ..workflows.records import PlacedRun
-from .gateways import ChannelFactory, RegistryCodec
+from .gateways import ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
     AcknowledgeEnds,
+    EntryRemoved,
     LeaseWorker,
     SessionCommand,
     UpdateFacts,
@@ -30,7 +31,7 @@
         engine: The engine of the term.
         registry: Reads the workers' entries.
         channels: Opens connections to workers.
-        lease_s: Longest lease that workers accept.
+        times: What the platform says of workers.
     """
 
     def __init__(
@@ -39,17 +40,19 @@
         engine: Engine,
         registry: RegistryCodec,
         channels: ChannelFactory,
-        lease_s: float,
+        times: WorkerTimes,
     ) -> None:
         self._system = system
         self._engine = engine
         self._registry = registry
         self._channels = channels
-        self._lease_s = lease_s
+        self._times = times
         self._sessions_by_worker: dict[str, WorkerSession] = {}
         self._unlisted_since: dict[str, float] = {}
         # Then runs on workers that had no entry in this term have lapsed.
-        self._lost_until = system.clock.seconds() + longest_hold_s(lease_s)
+        self._lost_until = system.clock.seconds() + longest_hold_s(
+            times.longest_lease_s
+        )
         self._unrecorded_ends: dict[str, dict[int, str]] = {}
         self._last_end: dict[str, int] = {}
 
@@ -199,7 +202,11 @@
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and worker.listed:
             worker.listed = False
-            self._unlisted_since[worker_id] = self._system.clock.seconds()
+            now = self._unlisted_since[worker_id] = self._system.clock.seconds()
+            session = self._sessions_by_worker.get(worker_id)
+            if session is not None:
+                drained = worker.facts.draining and now >= worker.leaves_at
+                self._system.tell(session.name, EntryRemoved(drained))
             _logger.info("worker no longer listed", extra={"worker": worker_id})
 
     def _is_new_life(self, facts: WorkerFacts) -> bool:
@@ -224,7 +231,7 @@
             facts,
             self._channels.open(facts),
             self._engine.term,
-            self._lease_s,
+            self._times,
             self._engine.unsettled_runs(facts.worker_id),
         )
         self._sessions_by_worker[facts.worker_id] = session
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -12,7 +12,13 @@
 from ..coordination.advisor import Advisor
 from ..coordination.configuration_feed import ConfigurationFeed
 from ..coordination.coordinator import Coordinator
-from ..coordination.gateways import COORDINATOR, INTAKE, LEADERSHIP, NEIGHBOURS
+from ..coordination.gateways import (
+    COORDINATOR,
+    INTAKE,
+    LEADERSHIP,
+    NEIGHBOURS,
+    WorkerTimes,
+)
 from ..coordination.intake import Intake
 from ..coordination.leadership import Identity, Leadership
 from ..coordination.messages import Drain
@@ -70,7 +76,7 @@
             self.system,
             PlatformRegistry(),
             PlatformChannels(reactor),
-            settings.longest_lease_s,
+            WorkerTimes(settings.longest_lease_s, settings.heartbeat_s),
             settings.keep_ended_s,
         )
         Advisor(self.system, _advice(reactor, settings.advice_address))
--- a/src/redwingrudder/platform/settings.py
+++ b/src/redwingrudder/platform/settings.py
@@ -22,6 +22,7 @@
         store_address: "host:port" of the store.
         advice_address: "host:port" of the advice service, "" without one.
         longest_lease_s: Longest lease that workers accept.
+        heartbeat_s: Between two updates of a worker's registry entry.
         keep_ended_s: For how long ended jobs can be asked for.
         grace_s: From SIGTERM until the process is killed.
         cores: Share of a processor that this node has.
@@ -36,6 +37,7 @@
     store_address: str
     advice_address: str
     longest_lease_s: float
+    heartbeat_s: float
     keep_ended_s: float
     grace_s: float
     cores: float
@@ -76,6 +78,7 @@
         store_address=document["platform"]["address"],
         advice_address=document.get("advice") or "",
         longest_lease_s=bounds["maxHoldMs"] / 1000,
+        heartbeat_s=document["heartbeatMs"] / 1000,
         keep_ended_s=KEEP_ENDED_FACTOR * bounds["status_s"],
         grace_s=float(bounds["graceS"]),
         # The platform gives the share of each of several processors.
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -48,6 +48,7 @@
 nodeName = "{name}"
 ip = "127.0.0.1"
 zone = "z"
+heartbeatMs = 1500
 internalPorts = [{peers}, {metrics}]
 [listen]
 front = "127.0.0.1:{front}"
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -15,6 +15,7 @@
     TERM_KEY,
     ChannelFactory,
     RegistryCodec,
+    WorkerTimes,
 )
 from redwingrudder.coordination.intake import Intake
 from redwingrudder.coordination.leadership import (
@@ -176,7 +177,7 @@
     def test_idle_coordinator_refuses_with_503(self):
         """Guards against 404 for a queue when the coordinator changes."""
         clock, system, _ = node_system()
-        Coordinator(system, NoRegistry(), NoChannels(), 6.0, 150.0)
+        Coordinator(system, NoRegistry(), NoChannels(), WorkerTimes(6.0, 1.5), 150.0)
         reply = system.ask(COORDINATOR, GetQueueLength("queue"))
         run_for(clock, 0.05)
         error = outcome(reply)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -39,6 +39,7 @@
 nodeName = "n1"
 ip = "10.0.0.1"
 zone = "domain"
+heartbeatMs = 1500
 internalPorts = [7000, 7015]
 [listen]
 front = "10.0.0.1:80"
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -10,8 +10,10 @@
     CommandReply,
     WorkerChannel,
     WorkerReport,
+    WorkerTimes,
 )
 from redwingrudder.coordination.messages import (
+    EntryRemoved,
     Fenced,
     StartSettled,
     WorkerLapsed,
@@ -27,6 +29,8 @@
 from .coordination_fakes import Recording, node_system, run_for
 
 LEASE_S = 6.0
+HEARTBEAT_S = 1.5
+TIMES = WorkerTimes(LEASE_S, HEARTBEAT_S)
 
 
 class FakeChannel(WorkerChannel):
@@ -93,7 +97,7 @@
         self.addCleanup(patch.stop)
         self.channel = FakeChannel(self.clock)
         self.session = WorkerSession(
-            self.system, fx.worker("w1"), self.channel, 3, LEASE_S
+            self.system, fx.worker("w1"), self.channel, 3, TIMES
         )
         self.session.start()
         run_for(self.clock, 0.1)
@@ -133,6 +137,36 @@
         run_for(self.clock, longest_hold_s(LEASE_S) - LEASE_S + 2.0)
         self.assertTrue(self.told(WorkerLapsed))
 
+    def remove_entry(self, drained, silent_s=0.0):
+        """Let the worker fall silent, and its entry end after a time."""
+        self.channel.deaf = True
+        run_for(self.clock, silent_s)
+        self.system.tell(self.session.name, EntryRemoved(drained))
+        run_for(self.clock, 1.0)
+
+    def test_worker_that_left_by_itself_holds_nothing(self):
+        """Guards against a gang that waits out the lease of a left worker."""
+        self.remove_entry(drained=True)
+        self.assertTrue(self.told(WorkerLapsed))
+
+    def test_entry_that_a_silence_ended_says_nothing(self):
+        """Guards against a second run beside a worker that is cut off."""
+        self.remove_entry(drained=True, silent_s=3 * HEARTBEAT_S)
+        self.assertFalse(self.told(WorkerLapsed))
+
+    def test_worker_that_did_not_drain_may_be_cut_off(self):
+        """Guards against a second run when the store forgot an entry."""
+        self.remove_entry(drained=False)
+        self.assertFalse(self.told(WorkerLapsed))
+
+    def test_worker_that_still_answers_has_not_left(self):
+        """Guards against runs given up on a worker that lingers."""
+        self.system.tell(self.session.name, EntryRemoved(True))
+        run_for(self.clock, 1.0)
+        self.channel.deaf = True
+        run_for(self.clock, 0.5)
+        self.assertFalse(self.told(WorkerLapsed))
+
     def test_start_to_a_lapsed_worker_settles(self):
         """Guards against a task that waits for a lost worker for ever."""
         self.channel.deaf = True
@@ -144,9 +178,7 @@
         """Guards against a report that misses an order still on its way."""
         channel = FakeChannel(self.clock)
         voided = (StopRun("w2", fx.key(), 4),)
-        session = WorkerSession(
-            self.system, fx.worker("w2"), channel, 3, LEASE_S, voided
-        )
+        session = WorkerSession(self.system, fx.worker("w2"), channel, 3, TIMES, voided)
         session.start()
         run_for(self.clock, 0.1)
         self.assertEqual(channel.calls[:2], ["stop", "look True"])
