Carry out maintenance waves

Cause: the operator's waves of upkeep were not read at all, so every wave would have been late and its state never written. Change: the coordinator reads the waves, empties machines within the wave's limit and the bounds of service tasks, records each order, sends it under the term as fence until it is answered, and writes the wave's state. The adapter speaks to the machines' service. Ruled out: orders by any node, as holders that take turns break the fence; orders at once after a takeover, for the same reason.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -22,10 +22,12 @@
     Change,
     ChannelFactory,
     RegistryCodec,
+    UpkeepGateway,
     WorkerTimes,
     not_coordinator,
 )
 from .leadership import boot_clock
+from .maintenance import Maintenance
 from .messages import (
     AdviceGiven,
     BeginTerm,
@@ -78,6 +80,7 @@
     workers: WorkerTable
     writer: ProgressWriter
     retention: RecordRetention
+    maintenance: Maintenance | None
 
 
 class Coordinator(Actor):
@@ -89,6 +92,7 @@
         channels: Opens connections to workers.
         times: What the platform says of workers.
         keep_ended_s: Seconds for which ended workflows can be asked for.
+        upkeep: What maintenance waves need; None without such a service.
     """
 
     def __init__(
@@ -98,11 +102,13 @@
         channels: ChannelFactory,
         times: WorkerTimes,
         keep_ended_s: float,
+        upkeep: UpkeepGateway | None = None,
     ) -> None:
         self._registry = registry
         self._channels = channels
         self._times = times
         self._keep_ended_s = keep_ended_s
+        self._upkeep = upkeep
         self._term: _Term | None = None
         self._ready = False
         self._confirmed_until = 0.0
@@ -165,7 +171,12 @@
         )
         writer = ProgressWriter(self.system, engine, recorder, workers, self._deposed)
         retention = RecordRetention(self.system, engine, recorder, self._keep_ended_s)
-        return _Term(message.term, engine, recorder, workers, writer, retention)
+        maintenance = None
+        if self._upkeep is not None:
+            maintenance = Maintenance(self.system, engine, recorder, *self._upkeep)
+        return _Term(
+            message.term, engine, recorder, workers, writer, retention, maintenance
+        )
 
     async def _recover(self, term: _Term) -> None:
         state = await read_state(self.ask, self._registry.prefix)
@@ -237,6 +248,8 @@
         self._ready = False
         if term is not None:
             term.writer.close()
+            if term.maintenance is not None:
+                term.maintenance.close()
             term.workers.close()
 
     def _deposed(self) -> None:
@@ -359,6 +372,8 @@
         self._term.engine.pace(now)
         self._term.workers.sweep()
         self._term.retention.sweep(now)
+        if self._term.maintenance is not None:
+            self._term.maintenance.advance(now)
         self._plan_soon()
 
     async def _read_time_of_day(self) -> None:
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -1,9 +1,11 @@
 """What a platform provides, as abstract classes and plain types."""
 
 import abc
+import enum
 from typing import NamedTuple
 
 from ..exceptions import UnavailableError
+from ..workflows.maintenance import Machine, MaintenanceWave
 from ..workflows.model import (
     PaceRun,
     QueuePolicy,
@@ -27,6 +29,7 @@
 CANCEL_SUFFIX = "/cancel"
 PROGRESS_PREFIX = "progress/"
 NODES_PREFIX = "node/"
+MAINTENANCE_PREFIX = "maintenance/"
 COORDINATOR_KEY = "coordination/holder"
 TERM_KEY = "coordination/term"
 
@@ -253,6 +256,71 @@
         """
 
 
+class MachineReply(enum.StrEnum):
+    """Answers to an order; all but FENCED are events of the upkeep."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    GONE = "gone"
+    FENCED = "fenced"
+
+
+class MachineService(abc.ABC):
+    """Lists machines and takes them down.
+
+    Every call raises ``UnavailableError`` when there is no answer; an order
+    may then have been carried out and is to be repeated.
+    """
+
+    @abc.abstractmethod
+    async def list_machines(self) -> tuple[Machine, ...]:
+        """Return all machines."""
+
+    @abc.abstractmethod
+    async def begin_upkeep(
+        self, machine_id: str, wave_id: int, holder: str, fence: int
+    ) -> MachineReply:
+        """Take a machine down; the same order twice is carried out once."""
+
+
+class WaveCodec(abc.ABC):
+    """Reads the operators' maintenance waves and writes their state."""
+
+    prefix: str
+
+    @abc.abstractmethod
+    def decode(self, key: str, document: str) -> MaintenanceWave | None:
+        """Return the wave, or None for a document that names none."""
+
+    @abc.abstractmethod
+    def status_key(self, wave_id: int) -> str:
+        """Return the key of a wave's state."""
+
+    @abc.abstractmethod
+    def encode_status(self, wave_id: int, done: bool) -> str:
+        """Return the document of a wave's state."""
+
+    @abc.abstractmethod
+    def is_done(self, document: str) -> bool:
+        """Return whether a state says that the wave is done."""
+
+
+class UpkeepGateway(NamedTuple):
+    """What maintenance waves need of the platform.
+
+    Attributes:
+        waves: Reads waves.
+        machines: Takes machines down.
+        holder: Names this process in orders.
+        quiet_s: Time after a change of the coordinator without orders.
+    """
+
+    waves: WaveCodec
+    machines: MachineService
+    holder: str
+    quiet_s: float
+
+
 class ChannelFactory(abc.ABC):
     """Opens channels to workers."""
 
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -17,6 +17,7 @@
     INTAKE,
     LEADERSHIP,
     NEIGHBOURS,
+    UpkeepGateway,
     WorkerTimes,
 )
 from ..coordination.intake import Intake
@@ -32,6 +33,8 @@
 from .advice import PlatformAdvice
 from .front import FRONT, Front
 from .http_client import JsonClient
+from .machines import CONNECTIONS as MACHINES_CONNECTIONS
+from .machines import PlatformMachines, PlatformWaves
 from .readiness import readiness_site
 from .registry import PlatformConfiguration, PlatformRegistry
 from .settings import PlatformSettings, load_settings
@@ -78,6 +81,7 @@
             PlatformChannels(reactor),
             WorkerTimes(settings.longest_lease_s, settings.heartbeat_s),
             settings.keep_ended_s,
+            _upkeep(reactor, settings, identity),
         )
         Advisor(self.system, _advice(reactor, settings.advice_address))
         Intake(self.system, identity)
@@ -126,6 +130,20 @@
     return PlatformAdvice(JsonClient(reactor, address, ADVICE_CONNECTIONS))
 
 
+def _upkeep(
+    reactor: Any, settings: PlatformSettings, identity: Identity
+) -> UpkeepGateway | None:
+    if not settings.machines_address:
+        return None
+    client = JsonClient(reactor, settings.machines_address, MACHINES_CONNECTIONS)
+    return UpkeepGateway(
+        PlatformWaves(),
+        PlatformMachines(client),
+        f"{identity.node_id}/{identity.life}",
+        settings.order_pause_s,
+    )
+
+
 def main() -> int:
     """Run a node until SIGTERM; returns the exit status."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
--- a/src/redwingrudder/platform/settings.py
+++ b/src/redwingrudder/platform/settings.py
@@ -21,6 +21,8 @@
         metrics: Host and port of the metrics.
         store_address: "host:port" of the store.
         advice_address: "host:port" of the advice service, "" without one.
+        machines_address: "host:port" of the machines' service, "" without.
+        order_pause_s: Between orders of two holders for one machine.
         longest_lease_s: Longest lease that workers accept.
         heartbeat_s: Between two updates of a worker's registry entry.
         keep_ended_s: For how long ended jobs can be asked for.
@@ -36,6 +38,8 @@
     metrics: tuple[str, int]
     store_address: str
     advice_address: str
+    machines_address: str
+    order_pause_s: float
     longest_lease_s: float
     heartbeat_s: float
     keep_ended_s: float
@@ -77,6 +81,8 @@
         metrics=(ip, first_port + 1),
         store_address=document["platform"]["address"],
         advice_address=document.get("advice") or "",
+        machines_address=(document.get("cloud") or {}).get("address") or "",
+        order_pause_s=bounds.get("leaseMs", 0) / 1000,
         longest_lease_s=bounds["maxHoldMs"] / 1000,
         heartbeat_s=document["heartbeatMs"] / 1000,
         keep_ended_s=KEEP_ENDED_FACTOR * bounds["status_s"],
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -79,6 +79,7 @@
         if facts.born_ms and worker.facts.born_ms != facts.born_ms:
             self._interrupt_confirmed(worker, now)
             worker.failures = 0
+            worker.emptying = False
             worker.quarantined_until = 0.0
         worker.facts = facts
         worker.listed = True
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -235,6 +235,7 @@
 
     Attributes:
         free: Room that is neither used nor claimed for a waiting step.
+        emptying: Its machine is about to be taken down for upkeep.
         failures: Failed runs since the last run that was done here.
         failed_at: Steady-clock seconds of the newest of them.
         leaves_at: Steady-clock seconds until which a draining worker surely
@@ -245,6 +246,7 @@
         "_claimed",
         "_facts",
         "_used",
+        "emptying",
         "failed_at",
         "failures",
         "free",
@@ -266,6 +268,7 @@
         self.tasks_by_key: dict[TaskKey, Task] = {}
         self.listed = True
         self.reachable = True
+        self.emptying = False
         self.failures = 0
         self.failed_at = 0.0
         self.quarantined_until = 0.0
@@ -328,6 +331,7 @@
             self.listed
             and self.reachable
             and not self.facts.draining
+            and not self.emptying
             and now >= self.quarantined_until
         )
 
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
 from redwingrudder._store_requests import (
     DeleteKey,
@@ -206,4 +207,5 @@
     deferred.addBoth(results.append)
     if not results:
         return None
-    return getattr(results[0], "value", results[0])
+    result = results[0]
+    return result.value if isinstance(result, Failure) else result
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,239 @@
+"""Tests of maintenance waves: one failure each."""
+
+import json
+import unittest
+
+from redwingrudder.coordination.gateways import (
+    LEADERSHIP,
+    MAINTENANCE_PREFIX,
+    TERM_KEY,
+    MachineReply,
+    MachineService,
+)
+from redwingrudder.coordination.maintenance import Maintenance
+from redwingrudder.coordination.messages import Fenced
+from redwingrudder.coordination.recorder import Recorder
+from redwingrudder.exceptions import UnavailableError
+from redwingrudder.platform.machines import PlatformWaves
+from redwingrudder.workflows.maintenance import (
+    Machine,
+    MachineState,
+    MaintenanceWave,
+    WaveProgress,
+    runs_to_stop,
+)
+from redwingrudder.workflows.model import EndKind
+
+from . import workflow_fixtures as fx
+from .coordination_fakes import Recording, node_system, run_for
+
+QUIET_S = 3.0
+STATUS = "status/wave/1"
+
+
+def wave(machines=3, limit=1, duration_s=20.0):
+    names = tuple(f"m{index}" for index in range(machines))
+    return MaintenanceWave(1, names, limit, duration_s)
+
+
+def fleet(machines=3):
+    return tuple(
+        Machine(f"m{index}", MachineState.UP, f"w{index}") for index in range(machines)
+    )
+
+
+class FakeMachines(MachineService):
+    """Machines in memory.
+
+    Attributes:
+        unanswered: So many orders are carried out without an answer.
+        reply: Given in place of carrying out an order.
+    """
+
+    def __init__(self, machines=3):
+        self.machines = {m.machine_id: m for m in fleet(machines)}
+        self.unanswered = 0
+        self.reply = None
+        self.orders = []
+        self.most_down = 0
+
+    async def list_machines(self):
+        return tuple(self.machines.values())
+
+    async def begin_upkeep(self, machine_id, wave_id, holder, fence):
+        self.orders.append((machine_id, holder, fence))
+        if self.reply is not None:
+            return self.reply
+        machine = self.machines[machine_id]
+        if machine.worker_id.startswith("w"):
+            self.machines[machine_id] = Machine(machine_id, MachineState.CHANGING, "")
+            down = [m for m in self.machines.values() if not m.worker_id]
+            self.most_down = max(self.most_down, len(down))
+        if self.unanswered:
+            self.unanswered -= 1
+            raise UnavailableError("lost")
+        return MachineReply.ACCEPTED
+
+    def bring_back(self):
+        for name, machine in self.machines.items():
+            if not machine.worker_id:
+                up = Machine(name, MachineState.UP, f"new-{name}")
+                self.machines[name] = up
+
+
+class MaintenanceTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        self.leadership = Recording(self.system, LEADERSHIP, {Fenced: None})
+        self.store.contents.put(TERM_KEY, "5")
+        self.store.contents.put("op/wave/1", self.document())
+        self.machines = FakeMachines()
+        self.engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
+        self.engine.term = 5
+        self.maintenance = self.new_term()
+
+    def document(self):
+        spec = wave()
+        return json.dumps(
+            {
+                "wave": spec.wave_id,
+                "machines": spec.machine_ids,
+                "maxCount": spec.limit,
+                "durationS": spec.duration_s,
+            }
+        )
+
+    def new_term(self):
+        term = self.store.contents.items_by_key[TERM_KEY]
+        recorder = Recorder(self.system.ask, 5, term.mod_revision)
+        return Maintenance(
+            self.system,
+            self.engine,
+            recorder,
+            PlatformWaves(),
+            self.machines,
+            "n1",
+            QUIET_S,
+        )
+
+    def advance(self, seconds, come_back=True):
+        end = self.clock.seconds() + seconds
+        while self.clock.seconds() < end:
+            self.maintenance.advance(self.clock.seconds())
+            run_for(self.clock, 0.2)
+            if come_back:
+                self.machines.bring_back()
+
+    def status(self):
+        item = self.store.contents.items_by_key.get(STATUS)
+        return json.loads(item.value)["state"] if item else None
+
+    def test_wave_is_done_within_its_limit(self):
+        """Guards against more machines down than the wave allows."""
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+        self.assertEqual(self.machines.most_down, 1)
+        self.assertNotIn(MAINTENANCE_PREFIX + "1", self.store.contents.items_by_key)
+
+    def test_wave_runs_while_a_machine_is_down(self):
+        """Guards against "done" before every machine had its upkeep."""
+        self.advance(20.0, come_back=False)
+        self.assertEqual(self.status(), "running")
+        self.assertEqual(len(self.machines.orders), 1)
+
+    def test_no_order_right_after_a_takeover(self):
+        """Guards against two coordinators that give orders in turns."""
+        self.advance(QUIET_S - 0.4)
+        self.assertEqual(self.machines.orders, [])
+
+    def test_unanswered_order_is_repeated(self):
+        """Guards against a machine that is counted as down for ever."""
+        self.machines.unanswered = 1
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+
+    def test_successor_goes_on(self):
+        """Guards against a second upkeep of machines that had theirs."""
+        self.advance(6.0)
+        begun = {name for name, _, _ in self.machines.orders}
+        self.assertTrue(begun)
+        self.maintenance.close()
+        self.machines.orders.clear()
+        self.maintenance = self.new_term()
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+        self.assertFalse(begun & {name for name, _, _ in self.machines.orders})
+
+    def test_fenced_coordinator_gives_up(self):
+        """Guards against orders beside those of a successor."""
+        self.machines.reply = MachineReply.FENCED
+        self.advance(10.0)
+        self.assertEqual(len(self.machines.orders), 1)
+        self.assertTrue(self.leadership.received)
+
+    def test_busy_machine_is_tried_again(self):
+        """Guards against a wave that one refusal ends."""
+        self.machines.reply = MachineReply.REJECTED
+        self.advance(6.0)
+        self.machines.reply = None
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+
+    def test_unreadable_wave_is_left_alone(self):
+        """Guards against a document of another writer that stops all."""
+        self.store.contents.put("op/wave/2", "{")
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+
+    def test_worker_is_emptied_first(self):
+        """Guards against runs that an upkeep kills."""
+        self.engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 0.0)
+        begun = fx.starts(self.engine.plan(0.0, 0.0))
+        fx.confirm(self.engine, begun)
+        self.advance(8.0)
+        self.assertEqual(self.machines.orders, [])
+        stops = fx.stops(self.engine.take_effects())
+        self.assertEqual(len(stops), 1)
+        start = next(s for s in begun if s.worker_id == stops[0].worker_id)
+        end = fx.ended(start, EndKind.STOPPED)
+        self.engine.end(start.worker_id, end, self.clock.seconds())
+        self.advance(1.0, come_back=False)
+        self.assertEqual(len(self.machines.orders), 1)
+
+
+class DecisionTests(unittest.TestCase):
+    def test_cheapest_machine_comes_first(self):
+        """Guards against work thrown away while idle machines wait."""
+        engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
+        engine.accept(fx.workflow("job", fx.step(2, fx.WHOLE_WORKER)), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        chosen = WaveProgress(wave()).choose(fleet(), engine.workers_by_id, 5.0)
+        used = {start.worker_id for start in begun}
+        self.assertNotIn(chosen[0].worker_id, used)
+
+    def test_service_keeps_its_tasks(self):
+        """Guards against more service tasks away than their step allows."""
+        engine = fx.engine(fx.worker("w1"))
+        service = fx.step(4, service=True, unavailable_limit=2)
+        engine.accept(fx.workflow("job", service), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        rows = [fx.running(start, 100.0) for start in begun]
+        engine.report("w1", rows, 1.0)
+        worker = engine.workers_by_id["w1"]
+        first = runs_to_stop(worker, 0.0, engine.speeds, 1.0)
+        self.assertEqual(len(first), 2)
+        for task in first:
+            engine.stop(task, "machine_upkeep")
+        self.assertEqual(runs_to_stop(worker, 0.0, engine.speeds, 1.0), [])
+
+    def test_machine_that_left_does_not_hold_the_wave(self):
+        """Guards against a wave that waits for a machine that is gone."""
+        progress = WaveProgress(wave(machines=1))
+        progress.observe(())
+        self.assertTrue(progress.done)
+
+
+if __name__ == "__main__":
+    unittest.main()
