Give large reads the time that the link needs; resign when recovery fails

Ruled out: a longer limit for all calls, as a silent store is noticed by it; excluding weak nodes, as they may be the only ones. Result: the new tests pass and fail without.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -39,6 +39,7 @@
     GetState,
     LeaseConfirmed,
     PaceLost,
+    Resign,
     StartSettled,
     WorkerLapsed,
     WorkerLooked,
@@ -67,6 +68,9 @@
 PLAN_PAUSE_FACTOR = 2.0
 TICK_S = 0.2
 RETRY_S = 0.25
+# A coordinator that could not read the state for this long resigns, as other
+# nodes may have a better way to the store.
+RECOVERY_LIMIT_S = 4.0
 
 _logger = logging.getLogger(__name__)
 
@@ -153,12 +157,16 @@
         self._term = term
         self.tell(METRICS, Measured("coordinator", 1.0))
         _logger.info("term began", extra={"term": term.number})
+        give_up_at = self.system.clock.seconds() + RECOVERY_LIMIT_S
         while self._term is term:
             try:
                 await self._recover(term)
                 return
             except RedwingrudderError as error:
                 _logger.warning("recovery failed", extra={"error": str(error)})
+                if self.system.clock.seconds() > give_up_at:
+                    self.tell(LEADERSHIP, Resign("recovery failed"))
+                    return
                 await pause(self.system.clock, RETRY_S)
 
     def _open_term(self, message: BeginTerm) -> _Term:
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -40,6 +40,7 @@
     EndTerm,
     Fenced,
     LeaseConfirmed,
+    Resign,
 )
 
 LEASE_TTL_S = 1.5  # work stands still this long after a coordinator's power loss
@@ -49,11 +50,16 @@
 # Nodes that find the record vacant wait up to this long, so that mostly one
 # of them writes.
 CAMPAIGN_JITTER_S = 0.15
-# A node of half a core waits this much longer, as the coordinator of 176
-# workers takes half a core.
-WEAK_NODE_DELAY_S = 0.2  # times the share of a core that is missing
-
-_EVENTS = frozenset({"vacant", "acquired", "failed", "deposed", "drain"})
+# Weaker nodes wait longer, so that a strong one is elected where there is any:
+# the coordinator of 176 workers takes up to a core and reads some megabytes
+# when it takes over.
+STRONG_CORES = 1.0
+WEAK_CORES_DELAY_S = 0.35  # times the share of a core that is missing
+STRONG_LINK_BPS = 50e6
+WEAK_LINK_DELAY_S = 0.2
+RESIGNED_DELAY_S = 2.0  # longer than other nodes need to be elected
+
+_EVENTS = frozenset({"vacant", "acquired", "failed", "deposed", "resign", "drain"})
 _ACTIONS = frozenset({"acquire", "begin_term", "end_term", "withdraw_record"})
 _logger = logging.getLogger(__name__)
 
@@ -66,6 +72,21 @@
     life: str
 
 
+class Strength(NamedTuple):
+    """What a node can carry: processor share and bits a second."""
+
+    cores: float = STRONG_CORES
+    link_bps: float = STRONG_LINK_BPS
+
+    def delay_s(self) -> float:
+        """Return for how long the node leaves a vacancy to stronger ones."""
+        cores_s = WEAK_CORES_DELAY_S * max(STRONG_CORES - self.cores, 0.0)
+        return cores_s + WEAK_LINK_DELAY_S * (self.link_bps < STRONG_LINK_BPS)
+
+
+STRONG = Strength()
+
+
 class Holder(NamedTuple):
     """The record of the coordinator."""
 
@@ -92,7 +113,7 @@
         system: The node's actors.
         identity: This process.
         subscribers: Actors told of each known coordinator.
-        cores: Processor share of this node.
+        strength: What this node can carry.
     """
 
     def __init__(
@@ -100,7 +121,7 @@
         system: ActorSystem,
         identity: Identity,
         subscribers: tuple[str, ...],
-        cores: float = 1.0,
+        strength: Strength = STRONG,
     ) -> None:
         self._chart = ChartRunner(
             load_chart("coordinator", _EVENTS, _ACTIONS),
@@ -114,7 +135,7 @@
         self._identity = identity
         self._subscribers = subscribers
         self._jitter = random.Random(identity.life)
-        self._handicap_s = WEAK_NODE_DELAY_S * max(1.0 - cores, 0.0)
+        self._handicap_s = strength.delay_s()
         self._holder: Holder | None = None
         # Revision of a record whose holder is surely dead, 0 for none.
         self._dead_revision = 0
@@ -135,6 +156,7 @@
             TimerFired: self._timer_fired,
             CoordinatorSilent: self._coordinator_silent,
             Fenced: self._fenced,
+            Resign: self._resign,
             Drain: self._drain,
         }
 
@@ -241,6 +263,12 @@
         _logger.warning("higher term seen", extra={"source": message.source})
         self._chart.step("deposed", message.source)
 
+    def _resign(self, message: Resign) -> None:
+        """Leave the record to a node that can carry it."""
+        _logger.warning("coordinator resigns", extra={"reason": message.reason})
+        self._handicap_s += RESIGNED_DELAY_S
+        self._chart.step("resign", message.reason)
+
     async def _acquire(self) -> None:
         """Write the record, on the condition that it did not change."""
         event = "failed"
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -98,6 +98,12 @@
     source: str
 
 
+class Resign(NamedTuple):
+    """Tell LEADERSHIP: this node cannot coordinate, another one should."""
+
+    reason: str
+
+
 class LeaseConfirmed(NamedTuple):
     """Tell COORDINATOR: the record is held until a boot-clock time."""
 
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -21,7 +21,7 @@
     WorkerTimes,
 )
 from ..coordination.intake import Intake
-from ..coordination.leadership import Identity, Leadership
+from ..coordination.leadership import Identity, Leadership, Strength
 from ..coordination.messages import Drain
 from ..coordination.metrics import Metrics
 from ..coordination.neighbours import Neighbours
@@ -67,13 +67,16 @@
         TimerService(self.system)
         Metrics(self.system, reactor, settings.metrics)
         client = JsonClient(reactor, settings.store_address, CONNECTIONS)
-        self._store = PlatformStore(self.system, client, (NEIGHBOURS, INTAKE))
+        self._store = PlatformStore(
+            self.system, client, (NEIGHBOURS, INTAKE), settings.link_bps
+        )
         self._feed = ConfigurationFeed(
             self.system,
             PlatformConfiguration(),
             (FRONT, NEIGHBOURS, COORDINATOR),
         )
-        Leadership(self.system, identity, (NEIGHBOURS, INTAKE), settings.cores)
+        strength = Strength(settings.cores, settings.link_bps)
+        Leadership(self.system, identity, (NEIGHBOURS, INTAKE), strength)
         Neighbours(self.system, reactor, identity, settings.peers)
         Coordinator(
             self.system,
--- a/src/redwingrudder/platform/settings.py
+++ b/src/redwingrudder/platform/settings.py
@@ -7,6 +7,7 @@
 
 # The platform counts the time from the client's answer, nodes from the end.
 KEEP_ENDED_FACTOR = 1.25
+DEFAULT_LINK_MBPS = 1000.0  # where the settings do not say
 
 
 class PlatformSettings(NamedTuple):
@@ -27,6 +28,7 @@
         heartbeat_s: Between two updates of a worker's registry entry.
         keep_ended_s: For how long ended jobs can be asked for.
         grace_s: From SIGTERM until the process is killed.
+        link_bps: Bits a second of this node's network link.
         cores: Share of a processor that this node has.
     """
 
@@ -44,6 +46,7 @@
     heartbeat_s: float
     keep_ended_s: float
     grace_s: float
+    link_bps: float
     cores: float
 
 
@@ -87,6 +90,7 @@
         heartbeat_s=document["heartbeatMs"] / 1000,
         keep_ended_s=KEEP_ENDED_FACTOR * bounds["status_s"],
         grace_s=float(bounds["graceS"]),
+        link_bps=1e6 * float(limits.get("linkMbps", DEFAULT_LINK_MBPS)),
         # The platform gives the share of each of several processors.
         cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
     )
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -40,6 +40,9 @@
 # Single answers get lost while the store works; a row of failures means more.
 FAILURES_LIMIT = 2
 PAGES_LIMIT = 200  # about 500 items a page
+PAGE_BITS = 12_000_000  # of a full page: 1 MB of values as base64 text
+# Pages of several ranges are read at the same time over the node's link.
+PAGES_AT_A_TIME = 3
 
 _logger = logging.getLogger(__name__)
 
@@ -51,12 +54,19 @@
         system: The node's actors.
         client: Connections to the store.
         subscribers: Actors told whether the store answers.
+        link_bps: Bits a second of the node's network link.
     """
 
     def __init__(
-        self, system: ActorSystem, client: JsonClient, subscribers: tuple[str, ...]
+        self,
+        system: ActorSystem,
+        client: JsonClient,
+        subscribers: tuple[str, ...],
+        link_bps: float,
     ) -> None:
         self._client = client
+        # What a full page takes on the link, on top of the store's answer.
+        self._page_s = PAGES_AT_A_TIME * PAGE_BITS / link_bps
         self._subscribers = subscribers
         self._timeout_s = TIMEOUT_S
         self._latency_s = 0.0
@@ -104,7 +114,7 @@
             path = f"/redwingrudder/kv-range?prefix={quote(message.prefix, safe='')}"
             if after:
                 path += f"&after={quote(after, safe='')}"
-            body = (await self._read(path)).body
+            body = (await self._read(path, transfer_s=self._page_s)).body
             revision = revision or int(body["currentRev"])
             items = body.get("items") or []
             for item in items:
@@ -168,9 +178,11 @@
                 changes.append(change)
         return Changes(tuple(changes), int(reply.body["currentRev"]))
 
-    async def _read(self, path: str, wait_s: float = 0.0) -> JsonReply:
+    async def _read(
+        self, path: str, wait_s: float = 0.0, transfer_s: float = 0.0
+    ) -> JsonReply:
         try:
-            return await self._call("GET", path, None, wait_s)
+            return await self._call("GET", path, None, wait_s, transfer_s)
         except OutcomeUnknownError as error:
             raise StoreUnavailableError(error.detail) from error
 
@@ -180,14 +192,27 @@
         return await self._call(method, path, body, 0.0)
 
     async def _call(
-        self, method: str, path: str, body: dict[str, Any] | None, wait_s: float
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        wait_s: float,
+        transfer_s: float = 0.0,
     ) -> JsonReply:
-        """Send a call; 429 and 503 mean that nothing was done."""
+        """Send a call; 429 and 503 mean that nothing was done.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: Sent as JSON.
+            wait_s: For how long the store may wait with its answer.
+            transfer_s: What a large answer takes on the link.
+        """
         begun = self.system.clock.seconds()
         outcome = "unanswered"
         try:
             reply = await self._client.call(
-                method, path, body, wait_s + self._timeout_s
+                method, path, body, wait_s + transfer_s + self._timeout_s
             )
             outcome = str(reply.status)
         except OutcomeUnknownError:
@@ -199,7 +224,7 @@
         finally:
             self.tell(METRICS, Counted("store_calls", (outcome,)))
         if reply.status in (200, 404, 410, 412):
-            if not wait_s:
+            if not wait_s and not transfer_s:
                 self._answered(self.system.clock.seconds() - begun)
             self._failures = 0
             self._report(True)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -22,6 +22,7 @@
     CAMPAIGN_JITTER_S,
     Identity,
     Leadership,
+    Strength,
 )
 from redwingrudder.coordination.messages import (
     BeginTerm,
@@ -34,6 +35,7 @@
     GetState,
     LeaseConfirmed,
     NodeSummary,
+    Resign,
     StoreAvailability,
     SubmitWorkflow,
     WorkflowStored,
@@ -235,11 +237,26 @@
         """Guards against a coordinator on the weakest node."""
         _, system, _ = node_system(self.contents)
         identity = Identity("weak", "10.0.0.1:9", "life-weak")
-        weak = Leadership(system, identity, (), 0.25)
+        weak = Leadership(system, identity, (), Strength(0.25))
         strong = self.nodes[0][4]
         self.assertGreater(weak._campaign_delay_s(), CAMPAIGN_JITTER_S)
         self.assertLessEqual(strong._campaign_delay_s(), CAMPAIGN_JITTER_S)
 
+    def test_resigned_coordinator_is_replaced(self):
+        """Guards against a coordinator that can never read the state."""
+        self.advance(1.0)
+        leader = self.leaders()[0]
+        leader.system.tell(LEADERSHIP, Resign("recovery failed"))
+        self.advance(1.0)
+        self.assertEqual(len(self.leaders()), 1)
+        self.assertNotIn(leader, self.leaders())
+
+    def test_node_on_a_narrow_link_campaigns_later(self):
+        """Guards against a takeover of megabytes over a narrow link."""
+        narrow = Strength(link_bps=10e6)
+        self.assertGreater(narrow.delay_s(), CAMPAIGN_JITTER_S)
+        self.assertEqual(Strength(2.0, 200e6).delay_s(), 0.0)
+
     def test_vacant_record_begins_a_higher_term(self):
         """Guards against a fence that does not rise with the holder."""
         self.advance(1.0)
