--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -365,6 +365,9 @@
         # A gang ends as a whole, and one listed end stands for all members.
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
+            if member.ended:
+                # Withdrawn while this run was still being stopped.
+                continue
             if member is not task and member.placed and member.run != task.run:
                 continue
             if not current and member.placed:
--- a/src/redwingrudder/workflows/run_book.py
+++ b/src/redwingrudder/workflows/run_book.py
@@ -60,9 +60,11 @@
         return progress.find(key) if progress is not None else None
 
     def current(self, key: TaskKey, run: int) -> Task | None:
-        """Return a task if a run is its newest, else None."""
+        """Return a task that has not ended if a run is its newest."""
         task = self.find(key)
-        return task if task is not None and task.run == run else None
+        if task is None or task.run != run or task.ended:
+            return None
+        return task
 
     def take_effects(self) -> list[Effect]:
         """Return the effects decided since the last call."""
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,63 @@
+"""Tests of the bounded log."""
+
+import io
+import json
+import logging
+import os
+import unittest
+
+from redwingrudder.logs import LINES_BURST, BoundedHandler, LineFormatter
+
+
+def record(level=logging.INFO, message="event"):
+    return logging.LogRecord("test", level, __file__, 1, message, None, None)
+
+
+class BoundedHandlerTests(unittest.TestCase):
+    def setUp(self):
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
+        self.reader = reader
+        self.stream = os.fdopen(writer, "w")
+        self.handler = BoundedHandler(self.stream)
+        self.handler.setFormatter(LineFormatter("n1"))
+        self.addCleanup(os.close, reader)
+        self.addCleanup(self.stream.close)
+
+    def read(self):
+        """Return all lines in the pipe; an incomplete last one is kept."""
+        content = b""
+        try:
+            while part := os.read(self.reader, 1 << 16):
+                content += part
+        except BlockingIOError:
+            pass
+        return content
+
+    def test_full_pipe_does_not_block(self):
+        """Guards against a node that stands still with its log's reader."""
+        for _ in range(3000):
+            self.handler.emit(record(logging.WARNING, "x" * 200))
+        content = self.read()
+        self.handler.emit(record(logging.WARNING, "again"))
+        lines = [json.loads(line) for line in (content + self.read()).splitlines()]
+        self.assertEqual(lines[-1]["message"], "again")
+        missing = [line for line in lines if line["message"] == "log lines dropped"]
+        self.assertEqual(len(lines) - 2 + missing[0]["lines"], 3000)
+
+    def test_volume_is_bounded(self):
+        """Guards against a flood of lines that takes the processor."""
+        handler = BoundedHandler(io.StringIO())
+        handler.setFormatter(LineFormatter("n1"))
+        for _ in range(int(LINES_BURST) + 2000):
+            handler.emit(record())
+        written = handler.stream.getvalue().count("\n")
+        self.assertLess(written, LINES_BURST + 1500)
+        handler.emit(record(logging.ERROR, "last"))
+        lines = handler.stream.getvalue().splitlines()
+        self.assertEqual(json.loads(lines[-1])["message"], "last")
+        self.assertEqual(json.loads(lines[-2])["message"], "log lines dropped")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -149,6 +149,36 @@
             engine.supervise(float(now))
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
+    def test_done_end_of_a_cancelled_gang(self):
+        """Guards against a report that fails for ever; soak seed 105.
+
+        One member was stopped, then another one's end arrives as done.
+        """
+        engine = fx.engine()
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
+        progress = engine.accept(fx.workflow("job", gang), 0.0)
+        begun = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, begun)
+        engine.cancel("job", 1.0)
+        first, second = begun
+        engine.end(first.worker_id, fx.ended(first, EndKind.STOPPED), 1.1)
+        engine.end(second.worker_id, fx.ended(second), 1.2)
+        self.assertIs(progress.state, WorkflowState.CANCELLED)
+        self.assertTrue(progress.settled)
+
+    def test_late_answer_to_a_start_of_an_ended_task(self):
+        """Guards against an answer that fails its handler."""
+        for answer in ("start_confirmed", "start_rejected"):
+            with self.subTest(answer=answer):
+                engine = fx.engine()
+                engine.accept(fx.workflow(), 0.0)
+                start = fx.starts(engine.plan(0.0, 0.0))[0]
+                engine.cancel("job", 0.1)
+                engine.end(start.worker_id, fx.ended(start, EndKind.STOPPED), 0.2)
+                reason = ("room",) if answer == "start_rejected" else ()
+                getattr(engine, answer)(start.key, start.run, *reason, 0.3)
+                self.assertTrue(engine.workflows_by_id["job"].settled)
+
 
 class WorkerTests(unittest.TestCase):
     """Workers that restart, fail, hang or leave."""
