Stop as few gangs as possible; be ready only while the store is in reach

Nodes that were cut off from the store and from all neighbours with the store stayed ready and refused. Change: the cheapest victim gang is stopped first and room is chosen anew with what it frees, up to four times; tasks whose stop is decided in the pass cost nothing to later steps. Readiness ends after 1.5 s without a way to the store. Ruled out: never preempting a gang, as urgent work within its guarantee has a bound. Result: the new tests fail without the change.

--- a/src/redwingrudder/coordination/neighbours.py
+++ b/src/redwingrudder/coordination/neighbours.py
@@ -138,6 +138,13 @@
         self._port: Any = None
         super().__init__(system, NEIGHBOURS)
 
+    @property
+    def reaches_store(self) -> bool:
+        """Whether this node has the store, or hears of a node that has it."""
+        if self._store_available:
+            return True
+        return any(other.store_available for other in self._view().fresh)
+
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -45,6 +45,8 @@
 # Time kept at the end of the grace for the last answers.
 LAST_ANSWERS_S = 1.0
 LOOP_S = 0.05
+# A node without the store stays ready this long; shorter gaps are usual.
+UNSERVED_READY_S = 1.5
 
 _logger = logging.getLogger(__name__)
 
@@ -77,7 +79,8 @@
         )
         strength = Strength(settings.cores, settings.link_bps)
         Leadership(self.system, identity, (NEIGHBOURS, INTAKE), strength)
-        Neighbours(self.system, reactor, identity, settings.peers)
+        self._neighbours = Neighbours(self.system, reactor, identity, settings.peers)
+        self._served_at = 0.0
         Coordinator(
             self.system,
             PlatformRegistry(),
@@ -99,7 +102,17 @@
         _logger.info("node started", extra={"domain": self._settings.failure_domain})
 
     def _is_ready(self) -> bool:
-        return self._feed.current is not None and not self._stopping
+        """Return whether callers are served better here than elsewhere.
+
+        A node that is cut off from the store and from all nodes that have it
+        can only refuse what callers send.
+        """
+        if self._feed.current is None or self._stopping:
+            return False
+        now = self._reactor.seconds()
+        if self._neighbours.reaches_store:
+            self._served_at = now
+        return now - self._served_at < UNSERVED_READY_S
 
     def reload(self) -> None:
         """Take note of a changed settings file; addresses stay as they are."""
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -1,10 +1,10 @@
 """Where the tasks of a step run, and what makes room for them."""
 
 import abc
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import NamedTuple
 
-from .model import Resources
+from .model import Resources, TaskKey
 from .speeds import SpeedBook, is_slow
 from .state import Stage, Task, Worker, room_taken
 
@@ -90,18 +90,30 @@
         rank: Rank of the step that needs room.
         rank_of: Returns the rank of a running task's step; only tasks with a
             higher number are stopped.
+        doomed: Keys of tasks whose stop is decided; their room costs nothing.
     """
 
-    def __init__(self, now: float, rank: int, rank_of) -> None:
+    def __init__(
+        self,
+        now: float,
+        rank: int,
+        rank_of: Callable[[Stage], int],
+        doomed: Container[TaskKey],
+    ) -> None:
         self._now = now
         self._rank = rank
         self._rank_of = rank_of
+        self._doomed = doomed
 
     def slots(self, worker: Worker, demand: Resources, most: int) -> list[Slot]:
         """See base class."""
         free = worker.free
         slots = [Slot(worker)] * _fitting(free, demand, most)
-        stopping = [t for t in worker.tasks_by_key.values() if t.state == "stopping"]
+        stopping = [
+            task
+            for key, task in worker.tasks_by_key.items()
+            if task.state == "stopping" or key in self._doomed
+        ]
         for task in stopping:
             free = free.plus(room_taken(task.stage.spec))
         count = _fitting(free, demand, most)
@@ -129,8 +141,9 @@
     def _victims(self, worker: Worker) -> list[Task]:
         lower = [
             task
-            for task in worker.tasks_by_key.values()
+            for key, task in worker.tasks_by_key.items()
             if task.state in ("starting", "running")
+            and key not in self._doomed
             and not task.stage.spec.service
             and self._rank_of(task.stage) > self._rank
         ]
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .model import Resources
+from .model import Resources, TaskKey
 from .ordering import (
     SlackOrder,
     StageOrder,
@@ -19,6 +19,7 @@
     choose,
     eligible,
     fits_when_empty,
+    stop_cost,
     unadvised,
     usable_workers,
 )
@@ -33,6 +34,9 @@
 # Share of the run time that a task waits for a worker next to its data, as
 # elsewhere it takes a multiple of the run time.
 DATA_WAIT_SHARE = 1.0
+# Gangs that are stopped one after the other for a step, each after a new look
+# for room; then all the rest is stopped at once. It bounds a pass's time.
+VICTIM_GANGS_LIMIT = 4
 # Workers named in a question to the advice service, which takes time for each.
 ADVICE_SPARE = 2  # for each waiting task
 ADVICE_LEAST = 8
@@ -117,7 +121,7 @@
         now: float,
     ) -> None:
         self.starts: list[tuple[Task, Worker]] = []
-        self.stops: dict[tuple, Task] = {}
+        self.stops: dict[TaskKey, Task] = {}
         self.questions: list[tuple[Stage, tuple[str, ...]]] = []
         self._workers = workers
         self._entitled = entitled
@@ -147,7 +151,7 @@
             return
         if self._may_preempt(stage, stage_rank):
             source = PreemptibleRoom(
-                self._now, stage_rank, lambda s: rank(s, self._entitled)
+                self._now, stage_rank, lambda s: rank(s, self._entitled), self.stops
             )
             self._make_room(stage, rest, candidates, source)
         elif self._claims < CLAIMS_LIMIT and not stage.spec.service:
@@ -236,9 +240,18 @@
         source: RoomSource,
     ) -> None:
         near = self._near_data(stage, candidates)
-        slots = choose(stage, rest, near, source, self._now)
-        if len(slots) < len(rest) and near is not candidates:
-            slots = choose(stage, rest, candidates, source, self._now) or slots
+        slots: list[Slot] = []
+        for _ in range(VICTIM_GANGS_LIMIT):
+            slots = choose(stage, rest, near, source, self._now)
+            if len(slots) < len(rest) and near is not candidates:
+                slots = choose(stage, rest, candidates, source, self._now) or slots
+            victims = [victim for slot in slots for victim in slot.victims]
+            gangs = [victim for victim in victims if victim.stage.spec.gang]
+            if not gangs:
+                break
+            # The end of one gang frees room on many workers, so the rest of
+            # the slots is chosen anew before another gang is stopped.
+            self._stop(min(gangs, key=lambda task: stop_cost(task, self._now)))
         for slot in slots:
             for victim in slot.victims:
                 self._stop(victim)
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -2,11 +2,13 @@
 
 import unittest
 
+from redwingrudder._wire.generated.coordination.ttypes import WireNodeSummary
 from redwingrudder.coordination.gateways import NEIGHBOURS, NODES_PREFIX
 from redwingrudder.coordination.leadership import Identity
-from redwingrudder.coordination.messages import Drain
+from redwingrudder.coordination.messages import Drain, StoreAvailability
 from redwingrudder.coordination.neighbours import (
     DISCOVERY_S,
+    FRESH_S,
     ListNeighbours,
     Neighbours,
 )
@@ -22,7 +24,9 @@
         self.clock, self.system, self.store = node_system()
         TimerService(self.system)
         identity = Identity("n1", "10.0.0.1:7000", "life")
-        Neighbours(self.system, self.clock, identity, ("10.0.0.1", 7000))
+        self.neighbours = Neighbours(
+            self.system, self.clock, identity, ("10.0.0.1", 7000)
+        )
         self.system.tell(TIMERS, Subscribe(NEIGHBOURS, "discover", 0.0))
         run_for(self.clock, 0.1)
 
@@ -52,6 +56,17 @@
         view = outcome(reply)
         self.assertEqual((view.fresh, view.known), ((), 1))
 
+    def test_node_that_is_cut_off_does_not_reach_the_store(self):
+        """Guards against a node that is ready and refuses everything."""
+        self.system.tell(NEIGHBOURS, StoreAvailability(False))
+        run_for(self.clock, 0.05)
+        self.assertFalse(self.neighbours.reaches_store)
+        wire = WireNodeSummary("n2", "10.0.0.2:7000", "l", 1, "", "", 0, True, 0.0)
+        self.neighbours._take(wire, wire.address)
+        self.assertTrue(self.neighbours.reaches_store)
+        run_for(self.clock, FRESH_S + 0.1)
+        self.assertFalse(self.neighbours.reaches_store)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -497,6 +497,22 @@
 class PriorityTests(unittest.TestCase):
     """Urgent work and guarantees."""
 
+    def test_one_gang_is_stopped_rather_than_several(self):
+        """Guards against gangs that each lose all for one member's room."""
+        engine = fx.engine(*(fx.worker(f"w{i}") for i in range(6)))
+        gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
+        for offset, name in enumerate(("a", "b")):
+            engine.accept(fx.workflow(name, gang), 0.0)
+            for index in range(3):
+                key = fx.key(name, index=index)
+                engine.adopt_run(key, 1, f"w{2 * index + offset}", True, 0.0)
+        engine.accept(
+            fx.workflow("urgent", fx.step(3, fx.WHOLE_WORKER), priority=0), 1.0
+        )
+        stopped = fx.stops(engine.plan(1.0, 1.0))
+        self.assertEqual(len({stop.key.workflow_id for stop in stopped}), 1)
+        self.assertEqual(len(stopped), 3)
+
     def test_every_urgent_task_gets_its_room(self):
         """Guards against tasks that wait for room which no stop frees.
 
