Give a term's parts a module of their own

Change: term.py holds the parts of a term and opens them; FleetGateways names what the coordinator needs; giving up after the last attempt is with the runs. Ruled out: nothing; behaviour is unchanged.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -3,14 +3,12 @@
 import logging
 import time
 from collections.abc import Callable
-from typing import NamedTuple
 
 from .._background import run
 from .._store_requests import KeyValue
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import RedwingrudderError
 from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
-from ..workflows.engine import Engine
 from ..workflows.model import AskAdvice, Effect, StartRun, WorkflowState
 from .gateways import (
     ADVISOR,
@@ -20,14 +18,10 @@
     LEADERSHIP,
     NEIGHBOURS,
     Change,
-    ChannelFactory,
-    RegistryCodec,
-    UpkeepGateway,
-    WorkerTimes,
+    FleetGateways,
     not_coordinator,
 )
 from .leadership import boot_clock
-from .maintenance import Maintenance
 from .messages import (
     AdviceGiven,
     BeginTerm,
@@ -48,8 +42,6 @@
 )
 from .metrics import METRICS, Counted, Measured
 from .neighbours import GetTimeOfDay, ListNeighbours
-from .progress_writer import ProgressWriter
-from .recorder import Recorder
 from .recovery import (
     accept_stored,
     cancel_all,
@@ -57,10 +49,9 @@
     restore_all,
     workflow_id_of,
 )
-from .retention import RecordRetention
+from .term import Term, open_term
 from .watching import follow
 from .worker_session import pause
-from .worker_table import WorkerTable
 
 PLAN_DELAY_S = 0.005  # collects events that arrive together
 # Pause after a planning pass, as a multiple of what the pass took: under load
@@ -75,45 +66,17 @@
 _logger = logging.getLogger(__name__)
 
 
-class _Term(NamedTuple):
-    """What belongs to one term; a later term gets all of it anew."""
-
-    number: int
-    engine: Engine
-    recorder: Recorder
-    workers: WorkerTable
-    writer: ProgressWriter
-    retention: RecordRetention
-    maintenance: Maintenance | None
-
-
 class Coordinator(Actor):
     """Feeds the engine and carries out its effects; idle unless leading.
 
     Args:
         system: The node's actors.
-        registry: Reads the workers' entries.
-        channels: Opens connections to workers.
-        times: What the platform says of workers.
-        keep_ended_s: Seconds for which ended workflows can be asked for.
-        upkeep: What maintenance waves need; None without such a service.
+        fleet: What the coordinator needs of the platform.
     """
 
-    def __init__(
-        self,
-        system: ActorSystem,
-        registry: RegistryCodec,
-        channels: ChannelFactory,
-        times: WorkerTimes,
-        keep_ended_s: float,
-        upkeep: UpkeepGateway | None = None,
-    ) -> None:
-        self._registry = registry
-        self._channels = channels
-        self._times = times
-        self._keep_ended_s = keep_ended_s
-        self._upkeep = upkeep
-        self._term: _Term | None = None
+    def __init__(self, system: ActorSystem, fleet: FleetGateways) -> None:
+        self._fleet = fleet
+        self._term: Term | None = None
         self._ready = False
         self._confirmed_until = 0.0
         self._may_act = True
@@ -153,7 +116,9 @@
     async def _begin(self, message: BeginTerm) -> None:
         """Take over: read the records, then ask the workers what runs."""
         self._close_term()
-        term = self._open_term(message)
+        term = open_term(
+            self.system, self._fleet, message, self._guaranteed, self._deposed
+        )
         self._term = term
         self.tell(METRICS, Measured("coordinator", 1.0))
         _logger.info("term began", extra={"term": term.number})
@@ -169,25 +134,8 @@
                     return
                 await pause(self.system.clock, RETRY_S)
 
-    def _open_term(self, message: BeginTerm) -> _Term:
-        engine = Engine()
-        engine.term = message.term
-        engine.guaranteed_by_organisation = self._guaranteed
-        recorder = Recorder(self.ask, message.term, message.term_revision)
-        workers = WorkerTable(
-            self.system, engine, self._registry, self._channels, self._times
-        )
-        writer = ProgressWriter(self.system, engine, recorder, workers, self._deposed)
-        retention = RecordRetention(self.system, engine, recorder, self._keep_ended_s)
-        maintenance = None
-        if self._upkeep is not None:
-            maintenance = Maintenance(self.system, engine, recorder, *self._upkeep)
-        return _Term(
-            message.term, engine, recorder, workers, writer, retention, maintenance
-        )
-
-    async def _recover(self, term: _Term) -> None:
-        state = await read_state(self.ask, self._registry.prefix)
+    async def _recover(self, term: Term) -> None:
+        state = await read_state(self.ask, self._fleet.registry.prefix)
         if self._term is not term:
             return
         now = self.system.clock.seconds()
@@ -208,7 +156,7 @@
         )
         self._follow(
             term,
-            self._registry.prefix,
+            self._fleet.registry.prefix,
             state.workers.revision,
             self._apply_entries,
             self._replace_entries,
@@ -225,7 +173,7 @@
 
     def _follow(
         self,
-        term: _Term,
+        term: Term,
         prefix: str,
         revision: int,
         apply: Callable[[tuple[Change, ...]], None],
@@ -255,10 +203,7 @@
         term, self._term = self._term, None
         self._ready = False
         if term is not None:
-            term.writer.close()
-            if term.maintenance is not None:
-                term.maintenance.close()
-            term.workers.close()
+            term.close()
 
     def _deposed(self) -> None:
         self._ready = False
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -329,6 +329,24 @@
         """Return a channel; connections open with the first command."""
 
 
+class FleetGateways(NamedTuple):
+    """What the coordinator needs of the platform.
+
+    Attributes:
+        registry: Reads the workers' entries.
+        channels: Opens connections to workers.
+        times: What the platform says of workers.
+        keep_ended_s: Seconds for which ended workflows can be asked for.
+        upkeep: What maintenance waves need; None without such a service.
+    """
+
+    registry: RegistryCodec
+    channels: ChannelFactory
+    times: WorkerTimes
+    keep_ended_s: float
+    upkeep: UpkeepGateway | None = None
+
+
 def intake_keys(workflow_id: str) -> tuple[str, str]:
     """Return the keys of a submission and of its cancellation."""
     key = INTAKE_PREFIX + workflow_id
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -17,6 +17,7 @@
     INTAKE,
     LEADERSHIP,
     NEIGHBOURS,
+    FleetGateways,
     UpkeepGateway,
     WorkerTimes,
 )
@@ -81,14 +82,14 @@
         Leadership(self.system, identity, (NEIGHBOURS, INTAKE), strength)
         self._neighbours = Neighbours(self.system, reactor, identity, settings.peers)
         self._served_at = 0.0
-        Coordinator(
-            self.system,
+        fleet = FleetGateways(
             PlatformRegistry(),
             PlatformChannels(reactor),
             WorkerTimes(settings.longest_lease_s, settings.heartbeat_s),
             settings.keep_ended_s,
             _upkeep(reactor, settings, identity),
         )
+        Coordinator(self.system, fleet)
         Advisor(self.system, _advice(reactor, settings.advice_address))
         Intake(self.system, identity)
         self._front = Front(self.system, reactor, settings.front)
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -23,7 +23,6 @@
 from .state import (
     TASK_CHART,
     Permit,
-    Stage,
     Task,
     Worker,
     WorkflowProgress,
@@ -390,13 +389,4 @@
         if stage.workflow.cancelled:
             self.withdraw(stage.workflow, now)
         elif kind is EndKind.FAILED and not stage.spec.service:
-            self._give_up_if_exhausted(stage, task, now)
-
-    def _give_up_if_exhausted(self, stage: Stage, task: Task, now: float) -> None:
-        limit = stage.workflow.workflow.policy.attempts
-        failures = (stage.tasks[0] if stage.spec.gang else task).failures
-        if failures < limit or task.state != "waiting":
-            return
-        _logger.info("attempts exhausted", extra={**where(task), "failures": failures})
-        self.step(task, "give_up", now)
-        self.withdraw(stage.workflow, now)
+            self.give_up_if_exhausted(stage, task, now)
--- a/src/redwingrudder/workflows/run_book.py
+++ b/src/redwingrudder/workflows/run_book.py
@@ -200,6 +200,16 @@
                 extra={"worker": worker_id, "failures": worker.failures},
             )
 
+    def give_up_if_exhausted(self, stage: Stage, task: Task, now: float) -> None:
+        """End a workflow as failed after the last attempt at a task."""
+        limit = stage.workflow.workflow.policy.attempts
+        failures = (stage.tasks[0] if stage.spec.gang else task).failures
+        if failures < limit or task.state != "waiting":
+            return
+        _logger.info("attempts exhausted", extra={**where(task), "failures": failures})
+        self.step(task, "give_up", now)
+        self.withdraw(stage.workflow, now)
+
     def _ticket(self, stage: Stage, worker_id: str) -> str:
         permit = stage.permits_by_worker.get(worker_id)
         return permit.ticket if permit is not None else ""
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -15,6 +15,7 @@
     NEIGHBOURS,
     TERM_KEY,
     ChannelFactory,
+    FleetGateways,
     RegistryCodec,
     WorkerTimes,
 )
@@ -180,7 +181,8 @@
     def test_idle_coordinator_refuses_with_503(self):
         """Guards against 404 for a queue when the coordinator changes."""
         clock, system, _ = node_system()
-        Coordinator(system, NoRegistry(), NoChannels(), WorkerTimes(6.0, 1.5), 150.0)
+        fleet = FleetGateways(NoRegistry(), NoChannels(), WorkerTimes(6.0, 1.5), 150.0)
+        Coordinator(system, fleet)
         reply = system.ask(COORDINATOR, GetQueueLength("queue"))
         run_for(clock, 0.05)
         error = outcome(reply)
