--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -141,7 +141,6 @@
         self._dead_revision = 0
         self._announced: tuple[str, int] | None = None
         self._lease = 0
-        self._last_term_led = 0
         self._stopping = False
         super().__init__(system, LEADERSHIP)
 
@@ -354,11 +353,9 @@
 
     def _begin_term(self, result: tuple[int, int]) -> None:
         term, revision = result
-        previous = self._last_term_led if self._last_term_led == term - 1 else 0
-        self._last_term_led = term
         self._holder = Holder(*self._identity, term, revision)
         self._announce(self._identity.node_id, self._identity.address, term)
-        self.tell(COORDINATOR, BeginTerm(term, revision, previous))
+        self.tell(COORDINATOR, BeginTerm(term, revision))
 
     async def _renew(self) -> None:
         sent_at = boot_clock()
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -77,13 +77,10 @@
     Attributes:
         term: Number of the term, the fencing token towards workers.
         term_revision: Revision of the term's key; writes depend on it.
-        previous_term: Term that this process led last, if no other came
-            between, else 0.
     """
 
     term: int
     term_revision: int
-    previous_term: int
 
 
 class EndTerm(NamedTuple):
