--- a/src/redwingrudder/platform/front.py
+++ b/src/redwingrudder/platform/front.py
@@ -120,7 +120,9 @@
             self._log_refusal(request, answer)
         if lost:
             return
-        if self._draining:
+        if self._draining or answer.status == 503:
+            # The balancer leads the caller's next connection to a node that
+            # is ready; an open one would stay here.
             request.setHeader(b"Connection", b"close")
         request.write_answer(answer)
 
