Model the runs of a task; look for a run's end before its start is given up

Cause: a model of one task, two workers and two coordinators found two ways to repeat a task that was done. A start is carried out without an answer and its run ends; the repeated start is rejected as outdated, or the stop that closes it is answered, and the session settled the start as not begun before a look had listed the end. Ruled out: taking an outdated start as begun, as a stop may have closed it.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -280,6 +280,8 @@
         self._starting.add(identity)
         try:
             reply = await self._send_start(message)
+            if reply.reason in ("unanswered", "outdated"):
+                await self._look_for_end()
         finally:
             self._starting.discard(identity)
         if self._closed:
@@ -315,6 +317,32 @@
         await self._send_stop(message)
         return CommandReply(False, "unanswered")
 
+    async def _look_for_end(self) -> None:
+        """Look once more before a start is settled as not begun.
+
+        A start without an answer may have begun a run that has ended since,
+        and that would be repeated. The coordinator gets its end first.
+        """
+        while not self._closed and self._chart.state != "lapsed":
+            self._looked_at = boot_clock()
+            try:
+                reply = await self._channel.look(
+                    self._fence, self._seen, self._extend_lease(), 0.0, LOOK_MARGIN_S
+                )
+            except RedwingrudderError as error:
+                _logger.info(
+                    "look unanswered",
+                    extra={"worker": self._facts.worker_id, "error": str(error)},
+                )
+                self._unanswered()
+                await pause(self.system.clock, RETRY_S)
+                continue
+            if isinstance(reply, CommandReply):
+                self._refused(reply)
+            elif not self._closed:
+                self._take_report(reply)
+            return
+
     async def _stop(self, message: StopRun) -> None:
         await self._send_stop(message)
         if not self._closed:
--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -11,7 +11,13 @@
 
 from tabulate import tabulate
 
-from . import _spec_configuration, _spec_gang, _spec_guarantee, _spec_ownership
+from . import (
+    _spec_configuration,
+    _spec_gang,
+    _spec_guarantee,
+    _spec_ownership,
+    _spec_workflow,
+)
 from ._spec_common import Coverage, Finding, Model, check, find_violation
 
 __all__ = [
@@ -36,6 +42,9 @@
 _ALL_STARTED = "an idempotent job ends in one attempt unless it is cancelled"
 _ONE_READ = "the model has one read in flight"
 _ONE_BREAK = "the model breaks a watch once, while it is followed"
+_TASK_ENDS_DONE = "the task of the model ends as done and is never withdrawn"
+_TASK_STAYS = "the model's task is not stopped to make room"
+_SESSION_FIRST = "a run is settled by its session before it is placed again"
 _NOT_OWNING = "the code raises it only while the node owns"
 
 _UNREACHED_BY_REASON: dict[str, tuple[str, ...]] = {
@@ -79,6 +88,39 @@
         "configuration reading watch_reset",
         "configuration waiting watch_reset",
     ),
+    _TASK_ENDS_DONE: (
+        "task waiting run_failed",
+        "task starting run_failed",
+        "task running run_failed",
+        "task stopping run_failed",
+        "task waiting give_up",
+        "task starting give_up",
+        "task running give_up",
+        "task stopping give_up",
+        "task waiting withdraw",
+        "task starting withdraw",
+        "task running withdraw",
+        "task stopping withdraw",
+    ),
+    _TASK_STAYS: (
+        "task waiting stop",
+        "task starting stop",
+        "task running stop",
+        "task stopping assign",
+        "task stopping started",
+        "task stopping rejected",
+        "task stopping stop",
+        "task stopping run_done",
+        "task stopping run_interrupted",
+    ),
+    _SESSION_FIRST: (
+        "task waiting started",
+        "task waiting rejected",
+        "task waiting run_interrupted",
+        "task starting assign",
+        "task running assign",
+        "task running rejected",
+    ),
     _NOT_OWNING: (
         "ownership following fenced",
         "ownership following lease_lapsed",
@@ -121,6 +163,7 @@
         _spec_ownership.build_model(coverage),
         _spec_configuration.build_model(coverage),
         _spec_guarantee.build_model(coverage),
+        _spec_workflow.build_model(coverage),
     )
     return tuple(
         Result(model.name, finding) for model in models for finding in check(model)
@@ -141,7 +184,8 @@
         (_spec_gang.build_broken_model(coverage, name, flaw), property_name)
         for name, flaw, property_name in _spec_gang.FLAWS
     ]
-    for module in (_spec_ownership, _spec_configuration, _spec_guarantee):
+    modules = (_spec_ownership, _spec_configuration, _spec_guarantee, _spec_workflow)
+    for module in modules:
         broken += [
             (module.build_model(coverage, flaw), property_name)
             for flaw, property_name in module.FLAWS
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -39,6 +39,7 @@
     Attributes:
         deaf: No call is answered.
         deaf_starts: So many starts are not answered.
+        outdated: Starts are rejected, as the run has ended already.
         refusal: Reason with which all commands are rejected.
     """
 
@@ -46,6 +47,7 @@
         self.clock = clock
         self.deaf = False
         self.deaf_starts = 0
+        self.outdated = False
         self.refusal = ""
         self.calls = []
 
@@ -62,6 +64,8 @@
             self.deaf_starts -= 1
             self.calls.append("lost start")
             raise UnavailableError("lost")
+        if self.outdated:
+            return CommandReply(False, "outdated", 1)
         return self._reply("start")
 
     async def stop(self, run, fence, timeout_s):
@@ -128,6 +132,25 @@
         self.assertIn("stop", self.channel.calls)
         self.assertEqual(self.told(StartSettled)[0].reply.reason, "unanswered")
 
+    def last_told(self):
+        """Return the kinds of the last two messages to the coordinator."""
+        return [type(message) for message in self.coordinator.received[-2:]]
+
+    def test_end_is_told_before_a_repeated_start_is_settled(self):
+        """Guards against a second run after one that is done.
+
+        Its start was carried out without an answer and sent again; found by
+        the model of ``_spec_workflow``.
+        """
+        for unanswered in (False, True):
+            with self.subTest(unanswered=unanswered):
+                self.channel.outdated = not unanswered
+                self.channel.deaf_starts = 3 * unanswered
+                self.coordinator.received.clear()
+                self.start_run()
+                run_for(self.clock, 0.02)
+                self.assertEqual(self.last_told(), [WorkerLooked, StartSettled])
+
     def test_silent_worker_lapses_only_after_its_longest_lease(self):
         """Guards against a second run while a lease may still hold."""
         self.channel.deaf = True
