--- a/src/redwingrudder/measure.py
+++ b/src/redwingrudder/measure.py
@@ -28,6 +28,7 @@
     measure_nodes,
     measure_process,
 )
+from ._measure_planning import PlanningRow, measure_planning
 from ._tables import print_json, print_table
 from .exceptions import BadRequestError
 from .logs import configure_logging
@@ -41,6 +42,7 @@
     "nodes",
     "jobs",
     "configuration",
+    "planning",
 )
 PROCESS = "process"  # only by name, because it needs a running node
 
@@ -54,6 +56,7 @@
     | JobRow
     | ProcessRow
     | ConfigurationRow
+    | PlanningRow
 )
 Rows = Sequence[Row]
 
@@ -75,6 +78,7 @@
         "nodes": lambda: measure_nodes(reactor),
         "jobs": lambda: measure_jobs(reactor),
         "configuration": measure_configurations,
+        "planning": lambda: measure_planning(seed),
         PROCESS: lambda: measure_process(reactor, pid, node),
     }
     if part not in measures:
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -10,6 +10,7 @@
 )
 from redwingrudder._measure_links import measure_exchanges, measure_links
 from redwingrudder._measure_members import measure_members
+from redwingrudder._measure_planning import measure_planning
 from redwingrudder.exceptions import BadRequestError
 from redwingrudder.measure import measure
 
@@ -27,6 +28,12 @@
         (placement,) = measure_placements(1, (120,))
         self.assertGreater(placement.p99_ms, 0)
 
+    def test_planning(self):
+        """Passes run on a full fleet, with work that waits."""
+        (row,) = measure_planning(1, (24,))
+        self.assertGreater(row.running, 24)
+        self.assertGreater(row.mean_ms, 0)
+
     def test_links_and_exchange(self):
         """Links poll, nodes exchange, and their bytes are counted."""
         from twisted.internet import reactor
