--- a/src/redwingrudder/coordination/advisor.py
+++ b/src/redwingrudder/coordination/advisor.py
@@ -2,13 +2,12 @@
 
 import logging
 
-from .._background import run
+from .._background import pause, run
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import RedwingrudderError, UnavailableError
 from ..workflows.model import AskAdvice, TaskKey
 from .gateways import ADVISOR, COORDINATOR, AdviceService
 from .messages import AdviceGiven
-from .worker_session import pause
 
 RETRY_S = 0.25  # until an unanswered question may be asked again
 
--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from .._background import run
+from .._background import pause, run
 from .._store_requests import KeyValue
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import RedwingrudderError
@@ -51,7 +51,6 @@
 )
 from .term import Term, open_term
 from .watching import follow
-from .worker_session import pause
 
 PLAN_DELAY_S = 0.005  # collects events that arrive together
 # Pause after a planning pass, as a multiple of what the pass took: under load
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+from .._background import pause
 from .._store_requests import Compare, GetKey, GetPrefix, KeyValue, PutKey, Transact
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import (
@@ -39,7 +40,6 @@
     WorkflowStored,
 )
 from .neighbours import CallNeighbour, ListNeighbours
-from .worker_session import pause
 
 RETRY_AFTER_S = 1.0  # told to callers while the store answers no node
 WRITE_RETRY_S = 0.05  # keeps a store that resets connections from being flooded
--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from .._background import run
+from .._background import pause, run
 from ..actors import ActorSystem
 from ..exceptions import RedwingrudderError
 from ..workflows.engine import Engine
@@ -13,7 +13,6 @@
 from .gateways import COORDINATOR
 from .metrics import METRICS, Counted, Observed
 from .recorder import BATCH, Recorder
-from .worker_session import pause
 from .worker_table import WorkerTable
 
 RETRY_S = 0.1
--- a/src/redwingrudder/coordination/watching.py
+++ b/src/redwingrudder/coordination/watching.py
@@ -6,10 +6,10 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from .._background import pause
 from .._store_requests import GetPrefix, KeyValue
 from ..exceptions import RedwingrudderError
 from .gateways import STORE, AwaitChanges, Change
-from .worker_session import pause
 
 WATCH_S = 1.0  # a watch that has gone silent is noticed within this time
 RETRY_S = 0.25
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -3,11 +3,7 @@
 import logging
 import math
 
-from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import deferLater
-
-from .._background import run
+from .._background import pause, run
 from .._chart_runner import ChartRunner
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import RedwingrudderError
@@ -401,8 +397,3 @@
     the store lapses, also when it refuses connections.
     """
     return LEASE_TTL_S + longest_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
-
-
-def pause(clock: IReactorTime, delay_s: float) -> Deferred:
-    """Return a Deferred that fires after a delay."""
-    return deferLater(clock, delay_s, lambda: None)
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -7,7 +7,7 @@
 import uuid
 from typing import Any
 
-from .._background import run
+from .._background import pause, run
 from ..actors import ActorSystem
 from ..coordination.advisor import Advisor
 from ..coordination.configuration_feed import ConfigurationFeed
@@ -26,7 +26,6 @@
 from ..coordination.messages import Drain
 from ..coordination.metrics import Metrics
 from ..coordination.neighbours import Neighbours
-from ..coordination.worker_session import pause
 from ..exceptions import SettingsError
 from ..logs import configure_logging
 from ..timers import TimerService
