Send looks in one place; judge each by its own sending time

A stop or an older look that failed while the last look was on its way was taken for that look's failure, and a drained worker's runs were given up too early. Change: _send_look serves both, and the time of sending is passed along with its outcome. Ruled out: a lock around looks, as an extra look is harmless.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -15,6 +15,7 @@
     LEADERSHIP,
     CommandReply,
     WorkerChannel,
+    WorkerReport,
     WorkerTimes,
 )
 from .leadership import LEASE_TTL_S, boot_clock
@@ -95,7 +96,6 @@
         self._clock_ms = 0
         self._clock_at = 0.0
         self._looking = False
-        self._looked_at = 0.0
         # When the newest look that was answered had been sent.
         self._heard_at = 0.0
         # When the worker left the registry by itself, as it seems.
@@ -143,9 +143,8 @@
         and nothing runs on it. It is looked at once more to be sure.
         """
         now = boot_clock()
-        if message.drained and now - self._heard_at < LEFT_HEARTBEATS * (
-            self._heartbeat_s
-        ):
+        unheard_s = now - self._heard_at
+        if message.drained and unheard_s < LEFT_HEARTBEATS * self._heartbeat_s:
             self._left_at = now
             self._look_soon()
 
@@ -172,9 +171,26 @@
         wait_s = LOOK_WAIT_S if self._unseen <= self._seen else 0.0
         if self._chart.state != "answering":
             wait_s = 0.0
-        self._looked_at = boot_clock()
+        sent_at = boot_clock()
         try:
-            reply = await self._channel.look(
+            reply = await self._send_look(wait_s)
+        finally:
+            self._looking = False
+        if self._closed:
+            return
+        if reply is None:
+            self._unanswered(sent_at)
+            self._look_later(RETRY_S)
+        elif isinstance(reply, CommandReply):
+            self._refused(reply)
+            self._look_later(RETRY_S)
+        else:
+            self._take_report(reply, sent_at)
+
+    async def _send_look(self, wait_s: float) -> WorkerReport | CommandReply | None:
+        """Return the worker's answer, None without one."""
+        try:
+            return await self._channel.look(
                 self._fence,
                 self._seen,
                 self._extend_lease(),
@@ -182,28 +198,16 @@
                 wait_s + LOOK_MARGIN_S,
             )
         except RedwingrudderError as error:
-            reply = None
             _logger.info(
                 "look unanswered",
                 extra={"worker": self._facts.worker_id, "error": str(error)},
             )
-        finally:
-            self._looking = False
-        if self._closed:
-            return
-        if reply is None:
-            self._unanswered()
-            self._look_later(RETRY_S)
-        elif isinstance(reply, CommandReply):
-            self._refused(reply)
-            self._look_later(RETRY_S)
-        else:
-            self._take_report(reply)
+            return None
 
-    def _take_report(self, reply) -> None:
+    def _take_report(self, reply: WorkerReport, sent_at: float) -> None:
         self._answered(reply.clock_ms)
-        self._heard_at = self._looked_at
-        at_once = boot_clock() - self._looked_at < LEAST_LOOK_S
+        self._heard_at = max(self._heard_at, sent_at)
+        at_once = boot_clock() - sent_at < LEAST_LOOK_S
         self._present = bool(reply.running) or bool(self._starting)
         self._unseen = max((end.number for end in reply.ended), default=self._unseen)
         self.tell(COORDINATOR, WorkerLooked(self._facts.worker_id, reply))
@@ -236,11 +240,12 @@
             self._clock_ms, self._clock_at = clock_ms, self._answered_at
         self._chart.step("answered")
 
-    def _unanswered(self) -> None:
+    def _unanswered(self, look_sent_at: float = 0.0) -> None:
+        """Take note of a call without an answer; 0.0 stands for no look."""
         self._channel.reset()
         self._chart.step("unanswered")
         now = boot_clock()
-        left = self._looked_at > self._left_at
+        left = look_sent_at > self._left_at
         if left:
             self._leased_until = 0.0
         if left or now - self._answered_at > SILENT_AFTER_S:
@@ -320,23 +325,16 @@
         and that would be repeated. The coordinator gets its end first.
         """
         while not self._closed and self._chart.state != "lapsed":
-            self._looked_at = boot_clock()
-            try:
-                reply = await self._channel.look(
-                    self._fence, self._seen, self._extend_lease(), 0.0, LOOK_MARGIN_S
-                )
-            except RedwingrudderError as error:
-                _logger.info(
-                    "look unanswered",
-                    extra={"worker": self._facts.worker_id, "error": str(error)},
-                )
-                self._unanswered()
+            sent_at = boot_clock()
+            reply = await self._send_look(0.0)
+            if reply is None:
+                self._unanswered(sent_at)
                 await pause(self.system.clock, RETRY_S)
                 continue
             if isinstance(reply, CommandReply):
                 self._refused(reply)
             elif not self._closed:
-                self._take_report(reply)
+                self._take_report(reply, sent_at)
             return
 
     async def _stop(self, message: StopRun) -> None:
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+from twisted.internet.defer import Deferred
+
 from redwingrudder.coordination import worker_session
 from redwingrudder.coordination.gateways import (
     COORDINATOR,
@@ -39,6 +41,7 @@
     Attributes:
         deaf: No call is answered.
         deaf_starts: So many starts are not answered.
+        hanging: Looks get no answer and do not fail.
         outdated: Starts are rejected, as the run has ended already.
         refusal: Reason with which all commands are rejected.
     """
@@ -47,6 +50,7 @@
         self.clock = clock
         self.deaf = False
         self.deaf_starts = 0
+        self.hanging = False
         self.outdated = False
         self.refusal = ""
         self.calls = []
@@ -75,6 +79,8 @@
         return self._reply("pace")
 
     async def look(self, fence, seen, lease_until_ms, wait_s, timeout_s):
+        if self.hanging:
+            await Deferred()
         reply = self._reply(f"look {bool(lease_until_ms)}")
         if not reply.accepted:
             return reply
@@ -190,6 +196,18 @@
         run_for(self.clock, 0.5)
         self.assertFalse(self.told(WorkerLapsed))
 
+    def test_lost_stop_does_not_tell_that_a_worker_left(self):
+        """Guards against runs given up while the last look is on its way."""
+        self.channel.deaf = True
+        self.system.tell(self.session.name, EntryRemoved(True))
+        run_for(self.clock, 0.1)
+        self.channel.hanging = True
+        run_for(self.clock, 0.4)
+        self.system.tell(self.session.name, StopRun("w1", fx.key(), 1))
+        run_for(self.clock, 0.05)
+        self.assertIn("stop", self.channel.calls)
+        self.assertFalse(self.told(WorkerLapsed))
+
     def test_start_to_a_lapsed_worker_settles(self):
         """Guards against a task that waits for a lost worker for ever."""
         self.channel.deaf = True
