--- a/src/redwingrudder/__init__.py
+++ b/src/redwingrudder/__init__.py
@@ -14,7 +14,7 @@
 _MODULES_BY_NAME = {
     "Configuration": "model",
     "Fleet": "fleet",
-    "GuaranteeBook": "guarantees",
+    "CellTable": "guarantees",
     "JobSpec": "model",
     "JobState": "model",
     "JobView": "model",
--- a/src/redwingrudder/_bench_runner.py
+++ b/src/redwingrudder/_bench_runner.py
@@ -230,7 +230,7 @@
                 self._change_job(effect)
             case messages.TargetMissed():
                 self._jobs_by_id[effect.job_id].missed = True
-            case messages.WakeAt():
+            case messages.ScheduleWakeUp():
                 self._wakes_by_domain[domain] = effect.at
                 at = max(effect.at - START_OF_RUN_S, self._clock.now)
                 self._clock.at(at, self._tick, domain, effect.at)
--- a/src/redwingrudder/_cell_check.py
+++ b/src/redwingrudder/_cell_check.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from ._cells import Cell, Level, WantedCell, cell_level
-from ._worker_room import cell_share, is_borrower
+from ._worker_capacity import cell_share, is_borrower
 from .fleet import Fleet, HeldGang, WorkerState
 from .model import GuaranteeShortage
 
--- a/src/redwingrudder/_cells.py
+++ b/src/redwingrudder/_cells.py
@@ -5,7 +5,12 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from ._worker_room import Owners, WorkerRoom, build_room, may_hold
+from ._worker_capacity import (
+    Owners,
+    WorkerCapacity,
+    build_worker_capacity,
+    may_occupy_cell,
+)
 from .fleet import Fleet, WorkerState
 from .model import CellAssignment, Configuration
 
@@ -68,7 +73,7 @@
         self.fleet = fleet
         self.cells_by_key: dict[CellAssignment, Cell] = {}
         self.owners_by_worker: dict[str, Owners] = {}
-        self._rooms_by_worker: dict[str, WorkerRoom] = {}
+        self._capacities_by_worker: dict[str, WorkerCapacity] = {}
         self._unassigned_by_worker: dict[str, int] = {}
         self._worker_ids_by_unassigned: dict[int, list[str]] = {}
         self.follow_fleet()
@@ -76,8 +81,8 @@
     def follow_fleet(self) -> None:
         """Rebuild the index of unassigned accelerators from the fleet."""
         workers = self.fleet.workers_by_id
-        for worker_id in self._rooms_by_worker.keys() - workers.keys():
-            del self._rooms_by_worker[worker_id]
+        for worker_id in self._capacities_by_worker.keys() - workers.keys():
+            del self._capacities_by_worker[worker_id]
         self._unassigned_by_worker = {
             worker_id: self.owners(worker).count(None)
             for worker_id, worker in workers.items()
@@ -100,14 +105,14 @@
             return owners
         return owners[:count] + (None,) * (count - len(owners))
 
-    def room(self, worker: WorkerState) -> WorkerRoom:
-        """Return the room of a worker; it is rebuilt only after a change."""
+    def capacity(self, worker: WorkerState) -> WorkerCapacity:
+        """Return a worker's capacity; it is rebuilt only after a change."""
         worker_id = worker.info.worker_id
-        room = self._rooms_by_worker.get(worker_id)
-        if room is None or room.worker is not worker:
-            room = build_room(worker, self.owners(worker), self.fleet)
-            self._rooms_by_worker[worker_id] = room
-        return room
+        capacity = self._capacities_by_worker.get(worker_id)
+        if capacity is None or capacity.worker is not worker:
+            capacity = build_worker_capacity(worker, self.owners(worker), self.fleet)
+            self._capacities_by_worker[worker_id] = capacity
+        return capacity
 
     def put(self, cell: Cell) -> None:
         """Add a cell whose accelerators no other cell has."""
@@ -129,7 +134,7 @@
             self._changed(worker_id)
 
     def _changed(self, worker_id: str) -> None:
-        self._rooms_by_worker.pop(worker_id, None)
+        self._capacities_by_worker.pop(worker_id, None)
         before = self._unassigned_by_worker.get(worker_id)
         if before is None:
             return
@@ -147,8 +152,8 @@
                 return False
             if indexes[-1] >= worker.info.accelerators:
                 return False
-            room = self.room(worker)
-            if not room.keeps_cells or not room.blocked.isdisjoint(indexes):
+            capacity = self.capacity(worker)
+            if not capacity.keeps_cells or not capacity.blocked.isdisjoint(indexes):
                 return False
         return self._is_adjacent(cell)
 
@@ -250,7 +255,7 @@
                 free.append(index)
             elif self.fleet.gangs_by_id[holder].spec.organisation == organisation:
                 own.append(index)
-            elif may_hold(worker, index, organisation, self.fleet):
+            elif may_occupy_cell(worker, index, organisation, self.fleet):
                 borrowed.append(index)
         order = (*free, *borrowed, *own)
         return Candidate(worker, order, len(own))
@@ -279,7 +284,7 @@
         for count in range(min(limit, len(candidate.accelerators)), 0, -1):
             indexes = tuple(sorted(candidate.accelerators[:count]))
             changed = with_owner(owners, indexes, organisation)
-            if build_room(worker, changed, self.fleet).keeps_cells:
+            if build_worker_capacity(worker, changed, self.fleet).keeps_cells:
                 return indexes
         return ()
 
--- a/src/redwingrudder/_fcfs_policy.py
+++ b/src/redwingrudder/_fcfs_policy.py
@@ -1,7 +1,7 @@
 """Baseline policies around first-fit placement; they learn nothing."""
 
 from .fleet import Fleet
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .model import Configuration, JobSpec
 from .policies import (
     AdmissionPolicy,
@@ -45,7 +45,7 @@
         self,
         spec: JobSpec,
         fleet: Fleet,
-        guarantees: GuaranteeBook,
+        guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
         """Return None."""
--- a/src/redwingrudder/_first_fit.py
+++ b/src/redwingrudder/_first_fit.py
@@ -12,7 +12,7 @@
 )
 from ._placement import largest_adjacent_gang
 from .fleet import Fleet
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .model import JobSpec, Placement
 from .policies import PlacementPolicy
 
@@ -28,7 +28,7 @@
         self,
         spec: JobSpec,
         fleet: Fleet,
-        guarantees: GuaranteeBook,
+        guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Return a placement on free resources that keeps all guarantees."""
@@ -54,7 +54,7 @@
         return fill_offers(spec, offers, tier)
     units: dict[str, list[Offer]] = {}
     for offer in offers:
-        info = offer.room.worker.info
+        info = offer.capacity.worker.info
         name = info.rack if level is Level.RACK else info.worker_id
         units.setdefault(name, []).append(offer)
     for unit in units.values():
--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -7,7 +7,7 @@
 from . import _job_records as records
 from ._job_records import JobRecordBody, StoredRecord
 from ._job_store import JobStore, SaveReply
-from ._ledger_entry import LedgerCallbacks, LedgerEntry, disproves, tells_end
+from ._ledger_entry import LedgerCallbacks, LedgerEntry, confirms_answer, contradicts
 from ._record_sweeper import RECORD_RETENTION_S, RecordSweeper
 from .exceptions import (
     OutcomeUnknownError,
@@ -162,7 +162,7 @@
                 # The job ended meanwhile.
                 self._callbacks.retry_later()
         if not reply.saved:
-            self._callbacks.contested(reply.stored)
+            self._callbacks.changed_by_other_owner(reply.stored)
             return CONFLICT
         self._change(job_id, mod_revision=reply.stored.mod_revision)
         if not self.has_ended(job_id):
@@ -178,7 +178,7 @@
             entry = LedgerEntry(body, None, False, True)
         if entry.answer is None:
             self._ended.append(job_id)
-        elif not disproves(view, entry.answer.state):
+        elif not contradicts(view, entry.answer.state):
             self._complete_answer(entry, view, now)
             return
         self._entries_by_job[job_id] = entry._replace(
@@ -289,7 +289,7 @@
         if entry is None or job_id not in self._unwritten:
             return
         body, revision = reply.stored
-        if not reply.saved and not tells_end(entry, body):
+        if not reply.saved and not confirms_answer(entry, body):
             self._resolve_conflict(job_id, entry, reply.stored)
             return
         if entry.body is not written.body:
@@ -336,7 +336,7 @@
         """Take note that a previous owner had recorded a start."""
         del self._unwritten[job_id]
         if entry.answer is None:
-            self._callbacks.contested(stored)
+            self._callbacks.changed_by_other_owner(stored)
             return
         reason = "start_recorded"
         answer = entry.answer._replace(state=JobState.INTERRUPTED, reason=reason)
--- a/src/redwingrudder/_job_intake.py
+++ b/src/redwingrudder/_job_submitter.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from ._job_records import JobRecordBody, body_digest, job_id_for
-from ._tenure import Tenure
+from ._ownership_term import OwnershipTerm
 from ._token_bucket import TokenBucket
 from .exceptions import (
     ConflictError,
@@ -27,13 +27,13 @@
 REFUSAL_READS_PER_S = 100.0
 
 
-class JobIntake:
+class JobSubmitter:
     """Checks, records and submits jobs; a key is handled once at a time.
 
     Args:
         failure_domain: Domain of the owner.
         writes_per_s: Bound on new records a second.
-        owned: Returns the current tenure or raises.
+        owned: Returns the current ownership term or raises.
         now: Returns the time of the node's clock.
     """
 
@@ -41,7 +41,7 @@
         self,
         failure_domain: str,
         writes_per_s: float,
-        owned: Callable[[], Tenure],
+        owned: Callable[[], OwnershipTerm],
         now: Callable[[], float],
     ) -> None:
         self._failure_domain = failure_domain
@@ -64,17 +64,17 @@
         job_id = self._job_id(spec)
         while job_id in self._creating:
             await self._after_creation(job_id)
-        tenure = self._owned()
-        known = self._find_known(tenure, job_id, spec)
+        ownership_term = self._owned()
+        known = self._find_known(ownership_term, job_id, spec)
         if known is not None:
             return known
         try:
-            self._check_admission(tenure, spec)
+            self._check_admission(ownership_term, spec)
         except RedwingrudderError as refusal:
-            await self._refuse(tenure, spec, refusal)
+            await self._refuse(ownership_term, spec, refusal)
         self._creating[job_id] = []
         try:
-            return await self._create(tenure, spec, message.correlation_id)
+            return await self._create(ownership_term, spec, message.correlation_id)
         finally:
             for waiting in self._creating.pop(job_id):
                 waiting.callback(None)
@@ -88,19 +88,21 @@
         domain = self._failure_domain
         return job_id_for(domain, spec.organisation, spec.idempotency_key)
 
-    def _find_known(self, tenure: Tenure, job_id: str, spec: JobSpec) -> JobView | None:
-        digest = tenure.ledger.digest(job_id)
+    def _find_known(
+        self, ownership_term: OwnershipTerm, job_id: str, spec: JobSpec
+    ) -> JobView | None:
+        digest = ownership_term.ledger.digest(job_id)
         if digest:
             _check_same_body(digest, spec)
-            return tenure.known_view(job_id)
-        return tenure.view(job_id)
+            return ownership_term.known_view(job_id)
+        return ownership_term.view(job_id)
 
-    def _check_admission(self, tenure: Tenure, spec: JobSpec) -> None:
+    def _check_admission(self, ownership_term: OwnershipTerm, spec: JobSpec) -> None:
         if self.draining:
             raise UnavailableError(
                 "this node is stopping", code="draining", retry_after_s=1.0
             )
-        refusal = tenure.scheduler.admit(spec)
+        refusal = ownership_term.scheduler.admit(spec)
         if refusal is not None:
             raise _refusal_error(refusal)
         wait_s = self._bucket.take(self._now())
@@ -110,7 +112,7 @@
             raise OverloadedError(detail, code="store_busy", retry_after_s=wait_s)
 
     async def _refuse(
-        self, tenure: Tenure, spec: JobSpec, refusal: RedwingrudderError
+        self, ownership_term: OwnershipTerm, spec: JobSpec, refusal: RedwingrudderError
     ) -> None:
         """Raise the refusal, unless another domain may run the same key.
 
@@ -121,7 +123,7 @@
         try:
             if wait_s > 0:
                 raise StoreUnavailableError("too many refusals at once")
-            stored = await tenure.ledger.find(spec)
+            stored = await ownership_term.ledger.find(spec)
         except UnavailableError as error:
             raise OutcomeUnknownError(
                 f"not accepted now ({refusal.code}); whether an earlier request "
@@ -134,41 +136,43 @@
         raise refusal
 
     async def _create(
-        self, tenure: Tenure, spec: JobSpec, correlation_id: str
+        self, ownership_term: OwnershipTerm, spec: JobSpec, correlation_id: str
     ) -> JobView:
-        body = tenure.ledger.new_record(spec, self._now())
+        body = ownership_term.ledger.new_record(spec, self._now())
         try:
-            stored = await tenure.ledger.create(body)
+            stored = await ownership_term.ledger.create(body)
         except (StoreUnavailableError, OutcomeUnknownError) as error:
-            return self._accept_unrecorded(tenure, body, spec, error, correlation_id)
+            return self._accept_unrecorded(
+                ownership_term, body, spec, error, correlation_id
+            )
         if stored.body["nonce"] != body["nonce"]:
             _check_same_body(stored.body["digest"], spec)
             self._check_domain(stored.body)
-        if tenure.closed:
+        if ownership_term.closed:
             raise OutcomeUnknownError(
                 "the owner changed while the job was recorded", retry_after_s=0.5
             )
         if stored.body["nonce"] == body["nonce"]:
-            tenure.reporter.accepted(body["job_id"], spec, correlation_id)
-        tenure.take_record(stored)
-        return tenure.known_view(body["job_id"])
+            ownership_term.reporter.accepted(body["job_id"], spec, correlation_id)
+        ownership_term.take_record(stored)
+        return ownership_term.known_view(body["job_id"])
 
     def _accept_unrecorded(
         self,
-        tenure: Tenure,
+        ownership_term: OwnershipTerm,
         body: JobRecordBody,
         spec: JobSpec,
         error: UnavailableError,
         correlation_id: str,
     ) -> JobView:
         sent = isinstance(error, OutcomeUnknownError)
-        if tenure.closed or not spec.idempotent:
+        if ownership_term.closed or not spec.idempotent:
             raise type(error)(error.detail, retry_after_s=STORE_RETRY_S)
         job_id = body["job_id"]
-        tenure.ledger.add_unrecorded(body, sent)
-        tenure.reporter.accepted(body["job_id"], spec, correlation_id)
-        tenure.feed(JobSubmitted(job_id, spec, body["submitted_at"], False))
-        return tenure.known_view(job_id)
+        ownership_term.ledger.add_unrecorded(body, sent)
+        ownership_term.reporter.accepted(body["job_id"], spec, correlation_id)
+        ownership_term.feed(JobSubmitted(job_id, spec, body["submitted_at"], False))
+        return ownership_term.known_view(job_id)
 
     def _check_domain(self, body: JobRecordBody) -> None:
         if body["domain"] != self._failure_domain:
--- a/src/redwingrudder/_ledger_entry.py
+++ b/src/redwingrudder/_ledger_entry.py
@@ -12,14 +12,15 @@
 
     ``published``: callers may be told the answer. ``safe``: workers may
     drop the results. ``recorded``: a job accepted without a record has one.
-    ``contested``: another owner has changed the record of a queued job.
+    ``changed_by_other_owner``: another owner has changed the record of a
+    queued job.
     ``retry_later``: call ``write_all`` after a while.
     """
 
     published: Callable[[str], None]
     safe: Callable[[str], None]
     recorded: Callable[[str], None]
-    contested: Callable[[StoredRecord], None]
+    changed_by_other_owner: Callable[[StoredRecord], None]
     retry_later: Callable[[], None]
 
 
@@ -40,14 +41,14 @@
     results_until: float = 0.0
 
 
-def tells_end(entry: LedgerEntry, stored: JobRecordBody) -> bool:
+def confirms_answer(entry: LedgerEntry, stored: JobRecordBody) -> bool:
     """Whether the stored record already tells the end of the same job."""
     if stored["job_id"] != entry.body["job_id"] or entry.answer is None:
         return False
-    return is_final(stored) and not disproves(entry.answer, stored["state"])
+    return is_final(stored) and not contradicts(entry.answer, stored["state"])
 
 
-def disproves(view: JobView, recorded_state: str) -> bool:
+def contradicts(view: JobView, recorded_state: str) -> bool:
     """Whether a job ran although its record says that it did not.
 
     An idempotent job that ended as not_run may be submitted again in an
--- a/src/redwingrudder/_offers.py
+++ b/src/redwingrudder/_offers.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ._cells import CellLayout, Level
-from ._worker_room import WorkerRoom, fitting_tasks, is_borrower
+from ._worker_capacity import WorkerCapacity, fitting_tasks, is_borrower
 from .fleet import Fleet, WorkerState
 from .model import JobSpec, MemberPlacement, Placement
 
@@ -21,7 +21,7 @@
 class Offer(NamedTuple):
     """Accelerators of a worker in order of use, and the tasks they hold."""
 
-    room: WorkerRoom
+    capacity: WorkerCapacity
     tasks: int
     accelerators: tuple[int, ...]
 
@@ -59,7 +59,7 @@
         for worker in workers:
             if not worker.free_slots or worker.info.worker_id in self.avoid:
                 continue
-            offer = make_offer(self.spec, self.layout.room(worker), tier)
+            offer = make_offer(self.spec, self.layout.capacity(worker), tier)
             if offer.tasks:
                 yield offer
 
@@ -70,29 +70,33 @@
         return list(self.offers(workers, tier))
 
 
-def make_offer(spec: JobSpec, room: WorkerRoom, tier: Tier) -> Offer:
+def make_offer(spec: JobSpec, capacity: WorkerCapacity, tier: Tier) -> Offer:
     """Return what a worker offers within a tier; it may hold no task."""
     per_task = spec.accelerators_per_task
     firm = tier is not Tier.FOREIGN_CELLS
-    if not room.has_cells:
-        return Offer(room, fitting_tasks(spec, room, room.unassigned), room.unassigned)
+    if not capacity.has_cells:
+        return Offer(
+            capacity,
+            fitting_tasks(spec, capacity, capacity.unassigned),
+            capacity.unassigned,
+        )
     own: tuple[int, ...] = ()
     foreign: tuple[int, ...] = ()
     if tier >= Tier.OWN_CELLS:
-        own = room.free_by_owner.get(spec.organisation, ())
+        own = capacity.free_by_owner.get(spec.organisation, ())
     if not firm:
-        foreign = room.foreign(spec.organisation)
-    accelerators = room.unassigned + own + foreign
+        foreign = capacity.foreign(spec.organisation)
+    accelerators = capacity.unassigned + own + foreign
     if per_task and len(accelerators) < per_task:
-        return Offer(room, 0, ())
-    tasks = fitting_tasks(spec, room, accelerators, firm)
+        return Offer(capacity, 0, ())
+    tasks = fitting_tasks(spec, capacity, accelerators, firm)
     if own and tasks * per_task < min(len(accelerators), spec.accelerators):
         # Work on own cells may use their share of slots, cores and memory.
-        other = own + room.unassigned + foreign
-        other_tasks = fitting_tasks(spec, room, other, firm)
+        other = own + capacity.unassigned + foreign
+        other_tasks = fitting_tasks(spec, capacity, other, firm)
         if other_tasks > tasks:
-            return Offer(room, other_tasks, other)
-    return Offer(room, tasks, accelerators)
+            return Offer(capacity, other_tasks, other)
+    return Offer(capacity, tasks, accelerators)
 
 
 def fill_offers(spec: JobSpec, offers: Iterable[Offer], tier: Tier) -> Placement | None:
@@ -104,7 +108,7 @@
         if count > 0:
             accelerators = offer.accelerators[: count * spec.accelerators_per_task]
             tasks = tuple(range(placed, placed + count))
-            worker_id = offer.room.worker.info.worker_id
+            worker_id = offer.capacity.worker.info.worker_id
             members.append(MemberPlacement(worker_id, accelerators, tasks))
             placed += count
         if placed == spec.tasks:
--- a/src/redwingrudder/_ownership_news.py
+++ b/src/redwingrudder/_ownership_announcer.py
@@ -11,7 +11,7 @@
 _NO_EPOCH = Epoch(-1, 0, 0)
 
 
-class OwnershipNews:
+class OwnershipAnnouncer:
     """Announces this node's ownership and the owners of all domains.
 
     Args:
--- a/src/redwingrudder/_ownership_lease.py
+++ b/src/redwingrudder/_ownership_lease.py
@@ -2,23 +2,25 @@
 
 from collections.abc import Callable
 
-from ._ownership_record import Acquisition, RecordKeeper
+from ._ownership_record import Acquisition, OwnerRecordClient
 from .exceptions import RedwingrudderError
 
 RENEW_S = 1.0
 RENEW_TOLERANCE_S = 0.1  # renewals are sent by a tick
 
 
-class HeldLease:
+class OwnerLease:
     """Keeps a lease alive and knows until when it is valid.
 
     Args:
-        keeper: Renews and releases the lease.
+        record_client: Renews and releases the lease.
         seconds: The node's clock.
     """
 
-    def __init__(self, keeper: RecordKeeper, seconds: Callable[[], float]) -> None:
-        self._keeper = keeper
+    def __init__(
+        self, record_client: OwnerRecordClient, seconds: Callable[[], float]
+    ) -> None:
+        self._record_client = record_client
         self._seconds = seconds
         self._lease_id = 0
         self._revision = 0
@@ -54,7 +56,7 @@
         self._renewing = True
         self._renewed_at = self._seconds()
         try:
-            valid_until = await self._keeper.renew(lease_id)
+            valid_until = await self._record_client.renew(lease_id)
         except RedwingrudderError:
             return  # Without renewals it lapses by the own clock.
         finally:
@@ -66,13 +68,13 @@
         """Give the lease up, and the record with it."""
         lease_id = self._drop()
         if lease_id:
-            await self._keeper.release(lease_id)
+            await self._record_client.release(lease_id)
 
     async def hand_over(self) -> None:
         """Give the record up so that another node takes over at once."""
         lease_id = self._drop()
         if lease_id:
-            await self._keeper.hand_over(lease_id, self._revision)
+            await self._record_client.hand_over(lease_id, self._revision)
 
     def _drop(self) -> int:
         lease_id, self._lease_id = self._lease_id, 0
--- a/src/redwingrudder/_ownership_peers.py
+++ b/src/redwingrudder/_ownership_peers.py
@@ -19,7 +19,7 @@
     silent: bool
 
 
-class PeerBook:
+class PeerTable:
     """The nodes of one failure domain, from the VM list and their reports.
 
     A node exchanges reports with few others while the owner lives, so a node
@@ -70,7 +70,7 @@
         if peer is not None:
             self._peers_by_id[node_id] = peer._replace(owner=False, draining=True)
 
-    def excuse(self, paused_s: float) -> None:
+    def add_own_pause(self, paused_s: float) -> None:
         """Discount a time during which this node itself was paused."""
         for node_id, peer in self._peers_by_id.items():
             seen_at = peer.seen_at + paused_s
--- a/src/redwingrudder/_ownership_record.py
+++ b/src/redwingrudder/_ownership_record.py
@@ -78,7 +78,7 @@
         return changed
 
 
-class RecordKeeper:
+class OwnerRecordClient:
     """Reads, acquires, renews and releases the record of one domain.
 
     Args:
--- a/src/redwingrudder/_tenure.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -19,7 +19,7 @@
 from ._job_store import JobStore
 from ._job_waiters import JobWaiters
 from ._ledger_entry import LedgerCallbacks
-from ._tenure_parts import TenureParts
+from ._ownership_term_parts import OwnershipTermParts
 from ._worker_messages import LinkEvent
 from ._worker_roster import WorkerRoster
 from .exceptions import StoreUnavailableError, UnavailableError
@@ -45,7 +45,7 @@
 _logger = logging.getLogger(__name__)
 
 
-class Tenure:
+class OwnershipTerm:
     """Everything that an owner keeps in memory.
 
     Args:
@@ -53,7 +53,7 @@
         epoch: Fencing epoch of this ownership.
     """
 
-    def __init__(self, parts: TenureParts, epoch: Epoch) -> None:
+    def __init__(self, parts: OwnershipTermParts, epoch: Epoch) -> None:
         self._parts = parts
         self._system = parts.system
         self._domain = parts.settings.failure_domain
@@ -67,7 +67,7 @@
             self._published,
             self._results_safe,
             self._recorded,
-            self._contested,
+            self._changed_by_other_owner,
             self._retry_records,
         )
         self._store = JobStore(parts.system, self._domain, epoch)
@@ -83,7 +83,7 @@
         # Jobs whose start is recorded are not judged before every worker
         # was claimed or is surely without tasks.
         self._uncertain: dict[str, JobRecordBody] = {}
-        self._carriers_by_type: dict[type, Callable] = {
+        self._handlers_by_effect_type: dict[type, Callable] = {
             messages.ReserveMember: self._commands.reserve,
             messages.StartMember: self._commands.start,
             messages.ReleaseMember: self._commands.release,
@@ -92,7 +92,7 @@
             messages.JobChanged: self._job_changed,
             messages.TargetMissed: self._target_missed,
             messages.ShortagesChanged: self._shortages_changed,
-            messages.WakeAt: self._wake_at,
+            messages.ScheduleWakeUp: self._wake_at,
         }
         self._timers_by_name: dict[str, Callable[[], None]] = {
             WAKE_TIMER: lambda: self.feed(messages.Tick()),
@@ -112,7 +112,7 @@
         if configuration is not None:
             self.feed(configuration)
         if vms is not None:
-            self.follow_members(vms)
+            self.sync_members(vms)
         self._subscribe(RECOVERY_TIMER, RECOVERY_LIMIT_S)
         self._subscribe(SWEEP_TIMER, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S)
         self._subscribe(FLUSH_TIMER, FLUSH_INTERVAL_S, FLUSH_INTERVAL_S)
@@ -142,7 +142,7 @@
         ensureDeferred(work).addErrback(self._log_fault)
 
     def fire(self, timer: str) -> None:
-        """Take a timer of this tenure."""
+        """Take a timer of this ownership term."""
         if not self.closed and timer in self._timers_by_name:
             self._timers_by_name[timer]()
 
@@ -162,16 +162,16 @@
 
     def _handle(self, event: messages.Event) -> None:
         for effect in self.scheduler.handle(event, self.now()):
-            self._carriers_by_type[type(effect)](effect)
+            self._handlers_by_effect_type[type(effect)](effect)
 
-    def follow_members(self, vms: tuple[VmInfo, ...]) -> None:
+    def sync_members(self, vms: tuple[VmInfo, ...]) -> None:
         """Take the VM list."""
         self._members_known = True
         for event in self.roster.sync(vms):
             self.feed(event)
         self._check_recovery()
 
-    def take_link_event(self, message: LinkEvent) -> None:
+    def handle_link_event(self, message: LinkEvent) -> None:
         """Take what a worker link tells."""
         for event in self.roster.take(message):
             if isinstance(event, messages.WorkerClaimed):
@@ -360,7 +360,7 @@
         else:
             self._early_shortages = effect.shortages
 
-    def _wake_at(self, effect: messages.WakeAt) -> None:
+    def _wake_at(self, effect: messages.ScheduleWakeUp) -> None:
         self._subscribe(WAKE_TIMER, effect.at - self.now())
 
     # Callbacks of the ledger.
@@ -379,7 +379,7 @@
         if job is not None:
             self.feed(messages.JobSubmitted(job_id, job.spec, job.submitted_at, True))
 
-    def _contested(self, record: StoredRecord) -> None:
+    def _changed_by_other_owner(self, record: StoredRecord) -> None:
         """Another owner ended the job or recorded a start of it."""
         job_id = record.body["job_id"]
         self.take_record(record)
--- a/src/redwingrudder/_tenure_parts.py
+++ b/src/redwingrudder/_ownership_term_parts.py
@@ -9,8 +9,8 @@
 from .scheduler import Scheduler
 
 
-class TenureParts(NamedTuple):
-    """What a tenure is built from."""
+class OwnershipTermParts(NamedTuple):
+    """What an ownership term is built from."""
 
     system: ActorSystem
     settings: RosterSettings
--- a/src/redwingrudder/_peer_plan.py
+++ b/src/redwingrudder/_peer_plan.py
@@ -2,7 +2,7 @@
 
 Exchanges between all nodes would cost most of a node's traffic budget at the
 target size (10 nodes in each of 4 failure domains, 5 KB/s). A node therefore
-exchanges each second with its domain's owner and its next neighbour in a
+exchanges each second with its domain's owner and its next peer in a
 ring over the domain, and less often with the owners of other domains. While
 the own domain has no live owner, each second with the whole domain, because
 succession needs to know which nodes are alive.
@@ -166,7 +166,7 @@
         return [owner, *self._ring_next(peers)]
 
     def _ring_next(self, peers: list[_Peer]) -> list[_Peer]:
-        """Return the neighbour; the other neighbour asks this node."""
+        """Return the next peer; the one before asks this node."""
         after = [peer for peer in peers if peer.node_id > self._node_id]
         return (after or peers)[:1]
 
--- a/src/redwingrudder/_placement.py
+++ b/src/redwingrudder/_placement.py
@@ -14,7 +14,7 @@
 )
 from ._reclaim import CellReclaim, fitting_cells
 from .fleet import Fleet, WorkerState
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .model import JobSpec, Placement
 from .policies import PlacementPolicy
 
@@ -32,7 +32,7 @@
         self,
         spec: JobSpec,
         fleet: Fleet,
-        guarantees: GuaranteeBook,
+        guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Return a placement on free resources that keeps all guarantees."""
@@ -68,7 +68,7 @@
     return fleet.most_free_on_worker()
 
 
-def _place_in_cell(space: Space, guarantees: GuaranteeBook) -> Placement | None:
+def _place_in_cell(space: Space, guarantees: CellTable) -> Placement | None:
     """Use the cell that a reclaim would use, if nothing has to stop there.
 
     Another cell might be free, but a job on a cell that is larger than
--- a/src/redwingrudder/_placement_cost.py
+++ b/src/redwingrudder/_placement_cost.py
@@ -8,7 +8,7 @@
 from ._cell_plan import plan_cells
 from ._placement import BestFitPlacement
 from .fleet import Fleet
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .model import (
     Configuration,
     JobSpec,
@@ -57,14 +57,14 @@
     configuration = _configuration(workers)
     configuration = configuration._replace(cells=plan_cells(configuration, infos))
     fleet = _filled_fleet(infos, rng)
-    book = GuaranteeBook()
+    book = CellTable()
     book.assign(configuration, "measured", fleet, now=0.0)
     times_ms = _time_decisions(fleet, book, rng)
     p99_ms = statistics.quantiles(times_ms, n=100)[98]
     return PlacementCost(statistics.median(times_ms), p99_ms, len(times_ms))
 
 
-def _time_decisions(fleet: Fleet, book: GuaranteeBook, rng: random.Random) -> list:
+def _time_decisions(fleet: Fleet, book: CellTable, rng: random.Random) -> list:
     policy = BestFitPlacement()
     times_ms: list[float] = []
     held: list[tuple[str, Placement]] = []
--- a/src/redwingrudder/_reclaim.py
+++ b/src/redwingrudder/_reclaim.py
@@ -4,9 +4,9 @@
 
 from ._cells import Cell, CellLayout, Level
 from ._offers import Offer, Tier, count_offered, fill_offers, gang_level
-from ._worker_room import fitting_tasks, is_borrower, member_use
+from ._worker_capacity import fitting_tasks, is_borrower, member_use
 from .fleet import Fleet, WorkerState
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .model import JobSpec
 from .policies import ReclaimPlan, ReclaimPolicy
 
@@ -44,7 +44,7 @@
         self,
         spec: JobSpec,
         fleet: Fleet,
-        guarantees: GuaranteeBook,
+        guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
         """Return a plan within the organisation's own cells, or None."""
@@ -62,7 +62,7 @@
         return best.plan if best else None
 
 
-def fitting_cells(spec: JobSpec, guarantees: GuaranteeBook) -> list[Cell]:
+def fitting_cells(spec: JobSpec, guarantees: CellTable) -> list[Cell]:
     """Return the cells of the job's organisation that are large enough.
 
     Cells are claimed by accelerators, so CPU-only work has none.
@@ -176,15 +176,15 @@
 def _offer(spec: JobSpec, unit: CellUnit, worker_id: str, stopped: set[str]) -> Offer:
     """Return what a worker offers once some gangs have stopped."""
     worker = unit.layout.fleet.workers_by_id[worker_id]
-    room = unit.layout.room(worker)
+    capacity = unit.layout.capacity(worker)
     freed = _without(worker, unit, stopped)
     accelerators = tuple(
         index
         for index in unit.accelerators_by_worker[worker_id]
         if freed.gangs_by_accelerator[index] is None
     )
-    tasks = fitting_tasks(spec, room._replace(worker=freed), accelerators)
-    return Offer(room, tasks, accelerators)
+    tasks = fitting_tasks(spec, capacity._replace(worker=freed), accelerators)
+    return Offer(capacity, tasks, accelerators)
 
 
 def _without(worker: WorkerState, unit: CellUnit, stopped: set[str]) -> WorkerState:
--- a/src/redwingrudder/_scheduler_backfill.py
+++ b/src/redwingrudder/_scheduler_backfill.py
@@ -6,7 +6,7 @@
 from ._cells import Level
 from ._offers import gang_level
 from .fleet import Fleet, WorkerState
-from .guarantees import GuaranteeBook, is_borrower
+from .guarantees import CellTable, is_borrower
 from .model import JobSpec
 
 
@@ -27,7 +27,7 @@
     """What is held; ``end_of`` returns when a gang is expected to end."""
 
     fleet: Fleet
-    guarantees: GuaranteeBook
+    guarantees: CellTable
     end_of: Callable[[str], float]
     now: float
 
--- a/src/redwingrudder/_scheduler_room.py
+++ b/src/redwingrudder/_scheduler_capacity.py
@@ -4,11 +4,11 @@
 
 from ._scheduler_state import Context
 from .fleet import WorkerState
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .model import JobSpec
 
 
-class Room(NamedTuple):
+class FreeCapacity(NamedTuple):
     """Free resources of a domain at one time.
 
     ``widest`` is the most free accelerators on one worker. ``open_workers``
@@ -23,7 +23,7 @@
     total_accelerators: int
     total_slots: int
 
-    def may_hold(self, spec: JobSpec) -> bool:
+    def may_fit(self, spec: JobSpec) -> bool:
         """Whether a search for a place can succeed at all."""
         return (
             spec.accelerators <= self.accelerators
@@ -31,8 +31,8 @@
             and spec.tasks <= self.slots
         )
 
-    def without(self, spec: JobSpec) -> "Room":
-        """Return the room after a job was placed; bounds stay bounds."""
+    def without(self, spec: JobSpec) -> "FreeCapacity":
+        """Return the capacity after a job was placed; bounds stay bounds."""
         return self._replace(
             accelerators=self.accelerators - spec.accelerators,
             slots=self.slots - spec.tasks,
@@ -40,10 +40,10 @@
         )
 
 
-EMPTY_ROOM = Room(0, 0, 0, 0, frozenset(), 0, 0)
+NO_FREE_CAPACITY = FreeCapacity(0, 0, 0, 0, frozenset(), 0, 0)
 
 
-def measure(context: Context) -> Room:
+def measure_free_capacity(context: Context) -> FreeCapacity:
     """Return the free resources of the workers that accept work."""
     fleet = context.fleet
     layout = context.guarantees.layout_of(fleet)
@@ -54,11 +54,11 @@
         total_slots += worker.info.slots
         total += worker.info.accelerators
         if None in worker.gangs_by_accelerator:
-            unassigned = len(layout.room(worker).unassigned)
+            unassigned = len(layout.capacity(worker).unassigned)
             open_accelerators += unassigned
             if unassigned:
                 open_workers.add(worker.info.worker_id)
-    return Room(
+    return FreeCapacity(
         fleet.free_in_domain(),
         fleet.most_free_on_worker(),
         slots,
@@ -69,8 +69,8 @@
     )
 
 
-def takes_task(spec: JobSpec, worker: WorkerState, guarantees: GuaranteeBook) -> bool:
-    """Whether a worker has room for at least one task of a job."""
+def can_place_task(spec: JobSpec, worker: WorkerState, guarantees: CellTable) -> bool:
+    """Whether a worker has capacity for at least one task of a job."""
     needed = spec.accelerators_per_task
     if worker.free_slots < 1 or worker.free_cores < spec.cores_per_task:
         return False
--- a/src/redwingrudder/_scheduler_gang_life.py
+++ b/src/redwingrudder/_scheduler_gang_life.py
@@ -5,7 +5,7 @@
 from ._scheduler_chart import GANG_CHART
 from ._scheduler_jobs import JobTable
 from ._scheduler_outcome import decide_ended, decide_released, may_retry
-from ._scheduler_state import Cause, Context, GangRecord, JobRecord
+from ._scheduler_state import Context, GangRecord, GangStopCause, JobRecord
 from .messages import (
     RecordStart,
     ReleaseMember,
@@ -73,14 +73,14 @@
         gang = self.gangs_by_id.get(gang_id)
         if gang is None or not (gang.spec.preemptible and gang.spec.idempotent):
             return
-        self.set_cause(gang_id, Cause.PREEMPTED, "preempted")
+        self.set_cause(gang_id, GangStopCause.PREEMPTED, "preempted")
         self.fire(gang_id, "preempt")
         self.settle(gang_id)
 
-    def set_cause(self, gang_id: str, cause: Cause, reason: str) -> None:
+    def set_cause(self, gang_id: str, cause: GangStopCause, reason: str) -> None:
         """Note why a gang will end; the first cause stands."""
         gang = self.gangs_by_id[gang_id]
-        if gang.cause is Cause.NONE:
+        if gang.cause is GangStopCause.NONE:
             self.gangs_by_id[gang_id] = gang._replace(cause=cause, reason=reason)
 
     # Actions of gang.scxml.
@@ -155,7 +155,7 @@
         outcome = decide_ended(gang, job, now, allowed)
         if outcome.event == "succeeded" and not gang.recovered:
             self._context.policies.order.observe_run(gang.spec, run_s, now)
-        elif outcome.event == "retry" and gang.cause is not Cause.PREEMPTED:
+        elif outcome.event == "retry" and gang.cause is not GangStopCause.PREEMPTED:
             retries[name] += 1
         self._jobs.fire(job.job_id, outcome.event, **outcome.changes)
 
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -2,7 +2,7 @@
 
 from ._scheduler_chart import GANG_CHART
 from ._scheduler_gang_life import GangLife, service_units
-from ._scheduler_state import Cause, GangRecord, JobRecord
+from ._scheduler_state import GangRecord, GangStopCause, JobRecord
 from .exceptions import RedwingrudderError
 from .messages import (
     ReserveAnswered,
@@ -51,7 +51,7 @@
             gang = self.gangs_by_id[gang_id]
             if not self._is_still_allowed(gang):
                 # The cells have moved since the reclaim was planned.
-                self.set_cause(gang_id, Cause.BUSY, "cells_changed")
+                self.set_cause(gang_id, GangStopCause.BUSY, "cells_changed")
                 self.fire(gang_id, "member_draining")
                 self.settle(gang_id)
                 continue
@@ -80,7 +80,9 @@
             self.fire(gang.gang_id, "member_reserved")
             self.settle(gang.gang_id)
             return
-        cause = Cause.REFUSED if event.reason == "draining" else Cause.BUSY
+        cause = (
+            GangStopCause.REFUSED if event.reason == "draining" else GangStopCause.BUSY
+        )
         self._leave(gang, event.worker_id)
         self.set_cause(gang.gang_id, cause, event.reason)
         self.fire(gang.gang_id, "member_refused")
@@ -97,7 +99,9 @@
             self.fire(gang.gang_id, "start_recorded")
             return
         if gang.state == "recording":
-            self.set_cause(gang.gang_id, Cause.BUSY, event.reason or "record_refused")
+            self.set_cause(
+                gang.gang_id, GangStopCause.BUSY, event.reason or "record_refused"
+            )
         self.fire(gang.gang_id, "record_refused")
         self.settle(gang.gang_id)
 
@@ -113,7 +117,9 @@
         else:
             gang.start_sent.discard(event.worker_id)
             gang.asked.discard(event.worker_id)
-            self.set_cause(gang.gang_id, Cause.LOST, event.reason or "start_refused")
+            self.set_cause(
+                gang.gang_id, GangStopCause.LOST, event.reason or "start_refused"
+            )
             self.fire(gang.gang_id, "start_refused")
         self.settle(gang.gang_id)
 
@@ -155,7 +161,7 @@
             if worker_id not in gang.members_by_worker or worker_id in gang.gone:
                 continue
             if not gang.start_sent:
-                self.set_cause(gang.gang_id, Cause.REFUSED, "draining")
+                self.set_cause(gang.gang_id, GangStopCause.REFUSED, "draining")
             self.fire(gang.gang_id, "member_draining")
             self.preempt(gang.gang_id)
             self.settle(gang.gang_id)
@@ -176,11 +182,11 @@
         ended = gang.member_ended(worker_id)
         self._leave(gang, worker_id)
         if not ended:
-            self.set_cause(gang_id, Cause.LOST, reason)
+            self.set_cause(gang_id, GangStopCause.LOST, reason)
             self.fire(gang_id, "member_lost")
         self.settle(gang_id)
 
-    def cancel(self, gang_id: str, cause: Cause) -> None:
+    def cancel(self, gang_id: str, cause: GangStopCause) -> None:
         """Release or stop a gang because its job is not wanted any more."""
         gang = self.gangs_by_id[gang_id]
         self.gangs_by_id[gang_id] = gang._replace(cause=cause, reason=cause.value)
@@ -242,8 +248,8 @@
             return
         if outcome is TaskOutcome.FAILED:
             health.observe(event.worker_id, gang.job_id, True, now)
-            self.set_cause(gang.gang_id, Cause.FAILED, "task_failed")
-        self.set_cause(gang.gang_id, Cause.LOST, "stopped_by_worker")
+            self.set_cause(gang.gang_id, GangStopCause.FAILED, "task_failed")
+        self.set_cause(gang.gang_id, GangStopCause.LOST, "stopped_by_worker")
         self.fire(gang.gang_id, "task_failed")
 
     def _is_still_allowed(self, gang: GangRecord) -> bool:
--- a/src/redwingrudder/_scheduler_outcome.py
+++ b/src/redwingrudder/_scheduler_outcome.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from ._scheduler_state import Cause, GangRecord, JobRecord
+from ._scheduler_state import GangRecord, GangStopCause, JobRecord
 
 MAX_ATTEMPTS = 3
 RETRY_BUDGET_SHARE = 0.2
@@ -35,12 +35,12 @@
     """Decide about a job whose gang never sent a start to a member."""
     if gang.may_have_run:
         return Outcome("outcome_lost", {"reason": gang.reason or "worker_lost"})
-    if gang.cause in (Cause.CANCELLED, Cause.EXPIRED):
-        event = "cancelled" if gang.cause is Cause.CANCELLED else "refused"
+    if gang.cause in (GangStopCause.CANCELLED, GangStopCause.EXPIRED):
+        event = "cancelled" if gang.cause is GangStopCause.CANCELLED else "refused"
         event = "outcome_lost" if job.may_have_run else event
         return Outcome(event, {"reason": gang.cause.value})
     changes: dict[str, object] = {"gang_id": None, "reason": gang.reason}
-    if gang.cause is Cause.BUSY:
+    if gang.cause is GangStopCause.BUSY:
         changes["parked_until"] = now + REFUSAL_DELAY_S
     return Outcome("gang_released", changes)
 
@@ -54,14 +54,14 @@
             result.result for _, result in sorted(gang.results_by_task.items())
         )
         return Outcome("succeeded", {"results": results, "reason": ""})
-    if gang.cause is Cause.CANCELLED:
+    if gang.cause is GangStopCause.CANCELLED:
         return Outcome("outcome_lost", {"reason": "cancelled"})
-    if gang.cause is Cause.PREEMPTED and job.known:
+    if gang.cause is GangStopCause.PREEMPTED and job.known:
         changes = {"gang_id": None, "reason": "preempted"}
         return Outcome("retry", {**changes, "attempts": max(0, job.attempts - 1)})
     if retry_allowed:
         return Outcome("retry", _retry_changes(gang, job, now))
-    event = "failed" if gang.cause is Cause.FAILED else "outcome_lost"
+    event = "failed" if gang.cause is GangStopCause.FAILED else "outcome_lost"
     return Outcome(event, {"reason": gang.reason or gang.cause.value})
 
 
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 
 from ._scheduler_backfill import Forecast, Reservation, reserve
+from ._scheduler_capacity import NO_FREE_CAPACITY, can_place_task, measure_free_capacity
 from ._scheduler_gangs import GangTable
 from ._scheduler_jobs import JobTable
 from ._scheduler_queue import LaneKey, ShapeKey
-from ._scheduler_room import EMPTY_ROOM, measure, takes_task
 from ._scheduler_state import Context, TimerKind
 from .guarantees import is_borrower
 from .policies import QueuedJob, ResourceUse
@@ -45,7 +45,7 @@
         self._reservation_tried = False
         self._ranks_by_lane: dict[LaneKey, int] = {}
         self._full_pass_at = float("-inf")
-        self._room = EMPTY_ROOM
+        self._free_capacity = NO_FREE_CAPACITY
 
     def run(self) -> None:
         """Place what can be placed after the events since the last run."""
@@ -64,7 +64,7 @@
             self._unblock(freed)
             self._pass_after_release()
         elif (
-            self._must_look_again()
+            self._must_poll_again()
             or self._can_lift_limits()
             or (fresh and self._due_probes())
         ):
@@ -81,7 +81,9 @@
             job_id = self._jobs.queue.example(shape)
             if job_id is not None:
                 spec = self._jobs.jobs_by_id[job_id].spec
-                if not any(takes_task(spec, w, context.guarantees) for w in workers):
+                if not any(
+                    can_place_task(spec, w, context.guarantees) for w in workers
+                ):
                     continue
             self.blocked.discard(shape)
             self.limited.discard(shape)
@@ -91,7 +93,7 @@
         if now - self._full_pass_at >= FULL_PASS_INTERVAL_S:
             self._full_pass()
             return
-        self._room = measure(self._context)
+        self._free_capacity = measure_free_capacity(self._context)
         self.restrained.clear()
         self._try_reserved()
         tried: set[LaneKey] = set()
@@ -136,7 +138,7 @@
     def _full_pass(self) -> None:
         """Try all lanes and choose the head of the queue anew."""
         self._full_pass_at = self._context.now
-        self._room = measure(self._context)
+        self._free_capacity = measure_free_capacity(self._context)
         self.limited.clear()
         self.restrained.clear()
         self._claimant = None
@@ -195,7 +197,7 @@
         avoid = self._gangs.pending_workers() | shape.avoided
         if not self._leaves_headroom(job):
             return self._try_outside_headroom(job, avoid | reserved)
-        if self._room.may_hold(job.spec) and self._place(job, avoid | reserved):
+        if self._free_capacity.may_fit(job.spec) and self._place(job, avoid | reserved):
             return True
         if self._reclaim(job, avoid):
             return True
@@ -204,11 +206,11 @@
         return False
 
     def _leaves_headroom(self, job: QueuedJob) -> bool:
-        room, spec = self._room, job.spec
+        capacity, spec = self._free_capacity, job.spec
         accelerated = spec.accelerators_per_task > 0
-        free = room.open_accelerators if accelerated else room.slots
+        free = capacity.open_accelerators if accelerated else capacity.slots
         use = ResourceUse(
-            room.total_accelerators if accelerated else room.total_slots,
+            capacity.total_accelerators if accelerated else capacity.total_slots,
             free - self._claimed_by_other(job),
             self._gangs.held_by_class[accelerated],
         )
@@ -242,9 +244,9 @@
             self._claimant = job
         if self._reclaim(job, avoid):
             return True
-        if not is_borrower(job.spec) or not self._room.may_hold(job.spec):
+        if not is_borrower(job.spec) or not self._free_capacity.may_fit(job.spec):
             return False
-        return self._place(job, avoid | self._room.open_workers)
+        return self._place(job, avoid | self._free_capacity.open_workers)
 
     def _place(
         self, job: QueuedJob, avoid: frozenset[str], probed: str | None = None
@@ -255,7 +257,7 @@
         )
         if placement is None:
             return False
-        self._room = self._room.without(job.spec)
+        self._free_capacity = self._free_capacity.without(job.spec)
         record = self._jobs.jobs_by_id[job.job_id]
         self._gangs.create(record, placement, probed)
         return True
@@ -308,7 +310,7 @@
         )
         self.reservation = reserve(job.job_id, job.spec, forecast)
 
-    def _must_look_again(self) -> bool:
+    def _must_poll_again(self) -> bool:
         passed_s = self._context.now - self._full_pass_at
         return bool(self.restrained) and passed_s >= HEADROOM_RECHECK_S
 
--- a/src/redwingrudder/_scheduler_recovery.py
+++ b/src/redwingrudder/_scheduler_recovery.py
@@ -2,7 +2,7 @@
 
 from ._scheduler_gangs import GangTable, empty_gang
 from ._scheduler_jobs import JobTable
-from ._scheduler_state import Cause, Context, GangRecord
+from ._scheduler_state import Context, GangRecord, GangStopCause
 from .exceptions import RedwingrudderError
 from .messages import TaskEnded
 from .model import JobState, MemberReport, MemberState, TaskOutcome, WorkerReport
@@ -66,8 +66,8 @@
         self._attach(gang)
         outcomes = {result.outcome for result in gang.results_by_task.values()}
         if TaskOutcome.FAILED in outcomes:
-            self._gangs.set_cause(gang.gang_id, Cause.FAILED, "task_failed")
-        self._gangs.set_cause(gang.gang_id, Cause.LOST, "worker_lost")
+            self._gangs.set_cause(gang.gang_id, GangStopCause.FAILED, "task_failed")
+        self._gangs.set_cause(gang.gang_id, GangStopCause.LOST, "worker_lost")
         self._gangs.fire(gang.gang_id, "stop")
 
     def _roll_back(self, gang: GangRecord) -> None:
@@ -79,7 +79,7 @@
             # The previous owner may have sent a start, so there is no second.
             gang = gang._replace(may_have_run=True)
             self._gangs.gangs_by_id[gang.gang_id] = gang
-        self._gangs.set_cause(gang.gang_id, Cause.LOST, "recovered")
+        self._gangs.set_cause(gang.gang_id, GangStopCause.LOST, "recovered")
         self._gangs.fire(gang.gang_id, "roll_back")
 
     def _attach(self, gang: GangRecord) -> bool:
@@ -161,7 +161,7 @@
     return (
         bool(gang.start_sent)
         and _is_complete(gang)
-        and gang.cause is Cause.NONE
+        and gang.cause is GangStopCause.NONE
         and all(
             result.outcome is TaskOutcome.SUCCEEDED
             for result in gang.results_by_task.values()
--- a/src/redwingrudder/_scheduler_state.py
+++ b/src/redwingrudder/_scheduler_state.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from .fleet import Fleet
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .messages import Effect
 from .model import (
     Configuration,
@@ -92,7 +92,7 @@
     results: tuple[str, ...] = ()
 
 
-class Cause(enum.StrEnum):
+class GangStopCause(enum.StrEnum):
     """Why a gang is stopped or released before it succeeded."""
 
     NONE = "none"
@@ -132,7 +132,7 @@
     unheld: set[str]
     results_by_task: dict[int, TaskResult]
     borrowers: tuple[str, ...] = ()
-    cause: Cause = Cause.NONE
+    cause: GangStopCause = GangStopCause.NONE
     reason: str = ""
     may_have_run: bool = False
     recovered: bool = False
@@ -181,7 +181,7 @@
     """What the parts of one scheduler share."""
 
     def __init__(
-        self, failure_domain: str, policies: PolicySet, guarantees: GuaranteeBook
+        self, failure_domain: str, policies: PolicySet, guarantees: CellTable
     ) -> None:
         self.failure_domain = failure_domain
         # Part of every gang id, so that two owners never form the same one.
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -238,7 +238,7 @@
     duration_s: float
 
 
-class StreakHealth(HealthPolicy):
+class FailureStreakHealth(HealthPolicy):
     """Quarantines a worker after failures of jobs that work elsewhere."""
 
     def __init__(self) -> None:
--- a/src/redwingrudder/_spec_guarantee.py
+++ b/src/redwingrudder/_spec_guarantee.py
@@ -10,9 +10,9 @@
 
 from ._placement import BestFitPlacement, CellReclaim
 from ._spec_common import Coverage, Model
-from ._worker_room import is_borrower
+from ._worker_capacity import is_borrower
 from .fleet import Fleet
-from .guarantees import GuaranteeBook, plan_cells
+from .guarantees import CellTable, plan_cells
 from .model import Configuration, JobSpec, Organisation, Placement, Shape, WorkerInfo
 
 RECLAIMABLE = "I1: a cell holds free accelerators, own work and borrowers only"
@@ -135,7 +135,7 @@
     def __init__(self, flaw: Flaw) -> None:
         self._flaw = flaw
         self._fleet = Fleet()
-        self._book = GuaranteeBook()
+        self._book = CellTable()
         organisations = {
             name: Organisation(name, shapes)
             for name, shapes in SHAPES_BY_ORGANISATION.items()
--- a/src/redwingrudder/_spec_workflow.py
+++ b/src/redwingrudder/_spec_workflow.py
@@ -20,7 +20,7 @@
 CUTS = 1
 SILENCES = 1
 WORKERS = (0, 1)
-START, STOP, NOTHING = "start", "stop", ""
+START, STOP, NO_RESOURCES = "start", "stop", ""
 
 
 class Flaw(enum.StrEnum):
@@ -81,7 +81,7 @@
     state: str
     run: int = 0
     worker: int = 0
-    sending: str = NOTHING
+    sending: str = NO_RESOURCES
     known: tuple[bool, bool] = (False, False)
     silent: tuple[bool, bool] = (False, False)
 
@@ -147,7 +147,7 @@
             yield f"send {mine.sending}", world._replace(orders=world.orders | {order})
         if mine.sending == START and not self._is_final(mine):
             if self._flaw is Flaw.NO_CLOSE:
-                given_up = self._step(mine, "rejected")._replace(sending=NOTHING)
+                given_up = self._step(mine, "rejected")._replace(sending=NO_RESOURCES)
             else:
                 given_up = mine._replace(sending=STOP)
             yield "give a start up", world._replace(coordinator=given_up)
@@ -187,7 +187,7 @@
         if (order.run, order.fence, order.kind) == (mine.run, mine.term, mine.sending):
             if not self._is_final(mine):
                 mine = self._answered(mine, order, accepted)
-            mine = mine._replace(sending=NOTHING)
+            mine = mine._replace(sending=NO_RESOURCES)
             yield f"{order.kind} answered", world._replace(coordinator=mine)
 
     def _answered(self, mine: Coordinator, order: Order, accepted: bool) -> Coordinator:
@@ -215,7 +215,7 @@
         if here and worker.run == mine.run and mine.state == "starting":
             mine = self._step(mine, "started")
         elif here and worker.ended == mine.run > 0:
-            mine = self._step(mine, "run_done")._replace(sending=NOTHING)
+            mine = self._step(mine, "run_done")._replace(sending=NO_RESOURCES)
         elif here and mine.state == "starting" and not (mine.sending or first):
             mine = self._step(mine, "rejected")
         elif here and regained and worker.run != mine.run and mine.state != "waiting":
@@ -225,7 +225,9 @@
                 orders = orders | {Order(START, index, mine.run, mine.term)}
                 dropped = True
             if dropped:
-                mine = self._step(mine, "run_interrupted")._replace(sending=NOTHING)
+                mine = self._step(mine, "run_interrupted")._replace(
+                    sending=NO_RESOURCES
+                )
         world = _put(world, index, worker)
         world = world._replace(coordinator=mine, orders=orders)
         if not worker.ended:
@@ -271,7 +273,7 @@
                 )
             )
         if mine.worker == index and mine.state in ("starting", "running", "stopping"):
-            mine = self._step(mine, "run_interrupted")._replace(sending=NOTHING)
+            mine = self._step(mine, "run_interrupted")._replace(sending=NO_RESOURCES)
         return _put(world, index, worker)._replace(coordinator=mine)
 
     def _take_over(self, world: World) -> Steps:
--- a/src/redwingrudder/_ownership_rules.py
+++ b/src/redwingrudder/_takeover_policy.py
@@ -2,7 +2,7 @@
 
 import random
 
-from ._ownership_peers import SILENT_S, PeerBook
+from ._ownership_peers import SILENT_S, PeerTable
 
 TURN_S = 0.2  # between the attempts of the nodes, in the order of their ranks
 TURN_JITTER_S = 0.1
@@ -12,10 +12,10 @@
 # for longer cannot write job records, so another node takes over.
 ABSENT_LIMIT_S = 2.5
 # Time for a node of the VM list to be heard of once all nodes exchange.
-UNHEARD_S = 2.0
+FIRST_REPORT_TIMEOUT_S = 2.0
 
 
-class TakeoverRules:
+class TakeoverPolicy:
     """Decides when a following node acquires or claims its domain.
 
     Args:
@@ -24,23 +24,23 @@
         jitter: Source of the jitter between nodes.
     """
 
-    def __init__(self, peers: PeerBook, rank: int, jitter: random.Random) -> None:
+    def __init__(self, peers: PeerTable, rank: int, jitter: random.Random) -> None:
         self._peers = peers
         self._rank = rank
         self._jitter = jitter
         self._absent_since = 0.0
         self._turn_s = 0.0
-        self._patience_from: float | None = None
+        self._owner_wait_from: float | None = None
 
     def members_known(self, now: float) -> None:
         """Note that peers can be heard from now on."""
-        if self._patience_from is None:
-            self._patience_from = now
+        if self._owner_wait_from is None:
+            self._owner_wait_from = now
 
-    def be_patient(self, now: float) -> None:
+    def restart_owner_wait(self, now: float) -> None:
         """Give the owner time to be heard of before a claim."""
-        if self._patience_from is not None:
-            self._patience_from = now
+        if self._owner_wait_from is not None:
+            self._owner_wait_from = now
 
     def record_vanished(self, now: float) -> None:
         """Note that the record is absent from now on."""
@@ -58,11 +58,11 @@
 
     def may_claim(self, now: float) -> bool:
         """Whether to claim the domain while the store is unreachable."""
-        if self._patience_from is None:
+        if self._owner_wait_from is None:
             return False
-        silent_s = now - max(self._patience_from, self._peers.owner_seen_at())
+        silent_s = now - max(self._owner_wait_from, self._peers.owner_seen_at())
         if silent_s < SILENT_S:
             return False
-        if silent_s < SILENT_S + UNHEARD_S:
+        if silent_s < SILENT_S + FIRST_REPORT_TIMEOUT_S:
             return self._peers.count_before() == 0
         return self._peers.count_heard_before(now) == 0
--- a/src/redwingrudder/_worker_room.py
+++ b/src/redwingrudder/_worker_capacity.py
@@ -47,10 +47,10 @@
         return Resources(*map(max, self, other))
 
 
-NOTHING = Resources(0, 0, 0)
+NO_RESOURCES = Resources(0, 0, 0)
 
 
-class WorkerRoom(NamedTuple):
+class WorkerCapacity(NamedTuple):
     """Free accelerators of a worker by owner of the cell, and its margin.
 
     ``margin`` is what firm use outside cells may still take; it is negative
@@ -100,7 +100,7 @@
     At least one slot is kept, because a cell without a slot is of no use.
     """
     if not accelerators:
-        return NOTHING
+        return NO_RESOURCES
     slots = max(1, min(accelerators, info.slots * accelerators // info.accelerators))
     cores = info.cores * accelerators // info.accelerators
     return Resources(slots, cores, info.memory_mb * accelerators // info.accelerators)
@@ -120,14 +120,16 @@
     use = member_use(spec, tasks)
     indexes = tuple(accelerators)
     if not indexes:
-        return use, NOTHING
+        return use, NO_RESOURCES
     own = sum(owners[index] == spec.organisation for index in indexes)
     inside = Resources(*(value * own // len(indexes) for value in use))
     return inside, use.plus(inside, -1)
 
 
-def build_room(worker: WorkerState, owners: Owners, fleet: Fleet) -> WorkerRoom:
-    """Derive the room of a worker from its cells and its gangs."""
+def build_worker_capacity(
+    worker: WorkerState, owners: Owners, fleet: Fleet
+) -> WorkerCapacity:
+    """Derive the capacity of a worker from its cells and its gangs."""
     unassigned, free_by_owner = _free_by_owner(worker, owners)
     gangs = [
         fleet.gangs_by_id[g] for g in fleet.gang_ids_by_worker[worker.info.worker_id]
@@ -142,7 +144,7 @@
             counts[owner] = counts.get(owner, 0) + 1
     for organisation in counts.keys() | inside_by_org.keys():
         share = cell_share(info, counts.get(organisation, 0))
-        inside = inside_by_org.get(organisation, NOTHING)
+        inside = inside_by_org.get(organisation, NO_RESOURCES)
         claimed = share.maximum(inside)
         margin = margin.plus(claimed, -1)
         if organisation in counts:
@@ -151,14 +153,14 @@
     blocked = frozenset(
         index
         for index, owner in enumerate(owners)
-        if owner is not None and not may_hold(worker, index, owner, fleet)
+        if owner is not None and not may_occupy_cell(worker, index, owner, fleet)
     )
-    return WorkerRoom(
+    return WorkerCapacity(
         worker, owners, unassigned, free_by_owner, free, margin, unused, blocked
     )
 
 
-def may_hold(worker: WorkerState, index: int, owner: str, fleet: Fleet) -> bool:
+def may_occupy_cell(worker: WorkerState, index: int, owner: str, fleet: Fleet) -> bool:
     """Whether what holds an accelerator is allowed on a cell of the owner."""
     gang_id = worker.gangs_by_accelerator[index]
     if gang_id is None:
@@ -187,14 +189,14 @@
     worker_id: str, owners: Owners, gangs: list[HeldGang]
 ) -> tuple[dict[str, Resources], Resources]:
     inside_by_org: dict[str, Resources] = {}
-    outside = NOTHING
+    outside = NO_RESOURCES
     for gang in gangs:
         spec = gang.spec
         if is_borrower(spec) and spec.organisation not in owners:
             continue
         member: MemberPlacement = gang.members_by_worker[worker_id]
         inside, rest = split_use(spec, len(member.tasks), member.accelerators, owners)
-        before = inside_by_org.get(spec.organisation, NOTHING)
+        before = inside_by_org.get(spec.organisation, NO_RESOURCES)
         inside_by_org[spec.organisation] = before.plus(inside)
         outside = outside.plus(rest)
     return inside_by_org, outside
@@ -202,7 +204,7 @@
 
 def fitting_tasks(
     spec: JobSpec,
-    room: WorkerRoom,
+    capacity: WorkerCapacity,
     accelerators: tuple[int, ...],
     firm: bool = False,
 ) -> int:
@@ -210,11 +212,11 @@
 
     Args:
         spec: The job; its tasks take the accelerators in the given order.
-        room: The worker.
+        capacity: The worker.
         accelerators: Free accelerators that the job may use.
         firm: Whether a borrower, too, leaves alone what is kept for cells.
     """
-    worker = room.worker
+    worker = capacity.worker
     tasks = count_tasks(
         spec,
         len(accelerators),
@@ -223,14 +225,14 @@
         worker.free_memory_mb,
     )
     tasks = min(tasks, spec.tasks)
-    while tasks > 0 and not keeps_cells(spec, room, tasks, accelerators, firm):
+    while tasks > 0 and not keeps_cells(spec, capacity, tasks, accelerators, firm):
         tasks -= 1
     return tasks
 
 
 def keeps_cells(
     spec: JobSpec,
-    room: WorkerRoom,
+    capacity: WorkerCapacity,
     tasks: int,
     accelerators: tuple[int, ...],
     firm: bool = False,
@@ -239,17 +241,17 @@
 
     Args:
         spec: The job of the member.
-        room: The worker.
+        capacity: The worker.
         tasks: Tasks of the member; they take the first accelerators.
         accelerators: Accelerators that the member may use.
         firm: Whether a borrower, too, leaves alone what is kept for cells.
     """
-    if not room.has_cells:
+    if not capacity.has_cells:
         return True
-    if not firm and is_borrower(spec) and spec.organisation not in room.owners:
+    if not firm and is_borrower(spec) and spec.organisation not in capacity.owners:
         return True
     taken = accelerators[: tasks * spec.accelerators_per_task]
-    inside, outside = split_use(spec, tasks, taken, room.owners)
-    share = room.unused_shares.get(spec.organisation, NOTHING)
-    beyond_share = inside.plus(share, -1).maximum(NOTHING)
-    return min(room.margin.plus(outside, -1).plus(beyond_share, -1)) >= 0
+    inside, outside = split_use(spec, tasks, taken, capacity.owners)
+    share = capacity.unused_shares.get(spec.organisation, NO_RESOURCES)
+    beyond_share = inside.plus(share, -1).maximum(NO_RESOURCES)
+    return min(capacity.margin.plus(outside, -1).plus(beyond_share, -1)) >= 0
--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -1,4 +1,4 @@
-"""Follows the operators' configuration in the store and at neighbours."""
+"""Follows the operators' configuration in the store and at peers."""
 
 import logging
 
--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -16,7 +16,7 @@
     COORDINATOR,
     INTAKE_PREFIX,
     LEADERSHIP,
-    NEIGHBOURS,
+    PEERS,
     Change,
     FleetGateways,
     not_coordinator,
@@ -32,16 +32,16 @@
     GetQueueLength,
     GetState,
     LeaseConfirmed,
-    PaceLost,
     Resign,
     StartSettled,
+    ThrottleUnanswered,
     WorkerLapsed,
-    WorkerLooked,
+    WorkerPolled,
     WorkerSilent,
     WorkflowStored,
 )
 from .metrics import METRICS, Counted, Measured
-from .neighbours import GetTimeOfDay, ListNeighbours
+from .peers import GetTimeOfDay, ListPeers
 from .recovery import (
     accept_stored,
     cancel_all,
@@ -97,12 +97,12 @@
             CancelStored: self._cancel_stored,
             GetState: self._get_state,
             GetQueueLength: self._get_queue_length,
-            WorkerLooked: self._worker_looked,
+            WorkerPolled: self._worker_polled,
             WorkerSilent: self._worker_silent,
             WorkerLapsed: self._worker_lapsed,
             StartSettled: self._start_settled,
             TimerFired: self._timer_fired,
-            PaceLost: self._pace_lost,
+            ThrottleUnanswered: self._throttle_unanswered,
             AdviceGiven: self._advice_given,
         }
 
@@ -224,7 +224,7 @@
         """
         allowed = boot_clock() < self._confirmed_until
         if not allowed:
-            view = await self.ask(NEIGHBOURS, ListNeighbours())
+            view = await self.ask(PEERS, ListPeers())
             allowed = view.store_is_down
         if allowed != self._may_act:
             self._may_act = allowed
@@ -285,7 +285,7 @@
         self._term.workers.set_all_entries({pair.key: pair.value for pair in pairs})
         self._plan_soon()
 
-    def _worker_looked(self, message: WorkerLooked) -> None:
+    def _worker_polled(self, message: WorkerPolled) -> None:
         if self._ready:
             self._term.workers.take_report(message)
             self._plan_soon()
@@ -321,7 +321,7 @@
         run(self._read_time_of_day(), self.name)
         now = self.system.clock.seconds()
         self._term.engine.supervise(now)
-        self._term.engine.pace(now)
+        self._term.engine.throttle(now)
         self._term.workers.sweep()
         self._term.retention.sweep(now)
         if self._term.maintenance is not None:
@@ -329,7 +329,7 @@
         self._plan_soon()
 
     async def _read_time_of_day(self) -> None:
-        wall = await self.ask(NEIGHBOURS, GetTimeOfDay())
+        wall = await self.ask(PEERS, GetTimeOfDay())
         self._wall_offset = wall - self.system.clock.seconds()
 
     def _plan_soon(self) -> None:
@@ -370,7 +370,7 @@
         )
         self._plan_soon()
 
-    def _pace_lost(self, message: PaceLost) -> None:
+    def _throttle_unanswered(self, message: ThrottleUnanswered) -> None:
         """Assume full speed again, so that the policy repeats the change."""
         if self._ready:
-            self._term.engine.pace_lost(message.run.key, message.run.run)
+            self._term.engine.throttle_unanswered(message.run.key, message.run.run)
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -7,19 +7,19 @@
 from ..exceptions import UnavailableError
 from ..workflows.maintenance import Machine, MaintenanceWave
 from ..workflows.model import (
-    PaceRun,
     QueuePolicy,
     RunEnd,
     RunReport,
     StartRun,
     StopRun,
     TaskKey,
+    ThrottleRun,
     WorkerFacts,
 )
 
 STORE = "store"
 CONFIGURATION = "configuration"
-NEIGHBOURS = "neighbours"
+PEERS = "neighbours"
 LEADERSHIP = "leadership"
 COORDINATOR = "coordinator"
 ADVISOR = "advisor"
@@ -153,17 +153,17 @@
 
 
 class WorkerReport(NamedTuple):
-    """A worker's answer to a look.
+    """A worker's answer to a poll.
 
     Attributes:
         clock_ms: The worker's steady clock.
-        born_ms: Start of its life, 0 if it does not say.
+        process_started_ms: Start of its process, 0 if it does not say.
         running: Runs that are present.
         ended: Ends that were not yet acknowledged.
     """
 
     clock_ms: int
-    born_ms: int
+    process_started_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[RunEnd, ...]
 
@@ -184,7 +184,7 @@
 
 
 class WorkerChannel(abc.ABC):
-    """Connections to one life of a worker.
+    """Connections to one incarnation of a worker.
 
     Every call raises ``UnavailableError`` when there is no answer in time;
     the command may then have taken effect, or may do so later.
@@ -203,11 +203,13 @@
         """Stop a run, or keep it from starting later."""
 
     @abc.abstractmethod
-    async def pace(self, run: PaceRun, fence: int, timeout_s: float) -> CommandReply:
+    async def throttle(
+        self, run: ThrottleRun, fence: int, timeout_s: float
+    ) -> CommandReply:
         """Let a run work at a share of its speed."""
 
     @abc.abstractmethod
-    async def look(
+    async def poll(
         self,
         fence: int,
         seen: int,
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -20,30 +20,30 @@
     COORDINATOR,
     INTAKE,
     INTAKE_PREFIX,
-    NEIGHBOURS,
+    PEERS,
     PROGRESS_PREFIX,
     STORE,
     intake_keys,
 )
 from .leadership import Identity
 from .messages import (
-    CancelForNeighbour,
+    CancelForPeer,
     CancelStored,
     CancelWorkflow,
     CoordinatorKnown,
     GetQueueLength,
     GetState,
-    ReadStateForNeighbour,
+    ReadStateForPeer,
     StoreAvailability,
-    StoreForNeighbour,
+    StoreForPeer,
     SubmitWorkflow,
     WorkflowStored,
 )
-from .neighbours import CallNeighbour, ListNeighbours
+from .peers import CallPeer, ListPeers
 
 RETRY_AFTER_S = 1.0  # told to callers while the store answers no node
 WRITE_RETRY_S = 0.05  # keeps a store that resets connections from being flooded
-RELAYS = 2  # neighbours that are asked to store on this node's behalf
+RELAYS = 2  # peers that are asked to store on this node's behalf
 
 _logger = logging.getLogger(__name__)
 
@@ -71,9 +71,9 @@
             CancelWorkflow: self._cancel,
             GetState: self._state,
             GetQueueLength: self._queue_length,
-            StoreForNeighbour: self._store_for_neighbour,
-            CancelForNeighbour: self._cancel_for_neighbour,
-            ReadStateForNeighbour: lambda m: self._read_state(m.workflow_id),
+            StoreForPeer: self._store_for_peer,
+            CancelForPeer: self._cancel_for_peer,
+            ReadStateForPeer: lambda m: self._read_state(m.workflow_id),
         }
 
     def _set_store(self, message: StoreAvailability) -> None:
@@ -161,8 +161,8 @@
                 break
             try:
                 return await self.ask(
-                    NEIGHBOURS,
-                    CallNeighbour(address, method, arguments, min(left_s, 1.5)),
+                    PEERS,
+                    CallPeer(address, method, arguments, min(left_s, 1.5)),
                 )
             except RedwingrudderError as error:
                 _logger.info(
@@ -177,12 +177,12 @@
         )
 
     async def _relays(self) -> list[str]:
-        view = await self.ask(NEIGHBOURS, ListNeighbours())
+        view = await self.ask(PEERS, ListPeers())
         served = [other.address for other in view.fresh if other.store_available]
         served.sort(key=lambda address: address != self._coordinator.address)
         return served[:RELAYS]
 
-    async def _store_for_neighbour(self, message: StoreForNeighbour) -> None:
+    async def _store_for_peer(self, message: StoreForPeer) -> None:
         self._check_store()
         deadline = self.system.clock.seconds() + 1.0
         await self._store_until(message.workflow_id, message.document, deadline)
@@ -215,7 +215,7 @@
                     raise
                 await pause(self.system.clock, WRITE_RETRY_S)
 
-    async def _cancel_for_neighbour(self, message: CancelForNeighbour) -> bool:
+    async def _cancel_for_peer(self, message: CancelForPeer) -> bool:
         deadline = self.system.clock.seconds() + 1.0
         return await self._store_cancel(message.workflow_id, deadline)
 
@@ -260,7 +260,7 @@
         if not self._coordinator.address:
             raise UnavailableError("no coordinator is known", retry_after_s=1.0)
         return await self.ask(
-            NEIGHBOURS, CallNeighbour(self._coordinator.address, method, tuple(message))
+            PEERS, CallPeer(self._coordinator.address, method, tuple(message))
         )
 
     def _announce(self, method: str, message: WorkflowStored | CancelStored) -> None:
@@ -268,8 +268,8 @@
         if self._coordinator.node_id == self._identity.node_id:
             self.tell(COORDINATOR, message)
         elif self._coordinator.address:
-            call = CallNeighbour(self._coordinator.address, method, tuple(message))
-            self.ask(NEIGHBOURS, call).addErrback(
+            call = CallPeer(self._coordinator.address, method, tuple(message))
+            self.ask(PEERS, call).addErrback(
                 lambda failure: _logger.info(
                     "coordinator not told", extra={"error": str(failure.value)}
                 )
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -53,9 +53,9 @@
 # Weaker nodes wait longer, so that a strong one is elected where there is any:
 # the coordinator of 176 workers takes up to a core and reads some megabytes
 # when it takes over.
-STRONG_CORES = 1.0
+UNCONSTRAINED_CORES = 1.0
 WEAK_CORES_DELAY_S = 0.35  # times the share of a core that is missing
-STRONG_LINK_BPS = 50e6
+UNCONSTRAINED_LINK_BPS = 50e6
 WEAK_LINK_DELAY_S = 0.2
 RESIGNED_DELAY_S = 2.0  # longer than other nodes need to be elected
 
@@ -69,22 +69,22 @@
 
     node_id: str
     address: str
-    life: str
+    incarnation: str
 
 
-class Strength(NamedTuple):
+class NodeResources(NamedTuple):
     """What a node can carry: processor share and bits a second."""
 
-    cores: float = STRONG_CORES
-    link_bps: float = STRONG_LINK_BPS
+    cores: float = UNCONSTRAINED_CORES
+    link_bps: float = UNCONSTRAINED_LINK_BPS
 
-    def delay_s(self) -> float:
+    def extra_campaign_delay_s(self) -> float:
         """Return for how long the node leaves a vacancy to stronger ones."""
-        cores_s = WEAK_CORES_DELAY_S * max(STRONG_CORES - self.cores, 0.0)
-        return cores_s + WEAK_LINK_DELAY_S * (self.link_bps < STRONG_LINK_BPS)
+        cores_s = WEAK_CORES_DELAY_S * max(UNCONSTRAINED_CORES - self.cores, 0.0)
+        return cores_s + WEAK_LINK_DELAY_S * (self.link_bps < UNCONSTRAINED_LINK_BPS)
 
 
-STRONG = Strength()
+UNCONSTRAINED = NodeResources()
 
 
 class Holder(NamedTuple):
@@ -92,7 +92,7 @@
 
     node_id: str
     address: str
-    life: str
+    incarnation: str
     term: int
     revision: int
 
@@ -113,7 +113,7 @@
         system: The node's actors.
         identity: This process.
         subscribers: Actors told of each known coordinator.
-        strength: What this node can carry.
+        resources: What this node can carry.
     """
 
     def __init__(
@@ -121,7 +121,7 @@
         system: ActorSystem,
         identity: Identity,
         subscribers: tuple[str, ...],
-        strength: Strength = STRONG,
+        resources: NodeResources = UNCONSTRAINED,
     ) -> None:
         self._chart = ChartRunner(
             load_chart("coordinator", _EVENTS, _ACTIONS),
@@ -134,8 +134,8 @@
         )
         self._identity = identity
         self._subscribers = subscribers
-        self._jitter = random.Random(identity.life)
-        self._handicap_s = strength.delay_s()
+        self._jitter = random.Random(identity.incarnation)
+        self._handicap_s = resources.extra_campaign_delay_s()
         self._holder: Holder | None = None
         # Revision of a record whose holder is surely dead, 0 for none.
         self._dead_revision = 0
@@ -239,11 +239,11 @@
         )
         self._holder = holder
         self._announce(holder.node_id, holder.address, holder.term)
-        mine = holder.life == self._identity.life
+        mine = holder.incarnation == self._identity.incarnation
         if not mine and self.leading:
             self._chart.step("deposed", f"{holder.node_id} holds term {holder.term}")
         elif not mine and holder.node_id == self._identity.node_id:
-            # The record of an earlier life of this process.
+            # The record of an earlier incarnation of this process.
             self._dead_revision = revision
             self._chart.step("vacant", "earlier life")
         else:
@@ -320,7 +320,7 @@
             {
                 "node": self._identity.node_id,
                 "address": self._identity.address,
-                "life": self._identity.life,
+                "life": self._identity.incarnation,
                 "term": term,
             }
         )
@@ -385,7 +385,7 @@
         """Remove the record if it is still this process's own."""
         try:
             holder = self._holder
-            if holder is None or holder.life != self._identity.life:
+            if holder is None or holder.incarnation != self._identity.incarnation:
                 return
             compare = Compare(COORDINATOR_KEY, holder.revision)
             await self.ask(STORE, Transact((compare,), (DeleteKey(COORDINATOR_KEY),)))
--- a/src/redwingrudder/coordination/maintenance.py
+++ b/src/redwingrudder/coordination/maintenance.py
@@ -23,8 +23,8 @@
 from .messages import Fenced
 from .recorder import Recorder
 
-LOOK_S = 2.0  # between readings of the waves; they last many seconds
-ACTIVE_LOOK_S = 0.5  # while a wave is at hand
+READ_INTERVAL_S = 2.0  # between readings of the waves; they last many seconds
+ACTIVE_READ_INTERVAL_S = 0.5  # while a wave is at hand
 
 _logger = logging.getLogger(__name__)
 
@@ -93,7 +93,7 @@
             _logger.info("maintenance delayed", extra={"error": str(error)})
         finally:
             self._busy = False
-            pause = ACTIVE_LOOK_S if self._progress_by_id else LOOK_S
+            pause = ACTIVE_READ_INTERVAL_S if self._progress_by_id else READ_INTERVAL_S
             self._next_at = now + pause
 
     async def _read_waves(self) -> None:
@@ -166,8 +166,8 @@
         if worker is None:
             return True
         worker.emptying = True
-        speeds = self._engine.speeds
-        for task in runs_to_stop(worker, upkeep.empty_by, speeds, now):
+        run_times = self._engine.run_times
+        for task in runs_to_stop(worker, upkeep.empty_by, run_times, now):
             self._engine.stop(task, "machine_upkeep")
             self._engine.stop_gang(task.stage, task.run)
         return not worker.tasks_by_key
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -4,9 +4,9 @@
 
 from ..workflows.model import (
     AskAdvice,
-    PaceRun,
     StartRun,
     StopRun,
+    ThrottleRun,
     WorkerFacts,
     Workflow,
 )
@@ -26,7 +26,7 @@
 
 
 class OfferConfigurationDocument(NamedTuple):
-    """Tell CONFIGURATION: a neighbour's document."""
+    """Tell CONFIGURATION: a peer's document."""
 
     document: str
 
@@ -37,7 +37,7 @@
     Attributes:
         node_id: Name of the node.
         address: "host:port" of its thrift server.
-        life: Random id of its process.
+        incarnation: Random id of its process.
         configuration_version: Version in force.
         coordinator_id: Node that it believes to coordinate, "" unknown.
         coordinator_address: Address of that node.
@@ -48,7 +48,7 @@
 
     node_id: str
     address: str
-    life: str
+    incarnation: str
     configuration_version: int
     coordinator_id: str
     coordinator_address: str
@@ -66,7 +66,7 @@
 
 
 class CoordinatorSilent(NamedTuple):
-    """Told by NEIGHBOURS: the coordinator's process refuses connections."""
+    """Told by PEERS: the coordinator's process refuses connections."""
 
     address: str
 
@@ -157,8 +157,8 @@
     workflow_id: str
 
 
-class WorkerLooked(NamedTuple):
-    """Tell COORDINATOR: a worker answered a look."""
+class WorkerPolled(NamedTuple):
+    """Tell COORDINATOR: a worker answered a poll."""
 
     worker_id: str
     report: WorkerReport
@@ -183,10 +183,10 @@
     reply: CommandReply
 
 
-class PaceLost(NamedTuple):
-    """Tell COORDINATOR: a change of pace got no answer."""
+class ThrottleUnanswered(NamedTuple):
+    """Tell COORDINATOR: a throttle command got no answer."""
 
-    run: PaceRun
+    run: ThrottleRun
 
 
 class AdviceGiven(NamedTuple):
@@ -225,27 +225,27 @@
     drained: bool
 
 
-SessionCommand = StartRun | StopRun | PaceRun
+SessionCommand = StartRun | StopRun | ThrottleRun
 
 
 class Drain(NamedTuple):
     """Tell an actor: the node shuts down; finish and take nothing new."""
 
 
-class StoreForNeighbour(NamedTuple):
+class StoreForPeer(NamedTuple):
     """Ask INTAKE: store a workflow for a node that the store turns away."""
 
     workflow_id: str
     document: str
 
 
-class CancelForNeighbour(NamedTuple):
+class CancelForPeer(NamedTuple):
     """Ask INTAKE -> whether the id is known; stores a cancellation."""
 
     workflow_id: str
 
 
-class ReadStateForNeighbour(NamedTuple):
+class ReadStateForPeer(NamedTuple):
     """Ask INTAKE -> state from the store, "" for an unknown id."""
 
     workflow_id: str
--- a/src/redwingrudder/coordination/neighbour_calls.py
+++ b/src/redwingrudder/coordination/peer_calls.py
@@ -16,13 +16,13 @@
 from ..exceptions import OutcomeUnknownError, RedwingrudderError, UnavailableError
 from .gateways import CONFIGURATION, COORDINATOR, INTAKE
 from .messages import (
-    CancelForNeighbour,
+    CancelForPeer,
     CancelStored,
     GetConfigurationDocument,
     GetQueueLength,
     GetState,
-    ReadStateForNeighbour,
-    StoreForNeighbour,
+    ReadStateForPeer,
+    StoreForPeer,
     WorkflowStored,
 )
 
@@ -31,7 +31,7 @@
 _logger = logging.getLogger(__name__)
 
 
-class NeighbourLink:
+class PeerLink:
     """A connection to one node, opened with the first call."""
 
     def __init__(self, reactor: Any, address: str) -> None:
@@ -89,7 +89,7 @@
 
 
 @implementer(CoordinationService.Iface)
-class NeighbourHandler:
+class PeerHandler:
     """Calls of other nodes; each asks a local actor."""
 
     def __init__(
@@ -108,7 +108,7 @@
 
     def store_workflow(self, workflow_id: str, document: str) -> Deferred:
         """Store a workflow for a node that the store turns away."""
-        return self._serve(INTAKE, StoreForNeighbour(workflow_id, document), None)
+        return self._serve(INTAKE, StoreForPeer(workflow_id, document), None)
 
     def announce_workflow(self, workflow_id: str, document: str) -> None:
         """Tell the coordinator of a stored workflow."""
@@ -116,7 +116,7 @@
 
     def store_cancel(self, workflow_id: str) -> Deferred:
         """Store a cancellation; returns whether the workflow is known."""
-        return self._serve(INTAKE, CancelForNeighbour(workflow_id))
+        return self._serve(INTAKE, CancelForPeer(workflow_id))
 
     def announce_cancel(self, workflow_id: str) -> None:
         """Tell the coordinator of a stored cancellation."""
@@ -128,7 +128,7 @@
 
     def read_state(self, workflow_id: str) -> Deferred:
         """Return the state from the store, empty if there is none."""
-        return self._serve(INTAKE, ReadStateForNeighbour(workflow_id))
+        return self._serve(INTAKE, ReadStateForPeer(workflow_id))
 
     def queue_length(self, queue: str) -> Deferred:
         """Return the workflows of a queue without a started task."""
--- a/src/redwingrudder/coordination/neighbours.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -25,8 +25,8 @@
     CONFIGURATION,
     INTAKE,
     LEADERSHIP,
-    NEIGHBOURS,
     NODES_PREFIX,
+    PEERS,
     STORE,
 )
 from .leadership import Identity
@@ -39,10 +39,10 @@
     OfferConfigurationDocument,
     StoreAvailability,
 )
-from .neighbour_calls import NeighbourHandler, NeighbourLink
+from .peer_calls import PeerHandler, PeerLink
 
 EXCHANGE_S = 0.5
-EXCHANGE_FANOUT = 2  # random neighbours beside the coordinator
+EXCHANGE_FANOUT = 2  # random peers beside the coordinator
 CALL_TIMEOUT_S = 0.6
 # All nodes together exchange this often with the coordinator, so that its
 # load does not grow with their number.
@@ -61,8 +61,8 @@
 _logger = logging.getLogger(__name__)
 
 
-class CallNeighbour(NamedTuple):
-    """Ask NEIGHBOURS -> the reply of a thrift call.
+class CallPeer(NamedTuple):
+    """Ask PEERS -> the reply of a thrift call.
 
     Args:
         address: "host:port" of the node.
@@ -77,11 +77,11 @@
     timeout_s: float = CALL_TIMEOUT_S
 
 
-class ListNeighbours(NamedTuple):
-    """Ask NEIGHBOURS -> ``NeighbourView``."""
+class ListPeers(NamedTuple):
+    """Ask PEERS -> ``PeerView``."""
 
 
-class NeighbourView(NamedTuple):
+class PeerView(NamedTuple):
     """The other nodes.
 
     Attributes:
@@ -104,10 +104,10 @@
 
 
 class GetTimeOfDay(NamedTuple):
-    """Ask NEIGHBOURS -> Unix seconds that most nodes agree on."""
+    """Ask PEERS -> Unix seconds that most nodes agree on."""
 
 
-class Neighbours(Actor):
+class Peers(Actor):
     """Knows the other nodes and carries calls to them.
 
     Args:
@@ -127,8 +127,8 @@
         self._reactor = reactor
         self._identity = identity
         self._bind = port_address
-        self._random = random.Random(identity.life)
-        self._links_by_address: dict[str, NeighbourLink] = {}
+        self._random = random.Random(identity.incarnation)
+        self._links_by_address: dict[str, PeerLink] = {}
         self._summaries_by_id: dict[str, tuple[float, NodeSummary]] = {}
         self._version = 0
         self._coordinator = CoordinatorKnown("", "", 0)
@@ -136,7 +136,7 @@
         self._lease = 0
         self._draining = False
         self._port: Any = None
-        super().__init__(system, NEIGHBOURS)
+        super().__init__(system, PEERS)
 
     @property
     def reaches_store(self) -> bool:
@@ -152,15 +152,15 @@
             ConfigurationInForce: self._set_version,
             CoordinatorKnown: self._set_coordinator,
             StoreAvailability: self._set_store,
-            CallNeighbour: self._call,
-            ListNeighbours: lambda _: self._view(),
+            CallPeer: self._call,
+            ListPeers: lambda _: self._view(),
             GetTimeOfDay: lambda _: self._time_of_day(),
             Drain: lambda _: run(self._unregister(), self.name) and None,
         }
 
     def start(self) -> None:
         """Listen for calls and look for other nodes."""
-        handler = NeighbourHandler(self.ask, self.tell, self._exchanged)
+        handler = PeerHandler(self.ask, self.tell, self._exchanged)
         factory = PeerServerFactory(handler, self._reactor.seconds, CoordinationService)
         host, port = self._bind
         self._port = self._reactor.listenTCP(port, factory, interface=host)
@@ -186,13 +186,13 @@
     def _set_store(self, message: StoreAvailability) -> None:
         self._store_available = message.available
 
-    async def _call(self, message: CallNeighbour) -> Any:
+    async def _call(self, message: CallPeer) -> Any:
         link = self._link(message.address)
         return await link.call(message.method, message.arguments, message.timeout_s)
 
-    def _link(self, address: str) -> NeighbourLink:
+    def _link(self, address: str) -> PeerLink:
         if address not in self._links_by_address:
-            self._links_by_address[address] = NeighbourLink(self._reactor, address)
+            self._links_by_address[address] = PeerLink(self._reactor, address)
         return self._links_by_address[address]
 
     async def _discover(self) -> None:
@@ -315,7 +315,7 @@
         return WireNodeSummary(
             self._identity.node_id,
             self._identity.address,
-            self._identity.life,
+            self._identity.incarnation,
             self._version,
             self._coordinator.node_id,
             self._coordinator.address,
@@ -334,11 +334,11 @@
         ]
         return statistics.median([time.time(), *readings])
 
-    def _view(self) -> NeighbourView:
+    def _view(self) -> PeerView:
         now = self._reactor.seconds()
         fresh = tuple(
             summary
             for heard_at, summary in self._summaries_by_id.values()
             if now - heard_at < FRESH_S
         )
-        return NeighbourView(fresh, len(self._summaries_by_id))
+        return PeerView(fresh, len(self._summaries_by_id))
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -57,7 +57,7 @@
             UnavailableError: The store does not answer; nothing is known.
         """
         born = {
-            worker_id: worker.facts.born_ms
+            worker_id: worker.facts.process_started_ms
             for worker_id, worker in engine.workers_by_id.items()
         }
         puts, states = [], {}
--- a/src/redwingrudder/coordination/retention.py
+++ b/src/redwingrudder/coordination/retention.py
@@ -11,7 +11,7 @@
 from .gateways import COORDINATOR, PROGRESS_PREFIX, STORE, TERM_KEY, intake_keys
 from .recorder import Recorder
 
-SWEEP_S = 5.0  # between looks for old records
+SWEEP_S = 5.0  # between sweeps for old records
 # The store takes 32 entries a transaction: three keys for each workflow and
 # the comparison of the term.
 BATCH = 10
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -9,7 +9,7 @@
 from ..exceptions import RedwingrudderError
 from ..statecharts import load_chart
 from ..timers import TIMERS, Subscribe, TimerFired
-from ..workflows.model import PaceRun, StartRun, StopRun, WorkerFacts
+from ..workflows.model import StartRun, StopRun, ThrottleRun, WorkerFacts
 from .gateways import (
     COORDINATOR,
     LEADERSHIP,
@@ -24,23 +24,23 @@
     EntryRemoved,
     Fenced,
     LeaseWorker,
-    PaceLost,
     StartSettled,
+    ThrottleUnanswered,
     UpdateFacts,
     WorkerLapsed,
-    WorkerLooked,
+    WorkerPolled,
     WorkerSilent,
 )
 
-LOOK_WAIT_S = 1.0  # an idle look; also how old progress figures may be
-LOOK_MARGIN_S = 0.8  # answer time on top of the wait
+POLL_WAIT_S = 1.0  # an idle poll; also how old progress figures may be
+POLL_MARGIN_S = 0.8  # answer time on top of the wait
 COMMAND_TIMEOUTS_S = (0.4, 0.5, 0.8)  # of a start, sent again each time
 STOP_TIMEOUT_S = 0.5
 STOP_RETRY_S = 0.3
 SILENT_AFTER_S = 2.0  # without any answer
 RETRY_S = 0.3
-BUSY_LOOK_S = 0.25  # between looks while ends wait for their record
-LEAST_LOOK_S = 0.05  # an answer sooner than this did not wait
+BUSY_POLL_INTERVAL_S = 0.25  # between polls while ends wait for their record
+MIN_POLL_DURATION_S = 0.05  # an answer sooner than this did not wait
 CLOCK_DRIFT = 0.02  # a worker's clock may be this much slow
 LAPSE_MARGIN_S = 0.3
 # Below the three heartbeats after which a silent worker's entry ends.
@@ -53,7 +53,7 @@
 
 
 class WorkerSession(Actor):
-    """Owns the connections to one life of a worker.
+    """Owns the connections to one incarnation of a worker.
 
     Args:
         system: The node's actors.
@@ -61,8 +61,8 @@
         channel: Connections to it.
         fence: Term of the coordinator.
         times: What the platform says of workers.
-        voided: Runs whose orders may still arrive; they are stopped before
-            the first look.
+        unsettled: Runs whose orders may still arrive; they are stopped before
+            the first poll.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         channel: WorkerChannel,
         fence: int,
         times: WorkerTimes,
-        voided: tuple[StopRun, ...] = (),
+        unsettled: tuple[StopRun, ...] = (),
     ) -> None:
         self._facts = facts
         self._channel = channel
@@ -86,7 +86,7 @@
                 "report_lapsed": lambda _: self._report_lapsed(),
             },
         )
-        self._voided = voided
+        self._unsettled = unsettled
         self._allowed = True
         self._seen = 0
         self._unseen = 0
@@ -95,8 +95,8 @@
         self._leased_until = boot_clock() + longest_hold_s(self._lease_s)
         self._clock_ms = 0
         self._clock_at = 0.0
-        self._looking = False
-        # When the newest look that was answered had been sent.
+        self._polling = False
+        # When the newest poll that was answered had been sent.
         self._heard_at = 0.0
         # When the worker left the registry by itself, as it seems.
         self._left_at = math.inf
@@ -108,9 +108,11 @@
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            TimerFired: lambda _: self._look_soon(),
+            TimerFired: lambda _: self._poll_soon(),
             StartRun: lambda message: run(self._start(message), self.name) and None,
-            PaceRun: lambda message: run(self._pace(message), self.name) and None,
+            ThrottleRun: lambda message: (
+                run(self._throttle(message), self.name) and None
+            ),
             StopRun: lambda message: run(self._stop(message), self.name) and None,
             AcknowledgeEnds: self._acknowledge,
             LeaseWorker: self._set_allowed,
@@ -120,11 +122,11 @@
 
     def start(self) -> None:
         """Raise the worker's fence and list its runs."""
-        if self._voided:
-            self._looking = True
-            run(self._void_then_look(), self.name)
+        if self._unsettled:
+            self._polling = True
+            run(self._stop_unsettled_then_poll(), self.name)
         else:
-            self._look_soon()
+            self._poll_soon()
 
     def stop(self) -> None:
         """Close the connections."""
@@ -140,62 +142,62 @@
 
         An entry that ends by silence does so after three heartbeats, so a
         drained worker that was heard of later than that has left by itself,
-        and nothing runs on it. It is looked at once more to be sure.
+        and nothing runs on it. It is polled once more to be sure.
         """
         now = boot_clock()
         unheard_s = now - self._heard_at
         if message.drained and unheard_s < LEFT_HEARTBEATS * self._heartbeat_s:
             self._left_at = now
-            self._look_soon()
+            self._poll_soon()
 
     def _set_allowed(self, message: LeaseWorker) -> None:
         self._allowed = message.allowed
 
     def _acknowledge(self, message: AcknowledgeEnds) -> None:
         self._seen = max(self._seen, message.number)
-        self._look_soon()
+        self._poll_soon()
 
-    def _look_soon(self) -> None:
-        if not self._looking and not self._closed:
-            self._looking = True
-            run(self._look(), self.name)
+    def _poll_soon(self) -> None:
+        if not self._polling and not self._closed:
+            self._polling = True
+            run(self._poll(), self.name)
 
-    async def _void_then_look(self) -> None:
-        for stop in self._voided:
+    async def _stop_unsettled_then_poll(self) -> None:
+        for stop in self._unsettled:
             await self._send_stop(stop)
-        self._looking = False
-        self._look_soon()
+        self._polling = False
+        self._poll_soon()
 
-    async def _look(self) -> None:
-        """Look once; the answer decides when to look again."""
-        wait_s = LOOK_WAIT_S if self._unseen <= self._seen else 0.0
+    async def _poll(self) -> None:
+        """Poll once; the answer decides when to poll again."""
+        wait_s = POLL_WAIT_S if self._unseen <= self._seen else 0.0
         if self._chart.state != "answering":
             wait_s = 0.0
         sent_at = boot_clock()
         try:
-            reply = await self._send_look(wait_s)
+            reply = await self._send_poll(wait_s)
         finally:
-            self._looking = False
+            self._polling = False
         if self._closed:
             return
         if reply is None:
             self._unanswered(sent_at)
-            self._look_later(RETRY_S)
+            self._poll_later(RETRY_S)
         elif isinstance(reply, CommandReply):
             self._refused(reply)
-            self._look_later(RETRY_S)
+            self._poll_later(RETRY_S)
         else:
             self._take_report(reply, sent_at)
 
-    async def _send_look(self, wait_s: float) -> WorkerReport | CommandReply | None:
+    async def _send_poll(self, wait_s: float) -> WorkerReport | CommandReply | None:
         """Return the worker's answer, None without one."""
         try:
-            return await self._channel.look(
+            return await self._channel.poll(
                 self._fence,
                 self._seen,
                 self._extend_lease(),
                 wait_s,
-                wait_s + LOOK_MARGIN_S,
+                wait_s + POLL_MARGIN_S,
             )
         except RedwingrudderError as error:
             _logger.info(
@@ -207,21 +209,21 @@
     def _take_report(self, reply: WorkerReport, sent_at: float) -> None:
         self._answered(reply.clock_ms)
         self._heard_at = max(self._heard_at, sent_at)
-        at_once = boot_clock() - sent_at < LEAST_LOOK_S
+        at_once = boot_clock() - sent_at < MIN_POLL_DURATION_S
         self._present = bool(reply.running) or bool(self._starting)
         self._unseen = max((end.number for end in reply.ended), default=self._unseen)
-        self.tell(COORDINATOR, WorkerLooked(self._facts.worker_id, reply))
+        self.tell(COORDINATOR, WorkerPolled(self._facts.worker_id, reply))
         if self._unseen > self._seen:
-            self._look_later(BUSY_LOOK_S)
+            self._poll_later(BUSY_POLL_INTERVAL_S)
         elif self._present and not (at_once and not reply.ended):
-            self._look_soon()
+            self._poll_soon()
         elif self._present:
             # A worker that does not wait would be asked without a pause.
-            self._look_later(BUSY_LOOK_S)
+            self._poll_later(BUSY_POLL_INTERVAL_S)
         else:
-            self._look_later(LOOK_WAIT_S)
+            self._poll_later(POLL_WAIT_S)
 
-    def _look_later(self, delay_s: float) -> None:
+    def _poll_later(self, delay_s: float) -> None:
         if not self._closed:
             self.tell(TIMERS, Subscribe(self.name, "look", delay_s))
 
@@ -229,7 +231,7 @@
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
         elif reply.reason == "other_life":
-            # The life that this session talks to is over.
+            # The incarnation that this session talks to is over.
             self._leased_until = 0.0
         self._unanswered()
 
@@ -240,12 +242,12 @@
             self._clock_ms, self._clock_at = clock_ms, self._answered_at
         self._chart.step("answered")
 
-    def _unanswered(self, look_sent_at: float = 0.0) -> None:
-        """Take note of a call without an answer; 0.0 stands for no look."""
+    def _unanswered(self, poll_sent_at: float = 0.0) -> None:
+        """Take note of a call without an answer; 0.0 stands for no poll."""
         self._channel.reset()
         self._chart.step("unanswered")
         now = boot_clock()
-        left = look_sent_at > self._left_at
+        left = poll_sent_at > self._left_at
         if left:
             self._leased_until = 0.0
         if left or now - self._answered_at > SILENT_AFTER_S:
@@ -282,7 +284,7 @@
         try:
             reply = await self._send_start(message)
             if reply.reason in ("unanswered", "outdated"):
-                await self._look_for_end()
+                await self._poll_for_end()
         finally:
             self._starting.discard(identity)
         if self._closed:
@@ -290,8 +292,8 @@
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
         self.tell(COORDINATOR, StartSettled(message, reply))
-        if not self._looking and reply.accepted:
-            self._look_soon()
+        if not self._polling and reply.accepted:
+            self._poll_soon()
 
     async def _send_start(self, message: StartRun) -> CommandReply:
         """Send a start until it is answered, else make it void."""
@@ -318,15 +320,15 @@
         await self._send_stop(message)
         return CommandReply(False, "unanswered")
 
-    async def _look_for_end(self) -> None:
-        """Look once more before a start is settled as not begun.
+    async def _poll_for_end(self) -> None:
+        """Poll once more before a start is settled as not begun.
 
         A start without an answer may have begun a run that has ended since,
         and that would be repeated. The coordinator gets its end first.
         """
         while not self._closed and self._chart.state != "lapsed":
             sent_at = boot_clock()
-            reply = await self._send_look(0.0)
+            reply = await self._send_poll(0.0)
             if reply is None:
                 self._unanswered(sent_at)
                 await pause(self.system.clock, RETRY_S)
@@ -340,19 +342,19 @@
     async def _stop(self, message: StopRun) -> None:
         await self._send_stop(message)
         if not self._closed:
-            self._look_soon()
+            self._poll_soon()
 
-    async def _pace(self, message: PaceRun) -> None:
-        """Send a pace; a later change corrects one that is lost."""
+    async def _throttle(self, message: ThrottleRun) -> None:
+        """Send a throttle command; a later one corrects one that is lost."""
         try:
-            reply = await self._channel.pace(message, self._fence, STOP_TIMEOUT_S)
+            reply = await self._channel.throttle(message, self._fence, STOP_TIMEOUT_S)
             self._answered(reply.clock_ms)
         except RedwingrudderError as error:
             _logger.info(
                 "pace unanswered",
                 extra={"worker": self._facts.worker_id, "error": str(error)},
             )
-            self.tell(COORDINATOR, PaceLost(message))
+            self.tell(COORDINATOR, ThrottleUnanswered(message))
 
     async def _send_stop(self, message: StartRun | StopRun) -> None:
         """Repeat a stop until the worker answers or its lease has lapsed."""
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -4,7 +4,7 @@
 
 from ..actors import ActorSystem
 from ..workflows.engine import Engine
-from ..workflows.model import NOTHING, WorkerFacts
+from ..workflows.model import NO_RESOURCES, WorkerFacts
 from ..workflows.records import PlacedRun
 from .gateways import ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
@@ -13,7 +13,7 @@
     LeaseWorker,
     SessionCommand,
     UpdateFacts,
-    WorkerLooked,
+    WorkerPolled,
 )
 from .metrics import METRICS, Counted
 from .worker_session import WorkerSession, longest_hold_s, session_name
@@ -116,23 +116,35 @@
         now = self._system.clock.seconds()
         if placed.worker_id not in self._engine.workers_by_id:
             facts = WorkerFacts(
-                placed.worker_id, placed.born_ms, "", "", "", "", frozenset(), NOTHING
+                placed.worker_id,
+                placed.process_started_ms,
+                "",
+                "",
+                "",
+                "",
+                frozenset(),
+                NO_RESOURCES,
             )
             self._engine.set_worker(facts, now)
             self._engine.workers_by_id[placed.worker_id].listed = False
             self._unlisted_since[placed.worker_id] = now
         self._engine.adopt_run(placed.key, placed.run, placed.worker_id, False, now)
 
-    def take_report(self, message: WorkerLooked) -> None:
+    def take_report(self, message: WorkerPolled) -> None:
         """Take over what a worker lists."""
         worker = self._engine.workers_by_id.get(message.worker_id)
         if worker is None:
             return
         report = message.report
-        if report.born_ms and not worker.facts.born_ms:
-            worker.facts = worker.facts._replace(born_ms=report.born_ms)
-        elif report.born_ms and report.born_ms != worker.facts.born_ms:
-            # The registry's entry of the new life is still on its way.
+        if report.process_started_ms and not worker.facts.process_started_ms:
+            worker.facts = worker.facts._replace(
+                process_started_ms=report.process_started_ms
+            )
+        elif (
+            report.process_started_ms
+            and report.process_started_ms != worker.facts.process_started_ms
+        ):
+            # The registry's entry of the new incarnation is still on its way.
             worker.reachable = False
             return
         now = self._system.clock.seconds()
@@ -218,7 +230,10 @@
         if known is None:
             return True
         old = known.facts
-        if (old.born_ms, old.address) != (facts.born_ms, facts.address):
+        if (old.process_started_ms, old.address) != (
+            facts.process_started_ms,
+            facts.address,
+        ):
             _logger.info("worker restarted", extra={"worker": facts.worker_id})
             return True
         if old.draining != facts.draining:
@@ -249,7 +264,7 @@
         self._last_end.pop(worker_id, None)
         self._unrecorded_ends.pop(worker_id, None)
 
-    def _take_ends(self, message: WorkerLooked, now: float) -> None:
+    def _take_ends(self, message: WorkerPolled, now: float) -> None:
         worker_id = message.worker_id
         last = self._last_end.get(worker_id, 0)
         unrecorded = self._unrecorded_ends.setdefault(worker_id, {})
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -5,12 +5,12 @@
 
 from twisted.internet.defer import Deferred
 
-from ._job_intake import JobIntake
 from ._job_observer import JobObserver, SilentObserver
 from ._job_records import domain_of_job, job_id_for
+from ._job_submitter import JobSubmitter
 from ._job_waiters import TIMER_PREFIX
-from ._tenure import Tenure
-from ._tenure_parts import TenureParts
+from ._ownership_term import OwnershipTerm
+from ._ownership_term_parts import OwnershipTermParts
 from ._worker_messages import LinkEvent
 from ._worker_roster import RosterSettings
 from ._worker_transport import WorkerTransport
@@ -98,10 +98,10 @@
         self._make_scheduler = make_scheduler
         self._transport = transport
         self._observer = observer or SilentObserver()
-        self._tenure: Tenure | None = None
+        self._ownership_term: OwnershipTerm | None = None
         self._configuration: ConfigurationChanged | None = None
         self._members: MembersChanged | None = None
-        self._intake = JobIntake(
+        self._submitter = JobSubmitter(
             settings.failure_domain,
             settings.store_writes_per_s,
             self._owned,
@@ -119,10 +119,10 @@
             OwnershipEnded: self._end,
             OwnerChanged: lambda _: None,  # told to all followers of ownership
             ConfigurationChanged: self._configure,
-            MembersChanged: self._follow_members,
+            MembersChanged: self._sync_members,
             LinkEvent: self._take_link_event,
             TimerFired: self._fire,
-            SubmitJob: self._intake.submit,
+            SubmitJob: self._submitter.submit,
             PollJob: self._poll,
             CancelJob: self._cancel,
             ExplainJob: self._explain,
@@ -132,7 +132,7 @@
 
     def stop(self) -> None:
         """Close the links; the workers are left to the next owner."""
-        self._drop_tenure("stopped")
+        self._drop_ownership_term("stopped")
 
     def _now(self) -> float:
         return self.system.clock.seconds()
@@ -140,78 +140,78 @@
     # Ownership.
 
     def _gain(self, message: OwnershipGained) -> None:
-        self._drop_tenure("gained again")
+        self._drop_ownership_term("gained again")
         settings = RosterSettings(
             self._settings.failure_domain,
             self._settings.node_id,
             self._settings.lease_s,
         )
-        parts = TenureParts(
+        parts = OwnershipTermParts(
             self.system,
             settings,
             self._make_scheduler(),
             self._transport,
             self._observer,
         )
-        self._tenure = Tenure(parts, message.epoch)
+        self._ownership_term = OwnershipTerm(parts, message.epoch)
         vms = self._members.vms if self._members else None
-        self._tenure.begin(self._configuration, vms)
+        self._ownership_term.begin(self._configuration, vms)
         load = Subscribe(self.name, _LOAD_TIMER, LOAD_INTERVAL_S, LOAD_INTERVAL_S)
         self.tell(TIMERS, load)
 
     def _raise_epoch(self, message: EpochRaised) -> None:
-        if self._tenure is not None:
-            self._tenure.raise_epoch(message.epoch)
+        if self._ownership_term is not None:
+            self._ownership_term.raise_epoch(message.epoch)
 
     def _end(self, message: OwnershipEnded) -> None:
-        self._drop_tenure(message.reason)
+        self._drop_ownership_term(message.reason)
 
-    def _drop_tenure(self, reason: str) -> None:
-        tenure, self._tenure = self._tenure, None
-        if tenure is not None:
-            tenure.end(reason)
+    def _drop_ownership_term(self, reason: str) -> None:
+        ownership_term, self._ownership_term = self._ownership_term, None
+        if ownership_term is not None:
+            ownership_term.end(reason)
             self.tell(TIMERS, Unsubscribe(self.name, _LOAD_TIMER))
 
     def _configure(self, message: ConfigurationChanged) -> None:
         self._configuration = message
-        if self._tenure is not None:
-            self._tenure.feed(message)
+        if self._ownership_term is not None:
+            self._ownership_term.feed(message)
 
-    def _follow_members(self, message: MembersChanged) -> None:
+    def _sync_members(self, message: MembersChanged) -> None:
         self._members = message
-        if self._tenure is not None:
-            self._tenure.follow_members(message.vms)
+        if self._ownership_term is not None:
+            self._ownership_term.sync_members(message.vms)
 
     def _take_link_event(self, message: LinkEvent) -> None:
-        if self._tenure is not None:
-            self._tenure.take_link_event(message)
+        if self._ownership_term is not None:
+            self._ownership_term.handle_link_event(message)
 
     def _fire(self, fired: TimerFired) -> None:
         if fired.timer == _DRAIN_TIMER:
             self._check_drained()
-        elif self._tenure is None:
+        elif self._ownership_term is None:
             return
         elif fired.timer == _LOAD_TIMER:
-            self._tell_load(self._tenure)
+            self._tell_load(self._ownership_term)
         elif fired.timer.startswith(TIMER_PREFIX):
-            self._tenure.waiters.time_out(fired.timer)
+            self._ownership_term.waiters.time_out(fired.timer)
         else:
-            self._tenure.fire(fired.timer)
+            self._ownership_term.fire(fired.timer)
 
-    def _tell_load(self, tenure: Tenure) -> None:
-        status = tenure.scheduler.status(self._now())
+    def _tell_load(self, ownership_term: OwnershipTerm) -> None:
+        status = ownership_term.scheduler.status(self._now())
         load = LocalLoad(
             status.free_accelerators, status.largest_gang, status.queued_jobs
         )
         if PEERS in self.system.names():
             self.tell(PEERS, load)
 
-    def _owned(self) -> Tenure:
-        if self._tenure is None:
+    def _owned(self) -> OwnershipTerm:
+        if self._ownership_term is None:
             domain = self._settings.failure_domain
             detail = f"this node does not own {domain}"
             raise UnavailableError(detail, code="not_owner", retry_after_s=0.5)
-        return self._tenure
+        return self._ownership_term
 
     # Other requests of callers.
 
@@ -226,11 +226,11 @@
         view = self._find(message.job_id)
         if view.state in FINAL_JOB_STATES:
             return view
-        tenure = self._owned()
-        tenure.cancel(message.job_id)
+        ownership_term = self._owned()
+        ownership_term.cancel(message.job_id)
         view = self._find(message.job_id)
         if view.state not in FINAL_JOB_STATES:
-            await tenure.waiters.wait(message.job_id, CANCEL_LIMIT_S)
+            await ownership_term.waiters.wait(message.job_id, CANCEL_LIMIT_S)
         view = self._find(message.job_id)
         if view.state not in FINAL_JOB_STATES:
             raise OutcomeUnknownError(
@@ -247,17 +247,17 @@
         return self._owned().scheduler.explain(message.job_id, self._now())
 
     def _status(self, _: GetStatus) -> DomainStatus:
-        tenure = self._owned()
-        return tenure.scheduler.status(
-            self._now(), self._settings.node_id, tenure.epoch
+        ownership_term = self._owned()
+        return ownership_term.scheduler.status(
+            self._now(), self._settings.node_id, ownership_term.epoch
         )
 
     def _find(self, job_id: str) -> JobView:
-        tenure = self._owned()
-        view = tenure.view(job_id)
+        ownership_term = self._owned()
+        view = ownership_term.view(job_id)
         if view is not None:
             return view
-        tenure.check_recovered(job_id)
+        ownership_term.check_recovered(job_id)
         raise NotFoundError(f"no job {job_id!r}", code="no_such_job")
 
     # Graceful shutdown.
@@ -265,14 +265,14 @@
     def _drain(self, _: Drain) -> Deferred:
         drained: Deferred = Deferred()
         self._draining.append(drained)
-        self._intake.draining = True
+        self._submitter.draining = True
         self._drain_until = self._now() + DRAIN_LIMIT_S
         self.tell(TIMERS, Subscribe(self.name, _DRAIN_TIMER, 0.0, DRAIN_CHECK_S))
         return drained
 
     def _check_drained(self) -> None:
-        starting = self._tenure is not None and self._tenure.drain()
-        busy = self._intake.busy or starting
+        starting = self._ownership_term is not None and self._ownership_term.drain()
+        busy = self._submitter.busy or starting
         if busy and self._now() < self._drain_until:
             return
         self.tell(TIMERS, Unsubscribe(self.name, _DRAIN_TIMER))
--- a/src/redwingrudder/guarantees.py
+++ b/src/redwingrudder/guarantees.py
@@ -3,7 +3,7 @@
 from ._cell_check import find_violations
 from ._cell_plan import plan_cells
 from ._cells import Cell, CellLayout, WantedCell, fill, wanted_cells
-from ._worker_room import RECLAIM_BOUND_S, fitting_tasks, is_borrower, keeps_cells
+from ._worker_capacity import RECLAIM_BOUND_S, fitting_tasks, is_borrower, keeps_cells
 from .fleet import Fleet
 from .model import (
     CellAssignment,
@@ -13,10 +13,10 @@
     MemberPlacement,
 )
 
-__all__ = ["RECLAIM_BOUND_S", "GuaranteeBook", "is_borrower", "plan_cells"]
+__all__ = ["RECLAIM_BOUND_S", "CellTable", "is_borrower", "plan_cells"]
 
 
-class GuaranteeBook:
+class CellTable:
     """The cells of one failure domain, kept disjoint and reclaimable.
 
     After every change of the configuration or the fleet, and after gangs
@@ -72,11 +72,13 @@
         worker = self._layout and self._layout.fleet.workers_by_id.get(worker_id)
         if worker is None or not worker.accepts_work:
             return ()
-        room = self._layout.room(worker)
-        accelerators = room.unassigned + room.free_by_owner.get(spec.organisation, ())
+        capacity = self._layout.capacity(worker)
+        accelerators = capacity.unassigned + capacity.free_by_owner.get(
+            spec.organisation, ()
+        )
         if is_borrower(spec):
-            accelerators += room.foreign(spec.organisation)
-        return accelerators if fitting_tasks(spec, room, accelerators) else ()
+            accelerators += capacity.foreign(spec.organisation)
+        return accelerators if fitting_tasks(spec, capacity, accelerators) else ()
 
     def allows(self, spec: JobSpec, member: MemberPlacement) -> bool:
         """Whether a member may be held without breaking a cell.
@@ -88,11 +90,11 @@
         worker = self._layout and self._layout.fleet.workers_by_id.get(member.worker_id)
         if worker is None or not worker.accepts_work:
             return False
-        room = self._layout.room(worker)
-        owners = {room.owners[index] for index in member.accelerators}
+        capacity = self._layout.capacity(worker)
+        owners = {capacity.owners[index] for index in member.accelerators}
         if not is_borrower(spec) and owners - {None, spec.organisation}:
             return False
-        return keeps_cells(spec, room, len(member.tasks), member.accelerators)
+        return keeps_cells(spec, capacity, len(member.tasks), member.accelerators)
 
     def violations(self, fleet: Fleet) -> tuple[str, ...]:
         """Describe every cell that could not be reclaimed; empty if none."""
--- a/src/redwingrudder/history.py
+++ b/src/redwingrudder/history.py
@@ -2,7 +2,7 @@
 
 A test records entries while a deployment runs under faults and hands them to
 ``check_history``. The check knows nothing of how the parts decide. Guarantees
-(I1) are checked during a run with ``GuaranteeBook.violations``.
+(I1) are checked during a run with ``CellTable.violations``.
 """
 
 from collections.abc import Iterable
--- a/src/redwingrudder/messages.py
+++ b/src/redwingrudder/messages.py
@@ -109,7 +109,7 @@
 
 
 class Tick(NamedTuple):
-    """The time that the scheduler asked for with ``WakeAt`` has come."""
+    """The time that the scheduler set with ``ScheduleWakeUp`` has come."""
 
 
 Event = (
@@ -192,7 +192,7 @@
     shortages: tuple[GuaranteeShortage, ...]
 
 
-class WakeAt(NamedTuple):
+class ScheduleWakeUp(NamedTuple):
     """Send ``Tick`` at this time; a later effect replaces an earlier one."""
 
     at: float
@@ -207,5 +207,5 @@
     | JobChanged
     | TargetMissed
     | ShortagesChanged
-    | WakeAt
+    | ScheduleWakeUp
 )
--- a/src/redwingrudder/ownership.py
+++ b/src/redwingrudder/ownership.py
@@ -12,21 +12,21 @@
 from ._announcer import Announcer
 from ._background import run
 from ._chart_runner import ChartRunner
+from ._ownership_announcer import OwnershipAnnouncer
 from ._ownership_chart import load_ownership_chart
-from ._ownership_lease import HeldLease
-from ._ownership_news import OwnershipNews
-from ._ownership_peers import PeerBook
+from ._ownership_lease import OwnerLease
+from ._ownership_peers import PeerTable
 from ._ownership_record import (
     LEASE_S,
     OWNER_PREFIX,
     RELEASED_SUFFIX,
     Acquisition,
     OwnerRecord,
-    RecordKeeper,
+    OwnerRecordClient,
     RecordView,
     decode_record,
 )
-from ._ownership_rules import TakeoverRules
+from ._takeover_policy import TakeoverPolicy
 from .actors import Actor, ActorSystem, Handler
 from .exceptions import RedwingrudderError
 from .model import Epoch
@@ -71,10 +71,12 @@
         self._rank = rank
         self._jitter = random.Random(f"{seed} {node_id}")
         self._announcer = Announcer(self, subscribers)
-        self._news = OwnershipNews(self._announcer, failure_domain, node_id, address)
-        self._peers = PeerBook(node_id, rank)
-        self._rules = TakeoverRules(self._peers, rank, self._jitter)
-        self._keeper = RecordKeeper(
+        self._owner_announcer = OwnershipAnnouncer(
+            self._announcer, failure_domain, node_id, address
+        )
+        self._peers = PeerTable(node_id, rank)
+        self._takeover_policy = TakeoverPolicy(self._peers, rank, self._jitter)
+        self._record_client = OwnerRecordClient(
             lambda message: self.ask(requests.STORE, message),
             system.clock.seconds,
             failure_domain,
@@ -82,7 +84,7 @@
             address,
             rank,
         )
-        self._lease = HeldLease(self._keeper, system.clock.seconds)
+        self._lease = OwnerLease(self._record_client, system.clock.seconds)
         self._view = RecordView()
         self._chart = ChartRunner(
             load_ownership_chart(),
@@ -145,9 +147,9 @@
         # A paused process has not heard its peers, who may well be alive.
         paused_s = self._now() - self._ticked_at - TICK_S
         if paused_s > PAUSE_S:
-            self._peers.excuse(paused_s)
+            self._peers.add_own_pause(paused_s)
             self._ticked_at = self._now()
-            self._rules.be_patient(self._now())
+            self._takeover_policy.restart_owner_wait(self._now())
 
     def _notice_lapse(self) -> None:
         owning = self._chart.state == "owning"
@@ -191,7 +193,7 @@
 
     def _members_changed(self, message: requests.MembersChanged) -> None:
         self._peers.set_members(message.vms, self._failure_domain)
-        self._rules.members_known(self._now())
+        self._takeover_policy.members_known(self._now())
 
     def _peer_report(self, report: requests.PeerReport) -> None:
         if report.failure_domain == self._failure_domain:
@@ -202,7 +204,7 @@
                 fenced = requests.Fenced(self._epoch, report.epoch)
                 self._step("fenced", fenced)
         if report.owner:
-            self._news.owner(
+            self._owner_announcer.owner(
                 report.failure_domain, report.node_id, report.address, report.epoch
             )
 
@@ -215,7 +217,7 @@
         self._highest = max(self._highest, message.highest)
         if self._epoch is not None and message.highest > self._epoch:
             # The node that fenced this one has time to be heard of.
-            self._rules.be_patient(self._now())
+            self._takeover_policy.restart_owner_wait(self._now())
             self._step("fenced", message)
 
     async def _drain(self, message: requests.Drain) -> None:
@@ -229,7 +231,7 @@
             return
         now = self._now()
         if not self._store_available:
-            if self._rules.may_claim(now):
+            if self._takeover_policy.may_claim(now):
                 self._step("owner_silent")
         elif not self._watching:
             return
@@ -240,7 +242,7 @@
 
     def _await_turn(self, now: float) -> None:
         """Acquire the record at this node's turn; ticks are too coarse."""
-        wait_s = max(self._rules.acquire_at(), self._retry_at) - now
+        wait_s = max(self._takeover_policy.acquire_at(), self._retry_at) - now
         if wait_s <= 0:
             self._step("record_absent")
         elif wait_s < TICK_S:
@@ -273,7 +275,7 @@
         self._reading = True
         self._read_at = self._now()
         try:
-            owners = await self._keeper.read_all()
+            owners = await self._record_client.read_all()
         except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
             _logger.warning("owner records not read", extra={"error": str(error)})
             return 0
@@ -291,7 +293,9 @@
     ) -> bool:
         """Take over a record; returns whether the own domain's changed."""
         if record is not None:
-            self._news.owner(domain, record.node_id, record.address, record.epoch)
+            self._owner_announcer.owner(
+                domain, record.node_id, record.address, record.epoch
+            )
         if domain != self._failure_domain:
             return False
         return self._view.learn(record, revision)
@@ -305,7 +309,7 @@
         record = self._view.record
         if record is None:
             self._record_vanished()
-        elif self._keeper.is_own(record):
+        elif self._record_client.is_own(record):
             self._record_confirmed()
         else:
             self._highest = max(self._highest, record.epoch)
@@ -315,7 +319,7 @@
         if self._chart.state != "following":
             self._step("record_absent")
             return
-        self._rules.record_vanished(self._now())
+        self._takeover_policy.record_vanished(self._now())
         self._evaluate()
 
     def _record_confirmed(self) -> None:
@@ -330,7 +334,7 @@
             return
         self._acquiring = True
         try:
-            outcome = await self._keeper.acquire(self._highest)
+            outcome = await self._record_client.acquire(self._highest)
         except (RedwingrudderError, ValueError) as error:
             _logger.info("owner record not acquired", extra={"error": str(error)})
             self._store_failed()
@@ -349,7 +353,7 @@
 
     async def _take_over(self, acquisition: Acquisition) -> None:
         if self._chart.state == "retired":
-            await self._keeper.release(acquisition.lease_id)
+            await self._record_client.release(acquisition.lease_id)
             return
         self._lease.take(acquisition)
         self._view.learn(acquisition.record, acquisition.revision)
@@ -375,10 +379,10 @@
         self._epoch = Epoch(self._highest.store_term, term, self._rank)
 
     def _begin_owning(self, acquisition: Acquisition | None) -> None:
-        self._news.begin(self._enter_epoch(acquisition))
+        self._owner_announcer.begin(self._enter_epoch(acquisition))
 
     def _raise_epoch(self, acquisition: Acquisition) -> None:
-        self._news.raise_epoch(self._enter_epoch(acquisition))
+        self._owner_announcer.raise_epoch(self._enter_epoch(acquisition))
 
     def _enter_epoch(self, acquisition: Acquisition | None) -> Epoch:
         epoch = self._epoch if acquisition is None else acquisition.record.epoch
@@ -388,7 +392,7 @@
 
     def _end_owning(self, cause: OwnerRecord | requests.Fenced | None) -> None:
         self._epoch = None
-        self._news.end(cause)
+        self._owner_announcer.end(cause)
 
     def _step(self, event: str, argument: Any = None) -> None:
         if self._chart.state != "retired":
--- a/src/redwingrudder/platform/front.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -30,7 +30,7 @@
 from ..workflows.model import StepSpec, Workflow
 from .registry import resources
 
-FRONT = "front"
+FRONT_END = "front"
 ANSWER_SHARE = 0.8  # of the caller's patience, spent before an answer is due
 DEFAULT_PATIENCE_S = 3.0
 RETRY_AFTER_S = 1.0
@@ -42,7 +42,7 @@
 _logger = logging.getLogger(__name__)
 
 
-class Front(Actor):
+class FrontEnd(Actor):
     """Serves the ingress address.
 
     Args:
@@ -66,7 +66,7 @@
         self._site = BoundedConnections(
             ApiSite(self._respond, lambda _: uuid.uuid4().hex, reactor)
         )
-        super().__init__(system, FRONT)
+        super().__init__(system, FRONT_END)
 
     @property
     def open_requests(self) -> int:
@@ -100,7 +100,7 @@
         self._open += 1
         lost: list[object] = []
         request.notifyFinish().addErrback(lost.append)
-        run(self._answer(request, lost), FRONT)
+        run(self._answer(request, lost), FRONT_END)
 
     async def _answer(self, request: LimitedRequest, lost: list[object]) -> None:
         begun = self._reactor.seconds()
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -16,22 +16,22 @@
     COORDINATOR,
     INTAKE,
     LEADERSHIP,
-    NEIGHBOURS,
+    PEERS,
     FleetGateways,
     UpkeepGateway,
     WorkerTimes,
 )
 from ..coordination.intake import Intake
-from ..coordination.leadership import Identity, Leadership, Strength
+from ..coordination.leadership import Identity, Leadership, NodeResources
 from ..coordination.messages import Drain
 from ..coordination.metrics import Metrics
-from ..coordination.neighbours import Neighbours
+from ..coordination.peers import Peers
 from ..exceptions import SettingsError
 from ..logs import configure_logging
 from ..timers import TimerService
 from .advice import CONNECTIONS as ADVICE_CONNECTIONS
 from .advice import PlatformAdvice
-from .front import FRONT, Front
+from .front_end import FRONT_END, FrontEnd
 from .http_client import JsonClient
 from .machines import CONNECTIONS as MACHINES_CONNECTIONS
 from .machines import PlatformMachines, PlatformWaves
@@ -70,16 +70,16 @@
         Metrics(self.system, reactor, settings.metrics)
         client = JsonClient(reactor, settings.store_address, CONNECTIONS)
         self._store = PlatformStore(
-            self.system, client, (NEIGHBOURS, INTAKE), settings.link_bps
+            self.system, client, (PEERS, INTAKE), settings.link_bps
         )
         self._feed = ConfigurationFeed(
             self.system,
             PlatformConfiguration(),
-            (FRONT, NEIGHBOURS, COORDINATOR),
+            (FRONT_END, PEERS, COORDINATOR),
         )
-        strength = Strength(settings.cores, settings.link_bps)
-        Leadership(self.system, identity, (NEIGHBOURS, INTAKE), strength)
-        self._neighbours = Neighbours(self.system, reactor, identity, settings.peers)
+        resources = NodeResources(settings.cores, settings.link_bps)
+        Leadership(self.system, identity, (PEERS, INTAKE), resources)
+        self._peers = Peers(self.system, reactor, identity, settings.peers)
         self._served_at = 0.0
         fleet = FleetGateways(
             PlatformRegistry(),
@@ -91,7 +91,7 @@
         Coordinator(self.system, fleet)
         Advisor(self.system, _advice(reactor, settings.advice_address))
         Intake(self.system, identity)
-        self._front = Front(self.system, reactor, settings.front)
+        self._front = FrontEnd(self.system, reactor, settings.front)
 
     def start(self) -> None:
         """Open the sockets and begin to follow the platform."""
@@ -110,7 +110,7 @@
         if self._feed.current is None or self._stopping:
             return False
         now = self._reactor.seconds()
-        if self._neighbours.reaches_store:
+        if self._peers.reaches_store:
             self._served_at = now
         return now - self._served_at < UNSERVED_READY_S
 
@@ -127,11 +127,11 @@
 
     async def _drain(self) -> None:
         self.system.tell(LEADERSHIP, Drain())
-        self.system.tell(NEIGHBOURS, Drain())
+        self.system.tell(PEERS, Drain())
         deadline = self._reactor.seconds() + self._settings.grace_s - LAST_ANSWERS_S
         while self._reactor.seconds() < deadline:
             await pause(self._reactor, LOOP_S)
-        self.system.tell(FRONT, Drain())
+        self.system.tell(FRONT_END, Drain())
         last = self._reactor.seconds() + 0.7 * LAST_ANSWERS_S
         while self._front.open_requests and self._reactor.seconds() < last:
             await pause(self._reactor, LOOP_S)
@@ -155,7 +155,7 @@
     return UpkeepGateway(
         PlatformWaves(),
         PlatformMachines(client),
-        f"{identity.node_id}/{identity.life}",
+        f"{identity.node_id}/{identity.incarnation}",
         settings.order_pause_s,
     )
 
--- a/src/redwingrudder/platform/registry.py
+++ b/src/redwingrudder/platform/registry.py
@@ -55,7 +55,7 @@
     labels = _texts(entry.get("labels") or [])
     return WorkerFacts(
         worker_id=worker_id,
-        born_ms=_integer(entry.get("born", 0)),
+        process_started_ms=_integer(entry.get("born", 0)),
         address=_text(entry["address"]),
         pool=_text(entry["service"]),
         failure_domain=_text(entry["zone"]),
--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -13,12 +13,12 @@
 from ..exceptions import UnavailableError
 from ..workflows.model import (
     EndKind,
-    PaceRun,
     RunEnd,
     RunReport,
     StartRun,
     StopRun,
     TaskKey,
+    ThrottleRun,
     WorkerFacts,
 )
 from .http_client import JsonClient, JsonReply
@@ -83,7 +83,9 @@
         body = {"task": task_name(run.key), "runId": run.run, "fencingToken": fence}
         return _command(await self._post("run-stop", body, timeout_s))
 
-    async def pace(self, run: PaceRun, fence: int, timeout_s: float) -> CommandReply:
+    async def throttle(
+        self, run: ThrottleRun, fence: int, timeout_s: float
+    ) -> CommandReply:
         """See base class."""
         body = {
             "task": task_name(run.key),
@@ -93,7 +95,7 @@
         }
         return _command(await self._post("pace", body, timeout_s))
 
-    async def look(
+    async def poll(
         self,
         fence: int,
         seen: int,
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from .fleet import Fleet
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .model import Configuration, JobClass, JobSpec, Placement
 
 
@@ -94,7 +94,7 @@
         self,
         spec: JobSpec,
         fleet: Fleet,
-        guarantees: GuaranteeBook,
+        guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Return a placement on free resources that keeps all guarantees.
@@ -119,7 +119,7 @@
         self,
         spec: JobSpec,
         fleet: Fleet,
-        guarantees: GuaranteeBook,
+        guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
         """Return a plan within the organisation's own cells, or None.
@@ -195,14 +195,14 @@
 def slack_policies() -> PolicySet:
     """Return the shipped policies, with nothing learned yet."""
     from ._placement import BestFitPlacement, CellReclaim
-    from ._slack_policy import SlackAdmission, SlackOrder, StreakHealth
+    from ._slack_policy import FailureStreakHealth, SlackAdmission, SlackOrder
 
     return PolicySet(
         SlackOrder(),
         BestFitPlacement(),
         CellReclaim(),
         SlackAdmission(),
-        StreakHealth(),
+        FailureStreakHealth(),
     )
 
 
--- a/src/redwingrudder/router.py
+++ b/src/redwingrudder/router.py
@@ -30,8 +30,8 @@
 from .timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 
 # An owner is replaced within 5 s; the rest covers one more try.
-PATIENCE_S = 8.0
-STATUS_PATIENCE_S = 1.0
+FORWARD_TIMEOUT_S = 8.0
+STATUS_TIMEOUT_S = 1.0
 FIRST_RETRY_S = 0.1
 RETRY_LIMIT_S = 1.0
 ATTEMPTS_LIMIT = 16
@@ -101,7 +101,7 @@
         request: Request,
         domain: str | None,
         now: float,
-        patience_s: float = PATIENCE_S,
+        timeout_s: float = FORWARD_TIMEOUT_S,
     ) -> None:
         self.request = request
         self.domain = domain
@@ -112,7 +112,7 @@
         self.last_error = ""
         wait_s = request.wait_s if isinstance(request, requests.PollJob) else 0.0
         self.poll_until = now + wait_s
-        self.deadline = now + max(wait_s, patience_s)
+        self.deadline = now + max(wait_s, timeout_s)
 
     def release_domain(self) -> None:
         """Prefer other domains for the next try."""
@@ -211,7 +211,7 @@
 
     def _domain_status(self, domain: str) -> Awaitable[requests.DomainStatus]:
         question = requests.GetStatus()
-        return self._forward(_Forward(question, domain, self._now(), STATUS_PATIENCE_S))
+        return self._forward(_Forward(question, domain, self._now(), STATUS_TIMEOUT_S))
 
     async def _forward(self, forward: _Forward) -> Any:
         while True:
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -8,10 +8,10 @@
 from ._scheduler_jobs import JobTable
 from ._scheduler_placing import Placer
 from ._scheduler_recovery import Recovery
-from ._scheduler_state import Cause, Context, Due, JobRecord, TimerKind
+from ._scheduler_state import Context, Due, GangStopCause, JobRecord, TimerKind
 from ._scheduler_status import NO_EPOCH, domain_status, explain_job
 from .fleet import Fleet
-from .guarantees import GuaranteeBook
+from .guarantees import CellTable
 from .messages import (
     CancelRequested,
     ConfigurationChanged,
@@ -21,12 +21,12 @@
     RecoveryEnded,
     ReleaseAnswered,
     ReserveAnswered,
+    ScheduleWakeUp,
     ShortagesChanged,
     StartAnswered,
     StartRecordAnswered,
     TaskEnded,
     Tick,
-    WakeAt,
     WorkerClaimed,
     WorkerDraining,
     WorkerLost,
@@ -54,9 +54,9 @@
         self,
         failure_domain: str,
         policies: PolicySet,
-        guarantees: GuaranteeBook | None = None,
+        guarantees: CellTable | None = None,
     ) -> None:
-        book = GuaranteeBook() if guarantees is None else guarantees
+        book = CellTable() if guarantees is None else guarantees
         self._context = Context(failure_domain, policies, book)
         self._jobs = JobTable(self._context)
         self._gangs = GangTable(self._context, self._jobs)
@@ -177,7 +177,7 @@
         if job is None:
             return
         if job.gang_id is not None:
-            self._gangs.cancel(job.gang_id, Cause.CANCELLED)
+            self._gangs.cancel(job.gang_id, GangStopCause.CANCELLED)
         elif job.state == JobState.QUEUED:
             self._jobs.give_up(job.job_id, "cancelled", "cancelled")
 
@@ -219,8 +219,8 @@
             self._jobs.give_up(job_id, "refused", "expired")
         elif job.state == JobState.PLACING:
             gang = self._gangs.gangs_by_id[job.gang_id]
-            if not gang.start_sent and gang.cause is Cause.NONE:
-                self._gangs.cancel(job.gang_id, Cause.EXPIRED)
+            if not gang.start_sent and gang.cause is GangStopCause.NONE:
+                self._gangs.cancel(job.gang_id, GangStopCause.EXPIRED)
 
     def _update_quarantine(self) -> None:
         fleet = self._context.fleet
@@ -269,4 +269,4 @@
         wake_at = min((at for at in times if at is not None), default=None)
         if wake_at is not None and wake_at != self._wake_at:
             self._wake_at = wake_at
-            context.emit(WakeAt(wake_at))
+            context.emit(ScheduleWakeUp(wake_at))
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -7,19 +7,18 @@
     AskAdvice,
     Effect,
     EndKind,
-    PaceRun,
     RunEnd,
     RunReport,
     StopRun,
     TaskKey,
+    ThrottleRun,
     WorkerFacts,
     Workflow,
     WorkflowState,
 )
-from .pacing import FULL_PACE, MeasuredHarmPolicy, PacePolicy
 from .planner import Planner, PriorityPlanner
-from .run_book import RunBook, where
-from .speeds import LEAST_SPENT_S, note_speed
+from .run_table import RunTable, run_log_fields
+from .run_times import MIN_ELAPSED_S, update_worker_speed
 from .state import (
     TASK_CHART,
     Permit,
@@ -27,7 +26,8 @@
     Worker,
     WorkflowProgress,
 )
-from .supervision import interventions
+from .supervision import runs_to_interrupt
+from .throttling import FULL_SPEED_PERCENT, LatencyTargetPolicy, ThrottlePolicy
 
 # A start takes a moment, so a ticket is not used in the last part of its time.
 TICKET_SHARE = 0.8
@@ -36,7 +36,7 @@
 _END_EVENTS = {EndKind.DONE: "run_done", EndKind.FAILED: "run_failed"}
 
 
-class Engine(RunBook):
+class Engine(RunTable):
     """Keeps workflows and workers and decides what runs where.
 
     Args:
@@ -46,8 +46,8 @@
     def __init__(self, planner: Planner | None = None) -> None:
         super().__init__()
         self.guaranteed_by_organisation: dict[str, int] = {}
-        self._pace_policy: PacePolicy = MeasuredHarmPolicy()
-        self._planner = planner or PriorityPlanner(self.speeds)
+        self._throttle_policy: ThrottlePolicy = LatencyTargetPolicy()
+        self._planner = planner or PriorityPlanner(self.run_times)
 
     def accept(self, workflow: Workflow, now: float) -> WorkflowProgress:
         """Take over a stored workflow; a known id changes nothing."""
@@ -57,7 +57,7 @@
         progress = WorkflowProgress(workflow, now)
         self.workflows_by_id[workflow.workflow_id] = progress
         for stage in progress.occurrences[0].stages:
-            self.speeds.note_estimate(stage)
+            self.run_times.record_estimate(stage)
         return progress
 
     def cancel(self, workflow_id: str, now: float) -> None:
@@ -73,16 +73,19 @@
         worker = self.workers_by_id.get(facts.worker_id)
         if worker is None:
             worker = self.workers_by_id[facts.worker_id] = Worker(facts)
-            worker.note_drain(now)
+            worker.update_leave_time(now)
             return
-        if facts.born_ms and worker.facts.born_ms != facts.born_ms:
+        if (
+            facts.process_started_ms
+            and worker.facts.process_started_ms != facts.process_started_ms
+        ):
             self._interrupt_confirmed(worker, now)
             worker.failures = 0
             worker.emptying = False
             worker.quarantined_until = 0.0
         worker.facts = facts
         worker.listed = True
-        worker.note_drain(now)
+        worker.update_leave_time(now)
 
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
         """Take note that nothing runs on a worker any more."""
@@ -92,19 +95,19 @@
         for task in list(worker.tasks_by_key.values()):
             _logger.info(
                 "run lost with its worker",
-                extra={**where(task), "worker": worker_id, "reason": reason},
+                extra={**run_log_fields(task), "worker": worker_id, "reason": reason},
             )
             self.step(task, "run_interrupted", now)
 
     def _interrupt_confirmed(self, worker: Worker, now: float) -> None:
-        """Interrupt the runs of a past life.
+        """Interrupt the runs of a past incarnation.
 
-        An order without an answer may still reach the new life, so its run is
-        kept until the first report of that life, see ``unsettled_runs``.
+        An order without an answer may still reach the new incarnation, so its run is
+        kept until the first report of that incarnation, see ``unsettled_runs``.
         """
         for task in list(worker.tasks_by_key.values()):
             if task.state == "running":
-                extra = {**where(task), "worker": worker.facts.worker_id}
+                extra = {**run_log_fields(task), "worker": worker.facts.worker_id}
                 _logger.info("run lost as its worker restarted", extra=extra)
                 self.step(task, "run_interrupted", now)
 
@@ -140,7 +143,7 @@
         task = self.current(key, run)
         if task is None:
             return
-        _logger.info("start rejected", extra={**where(task), "reason": reason})
+        _logger.info("start rejected", extra={**run_log_fields(task), "reason": reason})
         if reason == "permit":
             task.stage.permits_by_worker.pop(task.worker_id, None)
         self.step(task, "rejected", now)
@@ -158,7 +161,7 @@
             if task.state == "starting":
                 self.start_confirmed(entry.key, entry.run, now)
             self.keep_checkpoint(task, entry.checkpoint)
-            if task.reported_at - task.rated_at > LEAST_SPENT_S:
+            if task.reported_at - task.rated_at > MIN_ELAPSED_S:
                 task.rated_at, task.rated_percent = task.reported_at, task.percent
             if entry.percent != task.percent:
                 task.progressed_at = now
@@ -167,7 +170,7 @@
             task.usage = entry.usage
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
-            note_speed(worker, self.speeds, now)
+            update_worker_speed(worker, self.run_times, now)
 
     def end(self, worker_id: str, ended: RunEnd, now: float) -> str | None:
         """Take over the end of a run.
@@ -183,7 +186,7 @@
         _logger.info(
             "run ended",
             extra={
-                **where(task),
+                **run_log_fields(task),
                 "run": ended.run,
                 "worker": worker_id,
                 "end": str(ended.kind),
@@ -197,7 +200,7 @@
         self.keep_checkpoint(task, ended.checkpoint)
         if ended.kind is EndKind.FAILED:
             task.failed_workers.add(worker_id)
-            self.blame(worker_id, task, now)
+            self.record_worker_failure(worker_id, task, now)
         event = _END_EVENTS.get(ended.kind, "run_interrupted")
         if task.stage.spec.service:
             # Service tasks start again however they end.
@@ -259,36 +262,38 @@
             else:
                 stage.denied_workers.add(worker_id)
 
-    def pace(self, now: float) -> None:
-        """Adjust the pace of filling tasks to the harm that is measured."""
+    def throttle(self, now: float) -> None:
+        """Throttle filling tasks by the harm that is measured."""
         for worker in self.workers_by_id.values():
-            for change in self._pace_policy.changes(worker, now):
+            for change in self._throttle_policy.changes(worker, now):
                 task = change.task
-                task.pace = change.percent
+                task.speed_percent = change.percent
                 _logger.info(
                     "pace changed",
                     extra={
-                        **where(task),
+                        **run_log_fields(task),
                         "worker": task.worker_id,
                         "percent": change.percent,
                     },
                 )
                 self.effects.append(
-                    PaceRun(task.worker_id, task.key, task.run, change.percent)
+                    ThrottleRun(task.worker_id, task.key, task.run, change.percent)
                 )
 
-    def pace_lost(self, key: TaskKey, run: int) -> None:
-        """Take note that a change of pace may not have taken effect."""
+    def throttle_unanswered(self, key: TaskKey, run: int) -> None:
+        """Take note that a throttle command may not have taken effect."""
         task = self.current(key, run)
         if task is not None:
-            task.pace = FULL_PACE
+            task.speed_percent = FULL_SPEED_PERCENT
 
     def supervise(self, now: float) -> None:
         """Stop runs that are stuck, far too slow, or on leaving workers."""
         workers = list(self.workers_by_id.values())
-        for task, reason, blames_worker in interventions(workers, self.speeds, now):
-            if blames_worker:
-                self.blame(task.worker_id, task, now)
+        for task, reason, counts_against_worker in runs_to_interrupt(
+            workers, self.run_times, now
+        ):
+            if counts_against_worker:
+                self.record_worker_failure(task.worker_id, task, now)
             if reason == "slow_worker":
                 task.stage.restarts += 1
             self.stop(task, reason)
@@ -367,7 +372,7 @@
         if worker is not None:
             worker.failures = 0
         if current and task.state == "running":
-            self.speeds.note_end(task, now)
+            self.run_times.record_end(task, now)
         # A gang ends as a whole, and one listed end stands for all members.
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
--- a/src/redwingrudder/workflows/maintenance.py
+++ b/src/redwingrudder/workflows/maintenance.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from ..statecharts import load_chart
-from .placement import left_s, stop_cost
-from .speeds import SpeedBook
+from .placement import remaining_run_s, stop_cost
+from .run_times import RunTimeEstimates
 from .state import Task, Worker
 
 UPKEEP_CHART = load_chart(
@@ -143,7 +143,7 @@
 
 
 def runs_to_stop(
-    worker: Worker, empty_by: float, speeds: SpeedBook, now: float
+    worker: Worker, empty_by: float, run_times: RunTimeEstimates, now: float
 ) -> list[Task]:
     """Return the runs to stop on a worker that is being emptied.
 
@@ -160,7 +160,7 @@
             taken = sum(other.stage is task.stage for other in stopped)
             if away + taken < spec.unavailable_limit:
                 stopped.append(task)
-        elif spec.service or now + left_s(task, speeds, now) > empty_by:
+        elif spec.service or now + remaining_run_s(task, run_times, now) > empty_by:
             stopped.append(task)
     return stopped
 
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -42,7 +42,7 @@
         )
 
 
-NOTHING = Resources()
+NO_RESOURCES = Resources()
 
 
 class StepSpec(NamedTuple):
@@ -168,7 +168,7 @@
 
     Attributes:
         worker_id: Its id.
-        born_ms: Start of its present life, Unix milliseconds, 0 unknown.
+        process_started_ms: Start of its present process, Unix milliseconds, 0 unknown.
         address: "host:port".
         pool: Pool that it belongs to.
         failure_domain: Where it stands.
@@ -180,7 +180,7 @@
     """
 
     worker_id: str
-    born_ms: int
+    process_started_ms: int
     address: str
     pool: str
     failure_domain: str
@@ -258,7 +258,7 @@
     worker_ids: tuple[str, ...]
 
 
-class PaceRun(NamedTuple):
+class ThrottleRun(NamedTuple):
     """Effect: let a filling task work at a share of its speed."""
 
     worker_id: str
@@ -267,4 +267,4 @@
     percent: int
 
 
-Effect = StartRun | StopRun | PaceRun | AskAdvice
+Effect = StartRun | StopRun | ThrottleRun | AskAdvice
--- a/src/redwingrudder/workflows/ordering.py
+++ b/src/redwingrudder/workflows/ordering.py
@@ -1,8 +1,8 @@
-"""The order in which ready steps get room."""
+"""The order in which ready steps get capacity."""
 
 import abc
 
-from .speeds import SpeedBook
+from .run_times import RunTimeEstimates
 from .state import Stage
 
 # A workflow earns a smaller credit up to this multiple of its objective.
@@ -17,7 +17,7 @@
         """Return the sort key; the lowest comes first."""
 
 
-def remaining_chain_s(stage: Stage, book: SpeedBook) -> float:
+def remaining_chain_s(stage: Stage, book: RunTimeEstimates) -> float:
     """Return the longest chain of expected run times from this step on."""
     steps = stage.workflow.workflow.steps
     stages = stage.workflow.occurrences[stage.occurrence].stages
@@ -33,7 +33,7 @@
     return longest[stage.index]
 
 
-def chain_s(stage: Stage, book: SpeedBook) -> float:
+def chain_s(stage: Stage, book: RunTimeEstimates) -> float:
     """Return the longest chain of expected run times of the workflow."""
     stages = stage.workflow.occurrences[stage.occurrence].stages
     reach: list[float] = []
@@ -43,13 +43,13 @@
     return max(reach, default=0.0)
 
 
-def objective_s(stage: Stage, book: SpeedBook) -> float:
+def objective_s(stage: Stage, book: RunTimeEstimates) -> float:
     """Return the seconds from acceptance within which full credit is due."""
     policy = stage.workflow.workflow.policy
     return policy.stretch * chain_s(stage, book) + policy.latency_s
 
 
-def slack_s(stage: Stage, book: SpeedBook, now: float) -> float:
+def slack_s(stage: Stage, book: RunTimeEstimates, now: float) -> float:
     """Return how long the step can still wait and be on time."""
     waited = now - stage.workflow.accepted_mono
     return objective_s(stage, book) - waited - remaining_chain_s(stage, book)
@@ -65,7 +65,7 @@
         book: Expected run times.
     """
 
-    def __init__(self, book: SpeedBook) -> None:
+    def __init__(self, book: RunTimeEstimates) -> None:
         self._book = book
 
     def key(self, stage: Stage, now: float) -> tuple:
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -1,26 +1,26 @@
-"""Where the tasks of a step run, and what makes room for them."""
+"""Where the tasks of a step run, and what frees capacity for them."""
 
 import abc
 from collections.abc import Callable, Container, Iterable
 from typing import NamedTuple
 
 from .model import Resources, TaskKey
-from .speeds import SpeedBook, is_slow
-from .state import Stage, Task, Worker, room_taken
+from .run_times import RunTimeEstimates, is_slow
+from .state import Stage, Task, Worker, resources_used
 
 
-class Slot(NamedTuple):
-    """Room for one task.
+class PlacementOption(NamedTuple):
+    """Capacity for one task.
 
     Attributes:
         worker: Where it is.
-        at: Seconds from now until it is free, 0.0 for room that is idle.
+        at: Seconds from now until it is free, 0.0 for idle capacity.
         cost: Core-seconds that preemption throws away for it.
         victims: Tasks to stop first.
         order_cost: Cost that it is ordered by. The victims of a worker's
-            earlier slots make room for the later ones too, so this never
-            falls from one slot of a worker to the next.
-        position: Number of the slot on its worker.
+            earlier options free capacity for the later ones too, so this never
+            falls from one option of a worker to the next.
+        position: Number of the option on its worker.
     """
 
     worker: Worker
@@ -31,66 +31,72 @@
     position: int = 0
 
 
-class RoomSource(abc.ABC):
-    """Lists the room that a worker has, or can get, for equal tasks."""
+class CapacitySource(abc.ABC):
+    """Lists the capacity that a worker has, or can get, for equal tasks."""
 
     @abc.abstractmethod
-    def slots(self, worker: Worker, demand: Resources, most: int) -> list[Slot]:
-        """Return at most ``most`` slots, the best first."""
+    def options(
+        self, worker: Worker, demand: Resources, most: int
+    ) -> list[PlacementOption]:
+        """Return at most ``most`` options, the best first."""
 
 
-class IdleRoom(RoomSource):
-    """Room that is free now."""
+class IdleCapacity(CapacitySource):
+    """Capacity that is free now."""
 
-    def slots(self, worker: Worker, demand: Resources, most: int) -> list[Slot]:
+    def options(
+        self, worker: Worker, demand: Resources, most: int
+    ) -> list[PlacementOption]:
         """See base class."""
         count = _fitting(worker.free, demand, most)
-        return [Slot(worker)] * count
+        return [PlacementOption(worker)] * count
 
 
-class ReleasedRoom(RoomSource):
-    """Room that is free now or once running tasks end as estimated.
+class ReleasedCapacity(CapacitySource):
+    """Capacity that is free now or once running tasks end as estimated.
 
     Args:
         now: Steady-clock seconds.
         book: Expected run times.
     """
 
-    def __init__(self, now: float, book: SpeedBook) -> None:
+    def __init__(self, now: float, book: RunTimeEstimates) -> None:
         self._now = now
         self._book = book
 
-    def slots(self, worker: Worker, demand: Resources, most: int) -> list[Slot]:
+    def options(
+        self, worker: Worker, demand: Resources, most: int
+    ) -> list[PlacementOption]:
         """See base class."""
         free = worker.free
-        slots = [Slot(worker)] * _fitting(free, demand, most)
+        options = [PlacementOption(worker)] * _fitting(free, demand, most)
         running = sorted(
             worker.tasks_by_key.values(), key=lambda task: self._left_s(task)
         )
         for task in running:
-            if len(slots) >= most:
+            if len(options) >= most:
                 break
             if task.stage.spec.service:
                 continue
-            free = free.plus(room_taken(task.stage.spec))
+            free = free.plus(resources_used(task.stage.spec))
             count = _fitting(free, demand, most)
             at = self._left_s(task)
-            slots.extend([Slot(worker, at)] * (count - len(slots)))
-        return slots
+            options.extend([PlacementOption(worker, at)] * (count - len(options)))
+        return options
 
     def _left_s(self, task: Task) -> float:
-        return left_s(task, self._book, self._now)
+        return remaining_run_s(task, self._book, self._now)
 
 
-class PreemptibleRoom(RoomSource):
-    """Room that is free now or after lower-ranked tasks are stopped.
+class PreemptibleCapacity(CapacitySource):
+    """Capacity that is free now or after lower-ranked tasks are stopped.
 
     Args:
         now: Steady-clock seconds.
-        rank: Rank of the step that needs room.
+        rank: Rank of the step that needs capacity.
         rank_of: Returns the rank of a running task's step; only tasks with a
             higher number are stopped.
-        doomed: Keys of tasks whose stop is decided; their room costs nothing.
+        doomed: Keys of tasks whose stop is decided; their capacity costs nothing.
     """
 
     def __init__(
@@ -105,38 +111,42 @@
         self._rank_of = rank_of
         self._doomed = doomed
 
-    def slots(self, worker: Worker, demand: Resources, most: int) -> list[Slot]:
+    def options(
+        self, worker: Worker, demand: Resources, most: int
+    ) -> list[PlacementOption]:
         """See base class."""
         free = worker.free
-        slots = [Slot(worker)] * _fitting(free, demand, most)
+        options = [PlacementOption(worker)] * _fitting(free, demand, most)
         stopping = [
             task
             for key, task in worker.tasks_by_key.items()
             if task.state == "stopping" or key in self._doomed
         ]
         for task in stopping:
-            free = free.plus(room_taken(task.stage.spec))
+            free = free.plus(resources_used(task.stage.spec))
         count = _fitting(free, demand, most)
-        slots.extend([Slot(worker, 0.1)] * (count - len(slots)))
+        options.extend([PlacementOption(worker, 0.1)] * (count - len(options)))
         victims: list[Task] = []
         cost = order_cost = 0.0
         for task in self._victims(worker):
-            if len(slots) >= most:
+            if len(options) >= most:
                 break
-            free = free.plus(room_taken(task.stage.spec))
+            free = free.plus(resources_used(task.stage.spec))
             victims.append(task)
             cost += stop_cost(task, self._now)
             count = _fitting(free, demand, most)
-            if count > len(slots):
+            if count > len(options):
                 order_cost = max(order_cost, cost)
-                first = Slot(worker, 0.2, cost, tuple(victims), order_cost)
-                slots.append(first._replace(position=len(slots)))
-                slots.extend(
-                    Slot(worker, 0.2, order_cost=order_cost, position=position)
-                    for position in range(len(slots), count)
+                first = PlacementOption(worker, 0.2, cost, tuple(victims), order_cost)
+                options.append(first._replace(position=len(options)))
+                options.extend(
+                    PlacementOption(
+                        worker, 0.2, order_cost=order_cost, position=position
+                    )
+                    for position in range(len(options), count)
                 )
                 victims, cost = [], 0.0
-        return slots
+        return options
 
     def _victims(self, worker: Worker) -> list[Task]:
         lower = [
@@ -153,7 +163,7 @@
         )
 
 
-def left_s(task: Task, book: SpeedBook, now: float) -> float:
+def remaining_run_s(task: Task, book: RunTimeEstimates, now: float) -> float:
     """Return the expected seconds until a run ends."""
     if task.state == "stopping":
         return 0.1
@@ -254,27 +264,27 @@
     stage: Stage,
     tasks: list[Task],
     workers: list[Worker],
-    source: RoomSource,
+    source: CapacitySource,
     now: float,
-) -> list[Slot]:
-    """Choose slots for tasks of one step, at most one for each task.
+) -> list[PlacementOption]:
+    """Choose options for tasks of one step, at most one for each task.
 
     A gang gets all or nothing. A step that is slower on several racks gets
     one rack if the rack is large enough when empty.
     """
     spec = stage.spec
-    demand = room_taken(spec)
-    by_rack: dict[str, list[Slot]] = {}
+    demand = resources_used(spec)
+    by_rack: dict[str, list[PlacementOption]] = {}
     for worker in workers:
         most = _allowed(stage, worker, len(tasks))
-        found = source.slots(worker, demand, most) if most else []
+        found = source.options(worker, demand, most) if most else []
         if found:
             by_rack.setdefault(worker.facts.rack, []).extend(found)
     if spec.gang and spec.same_rack and len(tasks) > 1:
         return _within_rack(stage, len(tasks), by_rack, workers, now)
-    slots = [slot for found in by_rack.values() for slot in found]
-    slots.sort(key=_preference(spec.data_rack, demand, now))
-    chosen = slots[: len(tasks)]
+    options = [option for found in by_rack.values() for option in found]
+    options.sort(key=_preference(spec.data_rack, demand, now))
+    chosen = options[: len(tasks)]
     if spec.gang and len(chosen) < len(tasks):
         return []
     return chosen
@@ -283,14 +293,14 @@
 def _within_rack(
     stage: Stage,
     count: int,
-    by_rack: dict[str, list[Slot]],
+    by_rack: dict[str, list[PlacementOption]],
     workers: list[Worker],
     now: float,
-) -> list[Slot]:
+) -> list[PlacementOption]:
     spec = stage.spec
-    demand = room_taken(spec)
+    demand = resources_used(spec)
     preference = _preference("", demand, now)
-    best: list[Slot] = []
+    best: list[PlacementOption] = []
     best_key: tuple | None = None
     for rack, found in by_rack.items():
         if len(found) < count:
@@ -299,10 +309,10 @@
         chosen = found[:count]
         key = (
             rack != spec.data_rack if spec.data_rack else False,
-            sum(is_slow(slot.worker) for slot in chosen),
-            sum(slot.worker.is_suspect(now) for slot in chosen),
-            max(slot.at for slot in chosen),
-            sum(slot.cost for slot in chosen),
+            sum(is_slow(option.worker) for option in chosen),
+            sum(option.worker.is_suspect(now) for option in chosen),
+            max(option.at for option in chosen),
+            sum(option.cost for option in chosen),
             len(found),
         )
         if best_key is None or key < best_key:
@@ -310,7 +320,7 @@
     if best or _largest_rack(stage, demand, count, workers) >= count:
         return best
     racks = sorted(by_rack.values(), key=len, reverse=True)
-    spread = [slot for found in racks for slot in found][:count]
+    spread = [option for found in racks for option in found][:count]
     return spread if len(spread) == count else []
 
 
@@ -327,7 +337,7 @@
 
 def fits_when_empty(stage: Stage, count: int, workers: list[Worker]) -> bool:
     """Return whether the idle pool could hold the tasks at once."""
-    demand = room_taken(stage.spec)
+    demand = resources_used(stage.spec)
     total = 0
     for worker in workers:
         most = _allowed(stage, worker, count)
@@ -351,31 +361,33 @@
 
 def _preference(
     data_rack: str, demand: Resources, now: float
-) -> Callable[[Slot], tuple]:
-    """Return the sort key of slots; workers repeat, so keys are kept."""
+) -> Callable[[PlacementOption], tuple]:
+    """Return the sort key of options; workers repeat, so keys are kept."""
     keys: dict[int, tuple] = {}
 
-    def key(slot: Slot) -> tuple:
-        known = keys.get(id(slot))
+    def key(option: PlacementOption) -> tuple:
+        known = keys.get(id(option))
         if known is None:
-            known = keys[id(slot)] = _rate(slot, data_rack, demand, now)
+            known = keys[id(option)] = _rate(option, data_rack, demand, now)
         return known
 
     return key
 
 
-def _rate(slot: Slot, data_rack: str, demand: Resources, now: float) -> tuple:
-    worker = slot.worker
+def _rate(
+    option: PlacementOption, data_rack: str, demand: Resources, now: float
+) -> tuple:
+    worker = option.worker
     left = worker.free.minus(demand)
     return (
         bool(data_rack) and worker.facts.rack != data_rack,
         is_slow(worker),
         worker.is_suspect(now),
-        slot.order_cost > 0,
-        slot.at,
-        slot.order_cost,
+        option.order_cost > 0,
+        option.at,
+        option.order_cost,
         left.accelerators,
         left.memory_mb,
         worker.facts.worker_id,
-        slot.position,
+        option.position,
     )
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -1,4 +1,4 @@
-"""Which waiting tasks start now, where, and which runs make room."""
+"""Which waiting tasks start now, where, and which runs free capacity."""
 
 import abc
 from collections.abc import Iterable
@@ -11,11 +11,11 @@
     slack_s,
 )
 from .placement import (
-    IdleRoom,
-    PreemptibleRoom,
-    ReleasedRoom,
-    RoomSource,
-    Slot,
+    CapacitySource,
+    IdleCapacity,
+    PlacementOption,
+    PreemptibleCapacity,
+    ReleasedCapacity,
     choose,
     eligible,
     fits_when_empty,
@@ -23,19 +23,19 @@
     unadvised,
     usable_workers,
 )
-from .speeds import SpeedBook, is_slow
-from .state import Stage, Task, Worker, WorkflowProgress, room_taken
+from .run_times import RunTimeEstimates, is_slow
+from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
 ENTITLED_RANK = -1  # urgent work within its organisation's guarantee
 # A step of a middle priority preempts lower ones in its last seconds of slack.
 PREEMPT_SLACK_S = 2.0
-# Steps in waiting that room is kept free for; more would idle the fleet.
+# Steps in waiting that capacity is kept free for; more would idle the fleet.
 CLAIMS_LIMIT = 3
 # Share of the run time that a task waits for a worker next to its data, as
 # elsewhere it takes a multiple of the run time.
 DATA_WAIT_SHARE = 1.0
-# Gangs that are stopped one after the other for a step, each after a new look
-# for room; then all the rest is stopped at once. It bounds a pass's time.
+# Gangs that are stopped one after the other for a step, each after a new check
+# for capacity; then all the rest is stopped at once. It bounds a pass's time.
 VICTIM_GANGS_LIMIT = 4
 # Workers named in a question to the advice service, which takes time for each.
 ADVICE_SPARE = 2  # for each waiting task
@@ -43,7 +43,7 @@
 ADVICE_MOST = 30
 
 
-class Decision(NamedTuple):
+class SchedulingPlan(NamedTuple):
     """Tasks to start and stop, and workers to ask the advice service about."""
 
     starts: tuple[tuple[Task, Worker], ...]
@@ -62,7 +62,7 @@
         guaranteed_by_organisation: dict[str, int],
         now: float,
         wall: float,
-    ) -> Decision:
+    ) -> SchedulingPlan:
         """Return the next decision.
 
         Args:
@@ -75,14 +75,14 @@
 
 
 class PriorityPlanner(Planner):
-    """Strict priorities, guarantees, claims for steps that wait for room.
+    """Strict priorities, guarantees, claims for steps that wait for capacity.
 
     Args:
         book: Expected run times.
         order: Order of steps of equal rank.
     """
 
-    def __init__(self, book: SpeedBook, order: StageOrder | None = None) -> None:
+    def __init__(self, book: RunTimeEstimates, order: StageOrder | None = None) -> None:
         self._book = book
         self._order = order or SlackOrder(book)
 
@@ -93,7 +93,7 @@
         guaranteed_by_organisation: dict[str, int],
         now: float,
         wall: float,
-    ) -> Decision:
+    ) -> SchedulingPlan:
         """See base class."""
         active = list(progress)
         for worker in workers:
@@ -105,7 +105,7 @@
         pass_ = _Pass(workers, entitled, self._book, now)
         for stage in stages:
             pass_.place(stage, ranks[id(stage)])
-        return Decision(
+        return SchedulingPlan(
             tuple(pass_.starts), tuple(pass_.stops.values()), tuple(pass_.questions)
         )
 
@@ -117,7 +117,7 @@
         self,
         workers: list[Worker],
         entitled: frozenset[str],
-        book: SpeedBook,
+        book: RunTimeEstimates,
         now: float,
     ) -> None:
         self.starts: list[tuple[Task, Worker]] = []
@@ -144,13 +144,13 @@
         if not candidates:
             return
         near = self._near_data(stage, candidates)
-        slots = self._choose_idle(stage, waiting, near)
-        self._start(stage, waiting, slots)
-        rest = waiting[len(slots) :]
+        options = self._choose_idle(stage, waiting, near)
+        self._start(stage, waiting, options)
+        rest = waiting[len(options) :]
         if not rest:
             return
         if self._may_preempt(stage, stage_rank):
-            source = PreemptibleRoom(
+            source = PreemptibleCapacity(
                 self._now, stage_rank, lambda s: rank(s, self._entitled), self.stops
             )
             self._make_room(stage, rest, candidates, source)
@@ -158,7 +158,7 @@
             if stage.spec.gang and not fits_when_empty(stage, len(rest), candidates):
                 return
             self._claims += 1
-            released = ReleasedRoom(self._now, self._book)
+            released = ReleasedCapacity(self._now, self._book)
             self._claim(stage, choose(stage, rest, near, released, self._now))
 
     def _usable(self, stage: Stage) -> tuple[list[Worker], list[Worker]]:
@@ -172,13 +172,13 @@
 
     def _choose_idle(
         self, stage: Stage, waiting: list[Task], workers: list[Worker]
-    ) -> list[Slot]:
-        """Choose idle room; room only shrinks within a pass.
+    ) -> list[PlacementOption]:
+        """Choose idle capacity; it only shrinks within a pass.
 
         What did not fit once is not looked for again, which bounds the cost
         of a pass while many steps wait.
         """
-        demand = room_taken(stage.spec)
+        demand = resources_used(stage.spec)
         count = len(waiting) if stage.spec.gang else 1
         pool = stage.workflow.workflow.policy.pool
         whole_pool = self._usable_by_kind.get((pool, ""))
@@ -189,11 +189,11 @@
             for missing, missing_count in missing_here
         ):
             return []
-        slots = choose(stage, waiting, workers, IdleRoom(), self._now)
+        options = choose(stage, waiting, workers, IdleCapacity(), self._now)
         restricted = stage.spec.same_rack or stage.spec.worker_limit
-        if remembered and not slots and not restricted:
+        if remembered and not options and not restricted:
             missing_here.append((demand, count))
-        return slots
+        return options
 
     def _ask(
         self,
@@ -206,7 +206,7 @@
         if stage.question_open:
             return
         most = min(max(ADVICE_SPARE * wanted, ADVICE_LEAST), ADVICE_MOST)
-        demand = room_taken(stage.spec)
+        demand = resources_used(stage.spec)
         roomy = [w for w in permitted if w.free.covers(demand)]
         if len(roomy) >= min(wanted, ADVICE_LEAST):
             return
@@ -237,25 +237,25 @@
         stage: Stage,
         rest: list[Task],
         candidates: list[Worker],
-        source: RoomSource,
+        source: CapacitySource,
     ) -> None:
         near = self._near_data(stage, candidates)
-        slots: list[Slot] = []
+        options: list[PlacementOption] = []
         for _ in range(VICTIM_GANGS_LIMIT):
-            slots = choose(stage, rest, near, source, self._now)
-            if len(slots) < len(rest) and near is not candidates:
-                slots = choose(stage, rest, candidates, source, self._now) or slots
-            victims = [victim for slot in slots for victim in slot.victims]
+            options = choose(stage, rest, near, source, self._now)
+            if len(options) < len(rest) and near is not candidates:
+                options = choose(stage, rest, candidates, source, self._now) or options
+            victims = [victim for option in options for victim in option.victims]
             gangs = [victim for victim in victims if victim.stage.spec.gang]
             if not gangs:
                 break
-            # The end of one gang frees room on many workers, so the rest of
-            # the slots is chosen anew before another gang is stopped.
+            # The end of one gang frees capacity on many workers, so the rest of
+            # the options is chosen anew before another gang is stopped.
             self._stop(min(gangs, key=lambda task: stop_cost(task, self._now)))
-        for slot in slots:
-            for victim in slot.victims:
+        for option in options:
+            for victim in option.victims:
                 self._stop(victim)
-        self._claim(stage, slots)
+        self._claim(stage, options)
 
     def _stop(self, victim: Task) -> None:
         """Stop a run, and with it the other members of a gang."""
@@ -264,16 +264,18 @@
             if task.state in ("starting", "running"):
                 self.stops[task.key] = task
 
-    def _claim(self, stage: Stage, slots: list[Slot]) -> None:
-        demand = room_taken(stage.spec)
-        for slot in slots:
-            slot.worker.claim(demand)
+    def _claim(self, stage: Stage, options: list[PlacementOption]) -> None:
+        demand = resources_used(stage.spec)
+        for option in options:
+            option.worker.claim(demand)
 
-    def _start(self, stage: Stage, tasks: list[Task], slots: list[Slot]) -> None:
+    def _start(
+        self, stage: Stage, tasks: list[Task], options: list[PlacementOption]
+    ) -> None:
         """Note starts and count them as claims within this pass."""
-        pairs = zip(tasks, slots, strict=False)
-        self.starts.extend((task, slot.worker) for task, slot in pairs)
-        self._claim(stage, slots)
+        pairs = zip(tasks, options, strict=False)
+        self.starts.extend((task, option.worker) for task, option in pairs)
+        self._claim(stage, options)
 
 
 def rank(stage: Stage, entitled: frozenset[str]) -> int:
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -23,7 +23,7 @@
     key: TaskKey
     run: int
     worker_id: str
-    born_ms: int
+    process_started_ms: int
 
 
 class ProgressRecord(NamedTuple):
--- a/src/redwingrudder/workflows/run_book.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -1,4 +1,4 @@
-"""The runs of all tasks: transitions, room and effects."""
+"""The runs of all tasks: transitions, capacity and effects."""
 
 import logging
 from collections.abc import Callable
@@ -11,8 +11,7 @@
     StopRun,
     TaskKey,
 )
-from .pacing import FULL_PACE
-from .speeds import SpeedBook
+from .run_times import RunTimeEstimates
 from .state import (
     TASK_CHART,
     Stage,
@@ -20,6 +19,7 @@
     Worker,
     WorkflowProgress,
 )
+from .throttling import FULL_SPEED_PERCENT
 
 # Runs of one term; a successor numbers its runs above all that this term can
 # have used without a record of each.
@@ -31,14 +31,14 @@
 _logger = logging.getLogger(__name__)
 
 
-class RunBook:
+class RunTable:
     """Workflows, workers and runs, and the moves that keep them consistent.
 
     Attributes:
         dirty: Ids of workflows whose progress differs from its record.
         effects: What is to be carried out.
         term: Number of the coordinator's term.
-        speeds: Expected run times.
+        run_times: Expected run times.
     """
 
     def __init__(self) -> None:
@@ -47,7 +47,7 @@
         self.dirty: set[str] = set()
         self.effects: list[Effect] = []
         self.term = 1
-        self.speeds = SpeedBook()
+        self.run_times = RunTimeEstimates()
         self._actions: dict[str, Callable[[Task], None]] = {
             "occupy": self._occupy,
             "release": self._release,
@@ -89,7 +89,7 @@
         task.worker_id = worker.facts.worker_id
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
-        task.pace = FULL_PACE
+        task.speed_percent = FULL_SPEED_PERCENT
         task.begin(now)
         self.step(task, "assign", now)
         workflow = stage.workflow
@@ -97,7 +97,7 @@
         _logger.info(
             "run placed",
             extra={
-                **where(task),
+                **run_log_fields(task),
                 "run": run,
                 "worker": task.worker_id,
                 "waited_s": round(now - (stage.ready_at or now), 3),
@@ -134,7 +134,7 @@
             return
         _logger.info(
             "run stopped",
-            extra={**where(task), "worker": task.worker_id, "reason": reason},
+            extra={**run_log_fields(task), "worker": task.worker_id, "reason": reason},
         )
         self.effects.append(StopRun(task.worker_id, task.key, task.run))
         self.step(task, "stop", 0.0)
@@ -181,10 +181,10 @@
     def keep_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Keep the newest saved state; a gang shares one, with its first."""
         if checkpoint:
-            keeper = task.stage.tasks[0] if task.stage.spec.gang else task
-            keeper.checkpoint = checkpoint
+            record_client = task.stage.tasks[0] if task.stage.spec.gang else task
+            record_client.checkpoint = checkpoint
 
-    def blame(self, worker_id: str, task: Task, now: float) -> None:
+    def record_worker_failure(self, worker_id: str, task: Task, now: float) -> None:
         """Count a failure against a worker unless the task fails anywhere."""
         worker = self.workers_by_id.get(worker_id)
         if worker is None or len(task.failed_workers) > 1:
@@ -206,7 +206,9 @@
         failures = (stage.tasks[0] if stage.spec.gang else task).failures
         if failures < limit or task.state != "waiting":
             return
-        _logger.info("attempts exhausted", extra={**where(task), "failures": failures})
+        _logger.info(
+            "attempts exhausted", extra={**run_log_fields(task), "failures": failures}
+        )
         self.step(task, "give_up", now)
         self.withdraw(stage.workflow, now)
 
@@ -235,7 +237,7 @@
             stage.tasks[0].failures += 1
 
 
-def where(task: Task) -> dict[str, object]:
+def run_log_fields(task: Task) -> dict[str, object]:
     """Return the log fields of a task."""
     return {
         "job": task.key.workflow_id,
--- a/src/redwingrudder/workflows/speeds.py
+++ b/src/redwingrudder/workflows/run_times.py
@@ -10,8 +10,8 @@
 UNKNOWN_S = 5.0  # run time while nothing is known
 SLOW_SPEED = 0.45  # ordinary workers differ by a third at most
 # Progress below this says little about the whole run.
-LEAST_PERCENT = 2.0
-LEAST_SPENT_S = 0.7
+MIN_PROGRESS_PERCENT = 2.0
+MIN_ELAPSED_S = 0.7
 # Whole percents are reported, so smaller steps show no rate of progress.
 LEAST_STEP_PERCENT = 4.0
 # A run that goes on this much faster than before was on a slow worker.
@@ -26,7 +26,7 @@
 RESTARTS_LIMIT = 2
 
 
-class SpeedBook:
+class RunTimeEstimates:
     """Mean run times by kind of work, fed by ends and progress."""
 
     def __init__(self) -> None:
@@ -38,13 +38,13 @@
         known = self._mean_s_by_kind.get(_kind(stage))
         return known or stage.spec.estimate_s or UNKNOWN_S
 
-    def note_estimate(self, stage: Stage) -> None:
+    def record_estimate(self, stage: Stage) -> None:
         """Take a caller's estimate into the mean until runs have ended."""
         kind = _kind(stage)
         if stage.spec.estimate_s and kind not in self._observed:
             self._move(kind, stage.spec.estimate_s, ESTIMATES_WEIGHT)
 
-    def note_end(self, task: Task, now: float) -> None:
+    def record_end(self, task: Task, now: float) -> None:
         """Take the run time of a task that was done in one run."""
         if task.run_resumed or task.started_at <= 0:
             return
@@ -66,14 +66,14 @@
 def projected_s(task: Task) -> float | None:
     """Return a run's whole time as its progress predicts, None if unclear."""
     spent = task.reported_at - task.started_at
-    if task.state != "running" or spent < LEAST_SPENT_S:
+    if task.state != "running" or spent < MIN_ELAPSED_S:
         return None
     if task.percent >= 100 or task.run_resumed:
         return None
-    return spent * 100 / max(task.percent, LEAST_PERCENT)
+    return spent * 100 / max(task.percent, MIN_PROGRESS_PERCENT)
 
 
-def reference_s(task: Task, book: SpeedBook) -> float | None:
+def reference_s(task: Task, book: RunTimeEstimates) -> float | None:
     """Return what the run should take at most: as its peers, or as learned.
 
     Tasks of one step are alike, while the means of a queue say little about
@@ -91,7 +91,7 @@
     return LONG_RUN_FACTOR * book.expected_s(task.stage)
 
 
-def note_speed(worker: Worker, book: SpeedBook, now: float) -> None:
+def update_worker_speed(worker: Worker, book: RunTimeEstimates, now: float) -> None:
     """Judge a worker by the progress of its runs."""
     found = (_speed_ratio(task, book) for task in worker.tasks_by_key.values())
     ratios = [ratio for ratio in found if ratio is not None]
@@ -102,7 +102,7 @@
         worker.speed = 1.0
 
 
-def _speed_ratio(task: Task, book: SpeedBook) -> float | None:
+def _speed_ratio(task: Task, book: RunTimeEstimates) -> float | None:
     """Return a run's speed as a share of what is usual, None if unclear."""
     change = _change_of_rate(task)
     if change is not None and change > RECOVERED_RATIO:
@@ -125,7 +125,7 @@
     before = task.rated_at - task.started_at
     if task.state != "running" or task.percent >= 100 or task.run_resumed:
         return None
-    if spent < LEAST_SPENT_S or before < LEAST_SPENT_S:
+    if spent < MIN_ELAPSED_S or before < MIN_ELAPSED_S:
         return None
     usual = task.rated_percent / before * spent
     if usual < LEAST_STEP_PERCENT:
@@ -138,7 +138,7 @@
     return worker.speed < SLOW_SPEED
 
 
-def pays_to_restart(task: Task, book: SpeedBook) -> bool:
+def is_restart_worthwhile(task: Task, book: RunTimeEstimates) -> bool:
     """Return whether a run ends sooner when started anew elsewhere."""
     projected = projected_s(task)
     reference = reference_s(task, book)
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -6,7 +6,7 @@
 
 from ..statecharts import load_chart
 from .model import (
-    NOTHING,
+    NO_RESOURCES,
     Resources,
     StepSpec,
     TaskKey,
@@ -53,7 +53,7 @@
         "failed_workers",
         "failures",
         "key",
-        "pace",
+        "speed_percent",
         "percent",
         "progressed_at",
         "rated_at",
@@ -86,7 +86,7 @@
         self.rated_at = 0.0
         self.rated_percent = 0.0
         self.usage = 0.0
-        self.pace = 100
+        self.speed_percent = 100
 
     def begin(self, now: float) -> None:
         """Take note that a run begins, or that a worker has confirmed it."""
@@ -234,7 +234,7 @@
     """A worker, what it runs and how it behaves.
 
     Attributes:
-        free: Room that is neither used nor claimed for a waiting step.
+        free: Capacity that is neither used nor claimed for a waiting step.
         emptying: Its machine is about to be taken down for upkeep.
         failures: Failed runs since the last run that was done here.
         failed_at: Steady-clock seconds of the newest of them.
@@ -252,7 +252,7 @@
         "free",
         "leaves_at",
         "listed",
-        "paced_at",
+        "throttled_at",
         "quarantined_until",
         "reachable",
         "speed",
@@ -262,8 +262,8 @@
 
     def __init__(self, facts: WorkerFacts) -> None:
         self._facts = facts
-        self._used = NOTHING
-        self._claimed = NOTHING
+        self._used = NO_RESOURCES
+        self._claimed = NO_RESOURCES
         self.free = facts.capacity
         self.tasks_by_key: dict[TaskKey, Task] = {}
         self.listed = True
@@ -275,7 +275,7 @@
         self.leaves_at = math.inf
         self.speed = 1.0
         self.speed_at = 0.0
-        self.paced_at = 0.0
+        self.throttled_at = 0.0
 
     @property
     def facts(self) -> WorkerFacts:
@@ -288,33 +288,33 @@
         self._count_free()
 
     def add(self, task: Task) -> None:
-        """Take room for a run."""
+        """Take capacity for a run."""
         self.tasks_by_key[task.key] = task
-        self._used = self._used.plus(room_taken(task.stage.spec))
+        self._used = self._used.plus(resources_used(task.stage.spec))
         self._count_free()
 
     def remove(self, task: Task) -> None:
-        """Give the room of a run back, if it has any."""
+        """Give the capacity of a run back, if it has any."""
         if self.tasks_by_key.pop(task.key, None) is not None:
-            self._used = self._used.minus(room_taken(task.stage.spec))
+            self._used = self._used.minus(resources_used(task.stage.spec))
             self._count_free()
 
     def claim(self, amount: Resources) -> None:
-        """Keep room for a step that waits, until the next planning pass."""
+        """Keep capacity for a step that waits, until the next planning pass."""
         self._claimed = self._claimed.plus(amount)
         self._count_free()
 
     def clear_claims(self) -> None:
         """Drop the claims of the last planning pass."""
-        if self._claimed is not NOTHING:
-            self._claimed = NOTHING
+        if self._claimed is not NO_RESOURCES:
+            self._claimed = NO_RESOURCES
             self._count_free()
 
     def _count_free(self) -> None:
         # Planning reads this for each worker and step, so it is kept.
         self.free = self._facts.capacity.minus(self._used).minus(self._claimed)
 
-    def note_drain(self, now: float) -> None:
+    def update_leave_time(self, now: float) -> None:
         """Take over from the facts how long the worker stays."""
         if not self.facts.draining:
             self.leaves_at = math.inf
@@ -336,7 +336,7 @@
         )
 
 
-def room_taken(spec: StepSpec) -> Resources:
+def resources_used(spec: StepSpec) -> Resources:
     """Return what a task counts against its worker's capacity."""
     if spec.fills:
         return spec.demand._replace(cpu_millis=0)
--- a/tests/_fleet_steps.py
+++ b/tests/_fleet_steps.py
@@ -9,7 +9,7 @@
 from redwingrudder._placement import BestFitPlacement
 from redwingrudder.exceptions import ConflictError, NotFoundError, UnprocessableError
 from redwingrudder.fleet import Fleet
-from redwingrudder.guarantees import GuaranteeBook, plan_cells
+from redwingrudder.guarantees import CellTable, plan_cells
 from redwingrudder.model import (
     Configuration,
     JobSpec,
@@ -75,7 +75,7 @@
         self.workers = workers or make_workers()
         self.policy = policy or BestFitPlacement()
         self.fleet = Fleet()
-        self.book = GuaranteeBook()
+        self.book = CellTable()
         self.configuration = configure(guarantees, self.workers)
         self.now = 0.0
         self.serial = 0
--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 
 from redwingrudder import messages as m
-from redwingrudder.guarantees import GuaranteeBook
+from redwingrudder.guarantees import CellTable
 from redwingrudder.model import (
     FINAL_JOB_STATES,
     CellAssignment,
@@ -69,7 +69,7 @@
     def take_over(self):
         """Start a new owner; commands and events of the old one are void."""
         self.recovering = True
-        self.guarantees = GuaranteeBook()
+        self.guarantees = CellTable()
         self.scheduler = Scheduler(DOMAIN, self.policies(), self.guarantees)
         self.events.clear()
         self.restarted.clear()
@@ -145,7 +145,7 @@
             self.events.append(effect)
         elif isinstance(effect, m.JobChanged):
             self.check_change(effect)
-        elif isinstance(effect, m.WakeAt):
+        elif isinstance(effect, m.ScheduleWakeUp):
             self.wake_at = effect.at
 
     def command(self, worker_id, command):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -12,7 +12,7 @@
     INTAKE,
     INTAKE_PREFIX,
     LEADERSHIP,
-    NEIGHBOURS,
+    PEERS,
     TERM_KEY,
     ChannelFactory,
     FleetGateways,
@@ -24,7 +24,7 @@
     CAMPAIGN_JITTER_S,
     Identity,
     Leadership,
-    Strength,
+    NodeResources,
 )
 from redwingrudder.coordination.messages import (
     BeginTerm,
@@ -42,10 +42,10 @@
     SubmitWorkflow,
     WorkflowStored,
 )
-from redwingrudder.coordination.neighbours import (
-    CallNeighbour,
-    ListNeighbours,
-    NeighbourView,
+from redwingrudder.coordination.peers import (
+    CallPeer,
+    ListPeers,
+    PeerView,
 )
 from redwingrudder.coordination.recorder import Recorder
 from redwingrudder.exceptions import (
@@ -82,12 +82,12 @@
 class IntakeTests(unittest.TestCase):
     def setUp(self):
         self.clock, self.system, self.store = node_system()
-        self.neighbours = Recording(
+        self.peers = Recording(
             self.system,
-            NEIGHBOURS,
+            PEERS,
             {
-                ListNeighbours: NeighbourView((), 0),
-                CallNeighbour: UnavailableError("cut off"),
+                ListPeers: PeerView((), 0),
+                CallPeer: UnavailableError("cut off"),
             },
         )
         self.coordinator = Recording(
@@ -189,11 +189,11 @@
         self.assertEqual((error.code, error.http_status), ("not_coordinator", 503))
 
 
-class NeighbourViewTests(unittest.TestCase):
+class PeerViewTests(unittest.TestCase):
     def view(self, available, known):
         summary = NodeSummary("n", "a", "l", 1, "", "", 0, False, 0.0)
         fresh = [summary._replace(store_available=value) for value in available]
-        return NeighbourView(tuple(fresh), known)
+        return PeerView(tuple(fresh), known)
 
     def test_minority_without_store_is_no_outage(self):
         """Guards against leases extended by a coordinator that is cut off."""
@@ -240,7 +240,7 @@
         """Guards against a coordinator on the weakest node."""
         _, system, _ = node_system(self.contents)
         identity = Identity("weak", "10.0.0.1:9", "life-weak")
-        weak = Leadership(system, identity, (), Strength(0.25))
+        weak = Leadership(system, identity, (), NodeResources(0.25))
         strong = self.nodes[0][4]
         self.assertGreater(weak._campaign_delay_s(), CAMPAIGN_JITTER_S)
         self.assertLessEqual(strong._campaign_delay_s(), CAMPAIGN_JITTER_S)
@@ -256,9 +256,9 @@
 
     def test_node_on_a_narrow_link_campaigns_later(self):
         """Guards against a takeover of megabytes over a narrow link."""
-        narrow = Strength(link_bps=10e6)
-        self.assertGreater(narrow.delay_s(), CAMPAIGN_JITTER_S)
-        self.assertEqual(Strength(2.0, 200e6).delay_s(), 0.0)
+        narrow = NodeResources(link_bps=10e6)
+        self.assertGreater(narrow.extra_campaign_delay_s(), CAMPAIGN_JITTER_S)
+        self.assertEqual(NodeResources(2.0, 200e6).extra_campaign_delay_s(), 0.0)
 
     def test_old_change_does_not_end_a_term(self):
         """Guards against a term that ends as its watch lags behind."""
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -222,11 +222,11 @@
         rows = [fx.running(start, 100.0) for start in begun]
         engine.report("w1", rows, 1.0)
         worker = engine.workers_by_id["w1"]
-        first = runs_to_stop(worker, 0.0, engine.speeds, 1.0)
+        first = runs_to_stop(worker, 0.0, engine.run_times, 1.0)
         self.assertEqual(len(first), 2)
         for task in first:
             engine.stop(task, "machine_upkeep")
-        self.assertEqual(runs_to_stop(worker, 0.0, engine.speeds, 1.0), [])
+        self.assertEqual(runs_to_stop(worker, 0.0, engine.run_times, 1.0), [])
 
     def test_machine_that_left_does_not_hold_the_wave(self):
         """Guards against a wave that waits for a machine that is gone."""
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -3,14 +3,14 @@
 import unittest
 
 from redwingrudder._wire.generated.coordination.ttypes import WireNodeSummary
-from redwingrudder.coordination.gateways import NEIGHBOURS, NODES_PREFIX
+from redwingrudder.coordination.gateways import NODES_PREFIX, PEERS
 from redwingrudder.coordination.leadership import Identity
 from redwingrudder.coordination.messages import Drain, StoreAvailability
-from redwingrudder.coordination.neighbours import (
+from redwingrudder.coordination.peers import (
     DISCOVERY_S,
     FRESH_S,
-    ListNeighbours,
-    Neighbours,
+    ListPeers,
+    Peers,
 )
 from redwingrudder.timers import TIMERS, Subscribe, TimerService
 
@@ -24,10 +24,8 @@
         self.clock, self.system, self.store = node_system()
         TimerService(self.system)
         identity = Identity("n1", "10.0.0.1:7000", "life")
-        self.neighbours = Neighbours(
-            self.system, self.clock, identity, ("10.0.0.1", 7000)
-        )
-        self.system.tell(TIMERS, Subscribe(NEIGHBOURS, "discover", 0.0))
+        self.peers = Peers(self.system, self.clock, identity, ("10.0.0.1", 7000))
+        self.system.tell(TIMERS, Subscribe(PEERS, "discover", 0.0))
         run_for(self.clock, 0.1)
 
     def test_entry_is_under_a_lease(self):
@@ -43,7 +41,7 @@
 
     def test_drained_node_leaves(self):
         """Guards against calls to a node that was stopped as planned."""
-        self.system.tell(NEIGHBOURS, Drain())
+        self.system.tell(PEERS, Drain())
         run_for(self.clock, 3 * DISCOVERY_S)
         self.assertNotIn(KEY, self.store.contents.items_by_key)
 
@@ -51,21 +49,21 @@
         """Guards against an outage that is judged from one node's view."""
         self.store.contents.put(NODES_PREFIX + "n2", "10.0.0.2:7000")
         run_for(self.clock, DISCOVERY_S + 0.1)
-        reply = self.system.ask(NEIGHBOURS, ListNeighbours())
+        reply = self.system.ask(PEERS, ListPeers())
         run_for(self.clock, 0.05)
         view = outcome(reply)
         self.assertEqual((view.fresh, view.known), ((), 1))
 
     def test_node_that_is_cut_off_does_not_reach_the_store(self):
         """Guards against a node that is ready and refuses everything."""
-        self.system.tell(NEIGHBOURS, StoreAvailability(False))
+        self.system.tell(PEERS, StoreAvailability(False))
         run_for(self.clock, 0.05)
-        self.assertFalse(self.neighbours.reaches_store)
+        self.assertFalse(self.peers.reaches_store)
         wire = WireNodeSummary("n2", "10.0.0.2:7000", "l", 1, "", "", 0, True, 0.0)
-        self.neighbours._take(wire, wire.address)
-        self.assertTrue(self.neighbours.reaches_store)
+        self.peers._take(wire, wire.address)
+        self.assertTrue(self.peers.reaches_store)
         run_for(self.clock, FRESH_S + 0.1)
-        self.assertFalse(self.neighbours.reaches_store)
+        self.assertFalse(self.peers.reaches_store)
 
 
 if __name__ == "__main__":
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -169,7 +169,9 @@
         domain = Domain({"a": (Shape(4, 4),)}, make_workers(40))
         spec = make_spec("b", 20)
         domain.place(spec)
-        with mock.patch.object(_cells, "build_room", wraps=_cells.build_room) as build:
+        with mock.patch.object(
+            _cells, "build_worker_capacity", wraps=_cells.build_worker_capacity
+        ) as build:
             domain.place(spec)
         self.assertLessEqual(build.call_count, 10)
 
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -12,7 +12,7 @@
     SettingsError,
     UnavailableError,
 )
-from redwingrudder.platform.front import decode_submission
+from redwingrudder.platform.front_end import decode_submission
 from redwingrudder.platform.http_client import JsonReply
 from redwingrudder.platform.registry import PlatformConfiguration, PlatformRegistry
 from redwingrudder.platform.settings import load_settings
@@ -88,7 +88,7 @@
         """Guards against a rack or a life that is read wrongly."""
         facts = self.decode()
         self.assertEqual(
-            (facts.worker_id, facts.rack, facts.born_ms), ("w1", "r1-3", 5)
+            (facts.worker_id, facts.rack, facts.process_started_ms), ("w1", "r1-3", 5)
         )
         self.assertEqual(facts.capacity, Resources(16000, 32768, 8))
 
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -8,7 +8,7 @@
 from redwingrudder._problems import Answer
 from redwingrudder.actors import ActorSystem
 from redwingrudder.coordination.metrics import METRICS, Counted, Observed
-from redwingrudder.platform.front import Front
+from redwingrudder.platform.front_end import FrontEnd
 
 from .coordination_fakes import Recording, run_for
 
@@ -35,7 +35,7 @@
         clock = Clock()
         system = ActorSystem(clock)
         Recording(system, METRICS, {Counted: None, Observed: None})
-        front = Front(system, clock, ("127.0.0.1", 0))
+        front = FrontEnd(system, clock, ("127.0.0.1", 0))
         request = FakeRequest()
         front._respond(request)
         run_for(clock, 0.05)
--- a/tests/test_slack_policy.py
+++ b/tests/test_slack_policy.py
@@ -6,9 +6,9 @@
     QUEUED_CALLER_LIMIT,
     QUEUED_GROUP_LIMIT,
     QUEUED_TOTAL_LIMIT,
+    FailureStreakHealth,
     SlackAdmission,
     SlackOrder,
-    StreakHealth,
 )
 from redwingrudder.fleet import Fleet
 from redwingrudder.policies import QueuedJob, QueueSize, ResourceUse
@@ -141,7 +141,7 @@
 
 class StreakHealthTests(unittest.TestCase):
     def setUp(self):
-        self.policy = StreakHealth()
+        self.policy = FailureStreakHealth()
 
     def fail(self, *job_ids, worker="w0", now=NOW):
         for job_id in job_ids:
