--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -19,7 +19,7 @@
     Fenced,
     StartSettled,
     WorkerLapsed,
-    WorkerLooked,
+    WorkerPolled,
     WorkerSilent,
 )
 from redwingrudder.coordination.worker_session import WorkerSession, longest_hold_s
@@ -41,7 +41,7 @@
     Attributes:
         deaf: No call is answered.
         deaf_starts: So many starts are not answered.
-        hanging: Looks get no answer and do not fail.
+        hanging: Polls get no answer and do not fail.
         outdated: Starts are rejected, as the run has ended already.
         refusal: Reason with which all commands are rejected.
     """
@@ -75,13 +75,13 @@
     async def stop(self, run, fence, timeout_s):
         return self._reply("stop")
 
-    async def pace(self, run, fence, timeout_s):
+    async def throttle(self, run, fence, timeout_s):
         return self._reply("pace")
 
-    async def look(self, fence, seen, lease_until_ms, wait_s, timeout_s):
+    async def poll(self, fence, seen, lease_until_ms, wait_s, timeout_s):
         if self.hanging:
             await Deferred()
-        reply = self._reply(f"look {bool(lease_until_ms)}")
+        reply = self._reply(f"poll {bool(lease_until_ms)}")
         if not reply.accepted:
             return reply
         return WorkerReport(reply.clock_ms, 1, (), ())
@@ -97,7 +97,7 @@
     def setUp(self):
         self.clock, self.system, _ = node_system()
         TimerService(self.system)
-        kinds = (WorkerLooked, WorkerSilent, WorkerLapsed, StartSettled)
+        kinds = (WorkerPolled, WorkerSilent, WorkerLapsed, StartSettled)
         self.coordinator = Recording(
             self.system, COORDINATOR, dict.fromkeys(kinds, None)
         )
@@ -119,9 +119,9 @@
         run = StartRun("w1", fx.key(), 1, "payload", "")
         self.system.tell(self.session.name, run)
 
-    def test_first_look_extends_no_lease(self):
+    def test_first_poll_extends_no_lease(self):
         """Guards against a lease on a clock that is not known yet."""
-        self.assertEqual(self.channel.calls[0], "look False")
+        self.assertEqual(self.channel.calls[0], "poll False")
 
     def test_lost_start_is_sent_again(self):
         """Guards against a run given up for one lost answer."""
@@ -155,7 +155,7 @@
                 self.coordinator.received.clear()
                 self.start_run()
                 run_for(self.clock, 0.02)
-                self.assertEqual(self.last_told(), [WorkerLooked, StartSettled])
+                self.assertEqual(self.last_told(), [WorkerPolled, StartSettled])
 
     def test_silent_worker_lapses_only_after_its_longest_lease(self):
         """Guards against a second run while a lease may still hold."""
@@ -197,7 +197,7 @@
         self.assertFalse(self.told(WorkerLapsed))
 
     def test_lost_stop_does_not_tell_that_a_worker_left(self):
-        """Guards against runs given up while the last look is on its way."""
+        """Guards against runs given up while the last poll is on its way."""
         self.channel.deaf = True
         self.system.tell(self.session.name, EntryRemoved(True))
         run_for(self.clock, 0.1)
@@ -215,14 +215,16 @@
         run_for(self.clock, longest_hold_s(LEASE_S) + 5.0)
         self.assertEqual(len(self.told(StartSettled)), 1)
 
-    def test_unsettled_runs_are_stopped_before_the_first_look(self):
+    def test_unsettled_runs_are_stopped_before_the_first_poll(self):
         """Guards against a report that misses an order still on its way."""
         channel = FakeChannel(self.clock)
-        voided = (StopRun("w2", fx.key(), 4),)
-        session = WorkerSession(self.system, fx.worker("w2"), channel, 3, TIMES, voided)
+        unsettled = (StopRun("w2", fx.key(), 4),)
+        session = WorkerSession(
+            self.system, fx.worker("w2"), channel, 3, TIMES, unsettled
+        )
         session.start()
         run_for(self.clock, 0.1)
-        self.assertEqual(channel.calls[:2], ["stop", "look True"])
+        self.assertEqual(channel.calls[:2], ["stop", "poll True"])
 
     def test_fence_is_reported(self):
         """Guards against a deposed coordinator that does not notice."""
@@ -231,7 +233,7 @@
         self.assertTrue(self.leadership.received)
 
     def test_idle_worker_is_not_asked_without_a_pause(self):
-        """Guards against looks that take all of a node's processor time."""
+        """Guards against polls that take all of a node's processor time."""
         before = len(self.channel.calls)
         run_for(self.clock, 5.0)
         self.assertLess(len(self.channel.calls) - before, 10)
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -184,24 +184,24 @@
     """Workers that restart, fail, hang or leave."""
 
     def test_restart_frees_all_runs(self):
-        """Guards against runs that wait for a worker's past life."""
+        """Guards against runs that wait for a worker's past incarnation."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow(), 0.0)
         first = fx.starts(engine.plan(0.0, 0.0))
         fx.confirm(engine, first)
-        engine.set_worker(fx.worker("w1", born_ms=2), 1.0)
+        engine.set_worker(fx.worker("w1", process_started_ms=2), 1.0)
         again = fx.starts(engine.plan(1.0, 1.0))
         self.assertGreater(again[0].run, first[0].run)
 
     def test_unanswered_start_outlives_its_workers_life(self):
-        """Guards against a start that reaches the worker's next life."""
+        """Guards against a start that reaches the worker's next incarnation."""
         engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
         engine.accept(fx.workflow(), 0.0)
         start = fx.starts(engine.plan(0.0, 0.0))[0]
-        engine.set_worker(fx.worker(start.worker_id, born_ms=2), 1.0)
+        engine.set_worker(fx.worker(start.worker_id, process_started_ms=2), 1.0)
         self.assertEqual(fx.starts(engine.plan(1.0, 1.0)), [])
-        voided = engine.unsettled_runs(start.worker_id)
-        self.assertEqual([(v.key, v.run) for v in voided], [(start.key, start.run)])
+        unsettled = engine.unsettled_runs(start.worker_id)
+        self.assertEqual([(v.key, v.run) for v in unsettled], [(start.key, start.run)])
         engine.reconcile(start.worker_id, set(), True, 1.1)
         self.assertEqual(len(fx.starts(engine.plan(1.2, 1.2))), 1)
 
@@ -270,7 +270,7 @@
     def test_start_in_flight_survives_a_silence(self):
         """Guards against a second run beside a start that is sent again.
 
-        Soak seed 600: the worker fell silent and answered a look while the
+        Soak seed 600: the worker fell silent and answered a poll while the
         session was repeating the start.
         """
         engine = fx.engine(fx.worker("w1"))
@@ -403,12 +403,12 @@
         self.assertEqual(self.evacuated(50.0)[0], [])
 
     def test_new_life_does_not_leave(self):
-        """Guards against a drain that outlives its worker's life."""
+        """Guards against a drain that outlives its worker's incarnation."""
         engine = fx.engine()
         engine.set_worker(fx.worker("w1", draining=True, remaining_s=1.0), 0.0)
-        engine.set_worker(fx.worker("w1", born_ms=2), 5.0)
+        engine.set_worker(fx.worker("w1", process_started_ms=2), 5.0)
         engine.set_worker(
-            fx.worker("w1", born_ms=2, draining=True, remaining_s=9.0), 6.0
+            fx.worker("w1", process_started_ms=2, draining=True, remaining_s=9.0), 6.0
         )
         self.assertEqual(engine.workers_by_id["w1"].leaves_at, 15.0)
 
@@ -478,7 +478,7 @@
             now = 1.0 + step * 0.5
             tail = fx.running(begun["serve"], 100.0)._replace(usage=150.0)
             engine.report("w1", [tail, fx.running(begun["fill"], now)], now)
-            engine.pace(now)
+            engine.throttle(now)
             paces.extend(effect.percent for effect in engine.take_effects())
         self.assertEqual(paces, [40, 16, 0])
 
@@ -486,12 +486,12 @@
         """Guards against filling tasks that stay stopped for ever."""
         engine, begun = self.shared()
         task = engine.workflows_by_id["fill"].find(begun["fill"].key)
-        task.pace = 40
+        task.speed_percent = 40
         for now in (2.0, 4.0, 6.0):
             tail = fx.running(begun["serve"], 100.0)._replace(usage=20.0)
             engine.report("w1", [tail], now)
-            engine.pace(now)
-        self.assertEqual(task.pace, 85)
+            engine.throttle(now)
+        self.assertEqual(task.speed_percent, 85)
 
 
 class PriorityTests(unittest.TestCase):
--- a/tests/workflow_fixtures.py
+++ b/tests/workflow_fixtures.py
@@ -20,10 +20,10 @@
 WHOLE_WORKER = Resources(52_000, 75_000, 8)
 
 
-def worker(worker_id, rack="r1", born_ms=1, **changes):
+def worker(worker_id, rack="r1", process_started_ms=1, **changes):
     facts = WorkerFacts(
         worker_id,
-        born_ms,
+        process_started_ms,
         f"10.0.0.1:{len(worker_id)}",
         "pool",
         "domain",
