Name the tables passed between modules after their classes

Parameters and attributes named "book" held a CellTable or the run time estimates, and some doc lines were too long after the renames.

They are now cell_table and run_times; doc lines are wrapped.

--- a/src/redwingrudder/_placement_cost.py
+++ b/src/redwingrudder/_placement_cost.py
@@ -57,14 +57,14 @@
     configuration = _configuration(workers)
     configuration = configuration._replace(cells=plan_cells(configuration, infos))
     fleet = _filled_fleet(infos, rng)
-    book = CellTable()
-    book.assign(configuration, "measured", fleet, now=0.0)
-    times_ms = _time_decisions(fleet, book, rng)
+    cell_table = CellTable()
+    cell_table.assign(configuration, "measured", fleet, now=0.0)
+    times_ms = _time_decisions(fleet, cell_table, rng)
     p99_ms = statistics.quantiles(times_ms, n=100)[98]
     return PlacementCost(statistics.median(times_ms), p99_ms, len(times_ms))
 
 
-def _time_decisions(fleet: Fleet, book: CellTable, rng: random.Random) -> list:
+def _time_decisions(fleet: Fleet, cell_table: CellTable, rng: random.Random) -> list:
     policy = BestFitPlacement()
     times_ms: list[float] = []
     held: list[tuple[str, Placement]] = []
@@ -72,7 +72,7 @@
         organisation = f"org{rng.randrange(ORGANISATIONS):03}"
         spec = _spec(organisation, GANG_TASKS, 1, borrower=rng.random() < 0.5)
         started = time.perf_counter()
-        placement = policy.place(spec, fleet, book)
+        placement = policy.place(spec, fleet, cell_table)
         times_ms.append((time.perf_counter() - started) * 1000)
         if placement is not None:
             fleet.hold(f"measured{serial}", spec, placement)
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -253,9 +253,9 @@
         self.fire(gang.gang_id, "task_failed")
 
     def _is_still_allowed(self, gang: GangRecord) -> bool:
-        book = self._context.guarantees
+        cell_table = self._context.guarantees
         return all(
-            book.allows(gang.spec, gang.members_by_worker[worker_id])
+            cell_table.allows(gang.spec, gang.members_by_worker[worker_id])
             for worker_id in gang.unheld
         )
 
--- a/src/redwingrudder/_spec_guarantee.py
+++ b/src/redwingrudder/_spec_guarantee.py
@@ -135,7 +135,7 @@
     def __init__(self, flaw: Flaw) -> None:
         self._flaw = flaw
         self._fleet = Fleet()
-        self._book = CellTable()
+        self._cell_table = CellTable()
         organisations = {
             name: Organisation(name, shapes)
             for name, shapes in SHAPES_BY_ORGANISATION.items()
@@ -171,7 +171,7 @@
         )
         cells = tuple(
             (cell.key.organisation, tuple(sorted(cell.accelerators_by_worker.items())))
-            for cell in self._book.cells()
+            for cell in self._cell_table.cells()
         )
         return Occupation(
             held,
@@ -197,10 +197,10 @@
         asked = spec
         if self._flaw is Flaw.FOREIGN_FIRM:
             asked = spec._replace(idempotent=True, preemptible=True)
-        placement = BestFitPlacement().place(asked, self._fleet, self._book)
+        placement = BestFitPlacement().place(asked, self._fleet, self._cell_table)
         if placement is not None or self._flaw is Flaw.NO_RECLAIM:
             return placement, ()
-        plan = CellReclaim().reclaim(spec, self._fleet, self._book)
+        plan = CellReclaim().reclaim(spec, self._fleet, self._cell_table)
         return (plan.placement, plan.gangs_to_stop) if plan else (None, ())
 
     def _end(self, gang_id: str) -> None:
@@ -209,13 +209,13 @@
             self._fleet.release_member(gang_id, worker_id)
 
     def _assign(self) -> None:
-        self._book.assign(self._configuration, DOMAIN, self._fleet, 0.0)
+        self._cell_table.assign(self._configuration, DOMAIN, self._fleet, 0.0)
 
     def _find_faults(self) -> tuple[str, ...]:
         """Find cells with foreign holders that cannot be stopped."""
         owners = {
             (worker_id, index): cell.key.organisation
-            for cell in self._book.cells()
+            for cell in self._cell_table.cells()
             for worker_id, indexes in cell.accelerators_by_worker.items()
             for index in indexes
         }
@@ -233,7 +233,7 @@
 
     def _find_unreported(self) -> tuple[str, ...]:
         """Find organisations without their whole shapes or a shortage."""
-        short = {shortage.organisation for shortage in self._book.shortages}
+        short = {shortage.organisation for shortage in self._cell_table.shortages}
         return tuple(
             name
             for name, shapes in SHAPES_BY_ORGANISATION.items()
@@ -245,14 +245,14 @@
     def _live_accelerators(self, organisation: str) -> int:
         return sum(
             len(indexes)
-            for cell in self._book.cells_of(organisation)
+            for cell in self._cell_table.cells_of(organisation)
             for worker_id, indexes in cell.accelerators_by_worker.items()
             if worker_id in self._fleet.workers_by_id
         )
 
     def _find_denied(self) -> tuple[str, ...]:
         """Find organisations whose shape cannot be placed for them now."""
-        short = {shortage.organisation for shortage in self._book.shortages}
+        short = {shortage.organisation for shortage in self._cell_table.shortages}
         busy = {gang.spec.organisation for gang in self._fleet.gangs_by_id.values()}
         return tuple(
             name
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -56,8 +56,8 @@
         policies: PolicySet,
         guarantees: CellTable | None = None,
     ) -> None:
-        book = CellTable() if guarantees is None else guarantees
-        self._context = Context(failure_domain, policies, book)
+        cell_table = CellTable() if guarantees is None else guarantees
+        self._context = Context(failure_domain, policies, cell_table)
         self._jobs = JobTable(self._context)
         self._gangs = GangTable(self._context, self._jobs)
         self._placer = Placer(self._context, self._jobs, self._gangs)
@@ -251,14 +251,14 @@
         self._placer.run()
 
     def _assign_cells(self) -> None:
-        context, book = self._context, self._context.guarantees
-        before = book.shortages
-        book.assign(
+        context, cell_table = self._context, self._context.guarantees
+        before = cell_table.shortages
+        cell_table.assign(
             context.configuration, context.failure_domain, context.fleet, context.now
         )
-        if book.shortages != before:
+        if cell_table.shortages != before:
             context.resources_changed = True
-            context.emit(ShortagesChanged(book.shortages))
+            context.emit(ShortagesChanged(cell_table.shortages))
 
     def _wake(self) -> None:
         context = self._context
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -102,8 +102,9 @@
     def _interrupt_confirmed(self, worker: Worker, now: float) -> None:
         """Interrupt the runs of a past incarnation.
 
-        An order without an answer may still reach the new incarnation, so its run is
-        kept until the first report of that incarnation, see ``unsettled_runs``.
+        An order without an answer may still reach the new incarnation, so its
+        run is kept until the first report of that incarnation, see
+        ``unsettled_runs``.
         """
         for task in list(worker.tasks_by_key.values()):
             if task.state == "running":
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -168,7 +168,8 @@
 
     Attributes:
         worker_id: Its id.
-        process_started_ms: Start of its present process, Unix milliseconds, 0 unknown.
+        process_started_ms: Start of its present process, Unix milliseconds,
+            0 unknown.
         address: "host:port".
         pool: Pool that it belongs to.
         failure_domain: Where it stands.
--- a/src/redwingrudder/workflows/ordering.py
+++ b/src/redwingrudder/workflows/ordering.py
@@ -17,7 +17,7 @@
         """Return the sort key; the lowest comes first."""
 
 
-def remaining_chain_s(stage: Stage, book: RunTimeEstimates) -> float:
+def remaining_chain_s(stage: Stage, run_times: RunTimeEstimates) -> float:
     """Return the longest chain of expected run times from this step on."""
     steps = stage.workflow.workflow.steps
     stages = stage.workflow.occurrences[stage.occurrence].stages
@@ -28,31 +28,31 @@
             for later in range(index + 1, len(steps))
             if index in steps[later].after
         ]
-        own = book.expected_s(stages[index])
+        own = run_times.expected_s(stages[index])
         longest[index] = own + max(followers, default=0.0)
     return longest[stage.index]
 
 
-def chain_s(stage: Stage, book: RunTimeEstimates) -> float:
+def chain_s(stage: Stage, run_times: RunTimeEstimates) -> float:
     """Return the longest chain of expected run times of the workflow."""
     stages = stage.workflow.occurrences[stage.occurrence].stages
     reach: list[float] = []
     for each in stages:
         begin = max((reach[i] for i in each.spec.after), default=0.0)
-        reach.append(begin + book.expected_s(each))
+        reach.append(begin + run_times.expected_s(each))
     return max(reach, default=0.0)
 
 
-def objective_s(stage: Stage, book: RunTimeEstimates) -> float:
+def objective_s(stage: Stage, run_times: RunTimeEstimates) -> float:
     """Return the seconds from acceptance within which full credit is due."""
     policy = stage.workflow.workflow.policy
-    return policy.stretch * chain_s(stage, book) + policy.latency_s
+    return policy.stretch * chain_s(stage, run_times) + policy.latency_s
 
 
-def slack_s(stage: Stage, book: RunTimeEstimates, now: float) -> float:
+def slack_s(stage: Stage, run_times: RunTimeEstimates, now: float) -> float:
     """Return how long the step can still wait and be on time."""
     waited = now - stage.workflow.accepted_mono
-    return objective_s(stage, book) - waited - remaining_chain_s(stage, book)
+    return objective_s(stage, run_times) - waited - remaining_chain_s(stage, run_times)
 
 
 class SlackOrder(StageOrder):
@@ -62,22 +62,22 @@
     those too late for any credit come last, shortest work first.
 
     Args:
-        book: Expected run times.
+        run_times: Expected run times.
     """
 
-    def __init__(self, book: RunTimeEstimates) -> None:
-        self._book = book
+    def __init__(self, run_times: RunTimeEstimates) -> None:
+        self._run_times = run_times
 
     def key(self, stage: Stage, now: float) -> tuple:
         """See base class."""
         policy = stage.workflow.workflow.policy
-        slack = slack_s(stage, self._book, now)
+        slack = slack_s(stage, self._run_times, now)
         waited = now - stage.workflow.accepted_mono
         if slack >= 0 or stage.spec.service:
             lateness = 0
-        elif waited + remaining_chain_s(stage, self._book) < LATE_FACTOR * objective_s(
-            stage, self._book
-        ):
+        elif waited + remaining_chain_s(
+            stage, self._run_times
+        ) < LATE_FACTOR * objective_s(stage, self._run_times):
             lateness = 1
         else:
             lateness = 2
@@ -89,5 +89,5 @@
 
     def _work(self, stage: Stage) -> float:
         demand = stage.spec.demand
-        expected = self._book.expected_s(stage)
+        expected = self._run_times.expected_s(stage)
         return stage.spec.tasks * expected * (1 + demand.accelerators)
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -57,12 +57,12 @@
 
     Args:
         now: Steady-clock seconds.
-        book: Expected run times.
+        run_times: Expected run times.
     """
 
-    def __init__(self, now: float, book: RunTimeEstimates) -> None:
+    def __init__(self, now: float, run_times: RunTimeEstimates) -> None:
         self._now = now
-        self._book = book
+        self._run_times = run_times
 
     def options(
         self, worker: Worker, demand: Resources, most: int
@@ -85,7 +85,7 @@
         return options
 
     def _left_s(self, task: Task) -> float:
-        return remaining_run_s(task, self._book, self._now)
+        return remaining_run_s(task, self._run_times, self._now)
 
 
 class PreemptibleCapacity(CapacitySource):
@@ -96,7 +96,8 @@
         rank: Rank of the step that needs capacity.
         rank_of: Returns the rank of a running task's step; only tasks with a
             higher number are stopped.
-        doomed: Keys of tasks whose stop is decided; their capacity costs nothing.
+        doomed: Keys of tasks whose stop is decided; their capacity costs
+            nothing.
     """
 
     def __init__(
@@ -163,7 +164,7 @@
         )
 
 
-def remaining_run_s(task: Task, book: RunTimeEstimates, now: float) -> float:
+def remaining_run_s(task: Task, run_times: RunTimeEstimates, now: float) -> float:
     """Return the expected seconds until a run ends."""
     if task.state == "stopping":
         return 0.1
@@ -172,7 +173,7 @@
     worked_s = task.reported_at - task.started_at
     # A resumed run begins above 0 percent, so its progress shows no speed.
     if task.run_resumed or task.percent < 5 or worked_s < 0.3:
-        estimate = book.expected_s(task.stage) * share_left
+        estimate = run_times.expected_s(task.stage) * share_left
         return max(estimate - unseen_s, 0.1 * estimate)
     return max(worked_s * 100 / task.percent * share_left - unseen_s, 0.05)
 
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -78,13 +78,15 @@
     """Strict priorities, guarantees, claims for steps that wait for capacity.
 
     Args:
-        book: Expected run times.
+        run_times: Expected run times.
         order: Order of steps of equal rank.
     """
 
-    def __init__(self, book: RunTimeEstimates, order: StageOrder | None = None) -> None:
-        self._book = book
-        self._order = order or SlackOrder(book)
+    def __init__(
+        self, run_times: RunTimeEstimates, order: StageOrder | None = None
+    ) -> None:
+        self._run_times = run_times
+        self._order = order or SlackOrder(run_times)
 
     def plan(
         self,
@@ -102,7 +104,7 @@
         stages = ready_stages(active, now, wall)
         ranks = {id(stage): rank(stage, entitled) for stage in stages}
         stages.sort(key=lambda s: (ranks[id(s)], *self._order.key(s, now)))
-        pass_ = _Pass(workers, entitled, self._book, now)
+        pass_ = _Pass(workers, entitled, self._run_times, now)
         for stage in stages:
             pass_.place(stage, ranks[id(stage)])
         return SchedulingPlan(
@@ -117,7 +119,7 @@
         self,
         workers: list[Worker],
         entitled: frozenset[str],
-        book: RunTimeEstimates,
+        run_times: RunTimeEstimates,
         now: float,
     ) -> None:
         self.starts: list[tuple[Task, Worker]] = []
@@ -125,7 +127,7 @@
         self.questions: list[tuple[Stage, tuple[str, ...]]] = []
         self._workers = workers
         self._entitled = entitled
-        self._book = book
+        self._run_times = run_times
         self._now = now
         self._claims = 0
         self._usable_by_kind: dict[
@@ -158,7 +160,7 @@
             if stage.spec.gang and not fits_when_empty(stage, len(rest), candidates):
                 return
             self._claims += 1
-            released = ReleasedCapacity(self._now, self._book)
+            released = ReleasedCapacity(self._now, self._run_times)
             self._claim(stage, choose(stage, rest, near, released, self._now))
 
     def _usable(self, stage: Stage) -> tuple[list[Worker], list[Worker]]:
@@ -220,7 +222,7 @@
         """Return the workers beside the data while waiting for them pays."""
         rack = stage.spec.data_rack
         waited = self._now - (stage.ready_at or self._now)
-        if not rack or waited > DATA_WAIT_SHARE * self._book.expected_s(stage):
+        if not rack or waited > DATA_WAIT_SHARE * self._run_times.expected_s(stage):
             return candidates
         near = [worker for worker in candidates if worker.facts.rack == rack]
         if stage.spec.gang and not fits_when_empty(stage, stage.spec.tasks, near):
@@ -230,7 +232,7 @@
     def _may_preempt(self, stage: Stage, stage_rank: int) -> bool:
         if stage_rank <= 0:
             return True
-        return 0.0 <= slack_s(stage, self._book, self._now) < PREEMPT_SLACK_S
+        return 0.0 <= slack_s(stage, self._run_times, self._now) < PREEMPT_SLACK_S
 
     def _make_room(
         self,
@@ -249,8 +251,8 @@
             gangs = [victim for victim in victims if victim.stage.spec.gang]
             if not gangs:
                 break
-            # The end of one gang frees capacity on many workers, so the rest of
-            # the options is chosen anew before another gang is stopped.
+            # The end of one gang frees capacity on many workers, so the rest
+            # of the options is chosen anew before another gang is stopped.
             self._stop(min(gangs, key=lambda task: stop_cost(task, self._now)))
         for option in options:
             for victim in option.victims:
--- a/src/redwingrudder/workflows/run_times.py
+++ b/src/redwingrudder/workflows/run_times.py
@@ -73,7 +73,7 @@
     return spent * 100 / max(task.percent, MIN_PROGRESS_PERCENT)
 
 
-def reference_s(task: Task, book: RunTimeEstimates) -> float | None:
+def reference_s(task: Task, run_times: RunTimeEstimates) -> float | None:
     """Return what the run should take at most: as its peers, or as learned.
 
     Tasks of one step are alike, while the means of a queue say little about
@@ -86,14 +86,16 @@
     ]
     if peers:
         return statistics.median(peers)
-    if not book.knows(task.stage):
+    if not run_times.knows(task.stage):
         return None
-    return LONG_RUN_FACTOR * book.expected_s(task.stage)
+    return LONG_RUN_FACTOR * run_times.expected_s(task.stage)
 
 
-def update_worker_speed(worker: Worker, book: RunTimeEstimates, now: float) -> None:
+def update_worker_speed(
+    worker: Worker, run_times: RunTimeEstimates, now: float
+) -> None:
     """Judge a worker by the progress of its runs."""
-    found = (_speed_ratio(task, book) for task in worker.tasks_by_key.values())
+    found = (_speed_ratio(task, run_times) for task in worker.tasks_by_key.values())
     ratios = [ratio for ratio in found if ratio is not None]
     if ratios:
         worker.speed = statistics.median(ratios)
@@ -102,13 +104,13 @@
         worker.speed = 1.0
 
 
-def _speed_ratio(task: Task, book: RunTimeEstimates) -> float | None:
+def _speed_ratio(task: Task, run_times: RunTimeEstimates) -> float | None:
     """Return a run's speed as a share of what is usual, None if unclear."""
     change = _change_of_rate(task)
     if change is not None and change > RECOVERED_RATIO:
         return change
     projected = projected_s(task)
-    reference = reference_s(task, book) if projected is not None else None
+    reference = reference_s(task, run_times) if projected is not None else None
     if projected is None or reference is None:
         return change
     ratio = reference / projected
@@ -138,10 +140,10 @@
     return worker.speed < SLOW_SPEED
 
 
-def is_restart_worthwhile(task: Task, book: RunTimeEstimates) -> bool:
+def is_restart_worthwhile(task: Task, run_times: RunTimeEstimates) -> bool:
     """Return whether a run ends sooner when started anew elsewhere."""
     projected = projected_s(task)
-    reference = reference_s(task, book)
+    reference = reference_s(task, run_times)
     if projected is None or reference is None:
         return False
     if task.stage.restarts >= RESTARTS_LIMIT or task.stage.spec.service:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -300,7 +300,7 @@
             self._count_free()
 
     def claim(self, amount: Resources) -> None:
-        """Keep capacity for a step that waits, until the next planning pass."""
+        """Keep capacity for a waiting step until the next planning pass."""
         self._claimed = self._claimed.plus(amount)
         self._count_free()
 
--- a/tests/_fleet_steps.py
+++ b/tests/_fleet_steps.py
@@ -75,7 +75,7 @@
         self.workers = workers or make_workers()
         self.policy = policy or BestFitPlacement()
         self.fleet = Fleet()
-        self.book = CellTable()
+        self.cell_table = CellTable()
         self.configuration = configure(guarantees, self.workers)
         self.now = 0.0
         self.serial = 0
@@ -85,10 +85,10 @@
 
     def assign(self):
         self.now += 1.0
-        self.book.assign(self.configuration, "d0", self.fleet, self.now)
+        self.cell_table.assign(self.configuration, "d0", self.fleet, self.now)
 
     def place(self, spec):
-        placement = self.policy.place(spec, self.fleet, self.book)
+        placement = self.policy.place(spec, self.fleet, self.cell_table)
         return self.hold(spec, placement) if placement else None
 
     def hold(self, spec, placement):
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -56,10 +56,10 @@
     def test_cells_stay_reclaimable_through_all_changes(self, steps):
         """Guards against work that is placed where it blocks a cell."""
         domain = Domain(FULL)
-        self.assertEqual(domain.book.shortages, ())
+        self.assertEqual(domain.cell_table.shortages, ())
         for name, seed in steps:
             domain.step(name, seed)
-            self.assertEqual(domain.book.violations(domain.fleet), ())
+            self.assertEqual(domain.cell_table.violations(domain.fleet), ())
 
     @GENERATED
     @given(STEPS)
@@ -69,11 +69,11 @@
         for name, seed in steps:
             domain.step(name, seed)
         domain.assign()
-        before = domain.book.cells()
-        since = domain.book.shortages
+        before = domain.cell_table.cells()
+        since = domain.cell_table.shortages
         domain.assign()
-        self.assertEqual(domain.book.cells(), before)
-        self.assertEqual(domain.book.shortages, since)
+        self.assertEqual(domain.cell_table.cells(), before)
+        self.assertEqual(domain.cell_table.shortages, since)
 
     @GENERATED
     @given(st.integers(0, 2**32))
@@ -82,11 +82,11 @@
         rng = random.Random(seed)
         domain = Domain(FULL)
         fill_with_borrowers(domain, rng)
-        cells = list(domain.book.cells())
+        cells = list(domain.cell_table.cells())
         rng.shuffle(cells)
         for cell in cells:
             spec = make_spec(cell.key.organisation, cell.size, cores=4, memory_mb=10)
-            plan = CellReclaim().reclaim(spec, domain.fleet, domain.book)
+            plan = CellReclaim().reclaim(spec, domain.fleet, domain.cell_table)
             self.assertIsNotNone(plan, cell)
             for gang_id in plan.gangs_to_stop:
                 stopped = domain.fleet.gangs_by_id[gang_id].spec
@@ -94,7 +94,7 @@
                 self.assertTrue(stopped.preemptible and stopped.idempotent)
                 domain.release(gang_id)
             domain.hold(spec, plan.placement)
-            self.assertEqual(domain.book.violations(domain.fleet), ())
+            self.assertEqual(domain.cell_table.violations(domain.fleet), ())
         self.assertTrue(all(held_by(domain, c) == {c.key.organisation} for c in cells))
 
     @GENERATED
@@ -105,13 +105,13 @@
         for name, step_seed in steps:
             domain.step(name, step_seed)
         fill_with_borrowers(domain, random.Random(seed))
-        cells = domain.book.cells()
+        cells = domain.cell_table.cells()
         for cell in cells:
             owner = cell.key.organisation
             if owner in held_by(domain, cell) or self._uses_share(domain, cell):
                 continue
             spec = make_spec(owner, cell.size, cores=4, memory_mb=10)
-            plan = CellReclaim().reclaim(spec, domain.fleet, domain.book)
+            plan = CellReclaim().reclaim(spec, domain.fleet, domain.cell_table)
             self.assertIsNotNone(plan, cell)
             owners = {
                 domain.fleet.gangs_by_id[g].spec.organisation
@@ -135,16 +135,16 @@
         domain = Domain({"a": (Shape(4, 8),)})
         domain.fleet.remove_worker("d0w0")
         domain.assign()
-        first = domain.book.shortages
+        first = domain.cell_table.shortages
         domain.fleet.set_draining("d0w1")
         domain.assign()
         self.assertEqual([s.missing_accelerators for s in first], [4])
-        self.assertEqual(len(domain.book.shortages), 2)
-        self.assertIn(first[0], domain.book.shortages)
+        self.assertEqual(len(domain.cell_table.shortages), 2)
+        self.assertIn(first[0], domain.cell_table.shortages)
         for info in domain.workers[:2]:
             domain.fleet.add_worker(info, "boot2", draining=False)
         domain.assign()
-        self.assertEqual(domain.book.shortages, ())
+        self.assertEqual(domain.cell_table.shortages, ())
 
     def test_small_cells_make_way_when_a_large_one_fits_nowhere(self):
         """Guards against a shortage that only the order of changes causes."""
@@ -153,8 +153,8 @@
         large = {"a": small["a"], "c": small["c"], "e": (Shape(4, 3),)}
         domain.configuration = configure(large, domain.workers)
         domain.assign()
-        self.assertEqual(domain.book.shortages, ())
-        self.assertEqual(domain.book.violations(domain.fleet), ())
+        self.assertEqual(domain.cell_table.shortages, ())
+        self.assertEqual(domain.cell_table.violations(domain.fleet), ())
 
     def test_oversized_job_keeps_off_other_cells(self):
         """Guards against an owner that spills over into another cell."""
@@ -176,7 +176,7 @@
             ({"preemptible": False}, 0),
         ):
             with self.subTest(changes):
-                found = domain.book.usable_accelerators(
+                found = domain.cell_table.usable_accelerators(
                     spec._replace(**changes), "d0w0"
                 )
                 self.assertEqual(len(found), usable)
@@ -187,10 +187,10 @@
         for worker_id in ("d0w0", "d0w1", "d0w4", "d0w5"):
             domain.fleet.remove_worker(worker_id)
         domain.assign()
-        self.assertEqual(len(domain.book.cells()[0].accelerators_by_worker), 3)
+        self.assertEqual(len(domain.cell_table.cells()[0].accelerators_by_worker), 3)
         domain.fleet.add_worker(domain.workers[0], "boot2", draining=False)
         domain.assign()
-        self.assertEqual(domain.book.violations(domain.fleet), ())
+        self.assertEqual(domain.cell_table.violations(domain.fleet), ())
 
     def test_worker_that_returns_larger_keeps_its_cell(self):
         """Guards against a cell whose owner is forgotten."""
@@ -198,30 +198,32 @@
         grown = domain.workers[0]._replace(accelerators=4)
         domain.fleet.add_worker(grown, "boot2", draining=False)
         domain.assign()
-        found = domain.book.usable_accelerators(make_spec("z"), "d0w0")
+        found = domain.cell_table.usable_accelerators(make_spec("z"), "d0w0")
         self.assertEqual(found, (2, 3))
 
     def test_work_outside_cells_does_not_reduce_the_claim(self):
         """Guards against a moved cell that counts such work as its use."""
         domain = Domain({"a": (Shape(2, 1),)}, make_workers(2))
-        (worker_id,) = domain.book.cells()[0].accelerators_by_worker
+        (worker_id,) = domain.cell_table.cells()[0].accelerators_by_worker
         other = {"d0w0": "d0w1", "d0w1": "d0w0"}[worker_id]
         member = MemberPlacement(other, (0, 1), (0, 1))
         domain.fleet.hold_member("g", make_spec("a", 2), member)
         domain.fleet.remove_worker(worker_id)
         domain.assign()
-        self.assertEqual(domain.book.cells()[0].accelerators_by_worker, {other: (2, 3)})
+        self.assertEqual(
+            domain.cell_table.cells()[0].accelerators_by_worker, {other: (2, 3)}
+        )
 
     def test_reclaim_stops_no_gang_of_the_owner(self):
         """Guards an owner's own preemptible work in its cell."""
         domain = Domain({"a": (Shape(4, 1),)}, make_workers(1))
         domain.place(make_spec("a", 3, borrower=True))
         reclaim = CellReclaim().reclaim
-        self.assertIsNone(reclaim(make_spec("a", 4), domain.fleet, domain.book))
-        plan = reclaim(make_spec("a", 1), domain.fleet, domain.book)
+        self.assertIsNone(reclaim(make_spec("a", 4), domain.fleet, domain.cell_table))
+        plan = reclaim(make_spec("a", 1), domain.fleet, domain.cell_table)
         self.assertEqual(plan.gangs_to_stop, ())
         domain.place(make_spec("a", 1, 0, borrower=True))
-        self.assertIsNone(reclaim(make_spec("a", 1), domain.fleet, domain.book))
+        self.assertIsNone(reclaim(make_spec("a", 1), domain.fleet, domain.cell_table))
 
     def test_reclaim_stops_only_borrowers_for_slots(self):
         """Guards CPU-only work that cannot be stopped, even if younger."""
@@ -230,26 +232,28 @@
         borrower = domain.place(cpu_only)
         self.assertIsNotNone(domain.place(cpu_only._replace(preemptible=False)))
         spec = make_spec("a", 4)
-        plan = CellReclaim().reclaim(spec, domain.fleet, domain.book)
+        plan = CellReclaim().reclaim(spec, domain.fleet, domain.cell_table)
         self.assertEqual(plan.gangs_to_stop, (borrower,))
         member = plan.placement.members[0]
-        self.assertTrue(domain.book.allows(spec, member))
+        self.assertTrue(domain.cell_table.allows(spec, member))
         foreign = spec._replace(organisation="z")
-        self.assertFalse(domain.book.allows(foreign, member))
+        self.assertFalse(domain.cell_table.allows(foreign, member))
         cpu_only = MemberPlacement("d0w0", (), (0,))
-        self.assertFalse(domain.book.allows(make_spec("z", 1, 0), cpu_only))
+        self.assertFalse(domain.cell_table.allows(make_spec("z", 1, 0), cpu_only))
         domain.fleet.set_draining("d0w0")
-        self.assertFalse(domain.book.allows(spec, member))
+        self.assertFalse(domain.cell_table.allows(spec, member))
         avoid = frozenset({"d0w0"})
-        self.assertIsNone(CellReclaim().reclaim(spec, domain.fleet, domain.book, avoid))
+        self.assertIsNone(
+            CellReclaim().reclaim(spec, domain.fleet, domain.cell_table, avoid)
+        )
 
     def test_violations_names_a_gang_that_cannot_be_stopped(self):
         """Guards the check itself against being blind."""
         domain = Domain({"a": (Shape(4, 1),)})
-        (worker_id,) = domain.book.cells()[0].accelerators_by_worker
+        (worker_id,) = domain.cell_table.cells()[0].accelerators_by_worker
         member = MemberPlacement(worker_id, (0,), (0,))
         domain.fleet.hold_member("g", make_spec("z"), member)
-        self.assertIn("held by g of z", domain.book.violations(domain.fleet)[0])
+        self.assertIn("held by g of z", domain.cell_table.violations(domain.fleet)[0])
 
     def test_reclaim_stops_the_fewest_and_youngest(self):
         """Guards against a plan that costs more work than needed."""
@@ -258,9 +262,9 @@
         for _ in range(15):
             domain.place(old)
         young = [domain.place(make_spec("z", 1, borrower=True)) for _ in range(2)]
-        plan = CellReclaim().reclaim(make_spec("a", 1), domain.fleet, domain.book)
+        plan = CellReclaim().reclaim(make_spec("a", 1), domain.fleet, domain.cell_table)
         self.assertEqual(plan.gangs_to_stop, (young[1],))
-        plan = CellReclaim().reclaim(make_spec("a", 2), domain.fleet, domain.book)
+        plan = CellReclaim().reclaim(make_spec("a", 2), domain.fleet, domain.cell_table)
         self.assertEqual(plan.gangs_to_stop, ("g00015",))
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -42,11 +42,11 @@
         rng = random.Random(seed)
         for _ in range(12):
             spec = random_spec(rng)
-            placement = policy.place(spec, domain.fleet, domain.book)
+            placement = policy.place(spec, domain.fleet, domain.cell_table)
             if placement is not None:
                 self._check(domain, spec, placement)
                 domain.hold(spec, placement)
-                self.assertEqual(domain.book.violations(domain.fleet), ())
+                self.assertEqual(domain.cell_table.violations(domain.fleet), ())
 
     def _check(self, domain, spec, placement):
         tasks = [task for member in placement.members for task in member.tasks]
@@ -78,7 +78,7 @@
             tasks
             for tasks in range(1, 34)
             if domain.policy.place(
-                gang._replace(tasks=tasks), domain.fleet, domain.book
+                gang._replace(tasks=tasks), domain.fleet, domain.cell_table
             )
         ]
         self.assertEqual(max(placeable, default=0), largest)
@@ -97,7 +97,9 @@
         """Guards the empty rack against a gang that fits elsewhere."""
         domain = Domain({"a": ()}, make_workers(12))
         domain.place(make_spec("a", 4))
-        placement = domain.policy.place(make_spec("a", 12), domain.fleet, domain.book)
+        placement = domain.policy.place(
+            make_spec("a", 12), domain.fleet, domain.cell_table
+        )
         self.assertEqual(racks_of(domain, placement), {"d0r0"})
 
     def test_large_gang_uses_the_fewest_racks(self):
@@ -105,7 +107,9 @@
         domain = Domain({"a": ()}, make_workers(16))
         for tasks in (16, 12, 4):
             domain.place(make_spec("a", tasks))
-        placement = domain.policy.place(make_spec("a", 20), domain.fleet, domain.book)
+        placement = domain.policy.place(
+            make_spec("a", 20), domain.fleet, domain.cell_table
+        )
         self.assertEqual(len(racks_of(domain, placement)), 2)
         self.assertIsNone(domain.place(make_spec("a", 33)))
 
@@ -115,9 +119,9 @@
         borrower = make_spec("a", 4, borrower=True)
         owners = []
         for _ in range(3):
-            placement = domain.policy.place(borrower, domain.fleet, domain.book)
+            placement = domain.policy.place(borrower, domain.fleet, domain.cell_table)
             worker = domain.fleet.workers_by_id[placement.members[0].worker_id]
-            owner = domain.book.layout_of(domain.fleet).owners(worker)[0]
+            owner = domain.cell_table.layout_of(domain.fleet).owners(worker)[0]
             owners.append((owner, placement.borrowed))
             domain.hold(borrower, placement)
         self.assertEqual(owners, [(None, False), ("a", False), ("b", True)])
@@ -125,8 +129,8 @@
     def test_small_job_of_an_owner_spares_its_large_cell(self):
         """Guards a large shape against the owner's own small work."""
         domain = Domain({"a": (Shape(12, 1), Shape(4, 1))}, make_workers(4))
-        placement = domain.policy.place(make_spec("a"), domain.fleet, domain.book)
-        small = domain.book.cells()[1].accelerators_by_worker
+        placement = domain.policy.place(make_spec("a"), domain.fleet, domain.cell_table)
+        small = domain.cell_table.cells()[1].accelerators_by_worker
         self.assertEqual({m.worker_id for m in placement.members}, set(small))
 
     def test_shares_of_own_cells_are_used_when_others_have_no_slots(self):
@@ -134,7 +138,9 @@
         workers = make_workers(1, accelerators=8, slots=8)
         domain = Domain({"a": (Shape(2, 2),)}, workers)
         domain.place(make_spec("z", 4, 0, cores=0, memory_mb=0))
-        placement = domain.policy.place(make_spec("a", 4), domain.fleet, domain.book)
+        placement = domain.policy.place(
+            make_spec("a", 4), domain.fleet, domain.cell_table
+        )
         self.assertEqual(placement.members[0].accelerators, (0, 1, 2, 3))
 
     def test_cpu_only_gangs_keep_off_free_accelerators(self):
@@ -145,9 +151,9 @@
         )
         domain = Domain({"a": (Shape(4, 4),)}, workers)
         spec = make_spec("z", 4, 0)
-        placed = [domain.policy.place(spec, domain.fleet, domain.book)]
+        placed = [domain.policy.place(spec, domain.fleet, domain.cell_table)]
         domain.hold(spec, placed[0])
-        placed.append(domain.policy.place(spec, domain.fleet, domain.book))
+        placed.append(domain.policy.place(spec, domain.fleet, domain.cell_table))
         domain.hold(spec, placed[1])
         ids = {m.worker_id for p in placed for m in p.members}
         self.assertEqual(ids, {"cpu0", "cpu1"})
@@ -159,10 +165,12 @@
         domain = Domain({"a": ()}, make_workers(2))
         avoid = frozenset({"d0w0"})
         for spec in (make_spec("a", 1), make_spec("a", 4), make_spec("a", 1, 0)):
-            found = domain.policy.place(spec, domain.fleet, domain.book, avoid)
+            found = domain.policy.place(spec, domain.fleet, domain.cell_table, avoid)
             self.assertEqual({m.worker_id for m in found.members}, {"d0w1"})
         spec = make_spec("a", 8)
-        self.assertIsNone(domain.policy.place(spec, domain.fleet, domain.book, avoid))
+        self.assertIsNone(
+            domain.policy.place(spec, domain.fleet, domain.cell_table, avoid)
+        )
 
     def test_decision_rebuilds_only_changed_workers(self):
         """Guards the cost bound: one change must not void every cache."""
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -194,7 +194,7 @@
         self.assertGreater(again[0].run, first[0].run)
 
     def test_unanswered_start_outlives_its_workers_life(self):
-        """Guards against a start that reaches the worker's next incarnation."""
+        """Guards against a start that reaches a worker's next incarnation."""
         engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
         engine.accept(fx.workflow(), 0.0)
         start = fx.starts(engine.plan(0.0, 0.0))[0]
