--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -50,7 +50,7 @@
     workflow_id_of,
 )
 from .term import Term, open_term
-from .watching import follow
+from .watching import follow_prefix
 
 PLAN_DELAY_S = 0.005  # collects events that arrive together
 # Pause after a planning pass, as a multiple of what the pass took: under load
@@ -180,7 +180,7 @@
     ) -> None:
         """Follow a prefix for as long as the term lasts."""
         clock = self.system.clock
-        watch = follow(
+        watch = follow_prefix(
             self.ask,
             clock,
             prefix,
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -212,7 +212,7 @@
     async def poll(
         self,
         fence: int,
-        seen: int,
+        acknowledged_end: int,
         lease_until_ms: int,
         wait_s: float,
         timeout_s: float,
@@ -221,7 +221,7 @@
 
         Args:
             fence: Fencing token.
-            seen: Number of the last end that is on record.
+            acknowledged_end: Number of the last end that is on record.
             lease_until_ms: Time of the worker's clock, 0 to leave the lease.
             wait_s: How long the worker may wait for an end.
             timeout_s: Longest wait for the answer.
