--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -21,8 +21,8 @@
 )
 from .metrics import METRICS, Measured
 
-WATCH_S = 1.0  # a watch that has gone silent is noticed within this time
-RETRY_S = 0.3  # below the bound on configuration changes
+WATCH_TIMEOUT_S = 1.0  # a watch that has gone silent is noticed within this time
+RETRY_DELAY_S = 0.3  # below the bound on configuration changes
 
 _logger = logging.getLogger(__name__)
 
@@ -54,7 +54,9 @@
         return {
             TimerFired: lambda _: run(self._follow(), self.name) and None,
             GetConfigurationDocument: self._get_document,
-            OfferConfigurationDocument: lambda m: self._take(m.document, "neighbour"),
+            OfferConfigurationDocument: lambda m: self._apply_document(
+                m.document, "neighbour"
+            ),
         }
 
     def start(self) -> None:
@@ -71,23 +73,23 @@
             reply: PrefixReply = await self.ask(STORE, GetPrefix(self._codec.key))
             for pair in reply.pairs:
                 if pair.key == self._codec.key:
-                    self._take(pair.value, "store")
+                    self._apply_document(pair.value, "store")
             # The key's own revision may be older than the kept history.
             revision = reply.revision
             while not self._stopping:
                 changes = await self.ask(
-                    STORE, AwaitChanges(self._codec.key, revision, WATCH_S)
+                    STORE, AwaitChanges(self._codec.key, revision, WATCH_TIMEOUT_S)
                 )
                 if changes.expired:
                     break
                 for change in changes.changes:
                     if change.key == self._codec.key and change.value is not None:
-                        self._take(change.value, "store")
+                        self._apply_document(change.value, "store")
                 revision = changes.revision
         except RedwingrudderError as error:
             _logger.info("configuration watch lost", extra={"error": str(error)})
         if not self._stopping:
-            self.tell(TIMERS, Subscribe(self.name, "follow", RETRY_S))
+            self.tell(TIMERS, Subscribe(self.name, "follow", RETRY_DELAY_S))
 
     def _get_document(self, request: GetConfigurationDocument) -> str:
         newer = self.current is not None and (
@@ -95,20 +97,24 @@
         )
         return self._document if newer else ""
 
-    def _take(self, document: str, source: str) -> None:
+    def _apply_document(self, document: str, source: str) -> None:
         try:
             configuration = self._codec.decode(document)
         except InvalidConfigurationError as error:
             _logger.error("configuration refused", extra={"error": str(error)})
             return
-        old = self.current.version if self.current is not None else 0
-        if configuration.version <= old:
+        old_version = self.current.version if self.current is not None else 0
+        if configuration.version <= old_version:
             return
         self.current = configuration
         self._document = document
         _logger.info(
             "configuration in force",
-            extra={"version": configuration.version, "old": old, "source": source},
+            extra={
+                "version": configuration.version,
+                "old": old_version,
+                "source": source,
+            },
         )
         version = Measured("configuration_version", configuration.version)
         self.tell(METRICS, version)
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -44,9 +44,9 @@
 )
 
 LEASE_TTL_S = 1.5  # work stands still this long after a coordinator's power loss
-RENEW_S = 0.35  # four attempts within the TTL
-WATCH_S = 1.0
-RETRY_S = 0.25
+RENEW_INTERVAL_S = 0.35  # four attempts within the TTL
+WATCH_TIMEOUT_S = 1.0
+RETRY_DELAY_S = 0.25
 # Nodes that find the record vacant wait up to this long, so that mostly one
 # of them writes.
 CAMPAIGN_JITTER_S = 0.15
@@ -129,16 +129,16 @@
                 "acquire": lambda _: run(self._acquire(), self.name),
                 "begin_term": self._begin_term,
                 "end_term": lambda reason: self.tell(COORDINATOR, EndTerm(str(reason))),
-                "withdraw_record": lambda _: run(self._withdraw(), self.name),
+                "withdraw_record": lambda _: run(self._withdraw_record(), self.name),
             },
         )
         self._identity = identity
         self._subscribers = subscribers
-        self._jitter = random.Random(identity.incarnation)
-        self._handicap_s = resources.extra_campaign_delay_s()
+        self._random = random.Random(identity.incarnation)
+        self._extra_delay_s = resources.extra_campaign_delay_s()
         self._holder: Holder | None = None
         # Revision of a record whose holder is surely dead, 0 for none.
-        self._dead_revision = 0
+        self._abandoned_revision = 0
         self._announced: tuple[str, int] | None = None
         self._lease = 0
         self._stopping = False
@@ -154,7 +154,7 @@
         return {
             TimerFired: self._timer_fired,
             CoordinatorSilent: self._coordinator_silent,
-            Fenced: self._fenced,
+            Fenced: self._handle_fenced,
             Resign: self._resign,
             Drain: self._drain,
         }
@@ -162,7 +162,9 @@
     def start(self) -> None:
         """Begin to follow the record."""
         self.tell(TIMERS, Subscribe(self.name, "follow", 0.0))
-        self.tell(TIMERS, Subscribe(self.name, "renew", RENEW_S, RENEW_S))
+        self.tell(
+            TIMERS, Subscribe(self.name, "renew", RENEW_INTERVAL_S, RENEW_INTERVAL_S)
+        )
 
     def _drain(self, message: Drain) -> None:
         """Give up the record so that another node takes over at once."""
@@ -183,10 +185,10 @@
 
     async def _follow(self) -> None:
         try:
-            revision = await self._read_holder()
+            revision = await self._read_record()
             while not self._stopping:
                 changes = await self.ask(
-                    STORE, AwaitChanges(COORDINATOR_KEY, revision, WATCH_S)
+                    STORE, AwaitChanges(COORDINATOR_KEY, revision, WATCH_TIMEOUT_S)
                 )
                 if changes.expired:
                     break
@@ -199,13 +201,15 @@
         except RedwingrudderError as error:
             _logger.info("coordinator watch lost", extra={"error": str(error)})
         if not self._stopping:
-            self.tell(TIMERS, Subscribe(self.name, "follow", RETRY_S))
+            self.tell(TIMERS, Subscribe(self.name, "follow", RETRY_DELAY_S))
 
-    async def _read_holder(self) -> int:
-        item: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
-        self._observe(item.value if item else None, item.mod_revision if item else 0)
-        if item is not None:
-            return item.mod_revision
+    async def _read_record(self) -> int:
+        entry: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+        self._observe(
+            entry.value if entry else None, entry.mod_revision if entry else 0
+        )
+        if entry is not None:
+            return entry.mod_revision
         term = await self.ask(STORE, GetKey(TERM_KEY))
         return term.mod_revision if term is not None else 1
 
@@ -217,8 +221,8 @@
             revision: Of the change that a watch told, 0 for an absent record
                 that was read.
         """
-        known = self._holder.revision if self._holder is not None else 0
-        if 0 < revision < known:
+        known_revision = self._holder.revision if self._holder is not None else 0
+        if 0 < revision < known_revision:
             # A watch tells of changes before this node's own record.
             return
         if value is None:
@@ -226,25 +230,25 @@
             self._announce("", "", 0)
             if not self._stopping:
                 # The last holder is given the first chance: it knows all.
-                delay = 0.0 if self.leading else self._campaign_delay_s()
-                self.tell(TIMERS, Subscribe(self.name, "campaign", delay))
+                delay_s = 0.0 if self.leading else self._campaign_delay_s()
+                self.tell(TIMERS, Subscribe(self.name, "campaign", delay_s))
             return
-        document = json.loads(value)
+        fields = json.loads(value)
         holder = Holder(
-            document["node"],
-            document["address"],
-            document["life"],
-            document["term"],
+            fields["node"],
+            fields["address"],
+            fields["life"],
+            fields["term"],
             revision,
         )
         self._holder = holder
         self._announce(holder.node_id, holder.address, holder.term)
-        mine = holder.incarnation == self._identity.incarnation
-        if not mine and self.leading:
+        is_own_record = holder.incarnation == self._identity.incarnation
+        if not is_own_record and self.leading:
             self._chart.step("deposed", f"{holder.node_id} holds term {holder.term}")
-        elif not mine and holder.node_id == self._identity.node_id:
+        elif not is_own_record and holder.node_id == self._identity.node_id:
             # The record of an earlier incarnation of this process.
-            self._dead_revision = revision
+            self._abandoned_revision = revision
             self._chart.step("vacant", "earlier life")
         else:
             self.tell(TIMERS, Unsubscribe(self.name, "campaign"))
@@ -261,21 +265,21 @@
         if self._stopping or self._holder is None:
             return
         if self._holder.address == message.address and not self.leading:
-            self._dead_revision = self._holder.revision
-            delay = self._campaign_delay_s()
-            self.tell(TIMERS, Subscribe(self.name, "campaign", delay))
+            self._abandoned_revision = self._holder.revision
+            delay_s = self._campaign_delay_s()
+            self.tell(TIMERS, Subscribe(self.name, "campaign", delay_s))
 
     def _campaign_delay_s(self) -> float:
-        return self._handicap_s + self._jitter.uniform(0.02, CAMPAIGN_JITTER_S)
+        return self._extra_delay_s + self._random.uniform(0.02, CAMPAIGN_JITTER_S)
 
-    def _fenced(self, message: Fenced) -> None:
+    def _handle_fenced(self, message: Fenced) -> None:
         _logger.warning("higher term seen", extra={"source": message.source})
         self._chart.step("deposed", message.source)
 
     def _resign(self, message: Resign) -> None:
         """Leave the record to a node that can carry it."""
         _logger.warning("coordinator resigns", extra={"reason": message.reason})
-        self._handicap_s += RESIGNED_DELAY_S
+        self._extra_delay_s += RESIGNED_DELAY_S
         self._chart.step("resign", message.reason)
 
     async def _acquire(self) -> None:
@@ -285,7 +289,7 @@
         try:
             # A slow store answers each call late, so the calls overlap.
             sent_at = boot_clock()
-            holder, term_item, lease = await gatherResults(
+            holder, term_entry, lease = await gatherResults(
                 [
                     self.ask(STORE, GetKey(COORDINATOR_KEY)),
                     self.ask(STORE, GetKey(TERM_KEY)),
@@ -293,8 +297,8 @@
                 ],
                 consumeErrors=True,
             )
-            if holder is None or holder.mod_revision == self._dead_revision:
-                result = await self._write_record(holder, term_item, lease, sent_at)
+            if holder is None or holder.mod_revision == self._abandoned_revision:
+                result = await self._write_record(holder, term_entry, lease, sent_at)
                 event = "acquired" if result else "failed"
         except FirstError as error:
             _log_failed_election(error.subFailure.value)
@@ -305,17 +309,17 @@
             return
         self._chart.step(event, "race or store")
         if not self._stopping and self._holder is None:
-            self.tell(TIMERS, Subscribe(self.name, "campaign", RETRY_S))
+            self.tell(TIMERS, Subscribe(self.name, "campaign", RETRY_DELAY_S))
 
     async def _write_record(
         self,
         holder: KeyValue | None,
-        term_item: KeyValue | None,
+        term_entry: KeyValue | None,
         lease: int,
         sent_at: float,
     ) -> tuple[int, int] | None:
         """Return the new term and the revision of its key, None if it lost."""
-        term = int(term_item.value) + 1 if term_item is not None else 1
+        term = int(term_entry.value) + 1 if term_entry is not None else 1
         record = json.dumps(
             {
                 "node": self._identity.node_id,
@@ -326,7 +330,7 @@
         )
         compares = (
             Compare(COORDINATOR_KEY, holder.mod_revision if holder else 0),
-            Compare(TERM_KEY, term_item.mod_revision if term_item else 0),
+            Compare(TERM_KEY, term_entry.mod_revision if term_entry else 0),
         )
         puts = (PutKey(COORDINATOR_KEY, record, lease), PutKey(TERM_KEY, str(term)))
         try:
@@ -371,17 +375,19 @@
             self.tell(COORDINATOR, LeaseConfirmed(sent_at + LEASE_TTL_S))
         else:
             _logger.warning("lease has ended", extra={"lease": lease})
-            await self._read_after_lapse()
+            await self._read_record_after_lapse()
 
-    async def _read_after_lapse(self) -> None:
+    async def _read_record_after_lapse(self) -> None:
         try:
-            item: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+            entry: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
         except RedwingrudderError as error:
             _logger.info("record not read", extra={"error": str(error)})
             return
-        self._observe(item.value if item else None, item.mod_revision if item else 0)
+        self._observe(
+            entry.value if entry else None, entry.mod_revision if entry else 0
+        )
 
-    async def _withdraw(self) -> None:
+    async def _withdraw_record(self) -> None:
         """Remove the record if it is still this process's own."""
         try:
             holder = self._holder
--- a/src/redwingrudder/coordination/peer_calls.py
+++ b/src/redwingrudder/coordination/peer_calls.py
@@ -50,17 +50,17 @@
             UnavailableError: There is no answer in time.
             UnavailableError: The other node refused, with its code.
         """
-        work = ensureDeferred(self._call(method, arguments))
-        work.addTimeout(timeout_s, self._reactor)
+        reply = ensureDeferred(self._call(method, arguments))
+        reply.addTimeout(timeout_s, self._reactor)
         try:
-            return await work
+            return await reply
         except Fault as fault:
-            kind = (
+            error_class = (
                 OutcomeUnknownError
                 if fault.code == OutcomeUnknownError.code
                 else UnavailableError
             )
-            raise kind(
+            raise error_class(
                 fault.detail, code=fault.code, retry_after_s=fault.retry_after_s
             ) from fault
         except ConnectionRefusedError as error:
@@ -72,7 +72,7 @@
     async def _call(self, method: str, arguments: tuple) -> Any:
         if self._protocol is None:
             protocol = PeerClientProtocol(
-                self._reactor.seconds, self._lost, CoordinationService
+                self._reactor.seconds, self._connection_lost, CoordinationService
             )
             self._protocol = await connectProtocol(self._endpoint, protocol)
         return await getattr(self._protocol.client, method)(*arguments)
@@ -83,7 +83,7 @@
         if protocol is not None and protocol.transport is not None:
             protocol.transport.abortConnection()
 
-    def _lost(self, protocol: PeerClientProtocol) -> None:
+    def _connection_lost(self, protocol: PeerClientProtocol) -> None:
         if self._protocol is protocol:
             self._protocol = None
 
--- a/src/redwingrudder/coordination/peers.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -41,22 +41,22 @@
 )
 from .peer_calls import PeerHandler, PeerLink
 
-EXCHANGE_S = 0.5
+EXCHANGE_INTERVAL_S = 0.5
 EXCHANGE_FANOUT = 2  # random peers beside the coordinator
 CALL_TIMEOUT_S = 0.6
 # All nodes together exchange this often with the coordinator, so that its
 # load does not grow with their number.
 COORDINATOR_EXCHANGES_PER_S = 40.0
-DISCOVERY_S = 5.0
+DISCOVERY_INTERVAL_S = 5.0
 # All nodes together read the list of nodes this often, a hundredth of the
 # reads that the platform's stores serve.
 DISCOVERIES_PER_S = 20.0
-FIRST_DISCOVERY_S = 1.0
+DISCOVERY_RETRY_DELAY_S = 1.0
 # A node that is gone for good leaves the list after this time; several times
 # the interval between two discoveries at the largest size.
 NODE_LEASE_S = 300.0
-FRESH_S = 2.0  # age up to which a summary counts
-FORGET_S = 30.0  # without an exchange
+MAX_FRESH_AGE_S = 2.0  # age up to which a summary counts
+FORGET_AFTER_S = 30.0  # without an exchange
 
 _logger = logging.getLogger(__name__)
 
@@ -122,15 +122,15 @@
         system: ActorSystem,
         reactor: Any,
         identity: Identity,
-        port_address: tuple[str, int],
+        listen_address: tuple[str, int],
     ) -> None:
         self._reactor = reactor
         self._identity = identity
-        self._bind = port_address
+        self._listen_address = listen_address
         self._random = random.Random(identity.incarnation)
         self._links_by_address: dict[str, PeerLink] = {}
         self._summaries_by_id: dict[str, tuple[float, NodeSummary]] = {}
-        self._version = 0
+        self._configuration_version = 0
         self._coordinator = CoordinatorKnown("", "", 0)
         self._store_available = False
         self._lease = 0
@@ -143,29 +143,32 @@
         """Whether this node has the store, or hears of a node that has it."""
         if self._store_available:
             return True
-        return any(other.store_available for other in self._view().fresh)
+        return any(other.store_available for other in self._build_view().fresh)
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
             TimerFired: self._timer_fired,
-            ConfigurationInForce: self._set_version,
+            ConfigurationInForce: self._set_configuration_version,
             CoordinatorKnown: self._set_coordinator,
             StoreAvailability: self._set_store,
             CallPeer: self._call,
-            ListPeers: lambda _: self._view(),
-            GetTimeOfDay: lambda _: self._time_of_day(),
+            ListPeers: lambda _: self._build_view(),
+            GetTimeOfDay: lambda _: self._median_unix_time(),
             Drain: lambda _: run(self._unregister(), self.name) and None,
         }
 
     def start(self) -> None:
         """Listen for calls and look for other nodes."""
-        handler = PeerHandler(self.ask, self.tell, self._exchanged)
+        handler = PeerHandler(self.ask, self.tell, self._answer_exchange)
         factory = PeerServerFactory(handler, self._reactor.seconds, CoordinationService)
-        host, port = self._bind
+        host, port = self._listen_address
         self._port = self._reactor.listenTCP(port, factory, interface=host)
         self.tell(TIMERS, Subscribe(self.name, "discover", 0.0))
-        self.tell(TIMERS, Subscribe(self.name, "exchange", EXCHANGE_S, EXCHANGE_S))
+        self.tell(
+            TIMERS,
+            Subscribe(self.name, "exchange", EXCHANGE_INTERVAL_S, EXCHANGE_INTERVAL_S),
+        )
 
     def stop(self) -> Any:
         """Close the server and all links."""
@@ -177,8 +180,8 @@
         work = self._discover() if fired.timer == "discover" else self._exchange_all()
         run(work, self.name)
 
-    def _set_version(self, message: ConfigurationInForce) -> None:
-        self._version = message.configuration.version
+    def _set_configuration_version(self, message: ConfigurationInForce) -> None:
+        self._configuration_version = message.configuration.version
 
     def _set_coordinator(self, message: CoordinatorKnown) -> None:
         self._coordinator = message
@@ -187,35 +190,35 @@
         self._store_available = message.available
 
     async def _call(self, message: CallPeer) -> Any:
-        link = self._link(message.address)
+        link = self._get_link(message.address)
         return await link.call(message.method, message.arguments, message.timeout_s)
 
-    def _link(self, address: str) -> PeerLink:
+    def _get_link(self, address: str) -> PeerLink:
         if address not in self._links_by_address:
             self._links_by_address[address] = PeerLink(self._reactor, address)
         return self._links_by_address[address]
 
     async def _discover(self) -> None:
         """Register this node and read the others."""
-        delay_s = FIRST_DISCOVERY_S
+        delay_s = DISCOVERY_RETRY_DELAY_S
         try:
             await self._register()
             known = len(self._summaries_by_id) + 1
-            delay_s = max(DISCOVERY_S, known / DISCOVERIES_PER_S)
+            delay_s = max(DISCOVERY_INTERVAL_S, known / DISCOVERIES_PER_S)
             reply = await self.ask(STORE, GetPrefix(NODES_PREFIX))
             for pair in reply.pairs:
-                self._note_listed(pair.key.removeprefix(NODES_PREFIX), pair.value)
+                self._add_listed_node(pair.key.removeprefix(NODES_PREFIX), pair.value)
         except RedwingrudderError as error:
             _logger.info("discovery failed", extra={"error": str(error)})
         if not self._draining:
             self.tell(TIMERS, Subscribe(self.name, "discover", delay_s))
 
-    def _note_listed(self, node_id: str, address: str) -> None:
+    def _add_listed_node(self, node_id: str, address: str) -> None:
         """Take a listed node as known but not heard of."""
         if node_id != self._identity.node_id:
-            heard_at = self._reactor.seconds() - FRESH_S
-            unheard = NodeSummary(node_id, address, "", 0, "", "", 0, False, 0)
-            self._summaries_by_id.setdefault(node_id, (heard_at, unheard))
+            received_at = self._reactor.seconds() - MAX_FRESH_AGE_S
+            placeholder = NodeSummary(node_id, address, "", 0, "", "", 0, False, 0)
+            self._summaries_by_id.setdefault(node_id, (received_at, placeholder))
 
     async def _register(self) -> None:
         """Write this node's entry, or renew the lease that it is under."""
@@ -244,17 +247,19 @@
 
     async def _exchange_all(self) -> None:
         now = self._reactor.seconds()
-        for node_id, (heard_at, _) in list(self._summaries_by_id.items()):
-            if now - heard_at > FORGET_S:
+        for node_id, (received_at, _) in list(self._summaries_by_id.items()):
+            if now - received_at > FORGET_AFTER_S:
                 del self._summaries_by_id[node_id]
         others = [entry.address for _, entry in self._summaries_by_id.values()]
         chosen = set(self._random.sample(others, min(EXCHANGE_FANOUT, len(others))))
         coordinator = self._coordinator.address
-        share = COORDINATOR_EXCHANGES_PER_S * EXCHANGE_S / (len(others) + 1)
+        probability = (
+            COORDINATOR_EXCHANGES_PER_S * EXCHANGE_INTERVAL_S / (len(others) + 1)
+        )
         if (
             coordinator
             and coordinator != self._identity.address
-            and self._random.random() < share
+            and self._random.random() < probability
         ):
             chosen.add(coordinator)
         for address in chosen:
@@ -262,8 +267,8 @@
 
     async def _exchange(self, address: str) -> None:
         try:
-            reply = await self._link(address).call(
-                "exchange", (self._summary(),), CALL_TIMEOUT_S
+            reply = await self._get_link(address).call(
+                "exchange", (self._build_summary(),), CALL_TIMEOUT_S
             )
         except UnavailableError as error:
             if error.code == "connection_refused" and (
@@ -271,14 +276,14 @@
             ):
                 self.tell(LEADERSHIP, CoordinatorSilent(address))
             return
-        self._take(reply, address)
+        self._apply_summary(reply, address)
 
-    def _exchanged(self, wire: WireNodeSummary) -> WireNodeSummary:
+    def _answer_exchange(self, wire: WireNodeSummary) -> WireNodeSummary:
         """Serve an exchange that another node began."""
-        self._take(wire, wire.address)
-        return self._summary()
+        self._apply_summary(wire, wire.address)
+        return self._build_summary()
 
-    def _take(self, wire: WireNodeSummary, address: str) -> None:
+    def _apply_summary(self, wire: WireNodeSummary, address: str) -> None:
         summary = NodeSummary(
             wire.node_id,
             wire.address,
@@ -291,7 +296,7 @@
             wire.unix_time,
         )
         self._summaries_by_id[summary.node_id] = (self._reactor.seconds(), summary)
-        if summary.configuration_version > self._version:
+        if summary.configuration_version > self._configuration_version:
             run(self._fetch_configuration(address), self.name)
         if summary.term > self._coordinator.term and summary.coordinator_id:
             known = CoordinatorKnown(
@@ -302,8 +307,8 @@
 
     async def _fetch_configuration(self, address: str) -> None:
         try:
-            document = await self._link(address).call(
-                "configuration", (self._version,), CALL_TIMEOUT_S
+            document = await self._get_link(address).call(
+                "configuration", (self._configuration_version,), CALL_TIMEOUT_S
             )
         except RedwingrudderError as error:
             _logger.info("configuration not fetched", extra={"error": str(error)})
@@ -311,12 +316,12 @@
         if document:
             self.tell(CONFIGURATION, OfferConfigurationDocument(document))
 
-    def _summary(self) -> WireNodeSummary:
+    def _build_summary(self) -> WireNodeSummary:
         return WireNodeSummary(
             self._identity.node_id,
             self._identity.address,
             self._identity.incarnation,
-            self._version,
+            self._configuration_version,
             self._coordinator.node_id,
             self._coordinator.address,
             self._coordinator.term,
@@ -324,21 +329,21 @@
             time.time(),
         )
 
-    def _time_of_day(self) -> float:
+    def _median_unix_time(self) -> float:
         """Return the median of the nodes' clocks, as single ones may jump."""
         now = self._reactor.seconds()
         readings = [
-            summary.unix_time + now - heard_at
-            for heard_at, summary in self._summaries_by_id.values()
-            if now - heard_at < FRESH_S
+            summary.unix_time + now - received_at
+            for received_at, summary in self._summaries_by_id.values()
+            if now - received_at < MAX_FRESH_AGE_S
         ]
         return statistics.median([time.time(), *readings])
 
-    def _view(self) -> PeerView:
+    def _build_view(self) -> PeerView:
         now = self._reactor.seconds()
         fresh = tuple(
             summary
-            for heard_at, summary in self._summaries_by_id.values()
-            if now - heard_at < FRESH_S
+            for received_at, summary in self._summaries_by_id.values()
+            if now - received_at < MAX_FRESH_AGE_S
         )
         return PeerView(fresh, len(self._summaries_by_id))
--- a/src/redwingrudder/coordination/watching.py
+++ b/src/redwingrudder/coordination/watching.py
@@ -11,8 +11,8 @@
 from ..exceptions import RedwingrudderError
 from .gateways import STORE, AwaitChanges, Change
 
-WATCH_S = 1.0  # a watch that has gone silent is noticed within this time
-RETRY_S = 0.25
+WATCH_TIMEOUT_S = 1.0  # a watch that has gone silent is noticed within this time
+RETRY_DELAY_S = 0.25
 
 _logger = logging.getLogger(__name__)
 
@@ -22,9 +22,9 @@
     clock: IReactorTime,
     prefix: str,
     revision: int,
-    wanted: Callable[[], bool],
-    apply: Callable[[tuple[Change, ...]], None],
-    replace: Callable[[tuple[KeyValue, ...]], None],
+    is_active: Callable[[], bool],
+    on_changes: Callable[[tuple[Change, ...]], None],
+    on_reset: Callable[[tuple[KeyValue, ...]], None],
 ) -> None:
     """Follow changes until they are no longer wanted.
 
@@ -37,19 +37,19 @@
         apply: Gets the changes in their order.
         replace: Gets all pairs when the store has dropped its history.
     """
-    while wanted():
+    while is_active():
         try:
-            changes = await ask(STORE, AwaitChanges(prefix, revision, WATCH_S))
+            changes = await ask(STORE, AwaitChanges(prefix, revision, WATCH_TIMEOUT_S))
             if changes.expired:
                 reply = await ask(STORE, GetPrefix(prefix))
                 revision = reply.revision
-                if wanted():
-                    replace(reply.pairs)
+                if is_active():
+                    on_reset(reply.pairs)
             else:
                 revision = changes.revision
-                if changes.changes and wanted():
-                    apply(changes.changes)
+                if changes.changes and is_active():
+                    on_changes(changes.changes)
         except RedwingrudderError as error:
             extra = {"prefix": prefix, "error": str(error)}
             _logger.info("watch lost", extra=extra)
-            await pause(clock, RETRY_S)
+            await pause(clock, RETRY_DELAY_S)
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -38,13 +38,13 @@
 STOP_TIMEOUT_S = 0.5
 STOP_RETRY_S = 0.3
 SILENT_AFTER_S = 2.0  # without any answer
-RETRY_S = 0.3
+RETRY_DELAY_S = 0.3
 BUSY_POLL_INTERVAL_S = 0.25  # between polls while ends wait for their record
 MIN_POLL_DURATION_S = 0.05  # an answer sooner than this did not wait
-CLOCK_DRIFT = 0.02  # a worker's clock may be this much slow
+MAX_CLOCK_DRIFT_RATIO = 0.02  # a worker's clock may be this much slow
 LAPSE_MARGIN_S = 0.3
 # Below the three heartbeats after which a silent worker's entry ends.
-LEFT_HEARTBEATS = 2
+DEPARTURE_HEARTBEATS = 2
 
 _EVENTS = frozenset({"answered", "unanswered", "silent", "lapsed"})
 _ACTIONS = frozenset({"report_silent", "report_lapsed"})
@@ -87,22 +87,22 @@
             },
         )
         self._unsettled = unsettled
-        self._allowed = True
-        self._seen = 0
-        self._unseen = 0
-        self._answered_at = boot_clock()
+        self._may_lease = True
+        self._acknowledged_end = 0
+        self._newest_end = 0
+        self._last_answer_at = boot_clock()
         # Until this boot-clock time a run of any coordinator may exist.
-        self._leased_until = boot_clock() + prior_lease_timeout_s(self._lease_s)
-        self._clock_ms = 0
-        self._clock_at = 0.0
+        self._leases_end_at = boot_clock() + prior_lease_timeout_s(self._lease_s)
+        self._worker_clock_ms = 0
+        self._worker_clock_read_at = 0.0
         self._polling = False
         # When the newest poll that was answered had been sent.
-        self._heard_at = 0.0
+        self._answered_poll_sent_at = 0.0
         # When the worker left the registry by itself, as it seems.
-        self._left_at = math.inf
-        self._present = False
+        self._departed_at = math.inf
+        self._has_runs = False
         self._closed = False
-        self._starting: set[tuple] = set()
+        self._starts_in_flight: set[tuple] = set()
         super().__init__(system, session_name(facts.worker_id))
 
     def handlers(self) -> dict[type, Handler]:
@@ -115,8 +115,8 @@
             ),
             StopRun: lambda message: run(self._stop(message), self.name) and None,
             AcknowledgeEnds: self._acknowledge,
-            LeaseWorker: self._set_allowed,
-            UpdateFacts: self._update,
+            LeaseWorker: self._set_may_lease,
+            UpdateFacts: self._update_facts,
             EntryRemoved: self._entry_removed,
         }
 
@@ -133,9 +133,9 @@
         self._closed = True
         self._channel.close()
 
-    def _update(self, message: UpdateFacts) -> None:
+    def _update_facts(self, message: UpdateFacts) -> None:
         self._facts = message.facts
-        self._left_at = math.inf
+        self._departed_at = math.inf
 
     def _entry_removed(self, message: EntryRemoved) -> None:
         """Tell a worker that has left from one that has fallen silent.
@@ -145,16 +145,19 @@
         and nothing runs on it. It is polled once more to be sure.
         """
         now = boot_clock()
-        unheard_s = now - self._heard_at
-        if message.drained and unheard_s < LEFT_HEARTBEATS * self._heartbeat_s:
-            self._left_at = now
+        since_answered_poll_s = now - self._answered_poll_sent_at
+        if (
+            message.drained
+            and since_answered_poll_s < DEPARTURE_HEARTBEATS * self._heartbeat_s
+        ):
+            self._departed_at = now
             self._poll_soon()
 
-    def _set_allowed(self, message: LeaseWorker) -> None:
-        self._allowed = message.allowed
+    def _set_may_lease(self, message: LeaseWorker) -> None:
+        self._may_lease = message.allowed
 
     def _acknowledge(self, message: AcknowledgeEnds) -> None:
-        self._seen = max(self._seen, message.number)
+        self._acknowledged_end = max(self._acknowledged_end, message.number)
         self._poll_soon()
 
     def _poll_soon(self) -> None:
@@ -170,7 +173,7 @@
 
     async def _poll(self) -> None:
         """Poll once; the answer decides when to poll again."""
-        wait_s = POLL_WAIT_S if self._unseen <= self._seen else 0.0
+        wait_s = POLL_WAIT_S if self._newest_end <= self._acknowledged_end else 0.0
         if self._chart.state != "answering":
             wait_s = 0.0
         sent_at = boot_clock()
@@ -181,20 +184,20 @@
         if self._closed:
             return
         if reply is None:
-            self._unanswered(sent_at)
-            self._poll_later(RETRY_S)
+            self._note_no_answer(sent_at)
+            self._poll_later(RETRY_DELAY_S)
         elif isinstance(reply, CommandReply):
-            self._refused(reply)
-            self._poll_later(RETRY_S)
+            self._handle_refusal(reply)
+            self._poll_later(RETRY_DELAY_S)
         else:
-            self._take_report(reply, sent_at)
+            self._handle_report(reply, sent_at)
 
     async def _send_poll(self, wait_s: float) -> WorkerReport | CommandReply | None:
         """Return the worker's answer, None without one."""
         try:
             return await self._channel.poll(
                 self._fence,
-                self._seen,
+                self._acknowledged_end,
                 self._extend_lease(),
                 wait_s,
                 wait_s + POLL_MARGIN_S,
@@ -206,18 +209,20 @@
             )
             return None
 
-    def _take_report(self, reply: WorkerReport, sent_at: float) -> None:
-        self._answered(reply.clock_ms)
-        self._heard_at = max(self._heard_at, sent_at)
-        at_once = boot_clock() - sent_at < MIN_POLL_DURATION_S
-        self._present = bool(reply.running) or bool(self._starting)
-        self._unseen = max((end.number for end in reply.ended), default=self._unseen)
+    def _handle_report(self, reply: WorkerReport, sent_at: float) -> None:
+        self._note_answer(reply.clock_ms)
+        self._answered_poll_sent_at = max(self._answered_poll_sent_at, sent_at)
+        answered_immediately = boot_clock() - sent_at < MIN_POLL_DURATION_S
+        self._has_runs = bool(reply.running) or bool(self._starts_in_flight)
+        self._newest_end = max(
+            (end.number for end in reply.ended), default=self._newest_end
+        )
         self.tell(COORDINATOR, WorkerPolled(self._facts.worker_id, reply))
-        if self._unseen > self._seen:
+        if self._newest_end > self._acknowledged_end:
             self._poll_later(BUSY_POLL_INTERVAL_S)
-        elif self._present and not (at_once and not reply.ended):
+        elif self._has_runs and not (answered_immediately and not reply.ended):
             self._poll_soon()
-        elif self._present:
+        elif self._has_runs:
             # A worker that does not wait would be asked without a pause.
             self._poll_later(BUSY_POLL_INTERVAL_S)
         else:
@@ -227,32 +232,35 @@
         if not self._closed:
             self.tell(TIMERS, Subscribe(self.name, "look", delay_s))
 
-    def _refused(self, reply: CommandReply) -> None:
+    def _handle_refusal(self, reply: CommandReply) -> None:
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
         elif reply.reason == "other_life":
             # The incarnation that this session talks to is over.
-            self._leased_until = 0.0
-        self._unanswered()
+            self._leases_end_at = 0.0
+        self._note_no_answer()
 
-    def _answered(self, clock_ms: int) -> None:
-        self._answered_at = boot_clock()
-        self._left_at = math.inf
+    def _note_answer(self, clock_ms: int) -> None:
+        self._last_answer_at = boot_clock()
+        self._departed_at = math.inf
         if clock_ms:
-            self._clock_ms, self._clock_at = clock_ms, self._answered_at
+            self._worker_clock_ms, self._worker_clock_read_at = (
+                clock_ms,
+                self._last_answer_at,
+            )
         self._chart.step("answered")
 
-    def _unanswered(self, poll_sent_at: float = 0.0) -> None:
+    def _note_no_answer(self, poll_sent_at: float = 0.0) -> None:
         """Take note of a call without an answer; 0.0 stands for no poll."""
         self._channel.reset()
         self._chart.step("unanswered")
         now = boot_clock()
-        left = poll_sent_at > self._left_at
-        if left:
-            self._leased_until = 0.0
-        if left or now - self._answered_at > SILENT_AFTER_S:
+        has_departed = poll_sent_at > self._departed_at
+        if has_departed:
+            self._leases_end_at = 0.0
+        if has_departed or now - self._last_answer_at > SILENT_AFTER_S:
             self._chart.step("silent")
-        if now > self._leased_until:
+        if now > self._leases_end_at:
             self._chart.step("lapsed")
 
     def _extend_lease(self) -> int:
@@ -261,7 +269,7 @@
         A silent worker's lease is left to lapse, so that its tasks can be
         started elsewhere.
         """
-        if not self._allowed or not self._clock_ms:
+        if not self._may_lease or not self._worker_clock_ms:
             return 0
         if self._chart.state in ("silent", "lapsed"):
             return 0
@@ -269,24 +277,27 @@
 
     def _lease_until(self) -> int:
         now = boot_clock()
-        elapsed = now - self._clock_at
-        until_ms = self._clock_ms + int((elapsed + self._lease_s) * 1000)
+        elapsed = now - self._worker_clock_read_at
+        until_ms = self._worker_clock_ms + int((elapsed + self._lease_s) * 1000)
         # The clock read at least clock_ms at clock_at and may be slow.
-        longest = (until_ms - self._clock_ms) / 1000 / (1 - CLOCK_DRIFT)
-        self._leased_until = max(
-            self._leased_until, self._clock_at + longest + LAPSE_MARGIN_S
+        longest_lease_s = (
+            (until_ms - self._worker_clock_ms) / 1000 / (1 - MAX_CLOCK_DRIFT_RATIO)
+        )
+        self._leases_end_at = max(
+            self._leases_end_at,
+            self._worker_clock_read_at + longest_lease_s + LAPSE_MARGIN_S,
         )
         return until_ms
 
     async def _start(self, message: StartRun) -> None:
-        identity = (message.key, message.run)
-        self._starting.add(identity)
+        run_key = (message.key, message.run)
+        self._starts_in_flight.add(run_key)
         try:
             reply = await self._send_start(message)
             if reply.reason in ("unanswered", "outdated"):
                 await self._poll_for_end()
         finally:
-            self._starting.discard(identity)
+            self._starts_in_flight.discard(run_key)
         if self._closed:
             return
         if reply.reason == "fenced":
@@ -298,13 +309,13 @@
     async def _send_start(self, message: StartRun) -> CommandReply:
         """Send a start until it is answered, else make it void."""
         for timeout_s in COMMAND_TIMEOUTS_S:
-            if self._closed or not self._allowed or not self._clock_ms:
+            if self._closed or not self._may_lease or not self._worker_clock_ms:
                 break
             try:
                 reply = await self._channel.start(
                     message, self._lease_until(), self._fence, timeout_s
                 )
-                self._answered(reply.clock_ms)
+                self._note_answer(reply.clock_ms)
                 return reply
             except RedwingrudderError as error:
                 _logger.info(
@@ -316,7 +327,7 @@
                         "error": str(error),
                     },
                 )
-                self._unanswered()
+                self._note_no_answer()
         await self._send_stop(message)
         return CommandReply(False, "unanswered")
 
@@ -330,13 +341,13 @@
             sent_at = boot_clock()
             reply = await self._send_poll(0.0)
             if reply is None:
-                self._unanswered(sent_at)
-                await pause(self.system.clock, RETRY_S)
+                self._note_no_answer(sent_at)
+                await pause(self.system.clock, RETRY_DELAY_S)
                 continue
             if isinstance(reply, CommandReply):
-                self._refused(reply)
+                self._handle_refusal(reply)
             elif not self._closed:
-                self._take_report(reply, sent_at)
+                self._handle_report(reply, sent_at)
             return
 
     async def _stop(self, message: StopRun) -> None:
@@ -348,7 +359,7 @@
         """Send a throttle command; a later one corrects one that is lost."""
         try:
             reply = await self._channel.throttle(message, self._fence, STOP_TIMEOUT_S)
-            self._answered(reply.clock_ms)
+            self._note_answer(reply.clock_ms)
         except RedwingrudderError as error:
             _logger.info(
                 "pace unanswered",
@@ -361,7 +372,7 @@
         while not self._closed and self._chart.state != "lapsed":
             try:
                 reply = await self._channel.stop(message, self._fence, STOP_TIMEOUT_S)
-                self._answered(reply.clock_ms)
+                self._note_answer(reply.clock_ms)
                 if reply.reason == "fenced":
                     self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
                 return
@@ -375,7 +386,7 @@
                         "error": str(error),
                     },
                 )
-                self._unanswered()
+                self._note_no_answer()
             await pause(self.system.clock, STOP_RETRY_S)
 
     def _report_silent(self) -> None:
@@ -396,4 +407,4 @@
     That coordinator may be cut off and extend leases until its own lease at
     the store lapses, also when it refuses connections.
     """
-    return LEASE_TTL_S + longest_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
+    return LEASE_TTL_S + longest_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO) + LAPSE_MARGIN_S
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -18,7 +18,7 @@
 from .metrics import METRICS, Counted
 from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
 
-UNLISTED_GONE_S = 2.5  # after the store's return, above what entries may take
+REMOVE_UNLISTED_AFTER_S = 2.5  # after the store's return, above what entries may take
 
 _logger = logging.getLogger(__name__)
 
@@ -48,13 +48,13 @@
         self._channels = channels
         self._times = times
         self._sessions_by_worker: dict[str, WorkerSession] = {}
-        self._unlisted_since: dict[str, float] = {}
+        self._unlisted_since_by_worker: dict[str, float] = {}
         # Then runs on workers that had no entry in this term have lapsed.
-        self._lost_until = system.clock.seconds() + prior_lease_timeout_s(
+        self._prior_leases_end_at = system.clock.seconds() + prior_lease_timeout_s(
             times.longest_lease_s
         )
-        self._unrecorded_ends: dict[str, dict[int, str]] = {}
-        self._last_end: dict[str, int] = {}
+        self._unrecorded_ends_by_worker: dict[str, dict[int, str]] = {}
+        self._last_end_by_worker: dict[str, int] = {}
         # Workers whose present session has had a report.
         self._reported: set[str] = set()
 
@@ -84,14 +84,14 @@
         """Take over an entry of the registry, None for a removed one."""
         worker_id = key.removeprefix(self._registry.prefix)
         if value is None:
-            self._unlist(worker_id)
+            self._mark_unlisted(worker_id)
             return
         facts = self._registry.decode(key, value)
         if facts is None:
             return
-        self._unlisted_since.pop(worker_id, None)
+        self._unlisted_since_by_worker.pop(worker_id, None)
         session = self._sessions_by_worker.get(worker_id)
-        if session is not None and self._is_new_life(facts):
+        if session is not None and self._is_new_incarnation(facts):
             self._drop_session(worker_id)
             session = None
         self._engine.set_worker(facts, self._system.clock.seconds())
@@ -127,7 +127,7 @@
             )
             self._engine.set_worker(facts, now)
             self._engine.workers_by_id[placed.worker_id].listed = False
-            self._unlisted_since[placed.worker_id] = now
+            self._unlisted_since_by_worker[placed.worker_id] = now
         self._engine.adopt_run(placed.key, placed.run, placed.worker_id, False, now)
 
     def take_report(self, message: WorkerPolled) -> None:
@@ -148,25 +148,25 @@
             worker.reachable = False
             return
         now = self._system.clock.seconds()
-        regained, worker.reachable = not worker.reachable, True
-        first = message.worker_id not in self._reported
+        became_reachable, worker.reachable = not worker.reachable, True
+        is_first_report = message.worker_id not in self._reported
         self._reported.add(message.worker_id)
-        if regained:
+        if became_reachable:
             for entry in report.running:
                 self._engine.adopt_run(
                     entry.key, entry.run, message.worker_id, True, now
                 )
         self._engine.report(message.worker_id, report.running, now)
-        self._take_ends(message, now)
-        if regained:
-            present = {(entry.key, entry.run) for entry in report.running}
-            self._engine.reconcile(message.worker_id, present, first, now)
+        self._handle_ends(message, now)
+        if became_reachable:
+            running = {(entry.key, entry.run) for entry in report.running}
+            self._engine.reconcile(message.worker_id, running, is_first_report, now)
 
     def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
         """Return the ends, by worker and number, that wait for records."""
         return [
             (worker_id, number)
-            for worker_id, unrecorded in self._unrecorded_ends.items()
+            for worker_id, unrecorded in self._unrecorded_ends_by_worker.items()
             for number, workflow_id in unrecorded.items()
             if workflow_id in workflow_ids
         ]
@@ -174,7 +174,7 @@
     def acknowledge_ends(self, ends: list[tuple[str, int]]) -> None:
         """Acknowledge ends to their workers."""
         for worker_id, number in ends:
-            self._unrecorded_ends.get(worker_id, {}).pop(number, None)
+            self._unrecorded_ends_by_worker.get(worker_id, {}).pop(number, None)
         for worker_id in {worker_id for worker_id, _ in ends}:
             self._acknowledge(worker_id)
 
@@ -197,46 +197,51 @@
     def sweep(self) -> None:
         """Forget workers without an entry once nothing can run there."""
         now = self._system.clock.seconds()
-        for worker_id, since in list(self._unlisted_since.items()):
+        for worker_id, unlisted_since in list(self._unlisted_since_by_worker.items()):
             worker = self._engine.workers_by_id.get(worker_id)
             if worker is None:
-                del self._unlisted_since[worker_id]
+                del self._unlisted_since_by_worker[worker_id]
                 continue
-            unknown = worker_id not in self._sessions_by_worker
-            lapsed = unknown and now > self._lost_until
-            idle = now - since > UNLISTED_GONE_S and not worker.tasks_by_key
-            if lapsed or idle:
+            has_no_session = worker_id not in self._sessions_by_worker
+            leases_have_lapsed = has_no_session and now > self._prior_leases_end_at
+            is_idle = (
+                now - unlisted_since > REMOVE_UNLISTED_AFTER_S
+                and not worker.tasks_by_key
+            )
+            if leases_have_lapsed or is_idle:
                 self._remove(worker_id, now)
 
     def _remove(self, worker_id: str, now: float) -> None:
-        self._unlisted_since.pop(worker_id, None)
+        self._unlisted_since_by_worker.pop(worker_id, None)
         self._engine.remove_worker(worker_id, now, "gone")
         if worker_id in self._sessions_by_worker:
             self._drop_session(worker_id)
 
-    def _unlist(self, worker_id: str) -> None:
+    def _mark_unlisted(self, worker_id: str) -> None:
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and worker.listed:
             worker.listed = False
-            now = self._unlisted_since[worker_id] = self._system.clock.seconds()
+            now = self._unlisted_since_by_worker[worker_id] = (
+                self._system.clock.seconds()
+            )
             session = self._sessions_by_worker.get(worker_id)
             if session is not None:
-                drained = worker.facts.draining and now >= worker.leaves_at
-                self._system.tell(session.name, EntryRemoved(drained))
+                has_drained = worker.facts.draining and now >= worker.leaves_at
+                self._system.tell(session.name, EntryRemoved(has_drained))
             _logger.info("worker no longer listed", extra={"worker": worker_id})
 
-    def _is_new_life(self, facts: WorkerFacts) -> bool:
-        known = self._engine.workers_by_id.get(facts.worker_id)
-        if known is None:
+    def _is_new_incarnation(self, facts: WorkerFacts) -> bool:
+        known_worker = self._engine.workers_by_id.get(facts.worker_id)
+        if known_worker is None:
             return True
-        old = known.facts
-        if (old.process_started_ms, old.address) != (
+        known_facts = known_worker.facts
+        if (known_facts.process_started_ms, known_facts.address) != (
             facts.process_started_ms,
             facts.address,
         ):
             _logger.info("worker restarted", extra={"worker": facts.worker_id})
             return True
-        if old.draining != facts.draining:
+        if known_facts.draining != facts.draining:
             _logger.info(
                 "worker drains" if facts.draining else "worker serves again",
                 extra={"worker": facts.worker_id, "remaining_s": facts.remaining_s},
@@ -261,29 +266,33 @@
         self._reported.discard(worker_id)
         session.stop()
         self._system.unregister(session)
-        self._last_end.pop(worker_id, None)
-        self._unrecorded_ends.pop(worker_id, None)
+        self._last_end_by_worker.pop(worker_id, None)
+        self._unrecorded_ends_by_worker.pop(worker_id, None)
 
-    def _take_ends(self, message: WorkerPolled, now: float) -> None:
+    def _handle_ends(self, message: WorkerPolled, now: float) -> None:
         worker_id = message.worker_id
-        last = self._last_end.get(worker_id, 0)
-        unrecorded = self._unrecorded_ends.setdefault(worker_id, {})
+        last_number = self._last_end_by_worker.get(worker_id, 0)
+        unrecorded = self._unrecorded_ends_by_worker.setdefault(worker_id, {})
         for end in message.report.ended:
-            if end.number <= last:
+            if end.number <= last_number:
                 continue
-            last = end.number
+            last_number = end.number
             self._system.tell(METRICS, Counted("run_ends", (str(end.kind),)))
             workflow_id = self._engine.end(worker_id, end, now)
             if workflow_id is not None:
                 unrecorded[end.number] = workflow_id
-        self._last_end[worker_id] = last
-        if last and not unrecorded:
+        self._last_end_by_worker[worker_id] = last_number
+        if last_number and not unrecorded:
             self._acknowledge(worker_id)
 
     def _acknowledge(self, worker_id: str) -> None:
         """Acknowledge the ends before the first one without a record."""
         session = self._sessions_by_worker.get(worker_id)
-        unrecorded = self._unrecorded_ends.get(worker_id, {})
-        number = min(unrecorded) - 1 if unrecorded else self._last_end.get(worker_id, 0)
+        unrecorded = self._unrecorded_ends_by_worker.get(worker_id, {})
+        number = (
+            min(unrecorded) - 1
+            if unrecorded
+            else self._last_end_by_worker.get(worker_id, 0)
+        )
         if session is not None and number:
             self._system.tell(session.name, AcknowledgeEnds(number))
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -88,57 +88,57 @@
         self.down_after_delayed_write = False
         self.renewals = 1.5
         self.delayed_writes = []
-        self.calls = []
+        self.transactions = []
         self.watches = []
         super().__init__(system, STORE)
 
     def handlers(self):
         return {
             GetKey: self._get,
-            GetPrefix: self._range,
+            GetPrefix: self._get_prefix,
             Transact: self._transact,
-            GrantLease: lambda _: self._checked(7),
-            KeepLeaseAlive: lambda _: self._checked(self.renewals),
+            GrantLease: lambda _: self._answer_if_up(7),
+            KeepLeaseAlive: lambda _: self._answer_if_up(self.renewals),
             RevokeLease: self._revoke,
             AwaitChanges: self._watch,
         }
 
     def apply_delayed_writes(self):
         """Do the writes that were put off, if their condition still holds."""
-        late, self.delayed_writes = self.delayed_writes, []
-        return [self.contents.transact(message).succeeded for message in late]
+        messages, self.delayed_writes = self.delayed_writes, []
+        return [self.contents.transact(message).succeeded for message in messages]
 
     def notify(self):
         """Answer the watches that have something to tell."""
         waiting, self.watches = self.watches, []
         for message, reply in waiting:
-            self._settle(message, reply)
+            self._answer_or_wait(message, reply)
 
-    def _checked(self, value):
+    def _answer_if_up(self, value):
         if self.down:
             raise StoreUnavailableError("down")
         return value
 
     def _revoke(self, message):
-        self._checked(None)
+        self._answer_if_up(None)
         for key, lease in list(self.contents.leases.items()):
             if lease == message.lease_id:
                 self.contents.remove(key)
 
     def _get(self, message):
-        return self._checked(self.contents.items_by_key.get(message.key))
+        return self._answer_if_up(self.contents.items_by_key.get(message.key))
 
-    def _range(self, message):
+    def _get_prefix(self, message):
         pairs = tuple(
             item
             for key, item in sorted(self.contents.items_by_key.items())
             if key.startswith(message.prefix)
         )
-        return self._checked(PrefixReply(pairs, self.contents.revision))
+        return self._answer_if_up(PrefixReply(pairs, self.contents.revision))
 
     def _transact(self, message):
-        self._checked(None)
-        self.calls.append(message)
+        self._answer_if_up(None)
+        self.transactions.append(message)
         if self.writes_to_delay:
             self.writes_to_delay -= 1
             self.down = self.down_after_delayed_write
@@ -151,12 +151,12 @@
         return reply
 
     def _watch(self, message):
-        self._checked(None)
+        self._answer_if_up(None)
         reply = Deferred()
-        self._settle(message, reply)
+        self._answer_or_wait(message, reply)
         return reply
 
-    def _settle(self, message, reply):
+    def _answer_or_wait(self, message, reply):
         changes = tuple(
             change
             for change in self.contents.history
@@ -177,9 +177,9 @@
         super().__init__(system, name)
 
     def handlers(self):
-        return {kind: self._take for kind in self._replies}
+        return {message_type: self._record for message_type in self._replies}
 
-    def _take(self, message):
+    def _record(self, message):
         self.received.append(message)
         reply = self._replies[type(message)]
         if isinstance(reply, Exception):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -143,7 +143,7 @@
         error = self.submit()
         self.assertNotIsInstance(error, OutcomeUnknownError)
         self.assertGreater(error.retry_after_s, 0)
-        self.assertEqual(self.store.calls, [])
+        self.assertEqual(self.store.transactions, [])
 
     def test_refusal_after_an_unconfirmed_write_stays_unknown(self):
         """Guards against "not run" while an earlier write may take effect."""
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -7,8 +7,8 @@
 from redwingrudder.coordination.leadership import Identity
 from redwingrudder.coordination.messages import Drain, StoreAvailability
 from redwingrudder.coordination.peers import (
-    DISCOVERY_S,
-    FRESH_S,
+    DISCOVERY_INTERVAL_S,
+    MAX_FRESH_AGE_S,
     ListPeers,
     Peers,
 )
@@ -36,19 +36,19 @@
         """Guards against a node that an outage of the store makes unknown."""
         self.store.contents.remove(KEY)
         self.store.renewals = 0.0
-        run_for(self.clock, DISCOVERY_S + 0.1)
+        run_for(self.clock, DISCOVERY_INTERVAL_S + 0.1)
         self.assertIn(KEY, self.store.contents.items_by_key)
 
     def test_drained_node_leaves(self):
         """Guards against calls to a node that was stopped as planned."""
         self.system.tell(PEERS, Drain())
-        run_for(self.clock, 3 * DISCOVERY_S)
+        run_for(self.clock, 3 * DISCOVERY_INTERVAL_S)
         self.assertNotIn(KEY, self.store.contents.items_by_key)
 
     def test_listed_node_is_known_but_not_fresh(self):
         """Guards against an outage that is judged from one node's view."""
         self.store.contents.put(NODES_PREFIX + "n2", "10.0.0.2:7000")
-        run_for(self.clock, DISCOVERY_S + 0.1)
+        run_for(self.clock, DISCOVERY_INTERVAL_S + 0.1)
         reply = self.system.ask(PEERS, ListPeers())
         run_for(self.clock, 0.05)
         view = outcome(reply)
@@ -60,9 +60,9 @@
         run_for(self.clock, 0.05)
         self.assertFalse(self.peers.reaches_store)
         wire = WireNodeSummary("n2", "10.0.0.2:7000", "l", 1, "", "", 0, True, 0.0)
-        self.peers._take(wire, wire.address)
+        self.peers._apply_summary(wire, wire.address)
         self.assertTrue(self.peers.reaches_store)
-        run_for(self.clock, FRESH_S + 0.1)
+        run_for(self.clock, MAX_FRESH_AGE_S + 0.1)
         self.assertFalse(self.peers.reaches_store)
 
 
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -51,27 +51,27 @@
 
     def __init__(self, clock):
         self.clock = clock
-        self.deaf = False
-        self.deaf_starts = 0
-        self.hanging = False
-        self.outdated = False
+        self.unanswering = False
+        self.starts_to_lose = 0
+        self.hangs = False
+        self.rejects_starts = False
         self.refusal = ""
         self.calls = []
 
     def _reply(self, name):
         self.calls.append(name)
-        if self.deaf:
+        if self.unanswering:
             raise UnavailableError("deaf")
         if self.refusal:
             return CommandReply(False, self.refusal)
         return CommandReply(True, "", int(self.clock.seconds() * 1000) + 1)
 
     async def start(self, run, lease_until_ms, fence, timeout_s):
-        if self.deaf_starts:
-            self.deaf_starts -= 1
+        if self.starts_to_lose:
+            self.starts_to_lose -= 1
             self.calls.append("lost start")
             raise UnavailableError("lost")
-        if self.outdated:
+        if self.rejects_starts:
             return CommandReply(False, "outdated", 1)
         return self._reply("start")
 
@@ -82,7 +82,7 @@
         return self._reply("pace")
 
     async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
-        if self.hanging:
+        if self.hangs:
             await Deferred()
         reply = self._reply(f"poll {bool(lease_until_ms)}")
         if not reply.accepted:
@@ -115,7 +115,7 @@
         self.session.start()
         run_for(self.clock, 0.1)
 
-    def told(self, kind):
+    def sent_to_coordinator(self, kind):
         return [m for m in self.coordinator.received if isinstance(m, kind)]
 
     def start_run(self):
@@ -128,20 +128,22 @@
 
     def test_lost_start_is_sent_again(self):
         """Guards against a run given up for one lost answer."""
-        self.channel.deaf_starts = 1
+        self.channel.starts_to_lose = 1
         self.start_run()
         run_for(self.clock, 0.5)
-        self.assertTrue(self.told(StartSettled)[0].reply.accepted)
+        self.assertTrue(self.sent_to_coordinator(StartSettled)[0].reply.accepted)
 
     def test_unanswered_start_is_closed_before_it_is_given_up(self):
         """Guards against a start carried out late beside its successor."""
-        self.channel.deaf_starts = 3
+        self.channel.starts_to_lose = 3
         self.start_run()
         run_for(self.clock, 0.5)
         self.assertIn("stop", self.channel.calls)
-        self.assertEqual(self.told(StartSettled)[0].reply.reason, "unanswered")
+        self.assertEqual(
+            self.sent_to_coordinator(StartSettled)[0].reply.reason, "unanswered"
+        )
 
-    def last_told(self):
+    def last_message_types(self):
         """Return the kinds of the last two messages to the coordinator."""
         return [type(message) for message in self.coordinator.received[-2:]]
 
@@ -153,25 +155,27 @@
         """
         for unanswered in (False, True):
             with self.subTest(unanswered=unanswered):
-                self.channel.outdated = not unanswered
-                self.channel.deaf_starts = 3 * unanswered
+                self.channel.rejects_starts = not unanswered
+                self.channel.starts_to_lose = 3 * unanswered
                 self.coordinator.received.clear()
                 self.start_run()
                 run_for(self.clock, 0.02)
-                self.assertEqual(self.last_told(), [WorkerPolled, StartSettled])
+                self.assertEqual(
+                    self.last_message_types(), [WorkerPolled, StartSettled]
+                )
 
     def test_silent_worker_lapses_only_after_its_longest_lease(self):
         """Guards against a second run while a lease may still hold."""
-        self.channel.deaf = True
+        self.channel.unanswering = True
         run_for(self.clock, LEASE_S)
-        self.assertTrue(self.told(WorkerSilent))
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertTrue(self.sent_to_coordinator(WorkerSilent))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
         run_for(self.clock, prior_lease_timeout_s(LEASE_S) - LEASE_S + 2.0)
-        self.assertTrue(self.told(WorkerLapsed))
+        self.assertTrue(self.sent_to_coordinator(WorkerLapsed))
 
     def remove_entry(self, drained, silent_s=0.0):
         """Let the worker fall silent, and its entry end after a time."""
-        self.channel.deaf = True
+        self.channel.unanswering = True
         run_for(self.clock, silent_s)
         self.system.tell(self.session.name, EntryRemoved(drained))
         run_for(self.clock, 1.0)
@@ -179,44 +183,44 @@
     def test_worker_that_left_by_itself_holds_nothing(self):
         """Guards against a gang that waits out the lease of a left worker."""
         self.remove_entry(drained=True)
-        self.assertTrue(self.told(WorkerLapsed))
+        self.assertTrue(self.sent_to_coordinator(WorkerLapsed))
 
     def test_entry_that_a_silence_ended_says_nothing(self):
         """Guards against a second run beside a worker that is cut off."""
         self.remove_entry(drained=True, silent_s=3 * HEARTBEAT_S)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_worker_that_did_not_drain_may_be_cut_off(self):
         """Guards against a second run when the store forgot an entry."""
         self.remove_entry(drained=False)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_worker_that_still_answers_has_not_left(self):
         """Guards against runs given up on a worker that lingers."""
         self.system.tell(self.session.name, EntryRemoved(True))
         run_for(self.clock, 1.0)
-        self.channel.deaf = True
+        self.channel.unanswering = True
         run_for(self.clock, 0.5)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_lost_stop_does_not_tell_that_a_worker_left(self):
         """Guards against runs given up while the last poll is on its way."""
-        self.channel.deaf = True
+        self.channel.unanswering = True
         self.system.tell(self.session.name, EntryRemoved(True))
         run_for(self.clock, 0.1)
-        self.channel.hanging = True
+        self.channel.hangs = True
         run_for(self.clock, 0.4)
         self.system.tell(self.session.name, StopRun("w1", fx.key(), 1))
         run_for(self.clock, 0.05)
         self.assertIn("stop", self.channel.calls)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_start_to_a_lapsed_worker_settles(self):
         """Guards against a task that waits for a lost worker for ever."""
-        self.channel.deaf = True
+        self.channel.unanswering = True
         self.start_run()
         run_for(self.clock, prior_lease_timeout_s(LEASE_S) + 5.0)
-        self.assertEqual(len(self.told(StartSettled)), 1)
+        self.assertEqual(len(self.sent_to_coordinator(StartSettled)), 1)
 
     def test_unsettled_runs_are_stopped_before_the_first_poll(self):
         """Guards against a report that misses an order still on its way."""
