--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -1,4 +1,4 @@
-"""Follows the operators' configuration in the store and at peers."""
+"""Follows the operators' configuration in the store and at other nodes."""
 
 import logging
 
@@ -21,19 +21,27 @@
 )
 from .metrics import METRICS, Measured
 
-WATCH_TIMEOUT_S = 1.0  # a watch that has gone silent is noticed within this time
-RETRY_DELAY_S = 0.3  # below the bound on configuration changes
+# A watch whose connection has died without an error is noticed within this
+# time.
+WATCH_TIMEOUT_S = 1.0
+# Must stay below the time within which a configuration change has to take
+# effect.
+RETRY_DELAY_S = 0.3
 
 _logger = logging.getLogger(__name__)
 
 
 class ConfigurationFeed(Actor):
-    """Keeps the newest configuration; versions never fall.
+    """Keeps the newest configuration and announces each newer version.
+
+    Documents come from the store and from peers. One whose version is not
+    above the current version is ignored.
 
     Args:
-        system: The node's actors.
-        codec: Reads the document.
-        subscribers: Actors told of each newer version.
+        system: The actor system of this node.
+        codec: Decodes the configuration document.
+        subscribers: Names of the actors that get ``ConfigurationInForce``
+            for each newer version.
     """
 
     def __init__(
@@ -60,21 +68,26 @@
         }
 
     def start(self) -> None:
-        """Read the configuration."""
+        """Schedule the first read of the configuration."""
         self.tell(TIMERS, Subscribe(self.name, "follow", 0.0))
 
     def stop(self) -> None:
-        """End the watch with its next answer."""
+        """Let the watch end when the store next answers it."""
         self._stopping = True
 
     async def _follow(self) -> None:
-        """Read the key, then follow its changes until a call fails."""
+        """Read the key, then watch it until a call fails or history is lost.
+
+        Unless the actor is stopping, the next attempt is scheduled after
+        ``RETRY_DELAY_S``.
+        """
         try:
             reply: PrefixReply = await self.ask(STORE, GetPrefix(self._codec.key))
             for pair in reply.pairs:
                 if pair.key == self._codec.key:
                     self._apply_document(pair.value, "store")
-            # The key's own revision may be older than the kept history.
+            # Watch from the revision of the read: the revision of the key may
+            # be older than the history that the store keeps.
             revision = reply.revision
             while not self._stopping:
                 changes = await self.ask(
@@ -87,21 +100,28 @@
                         self._apply_document(change.value, "store")
                 revision = changes.revision
         except RedwingrudderError as error:
-            _logger.info("configuration watch lost", extra={"error": str(error)})
+            _logger.info(
+                "configuration watch failed; it is started again",
+                extra={"error": str(error)},
+            )
         if not self._stopping:
             self.tell(TIMERS, Subscribe(self.name, "follow", RETRY_DELAY_S))
 
     def _get_document(self, request: GetConfigurationDocument) -> str:
-        newer = self.current is not None and (
+        is_newer = self.current is not None and (
             self.current.version > request.above_version
         )
-        return self._document if newer else ""
+        return self._document if is_newer else ""
 
     def _apply_document(self, document: str, source: str) -> None:
+        """Put a document in force if it is valid and of a newer version."""
         try:
             configuration = self._codec.decode(document)
         except InvalidConfigurationError as error:
-            _logger.error("configuration refused", extra={"error": str(error)})
+            _logger.error(
+                "configuration document is invalid; it is ignored",
+                extra={"error": str(error)},
+            )
             return
         old_version = self.current.version if self.current is not None else 0
         if configuration.version <= old_version:
@@ -109,14 +129,14 @@
         self.current = configuration
         self._document = document
         _logger.info(
-            "configuration in force",
+            "configuration version is now in force",
             extra={
                 "version": configuration.version,
                 "old": old_version,
                 "source": source,
             },
         )
-        version = Measured("configuration_version", configuration.version)
-        self.tell(METRICS, version)
+        gauge = Measured("configuration_version", configuration.version)
+        self.tell(METRICS, gauge)
         for subscriber in self._subscribers:
             self.tell(subscriber, ConfigurationInForce(configuration))
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -1,4 +1,4 @@
-"""What a platform provides, as abstract classes and plain types."""
+"""Abstract classes and data types through which a platform is accessed."""
 
 import abc
 import enum
@@ -33,16 +33,16 @@
 COORDINATOR_KEY = "coordination/holder"
 TERM_KEY = "coordination/term"
 
-NOT_COORDINATOR_RETRY_S = 1.0  # an election takes about this long
+NOT_COORDINATOR_RETRY_S = 1.0  # about the duration of an election
 
 
 class AwaitChanges(NamedTuple):
-    """Ask of STORE -> ``Changes``, when there is one or after the wait.
+    """Ask STORE -> ``Changes``, on the first change or after the wait.
 
     Args:
-        prefix: Beginning of the keys.
-        after: Changes after this revision.
-        wait_s: Longest wait.
+        prefix: Key prefix to watch.
+        after: Store revision after which changes are returned.
+        wait_s: Longest wait for a change, in seconds.
     """
 
     prefix: str
@@ -51,7 +51,7 @@
 
 
 class Change(NamedTuple):
-    """A change of a key; ``value`` is None for a removal."""
+    """One change of a key; ``value`` is None if the key was removed."""
 
     key: str
     value: str | None
@@ -59,9 +59,13 @@
 
 
 class Changes(NamedTuple):
-    """Changes in order; ``revision`` is where to continue.
+    """Changes in the order of the store.
 
-    ``expired`` means that the store no longer has this history.
+    Attributes:
+        changes: The changes, oldest first.
+        revision: Revision to pass as ``after`` in the next request.
+        expired: The store no longer has the history after the requested
+            revision; the keys have to be read anew.
     """
 
     changes: tuple[Change, ...]
@@ -74,11 +78,11 @@
 
     Attributes:
         name: Unique name.
-        host: Host that callers address.
-        prefix: Path that its calls begin with.
-        open: Calls need no key.
-        timeout_s: Longest wait for an answer.
-        policy: How its workflows are served.
+        host: Host name of the HTTP requests that the queue serves.
+        prefix: Path prefix of these requests.
+        open: Whether requests need no access key.
+        timeout_s: Time limit for the answer to a request, in seconds.
+        policy: Scheduling policy of its workflows.
     """
 
     name: str
@@ -90,14 +94,15 @@
 
 
 class OperatorConfiguration(NamedTuple):
-    """The configuration in force.
+    """The decoded configuration of the operators.
 
     Attributes:
-        version: Rises with each change.
+        version: Version number, which increases with each change.
         queues: All queues.
-        organisations_by_key: Owner of each access key.
-        guaranteed_by_organisation: Accelerators for urgent work.
-        pools: Names of the pools of workers.
+        organisations_by_key: Organisation that owns each access key.
+        guaranteed_by_organisation: Number of accelerators guaranteed to each
+            organisation for urgent work.
+        pools: Names of the worker pools.
     """
 
     version: int
@@ -107,45 +112,55 @@
     pools: frozenset[str]
 
     def find_queue(self, host: str, path: str) -> Queue | None:
-        """Return the queue with the longest prefix of a path."""
-        found = [
+        """Return the queue of a host with the longest matching prefix."""
+        matches = [
             queue
             for queue in self.queues
             if queue.host == host and path.startswith(queue.prefix)
         ]
-        return max(found, key=lambda queue: len(queue.prefix), default=None)
+        return max(matches, key=lambda queue: len(queue.prefix), default=None)
 
 
 class ConfigurationCodec(abc.ABC):
-    """Reads the operators' configuration document."""
+    """Decodes the operators' configuration document.
+
+    Attributes:
+        key: Store key of the document.
+    """
 
     key: str
 
     @abc.abstractmethod
     def decode(self, document: str) -> OperatorConfiguration:
-        """Return the configuration.
+        """Return the configuration described by a document.
 
         Raises:
-            InvalidConfigurationError: The document cannot be used.
+            InvalidConfigurationError: The document is malformed or
+                inconsistent.
         """
 
 
 class RegistryCodec(abc.ABC):
-    """Reads the entries that workers leave in the store."""
+    """Decodes the entries that workers write to the registry in the store.
+
+    Attributes:
+        prefix: Key prefix of the entries; the worker id follows it.
+    """
 
     prefix: str
 
     @abc.abstractmethod
     def decode(self, key: str, document: str) -> WorkerFacts | None:
-        """Return the worker, or None for an entry that names none."""
+        """Return the worker of an entry, None if it describes no worker."""
 
 
 class WorkerTimes(NamedTuple):
-    """Times that the platform states for all workers.
+    """Timing parameters that the platform sets for all workers.
 
     Attributes:
-        longest_lease_s: Longest lease that workers accept.
-        heartbeat_s: Between two updates of a worker's registry entry.
+        longest_lease_s: Longest lease that workers accept, in seconds.
+        heartbeat_s: Interval between two updates of a worker's registry
+            entry, in seconds.
     """
 
     longest_lease_s: float
@@ -156,10 +171,11 @@
     """A worker's answer to a poll.
 
     Attributes:
-        clock_ms: The worker's steady clock.
-        process_started_ms: Start of its process, 0 if it does not say.
-        running: Runs that are present.
-        ended: Ends that were not yet acknowledged.
+        clock_ms: Reading of the worker's monotonic clock in milliseconds.
+        process_started_ms: Start time of the worker's process in
+            milliseconds, which identifies its incarnation; 0 if not reported.
+        running: Runs that the worker currently executes.
+        ended: Ends of runs that have not been acknowledged yet.
     """
 
     clock_ms: int
@@ -172,10 +188,11 @@
     """A worker's answer to a command.
 
     Attributes:
-        accepted: The command took effect.
-        reason: Why not: "fenced", "outdated", "lapsed", "room", "permit",
-            "unhealthy", "other_life" or "invalid".
-        clock_ms: The worker's steady clock, 0 if it does not say.
+        accepted: Whether the command took effect.
+        reason: Reason of a rejection: "fenced", "outdated", "lapsed", "room",
+            "permit", "unhealthy", "other_life" or "invalid".
+        clock_ms: Reading of the worker's monotonic clock in milliseconds,
+            0 if not reported.
     """
 
     accepted: bool
@@ -186,27 +203,37 @@
 class WorkerChannel(abc.ABC):
     """Connections to one incarnation of a worker.
 
-    Every call raises ``UnavailableError`` when there is no answer in time;
-    the command may then have taken effect, or may do so later.
+    Every call carries ``fence``, the coordinator's term as fencing token, and
+    waits at most ``timeout_s`` seconds for the answer. It raises
+    ``UnavailableError`` if there is none; the command may then have taken
+    effect already or may still do so later.
     """
 
     @abc.abstractmethod
     async def start(
         self, run: StartRun, lease_until_ms: int, fence: int, timeout_s: float
     ) -> CommandReply:
-        """Start a run; the lease holds until a time of the worker's clock."""
+        """Start a run under a lease.
+
+        Args:
+            run: The run to start.
+            lease_until_ms: End of the lease on the worker's clock in
+                milliseconds.
+            fence: Fencing token.
+            timeout_s: Time limit for the answer in seconds.
+        """
 
     @abc.abstractmethod
     async def stop(
         self, run: StartRun | StopRun, fence: int, timeout_s: float
     ) -> CommandReply:
-        """Stop a run, or keep it from starting later."""
+        """Stop a run; a start of it that arrives later has no effect."""
 
     @abc.abstractmethod
     async def throttle(
         self, run: ThrottleRun, fence: int, timeout_s: float
     ) -> CommandReply:
-        """Let a run work at a share of its speed."""
+        """Set the speed of a run, in percent of its full speed."""
 
     @abc.abstractmethod
     async def poll(
@@ -217,19 +244,22 @@
         wait_s: float,
         timeout_s: float,
     ) -> WorkerReport | CommandReply:
-        """Extend the lease, acknowledge ends and list the runs.
+        """Extend the worker's lease, acknowledge ends and list the runs.
 
         Args:
             fence: Fencing token.
-            acknowledged_end: Number of the last end that is on record.
-            lease_until_ms: Time of the worker's clock, 0 to leave the lease.
-            wait_s: How long the worker may wait for an end.
-            timeout_s: Longest wait for the answer.
+            acknowledged_end: Number up to which ends are recorded in the
+                store.
+            lease_until_ms: New end of the lease on the worker's clock in
+                milliseconds, 0 to leave the lease unchanged.
+            wait_s: Time in seconds for which the worker may delay its answer
+                until a run ends.
+            timeout_s: Time limit for the answer in seconds.
         """
 
     @abc.abstractmethod
     def reset(self) -> None:
-        """Drop idle connections, which may have gone silent."""
+        """Drop idle connections, which may be dead without an error."""
 
     @abc.abstractmethod
     def close(self) -> None:
@@ -237,9 +267,11 @@
 
 
 class Advice(NamedTuple):
-    """Workers that may run a step, and for how many seconds.
+    """Answer of the advice service: the workers that may run a step.
 
-    ``tickets`` holds what a start there has to carry, by worker.
+    Attributes:
+        tickets: Ticket that a start on a worker has to carry, by worker id.
+        valid_s: Time in seconds for which the answer is valid.
     """
 
     tickets: dict[str, str]
@@ -247,19 +279,26 @@
 
 
 class AdviceService(abc.ABC):
-    """Tells which workers a queue's policy allows."""
+    """External service that selects the workers allowed for a step."""
 
     @abc.abstractmethod
     async def ask(self, step: TaskKey, worker_ids: tuple[str, ...]) -> Advice:
-        """Return the answer for a step; the key's index is ignored.
+        """Return which of the given workers may run a step.
+
+        Args:
+            step: Key of any task of the step; its task index is ignored.
+            worker_ids: Ids of the workers in question.
 
         Raises:
-            RedwingrudderError: There is no answer.
+            RedwingrudderError: The service gave no answer.
         """
 
 
 class MachineReply(enum.StrEnum):
-    """Answers to an order; all but FENCED are events of the upkeep."""
+    """Answers to a maintenance order.
+
+    All values except FENCED are also events of the upkeep state chart.
+    """
 
     ACCEPTED = "accepted"
     REJECTED = "rejected"
@@ -268,53 +307,65 @@
 
 
 class MachineService(abc.ABC):
-    """Lists machines and takes them down.
+    """Lists machines and takes them down for maintenance.
 
-    Every call raises ``UnavailableError`` when there is no answer; an order
-    may then have been carried out and is to be repeated.
+    Every call raises ``UnavailableError`` if there is no answer. An order may
+    have been carried out in that case and has to be repeated.
     """
 
     @abc.abstractmethod
     async def list_machines(self) -> tuple[Machine, ...]:
-        """Return all machines."""
+        """Return all machines of the platform."""
 
     @abc.abstractmethod
     async def begin_upkeep(
         self, machine_id: str, wave_id: int, holder: str, fence: int
     ) -> MachineReply:
-        """Take a machine down; the same order twice is carried out once."""
+        """Take a machine down; the operation is idempotent.
+
+        Args:
+            machine_id: Machine to take down.
+            wave_id: Maintenance wave that the order belongs to.
+            holder: Name of the process that gives the order.
+            fence: Fencing token.
+        """
 
 
 class WaveCodec(abc.ABC):
-    """Reads the operators' maintenance waves and writes their state."""
+    """Decodes the operators' maintenance waves and encodes their state.
+
+    Attributes:
+        prefix: Key prefix of the waves in the store.
+    """
 
     prefix: str
 
     @abc.abstractmethod
     def decode(self, key: str, document: str) -> MaintenanceWave | None:
-        """Return the wave, or None for a document that names none."""
+        """Return the wave, None if the document describes no wave."""
 
     @abc.abstractmethod
     def status_key(self, wave_id: int) -> str:
-        """Return the key of a wave's state."""
+        """Return the store key of a wave's state."""
 
     @abc.abstractmethod
     def encode_status(self, wave_id: int, done: bool) -> str:
-        """Return the document of a wave's state."""
+        """Return the document that records whether a wave is done."""
 
     @abc.abstractmethod
     def is_done(self, document: str) -> bool:
-        """Return whether a state says that the wave is done."""
+        """Return whether a state document marks its wave as done."""
 
 
 class UpkeepGateway(NamedTuple):
-    """What maintenance waves need of the platform.
+    """Platform services used by maintenance waves.
 
     Attributes:
-        waves: Reads waves.
+        waves: Decodes waves and encodes their state.
         machines: Takes machines down.
-        holder: Names this process in orders.
-        quiet_s: Time after a change of the coordinator without orders.
+        holder: Name of this process in orders.
+        quiet_s: Time in seconds after a change of the coordinator in which
+            no orders are given, so that two coordinators do not alternate.
     """
 
     waves: WaveCodec
@@ -328,18 +379,19 @@
 
     @abc.abstractmethod
     def open(self, facts: WorkerFacts) -> WorkerChannel:
-        """Return a channel; connections open with the first command."""
+        """Return a channel, which connects with its first command."""
 
 
 class FleetGateways(NamedTuple):
-    """What the coordinator needs of the platform.
+    """Platform services used by the coordinator.
 
     Attributes:
-        registry: Reads the workers' entries.
-        channels: Opens connections to workers.
-        times: What the platform says of workers.
-        keep_ended_s: Seconds for which ended workflows can be asked for.
-        upkeep: What maintenance waves need; None without such a service.
+        registry: Decodes the workers' registry entries.
+        channels: Opens channels to workers.
+        times: Timing parameters of the workers.
+        keep_ended_s: Time in seconds for which the state of an ended workflow
+            can be queried.
+        upkeep: Services for maintenance waves, None if the platform has none.
     """
 
     registry: RegistryCodec
@@ -350,15 +402,15 @@
 
 
 def intake_keys(workflow_id: str) -> tuple[str, str]:
-    """Return the keys of a submission and of its cancellation."""
+    """Return the store keys of a submission and of its cancellation."""
     key = INTAKE_PREFIX + workflow_id
     return key, key + CANCEL_SUFFIX
 
 
 def not_coordinator() -> UnavailableError:
-    """Return the error of a node that is asked but does not lead."""
+    """Return the error for a request to a node that is not coordinator."""
     return UnavailableError(
-        "this node does not coordinate",
+        "this node is not the coordinator",
         code="not_coordinator",
         retry_after_s=NOT_COORDINATOR_RETRY_S,
     )
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -1,4 +1,4 @@
-"""Election of the coordinator through the store."""
+"""Election of the coordinator through a leased record in the store."""
 
 import json
 import logging
@@ -43,21 +43,25 @@
     Resign,
 )
 
-LEASE_TTL_S = 1.5  # work stands still this long after a coordinator's power loss
-RENEW_INTERVAL_S = 0.35  # four attempts within the TTL
+# Scheduling stops for about this long when the coordinator loses its power.
+LEASE_TTL_S = 1.5
+RENEW_INTERVAL_S = 0.35  # allows four attempts within LEASE_TTL_S
 WATCH_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.25
-# Nodes that find the record vacant wait up to this long, so that mostly one
-# of them writes.
+# Nodes that find the record vacant wait for a random time up to
+# CAMPAIGN_JITTER_S, so that usually only one of them writes the record.
+MIN_CAMPAIGN_DELAY_S = 0.02
 CAMPAIGN_JITTER_S = 0.15
-# Weaker nodes wait longer, so that a strong one is elected where there is any:
-# the coordinator of 176 workers takes up to a core and reads some megabytes
-# when it takes over.
+# Nodes with few cores or a slow link wait longer, so that a node with enough
+# resources is elected if there is one: the coordinator of 176 workers uses up
+# to one core and reads some megabytes when it takes over.
 UNCONSTRAINED_CORES = 1.0
-WEAK_CORES_DELAY_S = 0.35  # times the share of a core that is missing
+WEAK_CORES_DELAY_S = 0.35  # per missing core below UNCONSTRAINED_CORES
 UNCONSTRAINED_LINK_BPS = 50e6
 WEAK_LINK_DELAY_S = 0.2
-RESIGNED_DELAY_S = 2.0  # longer than other nodes need to be elected
+# Extra delay of a node that has resigned; longer than the election of another
+# node takes.
+RESIGNED_DELAY_S = 2.0
 
 _EVENTS = frozenset({"vacant", "acquired", "failed", "deposed", "resign", "drain"})
 _ACTIONS = frozenset({"acquire", "begin_term", "end_term", "withdraw_record"})
@@ -65,7 +69,13 @@
 
 
 class Identity(NamedTuple):
-    """This process among the nodes."""
+    """Identity of a node process.
+
+    Attributes:
+        node_id: Configured name of the node.
+        address: "host:port" of its Thrift server.
+        incarnation: Random id of this process.
+    """
 
     node_id: str
     address: str
@@ -73,13 +83,18 @@
 
 
 class NodeResources(NamedTuple):
-    """What a node can carry: processor share and bits a second."""
+    """Resources of a node that matter for the coordinator's load.
+
+    Attributes:
+        cores: Number of processor cores, may be a fraction.
+        link_bps: Bandwidth of the network link in bits per second.
+    """
 
     cores: float = UNCONSTRAINED_CORES
     link_bps: float = UNCONSTRAINED_LINK_BPS
 
     def extra_campaign_delay_s(self) -> float:
-        """Return for how long the node leaves a vacancy to stronger ones."""
+        """Return the extra wait of the node before it campaigns."""
         cores_s = WEAK_CORES_DELAY_S * max(UNCONSTRAINED_CORES - self.cores, 0.0)
         return cores_s + WEAK_LINK_DELAY_S * (self.link_bps < UNCONSTRAINED_LINK_BPS)
 
@@ -88,7 +103,15 @@
 
 
 class Holder(NamedTuple):
-    """The record of the coordinator."""
+    """The coordinator's record as read from the store.
+
+    Attributes:
+        node_id: Name of the coordinating node.
+        address: "host:port" of its Thrift server.
+        incarnation: Random id of its process.
+        term: Number of its term.
+        revision: Store revision of the record.
+    """
 
     node_id: str
     address: str
@@ -98,22 +121,24 @@
 
 
 def boot_clock() -> float:
-    """Return seconds that count on while the machine is suspended."""
+    """Return monotonic seconds that include time in system suspend."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def _log_failed_election(error: BaseException) -> None:
-    _logger.info("election failed", extra={"error": str(error)})
+    _logger.info("attempt to become coordinator failed", extra={"error": str(error)})
 
 
 class Leadership(Actor):
     """Watches the coordinator's record and acquires it when it is vacant.
 
     Args:
-        system: The node's actors.
-        identity: This process.
-        subscribers: Actors told of each known coordinator.
-        resources: What this node can carry.
+        system: The actor system of this node.
+        identity: Identity of this process.
+        subscribers: Names of the actors that get ``CoordinatorKnown`` on each
+            change.
+        resources: Resources of this node; a node with few of them waits
+            longer before it campaigns.
     """
 
     def __init__(
@@ -137,7 +162,8 @@
         self._random = random.Random(identity.incarnation)
         self._extra_delay_s = resources.extra_campaign_delay_s()
         self._holder: Holder | None = None
-        # Revision of a record whose holder is surely dead, 0 for none.
+        # Revision of a record whose holder process no longer exists, 0 if
+        # none. Such a record may be replaced before its lease expires.
         self._abandoned_revision = 0
         self._announced: tuple[str, int] | None = None
         self._lease = 0
@@ -146,7 +172,7 @@
 
     @property
     def leading(self) -> bool:
-        """Whether this node holds the record."""
+        """Whether this node is the coordinator."""
         return self._chart.state == "leading"
 
     def handlers(self) -> dict[type, Handler]:
@@ -160,19 +186,19 @@
         }
 
     def start(self) -> None:
-        """Begin to follow the record."""
+        """Start to watch the record and to renew the lease."""
         self.tell(TIMERS, Subscribe(self.name, "follow", 0.0))
         self.tell(
             TIMERS, Subscribe(self.name, "renew", RENEW_INTERVAL_S, RENEW_INTERVAL_S)
         )
 
     def _drain(self, message: Drain) -> None:
-        """Give up the record so that another node takes over at once."""
+        """Withdraw the record, so that another node takes over at once."""
         self._stopping = True
         self._chart.step("drain", "drain")
 
     def stop(self) -> None:
-        """End the watch with its next answer."""
+        """Let the watch end when the store next answers it."""
         self._stopping = True
 
     def _timer_fired(self, fired: TimerFired) -> None:
@@ -184,6 +210,11 @@
             self._chart.step("vacant", "vacant")
 
     async def _follow(self) -> None:
+        """Read the record, then watch it until a call fails.
+
+        Unless the actor is stopping, the next attempt is scheduled after
+        ``RETRY_DELAY_S``.
+        """
         try:
             revision = await self._read_record()
             while not self._stopping:
@@ -199,37 +230,42 @@
                     self._observe(None, changes.revision)
                 revision = changes.revision
         except RedwingrudderError as error:
-            _logger.info("coordinator watch lost", extra={"error": str(error)})
+            _logger.info(
+                "watch of the coordinator's record failed", extra={"error": str(error)}
+            )
         if not self._stopping:
             self.tell(TIMERS, Subscribe(self.name, "follow", RETRY_DELAY_S))
 
     async def _read_record(self) -> int:
+        """Read the record and return the revision to watch from."""
         entry: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
         self._observe(
             entry.value if entry else None, entry.mod_revision if entry else 0
         )
         if entry is not None:
             return entry.mod_revision
-        term = await self.ask(STORE, GetKey(TERM_KEY))
-        return term.mod_revision if term is not None else 1
+        term_entry = await self.ask(STORE, GetKey(TERM_KEY))
+        return term_entry.mod_revision if term_entry is not None else 1
 
     def _observe(self, value: str | None, revision: int) -> None:
-        """Take over a state of the record.
+        """Process a state of the record that was read or watched.
 
         Args:
             value: The record, None if it is absent.
-            revision: Of the change that a watch told, 0 for an absent record
-                that was read.
+            revision: Store revision of the change, 0 if a read found no
+                record.
         """
         known_revision = self._holder.revision if self._holder is not None else 0
         if 0 < revision < known_revision:
-            # A watch tells of changes before this node's own record.
+            # The watch lags behind and reports changes that are older than
+            # the record that this node has read or written.
             return
         if value is None:
             self._holder = None
             self._announce("", "", 0)
             if not self._stopping:
-                # The last holder is given the first chance: it knows all.
+                # The former holder campaigns without a delay, since it still
+                # has the whole state in memory.
                 delay_s = 0.0 if self.leading else self._campaign_delay_s()
                 self.tell(TIMERS, Subscribe(self.name, "campaign", delay_s))
             return
@@ -247,21 +283,25 @@
         if not is_own_record and self.leading:
             self._chart.step("deposed", f"{holder.node_id} holds term {holder.term}")
         elif not is_own_record and holder.node_id == self._identity.node_id:
-            # The record of an earlier incarnation of this process.
+            # The record was written by an earlier incarnation of this node.
             self._abandoned_revision = revision
-            self._chart.step("vacant", "earlier life")
+            self._chart.step("vacant", "record of an earlier incarnation")
         else:
             self.tell(TIMERS, Unsubscribe(self.name, "campaign"))
 
     def _announce(self, node_id: str, address: str, term: int) -> None:
+        """Notify the subscribers if the coordinator or its term changed."""
         if self._announced == (node_id, term):
             return
         self._announced = (node_id, term)
-        _logger.info("coordinator known", extra={"coordinator": node_id, "term": term})
+        _logger.info(
+            "coordinator changed", extra={"coordinator": node_id, "term": term}
+        )
         for subscriber in self._subscribers:
             self.tell(subscriber, CoordinatorKnown(node_id, address, term))
 
     def _coordinator_silent(self, message: CoordinatorSilent) -> None:
+        """Campaign if the current coordinator refuses connections."""
         if self._stopping or self._holder is None:
             return
         if self._holder.address == message.address and not self.leading:
@@ -270,24 +310,31 @@
             self.tell(TIMERS, Subscribe(self.name, "campaign", delay_s))
 
     def _campaign_delay_s(self) -> float:
-        return self._extra_delay_s + self._random.uniform(0.02, CAMPAIGN_JITTER_S)
+        return self._extra_delay_s + self._random.uniform(
+            MIN_CAMPAIGN_DELAY_S, CAMPAIGN_JITTER_S
+        )
 
     def _handle_fenced(self, message: Fenced) -> None:
-        _logger.warning("higher term seen", extra={"source": message.source})
+        _logger.warning(
+            "a higher term exists; coordinator steps down",
+            extra={"source": message.source},
+        )
         self._chart.step("deposed", message.source)
 
     def _resign(self, message: Resign) -> None:
-        """Leave the record to a node that can carry it."""
-        _logger.warning("coordinator resigns", extra={"reason": message.reason})
+        """Withdraw the record and leave the next election to other nodes."""
+        _logger.warning(
+            "coordinator resigns from its term", extra={"reason": message.reason}
+        )
         self._extra_delay_s += RESIGNED_DELAY_S
         self._chart.step("resign", message.reason)
 
     async def _acquire(self) -> None:
-        """Write the record, on the condition that it did not change."""
+        """Write the record if it is vacant and unchanged since it was read."""
         event = "failed"
         result: tuple[int, int] | None = None
         try:
-            # A slow store answers each call late, so the calls overlap.
+            # The calls run concurrently to save time when the store is slow.
             sent_at = boot_clock()
             holder, term_entry, lease = await gatherResults(
                 [
@@ -307,7 +354,9 @@
         if result is not None:
             self._chart.step(event, result)
             return
-        self._chart.step(event, "race or store")
+        self._chart.step(
+            event, "the record was held, the write lost a race or a store call failed"
+        )
         if not self._stopping and self._holder is None:
             self.tell(TIMERS, Subscribe(self.name, "campaign", RETRY_DELAY_S))
 
@@ -318,7 +367,12 @@
         lease: int,
         sent_at: float,
     ) -> tuple[int, int] | None:
-        """Return the new term and the revision of its key, None if it lost."""
+        """Write the record of a new term in one transaction.
+
+        Returns:
+            The new term and the revision of its key, None if another node
+            changed the record or the term first.
+        """
         term = int(term_entry.value) + 1 if term_entry is not None else 1
         record = json.dumps(
             {
@@ -346,14 +400,19 @@
         return term, revision
 
     async def _read_own_term(self, record: str, term: int) -> int:
-        """Return the revision of an unanswered write, 0 if it is void."""
-        written: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
-        if written is None or written.value != record:
+        """Check whether a write without an answer took effect.
+
+        Returns:
+            The revision of the term's key, 0 if the write had no effect or
+            has been replaced.
+        """
+        written_record: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
+        if written_record is None or written_record.value != record:
             return 0
-        current: KeyValue | None = await self.ask(STORE, GetKey(TERM_KEY))
-        if current is None or int(current.value) != term:
+        current_term: KeyValue | None = await self.ask(STORE, GetKey(TERM_KEY))
+        if current_term is None or int(current_term.value) != term:
             return 0
-        return current.mod_revision
+        return current_term.mod_revision
 
     def _begin_term(self, result: tuple[int, int]) -> None:
         term, revision = result
@@ -362,33 +421,41 @@
         self.tell(COORDINATOR, BeginTerm(term, revision))
 
     async def _renew(self) -> None:
+        """Renew the lease and report until when it holds to COORDINATOR."""
         sent_at = boot_clock()
         lease = self._lease
         try:
             remaining_s = await self.ask(STORE, KeepLeaseAlive(lease))
         except RedwingrudderError as error:
-            _logger.info("lease not renewed", extra={"error": str(error)})
+            _logger.info(
+                "lease of the coordinator's record was not renewed",
+                extra={"error": str(error)},
+            )
             return
         if not self.leading or lease != self._lease:
             return
         if remaining_s:
             self.tell(COORDINATOR, LeaseConfirmed(sent_at + LEASE_TTL_S))
         else:
-            _logger.warning("lease has ended", extra={"lease": lease})
+            _logger.warning(
+                "lease of the coordinator's record has expired", extra={"lease": lease}
+            )
             await self._read_record_after_lapse()
 
     async def _read_record_after_lapse(self) -> None:
         try:
             entry: KeyValue | None = await self.ask(STORE, GetKey(COORDINATOR_KEY))
         except RedwingrudderError as error:
-            _logger.info("record not read", extra={"error": str(error)})
+            _logger.info(
+                "coordinator's record was not read", extra={"error": str(error)}
+            )
             return
         self._observe(
             entry.value if entry else None, entry.mod_revision if entry else 0
         )
 
     async def _withdraw_record(self) -> None:
-        """Remove the record if it is still this process's own."""
+        """Remove the record if this process still holds it."""
         try:
             holder = self._holder
             if holder is None or holder.incarnation != self._identity.incarnation:
@@ -396,4 +463,6 @@
             compare = Compare(COORDINATOR_KEY, holder.revision)
             await self.ask(STORE, Transact((compare,), (DeleteKey(COORDINATOR_KEY),)))
         except RedwingrudderError as error:
-            _logger.info("record not withdrawn", extra={"error": str(error)})
+            _logger.info(
+                "coordinator's record was not withdrawn", extra={"error": str(error)}
+            )
--- a/src/redwingrudder/coordination/peer_calls.py
+++ b/src/redwingrudder/coordination/peer_calls.py
@@ -1,4 +1,4 @@
-"""Thrift calls to and from the other nodes."""
+"""Client and server side of the Thrift calls between nodes."""
 
 import logging
 from collections.abc import Callable
@@ -27,12 +27,18 @@
 )
 
 CONNECT_TIMEOUT_S = 0.5
+INTERNAL_ERROR_RETRY_S = 1.0  # proposed to the calling node
 
 _logger = logging.getLogger(__name__)
 
 
 class PeerLink:
-    """A connection to one node, opened with the first call."""
+    """Connection to one node; each call reopens it if it is closed.
+
+    Args:
+        reactor: Opens connections and provides the time.
+        address: "host:port" of the other node.
+    """
 
     def __init__(self, reactor: Any, address: str) -> None:
         self._reactor = reactor
@@ -44,11 +50,19 @@
         self._connecting: Deferred | None = None
 
     async def call(self, method: str, arguments: tuple, timeout_s: float) -> Any:
-        """Return the reply.
+        """Call a method of ``CoordinationService`` and return its result.
+
+        Args:
+            method: Name of the method.
+            arguments: Positional arguments of the method.
+            timeout_s: Time limit in seconds, including the connection setup.
 
         Raises:
-            UnavailableError: There is no answer in time.
-            UnavailableError: The other node refused, with its code.
+            UnavailableError: The connection was refused (code
+                ``connection_refused``), the call failed or timed out, or the
+                other node answered with an error, whose code is kept.
+            OutcomeUnknownError: The other node answered that it does not
+                know whether the operation took effect.
         """
         reply = ensureDeferred(self._call(method, arguments))
         reply.addTimeout(timeout_s, self._reactor)
@@ -67,7 +81,9 @@
             raise UnavailableError(str(error), code="connection_refused") from error
         except (TException, Exception) as error:
             self.close()
-            raise UnavailableError(f"{method}: {error!r}") from error
+            raise UnavailableError(
+                f"call of {method} to a peer failed: {error!r}"
+            ) from error
 
     async def _call(self, method: str, arguments: tuple) -> Any:
         if self._protocol is None:
@@ -78,7 +94,7 @@
         return await getattr(self._protocol.client, method)(*arguments)
 
     def close(self) -> None:
-        """Drop the connection, which may have gone silent."""
+        """Abort the connection, which may be dead without an error."""
         protocol, self._protocol = self._protocol, None
         if protocol is not None and protocol.transport is not None:
             protocol.transport.abortConnection()
@@ -90,7 +106,14 @@
 
 @implementer(CoordinationService.Iface)
 class PeerHandler:
-    """Calls of other nodes; each asks a local actor."""
+    """Serves the calls of other nodes by messages to local actors.
+
+    Args:
+        ask: Sends a message to an actor and returns a Deferred of the reply.
+        tell: Sends a message to an actor without a reply.
+        exchange: Takes the summary of the calling node and returns that of
+            this node.
+    """
 
     def __init__(
         self,
@@ -103,46 +126,55 @@
         self.exchange = exchange
 
     def configuration(self, above_version: int) -> Deferred:
-        """Return the document if it is above a version, else an empty text."""
+        """Return the document if its version is higher, otherwise ""."""
         return self._serve(CONFIGURATION, GetConfigurationDocument(above_version))
 
     def store_workflow(self, workflow_id: str, document: str) -> Deferred:
-        """Store a workflow for a node that the store turns away."""
+        """Store a workflow for a node that cannot reach the store."""
         return self._serve(INTAKE, StoreForPeer(workflow_id, document), None)
 
     def announce_workflow(self, workflow_id: str, document: str) -> None:
-        """Tell the coordinator of a stored workflow."""
+        """Notify the coordinator on this node of a stored workflow."""
         self._tell(COORDINATOR, WorkflowStored(workflow_id, document))
 
     def store_cancel(self, workflow_id: str) -> Deferred:
-        """Store a cancellation; returns whether the workflow is known."""
+        """Store a cancellation and return whether the workflow exists."""
         return self._serve(INTAKE, CancelForPeer(workflow_id))
 
     def announce_cancel(self, workflow_id: str) -> None:
-        """Tell the coordinator of a stored cancellation."""
+        """Notify the coordinator on this node of a stored cancellation."""
         self._tell(COORDINATOR, CancelStored(workflow_id))
 
     def state(self, workflow_id: str) -> Deferred:
-        """Return the state that the coordinator knows, empty if none."""
+        """Return the coordinator's state of a workflow, "" if unknown."""
         return self._serve(COORDINATOR, GetState(workflow_id))
 
     def read_state(self, workflow_id: str) -> Deferred:
-        """Return the state from the store, empty if there is none."""
+        """Return the state recorded in the store, "" without a record."""
         return self._serve(INTAKE, ReadStateForPeer(workflow_id))
 
     def queue_length(self, queue: str) -> Deferred:
-        """Return the workflows of a queue without a started task."""
+        """Return how many workflows of a queue have no started task."""
         return self._serve(COORDINATOR, GetQueueLength(queue))
 
-    def _serve(self, actor: str, message: Any, *fixed: Any) -> Deferred:
+    def _serve(self, actor: str, message: Any, *fixed_result: Any) -> Deferred:
+        """Ask an actor; ``fixed_result`` replaces its reply if it is given."""
         reply = self._ask(actor, message)
-        if fixed:
-            reply.addCallback(lambda _: fixed[0])
-        return reply.addErrback(self._fault)
+        if fixed_result:
+            reply.addCallback(lambda _: fixed_result[0])
+        return reply.addErrback(self._raise_fault)
 
-    def _fault(self, failure: Any) -> None:
+    def _raise_fault(self, failure: Any) -> None:
+        """Convert the error of an actor to the Thrift exception."""
         error = failure.value
         if isinstance(error, RedwingrudderError):
             raise Fault(error.code, error.detail, error.retry_after_s or 0.0)
-        _logger.error("call failed", extra={"traceback": failure.getTraceback()})
-        raise Fault("internal_error", "unexpected error", 1.0)
+        _logger.error(
+            "call of a peer failed unexpectedly",
+            extra={"traceback": failure.getTraceback()},
+        )
+        raise Fault(
+            "internal_error",
+            "unexpected error while a peer's call was served",
+            INTERNAL_ERROR_RETRY_S,
+        )
--- a/src/redwingrudder/coordination/peers.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -1,4 +1,4 @@
-"""The other nodes: discovery, exchange of summaries and calls by thrift."""
+"""Discovery of the other nodes, exchange of summaries and Thrift calls."""
 
 import logging
 import random
@@ -42,33 +42,34 @@
 from .peer_calls import PeerHandler, PeerLink
 
 EXCHANGE_INTERVAL_S = 0.5
-EXCHANGE_FANOUT = 2  # random peers beside the coordinator
+# Number of random peers in each round, in addition to the coordinator.
+EXCHANGE_FANOUT = 2
 CALL_TIMEOUT_S = 0.6
-# All nodes together exchange this often with the coordinator, so that its
-# load does not grow with their number.
+# Rate of exchanges of all nodes together with the coordinator; the limit keeps
+# its load independent of the number of nodes.
 COORDINATOR_EXCHANGES_PER_S = 40.0
 DISCOVERY_INTERVAL_S = 5.0
-# All nodes together read the list of nodes this often, a hundredth of the
-# reads that the platform's stores serve.
+# Rate at which all nodes together read the list of nodes: a hundredth of the
+# read rate that the platform's stores serve.
 DISCOVERIES_PER_S = 20.0
-DISCOVERY_RETRY_DELAY_S = 1.0
-# A node that is gone for good leaves the list after this time; several times
-# the interval between two discoveries at the largest size.
+DISCOVERY_RETRY_DELAY_S = 1.0  # after a failed registration
+# The entry of a node that is gone for good expires after this time. It is
+# several times the interval between two discoveries in the largest system.
 NODE_LEASE_S = 300.0
-MAX_FRESH_AGE_S = 2.0  # age up to which a summary counts
-FORGET_AFTER_S = 30.0  # without an exchange
+MAX_FRESH_AGE_S = 2.0  # age above which a summary is ignored
+FORGET_AFTER_S = 30.0  # time without an exchange after which a node is dropped
 
 _logger = logging.getLogger(__name__)
 
 
 class CallPeer(NamedTuple):
-    """Ask PEERS -> the reply of a thrift call.
+    """Ask PEERS -> the result of a Thrift call to another node.
 
     Args:
         address: "host:port" of the node.
-        method: Method of ``CoordinationService``.
-        arguments: Its arguments.
-        timeout_s: Longest wait.
+        method: Name of a method of ``CoordinationService``.
+        arguments: Positional arguments of the method.
+        timeout_s: Time limit of the call in seconds.
     """
 
     address: str
@@ -82,11 +83,11 @@
 
 
 class PeerView(NamedTuple):
-    """The other nodes.
+    """Snapshot of what this node knows of the other nodes.
 
     Attributes:
-        fresh: Summaries that are not older than ``FRESH_S``.
-        known: Number of other nodes, those not heard of lately included.
+        fresh: Summaries that are younger than ``MAX_FRESH_AGE_S``.
+        known: Number of other nodes, including those without a fresh summary.
     """
 
     fresh: tuple[NodeSummary, ...]
@@ -94,9 +95,10 @@
 
     @property
     def store_is_down(self) -> bool:
-        """Whether most nodes of the system see no store, and none sees it.
+        """Whether a majority of nodes is known and none of it has the store.
 
-        A minority says nothing: a partition may have cut it off together.
+        This node counts as one without the store. A minority is not enough,
+        since a network partition may have cut all of it off from the store.
         """
         if any(summary.store_available for summary in self.fresh):
             return False
@@ -104,17 +106,17 @@
 
 
 class GetTimeOfDay(NamedTuple):
-    """Ask PEERS -> Unix seconds that most nodes agree on."""
+    """Ask PEERS -> Unix time in seconds, the median of the nodes' clocks."""
 
 
 class Peers(Actor):
-    """Knows the other nodes and carries calls to them.
+    """Tracks the other nodes and makes calls to them.
 
     Args:
-        system: The node's actors.
-        reactor: Provides connections.
-        identity: This process.
-        port_address: Host and port of the thrift server.
+        system: The actor system of this node.
+        reactor: Opens and accepts connections and provides the time.
+        identity: Identity of this process.
+        listen_address: Host and port on which the Thrift server listens.
     """
 
     def __init__(
@@ -140,10 +142,10 @@
 
     @property
     def reaches_store(self) -> bool:
-        """Whether this node has the store, or hears of a node that has it."""
+        """Whether this node or one with a fresh summary reaches the store."""
         if self._store_available:
             return True
-        return any(other.store_available for other in self._build_view().fresh)
+        return any(peer.store_available for peer in self._build_view().fresh)
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
@@ -159,7 +161,7 @@
         }
 
     def start(self) -> None:
-        """Listen for calls and look for other nodes."""
+        """Start the Thrift server, the discovery and the exchanges."""
         handler = PeerHandler(self.ask, self.tell, self._answer_exchange)
         factory = PeerServerFactory(handler, self._reactor.seconds, CoordinationService)
         host, port = self._listen_address
@@ -171,14 +173,18 @@
         )
 
     def stop(self) -> Any:
-        """Close the server and all links."""
+        """Close all connections and the server.
+
+        Returns:
+            A Deferred that fires when the server is closed, if it was open.
+        """
         for link in self._links_by_address.values():
             link.close()
         return self._port.stopListening() if self._port is not None else None
 
     def _timer_fired(self, fired: TimerFired) -> None:
-        work = self._discover() if fired.timer == "discover" else self._exchange_all()
-        run(work, self.name)
+        task = self._discover() if fired.timer == "discover" else self._exchange_all()
+        run(task, self.name)
 
     def _set_configuration_version(self, message: ConfigurationInForce) -> None:
         self._configuration_version = message.configuration.version
@@ -199,33 +205,36 @@
         return self._links_by_address[address]
 
     async def _discover(self) -> None:
-        """Register this node and read the others."""
+        """Register this node, read the list and schedule the next time."""
         delay_s = DISCOVERY_RETRY_DELAY_S
         try:
             await self._register()
-            known = len(self._summaries_by_id) + 1
-            delay_s = max(DISCOVERY_INTERVAL_S, known / DISCOVERIES_PER_S)
+            node_count = len(self._summaries_by_id) + 1
+            delay_s = max(DISCOVERY_INTERVAL_S, node_count / DISCOVERIES_PER_S)
             reply = await self.ask(STORE, GetPrefix(NODES_PREFIX))
             for pair in reply.pairs:
                 self._add_listed_node(pair.key.removeprefix(NODES_PREFIX), pair.value)
         except RedwingrudderError as error:
-            _logger.info("discovery failed", extra={"error": str(error)})
+            _logger.info("node discovery failed", extra={"error": str(error)})
         if not self._draining:
             self.tell(TIMERS, Subscribe(self.name, "discover", delay_s))
 
     def _add_listed_node(self, node_id: str, address: str) -> None:
-        """Take a listed node as known but not heard of."""
+        """Add a node without a summary; its age keeps it from being fresh."""
         if node_id != self._identity.node_id:
             received_at = self._reactor.seconds() - MAX_FRESH_AGE_S
             placeholder = NodeSummary(node_id, address, "", 0, "", "", 0, False, 0)
             self._summaries_by_id.setdefault(node_id, (received_at, placeholder))
 
     async def _register(self) -> None:
-        """Write this node's entry, or renew the lease that it is under."""
+        """Write this node's entry under a lease, or renew that lease."""
         if self._lease:
             if await self.ask(STORE, KeepLeaseAlive(self._lease)):
                 return
-            _logger.warning("registration has lapsed", extra={"lease": self._lease})
+            _logger.warning(
+                "lease of this node's entry has expired; it is registered again",
+                extra={"lease": self._lease},
+            )
             self._lease = 0
         lease = await self.ask(STORE, GrantLease(NODE_LEASE_S))
         key = NODES_PREFIX + self._identity.node_id
@@ -235,7 +244,10 @@
         self._lease = lease
 
     async def _unregister(self) -> None:
-        """Remove this node's entry; without an answer, its lease ends it."""
+        """Revoke the lease of this node's entry, which removes the entry.
+
+        If the call fails, the entry expires with the lease.
+        """
         self._draining = True
         lease, self._lease = self._lease, 0
         self.tell(TIMERS, Unsubscribe(self.name, "discover"))
@@ -243,18 +255,24 @@
             try:
                 await self.ask(STORE, RevokeLease(lease))
             except RedwingrudderError as error:
-                _logger.info("registration not ended", extra={"error": str(error)})
+                _logger.info(
+                    "lease of this node's entry was not revoked",
+                    extra={"error": str(error)},
+                )
 
     async def _exchange_all(self) -> None:
+        """Drop expired nodes and start the exchanges of one round."""
         now = self._reactor.seconds()
         for node_id, (received_at, _) in list(self._summaries_by_id.items()):
             if now - received_at > FORGET_AFTER_S:
                 del self._summaries_by_id[node_id]
-        others = [entry.address for _, entry in self._summaries_by_id.values()]
-        chosen = set(self._random.sample(others, min(EXCHANGE_FANOUT, len(others))))
+        addresses = [summary.address for _, summary in self._summaries_by_id.values()]
+        chosen = set(
+            self._random.sample(addresses, min(EXCHANGE_FANOUT, len(addresses)))
+        )
         coordinator = self._coordinator.address
         probability = (
-            COORDINATOR_EXCHANGES_PER_S * EXCHANGE_INTERVAL_S / (len(others) + 1)
+            COORDINATOR_EXCHANGES_PER_S * EXCHANGE_INTERVAL_S / (len(addresses) + 1)
         )
         if (
             coordinator
@@ -266,6 +284,11 @@
             run(self._exchange(address), self.name)
 
     async def _exchange(self, address: str) -> None:
+        """Exchange summaries with one node.
+
+        A connection refused by the coordinator is reported to LEADERSHIP:
+        its process is gone.
+        """
         try:
             reply = await self._get_link(address).call(
                 "exchange", (self._build_summary(),), CALL_TIMEOUT_S
@@ -279,11 +302,12 @@
         self._apply_summary(reply, address)
 
     def _answer_exchange(self, wire: WireNodeSummary) -> WireNodeSummary:
-        """Serve an exchange that another node began."""
+        """Apply the summary of a calling node and return that of this node."""
         self._apply_summary(wire, wire.address)
         return self._build_summary()
 
     def _apply_summary(self, wire: WireNodeSummary, address: str) -> None:
+        """Store a summary; follow up a newer configuration or coordinator."""
         summary = NodeSummary(
             wire.node_id,
             wire.address,
@@ -299,11 +323,11 @@
         if summary.configuration_version > self._configuration_version:
             run(self._fetch_configuration(address), self.name)
         if summary.term > self._coordinator.term and summary.coordinator_id:
-            known = CoordinatorKnown(
+            coordinator = CoordinatorKnown(
                 summary.coordinator_id, summary.coordinator_address, summary.term
             )
-            self._coordinator = known
-            self.tell(INTAKE, known)
+            self._coordinator = coordinator
+            self.tell(INTAKE, coordinator)
 
     async def _fetch_configuration(self, address: str) -> None:
         try:
@@ -311,7 +335,9 @@
                 "configuration", (self._configuration_version,), CALL_TIMEOUT_S
             )
         except RedwingrudderError as error:
-            _logger.info("configuration not fetched", extra={"error": str(error)})
+            _logger.info(
+                "configuration was not read from a peer", extra={"error": str(error)}
+            )
             return
         if document:
             self.tell(CONFIGURATION, OfferConfigurationDocument(document))
@@ -330,7 +356,10 @@
         )
 
     def _median_unix_time(self) -> float:
-        """Return the median of the nodes' clocks, as single ones may jump."""
+        """Return the median of the nodes' clocks in Unix seconds.
+
+        The median is unaffected by a jump of a single clock.
+        """
         now = self._reactor.seconds()
         readings = [
             summary.unix_time + now - received_at
--- a/src/redwingrudder/coordination/watching.py
+++ b/src/redwingrudder/coordination/watching.py
@@ -1,4 +1,4 @@
-"""Following the changes below a prefix of the store."""
+"""Watches a key prefix of the store across failures and compactions."""
 
 import logging
 from collections.abc import Callable
@@ -11,7 +11,9 @@
 from ..exceptions import RedwingrudderError
 from .gateways import STORE, AwaitChanges, Change
 
-WATCH_TIMEOUT_S = 1.0  # a watch that has gone silent is noticed within this time
+# A watch whose connection has died without an error is noticed within this
+# time.
+WATCH_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.25
 
 _logger = logging.getLogger(__name__)
@@ -26,16 +28,20 @@
     on_changes: Callable[[tuple[Change, ...]], None],
     on_reset: Callable[[tuple[KeyValue, ...]], None],
 ) -> None:
-    """Follow changes until they are no longer wanted.
+    """Report the changes below a key prefix until the caller stops it.
+
+    A failed call is logged and repeated after ``RETRY_DELAY_S``.
 
     Args:
         ask: Sends a message to an actor and returns the reply.
-        clock: Times the pauses after failed calls.
-        prefix: Beginning of the keys.
-        revision: Changes after this revision are new.
-        wanted: Returns whether to go on; asked again after each wait.
-        apply: Gets the changes in their order.
-        replace: Gets all pairs when the store has dropped its history.
+        clock: Clock for the pauses after failed calls.
+        prefix: Key prefix to watch.
+        revision: Store revision after which changes are reported.
+        is_active: Returns whether to continue; checked before each call and
+            before each callback.
+        on_changes: Called with the changes in the order of the store.
+        on_reset: Called with all current pairs when the store no longer has
+            the history since the last revision.
     """
     while is_active():
         try:
@@ -51,5 +57,5 @@
                     on_changes(changes.changes)
         except RedwingrudderError as error:
             extra = {"prefix": prefix, "error": str(error)}
-            _logger.info("watch lost", extra=extra)
+            _logger.info("watch of a key prefix failed; it is repeated", extra=extra)
             await pause(clock, RETRY_DELAY_S)
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -1,4 +1,4 @@
-"""The coordinator's conversation with one worker."""
+"""Actor through which the coordinator commands and polls one worker."""
 
 import logging
 import math
@@ -32,18 +32,25 @@
     WorkerSilent,
 )
 
-POLL_WAIT_S = 1.0  # an idle poll; also how old progress figures may be
-POLL_MARGIN_S = 0.8  # answer time on top of the wait
-COMMAND_TIMEOUTS_S = (0.4, 0.5, 0.8)  # of a start, sent again each time
-STOP_TIMEOUT_S = 0.5
-STOP_RETRY_S = 0.3
-SILENT_AFTER_S = 2.0  # without any answer
-RETRY_DELAY_S = 0.3
-BUSY_POLL_INTERVAL_S = 0.25  # between polls while ends wait for their record
-MIN_POLL_DURATION_S = 0.05  # an answer sooner than this did not wait
-MAX_CLOCK_DRIFT_RATIO = 0.02  # a worker's clock may be this much slow
-LAPSE_MARGIN_S = 0.3
-# Below the three heartbeats after which a silent worker's entry ends.
+# Time for which a worker may delay the answer to a poll, and interval between
+# polls of an idle worker. It bounds the age of the progress figures.
+POLL_WAIT_S = 1.0
+POLL_MARGIN_S = 0.8  # time limit of a poll beyond the worker's wait
+START_TIMEOUTS_S = (0.4, 0.5, 0.8)  # of the successive attempts of a start
+COMMAND_TIMEOUT_S = 0.5  # of a stop or throttle command
+STOP_RETRY_DELAY_S = 0.3
+SILENT_AFTER_S = 2.0  # time without an answer until a worker counts as silent
+RETRY_DELAY_S = 0.3  # after a poll that failed or was rejected
+# Interval between polls while reported ends are not recorded yet, and between
+# polls of workers that answer without waiting.
+BUSY_POLL_INTERVAL_S = 0.25
+# A poll that is answered sooner than this was not delayed by the worker.
+MIN_POLL_DURATION_S = 0.05
+MAX_CLOCK_DRIFT_RATIO = 0.02  # a worker's clock may be slow by this fraction
+LAPSE_MARGIN_S = 0.3  # added to the computed end of a lease
+# A drained worker whose entry is removed within this many heartbeats after an
+# answered poll has removed the entry itself: the entry of a silent worker is
+# removed only after three heartbeats.
 DEPARTURE_HEARTBEATS = 2
 
 _EVENTS = frozenset({"answered", "unanswered", "silent", "lapsed"})
@@ -55,14 +62,17 @@
 class WorkerSession(Actor):
     """Owns the connections to one incarnation of a worker.
 
+    It sends commands, extends the worker's lease by polls and reports the
+    answers, silence and the lapse of the lease to COORDINATOR.
+
     Args:
-        system: The node's actors.
-        facts: The worker.
-        channel: Connections to it.
-        fence: Term of the coordinator.
-        times: What the platform says of workers.
-        unsettled: Runs whose orders may still arrive; they are stopped before
-            the first poll.
+        system: The actor system of this node.
+        facts: Registry entry of the worker.
+        channel: Connections to the worker.
+        fence: Term of the coordinator, sent as fencing token.
+        times: Timing parameters of the workers.
+        unsettled: Runs for which orders sent earlier may still arrive at the
+            worker; they are stopped before the first poll.
     """
 
     def __init__(
@@ -91,14 +101,16 @@
         self._acknowledged_end = 0
         self._newest_end = 0
         self._last_answer_at = boot_clock()
-        # Until this boot-clock time a run of any coordinator may exist.
+        # Boot-clock time until which the worker may hold a lease, including
+        # one that an earlier coordinator has given.
         self._leases_end_at = boot_clock() + prior_lease_timeout_s(self._lease_s)
         self._worker_clock_ms = 0
         self._worker_clock_read_at = 0.0
         self._polling = False
-        # When the newest poll that was answered had been sent.
+        # Boot-clock time at which the latest answered poll was sent.
         self._answered_poll_sent_at = 0.0
-        # When the worker left the registry by itself, as it seems.
+        # Boot-clock time at which the worker appears to have removed its own
+        # registry entry.
         self._departed_at = math.inf
         self._has_runs = False
         self._closed = False
@@ -121,7 +133,10 @@
         }
 
     def start(self) -> None:
-        """Raise the worker's fence and list its runs."""
+        """Send the first poll, after the stops of all unsettled runs.
+
+        These calls make the worker reject coordinators of lower terms.
+        """
         if self._unsettled:
             self._polling = True
             run(self._stop_unsettled_then_poll(), self.name)
@@ -129,7 +144,7 @@
             self._poll_soon()
 
     def stop(self) -> None:
-        """Close the connections."""
+        """Close the connections; replies to calls in progress are dropped."""
         self._closed = True
         self._channel.close()
 
@@ -138,11 +153,12 @@
         self._departed_at = math.inf
 
     def _entry_removed(self, message: EntryRemoved) -> None:
-        """Tell a worker that has left from one that has fallen silent.
+        """Detect whether a worker has left or is cut off.
 
-        An entry that ends by silence does so after three heartbeats, so a
-        drained worker that was heard of later than that has left by itself,
-        and nothing runs on it. It is polled once more to be sure.
+        The entry of a silent worker is removed after three heartbeats. A
+        drained worker whose entry is removed sooner after an answered poll
+        has therefore left by itself, and nothing runs on it. It is polled
+        once more, since only a poll without an answer confirms this.
         """
         now = boot_clock()
         since_answered_poll_s = now - self._answered_poll_sent_at
@@ -166,13 +182,14 @@
             run(self._poll(), self.name)
 
     async def _stop_unsettled_then_poll(self) -> None:
+        """Stop the unsettled runs, so that no order arrives after the poll."""
         for stop in self._unsettled:
             await self._send_stop(stop)
         self._polling = False
         self._poll_soon()
 
     async def _poll(self) -> None:
-        """Poll once; the answer decides when to poll again."""
+        """Poll once and schedule the next poll according to the answer."""
         wait_s = POLL_WAIT_S if self._newest_end <= self._acknowledged_end else 0.0
         if self._chart.state != "answering":
             wait_s = 0.0
@@ -193,7 +210,7 @@
             self._handle_report(reply, sent_at)
 
     async def _send_poll(self, wait_s: float) -> WorkerReport | CommandReply | None:
-        """Return the worker's answer, None without one."""
+        """Send a poll; returns None if the worker did not answer."""
         try:
             return await self._channel.poll(
                 self._fence,
@@ -204,12 +221,18 @@
             )
         except RedwingrudderError as error:
             _logger.info(
-                "look unanswered",
+                "worker did not answer a poll",
                 extra={"worker": self._facts.worker_id, "error": str(error)},
             )
             return None
 
     def _handle_report(self, reply: WorkerReport, sent_at: float) -> None:
+        """Pass a report to COORDINATOR and schedule the next poll.
+
+        Args:
+            reply: The worker's report.
+            sent_at: Boot-clock time at which the poll was sent.
+        """
         self._note_answer(reply.clock_ms)
         self._answered_poll_sent_at = max(self._answered_poll_sent_at, sent_at)
         answered_immediately = boot_clock() - sent_at < MIN_POLL_DURATION_S
@@ -223,7 +246,8 @@
         elif self._has_runs and not (answered_immediately and not reply.ended):
             self._poll_soon()
         elif self._has_runs:
-            # A worker that does not wait would be asked without a pause.
+            # This worker answers without waiting; the interval keeps it from
+            # being polled in a busy loop.
             self._poll_later(BUSY_POLL_INTERVAL_S)
         else:
             self._poll_later(POLL_WAIT_S)
@@ -236,7 +260,8 @@
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
         elif reply.reason == "other_life":
-            # The incarnation that this session talks to is over.
+            # The worker has restarted: no lease of the incarnation that this
+            # session was opened for can still hold.
             self._leases_end_at = 0.0
         self._note_no_answer()
 
@@ -251,7 +276,12 @@
         self._chart.step("answered")
 
     def _note_no_answer(self, poll_sent_at: float = 0.0) -> None:
-        """Take note of a call without an answer; 0.0 stands for no poll."""
+        """Update the worker's state after a call that failed or was rejected.
+
+        Args:
+            poll_sent_at: Boot-clock time at which the poll was sent, 0.0 if
+                the call was not a poll without an answer.
+        """
         self._channel.reset()
         self._chart.step("unanswered")
         now = boot_clock()
@@ -264,10 +294,11 @@
             self._chart.step("lapsed")
 
     def _extend_lease(self) -> int:
-        """Return the lease's new end on the worker's clock, 0 for none.
+        """Return the new end of the lease for a poll, 0 to leave it unchanged.
 
-        A silent worker's lease is left to lapse, so that its tasks can be
-        started elsewhere.
+        The end is in milliseconds of the worker's clock. The lease of a silent
+        worker is not extended, so that it lapses and the worker's tasks can
+        be started elsewhere.
         """
         if not self._may_lease or not self._worker_clock_ms:
             return 0
@@ -276,10 +307,15 @@
         return self._lease_until()
 
     def _lease_until(self) -> int:
+        """Return the end of a full lease on the worker's clock, in ms.
+
+        Records the latest boot-clock time at which this lease may hold.
+        """
         now = boot_clock()
-        elapsed = now - self._worker_clock_read_at
-        until_ms = self._worker_clock_ms + int((elapsed + self._lease_s) * 1000)
-        # The clock read at least clock_ms at clock_at and may be slow.
+        elapsed_s = now - self._worker_clock_read_at
+        until_ms = self._worker_clock_ms + int((elapsed_s + self._lease_s) * 1000)
+        # The worker's clock showed at least _worker_clock_ms at the boot-clock
+        # time _worker_clock_read_at, and it may be slow.
         longest_lease_s = (
             (until_ms - self._worker_clock_ms) / 1000 / (1 - MAX_CLOCK_DRIFT_RATIO)
         )
@@ -290,6 +326,11 @@
         return until_ms
 
     async def _start(self, message: StartRun) -> None:
+        """Send a start and report its outcome to COORDINATOR.
+
+        Before a start counts as not carried out, the ends at the worker are
+        reported.
+        """
         run_key = (message.key, message.run)
         self._starts_in_flight.add(run_key)
         try:
@@ -307,8 +348,11 @@
             self._poll_soon()
 
     async def _send_start(self, message: StartRun) -> CommandReply:
-        """Send a start until it is answered, else make it void."""
-        for timeout_s in COMMAND_TIMEOUTS_S:
+        """Send a start until it is answered; after the last attempt, stop it.
+
+        The stop keeps a start that arrives late from taking effect.
+        """
+        for timeout_s in START_TIMEOUTS_S:
             if self._closed or not self._may_lease or not self._worker_clock_ms:
                 break
             try:
@@ -319,7 +363,7 @@
                 return reply
             except RedwingrudderError as error:
                 _logger.info(
-                    "start unanswered",
+                    "worker did not answer a start",
                     extra={
                         "job": message.key.workflow_id,
                         "worker": self._facts.worker_id,
@@ -332,10 +376,11 @@
         return CommandReply(False, "unanswered")
 
     async def _poll_for_end(self) -> None:
-        """Poll once more before a start is settled as not begun.
+        """Poll until an answer, so that the end of a started run is reported.
 
-        A start without an answer may have begun a run that has ended since,
-        and that would be repeated. The coordinator gets its end first.
+        A start without an answer may have begun a run that has already ended.
+        COORDINATOR has to learn of this end before it considers the start as
+        failed; otherwise it would run the task a second time.
         """
         while not self._closed and self._chart.state != "lapsed":
             sent_at = boot_clock()
@@ -356,13 +401,15 @@
             self._poll_soon()
 
     async def _throttle(self, message: ThrottleRun) -> None:
-        """Send a throttle command; a later one corrects one that is lost."""
+        """Send a throttle command; one that is lost is not repeated here."""
         try:
-            reply = await self._channel.throttle(message, self._fence, STOP_TIMEOUT_S)
+            reply = await self._channel.throttle(
+                message, self._fence, COMMAND_TIMEOUT_S
+            )
             self._note_answer(reply.clock_ms)
         except RedwingrudderError as error:
             _logger.info(
-                "pace unanswered",
+                "worker did not answer a throttle command",
                 extra={"worker": self._facts.worker_id, "error": str(error)},
             )
             self.tell(COORDINATOR, ThrottleUnanswered(message))
@@ -371,14 +418,16 @@
         """Repeat a stop until the worker answers or its lease has lapsed."""
         while not self._closed and self._chart.state != "lapsed":
             try:
-                reply = await self._channel.stop(message, self._fence, STOP_TIMEOUT_S)
+                reply = await self._channel.stop(
+                    message, self._fence, COMMAND_TIMEOUT_S
+                )
                 self._note_answer(reply.clock_ms)
                 if reply.reason == "fenced":
                     self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
                 return
             except RedwingrudderError as error:
                 _logger.info(
-                    "stop unanswered",
+                    "worker did not answer a stop",
                     extra={
                         "job": message.key.workflow_id,
                         "worker": self._facts.worker_id,
@@ -387,7 +436,7 @@
                     },
                 )
                 self._note_no_answer()
-            await pause(self.system.clock, STOP_RETRY_S)
+            await pause(self.system.clock, STOP_RETRY_DELAY_S)
 
     def _report_silent(self) -> None:
         self.tell(COORDINATOR, WorkerSilent(self._facts.worker_id))
@@ -397,14 +446,20 @@
 
 
 def session_name(worker_id: str) -> str:
-    """Return the name of a worker's session among the actors."""
+    """Return the actor name of a worker's session."""
     return f"worker {worker_id}"
 
 
 def prior_lease_timeout_s(longest_lease_s: float) -> float:
-    """Return for how long runs of an earlier coordinator may go on.
+    """Return how long leases given by an earlier coordinator may last.
+
+    That coordinator may be cut off and extend leases until its own lease in
+    the store lapses, even if it refuses connections.
+
+    Args:
+        longest_lease_s: Longest lease that workers accept, in seconds.
 
-    That coordinator may be cut off and extend leases until its own lease at
-    the store lapses, also when it refuses connections.
+    Returns:
+        Seconds from the begin of the new term.
     """
     return LEASE_TTL_S + longest_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO) + LAPSE_MARGIN_S
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -1,4 +1,4 @@
-"""The workers of one term: their entries, sessions and ends."""
+"""Workers of one term: registry entries, sessions and unrecorded ends."""
 
 import logging
 
@@ -18,20 +18,25 @@
 from .metrics import METRICS, Counted
 from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
 
-REMOVE_UNLISTED_AFTER_S = 2.5  # after the store's return, above what entries may take
+# After the store has come back, workers may need nearly this long until their
+# entries are written again.
+REMOVE_UNLISTED_AFTER_S = 2.5
 
 _logger = logging.getLogger(__name__)
 
 
 class WorkerTable:
-    """Keeps the engine's workers, their sessions and unrecorded ends.
+    """Maps registry entries and reports to the workers of the engine.
+
+    It opens one session for each incarnation of a worker and acknowledges
+    ends of runs after they are recorded in the store.
 
     Args:
-        system: The node's actors.
-        engine: The engine of the term.
-        registry: Reads the workers' entries.
-        channels: Opens connections to workers.
-        times: What the platform says of workers.
+        system: The actor system of this node.
+        engine: The workflow engine of the term.
+        registry: Decodes the workers' registry entries.
+        channels: Opens channels to workers.
+        times: Timing parameters of the workers.
     """
 
     def __init__(
@@ -49,39 +54,44 @@
         self._times = times
         self._sessions_by_worker: dict[str, WorkerSession] = {}
         self._unlisted_since_by_worker: dict[str, float] = {}
-        # Then runs on workers that had no entry in this term have lapsed.
+        # From this time on, no lease of an earlier term can hold on a worker
+        # that has had no entry in this term.
         self._prior_leases_end_at = system.clock.seconds() + prior_lease_timeout_s(
             times.longest_lease_s
         )
         self._unrecorded_ends_by_worker: dict[str, dict[int, str]] = {}
         self._last_end_by_worker: dict[str, int] = {}
-        # Workers whose present session has had a report.
+        # Workers that have reported to their current session.
         self._reported: set[str] = set()
 
     @property
     def count(self) -> int:
-        """Workers with a session."""
+        """Number of workers with a session."""
         return len(self._sessions_by_worker)
 
     def close(self) -> None:
-        """Close all sessions."""
+        """Close all sessions at the end of the term."""
         for worker_id in list(self._sessions_by_worker):
             self._drop_session(worker_id)
 
     def allow_leases(self, allowed: bool) -> None:
-        """Tell all sessions whether leases may be extended."""
+        """Set for all sessions whether they may extend leases."""
         for session in self._sessions_by_worker.values():
             self._system.tell(session.name, LeaseWorker(allowed))
 
     def send(self, command: SessionCommand) -> bool:
-        """Hand a command to the worker's session; False without one."""
+        """Send a command to a worker's session.
+
+        Returns:
+            False if the worker has no session.
+        """
         if command.worker_id not in self._sessions_by_worker:
             return False
         self._system.tell(session_name(command.worker_id), command)
         return True
 
     def set_entry(self, key: str, value: str | None) -> None:
-        """Take over an entry of the registry, None for a removed one."""
+        """Apply a registry entry; a value of None means its removal."""
         worker_id = key.removeprefix(self._registry.prefix)
         if value is None:
             self._mark_unlisted(worker_id)
@@ -101,7 +111,7 @@
             self._system.tell(session.name, UpdateFacts(facts))
 
     def set_all_entries(self, pairs_by_key: dict[str, str]) -> None:
-        """Take over a whole reading of the registry."""
+        """Apply a complete read of the registry, including removed entries."""
         for key, value in pairs_by_key.items():
             self.set_entry(key, value)
         for worker_id in list(self._sessions_by_worker):
@@ -109,9 +119,10 @@
                 self.set_entry(self._registry.prefix + worker_id, None)
 
     def adopt(self, placed: PlacedRun) -> None:
-        """Restore a recorded run, also on a worker without an entry.
+        """Add a recorded run to the engine, even if its worker has no entry.
 
-        The entry may be back soon; if not, the worker's leases must lapse.
+        The entry may appear again soon; otherwise the run is kept until the
+        worker's leases have lapsed.
         """
         now = self._system.clock.seconds()
         if placed.worker_id not in self._engine.workers_by_id:
@@ -131,7 +142,7 @@
         self._engine.adopt_run(placed.key, placed.run, placed.worker_id, False, now)
 
     def take_report(self, message: WorkerPolled) -> None:
-        """Take over what a worker lists."""
+        """Apply a worker's report: its running runs and its ends."""
         worker = self._engine.workers_by_id.get(message.worker_id)
         if worker is None:
             return
@@ -144,7 +155,8 @@
             report.process_started_ms
             and report.process_started_ms != worker.facts.process_started_ms
         ):
-            # The registry's entry of the new incarnation is still on its way.
+            # The worker has restarted, but the registry entry of the new
+            # incarnation has not arrived yet.
             worker.reachable = False
             return
         now = self._system.clock.seconds()
@@ -163,7 +175,14 @@
             self._engine.reconcile(message.worker_id, running, is_first_report, now)
 
     def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
-        """Return the ends, by worker and number, that wait for records."""
+        """Return the ends of workflows that are not recorded in the store.
+
+        Args:
+            workflow_ids: Workflows whose ends are returned.
+
+        Returns:
+            Pairs of worker id and number of the end.
+        """
         return [
             (worker_id, number)
             for worker_id, unrecorded in self._unrecorded_ends_by_worker.items()
@@ -172,30 +191,33 @@
         ]
 
     def acknowledge_ends(self, ends: list[tuple[str, int]]) -> None:
-        """Acknowledge ends to their workers."""
+        """Acknowledge to the workers ends that are now recorded."""
         for worker_id, number in ends:
             self._unrecorded_ends_by_worker.get(worker_id, {}).pop(number, None)
         for worker_id in {worker_id for worker_id, _ in ends}:
             self._acknowledge(worker_id)
 
     def set_silent(self, worker_id: str) -> None:
-        """Send nothing new to a worker that does not answer."""
+        """Mark a worker unreachable, so that it gets no new runs."""
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None:
             worker.reachable = False
-            _logger.info("worker silent", extra={"worker": worker_id})
+            _logger.info("worker does not answer", extra={"worker": worker_id})
 
     def set_lapsed(self, worker_id: str) -> None:
-        """Give up the runs of a worker whose lease has surely lapsed."""
+        """Interrupt all runs of a worker whose lease can no longer hold."""
         now = self._system.clock.seconds()
-        _logger.info("worker's lease lapsed", extra={"worker": worker_id})
+        _logger.info(
+            "lease of a worker has lapsed; its runs are interrupted",
+            extra={"worker": worker_id},
+        )
         self._engine.interrupt_worker(worker_id, now, "lease_lapsed")
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and not worker.listed:
             self._remove(worker_id, now)
 
     def sweep(self) -> None:
-        """Forget workers without an entry once nothing can run there."""
+        """Remove workers without an entry once no run can exist on them."""
         now = self._system.clock.seconds()
         for worker_id, unlisted_since in list(self._unlisted_since_by_worker.items()):
             worker = self._engine.workers_by_id.get(worker_id)
@@ -218,6 +240,7 @@
             self._drop_session(worker_id)
 
     def _mark_unlisted(self, worker_id: str) -> None:
+        """Mark a worker whose entry was removed and inform its session."""
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and worker.listed:
             worker.listed = False
@@ -228,9 +251,12 @@
             if session is not None:
                 has_drained = worker.facts.draining and now >= worker.leaves_at
                 self._system.tell(session.name, EntryRemoved(has_drained))
-            _logger.info("worker no longer listed", extra={"worker": worker_id})
+            _logger.info(
+                "registry entry of a worker was removed", extra={"worker": worker_id}
+            )
 
     def _is_new_incarnation(self, facts: WorkerFacts) -> bool:
+        """Return whether an entry is of a worker process not known yet."""
         known_worker = self._engine.workers_by_id.get(facts.worker_id)
         if known_worker is None:
             return True
@@ -243,7 +269,7 @@
             return True
         if known_facts.draining != facts.draining:
             _logger.info(
-                "worker drains" if facts.draining else "worker serves again",
+                "worker is draining" if facts.draining else "worker no longer drains",
                 extra={"worker": facts.worker_id, "remaining_s": facts.remaining_s},
             )
         return False
@@ -270,6 +296,7 @@
         self._unrecorded_ends_by_worker.pop(worker_id, None)
 
     def _handle_ends(self, message: WorkerPolled, now: float) -> None:
+        """Pass ends not seen before to the engine and track their records."""
         worker_id = message.worker_id
         last_number = self._last_end_by_worker.get(worker_id, 0)
         unrecorded = self._unrecorded_ends_by_worker.setdefault(worker_id, {})
@@ -286,7 +313,7 @@
             self._acknowledge(worker_id)
 
     def _acknowledge(self, worker_id: str) -> None:
-        """Acknowledge the ends before the first one without a record."""
+        """Acknowledge the ends up to the first one that is not recorded."""
         session = self._sessions_by_worker.get(worker_id)
         unrecorded = self._unrecorded_ends_by_worker.get(worker_id, {})
         number = (
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -1,4 +1,4 @@
-"""A store, a worker and a node's actors in memory, with fault switches."""
+"""In-memory store with fault injection and helpers to run actors."""
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -31,9 +31,11 @@
 )
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
 
+STEP_S = 0.01
+
 
 class StoreContents:
-    """What all nodes of a test share."""
+    """Contents of the store, shared by the store actors of all nodes."""
 
     def __init__(self):
         self.revision = 1
@@ -69,15 +71,18 @@
 
 
 class MemoryStore(Actor):
-    """One node's way to the store.
+    """Store actor of one node.
 
     Attributes:
-        down: Calls fail, and nothing is done.
-        replies_to_lose: So many writes take effect without an answer.
-        writes_to_delay: So many writes are delayed; ``apply_delayed_writes``
-            applies them.
-        down_after_delayed_write: The store goes down with a write that is put off.
-        renewals: Answer to renewals of leases; 0.0 says that one has ended.
+        down: Calls fail without an effect.
+        replies_to_lose: Number of writes that take effect but fail with an
+            unknown outcome.
+        writes_to_delay: Number of writes that fail with an unknown outcome
+            and take effect in ``apply_delayed_writes``.
+        down_after_delayed_write: Whether the store goes down after a delayed
+            write.
+        renewals: Remaining seconds that renewals of leases return; 0.0 means
+            that the lease has expired.
     """
 
     def __init__(self, system, contents):
@@ -104,19 +109,19 @@
         }
 
     def apply_delayed_writes(self):
-        """Do the writes that were put off, if their condition still holds."""
+        """Apply the delayed writes; returns which conditions still held."""
         messages, self.delayed_writes = self.delayed_writes, []
         return [self.contents.transact(message).succeeded for message in messages]
 
     def notify(self):
-        """Answer the watches that have something to tell."""
+        """Answer the watches for which there are changes."""
         waiting, self.watches = self.watches, []
         for message, reply in waiting:
             self._answer_or_wait(message, reply)
 
     def _answer_if_up(self, value):
         if self.down:
-            raise StoreUnavailableError("down")
+            raise StoreUnavailableError("the fake store is down")
         return value
 
     def _revoke(self, message):
@@ -143,11 +148,11 @@
             self.writes_to_delay -= 1
             self.down = self.down_after_delayed_write
             self.delayed_writes.append(message)
-            raise OutcomeUnknownError("put off")
+            raise OutcomeUnknownError("the write was delayed")
         reply = self.contents.transact(message)
         if self.replies_to_lose:
             self.replies_to_lose -= 1
-            raise OutcomeUnknownError("lost")
+            raise OutcomeUnknownError("the reply to the write was lost")
         return reply
 
     def _watch(self, message):
@@ -169,7 +174,10 @@
 
 
 class Recording(Actor):
-    """Keeps the messages of given types; answers each with a fixed reply."""
+    """Records messages of given types; answers each with a fixed reply.
+
+    A reply that is an exception is raised.
+    """
 
     def __init__(self, system, name, replies_by_type):
         self.received = []
@@ -188,7 +196,7 @@
 
 
 def node_system(contents=None):
-    """Return a clock, an actor system on it and a store actor."""
+    """Return a clock, an actor system that uses it and a store actor."""
     clock = Clock()
     system = ActorSystem(clock)
     Recording(system, METRICS, {Counted: None, Observed: None, Measured: None})
@@ -197,15 +205,15 @@
 
 
 def run_for(clock, seconds, stores=()):
-    """Advance the clock in small steps and let watches answer."""
-    for _ in range(max(int(seconds / 0.01), 1)):
-        clock.advance(0.01)
+    """Advance the clock in steps of 10 ms; answer watches after each."""
+    for _ in range(max(int(seconds / STEP_S), 1)):
+        clock.advance(STEP_S)
         for store in stores:
             store.notify()
 
 
 def outcome(deferred):
-    """Return the result of a Deferred that has one, or its exception."""
+    """Return the result or exception of a Deferred, None if it is pending."""
     results = []
     deferred.addBoth(results.append)
     if not results:
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -1,4 +1,4 @@
-"""Tests of the registration of nodes in the store."""
+"""Tests of the registration and discovery of nodes through the store."""
 
 import unittest
 
@@ -29,24 +29,27 @@
         run_for(self.clock, 0.1)
 
     def test_entry_is_under_a_lease(self):
-        """Guards against nodes that are gone but counted for ever."""
+        """Guards against entries of nodes that are gone and never expire."""
         self.assertTrue(self.store.contents.leases[KEY])
 
     def test_lapsed_entry_is_written_again(self):
-        """Guards against a node that an outage of the store makes unknown."""
+        """Guards against a node that stays unlisted after a store outage.
+
+        Its entry expires in the outage, since its lease is not renewed.
+        """
         self.store.contents.remove(KEY)
         self.store.renewals = 0.0
         run_for(self.clock, DISCOVERY_INTERVAL_S + 0.1)
         self.assertIn(KEY, self.store.contents.items_by_key)
 
-    def test_drained_node_leaves(self):
-        """Guards against calls to a node that was stopped as planned."""
+    def test_entry_of_drained_node_is_removed(self):
+        """Guards against calls to a node that was shut down in order."""
         self.system.tell(PEERS, Drain())
         run_for(self.clock, 3 * DISCOVERY_INTERVAL_S)
         self.assertNotIn(KEY, self.store.contents.items_by_key)
 
     def test_listed_node_is_known_but_not_fresh(self):
-        """Guards against an outage that is judged from one node's view."""
+        """Guards against inferring a store outage from one node alone."""
         self.store.contents.put(NODES_PREFIX + "n2", "10.0.0.2:7000")
         run_for(self.clock, DISCOVERY_INTERVAL_S + 0.1)
         reply = self.system.ask(PEERS, ListPeers())
@@ -55,7 +58,10 @@
         self.assertEqual((view.fresh, view.known), ((), 1))
 
     def test_node_that_is_cut_off_does_not_reach_the_store(self):
-        """Guards against a node that is ready and refuses everything."""
+        """Guards against a node that reports ready but refuses all requests.
+
+        It must not report the store as reachable from an outdated summary.
+        """
         self.system.tell(PEERS, StoreAvailability(False))
         run_for(self.clock, 0.05)
         self.assertFalse(self.peers.reaches_store)
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -1,4 +1,4 @@
-"""Tests of a worker's session on a channel in memory."""
+"""Tests of the worker session with an in-memory channel."""
 
 import unittest
 from unittest import mock
@@ -39,14 +39,16 @@
 
 
 class FakeChannel(WorkerChannel):
-    """Answers at once, or not at all.
+    """Channel that answers immediately, except for injected faults.
 
     Attributes:
-        deaf: No call is answered.
-        deaf_starts: So many starts are not answered.
-        hanging: Polls get no answer and do not fail.
-        outdated: Starts are rejected, as the run has ended already.
-        refusal: Reason with which all commands are rejected.
+        unanswering: Every call fails.
+        starts_to_lose: Number of starts that fail without an answer.
+        hangs: Polls neither get an answer nor fail.
+        rejects_starts: Starts are rejected as "outdated": the run has ended
+            already.
+        refusal: Reason with which all calls are rejected, "" for none.
+        calls: Calls in the order of arrival.
     """
 
     def __init__(self, clock):
@@ -61,7 +63,7 @@
     def _reply(self, name):
         self.calls.append(name)
         if self.unanswering:
-            raise UnavailableError("deaf")
+            raise UnavailableError("the fake worker does not answer")
         if self.refusal:
             return CommandReply(False, self.refusal)
         return CommandReply(True, "", int(self.clock.seconds() * 1000) + 1)
@@ -70,7 +72,7 @@
         if self.starts_to_lose:
             self.starts_to_lose -= 1
             self.calls.append("lost start")
-            raise UnavailableError("lost")
+            raise UnavailableError("the reply to the start was lost")
         if self.rejects_starts:
             return CommandReply(False, "outdated", 1)
         return self._reply("start")
@@ -100,9 +102,9 @@
     def setUp(self):
         self.clock, self.system, _ = node_system()
         TimerService(self.system)
-        kinds = (WorkerPolled, WorkerSilent, WorkerLapsed, StartSettled)
+        message_types = (WorkerPolled, WorkerSilent, WorkerLapsed, StartSettled)
         self.coordinator = Recording(
-            self.system, COORDINATOR, dict.fromkeys(kinds, None)
+            self.system, COORDINATOR, dict.fromkeys(message_types, None)
         )
         self.leadership = Recording(self.system, LEADERSHIP, {Fenced: None})
         patch = mock.patch.object(worker_session, "boot_clock", self.clock.seconds)
@@ -115,26 +117,30 @@
         self.session.start()
         run_for(self.clock, 0.1)
 
-    def sent_to_coordinator(self, kind):
-        return [m for m in self.coordinator.received if isinstance(m, kind)]
+    def sent_to_coordinator(self, message_type):
+        return [
+            message
+            for message in self.coordinator.received
+            if isinstance(message, message_type)
+        ]
 
     def start_run(self):
         run = StartRun("w1", fx.key(), 1, "payload", "")
         self.system.tell(self.session.name, run)
 
     def test_first_poll_extends_no_lease(self):
-        """Guards against a lease on a clock that is not known yet."""
+        """Guards against a lease before the worker's clock is known."""
         self.assertEqual(self.channel.calls[0], "poll False")
 
     def test_lost_start_is_sent_again(self):
-        """Guards against a run given up for one lost answer."""
+        """Guards against a start that fails because of one lost reply."""
         self.channel.starts_to_lose = 1
         self.start_run()
         run_for(self.clock, 0.5)
         self.assertTrue(self.sent_to_coordinator(StartSettled)[0].reply.accepted)
 
-    def test_unanswered_start_is_closed_before_it_is_given_up(self):
-        """Guards against a start carried out late beside its successor."""
+    def test_unanswered_start_is_stopped_before_it_is_settled(self):
+        """Guards against a late start that runs beside a repeated one."""
         self.channel.starts_to_lose = 3
         self.start_run()
         run_for(self.clock, 0.5)
@@ -144,14 +150,14 @@
         )
 
     def last_message_types(self):
-        """Return the kinds of the last two messages to the coordinator."""
+        """Return the types of the last two messages to the coordinator."""
         return [type(message) for message in self.coordinator.received[-2:]]
 
-    def test_end_is_told_before_a_repeated_start_is_settled(self):
-        """Guards against a second run after one that is done.
+    def test_end_is_reported_before_a_repeated_start_is_settled(self):
+        """Guards against a second run of a task whose first run has ended.
 
-        Its start was carried out without an answer and sent again; found by
-        the model of ``_spec_workflow``.
+        The first run began although its start got no answer, so the start is
+        sent again. The model in ``_spec_workflow`` found this case.
         """
         for unanswered in (False, True):
             with self.subTest(unanswered=unanswered):
@@ -165,7 +171,7 @@
                 )
 
     def test_silent_worker_lapses_only_after_its_longest_lease(self):
-        """Guards against a second run while a lease may still hold."""
+        """Guards against a second run while the worker's lease may hold."""
         self.channel.unanswering = True
         run_for(self.clock, LEASE_S)
         self.assertTrue(self.sent_to_coordinator(WorkerSilent))
@@ -174,37 +180,40 @@
         self.assertTrue(self.sent_to_coordinator(WorkerLapsed))
 
     def remove_entry(self, drained, silent_s=0.0):
-        """Let the worker fall silent, and its entry end after a time."""
+        """Make the worker silent, and remove its entry after ``silent_s``."""
         self.channel.unanswering = True
         run_for(self.clock, silent_s)
         self.system.tell(self.session.name, EntryRemoved(drained))
         run_for(self.clock, 1.0)
 
-    def test_worker_that_left_by_itself_holds_nothing(self):
-        """Guards against a gang that waits out the lease of a left worker."""
+    def test_worker_that_left_by_itself_holds_no_lease(self):
+        """Guards against waiting for the lease of a worker that has left."""
         self.remove_entry(drained=True)
         self.assertTrue(self.sent_to_coordinator(WorkerLapsed))
 
-    def test_entry_that_a_silence_ended_says_nothing(self):
+    def test_removed_entry_of_silent_worker_does_not_end_its_lease(self):
         """Guards against a second run beside a worker that is cut off."""
         self.remove_entry(drained=True, silent_s=3 * HEARTBEAT_S)
         self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_worker_that_did_not_drain_may_be_cut_off(self):
-        """Guards against a second run when the store forgot an entry."""
+        """Guards against a second run after the store has lost an entry."""
         self.remove_entry(drained=False)
         self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_worker_that_still_answers_has_not_left(self):
-        """Guards against runs given up on a worker that lingers."""
+        """Guards against interrupted runs on a worker that still answers."""
         self.system.tell(self.session.name, EntryRemoved(True))
         run_for(self.clock, 1.0)
         self.channel.unanswering = True
         run_for(self.clock, 0.5)
         self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
-    def test_lost_stop_does_not_tell_that_a_worker_left(self):
-        """Guards against runs given up while the last poll is on its way."""
+    def test_lost_stop_does_not_confirm_that_a_worker_left(self):
+        """Guards against interrupted runs while the last poll is in flight.
+
+        Only a poll without an answer confirms that a worker has left.
+        """
         self.channel.unanswering = True
         self.system.tell(self.session.name, EntryRemoved(True))
         run_for(self.clock, 0.1)
@@ -216,14 +225,14 @@
         self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_start_to_a_lapsed_worker_settles(self):
-        """Guards against a task that waits for a lost worker for ever."""
+        """Guards against a task that waits forever for a lost worker."""
         self.channel.unanswering = True
         self.start_run()
         run_for(self.clock, prior_lease_timeout_s(LEASE_S) + 5.0)
         self.assertEqual(len(self.sent_to_coordinator(StartSettled)), 1)
 
     def test_unsettled_runs_are_stopped_before_the_first_poll(self):
-        """Guards against a report that misses an order still on its way."""
+        """Guards against orders that take effect after the first report."""
         channel = FakeChannel(self.clock)
         unsettled = (StopRun("w2", fx.key(), 4),)
         session = WorkerSession(
@@ -234,16 +243,16 @@
         self.assertEqual(channel.calls[:2], ["stop", "poll True"])
 
     def test_fence_is_reported(self):
-        """Guards against a deposed coordinator that does not notice."""
+        """Guards against a deposed coordinator that continues its term."""
         self.channel.refusal = "fenced"
         run_for(self.clock, 2.0)
         self.assertTrue(self.leadership.received)
 
-    def test_idle_worker_is_not_asked_without_a_pause(self):
-        """Guards against polls that take all of a node's processor time."""
-        before = len(self.channel.calls)
+    def test_idle_worker_is_polled_with_pauses(self):
+        """Guards against a busy loop of polls that occupies the processor."""
+        calls_before = len(self.channel.calls)
         run_for(self.clock, 5.0)
-        self.assertLess(len(self.channel.calls) - before, 10)
+        self.assertLess(len(self.channel.calls) - calls_before, 10)
 
 
 if __name__ == "__main__":
