Name the lease id of the store fake and complete two comments

The lease id 7 stood without a name in the store fake, the watch time-out and retry delay of the election had no comment, and the docstring of follow_prefix did not say exactly when is_active is called.

--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -46,8 +46,8 @@
 # Scheduling stops for about this long when the coordinator loses its power.
 LEASE_TTL_S = 1.5
 RENEW_INTERVAL_S = 0.35  # allows four attempts within LEASE_TTL_S
-WATCH_TIMEOUT_S = 1.0
-RETRY_DELAY_S = 0.25
+WATCH_TIMEOUT_S = 1.0  # longest wait of one watch request
+RETRY_DELAY_S = 0.25  # after a failed call or election
 # Nodes that find the record vacant wait for a random time up to
 # CAMPAIGN_JITTER_S, so that usually only one of them writes the record.
 MIN_CAMPAIGN_DELAY_S = 0.02
--- a/src/redwingrudder/coordination/watching.py
+++ b/src/redwingrudder/coordination/watching.py
@@ -37,8 +37,8 @@
         clock: Clock for the pauses after failed calls.
         prefix: Key prefix to watch.
         revision: Store revision after which changes are reported.
-        is_active: Returns whether to continue; checked before each call and
-            before each callback.
+        is_active: Returns whether to continue; checked before each watch
+            request and before each callback.
         on_changes: Called with the changes in the order of the store.
         on_reset: Called with all current pairs when the store no longer has
             the history since the last revision.
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -460,6 +460,6 @@
         longest_lease_s: Longest lease that workers accept, in seconds.
 
     Returns:
-        Seconds from the begin of the new term.
+        Seconds, counted from the beginning of the new term.
     """
     return LEASE_TTL_S + longest_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO) + LAPSE_MARGIN_S
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -32,6 +32,7 @@
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
 
 STEP_S = 0.01
+LEASE_ID = 7  # id of every lease that the store actor grants
 
 
 class StoreContents:
@@ -102,7 +103,7 @@
             GetKey: self._get,
             GetPrefix: self._get_prefix,
             Transact: self._transact,
-            GrantLease: lambda _: self._answer_if_up(7),
+            GrantLease: lambda _: self._answer_if_up(LEASE_ID),
             KeepLeaseAlive: lambda _: self._answer_if_up(self.renewals),
             RevokeLease: self._revoke,
             AwaitChanges: self._watch,
