--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -1,4 +1,4 @@
-"""A store, a worker and a node's actors in memory, with fault switches."""
+"""In-memory store with fault injection and helpers to run actors."""
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -31,9 +31,12 @@
 )
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
 
+STEP_S = 0.01
+LEASE_ID = 7  # id of every lease that the store actor grants
+
 
 class StoreContents:
-    """What all nodes of a test share."""
+    """Contents of the store, shared by the store actors of all nodes."""
 
     def __init__(self):
         self.revision = 1
@@ -69,93 +72,97 @@
 
 
 class MemoryStore(Actor):
-    """One node's way to the store.
+    """Store actor of one node.
 
     Attributes:
-        down: Calls fail, and nothing is done.
-        lose_answers: So many writes take effect without an answer.
-        put_off: So many writes are put off; ``carry_out`` does them.
-        down_after_put_off: The store goes down with a write that is put off.
-        renewals: Answer to renewals of leases; 0.0 says that one has ended.
+        down: Calls fail without an effect.
+        replies_to_lose: Number of writes that take effect but fail with an
+            unknown outcome.
+        writes_to_delay: Number of writes that fail with an unknown outcome
+            and take effect in ``apply_delayed_writes``.
+        down_after_delayed_write: Whether the store goes down after a delayed
+            write.
+        renewals: Remaining seconds that renewals of leases return; 0.0 means
+            that the lease has expired.
     """
 
     def __init__(self, system, contents):
         self.contents = contents
         self.down = False
-        self.lose_answers = 0
-        self.put_off = 0
-        self.down_after_put_off = False
+        self.replies_to_lose = 0
+        self.writes_to_delay = 0
+        self.down_after_delayed_write = False
         self.renewals = 1.5
-        self.late_writes = []
-        self.calls = []
+        self.delayed_writes = []
+        self.transactions = []
         self.watches = []
         super().__init__(system, STORE)
 
     def handlers(self):
         return {
             GetKey: self._get,
-            GetPrefix: self._range,
+            GetPrefix: self._get_prefix,
             Transact: self._transact,
-            GrantLease: lambda _: self._checked(7),
-            KeepLeaseAlive: lambda _: self._checked(self.renewals),
+            GrantLease: lambda _: self._answer_if_up(LEASE_ID),
+            KeepLeaseAlive: lambda _: self._answer_if_up(self.renewals),
             RevokeLease: self._revoke,
             AwaitChanges: self._watch,
         }
 
-    def carry_out(self):
-        """Do the writes that were put off, if their condition still holds."""
-        late, self.late_writes = self.late_writes, []
-        return [self.contents.transact(message).succeeded for message in late]
+    def apply_delayed_writes(self):
+        """Apply the delayed writes; returns which conditions still held."""
+        messages, self.delayed_writes = self.delayed_writes, []
+        return [self.contents.transact(message).succeeded for message in messages]
 
     def notify(self):
-        """Answer the watches that have something to tell."""
+        """Answer the watches for which there are changes."""
         waiting, self.watches = self.watches, []
         for message, reply in waiting:
-            self._settle(message, reply)
+            self._answer_or_wait(message, reply)
 
-    def _checked(self, value):
+    def _answer_if_up(self, value):
         if self.down:
-            raise StoreUnavailableError("down")
+            raise StoreUnavailableError("the fake store is down")
         return value
 
     def _revoke(self, message):
-        self._checked(None)
+        self._answer_if_up(None)
         for key, lease in list(self.contents.leases.items()):
             if lease == message.lease_id:
                 self.contents.remove(key)
 
     def _get(self, message):
-        return self._checked(self.contents.items_by_key.get(message.key))
+        return self._answer_if_up(self.contents.items_by_key.get(message.key))
 
-    def _range(self, message):
+    def _get_prefix(self, message):
         pairs = tuple(
             item
             for key, item in sorted(self.contents.items_by_key.items())
             if key.startswith(message.prefix)
         )
-        return self._checked(PrefixReply(pairs, self.contents.revision))
+        return self._answer_if_up(PrefixReply(pairs, self.contents.revision))
 
     def _transact(self, message):
-        self._checked(None)
-        self.calls.append(message)
-        if self.put_off:
-            self.put_off -= 1
-            self.down = self.down_after_put_off
-            self.late_writes.append(message)
-            raise OutcomeUnknownError("put off")
+        self._answer_if_up(None)
+        self.transactions.append(message)
+        if self.writes_to_delay:
+            self.writes_to_delay -= 1
+            self.down = self.down_after_delayed_write
+            self.delayed_writes.append(message)
+            raise OutcomeUnknownError("the write was delayed")
         reply = self.contents.transact(message)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise OutcomeUnknownError("lost")
+        if self.replies_to_lose:
+            self.replies_to_lose -= 1
+            raise OutcomeUnknownError("the reply to the write was lost")
         return reply
 
     def _watch(self, message):
-        self._checked(None)
+        self._answer_if_up(None)
         reply = Deferred()
-        self._settle(message, reply)
+        self._answer_or_wait(message, reply)
         return reply
 
-    def _settle(self, message, reply):
+    def _answer_or_wait(self, message, reply):
         changes = tuple(
             change
             for change in self.contents.history
@@ -168,7 +175,10 @@
 
 
 class Recording(Actor):
-    """Keeps the messages of given types; answers each with a fixed reply."""
+    """Records messages of given types; answers each with a fixed reply.
+
+    A reply that is an exception is raised.
+    """
 
     def __init__(self, system, name, replies_by_type):
         self.received = []
@@ -176,9 +186,9 @@
         super().__init__(system, name)
 
     def handlers(self):
-        return {kind: self._take for kind in self._replies}
+        return {message_type: self._record for message_type in self._replies}
 
-    def _take(self, message):
+    def _record(self, message):
         self.received.append(message)
         reply = self._replies[type(message)]
         if isinstance(reply, Exception):
@@ -187,7 +197,7 @@
 
 
 def node_system(contents=None):
-    """Return a clock, an actor system on it and a store actor."""
+    """Return a clock, an actor system that uses it and a store actor."""
     clock = Clock()
     system = ActorSystem(clock)
     Recording(system, METRICS, {Counted: None, Observed: None, Measured: None})
@@ -196,15 +206,15 @@
 
 
 def run_for(clock, seconds, stores=()):
-    """Advance the clock in small steps and let watches answer."""
-    for _ in range(max(int(seconds / 0.01), 1)):
-        clock.advance(0.01)
+    """Advance the clock in steps of 10 ms; answer watches after each."""
+    for _ in range(max(int(seconds / STEP_S), 1)):
+        clock.advance(STEP_S)
         for store in stores:
             store.notify()
 
 
 def outcome(deferred):
-    """Return the result of a Deferred that has one, or its exception."""
+    """Return the result or exception of a Deferred, None if it is pending."""
     results = []
     deferred.addBoth(results.append)
     if not results:
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -1,4 +1,4 @@
-"""Tests of a worker's session on a channel in memory."""
+"""Tests of the worker session with an in-memory channel."""
 
 import unittest
 from unittest import mock
@@ -22,7 +22,10 @@
     WorkerPolled,
     WorkerSilent,
 )
-from redwingrudder.coordination.worker_session import WorkerSession, longest_hold_s
+from redwingrudder.coordination.worker_session import (
+    WorkerSession,
+    prior_lease_timeout_s,
+)
 from redwingrudder.exceptions import UnavailableError
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows.model import StartRun, StopRun
@@ -36,39 +39,41 @@
 
 
 class FakeChannel(WorkerChannel):
-    """Answers at once, or not at all.
+    """Channel that answers immediately, except for injected faults.
 
     Attributes:
-        deaf: No call is answered.
-        deaf_starts: So many starts are not answered.
-        hanging: Polls get no answer and do not fail.
-        outdated: Starts are rejected, as the run has ended already.
-        refusal: Reason with which all commands are rejected.
+        unanswering: Every call fails.
+        starts_to_lose: Number of starts that fail without an answer.
+        hangs: Polls neither get an answer nor fail.
+        rejects_starts: Starts are rejected as "outdated": the run has ended
+            already.
+        refusal: Reason with which all calls are rejected, "" for none.
+        calls: Calls in the order of arrival.
     """
 
     def __init__(self, clock):
         self.clock = clock
-        self.deaf = False
-        self.deaf_starts = 0
-        self.hanging = False
-        self.outdated = False
+        self.unanswering = False
+        self.starts_to_lose = 0
+        self.hangs = False
+        self.rejects_starts = False
         self.refusal = ""
         self.calls = []
 
     def _reply(self, name):
         self.calls.append(name)
-        if self.deaf:
-            raise UnavailableError("deaf")
+        if self.unanswering:
+            raise UnavailableError("the fake worker does not answer")
         if self.refusal:
             return CommandReply(False, self.refusal)
         return CommandReply(True, "", int(self.clock.seconds() * 1000) + 1)
 
     async def start(self, run, lease_until_ms, fence, timeout_s):
-        if self.deaf_starts:
-            self.deaf_starts -= 1
+        if self.starts_to_lose:
+            self.starts_to_lose -= 1
             self.calls.append("lost start")
-            raise UnavailableError("lost")
-        if self.outdated:
+            raise UnavailableError("the reply to the start was lost")
+        if self.rejects_starts:
             return CommandReply(False, "outdated", 1)
         return self._reply("start")
 
@@ -78,8 +83,8 @@
     async def throttle(self, run, fence, timeout_s):
         return self._reply("pace")
 
-    async def poll(self, fence, seen, lease_until_ms, wait_s, timeout_s):
-        if self.hanging:
+    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+        if self.hangs:
             await Deferred()
         reply = self._reply(f"poll {bool(lease_until_ms)}")
         if not reply.accepted:
@@ -97,9 +102,9 @@
     def setUp(self):
         self.clock, self.system, _ = node_system()
         TimerService(self.system)
-        kinds = (WorkerPolled, WorkerSilent, WorkerLapsed, StartSettled)
+        message_types = (WorkerPolled, WorkerSilent, WorkerLapsed, StartSettled)
         self.coordinator = Recording(
-            self.system, COORDINATOR, dict.fromkeys(kinds, None)
+            self.system, COORDINATOR, dict.fromkeys(message_types, None)
         )
         self.leadership = Recording(self.system, LEADERSHIP, {Fenced: None})
         patch = mock.patch.object(worker_session, "boot_clock", self.clock.seconds)
@@ -112,111 +117,122 @@
         self.session.start()
         run_for(self.clock, 0.1)
 
-    def told(self, kind):
-        return [m for m in self.coordinator.received if isinstance(m, kind)]
+    def sent_to_coordinator(self, message_type):
+        return [
+            message
+            for message in self.coordinator.received
+            if isinstance(message, message_type)
+        ]
 
     def start_run(self):
         run = StartRun("w1", fx.key(), 1, "payload", "")
         self.system.tell(self.session.name, run)
 
     def test_first_poll_extends_no_lease(self):
-        """Guards against a lease on a clock that is not known yet."""
+        """Guards against a lease before the worker's clock is known."""
         self.assertEqual(self.channel.calls[0], "poll False")
 
     def test_lost_start_is_sent_again(self):
-        """Guards against a run given up for one lost answer."""
-        self.channel.deaf_starts = 1
+        """Guards against a start that fails because of one lost reply."""
+        self.channel.starts_to_lose = 1
         self.start_run()
         run_for(self.clock, 0.5)
-        self.assertTrue(self.told(StartSettled)[0].reply.accepted)
+        self.assertTrue(self.sent_to_coordinator(StartSettled)[0].reply.accepted)
 
-    def test_unanswered_start_is_closed_before_it_is_given_up(self):
-        """Guards against a start carried out late beside its successor."""
-        self.channel.deaf_starts = 3
+    def test_unanswered_start_is_stopped_before_it_is_settled(self):
+        """Guards against a late start that runs beside a repeated one."""
+        self.channel.starts_to_lose = 3
         self.start_run()
         run_for(self.clock, 0.5)
         self.assertIn("stop", self.channel.calls)
-        self.assertEqual(self.told(StartSettled)[0].reply.reason, "unanswered")
+        self.assertEqual(
+            self.sent_to_coordinator(StartSettled)[0].reply.reason, "unanswered"
+        )
 
-    def last_told(self):
-        """Return the kinds of the last two messages to the coordinator."""
+    def last_message_types(self):
+        """Return the types of the last two messages to the coordinator."""
         return [type(message) for message in self.coordinator.received[-2:]]
 
-    def test_end_is_told_before_a_repeated_start_is_settled(self):
-        """Guards against a second run after one that is done.
+    def test_end_is_reported_before_a_repeated_start_is_settled(self):
+        """Guards against a second run of a task whose first run has ended.
 
-        Its start was carried out without an answer and sent again; found by
-        the model of ``_spec_workflow``.
+        The first run began although its start got no answer, so the start is
+        sent again. The model in ``_spec_workflow`` found this case.
         """
         for unanswered in (False, True):
             with self.subTest(unanswered=unanswered):
-                self.channel.outdated = not unanswered
-                self.channel.deaf_starts = 3 * unanswered
+                self.channel.rejects_starts = not unanswered
+                self.channel.starts_to_lose = 3 * unanswered
                 self.coordinator.received.clear()
                 self.start_run()
                 run_for(self.clock, 0.02)
-                self.assertEqual(self.last_told(), [WorkerPolled, StartSettled])
+                self.assertEqual(
+                    self.last_message_types(), [WorkerPolled, StartSettled]
+                )
 
     def test_silent_worker_lapses_only_after_its_longest_lease(self):
-        """Guards against a second run while a lease may still hold."""
-        self.channel.deaf = True
+        """Guards against a second run while the worker's lease may hold."""
+        self.channel.unanswering = True
         run_for(self.clock, LEASE_S)
-        self.assertTrue(self.told(WorkerSilent))
-        self.assertFalse(self.told(WorkerLapsed))
-        run_for(self.clock, longest_hold_s(LEASE_S) - LEASE_S + 2.0)
-        self.assertTrue(self.told(WorkerLapsed))
+        self.assertTrue(self.sent_to_coordinator(WorkerSilent))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
+        run_for(self.clock, prior_lease_timeout_s(LEASE_S) - LEASE_S + 2.0)
+        self.assertTrue(self.sent_to_coordinator(WorkerLapsed))
 
     def remove_entry(self, drained, silent_s=0.0):
-        """Let the worker fall silent, and its entry end after a time."""
-        self.channel.deaf = True
+        """Make the worker silent, and remove its entry after ``silent_s``."""
+        self.channel.unanswering = True
         run_for(self.clock, silent_s)
         self.system.tell(self.session.name, EntryRemoved(drained))
         run_for(self.clock, 1.0)
 
-    def test_worker_that_left_by_itself_holds_nothing(self):
-        """Guards against a gang that waits out the lease of a left worker."""
+    def test_worker_that_left_by_itself_holds_no_lease(self):
+        """Guards against waiting for the lease of a worker that has left."""
         self.remove_entry(drained=True)
-        self.assertTrue(self.told(WorkerLapsed))
+        self.assertTrue(self.sent_to_coordinator(WorkerLapsed))
 
-    def test_entry_that_a_silence_ended_says_nothing(self):
+    def test_removed_entry_of_silent_worker_does_not_end_its_lease(self):
         """Guards against a second run beside a worker that is cut off."""
         self.remove_entry(drained=True, silent_s=3 * HEARTBEAT_S)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_worker_that_did_not_drain_may_be_cut_off(self):
-        """Guards against a second run when the store forgot an entry."""
+        """Guards against a second run after the store has lost an entry."""
         self.remove_entry(drained=False)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_worker_that_still_answers_has_not_left(self):
-        """Guards against runs given up on a worker that lingers."""
+        """Guards against interrupted runs on a worker that still answers."""
         self.system.tell(self.session.name, EntryRemoved(True))
         run_for(self.clock, 1.0)
-        self.channel.deaf = True
+        self.channel.unanswering = True
         run_for(self.clock, 0.5)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
-    def test_lost_stop_does_not_tell_that_a_worker_left(self):
-        """Guards against runs given up while the last poll is on its way."""
-        self.channel.deaf = True
+    def test_lost_stop_does_not_confirm_that_a_worker_left(self):
+        """Guards against interrupted runs while the last poll is in flight.
+
+        Only a poll without an answer confirms that a worker has left.
+        """
+        self.channel.unanswering = True
         self.system.tell(self.session.name, EntryRemoved(True))
         run_for(self.clock, 0.1)
-        self.channel.hanging = True
+        self.channel.hangs = True
         run_for(self.clock, 0.4)
         self.system.tell(self.session.name, StopRun("w1", fx.key(), 1))
         run_for(self.clock, 0.05)
         self.assertIn("stop", self.channel.calls)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
 
     def test_start_to_a_lapsed_worker_settles(self):
-        """Guards against a task that waits for a lost worker for ever."""
-        self.channel.deaf = True
+        """Guards against a task that waits forever for a lost worker."""
+        self.channel.unanswering = True
         self.start_run()
-        run_for(self.clock, longest_hold_s(LEASE_S) + 5.0)
-        self.assertEqual(len(self.told(StartSettled)), 1)
+        run_for(self.clock, prior_lease_timeout_s(LEASE_S) + 5.0)
+        self.assertEqual(len(self.sent_to_coordinator(StartSettled)), 1)
 
     def test_unsettled_runs_are_stopped_before_the_first_poll(self):
-        """Guards against a report that misses an order still on its way."""
+        """Guards against orders that take effect after the first report."""
         channel = FakeChannel(self.clock)
         unsettled = (StopRun("w2", fx.key(), 4),)
         session = WorkerSession(
@@ -227,16 +243,16 @@
         self.assertEqual(channel.calls[:2], ["stop", "poll True"])
 
     def test_fence_is_reported(self):
-        """Guards against a deposed coordinator that does not notice."""
+        """Guards against a deposed coordinator that continues its term."""
         self.channel.refusal = "fenced"
         run_for(self.clock, 2.0)
         self.assertTrue(self.leadership.received)
 
-    def test_idle_worker_is_not_asked_without_a_pause(self):
-        """Guards against polls that take all of a node's processor time."""
-        before = len(self.channel.calls)
+    def test_idle_worker_is_polled_with_pauses(self):
+        """Guards against a busy loop of polls that occupies the processor."""
+        calls_before = len(self.channel.calls)
         run_for(self.clock, 5.0)
-        self.assertLess(len(self.channel.calls) - before, 10)
+        self.assertLess(len(self.channel.calls) - calls_before, 10)
 
 
 if __name__ == "__main__":
