--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -19,7 +19,7 @@
     GetConfigurationDocument,
     OfferConfigurationDocument,
 )
-from .metrics import METRICS, Measured
+from .metrics import METRICS, SetGauge
 
 # A watch whose connection has died without an error is noticed within this
 # time.
@@ -136,7 +136,7 @@
                 "source": source,
             },
         )
-        gauge = Measured("configuration_version", configuration.version)
+        gauge = SetGauge("configuration_version", configuration.version)
         self.tell(METRICS, gauge)
         for subscriber in self._subscribers:
             self.tell(subscriber, ConfigurationInForce(configuration))
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -35,7 +35,7 @@
 from .messages import (
     BeginTerm,
     CoordinatorKnown,
-    CoordinatorSilent,
+    CoordinatorUnreachable,
     Drain,
     EndTerm,
     Fenced,
@@ -179,7 +179,7 @@
         """See base class."""
         return {
             TimerFired: self._timer_fired,
-            CoordinatorSilent: self._coordinator_silent,
+            CoordinatorUnreachable: self._coordinator_silent,
             Fenced: self._handle_fenced,
             Resign: self._resign,
             Drain: self._drain,
@@ -300,7 +300,7 @@
         for subscriber in self._subscribers:
             self.tell(subscriber, CoordinatorKnown(node_id, address, term))
 
-    def _coordinator_silent(self, message: CoordinatorSilent) -> None:
+    def _coordinator_silent(self, message: CoordinatorUnreachable) -> None:
         """Campaign if the current coordinator refuses connections."""
         if self._stopping or self._holder is None:
             return
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -21,13 +21,13 @@
 from .leadership import LEASE_TTL_S, boot_clock
 from .messages import (
     AcknowledgeEnds,
-    EntryRemoved,
+    RegistryEntryRemoved,
     Fenced,
-    LeaseWorker,
+    AllowLeaseExtension,
     StartSettled,
     ThrottleUnanswered,
     UpdateFacts,
-    WorkerLapsed,
+    WorkerLeaseLapsed,
     WorkerPolled,
     WorkerSilent,
 )
@@ -127,9 +127,9 @@
             ),
             StopRun: lambda message: run(self._stop(message), self.name) and None,
             AcknowledgeEnds: self._acknowledge,
-            LeaseWorker: self._set_may_lease,
+            AllowLeaseExtension: self._set_may_lease,
             UpdateFacts: self._update_facts,
-            EntryRemoved: self._entry_removed,
+            RegistryEntryRemoved: self._entry_removed,
         }
 
     def start(self) -> None:
@@ -152,7 +152,7 @@
         self._facts = message.facts
         self._departed_at = math.inf
 
-    def _entry_removed(self, message: EntryRemoved) -> None:
+    def _entry_removed(self, message: RegistryEntryRemoved) -> None:
         """Detect whether a worker has left or is cut off.
 
         The entry of a silent worker is removed after three heartbeats. A
@@ -169,7 +169,7 @@
             self._departed_at = now
             self._poll_soon()
 
-    def _set_may_lease(self, message: LeaseWorker) -> None:
+    def _set_may_lease(self, message: AllowLeaseExtension) -> None:
         self._may_lease = message.allowed
 
     def _acknowledge(self, message: AcknowledgeEnds) -> None:
@@ -442,7 +442,7 @@
         self.tell(COORDINATOR, WorkerSilent(self._facts.worker_id))
 
     def _report_lapsed(self) -> None:
-        self.tell(COORDINATOR, WorkerLapsed(self._facts.worker_id))
+        self.tell(COORDINATOR, WorkerLeaseLapsed(self._facts.worker_id))
 
 
 def session_name(worker_id: str) -> str:
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -9,13 +9,13 @@
 from .gateways import ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
     AcknowledgeEnds,
-    EntryRemoved,
-    LeaseWorker,
+    RegistryEntryRemoved,
+    AllowLeaseExtension,
     SessionCommand,
     UpdateFacts,
     WorkerPolled,
 )
-from .metrics import METRICS, Counted
+from .metrics import METRICS, IncrementCounter
 from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
 
 # After the store has come back, workers may need nearly this long until their
@@ -77,7 +77,7 @@
     def allow_leases(self, allowed: bool) -> None:
         """Set for all sessions whether they may extend leases."""
         for session in self._sessions_by_worker.values():
-            self._system.tell(session.name, LeaseWorker(allowed))
+            self._system.tell(session.name, AllowLeaseExtension(allowed))
 
     def send(self, command: SessionCommand) -> bool:
         """Send a command to a worker's session.
@@ -250,7 +250,7 @@
             session = self._sessions_by_worker.get(worker_id)
             if session is not None:
                 has_drained = worker.facts.draining and now >= worker.leaves_at
-                self._system.tell(session.name, EntryRemoved(has_drained))
+                self._system.tell(session.name, RegistryEntryRemoved(has_drained))
             _logger.info(
                 "registry entry of a worker was removed", extra={"worker": worker_id}
             )
@@ -304,7 +304,7 @@
             if end.number <= last_number:
                 continue
             last_number = end.number
-            self._system.tell(METRICS, Counted("run_ends", (str(end.kind),)))
+            self._system.tell(METRICS, IncrementCounter("run_ends", (str(end.kind),)))
             workflow_id = self._engine.end(worker_id, end, now)
             if workflow_id is not None:
                 unrecorded[end.number] = workflow_id
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -15,10 +15,10 @@
     WorkerTimes,
 )
 from redwingrudder.coordination.messages import (
-    EntryRemoved,
+    RegistryEntryRemoved,
     Fenced,
     StartSettled,
-    WorkerLapsed,
+    WorkerLeaseLapsed,
     WorkerPolled,
     WorkerSilent,
 )
@@ -102,7 +102,7 @@
     def setUp(self):
         self.clock, self.system, _ = node_system()
         TimerService(self.system)
-        message_types = (WorkerPolled, WorkerSilent, WorkerLapsed, StartSettled)
+        message_types = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
         self.coordinator = Recording(
             self.system, COORDINATOR, dict.fromkeys(message_types, None)
         )
@@ -175,39 +175,39 @@
         self.channel.unanswering = True
         run_for(self.clock, LEASE_S)
         self.assertTrue(self.sent_to_coordinator(WorkerSilent))
-        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
         run_for(self.clock, prior_lease_timeout_s(LEASE_S) - LEASE_S + 2.0)
-        self.assertTrue(self.sent_to_coordinator(WorkerLapsed))
+        self.assertTrue(self.sent_to_coordinator(WorkerLeaseLapsed))
 
     def remove_entry(self, drained, silent_s=0.0):
         """Make the worker silent, and remove its entry after ``silent_s``."""
         self.channel.unanswering = True
         run_for(self.clock, silent_s)
-        self.system.tell(self.session.name, EntryRemoved(drained))
+        self.system.tell(self.session.name, RegistryEntryRemoved(drained))
         run_for(self.clock, 1.0)
 
     def test_worker_that_left_by_itself_holds_no_lease(self):
         """Guards against waiting for the lease of a worker that has left."""
         self.remove_entry(drained=True)
-        self.assertTrue(self.sent_to_coordinator(WorkerLapsed))
+        self.assertTrue(self.sent_to_coordinator(WorkerLeaseLapsed))
 
     def test_removed_entry_of_silent_worker_does_not_end_its_lease(self):
         """Guards against a second run beside a worker that is cut off."""
         self.remove_entry(drained=True, silent_s=3 * HEARTBEAT_S)
-        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
 
     def test_worker_that_did_not_drain_may_be_cut_off(self):
         """Guards against a second run after the store has lost an entry."""
         self.remove_entry(drained=False)
-        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
 
     def test_worker_that_still_answers_has_not_left(self):
         """Guards against interrupted runs on a worker that still answers."""
-        self.system.tell(self.session.name, EntryRemoved(True))
+        self.system.tell(self.session.name, RegistryEntryRemoved(True))
         run_for(self.clock, 1.0)
         self.channel.unanswering = True
         run_for(self.clock, 0.5)
-        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
 
     def test_lost_stop_does_not_confirm_that_a_worker_left(self):
         """Guards against interrupted runs while the last poll is in flight.
@@ -215,14 +215,14 @@
         Only a poll without an answer confirms that a worker has left.
         """
         self.channel.unanswering = True
-        self.system.tell(self.session.name, EntryRemoved(True))
+        self.system.tell(self.session.name, RegistryEntryRemoved(True))
         run_for(self.clock, 0.1)
         self.channel.hangs = True
         run_for(self.clock, 0.4)
         self.system.tell(self.session.name, StopRun("w1", fx.key(), 1))
         run_for(self.clock, 0.05)
         self.assertIn("stop", self.channel.calls)
-        self.assertFalse(self.sent_to_coordinator(WorkerLapsed))
+        self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
 
     def test_start_to_a_lapsed_worker_settles(self):
         """Guards against a task that waits forever for a lost worker."""
