Name coordination messages after what they request or report

Several messages of the coordination package had names that did not say what happened (Counted, Measured, EntryRemoved, LeaseWorker). They are named after the metric operation, the lease or the registry entry they concern. No behaviour changes.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -11,7 +11,7 @@
 from ..workflows.model import FINAL_STATES, StartRun
 from ..workflows.state import WorkflowProgress
 from .gateways import COORDINATOR
-from .metrics import METRICS, Counted, Observed
+from .metrics import METRICS, IncrementCounter, ObserveDuration
 from .recorder import BATCH, Recorder
 from .worker_table import WorkerTable
 
@@ -127,12 +127,12 @@
         waited = self._system.clock.seconds() - progress.accepted_mono
         if progress.begun and not progress.wait_observed:
             progress.wait_observed = True
-            self._tell(Observed("queue_wait_seconds", labels, waited))
+            self._tell(ObserveDuration("queue_wait_seconds", labels, waited))
         if progress.recorded_state in FINAL_STATES and not progress.end_observed:
             progress.end_observed = True
             state = str(progress.recorded_state)
-            self._tell(Counted("workflows_ended", (*labels, state)))
-            self._tell(Observed("completion_seconds", labels, waited))
+            self._tell(IncrementCounter("workflows_ended", (*labels, state)))
+            self._tell(ObserveDuration("completion_seconds", labels, waited))
 
-    def _tell(self, message: Counted | Observed) -> None:
+    def _tell(self, message: IncrementCounter | ObserveDuration) -> None:
         self._system.tell(METRICS, message)
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -9,13 +9,13 @@
 from .gateways import ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
     AcknowledgeEnds,
-    EntryRemoved,
-    LeaseWorker,
+    AllowLeaseExtension,
+    RegistryEntryRemoved,
     SessionCommand,
     UpdateFacts,
     WorkerPolled,
 )
-from .metrics import METRICS, Counted
+from .metrics import METRICS, IncrementCounter
 from .worker_session import WorkerSession, longest_hold_s, session_name
 
 UNLISTED_GONE_S = 2.5  # after the store's return, above what entries may take
@@ -71,7 +71,7 @@
     def allow_leases(self, allowed: bool) -> None:
         """Tell all sessions whether leases may be extended."""
         for session in self._sessions_by_worker.values():
-            self._system.tell(session.name, LeaseWorker(allowed))
+            self._system.tell(session.name, AllowLeaseExtension(allowed))
 
     def send(self, command: SessionCommand) -> bool:
         """Hand a command to the worker's session; False without one."""
@@ -222,7 +222,7 @@
             session = self._sessions_by_worker.get(worker_id)
             if session is not None:
                 drained = worker.facts.draining and now >= worker.leaves_at
-                self._system.tell(session.name, EntryRemoved(drained))
+                self._system.tell(session.name, RegistryEntryRemoved(drained))
             _logger.info("worker no longer listed", extra={"worker": worker_id})
 
     def _is_new_life(self, facts: WorkerFacts) -> bool:
@@ -272,7 +272,7 @@
             if end.number <= last:
                 continue
             last = end.number
-            self._system.tell(METRICS, Counted("run_ends", (str(end.kind),)))
+            self._system.tell(METRICS, IncrementCounter("run_ends", (str(end.kind),)))
             workflow_id = self._engine.end(worker_id, end, now)
             if workflow_id is not None:
                 unrecorded[end.number] = workflow_id
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -25,9 +25,9 @@
 )
 from redwingrudder.coordination.metrics import (
     METRICS,
-    Counted,
-    Measured,
-    Observed,
+    IncrementCounter,
+    ObserveDuration,
+    SetGauge,
 )
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
 
@@ -190,7 +190,9 @@
     """Return a clock, an actor system on it and a store actor."""
     clock = Clock()
     system = ActorSystem(clock)
-    Recording(system, METRICS, {Counted: None, Observed: None, Measured: None})
+    Recording(
+        system, METRICS, {IncrementCounter: None, ObserveDuration: None, SetGauge: None}
+    )
     store = MemoryStore(system, contents or StoreContents())
     return clock, system, store
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -31,7 +31,7 @@
     CancelStored,
     CancelWorkflow,
     CoordinatorKnown,
-    CoordinatorSilent,
+    CoordinatorUnreachable,
     EndTerm,
     GetQueueLength,
     GetState,
@@ -289,7 +289,7 @@
         others = [node for node in self.nodes if node[4] is not leader]
         address = f"10.0.0.1:{leader._identity.node_id}"
         for _, system, _, _, _ in others:
-            system.tell(LEADERSHIP, CoordinatorSilent(address))
+            system.tell(LEADERSHIP, CoordinatorUnreachable(address))
         self.advance(1.0)
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "2")
         self.assertNotIn(leader, self.leaders())
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -15,10 +15,10 @@
     WorkerTimes,
 )
 from redwingrudder.coordination.messages import (
-    EntryRemoved,
     Fenced,
+    RegistryEntryRemoved,
     StartSettled,
-    WorkerLapsed,
+    WorkerLeaseLapsed,
     WorkerPolled,
     WorkerSilent,
 )
@@ -97,7 +97,7 @@
     def setUp(self):
         self.clock, self.system, _ = node_system()
         TimerService(self.system)
-        kinds = (WorkerPolled, WorkerSilent, WorkerLapsed, StartSettled)
+        kinds = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
         self.coordinator = Recording(
             self.system, COORDINATOR, dict.fromkeys(kinds, None)
         )
@@ -162,51 +162,51 @@
         self.channel.deaf = True
         run_for(self.clock, LEASE_S)
         self.assertTrue(self.told(WorkerSilent))
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
         run_for(self.clock, longest_hold_s(LEASE_S) - LEASE_S + 2.0)
-        self.assertTrue(self.told(WorkerLapsed))
+        self.assertTrue(self.told(WorkerLeaseLapsed))
 
     def remove_entry(self, drained, silent_s=0.0):
         """Let the worker fall silent, and its entry end after a time."""
         self.channel.deaf = True
         run_for(self.clock, silent_s)
-        self.system.tell(self.session.name, EntryRemoved(drained))
+        self.system.tell(self.session.name, RegistryEntryRemoved(drained))
         run_for(self.clock, 1.0)
 
     def test_worker_that_left_by_itself_holds_nothing(self):
         """Guards against a gang that waits out the lease of a left worker."""
         self.remove_entry(drained=True)
-        self.assertTrue(self.told(WorkerLapsed))
+        self.assertTrue(self.told(WorkerLeaseLapsed))
 
     def test_entry_that_a_silence_ended_says_nothing(self):
         """Guards against a second run beside a worker that is cut off."""
         self.remove_entry(drained=True, silent_s=3 * HEARTBEAT_S)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
 
     def test_worker_that_did_not_drain_may_be_cut_off(self):
         """Guards against a second run when the store forgot an entry."""
         self.remove_entry(drained=False)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
 
     def test_worker_that_still_answers_has_not_left(self):
         """Guards against runs given up on a worker that lingers."""
-        self.system.tell(self.session.name, EntryRemoved(True))
+        self.system.tell(self.session.name, RegistryEntryRemoved(True))
         run_for(self.clock, 1.0)
         self.channel.deaf = True
         run_for(self.clock, 0.5)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
 
     def test_lost_stop_does_not_tell_that_a_worker_left(self):
         """Guards against runs given up while the last poll is on its way."""
         self.channel.deaf = True
-        self.system.tell(self.session.name, EntryRemoved(True))
+        self.system.tell(self.session.name, RegistryEntryRemoved(True))
         run_for(self.clock, 0.1)
         self.channel.hanging = True
         run_for(self.clock, 0.4)
         self.system.tell(self.session.name, StopRun("w1", fx.key(), 1))
         run_for(self.clock, 0.05)
         self.assertIn("stop", self.channel.calls)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
 
     def test_start_to_a_lapsed_worker_settles(self):
         """Guards against a task that waits for a lost worker for ever."""
