--- a/src/redwingrudder/coordination/__init__.py
+++ b/src/redwingrudder/coordination/__init__.py
@@ -1,6 +1,7 @@
-"""Actors of a node that serves workflows through a platform's store.
+"""Actors of a node that schedules workflows through a platform's store.
 
-One node, the coordinator, runs the workflow engine; every node stores what
-callers submit and answers what they ask. Names and encodings of a platform
-are behind the abstract classes of ``gateways``.
+One elected node, the coordinator, runs the workflow engine. Every node stores
+the workflows and cancellations that callers submit and answers their queries.
+The key names and encodings of a platform are hidden behind the abstract
+classes of ``gateways``.
 """
--- a/src/redwingrudder/coordination/advisor.py
+++ b/src/redwingrudder/coordination/advisor.py
@@ -1,4 +1,4 @@
-"""Asks the advice service on behalf of the coordinator."""
+"""Sends the coordinator's requests to the advice service."""
 
 import logging
 
@@ -9,17 +9,18 @@
 from .gateways import ADVISOR, COORDINATOR, AdviceService
 from .messages import AdviceGiven
 
-RETRY_S = 0.25  # until an unanswered question may be asked again
+RETRY_DELAY_S = 0.25  # delay before a failed request is reported to the engine
 
 _logger = logging.getLogger(__name__)
 
 
 class Advisor(Actor):
-    """Owns the connection to the advice service.
+    """Actor that owns the connection to the advice service.
 
     Args:
-        system: The node's actors.
-        service: Permits starts of some queues; None if there is none.
+        system: The node's actor system.
+        service: Decides which workers may run tasks of the queues that need
+            advice; None if no advice service is configured.
     """
 
     def __init__(self, system: ActorSystem, service: AdviceService | None) -> None:
@@ -30,18 +31,19 @@
         """See base class."""
         return {AskAdvice: lambda m: run(self._ask_service(m), self.name) and None}
 
-    async def _ask_service(self, question: AskAdvice) -> None:
+    async def _ask_service(self, request: AskAdvice) -> None:
         asked_at = self.system.clock.seconds()
         advice = None
-        step = TaskKey(question.workflow_id, question.occurrence, question.step, 0)
+        step_key = TaskKey(request.workflow_id, request.occurrence, request.step, 0)
         try:
             if self._service is None:
                 raise UnavailableError("no advice service is configured")
-            advice = await self._service.ask(step, question.worker_ids)
+            advice = await self._service.ask(step_key, request.worker_ids)
         except RedwingrudderError as error:
             _logger.info(
-                "advice unanswered",
-                extra={"job": question.workflow_id, "error": str(error)},
+                "request to the advice service failed",
+                extra={"job": request.workflow_id, "error": str(error)},
             )
-            await pause(self.system.clock, RETRY_S)
-        self.tell(COORDINATOR, AdviceGiven(question, advice, asked_at))
+            # The engine may send the request again once it gets the reply.
+            await pause(self.system.clock, RETRY_DELAY_S)
+        self.tell(COORDINATOR, AdviceGiven(request, advice, asked_at))
--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -1,4 +1,4 @@
-"""The coordinator: runs the engine while this node leads."""
+"""Runs the workflow engine while this node is the elected coordinator."""
 
 import logging
 import time
@@ -52,54 +52,60 @@
 from .term import Term, open_term
 from .watching import follow
 
-PLAN_DELAY_S = 0.005  # collects events that arrive together
-# Pause after a planning pass, as a multiple of what the pass took: under load
-# at most a third of the node's time goes into planning.
-PLAN_PAUSE_FACTOR = 2.0
-TICK_S = 0.2
-RETRY_S = 0.25
-# A coordinator that could not read the state for this long resigns, as other
-# nodes may have a better way to the store.
-RECOVERY_LIMIT_S = 4.0
+# Minimum delay before a planning pass, so that one pass covers all events that
+# arrive together.
+PLAN_DELAY_S = 0.005
+# Pause after a planning pass as a multiple of its duration, so that under load
+# planning takes at most a third of the node's time.
+PLAN_PAUSE_RATIO = 2.0
+TICK_INTERVAL_S = 0.2
+RECOVERY_RETRY_DELAY_S = 0.25
+# A coordinator that could not read the state for this long resigns, as another
+# node may have a better connection to the store.
+RECOVERY_TIMEOUT_S = 4.0
+TICK_TIMER = "tick"
 
 _logger = logging.getLogger(__name__)
 
 
 class Coordinator(Actor):
-    """Feeds the engine and carries out its effects; idle unless leading.
+    """Actor that feeds the engine and executes its effects.
+
+    It has an engine only during a term of this node, and rejects queries
+    outside of terms and until the state is recovered.
 
     Args:
-        system: The node's actors.
-        fleet: What the coordinator needs of the platform.
+        system: The node's actor system.
+        gateways: Access to the platform.
     """
 
-    def __init__(self, system: ActorSystem, fleet: FleetGateways) -> None:
-        self._fleet = fleet
+    def __init__(self, system: ActorSystem, gateways: FleetGateways) -> None:
+        self._gateways = gateways
         self._term: Term | None = None
         self._ready = False
-        self._confirmed_until = 0.0
-        self._may_act = True
+        self._lease_confirmed_until = 0.0
+        self._has_authority = True
         self._plan_scheduled = False
         self._plan_pause_s = PLAN_DELAY_S
-        self._guaranteed: dict[str, int] = {}
-        # Time of day less the steady clock.
-        self._wall_offset = time.time() - system.clock.seconds()
+        self._guaranteed_by_organisation: dict[str, int] = {}
+        # Unix time minus steady-clock time.
+        self._unix_time_offset_s = time.time() - system.clock.seconds()
         super().__init__(system, COORDINATOR)
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            BeginTerm: lambda m: run(self._begin(m), self.name) and None,
-            EndTerm: self._end,
-            LeaseConfirmed: self._confirm,
-            ConfigurationInForce: self._configure,
+            BeginTerm: lambda m: run(self._begin_term(m), self.name) and None,
+            EndTerm: self._end_term,
+            LeaseConfirmed: self._lease_confirmed,
+            ConfigurationInForce: self._set_configuration,
             WorkflowStored: self._workflow_stored,
             CancelStored: self._cancel_stored,
             GetState: self._get_state,
             GetQueueLength: self._get_queue_length,
             WorkerPolled: self._worker_polled,
             WorkerSilent: self._worker_silent,
-            WorkerLeaseLapsed: self._worker_lapsed,
+            WorkerLeaseLapsed: self._worker_lease_lapsed,
             StartSettled: self._start_settled,
             TimerFired: self._timer_fired,
             ThrottleUnanswered: self._throttle_unanswered,
@@ -107,40 +113,52 @@
         }
 
     def stop(self) -> None:
-        """Close the sessions of the term."""
+        """Close the current term, if there is one."""
         self._close_term()
 
-    # Terms.
+    # Beginning and end of terms.
+
+    async def _begin_term(self, message: BeginTerm) -> None:
+        """Begin a term and recover the state, with retries on failures.
 
-    async def _begin(self, message: BeginTerm) -> None:
-        """Take over: read the records, then ask the workers what runs."""
+        Recovery reads the stored records and opens worker sessions, which poll
+        the workers for their runs. After ``RECOVERY_TIMEOUT_S`` this node
+        resigns.
+        """
         self._close_term()
         term = open_term(
-            self.system, self._fleet, message, self._guaranteed, self._deposed
+            self.system,
+            self._gateways,
+            message,
+            self._guaranteed_by_organisation,
+            self._on_deposed,
         )
         self._term = term
         self.tell(METRICS, SetGauge("coordinator", 1.0))
         _logger.info("term began", extra={"term": term.number})
-        give_up_at = self.system.clock.seconds() + RECOVERY_LIMIT_S
+        deadline = self.system.clock.seconds() + RECOVERY_TIMEOUT_S
         while self._term is term:
             try:
                 await self._recover(term)
                 return
             except RedwingrudderError as error:
-                _logger.warning("recovery failed", extra={"error": str(error)})
-                if self.system.clock.seconds() > give_up_at:
+                _logger.warning(
+                    "could not read the state from the store",
+                    extra={"error": str(error)},
+                )
+                if self.system.clock.seconds() > deadline:
                     self.tell(LEADERSHIP, Resign("recovery failed"))
                     return
-                await pause(self.system.clock, RETRY_S)
+                await pause(self.system.clock, RECOVERY_RETRY_DELAY_S)
 
     async def _recover(self, term: Term) -> None:
-        state = await read_state(self.ask, self._fleet.registry.prefix)
+        state = await read_state(self.ask, self._gateways.registry.prefix)
         if self._term is not term:
             return
         now = self.system.clock.seconds()
-        placed = restore_all(term.engine, term.recorder, state, now)
+        placed_runs = restore_all(term.engine, term.recorder, state, now)
         term.workers.set_all_entries({p.key: p.value for p in state.workers.pairs})
-        for placed_run in placed:
+        for placed_run in placed_runs:
             term.workers.adopt(placed_run)
         cancel_all(term.engine, state, now)
         self._ready = True
@@ -150,27 +168,29 @@
                 "term": term.number,
                 "jobs": len(term.engine.workflows_by_id),
                 "workers": term.workers.count,
-                "placed_runs": len(placed),
+                "placed_runs": len(placed_runs),
             },
         )
-        self._follow(
+        self._follow_prefix(
             term,
-            self._fleet.registry.prefix,
+            self._gateways.registry.prefix,
             state.workers.revision,
             self._apply_entries,
             self._replace_entries,
         )
-        self._follow(
+        self._follow_prefix(
             term,
             INTAKE_PREFIX,
             state.intake.revision,
-            self._take_all_intake,
-            self._take_all_intake,
+            self._apply_intake_entries,
+            self._apply_intake_entries,
+        )
+        self.tell(
+            TIMERS, Subscribe(self.name, TICK_TIMER, TICK_INTERVAL_S, TICK_INTERVAL_S)
         )
-        self.tell(TIMERS, Subscribe(self.name, "tick", TICK_S, TICK_S))
-        self._plan_soon()
+        self._schedule_planning()
 
-    def _follow(
+    def _follow_prefix(
         self,
         term: Term,
         prefix: str,
@@ -178,7 +198,7 @@
         apply: Callable[[tuple[Change, ...]], None],
         replace: Callable[[tuple[KeyValue, ...]], None],
     ) -> None:
-        """Follow a prefix for as long as the term lasts."""
+        """Follow the changes below a store prefix until the term ends."""
         clock = self.system.clock
         watch = follow(
             self.ask,
@@ -191,11 +211,11 @@
         )
         run(watch, self.name)
 
-    def _end(self, message: EndTerm) -> None:
+    def _end_term(self, message: EndTerm) -> None:
         number = self._term.number if self._term is not None else 0
         _logger.info("term ended", extra={"term": number, "reason": message.reason})
         self.tell(METRICS, SetGauge("coordinator", 0.0))
-        self.tell(TIMERS, Unsubscribe(self.name, "tick"))
+        self.tell(TIMERS, Unsubscribe(self.name, TICK_TIMER))
         self._close_term()
 
     def _close_term(self) -> None:
@@ -204,41 +224,50 @@
         if term is not None:
             term.close()
 
-    def _deposed(self) -> None:
+    def _on_deposed(self) -> None:
         self._ready = False
         self.tell(LEADERSHIP, Fenced("store"))
 
-    def _confirm(self, message: LeaseConfirmed) -> None:
-        self._confirmed_until = max(self._confirmed_until, message.until)
+    def _lease_confirmed(self, message: LeaseConfirmed) -> None:
+        self._lease_confirmed_until = max(self._lease_confirmed_until, message.until)
 
-    def _configure(self, message: ConfigurationInForce) -> None:
-        self._guaranteed = message.configuration.guaranteed_by_organisation
+    def _set_configuration(self, message: ConfigurationInForce) -> None:
+        self._guaranteed_by_organisation = (
+            message.configuration.guaranteed_by_organisation
+        )
         if self._term is not None:
-            self._term.engine.guaranteed_by_organisation = self._guaranteed
-        self._plan_soon()
+            self._term.engine.guaranteed_by_organisation = (
+                self._guaranteed_by_organisation
+            )
+        self._schedule_planning()
 
     async def _check_authority(self) -> None:
-        """Stop extending leases when a successor may exist.
+        """Stop planning and extending leases when a successor may exist.
 
-        While the store is down for most nodes, none can have been elected.
+        A successor may exist once the lease on the coordinator record may
+        have expired, unless the store is down for most nodes: then none can
+        have been elected.
         """
-        allowed = boot_clock() < self._confirmed_until
+        allowed = boot_clock() < self._lease_confirmed_until
         if not allowed:
             view = await self.ask(PEERS, ListPeers())
             allowed = view.store_is_down
-        if allowed != self._may_act:
-            self._may_act = allowed
-            _logger.warning("authority changed", extra={"allowed": allowed})
+        if allowed != self._has_authority:
+            self._has_authority = allowed
+            _logger.warning(
+                "permission to plan and to extend worker leases changed",
+                extra={"allowed": allowed},
+            )
             if self._term is not None:
                 self._term.workers.allow_leases(allowed)
 
     # Submissions and cancellations.
 
-    def _take_all_intake(self, items: tuple[Change | KeyValue, ...]) -> None:
+    def _apply_intake_entries(self, items: tuple[Change | KeyValue, ...]) -> None:
         for item in items:
-            self._take_intake(item.key, item.value)
+            self._apply_intake_entry(item.key, item.value)
 
-    def _take_intake(self, key: str, value: str | None) -> None:
+    def _apply_intake_entry(self, key: str, value: str | None) -> None:
         if value is None:
             return
         if key.endswith(CANCEL_SUFFIX):
@@ -251,13 +280,13 @@
             return
         now = self.system.clock.seconds()
         if accept_stored(self._term.engine, message.workflow_id, message.document, now):
-            self._plan_soon()
+            self._schedule_planning()
 
     def _cancel_stored(self, message: CancelStored) -> None:
         if self._ready:
             now = self.system.clock.seconds()
             self._term.engine.cancel(message.workflow_id, now)
-            self._plan_soon()
+            self._schedule_planning()
 
     def _get_state(self, message: GetState) -> str:
         if not self._ready:
@@ -279,25 +308,25 @@
     def _apply_entries(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
             self._term.workers.set_entry(change.key, change.value)
-        self._plan_soon()
+        self._schedule_planning()
 
     def _replace_entries(self, pairs: tuple[KeyValue, ...]) -> None:
         self._term.workers.set_all_entries({pair.key: pair.value for pair in pairs})
-        self._plan_soon()
+        self._schedule_planning()
 
     def _worker_polled(self, message: WorkerPolled) -> None:
         if self._ready:
             self._term.workers.take_report(message)
-            self._plan_soon()
+            self._schedule_planning()
 
     def _worker_silent(self, message: WorkerSilent) -> None:
         if self._ready:
             self._term.workers.set_silent(message.worker_id)
 
-    def _worker_lapsed(self, message: WorkerLeaseLapsed) -> None:
+    def _worker_lease_lapsed(self, message: WorkerLeaseLapsed) -> None:
         if self._ready:
             self._term.workers.set_lapsed(message.worker_id)
-            self._plan_soon()
+            self._schedule_planning()
 
     def _start_settled(self, message: StartSettled) -> None:
         start, reply = message.run, message.reply
@@ -310,12 +339,12 @@
             self._term.engine.start_confirmed(start.key, start.run, now)
         else:
             self._term.engine.start_rejected(start.key, start.run, reply.reason, now)
-        self._plan_soon()
+        self._schedule_planning()
 
     # Planning.
 
     def _timer_fired(self, fired: TimerFired) -> None:
-        if fired.timer != "tick" or not self._ready:
+        if fired.timer != TICK_TIMER or not self._ready:
             return
         run(self._check_authority(), self.name)
         run(self._read_time_of_day(), self.name)
@@ -326,13 +355,13 @@
         self._term.retention.sweep(now)
         if self._term.maintenance is not None:
             self._term.maintenance.advance(now)
-        self._plan_soon()
+        self._schedule_planning()
 
     async def _read_time_of_day(self) -> None:
-        wall = await self.ask(PEERS, GetTimeOfDay())
-        self._wall_offset = wall - self.system.clock.seconds()
+        unix_time_s = await self.ask(PEERS, GetTimeOfDay())
+        self._unix_time_offset_s = unix_time_s - self.system.clock.seconds()
 
-    def _plan_soon(self) -> None:
+    def _schedule_planning(self) -> None:
         if self._ready and not self._plan_scheduled:
             self._plan_scheduled = True
             self.system.clock.callLater(self._plan_pause_s, self._plan)
@@ -343,17 +372,17 @@
             return
         engine = self._term.engine
         now = self.system.clock.seconds()
-        if self._may_act:
-            effects = engine.plan(now, now + self._wall_offset)
+        if self._has_authority:
+            effects = engine.plan(now, now + self._unix_time_offset_s)
         else:
             effects = engine.take_effects()
         for effect in effects:
-            self._carry_out(effect)
-        self._term.writer.write_soon()
-        spent_s = self.system.clock.seconds() - now
-        self._plan_pause_s = max(PLAN_DELAY_S, PLAN_PAUSE_FACTOR * spent_s)
+            self._execute_effect(effect)
+        self._term.writer.schedule_write()
+        planning_s = self.system.clock.seconds() - now
+        self._plan_pause_s = max(PLAN_DELAY_S, PLAN_PAUSE_RATIO * planning_s)
 
-    def _carry_out(self, effect: Effect) -> None:
+    def _execute_effect(self, effect: Effect) -> None:
         if isinstance(effect, StartRun):
             self._term.writer.add_start(effect)
         elif isinstance(effect, AskAdvice):
@@ -368,9 +397,12 @@
         self._term.engine.take_advice(
             message.question, tickets, valid_s, message.asked_at
         )
-        self._plan_soon()
+        self._schedule_planning()
 
     def _throttle_unanswered(self, message: ThrottleUnanswered) -> None:
-        """Assume full speed again, so that the policy repeats the change."""
+        """Let the engine assume full speed for the run of the command.
+
+        The throttle policy then repeats the change of speed.
+        """
         if self._ready:
             self._term.engine.throttle_unanswered(message.run.key, message.run.run)
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -1,4 +1,4 @@
-"""Stores what callers submit and answers what they ask, at every node."""
+"""Accepts submissions, cancellations and state queries on every node."""
 
 import logging
 import time
@@ -41,19 +41,31 @@
 )
 from .peers import CallPeer, ListPeers
 
-RETRY_AFTER_S = 1.0  # told to callers while the store answers no node
-WRITE_RETRY_S = 0.05  # keeps a store that resets connections from being flooded
-RELAYS = 2  # peers that are asked to store on this node's behalf
+# Retry time that callers get while no reachable node can use the store.
+RETRY_AFTER_S = 1.0
+NO_COORDINATOR_RETRY_AFTER_S = 1.0
+# Limits the load on a store that resets connections.
+WRITE_RETRY_DELAY_S = 0.05
+MAX_RELAY_PEERS = 2  # peers that a call is relayed to, one after the other
+RELAY_CALL_TIMEOUT_S = 1.5
+PEER_REQUEST_TIMEOUT_S = 1.0  # for writes to the store on behalf of a peer
+STATE_RELAY_TIMEOUT_S = 1.0
+# Error codes of a relayed call that certainly had no effect.
+NO_EFFECT_CODES = ("store_unavailable", "connection_refused")
 
 _logger = logging.getLogger(__name__)
 
 
 class Intake(Actor):
-    """Accepts and cancels workflows without the coordinator.
+    """Actor that accepts and cancels workflows without the coordinator.
+
+    Submissions and cancellations are written to the store, directly or by a
+    peer. The coordinator is only notified of them, and asked for states and
+    queue lengths.
 
     Args:
-        system: The node's actors.
-        identity: This process.
+        system: The node's actor system.
+        identity: Identity of this node's process.
     """
 
     def __init__(self, system: ActorSystem, identity: Identity) -> None:
@@ -66,17 +78,17 @@
         """See base class."""
         return {
             CoordinatorKnown: self._set_coordinator,
-            StoreAvailability: self._set_store,
+            StoreAvailability: self._set_store_availability,
             SubmitWorkflow: self._submit,
             CancelWorkflow: self._cancel,
-            GetState: self._state,
-            GetQueueLength: self._queue_length,
+            GetState: self._get_state,
+            GetQueueLength: self._get_queue_length,
             StoreForPeer: self._store_for_peer,
             CancelForPeer: self._cancel_for_peer,
             ReadStateForPeer: lambda m: self._read_state(m.workflow_id),
         }
 
-    def _set_store(self, message: StoreAvailability) -> None:
+    def _set_store_availability(self, message: StoreAvailability) -> None:
         self._store_available = message.available
 
     def _set_coordinator(self, message: CoordinatorKnown) -> None:
@@ -85,13 +97,13 @@
     async def _submit(self, message: SubmitWorkflow) -> bool:
         workflow = message.workflow
         document = records.encode_workflow(workflow).decode()
-        deadline = self.system.clock.seconds() + message.give_up_s
+        deadline = self.system.clock.seconds() + message.timeout_s
         try:
-            self._check_store()
-            await self._store_until(workflow.workflow_id, document, deadline)
+            self._require_store()
+            await self._store_document(workflow.workflow_id, document, deadline)
             via = "store"
         except StoreUnavailableError:
-            await self._relay(
+            await self._relay_to_peer(
                 "store_workflow", (workflow.workflow_id, document), deadline
             )
             via = "neighbour"
@@ -110,22 +122,30 @@
         )
         return True
 
-    def _check_store(self) -> None:
-        """Send no write to a store that does not answer.
+    def _require_store(self) -> None:
+        """Fail before a write is sent to a store that does not answer.
+
+        Such a write might still take effect later. The caller could then be
+        told neither that its workflow was accepted nor that it will not run.
 
-        Such a write may take effect later, so the caller could be told
-        neither that its workflow was accepted nor that it will never run.
+        Raises:
+            StoreUnavailableError: The store does not answer this node.
         """
         if not self._store_available:
-            raise StoreUnavailableError("the store does not answer")
+            raise StoreUnavailableError("the store does not answer this node")
 
-    async def _store_until(
+    async def _store_document(
         self, workflow_id: str, document: str, deadline: float
     ) -> None:
-        """Store a document under the condition that the id is new.
+        """Store a document on the condition that its id is new.
+
+        Writes with an unknown outcome are repeated until the deadline, which
+        is in steady-clock seconds. A repeated write changes nothing if an
+        earlier one took effect.
 
         Raises:
-            StoreUnavailableError: Surely nothing was and will be stored.
+            StoreUnavailableError: The document was not stored, and no write
+                that could store it later is pending.
             OutcomeUnknownError: A write may still take effect.
         """
         key = INTAKE_PREFIX + workflow_id
@@ -135,7 +155,7 @@
                 await self.ask(
                     STORE, Transact((Compare(key, 0),), (PutKey(key, document),))
                 )
-                # A failed comparison means that the id is stored already.
+                # A failed comparison means that the id is already stored.
                 return
             except OutcomeUnknownError:
                 uncertain = True
@@ -145,61 +165,84 @@
                         error.detail, retry_after_s=RETRY_AFTER_S
                     ) from error
             if self.system.clock.seconds() > deadline:
-                raise OutcomeUnknownError("the store did not confirm the write")
-            await pause(self.system.clock, WRITE_RETRY_S)
+                raise OutcomeUnknownError(
+                    f"the store did not confirm the write of job {workflow_id}"
+                )
+            await pause(self.system.clock, WRITE_RETRY_DELAY_S)
 
-    async def _relay(self, method: str, arguments: tuple, deadline: float) -> Any:
-        """Let a node that the store serves carry out a call.
+    async def _relay_to_peer(
+        self, method: str, arguments: tuple, deadline: float
+    ) -> Any:
+        """Have a peer that can reach the store carry out a call.
+
+        Args:
+            method: Thrift method of the peer.
+            arguments: Arguments of the method.
+            deadline: Steady-clock seconds after which no peer is tried.
 
         Raises:
-            UnavailableError: No node could; nothing was stored.
-            OutcomeUnknownError: A node was asked and did not answer.
+            UnavailableError: No peer could carry out the call, and nothing
+                was stored.
+            OutcomeUnknownError: A peer received the call and did not answer,
+                or failed in a way that may have stored something.
         """
-        for address in await self._relays():
-            left_s = deadline - self.system.clock.seconds()
-            if left_s <= 0:
+        for address in await self._find_relay_addresses():
+            remaining_s = deadline - self.system.clock.seconds()
+            if remaining_s <= 0:
                 break
             try:
                 return await self.ask(
                     PEERS,
-                    CallPeer(address, method, arguments, min(left_s, 1.5)),
+                    CallPeer(
+                        address,
+                        method,
+                        arguments,
+                        min(remaining_s, RELAY_CALL_TIMEOUT_S),
+                    ),
                 )
             except RedwingrudderError as error:
                 _logger.info(
-                    "relay failed", extra={"peer": address, "error": str(error)}
+                    "relaying a call to a peer failed",
+                    extra={"peer": address, "error": str(error)},
                 )
-                if error.code not in ("store_unavailable", "connection_refused"):
+                if error.code not in NO_EFFECT_CODES:
                     raise OutcomeUnknownError(error.detail) from error
         raise UnavailableError(
-            "the store turns this node away and no neighbour is served",
+            f"{method}: neither this node nor a reachable peer can use the store",
             code="store_unavailable",
             retry_after_s=RETRY_AFTER_S,
         )
 
-    async def _relays(self) -> list[str]:
+    async def _find_relay_addresses(self) -> list[str]:
         view = await self.ask(PEERS, ListPeers())
-        served = [other.address for other in view.fresh if other.store_available]
-        served.sort(key=lambda address: address != self._coordinator.address)
-        return served[:RELAYS]
+        addresses = [peer.address for peer in view.fresh if peer.store_available]
+        addresses.sort(key=lambda address: address != self._coordinator.address)
+        return addresses[:MAX_RELAY_PEERS]
 
     async def _store_for_peer(self, message: StoreForPeer) -> None:
-        self._check_store()
-        deadline = self.system.clock.seconds() + 1.0
-        await self._store_until(message.workflow_id, message.document, deadline)
+        self._require_store()
+        deadline = self.system.clock.seconds() + PEER_REQUEST_TIMEOUT_S
+        await self._store_document(message.workflow_id, message.document, deadline)
 
     async def _cancel(self, message: CancelWorkflow) -> bool:
-        deadline = self.system.clock.seconds() + message.give_up_s
+        deadline = self.system.clock.seconds() + message.timeout_s
         try:
             known = await self._store_cancel(message.workflow_id, deadline)
         except UnavailableError:
-            known = await self._relay("store_cancel", (message.workflow_id,), deadline)
+            known = await self._relay_to_peer(
+                "store_cancel", (message.workflow_id,), deadline
+            )
         if known:
             _logger.info("job cancelled", extra={"job": message.workflow_id})
             self._announce("announce_cancel", CancelStored(message.workflow_id))
         return known
 
     async def _store_cancel(self, workflow_id: str, deadline: float) -> bool:
-        """Store a cancellation; it is the same however often it is written."""
+        """Store a cancellation; returns whether the workflow exists.
+
+        Writing a cancellation more than once is harmless, so a write with an
+        unknown outcome is repeated until the deadline.
+        """
         key, cancel_key = intake_keys(workflow_id)
         while True:
             try:
@@ -213,25 +256,33 @@
             except OutcomeUnknownError:
                 if self.system.clock.seconds() > deadline:
                     raise
-                await pause(self.system.clock, WRITE_RETRY_S)
+                await pause(self.system.clock, WRITE_RETRY_DELAY_S)
 
     async def _cancel_for_peer(self, message: CancelForPeer) -> bool:
-        deadline = self.system.clock.seconds() + 1.0
+        deadline = self.system.clock.seconds() + PEER_REQUEST_TIMEOUT_S
         return await self._store_cancel(message.workflow_id, deadline)
 
-    async def _state(self, message: GetState) -> str:
-        """Ask the coordinator; what it does not know, the store may."""
+    async def _get_state(self, message: GetState) -> str:
+        """Ask the coordinator for a state, and fall back to the store.
+
+        The store is read if the coordinator cannot be reached or does not
+        have the workflow yet.
+        """
         try:
             state = await self._ask_coordinator("state", message)
             if state:
                 return state
         except RedwingrudderError as error:
-            _logger.debug("coordinator not asked", extra={"error": str(error)})
+            _logger.debug(
+                "state query to the coordinator failed", extra={"error": str(error)}
+            )
         try:
             return await self._read_state(message.workflow_id)
         except UnavailableError:
-            deadline = self.system.clock.seconds() + 1.0
-            return await self._relay("read_state", (message.workflow_id,), deadline)
+            deadline = self.system.clock.seconds() + STATE_RELAY_TIMEOUT_S
+            return await self._relay_to_peer(
+                "read_state", (message.workflow_id,), deadline
+            )
 
     async def _read_state(self, workflow_id: str) -> str:
         reply = await self.ask(STORE, GetPrefix(INTAKE_PREFIX + workflow_id))
@@ -249,7 +300,7 @@
             return WorkflowState.CANCELLED
         return state
 
-    async def _queue_length(self, message: GetQueueLength) -> int:
+    async def _get_queue_length(self, message: GetQueueLength) -> int:
         return await self._ask_coordinator("queue_length", message)
 
     async def _ask_coordinator(
@@ -258,19 +309,26 @@
         if self._coordinator.node_id == self._identity.node_id:
             return await self.ask(COORDINATOR, message)
         if not self._coordinator.address:
-            raise UnavailableError("no coordinator is known", retry_after_s=1.0)
+            raise UnavailableError(
+                "no coordinator is known", retry_after_s=NO_COORDINATOR_RETRY_AFTER_S
+            )
         return await self.ask(
             PEERS, CallPeer(self._coordinator.address, method, tuple(message))
         )
 
     def _announce(self, method: str, message: WorkflowStored | CancelStored) -> None:
-        """Tell the coordinator at once; its watch is the slower way."""
+        """Notify the coordinator directly, which is faster than its watch.
+
+        A lost notification is harmless, as the coordinator also watches the
+        store.
+        """
         if self._coordinator.node_id == self._identity.node_id:
             self.tell(COORDINATOR, message)
         elif self._coordinator.address:
             call = CallPeer(self._coordinator.address, method, tuple(message))
             self.ask(PEERS, call).addErrback(
                 lambda failure: _logger.info(
-                    "coordinator not told", extra={"error": str(failure.value)}
+                    "notification of the coordinator failed",
+                    extra={"error": str(failure.value)},
                 )
             )
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -1,4 +1,9 @@
-"""Messages between the actors of a node that serves workflows."""
+"""Messages between the actors of a node that schedules workflows.
+
+Each docstring begins with the receiving actor, or with the sender of a message
+that goes to subscribers. "Tells" stands for a message without a reply, "Asks"
+for one with a reply.
+"""
 
 from typing import NamedTuple
 
@@ -14,36 +19,40 @@
 
 
 class ConfigurationInForce(NamedTuple):
-    """Told to subscribers for each newer version."""
+    """Tells subscribers that a newer configuration version is in force."""
 
     configuration: OperatorConfiguration
 
 
 class GetConfigurationDocument(NamedTuple):
-    """Ask CONFIGURATION -> document, "" if not above the version."""
+    """Asks CONFIGURATION for its document.
+
+    The reply is "" if its version is not above ``above_version``.
+    """
 
     above_version: int
 
 
 class OfferConfigurationDocument(NamedTuple):
-    """Tell CONFIGURATION: a peer's document."""
+    """Tells CONFIGURATION about a document that a peer holds."""
 
     document: str
 
 
 class NodeSummary(NamedTuple):
-    """What nodes tell each other.
+    """State that nodes exchange with each other.
 
     Attributes:
         node_id: Name of the node.
         address: "host:port" of its thrift server.
         incarnation: Random id of its process.
-        configuration_version: Version in force.
-        coordinator_id: Node that it believes to coordinate, "" unknown.
-        coordinator_address: Address of that node.
+        configuration_version: Configuration version in force on the node.
+        coordinator_id: Node that it takes for the coordinator; "" if it
+            knows of none.
+        coordinator_address: "host:port" of that coordinator.
         term: Term of that coordinator.
-        store_available: The store answered lately.
-        unix_time: Its time of day.
+        store_available: Whether the store answered its latest calls.
+        unix_time: Its time of day in seconds since the Unix epoch.
     """
 
     node_id: str
@@ -58,7 +67,13 @@
 
 
 class CoordinatorKnown(NamedTuple):
-    """Told by LEADERSHIP: who coordinates; "" when nobody is known."""
+    """LEADERSHIP tells its subscribers which node is the coordinator.
+
+    Attributes:
+        node_id: Name of the coordinator; "" if no coordinator is known.
+        address: "host:port" of its thrift server, or "".
+        term: Its term, or 0.
+    """
 
     node_id: str
     address: str
@@ -66,17 +81,22 @@
 
 
 class CoordinatorUnreachable(NamedTuple):
-    """Told by PEERS: the coordinator's process refuses connections."""
+    """Tells LEADERSHIP that the coordinator's process refuses connections.
+
+    PEERS sends it with the "host:port" of that process.
+    """
 
     address: str
 
 
 class BeginTerm(NamedTuple):
-    """Tell COORDINATOR: this node leads from now on.
+    """Tells COORDINATOR that this node was elected and leads from now on.
 
     Attributes:
-        term: Number of the term, the fencing token towards workers.
-        term_revision: Revision of the term's key; writes depend on it.
+        term: Number of the term, used as the fencing token in commands to
+            workers.
+        term_revision: Store revision of the term's key; writes to the store
+            are made conditional on it.
     """
 
     term: int
@@ -84,113 +104,145 @@
 
 
 class EndTerm(NamedTuple):
-    """Tell COORDINATOR: this node no longer leads."""
+    """Tells COORDINATOR that this node no longer leads."""
 
     reason: str
 
 
 class Fenced(NamedTuple):
-    """Tell LEADERSHIP: a worker or the store knows a higher term."""
+    """Tells LEADERSHIP that a higher term exists.
+
+    ``source`` names the worker, machine or store that rejected this term.
+    """
 
     source: str
 
 
 class Resign(NamedTuple):
-    """Tell LEADERSHIP: this node cannot coordinate, another one should."""
+    """Tells LEADERSHIP to give up the term in favour of another node.
+
+    It is sent when this node cannot do the coordinator's work.
+    """
 
     reason: str
 
 
 class LeaseConfirmed(NamedTuple):
-    """Tell COORDINATOR: the record is held until a boot-clock time."""
+    """Tells COORDINATOR that the lease on the coordinator record was renewed.
+
+    ``until`` is its expiry time in boot-clock seconds.
+    """
 
     until: float
 
 
 class StoreAvailability(NamedTuple):
-    """Told by STORE to its subscribers on each change."""
+    """STORE tells its subscribers when the store stops or starts to answer."""
 
     available: bool
 
 
 class SubmitWorkflow(NamedTuple):
-    """Ask INTAKE -> True once stored; raises otherwise.
+    """Asks INTAKE to store a workflow.
+
+    The reply is True once the workflow is stored; otherwise the call fails
+    with an exception.
 
     Attributes:
-        workflow: What was submitted.
-        give_up_s: Seconds in which an answer is worthwhile.
+        workflow: The submitted workflow.
+        timeout_s: Seconds after which the caller no longer needs an answer.
     """
 
     workflow: Workflow
-    give_up_s: float
+    timeout_s: float
 
 
 class CancelWorkflow(NamedTuple):
-    """Ask INTAKE -> whether the workflow is known; raises if unanswered."""
+    """Asks INTAKE to store a cancellation.
+
+    The reply says whether the workflow exists; the call fails if the store
+    does not answer within ``timeout_s`` seconds.
+    """
 
     workflow_id: str
-    give_up_s: float
+    timeout_s: float
 
 
 class GetState(NamedTuple):
-    """Ask INTAKE or COORDINATOR -> state text, "" for an unknown id."""
+    """Asks INTAKE or COORDINATOR for a workflow's state; "" if unknown."""
 
     workflow_id: str
 
 
 class GetQueueLength(NamedTuple):
-    """Ask INTAKE or COORDINATOR -> workflows without a started task."""
+    """Asks INTAKE or COORDINATOR for a queue's length.
+
+    The reply is the number of workflows of which no task has started.
+    """
 
     queue: str
 
 
 class WorkflowStored(NamedTuple):
-    """Tell COORDINATOR: a workflow is in the store."""
+    """Tells COORDINATOR that a workflow was written to the store."""
 
     workflow_id: str
     document: str
 
 
 class CancelStored(NamedTuple):
-    """Tell COORDINATOR: a cancellation is in the store."""
+    """Tells COORDINATOR that a cancellation was written to the store."""
 
     workflow_id: str
 
 
 class WorkerPolled(NamedTuple):
-    """Tell COORDINATOR: a worker answered a poll."""
+    """Tells COORDINATOR what a worker reported in its answer to a poll."""
 
     worker_id: str
     report: WorkerReport
 
 
 class WorkerSilent(NamedTuple):
-    """Tell COORDINATOR: a worker stopped answering."""
+    """Tells COORDINATOR that a worker has stopped answering."""
 
     worker_id: str
 
 
 class WorkerLeaseLapsed(NamedTuple):
-    """Tell COORDINATOR: a silent worker's lease has surely lapsed."""
+    """Tells COORDINATOR that a silent worker's lease has certainly expired.
+
+    Nothing that the worker ran under this lease is running any more.
+    """
 
     worker_id: str
 
 
 class StartSettled(NamedTuple):
-    """Tell COORDINATOR: a start was answered, or surely never happens."""
+    """Tells COORDINATOR the final outcome of a start command.
+
+    The reply is the worker's own, or a rejection once it is certain that the
+    run will not begin.
+    """
 
     run: StartRun
     reply: CommandReply
 
 
 class ThrottleUnanswered(NamedTuple):
-    """Tell COORDINATOR: a throttle command got no answer."""
+    """Tells COORDINATOR that a throttle command got no answer."""
 
     run: ThrottleRun
 
 
 class AdviceGiven(NamedTuple):
-    """Tell COORDINATOR: the answer to a question, None without one."""
+    """Tells COORDINATOR the answer of the advice service.
+
+    Attributes:
+        question: The request that was sent to the service.
+        advice: The answer; None if the request failed.
+        asked_at: Time of the request in steady-clock seconds.
+    """
 
     question: AskAdvice
     advice: Advice | None
@@ -198,28 +250,32 @@
 
 
 class AllowLeaseExtension(NamedTuple):
-    """Tell a worker session: whether leases may be extended."""
+    """Tells a worker session whether it may extend the worker's lease."""
 
     allowed: bool
 
 
 class AcknowledgeEnds(NamedTuple):
-    """Tell a worker session: ends up to a number are on record."""
+    """Tells a worker session that ends are recorded in the store.
+
+    All ends of runs with numbers up to ``number`` may be acknowledged to the
+    worker.
+    """
 
     number: int
 
 
 class UpdateFacts(NamedTuple):
-    """Tell a worker session: the registry's newest entry."""
+    """Tells a worker session the worker's newest registry entry."""
 
     facts: WorkerFacts
 
 
 class RegistryEntryRemoved(NamedTuple):
-    """Tell a worker session: the registry no longer lists the worker.
+    """Tells a worker session that the registry no longer lists the worker.
 
-    ``drained`` says that it had announced to leave, and that it has stayed
-    for as long as it announced.
+    ``drained`` says that the worker had announced that it would leave, and
+    that the announced time has passed.
     """
 
     drained: bool
@@ -229,23 +285,32 @@
 
 
 class Drain(NamedTuple):
-    """Tell an actor: the node shuts down; finish and take nothing new."""
+    """Tells an actor that the node shuts down.
+
+    The actor finishes its current work and accepts nothing new.
+    """
 
 
 class StoreForPeer(NamedTuple):
-    """Ask INTAKE: store a workflow for a node that the store turns away."""
+    """Asks INTAKE to store a workflow for a peer that cannot use the store."""
 
     workflow_id: str
     document: str
 
 
 class CancelForPeer(NamedTuple):
-    """Ask INTAKE -> whether the id is known; stores a cancellation."""
+    """Asks INTAKE to store a cancellation for a peer.
+
+    The reply says whether the workflow exists.
+    """
 
     workflow_id: str
 
 
 class ReadStateForPeer(NamedTuple):
-    """Ask INTAKE -> state from the store, "" for an unknown id."""
+    """Asks INTAKE to read a workflow's state from the store for a peer.
+
+    The reply is "" if the workflow does not exist.
+    """
 
     workflow_id: str
--- a/src/redwingrudder/coordination/metrics.py
+++ b/src/redwingrudder/coordination/metrics.py
@@ -1,9 +1,9 @@
-"""Metrics of a node that serves workflows (prometheus_client).
+"""Prometheus metrics of a node that schedules workflows.
 
-The library is imported a moment after the start, because the import takes
-processor time that a restarted node needs for callers; until then the
-actor keeps what it is told. Label values come from the configuration or are
-fixed words, so their number is bounded.
+prometheus_client is imported some time after the start, because the import
+takes processor time that a restarted node needs to serve callers. Until then
+the actor buffers the messages that it receives. Label values come from the
+configuration or are fixed words, so the number of time series is bounded.
 """
 
 from typing import Any, NamedTuple
@@ -16,8 +16,23 @@
 
 METRICS = "metrics"
 IMPORT_DELAY_S = 1.0
-KEPT_LIMIT = 5_000  # messages kept until the import; later ones are dropped
-BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1, 2.6, 5, 10, 30, 60, 300, 1_800, 7_200, 28_800)
+MAX_BUFFERED_MESSAGES = 5_000  # until the import; further messages are dropped
+HISTOGRAM_BUCKETS_S = (
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    2.6,
+    5,
+    10,
+    30,
+    60,
+    300,
+    1_800,
+    7_200,
+    28_800,
+)
 
 COUNTERS = {
     "requests": ("Answers to callers", ("method", "status")),
@@ -45,14 +60,14 @@
 
 
 class IncrementCounter(NamedTuple):
-    """Tell METRICS: one more event."""
+    """Tells METRICS to increment a counter by one."""
 
     name: str
     labels: tuple[str, ...]
 
 
 class ObserveDuration(NamedTuple):
-    """Tell METRICS: a duration in seconds."""
+    """Tells METRICS to add a duration in seconds to a histogram."""
 
     name: str
     labels: tuple[str, ...]
@@ -60,19 +75,19 @@
 
 
 class SetGauge(NamedTuple):
-    """Tell METRICS: the present value of a gauge."""
+    """Tells METRICS the current value of a gauge."""
 
     name: str
     value: float
 
 
 class Metrics(Actor):
-    """Counts what the other actors tell it and serves the text.
+    """Actor that collects metrics and serves them over HTTP.
 
     Args:
-        system: The node's actors.
-        reactor: Provides the port.
-        address: Host and port; the path is ``/metrics``.
+        system: The node's actor system.
+        reactor: Opens the listening port.
+        address: Host and port to listen on.
     """
 
     def __init__(
@@ -80,7 +95,7 @@
     ) -> None:
         self._reactor = reactor
         self._address = address
-        self._kept: list[IncrementCounter | ObserveDuration | SetGauge] = []
+        self._buffered: list[IncrementCounter | ObserveDuration | SetGauge] = []
         self._library: Any = None
         self._registry: Any = None
         self._metrics_by_name: dict[str, Any] = {}
@@ -90,14 +105,17 @@
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            IncrementCounter: self._take,
-            ObserveDuration: self._take,
-            SetGauge: self._take,
-            TimerFired: lambda _: self._load(),
+            IncrementCounter: self._record,
+            ObserveDuration: self._record,
+            SetGauge: self._record,
+            TimerFired: lambda _: self._import_library(),
         }
 
     def start(self) -> None:
-        """Open the port; the text is empty until the import is done."""
+        """Open the port and schedule the import of prometheus_client.
+
+        Responses are empty until the library is imported.
+        """
         host, port = self._address
         site = Site(_MetricsResource(self))
         site.noisy = False
@@ -105,43 +123,56 @@
         self.tell(TIMERS, Subscribe(self.name, "load", IMPORT_DELAY_S))
 
     def stop(self) -> Any:
-        """Close the port."""
+        """Close the port; returns a Deferred if it was open."""
         return self._port.stopListening() if self._port is not None else None
 
     def render(self) -> bytes:
-        """Return the metrics in the text format of Prometheus."""
+        """Return the metrics in the Prometheus text format."""
         if self._library is None:
             return b""
         return self._library.generate_latest(self._registry)
 
-    def _load(self) -> None:
+    def _import_library(self) -> None:
         import prometheus_client
 
         self._library = prometheus_client
         self._registry = prometheus_client.CollectorRegistry()
-        for name, (text, labels) in COUNTERS.items():
-            self._add(name, prometheus_client.Counter, text, labels)
-        for name, (text, labels) in HISTOGRAMS.items():
-            self._add(
-                name, prometheus_client.Histogram, text, labels, buckets=BUCKETS_S
+        for name, (help_text, labels) in COUNTERS.items():
+            self._register_metric(name, prometheus_client.Counter, help_text, labels)
+        for name, (help_text, labels) in HISTOGRAMS.items():
+            self._register_metric(
+                name,
+                prometheus_client.Histogram,
+                help_text,
+                labels,
+                buckets=HISTOGRAM_BUCKETS_S,
             )
-        for name, text in GAUGES.items():
-            self._add(name, prometheus_client.Gauge, text, ())
-        kept, self._kept = self._kept, []
-        for message in kept:
-            self._take(message)
-
-    def _add(
-        self, name: str, kind: Any, text: str, labels: tuple[str, ...], **options: Any
+        for name, help_text in GAUGES.items():
+            self._register_metric(name, prometheus_client.Gauge, help_text, ())
+        buffered, self._buffered = self._buffered, []
+        for message in buffered:
+            self._record(message)
+
+    def _register_metric(
+        self,
+        name: str,
+        metric_class: Any,
+        help_text: str,
+        labels: tuple[str, ...],
+        **options: Any,
     ) -> None:
-        self._metrics_by_name[name] = kind(
-            f"redwingrudder_{name}", text, labels, registry=self._registry, **options
+        self._metrics_by_name[name] = metric_class(
+            f"redwingrudder_{name}",
+            help_text,
+            labels,
+            registry=self._registry,
+            **options,
         )
 
-    def _take(self, message: IncrementCounter | ObserveDuration | SetGauge) -> None:
+    def _record(self, message: IncrementCounter | ObserveDuration | SetGauge) -> None:
         if self._library is None:
-            if len(self._kept) < KEPT_LIMIT:
-                self._kept.append(message)
+            if len(self._buffered) < MAX_BUFFERED_MESSAGES:
+                self._buffered.append(message)
             return
         metric = self._metrics_by_name[message.name]
         if isinstance(message, IncrementCounter):
@@ -160,6 +191,6 @@
         self._metrics = metrics
 
     def render(self, request: Any) -> bytes:
-        """Return the text; any path is taken."""
+        """Return the metrics, whatever the path of the request is."""
         request.setHeader(b"Content-Type", b"text/plain; version=0.0.4")
         return self._metrics.render()
--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -1,4 +1,9 @@
-"""Records progress first, then starts runs and acknowledges ends."""
+"""Records progress before its effects are sent to the workers.
+
+A start is sent, and the end of a run acknowledged, only after the progress of
+its workflow was recorded. Otherwise a successor could not know of the run or
+of its end.
+"""
 
 import logging
 from collections.abc import Callable
@@ -12,23 +17,24 @@
 from ..workflows.state import WorkflowProgress
 from .gateways import COORDINATOR
 from .metrics import METRICS, IncrementCounter, ObserveDuration
-from .recorder import BATCH, Recorder
+from .recorder import MAX_RECORDS_PER_WRITE, Recorder
 from .worker_table import WorkerTable
 
-RETRY_S = 0.1
+RETRY_DELAY_S = 0.1
 
 _logger = logging.getLogger(__name__)
 
 
 class ProgressWriter:
-    """Writes the dirty workflows of one term, one transaction at a time.
+    """Writes the changed workflows of one term, one transaction at a time.
 
     Args:
-        system: The node's actors.
+        system: The node's actor system.
         engine: The engine of the term.
-        recorder: Writes records.
-        workers: Gets starts and acknowledgements.
-        deposed: Called when another term stands in the store.
+        recorder: Writes the progress records.
+        workers: Sends starts and acknowledgements to the workers.
+        on_deposed: Called when the store holds the term of another
+            coordinator.
     """
 
     def __init__(
@@ -37,76 +43,79 @@
         engine: Engine,
         recorder: Recorder,
         workers: WorkerTable,
-        deposed: Callable[[], Any],
+        on_deposed: Callable[[], Any],
     ) -> None:
         self._system = system
         self._engine = engine
         self._recorder = recorder
         self._workers = workers
-        self._deposed = deposed
-        self._waiting_starts: list[StartRun] = []
+        self._on_deposed = on_deposed
+        self._pending_starts: list[StartRun] = []
         self._writing = False
         self._closed = False
 
     def close(self) -> None:
-        """Write and send nothing more."""
+        """Begin no more writes and send no more starts."""
         self._closed = True
 
     def add_start(self, start: StartRun) -> None:
-        """Send a start once the record names its run."""
-        self._waiting_starts.append(start)
+        """Queue a start, which is sent once the record names its run."""
+        self._pending_starts.append(start)
 
-    def write_soon(self) -> None:
-        """Begin to write unless a write is on its way."""
-        if not self._writing and self._pending():
+    def schedule_write(self) -> None:
+        """Begin to write changed workflows unless a write is in progress."""
+        if not self._writing and self._has_pending_writes():
             self._writing = True
             run(self._write(), COORDINATOR)
 
-    def _pending(self) -> bool:
-        return not self._closed and bool(self._engine.dirty or self._waiting_starts)
+    def _has_pending_writes(self) -> bool:
+        return not self._closed and bool(self._engine.dirty or self._pending_starts)
 
     async def _write(self) -> None:
         try:
-            while self._pending():
+            while self._has_pending_writes():
                 await self._write_batch()
         finally:
             self._writing = False
 
     async def _write_batch(self) -> None:
         engine = self._engine
-        urgent = [start.key.workflow_id for start in self._waiting_starts]
-        batch = list(dict.fromkeys([*urgent, *engine.dirty]))[:BATCH]
+        # Workflows with pending starts are written before all others.
+        urgent_ids = [start.key.workflow_id for start in self._pending_starts]
+        batch = list(dict.fromkeys([*urgent_ids, *engine.dirty]))[
+            :MAX_RECORDS_PER_WRITE
+        ]
         included = set(batch)
         engine.dirty -= included
-        starts = [s for s in self._waiting_starts if s.key.workflow_id in included]
+        starts = [s for s in self._pending_starts if s.key.workflow_id in included]
         ends = self._workers.ends_of(included)
         try:
             written = await self._recorder.write(engine, batch)
         except RedwingrudderError as error:
-            _logger.info("progress not recorded", extra={"error": str(error)})
+            _logger.info("progress could not be recorded", extra={"error": str(error)})
             engine.dirty |= included
-            await pause(self._system.clock, RETRY_S)
+            await pause(self._system.clock, RETRY_DELAY_S)
             return
         if self._closed:
             return
         if written.deposed:
-            self._deposed()
+            self._on_deposed()
         elif not written.workflow_ids:
             engine.dirty |= included
         else:
-            self._recorded(written.workflow_ids, starts, ends)
+            self._handle_recorded(written.workflow_ids, starts, ends)
 
-    def _recorded(
+    def _handle_recorded(
         self,
         workflow_ids: tuple[str, ...],
         starts: list[StartRun],
         ends: list[tuple[str, int]],
     ) -> None:
         for workflow_id in workflow_ids:
-            self._observe(self._engine.workflows_by_id[workflow_id])
-        sent = {(start.key, start.run) for start in starts}
-        self._waiting_starts = [
-            s for s in self._waiting_starts if (s.key, s.run) not in sent
+            self._report_metrics(self._engine.workflows_by_id[workflow_id])
+        sent_runs = {(start.key, start.run) for start in starts}
+        self._pending_starts = [
+            s for s in self._pending_starts if (s.key, s.run) not in sent_runs
         ]
         for start in starts:
             self._send_start(start)
@@ -115,24 +124,24 @@
     def _send_start(self, start: StartRun) -> None:
         now = self._system.clock.seconds()
         if not self._engine.is_starting(start.key, start.run):
-            # Stopped or withdrawn while its record was being written.
+            # The run was stopped or withdrawn while the record was written.
             self._engine.start_rejected(start.key, start.run, "superseded", now)
         elif not self._workers.send(start):
             self._engine.start_rejected(start.key, start.run, "worker_gone", now)
 
-    def _observe(self, progress: WorkflowProgress) -> None:
-        """Count a recorded step of a workflow's life, each once."""
+    def _report_metrics(self, progress: WorkflowProgress) -> None:
+        """Report queue wait and completion of a workflow, each once."""
         workflow = progress.workflow
         labels = (workflow.queue, workflow.organisation)
-        waited = self._system.clock.seconds() - progress.accepted_mono
+        elapsed_s = self._system.clock.seconds() - progress.accepted_mono
         if progress.begun and not progress.wait_observed:
             progress.wait_observed = True
-            self._tell(ObserveDuration("queue_wait_seconds", labels, waited))
+            self._tell_metrics(ObserveDuration("queue_wait_seconds", labels, elapsed_s))
         if progress.recorded_state in FINAL_STATES and not progress.end_observed:
             progress.end_observed = True
             state = str(progress.recorded_state)
-            self._tell(IncrementCounter("workflows_ended", (*labels, state)))
-            self._tell(ObserveDuration("completion_seconds", labels, waited))
+            self._tell_metrics(IncrementCounter("workflows_ended", (*labels, state)))
+            self._tell_metrics(ObserveDuration("completion_seconds", labels, elapsed_s))
 
-    def _tell(self, message: IncrementCounter | ObserveDuration) -> None:
+    def _tell_metrics(self, message: IncrementCounter | ObserveDuration) -> None:
         self._system.tell(METRICS, message)
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -1,4 +1,4 @@
-"""Writes progress to the store, one transaction at a time."""
+"""Writes progress records to the store, guarded by the coordinator's term."""
 
 import logging
 from collections.abc import Callable
@@ -10,30 +10,40 @@
 from ..workflows.engine import Engine
 from .gateways import PROGRESS_PREFIX, STORE, TERM_KEY
 
-# The store takes 32 entries a transaction; each record needs a comparison
-# and a put, and the term one more comparison.
-BATCH = 15
+# The store accepts at most 32 entries in a transaction: each record takes a
+# comparison and a put, and the comparison of the term takes one more entry.
+MAX_RECORDS_PER_WRITE = 15
 
 _logger = logging.getLogger(__name__)
 
 
-class Written(NamedTuple):
-    """Outcome of a write: which records now stand in the store."""
+class WriteOutcome(NamedTuple):
+    """Outcome of a write.
+
+    Attributes:
+        workflow_ids: Workflows whose progress was recorded; empty if a
+            comparison of the transaction failed.
+        deposed: Whether the store holds the term of another coordinator.
+    """
 
     workflow_ids: tuple[str, ...]
     deposed: bool = False
 
 
 class Recorder:
-    """Keeps the revisions of the progress records of one term.
+    """Writes the progress records of one term.
+
+    Each write is conditional on the revision of the term's key, so that a
+    deposed coordinator cannot write, and on the revisions of the records, so
+    that a delayed write cannot replace a newer one.
 
     Args:
-        ask: Sends a message to an actor and returns the reply.
+        ask: Sends a message to an actor and returns its reply.
         term: Term of the coordinator.
-        term_revision: Revision of the term's key, on which writes depend.
+        term_revision: Store revision of the term's key.
 
     Attributes:
-        term_revision: The newest one that is known.
+        term_revision: Latest known store revision of the term's key.
     """
 
     def __init__(self, ask: Callable[..., Any], term: int, term_revision: int) -> None:
@@ -42,28 +52,36 @@
         self.term_revision = term_revision
         self._revisions_by_id: dict[str, int] = {}
 
-    def know(self, workflow_id: str, revision: int) -> None:
-        """Take over the revision of a record that was read."""
+    def set_revision(self, workflow_id: str, revision: int) -> None:
+        """Set the revision of a record that was read from the store."""
         self._revisions_by_id[workflow_id] = revision
 
     def forget(self, workflow_id: str) -> None:
-        """Drop a record that is being removed."""
+        """Drop the revision of a record that was removed from the store."""
         self._revisions_by_id.pop(workflow_id, None)
 
-    async def write(self, engine: Engine, workflow_ids: list[str]) -> Written:
-        """Write the present progress of at most ``BATCH`` workflows.
+    async def write(self, engine: Engine, workflow_ids: list[str]) -> WriteOutcome:
+        """Write the current progress of some workflows in one transaction.
+
+        Args:
+            engine: Holds the progress of the workflows.
+            workflow_ids: At most ``MAX_RECORDS_PER_WRITE`` workflows.
 
         Raises:
-            UnavailableError: The store does not answer; nothing is known.
+            OutcomeUnknownError: The write was sent but not confirmed, so it
+                may still take effect.
+            UnavailableError: The store did not answer.
         """
-        born = {
+        process_started_ms_by_worker = {
             worker_id: worker.facts.process_started_ms
             for worker_id, worker in engine.workers_by_id.items()
         }
         puts, states = [], {}
         for workflow_id in workflow_ids:
             progress = engine.workflows_by_id[workflow_id]
-            document = records.encode_progress(progress, self._term, born)
+            document = records.encode_progress(
+                progress, self._term, process_started_ms_by_worker
+            )
             puts.append(PutKey(PROGRESS_PREFIX + workflow_id, document.decode()))
             states[workflow_id] = progress.state
         compares = [Compare(TERM_KEY, self.term_revision)]
@@ -74,18 +92,25 @@
         try:
             reply = await self._ask(STORE, Transact(tuple(compares), tuple(puts)))
         except OutcomeUnknownError:
-            # The write may still take effect; learn what stands there now.
-            await self._reread(workflow_ids)
+            # The write may have taken effect or may still do so, so the next
+            # write needs the revisions that the store has now.
+            await self._refresh_revisions(workflow_ids)
             raise
         if not reply.succeeded:
-            return Written((), deposed=not await self._reread(workflow_ids))
+            return WriteOutcome(
+                (), deposed=not await self._refresh_revisions(workflow_ids)
+            )
         for workflow_id in workflow_ids:
             self._revisions_by_id[workflow_id] = reply.revision
             engine.workflows_by_id[workflow_id].recorded_state = states[workflow_id]
-        return Written(tuple(workflow_ids))
+        return WriteOutcome(tuple(workflow_ids))
+
+    async def _refresh_revisions(self, workflow_ids: list[str]) -> bool:
+        """Read the revisions of the term and of some records again.
 
-    async def _reread(self, workflow_ids: list[str]) -> bool:
-        """Learn the revisions anew; returns whether the term is still ours."""
+        Returns:
+            Whether the store still holds the term of this coordinator.
+        """
         term: KeyValue | None = await self._ask(STORE, GetKey(TERM_KEY))
         if term is None or int(term.value) != self._term:
             return False
@@ -94,7 +119,10 @@
             try:
                 item = await self._ask(STORE, GetKey(PROGRESS_PREFIX + workflow_id))
             except RedwingrudderError as error:
-                _logger.info("record not read again", extra={"error": str(error)})
+                _logger.info(
+                    "revision of a progress record could not be read",
+                    extra={"error": str(error)},
+                )
                 raise
             self._revisions_by_id[workflow_id] = item.mod_revision if item else 0
         return True
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -1,4 +1,4 @@
-"""Reading the state of the last coordinator at the start of a term."""
+"""Restores the stored state of earlier coordinators at the start of a term."""
 
 import logging
 import time
@@ -15,13 +15,18 @@
 from .gateways import CANCEL_SUFFIX, INTAKE_PREFIX, PROGRESS_PREFIX, STORE
 from .recorder import Recorder
 
-OLDEST_S = 3600.0  # bounds the age that a clock which jumped can give
+# Upper limit for the age of a recovered workflow, which would be wrong if the
+# system clock jumped after the workflow was accepted.
+MAX_RECOVERED_AGE_S = 3600.0
 
 _logger = logging.getLogger(__name__)
 
 
 class StoredState(NamedTuple):
-    """Readings of the store, each with its revision."""
+    """All records that a coordinator recovers from.
+
+    The three prefixes are read independently, each at a revision of its own.
+    """
 
     intake: PrefixReply
     progress: PrefixReply
@@ -29,10 +34,13 @@
 
 
 async def read_state(ask: Callable[..., Any], registry_prefix: str) -> StoredState:
-    """Read all records; the calls overlap, as a slow store delays each.
+    """Read all records that the recovery needs.
+
+    The calls are sent concurrently, so that a slow store delays the recovery
+    by one call and not by three.
 
     Raises:
-        RedwingrudderError: The store does not answer.
+        RedwingrudderError: The store did not answer one of the calls.
     """
     prefixes = (INTAKE_PREFIX, PROGRESS_PREFIX, registry_prefix)
     calls = [ask(STORE, GetPrefix(prefix)) for prefix in prefixes]
@@ -43,38 +51,49 @@
 
 
 def workflow_id_of(key: str) -> str:
-    """Return the workflow of an intake key."""
+    """Return the workflow id in the key of a submission or cancellation."""
     return key.removeprefix(INTAKE_PREFIX).removesuffix(CANCEL_SUFFIX)
 
 
 def accept_stored(
-    engine: Engine, key: str, document: str, now: float, aged: bool = False
+    engine: Engine, key: str, document: str, now: float, recovering: bool = False
 ) -> bool:
-    """Let the engine take over a stored workflow.
+    """Add a stored workflow to the engine.
+
+    A document that cannot be decoded is logged and skipped.
 
     Args:
         engine: The engine of the term.
-        key: Where the document was found.
-        document: Its text.
+        key: Store key or workflow id of the document, for the log.
+        document: The stored workflow as JSON.
         now: Steady-clock seconds.
-        aged: The workflow was accepted some time ago, not just now.
+        recovering: Whether this is part of a recovery. The workflow then keeps
+            the age that its time of acceptance gives; otherwise it counts as
+            accepted now.
 
     Returns:
-        Whether the workflow is new to the engine.
+        Whether the engine did not have the workflow before.
     """
     try:
         workflow = records.decode_workflow(document.encode())
     except BadRequestError as error:
-        _logger.error("workflow unreadable", extra={"key": key, "error": str(error)})
+        _logger.error(
+            "stored workflow could not be decoded",
+            extra={"key": key, "error": str(error)},
+        )
         return False
     if workflow.workflow_id in engine.workflows_by_id:
         return False
-    age = min(max(time.time() - workflow.accepted_at, 0.0), OLDEST_S) if aged else 0.0
-    engine.accept(workflow, now - age)
-    if not aged:
-        # A recovery logs the number of its jobs instead.
+    age_s = (
+        min(max(time.time() - workflow.accepted_at, 0.0), MAX_RECOVERED_AGE_S)
+        if recovering
+        else 0.0
+    )
+    engine.accept(workflow, now - age_s)
+    if not recovering:
+        # The coordinator logs the number of jobs after a recovery instead.
         _logger.info(
-            "job known to the coordinator",
+            "coordinator accepted job",
             extra={
                 "job": workflow.workflow_id,
                 "queue": workflow.queue,
@@ -87,25 +106,29 @@
 def restore_all(
     engine: Engine, recorder: Recorder, state: StoredState, now: float
 ) -> list[records.PlacedRun]:
-    """Restore workflows and progress; returns the runs that may exist."""
+    """Restore all workflows and their progress.
+
+    Returns:
+        The recorded runs, each of which may still exist on its worker.
+    """
     for pair in state.intake.pairs:
         if not pair.key.endswith(CANCEL_SUFFIX):
-            accept_stored(engine, pair.key, pair.value, now, aged=True)
+            accept_stored(engine, pair.key, pair.value, now, recovering=True)
     return [
         placed
         for pair in state.progress.pairs
-        for placed in _restore(engine, recorder, pair, now)
+        for placed in _restore_workflow(engine, recorder, pair, now)
     ]
 
 
 def cancel_all(engine: Engine, state: StoredState, now: float) -> None:
-    """Apply the stored cancellations."""
+    """Apply the stored cancellations to the restored workflows."""
     for pair in state.intake.pairs:
         if pair.key.endswith(CANCEL_SUFFIX):
             engine.cancel(workflow_id_of(pair.key), now)
 
 
-def _restore(
+def _restore_workflow(
     engine: Engine, recorder: Recorder, pair: KeyValue, now: float
 ) -> tuple[records.PlacedRun, ...]:
     workflow_id = pair.key.removeprefix(PROGRESS_PREFIX)
@@ -115,10 +138,13 @@
     try:
         record = records.decode_progress(workflow_id, pair.value.encode())
     except BadRequestError as error:
-        _logger.error("record unreadable", extra={"error": str(error)})
+        _logger.error(
+            "progress record could not be decoded", extra={"error": str(error)}
+        )
         return ()
-    recorder.know(workflow_id, pair.mod_revision)
+    recorder.set_revision(workflow_id, pair.mod_revision)
     records.restore_progress(progress, record)
+    # What is already on record is not counted in the metrics again.
     progress.wait_observed = progress.begun
     if record.state in FINAL_STATES:
         progress.end_observed = True
--- a/src/redwingrudder/coordination/retention.py
+++ b/src/redwingrudder/coordination/retention.py
@@ -1,4 +1,4 @@
-"""Removes the records of workflows that ended long ago."""
+"""Removes the stored records of workflows after their retention period."""
 
 import logging
 
@@ -11,54 +11,63 @@
 from .gateways import COORDINATOR, PROGRESS_PREFIX, STORE, TERM_KEY, intake_keys
 from .recorder import Recorder
 
-SWEEP_S = 5.0  # between sweeps for old records
-# The store takes 32 entries a transaction: three keys for each workflow and
-# the comparison of the term.
-BATCH = 10
+SWEEP_INTERVAL_S = 5.0
+# The store accepts at most 32 entries in a transaction: each workflow takes
+# three deletions, and the comparison of the term takes one more entry.
+MAX_WORKFLOWS_PER_REMOVAL = 10
 
 _logger = logging.getLogger(__name__)
 
 
 class RecordRetention:
-    """Keeps the records of ended workflows for a time, then removes them.
+    """Deletes the records of ended workflows once nobody may query them.
 
     Args:
-        system: The node's actors.
+        system: The node's actor system.
         engine: The engine of the term.
-        recorder: Knows the revisions of the term.
-        keep_s: Seconds for which callers may ask for an ended workflow.
+        recorder: Holds the store revisions of the term and of its records.
+        retention_s: Seconds after its end for which callers can still query
+            a workflow.
     """
 
     def __init__(
-        self, system: ActorSystem, engine: Engine, recorder: Recorder, keep_s: float
+        self,
+        system: ActorSystem,
+        engine: Engine,
+        recorder: Recorder,
+        retention_s: float,
     ) -> None:
         self._system = system
         self._engine = engine
         self._recorder = recorder
-        self._keep_s = keep_s
-        self._next_at = system.clock.seconds() + SWEEP_S
+        self._retention_s = retention_s
+        self._next_sweep_at = system.clock.seconds() + SWEEP_INTERVAL_S
         self._removing = False
 
     def sweep(self, now: float) -> None:
-        """Remove a batch of old records, at most one at a time."""
-        if self._removing or now < self._next_at:
+        """Start to remove a batch of expired records if a sweep is due.
+
+        Nothing is started while an earlier removal is in progress. ``now`` is
+        in steady-clock seconds.
+        """
+        if self._removing or now < self._next_sweep_at:
             return
-        self._next_at = now + SWEEP_S
-        old = self._old(now)
-        if old:
+        self._next_sweep_at = now + SWEEP_INTERVAL_S
+        expired = self._find_expired(now)
+        if expired:
             self._removing = True
-            run(self._remove(old), COORDINATOR)
+            run(self._remove(expired), COORDINATOR)
 
-    def _old(self, now: float) -> list[str]:
+    def _find_expired(self, now: float) -> list[str]:
         return [
             workflow_id
             for workflow_id, progress in self._engine.workflows_by_id.items()
             if progress.ended_at is not None
-            and now - progress.ended_at > self._keep_s
+            and now - progress.ended_at > self._retention_s
             and progress.settled
             and progress.recorded_state in FINAL_STATES
             and workflow_id not in self._engine.dirty
-        ][:BATCH]
+        ][:MAX_WORKFLOWS_PER_REMOVAL]
 
     async def _remove(self, workflow_ids: list[str]) -> None:
         keys = [
@@ -71,7 +80,9 @@
         try:
             reply = await self._system.ask(STORE, Transact((term,), removals))
         except RedwingrudderError as error:
-            _logger.info("old records not removed", extra={"error": str(error)})
+            _logger.info(
+                "expired records could not be removed", extra={"error": str(error)}
+            )
             return
         finally:
             self._removing = False
@@ -80,6 +91,7 @@
         for workflow_id in workflow_ids:
             self._engine.forget(workflow_id)
             self._recorder.forget(workflow_id)
-        _logger.info("old records removed", extra={"jobs": len(workflow_ids)})
-        # More may be due; a backlog is worked off without waiting.
-        self._next_at = 0.0
+        _logger.info("expired records removed", extra={"jobs": len(workflow_ids)})
+        # There may be more expired records than fit into one transaction, so
+        # the next call of ``sweep`` does not wait for the interval.
+        self._next_sweep_at = 0.0
--- a/src/redwingrudder/coordination/term.py
+++ b/src/redwingrudder/coordination/term.py
@@ -1,4 +1,4 @@
-"""What belongs to one term of the coordinator."""
+"""The objects that a coordinator creates for each of its terms."""
 
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -15,7 +15,12 @@
 
 
 class Term(NamedTuple):
-    """The parts of one term; a later term gets all of them anew."""
+    """Engine, sessions and writers of one term.
+
+    Each term gets new objects, so no state is carried over from an earlier
+    term of the same process. ``maintenance`` is None if the platform has no
+    service that takes machines down.
+    """
 
     number: int
     engine: Engine
@@ -26,7 +31,7 @@
     maintenance: Maintenance | None
 
     def close(self) -> None:
-        """Close the sessions and write and order nothing more."""
+        """Stop writes and maintenance orders and close worker sessions."""
         self.writer.close()
         if self.maintenance is not None:
             self.maintenance.close()
@@ -35,28 +40,32 @@
 
 def open_term(
     system: ActorSystem,
-    fleet: FleetGateways,
+    gateways: FleetGateways,
     message: BeginTerm,
     guaranteed_by_organisation: dict[str, int],
-    deposed: Callable[[], Any],
+    on_deposed: Callable[[], Any],
 ) -> Term:
-    """Return the parts of a term, without any state yet.
+    """Create the objects of a term; they hold no workflows or workers yet.
 
     Args:
-        system: The node's actors.
-        fleet: What the coordinator needs of the platform.
-        message: The term.
-        guaranteed_by_organisation: Accelerators for urgent work.
-        deposed: Called when another term stands in the store.
+        system: The node's actor system.
+        gateways: Access to the platform.
+        message: Number and store revision of the term.
+        guaranteed_by_organisation: Accelerators that are guaranteed to each
+            organisation for urgent work.
+        on_deposed: Called when the store holds the term of another
+            coordinator.
     """
     engine = Engine()
     engine.term = message.term
     engine.guaranteed_by_organisation = guaranteed_by_organisation
     recorder = Recorder(system.ask, message.term, message.term_revision)
-    workers = WorkerTable(system, engine, fleet.registry, fleet.channels, fleet.times)
-    writer = ProgressWriter(system, engine, recorder, workers, deposed)
-    retention = RecordRetention(system, engine, recorder, fleet.keep_ended_s)
+    workers = WorkerTable(
+        system, engine, gateways.registry, gateways.channels, gateways.times
+    )
+    writer = ProgressWriter(system, engine, recorder, workers, on_deposed)
+    retention = RecordRetention(system, engine, recorder, gateways.keep_ended_s)
     maintenance = None
-    if fleet.upkeep is not None:
-        maintenance = Maintenance(system, engine, recorder, *fleet.upkeep)
+    if gateways.upkeep is not None:
+        maintenance = Maintenance(system, engine, recorder, *gateways.upkeep)
     return Term(message.term, engine, recorder, workers, writer, retention, maintenance)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -1,4 +1,4 @@
-"""Tests of intake, election and recording on a store in memory."""
+"""Tests of submission, election and recording with an in-memory store."""
 
 import json
 import unittest
@@ -67,16 +67,16 @@
 )
 
 
-class NoRegistry(RegistryCodec):
+class EmptyRegistry(RegistryCodec):
     prefix = "servers/"
 
     def decode(self, key, document):
         return None
 
 
-class NoChannels(ChannelFactory):
+class UnusedChannels(ChannelFactory):
     def open(self, facts):
-        raise AssertionError("no worker in this test")
+        raise AssertionError(f"unexpected connection to worker {facts.worker_id}")
 
 
 class IntakeTests(unittest.TestCase):
@@ -87,7 +87,7 @@
             PEERS,
             {
                 ListPeers: PeerView((), 0),
-                CallPeer: UnavailableError("cut off"),
+                CallPeer: UnavailableError("peer cannot be reached"),
             },
         )
         self.coordinator = Recording(
@@ -97,7 +97,9 @@
                 WorkflowStored: None,
                 CancelStored: None,
                 GetState: "",
-                GetQueueLength: UnavailableError("no", code="not_coordinator"),
+                GetQueueLength: UnavailableError(
+                    "this node does not coordinate", code="not_coordinator"
+                ),
             },
         )
         Intake(self.system, Identity("n1", "10.0.0.1:1", "life"))
@@ -112,24 +114,28 @@
         return self.ask(SubmitWorkflow(fx.workflow(), 2.0), seconds)
 
     def test_acceptance_is_stored_first(self):
-        """Guards against an accepted workflow that is lost with its node."""
+        """Guards against accepting a workflow before it is in the store."""
         self.assertIs(self.submit(), True)
         self.assertIn(INTAKE_PREFIX + "job", self.store.contents.items_by_key)
 
     def test_lost_answer_is_resolved_by_a_second_write(self):
-        """Guards against refusing what the store has taken."""
+        """Guards against refusing a workflow that the store has recorded."""
         self.store.lose_answers = 1
         self.assertIs(self.submit(), True)
 
     def test_unconfirmed_write_is_not_called_not_run(self):
-        """Guards against a refusal of a workflow that is stored later."""
+        """Guards against refusing a workflow that is stored afterwards.
+
+        The store delays all writes, and carries them out after the answer to
+        the caller.
+        """
         self.store.put_off = 1000
         error = self.submit(seconds=2.5)
         self.assertIsInstance(error, OutcomeUnknownError)
         self.assertTrue(self.store.carry_out()[0])
 
     def test_store_that_does_nothing_is_a_refusal_with_retry_time(self):
-        """Guards against a refusal without a time to come back."""
+        """Guards against a refusal that gives the caller no retry time."""
         self.store.down = True
         error = self.submit()
         self.assertIsInstance(error, UnavailableError)
@@ -138,7 +144,11 @@
         self.assertEqual(self.store.contents.items_by_key, {})
 
     def test_silent_store_gets_no_write(self):
-        """Guards against an unknown outcome where a refusal can be true."""
+        """Guards against a needless unknown outcome.
+
+        While the store does not answer, no write may be sent: a refusal is
+        then certain.
+        """
         self.system.tell(INTAKE, StoreAvailability(False))
         error = self.submit()
         self.assertNotIsInstance(error, OutcomeUnknownError)
@@ -146,43 +156,48 @@
         self.assertEqual(self.store.calls, [])
 
     def test_refusal_after_an_unconfirmed_write_stays_unknown(self):
-        """Guards against "not run" while an earlier write may take effect."""
+        """Guards against a refusal while an earlier write may take effect."""
         self.store.put_off = 1
         self.store.down_after_put_off = True
         self.assertIsInstance(self.submit(seconds=2.5), OutcomeUnknownError)
 
     def test_same_id_again_is_the_same_job(self):
-        """Guards against a second job for a repeated submission."""
+        """Guards against storing a repeated submission as a second job."""
         self.submit()
         before = dict(self.store.contents.items_by_key)
         self.assertIs(self.submit(), True)
         self.assertEqual(self.store.contents.items_by_key, before)
 
     def test_unknown_id_is_looked_up_in_the_store(self):
-        """Guards against "no such job" from a coordinator that lags."""
+        """Guards against "no such job" for a job that is stored.
+
+        The coordinator may not have seen the submission yet.
+        """
         self.submit()
         self.assertEqual(self.ask(GetState("job")), WorkflowState.QUEUED)
         self.assertEqual(self.ask(GetState("other")), "")
 
     def test_cancel_is_stored(self):
-        """Guards against a cancellation that a takeover forgets."""
+        """Guards against a cancellation that is lost with the coordinator."""
         self.submit()
         self.assertIs(self.ask(CancelWorkflow("job", 1.0)), True)
         self.assertEqual(self.ask(GetState("job")), WorkflowState.CANCELLED)
         self.assertIs(self.ask(CancelWorkflow("other", 1.0)), False)
 
     def test_queue_without_coordinator_is_unavailable_not_absent(self):
-        """Guards against 404 for a queue that the configuration has."""
+        """Guards against 404 for a configured queue without a coordinator."""
         error = self.ask(GetQueueLength("queue"))
         self.assertEqual(error.http_status, 503)
 
 
 class NotLeadingTests(unittest.TestCase):
     def test_idle_coordinator_refuses_with_503(self):
-        """Guards against 404 for a queue when the coordinator changes."""
+        """Guards against 404 for a queue while the coordinator changes."""
         clock, system, _ = node_system()
-        fleet = FleetGateways(NoRegistry(), NoChannels(), WorkerTimes(6.0, 1.5), 150.0)
-        Coordinator(system, fleet)
+        gateways = FleetGateways(
+            EmptyRegistry(), UnusedChannels(), WorkerTimes(6.0, 1.5), 150.0
+        )
+        Coordinator(system, gateways)
         reply = system.ask(COORDINATOR, GetQueueLength("queue"))
         run_for(clock, 0.05)
         error = outcome(reply)
@@ -196,11 +211,14 @@
         return PeerView(tuple(fresh), known)
 
     def test_minority_without_store_is_no_outage(self):
-        """Guards against leases extended by a coordinator that is cut off."""
+        """Guards against lease extensions by a partitioned coordinator."""
         self.assertFalse(self.view([False, False], 8).store_is_down)
 
     def test_majority_without_store_is_an_outage(self):
-        """Guards against runs that lapse while the store is down for all."""
+        """Guards against runs that are lost while the store is down for all.
+
+        No successor can be elected then, so leases may be extended.
+        """
         self.assertTrue(self.view([False] * 5, 8).store_is_down)
         self.assertFalse(self.view([False] * 5 + [True], 8).store_is_down)
 
@@ -231,22 +249,22 @@
         return [node[4] for node in self.nodes if node[4].leading]
 
     def test_one_term_at_the_start(self):
-        """Guards against nodes that replace a record just written."""
+        """Guards against replacing a record that was written just before."""
         self.advance(2.0)
         self.assertEqual(len(self.leaders()), 1)
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "1")
 
     def test_weak_node_campaigns_later(self):
-        """Guards against a coordinator on the weakest node."""
+        """Guards against electing a node with few cores before others."""
         _, system, _ = node_system(self.contents)
         identity = Identity("weak", "10.0.0.1:9", "life-weak")
-        weak = Leadership(system, identity, (), NodeResources(0.25))
-        strong = self.nodes[0][4]
-        self.assertGreater(weak._campaign_delay_s(), CAMPAIGN_JITTER_S)
-        self.assertLessEqual(strong._campaign_delay_s(), CAMPAIGN_JITTER_S)
+        constrained_node = Leadership(system, identity, (), NodeResources(0.25))
+        unconstrained_node = self.nodes[0][4]
+        self.assertGreater(constrained_node._campaign_delay_s(), CAMPAIGN_JITTER_S)
+        self.assertLessEqual(unconstrained_node._campaign_delay_s(), CAMPAIGN_JITTER_S)
 
     def test_resigned_coordinator_is_replaced(self):
-        """Guards against a coordinator that can never read the state."""
+        """Guards against keeping a coordinator that cannot recover."""
         self.advance(1.0)
         leader = self.leaders()[0]
         leader.system.tell(LEADERSHIP, Resign("recovery failed"))
@@ -255,13 +273,16 @@
         self.assertNotIn(leader, self.leaders())
 
     def test_node_on_a_narrow_link_campaigns_later(self):
-        """Guards against a takeover of megabytes over a narrow link."""
-        narrow = NodeResources(link_bps=10e6)
-        self.assertGreater(narrow.extra_campaign_delay_s(), CAMPAIGN_JITTER_S)
+        """Guards against reading megabytes at a takeover over a slow link."""
+        narrow_link_node = NodeResources(link_bps=10e6)
+        self.assertGreater(narrow_link_node.extra_campaign_delay_s(), CAMPAIGN_JITTER_S)
         self.assertEqual(NodeResources(2.0, 200e6).extra_campaign_delay_s(), 0.0)
 
     def test_old_change_does_not_end_a_term(self):
-        """Guards against a term that ends as its watch lags behind."""
+        """Guards against a term that a delayed watch event ends.
+
+        The change is older than the record that this node wrote.
+        """
         self.advance(1.0)
         leader = self.leaders()[0]
         record = self.contents.items_by_key[COORDINATOR_KEY]
@@ -275,7 +296,7 @@
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "1")
 
     def test_vacant_record_begins_a_higher_term(self):
-        """Guards against a fence that does not rise with the holder."""
+        """Guards against a new coordinator with an old fencing token."""
         self.advance(1.0)
         self.contents.remove(COORDINATOR_KEY)
         self.advance(1.0)
@@ -283,7 +304,10 @@
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "2")
 
     def test_refused_connection_replaces_a_live_lease(self):
-        """Guards against waiting out the lease of a killed process."""
+        """Guards against waiting for the lease of a killed process to expire.
+
+        Its address refuses connections, so the process is known to be dead.
+        """
         self.advance(1.0)
         leader = self.leaders()[0]
         others = [node for node in self.nodes if node[4] is not leader]
@@ -314,7 +338,7 @@
         return records.decode_progress("job", item.value.encode())
 
     def test_record_restores_the_progress(self):
-        """Guards against a successor that repeats finished tasks."""
+        """Guards against a successor that runs completed tasks again."""
         begun = fx.starts(self.engine.plan(0.0, 0.0))
         fx.confirm(self.engine, begun)
         self.engine.end(begun[0].worker_id, fx.ended(begun[0]), 0.0)
@@ -324,7 +348,7 @@
         self.assertEqual([p.key for p in record.placed], [begun[1].key])
 
     def test_late_write_cannot_replace_a_newer_one(self):
-        """Guards against an old record that takes effect seconds later."""
+        """Guards against a delayed write that replaces a newer record."""
         self.store.put_off = 1
         self.assertIsInstance(self.write(), OutcomeUnknownError)
         begun = fx.starts(self.engine.plan(0.0, 0.0))
@@ -333,14 +357,17 @@
         self.assertEqual(len(self.record().placed), len(begun))
 
     def test_write_of_an_older_term_is_refused(self):
-        """Guards against a deposed coordinator that records progress."""
+        """Guards against progress records by a deposed coordinator."""
         self.store.contents.put(TERM_KEY, "2")
         written = self.write()
         self.assertTrue(written.deposed)
         self.assertNotIn("progress/job", self.store.contents.items_by_key)
 
     def test_state_shows_only_what_is_recorded(self):
-        """Guards against a state that a takeover would take back."""
+        """Guards against showing callers a state that is not recorded.
+
+        A takeover could set such a state back.
+        """
         self.store.down = True
         begun = fx.starts(self.engine.plan(0.0, 0.0))
         fx.confirm(self.engine, begun)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,4 +1,7 @@
-"""Tests of maintenance waves: one failure each."""
+"""Tests of maintenance waves.
+
+Each test provokes one failure of machines, calls or the coordinator.
+"""
 
 import json
 import unittest
@@ -36,26 +39,29 @@
     return MaintenanceWave(1, names, limit, duration_s)
 
 
-def fleet(machines=3):
+def running_machines(machines=3):
     return tuple(
         Machine(f"m{index}", MachineState.UP, f"w{index}") for index in range(machines)
     )
 
 
-class FakeMachines(MachineService):
-    """Machines in memory.
+class FakeMachineService(MachineService):
+    """Machine service that keeps its machines in memory.
 
     Attributes:
-        unanswered: So many orders are carried out without an answer.
-        reply: Given in place of carrying out an order.
+        lost_replies: Number of orders that are still to be carried out with
+            their reply lost.
+        reply: Returned instead of carrying out an order, unless None.
+        orders: Machine, holder and fencing token of each order.
+        max_machines_down: Largest number of machines down at the same time.
     """
 
     def __init__(self, machines=3):
-        self.machines = {m.machine_id: m for m in fleet(machines)}
-        self.unanswered = 0
+        self.machines = {m.machine_id: m for m in running_machines(machines)}
+        self.lost_replies = 0
         self.reply = None
         self.orders = []
-        self.most_down = 0
+        self.max_machines_down = 0
 
     async def list_machines(self):
         return tuple(self.machines.values())
@@ -68,13 +74,13 @@
         if machine.worker_id.startswith("w"):
             self.machines[machine_id] = Machine(machine_id, MachineState.CHANGING, "")
             down = [m for m in self.machines.values() if not m.worker_id]
-            self.most_down = max(self.most_down, len(down))
-        if self.unanswered:
-            self.unanswered -= 1
-            raise UnavailableError("lost")
+            self.max_machines_down = max(self.max_machines_down, len(down))
+        if self.lost_replies:
+            self.lost_replies -= 1
+            raise UnavailableError("reply to the order lost")
         return MachineReply.ACCEPTED
 
-    def bring_back(self):
+    def return_machines(self):
         for name, machine in self.machines.items():
             if not machine.worker_id:
                 up = Machine(name, MachineState.UP, f"new-{name}")
@@ -87,7 +93,7 @@
         self.leadership = Recording(self.system, LEADERSHIP, {Fenced: None})
         self.store.contents.put(TERM_KEY, "5")
         self.store.contents.put("op/wave/1", self.document())
-        self.machines = FakeMachines()
+        self.machines = FakeMachineService()
         self.engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
         self.engine.term = 5
         self.maintenance = self.new_term()
@@ -116,63 +122,66 @@
             QUIET_S,
         )
 
-    def advance(self, seconds, come_back=True):
+    def advance(self, seconds, machines_return=True):
         end = self.clock.seconds() + seconds
         while self.clock.seconds() < end:
             self.maintenance.advance(self.clock.seconds())
             run_for(self.clock, 0.2)
-            if come_back:
-                self.machines.bring_back()
+            if machines_return:
+                self.machines.return_machines()
 
     def status(self):
         item = self.store.contents.items_by_key.get(STATUS)
         return json.loads(item.value)["state"] if item else None
 
     def test_wave_is_done_within_its_limit(self):
-        """Guards against more machines down than the wave allows."""
+        """Guards against taking down more machines at once than allowed."""
         self.advance(20.0)
         self.assertEqual(self.status(), "done")
-        self.assertEqual(self.machines.most_down, 1)
+        self.assertEqual(self.machines.max_machines_down, 1)
         self.assertNotIn(MAINTENANCE_PREFIX + "1", self.store.contents.items_by_key)
 
     def test_wave_runs_while_a_machine_is_down(self):
-        """Guards against "done" before every machine had its upkeep."""
-        self.advance(20.0, come_back=False)
+        """Guards against ending a wave before all machines are up again."""
+        self.advance(20.0, machines_return=False)
         self.assertEqual(self.status(), "running")
         self.assertEqual(len(self.machines.orders), 1)
 
     def test_no_order_right_after_a_takeover(self):
-        """Guards against two coordinators that give orders in turns."""
+        """Guards against two coordinators that send orders alternately."""
         self.advance(QUIET_S - 0.4)
         self.assertEqual(self.machines.orders, [])
 
     def test_unanswered_order_is_repeated(self):
-        """Guards against a machine that is counted as down for ever."""
-        self.machines.unanswered = 1
+        """Guards against a machine that counts as busy for ever.
+
+        The order was carried out, but its reply was lost.
+        """
+        self.machines.lost_replies = 1
         self.advance(20.0)
         self.assertEqual(self.status(), "done")
 
     def test_successor_goes_on(self):
-        """Guards against a second upkeep of machines that had theirs."""
+        """Guards against a second upkeep of a machine after a takeover."""
         self.advance(6.0)
-        begun = {name for name, _, _ in self.machines.orders}
-        self.assertTrue(begun)
+        starts = {name for name, _, _ in self.machines.orders}
+        self.assertTrue(starts)
         self.maintenance.close()
         self.machines.orders.clear()
         self.maintenance = self.new_term()
         self.advance(20.0)
         self.assertEqual(self.status(), "done")
-        self.assertFalse(begun & {name for name, _, _ in self.machines.orders})
+        self.assertFalse(starts & {name for name, _, _ in self.machines.orders})
 
     def test_fenced_coordinator_gives_up(self):
-        """Guards against orders beside those of a successor."""
+        """Guards against orders of a coordinator that has a successor."""
         self.machines.reply = MachineReply.FENCED
         self.advance(10.0)
         self.assertEqual(len(self.machines.orders), 1)
         self.assertTrue(self.leadership.received)
 
     def test_busy_machine_is_tried_again(self):
-        """Guards against a wave that one refusal ends."""
+        """Guards against a wave that stops after one rejected order."""
         self.machines.reply = MachineReply.REJECTED
         self.advance(6.0)
         self.machines.reply = None
@@ -180,46 +189,48 @@
         self.assertEqual(self.status(), "done")
 
     def test_unreadable_wave_is_left_alone(self):
-        """Guards against a document of another writer that stops all."""
+        """Guards against an invalid document that blocks all other waves."""
         self.store.contents.put("op/wave/2", "{")
         self.advance(20.0)
         self.assertEqual(self.status(), "done")
 
     def test_worker_is_emptied_first(self):
-        """Guards against runs that an upkeep kills."""
+        """Guards against taking down a machine on which runs are left."""
         self.engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 0.0)
-        begun = fx.starts(self.engine.plan(0.0, 0.0))
-        fx.confirm(self.engine, begun)
+        starts = fx.starts(self.engine.plan(0.0, 0.0))
+        fx.confirm(self.engine, starts)
         self.advance(8.0)
         self.assertEqual(self.machines.orders, [])
         stops = fx.stops(self.engine.take_effects())
         self.assertEqual(len(stops), 1)
-        start = next(s for s in begun if s.worker_id == stops[0].worker_id)
+        start = next(s for s in starts if s.worker_id == stops[0].worker_id)
         end = fx.ended(start, EndKind.STOPPED)
         self.engine.end(start.worker_id, end, self.clock.seconds())
-        self.advance(1.0, come_back=False)
+        self.advance(1.0, machines_return=False)
         self.assertEqual(len(self.machines.orders), 1)
 
 
 class DecisionTests(unittest.TestCase):
     def test_cheapest_machine_comes_first(self):
-        """Guards against work thrown away while idle machines wait."""
+        """Guards against stopping runs while idle machines could be chosen."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
         engine.accept(fx.workflow("job", fx.step(2, fx.WHOLE_WORKER)), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        chosen = WaveProgress(wave()).choose(fleet(), engine.workers_by_id, 5.0)
-        used = {start.worker_id for start in begun}
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        chosen = WaveProgress(wave()).choose(
+            running_machines(), engine.workers_by_id, 5.0
+        )
+        used = {start.worker_id for start in starts}
         self.assertNotIn(chosen[0].worker_id, used)
 
     def test_service_keeps_its_tasks(self):
-        """Guards against more service tasks away than their step allows."""
+        """Guards against stopping more service tasks than the step allows."""
         engine = fx.engine(fx.worker("w1"))
         service = fx.step(4, service=True, unavailable_limit=2)
         engine.accept(fx.workflow("job", service), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        rows = [fx.running(start, 100.0) for start in begun]
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        rows = [fx.running(start, 100.0) for start in starts]
         engine.report("w1", rows, 1.0)
         worker = engine.workers_by_id["w1"]
         first = runs_to_stop(worker, 0.0, engine.run_times, 1.0)
@@ -229,7 +240,7 @@
         self.assertEqual(runs_to_stop(worker, 0.0, engine.run_times, 1.0), [])
 
     def test_machine_that_left_does_not_hold_the_wave(self):
-        """Guards against a wave that waits for a machine that is gone."""
+        """Guards against a wave that waits for a machine no longer listed."""
         progress = WaveProgress(wave(machines=1))
         progress.observe(())
         self.assertTrue(progress.done)
