--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -164,14 +164,14 @@
     def test_successor_goes_on(self):
         """Guards against a second upkeep of a machine after a takeover."""
         self.advance(6.0)
-        starts = {name for name, _, _ in self.machines.orders}
-        self.assertTrue(starts)
+        ordered = {name for name, _, _ in self.machines.orders}
+        self.assertTrue(ordered)
         self.maintenance.close()
         self.machines.orders.clear()
         self.maintenance = self.new_term()
         self.advance(20.0)
         self.assertEqual(self.status(), "done")
-        self.assertFalse(starts & {name for name, _, _ in self.machines.orders})
+        self.assertFalse(ordered & {name for name, _, _ in self.machines.orders})
 
     def test_fenced_coordinator_gives_up(self):
         """Guards against orders of a coordinator that has a successor."""
