--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -50,7 +50,7 @@
     workflow_id_of,
 )
 from .term import Term, open_term
-from .watching import follow
+from .watching import follow_prefix
 
 # Minimum delay before a planning pass, so that one pass covers all events that
 # arrive together.
@@ -200,7 +200,7 @@
     ) -> None:
         """Follow the changes below a store prefix until the term ends."""
         clock = self.system.clock
-        watch = follow(
+        watch = follow_prefix(
             self.ask,
             clock,
             prefix,
--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -88,7 +88,7 @@
         included = set(batch)
         engine.dirty -= included
         starts = [s for s in self._pending_starts if s.key.workflow_id in included]
-        ends = self._workers.ends_of(included)
+        ends = self._workers.find_unrecorded_ends(included)
         try:
             written = await self._recorder.write(engine, batch)
         except RedwingrudderError as error:
@@ -119,7 +119,7 @@
         ]
         for start in starts:
             self._send_start(start)
-        self._workers.ends_recorded(ends)
+        self._workers.acknowledge_ends(ends)
 
     def _send_start(self, start: StartRun) -> None:
         now = self._system.clock.seconds()
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -92,7 +92,7 @@
         self._unseen = 0
         self._answered_at = boot_clock()
         # Until this boot-clock time a run of any coordinator may exist.
-        self._leased_until = boot_clock() + longest_hold_s(self._lease_s)
+        self._leased_until = boot_clock() + prior_lease_timeout_s(self._lease_s)
         self._clock_ms = 0
         self._clock_at = 0.0
         self._polling = False
@@ -390,7 +390,7 @@
     return f"worker {worker_id}"
 
 
-def longest_hold_s(longest_lease_s: float) -> float:
+def prior_lease_timeout_s(longest_lease_s: float) -> float:
     """Return for how long runs of an earlier coordinator may go on.
 
     That coordinator may be cut off and extend leases until its own lease at
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -16,7 +16,7 @@
     WorkerPolled,
 )
 from .metrics import METRICS, IncrementCounter
-from .worker_session import WorkerSession, longest_hold_s, session_name
+from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
 
 UNLISTED_GONE_S = 2.5  # after the store's return, above what entries may take
 
@@ -50,7 +50,7 @@
         self._sessions_by_worker: dict[str, WorkerSession] = {}
         self._unlisted_since: dict[str, float] = {}
         # Then runs on workers that had no entry in this term have lapsed.
-        self._lost_until = system.clock.seconds() + longest_hold_s(
+        self._lost_until = system.clock.seconds() + prior_lease_timeout_s(
             times.longest_lease_s
         )
         self._unrecorded_ends: dict[str, dict[int, str]] = {}
@@ -162,7 +162,7 @@
             present = {(entry.key, entry.run) for entry in report.running}
             self._engine.reconcile(message.worker_id, present, first, now)
 
-    def ends_of(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
+    def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
         """Return the ends, by worker and number, that wait for records."""
         return [
             (worker_id, number)
@@ -171,7 +171,7 @@
             if workflow_id in workflow_ids
         ]
 
-    def ends_recorded(self, ends: list[tuple[str, int]]) -> None:
+    def acknowledge_ends(self, ends: list[tuple[str, int]]) -> None:
         """Acknowledge ends to their workers."""
         for worker_id, number in ends:
             self._unrecorded_ends.get(worker_id, {}).pop(number, None)
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -22,7 +22,10 @@
     WorkerPolled,
     WorkerSilent,
 )
-from redwingrudder.coordination.worker_session import WorkerSession, longest_hold_s
+from redwingrudder.coordination.worker_session import (
+    WorkerSession,
+    prior_lease_timeout_s,
+)
 from redwingrudder.exceptions import UnavailableError
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows.model import StartRun, StopRun
@@ -78,7 +81,7 @@
     async def throttle(self, run, fence, timeout_s):
         return self._reply("pace")
 
-    async def poll(self, fence, seen, lease_until_ms, wait_s, timeout_s):
+    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
         if self.hanging:
             await Deferred()
         reply = self._reply(f"poll {bool(lease_until_ms)}")
@@ -163,7 +166,7 @@
         run_for(self.clock, LEASE_S)
         self.assertTrue(self.told(WorkerSilent))
         self.assertFalse(self.told(WorkerLeaseLapsed))
-        run_for(self.clock, longest_hold_s(LEASE_S) - LEASE_S + 2.0)
+        run_for(self.clock, prior_lease_timeout_s(LEASE_S) - LEASE_S + 2.0)
         self.assertTrue(self.told(WorkerLeaseLapsed))
 
     def remove_entry(self, drained, silent_s=0.0):
@@ -212,7 +215,7 @@
         """Guards against a task that waits for a lost worker for ever."""
         self.channel.deaf = True
         self.start_run()
-        run_for(self.clock, longest_hold_s(LEASE_S) + 5.0)
+        run_for(self.clock, prior_lease_timeout_s(LEASE_S) + 5.0)
         self.assertEqual(len(self.told(StartSettled)), 1)
 
     def test_unsettled_runs_are_stopped_before_the_first_poll(self):
