--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -21,9 +21,9 @@
 from .leadership import LEASE_TTL_S, boot_clock
 from .messages import (
     AcknowledgeEnds,
-    RegistryEntryRemoved,
-    Fenced,
     AllowLeaseExtension,
+    Fenced,
+    RegistryEntryRemoved,
     StartSettled,
     ThrottleUnanswered,
     UpdateFacts,
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -9,8 +9,8 @@
 from .gateways import ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
     AcknowledgeEnds,
-    RegistryEntryRemoved,
     AllowLeaseExtension,
+    RegistryEntryRemoved,
     SessionCommand,
     UpdateFacts,
     WorkerPolled,
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -26,8 +26,8 @@
 from redwingrudder.coordination.metrics import (
     METRICS,
     IncrementCounter,
-    SetGauge,
     ObserveDuration,
+    SetGauge,
 )
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
 
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -15,8 +15,8 @@
     WorkerTimes,
 )
 from redwingrudder.coordination.messages import (
-    RegistryEntryRemoved,
     Fenced,
+    RegistryEntryRemoved,
     StartSettled,
     WorkerLeaseLapsed,
     WorkerPolled,
