Name the engine methods that apply advice and stored final states

The old names, take_advice and close, did not say what the methods change. Engine.take_advice becomes record_advice and Engine.close becomes restore_final_state; only their uses change in the coordination package.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -365,7 +365,7 @@
         if not self._ready:
             return
         tickets, valid_s = message.advice or (None, 0.0)
-        self._term.engine.take_advice(
+        self._term.engine.record_advice(
             message.question, tickets, valid_s, message.asked_at
         )
         self._plan_soon()
