--- a/src/redwingrudder/workflows/__init__.py
+++ b/src/redwingrudder/workflows/__init__.py
@@ -1,7 +1,8 @@
-"""Decisions about workflows: jobs of several steps on one shared fleet.
+"""Scheduling of workflows: multi-step jobs that share one fleet of workers.
 
-Nothing here performs input or output. ``Engine`` takes events and returns
-effects; ``records`` turns progress into documents and back.
+This package performs no input or output. ``Engine`` handles events and
+returns effects that its caller carries out; ``records`` encodes workflows and
+their progress for the store, and decodes them.
 """
 
 from .engine import Engine
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -1,4 +1,4 @@
-"""The engine: events in, effects out, no input or output of its own."""
+"""Workflow engine: handles events and returns effects, without doing I/O."""
 
 import logging
 from collections.abc import Iterable
@@ -29,18 +29,25 @@
 from .supervision import runs_to_interrupt
 from .throttling import FULL_SPEED_PERCENT, LatencyTargetPolicy, ThrottlePolicy
 
-# A start takes a moment, so a ticket is not used in the last part of its time.
-TICKET_SHARE = 0.8
+# Fraction of a ticket's validity period in which the ticket is used. The rest
+# is a margin for the start command to reach the worker before the ticket
+# expires.
+USABLE_TICKET_SHARE = 0.8
 
 _logger = logging.getLogger(__name__)
 _END_EVENTS = {EndKind.DONE: "run_done", EndKind.FAILED: "run_failed"}
 
 
 class Engine(RunTable):
-    """Keeps workflows and workers and decides what runs where.
+    """Tracks workflows and workers, and decides which task runs where.
 
     Args:
-        planner: Decides on starts and stops.
+        planner: Chooses the runs to start and to preempt. None selects a
+            ``PriorityPlanner``.
+
+    Attributes:
+        guaranteed_by_organisation: Number of accelerators guaranteed to the
+            priority-0 workflows of each organisation.
     """
 
     def __init__(self, planner: Planner | None = None) -> None:
@@ -50,10 +57,13 @@
         self._planner = planner or PriorityPlanner(self.run_times)
 
     def accept(self, workflow: Workflow, now: float) -> WorkflowProgress:
-        """Take over a stored workflow; a known id changes nothing."""
-        known = self.workflows_by_id.get(workflow.workflow_id)
-        if known is not None:
-            return known
+        """Add a stored workflow and return its progress.
+
+        A workflow whose id has been added before is left unchanged.
+        """
+        existing = self.workflows_by_id.get(workflow.workflow_id)
+        if existing is not None:
+            return existing
         progress = WorkflowProgress(workflow, now)
         self.workflows_by_id[workflow.workflow_id] = progress
         for stage in progress.occurrences[0].stages:
@@ -61,7 +71,10 @@
         return progress
 
     def cancel(self, workflow_id: str, now: float) -> None:
-        """Withdraw a workflow: waiting tasks end, runs are stopped."""
+        """Cancel a workflow: withdraw its waiting tasks and stop its runs.
+
+        Unknown and ended workflows are ignored.
+        """
         progress = self.workflows_by_id.get(workflow_id)
         if progress is None or progress.ended_at is not None:
             return
@@ -69,7 +82,12 @@
         self.withdraw(progress, now)
 
     def set_worker(self, facts: WorkerFacts, now: float) -> None:
-        """Take over the registry's entry of a worker."""
+        """Add a worker, or update it from its registry entry.
+
+        A changed process start time means that the worker has restarted: its
+        confirmed runs are interrupted, and its failure count, quarantine and
+        emptying flag are reset.
+        """
         worker = self.workers_by_id.get(facts.worker_id)
         if worker is None:
             worker = self.workers_by_id[facts.worker_id] = Worker(facts)
@@ -88,32 +106,38 @@
         worker.update_leave_time(now)
 
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
-        """Take note that nothing runs on a worker any more."""
+        """Interrupt all runs of a worker on which nothing runs any more.
+
+        Args:
+            worker_id: The worker; an unknown one is ignored.
+            now: Steady-clock seconds.
+            reason: Cause, for the log.
+        """
         worker = self.workers_by_id.get(worker_id)
         if worker is None:
             return
         for task in list(worker.tasks_by_key.values()):
             _logger.info(
-                "run lost with its worker",
+                "run interrupted: worker lost",
                 extra={**run_log_fields(task), "worker": worker_id, "reason": reason},
             )
             self.step(task, "run_interrupted", now)
 
     def _interrupt_confirmed(self, worker: Worker, now: float) -> None:
-        """Interrupt the runs of a past incarnation.
+        """Interrupt the confirmed runs of a worker that has restarted.
 
-        An order without an answer may still reach the new incarnation, so its
-        run is kept until the first report of that incarnation, see
-        ``unsettled_runs``.
+        A start or stop command that has not been answered may still reach the
+        new worker process. The run of such a command is kept until the first
+        report of the new process; see ``unsettled_runs``.
         """
         for task in list(worker.tasks_by_key.values()):
             if task.state == "running":
                 extra = {**run_log_fields(task), "worker": worker.facts.worker_id}
-                _logger.info("run lost as its worker restarted", extra=extra)
+                _logger.info("run interrupted: worker restarted", extra=extra)
                 self.step(task, "run_interrupted", now)
 
     def unsettled_runs(self, worker_id: str) -> tuple[StopRun, ...]:
-        """Return stops for the runs whose start or stop has no answer."""
+        """Return stop effects for runs with an unanswered start or stop."""
         worker = self.workers_by_id.get(worker_id)
         tasks = worker.tasks_by_key.values() if worker is not None else ()
         return tuple(
@@ -123,24 +147,34 @@
         )
 
     def remove_worker(self, worker_id: str, now: float, reason: str) -> None:
-        """Forget a worker that is surely gone."""
+        """Remove a worker that is known to be gone; interrupt its runs."""
         self.interrupt_worker(worker_id, now, reason)
         self.workers_by_id.pop(worker_id, None)
 
     def is_starting(self, key: TaskKey, run: int) -> bool:
-        """Return whether a run is still to be started."""
+        """Return whether the start of a run is still unconfirmed."""
         task = self.current(key, run)
         return task is not None and task.state == "starting"
 
     def start_confirmed(self, key: TaskKey, run: int, now: float) -> None:
-        """Take note that a worker began a run."""
+        """Record that a worker has started a run."""
         task = self.current(key, run)
         if task is not None:
-            task.begin(now)
+            task.record_start(now)
             self.step(task, "started", now)
 
     def start_rejected(self, key: TaskKey, run: int, reason: str, now: float) -> None:
-        """Take note that a run will never begin."""
+        """Record that a run was refused and will never start.
+
+        The other members of a gang's run are stopped.
+
+        Args:
+            key: The task.
+            run: Number of the run.
+            reason: Code of the refusal. "permit" also drops the worker's
+                permit for the step.
+            now: Steady-clock seconds.
+        """
         task = self.current(key, run)
         if task is None:
             return
@@ -151,19 +185,26 @@
         self.stop_gang(task.stage, run)
 
     def report(self, worker_id: str, running: Iterable[RunReport], now: float) -> None:
-        """Take over the progress of the runs that a worker lists."""
+        """Update progress and checkpoints from the runs that a worker lists.
+
+        A listed run confirms its start. Runs that are not the current run of
+        their task are stopped.
+        """
         for entry in running:
             task = self.find(entry.key)
             if task is None:
                 continue
             if task.run != entry.run or task.worker_id != worker_id:
-                self.stop_stray(worker_id, entry, task)
+                self.stop_superseded_run(worker_id, entry, task)
                 continue
             if task.state == "starting":
                 self.start_confirmed(entry.key, entry.run, now)
-            self.keep_checkpoint(task, entry.checkpoint)
-            if task.reported_at - task.rated_at > MIN_ELAPSED_S:
-                task.rated_at, task.rated_percent = task.reported_at, task.percent
+            self.save_checkpoint(task, entry.checkpoint)
+            if task.reported_at - task.rate_baseline_at > MIN_ELAPSED_S:
+                task.rate_baseline_at, task.rate_baseline_percent = (
+                    task.reported_at,
+                    task.percent,
+                )
             if entry.percent != task.percent:
                 task.progressed_at = now
             task.percent = entry.percent
@@ -174,11 +215,12 @@
             update_worker_speed(worker, self.run_times, now)
 
     def end(self, worker_id: str, ended: RunEnd, now: float) -> str | None:
-        """Take over the end of a run.
+        """Handle the end of a run that a worker reports.
 
         Returns:
-            The id of the workflow whose record must hold the end before the
-            worker may forget it, or None for an end that changes nothing.
+            The id of the workflow whose stored progress must include this end
+            before it is acknowledged to the worker, or None if the end
+            changes nothing.
         """
         task = self.find(ended.key)
         if task is None:
@@ -195,82 +237,89 @@
             },
         )
         if ended.kind is EndKind.DONE and not task.stage.spec.service:
-            return self._end_done(task, worker_id, current, now)
+            return self._record_done(task, worker_id, current, now)
         if not current or task.ended or not task.placed:
             return None
-        self.keep_checkpoint(task, ended.checkpoint)
+        self.save_checkpoint(task, ended.checkpoint)
         if ended.kind is EndKind.FAILED:
             task.failed_workers.add(worker_id)
             self.record_worker_failure(worker_id, task, now)
         event = _END_EVENTS.get(ended.kind, "run_interrupted")
         if task.stage.spec.service:
-            # Service tasks start again however they end.
+            # A service task is restarted regardless of how its run ended.
             event = "run_interrupted"
         self.step(task, event, now)
         self._after_failure(task, ended.kind, now)
         return ended.key.workflow_id
 
     def plan(self, now: float, wall: float) -> list[Effect]:
-        """Decide on starts and stops and return all pending effects."""
+        """Run a planning pass and return all pending effects.
+
+        Args:
+            now: Steady-clock seconds.
+            wall: Unix seconds, for occurrences with a due time.
+        """
         active = [p for p in self.workflows_by_id.values() if p.ended_at is None]
-        decision = self._planner.plan(
+        scheduling_plan = self._planner.plan(
             active,
             list(self.workers_by_id.values()),
             self.guaranteed_by_organisation,
             now,
             wall,
         )
-        for task in decision.stops:
+        for task in scheduling_plan.stops:
             self.stop(task, "preempted")
-        for stage, names in decision.questions:
-            stage.question_open = True
+        for stage, worker_ids in scheduling_plan.advice_requests:
+            stage.advice_pending = True
             workflow_id = stage.workflow.workflow.workflow_id
             self.effects.append(
-                AskAdvice(workflow_id, stage.occurrence, stage.index, names)
+                AskAdvice(workflow_id, stage.occurrence, stage.index, worker_ids)
             )
         runs_by_stage: dict[int, int] = {}
-        for task, worker in decision.starts:
+        for task, worker in scheduling_plan.starts:
             self.assign(task, worker, runs_by_stage, now)
         return self.take_effects()
 
     def record_advice(
         self,
-        question: AskAdvice,
+        advice_request: AskAdvice,
         tickets: dict[str, str] | None,
         valid_s: float,
         now: float,
     ) -> None:
-        """Take over the answer of the advice service.
+        """Record the answer of the advice service to a request.
 
         Args:
-            question: What was asked.
-            tickets: Ticket by worker that may run the step; None if the
-                service gave no answer.
-            valid_s: For how long the tickets hold.
-            now: Steady-clock seconds of the question.
+            advice_request: The request that was sent to the service.
+            tickets: Ticket by id of each worker that may run the step; None
+                if the service did not answer.
+            valid_s: Seconds for which the tickets are valid.
+            now: Steady-clock seconds at which the request was sent.
         """
-        progress = self.workflows_by_id.get(question.workflow_id)
+        progress = self.workflows_by_id.get(advice_request.workflow_id)
         if progress is None:
             return
-        stage = progress.occurrences[question.occurrence].stages[question.step]
-        stage.question_open = False
+        stage = progress.occurrences[advice_request.occurrence].stages[
+            advice_request.step
+        ]
+        stage.advice_pending = False
         if tickets is None:
             return
-        until = now + valid_s * TICKET_SHARE
-        for worker_id in question.worker_ids:
+        until = now + valid_s * USABLE_TICKET_SHARE
+        for worker_id in advice_request.worker_ids:
             if worker_id in tickets:
                 stage.permits_by_worker[worker_id] = Permit(tickets[worker_id], until)
             else:
                 stage.denied_workers.add(worker_id)
 
     def throttle(self, now: float) -> None:
-        """Throttle filling tasks by the harm that is measured."""
+        """Adjust the speed of filling tasks to the measured tail latency."""
         for worker in self.workers_by_id.values():
             for change in self._throttle_policy.changes(worker, now):
                 task = change.task
                 task.speed_percent = change.percent
                 _logger.info(
-                    "pace changed",
+                    "filling task throttled",
                     extra={
                         **run_log_fields(task),
                         "worker": task.worker_id,
@@ -282,13 +331,20 @@
                 )
 
     def throttle_unanswered(self, key: TaskKey, run: int) -> None:
-        """Take note that a throttle command may not have taken effect."""
+        """Record that a throttle command may not have taken effect.
+
+        The task is treated as running at full speed, from which later
+        throttle changes are computed.
+        """
         task = self.current(key, run)
         if task is not None:
             task.speed_percent = FULL_SPEED_PERCENT
 
     def supervise(self, now: float) -> None:
-        """Stop runs that are stuck, far too slow, or on leaving workers."""
+        """Stop runs that are stuck, far too slow, or on leaving workers.
+
+        Their tasks become ready to run on another worker.
+        """
         workers = list(self.workers_by_id.values())
         for task, reason, counts_against_worker in runs_to_interrupt(
             workers, self.run_times, now
@@ -303,7 +359,16 @@
     def adopt_run(
         self, key: TaskKey, run: int, worker_id: str, started: bool, now: float
     ) -> None:
-        """Restore a run that a record or a worker names."""
+        """Restore a run that is named by a stored record or by a worker.
+
+        Args:
+            key: The task. Unknown and ended tasks are ignored.
+            run: Number of the run.
+            worker_id: Worker of the run; the run is ignored if the worker is
+                unknown.
+            started: Whether the worker has confirmed the start.
+            now: Steady-clock seconds.
+        """
         task = self.find(key)
         if task is None or task.ended:
             return
@@ -314,34 +379,42 @@
         if worker_id not in self.workers_by_id:
             return
         task.run, task.worker_id = run, worker_id
-        task.begin(now)
+        task.record_start(now)
         self.step(task, "assign", now)
         if started:
             self.step(task, "started", now)
         task.stage.workflow.begun = True
 
     def reconcile(
-        self, worker_id: str, present: set[tuple[TaskKey, int]], first: bool, now: float
+        self,
+        worker_id: str,
+        listed_runs: set[tuple[TaskKey, int]],
+        first_report: bool,
+        now: float,
     ) -> None:
-        """Drop runs that a worker does not list.
+        """Interrupt runs that a worker does not list.
 
         Args:
             worker_id: The worker.
-            present: Its runs.
-            first: It is the session's first report. The fence was raised
-                there, so a start by an earlier session will be rejected, and
-                this session has sent none. Later, a run that is starting or
-                stopping is left to the session, whose order may still arrive.
+            listed_runs: Runs that the worker's report lists.
+            first_report: Whether this is the first report of the session.
+                That poll has raised the worker's fencing token, so the worker
+                rejects starts sent by earlier sessions, and this session has
+                sent none yet: a missing run cannot start any more. In later
+                reports, a run that is starting or stopping is kept, since the
+                session's command may still arrive.
             now: Steady-clock seconds.
         """
         worker = self.workers_by_id.get(worker_id)
         for task in list(worker.tasks_by_key.values()) if worker else ():
-            settled = first or task.state == "running"
-            if settled and (task.key, task.run) not in present:
+            absence_is_final = first_report or task.state == "running"
+            if absence_is_final and (task.key, task.run) not in listed_runs:
                 self.step(task, "run_interrupted", now)
 
-    def restore_final_state(self, workflow_id: str, state: WorkflowState, now: float) -> None:
-        """Take over a final state from a record."""
+    def restore_final_state(
+        self, workflow_id: str, state: WorkflowState, now: float
+    ) -> None:
+        """Mark a workflow as ended with the final state of its record."""
         progress = self.workflows_by_id[workflow_id]
         progress.ended_at = now
         progress.cancelled = state is WorkflowState.CANCELLED
@@ -351,11 +424,11 @@
                 task.state = TASK_CHART.step("waiting", event).target
 
     def forget(self, workflow_id: str) -> None:
-        """Drop an ended workflow whose records are removed."""
+        """Remove an ended workflow whose stored records were deleted."""
         self.workflows_by_id.pop(workflow_id, None)
 
     def queue_length(self, queue: str) -> int:
-        """Return the accepted workflows of a queue without a started task."""
+        """Return the number of a queue's workflows without a started task."""
         return sum(
             1
             for progress in self.workflows_by_id.values()
@@ -364,7 +437,7 @@
             and progress.ended_at is None
         )
 
-    def _end_done(
+    def _record_done(
         self, task: Task, worker_id: str, current: bool, now: float
     ) -> str | None:
         if task.ended:
@@ -374,11 +447,12 @@
             worker.failures = 0
         if current and task.state == "running":
             self.run_times.record_end(task, now)
-        # A gang ends as a whole, and one listed end stands for all members.
+        # The members of a gang end together, so the end of one member
+        # completes the others as well.
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
             if member.ended:
-                # Withdrawn while this run was still being stopped.
+                # The member was withdrawn while this run was being stopped.
                 continue
             if member is not task and member.placed and member.run != task.run:
                 continue
--- a/src/redwingrudder/workflows/maintenance.py
+++ b/src/redwingrudder/workflows/maintenance.py
@@ -1,4 +1,4 @@
-"""Which machines of a maintenance wave are emptied and taken down next."""
+"""Maintenance waves: which machines are emptied and taken down next."""
 
 import enum
 from collections.abc import Iterable
@@ -14,14 +14,15 @@
     frozenset({"chosen", "emptied", "accepted", "rejected", "returned", "gone"}),
     frozenset(),
 )
-# Machines that count against the wave's limit.
+# States in which a machine counts against the wave's limit.
 BUSY_STATES = frozenset({"emptying", "ordered", "down"})
-# Share of a machine's part of the wave's time in which its runs may end.
-EMPTYING_SHARE = 0.4
+# A wave's time is divided evenly among its batches of machines. This share of
+# a batch's time is given to the runs on a machine to end by themselves.
+EMPTYING_TIME_SHARE = 0.4
 
 
 class MachineState(enum.StrEnum):
-    """What the platform says of a machine."""
+    """State of a machine, as reported by the platform."""
 
     UP = "up"
     CHANGING = "changing"
@@ -29,7 +30,13 @@
 
 
 class Machine(NamedTuple):
-    """A machine of the fleet; ``worker_id`` names its present worker."""
+    """A machine as listed by the platform.
+
+    Attributes:
+        machine_id: Id of the machine.
+        state: Reported state.
+        worker_id: Worker that currently runs on the machine.
+    """
 
     machine_id: str
     state: MachineState
@@ -37,13 +44,14 @@
 
 
 class MaintenanceWave(NamedTuple):
-    """Machines that are to be taken down for upkeep.
+    """A set of machines to take down for upkeep.
 
     Attributes:
         wave_id: Number of the wave.
-        machine_ids: Its machines.
-        limit: Machines that may be down for it at a time.
-        duration_s: Time for the whole wave.
+        machine_ids: Machines that need upkeep.
+        limit: Largest number of these machines that may be emptied or down at
+            the same time.
+        duration_s: Seconds available for the whole wave.
     """
 
     wave_id: int
@@ -53,11 +61,14 @@
 
 
 class MachineUpkeep:
-    """How far one machine of a wave has come.
+    """Upkeep state of one machine of a wave.
 
     Attributes:
-        worker_id: Its worker when it was chosen.
-        empty_by: Steady-clock seconds until which runs may end on it.
+        machine_id: Id of the machine.
+        state: State in ``UPKEEP_CHART``.
+        worker_id: Worker on the machine when it was chosen, "" before. The
+            machine has had its upkeep when it is up with another worker.
+        empty_by: Steady-clock seconds until which runs may end by themselves.
     """
 
     def __init__(self, machine_id: str) -> None:
@@ -67,19 +78,19 @@
         self.empty_by = 0.0
 
     def step(self, event: str) -> bool:
-        """Take a transition; returns whether the state changed."""
+        """Apply an event of the chart; return whether the state changed."""
         target = UPKEEP_CHART.step(self.state, event).target
         changed, self.state = target != self.state, target
         return changed
 
     @property
     def ended(self) -> bool:
-        """Whether nothing is left to do."""
+        """Whether the machine is in a final state."""
         return self.state in UPKEEP_CHART.final_states
 
 
 class WaveProgress:
-    """A wave and the upkeep of its machines."""
+    """A maintenance wave and the upkeep state of each of its machines."""
 
     def __init__(self, wave: MaintenanceWave) -> None:
         self.wave = wave
@@ -87,15 +98,19 @@
 
     @property
     def done(self) -> bool:
-        """Whether every machine that stays has had its upkeep."""
+        """Whether each machine has had its upkeep or has left the platform."""
         return all(machine.ended for machine in self.machines_by_id.values())
 
     def in_state(self, *states: str) -> list[MachineUpkeep]:
-        """Return the machines that are in one of some states."""
+        """Return the machines that are in any of the given states."""
         return [m for m in self.machines_by_id.values() if m.state in states]
 
     def observe(self, listed: Iterable[Machine]) -> None:
-        """Take over the platform's list of machines."""
+        """Update the machines from the platform's list.
+
+        A machine that is missing from the list is gone. A chosen machine that
+        is up with another worker has returned from upkeep.
+        """
         by_id = {machine.machine_id: machine for machine in listed}
         for upkeep in self.machines_by_id.values():
             if upkeep.ended:
@@ -116,10 +131,18 @@
         workers_by_id: dict[str, Worker],
         now: float,
     ) -> list[MachineUpkeep]:
-        """Begin to empty as many machines as the limit leaves.
+        """Choose machines to empty next, as many as the limit allows.
+
+        The machines whose runs are cheapest to stop come first. A machine
+        that is not up has no worker to empty, so it is chosen later.
 
-        Those whose runs are the cheapest to stop come first. A machine that
-        is not up has no worker to empty and is chosen later.
+        Args:
+            listed: Machines that the platform lists.
+            workers_by_id: Known workers.
+            now: Steady-clock seconds.
+
+        Returns:
+            The machines that were chosen, now in state "emptying".
         """
         free = self.wave.limit - len(self.in_state(*BUSY_STATES))
         by_id = {machine.machine_id: machine for machine in listed}
@@ -128,7 +151,7 @@
             machine = by_id.get(upkeep.machine_id)
             if machine is not None and machine.state is MachineState.UP:
                 ready.append((upkeep, machine.worker_id))
-        ready.sort(key=lambda pair: _cost(workers_by_id.get(pair[1]), now))
+        ready.sort(key=lambda pair: _total_stop_cost(workers_by_id.get(pair[1]), now))
         chosen = []
         for upkeep, worker_id in ready[: max(free, 0)]:
             upkeep.worker_id = worker_id
@@ -138,8 +161,8 @@
         return chosen
 
     def _emptying_s(self) -> float:
-        rounds = -(-len(self.wave.machine_ids) // max(self.wave.limit, 1))
-        return EMPTYING_SHARE * self.wave.duration_s / max(rounds, 1)
+        batches = -(-len(self.wave.machine_ids) // max(self.wave.limit, 1))
+        return EMPTYING_TIME_SHARE * self.wave.duration_s / max(batches, 1)
 
 
 def runs_to_stop(
@@ -147,8 +170,14 @@
 ) -> list[Task]:
     """Return the runs to stop on a worker that is being emptied.
 
-    Runs that end in time are left alone. Of the tasks of a service only as
-    many are taken away as its bound on unavailable tasks allows.
+    Runs that are expected to end in time are not stopped. For a service with
+    a limit on unavailable tasks, only as many runs are stopped as it allows.
+
+    Args:
+        worker: The worker.
+        empty_by: Steady-clock seconds until which runs may end by themselves.
+        run_times: Expected run times.
+        now: Steady-clock seconds.
     """
     stopped: list[Task] = []
     for task in worker.tasks_by_key.values():
@@ -156,20 +185,21 @@
             continue
         spec = task.stage.spec
         if spec.service and spec.unavailable_limit:
-            away = sum(not _at_work(other) for other in task.stage.tasks)
-            taken = sum(other.stage is task.stage for other in stopped)
-            if away + taken < spec.unavailable_limit:
+            unavailable = sum(not _is_serving(other) for other in task.stage.tasks)
+            already_chosen = sum(other.stage is task.stage for other in stopped)
+            if unavailable + already_chosen < spec.unavailable_limit:
                 stopped.append(task)
         elif spec.service or now + remaining_run_s(task, run_times, now) > empty_by:
             stopped.append(task)
     return stopped
 
 
-def _at_work(task: Task) -> bool:
+def _is_serving(task: Task) -> bool:
+    # A service task reports 100 percent while it serves requests.
     return task.state == "running" and task.percent >= 100
 
 
-def _cost(worker: Worker | None, now: float) -> float:
+def _total_stop_cost(worker: Worker | None, now: float) -> float:
     if worker is None:
         return 0.0
     return sum(stop_cost(task, now) for task in worker.tasks_by_key.values())
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -1,16 +1,16 @@
-"""Types of the workflow engine's interface."""
+"""Types of the workflow engine's interface: workflows, reports, effects."""
 
 import enum
 from typing import NamedTuple
 
 
 class Resources(NamedTuple):
-    """An amount of what workers offer and tasks take.
+    """An amount of resources, as offered by a worker or used by a task.
 
     Attributes:
-        cpu_millis: Thousandths of a core.
-        memory_mb: Megabytes.
-        accelerators: Whole accelerators.
+        cpu_millis: Processor time in thousandths of a core.
+        memory_mb: Memory in megabytes.
+        accelerators: Number of whole accelerators.
     """
 
     cpu_millis: int = 0
@@ -18,7 +18,7 @@
     accelerators: int = 0
 
     def plus(self, other: "Resources") -> "Resources":
-        """Return the sum."""
+        """Return the field-wise sum of both amounts."""
         return Resources(
             self.cpu_millis + other.cpu_millis,
             self.memory_mb + other.memory_mb,
@@ -26,7 +26,7 @@
         )
 
     def minus(self, other: "Resources") -> "Resources":
-        """Return the difference, which may be negative."""
+        """Return the field-wise difference; fields may be negative."""
         return Resources(
             self.cpu_millis - other.cpu_millis,
             self.memory_mb - other.memory_mb,
@@ -34,7 +34,7 @@
         )
 
     def covers(self, other: "Resources") -> bool:
-        """Return whether ``other`` fits into this amount."""
+        """Return whether ``other`` fits into this amount in every field."""
         return (
             other.cpu_millis <= self.cpu_millis
             and other.memory_mb <= self.memory_mb
@@ -46,26 +46,31 @@
 
 
 class StepSpec(NamedTuple):
-    """A step: equal tasks that become ready together.
+    """A step of a workflow: identical tasks that become ready together.
 
     Attributes:
         tasks: Number of tasks.
-        demand: What each task takes.
-        estimate_s: Rough run time of a task, 0 when unknown.
-        after: Indexes of earlier steps that must be done first.
-        checkpoints: Tasks can resume from a saved state.
-        gang: Tasks run all together or not at all.
-        same_rack: Tasks slow down when they run on several racks.
-        worker_label: Label that a worker must have, or "".
-        data_rack: Rack of the data, or "".
-        worker_limit: Tasks of the step on one worker, 0 without a limit.
-        copies_allowed: Several runs of one task may exist at a time.
-        service: Tasks run until the workflow is cancelled.
-        image: Names tasks that behave alike.
-        latency_target_ms: Bound on the tail latency of a service task.
-        fills: Processor time is taken from what other tasks leave.
-        unavailable_limit: Service tasks that planned actions may take away
-            at a time.
+        demand: Resources that each task uses.
+        estimate_s: Caller's estimate of a task's run time in seconds, 0 if
+            unknown.
+        after: Indexes of the earlier steps that must be done first.
+        checkpoints: Whether tasks can resume from a checkpoint.
+        gang: Whether the tasks run all together or not at all.
+        same_rack: Whether tasks slow down when spread over several racks.
+        worker_label: Label that a worker must have, "" for any worker.
+        data_rack: Rack that holds the input data, "" for none.
+        worker_limit: Largest number of the step's tasks on one worker, 0 for
+            no limit.
+        copies_allowed: Whether several runs of a task may exist at a time.
+        service: Whether the tasks run until the workflow is cancelled.
+        image: Name shared by tasks that behave alike. Run times are learned
+            for each queue and image.
+        latency_target_ms: Upper bound on the tail latency of a service task
+            in milliseconds, 0 for none.
+        fills: Whether the tasks use only processor time that other tasks
+            leave idle; it does not count against a worker's capacity.
+        unavailable_limit: Largest number of a service's tasks that planned
+            actions may make unavailable at a time, 0 for no limit.
     """
 
     tasks: int
@@ -87,15 +92,17 @@
 
 
 class QueuePolicy(NamedTuple):
-    """What the operators state for the queue of a workflow.
+    """Scheduling policy of a queue, as configured by the operators.
 
     Attributes:
         pool: Pool of workers that runs the queue's tasks.
-        priority: 0 is the most urgent.
-        attempts: Failed runs after which a task is given up.
-        stretch: Factor on the longest chain of work that is still on time.
-        latency_s: Seconds added to the stretched chain.
-        advised: Starts need a permit of the advice service.
+        priority: Priority of the queue; 0 is the most urgent.
+        attempts: Number of failed runs of a task after which the workflow
+            fails.
+        stretch: Factor on the workflow's critical path in its time
+            objective, which is ``stretch * critical path + latency_s``.
+        latency_s: Seconds added to the stretched critical path.
+        advised: Whether starts need a permit from the advice service.
     """
 
     pool: str
@@ -107,19 +114,20 @@
 
 
 class Workflow(NamedTuple):
-    """An accepted workflow.
+    """A workflow that was accepted for execution.
 
     Attributes:
-        workflow_id: Chosen by the caller.
-        queue: Name of the queue it was submitted to.
-        organisation: Owner.
-        payload: Text that every start carries.
-        steps: All steps in order.
-        policy: State of the queue at submission.
-        accepted_at: Unix seconds.
-        first_due_at: Unix seconds of occurrence 0, 0.0 for at once.
-        interval_s: Seconds between occurrences.
-        occurrences: How often the steps run, at least 1.
+        workflow_id: Id chosen by the caller.
+        queue: Name of the queue to which the workflow was submitted.
+        organisation: Organisation that owns the workflow.
+        payload: Text that is sent to the worker with each start.
+        steps: All steps; a step depends only on earlier ones.
+        policy: Policy of the queue at the time of submission.
+        accepted_at: Unix seconds of the acceptance.
+        first_due_at: Unix seconds at which occurrence 0 is due, 0.0 for
+            immediately.
+        interval_s: Seconds between the due times of occurrences.
+        occurrences: Number of times the steps are run, at least 1.
     """
 
     workflow_id: str
@@ -135,12 +143,12 @@
 
     @property
     def timed(self) -> bool:
-        """Whether occurrences start at times of day."""
+        """Whether the occurrences have due times."""
         return self.first_due_at > 0
 
 
 class WorkflowState(enum.StrEnum):
-    """State that callers see."""
+    """State of a workflow, as reported to callers."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -155,7 +163,14 @@
 
 
 class TaskKey(NamedTuple):
-    """Identifies a task; ``occurrence`` and the rest count from 0."""
+    """Identifies a task of a workflow.
+
+    Attributes:
+        workflow_id: Id of the workflow.
+        occurrence: Index of the occurrence, from 0.
+        step: Index of the step, from 0.
+        index: Index of the task in its step, from 0.
+    """
 
     workflow_id: str
     occurrence: int
@@ -164,20 +179,21 @@
 
 
 class WorkerFacts(NamedTuple):
-    """What the registry says about a worker.
+    """Registry entry of a worker.
 
     Attributes:
-        worker_id: Its id.
-        process_started_ms: Start of its present process, Unix milliseconds,
-            0 unknown.
-        address: "host:port".
-        pool: Pool that it belongs to.
-        failure_domain: Where it stands.
-        rack: Rack label, "" if it names none.
-        labels: All labels, the rack among them.
-        capacity: What it offers in total.
-        draining: It leaves and takes no new work.
-        remaining_s: While draining, seconds for which it surely stays.
+        worker_id: Id of the worker.
+        process_started_ms: Start time of the worker's current process in Unix
+            milliseconds, 0 if unknown. It changes with each restart.
+        address: Network address as "host:port".
+        pool: Pool to which the worker belongs.
+        failure_domain: Failure domain in which the worker runs.
+        rack: Rack label, "" if the worker has none.
+        labels: All labels, including the rack.
+        capacity: Total resources of the worker.
+        draining: Whether the worker is about to leave and takes no new work.
+        remaining_s: While draining, seconds for which the worker is
+            guaranteed to stay.
     """
 
     worker_id: str
@@ -193,7 +209,7 @@
 
 
 class EndKind(enum.StrEnum):
-    """How a run ended."""
+    """Way in which a run ended, as reported by its worker."""
 
     DONE = "done"
     FAILED = "failed"
@@ -207,11 +223,13 @@
     """A run that a worker lists as present.
 
     Attributes:
-        key: The task.
+        key: Key of the task.
         run: Number of the run.
-        checkpoint: Newest saved state, "" if there is none.
-        percent: Progress; 100 for a service task at work.
-        usage: Tail latency in ms of a service task, else cores in use.
+        checkpoint: Newest checkpoint, "" if there is none.
+        percent: Progress in percent; a service task that serves requests
+            reports 100.
+        usage: Tail latency in milliseconds for a service task, otherwise the
+            number of cores in use.
     """
 
     key: TaskKey
@@ -222,7 +240,15 @@
 
 
 class RunEnd(NamedTuple):
-    """A run that a worker lists as ended; ``number`` orders its ends."""
+    """A run that a worker lists as ended.
+
+    Attributes:
+        number: Sequence number of the end among those of the worker.
+        key: Key of the task.
+        run: Number of the run.
+        kind: Way in which the run ended.
+        checkpoint: Last checkpoint, "" if there is none.
+    """
 
     number: int
     key: TaskKey
@@ -232,7 +258,16 @@
 
 
 class StartRun(NamedTuple):
-    """Effect: start a run once the workflow's progress is recorded."""
+    """Effect: start a run, after the progress that names it is stored.
+
+    Attributes:
+        worker_id: Worker that is to start the run.
+        key: Key of the task.
+        run: Number of the run.
+        payload: Payload of the workflow.
+        checkpoint: Checkpoint to resume from, "" to start from the beginning.
+        ticket: Ticket from the advice service, "" if none is needed.
+    """
 
     worker_id: str
     key: TaskKey
@@ -243,7 +278,7 @@
 
 
 class StopRun(NamedTuple):
-    """Effect: stop a run."""
+    """Effect: stop a run on a worker."""
 
     worker_id: str
     key: TaskKey
@@ -251,7 +286,7 @@
 
 
 class AskAdvice(NamedTuple):
-    """Effect: ask which of some workers may run a step."""
+    """Effect: ask the advice service which of the workers may run a step."""
 
     workflow_id: str
     occurrence: int
@@ -260,7 +295,7 @@
 
 
 class ThrottleRun(NamedTuple):
-    """Effect: let a filling task work at a share of its speed."""
+    """Effect: throttle a filling task to ``percent`` of its full speed."""
 
     worker_id: str
     key: TaskKey
--- a/src/redwingrudder/workflows/ordering.py
+++ b/src/redwingrudder/workflows/ordering.py
@@ -1,65 +1,72 @@
-"""The order in which ready steps get capacity."""
+"""Order in which ready steps are given capacity."""
 
 import abc
 
 from .run_times import RunTimeEstimates
 from .state import Stage
 
-# A workflow earns a smaller credit up to this multiple of its objective.
-LATE_FACTOR = 3.0
+# A workflow that ends later than its objective earns reduced credit, up to
+# this multiple of the objective.
+PARTIAL_CREDIT_FACTOR = 3.0
+# Lateness of a step in its sort key, in the order of placement.
+ON_TIME = 0
+LATE = 1
+WITHOUT_CREDIT = 2
 
 
 class StageOrder(abc.ABC):
-    """Orders ready steps."""
+    """Sort order of the ready steps of a planning pass."""
 
     @abc.abstractmethod
     def key(self, stage: Stage, now: float) -> tuple:
-        """Return the sort key; the lowest comes first."""
+        """Return the sort key of a step; lower keys are placed first."""
 
 
 def remaining_chain_s(stage: Stage, run_times: RunTimeEstimates) -> float:
-    """Return the longest chain of expected run times from this step on."""
+    """Return the expected seconds of the longest chain from this step on."""
     steps = stage.workflow.workflow.steps
     stages = stage.workflow.occurrences[stage.occurrence].stages
-    longest = [0.0] * len(steps)
+    longest_s = [0.0] * len(steps)
     for index in range(len(steps) - 1, stage.index - 1, -1):
         followers = [
-            longest[later]
+            longest_s[later]
             for later in range(index + 1, len(steps))
             if index in steps[later].after
         ]
-        own = run_times.expected_s(stages[index])
-        longest[index] = own + max(followers, default=0.0)
-    return longest[stage.index]
+        own_s = run_times.expected_s(stages[index])
+        longest_s[index] = own_s + max(followers, default=0.0)
+    return longest_s[stage.index]
 
 
 def chain_s(stage: Stage, run_times: RunTimeEstimates) -> float:
-    """Return the longest chain of expected run times of the workflow."""
+    """Return the expected seconds of the workflow's critical path."""
     stages = stage.workflow.occurrences[stage.occurrence].stages
-    reach: list[float] = []
+    ends_s: list[float] = []
     for each in stages:
-        begin = max((reach[i] for i in each.spec.after), default=0.0)
-        reach.append(begin + run_times.expected_s(each))
-    return max(reach, default=0.0)
+        begins_s = max((ends_s[i] for i in each.spec.after), default=0.0)
+        ends_s.append(begins_s + run_times.expected_s(each))
+    return max(ends_s, default=0.0)
 
 
 def objective_s(stage: Stage, run_times: RunTimeEstimates) -> float:
-    """Return the seconds from acceptance within which full credit is due."""
+    """Return the seconds after acceptance within which full credit is due."""
     policy = stage.workflow.workflow.policy
     return policy.stretch * chain_s(stage, run_times) + policy.latency_s
 
 
 def slack_s(stage: Stage, run_times: RunTimeEstimates, now: float) -> float:
-    """Return how long the step can still wait and be on time."""
+    """Return how many seconds the step can wait and still be on time."""
     waited = now - stage.workflow.accepted_mono
     return objective_s(stage, run_times) - waited - remaining_chain_s(stage, run_times)
 
 
 class SlackOrder(StageOrder):
-    """Urgent queues first, then the least slack among steps still on time.
+    """Orders steps by priority, then lateness, then slack or amount of work.
 
-    Steps that are late follow the ones on time of the same priority, and
-    those too late for any credit come last, shortest work first.
+    Within a priority, steps that are on time come first, the one with the
+    least slack before the others. Steps that are late but still earn reduced
+    credit follow, and steps too late for any credit come last; both groups
+    are sorted by the smallest amount of work.
 
     Args:
         run_times: Expected run times.
@@ -74,20 +81,21 @@
         slack = slack_s(stage, self._run_times, now)
         waited = now - stage.workflow.accepted_mono
         if slack >= 0 or stage.spec.service:
-            lateness = 0
+            lateness = ON_TIME
         elif waited + remaining_chain_s(
             stage, self._run_times
-        ) < LATE_FACTOR * objective_s(stage, self._run_times):
-            lateness = 1
+        ) < PARTIAL_CREDIT_FACTOR * objective_s(stage, self._run_times):
+            lateness = LATE
         else:
-            lateness = 2
+            lateness = WITHOUT_CREDIT
         return (
             policy.priority,
             lateness,
-            slack if lateness == 0 else self._work(stage),
+            slack if lateness == ON_TIME else self._work_estimate(stage),
         )
 
-    def _work(self, stage: Stage) -> float:
+    def _work_estimate(self, stage: Stage) -> float:
+        """Return task-seconds of the step, weighted by accelerators."""
         demand = stage.spec.demand
         expected = self._run_times.expected_s(stage)
         return stage.spec.tasks * expected * (1 + demand.accelerators)
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -1,4 +1,4 @@
-"""Where the tasks of a step run, and what frees capacity for them."""
+"""Choice of workers for a step's tasks, and of runs to preempt for them."""
 
 import abc
 from collections.abc import Callable, Container, Iterable
@@ -8,52 +8,78 @@
 from .run_times import RunTimeEstimates, is_slow
 from .state import Stage, Task, Worker, resources_used
 
+# Expected time until the capacity of a run that is being stopped is released.
+STOPPING_RUN_S = 0.1
+# Expected time until the capacity of a run that is not stopped yet is
+# released.
+PREEMPTED_RUN_S = 0.2
+# Below this progress and elapsed time, the remaining run time is derived from
+# the expected run time rather than from the run's own progress.
+MIN_PROJECTION_PERCENT = 5
+MIN_PROJECTION_S = 0.3
+# Lower bounds on the remaining time of a run that should have ended by now: a
+# fraction of the expected run time, or seconds if projected from progress.
+MIN_REMAINING_ESTIMATE_SHARE = 0.1
+MIN_REMAINING_S = 0.05
+# Work lost when a run that saves checkpoints is stopped.
+CHECKPOINTED_LOSS_S = 0.25
+# Cores that an accelerator counts for in the cost of stopping a run.
+CORES_PER_ACCELERATOR = 8
+
 
 class PlacementOption(NamedTuple):
-    """Capacity for one task.
+    """Capacity for one task on a worker.
 
     Attributes:
-        worker: Where it is.
-        at: Seconds from now until it is free, 0.0 for idle capacity.
-        cost: Core-seconds that preemption throws away for it.
-        victims: Tasks to stop first.
-        order_cost: Cost that it is ordered by. The victims of a worker's
-            earlier options free capacity for the later ones too, so this never
-            falls from one option of a worker to the next.
-        position: Number of the option on its worker.
+        worker: Worker that has the capacity.
+        available_in_s: Expected seconds until the capacity is free, 0.0 for
+            idle capacity.
+        cost_core_s: Core-seconds of work lost by stopping ``victims``.
+        victims: Tasks whose runs must be stopped first.
+        order_cost_core_s: Cost by which options are sorted. It never decreases
+            from one option of a worker to the next, because the later options
+            also rely on the capacity freed by the victims of earlier ones.
+        position: Index of the option on its worker, 0 for options that need
+            no preemption.
     """
 
     worker: Worker
-    at: float = 0.0
-    cost: float = 0.0
+    available_in_s: float = 0.0
+    cost_core_s: float = 0.0
     victims: tuple[Task, ...] = ()
-    order_cost: float = 0.0
+    order_cost_core_s: float = 0.0
     position: int = 0
 
 
 class CapacitySource(abc.ABC):
-    """Lists the capacity that a worker has, or can get, for equal tasks."""
+    """Lists the capacity that a worker has, or can free, for equal tasks."""
 
     @abc.abstractmethod
     def options(
-        self, worker: Worker, demand: Resources, most: int
+        self, worker: Worker, demand: Resources, max_count: int
     ) -> list[PlacementOption]:
-        """Return at most ``most`` options, the best first."""
+        """Return the worker's options for a task, the best first.
+
+        Args:
+            worker: The worker.
+            demand: Resources that one task counts against its capacity.
+            max_count: Largest number of options to return.
+        """
 
 
 class IdleCapacity(CapacitySource):
-    """Capacity that is free now."""
+    """Capacity that is idle at present."""
 
     def options(
-        self, worker: Worker, demand: Resources, most: int
+        self, worker: Worker, demand: Resources, max_count: int
     ) -> list[PlacementOption]:
         """See base class."""
-        count = _fitting(worker.free, demand, most)
+        count = _count_fitting(worker.free, demand, max_count)
         return [PlacementOption(worker)] * count
 
 
 class ReleasedCapacity(CapacitySource):
-    """Capacity that is free now or once running tasks end as estimated.
+    """Capacity that is idle, or free when runs end at their expected time.
 
     Args:
         now: Steady-clock seconds.
@@ -65,39 +91,41 @@
         self._run_times = run_times
 
     def options(
-        self, worker: Worker, demand: Resources, most: int
+        self, worker: Worker, demand: Resources, max_count: int
     ) -> list[PlacementOption]:
         """See base class."""
         free = worker.free
-        options = [PlacementOption(worker)] * _fitting(free, demand, most)
+        options = [PlacementOption(worker)] * _count_fitting(free, demand, max_count)
         running = sorted(
-            worker.tasks_by_key.values(), key=lambda task: self._left_s(task)
+            worker.tasks_by_key.values(), key=lambda task: self._remaining_s(task)
         )
         for task in running:
-            if len(options) >= most:
+            if len(options) >= max_count:
                 break
             if task.stage.spec.service:
                 continue
             free = free.plus(resources_used(task.stage.spec))
-            count = _fitting(free, demand, most)
-            at = self._left_s(task)
-            options.extend([PlacementOption(worker, at)] * (count - len(options)))
+            count = _count_fitting(free, demand, max_count)
+            available_in_s = self._remaining_s(task)
+            options.extend(
+                [PlacementOption(worker, available_in_s)] * (count - len(options))
+            )
         return options
 
-    def _left_s(self, task: Task) -> float:
+    def _remaining_s(self, task: Task) -> float:
         return remaining_run_s(task, self._run_times, self._now)
 
 
 class PreemptibleCapacity(CapacitySource):
-    """Capacity that is free now or after lower-ranked tasks are stopped.
+    """Capacity that is idle, or free after less urgent runs are stopped.
 
     Args:
         now: Steady-clock seconds.
         rank: Rank of the step that needs capacity.
-        rank_of: Returns the rank of a running task's step; only tasks with a
-            higher number are stopped.
-        doomed: Keys of tasks whose stop is decided; their capacity costs
-            nothing.
+        rank_of: Returns the rank of a running task's step. Only tasks with a
+            numerically higher rank are stopped.
+        stopping_keys: Keys of tasks that this planning pass already stops.
+            Their capacity is counted at no cost.
     """
 
     def __init__(
@@ -105,48 +133,59 @@
         now: float,
         rank: int,
         rank_of: Callable[[Stage], int],
-        doomed: Container[TaskKey],
+        stopping_keys: Container[TaskKey],
     ) -> None:
         self._now = now
         self._rank = rank
         self._rank_of = rank_of
-        self._doomed = doomed
+        self._stopping_keys = stopping_keys
 
     def options(
-        self, worker: Worker, demand: Resources, most: int
+        self, worker: Worker, demand: Resources, max_count: int
     ) -> list[PlacementOption]:
         """See base class."""
         free = worker.free
-        options = [PlacementOption(worker)] * _fitting(free, demand, most)
+        options = [PlacementOption(worker)] * _count_fitting(free, demand, max_count)
         stopping = [
             task
             for key, task in worker.tasks_by_key.items()
-            if task.state == "stopping" or key in self._doomed
+            if task.state == "stopping" or key in self._stopping_keys
         ]
         for task in stopping:
             free = free.plus(resources_used(task.stage.spec))
-        count = _fitting(free, demand, most)
-        options.extend([PlacementOption(worker, 0.1)] * (count - len(options)))
+        count = _count_fitting(free, demand, max_count)
+        options.extend(
+            [PlacementOption(worker, STOPPING_RUN_S)] * (count - len(options))
+        )
         victims: list[Task] = []
-        cost = order_cost = 0.0
+        cost_core_s = order_cost_core_s = 0.0
         for task in self._victims(worker):
-            if len(options) >= most:
+            if len(options) >= max_count:
                 break
             free = free.plus(resources_used(task.stage.spec))
             victims.append(task)
-            cost += stop_cost(task, self._now)
-            count = _fitting(free, demand, most)
+            cost_core_s += stop_cost(task, self._now)
+            count = _count_fitting(free, demand, max_count)
             if count > len(options):
-                order_cost = max(order_cost, cost)
-                first = PlacementOption(worker, 0.2, cost, tuple(victims), order_cost)
+                order_cost_core_s = max(order_cost_core_s, cost_core_s)
+                first = PlacementOption(
+                    worker,
+                    PREEMPTED_RUN_S,
+                    cost_core_s,
+                    tuple(victims),
+                    order_cost_core_s,
+                )
                 options.append(first._replace(position=len(options)))
                 options.extend(
                     PlacementOption(
-                        worker, 0.2, order_cost=order_cost, position=position
+                        worker,
+                        PREEMPTED_RUN_S,
+                        order_cost_core_s=order_cost_core_s,
+                        position=position,
                     )
                     for position in range(len(options), count)
                 )
-                victims, cost = [], 0.0
+                victims, cost_core_s = [], 0.0
         return options
 
     def _victims(self, worker: Worker) -> list[Task]:
@@ -154,7 +193,7 @@
             task
             for key, task in worker.tasks_by_key.items()
             if task.state in ("starting", "running")
-            and key not in self._doomed
+            and key not in self._stopping_keys
             and not task.stage.spec.service
             and self._rank_of(task.stage) > self._rank
         ]
@@ -165,37 +204,54 @@
 
 
 def remaining_run_s(task: Task, run_times: RunTimeEstimates, now: float) -> float:
-    """Return the expected seconds until a run ends."""
+    """Return the expected seconds until a run ends.
+
+    The value is extrapolated from the run's progress if that is sufficient,
+    and otherwise derived from the expected run time of its step.
+    """
     if task.state == "stopping":
-        return 0.1
-    unseen_s = now - task.reported_at
+        return STOPPING_RUN_S
+    since_report_s = now - task.reported_at
     share_left = (100 - task.percent) / 100
-    worked_s = task.reported_at - task.started_at
-    # A resumed run begins above 0 percent, so its progress shows no speed.
-    if task.run_resumed or task.percent < 5 or worked_s < 0.3:
+    reported_elapsed_s = task.reported_at - task.started_at
+    # A resumed run starts above 0 percent, so percent divided by elapsed time
+    # is not its speed.
+    if (
+        task.run_resumed
+        or task.percent < MIN_PROJECTION_PERCENT
+        or reported_elapsed_s < MIN_PROJECTION_S
+    ):
         estimate = run_times.expected_s(task.stage) * share_left
-        return max(estimate - unseen_s, 0.1 * estimate)
-    return max(worked_s * 100 / task.percent * share_left - unseen_s, 0.05)
+        return max(estimate - since_report_s, MIN_REMAINING_ESTIMATE_SHARE * estimate)
+    return max(
+        reported_elapsed_s * 100 / task.percent * share_left - since_report_s,
+        MIN_REMAINING_S,
+    )
 
 
 def stop_cost(task: Task, now: float) -> float:
-    """Return the core-seconds that stopping a run throws away.
+    """Return the core-seconds of work lost by stopping a run.
 
-    An accelerator counts as 8 cores. All members of a gang end with one.
+    An accelerator counts as 8 cores. Stopping one member of a gang stops all
+    of them, so the cost is that of the whole gang.
     """
     spec = task.stage.spec
-    spent = 0.25 if spec.checkpoints else max(now - task.started_at, 0.0)
-    cores = spec.demand.cpu_millis / 1000 + 8 * spec.demand.accelerators
-    return cores * spent * (spec.tasks if spec.gang else 1)
-
-
-def _fitting(free: Resources, demand: Resources, most: int) -> int:
-    """Return how many times ``demand`` fits into ``free``, up to ``most``."""
-    count = most
-    # Accelerators come first, as they are the scarcest.
-    for have, need in zip(reversed(free), reversed(demand), strict=True):
-        if need:
-            count = min(count, have // need)
+    lost_s = (
+        CHECKPOINTED_LOSS_S if spec.checkpoints else max(now - task.started_at, 0.0)
+    )
+    cores = (
+        spec.demand.cpu_millis / 1000 + CORES_PER_ACCELERATOR * spec.demand.accelerators
+    )
+    return cores * lost_s * (spec.tasks if spec.gang else 1)
+
+
+def _count_fitting(free: Resources, demand: Resources, max_count: int) -> int:
+    """Return how often a demand fits into ``free``, at most ``max_count``."""
+    count = max_count
+    # Accelerators, the last field, are compared first: they are the scarcest.
+    for available, required in zip(reversed(free), reversed(demand), strict=True):
+        if required:
+            count = min(count, available // required)
             if count <= 0:
                 return 0
     return count
@@ -204,7 +260,14 @@
 def usable_workers(
     pool: str, label: str, workers: Iterable[Worker], now: float
 ) -> list[Worker]:
-    """Return the workers of a pool that have a label and take new runs."""
+    """Return the workers of a pool that accept new runs and have a label.
+
+    Args:
+        pool: Name of the pool.
+        label: Label that a worker must have, "" for any worker.
+        workers: All known workers.
+        now: Steady-clock seconds.
+    """
     return [
         worker
         for worker in workers
@@ -214,40 +277,43 @@
     ]
 
 
-def eligible(
-    stage: Stage, usable: list[Worker], sound: list[Worker], now: float
+def eligible_workers(
+    stage: Stage, usable: list[Worker], not_slow: list[Worker], now: float
 ) -> list[Worker]:
     """Return the workers that may run a step's tasks.
 
-    Slow workers are left out as long as there are enough others. So are, for
-    a step with failed runs, workers that are suspected to cause failures, as
-    it has few attempts left.
+    Slow workers are excluded as long as the others could hold the step. The
+    same applies, for a step with failed runs, to workers that are suspected
+    of causing failures, since the step has few attempts left. A queue that
+    needs advice uses only workers with a valid permit.
 
     Args:
         stage: The step.
-        usable: Workers of its pool, with its label, that take new runs.
-        sound: Those of them that are not slow.
+        usable: Workers of its pool, with its label, that accept new runs.
+        not_slow: The workers in ``usable`` that are not slow.
         now: Steady-clock seconds.
     """
-    trusted = sound
+    preferred = not_slow
     if stage.workflow.workflow.policy.advised:
         usable = [worker for worker in usable if _permitted(stage, worker, now)]
-        trusted = [worker for worker in sound if _permitted(stage, worker, now)]
+        preferred = [worker for worker in not_slow if _permitted(stage, worker, now)]
     if any(task.failures for task in stage.tasks):
         failed = set().union(*(task.failed_workers for task in stage.tasks))
-        trusted = [
+        preferred = [
             worker
-            for worker in trusted
+            for worker in preferred
             if worker.facts.worker_id not in failed and not worker.is_suspect(now)
         ]
-    if len(trusted) == len(usable):
-        return trusted
+    if len(preferred) == len(usable):
+        return preferred
     needed = len(stage.tasks) if stage.spec.gang else 1
-    return trusted if fits_when_empty(stage, needed, trusted) else usable
+    return preferred if fits_when_empty(stage, needed, preferred) else usable
 
 
-def unadvised(stage: Stage, usable: list[Worker], now: float) -> list[Worker]:
-    """Return usable workers that the advice service may still allow."""
+def workers_without_permit(
+    stage: Stage, usable: list[Worker], now: float
+) -> list[Worker]:
+    """Return usable workers without a valid permit that were not denied."""
     return [
         worker
         for worker in usable
@@ -261,29 +327,37 @@
     return permit is not None and now < permit.until
 
 
-def choose(
+def choose_options(
     stage: Stage,
     tasks: list[Task],
     workers: list[Worker],
     source: CapacitySource,
     now: float,
 ) -> list[PlacementOption]:
-    """Choose options for tasks of one step, at most one for each task.
+    """Choose placement options for tasks of a step, at most one for each.
+
+    For a gang, either all tasks get an option or none does. A gang that is
+    slower on several racks is spread over racks only if no single rack could
+    hold it when empty.
 
-    A gang gets all or nothing. A step that is slower on several racks gets
-    one rack if the rack is large enough when empty.
+    Args:
+        stage: The step.
+        tasks: Tasks of the step to place.
+        workers: Workers that may run them.
+        source: Lists the capacity of a worker.
+        now: Steady-clock seconds.
     """
     spec = stage.spec
     demand = resources_used(spec)
-    by_rack: dict[str, list[PlacementOption]] = {}
+    options_by_rack: dict[str, list[PlacementOption]] = {}
     for worker in workers:
-        most = _allowed(stage, worker, len(tasks))
-        found = source.options(worker, demand, most) if most else []
+        max_count = _max_tasks_on_worker(stage, worker, len(tasks))
+        found = source.options(worker, demand, max_count) if max_count else []
         if found:
-            by_rack.setdefault(worker.facts.rack, []).extend(found)
+            options_by_rack.setdefault(worker.facts.rack, []).extend(found)
     if spec.gang and spec.same_rack and len(tasks) > 1:
-        return _within_rack(stage, len(tasks), by_rack, workers, now)
-    options = [option for found in by_rack.values() for option in found]
+        return _choose_within_rack(stage, len(tasks), options_by_rack, workers, now)
+    options = [option for found in options_by_rack.values() for option in found]
     options.sort(key=_preference(spec.data_rack, demand, now))
     chosen = options[: len(tasks)]
     if spec.gang and len(chosen) < len(tasks):
@@ -291,10 +365,10 @@
     return chosen
 
 
-def _within_rack(
+def _choose_within_rack(
     stage: Stage,
     count: int,
-    by_rack: dict[str, list[PlacementOption]],
+    options_by_rack: dict[str, list[PlacementOption]],
     workers: list[Worker],
     now: float,
 ) -> list[PlacementOption]:
@@ -303,7 +377,7 @@
     preference = _preference("", demand, now)
     best: list[PlacementOption] = []
     best_key: tuple | None = None
-    for rack, found in by_rack.items():
+    for rack, found in options_by_rack.items():
         if len(found) < count:
             continue
         found.sort(key=preference)
@@ -312,17 +386,17 @@
             rack != spec.data_rack if spec.data_rack else False,
             sum(is_slow(option.worker) for option in chosen),
             sum(option.worker.is_suspect(now) for option in chosen),
-            max(option.at for option in chosen),
-            sum(option.cost for option in chosen),
+            max(option.available_in_s for option in chosen),
+            sum(option.cost_core_s for option in chosen),
             len(found),
         )
         if best_key is None or key < best_key:
             best, best_key = chosen, key
     if best or _largest_rack(stage, demand, count, workers) >= count:
         return best
-    racks = sorted(by_rack.values(), key=len, reverse=True)
-    spread = [option for found in racks for option in found][:count]
-    return spread if len(spread) == count else []
+    racks = sorted(options_by_rack.values(), key=len, reverse=True)
+    across_racks = [option for found in racks for option in found][:count]
+    return across_racks if len(across_racks) == count else []
 
 
 def _largest_rack(
@@ -330,25 +404,31 @@
 ) -> int:
     sizes: dict[str, int] = {}
     for worker in workers:
-        most = _allowed(stage, worker, count)
-        size = _fitting(worker.facts.capacity, demand, most)
+        max_count = _max_tasks_on_worker(stage, worker, count)
+        size = _count_fitting(worker.facts.capacity, demand, max_count)
         sizes[worker.facts.rack] = sizes.get(worker.facts.rack, 0) + size
     return max(sizes.values(), default=0)
 
 
 def fits_when_empty(stage: Stage, count: int, workers: list[Worker]) -> bool:
-    """Return whether the idle pool could hold the tasks at once."""
+    """Return whether the workers, when idle, could hold the tasks at once.
+
+    Args:
+        stage: The step.
+        count: Number of its tasks.
+        workers: The workers.
+    """
     demand = resources_used(stage.spec)
     total = 0
     for worker in workers:
-        most = _allowed(stage, worker, count)
-        total += _fitting(worker.facts.capacity, demand, most)
+        max_count = _max_tasks_on_worker(stage, worker, count)
+        total += _count_fitting(worker.facts.capacity, demand, max_count)
         if total >= count:
             return True
     return False
 
 
-def _allowed(stage: Stage, worker: Worker, wanted: int) -> int:
+def _max_tasks_on_worker(stage: Stage, worker: Worker, wanted: int) -> int:
     limit = stage.spec.worker_limit
     if not limit:
         return wanted
@@ -363,32 +443,36 @@
 def _preference(
     data_rack: str, demand: Resources, now: float
 ) -> Callable[[PlacementOption], tuple]:
-    """Return the sort key of options; workers repeat, so keys are kept."""
+    """Return a sort key function for options.
+
+    An option object may occur several times in the list that is sorted, so
+    the function caches the key of each object.
+    """
     keys: dict[int, tuple] = {}
 
     def key(option: PlacementOption) -> tuple:
-        known = keys.get(id(option))
-        if known is None:
-            known = keys[id(option)] = _rate(option, data_rack, demand, now)
-        return known
+        cached = keys.get(id(option))
+        if cached is None:
+            cached = keys[id(option)] = _option_sort_key(option, data_rack, demand, now)
+        return cached
 
     return key
 
 
-def _rate(
+def _option_sort_key(
     option: PlacementOption, data_rack: str, demand: Resources, now: float
 ) -> tuple:
     worker = option.worker
-    left = worker.free.minus(demand)
+    remaining = worker.free.minus(demand)
     return (
         bool(data_rack) and worker.facts.rack != data_rack,
         is_slow(worker),
         worker.is_suspect(now),
-        option.order_cost > 0,
-        option.at,
-        option.order_cost,
-        left.accelerators,
-        left.memory_mb,
+        option.order_cost_core_s > 0,
+        option.available_in_s,
+        option.order_cost_core_s,
+        remaining.accelerators,
+        remaining.memory_mb,
         worker.facts.worker_id,
         option.position,
     )
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -1,4 +1,4 @@
-"""Which waiting tasks start now, where, and which runs free capacity."""
+"""Planning passes: which tasks start where, and which runs are preempted."""
 
 import abc
 from collections.abc import Iterable
@@ -16,43 +16,56 @@
     PlacementOption,
     PreemptibleCapacity,
     ReleasedCapacity,
-    choose,
-    eligible,
+    choose_options,
+    eligible_workers,
     fits_when_empty,
     stop_cost,
-    unadvised,
     usable_workers,
+    workers_without_permit,
 )
 from .run_times import RunTimeEstimates, is_slow
 from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
-ENTITLED_RANK = -1  # urgent work within its organisation's guarantee
-# A step of a middle priority preempts lower ones in its last seconds of slack.
+# Rank of priority-0 work that fits its organisation's guarantee. It is placed
+# before, and may preempt, all other work.
+GUARANTEED_RANK = -1
+# A step with a priority number of 1 or more may preempt less urgent work only
+# when it is still on time and its slack is below this.
 PREEMPT_SLACK_S = 2.0
-# Steps in waiting that capacity is kept free for; more would idle the fleet.
-CLAIMS_LIMIT = 3
-# Share of the run time that a task waits for a worker next to its data, as
-# elsewhere it takes a multiple of the run time.
-DATA_WAIT_SHARE = 1.0
-# Gangs that are stopped one after the other for a step, each after a new check
-# for capacity; then all the rest is stopped at once. It bounds a pass's time.
-VICTIM_GANGS_LIMIT = 4
-# Workers named in a question to the advice service, which takes time for each.
-ADVICE_SPARE = 2  # for each waiting task
-ADVICE_LEAST = 8
-ADVICE_MOST = 30
+# Number of waiting steps for which a pass reserves capacity. Reserving for
+# more steps would leave too much of the fleet idle.
+MAX_CLAIMING_STEPS = 3
+# How long a step waits for a worker in the rack of its data, as a share of its
+# expected run time. In other racks it takes a multiple of that run time.
+DATA_WAIT_RUN_SHARE = 1.0
+# Number of gangs that a pass stops one at a time for a step, choosing the
+# options anew after each. The remaining victims are then stopped together,
+# which bounds the duration of a pass.
+MAX_VICTIM_GANGS = 4
+# Number of workers in a request to the advice service. The service takes time
+# for each worker that is named.
+ADVICE_WORKERS_PER_TASK = 2
+ADVICE_MIN_WORKERS = 8
+ADVICE_MAX_WORKERS = 30
 
 
 class SchedulingPlan(NamedTuple):
-    """Tasks to start and stop, and workers to ask the advice service about."""
+    """Result of a planning pass.
+
+    Attributes:
+        starts: Tasks to start, each with its worker.
+        stops: Tasks whose runs are preempted.
+        advice_requests: Steps that need advice, each with the ids of the
+            workers to ask about.
+    """
 
     starts: tuple[tuple[Task, Worker], ...]
     stops: tuple[Task, ...]
-    questions: tuple[tuple[Stage, tuple[str, ...]], ...] = ()
+    advice_requests: tuple[tuple[Stage, tuple[str, ...]], ...] = ()
 
 
 class Planner(abc.ABC):
-    """Decides on starts and stops from the state alone."""
+    """Plans starts and preemptions from the state of workflows and workers."""
 
     @abc.abstractmethod
     def plan(
@@ -63,23 +76,27 @@
         now: float,
         wall: float,
     ) -> SchedulingPlan:
-        """Return the next decision.
+        """Run one planning pass.
 
         Args:
             progress: Workflows that have not ended.
             workers: All known workers.
-            guaranteed_by_organisation: Accelerators for urgent work.
+            guaranteed_by_organisation: Number of accelerators guaranteed to
+                the priority-0 workflows of each organisation.
             now: Steady-clock seconds.
-            wall: Unix seconds.
+            wall: Unix seconds, for occurrences with a due time.
         """
 
 
 class PriorityPlanner(Planner):
-    """Strict priorities, guarantees, claims for steps that wait for capacity.
+    """Plans by strict priority, with guarantees, preemption and reservations.
+
+    The claims of waiting steps reserve capacity on workers until the next
+    pass, so that less urgent steps do not take it.
 
     Args:
         run_times: Expected run times.
-        order: Order of steps of equal rank.
+        order: Order of steps of equal rank. None selects ``SlackOrder``.
     """
 
     def __init__(
@@ -104,16 +121,18 @@
         stages = ready_stages(active, now, wall)
         ranks = {id(stage): rank(stage, entitled) for stage in stages}
         stages.sort(key=lambda s: (ranks[id(s)], *self._order.key(s, now)))
-        pass_ = _Pass(workers, entitled, self._run_times, now)
+        planning_pass = _PlanningPass(workers, entitled, self._run_times, now)
         for stage in stages:
-            pass_.place(stage, ranks[id(stage)])
+            planning_pass.place(stage, ranks[id(stage)])
         return SchedulingPlan(
-            tuple(pass_.starts), tuple(pass_.stops.values()), tuple(pass_.questions)
+            tuple(planning_pass.starts),
+            tuple(planning_pass.stops.values()),
+            tuple(planning_pass.advice_requests),
         )
 
 
-class _Pass:
-    """One planning pass; collects starts and stops."""
+class _PlanningPass:
+    """State of one planning pass; collects starts, stops and requests."""
 
     def __init__(
         self,
@@ -124,143 +143,166 @@
     ) -> None:
         self.starts: list[tuple[Task, Worker]] = []
         self.stops: dict[TaskKey, Task] = {}
-        self.questions: list[tuple[Stage, tuple[str, ...]]] = []
+        self.advice_requests: list[tuple[Stage, tuple[str, ...]]] = []
         self._workers = workers
         self._entitled = entitled
         self._run_times = run_times
         self._now = now
-        self._claims = 0
+        self._claimed_steps = 0
         self._usable_by_kind: dict[
             tuple[str, str], tuple[list[Worker], list[Worker]]
         ] = {}
-        self._missing_by_pool: dict[str, list[tuple[Resources, int]]] = {}
+        self._unplaceable_by_pool: dict[str, list[tuple[Resources, int]]] = {}
 
     def place(self, stage: Stage, stage_rank: int) -> None:
         waiting = waiting_tasks(stage)
         if not waiting:
             return
-        usable, sound = self._usable(stage)
-        candidates = eligible(stage, usable, sound, self._now)
+        usable, not_slow = self._find_usable_workers(stage)
+        candidates = eligible_workers(stage, usable, not_slow, self._now)
         if stage.workflow.workflow.policy.advised:
-            self._ask(stage, len(waiting), candidates, usable)
+            self._request_advice(stage, len(waiting), candidates, usable)
         if not candidates:
             return
-        near = self._near_data(stage, candidates)
-        options = self._choose_idle(stage, waiting, near)
-        self._start(stage, waiting, options)
-        rest = waiting[len(options) :]
-        if not rest:
+        near_data = self._near_data(stage, candidates)
+        options = self._choose_idle(stage, waiting, near_data)
+        self._add_starts(stage, waiting, options)
+        unplaced = waiting[len(options) :]
+        if not unplaced:
             return
         if self._may_preempt(stage, stage_rank):
             source = PreemptibleCapacity(
                 self._now, stage_rank, lambda s: rank(s, self._entitled), self.stops
             )
-            self._make_room(stage, rest, candidates, source)
-        elif self._claims < CLAIMS_LIMIT and not stage.spec.service:
-            if stage.spec.gang and not fits_when_empty(stage, len(rest), candidates):
+            self._preempt(stage, unplaced, candidates, source)
+        elif self._claimed_steps < MAX_CLAIMING_STEPS and not stage.spec.service:
+            if stage.spec.gang and not fits_when_empty(
+                stage, len(unplaced), candidates
+            ):
                 return
-            self._claims += 1
+            self._claimed_steps += 1
             released = ReleasedCapacity(self._now, self._run_times)
-            self._claim(stage, choose(stage, rest, near, released, self._now))
+            self._claim(
+                stage, choose_options(stage, unplaced, near_data, released, self._now)
+            )
 
-    def _usable(self, stage: Stage) -> tuple[list[Worker], list[Worker]]:
-        """Return the usable workers, and those of them that are not slow."""
+    def _find_usable_workers(self, stage: Stage) -> tuple[list[Worker], list[Worker]]:
+        """Return the usable workers of a step, and those that are not slow."""
         kind = (stage.workflow.workflow.policy.pool, stage.spec.worker_label)
         if kind not in self._usable_by_kind:
             usable = usable_workers(*kind, self._workers, self._now)
-            sound = [worker for worker in usable if not is_slow(worker)]
-            self._usable_by_kind[kind] = usable, sound
+            not_slow = [worker for worker in usable if not is_slow(worker)]
+            self._usable_by_kind[kind] = usable, not_slow
         return self._usable_by_kind[kind]
 
     def _choose_idle(
         self, stage: Stage, waiting: list[Task], workers: list[Worker]
     ) -> list[PlacementOption]:
-        """Choose idle capacity; it only shrinks within a pass.
+        """Choose options in idle capacity.
 
-        What did not fit once is not looked for again, which bounds the cost
-        of a pass while many steps wait.
+        Idle capacity only shrinks within a pass. A demand that did not fit in
+        the whole pool is therefore remembered, and equal or larger demands
+        are skipped, which bounds the cost of a pass while many steps wait.
         """
         demand = resources_used(stage.spec)
         count = len(waiting) if stage.spec.gang else 1
         pool = stage.workflow.workflow.policy.pool
         whole_pool = self._usable_by_kind.get((pool, ""))
-        remembered = whole_pool is not None and workers is whole_pool[1]
-        missing_here = self._missing_by_pool.setdefault(pool, [])
-        if remembered and any(
-            demand.covers(missing) and count >= missing_count
-            for missing, missing_count in missing_here
+        covers_whole_pool = whole_pool is not None and workers is whole_pool[1]
+        unplaceable = self._unplaceable_by_pool.setdefault(pool, [])
+        if covers_whole_pool and any(
+            demand.covers(unplaceable_demand) and count >= unplaceable_count
+            for unplaceable_demand, unplaceable_count in unplaceable
         ):
             return []
-        options = choose(stage, waiting, workers, IdleCapacity(), self._now)
+        options = choose_options(stage, waiting, workers, IdleCapacity(), self._now)
         restricted = stage.spec.same_rack or stage.spec.worker_limit
-        if remembered and not options and not restricted:
-            missing_here.append((demand, count))
+        if covers_whole_pool and not options and not restricted:
+            unplaceable.append((demand, count))
         return options
 
-    def _ask(
+    def _request_advice(
         self,
         stage: Stage,
         wanted: int,
         permitted: list[Worker],
         usable: list[Worker],
     ) -> None:
-        """Ask about a few likely workers; each one named costs time."""
-        if stage.question_open:
+        """Request advice about some workers that are likely to be used.
+
+        Workers with enough free capacity come first. The number is limited,
+        since the service takes time for each worker.
+        """
+        if stage.advice_pending:
             return
-        most = min(max(ADVICE_SPARE * wanted, ADVICE_LEAST), ADVICE_MOST)
+        max_workers = min(
+            max(ADVICE_WORKERS_PER_TASK * wanted, ADVICE_MIN_WORKERS),
+            ADVICE_MAX_WORKERS,
+        )
         demand = resources_used(stage.spec)
-        roomy = [w for w in permitted if w.free.covers(demand)]
-        if len(roomy) >= min(wanted, ADVICE_LEAST):
+        with_free_capacity = [w for w in permitted if w.free.covers(demand)]
+        if len(with_free_capacity) >= min(wanted, ADVICE_MIN_WORKERS):
             return
-        asked = unadvised(stage, usable, self._now)
-        asked.sort(key=lambda w: (not w.free.covers(demand), -w.free.accelerators))
-        if asked:
-            names = tuple(worker.facts.worker_id for worker in asked[:most])
-            self.questions.append((stage, names))
+        unpermitted = workers_without_permit(stage, usable, self._now)
+        unpermitted.sort(
+            key=lambda w: (not w.free.covers(demand), -w.free.accelerators)
+        )
+        if unpermitted:
+            worker_ids = tuple(
+                worker.facts.worker_id for worker in unpermitted[:max_workers]
+            )
+            self.advice_requests.append((stage, worker_ids))
 
     def _near_data(self, stage: Stage, candidates: list[Worker]) -> list[Worker]:
-        """Return the workers beside the data while waiting for them pays."""
+        """Return the workers in the data's rack while waiting for them pays.
+
+        All candidates are returned if the step has no data rack, has waited
+        long enough, or cannot be held by that rack.
+        """
         rack = stage.spec.data_rack
         waited = self._now - (stage.ready_at or self._now)
-        if not rack or waited > DATA_WAIT_SHARE * self._run_times.expected_s(stage):
+        if not rack or waited > DATA_WAIT_RUN_SHARE * self._run_times.expected_s(stage):
             return candidates
-        near = [worker for worker in candidates if worker.facts.rack == rack]
-        if stage.spec.gang and not fits_when_empty(stage, stage.spec.tasks, near):
+        near_data = [worker for worker in candidates if worker.facts.rack == rack]
+        if stage.spec.gang and not fits_when_empty(stage, stage.spec.tasks, near_data):
             return candidates
-        return near or candidates
+        return near_data or candidates
 
     def _may_preempt(self, stage: Stage, stage_rank: int) -> bool:
         if stage_rank <= 0:
             return True
         return 0.0 <= slack_s(stage, self._run_times, self._now) < PREEMPT_SLACK_S
 
-    def _make_room(
+    def _preempt(
         self,
         stage: Stage,
-        rest: list[Task],
+        unplaced: list[Task],
         candidates: list[Worker],
         source: CapacitySource,
     ) -> None:
-        near = self._near_data(stage, candidates)
+        near_data = self._near_data(stage, candidates)
         options: list[PlacementOption] = []
-        for _ in range(VICTIM_GANGS_LIMIT):
-            options = choose(stage, rest, near, source, self._now)
-            if len(options) < len(rest) and near is not candidates:
-                options = choose(stage, rest, candidates, source, self._now) or options
+        for _ in range(MAX_VICTIM_GANGS):
+            options = choose_options(stage, unplaced, near_data, source, self._now)
+            if len(options) < len(unplaced) and near_data is not candidates:
+                options = (
+                    choose_options(stage, unplaced, candidates, source, self._now)
+                    or options
+                )
             victims = [victim for option in options for victim in option.victims]
             gangs = [victim for victim in victims if victim.stage.spec.gang]
             if not gangs:
                 break
-            # The end of one gang frees capacity on many workers, so the rest
-            # of the options is chosen anew before another gang is stopped.
-            self._stop(min(gangs, key=lambda task: stop_cost(task, self._now)))
+            # Stopping one gang frees capacity on many workers, so the options
+            # are chosen anew before another gang is stopped.
+            self._add_stop(min(gangs, key=lambda task: stop_cost(task, self._now)))
         for option in options:
             for victim in option.victims:
-                self._stop(victim)
+                self._add_stop(victim)
         self._claim(stage, options)
 
-    def _stop(self, victim: Task) -> None:
-        """Stop a run, and with it the other members of a gang."""
+    def _add_stop(self, victim: Task) -> None:
+        """Plan to stop a run; for a gang, the runs of all members."""
         members = victim.stage.tasks if victim.stage.spec.gang else [victim]
         for task in members:
             if task.state in ("starting", "running"):
@@ -271,27 +313,37 @@
         for option in options:
             option.worker.claim(demand)
 
-    def _start(
+    def _add_starts(
         self, stage: Stage, tasks: list[Task], options: list[PlacementOption]
     ) -> None:
-        """Note starts and count them as claims within this pass."""
+        """Plan starts and claim their capacity for the rest of the pass."""
         pairs = zip(tasks, options, strict=False)
         self.starts.extend((task, option.worker) for task, option in pairs)
         self._claim(stage, options)
 
 
 def rank(stage: Stage, entitled: frozenset[str]) -> int:
-    """Return the priority of a step; lower may preempt higher."""
+    """Return the rank of a step; a lower rank may preempt a higher one.
+
+    Args:
+        stage: The step.
+        entitled: Organisations whose priority-0 work fits their guarantee.
+    """
     workflow = stage.workflow.workflow
     if workflow.policy.priority == 0 and workflow.organisation in entitled:
-        return ENTITLED_RANK
+        return GUARANTEED_RANK
     return workflow.policy.priority
 
 
 def entitled_organisations(
     active: list[WorkflowProgress], guaranteed_by_organisation: dict[str, int]
 ) -> frozenset[str]:
-    """Return the organisations whose urgent work fits their guarantee."""
+    """Return the organisations whose priority-0 work fits their guarantee.
+
+    Args:
+        active: Workflows that have not ended.
+        guaranteed_by_organisation: Number of guaranteed accelerators.
+    """
     needed: dict[str, int] = {}
     for progress in active:
         workflow = progress.workflow
@@ -308,7 +360,13 @@
 def ready_stages(
     active: list[WorkflowProgress], now: float, wall: float
 ) -> list[Stage]:
-    """Return the steps with tasks that may start."""
+    """Return the steps with tasks that may start, and set their ready time.
+
+    Args:
+        active: Workflows that have not ended.
+        now: Steady-clock seconds, the ready time of steps without one.
+        wall: Unix seconds; occurrences that are due later are skipped.
+    """
     ready = []
     for progress in active:
         if progress.ended_at is not None:
@@ -331,9 +389,10 @@
 
 
 def waiting_tasks(stage: Stage) -> list[Task]:
-    """Return the tasks to start: of a gang all or none.
+    """Return the tasks of a step to start; for a gang, all or none.
 
-    The members of a gang share a run, so none may be left from the last one.
+    The members of a gang share a run number, so a gang can start only after
+    all members of its previous run have ended.
     """
     if stage.spec.gang:
         ready = all(task.state == "waiting" for task in stage.tasks)
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -1,4 +1,4 @@
-"""Documents of workflows and of their progress, as kept in the store."""
+"""Encoding of workflows and of their progress as documents in the store."""
 
 import json
 from typing import Any, NamedTuple
@@ -14,11 +14,21 @@
 )
 from .state import WorkflowProgress
 
-FORMAT = 1  # raised when documents of older nodes can no longer be read
+# Format version of workflow documents. It is raised when documents written by
+# older nodes can no longer be read.
+FORMAT = 1
 
 
 class PlacedRun(NamedTuple):
-    """A run that may exist on a worker."""
+    """A run that may exist on a worker.
+
+    Attributes:
+        key: Key of the task.
+        run: Number of the run.
+        worker_id: Worker to which the run was assigned.
+        process_started_ms: Start time of that worker's process in Unix
+            milliseconds, 0 if unknown.
+    """
 
     key: TaskKey
     run: int
@@ -30,13 +40,13 @@
     """The stored progress of a workflow.
 
     Attributes:
-        term: Term of the coordinator that wrote it.
-        state: State that callers see.
-        done: Tasks that ended as done.
-        failures: Failed runs by task, for tasks with any.
-        runs: Newest run by task, for tasks that had one.
-        placed: Runs that may exist.
-        checkpoints: Saved states by waiting task.
+        term: Term of the coordinator that wrote the record.
+        state: State that is reported to callers.
+        done: Tasks that are done.
+        failures: Tasks with failed runs, and their number.
+        runs: Tasks that have had a run, and the number of the newest one.
+        placed: Runs that may exist on workers.
+        checkpoints: Tasks with a stored checkpoint, and that checkpoint.
     """
 
     term: int
@@ -49,39 +59,47 @@
 
 
 def encode_workflow(workflow: Workflow) -> bytes:
-    """Return the document of a workflow."""
+    """Return the JSON document of a workflow."""
     document = workflow._asdict()
     document["format"] = FORMAT
     document["policy"] = list(workflow.policy)
     document["steps"] = [
-        [list(step.demand) if name == "demand" else value for name, value in pairs]
+        [list(step.demand) if name == "demand" else value for name, value in fields]
         for step in workflow.steps
-        for pairs in [step._asdict().items()]
+        for fields in [step._asdict().items()]
     ]
     return json.dumps(document, separators=(",", ":")).encode()
 
 
 def decode_workflow(content: bytes) -> Workflow:
-    """Return a workflow from its document.
+    """Return the workflow that a JSON document describes.
 
     Raises:
-        BadRequestError: The document is not one of a workflow.
+        BadRequestError: The content is not a workflow document of this
+            format.
     """
     try:
         document = json.loads(content)
         if document.pop("format") != FORMAT:
-            raise ValueError("unknown format")
+            raise ValueError("unsupported format version")
         document["policy"] = QueuePolicy(*document["policy"])
         document["steps"] = tuple(_step(row) for row in document["steps"])
         return Workflow(**document)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadRequestError(f"not a workflow document: {error}") from error
+        raise BadRequestError(f"invalid workflow document: {error}") from error
 
 
 def encode_progress(
-    progress: WorkflowProgress, term: int, born_by_worker: dict[str, int]
+    progress: WorkflowProgress, term: int, started_ms_by_worker: dict[str, int]
 ) -> bytes:
-    """Return the document of a workflow's progress."""
+    """Return the JSON document of a workflow's progress.
+
+    Args:
+        progress: The progress.
+        term: Term of the coordinator.
+        started_ms_by_worker: Process start times of the workers in Unix
+            milliseconds.
+    """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
     for task in progress.tasks():
         key = list(task.key[1:])
@@ -93,9 +111,11 @@
         if task.run:
             runs.append([*key, task.run])
         if task.placed:
-            born = born_by_worker.get(task.worker_id, 0)
-            placed.append([*key, task.run, task.worker_id, born])
-        # A placed run reports its state itself, a gang through any member.
+            started_ms = started_ms_by_worker.get(task.worker_id, 0)
+            placed.append([*key, task.run, task.worker_id, started_ms])
+        # The worker of a placed run reports its checkpoint, so it need not be
+        # stored. A gang's checkpoint is kept with its first task and may have
+        # been reported by any member, so it is always stored.
         if task.checkpoint and (task.stage.spec.gang or not task.placed):
             checkpoints.append([*key, task.checkpoint])
     document = {
@@ -111,10 +131,10 @@
 
 
 def decode_progress(workflow_id: str, content: bytes) -> ProgressRecord:
-    """Return the stored progress of a workflow.
+    """Return the progress record that a JSON document describes.
 
     Raises:
-        BadRequestError: The document is not one of a progress.
+        BadRequestError: The content is not a progress document.
     """
 
     def key(row: list[Any]) -> TaskKey:
@@ -132,11 +152,14 @@
             tuple((key(row), row[3]) for row in document["checkpoints"]),
         )
     except (ValueError, KeyError, TypeError, IndexError) as error:
-        raise BadRequestError(f"not a progress document: {error}") from error
+        raise BadRequestError(f"invalid progress document: {error}") from error
 
 
 def restore_progress(progress: WorkflowProgress, record: ProgressRecord) -> None:
-    """Apply a record to a fresh progress, all but the placed runs."""
+    """Apply a record to a new progress.
+
+    The placed runs are not restored; see ``Engine.adopt_run``.
+    """
     for key, failures in record.failures:
         task = progress.find(key)
         if task is not None:
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -1,4 +1,4 @@
-"""The runs of all tasks: transitions, capacity and effects."""
+"""Runs of all tasks: state transitions, capacity accounting and effects."""
 
 import logging
 from collections.abc import Callable
@@ -21,10 +21,12 @@
 )
 from .throttling import FULL_SPEED_PERCENT
 
-# Runs of one term; a successor numbers its runs above all that this term can
-# have used without a record of each.
+# Run numbers reserved for each term. A new coordinator numbers its runs above
+# all numbers that the previous term may have used, including runs that were
+# not recorded.
 RUNS_PER_TERM = 1000
-# Failures in a row after which a worker gets no work for a while.
+# Number of consecutive failures after which a worker gets no new runs for
+# QUARANTINE_S.
 QUARANTINE_FAILURES = 2
 QUARANTINE_S = 4.0
 
@@ -32,11 +34,13 @@
 
 
 class RunTable:
-    """Workflows, workers and runs, and the moves that keep them consistent.
+    """Workflows, workers and runs, with transitions that keep them consistent.
 
     Attributes:
-        dirty: Ids of workflows whose progress differs from its record.
-        effects: What is to be carried out.
+        workflows_by_id: Accepted workflows.
+        workers_by_id: Known workers.
+        dirty: Ids of workflows whose progress differs from the stored record.
+        effects: Effects that have not been taken yet.
         term: Number of the coordinator's term.
         run_times: Expected run times.
     """
@@ -55,26 +59,34 @@
         }
 
     def find(self, key: TaskKey) -> Task | None:
-        """Return a task, None if it is unknown."""
+        """Return the task with the given key, None if it is unknown."""
         progress = self.workflows_by_id.get(key.workflow_id)
         return progress.find(key) if progress is not None else None
 
     def current(self, key: TaskKey, run: int) -> Task | None:
-        """Return a task that has not ended if a run is its newest."""
+        """Return a task if it has not ended and ``run`` is its newest run."""
         task = self.find(key)
         if task is None or task.run != run or task.ended:
             return None
         return task
 
     def take_effects(self) -> list[Effect]:
-        """Return the effects decided since the last call."""
+        """Return and clear the effects added since the last call."""
         effects, self.effects = self.effects, []
         return effects
 
     def assign(
         self, task: Task, worker: Worker, runs_by_stage: dict[int, int], now: float
     ) -> None:
-        """Begin a run of a task on a worker."""
+        """Start a run of a task on a worker.
+
+        Args:
+            task: The task, which is waiting.
+            worker: The worker.
+            runs_by_stage: Run numbers of the gangs placed in this pass, by
+                ``id`` of the step. All members of a gang share a run number.
+            now: Steady-clock seconds.
+        """
         stage = task.stage
         if stage.spec.gang:
             run = runs_by_stage.get(id(stage), 0) or self._next_run(
@@ -90,7 +102,7 @@
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
         task.speed_percent = FULL_SPEED_PERCENT
-        task.begin(now)
+        task.record_start(now)
         self.step(task, "assign", now)
         workflow = stage.workflow
         workflow.begun = True
@@ -116,7 +128,10 @@
         )
 
     def step(self, task: Task, event: str, now: float) -> None:
-        """Take a transition of the task's chart."""
+        """Apply an event of ``TASK_CHART`` to a task and run its actions.
+
+        A task of an ended workflow that would be waiting again is withdrawn.
+        """
         transition = TASK_CHART.step(task.state, event)
         changed = transition.target != task.state
         for action in transition.actions:
@@ -124,35 +139,44 @@
         task.state = transition.target
         if changed:
             self.dirty.add(task.key.workflow_id)
-        cancelled = task.stage.workflow.ended_at is not None
-        if cancelled and task.state == "waiting":
+        workflow_ended = task.stage.workflow.ended_at is not None
+        if workflow_ended and task.state == "waiting":
             task.state = TASK_CHART.step("waiting", "withdraw").target
 
     def stop(self, task: Task, reason: str) -> None:
-        """Stop the run of a task."""
+        """Stop the run of a task; a run that is not active is ignored.
+
+        Args:
+            task: The task.
+            reason: Cause, for the log.
+        """
         if task.state not in ("starting", "running"):
             return
         _logger.info(
-            "run stopped",
+            "stopping run",
             extra={**run_log_fields(task), "worker": task.worker_id, "reason": reason},
         )
         self.effects.append(StopRun(task.worker_id, task.key, task.run))
         self.step(task, "stop", 0.0)
 
     def stop_gang(self, stage: Stage, run: int) -> None:
-        """Stop the other members of a gang's run."""
+        """Stop all active members of a gang's run; other steps are ignored."""
         if stage.spec.gang:
             for member in stage.tasks:
                 if member.run == run:
                     self.stop(member, "gang_incomplete")
 
-    def stop_stray(self, worker_id: str, entry: RunReport, task: Task) -> None:
-        """Stop a run that is not the newest of its task."""
+    def stop_superseded_run(self, worker_id: str, entry: RunReport, task: Task) -> None:
+        """Stop a listed run that is not the current run of its task.
+
+        A run with a higher number than the newest known one is left running
+        unless the task has ended.
+        """
         if entry.run <= task.run or task.ended:
             self.effects.append(StopRun(worker_id, entry.key, entry.run))
 
     def withdraw(self, progress: WorkflowProgress, now: float) -> None:
-        """End waiting tasks and stop the runs of a workflow."""
+        """Withdraw the waiting tasks and stop the runs of a workflow."""
         for task in progress.tasks():
             if task.state in ("starting", "running"):
                 self.effects.append(StopRun(task.worker_id, task.key, task.run))
@@ -162,7 +186,7 @@
         self.settle(progress, now)
 
     def settle(self, progress: WorkflowProgress, now: float) -> None:
-        """Take note of a workflow's end, if it has come."""
+        """Mark a workflow as dirty, and as ended if its state is final."""
         self.dirty.add(progress.workflow.workflow_id)
         state = progress.state
         if progress.ended_at is None and state in FINAL_STATES:
@@ -178,14 +202,21 @@
                 },
             )
 
-    def keep_checkpoint(self, task: Task, checkpoint: str) -> None:
-        """Keep the newest saved state; a gang shares one, with its first."""
+    def save_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Save a task's newest checkpoint; an empty one is ignored.
+
+        The members of a gang share a checkpoint, kept with the first task.
+        """
         if checkpoint:
-            record_client = task.stage.tasks[0] if task.stage.spec.gang else task
-            record_client.checkpoint = checkpoint
+            checkpoint_holder = task.stage.tasks[0] if task.stage.spec.gang else task
+            checkpoint_holder.checkpoint = checkpoint
 
     def record_worker_failure(self, worker_id: str, task: Task, now: float) -> None:
-        """Count a failure against a worker unless the task fails anywhere."""
+        """Count a failure against a worker, and quarantine it if it has many.
+
+        Failures of services, and of tasks that have failed on several
+        workers, are not counted.
+        """
         worker = self.workers_by_id.get(worker_id)
         if worker is None or len(task.failed_workers) > 1:
             return
@@ -201,13 +232,14 @@
             )
 
     def give_up_if_exhausted(self, stage: Stage, task: Task, now: float) -> None:
-        """End a workflow as failed after the last attempt at a task."""
+        """End a workflow as failed when a task has no attempts left."""
         limit = stage.workflow.workflow.policy.attempts
         failures = (stage.tasks[0] if stage.spec.gang else task).failures
         if failures < limit or task.state != "waiting":
             return
         _logger.info(
-            "attempts exhausted", extra={**run_log_fields(task), "failures": failures}
+            "task has no attempts left",
+            extra={**run_log_fields(task), "failures": failures},
         )
         self.step(task, "give_up", now)
         self.withdraw(stage.workflow, now)
@@ -228,7 +260,10 @@
             worker.remove(task)
 
     def _count_failure(self, task: Task) -> None:
-        """Count a failed run; of a gang once, with its first member."""
+        """Count a failed run of a task.
+
+        A failed run of a gang is counted once, with the gang's first task.
+        """
         stage = task.stage
         if not stage.spec.gang:
             task.failures += 1
@@ -238,7 +273,7 @@
 
 
 def run_log_fields(task: Task) -> dict[str, object]:
-    """Return the log fields of a task."""
+    """Return the fields that identify a task in log lines."""
     return {
         "job": task.key.workflow_id,
         "task": f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
--- a/src/redwingrudder/workflows/run_times.py
+++ b/src/redwingrudder/workflows/run_times.py
@@ -1,92 +1,123 @@
-"""Learned run times, and workers that are slower than the others."""
+"""Learned run times of tasks, and detection of slow workers."""
 
 import statistics
 
 from .state import Stage, Task, Worker
 
-# Estimates of callers are off by factors; each observed run counts more.
+# Weights of a new value in the moving mean of run times. Callers' estimates
+# are wrong by factors, so each observed run counts more, and the first one
+# most.
 OBSERVATION_WEIGHT = 0.2
-ESTIMATES_WEIGHT = 0.1
-UNKNOWN_S = 5.0  # run time while nothing is known
-SLOW_SPEED = 0.45  # ordinary workers differ by a third at most
-# Progress below this says little about the whole run.
+FIRST_OBSERVATION_WEIGHT = 0.5
+ESTIMATE_WEIGHT = 0.1
+# Expected run time without a caller's estimate or an observed run.
+DEFAULT_RUN_TIME_S = 5.0
+# Lower bound on an observed run time.
+MIN_RUN_TIME_S = 0.05
+# A worker is slow below this speed relative to the others. Ordinary workers
+# differ by at most a third.
+SLOW_SPEED_RATIO = 0.45
+# Progress and elapsed time below these are too little to project a run time
+# from.
 MIN_PROGRESS_PERCENT = 2.0
 MIN_ELAPSED_S = 0.7
-# Whole percents are reported, so smaller steps show no rate of progress.
-LEAST_STEP_PERCENT = 4.0
-# A run that goes on this much faster than before was on a slow worker.
+# Progress is reported in whole percents. The rate of progress is compared only
+# if at least this much progress was to be expected since the baseline.
+MIN_EXPECTED_STEP_PERCENT = 4.0
+# If a run's rate of progress rises by this factor, its worker was slow before
+# and has recovered.
 RECOVERED_RATIO = 1.5
-# Sound workers need up to this multiple of the mean run time, as jobs of one
-# queue differ; without runs of the same step to compare, more means slow.
+# Jobs of one queue differ, so a run on a worker of normal speed may take up to
+# this multiple of the mean run time. Without other runs of the same step to
+# compare with, a longer run means that its worker is slow.
 LONG_RUN_FACTOR = 2.0
-# A slow worker is tried again after this time.
-SLOW_FORGET_S = 6.0
-# Stopping throws work away, so the gain must be clear.
-RESTART_GAIN = 2.0
-RESTARTS_LIMIT = 2
+# Time without a new speed measurement after which a worker's speed is taken as
+# normal again, so that a slow worker is tried again.
+SLOW_RETRY_S = 6.0
+# A run is restarted elsewhere only if its remaining time exceeds the time of a
+# new run by this factor, because a restart discards the work done so far.
+MIN_RESTART_GAIN = 2.0
+# Number of restarts of a step because of slow workers.
+MAX_SLOW_WORKER_RESTARTS = 2
 
 
 class RunTimeEstimates:
-    """Mean run times by kind of work, fed by ends and progress."""
+    """Moving means of run times for each kind of task (queue and image)."""
 
     def __init__(self) -> None:
         self._mean_s_by_kind: dict[tuple[str, str], float] = {}
         self._observed: set[tuple[str, str]] = set()
 
     def expected_s(self, stage: Stage) -> float:
-        """Return the expected run time of one task of a step."""
-        known = self._mean_s_by_kind.get(_kind(stage))
-        return known or stage.spec.estimate_s or UNKNOWN_S
+        """Return the expected run time of a task of a step in seconds."""
+        learned_s = self._mean_s_by_kind.get(_kind(stage))
+        return learned_s or stage.spec.estimate_s or DEFAULT_RUN_TIME_S
 
     def record_estimate(self, stage: Stage) -> None:
-        """Take a caller's estimate into the mean until runs have ended."""
+        """Add a caller's estimate to the mean unless a run was observed."""
         kind = _kind(stage)
         if stage.spec.estimate_s and kind not in self._observed:
-            self._move(kind, stage.spec.estimate_s, ESTIMATES_WEIGHT)
+            self._update_mean(kind, stage.spec.estimate_s, ESTIMATE_WEIGHT)
 
     def record_end(self, task: Task, now: float) -> None:
-        """Take the run time of a task that was done in one run."""
+        """Add the run time of a finished task to the mean.
+
+        Runs that resumed from a checkpoint are ignored, as they cover only a
+        part of the work.
+        """
         if task.run_resumed or task.started_at <= 0:
             return
         kind = _kind(task.stage)
-        spent = max(now - task.started_at, 0.05)
-        weight = OBSERVATION_WEIGHT if kind in self._observed else 0.5
+        elapsed_s = max(now - task.started_at, MIN_RUN_TIME_S)
+        weight = (
+            OBSERVATION_WEIGHT if kind in self._observed else FIRST_OBSERVATION_WEIGHT
+        )
         self._observed.add(kind)
-        self._move(kind, spent, weight)
+        self._update_mean(kind, elapsed_s, weight)
 
-    def knows(self, stage: Stage) -> bool:
-        """Return whether runs of this kind have ended."""
+    def has_observed(self, stage: Stage) -> bool:
+        """Return whether a run of this kind of task has been observed."""
         return _kind(stage) in self._observed
 
-    def _move(self, kind: tuple[str, str], value_s: float, weight: float) -> None:
+    def _update_mean(
+        self, kind: tuple[str, str], value_s: float, weight: float
+    ) -> None:
         mean = self._mean_s_by_kind.get(kind, value_s)
         self._mean_s_by_kind[kind] = mean + weight * (value_s - mean)
 
 
-def projected_s(task: Task) -> float | None:
-    """Return a run's whole time as its progress predicts, None if unclear."""
-    spent = task.reported_at - task.started_at
-    if task.state != "running" or spent < MIN_ELAPSED_S:
+def projected_run_s(task: Task) -> float | None:
+    """Return a run's total seconds as projected from its progress.
+
+    Returns:
+        The projection, or None without sufficient progress data.
+    """
+    elapsed_s = task.reported_at - task.started_at
+    if task.state != "running" or elapsed_s < MIN_ELAPSED_S:
         return None
     if task.percent >= 100 or task.run_resumed:
         return None
-    return spent * 100 / max(task.percent, MIN_PROGRESS_PERCENT)
+    return elapsed_s * 100 / max(task.percent, MIN_PROGRESS_PERCENT)
 
 
-def reference_s(task: Task, run_times: RunTimeEstimates) -> float | None:
-    """Return what the run should take at most: as its peers, or as learned.
+def reference_run_s(task: Task, run_times: RunTimeEstimates) -> float | None:
+    """Return the seconds that a run should take at most on a normal worker.
 
-    Tasks of one step are alike, while the means of a queue say little about
-    a single job.
+    The median projection of the step's other runs is preferred, since the
+    tasks of a step are alike, while the mean of a queue says little about a
+    single job. Otherwise a multiple of the learned mean is used.
+
+    Returns:
+        The reference time, or None if there is nothing to compare with.
     """
-    peers = [
-        projected
+    sibling_projections_s = [
+        projected_s
         for other in task.stage.tasks
-        if other is not task and (projected := projected_s(other)) is not None
+        if other is not task and (projected_s := projected_run_s(other)) is not None
     ]
-    if peers:
-        return statistics.median(peers)
-    if not run_times.knows(task.stage):
+    if sibling_projections_s:
+        return statistics.median(sibling_projections_s)
+    if not run_times.has_observed(task.stage):
         return None
     return LONG_RUN_FACTOR * run_times.expected_s(task.stage)
 
@@ -94,62 +125,70 @@
 def update_worker_speed(
     worker: Worker, run_times: RunTimeEstimates, now: float
 ) -> None:
-    """Judge a worker by the progress of its runs."""
-    found = (_speed_ratio(task, run_times) for task in worker.tasks_by_key.values())
-    ratios = [ratio for ratio in found if ratio is not None]
+    """Update a worker's relative speed from the progress of its runs."""
+    run_ratios = (
+        _speed_ratio(task, run_times) for task in worker.tasks_by_key.values()
+    )
+    ratios = [ratio for ratio in run_ratios if ratio is not None]
     if ratios:
         worker.speed = statistics.median(ratios)
         worker.speed_at = now
-    elif now - worker.speed_at > SLOW_FORGET_S:
+    elif now - worker.speed_at > SLOW_RETRY_S:
         worker.speed = 1.0
 
 
 def _speed_ratio(task: Task, run_times: RunTimeEstimates) -> float | None:
-    """Return a run's speed as a share of what is usual, None if unclear."""
-    change = _change_of_rate(task)
-    if change is not None and change > RECOVERED_RATIO:
-        return change
-    projected = projected_s(task)
-    reference = reference_s(task, run_times) if projected is not None else None
-    if projected is None or reference is None:
-        return change
-    ratio = reference / projected
-    return ratio if change is None else min(ratio, change)
-
-
-def _change_of_rate(task: Task) -> float | None:
-    """Return a run's newest rate of progress as a share of its earlier rate.
-
-    A worker that turns slow, or recovers, shows it here first: the projected
-    time is a mean over the whole run.
+    """Return a run's speed relative to normal, None without enough data."""
+    rate_ratio = _rate_change(task)
+    if rate_ratio is not None and rate_ratio > RECOVERED_RATIO:
+        return rate_ratio
+    projected_s = projected_run_s(task)
+    reference_s = reference_run_s(task, run_times) if projected_s is not None else None
+    if projected_s is None or reference_s is None:
+        return rate_ratio
+    ratio = reference_s / projected_s
+    return ratio if rate_ratio is None else min(ratio, rate_ratio)
+
+
+def _rate_change(task: Task) -> float | None:
+    """Return a run's latest rate of progress relative to its earlier rate.
+
+    This detects a worker that becomes slow, or recovers, earlier than the
+    projected run time does, which averages over the whole run.
+
+    Returns:
+        The ratio, or None without sufficient progress data.
     """
-    spent = task.reported_at - task.rated_at
-    before = task.rated_at - task.started_at
+    elapsed_s = task.reported_at - task.rate_baseline_at
+    baseline_elapsed_s = task.rate_baseline_at - task.started_at
     if task.state != "running" or task.percent >= 100 or task.run_resumed:
         return None
-    if spent < MIN_ELAPSED_S or before < MIN_ELAPSED_S:
+    if elapsed_s < MIN_ELAPSED_S or baseline_elapsed_s < MIN_ELAPSED_S:
         return None
-    usual = task.rated_percent / before * spent
-    if usual < LEAST_STEP_PERCENT:
+    expected_percent = task.rate_baseline_percent / baseline_elapsed_s * elapsed_s
+    if expected_percent < MIN_EXPECTED_STEP_PERCENT:
         return None
-    return (task.percent - task.rated_percent) / usual
+    return (task.percent - task.rate_baseline_percent) / expected_percent
 
 
 def is_slow(worker: Worker) -> bool:
-    """Return whether a worker is far slower than the others."""
-    return worker.speed < SLOW_SPEED
+    """Return whether a worker's speed is far below normal."""
+    return worker.speed < SLOW_SPEED_RATIO
 
 
 def is_restart_worthwhile(task: Task, run_times: RunTimeEstimates) -> bool:
-    """Return whether a run ends sooner when started anew elsewhere."""
-    projected = projected_s(task)
-    reference = reference_s(task, run_times)
-    if projected is None or reference is None:
+    """Return whether a run would end much sooner if restarted elsewhere.
+
+    Services, and steps that were restarted too often, are not restarted.
+    """
+    projected_s = projected_run_s(task)
+    reference_s = reference_run_s(task, run_times)
+    if projected_s is None or reference_s is None:
         return False
-    if task.stage.restarts >= RESTARTS_LIMIT or task.stage.spec.service:
+    if task.stage.restarts >= MAX_SLOW_WORKER_RESTARTS or task.stage.spec.service:
         return False
-    left = projected * (100 - task.percent) / 100
-    return left > RESTART_GAIN * reference
+    remaining_s = projected_s * (100 - task.percent) / 100
+    return remaining_s > MIN_RESTART_GAIN * reference_s
 
 
 def _kind(stage: Stage) -> tuple[str, str]:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -32,21 +32,47 @@
     ),
     frozenset({"occupy", "release", "count_failure"}),
 )
-# For this long after a failure without a success, a worker gets runs last.
-# Above the time for which failing workers were seen to fail, some 7 s.
+# Time after a failure during which a worker without a later success is a
+# suspect and is chosen last. Failing workers were seen to fail for some 7 s.
 SUSPECT_S = 8.0
 PLACED_STATES = frozenset({"starting", "running", "stopping"})
 
 
 class Permit(NamedTuple):
-    """Leave to run a step on a worker until a steady-clock time."""
+    """Permission of the advice service to run a step on a worker.
+
+    Attributes:
+        ticket: Ticket to send with a start.
+        until: Steady-clock seconds until which the ticket may be used.
+    """
 
     ticket: str
     until: float
 
 
 class Task:
-    """One task and its newest run."""
+    """A task and its newest run.
+
+    Attributes:
+        key: Key of the task.
+        stage: Step of the task.
+        state: State in ``TASK_CHART``.
+        run: Number of the newest run, 0 before the first.
+        run_resumed: Whether the newest run resumed from a checkpoint.
+        worker_id: Worker of the newest run, "" before the first.
+        checkpoint: Newest checkpoint, "" if there is none.
+        failures: Number of failed runs.
+        failed_workers: Workers on which runs of the task failed.
+        started_at: Steady-clock seconds at which the newest run started.
+        percent: Reported progress of the newest run in percent.
+        progressed_at: Steady-clock seconds at which the progress last changed.
+        reported_at: Steady-clock seconds of the last report.
+        rate_baseline_at: Steady-clock seconds of an earlier report, from
+            which the latest rate of progress is computed.
+        rate_baseline_percent: Progress in that earlier report.
+        usage: Last reported usage; see ``RunReport``.
+        speed_percent: Throttled speed of a filling task in percent.
+    """
 
     __slots__ = (
         "checkpoint",
@@ -56,8 +82,8 @@
         "speed_percent",
         "percent",
         "progressed_at",
-        "rated_at",
-        "rated_percent",
+        "rate_baseline_at",
+        "rate_baseline_percent",
         "reported_at",
         "run",
         "run_resumed",
@@ -82,16 +108,15 @@
         self.percent = 0.0
         self.progressed_at = 0.0
         self.reported_at = 0.0
-        # An earlier report, for the rate of progress since.
-        self.rated_at = 0.0
-        self.rated_percent = 0.0
+        self.rate_baseline_at = 0.0
+        self.rate_baseline_percent = 0.0
         self.usage = 0.0
         self.speed_percent = 100
 
-    def begin(self, now: float) -> None:
-        """Take note that a run begins, or that a worker has confirmed it."""
+    def record_start(self, now: float) -> None:
+        """Reset the times of a run when it is placed or confirmed."""
         self.started_at = self.progressed_at = self.reported_at = now
-        self.rated_at, self.rated_percent = now, 0.0
+        self.rate_baseline_at, self.rate_baseline_percent = now, 0.0
 
     @property
     def placed(self) -> bool:
@@ -105,7 +130,22 @@
 
 
 class Stage:
-    """A step of one occurrence of a workflow."""
+    """A step in one occurrence of a workflow.
+
+    Attributes:
+        workflow: Progress of the workflow.
+        occurrence: Index of the occurrence.
+        index: Index of the step.
+        spec: Specification of the step.
+        ready_at: Steady-clock seconds at which the step became ready, None
+            before.
+        failed_runs: Numbers of the failed runs of a gang.
+        restarts: Number of runs that were stopped because of slow workers.
+        permits_by_worker: Permits of the advice service.
+        denied_workers: Workers that the advice service did not permit.
+        advice_pending: Whether a request to the advice service is unanswered.
+        tasks: All tasks of the step.
+    """
 
     __slots__ = (
         "denied_workers",
@@ -113,7 +153,7 @@
         "index",
         "occurrence",
         "permits_by_worker",
-        "question_open",
+        "advice_pending",
         "ready_at",
         "restarts",
         "spec",
@@ -131,7 +171,7 @@
         self.restarts = 0
         self.permits_by_worker: dict[str, Permit] = {}
         self.denied_workers: set[str] = set()
-        self.question_open = False
+        self.advice_pending = False
         self.tasks = [
             Task(TaskKey(workflow.workflow.workflow_id, occurrence, index, i), self)
             for i in range(self.spec.tasks)
@@ -139,12 +179,18 @@
 
     @property
     def done(self) -> bool:
-        """Whether all tasks ended as done."""
+        """Whether all tasks of the step are done."""
         return all(task.state == "done" for task in self.tasks)
 
 
 class Occurrence:
-    """One pass through the steps."""
+    """One execution of all steps of a workflow.
+
+    Attributes:
+        index: Index of the occurrence.
+        due_at: Unix seconds from which the steps may run.
+        stages: Steps of the occurrence.
+    """
 
     __slots__ = ("due_at", "index", "stages")
 
@@ -162,12 +208,21 @@
 
 
 class WorkflowProgress:
-    """A workflow and how far it has come.
+    """A workflow and the progress of its tasks.
 
     Attributes:
-        recorded_state: State in the newest stored record; callers see it
-            because a later one could be forgotten.
+        workflow: The workflow.
         accepted_mono: Steady-clock seconds of the acceptance.
+        cancelled: Whether the workflow was cancelled.
+        begun: Whether a run of the workflow was ever placed.
+        recorded_state: State in the newest stored record. It is reported to
+            callers because a later state is lost if the coordinator fails
+            before storing it.
+        ended_at: Steady-clock seconds at which the state became final, None
+            before.
+        wait_observed: Whether the waiting time was added to the metrics.
+        end_observed: Whether the end was added to the metrics.
+        occurrences: All occurrences.
     """
 
     __slots__ = (
@@ -197,13 +252,13 @@
         ]
 
     def tasks(self) -> Iterator[Task]:
-        """Iterate over all tasks."""
+        """Yield the tasks of all steps of all occurrences, in order."""
         for occurrence in self.occurrences:
             for stage in occurrence.stages:
                 yield from stage.tasks
 
     def find(self, key: TaskKey) -> Task | None:
-        """Return a task, or None for a key outside of the workflow."""
+        """Return the task of a key, None if its indexes are out of range."""
         try:
             stage = self.occurrences[key.occurrence].stages[key.step]
             return stage.tasks[key.index]
@@ -212,7 +267,7 @@
 
     @property
     def state(self) -> WorkflowState:
-        """The state as the engine knows it."""
+        """The current state, which may be newer than the recorded one."""
         if self.cancelled:
             return WorkflowState.CANCELLED
         states = {task.state for task in self.tasks()}
@@ -224,22 +279,31 @@
 
     @property
     def settled(self) -> bool:
-        """Whether the state is final and nothing is left on a worker."""
+        """Whether the state is final and no run is left on a worker."""
         return self.ended_at is not None and not any(
             task.placed for task in self.tasks()
         )
 
 
 class Worker:
-    """A worker, what it runs and how it behaves.
+    """A worker, its runs, and its measured speed and failures.
 
     Attributes:
         free: Capacity that is neither used nor claimed for a waiting step.
-        emptying: Its machine is about to be taken down for upkeep.
-        failures: Failed runs since the last run that was done here.
-        failed_at: Steady-clock seconds of the newest of them.
-        leaves_at: Steady-clock seconds until which a draining worker surely
-            stays, infinite for one that does not drain.
+        tasks_by_key: Tasks with a run on the worker.
+        listed: Whether the registry lists the worker.
+        reachable: Whether the worker answers.
+        emptying: Whether its machine is about to be taken down for upkeep.
+        failures: Number of failed runs since the last successful one.
+        failed_at: Steady-clock seconds of the newest failure.
+        quarantined_until: Steady-clock seconds until which the worker gets no
+            new runs.
+        leaves_at: Steady-clock seconds until which a draining worker is
+            guaranteed to stay, infinite if it does not drain.
+        speed: Speed relative to other workers, 1.0 for normal.
+        speed_at: Steady-clock seconds at which the speed was last measured.
+        throttled_at: Steady-clock seconds at which the speed of its filling
+            tasks was last changed.
     """
 
     __slots__ = (
@@ -279,54 +343,57 @@
 
     @property
     def facts(self) -> WorkerFacts:
-        """What the registry says."""
+        """Registry entry; setting it updates the free capacity."""
         return self._facts
 
     @facts.setter
     def facts(self, facts: WorkerFacts) -> None:
         self._facts = facts
-        self._count_free()
+        self._update_free()
 
     def add(self, task: Task) -> None:
-        """Take capacity for a run."""
+        """Add a task and count its resources as used."""
         self.tasks_by_key[task.key] = task
         self._used = self._used.plus(resources_used(task.stage.spec))
-        self._count_free()
+        self._update_free()
 
     def remove(self, task: Task) -> None:
-        """Give the capacity of a run back, if it has any."""
+        """Remove a task and free its resources; unknown tasks are ignored."""
         if self.tasks_by_key.pop(task.key, None) is not None:
             self._used = self._used.minus(resources_used(task.stage.spec))
-            self._count_free()
+            self._update_free()
 
     def claim(self, amount: Resources) -> None:
-        """Keep capacity for a waiting step until the next planning pass."""
+        """Reserve capacity until the next planning pass."""
         self._claimed = self._claimed.plus(amount)
-        self._count_free()
+        self._update_free()
 
     def clear_claims(self) -> None:
-        """Drop the claims of the last planning pass."""
+        """Release the capacity that the last planning pass claimed."""
         if self._claimed is not NO_RESOURCES:
             self._claimed = NO_RESOURCES
-            self._count_free()
+            self._update_free()
 
-    def _count_free(self) -> None:
-        # Planning reads this for each worker and step, so it is kept.
+    def _update_free(self) -> None:
+        # Cached, because planning reads it for each pair of worker and step.
         self.free = self._facts.capacity.minus(self._used).minus(self._claimed)
 
     def update_leave_time(self, now: float) -> None:
-        """Take over from the facts how long the worker stays."""
+        """Update ``leaves_at`` from the registry entry.
+
+        The time is computed once, when the worker starts to drain.
+        """
         if not self.facts.draining:
             self.leaves_at = math.inf
         elif math.isinf(self.leaves_at):
             self.leaves_at = now + self.facts.remaining_s
 
     def is_suspect(self, now: float) -> bool:
-        """Return whether the newest run that ended here failed, lately."""
+        """Return whether a run failed recently and none succeeded since."""
         return self.failures > 0 and now - self.failed_at < SUSPECT_S
 
     def usable(self, now: float) -> bool:
-        """Return whether new runs may be sent here."""
+        """Return whether new runs may be placed on the worker."""
         return (
             self.listed
             and self.reachable
@@ -337,7 +404,10 @@
 
 
 def resources_used(spec: StepSpec) -> Resources:
-    """Return what a task counts against its worker's capacity."""
+    """Return the resources that a task counts against a worker's capacity.
+
+    Filling tasks use only idle processor time, so they count none of it.
+    """
     if spec.fills:
         return spec.demand._replace(cpu_millis=0)
     return spec.demand
--- a/src/redwingrudder/workflows/supervision.py
+++ b/src/redwingrudder/workflows/supervision.py
@@ -1,4 +1,4 @@
-"""Running tasks that should run elsewhere."""
+"""Detection of runs that should be stopped and restarted elsewhere."""
 
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
@@ -12,21 +12,22 @@
 )
 from .state import Task, Worker
 
-# A run whose progress stands still this long is stuck. Progress comes in
-# whole percents, so long runs are given a share of their time.
+# A run without progress for this time is stuck. Progress is reported in whole
+# percents, so a run may also take this share of its run time for each change.
 STUCK_S = 3.0
-STUCK_SHARE = 0.1
-# Time for the end of a run to be listed before its worker is gone.
-EVACUATION_MARGIN_S = 0.3
+STUCK_RUN_SHARE = 0.1
+# Time needed for the end of a run to be reported before its worker leaves.
+END_REPORT_MARGIN_S = 0.3
 
 
 class RunInterruption(NamedTuple):
-    """A run to stop.
+    """A run to stop, with the reason.
 
     Attributes:
-        task: The task of the run.
-        reason: For the log: "no_progress", "slow_worker" or "worker_leaves".
-        counts_against_worker: Counts as a failure of the worker.
+        task: Task of the run.
+        reason: Cause, for the log: "no_progress", "slow_worker" or
+            "worker_leaves".
+        counts_against_worker: Whether to count a failure of the worker.
     """
 
     task: Task
@@ -37,7 +38,7 @@
 def runs_to_interrupt(
     workers: Iterable[Worker], run_times: RunTimeEstimates, now: float
 ) -> Iterator[RunInterruption]:
-    """Yield the runs to stop, so that their tasks start elsewhere.
+    """Yield the runs to stop so that their tasks can run elsewhere.
 
     Args:
         workers: All known workers.
@@ -57,18 +58,20 @@
 
 
 def is_stuck(task: Task, worker: Worker, run_times: RunTimeEstimates) -> bool:
-    """Return whether a run's progress stands still.
+    """Return whether a run has made no progress for too long.
 
-    A gang's member at 100 percent waits for the slower ones.
+    A run at 100 percent is never stuck: it may be a member of a gang that
+    waits for the slower members. Nor is the run of an unreachable worker,
+    which sends no reports.
     """
     if task.stage.spec.service or not worker.reachable or task.percent >= 100:
         return False
-    whole_s = run_times.expected_s(task.stage)
+    run_time_s = run_times.expected_s(task.stage)
     if task.percent >= MIN_PROGRESS_PERCENT:
-        worked_s = task.progressed_at - task.started_at
-        whole_s = max(whole_s, worked_s * 100 / task.percent)
-    patience_s = max(STUCK_S, STUCK_SHARE * whole_s)
-    return task.reported_at - task.progressed_at > patience_s
+        elapsed_s = task.progressed_at - task.started_at
+        run_time_s = max(run_time_s, elapsed_s * 100 / task.percent)
+    stuck_after_s = max(STUCK_S, STUCK_RUN_SHARE * run_time_s)
+    return task.reported_at - task.progressed_at > stuck_after_s
 
 
 def ends_after_worker_leaves(
@@ -76,9 +79,10 @@
 ) -> bool:
     """Return whether a run would be lost when its draining worker leaves.
 
-    A stop saves what can be saved, and the task starts elsewhere sooner.
+    Stopping it before that saves its checkpoint, if any, and lets the task
+    start elsewhere sooner.
     """
     if not worker.facts.draining:
         return False
-    stay_s = worker.leaves_at - now - EVACUATION_MARGIN_S
+    stay_s = worker.leaves_at - now - END_REPORT_MARGIN_S
     return task.stage.spec.service or remaining_run_s(task, run_times, now) > stay_s
--- a/src/redwingrudder/workflows/throttling.py
+++ b/src/redwingrudder/workflows/throttling.py
@@ -1,4 +1,4 @@
-"""How fast filling tasks work beside tasks with a latency target."""
+"""Speed of filling tasks beside services with a latency target."""
 
 import abc
 from collections.abc import Callable, Iterable
@@ -6,34 +6,51 @@
 
 from .state import Task, Worker
 
-# Between the two shares nothing changes, so that the speed does not swing.
-LOWER_ABOVE = 0.85  # of the target
-RAISE_BELOW = 0.6
-LOWER_FACTOR = 0.4  # harm is counted from a few seconds on, so back off fast
-RAISE_STEP = 15  # percent
-RAISE_AFTER_S = 1.5  # of calm; usage figures cover half a second
-LOWER_AFTER_S = 0.6  # for the last change to show in the figures
-STOPPED_BELOW = 8  # percent under which the speed is set to 0
+# Shares of the latency target above which filling tasks are slowed down, and
+# below which they are sped up. The gap between them prevents oscillation.
+LOWER_ABOVE_TARGET_SHARE = 0.85
+RAISE_BELOW_TARGET_SHARE = 0.6
+# Latency violations count once they last a few seconds, so the speed is
+# lowered in large steps.
+LOWER_FACTOR = 0.4
+RAISE_STEP_PERCENT = 15
+# Time since the last change after which the speed may be raised. Usage figures
+# cover half a second.
+RAISE_AFTER_S = 1.5
+# Time since the last change after which the speed may be lowered again, so
+# that the usage figures reflect that change.
+LOWER_AFTER_S = 0.6
+# A speed below this is set to 0.
+STOP_BELOW_PERCENT = 8
 FULL_SPEED_PERCENT = 100
 
 
 class ThrottleChange(NamedTuple):
-    """A task's new share of its speed in percent."""
+    """A new speed of a filling task, in percent of its full speed."""
 
     task: Task
     percent: int
 
 
 class ThrottlePolicy(abc.ABC):
-    """Decides on the speed of filling tasks."""
+    """Controls the speed of filling tasks."""
 
     @abc.abstractmethod
     def changes(self, worker: Worker, now: float) -> Iterable[ThrottleChange]:
-        """Return the changes on one worker."""
+        """Return the speed changes to apply on a worker now.
+
+        Args:
+            worker: The worker.
+            now: Steady-clock seconds.
+        """
 
 
 class LatencyTargetPolicy(ThrottlePolicy):
-    """Lowers the speed while a target is nearly missed, raises it later."""
+    """Lowers the speed while a service is close to its latency target.
+
+    The service with the highest latency relative to its target decides. The
+    speed is raised again in steps while that latency is low.
+    """
 
     def changes(self, worker: Worker, now: float) -> Iterable[ThrottleChange]:
         """See base class."""
@@ -49,18 +66,18 @@
         ]
         if not filling:
             return []
-        load = max(
+        latency_ratio = max(
             (task.usage / task.stage.spec.latency_target_ms for task in serving),
             default=0.0,
         )
-        since = now - worker.throttled_at
-        if load > LOWER_ABOVE and since > LOWER_AFTER_S:
-            return self._set(worker, filling, now, _lower)
-        if load < RAISE_BELOW and since > RAISE_AFTER_S:
-            return self._set(worker, filling, now, _raise)
+        since_change_s = now - worker.throttled_at
+        if latency_ratio > LOWER_ABOVE_TARGET_SHARE and since_change_s > LOWER_AFTER_S:
+            return self._apply_rule(worker, filling, now, _lower)
+        if latency_ratio < RAISE_BELOW_TARGET_SHARE and since_change_s > RAISE_AFTER_S:
+            return self._apply_rule(worker, filling, now, _raise)
         return []
 
-    def _set(
+    def _apply_rule(
         self,
         worker: Worker,
         filling: list[Task],
@@ -79,8 +96,8 @@
 
 def _lower(speed_percent: int) -> int:
     lowered = int(speed_percent * LOWER_FACTOR)
-    return lowered if lowered >= STOPPED_BELOW else 0
+    return lowered if lowered >= STOP_BELOW_PERCENT else 0
 
 
 def _raise(speed_percent: int) -> int:
-    return min(speed_percent + RAISE_STEP, FULL_SPEED_PERCENT)
+    return min(speed_percent + RAISE_STEP_PERCENT, FULL_SPEED_PERCENT)
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -7,7 +7,7 @@
 from . import workflow_fixtures as fx
 
 
-class LifeTests(unittest.TestCase):
+class LifecycleTests(unittest.TestCase):
     """A workflow from acceptance to its end."""
 
     def test_steps_run_in_order(self):
@@ -27,11 +27,11 @@
         """Guards against a workflow shown as done while a task runs."""
         engine = fx.engine()
         progress = engine.accept(fx.workflow("job", fx.step(2)), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        engine.end(begun[0].worker_id, fx.ended(begun[0]), 1.0)
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        engine.end(starts[0].worker_id, fx.ended(starts[0]), 1.0)
         self.assertIs(progress.state, WorkflowState.RUNNING)
-        engine.end(begun[1].worker_id, fx.ended(begun[1]), 1.0)
+        engine.end(starts[1].worker_id, fx.ended(starts[1]), 1.0)
         self.assertIs(progress.state, WorkflowState.DONE)
         self.assertIs(progress.recorded_state, WorkflowState.QUEUED)
 
@@ -40,10 +40,10 @@
         engine = fx.engine()
         progress = engine.accept(fx.workflow(attempts=2), 0.0)
         for number in (1, 2):
-            begun = fx.starts(engine.plan(0.0, 0.0))
-            fx.confirm(engine, begun)
-            end = fx.ended(begun[0], EndKind.FAILED, number)
-            engine.end(begun[0].worker_id, end, 0.0)
+            starts = fx.starts(engine.plan(0.0, 0.0))
+            fx.confirm(engine, starts)
+            end = fx.ended(starts[0], EndKind.FAILED, number)
+            engine.end(starts[0].worker_id, end, 0.0)
         self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
         self.assertIs(progress.state, WorkflowState.FAILED)
 
@@ -51,11 +51,11 @@
         """Guards against a failed state without failed runs."""
         engine = fx.engine()
         progress = engine.accept(fx.workflow(attempts=1), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        engine.end(begun[0].worker_id, fx.ended(begun[0], EndKind.LAPSED), 0.0)
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        engine.end(starts[0].worker_id, fx.ended(starts[0], EndKind.LAPSED), 0.0)
         again = fx.starts(engine.plan(0.0, 0.0))
-        self.assertGreater(again[0].run, begun[0].run)
+        self.assertGreater(again[0].run, starts[0].run)
         self.assertIs(progress.state, WorkflowState.RUNNING)
 
     def test_end_of_an_older_run_changes_nothing(self):
@@ -75,12 +75,12 @@
         """Guards against runs of a cancelled workflow that go on."""
         engine = fx.engine(fx.worker("w1"))
         progress = engine.accept(fx.workflow("job", fx.step(20)), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
         engine.cancel("job", 1.0)
         stopped = fx.stops(engine.plan(1.0, 1.0))
-        self.assertEqual({s.key for s in stopped}, {s.key for s in begun})
-        for number, start in enumerate(begun, 1):
+        self.assertEqual({s.key for s in stopped}, {s.key for s in starts})
+        for number, start in enumerate(starts, 1):
             end = fx.ended(start, EndKind.STOPPED, number)
             engine.end(start.worker_id, end, 1.1)
         self.assertEqual(fx.starts(engine.plan(2.0, 2.0)), [])
@@ -91,16 +91,16 @@
 class GangTests(unittest.TestCase):
     """Gangs run as a whole or not at all."""
 
-    def test_gang_waits_for_room_for_all(self):
+    def test_gang_waits_for_capacity_for_all(self):
         """Guards against members that start alone."""
         engine = fx.engine(fx.worker("w1"))
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 0.0)
         self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
         engine.set_worker(fx.worker("w2"), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        self.assertEqual(len({s.run for s in begun}), 1)
-        self.assertEqual(len(begun), 2)
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        self.assertEqual(len({s.run for s in starts}), 1)
+        self.assertEqual(len(starts), 2)
 
     def test_rejected_member_stops_the_others(self):
         """Guards against members that wait until they end alone."""
@@ -118,9 +118,9 @@
         engine = fx.engine()
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         progress = engine.accept(fx.workflow("job", gang, attempts=2), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        for number, start in enumerate(begun, 1):
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        for number, start in enumerate(starts, 1):
             end = fx.ended(start, EndKind.FAILED, number)
             engine.end(start.worker_id, end, 0.0)
         self.assertIs(progress.state, WorkflowState.RUNNING)
@@ -130,10 +130,10 @@
         engine = fx.engine()
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         progress = engine.accept(fx.workflow("job", gang), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        engine.end(begun[0].worker_id, fx.ended(begun[0]), 1.0)
-        engine.interrupt_worker(begun[1].worker_id, 1.0, "lease_lapsed")
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        engine.end(starts[0].worker_id, fx.ended(starts[0]), 1.0)
+        engine.interrupt_worker(starts[1].worker_id, 1.0, "lease_lapsed")
         self.assertIs(progress.state, WorkflowState.DONE)
 
     def test_member_that_waits_at_the_end_is_not_stuck(self):
@@ -157,10 +157,10 @@
         engine = fx.engine()
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         progress = engine.accept(fx.workflow("job", gang), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
         engine.cancel("job", 1.0)
-        first, second = begun
+        first, second = starts
         engine.end(first.worker_id, fx.ended(first, EndKind.STOPPED), 1.1)
         engine.end(second.worker_id, fx.ended(second), 1.2)
         self.assertIs(progress.state, WorkflowState.CANCELLED)
@@ -193,7 +193,7 @@
         again = fx.starts(engine.plan(1.0, 1.0))
         self.assertGreater(again[0].run, first[0].run)
 
-    def test_unanswered_start_outlives_its_workers_life(self):
+    def test_unanswered_start_is_kept_after_worker_restart(self):
         """Guards against a start that reaches a worker's next incarnation."""
         engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
         engine.accept(fx.workflow(), 0.0)
@@ -216,13 +216,13 @@
         engine = fx.engine(fx.worker("w1"))
         for name in ("a", "b"):
             engine.accept(fx.workflow(name, attempts=3), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        for number, start in enumerate(begun, 1):
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        for number, start in enumerate(starts, 1):
             engine.end("w1", fx.ended(start, EndKind.FAILED, number), 0.1)
         self.assertEqual(fx.starts(engine.plan(0.2, 0.2)), [])
 
-    def test_standing_progress_is_stopped(self):
+    def test_run_without_progress_is_stopped(self):
         """Guards against a run that hangs for ever."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow(), 0.0)
@@ -244,7 +244,7 @@
             engine.supervise(now)
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
-    def test_last_attempt_waits_for_a_sound_worker(self):
+    def test_last_attempt_waits_for_a_reliable_worker(self):
         """Guards against attempts that are used up on a worker that fails."""
         engine = fx.engine()
         for name in ("a", "b"):
@@ -262,12 +262,12 @@
         """Guards against a job that waits for ever after a failure."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow(), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        engine.end("w1", fx.ended(begun[0], EndKind.FAILED), 0.1)
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        engine.end("w1", fx.ended(starts[0], EndKind.FAILED), 0.1)
         self.assertEqual(len(fx.starts(engine.plan(0.2, 0.2))), 1)
 
-    def test_start_in_flight_survives_a_silence(self):
+    def test_start_in_flight_survives_an_outage_of_its_worker(self):
         """Guards against a second run beside a start that is sent again.
 
         Soak seed 600: the worker fell silent and answered a poll while the
@@ -275,11 +275,11 @@
         """
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow("job", fx.step(2)), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        engine.start_confirmed(begun[0].key, begun[0].run, 0.1)
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        engine.start_confirmed(starts[0].key, starts[0].run, 0.1)
         engine.reconcile("w1", set(), False, 0.5)
         again = fx.starts(engine.plan(0.6, 0.6))
-        self.assertEqual([start.key for start in again], [begun[0].key])
+        self.assertEqual([start.key for start in again], [starts[0].key])
 
     def test_run_that_is_not_listed_after_a_takeover_starts_again(self):
         """Guards against a recorded run that was never sent."""
@@ -295,36 +295,36 @@
 class SpeedTests(unittest.TestCase):
     """Workers that are far slower than the others."""
 
-    def test_member_on_a_slow_worker_moves(self):
+    def test_member_on_a_slow_worker_is_restarted_elsewhere(self):
         """Guards against a gang that waits for its slowest worker."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
         gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        for start, percent in zip(begun, (20.0, 20.0, 3.0), strict=True):
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        for start, percent in zip(starts, (20.0, 20.0, 3.0), strict=True):
             engine.report(start.worker_id, [fx.running(start, percent)], 1.0)
         engine.supervise(1.0)
         self.assertEqual(len(fx.stops(engine.take_effects())), 3)
-        for number, start in enumerate(begun, 1):
+        for number, start in enumerate(starts, 1):
             end = fx.ended(start, EndKind.STOPPED, number)
             engine.end(start.worker_id, end, 1.2)
         again = fx.starts(engine.plan(1.2, 1.2))
-        self.assertNotIn(begun[2].worker_id, {s.worker_id for s in again})
+        self.assertNotIn(starts[2].worker_id, {s.worker_id for s in again})
 
-    def test_even_progress_moves_nothing(self):
+    def test_small_speed_differences_restart_nothing(self):
         """Guards against work thrown away on ordinary workers."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
         gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        for start, percent in zip(begun, (20.0, 25.0, 16.0), strict=True):
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        for start, percent in zip(starts, (20.0, 25.0, 16.0), strict=True):
             engine.report(start.worker_id, [fx.running(start, percent)], 1.0)
         engine.supervise(1.0)
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
-    def test_long_job_stays_on_a_sound_worker(self):
+    def test_long_job_stays_on_a_worker_of_normal_speed(self):
         """Guards against restarts of a job longer than its queue's mean.
 
         The mean is 2 s; one member has reported, and it needs 6 s.
@@ -336,14 +336,14 @@
         engine.end(short[0].worker_id, fx.ended(short[0]), 3.0)
         gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 3.0)
-        begun = fx.starts(engine.plan(3.0, 3.0))
-        fx.confirm(engine, begun, 3.0)
-        engine.report(begun[0].worker_id, [fx.running(begun[0], 16.0)], 4.0)
+        starts = fx.starts(engine.plan(3.0, 3.0))
+        fx.confirm(engine, starts, 3.0)
+        engine.report(starts[0].worker_id, [fx.running(starts[0], 16.0)], 4.0)
         engine.supervise(4.0)
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
-    def report_all(self, engine, begun, percents, now):
-        for start, percent in zip(begun, percents, strict=True):
+    def report_all(self, engine, starts, percents, now):
+        for start, percent in zip(starts, percents, strict=True):
             engine.report(start.worker_id, [fx.running(start, percent)], now)
 
     def test_worker_that_turns_slow_is_avoided(self):
@@ -351,58 +351,58 @@
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
         for name in ("a", "b", "c"):
             engine.accept(fx.workflow(name, fx.step(1, fx.WHOLE_WORKER)), 1.0)
-        begun = fx.starts(engine.plan(1.0, 1.0))
-        fx.confirm(engine, begun, 1.0)
-        self.report_all(engine, begun, (20.0, 20.0, 20.0), 2.0)
-        self.report_all(engine, begun, (40.0, 40.0, 40.0), 3.0)
-        self.report_all(engine, begun, (60.0, 60.0, 43.0), 4.0)
-        self.assertLess(engine.workers_by_id[begun[2].worker_id].speed, 0.3)
+        starts = fx.starts(engine.plan(1.0, 1.0))
+        fx.confirm(engine, starts, 1.0)
+        self.report_all(engine, starts, (20.0, 20.0, 20.0), 2.0)
+        self.report_all(engine, starts, (40.0, 40.0, 40.0), 3.0)
+        self.report_all(engine, starts, (60.0, 60.0, 43.0), 4.0)
+        self.assertLess(engine.workers_by_id[starts[2].worker_id].speed, 0.3)
         engine.accept(fx.workflow("urgent", fx.step(3), priority=0), 4.0)
         stopped = [s.worker_id for s in fx.stops(engine.plan(4.0, 4.0))]
         self.assertEqual(len(stopped), 1)
-        self.assertNotIn(begun[2].worker_id, stopped)
+        self.assertNotIn(starts[2].worker_id, stopped)
 
     def test_worker_that_recovers_is_used(self):
         """Guards against a worker that is avoided after it was slow."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
         engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 1.0)
-        begun = fx.starts(engine.plan(1.0, 1.0))
-        fx.confirm(engine, begun, 1.0)
-        self.report_all(engine, begun, (20.0, 20.0, 5.0), 2.0)
-        self.report_all(engine, begun, (40.0, 40.0, 10.0), 3.0)
-        slow = engine.workers_by_id[begun[2].worker_id]
+        starts = fx.starts(engine.plan(1.0, 1.0))
+        fx.confirm(engine, starts, 1.0)
+        self.report_all(engine, starts, (20.0, 20.0, 5.0), 2.0)
+        self.report_all(engine, starts, (40.0, 40.0, 10.0), 3.0)
+        slow = engine.workers_by_id[starts[2].worker_id]
         self.assertLess(slow.speed, 0.45)
-        self.report_all(engine, begun, (60.0, 60.0, 30.0), 4.0)
+        self.report_all(engine, starts, (60.0, 60.0, 30.0), 4.0)
         self.assertGreater(slow.speed, 0.45)
 
 
 class EvacuationTests(unittest.TestCase):
     """Runs on workers that drain."""
 
-    def evacuated(self, percent, remaining_s=2.0):
+    def stops_after_drain(self, percent, remaining_s=2.0):
         """Return the stops after 1 s of work on a worker that leaves."""
         engine = fx.engine()
         engine.accept(fx.workflow("job", fx.step(2)), 1.0)
-        begun = fx.starts(engine.plan(1.0, 1.0))
-        fx.confirm(engine, begun, 1.0)
-        for start in begun:
+        starts = fx.starts(engine.plan(1.0, 1.0))
+        fx.confirm(engine, starts, 1.0)
+        for start in starts:
             engine.report(start.worker_id, [fx.running(start, percent)], 2.0)
-        leaving = fx.worker(begun[0].worker_id, draining=True, remaining_s=remaining_s)
+        leaving = fx.worker(starts[0].worker_id, draining=True, remaining_s=remaining_s)
         engine.set_worker(leaving, 2.0)
         engine.supervise(2.0)
         return fx.stops(engine.take_effects()), leaving.worker_id
 
-    def test_run_that_outlasts_its_worker_moves(self):
+    def test_run_that_ends_after_its_worker_leaves_is_stopped(self):
         """Guards against work that is lost when its worker leaves."""
-        stopped, worker_id = self.evacuated(10.0)
+        stopped, worker_id = self.stops_after_drain(10.0)
         self.assertTrue(stopped)
         self.assertEqual({stop.worker_id for stop in stopped}, {worker_id})
 
-    def test_run_that_ends_in_time_stays(self):
+    def test_run_that_ends_before_its_worker_leaves_is_kept(self):
         """Guards against work thrown away although its worker still stays."""
-        self.assertEqual(self.evacuated(50.0)[0], [])
+        self.assertEqual(self.stops_after_drain(50.0)[0], [])
 
-    def test_new_life_does_not_leave(self):
+    def test_restart_clears_the_leave_time(self):
         """Guards against a drain that outlives its worker's incarnation."""
         engine = fx.engine()
         engine.set_worker(fx.worker("w1", draining=True, remaining_s=1.0), 0.0)
@@ -416,7 +416,7 @@
 class AdviceTests(unittest.TestCase):
     """Queues whose policy allows only some workers."""
 
-    def advised(self):
+    def plan_with_advice(self):
         engine = fx.engine()
         job = fx.workflow()
         engine.accept(job._replace(policy=job.policy._replace(advised=True)), 0.0)
@@ -424,16 +424,16 @@
 
     def test_no_start_without_a_permit(self):
         """Guards against starts on workers that the policy does not allow."""
-        engine, effects = self.advised()
+        engine, effects = self.plan_with_advice()
         self.assertEqual(fx.starts(effects), [])
         self.assertIsInstance(effects[0], AskAdvice)
         engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
-        begun = fx.starts(engine.plan(0.1, 0.1))
-        self.assertEqual([(s.worker_id, s.ticket) for s in begun], [("w2", "ticket")])
+        starts = fx.starts(engine.plan(0.1, 0.1))
+        self.assertEqual([(s.worker_id, s.ticket) for s in starts], [("w2", "ticket")])
 
     def test_permit_is_not_used_at_its_end(self):
         """Guards against a start that arrives after its permit expired."""
-        engine, effects = self.advised()
+        engine, effects = self.plan_with_advice()
         engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
         effects = engine.plan(2.9, 2.9)
         self.assertEqual(fx.starts(effects), [])
@@ -441,7 +441,7 @@
 
     def test_unanswered_question_is_asked_again(self):
         """Guards against a queue that stands still after one lost answer."""
-        engine, effects = self.advised()
+        engine, effects = self.plan_with_advice()
         self.assertEqual(engine.plan(0.1, 0.1), [])
         engine.record_advice(effects[0], None, 0.0, 0.0)
         self.assertIsInstance(engine.plan(0.2, 0.2)[0], AskAdvice)
@@ -450,46 +450,46 @@
 class ServiceTests(unittest.TestCase):
     """Tasks that run until they are cancelled, and tasks that fill."""
 
-    def shared(self):
+    def build_shared_worker(self):
         engine = fx.engine(fx.worker("w1"))
         serving = fx.step(service=True, latency_target_ms=100)
         engine.accept(fx.workflow("serve", serving), 0.0)
         engine.accept(fx.workflow("fill", fx.step(fills=True)), 0.0)
-        begun = fx.starts(engine.plan(0.0, 0.0))
-        fx.confirm(engine, begun)
-        return engine, {start.key.workflow_id: start for start in begun}
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, starts)
+        return engine, {start.key.workflow_id: start for start in starts}
 
     def test_ended_service_task_starts_again(self):
         """Guards against a service that is called done or failed."""
-        engine, begun = self.shared()
+        engine, starts = self.build_shared_worker()
         for number, kind in enumerate((EndKind.DONE, EndKind.FAILED) * 3, 1):
-            end = fx.ended(begun["serve"], kind, number)
+            end = fx.ended(starts["serve"], kind, number)
             engine.end("w1", end, 1.0)
             start = fx.starts(engine.plan(1.0, 1.0))[0]
             fx.confirm(engine, [start])
-            begun["serve"] = start
+            starts["serve"] = start
         self.assertEqual(start.key.workflow_id, "serve")
 
-    def test_pace_falls_while_the_target_is_missed(self):
+    def test_speed_falls_while_the_target_is_missed(self):
         """Guards against filling tasks that harm a service for long."""
-        engine, begun = self.shared()
-        paces = []
+        engine, starts = self.build_shared_worker()
+        speeds_percent = []
         for step in range(8):
             now = 1.0 + step * 0.5
-            tail = fx.running(begun["serve"], 100.0)._replace(usage=150.0)
-            engine.report("w1", [tail, fx.running(begun["fill"], now)], now)
+            service_report = fx.running(starts["serve"], 100.0)._replace(usage=150.0)
+            engine.report("w1", [service_report, fx.running(starts["fill"], now)], now)
             engine.throttle(now)
-            paces.extend(effect.percent for effect in engine.take_effects())
-        self.assertEqual(paces, [40, 16, 0])
+            speeds_percent.extend(effect.percent for effect in engine.take_effects())
+        self.assertEqual(speeds_percent, [40, 16, 0])
 
-    def test_pace_rises_again_in_steps(self):
+    def test_speed_rises_again_in_steps(self):
         """Guards against filling tasks that stay stopped for ever."""
-        engine, begun = self.shared()
-        task = engine.workflows_by_id["fill"].find(begun["fill"].key)
+        engine, starts = self.build_shared_worker()
+        task = engine.workflows_by_id["fill"].find(starts["fill"].key)
         task.speed_percent = 40
         for now in (2.0, 4.0, 6.0):
-            tail = fx.running(begun["serve"], 100.0)._replace(usage=20.0)
-            engine.report("w1", [tail], now)
+            service_report = fx.running(starts["serve"], 100.0)._replace(usage=20.0)
+            engine.report("w1", [service_report], now)
             engine.throttle(now)
         self.assertEqual(task.speed_percent, 85)
 
@@ -513,7 +513,7 @@
         self.assertEqual(len({stop.key.workflow_id for stop in stopped}), 1)
         self.assertEqual(len(stopped), 3)
 
-    def test_every_urgent_task_gets_its_room(self):
+    def test_every_urgent_task_gets_capacity(self):
         """Guards against tasks that wait for room which no stop frees.
 
         One stopped run makes room for several tasks; the later ones need
@@ -541,8 +541,8 @@
         self.assertEqual(len(fx.stops(effects)), 8)
         for number, start in enumerate(slow, 1):
             engine.end("w1", fx.ended(start, EndKind.STOPPED, number), 1.2)
-        begun = fx.starts(engine.plan(1.2, 1.2))
-        self.assertEqual([s.key.workflow_id for s in begun], ["fast"])
+        starts = fx.starts(engine.plan(1.2, 1.2))
+        self.assertEqual([s.key.workflow_id for s in starts], ["fast"])
 
     def test_guarantee_goes_before_other_urgent_work(self):
         """Guards against a guarantee that another organisation occupies."""
@@ -555,7 +555,7 @@
         engine.accept(fx.workflow("b", own, priority=0, organisation="owner"), 1.0)
         self.assertEqual(len(fx.stops(engine.plan(1.0, 1.0))), 8)
 
-    def test_room_is_kept_for_a_large_step(self):
+    def test_capacity_is_kept_for_a_large_step(self):
         """Guards against small steps that starve a large one."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow("small", fx.step(4)), 0.0)
--- a/tests/workflow_fixtures.py
+++ b/tests/workflow_fixtures.py
@@ -46,10 +46,10 @@
 
 
 def engine(*workers):
-    made = Engine()
+    engine = Engine()
     for facts in workers or (worker("w1"), worker("w2")):
-        made.set_worker(facts, 0.0)
-    return made
+        engine.set_worker(facts, 0.0)
+    return engine
 
 
 def starts(effects):
@@ -60,10 +60,10 @@
     return [effect for effect in effects if isinstance(effect, StopRun)]
 
 
-def confirm(made, effects, now=0.0):
+def confirm(engine, effects, now=0.0):
     """Let the workers accept all starts."""
     for start in starts(effects):
-        made.start_confirmed(start.key, start.run, now)
+        engine.start_confirmed(start.key, start.run, now)
 
 
 def ended(start, kind=EndKind.DONE, number=1, checkpoint=""):
