Say in the workflow tests which failure each one guards against

The heads of the tests used figurative wording. They now name the failure in plain terms; methods and assertions are the same. Thresholds that the engine still compared as literals (urgent priority, complete progress, the number of workers on which a task failed) have names of the same value.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -47,7 +47,7 @@
 
     Attributes:
         guaranteed_by_organisation: Number of accelerators guaranteed to the
-            priority-0 workflows of each organisation.
+            urgent workflows of each organisation.
     """
 
     def __init__(self, planner: Planner | None = None) -> None:
--- a/src/redwingrudder/workflows/maintenance.py
+++ b/src/redwingrudder/workflows/maintenance.py
@@ -6,7 +6,7 @@
 
 from ..statecharts import load_chart
 from .placement import remaining_run_s, stop_cost
-from .run_times import RunTimeEstimates
+from .run_times import COMPLETE_PERCENT, RunTimeEstimates
 from .state import Task, Worker
 
 UPKEEP_CHART = load_chart(
@@ -196,7 +196,7 @@
 
 def _is_serving(task: Task) -> bool:
     # A service task reports 100 percent while it serves requests.
-    return task.state == "running" and task.percent >= 100
+    return task.state == "running" and task.percent >= COMPLETE_PERCENT
 
 
 def _total_stop_cost(worker: Worker | None, now: float) -> float:
--- a/src/redwingrudder/workflows/ordering.py
+++ b/src/redwingrudder/workflows/ordering.py
@@ -66,7 +66,8 @@
     Within a priority, steps that are on time come first, the one with the
     least slack before the others. Steps that are late but still earn reduced
     credit follow, and steps too late for any credit come last; both groups
-    are sorted by the smallest amount of work.
+    are sorted by the smallest amount of work. Services always count as on
+    time.
 
     Args:
         run_times: Expected run times.
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -26,10 +26,12 @@
 from .run_times import RunTimeEstimates, is_slow
 from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
-# Rank of priority-0 work that fits its organisation's guarantee. It is placed
+# Priority of urgent queues.
+URGENT_PRIORITY = 0
+# Rank of urgent work that fits its organisation's guarantee. It is placed
 # before, and may preempt, all other work.
 GUARANTEED_RANK = -1
-# A step with a priority number of 1 or more may preempt less urgent work only
+# A step that is not of an urgent queue may preempt less urgent work only
 # when it is still on time and its slack is below this.
 PREEMPT_SLACK_S = 2.0
 # Number of waiting steps for which a pass reserves capacity. Reserving for
@@ -82,7 +84,7 @@
             progress: Workflows that have not ended.
             workers: All known workers.
             guaranteed_by_organisation: Number of accelerators guaranteed to
-                the priority-0 workflows of each organisation.
+                the urgent workflows of each organisation.
             now: Steady-clock seconds.
             wall: Unix seconds, for occurrences with a due time.
         """
@@ -256,8 +258,9 @@
     def _near_data(self, stage: Stage, candidates: list[Worker]) -> list[Worker]:
         """Return the workers in the data's rack while waiting for them pays.
 
-        All candidates are returned if the step has no data rack, has waited
-        long enough, or cannot be held by that rack.
+        All candidates are returned if the step has no data rack or has waited
+        long enough, if no candidate is in that rack, or if the step is a gang
+        that would not fit into it.
         """
         rack = stage.spec.data_rack
         waited = self._now - (stage.ready_at or self._now)
@@ -269,7 +272,7 @@
         return near_data or candidates
 
     def _may_preempt(self, stage: Stage, stage_rank: int) -> bool:
-        if stage_rank <= 0:
+        if stage_rank <= URGENT_PRIORITY:
             return True
         return 0.0 <= slack_s(stage, self._run_times, self._now) < PREEMPT_SLACK_S
 
@@ -327,10 +330,13 @@
 
     Args:
         stage: The step.
-        entitled: Organisations whose priority-0 work fits their guarantee.
+        entitled: Organisations whose urgent work fits their guarantee.
     """
     workflow = stage.workflow.workflow
-    if workflow.policy.priority == 0 and workflow.organisation in entitled:
+    if (
+        workflow.policy.priority == URGENT_PRIORITY
+        and workflow.organisation in entitled
+    ):
         return GUARANTEED_RANK
     return workflow.policy.priority
 
@@ -338,7 +344,7 @@
 def entitled_organisations(
     active: list[WorkflowProgress], guaranteed_by_organisation: dict[str, int]
 ) -> frozenset[str]:
-    """Return the organisations whose priority-0 work fits their guarantee.
+    """Return the organisations whose urgent work fits their guarantee.
 
     Args:
         active: Workflows that have not ended.
@@ -347,7 +353,7 @@
     needed: dict[str, int] = {}
     for progress in active:
         workflow = progress.workflow
-        if workflow.policy.priority == 0 and progress.ended_at is None:
+        if workflow.policy.priority == URGENT_PRIORITY and progress.ended_at is None:
             total = sum(s.tasks * s.demand.accelerators for s in workflow.steps)
             needed[workflow.organisation] = needed.get(workflow.organisation, 0) + total
     return frozenset(
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -29,6 +29,9 @@
 # QUARANTINE_S.
 QUARANTINE_FAILURES = 2
 QUARANTINE_S = 4.0
+# A task that failed on more workers than this is presumed to be the cause
+# itself, so that its failures are not counted against a worker.
+MAX_FAILED_WORKERS = 1
 
 _logger = logging.getLogger(__name__)
 
@@ -218,7 +221,7 @@
         workers, are not counted.
         """
         worker = self.workers_by_id.get(worker_id)
-        if worker is None or len(task.failed_workers) > 1:
+        if worker is None or len(task.failed_workers) > MAX_FAILED_WORKERS:
             return
         if task.stage.spec.service:
             return
--- a/src/redwingrudder/workflows/run_times.py
+++ b/src/redwingrudder/workflows/run_times.py
@@ -17,6 +17,8 @@
 # A worker is slow below this speed relative to the others. Ordinary workers
 # differ by at most a third.
 SLOW_SPEED_RATIO = 0.45
+# Progress of a task that has completed its work, or of a service that serves.
+COMPLETE_PERCENT = 100
 # Progress and elapsed time below these are too little to project a run time
 # from.
 MIN_PROGRESS_PERCENT = 2.0
@@ -37,7 +39,7 @@
 # A run is restarted elsewhere only if its remaining time exceeds the time of a
 # new run by this factor, because a restart discards the work done so far.
 MIN_RESTART_GAIN = 2.0
-# Number of restarts of a step because of slow workers.
+# Largest number of restarts of a step because of slow workers.
 MAX_SLOW_WORKER_RESTARTS = 2
 
 
@@ -95,7 +97,7 @@
     elapsed_s = task.reported_at - task.started_at
     if task.state != "running" or elapsed_s < MIN_ELAPSED_S:
         return None
-    if task.percent >= 100 or task.run_resumed:
+    if task.percent >= COMPLETE_PERCENT or task.run_resumed:
         return None
     return elapsed_s * 100 / max(task.percent, MIN_PROGRESS_PERCENT)
 
@@ -161,7 +163,7 @@
     """
     elapsed_s = task.reported_at - task.rate_baseline_at
     baseline_elapsed_s = task.rate_baseline_at - task.started_at
-    if task.state != "running" or task.percent >= 100 or task.run_resumed:
+    if task.state != "running" or task.percent >= COMPLETE_PERCENT or task.run_resumed:
         return None
     if elapsed_s < MIN_ELAPSED_S or baseline_elapsed_s < MIN_ELAPSED_S:
         return None
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -60,8 +60,10 @@
         run: Number of the newest run, 0 before the first.
         run_resumed: Whether the newest run resumed from a checkpoint.
         worker_id: Worker of the newest run, "" before the first.
-        checkpoint: Newest checkpoint, "" if there is none.
-        failures: Number of failed runs.
+        checkpoint: Newest checkpoint, "" if there is none. A gang's checkpoint
+            is kept in its first task.
+        failures: Number of failed runs. Those of a gang are counted in its
+            first task.
         failed_workers: Workers on which runs of the task failed.
         started_at: Steady-clock seconds at which the newest run started.
         percent: Reported progress of the newest run in percent.
--- a/src/redwingrudder/workflows/supervision.py
+++ b/src/redwingrudder/workflows/supervision.py
@@ -5,6 +5,7 @@
 
 from .placement import remaining_run_s
 from .run_times import (
+    COMPLETE_PERCENT,
     MIN_PROGRESS_PERCENT,
     RunTimeEstimates,
     is_restart_worthwhile,
@@ -64,7 +65,11 @@
     waits for the slower members. Nor is the run of an unreachable worker,
     which sends no reports.
     """
-    if task.stage.spec.service or not worker.reachable or task.percent >= 100:
+    if (
+        task.stage.spec.service
+        or not worker.reachable
+        or task.percent >= COMPLETE_PERCENT
+    ):
         return False
     run_time_s = run_times.expected_s(task.stage)
     if task.percent >= MIN_PROGRESS_PERCENT:
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -1,4 +1,4 @@
-"""Tests of the workflow engine: one failure each."""
+"""Tests of the workflow engine; each guards against one failure."""
 
 import unittest
 
@@ -8,10 +8,10 @@
 
 
 class LifecycleTests(unittest.TestCase):
-    """A workflow from acceptance to its end."""
+    """States of a workflow from acceptance to its end."""
 
     def test_steps_run_in_order(self):
-        """Guards against a start before the steps it waits for are done."""
+        """Guards against a step that starts before the steps it depends on."""
         engine = fx.engine()
         engine.accept(fx.workflow("job", fx.step(2), fx.step(1, after=(0,))), 0.0)
         first = fx.starts(engine.plan(0.0, 0.0))
@@ -24,7 +24,7 @@
         self.assertEqual([s.key.step for s in second], [1])
 
     def test_done_only_after_all_tasks(self):
-        """Guards against a workflow shown as done while a task runs."""
+        """Guards against a workflow reported as done while a task runs."""
         engine = fx.engine()
         progress = engine.accept(fx.workflow("job", fx.step(2)), 0.0)
         starts = fx.starts(engine.plan(0.0, 0.0))
@@ -36,7 +36,7 @@
         self.assertIs(progress.recorded_state, WorkflowState.QUEUED)
 
     def test_no_start_after_last_attempt(self):
-        """Guards against more failed runs than the queue's attempts."""
+        """Guards against more failed runs than the queue's policy allows."""
         engine = fx.engine()
         progress = engine.accept(fx.workflow(attempts=2), 0.0)
         for number in (1, 2):
@@ -48,7 +48,7 @@
         self.assertIs(progress.state, WorkflowState.FAILED)
 
     def test_interruptions_are_no_attempts(self):
-        """Guards against a failed state without failed runs."""
+        """Guards against interrupted runs that count as failed attempts."""
         engine = fx.engine()
         progress = engine.accept(fx.workflow(attempts=1), 0.0)
         starts = fx.starts(engine.plan(0.0, 0.0))
@@ -59,7 +59,7 @@
         self.assertIs(progress.state, WorkflowState.RUNNING)
 
     def test_end_of_an_older_run_changes_nothing(self):
-        """Guards against an old run's failure counted for the newest."""
+        """Guards against an old run's failure that ends the newest run."""
         engine = fx.engine()
         engine.accept(fx.workflow(), 0.0)
         first = fx.starts(engine.plan(0.0, 0.0))[0]
@@ -72,7 +72,7 @@
         self.assertEqual((task.state, task.failures), ("running", 0))
 
     def test_cancel_stops_runs_and_starts_nothing(self):
-        """Guards against runs of a cancelled workflow that go on."""
+        """Guards against runs that continue after a cancellation."""
         engine = fx.engine(fx.worker("w1"))
         progress = engine.accept(fx.workflow("job", fx.step(20)), 0.0)
         starts = fx.starts(engine.plan(0.0, 0.0))
@@ -89,10 +89,10 @@
 
 
 class GangTests(unittest.TestCase):
-    """Gangs run as a whole or not at all."""
+    """Gangs, whose tasks run all together or not at all."""
 
     def test_gang_waits_for_capacity_for_all(self):
-        """Guards against members that start alone."""
+        """Guards against a gang that starts only some of its members."""
         engine = fx.engine(fx.worker("w1"))
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 0.0)
@@ -103,7 +103,7 @@
         self.assertEqual(len(starts), 2)
 
     def test_rejected_member_stops_the_others(self):
-        """Guards against members that wait until they end alone."""
+        """Guards against members that keep running without a rejected one."""
         engine = fx.engine()
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 0.0)
@@ -114,7 +114,7 @@
         self.assertEqual([s.key for s in stopped], [first.key])
 
     def test_failed_gang_counts_once_for_each_run(self):
-        """Guards against a gang given up before its last attempt."""
+        """Guards against a failed run that is counted for each gang member."""
         engine = fx.engine()
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         progress = engine.accept(fx.workflow("job", gang, attempts=2), 0.0)
@@ -126,7 +126,7 @@
         self.assertIs(progress.state, WorkflowState.RUNNING)
 
     def test_one_end_stands_for_all_members(self):
-        """Guards against a second run of a gang that is done."""
+        """Guards against restarting a gang of which one member is done."""
         engine = fx.engine()
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         progress = engine.accept(fx.workflow("job", gang), 0.0)
@@ -137,7 +137,10 @@
         self.assertIs(progress.state, WorkflowState.DONE)
 
     def test_member_that_waits_at_the_end_is_not_stuck(self):
-        """Guards against stopping a gang whose slower members still work."""
+        """Guards against stopping a gang while its slower members still work.
+
+        A member at 100 percent makes no progress while it waits for them.
+        """
         engine = fx.engine()
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 0.0)
@@ -150,9 +153,10 @@
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
     def test_done_end_of_a_cancelled_gang(self):
-        """Guards against a report that fails for ever; soak seed 105.
+        """Guards against an end that raises each time it is reported.
 
-        One member was stopped, then another one's end arrives as done.
+        One member of a cancelled gang was stopped, then another member is
+        reported as done (soak test, seed 105).
         """
         engine = fx.engine()
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
@@ -167,7 +171,7 @@
         self.assertTrue(progress.settled)
 
     def test_late_answer_to_a_start_of_an_ended_task(self):
-        """Guards against an answer that fails its handler."""
+        """Guards against an exception for the late answer to a start."""
         for answer in ("start_confirmed", "start_rejected"):
             with self.subTest(answer=answer):
                 engine = fx.engine()
@@ -181,10 +185,10 @@
 
 
 class WorkerTests(unittest.TestCase):
-    """Workers that restart, fail, hang or leave."""
+    """Workers that restart, fail, make no progress or leave."""
 
     def test_restart_frees_all_runs(self):
-        """Guards against runs that wait for a worker's past incarnation."""
+        """Guards against runs that stay assigned to a previous process."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow(), 0.0)
         first = fx.starts(engine.plan(0.0, 0.0))
@@ -194,7 +198,11 @@
         self.assertGreater(again[0].run, first[0].run)
 
     def test_unanswered_start_is_kept_after_worker_restart(self):
-        """Guards against a start that reaches a worker's next incarnation."""
+        """Guards against a second run while an unanswered start may arrive.
+
+        The start may reach the restarted worker, so the run is kept until the
+        first report of the new process does not list it.
+        """
         engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
         engine.accept(fx.workflow(), 0.0)
         start = fx.starts(engine.plan(0.0, 0.0))[0]
@@ -206,13 +214,13 @@
         self.assertEqual(len(fx.starts(engine.plan(1.2, 1.2))), 1)
 
     def test_draining_worker_gets_nothing(self):
-        """Guards against starts on a worker that leaves."""
+        """Guards against starts on a worker that is about to leave."""
         engine = fx.engine(fx.worker("w1", draining=True))
         engine.accept(fx.workflow(), 0.0)
         self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
 
     def test_worker_that_fails_twice_is_avoided(self):
-        """Guards against a worker that fails all it starts."""
+        """Guards against new runs on a worker whose runs keep failing."""
         engine = fx.engine(fx.worker("w1"))
         for name in ("a", "b"):
             engine.accept(fx.workflow(name, attempts=3), 0.0)
@@ -223,7 +231,7 @@
         self.assertEqual(fx.starts(engine.plan(0.2, 0.2)), [])
 
     def test_run_without_progress_is_stopped(self):
-        """Guards against a run that hangs for ever."""
+        """Guards against a run that hangs without being stopped."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow(), 0.0)
         start = fx.starts(engine.plan(0.0, 0.0))[0]
@@ -234,7 +242,7 @@
         self.assertEqual([s.key for s in fx.stops(engine.take_effects())], [start.key])
 
     def test_long_run_is_not_stuck_between_two_percents(self):
-        """Guards against stops of runs that take hours."""
+        """Guards against stopping long runs, whose progress changes rarely."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow("job", fx.step(estimate_s=7200.0)), 0.0)
         start = fx.starts(engine.plan(0.0, 0.0))[0]
@@ -245,7 +253,7 @@
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
     def test_last_attempt_waits_for_a_reliable_worker(self):
-        """Guards against attempts that are used up on a worker that fails."""
+        """Guards against using up a task's attempts on a failing worker."""
         engine = fx.engine()
         for name in ("a", "b"):
             engine.accept(fx.workflow(name, fx.step(1, fx.WHOLE_WORKER)), 0.0)
@@ -259,7 +267,7 @@
         self.assertEqual([s.worker_id for s in again], [other.worker_id])
 
     def test_suspect_worker_is_used_when_there_is_no_other(self):
-        """Guards against a job that waits for ever after a failure."""
+        """Guards against a task that never starts again after a failure."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow(), 0.0)
         starts = fx.starts(engine.plan(0.0, 0.0))
@@ -268,10 +276,10 @@
         self.assertEqual(len(fx.starts(engine.plan(0.2, 0.2))), 1)
 
     def test_start_in_flight_survives_an_outage_of_its_worker(self):
-        """Guards against a second run beside a start that is sent again.
+        """Guards against a second run while a start is being retried.
 
-        Soak seed 600: the worker fell silent and answered a poll while the
-        session was repeating the start.
+        The worker did not answer for a while, then answered a poll while the
+        session was repeating the start (soak test, seed 600).
         """
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow("job", fx.step(2)), 0.0)
@@ -282,7 +290,7 @@
         self.assertEqual([start.key for start in again], [starts[0].key])
 
     def test_run_that_is_not_listed_after_a_takeover_starts_again(self):
-        """Guards against a recorded run that was never sent."""
+        """Guards against waiting for a recorded run that was never sent."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow(), 0.0)
         engine.adopt_run(fx.key(), 3, "w1", False, 0.0)
@@ -293,10 +301,10 @@
 
 
 class SpeedTests(unittest.TestCase):
-    """Workers that are far slower than the others."""
+    """Detection of slow workers and restarts of their runs."""
 
     def test_member_on_a_slow_worker_is_restarted_elsewhere(self):
-        """Guards against a gang that waits for its slowest worker."""
+        """Guards against a gang that is delayed by one slow worker."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
         gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 0.0)
@@ -313,7 +321,7 @@
         self.assertNotIn(starts[2].worker_id, {s.worker_id for s in again})
 
     def test_small_speed_differences_restart_nothing(self):
-        """Guards against work thrown away on ordinary workers."""
+        """Guards against restarts on workers of ordinary speed."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
         gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
         engine.accept(fx.workflow("job", gang), 0.0)
@@ -325,9 +333,9 @@
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
     def test_long_job_stays_on_a_worker_of_normal_speed(self):
-        """Guards against restarts of a job longer than its queue's mean.
+        """Guards against restarts of jobs longer than their queue's mean.
 
-        The mean is 2 s; one member has reported, and it needs 6 s.
+        The mean is 2 s. Only one member has reported, and it needs 6 s.
         """
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
         engine.accept(fx.workflow("short", fx.step(estimate_s=2.0)), 1.0)
@@ -347,7 +355,7 @@
             engine.report(start.worker_id, [fx.running(start, percent)], now)
 
     def test_worker_that_turns_slow_is_avoided(self):
-        """Guards against urgent runs on a worker that has just turned slow."""
+        """Guards against urgent runs on a worker that just became slow."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
         for name in ("a", "b", "c"):
             engine.accept(fx.workflow(name, fx.step(1, fx.WHOLE_WORKER)), 1.0)
@@ -363,7 +371,7 @@
         self.assertNotIn(starts[2].worker_id, stopped)
 
     def test_worker_that_recovers_is_used(self):
-        """Guards against a worker that is avoided after it was slow."""
+        """Guards against avoiding a worker that is no longer slow."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
         engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 1.0)
         starts = fx.starts(engine.plan(1.0, 1.0))
@@ -377,10 +385,10 @@
 
 
 class EvacuationTests(unittest.TestCase):
-    """Runs on workers that drain."""
+    """Runs on draining workers."""
 
     def stops_after_drain(self, percent, remaining_s=2.0):
-        """Return the stops after 1 s of work on a worker that leaves."""
+        """Drain a worker after 1 s of work; return the stops and its id."""
         engine = fx.engine()
         engine.accept(fx.workflow("job", fx.step(2)), 1.0)
         starts = fx.starts(engine.plan(1.0, 1.0))
@@ -393,17 +401,17 @@
         return fx.stops(engine.take_effects()), leaving.worker_id
 
     def test_run_that_ends_after_its_worker_leaves_is_stopped(self):
-        """Guards against work that is lost when its worker leaves."""
+        """Guards against work that is lost because its worker leaves."""
         stopped, worker_id = self.stops_after_drain(10.0)
         self.assertTrue(stopped)
         self.assertEqual({stop.worker_id for stop in stopped}, {worker_id})
 
     def test_run_that_ends_before_its_worker_leaves_is_kept(self):
-        """Guards against work thrown away although its worker still stays."""
+        """Guards against stopping runs that end before their worker leaves."""
         self.assertEqual(self.stops_after_drain(50.0)[0], [])
 
     def test_restart_clears_the_leave_time(self):
-        """Guards against a drain that outlives its worker's incarnation."""
+        """Guards against a leave time that is kept after a worker restarts."""
         engine = fx.engine()
         engine.set_worker(fx.worker("w1", draining=True, remaining_s=1.0), 0.0)
         engine.set_worker(fx.worker("w1", process_started_ms=2), 5.0)
@@ -414,7 +422,7 @@
 
 
 class AdviceTests(unittest.TestCase):
-    """Queues whose policy allows only some workers."""
+    """Queues whose starts need a permit of the advice service."""
 
     def plan_with_advice(self):
         engine = fx.engine()
@@ -423,7 +431,7 @@
         return engine, engine.plan(0.0, 0.0)
 
     def test_no_start_without_a_permit(self):
-        """Guards against starts on workers that the policy does not allow."""
+        """Guards against starts on workers without a permit."""
         engine, effects = self.plan_with_advice()
         self.assertEqual(fx.starts(effects), [])
         self.assertIsInstance(effects[0], AskAdvice)
@@ -432,7 +440,7 @@
         self.assertEqual([(s.worker_id, s.ticket) for s in starts], [("w2", "ticket")])
 
     def test_permit_is_not_used_at_its_end(self):
-        """Guards against a start that arrives after its permit expired."""
+        """Guards against a start that arrives after its ticket has expired."""
         engine, effects = self.plan_with_advice()
         engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
         effects = engine.plan(2.9, 2.9)
@@ -440,7 +448,7 @@
         self.assertEqual(effects[0].worker_ids, ("w2",))
 
     def test_unanswered_question_is_asked_again(self):
-        """Guards against a queue that stands still after one lost answer."""
+        """Guards against a queue that is blocked by one lost answer."""
         engine, effects = self.plan_with_advice()
         self.assertEqual(engine.plan(0.1, 0.1), [])
         engine.record_advice(effects[0], None, 0.0, 0.0)
@@ -448,7 +456,7 @@
 
 
 class ServiceTests(unittest.TestCase):
-    """Tasks that run until they are cancelled, and tasks that fill."""
+    """Service tasks, and filling tasks on the same worker."""
 
     def build_shared_worker(self):
         engine = fx.engine(fx.worker("w1"))
@@ -460,7 +468,7 @@
         return engine, {start.key.workflow_id: start for start in starts}
 
     def test_ended_service_task_starts_again(self):
-        """Guards against a service that is called done or failed."""
+        """Guards against a service that becomes done or failed."""
         engine, starts = self.build_shared_worker()
         for number, kind in enumerate((EndKind.DONE, EndKind.FAILED) * 3, 1):
             end = fx.ended(starts["serve"], kind, number)
@@ -471,7 +479,7 @@
         self.assertEqual(start.key.workflow_id, "serve")
 
     def test_speed_falls_while_the_target_is_missed(self):
-        """Guards against filling tasks that harm a service for long."""
+        """Guards against filling tasks that keep a service's latency high."""
         engine, starts = self.build_shared_worker()
         speeds_percent = []
         for step in range(8):
@@ -483,7 +491,7 @@
         self.assertEqual(speeds_percent, [40, 16, 0])
 
     def test_speed_rises_again_in_steps(self):
-        """Guards against filling tasks that stay stopped for ever."""
+        """Guards against filling tasks that are never sped up again."""
         engine, starts = self.build_shared_worker()
         task = engine.workflows_by_id["fill"].find(starts["fill"].key)
         task.speed_percent = 40
@@ -495,10 +503,10 @@
 
 
 class PriorityTests(unittest.TestCase):
-    """Urgent work and guarantees."""
+    """Priorities, guarantees, preemption and reservations."""
 
     def test_one_gang_is_stopped_rather_than_several(self):
-        """Guards against gangs that each lose all for one member's room."""
+        """Guards against stopping several gangs where one is enough."""
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(6)))
         gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
         for offset, name in enumerate(("a", "b")):
@@ -514,10 +522,10 @@
         self.assertEqual(len(stopped), 3)
 
     def test_every_urgent_task_gets_capacity(self):
-        """Guards against tasks that wait for room which no stop frees.
+        """Guards against placing tasks on capacity that no stop frees.
 
-        One stopped run makes room for several tasks; the later ones need
-        its stop as well, though it is counted with the first.
+        One stopped run frees capacity for several tasks. The later tasks
+        depend on that stop too, although its cost is counted for the first.
         """
         engine = fx.engine(*(fx.worker(f"w{i}") for i in range(4)))
         half = fx.ONE_GPU._replace(accelerators=4)
@@ -529,7 +537,7 @@
         self.assertEqual(len(stopped), 3)
 
     def test_urgent_work_preempts(self):
-        """Guards against urgent work that waits for patient work."""
+        """Guards against urgent work that waits for less urgent work."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow("slow", fx.step(8), priority=2), 0.0)
         slow = fx.starts(engine.plan(0.0, 0.0))
@@ -545,18 +553,20 @@
         self.assertEqual([s.key.workflow_id for s in starts], ["fast"])
 
     def test_guarantee_goes_before_other_urgent_work(self):
-        """Guards against a guarantee that another organisation occupies."""
+        """Guards against guaranteed capacity held by another organisation."""
         engine = fx.engine(fx.worker("w1"))
         engine.guaranteed_by_organisation = {"owner": 8}
         other = fx.workflow("a", fx.step(8), priority=0, organisation="other")
         engine.accept(other, 0.0)
         fx.confirm(engine, engine.plan(0.0, 0.0))
-        own = fx.step(1, fx.WHOLE_WORKER)
-        engine.accept(fx.workflow("b", own, priority=0, organisation="owner"), 1.0)
+        guaranteed = fx.step(1, fx.WHOLE_WORKER)
+        engine.accept(
+            fx.workflow("b", guaranteed, priority=0, organisation="owner"), 1.0
+        )
         self.assertEqual(len(fx.stops(engine.plan(1.0, 1.0))), 8)
 
     def test_capacity_is_kept_for_a_large_step(self):
-        """Guards against small steps that starve a large one."""
+        """Guards against small steps that starve a large step."""
         engine = fx.engine(fx.worker("w1"))
         engine.accept(fx.workflow("small", fx.step(4)), 0.0)
         fx.confirm(engine, engine.plan(0.0, 0.0))
--- a/tests/workflow_fixtures.py
+++ b/tests/workflow_fixtures.py
@@ -1,4 +1,4 @@
-"""Workflows, workers and reports for the tests of the engine."""
+"""Builders of workflows, workers, engines and reports for tests."""
 
 from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import (
@@ -61,7 +61,7 @@
 
 
 def confirm(engine, effects, now=0.0):
-    """Let the workers accept all starts."""
+    """Confirm all starts among the effects, as if the workers had answered."""
     for start in starts(effects):
         engine.start_confirmed(start.key, start.run, now)
 
