--- a/src/redwingrudder/_cell_plan.py
+++ b/src/redwingrudder/_cell_plan.py
@@ -1,8 +1,14 @@
-"""Choice of the failure domain for every copy of a guaranteed shape."""
+"""Assignment of the copies of guaranteed shapes to failure domains."""
 
 from typing import NamedTuple
 
-from ._cells import CellLayout, WantedCell, cell_level, fill, wanted_cells
+from ._cells import (
+    CellLayout,
+    RequiredCell,
+    cell_level,
+    place_missing_cells,
+    required_cells,
+)
 from .exceptions import UnprocessableError
 from .fleet import Fleet
 from .model import CellAssignment, Configuration, WorkerInfo
@@ -11,7 +17,11 @@
 
 
 class PlanAttempt(NamedTuple):
-    """The domains found, and the missing accelerators of other copies."""
+    """The result of one attempt to assign all copies to domains.
+
+    ``cells`` has the copies that were assigned; ``missing`` has the number of
+    missing accelerators of each copy that was not.
+    """
 
     cells: tuple[CellAssignment, ...]
     missing: dict[CellAssignment, int]
@@ -22,25 +32,29 @@
 ) -> tuple[CellAssignment, ...]:
     """Choose a failure domain for every copy of every guaranteed shape.
 
-    Existing entries of the configuration stay if everything fits with them;
-    otherwise all copies are placed anew, first spread over the domains, then
-    packed. The result does not depend on the order of the inputs.
+    Existing assignments of the configuration are kept if all other copies fit
+    beside them. Otherwise all copies are assigned anew, first spread over the
+    domains and, if that fails, packed into the fullest domains. The result
+    does not depend on the order of the inputs.
 
     Args:
         configuration: Organisations with their shapes and existing cells.
-        workers: All workers, whether in use or not; they are taken as empty.
+        workers: All workers; what is running on them is ignored.
 
     Raises:
-        UnprocessableError: ``guarantees_do_not_fit``.
+        UnprocessableError: Some copies fit in no domain
+            (``guarantees_do_not_fit``).
     """
     existing = _existing_domains(configuration)
     attempts = []
-    for kept, spread in ((existing, True), ({}, True), ({}, False)):
-        attempt = _attempt(configuration, workers, kept, spread)
+    for preferred_domains, spread in ((existing, True), ({}, True), ({}, False)):
+        attempt = _try_plan(configuration, workers, preferred_domains, spread)
         if not attempt.missing:
             return attempt.cells
         attempts.append(attempt)
-    raise _refusal(min(attempts, key=lambda a: sum(a.missing.values())), configuration)
+    raise _build_refusal(
+        min(attempts, key=lambda a: sum(a.missing.values())), configuration
+    )
 
 
 def _existing_domains(configuration: Configuration) -> DomainsByCopy:
@@ -48,23 +62,29 @@
     return {cell[:3]: cell.failure_domain for cell in ordered}
 
 
-def _attempt(
+def _try_plan(
     configuration: Configuration,
     workers: tuple[WorkerInfo, ...],
-    kept: DomainsByCopy,
+    preferred_domains: DomainsByCopy,
     spread: bool,
 ) -> PlanAttempt:
     layouts = _empty_layouts(workers)
-    copies = _copies(configuration)
+    copies = _required_copies(configuration)
     missing: dict[CellAssignment, int] = {}
-    left = [copy for copy in copies if not _place_kept(copy, kept, layouts)]
-    for copy in left:
-        shortage = _place_new(copy, layouts, spread)
+    unplaced = [
+        copy
+        for copy in copies
+        if not _place_in_preferred_domain(copy, preferred_domains, layouts)
+    ]
+    for copy in unplaced:
+        shortage = _place_in_any_domain(copy, layouts, spread)
         if shortage:
             missing[copy.key] = shortage
-    cells = tuple(sorted(key for lay in layouts.values() for key in lay.cells_by_key))
+    cells = tuple(
+        sorted(key for layout in layouts.values() for key in layout.cells_by_key)
+    )
     if not missing:
-        missing = _missing_when_laid_out_anew(configuration, cells, layouts)
+        missing = _missing_in_new_layout(configuration, cells, layouts)
     return PlanAttempt(cells, missing)
 
 
@@ -76,9 +96,9 @@
     return {name: CellLayout(fleet) for name, fleet in fleets_by_domain.items()}
 
 
-def _copies(configuration: Configuration) -> list[WantedCell]:
+def _required_copies(configuration: Configuration) -> list[RequiredCell]:
     copies = [
-        WantedCell(CellAssignment(name, shape_index, copy, ""), shape.accelerators)
+        RequiredCell(CellAssignment(name, shape_index, copy, ""), shape.accelerators)
         for name, organisation in configuration.organisations_by_name.items()
         for shape_index, shape in enumerate(organisation.guarantees)
         for copy in range(shape.copies)
@@ -86,59 +106,75 @@
     return sorted(copies, key=lambda copy: (-copy.size, copy.key))
 
 
-def _place_kept(
-    copy: WantedCell, kept: DomainsByCopy, layouts: dict[str, CellLayout]
+def _place_in_preferred_domain(
+    copy: RequiredCell, preferred_domains: DomainsByCopy, layouts: dict[str, CellLayout]
 ) -> bool:
-    domain = kept.get(copy.key[:3])
+    domain = preferred_domains.get(copy.key[:3])
     if domain not in layouts:
         return False
-    return _place_in(copy, domain, layouts[domain]) == 0
+    return _place_in_domain(copy, domain, layouts[domain]) == 0
+
 
+def _place_in_any_domain(
+    copy: RequiredCell, layouts: dict[str, CellLayout], spread: bool
+) -> int:
+    """Place a copy in the first domain, by preference, that can hold it.
 
-def _place_new(copy: WantedCell, layouts: dict[str, CellLayout], spread: bool) -> int:
-    """Place a copy; returns how many accelerators the best domain lacks."""
+    Returns:
+        Zero if the copy was placed, else the number of accelerators that are
+        missing in the domain that comes closest.
+    """
 
     def preference(domain: str) -> tuple[int, int, int, str]:
+        """Sort by level, then by own cells to spread or fullness to pack."""
         layout = layouts[domain]
-        owned = sum(
+        own_cells = sum(
             key.organisation == copy.key.organisation for key in layout.cells_by_key
         )
         level = cell_level(layout.fleet, copy.size)
         unassigned = layout.unassigned()
         if spread:
-            return (level, owned, -unassigned, domain)
+            return (level, own_cells, -unassigned, domain)
         return (level, 0, unassigned, domain)
 
     missing = copy.size
     for domain in sorted(layouts, key=preference):
-        missing = min(missing, _place_in(copy, domain, layouts[domain]))
+        missing = min(missing, _place_in_domain(copy, domain, layouts[domain]))
         if not missing:
             break
     return missing
 
 
-def _place_in(copy: WantedCell, domain: str, layout: CellLayout) -> int:
-    wanted = copy._replace(key=copy.key._replace(failure_domain=domain))
-    found = layout.search(wanted)
-    if found.cell is not None:
-        layout.put(found.cell)
-    return found.missing
+def _place_in_domain(copy: RequiredCell, domain: str, layout: CellLayout) -> int:
+    required = copy._replace(key=copy.key._replace(failure_domain=domain))
+    result = layout.search(required)
+    if result.cell is not None:
+        layout.add_cell(result.cell)
+    return result.missing
 
 
-def _missing_when_laid_out_anew(
+def _missing_in_new_layout(
     configuration: Configuration,
     cells: tuple[CellAssignment, ...],
     layouts: dict[str, CellLayout],
 ) -> dict[CellAssignment, int]:
-    """Check that an owner that starts from nothing can hold the cells too."""
+    """Return what is missing if every domain lays out its cells from scratch.
+
+    An owner that takes over a domain has no layout yet and has to find room
+    for all its cells.
+    """
     planned = configuration._replace(cells=cells)
     missing: dict[CellAssignment, int] = {}
     for domain, layout in layouts.items():
-        missing |= fill(CellLayout(layout.fleet), wanted_cells(planned, domain))
+        missing |= place_missing_cells(
+            CellLayout(layout.fleet), required_cells(planned, domain)
+        )
     return missing
 
 
-def _refusal(attempt: PlanAttempt, configuration: Configuration) -> UnprocessableError:
+def _build_refusal(
+    attempt: PlanAttempt, configuration: Configuration
+) -> UnprocessableError:
     missing_by_shape: dict[tuple[str, int], list[int]] = {}
     for key, missing in sorted(attempt.missing.items()):
         missing_by_shape.setdefault(key[:2], []).append(missing)
--- a/src/redwingrudder/_cells.py
+++ b/src/redwingrudder/_cells.py
@@ -1,4 +1,8 @@
-"""Cells of one failure domain and the search for their accelerators."""
+"""Cells of one failure domain and the search for their accelerators.
+
+A cell is the set of accelerators that is reserved for one copy of a shape
+that an organisation is guaranteed.
+"""
 
 import bisect
 import enum
@@ -14,24 +18,33 @@
 from .fleet import Fleet, WorkerState
 from .model import CellAssignment, Configuration
 
+# The first pass places cells, the second one counts missing accelerators.
+PLACEMENT_PASSES = 2
+
 
 class AdjacencyLevel(enum.IntEnum):
-    """The smallest unit that a gang has to stay within."""
+    """The unit of the hardware that a gang or cell has to stay within."""
 
     WORKER = 0
     RACK = 1
     DOMAIN = 2
 
 
-class WantedCell(NamedTuple):
-    """A copy of a guaranteed shape that this domain has to hold."""
+class RequiredCell(NamedTuple):
+    """A copy of a guaranteed shape that is assigned to this domain.
+
+    ``size`` is the number of accelerators.
+    """
 
     key: CellAssignment
     size: int
 
 
 class Cell(NamedTuple):
-    """The concrete accelerators of one copy of a guaranteed shape."""
+    """The accelerators that are reserved for one copy of a guaranteed shape.
+
+    ``accelerators_by_worker`` has the sorted accelerator indexes per worker.
+    """
 
     key: CellAssignment
     size: int
@@ -39,26 +52,27 @@
 
 
 class Candidate(NamedTuple):
-    """Accelerators of a worker that a cell may take, best ones first.
+    """Accelerators of a worker that a cell may take, preferred ones first.
 
-    The last ``own_held`` ones are held by the organisation itself. They come
-    last because work outside the cells must not reduce the claim.
+    The last ``held_by_organisation`` of them are in use by the organisation
+    itself. They come last because jobs that run outside the organisation's
+    cells must not use up its guarantee.
     """
 
     worker: WorkerState
     accelerators: tuple[int, ...]
-    own_held: int
+    held_by_organisation: int
 
 
-class CellSearch(NamedTuple):
-    """A cell, or how many accelerators the best place lacks."""
+class CellSearchResult(NamedTuple):
+    """A cell, or the accelerators that are missing in the closest unit."""
 
     cell: Cell | None
     missing: int
 
 
 def cell_level(fleet: Fleet, accelerators: int) -> AdjacencyLevel:
-    """Return the unit that a cell has to stay within."""
+    """Return the smallest unit that has enough accelerators when empty."""
     if accelerators <= fleet.largest_worker():
         return AdjacencyLevel.WORKER
     if accelerators <= fleet.largest_rack():
@@ -67,7 +81,15 @@
 
 
 class CellLayout:
-    """Disjoint cells on the accelerators of a fleet."""
+    """Disjoint cells on the accelerators of a fleet.
+
+    Attributes:
+        fleet: The workers. After it has changed, ``rebuild_indexes`` has to be
+            called before the next search.
+        cells_by_key: All cells of the layout.
+        owners_by_worker: For every worker with cells, the organisation that
+            owns each of its accelerators, or None outside all cells.
+    """
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
@@ -76,10 +98,10 @@
         self._capacities_by_worker: dict[str, WorkerCapacity] = {}
         self._unassigned_by_worker: dict[str, int] = {}
         self._worker_ids_by_unassigned: dict[int, list[str]] = {}
-        self.follow_fleet()
+        self.rebuild_indexes()
 
-    def follow_fleet(self) -> None:
-        """Rebuild the index of unassigned accelerators from the fleet."""
+    def rebuild_indexes(self) -> None:
+        """Rebuild the index of accelerators outside all cells."""
         workers = self.fleet.workers_by_id
         for worker_id in self._capacities_by_worker.keys() - workers.keys():
             del self._capacities_by_worker[worker_id]
@@ -94,7 +116,10 @@
             self._worker_ids_by_unassigned.setdefault(count, []).append(worker_id)
 
     def unassigned(self) -> int:
-        """Return the accelerators outside all cells on usable workers."""
+        """Count the accelerators outside all cells.
+
+        Workers that accept no work are left out.
+        """
         return sum(self._unassigned_by_worker.values())
 
     def owners(self, worker: WorkerState) -> Owners:
@@ -114,26 +139,26 @@
             self._capacities_by_worker[worker_id] = capacity
         return capacity
 
-    def put(self, cell: Cell) -> None:
-        """Add a cell whose accelerators no other cell has."""
+    def add_cell(self, cell: Cell) -> None:
+        """Add a cell; its accelerators must be outside all other cells."""
         self.cells_by_key[cell.key] = cell
         for worker_id, indexes in cell.accelerators_by_worker.items():
             worker = self.fleet.workers_by_id[worker_id]
-            owners = with_owner(self.owners(worker), indexes, cell.key.organisation)
+            owners = replace_owner(self.owners(worker), indexes, cell.key.organisation)
             self.owners_by_worker[worker_id] = owners
-            self._changed(worker_id)
+            self._refresh_worker(worker_id)
 
-    def drop(self, key: CellAssignment) -> None:
-        """Remove a cell; its workers may be gone already."""
+    def remove_cell(self, key: CellAssignment) -> None:
+        """Remove a cell, also if workers of it have left the fleet."""
         cell = self.cells_by_key.pop(key)
         for worker_id, indexes in cell.accelerators_by_worker.items():
-            owners = with_owner(self.owners_by_worker[worker_id], indexes, None)
+            owners = replace_owner(self.owners_by_worker[worker_id], indexes, None)
             self.owners_by_worker[worker_id] = owners
             if not any(owners):
                 del self.owners_by_worker[worker_id]
-            self._changed(worker_id)
+            self._refresh_worker(worker_id)
 
-    def _changed(self, worker_id: str) -> None:
+    def _refresh_worker(self, worker_id: str) -> None:
         self._capacities_by_worker.pop(worker_id, None)
         before = self._unassigned_by_worker.get(worker_id)
         if before is None:
@@ -145,7 +170,7 @@
         bisect.insort(self._worker_ids_by_unassigned.setdefault(count, []), worker_id)
 
     def is_valid(self, cell: Cell) -> bool:
-        """Whether a cell can stay where it is."""
+        """Return whether a cell is still adjacent and can be reclaimed."""
         for worker_id, indexes in cell.accelerators_by_worker.items():
             worker = self.fleet.workers_by_id.get(worker_id)
             if worker is None or not worker.accepts_work:
@@ -153,7 +178,10 @@
             if indexes[-1] >= worker.info.accelerators:
                 return False
             capacity = self.capacity(worker)
-            if not capacity.keeps_cells or not capacity.blocked.isdisjoint(indexes):
+            if (
+                not capacity.preserves_cells
+                or not capacity.blocked_accelerators.isdisjoint(indexes)
+            ):
                 return False
         return self._is_adjacent(cell)
 
@@ -167,45 +195,48 @@
             return len(racks) == 1
         return True
 
-    def search(self, wanted: WantedCell) -> CellSearch:
+    def search(self, required: RequiredCell) -> CellSearchResult:
         """Find accelerators for a cell without changing the layout.
 
-        Units (workers or racks) with the fewest unassigned accelerators come
-        first, which keeps whole workers and racks for larger cells. Units
-        that need accelerators held by the organisation itself come last.
+        Units (workers, racks or the domain) are tried in the order of their
+        unassigned accelerators, the smallest sufficient unit first, which
+        keeps whole workers and racks for larger cells. Units in which the
+        cell would need accelerators that the organisation itself holds are
+        tried last.
         """
-        best = 0
-        later: list[tuple[int, int, list[Candidate]]] = []
-        for unassigned, unit in self._units(wanted):
-            if unassigned <= best:
+        most_available = 0
+        fallback_units: list[tuple[int, int, list[Candidate]]] = []
+        for unassigned, unit in self._units(required):
+            if unassigned <= most_available:
                 continue
-            candidates = self._candidates(wanted.key.organisation, unit)
-            own_needed = _own_needed(candidates, wanted.size)
+            candidates = self._candidates(required.key.organisation, unit)
+            own_needed = _count_own_needed(candidates, required.size)
             if own_needed:
-                later.append((own_needed, len(later), candidates))
+                fallback_units.append((own_needed, len(fallback_units), candidates))
                 continue
-            taken = self._take(candidates, wanted)
-            count = _count(taken)
-            if count == wanted.size:
-                return CellSearch(Cell(wanted.key, wanted.size, taken), 0)
-            best = max(best, count)
-        for _, _, candidates in sorted(later, key=lambda entry: entry[:2]):
-            taken = self._take(candidates, wanted)
-            count = _count(taken)
-            if count == wanted.size:
-                return CellSearch(Cell(wanted.key, wanted.size, taken), 0)
-            best = max(best, count)
-        return CellSearch(None, wanted.size - best)
-
-    def _units(self, wanted: WantedCell) -> Iterator[tuple[int, list[str]]]:
-        """Yield sets of adjacent workers with their unassigned accelerators.
-
-        Those that are too small come last and serve to tell what is missing.
+            selected = self._select_accelerators(candidates, required)
+            count = _count_accelerators(selected)
+            if count == required.size:
+                return CellSearchResult(Cell(required.key, required.size, selected), 0)
+            most_available = max(most_available, count)
+        for _, _, candidates in sorted(fallback_units, key=lambda entry: entry[:2]):
+            selected = self._select_accelerators(candidates, required)
+            count = _count_accelerators(selected)
+            if count == required.size:
+                return CellSearchResult(Cell(required.key, required.size, selected), 0)
+            most_available = max(most_available, count)
+        return CellSearchResult(None, required.size - most_available)
+
+    def _units(self, required: RequiredCell) -> Iterator[tuple[int, list[str]]]:
+        """Yield adjacent workers with their count of unassigned accelerators.
+
+        Units that are too small come last, the largest of them first. They
+        are needed only to compute how many accelerators are missing.
         """
-        level = cell_level(self.fleet, wanted.size)
+        level = cell_level(self.fleet, required.size)
         if level is AdjacencyLevel.WORKER:
             groups = self._worker_ids_by_unassigned
-            for count in sorted(groups, key=lambda n: _size_order(n, wanted.size)):
+            for count in sorted(groups, key=lambda n: _size_order(n, required.size)):
                 for worker_id in tuple(groups[count]):
                     yield count, [worker_id]
             return
@@ -216,14 +247,14 @@
         for rack, worker_ids in self.fleet.worker_ids_by_rack.items():
             usable = [w for w in worker_ids if w in self._unassigned_by_worker]
             count = sum(self._unassigned_by_worker[w] for w in usable)
-            racks.append((_size_order(count, wanted.size), rack, count, usable))
+            racks.append((_size_order(count, required.size), rack, count, usable))
         for _, _, count, usable in sorted(racks):
             yield count, usable
 
     def _candidates(
         self, organisation: str, worker_ids: Iterable[str]
     ) -> list[Candidate]:
-        """Return candidates by rack, large racks and workers first."""
+        """Return candidates sorted by rack, large racks and workers first."""
         found = [
             self._candidate(organisation, self.fleet.workers_by_id[worker_id])
             for worker_id in worker_ids
@@ -246,7 +277,7 @@
     def _candidate(self, organisation: str, worker: WorkerState) -> Candidate:
         free: list[int] = []
         borrowed: list[int] = []
-        own: list[int] = []
+        own_indexes: list[int] = []
         for index, owner in enumerate(self.owners(worker)):
             if owner is not None:
                 continue
@@ -254,44 +285,52 @@
             if holder is None:
                 free.append(index)
             elif self.fleet.gangs_by_id[holder].spec.organisation == organisation:
-                own.append(index)
+                own_indexes.append(index)
             elif may_occupy_cell(worker, index, organisation, self.fleet):
                 borrowed.append(index)
-        order = (*free, *borrowed, *own)
-        return Candidate(worker, order, len(own))
+        order = (*free, *borrowed, *own_indexes)
+        return Candidate(worker, order, len(own_indexes))
 
-    def _take(
-        self, unit: list[Candidate], wanted: WantedCell
+    def _select_accelerators(
+        self, unit: list[Candidate], required: RequiredCell
     ) -> dict[str, tuple[int, ...]]:
-        taken: dict[str, tuple[int, ...]] = {}
-        left = wanted.size
-        remaining = list(unit)
-        while left and remaining:
-            candidate = _next_candidate(remaining, left)
-            remaining.remove(candidate)
-            indexes = self._usable(candidate, left, wanted.key.organisation)
+        selected: dict[str, tuple[int, ...]] = {}
+        remaining = required.size
+        remaining_candidates = list(unit)
+        while remaining and remaining_candidates:
+            candidate = _next_candidate(remaining_candidates, remaining)
+            remaining_candidates.remove(candidate)
+            indexes = self._select_from_worker(
+                candidate, remaining, required.key.organisation
+            )
             if indexes:
-                taken[candidate.worker.info.worker_id] = indexes
-                left -= len(indexes)
-        return taken
+                selected[candidate.worker.info.worker_id] = indexes
+                remaining -= len(indexes)
+        return selected
 
-    def _usable(
+    def _select_from_worker(
         self, candidate: Candidate, limit: int, organisation: str
     ) -> tuple[int, ...]:
-        """Return what a cell can take while slots, cores and memory last."""
+        """Return as many accelerators as slots, cores and memory allow."""
         worker = candidate.worker
         owners = self.owners(worker)
         for count in range(min(limit, len(candidate.accelerators)), 0, -1):
             indexes = tuple(sorted(candidate.accelerators[:count]))
-            changed = with_owner(owners, indexes, organisation)
-            if build_worker_capacity(worker, changed, self.fleet).keeps_cells:
+            changed = replace_owner(owners, indexes, organisation)
+            if build_worker_capacity(worker, changed, self.fleet).preserves_cells:
                 return indexes
         return ()
 
 
-def wanted_cells(configuration: Configuration, failure_domain: str) -> list[WantedCell]:
-    """Return the copies that a domain has to hold, largest first."""
-    wanted = []
+def required_cells(
+    configuration: Configuration, failure_domain: str
+) -> list[RequiredCell]:
+    """Return the copies that are assigned to a domain, largest first.
+
+    Assignments to organisations, shapes or copies that the configuration no
+    longer has are skipped.
+    """
+    required = []
     for key in configuration.cells:
         organisation = configuration.organisations_by_name.get(key.organisation)
         if key.failure_domain != failure_domain or organisation is None:
@@ -300,34 +339,40 @@
             continue
         shape = organisation.guarantees[key.shape_index]
         if key.copy_index < shape.copies:
-            wanted.append(WantedCell(key, shape.accelerators))
-    return sorted(wanted, key=lambda cell: (-cell.size, cell.key))
+            required.append(RequiredCell(key, shape.accelerators))
+    return sorted(required, key=lambda cell: (-cell.size, cell.key))
+
 
+def place_missing_cells(
+    layout: CellLayout, required: list[RequiredCell]
+) -> dict[CellAssignment, int]:
+    """Add a cell to the layout for every required copy that has none.
 
-def fill(layout: CellLayout, wanted: list[WantedCell]) -> dict[CellAssignment, int]:
-    """Search a place for every copy without one; returns what is missing.
+    If copies remain, a second pass counts their missing accelerators after
+    all other cells have been placed, so that the counts do not depend on the
+    order in which the cells were added.
 
-    What a copy lacks is counted once all others have their place, so that it
-    does not depend on how the cells came about.
+    Returns:
+        The number of missing accelerators of every copy without a cell.
     """
     missing: dict[CellAssignment, int] = {}
-    for _ in range(2):
+    for _ in range(PLACEMENT_PASSES):
         missing = {}
-        for cell in wanted:
+        for cell in required:
             if cell.key in layout.cells_by_key:
                 continue
             found = layout.search(cell)
             if found.cell is None:
                 missing[cell.key] = found.missing
             else:
-                layout.put(found.cell)
+                layout.add_cell(found.cell)
         if not missing:
             break
     return missing
 
 
-def with_owner(owners: Owners, indexes: Iterable[int], owner: str | None) -> Owners:
-    """Return the owners after some accelerators went to another one."""
+def replace_owner(owners: Owners, indexes: Iterable[int], owner: str | None) -> Owners:
+    """Return a copy with another owner for the given accelerators."""
     changed = list(owners)
     for index in indexes:
         if index < len(changed):
@@ -335,33 +380,38 @@
     return tuple(changed)
 
 
-def _count(taken: dict[str, tuple[int, ...]]) -> int:
-    return sum(map(len, taken.values()))
+def _count_accelerators(selected: dict[str, tuple[int, ...]]) -> int:
+    return sum(map(len, selected.values()))
 
 
-def _size_order(count: int, wanted: int) -> tuple[bool, int]:
-    """Sort units that are large enough first, the smallest of them first."""
-    return (False, count) if count >= wanted else (True, -count)
+def _size_order(count: int, required: int) -> tuple[bool, int]:
+    """Sort sufficient units first, smallest first, then others descending."""
+    return (False, count) if count >= required else (True, -count)
 
 
-def _own_needed(candidates: list[Candidate], size: int) -> int:
-    """Return how many accelerators the organisation's own gangs hold."""
+def _count_own_needed(candidates: list[Candidate], size: int) -> int:
+    """Count the needed accelerators that gangs of the organisation hold."""
     total = sum(len(candidate.accelerators) for candidate in candidates)
-    own_held = sum(candidate.own_held for candidate in candidates)
-    return min(own_held, max(0, size - (total - own_held)))
+    held_by_organisation = sum(
+        candidate.held_by_organisation for candidate in candidates
+    )
+    return min(held_by_organisation, max(0, size - (total - held_by_organisation)))
 
 
-def _next_candidate(remaining: list[Candidate], left: int) -> Candidate:
-    """Return the first worker, or the smallest one that holds the rest.
+def _next_candidate(remaining_candidates: list[Candidate], remaining: int) -> Candidate:
+    """Return the smallest worker with enough accelerators, or the first one.
 
-    Workers are ordered by rack and then by size, so whole workers are taken
-    first and the rest does not break up another whole worker.
+    Only the rack of the first worker is considered. Workers are sorted by
+    rack and then by size, largest first. Large workers are thus used up
+    completely, and the remainder goes to a worker that fits it closely
+    instead of splitting another large one.
     """
-    first = remaining[0]
+    first = remaining_candidates[0]
     rack = first.worker.info.rack
-    enough = [
+    sufficient = [
         candidate
-        for candidate in remaining
-        if candidate.worker.info.rack == rack and len(candidate.accelerators) >= left
+        for candidate in remaining_candidates
+        if candidate.worker.info.rack == rack
+        and len(candidate.accelerators) >= remaining
     ]
-    return enough[-1] if enough else first
+    return sufficient[-1] if sufficient else first
--- a/src/redwingrudder/_fcfs_policy.py
+++ b/src/redwingrudder/_fcfs_policy.py
@@ -1,4 +1,4 @@
-"""Baseline policies around first-fit placement; they learn nothing."""
+"""Baseline policies used with first-fit placement; all are stateless."""
 
 from .fleet import Fleet
 from .guarantees import CellTable
@@ -19,23 +19,23 @@
 
 
 class FcfsOrder(OrderPolicy):
-    """First come first served."""
+    """Orders jobs first come first served and trusts declared run times."""
 
     def order(self, jobs: list[QueuedJob], now: float) -> list[QueuedJob]:
-        """Order by the time of submission."""
+        """Order by the time of submission, then by job id."""
         return sorted(jobs, key=lambda job: (job.submitted_at, job.job_id))
 
     def expected_run_s(self, spec: JobSpec) -> float:
-        """Return the declared run time."""
+        """Return the declared run time, in seconds."""
         return spec.declared_run_s
 
     def observe_run(self, spec: JobSpec, run_s: float, now: float) -> None:
-        """Learn nothing."""
+        """Do nothing: measured run times are not used."""
 
     def observe_service(
         self, spec: JobSpec, accelerator_seconds: float, now: float
     ) -> None:
-        """Learn nothing."""
+        """Do nothing: received service does not affect the order."""
 
 
 class NoReclaim(ReclaimPolicy):
@@ -48,12 +48,12 @@
         guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
-        """Return None."""
+        """Return None: no gang is ever stopped."""
         return None
 
 
 class TotalAdmission(AdmissionPolicy):
-    """Bounds the queue in total only."""
+    """Limits the total number of queued jobs, without limits per caller."""
 
     def admit(
         self,
@@ -62,7 +62,7 @@
         fleet: Fleet,
         configuration: Configuration,
     ) -> Refusal | None:
-        """Refuse what exceeds the bound."""
+        """Refuse the job as overloaded if the queue is at its limit."""
         if queued.total < QUEUED_TOTAL_LIMIT:
             return None
         detail = f"{queued.total} jobs are queued, the limit is {QUEUED_TOTAL_LIMIT}"
@@ -70,22 +70,22 @@
 
 
 class NoHealth(HealthPolicy):
-    """Quarantines nothing."""
+    """Never quarantines a worker."""
 
     def observe(self, worker_id: str, job_id: str, failed: bool, now: float) -> None:
-        """Learn nothing."""
+        """Do nothing: outcomes are not recorded."""
 
     def quarantined(self, now: float) -> frozenset[str]:
-        """Return no worker."""
+        """Return an empty set."""
         return frozenset()
 
     def probes(self, now: float) -> frozenset[str]:
-        """Return no worker."""
+        """Return an empty set."""
         return frozenset()
 
     def forget(self, worker_id: str) -> None:
-        """Keep nothing to forget."""
+        """Do nothing: there is no state per worker."""
 
     def next_probe_at(self, now: float) -> float | None:
-        """Return None."""
+        """Return None: there is never a quarantined worker to probe."""
         return None
--- a/src/redwingrudder/_first_fit.py
+++ b/src/redwingrudder/_first_fit.py
@@ -1,14 +1,14 @@
-"""First-fit placement, the baseline that the shipped policy is measured by."""
+"""First-fit placement, the baseline to compare best-fit placement with."""
 
 from ._cells import AdjacencyLevel
 from ._offers import (
     Offer,
-    Space,
+    PlacementScope,
     Tier,
-    count_offered,
-    fill_offers,
+    allowed_tiers,
+    count_offered_tasks,
     gang_level,
-    tiers,
+    place_on_offers,
 )
 from ._placement import largest_adjacent_gang
 from .fleet import Fleet
@@ -18,10 +18,10 @@
 
 
 class FirstFitPlacement(PlacementPolicy):
-    """Takes the first workers, by id, that hold the gang.
+    """Places a gang on the first workers, in the order of ids, that fit it.
 
-    Adjacency and guarantees are kept; only the choice among the workers that
-    qualify is naive.
+    Adjacency and guarantees are respected as in best-fit placement; only the
+    choice among suitable workers differs.
     """
 
     def place(
@@ -32,32 +32,32 @@
         avoid: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Return a placement on free resources that keeps all guarantees."""
-        space = Space(spec, fleet, guarantees.layout_of(fleet), avoid)
+        scope = PlacementScope(spec, fleet, guarantees.layout_of(fleet), avoid)
         workers = sorted(fleet.workers_by_free(spec.accelerators_per_task))
         level = gang_level(spec, fleet)
-        for tier in (Tier.OWN_CELLS, tiers(spec)[-1]):
-            offers = list(space.offers(workers, tier))
-            placement = _place(spec, offers, level, tier)
+        for tier in (Tier.OWN_CELLS, allowed_tiers(spec)[-1]):
+            offers = list(scope.offers(workers, tier))
+            placement = _place_within_level(spec, offers, level, tier)
             if placement is not None:
                 return placement
         return None
 
     def largest_gang(self, fleet: Fleet) -> int:
-        """Return the largest gang of accelerators that could be placed now."""
+        """Return the size, in accelerators, of the largest placeable gang."""
         return largest_adjacent_gang(fleet)
 
 
-def _place(
+def _place_within_level(
     spec: JobSpec, offers: list[Offer], level: AdjacencyLevel, tier: Tier
 ) -> Placement | None:
     if level is AdjacencyLevel.DOMAIN:
-        return fill_offers(spec, offers, tier)
-    units: dict[str, list[Offer]] = {}
+        return place_on_offers(spec, offers, tier)
+    offers_by_unit: dict[str, list[Offer]] = {}
     for offer in offers:
         info = offer.capacity.worker.info
-        name = info.rack if level is AdjacencyLevel.RACK else info.worker_id
-        units.setdefault(name, []).append(offer)
-    for unit in units.values():
-        if count_offered(unit) >= spec.tasks:
-            return fill_offers(spec, unit, tier)
+        unit_id = info.rack if level is AdjacencyLevel.RACK else info.worker_id
+        offers_by_unit.setdefault(unit_id, []).append(offer)
+    for unit_offers in offers_by_unit.values():
+        if count_offered_tasks(unit_offers) >= spec.tasks:
+            return place_on_offers(spec, unit_offers, tier)
     return None
--- a/src/redwingrudder/_offers.py
+++ b/src/redwingrudder/_offers.py
@@ -1,4 +1,8 @@
-"""What each worker offers a gang, and how a gang is filled into offers."""
+"""Offers of workers to a gang, and the placement of a gang on offers.
+
+An offer states how many tasks of a gang a worker can hold, and on which
+accelerators.
+"""
 
 import enum
 from collections.abc import Iterable, Iterator
@@ -11,7 +15,12 @@
 
 
 class Tier(enum.IntEnum):
-    """Which accelerators are considered; a higher tier includes the lower."""
+    """Accelerators that a placement may use; each tier includes lower tiers.
+
+    ``UNASSIGNED`` are the accelerators outside all cells, ``OWN_CELLS`` those
+    in cells of the job's organisation, and ``FOREIGN_CELLS`` those in cells of
+    other organisations, which only borrowers may use.
+    """
 
     UNASSIGNED = 0
     OWN_CELLS = 1
@@ -19,35 +28,38 @@
 
 
 class Offer(NamedTuple):
-    """Accelerators of a worker in order of use, and the tasks they hold."""
+    """The number of tasks that a worker can hold for a gang.
+
+    ``accelerators`` are listed in the order in which the tasks use them.
+    """
 
     capacity: WorkerCapacity
     tasks: int
     accelerators: tuple[int, ...]
 
 
-def tiers(spec: JobSpec) -> tuple[Tier, ...]:
-    """Return the tiers that a job may use, in the order of preference."""
+def allowed_tiers(spec: JobSpec) -> tuple[Tier, ...]:
+    """Return the tiers that a job may use, preferred ones first."""
     return tuple(Tier) if is_borrower(spec) else (Tier.UNASSIGNED, Tier.OWN_CELLS)
 
 
 def gang_level(spec: JobSpec, fleet: Fleet) -> AdjacencyLevel:
-    """Return the unit that a gang has to stay within.
+    """Return the smallest unit in which the gang would fit if it were empty.
 
-    It depends on what the workers and racks of the fleet can hold when they
-    are empty, so a busy fleet does not spread a gang more widely.
+    The gang has to stay within one such unit. The level does not depend on
+    the current use, so a gang is not spread more widely on a busy fleet.
     """
     if not spec.accelerators_per_task:
         return AdjacencyLevel.DOMAIN
-    if fleet.could_worker_hold(spec):
+    if fleet.fits_empty_worker(spec):
         return AdjacencyLevel.WORKER
-    if fleet.could_rack_hold(spec):
+    if fleet.fits_empty_rack(spec):
         return AdjacencyLevel.RACK
     return AdjacencyLevel.DOMAIN
 
 
-class Space(NamedTuple):
-    """Where a gang may be placed."""
+class PlacementScope(NamedTuple):
+    """The gang to place, the fleet, its cells and the workers to avoid."""
 
     spec: JobSpec
     fleet: Fleet
@@ -55,7 +67,7 @@
     avoid: frozenset[str]
 
     def offers(self, workers: Iterable[WorkerState], tier: Tier) -> Iterator[Offer]:
-        """Yield the offers of workers that can hold a task of the gang."""
+        """Yield the offers of workers that can hold at least one task."""
         for worker in workers:
             if not worker.free_slots or worker.info.worker_id in self.avoid:
                 continue
@@ -64,16 +76,16 @@
                 yield offer
 
     def rack_offers(self, rack: str, tier: Tier) -> list[Offer]:
-        """Return the offers of the workers of a rack, the fullest first."""
+        """Return the offers of a rack, the fullest workers first."""
         per_task = self.spec.accelerators_per_task
         workers = self.fleet.workers_in_rack(rack, per_task)
         return list(self.offers(workers, tier))
 
 
 def make_offer(spec: JobSpec, capacity: WorkerCapacity, tier: Tier) -> Offer:
-    """Return what a worker offers within a tier; it may hold no task."""
+    """Return the offer of a worker within a tier, possibly of zero tasks."""
     per_task = spec.accelerators_per_task
-    firm = tier is not Tier.FOREIGN_CELLS
+    keep_cell_shares = tier is not Tier.FOREIGN_CELLS
     if not capacity.has_cells:
         return Offer(
             capacity,
@@ -84,23 +96,31 @@
     foreign: tuple[int, ...] = ()
     if tier >= Tier.OWN_CELLS:
         own = capacity.free_by_owner.get(spec.organisation, ())
-    if not firm:
-        foreign = capacity.foreign(spec.organisation)
+    if not keep_cell_shares:
+        foreign = capacity.free_in_foreign_cells(spec.organisation)
     accelerators = capacity.unassigned + own + foreign
     if per_task and len(accelerators) < per_task:
         return Offer(capacity, 0, ())
-    tasks = fitting_tasks(spec, capacity, accelerators, firm)
+    tasks = fitting_tasks(spec, capacity, accelerators, keep_cell_shares)
     if own and tasks * per_task < min(len(accelerators), spec.accelerators):
-        # Work on own cells may use their share of slots, cores and memory.
-        other = own + capacity.unassigned + foreign
-        other_tasks = fitting_tasks(spec, capacity, other, firm)
-        if other_tasks > tasks:
-            return Offer(capacity, other_tasks, other)
+        # Only tasks on accelerators in own cells may use the slots, cores and
+        # memory that are reserved for these cells, so more tasks may fit when
+        # those accelerators are used first.
+        own_first = own + capacity.unassigned + foreign
+        own_first_tasks = fitting_tasks(spec, capacity, own_first, keep_cell_shares)
+        if own_first_tasks > tasks:
+            return Offer(capacity, own_first_tasks, own_first)
     return Offer(capacity, tasks, accelerators)
 
 
-def fill_offers(spec: JobSpec, offers: Iterable[Offer], tier: Tier) -> Placement | None:
-    """Place the tasks of a gang onto offers in the given order."""
+def place_on_offers(
+    spec: JobSpec, offers: Iterable[Offer], tier: Tier
+) -> Placement | None:
+    """Place the tasks of a gang on offers in the given order.
+
+    Returns:
+        The placement, or None if the offers cannot hold all tasks.
+    """
     members = []
     placed = 0
     for offer in offers:
@@ -116,6 +136,6 @@
     return None
 
 
-def count_offered(offers: Iterable[Offer]) -> int:
-    """Return the tasks that all offers hold together."""
+def count_offered_tasks(offers: Iterable[Offer]) -> int:
+    """Return the total number of tasks that the offers can hold."""
     return sum(offer.tasks for offer in offers)
--- a/src/redwingrudder/_placement.py
+++ b/src/redwingrudder/_placement.py
@@ -1,16 +1,16 @@
-"""Best-fit placement that keeps whole workers and racks free."""
+"""Best-fit placement, which keeps whole workers and racks free."""
 
 from collections.abc import Callable
 from itertools import chain
 
 from ._offers import (
     Offer,
-    Space,
+    PlacementScope,
     Tier,
-    count_offered,
-    fill_offers,
+    allowed_tiers,
+    count_offered_tasks,
     gang_level,
-    tiers,
+    place_on_offers,
 )
 from ._reclaim import CellReclaim, fitting_cells
 from .fleet import Fleet, WorkerState
@@ -22,10 +22,11 @@
 
 
 class BestFitPlacement(PlacementPolicy):
-    """Places a gang into the fullest worker, rack or racks that hold it.
+    """Places a gang on the fullest worker, rack or set of racks that fits it.
 
-    Accelerators outside all cells are preferred to those of own cells, and
-    these to the cells of other organisations, which only borrowers may use.
+    Accelerators outside all cells are preferred to those in cells of the
+    job's organisation. Cells of other organisations come last and are used by
+    borrowers only.
     """
 
     def place(
@@ -36,28 +37,28 @@
         avoid: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Return a placement on free resources that keeps all guarantees."""
-        space = Space(spec, fleet, guarantees.layout_of(fleet), avoid)
-        place_in_tier = _placer(spec, fleet)
-        for tier in tiers(spec):
+        scope = PlacementScope(spec, fleet, guarantees.layout_of(fleet), avoid)
+        place_in_tier = _select_placement_function(spec, fleet)
+        for tier in allowed_tiers(spec):
             if tier is Tier.OWN_CELLS and fitting_cells(spec, guarantees):
-                placement = _place_in_cell(space, guarantees)
+                placement = _place_in_cell(scope, guarantees)
             else:
-                placement = place_in_tier(space, tier)
+                placement = place_in_tier(scope, tier)
             if placement is not None:
                 return placement
         return None
 
     def largest_gang(self, fleet: Fleet) -> int:
-        """Return the largest gang of accelerators that could be placed now."""
+        """Return the size, in accelerators, of the largest placeable gang."""
         return largest_adjacent_gang(fleet)
 
 
 def largest_adjacent_gang(fleet: Fleet) -> int:
-    """Return the largest adjacent gang that the free accelerators hold.
+    """Return the size, in accelerators, of the largest placeable gang.
 
-    A gang that a worker or rack could hold when empty may not be spread
-    wider, so free accelerators that are scattered do not count for it. Free
-    accelerators of all cells count, as they do for a borrower.
+    A gang that would fit on one empty worker or rack must not be spread over
+    several, so scattered free accelerators do not count for it. Free
+    accelerators in all cells count, because a borrower could use them.
     """
     in_domain = fleet.free_in_domain()
     if in_domain > fleet.largest_rack():
@@ -68,121 +69,135 @@
     return fleet.most_free_on_worker()
 
 
-def _place_in_cell(space: Space, guarantees: CellTable) -> Placement | None:
-    """Use the cell that a reclaim would use, if nothing has to stop there.
+def _place_in_cell(scope: PlacementScope, guarantees: CellTable) -> Placement | None:
+    """Place the gang in the cell that a reclaim would choose, if it is free.
 
-    Another cell might be free, but a job on a cell that is larger than
-    needed uses up the large shape.
+    If borrowers would have to stop there, the result is None even if another
+    cell is free: a job in a larger cell than needed would make the large
+    guaranteed shape unavailable.
     """
-    plan = CellReclaim().reclaim(space.spec, space.fleet, guarantees, space.avoid)
+    plan = CellReclaim().reclaim(scope.spec, scope.fleet, guarantees, scope.avoid)
     return plan.placement if plan and not plan.gangs_to_stop else None
 
 
-def _placer(spec: JobSpec, fleet: Fleet) -> Callable[[Space, Tier], Placement | None]:
+def _select_placement_function(
+    spec: JobSpec, fleet: Fleet
+) -> Callable[[PlacementScope, Tier], Placement | None]:
     if not spec.accelerators_per_task:
         return _place_cpu_only
     level = gang_level(spec, fleet)
     return (_place_on_worker, _place_on_rack, _place_on_racks)[level]
 
 
-def _place_on_worker(space: Space, tier: Tier) -> Placement | None:
-    workers = space.fleet.workers_by_free(space.spec.accelerators)
-    for offer in space.offers(workers, tier):
-        if offer.tasks >= space.spec.tasks:
-            return fill_offers(space.spec, [offer], tier)
+def _place_on_worker(scope: PlacementScope, tier: Tier) -> Placement | None:
+    workers = scope.fleet.workers_by_free(scope.spec.accelerators)
+    for offer in scope.offers(workers, tier):
+        if offer.tasks >= scope.spec.tasks:
+            return place_on_offers(scope.spec, [offer], tier)
     return None
 
 
-def _place_on_rack(space: Space, tier: Tier) -> Placement | None:
-    for _, rack in space.fleet.racks_by_free(space.spec.accelerators):
-        offers = space.rack_offers(rack, tier)
-        if count_offered(offers) >= space.spec.tasks:
-            return fill_offers(space.spec, offers, tier)
+def _place_on_rack(scope: PlacementScope, tier: Tier) -> Placement | None:
+    for _, rack in scope.fleet.racks_by_free(scope.spec.accelerators):
+        offers = scope.rack_offers(rack, tier)
+        if count_offered_tasks(offers) >= scope.spec.tasks:
+            return place_on_offers(scope.spec, offers, tier)
     return None
 
 
-def _place_on_racks(space: Space, tier: Tier) -> Placement | None:
-    """Fill the fewest racks: the emptiest first, the rest into a full one."""
-    racks = _RackChoice(space, tier)
-    chosen: list[Offer] = []
-    left = space.spec.tasks
+def _place_on_racks(scope: PlacementScope, tier: Tier) -> Placement | None:
+    """Place the gang on as few racks as possible.
+
+    Whole racks are taken in the order of the tasks that they can hold. The
+    remaining tasks go to the fullest rack that can hold all of them.
+    """
+    candidates = _RackCandidates(scope, tier)
+    chosen_offers: list[Offer] = []
+    remaining_tasks = scope.spec.tasks
     while True:
-        last = racks.fullest_holding(left)
-        if last is not None:
-            return fill_offers(space.spec, chosen + racks.offers(last), tier)
-        next_rack = racks.pop_emptiest()
+        final_rack = candidates.fullest_rack_for(remaining_tasks)
+        if final_rack is not None:
+            return place_on_offers(
+                scope.spec, chosen_offers + candidates.offers(final_rack), tier
+            )
+        next_rack = candidates.pop_rack_with_most_tasks()
         if next_rack is None:
             return None
-        chosen += racks.offers(next_rack)
-        left -= racks.count(next_rack)
+        chosen_offers += candidates.offers(next_rack)
+        remaining_tasks -= candidates.task_count(next_rack)
 
 
-class _RackChoice:
-    """Racks that are left for a gang, with what each offers.
+class _RackCandidates:
+    """Racks that a gang does not use yet, with the offers of their workers.
 
-    Free accelerators bound what a rack offers, so that the offers of most
-    racks need not be computed.
+    The free accelerators of a rack give an upper bound on the tasks that it
+    can hold. Most racks are ruled out by this bound, so their offers are not
+    computed.
     """
 
-    def __init__(self, space: Space, tier: Tier) -> None:
-        per_task = space.spec.accelerators_per_task
-        self._bounds_by_rack = {
-            rack: free // per_task for free, rack in space.fleet.racks_by_free(per_task)
+    def __init__(self, scope: PlacementScope, tier: Tier) -> None:
+        per_task = scope.spec.accelerators_per_task
+        self._max_tasks_by_rack = {
+            rack: free // per_task for free, rack in scope.fleet.racks_by_free(per_task)
         }
-        self._space = space
+        self._scope = scope
         self._tier = tier
         self._offers_by_rack: dict[str, list[Offer]] = {}
-        self._counts_by_rack: dict[str, int] = {}
+        self._task_counts_by_rack: dict[str, int] = {}
 
     def offers(self, rack: str) -> list[Offer]:
-        """Return the offers of a rack."""
+        """Return the offers of a rack; they are computed once and cached."""
         if rack not in self._offers_by_rack:
-            offers = self._space.rack_offers(rack, self._tier)
+            offers = self._scope.rack_offers(rack, self._tier)
             self._offers_by_rack[rack] = offers
-            self._counts_by_rack[rack] = count_offered(offers)
+            self._task_counts_by_rack[rack] = count_offered_tasks(offers)
         return self._offers_by_rack[rack]
 
-    def count(self, rack: str) -> int:
-        """Return how many tasks a rack holds."""
+    def task_count(self, rack: str) -> int:
+        """Return how many tasks of the gang a rack can hold."""
         self.offers(rack)
-        return self._counts_by_rack[rack]
+        return self._task_counts_by_rack[rack]
 
-    def fullest_holding(self, tasks: int) -> str | None:
-        """Return the fullest rack that holds a number of tasks."""
-        for rack, bound in self._bounds_by_rack.items():
-            if bound >= tasks and self.count(rack) >= tasks:
+    def fullest_rack_for(self, tasks: int) -> str | None:
+        """Return the fullest rack that fits the tasks, or None."""
+        for rack, max_tasks in self._max_tasks_by_rack.items():
+            if max_tasks >= tasks and self.task_count(rack) >= tasks:
                 return rack
         return None
 
-    def pop_emptiest(self) -> str | None:
-        """Remove and return the rack that holds the most tasks."""
-        best = None
+    def pop_rack_with_most_tasks(self) -> str | None:
+        """Remove and return the rack that can hold the most tasks, or None."""
+        best_rack = None
         best_count = 0
-        for rack, bound in reversed(self._bounds_by_rack.items()):
-            if bound <= best_count:
+        for rack, max_tasks in reversed(self._max_tasks_by_rack.items()):
+            if max_tasks <= best_count:
                 break
-            if self.count(rack) > best_count:
-                best, best_count = rack, self.count(rack)
-        if best is not None:
-            del self._bounds_by_rack[best]
-        return best
+            if self.task_count(rack) > best_count:
+                best_rack, best_count = rack, self.task_count(rack)
+        if best_rack is not None:
+            del self._max_tasks_by_rack[best_rack]
+        return best_rack
 
 
-def _place_cpu_only(space: Space, tier: Tier) -> Placement | None:
-    """Fill workers without free accelerators first.
+def _place_cpu_only(scope: PlacementScope, tier: Tier) -> Placement | None:
+    """Place a gang that needs no accelerators.
 
-    Among these the fullest worker that holds the whole gang is used. If none
-    does, workers with much room come first, because each member costs calls.
+    Workers without free accelerators are preferred. Among these, the worker
+    with the fewest free slots that fits the whole gang is used. If there is
+    none, workers with many free slots come first, because every member of a
+    gang costs calls to its worker.
     """
-    spec = space.spec
-    busy: list[WorkerState] = []
-    others: list[WorkerState] = []
-    for worker in space.fleet.workers_by_free(0):
-        (others if None in worker.gangs_by_accelerator else busy).append(worker)
-    busy.sort(key=lambda worker: worker.free_slots)
-    enough = (worker for worker in busy if worker.free_slots >= spec.tasks)
-    for offer in space.offers(enough, tier):
+    spec = scope.spec
+    fully_used: list[WorkerState] = []
+    partly_free: list[WorkerState] = []
+    for worker in scope.fleet.workers_by_free(0):
+        (partly_free if None in worker.gangs_by_accelerator else fully_used).append(
+            worker
+        )
+    fully_used.sort(key=lambda worker: worker.free_slots)
+    large_enough = (worker for worker in fully_used if worker.free_slots >= spec.tasks)
+    for offer in scope.offers(large_enough, tier):
         if offer.tasks >= spec.tasks:
-            return fill_offers(spec, [offer], tier)
-    offers = space.offers(chain(reversed(busy), others), tier)
-    return fill_offers(spec, offers, tier)
+            return place_on_offers(spec, [offer], tier)
+    offers = scope.offers(chain(reversed(fully_used), partly_free), tier)
+    return place_on_offers(spec, offers, tier)
--- a/src/redwingrudder/_reclaim.py
+++ b/src/redwingrudder/_reclaim.py
@@ -1,43 +1,52 @@
-"""Reclaim of cells for work that is within its guarantee."""
+"""Reclaim of cells from borrowers for jobs that are within a guarantee."""
 
 from typing import NamedTuple
 
 from ._cells import AdjacencyLevel, Cell, CellLayout
-from ._offers import Offer, Tier, count_offered, fill_offers, gang_level
+from ._offers import Offer, Tier, count_offered_tasks, gang_level, place_on_offers
 from ._worker_capacity import fitting_tasks, is_borrower, member_use
 from .fleet import Fleet, WorkerState
 from .guarantees import CellTable
 from .model import JobSpec
 from .policies import ReclaimPlan, ReclaimPolicy
 
+# The fields of ScoredPlan before the plan itself form its cost.
+COST_FIELDS = 3
+
 
 class CellUnit(NamedTuple):
-    """The part of a cell within which a gang is adjacent."""
+    """A part of a cell in which a gang can be placed adjacently.
+
+    Depending on the adjacency level of the gang, it is one worker, the
+    workers of one rack or all workers of the cell.
+    """
 
     layout: CellLayout
     accelerators_by_worker: dict[str, tuple[int, ...]]
 
 
-class RatedPlan(NamedTuple):
-    """A plan with its cost; lower is better.
+class ScoredPlan(NamedTuple):
+    """A plan with its cost, compared field by field; the lowest cost wins.
 
-    ``spare`` counts the accelerators of the cell that the organisation could
-    still claim afterwards. ``age_rank`` is higher for older gangs.
+    ``claimable_after`` is the number of accelerators of the cell that the
+    organisation could still claim afterwards. ``stopped_gangs`` is the number
+    of gangs to stop. ``age_rank`` is higher if an older gang is stopped.
     """
 
-    spare: int
-    stopped: int
+    claimable_after: int
+    stopped_gangs: int
     age_rank: int
     plan: ReclaimPlan
 
 
 class CellReclaim(ReclaimPolicy):
-    """Uses a free own cell, or stops the borrowers that occupy one.
+    """Uses a free cell of the organisation or stops the borrowers in one.
 
-    The cell of which the least stays unused comes first, because a small job
-    on a large cell would use up the large shape. Among equals the plan with
-    the fewest gangs to stop is chosen, then the one that stops the youngest
-    gangs, because they lose the least work.
+    The cell in which the fewest accelerators stay unused is preferred,
+    because a small job in a large cell would make the large guaranteed shape
+    unavailable. Among such cells, the plan that stops the fewest gangs is
+    chosen, then the one that stops the youngest gangs, because they lose the
+    least work.
     """
 
     def reclaim(
@@ -47,17 +56,19 @@
         guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
-        """Return a plan within the organisation's own cells, or None."""
+        """Return a plan in the cells of the job's organisation, or None."""
         level = gang_level(spec, fleet)
         layout = guarantees.layout_of(fleet)
-        best: RatedPlan | None = None
+        best: ScoredPlan | None = None
         for cell in fitting_cells(spec, guarantees):
-            spare = _claimable(cell, layout) - spec.accelerators
-            if spare < 0 or (best is not None and spare > best.spare):
+            claimable_after = _count_claimable(cell, layout) - spec.accelerators
+            if claimable_after < 0 or (
+                best is not None and claimable_after > best.claimable_after
+            ):
                 continue
-            for unit in _units(cell, layout, level, avoid):
-                plan = _cheapest_plan(spec, unit, spare)
-                if plan and (best is None or plan[:3] < best[:3]):
+            for unit in _split_into_units(cell, layout, level, avoid):
+                plan = _cheapest_plan(spec, unit, claimable_after)
+                if plan and (best is None or plan[:COST_FIELDS] < best[:COST_FIELDS]):
                     best = plan
         return best.plan if best else None
 
@@ -65,7 +76,8 @@
 def fitting_cells(spec: JobSpec, guarantees: CellTable) -> list[Cell]:
     """Return the cells of the job's organisation that are large enough.
 
-    Cells are claimed by accelerators, so CPU-only work has none.
+    A cell consists of accelerators, so the result is empty for a job that
+    needs none.
     """
     if not spec.accelerators_per_task:
         return []
@@ -76,8 +88,8 @@
     ]
 
 
-def _claimable(cell: Cell, layout: CellLayout) -> int:
-    """Return the accelerators that the owner itself does not hold."""
+def _count_claimable(cell: Cell, layout: CellLayout) -> int:
+    """Count the accelerators of a cell that its owner does not use itself."""
     fleet = layout.fleet
     count = 0
     for worker_id, indexes in cell.accelerators_by_worker.items():
@@ -91,33 +103,49 @@
     return count
 
 
-def _units(
+def _split_into_units(
     cell: Cell, layout: CellLayout, level: AdjacencyLevel, avoid: frozenset[str]
 ) -> list[CellUnit]:
-    by_unit: dict[str, dict[str, tuple[int, ...]]] = {}
+    accelerators_by_unit: dict[str, dict[str, tuple[int, ...]]] = {}
     for worker_id, indexes in sorted(cell.accelerators_by_worker.items()):
         worker = layout.fleet.workers_by_id.get(worker_id)
         if worker is None or not worker.accepts_work or worker_id in avoid:
             continue
-        name = (worker_id, worker.info.rack, "")[level]
-        by_unit.setdefault(name, {})[worker_id] = indexes
-    return [CellUnit(layout, accelerators) for accelerators in by_unit.values()]
+        unit_id = (worker_id, worker.info.rack, "")[level]
+        accelerators_by_unit.setdefault(unit_id, {})[worker_id] = indexes
+    return [
+        CellUnit(layout, accelerators) for accelerators in accelerators_by_unit.values()
+    ]
+
 
+def _cheapest_plan(
+    spec: JobSpec, unit: CellUnit, claimable_after: int
+) -> ScoredPlan | None:
+    """Return the cheapest plan within a unit, or None if the gang cannot fit.
 
-def _cheapest_plan(spec: JobSpec, unit: CellUnit, spare: int) -> RatedPlan | None:
-    """Spare the oldest gangs or those that free the least, by cost."""
+    Two plans are compared: one that tries to keep the oldest gangs running
+    and one that tries to keep the gangs that would free the fewest
+    accelerators.
+    """
     fleet = unit.layout.fleet
-    gang_ids = _stoppable(spec.organisation, unit)
+    gang_ids = _stoppable_gangs(spec.organisation, unit)
     by_age = sorted(gang_ids, key=fleet.gang_sequence)
-    by_size = sorted(by_age, key=lambda gang_id: _freed(gang_id, unit))
-    plans = [_plan_sparing(spec, unit, order, spare) for order in (by_age, by_size)]
-    return min((p for p in plans if p), key=lambda p: p[:3], default=None)
+    by_size = sorted(by_age, key=lambda gang_id: _count_freed(gang_id, unit))
+    plans = [
+        _plan_with_fewest_stops(spec, unit, gang_order, claimable_after)
+        for gang_order in (by_age, by_size)
+    ]
+    return min(
+        (plan for plan in plans if plan),
+        key=lambda plan: plan[:COST_FIELDS],
+        default=None,
+    )
 
 
-def _stoppable(organisation: str, unit: CellUnit) -> set[str]:
-    """Return the borrowers on the workers of a unit.
+def _stoppable_gangs(organisation: str, unit: CellUnit) -> set[str]:
+    """Return the borrowers of other organisations on the workers of a unit.
 
-    They include those that hold no accelerator of the cell, because their
+    Borrowers that hold no accelerator of the cell are included, because their
     slots, cores or memory may be needed.
     """
     fleet = unit.layout.fleet
@@ -130,7 +158,7 @@
     return gang_ids
 
 
-def _freed(gang_id: str, unit: CellUnit) -> int:
+def _count_freed(gang_id: str, unit: CellUnit) -> int:
     members = unit.layout.fleet.gangs_by_id[gang_id].members_by_worker
     return sum(
         len(set(members[worker_id].accelerators).intersection(indexes))
@@ -139,68 +167,86 @@
     )
 
 
-def _plan_sparing(
-    spec: JobSpec, unit: CellUnit, gang_ids: list[str], spare: int
-) -> RatedPlan | None:
-    """Plan to stop all gangs, then spare each one that is not needed."""
-    stopped = set(gang_ids)
+def _plan_with_fewest_stops(
+    spec: JobSpec, unit: CellUnit, gang_ids: list[str], claimable_after: int
+) -> ScoredPlan | None:
+    """Plan to stop all gangs, then keep each gang that need not be stopped.
+
+    The gangs are tested in the given order, so those at the front are the
+    most likely to be kept.
+    """
+    stopped_gangs = set(gang_ids)
     offers_by_worker = {
-        worker_id: _offer(spec, unit, worker_id, stopped)
+        worker_id: _offer_after_stops(spec, unit, worker_id, stopped_gangs)
         for worker_id in unit.accelerators_by_worker
     }
-    if count_offered(offers_by_worker.values()) < spec.tasks:
+    if count_offered_tasks(offers_by_worker.values()) < spec.tasks:
         return None
     members_by_gang = {
         gang_id: unit.layout.fleet.gangs_by_id[gang_id].members_by_worker
         for gang_id in gang_ids
     }
     for gang_id in gang_ids:
-        stopped.discard(gang_id)
-        changed = {
-            worker_id: _offer(spec, unit, worker_id, stopped)
+        stopped_gangs.discard(gang_id)
+        changed_offers = {
+            worker_id: _offer_after_stops(spec, unit, worker_id, stopped_gangs)
             for worker_id in members_by_gang[gang_id]
             if worker_id in offers_by_worker
         }
-        if count_offered((offers_by_worker | changed).values()) >= spec.tasks:
-            offers_by_worker |= changed
+        if (
+            count_offered_tasks((offers_by_worker | changed_offers).values())
+            >= spec.tasks
+        ):
+            offers_by_worker |= changed_offers
         else:
-            stopped.add(gang_id)
+            stopped_gangs.add(gang_id)
     offers = sorted(offers_by_worker.values(), key=lambda offer: -offer.tasks)
-    placement = fill_offers(spec, offers, Tier.OWN_CELLS)
+    placement = place_on_offers(spec, offers, Tier.OWN_CELLS)
     fleet = unit.layout.fleet
-    ordered = tuple(sorted(stopped, key=fleet.gang_sequence))
-    oldest = min(map(fleet.gang_sequence, stopped), default=0)
-    return RatedPlan(spare, len(stopped), -oldest, ReclaimPlan(placement, ordered))
+    ordered = tuple(sorted(stopped_gangs, key=fleet.gang_sequence))
+    oldest = min(map(fleet.gang_sequence, stopped_gangs), default=0)
+    return ScoredPlan(
+        claimable_after, len(stopped_gangs), -oldest, ReclaimPlan(placement, ordered)
+    )
 
 
-def _offer(spec: JobSpec, unit: CellUnit, worker_id: str, stopped: set[str]) -> Offer:
-    """Return what a worker offers once some gangs have stopped."""
+def _offer_after_stops(
+    spec: JobSpec, unit: CellUnit, worker_id: str, stopped_gangs: set[str]
+) -> Offer:
+    """Return the offer of a worker after some gangs have stopped."""
     worker = unit.layout.fleet.workers_by_id[worker_id]
     capacity = unit.layout.capacity(worker)
-    freed = _without(worker, unit, stopped)
+    worker_after_stops = _worker_after_stops(worker, unit, stopped_gangs)
     accelerators = tuple(
         index
         for index in unit.accelerators_by_worker[worker_id]
-        if freed.gangs_by_accelerator[index] is None
+        if worker_after_stops.gangs_by_accelerator[index] is None
+    )
+    tasks = fitting_tasks(
+        spec, capacity._replace(worker=worker_after_stops), accelerators
     )
-    tasks = fitting_tasks(spec, capacity._replace(worker=freed), accelerators)
     return Offer(capacity, tasks, accelerators)
 
 
-def _without(worker: WorkerState, unit: CellUnit, stopped: set[str]) -> WorkerState:
+def _worker_after_stops(
+    worker: WorkerState, unit: CellUnit, stopped_gangs: set[str]
+) -> WorkerState:
     fleet = unit.layout.fleet
     worker_id = worker.info.worker_id
-    use = [0, 0, 0]
-    for gang_id in stopped & fleet.gang_ids_by_worker[worker_id]:
+    freed_resources = [0, 0, 0]
+    for gang_id in stopped_gangs & fleet.gang_ids_by_worker[worker_id]:
         gang = fleet.gangs_by_id[gang_id]
         count = len(gang.members_by_worker[worker_id].tasks)
-        use = [a + b for a, b in zip(use, member_use(gang.spec, count), strict=True)]
+        freed_resources = [
+            a + b
+            for a, b in zip(freed_resources, member_use(gang.spec, count), strict=True)
+        ]
     return worker._replace(
         gangs_by_accelerator=tuple(
-            None if gang_id in stopped else gang_id
+            None if gang_id in stopped_gangs else gang_id
             for gang_id in worker.gangs_by_accelerator
         ),
-        free_slots=worker.free_slots + use[0],
-        free_cores=worker.free_cores + use[1],
-        free_memory_mb=worker.free_memory_mb + use[2],
+        free_slots=worker.free_slots + freed_resources[0],
+        free_cores=worker.free_cores + freed_resources[1],
+        free_memory_mb=worker.free_memory_mb + freed_resources[2],
     )
--- a/src/redwingrudder/_worker_capacity.py
+++ b/src/redwingrudder/_worker_capacity.py
@@ -1,19 +1,21 @@
-"""What one worker can still take without breaking a cell.
-
-A cell must stay usable, so slots, cores and memory are kept back for it as
-well. Each accelerator of a cell has a share: one slot and its proportional
-part of the cores and memory of the worker. On every worker the following
-holds for slots, cores and memory alike::
-
-    sum over organisations of max(share, firm use inside its cells)
-        + firm use outside cells  <=  total
-
-Firm use is the use of gangs that cannot be stopped for the owner of a cell
-on that worker: those that are not borrowers, and those of organisations that
-have a cell there themselves, because a reclaim never stops the owner's own
-gangs. The use of a gang with accelerators counts as inside in proportion to
-its accelerators in its own cells. A CPU-only gang counts as inside, so an
-organisation may use the slots of its own cells for CPU-only work.
+"""Resources that one worker can still give without making a cell unusable.
+
+The accelerators of a cell can be used only together with slots, cores and
+memory, so these are reserved as well. Each accelerator of a cell has a share:
+one slot and its proportional part of the cores and memory of the worker. On
+every worker, the following holds for slots, cores and memory alike::
+
+    sum over organisations of
+            max(share, non-reclaimable use inside its cells)
+        + non-reclaimable use outside cells  <=  total
+
+Non-reclaimable use is the use by gangs that cannot be stopped for the owner
+of a cell on that worker: gangs that are not borrowers, and gangs of
+organisations that have a cell there themselves, because a reclaim never stops
+gangs of the owner. The use of a gang with accelerators counts as inside in
+proportion to its accelerators in cells of its organisation. A CPU-only gang
+counts as inside, so an organisation may use the slots of its own cells for
+CPU-only jobs.
 """
 
 from collections.abc import Iterable
@@ -22,20 +24,25 @@
 from .fleet import Fleet, HeldGang, WorkerState, count_tasks
 from .model import JobSpec, MemberPlacement, WorkerInfo
 
+# Jobs with a longer stop bound must not run in cells of other organisations.
 RECLAIM_BOUND_S = 2.0
 
+# The organisation that owns each accelerator of a worker; None outside cells.
 Owners = tuple[str | None, ...]
 
 
 class Resources(NamedTuple):
-    """Slots, cores and memory; negative where more is promised than exists."""
+    """Amounts of slots, cores and memory.
+
+    A component is negative where more is reserved than the worker has.
+    """
 
     slots: int
     cores: int
     memory_mb: int
 
     def plus(self, other: "Resources", sign: int = 1) -> "Resources":
-        """Return the sum, or the difference when ``sign`` is -1."""
+        """Add component by component, or subtract if ``sign`` is -1."""
         return Resources(
             self.slots + sign * other.slots,
             self.cores + sign * other.cores,
@@ -43,7 +50,7 @@
         )
 
     def maximum(self, other: "Resources") -> "Resources":
-        """Return the larger value of each component."""
+        """Return the maximum component by component."""
         return Resources(*map(max, self, other))
 
 
@@ -51,13 +58,21 @@
 
 
 class WorkerCapacity(NamedTuple):
-    """Free accelerators of a worker by owner of the cell, and its margin.
-
-    ``margin`` is what firm use outside cells may still take; it is negative
-    in a component when a cell on this worker could not be used in full.
-    ``unused_shares`` has what remains of the share of each organisation.
-    ``blocked`` has the cell accelerators that a gang holds which cannot be
-    stopped for the owner of the cell.
+    """The resources of a worker that are available without harming a cell.
+
+    Attributes:
+        worker: The state of the worker that this was derived from.
+        owners: The owner of each accelerator.
+        unassigned: Free accelerators outside all cells.
+        free_by_owner: Free accelerators in cells, by the owner of the cell.
+        free_accelerators: Number of all free accelerators.
+        margin: Resources that non-reclaimable use outside cells may still
+            take. A component is negative if a cell on this worker could not
+            be used completely.
+        unused_shares_by_organisation: The part of the share of each owner
+            that its own gangs do not use.
+        blocked_accelerators: Accelerators of cells that are held by a gang
+            which cannot be stopped for the owner of the cell.
     """
 
     worker: WorkerState
@@ -66,15 +81,15 @@
     free_by_owner: dict[str, tuple[int, ...]]
     free_accelerators: int
     margin: Resources
-    unused_shares: dict[str, Resources]
-    blocked: frozenset[int]
+    unused_shares_by_organisation: dict[str, Resources]
+    blocked_accelerators: frozenset[int]
 
     @property
     def has_cells(self) -> bool:
-        """Whether some accelerator here belongs to a cell."""
-        return bool(self.unused_shares)
+        """Whether some accelerator of the worker belongs to a cell."""
+        return bool(self.unused_shares_by_organisation)
 
-    def foreign(self, organisation: str) -> tuple[int, ...]:
+    def free_in_foreign_cells(self, organisation: str) -> tuple[int, ...]:
         """Return the free accelerators in cells of other organisations."""
         return tuple(
             index
@@ -84,20 +99,23 @@
         )
 
     @property
-    def keeps_cells(self) -> bool:
-        """Whether slots, cores and memory suffice for every cell here."""
+    def preserves_cells(self) -> bool:
+        """Whether slots, cores and memory suffice for every cell."""
         return min(self.margin) >= 0
 
 
 def is_borrower(spec: JobSpec) -> bool:
-    """Whether a job may run on the cells of other organisations."""
+    """Return whether a job may run in cells of other organisations.
+
+    Such a job can be stopped within ``RECLAIM_BOUND_S`` and may run again.
+    """
     return spec.preemptible and spec.idempotent and spec.stop_bound_s <= RECLAIM_BOUND_S
 
 
 def cell_share(info: WorkerInfo, accelerators: int) -> Resources:
-    """Return what is kept back for a number of cell accelerators.
+    """Return the resources to reserve for a number of cell accelerators.
 
-    At least one slot is kept, because a cell without a slot is of no use.
+    At least one slot is reserved, because no task could run without one.
     """
     if not accelerators:
         return NO_RESOURCES
@@ -107,7 +125,7 @@
 
 
 def member_use(spec: JobSpec, tasks: int) -> Resources:
-    """Return what a number of tasks of a job take on their worker."""
+    """Return the resources that some tasks of a job use on their worker."""
     return Resources(
         tasks, tasks * spec.cores_per_task, tasks * spec.memory_mb_per_task
     )
@@ -116,7 +134,7 @@
 def split_use(
     spec: JobSpec, tasks: int, accelerators: Iterable[int], owners: Owners
 ) -> tuple[Resources, Resources]:
-    """Return the use of a member inside and outside its own cells."""
+    """Split the use of a member into inside and outside its own cells."""
     use = member_use(spec, tasks)
     indexes = tuple(accelerators)
     if not indexes:
@@ -129,39 +147,56 @@
 def build_worker_capacity(
     worker: WorkerState, owners: Owners, fleet: Fleet
 ) -> WorkerCapacity:
-    """Derive the capacity of a worker from its cells and its gangs."""
+    """Compute the capacity of a worker from its cells and its gangs."""
     unassigned, free_by_owner = _free_by_owner(worker, owners)
     gangs = [
-        fleet.gangs_by_id[g] for g in fleet.gang_ids_by_worker[worker.info.worker_id]
+        fleet.gangs_by_id[gang_id]
+        for gang_id in fleet.gang_ids_by_worker[worker.info.worker_id]
     ]
-    inside_by_org, outside = _firm_use(worker.info.worker_id, owners, gangs)
+    inside_use_by_organisation, outside = _non_reclaimable_use(
+        worker.info.worker_id, owners, gangs
+    )
     info = worker.info
     margin = Resources(info.slots, info.cores, info.memory_mb).plus(outside, -1)
-    unused: dict[str, Resources] = {}
-    counts: dict[str, int] = {}
+    unused_shares: dict[str, Resources] = {}
+    accelerator_counts_by_owner: dict[str, int] = {}
     for owner in owners:
         if owner is not None:
-            counts[owner] = counts.get(owner, 0) + 1
-    for organisation in counts.keys() | inside_by_org.keys():
-        share = cell_share(info, counts.get(organisation, 0))
-        inside = inside_by_org.get(organisation, NO_RESOURCES)
+            accelerator_counts_by_owner[owner] = (
+                accelerator_counts_by_owner.get(owner, 0) + 1
+            )
+    for organisation in (
+        accelerator_counts_by_owner.keys() | inside_use_by_organisation.keys()
+    ):
+        share = cell_share(info, accelerator_counts_by_owner.get(organisation, 0))
+        inside = inside_use_by_organisation.get(organisation, NO_RESOURCES)
         claimed = share.maximum(inside)
         margin = margin.plus(claimed, -1)
-        if organisation in counts:
-            unused[organisation] = claimed.plus(inside, -1)
+        if organisation in accelerator_counts_by_owner:
+            unused_shares[organisation] = claimed.plus(inside, -1)
     free = len(unassigned) + sum(map(len, free_by_owner.values()))
-    blocked = frozenset(
+    blocked_accelerators = frozenset(
         index
         for index, owner in enumerate(owners)
         if owner is not None and not may_occupy_cell(worker, index, owner, fleet)
     )
     return WorkerCapacity(
-        worker, owners, unassigned, free_by_owner, free, margin, unused, blocked
+        worker,
+        owners,
+        unassigned,
+        free_by_owner,
+        free,
+        margin,
+        unused_shares,
+        blocked_accelerators,
     )
 
 
 def may_occupy_cell(worker: WorkerState, index: int, owner: str, fleet: Fleet) -> bool:
-    """Whether what holds an accelerator is allowed on a cell of the owner."""
+    """Return whether an accelerator can be part of a cell of the owner.
+
+    It can if it is free, or if a gang of the owner or a borrower holds it.
+    """
     gang_id = worker.gangs_by_accelerator[index]
     if gang_id is None:
         return True
@@ -185,36 +220,39 @@
     return tuple(unassigned), by_owner
 
 
-def _firm_use(
+def _non_reclaimable_use(
     worker_id: str, owners: Owners, gangs: list[HeldGang]
 ) -> tuple[dict[str, Resources], Resources]:
-    inside_by_org: dict[str, Resources] = {}
+    inside_use_by_organisation: dict[str, Resources] = {}
     outside = NO_RESOURCES
     for gang in gangs:
         spec = gang.spec
         if is_borrower(spec) and spec.organisation not in owners:
             continue
         member: MemberPlacement = gang.members_by_worker[worker_id]
-        inside, rest = split_use(spec, len(member.tasks), member.accelerators, owners)
-        before = inside_by_org.get(spec.organisation, NO_RESOURCES)
-        inside_by_org[spec.organisation] = before.plus(inside)
-        outside = outside.plus(rest)
-    return inside_by_org, outside
+        inside, outside_use = split_use(
+            spec, len(member.tasks), member.accelerators, owners
+        )
+        previous = inside_use_by_organisation.get(spec.organisation, NO_RESOURCES)
+        inside_use_by_organisation[spec.organisation] = previous.plus(inside)
+        outside = outside.plus(outside_use)
+    return inside_use_by_organisation, outside
 
 
 def fitting_tasks(
     spec: JobSpec,
     capacity: WorkerCapacity,
     accelerators: tuple[int, ...],
-    firm: bool = False,
+    keep_cell_shares: bool = False,
 ) -> int:
-    """Return how many tasks fit on the first of the given accelerators.
+    """Return how many tasks of a job fit on a worker.
 
     Args:
-        spec: The job; its tasks take the accelerators in the given order.
-        capacity: The worker.
+        spec: The job; its tasks use the accelerators in the given order.
+        capacity: The capacity of the worker.
         accelerators: Free accelerators that the job may use.
-        firm: Whether a borrower, too, leaves alone what is kept for cells.
+        keep_cell_shares: Whether a borrower, too, must not use the resources
+            that are reserved for cells.
     """
     worker = capacity.worker
     tasks = count_tasks(
@@ -225,33 +263,40 @@
         worker.free_memory_mb,
     )
     tasks = min(tasks, spec.tasks)
-    while tasks > 0 and not keeps_cells(spec, capacity, tasks, accelerators, firm):
+    while tasks > 0 and not preserves_cells(
+        spec, capacity, tasks, accelerators, keep_cell_shares
+    ):
         tasks -= 1
     return tasks
 
 
-def keeps_cells(
+def preserves_cells(
     spec: JobSpec,
     capacity: WorkerCapacity,
     tasks: int,
     accelerators: tuple[int, ...],
-    firm: bool = False,
+    keep_cell_shares: bool = False,
 ) -> bool:
-    """Whether slots, cores and memory suffice for the cells next to a member.
+    """Return whether all cells keep their resources if a member is added.
 
     Args:
         spec: The job of the member.
-        capacity: The worker.
-        tasks: Tasks of the member; they take the first accelerators.
+        capacity: The capacity of the worker.
+        tasks: Number of tasks of the member; they use the first accelerators.
         accelerators: Accelerators that the member may use.
-        firm: Whether a borrower, too, leaves alone what is kept for cells.
+        keep_cell_shares: Whether a borrower, too, must not use the resources
+            that are reserved for cells.
     """
     if not capacity.has_cells:
         return True
-    if not firm and is_borrower(spec) and spec.organisation not in capacity.owners:
+    if (
+        not keep_cell_shares
+        and is_borrower(spec)
+        and spec.organisation not in capacity.owners
+    ):
         return True
     taken = accelerators[: tasks * spec.accelerators_per_task]
     inside, outside = split_use(spec, tasks, taken, capacity.owners)
-    share = capacity.unused_shares.get(spec.organisation, NO_RESOURCES)
+    share = capacity.unused_shares_by_organisation.get(spec.organisation, NO_RESOURCES)
     beyond_share = inside.plus(share, -1).maximum(NO_RESOURCES)
     return min(capacity.margin.plus(outside, -1).plus(beyond_share, -1)) >= 0
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -1,8 +1,10 @@
-"""Interfaces of the decisions that vary between policies.
+"""Abstract base classes of the scheduling policies.
 
-The shipped implementation is in ``_slack_policy``, the baseline for
-comparison (first come first served, first fit) in ``_fcfs_policy``.
-Policies are pure: they read the fleet and return what to do.
+The default policies are in ``_slack_policy`` and ``_placement``. The baseline
+that benchmarks compare them with (first come first served, first fit) is in
+``_fcfs_policy`` and ``_first_fit``. Policies do no input or output and never
+change the fleet: they read it and return a decision, which the scheduler
+carries out.
 """
 
 import abc
@@ -15,10 +17,12 @@
 
 
 class QueuedJob(NamedTuple):
-    """A job that waits for a placement, as order policies see it.
+    """A job that waits for a placement, as passed to the order policy.
 
-    ``target_at`` is the absolute time by which the job should be complete.
-    ``expected_run_s`` is learned; ``attempts`` counts gangs that started.
+    ``submitted_at`` and ``target_at`` are Unix times in seconds; the job
+    should be complete by ``target_at``. ``expected_run_s`` is the estimate of
+    the order policy, in seconds. ``attempts`` is the number of gangs of this
+    job that were started before.
     """
 
     job_id: str
@@ -31,14 +35,18 @@
 
 
 class ReclaimPlan(NamedTuple):
-    """A placement that is possible once the named gangs have stopped."""
+    """A placement that becomes possible once the listed gangs have stopped."""
 
     placement: Placement
     gangs_to_stop: tuple[str, ...]
 
 
 class Refusal(NamedTuple):
-    """Why a job is not accepted; ``retry_after_s`` is None for never."""
+    """The error code and text for a job that is not accepted.
+
+    ``retry_after_s`` is the time in seconds after which the caller may submit
+    the job again, or None if a retry cannot succeed.
+    """
 
     code: str
     detail: str
@@ -46,10 +54,11 @@
 
 
 class ResourceUse(NamedTuple):
-    """Accelerators, or slots when a job takes no accelerators.
+    """Use of the resource that limits a job in its failure domain.
 
-    ``free`` counts those outside all cells; ``held_by_class`` all that are
-    held, by class.
+    The counts are accelerators, or slots for a job without accelerators.
+    ``free`` counts only the free units outside all cells. ``held_by_class``
+    has the number of units in use by the jobs of each class.
     """
 
     total: int
@@ -58,28 +67,28 @@
 
 
 class OrderPolicy(abc.ABC):
-    """Decides which queued jobs are tried first."""
+    """Decides the order in which the scheduler tries to place queued jobs."""
 
     @abc.abstractmethod
     def order(self, jobs: list[QueuedJob], now: float) -> list[QueuedJob]:
-        """Return the jobs in the order in which placement is tried."""
+        """Return the jobs in the order in which they are to be placed."""
 
     @abc.abstractmethod
     def expected_run_s(self, spec: JobSpec) -> float:
-        """Return the run time to expect for a job, in seconds."""
+        """Return the estimated run time of a job, in seconds."""
 
     @abc.abstractmethod
     def observe_run(self, spec: JobSpec, run_s: float, now: float) -> None:
-        """Learn from a job that ran to its end."""
+        """Update the run time estimates after a job has completed."""
 
     @abc.abstractmethod
     def observe_service(
         self, spec: JobSpec, accelerator_seconds: float, now: float
     ) -> None:
-        """Account for service that a caller and organisation received."""
+        """Add to the service that a caller and its organisation received."""
 
     def leaves_headroom(self, job: QueuedJob, use: ResourceUse, now: float) -> bool:
-        """Whether other work keeps enough room when a job starts now.
+        """Return whether enough free capacity remains if the job starts now.
 
         A job for which this is false is placed only within cells.
         """
@@ -87,7 +96,7 @@
 
 
 class PlacementPolicy(abc.ABC):
-    """Finds accelerators for a gang."""
+    """Chooses the workers and accelerators of a gang."""
 
     @abc.abstractmethod
     def place(
@@ -101,18 +110,22 @@
 
         Args:
             spec: The job to place.
-            fleet: Workers and what is held on them.
-            guarantees: Which accelerators the job may use.
-            avoid: Workers that must not be used.
+            fleet: Workers with their free resources.
+            guarantees: The cells, which determine the accelerators that the
+                job may use.
+            avoid: Ids of workers that must not be used.
+
+        Returns:
+            The placement of all tasks, or None if the gang does not fit.
         """
 
     @abc.abstractmethod
     def largest_gang(self, fleet: Fleet) -> int:
-        """Return the largest gang of accelerators that could be placed now."""
+        """Return the size, in accelerators, of the largest placeable gang."""
 
 
 class ReclaimPolicy(abc.ABC):
-    """Chooses which borrowers stop for work that is within its guarantee."""
+    """Chooses the borrowers to stop for a job that is within its guarantee."""
 
     @abc.abstractmethod
     def reclaim(
@@ -122,19 +135,24 @@
         guarantees: CellTable,
         avoid: frozenset[str] = frozenset(),
     ) -> ReclaimPlan | None:
-        """Return a plan within the organisation's own cells, or None.
+        """Return a plan within the cells of the job's organisation, or None.
 
         Args:
             spec: The job that is within its organisation's guarantee.
-            fleet: Workers and what is held on them.
-            guarantees: The cells.
-            avoid: Workers that must not be used, such as those on which
-                borrowers are being stopped for another job.
+            fleet: Workers with their free resources and their gangs.
+            guarantees: The cells of the failure domain.
+            avoid: Ids of workers that must not be used, such as those on
+                which borrowers are being stopped for another job.
         """
 
 
 class QueueSize(NamedTuple):
-    """Queued jobs: all, of one organisation and class, of one caller in it."""
+    """Numbers of queued jobs that the limits on a new job apply to.
+
+    ``total`` counts all queued jobs of the failure domain, ``of_group`` those
+    of the new job's organisation and class, and ``of_caller`` those of its
+    caller within that group.
+    """
 
     total: int
     of_group: int
@@ -142,7 +160,7 @@
 
 
 class AdmissionPolicy(abc.ABC):
-    """Bounds the queue."""
+    """Decides whether a submitted job is accepted into the queue."""
 
     @abc.abstractmethod
     def admit(
@@ -152,38 +170,46 @@
         fleet: Fleet,
         configuration: Configuration,
     ) -> Refusal | None:
-        """Return None to accept the job, or why it is refused.
+        """Return None to accept the job, or the reason why it is refused.
 
-        The fleet is empty until it is known after a change of the owner.
+        After a change of the owner of the failure domain, the fleet is empty
+        until the new owner has discovered the workers.
         """
 
 
 class HealthPolicy(abc.ABC):
-    """Finds workers that fail whatever they start."""
+    """Detects faulty workers, on which tasks fail that succeed elsewhere."""
 
     @abc.abstractmethod
     def observe(self, worker_id: str, job_id: str, failed: bool, now: float) -> None:
-        """Learn from a task that ended on a worker."""
+        """Record the outcome of a task that ended on a worker."""
 
     @abc.abstractmethod
     def quarantined(self, now: float) -> frozenset[str]:
-        """Return the workers that get no work at this time."""
+        """Return the workers that are excluded from placement at ``now``."""
 
     @abc.abstractmethod
     def probes(self, now: float) -> frozenset[str]:
-        """Return quarantined workers that may take one idempotent job."""
+        """Return quarantined workers that may take one job as a probe.
+
+        Only idempotent jobs are used as probes.
+        """
 
     @abc.abstractmethod
     def forget(self, worker_id: str) -> None:
-        """Drop what is known of a worker that was lost."""
+        """Delete the recorded outcomes of a worker that was lost."""
 
     @abc.abstractmethod
     def next_probe_at(self, now: float) -> float | None:
-        """Return when the next quarantine becomes a probe, if any."""
+        """Return the time when the next quarantined worker may be probed.
+
+        Returns:
+            A Unix time in seconds, or None if no quarantine ends later.
+        """
 
 
 class PolicySet(NamedTuple):
-    """One implementation of each policy."""
+    """The policies that one scheduler uses."""
 
     order: OrderPolicy
     placement: PlacementPolicy
@@ -193,7 +219,7 @@
 
 
 def slack_policies() -> PolicySet:
-    """Return the shipped policies, with nothing learned yet."""
+    """Return new instances of the default policies, without learned state."""
     from ._placement import BestFitPlacement, CellReclaim
     from ._slack_policy import FailureStreakHealth, SlackAdmission, SlackOrder
 
@@ -207,7 +233,7 @@
 
 
 def fcfs_policies() -> PolicySet:
-    """Return the baseline: first come first served, first fit."""
+    """Return the baseline policies: first come first served, first fit."""
     from ._fcfs_policy import FcfsOrder, NoHealth, NoReclaim, TotalAdmission
     from ._first_fit import FirstFitPlacement
 
--- a/tests/_fleet_steps.py
+++ b/tests/_fleet_steps.py
@@ -1,4 +1,4 @@
-"""A small failure domain that generated steps change, for several tests."""
+"""A small failure domain that property tests change by generated steps."""
 
 import contextlib
 import random
@@ -19,7 +19,7 @@
     WorkerInfo,
 )
 
-GENERATED = settings(derandomize=True, max_examples=60, deadline=None)
+HYPOTHESIS_SETTINGS = settings(derandomize=True, max_examples=60, deadline=None)
 SHAPES = (Shape(1, 2), Shape(2, 1), Shape(3, 2), Shape(4, 1), Shape(8, 1), Shape(12, 1))
 STEPS = st.lists(
     st.tuples(
@@ -60,7 +60,7 @@
     )
 
 
-def configure(guarantees, workers, cells=()):
+def make_configuration(guarantees, workers, cells=()):
     organisations = {
         name: Organisation(name, tuple(shapes)) for name, shapes in guarantees.items()
     }
@@ -68,17 +68,21 @@
     return configuration._replace(cells=plan_cells(configuration, workers))
 
 
-class Domain:
-    """A domain whose cells are reassigned after each change of hardware."""
+class SimulatedDomain:
+    """A domain whose cells are reassigned after each change of its workers.
+
+    Cells are also reassigned after a change of the configuration and after a
+    worker has reported a member.
+    """
 
     def __init__(self, guarantees, workers=None, policy=None):
         self.workers = workers or make_workers()
         self.policy = policy or BestFitPlacement()
         self.fleet = Fleet()
         self.cell_table = CellTable()
-        self.configuration = configure(guarantees, self.workers)
+        self.configuration = make_configuration(guarantees, self.workers)
         self.now = 0.0
-        self.serial = 0
+        self.last_gang_number = 0
         for info in self.workers:
             self.fleet.add_worker(info, "boot", draining=False)
         self.assign()
@@ -92,8 +96,8 @@
         return self.hold(spec, placement) if placement else None
 
     def hold(self, spec, placement):
-        self.serial += 1
-        gang_id = f"g{self.serial:05}"
+        self.last_gang_number += 1
+        gang_id = f"g{self.last_gang_number:05}"
         self.fleet.hold(gang_id, spec, placement)
         return gang_id
 
@@ -101,7 +105,7 @@
         for worker_id in list(self.fleet.gangs_by_id[gang_id].members_by_worker):
             self.fleet.release_member(gang_id, worker_id)
 
-    def step(self, name, seed):
+    def apply_step(self, name, seed):
         rng = random.Random(seed)
         info = rng.choice(self.workers)
         if name == "place":
@@ -118,31 +122,31 @@
         elif name == "drain":
             self.fleet.set_draining(info.worker_id)
         elif name == "report":
-            self.report(info, rng)
+            self.report_member(info, rng)
         elif name == "quarantine":
             self.fleet.set_quarantined(info.worker_id, rng.random() < 0.5)
         else:
             self.reconfigure(rng)
         self.assign()
 
-    def report(self, info, rng):
-        """Hold a member that a worker reported, whatever cells are there."""
+    def report_member(self, info, rng):
+        """Hold a member that a worker reported, regardless of the cells."""
         spec = random_spec(rng)
         per_task = spec.accelerators_per_task
         tasks = rng.randint(1, spec.tasks)
         first = rng.randrange(2)
         accelerators = tuple(range(first, first + tasks * per_task))
         member = MemberPlacement(info.worker_id, accelerators, tuple(range(tasks)))
-        self.serial += 1
+        self.last_gang_number += 1
         with contextlib.suppress(ConflictError, NotFoundError):
-            self.fleet.hold_member(f"g{self.serial:05}", spec, member)
+            self.fleet.hold_member(f"g{self.last_gang_number:05}", spec, member)
 
     def reconfigure(self, rng):
         guarantees = {
             name: rng.sample(SHAPES, rng.randrange(3)) for name in ("a", "b", "c")
         }
         try:
-            self.configuration = configure(
+            self.configuration = make_configuration(
                 guarantees, self.workers, self.configuration.cells
             )
         except UnprocessableError:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Gangs are placed whole, adjacent, compact and off foreign cells."""
+"""Tests that gangs are placed whole, adjacent, compact and within guarantees."""
 
 import random
 import unittest
@@ -15,9 +15,9 @@
 from redwingrudder.model import Shape
 
 from ._fleet_steps import (
-    GENERATED,
+    HYPOTHESIS_SETTINGS,
     STEPS,
-    Domain,
+    SimulatedDomain,
     make_spec,
     make_workers,
     random_spec,
@@ -30,47 +30,52 @@
 
 
 class AnyPolicyTest(unittest.TestCase):
-    @GENERATED
+    @HYPOTHESIS_SETTINGS
     @given(STEPS, st.integers(0, 2**32), st.sampled_from((0, 1)))
-    def test_placement_is_whole_adjacent_and_keeps_guarantees(self, steps, seed, kind):
-        """Guards I1 and I2 for the shipped policy and for the baseline."""
-        policy = (BestFitPlacement, FirstFitPlacement)[kind]()
+    def test_placement_is_whole_adjacent_and_keeps_guarantees(
+        self, steps, seed, policy_index
+    ):
+        """Invariants I1 and I2 for best-fit and first-fit placement."""
+        policy = (BestFitPlacement, FirstFitPlacement)[policy_index]()
         guarantees = {"a": (Shape(4, 1), Shape(8, 1)), "b": (Shape(3, 1),)}
-        domain = Domain(guarantees, policy=policy)
+        domain = SimulatedDomain(guarantees, policy=policy)
         for name, step_seed in steps:
-            domain.step(name, step_seed)
+            domain.apply_step(name, step_seed)
         rng = random.Random(seed)
         for _ in range(12):
             spec = random_spec(rng)
             placement = policy.place(spec, domain.fleet, domain.cell_table)
             if placement is not None:
-                self._check(domain, spec, placement)
+                self._assert_valid(domain, spec, placement)
                 domain.hold(spec, placement)
                 self.assertEqual(domain.cell_table.violations(domain.fleet), ())
 
-    def _check(self, domain, spec, placement):
+    def _assert_valid(self, domain, spec, placement):
         tasks = [task for member in placement.members for task in member.tasks]
         self.assertEqual(tasks, list(range(spec.tasks)))
         for worker_id, accelerators, member_tasks in placement.members:
             needed = len(member_tasks) * spec.accelerators_per_task
             self.assertEqual(len(set(accelerators)), needed)
             self.assertTrue(domain.fleet.workers_by_id[worker_id].accepts_work)
-        if spec.accelerators_per_task and domain.fleet.could_worker_hold(spec):
+        if spec.accelerators_per_task and domain.fleet.fits_empty_worker(spec):
             self.assertEqual(len(placement.members), 1)
-        elif spec.accelerators_per_task and domain.fleet.could_rack_hold(spec):
+        elif spec.accelerators_per_task and domain.fleet.fits_empty_rack(spec):
             self.assertEqual(len(racks_of(domain, placement)), 1)
 
 
 class BestFitTest(unittest.TestCase):
-    @GENERATED
+    @HYPOTHESIS_SETTINGS
     @given(STEPS)
     def test_largest_gang_is_the_largest_that_can_be_placed(self, steps):
-        """Guards the reported fragmentation."""
-        domain = Domain({"a": ()})
+        """The reported largest gang must equal the largest one placeable.
+
+        Fragmentation figures are computed from it.
+        """
+        domain = SimulatedDomain({"a": ()})
         gang = make_spec("z", borrower=True, cores=0, memory_mb=0)
         for name, seed in steps:
             if name not in ("place", "report"):
-                domain.step(name, seed)
+                domain.apply_step(name, seed)
             else:
                 domain.place(gang._replace(tasks=1 + seed % 6))
         largest = domain.policy.largest_gang(domain.fleet)
@@ -84,8 +89,8 @@
         self.assertEqual(max(placeable, default=0), largest)
 
     def test_small_jobs_leave_whole_workers_and_racks_free(self):
-        """Guards against scattered free accelerators that starve gangs."""
-        domain = Domain({"a": ()})
+        """Scattered small jobs would leave no adjacent space for gangs."""
+        domain = SimulatedDomain({"a": ()})
         for _ in range(6):
             domain.place(make_spec("a", 2))
         workers = domain.fleet.workers_by_id.values()
@@ -94,8 +99,8 @@
         self.assertIsNotNone(domain.place(make_spec("a", 16)))
 
     def test_rack_gang_takes_the_fullest_rack(self):
-        """Guards the empty rack against a gang that fits elsewhere."""
-        domain = Domain({"a": ()}, make_workers(12))
+        """An empty rack must stay free if a partly used one fits the gang."""
+        domain = SimulatedDomain({"a": ()}, make_workers(12))
         domain.place(make_spec("a", 4))
         placement = domain.policy.place(
             make_spec("a", 12), domain.fleet, domain.cell_table
@@ -103,8 +108,8 @@
         self.assertEqual(racks_of(domain, placement), {"d0r0"})
 
     def test_large_gang_uses_the_fewest_racks(self):
-        """Guards adjacency beyond one rack."""
-        domain = Domain({"a": ()}, make_workers(16))
+        """A gang larger than a rack must use as few racks as possible."""
+        domain = SimulatedDomain({"a": ()}, make_workers(16))
         for tasks in (16, 12, 4):
             domain.place(make_spec("a", tasks))
         placement = domain.policy.place(
@@ -114,8 +119,10 @@
         self.assertIsNone(domain.place(make_spec("a", 33)))
 
     def test_cells_are_used_in_order_of_preference(self):
-        """Guards unassigned before own, own before foreign cells."""
-        domain = Domain({"a": (Shape(4, 1),), "b": (Shape(4, 1),)}, make_workers(3))
+        """Accelerators outside cells come first, foreign cells come last."""
+        domain = SimulatedDomain(
+            {"a": (Shape(4, 1),), "b": (Shape(4, 1),)}, make_workers(3)
+        )
         borrower = make_spec("a", 4, borrower=True)
         owners = []
         for _ in range(3):
@@ -127,16 +134,16 @@
         self.assertEqual(owners, [(None, False), ("a", False), ("b", True)])
 
     def test_small_job_of_an_owner_spares_its_large_cell(self):
-        """Guards a large shape against the owner's own small work."""
-        domain = Domain({"a": (Shape(12, 1), Shape(4, 1))}, make_workers(4))
+        """A small job must use the smallest cell of its owner that fits."""
+        domain = SimulatedDomain({"a": (Shape(12, 1), Shape(4, 1))}, make_workers(4))
         placement = domain.policy.place(make_spec("a"), domain.fleet, domain.cell_table)
         small = domain.cell_table.cells()[1].accelerators_by_worker
         self.assertEqual({m.worker_id for m in placement.members}, set(small))
 
     def test_shares_of_own_cells_are_used_when_others_have_no_slots(self):
-        """Guards against a job that waits beside the slots kept for it."""
+        """A job must get the slots that are reserved for its own cells."""
         workers = make_workers(1, accelerators=8, slots=8)
-        domain = Domain({"a": (Shape(2, 2),)}, workers)
+        domain = SimulatedDomain({"a": (Shape(2, 2),)}, workers)
         domain.place(make_spec("z", 4, 0, cores=0, memory_mb=0))
         placement = domain.policy.place(
             make_spec("a", 4), domain.fleet, domain.cell_table
@@ -144,12 +151,16 @@
         self.assertEqual(placement.members[0].accelerators, (0, 1, 2, 3))
 
     def test_cpu_only_gangs_keep_off_free_accelerators(self):
-        """Guards slots beside free accelerators, and the shares of cells."""
+        """CPU-only gangs must not take slots that accelerators need.
+
+        They use workers without free accelerators first, and never the slots
+        that are reserved for cells of other organisations.
+        """
         workers = make_workers(4) + tuple(
             info._replace(worker_id=f"cpu{i}", accelerators=0)
             for i, info in enumerate(make_workers(2))
         )
-        domain = Domain({"a": (Shape(4, 4),)}, workers)
+        domain = SimulatedDomain({"a": (Shape(4, 4),)}, workers)
         spec = make_spec("z", 4, 0)
         placed = [domain.policy.place(spec, domain.fleet, domain.cell_table)]
         domain.hold(spec, placed[0])
@@ -161,8 +172,8 @@
         self.assertIsNotNone(domain.place(spec._replace(organisation="a")))
 
     def test_avoided_workers_are_not_used(self):
-        """Guards the retry on another worker after a failure."""
-        domain = Domain({"a": ()}, make_workers(2))
+        """A retry after a failure must use other workers."""
+        domain = SimulatedDomain({"a": ()}, make_workers(2))
         avoid = frozenset({"d0w0"})
         for spec in (make_spec("a", 1), make_spec("a", 4), make_spec("a", 1, 0)):
             found = domain.policy.place(spec, domain.fleet, domain.cell_table, avoid)
@@ -173,8 +184,12 @@
         )
 
     def test_decision_rebuilds_only_changed_workers(self):
-        """Guards the cost bound: one change must not void every cache."""
-        domain = Domain({"a": (Shape(4, 4),)}, make_workers(40))
+        """A placement must recompute only the workers that it changed.
+
+        If one change invalidated all cached capacities, every decision would
+        recompute the whole fleet.
+        """
+        domain = SimulatedDomain({"a": (Shape(4, 4),)}, make_workers(40))
         spec = make_spec("b", 20)
         domain.place(spec)
         with mock.patch.object(
@@ -184,7 +199,7 @@
         self.assertLessEqual(build.call_count, 10)
 
     def test_measurement_runs(self):
-        """Guards the command that prints the cost of decisions."""
+        """The measurement behind the command line must run to its end."""
         cost = measure_placement(48, seed=1)
         self.assertEqual(cost.decisions, 400)
         self.assertLessEqual(cost.p50_ms, cost.p99_ms)
--- a/tests/test_slack_policy.py
+++ b/tests/test_slack_policy.py
@@ -1,4 +1,4 @@
-"""Tests of order, admission and health of the shipped policies."""
+"""Tests of the default policies for order, admission and worker health."""
 
 import unittest
 
@@ -22,59 +22,65 @@
     def setUp(self):
         self.policy = SlackOrder()
 
-    def job(self, name, job_class="urgent", waited=0.0, run_s=1.0, **changes):
+    def job(self, name, job_class="urgent", waited_s=0.0, run_s=1.0, **changes):
         spec = SPEC._replace(job_class=job_class, **changes)
-        definition = CONFIGURATION.classes_by_name[job_class]
-        at = NOW - waited
-        target_at = at + definition.target_s
-        return QueuedJob(name, spec, definition, at, target_at, run_s, 0)
-
-    def names(self, *jobs, now=NOW):
+        job_class_definition = CONFIGURATION.classes_by_name[job_class]
+        submitted_at = NOW - waited_s
+        target_at = submitted_at + job_class_definition.target_s
+        return QueuedJob(
+            name, spec, job_class_definition, submitted_at, target_at, run_s, 0
+        )
+
+    def ordered_ids(self, *jobs, now=NOW):
         return [job.job_id for job in self.policy.order(list(jobs), now)]
 
     def test_least_slack_first_and_late_jobs_last(self):
-        """A job that has missed its target must not cost others theirs."""
+        """Late jobs must not delay jobs that can still meet their target."""
         jobs = [
             self.job("relaxed", "later"),
-            self.job("late", waited=6.0),
+            self.job("late", waited_s=6.0),
             self.job("soon"),
             self.job("long", "later", run_s=599.0),
         ]
-        self.assertEqual(self.names(*jobs), ["long", "soon", "relaxed", "late"])
+        self.assertEqual(self.ordered_ids(*jobs), ["long", "soon", "relaxed", "late"])
 
     def test_large_callers_wait_for_small_ones_of_the_class(self):
-        """A small caller must not queue behind a large caller's run."""
+        """A small caller must not wait behind all jobs of a large caller."""
         large = SPEC._replace(organisation="gold", caller="chain")
         self.policy.observe_service(large, 5000.0, NOW)
         busy = SPEC._replace(caller="busy")
         self.policy.observe_service(busy, 100.0, NOW)
         jobs = [
-            self.job("chain", waited=3.0, organisation="gold", caller="chain"),
-            self.job("busy", waited=2.0, caller="busy"),
-            self.job("small", waited=1.0, caller="small"),
+            self.job("chain", waited_s=3.0, organisation="gold", caller="chain"),
+            self.job("busy", waited_s=2.0, caller="busy"),
+            self.job("small", waited_s=1.0, caller="small"),
         ]
-        self.assertEqual(self.names(*jobs), ["small", "busy", "chain"])
+        self.assertEqual(self.ordered_ids(*jobs), ["small", "busy", "chain"])
 
     def test_service_decays(self):
-        """A caller must not wait for its use of the day before."""
+        """Service received hours ago must not put a caller last."""
         self.policy.observe_service(SPEC._replace(caller="old"), 5000.0, NOW - 36_000)
         self.policy.observe_service(SPEC._replace(caller="new"), 100.0, NOW)
         jobs = [self.job("new", caller="new"), self.job("old", caller="old")]
-        self.assertEqual(self.names(*jobs), ["old", "new"])
+        self.assertEqual(self.ordered_ids(*jobs), ["old", "new"])
 
     def test_aged_job_gets_a_bounded_share(self):
-        """Work that waits must run at last, but a late flood must not rule."""
-        aged = self.job("aged", waited=30.0)
-        late = self.job("late", waited=10.0)
+        """An aged job must come first in one tenth of the time only.
+
+        Without it, late jobs could starve. With more, the late jobs of a
+        flood would displace jobs that can still meet their target.
+        """
+        aged = self.job("aged", waited_s=30.0)
+        late = self.job("late", waited_s=10.0)
         soon = self.job("soon")
         jobs = (late, aged, soon)
-        self.assertEqual(self.names(*jobs), ["soon", "aged", "late"])
+        self.assertEqual(self.ordered_ids(*jobs), ["soon", "aged", "late"])
         window = NOW - NOW % 10
-        first = [self.names(*jobs, now=window + i / 10)[0] for i in range(100)]
+        first = [self.ordered_ids(*jobs, now=window + i / 10)[0] for i in range(100)]
         self.assertEqual(first.count("aged"), 10)
 
     def test_run_time_is_the_learned_80th_percentile(self):
-        """Declared run times may be far off."""
+        """Measured run times must replace an inaccurate declared run time."""
         expected = [self.policy.expected_run_s(SPEC._replace(declared_run_s=100.0))]
         for run_s in (10.0, 10.0, 10.0, 20.0, 90.0):
             self.policy.observe_run(SPEC, run_s, NOW)
@@ -87,7 +93,7 @@
 
 
 class HeadroomTests(unittest.TestCase):
-    """A flood of long jobs must not take the room of urgent ones."""
+    """A flood of long jobs must not take the headroom of urgent jobs."""
 
     def setUp(self):
         self.policy = SlackOrder()
@@ -108,7 +114,8 @@
 
     def test_room_is_kept_for_the_demand_that_is_not_served(self):
         self.assertTrue(self.allows(self.flood, 1))
-        # 600 jobs of 2 s in 300 s: 4 in use on average, 8 with deviations.
+        # 600 jobs of 2 s in 300 s use 4 units on average. With two standard
+        # deviations, the headroom is 8 units.
         self.observe(600)
         self.assertFalse(self.allows(self.flood, 8))
         self.assertTrue(self.allows(self.flood, 9))
@@ -116,7 +123,10 @@
         self.assertTrue(self.allows(self.urgent, 1))
 
     def test_demand_fades_and_is_bounded(self):
-        """Neither a past nor an endless flood may stop all other work."""
+        """Headroom must end after a flood and stay limited during one.
+
+        Otherwise a past or endless flood of one class would block all others.
+        """
         self.observe(60_000)
         self.assertFalse(self.allows(self.flood, 20))
         self.assertTrue(self.allows(self.flood, 21))
@@ -125,7 +135,10 @@
 
 class SlackAdmissionTests(unittest.TestCase):
     def test_bounds_give_a_retry_time(self):
-        """A flood of one class or caller must not fill the queue."""
+        """One class or caller must not fill the queue.
+
+        Refused callers are told when to retry.
+        """
         policy = SlackAdmission()
         group, caller = QUEUED_GROUP_LIMIT, QUEUED_CALLER_LIMIT
         for size, code in [
@@ -152,7 +165,7 @@
             self.policy.observe(worker, job_id, False, NOW)
 
     def test_jobs_that_fail_everywhere_do_not_blame_a_worker(self):
-        """A flood of jobs that can never run must not empty the fleet."""
+        """Jobs that fail on every worker must not quarantine the workers."""
         self.fail("a", "b", "c", "d")
         self.fail("a", "b", "c", "d", worker="w1")
         self.assertEqual(self.policy.quarantined(NOW), frozenset())
