Name the tests of the policies after the behaviour that they check

Some test names and docstrings were figurative, and four tests did not say which failure they guard against. The detail of a refused shape now says that the job would not fit even on empty workers.

--- a/src/redwingrudder/_placement.py
+++ b/src/redwingrudder/_placement.py
@@ -188,16 +188,24 @@
     gang costs calls to its worker.
     """
     spec = scope.spec
-    fully_used: list[WorkerState] = []
-    partly_free: list[WorkerState] = []
+    without_free_accelerators: list[WorkerState] = []
+    with_free_accelerators: list[WorkerState] = []
     for worker in scope.fleet.workers_by_free(0):
-        (partly_free if None in worker.gangs_by_accelerator else fully_used).append(
-            worker
-        )
-    fully_used.sort(key=lambda worker: worker.free_slots)
-    large_enough = (worker for worker in fully_used if worker.free_slots >= spec.tasks)
-    for offer in scope.offers(large_enough, tier):
+        (
+            with_free_accelerators
+            if None in worker.gangs_by_accelerator
+            else without_free_accelerators
+        ).append(worker)
+    without_free_accelerators.sort(key=lambda worker: worker.free_slots)
+    sufficient = (
+        worker
+        for worker in without_free_accelerators
+        if worker.free_slots >= spec.tasks
+    )
+    for offer in scope.offers(sufficient, tier):
         if offer.tasks >= spec.tasks:
             return place_on_offers(spec, [offer], tier)
-    offers = scope.offers(chain(reversed(fully_used), partly_free), tier)
+    offers = scope.offers(
+        chain(reversed(without_free_accelerators), with_free_accelerators), tier
+    )
     return place_on_offers(spec, offers, tier)
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -65,6 +65,8 @@
 
 
 class _AttainedService(NamedTuple):
+    """Accelerator seconds as of the Unix time ``at``."""
+
     accelerator_seconds: float
     at: float
 
@@ -254,7 +256,10 @@
 
 
 class SlackAdmission(AdmissionPolicy):
-    """Limits queued jobs by caller, by organisation and class, and in total."""
+    """Limits queued jobs by caller, organisation and class, and in total.
+
+    A job that cannot fit on the empty fleet is refused as well.
+    """
 
     def admit(
         self,
@@ -268,7 +273,8 @@
             detail = (
                 f"{spec.tasks} tasks with {spec.accelerators_per_task} accelerators,"
                 f" {spec.cores_per_task} cores and {spec.memory_mb_per_task} MB each"
-                f" exceed the {len(fleet.workers_by_id)} workers of the domain"
+                f" do not fit on the {len(fleet.workers_by_id)} workers of the"
+                " failure domain, even if they are empty"
             )
             return Refusal("shape_never_fits", detail, None)
         bounds = (
@@ -284,6 +290,8 @@
 
 
 class _Quarantine(NamedTuple):
+    """The Unix time at which a probe is due, and the length of the wait."""
+
     until: float
     duration_s: float
 
--- a/src/redwingrudder/guarantees.py
+++ b/src/redwingrudder/guarantees.py
@@ -163,9 +163,9 @@
     for key, cell in list(layout.cells_by_key.items()):
         if sizes_by_key.get(key) != cell.size:
             layout.remove_cell(key)
-    # Removing a cell frees its share of slots, cores and memory, which may make
-    # another cell on the same worker valid again. Small cells are checked
-    # first, so that a small one is removed rather than a large one.
+    # Removing a cell frees its share of slots, cores and memory, which may
+    # make another cell on the same worker valid again. Small cells are
+    # checked first, so that a small one is removed rather than a large one.
     for cell in reversed(required):
         current = layout.cells_by_key.get(cell.key)
         if current is not None and not layout.is_valid(current):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -93,7 +93,7 @@
             self.assertEqual(fleet.gangs_by_id, {})
             self.assertEqual(fleet.free_in_domain(), 8)
 
-    def test_lost_worker_names_its_gangs_only(self):
+    def test_removed_worker_returns_only_its_gangs(self):
         """A wrong list would stop an unaffected gang or keep a broken one."""
         domain = SimulatedDomain({"a": ()})
         two_worker_gang = domain.place(make_spec("a", 8))
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -168,7 +168,7 @@
         domain.assign()
         self.assertEqual(domain.cell_table.shortages, ())
 
-    def test_small_cells_make_way_when_a_large_one_fits_nowhere(self):
+    def test_small_cells_move_if_a_large_one_does_not_fit(self):
         """Old small cells must not cause a shortage of a large shape.
 
         It arises if cells are kept where they were assigned, although a new
@@ -182,7 +182,7 @@
         self.assertEqual(domain.cell_table.shortages, ())
         self.assertEqual(domain.cell_table.violations(domain.fleet), ())
 
-    def test_oversized_job_keeps_off_other_cells(self):
+    def test_oversized_job_avoids_foreign_cells(self):
         """A job larger than its guarantee must not occupy a foreign cell."""
         domain = SimulatedDomain({"a": (Shape(16, 1),), "b": (Shape(16, 1),)})
         spec = make_spec("a", 20)
@@ -191,7 +191,7 @@
             domain.place(spec._replace(idempotent=True, preemptible=True))
         )
 
-    def test_only_work_that_stops_in_time_without_harm_borrows(self):
+    def test_only_idempotent_jobs_that_stop_in_time_borrow(self):
         """Only idempotent, preemptible jobs that stop within 2 s may borrow.
 
         Others would delay a reclaim or could not be run again.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,7 @@
-"""Tests that gangs are placed whole, adjacent, compact and within guarantees."""
+"""Tests that gangs are placed whole, adjacent, compact and within limits.
+
+The limits are the cells that are guaranteed to other organisations.
+"""
 
 import random
 import unittest
@@ -133,7 +136,7 @@
             domain.hold(borrower, placement)
         self.assertEqual(owners, [(None, False), ("a", False), ("b", True)])
 
-    def test_small_job_of_an_owner_spares_its_large_cell(self):
+    def test_small_job_leaves_the_large_cell_of_its_owner_free(self):
         """A small job must use the smallest cell of its owner that fits."""
         domain = SimulatedDomain({"a": (Shape(12, 1), Shape(4, 1))}, make_workers(4))
         placement = domain.policy.place(make_spec("a"), domain.fleet, domain.cell_table)
@@ -150,7 +153,7 @@
         )
         self.assertEqual(placement.members[0].accelerators, (0, 1, 2, 3))
 
-    def test_cpu_only_gangs_keep_off_free_accelerators(self):
+    def test_cpu_only_gangs_avoid_free_accelerators(self):
         """CPU-only gangs must not take slots that accelerators need.
 
         They use workers without free accelerators first, and never the slots
--- a/tests/test_slack_policy.py
+++ b/tests/test_slack_policy.py
@@ -112,7 +112,8 @@
         for _ in range(jobs):
             self.policy.observe_service(SPEC, 2.0, NOW)
 
-    def test_room_is_kept_for_the_demand_that_is_not_served(self):
+    def test_headroom_covers_unserved_demand(self):
+        """Long jobs must leave free what urgent jobs need but do not hold."""
         self.assertTrue(self.allows(self.flood, 1))
         # 600 jobs of 2 s in 300 s use 4 units on average. With two standard
         # deviations, the headroom is 8 units.
@@ -122,7 +123,7 @@
         self.assertTrue(self.allows(self.flood, 1, held=8))
         self.assertTrue(self.allows(self.urgent, 1))
 
-    def test_demand_fades_and_is_bounded(self):
+    def test_headroom_decays_and_is_limited(self):
         """Headroom must end after a flood and stay limited during one.
 
         Otherwise a past or endless flood of one class would block all others.
@@ -164,13 +165,17 @@
         for job_id in job_ids:
             self.policy.observe(worker, job_id, False, NOW)
 
-    def test_jobs_that_fail_everywhere_do_not_blame_a_worker(self):
+    def test_jobs_that_fail_everywhere_quarantine_no_worker(self):
         """Jobs that fail on every worker must not quarantine the workers."""
         self.fail("a", "b", "c", "d")
         self.fail("a", "b", "c", "d", worker="w1")
         self.assertEqual(self.policy.quarantined(NOW), frozenset())
 
-    def test_three_jobs_in_a_row_that_succeed_elsewhere(self):
+    def test_three_confirmed_failures_in_a_row_quarantine(self):
+        """A faulty worker must be quarantined, but not after one bad job.
+
+        Repeated failures of the same job count once.
+        """
         self.fail("a", "a", "b")
         self.succeed("a", "b")
         self.assertEqual(self.policy.quarantined(NOW), frozenset())
@@ -178,7 +183,8 @@
         self.succeed("c")
         self.assertEqual(self.policy.quarantined(NOW), {"w0"})
 
-    def test_a_success_ends_the_row(self):
+    def test_success_ends_the_failure_streak(self):
+        """A worker with occasional failures must not be quarantined."""
         self.fail("a", "b")
         self.succeed("d", worker="w0")
         self.fail("c")
@@ -186,6 +192,7 @@
         self.assertEqual(self.policy.quarantined(NOW), frozenset())
 
     def test_probe_interval_doubles_up_to_its_limit(self):
+        """A broken worker must cost few probes and recover on a success."""
         self.fail("a", "b", "c")
         self.succeed("a", "b", "c")
         now, waits = NOW, []
