Reword comments of health limits and one test of the cell check

Says what the probe delay and the run history limit apply to, and which fault the test of the violation check guards against.

--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -22,7 +22,8 @@
 
 # Run times kept for each organisation and class.
 RUN_HISTORY_LIMIT = 50
-# With fewer measured runs, the declared run time keeps part of the weight.
+# With fewer runs in the history, the declared run time keeps part of the
+# weight.
 FULL_WEIGHT_RUNS = 5
 RUN_PERCENTILE = 0.8
 # Attained service decays, so that use in the distant past stops counting.
@@ -57,6 +58,8 @@
 
 # Confirmed failures in a row after which a worker is quarantined.
 QUARANTINE_FAILURES = 3
+# Time in quarantine before the first probe. It grows by the factor after each
+# probe that fails.
 PROBE_AFTER_S = 60.0
 PROBE_BACKOFF_FACTOR = 2
 PROBE_AFTER_MAX_S = 900.0
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -290,7 +290,7 @@
     def test_violations_names_a_gang_that_cannot_be_stopped(self):
         """The check must detect a gang that blocks a cell.
 
-        Otherwise the other tests would pass without checking anything.
+        Otherwise the tests that expect no violations could not fail on it.
         """
         domain = SimulatedDomain({"a": (Shape(4, 1),)})
         (worker_id,) = domain.cell_table.cells()[0].accelerators_by_worker
