--- a/src/redwingrudder/_scheduler_backfill.py
+++ b/src/redwingrudder/_scheduler_backfill.py
@@ -1,4 +1,4 @@
-"""Reservation of workers for the gang at the head of the queue."""
+"""Reservation of workers for the first queued gang that does not fit."""
 
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
@@ -11,43 +11,60 @@
 
 
 class Reservation(NamedTuple):
-    """When and where a waiting gang is expected to find its accelerators."""
+    """Workers kept for a waiting gang until it can be placed.
+
+    Attributes:
+        at: Time at which the workers are expected to have enough free
+            accelerators, in Unix seconds.
+    """
 
     job_id: str
     at: float
     workers: frozenset[str]
 
 
-class _Freed(NamedTuple):
+class _AcceleratorRelease(NamedTuple):
     at: float
     worker_id: str
 
 
 class Forecast(NamedTuple):
-    """What is held; ``end_of`` returns when a gang is expected to end."""
+    """Resources in use and the expected ends of the gangs that use them.
+
+    Attributes:
+        expected_end: Returns the time, in Unix seconds, at which the gang
+            with a given id is expected to free its resources.
+    """
 
     fleet: Fleet
     guarantees: CellTable
-    end_of: Callable[[str], float]
+    expected_end: Callable[[str], float]
     now: float
 
 
 def reserve(job_id: str, spec: JobSpec, forecast: Forecast) -> Reservation | None:
-    """Estimate when a gang can be placed from the ends of the running gangs.
+    """Reserve workers at the earliest time at which a gang should fit.
 
-    Each worker, each rack or the whole domain is considered, depending on
-    what the gang has to stay within. A place that has enough accelerators
-    now is left out, because the placement has just found it unsuitable.
+    The time is estimated from the expected ends of the running gangs. The
+    candidates are single workers, racks or the whole domain, depending on
+    the unit that the gang must not exceed. Candidates that already have
+    enough free accelerators are skipped, because the placement policy has
+    just rejected them.
 
     Returns:
-        None when the gang cannot be expected to fit at a later time.
+        The earliest reservation, or None if no candidate is expected to have
+        enough accelerators at a later time.
     """
-    found = (
-        _earliest(job_id, spec, scope, forecast)
+    reservations = (
+        _earliest_reservation(job_id, spec, scope, forecast)
         for scope in _scopes(spec, forecast.fleet)
     )
-    later = [entry for entry in found if entry and entry.at > forecast.now]
-    return min(later, key=lambda entry: entry.at, default=None)
+    future = [
+        reservation
+        for reservation in reservations
+        if reservation and reservation.at > forecast.now
+    ]
+    return min(future, key=lambda reservation: reservation.at, default=None)
 
 
 def _scopes(spec: JobSpec, fleet: Fleet) -> list[list[WorkerState]]:
@@ -63,29 +80,29 @@
     return list(scopes.values())
 
 
-def _earliest(
+def _earliest_reservation(
     job_id: str, spec: JobSpec, scope: list[WorkerState], forecast: Forecast
 ) -> Reservation | None:
     missing = spec.accelerators
     workers = set()
-    for freed in sorted(_freed(spec, scope, forecast)):
+    for release in sorted(_accelerator_releases(spec, scope, forecast)):
         missing -= 1
-        workers.add(freed.worker_id)
+        workers.add(release.worker_id)
         if missing == 0:
-            return Reservation(job_id, freed.at, frozenset(workers))
+            return Reservation(job_id, release.at, frozenset(workers))
     return None
 
 
-def _freed(
+def _accelerator_releases(
     spec: JobSpec, scope: list[WorkerState], forecast: Forecast
-) -> Iterator[_Freed]:
-    """Yield when each accelerator that the job may use becomes free."""
+) -> Iterator[_AcceleratorRelease]:
+    """Yield the expected release of each accelerator that the job may use."""
     layout = forecast.guarantees.layout_of(forecast.fleet)
-    borrows = is_borrower(spec)
+    may_borrow = is_borrower(spec)
     for worker in scope:
         owners = layout.owners(worker)
         for owner, gang_id in zip(owners, worker.gangs_by_accelerator, strict=True):
-            if owner not in (None, spec.organisation) and not borrows:
+            if owner not in (None, spec.organisation) and not may_borrow:
                 continue
-            at = forecast.now if gang_id is None else forecast.end_of(gang_id)
-            yield _Freed(at, worker.info.worker_id)
+            at = forecast.now if gang_id is None else forecast.expected_end(gang_id)
+            yield _AcceleratorRelease(at, worker.info.worker_id)
--- a/src/redwingrudder/_scheduler_capacity.py
+++ b/src/redwingrudder/_scheduler_capacity.py
@@ -1,4 +1,4 @@
-"""What is free, as far as placement passes need to know it."""
+"""Summary of free resources, used to skip futile placement searches."""
 
 from typing import NamedTuple
 
@@ -9,34 +9,46 @@
 
 
 class FreeCapacity(NamedTuple):
-    """Free resources of a domain at one time.
+    """Free and total resources of the workers that accept work.
 
-    ``widest`` is the most free accelerators on one worker. ``open_workers``
-    have free accelerators outside all cells, ``open_accelerators`` in total.
+    Attributes:
+        accelerators: Free accelerators of the domain.
+        max_free_on_worker: Largest number of free accelerators on one worker.
+        slots: Free slots of the domain.
+        unassigned_accelerators: Free accelerators outside all cells.
+        workers_with_unassigned: Workers that have such accelerators.
+        total_accelerators: Accelerators, free or in use.
+        total_slots: Slots, free or in use.
     """
 
     accelerators: int
-    widest: int
+    max_free_on_worker: int
     slots: int
-    open_accelerators: int
-    open_workers: frozenset[str]
+    unassigned_accelerators: int
+    workers_with_unassigned: frozenset[str]
     total_accelerators: int
     total_slots: int
 
     def may_fit(self, spec: JobSpec) -> bool:
-        """Whether a search for a place can succeed at all."""
+        """Whether a placement search for this job can succeed at all."""
         return (
             spec.accelerators <= self.accelerators
-            and spec.accelerators_per_task <= self.widest
+            and spec.accelerators_per_task <= self.max_free_on_worker
             and spec.tasks <= self.slots
         )
 
     def without(self, spec: JobSpec) -> "FreeCapacity":
-        """Return the capacity after a job was placed; bounds stay bounds."""
+        """Return the capacity that is left after a job was placed.
+
+        ``max_free_on_worker`` and ``workers_with_unassigned`` are not
+        updated and remain upper bounds.
+        """
         return self._replace(
             accelerators=self.accelerators - spec.accelerators,
             slots=self.slots - spec.tasks,
-            open_accelerators=max(0, self.open_accelerators - spec.accelerators),
+            unassigned_accelerators=max(
+                0, self.unassigned_accelerators - spec.accelerators
+            ),
         )
 
 
@@ -44,33 +56,33 @@
 
 
 def measure_free_capacity(context: Context) -> FreeCapacity:
-    """Return the free resources of the workers that accept work."""
+    """Sum up the resources of the workers that accept work."""
     fleet = context.fleet
     layout = context.guarantees.layout_of(fleet)
-    slots = total = total_slots = open_accelerators = 0
-    open_workers = set()
+    slots = total_accelerators = total_slots = unassigned_accelerators = 0
+    workers_with_unassigned = set()
     for worker in fleet.placeable_workers():
         slots += worker.free_slots
         total_slots += worker.info.slots
-        total += worker.info.accelerators
+        total_accelerators += worker.info.accelerators
         if None in worker.gangs_by_accelerator:
             unassigned = len(layout.capacity(worker).unassigned)
-            open_accelerators += unassigned
+            unassigned_accelerators += unassigned
             if unassigned:
-                open_workers.add(worker.info.worker_id)
+                workers_with_unassigned.add(worker.info.worker_id)
     return FreeCapacity(
         fleet.free_in_domain(),
         fleet.most_free_on_worker(),
         slots,
-        open_accelerators,
-        frozenset(open_workers),
-        total,
+        unassigned_accelerators,
+        frozenset(workers_with_unassigned),
+        total_accelerators,
         total_slots,
     )
 
 
 def can_place_task(spec: JobSpec, worker: WorkerState, guarantees: CellTable) -> bool:
-    """Whether a worker has capacity for at least one task of a job."""
+    """Whether a worker has the resources for at least one task of a job."""
     needed = spec.accelerators_per_task
     if worker.free_slots < 1 or worker.free_cores < spec.cores_per_task:
         return False
--- a/src/redwingrudder/_scheduler_chart.py
+++ b/src/redwingrudder/_scheduler_chart.py
@@ -1,4 +1,4 @@
-"""The chart of a gang with the events and actions of the code."""
+"""The state chart of a gang, checked against its events and actions."""
 
 from .statecharts import load_chart
 
--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -1,4 +1,4 @@
-"""Life of jobs: state chart, queue, targets and counts."""
+"""Jobs of the domain: state chart, queue, targets and counts."""
 
 import datetime
 from collections import Counter
@@ -27,18 +27,28 @@
 ACTIONS = frozenset({"enqueue", "dequeue", "report"})
 CHART = load_chart("job", EVENTS, ACTIONS)
 
-# Workers retain results for 10 minutes; callers find older jobs in the store.
+# Workers retain results for 10 minutes. Older jobs are read from the store.
 FINAL_JOB_RETENTION_S = 600.0
 
 
 class JobTable:
-    """All jobs of the failure domain that this owner knows."""
+    """The jobs of the failure domain that this owner keeps in memory.
+
+    Attributes:
+        new_job_ids: Jobs queued since the last placement pass.
+        waiting_for_recovery: Jobs that are queued only after recovery,
+            because a worker that has not reported may run them.
+        counts_by_class: Number of jobs per class by state, and of jobs
+            submitted and targets met or missed.
+        queued_by_group: Queued jobs by organisation and class.
+        queued_by_caller: Queued jobs by organisation, class and caller.
+    """
 
     def __init__(self, context: Context) -> None:
         self._context = context
         self.jobs_by_id: dict[str, JobRecord] = {}
         self.queue = JobQueue()
-        self.fresh: list[str] = []
+        self.new_job_ids: list[str] = []
         self.waiting_for_recovery: set[str] = set()
         self.counts_by_class: dict[str, Counter[str]] = {}
         self.queued_by_group: Counter[tuple[str, str]] = Counter()
@@ -57,24 +67,26 @@
         return self.queued_by_group.total()
 
     def submit(self, event: JobSubmitted) -> None:
-        """Take a job that was accepted, now or by a previous owner."""
+        """Add a job accepted by this owner or by a previous one."""
         job = self.jobs_by_id.get(event.job_id)
         if job is not None:
             self._merge(job, event)
             return
         context = self._context
-        from_before = event.submitted_at < (context.created_at or 0.0)
-        maybe_started = event.start_recorded or (from_before and event.spec.idempotent)
+        predates_owner = event.submitted_at < (context.created_at or 0.0)
+        may_have_started = event.start_recorded or (
+            predates_owner and event.spec.idempotent
+        )
         job = JobRecord(
             event.job_id,
             event.spec,
             event.submitted_at,
             CHART.initial,
-            known=True,
+            submitted=True,
             recorded=event.recorded,
             start_recorded=event.start_recorded,
-            may_have_run=maybe_started,
-            waits_for_recovery=maybe_started and not context.recovered,
+            may_have_run=may_have_started,
+            waits_for_recovery=may_have_started and not context.recovered,
         )
         self._add(job)
         if context.recovered and event.start_recorded:
@@ -82,57 +94,67 @@
         else:
             self.fire(job.job_id, "submitted")
 
-    def adopt(self, report: MemberReport) -> None:
-        """Take a job that is known only from the report of a worker."""
+    def add_reported(self, report: MemberReport) -> None:
+        """Add a job that is known only from the report of a worker."""
         self._add(
             JobRecord(
                 report.job_id,
                 report.spec,
                 report.submitted_at,
                 CHART.initial,
-                known=False,
+                submitted=False,
                 recorded=False,
                 start_recorded=False,
                 may_have_run=True,
             )
         )
 
-    def drop(self, job_id: str) -> None:
-        """Forget a job that is known only from a report and never ran."""
+    def drop_reported(self, job_id: str) -> None:
+        """Remove a job that is known only from a report and never ran."""
         job = self.jobs_by_id.pop(job_id)
-        self._count(job, -1)
-        self._counts(job)["submitted"] -= 1
+        self._add_to_counts(job, -1)
+        self._class_counts(job)["submitted"] -= 1
 
     def fire(self, job_id: str, event: str, **changes: object) -> None:
-        """Raise an event of the chart and carry out its actions."""
+        """Fire an event of the job chart and carry out the actions.
+
+        Args:
+            job_id: The job.
+            event: Event of ``job.scxml``.
+            **changes: Fields of the job record to change.
+        """
         job = self.jobs_by_id[job_id]
         step = CHART.step(job.state, event)
         changed = job._replace(state=step.target, **changes)
         if step.target in CHART.final_states:
             changed = self._finish(changed)
         self.jobs_by_id[job_id] = changed
-        self._count(job, -1)
-        self._count(changed, 1)
+        self._add_to_counts(job, -1)
+        self._add_to_counts(changed, 1)
         for action in step.actions:
             self._actions[action](changed)
 
     def update(self, job_id: str, **changes: object) -> JobRecord:
-        """Change fields of a job other than its state."""
+        """Change fields of a job record other than its state."""
         job = self.jobs_by_id[job_id]._replace(**changes)
         self.jobs_by_id[job_id] = job
         return job
 
-    def give_up(self, job_id: str, event: str, reason: str) -> None:
-        """End a queued job; it is "not run" only when that is certain."""
+    def end_queued_job(self, job_id: str, event: str, reason: str) -> None:
+        """End a queued job with an event of the chart.
+
+        A job that may have run ends as ``interrupted`` instead, since
+        ``not_run`` promises that it never started.
+        """
         if self.jobs_by_id[job_id].may_have_run:
             event = "outcome_lost"
         self.fire(job_id, event, reason=reason)
 
     def recovery_ended(self) -> None:
-        """Let the jobs go that waited for the last worker's report."""
-        waiting = sorted(self.waiting_for_recovery)
+        """Queue or end the jobs that waited for the reports of all workers."""
+        waiting_job_ids = sorted(self.waiting_for_recovery)
         self.waiting_for_recovery.clear()
-        for job_id in waiting:
+        for job_id in waiting_job_ids:
             job = self.jobs_by_id[job_id]
             if job.state != JobState.QUEUED:
                 continue
@@ -142,33 +164,33 @@
                 self._enqueue(self.update(job_id, waits_for_recovery=False))
 
     def configuration_changed(self) -> None:
-        """Look up the classes again and refuse jobs that have none."""
-        self._regroup()
+        """Apply the new classes and refuse queued jobs without a class."""
+        self._rebuild_lanes()
         for job in list(self.jobs_by_id.values()):
             if job.state in FINAL_JOB_STATES:
                 continue
             if self._class_of(job.spec) not in (None, job.job_class):
                 self._set_target(job)
             elif job.job_class is None and job.job_id in self.queue:
-                self._refuse_unknown(job.job_id)
+                self._refuse_if_unconfigured(job.job_id)
 
-    def _regroup(self) -> None:
-        """Build the lanes again when other organisations have cells."""
+    def _rebuild_lanes(self) -> None:
+        """Rebuild the queue if the set of organisations with cells changed."""
         context = self._context
-        owners = frozenset(
+        cell_owners = frozenset(
             cell.organisation
             for cell in context.configuration.cells
             if cell.failure_domain == context.failure_domain
         )
-        if owners == self.queue.cell_owners:
+        if cell_owners == self.queue.cell_owners:
             return
         job_ids = self.queue.take_all()
-        self.queue.cell_owners = owners
+        self.queue.cell_owners = cell_owners
         for job_id in job_ids:
             self.queue.add(self.jobs_by_id[job_id])
 
     def queued_job(self, job_id: str) -> QueuedJob:
-        """Return a queued job as policies see it."""
+        """Return the view of a queued job that policies work with."""
         job = self.jobs_by_id[job_id]
         return QueuedJob(
             job_id,
@@ -181,7 +203,7 @@
         )
 
     def unpark(self, job_id: str) -> None:
-        """Queue a job whose delay has passed."""
+        """Queue a job again whose delay or worker avoidance has expired."""
         job = self.jobs_by_id.get(job_id)
         if job is None or job.state != JobState.QUEUED:
             return
@@ -191,26 +213,26 @@
         self._enqueue(job)
 
     def check_target(self, job_id: str) -> None:
-        """Report a job that can no longer meet its target, once."""
+        """Report a target that can no longer be met, or check it later."""
         job = self.jobs_by_id.get(job_id)
         if job is None or job.target_missed or job.state in FINAL_JOB_STATES:
             return
-        miss_at = self._miss_at(job)
-        if miss_at > self._context.now:
-            self._context.times.add(miss_at, TimerKind.TARGET, job_id)
+        target_miss_at = self._target_miss_at(job)
+        if target_miss_at > self._context.now:
+            self._context.timers.add(target_miss_at, TimerKind.TARGET, job_id)
             return
         self.update(job_id, target_missed=True)
         spec = job.spec
         self._context.emit(TargetMissed(job_id, spec.organisation, spec.job_class))
 
     def forget(self, job_id: str) -> None:
-        """Drop a final job after its retention."""
+        """Remove a final job after its retention time."""
         job = self.jobs_by_id.get(job_id)
         if job is not None and job.state in FINAL_JOB_STATES:
             del self.jobs_by_id[job_id]
 
     def view(self, job_id: str) -> JobView | None:
-        """Return what a caller is told of a job."""
+        """Return the caller's view of a job, or None for an unknown job."""
         job = self.jobs_by_id.get(job_id)
         if job is None:
             return None
@@ -228,27 +250,28 @@
         )
 
     def _merge(self, job: JobRecord, event: JobSubmitted) -> None:
-        # A recorded job without the record of a start has never run.
-        may_have_run = job.may_have_run and (job.known or job.spec.idempotent)
+        # A non-idempotent job whose start was never recorded has never run.
+        may_have_run = job.may_have_run and (job.submitted or job.spec.idempotent)
         job = self.update(
             job.job_id,
-            known=True,
+            submitted=True,
             recorded=job.recorded or event.recorded,
             start_recorded=job.start_recorded or event.start_recorded,
             may_have_run=may_have_run or event.start_recorded,
         )
         if job.state in FINAL_JOB_STATES:
-            # The record of a job that ended during recovery may still be open.
+            # The job ended during recovery; its stored record may still be
+            # open.
             self._report(job)
 
     def _add(self, job: JobRecord) -> None:
         self.jobs_by_id[job.job_id] = job
-        self._count(job, 1)
-        self._counts(job)["submitted"] += 1
+        self._add_to_counts(job, 1)
+        self._class_counts(job)["submitted"] += 1
         self._set_target(job)
         if job.spec.expire_s > 0:
             expires_at = job.submitted_at + job.spec.expire_s
-            self._context.times.add(expires_at, TimerKind.EXPIRY, job.job_id)
+            self._context.timers.add(expires_at, TimerKind.EXPIRY, job.job_id)
 
     def _class_of(self, spec: JobSpec) -> JobClass | None:
         configuration = self._context.configuration
@@ -264,7 +287,7 @@
         job = self.update(job.job_id, job_class=job_class, target_at=target_at)
         self.check_target(job.job_id)
 
-    def _refuse_unknown(self, job_id: str) -> bool:
+    def _refuse_if_unconfigured(self, job_id: str) -> bool:
         configuration = self._context.configuration
         if configuration is None:
             return False
@@ -275,10 +298,10 @@
         elif job.job_class is None:
             reason = "unknown_class"
         if reason:
-            self.give_up(job_id, "refused", reason)
+            self.end_queued_job(job_id, "refused", reason)
         return bool(reason)
 
-    def _miss_at(self, job: JobRecord) -> float:
+    def _target_miss_at(self, job: JobRecord) -> float:
         if job.state in (JobState.RUNNING, JobState.PLACING):
             return job.target_at
         expected = self._context.policies.order.expected_run_s(job.spec)
@@ -286,22 +309,28 @@
 
     def _finish(self, job: JobRecord) -> JobRecord:
         context = self._context
-        context.times.add(
+        context.timers.add(
             context.now + FINAL_JOB_RETENTION_S, TimerKind.FORGET, job.job_id
         )
         self.waiting_for_recovery.discard(job.job_id)
-        missed = job.target_missed
+        target_missed = job.target_missed
         if job.state != JobState.NOT_RUN:
-            # A miss that was predicted from a wrong run time is taken back.
-            missed = job.state != JobState.SUCCEEDED or context.now > job.target_at
-            self._counts(job)["target_missed" if missed else "target_met"] += 1
-        return job._replace(finished_at=context.now, gang_id=None, target_missed=missed)
+            # The actual end replaces a miss predicted from a wrong run time.
+            target_missed = (
+                job.state != JobState.SUCCEEDED or context.now > job.target_at
+            )
+            self._class_counts(job)[
+                "target_missed" if target_missed else "target_met"
+            ] += 1
+        return job._replace(
+            finished_at=context.now, gang_id=None, target_missed=target_missed
+        )
 
-    def _counts(self, job: JobRecord) -> Counter[str]:
+    def _class_counts(self, job: JobRecord) -> Counter[str]:
         return self.counts_by_class.setdefault(job.spec.job_class, Counter())
 
-    def _count(self, job: JobRecord, change: int) -> None:
-        self._counts(job)[job.state] += change
+    def _add_to_counts(self, job: JobRecord, change: int) -> None:
+        self._class_counts(job)[job.state] += change
         if job.state == JobState.QUEUED:
             group = (job.spec.organisation, job.spec.job_class)
             self.queued_by_group[group] += change
@@ -315,15 +344,15 @@
         if job.waits_for_recovery and not context.recovered:
             self.waiting_for_recovery.add(job.job_id)
             return
-        if self._refuse_unknown(job.job_id):
+        if self._refuse_if_unconfigured(job.job_id):
             return
         if job.parked_until > context.now:
-            context.times.add(job.parked_until, TimerKind.UNPARK, job.job_id)
+            context.timers.add(job.parked_until, TimerKind.UNPARK, job.job_id)
             return
         if job.avoided:
-            context.times.add(job.avoided_until, TimerKind.UNPARK, job.job_id)
+            context.timers.add(job.avoided_until, TimerKind.UNPARK, job.job_id)
         self.queue.add(job)
-        self.fresh.append(job.job_id)
+        self.new_job_ids.append(job.job_id)
 
     def _dequeue(self, job: JobRecord) -> None:
         self.queue.remove(job.job_id)
@@ -335,7 +364,7 @@
 
 
 def find_target(job_class: JobClass, submitted_at: float) -> float:
-    """Return the absolute time by which a job should be complete."""
+    """Return the Unix time by which a job should be complete."""
     if job_class.target_s is not None:
         return submitted_at + job_class.target_s
     hour, minute = (int(part) for part in (job_class.finish_by or "00:00").split(":"))
--- a/src/redwingrudder/_scheduler_outcome.py
+++ b/src/redwingrudder/_scheduler_outcome.py
@@ -1,38 +1,47 @@
-"""What becomes of a job when its gang has ended."""
+"""Decides how a job continues after its gang was released or has ended."""
 
 from typing import NamedTuple
 
 from ._scheduler_state import GangRecord, GangStopCause, JobRecord
 
 MAX_ATTEMPTS = 3
+# Retries of a class as a share of its first attempts.
 RETRY_BUDGET_SHARE = 0.2
-# A class with few jobs could not retry at all without a base allowance.
+# Retries that a class may always use, so that a class with few jobs can retry.
 RETRY_BASE = 10
-# A worker that refuses a reservation as busy, or a store that refuses the
-# record of a start, would be asked again at once without this delay.
+# Delay after a worker refused a reservation as busy or the store refused a
+# start record. Without it the request would be repeated immediately.
 REFUSAL_DELAY_S = 0.5
-# A failed job avoids its worker for this long, so that a worker that fails
-# everything does not use up all attempts; a fleet of one worker still retries.
+# A job avoids a worker on which it failed for this time, so that a worker on
+# which every task fails does not use up all attempts. The time is limited so
+# that a fleet with a single worker can still retry.
 AVOID_WORKER_S = 30.0
 
 
 class Outcome(NamedTuple):
-    """Event for the job's chart and the changes of its record."""
+    """Event to fire for the job, and changes of its record."""
 
     event: str
     changes: dict[str, object]
 
 
 def may_retry(job: JobRecord, first_attempts: int, retries: int) -> bool:
-    """Whether the attempts and the retry budget of the class allow a retry."""
+    """Whether a job may be retried.
+
+    Args:
+        job: The job after a failed attempt.
+        first_attempts: Number of first attempts in the job's class.
+        retries: Number of retries in the job's class.
+    """
     budget = max(RETRY_BASE, RETRY_BUDGET_SHARE * first_attempts)
-    # The record of a job that only a worker reported may be final already.
-    may = job.known and job.spec.idempotent
-    return may and job.attempts < MAX_ATTEMPTS and retries < budget
+    # A job known only from the report of a worker may already be recorded as
+    # final.
+    retryable = job.submitted and job.spec.idempotent
+    return retryable and job.attempts < MAX_ATTEMPTS and retries < budget
 
 
 def decide_released(gang: GangRecord, job: JobRecord, now: float) -> Outcome:
-    """Decide about a job whose gang never sent a start to a member."""
+    """Return the outcome of a job whose gang was released unstarted."""
     if gang.may_have_run:
         return Outcome("outcome_lost", {"reason": gang.reason or "worker_lost"})
     if gang.cause in (GangStopCause.CANCELLED, GangStopCause.EXPIRED):
@@ -48,7 +57,7 @@
 def decide_ended(
     gang: GangRecord, job: JobRecord, now: float, retry_allowed: bool
 ) -> Outcome:
-    """Decide about a job whose gang had sent a start."""
+    """Return the outcome of a job whose gang ended after a start was sent."""
     if gang.succeeded:
         results = tuple(
             result.result for _, result in sorted(gang.results_by_task.items())
@@ -56,7 +65,7 @@
         return Outcome("succeeded", {"results": results, "reason": ""})
     if gang.cause is GangStopCause.CANCELLED:
         return Outcome("outcome_lost", {"reason": "cancelled"})
-    if gang.cause is GangStopCause.PREEMPTED and job.known:
+    if gang.cause is GangStopCause.PREEMPTED and job.submitted:
         changes = {"gang_id": None, "reason": "preempted"}
         return Outcome("retry", {**changes, "attempts": max(0, job.attempts - 1)})
     if retry_allowed:
@@ -66,18 +75,18 @@
 
 
 def _retry_changes(gang: GangRecord, job: JobRecord, now: float) -> dict[str, object]:
-    failed_on = {
+    failed_workers = {
         worker_id
         for worker_id, member in gang.members_by_worker.items()
-        if any(_failed(gang, task) for task in member.tasks)
+        if any(_has_failed(gang, task) for task in member.tasks)
     }
     changes: dict[str, object] = {"gang_id": None, "reason": gang.reason}
-    if failed_on:
-        changes["avoided"] = job.avoided | failed_on
+    if failed_workers:
+        changes["avoided"] = job.avoided | failed_workers
         changes["avoided_until"] = now + AVOID_WORKER_S
     return changes
 
 
-def _failed(gang: GangRecord, task: int) -> bool:
+def _has_failed(gang: GangRecord, task: int) -> bool:
     result = gang.results_by_task.get(task)
     return result is not None and result.outcome == "failed"
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -1,4 +1,4 @@
-"""Placement passes over the queue."""
+"""Placement of queued jobs in passes over the queue."""
 
 import heapq
 from collections.abc import Iterable
@@ -12,35 +12,43 @@
 from .guarantees import is_borrower
 from .policies import QueuedJob, ResourceUse
 
-# Candidates that are ordered at a time between two full passes, and among
-# which the next job of a lane is ordered after a placement.
+# Number of candidates that are ordered at a time between two full passes.
+# After a placement, the next job of the lane is ordered among this many.
 ORDER_WINDOW = 32
-# Candidates for the probe of a quarantined worker that are tried per pass.
+# Number of jobs tried per pass as the probe of a quarantined worker.
 PROBE_CANDIDATES = 8
-# Ordering all lanes costs time linear in their number, so a release of
-# resources orders only the lanes that it helps until this time has passed.
+# Minimum interval between full passes that are caused by released resources.
+# Ordering all lanes takes time linear in their number, so the passes in
+# between order only the lanes that the release may help.
 FULL_PASS_INTERVAL_S = 1.0
-# While a class leaves headroom to others, it is tried again after this time.
+# Interval at which classes are tried again that must leave headroom to others.
 HEADROOM_RECHECK_S = 1.0
 
 
 class Placer:
-    """Tries queued jobs when something changed, never otherwise.
-
-    After a pass, every queued job is known not to fit: its shape is in
-    ``blocked``, or in ``limited`` when the reservation for the head of
-    the queue stands against it, or its class is ``restrained`` to leave
-    headroom for other work. A new job of such a shape costs no search.
+    """Places queued jobs when jobs, resources or timers have changed.
+
+    After a pass, no queued job can be placed: for each one, its shape or its
+    class is in one of the sets below. A new job of a blocked shape therefore
+    needs no placement search.
+
+    Attributes:
+        blocked_shapes: Shapes that fit nowhere.
+        reservation_blocked_shapes: Shapes that could be placed only on
+            workers reserved for the first gang that does not fit.
+        headroom_blocked_classes: Classes that are placed only within cells,
+            to leave headroom for other work.
+        reservation: Workers kept for the first gang that does not fit.
     """
 
     def __init__(self, context: Context, jobs: JobTable, gangs: GangTable) -> None:
         self._context = context
         self._jobs = jobs
         self._gangs = gangs
-        self.blocked: set[ShapeKey] = set()
-        self.limited: set[ShapeKey] = set()
-        self.restrained: set[str] = set()
-        self._claimant: QueuedJob | None = None
+        self.blocked_shapes: set[ShapeKey] = set()
+        self.reservation_blocked_shapes: set[ShapeKey] = set()
+        self.headroom_blocked_classes: set[str] = set()
+        self._headroom_claimant: QueuedJob | None = None
         self.reservation: Reservation | None = None
         self._reservation_tried = False
         self._ranks_by_lane: dict[LaneKey, int] = {}
@@ -48,181 +56,193 @@
         self._free_capacity = NO_FREE_CAPACITY
 
     def run(self) -> None:
-        """Place what can be placed after the events since the last run."""
+        """Place all jobs that fit after the events since the last run."""
         context = self._context
         if context.configuration is None:
             return
-        fresh, self._jobs.fresh = self._jobs.fresh, []
+        new_job_ids, self._jobs.new_job_ids = self._jobs.new_job_ids, []
         freed, context.freed_workers = context.freed_workers, set()
         if freed and self._gangs.advance_reclaims():
             context.resources_changed = True
         if context.resources_changed:
             context.resources_changed = False
-            self.blocked.clear()
+            self.blocked_shapes.clear()
             self._full_pass()
         elif freed:
-            self._unblock(freed)
+            self._unblock_shapes(freed)
             self._pass_after_release()
         elif (
-            self._must_poll_again()
-            or self._can_lift_limits()
-            or (fresh and self._due_probes())
+            self._is_headroom_recheck_due()
+            or self._can_unblock_reserved()
+            or (new_job_ids and self._due_probes())
         ):
             self._full_pass()
-        elif fresh:
-            self._try_fresh(fresh)
+        elif new_job_ids:
+            self._try_new_jobs(new_job_ids)
 
-    def _unblock(self, freed: set[str]) -> None:
-        """Forget the shapes for which a freed worker makes a difference."""
+    def _unblock_shapes(self, freed: set[str]) -> None:
+        """Unblock the shapes of which a freed worker can hold a task."""
         context = self._context
         workers = [context.fleet.workers_by_id.get(worker_id) for worker_id in freed]
         workers = [worker for worker in workers if worker and worker.accepts_work]
-        for shape in list(self.blocked | self.limited):
-            job_id = self._jobs.queue.example(shape)
+        for shape in list(self.blocked_shapes | self.reservation_blocked_shapes):
+            job_id = self._jobs.queue.any_job(shape)
             if job_id is not None:
                 spec = self._jobs.jobs_by_id[job_id].spec
                 if not any(
-                    can_place_task(spec, w, context.guarantees) for w in workers
+                    can_place_task(spec, worker, context.guarantees)
+                    for worker in workers
                 ):
                     continue
-            self.blocked.discard(shape)
-            self.limited.discard(shape)
+            self.blocked_shapes.discard(shape)
+            self.reservation_blocked_shapes.discard(shape)
 
     def _pass_after_release(self) -> None:
+        """Try the unblocked lanes, or all lanes if a full pass is due."""
         now = self._context.now
         if now - self._full_pass_at >= FULL_PASS_INTERVAL_S:
             self._full_pass()
             return
         self._free_capacity = measure_free_capacity(self._context)
-        self.restrained.clear()
-        self._try_reserved()
+        self.headroom_blocked_classes.clear()
+        self._try_reservation_holder()
         tried: set[LaneKey] = set()
-        keys = self._next_lanes(tried)
+        keys = self._best_ranked_lanes(tried)
         while keys:
             tried.update(keys)
-            self._try_all(self._order(self._heads(keys)))
-            keys = self._next_lanes(tried)
+            self._try_in_order(self._order(self._head_jobs(keys)))
+            keys = self._best_ranked_lanes(tried)
 
-    def _try_reserved(self) -> None:
+    def _try_reservation_holder(self) -> None:
         """Try the job that holds the reservation.
 
-        It may stand behind a job of its own lane and shape, which the
-        reservation limits; no head of a lane would stand for it then.
+        Only the first jobs of lanes are tried otherwise. The holder may be
+        behind a job of its own lane, which its reservation blocks.
         """
         queue, reservation = self._jobs.queue, self.reservation
         if reservation is None or reservation.job_id not in queue:
             return
-        shape = queue.key(reservation.job_id).shape
-        self._try(self._jobs.queued_job(reservation.job_id), shape)
+        shape = queue.lane_key(reservation.job_id).shape
+        self._try_job(self._jobs.queued_job(reservation.job_id), shape)
 
-    def _next_lanes(self, tried: set[LaneKey]) -> list[LaneKey]:
-        """Return the lanes that were first at the last full pass.
+    def _best_ranked_lanes(self, tried: set[LaneKey]) -> list[LaneKey]:
+        """Return the untried lanes that ranked best in the last full pass.
 
-        Lanes that are new since then get a rank in the middle of the window,
-        so that neither they nor the older ones are left out.
+        At most ``ORDER_WINDOW`` lanes are returned. Lanes created since then
+        get a rank in the middle of the window, so that neither they nor the
+        older lanes are always left out.
         """
         queue, ranks = self._jobs.queue, self._ranks_by_lane
-        shapes = queue.shapes() - self.blocked - self.limited
+        shapes = queue.shapes() - self.blocked_shapes - self.reservation_blocked_shapes
         keys = (
             key
-            for key in queue.lanes_of(shapes)
-            if key not in tried and key.job_class not in self.restrained
+            for key in queue.lanes_of_shapes(shapes)
+            if key not in tried and key.job_class not in self.headroom_blocked_classes
+        )
+        default_rank = ORDER_WINDOW // 2
+        return heapq.nsmallest(
+            ORDER_WINDOW, keys, lambda key: ranks.get(key, default_rank)
         )
-        middle = ORDER_WINDOW // 2
-        return heapq.nsmallest(ORDER_WINDOW, keys, lambda k: ranks.get(k, middle))
 
-    def _heads(self, keys: Iterable[LaneKey]) -> list[QueuedJob]:
+    def _head_jobs(self, keys: Iterable[LaneKey]) -> list[QueuedJob]:
         jobs = self._jobs
-        return [jobs.queued_job(jobs.queue.head(key)) for key in keys]
+        return [jobs.queued_job(jobs.queue.first_job(key)) for key in keys]
 
     def _full_pass(self) -> None:
-        """Try all lanes and choose the head of the queue anew."""
+        """Try all lanes in order and make a new reservation."""
         self._full_pass_at = self._context.now
         self._free_capacity = measure_free_capacity(self._context)
-        self.limited.clear()
-        self.restrained.clear()
-        self._claimant = None
+        self.reservation_blocked_shapes.clear()
+        self.headroom_blocked_classes.clear()
+        self._headroom_claimant = None
         self.reservation = None
         jobs = self._jobs
         self._reservation_tried = False
-        waiting = self._order(self._heads(jobs.queue.lanes()))
+        waiting = self._order(self._head_jobs(jobs.queue.lanes()))
         self._ranks_by_lane = {
-            jobs.queue.key(job.job_id): rank for rank, job in enumerate(waiting)
+            jobs.queue.lane_key(job.job_id): rank for rank, job in enumerate(waiting)
         }
-        self._probe(waiting)
-        self._try_all(waiting)
+        self._place_probes(waiting)
+        self._try_in_order(waiting)
 
-    def _try_all(self, waiting: list[QueuedJob]) -> None:
+    def _try_in_order(self, waiting: list[QueuedJob]) -> None:
+        """Try the jobs; after a success, the next job of the lane as well."""
         queue = self._jobs.queue
         index = 0
-        while index < len(waiting) and not self._nothing_fits():
+        while index < len(waiting) and not self._all_shapes_tried():
             job = waiting[index]
             index += 1
             if job.job_id not in queue:
                 continue
-            key = queue.key(job.job_id)
-            if not self._try(job, key.shape):
+            key = queue.lane_key(job.job_id)
+            if not self._try_job(job, key.shape):
                 continue
-            following = queue.head(key)
-            if following is not None and key.shape not in self.blocked:
+            next_job_id = queue.first_job(key)
+            if next_job_id is not None and key.shape not in self.blocked_shapes:
                 end = index + ORDER_WINDOW
-                window = [self._jobs.queued_job(following), *waiting[index:end]]
+                window = [self._jobs.queued_job(next_job_id), *waiting[index:end]]
                 waiting[index:end] = self._order(window)
 
-    def _nothing_fits(self) -> bool:
-        """Whether all queued shapes were tried and the head is chosen."""
+    def _all_shapes_tried(self) -> bool:
+        """Whether no shape is left to try and no reservation left to make."""
         shapes = self._jobs.queue.shapes()
-        if shapes - self.blocked:
+        if shapes - self.blocked_shapes:
             return False
-        return self._reservation_tried or not any(map(_is_gang, shapes))
+        return self._reservation_tried or not any(
+            map(_uses_several_accelerators, shapes)
+        )
 
-    def _try_fresh(self, fresh: list[str]) -> None:
+    def _try_new_jobs(self, new_job_ids: list[str]) -> None:
         queue = self._jobs.queue
         if self._reservation_is_stale():
             self._reservation_tried = False
-        for job_id in fresh:
+        for job_id in new_job_ids:
             if job_id not in queue:
                 continue
-            shape = queue.key(job_id).shape
-            if shape not in self.blocked:
-                self._try(self._jobs.queued_job(job_id), shape)
+            shape = queue.lane_key(job_id).shape
+            if shape not in self.blocked_shapes:
+                self._try_job(self._jobs.queued_job(job_id), shape)
 
-    def _try(self, job: QueuedJob, shape: ShapeKey) -> bool:
-        if shape in self.blocked:
+    def _try_job(self, job: QueuedJob, shape: ShapeKey) -> bool:
+        """Create a gang for a job if it fits now or after a reclaim."""
+        if shape in self.blocked_shapes:
             self._reserve_for(job)
             return False
-        reserved = self._reserved(job)
-        if reserved and shape in self.limited:
+        reserved = self._reserved_workers(job)
+        if reserved and shape in self.reservation_blocked_shapes:
             return False
         avoid = self._gangs.pending_workers() | shape.avoided
         if not self._leaves_headroom(job):
-            return self._try_outside_headroom(job, avoid | reserved)
+            return self._try_within_cells(job, avoid | reserved)
         if self._free_capacity.may_fit(job.spec) and self._place(job, avoid | reserved):
             return True
         if self._reclaim(job, avoid):
             return True
-        (self.limited if reserved else self.blocked).add(shape)
+        (self.reservation_blocked_shapes if reserved else self.blocked_shapes).add(
+            shape
+        )
         self._reserve_for(job)
         return False
 
     def _leaves_headroom(self, job: QueuedJob) -> bool:
         capacity, spec = self._free_capacity, job.spec
         accelerated = spec.accelerators_per_task > 0
-        free = capacity.open_accelerators if accelerated else capacity.slots
+        free = capacity.unassigned_accelerators if accelerated else capacity.slots
         use = ResourceUse(
             capacity.total_accelerators if accelerated else capacity.total_slots,
-            free - self._claimed_by_other(job),
+            free - self._headroom_claimed_by_other(job),
             self._gangs.held_by_class[accelerated],
         )
         order = self._context.policies.order
         return order.leaves_headroom(job, use, self._context.now)
 
-    def _claimed_by_other(self, job: QueuedJob) -> int:
-        """Return what the first restrained gang needs beside the headroom.
+    def _headroom_claimed_by_other(self, job: QueuedJob) -> int:
+        """Return the units that another job waits for beyond the headroom.
 
-        Without it, small jobs would use up each accelerator as it gets free.
+        This job is the first one held back for headroom in the pass. Without
+        its claim, small jobs would take each accelerator that becomes free.
         """
-        claimant = self._claimant
+        claimant = self._headroom_claimant
         if claimant is None or claimant.job_id not in self._jobs.queue:
             return 0
         same_kind = (claimant.spec.accelerators_per_task > 0) == (
@@ -232,24 +252,28 @@
             return 0
         return claimant.spec.accelerators or claimant.spec.tasks
 
-    def _try_outside_headroom(self, job: QueuedJob, avoid: frozenset[str]) -> bool:
-        """Use only cells, so that the accelerators outside stay free."""
+    def _try_within_cells(self, job: QueuedJob, avoid: frozenset[str]) -> bool:
+        """Try only cells, so that the accelerators outside them stay free."""
         context = self._context
-        if not self.restrained:
-            # Demand fades without an event, so the passes go on with time.
-            again_at = context.now + HEADROOM_RECHECK_S
-            context.times.add(again_at, TimerKind.PLACEMENT)
-        self.restrained.add(job.spec.job_class)
-        if self._claimant is None or self._claimant.job_id not in self._jobs.queue:
-            self._claimant = job
+        if not self.headroom_blocked_classes:
+            # The demand of other classes decays without an event, so a timer
+            # starts the next pass.
+            recheck_at = context.now + HEADROOM_RECHECK_S
+            context.timers.add(recheck_at, TimerKind.PLACEMENT)
+        self.headroom_blocked_classes.add(job.spec.job_class)
+        if (
+            self._headroom_claimant is None
+            or self._headroom_claimant.job_id not in self._jobs.queue
+        ):
+            self._headroom_claimant = job
         if self._reclaim(job, avoid):
             return True
         if not is_borrower(job.spec) or not self._free_capacity.may_fit(job.spec):
             return False
-        return self._place(job, avoid | self._free_capacity.open_workers)
+        return self._place(job, avoid | self._free_capacity.workers_with_unassigned)
 
     def _place(
-        self, job: QueuedJob, avoid: frozenset[str], probed: str | None = None
+        self, job: QueuedJob, avoid: frozenset[str], probed_worker: str | None = None
     ) -> bool:
         context = self._context
         placement = context.policies.placement.place(
@@ -259,7 +283,7 @@
             return False
         self._free_capacity = self._free_capacity.without(job.spec)
         record = self._jobs.jobs_by_id[job.job_id]
-        self._gangs.create(record, placement, probed)
+        self._gangs.create(record, placement, probed_worker)
         return True
 
     def _reclaim(self, job: QueuedJob, avoid: frozenset[str]) -> bool:
@@ -276,28 +300,32 @@
             self._gangs.create(record, plan.placement, None)
         return True
 
-    def _reserved(self, job: QueuedJob) -> frozenset[str]:
-        """Return the workers that are kept for the head of the queue."""
+    def _reserved_workers(self, job: QueuedJob) -> frozenset[str]:
+        """Return the reserved workers that a job must not use."""
         reservation = self.reservation
         if reservation is None or reservation.job_id == job.job_id:
             return frozenset()
         ends_at = self._context.now + job.expected_run_s
         if ends_at <= reservation.at or self._reservation_is_stale():
             return frozenset()
-        return frozenset() if self._precedes_head(job) else reservation.workers
+        return (
+            frozenset()
+            if self._ranks_before_reservation_holder(job)
+            else reservation.workers
+        )
 
-    def _precedes_head(self, job: QueuedJob) -> bool:
+    def _ranks_before_reservation_holder(self, job: QueuedJob) -> bool:
         queue, ranks = self._jobs.queue, self._ranks_by_lane
-        head_id = self.reservation.job_id
-        rank = ranks.get(queue.key(job.job_id))
-        head_rank = ranks.get(queue.key(head_id))
-        if rank is not None and head_rank is not None:
-            return rank < head_rank
-        head = self._jobs.queued_job(head_id)
-        return self._order([head, job])[0] is job
+        holder_id = self.reservation.job_id
+        rank = ranks.get(queue.lane_key(job.job_id))
+        holder_rank = ranks.get(queue.lane_key(holder_id))
+        if rank is not None and holder_rank is not None:
+            return rank < holder_rank
+        holder = self._jobs.queued_job(holder_id)
+        return self._order([holder, job])[0] is job
 
     def _reserve_for(self, job: QueuedJob) -> None:
-        """Reserve workers for the first gang of the pass that does not fit."""
+        """Reserve workers for the first gang in a pass that does not fit."""
         if self._reservation_tried or job.spec.accelerators <= 1:
             return
         self._reservation_tried = True
@@ -310,27 +338,27 @@
         )
         self.reservation = reserve(job.job_id, job.spec, forecast)
 
-    def _must_poll_again(self) -> bool:
-        passed_s = self._context.now - self._full_pass_at
-        return bool(self.restrained) and passed_s >= HEADROOM_RECHECK_S
+    def _is_headroom_recheck_due(self) -> bool:
+        elapsed_s = self._context.now - self._full_pass_at
+        return bool(self.headroom_blocked_classes) and elapsed_s >= HEADROOM_RECHECK_S
 
-    def _can_lift_limits(self) -> bool:
-        return bool(self.limited) and self._reservation_is_stale()
+    def _can_unblock_reserved(self) -> bool:
+        return bool(self.reservation_blocked_shapes) and self._reservation_is_stale()
 
     def _reservation_is_stale(self) -> bool:
         reservation = self.reservation
         return reservation is None or reservation.job_id not in self._jobs.queue
 
-    def _probe(self, waiting: list[QueuedJob]) -> None:
-        """Give each quarantined worker that is due one idempotent job."""
+    def _place_probes(self, waiting: list[QueuedJob]) -> None:
+        """Place one idempotent job on each worker that is due for a probe."""
         context = self._context
         candidates = [job for job in waiting if job.spec.idempotent]
         for worker_id in sorted(self._due_probes()):
             avoid = frozenset(context.fleet.workers_by_id.keys() - {worker_id})
             context.fleet.set_quarantined(worker_id, False)
             for job in candidates[:PROBE_CANDIDATES]:
-                queued = job.job_id in self._jobs.queue
-                if queued and self._place(job, avoid, worker_id):
+                is_queued = job.job_id in self._jobs.queue
+                if is_queued and self._place(job, avoid, worker_id):
                     break
             context.fleet.set_quarantined(worker_id, True)
 
@@ -345,5 +373,5 @@
         return self._context.policies.order.order(jobs, self._context.now)
 
 
-def _is_gang(shape: ShapeKey) -> bool:
+def _uses_several_accelerators(shape: ShapeKey) -> bool:
     return shape.tasks * shape.accelerators_per_task > 1
--- a/src/redwingrudder/_scheduler_queue.py
+++ b/src/redwingrudder/_scheduler_queue.py
@@ -1,8 +1,8 @@
-"""Queued jobs in lanes of equal jobs.
+"""Job queue that is divided into lanes of equivalent jobs.
 
-Jobs of a lane differ neither in what they need nor in who asks for it, so
-only the first job of each lane is a candidate for placement. A flood from a
-few callers makes few lanes, however many jobs it has.
+The jobs of a lane have the same requirements, class and caller, so only the
+first job of each lane is a candidate for placement. A burst of jobs from a
+few callers creates few lanes, however many jobs it has.
 """
 
 from collections import OrderedDict
@@ -13,11 +13,11 @@
 
 
 class ShapeKey(NamedTuple):
-    """Everything that decides whether a job can be placed.
+    """All properties of a job that decide whether it can be placed.
 
-    Fields without influence are left empty, so that jobs of organisations
-    without a cell share their shapes, and so do all jobs that take no
-    accelerators.
+    Properties that have no influence are left empty or zero. Jobs of all
+    organisations without a cell therefore share their shapes, as do jobs of
+    all organisations that use no accelerators.
     """
 
     organisation: str
@@ -25,13 +25,13 @@
     accelerators_per_task: int
     cores_per_task: int
     memory_mb_per_task: int
-    borrows: bool
+    may_borrow: bool
     stop_bound_s: float
     avoided: frozenset[str]
 
 
 class LaneKey(NamedTuple):
-    """Jobs of equal shape, class and caller."""
+    """Key of a lane: jobs of equal shape, organisation, class and caller."""
 
     shape: ShapeKey
     organisation: str
@@ -40,7 +40,10 @@
 
 
 class JobQueue:
-    """Lanes of job ids in the order of submission."""
+    """Ids of queued jobs by lane, in the order in which they were added.
+
+    ``cell_owners`` are the organisations that have cells in this domain.
+    """
 
     def __init__(self) -> None:
         self._lanes_by_key: dict[LaneKey, OrderedDict[str, None]] = {}
@@ -52,7 +55,7 @@
         return job_id in self._keys_by_job
 
     def add(self, job: JobRecord) -> None:
-        """Add a job; one that was tried before goes to the front."""
+        """Add a job to the end of its lane; a retry goes to the front."""
         key = self._lane_key(job)
         lane = self._lanes_by_key.get(key)
         if lane is None:
@@ -64,7 +67,7 @@
             lane.move_to_end(job.job_id, last=False)
 
     def remove(self, job_id: str) -> None:
-        """Remove a job; an unknown one is ignored."""
+        """Remove a job if it is queued."""
         key = self._keys_by_job.pop(job_id, None)
         if key is None:
             return
@@ -79,52 +82,52 @@
             del self._keys_by_shape[key.shape]
 
     def take_all(self) -> list[str]:
-        """Empty the queue and return its jobs, lane by lane."""
+        """Empty the queue and return the ids of its jobs, lane by lane."""
         job_ids = [job_id for lane in self._lanes_by_key.values() for job_id in lane]
         self._lanes_by_key.clear()
         self._keys_by_shape.clear()
         self._keys_by_job.clear()
         return job_ids
 
-    def key(self, job_id: str) -> LaneKey:
-        """Return the lane of a queued job."""
+    def lane_key(self, job_id: str) -> LaneKey:
+        """Return the key of a queued job's lane."""
         return self._keys_by_job[job_id]
 
-    def head(self, key: LaneKey) -> str | None:
-        """Return the first job of a lane."""
+    def first_job(self, key: LaneKey) -> str | None:
+        """Return the id of the first job of a lane, or None if it is empty."""
         lane = self._lanes_by_key.get(key)
         return next(iter(lane)) if lane else None
 
     def lanes(self) -> Iterable[LaneKey]:
-        """Return all lanes that have a job."""
+        """Return the keys of all lanes; no lane is empty."""
         return self._lanes_by_key.keys()
 
-    def lanes_of(self, shapes: Iterable[ShapeKey]) -> Iterator[LaneKey]:
-        """Yield every lane of the given shapes."""
+    def lanes_of_shapes(self, shapes: Iterable[ShapeKey]) -> Iterator[LaneKey]:
+        """Yield the keys of all lanes with one of the given shapes."""
         for shape in shapes:
             yield from self._keys_by_shape.get(shape, ())
 
-    def example(self, shape: ShapeKey) -> str | None:
-        """Return any job of a shape."""
+    def any_job(self, shape: ShapeKey) -> str | None:
+        """Return the id of any queued job of a shape, or None without one."""
         keys = self._keys_by_shape.get(shape)
-        return self.head(next(iter(keys))) if keys else None
+        return self.first_job(next(iter(keys))) if keys else None
 
     def shapes(self) -> Set[ShapeKey]:
-        """Return the shapes of all queued jobs."""
+        """Return the shapes of all queued jobs as a live view."""
         return self._keys_by_shape.keys()
 
     def _lane_key(self, job: JobRecord) -> LaneKey:
         spec = job.spec
         has_cell = spec.organisation in self.cell_owners
-        takes = spec.accelerators_per_task > 0
+        takes_accelerators = spec.accelerators_per_task > 0
         shape = ShapeKey(
-            spec.organisation if has_cell and takes else "",
+            spec.organisation if has_cell and takes_accelerators else "",
             spec.tasks,
             spec.accelerators_per_task,
             spec.cores_per_task,
             spec.memory_mb_per_task,
-            takes and spec.preemptible and spec.idempotent,
-            spec.stop_bound_s if takes else 0.0,
+            takes_accelerators and spec.preemptible and spec.idempotent,
+            spec.stop_bound_s if takes_accelerators else 0.0,
             job.avoided,
         )
         return LaneKey(shape, spec.organisation, spec.job_class, spec.caller)
--- a/src/redwingrudder/_scheduler_state.py
+++ b/src/redwingrudder/_scheduler_state.py
@@ -1,4 +1,4 @@
-"""Records and shared state of one scheduler."""
+"""Job and gang records, timers and shared state of one scheduler."""
 
 import enum
 import heapq
@@ -19,7 +19,7 @@
 
 
 class TimerKind(enum.StrEnum):
-    """What becomes due at a time."""
+    """Actions that the scheduler carries out when a timer expires."""
 
     EXPIRY = "expiry"
     TARGET = "target"
@@ -28,8 +28,8 @@
     PLACEMENT = "placement"
 
 
-class Due(NamedTuple):
-    """One entry of the time queue, ordered by time."""
+class Timer(NamedTuple):
+    """Entry of the timer queue, ordered by ``at`` in Unix seconds."""
 
     at: float
     serial: int
@@ -37,44 +37,59 @@
     job_id: str
 
 
-class TimeQueue:
-    """What happens by time; entries that no longer apply stay until due."""
+class TimerQueue:
+    """Timers ordered by their time.
+
+    Timers cannot be cancelled. The handler of a timer checks whether it still
+    applies when it expires.
+    """
 
     def __init__(self) -> None:
-        self._heap: list[Due] = []
+        self._heap: list[Timer] = []
         self._serial = 0
 
     def add(self, at: float, kind: TimerKind, job_id: str = "") -> None:
-        """Remember that something is due."""
+        """Add a timer that expires at ``at`` (Unix seconds)."""
         self._serial += 1
-        heapq.heappush(self._heap, Due(at, self._serial, kind, job_id))
+        heapq.heappush(self._heap, Timer(at, self._serial, kind, job_id))
 
-    def pop_due(self, now: float) -> Due | None:
-        """Return the next entry that is due, if any."""
+    def pop_due(self, now: float) -> Timer | None:
+        """Remove and return the first expired timer, or return None."""
         if self._heap and self._heap[0].at <= now:
             return heapq.heappop(self._heap)
         return None
 
     def next_at(self) -> float | None:
-        """Return the time of the next entry, if any."""
+        """Return the time of the next timer, or None for an empty queue."""
         return self._heap[0].at if self._heap else None
 
 
 class JobRecord(NamedTuple):
-    """A job; ``state`` is a state of ``job.scxml``.
-
-    ``known`` tells that the job was submitted to this owner, not only
-    reported by a worker. ``may_have_run`` is true once a start was sent, and
-    for an idempotent job that a previous owner may have started. ``avoided``
-    are workers on which the job failed; they are used again from
-    ``avoided_until`` on.
+    """A job and its progress; times are seconds since the Unix epoch.
+
+    Attributes:
+        state: State of ``job.scxml``.
+        submitted: Whether the job was submitted to this owner. False for a
+            job that is known only from the report of a worker.
+        recorded: Whether the store holds the job.
+        start_recorded: Whether the store holds a start record of this
+            non-idempotent job.
+        may_have_run: True once a start was sent, and for an idempotent job
+            that a previous owner may have started.
+        target_at: Time by which the job should be complete.
+        waits_for_recovery: Whether the job must not be queued before all
+            workers were claimed or given up.
+        parked_until: The job is not placed before this time.
+        avoided: Workers on which the job failed. They are used again from
+            ``avoided_until`` on.
+        results: Results of the tasks, ordered by task index.
     """
 
     job_id: str
     spec: JobSpec
     submitted_at: float
     state: str
-    known: bool
+    submitted: bool
     recorded: bool
     start_recorded: bool
     may_have_run: bool
@@ -93,7 +108,7 @@
 
 
 class GangStopCause(enum.StrEnum):
-    """Why a gang is stopped or released before it succeeded."""
+    """Reason for stopping or releasing a gang before it succeeded."""
 
     NONE = "none"
     CANCELLED = "cancelled"
@@ -106,15 +121,27 @@
 
 
 class GangRecord(NamedTuple):
-    """One attempt to run a job; ``state`` is a state of ``gang.scxml``.
-
-    The sets hold worker ids: members that confirmed their reservation or
-    start, members to which a start was sent, members that were asked to
-    release or stop, and members that hold nothing any more. ``charged`` is
-    the service that was accounted for in advance, in accelerator-seconds.
-    ``borrowers`` are the gangs that must stop first. ``may_have_run`` is
-    true when an unreported member may have started. The start time of a
-    ``recovered`` gang is not known.
+    """One attempt to run a job on a set of workers.
+
+    A member is identified by the id of its worker; the sets hold these ids.
+
+    Attributes:
+        state: State of ``gang.scxml``.
+        member_count: Number of members of the whole gang. During recovery
+            ``members_by_worker`` may hold fewer.
+        reserved: Members that confirmed their reservation.
+        started: Members that confirmed their start.
+        start_sent: Members to which a start was sent.
+        stop_sent: Members to which a stop or a release was sent.
+        released: Members that hold no resources any more, because their
+            worker released them, refused them or was lost.
+        unheld: Members whose resources are still used by borrowers.
+        borrowers: Ids of the gangs that must stop before this one starts.
+        may_have_run: Whether a member that has not reported may have started.
+        recovered: Whether the gang was rebuilt from the reports of workers.
+            Its real start time is not known.
+        probed_worker: Quarantined worker that this gang probes.
+        charged: Service accounted for in advance, in accelerator-seconds.
     """
 
     gang_id: str
@@ -127,8 +154,8 @@
     reserved: set[str]
     started: set[str]
     start_sent: set[str]
-    asked: set[str]
-    gone: set[str]
+    stop_sent: set[str]
+    released: set[str]
     unheld: set[str]
     results_by_task: dict[int, TaskResult]
     borrowers: tuple[str, ...] = ()
@@ -142,35 +169,36 @@
     charged: float = 0.0
 
     def member_ended(self, worker_id: str) -> bool:
-        """Whether all tasks of a member have ended."""
+        """Whether a result is known for every task of a member."""
         tasks = self.members_by_worker[worker_id].tasks
         return all(task in self.results_by_task for task in tasks)
 
     @property
     def all_reserved(self) -> bool:
-        """Whether every member has confirmed its reservation."""
+        """Whether every member of the whole gang confirmed its reservation."""
         return len(self.reserved) == self.member_count
 
     @property
     def all_started(self) -> bool:
-        """Whether every member has confirmed its start."""
+        """Whether every member of the whole gang confirmed its start."""
         return len(self.started) == self.member_count
 
     @property
     def all_released(self) -> bool:
-        """Whether no member holds anything."""
-        return all(w in self.gone for w in self.members_by_worker)
+        """Whether no known member holds resources any more."""
+        return all(worker_id in self.released for worker_id in self.members_by_worker)
 
     @property
     def all_ended(self) -> bool:
-        """Whether no member runs any more."""
+        """Whether every known member has ended or was released."""
         return all(
-            w in self.gone or self.member_ended(w) for w in self.members_by_worker
+            worker_id in self.released or self.member_ended(worker_id)
+            for worker_id in self.members_by_worker
         )
 
     @property
     def succeeded(self) -> bool:
-        """Whether every task of the job ended successfully."""
+        """Whether a successful result is known for every task of the job."""
         return len(self.results_by_task) == self.spec.tasks and all(
             result.outcome is TaskOutcome.SUCCEEDED
             for result in self.results_by_task.values()
@@ -178,19 +206,33 @@
 
 
 class Context:
-    """What the parts of one scheduler share."""
+    """State shared by the parts of one scheduler.
+
+    Attributes:
+        owner: Epoch of the owner as a component of each gang id, so that
+            two owners never create the same id.
+        guarantees: Assignment of guaranteed cells to workers.
+        effects: Effects of the event that is being handled.
+        now: Time of the event that is being handled.
+        created_at: Time of the first event.
+        recovered: Whether all workers were claimed or given up.
+        resources_changed: Whether a full placement pass is needed.
+        freed_workers: Workers with resources freed since the last pass.
+        cells_changed: Whether the cells have to be assigned again.
+        quarantined: Quarantined workers at the last check.
+        probes: Quarantined workers that may be probed with one job.
+    """
 
     def __init__(
         self, failure_domain: str, policies: PolicySet, guarantees: CellTable
     ) -> None:
         self.failure_domain = failure_domain
-        # Part of every gang id, so that two owners never form the same one.
         self.owner = ""
         self.policies = policies
         self.guarantees = guarantees
         self.fleet = Fleet()
         self.configuration: Configuration | None = None
-        self.times = TimeQueue()
+        self.timers = TimerQueue()
         self.effects: list[Effect] = []
         self.now = 0.0
         self.created_at: float | None = None
@@ -202,10 +244,10 @@
         self.probes: frozenset[str] = frozenset()
 
     def emit(self, effect: Effect) -> None:
-        """Add an effect of the event that is being handled."""
+        """Add an effect to those that ``Scheduler.handle`` returns."""
         self.effects.append(effect)
 
     def release(self, gang_id: str, worker_id: str) -> None:
-        """Free what a member holds."""
+        """Free the resources of a member and note its worker as freed."""
         self.fleet.release_member(gang_id, worker_id)
         self.freed_workers.add(worker_id)
--- a/src/redwingrudder/_scheduler_status.py
+++ b/src/redwingrudder/_scheduler_status.py
@@ -1,4 +1,4 @@
-"""What callers and operators are told of the scheduler's state."""
+"""Job explanations and domain status for callers and operators."""
 
 import datetime
 
@@ -15,13 +15,13 @@
 def explain_job(
     job_id: str, context: Context, jobs: JobTable, gangs: GangTable, placer: Placer
 ) -> Explanation:
-    """Return why a job waits, runs or ended."""
+    """Return the state of a job with the reasons for it in plain text."""
     job = jobs.jobs_by_id.get(job_id)
     if job is None:
         return Explanation(job_id, "unknown", ("no job with this id is known",))
     reasons = [f"last reason: {job.reason}"] if job.reason else []
     if job.target_missed:
-        reasons.append(f"cannot meet its target, {_text(job.target_at)}")
+        reasons.append(f"cannot meet its target, {_format_time(job.target_at)}")
     if job.state == JobState.QUEUED:
         reasons.append(_why_queued(job, context, jobs, placer))
     gang = gangs.gangs_by_id.get(job.gang_id or "")
@@ -30,7 +30,7 @@
         reasons.append(f"gang {gang.gang_id} is {gang.state} on {workers}")
     if job.avoided and job.state == JobState.QUEUED:
         avoided = ", ".join(sorted(job.avoided))
-        reasons.append(f"avoids {avoided} until {_text(job.avoided_until)}")
+        reasons.append(f"avoids {avoided} until {_format_time(job.avoided_until)}")
     return Explanation(job_id, job.state, tuple(reasons))
 
 
@@ -42,17 +42,23 @@
     if job.job_id in jobs.waiting_for_recovery:
         return "waits for the reports of all workers after a change of the owner"
     if job.job_id not in jobs.queue:
-        return f"waits after a refusal until {_text(job.parked_until)}"
+        return f"waits after a refusal until {_format_time(job.parked_until)}"
     reservation = placer.reservation
     if reservation is not None and reservation.job_id == job.job_id:
         count = len(reservation.workers)
-        return f"{count} workers are reserved for it, free at {_text(reservation.at)}"
-    shape = jobs.queue.key(job.job_id).shape
-    if shape in placer.limited:
+        return (
+            f"{count} workers are reserved for it,"
+            f" free at {_format_time(reservation.at)}"
+        )
+    shape = jobs.queue.lane_key(job.job_id).shape
+    if shape in placer.reservation_blocked_shapes:
         return "would delay the gang at the head of the queue"
     spec = job.spec
-    if shape not in placer.blocked and spec.job_class in placer.restrained:
-        return "its class leaves room to work that cannot wait for it"
+    if (
+        shape not in placer.blocked_shapes
+        and spec.job_class in placer.headroom_blocked_classes
+    ):
+        return "its class leaves headroom for work that cannot wait for it"
     return (
         f"no free place for {spec.tasks} tasks with"
         f" {spec.accelerators_per_task} adjacent accelerators each"
@@ -66,7 +72,7 @@
     owner: str = "",
     epoch: Epoch = NO_EPOCH,
 ) -> DomainStatus:
-    """Return the state of the failure domain."""
+    """Return the status of the failure domain, with counts by class."""
     fleet, workers = context.fleet, context.fleet.workers_by_id.values()
     configuration = context.configuration
     return DomainStatus(
@@ -82,13 +88,15 @@
         context.policies.placement.largest_gang(fleet),
         jobs.queued_total,
         gangs.running_count,
-        _organisations(context, jobs),
-        _classes(context, jobs),
+        _organisation_statuses(context, jobs),
+        _class_statuses(context, jobs),
         context.guarantees.shortages,
     )
 
 
-def _organisations(context: Context, jobs: JobTable) -> tuple[OrganisationStatus, ...]:
+def _organisation_statuses(
+    context: Context, jobs: JobTable
+) -> tuple[OrganisationStatus, ...]:
     configuration = context.configuration
     if configuration is None:
         return ()
@@ -100,7 +108,9 @@
         if cell.failure_domain == context.failure_domain:
             guaranteed[cell.organisation] += shapes[cell.shape_index].accelerators
     for gang in context.fleet.gangs_by_id.values():
-        held = sum(len(m.accelerators) for m in gang.members_by_worker.values())
+        held = sum(
+            len(member.accelerators) for member in gang.members_by_worker.values()
+        )
         name = gang.spec.organisation
         in_use[name] = in_use.get(name, 0) + held
     for (name, _), count in jobs.queued_by_group.items():
@@ -111,7 +121,7 @@
     )
 
 
-def _classes(context: Context, jobs: JobTable) -> tuple[ClassStatus, ...]:
+def _class_statuses(context: Context, jobs: JobTable) -> tuple[ClassStatus, ...]:
     names = set(jobs.counts_by_class)
     if context.configuration is not None:
         names |= set(context.configuration.classes_by_name)
@@ -135,7 +145,7 @@
     return tuple(statuses)
 
 
-def _text(at: float) -> str:
+def _format_time(at: float) -> str:
     if at == float("inf"):
         return "unknown"
     return datetime.datetime.fromtimestamp(at, datetime.UTC).isoformat()
--- a/src/redwingrudder/messages.py
+++ b/src/redwingrudder/messages.py
@@ -1,8 +1,8 @@
-"""Events that the scheduler takes and effects that it returns.
+"""Events that the scheduler handles and effects that it returns.
 
-Events and effects are plain values. The dispatcher turns what it receives
-from sockets into events and carries out the effects; tests and the bench do
-the same with fakes.
+Events and effects are plain values. The dispatcher converts the messages
+that it receives from sockets into events and carries out the effects. Tests
+and the benchmark do the same with fakes.
 """
 
 from typing import NamedTuple
@@ -19,39 +19,45 @@
 
 
 class ConfigurationChanged(NamedTuple):
-    """A configuration of a higher version is in force."""
+    """A configuration with a higher version came into force."""
 
     configuration: Configuration
 
 
 class WorkerClaimed(NamedTuple):
-    """A worker accepted this owner's epoch and reported what it holds."""
+    """A worker accepted this owner's epoch and reported its gang members."""
 
     report: WorkerReport
 
 
 class WorkerLost(NamedTuple):
-    """A worker restarted or its lease has surely lapsed."""
+    """A worker restarted, or its lease is certain to have expired."""
 
     worker_id: str
     reason: str
 
 
 class WorkerDraining(NamedTuple):
-    """A worker is leaving and takes no new work."""
+    """A worker is shutting down and accepts no new work."""
 
     worker_id: str
 
 
 class RecoveryEnded(NamedTuple):
-    """All workers answered the claim of a new owner or were given up."""
+    """The new owner has finished claiming its workers.
+
+    Each worker has answered the claim, or the owner waits for it no longer.
+    """
 
 
 class JobSubmitted(NamedTuple):
-    """A job was accepted; ``recorded`` tells that the store holds it.
+    """A job was accepted by this owner or by a previous one.
 
-    ``start_recorded`` is true when a previous owner had already recorded
-    the start of this non-idempotent job.
+    Attributes:
+        submitted_at: Time of submission in seconds since the Unix epoch.
+        recorded: Whether the store holds the job.
+        start_recorded: Whether a previous owner had already recorded the
+            start of this non-idempotent job.
     """
 
     job_id: str
@@ -62,13 +68,16 @@
 
 
 class CancelRequested(NamedTuple):
-    """A caller wants a job cancelled."""
+    """A caller requested the cancellation of a job."""
 
     job_id: str
 
 
 class ReserveAnswered(NamedTuple):
-    """A worker answered a reservation."""
+    """A worker accepted or refused a reservation.
+
+    ``reason`` is the worker's refusal code.
+    """
 
     gang_id: str
     worker_id: str
@@ -77,7 +86,10 @@
 
 
 class StartRecordAnswered(NamedTuple):
-    """The store answered the record of a start."""
+    """The store accepted or refused a start record.
+
+    ``reason`` says why the record was refused.
+    """
 
     gang_id: str
     accepted: bool
@@ -85,7 +97,10 @@
 
 
 class StartAnswered(NamedTuple):
-    """A worker answered a start."""
+    """A worker accepted or refused the start of a member.
+
+    ``reason`` is the worker's refusal code.
+    """
 
     gang_id: str
     worker_id: str
@@ -94,14 +109,14 @@
 
 
 class ReleaseAnswered(NamedTuple):
-    """A worker confirmed that it no longer holds a gang member."""
+    """A worker confirmed that it has released a gang member."""
 
     gang_id: str
     worker_id: str
 
 
 class TaskEnded(NamedTuple):
-    """A task ended, by itself or because it was stopped."""
+    """A task completed, failed or was stopped."""
 
     gang_id: str
     worker_id: str
@@ -109,7 +124,7 @@
 
 
 class Tick(NamedTuple):
-    """The time that the scheduler set with ``ScheduleWakeUp`` has come."""
+    """The time requested with ``ScheduleWakeUp`` has been reached."""
 
 
 Event = (
@@ -130,7 +145,7 @@
 
 
 class ReserveMember(NamedTuple):
-    """Ask a worker to hold a member's accelerators and slots."""
+    """Reserve the accelerators and slots of a gang member on its worker."""
 
     gang_id: str
     job_id: str
@@ -148,21 +163,21 @@
 
 
 class StartMember(NamedTuple):
-    """Start a reserved member; sent only when every member is reserved."""
+    """Start a reserved member; sent only after all members are reserved."""
 
     gang_id: str
     worker_id: str
 
 
 class ReleaseMember(NamedTuple):
-    """Drop a reservation, or the retained results of an ended member."""
+    """Release a reservation, or the results kept for an ended member."""
 
     gang_id: str
     worker_id: str
 
 
 class StopMember(NamedTuple):
-    """Stop a started member, after a checkpoint when asked for."""
+    """Stop a started member, after a checkpoint if ``checkpoint`` is true."""
 
     gang_id: str
     worker_id: str
@@ -170,7 +185,7 @@
 
 
 class JobChanged(NamedTuple):
-    """A job entered a state; ``results`` are set when it succeeded."""
+    """A job entered a state; ``results`` is set if it succeeded."""
 
     job_id: str
     state: JobState
@@ -187,13 +202,16 @@
 
 
 class ShortagesChanged(NamedTuple):
-    """The guarantees that the surviving hardware cannot hold."""
+    """The set of guarantees that the available workers cannot hold changed."""
 
     shortages: tuple[GuaranteeShortage, ...]
 
 
 class ScheduleWakeUp(NamedTuple):
-    """Send ``Tick`` at this time; a later effect replaces an earlier one."""
+    """Request a ``Tick`` at time ``at`` (Unix seconds).
+
+    A later request replaces an earlier one.
+    """
 
     at: float
 
--- a/src/redwingrudder/model.py
+++ b/src/redwingrudder/model.py
@@ -1,7 +1,7 @@
-"""Value types shared by all parts.
+"""Value types shared by all parts of the scheduler.
 
-Times are seconds of the node's clock since the Unix epoch unless a name says
-otherwise. Identifiers are plain strings that are unique in a deployment.
+Times are seconds since the Unix epoch on the node's clock unless a name says
+otherwise. Identifiers are strings that are unique within a deployment.
 """
 
 import enum
@@ -11,9 +11,12 @@
 class Epoch(NamedTuple):
     """Fencing token of the owner of a failure domain, ordered as a tuple.
 
-    ``store_term`` rises with each acquisition through the platform store,
-    ``local_term`` with each succession while the store is unreachable, and
-    ``node_rank`` separates two candidates of the same term.
+    Attributes:
+        store_term: Incremented by each acquisition through the platform
+            store.
+        local_term: Incremented by each takeover while the store is
+            unreachable.
+        node_rank: Rank of the node; orders two candidates of the same term.
     """
 
     store_term: int
@@ -22,7 +25,7 @@
 
 
 class WorkerInfo(NamedTuple):
-    """What is known of a worker before any work is placed on it."""
+    """Identity, location and total resources of a worker."""
 
     worker_id: str
     address: str
@@ -35,15 +38,25 @@
 
 
 class JobSpec(NamedTuple):
-    """A job as its caller described it.
-
-    All ``tasks`` run as one gang. A task takes one slot of its worker,
-    ``accelerators_per_task`` adjacent accelerators of that worker (none is
-    allowed), ``cores_per_task`` cores and ``memory_mb_per_task`` MB.
-    ``stop_bound_s`` is the time within which a preemptible task has stopped
-    after a checkpoint was requested. ``payload`` is passed to the tasks. A job
-    that has not started ``expire_s`` seconds after submission ends as
-    ``not_run``; 0 means that it never expires.
+    """A job as described by its caller.
+
+    All tasks run as one gang. Each task takes one slot of its worker and the
+    resources given per task.
+
+    Attributes:
+        tasks: Number of tasks in the gang.
+        accelerators_per_task: Adjacent accelerators of one worker for each
+            task; may be 0.
+        cores_per_task: CPU cores for each task.
+        memory_mb_per_task: Memory for each task in MB.
+        idempotent: Whether the job may run more than once.
+        preemptible: Whether the job may be checkpointed and stopped.
+        declared_run_s: Run time that the caller expects, in seconds.
+        stop_bound_s: Seconds within which a preemptible task stops after a
+            checkpoint was requested.
+        payload: Input that is passed to the tasks.
+        expire_s: A job that has not started this many seconds after its
+            submission ends as ``not_run``; 0 means that it never expires.
     """
 
     organisation: str
@@ -63,12 +76,12 @@
 
     @property
     def accelerators(self) -> int:
-        """Accelerators of the whole gang."""
+        """Number of accelerators of the whole gang."""
         return self.tasks * self.accelerators_per_task
 
 
 class JobState(enum.StrEnum):
-    """States of a job as callers see them; they match ``job.scxml``."""
+    """Job states visible to callers, with the same names as ``job.scxml``."""
 
     QUEUED = "queued"
     PLACING = "placing"
@@ -90,11 +103,12 @@
 
 
 class MemberPlacement(NamedTuple):
-    """The part of a gang that is placed on one worker.
+    """The member of a gang that is placed on one worker.
 
-    ``accelerators`` are indexes on that worker, ``tasks`` are the indexes of
-    the tasks within the gang; the accelerators are split over the tasks in
-    order.
+    Attributes:
+        accelerators: Indexes of accelerators on the worker, divided among
+            the tasks in order.
+        tasks: Indexes of the tasks within the gang.
     """
 
     worker_id: str
@@ -103,14 +117,18 @@
 
 
 class Placement(NamedTuple):
-    """A full placement of a gang; ``borrowed`` is true on foreign cells."""
+    """A placement of all members of a gang.
+
+    ``borrowed`` is true if it uses cells that are guaranteed to other
+    organisations.
+    """
 
     members: tuple[MemberPlacement, ...]
     borrowed: bool = False
 
 
 class TaskOutcome(enum.StrEnum):
-    """How one task ended on its worker."""
+    """The way in which a task ended on its worker."""
 
     SUCCEEDED = "succeeded"
     FAILED = "failed"
@@ -119,7 +137,7 @@
 
 
 class TaskResult(NamedTuple):
-    """The part of an answer that one task produced."""
+    """Outcome and result of one task of a job."""
 
     task_index: int
     outcome: TaskOutcome
@@ -127,7 +145,7 @@
 
 
 class MemberState(enum.StrEnum):
-    """State of a gang member as its worker reports it."""
+    """State of a gang member as reported by its worker."""
 
     RESERVED = "reserved"
     STARTED = "started"
@@ -135,7 +153,7 @@
 
 
 class MemberReport(NamedTuple):
-    """A gang member that a worker holds, sent when an owner claims it."""
+    """State of one gang member, reported by a worker to a new owner."""
 
     gang_id: str
     job_id: str
@@ -148,7 +166,7 @@
 
 
 class WorkerReport(NamedTuple):
-    """Everything a worker holds, sent when an owner claims it."""
+    """All gang members of a worker, reported when an owner claims it."""
 
     worker: WorkerInfo
     boot_id: str
@@ -157,21 +175,21 @@
 
 
 class Shape(NamedTuple):
-    """One guaranteed shape: ``copies`` gangs of adjacent accelerators."""
+    """Guarantee of ``copies`` cells of ``accelerators`` adjacent ones each."""
 
     accelerators: int
     copies: int
 
 
 class Organisation(NamedTuple):
-    """An organisation and the shapes that are guaranteed to it."""
+    """An organisation and the shapes guaranteed to it."""
 
     name: str
     guarantees: tuple[Shape, ...]
 
 
 class JobClass(NamedTuple):
-    """A class of work with its target.
+    """A class of jobs with a common completion target.
 
     Exactly one of ``target_s`` (seconds from submission to completion) and
     ``finish_by`` (time of day, "HH:MM" UTC) is set.
@@ -192,7 +210,7 @@
 
 
 class Configuration(NamedTuple):
-    """The operators' configuration in force, ordered by ``version``."""
+    """Configuration set by the operators; a higher version replaces it."""
 
     version: int
     organisations_by_name: dict[str, Organisation]
@@ -201,7 +219,12 @@
 
 
 class GuaranteeShortage(NamedTuple):
-    """A guaranteed copy that the surviving hardware cannot hold."""
+    """A copy of a guaranteed shape that the available workers cannot hold.
+
+    Attributes:
+        missing_accelerators: Number of accelerators that are lacking.
+        since: Time at which the shortage began, in Unix seconds.
+    """
 
     organisation: str
     shape_index: int
@@ -211,11 +234,17 @@
 
 
 class JobView(NamedTuple):
-    """What a caller is told of a job.
-
-    ``results`` holds one entry for each task, ordered by task index, once
-    the job has succeeded. ``durable`` is false when the job was accepted
-    while the platform store was unreachable.
+    """A job as reported to callers.
+
+    Attributes:
+        reason: Reason for the current state, or empty.
+        durable: False if the job was accepted while the platform store was
+            unreachable and has not been recorded.
+        target_missed: Whether the job missed its target or can no longer
+            meet it.
+        finished_at: Time at which the job ended, in Unix seconds.
+        results: One result for each task, ordered by task index; set once
+            the job has succeeded.
     """
 
     job_id: str
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -1,14 +1,15 @@
-"""Decision core of the owner of a failure domain.
+"""Scheduling decisions of the owner of a failure domain.
 
-Pure: it takes typed events with the time and returns typed effects. It reads
-no clock and performs no input or output.
+The scheduler is a pure state machine: it takes typed events with the current
+time and returns typed effects. It reads no clock and performs no input or
+output.
 """
 
 from ._scheduler_gangs import GangTable
 from ._scheduler_jobs import JobTable
 from ._scheduler_placing import Placer
 from ._scheduler_recovery import Recovery
-from ._scheduler_state import Context, Due, GangStopCause, JobRecord, TimerKind
+from ._scheduler_state import Context, GangStopCause, JobRecord, Timer, TimerKind
 from ._scheduler_status import NO_EPOCH, domain_status, explain_job
 from .fleet import Fleet
 from .guarantees import CellTable
@@ -35,19 +36,28 @@
 from .policies import PolicySet, QueueSize, Refusal
 from .requests import DomainStatus, Explanation
 
-# While a new owner claims its workers, placement passes are at least this far
-# apart, because each pass lays the guarantees out again.
+# Minimum interval between placement passes while a new owner claims its
+# workers, because each of these passes assigns the guaranteed cells again.
 RECOVERY_PASS_INTERVAL_S = 0.1
-EXPIRY_RECHECK_S = 1.0  # while a new owner collects the reports of a gang
+# A job whose gang is being recovered does not expire, because a member that
+# has not reported may have started. Expiry is checked again after this time.
+EXPIRY_RECHECK_S = 1.0
+# Retry time given to callers whose job is refused without a configuration.
+NO_CONFIGURATION_RETRY_S = 1.0
 
 
 class Scheduler:
-    """Queue, gangs, guarantees and occupancy of one failure domain.
+    """Schedules the jobs of one failure domain on its workers.
+
+    Holds the job queue, the gangs, the cells that are assigned to guarantees
+    and the resources in use on each worker.
 
     Args:
-        failure_domain: The domain whose workers are scheduled.
-        policies: Decisions that vary.
-        guarantees: Replaces the cell assignment in tests.
+        failure_domain: Name of the domain whose workers are scheduled.
+        policies: Policies for admission, order, placement, reclaim and
+            worker health.
+        guarantees: Cell table to use; None creates an empty one. Tests pass
+            their own to inspect it.
     """
 
     def __init__(
@@ -62,7 +72,7 @@
         self._gangs = GangTable(self._context, self._jobs)
         self._placer = Placer(self._context, self._jobs, self._gangs)
         self._recovery = Recovery(self._context, self._jobs, self._gangs)
-        self._wake_at: float | None = None
+        self._wake_up_at: float | None = None
         self._next_pass_at = 0.0
         self._handlers = {
             ConfigurationChanged: self._configuration_changed,
@@ -82,38 +92,50 @@
 
     @property
     def jobs_by_id(self) -> dict[str, JobRecord]:
-        """All jobs that are known, by id; final ones for 10 minutes."""
+        """Jobs by id; final ones are kept for ``FINAL_JOB_RETENTION_S``."""
         return self._jobs.jobs_by_id
 
     @property
     def fleet(self) -> Fleet:
-        """Workers and what is held on them, to be read only."""
+        """Workers and the resources in use on them; callers only read it."""
         return self._context.fleet
 
     def set_owner(self, epoch: Epoch) -> None:
-        """Make the gang ids unique over owners by the epoch of this one."""
+        """Set the epoch, which keeps gang ids of different owners apart."""
         self._context.owner = "-".join(map(str, epoch)) + "."
 
     def handle(self, event: Event, now: float) -> list[Effect]:
-        """Take one event and return the effects to carry out, in order."""
+        """Handle one event and run the timers and the placement that are due.
+
+        Args:
+            event: The event.
+            now: Current time in seconds since the Unix epoch.
+
+        Returns:
+            The effects that the caller has to carry out, in order.
+        """
         context = self._context
         context.now = now
         context.effects = []
         if context.created_at is None:
             context.created_at = now
         self._handlers[type(event)](event)
-        self._run_due()
+        self._run_due_timers()
         self._update_quarantine()
-        self._place()
-        self._wake()
+        self._run_placement()
+        self._schedule_wake_up()
         return context.effects
 
     def admit(self, spec: JobSpec) -> Refusal | None:
-        """Return None to accept a job, or why it is refused and not run."""
+        """Return why a job must be refused, or None to accept it."""
         context, jobs = self._context, self._jobs
         configuration = context.configuration
         if configuration is None:
-            return Refusal("no_configuration", "no configuration is in force", 1.0)
+            return Refusal(
+                "no_configuration",
+                "no configuration is in force",
+                NO_CONFIGURATION_RETRY_S,
+            )
         if spec.organisation not in configuration.organisations_by_name:
             detail = f"organisation {spec.organisation!r} is not configured"
             return Refusal("unknown_organisation", detail, None)
@@ -131,18 +153,24 @@
         )
 
     def view(self, job_id: str) -> JobView | None:
-        """Return what a caller is told of a job, None when it is unknown."""
+        """Return the caller's view of a job, or None for an unknown job."""
         return self._jobs.view(job_id)
 
     def explain(self, job_id: str, now: float) -> Explanation:
-        """Return why a job waits, runs or ended."""
+        """Return the reasons for the state of a job at time ``now``."""
         self._context.now = now
         return explain_job(job_id, self._context, self._jobs, self._gangs, self._placer)
 
     def status(
         self, now: float, owner: str = "", epoch: Epoch = NO_EPOCH
     ) -> DomainStatus:
-        """Return the state of the domain; the dispatcher knows the owner."""
+        """Return the status of the failure domain at time ``now``.
+
+        Args:
+            now: Current time in seconds since the Unix epoch.
+            owner: Id of the owning node, which the dispatcher provides.
+            epoch: Epoch of the owner, which the dispatcher provides.
+        """
         self._context.now = now
         return domain_status(self._context, self._jobs, self._gangs, owner, epoch)
 
@@ -179,44 +207,43 @@
         if job.gang_id is not None:
             self._gangs.cancel(job.gang_id, GangStopCause.CANCELLED)
         elif job.state == JobState.QUEUED:
-            self._jobs.give_up(job.job_id, "cancelled", "cancelled")
+            self._jobs.end_queued_job(job.job_id, "cancelled", "cancelled")
 
     def _release_answered(self, event: ReleaseAnswered) -> None:
         self._gangs.release_answered(event.gang_id, event.worker_id)
 
     def _tick(self, _event: Tick) -> None:
-        self._wake_at = None
+        self._wake_up_at = None
 
     def _fleet_changed(self) -> None:
         self._context.cells_changed = True
         self._context.resources_changed = True
 
-    def _run_due(self) -> None:
-        due = self._context.times.pop_due(self._context.now)
-        while due is not None:
-            self._handle_due(due)
-            due = self._context.times.pop_due(self._context.now)
-
-    def _handle_due(self, due: Due) -> None:
-        if due.kind is TimerKind.EXPIRY:
-            self._expire(due.job_id)
-        elif due.kind is TimerKind.TARGET:
-            self._jobs.check_target(due.job_id)
-        elif due.kind is TimerKind.UNPARK:
-            self._jobs.unpark(due.job_id)
-        elif due.kind is TimerKind.FORGET:
-            self._jobs.forget(due.job_id)
-
-    def _expire(self, job_id: str) -> None:
+    def _run_due_timers(self) -> None:
+        timer = self._context.timers.pop_due(self._context.now)
+        while timer is not None:
+            self._handle_timer(timer)
+            timer = self._context.timers.pop_due(self._context.now)
+
+    def _handle_timer(self, timer: Timer) -> None:
+        if timer.kind is TimerKind.EXPIRY:
+            self._expire_job(timer.job_id)
+        elif timer.kind is TimerKind.TARGET:
+            self._jobs.check_target(timer.job_id)
+        elif timer.kind is TimerKind.UNPARK:
+            self._jobs.unpark(timer.job_id)
+        elif timer.kind is TimerKind.FORGET:
+            self._jobs.forget(timer.job_id)
+
+    def _expire_job(self, job_id: str) -> None:
         job = self._jobs.jobs_by_id.get(job_id)
         if job is None or job.attempts or job.waits_for_recovery:
             return
         if self._gangs.is_recovering(job_id):
-            # A member that has not reported yet may have started.
-            again_at = self._context.now + EXPIRY_RECHECK_S
-            self._context.times.add(again_at, TimerKind.EXPIRY, job_id)
+            recheck_at = self._context.now + EXPIRY_RECHECK_S
+            self._context.timers.add(recheck_at, TimerKind.EXPIRY, job_id)
         elif job.state == JobState.QUEUED:
-            self._jobs.give_up(job_id, "refused", "expired")
+            self._jobs.end_queued_job(job_id, "refused", "expired")
         elif job.state == JobState.PLACING:
             gang = self._gangs.gangs_by_id[job.gang_id]
             if not gang.start_sent and gang.cause is GangStopCause.NONE:
@@ -234,7 +261,7 @@
             self._context.resources_changed = True
         self._context.probes = probes
 
-    def _place(self) -> None:
+    def _run_placement(self) -> None:
         context = self._context
         if context.configuration is None:
             return
@@ -242,7 +269,7 @@
             if context.now < self._next_pass_at:
                 return
             self._next_pass_at = context.now + RECOVERY_PASS_INTERVAL_S
-            context.times.add(self._next_pass_at, TimerKind.PLACEMENT)
+            context.timers.add(self._next_pass_at, TimerKind.PLACEMENT)
         if context.freed_workers and context.guarantees.shortages:
             context.cells_changed = True
         if context.cells_changed:
@@ -252,21 +279,21 @@
 
     def _assign_cells(self) -> None:
         context, cell_table = self._context, self._context.guarantees
-        before = cell_table.shortages
+        previous_shortages = cell_table.shortages
         cell_table.assign(
             context.configuration, context.failure_domain, context.fleet, context.now
         )
-        if cell_table.shortages != before:
+        if cell_table.shortages != previous_shortages:
             context.resources_changed = True
             context.emit(ShortagesChanged(cell_table.shortages))
 
-    def _wake(self) -> None:
+    def _schedule_wake_up(self) -> None:
         context = self._context
-        times = [
-            context.times.next_at(),
+        wake_up_times = [
+            context.timers.next_at(),
             context.policies.health.next_change(context.now),
         ]
-        wake_at = min((at for at in times if at is not None), default=None)
-        if wake_at is not None and wake_at != self._wake_at:
-            self._wake_at = wake_at
-            context.emit(ScheduleWakeUp(wake_at))
+        wake_up_at = min((at for at in wake_up_times if at is not None), default=None)
+        if wake_up_at is not None and wake_up_at != self._wake_up_at:
+            self._wake_up_at = wake_up_at
+            context.emit(ScheduleWakeUp(wake_up_at))
