--- a/tests/scheduler_worker.py
+++ b/tests/scheduler_worker.py
@@ -1,4 +1,4 @@
-"""A worker that holds gang members as ``worker_api`` says, for tests."""
+"""Fake worker that follows the protocol of ``worker_api``, for tests."""
 
 from redwingrudder import messages as m
 from redwingrudder.model import (
@@ -18,29 +18,35 @@
 
 
 class FakeWorker:
-    """Holds members as ``worker_api`` says; members are keyed by gang."""
+    """Fake worker that holds gang members and answers commands.
+
+    Attributes:
+        restart_count: Part of the boot id, which changes with each restart.
+        members: Reports of the members held, by gang id.
+        commands: Commands that have been sent and not executed yet.
+    """
 
     def __init__(self, info):
         self.info = info
-        self.boot = 0
+        self.restart_count = 0
         self.draining = False
         self.members = {}
-        self.ran = set()
+        self.started_gangs = set()
         self.commands = []
 
     def restart(self):
-        self.boot += 1
+        self.restart_count += 1
         self.draining = False
         self.members.clear()
-        self.ran.clear()
+        self.started_gangs.clear()
         self.commands.clear()
 
     def report(self):
-        boot_id = f"{self.info.worker_id}.{self.boot}"
+        boot_id = f"{self.info.worker_id}.{self.restart_count}"
         members = tuple(self.members.values())
         return WorkerReport(self.info, boot_id, self.draining, members)
 
-    def held(self):
+    def held_accelerators(self):
         return {
             accelerator
             for member in self.members.values()
@@ -49,7 +55,7 @@
         }
 
     def execute(self, command):
-        """Carry out a command; returns the answering event, if any."""
+        """Execute a command and return the event that answers it, if any."""
         gang_id, worker_id = command.gang_id, self.info.worker_id
         member = self.members.get(gang_id)
         if isinstance(command, m.ReserveMember):
@@ -62,11 +68,11 @@
             elif member:
                 started = member._replace(state=MemberState.STARTED)
                 self.members[gang_id] = started
-                self.ran.add(gang_id)
+                self.started_gangs.add(gang_id)
             return m.StartAnswered(gang_id, worker_id, not code, code)
         if isinstance(command, m.ReleaseMember):
             if member and member.state is MemberState.STARTED:
-                raise AssertionError("release of a running member")
+                raise AssertionError(f"running member of {gang_id} was released")
             self.members.pop(gang_id, None)
             return m.ReleaseAnswered(gang_id, worker_id)
         return None
@@ -74,8 +80,8 @@
     def _reserve(self, command):
         if self.draining:
             return "draining"
-        taken = self.held() & set(command.member.accelerators)
-        assert not taken, f"accelerators {taken} were given away twice"
+        already_held = self.held_accelerators() & set(command.member.accelerators)
+        assert not already_held, f"accelerators {already_held} were reserved twice"
         self.members[command.gang_id] = MemberReport(
             command.gang_id,
             command.job_id,
@@ -96,7 +102,7 @@
             return None
         result = TaskResult(task, outcome, f"{gang_id}:{task}")
         results = (*member.results, result)
-        ended = len(results) == len(member.placement.tasks)
-        state = MemberState.ENDED if ended else MemberState.STARTED
+        all_ended = len(results) == len(member.placement.tasks)
+        state = MemberState.ENDED if all_ended else MemberState.STARTED
         self.members[gang_id] = member._replace(results=results, state=state)
         return m.TaskEnded(gang_id, self.info.worker_id, result)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,4 +1,4 @@
-"""Tests of the decision core against workers that answer in any order."""
+"""Tests of the scheduler against workers that answer in any order."""
 
 import unittest
 from unittest import mock
@@ -13,15 +13,21 @@
 
 from .scheduler_world import CONFIGURATION, SPEC, World
 
+SCHEDULE_STEPS = 250
+
 
 class GeneratedScheduleTests(unittest.TestCase):
-    """Guards I2, I4 and I5 under reordering, repetition, loss and takeover."""
+    """Tests invariants I2, I4 and I5 with generated schedules.
+
+    Messages are reordered and repeated, workers are lost and the owner
+    changes. ``World`` asserts the invariants on every effect.
+    """
 
     @settings(max_examples=150, deadline=None, derandomize=True, database=None)
     @given(st.integers(0, 2**32))
     def test_every_job_ends_once_and_truthfully(self, seed):
         world = World(seed)
-        for _ in range(250):
+        for _ in range(SCHEDULE_STEPS):
             world.step()
         world.finish()
         status = world.scheduler.status(world.now)
@@ -30,7 +36,7 @@
 
     def test_baseline_policies_end_every_job(self):
         world = World(7, fcfs_policies)
-        for _ in range(250):
+        for _ in range(SCHEDULE_STEPS):
             world.step()
         world.finish()
 
@@ -38,50 +44,62 @@
 class SchedulerTests(unittest.TestCase):
     def setUp(self):
         self.world = World(0, record_share=1.0)
-        self.world.exchange()
+        self.world.deliver_all()
 
-    def fill(self, **changes):
-        """Hold every accelerator that ``iron`` may use."""
-        return [self.world.run(tasks=4, **changes) for _ in range(5)]
+    def fill_accelerators(self, **changes):
+        """Occupy every accelerator outside the cell of ``gold``."""
+        return [self.world.submit_and_start(tasks=4, **changes) for _ in range(5)]
 
-    def effects(self, kind):
-        return [effect for effect in self.world.effects if isinstance(effect, kind)]
+    def effects_of_type(self, effect_type):
+        return [
+            effect for effect in self.world.effects if isinstance(effect, effect_type)
+        ]
 
     def test_guaranteed_work_stops_a_borrower_with_checkpoint(self):
-        """Guards I1; a preempted job must not use up its attempts."""
+        """Invariant I1; also guards against counting a preempted attempt."""
         world = self.world
-        borrowers = self.fill() + [world.run(tasks=4, preemptible=True)]
-        self.assertEqual({world.state(j) for j in borrowers}, {JobState.RUNNING})
-        owner = world.run(organisation="gold", tasks=4, idempotent=False)
+        borrowers = self.fill_accelerators() + [
+            world.submit_and_start(tasks=4, preemptible=True)
+        ]
+        self.assertEqual({world.state(job) for job in borrowers}, {JobState.RUNNING})
+        owner = world.submit_and_start(organisation="gold", tasks=4, idempotent=False)
         self.assertEqual(world.state(owner), JobState.RUNNING)
-        self.assertEqual([s.checkpoint for s in self.effects(m.StopMember)], [True])
+        self.assertEqual(
+            [stop.checkpoint for stop in self.effects_of_type(m.StopMember)], [True]
+        )
         job = world.scheduler.jobs_by_id[borrowers[-1]]
         self.assertEqual((job.state, job.attempts), (JobState.QUEUED, 0))
 
     def test_freed_cell_is_kept_while_other_borrowers_stop(self):
-        """A job submitted in between must not take what reclaim has freed."""
+        """Guards against other jobs that take accelerators from a reclaim."""
         world = self.world
-        self.fill()
-        borrowers = [world.run(preemptible=True, job_class="later") for _ in range(4)]
+        self.fill_accelerators()
+        borrowers = [
+            world.submit_and_start(preemptible=True, job_class="later")
+            for _ in range(4)
+        ]
         owner = world.submit(organisation="gold", tasks=4)
         world.deliver_command()
         world.deliver_event()
-        thief = world.submit(preemptible=True, job_class="urgent")
-        world.exchange()
+        competitor = world.submit(preemptible=True, job_class="urgent")
+        world.deliver_all()
         self.assertEqual(world.state(owner), JobState.RUNNING)
-        queued = [world.state(job) for job in [thief, *borrowers]]
+        queued = [world.state(job) for job in [competitor, *borrowers]]
         self.assertEqual(set(queued), {JobState.QUEUED})
 
     def test_only_jobs_that_end_in_time_pass_a_waiting_gang(self):
-        """A stream of small jobs must not starve a gang."""
+        """Guards against small jobs that starve a waiting gang."""
         world = self.world
-        first, *_ = self.fill(declared_run_s=50.0, job_class="later")
-        single = [world.run(job_class="later", organisation="gold") for _ in range(3)]
-        world.end(first)
-        pair = world.run(tasks=2, declared_run_s=20.0, job_class="later")
-        gang = world.run(tasks=4, declared_run_s=590.0, job_class="later")
-        long = world.run(declared_run_s=400.0, job_class="later")
-        short = world.run(declared_run_s=10.0, job_class="later")
+        first, *_ = self.fill_accelerators(declared_run_s=50.0, job_class="later")
+        single = [
+            world.submit_and_start(job_class="later", organisation="gold")
+            for _ in range(3)
+        ]
+        world.end_job(first)
+        pair = world.submit_and_start(tasks=2, declared_run_s=20.0, job_class="later")
+        gang = world.submit_and_start(tasks=4, declared_run_s=590.0, job_class="later")
+        long = world.submit_and_start(declared_run_s=400.0, job_class="later")
+        short = world.submit_and_start(declared_run_s=10.0, job_class="later")
         states = [world.state(job) for job in (pair, gang, long, short)]
         expected = ["running", "queued", "queued", "running"]
         self.assertEqual(states, expected)
@@ -90,98 +108,103 @@
         self.assertEqual({world.state(job) for job in single}, {JobState.RUNNING})
 
     def test_flood_costs_no_searches_and_cancels_quickly(self):
-        """A submission or cancellation must not scan a queue of thousands."""
+        """Guards against scanning the queue for each new or cancelled job."""
         world = self.world
-        self.fill()
-        world.run(tasks=4, organisation="gold")
+        self.fill_accelerators()
+        world.submit_and_start(tasks=4, organisation="gold")
         placement = world.scheduler._context.policies.placement
         with mock.patch.object(placement, "place", wraps=placement.place) as place:
             jobs = [world.submit(tasks=4, caller=f"c{i % 7}") for i in range(2000)]
             for job_id in jobs:
-                world.send(m.CancelRequested(job_id))
+                world.handle(m.CancelRequested(job_id))
         self.assertLessEqual(place.call_count, 2)
         self.assertEqual({world.state(job) for job in jobs}, {JobState.NOT_RUN})
 
     def test_target_is_reported_missed_once_and_job_still_runs(self):
-        self.fill()
-        late = self.world.run(tasks=4, declared_run_s=1.0)
-        self.world.wait(3.9)
+        """Guards against repeated reports and against ending a late job."""
+        self.fill_accelerators()
+        late = self.world.submit_and_start(tasks=4, declared_run_s=1.0)
+        self.world.advance_time(3.9)
         self.assertFalse(self.world.scheduler.view(late).target_missed)
-        self.world.wait(0.2)
-        self.world.wait(20)
-        missed = [e.job_id for e in self.effects(m.TargetMissed)]
+        self.world.advance_time(0.2)
+        self.world.advance_time(20)
+        missed = [effect.job_id for effect in self.effects_of_type(m.TargetMissed)]
         self.assertEqual(missed.count(late), 1)
         self.assertEqual(self.world.state(late), JobState.QUEUED)
 
     def test_miss_that_was_predicted_wrongly_is_taken_back(self):
-        """A caller must not read a miss on an answer that came in time."""
-        job = self.world.run(declared_run_s=60.0)
-        self.world.end(job)
+        """Guards against a reported miss for a job that ended in time."""
+        job = self.world.submit_and_start(declared_run_s=60.0)
+        self.world.end_job(job)
         self.assertIs(self.world.state(job), JobState.SUCCEEDED)
         self.assertFalse(self.world.scheduler.view(job).target_missed)
 
     def test_finish_by_is_a_time_of_day_in_utc(self):
-        press = JobClass("press", None, "22:15")
-        # 2023-11-14 22:13:20 and, after the press time, the next day.
-        at = 1_700_000_000.0
-        self.assertEqual(find_target(press, at), at + 100)
-        self.assertEqual(find_target(press, at + 100), at + 100 + 86_400)
+        press_class = JobClass("press", None, "22:15")
+        # 2023-11-14 22:13:20 UTC, 100 s before the target. A job submitted at
+        # the target time itself is due on the next day.
+        submitted_at = 1_700_000_000.0
+        self.assertEqual(find_target(press_class, submitted_at), submitted_at + 100)
+        self.assertEqual(
+            find_target(press_class, submitted_at + 100), submitted_at + 100 + 86_400
+        )
 
     def test_expiry_ends_only_jobs_that_never_started(self):
-        self.fill()
-        queued = self.world.run(tasks=4, expire_s=20.0)
-        self.world.wait(21)
+        """Guards against a queued job that outlives its expiry."""
+        self.fill_accelerators()
+        queued = self.world.submit_and_start(tasks=4, expire_s=20.0)
+        self.world.advance_time(21)
         view = self.world.scheduler.view(queued)
         self.assertEqual((view.state, view.reason), (JobState.NOT_RUN, "expired"))
 
     def test_failing_job_is_tried_three_times(self):
-        job = self.world.run(tasks=2)
+        job = self.world.submit_and_start(tasks=2)
         for _ in range(3):
             self.assertEqual(self.world.state(job), JobState.RUNNING)
-            self.world.end(job, TaskOutcome.FAILED)
+            self.world.end_job(job, TaskOutcome.FAILED)
         self.assertEqual(self.world.state(job), JobState.FAILED)
-        self.assertEqual(len(self.world.start_sent[job]), 3)
+        self.assertEqual(len(self.world.started_gangs_by_job[job]), 3)
 
     def test_first_result_of_a_task_stands(self):
-        """Guards I3: a late or repeated part must not replace another."""
-        job = self.world.run(tasks=2)
+        """Invariant I3: a late or repeated result must not replace another."""
+        job = self.world.submit_and_start(tasks=2)
         (worker_id,) = self.world.holders(job)
-        (gang_id,) = self.world.start_sent[job]
+        (gang_id,) = self.world.started_gangs_by_job[job]
         for gang, task, text in [("old", 0, "x"), (gang_id, 0, "a"), (gang_id, 0, "b")]:
             result = TaskResult(task, TaskOutcome.SUCCEEDED, f"{gang_id}{text}:{task}")
-            self.world.send(m.TaskEnded(gang, worker_id, result))
+            self.world.handle(m.TaskEnded(gang, worker_id, result))
         last = TaskResult(1, TaskOutcome.SUCCEEDED, f"{gang_id}a:1")
-        self.world.send(m.TaskEnded(gang_id, worker_id, last))
+        self.world.handle(m.TaskEnded(gang_id, worker_id, last))
         results = self.world.scheduler.view(job).results
         self.assertEqual(results, (f"{gang_id}a:0", f"{gang_id}a:1"))
 
     def test_retry_budget_bounds_the_total_work(self):
-        """Jobs that always fail must not multiply the load of a class."""
+        """Guards against retries that multiply the load of a failing class."""
         jobs = []
         for _ in range(100):
-            jobs.append(self.world.run())
+            jobs.append(self.world.submit_and_start())
             for _ in range(3):
-                self.world.end(jobs[-1], TaskOutcome.FAILED)
-        starts = sum(len(self.world.start_sent[job]) for job in jobs)
+                self.world.end_job(jobs[-1], TaskOutcome.FAILED)
+        starts = sum(len(self.world.started_gangs_by_job[job]) for job in jobs)
         self.assertLessEqual(starts, 1.2 * len(jobs))
 
     def test_cancelled_job_that_ran_before_is_not_called_not_run(self):
-        """Guards I4: the first attempt of a queued retry did run."""
-        self.fill()
-        job = self.world.run(organisation="gold", tasks=4)
+        """Invariant I4: a job that waits for its retry has run before."""
+        self.fill_accelerators()
+        job = self.world.submit_and_start(organisation="gold", tasks=4)
         blocker = self.world.submit(organisation="gold", tasks=4, job_class="urgent")
-        self.world.end(job, TaskOutcome.FAILED)
+        self.world.end_job(job, TaskOutcome.FAILED)
         self.assertEqual(self.world.state(blocker), JobState.RUNNING)
         self.assertEqual(self.world.state(job), JobState.QUEUED)
-        self.world.send(m.CancelRequested(job))
+        self.world.handle(m.CancelRequested(job))
         self.assertEqual(self.world.state(job), JobState.INTERRUPTED)
 
     def test_takeover_keeps_running_jobs_and_holds_back_old_ones(self):
-        """An old idempotent job may run on a worker not yet claimed."""
+        """Guards against restarting a job that an unclaimed worker runs."""
         world = self.world
-        running = world.run(tasks=8, organisation="gold")
-        once = world.run(idempotent=False)
-        lost = world.run(idempotent=False)
+        running = world.submit_and_start(tasks=8, organisation="gold")
+        non_idempotent = world.submit_and_start(idempotent=False)
+        lost = world.submit_and_start(idempotent=False)
         for worker in world.workers.values():
             for gang_id, member in list(worker.members.items()):
                 if member.job_id == lost:
@@ -191,46 +214,48 @@
         for _ in range(4):
             world.claim_next()
         new = world.submit()
-        world.wait(0.2)
+        world.advance_time(0.2)
         self.assertEqual(world.state(new), JobState.RUNNING)
         while world.recovering:
             world.claim_next()
-        states = [world.state(job) for job in (running, once, lost)]
+        states = [world.state(job) for job in (running, non_idempotent, lost)]
         self.assertEqual(states, ["running", "running", "interrupted"])
-        self.assertEqual(len(world.start_sent[running]), 1)
+        self.assertEqual(len(world.started_gangs_by_job[running]), 1)
 
     def test_job_of_a_removed_class_runs_to_its_end(self):
-        """A change of the configuration must not stop what runs."""
+        """Guards against stopping a running job whose class was removed."""
         world = self.world
-        running, failing = world.run(), world.run()
+        running, failing = world.submit_and_start(), world.submit_and_start()
         later = {"later": CONFIGURATION.classes_by_name["later"]}
         world.configuration = CONFIGURATION._replace(classes_by_name=later)
         world.take_over()
         while world.recovering:
             world.claim_next()
-        world.end(running)
-        world.end(failing, TaskOutcome.FAILED)
+        world.end_job(running)
+        world.end_job(failing, TaskOutcome.FAILED)
         states = [world.state(job) for job in (running, failing)]
         self.assertEqual(states, ["succeeded", "interrupted"])
 
     def test_worker_that_fails_everything_is_quarantined_and_probed(self):
+        """Guards against jobs that all fail on the same broken worker."""
         world = self.world
-        world.end(self.fill()[0])
+        world.end_job(self.fill_accelerators()[0])
         for _ in range(3):
-            job = world.run(organisation="gold")
-            (bad,) = world.holders(job)
-            world.end(job, TaskOutcome.FAILED)
-            self.assertNotEqual(world.holders(job), [bad])
-            world.end(job)
+            job = world.submit_and_start(organisation="gold")
+            (failing_worker,) = world.holders(job)
+            world.end_job(job, TaskOutcome.FAILED)
+            self.assertNotEqual(world.holders(job), [failing_worker])
+            world.end_job(job)
         self.assertEqual(world.scheduler.status(world.now).quarantined_workers, 1)
-        world.run(tasks=4, organisation="gold")
-        world.wait(61)
-        probe = world.run(organisation="gold")
-        self.assertEqual(world.holders(probe), [bad])
-        world.end(probe)
+        world.submit_and_start(tasks=4, organisation="gold")
+        world.advance_time(61)
+        probe = world.submit_and_start(organisation="gold")
+        self.assertEqual(world.holders(probe), [failing_worker])
+        world.end_job(probe)
         self.assertEqual(world.scheduler.status(world.now).quarantined_workers, 0)
 
     def test_admission_names_what_is_wrong(self):
+        """Guards against a wrong refusal code for an invalid job."""
         admit = self.world.scheduler.admit
         cases = {
             "unknown_organisation": SPEC._replace(organisation="tin"),
--- a/tests/test_scheduler_recovery.py
+++ b/tests/test_scheduler_recovery.py
@@ -1,4 +1,4 @@
-"""Tests of what a new owner concludes from reports that come late."""
+"""Tests of the recovery of a new owner whose workers report late."""
 
 import unittest
 
@@ -16,10 +16,10 @@
 from redwingrudder.scheduler import Scheduler
 from tests.scheduler_world import CONFIGURATION, DOMAIN, SPEC, make_worker
 
-ONCE = SPEC._replace(tasks=2, idempotent=False)
+NON_IDEMPOTENT = SPEC._replace(tasks=2, idempotent=False)
 
 
-def report(index, state, results=(), spec=ONCE):
+def report_member(index, state, results=(), spec=NON_IDEMPOTENT):
     member = MemberReport(
         "g1",
         "j1",
@@ -34,52 +34,61 @@
 
 
 class LateReportTests(unittest.TestCase):
-    """One worker reports while the gang's other members are released.
+    """A worker reports after recovery, while its gang is being released.
 
-    The previous owner reached that worker when this one gave it up.
+    The previous owner had started the member on this worker. The new owner
+    could not reach the worker and ended the recovery without its report.
     """
 
     def setUp(self):
         self.scheduler = Scheduler(DOMAIN, slack_policies())
-        self.feed(m.ConfigurationChanged(CONFIGURATION))
-        self.feed(m.WorkerClaimed(report(0, MemberState.RESERVED)))
-        self.feed(m.JobSubmitted("j1", ONCE, 0.0, recorded=True))
-        released = self.feed(m.RecoveryEnded())
+        self.handle(m.ConfigurationChanged(CONFIGURATION))
+        self.handle(m.WorkerClaimed(report_member(0, MemberState.RESERVED)))
+        self.handle(m.JobSubmitted("j1", NON_IDEMPOTENT, 0.0, recorded=True))
+        released = self.handle(m.RecoveryEnded())
         self.assertIn(m.ReleaseMember("g1", "w0"), released)
 
-    def feed(self, event):
+    def handle(self, event):
         return self.scheduler.handle(event, 1.0)
 
     def test_started_member_is_stopped_and_its_job_may_have_run(self):
-        # A release is refused while the member runs, so the gang would hold
-        # its accelerators for ever, and the end of the task was unexpected.
-        effects = self.feed(m.WorkerClaimed(report(1, MemberState.STARTED)))
+        """Guards against a release of the started member.
+
+        The worker refuses a release while the member runs. The gang would
+        hold its accelerators forever, and the chart would not accept the end
+        of the task.
+        """
+        effects = self.handle(m.WorkerClaimed(report_member(1, MemberState.STARTED)))
         self.assertIn(m.StopMember("g1", "w1", False), effects)
-        self.feed(m.ReleaseAnswered("g1", "w0"))
+        self.handle(m.ReleaseAnswered("g1", "w0"))
         result = TaskResult(1, TaskOutcome.STOPPED, "")
-        self.feed(m.TaskEnded("g1", "w1", result))
+        self.handle(m.TaskEnded("g1", "w1", result))
         self.assertEqual(self.scheduler.view("j1").state, JobState.INTERRUPTED)
 
     def test_cancelled_job_with_an_ended_member_is_not_told_not_run(self):
-        self.feed(m.CancelRequested("j1"))
+        """Guards against ``not_run`` for a job of which a task has ended."""
+        self.handle(m.CancelRequested("j1"))
         result = TaskResult(1, TaskOutcome.SUCCEEDED, "done")
-        self.feed(m.WorkerClaimed(report(1, MemberState.ENDED, (result,))))
-        self.feed(m.ReleaseAnswered("g1", "w0"))
+        self.handle(m.WorkerClaimed(report_member(1, MemberState.ENDED, (result,))))
+        self.handle(m.ReleaseAnswered("g1", "w0"))
         self.assertEqual(self.scheduler.view("j1").state, JobState.INTERRUPTED)
 
 
 class ExpiryTests(unittest.TestCase):
     def test_expiry_waits_for_the_report_of_every_member(self):
-        """A running job must not expire while its gang is found again."""
+        """Guards against the expiry of a running job during recovery.
+
+        A member that has not reported yet may have started.
+        """
         scheduler = Scheduler(DOMAIN, slack_policies())
         expiring = SPEC._replace(tasks=2, expire_s=5.0)
         scheduler.handle(m.ConfigurationChanged(CONFIGURATION), 1.0)
         scheduler.handle(
-            m.WorkerClaimed(report(0, MemberState.RESERVED, (), expiring)), 1.0
+            m.WorkerClaimed(report_member(0, MemberState.RESERVED, (), expiring)), 1.0
         )
         scheduler.handle(m.JobSubmitted("j1", expiring, 0.0, recorded=True), 1.0)
         scheduler.handle(m.Tick(), 6.0)
         effects = scheduler.handle(
-            m.WorkerClaimed(report(1, MemberState.STARTED, (), expiring)), 6.5
+            m.WorkerClaimed(report_member(1, MemberState.STARTED, (), expiring)), 6.5
         )
         self.assertIn(m.StartMember("g1", "w0"), effects)
