Complete the doc comments of the scheduler's records and tests

Cause: some fields, timers and invariants were not explained where they are used, and _find_member returned a gang. Change: doc comments say what these are; _find_member becomes _find_gang. Tests: test_scheduler, test_scheduler_recovery, test_slack_policy, test_statecharts, test_peers, test_ownership and test_history pass.

--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -87,7 +87,7 @@
 
     def reserve_answered(self, event: ReserveAnswered) -> None:
         """Handle the answer of a worker to a reservation."""
-        gang = self._find_member(event.gang_id, event.worker_id)
+        gang = self._find_gang(event.gang_id, event.worker_id)
         if gang is None or event.worker_id in gang.reserved or gang.stop_sent:
             return
         if event.accepted:
@@ -122,7 +122,7 @@
 
     def start_answered(self, event: StartAnswered) -> None:
         """Handle the answer of a worker to a start."""
-        gang = self._find_member(event.gang_id, event.worker_id)
+        gang = self._find_gang(event.gang_id, event.worker_id)
         if gang is None or event.worker_id not in gang.start_sent:
             return
         if event.worker_id in gang.started:
@@ -140,7 +140,7 @@
 
     def task_ended(self, event: TaskEnded) -> None:
         """Handle the end of a task; repeated and unknown ends are ignored."""
-        gang = self._find_member(event.gang_id, event.worker_id)
+        gang = self._find_gang(event.gang_id, event.worker_id)
         result = event.result
         if gang is None or event.worker_id not in gang.start_sent:
             return
@@ -158,7 +158,7 @@
 
     def release_answered(self, gang_id: str, worker_id: str) -> None:
         """Handle the confirmation that a worker has released a member."""
-        gang = self._find_member(gang_id, worker_id)
+        gang = self._find_gang(gang_id, worker_id)
         if (
             gang is None
             or worker_id not in gang.stop_sent
@@ -242,7 +242,8 @@
         self._count_held(gang, 1)
         self._jobs.fire(job.job_id, "gang_created", gang_id=gang.gang_id, reason="")
 
-    def _find_member(self, gang_id: str, worker_id: str) -> GangRecord | None:
+    def _find_gang(self, gang_id: str, worker_id: str) -> GangRecord | None:
+        """Return a gang if it has an unreleased member on a worker."""
         gang = self.gangs_by_id.get(gang_id)
         if gang is None or worker_id not in gang.members_by_worker:
             return None
--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -260,8 +260,7 @@
             may_have_run=may_have_run or event.start_recorded,
         )
         if job.state in FINAL_JOB_STATES:
-            # The job ended during recovery; its stored record may still be
-            # open.
+            # The job ended during recovery; its stored record may be open.
             self._report(job)
 
     def _add(self, job: JobRecord) -> None:
--- a/src/redwingrudder/_scheduler_state.py
+++ b/src/redwingrudder/_scheduler_state.py
@@ -19,7 +19,11 @@
 
 
 class TimerKind(enum.StrEnum):
-    """Actions that the scheduler carries out when a timer expires."""
+    """Actions that the scheduler carries out when a timer expires.
+
+    ``UNPARK`` queues a delayed job again. ``PLACEMENT`` has no action of its
+    own: handling any event includes the placement that is due.
+    """
 
     EXPIRY = "expiry"
     TARGET = "target"
@@ -72,11 +76,12 @@
         submitted: Whether the job was submitted to this owner. False for a
             job that is known only from the report of a worker.
         recorded: Whether the store holds the job.
-        start_recorded: Whether the store holds a start record of this
+        start_recorded: Whether a previous owner recorded a start of this
             non-idempotent job.
         may_have_run: True once a start was sent, and for an idempotent job
             that a previous owner may have started.
         target_at: Time by which the job should be complete.
+        attempts: Number of attempts started, without preempted ones.
         waits_for_recovery: Whether the job must not be queued before all
             workers were claimed or given up.
         parked_until: The job is not placed before this time.
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -19,8 +19,10 @@
 class GeneratedScheduleTests(unittest.TestCase):
     """Tests invariants I2, I4 and I5 with generated schedules.
 
-    Messages are reordered and repeated, workers are lost and the owner
-    changes. ``World`` asserts the invariants on every effect.
+    I2: a gang starts only after all its members are reserved. I4: a job that
+    was reported as ``not_run`` has not started. I5: at most one gang of a
+    non-idempotent job starts. Messages are reordered and repeated, workers
+    are lost and the owner changes. ``World`` checks every effect.
     """
 
     @settings(max_examples=150, deadline=None, derandomize=True, database=None)
@@ -56,7 +58,10 @@
         ]
 
     def test_guaranteed_work_stops_a_borrower_with_checkpoint(self):
-        """Invariant I1; also guards against counting a preempted attempt."""
+        """Invariant I1: an organisation obtains its cell from borrowers.
+
+        Also guards against counting a preempted run as an attempt.
+        """
         world = self.world
         borrowers = self.fill_accelerators() + [
             world.submit_and_start(tasks=4, preemptible=True)
