--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -274,7 +274,7 @@
     def _is_still_allowed(self, gang: GangRecord) -> bool:
         cell_table = self._context.guarantees
         return all(
-            cell_table.allows(gang.spec, gang.members_by_worker[worker_id])
+            cell_table.allows_member(gang.spec, gang.members_by_worker[worker_id])
             for worker_id in gang.unheld
         )
 
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -291,7 +291,7 @@
         context = self._context
         wake_up_times = [
             context.timers.next_at(),
-            context.policies.health.next_change(context.now),
+            context.policies.health.next_probe_at(context.now),
         ]
         wake_up_at = min((at for at in wake_up_times if at is not None), default=None)
         if wake_up_at is not None and wake_up_at != self._wake_up_at:
