--- a/src/redwingrudder/_scheduler_gang_lifecycle.py
+++ b/src/redwingrudder/_scheduler_gang_lifecycle.py
@@ -1,4 +1,4 @@
-"""The state chart of a gang with its actions."""
+"""Gangs as instances of their state chart, with its actions."""
 
 from collections import Counter
 
@@ -16,7 +16,16 @@
 
 
 class GangLifecycle:
-    """Gangs by id; raises the chart's events and carries out its actions."""
+    """Fires events of the gang chart and carries out its actions.
+
+    Attributes:
+        gangs_by_id: Gangs that are not closed.
+        reclaiming: Ids of the gangs in the state ``reclaiming``.
+        recovering: Ids of the gangs in the state ``recovering``.
+        running_count: Number of gangs in the state ``running``.
+        held_by_class: Units held by each job class: accelerators under True
+            for jobs that use accelerators, slots under False for the others.
+    """
 
     def __init__(self, context: Context, jobs: JobTable) -> None:
         self._context = context
@@ -32,7 +41,7 @@
         }
 
     def fire(self, gang_id: str, event: str) -> None:
-        """Raise an event of the chart and carry out its actions."""
+        """Fire an event of the chart for a gang and carry out the actions."""
         gang = self.gangs_by_id[gang_id]
         step = GANG_CHART.step(gang.state, event)
         self._count_running(gang.state, step.target)
@@ -47,43 +56,46 @@
         if step.target in GANG_CHART.final_states:
             self._count_held(self.gangs_by_id.pop(gang_id), -1)
 
-    def settle(self, gang_id: str) -> None:
-        """Raise the chart's events that follow from the confirmed facts."""
+    def advance(self, gang_id: str) -> None:
+        """Fire the events that follow from what all members have confirmed."""
         gang = self.gangs_by_id.get(gang_id)
         if gang is None:
             return
         if gang.state == "reserving" and gang.all_reserved:
-            once = "all_reserved" if gang.spec.idempotent else "all_reserved_once"
-            self.fire(gang_id, once)
+            event = "all_reserved" if gang.spec.idempotent else "all_reserved_once"
+            self.fire(gang_id, event)
         elif gang.state == "starting" and gang.all_started:
             self.fire(gang_id, "all_started")
-            self.settle(gang_id)
+            self.advance(gang_id)
         elif gang.state in ("running", "stopping") and gang.all_ended:
             self.fire(gang_id, "all_ended")
         elif gang.state == "releasing" and gang.all_released:
             self.fire(gang_id, "all_released")
 
     def is_recovering(self, job_id: str) -> bool:
-        """Whether members of a job's gang may not have reported yet."""
+        """Whether a gang of the job still waits for reports of its members."""
         gangs = (self.gangs_by_id[gang_id] for gang_id in self.recovering)
         return any(gang.job_id == job_id for gang in gangs)
 
     def preempt(self, gang_id: str) -> None:
-        """Checkpoint and stop a gang whose job is queued again."""
+        """Checkpoint and stop a gang so that its job is queued again.
+
+        Gangs that are not both preemptible and idempotent are left running.
+        """
         gang = self.gangs_by_id.get(gang_id)
         if gang is None or not (gang.spec.preemptible and gang.spec.idempotent):
             return
         self.set_cause(gang_id, GangStopCause.PREEMPTED, "preempted")
         self.fire(gang_id, "preempt")
-        self.settle(gang_id)
+        self.advance(gang_id)
 
     def set_cause(self, gang_id: str, cause: GangStopCause, reason: str) -> None:
-        """Note why a gang will end; the first cause stands."""
+        """Set the reason why a gang will end, unless it already has one."""
         gang = self.gangs_by_id[gang_id]
         if gang.cause is GangStopCause.NONE:
             self.gangs_by_id[gang_id] = gang._replace(cause=cause, reason=reason)
 
-    # Actions of gang.scxml.
+    # Actions of gang.scxml; ``fire`` looks them up by name.
 
     def _reserve_members(self, gang: GangRecord) -> None:
         for member in gang.members_by_worker.values():
@@ -112,30 +124,34 @@
 
     def _release_members(self, gang: GangRecord) -> None:
         for worker_id in gang.members_by_worker:
-            done = gang.gone if gang.state == "closed" else gang.gone | gang.asked
-            if worker_id not in done:
-                gang.asked.add(worker_id)
+            skipped = (
+                gang.released
+                if gang.state == "closed"
+                else gang.released | gang.stop_sent
+            )
+            if worker_id not in skipped:
+                gang.stop_sent.add(worker_id)
                 self._context.emit(ReleaseMember(gang.gang_id, worker_id))
 
     def _stop_members(self, gang: GangRecord) -> None:
-        self._stop(gang, checkpoint=False)
+        self._send_stops(gang, checkpoint=False)
 
     def _checkpoint_members(self, gang: GangRecord) -> None:
-        self._stop(gang, checkpoint=True)
+        self._send_stops(gang, checkpoint=True)
 
     def _stop_borrowers(self, gang: GangRecord) -> None:
         for borrower in gang.borrowers:
             self.preempt(borrower)
 
     def _report_started(self, gang: GangRecord) -> None:
-        if self._job_of(gang) is not None:
+        if self._current_job(gang) is not None:
             self._jobs.fire(gang.job_id, "gang_started", reason="")
 
     def _report_released(self, gang: GangRecord) -> None:
         for worker_id in gang.members_by_worker:
             self._context.release(gang.gang_id, worker_id)
-        self._account(gang, 0.0)
-        job = self._job_of(gang)
+        self._correct_service(gang, 0.0)
+        job = self._current_job(gang)
         if job is not None:
             outcome = decide_released(gang, job, self._context.now)
             self._jobs.fire(job.job_id, outcome.event, **outcome.changes)
@@ -143,36 +159,38 @@
     def _report_ended(self, gang: GangRecord) -> None:
         now = self._context.now
         run_s = max(0.0, now - gang.started_at)
-        self._account(gang, run_s * service_units(gang))
-        job = self._job_of(gang)
+        self._correct_service(gang, run_s * service_units(gang))
+        job = self._current_job(gang)
         if job is None:
             return
-        name = gang.spec.job_class
+        job_class = gang.spec.job_class
         retries = self._jobs.retries_by_class
-        allowed = may_retry(
-            job, self._jobs.first_attempts_by_class[name], retries[name]
+        retry_allowed = may_retry(
+            job, self._jobs.first_attempts_by_class[job_class], retries[job_class]
         )
-        outcome = decide_ended(gang, job, now, allowed)
+        outcome = decide_ended(gang, job, now, retry_allowed)
         if outcome.event == "succeeded" and not gang.recovered:
             self._context.policies.order.observe_run(gang.spec, run_s, now)
         elif outcome.event == "retry" and gang.cause is not GangStopCause.PREEMPTED:
-            retries[name] += 1
+            retries[job_class] += 1
         self._jobs.fire(job.job_id, outcome.event, **outcome.changes)
 
-    def _account(self, gang: GangRecord, service: float) -> None:
-        """Replace the charged service by the measured one."""
+    def _correct_service(self, gang: GangRecord, service: float) -> None:
+        """Replace the service charged in advance with the measured service."""
         order = self._context.policies.order
         order.observe_service(gang.spec, service - gang.charged, self._context.now)
 
-    def _job_of(self, gang: GangRecord) -> JobRecord | None:
+    def _current_job(self, gang: GangRecord) -> JobRecord | None:
         job = self._jobs.jobs_by_id.get(gang.job_id)
         return job if job is not None and job.gang_id == gang.gang_id else None
 
-    def _stop(self, gang: GangRecord, checkpoint: bool) -> None:
+    def _send_stops(self, gang: GangRecord, checkpoint: bool) -> None:
         for worker_id in gang.members_by_worker:
-            if worker_id in gang.gone | gang.asked or gang.member_ended(worker_id):
+            if worker_id in gang.released | gang.stop_sent or gang.member_ended(
+                worker_id
+            ):
                 continue
-            gang.asked.add(worker_id)
+            gang.stop_sent.add(worker_id)
             if worker_id in gang.start_sent:
                 stop = StopMember(gang.gang_id, worker_id, checkpoint)
                 self._context.emit(stop)
@@ -180,7 +198,7 @@
                 self._context.emit(ReleaseMember(gang.gang_id, worker_id))
 
     def _count_attempt(self, gang: GangRecord) -> None:
-        job = self._job_of(gang)
+        job = self._current_job(gang)
         if job is None:
             return
         attempts = job.attempts + 1
@@ -189,7 +207,7 @@
             self._jobs.first_attempts_by_class[gang.spec.job_class] += 1
 
     def _count_held(self, gang: GangRecord, sign: int) -> None:
-        """Count accelerators by class, and slots of work without them."""
+        """Add the units of a gang to ``held_by_class``, or subtract them."""
         spec = gang.spec
         accelerated = spec.accelerators_per_task > 0
         units = spec.accelerators if accelerated else spec.tasks
@@ -200,5 +218,5 @@
 
 
 def service_units(gang: GangRecord) -> float:
-    """Return the accelerators of a gang, at least one for each task."""
+    """Return the accelerators of a gang, or its tasks if there are more."""
     return float(max(gang.spec.accelerators, gang.spec.tasks))
