--- a/src/redwingrudder/workers.py
+++ b/src/redwingrudder/workers.py
@@ -2,7 +2,7 @@
 
 from ._worker_link import WorkerLink
 from ._worker_messages import (
-    ClaimSeen,
+    ClaimHandled,
     CloseLink,
     LinkEvent,
     LinkSettings,
@@ -11,7 +11,7 @@
 from ._worker_transport import HttpTransport, WorkerAnswer, WorkerTransport
 
 __all__ = [
-    "ClaimSeen",
+    "ClaimHandled",
     "CloseLink",
     "HttpTransport",
     "LinkEvent",
