--- a/src/redwingrudder/_announcer.py
+++ b/src/redwingrudder/_announcer.py
@@ -1,4 +1,4 @@
-"""Messages to subscribers that must arrive, and in order."""
+"""Ordered delivery of messages to subscribers with bounded mailboxes."""
 
 from collections import deque
 from typing import Any
@@ -8,18 +8,18 @@
 from .timers import TIMERS, Subscribe
 
 TIMER = "announce"
-RETRY_S = 0.1
-QUEUE_LIMIT = 1_000  # messages per subscriber
+RETRY_INTERVAL_S = 0.1
+MAX_QUEUED_MESSAGES = 1_000  # per subscriber
 
 
 class Announcer:
-    """Tells messages to subscribers and again when a mailbox was full.
+    """Sends messages to subscribers and queues them while a mailbox is full.
 
-    The owning actor calls ``retry`` when the timer ``TIMER`` fires.
+    The sending actor must call ``retry`` when the timer ``TIMER`` fires.
 
     Args:
-        actor: The actor that sends.
-        subscribers: Names of the receivers.
+        actor: The sending actor.
+        subscribers: Names of the receiving actors.
     """
 
     def __init__(self, actor: Actor, subscribers: tuple[str, ...]) -> None:
@@ -32,22 +32,25 @@
         """Send a message to all subscribers.
 
         Raises:
-            MailboxFullError: ``QUEUE_LIMIT`` messages wait already.
+            MailboxFullError: The queue of a subscriber already holds
+                ``MAX_QUEUED_MESSAGES``; nothing was sent.
         """
         queues = self._queues_by_subscriber
-        if any(len(queue) >= QUEUE_LIMIT for queue in queues.values()):
-            raise MailboxFullError(f"{QUEUE_LIMIT} messages wait for a subscriber")
+        if any(len(queue) >= MAX_QUEUED_MESSAGES for queue in queues.values()):
+            raise MailboxFullError(
+                f"{MAX_QUEUED_MESSAGES} messages are queued for a subscriber"
+            )
         for queue in queues.values():
             queue.append(message)
         self.retry()
 
     def retry(self) -> None:
-        """Send what waits, each subscriber's messages in order."""
+        """Send the queued messages, in order for each subscriber."""
         for subscriber, queue in self._queues_by_subscriber.items():
             try:
                 while queue:
                     self._actor.tell(subscriber, queue[0])
                     queue.popleft()
             except MailboxFullError:
-                again = Subscribe(self._actor.name, TIMER, RETRY_S)
-                self._actor.tell(TIMERS, again)
+                retry_timer = Subscribe(self._actor.name, TIMER, RETRY_INTERVAL_S)
+                self._actor.tell(TIMERS, retry_timer)
--- a/src/redwingrudder/_domain_directory.py
+++ b/src/redwingrudder/_domain_directory.py
@@ -1,11 +1,20 @@
-"""Owners and loads of the failure domains, as the router knows them."""
+"""Directory of the failure domains with their owners and loads."""
 
 from ._domain_choice import DomainLoad
 from .requests import MembersChanged, OwnerChanged, PeerReport, PeerSilent
 
 
 class DomainDirectory:
-    """Which node owns each failure domain and how much room it has."""
+    """Stores the known owner and the reported load of each failure domain.
+
+    Args:
+        node_id: Id of this node.
+        own_domain: Failure domain of this node.
+
+    Attributes:
+        own_domain: Failure domain of this node.
+        owns_domain: Whether this node owns its failure domain.
+    """
 
     def __init__(self, node_id: str, own_domain: str) -> None:
         self._node_id = node_id
@@ -17,11 +26,14 @@
         self._silent_nodes: set[str] = set()
 
     def set_members(self, message: MembersChanged) -> None:
-        """Take over the failure domains of the VM list."""
+        """Replace the failure domains that the VM list contains."""
         self._member_domains = frozenset(vm.failure_domain for vm in message.vms)
 
     def set_owner(self, owner: OwnerChanged) -> None:
-        """Take over an owner unless one of a higher epoch is known."""
+        """Set the owner of a domain unless a higher epoch is known.
+
+        An empty node id removes the owner.
+        """
         domain = owner.failure_domain
         if not owner.node_id:
             self._owners_by_domain.pop(domain, None)
@@ -34,7 +46,7 @@
             self._silent_nodes.discard(owner.node_id)
 
     def set_report(self, report: PeerReport) -> None:
-        """Take over a node's report; only an owner's has a load."""
+        """Process the report of a node; only owners report a load."""
         self._silent_nodes.discard(report.node_id)
         if report.owner:
             domain = report.failure_domain
@@ -44,13 +56,18 @@
             self._loads_by_domain[domain] = report
 
     def set_silent(self, message: PeerSilent) -> None:
-        """Note that a node does not answer its peers."""
+        """Mark a node as one that does not answer its peers."""
         self._silent_nodes.add(message.node_id)
 
     def count_submission(self, domain: str, accelerators: int) -> None:
-        """Count a submission against the load until the next report.
+        """Add a submission to the last reported load of a domain.
 
-        Otherwise a burst between two reports would all go to one domain.
+        Without this, all submissions between two reports would go to the
+        same domain. The next report replaces the estimate.
+
+        Args:
+            domain: The domain that the submission is sent to.
+            accelerators: Number of accelerators that the job needs.
         """
         report = self._loads_by_domain.get(domain)
         if report is not None:
@@ -60,29 +77,32 @@
             )
 
     def owner_address(self, domain: str) -> str | None:
-        """Return where the domain's owner listens, or None when unknown."""
+        """Return the ``host:port`` of another node that owns the domain.
+
+        Returns None when the owner is not known or is this node.
+        """
         owner = self._owners_by_domain.get(domain)
         if owner is None or owner.node_id == self._node_id:
             return None
         return owner.address
 
     def is_local(self, domain: str) -> bool:
-        """Whether this node owns the domain."""
+        """Whether the domain is this node's own domain and owned by it."""
         return self.owns_domain and domain == self.own_domain
 
     def is_known(self, domain: str) -> bool:
-        """Whether the domain exists, as far as this node can tell."""
+        """Whether the domain exists; true until the VM list was read."""
         if not self._member_domains:
             return True
         return domain in self.domains()
 
     def domains(self) -> tuple[str, ...]:
-        """Return the names of all known domains."""
+        """Return the names of all known domains in alphabetical order."""
         known = {self.own_domain, *self._owners_by_domain, *self._member_domains}
         return tuple(sorted(known))
 
     def loads(self) -> tuple[DomainLoad, ...]:
-        """Return what is known of every domain."""
+        """Return the known load of each domain."""
         return tuple(self._load(domain) for domain in self.domains())
 
     def _load(self, domain: str) -> DomainLoad:
--- a/src/redwingrudder/_drain.py
+++ b/src/redwingrudder/_drain.py
@@ -1,4 +1,7 @@
-"""Graceful shutdown of a part that answers requests (``drain.scxml``)."""
+"""Graceful shutdown of a component that serves requests.
+
+The state chart is ``charts/drain.scxml``.
+"""
 
 from twisted.internet.defer import Deferred
 
@@ -13,7 +16,11 @@
 
 
 class DrainGate:
-    """Counts requests in progress and reports when a drain is over."""
+    """Counts the requests in progress and reports when a drain has ended.
+
+    Attributes:
+        in_progress: Number of requests in progress.
+    """
 
     def __init__(self) -> None:
         self.in_progress = 0
@@ -22,21 +29,21 @@
 
     @property
     def is_draining(self) -> bool:
-        """Whether a drain was asked for."""
+        """Whether ``drain`` has been called."""
         return self._chart.state != _CHART.initial
 
     def begin_request(self) -> None:
-        """Count a request that begins."""
+        """Count a new request as in progress."""
         self.in_progress += 1
 
     def end_request(self) -> None:
-        """Count a request that ended."""
+        """Count a request as ended; the last one ends a drain."""
         self.in_progress -= 1
         if not self.in_progress:
             self._chart.step("last_request_ended")
 
     def drain(self) -> Deferred:
-        """Return a Deferred that fires when no request is in progress."""
+        """Start a drain; the Deferred fires when no request is in progress."""
         waiter: Deferred = Deferred()
         self._waiters.append(waiter)
         busy = self.in_progress > 0
--- a/src/redwingrudder/_worker_chart.py
+++ b/src/redwingrudder/_worker_chart.py
@@ -1,4 +1,4 @@
-"""The chart of a worker link with the events and actions of its code."""
+"""Loads the state chart of a worker link (``charts/worker_link.scxml``)."""
 
 from .statecharts import load_chart
 
--- a/src/redwingrudder/_worker_codec.py
+++ b/src/redwingrudder/_worker_codec.py
@@ -1,4 +1,4 @@
-"""Conversion between the bodies of ``worker_api`` and the model."""
+"""Converts between the JSON bodies of ``worker_api`` and the model types."""
 
 from typing import TypeVar
 
@@ -30,7 +30,7 @@
 )
 
 BAD_REPLY_CODE = "bad_worker_reply"
-_PROBLEM_LIMIT = 300  # characters of a validation error that are kept
+_MAX_DETAIL_CHARACTERS = 300  # longer validation errors are cut
 
 Body = TypeVar("Body")
 
@@ -41,40 +41,42 @@
 
 
 def parse_reply(adapter: TypeAdapter[Body], content: bytes) -> Body:
-    """Validate a reply of a worker.
+    """Parse the JSON reply of a worker and check it against its schema.
 
     Raises:
-        UnavailableError: ``bad_worker_reply``; the reply has another shape.
+        UnavailableError: ``bad_worker_reply``; the reply is no JSON or does
+            not match the schema.
     """
     try:
         return adapter.validate_json(content)
     except ValidationError as error:
-        raise _bad_reply(str(error)) from None
+        raise _bad_reply_error(str(error)) from None
 
 
 def spec_to_body(spec: JobSpec) -> JobSpecBody:
-    """Return a job as JSON."""
+    """Convert a job specification to its JSON object."""
     return JobSpecBody(**spec._asdict())
 
 
 def spec_from_body(body: JobSpecBody) -> JobSpec:
-    """Return a job from JSON."""
+    """Convert the JSON object of a job specification to the model type."""
     return JobSpec(**body)
 
 
 def epoch_from_body(numbers: list[int]) -> Epoch:
-    """Return an epoch from its three numbers.
+    """Convert ``[store_term, local_term, node_rank]`` to an epoch.
 
     Raises:
-        UnavailableError: ``bad_worker_reply``; there are not three.
+        UnavailableError: ``bad_worker_reply``; the list does not have three
+            numbers.
     """
     if len(numbers) != len(Epoch._fields):
-        raise _bad_reply(f"an epoch has 3 numbers, got {len(numbers)}")
+        raise _bad_reply_error(f"an epoch must have 3 numbers, got {len(numbers)}")
     return Epoch(*numbers)
 
 
 def reserve_to_body(command: ReserveMember, epoch: Epoch) -> ReserveRequest:
-    """Return the request for a reservation."""
+    """Build the body of a ``/v1/reserve`` request."""
     return ReserveRequest(
         epoch=list(epoch),
         gang_id=command.gang_id,
@@ -88,10 +90,15 @@
 
 
 def report_from_claim(reply: ClaimReply, address: str) -> WorkerReport:
-    """Return what a claimed worker holds.
+    """Convert the reply to a claim to a report of the worker's gang members.
+
+    Args:
+        reply: The validated reply.
+        address: The ``host:port`` of the worker, which the reply lacks.
 
     Raises:
-        UnavailableError: ``bad_worker_reply``; a value is out of range.
+        UnavailableError: ``bad_worker_reply``; a member state, an outcome or
+            an accelerator index is not valid.
     """
     info = WorkerInfo(
         reply["worker_id"],
@@ -103,31 +110,35 @@
         reply["cores"],
         reply["memory_mb"],
     )
-    members = tuple(_member(info, body) for body in reply["members"])
+    members = tuple(_member_from_body(info, body) for body in reply["members"])
     return WorkerReport(info, reply["boot_id"], reply["draining"], members)
 
 
 def result_from_body(body: TaskResultBody | TaskEndedBody) -> TaskResult:
-    """Return how a task ended.
+    """Convert the result of a task to the model type.
 
     Raises:
-        UnavailableError: ``bad_worker_reply``; the outcome is unknown.
+        UnavailableError: ``bad_worker_reply``; the outcome is no value of
+            ``TaskOutcome``.
     """
     try:
         outcome = TaskOutcome(body["outcome"])
     except ValueError as error:
-        raise _bad_reply(str(error)) from None
+        raise _bad_reply_error(str(error)) from None
     return TaskResult(body["task_index"], outcome, body["result"])
 
 
-def _member(info: WorkerInfo, body: MemberBody) -> MemberReport:
+def _member_from_body(info: WorkerInfo, body: MemberBody) -> MemberReport:
     try:
         state = MemberState(body["state"])
     except ValueError as error:
-        raise _bad_reply(str(error)) from None
+        raise _bad_reply_error(str(error)) from None
     accelerators = tuple(body["accelerators"])
     if any(not 0 <= index < info.accelerators for index in accelerators):
-        raise _bad_reply(f"no such accelerator in {accelerators}")
+        raise _bad_reply_error(
+            f"accelerator index out of range in {accelerators}: the worker has"
+            f" {info.accelerators}"
+        )
     return MemberReport(
         body["gang_id"],
         body["job_id"],
@@ -140,5 +151,5 @@
     )
 
 
-def _bad_reply(detail: str) -> UnavailableError:
-    return UnavailableError(detail[:_PROBLEM_LIMIT], code=BAD_REPLY_CODE)
+def _bad_reply_error(detail: str) -> UnavailableError:
+    return UnavailableError(detail[:_MAX_DETAIL_CHARACTERS], code=BAD_REPLY_CODE)
--- a/src/redwingrudder/_worker_commands.py
+++ b/src/redwingrudder/_worker_commands.py
@@ -1,4 +1,8 @@
-"""Commands on their way to one worker, in order for each gang."""
+"""Queue of the commands to one worker, and their requests and replies.
+
+The commands of one gang are sent in order, each after the reply to the one
+before it; the commands of different gangs are sent concurrently.
+"""
 
 from collections import deque
 from typing import Any, NamedTuple
@@ -16,10 +20,11 @@
 from .model import Epoch
 from .worker_api import CommandReply, MemberRequest, StopRequest
 
-QUEUE_LIMIT = 1_000  # commands per link
-IN_FLIGHT_LIMIT = 4  # commands of one link that await an answer
-RETRY_FIRST_S = 0.1
-RETRY_LIMIT_S = 2.0
+MAX_QUEUED_COMMANDS = 1_000  # per link
+MAX_COMMANDS_IN_FLIGHT = 4  # commands of one link that await a reply
+FIRST_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 2.0
+MAX_RETRY_DOUBLINGS = 10  # keeps the power of two small
 OVERLOADED_CODE = "overloaded"
 
 Command = ReserveMember | StartMember | ReleaseMember | StopMember
@@ -34,54 +39,72 @@
 
 
 class PendingCommand(NamedTuple):
-    """The next command of a gang; ``attempts`` counts those without answer."""
+    """The first queued command of a gang.
+
+    Attributes:
+        command: The command to send.
+        attempts: Number of earlier attempts that got no reply.
+    """
 
     command: Command
     attempts: int
 
 
 class CommandQueue:
-    """Bounded; only the first command of a gang may be in flight."""
+    """Bounded queue of the commands of one link.
+
+    At most one command of a gang is in flight, so that its commands reach
+    the worker in order.
+    """
 
     def __init__(self) -> None:
         self._queues_by_gang: dict[str, deque[Command]] = {}
         self._attempts_by_gang: dict[str, int] = {}
-        self._ready: deque[str] = deque()
-        self._in_flight: set[str] = set()
+        self._ready_gangs: deque[str] = deque()
+        self._gangs_in_flight: set[str] = set()
         self._size = 0
 
     def add(self, command: Command) -> bool:
-        """Queue a command; false when it is refused by the bound.
+        """Queue a command; returns false when the queue is full.
 
-        Releases and stops are always queued: they give resources back, and
-        there are at most two of them for each gang that the worker holds.
+        Releases and stops are queued even then, because they free resources.
+        Their number is bounded: there are at most two of them for each gang
+        that the worker holds.
         """
-        frees = isinstance(command, ReleaseMember | StopMember)
-        if self._size >= QUEUE_LIMIT and not frees:
+        frees_resources = isinstance(command, ReleaseMember | StopMember)
+        if self._size >= MAX_QUEUED_COMMANDS and not frees_resources:
             return False
         queue = self._queues_by_gang.get(command.gang_id)
         if queue is None:
             queue = self._queues_by_gang[command.gang_id] = deque()
-            self._ready.append(command.gang_id)
+            self._ready_gangs.append(command.gang_id)
         queue.append(command)
         self._size += 1
         return True
 
-    def take(self) -> PendingCommand | None:
-        """Return a command to send now, if any."""
-        if not self._ready or len(self._in_flight) >= IN_FLIGHT_LIMIT:
+    def take_next(self) -> PendingCommand | None:
+        """Mark the command of the next ready gang as in flight and return it.
+
+        Returns None when no gang is ready or ``MAX_COMMANDS_IN_FLIGHT``
+        commands await a reply.
+        """
+        if (
+            not self._ready_gangs
+            or len(self._gangs_in_flight) >= MAX_COMMANDS_IN_FLIGHT
+        ):
             return None
-        gang_id = self._ready.popleft()
-        self._in_flight.add(gang_id)
-        self._skip_released(gang_id)
+        gang_id = self._ready_gangs.popleft()
+        self._gangs_in_flight.add(gang_id)
+        self._drop_released_reservation(gang_id)
         attempts = self._attempts_by_gang.get(gang_id, 0)
         return PendingCommand(self._queues_by_gang[gang_id][0], attempts)
 
-    def _skip_released(self, gang_id: str) -> None:
-        """Drop a reservation whose release waits behind it.
+    def _drop_released_reservation(self, gang_id: str) -> None:
+        """Drop the reservation of a gang if its release is queued as well.
 
-        The worker may have begun to leave since; the release settles the
-        gang whether or not an earlier attempt has reached the worker.
+        The worker may have begun to drain since the reservation was queued.
+        The release alone clears the gang at the worker, whether or not an
+        earlier attempt to reserve has reached it.
         """
         queue = self._queues_by_gang[gang_id]
         released = any(isinstance(command, ReleaseMember) for command in queue)
@@ -90,43 +113,51 @@
             self._size -= 1
             self._attempts_by_gang.pop(gang_id, None)
 
-    def settle(self, gang_id: str) -> None:
-        """Drop the answered command of a gang; its next one may be sent."""
-        self._in_flight.discard(gang_id)
+    def remove_answered(self, gang_id: str) -> None:
+        """Remove a gang's answered command and make its next one ready."""
+        self._gangs_in_flight.discard(gang_id)
         self._attempts_by_gang.pop(gang_id, None)
         queue = self._queues_by_gang[gang_id]
         queue.popleft()
         self._size -= 1
         if queue:
-            self._ready.append(gang_id)
+            self._ready_gangs.append(gang_id)
         else:
             del self._queues_by_gang[gang_id]
 
     def postpone(self, gang_id: str) -> int:
-        """Note a missing answer; returns the attempts so far."""
-        self._in_flight.discard(gang_id)
+        """Take a gang's command out of flight, as it got no reply.
+
+        It is not sent again before ``make_ready``. Returns the number of
+        attempts without a reply.
+        """
+        self._gangs_in_flight.discard(gang_id)
         attempts = self._attempts_by_gang.get(gang_id, 0) + 1
         self._attempts_by_gang[gang_id] = attempts
         return attempts
 
-    def retry(self, gang_id: str) -> None:
-        """Let a postponed command be sent again."""
-        known = gang_id in self._queues_by_gang
-        if known and gang_id not in self._in_flight and gang_id not in self._ready:
-            self._ready.append(gang_id)
+    def make_ready(self, gang_id: str) -> None:
+        """Make the postponed command of a gang ready to be sent again."""
+        has_commands = gang_id in self._queues_by_gang
+        if (
+            has_commands
+            and gang_id not in self._gangs_in_flight
+            and gang_id not in self._ready_gangs
+        ):
+            self._ready_gangs.append(gang_id)
 
     def gang_ids(self) -> list[str]:
-        """Return the gangs with commands that have no answer yet."""
+        """Return the ids of the gangs with queued or in-flight commands."""
         return list(self._queues_by_gang)
 
 
 def path_of(command: Command) -> str:
-    """Return the path that a command is posted to."""
+    """Return the URL path that the command is posted to."""
     return _PATHS_BY_TYPE[type(command)]
 
 
 def body_of(command: Command, epoch: Epoch) -> Any:
-    """Return the request body of a command."""
+    """Build the JSON body of the request for a command."""
     if isinstance(command, ReserveMember):
         return reserve_to_body(command, epoch)
     if isinstance(command, StopMember):
@@ -137,7 +168,10 @@
 
 
 def refusal_of(command: Command, worker_id: str, code: str) -> Answer | None:
-    """Return what the scheduler is told of a refused command."""
+    """Return the event that reports a command as refused.
+
+    Returns None for releases and stops, whose refusal is not reported.
+    """
     if isinstance(command, ReserveMember):
         return ReserveAnswered(command.gang_id, worker_id, False, code)
     if isinstance(command, StartMember):
@@ -148,24 +182,34 @@
 def answer_of(
     pending: PendingCommand, worker_id: str, reply: CommandReply
 ) -> Answer | None:
-    """Return what the scheduler is told of a worker's reply."""
+    """Return the event that reports a worker's reply, if there is one."""
     command = pending.command
     gang_id = command.gang_id
     code = reply.get("code", "")
     if isinstance(command, ReserveMember):
         return ReserveAnswered(gang_id, worker_id, reply["accepted"], code)
     if isinstance(command, StartMember):
-        # Gang ids are new for each attempt, so after a lost reply this code
-        # means that the first attempt has started the member.
-        repeated = code == "already_started" and pending.attempts > 0
-        return StartAnswered(gang_id, worker_id, reply["accepted"] or repeated, code)
+        # The scheduler uses a new gang id for each placement, so after a lost
+        # reply this code means that an earlier attempt of this command has
+        # started the member.
+        already_executed = code == "already_started" and pending.attempts > 0
+        return StartAnswered(
+            gang_id, worker_id, reply["accepted"] or already_executed, code
+        )
     if isinstance(command, ReleaseMember):
         return ReleaseAnswered(gang_id, worker_id) if reply["accepted"] else None
-    # A worker that does not know the gang holds nothing of it.
+    # A worker that does not know the gang holds no resources for it.
     released = code == "unknown_gang"
     return ReleaseAnswered(gang_id, worker_id) if released else None
 
 
 def backoff_s(failures: int) -> float:
-    """Return the time before the next attempt, doubled up to a limit."""
-    return min(RETRY_FIRST_S * 2 ** min(failures - 1, 10), RETRY_LIMIT_S)
+    """Return the exponential back-off before the next attempt in seconds.
+
+    Args:
+        failures: Number of failed attempts in a row, at least 1.
+    """
+    return min(
+        FIRST_RETRY_DELAY_S * 2 ** min(failures - 1, MAX_RETRY_DOUBLINGS),
+        MAX_RETRY_DELAY_S,
+    )
--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -1,4 +1,4 @@
-"""The actor that links a domain's owner to one worker."""
+"""Actor that connects the owner of a failure domain to one worker."""
 
 from collections.abc import Callable, Coroutine
 
@@ -27,8 +27,8 @@
 )
 from ._worker_outbox import Outbox
 from ._worker_replies import (
+    ChartEvent,
     Expectation,
-    Signal,
     read_claim,
     read_command,
     read_poll,
@@ -52,13 +52,15 @@
 from .timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 from .worker_api import ClaimRequest, PollRequest
 
-POLL_SHARE = 1 / 3  # of the lease: the longest wait of a poll
-TIMEOUT_SHARE = 1 / 6  # of the lease: leaves time for probes before it lapses
+# Shares of the lease duration. The time-outs are short enough that probes can
+# still be sent before the lease lapses.
+POLL_WAIT_LEASE_SHARE = 1 / 3
+TIMEOUT_LEASE_SHARE = 1 / 6
 CLAIM_TIMEOUT_S = 2.0
 COMMAND_TIMEOUT_S = 5.0
-POLL_MARGIN_S = 3.0  # a poll without answer this long after its wait failed
-LAPSE_MARGIN_S = 1.0  # for a worker whose clock runs slower
-OUTBOX_RETRY_S = 0.1  # when the mailbox of the dispatcher is full
+POLL_ANSWER_MARGIN_S = 3.0  # time for the reply after the wait of a poll
+LAPSE_MARGIN_S = 1.0  # allows for a worker whose clock runs slower
+OUTBOX_RETRY_S = 0.1  # while the mailbox of the dispatcher is full
 
 _PROBE_TIMER = "probe"
 _LAPSE_TIMER = "lapse"
@@ -67,14 +69,21 @@
 
 _PROBE_PATH = "/v1/state"
 
-_Read = Callable[[WorkerAnswer, Expectation], Signal]
+_ReplyReader = Callable[[WorkerAnswer, Expectation], ChartEvent]
 
 
 class WorkerLink(Actor):
-    """Claims one worker, renews its lease and carries commands to it.
+    """Claims one worker, renews its lease and sends commands to it.
 
-    The worker counts as lost ``lease_s`` and a margin after the last command
-    was sent to it, answered or not, so it has stopped its tasks by then.
+    Every command renews the lease, even when its reply is lost. A worker that
+    does not answer therefore counts as lost only ``lease_s`` plus
+    ``LAPSE_MARGIN_S`` after the last command was sent to it. By then its
+    lease has lapsed and it has stopped its tasks.
+
+    Args:
+        system: The actors of the node.
+        settings: The worker, the epoch and the lease duration.
+        transport: Sends the requests.
     """
 
     def __init__(
@@ -87,17 +96,18 @@
         self._boot_id = ""
         self._sequence = 0
         self._renewal_sent_at = system.clock.seconds()
-        self._claims_unseen = 0
-        self._draining_told = False
-        self._failures = 0
-        # Replies to requests of an earlier call or claim are ignored.
+        self._unhandled_claims = 0
+        self._draining_reported = False
+        self._failures_in_a_row = 0
+        # The reply to a call is ignored when a later call was started. The
+        # reply to a command is ignored when its queue was replaced.
         self._call_number = 0
-        self._session = 0
+        self._queue_generation = 0
         self._log = LinkLog(settings.worker_id)
         self._queue = CommandQueue()
         self._outbox = Outbox(system, DISPATCHER)
-        self._calls: set[Deferred] = set()
-        self._actions_by_name: dict[str, Callable[[Signal], None]] = {
+        self._calls_in_progress: set[Deferred] = set()
+        self._actions_by_name: dict[str, Callable[[ChartEvent], None]] = {
             "claim": self._claim,
             "report_claimed": self._report_claimed,
             "poll": self._poll,
@@ -114,64 +124,68 @@
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            ReserveMember: self._take_command,
-            StartMember: self._take_command,
-            ReleaseMember: self._take_command,
-            StopMember: self._take_command,
-            ClaimHandled: self._see_claim,
+            ReserveMember: self._queue_command,
+            StartMember: self._queue_command,
+            ReleaseMember: self._queue_command,
+            StopMember: self._queue_command,
+            ClaimHandled: self._claim_handled,
             EpochRaised: self._raise_epoch,
             CloseLink: self._close,
-            TimerFired: self._fire,
+            TimerFired: self._timer_fired,
         }
 
     def start(self) -> None:
-        """Claim the worker."""
+        """Send the first claim and start the lease timer."""
         self._claim()
         self._watch_lease()
 
     def stop(self) -> None:
-        """End the link; the worker and its tasks are left alone."""
+        """Close the link and cancel its requests.
+
+        Nothing is sent to the worker; its tasks run on until its lease
+        lapses or another node claims it.
+        """
         if self._state not in CHART.final_states:
-            self._step(Signal("close"))
-        for call in list(self._calls):
+            self._step(ChartEvent("close"))
+        for call in list(self._calls_in_progress):
             call.cancel()
 
     def _now(self) -> float:
         return self.system.clock.seconds()
 
-    def _step(self, signal: Signal) -> None:
-        transition = CHART.step(self._state, signal.event)
+    def _step(self, chart_event: ChartEvent) -> None:
+        transition = CHART.step(self._state, chart_event.name)
         self._state = transition.target
         for action in transition.actions:
-            self._actions_by_name[action](signal)
+            self._actions_by_name[action](chart_event)
         if self._state in CHART.final_states:
             self._end()
 
     def _end(self) -> None:
         self._call_number += 1
-        self._session += 1
+        self._queue_generation += 1
         timers = [_PROBE_TIMER, _LAPSE_TIMER, _OUTBOX_TIMER]
         timers += [_RETRY_TIMER + gang_id for gang_id in self._queue.gang_ids()]
         for timer in timers:
             self.tell(TIMERS, Unsubscribe(self.name, timer))
         self.system.unregister(self)
 
-    def _fire(self, fired: TimerFired) -> None:
+    def _timer_fired(self, fired: TimerFired) -> None:
         if self._state in CHART.final_states:
             return
         if fired.timer == _PROBE_TIMER:
-            self._step(Signal("probe_due"))
+            self._step(ChartEvent("probe_due"))
         elif fired.timer == _LAPSE_TIMER:
-            self._check_lapse()
+            self._check_lease()
         elif fired.timer == _OUTBOX_TIMER:
             self._flush_outbox()
         else:
-            self._queue.retry(fired.timer.removeprefix(_RETRY_TIMER))
+            self._queue.make_ready(fired.timer.removeprefix(_RETRY_TIMER))
             self._send_commands()
 
-    # Claims, polls and probes: at most one of them awaits an answer.
+    # Claims, polls and probes. Only the reply to the latest of them is used.
 
-    def _claim(self, _: Signal | None = None) -> None:
+    def _claim(self, _: ChartEvent | None = None) -> None:
         request = ClaimRequest(
             epoch=list(self._epoch),
             node_id=self._settings.node_id,
@@ -179,35 +193,44 @@
         )
         self._call("/v1/claim", request, self._timeout_s(CLAIM_TIMEOUT_S), read_claim)
 
-    def _poll(self, _: Signal | None = None) -> None:
-        wait_s = self._settings.lease_s * POLL_SHARE
+    def _poll(self, _: ChartEvent | None = None) -> None:
+        wait_s = self._settings.lease_s * POLL_WAIT_LEASE_SHARE
         request = PollRequest(
             epoch=list(self._epoch), after=self._sequence, wait_s=wait_s
         )
-        timeout_s = wait_s + self._timeout_s(POLL_MARGIN_S)
+        timeout_s = wait_s + self._timeout_s(POLL_ANSWER_MARGIN_S)
         self._call("/v1/poll", request, timeout_s, read_poll)
 
-    def _probe(self, _: Signal) -> None:
+    def _probe(self, _: ChartEvent) -> None:
         self._call(_PROBE_PATH, None, self._timeout_s(CLAIM_TIMEOUT_S), read_probe)
 
-    def _call(self, path: str, body: object, timeout_s: float, read: _Read) -> None:
+    def _call(
+        self, path: str, body: object, timeout_s: float, read_reply: _ReplyReader
+    ) -> None:
         self._call_number += 1
-        self._run(self._await_call(self._call_number, path, body, timeout_s, read))
+        self._run(
+            self._await_call(self._call_number, path, body, timeout_s, read_reply)
+        )
 
     async def _await_call(
-        self, number: int, path: str, body: object, timeout_s: float, read: _Read
+        self,
+        call_number: int,
+        path: str,
+        body: object,
+        timeout_s: float,
+        read_reply: _ReplyReader,
     ) -> None:
         try:
             answer = await self._send(path, body, timeout_s)
-            signal = read(answer, self._expectation())
+            chart_event = read_reply(answer, self._expectation())
         except UnavailableError as error:
-            signal = self._note_failure(path, error)
-        if number != self._call_number:
+            chart_event = self._log_failed_call(path, error)
+        if call_number != self._call_number:
             return
-        if signal.event in ("claimed", "polled"):
-            self._failures = 0
+        if chart_event.name in ("claimed", "polled"):
+            self._failures_in_a_row = 0
             self.tell(TIMERS, Unsubscribe(self.name, _LAPSE_TIMER))
-        self._step(signal)
+        self._step(chart_event)
 
     async def _send(self, path: str, body: object, timeout_s: float) -> WorkerAnswer:
         address = self._settings.address
@@ -216,137 +239,140 @@
         self._renewal_sent_at = self._now()
         return await self._transport.post(address, path, body, timeout_s)
 
-    def _timeout_s(self, longest_s: float) -> float:
-        return min(longest_s, self._settings.lease_s * TIMEOUT_SHARE)
+    def _timeout_s(self, limit_s: float) -> float:
+        return min(limit_s, self._settings.lease_s * TIMEOUT_LEASE_SHARE)
 
-    # Actions of the chart.
+    # Actions of the state chart.
 
-    def _report_claimed(self, signal: Signal) -> None:
-        if signal.claim is None or signal.report is None:
+    def _report_claimed(self, chart_event: ChartEvent) -> None:
+        if chart_event.claim is None or chart_event.report is None:
             return
-        self._boot_id = signal.claim["boot_id"]
-        self._sequence = signal.claim["sequence"]
-        self._draining_told = signal.report.draining
-        self._claims_unseen += 1
-        self._tell_event(WorkerClaimed(signal.report))
-
-    def _deliver_events(self, signal: Signal) -> None:
-        if signal.poll is None:
+        self._boot_id = chart_event.claim["boot_id"]
+        self._sequence = chart_event.claim["sequence"]
+        self._draining_reported = chart_event.report.draining
+        self._unhandled_claims += 1
+        self._send_event(WorkerClaimed(chart_event.report))
+
+    def _deliver_events(self, chart_event: ChartEvent) -> None:
+        if chart_event.poll is None:
             return
-        self._note_draining(signal.poll["draining"])
-        for body in signal.poll["events"]:
+        self._report_draining(chart_event.poll["draining"])
+        for body in chart_event.poll["events"]:
             if body["sequence"] > self._sequence:
                 self._sequence = body["sequence"]
                 result = codec.result_from_body(body)
                 worker_id = self._settings.worker_id
-                self._tell_event(TaskEnded(body["gang_id"], worker_id, result))
+                self._send_event(TaskEnded(body["gang_id"], worker_id, result))
 
-    def _report_lost(self, signal: Signal) -> None:
-        self._session += 1
+    def _report_lost(self, chart_event: ChartEvent) -> None:
+        self._queue_generation += 1
         for gang_id in self._queue.gang_ids():
             self.tell(TIMERS, Unsubscribe(self.name, _RETRY_TIMER + gang_id))
         self._queue = CommandQueue()
         self._boot_id = ""
-        self._failures = 0
+        self._failures_in_a_row = 0
         self.tell(TIMERS, Unsubscribe(self.name, _LAPSE_TIMER))
-        self._tell_event(WorkerLost(self._settings.worker_id, signal.event))
+        self._send_event(WorkerLost(self._settings.worker_id, chart_event.name))
 
-    def _report_fenced(self, signal: Signal) -> None:
-        self.tell(OWNERSHIP, Fenced(self._epoch, signal.highest))
+    def _report_fenced(self, chart_event: ChartEvent) -> None:
+        self.tell(OWNERSHIP, Fenced(self._epoch, chart_event.highest_epoch))
 
-    def _watch_lease(self, _: Signal | None = None) -> None:
-        delay_s = self._lapse_at() - self._now()
+    def _watch_lease(self, _: ChartEvent | None = None) -> None:
+        delay_s = self._loss_time() - self._now()
         self.tell(TIMERS, Subscribe(self.name, _LAPSE_TIMER, delay_s))
 
-    def _lapse_at(self) -> float:
+    def _loss_time(self) -> float:
         return self._renewal_sent_at + self._settings.lease_s + LAPSE_MARGIN_S
 
-    def _check_lapse(self) -> None:
-        if self._now() < self._lapse_at():
+    def _check_lease(self) -> None:
+        if self._now() < self._loss_time():
             self._watch_lease()
         else:
-            self._step(Signal("lease_lapsed"))
+            self._step(ChartEvent("lease_lapsed"))
 
-    def _retry_probe(self, _: Signal) -> None:
-        self._failures += 1
-        delay_s = backoff_s(self._failures)
+    def _retry_probe(self, _: ChartEvent) -> None:
+        self._failures_in_a_row += 1
+        delay_s = backoff_s(self._failures_in_a_row)
         self.tell(TIMERS, Subscribe(self.name, _PROBE_TIMER, delay_s))
 
-    def _resume_commands(self, _: Signal) -> None:
+    def _resume_commands(self, _: ChartEvent) -> None:
         for gang_id in self._queue.gang_ids():
-            self._queue.retry(gang_id)
+            self._queue.make_ready(gang_id)
         self._send_commands()
 
-    # Messages of the dispatcher.
+    # Messages from the dispatcher.
 
-    def _see_claim(self, _: ClaimHandled) -> None:
-        self._claims_unseen -= 1
+    def _claim_handled(self, _: ClaimHandled) -> None:
+        self._unhandled_claims -= 1
 
     def _raise_epoch(self, raised: EpochRaised) -> None:
         if raised.epoch > self._epoch and self._state not in CHART.final_states:
             self._epoch = raised.epoch
-            self._step(Signal("epoch_raised"))
+            self._step(ChartEvent("epoch_raised"))
 
     def _close(self, _: CloseLink) -> None:
         self.stop()
 
-    def _take_command(self, command: Command) -> None:
-        if not self._boot_id or self._claims_unseen:
-            # WorkerLost has been told and settles this command.
-            self._log.dropped(command)
+    def _queue_command(self, command: Command) -> None:
+        if not self._boot_id or self._unhandled_claims:
+            # The dispatcher has been sent WorkerLost, which takes the place of
+            # the answer to this command.
+            self._log.dropped_command(command)
             return
         if self._queue.add(command):
             self._send_commands()
             return
-        refusal = refusal_of(command, self._settings.worker_id, OVERLOADED_CODE)
-        if refusal is not None:
-            self._tell_event(refusal)
+        refusal_event = refusal_of(command, self._settings.worker_id, OVERLOADED_CODE)
+        if refusal_event is not None:
+            self._send_event(refusal_event)
 
-    # Commands in flight.
+    # Commands for gang members.
 
     def _send_commands(self) -> None:
         while self._state == "linked":
-            pending = self._queue.take()
+            pending = self._queue.take_next()
             if pending is None:
                 return
-            self._run(self._call_command(pending, self._session))
+            self._run(self._call_command(pending, self._queue_generation))
 
-    async def _call_command(self, pending: PendingCommand, session: int) -> None:
+    async def _call_command(
+        self, pending: PendingCommand, queue_generation: int
+    ) -> None:
         command = pending.command
         path = path_of(command)
         try:
             body = body_of(command, self._epoch)
             timeout_s = self._timeout_s(COMMAND_TIMEOUT_S)
             answer = await self._send(path, body, timeout_s)
-            if session == self._session:
-                self._settle_command(pending, answer)
+            if queue_generation == self._queue_generation:
+                self._handle_command_reply(pending, answer)
         except UnavailableError as error:
-            self._note_failure(path, error)
-            if session == self._session:
-                self._postpone(command.gang_id)
-        if session == self._session:
+            self._log_failed_call(path, error)
+            if queue_generation == self._queue_generation:
+                self._schedule_command_retry(command.gang_id)
+        if queue_generation == self._queue_generation:
             self._send_commands()
 
-    def _settle_command(self, pending: PendingCommand, answer: WorkerAnswer) -> None:
+    def _handle_command_reply(
+        self, pending: PendingCommand, answer: WorkerAnswer
+    ) -> None:
         reply = read_command(answer, self._expectation())
-        if isinstance(reply, Signal):
+        if isinstance(reply, ChartEvent):
             self._step(reply)
             return
         if not reply["accepted"]:
-            self._log.refusal(pending.command, reply.get("code", ""))
+            self._log.refused_command(pending.command, reply.get("code", ""))
         worker_id = self._settings.worker_id
-        self._queue.settle(pending.command.gang_id)
+        self._queue.remove_answered(pending.command.gang_id)
         event = answer_of(pending, worker_id, reply)
         if event is not None:
-            self._tell_event(event)
-        self._note_draining(reply["draining"])
+            self._send_event(event)
+        self._report_draining(reply["draining"])
 
-    def _postpone(self, gang_id: str) -> None:
+    def _schedule_command_retry(self, gang_id: str) -> None:
         delay_s = backoff_s(self._queue.postpone(gang_id))
         self.tell(TIMERS, Subscribe(self.name, _RETRY_TIMER + gang_id, delay_s))
 
-    # Helpers.
-
     def _expectation(self) -> Expectation:
         settings = self._settings
         return Expectation(
@@ -354,17 +380,17 @@
         )
 
     def _run(self, call: Coroutine) -> None:
-        running = ensureDeferred(call)
-        running.addErrback(self._log.fault)
-        self._calls.add(running)
-        running.addBoth(lambda _: self._calls.discard(running))
+        deferred = ensureDeferred(call)
+        deferred.addErrback(self._log.unexpected_error)
+        self._calls_in_progress.add(deferred)
+        deferred.addBoth(lambda _: self._calls_in_progress.discard(deferred))
 
-    def _note_draining(self, draining: bool) -> None:
-        if draining and not self._draining_told:
-            self._draining_told = True
-            self._tell_event(WorkerDraining(self._settings.worker_id))
+    def _report_draining(self, draining: bool) -> None:
+        if draining and not self._draining_reported:
+            self._draining_reported = True
+            self._send_event(WorkerDraining(self._settings.worker_id))
 
-    def _tell_event(self, event: Event) -> None:
+    def _send_event(self, event: Event) -> None:
         self._outbox.add(LinkEvent(self._settings.number, event))
         self._flush_outbox()
 
@@ -372,7 +398,7 @@
         if not self._outbox.flush():
             self.tell(TIMERS, Subscribe(self.name, _OUTBOX_TIMER, OUTBOX_RETRY_S))
 
-    def _note_failure(self, path: str, error: UnavailableError) -> Signal:
+    def _log_failed_call(self, path: str, error: UnavailableError) -> ChartEvent:
         if self._state not in CHART.final_states:
-            self._log.failure(path, error)
-        return Signal("unreachable")
+            self._log.failed_call(path, error)
+        return ChartEvent("unreachable")
--- a/src/redwingrudder/_worker_messages.py
+++ b/src/redwingrudder/_worker_messages.py
@@ -7,7 +7,16 @@
 
 
 class LinkSettings(NamedTuple):
-    """What a link is made for; ``number`` is never used twice."""
+    """Settings of one link.
+
+    Attributes:
+        number: Identifies the link; unique within the process.
+        worker_id: The worker that the link claims.
+        address: The ``host:port`` of the worker's HTTP interface.
+        node_id: The node that claims the worker.
+        epoch: The fencing token of the node's ownership.
+        lease_s: Duration of the worker lease in seconds.
+    """
 
     number: int
     worker_id: str
@@ -18,24 +27,25 @@
 
 
 class LinkEvent(NamedTuple):
-    """Told to DISPATCHER: an event of the link with this number."""
+    """Told to DISPATCHER: an event from the link with this number."""
 
     number: int
     event: Event
 
 
 class ClaimHandled(NamedTuple):
-    """Told to a link when its ``WorkerClaimed`` was handled.
+    """Told to a link when the dispatcher has handled its ``WorkerClaimed``.
 
-    Commands that arrive before belong to an earlier claim and are dropped:
-    the scheduler sent them before it knew that the worker was lost.
+    A link drops the commands that arrive between the claim and this message:
+    the scheduler sent them for an earlier claim, before it learned that the
+    worker was lost.
     """
 
 
 class CloseLink(NamedTuple):
-    """Ask of a link -> None when it has ended; the worker is left alone."""
+    """Ask of a link -> None when it is closed; sends nothing to the worker."""
 
 
 def link_name(worker_id: str) -> str:
-    """Return the name of the link actor of a worker."""
+    """Return the actor name of the link to a worker."""
     return f"worker:{worker_id}"
--- a/src/redwingrudder/_worker_outbox.py
+++ b/src/redwingrudder/_worker_outbox.py
@@ -1,4 +1,4 @@
-"""Messages that wait while the mailbox of their receiver is full."""
+"""Queue of messages to an actor whose mailbox may be full."""
 
 from collections import deque
 
@@ -7,10 +7,15 @@
 
 
 class Outbox:
-    """Delivers messages to one actor in order and loses none.
+    """Delivers messages to one actor in order, and keeps them until then.
 
-    Its size is bounded by what a worker holds: there is one message for each
-    answered command and each task that ended.
+    Messages are discarded only when the receiver no longer exists. The size
+    is bounded by what a worker holds: there is one message for each answered
+    command and each ended task.
+
+    Args:
+        system: The actors of the node.
+        receiver: Name of the receiving actor.
     """
 
     def __init__(self, system: ActorSystem, receiver: str) -> None:
@@ -19,11 +24,11 @@
         self._messages: deque[Message] = deque()
 
     def add(self, message: Message) -> None:
-        """Put a message behind the others."""
+        """Append a message; ``flush`` delivers it."""
         self._messages.append(message)
 
     def flush(self) -> bool:
-        """Deliver what the mailbox takes; false when something is left."""
+        """Deliver messages until the mailbox is full; false if some remain."""
         try:
             while self._messages:
                 self._system.tell(self._receiver, self._messages[0])
--- a/src/redwingrudder/_worker_replies.py
+++ b/src/redwingrudder/_worker_replies.py
@@ -1,4 +1,4 @@
-"""Reads a worker's answers as events of the link's chart."""
+"""Converts HTTP answers of a worker to events of the link's state chart."""
 
 from typing import NamedTuple
 
@@ -10,19 +10,40 @@
 
 RESTARTED = "restarted"
 
+_STATUS_OK = 200
+_STATUS_CONFLICT = 409  # the worker has seen another epoch
+_FIRST_CLIENT_ERROR_STATUS = 400
+_FIRST_SERVER_ERROR_STATUS = 500
 
-class Signal(NamedTuple):
-    """An event of the chart with what its actions work on."""
 
-    event: str
+class ChartEvent(NamedTuple):
+    """An event of the link's chart, with the data that its actions use.
+
+    Attributes:
+        name: The event as spelled in ``worker_link.scxml``.
+        claim: The reply of a "claimed" event.
+        report: What the worker holds, for a "claimed" event.
+        poll: The reply of a "polled" event.
+        highest_epoch: The epoch that the worker knows, for "fenced".
+    """
+
+    name: str
     claim: ClaimReply | None = None
     report: WorkerReport | None = None
     poll: PollReply | None = None
-    highest: Epoch = Epoch(0, 0, 0)
+    highest_epoch: Epoch = Epoch(0, 0, 0)
 
 
 class Expectation(NamedTuple):
-    """What a link knows of its worker; no boot id before the first claim."""
+    """What a link knows about its worker, to check answers against.
+
+    Attributes:
+        worker_id: Id of the worker according to the VM list.
+        address: The ``host:port`` of the worker.
+        epoch: Epoch of the link.
+        boot_id: Identifies the claimed worker process; empty while the
+            worker is not claimed.
+    """
 
     worker_id: str
     address: str
@@ -30,88 +51,100 @@
     boot_id: str
 
 
-def read_claim(answer: WorkerAnswer, expected: Expectation) -> Signal:
-    """Return "claimed", "restarted" or "fenced".
+def read_claim(answer: WorkerAnswer, expected: Expectation) -> ChartEvent:
+    """Convert the answer to a claim: "claimed", "restarted" or "fenced".
 
     Raises:
-        UnavailableError: The answer is of no use.
+        UnavailableError: The status or the body is not a valid answer.
     """
-    rejected = _read_rejection(answer, expected)
-    if rejected is not None:
-        return rejected
+    rejection = _read_rejection(answer, expected)
+    if rejection is not None:
+        return rejection
     reply = codec.parse_reply(codec.CLAIM_REPLY, answer.content)
     report = codec.report_from_claim(reply, expected.address)
     if report.worker.worker_id != expected.worker_id:
-        detail = f"the worker calls itself {report.worker.worker_id!r}"
+        detail = (
+            f"expected worker {expected.worker_id!r}, but"
+            f" {report.worker.worker_id!r} answered"
+        )
         raise UnavailableError(detail, code=codec.BAD_REPLY_CODE)
     if expected.boot_id and reply["boot_id"] != expected.boot_id:
-        return Signal(RESTARTED)
-    return Signal("claimed", claim=reply, report=report)
+        return ChartEvent(RESTARTED)
+    return ChartEvent("claimed", claim=reply, report=report)
 
 
-def read_poll(answer: WorkerAnswer, expected: Expectation) -> Signal:
-    """Return "polled", "restarted" or "fenced".
+def read_poll(answer: WorkerAnswer, expected: Expectation) -> ChartEvent:
+    """Convert the answer to a poll: "polled", "restarted" or "fenced".
 
     Raises:
-        UnavailableError: The answer is of no use.
+        UnavailableError: The status or the body is not a valid answer.
     """
-    rejected = _read_rejection(answer, expected)
-    if rejected is not None:
-        return rejected
+    rejection = _read_rejection(answer, expected)
+    if rejection is not None:
+        return rejection
     reply = codec.parse_reply(codec.POLL_REPLY, answer.content)
     if reply["boot_id"] != expected.boot_id:
-        return Signal(RESTARTED)
+        return ChartEvent(RESTARTED)
     for body in reply["events"]:
         codec.result_from_body(body)
-    return Signal("polled", poll=reply)
+    return ChartEvent("polled", poll=reply)
 
 
-def read_probe(answer: WorkerAnswer, expected: Expectation) -> Signal:
-    """Return "reachable".
+def read_probe(answer: WorkerAnswer, expected: Expectation) -> ChartEvent:
+    """Convert the answer to a probe: "reachable".
 
     Raises:
-        UnavailableError: The answer is of no use.
+        UnavailableError: The status or the body is not a valid answer.
     """
-    if answer.status != 200:
-        raise UnavailableError(f"HTTP status {answer.status}")
+    if answer.status != _STATUS_OK:
+        raise UnavailableError(f"unexpected HTTP status {answer.status}")
     codec.parse_reply(codec.CLAIM_REPLY, answer.content)
-    return Signal("reachable")
+    return ChartEvent("reachable")
 
 
-def read_command(answer: WorkerAnswer, expected: Expectation) -> CommandReply | Signal:
-    """Return the reply, or "restarted" or "fenced".
+def read_command(
+    answer: WorkerAnswer, expected: Expectation
+) -> CommandReply | ChartEvent:
+    """Return the reply to a command, or the event "restarted" or "fenced".
 
-    A status of 400 to 499 other than 409 is read as a refusal: sending the
-    same command again would not change it.
+    A status from 400 to 499 other than 409 counts as a refusal, because
+    sending the same command again would give the same status.
 
     Raises:
-        UnavailableError: The answer is of no use.
+        UnavailableError: The status or the body is not a valid answer.
     """
-    if 400 <= answer.status < 500 and answer.status != 409:
+    if (
+        _FIRST_CLIENT_ERROR_STATUS <= answer.status < _FIRST_SERVER_ERROR_STATUS
+        and answer.status != _STATUS_CONFLICT
+    ):
         return CommandReply(
             boot_id=expected.boot_id,
             draining=False,
             accepted=False,
             code=f"http_{answer.status}",
         )
-    rejected = _read_rejection(answer, expected)
-    if rejected is not None:
-        return rejected
+    rejection = _read_rejection(answer, expected)
+    if rejection is not None:
+        return rejection
     reply = codec.parse_reply(codec.COMMAND_REPLY, answer.content)
-    return reply if reply["boot_id"] == expected.boot_id else Signal(RESTARTED)
+    return reply if reply["boot_id"] == expected.boot_id else ChartEvent(RESTARTED)
 
 
-def _read_rejection(answer: WorkerAnswer, expected: Expectation) -> Signal | None:
-    if answer.status == 200:
+def _read_rejection(answer: WorkerAnswer, expected: Expectation) -> ChartEvent | None:
+    if answer.status == _STATUS_OK:
         return None
-    if answer.status != 409:
-        raise UnavailableError(f"HTTP status {answer.status}")
+    if answer.status != _STATUS_CONFLICT:
+        raise UnavailableError(f"unexpected HTTP status {answer.status}")
     body = codec.parse_reply(codec.STALE_EPOCH_REPLY, answer.content)
-    highest = codec.epoch_from_body(body["highest"])
-    if highest > expected.epoch:
-        return Signal("fenced", highest=highest)
-    if highest < expected.epoch and expected.boot_id:
-        # Only a worker that has lost its memory forgets a claim.
-        return Signal(RESTARTED)
-    # The request was sent before the epoch of this link rose.
-    raise UnavailableError(f"rejected with {body['code']} by an equal epoch")
+    highest_epoch = codec.epoch_from_body(body["highest"])
+    if highest_epoch > expected.epoch:
+        return ChartEvent("fenced", highest_epoch=highest_epoch)
+    if highest_epoch < expected.epoch and expected.boot_id:
+        # The worker has accepted the claim of this link and forgets it only
+        # when its process restarts.
+        return ChartEvent(RESTARTED)
+    # The epoch of this link has risen since the request was sent.
+    raise UnavailableError(
+        f"worker rejected the request with {body['code']}; the highest epoch it"
+        f" has seen is {tuple(highest_epoch)}, this link has {tuple(expected.epoch)}"
+    )
--- a/src/redwingrudder/_worker_transport.py
+++ b/src/redwingrudder/_worker_transport.py
@@ -1,4 +1,7 @@
-"""How a worker link reaches its worker: HTTP with persistent connections."""
+"""Transport between worker links and workers.
+
+The workers are reached over HTTP with persistent connections.
+"""
 
 import abc
 import json
@@ -10,38 +13,59 @@
 from ._http_client import HttpClient
 from .exceptions import OutcomeUnknownError, UnavailableError
 
-CONNECTIONS_PER_WORKER = 6  # one long poll and the commands in flight
+CONNECTIONS_PER_WORKER = 6  # for a long poll and the commands in flight
 CONNECT_TIMEOUT_S = 1.0
-IDLE_TIMEOUT_S = 45.0  # below the 60 s after which many servers close
+IDLE_TIMEOUT_S = 45.0  # many servers close idle connections after 60 s
 
 
 class WorkerTransport(abc.ABC):
-    """Carries requests to workers; tests use one without sockets."""
+    """Sends requests to workers.
+
+    It is abstract so that tests can replace it by one without sockets.
+    """
 
     @abc.abstractmethod
     async def post(
         self, address: str, path: str, body: Any, timeout_s: float
     ) -> WorkerAnswer:
-        """Send a command and return the answer.
+        """Send a POST request and return the answer.
+
+        Args:
+            address: The ``host:port`` of the worker.
+            path: URL path of the request.
+            body: Value that is sent as JSON.
+            timeout_s: Longest time to wait for the answer in seconds.
 
         Raises:
-            UnavailableError: There was no answer within ``timeout_s``; the
-                command may have taken effect.
+            UnavailableError: No answer arrived in time, but the command may
+                have taken effect.
         """
 
     @abc.abstractmethod
     async def get(self, address: str, path: str, timeout_s: float) -> WorkerAnswer:
-        """Read from a worker, which renews no lease; raises as ``post``."""
+        """Send a GET request, which does not renew the worker's lease.
+
+        Args:
+            address: The ``host:port`` of the worker.
+            path: URL path of the request.
+            timeout_s: Longest time to wait for the answer in seconds.
+
+        Raises:
+            UnavailableError: No answer arrived in time.
+        """
 
     async def close(self) -> None:
-        """Close the idle connections."""
+        """Close idle connections; without sockets there are none."""
 
 
 class HttpTransport(WorkerTransport):
-    """The shipped transport; it sends few bytes, as most polls are empty.
+    """Transport over HTTP.
+
+    Requests are kept short, because most of the traffic is polls that return
+    no events.
 
     Args:
-        reactor: Provides connections.
+        reactor: Twisted reactor that opens the connections.
     """
 
     def __init__(self, reactor: IReactorTCP) -> None:
@@ -72,7 +96,12 @@
         content: bytes | None,
         timeout_s: float,
     ) -> WorkerAnswer:
-        """Send a request; callers do not tell failures to send from others."""
+        """Send a request.
+
+        Raises:
+            UnavailableError: There was no answer. The callers do not need to
+                know whether the request was sent.
+        """
         url = f"http://{address}{path}"
         try:
             return await self._client.send(method, url, content, timeout_s)
--- a/src/redwingrudder/membership.py
+++ b/src/redwingrudder/membership.py
@@ -1,4 +1,7 @@
-"""The platform's VM list, read as rarely as docs/design.md 4.8 allows."""
+"""Actor that reads the platform's VM list.
+
+The read intervals keep within the call budget in docs/design.md 4.8.
+"""
 
 import logging
 import random
@@ -11,10 +14,10 @@
 from .exceptions import RedwingrudderError
 from .timers import TIMERS, Subscribe, TimerFired
 
-DOMAIN_READ_S = 1.0  # of the own domain, by its owner
-LIST_READ_S = 10.0  # of the whole list, by every node
-RETRY_S = 1.0  # after a failed read of the whole list
-JITTER = 0.1  # share of an interval
+DOMAIN_READ_INTERVAL_S = 1.0  # VMs of its own domain, read by the owner only
+LIST_READ_INTERVAL_S = 10.0  # VMs of all domains, read by every node
+RETRY_INTERVAL_S = 1.0  # after a failed read
+JITTER_SHARE = 0.1  # largest deviation from LIST_READ_INTERVAL_S
 
 _logger = logging.getLogger(__name__)
 _DOMAIN_TIMER = "domain"
@@ -22,15 +25,16 @@
 
 
 class MembershipActor(Actor):
-    """Reads the VM list and tells its subscribers when it changed.
+    """Reads the VM list and tells its subscribers when the list changes.
 
-    It must be among the subscribers of the ownership actor.
+    The ownership actor must have this actor among its subscribers, because
+    only the owner of a domain reads the VMs of the domain every second.
 
     Args:
-        system: The node's actors.
-        subscribers: Names of the actors that get ``MembersChanged``.
-        failure_domain: The node's failure domain.
-        seed: Seed of the jitter.
+        system: The actors of the node.
+        subscribers: Names of the actors that are told ``MembersChanged``.
+        failure_domain: Failure domain of the node.
+        seed: Seed of the random jitter of the read interval.
     """
 
     def __init__(
@@ -41,13 +45,13 @@
         seed: int = 0,
     ) -> None:
         self._failure_domain = failure_domain
-        self._jitter = random.Random(seed)
+        self._jitter_random = random.Random(seed)
         self._announcer = Announcer(self, subscribers)
         self._vms: tuple[requests.VmInfo, ...] | None = None
         self._last_read: tuple[requests.VmInfo, ...] | None = None
-        self._domain_read = False
+        self._own_domain_read = False
         self._reads_in_progress: set[str] = set()
-        self._owning = False
+        self._is_owner = False
         self._store_available = False
         super().__init__(system, requests.MEMBERSHIP)
 
@@ -63,21 +67,21 @@
         }
 
     def start(self) -> None:
-        """Ask for the state of the store; reads begin when it answers."""
+        """Subscribe to the store status; reads begin when it is available."""
         self.tell(requests.STORE, requests.SubscribeStoreStatus(self.name))
 
     def _ownership_gained(self, message: requests.OwnershipGained) -> None:
-        self._owning = True
+        self._is_owner = True
         self._read_domain()
 
     def _ownership_ended(self, message: requests.OwnershipEnded) -> None:
-        self._owning = False
-        self._domain_read = False
+        self._is_owner = False
+        self._own_domain_read = False
 
     def _store_status(self, status: requests.StoreStatus) -> None:
-        returned = status.available and not self._store_available
+        became_available = status.available and not self._store_available
         self._store_available = status.available
-        if returned:
+        if became_available:
             self._read_list()
             self._read_domain()
 
@@ -90,7 +94,7 @@
             self._read_list()
 
     def _read_domain(self) -> None:
-        if self._owning and self._store_available:
+        if self._is_owner and self._store_available:
             run(self._read(self._failure_domain, _DOMAIN_TIMER), self.name)
 
     def _read_list(self) -> None:
@@ -101,40 +105,45 @@
         if timer in self._reads_in_progress:
             return
         self._reads_in_progress.add(timer)
-        interval_s = DOMAIN_READ_S if timer == _DOMAIN_TIMER else LIST_READ_S
+        interval_s = (
+            DOMAIN_READ_INTERVAL_S if timer == _DOMAIN_TIMER else LIST_READ_INTERVAL_S
+        )
         try:
             vms = await self.ask(requests.STORE, requests.ListVms(failure_domain))
-            self._take_over(failure_domain, vms)
+            self._merge_vms(failure_domain, vms)
         except RedwingrudderError as error:
-            interval_s = RETRY_S
-            _logger.warning("VM list not read", extra={"error": str(error)})
+            interval_s = RETRY_INTERVAL_S
+            _logger.warning("VM list could not be read", extra={"error": str(error)})
         finally:
             self._reads_in_progress.discard(timer)
             self._schedule(timer, interval_s)
 
     def _schedule(self, timer: str, interval_s: float) -> None:
-        """Time the next read; jitter spreads the reads of the nodes."""
+        """Set the timer of the next read; jitter spreads the nodes' reads."""
         delay_s = interval_s
         if timer == _LIST_TIMER:
-            delay_s *= 1.0 + self._jitter.uniform(-JITTER, JITTER)
+            delay_s *= 1.0 + self._jitter_random.uniform(-JITTER_SHARE, JITTER_SHARE)
         self.tell(TIMERS, Subscribe(self.name, timer, delay_s))
 
-    def _take_over(self, failure_domain: str, vms: tuple[requests.VmInfo, ...]) -> None:
+    def _merge_vms(self, failure_domain: str, vms: tuple[requests.VmInfo, ...]) -> None:
         if vms is self._last_read:
             return
         self._last_read = vms
-        own = self._failure_domain
-        if failure_domain == own:
-            self._domain_read = True
-            replaced = {own}
+        own_domain = self._failure_domain
+        if failure_domain == own_domain:
+            self._own_domain_read = True
+            replaced_domains = {own_domain}
         else:
-            replaced = {vm.failure_domain for vm in (*vms, *(self._vms or ()))}
-            if self._domain_read:
-                # The owner's own reads are later than those of the list.
-                replaced.discard(own)
-        kept = [vm for vm in self._vms or () if vm.failure_domain not in replaced]
-        fresh = [vm for vm in vms if vm.failure_domain in replaced]
-        merged = tuple(sorted((*kept, *fresh)))
-        if merged != self._vms:
-            self._vms = merged
-            self._announcer.announce(requests.MembersChanged(merged))
+            replaced_domains = {vm.failure_domain for vm in (*vms, *(self._vms or ()))}
+            if self._own_domain_read:
+                # The owner reads its own domain more often, so its entries
+                # are newer than those of the whole list.
+                replaced_domains.discard(own_domain)
+        kept_vms = [
+            vm for vm in self._vms or () if vm.failure_domain not in replaced_domains
+        ]
+        new_vms = [vm for vm in vms if vm.failure_domain in replaced_domains]
+        merged_vms = tuple(sorted((*kept_vms, *new_vms)))
+        if merged_vms != self._vms:
+            self._vms = merged_vms
+            self._announcer.announce(requests.MembersChanged(merged_vms))
--- a/src/redwingrudder/requests.py
+++ b/src/redwingrudder/requests.py
@@ -1,8 +1,9 @@
 """Messages between the actors of one node.
 
-The names of the actors are the constants below. A message marked *ask* has
-a reply, given after the arrow; the others are sent with ``tell``. Errors of
-an ask are ``RedwingrudderError`` subclasses.
+The constants below are the names of the actors. A message whose description
+starts with "Ask" is sent with ``ask``, and the type of its reply follows the
+arrow. The other messages are sent with ``tell``. An ask fails with a subclass
+of ``RedwingrudderError``.
 """
 
 from typing import NamedTuple
@@ -97,19 +98,24 @@
 HTTP_API = "http_api"
 
 
-# Jobs: asked of ROUTER by HTTP_API, of DISPATCHER by ROUTER and PEERS, and
-# of PEERS by ROUTER inside ``AskPeer``.
+# Requests about jobs. HTTP_API sends them to ROUTER. ROUTER sends them to
+# DISPATCHER, or to PEERS inside ``AskPeer``. PEERS sends those of other nodes
+# to DISPATCHER.
 
 
 class SubmitJob(NamedTuple):
-    """Ask -> ``JobView``; the same key and body give the same job."""
+    """Ask -> ``JobView``.
+
+    A submission that is repeated with the same idempotency key and content
+    gets the same job.
+    """
 
     spec: JobSpec
     correlation_id: str
 
 
 class PollJob(NamedTuple):
-    """Ask -> ``JobView``, when the job is final or ``wait_s`` has passed."""
+    """Ask -> ``JobView``, when the job has ended or ``wait_s`` is over."""
 
     job_id: str
     wait_s: float
@@ -122,17 +128,17 @@
 
 
 class ExplainJob(NamedTuple):
-    """Ask -> ``Explanation``."""
+    """Ask -> ``Explanation`` of the state of a job."""
 
     job_id: str
 
 
 class GetStatus(NamedTuple):
-    """Ask -> ``DomainStatus`` of the failure domain."""
+    """Ask -> ``DomainStatus`` of the owner's failure domain."""
 
 
 class Explanation(NamedTuple):
-    """Why a job waits, runs or was refused."""
+    """The reasons why a job is waiting, running or refused."""
 
     job_id: str
     state: str
@@ -140,7 +146,10 @@
 
 
 class OrganisationStatus(NamedTuple):
-    """Accelerators of one organisation in a failure domain."""
+    """Use of a failure domain by one organisation.
+
+    ``guaranteed`` and ``in_use`` are numbers of accelerators.
+    """
 
     organisation: str
     guaranteed: int
@@ -149,7 +158,7 @@
 
 
 class ClassStatus(NamedTuple):
-    """Jobs of one class in a failure domain since its owner took over."""
+    """Numbers of jobs of one class since the domain's owner took over."""
 
     job_class: str
     submitted: int
@@ -164,10 +173,11 @@
 
 
 class DomainStatus(NamedTuple):
-    """State of one failure domain, as its owner knows it.
+    """State of one failure domain, as known to its owner.
 
-    ``largest_gang`` is the largest gang of adjacent accelerators that could
-    be placed now; over ``free_accelerators`` it measures fragmentation.
+    ``largest_gang`` is the number of accelerators of the largest gang of
+    adjacent accelerators that could be placed now. Its ratio to
+    ``free_accelerators`` measures fragmentation.
     """
 
     failure_domain: str
@@ -192,46 +202,59 @@
 
 
 class DeploymentStatus(NamedTuple):
-    """The failure domains whose owners answered, and the others' names."""
+    """Status of the whole deployment.
+
+    ``unreachable`` has the names of the failure domains whose owners did not
+    answer.
+    """
 
     failure_domains: tuple[DomainStatus, ...]
     unreachable: tuple[str, ...]
 
 
 class AskPeer(NamedTuple):
-    """Ask of PEERS -> the reply of ``request`` at the node's dispatcher.
+    """Ask of PEERS -> the reply of another node's dispatcher to ``request``.
 
-    Raises ``UnavailableError`` when nothing was sent and
-    ``OutcomeUnknownError`` when the request was sent without an answer.
+    It fails with ``UnavailableError`` when the request was not sent, and with
+    ``OutcomeUnknownError`` when it was sent but got no reply.
+    ``address`` is the thrift port of the node as ``host:port``.
     """
 
     address: str
     request: SubmitJob | PollJob | CancelJob | ExplainJob | GetStatus
 
 
-# Ownership of the failure domain: told to DISPATCHER, ROUTER and PEERS.
+# Ownership of the failure domain. OWNERSHIP tells these to its subscribers,
+# among them DISPATCHER, ROUTER and PEERS.
 
 
 class OwnershipGained(NamedTuple):
-    """This node owns its failure domain; claim workers with this epoch."""
+    """This node has become the owner of its failure domain.
+
+    The workers are to be claimed with ``epoch``, the fencing token.
+    """
 
     epoch: Epoch
 
 
 class EpochRaised(NamedTuple):
-    """This node still owns its domain, under a higher epoch."""
+    """This node still owns its failure domain, now with a higher epoch."""
 
     epoch: Epoch
 
 
 class OwnershipEnded(NamedTuple):
-    """This node no longer owns its domain; drop all scheduling state."""
+    """This node no longer owns its domain; the scheduling state is dropped."""
 
     reason: str
 
 
 class OwnerChanged(NamedTuple):
-    """The known owner of a failure domain; ``address`` is its thrift port."""
+    """The owner of a failure domain, as far as this node knows.
+
+    ``address`` is its thrift port as ``host:port``. ``node_id`` is empty when
+    the domain has no owner.
+    """
 
     failure_domain: str
     node_id: str
@@ -240,25 +263,30 @@
 
 
 class Fenced(NamedTuple):
-    """Told to OWNERSHIP: a worker rejected ``epoch`` for a higher one."""
+    """Told to OWNERSHIP when a worker rejects a command with ``epoch``.
+
+    ``highest`` is the highest epoch that the worker has seen.
+    """
 
     epoch: Epoch
     highest: Epoch
 
 
 class Drain(NamedTuple):
-    """Ask of OWNERSHIP, HTTP_API, DISPATCHER -> None when drained."""
+    """Ask of OWNERSHIP, HTTP_API or DISPATCHER -> None when it has drained."""
 
 
-# Membership: told to DISPATCHER, PEERS, ROUTER, OWNERSHIP.
+# Membership of the deployment. MEMBERSHIP tells the changes to DISPATCHER,
+# PEERS, ROUTER and OWNERSHIP.
 
 
 class VmInfo(NamedTuple):
     """An entry of the platform's VM list.
 
     ``role`` is "worker" or "node"; ``state`` is "live" or "leaving".
-    ``address`` is host:port of the worker's HTTP or the node's thrift port.
-    ``rank`` orders the nodes of a failure domain, 0 for workers.
+    ``address`` is the ``host:port`` of a worker's HTTP interface or of a
+    node's thrift port. ``rank`` orders the nodes of a failure domain; it is 0
+    for workers.
     """
 
     vm_id: str
@@ -275,15 +303,15 @@
 
 
 class MembersChanged(NamedTuple):
-    """The VM list as last read; sent after every change."""
+    """The VM list as last read; told after each change."""
 
     vms: tuple[VmInfo, ...]
 
 
 class PeerReport(NamedTuple):
-    """A node's state; told to OWNERSHIP, ROUTER and CONFIGURATION by PEERS.
+    """State of a node; told to OWNERSHIP, ROUTER and CONFIGURATION by PEERS.
 
-    Also told to PEERS by DISPATCHER-side parts is ``LocalLoad`` below.
+    The load of this node comes from ``LocalLoad``.
     """
 
     node_id: str
@@ -300,7 +328,10 @@
 
 
 class PeerSilent(NamedTuple):
-    """Told to OWNERSHIP and ROUTER: no exchange for ``silent_s`` seconds."""
+    """Told to OWNERSHIP and ROUTER when a node does not answer.
+
+    ``silent_s`` is the time since the last exchange with it in seconds.
+    """
 
     node_id: str
     failure_domain: str
@@ -308,27 +339,30 @@
 
 
 class LocalLoad(NamedTuple):
-    """Told to PEERS by DISPATCHER about once a second while it owns."""
+    """Load of the failure domain that this node owns.
+
+    Told to PEERS by DISPATCHER about once a second.
+    """
 
     free_accelerators: int
     largest_free_gang: int
     queued_jobs: int
 
 
-# Configuration: ``messages.ConfigurationChanged`` is told to DISPATCHER,
-# ROUTER, HTTP_API and PEERS.
+# Configuration. CONFIGURATION tells ``messages.ConfigurationChanged`` to
+# DISPATCHER, ROUTER, HTTP_API and PEERS.
 
 
 class GetConfiguration(NamedTuple):
-    """Ask -> ``Configuration``; ``no_configuration`` when there is none."""
+    """Ask -> ``Configuration``; ``no_configuration`` if there is none yet."""
 
 
 class ApplyConfiguration(NamedTuple):
-    """Ask -> ``Configuration`` as accepted.
+    """Ask -> the accepted ``Configuration``.
 
-    ``document`` is the operators' JSON document. ``base_version`` is the
-    version that the operator edited; ``configuration_conflict`` when it is
-    not the current one.
+    ``document`` is the JSON document of the operators. ``base_version`` is
+    the version that the operator has edited; the ask fails with
+    ``configuration_conflict`` when it is not the current version.
     """
 
     document: str
@@ -336,13 +370,17 @@
 
 
 class OfferConfiguration(NamedTuple):
-    """Told to CONFIGURATION by PEERS: a document that a peer has in force."""
+    """Told to CONFIGURATION by PEERS: the configuration in force at a peer."""
 
     configuration: Configuration
 
 
 class GetPeerConfiguration(NamedTuple):
-    """Ask of PEERS -> ``Configuration`` above a version, or None."""
+    """Ask of PEERS -> a peer's ``Configuration``, or None.
+
+    The reply is None when the version of the peer is not above
+    ``above_version``.
+    """
 
     address: str
     above_version: int
--- a/src/redwingrudder/worker_api.py
+++ b/src/redwingrudder/worker_api.py
@@ -1,11 +1,14 @@
-"""Bodies of the workers' HTTP interface (JSON), for clients and stand-ins.
+"""JSON bodies of the workers' HTTP interface.
+
+The worker links and the worker stand-ins share these definitions.
 
 Every command is a POST whose body carries ``epoch`` as
 ``[store_term, local_term, node_rank]``. A worker remembers the highest epoch
-that it has seen and answers 409 with ``StaleEpochReply`` to a lower one.
-``claim`` is the only command that raises the epoch. All commands are
-idempotent. Every successful reply of a command has ``boot_id`` and
-``draining``. Error replies have ``code`` and ``detail``.
+that it has seen and answers a command with a lower one with HTTP status 409
+and ``StaleEpochReply``. Only ``claim`` raises the epoch of a worker. All
+commands are idempotent. Each successful reply to a command has ``boot_id``,
+which identifies the worker process, and ``draining``. Error replies have
+``code`` and ``detail``.
 
 ======================  ==========================  =====================
 POST path               request                     reply
@@ -28,7 +31,7 @@
 
 
 class EpochRequest(TypedDict):
-    """Fields that every command has."""
+    """Fields of the requests of all commands."""
 
     epoch: list[int]
 
@@ -53,14 +56,17 @@
 
 
 class ClaimRequest(EpochRequest):
-    """Takes the worker over; ``lease_s`` is renewed by every command."""
+    """Claims the worker for a node.
+
+    Each later command renews the lease for ``lease_s`` seconds.
+    """
 
     node_id: str
     lease_s: float
 
 
 class TaskResultBody(TypedDict):
-    """How a task ended; ``outcome`` is a ``model.TaskOutcome``."""
+    """Result of an ended task; ``outcome`` is a ``TaskOutcome`` value."""
 
     task_index: int
     outcome: str
@@ -68,7 +74,7 @@
 
 
 class MemberBody(TypedDict):
-    """A gang member that the worker holds; ``state`` as ``MemberState``."""
+    """A gang member at the worker; ``state`` is a ``MemberState`` value."""
 
     gang_id: str
     job_id: str
@@ -82,7 +88,11 @@
 
 
 class ClaimReply(TypedDict):
-    """Everything the worker holds; ``sequence`` is its last event."""
+    """Resources and gang members of the worker.
+
+    ``sequence`` is the number of the latest event of the worker; a poll after
+    it returns later events only.
+    """
 
     boot_id: str
     draining: bool
@@ -98,14 +108,17 @@
 
 
 class PollRequest(EpochRequest):
-    """Long poll for events after ``after``; ends after ``wait_s``."""
+    """Long poll for events with a sequence number above ``after``.
+
+    The worker answers as soon as there are any, or after ``wait_s`` seconds.
+    """
 
     after: int
     wait_s: float
 
 
 class TaskEndedBody(TypedDict):
-    """One event: a task of a gang ended."""
+    """Event of a poll: a task of a gang has ended."""
 
     sequence: int
     gang_id: str
@@ -115,7 +128,7 @@
 
 
 class UsageBody(TypedDict):
-    """Usage of the worker as measured ``lag_s`` seconds ago."""
+    """Resource usage of the worker, measured ``lag_s`` seconds ago."""
 
     lag_s: float
     busy_accelerators: int
@@ -123,7 +136,7 @@
 
 
 class PollReply(TypedDict):
-    """Events in order; ``draining`` may change in any reply."""
+    """Events in the order of their sequence numbers, and the usage."""
 
     boot_id: str
     draining: bool
@@ -132,7 +145,7 @@
 
 
 class ReserveRequest(EpochRequest):
-    """Holds accelerators, slots, cores and memory for a gang member."""
+    """Reserves accelerators, slots, cores and memory for a gang member."""
 
     gang_id: str
     job_id: str
@@ -144,31 +157,32 @@
 
 
 class MemberRequest(EpochRequest):
-    """Names the gang member to start or release.
+    """Starts or releases the worker's member of a gang.
 
-    Releasing a started member that has not ended is refused with
-    ``member_running``; an unknown gang is released successfully.
+    The release of a started member that has not ended is refused with
+    ``member_running``. The release of an unknown gang succeeds.
     """
 
     gang_id: str
 
 
 class StopRequest(MemberRequest):
-    """Stops a started member; its tasks end with an event each."""
+    """Stops a started member; each of its tasks then ends with an event."""
 
     checkpoint: bool
 
 
 class ThrottleRequest(MemberRequest):
-    """Limits a member to a share of its cores, above 0 and at most 1."""
+    """Limits a member to a ``share`` of its cores, above 0 and at most 1."""
 
     share: float
 
 
 class CommandReply(TypedDict):
-    """``accepted`` is false with a ``code`` when the command is refused.
+    """Reply to a command for a gang member.
 
-    Codes: ``busy`` (accelerators or slots are held), ``draining``,
+    If the command is refused, ``accepted`` is false and ``code`` is one of
+    ``busy`` (the accelerators or slots are in use), ``draining``,
     ``unknown_gang``, ``already_started``, ``already_ended``,
     ``member_running``, ``no_such_accelerator``.
     """
@@ -180,7 +194,7 @@
 
 
 class StaleEpochReply(TypedDict):
-    """Body of a 409 answer."""
+    """Reply with HTTP status 409; ``highest`` is the highest epoch seen."""
 
     code: str
     detail: str
--- a/src/redwingrudder/workers.py
+++ b/src/redwingrudder/workers.py
@@ -1,4 +1,7 @@
-"""Links of a domain's owner to its workers, one actor per worker."""
+"""Links between the owner of a failure domain and its workers.
+
+There is one actor, a ``WorkerLink``, for each worker.
+"""
 
 from ._worker_link import WorkerLink
 from ._worker_messages import (
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Tests of membership: calls to the platform, draining and outages."""
+"""Tests of ``MembershipActor``: read intervals, changes and outages."""
 
 import unittest
 from unittest import mock
@@ -26,13 +26,17 @@
 
 
 class MembershipTests(unittest.TestCase):
+    """The actor against a fake store, on a virtual clock."""
+
     def setUp(self):
         self.system = ActorSystem(Clock())
         TimerService(self.system)
         self.store = FakeStore(self.system)
         self.store.vms = (vm("w1"), vm("w2", "south"))
-        MembershipActor(self.system, ("seen",), "north")
-        self.seen = Recorder(self.system, "seen", MembersChanged).messages
+        MembershipActor(self.system, ("subscriber",), "north")
+        self.subscriber_messages = Recorder(
+            self.system, "subscriber", MembersChanged
+        ).messages
 
     def start(self, owning=False):
         self.system.start()
@@ -41,8 +45,8 @@
             self.system.tell(MEMBERSHIP, OwnershipGained(Epoch(1, 0, 0)))
             settle(self.system)
 
-    def states(self):
-        return {vm.vm_id: vm.state for vm in self.seen[-1].vms}
+    def vm_states_by_id(self):
+        return {vm.vm_id: vm.state for vm in self.subscriber_messages[-1].vms}
 
     def test_calls_a_second_stay_within_the_budget_of_the_design(self):
         self.start(owning=True)
@@ -55,19 +59,19 @@
         self.store.calls.clear()
         advance(self.system, 60.0)
         self.assertIn(len(self.store.calls), range(5, 8))
-        self.assertEqual(len(self.seen), 1)
+        self.assertEqual(len(self.subscriber_messages), 1)
 
     def test_an_owner_hears_of_a_leaving_worker_within_about_a_second(self):
         self.start(owning=True)
         advance(self.system, 2.0)
         self.store.vms = (vm("w1", state="leaving"), vm("w2", "south", "leaving"))
         advance(self.system, 1.2)
-        self.assertEqual(self.states(), {"w1": "leaving", "w2": "live"})
+        self.assertEqual(self.vm_states_by_id(), {"w1": "leaving", "w2": "live"})
         advance(self.system, 11.0)
-        self.assertEqual(self.states(), {"w1": "leaving", "w2": "leaving"})
+        self.assertEqual(self.vm_states_by_id(), {"w1": "leaving", "w2": "leaving"})
         self.store.vms = (vm("w2", "south", "leaving"),)
         advance(self.system, 1.2)
-        self.assertEqual(self.states(), {"w2": "leaving"})
+        self.assertEqual(self.vm_states_by_id(), {"w2": "leaving"})
 
     def test_a_late_answer_does_not_bring_a_leaving_worker_back(self):
         self.start(owning=True)
@@ -75,20 +79,22 @@
         earlier = self.store.vms
         self.store.vms = (vm("w1", state="leaving"), vm("w2", "south"))
         advance(self.system, 1.2)
-        membership._take_over("", (*earlier, vm("w3", "south")))
+        membership._merge_vms("", (*earlier, vm("w3", "south")))
         settle(self.system)
-        self.assertEqual(self.states(), {"w1": "leaving", "w2": "live", "w3": "live"})
+        self.assertEqual(
+            self.vm_states_by_id(), {"w1": "leaving", "w2": "live", "w3": "live"}
+        )
 
     def test_an_outage_keeps_the_list_and_costs_no_calls(self):
         self.start(owning=True)
         self.store.set_available(False)
         advance(self.system, 30.0)
         self.store.calls.clear()
-        self.assertEqual(self.states(), {"w1": "live", "w2": "live"})
+        self.assertEqual(self.vm_states_by_id(), {"w1": "live", "w2": "live"})
         self.store.vms = (vm("w1"), vm("w2", "south"), vm("w3"))
         self.store.set_available(True)
         advance(self.system, 1.5)
-        self.assertEqual(len(self.seen[-1].vms), 3)
+        self.assertEqual(len(self.subscriber_messages[-1].vms), 3)
         self.assertLess(len(self.store.calls), 5)
 
     def test_a_change_survives_a_full_mailbox(self):
@@ -96,8 +102,8 @@
         membership = self.system._actors_by_name[MEMBERSHIP]
         with mock.patch.object(membership, "tell") as tell:
             tell.side_effect = [MailboxFullError("full"), None]
-            membership._take_over("", ())
-        self.assertEqual(len(self.seen), 1)
+            membership._merge_vms("", ())
+        self.assertEqual(len(self.subscriber_messages), 1)
         membership._announcer.retry()
         settle(self.system)
-        self.assertEqual(self.seen[-1], MembersChanged(()))
+        self.assertEqual(self.subscriber_messages[-1], MembersChanged(()))
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -1,4 +1,4 @@
-"""Tests of the worker link against the worker stand-in's core."""
+"""Tests of ``WorkerLink`` against the worker stand-in and its core."""
 
 import json
 import unittest
@@ -53,21 +53,23 @@
 
 
 class Recorder(Actor):
+    """Records events in place of the dispatcher, and confirms claims."""
+
     def __init__(self, system, name):
         self.received = []
         super().__init__(system, name)
 
     def handlers(self):
-        return {LinkEvent: self.take_event, Fenced: self.received.append}
+        return {LinkEvent: self.handle_link_event, Fenced: self.received.append}
 
-    def take_event(self, message):
+    def handle_link_event(self, message):
         self.received.append(message.event)
         if isinstance(message.event, WorkerClaimed):
             self.tell("worker:w1", ClaimHandled())
 
 
 class HttpTransportTests(trial.TestCase):
-    """The link and the stand-in over sockets."""
+    """A link and a worker stand-in that are connected by sockets."""
 
     timeout = 20
 
@@ -86,31 +88,37 @@
         await self.system.stop()
         await self.transport.close()
 
-    async def wait_for(self, kind, count=1):
+    async def wait_for(self, event_type, count=1):
         while True:
-            found = [e for e in self.dispatcher.received if isinstance(e, kind)]
+            found = [
+                event
+                for event in self.dispatcher.received
+                if isinstance(event, event_type)
+            ]
             if len(found) >= count:
                 return found
             await deferLater(reactor, 0.02)
 
-    async def faults(self, **orders):
+    async def inject_faults(self, **orders):
         url = f"http://{self.worker.address}/admin/faults"
         await treq.post(url, json.dumps(orders).encode(), persistent=False)
 
     async def test_a_gang_runs_through_dropped_replies_and_a_cut(self):
         await self.wait_for(WorkerClaimed)
-        await self.faults(drop_replies=2, slow_s=0.05)
+        await self.inject_faults(drop_replies=2, slow_s=0.05)
         member = MemberPlacement("w1", (0,), (0,))
         spec = SPEC._replace(payload='{"run_s": 0.8, "result": "done"}')
         self.system.tell("worker:w1", ReserveMember("g", "j", spec, 0.0, member, 1))
         self.system.tell("worker:w1", StartMember("g", "w1"))
         (started,) = await self.wait_for(StartAnswered)
         self.assertTrue(started.accepted)
-        await self.faults(cut_s=1.0, slow_s=0.0)
+        await self.inject_faults(cut_s=1.0, slow_s=0.0)
         (ended,) = await self.wait_for(TaskEnded)
         self.assertEqual(ended.result.result, "done")
         history = self.worker.core.history
-        self.assertEqual([e.what for e in history], ["reserved", "started", "ended"])
+        self.assertEqual(
+            [entry.what for entry in history], ["reserved", "started", "ended"]
+        )
 
     async def test_a_restart_is_noticed_within_a_poll(self):
         await self.wait_for(WorkerClaimed)
@@ -121,6 +129,8 @@
 
 
 class WorkerLinkTests(unittest.TestCase):
+    """A link and a stand-in's core without sockets, on a virtual clock."""
+
     def setUp(self):
         self.clock = Clock()
         self.system = ActorSystem(self.clock)
@@ -143,7 +153,7 @@
     def run_for(self, duration_s):
         run_clock(self.clock, duration_s)
 
-    def take(self):
+    def run_and_take_events(self):
         self.run_for(0.5)
         received, self.dispatcher.received = self.dispatcher.received, []
         return received
@@ -157,32 +167,32 @@
         return ReserveMember(gang_id, f"j-{gang_id}", SPEC, 0.0, member, 1)
 
     def test_commands_of_a_gang_arrive_in_order_and_results_return(self):
-        self.take()
+        self.run_and_take_events()
         release = ReleaseMember("g", "w1")
         self.send(self.reserve("g"), StartMember("g", "w1"))
         self.assertEqual(
-            self.take(),
+            self.run_and_take_events(),
             [ReserveAnswered("g", "w1", True), StartAnswered("g", "w1", True)],
         )
         self.run_for(1.0)
         self.send(release)
-        ended, released = self.take()
+        ended, released = self.run_and_take_events()
         self.assertEqual(ended.result.outcome, "succeeded")
         self.assertEqual(released, ReleaseAnswered("g", "w1"))
 
     def test_lost_replies_are_retried_without_a_second_start(self):
-        self.take()
+        self.run_and_take_events()
         self.transport.replies_to_drop = 2
         self.send(self.reserve("g"), StartMember("g", "w1"))
-        answers = self.take() + self.take()
-        self.assertEqual([type(a) for a in answers[:1]], [ReserveAnswered])
-        self.assertTrue(all(a.accepted for a in answers[:2]))
+        answers = self.run_and_take_events() + self.run_and_take_events()
+        self.assertEqual([type(answer) for answer in answers[:1]], [ReserveAnswered])
+        self.assertTrue(all(answer.accepted for answer in answers[:2]))
         self.run_for(2.0)
-        started = [e for e in self.core.history if e.what == "started"]
+        started = [entry for entry in self.core.history if entry.what == "started"]
         self.assertEqual(len(started), 1)
 
     def test_the_worker_stops_its_tasks_before_the_owner_calls_it_lost(self):
-        self.take()
+        self.run_and_take_events()
         self.send(self.reserve("g"), StartMember("g", "w1"))
         self.run_for(0.9)
         self.transport.cut.add(ADDRESS)
@@ -198,37 +208,44 @@
         self.assertEqual(self.core.state(lost_at)["members"][0]["state"], "ended")
 
     def test_lost_replies_to_renewals_do_not_keep_lost_work_running(self):
-        # With every reply lost, requests still reach the worker.
-        self.take()
+        # Requests reach the worker, but all replies are lost. If the retries
+        # renewed the lease, the worker would run tasks of a lost gang.
+        self.run_and_take_events()
         self.send(self.reserve("g"), StartMember("g", "w1"))
         self.run_for(0.2)
         self.transport.losing_replies.add(ADDRESS)
         self.run_for(7.0)
-        self.assertIn(WorkerLost("w1", "lease_lapsed"), self.take())
+        self.assertIn(WorkerLost("w1", "lease_lapsed"), self.run_and_take_events())
         self.assertLess(self.core.lease_until, self.clock.seconds())
 
     def test_a_short_cut_costs_nothing(self):
-        self.take()
+        self.run_and_take_events()
         self.transport.cut.add(ADDRESS)
         self.run_for(2.0)
         self.transport.cut.clear()
         self.run_for(6.0)
-        self.assertEqual(self.take(), [])
+        self.assertEqual(self.run_and_take_events(), [])
         self.assertGreater(self.core.lease_until, self.clock.seconds())
 
     def test_a_new_boot_id_is_a_loss_followed_by_a_new_claim(self):
-        self.take()
+        self.run_and_take_events()
         self.send(self.reserve("g"))
-        self.take()
+        self.run_and_take_events()
         self.transport.restart(ADDRESS)
-        lost, claimed = self.take() + self.take() + self.take()
+        lost, claimed = (
+            self.run_and_take_events()
+            + self.run_and_take_events()
+            + self.run_and_take_events()
+        )
         self.assertEqual(lost, WorkerLost("w1", "restarted"))
         self.assertEqual(claimed.report.members, ())
 
     def test_commands_sent_before_the_loss_was_known_reach_no_new_claim(self):
-        # An orphaned reservation would hold the accelerator for ever.
-        self.take()
-        self.dispatcher.take_event = None
+        # A reservation sent for the claim before the restart would otherwise
+        # hold its accelerator for ever, because the scheduler does not know
+        # of it.
+        self.run_and_take_events()
+        self.dispatcher.handle_link_event = None
         self.dispatcher._handlers_by_type[LinkEvent] = lambda message: None
         self.transport.restart(ADDRESS)
         self.run_for(2.0)
@@ -240,7 +257,7 @@
         self.assertEqual(len(self.core.state(0.0)["members"]), 1)
 
     def test_a_stale_epoch_is_told_to_ownership_and_ends_the_link(self):
-        self.take()
+        self.run_and_take_events()
         claim = {"epoch": [2, 0, 0], "node_id": "n2", "lease_s": LEASE_S}
         self.core.claim(claim, self.clock.seconds())
         self.run_for(2.0)
@@ -250,33 +267,33 @@
         self.assertEqual(self.core.highest_epoch, Epoch(2, 0, 0))
 
     def test_a_raised_epoch_keeps_work_and_queued_commands(self):
-        self.take()
+        self.run_and_take_events()
         self.send(self.reserve("g"), EpochRaised(Epoch(3, 0, 0)))
         self.send(StartMember("g", "w1"))
         self.run_for(2.0)
-        kinds = [type(e) for e in self.take()]
-        self.assertEqual(kinds, [ReserveAnswered, StartAnswered, TaskEnded])
+        event_types = [type(event) for event in self.run_and_take_events()]
+        self.assertEqual(event_types, [ReserveAnswered, StartAnswered, TaskEnded])
         self.assertEqual(self.core.highest_epoch, Epoch(3, 0, 0))
         self.assertEqual(self.ownership.received, [])
 
     def test_a_new_owner_learns_running_gangs_and_their_results(self):
-        self.take()
+        self.run_and_take_events()
         self.send(self.reserve("g"), StartMember("g", "w1"), self.reserve("h", 1))
         self.run_for(2.0)
         self.link.stop()
         self.dispatcher.received.clear()
         self.make_link(Epoch(2, 0, 0))
-        (claimed,) = self.take()
-        members = {m.gang_id: m for m in claimed.report.members}
-        self.assertIs(members["g"].state, MemberState.ENDED)
-        self.assertEqual(len(members["g"].results), 1)
-        self.assertIs(members["h"].state, MemberState.RESERVED)
-        self.assertEqual(members["h"].spec, SPEC)
+        (claimed,) = self.run_and_take_events()
+        members_by_gang = {member.gang_id: member for member in claimed.report.members}
+        self.assertIs(members_by_gang["g"].state, MemberState.ENDED)
+        self.assertEqual(len(members_by_gang["g"].results), 1)
+        self.assertIs(members_by_gang["h"].state, MemberState.RESERVED)
+        self.assertEqual(members_by_gang["h"].spec, SPEC)
 
     def test_a_full_queue_refuses_new_work_but_no_release(self):
-        self.take()
+        self.run_and_take_events()
         self.transport.cut.add(ADDRESS)
-        with mock.patch.object(_worker_commands, "QUEUE_LIMIT", 2):
+        with mock.patch.object(_worker_commands, "MAX_QUEUED_COMMANDS", 2):
             self.send(*(self.reserve(f"g{i}", i) for i in range(3)))
             self.send(ReleaseMember("g0", "w1"))
             self.run_for(0.1)
@@ -287,16 +304,16 @@
         self.assertIn(ReleaseAnswered("g0", "w1"), self.dispatcher.received)
 
     def test_a_full_mailbox_delays_events_and_loses_none(self):
-        self.take()
+        self.run_and_take_events()
         self.send(self.reserve("g"))
         full = MailboxFullError("full")
         with mock.patch.object(self.dispatcher, "deliver", side_effect=full):
-            self.link._tell_event(WorkerDraining("w1"))
+            self.link._send_event(WorkerDraining("w1"))
         self.run_for(1.0)
         self.assertIn(WorkerDraining("w1"), self.dispatcher.received)
 
     def test_malformed_replies_are_logged_with_a_code_and_retried(self):
-        self.take()
+        self.run_and_take_events()
         malformed_replies = {
             "/v1/reserve": b"<html>",
             "/v1/poll": b'{"boot_id": 1, "events": "none"}',
@@ -305,20 +322,20 @@
         with self.assertLogs("redwingrudder._worker_log", "WARNING") as logs:
             self.send(self.reserve("g"))
             self.run_for(1.5)
-        self.assertEqual({r.code for r in logs.records}, {"bad_worker_reply"})
+        self.assertEqual({record.code for record in logs.records}, {"bad_worker_reply"})
         self.transport.malformed_replies = {}
         self.run_for(2.0)
-        self.assertEqual(self.take(), [ReserveAnswered("g", "w1", True)])
+        self.assertEqual(self.run_and_take_events(), [ReserveAnswered("g", "w1", True)])
 
     def test_an_announced_stop_of_the_worker_is_told_once(self):
-        self.take()
+        self.run_and_take_events()
         self.core.draining = True
         self.send(self.reserve("g"))
         self.run_for(4.0)
         refused = ReserveAnswered("g", "w1", False, "draining")
-        self.assertEqual(self.take(), [refused, WorkerDraining("w1")])
+        self.assertEqual(self.run_and_take_events(), [refused, WorkerDraining("w1")])
 
     def test_stopping_an_unknown_gang_tells_that_nothing_is_held(self):
-        self.take()
+        self.run_and_take_events()
         self.send(StopMember("g", "w1", False))
-        self.assertEqual(self.take(), [ReleaseAnswered("g", "w1")])
+        self.assertEqual(self.run_and_take_events(), [ReleaseAnswered("g", "w1")])
--- a/tests/worker_fakes.py
+++ b/tests/worker_fakes.py
@@ -1,4 +1,4 @@
-"""Workers without sockets for tests on a virtual clock."""
+"""In-memory worker transport for tests on a virtual clock."""
 
 import json
 
@@ -8,6 +8,10 @@
 from redwingrudder.standins.worker import RejectedEpochError, WorkerCore
 from redwingrudder.workers import WorkerAnswer, WorkerTransport
 
+REQUEST_DELAY_S = 0.001
+POLL_CHECK_INTERVAL_S = 0.1  # between checks of a waiting poll for events
+TURNS_PER_STEP = 4
+
 
 class FakeTransport(WorkerTransport):
     """In-memory transport to ``WorkerCore`` objects; bodies are sent as JSON.
@@ -23,10 +27,10 @@
         posted: The address, path and body of every request.
     """
 
-    def __init__(self, clock, infos):
+    def __init__(self, clock, worker_infos):
         self.clock = clock
         self.cores_by_address = {
-            info.address: WorkerCore(info, clock.seconds()) for info in infos
+            info.address: WorkerCore(info, clock.seconds()) for info in worker_infos
         }
         self.retired_cores = []
         self.cut = set()
@@ -50,21 +54,21 @@
     async def post(self, address, path, body, timeout_s):
         self.posted.append((address, path, body))
         core = self.cores_by_address[address]
-        await self._sleep(0.001)
+        await self._sleep(REQUEST_DELAY_S)
         if path == "/v1/poll":
-            await self._wait_for_news(address, body)
+            await self._wait_for_events(address, body)
         if address in self.cut:
             await self._sleep(timeout_s)
-            raise UnavailableError("cut")
+            raise UnavailableError("worker unreachable")
         if self.cores_by_address[address] is not core:
-            raise UnavailableError("the connection ended with the process")
+            raise UnavailableError("connection closed: the worker process restarted")
         status, reply = self._execute(address, path, json.loads(json.dumps(body)))
         if address in self.losing_replies:
             await self._sleep(timeout_s)
-            raise UnavailableError("replies lost")
+            raise UnavailableError("reply lost after the request was executed")
         if self.replies_to_drop and path != "/v1/poll":
             self.replies_to_drop -= 1
-            raise UnavailableError("reply dropped")
+            raise UnavailableError("reply dropped after the request was executed")
         if path in self.malformed_replies:
             return WorkerAnswer(200, self.malformed_replies[path])
         return WorkerAnswer(status, json.dumps(reply).encode())
@@ -73,8 +77,8 @@
         self.posted.append((address, path, None))
         if address in self.cut | self.losing_replies:
             await self._sleep(timeout_s)
-            raise UnavailableError("cut")
-        await self._sleep(0.001)
+            raise UnavailableError("worker unreachable")
+        await self._sleep(REQUEST_DELAY_S)
         reply = self.cores_by_address[address].state(self.clock.seconds())
         return WorkerAnswer(200, json.dumps(reply).encode())
 
@@ -87,28 +91,32 @@
             rejection = {"code": error.code, "detail": "", "highest": error.highest}
             return 409, rejection
 
-    async def _wait_for_news(self, address, body):
-        until = self.clock.seconds() + body["wait_s"]
+    async def _wait_for_events(self, address, body):
+        deadline = self.clock.seconds() + body["wait_s"]
         core = self.cores_by_address[address]
         try:
             core.poll(body, self.clock.seconds())
         except RejectedEpochError:
             return
-        while self.clock.seconds() < until and address not in self.cut:
+        while self.clock.seconds() < deadline and address not in self.cut:
             core = self.cores_by_address[address]
             if core.has_news(body, self.clock.seconds()):
                 return
-            await self._sleep(0.1)
+            await self._sleep(POLL_CHECK_INTERVAL_S)
 
     def _sleep(self, delay_s):
-        waited = Deferred()
-        self.clock.callLater(delay_s, waited.callback, None)
-        return waited
+        slept = Deferred()
+        self.clock.callLater(delay_s, slept.callback, None)
+        return slept
 
 
 def run_clock(clock, duration_s, step_s=0.05):
-    """Advance in small steps, so that all actors take their turns."""
+    """Advance the clock in small steps, so that all actors get their turns.
+
+    Each step is followed by ``TURNS_PER_STEP`` turns without a delay, in which
+    actors handle the messages that other actors have sent.
+    """
     for _ in range(round(duration_s / step_s)):
         clock.advance(step_s)
-        for _ in range(4):
+        for _ in range(TURNS_PER_STEP):
             clock.advance(0)
