--- a/src/redwingrudder/_worker_commands.py
+++ b/src/redwingrudder/_worker_commands.py
@@ -24,7 +24,7 @@
 MAX_COMMANDS_IN_FLIGHT = 4  # commands of one link that await a reply
 FIRST_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
-MAX_RETRY_DOUBLINGS = 10  # keeps the power of two small
+MAX_RETRY_DOUBLINGS = 10  # bounds the exponent of the back-off
 OVERLOADED_CODE = "overloaded"
 
 Command = ReserveMember | StartMember | ReleaseMember | StopMember
--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -224,7 +224,7 @@
             answer = await self._send(path, body, timeout_s)
             chart_event = read_reply(answer, self._expectation())
         except UnavailableError as error:
-            chart_event = self._log_failed_call(path, error)
+            chart_event = self._handle_failed_call(path, error)
         if call_number != self._call_number:
             return
         if chart_event.name in ("claimed", "polled"):
@@ -347,7 +347,7 @@
             if queue_generation == self._queue_generation:
                 self._handle_command_reply(pending, answer)
         except UnavailableError as error:
-            self._log_failed_call(path, error)
+            self._handle_failed_call(path, error)
             if queue_generation == self._queue_generation:
                 self._schedule_command_retry(command.gang_id)
         if queue_generation == self._queue_generation:
@@ -398,7 +398,7 @@
         if not self._outbox.flush():
             self.tell(TIMERS, Subscribe(self.name, _OUTBOX_TIMER, OUTBOX_RETRY_S))
 
-    def _log_failed_call(self, path: str, error: UnavailableError) -> ChartEvent:
+    def _handle_failed_call(self, path: str, error: UnavailableError) -> ChartEvent:
         if self._state not in CHART.final_states:
             self._log.failed_call(path, error)
         return ChartEvent("unreachable")
--- a/src/redwingrudder/membership.py
+++ b/src/redwingrudder/membership.py
@@ -17,7 +17,7 @@
 DOMAIN_READ_INTERVAL_S = 1.0  # VMs of its own domain, read by the owner only
 LIST_READ_INTERVAL_S = 10.0  # VMs of all domains, read by every node
 RETRY_INTERVAL_S = 1.0  # after a failed read
-JITTER_SHARE = 0.1  # largest deviation from LIST_READ_INTERVAL_S
+JITTER_SHARE = 0.1  # largest relative change of a whole-list interval
 
 _logger = logging.getLogger(__name__)
 _DOMAIN_TIMER = "domain"
--- a/src/redwingrudder/requests.py
+++ b/src/redwingrudder/requests.py
@@ -253,7 +253,7 @@
     """The owner of a failure domain, as far as this node knows.
 
     ``address`` is its thrift port as ``host:port``. ``node_id`` is empty when
-    the domain has no owner.
+    no owner is known.
     """
 
     failure_domain: str
@@ -378,8 +378,7 @@
 class GetPeerConfiguration(NamedTuple):
     """Ask of PEERS -> a peer's ``Configuration``, or None.
 
-    The reply is None when the version of the peer is not above
-    ``above_version``.
+    The reply is None when the peer has no version above ``above_version``.
     """
 
     address: str
--- a/src/redwingrudder/worker_api.py
+++ b/src/redwingrudder/worker_api.py
@@ -136,7 +136,10 @@
 
 
 class PollReply(TypedDict):
-    """Events in the order of their sequence numbers, and the usage."""
+    """Reply to a poll, with the events in order of their sequence numbers.
+
+    ``draining`` may change from one reply to the next.
+    """
 
     boot_id: str
     draining: bool
