--- a/src/redwingrudder/workers.py
+++ b/src/redwingrudder/workers.py
@@ -1,7 +1,11 @@
-"""Links of a domain's owner to its workers, one actor per worker."""
+"""Links between the owner of a failure domain and its workers.
+
+There is one actor, a ``WorkerLink``, for each worker.
+"""
 
 from ._worker_link import WorkerLink
 from ._worker_messages import (
+    ClaimHandled,
     CloseLink,
     LinkEvent,
     LinkSettings,
@@ -10,7 +14,7 @@
 from ._worker_transport import HttpTransport, WorkerAnswer, WorkerTransport
 
 __all__ = [
-    "ClaimSeen",
+    "ClaimHandled",
     "CloseLink",
     "HttpTransport",
     "LinkEvent",
