--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -20,19 +20,26 @@
 class FakeStore(Actor):
     """The store actor without sockets; nodes may share one ``core``.
 
-    ``lost_replies`` writes take effect and fail with OutcomeUnknownError;
-    ``unsent`` writes fail so without an effect; both concern messages of the
-    types ``losable`` only. ``calls`` holds all requests
-    that reached the store. ``vms`` is what ListVms answers from. Call
-    ``set_available`` to begin and end an outage.
+    Call ``set_available`` to begin and end an outage.
+
+    Attributes:
+        core: Keys, leases and watches.
+        available: False during an outage; all calls fail then.
+        lossy_types: Message types that the two counters below apply to.
+        lost_replies: Number of next calls that take effect and then fail
+            with OutcomeUnknownError.
+        requests_to_lose: Number of next calls that fail with
+            OutcomeUnknownError without taking effect.
+        vms: VM list that answers to ``ListVms`` are selected from.
+        calls: All messages that arrived outside an outage.
     """
 
     def __init__(self, system, core=None, available=True):
         self.core = core or KeyValueCore()
         self.available = available
-        self.losable = WRITES
+        self.lossy_types = WRITES
         self.lost_replies = 0
-        self.unsent = 0
+        self.requests_to_lose = 0
         self.vms = ()
         self.calls = []
         self._status_subscribers = []
@@ -89,13 +96,13 @@
             if not self.available:
                 raise StoreUnavailableError("outage")
             self.calls.append(message)
-            if self.unsent and isinstance(message, self.losable):
-                self.unsent -= 1
+            if self.requests_to_lose and isinstance(message, self.lossy_types):
+                self.requests_to_lose -= 1
                 raise OutcomeUnknownError("request lost")
             self.core.expire(self.now())
             reply = method(message)
             self._schedule_expiry()
-            if self.lost_replies and isinstance(message, self.losable):
+            if self.lost_replies and isinstance(message, self.lossy_types):
                 self.lost_replies -= 1
                 raise OutcomeUnknownError("reply lost")
             return reply
