--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,4 +1,4 @@
-"""Starts a node from a checkout."""
+"""Starts a node of the users' platform from a source checkout."""
 
 import pathlib
 import sys
--- a/src/redwingrudder/_background.py
+++ b/src/redwingrudder/_background.py
@@ -1,4 +1,4 @@
-"""Running coroutines of actors: in the background, and with pauses."""
+"""Helpers for coroutines of actors: background execution and delays."""
 
 import logging
 from collections.abc import Coroutine
@@ -13,17 +13,22 @@
 
 
 def run(coroutine: Coroutine[Any, Any, Any], actor: str) -> Deferred:
-    """Run a coroutine; an error that it raises is logged."""
+    """Run a coroutine in the background and log an error that it raises.
 
-    def log(failure: Failure) -> None:
+    Args:
+        coroutine: The coroutine to run.
+        actor: Name of the actor in the log line.
+    """
+
+    def log_failure(failure: Failure) -> None:
         _logger.error(
-            "background work failed",
+            "background coroutine failed",
             extra={"actor": actor, "traceback": failure.getTraceback()},
         )
 
-    return Deferred.fromCoroutine(coroutine).addErrback(log)
+    return Deferred.fromCoroutine(coroutine).addErrback(log_failure)
 
 
 def pause(clock: IReactorTime, delay_s: float) -> Deferred:
-    """Return a Deferred that fires after a delay."""
+    """Return a Deferred that fires after ``delay_s`` seconds."""
     return deferLater(clock, delay_s, lambda: None)
--- a/src/redwingrudder/_chart_runner.py
+++ b/src/redwingrudder/_chart_runner.py
@@ -1,4 +1,4 @@
-"""Runs a state chart on behalf of an actor."""
+"""Executes a state chart for an actor."""
 
 from collections.abc import Callable
 from typing import Any
@@ -9,12 +9,12 @@
 
 
 class ChartRunner:
-    """Keeps the state of one chart and carries out its actions.
+    """Holds the current state of a chart and carries out its actions.
 
     Args:
         chart: The loaded chart.
-        actions_by_name: The functions behind the chart's actions; each gets
-            the argument of the event.
+        actions_by_name: Functions that implement the actions of the chart;
+            each receives the argument of the event.
     """
 
     def __init__(self, chart: Chart, actions_by_name: dict[str, Action]) -> None:
@@ -25,8 +25,8 @@
     def step(self, event: str, argument: Any = None) -> None:
         """Take the transition for an event.
 
-        The state changes before the actions run, so an action may step
-        again.
+        The state changes before the actions run, so an action may call
+        ``step`` again.
 
         Raises:
             UnexpectedEventError: The state does not list the event.
--- a/src/redwingrudder/_store_codec.py
+++ b/src/redwingrudder/_store_codec.py
@@ -15,14 +15,15 @@
     RedwingrudderError,
 )
 
-PAGE_KEYS = 200  # bounds an answer: job records hold up to 64 KB
-VALUE_LIMIT = 1_000_000  # bytes, limit of the platform store
+PAGE_KEYS = 200  # bounds the size of a reply: job records hold up to 64 KB
+MAX_VALUE_BYTES = 1_000_000  # limit of the platform's store
+BUSY_RETRY_AFTER_S = 1.0
 
 
 class EncodedCall(NamedTuple):
     """An HTTP request: a GET when ``body`` is None, else a POST.
 
-    ``etag`` is that of an answer which need not be sent again.
+    ``etag`` identifies a cached reply that the server need not send again.
     """
 
     path: str
@@ -32,38 +33,43 @@
 
 
 class WatchProgress(NamedTuple):
-    """What one line of a watch stream says."""
+    """Content of one line of a watch stream.
+
+    ``compacted`` means that the requested revisions are no longer stored.
+    """
 
     changes: tuple[requests.KeyChange, ...]
     compacted: bool
 
 
 def encode(message: Any) -> EncodedCall:
-    """Encode a message of ``requests``.
+    """Encode a message of ``requests`` as an HTTP request.
 
     Raises:
-        PayloadTooLargeError: A value exceeds the limit of the store.
+        PayloadTooLargeError: A value exceeds ``MAX_VALUE_BYTES``.
     """
     return _ENCODERS_BY_TYPE[type(message)](message)
 
 
 def decode(message: Any, body: bytes) -> Any:
-    """Decode the answer to a message.
+    """Decode the body of the reply to a message.
 
     Raises:
-        ValueError: The answer is malformed.
+        ValueError: The reply is malformed.
     """
     try:
         return _DECODERS_BY_TYPE[type(message)](json.loads(body))
     except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"malformed answer of the store: {error!r}") from None
+        raise ValueError(f"malformed reply of the store: {error!r}") from None
 
 
 def decode_error(status: int, body: bytes) -> RedwingrudderError | None:
-    """Return the error for an HTTP status, None when it has no own class."""
+    """Return the error for an HTTP status of 400 to 499, else None."""
     detail = f"the store answered {status}: {body[:200].decode('utf-8', 'replace')}"
     if status == 429:
-        return OverloadedError(detail, code="store_busy", retry_after_s=1.0)
+        return OverloadedError(
+            detail, code="store_busy", retry_after_s=BUSY_RETRY_AFTER_S
+        )
     if status == 404:
         return NotFoundError(detail)
     if status == 413:
@@ -74,16 +80,16 @@
 
 
 def encode_page(prefix: str, first_key: str) -> EncodedCall:
-    """Encode the read of one page of a prefix, from a key on."""
-    selection = {**_prefix_range(prefix), "key": _text(first_key)}
-    body = _dump({**selection, "limit": str(PAGE_KEYS)})
+    """Encode the read of one page of a prefix that starts at a key."""
+    selection = {**_prefix_range(prefix), "key": _to_base64(first_key)}
+    body = _to_json({**selection, "limit": str(PAGE_KEYS)})
     return EncodedCall("/v3/kv/range", body, False)
 
 
 def encode_watch(prefix: str, start_revision: int) -> EncodedCall:
     """Encode the request that opens a watch stream."""
     selection = {**_prefix_range(prefix), "start_revision": str(start_revision)}
-    body = _dump({"create_request": selection})
+    body = _to_json({"create_request": selection})
     return EncodedCall("/v3/watch", body, False)
 
 
@@ -95,36 +101,39 @@
     """
     try:
         result = json.loads(line)["result"]
-        changes = tuple(_change(event) for event in result.get("events", []))
+        changes = tuple(_decode_change(event) for event in result.get("events", []))
         compacted = int(result.get("compact_revision", 0)) > 0
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed line of a watch: {error!r}") from None
     if result.get("canceled") and not compacted:
-        raise ValueError("the store ended the watch")
+        raise ValueError("the store cancelled the watch")
     return WatchProgress(changes, compacted)
 
 
-def _dump(body: dict[str, Any]) -> bytes:
+def _to_json(body: dict[str, Any]) -> bytes:
     return json.dumps(body, separators=(",", ":")).encode()
 
 
-def _text(text: str) -> str:
+def _to_base64(text: str) -> str:
     return base64.b64encode(text.encode()).decode("ascii")
 
 
-def _plain(text: str) -> str:
+def _from_base64(text: str) -> str:
     return base64.b64decode(text).decode()
 
 
 def _prefix_range(prefix: str) -> dict[str, str]:
     data = prefix.encode()
-    # No prefix used here ends in the highest byte.
+    # The range ends at the prefix with its last byte incremented; no prefix in
+    # use ends in byte 0xFF.
     end = data[:-1] + bytes([data[-1] + 1])
-    return {"key": _text(prefix), "range_end": base64.b64encode(end).decode()}
+    return {"key": _to_base64(prefix), "range_end": base64.b64encode(end).decode()}
 
 
 def _encode_get(message: requests.GetKey) -> EncodedCall:
-    return EncodedCall("/v3/kv/range", _dump({"key": _text(message.key)}), False)
+    return EncodedCall(
+        "/v3/kv/range", _to_json({"key": _to_base64(message.key)}), False
+    )
 
 
 def _encode_prefix(message: requests.GetPrefix) -> EncodedCall:
@@ -136,13 +145,13 @@
         {
             "target": "MOD",
             "result": "EQUAL",
-            "key": _text(compare.key),
+            "key": _to_base64(compare.key),
             "mod_revision": str(compare.mod_revision),
         }
         for compare in message.compares
     ]
     success = [_encode_operation(operation) for operation in message.operations]
-    body = _dump({"compare": compares, "success": success})
+    body = _to_json({"compare": compares, "success": success})
     return EncodedCall("/v3/kv/txn", body, True)
 
 
@@ -150,13 +159,14 @@
     operation: requests.PutKey | requests.DeleteKey,
 ) -> dict[str, Any]:
     if isinstance(operation, requests.DeleteKey):
-        return {"request_delete_range": {"key": _text(operation.key)}}
+        return {"request_delete_range": {"key": _to_base64(operation.key)}}
     size = len(operation.value.encode())
-    if size > VALUE_LIMIT:
+    if size > MAX_VALUE_BYTES:
         raise PayloadTooLargeError(
-            f"the value of {operation.key} has {size} bytes, allowed are {VALUE_LIMIT}"
+            f"the value of {operation.key} has {size} bytes, "
+            f"the limit is {MAX_VALUE_BYTES}"
         )
-    put = {"key": _text(operation.key), "value": _text(operation.value)}
+    put = {"key": _to_base64(operation.key), "value": _to_base64(operation.value)}
     if operation.lease_id:
         put["lease"] = str(operation.lease_id)
     return {"request_put": put}
@@ -164,13 +174,13 @@
 
 def _encode_lease(path: str) -> Callable[[Any], EncodedCall]:
     def encode_lease(message: Any) -> EncodedCall:
-        return EncodedCall(path, _dump({"ID": str(message.lease_id)}), True)
+        return EncodedCall(path, _to_json({"ID": str(message.lease_id)}), True)
 
     return encode_lease
 
 
 def _encode_grant(message: requests.GrantLease) -> EncodedCall:
-    return EncodedCall("/v3/lease/grant", _dump({"TTL": str(message.ttl_s)}), True)
+    return EncodedCall("/v3/lease/grant", _to_json({"TTL": str(message.ttl_s)}), True)
 
 
 def _encode_list(message: requests.ListVms) -> EncodedCall:
@@ -178,14 +188,16 @@
     return EncodedCall(f"/v1/vms?failure_domain={domain}", None, False)
 
 
-def _pair(body: dict[str, Any]) -> requests.KeyValue:
+def _decode_pair(body: dict[str, Any]) -> requests.KeyValue:
     return requests.KeyValue(
-        _plain(body["key"]), _plain(body.get("value", "")), int(body["mod_revision"])
+        _from_base64(body["key"]),
+        _from_base64(body.get("value", "")),
+        int(body["mod_revision"]),
     )
 
 
-def _change(event: dict[str, Any]) -> requests.KeyChange:
-    pair = _pair(event["kv"])
+def _decode_change(event: dict[str, Any]) -> requests.KeyChange:
+    pair = _decode_pair(event["kv"])
     deleted = event.get("type") == "DELETE"
     value = None if deleted else pair.value
     return requests.KeyChange(pair.key, value, pair.mod_revision)
@@ -193,11 +205,11 @@
 
 def _decode_get(body: dict[str, Any]) -> requests.KeyValue | None:
     pairs = body.get("kvs", [])
-    return _pair(pairs[0]) if pairs else None
+    return _decode_pair(pairs[0]) if pairs else None
 
 
 def _decode_prefix(body: dict[str, Any]) -> requests.PrefixReply:
-    pairs = tuple(_pair(pair) for pair in body.get("kvs", []))
+    pairs = tuple(_decode_pair(pair) for pair in body.get("kvs", []))
     return requests.PrefixReply(pairs, int(body["header"]["revision"]))
 
 
--- a/src/redwingrudder/_store_transport.py
+++ b/src/redwingrudder/_store_transport.py
@@ -1,4 +1,4 @@
-"""HTTP connections to the platform."""
+"""HTTP transport of the store client."""
 
 import abc
 import io
@@ -26,14 +26,14 @@
 from .platform_api import DOMAIN_HEADER
 
 CONNECT_TIMEOUT_S = 1.0
-REPLY_LIMIT = 32_000_000  # bytes
-LINE_LIMIT = 8_000_000  # bytes of one line of a watch
-CONNECTIONS = 8  # persistent connections
-IDLE_CONNECTION_S = 60.0
+MAX_REPLY_BYTES = 32_000_000
+MAX_LINE_BYTES = 8_000_000  # of one line of a watch stream
+MAX_IDLE_CONNECTIONS = 8
+IDLE_TIMEOUT_S = 60.0
 
 
 class TransportReply(NamedTuple):
-    """An HTTP answer."""
+    """An HTTP response; ``etag`` is "" if it has no ETag header."""
 
     status: int
     body: bytes
@@ -41,7 +41,10 @@
 
 
 class StreamEnded(NamedTuple):
-    """Why a stream ended; ``too_long`` means a line above the limit."""
+    """Reason for the end of a stream.
+
+    ``too_long`` means that a line exceeded ``MAX_LINE_BYTES``.
+    """
 
     detail: str
     too_long: bool = False
@@ -52,19 +55,20 @@
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Close the connection; no callback is called any more."""
+        """Close the connection; no callback is called afterwards."""
 
 
 class StoreTransport(abc.ABC):
-    """How the store client reaches the platform."""
+    """Connection of the store client to the platform."""
 
     @abc.abstractmethod
     async def call(self, request: EncodedCall, timeout_s: float) -> TransportReply:
-        """Send a request and return the answer.
+        """Send a request and return the reply, whatever its status.
 
         Raises:
-            StoreUnavailableError: The request was surely not sent.
-            OutcomeUnknownError: It was sent, and no answer arrived in time.
+            StoreUnavailableError: The request was not sent.
+            OutcomeUnknownError: The request was sent, but no complete reply
+                arrived within ``timeout_s`` seconds.
         """
 
     @abc.abstractmethod
@@ -76,8 +80,8 @@
     ) -> OpenStream:
         """Open a stream of lines.
 
-        No callback is called before this returns; ``on_end`` is called at
-        most once.
+        Callbacks are called only after this method has returned; ``on_end``
+        is called at most once.
         """
 
     @abc.abstractmethod
@@ -86,12 +90,12 @@
 
 
 class HttpTransport(StoreTransport):
-    """Reaches the platform over HTTP with persistent connections.
+    """Connects to the platform over HTTP with persistent connections.
 
     Args:
-        reactor: The twisted reactor.
+        reactor: The Twisted reactor.
         base_url: For example ``http://10.0.0.1:2379``.
-        failure_domain: Sent with every request.
+        failure_domain: Domain of this node, sent in a header of each request.
     """
 
     def __init__(self, reactor: Any, base_url: str, failure_domain: str) -> None:
@@ -101,8 +105,8 @@
             {DOMAIN_HEADER: [failure_domain], "Content-Type": ["application/json"]}
         )
         self._pool = HTTPConnectionPool(reactor)
-        self._pool.maxPersistentPerHost = CONNECTIONS
-        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
+        self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
         endpoints = AddressEndpoints(reactor, CONNECT_TIMEOUT_S)
         agent = Agent.usingEndpointFactory(reactor, endpoints, self._pool)
         self._agent = ContentDecoderAgent(agent, [(b"gzip", GzipDecoder)])
@@ -112,16 +116,18 @@
     async def call(self, request: EncodedCall, timeout_s: float) -> TransportReply:
         """See base class."""
         if self._closed:
-            raise StoreUnavailableError("the connection is closed")
+            raise StoreUnavailableError("the transport is closed")
         exchange = Deferred.fromCoroutine(self._exchange(request))
         exchange.addTimeout(timeout_s, self._reactor)
         self._exchanges.add(exchange)
         try:
             return await exchange
         except (ConnectError, ConnectingCancelledError, RequestNotSent) as error:
-            raise StoreUnavailableError(f"not connected: {error}") from None
+            raise StoreUnavailableError(
+                f"connection to the store failed: {error}"
+            ) from None
         except Exception as error:
-            raise OutcomeUnknownError(f"no answer: {error!r}") from None
+            raise OutcomeUnknownError(f"no reply of the store: {error!r}") from None
         finally:
             self._exchanges.discard(exchange)
 
@@ -145,7 +151,7 @@
 
     async def _exchange(self, request: EncodedCall) -> TransportReply:
         response = await self._send(request)
-        reader = BodyCollector(REPLY_LIMIT)
+        reader = BodyCollector(MAX_REPLY_BYTES)
         response.deliverBody(reader)
         etags = response.headers.getRawHeaders("ETag", [""])
         return TransportReply(response.code, await reader.body, etags[0])
@@ -163,7 +169,7 @@
 
 
 class _HttpStream(OpenStream):
-    """Splits the body of a response into lines."""
+    """Passes the body of a response on line by line."""
 
     def __init__(
         self,
@@ -176,7 +182,7 @@
         self._on_end = on_end
         self._closed = False
         self._reader: _LineReader | None = None
-        response.addCallbacks(self._read, self._fail)
+        response.addCallbacks(self._start_reading, self._request_failed)
 
     def close(self) -> None:
         """See base class."""
@@ -192,25 +198,25 @@
             self._on_line(line)
 
     def end(self, ended: StreamEnded) -> None:
-        """Report the end once."""
+        """Report the end unless the stream was closed or has ended before."""
         if not self._closed:
             self._closed = True
             self._on_end(ended)
 
-    def _read(self, response: Any) -> None:
+    def _start_reading(self, response: Any) -> None:
         if response.code != 200:
-            response.deliverBody(_Discard())
+            response.deliverBody(_DiscardBody())
             self.end(StreamEnded(f"the store answered {response.code}"))
             return
         self._reader = _LineReader(self)
         response.deliverBody(self._reader)
 
-    def _fail(self, failure: Failure) -> None:
+    def _request_failed(self, failure: Failure) -> None:
         self.end(StreamEnded(str(failure.value)))
 
 
 class _LineReader(Protocol):
-    """Reads lines with bounded memory."""
+    """Splits a response into lines of at most ``MAX_LINE_BYTES``."""
 
     def __init__(self, stream: _HttpStream) -> None:
         self._stream = stream
@@ -221,24 +227,26 @@
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        searched = len(self._buffer)
+        search_from = len(self._buffer)
         self._buffer += data
-        end = self._buffer.find(b"\n", searched)
+        end = self._buffer.find(b"\n", search_from)
         while end >= 0:
             line = bytes(self._buffer[:end])
             del self._buffer[: end + 1]
             self._stream.line_received(line)
             end = self._buffer.find(b"\n")
-        if len(self._buffer) > LINE_LIMIT:
-            self._stream.end(StreamEnded("a line is too long", too_long=True))
+        if len(self._buffer) > MAX_LINE_BYTES:
+            self._stream.end(
+                StreamEnded(f"a line exceeds {MAX_LINE_BYTES} bytes", too_long=True)
+            )
             self.abort()
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         self._stream.end(StreamEnded(str(reason.value)))
 
 
-class _Discard(Protocol):
-    """Reads an error's body and drops the connection."""
+class _DiscardBody(Protocol):
+    """Closes the connection without reading the body of an error."""
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.loseConnection()
--- a/src/redwingrudder/_token_bucket.py
+++ b/src/redwingrudder/_token_bucket.py
@@ -1,8 +1,11 @@
-"""Rate limit with a bounded burst."""
+"""Rate limiter with a bounded burst (token bucket)."""
 
 
 class TokenBucket:
-    """Holds up to ``burst`` tokens and gains ``rate`` tokens a second."""
+    """Holds up to ``burst`` tokens and gains ``rate`` tokens per second.
+
+    All times are in seconds of the caller's clock.
+    """
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
         self._rate = rate
@@ -11,10 +14,10 @@
         self._updated_at = now
 
     def take(self, now: float) -> float:
-        """Take one token.
+        """Take one token if there is one.
 
         Returns:
-            0 when a token was taken, else the seconds until there is one.
+            0 if a token was taken, else the seconds until one is available.
         """
         gained = max(0.0, now - self._updated_at) * self._rate
         self._tokens = min(self._burst, self._tokens + gained)
--- a/src/redwingrudder/actors.py
+++ b/src/redwingrudder/actors.py
@@ -18,7 +18,8 @@
 from .exceptions import MailboxFullError, NotFoundError, RedwingrudderError
 
 MAILBOX_LIMIT = 10_000  # messages
-MESSAGES_PER_TURN = 64  # bounds the time before sockets are served again
+MAILBOX_RETRY_AFTER_S = 1.0
+MESSAGES_PER_TURN = 64  # bounds the time until sockets are served again
 
 Message = Any
 Handler = Callable[[Any], Any]
@@ -32,10 +33,10 @@
 
 
 class Actor(abc.ABC):
-    """Base of all actors.
+    """Base class of all actors.
 
-    A subclass returns its handlers by message type. The value a handler
-    returns, or awaits, is the reply when the message came by ``ask``.
+    A subclass returns its handlers by message type. The value that a handler
+    returns, or that its coroutine returns, is the reply to an ``ask``.
     """
 
     def __init__(self, system: "ActorSystem", name: str) -> None:
@@ -48,7 +49,7 @@
 
     @abc.abstractmethod
     def handlers(self) -> dict[type, Handler]:
-        """Return the handler for each type of message."""
+        """Return the handler of each message type that the actor accepts."""
 
     def start(self) -> None:
         """Open sockets and subscribe to timers; called once by the system."""
@@ -60,7 +61,8 @@
         """Send a message without a reply.
 
         Raises:
-            MailboxFullError: The receiver's mailbox is at its bound.
+            MailboxFullError: The mailbox of the receiver is full.
+            NotFoundError: There is no actor of that name.
         """
         self.system.tell(address, message)
 
@@ -69,11 +71,15 @@
         return self.system.ask(address, message)
 
     def deliver(self, envelope: _Envelope) -> None:
-        """Queue a message; called by the actor system only."""
+        """Append a message to the mailbox; called by the actor system only.
+
+        Raises:
+            MailboxFullError: The mailbox holds ``MAILBOX_LIMIT`` messages.
+        """
         if len(self._mailbox) >= MAILBOX_LIMIT:
             raise MailboxFullError(
-                f"mailbox of {self.name} holds {MAILBOX_LIMIT} messages",
-                retry_after_s=1.0,
+                f"mailbox of {self.name} is full with {MAILBOX_LIMIT} messages",
+                retry_after_s=MAILBOX_RETRY_AFTER_S,
             )
         self._mailbox.append(envelope)
         self._schedule_turn()
@@ -142,13 +148,17 @@
         self._actors_by_name: dict[str, Actor] = {}
 
     def register(self, actor: Actor) -> None:
-        """Add an actor under its name, which must be free."""
+        """Add an actor under its name.
+
+        Raises:
+            ValueError: An actor of that name is registered already.
+        """
         if actor.name in self._actors_by_name:
             raise ValueError(f"actor {actor.name!r} is already registered")
         self._actors_by_name[actor.name] = actor
 
     def unregister(self, actor: Actor) -> None:
-        """Remove an actor whose sockets are closed."""
+        """Remove an actor after its sockets are closed."""
         self._actors_by_name.pop(actor.name, None)
 
     def names(self) -> list[str]:
@@ -169,11 +179,14 @@
             self.unregister(actor)
 
     def tell(self, address: str, message: Message) -> None:
-        """Deliver a message without a reply."""
+        """Deliver a message without a reply; raises like ``Actor.tell``."""
         self._find(address).deliver(_Envelope(message, None))
 
     def ask(self, address: str, message: Message) -> Deferred:
-        """Deliver a message and return a Deferred of the reply."""
+        """Deliver a message and return a Deferred of the reply.
+
+        Delivery errors are reported by the Deferred, too.
+        """
         reply: Deferred = Deferred()
         try:
             self._find(address).deliver(_Envelope(message, reply))
--- a/src/redwingrudder/platform/__init__.py
+++ b/src/redwingrudder/platform/__init__.py
@@ -1,5 +1,5 @@
-"""Translation between the users' platform and the product.
+"""Adapters between the users' platform and the scheduler.
 
-Nothing outside this folder knows the platform's names. Each message of the
-platform is decoded once, into the product's own types.
+The platform's names occur in this package only. Each message of the platform
+is decoded once, into the types of the other packages.
 """
--- a/src/redwingrudder/platform/__main__.py
+++ b/src/redwingrudder/platform/__main__.py
@@ -1,4 +1,4 @@
-"""Runs a node on the users' platform."""
+"""Entry point: runs a node on the users' platform."""
 
 import sys
 
--- a/src/redwingrudder/platform/advice.py
+++ b/src/redwingrudder/platform/advice.py
@@ -1,19 +1,22 @@
-"""The platform's advice service."""
+"""Client of the platform's advice service."""
 
 from ..coordination.gateways import Advice, AdviceService
 from ..exceptions import OverloadedError, UnavailableError
 from ..workflows.model import TaskKey
 from .http_client import JsonClient
 
-CONNECTIONS = 1  # the service handles one call of a node at a time
-TIMEOUT_S = 5.0  # a question about many workers takes seconds
+MAX_IDLE_CONNECTIONS = 1  # the service handles one call of a node at a time
+TIMEOUT_S = 5.0  # the service takes seconds for a request about many workers
+OVERLOAD_RETRY_AFTER_S = 0.5
 
 
 class PlatformAdvice(AdviceService):
-    """Asks the service; it answers in turn.
+    """Asks the advice service which workers may run a step.
+
+    The service answers the requests of a node one after the other.
 
     Args:
-        client: Connections to it.
+        client: HTTP client for the address of the service.
     """
 
     def __init__(self, client: JsonClient) -> None:
@@ -21,17 +24,22 @@
 
     async def ask(self, step: TaskKey, worker_ids: tuple[str, ...]) -> Advice:
         """See base class."""
-        name = f"{step.workflow_id}.{step.occurrence}.{step.step}"
-        body = {"step": name, "workers": list(worker_ids)}
+        step_name = f"{step.workflow_id}.{step.occurrence}.{step.step}"
+        body = {"step": step_name, "workers": list(worker_ids)}
         reply = await self._client.call(
             "POST", "/redwingrudder/advise", body, TIMEOUT_S
         )
         if reply.status == 429:
-            raise OverloadedError("too many questions wait", retry_after_s=0.5)
+            raise OverloadedError(
+                "the advice service answered 429: too many requests are waiting",
+                retry_after_s=OVERLOAD_RETRY_AFTER_S,
+            )
         if reply.status != 200:
             raise UnavailableError(f"the advice service answered {reply.status}")
         try:
             tickets = {row[0]: str(row[1]) for row in reply.body["allowed"]}
             return Advice(tickets, reply.body["validMs"] / 1000)
         except (KeyError, TypeError, IndexError) as error:
-            raise UnavailableError(f"unreadable advice: {error!r}") from error
+            raise UnavailableError(
+                f"malformed reply of the advice service: {error!r}"
+            ) from error
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -1,4 +1,7 @@
-"""Calls of the platform's clients, translated to the product's messages."""
+"""HTTP front end for the platform's clients.
+
+Translates submissions, queries and cancellations into actor messages.
+"""
 
 import json
 import logging
@@ -28,27 +31,30 @@
     UnavailableError,
 )
 from ..workflows.model import StepSpec, Workflow
-from .registry import resources
+from .registry import decode_resources
 
 FRONT_END = "front"
-ANSWER_SHARE = 0.8  # of the caller's patience, spent before an answer is due
-DEFAULT_PATIENCE_S = 3.0
+# Share of the client's timeout within which the node answers.
+ANSWER_TIMEOUT_SHARE = 0.8
+DEFAULT_TIMEOUT_S = 3.0
 RETRY_AFTER_S = 1.0
-REFUSAL_LOGS_PER_S = 20.0  # lines of one node; refusals above are counted only
-ID_LENGTH = 16
-STEPS_LIMIT = 64
-TASKS_LIMIT = 20_000  # of one workflow
+REFUSAL_LOGS_PER_S = 20.0  # refusals above this rate are only counted
+ID_HEX_DIGITS = 16
+MAX_STEPS = 64
+MAX_TASKS = 20_000  # of one workflow, over all its occurrences
+LOGGED_ANSWER_CHARACTERS = 200
+LISTEN_BACKLOG = 1024  # connections
 
 _logger = logging.getLogger(__name__)
 
 
 class FrontEnd(Actor):
-    """Serves the ingress address.
+    """Serves HTTP clients at the ingress address.
 
     Args:
-        system: The node's actors.
-        reactor: Provides connections.
-        address: Host and port.
+        system: Actor system of the node.
+        reactor: The Twisted reactor.
+        address: Host and port to listen on.
     """
 
     def __init__(
@@ -58,7 +64,7 @@
         self._address = address
         self._configuration: OperatorConfiguration | None = None
         self._draining = False
-        self._open = 0
+        self._open_count = 0
         self._refusal_logs = TokenBucket(
             REFUSAL_LOGS_PER_S, REFUSAL_LOGS_PER_S, reactor.seconds()
         )
@@ -70,22 +76,22 @@
 
     @property
     def open_requests(self) -> int:
-        """Requests that are not answered yet."""
-        return self._open
+        """Number of requests that are not answered yet."""
+        return self._open_count
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {ConfigurationInForce: self._configure, Drain: self._drain}
 
     def start(self) -> None:
-        """Listen for clients."""
+        """Listen for clients at the ingress address."""
         host, port = self._address
         self._port = self._reactor.listenTCP(
-            port, self._site, backlog=1024, interface=host
+            port, self._site, backlog=LISTEN_BACKLOG, interface=host
         )
 
     def stop(self) -> Any:
-        """Close the address and all connections."""
+        """Stop listening and close all connections."""
         self._site.close()
         return self._port.stopListening() if self._port is not None else None
 
@@ -93,40 +99,46 @@
         self._configuration = message.configuration
 
     def _drain(self, message: Drain) -> None:
-        """Close each connection after its next answer."""
+        """Close each client connection after its next answer from now on."""
         self._draining = True
 
     def _respond(self, request: LimitedRequest) -> None:
-        self._open += 1
-        lost: list[object] = []
-        request.notifyFinish().addErrback(lost.append)
-        run(self._answer(request, lost), FRONT_END)
+        self._open_count += 1
+        connection_errors: list[object] = []
+        request.notifyFinish().addErrback(connection_errors.append)
+        run(self._answer(request, connection_errors), FRONT_END)
 
-    async def _answer(self, request: LimitedRequest, lost: list[object]) -> None:
-        begun = self._reactor.seconds()
+    async def _answer(
+        self, request: LimitedRequest, connection_errors: list[object]
+    ) -> None:
+        started_at = self._reactor.seconds()
         try:
             answer = await self._handle(request)
         except OutcomeUnknownError as error:
-            answer = _error(504, error)
+            answer = _error_answer(504, error)
         except RedwingrudderError as error:
-            answer = _error(error.http_status, error)
+            answer = _error_answer(error.http_status, error)
         except Exception:
-            _logger.exception("request failed")
-            answer = _json(500, {"error": "internal_error"})
+            _logger.exception("request handler raised an unexpected exception")
+            answer = _json_answer(500, {"error": "internal_error"})
         finally:
-            self._open -= 1
-        self._count(request, answer.status, self._reactor.seconds() - begun)
+            self._open_count -= 1
+        self._count_request(
+            request, answer.status, self._reactor.seconds() - started_at
+        )
         if answer.status >= 400:
             self._log_refusal(request, answer)
-        if lost:
+        if connection_errors:
             return
         if self._draining or answer.status == 503:
-            # The balancer leads the caller's next connection to a node that
-            # is ready; an open one would stay here.
+            # The load balancer routes the client's next connection to a node
+            # that is ready; an open connection would stay with this node.
             request.setHeader(b"Connection", b"close")
         request.write_answer(answer)
 
-    def _count(self, request: LimitedRequest, status: int, seconds: float) -> None:
+    def _count_request(
+        self, request: LimitedRequest, status: int, seconds: float
+    ) -> None:
         method = request.method.decode("ascii", "replace")
         if method not in ("GET", "POST", "DELETE"):
             method = "other"
@@ -134,7 +146,7 @@
         self.tell(METRICS, Observed("request_seconds", (method,), seconds))
 
     def _log_refusal(self, request: LimitedRequest, answer: Answer) -> None:
-        """Log what was not done for a caller, in bounded volume."""
+        """Log an answer with an error status, at a limited rate."""
         if not self._refusal_logs.take(self._reactor.seconds()):
             _logger.info(
                 "request refused",
@@ -142,7 +154,9 @@
                     "job": request.path.decode("ascii", "replace").rpartition("/")[2],
                     "method": request.method.decode("ascii", "replace"),
                     "status": answer.status,
-                    "answer": answer.body.decode("utf-8", "replace")[:200],
+                    "answer": answer.body.decode("utf-8", "replace")[
+                        :LOGGED_ANSWER_CHARACTERS
+                    ],
                     "configuration_version": (
                         self._configuration.version if self._configuration else 0
                     ),
@@ -153,7 +167,7 @@
         configuration = self._configuration
         if configuration is None:
             raise UnavailableError(
-                "no configuration yet",
+                "the node has not received a configuration yet",
                 code="no_configuration",
                 retry_after_s=RETRY_AFTER_S,
             )
@@ -161,14 +175,14 @@
         path = request.path.decode("ascii", "replace")
         queue = configuration.find_queue(host, path)
         if queue is None:
-            return _json(404, {"error": "no_such_queue"})
-        organisation = self._organisation(request, configuration)
+            return _json_answer(404, {"error": "no_such_queue"})
+        organisation = self._find_organisation(request, configuration)
         if organisation is None and not queue.open:
-            return _json(401, {"error": "unknown_key"})
-        name = path[len(queue.prefix) :]
-        return await self._serve(request, queue, organisation or "", name)
+            return _json_answer(401, {"error": "unknown_key"})
+        workflow_id = path[len(queue.prefix) :]
+        return await self._serve(request, queue, organisation or "", workflow_id)
 
-    def _organisation(
+    def _find_organisation(
         self, request: LimitedRequest, configuration: OperatorConfiguration
     ) -> str | None:
         scheme, _, key = (request.header("Authorization") or "").partition(" ")
@@ -177,45 +191,50 @@
         return configuration.organisations_by_key.get(key.strip())
 
     async def _serve(
-        self, request: LimitedRequest, queue: Queue, organisation: str, name: str
+        self, request: LimitedRequest, queue: Queue, organisation: str, workflow_id: str
     ) -> Answer:
-        patience_s = ANSWER_SHARE * _patience(request, queue)
+        timeout_s = ANSWER_TIMEOUT_SHARE * _client_timeout_s(request, queue)
         if request.method == b"POST":
             workflow = decode_submission(
-                name, request.content.getvalue(), queue, organisation
+                workflow_id, request.content.getvalue(), queue, organisation
             )
-            await self.ask(INTAKE, SubmitWorkflow(workflow, patience_s))
-            return _json(200, {})
-        if request.method == b"GET" and not name:
+            await self.ask(INTAKE, SubmitWorkflow(workflow, timeout_s))
+            return _json_answer(200, {})
+        if request.method == b"GET" and not workflow_id:
             count = await self.ask(INTAKE, GetQueueLength(queue.name))
-            return _json(200, {"pending": count})
+            return _json_answer(200, {"pending": count})
         if request.method == b"GET":
-            state = await self.ask(INTAKE, GetState(name))
+            state = await self.ask(INTAKE, GetState(workflow_id))
             if not state:
-                return _json(410, {"error": "no_such_job"})
-            return _json(200, {"state": str(state)})
-        if request.method == b"DELETE" and name:
-            known = await self.ask(INTAKE, CancelWorkflow(name, patience_s))
-            return _json(200 if known else 410, {})
-        return _json(405, {"error": "method_not_allowed"})
+                return _json_answer(410, {"error": "no_such_job"})
+            return _json_answer(200, {"state": str(state)})
+        if request.method == b"DELETE" and workflow_id:
+            found = await self.ask(INTAKE, CancelWorkflow(workflow_id, timeout_s))
+            return _json_answer(200 if found else 410, {})
+        return _json_answer(405, {"error": "method_not_allowed"})
 
 
 def decode_submission(
     workflow_id: str, content: bytes, queue: Queue, organisation: str
 ) -> Workflow:
-    """Return the workflow of a client's body.
+    """Decode the body of a submission into a workflow.
 
     Raises:
-        BadRequestError: The id or the body is not usable.
+        BadRequestError: The id or the body is invalid, or the workflow has
+            too many steps or tasks.
     """
-    if len(workflow_id) != ID_LENGTH or not all(
+    if len(workflow_id) != ID_HEX_DIGITS or not all(
         character in "0123456789abcdefABCDEF" for character in workflow_id
     ):
-        raise BadRequestError("the id has 16 hexadecimal digits", code="invalid_id")
+        raise BadRequestError(
+            "the workflow id must have 16 hexadecimal digits", code="invalid_id"
+        )
     try:
         body = json.loads(content)
-        steps = tuple(_step(entry, index) for index, entry in enumerate(body["steps"]))
-        # Times of day are milliseconds on the wire.
+        steps = tuple(
+            _decode_step(entry, index) for index, entry in enumerate(body["steps"])
+        )
+        # Times of day are sent in milliseconds since the epoch.
         workflow = Workflow(
             workflow_id=workflow_id,
             queue=queue.name,
@@ -229,23 +248,27 @@
             occurrences=max(int(body.get("repeats", 0)), 1),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadRequestError(f"not a job: {error!r}", code="invalid_body") from error
+        raise BadRequestError(f"invalid job: {error!r}", code="invalid_body") from error
     tasks = sum(step.tasks for step in steps) * workflow.occurrences
-    if not 0 < len(steps) <= STEPS_LIMIT or tasks > TASKS_LIMIT:
-        raise BadRequestError("too many or no steps or tasks", code="invalid_body")
+    if not 0 < len(steps) <= MAX_STEPS or tasks > MAX_TASKS:
+        raise BadRequestError(
+            f"a workflow has 1 to {MAX_STEPS} steps and at most {MAX_TASKS} tasks; "
+            f"got {len(steps)} steps",
+            code="invalid_body",
+        )
     return workflow
 
 
-def _step(entry: dict[str, Any], index: int) -> StepSpec:
+def _decode_step(entry: dict[str, Any], index: int) -> StepSpec:
     after = tuple(int(step) for step in entry.get("after") or [])
     if any(not 0 <= step < index for step in after):
-        raise ValueError("a step may only wait for earlier ones")
+        raise ValueError(f"step {index} may only depend on earlier steps")
     tasks = int(entry.get("count", 0))
     if tasks < 1:
-        raise ValueError("a step has at least one task")
+        raise ValueError(f"step {index} must have at least one task")
     return StepSpec(
         tasks=tasks,
-        demand=resources(entry),
+        demand=decode_resources(entry),
         estimate_s=entry.get("estimatedMs", 0) / 1000,
         after=after,
         checkpoints=bool(entry.get("checkpointing")),
@@ -263,25 +286,30 @@
     )
 
 
-def _patience(request: LimitedRequest, queue: Queue) -> float:
-    """Return the seconds for which the caller waits."""
+def _client_timeout_s(request: LimitedRequest, queue: Queue) -> float:
+    """Return how many seconds the client waits for an answer.
+
+    This is the shorter of the client's header and the timeout of the queue.
+    """
     try:
-        told_s = float(request.header("X-Timeout-Ms") or 0) / 1000
+        requested_s = float(request.header("X-Timeout-Ms") or 0) / 1000
     except ValueError:
-        told_s = 0.0
-    limits = [value for value in (told_s, queue.timeout_s) if value > 0]
-    return min(limits, default=DEFAULT_PATIENCE_S)
+        requested_s = 0.0
+    limits = [value for value in (requested_s, queue.timeout_s) if value > 0]
+    return min(limits, default=DEFAULT_TIMEOUT_S)
 
 
-def _json(status: int, body: dict[str, Any], retry_after_s: float = 0.0) -> Answer:
+def _json_answer(
+    status: int, body: dict[str, Any], retry_after_s: float = 0.0
+) -> Answer:
     headers = ()
     if retry_after_s:
         headers = (("Retry-After", str(max(1, round(retry_after_s)))),)
     return Answer(status, "application/json", json.dumps(body).encode(), headers)
 
 
-def _error(status: int, error: RedwingrudderError) -> Answer:
+def _error_answer(status: int, error: RedwingrudderError) -> Answer:
     body: dict[str, Any] = {"error": error.code, "detail": error.detail}
     if error.retry_after_s:
         body["retryAfterMs"] = int(error.retry_after_s * 1000)
-    return _json(status, body, error.retry_after_s or 0.0)
+    return _json_answer(status, body, error.retry_after_s or 0.0)
--- a/src/redwingrudder/platform/http_client.py
+++ b/src/redwingrudder/platform/http_client.py
@@ -1,4 +1,4 @@
-"""JSON calls to one address of the platform."""
+"""HTTP client for the JSON services of the platform."""
 
 import json
 from typing import Any, NamedTuple
@@ -9,23 +9,23 @@
 from ..exceptions import OutcomeUnknownError
 
 CONNECT_TIMEOUT_S = 0.5
-IDLE_TIMEOUT_S = 20.0  # below the time after which servers close
+IDLE_TIMEOUT_S = 20.0  # shorter than the idle timeout of the servers
 
 
 class JsonReply(NamedTuple):
-    """An answer; ``body`` is {} when it has none."""
+    """An HTTP response; ``body`` is {} when the response has no content."""
 
     status: int
     body: dict[str, Any]
 
 
 class JsonClient:
-    """Sends JSON to one address.
+    """Sends JSON requests to one address.
 
     Args:
-        reactor: Provides connections.
-        address: "host:port".
-        connections: Idle connections that are kept.
+        reactor: The Twisted reactor.
+        address: "host:port" of the server.
+        connections: Maximum number of idle connections that are kept open.
     """
 
     def __init__(self, reactor: IReactorTCP, address: str, connections: int) -> None:
@@ -42,12 +42,19 @@
         timeout_s: float,
         headers: dict[str, str] | None = None,
     ) -> JsonReply:
-        """Send a request and return the answer.
+        """Send a request and return the reply, whatever its status.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: Sent as JSON; None sends no content.
+            timeout_s: Seconds to wait for the reply.
+            headers: Additional HTTP headers.
 
         Raises:
-            UnavailableError: The request was surely not sent.
-            OutcomeUnknownError: It was sent, and no answer that can be read
-                arrived in time.
+            UnavailableError: The request was not sent.
+            OutcomeUnknownError: The request was sent, but no reply arrived
+                in time, or the reply is not a JSON object.
         """
         content = None
         if body is not None:
@@ -58,11 +65,11 @@
         try:
             document = json.loads(answer.content) if answer.content.strip() else {}
             if not isinstance(document, dict):
-                raise ValueError("the answer is not an object")
+                raise ValueError("the reply is not a JSON object")
         except ValueError as error:
-            raise OutcomeUnknownError(f"{path}: {error}") from error
+            raise OutcomeUnknownError(f"malformed reply to {path}: {error}") from error
         return JsonReply(answer.status, document)
 
     def reset(self) -> None:
-        """Drop idle connections, which may have gone silent."""
+        """Close idle connections, whose peer may be unreachable by now."""
         self._client.reset()
--- a/src/redwingrudder/platform/machines.py
+++ b/src/redwingrudder/platform/machines.py
@@ -1,4 +1,4 @@
-"""The platform's machines and the operator's waves of upkeep."""
+"""Client of the platform's machine service; codec of maintenance waves."""
 
 import json
 import logging
@@ -9,13 +9,14 @@
 from ..workflows.maintenance import Machine, MachineState, MaintenanceWave
 from .http_client import JsonClient
 
-CONNECTIONS = 2
-TIMEOUT_S = 2.0  # the service may be slow; orders are repeated
-PAGES_LIMIT = 100
+MAX_IDLE_CONNECTIONS = 2
+TIMEOUT_S = 2.0  # the service may be slow; orders that time out are repeated
+OVERLOAD_RETRY_AFTER_S = 0.5
+MAX_PAGES = 100
 
-# Answers to an order, by status and then by the platform's reason. "busy" is
-# also said of a machine that is about to leave.
-REPLIES = {
+# Replies to an order with status 409, by the platform's reason. The platform
+# also gives the reason "busy" for a machine that is about to leave.
+REPLIES_BY_REASON = {
     "fence": MachineReply.FENCED,
     "busy": MachineReply.REJECTED,
     "wave": MachineReply.GONE,
@@ -25,10 +26,10 @@
 
 
 class PlatformMachines(MachineService):
-    """Calls the machines' service.
+    """Lists machines and orders their maintenance over HTTP.
 
     Args:
-        client: Connections to it.
+        client: HTTP client for the address of the machine service.
     """
 
     def __init__(self, client: JsonClient) -> None:
@@ -38,20 +39,20 @@
         """See base class."""
         machines: list[Machine] = []
         token = ""
-        for _ in range(PAGES_LIMIT):
+        for _ in range(MAX_PAGES):
             path = "/redwingrudder/machines"
             if token:
                 path += f"?pageToken={token}"
             reply = await self._client.call("GET", path, None, TIMEOUT_S)
-            _check(reply.status)
+            _check_status(reply.status)
             try:
-                machines.extend(_machine(row) for row in reply.body["machines"])
+                machines.extend(_decode_machine(row) for row in reply.body["machines"])
             except (KeyError, TypeError) as error:
-                raise UnavailableError(f"unreadable machines: {error!r}") from error
+                raise UnavailableError(f"malformed machine list: {error!r}") from error
             token = reply.body.get("nextPageToken") or ""
             if not token:
                 return tuple(machines)
-        raise UnavailableError("the list of machines has too many pages")
+        raise UnavailableError(f"the machine list has more than {MAX_PAGES} pages")
 
     async def begin_upkeep(
         self, machine_id: str, wave_id: int, holder: str, fence: int
@@ -67,13 +68,15 @@
         if reply.status == 400:
             return MachineReply.GONE
         if reply.status == 409:
-            return REPLIES.get(reply.body.get("reason", ""), MachineReply.REJECTED)
-        _check(reply.status)
+            return REPLIES_BY_REASON.get(
+                reply.body.get("reason", ""), MachineReply.REJECTED
+            )
+        _check_status(reply.status)
         return MachineReply.REJECTED
 
 
 class PlatformWaves(WaveCodec):
-    """Reads what the operator writes under ``op/wave/``."""
+    """Codec of the operator's waves (``op/wave/``) and of their status."""
 
     prefix = "op/wave/"
 
@@ -88,7 +91,10 @@
                 duration_s=float(entry["durationS"]),
             )
         except (ValueError, KeyError, TypeError) as error:
-            _logger.error("wave unreadable", extra={"key": key, "error": repr(error)})
+            _logger.error(
+                "maintenance wave cannot be decoded",
+                extra={"key": key, "error": repr(error)},
+            )
             return None
 
     def status_key(self, wave_id: int) -> str:
@@ -104,19 +110,26 @@
         try:
             return json.loads(document)["state"] == "done"
         except (ValueError, KeyError, TypeError) as error:
-            _logger.warning("wave status unreadable", extra={"error": repr(error)})
+            _logger.warning(
+                "status of a maintenance wave cannot be decoded",
+                extra={"error": repr(error)},
+            )
             return False
 
 
-def _check(status: int) -> None:
+def _check_status(status: int) -> None:
     if status == 429:
-        raise OverloadedError("too many calls for machines", retry_after_s=0.5)
+        raise OverloadedError(
+            "the machine service answered 429: too many calls",
+            retry_after_s=OVERLOAD_RETRY_AFTER_S,
+        )
     if status != 200:
-        raise UnavailableError(f"the machines' service answered {status}")
+        raise UnavailableError(f"the machine service answered {status}")
 
 
-def _machine(row: dict[str, Any]) -> Machine:
-    # "moving" and "upkeep" both end with a new worker on the machine.
-    states = {"up": MachineState.UP, "down": MachineState.DOWN}
-    state = states.get(row["state"], MachineState.CHANGING)
+def _decode_machine(row: dict[str, Any]) -> Machine:
+    # All other states, such as "moving" and "upkeep", count as CHANGING: both
+    # of these end with a new worker on the machine.
+    states_by_name = {"up": MachineState.UP, "down": MachineState.DOWN}
+    state = states_by_name.get(row["state"], MachineState.CHANGING)
     return Machine(row["machine"], state, row.get("id") or "")
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -1,4 +1,4 @@
-"""A node on the users' platform: its actors and its shutdown."""
+"""A node on the users' platform: creation of its actors, and shutdown."""
 
 import logging
 import os
@@ -29,34 +29,38 @@
 from ..exceptions import SettingsError
 from ..logs import configure_logging
 from ..timers import TimerService
-from .advice import CONNECTIONS as ADVICE_CONNECTIONS
+from .advice import MAX_IDLE_CONNECTIONS as ADVICE_CONNECTIONS
 from .advice import PlatformAdvice
 from .front_end import FRONT_END, FrontEnd
 from .http_client import JsonClient
-from .machines import CONNECTIONS as MACHINES_CONNECTIONS
+from .machines import MAX_IDLE_CONNECTIONS as MACHINES_CONNECTIONS
 from .machines import PlatformMachines, PlatformWaves
 from .readiness import readiness_site
 from .registry import PlatformConfiguration, PlatformRegistry
 from .settings import PlatformSettings, load_settings
-from .store import CONNECTIONS, PlatformStore
+from .store import MAX_IDLE_CONNECTIONS, PlatformStore
 from .workers import PlatformChannels
 
 SETTINGS_VARIABLE = "REDWINGRUDDER_CONFIG"
-# Time kept at the end of the grace for the last answers.
-LAST_ANSWERS_S = 1.0
-LOOP_S = 0.05
-# A node without the store stays ready this long; shorter gaps are usual.
-UNSERVED_READY_S = 1.5
+# End of the grace period that is reserved for the last answers to clients.
+FINAL_ANSWERS_S = 1.0
+# Share of FINAL_ANSWERS_S for which open requests are awaited; the rest is for
+# closing the sockets.
+FINAL_ANSWERS_WAIT_SHARE = 0.7
+DRAIN_CHECK_INTERVAL_S = 0.05
+# Time for which a node without the store stays ready, since shorter outages
+# are common.
+READY_WITHOUT_STORE_S = 1.5
 
 _logger = logging.getLogger(__name__)
 
 
 class PlatformNode:
-    """All actors of one node.
+    """Creates all actors of one node.
 
     Args:
-        settings: Decoded settings.
-        reactor: The twisted reactor.
+        settings: Decoded settings of the node.
+        reactor: The Twisted reactor.
     """
 
     def __init__(self, settings: PlatformSettings, reactor: Any) -> None:
@@ -68,7 +72,7 @@
         identity = Identity(settings.node_id, f"{host}:{port}", uuid.uuid4().hex)
         TimerService(self.system)
         Metrics(self.system, reactor, settings.metrics)
-        client = JsonClient(reactor, settings.store_address, CONNECTIONS)
+        client = JsonClient(reactor, settings.store_address, MAX_IDLE_CONNECTIONS)
         self._store = PlatformStore(
             self.system, client, (PEERS, INTAKE), settings.link_bps
         )
@@ -80,21 +84,21 @@
         resources = NodeResources(settings.cores, settings.link_bps)
         Leadership(self.system, identity, (PEERS, INTAKE), resources)
         self._peers = Peers(self.system, reactor, identity, settings.peers)
-        self._served_at = 0.0
+        self._store_reached_at = 0.0
         fleet = FleetGateways(
             PlatformRegistry(),
             PlatformChannels(reactor),
             WorkerTimes(settings.longest_lease_s, settings.heartbeat_s),
-            settings.keep_ended_s,
-            _upkeep(reactor, settings, identity),
+            settings.ended_retention_s,
+            _build_upkeep_gateway(reactor, settings, identity),
         )
         Coordinator(self.system, fleet)
-        Advisor(self.system, _advice(reactor, settings.advice_address))
+        Advisor(self.system, _build_advice_service(reactor, settings.advice_address))
         Intake(self.system, identity)
         self._front = FrontEnd(self.system, reactor, settings.front)
 
     def start(self) -> None:
-        """Open the sockets and begin to follow the platform."""
+        """Open the readiness address and start all actors."""
         host, port = self._settings.readiness
         site = readiness_site(self._is_ready)
         self._reactor.listenTCP(port, site, interface=host)
@@ -102,51 +106,55 @@
         _logger.info("node started", extra={"domain": self._settings.failure_domain})
 
     def _is_ready(self) -> bool:
-        """Return whether callers are served better here than elsewhere.
+        """Return whether the load balancer should send clients to this node.
 
-        A node that is cut off from the store and from all nodes that have it
-        can only refuse what callers send.
+        A node that reaches neither the store nor another node with access to
+        the store can only refuse requests.
         """
         if self._feed.current is None or self._stopping:
             return False
         now = self._reactor.seconds()
         if self._peers.reaches_store:
-            self._served_at = now
-        return now - self._served_at < UNSERVED_READY_S
+            self._store_reached_at = now
+        return now - self._store_reached_at < READY_WITHOUT_STORE_S
 
     def reload(self) -> None:
-        """Take note of a changed settings file; addresses stay as they are."""
-        _logger.info("settings reloaded")
+        """Log a reload signal; the settings stay those of the start."""
+        _logger.info(
+            "reload signal received; the settings stay unchanged until a restart"
+        )
 
     def stop(self) -> None:
-        """Hand the coordination over, serve to the end of the grace, exit."""
+        """Hand the coordination over and exit when the grace period ends."""
         if not self._stopping:
             self._stopping = True
-            _logger.info("node drains")
+            _logger.info("node is draining")
             run(self._drain(), "node")
 
     async def _drain(self) -> None:
         self.system.tell(LEADERSHIP, Drain())
         self.system.tell(PEERS, Drain())
-        deadline = self._reactor.seconds() + self._settings.grace_s - LAST_ANSWERS_S
+        deadline = self._reactor.seconds() + self._settings.grace_s - FINAL_ANSWERS_S
         while self._reactor.seconds() < deadline:
-            await pause(self._reactor, LOOP_S)
+            await pause(self._reactor, DRAIN_CHECK_INTERVAL_S)
         self.system.tell(FRONT_END, Drain())
-        last = self._reactor.seconds() + 0.7 * LAST_ANSWERS_S
-        while self._front.open_requests and self._reactor.seconds() < last:
-            await pause(self._reactor, LOOP_S)
+        final_deadline = (
+            self._reactor.seconds() + FINAL_ANSWERS_WAIT_SHARE * FINAL_ANSWERS_S
+        )
+        while self._front.open_requests and self._reactor.seconds() < final_deadline:
+            await pause(self._reactor, DRAIN_CHECK_INTERVAL_S)
         await self.system.stop()
         _logger.info("node stopped")
         self._reactor.stop()
 
 
-def _advice(reactor: Any, address: str) -> PlatformAdvice | None:
+def _build_advice_service(reactor: Any, address: str) -> PlatformAdvice | None:
     if not address:
         return None
     return PlatformAdvice(JsonClient(reactor, address, ADVICE_CONNECTIONS))
 
 
-def _upkeep(
+def _build_upkeep_gateway(
     reactor: Any, settings: PlatformSettings, identity: Identity
 ) -> UpkeepGateway | None:
     if not settings.machines_address:
@@ -156,12 +164,16 @@
         PlatformWaves(),
         PlatformMachines(client),
         f"{identity.node_id}/{identity.incarnation}",
-        settings.order_pause_s,
+        settings.order_quiet_period_s,
     )
 
 
 def main() -> int:
-    """Run a node until SIGTERM; returns the exit status."""
+    """Run a node until SIGTERM or SIGINT.
+
+    Returns:
+        The exit status of the process.
+    """
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = load_settings(path)
--- a/src/redwingrudder/platform/readiness.py
+++ b/src/redwingrudder/platform/readiness.py
@@ -1,4 +1,4 @@
-"""The platform's readiness probe."""
+"""HTTP resource for the platform's readiness probe."""
 
 from collections.abc import Callable
 from typing import Any
@@ -8,10 +8,10 @@
 
 
 class ReadinessResource(Resource):
-    """Answers 200 while the node wants new connections.
+    """Answers 200 while the node accepts new clients, else 503.
 
     Args:
-        is_ready: Returns whether it does.
+        is_ready: Returns whether the node accepts new clients.
     """
 
     isLeaf = True  # noqa: N815
@@ -28,7 +28,7 @@
 
 
 def readiness_site(is_ready: Callable[[], bool]) -> Site:
-    """Return the site of the readiness address."""
+    """Return the site of the readiness address; requests are not logged."""
     site = Site(ReadinessResource(is_ready))
     site.noisy = False
     site.log = lambda request: None
--- a/src/redwingrudder/platform/registry.py
+++ b/src/redwingrudder/platform/registry.py
@@ -1,4 +1,4 @@
-"""Decodes workers' entries and the operator's configuration."""
+"""Decodes workers' registry entries and the operator's configuration."""
 
 import json
 import logging
@@ -17,7 +17,7 @@
 
 
 class PlatformRegistry(RegistryCodec):
-    """Reads what workers say of themselves under ``servers/``."""
+    """Decodes the entries that workers write under ``servers/``."""
 
     prefix = "servers/"
 
@@ -26,58 +26,62 @@
         worker_id = key.removeprefix(self.prefix)
         try:
             entry = json.loads(document)
-            return _worker(worker_id, entry)
+            return _decode_worker(worker_id, entry)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             _logger.warning(
-                "registry entry unusable",
+                "registry entry of a worker is invalid and ignored",
                 extra={"worker": worker_id, "error": repr(error)},
             )
             return None
 
 
 class PlatformConfiguration(ConfigurationCodec):
-    """Reads the operator's document under ``op/config``."""
+    """Decodes the operator's document under ``op/config``."""
 
     key = "op/config"
 
     def decode(self, document: str) -> OperatorConfiguration:
         """See base class."""
         try:
-            return _configuration(json.loads(document))
+            return _decode_configuration(json.loads(document))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise InvalidConfigurationError(f"{self.key}: {error!r}") from error
 
 
-def _worker(worker_id: str, entry: dict[str, Any]) -> WorkerFacts:
+def _decode_worker(worker_id: str, entry: dict[str, Any]) -> WorkerFacts:
     state = entry["state"]
     if state not in ("ready", "draining"):
         raise ValueError(f"unknown state {state!r}")
-    labels = _texts(entry.get("labels") or [])
+    labels = _require_texts(entry.get("labels") or [])
     return WorkerFacts(
         worker_id=worker_id,
-        process_started_ms=_integer(entry.get("born", 0)),
-        address=_text(entry["address"]),
-        pool=_text(entry["service"]),
-        failure_domain=_text(entry["zone"]),
-        # The labels are the worker's kind and then its rack.
+        process_started_ms=_to_integer(entry.get("born", 0)),
+        address=_require_text(entry["address"]),
+        pool=_require_text(entry["service"]),
+        failure_domain=_require_text(entry["zone"]),
+        # The first label is the kind of the worker, the second its rack.
         rack=labels[1] if len(labels) > 1 else "",
         labels=frozenset(labels),
-        capacity=resources(entry["capacity"]),
+        capacity=decode_resources(entry["capacity"]),
         draining=state == "draining",
-        remaining_s=_integer(entry.get("remainingMs", 0)) / 1000,
+        remaining_s=_to_integer(entry.get("remainingMs", 0)) / 1000,
     )
 
 
-def resources(entry: dict[str, Any]) -> Resources:
-    """Return an amount; fields that are left out are 0."""
+def decode_resources(entry: dict[str, Any]) -> Resources:
+    """Decode an amount of resources; missing fields count as 0.
+
+    Raises:
+        ValueError: A field is not a number.
+    """
     return Resources(
-        _integer(entry.get("cpu", 0)),
-        _integer(entry.get("memMb", 0)),
-        _integer(entry.get("gpu", 0)),
+        _to_integer(entry.get("cpu", 0)),
+        _to_integer(entry.get("memMb", 0)),
+        _to_integer(entry.get("gpu", 0)),
     )
 
 
-def _configuration(document: dict[str, Any]) -> OperatorConfiguration:
+def _decode_configuration(document: dict[str, Any]) -> OperatorConfiguration:
     pools = frozenset(service["name"] for service in document.get("services") or [])
     organisations_by_key: dict[str, str] = {}
     guaranteed: dict[str, int] = {}
@@ -85,13 +89,13 @@
         for key in tenant.get("apiKeys") or []:
             organisations_by_key[key] = tenant["name"]
         guaranteed[tenant["name"]] = int((tenant.get("guaranteed") or {}).get("gpu", 0))
-    queues = tuple(_queue(route) for route in document.get("routes") or [])
+    queues = tuple(_decode_queue(route) for route in document.get("routes") or [])
     return OperatorConfiguration(
         int(document["version"]), queues, organisations_by_key, guaranteed, pools
     )
 
 
-def _queue(route: dict[str, Any]) -> Queue:
+def _decode_queue(route: dict[str, Any]) -> Queue:
     return Queue(
         name=route["name"],
         host=route["host"],
@@ -109,17 +113,17 @@
     )
 
 
-def _integer(value: Any) -> int:
+def _to_integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError(f"{value!r} is no number")
+        raise ValueError(f"expected a number, got {value!r}")
     return int(value)
 
 
-def _text(value: Any) -> str:
+def _require_text(value: Any) -> str:
     if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is no text")
+        raise ValueError(f"expected a non-empty string, got {value!r}")
     return value
 
 
-def _texts(value: Any) -> list[str]:
-    return [_text(entry) for entry in value]
+def _require_texts(value: Any) -> list[str]:
+    return [_require_text(entry) for entry in value]
--- a/src/redwingrudder/platform/settings.py
+++ b/src/redwingrudder/platform/settings.py
@@ -1,35 +1,40 @@
-"""The platform's settings file, decoded into the product's terms."""
+"""Reads the platform's settings file of a node."""
 
 import tomllib
 from typing import Any, NamedTuple
 
 from ..exceptions import SettingsError
 
-# The platform counts the time from the client's answer, nodes from the end.
-KEEP_ENDED_FACTOR = 1.25
-DEFAULT_LINK_MBPS = 1000.0  # where the settings do not say
+# The platform counts the retention time from the answer to the client, nodes
+# count it from the end of the job; the factor covers the difference.
+ENDED_RETENTION_FACTOR = 1.25
+DEFAULT_LINK_MBPS = 1000.0  # if the settings do not give linkMbps
 
 
 class PlatformSettings(NamedTuple):
-    """What a process learns when it starts.
+    """Settings of one node.
 
     Attributes:
         node_id: Name of this node.
-        failure_domain: Where it runs.
-        front: Host and port for callers.
+        failure_domain: Failure domain in which the node runs.
+        front: Host and port that serve clients.
         readiness: Host and port of the readiness probe.
-        peers: Host and port of the thrift server, this node's internal side.
-        metrics: Host and port of the metrics.
+        peers: Host and port of the Thrift server for other nodes.
+        metrics: Host and port of the metrics endpoint.
         store_address: "host:port" of the store.
-        advice_address: "host:port" of the advice service, "" without one.
-        machines_address: "host:port" of the machines' service, "" without.
-        order_pause_s: Between orders of two holders for one machine.
-        longest_lease_s: Longest lease that workers accept.
-        heartbeat_s: Between two updates of a worker's registry entry.
-        keep_ended_s: For how long ended jobs can be asked for.
-        grace_s: From SIGTERM until the process is killed.
-        link_bps: Bits a second of this node's network link.
-        cores: Share of a processor that this node has.
+        advice_address: "host:port" of the advice service, "" if there is
+            none.
+        machines_address: "host:port" of the machine service, "" if there is
+            none.
+        order_quiet_period_s: Minimum seconds between the orders of two lease
+            holders for one machine.
+        longest_lease_s: Longest lease in seconds that workers accept.
+        heartbeat_s: Seconds between two updates of a worker's registry
+            entry.
+        ended_retention_s: Seconds for which ended jobs can be queried.
+        grace_s: Seconds from SIGTERM until the process is killed.
+        link_bps: Capacity of this node's network link in bits per second.
+        cores: Number of processor cores of this node, may be fractional.
     """
 
     node_id: str
@@ -41,20 +46,21 @@
     store_address: str
     advice_address: str
     machines_address: str
-    order_pause_s: float
+    order_quiet_period_s: float
     longest_lease_s: float
     heartbeat_s: float
-    keep_ended_s: float
+    ended_retention_s: float
     grace_s: float
     link_bps: float
     cores: float
 
 
 def load_settings(path: str) -> PlatformSettings:
-    """Read and check the file.
+    """Read and decode a settings file in TOML.
 
     Raises:
-        SettingsError: The file cannot be read or lacks a field.
+        SettingsError: The file cannot be read, a field is missing or has an
+            invalid value.
     """
     try:
         with open(path, "rb") as source:
@@ -85,13 +91,13 @@
         store_address=document["platform"]["address"],
         advice_address=document.get("advice") or "",
         machines_address=(document.get("cloud") or {}).get("address") or "",
-        order_pause_s=bounds.get("leaseMs", 0) / 1000,
+        order_quiet_period_s=bounds.get("leaseMs", 0) / 1000,
         longest_lease_s=bounds["maxHoldMs"] / 1000,
         heartbeat_s=document["heartbeatMs"] / 1000,
-        keep_ended_s=KEEP_ENDED_FACTOR * bounds["status_s"],
+        ended_retention_s=ENDED_RETENTION_FACTOR * bounds["status_s"],
         grace_s=float(bounds["graceS"]),
         link_bps=1e6 * float(limits.get("linkMbps", DEFAULT_LINK_MBPS)),
-        # The platform gives the share of each of several processors.
+        # cpuShare is the share of each of the node's processors.
         cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
     )
 
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's metadata store behind the product's store messages."""
+"""Client actor of the platform's metadata store."""
 
 import base64
 import binascii
@@ -32,29 +32,32 @@
 )
 from .http_client import JsonClient, JsonReply
 
-TIMEOUT_S = 0.4  # far above the usual answer of milliseconds
-LONGEST_TIMEOUT_S = 1.2  # half of the coordinator's lease
-LATENCY_FACTOR = 6  # of the mean answer time, for a store that is slow
-LATENCY_WEIGHT = 0.2  # of the newest answer in the mean
-CONNECTIONS = 8
-# Single answers get lost while the store works; a row of failures means more.
-FAILURES_LIMIT = 2
-PAGES_LIMIT = 200  # about 500 items a page
-PAGE_BITS = 12_000_000  # of a full page: 1 MB of values as base64 text
-# Pages of several ranges are read at the same time over the node's link.
-PAGES_AT_A_TIME = 3
+TIMEOUT_S = 0.4  # the usual reply takes a few milliseconds
+MAX_TIMEOUT_S = 1.2  # half of the coordinator's lease
+TIMEOUT_LATENCY_FACTOR = 6  # timeout in mean reply times, for a slow store
+LATENCY_WEIGHT = 0.2  # weight of the newest reply in the moving mean
+TIMEOUT_GROWTH_FACTOR = 1.5  # after a call without a reply
+MAX_IDLE_CONNECTIONS = 8
+# Single replies get lost while the store works, so only consecutive failures
+# count as an outage.
+UNAVAILABLE_AFTER_FAILURES = 2
+MAX_PAGES = 200  # a page has about 500 items
+PAGE_BITS = 12_000_000  # a full page: 1 MB of values as base64 text
+# Pages of several prefixes are read concurrently and share the node's link.
+CONCURRENT_PAGES = 3
 
 _logger = logging.getLogger(__name__)
 
 
 class PlatformStore(Actor):
-    """Carries the product's store messages to the platform.
+    """Executes store messages by HTTP calls to the platform's store.
 
     Args:
-        system: The node's actors.
-        client: Connections to the store.
-        subscribers: Actors told whether the store answers.
-        link_bps: Bits a second of the node's network link.
+        system: Actor system of the node.
+        client: HTTP client for the address of the store.
+        subscribers: Names of the actors that are notified when the
+            availability of the store changes.
+        link_bps: Capacity of the node's network link in bits per second.
     """
 
     def __init__(
@@ -65,8 +68,8 @@
         link_bps: float,
     ) -> None:
         self._client = client
-        # What a full page takes on the link, on top of the store's answer.
-        self._page_s = PAGES_AT_A_TIME * PAGE_BITS / link_bps
+        # Transfer time of a full page, added to the timeout of the call.
+        self._page_transfer_s = CONCURRENT_PAGES * PAGE_BITS / link_bps
         self._subscribers = subscribers
         self._timeout_s = TIMEOUT_S
         self._latency_s = 0.0
@@ -84,15 +87,15 @@
         writes = {
             Transact: self._transact,
             GrantLease: self._grant,
-            KeepLeaseAlive: self._keep,
+            KeepLeaseAlive: self._keep_alive,
             RevokeLease: self._revoke,
         }
         handlers = {
-            kind: _readable(handler, StoreUnavailableError)
-            for kind, handler in reads.items()
+            message_type: _with_decoding_errors(handler, StoreUnavailableError)
+            for message_type, handler in reads.items()
         }
-        for kind, handler in writes.items():
-            handlers[kind] = _readable(handler, OutcomeUnknownError)
+        for message_type, handler in writes.items():
+            handlers[message_type] = _with_decoding_errors(handler, OutcomeUnknownError)
         return handlers
 
     def stop(self) -> None:
@@ -104,48 +107,52 @@
         reply = await self._read(path)
         if reply.status == 404:
             return None
-        return _pair(reply.body)
+        return _decode_pair(reply.body)
 
     async def _range(self, message: GetPrefix) -> PrefixReply:
-        """Read page by page; the revision is that of the first page."""
+        """Read a prefix in pages; the revision is that of the first page."""
         pairs: list[KeyValue] = []
-        revision, after = 0, ""
-        for _ in range(PAGES_LIMIT):
+        revision, last_key = 0, ""
+        for _ in range(MAX_PAGES):
             path = f"/redwingrudder/kv-range?prefix={quote(message.prefix, safe='')}"
-            if after:
-                path += f"&after={quote(after, safe='')}"
-            body = (await self._read(path, transfer_s=self._page_s)).body
+            if last_key:
+                path += f"&after={quote(last_key, safe='')}"
+            body = (await self._read(path, transfer_s=self._page_transfer_s)).body
             revision = revision or int(body["currentRev"])
             items = body.get("items") or []
             for item in items:
-                pair = _readable_pair(item)
+                pair = _decode_pair_or_none(item)
                 if pair is not None:
                     pairs.append(pair)
             if not body.get("hasMore") or not items:
                 return PrefixReply(tuple(pairs), revision)
-            after = items[-1]["key"]
-        raise StoreUnavailableError("the range has too many pages")
+            last_key = items[-1]["key"]
+        raise StoreUnavailableError(
+            f"prefix {message.prefix!r} has more than {MAX_PAGES} pages"
+        )
 
     async def _transact(self, message: Transact) -> TransactReply:
-        puts, removals = [], []
+        puts, removed_keys = [], []
         for operation in message.operations:
             if isinstance(operation, DeleteKey):
-                removals.append(operation.key)
+                removed_keys.append(operation.key)
             else:
-                puts.append(_put(operation))
+                puts.append(_encode_put(operation))
         body = {
             "precondition": [
                 {"key": compare.key, "revision": compare.mod_revision}
                 for compare in message.compares
             ],
             "puts": puts,
-            "remove": removals,
+            "remove": removed_keys,
         }
         reply = await self._write("POST", "/redwingrudder/kv-txn", body)
         if reply.status == 412:
             return TransactReply(False, 0)
         if reply.status == 404:
-            raise NotFoundError("the lease has ended", code="no_such_lease")
+            raise NotFoundError(
+                "the lease of the transaction has ended", code="no_such_lease"
+            )
         return TransactReply(True, int(reply.body["revision"]))
 
     async def _grant(self, message: GrantLease) -> int:
@@ -153,7 +160,7 @@
         reply = await self._write("POST", "/redwingrudder/kv-lease", body)
         return int(reply.body["lease"])
 
-    async def _keep(self, message: KeepLeaseAlive) -> float:
+    async def _keep_alive(self, message: KeepLeaseAlive) -> float:
         path = f"/redwingrudder/kv-keep/{message.lease_id}"
         reply = await self._write("POST", path, {})
         return 0.0 if reply.status == 404 else reply.body["ttlMs"] / 1000
@@ -173,7 +180,7 @@
             return Changes((), 0, expired=True)
         changes = []
         for event in reply.body.get("events") or []:
-            change = _change(event)
+            change = _decode_change(event)
             if change is not None:
                 changes.append(change)
         return Changes(tuple(changes), int(reply.body["currentRev"]))
@@ -199,16 +206,25 @@
         wait_s: float,
         transfer_s: float = 0.0,
     ) -> JsonReply:
-        """Send a call; 429 and 503 mean that nothing was done.
+        """Send a call, track the store's availability and return the reply.
+
+        The store answers 429 and 503 without having executed the call, so
+        these are reported as unavailability.
 
         Args:
             method: HTTP method.
             path: Path and query.
-            body: Sent as JSON.
-            wait_s: For how long the store may wait with its answer.
-            transfer_s: What a large answer takes on the link.
+            body: Sent as JSON; None sends no content.
+            wait_s: Seconds for which the store may delay its reply.
+            transfer_s: Seconds that the transfer of a large reply takes.
+
+        Raises:
+            StoreUnavailableError: The request was not sent, or the store did
+                not execute it.
+            OutcomeUnknownError: The request was sent and no usable reply
+                arrived in time.
         """
-        begun = self.system.clock.seconds()
+        started_at = self.system.clock.seconds()
         outcome = "unanswered"
         try:
             reply = await self._client.call(
@@ -216,63 +232,63 @@
             )
             outcome = str(reply.status)
         except OutcomeUnknownError:
-            self._failed()
+            self._connection_failed()
             raise
         except UnavailableError as error:
-            self._failed()
+            self._connection_failed()
             raise StoreUnavailableError(error.detail) from error
         finally:
             self.tell(METRICS, Counted("store_calls", (outcome,)))
         if reply.status in (200, 404, 410, 412):
             if not wait_s and not transfer_s:
-                self._answered(self.system.clock.seconds() - begun)
+                self._record_latency(self.system.clock.seconds() - started_at)
             self._failures = 0
-            self._report(True)
+            self._set_available(True)
             return reply
         self._count_failure()
         raise StoreUnavailableError(f"the store answered {reply.status}")
 
-    def _answered(self, latency_s: float) -> None:
+    def _record_latency(self, latency_s: float) -> None:
         self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
         self._timeout_s = min(
-            max(TIMEOUT_S, LATENCY_FACTOR * self._latency_s), LONGEST_TIMEOUT_S
+            max(TIMEOUT_S, TIMEOUT_LATENCY_FACTOR * self._latency_s), MAX_TIMEOUT_S
         )
 
-    def _failed(self) -> None:
+    def _connection_failed(self) -> None:
         self._client.reset()
-        self._timeout_s = min(self._timeout_s * 1.5, LONGEST_TIMEOUT_S)
+        self._timeout_s = min(self._timeout_s * TIMEOUT_GROWTH_FACTOR, MAX_TIMEOUT_S)
         self._count_failure()
 
     def _count_failure(self) -> None:
         self._failures += 1
-        if self._failures >= FAILURES_LIMIT:
-            self._report(False)
+        if self._failures >= UNAVAILABLE_AFTER_FAILURES:
+            self._set_available(False)
 
-    def _report(self, available: bool) -> None:
+    def _set_available(self, available: bool) -> None:
         if available == self.available:
             return
         self.available = available
         self.tell(METRICS, Measured("store_available", float(available)))
-        _logger.info("store availability", extra={"available": available})
+        _logger.info("store availability changed", extra={"available": available})
         for subscriber in self._subscribers:
             self.tell(subscriber, StoreAvailability(available))
 
 
-def _readable(
-    handler: Callable[[Any], Awaitable[Any]], kind: type[UnavailableError]
+def _with_decoding_errors(
+    handler: Callable[[Any], Awaitable[Any]], error_class: type[UnavailableError]
 ) -> Handler:
-    """Turn an answer that cannot be read into an error with a code."""
+    """Wrap a handler to raise ``error_class`` for a malformed reply."""
 
     async def handle(message: Any) -> Any:
         try:
             return await handler(message)
         except (KeyError, TypeError, ValueError) as error:
-            raise kind(f"unreadable answer of the store: {error!r}") from error
+            raise error_class(f"malformed reply of the store: {error!r}") from error
 
     return handle
 
 
-def _put(operation: PutKey) -> dict[str, Any]:
+def _encode_put(operation: PutKey) -> dict[str, Any]:
     return {
         "key": operation.key,
         "value": base64.b64encode(operation.value.encode()).decode(),
@@ -280,22 +296,22 @@
     }
 
 
-def _pair(item: dict[str, Any]) -> KeyValue:
+def _decode_pair(item: dict[str, Any]) -> KeyValue:
     value = base64.b64decode(item["value"], validate=True).decode("utf-8")
     return KeyValue(item["key"], value, int(item["revision"]))
 
 
-def _readable_pair(item: Any) -> KeyValue | None:
-    """Return an item, or None for one that another writer left unreadable."""
+def _decode_pair_or_none(item: Any) -> KeyValue | None:
+    """Decode an item, or return None if another writer made it invalid."""
     try:
-        return _pair(item)
+        return _decode_pair(item)
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
-        _logger.warning("store item unreadable", extra={"error": str(error)})
+        _logger.warning("store item cannot be decoded", extra={"error": str(error)})
         return None
 
 
-def _change(event: Any) -> Change | None:
+def _decode_change(event: Any) -> Change | None:
     if isinstance(event, dict) and event.get("deleted"):
         return Change(event["key"], None, int(event["revision"]))
-    pair = _readable_pair(event)
+    pair = _decode_pair_or_none(event)
     return Change(*pair) if pair is not None else None
--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -1,4 +1,4 @@
-"""Commands to the platform's workers."""
+"""HTTP channels for commands to the platform's workers."""
 
 from typing import Any
 
@@ -23,10 +23,11 @@
 )
 from .http_client import JsonClient, JsonReply
 
-CONNECTIONS = 12  # idle ones that are kept, of the 64 that a worker takes
+MAX_IDLE_CONNECTIONS = 12  # a worker accepts 64 connections
 
-# Reasons for which a worker rejects an order, by the platform's word.
-REASONS = {
+# Reasons for which a worker rejects a command, by the platform's name of the
+# reason.
+REASONS_BY_PLATFORM_REASON = {
     "fence": "fenced",
     "old": "outdated",
     "late": "lapsed",
@@ -36,23 +37,24 @@
 
 
 class PlatformChannels(ChannelFactory):
-    """Opens channels over HTTP."""
+    """Opens HTTP channels to workers."""
 
     def __init__(self, reactor: IReactorTCP) -> None:
         self._reactor = reactor
 
     def open(self, facts: WorkerFacts) -> WorkerChannel:
         """See base class."""
-        client = JsonClient(self._reactor, facts.address, CONNECTIONS)
+        client = JsonClient(self._reactor, facts.address, MAX_IDLE_CONNECTIONS)
         return PlatformChannel(client, facts.worker_id)
 
 
 class PlatformChannel(WorkerChannel):
-    """Speaks to one worker.
+    """Sends commands to one worker.
 
     Args:
-        client: Connections to it.
-        worker_id: Intended worker; another one at its address refuses.
+        client: HTTP client for the address of the worker.
+        worker_id: Intended receiver. A different worker that now has the
+            address rejects the commands.
     """
 
     def __init__(self, client: JsonClient, worker_id: str) -> None:
@@ -74,14 +76,14 @@
             body["checkpoint"] = run.checkpoint
         if run.ticket:
             body["ticket"] = run.ticket
-        return _command(await self._post("run-start", body, timeout_s))
+        return _decode_command_reply(await self._post("run-start", body, timeout_s))
 
     async def stop(
         self, run: StartRun | StopRun, fence: int, timeout_s: float
     ) -> CommandReply:
         """See base class."""
         body = {"task": task_name(run.key), "runId": run.run, "fencingToken": fence}
-        return _command(await self._post("run-stop", body, timeout_s))
+        return _decode_command_reply(await self._post("run-stop", body, timeout_s))
 
     async def throttle(
         self, run: ThrottleRun, fence: int, timeout_s: float
@@ -93,7 +95,7 @@
             "percent": run.percent,
             "fencingToken": fence,
         }
-        return _command(await self._post("pace", body, timeout_s))
+        return _decode_command_reply(await self._post("pace", body, timeout_s))
 
     async def poll(
         self,
@@ -111,8 +113,8 @@
             body["waitMs"] = int(wait_s * 1000)
         reply = await self._post("hold", body, timeout_s)
         if reply.status != 200:
-            return _command(reply)
-        return _report(reply.body)
+            return _decode_command_reply(reply)
+        return _decode_report(reply.body)
 
     def reset(self) -> None:
         """See base class."""
@@ -130,22 +132,26 @@
 
 
 def task_name(key: TaskKey) -> str:
-    """Return the platform's name of a task."""
+    """Return the name by which the platform identifies a task."""
     return f"{key.workflow_id}.{key.occurrence}.{key.step}.{key.index}"
 
 
 def parse_task_name(name: str) -> TaskKey:
-    """Return the task of a platform's name."""
+    """Return the task that a platform's task name identifies.
+
+    Raises:
+        ValueError: The name does not consist of an id and three numbers.
+    """
     workflow_id, occurrence, step, index = name.split(".")
     return TaskKey(workflow_id, int(occurrence), int(step), int(index))
 
 
-def _command(reply: JsonReply) -> CommandReply:
+def _decode_command_reply(reply: JsonReply) -> CommandReply:
     clock_ms = int(reply.body.get("clockMs") or 0)
     if reply.status == 200:
         return CommandReply(True, "", clock_ms)
     if reply.status == 409:
-        reason = REASONS.get(reply.body.get("reason", ""), "invalid")
+        reason = REASONS_BY_PLATFORM_REASON.get(reply.body.get("reason", ""), "invalid")
     elif reply.status == 421:
         reason = "other_life"
     elif reply.status in (429, 503):
@@ -155,26 +161,26 @@
     return CommandReply(False, reason, clock_ms)
 
 
-def _report(body: dict[str, Any]) -> WorkerReport:
+def _decode_report(body: dict[str, Any]) -> WorkerReport:
     try:
         return WorkerReport(
             int(body["clockMs"]),
             int(body.get("born") or 0),
-            tuple(_running(row) for row in body.get("running") or []),
-            tuple(_ended(row) for row in body.get("ended") or []),
+            tuple(_decode_running(row) for row in body.get("running") or []),
+            tuple(_decode_ended(row) for row in body.get("ended") or []),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
-        raise UnavailableError(f"unreadable list of runs: {error!r}") from error
+        raise UnavailableError(f"malformed report of a worker: {error!r}") from error
 
 
-def _running(row: list[Any]) -> RunReport:
+def _decode_running(row: list[Any]) -> RunReport:
     usage = float(row[4]) if len(row) > 4 else 0.0
     return RunReport(
         parse_task_name(row[0]), int(row[1]), row[2] or "", float(row[3]), usage
     )
 
 
-def _ended(row: list[Any]) -> RunEnd:
+def _decode_ended(row: list[Any]) -> RunEnd:
     return RunEnd(
         int(row[0]),
         parse_task_name(row[1]),
--- a/src/redwingrudder/platform_api.py
+++ b/src/redwingrudder/platform_api.py
@@ -1,4 +1,4 @@
-"""Bodies of the platform's HTTP interface (JSON), for client and stand-in.
+"""JSON bodies of the platform's HTTP interface, for client and stand-in.
 
 The store part is the subset of the etcd v3 JSON gateway that this project
 uses. As published, keys and values are base64, 64-bit numbers are strings in
@@ -19,16 +19,16 @@
 ================================  ====================  ==================
 
 The header ``X-Failure-Domain`` names the domain of the client. The VM list
-has an ``ETag``; a request with ``If-None-Match`` gets 304 while it is the
-same. Large bodies are sent with gzip to clients that accept it.
+has an ``ETag``; a request with ``If-None-Match`` gets 304 while the list is
+unchanged. Large bodies are compressed with gzip for clients that accept it.
 """
 
 from typing import NotRequired
 
-from typing_extensions import TypedDict  # pydantic needs it before 3.12
+from typing_extensions import TypedDict  # required by pydantic before 3.12
 
 DOMAIN_HEADER = "X-Failure-Domain"
-MAX_BODY_BYTES = 4_000_000  # bytes; two values of 1 MB in base64 and their keys
+MAX_BODY_BYTES = 4_000_000  # fits two values of 1 MB in base64 and their keys
 
 Int64 = int | str
 
@@ -62,7 +62,7 @@
 
 
 class RangeReply(TypedDict):
-    """The pairs in the order of their keys; ``more`` when some are left."""
+    """The pairs ordered by key; ``more`` is set if the limit cut some off."""
 
     header: Header
     kvs: NotRequired[list[KeyValueBody]]
@@ -71,7 +71,7 @@
 
 
 class CompareBody(TypedDict):
-    """Only the comparison MOD EQUAL is used."""
+    """A condition of a transaction; only MOD EQUAL is used."""
 
     key: str
     target: str
@@ -80,7 +80,7 @@
 
 
 class PutBody(TypedDict):
-    """Writes a key."""
+    """Writes a key, bound to a lease unless ``lease`` is 0."""
 
     key: str
     value: NotRequired[str]
@@ -95,40 +95,40 @@
 
 
 class OperationBody(TypedDict):
-    """Exactly one of both fields is set."""
+    """One operation of a transaction; exactly one field is set."""
 
     request_put: NotRequired[PutBody]
     request_delete_range: NotRequired[DeleteBody]
 
 
 class TxnRequest(TypedDict):
-    """Carries out ``success`` if every comparison holds."""
+    """Executes ``success`` if every comparison holds."""
 
     compare: NotRequired[list[CompareBody]]
     success: NotRequired[list[OperationBody]]
 
 
 class TxnReply(TypedDict):
-    """``succeeded`` is left out when a comparison did not hold."""
+    """Outcome; ``succeeded`` is left out if a comparison did not hold."""
 
     header: Header
     succeeded: NotRequired[bool]
 
 
 class GrantRequest(TypedDict):
-    """Creates a lease; the store chooses the id."""
+    """Creates a lease of ``TTL`` seconds; the store chooses the id."""
 
     TTL: Int64
 
 
 class LeaseRequest(TypedDict):
-    """Names a lease."""
+    """Identifies the lease to keep alive or to revoke."""
 
     ID: Int64
 
 
 class LeaseReply(TypedDict):
-    """A lease; ``TTL`` is left out when the lease has lapsed."""
+    """A lease, ``TTL`` in seconds; it is left out if the lease has lapsed."""
 
     header: Header
     ID: NotRequired[str]
@@ -142,7 +142,7 @@
 
 
 class CreateWatch(TypedDict):
-    """What to watch; ``start_revision`` 0 means from now on."""
+    """Range of keys to watch; ``start_revision`` 0 means from now on."""
 
     key: str
     range_end: NotRequired[str]
@@ -150,7 +150,7 @@
 
 
 class WatchRequest(TypedDict):
-    """Opens a watch stream."""
+    """Request body that opens a watch stream."""
 
     create_request: CreateWatch
 
@@ -163,7 +163,7 @@
 
 
 class WatchResult(TypedDict):
-    """Changes, the confirmation of a watch or its end."""
+    """Changes, or the confirmation or the cancellation of a watch."""
 
     header: Header
     created: NotRequired[bool]
--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -16,7 +16,7 @@
 from zope.interface import implementer
 
 from ..exceptions import RedwingrudderError
-from ..platform_api import MAX_BODY_BYTES, DOMAIN_HEADER, WatchLine
+from ..platform_api import DOMAIN_HEADER, MAX_BODY_BYTES, WatchLine
 from ._platform_service import Budget, Call, PlatformService, Reply, WatchStream
 
 TOO_MANY_REQUESTS = 429
--- a/src/redwingrudder/statecharts.py
+++ b/src/redwingrudder/statecharts.py
@@ -3,8 +3,8 @@
 A chart file is a W3C SCXML document with atomic and final states. The
 ``event`` of a ``<send>`` inside a transition names an action that the caller
 carries out. A transition without a target keeps the state. An event that a
-state does not list is an error at run time, so that every combination is a
-decision that stands in the file.
+state does not list is an error at run time, so the file has to state for
+every state how it handles each event that can occur.
 """
 
 import importlib.resources
@@ -15,7 +15,7 @@
 
 
 class Transition(NamedTuple):
-    """The state that follows and the actions to carry out, in order."""
+    """The next state and the actions to carry out, in order."""
 
     target: str
     actions: tuple[str, ...]
@@ -49,11 +49,12 @@
 
     Args:
         name: File name without the suffix.
-        events: Events that the caller raises. Each must occur in the file.
-        actions: Actions that the caller carries out. Each must occur.
+        events: Events that the caller raises; each must occur in the file,
+            and no other event may occur.
+        actions: Actions that the caller carries out; the same rule applies.
 
     Raises:
-        ChartError: The file is not valid; the text names file and line.
+        ChartError: The file is invalid; the message names file and line.
     """
     file_name = f"{name}.scxml"
     source = importlib.resources.files(__package__).joinpath("charts", file_name)
@@ -63,13 +64,23 @@
 def parse_chart(
     text: str, file_name: str, events: frozenset[str], actions: frozenset[str]
 ) -> Chart:
-    """Parse the text of a chart; see ``load_chart``."""
+    """Parse the text of a chart.
+
+    Args:
+        text: Content of the SCXML file.
+        file_name: Name of the file in error messages.
+        events: See ``load_chart``.
+        actions: See ``load_chart``.
+
+    Raises:
+        ChartError: The text is not a valid chart.
+    """
     parser = _ChartParser(file_name)
     parser.parse(text)
     return parser.build(events, actions)
 
 
-class _RawTransition(NamedTuple):
+class _ParsedTransition(NamedTuple):
     line: int
     state: str
     event: str
@@ -88,12 +99,12 @@
         self._initial_line = 0
         self._lines_by_state: dict[str, int] = {}
         self._final_states: set[str] = set()
-        self._transitions: list[_RawTransition] = []
-        self._state = ""
-        self._current: _RawTransition | None = None
+        self._transitions: list[_ParsedTransition] = []
+        self._current_state = ""
+        self._current_transition: _ParsedTransition | None = None
         self._expat = expat.ParserCreate()
-        self._expat.StartElementHandler = self._start
-        self._expat.EndElementHandler = self._end
+        self._expat.StartElementHandler = self._start_element
+        self._expat.EndElementHandler = self._end_element
 
     def parse(self, text: str) -> None:
         try:
@@ -107,15 +118,17 @@
                 self._initial_line, f"unknown initial state {self._initial!r}"
             )
         table: dict[tuple[str, str], Transition] = {}
-        for raw in self._transitions:
-            self._check(raw, events, actions)
-            key = (raw.state, raw.event)
+        for parsed in self._transitions:
+            self._check_names(parsed, events, actions)
+            key = (parsed.state, parsed.event)
             if key in table:
-                raise self._error(raw.line, f"event {raw.event!r} is listed twice")
-            table[key] = Transition(raw.target or raw.state, raw.actions)
-        self._check_complete(events, {event for _, event in table}, "event")
-        used = {action for entry in table.values() for action in entry.actions}
-        self._check_complete(actions, used, "action")
+                raise self._error(
+                    parsed.line, f"event {parsed.event!r} is listed twice"
+                )
+            table[key] = Transition(parsed.target or parsed.state, parsed.actions)
+        self._check_all_occur(events, {event for _, event in table}, "event")
+        occurring = {action for entry in table.values() for action in entry.actions}
+        self._check_all_occur(actions, occurring, "action")
         return Chart(
             self._name,
             self._initial,
@@ -124,56 +137,62 @@
             table,
         )
 
-    def _check(
-        self, raw: _RawTransition, events: frozenset[str], actions: frozenset[str]
+    def _check_names(
+        self, parsed: _ParsedTransition, events: frozenset[str], actions: frozenset[str]
     ) -> None:
-        if raw.event not in events:
-            raise self._error(raw.line, f"unknown event {raw.event!r}")
-        if raw.target and raw.target not in self._lines_by_state:
-            raise self._error(raw.line, f"unknown state {raw.target!r}")
-        for action, line in zip(raw.actions, raw.action_lines, strict=True):
+        if parsed.event not in events:
+            raise self._error(parsed.line, f"unknown event {parsed.event!r}")
+        if parsed.target and parsed.target not in self._lines_by_state:
+            raise self._error(parsed.line, f"unknown state {parsed.target!r}")
+        for action, line in zip(parsed.actions, parsed.action_lines, strict=True):
             if action not in actions:
                 raise self._error(line, f"unknown action {action!r}")
 
-    def _check_complete(self, known: frozenset[str], used: set[str], kind: str) -> None:
-        for name in sorted(known - used):
-            raise self._error(1, f"{kind} {name!r} of the code is missing")
+    def _check_all_occur(
+        self, expected: frozenset[str], occurring: set[str], kind: str
+    ) -> None:
+        for name in sorted(expected - occurring):
+            raise self._error(
+                1, f"{kind} {name!r} is expected by the code but does not occur"
+            )
 
-    def _start(self, tag: str, attributes: dict[str, str]) -> None:
+    def _start_element(self, tag: str, attributes: dict[str, str]) -> None:
         line = self._expat.CurrentLineNumber
         if tag == "scxml":
             self._name = attributes.get("name", self._file_name)
             self._initial = attributes.get("initial", "")
             self._initial_line = line
         elif tag in ("state", "final"):
-            self._state = attributes.get("id", "")
-            if not self._state or self._state in self._lines_by_state:
-                raise self._error(line, f"missing or repeated id {self._state!r}")
-            self._lines_by_state[self._state] = line
+            self._current_state = attributes.get("id", "")
+            if not self._current_state or self._current_state in self._lines_by_state:
+                raise self._error(
+                    line, f"missing or repeated id {self._current_state!r}"
+                )
+            self._lines_by_state[self._current_state] = line
             if tag == "final":
-                self._final_states.add(self._state)
+                self._final_states.add(self._current_state)
         elif tag == "transition":
-            self._current = _RawTransition(
+            self._current_transition = _ParsedTransition(
                 line,
-                self._state,
+                self._current_state,
                 attributes.get("event", ""),
                 attributes.get("target", ""),
                 (),
                 (),
             )
-        elif tag == "send" and self._current is not None:
+        elif tag == "send" and self._current_transition is not None:
             action = attributes.get("event", "")
-            self._current = self._current._replace(
-                actions=(*self._current.actions, action),
-                action_lines=(*self._current.action_lines, line),
+            self._current_transition = self._current_transition._replace(
+                actions=(*self._current_transition.actions, action),
+                action_lines=(*self._current_transition.action_lines, line),
             )
         else:
             raise self._error(line, f"unknown element <{tag}>")
 
-    def _end(self, tag: str) -> None:
-        if tag == "transition" and self._current is not None:
-            self._transitions.append(self._current)
-            self._current = None
+    def _end_element(self, tag: str) -> None:
+        if tag == "transition" and self._current_transition is not None:
+            self._transitions.append(self._current_transition)
+            self._current_transition = None
 
     def _error(self, line: int, text: str) -> ChartError:
         return ChartError(f"{self._file_name}:{line}: {text}")
--- a/src/redwingrudder/store.py
+++ b/src/redwingrudder/store.py
@@ -36,10 +36,11 @@
 CALL_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 1.0
-PROBE_JITTER_S = 0.2  # spreads the nodes' probes
-WRITES_PER_S = 200.0  # of all failure domains together, docs/design.md 4.3
-CALLS_IN_FLIGHT = 256
-LIST_LIMIT = 64  # VM lists kept, one for each failure domain that is read
+PROBE_JITTER_S = 0.2  # keeps nodes from probing at the same time
+WRITES_PER_S = 200.0  # for all failure domains together, docs/design.md 4.3
+MAX_CALLS_IN_FLIGHT = 256
+MAX_VM_LISTS = 64  # cached VM lists, one for each failure domain that is read
+BUSY_RETRY_AFTER_S = 1.0
 NOT_MODIFIED = 304
 PROBE = requests.GetKey("/probe")
 
@@ -63,15 +64,17 @@
 
 
 class StoreClient(Actor):
-    """Answers the store messages of ``requests``; the chart is store_link.
+    """Executes the store messages of ``requests`` on the platform.
+
+    The chart ``store_link`` tracks whether the store is available.
 
     Args:
-        system: The node's actors.
+        system: Actor system of the node.
         transport: Connection to the platform.
-        seed: Seed of the jitter.
-        writes_per_s: Transactions that this node may send a second; the
+        seed: Seed of the random jitter of probes and watch retries.
+        writes_per_s: Transactions per second that this node may send: the
             total of 200 divided by the number of failure domains.
-        call_timeout_s: Seconds after which a call counts as unanswered.
+        call_timeout_s: Seconds to wait for the reply to a call.
     """
 
     def __init__(
@@ -87,21 +90,23 @@
             {
                 "probe": lambda _: self._probe(),
                 "schedule_probe": lambda _: self._schedule_probe(),
-                "report_available": lambda _: self._report(True),
-                "report_unavailable": lambda _: self._report(False),
+                "report_available": lambda _: self._announce_status(True),
+                "report_unavailable": lambda _: self._announce_status(False),
                 "open_watches": lambda _: self._open_watches(),
                 "close_watches": lambda _: self._close_watches(),
             },
         )
         self._transport = transport
         self._jitter = random.Random(seed)
-        self._bucket = TokenBucket(writes_per_s, writes_per_s, system.clock.seconds())
+        self._write_budget = TokenBucket(
+            writes_per_s, writes_per_s, system.clock.seconds()
+        )
         self._call_timeout_s = call_timeout_s
-        self._in_flight = 0
+        self._calls_in_flight = 0
         self._probing = False
         self._watches_by_key: dict[tuple[str, str], Watch] = {}
         self._status_subscribers: list[str] = []
-        self._lists_by_domain: dict[str, _VmList] = {}
+        self._vm_lists_by_domain: dict[str, _VmList] = {}
         super().__init__(system, requests.STORE)
 
     def handlers(self) -> dict[type, Handler]:
@@ -115,7 +120,7 @@
         return handlers
 
     def start(self) -> None:
-        """Find out whether the store answers."""
+        """Schedule the first probe of the store, without a delay."""
         self.tell(TIMERS, Subscribe(self.name, "probe", 0.0))
 
     def stop(self) -> Any:
@@ -133,9 +138,10 @@
         return await self._exchange(message, encode(message))
 
     async def _read_prefix(self, message: requests.GetPrefix) -> requests.PrefixReply:
-        """Read page by page; the revision is that of the first page.
+        """Read a prefix in pages; the revision is that of the first page.
 
-        A watch from there on repeats what changed between two pages.
+        A watch from that revision repeats the changes made between two
+        pages, so no change is missed.
         """
         pairs: list[requests.KeyValue] = []
         first_key = message.prefix
@@ -150,23 +156,28 @@
             first_key = page.pairs[-1].key + "\0"
 
     async def _list_vms(self, message: requests.ListVms) -> tuple[requests.VmInfo, ...]:
-        """Read the list, or repeat the last answer if it is unchanged."""
+        """Read the VM list, or return the cached one if it is unchanged."""
         domain = message.failure_domain
-        last = self._lists_by_domain.get(domain, _VmList("", ()))
-        reply = await self._send_call(message, encode(message)._replace(etag=last.etag))
-        if reply.status == NOT_MODIFIED and last.etag:
-            return last.vms
-        vms = self._read_reply(message, encode(message), reply)
-        if domain in self._lists_by_domain or len(self._lists_by_domain) < LIST_LIMIT:
-            self._lists_by_domain[domain] = _VmList(reply.etag, vms)
+        cached = self._vm_lists_by_domain.get(domain, _VmList("", ()))
+        reply = await self._send_call(
+            message, encode(message)._replace(etag=cached.etag)
+        )
+        if reply.status == NOT_MODIFIED and cached.etag:
+            return cached.vms
+        vms = self._decode_reply(message, encode(message), reply)
+        if (
+            domain in self._vm_lists_by_domain
+            or len(self._vm_lists_by_domain) < MAX_VM_LISTS
+        ):
+            self._vm_lists_by_domain[domain] = _VmList(reply.etag, vms)
         return vms
 
     async def _exchange(self, message: Any, call: EncodedCall) -> Any:
-        return self._read_reply(message, call, await self._send_call(message, call))
+        return self._decode_reply(message, call, await self._send_call(message, call))
 
     async def _send_call(self, message: Any, call: EncodedCall) -> TransportReply:
         if not self._available:
-            raise StoreUnavailableError("the store does not answer")
+            raise StoreUnavailableError("the store is unavailable")
         self._admit(message)
         try:
             reply = await self._send(call, self._call_timeout_s)
@@ -177,47 +188,48 @@
         return reply
 
     def _admit(self, message: Any) -> None:
-        if self._in_flight >= CALLS_IN_FLIGHT:
+        if self._calls_in_flight >= MAX_CALLS_IN_FLIGHT:
             raise OverloadedError(
-                f"{CALLS_IN_FLIGHT} calls of the store are in progress",
+                f"{MAX_CALLS_IN_FLIGHT} calls to the store are in progress",
                 code="store_busy",
-                retry_after_s=1.0,
+                retry_after_s=BUSY_RETRY_AFTER_S,
             )
-        # Lease calls are few, and refusing them would end an ownership.
+        # Lease calls are exempt: they are few, and refusing them would end the
+        # ownership of a failure domain.
         if isinstance(message, requests.Transact):
-            wait_s = self._bucket.take(self.system.clock.seconds())
+            wait_s = self._write_budget.take(self.system.clock.seconds())
             if wait_s > 0:
                 raise OverloadedError(
-                    "the budget of store writes is used up",
+                    "the rate limit of this node for store writes is exceeded",
                     code="store_busy",
                     retry_after_s=wait_s,
                 )
 
     async def _send(self, call: EncodedCall, timeout_s: float) -> TransportReply:
-        self._in_flight += 1
+        self._calls_in_flight += 1
         try:
             reply = await self._transport.call(call, timeout_s)
         except OutcomeUnknownError as error:
-            raise _unanswered(call, error.detail) from None
+            raise _unanswered_error(call, error.detail) from None
         finally:
-            self._in_flight -= 1
+            self._calls_in_flight -= 1
         if reply.status >= 500:
-            raise _unanswered(call, f"the store answered {reply.status}")
+            raise _unanswered_error(call, f"the store answered {reply.status}")
         return reply
 
-    def _read_reply(
+    def _decode_reply(
         self, message: Any, call: EncodedCall, reply: TransportReply
     ) -> Any:
         error = decode_error(reply.status, reply.body)
         if error is not None:
-            lapsed = isinstance(message, requests.RevokeLease)
-            if lapsed and isinstance(error, NotFoundError):
+            revoking = isinstance(message, requests.RevokeLease)
+            if revoking and isinstance(error, NotFoundError):
                 return None
             raise error
         try:
             return decode(message, reply.body)
-        except ValueError as malformed:
-            raise _unanswered(call, str(malformed)) from None
+        except ValueError as decode_failure:
+            raise _unanswered_error(call, str(decode_failure)) from None
 
     def _timer_fired(self, fired: TimerFired) -> None:
         if fired.timer == "probe":
@@ -246,7 +258,7 @@
         delay_s = PROBE_INTERVAL_S + self._jitter.uniform(0.0, PROBE_JITTER_S)
         self.tell(TIMERS, Subscribe(self.name, "probe", delay_s))
 
-    def _report(self, available: bool) -> None:
+    def _announce_status(self, available: bool) -> None:
         _logger.info("store status changed", extra={"available": available})
         for subscriber in self._status_subscribers:
             self._tell_status(subscriber, available)
@@ -255,7 +267,10 @@
         try:
             self.tell(subscriber, requests.StoreStatus(available))
         except MailboxFullError:
-            _logger.warning("store status refused", extra={"actor": subscriber})
+            _logger.warning(
+                "store status not delivered: mailbox is full",
+                extra={"actor": subscriber},
+            )
 
     def _open_watches(self) -> None:
         for watch in list(self._watches_by_key.values()):
@@ -273,25 +288,25 @@
 
     def _watch(self, request: requests.WatchPrefix) -> None:
         key = (request.subscriber, request.prefix)
-        old = self._watches_by_key.pop(key, None)
-        if old is not None:
-            old.close()
+        replaced = self._watches_by_key.pop(key, None)
+        if replaced is not None:
+            replaced.close()
         watch = Watch(
             request,
             self._transport,
             tell=lambda message: self.tell(request.subscriber, message),
-            retry=lambda delay_s: self.tell(
+            schedule_open=lambda delay_s: self.tell(
                 TIMERS, Subscribe(self.name, _timer_name(key), delay_s)
             ),
-            ended=lambda: self._forget(key, watch),
-            failed=lambda: self._chart.step("call_failed"),
+            on_ended=lambda: self._remove_watch(key, watch),
+            on_failure=lambda: self._chart.step("call_failed"),
             jitter=self._jitter,
         )
         self._watches_by_key[key] = watch
         if self._available:
             watch.open()
 
-    def _forget(self, key: tuple[str, str], watch: Watch) -> None:
+    def _remove_watch(self, key: tuple[str, str], watch: Watch) -> None:
         if self._watches_by_key.get(key) is watch:
             del self._watches_by_key[key]
 
@@ -301,7 +316,7 @@
     return f"watch {subscriber} {prefix}"
 
 
-def _unanswered(
+def _unanswered_error(
     call: EncodedCall, detail: str
 ) -> StoreUnavailableError | OutcomeUnknownError:
     if call.writes:
--- a/src/redwingrudder/timers.py
+++ b/src/redwingrudder/timers.py
@@ -1,7 +1,7 @@
-"""Timer service: the one source of periodic and delayed events.
+"""Timer service: the source of all periodic and delayed events.
 
-Actors subscribe with ``Subscribe`` and receive ``TimerFired``. There is no
-polling: the service keeps one delayed call of the reactor per subscription.
+Actors subscribe with ``Subscribe`` and receive ``TimerFired``. The service
+does not poll: it keeps one delayed call of the reactor per subscription.
 """
 
 from typing import NamedTuple
@@ -10,10 +10,11 @@
 from .exceptions import MailboxFullError, NotFoundError
 
 TIMERS = "timers"
+FULL_MAILBOX_RETRY_S = 1.0
 
 
 class Subscribe(NamedTuple):
-    """Ask for ``TimerFired``; replaces a subscription of the same name.
+    """Request ``TimerFired``; replaces the subscriber's timer of that name.
 
     Args:
         subscriber: Name of the actor that receives the event.
@@ -29,21 +30,21 @@
 
 
 class Unsubscribe(NamedTuple):
-    """End a subscription; unknown names are ignored."""
+    """End a subscription; ignored if there is none of that name."""
 
     subscriber: str
     timer: str
 
 
 class TimerFired(NamedTuple):
-    """Sent to the subscriber; ``now`` is the time of the service's clock."""
+    """Sent to the subscriber; ``now`` is the reactor's time in seconds."""
 
     timer: str
     now: float
 
 
 class TimerService(Actor):
-    """Sends ``TimerFired`` to its subscribers."""
+    """Actor that sends ``TimerFired`` to its subscribers."""
 
     def __init__(self, system: ActorSystem) -> None:
         self._calls_by_key: dict[tuple[str, str], object] = {}
@@ -83,8 +84,8 @@
         try:
             self.tell(request.subscriber, fired)
         except MailboxFullError:
-            # A periodic subscriber that is behind gets the next event.
+            # A periodic timer skips this event; a single event is sent later.
             if request.interval_s == 0:
-                self._schedule(request, 1.0)
+                self._schedule(request, FULL_MAILBOX_RETRY_S)
         except NotFoundError:
             self._cancel((request.subscriber, request.timer))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Fakes that several tests share."""
+"""Fake actors and helpers that several test modules share."""
 
 from twisted.python.failure import Failure
 
@@ -18,7 +18,7 @@
 
 
 class FakeStore(Actor):
-    """The store actor without sockets; nodes may share one ``core``.
+    """The store actor, kept in memory; several nodes may share one ``core``.
 
     Call ``set_available`` to begin and end an outage.
 
@@ -53,14 +53,21 @@
             requests.GetKey: self._get,
             requests.GetPrefix: self._get_prefix,
             requests.Transact: self._transact,
-            requests.GrantLease: lambda m: self.core.grant_lease(m.ttl_s, self.now()),
-            requests.KeepLeaseAlive: lambda m: self.core.keep_alive(
-                m.lease_id, self.now()
+            requests.GrantLease: lambda message: self.core.grant_lease(
+                message.ttl_s, self.now()
+            ),
+            requests.KeepLeaseAlive: lambda message: self.core.keep_alive(
+                message.lease_id, self.now()
+            ),
+            requests.RevokeLease: lambda message: self.core.revoke_lease(
+                message.lease_id
             ),
-            requests.RevokeLease: lambda m: self.core.revoke_lease(m.lease_id),
             requests.ListVms: self._list_vms,
         }
-        handlers = {kind: self._calling(method) for kind, method in methods.items()}
+        handlers = {
+            message_type: self._with_faults(method)
+            for message_type, method in methods.items()
+        }
         handlers[requests.WatchPrefix] = self._watch
         handlers[requests.SubscribeStoreStatus] = self._subscribe
         return handlers
@@ -75,12 +82,12 @@
         self.deliver_watches()
 
     def put(self, key, value):
-        """Write one key past the faults, as another node would."""
+        """Write one key like another node would, unaffected by faults."""
         put = Put(key.encode(), value.encode())
         self.core.transact((), (put,), self.now())
 
     def value(self, key):
-        """Return the value of one key, or None."""
+        """Return the current value of one key, or None."""
         self.core.expire(self.now())
         records = self.core.range(key.encode())
         return records[0].value.decode() if records else None
@@ -91,20 +98,20 @@
             for watch in list(self._watches.values()):
                 self._open(watch)
 
-    def _calling(self, method):
+    def _with_faults(self, method):
         def handle(message):
             if not self.available:
-                raise StoreUnavailableError("outage")
+                raise StoreUnavailableError("the store is in an outage")
             self.calls.append(message)
             if self.requests_to_lose and isinstance(message, self.lossy_types):
                 self.requests_to_lose -= 1
-                raise OutcomeUnknownError("request lost")
+                raise OutcomeUnknownError("the request was lost")
             self.core.expire(self.now())
             reply = method(message)
             self._schedule_expiry()
             if self.lost_replies and isinstance(message, self.lossy_types):
                 self.lost_replies -= 1
-                raise OutcomeUnknownError("reply lost")
+                raise OutcomeUnknownError("the reply was lost")
             return reply
 
         return handle
@@ -130,13 +137,14 @@
 
     def _transact(self, message):
         compares = tuple(
-            ModCompare(c.key.encode(), c.mod_revision) for c in message.compares
+            ModCompare(compare.key.encode(), compare.mod_revision)
+            for compare in message.compares
         )
         operations = tuple(
-            Put(o.key.encode(), o.value.encode(), o.lease_id)
-            if isinstance(o, requests.PutKey)
-            else Delete(o.key.encode())
-            for o in message.operations
+            Put(operation.key.encode(), operation.value.encode(), operation.lease_id)
+            if isinstance(operation, requests.PutKey)
+            else Delete(operation.key.encode())
+            for operation in message.operations
         )
         succeeded = self.core.transact(compares, operations, self.now())
         return requests.TransactReply(succeeded, self.core.revision)
@@ -155,7 +163,10 @@
             self._open(message)
 
     def _open(self, watch):
-        """Deliver from the history, then live, but nothing in an outage."""
+        """Deliver past changes, then new ones; drop those in an outage.
+
+        After the outage the watch resumes at the last delivered revision.
+        """
         key = (watch.subscriber, watch.prefix)
         prefix = watch.prefix.encode()
 
@@ -180,19 +191,24 @@
 
 
 class Recorder(Actor):
-    """Keeps all messages of the given types in ``messages``."""
+    """Records all messages of the given types in ``messages``."""
 
-    def __init__(self, system, name, *kinds):
-        self.kinds = kinds
+    def __init__(self, system, name, *message_types):
+        self.message_types = message_types
         self.messages = []
         super().__init__(system, name)
 
     def handlers(self):
-        return {kind: self.messages.append for kind in self.kinds}
+        return {
+            message_type: self.messages.append for message_type in self.message_types
+        }
 
 
 def ask(system, address, message, advance_s=0.0):
-    """Ask an actor under a Clock; returns the reply or raises its error."""
+    """Ask an actor driven by a Clock; return the reply or raise its error.
+
+    ``advance_s`` seconds pass before the reply is required.
+    """
     outcomes = []
     system.ask(address, message).addBoth(outcomes.append)
     settle(system)
@@ -207,7 +223,7 @@
 
 
 def settle(system, turns=30):
-    """Let the actors handle everything that is due now."""
+    """Let the actors handle all due messages without advancing the time."""
     for _ in range(turns):
         system.clock.advance(0)
 
@@ -231,7 +247,7 @@
 
 
 def list_vm(info, state="live"):
-    """Return the VM list's entry of a worker."""
+    """Return the entry of a worker in the platform's VM list."""
     return requests.VmInfo(
         info.worker_id,
         "worker",
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,24 +1,32 @@
-"""An actor for tests that answers from a script."""
+"""A test actor that replies from a script."""
 
 from redwingrudder.actors import Actor
 
 
 class Scripted(Actor):
-    """Keeps what it receives; answers from its script, then the default."""
+    """Records its messages and replies to each with the next scripted reply.
 
-    def __init__(self, system, name, kinds, default=None):
-        self.kinds = kinds
+    Exceptions in the script are raised.
+
+    Attributes:
+        script: Replies to the next messages, in order.
+        default: Reply when the script is empty.
+        received: Messages received so far.
+    """
+
+    def __init__(self, system, name, message_types, default=None):
+        self.message_types = message_types
         self.default = default
         self.script = []
         self.received = []
         super().__init__(system, name)
 
     def handlers(self):
-        return dict.fromkeys(self.kinds, self._handle)
+        return dict.fromkeys(self.message_types, self._handle)
 
     def _handle(self, message):
         self.received.append(message)
-        answer = self.script.pop(0) if self.script else self.default
-        if isinstance(answer, Exception):
-            raise answer
-        return answer
+        reply = self.script.pop(0) if self.script else self.default
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -19,10 +19,14 @@
 
 
 class Add(NamedTuple):
+    """Ask -> the new total."""
+
     amount: int
 
 
 class Counter(Actor):
+    """Adds amounts, fails on negative ones; records its timers."""
+
     def __init__(self, system):
         self.total = 0
         self.fired = []
@@ -33,7 +37,7 @@
 
     async def add(self, message):
         if message.amount < 0:
-            raise ValueError("negative")
+            raise ValueError(f"amount {message.amount} is negative")
         self.total += message.amount
         return self.total
 
@@ -51,16 +55,19 @@
         return outcomes[0]
 
     def test_ask_returns_the_reply_in_order(self):
+        """Guards against a reply that is sent for another message."""
         self.assertEqual(self.ask(Add(2)), 2)
         self.assertEqual(self.ask(Add(3)), 5)
 
     def test_errors_reach_the_asker_and_the_actor_goes_on(self):
+        """Guards against an actor that stops after a failed handler."""
         self.assertIsNotNone(self.ask(Add(-1)).check(ValueError))
         self.assertIsNotNone(self.ask("text").check(NotFoundError))
         self.assertIsNotNone(self.ask(Add(1), "nobody").check(NotFoundError))
         self.assertEqual(self.ask(Add(1)), 1)
 
     def test_full_mailbox_refuses_and_loses_nothing_accepted(self):
+        """Guards against an unbounded mailbox and lost messages."""
         with mock.patch.object(actors, "MAILBOX_LIMIT", 3):
             for _ in range(3):
                 self.system.tell("counter", Add(1))
@@ -70,6 +77,7 @@
         self.assertEqual(self.counter.total, 3)
 
     def test_timers_repeat_until_unsubscribed(self):
+        """Guards against timers that drift or fire after their end."""
         TimerService(self.system)
         self.system.tell(TIMERS, Subscribe("counter", "beat", 1.0, 2.0))
         self.system.tell(TIMERS, Subscribe("counter", "once", 2.0))
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -1,4 +1,4 @@
-"""Tests of what the adapter reads and writes on the users' platform."""
+"""Tests of the codecs for settings, registry, submissions and workers."""
 
 import json
 import pathlib
@@ -17,14 +17,14 @@
 from redwingrudder.platform.registry import PlatformConfiguration, PlatformRegistry
 from redwingrudder.platform.settings import load_settings
 from redwingrudder.platform.workers import (
-    _command,
-    _report,
+    _decode_command_reply,
+    _decode_report,
     parse_task_name,
     task_name,
 )
 from redwingrudder.workflows.model import EndKind, QueuePolicy, Resources, TaskKey
 
-ID = "5c0e7a21d94b36f8"
+WORKFLOW_ID = "5c0e7a21d94b36f8"
 QUEUE = Queue("r-1", "h.example", "/a/", False, 3.0, QueuePolicy("pool"))
 ENTRY = {
     "service": "pool",
@@ -61,18 +61,18 @@
             return load_settings(str(path))
 
     def test_reads_bounds_in_seconds(self):
-        """Guards against a lease in the wrong unit."""
+        """Guards against a lease time that is read in the wrong unit."""
         settings = self.load(SETTINGS)
         self.assertEqual(settings.longest_lease_s, 6.0)
         self.assertEqual(settings.front, ("10.0.0.1", 80))
         self.assertEqual(settings.advice_address, "")
 
     def test_unknown_fields_are_ignored(self):
-        """Guards against a start that fails for a field added later."""
+        """Guards against a start that fails on a new field of the settings."""
         self.load('later = "x"\n' + SETTINGS)
 
     def test_missing_field_is_named_with_the_file(self):
-        """Guards against a traceback in place of a coded error."""
+        """Guards against a traceback instead of an error with a code."""
         with self.assertRaises(SettingsError) as caught:
             self.load(SETTINGS.replace("maxHoldMs = 6000", ""))
         self.assertIn("boot.toml", caught.exception.detail)
@@ -85,15 +85,15 @@
         return PlatformRegistry().decode("servers/w1", document)
 
     def test_reads_an_entry(self):
-        """Guards against a rack or a life that is read wrongly."""
+        """Guards against a wrong rack or process start time of a worker."""
         facts = self.decode()
         self.assertEqual(
             (facts.worker_id, facts.rack, facts.process_started_ms), ("w1", "r1-3", 5)
         )
         self.assertEqual(facts.capacity, Resources(16000, 32768, 8))
 
-    def test_entries_of_other_writers_name_no_worker(self):
-        """Guards against one bad entry that hides the others."""
+    def test_invalid_entries_yield_no_worker(self):
+        """Guards against an invalid entry that stops reading of the others."""
         for changes in (
             {"state": "odd"},
             {"service": 7},
@@ -107,7 +107,7 @@
 
 class ConfigurationTests(unittest.TestCase):
     def test_reads_guarantees_and_keys(self):
-        """Guards against urgent work without its guarantee."""
+        """Guards against organisations that lose their guarantee or keys."""
         route = {
             "name": "r",
             "host": "h",
@@ -132,19 +132,19 @@
         self.assertEqual((policy.priority, policy.latency_s), (0, 0.25))
         self.assertIsNone(read.find_queue("h", "/b/"))
 
-    def test_unusable_document_is_a_coded_error(self):
-        """Guards against a node that stops for one bad document."""
+    def test_invalid_document_is_a_coded_error(self):
+        """Guards against a node that fails on an invalid document."""
         for document in ("{", "[]", '{"routes": [{}], "version": 1}'):
             with self.assertRaises(InvalidConfigurationError):
                 PlatformConfiguration().decode(document)
 
 
 class SubmissionTests(unittest.TestCase):
-    def decode(self, body, workflow_id=ID):
+    def decode(self, body, workflow_id=WORKFLOW_ID):
         return decode_submission(workflow_id, json.dumps(body).encode(), QUEUE, "org")
 
     def test_reads_steps(self):
-        """Guards against a step that loses what it asked for."""
+        """Guards against fields of a step that are lost in decoding."""
         step = {
             "count": 4,
             "cpu": 500,
@@ -165,7 +165,7 @@
         self.assertEqual(read.occurrences, 1)
 
     def test_reads_times_in_seconds(self):
-        """Guards against occurrences that are due a thousand times late."""
+        """Guards against milliseconds that are taken for seconds."""
         body = {
             "spec": "s",
             "steps": [{"count": 1}],
@@ -179,7 +179,7 @@
         )
 
     def test_bad_bodies_are_coded_errors(self):
-        """Guards against 500 for what a client sends wrongly."""
+        """Guards against status 500 for an invalid request of a client."""
         for body in (
             {},
             {"steps": []},
@@ -195,42 +195,42 @@
 
 
 class WorkerTests(unittest.TestCase):
-    def test_task_names_go_both_ways(self):
-        """Guards against a report that names another task."""
-        key = TaskKey(ID, 0, 1, 17)
-        self.assertEqual(task_name(key), f"{ID}.0.1.17")
+    def test_task_names_are_encoded_and_decoded(self):
+        """Guards against a report that is attributed to another task."""
+        key = TaskKey(WORKFLOW_ID, 0, 1, 17)
+        self.assertEqual(task_name(key), f"{WORKFLOW_ID}.0.1.17")
         self.assertEqual(parse_task_name(task_name(key)), key)
 
-    def test_reads_lists_of_runs(self):
-        """Guards against ends or checkpoints that are lost in reading."""
-        report = _report(
+    def test_reads_reports_of_runs(self):
+        """Guards against ends or checkpoints that are lost in decoding."""
+        report = _decode_report(
             {
                 "clockMs": 9,
                 "born": 4,
-                "running": [[f"{ID}.0.0.1", 2, "cp", 41, 7]],
-                "ended": [[58, f"{ID}.0.0.2", 1, "broken", ""]],
+                "running": [[f"{WORKFLOW_ID}.0.0.1", 2, "cp", 41, 7]],
+                "ended": [[58, f"{WORKFLOW_ID}.0.0.2", 1, "broken", ""]],
             }
         )
         run = report.running[0]
         self.assertEqual((run.run, run.checkpoint, run.percent), (2, "cp", 41.0))
         self.assertEqual(report.ended[0].kind, EndKind.BROKEN)
 
-    def test_unreadable_list_is_no_answer(self):
-        """Guards against runs that seem gone as their list is unreadable."""
+    def test_malformed_report_is_unavailable(self):
+        """Guards against runs that count as gone after a malformed report."""
         for body in (
             {},
             {"clockMs": 1, "running": [["x"]]},
-            {"clockMs": 1, "ended": [[1, f"{ID}.0.0.2", 1, "odd", ""]]},
+            {"clockMs": 1, "ended": [[1, f"{WORKFLOW_ID}.0.0.2", 1, "odd", ""]]},
         ):
             with self.assertRaises(UnavailableError):
-                _report(body)
+                _decode_report(body)
 
-    def test_rejections_have_reasons(self):
-        """Guards against a fenced coordinator that goes on."""
-        reply = _command(JsonReply(409, {"clockMs": 3, "reason": "fence"}))
+    def test_rejections_are_mapped_to_reasons(self):
+        """Guards against a fenced coordinator that keeps sending commands."""
+        reply = _decode_command_reply(JsonReply(409, {"clockMs": 3, "reason": "fence"}))
         self.assertEqual((reply.accepted, reply.reason), (False, "fenced"))
-        self.assertEqual(_command(JsonReply(421, {})).reason, "other_life")
-        self.assertEqual(_command(JsonReply(503, {})).reason, "unhealthy")
+        self.assertEqual(_decode_command_reply(JsonReply(421, {})).reason, "other_life")
+        self.assertEqual(_decode_command_reply(JsonReply(503, {})).reason, "unhealthy")
 
 
 if __name__ == "__main__":
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -1,4 +1,4 @@
-"""Tests of the answers to the platform's clients."""
+"""Tests of the HTTP front end of the platform."""
 
 import unittest
 
@@ -14,7 +14,7 @@
 
 
 class FakeRequest(DummyRequest):
-    """Keeps the answer; has what the front end reads of a request."""
+    """A request with the data that the front end reads; keeps the answer."""
 
     path = b"/queue/job"
 
@@ -31,7 +31,11 @@
 
 class ConnectionTests(unittest.TestCase):
     def test_unavailable_node_closes_the_connection(self):
-        """Guards against a caller that retries at a node that is cut off."""
+        """Guards against a client that keeps using an unavailable node.
+
+        The client would retry on its persistent connection if the answer
+        503 did not close it.
+        """
         clock = Clock()
         system = ActorSystem(clock)
         Recording(system, METRICS, {Counted: None, Observed: None})
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -1,4 +1,4 @@
-"""Tests of what the adapter says of machines and waves."""
+"""Tests of the machine service's client and of the wave codec."""
 
 import unittest
 
@@ -14,7 +14,7 @@
 
 
 class FakeClient:
-    """Answers with what it was given, in order."""
+    """Returns the given replies in order and records the calls."""
 
     def __init__(self, *replies):
         self.replies = list(replies)
@@ -25,21 +25,23 @@
         return self.replies.pop(0)
 
 
-def row(name, state="up"):
+def machine_row(name, state="up"):
     return {"machine": name, "pool": "p", "state": state, "id": f"i-{name}"}
 
 
 class MachinesTests(unittest.TestCase):
     def order(self, status, body):
         client = FakeClient(JsonReply(status, body))
-        work = PlatformMachines(client).begin_upkeep("m1", 7, "n1", 3)
-        return outcome(ensureDeferred(work)), client
+        call = PlatformMachines(client).begin_upkeep("m1", 7, "n1", 3)
+        return outcome(ensureDeferred(call)), client
 
     def test_all_pages_are_read(self):
-        """Guards against machines of a later page that count as gone."""
+        """Guards against machines of a later page that are not listed."""
         client = FakeClient(
-            JsonReply(200, {"machines": [row("m1")], "nextPageToken": "x"}),
-            JsonReply(200, {"machines": [row("m2", "upkeep")], "nextPageToken": None}),
+            JsonReply(200, {"machines": [machine_row("m1")], "nextPageToken": "x"}),
+            JsonReply(
+                200, {"machines": [machine_row("m2", "upkeep")], "nextPageToken": None}
+            ),
         )
         listed = outcome(ensureDeferred(PlatformMachines(client).list_machines()))
         self.assertEqual(
@@ -52,14 +54,14 @@
         self.assertIn("pageToken=x", client.calls[1][1])
 
     def test_order_carries_holder_and_fence(self):
-        """Guards against an order that a newer coordinator cannot fence."""
+        """Guards against an order of an old coordinator that is not fenced."""
         reply, client = self.order(200, {})
         self.assertIs(reply, MachineReply.ACCEPTED)
         headers = client.calls[0][3]
         self.assertEqual(headers, {"X-Lease-Holder": "n1", "X-Fencing-Token": "3"})
 
-    def test_refusals_keep_their_meaning(self):
-        """Guards against an upkeep that is repeated in vain, or given up."""
+    def test_rejections_are_mapped_to_replies(self):
+        """Guards against orders that are repeated or dropped by mistake."""
         expected = {
             "fence": MachineReply.FENCED,
             "busy": MachineReply.REJECTED,
@@ -71,12 +73,12 @@
         self.assertIs(self.order(400, {})[0], MachineReply.GONE)
 
     def test_failures_are_coded(self):
-        """Guards against a failure of the service that counts as an answer."""
+        """Guards against a failure of the service that counts as a reply."""
         self.assertIsInstance(self.order(429, {})[0], OverloadedError)
         self.assertIsInstance(self.order(503, {})[0], UnavailableError)
 
-    def test_wave_of_another_writer(self):
-        """Guards against a document that names no wave."""
+    def test_invalid_documents_yield_no_wave(self):
+        """Guards against an exception for a document that is not a wave."""
         self.assertIsNone(PlatformWaves().decode("op/wave/1", '{"wave": 1}'))
         self.assertFalse(PlatformWaves().is_done("[]"))
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,4 +1,4 @@
-"""Tests of the adapter's store calls."""
+"""Tests of the client of the platform's metadata store."""
 
 import base64
 import unittest
@@ -18,7 +18,7 @@
 
 
 class FakeClient:
-    """Answers all calls and keeps their time limits."""
+    """Answers all calls and records their timeouts."""
 
     def __init__(self):
         self.timeouts = []
@@ -33,8 +33,8 @@
         pass
 
 
-class TimeLimitTests(unittest.TestCase):
-    def timeouts(self, link_bps):
+class TimeoutTests(unittest.TestCase):
+    def read_timeouts(self, link_bps):
         clock = Clock()
         system = ActorSystem(clock)
         Recording(system, METRICS, {Counted: None, Measured: None})
@@ -46,15 +46,15 @@
             outcome(reply)
         return client.timeouts
 
-    def test_narrow_link_is_given_time_for_a_page(self):
-        """Guards against a takeover that times out before a page is here."""
-        key_s, page_s = self.timeouts(10e6)
+    def test_slow_link_extends_the_timeout_of_a_page(self):
+        """Guards against a takeover that fails while a page is transferred."""
+        key_s, page_s = self.read_timeouts(10e6)
         self.assertEqual(key_s, TIMEOUT_S)
         self.assertGreater(page_s, 3.0)
 
-    def test_wide_link_waits_little(self):
-        """Guards against a silent store that holds a takeover up."""
-        self.assertLess(self.timeouts(1e9)[1], 2 * TIMEOUT_S)
+    def test_fast_link_keeps_the_timeout_short(self):
+        """Guards against a takeover delayed by a store that does not reply."""
+        self.assertLess(self.read_timeouts(1e9)[1], 2 * TIMEOUT_S)
 
 
 if __name__ == "__main__":
--- a/tests/test_statecharts.py
+++ b/tests/test_statecharts.py
@@ -1,4 +1,4 @@
-"""Tests of chart loading and interpretation."""
+"""Tests of parsing and stepping state charts."""
 
 import unittest
 
@@ -23,16 +23,18 @@
         return parse_chart(text, "light.scxml", events, actions)
 
     def test_step_returns_target_and_actions(self):
+        """Guards against a transition without target that leaves its state."""
         chart = self.parse()
         self.assertEqual(chart.step("off", "press"), ("on", ("glow",)))
         self.assertEqual(chart.step("on", "hold"), ("on", ()))
 
     def test_unlisted_event_is_an_error(self):
+        """Guards against events that are ignored silently."""
         with self.assertRaises(UnexpectedEventError):
             self.parse().step("off", "hold")
 
     def test_errors_name_file_and_line(self):
-        """A misspelt name in a chart must not load as a dead transition."""
+        """Guards against misspelt names, which would disable a transition."""
         cases = {
             'event="hold"': ('event="hodl"', "light.scxml:7: unknown event 'hodl'"),
             'target="off"': ('target="of"', "light.scxml:6: unknown state 'of'"),
@@ -46,5 +48,8 @@
             self.assertIn(expected, str(caught.exception))
 
     def test_event_of_the_code_that_the_file_lacks(self):
-        with self.assertRaisesRegex(ChartError, "'blink' of the code is missing"):
+        """Guards against an event of the code that no state handles."""
+        with self.assertRaisesRegex(
+            ChartError, "'blink' is expected by the code but does not occur"
+        ):
             self.parse(events=EVENTS | {"blink"})
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,4 @@
-"""Tests of the store client: lost replies, outages, watches and budgets."""
+"""Tests of the store client: lost replies, outages, watches, rate limit."""
 
 import json
 import unittest
@@ -62,7 +62,12 @@
 
 
 class ServiceTransport(StoreTransport):
-    """Calls a PlatformService without sockets; ``calls`` counts all calls."""
+    """Calls a PlatformService without sockets.
+
+    Attributes:
+        calls: Paths of all requests.
+        replies: Replies of the service, also those that are dropped.
+    """
 
     def __init__(self, clock, service):
         self.clock = clock
@@ -78,15 +83,15 @@
         self.replies.append(reply)
         if reply.delay_s > timeout_s or reply.dropped:
             await self.sleep(min(timeout_s, reply.delay_s))
-            raise OutcomeUnknownError("no answer")
+            raise OutcomeUnknownError("the service did not reply in time")
         await self.sleep(reply.delay_s)
         body = json.dumps(reply.body).encode()
         return TransportReply(reply.status, body, reply.etag)
 
     def sleep(self, delay_s):
-        done = Deferred()
-        self.clock.callLater(delay_s, done.callback, None)
-        return done
+        elapsed = Deferred()
+        self.clock.callLater(delay_s, elapsed.callback, None)
+        return elapsed
 
     def open_stream(self, request, on_line, on_end):
         self.calls.append(request.path)
@@ -97,6 +102,8 @@
 
 
 class ServiceStream(OpenStream):
+    """Watch stream of a PlatformService without sockets."""
+
     def __init__(self, transport, request, on_line, on_end):
         self.service = transport.service
         self.closed = False
@@ -137,13 +144,13 @@
         self.transport = ServiceTransport(self.clock, self.service)
         TimerService(self.system)
         self.store = StoreClient(self.system, self.transport, writes_per_s=50)
-        self.seen = Recorder(
+        self.received = Recorder(
             self.system, "seen", WatchChanged, WatchReset, StoreStatus
         ).messages
         self.system.start()
         settle(self.system)
 
-    def faults(self, **faults):
+    def set_faults(self, **faults):
         self.service.set_faults(json.dumps(faults).encode())
 
     def ask(self, message):
@@ -152,12 +159,13 @@
     def put(self, key, value="v"):
         return self.ask(Transact((), (PutKey(key, value),)))
 
-    def fails(self, message, error, wait_s=0.0):
-        with self.assertRaises(error) as raised:
+    def assert_fails(self, message, error_class, wait_s=0.0):
+        with self.assertRaises(error_class) as raised:
             ask(self.system, STORE, message, wait_s)
         return raised.exception
 
     def test_transactions_leases_and_lists_pass_through(self):
+        """Guards against replies or errors that are decoded wrongly."""
         lease = self.ask(GrantLease(3))
         create = Transact((Compare("/a/ü", 0),), (PutKey("/a/ü", "é", lease),))
         self.assertEqual(self.ask(create), TransactReply(True, 2))
@@ -169,11 +177,12 @@
         self.assertEqual(self.ask(KeepLeaseAlive(lease)), 0)
         self.assertIsNone(self.ask(GetKey("/a/ü")))
         self.assertEqual(self.ask(ListVms("")), ())
-        bad = Transact((), (PutKey("/b", "x" * 1_000_001),))
-        self.fails(bad, PayloadTooLargeError)
-        self.fails(Transact((), (PutKey("/b", "x", 5),)), NotFoundError)
+        too_large = Transact((), (PutKey("/b", "x" * 1_000_001),))
+        self.assert_fails(too_large, PayloadTooLargeError)
+        self.assert_fails(Transact((), (PutKey("/b", "x", 5),)), NotFoundError)
 
     def test_a_prefix_is_read_in_pages(self):
+        """Guards against keys that are lost between two pages."""
         puts = tuple(Put(b"/p/%03d" % n, b"v") for n in range(450))
         self.service.core.transact((), puts, 0.0)
         reply = self.ask(GetPrefix("/p/"))
@@ -183,6 +192,7 @@
         self.assertEqual(self.transport.calls.count("/v3/kv/range"), 4)
 
     def test_an_unchanged_vm_list_is_not_sent_again(self):
+        """Guards against a cached VM list that outlives a change."""
         change = {"register": [VM], "lag_s": 0.0}
         self.service.change_vms(json.dumps(change).encode())
         first = self.ask(ListVms("north"))
@@ -192,45 +202,49 @@
         self.assertEqual(self.ask(ListVms("north"))[0].state, "leaving")
 
     def test_lost_reply_of_a_write_is_unknown_and_of_a_read_unavailable(self):
-        self.faults(lost_replies=1)
-        self.fails(Transact((), (PutKey("/a", "1"),)), OutcomeUnknownError)
+        """Guards against a write that is repeated though it took effect."""
+        self.set_faults(lost_replies=1)
+        self.assert_fails(Transact((), (PutKey("/a", "1"),)), OutcomeUnknownError)
         self.assertEqual(self.ask(GetKey("/a")).value, "1")
-        self.faults(slow_s=9.0)
-        self.fails(GetKey("/a"), StoreUnavailableError, wait_s=2.0)
+        self.set_faults(slow_s=9.0)
+        self.assert_fails(GetKey("/a"), StoreUnavailableError, wait_s=2.0)
 
     def test_outage_stops_all_calls_but_one_probe_a_second(self):
+        """Guards against nodes that flood the store during an outage."""
         self.system.tell(STORE, SubscribeStoreStatus("seen"))
-        self.faults(outage=True)
-        self.fails(GetKey("/a"), StoreUnavailableError)
+        self.set_faults(outage=True)
+        self.assert_fails(GetKey("/a"), StoreUnavailableError)
         advance(self.system, 0.5)
         self.transport.calls.clear()
         for _ in range(100):
-            self.fails(Transact((), (PutKey("/a", "1"),)), StoreUnavailableError)
+            self.assert_fails(Transact((), (PutKey("/a", "1"),)), StoreUnavailableError)
         advance(self.system, 10.0)
         self.assertIn(len(self.transport.calls), range(8, 11))
-        self.faults(outage=False)
+        self.set_faults(outage=False)
         advance(self.system, 1.5)
         self.put("/a")
-        status = [m.available for m in self.seen]
+        status = [message.available for message in self.received]
         self.assertEqual(status, [True, False, True])
 
     def test_a_start_in_an_outage_reports_the_store_once_it_returns(self):
-        self.faults(outage=True)
+        """Guards against a client that stays unavailable after its start."""
+        self.set_faults(outage=True)
         system = ActorSystem(self.clock)
         TimerService(system)
         StoreClient(system, ServiceTransport(self.clock, self.service))
-        seen = Recorder(system, "seen", StoreStatus).messages
+        received = Recorder(system, "seen", StoreStatus).messages
         system.start()
         system.tell(STORE, SubscribeStoreStatus("seen"))
         advance(system, 3.0)
-        self.faults(outage=False)
+        self.set_faults(outage=False)
         advance(system, 1.5)
-        self.assertEqual(seen, [StoreStatus(False), StoreStatus(True)])
+        self.assertEqual(received, [StoreStatus(False), StoreStatus(True)])
 
-    def test_writes_beyond_the_budget_are_refused_and_leases_are_not(self):
+    def test_writes_beyond_the_rate_limit_are_refused_and_leases_are_not(self):
+        """Guards against a lease that lapses due to the rate limit."""
         for number in range(50):
             self.put(f"/a/{number}")
-        error = self.fails(Transact((), (PutKey("/a", "1"),)), OverloadedError)
+        error = self.assert_fails(Transact((), (PutKey("/a", "1"),)), OverloadedError)
         self.assertEqual(error.code, "store_busy")
         self.assertAlmostEqual(error.retry_after_s, 0.02)
         self.ask(GrantLease(3))
@@ -238,45 +252,48 @@
         self.put("/a")
 
     def test_watch_resumes_after_an_outage_without_loss_or_repeats(self):
+        """Guards against changes during an outage that are not delivered."""
         self.system.tell(STORE, WatchPrefix("seen", "/w/", 1))
         self.put("/w/1")
         self.put("/other")
-        self.faults(outage=True)
+        self.set_faults(outage=True)
         for key in (b"/w/2", b"/w/3"):
             self.service.core.transact((), (Put(key, b"v"),), 0.0)
         advance(self.system, 5.0)
-        self.faults(outage=False)
+        self.set_faults(outage=False)
         advance(self.system, 3.0)
         self.put("/w/4")
         settle(self.system)
-        keys = [change.key for m in self.seen for change in m.changes]
+        keys = [change.key for message in self.received for change in message.changes]
         self.assertEqual(keys, ["/w/1", "/w/2", "/w/3", "/w/4"])
         self.assertEqual(self.service.open_watches(), 1)
 
     def test_watch_after_compaction_is_reset_once(self):
+        """Guards against a watch that retries a compacted revision."""
         self.put("/w/1")
         self.service.core.compact(2)
         self.system.tell(STORE, WatchPrefix("seen", "/w/", 1))
         advance(self.system, 5.0)
-        self.assertEqual(self.seen, [WatchReset("/w/")])
+        self.assertEqual(self.received, [WatchReset("/w/")])
 
     def test_broken_watches_back_off(self):
+        """Guards against retries of a failing watch without a delay."""
         self.system.tell(STORE, WatchPrefix("seen", "/w/", 1))
         settle(self.system)
-        opened = PlatformService.open_watch
-        self.addCleanup(setattr, PlatformService, "open_watch", opened)
+        original = PlatformService.open_watch
+        self.addCleanup(setattr, PlatformService, "open_watch", original)
         PlatformService.open_watch = lambda *_: Reply(500, {})
         for watch in list(self.service._watches_by_id.values()):
             watch.stream.close()
         self.transport.calls.clear()
         advance(self.system, 30.0)
-        calls = self.transport.calls.count("/v3/watch")
-        self.assertIn(calls, range(15, 35))
-        self.assertLessEqual(_store_watch.BACKOFF_LIMIT_S, 5.0)
+        attempts = self.transport.calls.count("/v3/watch")
+        self.assertIn(attempts, range(15, 35))
+        self.assertLessEqual(_store_watch.MAX_BACKOFF_S, 5.0)
 
 
 class FirstMessages(Actor):
-    """Fires when the store is available and at the first change."""
+    """Fires ``ready`` once the store is available, ``changed`` at a change."""
 
     def __init__(self, system, name):
         self.ready = Deferred()
@@ -284,19 +301,20 @@
         super().__init__(system, name)
 
     def handlers(self):
-        return {StoreStatus: self.note_status, WatchChanged: self.note_change}
+        return {StoreStatus: self.status_received, WatchChanged: self.change_received}
 
-    def note_status(self, message):
+    def status_received(self, message):
         if message.available and not self.ready.called:
             self.ready.callback(None)
 
-    def note_change(self, message):
+    def change_received(self, message):
         if not self.changed.called:
             self.changed.callback(message)
 
 
 class HttpTransportTests(TestCase):
     async def test_calls_and_watches_over_sockets(self):
+        """Guards against large replies or lost replies handled wrongly."""
         standin = PlatformStandin(reactor)
         port = await standin.listen(reactor, "127.0.0.1", 0)
         self.addCleanup(standin.stop)
@@ -304,16 +322,18 @@
         TimerService(system)
         url = f"http://127.0.0.1:{port}"
         StoreClient(system, HttpTransport(reactor, url, "north"))
-        first = FirstMessages(system, "seen")
+        first_messages = FirstMessages(system, "seen")
         system.start()
         self.addCleanup(lambda: Deferred.fromCoroutine(system.stop()))
         system.tell(STORE, SubscribeStoreStatus("seen"))
-        await first.ready
+        await first_messages.ready
         system.tell(STORE, WatchPrefix("seen", "/w/", 1))
         large = "x" * 900_000
         await system.ask(STORE, Transact((), (PutKey("/w/1", large),)))
         change = KeyChange("/w/1", large, 2)
-        self.assertEqual(await first.changed, WatchChanged("/w/", (change,), 2))
+        self.assertEqual(
+            await first_messages.changed, WatchChanged("/w/", (change,), 2)
+        )
         vms = [{**VM, "vm_id": f"w{number}"} for number in range(1700)]
         standin.service.change_vms(json.dumps({"register": vms}).encode())
         listed = await system.ask(STORE, ListVms(""))
