Document the store messages and complete the wording of their users

The messages to the store client said only what an ask returns, and some texts of its transport and fakes were still terse.

Each message now says what it does, with units; the quoted length of an error reply is a named constant of the same value. ruff format and ruff check are clean.

--- a/src/redwingrudder/_store_codec.py
+++ b/src/redwingrudder/_store_codec.py
@@ -18,6 +18,7 @@
 PAGE_KEYS = 200  # bounds the size of a reply: job records hold up to 64 KB
 MAX_VALUE_BYTES = 1_000_000  # limit of the platform's store
 BUSY_RETRY_AFTER_S = 1.0
+MAX_DETAIL_BYTES = 200  # of a reply that is quoted in an error
 
 
 class EncodedCall(NamedTuple):
@@ -65,7 +66,10 @@
 
 def decode_error(status: int, body: bytes) -> RedwingrudderError | None:
     """Return the error for an HTTP status of 400 to 499, else None."""
-    detail = f"the store answered {status}: {body[:200].decode('utf-8', 'replace')}"
+    detail = (
+        f"the store answered {status}: "
+        f"{body[:MAX_DETAIL_BYTES].decode('utf-8', 'replace')}"
+    )
     if status == 429:
         return OverloadedError(
             detail, code="store_busy", retry_after_s=BUSY_RETRY_AFTER_S
--- a/src/redwingrudder/_store_requests.py
+++ b/src/redwingrudder/_store_requests.py
@@ -1,7 +1,8 @@
-"""Messages to and from the client of the platform store (actor STORE).
+"""Messages to and from the client actor of the platform store (STORE).
 
-All asks may raise ``StoreUnavailableError`` (nothing was sent, or only a
-read) or ``OutcomeUnknownError`` (a write was sent and its reply is lost).
+"Ask -> reply" names the reply to a message that is sent by ``ask``. Every
+ask may raise ``StoreUnavailableError``, if the request was not sent or only
+reads, or ``OutcomeUnknownError``, if a write was sent and its reply is lost.
 """
 
 from typing import NamedTuple
@@ -16,33 +17,36 @@
 
 
 class GetKey(NamedTuple):
-    """Ask -> ``KeyValue`` or None."""
+    """Ask -> ``KeyValue``, or None if the key is absent."""
 
     key: str
 
 
 class GetPrefix(NamedTuple):
-    """Ask -> ``PrefixReply``, ordered by key."""
+    """Reads all keys that begin with a prefix; ask -> ``PrefixReply``."""
 
     prefix: str
 
 
 class PrefixReply(NamedTuple):
-    """The pairs below a prefix and the store's revision at the read."""
+    """The pairs ordered by key, and the revision of the store when read."""
 
     pairs: tuple[KeyValue, ...]
     revision: int
 
 
 class Compare(NamedTuple):
-    """The key's last change is ``mod_revision``; 0 means it is absent."""
+    """Condition that a key was last changed at a revision; 0: it is absent."""
 
     key: str
     mod_revision: int
 
 
 class PutKey(NamedTuple):
-    """A write within a transaction; ``lease_id`` 0 means without a lease."""
+    """Write in a transaction; the key is deleted when its lease ends.
+
+    ``lease_id`` 0 writes the key without a lease.
+    """
 
     key: str
     value: str
@@ -50,39 +54,42 @@
 
 
 class DeleteKey(NamedTuple):
-    """A deletion within a transaction."""
+    """Deletion in a transaction."""
 
     key: str
 
 
 class Transact(NamedTuple):
-    """Ask -> ``TransactReply``; all or none of the operations happen."""
+    """Executes all operations if all comparisons hold, else none.
+
+    Ask -> ``TransactReply``.
+    """
 
     compares: tuple[Compare, ...]
     operations: tuple[PutKey | DeleteKey, ...]
 
 
 class TransactReply(NamedTuple):
-    """``succeeded`` is false when a comparison did not hold."""
+    """Outcome; ``succeeded`` is false if a comparison did not hold."""
 
     succeeded: bool
     revision: int
 
 
 class GrantLease(NamedTuple):
-    """Ask -> lease id (int)."""
+    """Creates a lease of ``ttl_s`` seconds; ask -> its id (int)."""
 
     ttl_s: int
 
 
 class KeepLeaseAlive(NamedTuple):
-    """Ask -> remaining TTL in seconds; 0 when the lease has lapsed."""
+    """Renews a lease; ask -> its TTL in seconds, 0 if it has lapsed."""
 
     lease_id: int
 
 
 class RevokeLease(NamedTuple):
-    """Ask -> None."""
+    """Ends a lease and deletes its keys; ask -> None."""
 
     lease_id: int
 
@@ -91,7 +98,7 @@
     """Tell STORE: send ``WatchChanged`` for a prefix until the node stops.
 
     The store client reconnects by itself and resumes after the last revision
-    that it delivered; after a gap it sends ``WatchReset`` instead.
+    that it delivered. If it cannot resume, it sends ``WatchReset`` instead.
     """
 
     subscriber: str
@@ -100,9 +107,9 @@
 
 
 class WatchChanged(NamedTuple):
-    """Changes below a watched prefix, in the order of their revisions.
+    """Changes of keys with a watched prefix, ordered by revision.
 
-    A deleted key has the value None.
+    ``revision`` is that of the last change.
     """
 
     prefix: str
@@ -111,7 +118,7 @@
 
 
 class KeyChange(NamedTuple):
-    """One change; ``value`` is None for a deletion."""
+    """Change of one key; ``value`` is None for a deletion."""
 
     key: str
     value: str | None
@@ -119,7 +126,10 @@
 
 
 class WatchReset(NamedTuple):
-    """The watch cannot be resumed; read the prefix and watch it again."""
+    """Tells the subscriber to read the prefix and to watch it again.
+
+    The watch has ended since it cannot be resumed.
+    """
 
     prefix: str
 
@@ -131,12 +141,12 @@
 
 
 class StoreStatus(NamedTuple):
-    """Whether the store answers; told to its subscribers."""
+    """Tells the subscribers whether the store is available."""
 
     available: bool
 
 
 class ListVms(NamedTuple):
-    """Ask of STORE -> tuple of ``VmInfo``; "" means all failure domains."""
+    """Ask -> tuple of ``VmInfo``; "" means all failure domains."""
 
     failure_domain: str
--- a/src/redwingrudder/_store_transport.py
+++ b/src/redwingrudder/_store_transport.py
@@ -43,7 +43,7 @@
 class StreamEnded(NamedTuple):
     """Reason for the end of a stream.
 
-    ``too_long`` means that a line exceeded ``MAX_LINE_BYTES``.
+    ``too_long`` means that a line was longer than ``MAX_LINE_BYTES``.
     """
 
     detail: str
@@ -216,7 +216,10 @@
 
 
 class _LineReader(Protocol):
-    """Splits a response into lines of at most ``MAX_LINE_BYTES``."""
+    """Splits a response into lines with bounded memory.
+
+    An unfinished line of more than ``MAX_LINE_BYTES`` ends the stream.
+    """
 
     def __init__(self, stream: _HttpStream) -> None:
         self._stream = stream
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -234,7 +234,7 @@
         steps = tuple(
             _decode_step(entry, index) for index, entry in enumerate(body["steps"])
         )
-        # Times of day are sent in milliseconds since the epoch.
+        # Times of day are sent in milliseconds.
         workflow = Workflow(
             workflow_id=workflow_id,
             queue=queue.name,
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -34,7 +34,7 @@
 
 TIMEOUT_S = 0.4  # the usual reply takes a few milliseconds
 MAX_TIMEOUT_S = 1.2  # half of the coordinator's lease
-TIMEOUT_LATENCY_FACTOR = 6  # timeout in mean reply times, for a slow store
+TIMEOUT_LATENCY_FACTOR = 6  # multiple of the mean reply time, for a slow store
 LATENCY_WEIGHT = 0.2  # weight of the newest reply in the moving mean
 TIMEOUT_GROWTH_FACTOR = 1.5  # after a call without a reply
 MAX_IDLE_CONNECTIONS = 8
@@ -302,7 +302,10 @@
 
 
 def _decode_pair_or_none(item: Any) -> KeyValue | None:
-    """Decode an item, or return None if another writer made it invalid."""
+    """Decode an item, or return None if it is invalid.
+
+    Other writers can store items whose value is not UTF-8 text.
+    """
     try:
         return _decode_pair(item)
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -27,7 +27,7 @@
 
 # Reasons for which a worker rejects a command, by the platform's name of the
 # reason.
-REASONS_BY_PLATFORM_REASON = {
+REASONS_BY_PLATFORM_NAME = {
     "fence": "fenced",
     "old": "outdated",
     "late": "lapsed",
@@ -151,7 +151,7 @@
     if reply.status == 200:
         return CommandReply(True, "", clock_ms)
     if reply.status == 409:
-        reason = REASONS_BY_PLATFORM_REASON.get(reply.body.get("reason", ""), "invalid")
+        reason = REASONS_BY_PLATFORM_NAME.get(reply.body.get("reason", ""), "invalid")
     elif reply.status == 421:
         reason = "other_life"
     elif reply.status in (429, 503):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -79,7 +79,7 @@
         self.available = available
         for name in self._status_subscribers:
             self.tell(name, requests.StoreStatus(available))
-        self.deliver_watches()
+        self.resume_watches()
 
     def put(self, key, value):
         """Write one key like another node would, unaffected by faults."""
@@ -92,7 +92,7 @@
         records = self.core.range(key.encode())
         return records[0].value.decode() if records else None
 
-    def deliver_watches(self):
+    def resume_watches(self):
         """Resume the watches after an outage."""
         if self.available:
             for watch in list(self._watches.values()):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -145,7 +145,7 @@
         TimerService(self.system)
         self.store = StoreClient(self.system, self.transport, writes_per_s=50)
         self.received = Recorder(
-            self.system, "seen", WatchChanged, WatchReset, StoreStatus
+            self.system, "recorder", WatchChanged, WatchReset, StoreStatus
         ).messages
         self.system.start()
         settle(self.system)
@@ -211,7 +211,7 @@
 
     def test_outage_stops_all_calls_but_one_probe_a_second(self):
         """Guards against nodes that flood the store during an outage."""
-        self.system.tell(STORE, SubscribeStoreStatus("seen"))
+        self.system.tell(STORE, SubscribeStoreStatus("recorder"))
         self.set_faults(outage=True)
         self.assert_fails(GetKey("/a"), StoreUnavailableError)
         advance(self.system, 0.5)
@@ -232,9 +232,9 @@
         system = ActorSystem(self.clock)
         TimerService(system)
         StoreClient(system, ServiceTransport(self.clock, self.service))
-        received = Recorder(system, "seen", StoreStatus).messages
+        received = Recorder(system, "recorder", StoreStatus).messages
         system.start()
-        system.tell(STORE, SubscribeStoreStatus("seen"))
+        system.tell(STORE, SubscribeStoreStatus("recorder"))
         advance(system, 3.0)
         self.set_faults(outage=False)
         advance(system, 1.5)
@@ -253,7 +253,7 @@
 
     def test_watch_resumes_after_an_outage_without_loss_or_repeats(self):
         """Guards against changes during an outage that are not delivered."""
-        self.system.tell(STORE, WatchPrefix("seen", "/w/", 1))
+        self.system.tell(STORE, WatchPrefix("recorder", "/w/", 1))
         self.put("/w/1")
         self.put("/other")
         self.set_faults(outage=True)
@@ -272,13 +272,13 @@
         """Guards against a watch that retries a compacted revision."""
         self.put("/w/1")
         self.service.core.compact(2)
-        self.system.tell(STORE, WatchPrefix("seen", "/w/", 1))
+        self.system.tell(STORE, WatchPrefix("recorder", "/w/", 1))
         advance(self.system, 5.0)
         self.assertEqual(self.received, [WatchReset("/w/")])
 
     def test_broken_watches_back_off(self):
         """Guards against retries of a failing watch without a delay."""
-        self.system.tell(STORE, WatchPrefix("seen", "/w/", 1))
+        self.system.tell(STORE, WatchPrefix("recorder", "/w/", 1))
         settle(self.system)
         original = PlatformService.open_watch
         self.addCleanup(setattr, PlatformService, "open_watch", original)
@@ -322,12 +322,12 @@
         TimerService(system)
         url = f"http://127.0.0.1:{port}"
         StoreClient(system, HttpTransport(reactor, url, "north"))
-        first_messages = FirstMessages(system, "seen")
+        first_messages = FirstMessages(system, "recorder")
         system.start()
         self.addCleanup(lambda: Deferred.fromCoroutine(system.stop()))
-        system.tell(STORE, SubscribeStoreStatus("seen"))
+        system.tell(STORE, SubscribeStoreStatus("recorder"))
         await first_messages.ready
-        system.tell(STORE, WatchPrefix("seen", "/w/", 1))
+        system.tell(STORE, WatchPrefix("recorder", "/w/", 1))
         large = "x" * 900_000
         await system.ask(STORE, Transact((), (PutKey("/w/1", large),)))
         change = KeyChange("/w/1", large, 2)
