--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -7,7 +7,11 @@
 
 from redwingrudder._problems import Answer
 from redwingrudder.actors import ActorSystem
-from redwingrudder.coordination.metrics import METRICS, Counted, Observed
+from redwingrudder.coordination.metrics import (
+    METRICS,
+    IncrementCounter,
+    ObserveDuration,
+)
 from redwingrudder.platform.front_end import FrontEnd
 
 from .coordination_fakes import Recording, run_for
@@ -38,7 +42,7 @@
         """
         clock = Clock()
         system = ActorSystem(clock)
-        Recording(system, METRICS, {Counted: None, Observed: None})
+        Recording(system, METRICS, {IncrementCounter: None, ObserveDuration: None})
         front_end = FrontEnd(system, clock, ("127.0.0.1", 0))
         request = FakeRequest()
         front_end._respond(request)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,7 +8,7 @@
 from redwingrudder._store_requests import GetKey, GetPrefix
 from redwingrudder.actors import ActorSystem
 from redwingrudder.coordination.gateways import STORE
-from redwingrudder.coordination.metrics import METRICS, Counted, Measured
+from redwingrudder.coordination.metrics import METRICS, IncrementCounter, SetGauge
 from redwingrudder.platform.http_client import JsonReply
 from redwingrudder.platform.store import TIMEOUT_S, PlatformStore
 
@@ -37,7 +37,7 @@
     def read_timeouts(self, link_bps):
         clock = Clock()
         system = ActorSystem(clock)
-        Recording(system, METRICS, {Counted: None, Measured: None})
+        Recording(system, METRICS, {IncrementCounter: None, SetGauge: None})
         client = FakeClient()
         PlatformStore(system, client, (), link_bps)
         for message in (GetKey("k"), GetPrefix("k")):
