--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -1,4 +1,4 @@
-"""Tests of the answers to the platform's clients."""
+"""Tests of the HTTP front end of the platform."""
 
 import unittest
 
@@ -18,7 +18,7 @@
 
 
 class FakeRequest(DummyRequest):
-    """Keeps the answer; has what the front end reads of a request."""
+    """A request with the data that the front end reads; keeps the answer."""
 
     path = b"/queue/job"
 
@@ -35,13 +35,17 @@
 
 class ConnectionTests(unittest.TestCase):
     def test_unavailable_node_closes_the_connection(self):
-        """Guards against a caller that retries at a node that is cut off."""
+        """Guards against a client that keeps using an unavailable node.
+
+        The client would retry on its persistent connection if the answer
+        503 did not close it.
+        """
         clock = Clock()
         system = ActorSystem(clock)
         Recording(system, METRICS, {IncrementCounter: None, ObserveDuration: None})
-        front = FrontEnd(system, clock, ("127.0.0.1", 0))
+        front_end = FrontEnd(system, clock, ("127.0.0.1", 0))
         request = FakeRequest()
-        front._respond(request)
+        front_end._respond(request)
         run_for(clock, 0.05)
         self.assertEqual(request.answer.status, 503)
         header = request.responseHeaders.getRawHeaders(b"connection")
