--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -17,7 +17,7 @@
 from .model import JobSpec, JobState, JobView
 
 RESULT_RETENTION_S = 600.0  # as long as workers keep results
-ANSWERS_LIMIT = 20_000  # final answers kept in memory
+MAX_CACHED_ANSWERS = 20_000  # final answers kept in memory
 
 CONFLICT = "record_conflict"
 BUSY = "record_busy"
@@ -26,7 +26,7 @@
 
 
 class JobLedger:
-    """Job records of one owner; one write of a record is sent at a time."""
+    """Job records of one owner; one write of a record is may_have_record at a time."""
 
     def __init__(
         self, store: JobStore, failure_domain: str, callbacks: LedgerCallbacks
@@ -36,26 +36,26 @@
         self._callbacks = callbacks
         self._sweeper = RecordSweeper(store)
         self._entries_by_job: dict[str, LedgerEntry] = {}
-        self._unwritten: dict[str, None] = {}
-        self._writing: set[str] = set()
-        self._ended: deque[str] = deque()
+        self._unwritten_job_ids: dict[str, None] = {}
+        self._job_ids_being_written: set[str] = set()
+        self._ended_job_ids: deque[str] = deque()
         self._closed = False
 
     @property
-    def idle(self) -> bool:
+    def is_idle(self) -> bool:
         """Whether no write is in progress."""
-        return not self._writing
+        return not self._job_ids_being_written
 
     def close(self) -> None:
         """Start no further writes; another owner has the jobs."""
         self._closed = True
 
     def digest(self, job_id: str) -> str:
-        """Return the body digest of a job, "" when it is not known."""
+        """Return the body digest of a job, "" when it is not existing."""
         entry = self._entries_by_job.get(job_id)
         return entry.body["digest"] if entry else ""
 
-    def durable(self, job_id: str) -> bool:
+    def is_durable(self, job_id: str) -> bool:
         """Whether the store holds a record of a job."""
         entry = self._entries_by_job.get(job_id)
         return entry is not None and (entry.stored or bool(entry.mod_revision))
@@ -74,13 +74,13 @@
         entry = self._entries_by_job.get(job_id)
         if entry is None or entry.answer is None or not entry.published:
             return None
-        if not entry.body["results_kept"] and now >= entry.results_until:
+        if not entry.body["results_kept"] and now >= entry.results_available_until:
             raise ResultExpiredError(
                 f"the results of {job_id} were kept {RESULT_RETENTION_S:.0f} s"
             )
-        return entry.answer._replace(durable=self.durable(job_id))
+        return entry.answer._replace(durable=self.is_durable(job_id))
 
-    def unpublished(self, job_id: str) -> JobView | None:
+    def unpublished_answer(self, job_id: str) -> JobView | None:
         """Return the answer that may not be told before it is recorded."""
         entry = self._entries_by_job.get(job_id)
         return None if entry is None or entry.published else entry.answer
@@ -115,29 +115,37 @@
         return await self._store.read(records.record_key(spec))
 
     def add_stored(self, record: StoredRecord) -> None:
-        """Know a job from its record, unless its end is known already."""
+        """Know a job from its record, unless its end is existing already."""
         body = record.body
         job_id = body["job_id"]
-        known = self._entries_by_job.get(job_id)
-        newer = known is not None and (known.mod_revision or 0) >= record.mod_revision
-        if newer or self.has_ended(job_id) or job_id in self._writing:
+        existing = self._entries_by_job.get(job_id)
+        is_current = (
+            existing is not None and (existing.mod_revision or 0) >= record.mod_revision
+        )
+        if (
+            is_current
+            or self.has_ended(job_id)
+            or job_id in self._job_ids_being_written
+        ):
             return
-        self._unwritten.pop(job_id, None)
+        self._unwritten_job_ids.pop(job_id, None)
         entry = LedgerEntry(body, record.mod_revision, True, True)
         if records.is_final(body):
             entry = entry._replace(answer=records.view_of(body), published=True)
-            self._ended.append(job_id)
+            self._ended_job_ids.append(job_id)
             finished_at = body["finished_at"] or body["submitted_at"]
             self._sweeper.add(body, record.mod_revision, finished_at)
         self._entries_by_job[job_id] = entry
 
-    def add_unrecorded(self, body: JobRecordBody, sent: bool) -> None:
+    def add_unrecorded(self, body: JobRecordBody, may_have_record: bool) -> None:
         """Know a job that was accepted without a record; write it later."""
         job_id = body["job_id"]
-        revision = None if sent else 0
-        self._entries_by_job[job_id] = LedgerEntry(body, revision, False, sent)
-        self._unwritten[job_id] = None
-        self._callbacks.retry_later()
+        revision = None if may_have_record else 0
+        self._entries_by_job[job_id] = LedgerEntry(
+            body, revision, False, may_have_record
+        )
+        self._unwritten_job_ids[job_id] = None
+        self._callbacks.schedule_retry()
 
     async def record_start(self, job_id: str, gang_id: str) -> str:
         """Record that a job is about to start.
@@ -149,24 +157,24 @@
         if entry is None or not entry.stored or self._is_blocked(job_id):
             return BUSY
         body = records.starting_record(entry.body, gang_id, self._store.epoch)
-        self._writing.add(job_id)
+        self._job_ids_being_written.add(job_id)
         try:
             reply = await self._store.save(body, entry.mod_revision, entry.body)
         except UnavailableError as error:
             if isinstance(error, OutcomeUnknownError):
-                self._change(job_id, mod_revision=None)
+                self._update_entry(job_id, mod_revision=None)
             return error.code
         finally:
-            self._writing.discard(job_id)
-            if job_id in self._unwritten:
+            self._job_ids_being_written.discard(job_id)
+            if job_id in self._unwritten_job_ids:
                 # The job ended meanwhile.
-                self._callbacks.retry_later()
+                self._callbacks.schedule_retry()
         if not reply.saved:
             self._callbacks.changed_by_other_owner(reply.stored)
             return CONFLICT
-        self._change(job_id, mod_revision=reply.stored.mod_revision)
+        self._update_entry(job_id, mod_revision=reply.stored.mod_revision)
         if not self.has_ended(job_id):
-            self._change(job_id, body=body)
+            self._update_entry(job_id, body=body)
         return ""
 
     def finish(self, view: JobView, spec: JobSpec, now: float) -> None:
@@ -174,100 +182,102 @@
         job_id = view.job_id
         entry = self._entries_by_job.get(job_id)
         if entry is None:
-            body = self._adopted_body(view, spec)
+            body = self._build_adopted_body(view, spec)
             entry = LedgerEntry(body, None, False, True)
         if entry.answer is None:
-            self._ended.append(job_id)
+            self._ended_job_ids.append(job_id)
         elif not contradicts(view, entry.answer.state):
-            self._complete_answer(entry, view, now)
+            self._add_results(entry, view, now)
             return
         self._entries_by_job[job_id] = entry._replace(
             body=records.final_record(entry.body, view),
             stored=False,
             answer=view,
-            results_until=now + RESULT_RETENTION_S,
+            results_available_until=now + RESULT_RETENTION_S,
         )
-        self._unwritten[job_id] = None
+        self._unwritten_job_ids[job_id] = None
         # Until the store has it, another owner could still run the job.
-        unsure = entry.sent or job_id in self._writing
-        if view.state is not JobState.NOT_RUN or not unsure:
-            self._publish(job_id)
+        may_have_record = entry.may_have_record or job_id in self._job_ids_being_written
+        if view.state is not JobState.NOT_RUN or not may_have_record:
+            self._publish_answer(job_id)
 
     async def write(self, job_id: str) -> None:
         """Try to write the record of a job unless the store holds it."""
-        if job_id in self._unwritten and not self._is_blocked(job_id):
+        if job_id in self._unwritten_job_ids and not self._is_blocked(job_id):
             await self._write(job_id)
 
     async def write_all(self) -> None:
         """Try to write every record that is not in the store yet."""
-        for job_id in list(self._unwritten):
-            if job_id not in self._unwritten or self._is_blocked(job_id):
+        for job_id in list(self._unwritten_job_ids):
+            if job_id not in self._unwritten_job_ids or self._is_blocked(job_id):
                 continue
             if not await self._write(job_id):
                 return
 
     async def sweep(self, now: float) -> None:
-        """Let go of old answers and delete old records."""
-        self._release_old_results(now)
-        while self._ended and self._is_forgettable(self._ended[0], now):
-            job_id = self._ended.popleft()
+        """Let go of is_expired answers and delete is_expired records."""
+        self._release_expired_results(now)
+        while self._ended_job_ids and self._can_evict(self._ended_job_ids[0], now):
+            job_id = self._ended_job_ids.popleft()
             del self._entries_by_job[job_id]
         await self._sweeper.sweep(now)
 
     def _is_blocked(self, job_id: str) -> bool:
-        return self._closed or job_id in self._writing
+        return self._closed or job_id in self._job_ids_being_written
 
-    def _is_forgettable(self, job_id: str, now: float) -> bool:
+    def _can_evict(self, job_id: str, now: float) -> bool:
         entry = self._entries_by_job[job_id]
-        if job_id in self._unwritten:
+        if job_id in self._unwritten_job_ids:
             return False
-        old = now >= (entry.answer.finished_at or 0.0) + RECORD_RETENTION_S
-        return old or len(self._ended) > ANSWERS_LIMIT
+        is_expired = now >= (entry.answer.finished_at or 0.0) + RECORD_RETENTION_S
+        return is_expired or len(self._ended_job_ids) > MAX_CACHED_ANSWERS
 
-    def _release_old_results(self, now: float) -> None:
-        for job_id in self._ended:
-            if 0.0 < self._entries_by_job[job_id].results_until <= now:
-                self._change(job_id, results_until=0.0)
-                self._callbacks.safe(job_id)
+    def _release_expired_results(self, now: float) -> None:
+        for job_id in self._ended_job_ids:
+            if 0.0 < self._entries_by_job[job_id].results_available_until <= now:
+                self._update_entry(job_id, results_available_until=0.0)
+                self._callbacks.results_releasable(job_id)
 
-    def _adopted_body(self, view: JobView, spec: JobSpec) -> JobRecordBody:
-        """Return a record for a job known only from a worker's report."""
+    def _build_adopted_body(self, view: JobView, spec: JobSpec) -> JobRecordBody:
+        """Return a record for a job existing only from a worker's report."""
         domain = self._failure_domain
         body = records.open_record(domain, spec, view.submitted_at, "")
         return {**body, "job_id": view.job_id}
 
-    def _complete_answer(self, entry: LedgerEntry, view: JobView, now: float) -> None:
+    def _add_results(self, entry: LedgerEntry, view: JobView, now: float) -> None:
         """Take the results at the workers for a record without them."""
-        until = (entry.answer.finished_at or now) + RESULT_RETENTION_S
-        if not entry.body["results_kept"] and view.results and now < until:
+        available_until = (entry.answer.finished_at or now) + RESULT_RETENTION_S
+        if not entry.body["results_kept"] and view.results and now < available_until:
             answer = entry.answer._replace(results=view.results)
-            self._change(view.job_id, answer=answer, results_until=until)
+            self._update_entry(
+                view.job_id, answer=answer, results_available_until=available_until
+            )
 
-    def _publish(self, job_id: str) -> None:
+    def _publish_answer(self, job_id: str) -> None:
         if not self._entries_by_job[job_id].published:
-            self._change(job_id, published=True)
-            self._callbacks.published(job_id)
+            self._update_entry(job_id, published=True)
+            self._callbacks.answer_published(job_id)
 
     async def _write(self, job_id: str) -> bool:
         """Return false when the store does not answer."""
-        self._writing.add(job_id)
+        self._job_ids_being_written.add(job_id)
         entry = self._entries_by_job[job_id]
         try:
-            body = await self._complete(entry.body)
+            body = await self._fill_from_store(entry.body)
             reply = await self._store.save(body, entry.mod_revision)
         except UnavailableError as error:
             if isinstance(error, OutcomeUnknownError):
-                self._change(job_id, mod_revision=None, sent=True)
-            self._callbacks.retry_later()
+                self._update_entry(job_id, mod_revision=None, may_have_record=True)
+            self._callbacks.schedule_retry()
             fields = {"job": job_id, "code": error.code}
             _logger.warning("job record not written", extra=fields)
             return False
         finally:
-            self._writing.discard(job_id)
-        self._take_reply(job_id, entry, reply)
+            self._job_ids_being_written.discard(job_id)
+        self._apply_save_reply(job_id, entry, reply)
         return True
 
-    async def _complete(self, body: JobRecordBody) -> JobRecordBody:
+    async def _fill_from_store(self, body: JobRecordBody) -> JobRecordBody:
         """Fill in what only the store knows of an adopted job."""
         if body["nonce"]:
             return body
@@ -284,57 +294,61 @@
             "gang_id": stored.body["gang_id"],
         }
 
-    def _take_reply(self, job_id: str, written: LedgerEntry, reply: SaveReply) -> None:
+    def _apply_save_reply(
+        self, job_id: str, written_entry: LedgerEntry, reply: SaveReply
+    ) -> None:
         entry = self._entries_by_job.get(job_id)
-        if entry is None or job_id not in self._unwritten:
+        if entry is None or job_id not in self._unwritten_job_ids:
             return
         body, revision = reply.stored
         if not reply.saved and not confirms_answer(entry, body):
             self._resolve_conflict(job_id, entry, reply.stored)
             return
-        if entry.body is not written.body:
-            # The job ended while its first record was written.
-            self._change(job_id, mod_revision=revision, sent=True)
-            self._callbacks.retry_later()
+        if entry.body is not written_entry.body:
+            # The job ended while its first record was written_entry.
+            self._update_entry(job_id, mod_revision=revision, may_have_record=True)
+            self._callbacks.schedule_retry()
             return
-        self._change(job_id, body=body, mod_revision=revision, stored=True, sent=True)
-        del self._unwritten[job_id]
+        self._update_entry(
+            job_id, body=body, mod_revision=revision, stored=True, may_have_record=True
+        )
+        del self._unwritten_job_ids[job_id]
         if entry.answer is None:
-            self._callbacks.recorded(job_id)
+            self._callbacks.record_created(job_id)
             return
         self._sweeper.add(body, revision, entry.answer.finished_at or 0.0)
         if not reply.saved and body["results_kept"]:
             # A previous owner recorded the end first; that answer stands.
-            self._change(job_id, answer=records.view_of(body))
-        self._settle(job_id)
+            self._update_entry(job_id, answer=records.view_of(body))
+        self._finalize(job_id)
 
     def _resolve_conflict(
         self, job_id: str, entry: LedgerEntry, stored: StoredRecord
     ) -> None:
         """Decide about a record that was found in place of the own one."""
-        self._change(job_id, mod_revision=None, sent=True)
+        self._update_entry(job_id, mod_revision=None, may_have_record=True)
         fields = {"job": job_id, "found": stored.body["job_id"]}
         if stored.body["job_id"] != job_id:
             # Another domain accepted the key; this job goes on unrecorded.
             _logger.error("job record belongs to another job", extra=fields)
-            del self._unwritten[job_id]
+            del self._unwritten_job_ids[job_id]
             if self.has_ended(job_id):
-                self._settle(job_id)
+                self._finalize(job_id)
         elif stored.body["nonce"] != entry.body["nonce"]:
             _logger.warning("job was recorded before", extra=fields)
-            self._join_record(job_id, entry, stored)
+            self._adopt_stored_record(job_id, entry, stored)
         elif records.epoch_of(stored.body) < self._store.epoch:
-            self._note_start(job_id, entry, stored)
+            self._apply_recorded_start(job_id, entry, stored)
         else:
             # A later owner has the job, and only it may tell the answer.
             _logger.error("job record was changed by another owner", extra=fields)
-            del self._unwritten[job_id]
+            del self._unwritten_job_ids[job_id]
 
-    def _note_start(
+    def _apply_recorded_start(
         self, job_id: str, entry: LedgerEntry, stored: StoredRecord
     ) -> None:
         """Take note that a previous owner had recorded a start."""
-        del self._unwritten[job_id]
+        del self._unwritten_job_ids[job_id]
         if entry.answer is None:
             self._callbacks.changed_by_other_owner(stored)
             return
@@ -342,31 +356,31 @@
         answer = entry.answer._replace(state=JobState.INTERRUPTED, reason=reason)
         body = records.final_record(stored.body, answer)
         revision = stored.mod_revision
-        self._change(job_id, answer=answer, body=body, mod_revision=revision)
-        self._unwritten[job_id] = None
-        self._callbacks.retry_later()
+        self._update_entry(job_id, answer=answer, body=body, mod_revision=revision)
+        self._unwritten_job_ids[job_id] = None
+        self._callbacks.schedule_retry()
 
-    def _join_record(
+    def _adopt_stored_record(
         self, job_id: str, entry: LedgerEntry, stored: StoredRecord
     ) -> None:
         """Go on with the record that a previous owner made of the same job."""
         if entry.answer is not None:
             nonce = stored.body["nonce"]
-            self._change(job_id, body={**entry.body, "nonce": nonce})
-            self._callbacks.retry_later()
+            self._update_entry(job_id, body={**entry.body, "nonce": nonce})
+            self._callbacks.schedule_retry()
             return
-        del self._unwritten[job_id]
+        del self._unwritten_job_ids[job_id]
         if not records.is_final(stored.body):
             body, revision = stored
-            self._change(job_id, body=body, mod_revision=revision, stored=True)
-            self._callbacks.recorded(job_id)
+            self._update_entry(job_id, body=body, mod_revision=revision, stored=True)
+            self._callbacks.record_created(job_id)
 
-    def _settle(self, job_id: str) -> None:
-        self._publish(job_id)
+    def _finalize(self, job_id: str) -> None:
+        self._publish_answer(job_id)
         if self._entries_by_job[job_id].body["results_kept"]:
-            self._callbacks.safe(job_id)
+            self._callbacks.results_releasable(job_id)
 
-    def _change(self, job_id: str, **changes: object) -> None:
+    def _update_entry(self, job_id: str, **changes: object) -> None:
         entry = self._entries_by_job.get(job_id)
         if entry is not None:
             self._entries_by_job[job_id] = entry._replace(**changes)
--- a/src/redwingrudder/_job_records.py
+++ b/src/redwingrudder/_job_records.py
@@ -57,8 +57,8 @@
 
 def job_id_for(failure_domain: str, organisation: str, idempotency_key: str) -> str:
     """Return the id of the job of a key: ``<domain>-<digest>``."""
-    identity = json.dumps([organisation, idempotency_key])
-    return f"{failure_domain}-{_digest(identity)}"
+    key_text = json.dumps([organisation, idempotency_key])
+    return f"{failure_domain}-{_digest(key_text)}"
 
 
 def domain_of_job(job_id: str) -> str:
@@ -105,8 +105,8 @@
 
 def final_record(body: JobRecordBody, view: JobView) -> JobRecordBody:
     """Return the record of a job that ended, without its payload."""
-    size = sum(len(result.encode()) for result in view.results)
-    kept = size <= RECORDED_RESULTS_LIMIT_BYTES
+    results_bytes = sum(len(result.encode()) for result in view.results)
+    results_kept = results_bytes <= RECORDED_RESULTS_LIMIT_BYTES
     return {
         **body,
         "spec": {**body["spec"], "payload": ""},
@@ -114,8 +114,8 @@
         "reason": view.reason,
         "target_missed": view.target_missed,
         "finished_at": view.finished_at,
-        "results": list(view.results) if kept else [],
-        "results_kept": kept,
+        "results": list(view.results) if results_kept else [],
+        "results_kept": results_kept,
     }
 
 
--- a/src/redwingrudder/_job_reporter.py
+++ b/src/redwingrudder/_job_reporter.py
@@ -22,13 +22,13 @@
         self._correlation_ids_by_job: dict[str, str] = {}
         self._specs_by_ended_job: dict[str, JobSpec] = {}
 
-    def accepted(self, job_id: str, spec: JobSpec, correlation_id: str) -> None:
+    def report_accepted(self, job_id: str, spec: JobSpec, correlation_id: str) -> None:
         """Report a job that was accepted."""
         self._correlation_ids_by_job[job_id] = correlation_id
         self._log(job_id, spec, "job accepted")
         self._observer.job_submitted(spec)
 
-    def changed(self, job_id: str, spec: JobSpec, state: JobState) -> None:
+    def report_state_change(self, job_id: str, spec: JobSpec, state: JobState) -> None:
         """Report that a job entered a state."""
         self._log(job_id, spec, f"job {state.value}")
         if state is JobState.RUNNING:
@@ -37,18 +37,18 @@
             self._correlation_ids_by_job.pop(job_id, None)
             self._specs_by_ended_job[job_id] = spec
 
-    def finished(self, view: JobView) -> None:
+    def report_finished(self, view: JobView) -> None:
         """Report that callers may be told the final answer of a job."""
         spec = self._specs_by_ended_job.pop(view.job_id, None)
         if spec is not None:
             self._observer.job_finished(view, spec)
 
-    def target_missed(self, job_id: str, spec: JobSpec) -> None:
+    def report_target_missed(self, job_id: str, spec: JobSpec) -> None:
         """Report a job that can no longer meet its target."""
         self._log(job_id, spec, "target missed")
         self._observer.target_missed(spec)
 
-    def shortages(self, shortages: tuple[GuaranteeShortage, ...]) -> None:
+    def report_shortages(self, shortages: tuple[GuaranteeShortage, ...]) -> None:
         """Report the guarantees that the hardware cannot hold."""
         for shortage in shortages:
             _logger.warning("guarantee shortage", extra=shortage._asdict())
--- a/src/redwingrudder/_job_store.py
+++ b/src/redwingrudder/_job_store.py
@@ -17,7 +17,7 @@
     spec_of,
 )
 from ._ownership_record import OWNER_PREFIX
-from ._ownership_record import decode_record as decode_record_of_owner
+from ._ownership_record import decode_record as decode_owner_record
 from .actors import ActorSystem
 from .exceptions import (
     OutcomeUnknownError,
@@ -39,7 +39,7 @@
 
 _GUARDED_STATES = frozenset({OPEN, STARTING, JobState.NOT_RUN.value})
 
-SAVE_ROUNDS = 4  # writes of one record before its outcome is given up
+MAX_SAVE_ATTEMPTS = 4  # writes of one record before its outcome is given up
 
 _logger = logging.getLogger(__name__)
 
@@ -122,38 +122,38 @@
         self,
         body: JobRecordBody,
         mod_revision: int | None,
-        known: JobRecordBody | None = None,
+        replaceable: JobRecordBody | None = None,
     ) -> SaveReply:
-        """Write a record over the revision that is known, None if unknown.
+        """Write a record over the revision that is replaceable, None if unknown.
 
         Args:
             body: The record to write.
             mod_revision: Revision that it replaces, 0 for a new record.
-            known: A record that it may replace at any revision.
+            replaceable: A record that it may replace at any revision.
 
         Raises:
             StoreUnavailableError: Nothing was written.
-            OutcomeUnknownError: A write was sent and cannot be resolved.
+            OutcomeUnknownError: A write was write_sent and cannot be resolved.
             UnavailableError: ``not_owner``; a successor has the domain.
         """
-        sent = False
-        for _ in range(SAVE_ROUNDS):
+        write_sent = False
+        for _ in range(MAX_SAVE_ATTEMPTS):
             try:
                 if mod_revision is None:
                     stored = await self.read(record_key(spec_of(body)))
                     if stored is not None and stored.body == body:
                         return SaveReply(True, stored)
-                    free = stored is None or stored.body == known
-                    if not free and not _replaces(body, stored.body):
+                    may_replace = stored is None or stored.body == replaceable
+                    if not may_replace and not _may_replace(body, stored.body):
                         return SaveReply(False, stored)
                     mod_revision = stored.mod_revision if stored else 0
                 reply = await self._write(body, mod_revision)
                 if reply.succeeded:
                     return SaveReply(True, StoredRecord(body, reply.revision))
             except OutcomeUnknownError:
-                sent = True
+                write_sent = True
             except StoreUnavailableError as error:
-                if sent:
+                if write_sent:
                     raise OutcomeUnknownError(error.detail) from error
                 raise
             mod_revision = None
@@ -171,14 +171,14 @@
         key = record_key(spec_of(body))
         compares = (Compare(key, mod_revision),)
         if body["state"] in _GUARDED_STATES:
-            compares += (await self._owner_compare(),)
+            compares += (await self._compare_owner_record(),)
         put = PutKey(key, encode_record(body))
         return await self._ask(Transact(compares, (put,)))
 
-    async def _owner_compare(self) -> Compare:
+    async def _compare_owner_record(self) -> Compare:
         if self._owner_revision is None:
             pair = await self._ask(GetKey(self._owner_key))
-            epoch = decode_record_of_owner(pair.value).epoch if pair else None
+            epoch = decode_owner_record(pair.value).epoch if pair else None
             if epoch is not None and epoch > self._epoch:
                 detail = f"the owner record has the epoch {tuple(epoch)}"
                 raise UnavailableError(detail, code="not_owner", retry_after_s=0.5)
@@ -194,7 +194,7 @@
             raise StoreUnavailableError(error.detail) from error
 
 
-def _replaces(new: JobRecordBody, old: JobRecordBody) -> bool:
+def _may_replace(new: JobRecordBody, old: JobRecordBody) -> bool:
     """Whether a record may be written over one of the same key.
 
     A final record stands, and so does one that an owner with a higher epoch
--- a/src/redwingrudder/_job_submitter.py
+++ b/src/redwingrudder/_job_submitter.py
@@ -41,48 +41,50 @@
         self,
         failure_domain: str,
         writes_per_s: float,
-        owned: Callable[[], OwnershipTerm],
+        get_ownership_term: Callable[[], OwnershipTerm],
         now: Callable[[], float],
     ) -> None:
         self._failure_domain = failure_domain
         self._writes_per_s = writes_per_s
-        self._owned = owned
+        self._get_ownership_term = get_ownership_term
         self._now = now
-        self._bucket = TokenBucket(writes_per_s, writes_per_s, now())
-        self._reads = TokenBucket(REFUSAL_READS_PER_S, REFUSAL_READS_PER_S, now())
-        self._creating: dict[str, list[Deferred]] = {}
+        self._new_records = TokenBucket(writes_per_s, writes_per_s, now())
+        self._refusal_reads = TokenBucket(
+            REFUSAL_READS_PER_S, REFUSAL_READS_PER_S, now()
+        )
+        self._waiters_by_new_job: dict[str, list[Deferred]] = {}
         self.draining = False
 
     @property
-    def busy(self) -> bool:
+    def is_busy(self) -> bool:
         """Whether a record is being created."""
-        return bool(self._creating)
+        return bool(self._waiters_by_new_job)
 
     async def submit(self, message: SubmitJob) -> JobView:
         """Accept a job; the same key and body give the same job."""
         spec = message.spec
         job_id = self._job_id(spec)
-        while job_id in self._creating:
-            await self._after_creation(job_id)
-        ownership_term = self._owned()
-        known = self._find_known(ownership_term, job_id, spec)
-        if known is not None:
-            return known
+        while job_id in self._waiters_by_new_job:
+            await self._wait_for_creation(job_id)
+        ownership_term = self._get_ownership_term()
+        known_view = self._find_known(ownership_term, job_id, spec)
+        if known_view is not None:
+            return known_view
         try:
             self._check_admission(ownership_term, spec)
         except RedwingrudderError as refusal:
             await self._refuse(ownership_term, spec, refusal)
-        self._creating[job_id] = []
+        self._waiters_by_new_job[job_id] = []
         try:
             return await self._create(ownership_term, spec, message.correlation_id)
         finally:
-            for waiting in self._creating.pop(job_id):
-                waiting.callback(None)
+            for waiter in self._waiters_by_new_job.pop(job_id):
+                waiter.callback(None)
 
-    def _after_creation(self, job_id: str) -> Deferred:
-        waiting: Deferred = Deferred()
-        self._creating[job_id].append(waiting)
-        return waiting
+    def _wait_for_creation(self, job_id: str) -> Deferred:
+        waiter: Deferred = Deferred()
+        self._waiters_by_new_job[job_id].append(waiter)
+        return waiter
 
     def _job_id(self, spec: JobSpec) -> str:
         domain = self._failure_domain
@@ -94,7 +96,7 @@
         digest = ownership_term.ledger.digest(job_id)
         if digest:
             _check_same_body(digest, spec)
-            return ownership_term.known_view(job_id)
+            return ownership_term.require_view(job_id)
         return ownership_term.view(job_id)
 
     def _check_admission(self, ownership_term: OwnershipTerm, spec: JobSpec) -> None:
@@ -105,10 +107,10 @@
         refusal = ownership_term.scheduler.admit(spec)
         if refusal is not None:
             raise _refusal_error(refusal)
-        wait_s = self._bucket.take(self._now())
+        wait_s = self._new_records.take(self._now())
         if wait_s > 0:
-            rate = self._writes_per_s
-            detail = f"this domain accepts {rate:g} jobs a second"
+            writes_per_s = self._writes_per_s
+            detail = f"this domain accepts {writes_per_s:g} jobs a second"
             raise OverloadedError(detail, code="store_busy", retry_after_s=wait_s)
 
     async def _refuse(
@@ -119,7 +121,7 @@
         A refusal tells the caller that nothing was run, so the record of the
         key is read first. Where that is not possible the answer says so.
         """
-        wait_s = self._reads.take(self._now())
+        wait_s = self._refusal_reads.take(self._now())
         try:
             if wait_s > 0:
                 raise StoreUnavailableError("too many refusals at once")
@@ -153,9 +155,11 @@
                 "the owner changed while the job was recorded", retry_after_s=0.5
             )
         if stored.body["nonce"] == body["nonce"]:
-            ownership_term.reporter.accepted(body["job_id"], spec, correlation_id)
-        ownership_term.take_record(stored)
-        return ownership_term.known_view(body["job_id"])
+            ownership_term.reporter.report_accepted(
+                body["job_id"], spec, correlation_id
+            )
+        ownership_term.add_record(stored)
+        return ownership_term.require_view(body["job_id"])
 
     def _accept_unrecorded(
         self,
@@ -165,14 +169,16 @@
         error: UnavailableError,
         correlation_id: str,
     ) -> JobView:
-        sent = isinstance(error, OutcomeUnknownError)
+        may_have_record = isinstance(error, OutcomeUnknownError)
         if ownership_term.closed or not spec.idempotent:
             raise type(error)(error.detail, retry_after_s=STORE_RETRY_S)
         job_id = body["job_id"]
-        ownership_term.ledger.add_unrecorded(body, sent)
-        ownership_term.reporter.accepted(body["job_id"], spec, correlation_id)
-        ownership_term.feed(JobSubmitted(job_id, spec, body["submitted_at"], False))
-        return ownership_term.known_view(job_id)
+        ownership_term.ledger.add_unrecorded(body, may_have_record)
+        ownership_term.reporter.report_accepted(body["job_id"], spec, correlation_id)
+        ownership_term.process_event(
+            JobSubmitted(job_id, spec, body["submitted_at"], False)
+        )
+        return ownership_term.require_view(job_id)
 
     def _check_domain(self, body: JobRecordBody) -> None:
         if body["domain"] != self._failure_domain:
--- a/src/redwingrudder/_job_waiters.py
+++ b/src/redwingrudder/_job_waiters.py
@@ -10,13 +10,13 @@
 from .exceptions import OverloadedError, RedwingrudderError
 from .timers import TIMERS, Subscribe, Unsubscribe
 
-WAITERS_LIMIT = 10_000
+MAX_WAITERS = 10_000
 TIMER_PREFIX = "wait:"
 
 
 class _Waiter(NamedTuple):
     job_id: str
-    ended: Deferred
+    finished: Deferred
 
 
 class JobWaiters:
@@ -24,13 +24,13 @@
 
     Args:
         system: Actors of the node.
-        owner: Name of the actor that passes its timers to ``time_out``.
+        actor_name: Name of the actor that passes its timers to ``time_out``.
     """
 
-    def __init__(self, system: ActorSystem, owner: str) -> None:
+    def __init__(self, system: ActorSystem, actor_name: str) -> None:
         self._system = system
-        self._owner = owner
-        self._numbers = itertools.count()
+        self._actor_name = actor_name
+        self._timer_numbers = itertools.count()
         self._waiters_by_timer: dict[str, _Waiter] = {}
         self._timers_by_job: dict[str, set[str]] = {}
 
@@ -40,16 +40,16 @@
         Raises:
             OverloadedError: Too many callers wait.
         """
-        if len(self._waiters_by_timer) >= WAITERS_LIMIT:
+        if len(self._waiters_by_timer) >= MAX_WAITERS:
             raise OverloadedError(
-                f"{WAITERS_LIMIT} callers wait already", retry_after_s=1.0
+                f"{MAX_WAITERS} callers wait already", retry_after_s=1.0
             )
-        timer = f"{TIMER_PREFIX}{next(self._numbers)}"
+        timer = f"{TIMER_PREFIX}{next(self._timer_numbers)}"
         waiter = _Waiter(job_id, Deferred())
         self._waiters_by_timer[timer] = waiter
         self._timers_by_job.setdefault(job_id, set()).add(timer)
-        self._system.tell(TIMERS, Subscribe(self._owner, timer, wait_s))
-        return waiter.ended
+        self._system.tell(TIMERS, Subscribe(self._actor_name, timer, wait_s))
+        return waiter.finished
 
     def time_out(self, timer: str) -> None:
         """End the wait of a timer that fired."""
@@ -58,13 +58,13 @@
     def job_ended(self, job_id: str) -> None:
         """End all waits for a job."""
         for timer in list(self._timers_by_job.get(job_id, ())):
-            self._system.tell(TIMERS, Unsubscribe(self._owner, timer))
+            self._system.tell(TIMERS, Unsubscribe(self._actor_name, timer))
             self._end(timer, None)
 
     def fail_all(self, error: RedwingrudderError) -> None:
         """End all waits with an error."""
         for timer in list(self._waiters_by_timer):
-            self._system.tell(TIMERS, Unsubscribe(self._owner, timer))
+            self._system.tell(TIMERS, Unsubscribe(self._actor_name, timer))
             self._end(timer, Failure(error))
 
     def _end(self, timer: str, outcome: Failure | None) -> None:
@@ -75,4 +75,4 @@
         timers.discard(timer)
         if not timers:
             del self._timers_by_job[waiter.job_id]
-        waiter.ended.callback(outcome)
+        waiter.finished.callback(outcome)
--- a/src/redwingrudder/_ledger_entry.py
+++ b/src/redwingrudder/_ledger_entry.py
@@ -17,17 +17,17 @@
     ``retry_later``: call ``write_all`` after a while.
     """
 
-    published: Callable[[str], None]
-    safe: Callable[[str], None]
-    recorded: Callable[[str], None]
+    answer_published: Callable[[str], None]
+    results_releasable: Callable[[str], None]
+    record_created: Callable[[str], None]
     changed_by_other_owner: Callable[[StoredRecord], None]
-    retry_later: Callable[[], None]
+    schedule_retry: Callable[[], None]
 
 
 class LedgerEntry(NamedTuple):
     """A job with the record that the store should hold.
 
-    ``stored`` tells that it does, ``sent`` that some record may be there.
+    ``stored`` tells that it does, ``may_have_record`` that some record may be there.
     ``mod_revision`` is None when it is not known. ``answer`` is set when
     the job has ended, ``published`` when callers may be told.
     """
@@ -35,10 +35,10 @@
     body: JobRecordBody
     mod_revision: int | None
     stored: bool
-    sent: bool
+    may_have_record: bool
     answer: JobView | None = None
     published: bool = False
-    results_until: float = 0.0
+    results_available_until: float = 0.0
 
 
 def confirms_answer(entry: LedgerEntry, stored: JobRecordBody) -> bool:
--- a/src/redwingrudder/_ownership_announcer.py
+++ b/src/redwingrudder/_ownership_announcer.py
@@ -30,19 +30,19 @@
         self._address = address
         self._epochs_by_domain: dict[str, Epoch] = {}
 
-    def begin(self, epoch: Epoch) -> None:
+    def announce_gained(self, epoch: Epoch) -> None:
         """This node began to own its domain."""
         _logger.info("owning", extra={"epoch": list(epoch)})
         self._announcer.announce(requests.OwnershipGained(epoch))
         self._announce_self(epoch)
 
-    def raise_epoch(self, epoch: Epoch) -> None:
+    def announce_epoch_raised(self, epoch: Epoch) -> None:
         """This node owns its domain under a higher epoch."""
         _logger.info("owning under a higher epoch", extra={"epoch": list(epoch)})
         self._announcer.announce(requests.EpochRaised(epoch))
         self._announce_self(epoch)
 
-    def end(self, cause: OwnerRecord | requests.Fenced | None) -> None:
+    def announce_ended(self, cause: OwnerRecord | requests.Fenced | None) -> None:
         """This node's ownership ended; None means that it is draining."""
         reason = "the node is draining"
         if isinstance(cause, OwnerRecord):
@@ -52,7 +52,9 @@
         _logger.info("ownership ended", extra={"reason": reason})
         self._announcer.announce(requests.OwnershipEnded(reason))
 
-    def owner(self, domain: str, node_id: str, address: str, epoch: Epoch) -> None:
+    def announce_owner(
+        self, domain: str, node_id: str, address: str, epoch: Epoch
+    ) -> None:
         """Tell the owner of a domain unless a later one is known."""
         if epoch > self._epochs_by_domain.get(domain, _NO_EPOCH):
             self._epochs_by_domain[domain] = epoch
@@ -60,4 +62,4 @@
             self._announcer.announce(changed)
 
     def _announce_self(self, epoch: Epoch) -> None:
-        self.owner(self._failure_domain, self._node_id, self._address, epoch)
+        self.announce_owner(self._failure_domain, self._node_id, self._address, epoch)
--- a/src/redwingrudder/_ownership_lease.py
+++ b/src/redwingrudder/_ownership_lease.py
@@ -5,8 +5,8 @@
 from ._ownership_record import Acquisition, OwnerRecordClient
 from .exceptions import RedwingrudderError
 
-RENEW_S = 1.0
-RENEW_TOLERANCE_S = 0.1  # renewals are sent by a tick
+RENEWAL_INTERVAL_S = 1.0
+RENEWAL_TOLERANCE_S = 0.1  # renewals are sent by a tick
 
 
 class OwnerLease:
@@ -18,35 +18,38 @@
     """
 
     def __init__(
-        self, record_client: OwnerRecordClient, seconds: Callable[[], float]
+        self, record_client: OwnerRecordClient, now: Callable[[], float]
     ) -> None:
         self._record_client = record_client
-        self._seconds = seconds
+        self._now = now
         self._lease_id = 0
         self._revision = 0
         self._valid_until = 0.0
-        self._renewed_at = 0.0
+        self._last_renewal_at = 0.0
         self._renewing = False
 
-    def take(self, acquisition: Acquisition) -> None:
+    def hold(self, acquisition: Acquisition) -> None:
         """Hold the lease of an acquisition."""
         self._lease_id = acquisition.lease_id
         self._revision = acquisition.revision
         self._valid_until = acquisition.valid_until
-        self._renewed_at = self._seconds()
+        self._last_renewal_at = self._now()
 
     def is_lapsed(self) -> bool:
         """Whether the lease has lapsed or none is held."""
-        return self._valid_until <= self._seconds()
+        return self._valid_until <= self._now()
 
     def is_renewal_due(self) -> bool:
         """Whether to renew the lease."""
-        waited_s = self._seconds() - self._renewed_at
-        return self._lease_id != 0 and waited_s >= RENEW_S - RENEW_TOLERANCE_S
+        since_renewal_s = self._now() - self._last_renewal_at
+        return (
+            self._lease_id != 0
+            and since_renewal_s >= RENEWAL_INTERVAL_S - RENEWAL_TOLERANCE_S
+        )
 
-    def confirm(self) -> None:
+    def allow_renewal(self) -> None:
         """Note that the record still exists: there is time to renew."""
-        self._valid_until = self._seconds() + RENEW_S
+        self._valid_until = self._now() + RENEWAL_INTERVAL_S
 
     async def renew(self) -> None:
         """Renew the lease unless that is under way."""
@@ -54,7 +57,7 @@
             return
         lease_id = self._lease_id
         self._renewing = True
-        self._renewed_at = self._seconds()
+        self._last_renewal_at = self._now()
         try:
             valid_until = await self._record_client.renew(lease_id)
         except RedwingrudderError:
@@ -66,17 +69,17 @@
 
     async def release(self) -> None:
         """Give the lease up, and the record with it."""
-        lease_id = self._drop()
+        lease_id = self._clear()
         if lease_id:
             await self._record_client.release(lease_id)
 
     async def hand_over(self) -> None:
         """Give the record up so that another node takes over at once."""
-        lease_id = self._drop()
+        lease_id = self._clear()
         if lease_id:
             await self._record_client.hand_over(lease_id, self._revision)
 
-    def _drop(self) -> int:
+    def _clear(self) -> int:
         lease_id, self._lease_id = self._lease_id, 0
         self._valid_until = 0.0
         return lease_id
--- a/src/redwingrudder/_ownership_peers.py
+++ b/src/redwingrudder/_ownership_peers.py
@@ -5,15 +5,15 @@
 
 from .requests import PeerReport, VmInfo
 
-SILENT_S = 3.0  # a node exchanges each second with its domain's owner
-PEER_LIMIT = 1_000
+SILENCE_TIMEOUT_S = 3.0  # a node exchanges each second with its domain's owner
+MAX_PEERS = 1_000
 
 
 class _Peer(NamedTuple):
     """A node that sent a report; ``silent`` when it answers no more."""
 
     rank: int
-    seen_at: float
+    last_heard_at: float
     owner: bool
     draining: bool
     silent: bool
@@ -45,26 +45,28 @@
         }
         self._silent_members &= self._member_ranks_by_id.keys()
 
-    def report(self, report: PeerReport, now: float) -> None:
+    def record_report(self, report: PeerReport, now: float) -> None:
         """Take over a report; the least recent peer gives way at the limit."""
         peers = self._peers_by_id
-        if report.node_id not in peers and len(peers) >= PEER_LIMIT:
-            del peers[min(peers, key=lambda node_id: peers[node_id].seen_at)]
+        if report.node_id not in peers and len(peers) >= MAX_PEERS:
+            del peers[min(peers, key=lambda node_id: peers[node_id].last_heard_at)]
         peers[report.node_id] = _Peer(
             report.node_rank, now, report.owner, report.draining, False
         )
         self._silent_members.discard(report.node_id)
 
-    def silent(self, node_id: str, silent_s: float, now: float) -> None:
+    def mark_silent(self, node_id: str, silent_s: float, now: float) -> None:
         """Note that a node has not answered for some seconds."""
         if node_id in self._member_ranks_by_id:
             self._silent_members.add(node_id)
         peer = self._peers_by_id.get(node_id)
         if peer is not None:
-            seen_at = min(peer.seen_at, now - silent_s)
-            self._peers_by_id[node_id] = peer._replace(seen_at=seen_at, silent=True)
+            last_heard_at = min(peer.last_heard_at, now - silent_s)
+            self._peers_by_id[node_id] = peer._replace(
+                last_heard_at=last_heard_at, silent=True
+            )
 
-    def released(self, node_id: str) -> None:
+    def mark_released(self, node_id: str) -> None:
         """Note that a node handed its ownership over."""
         peer = self._peers_by_id.get(node_id)
         if peer is not None:
@@ -73,32 +75,32 @@
     def add_own_pause(self, paused_s: float) -> None:
         """Discount a time during which this node itself was paused."""
         for node_id, peer in self._peers_by_id.items():
-            seen_at = peer.seen_at + paused_s
-            self._peers_by_id[node_id] = peer._replace(seen_at=seen_at)
+            last_heard_at = peer.last_heard_at + paused_s
+            self._peers_by_id[node_id] = peer._replace(last_heard_at=last_heard_at)
 
     def is_owner_alive(self, now: float) -> bool:
         """Whether a node that claims to own the domain was heard of."""
-        return now - self.owner_seen_at() < SILENT_S
+        return now - self.owner_last_heard_at() < SILENCE_TIMEOUT_S
 
-    def owner_seen_at(self) -> float:
+    def owner_last_heard_at(self) -> float:
         """Return when an owner of the domain was last heard of."""
         times = [
-            peer.seen_at
+            peer.last_heard_at
             for peer in self._peers_by_id.values()
             if peer.owner and not peer.draining
         ]
         return max(times, default=-math.inf)
 
-    def count_heard_before(self, now: float) -> int:
+    def count_recently_heard_before(self, now: float) -> int:
         """Return how many nodes before this one were heard of lately."""
         own = (self._rank, self._node_id)
         return sum(
             (peer.rank, node_id) < own
             for node_id, peer in self._peers_by_id.items()
-            if now - peer.seen_at < SILENT_S and not peer.draining
+            if now - peer.last_heard_at < SILENCE_TIMEOUT_S and not peer.draining
         )
 
-    def count_before(self) -> int:
+    def count_possibly_live_before(self) -> int:
         """Return how many nodes that may be live come before this one."""
         ranks_by_id = {
             node_id: rank
--- a/src/redwingrudder/_ownership_record.py
+++ b/src/redwingrudder/_ownership_record.py
@@ -30,7 +30,7 @@
 # nodes would wait for an owner whose last report is recent.
 RELEASED_SUFFIX = "/released"
 LEASE_S = 3
-ATTEMPTS = 2  # of one acquisition; the lease is short
+MAX_WRITE_ATTEMPTS = 2  # of one acquisition; the lease is short
 
 AskStore = Callable[[Any], Awaitable[Any]]
 
@@ -67,7 +67,7 @@
         self.record: OwnerRecord | None = None
         self._revision = 0
 
-    def learn(self, record: OwnerRecord | None, revision: int) -> bool:
+    def update(self, record: OwnerRecord | None, revision: int) -> bool:
         """Take over a record unless it is older; returns if it changed."""
         # A watch may lag behind what was read or written.
         if revision < self._revision:
@@ -93,14 +93,14 @@
     def __init__(
         self,
         ask_store: AskStore,
-        seconds: Callable[[], float],
+        now: Callable[[], float],
         failure_domain: str,
         node_id: str,
         address: str,
         rank: int,
     ) -> None:
         self._ask_store = ask_store
-        self._seconds = seconds
+        self._now = now
         self._key = OWNER_PREFIX + failure_domain
         self._epoch_key = EPOCH_PREFIX + failure_domain
         self._node_id = node_id
@@ -122,11 +122,11 @@
         }
         return Owners(records, reply.revision)
 
-    async def acquire(self, highest: Epoch) -> Acquisition | OwnerRecord:
+    async def acquire(self, highest_epoch: Epoch) -> Acquisition | OwnerRecord:
         """Create the record under a new lease and a higher epoch.
 
         Args:
-            highest: The highest epoch known for the domain.
+            highest_epoch: The highest_epoch epoch known for the domain.
 
         Returns:
             The acquisition, or the record of the node that holds it.
@@ -134,12 +134,12 @@
         Raises:
             RedwingrudderError: The store failed or another node raced.
         """
-        granted_at = self._seconds()
+        granted_at = self._now()
         lease_id = await self._ask_store(GrantLease(LEASE_S))
         try:
-            counter = await self._ask_store(GetKey(self._epoch_key))
-            record = self._build_record(counter, highest)
-            transaction = self._build_transaction(record, counter, lease_id)
+            epoch_counter = await self._ask_store(GetKey(self._epoch_key))
+            record = self._build_record(epoch_counter, highest_epoch)
+            transaction = self._build_transaction(record, epoch_counter, lease_id)
             outcome = await self._write(transaction)
         except RedwingrudderError:
             await self.release(lease_id)
@@ -151,7 +151,7 @@
 
     async def renew(self, lease_id: int) -> float | None:
         """Renew the lease; returns until when it is valid, None if lapsed."""
-        sent_at = self._seconds()
+        sent_at = self._now()
         ttl_s = await self._ask_store(KeepLeaseAlive(lease_id))
         return sent_at + ttl_s if ttl_s > 0 else None
 
@@ -181,20 +181,24 @@
         except RedwingrudderError:
             return  # It lapses within LEASE_S.
 
-    def _build_record(self, counter: KeyValue | None, highest: Epoch) -> OwnerRecord:
-        recorded = 0 if counter is None else int(counter.value)
-        term = max(recorded, highest.store_term) + 1
+    def _build_record(
+        self, epoch_counter: KeyValue | None, highest_epoch: Epoch
+    ) -> OwnerRecord:
+        recorded_term = 0 if epoch_counter is None else int(epoch_counter.value)
+        term = max(recorded_term, highest_epoch.store_term) + 1
         epoch = Epoch(term, 0, self._rank)
         # The watch may show the record before the store's reply arrives.
         self._nonce = uuid.uuid4().hex
         return OwnerRecord(self._node_id, self._address, epoch, self._nonce)
 
     def _build_transaction(
-        self, record: OwnerRecord, counter: KeyValue | None, lease_id: int
+        self, record: OwnerRecord, epoch_counter: KeyValue | None, lease_id: int
     ) -> Transact:
-        counter_revision = 0 if counter is None else counter.mod_revision
+        epoch_counter_revision = (
+            0 if epoch_counter is None else epoch_counter.mod_revision
+        )
         return Transact(
-            (Compare(self._key, 0), Compare(self._epoch_key, counter_revision)),
+            (Compare(self._key, 0), Compare(self._epoch_key, epoch_counter_revision)),
             (
                 PutKey(self._key, encode_record(record), lease_id),
                 PutKey(self._epoch_key, str(record.epoch.store_term)),
@@ -203,7 +207,7 @@
 
     async def _write(self, transaction: Transact) -> int | OwnerRecord:
         """Return the revision of the written record, or who holds it."""
-        for _ in range(ATTEMPTS):
+        for _ in range(MAX_WRITE_ATTEMPTS):
             try:
                 reply = await self._ask_store(transaction)
             except OutcomeUnknownError:
@@ -218,8 +222,8 @@
         pair = await self._ask_store(GetKey(self._key))
         if pair is None:
             raise ConflictError("another node raced for the owner record")
-        found = decode_record(pair.value)
-        return pair.mod_revision if self.is_own(found) else found
+        holder = decode_record(pair.value)
+        return pair.mod_revision if self.is_own(holder) else holder
 
 
 def encode_record(record: OwnerRecord) -> str:
--- a/src/redwingrudder/_ownership_term.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -27,7 +27,7 @@
 from .requests import DISPATCHER, VmInfo
 from .timers import TIMERS, Subscribe, Unsubscribe
 
-RECOVERY_LIMIT_S = 3.0  # placement resumes within 5 s of an owner's death
+RECOVERY_TIMEOUT_S = 3.0  # placement resumes within 5 s of an owner's death
 LOAD_RETRY_S = 1.0
 RECORD_RETRY_S = 1.0
 SWEEP_INTERVAL_S = 30.0
@@ -64,25 +64,25 @@
         self.waiters = JobWaiters(parts.system, DISPATCHER)
         self.roster = WorkerRoster(parts.system, parts.settings, epoch, parts.transport)
         callbacks = LedgerCallbacks(
-            self._published,
-            self._results_safe,
-            self._recorded,
+            self._answer_published,
+            self._results_releasable,
+            self._record_created,
             self._changed_by_other_owner,
-            self._retry_records,
+            self._schedule_record_retry,
         )
         self._store = JobStore(parts.system, self._domain, epoch)
         self.ledger = JobLedger(self._store, self._domain, callbacks)
-        self._loaded = False
+        self._records_loaded = False
         self.closed = False
         self._commands = GangCommands(self.roster, self.ledger.is_pending)
         self._recovered = False
-        self._early_shortages: tuple[GuaranteeShortage, ...] = ()
+        self._shortages_before_recovery: tuple[GuaranteeShortage, ...] = ()
         self._members_known = False
         self._events: deque[messages.Event] = deque()
-        self._feeding = False
+        self._processing_events = False
         # Jobs whose start is recorded are not judged before every worker
         # was claimed or is surely without tasks.
-        self._uncertain: dict[str, JobRecordBody] = {}
+        self._unresolved_records_by_job: dict[str, JobRecordBody] = {}
         self._handlers_by_effect_type: dict[type, Callable] = {
             messages.ReserveMember: self._commands.reserve,
             messages.StartMember: self._commands.start,
@@ -92,10 +92,10 @@
             messages.JobChanged: self._job_changed,
             messages.TargetMissed: self._target_missed,
             messages.ShortagesChanged: self._shortages_changed,
-            messages.ScheduleWakeUp: self._wake_at,
+            messages.ScheduleWakeUp: self._schedule_wake_up,
         }
         self._timers_by_name: dict[str, Callable[[], None]] = {
-            WAKE_TIMER: lambda: self.feed(messages.Tick()),
+            WAKE_TIMER: lambda: self.process_event(messages.Tick()),
             RECOVERY_TIMER: self._end_recovery,
             LOAD_TIMER: lambda: self.run(self._load()),
             RECORDS_TIMER: lambda: self.run(self.ledger.write_all()),
@@ -110,10 +110,10 @@
     ) -> None:
         """Claim the workers and read the job records."""
         if configuration is not None:
-            self.feed(configuration)
+            self.process_event(configuration)
         if vms is not None:
             self.sync_members(vms)
-        self._subscribe(RECOVERY_TIMER, RECOVERY_LIMIT_S)
+        self._subscribe(RECOVERY_TIMER, RECOVERY_TIMEOUT_S)
         self._subscribe(SWEEP_TIMER, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S)
         self._subscribe(FLUSH_TIMER, FLUSH_INTERVAL_S, FLUSH_INTERVAL_S)
         self.run(self._load())
@@ -125,40 +125,40 @@
         self.roster.close()
         for timer in self._timers_by_name:
             self._system.tell(TIMERS, Unsubscribe(DISPATCHER, timer))
-        detail = f"this node no longer owns {self._domain}: {reason}"
-        error = UnavailableError(detail, code="not_owner", retry_after_s=0.5)
+        message = f"this node no longer owns {self._domain}: {reason}"
+        error = UnavailableError(message, code="not_owner", retry_after_s=0.5)
         self.waiters.fail_all(error)
 
     def drain(self) -> bool:
         """Record no further starts; returns whether one is in progress."""
-        return self._commands.drain() or not self.ledger.idle
+        return self._commands.drain() or not self.ledger.is_idle
 
     def now(self) -> float:
         """Return the time of the node's clock."""
         return self._system.clock.seconds()
 
-    def run(self, work: Coroutine) -> None:
+    def run(self, coroutine: Coroutine) -> None:
         """Run a coroutine whose result nobody awaits."""
-        ensureDeferred(work).addErrback(self._log_fault)
+        ensureDeferred(coroutine).addErrback(self._log_fault)
 
-    def fire(self, timer: str) -> None:
+    def handle_timer(self, timer: str) -> None:
         """Take a timer of this ownership term."""
         if not self.closed and timer in self._timers_by_name:
             self._timers_by_name[timer]()
 
-    def feed(self, event: messages.Event) -> None:
+    def process_event(self, event: messages.Event) -> None:
         """Give an event to the scheduler and carry out its effects."""
         self._events.append(event)
-        if self._feeding:
+        if self._processing_events:
             # Carrying out an effect raised this event; effects of one event
             # are carried out before those of the next.
             return
-        self._feeding = True
+        self._processing_events = True
         try:
             while self._events and not self.closed:
                 self._handle(self._events.popleft())
         finally:
-            self._feeding = False
+            self._processing_events = False
 
     def _handle(self, event: messages.Event) -> None:
         for effect in self.scheduler.handle(event, self.now()):
@@ -168,17 +168,17 @@
         """Take the VM list."""
         self._members_known = True
         for event in self.roster.sync(vms):
-            self.feed(event)
-        self._check_recovery()
+            self.process_event(event)
+        self._end_recovery_if_complete()
 
     def handle_link_event(self, message: LinkEvent) -> None:
         """Take what a worker link tells."""
         for event in self.roster.take(message):
             if isinstance(event, messages.WorkerClaimed):
                 self._commands.note_report(event.report)
-            self.feed(event)
-        self._judge_reported()
-        self._check_recovery()
+            self.process_event(event)
+        self._resolve_recovered_jobs()
+        self._end_recovery_if_complete()
 
     def raise_epoch(self, epoch: Epoch) -> None:
         """Go on under a higher epoch."""
@@ -186,7 +186,7 @@
         self._store.epoch = epoch
         self.roster.raise_epoch(epoch)
         # Writes may have waited for the owner record.
-        self._retry_records()
+        self._schedule_record_retry()
 
     def view(self, job_id: str) -> JobView | None:
         """Return what a caller may be told of a job now, None if unknown.
@@ -195,25 +195,25 @@
             ResultExpiredError: The results are no longer kept.
         """
         answer = self.ledger.answer(job_id, self.now())
-        if answer is not None and not self._runs_again(answer):
+        if answer is not None and not self._has_run_since(answer):
             return answer
-        held_back = self.ledger.unpublished(job_id)
-        if held_back is not None:
+        unpublished_view = self.ledger.unpublished_answer(job_id)
+        if unpublished_view is not None:
             # The end is not recorded yet, so another owner could run the job.
-            return held_back._replace(
+            return unpublished_view._replace(
                 state=JobState.QUEUED, reason=NOT_RECORDED_YET, finished_at=None
             )
         view = self.scheduler.view(job_id)
-        return view and view._replace(durable=self.ledger.durable(job_id))
+        return view and view._replace(durable=self.ledger.is_durable(job_id))
 
-    def _runs_again(self, answer: JobView) -> bool:
+    def _has_run_since(self, answer: JobView) -> bool:
         """Whether a job that was recorded as not run has run since."""
         if answer.state is not JobState.NOT_RUN:
             return False
         view = self.scheduler.view(answer.job_id)
         return view is not None and view.state is not JobState.NOT_RUN
 
-    def known_view(self, job_id: str) -> JobView:
+    def require_view(self, job_id: str) -> JobView:
         """Return what a caller may be told of a job that is recorded.
 
         Raises:
@@ -222,13 +222,13 @@
         """
         view = self.view(job_id)
         if view is None:
-            self.check_recovered(job_id)
+            self.check_job_recovered(job_id)
             raise UnavailableError(f"{job_id} is not known", retry_after_s=1.0)
         return view
 
-    def check_recovered(self, job_id: str) -> None:
+    def check_job_recovered(self, job_id: str) -> None:
         """Refuse to tell that a job is unknown before that is certain."""
-        if not self._loaded or job_id in self._uncertain:
+        if not self._records_loaded or job_id in self._unresolved_records_by_job:
             raise UnavailableError(
                 f"{job_id} may still be recovered",
                 code="recovering",
@@ -248,19 +248,19 @@
                 code="recovering",
                 retry_after_s=1.0,
             )
-        self.feed(messages.CancelRequested(job_id))
+        self.process_event(messages.CancelRequested(job_id))
 
-    def take_record(self, record: StoredRecord) -> None:
+    def add_record(self, record: StoredRecord) -> None:
         """Know a job of this domain from its record."""
         body = record.body
         job_id = body["job_id"]
         self.ledger.add_stored(record)
         if is_final(body):
-            self._take_final(job_id)
+            self._handle_final_record(job_id)
         elif not self.ledger.has_ended(job_id):
-            self._uncertain[job_id] = body
-            if body["state"] != STARTING or self._is_certain(job_id):
-                self._submit_uncertain(job_id)
+            self._unresolved_records_by_job[job_id] = body
+            if body["state"] != STARTING or self._can_resolve(job_id):
+                self._submit_recovered(job_id)
 
     # Recovery.
 
@@ -273,46 +273,48 @@
         if self.closed:
             return
         for record in sorted(stored, key=lambda r: r.body["finished_at"] or 0.0):
-            self.take_record(record)
-        self._loaded = True
-        self._check_recovery()
+            self.add_record(record)
+        self._records_loaded = True
+        self._end_recovery_if_complete()
 
-    def _take_final(self, job_id: str) -> None:
+    def _handle_final_record(self, job_id: str) -> None:
         view = self.scheduler.view(job_id)
         if view is not None and view.state not in FINAL_JOB_STATES:
             # A worker still holds a gang of a job that has ended.
-            self.feed(messages.CancelRequested(job_id))
+            self.process_event(messages.CancelRequested(job_id))
         self.waiters.job_ended(job_id)
 
-    def _is_certain(self, job_id: str) -> bool:
-        everyone = self._members_known and self.roster.settled
-        return everyone or self.scheduler.view(job_id) is not None
+    def _can_resolve(self, job_id: str) -> bool:
+        all_workers_reported = self._members_known and self.roster.settled
+        return all_workers_reported or self.scheduler.view(job_id) is not None
 
-    def _judge_reported(self) -> None:
-        for job_id in list(self._uncertain):
-            if self._is_certain(job_id):
-                self._submit_uncertain(job_id)
+    def _resolve_recovered_jobs(self) -> None:
+        for job_id in list(self._unresolved_records_by_job):
+            if self._can_resolve(job_id):
+                self._submit_recovered(job_id)
 
-    def _submit_uncertain(self, job_id: str) -> None:
-        body = self._uncertain.pop(job_id)
-        started = body["state"] == STARTING
+    def _submit_recovered(self, job_id: str) -> None:
+        body = self._unresolved_records_by_job.pop(job_id)
+        was_starting = body["state"] == STARTING
         spec = spec_of(body)
         submitted_at = body["submitted_at"]
-        self.feed(messages.JobSubmitted(job_id, spec, submitted_at, True, started))
+        self.process_event(
+            messages.JobSubmitted(job_id, spec, submitted_at, True, was_starting)
+        )
 
-    def _check_recovery(self) -> None:
+    def _end_recovery_if_complete(self) -> None:
         if self._recovered:
             return
-        if self._loaded and self._members_known and self.roster.settled:
-            self._judge_reported()
+        if self._records_loaded and self._members_known and self.roster.settled:
+            self._resolve_recovered_jobs()
             self._end_recovery()
 
     def _end_recovery(self) -> None:
         if not self._recovered:
             self._system.tell(TIMERS, Unsubscribe(DISPATCHER, RECOVERY_TIMER))
-            self.feed(messages.RecoveryEnded())
+            self.process_event(messages.RecoveryEnded())
             self._recovered = True
-            self.reporter.shortages(self._early_shortages)
+            self.reporter.report_shortages(self._shortages_before_recovery)
 
     # Effects.
 
@@ -321,72 +323,78 @@
             self.run(self._write_start(effect))
 
     async def _write_start(self, effect: messages.RecordStart) -> None:
-        refusal = await self.ledger.record_start(effect.job_id, effect.gang_id)
-        self.feed(messages.StartRecordAnswered(effect.gang_id, not refusal, refusal))
+        refusal_code = await self.ledger.record_start(effect.job_id, effect.gang_id)
+        self.process_event(
+            messages.StartRecordAnswered(effect.gang_id, not refusal_code, refusal_code)
+        )
 
     def _job_changed(self, effect: messages.JobChanged) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
-        self.reporter.changed(effect.job_id, job.spec, effect.state)
+        self.reporter.report_state_change(effect.job_id, job.spec, effect.state)
         self._commands.starting_jobs.discard(effect.job_id)
         if effect.state not in FINAL_JOB_STATES:
             return
-        view = self._certain_view(effect.job_id)
-        self._uncertain.pop(effect.job_id, None)
+        view = self._final_view(effect.job_id)
+        self._unresolved_records_by_job.pop(effect.job_id, None)
         self.ledger.finish(view, job.spec, self.now())
         self.run(self.ledger.write(effect.job_id))
 
-    def _certain_view(self, job_id: str) -> JobView:
+    def _final_view(self, job_id: str) -> JobView:
         """Return the end of a job without claiming more than is known.
 
         A job without a record may have run for a previous owner, and only
         the job records and the reports of all workers could tell.
         """
         view = self.scheduler.view(job_id)
-        complete = self._loaded and self._members_known and self.roster.settled
-        if view.state is not JobState.NOT_RUN or complete:
+        all_reported = (
+            self._records_loaded and self._members_known and self.roster.settled
+        )
+        if view.state is not JobState.NOT_RUN or all_reported:
             return view
-        if self.ledger.durable(job_id):
+        if self.ledger.is_durable(job_id):
             return view
         return view._replace(state=JobState.INTERRUPTED, reason="may_have_run")
 
     def _target_missed(self, effect: messages.TargetMissed) -> None:
         job = self.scheduler.jobs_by_id[effect.job_id]
-        self.reporter.target_missed(effect.job_id, job.spec)
+        self.reporter.report_target_missed(effect.job_id, job.spec)
 
     def _shortages_changed(self, effect: messages.ShortagesChanged) -> None:
         # Before the workers are claimed, every guarantee seems short.
         if self._recovered:
-            self.reporter.shortages(effect.shortages)
+            self.reporter.report_shortages(effect.shortages)
         else:
-            self._early_shortages = effect.shortages
+            self._shortages_before_recovery = effect.shortages
 
-    def _wake_at(self, effect: messages.ScheduleWakeUp) -> None:
+    def _schedule_wake_up(self, effect: messages.ScheduleWakeUp) -> None:
         self._subscribe(WAKE_TIMER, effect.at - self.now())
 
     # Callbacks of the ledger.
 
-    def _published(self, job_id: str) -> None:
+    def _answer_published(self, job_id: str) -> None:
         view = self.ledger.answer(job_id, self.now())
         if view is not None:
-            self.reporter.finished(view)
+            self.reporter.report_finished(view)
         self.waiters.job_ended(job_id)
 
-    def _results_safe(self, job_id: str) -> None:
+    def _results_releasable(self, job_id: str) -> None:
         self._commands.release_held(job_id)
 
-    def _recorded(self, job_id: str) -> None:
+    def _record_created(self, job_id: str) -> None:
         job = self.scheduler.jobs_by_id.get(job_id)
         if job is not None:
-            self.feed(messages.JobSubmitted(job_id, job.spec, job.submitted_at, True))
+            self.process_event(
+                messages.JobSubmitted(job_id, job.spec, job.submitted_at, True)
+            )
 
     def _changed_by_other_owner(self, record: StoredRecord) -> None:
         """Another owner ended the job or recorded a start of it."""
         job_id = record.body["job_id"]
-        self.take_record(record)
+        self.add_record(record)
         if not is_final(record.body):
-            self.feed(messages.CancelRequested(job_id))
+            self.process_event(messages.CancelRequested(job_id))
 
-    def _retry_records(self) -> None:
+    def _schedule_record_retry(self) -> None:
         self._subscribe(RECORDS_TIMER, RECORD_RETRY_S)
 
     # Helpers.
--- a/src/redwingrudder/_record_sweeper.py
+++ b/src/redwingrudder/_record_sweeper.py
@@ -9,7 +9,7 @@
 from .exceptions import OutcomeUnknownError, StoreUnavailableError
 
 RECORD_RETENTION_S = 3_600.0  # after the end of a job
-DELETION_BATCH = 100  # keys; the store bounds a transaction to 128
+MAX_BATCH_KEYS = 100  # keys; the store bounds a transaction to 128
 
 _logger = logging.getLogger(__name__)
 
@@ -47,7 +47,7 @@
 
     def _take_due(self, now: float) -> list[_Deletion]:
         batch: list[_Deletion] = []
-        while self._deletions and len(batch) < DELETION_BATCH:
+        while self._deletions and len(batch) < MAX_BATCH_KEYS:
             if self._deletions[0].due_at > now:
                 break
             batch.append(self._deletions.popleft())
--- a/src/redwingrudder/_takeover_policy.py
+++ b/src/redwingrudder/_takeover_policy.py
@@ -2,15 +2,15 @@
 
 import random
 
-from ._ownership_peers import SILENT_S, PeerTable
+from ._ownership_peers import SILENCE_TIMEOUT_S, PeerTable
 
-TURN_S = 0.2  # between the attempts of the nodes, in the order of their ranks
-TURN_JITTER_S = 0.1
-TURN_LIMIT = 10  # turns waited while no other node is known
+TURN_INTERVAL_S = 0.2  # between the attempts of the nodes, in the order of their ranks
+MAX_TURN_JITTER_S = 0.1
+MAX_TURNS = 10  # turns waited while no other node is known
 # After an outage the owner finds the store again up to 1.2 s later than other
 # nodes, by the interval of the probes. An owner that stays without a record
 # for longer cannot write job records, so another node takes over.
-ABSENT_LIMIT_S = 2.5
+MAX_RECORD_ABSENCE_S = 2.5
 # Time for a node of the VM list to be heard of once all nodes exchange.
 FIRST_REPORT_TIMEOUT_S = 2.0
 
@@ -28,41 +28,47 @@
         self._peers = peers
         self._rank = rank
         self._jitter = jitter
-        self._absent_since = 0.0
-        self._turn_s = 0.0
-        self._owner_wait_from: float | None = None
+        self._record_absent_since = 0.0
+        self._turn_delay_s = 0.0
+        self._owner_wait_started_at: float | None = None
 
-    def members_known(self, now: float) -> None:
+    def start_owner_wait(self, now: float) -> None:
         """Note that peers can be heard from now on."""
-        if self._owner_wait_from is None:
-            self._owner_wait_from = now
+        if self._owner_wait_started_at is None:
+            self._owner_wait_started_at = now
 
     def restart_owner_wait(self, now: float) -> None:
         """Give the owner time to be heard of before a claim."""
-        if self._owner_wait_from is not None:
-            self._owner_wait_from = now
+        if self._owner_wait_started_at is not None:
+            self._owner_wait_started_at = now
 
-    def record_vanished(self, now: float) -> None:
+    def note_record_absent(self, now: float) -> None:
         """Note that the record is absent from now on."""
-        turns = self._peers.count_before()
+        turns = self._peers.count_possibly_live_before()
         if self._peers.is_empty():
-            turns = min(self._rank, TURN_LIMIT)
-        self._absent_since = now
-        self._turn_s = turns * TURN_S + self._jitter.uniform(0.0, TURN_JITTER_S)
+            turns = min(self._rank, MAX_TURNS)
+        self._record_absent_since = now
+        self._turn_delay_s = turns * TURN_INTERVAL_S + self._jitter.uniform(
+            0.0, MAX_TURN_JITTER_S
+        )
 
     def acquire_at(self) -> float:
         """Return when to acquire the absent record."""
-        silent_at = self._peers.owner_seen_at() + SILENT_S
-        latest = self._absent_since + ABSENT_LIMIT_S
-        return max(self._absent_since, min(silent_at, latest)) + self._turn_s
+        silent_at = self._peers.owner_last_heard_at() + SILENCE_TIMEOUT_S
+        latest = self._record_absent_since + MAX_RECORD_ABSENCE_S
+        return (
+            max(self._record_absent_since, min(silent_at, latest)) + self._turn_delay_s
+        )
 
     def may_claim(self, now: float) -> bool:
         """Whether to claim the domain while the store is unreachable."""
-        if self._owner_wait_from is None:
+        if self._owner_wait_started_at is None:
             return False
-        silent_s = now - max(self._owner_wait_from, self._peers.owner_seen_at())
-        if silent_s < SILENT_S:
+        silent_s = now - max(
+            self._owner_wait_started_at, self._peers.owner_last_heard_at()
+        )
+        if silent_s < SILENCE_TIMEOUT_S:
             return False
-        if silent_s < SILENT_S + FIRST_REPORT_TIMEOUT_S:
-            return self._peers.count_before() == 0
-        return self._peers.count_heard_before(now) == 0
+        if silent_s < SILENCE_TIMEOUT_S + FIRST_REPORT_TIMEOUT_S:
+            return self._peers.count_possibly_live_before() == 0
+        return self._peers.count_recently_heard_before(now) == 0
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -52,11 +52,11 @@
     "job_id_for",
 ]
 
-CANCEL_LIMIT_S = 30.0  # a cancellation is answered as unknown after this
+CANCEL_TIMEOUT_S = 30.0  # a cancellation is answered as unknown after this
 STORE_RETRY_S = 2.0
-DRAIN_LIMIT_S = 5.0
-DRAIN_CHECK_S = 0.1
-LOAD_INTERVAL_S = 1.0
+DRAIN_TIMEOUT_S = 5.0
+DRAIN_CHECK_INTERVAL_S = 0.1
+LOAD_REPORT_INTERVAL_S = 1.0
 
 _LOAD_TIMER = "local_load"
 _DRAIN_TIMER = "drain"
@@ -104,24 +104,24 @@
         self._submitter = JobSubmitter(
             settings.failure_domain,
             settings.store_writes_per_s,
-            self._owned,
+            self._require_ownership_term,
             system.clock.seconds,
         )
-        self._draining: list[Deferred] = []
-        self._drain_until = 0.0
+        self._drain_waiters: list[Deferred] = []
+        self._drain_deadline = 0.0
         super().__init__(system, DISPATCHER)
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            OwnershipGained: self._gain,
+            OwnershipGained: self._ownership_gained,
             EpochRaised: self._raise_epoch,
-            OwnershipEnded: self._end,
+            OwnershipEnded: self._ownership_ended,
             OwnerChanged: lambda _: None,  # told to all followers of ownership
             ConfigurationChanged: self._configure,
             MembersChanged: self._sync_members,
-            LinkEvent: self._take_link_event,
-            TimerFired: self._fire,
+            LinkEvent: self._handle_link_event,
+            TimerFired: self._timer_fired,
             SubmitJob: self._submitter.submit,
             PollJob: self._poll,
             CancelJob: self._cancel,
@@ -139,7 +139,7 @@
 
     # Ownership.
 
-    def _gain(self, message: OwnershipGained) -> None:
+    def _ownership_gained(self, message: OwnershipGained) -> None:
         self._drop_ownership_term("gained again")
         settings = RosterSettings(
             self._settings.failure_domain,
@@ -156,14 +156,16 @@
         self._ownership_term = OwnershipTerm(parts, message.epoch)
         vms = self._members.vms if self._members else None
         self._ownership_term.begin(self._configuration, vms)
-        load = Subscribe(self.name, _LOAD_TIMER, LOAD_INTERVAL_S, LOAD_INTERVAL_S)
+        load = Subscribe(
+            self.name, _LOAD_TIMER, LOAD_REPORT_INTERVAL_S, LOAD_REPORT_INTERVAL_S
+        )
         self.tell(TIMERS, load)
 
     def _raise_epoch(self, message: EpochRaised) -> None:
         if self._ownership_term is not None:
             self._ownership_term.raise_epoch(message.epoch)
 
-    def _end(self, message: OwnershipEnded) -> None:
+    def _ownership_ended(self, message: OwnershipEnded) -> None:
         self._drop_ownership_term(message.reason)
 
     def _drop_ownership_term(self, reason: str) -> None:
@@ -175,30 +177,30 @@
     def _configure(self, message: ConfigurationChanged) -> None:
         self._configuration = message
         if self._ownership_term is not None:
-            self._ownership_term.feed(message)
+            self._ownership_term.process_event(message)
 
     def _sync_members(self, message: MembersChanged) -> None:
         self._members = message
         if self._ownership_term is not None:
             self._ownership_term.sync_members(message.vms)
 
-    def _take_link_event(self, message: LinkEvent) -> None:
+    def _handle_link_event(self, message: LinkEvent) -> None:
         if self._ownership_term is not None:
             self._ownership_term.handle_link_event(message)
 
-    def _fire(self, fired: TimerFired) -> None:
+    def _timer_fired(self, fired: TimerFired) -> None:
         if fired.timer == _DRAIN_TIMER:
             self._check_drained()
         elif self._ownership_term is None:
             return
         elif fired.timer == _LOAD_TIMER:
-            self._tell_load(self._ownership_term)
+            self._publish_load(self._ownership_term)
         elif fired.timer.startswith(TIMER_PREFIX):
             self._ownership_term.waiters.time_out(fired.timer)
         else:
-            self._ownership_term.fire(fired.timer)
+            self._ownership_term.handle_timer(fired.timer)
 
-    def _tell_load(self, ownership_term: OwnershipTerm) -> None:
+    def _publish_load(self, ownership_term: OwnershipTerm) -> None:
         status = ownership_term.scheduler.status(self._now())
         load = LocalLoad(
             status.free_accelerators, status.largest_gang, status.queued_jobs
@@ -206,7 +208,7 @@
         if PEERS in self.system.names():
             self.tell(PEERS, load)
 
-    def _owned(self) -> OwnershipTerm:
+    def _require_ownership_term(self) -> OwnershipTerm:
         if self._ownership_term is None:
             domain = self._settings.failure_domain
             detail = f"this node does not own {domain}"
@@ -216,22 +218,24 @@
     # Other requests of callers.
 
     async def _poll(self, message: PollJob) -> JobView:
-        view = self._find(message.job_id)
+        view = self._find_job(message.job_id)
         if view.state in FINAL_JOB_STATES or message.wait_s <= 0:
             return view
-        await self._owned().waiters.wait(message.job_id, message.wait_s)
-        return self._find(message.job_id)
+        await self._require_ownership_term().waiters.wait(
+            message.job_id, message.wait_s
+        )
+        return self._find_job(message.job_id)
 
     async def _cancel(self, message: CancelJob) -> JobView:
-        view = self._find(message.job_id)
+        view = self._find_job(message.job_id)
         if view.state in FINAL_JOB_STATES:
             return view
-        ownership_term = self._owned()
+        ownership_term = self._require_ownership_term()
         ownership_term.cancel(message.job_id)
-        view = self._find(message.job_id)
+        view = self._find_job(message.job_id)
         if view.state not in FINAL_JOB_STATES:
-            await ownership_term.waiters.wait(message.job_id, CANCEL_LIMIT_S)
-        view = self._find(message.job_id)
+            await ownership_term.waiters.wait(message.job_id, CANCEL_TIMEOUT_S)
+        view = self._find_job(message.job_id)
         if view.state not in FINAL_JOB_STATES:
             raise OutcomeUnknownError(
                 f"the end of {message.job_id} is not confirmed yet",
@@ -240,42 +244,48 @@
         return view
 
     def _explain(self, message: ExplainJob) -> Explanation:
-        view = self._find(message.job_id)
+        view = self._find_job(message.job_id)
         if view.state in FINAL_JOB_STATES:
             reasons = (view.reason,) if view.reason else ()
             return Explanation(message.job_id, view.state.value, reasons)
-        return self._owned().scheduler.explain(message.job_id, self._now())
+        return self._require_ownership_term().scheduler.explain(
+            message.job_id, self._now()
+        )
 
     def _status(self, _: GetStatus) -> DomainStatus:
-        ownership_term = self._owned()
+        ownership_term = self._require_ownership_term()
         return ownership_term.scheduler.status(
             self._now(), self._settings.node_id, ownership_term.epoch
         )
 
-    def _find(self, job_id: str) -> JobView:
-        ownership_term = self._owned()
+    def _find_job(self, job_id: str) -> JobView:
+        ownership_term = self._require_ownership_term()
         view = ownership_term.view(job_id)
         if view is not None:
             return view
-        ownership_term.check_recovered(job_id)
+        ownership_term.check_job_recovered(job_id)
         raise NotFoundError(f"no job {job_id!r}", code="no_such_job")
 
     # Graceful shutdown.
 
     def _drain(self, _: Drain) -> Deferred:
         drained: Deferred = Deferred()
-        self._draining.append(drained)
+        self._drain_waiters.append(drained)
         self._submitter.draining = True
-        self._drain_until = self._now() + DRAIN_LIMIT_S
-        self.tell(TIMERS, Subscribe(self.name, _DRAIN_TIMER, 0.0, DRAIN_CHECK_S))
+        self._drain_deadline = self._now() + DRAIN_TIMEOUT_S
+        self.tell(
+            TIMERS, Subscribe(self.name, _DRAIN_TIMER, 0.0, DRAIN_CHECK_INTERVAL_S)
+        )
         return drained
 
     def _check_drained(self) -> None:
-        starting = self._ownership_term is not None and self._ownership_term.drain()
-        busy = self._submitter.busy or starting
-        if busy and self._now() < self._drain_until:
+        start_in_progress = (
+            self._ownership_term is not None and self._ownership_term.drain()
+        )
+        busy = self._submitter.is_busy or start_in_progress
+        if busy and self._now() < self._drain_deadline:
             return
         self.tell(TIMERS, Unsubscribe(self.name, _DRAIN_TIMER))
-        for drained in self._draining:
+        for drained in self._drain_waiters:
             if not drained.called:
                 drained.callback(None)
--- a/src/redwingrudder/ownership.py
+++ b/src/redwingrudder/ownership.py
@@ -34,11 +34,11 @@
 
 __all__ = ["LEASE_S", "OwnershipActor"]
 
-TICK_S = 0.25
-PAUSE_S = 1.0  # a tick that is later than this shows a pause of the process
-RETRY_S = 1.0  # after a failed call for the record; half to a whole of it
+TICK_INTERVAL_S = 0.25
+PAUSE_THRESHOLD_S = 1.0  # a tick that is later than this shows a pause of the process
+MAX_RETRY_DELAY_S = 1.0  # after a failed call for the record; half to a whole of it
 # A watch may break unnoticed, so a silent owner's record is read again.
-REREAD_S = 5.0
+REREAD_INTERVAL_S = 5.0
 
 _logger = logging.getLogger(__name__)
 
@@ -85,31 +85,31 @@
             rank,
         )
         self._lease = OwnerLease(self._record_client, system.clock.seconds)
-        self._view = RecordView()
+        self._record_view = RecordView()
         self._chart = ChartRunner(
             load_ownership_chart(),
             {
                 "acquire_record": lambda _: run(self._acquire(), self.name),
-                "read_record": lambda _: run(self._verify(), self.name),
-                "release_record": lambda _: self._let_go(self._lease.release()),
-                "hand_over": lambda _: self._let_go(self._lease.hand_over()),
+                "read_record": lambda _: run(self._verify_record(), self.name),
+                "release_record": lambda _: self._start_release(self._lease.release()),
+                "hand_over": lambda _: self._start_release(self._lease.hand_over()),
                 "raise_local_term": lambda _: self._raise_local_term(),
                 "begin_owning": self._begin_owning,
                 "raise_epoch": self._raise_epoch,
                 "end_owning": self._end_owning,
             },
         )
-        # Highest epoch known for the own domain and, while owning, the own.
-        self._highest = Epoch(0, 0, 0)
+        # Highest epoch known for the own_record domain and, while owning, the own_record.
+        self._highest_epoch = Epoch(0, 0, 0)
         self._epoch: Epoch | None = None
         self._acquiring = False
         self._reading = False
         self._watching = False
-        self._releasing: Deferred | None = None
+        self._release_in_progress: Deferred | None = None
         self._store_available = False
-        self._read_at = system.clock.seconds()
-        self._retry_at = 0.0
-        self._ticked_at = system.clock.seconds()
+        self._last_read_at = system.clock.seconds()
+        self._next_attempt_at = 0.0
+        self._last_tick_at = system.clock.seconds()
         super().__init__(system, requests.OWNERSHIP)
 
     def handlers(self) -> dict[type, Handler]:
@@ -125,36 +125,39 @@
             requests.Fenced: self._fenced,
             requests.Drain: self._drain,
         }
-        return {kind: self._guard(handler) for kind, handler in handlers.items()}
+        return {
+            message_type: self._with_lease_check(handler)
+            for message_type, handler in handlers.items()
+        }
 
     def start(self) -> None:
         """Start the tick and ask for the state of the store."""
-        delay_s = self._jitter.uniform(0.0, TICK_S)
-        self.tell(TIMERS, Subscribe(self.name, "tick", delay_s, TICK_S))
+        delay_s = self._jitter.uniform(0.0, TICK_INTERVAL_S)
+        self.tell(TIMERS, Subscribe(self.name, "tick", delay_s, TICK_INTERVAL_S))
         self.tell(requests.STORE, requests.SubscribeStoreStatus(self.name))
 
-    def _guard(self, handler: Handler) -> Handler:
+    def _with_lease_check(self, handler: Handler) -> Handler:
         """Notice a lapsed lease before anything else is handled."""
 
         def handle(message: Any) -> Any:
-            self._notice_pause()
-            self._notice_lapse()
+            self._detect_pause()
+            self._check_lease_expiry()
             return handler(message)
 
         return handle
 
-    def _notice_pause(self) -> None:
+    def _detect_pause(self) -> None:
         # A paused process has not heard its peers, who may well be alive.
-        paused_s = self._now() - self._ticked_at - TICK_S
-        if paused_s > PAUSE_S:
-            self._peers.add_own_pause(paused_s)
-            self._ticked_at = self._now()
+        pause_s = self._now() - self._last_tick_at - TICK_INTERVAL_S
+        if pause_s > PAUSE_THRESHOLD_S:
+            self._peers.add_own_pause(pause_s)
+            self._last_tick_at = self._now()
             self._takeover_policy.restart_owner_wait(self._now())
 
-    def _notice_lapse(self) -> None:
+    def _check_lease_expiry(self) -> None:
         owning = self._chart.state == "owning"
-        ready = self._store_available and self._now() >= self._retry_at
-        if owning and ready and self._lease.is_lapsed():
+        can_verify = self._store_available and self._now() >= self._next_attempt_at
+        if owning and can_verify and self._lease.is_lapsed():
             self._step("lease_lapsed")
 
     def _timer_fired(self, fired: TimerFired) -> None:
@@ -162,30 +165,30 @@
             self._announcer.retry()
             return
         if fired.timer == "tick":
-            self._ticked_at = self._now()
+            self._last_tick_at = self._now()
             self._renew_if_due()
             self._watch_if_due()
-        self._evaluate()
+        self._take_over_if_due()
 
     def _store_status(self, status: requests.StoreStatus) -> None:
         self._store_available = status.available
-        self._retry_at = 0.0
+        self._next_attempt_at = 0.0
         self._watch_if_due()
-        self._notice_lapse()
-        self._evaluate()
+        self._check_lease_expiry()
+        self._take_over_if_due()
 
     def _watch_changed(self, message: requests.WatchChanged) -> None:
-        changed = [self._learn_change(change) for change in message.changes]
+        changed = [self._apply_key_change(change) for change in message.changes]
         if any(changed):
-            self._judge_news()
+            self._process_record_update()
 
-    def _learn_change(self, change: requests.KeyChange) -> bool:
+    def _apply_key_change(self, change: requests.KeyChange) -> bool:
         domain = change.key.removeprefix(OWNER_PREFIX)
         if domain.endswith(RELEASED_SUFFIX):
-            self._peers.released(change.value or "")
+            self._peers.mark_released(change.value or "")
             return False
         record = None if change.value is None else decode_record(change.value)
-        return self._learn_record(domain, record, change.mod_revision)
+        return self._update_record(domain, record, change.mod_revision)
 
     def _watch_reset(self, message: requests.WatchReset) -> None:
         self._watching = False
@@ -193,28 +196,28 @@
 
     def _members_changed(self, message: requests.MembersChanged) -> None:
         self._peers.set_members(message.vms, self._failure_domain)
-        self._takeover_policy.members_known(self._now())
+        self._takeover_policy.start_owner_wait(self._now())
 
     def _peer_report(self, report: requests.PeerReport) -> None:
         if report.failure_domain == self._failure_domain:
-            self._peers.report(report, self._now())
-            self._highest = max(self._highest, report.epoch)
-            higher = self._epoch is not None and report.epoch > self._epoch
-            if report.owner and higher:
+            self._peers.record_report(report, self._now())
+            self._highest_epoch = max(self._highest_epoch, report.epoch)
+            has_higher_epoch = self._epoch is not None and report.epoch > self._epoch
+            if report.owner and has_higher_epoch:
                 fenced = requests.Fenced(self._epoch, report.epoch)
                 self._step("fenced", fenced)
         if report.owner:
-            self._owner_announcer.owner(
+            self._owner_announcer.announce_owner(
                 report.failure_domain, report.node_id, report.address, report.epoch
             )
 
     def _peer_silent(self, message: requests.PeerSilent) -> None:
         if message.failure_domain == self._failure_domain:
-            self._peers.silent(message.node_id, message.silent_s, self._now())
-            self._evaluate()
+            self._peers.mark_silent(message.node_id, message.silent_s, self._now())
+            self._take_over_if_due()
 
     def _fenced(self, message: requests.Fenced) -> None:
-        self._highest = max(self._highest, message.highest)
+        self._highest_epoch = max(self._highest_epoch, message.highest)
         if self._epoch is not None and message.highest > self._epoch:
             # The node that fenced this one has time to be heard of.
             self._takeover_policy.restart_owner_wait(self._now())
@@ -222,10 +225,10 @@
 
     async def _drain(self, message: requests.Drain) -> None:
         self._step("drain")
-        if self._releasing is not None:
-            await self._releasing
+        if self._release_in_progress is not None:
+            await self._release_in_progress
 
-    def _evaluate(self) -> None:
+    def _take_over_if_due(self) -> None:
         """Take over when the record is absent or the owner is silent."""
         if self._chart.state != "following":
             return
@@ -235,17 +238,20 @@
                 self._step("owner_silent")
         elif not self._watching:
             return
-        elif self._view.record is None:
-            self._await_turn(now)
-        elif now - self._read_at >= REREAD_S and not self._peers.is_owner_alive(now):
+        elif self._record_view.record is None:
+            self._acquire_in_turn(now)
+        elif (
+            now - self._last_read_at >= REREAD_INTERVAL_S
+            and not self._peers.is_owner_alive(now)
+        ):
             run(self._reread(), self.name)
 
-    def _await_turn(self, now: float) -> None:
+    def _acquire_in_turn(self, now: float) -> None:
         """Acquire the record at this node's turn; ticks are too coarse."""
-        wait_s = max(self._takeover_policy.acquire_at(), self._retry_at) - now
+        wait_s = max(self._takeover_policy.acquire_at(), self._next_attempt_at) - now
         if wait_s <= 0:
             self._step("record_absent")
-        elif wait_s < TICK_S:
+        elif wait_s < TICK_INTERVAL_S:
             self.tell(TIMERS, Subscribe(self.name, "turn", wait_s))
 
     def _watch_if_due(self) -> None:
@@ -258,22 +264,22 @@
             self._watching = True
             watch = requests.WatchPrefix(self.name, OWNER_PREFIX, revision)
             self.tell(requests.STORE, watch)
-            self._judge_news()
+            self._process_record_update()
 
     async def _reread(self) -> None:
         if await self._read_records():
-            self._judge_news()
+            self._process_record_update()
 
-    async def _verify(self) -> None:
+    async def _verify_record(self) -> None:
         if await self._read_records():
-            self._judge_record()
+            self._evaluate_record()
         else:
-            self._store_failed()
+            self._handle_store_failure()
 
     async def _read_records(self) -> int:
         """Read all records; returns the revision, 0 when it failed."""
         self._reading = True
-        self._read_at = self._now()
+        self._last_read_at = self._now()
         try:
             owners = await self._record_client.read_all()
         except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
@@ -283,49 +289,49 @@
             self._reading = False
         for domain, record in owners.records_by_domain.items():
             if domain != self._failure_domain:
-                self._learn_record(domain, record, owners.revision)
-        own = owners.records_by_domain.get(self._failure_domain)
-        self._learn_record(self._failure_domain, own, owners.revision)
+                self._update_record(domain, record, owners.revision)
+        own_record = owners.records_by_domain.get(self._failure_domain)
+        self._update_record(self._failure_domain, own_record, owners.revision)
         return owners.revision
 
-    def _learn_record(
+    def _update_record(
         self, domain: str, record: OwnerRecord | None, revision: int
     ) -> bool:
-        """Take over a record; returns whether the own domain's changed."""
+        """Take over a record; returns whether the own_record domain's changed."""
         if record is not None:
-            self._owner_announcer.owner(
+            self._owner_announcer.announce_owner(
                 domain, record.node_id, record.address, record.epoch
             )
         if domain != self._failure_domain:
             return False
-        return self._view.learn(record, revision)
+        return self._record_view.update(record, revision)
 
-    def _judge_news(self) -> None:
+    def _process_record_update(self) -> None:
         # After a pause the watch's messages are old; only a read decides.
         if self._chart.state != "verifying":
-            self._judge_record()
+            self._evaluate_record()
 
-    def _judge_record(self) -> None:
-        record = self._view.record
+    def _evaluate_record(self) -> None:
+        record = self._record_view.record
         if record is None:
-            self._record_vanished()
+            self._handle_absent_record()
         elif self._record_client.is_own(record):
-            self._record_confirmed()
+            self._handle_own_record()
         else:
-            self._highest = max(self._highest, record.epoch)
+            self._highest_epoch = max(self._highest_epoch, record.epoch)
             self._step("record_held", record)
 
-    def _record_vanished(self) -> None:
+    def _handle_absent_record(self) -> None:
         if self._chart.state != "following":
             self._step("record_absent")
             return
-        self._takeover_policy.record_vanished(self._now())
-        self._evaluate()
+        self._takeover_policy.note_record_absent(self._now())
+        self._take_over_if_due()
 
-    def _record_confirmed(self) -> None:
+    def _handle_own_record(self) -> None:
         if self._chart.state == "verifying":
             # The lease lives, so there is time to renew it.
-            self._lease.confirm()
+            self._lease.allow_renewal()
             self._step("record_own")
             self._renew()
 
@@ -334,29 +340,31 @@
             return
         self._acquiring = True
         try:
-            outcome = await self._record_client.acquire(self._highest)
+            outcome = await self._record_client.acquire(self._highest_epoch)
         except (RedwingrudderError, ValueError) as error:
             _logger.info("owner record not acquired", extra={"error": str(error)})
-            self._store_failed()
+            self._handle_store_failure()
             return
         finally:
             self._acquiring = False
         if isinstance(outcome, Acquisition):
-            await self._take_over(outcome)
+            await self._handle_acquisition(outcome)
         else:
-            self._highest = max(self._highest, outcome.epoch)
+            self._highest_epoch = max(self._highest_epoch, outcome.epoch)
             self._step("record_held", outcome)
 
-    def _store_failed(self) -> None:
-        self._retry_at = self._now() + RETRY_S * self._jitter.uniform(0.5, 1.0)
+    def _handle_store_failure(self) -> None:
+        self._next_attempt_at = self._now() + MAX_RETRY_DELAY_S * self._jitter.uniform(
+            0.5, 1.0
+        )
         self._step("store_lost")
 
-    async def _take_over(self, acquisition: Acquisition) -> None:
+    async def _handle_acquisition(self, acquisition: Acquisition) -> None:
         if self._chart.state == "retired":
             await self._record_client.release(acquisition.lease_id)
             return
-        self._lease.take(acquisition)
-        self._view.learn(acquisition.record, acquisition.revision)
+        self._lease.hold(acquisition)
+        self._record_view.update(acquisition.record, acquisition.revision)
         self._step("acquired", acquisition)
 
     def _renew_if_due(self) -> None:
@@ -369,30 +377,30 @@
 
     async def _renew_lease(self) -> None:
         await self._lease.renew()
-        self._notice_lapse()
+        self._check_lease_expiry()
 
-    def _let_go(self, releasing: Coroutine[Any, Any, None]) -> None:
-        self._releasing = run(releasing, self.name)
+    def _start_release(self, release: Coroutine[Any, Any, None]) -> None:
+        self._release_in_progress = run(release, self.name)
 
     def _raise_local_term(self) -> None:
-        term = self._highest.local_term + 1
-        self._epoch = Epoch(self._highest.store_term, term, self._rank)
+        term = self._highest_epoch.local_term + 1
+        self._epoch = Epoch(self._highest_epoch.store_term, term, self._rank)
 
     def _begin_owning(self, acquisition: Acquisition | None) -> None:
-        self._owner_announcer.begin(self._enter_epoch(acquisition))
+        self._owner_announcer.announce_gained(self._adopt_epoch(acquisition))
 
     def _raise_epoch(self, acquisition: Acquisition) -> None:
-        self._owner_announcer.raise_epoch(self._enter_epoch(acquisition))
+        self._owner_announcer.announce_epoch_raised(self._adopt_epoch(acquisition))
 
-    def _enter_epoch(self, acquisition: Acquisition | None) -> Epoch:
+    def _adopt_epoch(self, acquisition: Acquisition | None) -> Epoch:
         epoch = self._epoch if acquisition is None else acquisition.record.epoch
         self._epoch = epoch
-        self._highest = max(self._highest, epoch)
+        self._highest_epoch = max(self._highest_epoch, epoch)
         return epoch
 
     def _end_owning(self, cause: OwnerRecord | requests.Fenced | None) -> None:
         self._epoch = None
-        self._owner_announcer.end(cause)
+        self._owner_announcer.announce_ended(cause)
 
     def _step(self, event: str, argument: Any = None) -> None:
         if self._chart.state != "retired":
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -347,7 +347,7 @@
         self.assertFalse([name for name in names if name.startswith("worker:")])
 
     def test_limits_refuse_with_a_code_and_run_nothing(self):
-        with mock.patch.object(_job_waiters, "WAITERS_LIMIT", 0):
+        with mock.patch.object(_job_waiters, "MAX_WAITERS", 0):
             view = self.node.submit(SPEC._replace(payload='{"run_s": 9}'))
             with self.assertRaises(OverloadedError):
                 self.node.poll(view.job_id, 1.0)
