--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -1,4 +1,4 @@
-"""Answers of jobs and their records in the platform store."""
+"""Ledger of accepted jobs: their final answers and their stored records."""
 
 import logging
 import uuid
@@ -16,9 +16,10 @@
 )
 from .model import JobSpec, JobState, JobView
 
-RESULT_RETENTION_S = 600.0  # as long as workers keep results
-MAX_CACHED_ANSWERS = 20_000  # final answers kept in memory
+RESULT_RETENTION_S = 600.0  # workers keep results for the same time
+MAX_CACHED_ANSWERS = 20_000
 
+# Reasons for which ``record_start`` refuses a start.
 CONFLICT = "record_conflict"
 BUSY = "record_busy"
 
@@ -26,7 +27,15 @@
 
 
 class JobLedger:
-    """Job records of one owner; one write of a record is may_have_record at a time."""
+    """Jobs of one owner with their answers and store records.
+
+    At most one write of each record is in progress at a time.
+
+    Args:
+        store: Reads and writes the job records.
+        failure_domain: Failure domain of the owner.
+        callbacks: Notified about changes of jobs and records.
+    """
 
     def __init__(
         self, store: JobStore, failure_domain: str, callbacks: LedgerCallbacks
@@ -47,11 +56,11 @@
         return not self._job_ids_being_written
 
     def close(self) -> None:
-        """Start no further writes; another owner has the jobs."""
+        """Start no further writes; called when the ownership ends."""
         self._closed = True
 
     def digest(self, job_id: str) -> str:
-        """Return the body digest of a job, "" when it is not existing."""
+        """Return the digest of a submitted job, "" if the job is not known."""
         entry = self._entries_by_job.get(job_id)
         return entry.body["digest"] if entry else ""
 
@@ -61,53 +70,58 @@
         return entry is not None and (entry.stored or bool(entry.mod_revision))
 
     def has_ended(self, job_id: str) -> bool:
-        """Whether the job ended, even if callers may not be told yet."""
+        """Whether the job has ended, even if its answer is not published."""
         entry = self._entries_by_job.get(job_id)
         return entry is not None and entry.answer is not None
 
     def answer(self, job_id: str, now: float) -> JobView | None:
-        """Return the answer of a job that ended and may be told.
+        """Return the final answer of a job, None unless it is published.
 
         Raises:
-            ResultExpiredError: The results were too large to be recorded.
+            ResultExpiredError: The results were too large to be recorded,
+                and the workers have dropped them.
         """
         entry = self._entries_by_job.get(job_id)
         if entry is None or entry.answer is None or not entry.published:
             return None
         if not entry.body["results_kept"] and now >= entry.results_available_until:
             raise ResultExpiredError(
-                f"the results of {job_id} were kept {RESULT_RETENTION_S:.0f} s"
+                f"the results of {job_id} were too large to be recorded and "
+                f"were kept for {RESULT_RETENTION_S:.0f} s only"
             )
         return entry.answer._replace(durable=self.is_durable(job_id))
 
     def unpublished_answer(self, job_id: str) -> JobView | None:
-        """Return the answer that may not be told before it is recorded."""
+        """Return the answer that callers may see only once it is recorded."""
         entry = self._entries_by_job.get(job_id)
         return None if entry is None or entry.published else entry.answer
 
     def is_pending(self, job_id: str) -> bool:
-        """Whether the answer of a job exists only here and at its workers."""
+        """Whether the final answer is kept only in memory and at workers."""
         entry = self._entries_by_job.get(job_id)
         if entry is None or entry.answer is None:
             return False
         return not (entry.stored and entry.body["results_kept"])
 
     def new_record(self, spec: JobSpec, now: float) -> JobRecordBody:
-        """Return the record for a job that is to be accepted."""
+        """Build the record of a job that is about to be accepted."""
         return records.open_record(self._failure_domain, spec, now, uuid.uuid4().hex)
 
     async def create(self, body: JobRecordBody) -> StoredRecord:
-        """Record a new job; returns the record that holds its key.
+        """Write the record of a new job unless its key is taken.
+
+        Returns:
+            The record that the store holds for the idempotency key.
 
         Raises:
-            StoreUnavailableError: There is no record.
-            OutcomeUnknownError: There may be one.
+            StoreUnavailableError: No record was written.
+            OutcomeUnknownError: The record may have been written.
         """
         reply = await self._store.save(body, 0)
         return reply.stored
 
     async def find(self, spec: JobSpec) -> StoredRecord | None:
-        """Read the record that holds the key of a job, if any.
+        """Read the record for the idempotency key of a job, if any.
 
         Raises:
             StoreUnavailableError: The store cannot be read.
@@ -115,7 +129,10 @@
         return await self._store.read(records.record_key(spec))
 
     def add_stored(self, record: StoredRecord) -> None:
-        """Know a job from its record, unless its end is existing already."""
+        """Add a record read from the store.
+
+        Ignored if the entry is as new, has ended or is being written.
+        """
         body = record.body
         job_id = body["job_id"]
         existing = self._entries_by_job.get(job_id)
@@ -138,7 +155,12 @@
         self._entries_by_job[job_id] = entry
 
     def add_unrecorded(self, body: JobRecordBody, may_have_record: bool) -> None:
-        """Know a job that was accepted without a record; write it later."""
+        """Add a job accepted without a record, to be written later.
+
+        Args:
+            body: Record of the job.
+            may_have_record: Whether a failed write may have taken effect.
+        """
         job_id = body["job_id"]
         revision = None if may_have_record else 0
         self._entries_by_job[job_id] = LedgerEntry(
@@ -151,7 +173,8 @@
         """Record that a job is about to start.
 
         Returns:
-            "" when the record is confirmed, else why the start is refused.
+            "" if the record is confirmed, else the reason for refusing the
+            start.
         """
         entry = self._entries_by_job.get(job_id)
         if entry is None or not entry.stored or self._is_blocked(job_id):
@@ -167,7 +190,7 @@
         finally:
             self._job_ids_being_written.discard(job_id)
             if job_id in self._unwritten_job_ids:
-                # The job ended meanwhile.
+                # The job ended during this write; its end is still unwritten.
                 self._callbacks.schedule_retry()
         if not reply.saved:
             self._callbacks.changed_by_other_owner(reply.stored)
@@ -178,7 +201,7 @@
         return ""
 
     def finish(self, view: JobView, spec: JobSpec, now: float) -> None:
-        """Take the answer of a job that ended; ``write`` records it."""
+        """Store the final answer of a job in memory; ``write`` records it."""
         job_id = view.job_id
         entry = self._entries_by_job.get(job_id)
         if entry is None:
@@ -196,18 +219,19 @@
             results_available_until=now + RESULT_RETENTION_S,
         )
         self._unwritten_job_ids[job_id] = None
-        # Until the store has it, another owner could still run the job.
+        # If the store may hold a record, another owner could still run the job
+        # until "not run" is recorded.
         may_have_record = entry.may_have_record or job_id in self._job_ids_being_written
         if view.state is not JobState.NOT_RUN or not may_have_record:
             self._publish_answer(job_id)
 
     async def write(self, job_id: str) -> None:
-        """Try to write the record of a job unless the store holds it."""
+        """Try to write the record of a job if it is not in the store yet."""
         if job_id in self._unwritten_job_ids and not self._is_blocked(job_id):
             await self._write(job_id)
 
     async def write_all(self) -> None:
-        """Try to write every record that is not in the store yet."""
+        """Try to write all records not in the store yet, until one fails."""
         for job_id in list(self._unwritten_job_ids):
             if job_id not in self._unwritten_job_ids or self._is_blocked(job_id):
                 continue
@@ -215,7 +239,7 @@
                 return
 
     async def sweep(self, now: float) -> None:
-        """Let go of is_expired answers and delete is_expired records."""
+        """Evict old answers from memory and delete old records."""
         self._release_expired_results(now)
         while self._ended_job_ids and self._can_evict(self._ended_job_ids[0], now):
             job_id = self._ended_job_ids.popleft()
@@ -239,13 +263,13 @@
                 self._callbacks.results_releasable(job_id)
 
     def _build_adopted_body(self, view: JobView, spec: JobSpec) -> JobRecordBody:
-        """Return a record for a job existing only from a worker's report."""
+        """Build a record for a job known only from a worker's report."""
         domain = self._failure_domain
         body = records.open_record(domain, spec, view.submitted_at, "")
         return {**body, "job_id": view.job_id}
 
     def _add_results(self, entry: LedgerEntry, view: JobView, now: float) -> None:
-        """Take the results at the workers for a record without them."""
+        """Add results that workers reported to an answer without them."""
         available_until = (entry.answer.finished_at or now) + RESULT_RETENTION_S
         if not entry.body["results_kept"] and view.results and now < available_until:
             answer = entry.answer._replace(results=view.results)
@@ -259,7 +283,7 @@
             self._callbacks.answer_published(job_id)
 
     async def _write(self, job_id: str) -> bool:
-        """Return false when the store does not answer."""
+        """Write one record; returns whether the store answered."""
         self._job_ids_being_written.add(job_id)
         entry = self._entries_by_job[job_id]
         try:
@@ -270,7 +294,7 @@
                 self._update_entry(job_id, mod_revision=None, may_have_record=True)
             self._callbacks.schedule_retry()
             fields = {"job": job_id, "code": error.code}
-            _logger.warning("job record not written", extra=fields)
+            _logger.warning("could not write a job record", extra=fields)
             return False
         finally:
             self._job_ids_being_written.discard(job_id)
@@ -278,7 +302,10 @@
         return True
 
     async def _fill_from_store(self, body: JobRecordBody) -> JobRecordBody:
-        """Fill in what only the store knows of an adopted job."""
+        """Complete the record of an adopted job by the stored one.
+
+        A record without a nonce was built from a worker's report.
+        """
         if body["nonce"]:
             return body
         stored = await self._store.read(records.record_key(records.spec_of(body)))
@@ -305,7 +332,7 @@
             self._resolve_conflict(job_id, entry, reply.stored)
             return
         if entry.body is not written_entry.body:
-            # The job ended while its first record was written_entry.
+            # The job ended while its first record was being written.
             self._update_entry(job_id, mod_revision=revision, may_have_record=True)
             self._callbacks.schedule_retry()
             return
@@ -318,36 +345,42 @@
             return
         self._sweeper.add(body, revision, entry.answer.finished_at or 0.0)
         if not reply.saved and body["results_kept"]:
-            # A previous owner recorded the end first; that answer stands.
+            # A previous owner recorded the end first; its answer is kept.
             self._update_entry(job_id, answer=records.view_of(body))
         self._finalize(job_id)
 
     def _resolve_conflict(
         self, job_id: str, entry: LedgerEntry, stored: StoredRecord
     ) -> None:
-        """Decide about a record that was found in place of the own one."""
+        """Handle a stored record that differs from the one to be written."""
         self._update_entry(job_id, mod_revision=None, may_have_record=True)
         fields = {"job": job_id, "found": stored.body["job_id"]}
         if stored.body["job_id"] != job_id:
-            # Another domain accepted the key; this job goes on unrecorded.
-            _logger.error("job record belongs to another job", extra=fields)
+            # Another domain accepted the idempotency key. This job continues
+            # without a record.
+            _logger.error("the stored job record belongs to another job", extra=fields)
             del self._unwritten_job_ids[job_id]
             if self.has_ended(job_id):
                 self._finalize(job_id)
         elif stored.body["nonce"] != entry.body["nonce"]:
-            _logger.warning("job was recorded before", extra=fields)
+            _logger.warning(
+                "the job was already recorded by a previous owner", extra=fields
+            )
             self._adopt_stored_record(job_id, entry, stored)
         elif records.epoch_of(stored.body) < self._store.epoch:
             self._apply_recorded_start(job_id, entry, stored)
         else:
-            # A later owner has the job, and only it may tell the answer.
-            _logger.error("job record was changed by another owner", extra=fields)
+            # A later owner has taken the job over and alone may answer for it.
+            _logger.error("the job record was changed by a later owner", extra=fields)
             del self._unwritten_job_ids[job_id]
 
     def _apply_recorded_start(
         self, job_id: str, entry: LedgerEntry, stored: StoredRecord
     ) -> None:
-        """Take note that a previous owner had recorded a start."""
+        """Apply a start that a previous owner had recorded.
+
+        A job that ended here without a known start ends as interrupted.
+        """
         del self._unwritten_job_ids[job_id]
         if entry.answer is None:
             self._callbacks.changed_by_other_owner(stored)
@@ -363,7 +396,7 @@
     def _adopt_stored_record(
         self, job_id: str, entry: LedgerEntry, stored: StoredRecord
     ) -> None:
-        """Go on with the record that a previous owner made of the same job."""
+        """Continue with the record that a previous owner wrote for the job."""
         if entry.answer is not None:
             nonce = stored.body["nonce"]
             self._update_entry(job_id, body={**entry.body, "nonce": nonce})
--- a/src/redwingrudder/_job_observer.py
+++ b/src/redwingrudder/_job_observer.py
@@ -1,4 +1,4 @@
-"""What the dispatcher tells about jobs, for metrics."""
+"""Interface through which the dispatcher reports jobs, for metrics."""
 
 import abc
 
@@ -6,30 +6,30 @@
 
 
 class JobObserver(abc.ABC):
-    """Told about jobs by the dispatcher; must return at once."""
+    """Notified about jobs by the dispatcher; methods must not block."""
 
     @abc.abstractmethod
     def job_submitted(self, spec: JobSpec) -> None:
-        """Take note of a job that was accepted."""
+        """Called when a job was accepted."""
 
     def job_started(self, spec: JobSpec) -> None:
-        """Take note of a job that began to run; by default nothing."""
+        """Called when a job began to run; the default does nothing."""
 
     @abc.abstractmethod
     def job_finished(self, view: JobView, spec: JobSpec) -> None:
-        """Take note of a job whose final answer is available."""
+        """Called when callers can get the final answer of a job."""
 
     @abc.abstractmethod
     def target_missed(self, spec: JobSpec) -> None:
-        """Take note of a job that can no longer meet its target."""
+        """Called when a job can no longer meet its completion target."""
 
     @abc.abstractmethod
     def shortages(self, shortages: tuple[GuaranteeShortage, ...]) -> None:
-        """Take note of the guarantees that the hardware cannot hold."""
+        """Called with all guarantees for which hardware is missing."""
 
 
 class SilentObserver(JobObserver):
-    """Ignores everything."""
+    """Observer that ignores all notifications; the default."""
 
     def job_submitted(self, spec: JobSpec) -> None:
         """See base class."""
--- a/src/redwingrudder/_job_records.py
+++ b/src/redwingrudder/_job_records.py
@@ -1,4 +1,4 @@
-"""Job records of the platform store: keys, bodies and identifiers."""
+"""Job records in the platform store: keys, bodies and job ids."""
 
 import hashlib
 import json
@@ -22,11 +22,25 @@
 
 
 class JobRecordBody(TypedDict):
-    """Value of ``/jobs/<organisation>/<key digest>``.
-
-    ``state`` is "open", "starting" or a final ``JobState``. ``epoch`` and
-    ``gang_id`` belong to the recorded start. ``results_kept`` is false when
-    the results exceed the limit; the workers hold them for 10 minutes.
+    """Value stored at ``/jobs/<organisation>/<digest of idempotency key>``.
+
+    Attributes:
+        job_id: Id of the job.
+        domain: Failure domain that accepted the job.
+        digest: Digest of the submitted job, to detect a reused key.
+        nonce: Random id of the acceptance that created the record.
+        spec: The submitted job, without its payload once the job has ended.
+        submitted_at: Time of the submission, in seconds.
+        state: "open", "starting" or a final ``JobState``.
+        epoch: Epoch of the owner that recorded the start; empty before.
+        gang_id: Gang of the recorded start, "" before.
+        reason: Reason of the final state, "" if none.
+        target_missed: Whether the job missed its completion target.
+        finished_at: Time of the end, in seconds.
+        results: Results of the tasks.
+        results_kept: Whether ``results`` holds the results; false if they
+            exceed RECORDED_RESULTS_LIMIT_BYTES, in which case the workers
+            keep them for 10 minutes.
     """
 
     job_id: str
@@ -46,7 +60,7 @@
 
 
 class StoredRecord(NamedTuple):
-    """A record with the revision of its last change."""
+    """A record with the store revision of its last change."""
 
     body: JobRecordBody
     mod_revision: int
@@ -56,13 +70,13 @@
 
 
 def job_id_for(failure_domain: str, organisation: str, idempotency_key: str) -> str:
-    """Return the id of the job of a key: ``<domain>-<digest>``."""
+    """Return the job id of an idempotency key: ``<domain>-<digest>``."""
     key_text = json.dumps([organisation, idempotency_key])
     return f"{failure_domain}-{_digest(key_text)}"
 
 
 def domain_of_job(job_id: str) -> str:
-    """Return the failure domain that a job id names, "" if none."""
+    """Return the failure domain in a job id, "" if there is none."""
     return job_id.rpartition("-")[0]
 
 
@@ -72,14 +86,14 @@
 
 
 def body_digest(spec: JobSpec) -> str:
-    """Return a digest of everything that the caller asked for."""
+    """Return a digest over all fields of a submitted job."""
     return _digest(json.dumps(spec._asdict(), sort_keys=True))
 
 
 def open_record(
     failure_domain: str, spec: JobSpec, submitted_at: float, nonce: str
 ) -> JobRecordBody:
-    """Return the record of a job that has not started."""
+    """Build the record of a job that has not started."""
     return JobRecordBody(
         job_id=job_id_for(failure_domain, spec.organisation, spec.idempotency_key),
         domain=failure_domain,
@@ -99,12 +113,12 @@
 
 
 def starting_record(body: JobRecordBody, gang_id: str, epoch: Epoch) -> JobRecordBody:
-    """Return the record of a job whose gang is about to start."""
+    """Build the record of a job whose gang is about to start."""
     return {**body, "state": STARTING, "gang_id": gang_id, "epoch": list(epoch)}
 
 
 def final_record(body: JobRecordBody, view: JobView) -> JobRecordBody:
-    """Return the record of a job that ended, without its payload."""
+    """Build the record of an ended job, without the payload."""
     results_bytes = sum(len(result.encode()) for result in view.results)
     results_kept = results_bytes <= RECORDED_RESULTS_LIMIT_BYTES
     return {
@@ -120,22 +134,22 @@
 
 
 def is_final(body: JobRecordBody) -> bool:
-    """Whether the job has ended."""
+    """Whether a record states the end of its job."""
     return body["state"] in _FINAL_STATES
 
 
 def epoch_of(body: JobRecordBody) -> Epoch:
-    """Return the epoch of the recorded start, the lowest one if none."""
+    """Return the epoch of the recorded start, or the lowest if none."""
     return Epoch(*body["epoch"]) if body["epoch"] else Epoch(0, 0, 0)
 
 
 def spec_of(body: JobRecordBody) -> JobSpec:
-    """Return the job of a record."""
+    """Return the submitted job that a record holds."""
     return spec_from_body(body["spec"])
 
 
 def view_of(body: JobRecordBody) -> JobView:
-    """Return what a caller is told of a recorded job."""
+    """Build the job view of a record; unfinished jobs appear as queued."""
     state = JobState(body["state"]) if is_final(body) else JobState.QUEUED
     return JobView(
         body["job_id"],
@@ -152,12 +166,12 @@
 
 
 def encode_record(body: JobRecordBody) -> str:
-    """Return the text of a record."""
+    """Encode a record as the JSON text that is stored."""
     return json.dumps(body, separators=(",", ":"))
 
 
 def decode_record(text: str) -> JobRecordBody | None:
-    """Return a record from its text, None when it is malformed."""
+    """Decode the JSON text of a record; None if it is malformed."""
     try:
         body = _ADAPTER.validate_json(text)
     except ValidationError:
--- a/src/redwingrudder/_job_reporter.py
+++ b/src/redwingrudder/_job_reporter.py
@@ -1,4 +1,4 @@
-"""Log lines and observations about jobs."""
+"""Reports events of jobs to the log and to the observer."""
 
 import logging
 
@@ -9,11 +9,11 @@
 
 
 class JobReporter:
-    """Writes the log lines of one owner and tells its observer.
+    """Writes log lines about the jobs of one owner and calls the observer.
 
     Args:
-        node_id: Node that owns the failure domain.
-        observer: Told about jobs, for metrics.
+        node_id: Id of the node that owns the failure domain.
+        observer: Notified about jobs, for metrics.
     """
 
     def __init__(self, node_id: str, observer: JobObserver) -> None:
@@ -23,13 +23,13 @@
         self._specs_by_ended_job: dict[str, JobSpec] = {}
 
     def report_accepted(self, job_id: str, spec: JobSpec, correlation_id: str) -> None:
-        """Report a job that was accepted."""
+        """Log and report that a job was accepted."""
         self._correlation_ids_by_job[job_id] = correlation_id
         self._log(job_id, spec, "job accepted")
         self._observer.job_submitted(spec)
 
     def report_state_change(self, job_id: str, spec: JobSpec, state: JobState) -> None:
-        """Report that a job entered a state."""
+        """Log that a job entered a state, and report the start of a run."""
         self._log(job_id, spec, f"job {state.value}")
         if state is JobState.RUNNING:
             self._observer.job_started(spec)
@@ -38,25 +38,25 @@
             self._specs_by_ended_job[job_id] = spec
 
     def report_finished(self, view: JobView) -> None:
-        """Report that callers may be told the final answer of a job."""
+        """Report once that callers can get the final answer of a job."""
         spec = self._specs_by_ended_job.pop(view.job_id, None)
         if spec is not None:
             self._observer.job_finished(view, spec)
 
     def report_target_missed(self, job_id: str, spec: JobSpec) -> None:
-        """Report a job that can no longer meet its target."""
+        """Log and report that a job can no longer meet its target."""
         self._log(job_id, spec, "target missed")
         self._observer.target_missed(spec)
 
     def report_shortages(self, shortages: tuple[GuaranteeShortage, ...]) -> None:
-        """Report the guarantees that the hardware cannot hold."""
+        """Log and report all guarantees for which hardware is missing."""
         for shortage in shortages:
             _logger.warning("guarantee shortage", extra=shortage._asdict())
         self._observer.shortages(shortages)
 
-    def _log(self, job_id: str, spec: JobSpec, text: str) -> None:
+    def _log(self, job_id: str, spec: JobSpec, message: str) -> None:
         _logger.info(
-            text,
+            message,
             extra={
                 "job": job_id,
                 "organisation": spec.organisation,
--- a/src/redwingrudder/_job_store.py
+++ b/src/redwingrudder/_job_store.py
@@ -1,4 +1,4 @@
-"""Reads and writes of job records through the STORE actor."""
+"""Reads and writes job records through the STORE actor."""
 
 import logging
 from typing import Any, NamedTuple
@@ -37,38 +37,50 @@
     TransactReply,
 )
 
+# Records with these states are written only while the owner record names this
+# owner, see JobStore.
 _GUARDED_STATES = frozenset({OPEN, STARTING, JobState.NOT_RUN.value})
 
-MAX_SAVE_ATTEMPTS = 4  # writes of one record before its outcome is given up
+# Attempts to write one record before its outcome is reported as unknown.
+MAX_SAVE_ATTEMPTS = 4
+NOT_OWNER_RETRY_S = 0.5  # retry delay that callers are given
 
 _logger = logging.getLogger(__name__)
 
 
 class SaveReply(NamedTuple):
-    """``stored`` is what the store holds, which differs unless ``saved``."""
+    """Outcome of saving a record.
+
+    Attributes:
+        saved: Whether the store holds the given record.
+        stored: The record that the store holds.
+    """
 
     saved: bool
     stored: StoredRecord
 
 
 class ExpiredRecord(NamedTuple):
-    """A final record to delete unless it has changed."""
+    """A final record to be deleted if its revision is unchanged."""
 
     key: str
     mod_revision: int
 
 
 class JobStore:
-    """Job records of one owner; lost replies are resolved by reading.
+    """Store access for the job records of one owner.
 
-    Writes that a successor could not know of hold only while the owner
-    record names this owner's epoch: a successor reads the job records after
-    it has taken the owner record.
+    After a lost reply the record is read to learn whether the write took
+    effect.
+
+    A successor reads the job records after it has written the owner record.
+    Writes that it would miss otherwise are therefore conditional on the owner
+    record still naming this owner's epoch.
 
     Args:
-        system: Actors of the node.
-        failure_domain: Domain of the owner.
-        epoch: Epoch of the owner; changed when it is raised.
+        system: Actor system of the node.
+        failure_domain: Failure domain of the owner.
+        epoch: Epoch of the owner; set again when it is raised.
     """
 
     def __init__(self, system: ActorSystem, failure_domain: str, epoch: Epoch) -> None:
@@ -80,7 +92,7 @@
 
     @property
     def epoch(self) -> Epoch:
-        """Epoch of the owner."""
+        """Epoch of the owner; setting it discards the known owner record."""
         return self._epoch
 
     @epoch.setter
@@ -89,7 +101,9 @@
         self._owner_revision = None
 
     async def load(self) -> list[StoredRecord]:
-        """Return all records of a failure domain.
+        """Read all job records of this failure domain.
+
+        Malformed records are logged and left out.
 
         Raises:
             StoreUnavailableError: The store cannot be read.
@@ -105,10 +119,11 @@
         return records
 
     async def read(self, key: str) -> StoredRecord | None:
-        """Return one record.
+        """Read one record, None if it does not exist.
 
         Raises:
-            StoreUnavailableError: The store cannot be read.
+            StoreUnavailableError: The store cannot be read, or the record
+                is malformed.
         """
         pair = await self._ask(GetKey(key))
         if pair is None:
@@ -124,17 +139,22 @@
         mod_revision: int | None,
         replaceable: JobRecordBody | None = None,
     ) -> SaveReply:
-        """Write a record over the revision that is replaceable, None if unknown.
+        """Write a record if the store holds an expected revision.
+
+        If the revision is not known or has changed, the stored record is
+        read, and replaced if it may be.
 
         Args:
             body: The record to write.
-            mod_revision: Revision that it replaces, 0 for a new record.
-            replaceable: A record that it may replace at any revision.
+            mod_revision: Revision to be replaced; 0 for a new record, None if
+                not known.
+            replaceable: Record that may be replaced at any revision.
 
         Raises:
             StoreUnavailableError: Nothing was written.
-            OutcomeUnknownError: A write was write_sent and cannot be resolved.
-            UnavailableError: ``not_owner``; a successor has the domain.
+            OutcomeUnknownError: A write was sent, and it is not known
+                whether it took effect.
+            UnavailableError: ``not_owner``; a successor owns the domain.
         """
         write_sent = False
         for _ in range(MAX_SAVE_ATTEMPTS):
@@ -158,10 +178,17 @@
                 raise
             mod_revision = None
             self._owner_revision = None
-        raise OutcomeUnknownError("the write of a job record cannot be resolved")
+        raise OutcomeUnknownError(
+            f"the outcome of writing the record of job {body['job_id']} is not "
+            f"known after {MAX_SAVE_ATTEMPTS} attempts"
+        )
 
     async def delete(self, records: list[ExpiredRecord]) -> bool:
-        """Delete records in one transaction; false when one has changed."""
+        """Delete records in one transaction.
+
+        Returns:
+            False if a record has changed, in which case none is deleted.
+        """
         compares = tuple(Compare(r.key, r.mod_revision) for r in records)
         deletions = tuple(DeleteKey(r.key) for r in records)
         reply = await self._ask(Transact(compares, deletions))
@@ -180,10 +207,17 @@
             pair = await self._ask(GetKey(self._owner_key))
             epoch = decode_owner_record(pair.value).epoch if pair else None
             if epoch is not None and epoch > self._epoch:
-                detail = f"the owner record has the epoch {tuple(epoch)}"
-                raise UnavailableError(detail, code="not_owner", retry_after_s=0.5)
+                detail = (
+                    f"the owner record has the epoch {tuple(epoch)}, higher than "
+                    f"{tuple(self._epoch)} of this node"
+                )
+                raise UnavailableError(
+                    detail, code="not_owner", retry_after_s=NOT_OWNER_RETRY_S
+                )
             if epoch != self._epoch:
-                raise StoreUnavailableError("the owner record is not held")
+                raise StoreUnavailableError(
+                    f"this node does not hold the owner record {self._owner_key}"
+                )
             self._owner_revision = pair.mod_revision
         return Compare(self._owner_key, self._owner_revision)
 
@@ -195,11 +229,11 @@
 
 
 def _may_replace(new: JobRecordBody, old: JobRecordBody) -> bool:
-    """Whether a record may be written over one of the same key.
+    """Whether a record may replace a stored record of the same key.
 
-    A final record stands, and so does one that an owner with a higher epoch
-    has changed, or a start that another owner recorded. Only the end of a
-    run replaces a record that says that the job did not run.
+    Not replaced are final records, records changed by an owner with a higher
+    epoch and starts recorded by another owner. The one exception is a final
+    record with the state "not run", which the end of a run replaces.
     """
     if old["state"] == JobState.NOT_RUN and is_final(new):
         return new["nonce"] == old["nonce"] and new["state"] != JobState.NOT_RUN
--- a/src/redwingrudder/_job_submitter.py
+++ b/src/redwingrudder/_job_submitter.py
@@ -1,4 +1,4 @@
-"""Acceptance of new jobs by the owner of a failure domain."""
+"""Accepts new jobs on the owner of a failure domain."""
 
 from collections.abc import Callable
 
@@ -21,20 +21,26 @@
 from .policies import Refusal
 from .requests import SubmitJob
 
+# Retry delays that callers are given.
 STORE_RETRY_S = 2.0
-# Refusals that read the store first, per second; the store serves about
-# 2,000 reads a second to all domains.
+DRAINING_RETRY_S = 1.0
+OWNER_CHANGED_RETRY_S = 0.5
+# Limit of the store reads made for refusals; the store serves about 2,000
+# reads a second to all domains together.
 REFUSAL_READS_PER_S = 100.0
 
 
 class JobSubmitter:
-    """Checks, records and submits jobs; a key is handled once at a time.
+    """Checks, records and submits new jobs.
+
+    Concurrent requests with the same idempotency key wait for each other.
 
     Args:
-        failure_domain: Domain of the owner.
-        writes_per_s: Bound on new records a second.
-        owned: Returns the current ownership term or raises.
-        now: Returns the time of the node's clock.
+        failure_domain: Failure domain of the owner.
+        writes_per_s: Limit of new job records per second.
+        get_ownership_term: Returns the current ownership term; raises
+            UnavailableError if this node is not the owner.
+        now: Returns the time of the node's clock in seconds.
     """
 
     def __init__(
@@ -57,11 +63,18 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a record is being created."""
+        """Whether the record of a new job is being written."""
         return bool(self._waiters_by_new_job)
 
     async def submit(self, message: SubmitJob) -> JobView:
-        """Accept a job; the same key and body give the same job."""
+        """Accept a job, or return the one already accepted for its key.
+
+        Raises:
+            ConflictError: The key was used for another body or by another
+                domain.
+            OutcomeUnknownError: The job may have been accepted.
+            RedwingrudderError: The job is refused and nothing was run.
+        """
         spec = message.spec
         job_id = self._job_id(spec)
         while job_id in self._waiters_by_new_job:
@@ -102,7 +115,9 @@
     def _check_admission(self, ownership_term: OwnershipTerm, spec: JobSpec) -> None:
         if self.draining:
             raise UnavailableError(
-                "this node is stopping", code="draining", retry_after_s=1.0
+                "this node is shutting down",
+                code="draining",
+                retry_after_s=DRAINING_RETRY_S,
             )
         refusal = ownership_term.scheduler.admit(spec)
         if refusal is not None:
@@ -110,21 +125,30 @@
         wait_s = self._new_records.take(self._now())
         if wait_s > 0:
             writes_per_s = self._writes_per_s
-            detail = f"this domain accepts {writes_per_s:g} jobs a second"
+            detail = f"this domain accepts at most {writes_per_s:g} jobs a second"
             raise OverloadedError(detail, code="store_busy", retry_after_s=wait_s)
 
     async def _refuse(
         self, ownership_term: OwnershipTerm, spec: JobSpec, refusal: RedwingrudderError
     ) -> None:
-        """Raise the refusal, unless another domain may run the same key.
+        """Raise the refusal, unless the key may have been accepted before.
+
+        A refusal assures the caller that nothing was run. Another domain may
+        have accepted the key, so its record is read first.
 
-        A refusal tells the caller that nothing was run, so the record of the
-        key is read first. Where that is not possible the answer says so.
+        Raises:
+            ConflictError: The key was used for another body or by another
+                domain.
+            OutcomeUnknownError: The record could not be read.
+            RedwingrudderError: The refusal, if the key was not accepted.
         """
         wait_s = self._refusal_reads.take(self._now())
         try:
             if wait_s > 0:
-                raise StoreUnavailableError("too many refusals at once")
+                raise StoreUnavailableError(
+                    "the limit of store reads for refused jobs, "
+                    f"{REFUSAL_READS_PER_S:g} a second, is reached"
+                )
             stored = await ownership_term.ledger.find(spec)
         except UnavailableError as error:
             raise OutcomeUnknownError(
@@ -152,7 +176,8 @@
             self._check_domain(stored.body)
         if ownership_term.closed:
             raise OutcomeUnknownError(
-                "the owner changed while the job was recorded", retry_after_s=0.5
+                "the owner of the domain changed while the job was being recorded",
+                retry_after_s=OWNER_CHANGED_RETRY_S,
             )
         if stored.body["nonce"] == body["nonce"]:
             ownership_term.reporter.report_accepted(
@@ -183,14 +208,15 @@
     def _check_domain(self, body: JobRecordBody) -> None:
         if body["domain"] != self._failure_domain:
             raise ConflictError(
-                f"{body['domain']} holds the job of this key", code="other_domain"
+                f"{body['domain']} accepted the job with this idempotency key",
+                code="other_domain",
             )
 
 
 def _check_same_body(digest: str, spec: JobSpec) -> None:
     if digest != body_digest(spec):
         raise ConflictError(
-            f"key {spec.idempotency_key!r} was used with another body",
+            f"idempotency key {spec.idempotency_key!r} was used with another body",
             code="idempotency_key_reused",
         )
 
--- a/src/redwingrudder/_job_waiters.py
+++ b/src/redwingrudder/_job_waiters.py
@@ -1,4 +1,4 @@
-"""Callers that wait for the end of a job, in a bounded number."""
+"""Bounded set of callers that wait for the ends of jobs."""
 
 import itertools
 from typing import NamedTuple
@@ -11,6 +11,7 @@
 from .timers import TIMERS, Subscribe, Unsubscribe
 
 MAX_WAITERS = 10_000
+RETRY_S = 1.0  # retry delay given to callers above the limit
 TIMER_PREFIX = "wait:"
 
 
@@ -20,11 +21,12 @@
 
 
 class JobWaiters:
-    """Waits end with the job, after their time, or with an error.
+    """Callers that wait until a job ends, a time-out or an error.
 
     Args:
-        system: Actors of the node.
-        actor_name: Name of the actor that passes its timers to ``time_out``.
+        system: Actor system of the node.
+        actor_name: Name of the actor that receives the timers of this object
+            and passes them to ``time_out``.
     """
 
     def __init__(self, system: ActorSystem, actor_name: str) -> None:
@@ -35,14 +37,18 @@
         self._timers_by_job: dict[str, set[str]] = {}
 
     def wait(self, job_id: str, wait_s: float) -> Deferred:
-        """Return a Deferred that fires when the wait ends.
+        """Start a wait of at most ``wait_s`` seconds for the end of a job.
+
+        Returns:
+            A Deferred that fires with None when the job ends or the time
+            has passed, and fails if the ownership ends.
 
         Raises:
-            OverloadedError: Too many callers wait.
+            OverloadedError: MAX_WAITERS callers are waiting already.
         """
         if len(self._waiters_by_timer) >= MAX_WAITERS:
             raise OverloadedError(
-                f"{MAX_WAITERS} callers wait already", retry_after_s=1.0
+                f"{MAX_WAITERS} callers are waiting already", retry_after_s=RETRY_S
             )
         timer = f"{TIMER_PREFIX}{next(self._timer_numbers)}"
         waiter = _Waiter(job_id, Deferred())
@@ -52,17 +58,17 @@
         return waiter.finished
 
     def time_out(self, timer: str) -> None:
-        """End the wait of a timer that fired."""
+        """End the wait whose timer fired; unknown timers are ignored."""
         self._end(timer, None)
 
     def job_ended(self, job_id: str) -> None:
-        """End all waits for a job."""
+        """End all waits for a job without an error."""
         for timer in list(self._timers_by_job.get(job_id, ())):
             self._system.tell(TIMERS, Unsubscribe(self._actor_name, timer))
             self._end(timer, None)
 
     def fail_all(self, error: RedwingrudderError) -> None:
-        """End all waits with an error."""
+        """End the waits for all jobs with an error."""
         for timer in list(self._waiters_by_timer):
             self._system.tell(TIMERS, Unsubscribe(self._actor_name, timer))
             self._end(timer, Failure(error))
--- a/src/redwingrudder/_ledger_entry.py
+++ b/src/redwingrudder/_ledger_entry.py
@@ -1,4 +1,4 @@
-"""What the ledger of job records knows of one job."""
+"""Entry of the job ledger for one job."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -8,13 +8,17 @@
 
 
 class LedgerCallbacks(NamedTuple):
-    """What the ledger tells its owner, mostly about a job id.
+    """Callbacks of the job ledger.
 
-    ``published``: callers may be told the answer. ``safe``: workers may
-    drop the results. ``recorded``: a job accepted without a record has one.
-    ``changed_by_other_owner``: another owner has changed the record of a
-    queued job.
-    ``retry_later``: call ``write_all`` after a while.
+    Attributes:
+        answer_published: Takes a job id; callers may see its final answer
+            from now on.
+        results_releasable: Takes a job id; workers may drop its results.
+        record_created: Takes the id of a job that was accepted without a
+            record; it has one now.
+        changed_by_other_owner: Takes the record of a queued job that
+            another owner has changed.
+        schedule_retry: Requests a call of ``write_all`` after a delay.
     """
 
     answer_published: Callable[[str], None]
@@ -27,9 +31,16 @@
 class LedgerEntry(NamedTuple):
     """A job with the record that the store should hold.
 
-    ``stored`` tells that it does, ``may_have_record`` that some record may be there.
-    ``mod_revision`` is None when it is not known. ``answer`` is set when
-    the job has ended, ``published`` when callers may be told.
+    Attributes:
+        body: The record that the store should hold.
+        mod_revision: Revision of the record in the store, 0 if there is
+            none, None if it is not known.
+        stored: Whether the store is known to hold ``body``.
+        may_have_record: Whether the store may hold some record of the job.
+        answer: Final answer of the job, None while it has not ended.
+        published: Whether callers may see the answer.
+        results_available_until: Time, in seconds, until which the results
+            are available from memory and workers; 0 if they are not.
     """
 
     body: JobRecordBody
@@ -42,7 +53,7 @@
 
 
 def confirms_answer(entry: LedgerEntry, stored: JobRecordBody) -> bool:
-    """Whether the stored record already tells the end of the same job."""
+    """Whether the stored record already holds the end of the same job."""
     if stored["job_id"] != entry.body["job_id"] or entry.answer is None:
         return False
     return is_final(stored) and not contradicts(entry.answer, stored["state"])
@@ -51,8 +62,8 @@
 def contradicts(view: JobView, recorded_state: str) -> bool:
     """Whether a job ran although its record says that it did not.
 
-    An idempotent job that ended as not_run may be submitted again in an
-    outage of the store, where its record cannot be seen.
+    An idempotent job that ended as not_run may be submitted again during an
+    outage of the store, when its record cannot be read.
     """
     ran = view.state in FINAL_JOB_STATES and view.state is not JobState.NOT_RUN
     return ran and recorded_state == JobState.NOT_RUN
--- a/src/redwingrudder/_ownership_announcer.py
+++ b/src/redwingrudder/_ownership_announcer.py
@@ -1,4 +1,4 @@
-"""What the ownership actor tells its subscribers."""
+"""Notifications about owners for the subscribers of the ownership actor."""
 
 import logging
 
@@ -15,10 +15,10 @@
     """Announces this node's ownership and the owners of all domains.
 
     Args:
-        announcer: Reaches the subscribers.
-        failure_domain: This node's failure domain.
-        node_id: This node.
-        address: Address of its thrift port.
+        announcer: Delivers the messages to the subscribers.
+        failure_domain: Failure domain of this node.
+        node_id: Id of this node.
+        address: Address of this node's thrift port.
     """
 
     def __init__(
@@ -31,31 +31,40 @@
         self._epochs_by_domain: dict[str, Epoch] = {}
 
     def announce_gained(self, epoch: Epoch) -> None:
-        """This node began to own its domain."""
-        _logger.info("owning", extra={"epoch": list(epoch)})
+        """Announce that this node now owns its domain under an epoch."""
+        _logger.info("ownership gained", extra={"epoch": list(epoch)})
         self._announcer.announce(requests.OwnershipGained(epoch))
         self._announce_self(epoch)
 
     def announce_epoch_raised(self, epoch: Epoch) -> None:
-        """This node owns its domain under a higher epoch."""
-        _logger.info("owning under a higher epoch", extra={"epoch": list(epoch)})
+        """Announce that this node, the owner, now has a higher epoch."""
+        _logger.info("ownership epoch raised", extra={"epoch": list(epoch)})
         self._announcer.announce(requests.EpochRaised(epoch))
         self._announce_self(epoch)
 
     def announce_ended(self, cause: OwnerRecord | requests.Fenced | None) -> None:
-        """This node's ownership ended; None means that it is draining."""
+        """Announce that this node no longer owns its domain.
+
+        Args:
+            cause: Owner record of another node, or the epoch that fenced
+                this node; None if this node is draining.
+        """
         reason = "the node is draining"
         if isinstance(cause, OwnerRecord):
             reason = f"{cause.node_id} holds the owner record"
         elif isinstance(cause, requests.Fenced):
-            reason = f"epoch {tuple(cause.highest)} fences {tuple(cause.epoch)}"
+            reason = f"epoch {tuple(cause.epoch)} was fenced by {tuple(cause.highest)}"
         _logger.info("ownership ended", extra={"reason": reason})
         self._announcer.announce(requests.OwnershipEnded(reason))
 
     def announce_owner(
         self, domain: str, node_id: str, address: str, epoch: Epoch
     ) -> None:
-        """Tell the owner of a domain unless a later one is known."""
+        """Announce the owner of a domain.
+
+        Does nothing unless the epoch is higher than the last one announced
+        for the domain.
+        """
         if epoch > self._epochs_by_domain.get(domain, _NO_EPOCH):
             self._epochs_by_domain[domain] = epoch
             changed = requests.OwnerChanged(domain, node_id, address, epoch)
--- a/src/redwingrudder/_ownership_chart.py
+++ b/src/redwingrudder/_ownership_chart.py
@@ -1,4 +1,4 @@
-"""Events and actions of the chart ``ownership``."""
+"""Names of the events and actions in the state chart ``ownership``."""
 
 from .statecharts import Chart, load_chart
 
@@ -30,5 +30,5 @@
 
 
 def load_ownership_chart() -> Chart:
-    """Load the chart."""
+    """Load the chart; it may use only the names in EVENTS and ACTIONS."""
     return load_chart("ownership", EVENTS, ACTIONS)
--- a/src/redwingrudder/_ownership_lease.py
+++ b/src/redwingrudder/_ownership_lease.py
@@ -1,4 +1,4 @@
-"""The store lease of the owner record, by the node's own clock."""
+"""Validity of the owner record's store lease by the node's own clock."""
 
 from collections.abc import Callable
 
@@ -6,15 +6,17 @@
 from .exceptions import RedwingrudderError
 
 RENEWAL_INTERVAL_S = 1.0
-RENEWAL_TOLERANCE_S = 0.1  # renewals are sent by a tick
+# Renewals are sent on the ticks of the ownership actor. The tolerance avoids
+# waiting for another tick when one comes slightly early.
+RENEWAL_TOLERANCE_S = 0.1
 
 
 class OwnerLease:
-    """Keeps a lease alive and knows until when it is valid.
+    """Lease that this node holds for its owner record, if any.
 
     Args:
-        record_client: Renews and releases the lease.
-        seconds: The node's clock.
+        record_client: Sends renewals and releases to the store.
+        now: Returns the time of the node's clock in seconds.
     """
 
     def __init__(
@@ -29,18 +31,18 @@
         self._renewing = False
 
     def hold(self, acquisition: Acquisition) -> None:
-        """Hold the lease of an acquisition."""
+        """Replace the held lease by the one of an acquisition."""
         self._lease_id = acquisition.lease_id
         self._revision = acquisition.revision
         self._valid_until = acquisition.valid_until
         self._last_renewal_at = self._now()
 
     def is_lapsed(self) -> bool:
-        """Whether the lease has lapsed or none is held."""
+        """Whether no lease is held or its validity has ended by this clock."""
         return self._valid_until <= self._now()
 
     def is_renewal_due(self) -> bool:
-        """Whether to renew the lease."""
+        """Whether the last renewal was sent about RENEWAL_INTERVAL_S ago."""
         since_renewal_s = self._now() - self._last_renewal_at
         return (
             self._lease_id != 0
@@ -48,11 +50,15 @@
         )
 
     def allow_renewal(self) -> None:
-        """Note that the record still exists: there is time to renew."""
+        """Extend the validity by RENEWAL_INTERVAL_S, enough for a renewal.
+
+        Called after a read has shown that the record still exists in the
+        store.
+        """
         self._valid_until = self._now() + RENEWAL_INTERVAL_S
 
     async def renew(self) -> None:
-        """Renew the lease unless that is under way."""
+        """Send a renewal unless one is under way; failures are ignored."""
         if self._renewing:
             return
         lease_id = self._lease_id
@@ -61,20 +67,20 @@
         try:
             valid_until = await self._record_client.renew(lease_id)
         except RedwingrudderError:
-            return  # Without renewals it lapses by the own clock.
+            return  # The validity then ends by this node's clock.
         finally:
             self._renewing = False
         if lease_id == self._lease_id:
             self._valid_until = 0.0 if valid_until is None else valid_until
 
     async def release(self) -> None:
-        """Give the lease up, and the record with it."""
+        """Revoke the held lease, which also deletes the owner record."""
         lease_id = self._clear()
         if lease_id:
             await self._record_client.release(lease_id)
 
     async def hand_over(self) -> None:
-        """Give the record up so that another node takes over at once."""
+        """Delete the owner record so that another node takes over at once."""
         lease_id = self._clear()
         if lease_id:
             await self._record_client.hand_over(lease_id, self._revision)
--- a/src/redwingrudder/_ownership_record.py
+++ b/src/redwingrudder/_ownership_record.py
@@ -1,4 +1,4 @@
-"""The owner record of a failure domain in the platform store."""
+"""Owner record of a failure domain in the platform store."""
 
 import json
 import uuid
@@ -26,17 +26,27 @@
 
 OWNER_PREFIX = "/owner/"
 EPOCH_PREFIX = "/epoch/"
-# Below an owner key: the node that handed the domain over. Without it, other
-# nodes would wait for an owner whose last report is recent.
+# Appended to an owner key. The value is the id of the node that handed the
+# domain over; without it, other nodes would wait until the reports of that
+# node are old enough to count as silence.
 RELEASED_SUFFIX = "/released"
 LEASE_S = 3
-MAX_WRITE_ATTEMPTS = 2  # of one acquisition; the lease is short
+# Transactions sent for one acquisition while replies are lost. More would not
+# fit into the lease, which is granted before them.
+MAX_WRITE_ATTEMPTS = 2
 
 AskStore = Callable[[Any], Awaitable[Any]]
 
 
 class OwnerRecord(NamedTuple):
-    """Who owns a failure domain; the nonce is new for each acquisition."""
+    """Owner of a failure domain, as stored.
+
+    Attributes:
+        node_id: Id of the owning node.
+        address: Address of its thrift port.
+        epoch: Fencing epoch of the ownership.
+        nonce: Random id that is new for each acquisition.
+    """
 
     node_id: str
     address: str
@@ -45,14 +55,22 @@
 
 
 class Owners(NamedTuple):
-    """The records of all domains at a revision of the store."""
+    """Owner records of all domains at one revision of the store."""
 
     records_by_domain: dict[str, OwnerRecord]
     revision: int
 
 
 class Acquisition(NamedTuple):
-    """A record that this node holds; ``valid_until`` is the node's time."""
+    """Owner record that this node has acquired.
+
+    Attributes:
+        record: The record as written.
+        lease_id: Store lease to which the record is attached.
+        revision: Store revision of the record.
+        valid_until: Time of the node's clock, in seconds, until which the
+            lease is certain to be valid.
+    """
 
     record: OwnerRecord
     lease_id: int
@@ -61,15 +79,23 @@
 
 
 class RecordView:
-    """The record of one domain as last read, watched or written."""
+    """Latest known owner record of one domain: read, watched or written."""
 
     def __init__(self) -> None:
         self.record: OwnerRecord | None = None
         self._revision = 0
 
     def update(self, record: OwnerRecord | None, revision: int) -> bool:
-        """Take over a record unless it is older; returns if it changed."""
-        # A watch may lag behind what was read or written.
+        """Replace the known record unless the given one is older.
+
+        Args:
+            record: The record, None if it is absent.
+            revision: Store revision at which this was the record.
+
+        Returns:
+            Whether the known record changed.
+        """
+        # Watch messages may arrive after a later read or write.
         if revision < self._revision:
             return False
         changed = record != self.record
@@ -82,12 +108,12 @@
     """Reads, acquires, renews and releases the record of one domain.
 
     Args:
-        ask_store: Asks the store actor.
-        seconds: The node's clock.
-        failure_domain: The domain.
-        node_id: This node.
+        ask_store: Sends a request to the store actor, returns its answer.
+        now: Returns the time of the node's clock in seconds.
+        failure_domain: Failure domain of this node.
+        node_id: Id of this node.
         address: Address of this node's thrift port.
-        rank: This node's rank in the domain.
+        rank: Rank of this node in the domain.
     """
 
     def __init__(
@@ -109,11 +135,16 @@
         self._nonce = ""
 
     def is_own(self, record: OwnerRecord) -> bool:
-        """Whether this process wrote the record in its last acquisition."""
+        """Whether the record is of this process's latest acquisition attempt."""
         return record.nonce == self._nonce
 
     async def read_all(self) -> Owners:
-        """Read the records of all domains."""
+        """Read the owner records of all domains.
+
+        Raises:
+            RedwingrudderError: The store failed.
+            ValueError, KeyError, TypeError: A record is malformed.
+        """
         reply = await self._ask_store(GetPrefix(OWNER_PREFIX))
         records = {
             pair.key.removeprefix(OWNER_PREFIX): decode_record(pair.value)
@@ -132,7 +163,8 @@
             The acquisition, or the record of the node that holds it.
 
         Raises:
-            RedwingrudderError: The store failed or another node raced.
+            RedwingrudderError: The store failed, or the record of another
+                node appeared and vanished during the acquisition.
         """
         granted_at = self._now()
         lease_id = await self._ask_store(GrantLease(LEASE_S))
@@ -150,17 +182,27 @@
         return Acquisition(record, lease_id, outcome, granted_at + LEASE_S)
 
     async def renew(self, lease_id: int) -> float | None:
-        """Renew the lease; returns until when it is valid, None if lapsed."""
+        """Renew a lease.
+
+        Returns:
+            Time of the node's clock, in seconds, until which the lease is
+            valid; None if the store no longer has it.
+
+        Raises:
+            RedwingrudderError: The store failed.
+        """
         sent_at = self._now()
         ttl_s = await self._ask_store(KeepLeaseAlive(lease_id))
         return sent_at + ttl_s if ttl_s > 0 else None
 
     async def hand_over(self, lease_id: int, revision: int) -> None:
-        """Delete the record and name this node as the one that left.
+        """Replace the owner record by a note that this node handed over.
+
+        If the transaction fails, the lease is revoked instead.
 
         Args:
-            lease_id: The record's lease, under which the name lapses too.
-            revision: The record's revision.
+            lease_id: Lease of the record; the note expires with it as well.
+            revision: Store revision of the record.
         """
         transaction = Transact(
             (Compare(self._key, revision),),
@@ -175,11 +217,11 @@
             await self.release(lease_id)
 
     async def release(self, lease_id: int) -> None:
-        """Revoke the lease, which deletes only what was written under it."""
+        """Revoke a lease, which deletes only the keys attached to it."""
         try:
             await self._ask_store(RevokeLease(lease_id))
         except RedwingrudderError:
-            return  # It lapses within LEASE_S.
+            return  # The lease expires by itself within LEASE_S.
 
     def _build_record(
         self, epoch_counter: KeyValue | None, highest_epoch: Epoch
@@ -187,7 +229,8 @@
         recorded_term = 0 if epoch_counter is None else int(epoch_counter.value)
         term = max(recorded_term, highest_epoch.store_term) + 1
         epoch = Epoch(term, 0, self._rank)
-        # The watch may show the record before the store's reply arrives.
+        # Set before the write, because the watch may deliver the record before
+        # the store's reply to the write arrives.
         self._nonce = uuid.uuid4().hex
         return OwnerRecord(self._node_id, self._address, epoch, self._nonce)
 
@@ -206,33 +249,50 @@
         )
 
     async def _write(self, transaction: Transact) -> int | OwnerRecord:
-        """Return the revision of the written record, or who holds it."""
+        """Write the record.
+
+        Returns:
+            Revision of the written record, or the record of another node.
+        """
         for _ in range(MAX_WRITE_ATTEMPTS):
             try:
                 reply = await self._ask_store(transaction)
             except OutcomeUnknownError:
-                # Sent again, it has no second effect: the compares fail.
+                # Repeating is safe: if the first attempt took effect, the
+                # compares of the second one fail.
                 continue
             if reply.succeeded:
                 return reply.revision
             return await self._find_holder()
-        raise OutcomeUnknownError("the store did not confirm the owner record")
+        raise OutcomeUnknownError(
+            "the store did not confirm the write of owner record "
+            f"{self._key} in {MAX_WRITE_ATTEMPTS} attempts"
+        )
 
     async def _find_holder(self) -> int | OwnerRecord:
         pair = await self._ask_store(GetKey(self._key))
         if pair is None:
-            raise ConflictError("another node raced for the owner record")
+            raise ConflictError(
+                f"owner record {self._key} changed during its acquisition "
+                "and is absent now"
+            )
         holder = decode_record(pair.value)
         return pair.mod_revision if self.is_own(holder) else holder
 
 
 def encode_record(record: OwnerRecord) -> str:
-    """Encode the value of an owner key (JSON)."""
+    """Encode an owner record as the JSON text stored at the owner key."""
     return json.dumps(record._asdict())
 
 
 def decode_record(text: str) -> OwnerRecord:
-    """Decode the value of an owner key."""
+    """Decode the JSON text stored at an owner key.
+
+    Raises:
+        ValueError: The text is not JSON.
+        KeyError: A field is missing.
+        TypeError: A field has another type.
+    """
     body = json.loads(text)
     epoch = Epoch(*body["epoch"])
     return OwnerRecord(body["node_id"], body["address"], epoch, body["nonce"])
--- a/src/redwingrudder/_ownership_term.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -1,7 +1,8 @@
-"""One period in which a node owns its failure domain.
+"""State of one period in which a node owns its failure domain.
 
-It joins the pure scheduler, the worker links, the job records and the
-waiting callers. The dispatcher drops it when the ownership ends.
+An ownership term connects the scheduler, which performs no input or output,
+to the worker links, the job records and the waiting callers. The dispatcher
+discards it when the ownership ends.
 """
 
 import logging
@@ -27,11 +28,15 @@
 from .requests import DISPATCHER, VmInfo
 from .timers import TIMERS, Subscribe, Unsubscribe
 
-RECOVERY_TIMEOUT_S = 3.0  # placement resumes within 5 s of an owner's death
+# Recovery ends at the latest after this time, so that placement resumes within
+# 5 s of an owner's death.
+RECOVERY_TIMEOUT_S = 3.0
 LOAD_RETRY_S = 1.0
 RECORD_RETRY_S = 1.0
 SWEEP_INTERVAL_S = 30.0
 FLUSH_INTERVAL_S = 0.5
+NOT_OWNER_RETRY_S = 0.5  # retry delay that callers are given
+RECOVERING_RETRY_S = 1.0  # retry delay that callers are given
 
 WAKE_TIMER = "wake"
 RECOVERY_TIMER = "recovery"
@@ -40,16 +45,17 @@
 SWEEP_TIMER = "sweep"
 FLUSH_TIMER = "flush"
 
+# Reason shown for an ended job whose end must be recorded before it is told.
 NOT_RECORDED_YET = "recording_the_end"
 
 _logger = logging.getLogger(__name__)
 
 
 class OwnershipTerm:
-    """Everything that an owner keeps in memory.
+    """Scheduler, workers, job records and callers of one ownership.
 
     Args:
-        parts: Collaborators.
+        parts: Collaborators that the node provides.
         epoch: Fencing epoch of this ownership.
     """
 
@@ -80,8 +86,10 @@
         self._members_known = False
         self._events: deque[messages.Event] = deque()
         self._processing_events = False
-        # Jobs whose start is recorded are not judged before every worker
-        # was claimed or is surely without tasks.
+        # Records of jobs without a known end that the scheduler has not
+        # received. If a start is recorded, the job is submitted only when a
+        # worker has reported it or all workers are known: each one has been
+        # claimed or certainly has no tasks.
         self._unresolved_records_by_job: dict[str, JobRecordBody] = {}
         self._handlers_by_effect_type: dict[type, Callable] = {
             messages.ReserveMember: self._commands.reserve,
@@ -108,7 +116,7 @@
         configuration: messages.ConfigurationChanged | None,
         vms: tuple[VmInfo, ...] | None,
     ) -> None:
-        """Claim the workers and read the job records."""
+        """Start the timers, claim the workers and read the job records."""
         if configuration is not None:
             self.process_event(configuration)
         if vms is not None:
@@ -119,39 +127,48 @@
         self.run(self._load())
 
     def end(self, reason: str) -> None:
-        """Drop everything; running tasks are left to the next owner."""
+        """Close the links and fail all waiting callers with ``not_owner``.
+
+        Running tasks go on; the next owner claims their workers.
+        """
         self.closed = True
         self.ledger.close()
         self.roster.close()
         for timer in self._timers_by_name:
             self._system.tell(TIMERS, Unsubscribe(DISPATCHER, timer))
         message = f"this node no longer owns {self._domain}: {reason}"
-        error = UnavailableError(message, code="not_owner", retry_after_s=0.5)
+        error = UnavailableError(
+            message, code="not_owner", retry_after_s=NOT_OWNER_RETRY_S
+        )
         self.waiters.fail_all(error)
 
     def drain(self) -> bool:
-        """Record no further starts; returns whether one is in progress."""
+        """Stop recording starts of jobs.
+
+        Returns:
+            Whether a start or a write of a record is still in progress.
+        """
         return self._commands.drain() or not self.ledger.is_idle
 
     def now(self) -> float:
-        """Return the time of the node's clock."""
+        """Return the time of the node's clock in seconds."""
         return self._system.clock.seconds()
 
     def run(self, coroutine: Coroutine) -> None:
-        """Run a coroutine whose result nobody awaits."""
+        """Start a coroutine in the background and log its errors."""
         ensureDeferred(coroutine).addErrback(self._log_fault)
 
     def handle_timer(self, timer: str) -> None:
-        """Take a timer of this ownership term."""
+        """Run the action of a timer; unknown timers are ignored."""
         if not self.closed and timer in self._timers_by_name:
             self._timers_by_name[timer]()
 
     def process_event(self, event: messages.Event) -> None:
-        """Give an event to the scheduler and carry out its effects."""
+        """Pass an event to the scheduler and execute the effects it returns."""
         self._events.append(event)
         if self._processing_events:
-            # Carrying out an effect raised this event; effects of one event
-            # are carried out before those of the next.
+            # Executing an effect raised this event. It stays in the queue so
+            # that all effects of one event are executed before the next one.
             return
         self._processing_events = True
         try:
@@ -165,14 +182,14 @@
             self._handlers_by_effect_type[type(effect)](effect)
 
     def sync_members(self, vms: tuple[VmInfo, ...]) -> None:
-        """Take the VM list."""
+        """Update the workers from a VM list."""
         self._members_known = True
         for event in self.roster.sync(vms):
             self.process_event(event)
         self._end_recovery_if_complete()
 
     def handle_link_event(self, message: LinkEvent) -> None:
-        """Take what a worker link tells."""
+        """Process an event of a worker link, such as a claim or a report."""
         for event in self.roster.take(message):
             if isinstance(event, messages.WorkerClaimed):
                 self._commands.note_report(event.report)
@@ -181,15 +198,19 @@
         self._end_recovery_if_complete()
 
     def raise_epoch(self, epoch: Epoch) -> None:
-        """Go on under a higher epoch."""
+        """Use a higher epoch for the workers and the job records."""
         self.epoch = epoch
         self._store.epoch = epoch
         self.roster.raise_epoch(epoch)
-        # Writes may have waited for the owner record.
+        # Writes may have failed because the owner record was not held.
         self._schedule_record_retry()
 
     def view(self, job_id: str) -> JobView | None:
-        """Return what a caller may be told of a job now, None if unknown.
+        """Return the state of a job as callers may see it.
+
+        Returns:
+            The view, or None if neither the ledger nor the scheduler knows
+            the job.
 
         Raises:
             ResultExpiredError: The results are no longer kept.
@@ -199,7 +220,7 @@
             return answer
         unpublished_view = self.ledger.unpublished_answer(job_id)
         if unpublished_view is not None:
-            # The end is not recorded yet, so another owner could run the job.
+            # Until the end is recorded, another owner could still run the job.
             return unpublished_view._replace(
                 state=JobState.QUEUED, reason=NOT_RECORDED_YET, finished_at=None
             )
@@ -207,51 +228,60 @@
         return view and view._replace(durable=self.ledger.is_durable(job_id))
 
     def _has_run_since(self, answer: JobView) -> bool:
-        """Whether a job that was recorded as not run has run since."""
+        """Whether a job recorded as not run was submitted again and has run."""
         if answer.state is not JobState.NOT_RUN:
             return False
         view = self.scheduler.view(answer.job_id)
         return view is not None and view.state is not JobState.NOT_RUN
 
     def require_view(self, job_id: str) -> JobView:
-        """Return what a caller may be told of a job that is recorded.
+        """Return the state of an accepted job as callers may see it.
 
         Raises:
-            UnavailableError: Its start is recorded and not every worker has
-                reported yet whether it runs.
+            UnavailableError: The state is not known yet: a start is recorded
+                and not every worker has reported whether it runs the job.
+            ResultExpiredError: The results are no longer kept.
         """
         view = self.view(job_id)
         if view is None:
             self.check_job_recovered(job_id)
-            raise UnavailableError(f"{job_id} is not known", retry_after_s=1.0)
+            raise UnavailableError(
+                f"the state of job {job_id} is not known yet",
+                retry_after_s=RECOVERING_RETRY_S,
+            )
         return view
 
     def check_job_recovered(self, job_id: str) -> None:
-        """Refuse to tell that a job is unknown before that is certain."""
+        """Raise if recovery may still find a job that is not known now.
+
+        Raises:
+            UnavailableError: ``recovering``; the job records are not loaded,
+                or the record of this job is not resolved.
+        """
         if not self._records_loaded or job_id in self._unresolved_records_by_job:
             raise UnavailableError(
-                f"{job_id} may still be recovered",
+                f"job {job_id} may still be recovered",
                 code="recovering",
-                retry_after_s=1.0,
+                retry_after_s=RECOVERING_RETRY_S,
             )
 
     def cancel(self, job_id: str) -> None:
-        """Cancel a job.
+        """Request the cancellation of a job from the scheduler.
 
         Raises:
-            UnavailableError: ``recovering``; workers that have not reported
+            UnavailableError: ``recovering``; a worker that has not reported
                 yet may run the job.
         """
         if not self._recovered:
             raise UnavailableError(
-                "the workers are still being claimed",
+                f"job {job_id} cannot be cancelled before recovery has ended",
                 code="recovering",
-                retry_after_s=1.0,
+                retry_after_s=RECOVERING_RETRY_S,
             )
         self.process_event(messages.CancelRequested(job_id))
 
     def add_record(self, record: StoredRecord) -> None:
-        """Know a job of this domain from its record."""
+        """Add a stored job record of this domain to ledger and scheduler."""
         body = record.body
         job_id = body["job_id"]
         self.ledger.add_stored(record)
@@ -280,7 +310,7 @@
     def _handle_final_record(self, job_id: str) -> None:
         view = self.scheduler.view(job_id)
         if view is not None and view.state not in FINAL_JOB_STATES:
-            # A worker still holds a gang of a job that has ended.
+            # A worker still holds members of a gang of this ended job.
             self.process_event(messages.CancelRequested(job_id))
         self.waiters.job_ended(job_id)
 
@@ -316,7 +346,7 @@
             self._recovered = True
             self.reporter.report_shortages(self._shortages_before_recovery)
 
-    # Effects.
+    # Handlers of the scheduler's effects.
 
     def _record_start(self, effect: messages.RecordStart) -> None:
         if self._commands.may_record(effect.job_id):
@@ -340,10 +370,11 @@
         self.run(self.ledger.write(effect.job_id))
 
     def _final_view(self, job_id: str) -> JobView:
-        """Return the end of a job without claiming more than is known.
+        """Return the view of an ended job, "not run" only if that is certain.
 
-        A job without a record may have run for a previous owner, and only
-        the job records and the reports of all workers could tell.
+        A job without a record may have run under a previous owner. That can
+        be excluded only once all job records are loaded and all workers have
+        reported; before, the job ends as interrupted.
         """
         view = self.scheduler.view(job_id)
         all_reported = (
@@ -360,7 +391,8 @@
         self.reporter.report_target_missed(effect.job_id, job.spec)
 
     def _shortages_changed(self, effect: messages.ShortagesChanged) -> None:
-        # Before the workers are claimed, every guarantee seems short.
+        # Until the workers are claimed, every guarantee appears to be short of
+        # hardware, so shortages are reported when recovery has ended.
         if self._recovered:
             self.reporter.report_shortages(effect.shortages)
         else:
@@ -369,7 +401,7 @@
     def _schedule_wake_up(self, effect: messages.ScheduleWakeUp) -> None:
         self._subscribe(WAKE_TIMER, effect.at - self.now())
 
-    # Callbacks of the ledger.
+    # Callbacks for the ledger, see LedgerCallbacks.
 
     def _answer_published(self, job_id: str) -> None:
         view = self.ledger.answer(job_id, self.now())
@@ -388,7 +420,7 @@
             )
 
     def _changed_by_other_owner(self, record: StoredRecord) -> None:
-        """Another owner ended the job or recorded a start of it."""
+        """Apply a record in which another owner ended or started the job."""
         job_id = record.body["job_id"]
         self.add_record(record)
         if not is_final(record.body):
@@ -397,11 +429,11 @@
     def _schedule_record_retry(self) -> None:
         self._subscribe(RECORDS_TIMER, RECORD_RETRY_S)
 
-    # Helpers.
-
     def _subscribe(self, timer: str, delay_s: float, interval_s: float = 0.0) -> None:
         subscription = Subscribe(DISPATCHER, timer, delay_s, interval_s)
         self._system.tell(TIMERS, subscription)
 
     def _log_fault(self, failure: Failure) -> None:
-        _logger.error("dispatcher failed", extra={"error": failure.getTraceback()})
+        _logger.error(
+            "unhandled error in the dispatcher", extra={"error": failure.getTraceback()}
+        )
--- a/src/redwingrudder/_ownership_term_parts.py
+++ b/src/redwingrudder/_ownership_term_parts.py
@@ -1,4 +1,4 @@
-"""What one period of ownership is built from."""
+"""Collaborators that an ownership term receives from its dispatcher."""
 
 from typing import NamedTuple
 
@@ -10,7 +10,15 @@
 
 
 class OwnershipTermParts(NamedTuple):
-    """What an ownership term is built from."""
+    """Collaborators of an ownership term.
+
+    Attributes:
+        system: Actor system of the node.
+        settings: Settings of the worker links.
+        scheduler: Empty scheduler, used by this term only.
+        transport: Sends commands to the workers.
+        observer: Notified about jobs, for metrics.
+    """
 
     system: ActorSystem
     settings: RosterSettings
--- a/src/redwingrudder/_record_sweeper.py
+++ b/src/redwingrudder/_record_sweeper.py
@@ -1,4 +1,4 @@
-"""Deletes the records of jobs that ended long ago."""
+"""Deletes the records of ended jobs after their retention."""
 
 import logging
 from collections import deque
@@ -9,7 +9,7 @@
 from .exceptions import OutcomeUnknownError, StoreUnavailableError
 
 RECORD_RETENTION_S = 3_600.0  # after the end of a job
-MAX_BATCH_KEYS = 100  # keys; the store bounds a transaction to 128
+MAX_BATCH_KEYS = 100  # the store limits a transaction to 128 keys
 
 _logger = logging.getLogger(__name__)
 
@@ -20,7 +20,11 @@
 
 
 class RecordSweeper:
-    """Final records in the order in which they are due."""
+    """Queue of final records in the order in which they are deleted.
+
+    Args:
+        store: Deletes the records.
+    """
 
     def __init__(self, store: JobStore) -> None:
         self._store = store
@@ -28,13 +32,19 @@
         self._sweeping = False
 
     def add(self, body: JobRecordBody, mod_revision: int, now: float) -> None:
-        """Delete a final record after its retention."""
+        """Schedule the deletion of a final record after its retention.
+
+        Args:
+            body: The record.
+            mod_revision: Its revision; a changed record is not deleted.
+            now: Time in seconds, used if the record has no end time.
+        """
         due_at = (body["finished_at"] or now) + RECORD_RETENTION_S
         key = record_key(spec_of(body))
         self._deletions.append(_Deletion(due_at, ExpiredRecord(key, mod_revision)))
 
     async def sweep(self, now: float) -> None:
-        """Delete what is due, in few transactions."""
+        """Delete all records that are due, in batches."""
         if self._sweeping:
             return
         self._sweeping = True
@@ -54,15 +64,21 @@
         return batch
 
     async def _delete(self, batch: list[_Deletion]) -> bool:
-        """Return whether to go on; a failed batch stays for the next sweep."""
+        """Delete a batch; returns whether the sweep can continue.
+
+        If the store fails, the batch stays queued for the next sweep.
+        """
         try:
             deleted = await self._store.delete([d.record for d in batch])
             if not deleted and len(batch) > 1:
-                # One of the records has changed, so it is not deleted.
+                # A record has changed, so nothing was deleted. Delete the
+                # unchanged ones one by one.
                 for deletion in batch:
                     await self._store.delete([deletion.record])
         except (StoreUnavailableError, OutcomeUnknownError) as error:
             self._deletions.extendleft(reversed(batch))
-            _logger.warning("job records not deleted", extra={"code": error.code})
+            _logger.warning(
+                "could not delete expired job records", extra={"code": error.code}
+            )
             return False
         return True
--- a/src/redwingrudder/_takeover_policy.py
+++ b/src/redwingrudder/_takeover_policy.py
@@ -1,27 +1,34 @@
-"""When a follower may take over its failure domain."""
+"""Decides when a following node may take over its failure domain."""
 
 import random
 
 from ._ownership_peers import SILENCE_TIMEOUT_S, PeerTable
 
-TURN_INTERVAL_S = 0.2  # between the attempts of the nodes, in the order of their ranks
+# The nodes try to acquire an absent record one after another in the order of
+# their ranks, at this interval.
+TURN_INTERVAL_S = 0.2
 MAX_TURN_JITTER_S = 0.1
-MAX_TURNS = 10  # turns waited while no other node is known
-# After an outage the owner finds the store again up to 1.2 s later than other
-# nodes, by the interval of the probes. An owner that stays without a record
-# for longer cannot write job records, so another node takes over.
+# Limit of the turns that a node waits by its rank while it knows no others.
+MAX_TURNS = 10
+# After an outage the owner may notice that the store is back up to 1.2 s later
+# than other nodes, because of the interval between probes. An owner without a
+# record for longer than this cannot write job records, so another node takes
+# over.
 MAX_RECORD_ABSENCE_S = 2.5
-# Time for a node of the VM list to be heard of once all nodes exchange.
+# Once the owner is silent all nodes exchange reports. A node of the VM list
+# that has sent none for this long no longer precedes this node.
 FIRST_REPORT_TIMEOUT_S = 2.0
 
 
 class TakeoverPolicy:
-    """Decides when a following node acquires or claims its domain.
+    """Decides when a following node acquires the record or claims its domain.
+
+    All times are in seconds of the node's clock.
 
     Args:
         peers: The other nodes of the domain.
-        rank: This node's rank.
-        jitter: Source of the jitter between nodes.
+        rank: Rank of this node in the domain.
+        jitter: Random source for the delays between nodes.
     """
 
     def __init__(self, peers: PeerTable, rank: int, jitter: random.Random) -> None:
@@ -33,17 +40,17 @@
         self._owner_wait_started_at: float | None = None
 
     def start_owner_wait(self, now: float) -> None:
-        """Note that peers can be heard from now on."""
+        """Start the wait for the owner's reports unless it has started."""
         if self._owner_wait_started_at is None:
             self._owner_wait_started_at = now
 
     def restart_owner_wait(self, now: float) -> None:
-        """Give the owner time to be heard of before a claim."""
+        """Start the wait for the owner's reports anew, if it has started."""
         if self._owner_wait_started_at is not None:
             self._owner_wait_started_at = now
 
     def note_record_absent(self, now: float) -> None:
-        """Note that the record is absent from now on."""
+        """Note that the record is absent and compute this node's turn."""
         turns = self._peers.count_possibly_live_before()
         if self._peers.is_empty():
             turns = min(self._rank, MAX_TURNS)
@@ -53,7 +60,11 @@
         )
 
     def acquire_at(self) -> float:
-        """Return when to acquire the absent record."""
+        """Return when to acquire the absent record.
+
+        This node waits until the owner is silent or MAX_RECORD_ABSENCE_S has
+        passed, and then for its turn.
+        """
         silent_at = self._peers.owner_last_heard_at() + SILENCE_TIMEOUT_S
         latest = self._record_absent_since + MAX_RECORD_ABSENCE_S
         return (
@@ -61,7 +72,13 @@
         )
 
     def may_claim(self, now: float) -> bool:
-        """Whether to claim the domain while the store is unreachable."""
+        """Whether to claim the domain while the store is unreachable.
+
+        The owner must have been silent for SILENCE_TIMEOUT_S. A node ranked
+        before this one that may be live delays the claim by
+        FIRST_REPORT_TIMEOUT_S; after that, only nodes heard recently
+        prevent it.
+        """
         if self._owner_wait_started_at is None:
             return False
         silent_s = now - max(
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -1,4 +1,4 @@
-"""Owner of a failure domain: drives the scheduler and answers callers."""
+"""Actor that answers job requests while its node owns a failure domain."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -52,7 +52,11 @@
     "job_id_for",
 ]
 
-CANCEL_TIMEOUT_S = 30.0  # a cancellation is answered as unknown after this
+# A cancellation whose end is not confirmed in this time is answered with an
+# unknown outcome.
+CANCEL_TIMEOUT_S = 30.0
+CANCEL_RETRY_S = 1.0  # retry delay that callers are given
+NOT_OWNER_RETRY_S = 0.5  # retry delay that callers are given
 STORE_RETRY_S = 2.0
 DRAIN_TIMEOUT_S = 5.0
 DRAIN_CHECK_INTERVAL_S = 0.1
@@ -65,8 +69,12 @@
 class DispatcherSettings(NamedTuple):
     """Settings of the dispatcher of one node.
 
-    ``store_writes_per_s`` is this domain's share of the store's writes; it
-    bounds the acceptance of new jobs.
+    Attributes:
+        failure_domain: Failure domain of the node.
+        node_id: Id of the node.
+        lease_s: Lease of the workers in seconds.
+        store_writes_per_s: This domain's share of the store's writes per
+            second, which limits the rate of accepted jobs.
     """
 
     failure_domain: str
@@ -79,11 +87,11 @@
     """Answers requests about jobs while its node owns the failure domain.
 
     Args:
-        system: Actors of the node.
-        settings: Identity and limits.
-        make_scheduler: Returns an empty scheduler for each ownership.
-        transport: Reaches the workers.
-        observer: Told about jobs, for metrics.
+        system: Actor system of the node.
+        settings: Identity and limits of the node.
+        make_scheduler: Returns an empty scheduler for each ownership term.
+        transport: Sends commands to the workers.
+        observer: Notified about jobs, for metrics.
     """
 
     def __init__(
@@ -117,7 +125,7 @@
             OwnershipGained: self._ownership_gained,
             EpochRaised: self._raise_epoch,
             OwnershipEnded: self._ownership_ended,
-            OwnerChanged: lambda _: None,  # told to all followers of ownership
+            OwnerChanged: lambda _: None,  # sent to every subscriber
             ConfigurationChanged: self._configure,
             MembersChanged: self._sync_members,
             LinkEvent: self._handle_link_event,
@@ -131,16 +139,16 @@
         }
 
     def stop(self) -> None:
-        """Close the links; the workers are left to the next owner."""
-        self._drop_ownership_term("stopped")
+        """End the ownership term; the next owner claims the workers."""
+        self._drop_ownership_term("the node stopped")
 
     def _now(self) -> float:
         return self.system.clock.seconds()
 
-    # Ownership.
+    # Ownership of the failure domain.
 
     def _ownership_gained(self, message: OwnershipGained) -> None:
-        self._drop_ownership_term("gained again")
+        self._drop_ownership_term("the node gained ownership again")
         settings = RosterSettings(
             self._settings.failure_domain,
             self._settings.node_id,
@@ -212,10 +220,12 @@
         if self._ownership_term is None:
             domain = self._settings.failure_domain
             detail = f"this node does not own {domain}"
-            raise UnavailableError(detail, code="not_owner", retry_after_s=0.5)
+            raise UnavailableError(
+                detail, code="not_owner", retry_after_s=NOT_OWNER_RETRY_S
+            )
         return self._ownership_term
 
-    # Other requests of callers.
+    # Requests about accepted jobs and the status of the domain.
 
     async def _poll(self, message: PollJob) -> JobView:
         view = self._find_job(message.job_id)
@@ -238,8 +248,9 @@
         view = self._find_job(message.job_id)
         if view.state not in FINAL_JOB_STATES:
             raise OutcomeUnknownError(
-                f"the end of {message.job_id} is not confirmed yet",
-                retry_after_s=1.0,
+                f"the end of job {message.job_id} was not confirmed within "
+                f"{CANCEL_TIMEOUT_S:.0f} s of its cancellation",
+                retry_after_s=CANCEL_RETRY_S,
             )
         return view
 
@@ -264,7 +275,7 @@
         if view is not None:
             return view
         ownership_term.check_job_recovered(job_id)
-        raise NotFoundError(f"no job {job_id!r}", code="no_such_job")
+        raise NotFoundError(f"there is no job {job_id!r}", code="no_such_job")
 
     # Graceful shutdown.
 
--- a/src/redwingrudder/ownership.py
+++ b/src/redwingrudder/ownership.py
@@ -1,4 +1,9 @@
-"""Ownership of the failure domain's workers (docs/design.md section 4.1)."""
+"""Actor that acquires, keeps and hands over ownership of a failure domain.
+
+At most one node of a failure domain owns its workers. The owner is elected
+through a leased record in the platform store, and by reports of the nodes to
+each other while the store is unreachable (docs/design.md section 4.1).
+"""
 
 import logging
 import random
@@ -35,9 +40,15 @@
 __all__ = ["LEASE_S", "OwnershipActor"]
 
 TICK_INTERVAL_S = 0.25
-PAUSE_THRESHOLD_S = 1.0  # a tick that is later than this shows a pause of the process
-MAX_RETRY_DELAY_S = 1.0  # after a failed call for the record; half to a whole of it
-# A watch may break unnoticed, so a silent owner's record is read again.
+# A tick that is late by more than this means that the process was paused.
+PAUSE_THRESHOLD_S = 1.0
+# Delay after a failed store call for the owner record, multiplied by a random
+# factor between MIN_RETRY_FACTOR and MAX_RETRY_FACTOR.
+RETRY_DELAY_S = 1.0
+MIN_RETRY_FACTOR = 0.5
+MAX_RETRY_FACTOR = 1.0
+# While the owner is silent its record is read again at this interval, because
+# a watch may stop delivering changes without an error.
 REREAD_INTERVAL_S = 5.0
 
 _logger = logging.getLogger(__name__)
@@ -47,14 +58,15 @@
     """Acquires, keeps and hands over the ownership of one failure domain.
 
     Args:
-        system: The node's actors.
-        subscribers: Names of the actors that get ``OwnershipGained``,
+        system: Actor system of the node.
+        subscribers: Names of the actors that receive ``OwnershipGained``,
             ``EpochRaised``, ``OwnershipEnded`` and ``OwnerChanged``.
-        failure_domain: The node's failure domain.
-        node_id: This node; unique for each process.
+        failure_domain: Failure domain of the node.
+        node_id: Id of this node; each node process has its own.
         address: Address of the node's thrift port.
-        rank: Order of the nodes of a domain; unique among live nodes.
-        seed: Seed of the jitter.
+        rank: Rank of the node, unique among the live nodes of the domain.
+            Nodes with lower ranks take over first.
+        seed: Seed of the random delays.
     """
 
     def __init__(
@@ -99,8 +111,9 @@
                 "end_owning": self._end_owning,
             },
         )
-        # Highest epoch known for the own_record domain and, while owning, the own_record.
+        # Highest epoch known for this node's failure domain.
         self._highest_epoch = Epoch(0, 0, 0)
+        # Epoch of this node's ownership, None while it is not the owner.
         self._epoch: Epoch | None = None
         self._acquiring = False
         self._reading = False
@@ -131,13 +144,17 @@
         }
 
     def start(self) -> None:
-        """Start the tick and ask for the state of the store."""
+        """Start the periodic tick and subscribe to the store's status."""
         delay_s = self._jitter.uniform(0.0, TICK_INTERVAL_S)
         self.tell(TIMERS, Subscribe(self.name, "tick", delay_s, TICK_INTERVAL_S))
         self.tell(requests.STORE, requests.SubscribeStoreStatus(self.name))
 
     def _with_lease_check(self, handler: Handler) -> Handler:
-        """Notice a lapsed lease before anything else is handled."""
+        """Wrap a handler so that each message first checks the lease.
+
+        A process that resumes after a pause must notice that its lease has
+        expired before it acts on any message.
+        """
 
         def handle(message: Any) -> Any:
             self._detect_pause()
@@ -147,7 +164,8 @@
         return handle
 
     def _detect_pause(self) -> None:
-        # A paused process has not heard its peers, who may well be alive.
+        # Peers sent reports while this process was paused and could not
+        # receive them, so the pause must not count as their silence.
         pause_s = self._now() - self._last_tick_at - TICK_INTERVAL_S
         if pause_s > PAUSE_THRESHOLD_S:
             self._peers.add_own_pause(pause_s)
@@ -219,7 +237,8 @@
     def _fenced(self, message: requests.Fenced) -> None:
         self._highest_epoch = max(self._highest_epoch, message.highest)
         if self._epoch is not None and message.highest > self._epoch:
-            # The node that fenced this one has time to be heard of.
+            # Wait for a report of the owner that fenced this node before
+            # claiming the domain again.
             self._takeover_policy.restart_owner_wait(self._now())
             self._step("fenced", message)
 
@@ -229,7 +248,12 @@
             await self._release_in_progress
 
     def _take_over_if_due(self) -> None:
-        """Take over when the record is absent or the owner is silent."""
+        """Start a takeover if this node follows and its time has come.
+
+        With the store available, an absent record is acquired and the
+        record of a silent owner is read again. Without the store, the
+        domain is claimed under a local term if the policy allows it.
+        """
         if self._chart.state != "following":
             return
         now = self._now()
@@ -247,7 +271,10 @@
             run(self._reread(), self.name)
 
     def _acquire_in_turn(self, now: float) -> None:
-        """Acquire the record at this node's turn; ticks are too coarse."""
+        """Acquire the absent record once this node's turn has come.
+
+        A turn may fall between two ticks, so a timer is set for it.
+        """
         wait_s = max(self._takeover_policy.acquire_at(), self._next_attempt_at) - now
         if wait_s <= 0:
             self._step("record_absent")
@@ -277,13 +304,19 @@
             self._handle_store_failure()
 
     async def _read_records(self) -> int:
-        """Read all records; returns the revision, 0 when it failed."""
+        """Read the owner records of all domains.
+
+        Returns:
+            The store revision of the read, or 0 if the read failed.
+        """
         self._reading = True
         self._last_read_at = self._now()
         try:
             owners = await self._record_client.read_all()
         except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
-            _logger.warning("owner records not read", extra={"error": str(error)})
+            _logger.warning(
+                "could not read the owner records", extra={"error": str(error)}
+            )
             return 0
         finally:
             self._reading = False
@@ -297,7 +330,11 @@
     def _update_record(
         self, domain: str, record: OwnerRecord | None, revision: int
     ) -> bool:
-        """Take over a record; returns whether the own_record domain's changed."""
+        """Apply an owner record that was read or watched.
+
+        Returns:
+            Whether the known record of this node's domain changed.
+        """
         if record is not None:
             self._owner_announcer.announce_owner(
                 domain, record.node_id, record.address, record.epoch
@@ -307,7 +344,8 @@
         return self._record_view.update(record, revision)
 
     def _process_record_update(self) -> None:
-        # After a pause the watch's messages are old; only a read decides.
+        # In "verifying", queued watch messages may be outdated by a pause of
+        # this process, so only the read that is under way decides.
         if self._chart.state != "verifying":
             self._evaluate_record()
 
@@ -330,7 +368,8 @@
 
     def _handle_own_record(self) -> None:
         if self._chart.state == "verifying":
-            # The lease lives, so there is time to renew it.
+            # The record still exists, so the store has not expired its lease
+            # and a renewal can reach the store in time.
             self._lease.allow_renewal()
             self._step("record_own")
             self._renew()
@@ -342,7 +381,9 @@
         try:
             outcome = await self._record_client.acquire(self._highest_epoch)
         except (RedwingrudderError, ValueError) as error:
-            _logger.info("owner record not acquired", extra={"error": str(error)})
+            _logger.info(
+                "could not acquire the owner record", extra={"error": str(error)}
+            )
             self._handle_store_failure()
             return
         finally:
@@ -354,8 +395,8 @@
             self._step("record_held", outcome)
 
     def _handle_store_failure(self) -> None:
-        self._next_attempt_at = self._now() + MAX_RETRY_DELAY_S * self._jitter.uniform(
-            0.5, 1.0
+        self._next_attempt_at = self._now() + RETRY_DELAY_S * self._jitter.uniform(
+            MIN_RETRY_FACTOR, MAX_RETRY_FACTOR
         )
         self._step("store_lost")
 
