--- a/src/redwingrudder/_ownership_term.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -190,9 +190,9 @@
 
     def handle_link_event(self, message: LinkEvent) -> None:
         """Process an event of a worker link, such as a claim or a report."""
-        for event in self.roster.take(message):
+        for event in self.roster.process_event(message):
             if isinstance(event, messages.WorkerClaimed):
-                self._commands.note_report(event.report)
+                self._commands.track_members(event.report)
             self.process_event(event)
         self._resolve_recovered_jobs()
         self._end_recovery_if_complete()
@@ -315,7 +315,7 @@
         self.waiters.job_ended(job_id)
 
     def _can_resolve(self, job_id: str) -> bool:
-        all_workers_reported = self._members_known and self.roster.settled
+        all_workers_reported = self._members_known and self.roster.all_claimed_or_lost
         return all_workers_reported or self.scheduler.view(job_id) is not None
 
     def _resolve_recovered_jobs(self) -> None:
@@ -335,7 +335,11 @@
     def _end_recovery_if_complete(self) -> None:
         if self._recovered:
             return
-        if self._records_loaded and self._members_known and self.roster.settled:
+        if (
+            self._records_loaded
+            and self._members_known
+            and self.roster.all_claimed_or_lost
+        ):
             self._resolve_recovered_jobs()
             self._end_recovery()
 
@@ -349,7 +353,7 @@
     # Handlers of the scheduler's effects.
 
     def _record_start(self, effect: messages.RecordStart) -> None:
-        if self._commands.may_record(effect.job_id):
+        if self._commands.try_begin_start(effect.job_id):
             self.run(self._write_start(effect))
 
     async def _write_start(self, effect: messages.RecordStart) -> None:
@@ -378,7 +382,9 @@
         """
         view = self.scheduler.view(job_id)
         all_reported = (
-            self._records_loaded and self._members_known and self.roster.settled
+            self._records_loaded
+            and self._members_known
+            and self.roster.all_claimed_or_lost
         )
         if view.state is not JobState.NOT_RUN or all_reported:
             return view
--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -159,7 +159,7 @@
     def _begin(self, request: LimitedRequest, correlation_id: str) -> None:
         self._asks_outstanding += 1
         self._live_requests.add(request)
-        self._gate.enter()
+        self._gate.begin_request()
         # The request also ends when the caller disconnects; what was asked
         # for goes on, because a job outlives the connection of its caller.
         request.notifyFinish().addBoth(self._request_ended, request)
@@ -204,7 +204,7 @@
 
     def _request_ended(self, _: object, request: LimitedRequest) -> None:
         self._live_requests.discard(request)
-        self._gate.leave()
+        self._gate.end_request()
 
 
 def _correlation_id(request: LimitedRequest) -> str:
--- a/tests/test_dispatcher_faults.py
+++ b/tests/test_dispatcher_faults.py
@@ -131,7 +131,7 @@
 
     def cut_off_worker(self):
         worker = self.random.choice(WORKERS)
-        self.random.choice((self.transport.cut, self.transport.deaf)).add(
+        self.random.choice((self.transport.cut, self.transport.losing_replies)).add(
             worker.address
         )
 
@@ -139,7 +139,7 @@
         self.transport.restart(self.random.choice(WORKERS).address)
 
     def drop_replies(self):
-        self.transport.dropped_replies = self.random.randint(1, 4)
+        self.transport.replies_to_drop = self.random.randint(1, 4)
 
     def store_outage(self):
         self.node.store.set_available(False)
@@ -185,8 +185,8 @@
                 self.transport.restart(address)
         self.left_worker_ids.clear()
         self.transport.cut.clear()
-        self.transport.deaf.clear()
-        self.transport.dropped_replies = 0
+        self.transport.losing_replies.clear()
+        self.transport.replies_to_drop = 0
         self.node.store.lost_replies = 0
         self.node.store.set_available(True)
 
