--- a/src/redwingrudder/_job_submitter.py
+++ b/src/redwingrudder/_job_submitter.py
@@ -1,4 +1,4 @@
-"""Acceptance of new jobs by the owner of a failure domain."""
+"""Accepts new jobs on the owner of a failure domain."""
 
 from collections.abc import Callable
 
@@ -21,68 +21,83 @@
 from .policies import Refusal
 from .requests import SubmitJob
 
+# Retry delays that callers are given.
 STORE_RETRY_S = 2.0
-# Refusals that read the store first, per second; the store serves about
-# 2,000 reads a second to all domains.
+DRAINING_RETRY_S = 1.0
+OWNER_CHANGED_RETRY_S = 0.5
+# Limit of the store reads made for refusals; the store serves about 2,000
+# reads a second to all domains together.
 REFUSAL_READS_PER_S = 100.0
 
 
 class JobSubmitter:
-    """Checks, records and submits jobs; a key is handled once at a time.
+    """Checks, records and submits new jobs.
+
+    Concurrent requests with the same idempotency key wait for each other.
 
     Args:
-        failure_domain: Domain of the owner.
-        writes_per_s: Bound on new records a second.
-        owned: Returns the current ownership term or raises.
-        now: Returns the time of the node's clock.
+        failure_domain: Failure domain of the owner.
+        writes_per_s: Limit of new job records per second.
+        get_ownership_term: Returns the current ownership term; raises
+            UnavailableError if this node is not the owner.
+        now: Returns the time of the node's clock in seconds.
     """
 
     def __init__(
         self,
         failure_domain: str,
         writes_per_s: float,
-        owned: Callable[[], OwnershipTerm],
+        get_ownership_term: Callable[[], OwnershipTerm],
         now: Callable[[], float],
     ) -> None:
         self._failure_domain = failure_domain
         self._writes_per_s = writes_per_s
-        self._owned = owned
+        self._get_ownership_term = get_ownership_term
         self._now = now
-        self._bucket = TokenBucket(writes_per_s, writes_per_s, now())
-        self._reads = TokenBucket(REFUSAL_READS_PER_S, REFUSAL_READS_PER_S, now())
-        self._creating: dict[str, list[Deferred]] = {}
+        self._new_record_bucket = TokenBucket(writes_per_s, writes_per_s, now())
+        self._refusal_read_bucket = TokenBucket(
+            REFUSAL_READS_PER_S, REFUSAL_READS_PER_S, now()
+        )
+        self._waiters_by_new_job: dict[str, list[Deferred]] = {}
         self.draining = False
 
     @property
-    def busy(self) -> bool:
-        """Whether a record is being created."""
-        return bool(self._creating)
+    def is_busy(self) -> bool:
+        """Whether the record of a new job is being written."""
+        return bool(self._waiters_by_new_job)
 
     async def submit(self, message: SubmitJob) -> JobView:
-        """Accept a job; the same key and body give the same job."""
+        """Accept a job, or return the one already accepted for its key.
+
+        Raises:
+            ConflictError: The key was used for another body or by another
+                domain.
+            OutcomeUnknownError: The job may have been accepted.
+            RedwingrudderError: The job is refused and nothing was run.
+        """
         spec = message.spec
         job_id = self._job_id(spec)
-        while job_id in self._creating:
-            await self._after_creation(job_id)
-        ownership_term = self._owned()
-        known = self._find_known(ownership_term, job_id, spec)
-        if known is not None:
-            return known
+        while job_id in self._waiters_by_new_job:
+            await self._wait_for_creation(job_id)
+        ownership_term = self._get_ownership_term()
+        known_view = self._find_known(ownership_term, job_id, spec)
+        if known_view is not None:
+            return known_view
         try:
             self._check_admission(ownership_term, spec)
         except RedwingrudderError as refusal:
             await self._refuse(ownership_term, spec, refusal)
-        self._creating[job_id] = []
+        self._waiters_by_new_job[job_id] = []
         try:
             return await self._create(ownership_term, spec, message.correlation_id)
         finally:
-            for waiting in self._creating.pop(job_id):
-                waiting.callback(None)
+            for waiter in self._waiters_by_new_job.pop(job_id):
+                waiter.callback(None)
 
-    def _after_creation(self, job_id: str) -> Deferred:
-        waiting: Deferred = Deferred()
-        self._creating[job_id].append(waiting)
-        return waiting
+    def _wait_for_creation(self, job_id: str) -> Deferred:
+        waiter: Deferred = Deferred()
+        self._waiters_by_new_job[job_id].append(waiter)
+        return waiter
 
     def _job_id(self, spec: JobSpec) -> str:
         domain = self._failure_domain
@@ -94,35 +109,46 @@
         digest = ownership_term.ledger.digest(job_id)
         if digest:
             _check_same_body(digest, spec)
-            return ownership_term.known_view(job_id)
+            return ownership_term.require_view(job_id)
         return ownership_term.view(job_id)
 
     def _check_admission(self, ownership_term: OwnershipTerm, spec: JobSpec) -> None:
         if self.draining:
             raise UnavailableError(
-                "this node is stopping", code="draining", retry_after_s=1.0
+                "this node is shutting down",
+                code="draining",
+                retry_after_s=DRAINING_RETRY_S,
             )
         refusal = ownership_term.scheduler.admit(spec)
         if refusal is not None:
             raise _refusal_error(refusal)
-        wait_s = self._bucket.take(self._now())
+        wait_s = self._new_record_bucket.take(self._now())
         if wait_s > 0:
-            rate = self._writes_per_s
-            detail = f"this domain accepts {rate:g} jobs a second"
+            writes_per_s = self._writes_per_s
+            detail = f"this domain accepts at most {writes_per_s:g} jobs a second"
             raise OverloadedError(detail, code="store_busy", retry_after_s=wait_s)
 
     async def _refuse(
         self, ownership_term: OwnershipTerm, spec: JobSpec, refusal: RedwingrudderError
     ) -> None:
-        """Raise the refusal, unless another domain may run the same key.
+        """Raise the refusal, unless the key may have been accepted before.
 
-        A refusal tells the caller that nothing was run, so the record of the
-        key is read first. Where that is not possible the answer says so.
+        A refusal assures the caller that nothing was run. Another domain may
+        have accepted the key, so its record is read first.
+
+        Raises:
+            ConflictError: The key was used for another body or by another
+                domain.
+            OutcomeUnknownError: The record could not be read.
+            RedwingrudderError: The refusal, if the key was not accepted.
         """
-        wait_s = self._reads.take(self._now())
+        wait_s = self._refusal_read_bucket.take(self._now())
         try:
             if wait_s > 0:
-                raise StoreUnavailableError("too many refusals at once")
+                raise StoreUnavailableError(
+                    "the limit of store reads for refused jobs, "
+                    f"{REFUSAL_READS_PER_S:g} a second, is reached"
+                )
             stored = await ownership_term.ledger.find(spec)
         except UnavailableError as error:
             raise OutcomeUnknownError(
@@ -150,12 +176,15 @@
             self._check_domain(stored.body)
         if ownership_term.closed:
             raise OutcomeUnknownError(
-                "the owner changed while the job was recorded", retry_after_s=0.5
+                "the owner of the domain changed while the job was being recorded",
+                retry_after_s=OWNER_CHANGED_RETRY_S,
             )
         if stored.body["nonce"] == body["nonce"]:
-            ownership_term.reporter.accepted(body["job_id"], spec, correlation_id)
-        ownership_term.take_record(stored)
-        return ownership_term.known_view(body["job_id"])
+            ownership_term.reporter.report_accepted(
+                body["job_id"], spec, correlation_id
+            )
+        ownership_term.add_record(stored)
+        return ownership_term.require_view(body["job_id"])
 
     def _accept_unrecorded(
         self,
@@ -165,26 +194,29 @@
         error: UnavailableError,
         correlation_id: str,
     ) -> JobView:
-        sent = isinstance(error, OutcomeUnknownError)
+        may_have_record = isinstance(error, OutcomeUnknownError)
         if ownership_term.closed or not spec.idempotent:
             raise type(error)(error.detail, retry_after_s=STORE_RETRY_S)
         job_id = body["job_id"]
-        ownership_term.ledger.add_unrecorded(body, sent)
-        ownership_term.reporter.accepted(body["job_id"], spec, correlation_id)
-        ownership_term.feed(JobSubmitted(job_id, spec, body["submitted_at"], False))
-        return ownership_term.known_view(job_id)
+        ownership_term.ledger.add_unrecorded(body, may_have_record)
+        ownership_term.reporter.report_accepted(body["job_id"], spec, correlation_id)
+        ownership_term.process_event(
+            JobSubmitted(job_id, spec, body["submitted_at"], False)
+        )
+        return ownership_term.require_view(job_id)
 
     def _check_domain(self, body: JobRecordBody) -> None:
         if body["domain"] != self._failure_domain:
             raise ConflictError(
-                f"{body['domain']} holds the job of this key", code="other_domain"
+                f"{body['domain']} accepted the job with this idempotency key",
+                code="other_domain",
             )
 
 
 def _check_same_body(digest: str, spec: JobSpec) -> None:
     if digest != body_digest(spec):
         raise ConflictError(
-            f"key {spec.idempotency_key!r} was used with another body",
+            f"idempotency key {spec.idempotency_key!r} was used with another body",
             code="idempotency_key_reused",
         )
 
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -1,4 +1,4 @@
-"""Owner of a failure domain: drives the scheduler and answers callers."""
+"""Actor that answers job requests while its node owns a failure domain."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -52,11 +52,15 @@
     "job_id_for",
 ]
 
-CANCEL_LIMIT_S = 30.0  # a cancellation is answered as unknown after this
+# A cancellation whose end is not confirmed in this time is answered with an
+# unknown outcome.
+CANCEL_TIMEOUT_S = 30.0
+CANCEL_RETRY_S = 1.0  # retry delay that callers are given
+NOT_OWNER_RETRY_S = 0.5  # retry delay that callers are given
 STORE_RETRY_S = 2.0
-DRAIN_LIMIT_S = 5.0
-DRAIN_CHECK_S = 0.1
-LOAD_INTERVAL_S = 1.0
+DRAIN_TIMEOUT_S = 5.0
+DRAIN_CHECK_INTERVAL_S = 0.1
+LOAD_REPORT_INTERVAL_S = 1.0
 
 _LOAD_TIMER = "local_load"
 _DRAIN_TIMER = "drain"
@@ -65,8 +69,12 @@
 class DispatcherSettings(NamedTuple):
     """Settings of the dispatcher of one node.
 
-    ``store_writes_per_s`` is this domain's share of the store's writes; it
-    bounds the acceptance of new jobs.
+    Attributes:
+        failure_domain: Failure domain of the node.
+        node_id: Id of the node.
+        lease_s: Lease of the workers in seconds.
+        store_writes_per_s: This domain's share of the store's writes per
+            second, which limits the rate of accepted jobs.
     """
 
     failure_domain: str
@@ -79,11 +87,11 @@
     """Answers requests about jobs while its node owns the failure domain.
 
     Args:
-        system: Actors of the node.
-        settings: Identity and limits.
-        make_scheduler: Returns an empty scheduler for each ownership.
-        transport: Reaches the workers.
-        observer: Told about jobs, for metrics.
+        system: Actor system of the node.
+        settings: Identity and limits of the node.
+        make_scheduler: Returns an empty scheduler for each ownership term.
+        transport: Sends commands to the workers.
+        observer: Notified about jobs, for metrics.
     """
 
     def __init__(
@@ -104,24 +112,24 @@
         self._submitter = JobSubmitter(
             settings.failure_domain,
             settings.store_writes_per_s,
-            self._owned,
+            self._require_ownership_term,
             system.clock.seconds,
         )
-        self._draining: list[Deferred] = []
-        self._drain_until = 0.0
+        self._drain_waiters: list[Deferred] = []
+        self._drain_deadline = 0.0
         super().__init__(system, DISPATCHER)
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            OwnershipGained: self._gain,
+            OwnershipGained: self._ownership_gained,
             EpochRaised: self._raise_epoch,
-            OwnershipEnded: self._end,
-            OwnerChanged: lambda _: None,  # told to all followers of ownership
+            OwnershipEnded: self._ownership_ended,
+            OwnerChanged: lambda _: None,  # sent to every subscriber
             ConfigurationChanged: self._configure,
             MembersChanged: self._sync_members,
-            LinkEvent: self._take_link_event,
-            TimerFired: self._fire,
+            LinkEvent: self._handle_link_event,
+            TimerFired: self._timer_fired,
             SubmitJob: self._submitter.submit,
             PollJob: self._poll,
             CancelJob: self._cancel,
@@ -131,16 +139,16 @@
         }
 
     def stop(self) -> None:
-        """Close the links; the workers are left to the next owner."""
-        self._drop_ownership_term("stopped")
+        """End the ownership term; the next owner claims the workers."""
+        self._drop_ownership_term("the node stopped")
 
     def _now(self) -> float:
         return self.system.clock.seconds()
 
-    # Ownership.
+    # Ownership of the failure domain.
 
-    def _gain(self, message: OwnershipGained) -> None:
-        self._drop_ownership_term("gained again")
+    def _ownership_gained(self, message: OwnershipGained) -> None:
+        self._drop_ownership_term("the node gained ownership again")
         settings = RosterSettings(
             self._settings.failure_domain,
             self._settings.node_id,
@@ -156,14 +164,16 @@
         self._ownership_term = OwnershipTerm(parts, message.epoch)
         vms = self._members.vms if self._members else None
         self._ownership_term.begin(self._configuration, vms)
-        load = Subscribe(self.name, _LOAD_TIMER, LOAD_INTERVAL_S, LOAD_INTERVAL_S)
+        load = Subscribe(
+            self.name, _LOAD_TIMER, LOAD_REPORT_INTERVAL_S, LOAD_REPORT_INTERVAL_S
+        )
         self.tell(TIMERS, load)
 
     def _raise_epoch(self, message: EpochRaised) -> None:
         if self._ownership_term is not None:
             self._ownership_term.raise_epoch(message.epoch)
 
-    def _end(self, message: OwnershipEnded) -> None:
+    def _ownership_ended(self, message: OwnershipEnded) -> None:
         self._drop_ownership_term(message.reason)
 
     def _drop_ownership_term(self, reason: str) -> None:
@@ -175,30 +185,30 @@
     def _configure(self, message: ConfigurationChanged) -> None:
         self._configuration = message
         if self._ownership_term is not None:
-            self._ownership_term.feed(message)
+            self._ownership_term.process_event(message)
 
     def _sync_members(self, message: MembersChanged) -> None:
         self._members = message
         if self._ownership_term is not None:
             self._ownership_term.sync_members(message.vms)
 
-    def _take_link_event(self, message: LinkEvent) -> None:
+    def _handle_link_event(self, message: LinkEvent) -> None:
         if self._ownership_term is not None:
             self._ownership_term.handle_link_event(message)
 
-    def _fire(self, fired: TimerFired) -> None:
+    def _timer_fired(self, fired: TimerFired) -> None:
         if fired.timer == _DRAIN_TIMER:
             self._check_drained()
         elif self._ownership_term is None:
             return
         elif fired.timer == _LOAD_TIMER:
-            self._tell_load(self._ownership_term)
+            self._publish_load(self._ownership_term)
         elif fired.timer.startswith(TIMER_PREFIX):
             self._ownership_term.waiters.time_out(fired.timer)
         else:
-            self._ownership_term.fire(fired.timer)
+            self._ownership_term.handle_timer(fired.timer)
 
-    def _tell_load(self, ownership_term: OwnershipTerm) -> None:
+    def _publish_load(self, ownership_term: OwnershipTerm) -> None:
         status = ownership_term.scheduler.status(self._now())
         load = LocalLoad(
             status.free_accelerators, status.largest_gang, status.queued_jobs
@@ -206,76 +216,86 @@
         if PEERS in self.system.names():
             self.tell(PEERS, load)
 
-    def _owned(self) -> OwnershipTerm:
+    def _require_ownership_term(self) -> OwnershipTerm:
         if self._ownership_term is None:
             domain = self._settings.failure_domain
             detail = f"this node does not own {domain}"
-            raise UnavailableError(detail, code="not_owner", retry_after_s=0.5)
+            raise UnavailableError(
+                detail, code="not_owner", retry_after_s=NOT_OWNER_RETRY_S
+            )
         return self._ownership_term
 
-    # Other requests of callers.
+    # Requests about accepted jobs and the status of the domain.
 
     async def _poll(self, message: PollJob) -> JobView:
-        view = self._find(message.job_id)
+        view = self._find_job(message.job_id)
         if view.state in FINAL_JOB_STATES or message.wait_s <= 0:
             return view
-        await self._owned().waiters.wait(message.job_id, message.wait_s)
-        return self._find(message.job_id)
+        await self._require_ownership_term().waiters.wait(
+            message.job_id, message.wait_s
+        )
+        return self._find_job(message.job_id)
 
     async def _cancel(self, message: CancelJob) -> JobView:
-        view = self._find(message.job_id)
+        view = self._find_job(message.job_id)
         if view.state in FINAL_JOB_STATES:
             return view
-        ownership_term = self._owned()
+        ownership_term = self._require_ownership_term()
         ownership_term.cancel(message.job_id)
-        view = self._find(message.job_id)
+        view = self._find_job(message.job_id)
         if view.state not in FINAL_JOB_STATES:
-            await ownership_term.waiters.wait(message.job_id, CANCEL_LIMIT_S)
-        view = self._find(message.job_id)
+            await ownership_term.waiters.wait(message.job_id, CANCEL_TIMEOUT_S)
+        view = self._find_job(message.job_id)
         if view.state not in FINAL_JOB_STATES:
             raise OutcomeUnknownError(
-                f"the end of {message.job_id} is not confirmed yet",
-                retry_after_s=1.0,
+                f"the end of the cancelled job {message.job_id} is not confirmed yet",
+                retry_after_s=CANCEL_RETRY_S,
             )
         return view
 
     def _explain(self, message: ExplainJob) -> Explanation:
-        view = self._find(message.job_id)
+        view = self._find_job(message.job_id)
         if view.state in FINAL_JOB_STATES:
             reasons = (view.reason,) if view.reason else ()
             return Explanation(message.job_id, view.state.value, reasons)
-        return self._owned().scheduler.explain(message.job_id, self._now())
+        return self._require_ownership_term().scheduler.explain(
+            message.job_id, self._now()
+        )
 
     def _status(self, _: GetStatus) -> DomainStatus:
-        ownership_term = self._owned()
+        ownership_term = self._require_ownership_term()
         return ownership_term.scheduler.status(
             self._now(), self._settings.node_id, ownership_term.epoch
         )
 
-    def _find(self, job_id: str) -> JobView:
-        ownership_term = self._owned()
+    def _find_job(self, job_id: str) -> JobView:
+        ownership_term = self._require_ownership_term()
         view = ownership_term.view(job_id)
         if view is not None:
             return view
-        ownership_term.check_recovered(job_id)
-        raise NotFoundError(f"no job {job_id!r}", code="no_such_job")
+        ownership_term.check_job_recovered(job_id)
+        raise NotFoundError(f"there is no job {job_id!r}", code="no_such_job")
 
     # Graceful shutdown.
 
     def _drain(self, _: Drain) -> Deferred:
         drained: Deferred = Deferred()
-        self._draining.append(drained)
+        self._drain_waiters.append(drained)
         self._submitter.draining = True
-        self._drain_until = self._now() + DRAIN_LIMIT_S
-        self.tell(TIMERS, Subscribe(self.name, _DRAIN_TIMER, 0.0, DRAIN_CHECK_S))
+        self._drain_deadline = self._now() + DRAIN_TIMEOUT_S
+        self.tell(
+            TIMERS, Subscribe(self.name, _DRAIN_TIMER, 0.0, DRAIN_CHECK_INTERVAL_S)
+        )
         return drained
 
     def _check_drained(self) -> None:
-        starting = self._ownership_term is not None and self._ownership_term.drain()
-        busy = self._submitter.busy or starting
-        if busy and self._now() < self._drain_until:
+        start_in_progress = (
+            self._ownership_term is not None and self._ownership_term.drain()
+        )
+        busy = self._submitter.is_busy or start_in_progress
+        if busy and self._now() < self._drain_deadline:
             return
         self.tell(TIMERS, Unsubscribe(self.name, _DRAIN_TIMER))
-        for drained in self._draining:
+        for drained in self._drain_waiters:
             if not drained.called:
                 drained.callback(None)
