--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -11,7 +11,7 @@
 
 from .._background import run
 from .._http_server import ApiSite, BoundedConnections, LimitedRequest
-from .._problems import Answer
+from .._problems import Response
 from .._token_bucket import TokenBucket
 from ..actors import Actor, ActorSystem, Handler
 from ..coordination.gateways import INTAKE, OperatorConfiguration, Queue
@@ -134,7 +134,7 @@
             # The load balancer routes the client's next connection to a node
             # that is ready; an open connection would stay with this node.
             request.setHeader(b"Connection", b"close")
-        request.write_answer(answer)
+        request.write_response(answer)
 
     def _count_request(
         self, request: LimitedRequest, status: int, seconds: float
@@ -145,7 +145,7 @@
         self.tell(METRICS, IncrementCounter("requests", (method, str(status))))
         self.tell(METRICS, ObserveDuration("request_seconds", (method,), seconds))
 
-    def _log_refusal(self, request: LimitedRequest, answer: Answer) -> None:
+    def _log_refusal(self, request: LimitedRequest, answer: Response) -> None:
         """Log an answer with an error status, at a limited rate."""
         if not self._refusal_logs.take(self._reactor.seconds()):
             _logger.info(
@@ -163,7 +163,7 @@
                 },
             )
 
-    async def _handle(self, request: LimitedRequest) -> Answer:
+    async def _handle(self, request: LimitedRequest) -> Response:
         configuration = self._configuration
         if configuration is None:
             raise UnavailableError(
@@ -192,7 +192,7 @@
 
     async def _serve(
         self, request: LimitedRequest, queue: Queue, organisation: str, workflow_id: str
-    ) -> Answer:
+    ) -> Response:
         timeout_s = ANSWER_TIMEOUT_SHARE * _client_timeout_s(request, queue)
         if request.method == b"POST":
             workflow = decode_submission(
@@ -301,14 +301,14 @@
 
 def _json_answer(
     status: int, body: dict[str, Any], retry_after_s: float = 0.0
-) -> Answer:
+) -> Response:
     headers = ()
     if retry_after_s:
         headers = (("Retry-After", str(max(1, round(retry_after_s)))),)
-    return Answer(status, "application/json", json.dumps(body).encode(), headers)
+    return Response(status, "application/json", json.dumps(body).encode(), headers)
 
 
-def _error_answer(status: int, error: RedwingrudderError) -> Answer:
+def _error_answer(status: int, error: RedwingrudderError) -> Response:
     body: dict[str, Any] = {"error": error.code, "detail": error.detail}
     if error.retry_after_s:
         body["retryAfterMs"] = int(error.retry_after_s * 1000)
