--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -5,7 +5,7 @@
 from twisted.internet.task import Clock
 from twisted.web.test.requesthelper import DummyRequest
 
-from redwingrudder._problems import Answer
+from redwingrudder._problems import Response
 from redwingrudder.actors import ActorSystem
 from redwingrudder.coordination.metrics import METRICS, Counted, Observed
 from redwingrudder.platform.front_end import FrontEnd
@@ -25,7 +25,7 @@
     def header(self, name):
         return None
 
-    def write_answer(self, answer: Answer):
+    def write_response(self, answer: Response):
         self.answer = answer
 
 
