--- a/src/redwingrudder/_http_body.py
+++ b/src/redwingrudder/_http_body.py
@@ -1,4 +1,4 @@
-"""Bodies of HTTP answers, collected up to a limit."""
+"""Reading of HTTP response bodies, with a size limit."""
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol, connectionDone
@@ -7,22 +7,25 @@
 
 
 class BodyCollector(Protocol):
-    """Collects a body; cancelling ``body`` closes the connection.
+    """Collects the body of an HTTP response.
+
+    ``body`` fires with the bytes of the whole body. Cancelling it closes the
+    connection.
 
     Args:
-        limit: Bytes above which the connection is closed.
+        limit_bytes: A longer body closes the connection, and ``body`` fails.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit_bytes: int) -> None:
         self.body: Deferred = Deferred(lambda _: self._close())
-        self._limit = limit
+        self._limit_bytes = limit_bytes
         self._parts: list[bytes] = []
-        self._size = 0
+        self._size_bytes = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """See base class."""
-        self._size += len(data)
-        if self._size > self._limit:
+        self._size_bytes += len(data)
+        if self._size_bytes > self._limit_bytes:
             self._close()
         else:
             self._parts.append(data)
@@ -37,6 +40,7 @@
             self.body.errback(reason)
 
     def _close(self) -> None:
-        # The transport of an answer's body has no abortConnection.
+        # The transport that the HTTP client provides for response bodies has
+        # no abortConnection.
         if self.transport is not None:
             self.transport.loseConnection()
--- a/src/redwingrudder/_http_client.py
+++ b/src/redwingrudder/_http_client.py
@@ -1,4 +1,4 @@
-"""HTTP client over persistent connections."""
+"""HTTP client with persistent connections."""
 
 import io
 from typing import NamedTuple
@@ -22,19 +22,19 @@
 
 
 class HttpResponse(NamedTuple):
-    """An HTTP answer."""
+    """An HTTP response with its whole body."""
 
     status: int
     content: bytes
 
 
 class HttpClient:
-    """Sends requests; a request that failed is never repeated.
+    """Sends requests; failed requests are never repeated.
 
     Args:
-        reactor: Provides connections.
-        connections: Idle connections that are kept for an address.
-        connect_timeout_s: Seconds after which an attempt is given up.
+        reactor: Opens the connections.
+        connections: Maximum number of idle connections kept per address.
+        connect_timeout_s: Timeout of a connection attempt, in seconds.
         idle_timeout_s: Seconds after which an idle connection is closed.
     """
 
@@ -49,7 +49,8 @@
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = connections
         self._pool.cachedConnectionTimeout = idle_timeout_s
-        # A repeated request could take effect twice; callers decide on it.
+        # A repeated request could take effect twice, so only the caller may
+        # repeat it.
         self._pool.retryAutomatically = False
         endpoints = AddressEndpoints(reactor, connect_timeout_s)
         self._agent = Agent.usingEndpointFactory(reactor, endpoints, self._pool)
@@ -62,32 +63,45 @@
         timeout_s: float,
         headers: dict[str, str] | None = None,
     ) -> HttpResponse:
-        """Send a request, with JSON unless the content is None.
+        """Send a request, with a JSON body unless ``content`` is None.
 
         Raises:
-            UnavailableError: The request was surely not sent.
-            OutcomeUnknownError: It was sent, and no answer arrived in time.
+            UnavailableError: The request was definitely not sent.
+            OutcomeUnknownError: The request may have been sent, but no
+                complete response arrived within ``timeout_s`` seconds.
         """
-        exchange = ensureDeferred(self._exchange(method, url, content, headers or {}))
-        exchange.addTimeout(timeout_s, self._reactor)
+        pending = ensureDeferred(self._request(method, url, content, headers or {}))
+        pending.addTimeout(timeout_s, self._reactor)
         try:
-            return await exchange
+            return await pending
         except (ConnectError, ConnectingCancelledError, RequestNotSent) as error:
-            raise UnavailableError(f"{url}: {type(error).__name__}") from error
+            raise UnavailableError(
+                f"request to {url} was not sent: {type(error).__name__}"
+            ) from error
         except Exception as error:
-            # The HTTP client raises many unrelated types for a broken
-            # connection; all of them mean that there is no answer.
-            raise OutcomeUnknownError(f"{url}: {type(error).__name__}") from error
+            # Twisted's HTTP client raises many unrelated exception types for a
+            # broken connection; all of them mean that there is no response.
+            raise OutcomeUnknownError(
+                f"no response from {url}: {type(error).__name__}"
+            ) from error
 
     def reset(self) -> Deferred:
-        """Close the idle connections; fires when they are closed."""
+        """Close the idle connections.
+
+        Returns:
+            A Deferred that fires when they are closed.
+        """
         return self._pool.closeCachedConnections()
 
-    async def _exchange(
-        self, method: str, url: str, content: bytes | None, extra: dict[str, str]
+    async def _request(
+        self,
+        method: str,
+        url: str,
+        content: bytes | None,
+        extra_headers: dict[str, str],
     ) -> HttpResponse:
         headers, producer = Headers(), None
-        for name, value in extra.items():
+        for name, value in extra_headers.items():
             headers.addRawHeader(name.encode(), value.encode())
         if content is not None:
             headers.addRawHeader(b"Content-Type", b"application/json")
--- a/src/redwingrudder/_http_endpoints.py
+++ b/src/redwingrudder/_http_endpoints.py
@@ -1,4 +1,4 @@
-"""Endpoints of HTTP clients that talk to IP addresses."""
+"""Client endpoints for HTTP servers that are addressed by IP address."""
 
 from twisted.internet.abstract import isIPAddress, isIPv6Address
 from twisted.internet.endpoints import (
@@ -15,14 +15,14 @@
 
 @implementer(IAgentEndpointFactory)
 class AddressEndpoints:
-    """Creates endpoints without the checks that only host names need.
+    """Creates endpoints and skips host name validation for IP addresses.
 
-    The default of the HTTP client validates each address as a host name, for
-    every request, also when a persistent connection is used.
+    Twisted's default factory validates each address as a host name on every
+    request, even if the request uses a persistent connection.
 
     Args:
-        reactor: Provides connections.
-        connect_timeout_s: Seconds after which an attempt is given up.
+        reactor: Opens the connections.
+        connect_timeout_s: Timeout of a connection attempt, in seconds.
     """
 
     def __init__(self, reactor: IReactorTCP, connect_timeout_s: float) -> None:
@@ -30,17 +30,18 @@
         self._timeout_s = connect_timeout_s
 
     def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
-        """Return the endpoint for a request."""
+        """Return the endpoint for the host, port and scheme of a URI."""
         host = uri.host.decode("ascii").strip("[]")
         if isIPAddress(host):
-            kind = TCP4ClientEndpoint
+            endpoint_type = TCP4ClientEndpoint
         elif isIPv6Address(host):
-            kind = TCP6ClientEndpoint
+            endpoint_type = TCP6ClientEndpoint
         else:
-            kind = HostnameEndpoint
-        endpoint = kind(self._reactor, host, uri.port, timeout=self._timeout_s)
+            endpoint_type = HostnameEndpoint
+        endpoint = endpoint_type(self._reactor, host, uri.port, timeout=self._timeout_s)
         if uri.scheme == b"https":
-            # Nodes without TLS do not install the library for it.
+            # Imported here because nodes without TLS do not install the
+            # library that it needs.
             from twisted.internet.ssl import optionsForClientTLS
 
             endpoint = wrapClientTLS(optionsForClientTLS(host), endpoint)
--- a/src/redwingrudder/_http_resources.py
+++ b/src/redwingrudder/_http_resources.py
@@ -1,7 +1,7 @@
-"""Paths of the HTTP interface: from a call to messages and back.
+"""Resources of the HTTP interface: requests to actor messages and back.
 
-Nothing here touches a socket; ``http_api`` hands over each call and writes
-the answer.
+This module does no I/O: ``http_api`` passes each request to ``Resources`` and
+writes the response.
 """
 
 import math
@@ -25,14 +25,18 @@
 from .model import FINAL_JOB_STATES, CellAssignment, Configuration, JobView
 
 JSON_TYPE = "application/json"
+METHOD_TEXT_LIMIT = 20  # characters of a rejected method that a message repeats
 _JOB_ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,199}")
 _VERSION_PATTERN = re.compile(r'(?:"(\d{1,18})"|(\d{1,18}))')
 
 Ask = Callable[[str, Any], Awaitable[Any]]
 
 
-class Call(NamedTuple):
-    """One HTTP request, independent of the server library."""
+class HttpRequest(NamedTuple):
+    """An HTTP request, independent of the server library.
+
+    ``path`` has the decoded segments, ``headers`` has lower-case names.
+    """
 
     method: str
     path: tuple[str, ...]
@@ -42,7 +46,7 @@
     correlation_id: str
 
 
-# "class" is a keyword, hence the functional form.
+# The functional form is needed because "class" is a keyword.
 JobViewBody = TypedDict(
     "JobViewBody",
     {
@@ -61,10 +65,10 @@
 
 
 class ConfigurationBody(TypedDict):
-    """The configuration in force.
+    """The current configuration.
 
-    ``document`` is in the form that operators send; ``cells`` tells the
-    failure domain of each copy of each guaranteed shape.
+    ``document`` has the format in which operators submit it. ``cells`` assigns
+    each copy of each guaranteed shape to a failure domain.
     """
 
     version: int
@@ -72,11 +76,11 @@
     cells: tuple[CellAssignment, ...]
 
 
-Handler = Callable[[Call], Awaitable[Response]]
+Handler = Callable[[HttpRequest], Awaitable[Response]]
 
 
 class Resources:
-    """Answers the calls of callers and operators.
+    """Handles the requests of callers and operators.
 
     Args:
         ask: Sends a message to an actor and returns its reply.
@@ -85,14 +89,21 @@
     def __init__(self, ask: Ask) -> None:
         self._ask = ask
 
-    async def answer(self, call: Call) -> Response:
-        """Return the answer; raises ``RedwingrudderError`` for problems."""
-        handlers = self._handlers(call.path)
-        handler = handlers.get(call.method)
+    async def respond(self, request: HttpRequest) -> Response:
+        """Handle a request.
+
+        Raises:
+            RedwingrudderError: The request is invalid or was refused.
+        """
+        handlers = self._handlers(request.path)
+        handler = handlers.get(request.method)
         if handler is None:
             allowed = ", ".join(sorted(handlers))
-            raise MethodNotAllowedError(f"{call.method[:20]} not in: {allowed}")
-        return await handler(call)
+            raise MethodNotAllowedError(
+                f"method {request.method[:METHOD_TEXT_LIMIT]} is not allowed here; "
+                f"allowed: {allowed}"
+            )
+        return await handler(request)
 
     def _handlers(self, path: tuple[str, ...]) -> dict[str, Handler]:
         match path:
@@ -106,72 +117,79 @@
                 return {"GET": self._status}
             case ("v1", "configuration"):
                 return {"GET": self._get_configuration, "PUT": self._put_configuration}
-        raise NotFoundError("no such resource", code="no_such_resource")
+        raise NotFoundError(
+            "there is no resource at this path", code="no_such_resource"
+        )
 
-    async def _submit(self, call: Call) -> Response:
+    async def _submit(self, request: HttpRequest) -> Response:
         spec, wait_s = parse_job(
-            call.content,
-            call.headers.get("content-type"),
-            call.headers.get("idempotency-key"),
+            request.content,
+            request.headers.get("content-type"),
+            request.headers.get("idempotency-key"),
         )
-        submission = requests.SubmitJob(spec, call.correlation_id)
+        submission = requests.SubmitJob(spec, request.correlation_id)
         view = await self._ask(requests.ROUTER, submission)
         if wait_s > 0 and view.state not in FINAL_JOB_STATES:
             view = await self._wait(view, wait_s)
-        return _view_answer(view)
+        return _view_response(view)
 
     async def _wait(self, accepted: JobView, wait_s: float) -> JobView:
-        """Wait for an accepted job; its id reaches the caller anyhow."""
+        """Wait up to ``wait_s`` seconds for the end of an accepted job.
+
+        If waiting fails, the accepted state is returned, because the caller
+        needs the id of the job.
+        """
         poll = requests.PollJob(accepted.job_id, wait_s)
         try:
             return await self._ask(requests.ROUTER, poll)
         except RedwingrudderError:
             return accepted
 
-    async def _poll(self, call: Call) -> Response:
-        poll = requests.PollJob(_job_id(call), _wait_s(call))
-        return _view_answer(await self._ask(requests.ROUTER, poll))
+    async def _poll(self, request: HttpRequest) -> Response:
+        poll = requests.PollJob(_job_id(request), _wait_s(request))
+        return _view_response(await self._ask(requests.ROUTER, poll))
 
-    async def _cancel(self, call: Call) -> Response:
-        cancellation = requests.CancelJob(_job_id(call))
-        return _view_answer(await self._ask(requests.ROUTER, cancellation))
+    async def _cancel(self, request: HttpRequest) -> Response:
+        cancellation = requests.CancelJob(_job_id(request))
+        return _view_response(await self._ask(requests.ROUTER, cancellation))
 
-    async def _explain(self, call: Call) -> Response:
-        question = requests.ExplainJob(_job_id(call))
-        return _json_answer(await self._ask(requests.ROUTER, question))
+    async def _explain(self, request: HttpRequest) -> Response:
+        message = requests.ExplainJob(_job_id(request))
+        return _json_response(await self._ask(requests.ROUTER, message))
 
-    async def _status(self, call: Call) -> Response:
-        question = requests.GetDeploymentStatus()
-        return _json_answer(await self._ask(requests.ROUTER, question))
+    async def _status(self, request: HttpRequest) -> Response:
+        message = requests.GetDeploymentStatus()
+        return _json_response(await self._ask(requests.ROUTER, message))
 
-    async def _get_configuration(self, call: Call) -> Response:
+    async def _get_configuration(self, request: HttpRequest) -> Response:
         message = requests.GetConfiguration()
-        return _configuration_answer(await self._ask(requests.CONFIGURATION, message))
+        return _configuration_response(await self._ask(requests.CONFIGURATION, message))
 
-    async def _put_configuration(self, call: Call) -> Response:
-        base_version = _base_version(call.headers.get("if-match"))
-        check_content_type(call.headers.get("content-type"))
-        document = _decode_text(call.content)
+    async def _put_configuration(self, request: HttpRequest) -> Response:
+        base_version = _base_version(request.headers.get("if-match"))
+        check_content_type(request.headers.get("content-type"))
+        document = _decode_utf8(request.content)
         change = requests.ApplyConfiguration(document, base_version)
-        return _configuration_answer(await self._ask(requests.CONFIGURATION, change))
+        return _configuration_response(await self._ask(requests.CONFIGURATION, change))
 
 
-def _job_id(call: Call) -> str:
-    job_id = call.path[2]
+def _job_id(request: HttpRequest) -> str:
+    job_id = request.path[2]
     if not _JOB_ID_PATTERN.fullmatch(job_id):
-        raise NotFoundError("no job has an id of this form", code="no_such_job")
+        raise NotFoundError("the job id is malformed", code="no_such_job")
     return job_id
 
 
-def _wait_s(call: Call) -> float:
-    values = call.query.get("wait", ("0",))
+def _wait_s(request: HttpRequest) -> float:
+    values = request.query.get("wait", ("0",))
     try:
         wait_s = float(values[0])
     except ValueError:
         wait_s = math.nan
     if len(values) != 1 or not 0 <= wait_s <= WAIT_LIMIT_S:
         raise BadRequestError(
-            f"wait must be one number of seconds from 0 to {WAIT_LIMIT_S:g}",
+            f"parameter wait must be a single number of seconds from 0 to "
+            f"{WAIT_LIMIT_S:g}",
             code="invalid_wait",
         )
     return wait_s
@@ -180,7 +198,7 @@
 def _base_version(if_match: str | None) -> int:
     if if_match is None:
         raise PreconditionRequiredError(
-            "header If-Match must name the version that the change is based on"
+            "header If-Match is required: the version that the change is based on"
         )
     match = _VERSION_PATTERN.fullmatch(if_match.strip())
     if match is None:
@@ -190,8 +208,11 @@
     return int(match[1] or match[2])
 
 
-def _decode_text(content: bytes) -> str:
-    """Decode the operators' document, which may have comments."""
+def _decode_utf8(content: bytes) -> str:
+    """Decode a configuration document.
+
+    It is not parsed here because its JSON may contain comments.
+    """
     try:
         return content.decode("utf-8")
     except UnicodeDecodeError as error:
@@ -200,7 +221,7 @@
         ) from None
 
 
-def _view_answer(view: JobView) -> Response:
+def _view_response(view: JobView) -> Response:
     body: JobViewBody = {
         "job_id": view.job_id,
         "organisation": view.organisation,
@@ -215,20 +236,20 @@
     }
     location = ("Location", f"/v1/jobs/{quote(view.job_id)}")
     final = view.state in FINAL_JOB_STATES
-    return _json_answer(body, 200 if final else 202, () if final else (location,))
+    return _json_response(body, 200 if final else 202, () if final else (location,))
 
 
-def _configuration_answer(configuration: Configuration) -> Response:
+def _configuration_response(configuration: Configuration) -> Response:
     headers = (("ETag", f'"{configuration.version}"'),)
     body: ConfigurationBody = {
         "version": configuration.version,
         "document": to_document(configuration),
         "cells": configuration.cells,
     }
-    return _json_answer(body, 200, headers)
+    return _json_response(body, 200, headers)
 
 
-def _json_answer(
+def _json_response(
     value: Any, status: int = 200, headers: tuple[tuple[str, str], ...] = ()
 ) -> Response:
     return Response(status, JSON_TYPE, to_json(value).encode(), headers)
--- a/src/redwingrudder/_job_body.py
+++ b/src/redwingrudder/_job_body.py
@@ -1,4 +1,4 @@
-"""Bodies of the HTTP interface: decoding and validation of requests."""
+"""Decoding and validation of job submissions and other JSON bodies."""
 
 import json
 import math
@@ -16,24 +16,28 @@
 from .model import JobSpec
 
 NESTING_LIMIT = 64  # levels of arrays and objects
-GANG_TASKS_LIMIT = 64
-CPU_TASKS_LIMIT = 1_024
+GANG_TASKS_LIMIT = 64  # of a job whose tasks use accelerators
+CPU_TASKS_LIMIT = 1_024  # of a job whose tasks use only CPUs
 DURATION_LIMIT_S = 30 * 86_400.0
 WAIT_LIMIT_S = 30.0
-KEY_LENGTH_LIMIT = 200
+KEY_LENGTH_LIMIT = 200  # characters
+ACCELERATORS_PER_TASK_LIMIT = 64
+CORES_PER_TASK_LIMIT = 1_024
+MEMORY_MB_PER_TASK_LIMIT = 16_777_216
+PATH_PART_LIMIT = 64  # characters of a field name that a problem repeats
 
 DEFAULT_CORES_PER_TASK = 1
 DEFAULT_MEMORY_MB_PER_TASK = 1_024
 DEFAULT_RUN_S = 60.0
 DEFAULT_STOP_BOUND_S = 2.0
 
-# Names appear as labels of metrics and in store keys.
+# Names are used as metric labels and in store keys.
 Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 Caller = Annotated[str, StringConstraints(pattern=r"^[\x20-\x7e]{0,128}$")]
 DurationS = Annotated[float, Field(gt=0, le=DURATION_LIMIT_S)]
 
-# "class" is a keyword, hence the functional form. Before Python 3.12 pydantic
-# takes TypedDict only from typing_extensions.
+# The functional form is needed because "class" is a keyword. Before Python
+# 3.12, pydantic supports only the TypedDict of typing_extensions.
 JobBody = TypedDict(
     "JobBody",
     {
@@ -41,9 +45,15 @@
         "class": Name,
         "caller": NotRequired[Caller],
         "tasks": NotRequired[Annotated[int, Field(ge=1, le=CPU_TASKS_LIMIT)]],
-        "accelerators_per_task": NotRequired[Annotated[int, Field(ge=0, le=64)]],
-        "cores_per_task": NotRequired[Annotated[int, Field(ge=0, le=1_024)]],
-        "memory_mb_per_task": NotRequired[Annotated[int, Field(ge=0, le=16_777_216)]],
+        "accelerators_per_task": NotRequired[
+            Annotated[int, Field(ge=0, le=ACCELERATORS_PER_TASK_LIMIT)]
+        ],
+        "cores_per_task": NotRequired[
+            Annotated[int, Field(ge=0, le=CORES_PER_TASK_LIMIT)]
+        ],
+        "memory_mb_per_task": NotRequired[
+            Annotated[int, Field(ge=0, le=MEMORY_MB_PER_TASK_LIMIT)]
+        ],
         "idempotent": NotRequired[bool],
         "preemptible": NotRequired[bool],
         "declared_run_s": NotRequired[DurationS],
@@ -63,20 +73,25 @@
 def parse_job(
     content: bytes, content_type: str | None, key: str | None
 ) -> tuple[JobSpec, float]:
-    """Return the job and the seconds that the caller wants to wait.
+    """Return the job and the number of seconds that the caller waits for it.
+
+    Args:
+        content: The request body.
+        content_type: Value of the header Content-Type.
+        key: Value of the header Idempotency-Key.
 
     Raises:
-        BadRequestError: Body or key cannot be used; an ``InvalidBodyError``
-            lists all wrong fields at once.
+        BadRequestError: The body or the key is invalid. If fields of the body
+            are invalid, ``InvalidBodyError`` lists all of them.
     """
     idempotency_key = check_idempotency_key(key)
     value = decode_json(content, content_type)
     body = _validate(value)
-    return _spec(body, idempotency_key), body.get("wait_s", 0.0)
+    return _build_spec(body, idempotency_key), body.get("wait_s", 0.0)
 
 
 def check_idempotency_key(key: str | None) -> str:
-    """Return the key of a submission; raises ``BadRequestError``."""
+    """Return a valid idempotency key; raises ``BadRequestError``."""
     if key is None:
         raise BadRequestError(
             "header Idempotency-Key is required", code="missing_idempotency_key"
@@ -91,20 +106,23 @@
 
 
 def decode_json(content: bytes, content_type: str | None) -> Any:
-    """Decode a JSON body strictly: no NaN, no repeated keys, valid UTF-8.
+    """Decode a JSON body strictly.
+
+    NaN, infinite numbers, repeated keys and invalid UTF-8 are rejected.
 
     Raises:
-        BadRequestError: ``malformed_json`` or ``unsupported_media_type``.
+        BadRequestError: Its code is ``malformed_json``, ``nested_too_deep`` or
+            ``unsupported_media_type``.
     """
     check_content_type(content_type)
     try:
         value = json.loads(
             content.decode("utf-8"),
-            object_pairs_hook=_unique_keys,
+            object_pairs_hook=_check_unique_keys,
             parse_constant=_reject_constant,
-            parse_float=_finite_float,
+            parse_float=_parse_finite_float,
         )
-        # Unpaired surrogates are valid JSON escapes but no valid UTF-8.
+        # Unpaired surrogates are valid in JSON escapes but not in UTF-8.
         json.dumps(value, ensure_ascii=False).encode("utf-8")
     except RecursionError:
         raise _nesting_error() from None
@@ -131,7 +149,7 @@
     try:
         body = _JOB_BODY.validate_python(value)
     except ValidationError as error:
-        problems = [_describe(item) for item in error.errors(include_url=False)]
+        problems = [_describe_error(item) for item in error.errors(include_url=False)]
         body = {}
     problems.extend(_gang_problems(value))
     if problems:
@@ -140,7 +158,10 @@
 
 
 def _gang_problems(value: Any) -> list[str]:
-    """Check the one rule that spans two fields."""
+    """Return violations of the rule that involves two fields.
+
+    Jobs that use accelerators have a lower limit on their tasks.
+    """
     if not isinstance(value, dict):
         return []
     tasks = value.get("tasks", 1)
@@ -148,16 +169,16 @@
     if type(tasks) is not int or type(accelerators) is not int:
         return []
     if accelerators > 0 and GANG_TASKS_LIMIT < tasks <= CPU_TASKS_LIMIT:
-        return [f"tasks: at most {GANG_TASKS_LIMIT} when tasks use accelerators"]
+        return [f"tasks: at most {GANG_TASKS_LIMIT} if tasks use accelerators"]
     return []
 
 
-def _describe(item: Any) -> str:
-    place = ".".join(str(part)[:64] for part in item["loc"]) or "body"
-    return f"{place}: {item['msg']}"
+def _describe_error(item: Any) -> str:
+    location = ".".join(str(part)[:PATH_PART_LIMIT] for part in item["loc"]) or "body"
+    return f"{location}: {item['msg']}"
 
 
-def _spec(body: JobBody, idempotency_key: str) -> JobSpec:
+def _build_spec(body: JobBody, idempotency_key: str) -> JobSpec:
     return JobSpec(
         organisation=body["organisation"],
         job_class=body["class"],
@@ -182,26 +203,30 @@
     return json.dumps(payload, ensure_ascii=False, separators=(",", ":"))
 
 
-def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+def _check_unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     value = dict(pairs)
     if len(value) != len(pairs):
-        raise ValueError("an object has the same key twice")
+        raise ValueError("an object contains a key more than once")
     return value
 
 
 def _reject_constant(name: str) -> float:
-    raise ValueError(f"{name} is no JSON number")
+    raise ValueError(f"{name} is not a valid JSON number")
 
 
-def _finite_float(text: str) -> float:
+def _parse_finite_float(text: str) -> float:
     value = float(text)
     if not math.isfinite(value):
-        raise ValueError("a number is out of range")
+        raise ValueError("a number exceeds the range of a float")
     return value
 
 
 def _depth(value: Any) -> int:
-    """Return the nesting of a value without recursion."""
+    """Return the levels of nested arrays and objects.
+
+    Counting stops above ``NESTING_LIMIT``. The loop avoids recursion, which
+    deeply nested input could exhaust.
+    """
     depth = 0
     level = [value]
     while level:
--- a/src/redwingrudder/_json_values.py
+++ b/src/redwingrudder/_json_values.py
@@ -1,4 +1,4 @@
-"""Conversion between the shared value types and JSON."""
+"""Conversion between NamedTuple value types and JSON."""
 
 import json
 from typing import Any, TypeVar
@@ -10,7 +10,7 @@
 
 
 def to_plain(value: Any) -> Any:
-    """Return a value with every NamedTuple as an object keyed by field."""
+    """Replace NamedTuples by dicts and other tuples by lists, recursively."""
     if isinstance(value, tuple) and hasattr(value, "_fields"):
         return {
             name: to_plain(item)
@@ -24,12 +24,19 @@
 
 
 def to_json(value: Any) -> str:
-    """Return the compact JSON text of a value."""
+    """Encode a value as JSON text without whitespace.
+
+    NamedTuples become objects.
+    """
     return json.dumps(to_plain(value), ensure_ascii=False, separators=(",", ":"))
 
 
 def from_json(value_type: type[Value], text: str) -> Value:
-    """Read a value of a NamedTuple type; raises ``ValueError``."""
+    """Decode and validate JSON text as a NamedTuple type.
+
+    Raises:
+        ValueError: The text is not valid JSON or does not match the type.
+    """
     adapter = _adapters_by_type.get(value_type)
     if adapter is None:
         adapter = _adapters_by_type[value_type] = TypeAdapter(value_type)
--- a/src/redwingrudder/_peer_handler.py
+++ b/src/redwingrudder/_peer_handler.py
@@ -1,4 +1,4 @@
-"""Calls that other nodes make to this node."""
+"""Handlers of the thrift calls that other nodes make to this node."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -34,10 +34,10 @@
 )
 from .model import JobView
 
-SERVED_CALLS_LIMIT = 5_000  # calls of other nodes in progress
+SERVED_CALLS_LIMIT = 5_000  # calls from other nodes in progress
 POLL_WAIT_LIMIT_MS = 30_000
-# Leaves room for the other fields and the encoding of the frame.
-REPLY_LIMIT_BYTES = FRAME_LIMIT_BYTES - 16 * 1024
+FRAME_OVERHEAD_BYTES = 16 * 1024  # for the other fields and the encoding
+REPLY_LIMIT_BYTES = FRAME_LIMIT_BYTES - FRAME_OVERHEAD_BYTES
 OVERLOAD_RETRY_S = 1.0
 
 Ask = Callable[[str, Any], Awaitable[Any]]
@@ -46,11 +46,13 @@
 
 @implementer(NodeService.Iface)
 class PeerHandler:
-    """Asks the local actors; errors travel as ``Fault``.
+    """Forwards calls to the actors of this node.
+
+    Errors are returned to the calling node as ``Fault``.
 
     Args:
         ask: Sends a message to an actor and returns its reply.
-        exchange: Takes a peer's report and returns that of this node.
+        exchange: Processes a peer's report and returns this node's report.
     """
 
     def __init__(self, ask: Ask, exchange: ReportHandler) -> None:
@@ -59,52 +61,61 @@
         self._gate = DrainGate()
 
     def submit(self, spec: WireJobSpec, correlation_id: str) -> Deferred:
-        """See ``requests.SubmitJob``."""
+        """Serve ``requests.SubmitJob``; the reply is the job's state."""
         return self._serve(self._submit(spec, correlation_id))
 
     def poll(self, job_id: str, wait_ms: int) -> Deferred:
-        """See ``requests.PollJob``."""
+        """Serve ``requests.PollJob``; waits up to ``wait_ms`` milliseconds."""
         return self._serve(self._poll(job_id, wait_ms))
 
     def cancel(self, job_id: str) -> Deferred:
-        """See ``requests.CancelJob``."""
+        """Serve ``requests.CancelJob``; the reply is the job's state."""
         return self._serve(self._cancel(job_id))
 
     def explain(self, job_id: str) -> Deferred:
-        """See ``requests.ExplainJob``."""
+        """Serve ``requests.ExplainJob``."""
         return self._serve(self._explain(job_id))
 
     def status(self) -> Deferred:
-        """Return ``requests.DomainStatus`` as JSON."""
+        """Serve ``requests.GetStatus``; the reply is JSON."""
         return self._serve(self._status())
 
     def exchange(self, report: WirePeerReport) -> Deferred:
-        """Take a peer's report and return that of this node."""
-        # Never refused: a node that gets no report back counts as dead.
-        return ensureDeferred(self._guarded(self._answer_exchange(report)))
+        """Process a peer's report and return the report of this node."""
+        # Exempt from the limit on calls: a peer that receives no report
+        # assumes that this node is dead.
+        return ensureDeferred(self._run_call(self._exchange_reports(report)))
 
     def configuration(self, above_version: int) -> Deferred:
-        """Return the configuration as JSON, or "" when it is not newer."""
+        """Return the configuration as JSON, or "" if it is not newer.
+
+        Args:
+            above_version: Version that the peer already has.
+        """
         return self._serve(self._configuration(above_version))
 
     def drain(self) -> Deferred:
-        """Return a Deferred that fires when no call is in progress."""
+        """Start the drain.
+
+        Returns:
+            A Deferred that fires when no call is in progress.
+        """
         return self._gate.drain()
 
-    def _serve(self, answering: Awaitable[Any]) -> Deferred:
+    def _serve(self, call: Awaitable[Any]) -> Deferred:
         if self._gate.in_progress >= SERVED_CALLS_LIMIT:
-            answering.close()
+            call.close()
             error = OverloadedError(
-                "too many calls of other nodes are in progress",
+                f"{SERVED_CALLS_LIMIT} calls from other nodes are in progress",
                 retry_after_s=OVERLOAD_RETRY_S,
             )
             raise encode_error(error)
-        return ensureDeferred(self._guarded(answering))
+        return ensureDeferred(self._run_call(call))
 
-    async def _guarded(self, answering: Awaitable[Any]) -> Any:
+    async def _run_call(self, call: Awaitable[Any]) -> Any:
         self._gate.enter()
         try:
-            return await answering
+            return await call
         except RedwingrudderError as error:
             raise encode_error(error) from None
         finally:
@@ -112,38 +123,41 @@
 
     async def _submit(self, spec: WireJobSpec, correlation_id: str) -> WireJobView:
         submission = requests.SubmitJob(decode_spec(spec), correlation_id or "")
-        return _checked_view(await self._ask(requests.DISPATCHER, submission))
+        return _encode_checked_view(await self._ask(requests.DISPATCHER, submission))
 
     async def _poll(self, job_id: str, wait_ms: int) -> WireJobView:
         _check_job_id(job_id)
         if wait_ms is None or not 0 <= wait_ms <= POLL_WAIT_LIMIT_MS:
-            raise BadRequestError("wait_ms is out of range", code="bad_frame")
+            raise BadRequestError(
+                f"wait_ms is {wait_ms}, expected 0 to {POLL_WAIT_LIMIT_MS}",
+                code="bad_frame",
+            )
         poll = requests.PollJob(job_id, wait_ms / 1_000)
-        return _checked_view(await self._ask(requests.DISPATCHER, poll))
+        return _encode_checked_view(await self._ask(requests.DISPATCHER, poll))
 
     async def _cancel(self, job_id: str) -> WireJobView:
         _check_job_id(job_id)
         cancellation = requests.CancelJob(job_id)
-        return _checked_view(await self._ask(requests.DISPATCHER, cancellation))
+        return _encode_checked_view(await self._ask(requests.DISPATCHER, cancellation))
 
     async def _explain(self, job_id: str) -> WireExplanation:
         _check_job_id(job_id)
-        question = requests.ExplainJob(job_id)
-        return encode_explanation(await self._ask(requests.DISPATCHER, question))
+        request = requests.ExplainJob(job_id)
+        return encode_explanation(await self._ask(requests.DISPATCHER, request))
 
     async def _status(self) -> str:
         status = await self._ask(requests.DISPATCHER, requests.GetStatus())
-        return _checked_text(to_json(status))
+        return _check_text_size(to_json(status))
 
-    async def _answer_exchange(self, report: WirePeerReport) -> WirePeerReport:
+    async def _exchange_reports(self, report: WirePeerReport) -> WirePeerReport:
         return encode_report(self._exchange(decode_report(report)))
 
     async def _configuration(self, above_version: int) -> str:
-        question = requests.GetConfiguration()
-        configuration = await self._ask(requests.CONFIGURATION, question)
+        request = requests.GetConfiguration()
+        configuration = await self._ask(requests.CONFIGURATION, request)
         if configuration.version <= (above_version or 0):
             return ""
-        return _checked_text(encode_configuration(configuration))
+        return _check_text_size(encode_configuration(configuration))
 
 
 def _check_job_id(job_id: str | None) -> None:
@@ -151,20 +165,21 @@
         raise BadRequestError("the job id is missing", code="bad_frame")
 
 
-def _checked_view(view: JobView) -> WireJobView:
+def _encode_checked_view(view: JobView) -> WireJobView:
     _check_size(sum(len(result.encode("utf-8")) for result in view.results))
     return encode_view(view)
 
 
-def _checked_text(text: str) -> str:
+def _check_text_size(text: str) -> str:
     _check_size(len(text.encode("utf-8")))
     return text
 
 
-def _check_size(size: int) -> None:
-    if size > REPLY_LIMIT_BYTES:
+def _check_size(size_bytes: int) -> None:
+    if size_bytes > REPLY_LIMIT_BYTES:
         raise PayloadTooLargeError(
-            f"the answer has {size} bytes, {REPLY_LIMIT_BYTES} are allowed between "
-            "nodes; ask a node of the owner's failure domain",
+            f"the reply has {size_bytes} bytes, the limit between nodes is "
+            f"{REPLY_LIMIT_BYTES} bytes; send the request to a node of the owner's "
+            "failure domain",
             code="result_too_large",
         )
--- a/src/redwingrudder/_peer_link.py
+++ b/src/redwingrudder/_peer_link.py
@@ -1,4 +1,7 @@
-"""The connection to one peer node and its outstanding calls."""
+"""Client connection to one peer node, with its outstanding calls.
+
+The chart ``peer_link.scxml`` holds the states of the connection.
+"""
 
 import enum
 import logging
@@ -23,14 +26,16 @@
 )
 from .statecharts import load_chart
 
-OUTSTANDING_LIMIT = 1_000  # calls per peer, queued and sent
-# Callers that wait for the end of a job hold their call for up to 30 s; the
-# rest of the bound is left to calls that are answered at once.
-WAITING_LIMIT = 900
+OUTSTANDING_CALLS_LIMIT = 1_000  # per peer, queued or sent
+# A call that waits for the end of a job stays outstanding for up to 30 s. The
+# difference to OUTSTANDING_CALLS_LIMIT is reserved for calls that are answered
+# immediately.
+WAITING_CALLS_LIMIT = 900
 OUTSTANDING_LIMIT_BYTES = 16 * 1024 * 1024  # of request payloads per peer
 CONNECT_TIMEOUT_S = 2.0
-IDLE_S = 60.0
+IDLE_TIMEOUT_S = 60.0
 OVERLOAD_RETRY_S = 1.0
+PORT_DIGITS_LIMIT = 5
 
 _CHART = load_chart(
     "peer_link",
@@ -52,9 +57,13 @@
 
 
 class CallKind(enum.Enum):
-    """Which share of the bound on outstanding calls a call counts against.
+    """The limit on outstanding calls that applies to a call.
 
-    Reports are exempt: a node that is refused its reports counts as dead.
+    Attributes:
+        PROMPT: Answered immediately; ``OUTSTANDING_CALLS_LIMIT`` applies.
+        WAITING: Waits for the end of a job; ``WAITING_CALLS_LIMIT`` applies.
+        REPORT: Never refused, because peers take a node for dead if they do
+            not exchange reports with it.
     """
 
     PROMPT = enum.auto()
@@ -63,7 +72,11 @@
 
 
 class PeerCall(NamedTuple):
-    """A call of ``NodeService``; ``size`` is its payload in bytes."""
+    """A call of ``NodeService``.
+
+    ``size`` is the length of its payload and counts against
+    ``OUTSTANDING_LIMIT_BYTES``.
+    """
 
     method: str
     arguments: tuple[Any, ...]
@@ -72,8 +85,8 @@
     kind: CallKind = CallKind.PROMPT
 
 
-class _Outstanding:
-    """A call that has no reply yet."""
+class _OutstandingCall:
+    """A call without a reply; ``sent_at`` is None while it is queued."""
 
     def __init__(self, call: PeerCall, now: float) -> None:
         self.call = call
@@ -84,12 +97,12 @@
 
 
 class PeerLink:
-    """Calls one peer over a connection that is opened on demand.
+    """Makes calls to one peer over a connection that is opened on demand.
 
     Args:
         reactor: Opens the connection.
         address: host:port of the peer's thrift server.
-        seconds: The clock.
+        seconds: Returns the current time in seconds.
     """
 
     def __init__(
@@ -99,66 +112,73 @@
         self.address = address
         self._seconds = seconds
         self._state = _CHART.initial
-        self._queue: deque[_Outstanding] = deque()
-        self._outstanding: set[_Outstanding] = set()
+        self._queue: deque[_OutstandingCall] = deque()
+        self._outstanding_calls: set[_OutstandingCall] = set()
         self._outstanding_bytes = 0
         self._last_used = seconds()
         self._connection: PeerClientProtocol | None = None
         self._connecting: Deferred | None = None
 
     def call(self, call: PeerCall) -> Deferred:
-        """Send a call; the Deferred fires with the struct of the reply.
+        """Send a call, connecting first if necessary.
 
-        Errors are ``OverloadedError`` and ``UnavailableError`` (not sent),
-        ``OutcomeUnknownError`` (sent, no reply) or the peer's own.
+        Returns:
+            A Deferred that fires with the decoded thrift value of the reply.
+            It fails with ``OverloadedError`` or ``UnavailableError`` if the
+            call was not sent, with ``OutcomeUnknownError`` if it was sent but
+            not answered, or with the error that the peer returned.
         """
         if self._is_full(call):
             error = OverloadedError(
-                f"too many calls to {self.address} wait for a reply",
+                f"too many calls to {self.address} are outstanding",
                 retry_after_s=OVERLOAD_RETRY_S,
             )
-            return _failed(error)
-        outstanding = _Outstanding(call, self._seconds())
+            return _failed_deferred(error)
+        outstanding = _OutstandingCall(call, self._seconds())
         self._last_used = self._seconds()
-        self._outstanding.add(outstanding)
+        self._outstanding_calls.add(outstanding)
         self._outstanding_bytes += call.size
         self._step("call", outstanding)
         return outstanding.reply
 
     def _is_full(self, call: PeerCall) -> bool:
-        count = len(self._outstanding)
+        count = len(self._outstanding_calls)
         if call.kind is CallKind.REPORT:
             return False
-        if call.kind is CallKind.WAITING and count >= WAITING_LIMIT:
+        if call.kind is CallKind.WAITING and count >= WAITING_CALLS_LIMIT:
             return True
         size = self._outstanding_bytes + call.size
-        return count >= OUTSTANDING_LIMIT or size > OUTSTANDING_LIMIT_BYTES
+        return count >= OUTSTANDING_CALLS_LIMIT or size > OUTSTANDING_LIMIT_BYTES
+
+    def expire(self, now: float) -> None:
+        """Fail calls past their deadline; close the connection if idle.
 
-    def sweep(self, now: float) -> None:
-        """End calls whose time is over; close an idle connection."""
-        late = [item for item in self._outstanding if item.deadline <= now]
-        for item in late:
+        Args:
+            now: The current time in seconds.
+        """
+        expired = [item for item in self._outstanding_calls if item.deadline <= now]
+        for item in expired:
             self._time_out(item)
-        if not self._outstanding and now - self._last_used > IDLE_S:
+        if not self._outstanding_calls and now - self._last_used > IDLE_TIMEOUT_S:
             self._step("idle")
 
-    def abandon(self) -> None:
-        """End all sent calls; the peer is no owner any more.
+    def fail_sent_calls(self) -> None:
+        """Fail all sent calls because the peer is no longer an owner.
 
-        A dead VM sends nothing, so the calls would otherwise wait for their
-        timeout although a new owner can answer them.
+        A failed VM does not close its connections. The calls would otherwise
+        wait for their timeout although the new owner can answer them.
         """
-        for item in list(self._outstanding):
+        for item in list(self._outstanding_calls):
             if item.sent_at is not None:
-                self._settle(item, Failure(self._outcome_unknown()))
+                self._settle(item, Failure(self._outcome_unknown_error()))
 
     @property
     def is_unused(self) -> bool:
-        """Whether the link holds neither calls nor a connection."""
-        return self._state == _CHART.initial and not self._outstanding
+        """Whether the link has neither calls nor a connection."""
+        return self._state == _CHART.initial and not self._outstanding_calls
 
     def stop(self) -> None:
-        """Close the connection and end all calls."""
+        """Close the connection and fail all calls."""
         self._step("stop")
         if self._connecting is not None:
             self._connecting.cancel()
@@ -169,18 +189,23 @@
         for action in transition.actions:
             getattr(self, f"_{action}")(argument)
 
-    def _queue_call(self, outstanding: _Outstanding) -> None:
+    def _queue_call(self, outstanding: _OutstandingCall) -> None:
         self._queue.append(outstanding)
 
     def _connect(self, _: object) -> None:
         host, _, port = self.address.rpartition(":")
-        if not host or not port.isascii() or not port.isdecimal() or len(port) > 5:
-            self._step("connect_failed", "the address is no host:port")
+        if (
+            not host
+            or not port.isascii()
+            or not port.isdecimal()
+            or len(port) > PORT_DIGITS_LIMIT
+        ):
+            self._step("connect_failed", "the address is not of the form host:port")
             return
         endpoint = TCP4ClientEndpoint(
             self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
         )
-        protocol = PeerClientProtocol(self._seconds, self._lost)
+        protocol = PeerClientProtocol(self._seconds, self._connection_lost)
         self._connecting = connectProtocol(endpoint, protocol)
         self._connecting.addCallbacks(self._connected, self._connect_failed)
 
@@ -193,7 +218,7 @@
         self._connecting = None
         self._step("connect_failed", failure.getErrorMessage())
 
-    def _lost(self, connection: PeerClientProtocol) -> None:
+    def _connection_lost(self, connection: PeerClientProtocol) -> None:
         if connection is self._connection:
             self._connection = None
             self._step("connection_lost")
@@ -202,22 +227,27 @@
         while self._queue:
             self._send(self._queue.popleft())
 
-    def _send(self, outstanding: _Outstanding) -> None:
+    def _send(self, outstanding: _OutstandingCall) -> None:
         outstanding.sent_at = self._seconds()
         client = self._connection.client
         reply = getattr(client, outstanding.call.method)(*outstanding.call.arguments)
         outstanding.sequence = client._seqid
-        reply.addBoth(self._replied, outstanding)
+        reply.addBoth(self._reply_received, outstanding)
+
+    def _reply_received(self, result: Any, outstanding: _OutstandingCall) -> None:
+        """Settle a sent call unless it has timed out.
 
-    def _replied(self, result: Any, outstanding: _Outstanding) -> None:
-        """Settle a call that still waits; the reply may be an error."""
-        if outstanding not in self._outstanding:
+        Args:
+            result: The reply, or a ``Failure``.
+            outstanding: The call.
+        """
+        if outstanding not in self._outstanding_calls:
             return
         if isinstance(result, Failure):
-            result = Failure(self._error(result.value))
+            result = Failure(self._convert_error(result.value))
         self._settle(outstanding, result)
 
-    def _error(self, error: BaseException) -> Exception:
+    def _convert_error(self, error: BaseException) -> Exception:
         if isinstance(error, Fault):
             return decode_error(error)
         if isinstance(error, RedwingrudderError):
@@ -232,40 +262,43 @@
                 "call to a peer failed unexpectedly",
                 extra={"peer": self.address, "error": repr(error)},
             )
-            return RedwingrudderError(f"the call to {self.address} failed")
-        return self._outcome_unknown()
+            return RedwingrudderError(f"the call to {self.address} failed unexpectedly")
+        return self._outcome_unknown_error()
 
     def _fail_queue(self, reason: object) -> None:
         queue, self._queue = self._queue, deque()
         for item in queue:
             error = UnavailableError(
-                f"{self.address} cannot be reached: {reason or 'shutting down'}"
+                f"cannot connect to {self.address}: {reason or 'the node is stopping'}"
             )
             self._settle(item, Failure(error))
 
     def _fail_sent(self, _: object) -> None:
-        for item in list(self._outstanding):
-            self._settle(item, Failure(self._outcome_unknown()))
+        """Fail all calls of a closed connection; none is queued by then."""
+        for item in list(self._outstanding_calls):
+            self._settle(item, Failure(self._outcome_unknown_error()))
 
     def _disconnect(self, argument: object) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.transport.loseConnection()
 
-    def _time_out(self, outstanding: _Outstanding) -> None:
+    def _time_out(self, outstanding: _OutstandingCall) -> None:
         if outstanding.sent_at is None:
             self._queue.remove(outstanding)
-            error: Exception = UnavailableError(f"no connection to {self.address}")
+            error: Exception = UnavailableError(
+                f"not connected to {self.address} before the call timed out"
+            )
         else:
-            error = self._outcome_unknown()
+            error = self._outcome_unknown_error()
         self._settle(outstanding, Failure(error))
         self._drop_dead_connection(outstanding)
 
-    def _drop_dead_connection(self, outstanding: _Outstanding) -> None:
-        """Abort a connection that has been silent for the whole call.
+    def _drop_dead_connection(self, outstanding: _OutstandingCall) -> None:
+        """Abort a connection without received data since a call was sent.
 
-        The VM at its other end may be gone without a word, and calls sent on
-        such a connection would all end with an unknown outcome.
+        The VM at the other end may have failed without closing it. All later
+        calls on the connection would end with an unknown outcome.
         """
         connection = self._connection
         if connection is None or outstanding.sent_at is None:
@@ -273,20 +306,20 @@
         if connection.last_received < outstanding.sent_at:
             connection.transport.abortConnection()
 
-    def _settle(self, outstanding: _Outstanding, result: Any) -> None:
-        if outstanding not in self._outstanding:
+    def _settle(self, outstanding: _OutstandingCall, result: Any) -> None:
+        if outstanding not in self._outstanding_calls:
             return
-        self._outstanding.discard(outstanding)
+        self._outstanding_calls.discard(outstanding)
         self._outstanding_bytes -= outstanding.call.size
         if self._connection is not None:
             self._connection.forget(outstanding.sequence)
         outstanding.reply.callback(result)
 
-    def _outcome_unknown(self) -> OutcomeUnknownError:
-        return OutcomeUnknownError(f"{self.address} gave no answer to a call sent")
+    def _outcome_unknown_error(self) -> OutcomeUnknownError:
+        return OutcomeUnknownError(f"{self.address} did not answer a call sent to it")
 
 
-def _failed(error: Exception) -> Deferred:
+def _failed_deferred(error: Exception) -> Deferred:
     reply: Deferred = Deferred()
     reply.errback(Failure(error))
     return reply
--- a/src/redwingrudder/_peer_wire.py
+++ b/src/redwingrudder/_peer_wire.py
@@ -1,6 +1,6 @@
-"""Thrift protocols of the connections between nodes, with their limits.
+"""Thrift protocols for the connections between nodes, with size limits.
 
-A frame that cannot be decoded closes its connection and nothing else.
+A frame that cannot be decoded closes only the connection it arrived on.
 """
 
 import logging
@@ -23,23 +23,25 @@
 from .exceptions import PayloadTooLargeError
 
 FRAME_LIMIT_BYTES = 1024 * 1024
-CONNECTIONS_LIMIT = 1_000  # from other nodes
-CONTAINER_LIMIT = 10_000  # entries of a list
-SERVER_IDLE_S = 120.0  # clients close their own idle connections earlier
+CONNECTIONS_LIMIT = 1_000  # accepted from other nodes
+LIST_ENTRIES_LIMIT = 10_000  # also applies to maps and sets
+SERVER_IDLE_TIMEOUT_S = 120.0  # longer than the idle timeout of clients
+METHOD_NAME_LIMIT = 64  # characters in replies and log lines
+LOG_DETAIL_LIMIT = 200  # characters
 
 _logger = logging.getLogger(__name__)
 
 
 def protocol_factory() -> TCompactProtocolAcceleratedFactory:
-    """Return the factory of the encoding that all nodes use."""
+    """Return the thrift encoding that all nodes use (compact protocol)."""
     return TCompactProtocolAcceleratedFactory(
         string_length_limit=FRAME_LIMIT_BYTES,
-        container_length_limit=CONTAINER_LIMIT,
+        container_length_limit=LIST_ENTRIES_LIMIT,
     )
 
 
 class PeerServerProtocol(ThriftServerProtocol):
-    """The server's end of a connection."""
+    """Server end of a connection from another node."""
 
     MAX_LENGTH = FRAME_LIMIT_BYTES
     calls_in_progress = 0
@@ -52,10 +54,13 @@
         self.factory.connections.add(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Forget the connection; a started frame is reported."""
+        """Unregister the connection; an incomplete frame is logged."""
         self.factory.connections.discard(self)
         if self._unprocessed:
-            self._report("truncated_frame", f"{len(self._unprocessed)} bytes left")
+            self._log_closed(
+                "truncated_frame",
+                f"{len(self._unprocessed)} bytes of an incomplete frame",
+            )
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """See base class."""
@@ -63,9 +68,13 @@
         super().dataReceived(data)
 
     def stringReceived(self, frame: bytes) -> None:  # noqa: N802
-        """Process one frame, or answer and close when it is not a call."""
+        """Process one call.
+
+        A call of an unknown method is answered with an error. Then, and after
+        a frame that cannot be decoded, the connection is closed.
+        """
         try:
-            name = self._method(frame)
+            name = self._read_method(frame)
             if name not in self.factory.service.Iface:
                 self._refuse_method(frame)
                 return
@@ -80,20 +89,27 @@
         super().processOk(result, buffer)
 
     def processError(self, error: Failure) -> None:  # noqa: N802
-        """Close the connection: the reply cannot be encoded."""
+        """Close the connection because the reply could not be encoded."""
         self.calls_in_progress -= 1
         self._close("bad_reply", repr(error.value))
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """See base class."""
-        self._close("frame_too_large", f"{length} bytes, {FRAME_LIMIT_BYTES} allowed")
+        self._close("frame_too_large", f"{length} bytes, limit {FRAME_LIMIT_BYTES}")
 
     def close_if_idle(self, now: float) -> None:
-        """Close a connection that neither sends nor waits for a reply."""
-        if not self.calls_in_progress and now - self.last_received > SERVER_IDLE_S:
+        """Close the connection if it is idle and no call is in progress.
+
+        Args:
+            now: The current time in seconds.
+        """
+        if (
+            not self.calls_in_progress
+            and now - self.last_received > SERVER_IDLE_TIMEOUT_S
+        ):
             self.transport.abortConnection()
 
-    def _method(self, frame: bytes) -> str:
+    def _read_method(self, frame: bytes) -> str:
         protocol = self.factory.iprot_factory.getProtocol(
             TTransport.TMemoryBuffer(frame)
         )
@@ -101,39 +117,50 @@
         return name
 
     def _refuse_method(self, frame: bytes) -> None:
-        """Answer with UNKNOWN_METHOD and close after the answer."""
-        source = self.factory.iprot_factory.getProtocol(TTransport.TMemoryBuffer(frame))
-        name, _, sequence = source.readMessageBegin()
+        """Reply with UNKNOWN_METHOD, then close the connection."""
+        request = self.factory.iprot_factory.getProtocol(
+            TTransport.TMemoryBuffer(frame)
+        )
+        name, _, sequence = request.readMessageBegin()
         buffer = TTransport.TMemoryBuffer()
         reply = self.factory.oprot_factory.getProtocol(buffer)
-        reply.writeMessageBegin(name[:64], TMessageType.EXCEPTION, sequence)
+        reply.writeMessageBegin(
+            name[:METHOD_NAME_LIMIT], TMessageType.EXCEPTION, sequence
+        )
         error = TApplicationException(
-            TApplicationException.UNKNOWN_METHOD, f"unknown method {name[:64]!r}"
+            TApplicationException.UNKNOWN_METHOD,
+            f"unknown method {name[:METHOD_NAME_LIMIT]!r}",
         )
         error.write(reply)
         reply.writeMessageEnd()
         self.dispatch(buffer.getvalue())
-        self._report("unknown_method", name[:64])
+        self._log_closed("unknown_method", name[:METHOD_NAME_LIMIT])
         self.transport.loseConnection()
 
     def _close(self, code: str, detail: str) -> None:
         self._unprocessed = b""
-        self._report(code, detail)
+        self._log_closed(code, detail)
         self.transport.abortConnection()
 
-    def _report(self, code: str, detail: str) -> None:
+    def _log_closed(self, code: str, detail: str) -> None:
         _logger.warning(
             "connection from a peer closed",
             extra={
                 "code": code,
-                "detail": detail[:200],
+                "detail": detail[:LOG_DETAIL_LIMIT],
                 "peer": str(self.transport.getPeer()),
             },
         )
 
 
 class PeerServerFactory(ThriftServerFactory):
-    """Connections that other nodes opened; ``seconds`` is the clock."""
+    """Accepts connections from other nodes.
+
+    Args:
+        handler: Implements the methods of the service.
+        seconds: Returns the current time in seconds.
+        service: Generated module of the thrift service.
+    """
 
     protocol = PeerServerProtocol
     noisy = False
@@ -147,14 +174,20 @@
         self.connections: set[PeerServerProtocol] = set()
 
     def buildProtocol(self, address: IAddress) -> PeerServerProtocol | None:  # noqa: N802
-        """Return None at the bound, which closes the connection."""
+        """Return None to close the connection if there are too many."""
         if len(self.connections) >= CONNECTIONS_LIMIT:
             return None
         return super().buildProtocol(address)
 
 
 class PeerClientProtocol(ThriftClientProtocol):
-    """The client's end of a connection; ``lost`` is told of its end."""
+    """Client end of a connection to another node.
+
+    Args:
+        seconds: Returns the current time in seconds.
+        on_lost: Called with this protocol when the connection is lost.
+        service: Generated module of the thrift service.
+    """
 
     MAX_LENGTH = FRAME_LIMIT_BYTES
     last_received = 0.0
@@ -162,19 +195,23 @@
     def __init__(
         self,
         seconds: Callable[[], float],
-        lost: Callable[["PeerClientProtocol"], None],
+        on_lost: Callable[["PeerClientProtocol"], None],
         service: Any = NodeService,
     ) -> None:
         super().__init__(service.Client, protocol_factory())
         self._service = service
         self._seconds = seconds
-        self._lost = lost
+        self._on_lost = on_lost
 
     def dispatch(self, msg: bytes) -> None:
-        """Send a frame unless it is above the limit of the other side."""
+        """Send a frame.
+
+        Raises:
+            PayloadTooLargeError: The server would not accept the frame.
+        """
         if len(msg) > FRAME_LIMIT_BYTES:
             raise PayloadTooLargeError(
-                f"the call has {len(msg)} bytes, {FRAME_LIMIT_BYTES} are allowed"
+                f"the call has {len(msg)} bytes, the limit is {FRAME_LIMIT_BYTES} bytes"
             )
         super().dispatch(msg)
 
@@ -184,7 +221,7 @@
         super().dataReceived(data)
 
     def stringReceived(self, frame: bytes) -> None:  # noqa: N802
-        """Hand a reply to its call; replies after a timeout are dropped."""
+        """Pass a reply to its call; replies to timed-out calls are dropped."""
         try:
             protocol = self._iprot_factory.getProtocol(TTransport.TMemoryBuffer(frame))
             name, kind, sequence = protocol.readMessageBegin()
@@ -192,24 +229,25 @@
                 return
             if name not in self._service.Iface:
                 raise TApplicationException(
-                    TApplicationException.UNKNOWN_METHOD, f"reply to {name[:64]!r}"
+                    TApplicationException.UNKNOWN_METHOD,
+                    f"reply to unknown method {name[:METHOD_NAME_LIMIT]!r}",
                 )
             getattr(self.client, f"recv_{name}")(protocol, kind, sequence)
         except Exception as error:
             self._close("bad_frame", repr(error))
 
     def forget(self, sequence: int) -> None:
-        """Drop a call whose reply is no longer awaited."""
+        """Remove a call whose reply is no longer expected."""
         if self.client is not None:
             self.client._reqs.pop(sequence, None)
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """See base class."""
-        self._close("frame_too_large", f"{length} bytes, {FRAME_LIMIT_BYTES} allowed")
+        self._close("frame_too_large", f"{length} bytes, limit {FRAME_LIMIT_BYTES}")
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Report the end before the calls fail."""
-        self._lost(self)
+        """Call ``on_lost`` before the base class fails the calls."""
+        self._on_lost(self)
         super().connectionLost(reason)
 
     def _close(self, code: str, detail: str) -> None:
@@ -217,7 +255,7 @@
             "connection to a peer closed",
             extra={
                 "code": code,
-                "detail": detail[:200],
+                "detail": detail[:LOG_DETAIL_LIMIT],
                 "peer": str(self.transport.getPeer()),
             },
         )
--- a/src/redwingrudder/_problems.py
+++ b/src/redwingrudder/_problems.py
@@ -1,4 +1,4 @@
-"""Error answers of the HTTP interface (application/problem+json)."""
+"""Error responses of the HTTP interface (application/problem+json)."""
 
 import json
 import math
@@ -8,11 +8,12 @@
 from .exceptions import RedwingrudderError
 
 CONTENT_TYPE = "application/problem+json"
-PROBLEMS_LIMIT = 50  # findings listed in one answer
+PROBLEMS_LIMIT = 50  # listed in one response
+MIN_RETRY_AFTER_S = 1  # the header has whole seconds
 
 
 class Response(NamedTuple):
-    """An HTTP answer that is ready to be written."""
+    """A complete HTTP response, ready to be written."""
 
     status: int
     content_type: str
@@ -21,7 +22,10 @@
 
 
 class ProblemBody(TypedDict):
-    """Body of every error answer."""
+    """Body of every error response.
+
+    ``problems`` lists the invalid fields of a request body.
+    """
 
     code: str
     title: str
@@ -32,19 +36,24 @@
     retry_after_s: NotRequired[float]
 
 
-def problem_answer(error: RedwingrudderError, correlation_id: str) -> Response:
-    """Return the answer for an error of the library."""
+def problem_response(error: RedwingrudderError, correlation_id: str) -> Response:
+    """Return the response for an error, with Retry-After if it has one."""
     body = problem_body(error, correlation_id)
     headers: tuple[tuple[str, str], ...] = ()
     if error.retry_after_s is not None:
         body["retry_after_s"] = error.retry_after_s
-        headers = (("Retry-After", str(max(1, math.ceil(error.retry_after_s)))),)
+        headers = (
+            (
+                "Retry-After",
+                str(max(MIN_RETRY_AFTER_S, math.ceil(error.retry_after_s))),
+            ),
+        )
     text = json.dumps(body, separators=(",", ":"))
     return Response(error.http_status, CONTENT_TYPE, text.encode(), headers)
 
 
 def problem_body(error: RedwingrudderError, correlation_id: str) -> ProblemBody:
-    """Return the fields that every error answer has."""
+    """Return the fields that every error response has."""
     problems = [str(problem) for problem in getattr(error, "problems", ())]
     return {
         "code": error.code,
@@ -57,8 +66,11 @@
 
 
 def internal_problem(correlation_id: str) -> Response:
-    """Return the answer for an unexpected exception, without its text."""
+    """Return the response for an unexpected exception.
+
+    It does not contain the text of the exception.
+    """
     error = RedwingrudderError(
-        "an unexpected error occurred; the log has it under the correlation id"
+        "an unexpected error occurred; it is logged with the correlation id"
     )
-    return problem_answer(error, correlation_id)
+    return problem_response(error, correlation_id)
--- a/src/redwingrudder/node.py
+++ b/src/redwingrudder/node.py
@@ -1,4 +1,4 @@
-"""An entry node: its actors, built from settings, and its shutdown."""
+"""An entry node: creation of its actors from settings, and its shutdown."""
 
 import logging
 import signal
@@ -27,10 +27,11 @@
 from .store import StoreClient
 from .timers import TimerService
 
-WORKER_LEASE_S = 30.0
-STORE_WRITES_PER_S = 200
-REQUESTS_IN_PROGRESS = 10_000
-# Callers first; calls of other nodes end once the ownership is handed over.
+DEFAULT_WORKER_LEASE_S = 30.0
+DEFAULT_STORE_WRITES_PER_S = 200
+DEFAULT_REQUESTS_IN_PROGRESS = 10_000
+# Requests of callers are drained first. Calls of other nodes are drained last,
+# because they end once the ownership is handed over.
 DRAIN_ORDER = (
     requests.HTTP_API,
     requests.DISPATCHER,
@@ -45,8 +46,8 @@
     """All actors of one entry node.
 
     Args:
-        settings: Checked settings.
-        reactor: The twisted reactor.
+        settings: Validated settings.
+        reactor: The Twisted reactor.
     """
 
     def __init__(self, settings: NodeSettings, reactor: Any) -> None:
@@ -61,22 +62,26 @@
         self._add_request_actors()
 
     def start(self) -> None:
-        """Open the sockets and begin to follow the platform."""
+        """Start all actors, which open sockets and read the platform store."""
         self.system.start()
         _logger.info("node started")
 
     async def stop(self) -> None:
-        """Shut down gracefully: cut no request short, hand over ownership."""
+        """Shut down gracefully.
+
+        Requests in progress are finished and the ownership of the failure
+        domain is handed over. Further calls have no effect.
+        """
         if self._stopping:
             return
         self._stopping = True
-        _logger.info("node drains")
+        _logger.info("node is draining")
         for name in DRAIN_ORDER:
             try:
                 await self.system.ask(name, requests.Drain())
             except RedwingrudderError as error:
                 extra = {"actor": name, "error": str(error)}
-                _logger.warning("drain failed", extra=extra)
+                _logger.warning("actor failed to drain", extra=extra)
         await self.system.stop()
         _logger.info("node stopped")
 
@@ -84,8 +89,8 @@
         settings = self.settings
         domain = settings["failure_domain"]
         limits = settings.get("limits", {})
-        writes = limits.get("store_writes_per_s", STORE_WRITES_PER_S)
-        self._domain_writes_per_s = writes / len(settings["failure_domains"])
+        writes_per_s = limits.get("store_writes_per_s", DEFAULT_STORE_WRITES_PER_S)
+        self._domain_writes_per_s = writes_per_s / len(settings["failure_domains"])
         seed = settings["rank"]
         StoreClient(
             self.system,
@@ -140,7 +145,7 @@
             DispatcherSettings(
                 domain,
                 settings["node_id"],
-                settings.get("worker_lease_s", WORKER_LEASE_S),
+                settings.get("worker_lease_s", DEFAULT_WORKER_LEASE_S),
                 self._domain_writes_per_s,
             ),
             lambda: Scheduler(domain, slack_policies()),
@@ -155,7 +160,7 @@
     def _add_request_actors(self) -> None:
         settings = self.settings
         domain = settings["failure_domain"]
-        host, port = _split(settings["listen"]["thrift"])
+        host, port = _split_address(settings["listen"]["thrift"])
         Peers(
             self.system,
             self._reactor,
@@ -168,21 +173,28 @@
                 _thrift_address(settings),
             ),
         )
-        router = RouterSettings(settings["node_id"], domain, settings["rank"])
-        Router(self.system, router)
-        host, port = _split(settings["listen"]["http"])
+        router_settings = RouterSettings(settings["node_id"], domain, settings["rank"])
+        Router(self.system, router_settings)
+        host, port = _split_address(settings["listen"]["http"])
         limits = settings.get("limits", {})
-        limit = limits.get("requests_in_progress", REQUESTS_IN_PROGRESS)
+        requests_limit = limits.get(
+            "requests_in_progress", DEFAULT_REQUESTS_IN_PROGRESS
+        )
         HttpApi(
             self.system,
             self._reactor,
-            HttpApiSettings(host, port, limit),
+            HttpApiSettings(host, port, requests_limit),
             self.metrics,
         )
 
 
 def run_node(settings: NodeSettings, reactor: Any) -> None:
-    """Run a node until SIGTERM or SIGINT, then shut it down gracefully."""
+    """Run a node until SIGTERM or SIGINT, then shut it down gracefully.
+
+    Args:
+        settings: Validated settings.
+        reactor: The Twisted reactor; this function runs it.
+    """
     level = settings.get("log_level", "info").upper()
     configure_logging(settings["node_id"], level)
     node = Node(settings, reactor)
@@ -192,26 +204,31 @@
 
 
 def stop_on_signals(reactor: Any, stop: Any) -> None:
-    """Run ``stop`` once on SIGTERM or SIGINT, then stop the reactor."""
+    """Call ``stop`` on SIGTERM or SIGINT, then stop the reactor.
+
+    Args:
+        reactor: The Twisted reactor.
+        stop: Coroutine function that is called for each of these signals.
+    """
 
-    def finish(result: Any) -> None:
+    def stop_reactor(result: Any) -> None:
         if reactor.running:
             reactor.stop()
 
-    def begin() -> Deferred:
-        return ensureDeferred(stop()).addBoth(finish)
+    def begin_stop() -> Deferred:
+        return ensureDeferred(stop()).addBoth(stop_reactor)
 
-    def handle(number: int, frame: Any) -> None:
-        reactor.callFromThread(begin)
+    def handle_signal(number: int, frame: Any) -> None:
+        reactor.callFromThread(begin_stop)
 
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, handle)
+        signal.signal(number, handle_signal)
 
 
 def _thrift_address(settings: NodeSettings) -> str:
     return settings.get("advertise_thrift", settings["listen"]["thrift"])
 
 
-def _split(address: str) -> tuple[str, int]:
+def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
--- a/src/redwingrudder/peers.py
+++ b/src/redwingrudder/peers.py
@@ -1,7 +1,7 @@
-"""Traffic between nodes: calls for a failure domain's owner and reports.
+"""Calls between nodes: requests to a failure domain's owner, and reports.
 
 ``Peers`` owns the thrift server, the connections to other nodes and the
-exchange of reports; ``_peer_plan`` chooses with whom to exchange.
+periodic exchange of reports; ``_peer_plan`` selects the peers of an exchange.
 """
 
 import logging
@@ -33,11 +33,12 @@
 from .timers import TIMERS, Subscribe, TimerFired
 
 CALL_TIMEOUT_S = 10.0
-CANCEL_TIMEOUT_S = 30.0  # a cancellation waits for workers' releases
-POLL_MARGIN_S = 5.0  # on top of the wait that the caller asked for
+CANCEL_TIMEOUT_S = 30.0  # a cancellation waits until workers release the gang
+POLL_MARGIN_S = 5.0  # added to the wait time that the caller requested
 EXCHANGE_TIMEOUT_S = 2.0
-# A change reaches nodes by their store watch first; copying the whole
-# document from a peer at once would cost most of the traffic budget.
+# Nodes normally receive a configuration change through their store watch.
+# Copying the whole document from a peer immediately would use most of the
+# traffic budget.
 CONFIGURATION_LAG_S = 2.0
 
 _EXCHANGE = "exchange"
@@ -48,10 +49,16 @@
 
 
 class PeersSettings(NamedTuple):
-    """This node as its peers see it.
-
-    ``advertised_address`` is host:port for other nodes; when it is empty,
-    the address of the listening socket is used.
+    """Identity and addresses of this node.
+
+    Attributes:
+        node_id: Id of this node.
+        node_rank: Rank of this node, which its epochs contain.
+        failure_domain: Failure domain of this node.
+        interface: Address that the thrift server listens on.
+        port: Port of the thrift server; 0 takes any free port.
+        advertised_address: host:port that other nodes connect to. If it is
+            empty, the address of the listening socket is advertised.
     """
 
     node_id: str
@@ -63,7 +70,13 @@
 
 
 class Peers(Actor):
-    """Serves calls of other nodes and makes calls to them."""
+    """Actor that serves calls of other nodes and makes calls to them.
+
+    Args:
+        system: The actor system of the node.
+        reactor: Opens the sockets.
+        settings: Identity and addresses of this node.
+    """
 
     def __init__(
         self, system: ActorSystem, reactor: IReactorTCP, settings: PeersSettings
@@ -73,10 +86,10 @@
         self._plan = PeerPlan(settings.node_id, settings.failure_domain)
         self._links_by_address: dict[str, PeerLink] = {}
         self._port: IListeningPort | None = None
-        self._local = _first_report(settings)
-        self._behind_since: float | None = None
-        self._newer: requests.PeerReport | None = None
-        self._handler = PeerHandler(system.ask, self._exchanged)
+        self._local_report = _initial_report(settings)
+        self._outdated_since: float | None = None
+        self._newer_report: requests.PeerReport | None = None
+        self._handler = PeerHandler(system.ask, self._handle_report)
         self.server = PeerServerFactory(self._handler, system.clock.seconds)
         super().__init__(system, requests.PEERS)
 
@@ -87,19 +100,19 @@
             requests.GetPeerConfiguration: self._get_peer_configuration,
             requests.MembersChanged: self._members_changed,
             requests.OwnerChanged: self._owner_changed,
-            requests.OwnershipGained: self._own,
-            requests.EpochRaised: self._own,
-            requests.OwnershipEnded: self._disown,
+            requests.OwnershipGained: self._owner_epoch_set,
+            requests.EpochRaised: self._owner_epoch_set,
+            requests.OwnershipEnded: self._ownership_ended,
             requests.LocalLoad: self._load_changed,
             requests.Drain: self._drain,
             ConfigurationChanged: self._configuration_changed,
-            TimerFired: self._tick,
+            TimerFired: self._timer_fired,
         }
 
     @property
     def address(self) -> str:
-        """The host:port under which other nodes reach this one."""
-        return self._local.address
+        """The host:port that other nodes connect to."""
+        return self._local_report.address
 
     def start(self) -> None:
         """See base class."""
@@ -108,9 +121,13 @@
         )
         if not self.address:
             host = self._port.getHost()
-            self._local = self._local._replace(address=f"{host.host}:{host.port}")
-        beat = Subscribe(self.name, _EXCHANGE, EXCHANGE_INTERVAL_S, EXCHANGE_INTERVAL_S)
-        self.tell(TIMERS, beat)
+            self._local_report = self._local_report._replace(
+                address=f"{host.host}:{host.port}"
+            )
+        timer = Subscribe(
+            self.name, _EXCHANGE, EXCHANGE_INTERVAL_S, EXCHANGE_INTERVAL_S
+        )
+        self.tell(TIMERS, timer)
 
     def stop(self) -> Deferred | None:
         """See base class."""
@@ -138,7 +155,7 @@
             return decode(reply)
         except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
             raise OutcomeUnknownError(
-                f"{address} answered {call.method} with an unreadable reply: {error}"
+                f"cannot decode the reply of {address} to {call.method}: {error}"
             ) from None
 
     def _link(self, address: str) -> PeerLink:
@@ -152,19 +169,23 @@
         self._plan.set_members(message.vms)
 
     def _owner_changed(self, message: requests.OwnerChanged) -> None:
-        self._abandon(self._plan.set_owner(message))
+        self._fail_sent_calls(self._plan.set_owner(message))
         if message.failure_domain == self._settings.failure_domain:
-            epoch = max(self._local.epoch, message.epoch)
-            self._local = self._local._replace(epoch=epoch)
+            epoch = max(self._local_report.epoch, message.epoch)
+            self._local_report = self._local_report._replace(epoch=epoch)
 
-    def _abandon(self, address: str | None) -> None:
-        """End the calls that wait for a node which was replaced as owner."""
+    def _fail_sent_calls(self, address: str | None) -> None:
+        """Fail the calls that wait for a replaced owner, if there was one."""
         link = self._links_by_address.get(address or "")
         if link is not None:
-            link.abandon()
+            link.fail_sent_calls()
 
-    def _own(self, message: requests.OwnershipGained | requests.EpochRaised) -> None:
-        self._local = self._local._replace(owner=True, epoch=message.epoch)
+    def _owner_epoch_set(
+        self, message: requests.OwnershipGained | requests.EpochRaised
+    ) -> None:
+        self._local_report = self._local_report._replace(
+            owner=True, epoch=message.epoch
+        )
         self._plan.set_owner(
             requests.OwnerChanged(
                 self._settings.failure_domain,
@@ -174,108 +195,110 @@
             )
         )
 
-    def _disown(self, message: requests.OwnershipEnded) -> None:
-        self._local = self._local._replace(
+    def _ownership_ended(self, message: requests.OwnershipEnded) -> None:
+        self._local_report = self._local_report._replace(
             owner=False, free_accelerators=0, largest_free_gang=0, queued_jobs=0
         )
         self._plan.remove_owner(self._settings.node_id)
 
     def _load_changed(self, load: requests.LocalLoad) -> None:
-        if self._local.owner:
-            self._local = self._local._replace(**load._asdict())
-            self._inform((requests.ROUTER,), self._local)
+        if self._local_report.owner:
+            self._local_report = self._local_report._replace(**load._asdict())
+            self._notify((requests.ROUTER,), self._local_report)
 
     def _drain(self, message: requests.Drain) -> Deferred:
-        self._local = self._local._replace(draining=True)
+        self._local_report = self._local_report._replace(draining=True)
         return self._handler.drain()
 
     def _configuration_changed(self, message: ConfigurationChanged) -> None:
         version = message.configuration.version
-        self._local = self._local._replace(configuration_version=version)
-        if self._newer and self._newer.configuration_version <= version:
-            self._newer = None
-            self._behind_since = None
-
-    def _tick(self, event: TimerFired) -> None:
-        self._sweep(event.now)
-        for address in self._plan.due(event.now):
+        self._local_report = self._local_report._replace(configuration_version=version)
+        if self._newer_report and self._newer_report.configuration_version <= version:
+            self._newer_report = None
+            self._outdated_since = None
+
+    def _timer_fired(self, event: TimerFired) -> None:
+        self._close_expired(event.now)
+        for address in self._plan.select_addresses(event.now):
             ensureDeferred(self._exchange(address))
-        for peer in self._plan.silent(event.now):
-            silence = requests.PeerSilent(*peer)
-            self._inform((requests.OWNERSHIP, requests.ROUTER), silence)
+        for peer in self._plan.find_silent_peers(event.now):
+            notice = requests.PeerSilent(*peer)
+            self._notify((requests.OWNERSHIP, requests.ROUTER), notice)
         self._copy_configuration(event.now)
 
-    def _sweep(self, now: float) -> None:
+    def _close_expired(self, now: float) -> None:
         for address, link in list(self._links_by_address.items()):
-            link.sweep(now)
+            link.expire(now)
             if link.is_unused:
                 del self._links_by_address[address]
         for connection in list(self.server.connections):
             connection.close_if_idle(now)
 
     async def _exchange(self, address: str) -> None:
-        report = encode_report(self._local)
+        report = encode_report(self._local_report)
         call = PeerCall("exchange", (report,), EXCHANGE_TIMEOUT_S, kind=CallKind.REPORT)
         try:
-            self._exchanged(await self._call(address, call, decode_report))
+            self._handle_report(await self._call(address, call, decode_report))
         except RedwingrudderError as error:
             _logger.debug(
-                "no report from a peer", extra={"peer": address, "error": str(error)}
+                "report exchange with a peer failed",
+                extra={"peer": address, "error": str(error)},
             )
 
-    def _exchanged(self, report: requests.PeerReport) -> requests.PeerReport:
-        """Take a peer's report, pass it on and return that of this node."""
+    def _handle_report(self, report: requests.PeerReport) -> requests.PeerReport:
+        """Process a peer's report and return the report of this node."""
         if report.node_id == self._settings.node_id:
-            return self._local
+            return self._local_report
         now = self.system.clock.seconds()
-        self._abandon(self._plan.heard(report, now))
-        # CONFIGURATION would copy the document on every report of a higher
-        # version; ``_copy_configuration`` waits for the store's watch first.
-        self._inform((requests.OWNERSHIP, requests.ROUTER), report)
-        if report.configuration_version > self._local.configuration_version:
-            self._newer = report
-            if self._behind_since is None:
-                self._behind_since = now
-        return self._local
+        self._fail_sent_calls(self._plan.record_report(report, now))
+        # The CONFIGURATION actor does not receive reports: it would copy the
+        # document on each report of a higher version, whereas
+        # ``_copy_configuration`` first waits for the store watch.
+        self._notify((requests.OWNERSHIP, requests.ROUTER), report)
+        if report.configuration_version > self._local_report.configuration_version:
+            self._newer_report = report
+            if self._outdated_since is None:
+                self._outdated_since = now
+        return self._local_report
 
     def _copy_configuration(self, now: float) -> None:
-        """Ask a peer for its newer configuration when none else came."""
-        if self._newer is None or self._behind_since is None:
+        """Copy a peer's newer configuration if the watch brought none."""
+        if self._newer_report is None or self._outdated_since is None:
             return
-        lag_s = CONFIGURATION_LAG_S if self._local.configuration_version else 0.0
-        if now - self._behind_since < lag_s:
+        lag_s = CONFIGURATION_LAG_S if self._local_report.configuration_version else 0.0
+        if now - self._outdated_since < lag_s:
             return
-        self._behind_since = now
-        question = requests.GetPeerConfiguration(
-            self._newer.address, self._local.configuration_version
+        self._outdated_since = now
+        request = requests.GetPeerConfiguration(
+            self._newer_report.address, self._local_report.configuration_version
         )
-        copying = ensureDeferred(self._get_peer_configuration(question))
-        copying.addCallbacks(self._offer, self._copy_failed)
+        copy = ensureDeferred(self._get_peer_configuration(request))
+        copy.addCallbacks(self._offer_configuration, self._copy_failed)
 
-    def _offer(self, configuration: Configuration | None) -> None:
+    def _offer_configuration(self, configuration: Configuration | None) -> None:
         if configuration is not None:
             offer = requests.OfferConfiguration(configuration)
-            self._inform((requests.CONFIGURATION,), offer)
+            self._notify((requests.CONFIGURATION,), offer)
 
     def _copy_failed(self, failure: Failure) -> None:
         _logger.warning(
-            "configuration of a peer cannot be read",
+            "copying the configuration from a peer failed",
             extra={"error": str(failure.value)},
         )
 
-    def _inform(self, receivers: tuple[str, ...], message: Any) -> None:
-        """Tell actors; a full mailbox of one does not keep out the others."""
+    def _notify(self, receivers: tuple[str, ...], message: Any) -> None:
+        """Send a message to several actors, even if a mailbox is full."""
         for name in receivers:
             try:
                 self.tell(name, message)
             except RedwingrudderError as error:
                 _logger.warning(
-                    "report not passed on",
+                    "message not delivered to an actor",
                     extra={"actor": name, "error": str(error)},
                 )
 
 
-def _first_report(settings: PeersSettings) -> requests.PeerReport:
+def _initial_report(settings: PeersSettings) -> requests.PeerReport:
     return requests.PeerReport(
         node_id=settings.node_id,
         node_rank=settings.node_rank,
@@ -292,12 +315,18 @@
 
 
 def _peer_call(request: Any) -> tuple[PeerCall, Decoder]:
-    """Return the call for a request and the decoder of its reply."""
+    """Return the call for a request and the decoder of its reply.
+
+    Raises:
+        TypeError: Requests of this type are not sent to other nodes.
+    """
     match request:
         case requests.SubmitJob(spec, correlation_id):
             arguments = (encode_spec(spec), correlation_id)
-            size = len(spec.payload)
-            return PeerCall("submit", arguments, CALL_TIMEOUT_S, size), decode_view
+            payload_size = len(spec.payload)
+            return PeerCall(
+                "submit", arguments, CALL_TIMEOUT_S, payload_size
+            ), decode_view
         case requests.PollJob(job_id, wait_s):
             arguments = (job_id, round(wait_s * 1_000))
             kind = CallKind.WAITING if wait_s > 0 else CallKind.PROMPT
@@ -309,7 +338,7 @@
             return PeerCall("explain", (job_id,), CALL_TIMEOUT_S), decode_explanation
         case requests.GetStatus():
             return PeerCall("status", (), CALL_TIMEOUT_S), _decode_status
-    raise TypeError(f"no call for {type(request).__name__}")
+    raise TypeError(f"no thrift call for requests of type {type(request).__name__}")
 
 
 def _decode_status(text: str) -> requests.DomainStatus:
--- a/src/redwingrudder/router.py
+++ b/src/redwingrudder/router.py
@@ -1,7 +1,7 @@
 """Routing of requests to the owner of a failure domain.
 
-The chart ``forward.scxml`` holds the rules for repeating a request: which
-domain may get it after which outcome, and what the caller is told.
+The chart ``forward.scxml`` holds the rules for repeating a request: to which
+domain it may be sent after each outcome, and which result the caller gets.
 """
 
 import random
@@ -29,14 +29,18 @@
 from .statecharts import load_chart
 from .timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 
-# An owner is replaced within 5 s; the rest covers one more try.
+# A failed owner is replaced within 5 s; the rest covers one more attempt.
 FORWARD_TIMEOUT_S = 8.0
 STATUS_TIMEOUT_S = 1.0
-FIRST_RETRY_S = 0.1
-RETRY_LIMIT_S = 1.0
+FIRST_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.0
 ATTEMPTS_LIMIT = 16
-NO_OWNER_RETRY_S = 2.0
-# Nothing was run and the same request may succeed at the next owner.
+NO_OWNER_RETRY_AFTER_S = 2.0
+BACKOFF_FACTOR = 2
+MIN_JITTER_FACTOR = 0.5
+MAX_JITTER_FACTOR = 1.0
+# With these codes nothing was run, and the same request may succeed at the
+# next owner.
 NOT_SENT_CODES = frozenset(
     {"unavailable", "not_owner", "no_owner", "recovering", "draining"}
 )
@@ -78,7 +82,7 @@
 
 
 class RouterSettings(NamedTuple):
-    """This node and the seed of the retry jitter."""
+    """Identity of this node, and the seed of the retry jitter."""
 
     node_id: str
     failure_domain: str
@@ -86,15 +90,23 @@
 
 
 class _Outcome(NamedTuple):
-    """What became of one try, as an event of the chart."""
+    """Result of one attempt, as an event of the chart."""
 
     event: str
     reply: Any = None
     error: RedwingrudderError | None = None
 
 
-class _Forward:
-    """One request and what has become of its tries so far."""
+class _ForwardedRequest:
+    """A request with its state over several attempts.
+
+    Args:
+        request: The request as the caller sent it.
+        domain: The failure domain to send it to, or None if any may serve it.
+        now: The current time in seconds.
+        timeout_s: Seconds after which no new attempt is made, unless the
+            caller waits for longer.
+    """
 
     def __init__(
         self,
@@ -115,20 +127,26 @@
         self.deadline = now + max(wait_s, timeout_s)
 
     def release_domain(self) -> None:
-        """Prefer other domains for the next try."""
+        """Prefer other domains for the next attempt."""
         if self.domain is not None:
             self.failed_domains.add(self.domain)
         self.domain = None
 
     def current_request(self, now: float) -> Request:
-        """Return the request with what is left of the caller's wait."""
+        """Return the request with the rest of the caller's wait time."""
         if isinstance(self.request, requests.PollJob):
             return self.request._replace(wait_s=max(0.0, self.poll_until - now))
         return self.request
 
 
 class Router(Actor):
-    """Sends each request to the owner of the failure domain it belongs to."""
+    """Actor that forwards each request to the owner of its failure domain.
+
+    Args:
+        system: The actor system of the node.
+        settings: Identity of this node.
+        choice: Chooses the domain of a new job.
+    """
 
     def __init__(
         self,
@@ -136,11 +154,11 @@
         settings: RouterSettings,
         choice: DomainChoice | None = None,
     ) -> None:
-        self._choice = choice or FreeGangChoice()
+        self._domain_choice = choice or FreeGangChoice()
         self._directory = DomainDirectory(settings.node_id, settings.failure_domain)
         self._configuration: Configuration | None = None
         self._random = random.Random(settings.seed)
-        self._waiting_by_timer: dict[str, Deferred] = {}
+        self._wake_ups_by_timer: dict[str, Deferred] = {}
         self._timers_started = 0
         super().__init__(system, requests.ROUTER)
 
@@ -148,14 +166,14 @@
         """See base class."""
         return {
             requests.SubmitJob: self._submit,
-            requests.PollJob: self._ask_for_job,
-            requests.CancelJob: self._ask_for_job,
-            requests.ExplainJob: self._ask_for_job,
+            requests.PollJob: self._forward_job_request,
+            requests.CancelJob: self._forward_job_request,
+            requests.ExplainJob: self._forward_job_request,
             requests.GetStatus: self._get_status,
             requests.GetDeploymentStatus: self._get_deployment_status,
-            requests.OwnershipGained: self._own,
-            requests.EpochRaised: self._own,
-            requests.OwnershipEnded: self._disown,
+            requests.OwnershipGained: self._ownership_gained,
+            requests.EpochRaised: self._ownership_gained,
+            requests.OwnershipEnded: self._ownership_ended,
             requests.OwnerChanged: self._directory.set_owner,
             requests.MembersChanged: self._directory.set_members,
             requests.PeerReport: self._directory.set_report,
@@ -165,32 +183,35 @@
         }
 
     def stop(self) -> None:
-        """Let all waiting requests try once more at once."""
-        for timer in list(self._waiting_by_timer):
+        """Start the next attempt of all waiting requests immediately."""
+        for timer in list(self._wake_ups_by_timer):
             self.tell(TIMERS, Unsubscribe(self.name, timer))
-            self._waiting_by_timer.pop(timer).callback(None)
+            self._wake_ups_by_timer.pop(timer).callback(None)
 
-    def _own(self, message: object) -> None:
+    def _ownership_gained(self, message: object) -> None:
         self._directory.owns_domain = True
 
-    def _disown(self, message: requests.OwnershipEnded) -> None:
+    def _ownership_ended(self, message: requests.OwnershipEnded) -> None:
         self._directory.owns_domain = False
 
     def _configuration_changed(self, message: ConfigurationChanged) -> None:
         self._configuration = message.configuration
 
     def _submit(self, message: requests.SubmitJob) -> Awaitable[Any]:
-        return self._forward(_Forward(message, None, self._now()))
+        return self._forward(_ForwardedRequest(message, None, self._now()))
 
-    def _ask_for_job(self, message: Any) -> Awaitable[Any]:
+    def _forward_job_request(self, message: Any) -> Awaitable[Any]:
         domain = message.job_id.rpartition("-")[0]
         if not domain or not self._directory.is_known(domain):
-            raise NotFoundError("no such job", code="no_such_job")
-        return self._forward(_Forward(message, domain, self._now()))
+            raise NotFoundError(
+                f"there is no job {message.job_id}: its failure domain is unknown",
+                code="no_such_job",
+            )
+        return self._forward(_ForwardedRequest(message, domain, self._now()))
 
     def _get_status(self, message: requests.GetStatus) -> Awaitable[Any]:
         domain = self._directory.own_domain
-        return self._forward(_Forward(message, domain, self._now()))
+        return self._forward(_ForwardedRequest(message, domain, self._now()))
 
     async def _get_deployment_status(
         self, message: requests.GetDeploymentStatus
@@ -210,21 +231,28 @@
         )
 
     def _domain_status(self, domain: str) -> Awaitable[requests.DomainStatus]:
-        question = requests.GetStatus()
-        return self._forward(_Forward(question, domain, self._now(), STATUS_TIMEOUT_S))
+        request = requests.GetStatus()
+        return self._forward(
+            _ForwardedRequest(request, domain, self._now(), STATUS_TIMEOUT_S)
+        )
 
-    async def _forward(self, forward: _Forward) -> Any:
+    async def _forward(self, forward: _ForwardedRequest) -> Any:
         while True:
             outcome = await self._attempt(forward)
             if self._step(forward, outcome):
-                return _result(outcome)
+                return _outcome_result(outcome)
             await self._wait(forward)
 
-    def _step(self, forward: _Forward, outcome: _Outcome) -> bool:
-        """Carry out the chart's actions; returns whether to reply.
+    def _step(self, forward: _ForwardedRequest, outcome: _Outcome) -> bool:
+        """Perform the actions of the chart for an outcome.
+
+        Returns:
+            Whether the outcome is the reply to the caller.
 
         Raises:
-            UnavailableError: No owner can be reached any more in time.
+            UnavailableError: The request was sent to no owner in time.
+            OutcomeUnknownError: The request may have been accepted, but no
+                owner answered in time.
         """
         event = outcome.event
         forward.last_event = event
@@ -236,83 +264,96 @@
             if action == "reply":
                 return True
             if action == "pin_domain":
-                forward.domain = _named_domain(outcome.error)
+                forward.domain = _domain_from_error(outcome.error)
             elif action == "release_domain":
                 forward.release_domain()
             elif action == "report_no_owner":
-                raise _no_owner()
+                raise _no_owner_error()
             elif action == "report_unreachable":
-                raise _unreachable(forward)
+                raise _unreachable_error(forward)
         return False
 
-    async def _wait(self, forward: _Forward) -> None:
-        """Wait before the next try, or end the request at its deadline."""
+    async def _wait(self, forward: _ForwardedRequest) -> None:
+        """Wait before the next attempt, or fail the request.
+
+        A request fails at its deadline or after ``ATTEMPTS_LIMIT`` attempts.
+        """
         if forward.last_event == "redirected" and forward.attempts < ATTEMPTS_LIMIT:
             return
         delay_s = self._retry_delay_s(forward.attempts)
-        late = self._now() + delay_s > forward.deadline
-        if late or forward.attempts >= ATTEMPTS_LIMIT:
+        past_deadline = self._now() + delay_s > forward.deadline
+        if past_deadline or forward.attempts >= ATTEMPTS_LIMIT:
             self._step(forward, _Outcome("deadline"))
         self._timers_started += 1
         timer = f"retry-{self._timers_started}"
         try:
             self.tell(TIMERS, Subscribe(self.name, timer, delay_s))
         except MailboxFullError:
-            # An earlier try may have succeeded, so overload is no answer.
+            # An earlier attempt may have succeeded, so reporting an overload,
+            # which implies that nothing was run, would be wrong.
             self._step(forward, _Outcome("deadline"))
-        waiting = self._waiting_by_timer[timer] = Deferred()
-        await waiting
+        wake_up = self._wake_ups_by_timer[timer] = Deferred()
+        await wake_up
 
     def _timer_fired(self, event: TimerFired) -> None:
-        waiting = self._waiting_by_timer.pop(event.timer, None)
-        if waiting is not None:
-            waiting.callback(None)
+        wake_up = self._wake_ups_by_timer.pop(event.timer, None)
+        if wake_up is not None:
+            wake_up.callback(None)
 
     def _retry_delay_s(self, attempts: int) -> float:
-        """Return an exponential delay; jitter spreads callers of one owner."""
-        delay_s = min(RETRY_LIMIT_S, FIRST_RETRY_S * 2 ** (attempts - 1))
-        return delay_s * self._random.uniform(0.5, 1.0)
+        """Return an exponential delay with jitter, in seconds.
 
-    async def _attempt(self, forward: _Forward) -> _Outcome:
+        Jitter spreads the requests of different callers to one owner.
+        """
+        delay_s = min(
+            MAX_RETRY_DELAY_S, FIRST_RETRY_DELAY_S * BACKOFF_FACTOR ** (attempts - 1)
+        )
+        return delay_s * self._random.uniform(MIN_JITTER_FACTOR, MAX_JITTER_FACTOR)
+
+    async def _attempt(self, forward: _ForwardedRequest) -> _Outcome:
         forward.attempts += 1
-        domain = forward.domain = forward.domain or self._choose(forward)
+        domain = forward.domain = forward.domain or self._choose_domain(forward)
         if domain is None:
             return _Outcome("not_sent")
         try:
             reply = await self._send(domain, forward.current_request(self._now()))
         except RedwingrudderError as error:
-            return _Outcome(_event(error, forward.request), error=error)
+            return _Outcome(_event_for_error(error, forward.request), error=error)
         return _Outcome("answered", reply)
 
-    def _choose(self, forward: _Forward) -> str | None:
+    def _choose_domain(self, forward: _ForwardedRequest) -> str | None:
         spec: JobSpec = forward.request.spec
         loads = self._directory.loads()
-        untried = tuple(
+        untried_loads = tuple(
             load for load in loads if load.failure_domain not in forward.failed_domains
         )
-        domain = self._choose_among(spec, untried) or self._choose_among(spec, loads)
+        domain = self._choose_among(spec, untried_loads) or self._choose_among(
+            spec, loads
+        )
         if domain is not None:
             self._directory.note_sent(domain, spec.accelerators)
         return domain
 
     def _choose_among(self, spec: JobSpec, loads: tuple[DomainLoad, ...]) -> str | None:
         own_domain = self._directory.own_domain
-        return self._choice.choose(spec, own_domain, loads, self._configuration)
+        return self._domain_choice.choose(spec, own_domain, loads, self._configuration)
 
     def _send(self, domain: str, request: Request) -> Awaitable[Any]:
         if self._directory.is_local(domain):
             return self.ask(requests.DISPATCHER, request)
         address = self._directory.owner_address(domain)
         if address is None:
-            raise UnavailableError(f"no owner of {domain} is known", code="no_owner")
+            raise UnavailableError(
+                f"the owner of failure domain {domain} is not known", code="no_owner"
+            )
         return self.ask(requests.PEERS, requests.AskPeer(address, request))
 
     def _now(self) -> float:
         return self.system.clock.seconds()
 
 
-def _event(error: RedwingrudderError, request: Request) -> str:
-    """Return the event of the chart for the error of a try."""
+def _event_for_error(error: RedwingrudderError, request: Request) -> str:
+    """Return the event of the chart for the error of an attempt."""
     if isinstance(error, OutcomeUnknownError):
         submission = isinstance(request, requests.SubmitJob)
         if submission and request.spec.idempotent:
@@ -327,30 +368,31 @@
     return "refused"
 
 
-def _named_domain(error: RedwingrudderError) -> str:
-    """Return the domain that the detail of ``other_domain`` starts with."""
+def _domain_from_error(error: RedwingrudderError) -> str:
+    """Return the domain name at the start of an ``other_domain`` detail."""
     return error.detail.split()[0].rstrip(":,;.")
 
 
-def _result(outcome: _Outcome) -> Any:
+def _outcome_result(outcome: _Outcome) -> Any:
     if outcome.error is not None:
         raise outcome.error
     return outcome.reply
 
 
-def _no_owner() -> UnavailableError:
+def _no_owner_error() -> UnavailableError:
     return UnavailableError(
-        "no owner of a failure domain can be reached; this request was not sent",
+        "no owner of a failure domain can be reached; the request was not sent",
         code="no_owner",
-        retry_after_s=NO_OWNER_RETRY_S,
+        retry_after_s=NO_OWNER_RETRY_AFTER_S,
     )
 
 
-def _unreachable(forward: _Forward) -> OutcomeUnknownError:
+def _unreachable_error(forward: _ForwardedRequest) -> OutcomeUnknownError:
     return OutcomeUnknownError(
-        f"the owner of {forward.domain or 'a failure domain'} gave no answer in "
-        f"{forward.attempts} tries ({forward.last_error or 'no owner is known'}); "
-        "ask again with the same key or job id",
+        f"the owner of {forward.domain or 'a failure domain'} did not answer in "
+        f"{forward.attempts} attempts (last error: "
+        f"{forward.last_error or 'no owner is known'}); repeat the request with "
+        "the same idempotency key or job id",
         code="domain_unreachable",
-        retry_after_s=NO_OWNER_RETRY_S,
+        retry_after_s=NO_OWNER_RETRY_AFTER_S,
     )
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -190,7 +190,7 @@
 
     def test_bodies_together_are_bounded_and_released(self):
         """Many bodies of the allowed size would exceed a node's memory."""
-        self.patch(_http_server, "BODIES_LIMIT_BYTES", 1_500)
+        self.patch(_http_server, "TOTAL_BODIES_LIMIT_BYTES", 1_500)
         head = b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 1000\r\n\r\n"
         (first, _), (second, refused) = self.connect(), self.connect()
         first.dataReceived(head + b"x" * 999)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -189,7 +189,7 @@
         ask = self.one.ask(address, POLL)
         await pause(0.05)
         link = self.one.peers._links_by_address[address]
-        link.sweep(self.one.system.clock.seconds() + 60.0)
+        link.expire(self.one.system.clock.seconds() + 60.0)
         await self.assertFailure(ask, exceptions.OutcomeUnknownError)
         await pause(0.05)
         self.assertEqual(link._state, "closed")
@@ -201,7 +201,7 @@
         await pause(0.05)
         link = self.one.peers._links_by_address[self.two.address]
         link._connection.last_received = self.one.system.clock.seconds() + 1.0
-        link.sweep(self.one.system.clock.seconds() + 60.0)
+        link.expire(self.one.system.clock.seconds() + 60.0)
         await self.assertFailure(ask, exceptions.OutcomeUnknownError)
         late.callback(VIEW._replace(job_id="d1-late"))
         self.assertEqual(await self.one.ask(self.two.address, POLL), VIEW)
@@ -217,7 +217,7 @@
         await self.assertFailure(ask, exceptions.OutcomeUnknownError)
 
     async def test_calls_above_the_bound_are_refused_and_the_rest_answered(self):
-        self.patch(_peer_link, "OUTSTANDING_LIMIT", 3)
+        self.patch(_peer_link, "OUTSTANDING_CALLS_LIMIT", 3)
         asks = [self.one.ask(self.two.address, POLL) for _ in range(5)]
         results = await defer.DeferredList(asks, consumeErrors=True)
         self.assertEqual([ok for ok, _ in results], [True] * 3 + [False] * 2)
@@ -225,8 +225,8 @@
 
     async def test_waiting_callers_leave_room_for_other_calls_and_reports(self):
         """A node that is refused its reports would be taken for dead."""
-        self.patch(_peer_link, "OUTSTANDING_LIMIT", 3)
-        self.patch(_peer_link, "WAITING_LIMIT", 2)
+        self.patch(_peer_link, "OUTSTANDING_CALLS_LIMIT", 3)
+        self.patch(_peer_link, "WAITING_CALLS_LIMIT", 2)
         self.patch(_peer_handler, "SERVED_CALLS_LIMIT", 3)
         self.two.dispatcher.script = [defer.Deferred() for _ in range(3)]
         wait = requests.PollJob("d1-a", 30.0)
@@ -374,13 +374,13 @@
             tuple(vm(name, int(name[-1]), f"{name}:1", name[:2]) for name in names)
         )
         for domain in owned:
-            plan.heard(report_of(f"{domain}-0", owner=True), 0.0)
+            plan.record_report(report_of(f"{domain}-0", owner=True), 0.0)
         return plan
 
     def ask(self, plan, now, dead=()):
-        due = plan.due(now)
+        due = plan.select_addresses(now)
         for node_id in {address[:-2] for address in due} - set(dead):
-            plan.heard(report_of(node_id, owner=node_id.endswith("-0")), now)
+            plan.record_report(report_of(node_id, owner=node_id.endswith("-0")), now)
         return due
 
     def count(self, node_id):
@@ -394,41 +394,43 @@
 
     def test_of_two_nodes_only_one_asks(self):
         plan = self.plan("d1-5")
-        plan.heard(report_of("d1-6", owner=False), 0.9)
-        self.assertNotIn("d1-6:1", plan.due(1.0))
-        self.assertIn("d1-6:1", plan.due(2.0))
+        plan.record_report(report_of("d1-6", owner=False), 0.9)
+        self.assertNotIn("d1-6:1", plan.select_addresses(1.0))
+        self.assertIn("d1-6:1", plan.select_addresses(2.0))
 
     def test_domain_without_a_live_owner_exchanges_with_all(self):
         """Succession needs to know every live node of the domain."""
         unknown = self.plan("d1-5", owned=("d2", "d3", "d4"))
-        self.assertEqual(len([a for a in unknown.due(1.0) if "d1" in a]), 9)
+        self.assertEqual(
+            len([a for a in unknown.select_addresses(1.0) if "d1" in a]), 9
+        )
         dead = self.plan("d1-5")
         for now in (1.0, 2.0, 3.0, 4.0):
             due = self.ask(dead, now, dead=("d1-0",))
         self.assertEqual(len([a for a in due if "d1" in a]), 9)
-        self.assertIn("d1-0", [peer.node_id for peer in dead.silent(4.0)])
+        self.assertIn("d1-0", [peer.node_id for peer in dead.find_silent_peers(4.0)])
 
     def test_unknown_remote_owner_is_found_by_asking_in_turn(self):
         """While the store is down, only the owner itself can tell."""
         plan = self.plan("d1-5", owned=())
-        asked = {a for now in range(1, 12) for a in plan.due(float(now))}
+        asked = {a for now in range(1, 12) for a in plan.select_addresses(float(now))}
         self.assertEqual(len([a for a in asked if a.startswith("d2")]), 10)
 
     def test_peer_that_was_not_asked_has_not_been_silent(self):
         """Succession must not take a live node for dead."""
         plan = self.plan("d1-5")
-        plan.heard(report_of("d1-7", owner=False), 1.0)
+        plan.record_report(report_of("d1-7", owner=False), 1.0)
         plan.set_owner(requests.OwnerChanged("d1", "", "", Epoch(1, 0, 0)))
-        self.assertIn("d1-7:1", plan.due(100.0))
-        self.assertEqual(plan.silent(100.0), ())
-        self.assertIn("d1-7", [peer.node_id for peer in plan.silent(102.0)])
+        self.assertIn("d1-7:1", plan.select_addresses(100.0))
+        self.assertEqual(plan.find_silent_peers(100.0), ())
+        self.assertIn("d1-7", [peer.node_id for peer in plan.find_silent_peers(102.0)])
 
     def test_owner_of_a_lower_epoch_is_ignored(self):
         plan = self.plan("d1-5")
         new = requests.OwnerChanged("d1", "d1-3", "d1-3:1", Epoch(2, 0, 3))
         self.assertEqual(plan.set_owner(new), "d1-0:1")
-        plan.heard(report_of("d1-0", owner=True), 1.0)
-        self.assertIn("d1-3:1", plan.due(1.0))
+        plan.record_report(report_of("d1-0", owner=True), 1.0)
+        self.assertIn("d1-3:1", plan.select_addresses(1.0))
 
 
 class CodecTests(unittest.TestCase):
