--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -33,7 +33,7 @@
 CLOSE_DELAY_S = 0.5
 
 _LINGER_TIMER = "linger"
-_SERVER_ERROR_STATUS = 500  # the lowest one
+_SERVER_ERROR_STATUS = 500  # and above
 _CORRELATION_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _logger = logging.getLogger(__name__)
 
@@ -78,6 +78,7 @@
         self._resources = Resources(system.ask)
         self._gate = DrainGate()
         self._has_configuration = False
+        # Includes requests whose caller has disconnected.
         self._asks_in_progress = 0
         self._open_requests: set[LimitedRequest] = set()
         self._port: IListeningPort | None = None
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP front end, its limits and its drain."""
+"""Tests of the HTTP front end: requests, limits and drain."""
 
 import json
 import math
@@ -56,9 +56,9 @@
         self.system = ActorSystem(self.clock)
         jobs = (requests.SubmitJob, requests.PollJob)
         self.router = Scripted(self.system, requests.ROUTER, jobs, DONE)
-        kinds = (requests.ApplyConfiguration,)
+        change_types = (requests.ApplyConfiguration,)
         self.configuration = Scripted(
-            self.system, requests.CONFIGURATION, kinds, CONFIGURATION
+            self.system, requests.CONFIGURATION, change_types, CONFIGURATION
         )
         self.api = HttpApi(
             self.system,
@@ -74,7 +74,11 @@
         return channel, transport
 
     def send(self, method, path, body=b"", **headers):
-        """Send a request on a new connection; returns both of its ends."""
+        """Send a request on a new connection.
+
+        Returns:
+            The channel of the server, and the transport with its output.
+        """
         if isinstance(body, dict):
             body = json.dumps(body).encode()
         lines = [f"{method} {path} HTTP/1.1", "Host: h"]
@@ -84,10 +88,10 @@
         channel, transport = self.connect()
         head = "\r\n".join([*lines, "", ""]).encode("latin-1")
         channel.dataReceived(head + body)
-        self.settle()
+        self.run_pending_calls()
         return channel, transport
 
-    def settle(self):
+    def run_pending_calls(self):
         self.clock.pump([0.0] * 6)
 
     def request(self, *arguments, **headers):
@@ -118,12 +122,13 @@
         self.assertEqual(poll, requests.PollJob("d1-a", 5.0))
 
     def test_accepted_job_is_answered_when_the_wait_fails(self):
-        """The caller needs the id of a job that was accepted."""
+        """Guards against an accepted job whose caller does not get its id."""
         self.router.script = [QUEUED, exceptions.OutcomeUnknownError("lost")]
         response = self.submit({**JOB, "wait_s": 5.0})
         self.assertEqual((response.status, response.json["job_id"]), (202, "d1-a"))
 
     def test_all_wrong_fields_are_named_at_once(self):
+        """Guards against errors that name only the first invalid field."""
         body = {"organisation": "a b", "tasks": 0, "idempotent": "yes", "color": 1}
         response = self.submit({**body, "declared_run_s": -1, "cores_per_task": 1.5})
         self.assertEqual(response.error, (400, "invalid_body"))
@@ -151,6 +156,7 @@
         self.assertEqual(self.router.received, [])
 
     def test_wide_gangs_are_for_processors_only(self):
+        """Guards against gangs of accelerator tasks above the limit of 64."""
         wide = {**JOB, "tasks": 1024}
         self.assertEqual(self.submit(wide).status, 200)
         response = self.submit({**wide, "accelerators_per_task": 1})
@@ -175,7 +181,7 @@
         self.assertEqual(error, (413, "payload_too_large"))
 
     def test_chunked_body_above_the_limit_is_refused_while_it_is_read(self):
-        """A body without a length must not fill the memory of a node."""
+        """Guards against a body without a length that exhausts the memory."""
         channel, transport = self.send(
             "POST", "/v1/jobs", Transfer_Encoding="chunked", Content_Type=JSON
         )
@@ -189,7 +195,7 @@
         self.assertEqual(self.router.received, [])
 
     def test_bodies_together_are_bounded_and_released(self):
-        """Many bodies of the allowed size would exceed a node's memory."""
+        """Guards against many allowed bodies that exhaust the memory."""
         self.patch(_http_server, "TOTAL_BODIES_LIMIT_BYTES", 1_500)
         head = b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 1000\r\n\r\n"
         (first, _), (second, refused) = self.connect(), self.connect()
@@ -199,7 +205,7 @@
         self.assertEqual(response.error, (503, "overloaded"))
         self.assertEqual(response.headers["retry-after"], "1")
         first.dataReceived(b"x")
-        self.settle()
+        self.run_pending_calls()
         self.assertEqual(self.api.site.body_bytes, 0)
         third, _ = self.connect()
         third.dataReceived(head + b"x" * 999)
@@ -207,6 +213,7 @@
         self.assertEqual(self.api.site.body_bytes, 0)
 
     def test_what_is_no_http_request_has_a_code(self):
+        """Guards against malformed requests that get no error code."""
         for data in (
             b"HELLO\r\n\r\n",
             b"GET / HTTP/1.1\r\nno colon\r\n\r\n",
@@ -220,6 +227,7 @@
             self.assertTrue(transport.disconnecting)
 
     def test_unexpected_exception_is_coded_logged_and_not_shown(self):
+        """Guards against error responses that expose internal details."""
         self.router.script = [ValueError("secret value")]
         with self.assertLogs("redwingrudder.http_api", "ERROR") as logs:
             response = self.request("GET", "/v1/jobs/d1-a", X_Correlation_Id="c-1")
@@ -254,13 +262,13 @@
         self.assertEqual(self.router.received, [])
 
     def test_configuration_changes_need_their_base_version(self):
-        """Without it one operator would overwrite another's change."""
+        """Guards against an operator that overwrites another's change."""
         text = '{"a":1} // note'
         put = ("PUT", "/v1/configuration", text.encode())
         missing = self.request(*put, Content_Type=JSON)
         self.assertEqual(missing.error, (428, "precondition_required"))
-        wrong = self.request(*put, Content_Type=JSON, If_Match="*")
-        self.assertEqual(wrong.status, 400)
+        malformed = self.request(*put, Content_Type=JSON, If_Match="*")
+        self.assertEqual(malformed.status, 400)
         response = self.request(*put, Content_Type=JSON, If_Match='"6"')
         self.assertEqual(response.headers["etag"], '"7"')
         self.assertEqual(response.json["version"], 7)
@@ -269,6 +277,7 @@
         self.assertEqual(self.configuration.received, [change])
 
     def test_requests_above_the_bound_are_refused(self):
+        """Guards against health checks that fail because of overload."""
         pending = self.router.script = [Deferred() for _ in range(3)]
         first = pending[0]
         for _ in range(3):
@@ -278,16 +287,17 @@
         self.assertIn("retry-after", response.headers)
         self.assertEqual(self.request("GET", "/livez").status, 200)
         first.callback(DONE)
-        self.settle()
+        self.run_pending_calls()
         self.assertEqual(self.request("GET", "/v1/jobs/d1-a").status, 200)
 
     def test_disconnected_caller_ends_only_its_waiting(self):
+        """Guards against a disconnect that cancels the work on a request."""
         pending = Deferred()
         self.router.script = [pending]
         channel, transport = self.send("GET", "/v1/jobs/d1-a?wait=30")
         channel.connectionLost(Failure(ConnectionDone()))
         pending.callback(DONE)
-        self.settle()
+        self.run_pending_calls()
         self.assertEqual(transport.value(), b"")
         self.assertEqual(self.router.received, [requests.PollJob("d1-a", 30.0)])
 
@@ -295,21 +305,21 @@
 class DrainTests(HttpApiTestCase):
     def drain(self):
         drained = self.system.ask(requests.HTTP_API, requests.Drain())
-        self.settle()
+        self.run_pending_calls()
         return drained
 
     def test_node_is_ready_only_with_a_configuration_and_until_its_drain(self):
         ready = ("GET", "/readyz")
         self.assertEqual(self.request(*ready).error, (503, "no_configuration"))
         self.system.tell(requests.HTTP_API, ConfigurationChanged(CONFIGURATION))
-        self.settle()
+        self.run_pending_calls()
         self.assertEqual(self.request(*ready).status, 200)
         self.successResultOf(self.drain())
         self.assertEqual(self.request(*ready).error, (503, "draining"))
         self.assertEqual(self.request("GET", "/livez").status, 200)
 
     def test_drain_ends_after_the_last_request_in_progress(self):
-        """A planned stop must not interrupt a request (I7)."""
+        """Guards against a planned stop that interrupts a request (I7)."""
         pending = Deferred()
         self.router.script = [pending]
         _, transport = self.send("GET", "/v1/jobs/d1-a?wait=30")
@@ -318,7 +328,7 @@
         self.assertEqual((late.status, late.headers["connection"]), (200, "close"))
         self.assertNoResult(first)
         pending.callback(DONE)
-        self.settle()
+        self.run_pending_calls()
         response = Response(transport.value())
         self.assertEqual(response.status, 200)
         self.assertEqual(response.headers["connection"], "close")
@@ -327,6 +337,7 @@
         self.successResultOf(second)
 
     def test_caller_that_left_does_not_delay_the_drain(self):
+        """Guards against a drain that waits for a disconnected caller."""
         self.router.script = [Deferred()]
         channel, _ = self.send("GET", "/v1/jobs/d1-a?wait=30")
         drained = self.drain()
--- a/tests/test_http_body.py
+++ b/tests/test_http_body.py
@@ -1,4 +1,4 @@
-"""Tests of collecting the bodies of HTTP answers."""
+"""Tests of reading HTTP response bodies."""
 
 import unittest
 
@@ -11,20 +11,21 @@
 
 class BodyCollectorTests(unittest.TestCase):
     def setUp(self):
-        # What the HTTP client gives to the reader of a body.
+        # The HTTP client gives the protocol that reads a body such a proxy.
         self.transport = StringTransport()
         self.collector = BodyCollector(10)
         self.collector.makeConnection(TransportProxyProducer(self.transport))
 
     def test_cancelling_ends_a_stalled_answer(self):
-        """A worker that stalls in a body must not stall its link."""
-        outcomes = []
-        self.collector.body.addErrback(outcomes.append)
+        """Guards against a worker link that a stalled response body blocks."""
+        failures = []
+        self.collector.body.addErrback(failures.append)
         self.collector.body.cancel()
-        self.assertIsNotNone(outcomes[0].check(CancelledError))
+        self.assertIsNotNone(failures[0].check(CancelledError))
         self.assertTrue(self.transport.disconnecting)
 
     def test_body_above_the_limit_closes_the_connection(self):
+        """Guards against a response body that exhausts the memory."""
         self.collector.dataReceived(b"x" * 10)
         self.assertFalse(self.transport.disconnecting)
         self.collector.dataReceived(b"x")
--- a/tests/test_http_endpoints.py
+++ b/tests/test_http_endpoints.py
@@ -1,4 +1,4 @@
-"""Tests of the endpoints of HTTP clients."""
+"""Tests of the client endpoints for IP addresses, host names and TLS."""
 
 import unittest
 
@@ -16,7 +16,7 @@
         return reactor
 
     def test_addresses_are_connected_to_as_they_are(self):
-        """A wrong port or time-out would look like an outage."""
+        """Guards against a wrong port or timeout, which mimics an outage."""
         (client,) = self.connect(b"http://10.0.0.1:2379/x").tcpClients
         self.assertEqual((client[0], client[1], client[3]), ("10.0.0.1", 2379, 1.5))
         (client,) = self.connect(b"http://[fd00::1]:80/").tcpClients
@@ -25,6 +25,6 @@
     def test_tls_and_names_are_served_too(self):
         (client,) = self.connect(b"https://10.0.0.1/x").tcpClients
         self.assertEqual(client[1], 443)
-        # The reactor of the test resolves every name to the loopback address.
+        # MemoryReactorClock resolves every name to the loopback address.
         (client,) = self.connect(b"http://store.example:81/").tcpClients
         self.assertEqual(client[:2], ("127.0.0.1", 81))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""Tests of the traffic between nodes, over real sockets on 127.0.0.1."""
+"""Tests of the calls and reports between nodes, over sockets on 127.0.0.1."""
 
 import random
 import struct
@@ -39,8 +39,8 @@
 WIRE_LOG = "redwingrudder._peer_wire"
 
 
-class Node:
-    """Peers of one node with scripted actors around it."""
+class NodeFixture:
+    """The Peers actor of one node; the other actors are scripted."""
 
     def __init__(self, node_id, rank):
         self.id, self.rank = node_id, rank
@@ -51,9 +51,9 @@
         reports = (requests.PeerReport, requests.PeerSilent)
         self.ownership = Scripted(self.system, requests.OWNERSHIP, reports)
         self.router = Scripted(self.system, requests.ROUTER, reports)
-        kinds = (requests.GetConfiguration, requests.OfferConfiguration)
+        received_types = (requests.GetConfiguration, requests.OfferConfiguration)
         self.configuration = Scripted(
-            self.system, requests.CONFIGURATION, kinds, CONFIGURATION
+            self.system, requests.CONFIGURATION, received_types, CONFIGURATION
         )
         config = PeersSettings(node_id, rank, "d1", "127.0.0.1", 0)
         self.peers = Peers(self.system, reactor, config)
@@ -68,11 +68,14 @@
 
     async def tick(self, after_s=0.0):
         self.tell(TimerFired("exchange", self.system.clock.seconds() + after_s))
-        await pause(0.1)
+        await sleep(0.1)
 
 
-class Raw(Protocol):
-    """One end of a connection that keeps what it receives."""
+class RawConnection(Protocol):
+    """One end of a connection; records the received bytes.
+
+    ``reply`` is sent for each received chunk.
+    """
 
     reply = b""
 
@@ -88,30 +91,32 @@
         self.closed.callback(None)
 
 
-class GarbageServer(Raw):
+class InvalidReplyServer(RawConnection):
+    """Replies with a frame that is not a thrift message."""
+
     reply = b"\0\0\0\4junk"
 
 
-def pause(seconds):
+def sleep(seconds):
     return deferLater(reactor, seconds)
 
 
-def frame(body):
+def encode_frame(body):
     return struct.pack("!I", len(body)) + body
 
 
-def call_frame(method):
+def encode_call_without_arguments(method):
     name = bytes([len(method)]) + method.encode()
-    return frame(b"\x82\x21\x01" + name + b"\0")
+    return encode_frame(b"\x82\x21\x01" + name + b"\0")
 
 
-def vm(node_id, rank, address, domain):
+def make_vm(node_id, rank, address, domain):
     return requests.VmInfo(
         node_id, "node", "live", address, domain, "", rank, 0, 0, 0, 0
     )
 
 
-def report_of(node_id, owner):
+def make_report(node_id, owner):
     address = f"{node_id}:1"
     epoch = Epoch(1, 0, 0)
     return requests.PeerReport(
@@ -123,12 +128,12 @@
     timeout = 20
 
     def setUp(self):
-        self.nodes = self.one, self.two = Node("n1", 1), Node("n2", 2)
+        self.nodes = self.one, self.two = NodeFixture("n1", 1), NodeFixture("n2", 2)
 
     async def tearDown(self):
         for node in self.nodes:
             await node.system.stop()
-        await pause(0.02)
+        await sleep(0.02)
 
     def listen(self, protocol):
         factory = Factory.forProtocol(protocol)
@@ -139,7 +144,7 @@
     async def connect(self):
         host, _, port = self.two.address.rpartition(":")
         endpoint = TCP4ClientEndpoint(reactor, host, int(port))
-        return await connectProtocol(endpoint, Raw())
+        return await connectProtocol(endpoint, RawConnection())
 
 
 class CallTests(PeersTestCase):
@@ -149,7 +154,7 @@
         self.assertEqual(self.two.dispatcher.received, [submission])
 
     async def test_error_keeps_class_code_and_retry_time(self):
-        """A refusal must not turn into another status on its way."""
+        """Guards against a refusal that turns into a different error."""
         self.two.dispatcher.default = exceptions.OverloadedError(
             "full", code="queue_full", retry_after_s=3.0
         )
@@ -158,14 +163,17 @@
         self.assertEqual((found.code, found.retry_after_s), ("queue_full", 3.0))
 
     async def test_result_above_the_frame_limit_is_a_coded_error(self):
-        """An oversized reply must not close the connection of others."""
+        """Guards against a large reply that closes the shared connection."""
         self.two.dispatcher.default = VIEW._replace(results=("x" * 1_100_000,))
         ask = self.one.ask(self.two.address, POLL)
         found = await self.assertFailure(ask, exceptions.PayloadTooLargeError)
         self.assertEqual(found.code, "result_too_large")
 
     async def test_refused_connection_means_nothing_was_sent(self):
-        """A submission may go to another domain only when it was not sent."""
+        """Guards against reporting unsent submissions as of unknown outcome.
+
+        Only a submission that was not sent may go to another domain.
+        """
         port = reactor.listenTCP(0, Factory(), interface="127.0.0.1")
         closed = f"127.0.0.1:{port.getHost().port}"
         await port.stopListening()
@@ -175,48 +183,52 @@
             self.assertNotIsInstance(found, exceptions.OutcomeUnknownError)
 
     async def test_broken_connection_after_sending_is_an_unknown_outcome(self):
+        """Guards against reporting a sent submission as not sent."""
         self.two.dispatcher.default = defer.Deferred()
         ask = self.one.ask(self.two.address, requests.SubmitJob(SPEC, ""))
         while not self.two.dispatcher.received:
-            await pause(0.01)
+            await sleep(0.01)
         for connection in self.two.peers.server.connections:
             connection.transport.abortConnection()
         await self.assertFailure(ask, exceptions.OutcomeUnknownError)
 
     async def test_silent_peer_times_out_and_its_connection_is_replaced(self):
-        """A VM that vanished must not hold calls until TCP gives up."""
-        address = self.listen(Raw)
+        """Guards against calls that wait for TCP to detect a failed VM."""
+        address = self.listen(RawConnection)
         ask = self.one.ask(address, POLL)
-        await pause(0.05)
+        await sleep(0.05)
         link = self.one.peers._links_by_address[address]
         link.expire(self.one.system.clock.seconds() + 60.0)
         await self.assertFailure(ask, exceptions.OutcomeUnknownError)
-        await pause(0.05)
+        await sleep(0.05)
         self.assertEqual(link._state, "closed")
 
     async def test_late_reply_is_dropped_and_the_connection_stays(self):
-        late = defer.Deferred()
-        self.two.dispatcher.script = [late]
+        """Guards against a late reply that answers a later call."""
+        late_reply = defer.Deferred()
+        self.two.dispatcher.script = [late_reply]
         ask = self.one.ask(self.two.address, POLL)
-        await pause(0.05)
+        await sleep(0.05)
         link = self.one.peers._links_by_address[self.two.address]
         link._connection.last_received = self.one.system.clock.seconds() + 1.0
         link.expire(self.one.system.clock.seconds() + 60.0)
         await self.assertFailure(ask, exceptions.OutcomeUnknownError)
-        late.callback(VIEW._replace(job_id="d1-late"))
+        late_reply.callback(VIEW._replace(job_id="d1-late"))
         self.assertEqual(await self.one.ask(self.two.address, POLL), VIEW)
         self.assertEqual(len(self.two.peers.server.connections), 1)
 
     async def test_new_owner_ends_the_calls_to_the_old_one(self):
-        address = self.listen(Raw)
+        """Guards against callers that wait for a replaced owner."""
+        address = self.listen(RawConnection)
         self.one.tell(requests.OwnerChanged("d1", "n9", address, Epoch(1, 0, 9)))
         ask = self.one.ask(address, requests.PollJob("d1-a", 30.0))
-        await pause(0.05)
+        await sleep(0.05)
         new = requests.OwnerChanged("d1", "n2", self.two.address, Epoch(2, 0, 2))
         self.one.tell(new)
         await self.assertFailure(ask, exceptions.OutcomeUnknownError)
 
     async def test_calls_above_the_bound_are_refused_and_the_rest_answered(self):
+        """Guards against unlimited memory for calls to a slow peer."""
         self.patch(_peer_link, "OUTSTANDING_CALLS_LIMIT", 3)
         asks = [self.one.ask(self.two.address, POLL) for _ in range(5)]
         results = await defer.DeferredList(asks, consumeErrors=True)
@@ -224,7 +236,7 @@
         results[4][1].trap(exceptions.OverloadedError)
 
     async def test_waiting_callers_leave_room_for_other_calls_and_reports(self):
-        """A node that is refused its reports would be taken for dead."""
+        """Guards against refused reports, which make a node appear dead."""
         self.patch(_peer_link, "OUTSTANDING_CALLS_LIMIT", 3)
         self.patch(_peer_link, "WAITING_CALLS_LIMIT", 2)
         self.patch(_peer_handler, "SERVED_CALLS_LIMIT", 3)
@@ -236,7 +248,7 @@
         refused = self.one.ask(self.two.address, POLL)
         await self.assertFailure(refused, exceptions.OverloadedError)
         await self.one.peers._exchange(self.two.address)
-        await pause(0.01)
+        await sleep(0.01)
         self.assertEqual(self.one.ownership.received[0].node_id, "n2")
         for ask in (*waiting, prompt):
             ask.addErrback(lambda failure: None)
@@ -244,11 +256,16 @@
 
 class BadFrameTests(PeersTestCase):
     async def test_bad_frames_close_only_their_connection(self):
+        """Guards against invalid input that affects other connections."""
         await self.one.ask(self.two.address, POLL)
         cases = (
             (struct.pack("!I", 1024 * 1024 + 1), "frame_too_large", b""),
-            (frame(b"junk"), "bad_frame", b""),
-            (call_frame("drop_all"), "unknown_method", b"unknown method"),
+            (encode_frame(b"junk"), "bad_frame", b""),
+            (
+                encode_call_without_arguments("drop_all"),
+                "unknown_method",
+                b"unknown method",
+            ),
         )
         for data, code, answer in cases:
             client = await self.connect()
@@ -263,19 +280,19 @@
     async def test_truncated_frame_is_reported(self):
         client = await self.connect()
         client.transport.write(struct.pack("!I", 100) + b"part")
-        await pause(0.05)
+        await sleep(0.05)
         with self.assertLogs(WIRE_LOG, "WARNING") as logs:
             client.transport.loseConnection()
             await client.closed
-            await pause(0.05)
+            await sleep(0.05)
         self.assertEqual(logs.records[0].code, "truncated_frame")
 
     async def test_missing_fields_are_a_coded_fault(self):
-        """A peer of another release must get a code, not a lost reply."""
+        """Guards against a peer of another release that gets no error code."""
         client = await self.connect()
-        client.transport.write(call_frame("submit"))
+        client.transport.write(encode_call_without_arguments("submit"))
         while not client.received:
-            await pause(0.01)
+            await sleep(0.01)
         client.transport.loseConnection()
         self.assertIn(b"bad_request/bad_frame", client.received)
 
@@ -285,14 +302,14 @@
             for _ in range(30):
                 client = await self.connect()
                 body = generator.randbytes(generator.randrange(1, 60))
-                client.transport.write(frame(body))
+                client.transport.write(encode_frame(body))
                 client.transport.loseConnection()
                 await client.closed
         self.assertEqual(await self.one.ask(self.two.address, POLL), VIEW)
         self.assertEqual(self.two.dispatcher.received, [POLL])
 
     async def test_garbage_from_a_server_fails_the_calls_on_it(self):
-        ask = self.one.ask(self.listen(GarbageServer), POLL)
+        ask = self.one.ask(self.listen(InvalidReplyServer), POLL)
         with self.assertLogs(WIRE_LOG, "WARNING"):
             await self.assertFailure(ask, exceptions.OutcomeUnknownError)
 
@@ -300,7 +317,9 @@
 class ExchangeTests(PeersTestCase):
     def setUp(self):
         super().setUp()
-        vms = tuple(vm(node.id, node.rank, node.address, "d1") for node in self.nodes)
+        vms = tuple(
+            make_vm(node.id, node.rank, node.address, "d1") for node in self.nodes
+        )
         for node in self.nodes:
             node.tell(requests.MembersChanged(vms))
 
@@ -314,15 +333,16 @@
         self.assertEqual(self.two.ownership.received[0].node_id, "n1")
 
     async def test_silence_is_told_to_ownership_and_router(self):
+        """Guards against an undetected failure of a peer."""
         await self.one.tick()
         await defer.maybeDeferred(self.two.peers._port.stopListening)
         for connection in self.two.peers.server.connections:
             connection.transport.abortConnection()
         await self.one.tick(1.0)
         await self.one.tick(3.5)
-        kinds = [type(message) for message in self.one.router.received]
-        self.assertIn(requests.PeerSilent, kinds)
-        self.assertEqual(kinds, [type(m) for m in self.one.ownership.received])
+        received_types = [type(message) for message in self.one.router.received]
+        self.assertIn(requests.PeerSilent, received_types)
+        self.assertEqual(received_types, [type(m) for m in self.one.ownership.received])
 
     async def test_node_without_configuration_copies_a_peers(self):
         self.two.tell(ConfigurationChanged(CONFIGURATION))
@@ -332,7 +352,7 @@
         self.assertEqual(self.one.configuration.received, [offer])
 
     async def test_change_that_the_watch_brings_is_not_copied_from_a_peer(self):
-        """Copies of the document would exceed the traffic budget."""
+        """Guards against document copies that exceed the traffic budget."""
         self.one.tell(ConfigurationChanged(CONFIGURATION._replace(version=6)))
         self.two.tell(ConfigurationChanged(CONFIGURATION))
         await self.one.tick()
@@ -343,8 +363,8 @@
         self.assertEqual(asked, [requests.GetConfiguration()])
 
     def test_exchange_stays_under_its_size(self):
-        """The traffic budget of a node counts on 150 bytes each way."""
-        report = report_of("vm-bangkok-a-0017", True)._replace(
+        """The traffic budget of a node allows 150 bytes in each direction."""
+        report = make_report("vm-bangkok-a-0017", True)._replace(
             failure_domain="bangkok-a",
             address="10.112.113.114:7411",
             epoch=Epoch(2**31, 9, 17),
@@ -363,7 +383,10 @@
 
 
 class PlanTests(unittest.TestCase):
-    """Exchanges at the target size: 4 failure domains of 10 nodes."""
+    """Selection of peers at the target size: 4 domains of 10 nodes.
+
+    In each domain, the node of rank 0 is the owner.
+    """
 
     domains = ("d1", "d2", "d3", "d4")
 
@@ -371,16 +394,16 @@
         plan = PeerPlan(node_id, "d1")
         names = [f"{domain}-{rank}" for domain in self.domains for rank in range(10)]
         plan.set_members(
-            tuple(vm(name, int(name[-1]), f"{name}:1", name[:2]) for name in names)
+            tuple(make_vm(name, int(name[-1]), f"{name}:1", name[:2]) for name in names)
         )
         for domain in owned:
-            plan.record_report(report_of(f"{domain}-0", owner=True), 0.0)
+            plan.record_report(make_report(f"{domain}-0", owner=True), 0.0)
         return plan
 
     def ask(self, plan, now, dead=()):
         due = plan.select_addresses(now)
         for node_id in {address[:-2] for address in due} - set(dead):
-            plan.record_report(report_of(node_id, owner=node_id.endswith("-0")), now)
+            plan.record_report(make_report(node_id, owner=node_id.endswith("-0")), now)
         return due
 
     def count(self, node_id):
@@ -388,18 +411,19 @@
         return sum(len(self.ask(plan, float(now))) for now in range(1, 101)) / 100
 
     def test_exchanges_a_second_at_the_target_size(self):
-        """Full exchange would take most of a node's traffic budget."""
+        """Guards against full-mesh exchanges and their traffic."""
         self.assertLess(self.count("d1-5"), 2.4)
         self.assertLess(self.count("d1-0"), 4.1)
 
     def test_of_two_nodes_only_one_asks(self):
+        """Guards against duplicate exchanges between the same nodes."""
         plan = self.plan("d1-5")
-        plan.record_report(report_of("d1-6", owner=False), 0.9)
+        plan.record_report(make_report("d1-6", owner=False), 0.9)
         self.assertNotIn("d1-6:1", plan.select_addresses(1.0))
         self.assertIn("d1-6:1", plan.select_addresses(2.0))
 
     def test_domain_without_a_live_owner_exchanges_with_all(self):
-        """Succession needs to know every live node of the domain."""
+        """Guards against a succession that misses live nodes."""
         unknown = self.plan("d1-5", owned=("d2", "d3", "d4"))
         self.assertEqual(
             len([a for a in unknown.select_addresses(1.0) if "d1" in a]), 9
@@ -411,25 +435,32 @@
         self.assertIn("d1-0", [peer.node_id for peer in dead.find_silent_peers(4.0)])
 
     def test_unknown_remote_owner_is_found_by_asking_in_turn(self):
-        """While the store is down, only the owner itself can tell."""
+        """Guards against an owner that stays unknown during a store outage.
+
+        Then only the report of the owner itself identifies it.
+        """
         plan = self.plan("d1-5", owned=())
         asked = {a for now in range(1, 12) for a in plan.select_addresses(float(now))}
         self.assertEqual(len([a for a in asked if a.startswith("d2")]), 10)
 
     def test_peer_that_was_not_asked_has_not_been_silent(self):
-        """Succession must not take a live node for dead."""
+        """Guards against a succession that takes a live node for dead.
+
+        A peer without a request for a long time has an old report.
+        """
         plan = self.plan("d1-5")
-        plan.record_report(report_of("d1-7", owner=False), 1.0)
+        plan.record_report(make_report("d1-7", owner=False), 1.0)
         plan.set_owner(requests.OwnerChanged("d1", "", "", Epoch(1, 0, 0)))
         self.assertIn("d1-7:1", plan.select_addresses(100.0))
         self.assertEqual(plan.find_silent_peers(100.0), ())
         self.assertIn("d1-7", [peer.node_id for peer in plan.find_silent_peers(102.0)])
 
     def test_owner_of_a_lower_epoch_is_ignored(self):
+        """Guards against a replaced owner whose late report is accepted."""
         plan = self.plan("d1-5")
         new = requests.OwnerChanged("d1", "d1-3", "d1-3:1", Epoch(2, 0, 3))
         self.assertEqual(plan.set_owner(new), "d1-0:1")
-        plan.record_report(report_of("d1-0", owner=True), 1.0)
+        plan.record_report(make_report("d1-0", owner=True), 1.0)
         self.assertIn("d1-3:1", plan.select_addresses(1.0))
 
 
