--- a/src/redwingrudder/_peer_handler.py
+++ b/src/redwingrudder/_peer_handler.py
@@ -83,7 +83,7 @@
     def exchange(self, report: WirePeerReport) -> Deferred:
         """Process a peer's report and return the report of this node."""
         # Exempt from the limit on calls: a peer that receives no report
-        # assumes that this node is dead.
+        # considers this node failed.
         return ensureDeferred(self._run_call(self._exchange_reports(report)))
 
     def configuration(self, above_version: int) -> Deferred:
--- a/src/redwingrudder/_peer_link.py
+++ b/src/redwingrudder/_peer_link.py
@@ -62,8 +62,8 @@
     Attributes:
         PROMPT: Answered immediately; ``OUTSTANDING_CALLS_LIMIT`` applies.
         WAITING: Waits for the end of a job; ``WAITING_CALLS_LIMIT`` applies.
-        REPORT: Never refused, because peers take a node for dead if they do
-            not exchange reports with it.
+        REPORT: Never refused, because peers consider a node failed if they
+            cannot exchange reports with it.
     """
 
     PROMPT = enum.auto()
--- a/src/redwingrudder/_peer_plan.py
+++ b/src/redwingrudder/_peer_plan.py
@@ -77,9 +77,9 @@
             for vm in vms
             if vm.role == "node" and vm.vm_id != self._node_id
         }
-        known = set(self._peers_by_id)
-        known.update(owner.node_id for owner in self._owners_by_domain.values())
-        self._remove_nodes_except(known)
+        known_ids = set(self._peers_by_id)
+        known_ids.update(owner.node_id for owner in self._owners_by_domain.values())
+        self._remove_nodes_except(known_ids)
 
     def set_owner(self, owner: OwnerChanged) -> str | None:
         """Record a domain's owner unless one of a higher epoch is known.
@@ -90,16 +90,16 @@
             The address of the replaced owner, or None if there was none or if
             the address is unchanged.
         """
-        known = self._owners_by_domain.get(owner.failure_domain)
+        known_owner = self._owners_by_domain.get(owner.failure_domain)
         if not owner.node_id:
             self._owners_by_domain.pop(owner.failure_domain, None)
             return None
-        if known is not None and known.epoch > owner.epoch:
+        if known_owner is not None and known_owner.epoch > owner.epoch:
             return None
         self._owners_by_domain[owner.failure_domain] = owner
-        if known is None or known.address == owner.address:
+        if known_owner is None or known_owner.address == owner.address:
             return None
-        return known.address
+        return known_owner.address
 
     def remove_owner(self, node_id: str) -> None:
         """Remove the record that a node owns a failure domain."""
@@ -266,12 +266,12 @@
                 return self._find_owner(domain)
         return None
 
-    def _remove_nodes_except(self, known: set[str]) -> None:
+    def _remove_nodes_except(self, kept_ids: set[str]) -> None:
         tables = (
             self._last_report_at_by_id,
             self._last_exchange_at_by_id,
             self._unanswered_since_by_id,
         )
         for table in tables:
-            for node_id in set(table) - known:
+            for node_id in set(table) - kept_ids:
                 del table[node_id]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -159,15 +159,15 @@
             "full", code="queue_full", retry_after_s=3.0
         )
         ask = self.one.ask(self.two.address, POLL)
-        found = await self.assertFailure(ask, exceptions.OverloadedError)
-        self.assertEqual((found.code, found.retry_after_s), ("queue_full", 3.0))
+        error = await self.assertFailure(ask, exceptions.OverloadedError)
+        self.assertEqual((error.code, error.retry_after_s), ("queue_full", 3.0))
 
     async def test_result_above_the_frame_limit_is_a_coded_error(self):
         """Guards against a large reply that closes the shared connection."""
         self.two.dispatcher.default = VIEW._replace(results=("x" * 1_100_000,))
         ask = self.one.ask(self.two.address, POLL)
-        found = await self.assertFailure(ask, exceptions.PayloadTooLargeError)
-        self.assertEqual(found.code, "result_too_large")
+        error = await self.assertFailure(ask, exceptions.PayloadTooLargeError)
+        self.assertEqual(error.code, "result_too_large")
 
     async def test_refused_connection_means_nothing_was_sent(self):
         """Guards against reporting unsent submissions as of unknown outcome.
@@ -179,8 +179,8 @@
         await port.stopListening()
         for address in (closed, "nowhere", "127.0.0.1:x"):
             ask = self.one.ask(address, requests.SubmitJob(SPEC, ""))
-            found = await self.assertFailure(ask, exceptions.UnavailableError)
-            self.assertNotIsInstance(found, exceptions.OutcomeUnknownError)
+            error = await self.assertFailure(ask, exceptions.UnavailableError)
+            self.assertNotIsInstance(error, exceptions.OutcomeUnknownError)
 
     async def test_broken_connection_after_sending_is_an_unknown_outcome(self):
         """Guards against reporting a sent submission as not sent."""
@@ -242,15 +242,15 @@
         self.patch(_peer_handler, "SERVED_CALLS_LIMIT", 3)
         self.two.dispatcher.script = [defer.Deferred() for _ in range(3)]
         wait = requests.PollJob("d1-a", 30.0)
-        waiting = [self.one.ask(self.two.address, wait) for _ in range(3)]
-        await self.assertFailure(waiting.pop(), exceptions.OverloadedError)
+        waiting_calls = [self.one.ask(self.two.address, wait) for _ in range(3)]
+        await self.assertFailure(waiting_calls.pop(), exceptions.OverloadedError)
         prompt = self.one.ask(self.two.address, POLL)
         refused = self.one.ask(self.two.address, POLL)
         await self.assertFailure(refused, exceptions.OverloadedError)
         await self.one.peers._exchange(self.two.address)
         await sleep(0.01)
         self.assertEqual(self.one.ownership.received[0].node_id, "n2")
-        for ask in (*waiting, prompt):
+        for ask in (*waiting_calls, prompt):
             ask.addErrback(lambda failure: None)
 
 
@@ -357,10 +357,10 @@
         self.two.tell(ConfigurationChanged(CONFIGURATION))
         await self.one.tick()
         await self.one.tick(1.0)
-        asked = self.two.configuration.received
-        self.assertEqual(asked, [])
+        configuration_requests = self.two.configuration.received
+        self.assertEqual(configuration_requests, [])
         await self.one.tick(3.0)
-        self.assertEqual(asked, [requests.GetConfiguration()])
+        self.assertEqual(configuration_requests, [requests.GetConfiguration()])
 
     def test_exchange_stays_under_its_size(self):
         """The traffic budget of a node allows 150 bytes in each direction."""
@@ -440,13 +440,15 @@
         Then only the report of the owner itself identifies it.
         """
         plan = self.plan("d1-5", owned=())
-        asked = {a for now in range(1, 12) for a in plan.select_addresses(float(now))}
-        self.assertEqual(len([a for a in asked if a.startswith("d2")]), 10)
+        addresses = {
+            a for now in range(1, 12) for a in plan.select_addresses(float(now))
+        }
+        self.assertEqual(len([a for a in addresses if a.startswith("d2")]), 10)
 
     def test_peer_that_was_not_asked_has_not_been_silent(self):
-        """Guards against a succession that takes a live node for dead.
+        """Guards against a succession that considers a live node failed.
 
-        A peer without a request for a long time has an old report.
+        After a long time without an exchange, the last report is old.
         """
         plan = self.plan("d1-5")
         plan.record_report(make_report("d1-7", owner=False), 1.0)
@@ -480,6 +482,6 @@
             exceptions.NotFoundError("no", code="no_such_job"),
             exceptions.OutcomeUnknownError("lost", retry_after_s=1.0),
         ):
-            found = _peer_codec.decode_error(_peer_codec.encode_error(error))
-            self.assertEqual(type(found), type(error))
-            self.assertEqual(vars(found), vars(error) | {"code": error.code})
+            decoded = _peer_codec.decode_error(_peer_codec.encode_error(error))
+            self.assertEqual(type(decoded), type(error))
+            self.assertEqual(vars(decoded), vars(error) | {"code": error.code})
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -103,10 +103,10 @@
         """Guards against a poll that a takeover fails or prolongs."""
         self.announce_owner("d2", "n2")
         self.peers.script = [UNKNOWN, NOT_SENT]
-        waiting = self.ask(requests.PollJob("d2-a", 6.0), seconds=0.3)
+        outcomes = self.ask(requests.PollJob("d2-a", 6.0), seconds=0.3)
         self.announce_owner("d2", "n3", term=2)
         self.clock.pump([0.05] * 40)
-        self.assertEqual(waiting, [VIEW])
+        self.assertEqual(outcomes, [VIEW])
         self.assertEqual(self.called_addresses()[-1], "n3:1")
         waits = [message.request.wait_s for message in self.peers.received]
         self.assertEqual(waits[0], 6.0)
@@ -118,10 +118,10 @@
         self.report_load("d2", "n2", 16)
         self.report_load("d3", "n3", 12)
         self.peers.script = [UNKNOWN, UNKNOWN]
-        waiting = self.ask(SUBMISSION, seconds=0.3)
+        outcomes = self.ask(SUBMISSION, seconds=0.3)
         self.announce_owner("d2", "n4", term=2)
         self.clock.pump([0.05] * 40)
-        self.assertEqual(waiting, [VIEW])
+        self.assertEqual(outcomes, [VIEW])
         self.assertEqual(set(self.called_addresses()), {"n2:1", "n4:1"})
 
     def test_idempotent_submission_may_go_elsewhere(self):
@@ -129,8 +129,8 @@
         self.report_load("d2", "n2", 160)
         self.report_load("d3", "n3", 12)
         self.peers.script = [UNKNOWN]
-        waiting = self.ask(IDEMPOTENT, seconds=2.0)
-        self.assertEqual(waiting, [VIEW])
+        outcomes = self.ask(IDEMPOTENT, seconds=2.0)
+        self.assertEqual(outcomes, [VIEW])
         self.assertEqual(self.called_addresses(), ["n2:1", "n3:1"])
 
     def test_refusal_after_an_unknown_outcome_does_not_say_not_run(self):
@@ -213,14 +213,14 @@
         self.report_load("d1", "n1", 64)
         pending = Deferred()
         self.dispatcher.script = [pending]
-        waiting = self.ask(SUBMISSION)
+        outcomes = self.ask(SUBMISSION)
         self.tell(requests.OwnershipEnded("fenced"))
         self.announce_owner("d1", "n5", term=2)
         pending.errback(
             exceptions.UnavailableError("no owner any more", code="not_owner")
         )
         self.clock.pump([0.05] * 20)
-        self.assertEqual(waiting, [VIEW])
+        self.assertEqual(outcomes, [VIEW])
         self.assertEqual(self.called_addresses(), ["n5:1"])
 
     def test_status_names_the_domains_that_cannot_be_reached(self):
