--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -186,7 +186,7 @@
     def _start_request(self, request: LimitedRequest, correlation_id: str) -> None:
         self._asks_in_progress += 1
         self._open_requests.add(request)
-        self._gate.enter()
+        self._gate.begin_request()
         # The request also ends when the caller disconnects. Its processing
         # continues, because a job outlives the connection of its caller.
         request.notifyFinish().addBoth(self._request_ended, request)
@@ -235,7 +235,7 @@
 
     def _request_ended(self, _: object, request: LimitedRequest) -> None:
         self._open_requests.discard(request)
-        self._gate.leave()
+        self._gate.end_request()
 
 
 def _correlation_id(request: LimitedRequest) -> str:
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -20,7 +20,7 @@
     GetState,
     SubmitWorkflow,
 )
-from ..coordination.metrics import METRICS, Counted, Observed
+from ..coordination.metrics import METRICS, IncrementCounter, ObserveDuration
 from ..exceptions import (
     BadRequestError,
     OutcomeUnknownError,
@@ -130,8 +130,8 @@
         method = request.method.decode("ascii", "replace")
         if method not in ("GET", "POST", "DELETE"):
             method = "other"
-        self.tell(METRICS, Counted("requests", (method, str(status))))
-        self.tell(METRICS, Observed("request_seconds", (method,), seconds))
+        self.tell(METRICS, IncrementCounter("requests", (method, str(status))))
+        self.tell(METRICS, ObserveDuration("request_seconds", (method,), seconds))
 
     def _log_refusal(self, request: LimitedRequest, answer: Response) -> None:
         """Log what was not done for a caller, in bounded volume."""
