Name the configuration codec's functions after their result

`compare` and `apply` did not say what they return or act on. They are now `build_change` and `apply_change`; only the uses changed.

Tests: test_configuration, test_cli, test_settings, test_logs, test_metrics: OK.

--- a/src/redwingrudder/_configuration_codec.py
+++ b/src/redwingrudder/_configuration_codec.py
@@ -51,7 +51,7 @@
     return f"{CHANGE_PREFIX}{version:012d}"
 
 
-def compare(old: Configuration | None, new: Configuration, nonce: str) -> Change:
+def build_change(old: Configuration | None, new: Configuration, nonce: str) -> Change:
     """Return the change from one configuration to the next."""
     old = old or Configuration(0, {}, {}, ())
     old_cells = _cells_by_organisation(old.cells)
@@ -78,7 +78,7 @@
     )
 
 
-def apply(old: Configuration | None, change: Change) -> Configuration:
+def apply_change(old: Configuration | None, change: Change) -> Configuration:
     """Return the configuration that follows ``old``."""
     old = old or Configuration(0, {}, {}, ())
     organisations = dict(old.organisations_by_name)
--- a/src/redwingrudder/_configuration_writer.py
+++ b/src/redwingrudder/_configuration_writer.py
@@ -155,7 +155,7 @@
 
 
 def _build_transaction(base: _Base, accepted: Configuration, nonce: str) -> Transact:
-    change = codec.compare(base.configuration, accepted, nonce)
+    change = codec.build_change(base.configuration, accepted, nonce)
     head = codec.Head(accepted.version, nonce)
     puts = (
         PutKey(codec.HEAD_KEY, codec.encode_head(head)),
--- a/src/redwingrudder/configuration.py
+++ b/src/redwingrudder/configuration.py
@@ -174,7 +174,7 @@
             self._chart.step("gap_found")
             return
         if change.version == version + 1:
-            self._adopt(codec.apply(self._in_force, change))
+            self._adopt(codec.apply_change(self._in_force, change))
         elif change.version > version:
             self._chart.step("gap_found")
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -148,8 +148,10 @@
     @given(configurations(), configurations())
     def test_a_change_applied_to_the_old_gives_the_new(self, old, new):
         new = new._replace(version=2)
-        change = codec.decode_change(codec.encode_change(codec.compare(old, new, "x")))
-        self.assertEqual(codec.apply(old, change), new)
+        change = codec.decode_change(
+            codec.encode_change(codec.build_change(old, new, "x"))
+        )
+        self.assertEqual(codec.apply_change(old, change), new)
         stored = codec.encode_configuration(new)
         self.assertEqual(codec.decode_configuration(stored), new)
 
@@ -265,7 +267,7 @@
     def test_a_missing_change_is_made_up_for_by_the_document(self):
         node = self.node()
         later = node.apply(0)._replace(version=5, classes_by_name={})
-        change = codec.compare(later, later, "x")
+        change = codec.build_change(later, later, "x")
         node.store.put(codec.DOCUMENT_KEY, codec.encode_configuration(later))
         node.store.put(codec.change_key(5), codec.encode_change(change))
         settle(node.system)
