--- a/src/redwingrudder/__init__.py
+++ b/src/redwingrudder/__init__.py
@@ -1,8 +1,8 @@
 """Scheduler for multi-accelerator jobs under organisation guarantees.
 
-The names below are the decision core, which performs no input or output. An
-entry node is ``redwingrudder.node.Node``, the HTTP client
-``redwingrudder.client.Client``.
+The package exports the scheduling decisions, which perform no input or output.
+``redwingrudder.node.Node`` is an entry node, ``redwingrudder.client.Client``
+the HTTP client.
 """
 
 import importlib
@@ -10,7 +10,8 @@
 
 __version__ = "0.1.0"
 
-# Loaded on first use, so that a node imports only what it runs.
+# Module of each public name. Modules are imported on first use, so that a node
+# imports only those that it needs.
 _MODULES_BY_NAME = {
     "Configuration": "model",
     "Fleet": "fleet",
@@ -31,7 +32,7 @@
 
 
 def __getattr__(name: str) -> Any:
-    """Import the module of a public name."""
+    """Return a public name from its module, which is imported on first use."""
     module = _MODULES_BY_NAME.get(name)
     if module is None:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/src/redwingrudder/_configuration_codec.py
+++ b/src/redwingrudder/_configuration_codec.py
@@ -1,4 +1,9 @@
-"""Values of the configuration's keys in the platform store (JSON)."""
+"""JSON encoding of the configuration's keys in the platform store.
+
+The store holds the head (version in force), the whole document, and one key
+per change, so that a node that watches the changes need not read the whole
+document after each of them.
+"""
 
 import json
 from typing import Any, NamedTuple
@@ -17,14 +22,21 @@
 HEAD_KEY = "/config/head"
 DOCUMENT_KEY = "/config/document"
 CHANGE_PREFIX = "/config/change/"
+# Number of change keys kept in the store; the writer deletes older ones.
 CHANGES_KEPT = 1_000
 
-# Failure domain per copy, per shape, by organisation.
-Cells = dict[str, list[list[str]]]
+# By organisation: for each shape a list with the failure domain of each copy,
+# "" for a copy that no failure domain holds.
+EncodedCells = dict[str, list[list[str]]]
 
 
 class Head(NamedTuple):
-    """The version in force and the nonce of the change that made it."""
+    """Value of ``HEAD_KEY``.
+
+    Attributes:
+        version: The version in force.
+        nonce: Random id of the write that created this version.
+    """
 
     version: int
     nonce: str
@@ -33,8 +45,16 @@
 class Change(NamedTuple):
     """The difference between a version and the one before it.
 
-    An organisation stands here, with all of its cells, when its guarantees
-    or its cells changed.
+    Attributes:
+        version: The version that results from the change.
+        nonce: Random id of the write. After a lost reply the writer compares
+            it to tell its own write from that of another node.
+        organisations: Added organisations, and those whose guarantees or
+            cells changed.
+        removed_organisations: Names, sorted.
+        classes: Added or changed job classes.
+        removed_classes: Names, sorted.
+        cells: All cells of ``organisations``, unchanged ones included.
     """
 
     version: int
@@ -47,12 +67,22 @@
 
 
 def change_key(version: int) -> str:
-    """Return the key of a change; the digits keep the keys in order."""
+    """Return the key of the change that created a version.
+
+    The version is padded with zeros, so that the order of the keys is the
+    order of the versions.
+    """
     return f"{CHANGE_PREFIX}{version:012d}"
 
 
 def build_change(old: Configuration | None, new: Configuration, nonce: str) -> Change:
-    """Return the change from one configuration to the next."""
+    """Return the difference between two configurations.
+
+    Args:
+        old: The configuration before the change; None if there was none.
+        new: The configuration after the change.
+        nonce: Random id of the write.
+    """
     old = old or Configuration(0, {}, {}, ())
     old_cells = _cells_by_organisation(old.cells)
     new_cells = _cells_by_organisation(new.cells)
@@ -62,24 +92,31 @@
         if old.organisations_by_name.get(name) != organisation
         or old_cells.get(name) != new_cells.get(name)
     )
-    names = {organisation.name for organisation in changed}
+    changed_names = {organisation.name for organisation in changed}
     return Change(
         new.version,
         nonce,
         changed,
-        _missing(old.organisations_by_name, new.organisations_by_name),
+        _removed_names(old.organisations_by_name, new.organisations_by_name),
         tuple(
             job_class
             for name, job_class in new.classes_by_name.items()
             if old.classes_by_name.get(name) != job_class
         ),
-        _missing(old.classes_by_name, new.classes_by_name),
-        tuple(cell for cell in new.cells if cell.organisation in names),
+        _removed_names(old.classes_by_name, new.classes_by_name),
+        tuple(cell for cell in new.cells if cell.organisation in changed_names),
     )
 
 
 def apply_change(old: Configuration | None, change: Change) -> Configuration:
-    """Return the configuration that follows ``old``."""
+    """Return the configuration that results from a change.
+
+    The caller must check that ``change.version`` follows ``old.version``.
+
+    Args:
+        old: The configuration before the change; None if there was none.
+        change: The change to apply.
+    """
     old = old or Configuration(0, {}, {}, ())
     organisations = dict(old.organisations_by_name)
     classes = dict(old.classes_by_name)
@@ -89,26 +126,36 @@
         organisations.pop(name, None)
     for name in change.removed_classes:
         classes.pop(name, None)
-    replaced = {item.name for item in change.organisations}
-    replaced.update(change.removed_organisations)
-    kept = tuple(cell for cell in old.cells if cell.organisation not in replaced)
-    cells = tuple(sorted((*kept, *change.cells)))
+    replaced_names = {item.name for item in change.organisations}
+    replaced_names.update(change.removed_organisations)
+    kept_cells = tuple(
+        cell for cell in old.cells if cell.organisation not in replaced_names
+    )
+    cells = tuple(sorted((*kept_cells, *change.cells)))
     return Configuration(change.version, organisations, classes, cells)
 
 
 def encode_head(head: Head) -> str:
-    """Encode the value of ``HEAD_KEY``."""
+    """Return the value of ``HEAD_KEY`` as JSON text."""
     return _dump({"version": head.version, "nonce": head.nonce})
 
 
 def decode_head(text: str) -> Head:
-    """Decode the value of ``HEAD_KEY``."""
+    """Parse the value of ``HEAD_KEY``.
+
+    Raises:
+        ValueError: The text is not valid JSON.
+        KeyError: A field is missing.
+    """
     body = json.loads(text)
     return Head(body["version"], body["nonce"])
 
 
 def encode_configuration(configuration: Configuration) -> str:
-    """Encode the value of ``DOCUMENT_KEY``."""
+    """Return the value of ``DOCUMENT_KEY`` as JSON text.
+
+    It is the operators' document with ``version`` and ``cells`` added.
+    """
     body: dict[str, Any] = dict(to_document(configuration))
     body["version"] = configuration.version
     body["cells"] = _encode_cells(configuration.cells)
@@ -116,18 +163,20 @@
 
 
 def decode_configuration(text: str) -> Configuration:
-    """Decode the value of ``DOCUMENT_KEY``.
+    """Parse the value of ``DOCUMENT_KEY``.
 
     Raises:
-        ValueError: The format is of a later release or the text is no JSON.
+        ValueError: The text is not valid JSON, or this release does not
+            support its format version.
+        KeyError: A field is missing.
     """
-    body = _load(text)
+    body = _parse_body(text)
     cells = _decode_cells(body["cells"])
     return to_configuration(body, body["version"], cells)
 
 
 def encode_change(change: Change) -> str:
-    """Encode the value of a change key."""
+    """Return the value of a change key as JSON text."""
     return _dump(
         {
             "format_version": FORMAT_VERSION,
@@ -145,14 +194,25 @@
 
 
 def decode_change(text: str) -> Change:
-    """Decode the value of a change key; see ``decode_configuration``."""
-    body = _load(text)
+    """Parse the value of a change key.
+
+    Raises:
+        ValueError: The text is not valid JSON, or this release does not
+            support its format version.
+        KeyError: A field is missing.
+    """
+    body = _parse_body(text)
     return Change(
         body["version"],
         body["nonce"],
-        tuple(to_organisation(n, item) for n, item in body["organisations"].items()),
+        tuple(
+            to_organisation(name, document)
+            for name, document in body["organisations"].items()
+        ),
         tuple(body["removed_organisations"]),
-        tuple(to_job_class(n, item) for n, item in body["classes"].items()),
+        tuple(
+            to_job_class(name, document) for name, document in body["classes"].items()
+        ),
         tuple(body["removed_classes"]),
         _decode_cells(body["cells"]),
     )
@@ -162,40 +222,44 @@
     return json.dumps(body, separators=(",", ":"), sort_keys=True)
 
 
-def _load(text: str) -> dict[str, Any]:
+def _parse_body(text: str) -> dict[str, Any]:
     body = json.loads(text)
-    found = body.get("format_version")
-    if found != FORMAT_VERSION:
-        raise ValueError(f"format version {found}, known is {FORMAT_VERSION}")
+    format_version = body.get("format_version")
+    if format_version != FORMAT_VERSION:
+        raise ValueError(
+            f"unsupported format_version {format_version}, "
+            f"this release reads {FORMAT_VERSION}"
+        )
     return body
 
 
-def _missing(old: dict[str, Any], new: dict[str, Any]) -> tuple[str, ...]:
+def _removed_names(old: dict[str, Any], new: dict[str, Any]) -> tuple[str, ...]:
     return tuple(sorted(old.keys() - new.keys()))
 
 
 def _cells_by_organisation(
     cells: tuple[CellAssignment, ...],
 ) -> dict[str, list[CellAssignment]]:
-    grouped: dict[str, list[CellAssignment]] = {}
+    cells_by_organisation: dict[str, list[CellAssignment]] = {}
     for cell in sorted(cells):
-        grouped.setdefault(cell.organisation, []).append(cell)
-    return grouped
+        cells_by_organisation.setdefault(cell.organisation, []).append(cell)
+    return cells_by_organisation
 
 
-def _encode_cells(cells: tuple[CellAssignment, ...]) -> Cells:
-    encoded: Cells = {}
+def _encode_cells(cells: tuple[CellAssignment, ...]) -> EncodedCells:
+    encoded: EncodedCells = {}
     for cell in sorted(cells):
         shapes = encoded.setdefault(cell.organisation, [])
         while len(shapes) <= cell.shape_index:
             shapes.append([])
         copies = shapes[cell.shape_index]
+        # A copy without a failure domain has no cell and is encoded as "".
         copies.extend([""] * (cell.copy_index - len(copies)))
         copies.append(cell.failure_domain)
     return encoded
 
 
-def _decode_cells(encoded: Cells) -> tuple[CellAssignment, ...]:
+def _decode_cells(encoded: EncodedCells) -> tuple[CellAssignment, ...]:
     return tuple(
         CellAssignment(organisation, shape_index, copy_index, domain)
         for organisation, shapes in sorted(encoded.items())
--- a/src/redwingrudder/_configuration_document.py
+++ b/src/redwingrudder/_configuration_document.py
@@ -1,10 +1,14 @@
-"""The operators' document: its types, its checks and its conversion."""
+"""The configuration document that operators write: schema and conversion.
+
+Operators write the document as JSON with comments. It lists the
+organisations with their guarantees and the job classes with their targets.
+"""
 
 from typing import Annotated, Any, Literal, NotRequired
 
 import jsonc
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
-from typing_extensions import TypedDict  # pydantic needs it before 3.12
+from typing_extensions import TypedDict  # required by pydantic on Python < 3.12
 
 from .exceptions import (
     BadRequestError,
@@ -14,46 +18,50 @@
 from .model import CellAssignment, Configuration, JobClass, Organisation, Shape
 
 FORMAT_VERSION = 1
-DOCUMENT_LIMIT = 250_000  # bytes
-ORGANISATION_LIMIT = 1_000
-CLASS_LIMIT = 100
-SHAPE_LIMIT = 100  # shapes of one organisation
-ACCELERATOR_LIMIT = 1_024  # accelerators of one shape
-COPY_LIMIT = 1_000
-TARGET_LIMIT_S = 30 * 24 * 3600.0
-FOUND_LIMIT = 60  # characters of a value in an error
+MAX_DOCUMENT_BYTES = 250_000
+MAX_ORGANISATIONS = 1_000
+MAX_CLASSES = 100
+MAX_SHAPES_PER_ORGANISATION = 100
+MAX_ACCELERATORS_PER_SHAPE = 1_024
+MAX_COPIES_PER_SHAPE = 1_000
+MAX_TARGET_S = 30 * 24 * 3600.0
+# An error message quotes at most this many characters of an invalid value.
+MAX_QUOTED_CHARACTERS = 60
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-_STRICT = ConfigDict(extra="forbid", strict=True)
+_STRICT_SCHEMA = ConfigDict(extra="forbid", strict=True)
 
 
 class ShapeDocument(TypedDict):
-    """``copies`` gangs of adjacent accelerators."""
+    """A guarantee of ``copies`` gangs of adjacent accelerators."""
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = _STRICT_SCHEMA
 
-    accelerators: Annotated[int, Field(ge=1, le=ACCELERATOR_LIMIT)]
-    copies: Annotated[int, Field(ge=1, le=COPY_LIMIT)]
+    accelerators: Annotated[int, Field(ge=1, le=MAX_ACCELERATORS_PER_SHAPE)]
+    copies: Annotated[int, Field(ge=1, le=MAX_COPIES_PER_SHAPE)]
 
 
 class OrganisationDocument(TypedDict):
-    """What an organisation paid for."""
+    """An organisation with the shapes that are guaranteed to it."""
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = _STRICT_SCHEMA
 
-    guarantees: Annotated[list[ShapeDocument], Field(max_length=SHAPE_LIMIT)]
+    guarantees: Annotated[
+        list[ShapeDocument], Field(max_length=MAX_SHAPES_PER_ORGANISATION)
+    ]
 
 
 class ClassDocument(TypedDict):
-    """A class of work; exactly one of both fields is set.
+    """A job class; exactly one of the two fields must be set.
 
-    ``target_s`` is in seconds, ``finish_by`` a time of day "HH:MM" in UTC.
+    ``target_s`` is the time from submission to completion in seconds,
+    ``finish_by`` a time of day as "HH:MM" in UTC.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = _STRICT_SCHEMA
 
     target_s: NotRequired[
-        Annotated[float, Field(gt=0, le=TARGET_LIMIT_S, allow_inf_nan=False)]
+        Annotated[float, Field(gt=0, le=MAX_TARGET_S, allow_inf_nan=False)]
     ]
     finish_by: NotRequired[
         Annotated[str, Field(pattern=r"^([01][0-9]|2[0-3]):[0-5][0-9]$")]
@@ -61,51 +69,62 @@
 
 
 class ConfigurationDocument(TypedDict):
-    """The whole document, by names of organisations and classes."""
+    """The whole document; the keys of both mappings are names."""
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = _STRICT_SCHEMA
 
     format_version: Literal[1]
     organisations: Annotated[
-        dict[Name, OrganisationDocument], Field(max_length=ORGANISATION_LIMIT)
+        dict[Name, OrganisationDocument], Field(max_length=MAX_ORGANISATIONS)
     ]
     classes: Annotated[
-        dict[Name, ClassDocument], Field(min_length=1, max_length=CLASS_LIMIT)
+        dict[Name, ClassDocument], Field(min_length=1, max_length=MAX_CLASSES)
     ]
 
 
-_ADAPTER = TypeAdapter(ConfigurationDocument)
+_DOCUMENT_ADAPTER = TypeAdapter(ConfigurationDocument)
 
 
 def parse_document(text: str) -> ConfigurationDocument:
-    """Parse and check the operators' document (JSON with comments).
+    """Parse and validate the operators' document (JSON with comments).
 
     Raises:
-        PayloadTooLargeError: The text exceeds ``DOCUMENT_LIMIT``.
-        BadRequestError: The text is no JSON (code ``invalid_json``).
-        InvalidConfigurationError: It has problems; all are named, each with
-            path, found value and what is allowed.
+        PayloadTooLargeError: The text exceeds ``MAX_DOCUMENT_BYTES``.
+        BadRequestError: The text is not valid JSON (code ``invalid_json``).
+        InvalidConfigurationError: The document violates the schema. All
+            problems are listed, each with its path, the value found and what
+            is allowed.
     """
     size = len(text.encode())
-    if size > DOCUMENT_LIMIT:
+    if size > MAX_DOCUMENT_BYTES:
         raise PayloadTooLargeError(
-            f"the document has {size} bytes, allowed are {DOCUMENT_LIMIT}"
+            f"the configuration document has {size} bytes, "
+            f"allowed are at most {MAX_DOCUMENT_BYTES}"
         )
-    repeated: list[str] = []
+    repeated_keys: list[str] = []
 
     def build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-        built = dict(pairs)
-        if len(built) < len(pairs):
+        # dict() would silently keep only the last of several equal keys.
+        json_object = dict(pairs)
+        if len(json_object) < len(pairs):
             names = [name for name, _ in pairs]
-            repeated.extend(sorted({n for n in names if names.count(n) > 1}))
-        return built
+            repeated_keys.extend(
+                sorted({name for name in names if names.count(name) > 1})
+            )
+        return json_object
 
     try:
-        raw = jsonc.loads(text, object_pairs_hook=build_object)
+        parsed = jsonc.loads(text, object_pairs_hook=build_object)
     except (ValueError, RecursionError) as error:
-        raise BadRequestError(f"not JSON: {error}", code="invalid_json") from None
-    problems = [f"{name}: found twice in one object" for name in repeated]
-    return _check(raw, problems)
+        raise BadRequestError(
+            f"the configuration document is not valid JSON: {error}",
+            code="invalid_json",
+        ) from None
+    problems = [
+        f"{name}: found more than once in one object, allowed: once"
+        for name in repeated_keys
+    ]
+    return _validate(parsed, problems)
 
 
 def to_configuration(
@@ -113,7 +132,13 @@
     version: int,
     cells: tuple[CellAssignment, ...] = (),
 ) -> Configuration:
-    """Convert a checked document."""
+    """Convert a validated document to the model.
+
+    Args:
+        document: Result of ``parse_document``.
+        version: Version that the configuration gets.
+        cells: Failure domains of the guaranteed shapes, as planned.
+    """
     return Configuration(
         version,
         {
@@ -129,7 +154,7 @@
 
 
 def to_document(configuration: Configuration) -> ConfigurationDocument:
-    """Convert a configuration to the operators' document."""
+    """Convert a configuration back; its version and cells are left out."""
     return ConfigurationDocument(
         format_version=FORMAT_VERSION,
         organisations={
@@ -144,7 +169,7 @@
 
 
 def to_organisation(name: str, document: OrganisationDocument) -> Organisation:
-    """Convert one organisation."""
+    """Convert an organisation's document to the model."""
     shapes = (
         Shape(shape["accelerators"], shape["copies"])
         for shape in document["guarantees"]
@@ -153,7 +178,7 @@
 
 
 def from_organisation(organisation: Organisation) -> OrganisationDocument:
-    """Convert one organisation back."""
+    """Convert an organisation of the model to its document."""
     return OrganisationDocument(
         guarantees=[
             ShapeDocument(accelerators=shape.accelerators, copies=shape.copies)
@@ -163,40 +188,40 @@
 
 
 def to_job_class(name: str, document: ClassDocument) -> JobClass:
-    """Convert one class."""
+    """Convert a job class's document to the model."""
     return JobClass(name, document.get("target_s"), document.get("finish_by"))
 
 
 def from_job_class(job_class: JobClass) -> ClassDocument:
-    """Convert one class back."""
+    """Convert a job class of the model to its document."""
     if job_class.target_s is not None:
         return ClassDocument(target_s=job_class.target_s)
     return ClassDocument(finish_by=job_class.finish_by or "")
 
 
-def _check(raw: Any, problems: list[str]) -> ConfigurationDocument:
+def _validate(parsed: Any, problems: list[str]) -> ConfigurationDocument:
     document: ConfigurationDocument | None = None
     try:
-        document = _ADAPTER.validate_python(raw)
+        document = _DOCUMENT_ADAPTER.validate_python(parsed)
     except ValidationError as error:
-        problems.extend(_describe(problem) for problem in error.errors())
-    problems.extend(_check_targets(raw))
+        problems.extend(_describe_problem(problem) for problem in error.errors())
+    problems.extend(_find_invalid_targets(parsed))
     if problems or document is None:
         detail = f"{len(problems)} problems: " + "; ".join(problems)
         raise InvalidConfigurationError(detail, tuple(problems))
     return document
 
 
-def _describe(problem: Any) -> str:
+def _describe_problem(problem: Any) -> str:
     path = ".".join(str(part) for part in problem["loc"]) or "document"
     if problem["type"] == "missing":
         return f"{path}: not found, but required"
-    found = repr(problem["input"])[:FOUND_LIMIT]
+    found = repr(problem["input"])[:MAX_QUOTED_CHARACTERS]
     return f"{path}: found {found}, allowed: {problem['msg']}"
 
 
-def _check_targets(raw: Any) -> list[str]:
-    classes = raw.get("classes") if isinstance(raw, dict) else None
+def _find_invalid_targets(parsed: Any) -> list[str]:
+    classes = parsed.get("classes") if isinstance(parsed, dict) else None
     if not isinstance(classes, dict):
         return []
     return [
--- a/src/redwingrudder/_configuration_writer.py
+++ b/src/redwingrudder/_configuration_writer.py
@@ -1,4 +1,8 @@
-"""Acceptance of an operator's document by a transaction of the store."""
+"""Writes a new configuration version to the platform store.
+
+The transaction compares the revision of the head key, so that of several
+concurrent changes only one is accepted.
+"""
 
 import uuid
 from collections.abc import Awaitable, Callable
@@ -24,13 +28,20 @@
     VmInfo,
 )
 
-ATTEMPTS = 3  # transactions sent when replies are lost
+# The transaction is sent again when its reply is lost, up to this many times.
+MAX_WRITE_ATTEMPTS = 3
 
 AskStore = Callable[[Any], Awaitable[Any]]
 
 
 class _Base(NamedTuple):
-    """The version that a change starts from."""
+    """The version that a change is based on.
+
+    Attributes:
+        version: 0 while there is no configuration.
+        head_revision: Store revision of the head key, 0 if it is absent.
+        configuration: None while there is no configuration.
+    """
 
     version: int
     head_revision: int
@@ -38,10 +49,10 @@
 
 
 class ConfigurationWriter:
-    """Writes accepted configurations.
+    """Validates operators' documents and writes them as new versions.
 
     Args:
-        ask_store: Asks the store actor.
+        ask_store: Sends a request to the store actor and returns its reply.
     """
 
     def __init__(self, ask_store: AskStore) -> None:
@@ -50,17 +61,28 @@
     async def write(
         self, request: ApplyConfiguration, in_force: Configuration | None
     ) -> Configuration:
-        """Check a document, plan its cells and write it.
+        """Validate a document, plan its cells and write the next version.
+
+        Args:
+            request: The document and the version that it is based on.
+            in_force: The configuration in force on this node, if any.
+
+        Returns:
+            The configuration as written.
 
         Raises:
-            ConflictError: ``configuration_conflict`` with both versions.
-            OutcomeUnknownError: The store did not confirm the write.
+            ConflictError: The document is based on a version that is not the
+                current one (code ``configuration_conflict``).
+            OutcomeUnknownError: The store did not confirm the write, which
+                may have taken effect.
+            RedwingrudderError: The document is invalid, or the store or the
+                planning of the cells failed; nothing was written.
         """
         document = parse_document(request.document)
         base = await self._read_base(request.base_version, in_force)
         cells = () if base.configuration is None else base.configuration.cells
         planned = to_configuration(document, base.version + 1, cells)
-        if not _promises_the_same(planned, base.configuration):
+        if not _has_same_guarantees(planned, base.configuration):
             vms = await self._ask_store(ListVms(""))
             cells = guarantees.plan_cells(planned, live_workers(vms))
         accepted = planned._replace(cells=tuple(sorted(cells)))
@@ -70,63 +92,74 @@
     async def _read_base(
         self, base_version: int, in_force: Configuration | None
     ) -> _Base:
-        pair = await self._ask_store(GetKey(codec.HEAD_KEY))
-        version = 0 if pair is None else codec.decode_head(pair.value).version
-        head_revision = 0 if pair is None else pair.mod_revision
+        stored = await self._ask_store(GetKey(codec.HEAD_KEY))
+        version = 0 if stored is None else codec.decode_head(stored.value).version
+        head_revision = 0 if stored is None else stored.mod_revision
         if in_force is not None and in_force.version > version:
-            # The store lost its data; versions must still rise.
+            # The store has lost its data. Versions must not be reused, since
+            # nodes ignore a version that is not above the one in force.
             version = in_force.version
         if base_version != version:
-            raise _conflict(base_version, version)
+            raise _conflict_error(base_version, version)
         if version and (in_force is None or in_force.version < version):
             in_force = await self._read_document(version)
         return _Base(version, head_revision, in_force)
 
     async def _read_document(self, version: int) -> Configuration:
-        pair = await self._ask_store(GetKey(codec.DOCUMENT_KEY))
-        configuration = codec.decode_configuration(pair.value)
+        stored = await self._ask_store(GetKey(codec.DOCUMENT_KEY))
+        configuration = codec.decode_configuration(stored.value)
         if configuration.version != version:
-            raise _conflict(version, configuration.version)
+            raise _conflict_error(version, configuration.version)
         return configuration
 
     async def _commit(self, base: _Base, accepted: Configuration) -> None:
         nonce = uuid.uuid4().hex
         transaction = _build_transaction(base, accepted, nonce)
-        sent_unanswered = False
-        for _ in range(ATTEMPTS):
+        outcome_unknown = False
+        for _ in range(MAX_WRITE_ATTEMPTS):
             try:
                 if await self._is_committed(transaction, accepted, nonce):
                     return
             except OutcomeUnknownError:
-                sent_unanswered = True
+                outcome_unknown = True
             except RedwingrudderError as error:
-                if not sent_unanswered or isinstance(error, ConflictError):
+                if not outcome_unknown or isinstance(error, ConflictError):
                     raise
+                # An earlier attempt may have been committed.
                 break
         raise OutcomeUnknownError(
-            f"the store did not confirm configuration {accepted.version}"
+            f"the store did not confirm the write of configuration version "
+            f"{accepted.version}; it may have been written"
         )
 
     async def _is_committed(
         self, transaction: Transact, accepted: Configuration, nonce: str
     ) -> bool:
-        """Send the transaction; sending it again has no second effect."""
+        """Send the transaction and return True once it is committed.
+
+        Sending it again has no second effect, since the first commit changes
+        the head revision that the transaction compares. The nonce of the
+        change key then shows whether the earlier attempt was committed.
+
+        Raises:
+            ConflictError: Another write came first.
+        """
         reply = await self._ask_store(transaction)
         if reply.succeeded:
             return True
         key = codec.change_key(accepted.version)
-        pair = await self._ask_store(GetKey(key))
-        if pair is not None and codec.decode_change(pair.value).nonce == nonce:
+        stored = await self._ask_store(GetKey(key))
+        if stored is not None and codec.decode_change(stored.value).nonce == nonce:
             return True
         head = await self._ask_store(GetKey(codec.HEAD_KEY))
         current = accepted.version
         if head is not None:
             current = codec.decode_head(head.value).version
-        raise _conflict(accepted.version - 1, current)
+        raise _conflict_error(accepted.version - 1, current)
 
 
 def live_workers(vms: tuple[VmInfo, ...]) -> tuple[WorkerInfo, ...]:
-    """Return the workers of a VM list that are not leaving."""
+    """Return the workers of a VM list whose state is ``live``."""
     return tuple(
         WorkerInfo(
             vm.vm_id,
@@ -143,11 +176,12 @@
     )
 
 
-def _promises_the_same(planned: Configuration, base: Configuration | None) -> bool:
-    """Whether no guarantee changes, so that the cells need no new plan.
+def _has_same_guarantees(planned: Configuration, base: Configuration | None) -> bool:
+    """Return whether the guarantees are unchanged.
 
-    While hardware is lost the guarantees may not fit, which must not keep
-    operators from changing a target.
+    The cells are then kept as they are. Planning them again would fail while
+    lost hardware leaves too few workers for the guarantees, and this must not
+    prevent operators from changing a target.
     """
     if base is None:
         return False
@@ -155,6 +189,7 @@
 
 
 def _build_transaction(base: _Base, accepted: Configuration, nonce: str) -> Transact:
+    """Build the write, which fails if the head changed since it was read."""
     change = codec.build_change(base.configuration, accepted, nonce)
     head = codec.Head(accepted.version, nonce)
     puts = (
@@ -162,14 +197,17 @@
         PutKey(codec.DOCUMENT_KEY, codec.encode_configuration(accepted)),
         PutKey(codec.change_key(accepted.version), codec.encode_change(change)),
     )
-    pruned = accepted.version - codec.CHANGES_KEPT
-    deletions = (DeleteKey(codec.change_key(pruned)),) if pruned > 0 else ()
+    expired_version = accepted.version - codec.CHANGES_KEPT
+    deletions = (
+        (DeleteKey(codec.change_key(expired_version)),) if expired_version > 0 else ()
+    )
     compares = (Compare(codec.HEAD_KEY, base.head_revision),)
     return Transact(compares, (*puts, *deletions))
 
 
-def _conflict(base_version: int, current_version: int) -> ConflictError:
+def _conflict_error(base_version: int, current_version: int) -> ConflictError:
     return ConflictError(
-        f"edited version {base_version}, current version {current_version}",
+        f"the change is based on version {base_version}, "
+        f"but the current version is {current_version}",
         code="configuration_conflict",
     )
--- a/src/redwingrudder/_metrics_actor.py
+++ b/src/redwingrudder/_metrics_actor.py
@@ -1,4 +1,4 @@
-"""Feeds the metrics of a node from its other parts."""
+"""Updates the metrics of a node from messages and job events."""
 
 from collections.abc import Callable
 
@@ -13,14 +13,24 @@
 from .timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 
 METRICS = "metrics"
-DOMAIN_INTERVAL_S = 5.0  # age of the gauges of the failure domain at most
-WAITING_LIMIT = 50_000  # jobs whose queue wait is being measured
+STATUS_INTERVAL_S = 5.0  # between updates of the failure domain's gauges
+# The queue wait is measured for at most this many queued jobs at a time, which
+# bounds the memory that it needs.
+MAX_TIMED_JOBS = 50_000
 
 _JobKey = tuple[str, str]
 
 
 class MetricsActor(Actor):
-    """Shows the state of the store, the ownership and the failure domain."""
+    """Updates the gauges of the store, the ownership and the failure domain.
+
+    Args:
+        system: The actor system of the node.
+        metrics: The metrics of the node.
+
+    Attributes:
+        configuration: The configuration in force; None before the first one.
+    """
 
     def __init__(self, system: ActorSystem, metrics: NodeMetrics) -> None:
         self._metrics = metrics
@@ -30,36 +40,36 @@
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            ConfigurationChanged: self._configure,
-            requests.StoreStatus: self._store_status,
-            requests.OwnershipGained: self._gain,
-            requests.OwnershipEnded: self._lose,
+            ConfigurationChanged: self._configuration_changed,
+            requests.StoreStatus: self._store_status_changed,
+            requests.OwnershipGained: self._ownership_gained,
+            requests.OwnershipEnded: self._ownership_ended,
             requests.EpochRaised: lambda message: None,
             requests.OwnerChanged: lambda message: None,
-            TimerFired: self._read_domain,
+            TimerFired: self._update_domain_gauges,
         }
 
     def start(self) -> None:
-        """See base class."""
+        """Subscribe to the availability of the store."""
         self.tell(requests.STORE, requests.SubscribeStoreStatus(self.name))
 
-    def _configure(self, message: ConfigurationChanged) -> None:
+    def _configuration_changed(self, message: ConfigurationChanged) -> None:
         self.configuration = message.configuration
 
-    def _store_status(self, status: requests.StoreStatus) -> None:
+    def _store_status_changed(self, status: requests.StoreStatus) -> None:
         self._metrics.set_store_available(status.available)
 
-    def _gain(self, message: requests.OwnershipGained) -> None:
+    def _ownership_gained(self, message: requests.OwnershipGained) -> None:
         self._metrics.set_owner(True)
-        timer = Subscribe(self.name, "domain", 0.0, DOMAIN_INTERVAL_S)
+        timer = Subscribe(self.name, "domain", 0.0, STATUS_INTERVAL_S)
         self.tell(TIMERS, timer)
 
-    def _lose(self, message: requests.OwnershipEnded) -> None:
+    def _ownership_ended(self, message: requests.OwnershipEnded) -> None:
         self._metrics.set_owner(False)
         self._metrics.clear_domain()
         self.tell(TIMERS, Unsubscribe(self.name, "domain"))
 
-    async def _read_domain(self, fired: TimerFired) -> None:
+    async def _update_domain_gauges(self, fired: TimerFired) -> None:
         try:
             status = await self.ask(requests.DISPATCHER, requests.GetStatus())
         except UnavailableError:
@@ -68,39 +78,40 @@
 
 
 class MetricsObserver(JobObserver):
-    """Counts jobs and observes their times.
+    """Counts jobs and records their durations.
 
-    The queue wait of a job that another owner accepted is not measured.
+    The queue wait is measured only for jobs that this node accepted, since
+    the time of submission is held in memory.
 
     Args:
         metrics: The metrics of the node.
-        configuration: Returns the configuration in force, if any.
-        seconds: The clock.
+        get_configuration: Returns the configuration in force, or None.
+        now: Returns the current time in seconds.
     """
 
     def __init__(
         self,
         metrics: NodeMetrics,
-        configuration: Callable[[], Configuration | None],
-        seconds: Callable[[], float],
+        get_configuration: Callable[[], Configuration | None],
+        now: Callable[[], float],
     ) -> None:
         self._metrics = metrics
-        self._configuration = configuration
-        self._seconds = seconds
+        self._get_configuration = get_configuration
+        self._now = now
         self._submitted_at_by_key: dict[_JobKey, float] = {}
         self._queue_wait_by_key: dict[_JobKey, float] = {}
 
     def job_submitted(self, spec: JobSpec) -> None:
         """See base class."""
         self._metrics.count_submitted(spec.organisation, spec.job_class)
-        if len(self._submitted_at_by_key) < WAITING_LIMIT:
-            self._submitted_at_by_key[_key(spec)] = self._seconds()
+        if len(self._submitted_at_by_key) < MAX_TIMED_JOBS:
+            self._submitted_at_by_key[_key(spec)] = self._now()
 
     def job_started(self, spec: JobSpec) -> None:
-        """See base class; later attempts of a job change nothing."""
+        """Record the queue wait at the first start; ignore later attempts."""
         submitted_at = self._submitted_at_by_key.pop(_key(spec), None)
         if submitted_at is not None:
-            self._queue_wait_by_key[_key(spec)] = self._seconds() - submitted_at
+            self._queue_wait_by_key[_key(spec)] = self._now() - submitted_at
 
     def job_finished(self, view: JobView, spec: JobSpec) -> None:
         """See base class."""
@@ -122,8 +133,8 @@
         self._metrics.set_shortages(shortages)
 
     def _target_s(self, view: JobView) -> float:
-        """Return seconds from submission to target; 0 if it is not known."""
-        configuration = self._configuration()
+        """Return the seconds from submission to target; 0 if unknown."""
+        configuration = self._get_configuration()
         classes = configuration.classes_by_name if configuration else {}
         job_class = classes.get(view.job_class)
         if job_class is None:
--- a/src/redwingrudder/_tables.py
+++ b/src/redwingrudder/_tables.py
@@ -1,4 +1,4 @@
-"""Plain-text output of the command line."""
+"""Output of the command line, as text tables or JSON."""
 
 import json
 from typing import Any
@@ -9,38 +9,38 @@
 
 
 def print_json(value: Any) -> None:
-    """Print a value as one JSON document."""
+    """Print a value as indented JSON with sorted keys."""
     print(json.dumps(value, indent=2, sort_keys=True))
 
 
 def print_fields(fields: dict[str, Any]) -> None:
-    """Print one record, a field a line."""
+    """Print one record with one field per line."""
     print(tabulate(list(fields.items()), tablefmt="plain", disable_numparse=True))
 
 
 def print_table(rows: list[dict[str, Any]]) -> None:
-    """Print records as a table with the keys as its header."""
+    """Print records as a table with their keys as column headings."""
     print(tabulate(rows, headers="keys", tablefmt="simple", floatfmt=".2f"))
 
 
 def print_reports(reports: list[Any], as_json: bool) -> None:
-    """Print the reports of bench runs."""
+    """Print bench reports as tables, or as one JSON list."""
     plain = [to_plain(report) for report in reports]
     if as_json:
         print_json(plain)
         return
     for report in plain:
         print(f"\n{report['scenario']}, policy {report['policy']}")
-        found = report["figures"]
-        print_table(found.pop("classes"))
-        print_table(found.pop("organisations"))
-        print_fields(found | report["comparison"])
-        for line in report["shortfalls"]:
-            print(f"shortfall: {line}")
+        figures = report["figures"]
+        print_table(figures.pop("classes"))
+        print_table(figures.pop("organisations"))
+        print_fields(figures | report["comparison"])
+        for shortfall in report["shortfalls"]:
+            print(f"shortfall: {shortfall}")
 
 
 def print_configuration(body: dict[str, Any]) -> None:
-    """Print a configuration by its sections."""
+    """Print the version, each section and the cells of a configuration."""
     print(f"version {body['version']}")
     for section in ("organisations", "classes"):
         print(f"\n{section}")
@@ -55,28 +55,29 @@
 
 
 def print_explanation(body: dict[str, Any]) -> None:
-    """Print why a job waits, runs or ended."""
+    """Print the state of a job and the reasons for it."""
     print(f"{body['job_id']} is {body['state']}")
     for reason in body["reasons"]:
         print(f"- {reason}")
 
 
 def _domain_row(domain: dict[str, Any]) -> dict[str, Any]:
-    plain = {
+    """Return the fields of a failure domain that fit into one table row."""
+    row = {
         key.replace("_", " "): value
         for key, value in domain.items()
         if not isinstance(value, list)
     }
-    plain["epoch"] = ".".join(str(part) for part in domain["epoch"].values())
-    return plain
+    row["epoch"] = ".".join(str(part) for part in domain["epoch"].values())
+    return row
 
 
 def print_domains(body: dict[str, Any]) -> None:
-    """Print the state of the failure domains."""
+    """Print the status of all failure domains of the deployment."""
     domains = body["failure_domains"]
     print_table([_domain_row(domain) for domain in domains])
     for name in body["unreachable"]:
-        print(f"{name}: its owner gives no answer")
+        print(f"{name}: the owner of this failure domain did not answer")
     for section in ("organisations", "classes", "shortages"):
         rows = [
             {"failure_domain": domain["failure_domain"], **row}
--- a/src/redwingrudder/_validation.py
+++ b/src/redwingrudder/_validation.py
@@ -1,4 +1,4 @@
-"""Checks JSON documents against typed schemas and reports every problem."""
+"""Validates JSON documents against typed schemas; reports every problem."""
 
 import re
 from typing import Any, NamedTuple
@@ -6,15 +6,20 @@
 import jsonc
 import pydantic
 
-_FOUND_LIMIT = 60  # characters of a found value that are shown
+# A problem quotes at most this many characters of an invalid value.
+_MAX_QUOTED_CHARACTERS = 60
 _DUPLICATE_KEY = "duplicate key"
 
 
 class Problem(NamedTuple):
-    """One finding in a document.
-
-    ``path`` is dotted, with list indexes in brackets; ``allowed`` says what
-    the schema permits there.
+    """One violation of the schema in a document.
+
+    Attributes:
+        source: Name of the file or request, possibly with a line number.
+        path: Keys joined by dots, with list indexes in brackets; "" for the
+            whole document.
+        found: The invalid value, shortened.
+        allowed: What the schema permits in its place.
     """
 
     source: str
@@ -28,7 +33,11 @@
 
 
 class InvalidDocumentError(ValueError):
-    """A document has problems; raised by this module only."""
+    """A document is not valid JSON or violates its schema.
+
+    Attributes:
+        problems: Every violation found; at least one.
+    """
 
     def __init__(self, problems: tuple[Problem, ...]) -> None:
         super().__init__("; ".join(str(problem) for problem in problems))
@@ -36,15 +45,19 @@
 
 
 def parse_document(text: str, schema: pydantic.TypeAdapter, source: str) -> Any:
-    """Parse JSON with comments and check it against a schema.
+    """Parse JSON with comments and validate it against a schema.
 
     Args:
         text: The document.
         schema: Adapter of the expected type.
-        source: Name of the file or request, for the messages.
+        source: Name of the file or request, for error messages.
+
+    Returns:
+        The document as the type of the schema.
 
     Raises:
-        InvalidDocumentError: With every problem that was found.
+        InvalidDocumentError: The text is not valid JSON, has duplicate keys
+            or violates the schema.
     """
     try:
         document = jsonc.loads(
@@ -53,28 +66,37 @@
             parse_constant=_reject_constant,
         )
     except RecursionError:
-        raise _single(source, "too many nested levels", "a flat document") from None
+        raise _single_problem_error(
+            source, "too many nested levels", "fewer nested levels"
+        ) from None
     except ValueError as error:
         found = getattr(error, "msg", None) or str(error)
         line = getattr(error, "lineno", None)
         place = f"{source}:{line}" if line else source
-        raise _single(place, found, "a JSON document") from None
+        raise _single_problem_error(place, found, "a JSON document") from None
     return check_document(document, schema, source)
 
 
 def check_document(document: Any, schema: pydantic.TypeAdapter, source: str) -> Any:
-    """Check a parsed document against a schema; see ``parse_document``."""
+    """Validate a parsed document against a schema; see ``parse_document``."""
     try:
         return schema.validate_python(document, strict=True)
     except pydantic.ValidationError as error:
         problems = tuple(
-            Problem(source, _path(item["loc"]), _shorten(item["input"]), _allowed(item))
-            for item in error.errors(include_url=False)
+            Problem(
+                source,
+                _format_path(violation["loc"]),
+                _shorten(violation["input"]),
+                _describe_allowed(violation),
+            )
+            for violation in error.errors(include_url=False)
         )
         raise InvalidDocumentError(problems) from None
 
 
-def _single(source: str, found: str, allowed: str) -> InvalidDocumentError:
+def _single_problem_error(
+    source: str, found: str, allowed: str
+) -> InvalidDocumentError:
     return InvalidDocumentError((Problem(source, "", found, allowed),))
 
 
@@ -88,10 +110,11 @@
 
 
 def _reject_constant(name: str) -> None:
+    # Called for NaN and the infinities, which JSON does not have.
     raise ValueError(f"the constant {name}")
 
 
-def _path(location: tuple[str | int, ...]) -> str:
+def _format_path(location: tuple[str | int, ...]) -> str:
     path = ""
     for part in location:
         path += f"[{part}]" if isinstance(part, int) else f".{part}"
@@ -100,12 +123,16 @@
 
 def _shorten(value: Any) -> str:
     text = repr(value)
-    return text if len(text) <= _FOUND_LIMIT else text[: _FOUND_LIMIT - 3] + "..."
+    return (
+        text
+        if len(text) <= _MAX_QUOTED_CHARACTERS
+        else text[: _MAX_QUOTED_CHARACTERS - 3] + "..."
+    )
 
 
-def _allowed(item: Any) -> str:
-    if item["type"] == "missing":
+def _describe_allowed(violation: Any) -> str:
+    if violation["type"] == "missing":
         return "the key is required"
-    if item["type"] == "extra_forbidden":
+    if violation["type"] == "extra_forbidden":
         return "no such key"
-    return re.sub(r"^Input should be |^Value error, ", "", item["msg"])
+    return re.sub(r"^Input should be |^Value error, ", "", violation["msg"])
--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -1,4 +1,8 @@
-"""Command ``redwingrudder``; each public method of ``Commands`` is one."""
+"""The command line ``redwingrudder``.
+
+Each public method of ``Commands`` is one subcommand; ``fire`` takes the help
+texts from the docstrings.
+"""
 
 import json as json_module
 import sys
@@ -41,12 +45,12 @@
             files: Paths of node, deployment or configuration files.
         """
         if not files:
-            raise BadRequestError("name at least one file")
+            raise BadRequestError("no file given, at least one is required")
         problems: list[str] = []
         for path in files:
             problems += _check_file(path)
-        for line in problems:
-            print(line)
+        for problem in problems:
+            print(problem)
         if problems:
             raise SettingsError(f"{len(problems)} problem(s) found")
         print(f"{len(files)} file(s) checked, no problems")
@@ -62,19 +66,19 @@
         run_node(settings.load_node_settings(settings_file), default_reactor)
 
     def local(self, deployment: str, configuration: str, port: int = 8080) -> None:
-        """Run a whole deployment with its stand-ins in this process.
+        """Run a whole deployment and its stand-ins in this process.
 
         Args:
             deployment: Deployment file (JSON with comments).
-            configuration: Operators' configuration to start with.
-            port: HTTP port of the first node; others follow it.
+            configuration: Initial operators' configuration.
+            port: HTTP port of the first node; the others use the next ports.
         """
         from .local import run_local
 
         run_local(deployment, configuration, int(port), default_reactor)
 
     def demo(self, example: str = "examples/huon", seed: int = 1) -> None:
-        """Run a morning of jobs on an example deployment and summarise it.
+        """Run a mix of jobs on an example deployment and print a summary.
 
         Args:
             example: Folder with deployment.jsonc and configuration.jsonc.
@@ -83,7 +87,9 @@
         from .demo import run_demo
 
         if not run_demo(example, int(seed), default_reactor):
-            raise RedwingrudderError("not every job was accounted for")
+            raise RedwingrudderError(
+                "the demo failed: not every job ended with all of its results"
+            )
 
     def bench(
         self,
@@ -94,13 +100,13 @@
         horizon: float = 3600.0,
         json: bool = False,
     ) -> None:
-        """Measure policies on the real decision code with a virtual clock.
+        """Run the scheduler's decision code on a virtual clock and measure it.
 
         Args:
-            scenario: Name of a scenario, several with commas, or "all".
+            scenario: Names of scenarios, separated by commas, or "all".
             example: Folder with deployment.jsonc and configuration.jsonc.
-            policy: "slack" (shipped), "fcfs" (baseline) or "both".
-            seed: The same seed gives the same figures.
+            policy: "slack" (used by nodes), "fcfs" (baseline) or "both".
+            seed: Seed of the workload; the same seed gives the same figures.
             horizon: Seconds of virtual time in which jobs arrive, up to 3600.
             json: Print JSON.
         """
@@ -111,10 +117,14 @@
         policies = ("slack", "fcfs") if policy == "both" else (policy,)
         reports = [
             bench.run_scenario(
-                fleet, bench.find_scenario(name), each, int(seed), float(horizon)
+                fleet,
+                bench.find_scenario(name),
+                policy_name,
+                int(seed),
+                float(horizon),
             )
             for name in names
-            for each in policies
+            for policy_name in policies
         ]
         print_reports(reports, json)
 
@@ -126,13 +136,14 @@
         node: str = DEFAULT_NODE,
         json: bool = False,
     ) -> None:
-        """Measure the cost of each part on this machine, with stand-ins.
+        """Measure the cost of each part on this machine, using stand-ins.
 
         Args:
             parts: "all", or any of placement, state, links, exchange, members,
-                nodes, jobs and configuration; "process" is a running node.
+                nodes, jobs and configuration, separated by commas; "process"
+                measures a running node.
             seed: Seed of the generated load.
-            pid: Process of the node, for the part "process" (Linux).
+            pid: Process id of the node, for the part "process" (Linux only).
             node: Entry node URL of that process.
             json: Print JSON.
         """
@@ -140,7 +151,7 @@
 
         run_measure(_split(parts), int(seed), int(pid), node, json, default_reactor)
 
-    # Without this, fire reads the JSON text as a Python expression.
+    # Otherwise fire would evaluate the JSON text as a Python expression.
     @SetParseFn(str, "job", "key")
     def submit(
         self,
@@ -150,7 +161,7 @@
         wait: float = 0.0,
         json: bool = False,
     ) -> None:
-        """Submit a job; the same key never starts a second one.
+        """Submit a job; repeating it with the same key starts no second job.
 
         Args:
             job: JSON document of the job, or @FILE to read it from a file.
@@ -162,7 +173,7 @@
         body = _read_job(job)
         if wait:
             body["wait_s"] = float(wait)
-        self._call(node, lambda client: client.submit(body, str(key)), json)
+        self._send_and_print(node, lambda client: client.submit(body, str(key)), json)
 
     def status(
         self,
@@ -180,9 +191,13 @@
             json: Print JSON.
         """
         if job_id:
-            self._call(node, lambda client: client.job(job_id, float(wait)), json)
+            self._send_and_print(
+                node, lambda client: client.job(job_id, float(wait)), json
+            )
         else:
-            self._call(node, lambda client: client.status(), json, print_domains)
+            self._send_and_print(
+                node, lambda client: client.status(), json, print_domains
+            )
 
     def cancel(self, job_id: str, node: str = DEFAULT_NODE, json: bool = False) -> None:
         """Cancel a job.
@@ -192,19 +207,21 @@
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
-        self._call(node, lambda client: client.cancel(job_id), json)
+        self._send_and_print(node, lambda client: client.cancel(job_id), json)
 
     def explain(
         self, job_id: str, node: str = DEFAULT_NODE, json: bool = False
     ) -> None:
-        """Tell why a job waits, runs or was refused.
+        """Show why a job waits, runs or was refused.
 
         Args:
             job_id: Job to explain.
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
-        self._call(node, lambda client: client.explain(job_id), json, print_explanation)
+        self._send_and_print(
+            node, lambda client: client.explain(job_id), json, print_explanation
+        )
 
     def show(self, node: str = DEFAULT_NODE, json: bool = False) -> None:
         """Show the configuration in force.
@@ -213,7 +230,7 @@
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
-        self._call(
+        self._send_and_print(
             node, lambda client: client.configuration(), json, print_configuration
         )
 
@@ -224,17 +241,17 @@
         node: str = DEFAULT_NODE,
         json: bool = False,
     ) -> None:
-        """Put a configuration into force.
+        """Replace the configuration in force.
 
         Args:
             file: Operators' configuration (JSON with comments).
-            base_version: Version that the change was made from.
+            base_version: Version that the edited file is based on.
             node: Entry node URL, or several separated by commas.
             json: Print JSON.
         """
         document = _read_configuration(file)
         version = int(base_version)
-        self._call(
+        self._send_and_print(
             node,
             lambda client: client.apply(document, version),
             json,
@@ -242,10 +259,10 @@
         )
 
     def platform(self, port: int = 7000, host: str = "127.0.0.1") -> None:
-        """Run the stand-in of the platform's store and VM list.
+        """Run a stand-in of the platform with its store and VM list.
 
         Args:
-            port: TCP port, 0 for any free one.
+            port: TCP port, 0 for any free port.
             host: Address to listen on.
         """
         from .standins.platform import run_platform
@@ -264,19 +281,19 @@
         cores: int = 128,
         memory_mb: int = 262_144,
     ) -> None:
-        """Run the stand-in of a worker.
+        """Run a stand-in of a worker.
 
-        It prints its address; the VM list of the platform must name it.
+        It prints its address, which the platform's VM list must contain.
 
         Args:
-            worker_id: Id of the worker.
-            failure_domain: Its failure domain.
-            rack: Its rack.
-            port: TCP port, 0 for any free one.
+            worker_id: Id of the worker in the VM list.
+            failure_domain: Failure domain of the worker.
+            rack: Rack of the worker.
+            port: TCP port, 0 for any free port.
             host: Address to listen on.
             accelerators: Number of accelerators.
-            slots: Number of slots.
-            cores: Number of cores.
+            slots: Number of task slots.
+            cores: Number of CPU cores.
             memory_mb: Memory in MB.
         """
         from .model import WorkerInfo
@@ -294,27 +311,28 @@
         )
         run_worker(info, host, int(port), default_reactor)
 
-    def _call(
+    def _send_and_print(
         self,
         nodes: str,
         request: Callable[[Client], Awaitable[Any]],
         as_json: bool,
-        show: Callable[[Any], None] = lambda body: print_fields(body),
+        print_body: Callable[[Any], None] = lambda body: print_fields(body),
     ) -> None:
+        """Send a request and print the reply as JSON or by ``print_body``."""
         reply = _run_request(_split(nodes), request)
         if as_json:
             print_json(reply.body)
         else:
-            show(reply.body)
+            print_body(reply.body)
 
 
 def main() -> None:
-    """Entry point; maps errors to exit codes."""
+    """Run the command line; exits with the code of a raised error."""
     try:
         fire.Fire(Commands(), name="redwingrudder")
     except RedwingrudderError as error:
-        for line in getattr(error, "problems", ()):
-            print(line, file=sys.stderr)
+        for problem in getattr(error, "problems", ()):
+            print(problem, file=sys.stderr)
         print(f"redwingrudder: {error}", file=sys.stderr)
         sys.exit(error.exit_code)
 
@@ -322,25 +340,28 @@
 def _run_request(
     nodes: tuple[str, ...], request: Callable[[Client], Awaitable[Any]]
 ) -> Any:
-    outcome: list[Any] = []
+    """Run a reactor for one request; returns the reply or raises its error."""
+    outcomes: list[Any] = []
 
     async def run(reactor: Any) -> None:
         try:
-            outcome.append(await request(Client(nodes, reactor)))
+            outcomes.append(await request(Client(nodes, reactor)))
         except RedwingrudderError as error:
-            outcome.append(error)
+            outcomes.append(error)
 
     try:
         react(lambda reactor: ensureDeferred(run(reactor)))
-    except SystemExit as stop:
-        if stop.code:
+    except SystemExit as exit_request:
+        # react() always raises SystemExit, with code 0 after a success.
+        if exit_request.code:
             raise
-    if isinstance(outcome[0], RedwingrudderError):
-        raise outcome[0]
-    return outcome[0]
+    if isinstance(outcomes[0], RedwingrudderError):
+        raise outcomes[0]
+    return outcomes[0]
 
 
 def _split(nodes: str | tuple[str, ...]) -> tuple[str, ...]:
+    # fire passes "a,b" as a tuple when both parts look like Python names.
     if isinstance(nodes, str):
         return tuple(part for part in nodes.split(",") if part)
     return tuple(nodes)
@@ -360,17 +381,18 @@
 
 
 def _check_file(path: str) -> list[str]:
-    checks: dict[str, Callable[[str], Any]] = {
+    """Return a line for each problem of a file."""
+    loaders_by_kind: dict[str, Callable[[str], Any]] = {
         "node": settings.load_node_settings,
         "deployment": settings.load_deployment,
         "configuration": _read_configuration,
     }
     try:
         kind = settings.read_kind(path)
-        if kind not in checks:
-            allowed = ", ".join(sorted(checks))
+        if kind not in loaders_by_kind:
+            allowed = ", ".join(sorted(loaders_by_kind))
             return [f"{path}: kind: found {kind!r}, allowed: {allowed}"]
-        checks[kind](path)
+        loaders_by_kind[kind](path)
     except RedwingrudderError as error:
         return list(getattr(error, "problems", ())) or [str(error)]
     return []
@@ -380,5 +402,6 @@
     try:
         return parse_document(settings.read_file(path))
     except RedwingrudderError as error:
+        # The name of the file makes the message usable among several files.
         error.detail = f"{path}: {error.detail}"
         raise
--- a/src/redwingrudder/configuration.py
+++ b/src/redwingrudder/configuration.py
@@ -1,4 +1,4 @@
-"""The operators' configuration: its document and the actor that follows it.
+"""The operators' configuration and the actor that keeps it up to date.
 
 docs/design.md section 4.7 gives the reasons for the keys in the store.
 """
@@ -34,8 +34,11 @@
     "to_document",
 ]
 
-READ_RETRY_S = 1.0  # jittered by half to a whole of it
-TELL_RETRY_S = 0.1
+# A failed read is repeated after a random share of READ_RETRY_S, between
+# READ_RETRY_MIN_SHARE and all of it.
+READ_RETRY_S = 1.0
+READ_RETRY_MIN_SHARE = 0.5
+NOTIFY_RETRY_S = 0.1  # delay after a subscriber's mailbox was full
 
 _logger = logging.getLogger(__name__)
 _EVENTS = frozenset(
@@ -56,30 +59,43 @@
 )
 
 
-class _Read(NamedTuple):
-    """The document as read; None when the store holds none."""
+class _ReadResult(NamedTuple):
+    """Result of a read, or a configuration offered by a peer.
+
+    Attributes:
+        configuration: None when the store holds no document.
+        revision: Store revision of the read, from which changes are watched;
+            0 for an offered configuration.
+    """
 
     configuration: Configuration | None
     revision: int
 
 
 class ConfigurationActor(Actor):
-    """Follows the configuration, accepts changes and tells subscribers.
+    """Keeps the configuration in force and notifies subscribers of changes.
+
+    It reads the document from the store, watches the change keys, takes
+    newer versions from peers, and writes the changes that operators request.
+    The chart ``configuration`` decides what it does on each event.
 
     Args:
-        system: The node's actors.
-        subscribers: Names of the actors that get ``ConfigurationChanged``.
-        seed: Seed of the jitter.
+        system: The actor system of the node.
+        subscribers: Names of the actors that receive each
+            ``ConfigurationChanged``.
+        seed: Seed of the random delays between reads.
     """
 
     def __init__(
         self, system: ActorSystem, subscribers: tuple[str, ...], seed: int = 0
     ) -> None:
         self._subscribers = subscribers
-        self._jitter = random.Random(seed)
+        self._rng = random.Random(seed)
         self._in_force: Configuration | None = None
-        self._untold: set[str] = set()
-        self._writer = ConfigurationWriter(lambda m: self.ask(requests.STORE, m))
+        self._unnotified_subscribers: set[str] = set()
+        self._writer = ConfigurationWriter(
+            lambda request: self.ask(requests.STORE, request)
+        )
         self._chart = ChartRunner(
             load_chart("configuration", _EVENTS, _ACTIONS),
             {
@@ -95,39 +111,42 @@
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            requests.GetConfiguration: self._get,
-            requests.ApplyConfiguration: self._accept,
-            requests.OfferConfiguration: self._offered,
-            requests.StoreStatus: self._store_status,
+            requests.GetConfiguration: self._get_configuration,
+            requests.ApplyConfiguration: self._apply_document,
+            requests.OfferConfiguration: self._offer_received,
+            requests.StoreStatus: self._store_status_changed,
             requests.WatchChanged: self._watch_changed,
             requests.WatchReset: lambda message: self._chart.step("watch_reset"),
             TimerFired: self._timer_fired,
         }
 
     def start(self) -> None:
-        """Ask for the state of the store."""
+        """Subscribe to the availability of the store."""
         self.tell(requests.STORE, requests.SubscribeStoreStatus(self.name))
 
-    def _get(self, message: requests.GetConfiguration) -> Configuration:
+    def _get_configuration(self, message: requests.GetConfiguration) -> Configuration:
         if self._in_force is None:
             raise UnavailableError(
                 "no configuration is in force", code="no_configuration"
             )
         return self._in_force
 
-    async def _accept(self, message: requests.ApplyConfiguration) -> Configuration:
+    async def _apply_document(
+        self, message: requests.ApplyConfiguration
+    ) -> Configuration:
         accepted = await self._writer.write(message, self._in_force)
         self._adopt(accepted)
         return accepted
 
-    def _offered(self, message: requests.OfferConfiguration) -> None:
-        self._chart.step("offered", _Read(message.configuration, 0))
+    def _offer_received(self, message: requests.OfferConfiguration) -> None:
+        self._chart.step("offered", _ReadResult(message.configuration, 0))
 
-    def _store_status(self, status: requests.StoreStatus) -> None:
+    def _store_status_changed(self, status: requests.StoreStatus) -> None:
         self._chart.step("store_available" if status.available else "store_lost")
 
     def _watch_changed(self, message: requests.WatchChanged) -> None:
         for change in message.changes:
+            # A change without a value is the deletion of an old change key.
             if change.value is not None:
                 self._chart.step("changed", change.value)
 
@@ -135,33 +154,36 @@
         if fired.timer == "read":
             self._chart.step("retry_due")
         else:
-            self._tell_subscribers()
+            self._notify_subscribers()
 
     def _read_document(self, argument: Any) -> None:
-        run(self._read(), self.name)
+        run(self._read_from_store(), self.name)
 
-    async def _read(self) -> None:
+    async def _read_from_store(self) -> None:
         try:
             reply = await self.ask(
                 requests.STORE, requests.GetPrefix(codec.DOCUMENT_KEY)
             )
             values = [pair.value for pair in reply.pairs]
-            found = codec.decode_configuration(values[0]) if values else None
+            configuration = codec.decode_configuration(values[0]) if values else None
         except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
-            _logger.warning("configuration not read", extra={"error": str(error)})
+            _logger.warning(
+                "failed to read the configuration from the store",
+                extra={"error": str(error)},
+            )
             self._chart.step("read_failed")
             return
-        self._chart.step("document_read", _Read(found, reply.revision))
+        self._chart.step("document_read", _ReadResult(configuration, reply.revision))
 
     def _schedule_read(self, argument: Any) -> None:
-        delay_s = READ_RETRY_S * self._jitter.uniform(0.5, 1.0)
+        delay_s = READ_RETRY_S * self._rng.uniform(READ_RETRY_MIN_SHARE, 1.0)
         self.tell(TIMERS, Subscribe(self.name, "read", delay_s))
 
-    def _watch_changes(self, read: _Read) -> None:
+    def _watch_changes(self, read: _ReadResult) -> None:
         watch = requests.WatchPrefix(self.name, codec.CHANGE_PREFIX, read.revision)
         self.tell(requests.STORE, watch)
 
-    def _adopt_read(self, read: _Read) -> None:
+    def _adopt_read(self, read: _ReadResult) -> None:
         if read.configuration is not None:
             self._adopt(read.configuration)
 
@@ -170,29 +192,33 @@
         try:
             change = codec.decode_change(value)
         except (ValueError, KeyError, TypeError):
-            _logger.exception("configuration change not understood")
+            _logger.exception("failed to decode a configuration change")
             self._chart.step("gap_found")
             return
         if change.version == version + 1:
             self._adopt(codec.apply_change(self._in_force, change))
         elif change.version > version:
+            # A change in between was missed, so the document is read again.
             self._chart.step("gap_found")
 
     def _adopt(self, configuration: Configuration) -> None:
-        """Put a configuration in force unless it is older."""
+        """Put a configuration in force if its version is higher."""
         if self._in_force and configuration.version <= self._in_force.version:
             return
         self._in_force = configuration
         _logger.info("configuration in force", extra={"version": configuration.version})
-        self._untold = set(self._subscribers)
-        self._tell_subscribers()
+        self._unnotified_subscribers = set(self._subscribers)
+        self._notify_subscribers()
 
-    def _tell_subscribers(self) -> None:
-        message = ConfigurationChanged(self._get(requests.GetConfiguration()))
-        for subscriber in sorted(self._untold):
+    def _notify_subscribers(self) -> None:
+        message = ConfigurationChanged(
+            self._get_configuration(requests.GetConfiguration())
+        )
+        for subscriber in sorted(self._unnotified_subscribers):
             try:
                 self.tell(subscriber, message)
-                self._untold.discard(subscriber)
+                self._unnotified_subscribers.discard(subscriber)
             except MailboxFullError:
-                # A version must not be lost, so it is told again.
-                self.tell(TIMERS, Subscribe(self.name, "tell", TELL_RETRY_S))
+                # Every subscriber must receive the latest version, so the
+                # message is sent again later.
+                self.tell(TIMERS, Subscribe(self.name, "tell", NOTIFY_RETRY_S))
--- a/src/redwingrudder/demo.py
+++ b/src/redwingrudder/demo.py
@@ -1,4 +1,7 @@
-"""A short morning of jobs on an example deployment, with a summary."""
+"""Demonstration: runs a mix of jobs on an example deployment.
+
+It prints the progress, and at the end a summary by job class and organisation.
+"""
 
 import json
 import pathlib
@@ -19,15 +22,31 @@
 from .model import FINAL_JOB_STATES, JobState
 from .settings import load_deployment, read_file
 
-FIRST_PORT = 18_080
-DURATION_S = 12.0  # over which the jobs are submitted
-POLL_S = 20.0
+FIRST_PORT = 18_080  # HTTP port of the first entry node
+SUBMISSION_PERIOD_S = 12.0  # the submissions are spread over this time
+LONG_POLL_S = 20.0  # wait of one request for the end of a job
 PROGRESS_INTERVAL_S = 2.0
+CALLERS = 5
+STOP_BOUND_S = 1.0
+# The declared run time of a job is its real run time times a random factor in
+# this range.
+MIN_DECLARED_RUN_FACTOR = 0.3
+MAX_DECLARED_RUN_FACTOR = 3.0
 FINAL_STATES = frozenset(str(state) for state in FINAL_JOB_STATES)
 
 
 class DemoKind(NamedTuple):
-    """Jobs of one kind; run times are seconds of real time."""
+    """A group of similar jobs of one organisation.
+
+    Attributes:
+        job_class: Class of the jobs.
+        organisation: Organisation that submits them.
+        jobs: Number of jobs.
+        tasks: Numbers of tasks, one of which is chosen for each job.
+        run_s: Shortest and longest run time in seconds of real time.
+        idempotent: Whether a job may be run again after an interruption.
+        preemptible: Whether a job may be stopped for another one.
+    """
 
     job_class: str
     organisation: str
@@ -39,7 +58,16 @@
 
 
 class DemoJob(NamedTuple):
-    """One job and what its caller was told last."""
+    """A job in its final state, as its caller saw it.
+
+    Attributes:
+        kind: The kind that the job was created from.
+        state: Its final state.
+        completion_s: Seconds from submission until the caller saw the end.
+        target_missed: Whether it missed the target of its class.
+        results: Number of task results in the last reply.
+        tasks: Number of its tasks.
+    """
 
     kind: DemoKind
     state: str
@@ -70,56 +98,82 @@
 
 
 class Demo:
-    """Submits the jobs over HTTP to all entry nodes in turn."""
+    """Submits jobs over HTTP to all entry nodes in turn and follows them.
+
+    Args:
+        local: A started deployment.
+        reactor: The Twisted reactor.
+        seed: Seed of the order, the sizes and the run times of the jobs.
+    """
 
     def __init__(self, local: LocalDeployment, reactor: Any, seed: int) -> None:
         self._local = local
         self._reactor = reactor
         self._rng = random.Random(seed)
         self._jobs: list[DemoJob] = []
-        self._states: Counter[str] = Counter()
-        self._peak_by_organisation: Counter[str] = Counter()
+        self._job_counts: Counter[str] = Counter()
+        self._peak_in_use_by_organisation: Counter[str] = Counter()
         self._guaranteed_by_organisation: Counter[str] = Counter()
-        self._free_shares: list[float] = []
-        self._short_organisations: set[str] = set()
+        # Shares of the free accelerators outside the largest possible gang.
+        self._fragmentation_shares: list[float] = []
+        self._organisations_with_shortage: set[str] = set()
 
     async def run(self, kinds: tuple[DemoKind, ...]) -> bool:
-        """Run all jobs; returns whether every job is accounted for."""
+        """Run the jobs of all kinds and print a summary.
+
+        Returns:
+            Whether every job reached a final state and every job that
+            succeeded has the results of all of its tasks.
+
+        Raises:
+            FirstError: A request of a job failed; it holds the failure.
+        """
         submissions = [kind for kind in kinds for _ in range(kind.jobs)]
         self._rng.shuffle(submissions)
-        progress = LoopingCall(self._progress)
-        progress.clock = self._reactor
-        progress.start(PROGRESS_INTERVAL_S, now=False)
+        progress_loop = LoopingCall(self._print_progress)
+        progress_loop.clock = self._reactor
+        progress_loop.start(PROGRESS_INTERVAL_S, now=False)
         pending = [
             ensureDeferred(self._run_job(kind, index, index / len(submissions)))
             for index, kind in enumerate(submissions)
         ]
         await DeferredList(pending, fireOnOneErrback=True, consumeErrors=True)
-        if progress.running:
-            progress.stop()
-        await self._progress()
-        self._summarise(kinds)
-        whole = all(job.results == job.tasks for job in self._succeeded())
-        ended = all(job.state in FINAL_STATES for job in self._jobs)
-        return whole and ended and len(self._jobs) == len(submissions)
-
-    async def _run_job(self, kind: DemoKind, index: int, share: float) -> None:
+        if progress_loop.running:
+            progress_loop.stop()
+        await self._print_progress()
+        self._print_summary(kinds)
+        results_complete = all(
+            job.results == job.tasks for job in self._succeeded_jobs()
+        )
+        all_ended = all(job.state in FINAL_STATES for job in self._jobs)
+        return results_complete and all_ended and len(self._jobs) == len(submissions)
+
+    async def _run_job(self, kind: DemoKind, index: int, period_share: float) -> None:
+        """Submit one job and wait for its end.
+
+        Args:
+            kind: Kind of the job.
+            index: Position of the job among all submissions.
+            period_share: Time of submission, as a share of the submission
+                period.
+        """
         urls = self._local.urls
-        first = index % len(urls)
-        client = Client(urls[first:] + urls[:first], self._reactor)
+        # Each job starts at another node; the others are its fallbacks.
+        first_node = index % len(urls)
+        client = Client(urls[first_node:] + urls[:first_node], self._reactor)
         body = self._job_body(kind, index)
-        await deferLater(self._reactor, share * DURATION_S)
-        started_at = self._reactor.seconds()
-        self._states["submitted"] += 1
+        await deferLater(self._reactor, period_share * SUBMISSION_PERIOD_S)
+        submitted_at = self._reactor.seconds()
+        self._job_counts["submitted"] += 1
         view = (await client.submit(body, f"demo-{index}")).body
         while view["state"] not in FINAL_STATES:
-            view = (await client.job(view["job_id"], POLL_S)).body
-        self._states["ended"] += 1
+            view = (await client.job(view["job_id"], LONG_POLL_S)).body
+        self._job_counts["ended"] += 1
         self._jobs.append(
             DemoJob(
                 kind,
                 view["state"],
-                self._reactor.seconds() - started_at,
+                self._reactor.seconds() - submitted_at,
                 view["target_missed"],
                 len(view["results"]),
                 body["tasks"],
@@ -131,17 +185,18 @@
         return {
             "organisation": kind.organisation,
             "class": kind.job_class,
-            "caller": f"shop-{index % 5}",
+            "caller": f"shop-{index % CALLERS}",
             "tasks": self._rng.choice(kind.tasks),
             "accelerators_per_task": 1,
             "idempotent": kind.idempotent,
             "preemptible": kind.preemptible,
-            "declared_run_s": run_s * self._rng.uniform(0.3, 3.0),
-            "stop_bound_s": 1.0,
+            "declared_run_s": run_s
+            * self._rng.uniform(MIN_DECLARED_RUN_FACTOR, MAX_DECLARED_RUN_FACTOR),
+            "stop_bound_s": STOP_BOUND_S,
             "payload": json.dumps({"run_s": run_s}),
         }
 
-    async def _progress(self) -> None:
+    async def _print_progress(self) -> None:
         client = Client(self._local.urls, self._reactor)
         try:
             domains = (await client.status()).body["failure_domains"]
@@ -149,73 +204,87 @@
             return
         free = sum(domain["free_accelerators"] for domain in domains)
         total = sum(domain["accelerators"] for domain in domains)
-        self._observe(domains)
+        self._record_status(domains)
         print(
-            f"submitted {self._states['submitted']:4d}  "
-            f"ended {self._states['ended']:4d}  "
+            f"submitted {self._job_counts['submitted']:4d}  "
+            f"ended {self._job_counts['ended']:4d}  "
             f"accelerators in use {total - free:4d} of {total}",
             flush=True,
         )
 
-    def _observe(self, domains: list[dict[str, Any]]) -> None:
+    def _record_status(self, domains: list[dict[str, Any]]) -> None:
         in_use: Counter[str] = Counter()
         guaranteed: Counter[str] = Counter()
         for domain in domains:
             if domain["free_accelerators"]:
                 share = domain["largest_gang"] / domain["free_accelerators"]
-                self._free_shares.append(1.0 - share)
+                self._fragmentation_shares.append(1.0 - share)
             for shortage in domain["shortages"]:
-                self._short_organisations.add(shortage["organisation"])
+                self._organisations_with_shortage.add(shortage["organisation"])
             for row in domain["organisations"]:
                 in_use[row["organisation"]] += row["in_use"]
                 guaranteed[row["organisation"]] += row["guaranteed"]
+        # The union of two counters keeps the higher count of each key.
         self._guaranteed_by_organisation |= guaranteed
-        self._peak_by_organisation |= in_use
+        self._peak_in_use_by_organisation |= in_use
 
-    def _succeeded(self) -> list[DemoJob]:
+    def _succeeded_jobs(self) -> list[DemoJob]:
         return [job for job in self._jobs if job.state == JobState.SUCCEEDED]
 
-    def _summarise(self, kinds: tuple[DemoKind, ...]) -> None:
+    def _print_summary(self, kinds: tuple[DemoKind, ...]) -> None:
         print("\nJobs by class (seconds of real time)")
-        names = sorted({kind.job_class for kind in kinds})
-        print_table([self._class_row(name) for name in names])
+        class_names = sorted({kind.job_class for kind in kinds})
+        print_table([self._class_row(name) for name in class_names])
         print("\nOrganisations")
         print_table(
             [
                 {
                     "organisation": name,
                     "guaranteed accelerators": guaranteed,
-                    "guarantee held": name not in self._short_organisations,
-                    "most in use": self._peak_by_organisation[name],
+                    "guarantee held": name not in self._organisations_with_shortage,
+                    "most in use": self._peak_in_use_by_organisation[name],
                 }
                 for name, guaranteed in sorted(self._guaranteed_by_organisation.items())
             ]
         )
-        shares = self._free_shares or [0.0]
-        mean = 100.0 * sum(shares) / len(shares)
-        print(f"\nFree accelerators outside the largest gang: {mean:.1f} % on average")
+        shares = self._fragmentation_shares or [0.0]
+        mean_percent = 100.0 * sum(shares) / len(shares)
+        print(
+            f"\nFree accelerators outside the largest gang: "
+            f"{mean_percent:.1f} % on average"
+        )
 
     def _class_row(self, name: str) -> dict[str, Any]:
         jobs = [job for job in self._jobs if job.kind.job_class == name]
-        done = [job for job in jobs if job.state == JobState.SUCCEEDED]
-        times = [job.completion_s for job in done]
+        succeeded_jobs = [job for job in jobs if job.state == JobState.SUCCEEDED]
+        completion_times_s = [job.completion_s for job in succeeded_jobs]
         return {
             "class": name,
             "submitted": len(jobs),
-            "done": len(done),
-            "target met": sum(not job.target_missed for job in done),
-            "p50 s": percentile(times, 0.5),
-            "p95 s": percentile(times, 0.95),
+            "done": len(succeeded_jobs),
+            "target met": sum(not job.target_missed for job in succeeded_jobs),
+            "p50 s": percentile(completion_times_s, 0.5),
+            "p95 s": percentile(completion_times_s, 0.95),
         }
 
 
 def run_demo(example: str, seed: int, reactor: Any) -> bool:
-    """Run the demo; returns whether every job ended accounted for.
+    """Run the demo in this process until all of its jobs have ended.
 
     Args:
         example: Folder with ``deployment.jsonc`` and ``configuration.jsonc``.
         seed: Seed of the job mix.
-        reactor: The twisted reactor, not yet running.
+        reactor: The Twisted reactor, not yet running.
+
+    Returns:
+        Whether every job reached a final state and every job that succeeded
+        has all of its results.
+
+    Raises:
+        SettingsError: The deployment file is invalid.
+        RedwingrudderError: The configuration is invalid, or the deployment
+            did not become ready.
+        FirstError: A request of a job failed; it holds the failure.
     """
     folder = pathlib.Path(example)
     deployment = load_deployment(str(folder / "deployment.jsonc"))
@@ -233,15 +302,16 @@
         finally:
             await local.stop()
 
-    def finish(outcome: Any) -> None:
+    def stop_reactor(outcome: Any) -> None:
         outcomes.append(outcome)
         reactor.stop()
 
-    def begin() -> None:
-        ensureDeferred(run()).addBoth(finish)
+    def start_demo() -> None:
+        ensureDeferred(run()).addBoth(stop_reactor)
 
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(start_demo)
     reactor.run()
+    # A failure of the demo is passed on as a Failure object.
     outcome = outcomes[0]
     if not isinstance(outcome, bool):
         outcome.raiseException()
--- a/src/redwingrudder/exceptions.py
+++ b/src/redwingrudder/exceptions.py
@@ -1,8 +1,8 @@
-"""Errors of the library, each with a stable code.
+"""Exceptions of the library, each with a stable error code.
 
-Every error carries the HTTP status that the front end answers with and the
-exit code of the command line. Callers match on ``code``; the text of
-``detail`` may change between releases.
+Every class has the HTTP status of the reply that reports it and the exit code
+of the command line. Callers should match on ``code``; the text of ``detail``
+may change between releases.
 """
 
 
@@ -10,9 +10,9 @@
     """Base of all errors raised by this library.
 
     Args:
-        detail: What was found and what is allowed, for a person to read.
-        code: Overrides the code of the class when one class has several.
-        retry_after_s: Seconds after which a retry is worthwhile, if known.
+        detail: Human-readable text: what was found and what is allowed.
+        code: Replaces the code of the class, for a more specific error.
+        retry_after_s: Seconds after which a retry may succeed, if known.
     """
 
     code = "internal_error"
@@ -37,7 +37,7 @@
 
 
 class BadRequestError(RedwingrudderError):
-    """The request itself is malformed or has a value out of range."""
+    """The request is malformed or has a value out of range."""
 
     code = "bad_request"
     http_status = 400
@@ -45,14 +45,14 @@
 
 
 class UnprocessableError(BadRequestError):
-    """The request is well formed but can never be carried out."""
+    """The request is well formed but can never be executed."""
 
     code = "unprocessable"
     http_status = 422
 
 
 class InvalidConfigurationError(UnprocessableError):
-    """The operators' document cannot be used; ``problems`` holds all."""
+    """The configuration is invalid; ``problems`` lists every violation."""
 
     code = "invalid_configuration"
 
@@ -62,35 +62,35 @@
 
 
 class PayloadTooLargeError(BadRequestError):
-    """A body, frame or value exceeds its limit."""
+    """A body, frame or value exceeds its size limit."""
 
     code = "payload_too_large"
     http_status = 413
 
 
 class MethodNotAllowedError(BadRequestError):
-    """The resource exists but does not support the method."""
+    """The resource exists but does not support the HTTP method."""
 
     code = "method_not_allowed"
     http_status = 405
 
 
 class UnsupportedMediaTypeError(BadRequestError):
-    """The body is not of the type that the resource takes."""
+    """The resource does not accept the content type of the body."""
 
     code = "unsupported_media_type"
     http_status = 415
 
 
 class PreconditionRequiredError(BadRequestError):
-    """A change was sent without the version that it is based on."""
+    """A change request does not name the version that it is based on."""
 
     code = "precondition_required"
     http_status = 428
 
 
 class InvalidBodyError(BadRequestError):
-    """The body has wrong fields; ``problems`` holds every finding."""
+    """The body violates its schema; ``problems`` lists every violation."""
 
     code = "invalid_body"
 
@@ -100,7 +100,10 @@
 
 
 class SettingsError(RedwingrudderError):
-    """A settings file cannot be used; ``problems`` holds every finding."""
+    """A settings file is invalid or unreadable.
+
+    ``problems`` lists every violation that was found in the file.
+    """
 
     code = "invalid_settings"
     http_status = 400
@@ -118,14 +121,14 @@
 
 
 class ChartError(RedwingrudderError):
-    """A state chart file is invalid; the text names file and line."""
+    """A state chart file is invalid; ``detail`` names the file and line."""
 
     code = "invalid_chart"
     exit_code = 3
 
 
 class UnexpectedEventError(RedwingrudderError):
-    """An event arrived in a state whose chart does not list it."""
+    """A state chart does not list the event for its current state."""
 
     code = "unexpected_event"
 
@@ -146,7 +149,7 @@
 
 
 class ConflictError(RedwingrudderError):
-    """The request contradicts what is already recorded."""
+    """The request contradicts data that is already recorded."""
 
     code = "conflict"
     http_status = 409
@@ -154,13 +157,13 @@
 
 
 class StaleEpochError(ConflictError):
-    """A command carried an epoch lower than the highest one seen."""
+    """A command has an epoch below the highest that its receiver has seen."""
 
     code = "stale_epoch"
 
 
 class UnavailableError(RedwingrudderError):
-    """A part that the request needs cannot be reached; nothing was run."""
+    """A required component is unreachable; the request had no effect."""
 
     code = "unavailable"
     http_status = 503
@@ -174,13 +177,13 @@
 
 
 class OutcomeUnknownError(UnavailableError):
-    """The request was sent on but its effect cannot be known."""
+    """The request was forwarded, but whether it took effect is unknown."""
 
     code = "outcome_unknown"
 
 
 class OverloadedError(RedwingrudderError):
-    """A bounded queue or budget is full; nothing was run."""
+    """A queue is full or a rate limit exceeded; the request had no effect."""
 
     code = "overloaded"
     http_status = 429
@@ -188,7 +191,7 @@
 
 
 class MailboxFullError(OverloadedError):
-    """The mailbox of an actor is at its bound."""
+    """The mailbox of an actor holds its maximum number of messages."""
 
     code = "mailbox_full"
     http_status = 503
--- a/src/redwingrudder/local.py
+++ b/src/redwingrudder/local.py
@@ -1,7 +1,7 @@
 """A whole deployment in one process: nodes, workers and platform.
 
-Every node and worker has its own actors and sockets on the loopback
-interface, so the parts talk as they do on separate machines.
+Each node and worker has its own actors and its own sockets on the loopback
+interface, so they communicate as they do on separate machines.
 """
 
 import json
@@ -34,20 +34,24 @@
 from .timers import TimerService
 
 HOST = "127.0.0.1"
-THRIFT_OFFSET = 1_000  # from a node's HTTP port to its thrift port
-READY_INTERVAL_S = 0.2
-READY_LIMIT_S = 30.0
+THRIFT_PORT_OFFSET = 1_000  # from the HTTP port of a node to its thrift port
+READY_CHECK_INTERVAL_S = 0.2
+READY_TIMEOUT_S = 30.0
 
 
 class LocalDeployment:
-    """Starts and stops all parts of a deployment.
+    """Starts and stops all nodes, workers and the platform of a deployment.
 
     Args:
-        deployment: Checked deployment settings.
-        reactor: The twisted reactor.
-        first_port: HTTP port of the first node; the others follow it.
-        node_reactor: Returns the reactor of a node, to measure each of them;
-            all nodes use ``reactor`` unless given.
+        deployment: Validated deployment settings.
+        reactor: The Twisted reactor.
+        first_port: HTTP port of the first node; each further node uses the
+            next port.
+        reactor_for_node: Returns the reactor of a node, so that nodes can be
+            measured separately. By default all nodes use ``reactor``.
+
+    Attributes:
+        nodes: The entry nodes; empty before ``start``.
     """
 
     def __init__(
@@ -55,11 +59,11 @@
         deployment: DeploymentSettings,
         reactor: Any,
         first_port: int,
-        node_reactor: Callable[[NodeSettings], Any] | None = None,
+        reactor_for_node: Callable[[NodeSettings], Any] | None = None,
     ) -> None:
         self._deployment = deployment
         self._reactor = reactor
-        self._node_reactor = node_reactor or (lambda settings: reactor)
+        self._reactor_for_node = reactor_for_node or (lambda settings: reactor)
         self._first_port = first_port
         self._platform = PlatformStandin(reactor)
         self._workers: list[WorkerStandIn] = []
@@ -67,15 +71,20 @@
 
     @property
     def urls(self) -> tuple[str, ...]:
-        """Base URLs of all entry nodes."""
-        listens = (node.settings["listen"]["http"] for node in self.nodes)
-        return tuple(f"http://{listen}" for listen in listens)
+        """Base URLs of all entry nodes, ``http://host:port``."""
+        addresses = (node.settings["listen"]["http"] for node in self.nodes)
+        return tuple(f"http://{address}" for address in addresses)
 
     async def start(self, configuration: ConfigurationDocument) -> None:
-        """Start all parts and wait until every node is ready.
+        """Start the deployment and wait until all workers are claimed.
+
+        Args:
+            configuration: The first configuration, put into force as
+                version 1.
 
         Raises:
-            UnavailableError: The nodes are not ready in time.
+            UnavailableError: The deployment was not ready within
+                ``READY_TIMEOUT_S``.
         """
         port = await self._platform.listen(self._reactor, HOST, 0)
         for info in deployment_workers(self._deployment):
@@ -84,10 +93,10 @@
         self._register_vms()
         for node in self.nodes:
             node.start()
-        await self._apply(configuration)
+        await self._apply_until_ready(configuration)
 
     async def stop(self) -> None:
-        """Drain the nodes, then stop the stand-ins."""
+        """Drain and stop the nodes, then stop the stand-ins."""
         for node in self.nodes:
             await node.stop()
         for worker in self._workers:
@@ -100,18 +109,20 @@
         self._workers.append(WorkerStandIn(system, info, self._reactor))
         system.start()
 
-    def _create_nodes(self, platform: str) -> None:
-        names = [domain["name"] for domain in self._deployment["failure_domains"]]
+    def _create_nodes(self, platform_url: str) -> None:
+        domain_names = [
+            domain["name"] for domain in self._deployment["failure_domains"]
+        ]
         port = self._first_port
         for domain in self._deployment["failure_domains"]:
             for rank in range(1, domain["nodes"] + 1):
-                settings = self._node_settings(domain["name"], rank, port)
-                settings["failure_domains"] = names
-                settings["platform"] = platform
-                self.nodes.append(Node(settings, self._node_reactor(settings)))
+                settings = self._build_node_settings(domain["name"], rank, port)
+                settings["failure_domains"] = domain_names
+                settings["platform"] = platform_url
+                self.nodes.append(Node(settings, self._reactor_for_node(settings)))
                 port += 1
 
-    def _node_settings(self, domain: str, rank: int, port: int) -> NodeSettings:
+    def _build_node_settings(self, domain: str, rank: int, port: int) -> NodeSettings:
         settings = NodeSettings(
             kind="node",
             node_id=f"{domain}-{rank}",
@@ -120,7 +131,7 @@
             failure_domains=[],
             listen={
                 "http": f"{HOST}:{port}",
-                "thrift": f"{HOST}:{port + THRIFT_OFFSET}",
+                "thrift": f"{HOST}:{port + THRIFT_PORT_OFFSET}",
             },
             platform="",
         )
@@ -133,33 +144,46 @@
             worker_vm(worker.core.info._replace(address=worker.address))
             for worker in self._workers
         ]
-        vms += [_node_vm(node.settings) for node in self.nodes]
+        vms += [_build_node_vm(node.settings) for node in self.nodes]
         self._platform.service.change_vms(json.dumps({"register": vms}).encode())
 
-    async def _apply(self, document: ConfigurationDocument) -> None:
-        """Put the first configuration into force, once workers are known."""
+    async def _apply_until_ready(self, document: ConfigurationDocument) -> None:
+        """Apply the first configuration and wait until workers are claimed.
+
+        After an error it is tried again until ``READY_TIMEOUT_S`` has passed.
+
+        Raises:
+            UnavailableError: The time has passed.
+        """
         client = Client(self.urls, self._reactor)
-        deadline = self._reactor.seconds() + READY_LIMIT_S
+        deadline = self._reactor.seconds() + READY_TIMEOUT_S
         while True:
             try:
                 await client.apply(document, 0)
-                await self._wait_ready(deadline)
+                await self._wait_until_claimed(deadline)
                 return
             except (UnavailableError, ConflictError) as error:
                 if self._reactor.seconds() > deadline:
-                    raise UnavailableError(f"not ready: {error}") from None
-            await deferLater(self._reactor, READY_INTERVAL_S)
+                    raise UnavailableError(
+                        f"the deployment was not ready in time: {error}"
+                    ) from None
+            await deferLater(self._reactor, READY_CHECK_INTERVAL_S)
+
+    async def _wait_until_claimed(self, deadline: float) -> None:
+        """Wait until the owners have claimed all workers of the deployment.
 
-    async def _wait_ready(self, deadline: float) -> None:
-        """Wait until each domain's owner has claimed its workers."""
+        Raises:
+            UnavailableError: The deadline has passed.
+        """
         expected = len(self._workers)
         while self._reactor.seconds() < deadline:
-            if await self._claimed_workers() == expected:
+            if await self._count_claimed_workers() == expected:
                 return
-            await deferLater(self._reactor, READY_INTERVAL_S)
-        raise UnavailableError("the workers were not claimed in time")
+            await deferLater(self._reactor, READY_CHECK_INTERVAL_S)
+        raise UnavailableError("not all workers were claimed in time")
 
-    async def _claimed_workers(self) -> int:
+    async def _count_claimed_workers(self) -> int:
+        """Return the number of workers of all nodes with a configuration."""
         claimed = 0
         for node in self.nodes:
             try:
@@ -168,19 +192,25 @@
                 )
             except UnavailableError:
                 continue
-            configured = status.configuration_version > 0
-            claimed += status.workers if configured else 0
+            is_configured = status.configuration_version > 0
+            claimed += status.workers if is_configured else 0
         return claimed
 
 
 def run_local(deployment: str, configuration: str, port: int, reactor: Any) -> None:
-    """Run a deployment until SIGTERM or SIGINT.
+    """Run a deployment until SIGTERM or SIGINT; prints the nodes' URLs.
 
     Args:
         deployment: Path of the deployment file.
         configuration: Path of the operators' configuration.
         port: HTTP port of the first node.
-        reactor: The twisted reactor.
+        reactor: The Twisted reactor, not yet running.
+
+    Raises:
+        SettingsError: The deployment file is invalid.
+        InvalidConfigurationError: The configuration is invalid.
+        UnavailableError: The deployment could not be started (code
+            ``not_started``).
     """
     settings = load_deployment(deployment)
     document = parse_document(read_file(configuration))
@@ -189,20 +219,20 @@
 
     failures: list[Failure] = []
 
-    async def start() -> None:
+    async def start_and_print_urls() -> None:
         await local.start(document)
         for url in local.urls:
             print(url, flush=True)
 
-    def abandon(failure: Failure) -> None:
+    def stop_after_failure(failure: Failure) -> None:
         failures.append(failure)
         reactor.stop()
 
-    def begin() -> None:
-        Deferred.fromCoroutine(start()).addErrback(abandon)
+    def start_deployment() -> None:
+        Deferred.fromCoroutine(start_and_print_urls()).addErrback(stop_after_failure)
 
     stop_on_signals(reactor, local.stop)
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(start_deployment)
     reactor.run(installSignalHandlers=False)
     for failure in failures:
         failure.trap(RedwingrudderError, CannotListenError)
@@ -210,7 +240,7 @@
 
 
 def worker_vm(info: WorkerInfo) -> VmBody:
-    """Return the VM list's entry of a worker."""
+    """Return the entry of a worker in the platform's VM list."""
     return VmBody(
         vm_id=info.worker_id,
         role="worker",
@@ -226,7 +256,7 @@
     )
 
 
-def _node_vm(settings: NodeSettings) -> VmBody:
+def _build_node_vm(settings: NodeSettings) -> VmBody:
     return VmBody(
         vm_id=settings["node_id"],
         role="node",
--- a/src/redwingrudder/logs.py
+++ b/src/redwingrudder/logs.py
@@ -1,8 +1,8 @@
-"""Logging of a node: JSON lines in bounded volume, without waiting.
+"""Logging of a node: JSON lines at a limited rate, without blocking.
 
-Each line has ``time``, ``level``, ``logger``, ``message`` and ``node``, and
-the extra fields of the call, by convention ``job``, ``organisation``,
-``job_class`` and ``correlation_id``.
+Each line has the fields ``time``, ``level``, ``logger``, ``message`` and
+``node``, and the fields that the log call passes in ``extra``, by convention
+``job``, ``organisation``, ``job_class`` and ``correlation_id``.
 """
 
 import datetime
@@ -18,17 +18,18 @@
 
 from ._token_bucket import TokenBucket
 
-# A busy coordinator of 176 workers logs some 400 lines a second; beyond this
-# rate, lines below WARNING are counted instead of written.
-LINES_PER_S = 1_000.0
-LINES_BURST = 4_000.0
+# Above this rate, and after a burst of MAX_BURST_LINES, lines below WARNING
+# are dropped and counted. A busy coordinator of 176 workers logs about 400
+# lines per second.
+MAX_LINES_PER_S = 1_000.0
+MAX_BURST_LINES = 4_000.0
 
 
 class LineFormatter(JsonFormatter):
-    """Formats a record as one JSON object on one line.
+    """Formats each record as a JSON object on one line.
 
     Args:
-        node_id: Written to the field ``node`` of every line.
+        node_id: Value of the field ``node`` of every line.
     """
 
     def __init__(self, node_id: str) -> None:
@@ -41,39 +42,47 @@
     def formatTime(  # noqa: N802
         self, record: logging.LogRecord, datefmt: str | None = None
     ) -> str:
-        """Return the time of the record in UTC, ISO 8601 with milliseconds."""
-        moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
-        return moment.isoformat(timespec="milliseconds")
+        """Return the time in UTC, in ISO 8601 format with milliseconds."""
+        created_at = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        return created_at.isoformat(timespec="milliseconds")
 
 
 class BoundedHandler(logging.StreamHandler):
-    """Drops lines rather than waiting for a reader, and counts them.
+    """Drops and counts lines instead of blocking on a slow reader.
 
-    The next line that can be written is preceded by one with the number of
-    lines that are missing.
+    Lines below WARNING are also dropped above ``MAX_LINES_PER_S``. Before the
+    next line it writes "log lines dropped" with the number of dropped lines
+    in the field ``lines``.
 
     Args:
-        stream: Where lines go; a pipe or socket is made non-blocking.
+        stream: Receives the lines; a pipe or socket is made non-blocking.
     """
 
     def __init__(self, stream: TextIO) -> None:
         super().__init__(stream)
-        self._bucket = TokenBucket(LINES_PER_S, LINES_BURST, time.monotonic())
-        self._fd = _pipe_of(stream)
-        # The rest of a line of which a part was written.
-        self._rest = b""
-        self._dropped = 0
+        self._rate_limit = TokenBucket(
+            MAX_LINES_PER_S, MAX_BURST_LINES, time.monotonic()
+        )
+        self._descriptor = _non_blocking_descriptor(stream)
+        # The rest of a line that the pipe took only in part. It is written
+        # before any other line.
+        self._unwritten = b""
+        self._dropped_lines = 0
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write a line, or count it as dropped."""
+        """Write the record as a line, or count it as dropped."""
         try:
-            if record.levelno < logging.WARNING and self._bucket.take(time.monotonic()):
-                self._dropped += 1
+            # take() returns the seconds until a token is available, 0 if it
+            # took one.
+            if record.levelno < logging.WARNING and self._rate_limit.take(
+                time.monotonic()
+            ):
+                self._dropped_lines += 1
                 return
-            if self._dropped:
+            if self._dropped_lines:
                 self._report_dropped()
             if not self._write(self.format(record)):
-                self._dropped += 1
+                self._dropped_lines += 1
         except Exception:
             self.handleError(record)
 
@@ -81,32 +90,35 @@
         report = logging.LogRecord(
             __name__, logging.WARNING, __file__, 0, "log lines dropped", None, None
         )
-        report.lines = self._dropped
+        report.lines = self._dropped_lines
         if self._write(self.format(report)):
-            self._dropped = 0
+            self._dropped_lines = 0
 
     def _write(self, line: str) -> bool:
-        """Return whether the line was written, at least in part."""
-        if self._fd is None:
+        """Return whether the line was written, completely or in part."""
+        if self._descriptor is None:
             self.stream.write(line + self.terminator)
             self.flush()
             return True
-        data = (line + self.terminator).encode()
+        encoded_line = (line + self.terminator).encode()
         try:
-            if self._rest:
-                self._rest = self._rest[os.write(self._fd, self._rest) :]
-            if self._rest:
+            if self._unwritten:
+                self._unwritten = self._unwritten[
+                    os.write(self._descriptor, self._unwritten) :
+                ]
+            if self._unwritten:
                 return False
-            self._rest = data[os.write(self._fd, data) :]
+            self._unwritten = encoded_line[os.write(self._descriptor, encoded_line) :]
         except BlockingIOError:
             return False
         return True
 
 
-def _pipe_of(stream: TextIO) -> int | None:
-    """Return the descriptor of a pipe or socket, made non-blocking.
+def _non_blocking_descriptor(stream: TextIO) -> int | None:
+    """Return the descriptor of a pipe or socket after making it non-blocking.
 
-    Files do not block, and a terminal is shared with other programs.
+    Returns None for other streams: files do not block, and the mode of a
+    terminal would also change for the other programs that use it.
     """
     try:
         descriptor = stream.fileno()
@@ -122,12 +134,14 @@
 def configure_logging(
     node_id: str, level: str = "INFO", stream: TextIO | None = None
 ) -> None:
-    """Send all log records of this process to one stream; called once.
+    """Write all log records of this process to one stream.
+
+    It must be called only once in a process.
 
     Args:
-        node_id: Name of the node, part of every line.
+        node_id: Id of the node, written to every line.
         level: Lowest level that is written, such as "INFO".
-        stream: Standard error unless given.
+        stream: Receives the lines; standard error by default.
 
     Raises:
         ValueError: The level is unknown.
@@ -137,7 +151,7 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
-    # Twisted reports each connection and factory at INFO.
+    # Twisted logs every connection and factory at INFO.
     logging.getLogger("twisted").setLevel(max(root.level, logging.WARNING))
     observer = STDLibLogObserver(name="twisted")
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
--- a/src/redwingrudder/metrics.py
+++ b/src/redwingrudder/metrics.py
@@ -1,8 +1,8 @@
-"""Metrics of one node, in a registry of its own (prometheus_client).
+"""Prometheus metrics of one node, in a registry of their own.
 
-Label values are bounded: organisations and classes that the configuration in
-force does not name are counted as ``other``, so a caller cannot create
-series by inventing names.
+The number of label values is limited: organisations and classes that are not
+in the configuration in force are counted as ``other``, so that callers cannot
+create time series with made-up names.
 """
 
 from typing import NamedTuple
@@ -19,8 +19,8 @@
 from .model import Configuration, GuaranteeShortage, JobState
 from .requests import DomainStatus
 
-OTHER = "other"
-CODES_LIMIT = 64  # distinct error codes kept as label values
+OTHER_LABEL = "other"
+MAX_ERROR_CODES = 64  # distinct error codes used as label values
 
 _JOB_LABELS = ("organisation", "job_class")
 _DURATION_BUCKETS_S = (0.1, 0.3, 1, 2.6, 5, 10, 30, 60, 300, 1_800, 7_200, 28_800)
@@ -28,11 +28,14 @@
 
 
 class JobTimes(NamedTuple):
-    """Times of a job that ended, in seconds.
-
-    ``queue_wait_s`` runs from submission to the first start and is None for
-    a job that never started; ``target_s`` runs from submission to the target
-    time, also for a class with a time of day.
+    """Durations of a job that ended, in seconds since its submission.
+
+    Attributes:
+        completion_s: Until the job ended.
+        queue_wait_s: Until it first started; None if it never started
+            or if the time of submission is not known.
+        target_s: Until its target time, also for a class whose target is a
+            time of day; 0 if the target is not known.
     """
 
     completion_s: float
@@ -41,7 +44,7 @@
 
 
 class NodeMetrics:
-    """All metrics of a node; every method is cheap and does not block."""
+    """The metrics of a node; no method blocks or performs I/O."""
 
     content_type = CONTENT_TYPE_LATEST
 
@@ -54,82 +57,87 @@
         self._create_gauges()
 
     def render(self) -> bytes:
-        """Return the metrics in the text format of Prometheus."""
+        """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
 
     def set_configuration(self, configuration: Configuration) -> None:
-        """Take over the names that may appear as label values."""
+        """Set the version, and the names that are used as label values."""
         self._organisations = frozenset(configuration.organisations_by_name)
         self._classes = frozenset(configuration.classes_by_name)
         self._configuration_version.set(configuration.version)
 
     def count_submitted(self, organisation: str, job_class: str) -> None:
         """Count a job that was accepted."""
-        self._submitted.labels(*self._names(organisation, job_class)).inc()
+        self._submitted.labels(*self._job_label_values(organisation, job_class)).inc()
 
     def count_finished(
         self, organisation: str, job_class: str, state: JobState, times: JobTimes
     ) -> None:
-        """Count a job that ended and observe its times."""
-        names = self._names(organisation, job_class)
-        self._finished.labels(*names, str(state)).inc()
+        """Count a job that ended and record its times.
+
+        The completion time is recorded only for a job that succeeded.
+        """
+        label_values = self._job_label_values(organisation, job_class)
+        self._finished.labels(*label_values, str(state)).inc()
         if times.queue_wait_s is not None:
-            self._queue_wait.labels(*names).observe(times.queue_wait_s)
+            self._queue_wait.labels(*label_values).observe(times.queue_wait_s)
         if state is not JobState.SUCCEEDED:
             return
-        self._completion.labels(*names).observe(times.completion_s)
+        self._completion.labels(*label_values).observe(times.completion_s)
         if times.target_s > 0:
-            self._target_ratio.labels(*names).observe(
+            self._target_ratio.labels(*label_values).observe(
                 times.completion_s / times.target_s
             )
 
     def count_target_missed(self, organisation: str, job_class: str) -> None:
         """Count a job that can no longer meet its target."""
-        self._target_missed.labels(*self._names(organisation, job_class)).inc()
+        self._target_missed.labels(
+            *self._job_label_values(organisation, job_class)
+        ).inc()
 
     def count_refusal(self, code: str) -> None:
         """Count a request that was answered with an error code."""
-        if code not in self._codes and len(self._codes) < CODES_LIMIT:
+        if code not in self._codes and len(self._codes) < MAX_ERROR_CODES:
             self._codes.add(code)
-        self._refused.labels(code if code in self._codes else OTHER).inc()
+        self._refused.labels(code if code in self._codes else OTHER_LABEL).inc()
 
     def set_domain(self, status: DomainStatus) -> None:
-        """Show the state of the failure domain that this node owns."""
+        """Set the gauges of the failure domain that this node owns."""
         self._free_accelerators.set(status.free_accelerators)
         self._largest_gang.set(status.largest_gang)
         self._queued_jobs.set(status.queued_jobs)
         self.set_shortages(status.shortages)
 
     def clear_domain(self) -> None:
-        """Show nothing of a failure domain that this node does not own."""
+        """Reset the gauges of a failure domain that is no longer owned."""
         for gauge in (self._free_accelerators, self._largest_gang, self._queued_jobs):
             gauge.set(0)
         self.set_shortages(())
 
     def set_shortages(self, shortages: tuple[GuaranteeShortage, ...]) -> None:
-        """Show the accelerators that are missing for guaranteed shapes."""
+        """Set the missing guaranteed accelerators of each organisation."""
         self._shortages.clear()
         for shortage in shortages:
-            name = self._bounded(shortage.organisation, self._organisations)
-            self._shortages.labels(name).inc(shortage.missing_accelerators)
+            organisation = self._label_value(shortage.organisation, self._organisations)
+            self._shortages.labels(organisation).inc(shortage.missing_accelerators)
 
     def set_owner(self, owner: bool) -> None:
-        """Show whether this node owns its failure domain."""
+        """Set whether this node owns its failure domain."""
         self._owner.set(int(owner))
 
     def set_store_available(self, available: bool) -> None:
-        """Show whether the platform store answers."""
+        """Set whether the platform store is available."""
         self._store_available.set(int(available))
 
-    def _names(self, organisation: str, job_class: str) -> tuple[str, str]:
+    def _job_label_values(self, organisation: str, job_class: str) -> tuple[str, str]:
         return (
-            self._bounded(organisation, self._organisations),
-            self._bounded(job_class, self._classes),
+            self._label_value(organisation, self._organisations),
+            self._label_value(job_class, self._classes),
         )
 
     @staticmethod
-    def _bounded(name: str, known: frozenset[str]) -> str:
-        return name if name in known else OTHER
+    def _label_value(name: str, configured_names: frozenset[str]) -> str:
+        return name if name in configured_names else OTHER_LABEL
 
     def _create_job_metrics(self) -> None:
         self._completion = self._histogram(
--- a/src/redwingrudder/settings.py
+++ b/src/redwingrudder/settings.py
@@ -1,7 +1,8 @@
-"""Settings files: JSON with comments, checked against typed schemas.
+"""Settings files: JSON with comments, validated against typed schemas.
 
-A file says what it is by its ``kind``: ``node`` for one entry node, or
-``deployment`` for the fleet that ``redwingrudder local`` and ``bench`` run.
+The key ``kind`` gives the type of a file: ``node`` for the settings of one
+entry node, or ``deployment`` for the nodes and workers that ``redwingrudder
+local`` and ``bench`` run.
 """
 
 import pathlib
@@ -14,7 +15,7 @@
 from .exceptions import SettingsError
 from .model import WorkerInfo
 
-_CONFIG = pydantic.ConfigDict(extra="forbid")
+_NO_UNKNOWN_KEYS = pydantic.ConfigDict(extra="forbid")
 
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 HostPort = Annotated[
@@ -22,35 +23,39 @@
 ]
 Url = Annotated[str, pydantic.Field(pattern=r"^https?://[^/\s]+$")]
 Count = Annotated[int, pydantic.Field(ge=1, le=100_000)]
-# A worker stops its tasks when its lease lapses. At an owner's death a third
-# of the lease may have passed, and the next owner needs up to 4.5 s to claim.
+# A worker stops its tasks when its lease lapses. When an owner fails, a third
+# of the lease may have passed, and the next owner needs up to 4.5 s to claim
+# the worker; two thirds of the minimum of 7 s are enough for that.
 LeaseSeconds = Annotated[float, pydantic.Field(ge=7, le=86_400)]
 
 
-@pydantic.with_config(_CONFIG)
+@pydantic.with_config(_NO_UNKNOWN_KEYS)
 class ListenSettings(TypedDict):
-    """Addresses that a node listens on, as IP:port."""
+    """Addresses that an entry node listens on, as ``IP:port``."""
 
     http: HostPort
     thrift: HostPort
 
 
-@pydantic.with_config(_CONFIG)
+@pydantic.with_config(_NO_UNKNOWN_KEYS)
 class LimitSettings(TypedDict):
-    """Bounds of a node; every one has a default."""
+    """Limits of an entry node; each key that is left out has a default."""
 
     store_writes_per_s: NotRequired[Count]
     requests_in_progress: NotRequired[Count]
 
 
-@pydantic.with_config(_CONFIG)
+@pydantic.with_config(_NO_UNKNOWN_KEYS)
 class NodeSettings(TypedDict):
     """Settings of one entry node.
 
-    ``rank`` orders the nodes of a failure domain and must differ among
-    them. ``failure_domains`` lists all domains of the deployment.
-    ``worker_lease_s`` is the time after which a worker without an owner
-    stops its tasks; it must be the same on all nodes of a domain.
+    ``rank`` orders the nodes of a failure domain and must be unique among
+    them. ``failure_domains`` lists all failure domains of the deployment.
+    ``advertise_thrift`` is the address that other nodes use, if it is not
+    ``listen.thrift``. ``platform`` is the URL of the platform.
+    ``worker_lease_s`` is the time in seconds after which a worker that no
+    owner contacts stops its tasks; it must be the same on all nodes of a
+    failure domain.
     """
 
     kind: Literal["node"]
@@ -66,9 +71,9 @@
     log_level: NotRequired[Literal["debug", "info", "warning", "error"]]
 
 
-@pydantic.with_config(_CONFIG)
+@pydantic.with_config(_NO_UNKNOWN_KEYS)
 class WorkerShape(TypedDict):
-    """Resources of every worker of a deployment or of a rack."""
+    """Resources of each worker of a deployment or of a rack."""
 
     accelerators: Annotated[int, pydantic.Field(ge=0, le=64)]
     slots: Annotated[int, pydantic.Field(ge=1, le=1_024)]
@@ -76,12 +81,13 @@
     memory_mb: Annotated[int, pydantic.Field(ge=1)]
 
 
-@pydantic.with_config(_CONFIG)
+@pydantic.with_config(_NO_UNKNOWN_KEYS)
 class RackSettings(TypedDict):
-    """Racks with a number of equal workers each.
+    """One or more racks with ``workers`` equal workers each.
 
-    ``count`` racks (one by default) are named ``name``, ``name-2`` and so
-    on. ``worker`` replaces the deployment's worker shape.
+    ``count`` is the number of racks, 1 by default; they are named ``name``,
+    ``name-2``, ``name-3`` and so on. ``worker`` replaces the worker shape of
+    the deployment.
     """
 
     name: Name
@@ -90,18 +96,18 @@
     worker: NotRequired[WorkerShape]
 
 
-@pydantic.with_config(_CONFIG)
+@pydantic.with_config(_NO_UNKNOWN_KEYS)
 class DomainSettings(TypedDict):
-    """A failure domain with its racks and entry nodes."""
+    """A failure domain with its racks and its number of entry nodes."""
 
     name: Name
     nodes: Annotated[int, pydantic.Field(ge=1, le=64)]
     racks: Annotated[list[RackSettings], pydantic.Field(min_length=1)]
 
 
-@pydantic.with_config(_CONFIG)
+@pydantic.with_config(_NO_UNKNOWN_KEYS)
 class DeploymentSettings(TypedDict):
-    """A whole deployment, for one process or for measurements."""
+    """A whole deployment, to run in one process or to simulate."""
 
     kind: Literal["deployment"]
     name: Name
@@ -110,18 +116,19 @@
     worker_lease_s: NotRequired[LeaseSeconds]
 
 
-_ANY = pydantic.TypeAdapter(object)
-_NODE = pydantic.TypeAdapter(NodeSettings)
-_DEPLOYMENT = pydantic.TypeAdapter(DeploymentSettings)
+_ANY_ADAPTER = pydantic.TypeAdapter(object)
+_NODE_ADAPTER = pydantic.TypeAdapter(NodeSettings)
+_DEPLOYMENT_ADAPTER = pydantic.TypeAdapter(DeploymentSettings)
 
 
 def load_node_settings(path: str) -> NodeSettings:
-    """Load and check the settings of a node.
+    """Load and validate the settings of an entry node.
 
     Raises:
-        SettingsError: With all problems of the file.
+        SettingsError: The file cannot be read, or it is invalid; the error
+            lists every problem.
     """
-    settings = _load(path, _NODE)
+    settings = _load(path, _NODE_ADAPTER)
     problems = []
     if settings["failure_domain"] not in settings["failure_domains"]:
         problems.append(
@@ -132,32 +139,33 @@
                 f"one of failure_domains {settings['failure_domains']}",
             )
         )
-    problems += _repeated(path, "failure_domains", settings["failure_domains"])
-    return _accept(path, settings, problems)
+    problems += _find_repeated(path, "failure_domains", settings["failure_domains"])
+    return _require_no_problems(path, settings, problems)
 
 
 def load_deployment(path: str) -> DeploymentSettings:
-    """Load and check a deployment file.
+    """Load and validate a deployment file.
 
     Raises:
-        SettingsError: With all problems of the file.
+        SettingsError: The file cannot be read, or it is invalid; the error
+            lists every problem.
     """
-    settings = _load(path, _DEPLOYMENT)
+    settings = _load(path, _DEPLOYMENT_ADAPTER)
     domains = settings["failure_domains"]
-    racks = [
+    rack_names = [
         name
         for domain in domains
         for rack in domain["racks"]
         for name in _rack_names(rack)
     ]
-    names = [domain["name"] for domain in domains]
-    problems = _repeated(path, "failure_domains", names)
-    problems += _repeated(path, "failure_domains.racks", racks)
-    return _accept(path, settings, problems)
+    domain_names = [domain["name"] for domain in domains]
+    problems = _find_repeated(path, "failure_domains", domain_names)
+    problems += _find_repeated(path, "failure_domains.racks", rack_names)
+    return _require_no_problems(path, settings, problems)
 
 
 def deployment_workers(deployment: DeploymentSettings) -> tuple[WorkerInfo, ...]:
-    """Return all workers of a deployment, without addresses."""
+    """Return all workers of a deployment, with empty addresses."""
     return tuple(
         WorkerInfo(f"{rack_name}-w{index}", "", domain["name"], rack_name, **shape)
         for domain in deployment["failure_domains"]
@@ -170,7 +178,9 @@
 
 def _rack_names(rack: RackSettings) -> list[str]:
     name = rack["name"]
-    return [name] + [f"{name}-{n}" for n in range(2, rack.get("count", 1) + 1)]
+    return [name] + [
+        f"{name}-{number}" for number in range(2, rack.get("count", 1) + 1)
+    ]
 
 
 def read_file(path: str) -> str:
@@ -186,14 +196,22 @@
 
 
 def read_kind(path: str) -> str:
-    """Return what a file is: its kind, ``configuration``, or ""."""
+    """Return the type of a settings or configuration file.
+
+    Returns:
+        The value of the key ``kind``, "configuration" for an operators'
+        configuration, or "" if the file is neither.
+
+    Raises:
+        SettingsError: The file cannot be read or is not valid JSON.
+    """
     try:
-        document = parse_document(read_file(path), _ANY, path)
+        document = parse_document(read_file(path), _ANY_ADAPTER, path)
     except InvalidDocumentError as error:
         raise _settings_error(path, error.problems) from None
     if not isinstance(document, dict):
         return ""
-    # The operators' document has a format version instead of a kind.
+    # An operators' configuration has the key format_version and no kind.
     kind = "configuration" if "format_version" in document else document.get("kind")
     return kind if isinstance(kind, str) else ""
 
@@ -205,17 +223,17 @@
         raise _settings_error(path, error.problems) from None
 
 
-def _repeated(path: str, where: str, names: list[str]) -> list[Problem]:
+def _find_repeated(path: str, key: str, names: list[str]) -> list[Problem]:
     repeated = sorted({name for name in names if names.count(name) > 1})
-    return [Problem(path, where, repr(name), "each name once") for name in repeated]
+    return [Problem(path, key, repr(name), "each name once") for name in repeated]
 
 
-def _accept(path: str, settings, problems: list[Problem]):
+def _require_no_problems(path: str, settings, problems: list[Problem]):
     if problems:
         raise _settings_error(path, tuple(problems))
     return settings
 
 
 def _settings_error(path: str, problems: tuple[Problem, ...]) -> SettingsError:
-    lines = tuple(str(problem) for problem in problems)
-    return SettingsError(f"{path}: {len(lines)} problem(s) found", lines)
+    descriptions = tuple(str(problem) for problem in problems)
+    return SettingsError(f"{path}: {len(descriptions)} problem(s) found", descriptions)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -185,7 +185,9 @@
         settle(nodes[0].system)
         lost = [o.value for o in outcomes if not isinstance(o, Configuration)]
         self.assertEqual([error.code for error in lost], ["configuration_conflict"])
-        self.assertIn("edited version 0, current version 1", lost[0].detail)
+        self.assertIn(
+            "based on version 0, but the current version is 1", lost[0].detail
+        )
 
     def test_a_lost_reply_is_resolved_by_the_nonce(self):
         node = self.node()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,7 +6,7 @@
 import os
 import unittest
 
-from redwingrudder.logs import LINES_BURST, BoundedHandler, LineFormatter
+from redwingrudder.logs import MAX_BURST_LINES, BoundedHandler, LineFormatter
 
 
 def record(level=logging.INFO, message="event"):
@@ -49,10 +49,10 @@
         """Guards against a flood of lines that takes the processor."""
         handler = BoundedHandler(io.StringIO())
         handler.setFormatter(LineFormatter("n1"))
-        for _ in range(int(LINES_BURST) + 2000):
+        for _ in range(int(MAX_BURST_LINES) + 2000):
             handler.emit(record())
         written = handler.stream.getvalue().count("\n")
-        self.assertLess(written, LINES_BURST + 1500)
+        self.assertLess(written, MAX_BURST_LINES + 1500)
         handler.emit(record(logging.ERROR, "last"))
         lines = handler.stream.getvalue().splitlines()
         self.assertEqual(json.loads(lines[-1])["message"], "last")
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -11,7 +11,7 @@
 from redwingrudder._metrics_actor import METRICS, MetricsActor, MetricsObserver
 from redwingrudder.actors import ActorSystem
 from redwingrudder.logs import LineFormatter
-from redwingrudder.metrics import CODES_LIMIT, JobTimes, NodeMetrics
+from redwingrudder.metrics import MAX_ERROR_CODES, JobTimes, NodeMetrics
 from redwingrudder.model import (
     Configuration,
     Epoch,
@@ -49,7 +49,7 @@
         )
         self.assertEqual(submitted, 100)
         refused = self.sample("requests_refused_total", code="other")
-        self.assertEqual(refused, 100 - CODES_LIMIT)
+        self.assertEqual(refused, 100 - MAX_ERROR_CODES)
 
     def test_times_of_a_job_are_observed_by_organisation_and_class(self):
         times = JobTimes(completion_s=4.0, queue_wait_s=1.0, target_s=5.0)
