Say in the configuration tests which failure each guards against

The docstrings of the tests of the configuration, settings, command line, logs and metrics were missing or figurative, and several locals had one letter. The assertions are unchanged. The error for an unconfirmed write is one sentence again with the version at its end.

--- a/src/redwingrudder/_configuration_writer.py
+++ b/src/redwingrudder/_configuration_writer.py
@@ -75,8 +75,9 @@
                 current one (code ``configuration_conflict``).
             OutcomeUnknownError: The store did not confirm the write, which
                 may have taken effect.
-            RedwingrudderError: The document is invalid, or the store or the
-                planning of the cells failed; nothing was written.
+            RedwingrudderError: Any other error: the document is invalid, or
+                the store or the planning of the cells failed. Nothing was
+                written.
         """
         document = parse_document(request.document)
         base = await self._read_base(request.base_version, in_force)
@@ -128,8 +129,8 @@
                 # An earlier attempt may have been committed.
                 break
         raise OutcomeUnknownError(
-            f"the store did not confirm the write of configuration version "
-            f"{accepted.version}; it may have been written"
+            "the store did not confirm, but may have stored, "
+            f"configuration version {accepted.version}"
         )
 
     async def _is_committed(
--- a/src/redwingrudder/client.py
+++ b/src/redwingrudder/client.py
@@ -170,8 +170,8 @@
 def _build_error(response: Any, body: Any) -> RedwingrudderError:
     problem = body if isinstance(body, dict) else {}
     detail = problem.get("detail") or f"HTTP status {response.code}"
-    for line in problem.get("problems") or ():
-        detail += f"\n  {line}"
+    for violation in problem.get("problems") or ():
+        detail += f"\n  {violation}"
     default = (
         BadRequestError
         if response.code < FIRST_SERVER_ERROR_STATUS
--- a/src/redwingrudder/configuration.py
+++ b/src/redwingrudder/configuration.py
@@ -179,13 +179,13 @@
         delay_s = READ_RETRY_S * self._rng.uniform(READ_RETRY_MIN_SHARE, 1.0)
         self.tell(TIMERS, Subscribe(self.name, "read", delay_s))
 
-    def _watch_changes(self, read: _ReadResult) -> None:
-        watch = requests.WatchPrefix(self.name, codec.CHANGE_PREFIX, read.revision)
+    def _watch_changes(self, result: _ReadResult) -> None:
+        watch = requests.WatchPrefix(self.name, codec.CHANGE_PREFIX, result.revision)
         self.tell(requests.STORE, watch)
 
-    def _adopt_read(self, read: _ReadResult) -> None:
-        if read.configuration is not None:
-            self._adopt(read.configuration)
+    def _adopt_read(self, result: _ReadResult) -> None:
+        if result.configuration is not None:
+            self._adopt(result.configuration)
 
     def _apply_change(self, value: str) -> None:
         version = 0 if self._in_force is None else self._in_force.version
--- a/src/redwingrudder/local.py
+++ b/src/redwingrudder/local.py
@@ -208,7 +208,7 @@
 
     Raises:
         SettingsError: The deployment file is invalid.
-        InvalidConfigurationError: The configuration is invalid.
+        BadRequestError: The configuration is invalid.
         UnavailableError: The deployment could not be started (code
             ``not_started``).
     """
--- a/src/redwingrudder/metrics.py
+++ b/src/redwingrudder/metrics.py
@@ -181,17 +181,21 @@
             "store_available", "1 while the platform store answers"
         )
 
-    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+    def _histogram(
+        self, name: str, help_text: str, buckets: tuple[float, ...]
+    ) -> Histogram:
         return Histogram(
             f"redwingrudder_{name}",
-            text,
+            help_text,
             _JOB_LABELS,
             registry=self.registry,
             buckets=buckets,
         )
 
-    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
-        return Counter(f"redwingrudder_{name}", text, labels, registry=self.registry)
+    def _counter(self, name: str, help_text: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(
+            f"redwingrudder_{name}", help_text, labels, registry=self.registry
+        )
 
-    def _gauge(self, name: str, text: str, labels: tuple[str, ...] = ()) -> Gauge:
-        return Gauge(f"redwingrudder_{name}", text, labels, registry=self.registry)
+    def _gauge(self, name: str, help_text: str, labels: tuple[str, ...] = ()) -> Gauge:
+        return Gauge(f"redwingrudder_{name}", help_text, labels, registry=self.registry)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,4 @@
-"""Tests of the command line: exit codes and what a person is told."""
+"""Tests of the exit codes and the output of the command line."""
 
 import contextlib
 import io
@@ -15,18 +15,18 @@
 
 class CommandTests(unittest.TestCase):
     def run_command(self, *arguments):
-        """Return the exit code and everything that was printed."""
-        printed = io.StringIO()
+        """Return the exit code and the combined standard output and error."""
+        output = io.StringIO()
         with (
             mock.patch.object(sys, "argv", ["redwingrudder", *arguments]),
-            contextlib.redirect_stdout(printed),
-            contextlib.redirect_stderr(printed),
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(output),
         ):
             try:
                 cli.main()
-            except SystemExit as stop:
-                return stop.code, printed.getvalue()
-        return 0, printed.getvalue()
+            except SystemExit as exit_request:
+                return exit_request.code, output.getvalue()
+        return 0, output.getvalue()
 
     def test_check_accepts_all_examples(self):
         files = map(str, sorted(EXAMPLES.glob("*/*.jsonc")))
@@ -45,13 +45,13 @@
         self.assertIn("allowed", text)
 
     def test_errors_of_each_family_have_their_exit_code(self):
-        cases = {
+        arguments_by_exit_code = {
             2: ("submit", "not json", "--key", "k"),
             3: ("check", "/nonexistent.jsonc"),
             4: ("bench", "--scenario", "nothing"),
         }
-        for expected, arguments in cases.items():
+        for exit_code, arguments in arguments_by_exit_code.items():
             with self.subTest(arguments):
                 code, text = self.run_command(*arguments)
-                self.assertEqual(code, expected, text)
+                self.assertEqual(code, exit_code, text)
                 self.assertNotIn("Traceback", text)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,7 @@
-"""Tests of the configuration: checks, races, lost replies and outages."""
+"""Tests of the configuration document, its encoding and its actor.
+
+They cover validation, concurrent changes, lost replies and store outages.
+"""
 
 import json
 import unittest
@@ -40,8 +43,11 @@
 from redwingrudder.timers import TimerService
 from tests.fakes import FakeStore, Recorder, advance, ask, settle
 
+SUBSCRIBER = "seen"  # actor that records the ConfigurationChanged messages
+
 
 def document(copies=1, target_s=2.6, organisations=("huon",)):
+    """Return a valid configuration document as JSON text."""
     return json.dumps(
         {
             "format_version": 1,
@@ -54,7 +60,8 @@
     )
 
 
-def plan_north(configuration, workers):
+def plan_all_in_north(configuration, workers):
+    """Replace ``plan_cells``: one failure domain holds all cells."""
     return tuple(
         CellAssignment(name, index, copy, "north")
         for name, organisation in configuration.organisations_by_name.items()
@@ -63,15 +70,18 @@
     )
 
 
-class Node:
-    """A node's configuration actor on a store that nodes share."""
+class ConfigurationNode:
+    """A node with only its configuration actor and the fake store.
+
+    Nodes that get the same ``core`` share the data of the store.
+    """
 
     def __init__(self, clock, core, available=True):
         self.system = ActorSystem(clock)
         TimerService(self.system)
         self.store = FakeStore(self.system, core, available)
-        self.actor = ConfigurationActor(self.system, ("seen",))
-        self.seen = Recorder(self.system, "seen", ConfigurationChanged).messages
+        self.actor = ConfigurationActor(self.system, (SUBSCRIBER,))
+        self.received = Recorder(self.system, SUBSCRIBER, ConfigurationChanged).messages
         self.system.start()
         settle(self.system)
 
@@ -80,7 +90,8 @@
         return ask(self.system, CONFIGURATION, request)
 
     def versions(self):
-        return [message.configuration.version for message in self.seen]
+        """Return the versions that the subscriber received, in order."""
+        return [message.configuration.version for message in self.received]
 
     def in_force(self):
         return ask(self.system, CONFIGURATION, GetConfiguration())
@@ -138,7 +149,10 @@
     return Configuration(
         1,
         {name: Organisation(name, draw(SHAPES)) for name in sorted(names)},
-        {n: JobClass(n, draw(st.floats(1, 9)), None) for n in draw(st.sets(NAMES))},
+        {
+            name: JobClass(name, draw(st.floats(1, 9)), None)
+            for name in draw(st.sets(NAMES))
+        },
         tuple(sorted(cell for cell in cells if cell.organisation in names)),
     )
 
@@ -160,12 +174,12 @@
     def setUp(self):
         self.clock = Clock()
         self.core = KeyValueCore()
-        patch = mock.patch.object(guarantees, "plan_cells", plan_north)
-        patch.start()
-        self.addCleanup(patch.stop)
+        plan_patch = mock.patch.object(guarantees, "plan_cells", plan_all_in_north)
+        plan_patch.start()
+        self.addCleanup(plan_patch.stop)
 
     def node(self, available=True):
-        return Node(self.clock, self.core, available)
+        return ConfigurationNode(self.clock, self.core, available)
 
     def test_a_change_is_in_force_on_all_nodes_in_order(self):
         first, second = self.node(), self.node()
@@ -183,13 +197,21 @@
             request = ApplyConfiguration(document(), 0)
             node.system.ask(CONFIGURATION, request).addBoth(outcomes.append)
         settle(nodes[0].system)
-        lost = [o.value for o in outcomes if not isinstance(o, Configuration)]
-        self.assertEqual([error.code for error in lost], ["configuration_conflict"])
+        errors = [
+            outcome.value
+            for outcome in outcomes
+            if not isinstance(outcome, Configuration)
+        ]
+        self.assertEqual([error.code for error in errors], ["configuration_conflict"])
         self.assertIn(
-            "based on version 0, but the current version is 1", lost[0].detail
+            "based on version 0, but the current version is 1", errors[0].detail
         )
 
     def test_a_lost_reply_is_resolved_by_the_nonce(self):
+        """Guards against reporting an own write as a conflict.
+
+        A write whose reply is lost has taken effect when it is sent again.
+        """
         node = self.node()
         node.store.lost_replies = 1
         self.assertEqual(node.apply(0).version, 1)
@@ -217,7 +239,11 @@
         self.assertIsNone(node.store.value(codec.HEAD_KEY))
 
     def test_a_target_changes_while_lost_hardware_breaks_guarantees(self):
-        """The loss of a rack must not keep operators from other changes."""
+        """Guards against planning the cells again when no guarantee changed.
+
+        The plan fails while lost hardware leaves too few accelerators
+        for the guarantees, and operators could then change nothing.
+        """
         node = self.node()
         before = node.apply(0)
         error = UnprocessableError("x", code="guarantees_do_not_fit")
@@ -227,6 +253,10 @@
         self.assertEqual(after.cells, before.cells)
 
     def test_a_start_in_an_outage_copies_from_a_peer_and_never_goes_back(self):
+        """Guards against a node that needs the store to start.
+
+        It takes the configuration of a peer, and no older version after it.
+        """
         other = self.node()
         accepted = other.apply(0)
         node = self.node(available=False)
@@ -246,12 +276,14 @@
         self.assertEqual(node.versions(), [1, 2])
 
     def test_versions_rise_after_the_store_lost_its_data(self):
+        """Guards against a reused version, which nodes would ignore."""
         node = self.node()
         node.apply(0)
         node.store.core = KeyValueCore()
         self.assertEqual(node.apply(1).version, 2)
 
     def test_a_watch_that_cannot_resume_is_followed_by_a_read(self):
+        """Guards against changes missed because the store was compacted."""
         first, second = self.node(), self.node()
         first.apply(0)
         settle(second.system)
@@ -267,31 +299,36 @@
         self.assertEqual(second.versions(), [1, 4, 5])
 
     def test_a_missing_change_is_made_up_for_by_the_document(self):
+        """Guards against applying a change to a version it does not follow."""
         node = self.node()
-        later = node.apply(0)._replace(version=5, classes_by_name={})
-        change = codec.build_change(later, later, "x")
-        node.store.put(codec.DOCUMENT_KEY, codec.encode_configuration(later))
+        later_configuration = node.apply(0)._replace(version=5, classes_by_name={})
+        change = codec.build_change(later_configuration, later_configuration, "x")
+        node.store.put(
+            codec.DOCUMENT_KEY, codec.encode_configuration(later_configuration)
+        )
         node.store.put(codec.change_key(5), codec.encode_change(change))
         settle(node.system)
-        self.assertEqual(node.in_force(), later)
+        self.assertEqual(node.in_force(), later_configuration)
 
     def test_old_changes_are_pruned(self):
         node = self.node()
         with mock.patch.object(codec, "CHANGES_KEPT", 2):
             for version in range(4):
                 node.apply(version)
-        kept = [record.key.decode() for record in self.core.range(b"/config/c", b"0")]
-        changes = [key for key in kept if key.startswith(codec.CHANGE_PREFIX)]
+        keys = [record.key.decode() for record in self.core.range(b"/config/c", b"0")]
+        changes = [key for key in keys if key.startswith(codec.CHANGE_PREFIX)]
         self.assertEqual(changes, [codec.change_key(3), codec.change_key(4)])
 
     def test_a_subscriber_with_a_full_mailbox_is_told_later(self):
+        """Guards against a subscriber that stays on an old version."""
         node = self.node()
         with mock.patch.object(actors, "MAILBOX_LIMIT", 1):
             accepted = node.apply(0)
-            node.system.tell("seen", ConfigurationChanged(accepted))
+            node.system.tell(SUBSCRIBER, ConfigurationChanged(accepted))
             node.system.tell(
                 CONFIGURATION, OfferConfiguration(accepted._replace(version=2))
             )
+            # Let the actor handle the offer while the mailbox is full.
             node.actor._take_turn()
         advance(node.system, 0.3)
         self.assertEqual(node.versions(), [1, 1, 2])
@@ -310,10 +347,15 @@
     @settings(derandomize=True, max_examples=100, deadline=None)
     @given(ACTIONS)
     def test_accepted_versions_are_unique_and_reach_all_nodes(self, actions):
+        """Guards against versions that differ or get lost under faults.
+
+        It runs random sequences of changes, store outages, lost requests and
+        replies, and compactions.
+        """
         clock, core = Clock(), KeyValueCore()
-        nodes = [Node(clock, core) for _ in range(3)]
+        nodes = [ConfigurationNode(clock, core) for _ in range(3)]
         accepted = []
-        with mock.patch.object(guarantees, "plan_cells", plan_north):
+        with mock.patch.object(guarantees, "plan_cells", plan_all_in_north):
             for copies, (kind, index) in enumerate(actions, start=1):
                 store = nodes[index].store
                 if kind == "apply":
@@ -331,18 +373,19 @@
             advance(node.system, 3.0)
         versions = [configuration.version for configuration in accepted]
         self.assertEqual(len(versions), len(set(versions)))
-        last = [node.versions()[-1:] for node in nodes]
-        self.assertEqual(last, last[:1] * 3)
+        last_versions = [node.versions()[-1:] for node in nodes]
+        self.assertEqual(last_versions, last_versions[:1] * 3)
         for node in nodes:
             self.assertEqual(node.versions(), sorted(set(node.versions())))
-            for message in node.seen:
+            for message in node.received:
                 for configuration in accepted:
                     if configuration.version == message.configuration.version:
                         self.assertEqual(configuration, message.configuration)
 
     def apply(self, node, copies):
-        base = node.versions()[-1] if node.versions() else 0
+        """Return the accepted configuration in a list, empty if refused."""
+        base_version = node.versions()[-1] if node.versions() else 0
         try:
-            return [node.apply(base, document(copies=copies))]
+            return [node.apply(base_version, document(copies=copies))]
         except (ConflictError, UnavailableError):
             return []
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,4 +1,4 @@
-"""Tests of the bounded log."""
+"""Tests of the log handler that limits the rate and never blocks."""
 
 import io
 import json
@@ -25,7 +25,7 @@
         self.addCleanup(self.stream.close)
 
     def read(self):
-        """Return all lines in the pipe; an incomplete last one is kept."""
+        """Return all bytes in the pipe; the last line may be incomplete."""
         content = b""
         try:
             while part := os.read(self.reader, 1 << 16):
@@ -35,22 +35,25 @@
         return content
 
     def test_full_pipe_does_not_block(self):
-        """Guards against a node that stands still with its log's reader."""
+        """Guards against a node that blocks because nothing reads its log."""
         for _ in range(3000):
             self.handler.emit(record(logging.WARNING, "x" * 200))
         content = self.read()
         self.handler.emit(record(logging.WARNING, "again"))
         lines = [json.loads(line) for line in (content + self.read()).splitlines()]
         self.assertEqual(lines[-1]["message"], "again")
-        missing = [line for line in lines if line["message"] == "log lines dropped"]
-        self.assertEqual(len(lines) - 2 + missing[0]["lines"], 3000)
+        reports = [line for line in lines if line["message"] == "log lines dropped"]
+        # Two of the lines are the report and "again".
+        self.assertEqual(len(lines) - 2 + reports[0]["lines"], 3000)
 
     def test_volume_is_bounded(self):
-        """Guards against a flood of lines that takes the processor."""
+        """Guards against a burst of log lines that uses up the CPU time."""
         handler = BoundedHandler(io.StringIO())
         handler.setFormatter(LineFormatter("n1"))
         for _ in range(int(MAX_BURST_LINES) + 2000):
             handler.emit(record())
+        # The limit gains tokens while the loop runs, so a few more lines than
+        # the burst are written.
         written = handler.stream.getvalue().count("\n")
         self.assertLess(written, MAX_BURST_LINES + 1500)
         handler.emit(record(logging.ERROR, "last"))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,4 +1,4 @@
-"""Tests of metrics and log lines."""
+"""Tests of the metrics of a node and of the format of log lines."""
 
 import io
 import json
@@ -37,10 +37,11 @@
         self.metrics.set_configuration(CONFIGURATION)
 
     def sample(self, name, **labels):
+        """Return the value of a metric, or None if it has no such series."""
         return self.metrics.registry.get_sample_value(f"redwingrudder_{name}", labels)
 
     def test_unknown_names_share_one_series(self):
-        """Callers could otherwise fill the node's memory with series."""
+        """Guards against callers that fill the memory with made-up names."""
         for number in range(100):
             self.metrics.count_submitted(f"made-up-{number}", f"class-{number}")
             self.metrics.count_refusal(f"code-{number}")
@@ -54,8 +55,10 @@
     def test_times_of_a_job_are_observed_by_organisation_and_class(self):
         times = JobTimes(completion_s=4.0, queue_wait_s=1.0, target_s=5.0)
         self.metrics.count_finished("shop", "proof", JobState.SUCCEEDED, times)
-        never_ran = JobTimes(9.0, None, 5.0)
-        self.metrics.count_finished("shop", "proof", JobState.NOT_RUN, never_ran)
+        never_started_times = JobTimes(9.0, None, 5.0)
+        self.metrics.count_finished(
+            "shop", "proof", JobState.NOT_RUN, never_started_times
+        )
         labels = {"organisation": "shop", "job_class": "proof"}
         self.assertEqual(self.sample("completion_seconds_sum", **labels), 4.0)
         self.assertEqual(self.sample("queue_wait_seconds_count", **labels), 1)
@@ -81,6 +84,7 @@
         self.assertEqual(self.sample("completion_target_ratio_sum", **labels), 0.8)
 
     def test_shortage_that_ended_disappears(self):
+        """Guards against a gauge that keeps the value of an old shortage."""
         self.metrics.set_shortages((GuaranteeShortage("shop", 0, 0, 8, 1.0),) * 2)
         name = "guarantee_shortage_accelerators"
         self.assertEqual(self.sample(name, organisation="shop"), 16)
@@ -88,7 +92,7 @@
         self.assertIsNone(self.sample(name, organisation="shop"))
 
     def test_gauges_follow_ownership_and_store(self):
-        """A former owner must not go on to show its old domain."""
+        """Guards against a former owner that reports its old domain."""
         clock = Clock()
         system = ActorSystem(clock)
         TimerService(system)
@@ -112,6 +116,7 @@
         self.assertEqual([self.sample(name) for name in names], [1, 0, 0, 0])
 
     def test_nodes_of_one_process_have_separate_metrics(self):
+        """Guards against the global registry, which all nodes would share."""
         self.metrics.set_owner(True)
         self.assertIn(b"redwingrudder_owner 0.0", NodeMetrics().render())
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Tests of settings files."""
+"""Tests of the loading and validation of settings files."""
 
 import pathlib
 import tempfile
@@ -16,6 +16,7 @@
 
 class SettingsTests(unittest.TestCase):
     def write(self, text):
+        """Write a temporary settings file and return its path."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = pathlib.Path(folder.name, "node.jsonc")
@@ -23,11 +24,13 @@
         return str(path)
 
     def problems(self, text):
+        """Return the problems found when loading node settings."""
         with self.assertRaises(SettingsError) as caught:
             load_node_settings(self.write(text))
         return caught.exception.problems
 
     def test_examples_are_valid(self):
+        # Numbers of workers, accelerators and entry nodes.
         sizes = {
             "huon": (24, 192, 9),
             "saengthong": (24, 192, 8),
@@ -37,25 +40,29 @@
             deployment = load_deployment(str(EXAMPLES / name / "deployment.jsonc"))
             workers = deployment_workers(deployment)
             accelerators = sum(worker.accelerators for worker in workers)
-            nodes = sum(d["nodes"] for d in deployment["failure_domains"])
+            nodes = sum(domain["nodes"] for domain in deployment["failure_domains"])
             self.assertEqual((len(workers), accelerators, nodes), expected)
-            self.assertEqual(len({w.worker_id for w in workers}), len(workers))
+            self.assertEqual(
+                len({worker.worker_id for worker in workers}), len(workers)
+            )
         for path in EXAMPLES.glob("*/node-*.jsonc"):
             load_node_settings(str(path))
 
     def test_all_problems_are_reported_at_once(self):
-        """A person mends a file in one go, not one error at a time."""
+        """Guards against reporting only the first of several problems."""
         text = (EXAMPLES / "huon/node-hobart-1.jsonc").read_text("utf-8")
         text = text.replace('"rank": 1', '"rank": -1, "colour": "red"')
         text = text.replace("127.0.0.1:9090", "localhost:9090")
         text = text.replace('"worker_lease_s": 30.0', '"worker_lease_s": 3.0')
         text = text.replace('"platform"', '"plattform"')
         problems = self.problems(text)
-        found = {line.split(": ")[1] for line in problems}
+        paths = {problem.split(": ")[1] for problem in problems}
         expected = {"rank", "colour", "listen.thrift", "platform", "plattform"}
         expected.add("worker_lease_s")
-        self.assertEqual(found, expected)
-        self.assertTrue(all("found" in line and "allowed" in line for line in problems))
+        self.assertEqual(paths, expected)
+        self.assertTrue(
+            all("found" in problem and "allowed" in problem for problem in problems)
+        )
 
     def test_malformed_documents(self):
         for text in ("{", '{"a": 1, "a": 2}', '{"a": NaN}', "[" * 100_000, "[]"):
