--- a/src/redwingrudder/_history_jobs.py
+++ b/src/redwingrudder/_history_jobs.py
@@ -25,15 +25,15 @@
         self.reserved: set[str] = set()
         self.running: dict[str, set[int]] = {}
         self.started: set[str] = set()
-        self.part_since: float | None = None
+        self.partial_since: float | None = None
 
     @property
-    def runs_in_part(self) -> bool:
+    def runs_partially(self) -> bool:
         """Whether some members run while others never started."""
         return bool(self.running) and len(self.started) < self.members
 
 
-def check_gangs(entries: list[Entry], part_s: float) -> Iterator[Violation]:
+def check_gangs(entries: list[Entry], partial_run_s: float) -> Iterator[Violation]:
     """I2: a gang starts after all reservations and never runs in part.
 
     A part may run for ``part_s``, the time in which a lost or refused member
@@ -48,8 +48,8 @@
         elif isinstance(entry, MemberStarted):
             gang = gangs[entry.gang_id]
             if len(gang.reserved) < gang.members or not gang.members:
-                text = f"{entry.gang_id} starts before every member was reserved"
-                yield Violation(entry.at, "I2", text)
+                description = f"{entry.gang_id} starts before every member was reserved"
+                yield Violation(entry.at, "I2", description)
             gang.running[entry.worker_id] = set(entry.tasks)
             gang.started.add(entry.worker_id)
         elif isinstance(entry, TaskFinished):
@@ -57,7 +57,7 @@
         elif isinstance(entry, WorkerBooted):
             for gang in gangs.values():
                 gang.running.pop(entry.worker_id, None)
-        yield from _check_parts(gangs, entry.at, part_s)
+        yield from _check_partial_runs(gangs, entry.at, partial_run_s)
 
 
 def _end_task(gang: _Gang, entry: TaskFinished) -> None:
@@ -67,18 +67,18 @@
         gang.running.pop(entry.worker_id, None)
 
 
-def _check_parts(
-    gangs: dict[str, _Gang], now: float, part_s: float
+def _check_partial_runs(
+    gangs: dict[str, _Gang], now: float, partial_run_s: float
 ) -> Iterator[Violation]:
     for gang_id, gang in gangs.items():
-        if not gang.runs_in_part:
-            gang.part_since = None
-        elif gang.part_since is None:
-            gang.part_since = now
-        elif now - gang.part_since > part_s:
-            text = f"{gang_id} runs on {sorted(gang.running)} only"
-            yield Violation(now, "I2", text)
-            gang.part_since = now
+        if not gang.runs_partially:
+            gang.partial_since = None
+        elif gang.partial_since is None:
+            gang.partial_since = now
+        elif now - gang.partial_since > partial_run_s:
+            description = f"{gang_id} runs on {sorted(gang.running)} only"
+            yield Violation(now, "I2", description)
+            gang.partial_since = now
 
 
 def check_answers(entries: list[Entry]) -> Iterator[Violation]:
@@ -87,7 +87,7 @@
     results: dict[str, dict[str, dict[int, str]]] = defaultdict(
         lambda: defaultdict(dict)
     )
-    told: dict[str, tuple[str, ...]] = {}
+    reported_results: dict[str, tuple[str, ...]] = {}
     for entry in entries:
         if isinstance(entry, JobRequested):
             tasks_by_job[entry.job_id] = entry.tasks
@@ -96,17 +96,20 @@
                 gang = results[entry.job_id][entry.gang_id]
                 gang[entry.task_index] = entry.result
         elif isinstance(entry, AnswerGiven) and entry.state is JobState.SUCCEEDED:
-            whole = (
+            complete_results = (
                 tuple(parts[index] for index in sorted(parts))
                 for parts in results[entry.job_id].values()
                 if len(parts) == tasks_by_job.get(entry.job_id)
             )
-            if entry.results not in whole:
-                text = f"{entry.job_id}: the results are of no single gang"
-                yield Violation(entry.at, "I3", text)
-            if told.setdefault(entry.job_id, entry.results) != entry.results:
-                text = f"{entry.job_id}: two callers got different results"
-                yield Violation(entry.at, "I3", text)
+            if entry.results not in complete_results:
+                description = f"{entry.job_id}: the results are of no single gang"
+                yield Violation(entry.at, "I3", description)
+            if (
+                reported_results.setdefault(entry.job_id, entry.results)
+                != entry.results
+            ):
+                description = f"{entry.job_id}: two callers got different results"
+                yield Violation(entry.at, "I3", description)
 
 
 def check_not_run(entries: list[Entry]) -> Iterator[Violation]:
@@ -118,47 +121,47 @@
     an outage of the store (docs/design.md 4.3).
     """
     last_start: dict[str, float] = {}
-    denied: dict[str, AnswerGiven] = {}
+    not_run_answers: dict[str, AnswerGiven] = {}
     for entry in entries:
         if isinstance(entry, MemberStarted):
             last_start[entry.job_id] = entry.at
-            if entry.job_id in denied:
-                text = f"{entry.job_id} starts after it was told not to run"
-                yield Violation(entry.at, "I4", text)
+            if entry.job_id in not_run_answers:
+                description = f"{entry.job_id} starts after it was told not to run"
+                yield Violation(entry.at, "I4", description)
         elif isinstance(entry, JobRequested):
-            answer = denied.get(entry.job_id)
+            answer = not_run_answers.get(entry.job_id)
             if answer is not None and (entry.idempotent or not answer.durable):
-                del denied[entry.job_id]
+                del not_run_answers[entry.job_id]
         elif isinstance(entry, AnswerGiven) and entry.state is JobState.NOT_RUN:
-            denied[entry.job_id] = entry
+            not_run_answers[entry.job_id] = entry
             if entry.job_id in last_start:
-                text = f"{entry.job_id} was told not to run after it had started"
-                yield Violation(entry.at, "I4", text)
+                description = f"{entry.job_id} was told not to run after it had started"
+                yield Violation(entry.at, "I4", description)
 
 
-def check_once(entries: list[Entry]) -> Iterator[Violation]:
+def check_at_most_once(entries: list[Entry]) -> Iterator[Violation]:
     """I5: a job that is not idempotent starts in one gang at most."""
-    once = {
+    non_idempotent_jobs = {
         entry.job_id
         for entry in entries
         if isinstance(entry, JobRequested) and not entry.idempotent
     }
-    first: dict[str, str] = {}
+    first_gang_by_job: dict[str, str] = {}
     members: set[tuple[str, str]] = set()
-    for entry in _of(entries, MemberStarted):
-        if entry.job_id not in once:
+    for entry in _select(entries, MemberStarted):
+        if entry.job_id not in non_idempotent_jobs:
             continue
-        if first.setdefault(entry.job_id, entry.gang_id) != entry.gang_id:
-            text = f"{entry.job_id} starts again as {entry.gang_id}"
-            yield Violation(entry.at, "I5", text)
+        if first_gang_by_job.setdefault(entry.job_id, entry.gang_id) != entry.gang_id:
+            description = f"{entry.job_id} starts again as {entry.gang_id}"
+            yield Violation(entry.at, "I5", description)
         for task in entry.tasks:
             if (entry.job_id, task) in members:
-                text = f"task {task} of {entry.job_id} starts twice"
-                yield Violation(entry.at, "I5", text)
+                description = f"task {task} of {entry.job_id} starts twice"
+                yield Violation(entry.at, "I5", description)
             members.add((entry.job_id, task))
 
 
-def _of(entries: Iterable[Entry], kind: type) -> Iterator:
+def _select(entries: Iterable[Entry], kind: type) -> Iterator:
     return (entry for entry in entries if isinstance(entry, kind))
 
 
--- a/src/redwingrudder/_history_nodes.py
+++ b/src/redwingrudder/_history_nodes.py
@@ -27,41 +27,43 @@
 def check_fencing(entries: list[Entry]) -> Iterator[Violation]:
     """I2 and I5: epochs are unique and a worker accepts no lower one."""
     highest: dict[tuple[str, str], Epoch] = {}
-    holders: dict[tuple[str, Epoch], str] = {}
+    nodes_by_epoch: dict[tuple[str, Epoch], str] = {}
     for entry in entries:
         if isinstance(entry, CommandAccepted):
             boot = (entry.worker_id, entry.boot_id)
-            seen = highest.setdefault(boot, entry.epoch)
-            if entry.epoch < seen:
-                text = f"{entry.worker_id} accepts {entry.epoch} below {seen}"
-                yield Violation(entry.at, "I5", text)
-            highest[boot] = max(seen, entry.epoch)
+            highest_epoch = highest.setdefault(boot, entry.epoch)
+            if entry.epoch < highest_epoch:
+                description = (
+                    f"{entry.worker_id} accepts {entry.epoch} below {highest_epoch}"
+                )
+                yield Violation(entry.at, "I5", description)
+            highest[boot] = max(highest_epoch, entry.epoch)
         elif isinstance(entry, EpochTaken):
             key = (entry.failure_domain, entry.epoch)
-            holder = holders.setdefault(key, entry.node_id)
+            holder = nodes_by_epoch.setdefault(key, entry.node_id)
             if holder != entry.node_id:
-                text = f"{entry.node_id} and {holder} own under {entry.epoch}"
-                yield Violation(entry.at, "I5", text)
+                description = f"{entry.node_id} and {holder} own under {entry.epoch}"
+                yield Violation(entry.at, "I5", description)
 
 
 def check_leaving(entries: list[Entry], leaving_s: float) -> Iterator[Violation]:
     """I6: a leaving worker gets no new work."""
-    barred_from: dict[str, float] = {}
+    forbidden_from: dict[str, float] = {}
     for entry in entries:
         if isinstance(entry, LeavingListed):
             limit = entry.at + leaving_s
-            barred_from[entry.worker_id] = min(
-                limit, barred_from.get(entry.worker_id, limit)
+            forbidden_from[entry.worker_id] = min(
+                limit, forbidden_from.get(entry.worker_id, limit)
             )
         elif isinstance(entry, DrainAnnounced):
-            barred_from[entry.worker_id] = entry.at
+            forbidden_from[entry.worker_id] = entry.at
         elif isinstance(entry, WorkerBooted):
-            barred_from.pop(entry.worker_id, None)
+            forbidden_from.pop(entry.worker_id, None)
         elif isinstance(entry, MemberReserved):
-            barred = entry.at > barred_from.get(entry.worker_id, entry.at)
-            if barred:
-                text = f"{entry.worker_id} leaves and gets {entry.gang_id}"
-                yield Violation(entry.at, "I6", text)
+            forbidden = entry.at > forbidden_from.get(entry.worker_id, entry.at)
+            if forbidden:
+                description = f"{entry.worker_id} leaves and gets {entry.gang_id}"
+                yield Violation(entry.at, "I6", description)
 
 
 def check_shutdown(entries: list[Entry]) -> Iterator[Violation]:
@@ -73,10 +75,10 @@
         elif isinstance(entry, RequestEnded):
             open_requests.get(entry.node_id, set()).discard(entry.request_id)
         elif isinstance(entry, NodeDown):
-            cut_off = open_requests.pop(entry.node_id, set())
-            if entry.planned and cut_off:
-                text = f"{entry.node_id} stops during {sorted(cut_off)}"
-                yield Violation(entry.at, "I7", text)
+            unanswered = open_requests.pop(entry.node_id, set())
+            if entry.planned and unanswered:
+                description = f"{entry.node_id} stops during {sorted(unanswered)}"
+                yield Violation(entry.at, "I7", description)
 
 
 def check_configuration(entries: list[Entry], limit_s: float) -> Iterator[Violation]:
@@ -91,37 +93,37 @@
     accepted = [e for e in entries if isinstance(e, ConfigurationAccepted)]
     for change in accepted:
         for node_id in sorted(nodes):
-            spans = _available(entries, node_id, end)
-            late = _after(spans, change.at, limit_s)
-            if late is None:
+            spans = _learning_spans(entries, node_id, end)
+            deadline = _find_deadline(spans, change.at, limit_s)
+            if deadline is None:
                 continue
-            version = _version_at(entries, node_id, late)
+            version = _version_at(entries, node_id, deadline)
             if version < change.version:
-                text = f"{node_id} has {version}, not {change.version}, in force"
-                yield Violation(late, "I8", text)
+                description = f"{node_id} has {version}, not {change.version}, in force"
+                yield Violation(deadline, "I8", description)
 
 
 def _check_versions(entries: list[Entry]) -> Iterator[Violation]:
     documents: dict[int, str] = {}
-    in_force: dict[str, int] = {}
+    versions_in_force: dict[str, int] = {}
     refused = {e.document for e in entries if isinstance(e, ConfigurationRefused)}
     for entry in entries:
         if isinstance(entry, ConfigurationInForce):
-            if entry.version <= in_force.get(entry.node_id, 0):
-                text = f"{entry.node_id} reverts to {entry.version}"
-                yield Violation(entry.at, "I8", text)
-            in_force[entry.node_id] = entry.version
+            if entry.version <= versions_in_force.get(entry.node_id, 0):
+                description = f"{entry.node_id} reverts to {entry.version}"
+                yield Violation(entry.at, "I8", description)
+            versions_in_force[entry.node_id] = entry.version
             if entry.document in refused:
-                text = f"{entry.node_id} has a refused document in force"
-                yield Violation(entry.at, "I8", text)
+                description = f"{entry.node_id} has a refused document in force"
+                yield Violation(entry.at, "I8", description)
         elif not isinstance(entry, ConfigurationAccepted):
             continue
         if documents.setdefault(entry.version, entry.document) != entry.document:
-            text = f"version {entry.version} has two documents"
-            yield Violation(entry.at, "I8", text)
+            description = f"version {entry.version} has two documents"
+            yield Violation(entry.at, "I8", description)
 
 
-def _available(
+def _learning_spans(
     entries: list[Entry], node_id: str, end: float
 ) -> list[tuple[float, float]]:
     """Return the spans in which a node ran and could learn of a change.
@@ -129,15 +131,15 @@
     It learns from the store or, while it is cut off from the store, from a
     peer that reaches the store.
     """
-    running = _running(entries, node_id, end)
-    own_reach = _reach(entries, node_id, end)
-    alone = _minus(running, own_reach)
+    running = _running_spans(entries, node_id, end)
+    store_spans = _store_spans(entries, node_id, end)
+    isolated = _subtract_all(running, store_spans)
     for peer_id in {e.node_id for e in entries if isinstance(e, NodeUp)} - {node_id}:
-        alone = _minus(alone, _reach(entries, peer_id, end))
-    return _minus(running, alone)
+        isolated = _subtract_all(isolated, _store_spans(entries, peer_id, end))
+    return _subtract_all(running, isolated)
 
 
-def _running(
+def _running_spans(
     entries: list[Entry], node_id: str, end: float
 ) -> list[tuple[float, float]]:
     spans: list[tuple[float, float]] = []
@@ -154,25 +156,27 @@
     return spans
 
 
-def _reach(entries: list[Entry], node_id: str, end: float) -> list[tuple[float, float]]:
+def _store_spans(
+    entries: list[Entry], node_id: str, end: float
+) -> list[tuple[float, float]]:
     """Return the spans in which a node ran and reached the store."""
-    spans = _running(entries, node_id, end)
+    spans = _running_spans(entries, node_id, end)
     for entry in entries:
         own_cut = isinstance(entry, StoreCut) and entry.node_id == node_id
         if own_cut or isinstance(entry, StoreOutage):
-            spans = _without(spans, entry.at, entry.until)
+            spans = _subtract(spans, entry.at, entry.until)
     return spans
 
 
-def _minus(
+def _subtract_all(
     spans: list[tuple[float, float]], others: list[tuple[float, float]]
 ) -> list[tuple[float, float]]:
     for first, last in others:
-        spans = _without(spans, first, last)
+        spans = _subtract(spans, first, last)
     return spans
 
 
-def _without(
+def _subtract(
     spans: list[tuple[float, float]], begin: float, end: float
 ) -> list[tuple[float, float]]:
     parts = [
@@ -183,7 +187,7 @@
     return [(first, last) for first, last in parts if first < last]
 
 
-def _after(
+def _find_deadline(
     spans: list[tuple[float, float]], begin: float, duration_s: float
 ) -> float | None:
     """Return the end of the first span that lasts so long after a time."""
--- a/src/redwingrudder/_history_types.py
+++ b/src/redwingrudder/_history_types.py
@@ -179,7 +179,7 @@
 
     at: float
     invariant: str
-    text: str
+    description: str
 
 
 Entry = (
--- a/src/redwingrudder/_spec_common.py
+++ b/src/redwingrudder/_spec_common.py
@@ -28,7 +28,7 @@
         self.taken.add((chart.name, state, event))
         return transition
 
-    def missing(self) -> set[tuple[str, str, str]]:
+    def list_untaken(self) -> set[tuple[str, str, str]]:
         """Return what no model took, as (chart, state, event)."""
         return {
             (name, *key)
@@ -61,15 +61,15 @@
 
     ``holds`` is None when the model has more states than ``MAX_STATES``.
     """
-    kind = type(model.initial)
+    state_type = type(model.initial)
     protocol = Protocol(
         name=model.name,
         candidate=False,
-        fields=kind._fields,
+        fields=state_type._fields,
         initial=model.initial,
-        transitions=lambda state: list(model.successors(kind(*state))),
+        transitions=lambda state: list(model.successors(state_type(*state))),
         invariants={
-            name: _on_mapping(kind, invariant)
+            name: _accept_mapping(state_type, invariant)
             for name, invariant in model.invariants_by_property.items()
         },
     )
@@ -77,11 +77,11 @@
     return tuple(
         Finding(
             name,
-            found["holds"],
+            result["holds"],
             outcome["reachable_states"],
-            _labels(found["counterexample"]),
+            _list_labels(result["counterexample"]),
         )
-        for name, found in outcome["properties"].items()
+        for name, result in outcome["properties"].items()
     )
 
 
@@ -90,7 +90,7 @@
     violated = []
     invariant = model.invariants_by_property[property_name]
 
-    def judge(state: Any) -> bool:
+    def stop_at_violation(state: Any) -> bool:
         if not invariant(state):
             violated.append(True)
         return not violated
@@ -99,15 +99,17 @@
         # The first violation that the breadth-first search meets is enough.
         return () if violated else model.successors(state)
 
-    narrowed = model._replace(
-        successors=successors, invariants_by_property={property_name: judge}
+    single_property = model._replace(
+        successors=successors, invariants_by_property={property_name: stop_at_violation}
     )
-    return check(narrowed)[0]
+    return check(single_property)[0]
 
 
-def _on_mapping(kind: Any, invariant: Invariant) -> Callable[[dict[str, Any]], bool]:
-    return lambda fields: invariant(kind(**fields))
+def _accept_mapping(
+    state_type: Any, invariant: Invariant
+) -> Callable[[dict[str, Any]], bool]:
+    return lambda fields: invariant(state_type(**fields))
 
 
-def _labels(counterexample: list[dict[str, Any]] | None) -> tuple[str, ...]:
+def _list_labels(counterexample: list[dict[str, Any]] | None) -> tuple[str, ...]:
     return tuple(step["label"] for step in (counterexample or ())[1:])
--- a/src/redwingrudder/_spec_configuration.py
+++ b/src/redwingrudder/_spec_configuration.py
@@ -17,8 +17,8 @@
 REFUSED_IS_OUT = "I8: a change that was refused is never in force"
 
 CHART = load_chart("configuration", _EVENTS, _ACTIONS)
-OUTAGES = 1
-RESETS = 1
+MAX_OUTAGES = 1
+MAX_WATCH_RESETS = 1
 OPERATORS = (0, 1)
 IDLE, SENT, UNSURE = "idle", "sent", "unsure"
 ACCEPTED, REFUSED = "accepted", "refused"
@@ -58,7 +58,7 @@
     state: str
     in_force: Document | None = None
     seen: int = -1
-    reading: bool = False
+    read_pending: bool = False
     read: Document | None = None
     offer: Document | None = None
 
@@ -67,8 +67,8 @@
     """An operator's one change; ``base`` is the version that was edited."""
 
     state: str = IDLE
-    base: int = 0
-    written: int = 0
+    base_version: int = 0
+    written_version: int = 0
 
 
 class Deployment(NamedTuple):
@@ -78,9 +78,9 @@
     operators: tuple[Operator, ...] = (Operator(), Operator())
     store: tuple[int, ...] = ()
     store_up: bool = True
-    outages: int = OUTAGES
-    resets: int = RESETS
-    known: frozenset[Document] = frozenset()
+    outages_left: int = MAX_OUTAGES
+    resets_left: int = MAX_WATCH_RESETS
+    ever_in_force: frozenset[Document] = frozenset()
     reverted: bool = False
 
 
@@ -92,34 +92,34 @@
     initial = Deployment((Node(CHART.initial), Node(CHART.initial)))
     invariants = {
         NEVER_REVERTS: lambda deployment: not deployment.reverted,
-        ONE_DOCUMENT: _has_one_document,
-        NEVER_LOST: _keeps_accepted,
-        REFUSED_IS_OUT: _leaves_refused_out,
+        ONE_DOCUMENT: _have_one_document,
+        NEVER_LOST: _are_accepted_stored,
+        REFUSED_IS_OUT: _are_refused_unused,
     }
     successors = _Successors(coverage, flaw)
     return Model("configuration", flaw, initial, successors, invariants)
 
 
-def _has_one_document(deployment: Deployment) -> bool:
-    versions = [document.version for document in deployment.known]
+def _have_one_document(deployment: Deployment) -> bool:
+    versions = [document.version for document in deployment.ever_in_force]
     return len(versions) == len(set(versions))
 
 
-def _keeps_accepted(deployment: Deployment) -> bool:
+def _are_accepted_stored(deployment: Deployment) -> bool:
     return all(
-        deployment.store[operator.written - 1] == index
+        deployment.store[operator.written_version - 1] == index
         for index, operator in enumerate(deployment.operators)
         if operator.state == ACCEPTED
     )
 
 
-def _leaves_refused_out(deployment: Deployment) -> bool:
+def _are_refused_unused(deployment: Deployment) -> bool:
     refused = {
         index
         for index, operator in enumerate(deployment.operators)
         if operator.state == REFUSED
     }
-    return not refused & {document.operator for document in deployment.known}
+    return not refused & {document.operator for document in deployment.ever_in_force}
 
 
 class _Successors:
@@ -130,18 +130,18 @@
         self._flaw = flaw
 
     def __call__(self, deployment: Deployment) -> Steps:
-        yield from self._environment(deployment)
+        yield from self._environment_steps(deployment)
         for index, node in enumerate(deployment.nodes):
             yield from self._node_steps(deployment, index, node)
         for index, operator in enumerate(deployment.operators):
             yield from self._operator_steps(deployment, index, operator)
 
-    def _environment(self, deployment: Deployment) -> Steps:
-        if deployment.store_up and deployment.outages:
-            outages = deployment.outages - 1
+    def _environment_steps(self, deployment: Deployment) -> Steps:
+        if deployment.store_up and deployment.outages_left:
+            outages_left = deployment.outages_left - 1
             yield (
                 "store goes down",
-                deployment._replace(store_up=False, outages=outages),
+                deployment._replace(store_up=False, outages_left=outages_left),
             )
         if not deployment.store_up:
             yield "store comes back", deployment._replace(store_up=True)
@@ -150,45 +150,45 @@
         name = f"node {index}"
         status = "store_available" if deployment.store_up else "store_lost"
         yield f"{name}: {status}", self._fire(deployment, index, status)
-        if node.reading:
+        if node.read_pending:
             yield from self._read_steps(deployment, index, node)
         else:
             yield f"{name}: retry", self._fire(deployment, index, "retry_due")
         if deployment.store_up and node.seen >= 0:
             yield from self._watch_steps(deployment, index, node)
         if node.offer is not None:
-            after = _put(deployment, index, node._replace(offer=None))
+            after = _with_node(deployment, index, node._replace(offer=None))
             adopted = self._fire(after, index, "offered", node.offer)
             yield f"{name}: offer taken", adopted
         else:
             offer = deployment.nodes[1 - index].in_force
             if offer is not None and offer != node.in_force:
-                sent = _put(deployment, index, node._replace(offer=offer))
+                sent = _with_node(deployment, index, node._replace(offer=offer))
                 yield f"{name}: peer answers", sent
 
     def _watch_steps(self, deployment: Deployment, index: int, node: Node) -> Steps:
         name = f"node {index}"
-        reset = deployment._replace(resets=deployment.resets - 1)
+        reset = deployment._replace(resets_left=deployment.resets_left - 1)
         # The nodes are alike, so it is enough that the watch of one breaks.
-        breaks = deployment.resets and index == 0
-        if breaks:
-            unwatched = _put(reset, index, node._replace(seen=-1))
-            after = self._fire(unwatched, index, "watch_reset")
+        may_reset = deployment.resets_left and index == 0
+        if may_reset:
+            unwatched_node = _with_node(reset, index, node._replace(seen=-1))
+            after = self._fire(unwatched_node, index, "watch_reset")
             yield f"{name}: watch reset", after
         if node.seen < len(deployment.store):
             seen = node._replace(seen=node.seen + 1)
-            after = _put(deployment, index, seen)
+            after = _with_node(deployment, index, seen)
             yield f"{name}: change seen", self._fire(after, index, "changed")
-            if breaks:
-                skipped = _put(reset, index, seen)
+            if may_reset:
+                skipped = _with_node(reset, index, seen)
                 after = self._fire(skipped, index, "gap_found")
                 yield f"{name}: change not understood", after
 
     def _read_steps(self, deployment: Deployment, index: int, node: Node) -> Steps:
         name = f"node {index}"
         if node.read is not None:
-            done = node._replace(reading=False, read=None)
-            after = _put(deployment, index, done)
+            done = node._replace(read_pending=False, read=None)
+            after = _with_node(deployment, index, done)
             read = node.read if node.read.version else None
             answered = self._fire(after, index, "document_read", read)
             yield f"{name}: read answered", answered
@@ -196,9 +196,9 @@
             version = len(deployment.store)
             operator = deployment.store[-1] if version else -1
             read = node._replace(read=Document(version, operator))
-            yield f"{name}: document read", _put(deployment, index, read)
+            yield f"{name}: document read", _with_node(deployment, index, read)
         else:
-            after = _put(deployment, index, node._replace(reading=False))
+            after = _with_node(deployment, index, node._replace(read_pending=False))
             yield f"{name}: read failed", self._fire(after, index, "read_failed")
 
     def _operator_steps(
@@ -209,31 +209,31 @@
             return
         if operator.state == IDLE:
             sent = Operator(SENT, len(deployment.store))
-            yield f"{name}: sends", _set_operator(deployment, index, sent)
+            yield f"{name}: sends", _with_operator(deployment, index, sent)
         elif operator.state in (SENT, UNSURE):
-            after, settled = self._transact(deployment, index, operator)
-            yield f"{name}: answered", _set_operator(after, index, settled)
-            unsure = settled._replace(state=UNSURE)
+            after, answered = self._transact(deployment, index, operator)
+            yield f"{name}: answered", _with_operator(after, index, answered)
+            unsure = answered._replace(state=UNSURE)
             if self._flaw is Flaw.NO_NONCE:
-                unsure = settled._replace(state=REFUSED)
-            yield f"{name}: reply lost", _set_operator(after, index, unsure)
+                unsure = answered._replace(state=REFUSED)
+            yield f"{name}: reply lost", _with_operator(after, index, unsure)
 
     def _transact(
         self, deployment: Deployment, index: int, operator: Operator
     ) -> tuple[Deployment, Operator]:
         """Return the store after the transaction and what is confirmed."""
-        if operator.written:
+        if operator.written_version:
             # The change of this version has the operator's nonce.
             return deployment, operator._replace(state=ACCEPTED)
-        store, version = deployment.store, operator.base + 1
+        store, version = deployment.store, operator.base_version + 1
         if self._flaw is Flaw.BLIND_WRITE:
-            store = (*store[: operator.base], index, *store[version:])
-        elif len(store) == operator.base:
+            store = (*store[: operator.base_version], index, *store[version:])
+        elif len(store) == operator.base_version:
             store = (*store, index)
         else:
             return deployment, operator._replace(state=REFUSED)
-        written = operator._replace(state=ACCEPTED, written=version)
-        return deployment._replace(store=store), written
+        written_version = operator._replace(state=ACCEPTED, written_version=version)
+        return deployment._replace(store=store), written_version
 
     def _fire(
         self,
@@ -244,7 +244,7 @@
     ) -> Deployment:
         node = deployment.nodes[index]
         step = self._coverage.step(CHART, node.state, event)
-        deployment = _put(deployment, index, node._replace(state=step.target))
+        deployment = _with_node(deployment, index, node._replace(state=step.target))
         for action in step.actions:
             deployment = getattr(self, f"_{action}")(deployment, index, document)
         return deployment
@@ -255,7 +255,7 @@
         self, deployment: Deployment, index: int, _: Document | None
     ) -> Deployment:
         node = deployment.nodes[index]
-        return _put(deployment, index, node._replace(reading=True))
+        return _with_node(deployment, index, node._replace(read_pending=True))
 
     def _schedule_read(
         self, deployment: Deployment, index: int, _: Document | None
@@ -267,7 +267,7 @@
     ) -> Deployment:
         node = deployment.nodes[index]
         version = document.version if document else 0
-        return _put(deployment, index, node._replace(seen=version))
+        return _with_node(deployment, index, node._replace(seen=version))
 
     def _apply_change(
         self, deployment: Deployment, index: int, _: Document | None
@@ -290,19 +290,21 @@
         version = node.in_force.version if node.in_force else 0
         if document.version <= version and self._flaw is not Flaw.ADOPT_ANY:
             return deployment
-        adopted = _put(deployment, index, node._replace(in_force=document))
+        adopted = _with_node(deployment, index, node._replace(in_force=document))
         return adopted._replace(
-            known=deployment.known | {document},
+            ever_in_force=deployment.ever_in_force | {document},
             reverted=deployment.reverted or document.version < version,
         )
 
 
-def _put(deployment: Deployment, index: int, node: Node) -> Deployment:
+def _with_node(deployment: Deployment, index: int, node: Node) -> Deployment:
     nodes = (*deployment.nodes[:index], node, *deployment.nodes[index + 1 :])
     return deployment._replace(nodes=nodes)
 
 
-def _set_operator(deployment: Deployment, index: int, operator: Operator) -> Deployment:
+def _with_operator(
+    deployment: Deployment, index: int, operator: Operator
+) -> Deployment:
     operators = deployment.operators
     changed = (*operators[:index], operator, *operators[index + 1 :])
     return deployment._replace(operators=changed)
--- a/src/redwingrudder/_spec_gang.py
+++ b/src/redwingrudder/_spec_gang.py
@@ -36,8 +36,8 @@
 
 NO_EARLY_START = "I2: no task starts before every member was reserved"
 NO_LATE_START = "I2: no task starts after a member was released"
-NOT_RUN_IS_TRUE = "I4: a job that was told not_run never starts"
-ALL_LISTED = "I2: the charts list every event that occurs"
+NOT_RUN_NEVER_STARTS = "I4: a job that was told not_run never starts"
+NO_UNEXPECTED_EVENT = "I2: the charts list every event that occurs"
 AT_MOST_ONCE = "I5: at most one gang of a job starts"
 
 SCENARIOS_BY_NAME = {
@@ -48,11 +48,11 @@
     "gang, idempotent": Scenario(True, True, 0, 1),
 }
 FLAWS = (
-    ("gang, short recovery", Flaw.LATE_START_RELEASED, ALL_LISTED),
+    ("gang, short recovery", Flaw.LATE_START_RELEASED, NO_UNEXPECTED_EVENT),
     ("gang, one owner", Flaw.START_EARLY, NO_EARLY_START),
     ("gang, two owners", Flaw.NO_FENCING, NO_LATE_START),
-    ("gang, one owner", Flaw.NOT_RUN_EARLY, NOT_RUN_IS_TRUE),
-    ("gang, idempotent", Flaw.FINAL_UNCHECKED, NOT_RUN_IS_TRUE),
+    ("gang, one owner", Flaw.NOT_RUN_EARLY, NOT_RUN_NEVER_STARTS),
+    ("gang, idempotent", Flaw.FINAL_UNCHECKED, NOT_RUN_NEVER_STARTS),
     ("gang, worker fault", Flaw.NO_START_RECORD, AT_MOST_ONCE),
 )
 
@@ -75,9 +75,11 @@
 def build_model(coverage: Coverage, name: str, scenario: Scenario) -> Model:
     """Return the model of one scenario."""
     invariants = {
-        ALL_LISTED: lambda world: not world.unexpected,
+        NO_UNEXPECTED_EVENT: lambda world: not world.unexpected,
         NO_EARLY_START: lambda world: not world.started_early,
-        NOT_RUN_IS_TRUE: lambda world: not (world.not_run_told and world.ever_started),
+        NOT_RUN_NEVER_STARTS: lambda world: (
+            not (world.not_run_reported and world.ever_started)
+        ),
     }
     if scenario.patient:
         # A worker that a new owner gives up while its predecessor reaches it
@@ -105,15 +107,15 @@
         self._scenario = scenario
 
     def __call__(self, world: World) -> Steps:
-        yield from self._environment(world)
+        yield from self._environment_steps(world)
         for index, owner in enumerate(world.owners):
             if owner is not None:
-                yield from self._decisions(world, index, owner)
+                yield from self._decision_steps(world, index, owner)
                 yield from self._store_steps(world, index, owner)
                 for worker in WORKERS:
-                    yield from self._link_steps(world, index, owner, worker)
+                    yield from self._worker_steps(world, index, owner, worker)
 
-    def _environment(self, world: World) -> Steps:
+    def _environment_steps(self, world: World) -> Steps:
         if self._scenario.takeover and world.owners[1] is None:
             yield "owner 2 takes over", self._take_over(world)
         if self._scenario.drains and not world.draining:
@@ -121,10 +123,15 @@
         for index, worker in enumerate(world.workers):
             # The workers are alike, so it is enough that one of them fails.
             if world.faults and (index == 0 or not self._scenario.takeover):
-                yield f"worker {index} restarts", _fail(world, index, Worker(0))
-                lapsed = worker._replace(members=tuple(map(_lapse, worker.members)))
+                yield f"worker {index} restarts", _apply_fault(world, index, Worker(0))
+                lapsed = worker._replace(
+                    members=tuple(map(_member_after_lapse, worker.members))
+                )
                 if lapsed != worker:
-                    yield f"lease of worker {index} lapses", _fail(world, index, lapsed)
+                    yield (
+                        f"lease of worker {index} lapses",
+                        _apply_fault(world, index, lapsed),
+                    )
             for gang_id in GANGS:
                 if worker.members[gang_id] == STARTED and self._scenario.tasks_end:
                     done = _with_member(world, index, gang_id, DONE)
@@ -146,141 +153,158 @@
         )
         return world._replace(owners=(world.owners[0], owner))
 
-    def _decisions(self, world: World, index: int, owner: Owner) -> Steps:
+    def _decision_steps(self, world: World, index: int, owner: Owner) -> Steps:
         step = self._step(owner)
-        waits = owner.may_have_run and not owner.recovered
-        own_gang_free = owner.gangs[index] is None and not world.ever_reserved[index]
-        claimed = owner.linked == ALL_WORKERS
-        queued = owner.job == "queued" and owner.known and not waits
-        if queued and own_gang_free and claimed:
+        awaits_recovery = owner.may_have_run and not owner.recovered
+        gang_unused = owner.gangs[index] is None and not world.ever_reserved[index]
+        all_claimed = owner.claimed_workers == ALL_WORKERS
+        queued = owner.job == "queued" and owner.job_known and not awaits_recovery
+        if queued and gang_unused and all_claimed:
             step.place(index)
-            yield f"owner {index + 1} places", _with_owner(world, index, step)
-        active = owner.known and owner.job not in JOB_CHART.final_states
+            yield f"owner {index + 1} places", _with_step(world, index, step)
+        active = owner.job_known and owner.job not in JOB_CHART.final_states
         if world.cancellations and active:
             step = self._step(owner)
             step.cancel()
-            after = _with_owner(world, index, step)._replace(cancellations=0)
+            after = _with_step(world, index, step)._replace(cancellations=0)
             yield f"owner {index + 1} cancels", after
-        if world.draining and not owner.drain_seen:
+        if world.draining and not owner.drain_handled:
             step = self._step(owner)
             step.worker_draining(0)
-            yield f"owner {index + 1} sees the drain", _with_owner(world, index, step)
-        lost = sum(1 << w for w in WORKERS if world.workers[w].lost_to >> index & 1)
-        settled = owner.linked | lost == ALL_WORKERS or not self._scenario.patient
-        if not owner.recovered and settled:
+            yield f"owner {index + 1} sees the drain", _with_step(world, index, step)
+        lost_workers = sum(
+            1 << w for w in WORKERS if world.workers[w].lost_to_owners >> index & 1
+        )
+        all_claimed_or_lost = (
+            owner.claimed_workers | lost_workers == ALL_WORKERS
+            or not self._scenario.patient
+        )
+        if not owner.recovered and all_claimed_or_lost:
             step = self._step(owner)
             step.recovery_ended()
-            yield f"owner {index + 1} ends recovery", _with_owner(world, index, step)
+            yield f"owner {index + 1} ends recovery", _with_step(world, index, step)
 
     def _store_steps(self, world: World, index: int, owner: Owner) -> Steps:
         name = f"owner {index + 1}"
         unchecked = self._scenario.flaw is Flaw.FINAL_UNCHECKED
         # The start and not_run also compare the owner record.
         is_owner = index == 1 or world.owners[1] is None
-        current = owner.revision == world.revision
-        if owner.write or owner.job == "not_run":
-            current = current and is_owner
-        if owner.write == "sent" and not current:
-            refused = owner._replace(write="refused")
-            yield f"{name}: record refused", _put_owner(world, index, refused)
-        elif owner.write == "sent":
+        may_write = owner.revision == world.revision
+        if owner.start_write or owner.job == "not_run":
+            may_write = may_write and is_owner
+        if owner.start_write == "sent" and not may_write:
+            refused = owner._replace(start_write="refused")
+            yield f"{name}: record refused", _with_owner(world, index, refused)
+        elif owner.start_write == "sent":
             revision = world.revision + 1
-            written = owner._replace(write="confirmed", revision=revision)
-            after = _put_owner(world, index, written)
+            written = owner._replace(start_write="confirmed", revision=revision)
+            after = _with_owner(world, index, written)
             after = after._replace(record=STARTING, revision=revision)
             yield f"{name}: start recorded", after
-        elif owner.write:
-            step = self._step(owner._replace(write=""))
-            step.start_recorded(index, owner.write == "confirmed")
-            yield f"{name}: record answered", _with_owner(world, index, step)
-        elif owner.job in JOB_CHART.final_states and not owner.record_final:
-            final = _put_owner(world, index, owner._replace(record_final=True))
-            if unchecked or current:
-                told = final.not_run_told or owner.job == "not_run"
+        elif owner.start_write:
+            step = self._step(owner._replace(start_write=""))
+            step.start_recorded(index, owner.start_write == "confirmed")
+            yield f"{name}: record answered", _with_step(world, index, step)
+        elif owner.job in JOB_CHART.final_states and not owner.final_written:
+            final = _with_owner(world, index, owner._replace(final_written=True))
+            if unchecked or may_write:
+                reported = final.not_run_reported or owner.job == "not_run"
                 revision = world.revision + 1
                 final = final._replace(
-                    record=FINAL, revision=revision, not_run_told=told
+                    record=FINAL, revision=revision, not_run_reported=reported
                 )
             yield f"{name}: final record", final
 
-    def _link_steps(self, world: World, index: int, owner: Owner, number: int) -> Steps:
-        worker = world.workers[number]
-        name = f"owner {index + 1}, worker {number}"
-        if worker.lost_to >> index & 1:
+    def _worker_steps(
+        self, world: World, index: int, owner: Owner, worker_index: int
+    ) -> Steps:
+        worker = world.workers[worker_index]
+        name = f"owner {index + 1}, worker {worker_index}"
+        if worker.lost_to_owners >> index & 1:
             step = self._step(owner)
-            step.worker_lost(number)
-            seen = worker._replace(lost_to=worker.lost_to & ~(1 << index))
-            after = _with_owner(world, index, step)
-            workers = replace_at(world.workers, number, seen)
+            step.worker_lost(worker_index)
+            updated = worker._replace(
+                lost_to_owners=worker.lost_to_owners & ~(1 << index)
+            )
+            after = _with_step(world, index, step)
+            workers = replace_at(world.workers, worker_index, updated)
             yield f"{name}: lost", after._replace(workers=workers)
-        if not owner.linked >> number & 1 and worker.epoch <= index + 1:
+        if not owner.claimed_workers >> worker_index & 1 and worker.epoch <= index + 1:
             step = self._step(owner)
-            step.worker_claimed(number, worker.members)
+            step.worker_claimed(worker_index, worker.members)
             # A worker that one owner reaches is not lost to the other.
             unlinked = sum(
                 1 << i
                 for i, other in enumerate(world.owners)
-                if other is not None and not other.linked >> number & 1
+                if other is not None and not other.claimed_workers >> worker_index & 1
+            )
+            updated = worker._replace(
+                epoch=index + 1, lost_to_owners=worker.lost_to_owners & ~unlinked
             )
-            seen = worker._replace(epoch=index + 1, lost_to=worker.lost_to & ~unlinked)
-            after = _with_owner(world, index, step)
-            workers = replace_at(world.workers, number, seen)
+            after = _with_step(world, index, step)
+            workers = replace_at(world.workers, worker_index, updated)
             yield f"{name}: claimed", after._replace(workers=workers)
         if not self._accepts(worker, index):
             return
         for gang_id, gang in enumerate(owner.gangs):
-            if gang is not None and owner.linked >> number & 1:
-                yield from self._gang_steps(world, index, gang_id, gang, number)
+            if gang is not None and owner.claimed_workers >> worker_index & 1:
+                yield from self._command_steps(
+                    world, index, gang_id, gang, worker_index
+                )
 
     def _accepts(self, worker: Worker, index: int) -> bool:
         if self._scenario.flaw is Flaw.NO_FENCING and worker.epoch:
             return True
         return worker.epoch == index + 1
 
-    def _gang_steps(
-        self, world: World, index: int, gang_id: int, gang: Gang, number: int
+    def _command_steps(
+        self, world: World, index: int, gang_id: int, gang: Gang, worker_index: int
     ) -> Steps:
-        name = f"owner {index + 1}, worker {number}, gang {gang_id}"
-        state = world.workers[number].members[gang_id]
-        if gang.queues[number]:
-            command = gang.queues[number][0]
-            after, accepted = _execute(world, number, gang_id, command)
+        name = f"owner {index + 1}, worker {worker_index}, gang {gang_id}"
+        state = world.workers[worker_index].members[gang_id]
+        if gang.queues[worker_index]:
+            command = gang.queues[worker_index][0]
+            after, accepted = _execute(world, worker_index, gang_id, command)
             # The command renewed the lease, so the worker is not lost.
-            seen = after.workers[number]
-            seen = seen._replace(lost_to=seen.lost_to & ~(1 << index))
-            workers = replace_at(after.workers, number, seen)
+            updated = after.workers[worker_index]
+            updated = updated._replace(
+                lost_to_owners=updated.lost_to_owners & ~(1 << index)
+            )
+            workers = replace_at(after.workers, worker_index, updated)
             after = after._replace(workers=workers)
             if after != world:
                 yield f"{name}: {command}, reply lost", after
-            step = self._answered(after, index, gang_id, number, command, accepted)
-            yield f"{name}: {command}", _with_owner(after, index, step)
-        if state in (DONE, STOPPED) and not gang.ended >> number & 1:
+            step = self._handle_answer(
+                after, index, gang_id, worker_index, command, accepted
+            )
+            yield f"{name}: {command}", _with_step(after, index, step)
+        if state in (DONE, STOPPED) and not gang.ended >> worker_index & 1:
             step = self._step(world.owners[index])
-            step.task_ended(gang_id, number, state == DONE)
-            after = _with_owner(world, index, step)
+            step.task_ended(gang_id, worker_index, state == DONE)
+            after = _with_step(world, index, step)
             if after != world:
                 yield f"{name}: end reported", after
 
-    def _answered(
+    def _handle_answer(
         self,
         world: World,
         index: int,
         gang_id: int,
-        number: int,
+        worker_index: int,
         command: str,
         accepted: bool,
     ) -> OwnerStep:
         owner = world.owners[index]
         gang = owner.gangs[gang_id]
-        queues = replace_at(gang.queues, number, gang.queues[number][1:])
+        queues = replace_at(gang.queues, worker_index, gang.queues[worker_index][1:])
         gangs = replace_at(owner.gangs, gang_id, gang._replace(queues=queues))
         step = self._step(owner._replace(gangs=gangs))
         if command == RESERVE:
-            step.reserve_answered(gang_id, number, accepted)
+            step.reserve_answered(gang_id, worker_index, accepted)
         elif command == START:
-            step.start_answered(gang_id, number, accepted)
+            step.start_answered(gang_id, worker_index, accepted)
         elif accepted:
-            step.release_answered(gang_id, number)
+            step.release_answered(gang_id, worker_index)
         return step
 
     def _step(self, owner: Owner) -> OwnerStep:
@@ -288,69 +312,73 @@
 
 
 def _execute(
-    world: World, number: int, gang_id: int, command: str
+    world: World, worker_index: int, gang_id: int, command: str
 ) -> tuple[World, bool]:
     """Return the state after a command and its answer.
 
     For a release and a stop, the answer tells whether nothing is held.
     """
-    state = world.workers[number].members[gang_id]
-    refuses = world.draining and number == 0
-    if command == RESERVE and state == ABSENT and not refuses:
-        ever = world.ever_reserved[gang_id] | 1 << number
-        ever_reserved = replace_at(world.ever_reserved, gang_id, ever)
-        after = _with_member(world, number, gang_id, RESERVED)
+    state = world.workers[worker_index].members[gang_id]
+    refuses_reservations = world.draining and worker_index == 0
+    if command == RESERVE and state == ABSENT and not refuses_reservations:
+        worker_mask = world.ever_reserved[gang_id] | 1 << worker_index
+        ever_reserved = replace_at(world.ever_reserved, gang_id, worker_mask)
+        after = _with_member(world, worker_index, gang_id, RESERVED)
         return after._replace(ever_reserved=ever_reserved), True
     if command == RESERVE:
         return world, state == RESERVED
     if command == START and state == RESERVED:
-        return _start(world, number, gang_id), True
+        return _start(world, worker_index, gang_id), True
     if command == START:
         return world, state in (STARTED, DONE, STOPPED)
     if state == RESERVED:
-        ever = world.ever_released[gang_id] | 1 << number
-        ever_released = replace_at(world.ever_released, gang_id, ever)
-        after = _with_member(world, number, gang_id, CLOSED)
+        worker_mask = world.ever_released[gang_id] | 1 << worker_index
+        ever_released = replace_at(world.ever_released, gang_id, worker_mask)
+        after = _with_member(world, worker_index, gang_id, CLOSED)
         return after._replace(ever_released=ever_released), True
     if state == ABSENT:
-        return _with_member(world, number, gang_id, CLOSED), True
+        return _with_member(world, worker_index, gang_id, CLOSED), True
     if command == RELEASE:
         return world, state != STARTED
     if state == STARTED:
-        return _with_member(world, number, gang_id, STOPPED), False
+        return _with_member(world, worker_index, gang_id, STOPPED), False
     return world, state == CLOSED
 
 
-def _start(world: World, number: int, gang_id: int) -> World:
+def _start(world: World, worker_index: int, gang_id: int) -> World:
     early = world.ever_reserved[gang_id] != ALL_WORKERS
     late = world.ever_released[gang_id] != 0
-    return _with_member(world, number, gang_id, STARTED)._replace(
+    return _with_member(world, worker_index, gang_id, STARTED)._replace(
         ever_started=world.ever_started | 1 << gang_id,
         started_early=world.started_early or early,
         started_late=world.started_late or late,
     )
 
 
-def _lapse(state: str) -> str:
+def _member_after_lapse(state: str) -> str:
     return {RESERVED: CLOSED, STARTED: STOPPED}.get(state, state)
 
 
-def _fail(world: World, number: int, worker: Worker) -> World:
-    lost_to = sum(1 << index for index in GANGS if world.owners[index] is not None)
-    workers = replace_at(world.workers, number, worker._replace(lost_to=lost_to))
+def _apply_fault(world: World, worker_index: int, worker: Worker) -> World:
+    lost_to_owners = sum(
+        1 << index for index in GANGS if world.owners[index] is not None
+    )
+    workers = replace_at(
+        world.workers, worker_index, worker._replace(lost_to_owners=lost_to_owners)
+    )
     return world._replace(workers=workers, faults=world.faults - 1)
 
 
-def _with_member(world: World, number: int, gang_id: int, state: str) -> World:
-    worker = world.workers[number]
+def _with_member(world: World, worker_index: int, gang_id: int, state: str) -> World:
+    worker = world.workers[worker_index]
     worker = worker._replace(members=replace_at(worker.members, gang_id, state))
-    return world._replace(workers=replace_at(world.workers, number, worker))
+    return world._replace(workers=replace_at(world.workers, worker_index, worker))
 
 
-def _with_owner(world: World, index: int, step: OwnerStep) -> World:
-    after = _put_owner(world, index, step.owner)
+def _with_step(world: World, index: int, step: OwnerStep) -> World:
+    after = _with_owner(world, index, step.owner)
     return after._replace(unexpected=True) if step.unexpected else after
 
 
-def _put_owner(world: World, index: int, owner: Owner) -> World:
+def _with_owner(world: World, index: int, owner: Owner) -> World:
     return world._replace(owners=replace_at(world.owners, index, owner))
--- a/src/redwingrudder/_spec_gang_types.py
+++ b/src/redwingrudder/_spec_gang_types.py
@@ -53,8 +53,8 @@
     reserved: int = 0
     started: int = 0
     start_sent: int = 0
-    asked: int = 0
-    gone: int = 0
+    stop_sent: int = 0
+    released: int = 0
     ended: int = 0
     failed: int = 0
     cause: str = ""
@@ -70,17 +70,17 @@
     """
 
     job: str
-    known: bool
+    job_known: bool
     start_recorded: bool
     may_have_run: bool
-    current: int
+    current_gang: int
     gangs: tuple[Gang | None, ...]
-    linked: int
+    claimed_workers: int
     recovered: bool
     revision: int
-    write: str = ""
-    record_final: bool = False
-    drain_seen: bool = False
+    start_write: str = ""
+    final_written: bool = False
+    drain_handled: bool = False
 
 
 class Worker(NamedTuple):
@@ -91,7 +91,7 @@
 
     epoch: int
     members: tuple[str, ...] = (ABSENT, ABSENT)
-    lost_to: int = 0
+    lost_to_owners: int = 0
 
 
 class World(NamedTuple):
@@ -107,7 +107,7 @@
     faults: int
     cancellations: int
     draining: bool = False
-    not_run_told: bool = False
+    not_run_reported: bool = False
     ever_reserved: tuple[int, ...] = (0, 0)
     ever_released: tuple[int, ...] = (0, 0)
     ever_started: int = 0
--- a/src/redwingrudder/_spec_guarantee.py
+++ b/src/redwingrudder/_spec_guarantee.py
@@ -49,22 +49,22 @@
     name: str
 
 
-class Held(NamedTuple):
+class HeldGang(NamedTuple):
     """A gang that holds accelerators."""
 
     gang_id: str
     members: tuple[tuple[str, tuple[int, ...]], ...]
 
 
-class Occupation(NamedTuple):
+class DomainState(NamedTuple):
     """The fleet and its cells; ``faults`` and ``denied`` only judge."""
 
-    held: tuple[Held, ...]
+    held: tuple[HeldGang, ...]
     workers: tuple[str, ...]
     cells: tuple[tuple[str, tuple[tuple[str, tuple[int, ...]], ...]], ...]
-    faults: tuple[str, ...]
-    unreported: tuple[str, ...]
-    denied: tuple[str, ...]
+    unstoppable_gangs: tuple[str, ...]
+    unreported_organisations: tuple[str, ...]
+    denied_organisations: tuple[str, ...]
 
 
 def _spec(organisation: str, accelerators: int, borrower: bool) -> JobSpec:
@@ -88,9 +88,9 @@
     """Return the model, or a broken variant; it uses no charts."""
     successors = _Successors(flaw)
     invariants = {
-        RECLAIMABLE: lambda occupation: not occupation.faults,
-        REPORTED: lambda occupation: not occupation.unreported,
-        OBTAINED: lambda occupation: not occupation.denied,
+        RECLAIMABLE: lambda occupation: not occupation.unstoppable_gangs,
+        REPORTED: lambda occupation: not occupation.unreported_organisations,
+        OBTAINED: lambda occupation: not occupation.denied_organisations,
     }
     return Model("guarantees", flaw, successors.initial, successors, invariants)
 
@@ -101,23 +101,23 @@
     def __init__(self, flaw: Flaw) -> None:
         self._flaw = flaw
         self.initial = _Domain(flaw).occupation()
-        self._histories_by_state: dict[Occupation, tuple[Step, ...]] = {
+        self._histories_by_state: dict[DomainState, tuple[Step, ...]] = {
             self.initial: ()
         }
 
-    def __call__(self, occupation: Occupation) -> Iterator[tuple[str, Occupation]]:
+    def __call__(self, occupation: DomainState) -> Iterator[tuple[str, DomainState]]:
         history = self._histories_by_state[occupation]
         for step in _steps(occupation):
             domain = _Domain(self._flaw)
             for earlier in history:
-                domain.take(earlier)
-            domain.take(step)
+                domain.apply(earlier)
+            domain.apply(step)
             after = domain.occupation()
             self._histories_by_state.setdefault(after, (*history, step))
             yield f"{step.kind} {step.name}", after
 
 
-def _steps(occupation: Occupation) -> Iterator[Step]:
+def _steps(occupation: DomainState) -> Iterator[Step]:
     for name in SPECS_BY_NAME:
         yield Step("place", name)
     for held in occupation.held:
@@ -145,75 +145,77 @@
         self._configuration = configuration._replace(cells=tuple(cells))
         for worker in WORKERS:
             self._fleet.add_worker(worker, "boot", draining=False)
-        self._assign()
+        self._assign_cells()
 
-    def take(self, step: Step) -> None:
+    def apply(self, step: Step) -> None:
         """Carry out one step."""
         if step.kind == "place":
             self._place(step.name)
         elif step.kind == "end":
-            self._end(step.name)
+            self._release_gang(step.name)
         elif step.kind == "lose":
             for gang_id in self._fleet.remove_worker(step.name):
-                self._end(gang_id)
+                self._release_gang(gang_id)
             if self._flaw is not Flaw.NO_REASSIGNMENT:
-                self._assign()
+                self._assign_cells()
         else:
             worker = next(w for w in WORKERS if w.worker_id == step.name)
             self._fleet.add_worker(worker, "boot", draining=False)
-            self._assign()
+            self._assign_cells()
 
-    def occupation(self) -> Occupation:
+    def occupation(self) -> DomainState:
         """Return the state as a value."""
         held = tuple(
-            Held(gang_id, _members(gang.members_by_worker))
+            HeldGang(gang_id, _list_members(gang.members_by_worker))
             for gang_id, gang in sorted(self._fleet.gangs_by_id.items())
         )
         cells = tuple(
             (cell.key.organisation, tuple(sorted(cell.accelerators_by_worker.items())))
             for cell in self._cell_table.cells()
         )
-        return Occupation(
+        return DomainState(
             held,
             tuple(sorted(self._fleet.workers_by_id)),
             cells,
-            self._find_faults(),
-            self._find_unreported(),
-            self._find_denied(),
+            self._find_unstoppable_gangs(),
+            self._find_unreported_organisations(),
+            self._find_denied_organisations(),
         )
 
     def _place(self, name: str) -> None:
         spec = SPECS_BY_NAME[name]
-        placement, stopped = self._find_place(spec)
+        placement, gangs_to_stop = self._plan_placement(spec)
         if placement is None:
             return
-        for gang_id in stopped:
-            self._end(gang_id)
+        for gang_id in gangs_to_stop:
+            self._release_gang(gang_id)
         numbers = (f"{name} #{number}" for number in range(10))
         gang_id = next(n for n in numbers if n not in self._fleet.gangs_by_id)
         self._fleet.hold(gang_id, spec, placement)
 
-    def _find_place(self, spec: JobSpec) -> tuple[Placement | None, tuple[str, ...]]:
-        asked = spec
+    def _plan_placement(
+        self, spec: JobSpec
+    ) -> tuple[Placement | None, tuple[str, ...]]:
+        requested = spec
         if self._flaw is Flaw.FOREIGN_FIRM:
-            asked = spec._replace(idempotent=True, preemptible=True)
-        placement = BestFitPlacement().place(asked, self._fleet, self._cell_table)
+            requested = spec._replace(idempotent=True, preemptible=True)
+        placement = BestFitPlacement().place(requested, self._fleet, self._cell_table)
         if placement is not None or self._flaw is Flaw.NO_RECLAIM:
             return placement, ()
         plan = CellReclaim().reclaim(spec, self._fleet, self._cell_table)
         return (plan.placement, plan.gangs_to_stop) if plan else (None, ())
 
-    def _end(self, gang_id: str) -> None:
+    def _release_gang(self, gang_id: str) -> None:
         gang = self._fleet.gangs_by_id.get(gang_id)
         for worker_id in list(gang.members_by_worker) if gang else ():
             self._fleet.release_member(gang_id, worker_id)
 
-    def _assign(self) -> None:
+    def _assign_cells(self) -> None:
         self._cell_table.assign(self._configuration, DOMAIN, self._fleet, 0.0)
 
-    def _find_faults(self) -> tuple[str, ...]:
+    def _find_unstoppable_gangs(self) -> tuple[str, ...]:
         """Find cells with foreign holders that cannot be stopped."""
-        owners = {
+        organisations_by_accelerator = {
             (worker_id, index): cell.key.organisation
             for cell in self._cell_table.cells()
             for worker_id, indexes in cell.accelerators_by_worker.items()
@@ -224,25 +226,27 @@
             for gang_id, gang in sorted(self._fleet.gangs_by_id.items())
             if not is_borrower(gang.spec)
             and any(
-                owners.get((worker_id, index), gang.spec.organisation)
+                organisations_by_accelerator.get(
+                    (worker_id, index), gang.spec.organisation
+                )
                 != gang.spec.organisation
                 for worker_id, member in gang.members_by_worker.items()
                 for index in member.accelerators
             )
         )
 
-    def _find_unreported(self) -> tuple[str, ...]:
+    def _find_unreported_organisations(self) -> tuple[str, ...]:
         """Find organisations without their whole shapes or a shortage."""
-        short = {shortage.organisation for shortage in self._cell_table.shortages}
+        reported = {shortage.organisation for shortage in self._cell_table.shortages}
         return tuple(
             name
             for name, shapes in SHAPES_BY_ORGANISATION.items()
-            if name not in short
-            and self._live_accelerators(name)
+            if name not in reported
+            and self._count_available_accelerators(name)
             != sum(shape.accelerators * shape.copies for shape in shapes)
         )
 
-    def _live_accelerators(self, organisation: str) -> int:
+    def _count_available_accelerators(self, organisation: str) -> int:
         return sum(
             len(indexes)
             for cell in self._cell_table.cells_of(organisation)
@@ -250,19 +254,20 @@
             if worker_id in self._fleet.workers_by_id
         )
 
-    def _find_denied(self) -> tuple[str, ...]:
+    def _find_denied_organisations(self) -> tuple[str, ...]:
         """Find organisations whose shape cannot be placed for them now."""
-        short = {shortage.organisation for shortage in self._cell_table.shortages}
+        reported = {shortage.organisation for shortage in self._cell_table.shortages}
         busy = {gang.spec.organisation for gang in self._fleet.gangs_by_id.values()}
         return tuple(
             name
             for name, shapes in SHAPES_BY_ORGANISATION.items()
-            if name not in short | busy
-            and self._find_place(_spec(name, shapes[0].accelerators, False))[0] is None
+            if name not in reported | busy
+            and self._plan_placement(_spec(name, shapes[0].accelerators, False))[0]
+            is None
         )
 
 
-def _members(members_by_worker: dict) -> tuple[tuple[str, tuple[int, ...]], ...]:
+def _list_members(members_by_worker: dict) -> tuple[tuple[str, tuple[int, ...]], ...]:
     return tuple(
         (worker_id, member.accelerators)
         for worker_id, member in sorted(members_by_worker.items())
--- a/src/redwingrudder/_spec_ownership.py
+++ b/src/redwingrudder/_spec_ownership.py
@@ -17,11 +17,11 @@
 
 CHART = load_ownership_chart()
 UNCLAIMED = Epoch(0, 0, 0)
-OUTAGES = 1
-LAPSES = 1
-DRAINS = 1
-LOCAL_TERMS = 1  # by which a node may follow in an outage
-STORE_TERMS = 3
+MAX_OUTAGES = 1
+MAX_LEASE_LAPSES = 1
+MAX_DRAINS = 1
+MAX_LOCAL_TERM = 1  # by which a node may follow in an outage
+MAX_STORE_TERMS = 3
 
 SENT, HELD, RACED = "sent", "held", "raced"
 
@@ -58,15 +58,15 @@
     record: tuple[int, Epoch] | None = None
     counter: int = 0
     store_up: bool = True
-    outages: int = OUTAGES
-    lapses: int = LAPSES
-    drains: int = DRAINS
+    outages_left: int = MAX_OUTAGES
+    lapses_left: int = MAX_LEASE_LAPSES
+    drains_left: int = MAX_DRAINS
     worker_epoch: Epoch = UNCLAIMED
-    used: frozenset[Epoch] = frozenset()
-    top_stored: Epoch = UNCLAIMED
+    used_epochs: frozenset[Epoch] = frozenset()
+    highest_stored: Epoch = UNCLAIMED
     accepted_stale: bool = False
-    repeated: bool = False
-    fell: bool = False
+    epoch_repeated: bool = False
+    epoch_fell: bool = False
 
 
 Steps = Iterator[tuple[str, Domain]]
@@ -77,8 +77,8 @@
     initial = Domain((Node(CHART.initial), Node(CHART.initial)))
     invariants = {
         FENCED: lambda domain: not domain.accepted_stale,
-        UNIQUE: lambda domain: not domain.repeated,
-        RISING: lambda domain: not domain.fell,
+        UNIQUE: lambda domain: not domain.epoch_repeated,
+        RISING: lambda domain: not domain.epoch_fell,
     }
     successors = _Successors(coverage, flaw)
     return Model("ownership", flaw, initial, successors, invariants)
@@ -92,37 +92,37 @@
         self._flaw = flaw
 
     def __call__(self, domain: Domain) -> Steps:
-        yield from self._environment(domain)
+        yield from self._environment_steps(domain)
         for index, node in enumerate(domain.nodes):
             if node.state in CHART.final_states:
                 continue
-            for event in self._observations(domain, index, node):
+            for event in self._local_events(domain, index, node):
                 yield f"node {index}: {event}", self._fire(domain, index, event)
             yield from self._store_steps(domain, index, node)
             if node.epoch is not None:
                 yield from self._worker_steps(domain, index, node.epoch)
             # One of the nodes stops; the other may take the domain over.
-            if domain.drains and index == 0:
-                drained = domain._replace(drains=domain.drains - 1)
+            if domain.drains_left and index == 0:
+                drained = domain._replace(drains_left=domain.drains_left - 1)
                 yield f"node {index}: drain", self._fire(drained, index, "drain")
 
-    def _environment(self, domain: Domain) -> Steps:
-        if domain.record is not None and domain.lapses:
-            lapsed = domain._replace(record=None, lapses=domain.lapses - 1)
+    def _environment_steps(self, domain: Domain) -> Steps:
+        if domain.record is not None and domain.lapses_left:
+            lapsed = domain._replace(record=None, lapses_left=domain.lapses_left - 1)
             yield "lease of the record lapses", lapsed
-        if domain.store_up and domain.outages:
-            down = domain._replace(store_up=False, outages=domain.outages - 1)
+        if domain.store_up and domain.outages_left:
+            down = domain._replace(store_up=False, outages_left=domain.outages_left - 1)
             yield "store goes down", down
         if not domain.store_up:
             yield "store comes back", domain._replace(store_up=True)
 
-    def _observations(self, domain: Domain, index: int, node: Node) -> Iterator[str]:
+    def _local_events(self, domain: Domain, index: int, node: Node) -> Iterator[str]:
         """Yield what a node may notice by itself."""
         if domain.store_up:
             yield self._record_event(domain, index)
         elif node.state == "verifying":
             yield "store_lost"
-        elif node.state == "following" and node.highest.local_term < LOCAL_TERMS:
+        elif node.state == "following" and node.highest.local_term < MAX_LOCAL_TERM:
             yield "owner_silent"
         if domain.store_up and node.state != "following":
             yield "lease_lapsed"
@@ -135,36 +135,48 @@
     def _store_steps(self, domain: Domain, index: int, node: Node) -> Steps:
         name = f"node {index}"
         if node.call == SENT and not domain.store_up:
-            yield f"{name}: call failed", self._answer(domain, index, "store_lost")
+            yield (
+                f"{name}: call failed",
+                self._handle_answer(domain, index, "store_lost"),
+            )
         elif node.call == SENT and domain.record is not None:
-            held = _put(domain, index, node._replace(call=HELD))
+            held = _with_node(domain, index, node._replace(call=HELD))
             yield f"{name}: record is held", held
-        elif node.call == SENT and domain.counter < STORE_TERMS:
-            yield f"{name}: record written", self._write(domain, index, node)
+        elif node.call == SENT and domain.counter < MAX_STORE_TERMS:
+            yield f"{name}: record written", self._write_record(domain, index, node)
         elif node.call == HELD:
-            yield f"{name}: call answered", self._answer(domain, index, "record_held")
+            yield (
+                f"{name}: call answered",
+                self._handle_answer(domain, index, "record_held"),
+            )
         elif isinstance(node.call, Epoch):
-            yield f"{name}: call answered", self._answer(domain, index, "acquired")
-            yield f"{name}: reply lost", self._answer(domain, index, "store_lost")
-
-    def _write(self, domain: Domain, index: int, node: Node) -> Domain:
+            yield (
+                f"{name}: call answered",
+                self._handle_answer(domain, index, "acquired"),
+            )
+            yield (
+                f"{name}: reply lost",
+                self._handle_answer(domain, index, "store_lost"),
+            )
+
+    def _write_record(self, domain: Domain, index: int, node: Node) -> Domain:
         term = max(domain.counter, node.highest.store_term) + 1
         if self._flaw is Flaw.NO_COUNTER:
             term = node.highest.store_term + 1
         epoch = Epoch(term, 0, self._rank(index))
-        return _put(domain, index, node._replace(call=epoch))._replace(
+        return _with_node(domain, index, node._replace(call=epoch))._replace(
             record=(index, epoch),
             counter=domain.counter + 1,
-            top_stored=max(domain.top_stored, epoch),
-            fell=domain.fell or epoch <= domain.top_stored,
+            highest_stored=max(domain.highest_stored, epoch),
+            epoch_fell=domain.epoch_fell or epoch <= domain.highest_stored,
         )
 
     def _worker_steps(self, domain: Domain, index: int, epoch: Epoch) -> Steps:
         if epoch < domain.worker_epoch:
             node = domain.nodes[index]
             highest = max(node.highest, domain.worker_epoch)
-            told = _put(domain, index, node._replace(highest=highest))
-            yield f"node {index}: fenced", self._fire(told, index, "fenced")
+            fenced_node = _with_node(domain, index, node._replace(highest=highest))
+            yield f"node {index}: fenced", self._fire(fenced_node, index, "fenced")
         else:
             claimed = domain._replace(worker_epoch=epoch)
             yield f"node {index}: claims the worker", claimed
@@ -173,9 +185,9 @@
             accepted = domain._replace(accepted_stale=stale)
             yield f"node {index}: command accepted", accepted
 
-    def _answer(self, domain: Domain, index: int, event: str) -> Domain:
+    def _handle_answer(self, domain: Domain, index: int, event: str) -> Domain:
         node = domain.nodes[index]
-        cleared = _put(domain, index, node._replace(call=""))
+        cleared = _with_node(domain, index, node._replace(call=""))
         return self._fire(cleared, index, event, node.call)
 
     def _fire(
@@ -186,7 +198,7 @@
         if event == "record_held" and domain.record is not None:
             highest = max(node.highest, domain.record[1])
             node = node._replace(highest=highest)
-        domain = _put(domain, index, node._replace(state=step.target))
+        domain = _with_node(domain, index, node._replace(state=step.target))
         for action in step.actions:
             domain = getattr(self, f"_{action}")(domain, index, acquired)
         return domain
@@ -196,7 +208,7 @@
     def _acquire_record(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
         node = domain.nodes[index]
         # One acquisition at a time; the answer of an earlier one counts.
-        return _put(domain, index, node._replace(call=node.call or SENT))
+        return _with_node(domain, index, node._replace(call=node.call or SENT))
 
     def _read_record(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
         return domain
@@ -212,7 +224,7 @@
         node = domain.nodes[index]
         term = node.highest.local_term + 1
         epoch = Epoch(node.highest.store_term, term, self._rank(index))
-        return _put(domain, index, node._replace(epoch=epoch))
+        return _with_node(domain, index, node._replace(epoch=epoch))
 
     def _begin_owning(
         self, domain: Domain, index: int, acquired: str | Epoch
@@ -221,21 +233,21 @@
         epoch = acquired if isinstance(acquired, Epoch) else node.epoch
         highest = max(node.highest, epoch)
         owner = node._replace(epoch=epoch, highest=highest)
-        return _put(domain, index, owner)._replace(
-            used=domain.used | {epoch},
-            repeated=domain.repeated or epoch in domain.used,
+        return _with_node(domain, index, owner)._replace(
+            used_epochs=domain.used_epochs | {epoch},
+            epoch_repeated=domain.epoch_repeated or epoch in domain.used_epochs,
         )
 
     def _raise_epoch(self, domain: Domain, index: int, acquired: str | Epoch) -> Domain:
         return self._begin_owning(domain, index, acquired)
 
     def _end_owning(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
-        return _put(domain, index, domain.nodes[index]._replace(epoch=None))
+        return _with_node(domain, index, domain.nodes[index]._replace(epoch=None))
 
     def _rank(self, index: int) -> int:
         return 0 if self._flaw is Flaw.NO_RANK else index + 1
 
 
-def _put(domain: Domain, index: int, node: Node) -> Domain:
+def _with_node(domain: Domain, index: int, node: Node) -> Domain:
     nodes = (*domain.nodes[:index], node, *domain.nodes[index + 1 :])
     return domain._replace(nodes=nodes)
--- a/src/redwingrudder/_spec_workflow.py
+++ b/src/redwingrudder/_spec_workflow.py
@@ -15,12 +15,12 @@
 ONE_RUN = "I5: one run of a task at a time"
 NOT_AGAIN = "I5: no run begins after an end that was acknowledged"
 
-MOST_RUNS = 2
-MOST_TERMS = 2
-CUTS = 1
-SILENCES = 1
+MAX_RUNS = 2
+MAX_TERMS = 2
+MAX_CUTS = 1
+MAX_SILENCES = 1
 WORKERS = (0, 1)
-START, STOP, NO_RESOURCES = "start", "stop", ""
+START, STOP, NO_ORDER = "start", "stop", ""
 
 
 class Flaw(enum.StrEnum):
@@ -29,8 +29,8 @@
     NONE = ""
     NO_RECORD = "a start is sent before its record"
     NO_FENCE = "a look does not raise the worker's fence"
-    NO_CLOSE = "an unanswered start is given up without a stop"
-    NO_LOOK = "a start is given up without a look for the end of its run"
+    NO_STOP = "an unanswered start is given up without a stop"
+    NO_POLL = "a start is given up without a look for the end of its run"
     DROP_STARTS = "a look after a silence drops starts in flight"
     EARLY_LAPSE = "a lease is taken as lapsed too early"
     ACKNOWLEDGE_FIRST = "an end is acknowledged before its record"
@@ -39,8 +39,8 @@
 FLAWS = (
     (Flaw.NO_RECORD, ONE_RUN),
     (Flaw.NO_FENCE, ONE_RUN),
-    (Flaw.NO_CLOSE, ONE_RUN),
-    (Flaw.NO_LOOK, NOT_AGAIN),
+    (Flaw.NO_STOP, ONE_RUN),
+    (Flaw.NO_POLL, NOT_AGAIN),
     (Flaw.DROP_STARTS, ONE_RUN),
     (Flaw.EARLY_LAPSE, ONE_RUN),
     (Flaw.ACKNOWLEDGE_FIRST, NOT_AGAIN),
@@ -64,7 +64,7 @@
 
     fence: int = 0
     run: int = 0
-    closed: int = 0
+    highest_closed_run: int = 0
     ended: int = 0
     cut: bool = False
 
@@ -81,9 +81,9 @@
     state: str
     run: int = 0
     worker: int = 0
-    sending: str = NO_RESOURCES
-    known: tuple[bool, bool] = (False, False)
-    silent: tuple[bool, bool] = (False, False)
+    sending: str = NO_ORDER
+    has_reported: tuple[bool, bool] = (False, False)
+    unresponsive: tuple[bool, bool] = (False, False)
 
 
 class World(NamedTuple):
@@ -92,12 +92,12 @@
     coordinator: Coordinator
     workers: tuple[Worker, Worker] = (Worker(), Worker())
     orders: frozenset[Order] = frozenset()
-    placed: tuple[int, int] = (0, 0)
-    done: bool = False
-    acknowledged: bool = False
+    recorded_placement: tuple[int, int] = (0, 0)
+    end_recorded: bool = False
+    end_acknowledged: bool = False
     ran_again: bool = False
-    cuts: int = CUTS
-    silences: int = SILENCES
+    cuts_left: int = MAX_CUTS
+    silences_left: int = MAX_SILENCES
 
 
 Steps = Iterator[tuple[str, World]]
@@ -121,46 +121,63 @@
         self._flaw = flaw
 
     def __call__(self, world: World) -> Steps:
-        yield from self._coordinate(world)
+        yield from self._coordinator_steps(world)
         for order in world.orders:
-            yield from self._deliver(world, order)
+            yield from self._delivery_steps(world, order)
         for index in WORKERS:
-            yield from self._look(world, index)
-            yield from self._change(world, index)
-        yield from self._take_over(world)
+            yield from self._poll_steps(world, index)
+            yield from self._worker_steps(world, index)
+        yield from self._takeover_steps(world)
 
-    def _step(self, coordinator: Coordinator, event: str) -> Coordinator:
+    def _fire(self, coordinator: Coordinator, event: str) -> Coordinator:
         target = self._coverage.step(CHART, coordinator.state, event).target
         return coordinator._replace(state=target)
 
     def _is_final(self, coordinator: Coordinator) -> bool:
         return coordinator.state in CHART.final_states
 
-    def _coordinate(self, world: World) -> Steps:
-        mine = world.coordinator
-        if mine.state == "waiting" and mine.run < MOST_RUNS:
+    def _coordinator_steps(self, world: World) -> Steps:
+        coordinator = world.coordinator
+        if coordinator.state == "waiting" and coordinator.run < MAX_RUNS:
             for index in WORKERS:
-                if mine.known[index] and not mine.silent[index]:
-                    yield from self._place(world, index)
-        order = Order(mine.sending, mine.worker, mine.run, mine.term)
-        if mine.sending and order not in world.orders:
-            yield f"send {mine.sending}", world._replace(orders=world.orders | {order})
-        if mine.sending == START and not self._is_final(mine):
-            if self._flaw is Flaw.NO_CLOSE:
-                given_up = self._step(mine, "rejected")._replace(sending=NO_RESOURCES)
+                if (
+                    coordinator.has_reported[index]
+                    and not coordinator.unresponsive[index]
+                ):
+                    yield from self._placement_steps(world, index)
+        order = Order(
+            coordinator.sending, coordinator.worker, coordinator.run, coordinator.term
+        )
+        if coordinator.sending and order not in world.orders:
+            yield (
+                f"send {coordinator.sending}",
+                world._replace(orders=world.orders | {order}),
+            )
+        if coordinator.sending == START and not self._is_final(coordinator):
+            if self._flaw is Flaw.NO_STOP:
+                without_start = self._fire(coordinator, "rejected")._replace(
+                    sending=NO_ORDER
+                )
             else:
-                given_up = mine._replace(sending=STOP)
-            yield "give a start up", world._replace(coordinator=given_up)
+                without_start = coordinator._replace(sending=STOP)
+            yield "give a start up", world._replace(coordinator=without_start)
 
-    def _place(self, world: World, index: int) -> Steps:
-        mine = self._step(world.coordinator, "assign")
-        mine = mine._replace(run=mine.run + 1, worker=index, sending=START)
-        placed = (mine.run, index)
+    def _placement_steps(self, world: World, index: int) -> Steps:
+        coordinator = self._fire(world.coordinator, "assign")
+        coordinator = coordinator._replace(
+            run=coordinator.run + 1, worker=index, sending=START
+        )
+        recorded_placement = (coordinator.run, index)
         if self._flaw is Flaw.NO_RECORD:
-            placed = world.placed
-        yield f"place on {index}", world._replace(coordinator=mine, placed=placed)
+            recorded_placement = world.recorded_placement
+        yield (
+            f"place on {index}",
+            world._replace(
+                coordinator=coordinator, recorded_placement=recorded_placement
+            ),
+        )
 
-    def _deliver(self, world: World, order: Order) -> Steps:
+    def _delivery_steps(self, world: World, order: Order) -> Steps:
         worker = world.workers[order.worker]
         if worker.cut:
             return
@@ -170,101 +187,137 @@
             worker = worker._replace(fence=order.fence)
         begins = False
         if accepted and order.kind == START:
-            accepted = order.run > worker.closed
+            accepted = order.run > worker.highest_closed_run
             begins = accepted and not worker.run
             worker = worker._replace(run=order.run if begins else worker.run)
         elif accepted:
             worker = worker._replace(
-                closed=max(worker.closed, order.run),
+                highest_closed_run=max(worker.highest_closed_run, order.run),
                 run=0 if worker.run == order.run else worker.run,
             )
-        world = _put(world, order.worker, worker)
+        world = _with_worker(world, order.worker, worker)
         world = world._replace(
-            ran_again=world.ran_again or (begins and world.acknowledged)
+            ran_again=world.ran_again or (begins and world.end_acknowledged)
         )
         yield f"{order.kind} without an answer", world
-        mine = world.coordinator
-        if (order.run, order.fence, order.kind) == (mine.run, mine.term, mine.sending):
-            if not self._is_final(mine):
-                mine = self._answered(mine, order, accepted)
-            mine = mine._replace(sending=NO_RESOURCES)
-            yield f"{order.kind} answered", world._replace(coordinator=mine)
-
-    def _answered(self, mine: Coordinator, order: Order, accepted: bool) -> Coordinator:
+        coordinator = world.coordinator
+        if (order.run, order.fence, order.kind) == (
+            coordinator.run,
+            coordinator.term,
+            coordinator.sending,
+        ):
+            if not self._is_final(coordinator):
+                coordinator = self._handle_answer(coordinator, order, accepted)
+            coordinator = coordinator._replace(sending=NO_ORDER)
+            yield f"{order.kind} answered", world._replace(coordinator=coordinator)
+
+    def _handle_answer(
+        self, coordinator: Coordinator, order: Order, accepted: bool
+    ) -> Coordinator:
         if order.kind == START and accepted:
-            return self._step(mine, "started")
-        if self._flaw is Flaw.NO_LOOK:
-            return self._step(mine, "rejected")
+            return self._fire(coordinator, "started")
+        if self._flaw is Flaw.NO_POLL:
+            return self._fire(coordinator, "rejected")
         # The run may have been carried out and ended; the next look tells.
-        return mine
+        return coordinator
 
-    def _look(self, world: World, index: int) -> Steps:
-        worker, mine = world.workers[index], world.coordinator
-        if worker.cut or worker.fence > mine.term:
+    def _poll_steps(self, world: World, index: int) -> Steps:
+        worker, coordinator = world.workers[index], world.coordinator
+        if worker.cut or worker.fence > coordinator.term:
             return
         if self._flaw is not Flaw.NO_FENCE:
-            worker = worker._replace(fence=mine.term)
-        first = not mine.known[index]
-        regained = first or mine.silent[index]
-        mine = mine._replace(
-            known=_with(mine.known, index, True),
-            silent=_with(mine.silent, index, False),
+            worker = worker._replace(fence=coordinator.term)
+        first_report = not coordinator.has_reported[index]
+        answers_again = first_report or coordinator.unresponsive[index]
+        coordinator = coordinator._replace(
+            has_reported=_replace_flag(coordinator.has_reported, index, True),
+            unresponsive=_replace_flag(coordinator.unresponsive, index, False),
         )
         orders = world.orders
-        here = mine.worker == index and not self._is_final(mine)
-        if here and worker.run == mine.run and mine.state == "starting":
-            mine = self._step(mine, "started")
-        elif here and worker.ended == mine.run > 0:
-            mine = self._step(mine, "run_done")._replace(sending=NO_RESOURCES)
-        elif here and mine.state == "starting" and not (mine.sending or first):
-            mine = self._step(mine, "rejected")
-        elif here and regained and worker.run != mine.run and mine.state != "waiting":
-            dropped = first or mine.state == "running"
-            if self._flaw is Flaw.DROP_STARTS and mine.sending == START:
+        assigned_here = coordinator.worker == index and not self._is_final(coordinator)
+        if (
+            assigned_here
+            and worker.run == coordinator.run
+            and coordinator.state == "starting"
+        ):
+            coordinator = self._fire(coordinator, "started")
+        elif assigned_here and worker.ended == coordinator.run > 0:
+            coordinator = self._fire(coordinator, "run_done")._replace(sending=NO_ORDER)
+        elif (
+            assigned_here
+            and coordinator.state == "starting"
+            and not (coordinator.sending or first_report)
+        ):
+            coordinator = self._fire(coordinator, "rejected")
+        elif (
+            assigned_here
+            and answers_again
+            and worker.run != coordinator.run
+            and coordinator.state != "waiting"
+        ):
+            run_dropped = first_report or coordinator.state == "running"
+            if self._flaw is Flaw.DROP_STARTS and coordinator.sending == START:
                 # The session goes on sending the start of the dropped run.
-                orders = orders | {Order(START, index, mine.run, mine.term)}
-                dropped = True
-            if dropped:
-                mine = self._step(mine, "run_interrupted")._replace(
-                    sending=NO_RESOURCES
+                orders = orders | {
+                    Order(START, index, coordinator.run, coordinator.term)
+                }
+                run_dropped = True
+            if run_dropped:
+                coordinator = self._fire(coordinator, "run_interrupted")._replace(
+                    sending=NO_ORDER
                 )
-        world = _put(world, index, worker)
-        world = world._replace(coordinator=mine, orders=orders)
+        world = _with_worker(world, index, worker)
+        world = world._replace(coordinator=coordinator, orders=orders)
         if not worker.ended:
             yield f"look at {index}", world
-        elif worker.ended == mine.run and self._flaw is Flaw.ACKNOWLEDGE_FIRST:
+        elif worker.ended == coordinator.run and self._flaw is Flaw.ACKNOWLEDGE_FIRST:
             yield "acknowledge an end", self._acknowledge(world, index)
         else:
-            world = world._replace(done=True)
+            world = world._replace(end_recorded=True)
             yield "record and acknowledge an end", self._acknowledge(world, index)
 
     def _acknowledge(self, world: World, index: int) -> World:
         worker = world.workers[index]._replace(ended=0)
-        return _put(world, index, worker)._replace(acknowledged=True)
+        return _with_worker(world, index, worker)._replace(end_acknowledged=True)
 
-    def _change(self, world: World, index: int) -> Steps:
-        worker, mine = world.workers[index], world.coordinator
+    def _worker_steps(self, world: World, index: int) -> Steps:
+        worker, coordinator = world.workers[index], world.coordinator
         if worker.run:
-            ended = worker._replace(run=0, closed=worker.run, ended=worker.run)
-            yield f"run on {index} is done", _put(world, index, ended)
-        if world.cuts and not worker.cut:
-            cut = _put(world, index, worker._replace(cut=True))
-            yield f"cut {index}", cut._replace(cuts=world.cuts - 1)
+            ended = worker._replace(
+                run=0, highest_closed_run=worker.run, ended=worker.run
+            )
+            yield f"run on {index} is done", _with_worker(world, index, ended)
+        if world.cuts_left and not worker.cut:
+            cut = _with_worker(world, index, worker._replace(cut=True))
+            yield f"cut {index}", cut._replace(cuts_left=world.cuts_left - 1)
         if worker.cut:
-            yield f"join {index}", _put(world, index, worker._replace(cut=False))
-            yield f"lease on {index} lapses", self._lapse(world, index)
-        if world.silences and mine.known[index] and not mine.silent[index]:
-            mine = mine._replace(silent=_with(mine.silent, index, True))
-            world = world._replace(coordinator=mine, silences=world.silences - 1)
+            yield (
+                f"join {index}",
+                _with_worker(world, index, worker._replace(cut=False)),
+            )
+            yield f"lease on {index} lapses", self._lapse_lease(world, index)
+        if (
+            world.silences_left
+            and coordinator.has_reported[index]
+            and not coordinator.unresponsive[index]
+        ):
+            coordinator = coordinator._replace(
+                unresponsive=_replace_flag(coordinator.unresponsive, index, True)
+            )
+            world = world._replace(
+                coordinator=coordinator, silences_left=world.silences_left - 1
+            )
             yield f"{index} falls silent", world
 
-    def _lapse(self, world: World, index: int) -> World:
+    def _lapse_lease(self, world: World, index: int) -> World:
         """The worker's run ends, and late starts name a time that is over."""
-        worker, mine = world.workers[index], world.coordinator
+        worker, coordinator = world.workers[index], world.coordinator
         if self._flaw is not Flaw.EARLY_LAPSE:
-            closed = max(worker.closed, worker.run)
+            highest_closed_run = max(worker.highest_closed_run, worker.run)
             # An end that was not acknowledged before does not count after.
-            worker = worker._replace(run=0, closed=closed, ended=0)
+            worker = worker._replace(
+                run=0, highest_closed_run=highest_closed_run, ended=0
+            )
             world = world._replace(
                 orders=frozenset(
                     order
@@ -272,33 +325,41 @@
                     if order.worker != index or order.kind != START
                 )
             )
-        if mine.worker == index and mine.state in ("starting", "running", "stopping"):
-            mine = self._step(mine, "run_interrupted")._replace(sending=NO_RESOURCES)
-        return _put(world, index, worker)._replace(coordinator=mine)
+        if coordinator.worker == index and coordinator.state in (
+            "starting",
+            "running",
+            "stopping",
+        ):
+            coordinator = self._fire(coordinator, "run_interrupted")._replace(
+                sending=NO_ORDER
+            )
+        return _with_worker(world, index, worker)._replace(coordinator=coordinator)
 
-    def _take_over(self, world: World) -> Steps:
+    def _takeover_steps(self, world: World) -> Steps:
         """A successor knows the record; orders of the old one may be late."""
         old = world.coordinator
-        if old.term == MOST_TERMS:
+        if old.term == MAX_TERMS:
             return
-        run, index = world.placed
-        mine = Coordinator(old.term + 1, CHART.initial, run, index)
-        if world.done:
-            mine = self._step(mine, "run_done")
+        run, index = world.recorded_placement
+        coordinator = Coordinator(old.term + 1, CHART.initial, run, index)
+        if world.end_recorded:
+            coordinator = self._fire(coordinator, "run_done")
         elif run:
-            mine = self._step(mine, "assign")
+            coordinator = self._fire(coordinator, "assign")
         orders = world.orders
         if old.sending:
-            late = Order(old.sending, old.worker, old.run, old.term)
-            orders = orders | {late}
-        yield "take over", world._replace(coordinator=mine, orders=orders)
+            late_order = Order(old.sending, old.worker, old.run, old.term)
+            orders = orders | {late_order}
+        yield "take over", world._replace(coordinator=coordinator, orders=orders)
 
 
-def _put(world: World, index: int, worker: Worker) -> World:
+def _with_worker(world: World, index: int, worker: Worker) -> World:
     workers = list(world.workers)
     workers[index] = worker
     return world._replace(workers=(workers[0], workers[1]))
 
 
-def _with(flags: tuple[bool, bool], index: int, value: bool) -> tuple[bool, bool]:
+def _replace_flag(
+    flags: tuple[bool, bool], index: int, value: bool
+) -> tuple[bool, bool]:
     return (value, flags[1]) if index == 0 else (flags[0], value)
--- a/src/redwingrudder/history.py
+++ b/src/redwingrudder/history.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ._history_jobs import check_answers, check_gangs, check_not_run, check_once
+from ._history_jobs import check_answers, check_at_most_once, check_gangs, check_not_run
 from ._history_nodes import (
     check_configuration,
     check_fencing,
@@ -79,7 +79,7 @@
     owner notices or when their lease lapses.
     """
 
-    part_s: float
+    partial_run_s: float
     leaving_s: float = LEAVING_LIMIT_S
     in_force_s: float = IN_FORCE_LIMIT_S
 
@@ -94,11 +94,11 @@
     """
     ordered = sorted(entries, key=lambda entry: entry.at)
     found = [
-        *check_gangs(ordered, limits.part_s),
+        *check_gangs(ordered, limits.partial_run_s),
         *check_fencing(ordered),
         *check_answers(ordered),
         *check_not_run(ordered),
-        *check_once(ordered),
+        *check_at_most_once(ordered),
         *check_leaving(ordered, limits.leaving_s),
         *check_shutdown(ordered),
         *check_configuration(ordered, limits.in_force_s),
--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -33,19 +33,19 @@
 
 _PREEMPTION = "the job is no borrower; tests.test_scheduler preempts gangs"
 _RECLAIM = "the model of guarantees stops borrowers without the chart of gangs"
-_ONE_RECORD = "an owner has one start record in flight, of the gang that waits"
-_CLAIMED_DRAINING = "the worker drains under one owner only, without recovery"
-_LOST_FIRST = "a worker is lost to its owner before it is claimed again"
-_NO_FAILURE = "tasks do not fail by themselves; a stopped task counts as failed"
+_ONE_START_RECORD = "an owner has one start record in flight, of the gang that waits"
+_DRAIN_WITHOUT_RECOVERY = "the worker drains under one owner only, without recovery"
+_LOSS_BEFORE_CLAIM = "a worker is lost to its owner before it is claimed again"
+_NO_JOB_FAILURE = "tasks do not fail by themselves; a stopped task counts as failed"
 _NO_REFUSAL = "admission and expiry of jobs are not modelled"
 _NO_SUBMISSION = "the job is in the queue from the beginning"
-_ALL_STARTED = "an idempotent job ends in one attempt unless it is cancelled"
+_NO_RETRY = "an idempotent job ends in one attempt unless it is cancelled"
 _ONE_READ = "the model has one read in flight"
-_ONE_BREAK = "the model breaks a watch once, while it is followed"
-_TASK_ENDS_DONE = "the task of the model ends as done and is never withdrawn"
-_TASK_STAYS = "the model's task is not stopped to make room"
-_SESSION_FIRST = "a run is settled by its session before it is placed again"
-_NOT_OWNING = "the code raises it only while the node owns"
+_ONE_WATCH_RESET = "the model breaks a watch once, while it is followed"
+_NO_TASK_FAILURE = "the task of the model ends as done and is never withdrawn"
+_NO_TASK_STOP = "the model's task is not stopped to make room"
+_SETTLED_BY_SESSION = "a run is settled by its session before it is placed again"
+_RAISED_BY_OWNER_ONLY = "the code raises it only while the node owns"
 
 _UNREACHED_BY_REASON: dict[str, tuple[str, ...]] = {
     _PREEMPTION: (
@@ -64,7 +64,7 @@
         "gang reclaiming cancel",
         "gang reclaiming member_draining",
     ),
-    _ONE_RECORD: (
+    _ONE_START_RECORD: (
         "gang recovering start_recorded",
         "gang recovering record_refused",
         "gang starting start_recorded",
@@ -74,21 +74,21 @@
         "gang stopping start_recorded",
         "gang stopping record_refused",
     ),
-    _CLAIMED_DRAINING: ("gang recovering member_draining",),
-    _LOST_FIRST: ("gang starting reported", "gang running reported"),
-    _NO_FAILURE: ("job placing failed", "job running failed"),
+    _DRAIN_WITHOUT_RECOVERY: ("gang recovering member_draining",),
+    _LOSS_BEFORE_CLAIM: ("gang starting reported", "gang running reported"),
+    _NO_JOB_FAILURE: ("job placing failed", "job running failed"),
     _NO_REFUSAL: ("job queued refused", "job placing refused"),
     _NO_SUBMISSION: ("job queued submitted",),
-    _ALL_STARTED: ("job running retry",),
+    _NO_RETRY: ("job running retry",),
     _ONE_READ: (
         "configuration following document_read",
         "configuration following read_failed",
     ),
-    _ONE_BREAK: (
+    _ONE_WATCH_RESET: (
         "configuration reading watch_reset",
         "configuration waiting watch_reset",
     ),
-    _TASK_ENDS_DONE: (
+    _NO_TASK_FAILURE: (
         "task waiting run_failed",
         "task starting run_failed",
         "task running run_failed",
@@ -102,7 +102,7 @@
         "task running withdraw",
         "task stopping withdraw",
     ),
-    _TASK_STAYS: (
+    _NO_TASK_STOP: (
         "task waiting stop",
         "task starting stop",
         "task running stop",
@@ -113,7 +113,7 @@
         "task stopping run_done",
         "task stopping run_interrupted",
     ),
-    _SESSION_FIRST: (
+    _SETTLED_BY_SESSION: (
         "task waiting started",
         "task waiting rejected",
         "task waiting run_interrupted",
@@ -121,7 +121,7 @@
         "task running assign",
         "task running rejected",
     ),
-    _NOT_OWNING: (
+    _RAISED_BY_OWNER_ONLY: (
         "ownership following fenced",
         "ownership following lease_lapsed",
         "ownership acquiring fenced",
@@ -200,28 +200,41 @@
 ) -> bool:
     """Write the outcome as tables; returns whether all is as it must be."""
     rows = [
-        (result.model, finding.states, finding.property_name, _verdict(finding.holds))
+        (
+            result.model,
+            finding.states,
+            finding.property_name,
+            _format_holds(finding.holds),
+        )
         for result in results
         for finding in (result.finding,)
     ]
     write(tabulate(rows, ("model", "states", "property", "holds")) + "\n\n")
     broken = [
-        (r.model, r.flaw, r.finding.property_name, _rejected(r)) for r in rejections
+        (
+            rejection.model,
+            rejection.flaw,
+            rejection.finding.property_name,
+            _format_rejection(rejection),
+        )
+        for rejection in rejections
     ]
     write(tabulate(broken, ("model", "left out", "property", "rejected")) + "\n")
     for result in results:
         if result.finding.trace:
             write(f"\n{result.model}: {result.finding.property_name}\n")
             write("".join(f"  {step}\n" for step in result.finding.trace))
-    held = all(result.finding.holds for result in results)
-    return held and all(r.finding.holds is False for r in rejections)
+    all_hold = all(result.finding.holds for result in results)
+    return all_hold and all(
+        rejection.finding.holds is False for rejection in rejections
+    )
 
 
-def _verdict(holds: bool | None) -> str:
+def _format_holds(holds: bool | None) -> str:
     return {True: "yes", False: "NO", None: "not decided"}[holds]
 
 
-def _rejected(rejection: Rejection) -> str:
+def _format_rejection(rejection: Rejection) -> str:
     if rejection.finding.holds is False:
         return f"after {rejection.steps} steps"
     return "NOT REJECTED"
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -29,12 +29,12 @@
 DOMAIN = "hobart"
 LEASE_S = 6.0
 STEP_S = 0.1
-TURNS = 60
+MAX_CLOCK_TURNS = 60
 NO_EPOCH = Epoch(0, 0, 0)
 WORKERS = [
     WorkerInfo(f"w{i}", f"w{i}:1", DOMAIN, "r1", 2, 4, 16, 1_000) for i in (1, 2, 3)
 ]
-SEEN = "seen"
+RECORDER = "seen"
 
 
 class RecordingWorker(WorkerCore):
@@ -47,21 +47,21 @@
 
     def claim(self, request, now):
         reply = super().claim(request, now)
-        self._note_epoch(request["epoch"], now)
+        self._record_epoch(request["epoch"], now)
         return reply
 
-    def _accept(self, numbers, now):
-        super()._accept(numbers, now)
-        self._note_epoch(numbers, now)
+    def _accept(self, epoch_numbers, now):
+        super()._accept(epoch_numbers, now)
+        self._record_epoch(epoch_numbers, now)
 
-    def _note_epoch(self, numbers, now):
+    def _record_epoch(self, epoch_numbers, now):
         entry = h.CommandAccepted(
-            now, self.info.worker_id, self.boot_id, Epoch(*numbers)
+            now, self.info.worker_id, self.boot_id, Epoch(*epoch_numbers)
         )
         self.entries.append(entry)
 
-    def _record(self, what, member, at, plan=None):
-        super()._record(what, member, at, plan)
+    def _record(self, event, member, at, plan=None):
+        super()._record(event, member, at, plan)
         request, worker = member.request, self.info.worker_id
         gang, job = request["gang_id"], request["job_id"]
         entry = {
@@ -75,7 +75,7 @@
                 at, worker, gang, job, plan.task_index, plan.outcome, plan.result
             ),
             "released": lambda: h.MemberReleased(at, worker, gang),
-        }[what]()
+        }[event]()
         self.entries.append(entry)
 
 
@@ -86,9 +86,9 @@
         self.highest_epoch = Epoch(*request["epoch"])
         return super().claim(request, now)
 
-    def _accept(self, numbers, now):
-        self.highest_epoch = Epoch(*numbers)
-        super()._accept(numbers, now)
+    def _accept(self, epoch_numbers, now):
+        self.highest_epoch = Epoch(*epoch_numbers)
+        super()._accept(epoch_numbers, now)
 
 
 class EagerWorker(RecordingWorker):
@@ -104,9 +104,9 @@
 class Workers:
     """The workers of the domain, reached by all nodes."""
 
-    def __init__(self, entries, kind=RecordingWorker):
+    def __init__(self, entries, worker_type=RecordingWorker):
         self.entries = entries
-        self.kind = kind
+        self.worker_type = worker_type
         self.cut = set()
         self.deaf = set()
         self.dropped_replies = 0
@@ -115,7 +115,7 @@
             self.restart(info, 0.0)
 
     def restart(self, info, now):
-        self.cores_by_address[info.address] = self.kind(info, now, self.entries)
+        self.cores_by_address[info.address] = self.worker_type(info, now, self.entries)
 
 
 class Transport(FakeTransport):
@@ -148,7 +148,7 @@
     def handlers(self):
         return {r.LocalLoad: lambda _: None}
 
-    def hear(self, sender):
+    def receive_report(self, sender):
         self.tell(r.OWNERSHIP, sender.report())
         own = self.node.in_force.version if self.node.in_force else 0
         if own != self.version:
@@ -161,35 +161,35 @@
             self.tell(r.CONFIGURATION, r.OfferConfiguration(sender.in_force))
 
 
-class Seen(Actor):
+class HistoryRecorder(Actor):
     """Adds what a node's subscribers are told to the history."""
 
     def __init__(self, system, node):
         self.node = node
-        super().__init__(system, SEEN)
+        super().__init__(system, RECORDER)
 
     def handlers(self):
         return {
-            r.OwnershipGained: self._own,
-            r.EpochRaised: self._own,
-            r.OwnershipEnded: self._end,
+            r.OwnershipGained: self._start_owning,
+            r.EpochRaised: self._start_owning,
+            r.OwnershipEnded: self._end_owning,
             r.OwnerChanged: lambda _: None,
-            ConfigurationChanged: self._configure,
+            ConfigurationChanged: self._record_configuration,
         }
 
-    def _own(self, message):
+    def _start_owning(self, message):
         self.node.epoch = message.epoch
         entry = h.EpochTaken(self.node.now, self.node.node_id, DOMAIN, message.epoch)
         self.node.entries.append(entry)
 
-    def _end(self, message):
+    def _end_owning(self, message):
         self.node.epoch = None
 
-    def _configure(self, message):
-        node, found = self.node, message.configuration
-        node.in_force = found
+    def _record_configuration(self, message):
+        node, configuration = self.node, message.configuration
+        node.in_force = configuration
         entry = h.ConfigurationInForce(
-            node.now, node.node_id, found.version, name_of(found)
+            node.now, node.node_id, configuration.version, document_name(configuration)
         )
         node.entries.append(entry)
 
@@ -208,10 +208,15 @@
         self.store = FakeStore(self.system, deployment.core, deployment.store_up)
         self.store.vms = tuple(list_vm(info) for info in WORKERS)
         self.peers = Peers(self.system, self)
-        Seen(self.system, self)
-        ConfigurationActor(self.system, (r.DISPATCHER, SEEN), rank)
+        HistoryRecorder(self.system, self)
+        ConfigurationActor(self.system, (r.DISPATCHER, RECORDER), rank)
         OwnershipActor(
-            self.system, (SEEN, r.DISPATCHER), DOMAIN, self.node_id, self.node_id, rank
+            self.system,
+            (RECORDER, r.DISPATCHER),
+            DOMAIN,
+            self.node_id,
+            self.node_id,
+            rank,
         )
         Dispatcher(
             self.system,
@@ -236,7 +241,7 @@
 
     def advance_to(self, now):
         self.clock.advance(now - self.now)
-        for _ in range(TURNS):
+        for _ in range(MAX_CLOCK_TURNS):
             calls = self.clock.getDelayedCalls()
             if not calls or min(call.getTime() for call in calls) > self.now:
                 return
@@ -259,14 +264,14 @@
 class Deployment:
     """Two nodes, three workers, one store and their history."""
 
-    def __init__(self, worker_kind=RecordingWorker):
+    def __init__(self, worker_type=RecordingWorker):
         self.entries = []
         self.now = 0.0
         self.core = KeyValueCore()
         self.store_up = True
         self.outage_from = 0.0
         self.cuts_by_node = {}
-        self.workers = Workers(self.entries, worker_kind)
+        self.workers = Workers(self.entries, worker_type)
         self.leaving = ()
         self.nodes_by_id = {}
         self.specs_by_job = {}
@@ -294,13 +299,13 @@
                 if node.running:
                     node.advance_to(self.now)
             if int(before) != int(self.now):
-                self._exchange()
+                self._exchange_reports()
 
-    def _exchange(self):
+    def _exchange_reports(self):
         for sender in self.nodes:
             for receiver in self.nodes:
                 if sender.running and receiver.running and sender is not receiver:
-                    receiver.peers.hear(sender)
+                    receiver.peers.receive_report(sender)
 
     # Faults.
 
@@ -378,16 +383,16 @@
     # Requests of callers and operators.
 
     def submit(self, node, spec):
-        asked = self._ask(node, r.DISPATCHER, r.SubmitJob(spec, ""))
-        asked.addCallbacks(lambda view: self._note_view(view, spec), _ignore_refusal)
+        reply = self._ask(node, r.DISPATCHER, r.SubmitJob(spec, ""))
+        reply.addCallbacks(lambda view: self._record_view(view, spec), _ignore_refusal)
 
     def cancel(self, node, job_id):
-        asked = self._ask(node, r.DISPATCHER, r.CancelJob(job_id))
-        asked.addCallbacks(self._note_view, _ignore_refusal)
+        reply = self._ask(node, r.DISPATCHER, r.CancelJob(job_id))
+        reply.addCallbacks(self._record_view, _ignore_refusal)
 
     def poll(self, node, job_id):
-        asked = self._ask(node, r.DISPATCHER, r.PollJob(job_id, 0.0))
-        asked.addCallbacks(self._note_view, _ignore_refusal)
+        reply = self._ask(node, r.DISPATCHER, r.PollJob(job_id, 0.0))
+        reply.addCallbacks(self._record_view, _ignore_refusal)
 
     def configure(self, node):
         """Let an operator change the configuration that a node knows."""
@@ -402,8 +407,10 @@
         )
         base = node.in_force.version if node.in_force else 0
         message = r.ApplyConfiguration(document, base)
-        asked = self._ask(node, r.CONFIGURATION, message)
-        asked.addCallbacks(self._note_accepted, lambda f: self._note_refused(f, name))
+        reply = self._ask(node, r.CONFIGURATION, message)
+        reply.addCallbacks(
+            self._record_accepted, lambda f: self._record_refused(f, name)
+        )
 
     def _ask(self, node, name, message):
         if isinstance(message, r.SubmitJob):
@@ -413,7 +420,7 @@
             self.entries.append(entry)
         return node.system.ask(name, message)
 
-    def _note_view(self, view, spec=None):
+    def _record_view(self, view, spec=None):
         if spec is not None:
             self.specs_by_job[view.job_id] = spec
         if view.state in FINAL_JOB_STATES:
@@ -422,18 +429,18 @@
             )
             self.entries.append(answer)
 
-    def _note_accepted(self, configuration):
+    def _record_accepted(self, configuration):
         entry = h.ConfigurationAccepted(
-            self.now, configuration.version, name_of(configuration)
+            self.now, configuration.version, document_name(configuration)
         )
         self.entries.append(entry)
 
-    def _note_refused(self, failure, name):
+    def _record_refused(self, failure, name):
         if failure.trap(RedwingrudderError) and failure.check(ConflictError):
             self.entries.append(h.ConfigurationRefused(self.now, name))
 
 
-def name_of(configuration):
+def document_name(configuration):
     return str(configuration.classes_by_name["proof"].target_s)
 
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -26,12 +26,12 @@
         str(ROOT / "tests"), top_level_dir=str(ROOT)
     )
     result = unittest.TextTestRunner(verbosity=1).run(suite)
-    listed = known_failures()
-    red = {case.id() for case, _ in result.failures + result.errors}
-    for name in sorted(red & listed):
+    known = known_failures()
+    failing = {case.id() for case, _ in result.failures + result.errors}
+    for name in sorted(failing & known):
         print(f"known failure (KNOWN-RED.txt): {name}")
-    failed = len(red - listed) + len(result.unexpectedSuccesses)
-    passed = result.testsRun - len(red) - len(result.skipped)
+    failed = len(failing - known) + len(result.unexpectedSuccesses)
+    passed = result.testsRun - len(failing) - len(result.skipped)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not result.testsRun else 0
 
--- a/tests/run_schedules.py
+++ b/tests/run_schedules.py
@@ -10,19 +10,19 @@
 import sys
 import time
 
-from tests.test_history import ACTIONS, PAUSES_S, judge
+from tests.test_history import ACTIONS, PAUSES_S, find_violations
 
-SUBMITS = 4  # weight of submissions among the actions
-STEPS_LIMIT = 36
+SUBMIT_WEIGHT = 4  # weight of submissions among the actions
+MAX_STEPS = 36
 
 
 def schedule(seed, number):
     """Return the steps of one schedule."""
-    chosen = random.Random(f"{seed}-{number}")
-    actions = (*ACTIONS, *("submit",) * SUBMITS)
+    rng = random.Random(f"{seed}-{number}")
+    actions = (*ACTIONS, *("submit",) * SUBMIT_WEIGHT)
     return [
-        (chosen.choice(actions), chosen.randrange(1_000), chosen.choice(PAUSES_S))
-        for _ in range(chosen.randint(6, STEPS_LIMIT))
+        (rng.choice(actions), rng.randrange(1_000), rng.choice(PAUSES_S))
+        for _ in range(rng.randint(6, MAX_STEPS))
     ]
 
 
@@ -37,11 +37,11 @@
     number = broken = 0
     while time.monotonic() < end:
         current = number if options.only is None else options.only
-        found = judge(schedule(options.seed, current))
+        violations = find_violations(schedule(options.seed, current))
         number += 1
-        if found:
+        if violations:
             broken += 1
-            print(f"seed {options.seed} schedule {current}: {found}", flush=True)
+            print(f"seed {options.seed} schedule {current}: {violations}", flush=True)
         if options.only is not None:
             break
     print(f"{number} schedules, {broken} with violations")
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -25,10 +25,10 @@
 )
 
 SCHEDULES = 300
-LIMITS = h.Limits(part_s=2 * LEASE_S + 5.0)
+LIMITS = h.Limits(partial_run_s=2 * LEASE_S + 5.0)
 HEALING_S = 4 * LEASE_S
-NODES = 3
-KEYS = 12
+MAX_NODES = 3
+KEY_COUNT = 12
 CANCELLED_KEY = 4
 SPEC = JobSpec("huon", "proof", "shop", "key", 2, 1, 1, 1, True, False, 1.0, 1.0, "")
 PAUSES_S = (0.1, 0.3, 1.0, 3.5)
@@ -36,12 +36,12 @@
 
 def make_spec(number):
     """A key always comes with the same body."""
-    chosen = random.Random(number)
+    rng = random.Random(number)
     return SPEC._replace(
         idempotency_key=f"k{number}",
-        idempotent=chosen.random() < 0.4,
-        tasks=chosen.choice((1, 2, 3, 4, 6)),
-        payload=json.dumps({"run_s": chosen.choice((0.1, 1.0, 4.0))}),
+        idempotent=rng.random() < 0.4,
+        tasks=rng.choice((1, 2, 3, 4, 6)),
+        payload=json.dumps({"run_s": rng.choice((0.1, 1.0, 4.0))}),
     )
 
 
@@ -56,7 +56,7 @@
 
     def submit(self, number):
         for node in self._owner(number):
-            self.deployment.submit(node, make_spec(number % KEYS))
+            self.deployment.submit(node, make_spec(number % KEY_COUNT))
 
     def cancel(self, number):
         jobs = sorted(self.deployment.specs_by_job)
@@ -84,7 +84,7 @@
     def freeze(self, number):
         for node in self._owner(number):
             self.deployment.freeze(node)
-        if len(self.deployment.nodes) < NODES:
+        if len(self.deployment.nodes) < MAX_NODES:
             self.deployment.start_node()
 
     def wake(self, number):
@@ -99,8 +99,8 @@
 
     def cut_worker(self, number):
         workers = self.deployment.workers
-        chosen = (workers.cut, workers.deaf)[number // 3 % 2]
-        chosen.add(self._worker(number).address)
+        rng = (workers.cut, workers.deaf)[number // 3 % 2]
+        rng.add(self._worker(number).address)
 
     def reconnect_workers(self, number):
         self.deployment.workers.cut.clear()
@@ -160,33 +160,33 @@
     deployment.run_for(0.5)
 
 
-def find_open_jobs(deployment):
+def find_unfinished_jobs(deployment):
     """Submit every job again, as its caller would, and wait for its end."""
     owner = deployment.owners[-1]
     for spec in deployment.specs_by_job.values():
         deployment.submit(owner, spec)
     deployment.run_for(HEALING_S)
-    told = len(deployment.entries)
+    first_new_entry = len(deployment.entries)
     for job_id in deployment.specs_by_job:
         deployment.poll(owner, job_id)
     deployment.run_for(0.5)
     final = {
         entry.job_id
-        for entry in deployment.entries[told:]
+        for entry in deployment.entries[first_new_entry:]
         if isinstance(entry, h.AnswerGiven) and entry.state in FINAL_JOB_STATES
     }
     return set(deployment.specs_by_job) - final
 
 
-def judge(steps, kind=RecordingWorker):
+def find_violations(steps, worker_type=RecordingWorker):
     """Return what a schedule breaks, by invariant."""
-    deployment = Deployment(kind)
+    deployment = Deployment(worker_type)
     run_schedule(deployment, steps)
     broken = {}
     if len(deployment.owners) != 1:
         broken["owner"] = [node.node_id for node in deployment.owners]
-    elif open_jobs := find_open_jobs(deployment):
-        broken["end"] = open_jobs
+    elif unfinished_jobs := find_unfinished_jobs(deployment):
+        broken["end"] = unfinished_jobs
     for violation in h.check_history(deployment.entries, LIMITS):
         broken.setdefault(violation.invariant, []).append(violation)
     return broken
@@ -212,7 +212,7 @@
         @given(STEPS)
         def run_all(steps):
             cls.schedules += 1
-            broken = judge(steps)
+            broken = find_violations(steps)
             if broken:
                 cls.broken_schedules.append((steps, broken))
 
@@ -229,16 +229,16 @@
     def test_every_job_becomes_final(self):
         self.check("end")
 
-    def test_gangs_run_whole(self):
+    def test_gangs_do_not_run_partially(self):
         self.check("I2")
 
-    def test_answers_are_whole(self):
+    def test_results_come_from_one_gang(self):
         self.check("I3")
 
-    def test_not_run_is_true(self):
+    def test_jobs_reported_not_run_never_start(self):
         self.check("I4")
 
-    def test_jobs_run_once(self):
+    def test_jobs_run_at_most_once(self):
         self.check("I5")
 
     def test_leaving_workers_get_no_work(self):
@@ -252,9 +252,9 @@
     """Schedules that failed once."""
 
     def check(self, steps, invariant):
-        self.assertNotIn(invariant, judge(steps))
+        self.assertNotIn(invariant, find_violations(steps))
 
-    def test_not_run_is_not_told_after_an_unrecorded_run(self):
+    def test_not_run_is_not_reported_after_an_unrecorded_run(self):
         # The same key ran again in an outage, without its record.
         steps = [
             ("submit", CANCELLED_KEY, 0.1),
@@ -297,19 +297,19 @@
     def test_start_without_an_order_breaks_gangs_and_at_most_once(self):
         rejected = set()
         for seed in (5, 17):
-            chosen = random.Random(seed)
+            rng = random.Random(seed)
             steps = [
                 (
-                    chosen.choice((*ACTIONS, "submit", "submit", "submit")),
-                    chosen.randrange(1_000),
-                    chosen.choice(PAUSES_S),
+                    rng.choice((*ACTIONS, "submit", "submit", "submit")),
+                    rng.randrange(1_000),
+                    rng.choice(PAUSES_S),
                 )
-                for _ in range(chosen.randint(6, 36))
+                for _ in range(rng.randint(6, 36))
             ]
-            rejected |= judge(steps, EagerWorker).keys()
+            rejected |= find_violations(steps, EagerWorker).keys()
         self.assertLessEqual({"I2", "I5"}, rejected)
 
-    def test_start_without_an_order_makes_not_run_false(self):
+    def test_start_without_an_order_contradicts_not_run(self):
         deployment = Deployment(EagerWorker)
         deployment.workers.deaf.update(info.address for info in WORKERS)
         spec = SPEC._replace(idempotent=False, tasks=1, payload='{"run_s": 60}')
@@ -326,8 +326,8 @@
 
     def test_worker_that_does_not_fence_is_found(self):
         steps = [("submit", 1, 0.3), ("freeze", 0, 6.0), ("wake", 0, 3.5)]
-        found = judge(steps, UnfencedWorker).get("I5", ())
-        self.assertTrue(any("accepts" in violation.text for violation in found))
+        found = find_violations(steps, UnfencedWorker).get("I5", ())
+        self.assertTrue(any("accepts" in violation.description for violation in found))
 
 
 class CheckTests(unittest.TestCase):
@@ -337,7 +337,7 @@
         found = h.check_history(entries, LIMITS)
         self.assertEqual([violation.invariant for violation in found], [invariant])
 
-    def test_results_of_two_gangs_are_no_answer(self):
+    def test_results_of_two_gangs_are_rejected(self):
         succeeded = TaskOutcome.SUCCEEDED
         self.check(
             "I3",
@@ -348,22 +348,22 @@
             h.AnswerGiven(3.0, "j", JobState.SUCCEEDED, True, ("a", "c")),
         )
 
-    def test_part_of_a_gang_may_not_run_for_long(self):
+    def test_partial_gang_may_not_run_beyond_the_limit(self):
         self.check(
             "I2",
             h.MemberReserved(0.0, "w1", "g", "j", 2),
             h.MemberReserved(0.0, "w2", "g", "j", 2),
             h.MemberStarted(1.0, "w1", "g", "j", (0,)),
-            h.NodeUp(2.0 + LIMITS.part_s, "n"),
+            h.NodeUp(2.0 + LIMITS.partial_run_s, "n"),
         )
 
     def test_leaving_worker_may_be_used_for_three_seconds(self):
         listed = h.LeavingListed(1.0, "w1")
-        in_time = h.MemberReserved(4.0, "w1", "g", "j", 1)
-        self.assertEqual(h.check_history((listed, in_time), LIMITS), ())
-        self.check("I6", listed, in_time._replace(at=4.1))
+        last_allowed = h.MemberReserved(4.0, "w1", "g", "j", 1)
+        self.assertEqual(h.check_history((listed, last_allowed), LIMITS), ())
+        self.check("I6", listed, last_allowed._replace(at=4.1))
 
-    def test_planned_stop_may_not_cut_a_request_off(self):
+    def test_planned_stop_answers_every_request(self):
         begun = h.RequestBegun(1.0, "n", "r1")
         killed = h.NodeDown(2.0, "n", planned=False)
         self.assertEqual(h.check_history((begun, killed), LIMITS), ())
--- a/tests/test_specification.py
+++ b/tests/test_specification.py
@@ -40,7 +40,7 @@
 
     def test_every_transition_is_taken_or_listed_with_a_reason(self):
         # A chart that changes without its model fails here.
-        self.assertEqual(self.coverage.missing(), set(UNREACHED))
+        self.assertEqual(self.coverage.list_untaken(), set(UNREACHED))
         self.assertTrue(all(UNREACHED.values()))
         for name, chart in self.coverage.charts_by_name.items():
             entered = {chart.initial}
