--- a/src/redwingrudder/_history_nodes.py
+++ b/src/redwingrudder/_history_nodes.py
@@ -1,4 +1,8 @@
-"""Checks of fencing and I6 to I8 over entries ordered by time."""
+"""Checks of fencing and of the invariants I6 to I8 on a history.
+
+All functions expect the entries ordered by time. Time spans are pairs of
+begin and end in seconds.
+"""
 
 from collections.abc import Iterator
 
@@ -25,7 +29,7 @@
 
 
 def check_fencing(entries: list[Entry]) -> Iterator[Violation]:
-    """I2 and I5: epochs are unique and a worker accepts no lower one."""
+    """Check I2 and I5: epochs are unique and decrease on no worker."""
     highest: dict[tuple[str, str], Epoch] = {}
     nodes_by_epoch: dict[tuple[str, Epoch], str] = {}
     for entry in entries:
@@ -42,12 +46,18 @@
             key = (entry.failure_domain, entry.epoch)
             holder = nodes_by_epoch.setdefault(key, entry.node_id)
             if holder != entry.node_id:
-                description = f"{entry.node_id} and {holder} own under {entry.epoch}"
+                description = (
+                    f"{entry.node_id} and {holder} are both owners with {entry.epoch}"
+                )
                 yield Violation(entry.at, "I5", description)
 
 
 def check_leaving(entries: list[Entry], leaving_s: float) -> Iterator[Violation]:
-    """I6: a leaving worker gets no new work."""
+    """Check I6: a leaving worker gets no new work.
+
+    A worker that the VM list shows as leaving may get work for ``leaving_s``
+    seconds more; one that announced its stop may not.
+    """
     forbidden_from: dict[str, float] = {}
     for entry in entries:
         if isinstance(entry, LeavingListed):
@@ -62,12 +72,14 @@
         elif isinstance(entry, MemberReserved):
             forbidden = entry.at > forbidden_from.get(entry.worker_id, entry.at)
             if forbidden:
-                description = f"{entry.worker_id} leaves and gets {entry.gang_id}"
+                description = (
+                    f"{entry.worker_id} is leaving and reserves {entry.gang_id}"
+                )
                 yield Violation(entry.at, "I6", description)
 
 
 def check_shutdown(entries: list[Entry]) -> Iterator[Violation]:
-    """I7: a planned stop of a node leaves no request without an answer."""
+    """Check I7: a planned stop of a node leaves no request unanswered."""
     open_requests: dict[str, set[str]] = {}
     for entry in entries:
         if isinstance(entry, RequestBegun):
@@ -77,15 +89,19 @@
         elif isinstance(entry, NodeDown):
             unanswered = open_requests.pop(entry.node_id, set())
             if entry.planned and unanswered:
-                description = f"{entry.node_id} stops during {sorted(unanswered)}"
+                description = (
+                    f"{entry.node_id} stopped without answering {sorted(unanswered)}"
+                )
                 yield Violation(entry.at, "I7", description)
 
 
 def check_configuration(entries: list[Entry], limit_s: float) -> Iterator[Violation]:
-    """I8: an accepted version is soon in force everywhere and never reverted.
+    """Check I8: an accepted version comes into force and never reverts.
 
-    The limit does not run during an outage of the store, in which nodes can
-    only copy from each other.
+    Each node has ``limit_s`` seconds to put it in force. This time only runs
+    while the node can learn of the change: from the store, or from a peer
+    that reaches the store. During an outage of the store it does not run,
+    because nodes can then only copy from each other.
     """
     yield from _check_versions(entries)
     nodes = {e.node_id for e in entries if isinstance(e, ConfigurationInForce)}
@@ -99,7 +115,9 @@
                 continue
             version = _version_at(entries, node_id, deadline)
             if version < change.version:
-                description = f"{node_id} has {version}, not {change.version}, in force"
+                description = (
+                    f"{node_id} has version {version} in force, not {change.version}"
+                )
                 yield Violation(deadline, "I8", description)
 
 
@@ -110,11 +128,11 @@
     for entry in entries:
         if isinstance(entry, ConfigurationInForce):
             if entry.version <= versions_in_force.get(entry.node_id, 0):
-                description = f"{entry.node_id} reverts to {entry.version}"
+                description = f"{entry.node_id} reverted to version {entry.version}"
                 yield Violation(entry.at, "I8", description)
             versions_in_force[entry.node_id] = entry.version
             if entry.document in refused:
-                description = f"{entry.node_id} has a refused document in force"
+                description = f"{entry.node_id} put a refused document in force"
                 yield Violation(entry.at, "I8", description)
         elif not isinstance(entry, ConfigurationAccepted):
             continue
@@ -190,7 +208,10 @@
 def _find_deadline(
     spans: list[tuple[float, float]], begin: float, duration_s: float
 ) -> float | None:
-    """Return the end of the first span that lasts so long after a time."""
+    """Return when the first span has lasted ``duration_s`` after ``begin``.
+
+    Time before ``begin`` does not count; None means that no span is that long.
+    """
     for first, last in spans:
         start = max(first, begin)
         if start + duration_s <= last:
--- a/src/redwingrudder/_history_types.py
+++ b/src/redwingrudder/_history_types.py
@@ -1,4 +1,7 @@
-"""Entries of a history; ``at`` is the time in seconds on one clock."""
+"""Entries of a history.
+
+The field ``at`` is the time in seconds, on one clock for all entries.
+"""
 
 from typing import NamedTuple
 
@@ -6,7 +9,7 @@
 
 
 class JobRequested(NamedTuple):
-    """A caller asked for a job, for the first time or again."""
+    """A caller submitted a job, for the first time or again."""
 
     at: float
     job_id: str
@@ -15,7 +18,7 @@
 
 
 class AnswerGiven(NamedTuple):
-    """A caller was told a final state; ``durable`` as in ``JobView``."""
+    """A caller received a final state; ``durable`` is as in ``JobView``."""
 
     at: float
     job_id: str
@@ -25,7 +28,7 @@
 
 
 class WorkerBooted(NamedTuple):
-    """A worker started anew; whatever it held is gone."""
+    """A worker process started; the worker holds no members after it."""
 
     at: float
     worker_id: str
@@ -33,7 +36,7 @@
 
 
 class CommandAccepted(NamedTuple):
-    """A worker accepted a command or claim of an epoch."""
+    """A worker accepted a command or claim that carries an epoch."""
 
     at: float
     worker_id: str
@@ -42,7 +45,7 @@
 
 
 class MemberReserved(NamedTuple):
-    """A worker holds a gang member; ``members`` is the size of the gang."""
+    """A worker reserved a gang member; ``members`` is the size of the gang."""
 
     at: float
     worker_id: str
@@ -52,7 +55,7 @@
 
 
 class MemberStarted(NamedTuple):
-    """A worker started a gang member."""
+    """A worker started the given tasks of its gang member."""
 
     at: float
     worker_id: str
@@ -62,7 +65,7 @@
 
 
 class TaskFinished(NamedTuple):
-    """A task ended, by itself or because it was stopped."""
+    """A task ended by itself or was stopped; ``result`` is its output."""
 
     at: float
     worker_id: str
@@ -74,7 +77,7 @@
 
 
 class MemberReleased(NamedTuple):
-    """A worker holds nothing of a gang member any more."""
+    """A worker released everything that it held for a gang member."""
 
     at: float
     worker_id: str
@@ -82,7 +85,7 @@
 
 
 class EpochTaken(NamedTuple):
-    """A node began to own a failure domain, or raised its epoch."""
+    """A node became owner of a failure domain, or raised its epoch."""
 
     at: float
     node_id: str
@@ -91,28 +94,28 @@
 
 
 class LeavingListed(NamedTuple):
-    """The VM list shows a worker as leaving."""
+    """The VM list shows the worker as leaving from this time on."""
 
     at: float
     worker_id: str
 
 
 class DrainAnnounced(NamedTuple):
-    """A worker announced its own stop."""
+    """A worker announced that it will stop."""
 
     at: float
     worker_id: str
 
 
 class NodeUp(NamedTuple):
-    """A node started, or was woken after it had been frozen."""
+    """A node started, or continued after it had been frozen."""
 
     at: float
     node_id: str
 
 
 class NodeDown(NamedTuple):
-    """A node stopped, was killed or frozen; ``planned`` is a shutdown."""
+    """A node stopped or was frozen; ``planned`` is true for a shutdown."""
 
     at: float
     node_id: str
@@ -120,7 +123,7 @@
 
 
 class RequestBegun(NamedTuple):
-    """A node took a request."""
+    """A node accepted a request."""
 
     at: float
     node_id: str
@@ -128,7 +131,7 @@
 
 
 class RequestEnded(NamedTuple):
-    """The request got an answer or a refusal."""
+    """A node answered or refused the request."""
 
     at: float
     node_id: str
@@ -136,14 +139,14 @@
 
 
 class StoreOutage(NamedTuple):
-    """The store answered nobody from ``at`` until ``until``."""
+    """The store answered no node from ``at`` to ``until``."""
 
     at: float
     until: float
 
 
 class StoreCut(NamedTuple):
-    """One node could not reach the store from ``at`` until ``until``."""
+    """One node could not reach the store from ``at`` to ``until``."""
 
     at: float
     until: float
@@ -151,7 +154,7 @@
 
 
 class ConfigurationAccepted(NamedTuple):
-    """An operator was told that a change is accepted."""
+    """An operator received the reply that a change was accepted."""
 
     at: float
     version: int
@@ -159,14 +162,14 @@
 
 
 class ConfigurationRefused(NamedTuple):
-    """An operator was told that a change is refused."""
+    """An operator received the reply that a change was refused."""
 
     at: float
     document: str
 
 
 class ConfigurationInForce(NamedTuple):
-    """A node put a version in force."""
+    """A node put a configuration version in force."""
 
     at: float
     node_id: str
@@ -175,7 +178,7 @@
 
 
 class Violation(NamedTuple):
-    """An invariant that a history breaks."""
+    """A violation of an invariant; ``invariant`` is one of I2 to I8."""
 
     at: float
     invariant: str
--- a/src/redwingrudder/_spec_common.py
+++ b/src/redwingrudder/_spec_common.py
@@ -1,4 +1,4 @@
-"""What the models of the specification share."""
+"""Types and the checker call that all models of the specification share."""
 
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -7,7 +7,7 @@
 
 from .statecharts import Chart, Transition
 
-MAX_STATES = 200_000  # of one model; a larger one is reported as not checked
+MAX_STATES = 200_000  # per model; a larger model is reported as not decided
 
 State = tuple[Any, ...]
 Successors = Callable[[Any], Iterable[tuple[str, Any]]]
@@ -15,21 +15,30 @@
 
 
 class Coverage:
-    """Collects which transitions of which charts the models take."""
+    """Collects the chart transitions that the models take.
+
+    Attributes:
+        charts_by_name: Charts of which the models took a transition.
+        taken: Transitions, as (chart, state, event).
+    """
 
     def __init__(self) -> None:
         self.charts_by_name: dict[str, Chart] = {}
         self.taken: set[tuple[str, str, str]] = set()
 
     def step(self, chart: Chart, state: str, event: str) -> Transition:
-        """Return the transition of a chart and note that it was taken."""
+        """Return the transition of a chart and record that it was taken.
+
+        Raises:
+            UnexpectedEventError: The state does not list the event.
+        """
         self.charts_by_name[chart.name] = chart
         transition = chart.step(state, event)
         self.taken.add((chart.name, state, event))
         return transition
 
     def list_untaken(self) -> set[tuple[str, str, str]]:
-        """Return what no model took, as (chart, state, event)."""
+        """Return the transitions no model took, as (chart, state, event)."""
         return {
             (name, *key)
             for name, chart in self.charts_by_name.items()
@@ -38,7 +47,15 @@
 
 
 class Model(NamedTuple):
-    """A model; its states are NamedTuples, ``flaw`` is a broken variant."""
+    """A transition system with the invariants that hold in all its states.
+
+    Attributes:
+        name: Name in the report.
+        flaw: The rule that a broken variant leaves out; empty otherwise.
+        initial: The initial state; all states are of its NamedTuple class.
+        successors: Returns the labelled steps that may follow a state.
+        invariants_by_property: Predicates on a state, by property name.
+    """
 
     name: str
     flaw: str
@@ -48,7 +65,14 @@
 
 
 class Finding(NamedTuple):
-    """The outcome of one property; ``trace`` leads to its violation."""
+    """The outcome of the check of one property.
+
+    Attributes:
+        property_name: The property.
+        holds: None when the model was too large to decide.
+        states: Number of states that were explored.
+        trace: Labels of the steps that lead to a violation, if there is one.
+    """
 
     property_name: str
     holds: bool | None
@@ -57,7 +81,7 @@
 
 
 def check(model: Model) -> tuple[Finding, ...]:
-    """Explore all states of a model and judge its properties.
+    """Explore all reachable states of a model and check its properties.
 
     ``holds`` is None when the model has more states than ``MAX_STATES``.
     """
@@ -86,7 +110,11 @@
 
 
 def find_violation(model: Model, property_name: str) -> Finding:
-    """Search a broken variant for the shortest violation of one property."""
+    """Search a broken variant for the shortest violation of one property.
+
+    The search ends at the first violation, so ``states`` is not the number of
+    all reachable states.
+    """
     violated = []
     invariant = model.invariants_by_property[property_name]
 
@@ -96,7 +124,8 @@
         return not violated
 
     def successors(state: Any) -> Iterable[tuple[str, Any]]:
-        # The first violation that the breadth-first search meets is enough.
+        # The search is breadth-first, so the first violation has the shortest
+        # trace; without successors the search ends there.
         return () if violated else model.successors(state)
 
     single_property = model._replace(
--- a/src/redwingrudder/_spec_configuration.py
+++ b/src/redwingrudder/_spec_configuration.py
@@ -1,6 +1,9 @@
-"""Model of two operators, two nodes and the configuration in the store.
+"""Model of two operators that change the configuration of two nodes.
 
-A document is named by its version and the operator who wrote it.
+Operators write new versions to the store with a compare-and-set transaction;
+nodes learn of them from a read, a watch or an offer of the other node. A
+configuration document is identified by its version and the operator who
+wrote it.
 """
 
 import enum
@@ -11,7 +14,7 @@
 from .configuration import _ACTIONS, _EVENTS
 from .statecharts import load_chart
 
-NEVER_REVERTS = "I8: the version in force on a node never falls"
+NEVER_REVERTS = "I8: the version in force on a node never decreases"
 ONE_DOCUMENT = "I8: a version has one document on all nodes"
 NEVER_LOST = "I8: an accepted version stays in the store"
 REFUSED_IS_OUT = "I8: a change that was refused is never in force"
@@ -25,7 +28,7 @@
 
 
 class Flaw(enum.StrEnum):
-    """A rule that a broken variant leaves out."""
+    """A rule of the protocol that a broken variant of the model leaves out."""
 
     NONE = ""
     ADOPT_ANY = "a node adopts any version"
@@ -42,29 +45,44 @@
 
 
 class Document(NamedTuple):
-    """A version and its operator."""
+    """A configuration document: its version and the operator who wrote it."""
 
     version: int
     operator: int
 
 
 class Node(NamedTuple):
-    """A node; ``read`` and ``offer`` are documents on their way to it.
-
-    ``seen`` is the last version that its watch delivered, -1 without a watch;
-    ``reading`` is true from the request until the answer.
+    """A node.
+
+    Attributes:
+        state: State of the configuration chart.
+        in_force: The document that the node uses.
+        watched_version: The last version that the watch of the node
+            delivered, -1 without a watch.
+        read_pending: Whether a read was requested and not yet answered.
+        read_reply: The reply of the store to the read, on its way to the
+            node; version 0 stands for a store without a document.
+        offer: A document offered by the other node, on its way to the node.
     """
 
     state: str
     in_force: Document | None = None
-    seen: int = -1
+    watched_version: int = -1
     read_pending: bool = False
-    read: Document | None = None
+    read_reply: Document | None = None
     offer: Document | None = None
 
 
 class Operator(NamedTuple):
-    """An operator's one change; ``base`` is the version that was edited."""
+    """An operator, who makes one change.
+
+    Attributes:
+        state: ``UNSURE`` when the reply to the change was lost; the operator
+            then sends the change again.
+        base_version: The version that the operator edited.
+        written_version: The version that the change has in the store, 0 while
+            it is not stored.
+    """
 
     state: str = IDLE
     base_version: int = 0
@@ -72,7 +90,20 @@
 
 
 class Deployment(NamedTuple):
-    """Everything; ``store`` holds the operator of each version in order."""
+    """A state of the model.
+
+    Attributes:
+        nodes: Both nodes.
+        operators: Both operators.
+        store: The operator who wrote each version, from version 1 on.
+        store_up: Whether the store is available.
+        outages_left: Store outages that may still begin.
+        resets_left: Watch resets that may still occur.
+        ever_in_force: All documents that were ever in force on a node. Only
+            the invariants read it.
+        reverted: Whether a node ever went back to a lower version. Only the
+            invariants read it.
+    """
 
     nodes: tuple[Node, ...]
     operators: tuple[Operator, ...] = (Operator(), Operator())
@@ -88,7 +119,7 @@
 
 
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
-    """Return the model, or a broken variant of it."""
+    """Return the model, or the variant without the rule ``flaw``."""
     initial = Deployment((Node(CHART.initial), Node(CHART.initial)))
     invariants = {
         NEVER_REVERTS: lambda deployment: not deployment.reverted,
@@ -123,7 +154,7 @@
 
 
 class _Successors:
-    """All steps that may follow a state."""
+    """Returns all steps that may follow a state; called by the checker."""
 
     def __init__(self, coverage: Coverage, flaw: Flaw) -> None:
         self._coverage = coverage
@@ -154,49 +185,49 @@
             yield from self._read_steps(deployment, index, node)
         else:
             yield f"{name}: retry", self._fire(deployment, index, "retry_due")
-        if deployment.store_up and node.seen >= 0:
+        if deployment.store_up and node.watched_version >= 0:
             yield from self._watch_steps(deployment, index, node)
         if node.offer is not None:
             after = _with_node(deployment, index, node._replace(offer=None))
             adopted = self._fire(after, index, "offered", node.offer)
-            yield f"{name}: offer taken", adopted
+            yield f"{name}: offer received", adopted
         else:
             offer = deployment.nodes[1 - index].in_force
             if offer is not None and offer != node.in_force:
                 sent = _with_node(deployment, index, node._replace(offer=offer))
-                yield f"{name}: peer answers", sent
+                yield f"{name}: peer sends an offer", sent
 
     def _watch_steps(self, deployment: Deployment, index: int, node: Node) -> Steps:
         name = f"node {index}"
         reset = deployment._replace(resets_left=deployment.resets_left - 1)
-        # The nodes are alike, so it is enough that the watch of one breaks.
+        # The nodes are symmetric, so only the watch of node 0 may be reset.
         may_reset = deployment.resets_left and index == 0
         if may_reset:
-            unwatched_node = _with_node(reset, index, node._replace(seen=-1))
+            unwatched_node = _with_node(reset, index, node._replace(watched_version=-1))
             after = self._fire(unwatched_node, index, "watch_reset")
             yield f"{name}: watch reset", after
-        if node.seen < len(deployment.store):
-            seen = node._replace(seen=node.seen + 1)
-            after = _with_node(deployment, index, seen)
-            yield f"{name}: change seen", self._fire(after, index, "changed")
+        if node.watched_version < len(deployment.store):
+            advanced = node._replace(watched_version=node.watched_version + 1)
+            after = _with_node(deployment, index, advanced)
+            yield f"{name}: change delivered", self._fire(after, index, "changed")
             if may_reset:
-                skipped = _with_node(reset, index, seen)
+                skipped = _with_node(reset, index, advanced)
                 after = self._fire(skipped, index, "gap_found")
                 yield f"{name}: change not understood", after
 
     def _read_steps(self, deployment: Deployment, index: int, node: Node) -> Steps:
         name = f"node {index}"
-        if node.read is not None:
-            done = node._replace(read_pending=False, read=None)
-            after = _with_node(deployment, index, done)
-            read = node.read if node.read.version else None
-            answered = self._fire(after, index, "document_read", read)
+        if node.read_reply is not None:
+            idle = node._replace(read_pending=False, read_reply=None)
+            after = _with_node(deployment, index, idle)
+            document = node.read_reply if node.read_reply.version else None
+            answered = self._fire(after, index, "document_read", document)
             yield f"{name}: read answered", answered
         elif deployment.store_up:
             version = len(deployment.store)
             operator = deployment.store[-1] if version else -1
-            read = node._replace(read=Document(version, operator))
-            yield f"{name}: document read", _with_node(deployment, index, read)
+            replied = node._replace(read_reply=Document(version, operator))
+            yield f"{name}: document read", _with_node(deployment, index, replied)
         else:
             after = _with_node(deployment, index, node._replace(read_pending=False))
             yield f"{name}: read failed", self._fire(after, index, "read_failed")
@@ -221,9 +252,15 @@
     def _transact(
         self, deployment: Deployment, index: int, operator: Operator
     ) -> tuple[Deployment, Operator]:
-        """Return the store after the transaction and what is confirmed."""
+        """Run the transaction of an operator's change.
+
+        Returns:
+            The deployment and the operator after it, with the outcome that
+            the reply of the store confirms.
+        """
         if operator.written_version:
-            # The change of this version has the operator's nonce.
+            # The operator sends the change again. The stored version carries
+            # the operator's nonce, so the earlier transaction took effect.
             return deployment, operator._replace(state=ACCEPTED)
         store, version = deployment.store, operator.base_version + 1
         if self._flaw is Flaw.BLIND_WRITE:
@@ -232,8 +269,8 @@
             store = (*store, index)
         else:
             return deployment, operator._replace(state=REFUSED)
-        written_version = operator._replace(state=ACCEPTED, written_version=version)
-        return deployment._replace(store=store), written_version
+        accepted = operator._replace(state=ACCEPTED, written_version=version)
+        return deployment._replace(store=store), accepted
 
     def _fire(
         self,
@@ -249,7 +286,7 @@
             deployment = getattr(self, f"_{action}")(deployment, index, document)
         return deployment
 
-    # Actions of the chart.
+    # Actions of the configuration chart, called by name in _fire.
 
     def _read_document(
         self, deployment: Deployment, index: int, _: Document | None
@@ -267,17 +304,19 @@
     ) -> Deployment:
         node = deployment.nodes[index]
         version = document.version if document else 0
-        return _with_node(deployment, index, node._replace(seen=version))
+        return _with_node(deployment, index, node._replace(watched_version=version))
 
     def _apply_change(
         self, deployment: Deployment, index: int, _: Document | None
     ) -> Deployment:
         node = deployment.nodes[index]
         version = node.in_force.version if node.in_force else 0
-        if node.seen == version + 1:
-            change = Document(node.seen, deployment.store[node.seen - 1])
+        if node.watched_version == version + 1:
+            change = Document(
+                node.watched_version, deployment.store[node.watched_version - 1]
+            )
             return self._adopt(deployment, index, change)
-        if node.seen > version:
+        if node.watched_version > version:
             return self._fire(deployment, index, "gap_found")
         return deployment
 
--- a/src/redwingrudder/_spec_gang_owner.py
+++ b/src/redwingrudder/_spec_gang_owner.py
@@ -1,4 +1,4 @@
-"""The owner of the model of gangs: the scheduler's rules over its charts."""
+"""The owner in the gang model: the rules of the scheduler for its charts."""
 
 from ._scheduler_chart import GANG_CHART
 from ._scheduler_jobs import CHART as JOB_CHART
@@ -14,6 +14,7 @@
     RESERVED,
     START,
     STOP,
+    STOPPED,
     WORKERS,
     Flaw,
     Gang,
@@ -25,25 +26,32 @@
 
 
 class OwnerStep:
-    """Carries one event out on a copy of an owner."""
+    """Applies one event to an owner.
+
+    The methods for events correspond to those of the scheduler.
+
+    Attributes:
+        owner: The owner, as the event leaves it.
+        unexpected_event: Whether a chart did not list an event.
+    """
 
     def __init__(self, coverage: Coverage, scenario: Scenario, owner: Owner) -> None:
         self._coverage = coverage
         self._scenario = scenario
         self.owner = owner
-        self.unexpected = False
+        self.unexpected_event = False
 
-    # Events of the scheduler.
+    # Events that the scheduler handles.
 
     def place(self, gang_id: int) -> None:
-        """Hold a placement for the queued job and reserve it."""
+        """Create a gang for the queued job and reserve its members."""
         self._set_gang(gang_id, Gang(GANG_CHART.initial, ALL_WORKERS))
         self.fire_job("gang_created")
         self.owner = self.owner._replace(current_gang=gang_id)
         self._fire(gang_id, "placed")
 
     def cancel(self) -> None:
-        """Cancel the job, which is queued or has a gang."""
+        """Cancel the job: stop its gang, or end it if it is queued."""
         gang_id = self.owner.current_gang
         if gang_id >= 0:
             self._update_gang(gang_id, cause="cancelled")
@@ -54,7 +62,7 @@
             self.fire_job("outcome_lost" if may_have_run else "cancelled")
 
     def reserve_answered(self, gang_id: int, worker: int, accepted: bool) -> None:
-        """Take the answer to a reservation."""
+        """Handle the reply of a worker to a reservation."""
         gang = self._find_gang(gang_id, worker)
         bit = 1 << worker
         if gang is None or gang.reserved & bit or gang.stop_sent:
@@ -70,7 +78,7 @@
         self._fire_completion(gang_id)
 
     def start_recorded(self, gang_id: int, accepted: bool) -> None:
-        """Take the answer of the store to the record of a start."""
+        """Handle the reply of the store to the write of a start record."""
         gang = self.owner.gangs[gang_id]
         if gang is None:
             return
@@ -82,7 +90,7 @@
         self._fire_completion(gang_id)
 
     def start_answered(self, gang_id: int, worker: int, accepted: bool) -> None:
-        """Take the answer to a start."""
+        """Handle the reply of a worker to a start."""
         gang = self._find_gang(gang_id, worker)
         bit = 1 << worker
         if gang is None or not gang.start_sent & bit or gang.started & bit:
@@ -101,7 +109,7 @@
         self._fire_completion(gang_id)
 
     def release_answered(self, gang_id: int, worker: int) -> None:
-        """Take the confirmation that a member holds nothing."""
+        """Handle the confirmation that a worker holds nothing of the gang."""
         gang = self._find_gang(gang_id, worker)
         bit = 1 << worker
         if gang is None or not gang.stop_sent & bit or gang.start_sent & bit:
@@ -110,7 +118,7 @@
         self._fire_completion(gang_id)
 
     def task_ended(self, gang_id: int, worker: int, succeeded: bool) -> None:
-        """Take the end of a member's task."""
+        """Handle the report of a worker that a task ended."""
         gang = self._find_gang(gang_id, worker)
         bit = 1 << worker
         if gang is None or not gang.start_sent & bit or gang.ended & bit:
@@ -130,7 +138,7 @@
         self._fire_completion(gang_id)
 
     def worker_lost(self, worker: int) -> None:
-        """Count the members on a worker as gone."""
+        """Treat the members on a lost worker as released."""
         self.owner = self.owner._replace(
             claimed_workers=self.owner.claimed_workers & ~(1 << worker)
         )
@@ -139,7 +147,7 @@
                 self._lose_member(gang_id, gang, worker)
 
     def worker_draining(self, worker: int) -> None:
-        """Release the gangs of a leaving worker that have not started."""
+        """Release the gangs on a draining worker that have not started."""
         self.owner = self.owner._replace(drain_handled=True)
         for gang_id in GANGS:
             gang = self._find_gang(gang_id, worker)
@@ -151,7 +159,7 @@
             self._fire_completion(gang_id)
 
     def worker_claimed(self, worker: int, members: tuple[str, ...]) -> None:
-        """Take a worker with the state of its member of each gang."""
+        """Handle the claim of a worker, with the states of its members."""
         self.owner = self.owner._replace(
             claimed_workers=self.owner.claimed_workers | 1 << worker
         )
@@ -161,7 +169,7 @@
         self._continue_gangs()
 
     def recovery_ended(self) -> None:
-        """Decide about everything that was not reported completely."""
+        """End the recovery: stop or release gangs not reported in full."""
         self.owner = self.owner._replace(recovered=True)
         self._continue_gangs()
         start_unreported = self.owner.start_recorded and self.owner.job_known
@@ -169,18 +177,18 @@
             self.fire_job("outcome_lost")
 
     def fire_job(self, event: str) -> None:
-        """Raise an event of the job's chart."""
+        """Raise an event of the job chart."""
         try:
             step = self._coverage.step(JOB_CHART, self.owner.job, event)
         except UnexpectedEventError:
-            self.unexpected = True
+            self.unexpected_event = True
             return
         current_gang = self.owner.current_gang
         if step.target in JOB_CHART.final_states or step.target == "queued":
             current_gang = -1
         self.owner = self.owner._replace(job=step.target, current_gang=current_gang)
 
-    # Recovery, as in _scheduler_recovery.
+    # Recovery rules, as in _scheduler_recovery.
 
     def _adopt_member(self, gang_id: int, worker: int, state: str) -> None:
         if not self.owner.job:
@@ -197,8 +205,8 @@
             reserved=gang.reserved | bit,
             started=gang.started | bit * started,
             start_sent=gang.start_sent & ~bit | bit * started,
-            ended=gang.ended | bit * (state in (DONE, "stopped")),
-            failed=gang.failed | bit * (state == "stopped"),
+            ended=gang.ended | bit * (state in (DONE, STOPPED)),
+            failed=gang.failed | bit * (state == STOPPED),
         )
         self._set_gang(gang_id, gang)
         late_start = gang.state == "releasing" and started
@@ -243,14 +251,14 @@
         self.owner = self.owner._replace(current_gang=gang_id)
         return True
 
-    # The chart of a gang.
+    # The gang chart and its actions, called by name in _fire.
 
     def _fire(self, gang_id: int, event: str) -> None:
         gang = self.owner.gangs[gang_id]
         try:
             step = self._coverage.step(GANG_CHART, gang.state, event)
         except UnexpectedEventError:
-            self.unexpected = True
+            self.unexpected_event = True
             return
         self._update_gang(gang_id, state=step.target)
         for action in step.actions:
@@ -351,7 +359,8 @@
 
     def _command(self, gang_id: int, worker: int, command: str) -> None:
         gang = self.owner.gangs[gang_id]
-        # A command to a lost worker is dropped; its loss settles it.
+        # A command to a lost worker is dropped: worker_lost already treats its
+        # member as released.
         if self.owner.claimed_workers & 1 << worker:
             queue = (*gang.queues[worker], command)
             self._update_gang(gang_id, queues=replace_at(gang.queues, worker, queue))
--- a/src/redwingrudder/_spec_guarantee.py
+++ b/src/redwingrudder/_spec_guarantee.py
@@ -1,7 +1,8 @@
-"""Model of guarantees: the real cells, placement and reclaim on two workers.
+"""Model of guarantees: production cells, placement and reclaim on two workers.
 
-The fleet and its cells are objects with a history, so a state keeps the steps
-that lead to it and the objects are built anew from them.
+The fleet and its cells are mutable objects, which cannot serve as states of
+the checker. So the model keeps for each state the steps that lead to it, and
+rebuilds the objects by replaying these steps.
 """
 
 import enum
@@ -23,11 +24,12 @@
 WORKERS = tuple(
     WorkerInfo(f"w{number}", "", DOMAIN, "r0", 2, 4, 8, 8) for number in (0, 1)
 )
+MAX_GANGS_PER_SPEC = 10
 SHAPES_BY_ORGANISATION = {"a": (Shape(2, 1),), "b": (Shape(1, 1),)}
 
 
 class Flaw(enum.StrEnum):
-    """A rule that a broken variant leaves out."""
+    """A rule of the policies that a broken variant of the model leaves out."""
 
     NONE = ""
     FOREIGN_FIRM = "work that cannot be stopped is placed like a borrower"
@@ -43,23 +45,43 @@
 
 
 class Step(NamedTuple):
-    """One step of a history: a job placed, a gang ended, a worker lost."""
+    """One step of the model.
+
+    Attributes:
+        kind: "place", "end", "lose" or "return".
+        name: The job specification to place, the gang that ends, or the
+            worker that is lost or returns.
+    """
 
     kind: str
     name: str
 
 
 class HeldGang(NamedTuple):
-    """A gang that holds accelerators."""
+    """A gang and the accelerators that it holds on each worker."""
 
     gang_id: str
     members: tuple[tuple[str, tuple[int, ...]], ...]
 
 
 class DomainState(NamedTuple):
-    """The fleet and its cells; ``faults`` and ``denied`` only judge."""
-
-    held: tuple[HeldGang, ...]
+    """A state of the model.
+
+    The last three fields only serve the invariants.
+
+    Attributes:
+        held_gangs: Gangs that hold accelerators.
+        workers: Workers that are in the fleet.
+        cells: For each cell, its organisation and accelerators by worker.
+        unstoppable_gangs: Gangs that occupy a cell of another organisation
+            and cannot be stopped.
+        unreported_organisations: Organisations that lack accelerators of
+            their guaranteed shapes without a reported shortage.
+        denied_organisations: Organisations without work whose guaranteed
+            shape can neither be placed nor reclaimed.
+    """
+
+    held_gangs: tuple[HeldGang, ...]
     workers: tuple[str, ...]
     cells: tuple[tuple[str, tuple[tuple[str, tuple[int, ...]], ...]], ...]
     unstoppable_gangs: tuple[str, ...]
@@ -67,7 +89,7 @@
     denied_organisations: tuple[str, ...]
 
 
-def _spec(organisation: str, accelerators: int, borrower: bool) -> JobSpec:
+def _job_spec(organisation: str, accelerators: int, borrower: bool) -> JobSpec:
     return JobSpec(
         organisation,
         *("class", "caller", "key"),
@@ -77,60 +99,63 @@
 
 
 SPECS_BY_NAME = {
-    "a firm 2": _spec("a", 2, borrower=False),
-    "a borrower 1": _spec("a", 1, borrower=True),
-    "b firm 1": _spec("b", 1, borrower=False),
-    "b borrower 2": _spec("b", 2, borrower=True),
+    "a firm 2": _job_spec("a", 2, borrower=False),
+    "a borrower 1": _job_spec("a", 1, borrower=True),
+    "b firm 1": _job_spec("b", 1, borrower=False),
+    "b borrower 2": _job_spec("b", 2, borrower=True),
 }
 
 
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
-    """Return the model, or a broken variant; it uses no charts."""
+    """Return the model, or the variant without the rule ``flaw``.
+
+    The model runs no charts, so it adds nothing to ``coverage``.
+    """
     successors = _Successors(flaw)
     invariants = {
-        RECLAIMABLE: lambda occupation: not occupation.unstoppable_gangs,
-        REPORTED: lambda occupation: not occupation.unreported_organisations,
-        OBTAINED: lambda occupation: not occupation.denied_organisations,
+        RECLAIMABLE: lambda state: not state.unstoppable_gangs,
+        REPORTED: lambda state: not state.unreported_organisations,
+        OBTAINED: lambda state: not state.denied_organisations,
     }
     return Model("guarantees", flaw, successors.initial, successors, invariants)
 
 
 class _Successors:
-    """All steps that may follow a state."""
+    """Returns all steps that may follow a state; called by the checker."""
 
     def __init__(self, flaw: Flaw) -> None:
         self._flaw = flaw
-        self.initial = _Domain(flaw).occupation()
+        self.initial = _Domain(flaw).snapshot()
         self._histories_by_state: dict[DomainState, tuple[Step, ...]] = {
             self.initial: ()
         }
 
-    def __call__(self, occupation: DomainState) -> Iterator[tuple[str, DomainState]]:
-        history = self._histories_by_state[occupation]
-        for step in _steps(occupation):
+    def __call__(self, state: DomainState) -> Iterator[tuple[str, DomainState]]:
+        history = self._histories_by_state[state]
+        for step in _steps(state):
             domain = _Domain(self._flaw)
             for earlier in history:
                 domain.apply(earlier)
             domain.apply(step)
-            after = domain.occupation()
+            after = domain.snapshot()
             self._histories_by_state.setdefault(after, (*history, step))
             yield f"{step.kind} {step.name}", after
 
 
-def _steps(occupation: DomainState) -> Iterator[Step]:
+def _steps(state: DomainState) -> Iterator[Step]:
     for name in SPECS_BY_NAME:
         yield Step("place", name)
-    for held in occupation.held:
-        yield Step("end", held.gang_id)
+    for gang in state.held_gangs:
+        yield Step("end", gang.gang_id)
     for worker in WORKERS:
-        if worker.worker_id not in occupation.workers:
+        if worker.worker_id not in state.workers:
             yield Step("return", worker.worker_id)
-        elif len(occupation.workers) == len(WORKERS):
+        elif len(state.workers) == len(WORKERS):
             yield Step("lose", worker.worker_id)
 
 
 class _Domain:
-    """The real fleet, cells and policies of one failure domain."""
+    """A failure domain with the production fleet, cells and policies."""
 
     def __init__(self, flaw: Flaw) -> None:
         self._flaw = flaw
@@ -148,7 +173,7 @@
         self._assign_cells()
 
     def apply(self, step: Step) -> None:
-        """Carry out one step."""
+        """Apply one step to the fleet and its cells."""
         if step.kind == "place":
             self._place(step.name)
         elif step.kind == "end":
@@ -159,13 +184,13 @@
             if self._flaw is not Flaw.NO_REASSIGNMENT:
                 self._assign_cells()
         else:
-            worker = next(w for w in WORKERS if w.worker_id == step.name)
+            worker = next(worker for worker in WORKERS if worker.worker_id == step.name)
             self._fleet.add_worker(worker, "boot", draining=False)
             self._assign_cells()
 
-    def occupation(self) -> DomainState:
-        """Return the state as a value."""
-        held = tuple(
+    def snapshot(self) -> DomainState:
+        """Return the current state as an immutable value."""
+        held_gangs = tuple(
             HeldGang(gang_id, _list_members(gang.members_by_worker))
             for gang_id, gang in sorted(self._fleet.gangs_by_id.items())
         )
@@ -174,7 +199,7 @@
             for cell in self._cell_table.cells()
         )
         return DomainState(
-            held,
+            held_gangs,
             tuple(sorted(self._fleet.workers_by_id)),
             cells,
             self._find_unstoppable_gangs(),
@@ -189,8 +214,10 @@
             return
         for gang_id in gangs_to_stop:
             self._release_gang(gang_id)
-        numbers = (f"{name} #{number}" for number in range(10))
-        gang_id = next(n for n in numbers if n not in self._fleet.gangs_by_id)
+        gang_ids = (f"{name} #{number}" for number in range(MAX_GANGS_PER_SPEC))
+        gang_id = next(
+            gang_id for gang_id in gang_ids if gang_id not in self._fleet.gangs_by_id
+        )
         self._fleet.hold(gang_id, spec, placement)
 
     def _plan_placement(
@@ -214,7 +241,7 @@
         self._cell_table.assign(self._configuration, DOMAIN, self._fleet, 0.0)
 
     def _find_unstoppable_gangs(self) -> tuple[str, ...]:
-        """Find cells with foreign holders that cannot be stopped."""
+        """Find gangs that block a cell of another organisation."""
         organisations_by_accelerator = {
             (worker_id, index): cell.key.organisation
             for cell in self._cell_table.cells()
@@ -236,7 +263,7 @@
         )
 
     def _find_unreported_organisations(self) -> tuple[str, ...]:
-        """Find organisations without their whole shapes or a shortage."""
+        """Find organisations short of accelerators without a shortage."""
         reported = {shortage.organisation for shortage in self._cell_table.shortages}
         return tuple(
             name
@@ -255,14 +282,14 @@
         )
 
     def _find_denied_organisations(self) -> tuple[str, ...]:
-        """Find organisations whose shape cannot be placed for them now."""
+        """Find idle organisations whose guaranteed shape cannot be placed."""
         reported = {shortage.organisation for shortage in self._cell_table.shortages}
         busy = {gang.spec.organisation for gang in self._fleet.gangs_by_id.values()}
         return tuple(
             name
             for name, shapes in SHAPES_BY_ORGANISATION.items()
             if name not in reported | busy
-            and self._plan_placement(_spec(name, shapes[0].accelerators, False))[0]
+            and self._plan_placement(_job_spec(name, shapes[0].accelerators, False))[0]
             is None
         )
 
--- a/src/redwingrudder/_spec_ownership.py
+++ b/src/redwingrudder/_spec_ownership.py
@@ -1,6 +1,6 @@
 """Model of two nodes that may own one failure domain with one worker.
 
-A node may pause at any step, because no step of it is ever forced.
+No step is ever forced, so a node may pause at any point for any time.
 """
 
 import enum
@@ -11,23 +11,23 @@
 from ._spec_common import Coverage, Model
 from .model import Epoch
 
-FENCED = "I2: a worker accepts no command below an epoch that it has seen"
-UNIQUE = "I5: no two ownerships have the same epoch"
-RISING = "I5: the store gives every new owner a higher epoch than before"
+FENCED = "I2: a worker accepts no command with an epoch below its highest"
+UNIQUE = "I5: no two ownership terms have the same epoch"
+RISING = "I5: the store gives each new owner a higher epoch than all before"
 
 CHART = load_ownership_chart()
 UNCLAIMED = Epoch(0, 0, 0)
 MAX_OUTAGES = 1
 MAX_LEASE_LAPSES = 1
 MAX_DRAINS = 1
-MAX_LOCAL_TERM = 1  # by which a node may follow in an outage
+MAX_LOCAL_TERM = 1  # raised by a node that takes over while the store is down
 MAX_STORE_TERMS = 3
 
 SENT, HELD, RACED = "sent", "held", "raced"
 
 
 class Flaw(enum.StrEnum):
-    """A rule that a broken variant leaves out."""
+    """A rule of the protocol that a broken variant of the model leaves out."""
 
     NONE = ""
     NO_FENCING = "the worker accepts every epoch"
@@ -43,7 +43,17 @@
 
 
 class Node(NamedTuple):
-    """A node; ``call`` is "", "sent", "held", "raced" or what it acquired."""
+    """A node.
+
+    Attributes:
+        state: State of the ownership chart.
+        epoch: The epoch under which the node owns the domain, None without
+            ownership.
+        highest: The highest epoch that the node knows of.
+        call: The attempt to acquire the owner record: "" for none, "sent",
+            "held" when another owner holds the record, or the epoch that was
+            acquired; the last two are replies on their way.
+    """
 
     state: str
     epoch: Epoch | None = None
@@ -52,7 +62,26 @@
 
 
 class Domain(NamedTuple):
-    """Everything; the last fields only judge."""
+    """A state of the model.
+
+    The fields from ``used_epochs`` on only serve the invariants.
+
+    Attributes:
+        nodes: Both nodes.
+        record: The owner record: the number of the node and its epoch.
+        counter: Number of store terms that the store has given out.
+        store_up: Whether the store is available.
+        outages_left: Store outages that may still begin.
+        lapses_left: Lapses of the record lease that may still occur.
+        drains_left: Planned stops of a node that may still occur.
+        worker_epoch: The highest epoch under which the worker was claimed.
+        used_epochs: All epochs under which a node owned the domain.
+        highest_stored: The highest epoch ever written to the record.
+        accepted_stale: Whether the worker accepted a command of an epoch
+            below ``worker_epoch``.
+        epoch_repeated: Whether two ownership terms had the same epoch.
+        epoch_fell: Whether a written epoch was not above all earlier ones.
+    """
 
     nodes: tuple[Node, ...]
     record: tuple[int, Epoch] | None = None
@@ -73,7 +102,7 @@
 
 
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
-    """Return the model, or a broken variant of it."""
+    """Return the model, or the variant without the rule ``flaw``."""
     initial = Domain((Node(CHART.initial), Node(CHART.initial)))
     invariants = {
         FENCED: lambda domain: not domain.accepted_stale,
@@ -85,7 +114,7 @@
 
 
 class _Successors:
-    """All steps that may follow a state."""
+    """Returns all steps that may follow a state; called by the checker."""
 
     def __init__(self, coverage: Coverage, flaw: Flaw) -> None:
         self._coverage = coverage
@@ -101,7 +130,7 @@
             yield from self._store_steps(domain, index, node)
             if node.epoch is not None:
                 yield from self._worker_steps(domain, index, node.epoch)
-            # One of the nodes stops; the other may take the domain over.
+            # Only node 0 is drained; node 1 may then take over the domain.
             if domain.drains_left and index == 0:
                 drained = domain._replace(drains_left=domain.drains_left - 1)
                 yield f"node {index}: drain", self._fire(drained, index, "drain")
@@ -117,7 +146,7 @@
             yield "store comes back", domain._replace(store_up=True)
 
     def _local_events(self, domain: Domain, index: int, node: Node) -> Iterator[str]:
-        """Yield what a node may notice by itself."""
+        """Yield the events that a node may raise from its own observations."""
         if domain.store_up:
             yield self._record_event(domain, index)
         elif node.state == "verifying":
@@ -203,11 +232,12 @@
             domain = getattr(self, f"_{action}")(domain, index, acquired)
         return domain
 
-    # Actions of the chart.
+    # Actions of the ownership chart, called by name in _fire.
 
     def _acquire_record(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
         node = domain.nodes[index]
-        # One acquisition at a time; the answer of an earlier one counts.
+        # Only one acquisition is in flight at a time: while an earlier one is
+        # unanswered, its reply is used.
         return _with_node(domain, index, node._replace(call=node.call or SENT))
 
     def _read_record(self, domain: Domain, index: int, _: str | Epoch) -> Domain:
--- a/src/redwingrudder/_spec_workflow.py
+++ b/src/redwingrudder/_spec_workflow.py
@@ -1,8 +1,9 @@
-"""Model of one task of a workflow, two workers and changing coordinators.
+"""Model of one workflow task, two workers and successive coordinators.
 
-Orders lie in a set until they are delivered, at any later time and in any
-order; answers may be lost. A worker that is cut off works on until its lease
-has lapsed.
+An order that was sent stays in a set until it is delivered. Orders may be
+delivered at any later time and in any sequence, and replies may be lost. A
+worker that is cut off from the coordinator continues its run until its lease
+lapses.
 """
 
 import enum
@@ -24,7 +25,7 @@
 
 
 class Flaw(enum.StrEnum):
-    """A rule that a broken variant leaves out."""
+    """A rule of the protocol that a broken variant of the model leaves out."""
 
     NONE = ""
     NO_RECORD = "a start is sent before its record"
@@ -48,7 +49,10 @@
 
 
 class Order(NamedTuple):
-    """A start or stop on its way to a worker."""
+    """A start or stop of a run, on its way to a worker.
+
+    ``fence`` is the term of the coordinator that sent it.
+    """
 
     kind: str
     worker: int
@@ -57,24 +61,36 @@
 
 
 class Worker(NamedTuple):
-    """A worker; ``closed`` is the highest run that may not start any more.
-
-    ``ended`` is a run that is done and was not acknowledged, 0 for none.
+    """A worker.
+
+    Attributes:
+        fence: The highest term that it knows; it refuses orders of lower ones.
+        run: Number of the run in progress, 0 for none.
+        highest_closed_run: Starts of this run and of lower ones are refused.
+        unacknowledged_run: A run that is done and whose end was not
+            acknowledged, 0 for none.
+        cut_off: Whether the worker is cut off from all coordinators.
     """
 
     fence: int = 0
     run: int = 0
     highest_closed_run: int = 0
-    ended: int = 0
-    cut: bool = False
+    unacknowledged_run: int = 0
+    cut_off: bool = False
 
 
 class Coordinator(NamedTuple):
-    """The coordinator's view of the task.
-
-    ``sending`` is the order that its session repeats; ``known`` and
-    ``silent`` hold for each worker whether it has reported in this term and
-    whether it stopped answering since.
+    """The view that the current coordinator has of the task.
+
+    Attributes:
+        term: Its term, used as the fence of its orders.
+        state: State of the task chart.
+        run: Number of the latest run.
+        worker: The worker of the latest run.
+        sending: The order that the worker session repeats until it is
+            answered, "" for none.
+        has_reported: For each worker, whether it reported in this term.
+        unresponsive: For each worker, whether it stopped answering since.
     """
 
     term: int
@@ -87,7 +103,19 @@
 
 
 class World(NamedTuple):
-    """Everything; ``placed`` and ``done`` are what the store holds."""
+    """A state of the model.
+
+    Attributes:
+        coordinator: The current coordinator.
+        workers: Both workers.
+        orders: Orders that may still be delivered.
+        recorded_placement: Run and worker that the store holds for the task.
+        end_recorded: Whether the store holds the end of the task.
+        end_acknowledged: Whether an end was acknowledged to a worker.
+        ran_again: Whether a run began after that.
+        cuts_left: Network cuts that may still begin.
+        silences_left: How many times a worker may still stop answering.
+    """
 
     coordinator: Coordinator
     workers: tuple[Worker, Worker] = (Worker(), Worker())
@@ -104,7 +132,7 @@
 
 
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
-    """Return the model, or a broken variant of it."""
+    """Return the model, or the variant without the rule ``flaw``."""
     invariants = {
         ONE_RUN: lambda world: sum(w.run > 0 for w in world.workers) <= 1,
         NOT_AGAIN: lambda world: not world.ran_again,
@@ -114,7 +142,7 @@
 
 
 class _Successors:
-    """The steps of the model."""
+    """Returns all steps that may follow a state; called by the checker."""
 
     def __init__(self, coverage: Coverage, flaw: Flaw) -> None:
         self._coverage = coverage
@@ -160,7 +188,10 @@
                 )
             else:
                 without_start = coordinator._replace(sending=STOP)
-            yield "give a start up", world._replace(coordinator=without_start)
+            yield (
+                "give up an unanswered start",
+                world._replace(coordinator=without_start),
+            )
 
     def _placement_steps(self, world: World, index: int) -> Steps:
         coordinator = self._fire(world.coordinator, "assign")
@@ -171,7 +202,7 @@
         if self._flaw is Flaw.NO_RECORD:
             recorded_placement = world.recorded_placement
         yield (
-            f"place on {index}",
+            f"place on worker {index}",
             world._replace(
                 coordinator=coordinator, recorded_placement=recorded_placement
             ),
@@ -179,7 +210,7 @@
 
     def _delivery_steps(self, world: World, order: Order) -> Steps:
         worker = world.workers[order.worker]
-        if worker.cut:
+        if worker.cut_off:
             return
         world = world._replace(orders=world.orders - {order})
         accepted = order.fence >= worker.fence
@@ -218,12 +249,12 @@
             return self._fire(coordinator, "started")
         if self._flaw is Flaw.NO_POLL:
             return self._fire(coordinator, "rejected")
-        # The run may have been carried out and ended; the next look tells.
+        # The run may have started and ended already; the next poll shows it.
         return coordinator
 
     def _poll_steps(self, world: World, index: int) -> Steps:
         worker, coordinator = world.workers[index], world.coordinator
-        if worker.cut or worker.fence > coordinator.term:
+        if worker.cut_off or worker.fence > coordinator.term:
             return
         if self._flaw is not Flaw.NO_FENCE:
             worker = worker._replace(fence=coordinator.term)
@@ -241,7 +272,7 @@
             and coordinator.state == "starting"
         ):
             coordinator = self._fire(coordinator, "started")
-        elif assigned_here and worker.ended == coordinator.run > 0:
+        elif assigned_here and worker.unacknowledged_run == coordinator.run > 0:
             coordinator = self._fire(coordinator, "run_done")._replace(sending=NO_ORDER)
         elif (
             assigned_here
@@ -257,7 +288,7 @@
         ):
             run_dropped = first_report or coordinator.state == "running"
             if self._flaw is Flaw.DROP_STARTS and coordinator.sending == START:
-                # The session goes on sending the start of the dropped run.
+                # The session continues to send the start of the dropped run.
                 orders = orders | {
                     Order(START, index, coordinator.run, coordinator.term)
                 }
@@ -268,34 +299,40 @@
                 )
         world = _with_worker(world, index, worker)
         world = world._replace(coordinator=coordinator, orders=orders)
-        if not worker.ended:
-            yield f"look at {index}", world
-        elif worker.ended == coordinator.run and self._flaw is Flaw.ACKNOWLEDGE_FIRST:
+        if not worker.unacknowledged_run:
+            yield f"poll worker {index}", world
+        elif (
+            worker.unacknowledged_run == coordinator.run
+            and self._flaw is Flaw.ACKNOWLEDGE_FIRST
+        ):
             yield "acknowledge an end", self._acknowledge(world, index)
         else:
             world = world._replace(end_recorded=True)
             yield "record and acknowledge an end", self._acknowledge(world, index)
 
     def _acknowledge(self, world: World, index: int) -> World:
-        worker = world.workers[index]._replace(ended=0)
+        worker = world.workers[index]._replace(unacknowledged_run=0)
         return _with_worker(world, index, worker)._replace(end_acknowledged=True)
 
     def _worker_steps(self, world: World, index: int) -> Steps:
         worker, coordinator = world.workers[index], world.coordinator
         if worker.run:
-            ended = worker._replace(
-                run=0, highest_closed_run=worker.run, ended=worker.run
+            finished = worker._replace(
+                run=0, highest_closed_run=worker.run, unacknowledged_run=worker.run
+            )
+            yield f"run on worker {index} is done", _with_worker(world, index, finished)
+        if world.cuts_left and not worker.cut_off:
+            isolated = _with_worker(world, index, worker._replace(cut_off=True))
+            yield (
+                f"worker {index} is cut off",
+                isolated._replace(cuts_left=world.cuts_left - 1),
             )
-            yield f"run on {index} is done", _with_worker(world, index, ended)
-        if world.cuts_left and not worker.cut:
-            cut = _with_worker(world, index, worker._replace(cut=True))
-            yield f"cut {index}", cut._replace(cuts_left=world.cuts_left - 1)
-        if worker.cut:
+        if worker.cut_off:
             yield (
-                f"join {index}",
-                _with_worker(world, index, worker._replace(cut=False)),
+                f"worker {index} is reconnected",
+                _with_worker(world, index, worker._replace(cut_off=False)),
             )
-            yield f"lease on {index} lapses", self._lapse_lease(world, index)
+            yield f"lease of worker {index} lapses", self._lapse_lease(world, index)
         if (
             world.silences_left
             and coordinator.has_reported[index]
@@ -307,16 +344,20 @@
             world = world._replace(
                 coordinator=coordinator, silences_left=world.silences_left - 1
             )
-            yield f"{index} falls silent", world
+            yield f"worker {index} stops answering", world
 
     def _lapse_lease(self, world: World, index: int) -> World:
-        """The worker's run ends, and late starts name a time that is over."""
+        """Let the lease of a worker lapse.
+
+        The run of the worker ends. Starts in flight to it are refused later,
+        because the time limit that they carry has passed.
+        """
         worker, coordinator = world.workers[index], world.coordinator
         if self._flaw is not Flaw.EARLY_LAPSE:
             highest_closed_run = max(worker.highest_closed_run, worker.run)
-            # An end that was not acknowledged before does not count after.
+            # An end that was not acknowledged before the lapse is discarded.
             worker = worker._replace(
-                run=0, highest_closed_run=highest_closed_run, ended=0
+                run=0, highest_closed_run=highest_closed_run, unacknowledged_run=0
             )
             world = world._replace(
                 orders=frozenset(
@@ -336,21 +377,30 @@
         return _with_worker(world, index, worker)._replace(coordinator=coordinator)
 
     def _takeover_steps(self, world: World) -> Steps:
-        """A successor knows the record; orders of the old one may be late."""
-        old = world.coordinator
-        if old.term == MAX_TERMS:
+        """Let a successor take over.
+
+        It knows what the store holds. Orders of its predecessor may still be
+        delivered later.
+        """
+        predecessor = world.coordinator
+        if predecessor.term == MAX_TERMS:
             return
         run, index = world.recorded_placement
-        coordinator = Coordinator(old.term + 1, CHART.initial, run, index)
+        successor = Coordinator(predecessor.term + 1, CHART.initial, run, index)
         if world.end_recorded:
-            coordinator = self._fire(coordinator, "run_done")
+            successor = self._fire(successor, "run_done")
         elif run:
-            coordinator = self._fire(coordinator, "assign")
+            successor = self._fire(successor, "assign")
         orders = world.orders
-        if old.sending:
-            late_order = Order(old.sending, old.worker, old.run, old.term)
+        if predecessor.sending:
+            late_order = Order(
+                predecessor.sending,
+                predecessor.worker,
+                predecessor.run,
+                predecessor.term,
+            )
             orders = orders | {late_order}
-        yield "take over", world._replace(coordinator=coordinator, orders=orders)
+        yield "take over", world._replace(coordinator=successor, orders=orders)
 
 
 def _with_worker(world: World, index: int, worker: Worker) -> World:
--- a/src/redwingrudder/history.py
+++ b/src/redwingrudder/history.py
@@ -1,8 +1,9 @@
-"""Histories of what callers, owners, workers and nodes saw, with their check.
+"""Histories of what callers, owners, workers and nodes observed; their check.
 
-A test records entries while a deployment runs under faults and hands them to
-``check_history``. The check knows nothing of how the parts decide. Guarantees
-(I1) are checked during a run with ``CellTable.violations``.
+A test records entries while a deployment runs under faults and passes them to
+``check_history``. The check uses only these observations and shares no logic
+with the scheduler. Guarantees (I1) are not part of it; they are checked
+during a run with ``CellTable.violations``.
 """
 
 from collections.abc import Iterable
@@ -67,16 +68,21 @@
     "check_history",
 ]
 
-LEAVING_LIMIT_S = 3.0  # I6
-IN_FORCE_LIMIT_S = 5.0  # I8
+LEAVING_LIMIT_S = 3.0  # bound of I6
+IN_FORCE_LIMIT_S = 5.0  # bound of I8
 
 
 class Limits(NamedTuple):
-    """Bounds in seconds.
+    """Bounds that the check uses, in seconds.
 
-    ``part_s`` is how long a part of a gang may run while the rest does not:
-    a started gang loses a member at any time, and the others stop when the
-    owner notices or when their lease lapses.
+    Attributes:
+        partial_run_s: How long some members of a gang may run while others
+            never started. A member may be lost or refused at any time; the
+            others stop when the owner notices or when their lease lapses.
+        leaving_s: How long a worker may still get reservations after the VM
+            list shows it as leaving.
+        in_force_s: How long a node that can learn of an accepted
+            configuration may take to put it in force.
     """
 
     partial_run_s: float
@@ -88,9 +94,9 @@
     """Return all violations of I2 to I8, ordered by time.
 
     Args:
-        entries: What was seen, in any order; entries of the same time count
-            in the order in which they are given.
-        limits: Bounds of the deployment.
+        entries: The observations, in any order. Entries with the same time
+            are taken in the order given.
+        limits: Bounds for the deployment that was observed.
     """
     ordered = sorted(entries, key=lambda entry: entry.at)
     found = [
--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -1,8 +1,10 @@
 """Model check of the core protocol: ``python -m redwingrudder.specification``.
 
-The models interpret the same charts as the code and use the same guarantee
-policies. Every property also has a broken variant of its model, in which one
-rule is left out and which the checker must reject.
+The models run the same state charts and guarantee policies as the production
+code, and the checker explores all of their reachable states. For each
+property there is also a broken variant of a model, which leaves out one rule
+of the protocol. The checker must find a violation in it; this shows that the
+property can fail at all.
 """
 
 import sys
@@ -31,21 +33,33 @@
     "report",
 ]
 
-_PREEMPTION = "the job is no borrower; tests.test_scheduler preempts gangs"
-_RECLAIM = "the model of guarantees stops borrowers without the chart of gangs"
-_ONE_START_RECORD = "an owner has one start record in flight, of the gang that waits"
-_DRAIN_WITHOUT_RECOVERY = "the worker drains under one owner only, without recovery"
-_LOSS_BEFORE_CLAIM = "a worker is lost to its owner before it is claimed again"
+_PREEMPTION = (
+    "the job of the model is not a borrower; tests.test_scheduler covers preemption"
+)
+_RECLAIM = "the guarantee model stops borrowers without running the gang chart"
+_ONE_START_RECORD = (
+    "an owner has at most one start record in flight, that of its reserving gang"
+)
+_DRAIN_WITHOUT_RECOVERY = (
+    "workers drain only in the scenario with one owner, which has no recovery"
+)
+_LOSS_BEFORE_CLAIM = (
+    "an owner handles the loss of a worker before it claims the worker again"
+)
 _NO_JOB_FAILURE = "tasks do not fail by themselves; a stopped task counts as failed"
 _NO_REFUSAL = "admission and expiry of jobs are not modelled"
 _NO_SUBMISSION = "the job is in the queue from the beginning"
-_NO_RETRY = "an idempotent job ends in one attempt unless it is cancelled"
-_ONE_READ = "the model has one read in flight"
-_ONE_WATCH_RESET = "the model breaks a watch once, while it is followed"
-_NO_TASK_FAILURE = "the task of the model ends as done and is never withdrawn"
-_NO_TASK_STOP = "the model's task is not stopped to make room"
-_SETTLED_BY_SESSION = "a run is settled by its session before it is placed again"
-_RAISED_BY_OWNER_ONLY = "the code raises it only while the node owns"
+_NO_RETRY = "a running idempotent job ends in its first attempt unless it is cancelled"
+_ONE_READ = "the model has at most one read in flight"
+_ONE_WATCH_RESET = (
+    "the model resets a watch once, while the node is in the state following"
+)
+_NO_TASK_FAILURE = "the task of the model always ends as done and is never withdrawn"
+_NO_TASK_STOP = "the task of the model is never stopped to free its resources"
+_SETTLED_BY_SESSION = "the worker session settles a run before the task is placed again"
+_RAISED_BY_OWNER_ONLY = (
+    "production code raises the event only while the node is the owner"
+)
 
 _UNREACHED_BY_REASON: dict[str, tuple[str, ...]] = {
     _PREEMPTION: (
@@ -128,23 +142,23 @@
     ),
 }
 
-# Transitions (chart, state, event) that no model takes, with the reason.
+# Transitions that no model takes, as (chart, state, event), with the reason.
 UNREACHED: dict[tuple[str, str, str], str] = {
     (chart, state, event): reason
-    for reason, names in _UNREACHED_BY_REASON.items()
-    for chart, state, event in (name.split() for name in names)
+    for reason, transitions in _UNREACHED_BY_REASON.items()
+    for chart, state, event in (transition.split() for transition in transitions)
 }
 
 
 class Result(NamedTuple):
-    """A property of a model with the number of states that it covers."""
+    """A property of a model, with the outcome of its check."""
 
     model: str
     finding: Finding
 
 
 class Rejection(NamedTuple):
-    """A broken variant and the violation that was found, if any."""
+    """A broken variant of a model, with the violation that was found."""
 
     model: str
     flaw: str
@@ -152,12 +166,16 @@
 
     @property
     def steps(self) -> int:
-        """Length of the counterexample."""
+        """Number of steps in the counterexample."""
         return len(self.finding.trace)
 
 
 def check_models(coverage: Coverage) -> tuple[Result, ...]:
-    """Check all properties of all models."""
+    """Check all properties of all models.
+
+    Args:
+        coverage: Collects the chart transitions that the models take.
+    """
     models = (
         *_spec_gang.gang_models(coverage),
         _spec_ownership.build_model(coverage),
@@ -171,7 +189,7 @@
 
 
 def check_rejections() -> tuple[Rejection, ...]:
-    """Look for the violation in every broken variant."""
+    """Search each broken variant for a violation of its property."""
     return tuple(
         Rejection(model.name, model.flaw, find_violation(model, property_name))
         for model, property_name in _broken_models()
@@ -179,10 +197,10 @@
 
 
 def _broken_models() -> list[tuple[Model, str]]:
-    coverage = Coverage()  # of no interest here
+    coverage = Coverage()  # discarded: only correct models count
     broken = [
-        (_spec_gang.build_broken_model(coverage, name, flaw), property_name)
-        for name, flaw, property_name in _spec_gang.FLAWS
+        (_spec_gang.build_broken_model(coverage, scenario_name, flaw), property_name)
+        for scenario_name, flaw, property_name in _spec_gang.FLAWS
     ]
     modules = (_spec_ownership, _spec_configuration, _spec_guarantee, _spec_workflow)
     for module in modules:
@@ -198,7 +216,16 @@
     rejections: tuple[Rejection, ...],
     write: Callable[[str], object],
 ) -> bool:
-    """Write the outcome as tables; returns whether all is as it must be."""
+    """Write the outcome as tables.
+
+    Args:
+        results: Properties that must hold.
+        rejections: Broken variants that must violate their property.
+        write: Takes the text in pieces.
+
+    Returns:
+        Whether every property holds and every broken variant was rejected.
+    """
     rows = [
         (
             result.model,
@@ -241,7 +268,7 @@
 
 
 def main() -> int:
-    """Check everything, print the tables and return the exit status."""
+    """Check all models, print the tables and return the exit status."""
     results = check_models(Coverage())
     passed = report(results, check_rejections(), sys.stdout.write)
     return 0 if passed else 1
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,4 @@
-"""Runs the test suite and prints one closing line with the counts.
+"""Runs the test suite and prints a last line with the counts.
 
 Tests listed in KNOWN-RED.txt run too; their failures are printed but do not
 fail the run. Each entry starts with a line ``test: <unittest id>``.
@@ -12,7 +12,7 @@
 
 
 def known_failures() -> set[str]:
-    """Return the ids of the tests that KNOWN-RED.txt lists."""
+    """Return the unittest ids of the tests that KNOWN-RED.txt lists."""
     path = ROOT / "KNOWN-RED.txt"
     if not path.exists():
         return set()
@@ -21,7 +21,10 @@
 
 
 def main() -> int:
-    """Run all tests below ``tests`` and return the exit status."""
+    """Run all tests below ``tests`` and return the exit status.
+
+    A run without any test counts as failed.
+    """
     suite = unittest.defaultTestLoader.discover(
         str(ROOT / "tests"), top_level_dir=str(ROOT)
     )
--- a/tests/run_schedules.py
+++ b/tests/run_schedules.py
@@ -1,8 +1,8 @@
-"""Runs random schedules of faults for a while and reports violations.
+"""Runs random fault schedules for a given time and reports violations.
 
 Call ``python -m tests.run_schedules --seconds 600 --seed 7``. Each schedule
-is made from the seed and its number, so a violation can be run again with
-``--only NUMBER``.
+is generated from the seed and its own number, so a schedule that found a
+violation can be repeated with ``--only NUMBER``.
 """
 
 import argparse
@@ -12,22 +12,23 @@
 
 from tests.test_history import ACTIONS, PAUSES_S, find_violations
 
-SUBMIT_WEIGHT = 4  # weight of submissions among the actions
+SUBMIT_WEIGHT = 4  # additional entries of "submit" among the actions
+MIN_STEPS = 6
 MAX_STEPS = 36
 
 
 def schedule(seed, number):
-    """Return the steps of one schedule."""
+    """Return the steps of one schedule: action, target number, pause in s."""
     rng = random.Random(f"{seed}-{number}")
     actions = (*ACTIONS, *("submit",) * SUBMIT_WEIGHT)
     return [
         (rng.choice(actions), rng.randrange(1_000), rng.choice(PAUSES_S))
-        for _ in range(rng.randint(6, MAX_STEPS))
+        for _ in range(rng.randint(MIN_STEPS, MAX_STEPS))
     ]
 
 
 def main():
-    """Run schedules until the time is over; returns the exit status."""
+    """Run schedules until the time is over; return the exit status."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=1)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,4 +1,4 @@
-"""Histories of generated schedules of faults, and the check itself."""
+"""Tests of histories from generated fault schedules, and of their check."""
 
 import json
 import random
@@ -32,10 +32,12 @@
 CANCELLED_KEY = 4
 SPEC = JobSpec("huon", "proof", "shop", "key", 2, 1, 1, 1, True, False, 1.0, 1.0, "")
 PAUSES_S = (0.1, 0.3, 1.0, 3.5)
+MIN_STEPS = 6
+MAX_STEPS = 36
 
 
 def make_spec(number):
-    """A key always comes with the same body."""
+    """Return the job of an idempotency key; the same key gives the same job."""
     rng = random.Random(number)
     return SPEC._replace(
         idempotency_key=f"k{number}",
@@ -46,7 +48,11 @@
 
 
 class Schedule:
-    """Carries the steps of a schedule out; numbers choose the targets."""
+    """Performs the steps of a schedule on a deployment.
+
+    Each public method except ``take`` is an action. Its number selects the
+    target, such as the owner, worker or job.
+    """
 
     def __init__(self, deployment):
         self.deployment = deployment
@@ -70,7 +76,7 @@
                 self.deployment.poll(node, job_id)
 
     def configure(self, number):
-        """Two operators change the configuration at the same time."""
+        """Let one operator change the configuration, or two at the same time."""
         running = [node for node in self.deployment.nodes if node.running]
         for node in running[: 1 + number % 2]:
             self.deployment.configure(node)
@@ -144,8 +150,8 @@
         st.integers(0, 1_000),
         st.sampled_from(PAUSES_S),
     ),
-    min_size=6,
-    max_size=36,
+    min_size=MIN_STEPS,
+    max_size=MAX_STEPS,
 )
 
 
@@ -161,7 +167,10 @@
 
 
 def find_unfinished_jobs(deployment):
-    """Submit every job again, as its caller would, and wait for its end."""
+    """Submit every job again, as its caller would, and wait for its end.
+
+    Returns the ids of the jobs that have no final state after that.
+    """
     owner = deployment.owners[-1]
     for spec in deployment.specs_by_job.values():
         deployment.submit(owner, spec)
@@ -179,7 +188,11 @@
 
 
 def find_violations(steps, worker_type=RecordingWorker):
-    """Return what a schedule breaks, by invariant."""
+    """Run a schedule and return the violations, by invariant.
+
+    "owner" stands for a domain without exactly one owner after all faults
+    have ended, "end" for jobs that do not become final.
+    """
     deployment = Deployment(worker_type)
     run_schedule(deployment, steps)
     broken = {}
@@ -193,14 +206,18 @@
 
 
 class ScheduleTests(unittest.TestCase):
-    """Generated schedules; one run of all of them serves all tests."""
+    """Guards the invariants in generated schedules of faults.
+
+    All schedules run once; each test checks one invariant on their results.
+    """
 
     @classmethod
     def setUpClass(cls):
         cls.broken_schedules = []
         cls.schedules = 0
 
-        # A test per invariant names what failed, so nothing is shrunk.
+        # The schedules are only collected here and never fail, so hypothesis
+        # shrinks nothing; the tests for each invariant report the schedules.
         @settings(
             derandomize=True,
             database=None,
@@ -221,7 +238,7 @@
     def check(self, invariant):
         self.assertGreaterEqual(self.schedules, SCHEDULES)
         for steps, broken in self.broken_schedules:
-            self.assertNotIn(invariant, broken, f"in the schedule {steps}")
+            self.assertNotIn(invariant, broken, f"violated by the schedule {steps}")
 
     def test_one_owner_remains(self):
         self.check("owner")
@@ -249,13 +266,14 @@
 
 
 class RegressionTests(unittest.TestCase):
-    """Schedules that failed once."""
+    """Schedules that violated an invariant in an earlier version."""
 
     def check(self, steps, invariant):
         self.assertNotIn(invariant, find_violations(steps))
 
     def test_not_run_is_not_reported_after_an_unrecorded_run(self):
-        # The same key ran again in an outage, without its record.
+        # During a store outage, the job of the same key ran again without a
+        # record, and the next owner reported the recorded not_run.
         steps = [
             ("submit", CANCELLED_KEY, 0.1),
             ("cancel", 0, 1.0),
@@ -267,7 +285,8 @@
         self.check(steps, "I4")
 
     def test_claimed_worker_that_leaves_gets_no_reservation(self):
-        # The owner learned of the worker before it learned that it leaves.
+        # The owner claimed the worker before it learned that the worker is
+        # leaving.
         steps = [
             ("drain_worker", 543, 1.0),
             ("lose_worker_replies", 966, 0.1),
@@ -279,7 +298,8 @@
         self.check(steps, "I6")
 
     def test_reservation_without_answer_is_not_repeated_after_its_release(self):
-        # The worker was cut off, was listed as leaving and came back.
+        # The worker was cut off, was listed as leaving and became reachable
+        # again.
         steps = [
             ("drain_worker", 768, 1.0),
             ("cut_worker", 926, 1.0),
@@ -292,7 +312,7 @@
 
 
 class FaultyWorkerTests(unittest.TestCase):
-    """The check must see what faulty workers do."""
+    """Guards against a check that misses the violations of faulty workers."""
 
     def test_start_without_an_order_breaks_gangs_and_at_most_once(self):
         rejected = set()
@@ -304,7 +324,7 @@
                     rng.randrange(1_000),
                     rng.choice(PAUSES_S),
                 )
-                for _ in range(rng.randint(6, 36))
+                for _ in range(rng.randint(MIN_STEPS, MAX_STEPS))
             ]
             rejected |= find_violations(steps, EagerWorker).keys()
         self.assertLessEqual({"I2", "I5"}, rejected)
@@ -330,8 +350,8 @@
         self.assertTrue(any("accepts" in violation.description for violation in found))
 
 
-class CheckTests(unittest.TestCase):
-    """What the generated schedules do not break."""
+class HistoryCheckTests(unittest.TestCase):
+    """Tests of the check on violations that the schedules do not produce."""
 
     def check(self, invariant, *entries):
         found = h.check_history(entries, LIMITS)
@@ -382,7 +402,7 @@
 
     def test_node_that_is_cut_off_learns_from_a_peer_that_is_not(self):
         # Seed 2, schedule 746 of run_schedules: the only peer that knew of a
-        # change was paused 1.9 s after it, while the node was cut off.
+        # change was frozen 1.9 s after it, while the node was cut off.
         entries = (
             h.NodeUp(0.0, "n"),
             h.ConfigurationInForce(0.5, "n", 1, "a"),
--- a/tests/test_specification.py
+++ b/tests/test_specification.py
@@ -1,4 +1,4 @@
-"""Tests that the models hold and that they know the charts of the code."""
+"""Tests of the model check and of its coverage of the state charts."""
 
 import importlib.resources
 import unittest
@@ -17,6 +17,8 @@
 
 
 class SpecificationTests(unittest.TestCase):
+    """Guards the protocol, and the models against charts that changed."""
+
     @classmethod
     def setUpClass(cls):
         cls.coverage = Coverage()
@@ -28,7 +30,7 @@
                 self.assertIs(result.finding.holds, True, result.finding.trace)
 
     def test_every_property_has_a_broken_variant_that_is_rejected(self):
-        # A property that no model can violate proves nothing.
+        # A property that no broken variant can violate would prove nothing.
         rejections = check_rejections()
         for rejection in rejections:
             with self.subTest(rejection.model, flaw=rejection.flaw):
@@ -39,7 +41,7 @@
         self.assertEqual(rejected, checked)
 
     def test_every_transition_is_taken_or_listed_with_a_reason(self):
-        # A chart that changes without its model fails here.
+        # Fails when a chart was changed without its model.
         self.assertEqual(self.coverage.list_untaken(), set(UNREACHED))
         self.assertTrue(all(UNREACHED.values()))
         for name, chart in self.coverage.charts_by_name.items():
@@ -59,6 +61,8 @@
 
 
 class ChartFileTests(unittest.TestCase):
+    """Guards the SCXML parser against a reading that deviates from SCXML."""
+
     def test_another_scxml_implementation_reads_the_same_charts(self):
         charts = importlib.resources.files("redwingrudder").joinpath("charts")
         for file in charts.iterdir():
@@ -73,7 +77,7 @@
                     for transition in state.transitions
                     if transition.event
                 }
-                chart = load(file.name, text)
+                chart = load_complete_chart(file.name, text)
                 targets = {
                     key: step.target for key, step in chart.transitions_by_key.items()
                 }
@@ -82,7 +86,8 @@
                 self.assertEqual(final, chart.final_states)
 
 
-def load(file_name, text):
+def load_complete_chart(file_name, text):
+    """Load a chart with exactly the events and actions that it lists."""
     elements = list(ElementTree.fromstring(text).iter())
     names = {
         kind: frozenset(
