Describe the in-memory deployment and the schedules in plain terms

Docstrings and comments of the test deployment and of the schedule runner named faults and observations in private words.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,7 +1,8 @@
-"""Nodes, workers and a store in memory, under faults, with their history.
+"""A deployment in memory that runs under faults and records its history.
 
-Each node has its own clock, so it can be frozen and woken. The actors of a
-node are the real ones, but for its links to the store and to other nodes.
+Each node has its own clock, so that it can be frozen and woken. The actors of
+a node are those of production, except for its links to the store and to other
+nodes.
 """
 
 import json
@@ -29,6 +30,7 @@
 DOMAIN = "hobart"
 LEASE_S = 6.0
 STEP_S = 0.1
+FIRST_TARGET_S = 60.0
 MAX_CLOCK_TURNS = 60
 NO_EPOCH = Epoch(0, 0, 0)
 WORKERS = [
@@ -38,7 +40,7 @@
 
 
 class RecordingWorker(WorkerCore):
-    """Adds what happens at the worker to the history."""
+    """Adds what the worker accepts and runs to the history."""
 
     def __init__(self, info, now, entries):
         super().__init__(info, now)
@@ -80,7 +82,7 @@
 
 
 class UnfencedWorker(RecordingWorker):
-    """A faulty worker that follows every owner at any time."""
+    """A faulty worker that accepts every epoch, also a lower one."""
 
     def claim(self, request, now):
         self.highest_epoch = Epoch(*request["epoch"])
@@ -92,7 +94,7 @@
 
 
 class EagerWorker(RecordingWorker):
-    """A faulty worker that starts a member as soon as it is reserved."""
+    """A faulty worker that starts a member once it is reserved, unasked."""
 
     def reserve(self, request, now):
         reply = super().reserve(request, now)
@@ -102,7 +104,12 @@
 
 
 class Workers:
-    """The workers of the domain, reached by all nodes."""
+    """The workers of the domain, shared by all nodes.
+
+    ``cut`` holds the addresses of workers that cannot be reached, and
+    ``deaf`` those of workers whose replies are all lost. ``dropped_replies``
+    is the number of commands that will take effect without a reply.
+    """
 
     def __init__(self, entries, worker_type=RecordingWorker):
         self.entries = entries
@@ -119,7 +126,7 @@
 
 
 class Transport(FakeTransport):
-    """Reaches the workers on the clock of one node."""
+    """Carries requests of one node to the shared workers, on its clock."""
 
     def __init__(self, clock, workers):
         self.clock = clock
@@ -138,7 +145,11 @@
 
 
 class Peers(Actor):
-    """Offers the configuration of other nodes when the store's watch lags."""
+    """Receives reports of other nodes, as the production peer actor does.
+
+    It offers the configuration of a peer that is ahead for
+    ``CONFIGURATION_LAG_S``.
+    """
 
     def __init__(self, system, node):
         self.node = node
@@ -150,10 +161,10 @@
 
     def receive_report(self, sender):
         self.tell(r.OWNERSHIP, sender.report())
-        own = self.node.in_force.version if self.node.in_force else 0
-        if own != self.version:
-            self.version, self.behind_since = own, None
-        if sender.in_force is None or sender.in_force.version <= own:
+        own_version = self.node.in_force.version if self.node.in_force else 0
+        if own_version != self.version:
+            self.version, self.behind_since = own_version, None
+        if sender.in_force is None or sender.in_force.version <= own_version:
             return
         if self.behind_since is None:
             self.behind_since = self.node.now
@@ -162,7 +173,7 @@
 
 
 class HistoryRecorder(Actor):
-    """Adds what a node's subscribers are told to the history."""
+    """Subscribes to a node and adds what it announces to the history."""
 
     def __init__(self, system, node):
         self.node = node
@@ -195,7 +206,13 @@
 
 
 class Node:
-    """One node; ``running`` is false while it is frozen or dead."""
+    """A node with its own clock and store client.
+
+    Attributes:
+        running: False while the node is frozen and after it was killed.
+        epoch: Epoch under which it owns the domain, None without ownership.
+        in_force: The configuration that it has announced last.
+    """
 
     def __init__(self, deployment, rank):
         self.node_id, self.rank = f"n{rank}", rank
@@ -262,7 +279,7 @@
 
 
 class Deployment:
-    """Two nodes, three workers, one store and their history."""
+    """Two nodes, three workers, one store and the history of all of them."""
 
     def __init__(self, worker_type=RecordingWorker):
         self.entries = []
@@ -289,7 +306,7 @@
 
     @property
     def owners(self):
-        """Nodes that think that they own the domain."""
+        """Running nodes that regard themselves as owner of the domain."""
         return [node for node in self.nodes if node.running and node.epoch]
 
     def run_for(self, duration_s):
@@ -307,7 +324,7 @@
                 if sender.running and receiver.running and sender is not receiver:
                     receiver.peers.receive_report(sender)
 
-    # Faults.
+    # Faults and their end.
 
     def start_node(self):
         node = Node(self, self.started_nodes)
@@ -362,7 +379,7 @@
             node.list_workers(self.leaving)
 
     def heal(self):
-        """End all faults; leaving workers are replaced."""
+        """End all faults and replace the workers that are leaving."""
         self.workers.cut.clear()
         self.workers.deaf.clear()
         self.workers.dropped_replies = 0
@@ -380,7 +397,7 @@
         self.leaving = ()
         self._list_workers()
 
-    # Requests of callers and operators.
+    # Requests of callers and operators, with their replies.
 
     def submit(self, node, spec):
         reply = self._ask(node, r.DISPATCHER, r.SubmitJob(spec, ""))
@@ -395,9 +412,9 @@
         reply.addCallbacks(self._record_view, _ignore_refusal)
 
     def configure(self, node):
-        """Let an operator change the configuration that a node knows."""
+        """Let an operator change the configuration in force on a node."""
         self.changes += 1
-        name = f"{60.0 + self.changes}"
+        name = f"{FIRST_TARGET_S + self.changes}"
         document = json.dumps(
             {
                 "format_version": 1,
@@ -405,11 +422,11 @@
                 "classes": {"proof": {"target_s": float(name)}},
             }
         )
-        base = node.in_force.version if node.in_force else 0
-        message = r.ApplyConfiguration(document, base)
+        base_version = node.in_force.version if node.in_force else 0
+        message = r.ApplyConfiguration(document, base_version)
         reply = self._ask(node, r.CONFIGURATION, message)
         reply.addCallbacks(
-            self._record_accepted, lambda f: self._record_refused(f, name)
+            self._record_accepted, lambda failure: self._record_refused(failure, name)
         )
 
     def _ask(self, node, name, message):
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -37,7 +37,7 @@
 
 
 def make_spec(number):
-    """Return the job of an idempotency key; the same key gives the same job."""
+    """Return the job of an idempotency key; a key always has the same job."""
     rng = random.Random(number)
     return SPEC._replace(
         idempotency_key=f"k{number}",
@@ -76,7 +76,7 @@
                 self.deployment.poll(node, job_id)
 
     def configure(self, number):
-        """Let one operator change the configuration, or two at the same time."""
+        """Let one operator, or two at a time, change the configuration."""
         running = [node for node in self.deployment.nodes if node.running]
         for node in running[: 1 + number % 2]:
             self.deployment.configure(node)
@@ -105,8 +105,8 @@
 
     def cut_worker(self, number):
         workers = self.deployment.workers
-        rng = (workers.cut, workers.deaf)[number // 3 % 2]
-        rng.add(self._worker(number).address)
+        addresses = (workers.cut, workers.deaf)[number // 3 % 2]
+        addresses.add(self._worker(number).address)
 
     def reconnect_workers(self, number):
         self.deployment.workers.cut.clear()
@@ -216,8 +216,8 @@
         cls.broken_schedules = []
         cls.schedules = 0
 
-        # The schedules are only collected here and never fail, so hypothesis
-        # shrinks nothing; the tests for each invariant report the schedules.
+        # Without the phase that shrinks: the test of each invariant reports
+        # the schedules that violate it.
         @settings(
             derandomize=True,
             database=None,
@@ -272,8 +272,8 @@
         self.assertNotIn(invariant, find_violations(steps))
 
     def test_not_run_is_not_reported_after_an_unrecorded_run(self):
-        # During a store outage, the job of the same key ran again without a
-        # record, and the next owner reported the recorded not_run.
+        # During a store outage, a job ran again under the same key without a
+        # record.
         steps = [
             ("submit", CANCELLED_KEY, 0.1),
             ("cancel", 0, 1.0),
