--- a/src/redwingrudder/_spec_configuration.py
+++ b/src/redwingrudder/_spec_configuration.py
@@ -23,6 +23,7 @@
 MAX_OUTAGES = 1
 MAX_WATCH_RESETS = 1
 OPERATORS = (0, 1)
+# States of an operator.
 IDLE, SENT, UNSURE = "idle", "sent", "unsure"
 ACCEPTED, REFUSED = "accepted", "refused"
 
--- a/src/redwingrudder/_spec_gang.py
+++ b/src/redwingrudder/_spec_gang.py
@@ -260,13 +260,14 @@
             step.worker_claimed(worker_index, worker.members)
             # The claim shows that the worker can be reached, so owners that
             # have not claimed it need not treat it as lost.
-            unlinked = sum(
+            owners_without_claim = sum(
                 1 << i
                 for i, other in enumerate(world.owners)
                 if other is not None and not other.claimed_workers >> worker_index & 1
             )
             updated = worker._replace(
-                epoch=owner_index + 1, lost_to_owners=worker.lost_to_owners & ~unlinked
+                epoch=owner_index + 1,
+                lost_to_owners=worker.lost_to_owners & ~owners_without_claim,
             )
             after = _with_step(world, owner_index, step)
             workers = replace_at(world.workers, worker_index, updated)
--- a/src/redwingrudder/_spec_gang_types.py
+++ b/src/redwingrudder/_spec_gang_types.py
@@ -11,9 +11,12 @@
 ALL_WORKERS = 0b11
 GANGS = (0, 1)
 
+# Commands to a worker.
 RESERVE, START, RELEASE, STOP = "reserve", "start", "release", "stop"
+# States of a member; a closed one was released and cannot be reserved again.
 ABSENT, RESERVED, STARTED = "absent", "reserved", "started"
 DONE, STOPPED, CLOSED = "done", "stopped", "closed"
+# States of the job record.
 OPEN, STARTING, FINAL = "open", "starting", "final"
 
 
--- a/src/redwingrudder/_spec_ownership.py
+++ b/src/redwingrudder/_spec_ownership.py
@@ -23,6 +23,7 @@
 MAX_LOCAL_TERM = 1  # raised by a node that takes over while the store is down
 MAX_STORE_TERMS = 3
 
+# States of an attempt to acquire the owner record.
 SENT, HELD, RACED = "sent", "held", "raced"
 
 
