Describe the actions of the fault schedules

The actions of a schedule and the state of the test deployment had no description, and the wait for replies was a bare number.

--- a/src/redwingrudder/_history_nodes.py
+++ b/src/redwingrudder/_history_nodes.py
@@ -189,6 +189,7 @@
 def _subtract_all(
     spans: list[tuple[float, float]], others: list[tuple[float, float]]
 ) -> list[tuple[float, float]]:
+    """Return the parts of the spans that lie outside of all the others."""
     for first, last in others:
         spans = _subtract(spans, first, last)
     return spans
--- a/src/redwingrudder/_spec_guarantee.py
+++ b/src/redwingrudder/_spec_guarantee.py
@@ -263,7 +263,7 @@
         )
 
     def _find_unreported_organisations(self) -> tuple[str, ...]:
-        """Find organisations short of accelerators without a shortage."""
+        """Find organisations with neither full shapes nor a shortage."""
         reported = {shortage.organisation for shortage in self._cell_table.shortages}
         return tuple(
             name
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -257,6 +257,7 @@
             self.system.tell(name, r.MembersChanged(vms))
 
     def advance_to(self, now):
+        """Advance the clock and run the calls that fall due at that time."""
         self.clock.advance(now - self.now)
         for _ in range(MAX_CLOCK_TURNS):
             calls = self.clock.getDelayedCalls()
@@ -279,7 +280,18 @@
 
 
 class Deployment:
-    """Two nodes, three workers, one store and the history of all of them."""
+    """Two nodes, three workers, one store and the history of all of them.
+
+    Attributes:
+        entries: The history.
+        now: Time in seconds, which the clocks of running nodes follow.
+        core: The records of the store.
+        outage_from: Begin of the latest store outage, in seconds.
+        cuts_by_node: Begin in seconds of the current store cuts, by node.
+        leaving: Workers that the VM list shows as leaving.
+        specs_by_job: Jobs that were submitted and answered.
+        changes: Number of configuration changes that were sent.
+    """
 
     def __init__(self, worker_type=RecordingWorker):
         self.entries = []
@@ -319,6 +331,7 @@
                 self._exchange_reports()
 
     def _exchange_reports(self):
+        """Let each running node send its report to the others."""
         for sender in self.nodes:
             for receiver in self.nodes:
                 if sender.running and receiver.running and sender is not receiver:
@@ -354,6 +367,7 @@
         self.cuts_by_node.clear()
 
     def set_store(self, up):
+        """Begin or end a store outage; its end also ends all store cuts."""
         if up:
             self._end_cuts()
         if up and not self.store_up:
@@ -366,6 +380,7 @@
                 node.store.set_available(up)
 
     def drain_worker(self, info, announced):
+        """Let a worker leave: it announces this, or the VM list shows it."""
         if announced:
             self.workers.cores_by_address[info.address].draining = True
             self.entries.append(h.DrainAnnounced(self.now, info.worker_id))
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -27,6 +27,7 @@
 SCHEDULES = 300
 LIMITS = h.Limits(partial_run_s=2 * LEASE_S + 5.0)
 HEALING_S = 4 * LEASE_S
+REPLY_WAIT_S = 0.5
 MAX_NODES = 3
 KEY_COUNT = 12
 CANCELLED_KEY = 4
@@ -58,20 +59,22 @@
         self.deployment = deployment
 
     def take(self, action, number):
+        """Perform the action of this name."""
         getattr(self, action)(number)
 
     def submit(self, number):
-        for node in self._owner(number):
+        for node in self._choose_owner(number):
             self.deployment.submit(node, make_spec(number % KEY_COUNT))
 
     def cancel(self, number):
         jobs = sorted(self.deployment.specs_by_job)
-        for node in self._owner(number):
+        for node in self._choose_owner(number):
             if jobs:
                 self.deployment.cancel(node, jobs[number // 7 % len(jobs)])
 
     def poll(self, number):
-        for node in self._owner(number):
+        """Ask an owner for the state of every job that was submitted."""
+        for node in self._choose_owner(number):
             for job_id in sorted(self.deployment.specs_by_job):
                 self.deployment.poll(node, job_id)
 
@@ -82,13 +85,15 @@
             self.deployment.configure(node)
 
     def kill(self, number):
-        for node in self._owner(number):
+        """Kill an owner; start a node if only one would be left."""
+        for node in self._choose_owner(number):
             self.deployment.kill(node)
         if len(self.deployment.nodes) < 2:
             self.deployment.start_node()
 
     def freeze(self, number):
-        for node in self._owner(number):
+        """Freeze an owner; start a node if there are fewer than MAX_NODES."""
+        for node in self._choose_owner(number):
             self.deployment.freeze(node)
         if len(self.deployment.nodes) < MAX_NODES:
             self.deployment.start_node()
@@ -100,21 +105,23 @@
                 node.store.set_available(self.deployment.store_up)
 
     def restart_worker(self, number):
-        worker = self._worker(number)
+        worker = self._choose_worker(number)
         self.deployment.workers.restart(worker, self.deployment.now)
 
     def cut_worker(self, number):
+        """Make a worker unreachable, or let all of its replies be lost."""
         workers = self.deployment.workers
         addresses = (workers.cut, workers.deaf)[number // 3 % 2]
-        addresses.add(self._worker(number).address)
+        addresses.add(self._choose_worker(number).address)
 
     def reconnect_workers(self, number):
         self.deployment.workers.cut.clear()
         self.deployment.workers.deaf.clear()
 
     def drain_worker(self, number):
+        """Let a worker leave, unless the VM list shows one as leaving."""
         if not self.deployment.leaving:
-            self.deployment.drain_worker(self._worker(number), number % 2 == 0)
+            self.deployment.drain_worker(self._choose_worker(number), number % 2 == 0)
 
     def lose_worker_replies(self, number):
         self.deployment.workers.dropped_replies = 1 + number % 4
@@ -124,7 +131,7 @@
             node.store.lost_replies = 1 + number % 3
 
     def cut_from_store(self, number):
-        for node in self._owner(number):
+        for node in self._choose_owner(number):
             self.deployment.cut_from_store(node)
 
     def stop_store(self, number):
@@ -133,11 +140,12 @@
     def start_store(self, number):
         self.deployment.set_store(True)
 
-    def _owner(self, number):
+    def _choose_owner(self, number):
+        """Return a list with one owner, which is empty if there is none."""
         owners = self.deployment.owners
         return owners[number % len(owners) :][:1] if owners else []
 
-    def _worker(self, number):
+    def _choose_worker(self, number):
         return WORKERS[number % len(WORKERS)]
 
 
@@ -156,6 +164,7 @@
 
 
 def run_schedule(deployment, steps):
+    """Perform all steps, end all faults and poll all jobs."""
     schedule = Schedule(deployment)
     for action, number, pause_s in steps:
         schedule.take(action, number)
@@ -163,7 +172,7 @@
     deployment.heal()
     deployment.run_for(HEALING_S)
     schedule.poll(0)
-    deployment.run_for(0.5)
+    deployment.run_for(REPLY_WAIT_S)
 
 
 def find_unfinished_jobs(deployment):
@@ -178,7 +187,7 @@
     first_new_entry = len(deployment.entries)
     for job_id in deployment.specs_by_job:
         deployment.poll(owner, job_id)
-    deployment.run_for(0.5)
+    deployment.run_for(REPLY_WAIT_S)
     final = {
         entry.job_id
         for entry in deployment.entries[first_new_entry:]
@@ -334,7 +343,7 @@
         deployment.workers.deaf.update(info.address for info in WORKERS)
         spec = SPEC._replace(idempotent=False, tasks=1, payload='{"run_s": 60}')
         deployment.submit(deployment.owners[0], spec)
-        deployment.run_for(0.5)
+        deployment.run_for(REPLY_WAIT_S)
         (job_id,) = deployment.specs_by_job
         deployment.cancel(deployment.owners[0], job_id)
         for info in WORKERS:
