--- a/src/redwingrudder/_history_nodes.py
+++ b/src/redwingrudder/_history_nodes.py
@@ -1,4 +1,8 @@
-"""Checks of fencing and I6 to I8 over entries ordered by time."""
+"""Checks of fencing and of the invariants I6 to I8 on a history.
+
+All functions expect the entries ordered by time. Time spans are pairs of
+begin and end in seconds.
+"""
 
 from collections.abc import Iterator
 
@@ -25,47 +29,57 @@
 
 
 def check_fencing(entries: list[Entry]) -> Iterator[Violation]:
-    """I2 and I5: epochs are unique and a worker accepts no lower one."""
+    """Check I2 and I5: epochs are unique and decrease on no worker."""
     highest: dict[tuple[str, str], Epoch] = {}
-    holders: dict[tuple[str, Epoch], str] = {}
+    nodes_by_epoch: dict[tuple[str, Epoch], str] = {}
     for entry in entries:
         if isinstance(entry, CommandAccepted):
             boot = (entry.worker_id, entry.boot_id)
-            seen = highest.setdefault(boot, entry.epoch)
-            if entry.epoch < seen:
-                text = f"{entry.worker_id} accepts {entry.epoch} below {seen}"
-                yield Violation(entry.at, "I5", text)
-            highest[boot] = max(seen, entry.epoch)
+            highest_epoch = highest.setdefault(boot, entry.epoch)
+            if entry.epoch < highest_epoch:
+                description = (
+                    f"{entry.worker_id} accepts {entry.epoch} below {highest_epoch}"
+                )
+                yield Violation(entry.at, "I5", description)
+            highest[boot] = max(highest_epoch, entry.epoch)
         elif isinstance(entry, EpochTaken):
             key = (entry.failure_domain, entry.epoch)
-            holder = holders.setdefault(key, entry.node_id)
+            holder = nodes_by_epoch.setdefault(key, entry.node_id)
             if holder != entry.node_id:
-                text = f"{entry.node_id} and {holder} own under {entry.epoch}"
-                yield Violation(entry.at, "I5", text)
+                description = (
+                    f"{entry.node_id} and {holder} are both owners with {entry.epoch}"
+                )
+                yield Violation(entry.at, "I5", description)
 
 
 def check_leaving(entries: list[Entry], leaving_s: float) -> Iterator[Violation]:
-    """I6: a leaving worker gets no new work."""
-    barred_from: dict[str, float] = {}
+    """Check I6: a leaving worker gets no new work.
+
+    A worker that the VM list shows as leaving may get work for ``leaving_s``
+    seconds more; one that announced its stop may not.
+    """
+    forbidden_from: dict[str, float] = {}
     for entry in entries:
         if isinstance(entry, LeavingListed):
             limit = entry.at + leaving_s
-            barred_from[entry.worker_id] = min(
-                limit, barred_from.get(entry.worker_id, limit)
+            forbidden_from[entry.worker_id] = min(
+                limit, forbidden_from.get(entry.worker_id, limit)
             )
         elif isinstance(entry, DrainAnnounced):
-            barred_from[entry.worker_id] = entry.at
+            forbidden_from[entry.worker_id] = entry.at
         elif isinstance(entry, WorkerBooted):
-            barred_from.pop(entry.worker_id, None)
+            forbidden_from.pop(entry.worker_id, None)
         elif isinstance(entry, MemberReserved):
-            barred = entry.at > barred_from.get(entry.worker_id, entry.at)
-            if barred:
-                text = f"{entry.worker_id} leaves and gets {entry.gang_id}"
-                yield Violation(entry.at, "I6", text)
+            forbidden = entry.at > forbidden_from.get(entry.worker_id, entry.at)
+            if forbidden:
+                description = (
+                    f"{entry.worker_id} is leaving and reserves {entry.gang_id}"
+                )
+                yield Violation(entry.at, "I6", description)
 
 
 def check_shutdown(entries: list[Entry]) -> Iterator[Violation]:
-    """I7: a planned stop of a node leaves no request without an answer."""
+    """Check I7: a planned stop of a node leaves no request unanswered."""
     open_requests: dict[str, set[str]] = {}
     for entry in entries:
         if isinstance(entry, RequestBegun):
@@ -73,17 +87,21 @@
         elif isinstance(entry, RequestEnded):
             open_requests.get(entry.node_id, set()).discard(entry.request_id)
         elif isinstance(entry, NodeDown):
-            cut_off = open_requests.pop(entry.node_id, set())
-            if entry.planned and cut_off:
-                text = f"{entry.node_id} stops during {sorted(cut_off)}"
-                yield Violation(entry.at, "I7", text)
+            unanswered = open_requests.pop(entry.node_id, set())
+            if entry.planned and unanswered:
+                description = (
+                    f"{entry.node_id} stopped without answering {sorted(unanswered)}"
+                )
+                yield Violation(entry.at, "I7", description)
 
 
 def check_configuration(entries: list[Entry], limit_s: float) -> Iterator[Violation]:
-    """I8: an accepted version is soon in force everywhere and never reverted.
+    """Check I8: an accepted version comes into force and never reverts.
 
-    The limit does not run during an outage of the store, in which nodes can
-    only copy from each other.
+    Each node has ``limit_s`` seconds to put it in force. This time only runs
+    while the node can learn of the change: from the store, or from a peer
+    that reaches the store. During an outage of the store it does not run,
+    because nodes can then only copy from each other.
     """
     yield from _check_versions(entries)
     nodes = {e.node_id for e in entries if isinstance(e, ConfigurationInForce)}
@@ -91,37 +109,39 @@
     accepted = [e for e in entries if isinstance(e, ConfigurationAccepted)]
     for change in accepted:
         for node_id in sorted(nodes):
-            spans = _available(entries, node_id, end)
-            late = _after(spans, change.at, limit_s)
-            if late is None:
+            spans = _learning_spans(entries, node_id, end)
+            deadline = _find_deadline(spans, change.at, limit_s)
+            if deadline is None:
                 continue
-            version = _version_at(entries, node_id, late)
+            version = _version_at(entries, node_id, deadline)
             if version < change.version:
-                text = f"{node_id} has {version}, not {change.version}, in force"
-                yield Violation(late, "I8", text)
+                description = (
+                    f"{node_id} has version {version} in force, not {change.version}"
+                )
+                yield Violation(deadline, "I8", description)
 
 
 def _check_versions(entries: list[Entry]) -> Iterator[Violation]:
     documents: dict[int, str] = {}
-    in_force: dict[str, int] = {}
+    versions_in_force: dict[str, int] = {}
     refused = {e.document for e in entries if isinstance(e, ConfigurationRefused)}
     for entry in entries:
         if isinstance(entry, ConfigurationInForce):
-            if entry.version <= in_force.get(entry.node_id, 0):
-                text = f"{entry.node_id} reverts to {entry.version}"
-                yield Violation(entry.at, "I8", text)
-            in_force[entry.node_id] = entry.version
+            if entry.version <= versions_in_force.get(entry.node_id, 0):
+                description = f"{entry.node_id} reverted to version {entry.version}"
+                yield Violation(entry.at, "I8", description)
+            versions_in_force[entry.node_id] = entry.version
             if entry.document in refused:
-                text = f"{entry.node_id} has a refused document in force"
-                yield Violation(entry.at, "I8", text)
+                description = f"{entry.node_id} put a refused document in force"
+                yield Violation(entry.at, "I8", description)
         elif not isinstance(entry, ConfigurationAccepted):
             continue
         if documents.setdefault(entry.version, entry.document) != entry.document:
-            text = f"version {entry.version} has two documents"
-            yield Violation(entry.at, "I8", text)
+            description = f"version {entry.version} has two documents"
+            yield Violation(entry.at, "I8", description)
 
 
-def _available(
+def _learning_spans(
     entries: list[Entry], node_id: str, end: float
 ) -> list[tuple[float, float]]:
     """Return the spans in which a node ran and could learn of a change.
@@ -129,15 +149,15 @@
     It learns from the store or, while it is cut off from the store, from a
     peer that reaches the store.
     """
-    running = _running(entries, node_id, end)
-    own_reach = _reach(entries, node_id, end)
-    alone = _minus(running, own_reach)
+    running = _running_spans(entries, node_id, end)
+    store_spans = _store_spans(entries, node_id, end)
+    isolated = _subtract_all(running, store_spans)
     for peer_id in {e.node_id for e in entries if isinstance(e, NodeUp)} - {node_id}:
-        alone = _minus(alone, _reach(entries, peer_id, end))
-    return _minus(running, alone)
+        isolated = _subtract_all(isolated, _store_spans(entries, peer_id, end))
+    return _subtract_all(running, isolated)
 
 
-def _running(
+def _running_spans(
     entries: list[Entry], node_id: str, end: float
 ) -> list[tuple[float, float]]:
     spans: list[tuple[float, float]] = []
@@ -154,25 +174,28 @@
     return spans
 
 
-def _reach(entries: list[Entry], node_id: str, end: float) -> list[tuple[float, float]]:
+def _store_spans(
+    entries: list[Entry], node_id: str, end: float
+) -> list[tuple[float, float]]:
     """Return the spans in which a node ran and reached the store."""
-    spans = _running(entries, node_id, end)
+    spans = _running_spans(entries, node_id, end)
     for entry in entries:
         own_cut = isinstance(entry, StoreCut) and entry.node_id == node_id
         if own_cut or isinstance(entry, StoreOutage):
-            spans = _without(spans, entry.at, entry.until)
+            spans = _subtract(spans, entry.at, entry.until)
     return spans
 
 
-def _minus(
+def _subtract_all(
     spans: list[tuple[float, float]], others: list[tuple[float, float]]
 ) -> list[tuple[float, float]]:
+    """Return the parts of the spans that lie outside of all the others."""
     for first, last in others:
-        spans = _without(spans, first, last)
+        spans = _subtract(spans, first, last)
     return spans
 
 
-def _without(
+def _subtract(
     spans: list[tuple[float, float]], begin: float, end: float
 ) -> list[tuple[float, float]]:
     parts = [
@@ -183,10 +206,13 @@
     return [(first, last) for first, last in parts if first < last]
 
 
-def _after(
+def _find_deadline(
     spans: list[tuple[float, float]], begin: float, duration_s: float
 ) -> float | None:
-    """Return the end of the first span that lasts so long after a time."""
+    """Return when the first span has lasted ``duration_s`` after ``begin``.
+
+    Time before ``begin`` does not count; None means that no span is that long.
+    """
     for first, last in spans:
         start = max(first, begin)
         if start + duration_s <= last:
--- a/src/redwingrudder/_spec_configuration.py
+++ b/src/redwingrudder/_spec_configuration.py
@@ -1,6 +1,9 @@
-"""Model of two operators, two nodes and the configuration in the store.
+"""Model of two operators that change the configuration of two nodes.
 
-A document is named by its version and the operator who wrote it.
+Operators write new versions to the store with a compare-and-set transaction;
+nodes learn of them from a read, a watch or an offer of the other node. A
+configuration document is identified by its version and the operator who
+wrote it.
 """
 
 import enum
@@ -11,21 +14,22 @@
 from .configuration import _ACTIONS, _EVENTS
 from .statecharts import load_chart
 
-NEVER_REVERTS = "I8: the version in force on a node never falls"
+NEVER_REVERTS = "I8: the version in force on a node never decreases"
 ONE_DOCUMENT = "I8: a version has one document on all nodes"
 NEVER_LOST = "I8: an accepted version stays in the store"
 REFUSED_IS_OUT = "I8: a change that was refused is never in force"
 
 CHART = load_chart("configuration", _EVENTS, _ACTIONS)
-OUTAGES = 1
-RESETS = 1
+MAX_OUTAGES = 1
+MAX_WATCH_RESETS = 1
 OPERATORS = (0, 1)
+# States of an operator.
 IDLE, SENT, UNSURE = "idle", "sent", "unsure"
 ACCEPTED, REFUSED = "accepted", "refused"
 
 
 class Flaw(enum.StrEnum):
-    """A rule that a broken variant leaves out."""
+    """A rule of the protocol that a broken variant of the model leaves out."""
 
     NONE = ""
     ADOPT_ANY = "a node adopts any version"
@@ -42,45 +46,73 @@
 
 
 class Document(NamedTuple):
-    """A version and its operator."""
+    """A configuration document: its version and the operator who wrote it."""
 
     version: int
     operator: int
 
 
 class Node(NamedTuple):
-    """A node; ``read`` and ``offer`` are documents on their way to it.
-
-    ``seen`` is the last version that its watch delivered, -1 without a watch;
-    ``reading`` is true from the request until the answer.
+    """A node.
+
+    Attributes:
+        state: State of the configuration chart.
+        in_force: The document that the node uses.
+        watched_version: The last version that the watch of the node
+            delivered, -1 without a watch.
+        read_pending: Whether a read was requested and not yet answered.
+        read_reply: The reply of the store to the read, on its way to the
+            node; version 0 stands for a store without a document.
+        offer: A document offered by the other node, on its way to the node.
     """
 
     state: str
     in_force: Document | None = None
-    seen: int = -1
-    reading: bool = False
-    read: Document | None = None
+    watched_version: int = -1
+    read_pending: bool = False
+    read_reply: Document | None = None
     offer: Document | None = None
 
 
 class Operator(NamedTuple):
-    """An operator's one change; ``base`` is the version that was edited."""
+    """An operator, who makes one change.
+
+    Attributes:
+        state: ``UNSURE`` when the reply to the change was lost; the operator
+            then sends the change again.
+        base_version: The version that the operator edited.
+        written_version: The version that the change has in the store, 0 while
+            it is not stored.
+    """
 
     state: str = IDLE
-    base: int = 0
-    written: int = 0
+    base_version: int = 0
+    written_version: int = 0
 
 
 class Deployment(NamedTuple):
-    """Everything; ``store`` holds the operator of each version in order."""
+    """A state of the model.
+
+    Attributes:
+        nodes: Both nodes.
+        operators: Both operators.
+        store: The operator who wrote each version, from version 1 on.
+        store_up: Whether the store is available.
+        outages_left: Store outages that may still begin.
+        resets_left: Watch resets that may still occur.
+        ever_in_force: All documents that were ever in force on a node. Only
+            the invariants read it.
+        reverted: Whether a node ever went back to a lower version. Only the
+            invariants read it.
+    """
 
     nodes: tuple[Node, ...]
     operators: tuple[Operator, ...] = (Operator(), Operator())
     store: tuple[int, ...] = ()
     store_up: bool = True
-    outages: int = OUTAGES
-    resets: int = RESETS
-    known: frozenset[Document] = frozenset()
+    outages_left: int = MAX_OUTAGES
+    resets_left: int = MAX_WATCH_RESETS
+    ever_in_force: frozenset[Document] = frozenset()
     reverted: bool = False
 
 
@@ -88,60 +120,60 @@
 
 
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
-    """Return the model, or a broken variant of it."""
+    """Return the model, or the variant without the rule ``flaw``."""
     initial = Deployment((Node(CHART.initial), Node(CHART.initial)))
     invariants = {
         NEVER_REVERTS: lambda deployment: not deployment.reverted,
-        ONE_DOCUMENT: _has_one_document,
-        NEVER_LOST: _keeps_accepted,
-        REFUSED_IS_OUT: _leaves_refused_out,
+        ONE_DOCUMENT: _have_one_document,
+        NEVER_LOST: _are_accepted_stored,
+        REFUSED_IS_OUT: _are_refused_unused,
     }
     successors = _Successors(coverage, flaw)
     return Model("configuration", flaw, initial, successors, invariants)
 
 
-def _has_one_document(deployment: Deployment) -> bool:
-    versions = [document.version for document in deployment.known]
+def _have_one_document(deployment: Deployment) -> bool:
+    versions = [document.version for document in deployment.ever_in_force]
     return len(versions) == len(set(versions))
 
 
-def _keeps_accepted(deployment: Deployment) -> bool:
+def _are_accepted_stored(deployment: Deployment) -> bool:
     return all(
-        deployment.store[operator.written - 1] == index
+        deployment.store[operator.written_version - 1] == index
         for index, operator in enumerate(deployment.operators)
         if operator.state == ACCEPTED
     )
 
 
-def _leaves_refused_out(deployment: Deployment) -> bool:
+def _are_refused_unused(deployment: Deployment) -> bool:
     refused = {
         index
         for index, operator in enumerate(deployment.operators)
         if operator.state == REFUSED
     }
-    return not refused & {document.operator for document in deployment.known}
+    return not refused & {document.operator for document in deployment.ever_in_force}
 
 
 class _Successors:
-    """All steps that may follow a state."""
+    """Returns all steps that may follow a state; called by the checker."""
 
     def __init__(self, coverage: Coverage, flaw: Flaw) -> None:
         self._coverage = coverage
         self._flaw = flaw
 
     def __call__(self, deployment: Deployment) -> Steps:
-        yield from self._environment(deployment)
+        yield from self._environment_steps(deployment)
         for index, node in enumerate(deployment.nodes):
             yield from self._node_steps(deployment, index, node)
         for index, operator in enumerate(deployment.operators):
             yield from self._operator_steps(deployment, index, operator)
 
-    def _environment(self, deployment: Deployment) -> Steps:
-        if deployment.store_up and deployment.outages:
-            outages = deployment.outages - 1
+    def _environment_steps(self, deployment: Deployment) -> Steps:
+        if deployment.store_up and deployment.outages_left:
+            outages_left = deployment.outages_left - 1
             yield (
                 "store goes down",
-                deployment._replace(store_up=False, outages=outages),
+                deployment._replace(store_up=False, outages_left=outages_left),
             )
         if not deployment.store_up:
             yield "store comes back", deployment._replace(store_up=True)
@@ -150,55 +182,55 @@
         name = f"node {index}"
         status = "store_available" if deployment.store_up else "store_lost"
         yield f"{name}: {status}", self._fire(deployment, index, status)
-        if node.reading:
+        if node.read_pending:
             yield from self._read_steps(deployment, index, node)
         else:
             yield f"{name}: retry", self._fire(deployment, index, "retry_due")
-        if deployment.store_up and node.seen >= 0:
+        if deployment.store_up and node.watched_version >= 0:
             yield from self._watch_steps(deployment, index, node)
         if node.offer is not None:
-            after = _put(deployment, index, node._replace(offer=None))
+            after = _with_node(deployment, index, node._replace(offer=None))
             adopted = self._fire(after, index, "offered", node.offer)
-            yield f"{name}: offer taken", adopted
+            yield f"{name}: offer received", adopted
         else:
             offer = deployment.nodes[1 - index].in_force
             if offer is not None and offer != node.in_force:
-                sent = _put(deployment, index, node._replace(offer=offer))
-                yield f"{name}: peer answers", sent
+                sent = _with_node(deployment, index, node._replace(offer=offer))
+                yield f"{name}: peer sends an offer", sent
 
     def _watch_steps(self, deployment: Deployment, index: int, node: Node) -> Steps:
         name = f"node {index}"
-        reset = deployment._replace(resets=deployment.resets - 1)
-        # The nodes are alike, so it is enough that the watch of one breaks.
-        breaks = deployment.resets and index == 0
-        if breaks:
-            unwatched = _put(reset, index, node._replace(seen=-1))
-            after = self._fire(unwatched, index, "watch_reset")
+        reset = deployment._replace(resets_left=deployment.resets_left - 1)
+        # The nodes are symmetric, so only the watch of node 0 may be reset.
+        may_reset = deployment.resets_left and index == 0
+        if may_reset:
+            unwatched_node = _with_node(reset, index, node._replace(watched_version=-1))
+            after = self._fire(unwatched_node, index, "watch_reset")
             yield f"{name}: watch reset", after
-        if node.seen < len(deployment.store):
-            seen = node._replace(seen=node.seen + 1)
-            after = _put(deployment, index, seen)
-            yield f"{name}: change seen", self._fire(after, index, "changed")
-            if breaks:
-                skipped = _put(reset, index, seen)
+        if node.watched_version < len(deployment.store):
+            advanced = node._replace(watched_version=node.watched_version + 1)
+            after = _with_node(deployment, index, advanced)
+            yield f"{name}: change delivered", self._fire(after, index, "changed")
+            if may_reset:
+                skipped = _with_node(reset, index, advanced)
                 after = self._fire(skipped, index, "gap_found")
                 yield f"{name}: change not understood", after
 
     def _read_steps(self, deployment: Deployment, index: int, node: Node) -> Steps:
         name = f"node {index}"
-        if node.read is not None:
-            done = node._replace(reading=False, read=None)
-            after = _put(deployment, index, done)
-            read = node.read if node.read.version else None
-            answered = self._fire(after, index, "document_read", read)
+        if node.read_reply is not None:
+            idle = node._replace(read_pending=False, read_reply=None)
+            after = _with_node(deployment, index, idle)
+            document = node.read_reply if node.read_reply.version else None
+            answered = self._fire(after, index, "document_read", document)
             yield f"{name}: read answered", answered
         elif deployment.store_up:
             version = len(deployment.store)
             operator = deployment.store[-1] if version else -1
-            read = node._replace(read=Document(version, operator))
-            yield f"{name}: document read", _put(deployment, index, read)
+            replied = node._replace(read_reply=Document(version, operator))
+            yield f"{name}: document read", _with_node(deployment, index, replied)
         else:
-            after = _put(deployment, index, node._replace(reading=False))
+            after = _with_node(deployment, index, node._replace(read_pending=False))
             yield f"{name}: read failed", self._fire(after, index, "read_failed")
 
     def _operator_steps(
@@ -209,31 +241,37 @@
             return
         if operator.state == IDLE:
             sent = Operator(SENT, len(deployment.store))
-            yield f"{name}: sends", _set_operator(deployment, index, sent)
+            yield f"{name}: sends", _with_operator(deployment, index, sent)
         elif operator.state in (SENT, UNSURE):
-            after, settled = self._transact(deployment, index, operator)
-            yield f"{name}: answered", _set_operator(after, index, settled)
-            unsure = settled._replace(state=UNSURE)
+            after, answered = self._transact(deployment, index, operator)
+            yield f"{name}: answered", _with_operator(after, index, answered)
+            unsure = answered._replace(state=UNSURE)
             if self._flaw is Flaw.NO_NONCE:
-                unsure = settled._replace(state=REFUSED)
-            yield f"{name}: reply lost", _set_operator(after, index, unsure)
+                unsure = answered._replace(state=REFUSED)
+            yield f"{name}: reply lost", _with_operator(after, index, unsure)
 
     def _transact(
         self, deployment: Deployment, index: int, operator: Operator
     ) -> tuple[Deployment, Operator]:
-        """Return the store after the transaction and what is confirmed."""
-        if operator.written:
-            # The change of this version has the operator's nonce.
+        """Run the transaction of an operator's change.
+
+        Returns:
+            The deployment and the operator after it, with the outcome that
+            the reply of the store confirms.
+        """
+        if operator.written_version:
+            # The operator sends the change again. The stored version carries
+            # the operator's nonce, so the earlier transaction took effect.
             return deployment, operator._replace(state=ACCEPTED)
-        store, version = deployment.store, operator.base + 1
+        store, version = deployment.store, operator.base_version + 1
         if self._flaw is Flaw.BLIND_WRITE:
-            store = (*store[: operator.base], index, *store[version:])
-        elif len(store) == operator.base:
+            store = (*store[: operator.base_version], index, *store[version:])
+        elif len(store) == operator.base_version:
             store = (*store, index)
         else:
             return deployment, operator._replace(state=REFUSED)
-        written = operator._replace(state=ACCEPTED, written=version)
-        return deployment._replace(store=store), written
+        accepted = operator._replace(state=ACCEPTED, written_version=version)
+        return deployment._replace(store=store), accepted
 
     def _fire(
         self,
@@ -244,18 +282,18 @@
     ) -> Deployment:
         node = deployment.nodes[index]
         step = self._coverage.step(CHART, node.state, event)
-        deployment = _put(deployment, index, node._replace(state=step.target))
+        deployment = _with_node(deployment, index, node._replace(state=step.target))
         for action in step.actions:
             deployment = getattr(self, f"_{action}")(deployment, index, document)
         return deployment
 
-    # Actions of the chart.
+    # Actions of the configuration chart, called by name in _fire.
 
     def _read_document(
         self, deployment: Deployment, index: int, _: Document | None
     ) -> Deployment:
         node = deployment.nodes[index]
-        return _put(deployment, index, node._replace(reading=True))
+        return _with_node(deployment, index, node._replace(read_pending=True))
 
     def _schedule_read(
         self, deployment: Deployment, index: int, _: Document | None
@@ -267,17 +305,19 @@
     ) -> Deployment:
         node = deployment.nodes[index]
         version = document.version if document else 0
-        return _put(deployment, index, node._replace(seen=version))
+        return _with_node(deployment, index, node._replace(watched_version=version))
 
     def _apply_change(
         self, deployment: Deployment, index: int, _: Document | None
     ) -> Deployment:
         node = deployment.nodes[index]
         version = node.in_force.version if node.in_force else 0
-        if node.seen == version + 1:
-            change = Document(node.seen, deployment.store[node.seen - 1])
+        if node.watched_version == version + 1:
+            change = Document(
+                node.watched_version, deployment.store[node.watched_version - 1]
+            )
             return self._adopt(deployment, index, change)
-        if node.seen > version:
+        if node.watched_version > version:
             return self._fire(deployment, index, "gap_found")
         return deployment
 
@@ -290,19 +330,21 @@
         version = node.in_force.version if node.in_force else 0
         if document.version <= version and self._flaw is not Flaw.ADOPT_ANY:
             return deployment
-        adopted = _put(deployment, index, node._replace(in_force=document))
+        adopted = _with_node(deployment, index, node._replace(in_force=document))
         return adopted._replace(
-            known=deployment.known | {document},
+            ever_in_force=deployment.ever_in_force | {document},
             reverted=deployment.reverted or document.version < version,
         )
 
 
-def _put(deployment: Deployment, index: int, node: Node) -> Deployment:
+def _with_node(deployment: Deployment, index: int, node: Node) -> Deployment:
     nodes = (*deployment.nodes[:index], node, *deployment.nodes[index + 1 :])
     return deployment._replace(nodes=nodes)
 
 
-def _set_operator(deployment: Deployment, index: int, operator: Operator) -> Deployment:
+def _with_operator(
+    deployment: Deployment, index: int, operator: Operator
+) -> Deployment:
     operators = deployment.operators
     changed = (*operators[:index], operator, *operators[index + 1 :])
     return deployment._replace(operators=changed)
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,7 +1,8 @@
-"""Nodes, workers and a store in memory, under faults, with their history.
+"""A deployment in memory that runs under faults and records its history.
 
-Each node has its own clock, so it can be frozen and woken. The actors of a
-node are the real ones, but for its links to the store and to other nodes.
+Each node has its own clock, so that it can be frozen and woken. The actors of
+a node are those of production, except for its links to the store and to other
+nodes.
 """
 
 import json
@@ -29,16 +30,17 @@
 DOMAIN = "hobart"
 LEASE_S = 6.0
 STEP_S = 0.1
-TURNS = 60
+FIRST_TARGET_S = 60.0
+MAX_CLOCK_TURNS = 60
 NO_EPOCH = Epoch(0, 0, 0)
 WORKERS = [
     WorkerInfo(f"w{i}", f"w{i}:1", DOMAIN, "r1", 2, 4, 16, 1_000) for i in (1, 2, 3)
 ]
-SEEN = "seen"
+RECORDER = "seen"
 
 
 class RecordingWorker(WorkerCore):
-    """Adds what happens at the worker to the history."""
+    """Adds what the worker accepts and runs to the history."""
 
     def __init__(self, info, now, entries):
         super().__init__(info, now)
@@ -47,21 +49,21 @@
 
     def claim(self, request, now):
         reply = super().claim(request, now)
-        self._note_epoch(request["epoch"], now)
+        self._record_epoch(request["epoch"], now)
         return reply
 
-    def _accept(self, numbers, now):
-        super()._accept(numbers, now)
-        self._note_epoch(numbers, now)
+    def _accept(self, epoch_numbers, now):
+        super()._accept(epoch_numbers, now)
+        self._record_epoch(epoch_numbers, now)
 
-    def _note_epoch(self, numbers, now):
+    def _record_epoch(self, epoch_numbers, now):
         entry = h.CommandAccepted(
-            now, self.info.worker_id, self.boot_id, Epoch(*numbers)
+            now, self.info.worker_id, self.boot_id, Epoch(*epoch_numbers)
         )
         self.entries.append(entry)
 
-    def _record(self, what, member, at, plan=None):
-        super()._record(what, member, at, plan)
+    def _record(self, event, member, at, plan=None):
+        super()._record(event, member, at, plan)
         request, worker = member.request, self.info.worker_id
         gang, job = request["gang_id"], request["job_id"]
         entry = {
@@ -75,24 +77,24 @@
                 at, worker, gang, job, plan.task_index, plan.outcome, plan.result
             ),
             "released": lambda: h.MemberReleased(at, worker, gang),
-        }[what]()
+        }[event]()
         self.entries.append(entry)
 
 
 class UnfencedWorker(RecordingWorker):
-    """A faulty worker that follows every owner at any time."""
+    """A faulty worker that accepts every epoch, also a lower one."""
 
     def claim(self, request, now):
         self.highest_epoch = Epoch(*request["epoch"])
         return super().claim(request, now)
 
-    def _accept(self, numbers, now):
-        self.highest_epoch = Epoch(*numbers)
-        super()._accept(numbers, now)
+    def _accept(self, epoch_numbers, now):
+        self.highest_epoch = Epoch(*epoch_numbers)
+        super()._accept(epoch_numbers, now)
 
 
 class EagerWorker(RecordingWorker):
-    """A faulty worker that starts a member as soon as it is reserved."""
+    """A faulty worker that starts a member once it is reserved, unasked."""
 
     def reserve(self, request, now):
         reply = super().reserve(request, now)
@@ -102,11 +104,16 @@
 
 
 class Workers:
-    """The workers of the domain, reached by all nodes."""
+    """The workers of the domain, shared by all nodes.
 
-    def __init__(self, entries, kind=RecordingWorker):
+    ``cut`` holds the addresses of workers that cannot be reached, and
+    ``deaf`` those of workers whose replies are all lost. ``dropped_replies``
+    is the number of commands that will take effect without a reply.
+    """
+
+    def __init__(self, entries, worker_type=RecordingWorker):
         self.entries = entries
-        self.kind = kind
+        self.worker_type = worker_type
         self.cut = set()
         self.losing_replies = set()
         self.replies_to_drop = 0
@@ -115,11 +122,11 @@
             self.restart(info, 0.0)
 
     def restart(self, info, now):
-        self.cores_by_address[info.address] = self.kind(info, now, self.entries)
+        self.cores_by_address[info.address] = self.worker_type(info, now, self.entries)
 
 
 class Transport(FakeTransport):
-    """Reaches the workers on the clock of one node."""
+    """Carries requests of one node to the shared workers, on its clock."""
 
     def __init__(self, clock, workers):
         self.clock = clock
@@ -138,7 +145,11 @@
 
 
 class Peers(Actor):
-    """Offers the configuration of other nodes when the store's watch lags."""
+    """Receives reports of other nodes, as the production peer actor does.
+
+    It offers the configuration of a peer that is ahead for
+    ``CONFIGURATION_LAG_S``.
+    """
 
     def __init__(self, system, node):
         self.node = node
@@ -148,12 +159,12 @@
     def handlers(self):
         return {r.LocalLoad: lambda _: None}
 
-    def hear(self, sender):
+    def receive_report(self, sender):
         self.tell(r.OWNERSHIP, sender.report())
-        own = self.node.in_force.version if self.node.in_force else 0
-        if own != self.version:
-            self.version, self.behind_since = own, None
-        if sender.in_force is None or sender.in_force.version <= own:
+        own_version = self.node.in_force.version if self.node.in_force else 0
+        if own_version != self.version:
+            self.version, self.behind_since = own_version, None
+        if sender.in_force is None or sender.in_force.version <= own_version:
             return
         if self.behind_since is None:
             self.behind_since = self.node.now
@@ -161,41 +172,47 @@
             self.tell(r.CONFIGURATION, r.OfferConfiguration(sender.in_force))
 
 
-class Seen(Actor):
-    """Adds what a node's subscribers are told to the history."""
+class HistoryRecorder(Actor):
+    """Subscribes to a node and adds what it announces to the history."""
 
     def __init__(self, system, node):
         self.node = node
-        super().__init__(system, SEEN)
+        super().__init__(system, RECORDER)
 
     def handlers(self):
         return {
-            r.OwnershipGained: self._own,
-            r.EpochRaised: self._own,
-            r.OwnershipEnded: self._end,
+            r.OwnershipGained: self._start_owning,
+            r.EpochRaised: self._start_owning,
+            r.OwnershipEnded: self._end_owning,
             r.OwnerChanged: lambda _: None,
-            ConfigurationChanged: self._configure,
+            ConfigurationChanged: self._record_configuration,
         }
 
-    def _own(self, message):
+    def _start_owning(self, message):
         self.node.epoch = message.epoch
         entry = h.EpochTaken(self.node.now, self.node.node_id, DOMAIN, message.epoch)
         self.node.entries.append(entry)
 
-    def _end(self, message):
+    def _end_owning(self, message):
         self.node.epoch = None
 
-    def _configure(self, message):
-        node, found = self.node, message.configuration
-        node.in_force = found
+    def _record_configuration(self, message):
+        node, configuration = self.node, message.configuration
+        node.in_force = configuration
         entry = h.ConfigurationInForce(
-            node.now, node.node_id, found.version, name_of(found)
+            node.now, node.node_id, configuration.version, document_name(configuration)
         )
         node.entries.append(entry)
 
 
 class Node:
-    """One node; ``running`` is false while it is frozen or dead."""
+    """A node with its own clock and store client.
+
+    Attributes:
+        running: False while the node is frozen and after it was killed.
+        epoch: Epoch under which it owns the domain, None without ownership.
+        in_force: The configuration that it has announced last.
+    """
 
     def __init__(self, deployment, rank):
         self.node_id, self.rank = f"n{rank}", rank
@@ -208,10 +225,15 @@
         self.store = FakeStore(self.system, deployment.core, deployment.store_up)
         self.store.vms = tuple(list_vm(info) for info in WORKERS)
         self.peers = Peers(self.system, self)
-        Seen(self.system, self)
-        ConfigurationActor(self.system, (r.DISPATCHER, SEEN), rank)
+        HistoryRecorder(self.system, self)
+        ConfigurationActor(self.system, (r.DISPATCHER, RECORDER), rank)
         OwnershipActor(
-            self.system, (SEEN, r.DISPATCHER), DOMAIN, self.node_id, self.node_id, rank
+            self.system,
+            (RECORDER, r.DISPATCHER),
+            DOMAIN,
+            self.node_id,
+            self.node_id,
+            rank,
         )
         Dispatcher(
             self.system,
@@ -235,8 +257,9 @@
             self.system.tell(name, r.MembersChanged(vms))
 
     def advance_to(self, now):
+        """Advance the clock and run the calls that fall due at that time."""
         self.clock.advance(now - self.now)
-        for _ in range(TURNS):
+        for _ in range(MAX_CLOCK_TURNS):
             calls = self.clock.getDelayedCalls()
             if not calls or min(call.getTime() for call in calls) > self.now:
                 return
@@ -257,16 +280,27 @@
 
 
 class Deployment:
-    """Two nodes, three workers, one store and their history."""
-
-    def __init__(self, worker_kind=RecordingWorker):
+    """Two nodes, three workers, one store and the history of all of them.
+
+    Attributes:
+        entries: The history.
+        now: Time in seconds, which the clocks of running nodes follow.
+        core: The records of the store.
+        outage_from: Begin of the latest store outage, in seconds.
+        cuts_by_node: Begin in seconds of the current store cuts, by node.
+        leaving: Workers that the VM list shows as leaving.
+        specs_by_job: Jobs that were submitted and answered.
+        changes: Number of configuration changes that were sent.
+    """
+
+    def __init__(self, worker_type=RecordingWorker):
         self.entries = []
         self.now = 0.0
         self.core = KeyValueCore()
         self.store_up = True
         self.outage_from = 0.0
         self.cuts_by_node = {}
-        self.workers = Workers(self.entries, worker_kind)
+        self.workers = Workers(self.entries, worker_type)
         self.leaving = ()
         self.nodes_by_id = {}
         self.specs_by_job = {}
@@ -284,7 +318,7 @@
 
     @property
     def owners(self):
-        """Nodes that think that they own the domain."""
+        """Running nodes that regard themselves as owner of the domain."""
         return [node for node in self.nodes if node.running and node.epoch]
 
     def run_for(self, duration_s):
@@ -294,15 +328,16 @@
                 if node.running:
                     node.advance_to(self.now)
             if int(before) != int(self.now):
-                self._exchange()
+                self._exchange_reports()
 
-    def _exchange(self):
+    def _exchange_reports(self):
+        """Let each running node send its report to the others."""
         for sender in self.nodes:
             for receiver in self.nodes:
                 if sender.running and receiver.running and sender is not receiver:
-                    receiver.peers.hear(sender)
+                    receiver.peers.receive_report(sender)
 
-    # Faults.
+    # Faults and their end.
 
     def start_node(self):
         node = Node(self, self.started_nodes)
@@ -332,6 +367,7 @@
         self.cuts_by_node.clear()
 
     def set_store(self, up):
+        """Begin or end a store outage; its end also ends all store cuts."""
         if up:
             self._end_cuts()
         if up and not self.store_up:
@@ -344,6 +380,7 @@
                 node.store.set_available(up)
 
     def drain_worker(self, info, announced):
+        """Let a worker leave: it announces this, or the VM list shows it."""
         if announced:
             self.workers.cores_by_address[info.address].draining = True
             self.entries.append(h.DrainAnnounced(self.now, info.worker_id))
@@ -357,7 +394,7 @@
             node.list_workers(self.leaving)
 
     def heal(self):
-        """End all faults; leaving workers are replaced."""
+        """End all faults and replace the workers that are leaving."""
         self.workers.cut.clear()
         self.workers.losing_replies.clear()
         self.workers.replies_to_drop = 0
@@ -375,24 +412,24 @@
         self.leaving = ()
         self._list_workers()
 
-    # Requests of callers and operators.
+    # Requests of callers and operators, with their replies.
 
     def submit(self, node, spec):
-        asked = self._ask(node, r.DISPATCHER, r.SubmitJob(spec, ""))
-        asked.addCallbacks(lambda view: self._note_view(view, spec), _ignore_refusal)
+        reply = self._ask(node, r.DISPATCHER, r.SubmitJob(spec, ""))
+        reply.addCallbacks(lambda view: self._record_view(view, spec), _ignore_refusal)
 
     def cancel(self, node, job_id):
-        asked = self._ask(node, r.DISPATCHER, r.CancelJob(job_id))
-        asked.addCallbacks(self._note_view, _ignore_refusal)
+        reply = self._ask(node, r.DISPATCHER, r.CancelJob(job_id))
+        reply.addCallbacks(self._record_view, _ignore_refusal)
 
     def poll(self, node, job_id):
-        asked = self._ask(node, r.DISPATCHER, r.PollJob(job_id, 0.0))
-        asked.addCallbacks(self._note_view, _ignore_refusal)
+        reply = self._ask(node, r.DISPATCHER, r.PollJob(job_id, 0.0))
+        reply.addCallbacks(self._record_view, _ignore_refusal)
 
     def configure(self, node):
-        """Let an operator change the configuration that a node knows."""
+        """Let an operator change the configuration in force on a node."""
         self.changes += 1
-        name = f"{60.0 + self.changes}"
+        name = f"{FIRST_TARGET_S + self.changes}"
         document = json.dumps(
             {
                 "format_version": 1,
@@ -400,10 +437,12 @@
                 "classes": {"proof": {"target_s": float(name)}},
             }
         )
-        base = node.in_force.version if node.in_force else 0
-        message = r.ApplyConfiguration(document, base)
-        asked = self._ask(node, r.CONFIGURATION, message)
-        asked.addCallbacks(self._note_accepted, lambda f: self._note_refused(f, name))
+        base_version = node.in_force.version if node.in_force else 0
+        message = r.ApplyConfiguration(document, base_version)
+        reply = self._ask(node, r.CONFIGURATION, message)
+        reply.addCallbacks(
+            self._record_accepted, lambda failure: self._record_refused(failure, name)
+        )
 
     def _ask(self, node, name, message):
         if isinstance(message, r.SubmitJob):
@@ -413,7 +452,7 @@
             self.entries.append(entry)
         return node.system.ask(name, message)
 
-    def _note_view(self, view, spec=None):
+    def _record_view(self, view, spec=None):
         if spec is not None:
             self.specs_by_job[view.job_id] = spec
         if view.state in FINAL_JOB_STATES:
@@ -422,18 +461,18 @@
             )
             self.entries.append(answer)
 
-    def _note_accepted(self, configuration):
+    def _record_accepted(self, configuration):
         entry = h.ConfigurationAccepted(
-            self.now, configuration.version, name_of(configuration)
+            self.now, configuration.version, document_name(configuration)
         )
         self.entries.append(entry)
 
-    def _note_refused(self, failure, name):
+    def _record_refused(self, failure, name):
         if failure.trap(RedwingrudderError) and failure.check(ConflictError):
             self.entries.append(h.ConfigurationRefused(self.now, name))
 
 
-def name_of(configuration):
+def document_name(configuration):
     return str(configuration.classes_by_name["proof"].target_s)
 
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,4 +1,4 @@
-"""Histories of generated schedules of faults, and the check itself."""
+"""Tests of histories from generated fault schedules, and of their check."""
 
 import json
 import random
@@ -25,66 +25,77 @@
 )
 
 SCHEDULES = 300
-LIMITS = h.Limits(part_s=2 * LEASE_S + 5.0)
+LIMITS = h.Limits(partial_run_s=2 * LEASE_S + 5.0)
 HEALING_S = 4 * LEASE_S
-NODES = 3
-KEYS = 12
+REPLY_WAIT_S = 0.5
+MAX_NODES = 3
+KEY_COUNT = 12
 CANCELLED_KEY = 4
 SPEC = JobSpec("huon", "proof", "shop", "key", 2, 1, 1, 1, True, False, 1.0, 1.0, "")
 PAUSES_S = (0.1, 0.3, 1.0, 3.5)
+MIN_STEPS = 6
+MAX_STEPS = 36
 
 
 def make_spec(number):
-    """A key always comes with the same body."""
-    chosen = random.Random(number)
+    """Return the job of an idempotency key; a key always has the same job."""
+    rng = random.Random(number)
     return SPEC._replace(
         idempotency_key=f"k{number}",
-        idempotent=chosen.random() < 0.4,
-        tasks=chosen.choice((1, 2, 3, 4, 6)),
-        payload=json.dumps({"run_s": chosen.choice((0.1, 1.0, 4.0))}),
+        idempotent=rng.random() < 0.4,
+        tasks=rng.choice((1, 2, 3, 4, 6)),
+        payload=json.dumps({"run_s": rng.choice((0.1, 1.0, 4.0))}),
     )
 
 
 class Schedule:
-    """Carries the steps of a schedule out; numbers choose the targets."""
+    """Performs the steps of a schedule on a deployment.
+
+    Each public method except ``take`` is an action. Its number selects the
+    target, such as the owner, worker or job.
+    """
 
     def __init__(self, deployment):
         self.deployment = deployment
 
     def take(self, action, number):
+        """Perform the action of this name."""
         getattr(self, action)(number)
 
     def submit(self, number):
-        for node in self._owner(number):
-            self.deployment.submit(node, make_spec(number % KEYS))
+        for node in self._choose_owner(number):
+            self.deployment.submit(node, make_spec(number % KEY_COUNT))
 
     def cancel(self, number):
         jobs = sorted(self.deployment.specs_by_job)
-        for node in self._owner(number):
+        for node in self._choose_owner(number):
             if jobs:
                 self.deployment.cancel(node, jobs[number // 7 % len(jobs)])
 
     def poll(self, number):
-        for node in self._owner(number):
+        """Ask an owner for the state of every job that was submitted."""
+        for node in self._choose_owner(number):
             for job_id in sorted(self.deployment.specs_by_job):
                 self.deployment.poll(node, job_id)
 
     def configure(self, number):
-        """Two operators change the configuration at the same time."""
+        """Let one operator, or two at a time, change the configuration."""
         running = [node for node in self.deployment.nodes if node.running]
         for node in running[: 1 + number % 2]:
             self.deployment.configure(node)
 
     def kill(self, number):
-        for node in self._owner(number):
+        """Kill an owner; start a node if only one would be left."""
+        for node in self._choose_owner(number):
             self.deployment.kill(node)
         if len(self.deployment.nodes) < 2:
             self.deployment.start_node()
 
     def freeze(self, number):
-        for node in self._owner(number):
+        """Freeze an owner; start a node if there are fewer than MAX_NODES."""
+        for node in self._choose_owner(number):
             self.deployment.freeze(node)
-        if len(self.deployment.nodes) < NODES:
+        if len(self.deployment.nodes) < MAX_NODES:
             self.deployment.start_node()
 
     def wake(self, number):
@@ -94,21 +105,23 @@
                 node.store.set_available(self.deployment.store_up)
 
     def restart_worker(self, number):
-        worker = self._worker(number)
+        worker = self._choose_worker(number)
         self.deployment.workers.restart(worker, self.deployment.now)
 
     def cut_worker(self, number):
+        """Make a worker unreachable, or let all of its replies be lost."""
         workers = self.deployment.workers
-        chosen = (workers.cut, workers.losing_replies)[number // 3 % 2]
-        chosen.add(self._worker(number).address)
+        addresses = (workers.cut, workers.losing_replies)[number // 3 % 2]
+        addresses.add(self._choose_worker(number).address)
 
     def reconnect_workers(self, number):
         self.deployment.workers.cut.clear()
         self.deployment.workers.losing_replies.clear()
 
     def drain_worker(self, number):
+        """Let a worker leave, unless the VM list shows one as leaving."""
         if not self.deployment.leaving:
-            self.deployment.drain_worker(self._worker(number), number % 2 == 0)
+            self.deployment.drain_worker(self._choose_worker(number), number % 2 == 0)
 
     def lose_worker_replies(self, number):
         self.deployment.workers.replies_to_drop = 1 + number % 4
@@ -118,7 +131,7 @@
             node.store.lost_replies = 1 + number % 3
 
     def cut_from_store(self, number):
-        for node in self._owner(number):
+        for node in self._choose_owner(number):
             self.deployment.cut_from_store(node)
 
     def stop_store(self, number):
@@ -127,11 +140,12 @@
     def start_store(self, number):
         self.deployment.set_store(True)
 
-    def _owner(self, number):
+    def _choose_owner(self, number):
+        """Return a list with one owner, which is empty if there is none."""
         owners = self.deployment.owners
         return owners[number % len(owners) :][:1] if owners else []
 
-    def _worker(self, number):
+    def _choose_worker(self, number):
         return WORKERS[number % len(WORKERS)]
 
 
@@ -144,12 +158,13 @@
         st.integers(0, 1_000),
         st.sampled_from(PAUSES_S),
     ),
-    min_size=6,
-    max_size=36,
+    min_size=MIN_STEPS,
+    max_size=MAX_STEPS,
 )
 
 
 def run_schedule(deployment, steps):
+    """Perform all steps, end all faults and poll all jobs."""
     schedule = Schedule(deployment)
     for action, number, pause_s in steps:
         schedule.take(action, number)
@@ -157,50 +172,61 @@
     deployment.heal()
     deployment.run_for(HEALING_S)
     schedule.poll(0)
-    deployment.run_for(0.5)
+    deployment.run_for(REPLY_WAIT_S)
+
 
+def find_unfinished_jobs(deployment):
+    """Submit every job again, as its caller would, and wait for its end.
 
-def find_open_jobs(deployment):
-    """Submit every job again, as its caller would, and wait for its end."""
+    Returns the ids of the jobs that have no final state after that.
+    """
     owner = deployment.owners[-1]
     for spec in deployment.specs_by_job.values():
         deployment.submit(owner, spec)
     deployment.run_for(HEALING_S)
-    told = len(deployment.entries)
+    first_new_entry = len(deployment.entries)
     for job_id in deployment.specs_by_job:
         deployment.poll(owner, job_id)
-    deployment.run_for(0.5)
+    deployment.run_for(REPLY_WAIT_S)
     final = {
         entry.job_id
-        for entry in deployment.entries[told:]
+        for entry in deployment.entries[first_new_entry:]
         if isinstance(entry, h.AnswerGiven) and entry.state in FINAL_JOB_STATES
     }
     return set(deployment.specs_by_job) - final
 
 
-def judge(steps, kind=RecordingWorker):
-    """Return what a schedule breaks, by invariant."""
-    deployment = Deployment(kind)
+def find_violations(steps, worker_type=RecordingWorker):
+    """Run a schedule and return the violations, by invariant.
+
+    "owner" stands for a domain without exactly one owner after all faults
+    have ended, "end" for jobs that do not become final.
+    """
+    deployment = Deployment(worker_type)
     run_schedule(deployment, steps)
     broken = {}
     if len(deployment.owners) != 1:
         broken["owner"] = [node.node_id for node in deployment.owners]
-    elif open_jobs := find_open_jobs(deployment):
-        broken["end"] = open_jobs
+    elif unfinished_jobs := find_unfinished_jobs(deployment):
+        broken["end"] = unfinished_jobs
     for violation in h.check_history(deployment.entries, LIMITS):
         broken.setdefault(violation.invariant, []).append(violation)
     return broken
 
 
 class ScheduleTests(unittest.TestCase):
-    """Generated schedules; one run of all of them serves all tests."""
+    """Guards the invariants in generated schedules of faults.
+
+    All schedules run once; each test checks one invariant on their results.
+    """
 
     @classmethod
     def setUpClass(cls):
         cls.broken_schedules = []
         cls.schedules = 0
 
-        # A test per invariant names what failed, so nothing is shrunk.
+        # Without the phase that shrinks: the test of each invariant reports
+        # the schedules that violate it.
         @settings(
             derandomize=True,
             database=None,
@@ -212,7 +238,7 @@
         @given(STEPS)
         def run_all(steps):
             cls.schedules += 1
-            broken = judge(steps)
+            broken = find_violations(steps)
             if broken:
                 cls.broken_schedules.append((steps, broken))
 
@@ -221,7 +247,7 @@
     def check(self, invariant):
         self.assertGreaterEqual(self.schedules, SCHEDULES)
         for steps, broken in self.broken_schedules:
-            self.assertNotIn(invariant, broken, f"in the schedule {steps}")
+            self.assertNotIn(invariant, broken, f"violated by the schedule {steps}")
 
     def test_one_owner_remains(self):
         self.check("owner")
@@ -229,16 +255,16 @@
     def test_every_job_becomes_final(self):
         self.check("end")
 
-    def test_gangs_run_whole(self):
+    def test_gangs_do_not_run_partially(self):
         self.check("I2")
 
-    def test_answers_are_whole(self):
+    def test_results_come_from_one_gang(self):
         self.check("I3")
 
-    def test_not_run_is_true(self):
+    def test_jobs_reported_not_run_never_start(self):
         self.check("I4")
 
-    def test_jobs_run_once(self):
+    def test_jobs_run_at_most_once(self):
         self.check("I5")
 
     def test_leaving_workers_get_no_work(self):
@@ -249,13 +275,14 @@
 
 
 class RegressionTests(unittest.TestCase):
-    """Schedules that failed once."""
+    """Schedules that violated an invariant in an earlier version."""
 
     def check(self, steps, invariant):
-        self.assertNotIn(invariant, judge(steps))
+        self.assertNotIn(invariant, find_violations(steps))
 
-    def test_not_run_is_not_told_after_an_unrecorded_run(self):
-        # The same key ran again in an outage, without its record.
+    def test_not_run_is_not_reported_after_an_unrecorded_run(self):
+        # During a store outage, a job ran again under the same key without a
+        # record.
         steps = [
             ("submit", CANCELLED_KEY, 0.1),
             ("cancel", 0, 1.0),
@@ -267,7 +294,8 @@
         self.check(steps, "I4")
 
     def test_claimed_worker_that_leaves_gets_no_reservation(self):
-        # The owner learned of the worker before it learned that it leaves.
+        # The owner claimed the worker before it learned that the worker is
+        # leaving.
         steps = [
             ("drain_worker", 543, 1.0),
             ("lose_worker_replies", 966, 0.1),
@@ -279,7 +307,8 @@
         self.check(steps, "I6")
 
     def test_reservation_without_answer_is_not_repeated_after_its_release(self):
-        # The worker was cut off, was listed as leaving and came back.
+        # The worker was cut off, was listed as leaving and became reachable
+        # again.
         steps = [
             ("drain_worker", 768, 1.0),
             ("cut_worker", 926, 1.0),
@@ -292,29 +321,29 @@
 
 
 class FaultyWorkerTests(unittest.TestCase):
-    """The check must see what faulty workers do."""
+    """Guards against a check that misses the violations of faulty workers."""
 
     def test_start_without_an_order_breaks_gangs_and_at_most_once(self):
         rejected = set()
         for seed in (5, 17):
-            chosen = random.Random(seed)
+            rng = random.Random(seed)
             steps = [
                 (
-                    chosen.choice((*ACTIONS, "submit", "submit", "submit")),
-                    chosen.randrange(1_000),
-                    chosen.choice(PAUSES_S),
+                    rng.choice((*ACTIONS, "submit", "submit", "submit")),
+                    rng.randrange(1_000),
+                    rng.choice(PAUSES_S),
                 )
-                for _ in range(chosen.randint(6, 36))
+                for _ in range(rng.randint(MIN_STEPS, MAX_STEPS))
             ]
-            rejected |= judge(steps, EagerWorker).keys()
+            rejected |= find_violations(steps, EagerWorker).keys()
         self.assertLessEqual({"I2", "I5"}, rejected)
 
-    def test_start_without_an_order_makes_not_run_false(self):
+    def test_start_without_an_order_contradicts_not_run(self):
         deployment = Deployment(EagerWorker)
         deployment.workers.losing_replies.update(info.address for info in WORKERS)
         spec = SPEC._replace(idempotent=False, tasks=1, payload='{"run_s": 60}')
         deployment.submit(deployment.owners[0], spec)
-        deployment.run_for(0.5)
+        deployment.run_for(REPLY_WAIT_S)
         (job_id,) = deployment.specs_by_job
         deployment.cancel(deployment.owners[0], job_id)
         for info in WORKERS:
@@ -326,18 +355,18 @@
 
     def test_worker_that_does_not_fence_is_found(self):
         steps = [("submit", 1, 0.3), ("freeze", 0, 6.0), ("wake", 0, 3.5)]
-        found = judge(steps, UnfencedWorker).get("I5", ())
-        self.assertTrue(any("accepts" in violation.text for violation in found))
+        found = find_violations(steps, UnfencedWorker).get("I5", ())
+        self.assertTrue(any("accepts" in violation.description for violation in found))
 
 
-class CheckTests(unittest.TestCase):
-    """What the generated schedules do not break."""
+class HistoryCheckTests(unittest.TestCase):
+    """Tests of the check on violations that the schedules do not produce."""
 
     def check(self, invariant, *entries):
         found = h.check_history(entries, LIMITS)
         self.assertEqual([violation.invariant for violation in found], [invariant])
 
-    def test_results_of_two_gangs_are_no_answer(self):
+    def test_results_of_two_gangs_are_rejected(self):
         succeeded = TaskOutcome.SUCCEEDED
         self.check(
             "I3",
@@ -348,22 +377,22 @@
             h.AnswerGiven(3.0, "j", JobState.SUCCEEDED, True, ("a", "c")),
         )
 
-    def test_part_of_a_gang_may_not_run_for_long(self):
+    def test_partial_gang_may_not_run_beyond_the_limit(self):
         self.check(
             "I2",
             h.MemberReserved(0.0, "w1", "g", "j", 2),
             h.MemberReserved(0.0, "w2", "g", "j", 2),
             h.MemberStarted(1.0, "w1", "g", "j", (0,)),
-            h.NodeUp(2.0 + LIMITS.part_s, "n"),
+            h.NodeUp(2.0 + LIMITS.partial_run_s, "n"),
         )
 
     def test_leaving_worker_may_be_used_for_three_seconds(self):
         listed = h.LeavingListed(1.0, "w1")
-        in_time = h.MemberReserved(4.0, "w1", "g", "j", 1)
-        self.assertEqual(h.check_history((listed, in_time), LIMITS), ())
-        self.check("I6", listed, in_time._replace(at=4.1))
+        last_allowed = h.MemberReserved(4.0, "w1", "g", "j", 1)
+        self.assertEqual(h.check_history((listed, last_allowed), LIMITS), ())
+        self.check("I6", listed, last_allowed._replace(at=4.1))
 
-    def test_planned_stop_may_not_cut_a_request_off(self):
+    def test_planned_stop_answers_every_request(self):
         begun = h.RequestBegun(1.0, "n", "r1")
         killed = h.NodeDown(2.0, "n", planned=False)
         self.assertEqual(h.check_history((begun, killed), LIMITS), ())
@@ -382,7 +411,7 @@
 
     def test_node_that_is_cut_off_learns_from_a_peer_that_is_not(self):
         # Seed 2, schedule 746 of run_schedules: the only peer that knew of a
-        # change was paused 1.9 s after it, while the node was cut off.
+        # change was frozen 1.9 s after it, while the node was cut off.
         entries = (
             h.NodeUp(0.0, "n"),
             h.ConfigurationInForce(0.5, "n", 1, "a"),
