--- a/src/redwingrudder/_bench_clock.py
+++ b/src/redwingrudder/_bench_clock.py
@@ -1,4 +1,4 @@
-"""Virtual clock of the bench: calls ordered by time, then by creation."""
+"""Simulated clock of the benchmark."""
 
 import heapq
 import itertools
@@ -7,24 +7,34 @@
 
 
 class VirtualClock:
-    """Runs delayed calls without waiting; ``now`` is seconds of the run."""
+    """Runs scheduled calls in order of their time, without real waiting.
+
+    Calls of the same time run in the order in which they were scheduled.
+
+    Attributes:
+        now: Simulated seconds since the start of the run.
+    """
 
     def __init__(self) -> None:
         self.now = 0.0
         self._sequence = itertools.count()
         self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
 
-    def at(self, at: float, call: Callable[..., None], *arguments: Any) -> None:
-        """Call a function at a time of the run."""
-        heapq.heappush(self._heap, (at, next(self._sequence), call, arguments))
+    def call_at(
+        self, time_s: float, function: Callable[..., None], *arguments: Any
+    ) -> None:
+        """Schedule a call for a time in seconds since the start of the run."""
+        heapq.heappush(self._heap, (time_s, next(self._sequence), function, arguments))
 
-    def after(self, delay_s: float, call: Callable[..., None], *args: Any) -> None:
-        """Call a function after a delay in seconds."""
-        self.at(self.now + delay_s, call, *args)
+    def call_later(
+        self, delay_s: float, function: Callable[..., None], *arguments: Any
+    ) -> None:
+        """Schedule a call after a delay in simulated seconds."""
+        self.call_at(self.now + delay_s, function, *arguments)
 
-    def run(self, limit: float) -> None:
-        """Run all calls until none is left or ``limit`` is reached."""
-        while self._heap and self.now < limit:
-            at, _, call, arguments = heapq.heappop(self._heap)
-            self.now = max(self.now, at)
-            call(*arguments)
+    def run(self, until_s: float) -> None:
+        """Run the calls until none is left or ``now`` reaches ``until_s``."""
+        while self._heap and self.now < until_s:
+            time_s, _, function, arguments = heapq.heappop(self._heap)
+            self.now = max(self.now, time_s)
+            function(*arguments)
--- a/src/redwingrudder/_bench_fakes.py
+++ b/src/redwingrudder/_bench_fakes.py
@@ -1,7 +1,7 @@
-"""Fakes of workers and store for the bench.
+"""Simulated workers and platform store of the benchmark.
 
-They answer each effect of a scheduler after a fixed latency; tasks end after
-their true run time.
+They answer each effect of a scheduler after a fixed latency. Tasks end after
+the true run time of their job, which the scheduler does not know.
 """
 
 import random
@@ -21,18 +21,41 @@
     WorkerReport,
 )
 
-LATENCY_S = 0.003  # one command and its answer
+WORKER_LATENCY_S = 0.003  # from a command to its answer
 STORE_LATENCY_S = 0.005
-STORE_RETRY_S = 1.0
-WORKER_LOSS_DELAY_S = 31.0  # lease of 30 s plus the owner's margin
-FAILING_TASK_S = 0.5
-STOP_SHARE = 0.5  # mean share of the stop bound that a checkpoint takes
+STORE_RETRY_INTERVAL_S = 1.0
+# A lease of 30 s plus the safety margin of the owner.
+WORKER_LOSS_DELAY_S = 31.0
+FAILING_TASK_RUN_S = 0.5
+# Mean time that a task takes to stop, as a share of the job's stop bound.
+MEAN_STOP_BOUND_SHARE = 0.5
+MIN_STOP_TIME_FACTOR = 0.5
+MAX_STOP_TIME_FACTOR = 1.5
+MIN_REMAINING_RUN_S = 1.0
 
-Send = Callable[[str, messages.Event], None]
+SendEvent = Callable[[str, messages.Event], None]
 
 
 class BenchJob:
-    """Record of one accepted job while the run goes on."""
+    """State of an accepted job during the run.
+
+    Times are simulated seconds since the start of the run.
+
+    Attributes:
+        arrival: The job as it arrived, with its true run time.
+        job_id: Identifier that the schedulers use.
+        domain: Failure domain that accepted the job.
+        state: Last state that the scheduler reported.
+        reason: Reason of that state, or "".
+        started_at: Time of the first start, or None.
+        finished_at: Time at which the job became final, or None.
+        started_gangs: Identifiers of the gangs that started.
+        gang_started_at: Start time of the latest gang.
+        remaining_s: True run time that is left after the last checkpoint.
+        gang_run_s: Run time of the latest gang if nothing stops it.
+        target_missed: The scheduler reported a missed target.
+        guaranteed: The job was within its organisation's guarantee on arrival.
+    """
 
     def __init__(self, arrival: Arrival, job_id: str, domain: str) -> None:
         self.arrival = arrival
@@ -42,11 +65,11 @@
         self.reason = ""
         self.started_at: float | None = None
         self.finished_at: float | None = None
-        self.gangs_started: set[str] = set()
+        self.started_gangs: set[str] = set()
         self.gang_started_at = 0.0
         self.remaining_s = arrival.run_s
         self.gang_run_s = arrival.run_s
-        self.missed = False
+        self.target_missed = False
         self.guaranteed = False
 
 
@@ -54,74 +77,80 @@
     job_id: str
     spec: JobSpec
     tasks: tuple[int, ...]
-    open_tasks: frozenset[int]
+    unfinished_tasks: frozenset[int]
 
 
 class FakeFleet:
-    """All workers of a run.
+    """All simulated workers of a run.
 
     Args:
         clock: Clock of the run.
-        workers: The workers.
-        failing: Workers whose tasks all fail.
-        jobs_by_id: Jobs of the run, shared with the runner.
+        workers: The workers of all failure domains.
+        failing_workers: Identifiers of workers on which every task fails.
+        jobs_by_id: Accepted jobs; shared with the runner, which adds to it.
         send: Sends an event to the scheduler of a failure domain.
-        rng: Source of the variation of stop times.
+        rng: Random source of the stop times.
+
+    Attributes:
+        work_s: Work done by ended tasks, in accelerator-seconds.
     """
 
     def __init__(
         self,
         clock: VirtualClock,
         workers: tuple[WorkerInfo, ...],
-        failing: frozenset[str],
+        failing_workers: frozenset[str],
         jobs_by_id: dict[str, BenchJob],
-        send: Send,
+        send: SendEvent,
         rng: random.Random,
     ) -> None:
         self.work_s = 0.0
         self._clock = clock
         self._workers_by_id = {worker.worker_id: worker for worker in workers}
-        self._failing = failing
+        self._failing_workers = failing_workers
         self._jobs_by_id = jobs_by_id
         self._send = send
         self._rng = rng
         self._members_by_key: dict[tuple[str, str], _Member] = {}
-        self._boots_by_worker: dict[str, int] = defaultdict(int)
-        self._lost: set[str] = set()
+        self._boot_count_by_worker: dict[str, int] = defaultdict(int)
+        self._lost_workers: set[str] = set()
 
-    def claim(self, worker_id: str) -> None:
-        """Report an empty worker to its scheduler."""
-        self._lost.discard(worker_id)
-        boot_id = f"boot-{self._boots_by_worker[worker_id]}"
+    def claim_worker(self, worker_id: str) -> None:
+        """Report a worker without tasks as claimed, after a loss too."""
+        self._lost_workers.discard(worker_id)
+        boot_id = f"boot-{self._boot_count_by_worker[worker_id]}"
         info = self._workers_by_id[worker_id]
         report = WorkerReport(info, boot_id, False, ())
         self._send(info.failure_domain, messages.WorkerClaimed(report))
 
-    def lose(self, worker_id: str) -> None:
-        """Fail a worker; its owner learns of it when the lease lapses."""
-        self._lost.add(worker_id)
-        self._boots_by_worker[worker_id] += 1
+    def fail_worker(self, worker_id: str) -> None:
+        """Drop a worker's tasks and report the loss when its lease expires."""
+        self._lost_workers.add(worker_id)
+        self._boot_count_by_worker[worker_id] += 1
         for key in [key for key in self._members_by_key if key[1] == worker_id]:
             del self._members_by_key[key]
         domain = self._workers_by_id[worker_id].failure_domain
         lost = messages.WorkerLost(worker_id, "lease lapsed")
-        self._clock.after(WORKER_LOSS_DELAY_S, self._send, domain, lost)
+        self._clock.call_later(WORKER_LOSS_DELAY_S, self._send, domain, lost)
 
-    def carry_out(self, domain: str, effect: messages.Effect) -> None:
-        """Answer a command to a worker after the latency."""
+    def execute_command(self, domain: str, effect: messages.Effect) -> None:
+        """Execute a command to a worker after ``WORKER_LATENCY_S``.
+
+        Effects of other types are ignored.
+        """
         match effect:
             case messages.ReserveMember():
-                self._clock.after(LATENCY_S, self._reserve, domain, effect)
+                self._clock.call_later(WORKER_LATENCY_S, self._reserve, domain, effect)
             case messages.StartMember():
-                self._clock.after(LATENCY_S, self._start, domain, effect)
+                self._clock.call_later(WORKER_LATENCY_S, self._start, domain, effect)
             case messages.ReleaseMember():
-                self._clock.after(LATENCY_S, self._release, domain, effect)
+                self._clock.call_later(WORKER_LATENCY_S, self._release, domain, effect)
             case messages.StopMember():
-                self._clock.after(LATENCY_S, self._stop, domain, effect)
+                self._clock.call_later(WORKER_LATENCY_S, self._stop, domain, effect)
 
     def _reserve(self, domain: str, effect: messages.ReserveMember) -> None:
         worker_id = effect.member.worker_id
-        if worker_id in self._lost:
+        if worker_id in self._lost_workers:
             return
         self._members_by_key[effect.gang_id, worker_id] = _Member(
             effect.job_id, effect.spec, effect.member.tasks, frozenset()
@@ -134,30 +163,30 @@
         if member is None:
             return
         job = self._jobs_by_id[member.job_id]
-        if effect.gang_id not in job.gangs_started:
-            job.gangs_started.add(effect.gang_id)
+        if effect.gang_id not in job.started_gangs:
+            job.started_gangs.add(effect.gang_id)
             job.gang_started_at = self._clock.now
             job.gang_run_s = job.remaining_s
-        open_tasks = frozenset(member.tasks)
-        self._members_by_key[key] = member._replace(open_tasks=open_tasks)
-        failing = effect.worker_id in self._failing
-        run_s = FAILING_TASK_S if failing else job.gang_run_s
-        outcome = TaskOutcome.FAILED if failing else TaskOutcome.SUCCEEDED
+        unfinished_tasks = frozenset(member.tasks)
+        self._members_by_key[key] = member._replace(unfinished_tasks=unfinished_tasks)
+        fails = effect.worker_id in self._failing_workers
+        run_s = FAILING_TASK_RUN_S if fails else job.gang_run_s
+        outcome = TaskOutcome.FAILED if fails else TaskOutcome.SUCCEEDED
         self._send(domain, messages.StartAnswered(*key, True))
         for task in member.tasks:
-            self._clock.after(run_s, self._end_task, domain, key, task, outcome)
+            self._clock.call_later(run_s, self._end_task, domain, key, task, outcome)
 
     def _end_task(
         self, domain: str, key: tuple[str, str], task: int, outcome: TaskOutcome
     ) -> None:
         member = self._members_by_key.get(key)
-        if member is None or task not in member.open_tasks:
+        if member is None or task not in member.unfinished_tasks:
             return
-        left = member.open_tasks - {task}
-        self._members_by_key[key] = member._replace(open_tasks=left)
+        unfinished = member.unfinished_tasks - {task}
+        self._members_by_key[key] = member._replace(unfinished_tasks=unfinished)
         job = self._jobs_by_id[member.job_id]
-        size = max(1, member.spec.accelerators_per_task)
-        self.work_s += size * (self._clock.now - job.gang_started_at)
+        accelerators = max(1, member.spec.accelerators_per_task)
+        self.work_s += accelerators * (self._clock.now - job.gang_started_at)
         result = TaskResult(task, outcome, "")
         self._send(domain, messages.TaskEnded(*key, result))
 
@@ -167,16 +196,20 @@
         if member is None:
             return
         job = self._jobs_by_id[member.job_id]
-        if effect.checkpoint and effect.gang_id in job.gangs_started:
-            done_s = self._clock.now - job.gang_started_at
-            job.remaining_s = max(1.0, job.gang_run_s - done_s)
+        if effect.checkpoint and effect.gang_id in job.started_gangs:
+            elapsed_s = self._clock.now - job.gang_started_at
+            job.remaining_s = max(MIN_REMAINING_RUN_S, job.gang_run_s - elapsed_s)
         outcome = TaskOutcome.CHECKPOINTED if effect.checkpoint else TaskOutcome.STOPPED
-        delay_s = member.spec.stop_bound_s * STOP_SHARE * self._rng.uniform(0.5, 1.5)
-        for task in member.open_tasks:
-            self._clock.after(delay_s, self._end_task, domain, key, task, outcome)
+        delay_s = (
+            member.spec.stop_bound_s
+            * MEAN_STOP_BOUND_SHARE
+            * self._rng.uniform(MIN_STOP_TIME_FACTOR, MAX_STOP_TIME_FACTOR)
+        )
+        for task in member.unfinished_tasks:
+            self._clock.call_later(delay_s, self._end_task, domain, key, task, outcome)
 
     def _release(self, domain: str, effect: messages.ReleaseMember) -> None:
-        if effect.worker_id in self._lost:
+        if effect.worker_id in self._lost_workers:
             return
         self._members_by_key.pop((effect.gang_id, effect.worker_id), None)
         answer = messages.ReleaseAnswered(effect.gang_id, effect.worker_id)
@@ -184,25 +217,32 @@
 
 
 class FakeStore:
-    """Records of starts, with an outage in which nothing is answered."""
+    """Platform store that records starts and does not answer in an outage."""
 
-    def __init__(self, clock: VirtualClock, outage: Outage | None, send: Send) -> None:
+    def __init__(
+        self, clock: VirtualClock, outage: Outage | None, send: SendEvent
+    ) -> None:
         self._clock = clock
         self._outage = outage
         self._send = send
 
     def is_down(self) -> bool:
-        """Return whether the store is in its outage now."""
+        """Return whether the current time is within the outage."""
         outage = self._outage
         return outage is not None and outage.start <= self._clock.now < outage.end
 
     def record_start(self, domain: str, effect: messages.RecordStart) -> None:
-        """Confirm a start, once the store is up."""
-        self._clock.after(STORE_LATENCY_S, self._record, domain, effect)
+        """Confirm a start after ``STORE_LATENCY_S``.
+
+        During an outage the write is repeated until the store is available.
+        """
+        self._clock.call_later(STORE_LATENCY_S, self._write_start, domain, effect)
 
-    def _record(self, domain: str, effect: messages.RecordStart) -> None:
+    def _write_start(self, domain: str, effect: messages.RecordStart) -> None:
         if self.is_down():
-            self._clock.after(STORE_RETRY_S, self._record, domain, effect)
+            self._clock.call_later(
+                STORE_RETRY_INTERVAL_S, self._write_start, domain, effect
+            )
         else:
             answer = messages.StartRecordAnswered(effect.gang_id, True)
             self._send(domain, answer)
--- a/src/redwingrudder/_bench_report.py
+++ b/src/redwingrudder/_bench_report.py
@@ -1,19 +1,32 @@
-"""Figures of a bench run: what the users measure."""
+"""Figures of a benchmark run, as users of the system would measure them."""
 
 import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from ._bench_runner import START_OF_RUN_S, JobRecord, RunResult, Sample
+from ._bench_runner import START_TIME_OF_DAY_S, JobRecord, RunResult, Sample
 from ._scheduler_jobs import find_target
 from .model import FINAL_JOB_STATES, Configuration, JobClass, JobState
 
-RECLAIM_START_S = 2.6  # a guaranteed job starts within this time
+# A guarantee is honoured if the job starts within this time after it arrived.
+GUARANTEED_START_LIMIT_S = 2.6
 
 
 class ClassFigures(NamedTuple):
-    """Jobs of one class; completion times in seconds."""
+    """Jobs of one class.
+
+    Attributes:
+        job_class: Name of the class.
+        submitted: All jobs that arrived.
+        refused: Jobs that ended without a run: refused on arrival, or not run
+            later.
+        succeeded: Jobs that succeeded.
+        target_met_percent: Share of all jobs that succeeded by their target.
+        p50_s: Median time from arrival to success, in seconds.
+        p95_s: 95th percentile of that time, in seconds.
+        p99_s: 99th percentile of that time, in seconds.
+    """
 
     job_class: str
     submitted: int
@@ -26,7 +39,16 @@
 
 
 class OrganisationFigures(NamedTuple):
-    """Jobs of one organisation that lie within its guarantee."""
+    """Jobs of one organisation that were within its guarantee on arrival.
+
+    Attributes:
+        organisation: Name of the organisation.
+        guaranteed_jobs: Number of these jobs.
+        honoured_percent: Share that started within
+            ``GUARANTEED_START_LIMIT_S``; 100 without such jobs.
+        start_p95_s: 95th percentile of the time from arrival to the first
+            start, in seconds; infinite for jobs that never started.
+    """
 
     organisation: str
     guaranteed_jobs: int
@@ -37,9 +59,15 @@
 class Figures(NamedTuple):
     """All figures of one run.
 
-    ``fragmentation_percent`` is the mean share of free accelerators outside
-    the largest placeable gang. ``work_factor`` is all work over the work
-    that the jobs which succeeded needed.
+    Attributes:
+        classes: Figures of each job class.
+        organisations: Figures of each organisation.
+        fragmentation_percent: Mean share of the free accelerators that are
+            not part of the largest gang that could be placed.
+        lost: Accepted jobs that are not final at the end of the run.
+        doubled: Jobs that are not idempotent and started more than once.
+        work_factor: Work done over the work that the succeeded jobs needed.
+        events: Events that the schedulers handled.
     """
 
     classes: tuple[ClassFigures, ...]
@@ -51,12 +79,16 @@
     events: int
 
 
-def figures(result: RunResult, configuration: Configuration) -> Figures:
-    """Work out the figures of a run."""
-    by_class = _group(result.records, lambda r: r.arrival.spec.job_class)
-    by_organisation = _group(result.records, lambda r: r.arrival.spec.organisation)
+def compute_figures(result: RunResult, configuration: Configuration) -> Figures:
+    """Compute the figures of a run."""
+    by_class = _group_records(
+        result.records, lambda record: record.arrival.spec.job_class
+    )
+    by_organisation = _group_records(
+        result.records, lambda record: record.arrival.spec.organisation
+    )
     classes = configuration.classes_by_name
-    work = _useful_work_s(result.records)
+    useful_work_s = _useful_work_s(result.records)
     return Figures(
         tuple(_class_figures(classes[name], by_class[name]) for name in by_class),
         tuple(
@@ -65,65 +97,80 @@
         ),
         _fragmentation_percent(result.samples),
         sum(record.state not in FINAL_JOB_STATES for record in result.records),
-        sum(_is_doubled(record) for record in result.records),
-        result.work_s / work if work else 1.0,
+        sum(_has_repeated_start(record) for record in result.records),
+        result.work_s / useful_work_s if useful_work_s else 1.0,
         result.events,
     )
 
 
-def met_target(record: JobRecord, job_class: JobClass) -> bool:
-    """Return whether a job succeeded by the target of its class."""
+def has_met_target(record: JobRecord, job_class: JobClass) -> bool:
+    """Return whether a job succeeded by the target time of its class."""
     if record.state is not JobState.SUCCEEDED or record.finished_at is None:
         return False
-    target_at = find_target(job_class, START_OF_RUN_S + record.arrival.at)
-    return START_OF_RUN_S + record.finished_at <= target_at
+    target_at = find_target(job_class, START_TIME_OF_DAY_S + record.arrival.at)
+    return START_TIME_OF_DAY_S + record.finished_at <= target_at
+
 
+def target_met_share(
+    records: Iterable[JobRecord], configuration: Configuration
+) -> float:
+    """Return the share of all jobs, with refused ones, that met their target.
 
-def met_share(records: Iterable[JobRecord], configuration: Configuration) -> float:
-    """Return the share of jobs, refused ones too, that met their target."""
+    Without jobs it is 1.
+    """
     classes = configuration.classes_by_name
-    met = [met_target(r, classes[r.arrival.spec.job_class]) for r in records]
-    return sum(met) / len(met) if met else 1.0
+    met_flags = [
+        has_met_target(record, classes[record.arrival.spec.job_class])
+        for record in records
+    ]
+    return sum(met_flags) / len(met_flags) if met_flags else 1.0
 
 
 def completion_p95_s(records: Iterable[JobRecord]) -> float:
-    """Return the 95th percentile of completion times in seconds."""
-    return percentile(_completions(records), 0.95)
+    """Return the 95th percentile of the completion times, in seconds."""
+    return percentile(_completion_times_s(records), 0.95)
 
 
 def percentile(values: list[float], share: float) -> float:
-    """Return a percentile by the nearest rank, or NaN without values."""
+    """Return a percentile by the nearest-rank method, or NaN without values.
+
+    Args:
+        values: Values in any order.
+        share: The percentile, as a number from 0 to 1.
+    """
     if not values:
         return math.nan
     return sorted(values)[max(0, math.ceil(share * len(values)) - 1)]
 
 
 def _class_figures(job_class: JobClass, records: list[JobRecord]) -> ClassFigures:
-    completions = _completions(records)
-    met = sum(met_target(record, job_class) for record in records)
+    completion_times_s = _completion_times_s(records)
+    met_count = sum(has_met_target(record, job_class) for record in records)
     return ClassFigures(
         job_class.name,
         len(records),
         sum(record.state is JobState.NOT_RUN for record in records),
         sum(record.state is JobState.SUCCEEDED for record in records),
-        100.0 * met / len(records),
-        percentile(completions, 0.5),
-        percentile(completions, 0.95),
-        percentile(completions, 0.99),
+        100.0 * met_count / len(records),
+        percentile(completion_times_s, 0.5),
+        percentile(completion_times_s, 0.95),
+        percentile(completion_times_s, 0.99),
     )
 
 
 def _organisation_figures(name: str, records: list[JobRecord]) -> OrganisationFigures:
-    waits = [
+    waits_s = [
         record.started_at - record.arrival.at
         if record.started_at is not None
         else math.inf
         for record in records
         if record.guaranteed
     ]
-    honoured = sum(wait <= RECLAIM_START_S for wait in waits)
-    percent = 100.0 * honoured / len(waits) if waits else 100.0
-    return OrganisationFigures(name, len(waits), percent, percentile(waits, 0.95))
+    honoured_count = sum(wait_s <= GUARANTEED_START_LIMIT_S for wait_s in waits_s)
+    honoured_percent = 100.0 * honoured_count / len(waits_s) if waits_s else 100.0
+    return OrganisationFigures(
+        name, len(waits_s), honoured_percent, percentile(waits_s, 0.95)
+    )
 
 
 def _fragmentation_percent(samples: tuple[Sample, ...]) -> float:
@@ -143,11 +190,11 @@
     )
 
 
-def _is_doubled(record: JobRecord) -> bool:
+def _has_repeated_start(record: JobRecord) -> bool:
     return record.starts > 1 and not record.arrival.spec.idempotent
 
 
-def _completions(records: Iterable[JobRecord]) -> list[float]:
+def _completion_times_s(records: Iterable[JobRecord]) -> list[float]:
     return [
         record.finished_at - record.arrival.at
         for record in records
@@ -155,7 +202,7 @@
     ]
 
 
-def _group(
+def _group_records(
     records: Iterable[JobRecord], key: Callable[[JobRecord], str]
 ) -> dict[str, list[JobRecord]]:
     groups: dict[str, list[JobRecord]] = defaultdict(list)
--- a/src/redwingrudder/_bench_runner.py
+++ b/src/redwingrudder/_bench_runner.py
@@ -1,6 +1,7 @@
-"""Runs a scenario on the real decision code with a virtual clock.
+"""Simulation of one benchmark scenario on a virtual clock.
 
-One ``Scheduler`` per failure domain handles the same events as in a node.
+Each failure domain has a ``Scheduler`` that handles the same events as in a
+node. The scheduler's effects go to the simulated workers and store.
 """
 
 import random
@@ -19,13 +20,27 @@
 from .scheduler import Scheduler
 
 SAMPLE_INTERVAL_S = 30.0
-LOAD_INTERVAL_S = 1.0  # as often as nodes exchange their load
-START_OF_RUN_S = 17 * 3_600.0  # time of day (UTC) at which a run starts
-AFTER_HORIZON_S = 18_000.0  # time for the accepted jobs to end
+STATUS_INTERVAL_S = 1.0  # the interval at which nodes exchange their load
+START_TIME_OF_DAY_S = 17 * 3_600.0  # 17:00 UTC, for targets by time of day
+# A run ends this long after the horizon, even if jobs are not final yet.
+COMPLETION_LIMIT_S = 18_000.0
+STORE_UNAVAILABLE_CODE = "store_unavailable"
 
 
 class JobRecord(NamedTuple):
-    """What happened to one arrival; times are seconds of the run."""
+    """Outcome of one arrival; times are simulated seconds since the start.
+
+    Attributes:
+        arrival: The job as it arrived.
+        job_id: Identifier that the scheduler used.
+        state: State at the end of the run.
+        reason: Reason of the state, or the error code of a refusal.
+        started_at: Time of the first start, or None.
+        finished_at: Time at which the job became final, or None.
+        starts: Number of gangs that started.
+        missed: The scheduler reported a missed target.
+        guaranteed: The job was within its organisation's guarantee on arrival.
+    """
 
     arrival: Arrival
     job_id: str
@@ -39,7 +54,14 @@
 
 
 class Sample(NamedTuple):
-    """Fragmentation of one failure domain at one time."""
+    """Free capacity of one failure domain at one time.
+
+    Attributes:
+        at: Simulated seconds since the start of the run.
+        free_accelerators: Accelerators without a task.
+        largest_gang: Accelerators of the largest gang that could be placed.
+        shortages: Guaranteed shapes that the hardware cannot hold.
+    """
 
     at: float
     free_accelerators: int
@@ -48,7 +70,14 @@
 
 
 class RunResult(NamedTuple):
-    """Everything that a run recorded; work is in accelerator-seconds."""
+    """Records of a whole run.
+
+    Attributes:
+        records: Outcomes of the accepted jobs, then of the refused ones.
+        samples: Samples of all failure domains, every ``SAMPLE_INTERVAL_S``.
+        work_s: Work done by ended tasks, in accelerator-seconds.
+        events: Events that the schedulers handled.
+    """
 
     records: tuple[JobRecord, ...]
     samples: tuple[Sample, ...]
@@ -57,14 +86,14 @@
 
 
 class BenchRun:
-    """One run of a scenario.
+    """One run of a scenario; an instance can run only once.
 
     Args:
-        workers: Workers of the fleet.
-        configuration: Configuration with cells.
-        scenario: What happens.
-        policies: Creates the policies of one failure domain.
-        seed: Seed of the fakes' variation.
+        workers: Workers of all failure domains.
+        configuration: Configuration with planned cells.
+        scenario: Faults and cancellations of the run.
+        policies: Creates the policy set of one failure domain.
+        seed: Seed of the entry nodes, cancellations and stop times.
     """
 
     def __init__(
@@ -81,14 +110,14 @@
         self._clock = VirtualClock()
         self._rng = random.Random(f"{seed}-fakes")
         self._jobs_by_id: dict[str, BenchJob] = {}
-        self._refused: list[JobRecord] = []
+        self._refused_records: list[JobRecord] = []
         self._samples: list[Sample] = []
-        self._events = 0
-        self._in_use_by_key: dict[tuple[str, str], int] = defaultdict(int)
-        self._wakes_by_domain: dict[str, float] = {}
+        self._event_count = 0
+        self._accelerators_in_use_by_key: dict[tuple[str, str], int] = defaultdict(int)
+        self._wake_up_by_domain: dict[str, float] = {}
         self._status_by_domain: dict[str, DomainStatus] = {}
-        self._status_at = -LOAD_INTERVAL_S
-        self._choice = FreeGangChoice()
+        self._statuses_read_at = -STATUS_INTERVAL_S
+        self._domain_choice = FreeGangChoice()
         self._domain_names = sorted({worker.failure_domain for worker in workers})
         self._schedulers_by_domain = {
             name: Scheduler(name, policies()) for name in self._domain_names
@@ -97,49 +126,63 @@
         self._fleet = FakeFleet(
             self._clock,
             workers,
-            self._choose_failing(),
+            self._choose_failing_workers(),
             self._jobs_by_id,
             self._send,
             self._rng,
         )
 
     def run(self, arrivals: Iterator[Arrival], horizon_s: float) -> RunResult:
-        """Run until nothing is left to happen or the limit is reached."""
+        """Run until no event is left, or until the time limit.
+
+        Args:
+            arrivals: Jobs ordered by time.
+            horizon_s: Simulated seconds in which samples are taken; the run
+                stops at the latest ``COMPLETION_LIMIT_S`` after it.
+        """
         self._start_domains()
         self._schedule_faults()
         self._next_arrival(arrivals)
-        self._clock.at(SAMPLE_INTERVAL_S, self._sample, horizon_s)
-        self._clock.run(horizon_s + AFTER_HORIZON_S)
-        return self._result()
+        self._clock.call_at(SAMPLE_INTERVAL_S, self._sample, horizon_s)
+        self._clock.run(horizon_s + COMPLETION_LIMIT_S)
+        return self._build_result()
 
-    def _choose_failing(self) -> frozenset[str]:
+    def _choose_failing_workers(self) -> frozenset[str]:
         failing: set[str] = set()
         for name in self._schedulers_by_domain:
-            ids = [w.worker_id for w in self._workers if w.failure_domain == name]
-            failing.update(sorted(ids)[: self._scenario.failing_workers])
+            worker_ids = [
+                worker.worker_id
+                for worker in self._workers
+                if worker.failure_domain == name
+            ]
+            failing.update(sorted(worker_ids)[: self._scenario.failing_workers])
         return frozenset(failing)
 
     def _start_domains(self) -> None:
         for name in self._schedulers_by_domain:
             self._send(name, messages.ConfigurationChanged(self._configuration))
         for worker in self._workers:
-            self._fleet.claim(worker.worker_id)
+            self._fleet.claim_worker(worker.worker_id)
         for name in self._schedulers_by_domain:
             self._send(name, messages.RecoveryEnded())
 
     def _schedule_faults(self) -> None:
         wave = self._scenario.cancel_wave
         if wave is not None:
-            self._clock.at(wave.at, self._cancel_wave, wave.share)
-        loss = self._scenario.rack_loss
-        if loss is not None:
-            first = min(worker.rack for worker in self._workers)
+            self._clock.call_at(wave.at, self._cancel_open_jobs, wave.share)
+        rack_outage = self._scenario.rack_loss
+        if rack_outage is not None:
+            lost_rack = min(worker.rack for worker in self._workers)
             for worker in self._workers:
-                if worker.rack == first:
-                    self._clock.at(loss.start, self._fleet.lose, worker.worker_id)
-                    self._clock.at(loss.end, self._fleet.claim, worker.worker_id)
-
-    def _cancel_wave(self, share: float) -> None:
+                if worker.rack == lost_rack:
+                    self._clock.call_at(
+                        rack_outage.start, self._fleet.fail_worker, worker.worker_id
+                    )
+                    self._clock.call_at(
+                        rack_outage.end, self._fleet.claim_worker, worker.worker_id
+                    )
+
+    def _cancel_open_jobs(self, share: float) -> None:
         for job in list(self._jobs_by_id.values()):
             if job.state not in FINAL_JOB_STATES and self._rng.random() < share:
                 self._send(job.domain, messages.CancelRequested(job.job_id))
@@ -147,19 +190,19 @@
     def _next_arrival(self, arrivals: Iterator[Arrival]) -> None:
         arrival = next(arrivals, None)
         if arrival is not None:
-            self._clock.at(arrival.at, self._submit, arrival, arrivals)
+            self._clock.call_at(arrival.at, self._submit, arrival, arrivals)
 
     def _submit(self, arrival: Arrival, arrivals: Iterator[Arrival]) -> None:
         self._next_arrival(arrivals)
         spec = arrival.spec
         domain = self._choose_domain(spec)
         job_id = f"{domain}-{spec.idempotency_key}"
-        refusal = self._schedulers_by_domain[domain].admit(spec)
+        admission_error = self._schedulers_by_domain[domain].admit(spec)
         store_down = self._store.is_down()
-        if refusal is not None:
-            self._refuse(arrival, job_id, refusal.code)
+        if admission_error is not None:
+            self._refuse(arrival, job_id, admission_error.code)
         elif store_down and not spec.idempotent:
-            self._refuse(arrival, job_id, "store_unavailable")
+            self._refuse(arrival, job_id, STORE_UNAVAILABLE_CODE)
         else:
             self._accept(BenchJob(arrival, job_id, domain), recorded=not store_down)
 
@@ -167,7 +210,7 @@
         spec = job.arrival.spec
         key = (job.domain, spec.organisation)
         job.guaranteed = self._is_guaranteed(spec, key)
-        self._in_use_by_key[key] += spec.accelerators
+        self._accelerators_in_use_by_key[key] += spec.accelerators
         self._jobs_by_id[job.job_id] = job
         now = self._wall_time()
         self._send(job.domain, messages.JobSubmitted(job.job_id, spec, now, recorded))
@@ -175,31 +218,34 @@
     def _refuse(self, arrival: Arrival, job_id: str, code: str) -> None:
         now = self._clock.now
         state = JobState.NOT_RUN
-        self._refused.append(
+        self._refused_records.append(
             JobRecord(arrival, job_id, state, code, None, now, 0, False, False)
         )
 
     def _choose_domain(self, spec: JobSpec) -> str:
-        """Choose as the router of a random entry node does."""
+        """Choose a domain as the router of a random entry node would."""
         own_domain = self._rng.choice(self._domain_names)
         loads = tuple(
             DomainLoad(name, True, status.largest_gang, status.queued_jobs)
-            for name, status in self._statuses().items()
+            for name, status in self._current_statuses().items()
         )
-        choice = self._choice.choose(spec, own_domain, loads, self._configuration)
-        return choice or own_domain
+        chosen_domain = self._domain_choice.choose(
+            spec, own_domain, loads, self._configuration
+        )
+        return chosen_domain or own_domain
 
-    def _statuses(self) -> dict[str, DomainStatus]:
-        if self._clock.now - self._status_at >= LOAD_INTERVAL_S:
-            self._status_at = self._clock.now
+    def _current_statuses(self) -> dict[str, DomainStatus]:
+        if self._clock.now - self._statuses_read_at >= STATUS_INTERVAL_S:
+            self._statuses_read_at = self._clock.now
             for name, scheduler in self._schedulers_by_domain.items():
                 self._status_by_domain[name] = scheduler.status(self._wall_time())
         return self._status_by_domain
 
     def _is_guaranteed(self, spec: JobSpec, key: tuple[str, str]) -> bool:
-        """Return whether a job fits what its organisation leaves unused.
+        """Return whether a job fits the unused guarantee of its organisation.
 
-        What the hardware cannot hold, as the owner reports it, is left out.
+        Shapes that the scheduler reports as shortages do not count, because
+        the hardware of the domain cannot hold them.
         """
         domain, organisation = key
         shapes = self._configuration.organisations_by_name[organisation].guarantees
@@ -208,44 +254,44 @@
             for cell in self._configuration.cells
             if (cell.failure_domain, cell.organisation) == key
         ]
-        short = sum(
+        unplaceable = sum(
             shapes[shortage.shape_index].accelerators
-            for shortage in self._statuses()[domain].shortages
+            for shortage in self._current_statuses()[domain].shortages
             if shortage.organisation == organisation
         )
-        unused = sum(sizes) - short - self._in_use_by_key[key]
+        unused = sum(sizes) - unplaceable - self._accelerators_in_use_by_key[key]
         return spec.accelerators <= min(max(sizes, default=0), unused)
 
     def _send(self, domain: str, event: messages.Event) -> None:
-        self._events += 1
+        self._event_count += 1
         scheduler = self._schedulers_by_domain[domain]
         for effect in scheduler.handle(event, self._wall_time()):
-            self._carry_out(domain, effect)
+            self._execute_effect(domain, effect)
 
-    def _carry_out(self, domain: str, effect: messages.Effect) -> None:
+    def _execute_effect(self, domain: str, effect: messages.Effect) -> None:
         match effect:
             case messages.RecordStart():
                 self._store.record_start(domain, effect)
             case messages.JobChanged():
-                self._change_job(effect)
+                self._update_job(effect)
             case messages.TargetMissed():
-                self._jobs_by_id[effect.job_id].missed = True
+                self._jobs_by_id[effect.job_id].target_missed = True
             case messages.ScheduleWakeUp():
-                self._wakes_by_domain[domain] = effect.at
-                at = max(effect.at - START_OF_RUN_S, self._clock.now)
-                self._clock.at(at, self._tick, domain, effect.at)
+                self._wake_up_by_domain[domain] = effect.at
+                at = max(effect.at - START_TIME_OF_DAY_S, self._clock.now)
+                self._clock.call_at(at, self._wake_up, domain, effect.at)
             case _:
-                self._fleet.carry_out(domain, effect)
+                self._fleet.execute_command(domain, effect)
 
     def _wall_time(self) -> float:
-        return START_OF_RUN_S + self._clock.now
+        return START_TIME_OF_DAY_S + self._clock.now
 
-    def _tick(self, domain: str, at: float) -> None:
-        if self._wakes_by_domain.get(domain) == at:
-            del self._wakes_by_domain[domain]
+    def _wake_up(self, domain: str, at: float) -> None:
+        if self._wake_up_by_domain.get(domain) == at:
+            del self._wake_up_by_domain[domain]
             self._send(domain, messages.Tick())
 
-    def _change_job(self, effect: messages.JobChanged) -> None:
+    def _update_job(self, effect: messages.JobChanged) -> None:
         job = self._jobs_by_id[effect.job_id]
         job.state = effect.state
         job.reason = effect.reason
@@ -254,7 +300,9 @@
         if effect.state in FINAL_JOB_STATES and job.finished_at is None:
             job.finished_at = self._clock.now
             spec = job.arrival.spec
-            self._in_use_by_key[job.domain, spec.organisation] -= spec.accelerators
+            self._accelerators_in_use_by_key[job.domain, spec.organisation] -= (
+                spec.accelerators
+            )
 
     def _sample(self, horizon_s: float) -> None:
         for scheduler in self._schedulers_by_domain.values():
@@ -268,20 +316,20 @@
                 )
             )
         if self._clock.now + SAMPLE_INTERVAL_S <= horizon_s:
-            self._clock.after(SAMPLE_INTERVAL_S, self._sample, horizon_s)
+            self._clock.call_later(SAMPLE_INTERVAL_S, self._sample, horizon_s)
 
-    def _result(self) -> RunResult:
+    def _build_result(self) -> RunResult:
         jobs = self._jobs_by_id.values()
-        records = tuple(_record(job) for job in jobs)
+        records = tuple(_to_record(job) for job in jobs)
         return RunResult(
-            records + tuple(self._refused),
+            records + tuple(self._refused_records),
             tuple(self._samples),
             self._fleet.work_s,
-            self._events,
+            self._event_count,
         )
 
 
-def _record(job: BenchJob) -> JobRecord:
+def _to_record(job: BenchJob) -> JobRecord:
     return JobRecord(
         job.arrival,
         job.job_id,
@@ -289,7 +337,7 @@
         job.reason,
         job.started_at,
         job.finished_at,
-        len(job.gangs_started),
-        job.missed,
+        len(job.started_gangs),
+        job.target_missed,
         job.guaranteed,
     )
--- a/src/redwingrudder/_measure_counting.py
+++ b/src/redwingrudder/_measure_counting.py
@@ -1,4 +1,4 @@
-"""A reactor that counts the bytes and processor time of one node."""
+"""Twisted reactor wrapper that counts bytes and processor time of one node."""
 
 import time
 from collections import Counter
@@ -9,28 +9,30 @@
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from zope.interface import directlyProvides, providedBy
 
-Classify = Callable[[int], str]
+ConnectionClassifier = Callable[[int], str]
 
 
 class CountingReactor:
-    """Passes everything on to a reactor and counts what goes through.
-
-    ``bytes_by_kind`` holds both directions, with headers of the protocol and
-    without those of TCP and IP. ``processor_s`` is the time within delayed
-    calls and protocol callbacks; the reactor's own loop and its system calls
-    are not in it.
+    """Delegates to a reactor and counts the TCP bytes and the processor time.
 
     Args:
-        reactor: The twisted reactor.
+        reactor: The Twisted reactor.
         classify: Returns the kind of a connection from the server's port.
+
+    Attributes:
+        bytes_by_kind: Bytes of both directions by kind of connection, with
+            the headers of the application protocol, without TCP and IP.
+        processor_s: Processor time within delayed calls and protocol
+            callbacks, in seconds. The reactor's own loop and its system calls
+            do not count.
     """
 
-    def __init__(self, reactor: Any, classify: Classify) -> None:
+    def __init__(self, reactor: Any, classify: ConnectionClassifier) -> None:
         self.bytes_by_kind: Counter[str] = Counter()
         self.processor_s = 0.0
         self._reactor = reactor
         self._classify = classify
-        self._depth = 0
+        self._call_depth = 0
         directlyProvides(self, providedBy(reactor))
 
     def __getattr__(self, name: str) -> Any:
@@ -39,48 +41,53 @@
     def callLater(  # noqa: N802
         self, delay: float, function: Callable, *args: Any, **kwargs: Any
     ) -> Any:
-        """See ``IReactorTime``."""
-        return self._reactor.callLater(delay, self.timed, function, *args, **kwargs)
+        """See ``IReactorTime``; the call's processor time is counted."""
+        return self._reactor.callLater(
+            delay, self.call_timed, function, *args, **kwargs
+        )
 
     def connectTCP(  # noqa: N802
         self, host: str, port: int, factory: Any, *args: Any, **kwargs: Any
     ) -> Any:
-        """See ``IReactorTCP``."""
-        counting = _CountingFactory(factory, self, self._classify(port))
-        return self._reactor.connectTCP(host, port, counting, *args, **kwargs)
+        """See ``IReactorTCP``; the bytes of the connections are counted."""
+        counting_factory = _CountingFactory(factory, self, self._classify(port))
+        return self._reactor.connectTCP(host, port, counting_factory, *args, **kwargs)
 
     def listenTCP(  # noqa: N802
         self, port: int, factory: Any, *args: Any, **kwargs: Any
     ) -> Any:
-        """See ``IReactorTCP``."""
-        counting = _CountingFactory(factory, self, self._classify(port))
-        return self._reactor.listenTCP(port, counting, *args, **kwargs)
+        """See ``IReactorTCP``; the bytes of the connections are counted."""
+        counting_factory = _CountingFactory(factory, self, self._classify(port))
+        return self._reactor.listenTCP(port, counting_factory, *args, **kwargs)
+
+    def call_timed(self, function: Callable, *args: Any, **kwargs: Any) -> Any:
+        """Call a function and add its processor time.
 
-    def timed(self, function: Callable, *args: Any, **kwargs: Any) -> Any:
-        """Call a function and count its processor time once."""
-        if self._depth:
+        A call within another timed call is already part of that one's time.
+        """
+        if self._call_depth:
             return function(*args, **kwargs)
-        self._depth += 1
+        self._call_depth += 1
         started = time.process_time()
         try:
             return function(*args, **kwargs)
         finally:
             self.processor_s += time.process_time() - started
-            self._depth -= 1
+            self._call_depth -= 1
 
 
 class _CountingProtocol(ProtocolWrapper):
-    """Counts the bytes and the time of one connection."""
+    """Counts the bytes and the callbacks' processor time of one connection."""
 
     def makeConnection(self, transport: Any) -> None:  # noqa: N802
-        self.factory.counter.timed(super().makeConnection, transport)
+        self.factory.counter.call_timed(super().makeConnection, transport)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.factory.count(len(data))
-        self.factory.counter.timed(super().dataReceived, data)
+        self.factory.counter.call_timed(super().dataReceived, data)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        self.factory.counter.timed(super().connectionLost, reason)
+        self.factory.counter.call_timed(super().connectionLost, reason)
 
     def write(self, data: bytes) -> None:
         self.factory.count(len(data))
@@ -93,7 +100,7 @@
 
 
 class _CountingFactory(WrappingFactory):
-    """Wraps the protocols of a factory."""
+    """Wraps the protocols of a factory; its connections are of one kind."""
 
     protocol = _CountingProtocol
     noisy = False
@@ -104,10 +111,10 @@
         self._kind = kind
 
     def count(self, size: int) -> None:
-        """Add bytes of either direction."""
+        """Add the size of received or sent data, in bytes."""
         self.counter.bytes_by_kind[self._kind] += size
 
 
-def counting(reactor: IReactorTCP, kind: str) -> CountingReactor:
-    """Return a counting reactor whose connections are all of one kind."""
+def build_counting_reactor(reactor: IReactorTCP, kind: str) -> CountingReactor:
+    """Return a reactor that counts all its connections as one kind."""
     return CountingReactor(reactor, lambda port: kind)
--- a/src/redwingrudder/_measure_decisions.py
+++ b/src/redwingrudder/_measure_decisions.py
@@ -1,4 +1,4 @@
-"""Cost of the pure parts: placement, scheduler state and configuration."""
+"""Cost of placement, scheduler state and configuration changes."""
 
 import random
 import time
@@ -26,17 +26,29 @@
 PLACEMENT_SIZES = (425, 850, 1_700, 3_400)  # workers
 STATE_SIZES = (106, 212, 425, 850)  # workers
 CONFIGURATION_SIZES = (35, 70, 140, 280)  # organisations
-JOBS_ENDED = 40  # jobs that end and are replaced while events are timed
-JOB_TASKS = (1, 4, 16, 32, 64)
-ACCELERATOR_SHARE = 0.1  # of the jobs
-CHANGES = 20
+TIMED_JOB_ENDS = 40  # jobs that end and are replaced while events are timed
+JOB_TASKS = (1, 4, 16, 32, 64)  # tasks of a job, with equal probability
+ACCELERATOR_JOB_SHARE = 0.1  # jobs with one accelerator for each task
+TIMED_CHANGES = 20  # repetitions over which the time to apply is averaged
 ORGANISATIONS = 140
 WORKERS_PER_ORGANISATION = 12
-MILLISECONDS = 1_000.0
+# The share of the slots that is filled before the events are timed.
+FILLED_SHARE = 0.95
+# Filling stops after this many jobs that could not be placed.
+MAX_UNPLACED_JOBS = 10
+EVENT_INTERVAL_S = 0.01  # simulated time between two events
+MS_PER_S = 1_000.0
+BYTES_PER_MB = 1e6
 
 
 class PlacementRow(NamedTuple):
-    """Placement of a gang of 64."""
+    """Time to place a gang of 64 tasks.
+
+    Attributes:
+        workers: Workers of the failure domain.
+        p50_ms: Median in milliseconds.
+        p99_ms: 99th percentile in milliseconds.
+    """
 
     workers: int
     p50_ms: float
@@ -44,7 +56,18 @@
 
 
 class StateRow(NamedTuple):
-    """A scheduler with about 11 tasks a worker."""
+    """Cost of a scheduler whose workers hold about 11 tasks each.
+
+    Attributes:
+        workers: Workers of the failure domain.
+        tasks: Running tasks before the events are timed.
+        jobs: Running jobs before the events are timed.
+        memory_mb: Memory of the whole state, in units of 10**6 bytes.
+        events: Number of timed events.
+        mean_event_ms: Mean processor time of an event, in milliseconds.
+        max_event_ms: Largest processor time of an event, in milliseconds.
+        events_per_job: Events of one job that ends and one that replaces it.
+    """
 
     workers: int
     tasks: int
@@ -57,7 +80,16 @@
 
 
 class ConfigurationRow(NamedTuple):
-    """One change of a document."""
+    """Cost of changing the guarantee of one organisation.
+
+    Attributes:
+        organisations: Organisations of the configuration.
+        document_bytes: Size of the encoded new configuration.
+        change_bytes: Size of the encoded change.
+        plan_ms: Processor time to plan the cells, in milliseconds.
+        apply_ms: Processor time to decode and apply the change, in
+            milliseconds.
+    """
 
     organisations: int
     document_bytes: int
@@ -69,7 +101,7 @@
 def measure_placements(
     seed: int, sizes: tuple[int, ...] = PLACEMENT_SIZES
 ) -> list[PlacementRow]:
-    """Measure placement of gangs of 64 at each number of workers."""
+    """Measure the placement of gangs of 64 tasks at each number of workers."""
     rows = []
     for workers in sizes:
         cost = measure_placement(workers, seed)
@@ -78,25 +110,37 @@
 
 
 def measure_states(
-    seed: int, sizes: tuple[int, ...] = STATE_SIZES, ended: int = JOBS_ENDED
+    seed: int, sizes: tuple[int, ...] = STATE_SIZES, job_ends: int = TIMED_JOB_ENDS
 ) -> list[StateRow]:
-    """Measure memory and processor time of one domain's scheduler."""
-    return [_measure_state(workers, seed, ended) for workers in sizes]
+    """Measure memory and processor time of the scheduler of one domain.
+
+    Args:
+        seed: Seed of the submitted jobs.
+        sizes: Numbers of workers.
+        job_ends: Jobs that end and are replaced while events are timed.
+    """
+    return [_measure_state(workers, seed, job_ends) for workers in sizes]
 
 
 def measure_configurations(
     sizes: tuple[int, ...] = CONFIGURATION_SIZES,
 ) -> list[ConfigurationRow]:
-    """Measure one change at each number of organisations."""
+    """Measure a configuration change at each number of organisations."""
     return [_measure_configuration(count) for count in sizes]
 
 
-class _Driver:
-    """Answers the effects of a scheduler at once and keeps its gangs."""
+class _SchedulerDriver:
+    """Drives a scheduler by answering each of its effects immediately.
+
+    Attributes:
+        event_times_ms: Processor time of each event, in milliseconds.
+        running_tasks: Number of tasks that run.
+        tasks_by_gang: Worker and index of each task, by gang.
+    """
 
     def __init__(self, workers: int, seed: int) -> None:
-        self.times_ms: list[float] = []
-        self.tasks = 0
+        self.event_times_ms: list[float] = []
+        self.running_tasks = 0
         self.tasks_by_gang: dict[str, list[tuple[str, int]]] = {}
         self._rng = random.Random(seed)
         self._scheduler = Scheduler("measured", slack_policies())
@@ -107,33 +151,36 @@
         self._start(workers)
 
     @property
-    def jobs(self) -> int:
-        """Jobs that run."""
+    def running_jobs(self) -> int:
+        """Number of jobs that run."""
         return len(self._started)
 
     def fill(self, tasks: int) -> None:
-        """Submit jobs until this many tasks run or no more fit."""
-        refused = 0
-        while self.tasks < tasks and refused < 10:
-            before = self.tasks
+        """Submit jobs until this many tasks run.
+
+        Stops early when ``MAX_UNPLACED_JOBS`` jobs could not be placed.
+        """
+        unplaced_jobs = 0
+        while self.running_tasks < tasks and unplaced_jobs < MAX_UNPLACED_JOBS:
+            tasks_before = self.running_tasks
             self.submit()
-            refused += self.tasks == before
+            unplaced_jobs += self.running_tasks == tasks_before
 
     def submit(self) -> None:
-        """Submit one job and handle all that follows."""
+        """Submit one job and handle all events that follow from it."""
         tasks = self._rng.choice(JOB_TASKS)
-        per_task = int(self._rng.random() < ACCELERATOR_SHARE)
-        spec = _job_spec(self._serial, tasks, per_task)
+        accelerators_per_task = int(self._rng.random() < ACCELERATOR_JOB_SHARE)
+        spec = _job_spec(self._serial, tasks, accelerators_per_task)
         self._serial += 1
         job_id = f"measured-{self._serial}"
         self._send(messages.JobSubmitted(job_id, spec, self._now, recorded=True))
 
-    def end_one(self) -> None:
-        """End a random running job."""
+    def end_random_job(self) -> None:
+        """End a random running job; all its tasks succeed."""
         index = self._rng.randrange(len(self._started))
         gang_id = self._started.pop(index)
         for worker_id, task in self.tasks_by_gang.pop(gang_id):
-            self.tasks -= 1
+            self.running_tasks -= 1
             result = TaskResult(task, TaskOutcome.SUCCEEDED, "")
             self._send(messages.TaskEnded(gang_id, worker_id, result))
 
@@ -148,60 +195,60 @@
     def _send(self, event: messages.Event) -> None:
         self._events.append(event)
         while self._events:
-            self._now += 0.01
+            self._now += EVENT_INTERVAL_S
             started = time.process_time()
             effects = self._scheduler.handle(self._events.popleft(), self._now)
-            spent_ms = (time.process_time() - started) * MILLISECONDS
-            self.times_ms.append(spent_ms)
+            elapsed_ms = (time.process_time() - started) * MS_PER_S
+            self.event_times_ms.append(elapsed_ms)
             for effect in effects:
                 self._answer(effect)
 
     def _answer(self, effect: messages.Effect) -> None:
-        add = self._events.append
+        add_event = self._events.append
         match effect:
             case messages.ReserveMember(gang_id=gang_id, member=member):
-                held = self.tasks_by_gang.setdefault(gang_id, [])
-                held += [(member.worker_id, task) for task in member.tasks]
-                add(messages.ReserveAnswered(gang_id, member.worker_id, True))
+                gang_tasks = self.tasks_by_gang.setdefault(gang_id, [])
+                gang_tasks += [(member.worker_id, task) for task in member.tasks]
+                add_event(messages.ReserveAnswered(gang_id, member.worker_id, True))
             case messages.RecordStart(gang_id=gang_id):
-                add(messages.StartRecordAnswered(gang_id, True))
+                add_event(messages.StartRecordAnswered(gang_id, True))
             case messages.StartMember(gang_id=gang_id, worker_id=worker_id):
-                self._note_started(gang_id)
-                add(messages.StartAnswered(gang_id, worker_id, True))
+                self._record_started(gang_id)
+                add_event(messages.StartAnswered(gang_id, worker_id, True))
             case messages.ReleaseMember(gang_id=gang_id, worker_id=worker_id):
-                add(messages.ReleaseAnswered(gang_id, worker_id))
+                add_event(messages.ReleaseAnswered(gang_id, worker_id))
 
-    def _note_started(self, gang_id: str) -> None:
+    def _record_started(self, gang_id: str) -> None:
         if gang_id not in self._started:
             self._started.append(gang_id)
-            self.tasks += len(self.tasks_by_gang[gang_id])
+            self.running_tasks += len(self.tasks_by_gang[gang_id])
 
 
-def _measure_state(workers: int, seed: int, ended: int) -> StateRow:
-    tasks = round(workers * TASKS_PER_WORKER * 0.95)
+def _measure_state(workers: int, seed: int, job_ends: int) -> StateRow:
+    tasks = round(workers * TASKS_PER_WORKER * FILLED_SHARE)
     tracemalloc.start()
-    measured = _Driver(workers, seed)
-    measured.fill(tasks)
-    measured.times_ms = []
-    memory_mb = tracemalloc.get_traced_memory()[0] / 1e6
+    traced_driver = _SchedulerDriver(workers, seed)
+    traced_driver.fill(tasks)
+    traced_driver.event_times_ms = []
+    memory_mb = tracemalloc.get_traced_memory()[0] / BYTES_PER_MB
     tracemalloc.stop()
-    driver = _Driver(workers, seed)
+    driver = _SchedulerDriver(workers, seed)
     driver.fill(tasks)
-    running, tasks = driver.jobs, driver.tasks
-    driver.times_ms = []
-    for _ in range(min(ended, running)):
-        driver.end_one()
+    running_jobs, tasks = driver.running_jobs, driver.running_tasks
+    driver.event_times_ms = []
+    for _ in range(min(job_ends, running_jobs)):
+        driver.end_random_job()
         driver.submit()
-    times_ms = driver.times_ms
+    event_times_ms = driver.event_times_ms
     return StateRow(
         workers,
         tasks,
-        running,
+        running_jobs,
         memory_mb,
-        len(times_ms),
-        sum(times_ms) / len(times_ms),
-        max(times_ms),
-        len(times_ms) / min(ended, running),
+        len(event_times_ms),
+        sum(event_times_ms) / len(event_times_ms),
+        max(event_times_ms),
+        len(event_times_ms) / min(job_ends, running_jobs),
     )
 
 
@@ -215,14 +262,16 @@
     new = old._replace(version=2, organisations_by_name=organisations)
     started = time.process_time()
     new = new._replace(cells=plan_cells(new, infos))
-    plan_ms = (time.process_time() - started) * MILLISECONDS
-    text = codec.encode_change(codec.compare(old, new, "0" * 32))
+    plan_ms = (time.process_time() - started) * MS_PER_S
+    change_text = codec.encode_change(codec.compare(old, new, "0" * 32))
     started = time.process_time()
-    for _ in range(CHANGES):
-        codec.apply(old, codec.decode_change(text))
-    apply_ms = (time.process_time() - started) * MILLISECONDS / CHANGES
-    size = len(codec.encode_configuration(new).encode())
-    return ConfigurationRow(count, size, len(text.encode()), plan_ms, apply_ms)
+    for _ in range(TIMED_CHANGES):
+        codec.apply(old, codec.decode_change(change_text))
+    apply_ms = (time.process_time() - started) * MS_PER_S / TIMED_CHANGES
+    document_bytes = len(codec.encode_configuration(new).encode())
+    return ConfigurationRow(
+        count, document_bytes, len(change_text.encode()), plan_ms, apply_ms
+    )
 
 
 def _configuration(organisations: int, version: int) -> Configuration:
@@ -235,14 +284,14 @@
     )
 
 
-def _job_spec(serial: int, tasks: int, per_task: int) -> JobSpec:
+def _job_spec(serial: int, tasks: int, accelerators_per_task: int) -> JobSpec:
     return JobSpec(
         organisation=f"org{serial % ORGANISATIONS:03}",
         job_class="measured",
         caller="measured",
         idempotency_key=str(serial),
         tasks=tasks,
-        accelerators_per_task=per_task,
+        accelerators_per_task=accelerators_per_task,
         cores_per_task=1,
         memory_mb_per_task=1_024,
         idempotent=True,
--- a/src/redwingrudder/_measure_links.py
+++ b/src/redwingrudder/_measure_links.py
@@ -1,4 +1,4 @@
-"""Cost of an owner's idle worker links and of the exchange between nodes."""
+"""Cost of an owner's idle worker links and of reports between nodes."""
 
 import time
 from typing import Any, NamedTuple
@@ -6,7 +6,7 @@
 from twisted.internet.task import deferLater
 
 from . import requests
-from ._measure_counting import CountingReactor, counting
+from ._measure_counting import CountingReactor, build_counting_reactor
 from ._placement_cost import _worker_infos
 from ._worker_link import WorkerLink
 from ._worker_messages import ClaimSeen, LinkEvent, LinkSettings, link_name
@@ -20,22 +20,33 @@
 
 LINK_SIZES = (50, 100, 200)  # workers
 EXCHANGE_SIZES = (5, 10, 20)  # nodes of one failure domain
-TARGET_LINKS = 425
-TARGET_POLL_S = 30.0
-LEASE_S = 6.0  # short, so that a run of seconds sees several polls
-WINDOW_S = 9.0
-SETTLE_S = 2.0
+TARGET_LINKS = 425  # workers of one owner at the target size
+TARGET_POLL_INTERVAL_S = 30.0
+# The poll interval follows from the lease; it is short, so that a window of
+# seconds contains several polls.
+LEASE_S = 6.0
+WINDOW_S = 9.0  # time in which polls and exchanges are counted
+SETTLE_S = 2.0  # time before the window in which connections are set up
 EPOCH = Epoch(1, 0, 1)
 HOST = "127.0.0.1"
-MILLISECONDS = 1_000.0
+POLL_PATH = "/v1/poll"
+MS_PER_S = 1_000.0
 
 
 class LinkRow(NamedTuple):
-    """Idle links of one owner; the last two are scaled by the poll rate.
-
-    ``process_ms_per_poll`` also has the loop of the reactor and the stand-ins,
-    ``ms_per_poll`` only the callbacks of the owner. The target's share of a
-    core is worked out from the larger one.
+    """Cost of the idle links of one owner.
+
+    Attributes:
+        workers: Workers with a link.
+        polls: Answered polls within the window.
+        bytes_per_poll: Bytes of both directions.
+        ms_per_poll: Processor time of the owner's callbacks, in milliseconds.
+        process_ms_per_poll: Processor time of the whole process, with the
+            reactor's loop and the stand-ins, in milliseconds.
+        target_bytes_per_s: Bytes per second at ``TARGET_LINKS`` links and one
+            poll every ``TARGET_POLL_INTERVAL_S``.
+        target_core_percent: Share of a core at the same poll rate, computed
+            from ``process_ms_per_poll``.
     """
 
     workers: int
@@ -48,9 +59,16 @@
 
 
 class ExchangeRow(NamedTuple):
-    """Exchange of reports in one domain with an owner.
-
-    ``ms_per_end`` is the processor time at one of the two nodes.
+    """Cost of exchanging reports within a failure domain that has an owner.
+
+    Attributes:
+        nodes: Nodes of the failure domain.
+        exchanges: Exchanges between two nodes within the window.
+        bytes_per_exchange: Bytes of both directions.
+        ms_per_end: Processor time at one of the two nodes, in milliseconds.
+        owner_bytes_per_s: Bytes per second of the owner.
+        other_bytes_per_s: Mean bytes per second of the other nodes.
+        owner_core_percent: Share of a core that the owner uses.
     """
 
     nodes: int
@@ -62,8 +80,8 @@
     owner_core_percent: float
 
 
-class _Sink(Actor):
-    """Takes messages of any number of types and counts them."""
+class _MessageCounter(Actor):
+    """Accepts messages of the given types and counts them."""
 
     def __init__(self, system: ActorSystem, name: str, types: tuple[type, ...]) -> None:
         self.count = 0
@@ -71,26 +89,26 @@
         super().__init__(system, name)
 
     def handlers(self) -> dict[type, Handler]:
-        return dict.fromkeys(self._types, self._take)
+        return dict.fromkeys(self._types, self._count_message)
 
-    def _take(self, message: Any) -> None:
+    def _count_message(self, message: Any) -> None:
         self.count += 1
 
 
-class _ClaimTaker(Actor):
-    """Answers a link's claim as the dispatcher does."""
+class _ClaimConfirmer(Actor):
+    """Confirms the claims of worker links, as the dispatcher does."""
 
     def handlers(self) -> dict[type, Handler]:
-        return {LinkEvent: self._take}
+        return {LinkEvent: self._handle_link_event}
 
-    def _take(self, message: LinkEvent) -> None:
+    def _handle_link_event(self, message: LinkEvent) -> None:
         if isinstance(message.event, WorkerClaimed):
             worker_id = message.event.report.worker.worker_id
             self.tell(link_name(worker_id), ClaimSeen())
 
 
 class _CountingTransport(HttpTransport):
-    """Counts the answered polls."""
+    """HTTP transport that counts the answered polls."""
 
     def __init__(self, reactor: Any) -> None:
         super().__init__(reactor)
@@ -98,33 +116,45 @@
 
     async def post(self, address: str, path: str, body: Any, timeout_s: float) -> Any:
         answer = await super().post(address, path, body, timeout_s)
-        self.polls += path == "/v1/poll"
+        self.polls += path == POLL_PATH
         return answer
 
 
 async def measure_links(
     reactor: Any, sizes: tuple[int, ...] = LINK_SIZES, window_s: float = WINDOW_S
 ) -> list[LinkRow]:
-    """Measure idle links to workers in this process over loopback TCP."""
+    """Measure idle links to stand-in workers over loopback TCP.
+
+    Args:
+        reactor: The running Twisted reactor.
+        sizes: Numbers of workers.
+        window_s: Seconds in which polls are counted.
+    """
     return [await _measure_links(reactor, size, window_s) for size in sizes]
 
 
 async def measure_exchanges(
     reactor: Any, sizes: tuple[int, ...] = EXCHANGE_SIZES, window_s: float = WINDOW_S
 ) -> list[ExchangeRow]:
-    """Measure the exchange between nodes over loopback TCP."""
+    """Measure the exchange of reports between nodes over loopback TCP.
+
+    Args:
+        reactor: The running Twisted reactor.
+        sizes: Numbers of nodes of one failure domain.
+        window_s: Seconds in which exchanges are counted.
+    """
     return [await _measure_exchanges(reactor, size, window_s) for size in sizes]
 
 
 async def _measure_links(reactor: Any, size: int, window_s: float) -> LinkRow:
     workers = ActorSystem(reactor)
     TimerService(workers)
-    stand_ins = [WorkerStandIn(workers, i, reactor) for i in _worker_infos(size)]
+    stand_ins = [WorkerStandIn(workers, info, reactor) for info in _worker_infos(size)]
     workers.start()
-    counter = counting(reactor, "worker")
+    counter = build_counting_reactor(reactor, "worker")
     owner = ActorSystem(counter)
     TimerService(owner)
-    _ClaimTaker(owner, requests.DISPATCHER)
+    _ClaimConfirmer(owner, requests.DISPATCHER)
     transport = _CountingTransport(counter)
     for number, stand_in in enumerate(stand_ins):
         info = stand_in.core.info
@@ -139,37 +169,37 @@
     await deferLater(reactor, window_s)
     process_s = time.process_time() - process_s
     polls = max(1, transport.polls - before[0])
-    size_per_poll = (counter.bytes_by_kind["worker"] - before[1]) / polls
-    ms_per_poll = (counter.processor_s - before[2]) / polls * MILLISECONDS
-    process_ms = process_s / polls * MILLISECONDS
+    bytes_per_poll = (counter.bytes_by_kind["worker"] - before[1]) / polls
+    ms_per_poll = (counter.processor_s - before[2]) / polls * MS_PER_S
+    process_ms_per_poll = process_s / polls * MS_PER_S
     await owner.stop()
     await transport.close()
     await workers.stop()
-    rate = TARGET_LINKS / TARGET_POLL_S
+    target_polls_per_s = TARGET_LINKS / TARGET_POLL_INTERVAL_S
     return LinkRow(
         size,
         polls,
-        size_per_poll,
+        bytes_per_poll,
         ms_per_poll,
-        process_ms,
-        size_per_poll * rate,
-        process_ms * rate / MILLISECONDS * 100,
+        process_ms_per_poll,
+        bytes_per_poll * target_polls_per_s,
+        process_ms_per_poll * target_polls_per_s / MS_PER_S * 100,
     )
 
 
 class _ExchangeNode:
-    """The exchange of one node, with its counter."""
+    """The actor that exchanges reports for one node, with its counters."""
 
     def __init__(self, reactor: Any, rank: int) -> None:
-        self.counter: CountingReactor = counting(reactor, "peer")
+        self.counter: CountingReactor = build_counting_reactor(reactor, "peer")
         self.system = ActorSystem(self.counter)
         TimerService(self.system)
-        self.reports = _Sink(
+        self.reports = _MessageCounter(
             self.system,
             requests.ROUTER,
             (requests.PeerReport, requests.PeerSilent),
         )
-        _Sink(
+        _MessageCounter(
             self.system,
             requests.OWNERSHIP,
             (requests.PeerReport, requests.PeerSilent),
@@ -204,28 +234,31 @@
             node.system.tell(requests.PEERS, owner)
     nodes[0].system.tell(requests.PEERS, requests.OwnershipGained(EPOCH))
     await deferLater(reactor, SETTLE_S)
-    before = [_counts(node) for node in nodes]
+    before = [_read_counts(node) for node in nodes]
     await deferLater(reactor, window_s)
-    spent = [
-        tuple(now - then for now, then in zip(_counts(node), old, strict=True))
+    deltas = [
+        tuple(
+            new_value - old_value
+            for new_value, old_value in zip(_read_counts(node), old, strict=True)
+        )
         for node, old in zip(nodes, before, strict=True)
     ]
     for node in nodes:
         await node.system.stop()
     # Each exchange is reported, counted and timed at both of its ends.
-    exchanges = max(1, sum(row[0] for row in spent) // 2)
-    others = spent[1:]
+    exchanges = max(1, sum(counts[0] for counts in deltas) // 2)
+    other_nodes = deltas[1:]
     return ExchangeRow(
         size,
         exchanges,
-        sum(row[1] for row in spent) / 2 / exchanges,
-        sum(row[2] for row in spent) / 2 / exchanges * MILLISECONDS,
-        spent[0][1] / window_s,
-        sum(row[1] for row in others) / len(others) / window_s,
-        spent[0][2] / window_s * 100,
+        sum(counts[1] for counts in deltas) / 2 / exchanges,
+        sum(counts[2] for counts in deltas) / 2 / exchanges * MS_PER_S,
+        deltas[0][1] / window_s,
+        sum(counts[1] for counts in other_nodes) / len(other_nodes) / window_s,
+        deltas[0][2] / window_s * 100,
     )
 
 
-def _counts(node: _ExchangeNode) -> tuple[int, int, float]:
+def _read_counts(node: _ExchangeNode) -> tuple[int, int, float]:
     counter = node.counter
     return node.reports.count, counter.bytes_by_kind["peer"], counter.processor_s
--- a/src/redwingrudder/_measure_members.py
+++ b/src/redwingrudder/_measure_members.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import deferLater
 
 from . import requests
-from ._measure_counting import counting
+from ._measure_counting import build_counting_reactor
 from ._placement_cost import _worker_infos
 from ._store_transport import HttpTransport
 from .actors import ActorSystem
@@ -17,18 +17,26 @@
 from .timers import TimerService
 
 LIST_SIZES = (425, 850, 1_700, 3_400)  # workers in the list
-READS = 5
-CONNECT_RETRY_S = 0.1
-CONNECT_LIMIT_S = 10.0
-WRITES_PER_S = 200.0
+READS = 5  # reads of each kind, of which the mean is taken
+CONNECT_RETRY_INTERVAL_S = 0.1
+CONNECT_TIMEOUT_S = 10.0
+MAX_WRITES_PER_S = 200.0
 HOST = "127.0.0.1"
-MILLISECONDS = 1_000.0
+MS_PER_S = 1_000.0
 
 
 class MembersRow(NamedTuple):
-    """One read of a list: after a change, and unchanged by its ETag.
+    """Mean cost of one read of the VM list.
 
-    The stand-in compresses a changed list when the client accepts that.
+    A changed list is sent in full, compressed if the client accepts that; for
+    an unchanged list the client's ETag matches.
+
+    Attributes:
+        workers: Workers in the list.
+        changed_bytes: Bytes of both directions after a change.
+        changed_ms: Processor time after a change, in milliseconds.
+        unchanged_bytes: Bytes of both directions without a change.
+        unchanged_ms: Processor time without a change, in milliseconds.
     """
 
     workers: int
@@ -54,11 +62,11 @@
     ]
     vms = [worker_vm(info) for info in infos]
     platform.service.change_vms(json.dumps({"register": vms}).encode())
-    counter = counting(reactor, "store")
+    counter = build_counting_reactor(reactor, "store")
     system = ActorSystem(counter)
     TimerService(system)
     transport = HttpTransport(counter, f"http://{HOST}:{port}", "measured")
-    StoreClient(system, transport, 1, WRITES_PER_S)
+    StoreClient(system, transport, 1, MAX_WRITES_PER_S)
     system.start()
     await _connect(system, reactor)
     changed, unchanged = [], []
@@ -69,30 +77,42 @@
         unchanged.append(await _read(system, counter, reactor))
     await system.stop()
     await platform.stop()
-    return MembersRow(size, *_means(changed), *_means(unchanged))
+    return MembersRow(
+        size, *_mean_sizes_and_times(changed), *_mean_sizes_and_times(unchanged)
+    )
 
 
 async def _connect(system: ActorSystem, reactor: Any) -> None:
-    """Wait until the client has found the store."""
-    deadline = reactor.seconds() + CONNECT_LIMIT_S
+    """Repeat a read until the store client reaches the stand-in.
+
+    Raises:
+        UnavailableError: There was no answer within ``CONNECT_TIMEOUT_S``.
+    """
+    deadline = reactor.seconds() + CONNECT_TIMEOUT_S
     while reactor.seconds() < deadline:
         try:
             await system.ask(requests.STORE, requests.ListVms(""))
             return
         except UnavailableError:
-            await deferLater(reactor, CONNECT_RETRY_S)
-    raise UnavailableError("the platform's stand-in gives no answer")
+            await deferLater(reactor, CONNECT_RETRY_INTERVAL_S)
+    raise UnavailableError(
+        f"no answer from the platform stand-in within {CONNECT_TIMEOUT_S:g} s"
+    )
 
 
 async def _read(system: ActorSystem, counter: Any, reactor: Any) -> tuple[float, float]:
-    size, spent_s = counter.bytes_by_kind["store"], counter.processor_s
+    bytes_before, processor_before_s = (
+        counter.bytes_by_kind["store"],
+        counter.processor_s,
+    )
     await system.ask(requests.STORE, requests.ListVms(""))
-    # The callback that brought the reply is counted when it has ended.
+    # The time of the callback that delivered the reply is added when the
+    # callback returns, which is after this coroutine resumes.
     await deferLater(reactor, 0)
-    spent_ms = (counter.processor_s - spent_s) * MILLISECONDS
-    return counter.bytes_by_kind["store"] - size, spent_ms
+    processor_ms = (counter.processor_s - processor_before_s) * MS_PER_S
+    return counter.bytes_by_kind["store"] - bytes_before, processor_ms
 
 
-def _means(pairs: list[tuple[float, float]]) -> tuple[float, float]:
-    sizes, times_ms = zip(*pairs, strict=True)
-    return sum(sizes) / len(pairs), sum(times_ms) / len(pairs)
+def _mean_sizes_and_times(reads: list[tuple[float, float]]) -> tuple[float, float]:
+    byte_counts, times_ms = zip(*reads, strict=True)
+    return sum(byte_counts) / len(reads), sum(times_ms) / len(reads)
--- a/src/redwingrudder/bench.py
+++ b/src/redwingrudder/bench.py
@@ -1,6 +1,7 @@
-"""Measures policies on the real decision code, from the same arrivals.
+"""Benchmark of scheduling policies in a simulation.
 
-The clock is virtual: the same seed gives the same figures on any machine.
+Every policy runs the production ``Scheduler`` on the same generated arrivals.
+Time is simulated, so that the same seed gives the same figures on any machine.
 """
 
 import pathlib
@@ -15,9 +16,9 @@
     Arrival,
     Scenario,
     Workload,
-    arrivals,
+    generate_arrivals,
 )
-from ._bench_report import Figures, completion_p95_s, figures, met_share
+from ._bench_report import Figures, completion_p95_s, compute_figures, target_met_share
 from ._bench_runner import BenchRun, JobRecord, RunResult
 from .configuration import parse_document, to_configuration
 from .exceptions import NotFoundError
@@ -31,13 +32,18 @@
     "fcfs": fcfs_policies,
 }
 
-KEPT_SHARE_TARGET = 0.95  # of the target-met share without the flood
-SMALL_CALLER_TARGET = 1.5  # times its 95th percentile alone
-WORK_FACTOR_TARGET = 1.2  # all work over the work of first attempts
+# Lower bound of ``Comparison.kept_share``.
+KEPT_SHARE_TARGET = 0.95
+# Upper bound of ``Comparison.small_caller_ratio``.
+SMALL_CALLER_RATIO_TARGET = 1.5
+# Upper bound of the work done over the work that the succeeded jobs needed.
+WORK_FACTOR_TARGET = 1.2
+HONOURED_TARGET_PERCENT = 100.0
+DEFAULT_WORKLOAD = "huon"
 
 
 class Fleet(NamedTuple):
-    """What a scenario runs on."""
+    """Simulated workers, configuration and load of one deployment."""
 
     name: str
     workers: tuple[WorkerInfo, ...]
@@ -46,11 +52,15 @@
 
 
 class Comparison(NamedTuple):
-    """Figures that need a second run; None where they do not apply.
-
-    ``kept_share`` is the target-met share of the work that does not flood
-    over the same share without the flood. ``small_caller_ratio`` is the
-    small caller's 95th percentile of completion over its value alone.
+    """Figures relative to a second run without the disturbance.
+
+    Attributes:
+        kept_share: Share of the jobs outside the flooded class that met their
+            target, over the same share in the "steady" scenario. None in
+            scenarios without a flood.
+        small_caller_ratio: 95th percentile of the completion time of the small
+            callers' jobs, over the same percentile in a run with only these
+            jobs. None in scenarios without a large caller.
     """
 
     kept_share: float | None
@@ -58,7 +68,16 @@
 
 
 class BenchReport(NamedTuple):
-    """The figures of one scenario under one policy, and its shortfalls."""
+    """Result of one scenario under one policy.
+
+    Attributes:
+        scenario: Name of the scenario.
+        policy: Name of the policy set.
+        seed: Seed of the arrivals and of the simulated workers.
+        figures: Figures of the run itself.
+        comparison: Figures relative to a second run.
+        shortfalls: One sentence for each target that was missed.
+    """
 
     scenario: str
     policy: str
@@ -72,24 +91,29 @@
     """Return a scenario by its name.
 
     Raises:
-        NotFoundError: With the names that exist.
+        NotFoundError: The scenario does not exist; all names are listed.
     """
     if name not in SCENARIOS_BY_NAME:
-        known = ", ".join(SCENARIOS_BY_NAME)
-        raise NotFoundError(f"no scenario {name!r}; there are: {known}")
+        available = ", ".join(SCENARIOS_BY_NAME)
+        raise NotFoundError(f"unknown scenario {name!r}; available: {available}")
     return SCENARIOS_BY_NAME[name]
 
 
 def find_workload(name: str) -> Workload:
-    """Return the workload of a deployment; other names use Huon's."""
-    return WORKLOADS_BY_DEPLOYMENT.get(name, WORKLOADS_BY_DEPLOYMENT["huon"])
+    """Return the workload of a deployment, or that of ``DEFAULT_WORKLOAD``."""
+    return WORKLOADS_BY_DEPLOYMENT.get(name, WORKLOADS_BY_DEPLOYMENT[DEFAULT_WORKLOAD])
 
 
 def load_fleet(folder: str) -> Fleet:
-    """Load an example folder with a deployment and its configuration.
+    """Load the deployment and the configuration of an example folder.
+
+    The cells of the configuration are planned on the deployment's workers.
+
+    Args:
+        folder: Folder with deployment.jsonc and configuration.jsonc.
 
     Raises:
-        SettingsError: A file has problems.
+        SettingsError: A file is missing or invalid.
     """
     path = pathlib.Path(folder)
     deployment = load_deployment(str(path / "deployment.jsonc"))
@@ -105,8 +129,11 @@
     )
 
 
-class _Plan(NamedTuple):
-    """What a run is made from; runs that are compared differ in one field."""
+class _RunParameters(NamedTuple):
+    """Input of a run.
+
+    A run for comparison replaces the scenario or leaves out some arrivals.
+    """
 
     fleet: Fleet
     scenario: Scenario
@@ -122,98 +149,146 @@
     seed: int,
     horizon_s: float = HORIZON_S,
 ) -> BenchReport:
-    """Run one scenario under one policy.
+    """Run one scenario under one policy, and the runs to compare it with.
+
+    Args:
+        fleet: Workers, configuration and workload.
+        scenario: Load and faults of the run.
+        policy: Key of ``POLICIES_BY_NAME``.
+        seed: The same seed gives the same figures.
+        horizon_s: Simulated seconds in which jobs arrive.
 
     Raises:
-        NotFoundError: The policy does not exist.
+        NotFoundError: The policy does not exist; all names are listed.
     """
     if policy not in POLICIES_BY_NAME:
-        known = ", ".join(POLICIES_BY_NAME)
-        raise NotFoundError(f"no policy {policy!r}; there are: {known}")
-    plan = _Plan(fleet, scenario, policy, seed, horizon_s)
-    result = _run(plan)
+        available = ", ".join(POLICIES_BY_NAME)
+        raise NotFoundError(f"unknown policy {policy!r}; available: {available}")
+    parameters = _RunParameters(fleet, scenario, policy, seed, horizon_s)
+    result = _run(parameters)
     comparison = Comparison(
-        _kept_share(plan, result), _small_caller_ratio(plan, result)
+        _kept_share(parameters, result), _small_caller_ratio(parameters, result)
     )
-    found = figures(result, fleet.configuration)
+    figures = compute_figures(result, fleet.configuration)
     return BenchReport(
-        scenario.name, policy, seed, found, comparison, _shortfalls(found, comparison)
+        scenario.name,
+        policy,
+        seed,
+        figures,
+        comparison,
+        _shortfalls(figures, comparison),
     )
 
 
 def _run(
-    plan: _Plan, keep: Callable[[Arrival], bool] = lambda arrival: True
+    parameters: _RunParameters,
+    is_included: Callable[[Arrival], bool] = lambda arrival: True,
 ) -> RunResult:
     run = BenchRun(
-        plan.fleet.workers,
-        plan.fleet.configuration,
-        plan.scenario,
-        POLICIES_BY_NAME[plan.policy],
-        plan.seed,
+        parameters.fleet.workers,
+        parameters.fleet.configuration,
+        parameters.scenario,
+        POLICIES_BY_NAME[parameters.policy],
+        parameters.seed,
+    )
+    return run.run(
+        filter(is_included, _arrivals_before_horizon(parameters)), parameters.horizon_s
     )
-    return run.run(filter(keep, _arrivals(plan)), plan.horizon_s)
 
 
-def _arrivals(plan: _Plan) -> Iterator[Arrival]:
-    by_domain: dict[str, int] = {}
-    for worker in plan.fleet.workers:
+def _arrivals_before_horizon(parameters: _RunParameters) -> Iterator[Arrival]:
+    accelerators_by_domain: dict[str, int] = {}
+    for worker in parameters.fleet.workers:
         name = worker.failure_domain
-        by_domain[name] = by_domain.get(name, 0) + worker.accelerators
-    total, smallest = sum(by_domain.values()), min(by_domain.values())
-    jobs = arrivals(plan.fleet.workload, plan.scenario, total, smallest, plan.seed)
-    return (job for job in jobs if job.at < plan.horizon_s)
+        accelerators_by_domain[name] = (
+            accelerators_by_domain.get(name, 0) + worker.accelerators
+        )
+    total_accelerators, smallest_domain_accelerators = (
+        sum(accelerators_by_domain.values()),
+        min(accelerators_by_domain.values()),
+    )
+    generated = generate_arrivals(
+        parameters.fleet.workload,
+        parameters.scenario,
+        total_accelerators,
+        smallest_domain_accelerators,
+        parameters.seed,
+    )
+    return (arrival for arrival in generated if arrival.at < parameters.horizon_s)
 
 
-def _kept_share(plan: _Plan, result: RunResult) -> float | None:
-    fleet = plan.fleet
-    if not plan.scenario.flood_role:
+def _kept_share(parameters: _RunParameters, result: RunResult) -> float | None:
+    fleet = parameters.fleet
+    if not parameters.scenario.flood_role:
         return None
-    flooded = fleet.workload.kinds_by_role[plan.scenario.flood_role].job_class
+    flood_class = fleet.workload.kinds_by_role[parameters.scenario.flood_role].job_class
 
-    def others(records: tuple[JobRecord, ...]) -> list[JobRecord]:
-        return [r for r in records if r.arrival.spec.job_class != flooded]
+    def select_other_classes(records: tuple[JobRecord, ...]) -> list[JobRecord]:
+        return [
+            record for record in records if record.arrival.spec.job_class != flood_class
+        ]
 
-    calm = _run(plan._replace(scenario=find_scenario("steady")))
-    without = met_share(others(calm.records), fleet.configuration)
-    with_flood = met_share(others(result.records), fleet.configuration)
-    return with_flood / without if without else None
+    steady_result = _run(parameters._replace(scenario=find_scenario("steady")))
+    share_without_flood = target_met_share(
+        select_other_classes(steady_result.records), fleet.configuration
+    )
+    share_with_flood = target_met_share(
+        select_other_classes(result.records), fleet.configuration
+    )
+    return share_with_flood / share_without_flood if share_without_flood else None
 
 
-def _small_caller_ratio(plan: _Plan, result: RunResult) -> float | None:
-    scenario = plan.scenario
+def _small_caller_ratio(parameters: _RunParameters, result: RunResult) -> float | None:
+    scenario = parameters.scenario
     if not scenario.large_caller:
         return None
-    flooded = plan.fleet.workload.kinds_by_role[scenario.flood_role].job_class
+    flood_class = parameters.fleet.workload.kinds_by_role[scenario.flood_role].job_class
 
-    def small(arrival: Arrival) -> bool:
+    def is_small_caller_job(arrival: Arrival) -> bool:
         spec = arrival.spec
-        return spec.job_class == flooded and spec.caller != LARGE_CALLER
+        return spec.job_class == flood_class and spec.caller != LARGE_CALLER
 
-    alone = _run(plan, keep=small)
-    beside = [record for record in result.records if small(record.arrival)]
-    return completion_p95_s(beside) / completion_p95_s(alone.records)
+    alone_result = _run(parameters, is_included=is_small_caller_job)
+    records_beside_flood = [
+        record for record in result.records if is_small_caller_job(record.arrival)
+    ]
+    return completion_p95_s(records_beside_flood) / completion_p95_s(
+        alone_result.records
+    )
 
 
-def _shortfalls(found: Figures, comparison: Comparison) -> tuple[str, ...]:
-    """Name every target of the design that the run did not reach."""
+def _shortfalls(figures: Figures, comparison: Comparison) -> tuple[str, ...]:
+    """Return a sentence for every target that the run missed."""
     checks = [
-        (found.lost == 0, f"{found.lost} jobs lost"),
-        (found.doubled == 0, f"{found.doubled} jobs doubled"),
+        (figures.lost == 0, f"{figures.lost} jobs lost"),
+        (
+            figures.doubled == 0,
+            f"{figures.doubled} non-idempotent jobs started more than once",
+        ),
         (
-            found.work_factor <= WORK_FACTOR_TARGET,
-            f"work factor {found.work_factor:.2f} above {WORK_FACTOR_TARGET}",
+            figures.work_factor <= WORK_FACTOR_TARGET,
+            f"work factor {figures.work_factor:.2f}, target {WORK_FACTOR_TARGET}",
         ),
     ]
-    for row in found.organisations:
-        honoured = row.honoured_percent
-        text = f"{row.organisation}: guarantee honoured {honoured:.2f} % of jobs"
-        checks.append((honoured == 100.0, text))
-    kept = comparison.kept_share
-    if kept is not None:
-        text = f"other work keeps {kept:.3f}, target {KEPT_SHARE_TARGET}"
-        checks.append((kept >= KEPT_SHARE_TARGET, text))
+    for row in figures.organisations:
+        honoured_percent = row.honoured_percent
+        text = (
+            f"{row.organisation}: guarantee honoured for "
+            f"{honoured_percent:.2f} % of jobs, target {HONOURED_TARGET_PERCENT} %"
+        )
+        checks.append((honoured_percent == HONOURED_TARGET_PERCENT, text))
+    kept_share = comparison.kept_share
+    if kept_share is not None:
+        text = (
+            f"share of targets kept by classes that are not flooded "
+            f"{kept_share:.3f}, target {KEPT_SHARE_TARGET}"
+        )
+        checks.append((kept_share >= KEPT_SHARE_TARGET, text))
     ratio = comparison.small_caller_ratio
     if ratio is not None:
-        text = f"small caller's p95 ratio {ratio:.2f}, target {SMALL_CALLER_TARGET}"
-        checks.append((ratio <= SMALL_CALLER_TARGET, text))
+        text = (
+            f"p95 ratio of the small callers {ratio:.2f}, "
+            f"target {SMALL_CALLER_RATIO_TARGET}"
+        )
+        checks.append((ratio <= SMALL_CALLER_RATIO_TARGET, text))
     return tuple(text for reached, text in checks if not reached)
--- a/src/redwingrudder/measure.py
+++ b/src/redwingrudder/measure.py
@@ -1,7 +1,8 @@
-"""Measures what each part costs on this machine, with stand-ins outside.
+"""Measures the cost of the system's parts on this machine.
 
-The figures are processor time and bytes, so they differ between machines;
-``docs/CAPACITY.md`` works out the target size from their slopes.
+Stand-ins replace the platform and the workers. Processor times differ between
+machines; ``docs/CAPACITY.md`` extrapolates the figures to the target size from
+their growth with the measured sizes.
 """
 
 from collections.abc import Awaitable, Callable, Sequence
@@ -44,7 +45,8 @@
     "configuration",
     "planning",
 )
-PROCESS = "process"  # only by name, because it needs a running node
+# Not in ``PARTS`` and so not in "all", because it needs a running node.
+PROCESS = "process"
 
 Row = (
     PlacementRow
@@ -66,8 +68,18 @@
 ) -> Rows:
     """Measure one part at all of its sizes.
 
+    Args:
+        part: One of ``PARTS``, or ``PROCESS``.
+        seed: Seed of the generated load.
+        reactor: The running Twisted reactor.
+        pid: Process of a running node, for ``PROCESS`` only.
+        node: Entry node URL of that process.
+
+    Returns:
+        One row for each size, or for each node.
+
     Raises:
-        BadRequestError: The part does not exist.
+        BadRequestError: The part does not exist; all parts are listed.
     """
     measures: dict[str, Callable[[], Awaitable[Rows] | Rows]] = {
         "placement": lambda: measure_placements(seed),
@@ -82,8 +94,8 @@
         PROCESS: lambda: measure_process(reactor, pid, node),
     }
     if part not in measures:
-        known = ", ".join(measures)
-        raise BadRequestError(f"no part {part!r}; there are: {known}")
+        available = ", ".join(measures)
+        raise BadRequestError(f"unknown part {part!r}; available: {available}")
     rows = measures[part]()
     return await rows if isinstance(rows, Awaitable) else rows
 
@@ -91,36 +103,38 @@
 def run_measure(
     parts: tuple[str, ...], seed: int, pid: int, node: str, as_json: bool, reactor: Any
 ) -> None:
-    """Measure parts and print a table for each.
+    """Measure parts and print a table of each part when it is done.
+
+    This runs the reactor, stops it and raises the first error.
 
     Args:
-        parts: Names of parts, or "all".
+        parts: Names of parts, or only "all" for ``PARTS``.
         seed: Seed of the generated load.
-        pid: Process of a running node, for ``PROCESS``.
+        pid: Process of a running node, for ``PROCESS`` only.
         node: Entry node URL of that process.
-        as_json: Print one JSON document.
-        reactor: The twisted reactor, not yet running.
+        as_json: Print one JSON document at the end instead of tables.
+        reactor: The Twisted reactor, not yet running.
     """
     names = PARTS if parts == ("all",) else parts
     configure_logging("measure", "ERROR")
-    found: dict[str, Any] = {}
+    rows_by_part: dict[str, Any] = {}
     failures: list[Any] = []
 
     async def run() -> None:
         for name in names:
             rows = await measure(name, seed, reactor, pid, node)
-            found[name] = [to_plain(row) for row in rows]
+            rows_by_part[name] = [to_plain(row) for row in rows]
             if not as_json:
                 print(f"\n{name}", flush=True)
-                print_table(found[name])
+                print_table(rows_by_part[name])
 
-    def begin() -> None:
-        running = ensureDeferred(run()).addErrback(failures.append)
-        running.addBoth(lambda _: reactor.stop())
+    def start() -> None:
+        measuring = ensureDeferred(run()).addErrback(failures.append)
+        measuring.addBoth(lambda _: reactor.stop())
 
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(start)
     reactor.run()
     if failures:
         failures[0].raiseException()
     if as_json:
-        print_json(found)
+        print_json(rows_by_part)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,4 +1,4 @@
-"""Tests of the bench: it must lose no job and give the same figures again."""
+"""Tests of the policy benchmark: reproducible figures and no lost jobs."""
 
 import pathlib
 import unittest
@@ -18,11 +18,18 @@
         return bench.run_scenario(fleet, scenario, policy, 1, HORIZON_S)
 
     def test_same_seed_gives_the_same_figures(self):
-        """Rounds are compared by figures, so these must not vary."""
+        """Guards against figures that vary between runs of the same seed.
+
+        Policies are compared by these figures.
+        """
         self.assertEqual(self.run_scenario("gangs"), self.run_scenario("gangs"))
 
     def test_no_job_is_lost_or_doubled_under_faults(self):
-        """All faults at once, within the short horizon of this test."""
+        """Guards against lost jobs and repeated starts when faults coincide.
+
+        Failing workers, cancellations, a store outage and the loss of a rack
+        all fall within the horizon.
+        """
         for policy in bench.POLICIES_BY_NAME:
             report = self.run_scenario(
                 "bad-workers",
@@ -34,7 +41,7 @@
             self.assertEqual((report.figures.lost, report.figures.doubled), (0, 0))
             self.assertGreater(report.figures.classes[0].succeeded, 100)
 
-    def test_unknown_names_are_refused_with_those_that_exist(self):
+    def test_error_for_an_unknown_name_lists_the_available_names(self):
         with self.assertRaisesRegex(NotFoundError, "flood-urgent"):
             bench.find_scenario("flood")
         with self.assertRaisesRegex(NotFoundError, "slack"):
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -1,4 +1,4 @@
-"""Smoke test of the measurements; it sets no bound on any time."""
+"""Smoke tests of the measurements at small sizes, without time bounds."""
 
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.trial.unittest import TestCase
@@ -16,11 +16,11 @@
 
 
 class MeasureTest(TestCase):
-    """Guards against measurements that measure nothing."""
+    """Guards against measurements that run without load or count nothing."""
 
     def test_decisions(self):
-        """The measured scheduler holds the tasks that the row names."""
-        (state,) = measure_states(1, (24,), ended=5)
+        """The scheduler is filled; changes are smaller than the document."""
+        (state,) = measure_states(1, (24,), job_ends=5)
         self.assertGreater(state.tasks, 24 * 9)
         self.assertGreaterEqual(state.events, 5)
         (change,) = measure_configurations((8,))
@@ -29,13 +29,13 @@
         self.assertGreater(placement.p99_ms, 0)
 
     def test_planning(self):
-        """Passes run on a full fleet, with work that waits."""
+        """Planning passes run on a fleet with more tasks than workers."""
         (row,) = measure_planning(1, (24,))
         self.assertGreater(row.running, 24)
         self.assertGreater(row.mean_ms, 0)
 
     def test_links_and_exchange(self):
-        """Links poll, nodes exchange, and their bytes are counted."""
+        """Polls, exchanges and list reads happen; their bytes are counted."""
         from twisted.internet import reactor
 
         async def run():
@@ -51,6 +51,6 @@
         return ensureDeferred(run())
 
     def test_unknown_part(self):
-        """A misspelt part is refused instead of measuring nothing."""
-        running = Deferred.fromCoroutine(measure("plcement", 1, None))
-        return self.assertFailure(running, BadRequestError)
+        """A misspelt part raises an error instead of measuring nothing."""
+        measuring = Deferred.fromCoroutine(measure("plcement", 1, None))
+        return self.assertFailure(measuring, BadRequestError)
