Clarify units and driver names of the measurements

Some figures named their unit indirectly, the reason for the second scheduler driver was not stated, and the set of running gangs had a vague name.

The docstrings name megabytes, a comment says that events are timed without memory tracing, and the started times carry their unit.

--- a/src/redwingrudder/_bench_fakes.py
+++ b/src/redwingrudder/_bench_fakes.py
@@ -77,7 +77,7 @@
     job_id: str
     spec: JobSpec
     tasks: tuple[int, ...]
-    unfinished_tasks: frozenset[int]
+    open_tasks: frozenset[int]
 
 
 class FakeFleet:
@@ -167,8 +167,8 @@
             job.started_gangs.add(effect.gang_id)
             job.gang_started_at = self._clock.now
             job.gang_run_s = job.remaining_s
-        unfinished_tasks = frozenset(member.tasks)
-        self._members_by_key[key] = member._replace(unfinished_tasks=unfinished_tasks)
+        open_tasks = frozenset(member.tasks)
+        self._members_by_key[key] = member._replace(open_tasks=open_tasks)
         fails = effect.worker_id in self._failing_workers
         run_s = FAILING_TASK_RUN_S if fails else job.gang_run_s
         outcome = TaskOutcome.FAILED if fails else TaskOutcome.SUCCEEDED
@@ -180,10 +180,10 @@
         self, domain: str, key: tuple[str, str], task: int, outcome: TaskOutcome
     ) -> None:
         member = self._members_by_key.get(key)
-        if member is None or task not in member.unfinished_tasks:
+        if member is None or task not in member.open_tasks:
             return
-        unfinished = member.unfinished_tasks - {task}
-        self._members_by_key[key] = member._replace(unfinished_tasks=unfinished)
+        unfinished = member.open_tasks - {task}
+        self._members_by_key[key] = member._replace(open_tasks=unfinished)
         job = self._jobs_by_id[member.job_id]
         accelerators = max(1, member.spec.accelerators_per_task)
         self.work_s += accelerators * (self._clock.now - job.gang_started_at)
@@ -205,7 +205,7 @@
             * MEAN_STOP_BOUND_SHARE
             * self._rng.uniform(MIN_STOP_TIME_FACTOR, MAX_STOP_TIME_FACTOR)
         )
-        for task in member.unfinished_tasks:
+        for task in member.open_tasks:
             self._clock.call_later(delay_s, self._end_task, domain, key, task, outcome)
 
     def _release(self, domain: str, effect: messages.ReleaseMember) -> None:
--- a/src/redwingrudder/_bench_report.py
+++ b/src/redwingrudder/_bench_report.py
@@ -19,8 +19,7 @@
     Attributes:
         job_class: Name of the class.
         submitted: All jobs that arrived.
-        refused: Jobs that ended without a run: refused on arrival, or not run
-            later.
+        refused: Jobs that were refused on arrival or ended without a run.
         succeeded: Jobs that succeeded.
         target_met_percent: Share of all jobs that succeeded by their target.
         p50_s: Median time from arrival to success, in seconds.
--- a/src/redwingrudder/_measure_counting.py
+++ b/src/redwingrudder/_measure_counting.py
@@ -68,11 +68,11 @@
         if self._call_depth:
             return function(*args, **kwargs)
         self._call_depth += 1
-        started = time.process_time()
+        started_s = time.process_time()
         try:
             return function(*args, **kwargs)
         finally:
-            self.processor_s += time.process_time() - started
+            self.processor_s += time.process_time() - started_s
             self._call_depth -= 1
 
 
--- a/src/redwingrudder/_measure_decisions.py
+++ b/src/redwingrudder/_measure_decisions.py
@@ -32,7 +32,7 @@
 TIMED_CHANGES = 20  # repetitions over which the time to apply is averaged
 ORGANISATIONS = 140
 WORKERS_PER_ORGANISATION = 12
-# The share of the slots that is filled before the events are timed.
+# Tasks that run when the events are timed, over ``TASKS_PER_WORKER``.
 FILLED_SHARE = 0.95
 # Filling stops after this many jobs that could not be placed.
 MAX_UNPLACED_JOBS = 10
@@ -62,7 +62,7 @@
         workers: Workers of the failure domain.
         tasks: Running tasks before the events are timed.
         jobs: Running jobs before the events are timed.
-        memory_mb: Memory of the whole state, in units of 10**6 bytes.
+        memory_mb: Memory of the scheduler's state, in megabytes.
         events: Number of timed events.
         mean_event_ms: Mean processor time of an event, in milliseconds.
         max_event_ms: Largest processor time of an event, in milliseconds.
@@ -135,7 +135,7 @@
     Attributes:
         event_times_ms: Processor time of each event, in milliseconds.
         running_tasks: Number of tasks that run.
-        tasks_by_gang: Worker and index of each task, by gang.
+        tasks_by_gang: Worker and index of each reserved or running task.
     """
 
     def __init__(self, workers: int, seed: int) -> None:
@@ -145,7 +145,7 @@
         self._rng = random.Random(seed)
         self._scheduler = Scheduler("measured", slack_policies())
         self._events: deque[messages.Event] = deque()
-        self._started: list[str] = []
+        self._running_gangs: list[str] = []
         self._now = 0.0
         self._serial = 0
         self._start(workers)
@@ -153,7 +153,7 @@
     @property
     def running_jobs(self) -> int:
         """Number of jobs that run."""
-        return len(self._started)
+        return len(self._running_gangs)
 
     def fill(self, tasks: int) -> None:
         """Submit jobs until this many tasks run.
@@ -177,8 +177,8 @@
 
     def end_random_job(self) -> None:
         """End a random running job; all its tasks succeed."""
-        index = self._rng.randrange(len(self._started))
-        gang_id = self._started.pop(index)
+        index = self._rng.randrange(len(self._running_gangs))
+        gang_id = self._running_gangs.pop(index)
         for worker_id, task in self.tasks_by_gang.pop(gang_id):
             self.running_tasks -= 1
             result = TaskResult(task, TaskOutcome.SUCCEEDED, "")
@@ -196,9 +196,9 @@
         self._events.append(event)
         while self._events:
             self._now += EVENT_INTERVAL_S
-            started = time.process_time()
+            started_s = time.process_time()
             effects = self._scheduler.handle(self._events.popleft(), self._now)
-            elapsed_ms = (time.process_time() - started) * MS_PER_S
+            elapsed_ms = (time.process_time() - started_s) * MS_PER_S
             self.event_times_ms.append(elapsed_ms)
             for effect in effects:
                 self._answer(effect)
@@ -213,14 +213,14 @@
             case messages.RecordStart(gang_id=gang_id):
                 add_event(messages.StartRecordAnswered(gang_id, True))
             case messages.StartMember(gang_id=gang_id, worker_id=worker_id):
-                self._record_started(gang_id)
+                self._add_running_gang(gang_id)
                 add_event(messages.StartAnswered(gang_id, worker_id, True))
             case messages.ReleaseMember(gang_id=gang_id, worker_id=worker_id):
                 add_event(messages.ReleaseAnswered(gang_id, worker_id))
 
-    def _record_started(self, gang_id: str) -> None:
-        if gang_id not in self._started:
-            self._started.append(gang_id)
+    def _add_running_gang(self, gang_id: str) -> None:
+        if gang_id not in self._running_gangs:
+            self._running_gangs.append(gang_id)
             self.running_tasks += len(self.tasks_by_gang[gang_id])
 
 
@@ -232,6 +232,7 @@
     traced_driver.event_times_ms = []
     memory_mb = tracemalloc.get_traced_memory()[0] / BYTES_PER_MB
     tracemalloc.stop()
+    # The events are timed on a second driver, without memory tracing.
     driver = _SchedulerDriver(workers, seed)
     driver.fill(tasks)
     running_jobs, tasks = driver.running_jobs, driver.running_tasks
@@ -260,14 +261,14 @@
     organisations = dict(old.organisations_by_name)
     organisations[name] = Organisation(name, (Shape(8, 2),))
     new = old._replace(version=2, organisations_by_name=organisations)
-    started = time.process_time()
+    started_s = time.process_time()
     new = new._replace(cells=plan_cells(new, infos))
-    plan_ms = (time.process_time() - started) * MS_PER_S
+    plan_ms = (time.process_time() - started_s) * MS_PER_S
     change_text = codec.encode_change(codec.compare(old, new, "0" * 32))
-    started = time.process_time()
+    started_s = time.process_time()
     for _ in range(TIMED_CHANGES):
         codec.apply(old, codec.decode_change(change_text))
-    apply_ms = (time.process_time() - started) * MS_PER_S / TIMED_CHANGES
+    apply_ms = (time.process_time() - started_s) * MS_PER_S / TIMED_CHANGES
     document_bytes = len(codec.encode_configuration(new).encode())
     return ConfigurationRow(
         count, document_bytes, len(change_text.encode()), plan_ms, apply_ms
--- a/src/redwingrudder/_measure_nodes.py
+++ b/src/redwingrudder/_measure_nodes.py
@@ -81,11 +81,10 @@
     Attributes:
         pid: The process.
         idle_percent: Share of a core that the idle process uses.
-        resident_mb: Resident memory after the idle time, in units of 10**6
-            bytes.
+        resident_mb: Resident memory after the idle time, in megabytes.
         jobs: Number of jobs.
         ms_per_job: Processor time per job, in milliseconds.
-        resident_after_mb: Resident memory after the jobs, in the same unit.
+        resident_after_mb: Resident memory after the jobs, in megabytes.
     """
 
     pid: int
