--- a/src/redwingrudder/_measure_decisions.py
+++ b/src/redwingrudder/_measure_decisions.py
@@ -264,10 +264,10 @@
     started_s = time.process_time()
     new = new._replace(cells=plan_cells(new, infos))
     plan_ms = (time.process_time() - started_s) * MS_PER_S
-    change_text = codec.encode_change(codec.compare(old, new, "0" * 32))
+    change_text = codec.encode_change(codec.build_change(old, new, "0" * 32))
     started_s = time.process_time()
     for _ in range(TIMED_CHANGES):
-        codec.apply(old, codec.decode_change(change_text))
+        codec.apply_change(old, codec.decode_change(change_text))
     apply_ms = (time.process_time() - started_s) * MS_PER_S / TIMED_CHANGES
     document_bytes = len(codec.encode_configuration(new).encode())
     return ConfigurationRow(
--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -16,7 +16,7 @@
 from zope.interface import implementer
 
 from ..exceptions import RedwingrudderError
-from ..platform_api import BODY_LIMIT, DOMAIN_HEADER, WatchLine
+from ..platform_api import DOMAIN_HEADER, MAX_BODY_BYTES, WatchLine
 from ._platform_service import Budget, Call, PlatformService, Reply, WatchStream
 
 TOO_MANY_REQUESTS = 429
@@ -86,7 +86,7 @@
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         self._received += len(data)
-        if self._received > BODY_LIMIT:
+        if self._received > MAX_BODY_BYTES:
             self.channel.forceAbortClient()
             return
         super().handleContentChunk(data)
