--- a/tests/worker_fakes.py
+++ b/tests/worker_fakes.py
@@ -100,7 +100,7 @@
             return
         while self.clock.seconds() < deadline and address not in self.cut:
             core = self.cores_by_address[address]
-            if core.has_news(body, self.clock.seconds()):
+            if core.must_answer_poll(body, self.clock.seconds()):
                 return
             await self._sleep(POLL_CHECK_INTERVAL_S)
 
