--- a/src/redwingrudder/standins/_worker_core.py
+++ b/src/redwingrudder/standins/_worker_core.py
@@ -153,7 +153,7 @@
             usage=self._lagged_usage(now),
         )
 
-    def has_news(self, request: PollRequest, now: float) -> bool:
+    def must_answer_poll(self, request: PollRequest, now: float) -> bool:
         """Whether a waiting poll must be answered; renews no lease."""
         self.advance(now)
         return bool(self._events) or Epoch(*request["epoch"]) != self.highest_epoch
--- a/src/redwingrudder/standins/_worker_http.py
+++ b/src/redwingrudder/standins/_worker_http.py
@@ -223,7 +223,7 @@
 
     def _wake_waiters(self, all_of_them: bool = False) -> None:
         for timer, waiter in list(self._waiters_by_timer.items()):
-            if all_of_them or self.core.has_news(waiter.request, self._now()):
+            if all_of_them or self.core.must_answer_poll(waiter.request, self._now()):
                 self._settle(timer)
         change_at = self.core.next_change()
         if change_at is not None:
--- a/tests/worker_fakes.py
+++ b/tests/worker_fakes.py
@@ -91,7 +91,7 @@
             return
         while self.clock.seconds() < until and address not in self.cut:
             core = self.cores_by_address[address]
-            if core.has_news(body, self.clock.seconds()):
+            if core.must_answer_poll(body, self.clock.seconds()):
                 return
             await self._sleep(0.1)
 
