--- a/src/redwingrudder/standins/_key_value.py
+++ b/src/redwingrudder/standins/_key_value.py
@@ -16,12 +16,12 @@
     PayloadTooLargeError,
 )
 
-VALUE_LIMIT = 1_000_000  # bytes
-KEY_LIMIT = 200_000  # keys
-LEASE_LIMIT = 10_000  # leases
-WATCH_LIMIT = 10_000  # watches
-HISTORY_LIMIT = 10_000  # changes kept for watches that resume
-HISTORY_BYTES_LIMIT = 64_000_000  # bytes
+MAX_VALUE_BYTES = 1_000_000  # bytes
+MAX_KEYS = 200_000  # keys
+MAX_LEASES = 10_000  # leases
+MAX_WATCHES = 10_000  # watches
+MAX_HISTORY_CHANGES = 10_000  # changes kept for watches that resume
+MAX_HISTORY_BYTES = 64_000_000  # bytes
 
 
 class Record(NamedTuple):
@@ -93,14 +93,14 @@
 class KeyValueCore:
     """Keys in order, their revisions, leases and the history of changes."""
 
-    def __init__(self, history_limit: int = HISTORY_LIMIT) -> None:
+    def __init__(self, max_history_changes: int = MAX_HISTORY_CHANGES) -> None:
         self.revision = 1
         self.compact_revision = 0
-        self._history_limit = history_limit
+        self._max_history_changes = max_history_changes
         self._records_by_key: dict[bytes, Record] = {}
         self._keys: list[bytes] = []
         self._leases_by_id: dict[int, _Lease] = {}
-        self._next_lease_id = 1000
+        self._last_lease_id = 1000
         self._history: deque[Record] = deque()
         self._history_bytes = 0
         self._watches_by_id: dict[int, _Watch] = {}
@@ -115,7 +115,9 @@
         end = len(self._keys)
         if range_end != b"\x00":
             end = bisect.bisect_left(self._keys, range_end)
-        return tuple(self._records_by_key[name] for name in self._keys[start:end])
+        return tuple(
+            self._records_by_key[stored_key] for stored_key in self._keys[start:end]
+        )
 
     def transact(
         self,
@@ -135,8 +137,8 @@
             OverloadedError: The store holds ``KEY_LIMIT`` keys.
         """
         self.expire(now)
-        self._check(operations)
-        if not all(self._holds(compare) for compare in compares):
+        self._check_operations(operations)
+        if not all(self._matches(compare) for compare in compares):
             return False
         changes = self._apply(operations)
         if changes:
@@ -147,11 +149,11 @@
     def grant_lease(self, ttl_s: int, now: float) -> int:
         """Create a lease and return its id."""
         self.expire(now)
-        if len(self._leases_by_id) >= LEASE_LIMIT:
-            raise OverloadedError(f"the store holds {LEASE_LIMIT} leases")
-        self._next_lease_id += 1
-        self._leases_by_id[self._next_lease_id] = _Lease(ttl_s, now + ttl_s, set())
-        return self._next_lease_id
+        if len(self._leases_by_id) >= MAX_LEASES:
+            raise OverloadedError(f"the store holds {MAX_LEASES} leases")
+        self._last_lease_id += 1
+        self._leases_by_id[self._last_lease_id] = _Lease(ttl_s, now + ttl_s, set())
+        return self._last_lease_id
 
     def keep_alive(self, lease_id: int, now: float) -> int:
         """Renew a lease and return its TTL in seconds, 0 if it lapsed."""
@@ -179,18 +181,18 @@
 
     def expire(self, now: float) -> None:
         """End all leases that have lapsed."""
-        lapsed = [
+        expired_ids = [
             lease_id
             for lease_id, lease in self._leases_by_id.items()
             if lease.expires_at <= now
         ]
-        for lease_id in lapsed:
+        for lease_id in expired_ids:
             self.revoke_lease(lease_id)
 
     def next_expiry(self) -> float | None:
         """Return when the next lease lapses unless it is renewed."""
-        times = [lease.expires_at for lease in self._leases_by_id.values()]
-        return min(times, default=None)
+        expiry_times = [lease.expires_at for lease in self._leases_by_id.values()]
+        return min(expiry_times, default=None)
 
     def watch(
         self,
@@ -207,12 +209,14 @@
         """
         if 0 < start_revision <= self.compact_revision:
             raise CompactedError(self.compact_revision)
-        if len(self._watches_by_id) >= WATCH_LIMIT:
-            raise OverloadedError(f"{WATCH_LIMIT} watches are open")
+        if len(self._watches_by_id) >= MAX_WATCHES:
+            raise OverloadedError(f"{MAX_WATCHES} watches are open")
         watch = _Watch(key, range_end, callback)
         if start_revision > 0:
-            missed = (r for r in self._history if r.mod_revision >= start_revision)
-            self._deliver(watch, tuple(missed))
+            missed_changes = (
+                r for r in self._history if r.mod_revision >= start_revision
+            )
+            self._deliver(watch, tuple(missed_changes))
         watch_id = self._next_watch_id
         self._next_watch_id += 1
         self._watches_by_id[watch_id] = watch
@@ -228,24 +232,24 @@
         while self._history and self._history[0].mod_revision <= revision:
             self._history_bytes -= len(self._history.popleft().value or b"")
 
-    def _check(self, operations: tuple[Put | Delete, ...]) -> None:
+    def _check_operations(self, operations: tuple[Put | Delete, ...]) -> None:
         puts = [operation for operation in operations if isinstance(operation, Put)]
         if len({put.key for put in puts}) < len(puts):
             raise BadRequestError("duplicate key given in txn request")
         for put in puts:
-            if len(put.value) > VALUE_LIMIT:
+            if len(put.value) > MAX_VALUE_BYTES:
                 raise PayloadTooLargeError(
-                    f"value has {len(put.value)} bytes, allowed are {VALUE_LIMIT}"
+                    f"value has {len(put.value)} bytes, allowed are {MAX_VALUE_BYTES}"
                 )
             if put.lease_id and put.lease_id not in self._leases_by_id:
                 raise NotFoundError("requested lease not found", code="no_such_lease")
-        if len(self._keys) + len(puts) > KEY_LIMIT:
-            raise OverloadedError(f"the store holds {KEY_LIMIT} keys")
+        if len(self._keys) + len(puts) > MAX_KEYS:
+            raise OverloadedError(f"the store holds {MAX_KEYS} keys")
 
-    def _holds(self, compare: ModCompare) -> bool:
+    def _matches(self, compare: ModCompare) -> bool:
         record = self._records_by_key.get(compare.key)
-        found = 0 if record is None else record.mod_revision
-        return found == compare.mod_revision
+        mod_revision = 0 if record is None else record.mod_revision
+        return mod_revision == compare.mod_revision
 
     def _apply(self, operations: tuple[Put | Delete, ...]) -> list[Record]:
         changes: list[Record] = []
@@ -259,16 +263,16 @@
 
     def _put(self, put: Put) -> Record:
         revision = self.revision + 1
-        old = self._records_by_key.get(put.key)
-        if old is None:
+        previous = self._records_by_key.get(put.key)
+        if previous is None:
             bisect.insort(self._keys, put.key)
             record = Record(put.key, put.value, revision, revision, 1, put.lease_id)
         else:
-            self._detach(old)
-            record = old._replace(
+            self._detach_from_lease(previous)
+            record = previous._replace(
                 value=put.value,
                 mod_revision=revision,
-                version=old.version + 1,
+                version=previous.version + 1,
                 lease_id=put.lease_id,
             )
         self._records_by_key[put.key] = record
@@ -279,10 +283,10 @@
     def _delete(self, record: Record) -> Record:
         del self._records_by_key[record.key]
         del self._keys[bisect.bisect_left(self._keys, record.key)]
-        self._detach(record)
+        self._detach_from_lease(record)
         return Record(record.key, None, 0, self.revision + 1, 0, 0)
 
-    def _detach(self, record: Record) -> None:
+    def _detach_from_lease(self, record: Record) -> None:
         lease = self._leases_by_id.get(record.lease_id)
         if lease is not None:
             lease.keys.discard(record.key)
@@ -291,17 +295,17 @@
         self._history.extend(changes)
         self._history_bytes += sum(len(change.value or b"") for change in changes)
         while self._history and (
-            len(self._history) > self._history_limit
-            or self._history_bytes > HISTORY_BYTES_LIMIT
+            len(self._history) > self._max_history_changes
+            or self._history_bytes > MAX_HISTORY_BYTES
         ):
             self.compact(self._history[0].mod_revision)
         for watch in list(self._watches_by_id.values()):
             self._deliver(watch, changes)
 
     def _deliver(self, watch: _Watch, changes: tuple[Record, ...]) -> None:
-        seen = tuple(c for c in changes if _selects(watch, c.key))
-        if seen:
-            watch.callback(seen, self.revision)
+        selected = tuple(c for c in changes if _selects(watch, c.key))
+        if selected:
+            watch.callback(selected, self.revision)
 
 
 def _selects(watch: _Watch, key: bytes) -> bool:
--- a/src/redwingrudder/standins/_platform_service.py
+++ b/src/redwingrudder/standins/_platform_service.py
@@ -19,11 +19,11 @@
 
 WRITES_PER_S = 500.0
 READS_PER_S = 2000.0
-NOT_FOUND_CODE = 5  # gRPC NOT_FOUND
-OVERLOADED_CODE = 8  # gRPC RESOURCE_EXHAUSTED
-INVALID_CODE = 3  # gRPC INVALID_ARGUMENT
+GRPC_NOT_FOUND = 5  # gRPC NOT_FOUND
+GRPC_RESOURCE_EXHAUSTED = 8  # gRPC RESOURCE_EXHAUSTED
+GRPC_INVALID_ARGUMENT = 3  # gRPC INVALID_ARGUMENT
 
-_CALLS_BY_PATH = {
+_OPERATIONS_BY_PATH = {
     "/v3/kv/range": "range",
     "/v3/kv/txn": "txn",
     "/v3/lease/grant": "lease_grant",
@@ -32,12 +32,12 @@
     "/v3/watch": "watch",
     "/v1/vms": "vms",
 }
-_WRITES = frozenset({"txn", "lease_grant", "lease_keepalive", "lease_revoke"})
+_WRITE_OPERATIONS = frozenset({"txn", "lease_grant", "lease_keepalive", "lease_revoke"})
 # A lost keepalive reply has no effect worth testing, so it is not counted.
-_LOSABLE = frozenset({"txn", "lease_grant", "lease_revoke"})
+_LOSSY_OPERATIONS = frozenset({"txn", "lease_grant", "lease_revoke"})
 
 
-class Budget(NamedTuple):
+class RateLimits(NamedTuple):
     """Calls a second that the platform answers; beyond it 429."""
 
     writes_per_s: float = WRITES_PER_S
@@ -97,7 +97,7 @@
 
 _FAULTS = TypeAdapter(Faults)
 _VM_CHANGE = TypeAdapter(VmChange)
-_DROPPED = Reply(0, None, dropped=True)
+_CONNECTION_ABORTED = Reply(0, None, dropped=True)
 
 
 class PlatformService:
@@ -106,41 +106,49 @@
     def __init__(
         self,
         clock: IReactorTime,
-        budget: Budget | None = None,
+        rate_limits: RateLimits | None = None,
         vm_lag_s: float = 0.0,
         core: KeyValueCore | None = None,
     ) -> None:
-        budget = budget or Budget()
+        rate_limits = rate_limits or RateLimits()
         now = clock.seconds()
         self.core = core or KeyValueCore()
         self.vms = VmList(vm_lag_s)
-        self.counters: dict[str, int] = dict.fromkeys(_CALLS_BY_PATH.values(), 0)
+        self.counters: dict[str, int] = dict.fromkeys(_OPERATIONS_BY_PATH.values(), 0)
         self.counters["refused"] = 0
         self._clock = clock
         self._gateway = Gateway(self.core)
-        self._writes = TokenBucket(budget.writes_per_s, budget.writes_per_s, now)
-        self._reads = TokenBucket(budget.reads_per_s, budget.reads_per_s, now)
+        self._write_bucket = TokenBucket(
+            rate_limits.writes_per_s, rate_limits.writes_per_s, now
+        )
+        self._read_bucket = TokenBucket(
+            rate_limits.reads_per_s, rate_limits.reads_per_s, now
+        )
         self._faults = Faults(outage=False, slow_s=0.0, lost_replies=0, cut_domains=[])
         self._watches_by_id: dict[int, _OpenWatch] = {}
-        self._expiry_call: IDelayedCall | None = None
+        self._expiry_timer: IDelayedCall | None = None
 
     def handle(self, call: Call) -> Reply:
         """Carry out one call other than a watch."""
-        kind = _CALLS_BY_PATH.get(call.path)
-        if kind is None or kind == "watch":
-            return Reply(404, ErrorReply(code=NOT_FOUND_CODE, message="not found"))
-        if self._is_cut(call.failure_domain):
-            return _DROPPED
-        reply = self._answer(kind, call)
-        if reply.status == 200 and kind in _LOSABLE and self._faults["lost_replies"]:
+        operation = _OPERATIONS_BY_PATH.get(call.path)
+        if operation is None or operation == "watch":
+            return Reply(404, ErrorReply(code=GRPC_NOT_FOUND, message="not found"))
+        if self._is_cut_off(call.failure_domain):
+            return _CONNECTION_ABORTED
+        reply = self._answer(operation, call)
+        if (
+            reply.status == 200
+            and operation in _LOSSY_OPERATIONS
+            and self._faults["lost_replies"]
+        ):
             self._faults["lost_replies"] -= 1
-            return _DROPPED
+            return _CONNECTION_ABORTED
         return reply._replace(delay_s=self._faults["slow_s"])
 
     def open_watch(self, call: Call, stream: WatchStream) -> Reply | int:
         """Open a watch; returns its id, or the answer when it is refused."""
-        if self._is_cut(call.failure_domain):
-            return _DROPPED
+        if self._is_cut_off(call.failure_domain):
+            return _CONNECTION_ABORTED
         try:
             self._admit("watch")
             return self._start_watch(call, stream)
@@ -160,7 +168,7 @@
         """Change the fault switches and return them all."""
         self._faults.update(parse(_FAULTS, body))
         for watch in list(self._watches_by_id.values()):
-            if self._is_cut(watch.failure_domain):
+            if self._is_cut_off(watch.failure_domain):
                 self.close_watch(watch.watch_id)
                 watch.stream.close()
         return self._faults
@@ -181,43 +189,45 @@
         for watch in list(self._watches_by_id.values()):
             self.close_watch(watch.watch_id)
             watch.stream.close()
-        if self._expiry_call is not None:
-            self._expiry_call.cancel()
-            self._expiry_call = None
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
+            self._expiry_timer = None
 
-    def _is_cut(self, failure_domain: str) -> bool:
-        cut = failure_domain in self._faults["cut_domains"]
-        return self._faults["outage"] or cut
+    def _is_cut_off(self, failure_domain: str) -> bool:
+        domain_is_cut_off = failure_domain in self._faults["cut_domains"]
+        return self._faults["outage"] or domain_is_cut_off
 
-    def _answer(self, kind: str, call: Call) -> Reply:
+    def _answer(self, operation: str, call: Call) -> Reply:
         try:
-            self._admit(kind)
-            if kind == "vms":
+            self._admit(operation)
+            if operation == "vms":
                 return self._list_vms(call)
-            return Reply(200, self._carry_out(kind, call))
+            return Reply(200, self._execute(operation, call))
         except RedwingrudderError as error:
             return _error_reply(error)
 
-    def _admit(self, kind: str) -> None:
-        self.counters[kind] += 1
-        bucket = self._writes if kind in _WRITES else self._reads
+    def _admit(self, operation: str) -> None:
+        self.counters[operation] += 1
+        bucket = (
+            self._write_bucket if operation in _WRITE_OPERATIONS else self._read_bucket
+        )
         wait_s = bucket.take(self._clock.seconds())
         if wait_s > 0:
             self.counters["refused"] += 1
             raise OverloadedError("too many requests", retry_after_s=wait_s)
 
-    def _carry_out(self, kind: str, call: Call) -> Any:
+    def _execute(self, operation: str, call: Call) -> Any:
         now = self._clock.seconds()
         self.core.expire(now)
-        if kind == "range":
+        if operation == "range":
             return self._gateway.range(call.body)
-        if kind == "txn":
+        if operation == "txn":
             return self._gateway.txn(call.body, now)
-        if kind == "lease_grant":
+        if operation == "lease_grant":
             reply = self._gateway.grant(call.body, now)
             self._schedule_expiry()
             return reply
-        if kind == "lease_keepalive":
+        if operation == "lease_keepalive":
             return self._gateway.keep_alive(call.body, now)
         return self._gateway.revoke(call.body)
 
@@ -240,7 +250,7 @@
         except CompactedError as error:
             stream.send(self._gateway.watch_compacted(error.compact_revision))
             stream.close()
-            return _DROPPED
+            return _CONNECTION_ABORTED
         self._watches_by_id[watch_id] = _OpenWatch(
             watch_id, call.failure_domain, stream
         )
@@ -248,21 +258,21 @@
 
     def _schedule_expiry(self) -> None:
         expires_at = self.core.next_expiry()
-        if self._expiry_call is not None or expires_at is None:
+        if self._expiry_timer is not None or expires_at is None:
             return
         delay_s = max(0.0, expires_at - self._clock.seconds())
-        self._expiry_call = self._clock.callLater(delay_s, self._expire)
+        self._expiry_timer = self._clock.callLater(delay_s, self._expire_leases)
 
-    def _expire(self) -> None:
-        self._expiry_call = None
+    def _expire_leases(self) -> None:
+        self._expiry_timer = None
         self.core.expire(self._clock.seconds())
         self._schedule_expiry()
 
 
 def _error_reply(error: RedwingrudderError) -> Reply:
-    code = INVALID_CODE
+    code = GRPC_INVALID_ARGUMENT
     if isinstance(error, OverloadedError):
-        code = OVERLOADED_CODE
+        code = GRPC_RESOURCE_EXHAUSTED
     elif isinstance(error, NotFoundError):
-        code = NOT_FOUND_CODE
+        code = GRPC_NOT_FOUND
     return Reply(error.http_status, ErrorReply(code=code, message=error.detail))
--- a/src/redwingrudder/standins/_vm_list.py
+++ b/src/redwingrudder/standins/_vm_list.py
@@ -7,12 +7,12 @@
 from ..exceptions import OverloadedError
 from ..platform_api import VmBody
 
-VM_LIMIT = 20_000  # entries
-SNAPSHOT_LIMIT = 1_000  # changes that wait for the lag to pass
+MAX_VMS = 20_000  # entries
+MAX_SNAPSHOTS = 1_000  # changes that wait for the lag to pass
 
 
 class _Snapshot(NamedTuple):
-    number: int
+    version: int
     changed_at: float
     vms: tuple[VmBody, ...]
 
@@ -23,9 +23,9 @@
     def __init__(self, lag_s: float = 0.0) -> None:
         self.lag_s = lag_s
         self._vms_by_id: dict[str, VmBody] = {}
-        self._snapshots: deque[_Snapshot] = deque(maxlen=SNAPSHOT_LIMIT)
+        self._snapshots: deque[_Snapshot] = deque(maxlen=MAX_SNAPSHOTS)
         self._snapshots.append(_Snapshot(0, 0.0, ()))
-        self._instance = uuid.uuid4().hex[:8]
+        self._process_tag = uuid.uuid4().hex[:8]
 
     def change(
         self,
@@ -39,33 +39,33 @@
         Raises:
             OverloadedError: The list would exceed ``VM_LIMIT`` entries.
         """
-        if len(self._vms_by_id) + len(register) > VM_LIMIT:
-            raise OverloadedError(f"the list holds at most {VM_LIMIT} VMs")
+        if len(self._vms_by_id) + len(register) > MAX_VMS:
+            raise OverloadedError(f"the list holds at most {MAX_VMS} VMs")
         for vm in register:
             self._vms_by_id[vm["vm_id"]] = vm
         for vm_id in leaving:
             if vm_id in self._vms_by_id:
-                leaver = VmBody(**{**self._vms_by_id[vm_id], "state": "leaving"})
-                self._vms_by_id[vm_id] = leaver
+                leaving_vm = VmBody(**{**self._vms_by_id[vm_id], "state": "leaving"})
+                self._vms_by_id[vm_id] = leaving_vm
         for vm_id in remove:
             self._vms_by_id.pop(vm_id, None)
         vms = tuple(self._vms_by_id[vm_id] for vm_id in sorted(self._vms_by_id))
-        number = self._snapshots[-1].number + 1
-        self._snapshots.append(_Snapshot(number, now, vms))
+        version = self._snapshots[-1].version + 1
+        self._snapshots.append(_Snapshot(version, now, vms))
 
     def read(self, failure_domain: str, now: float) -> list[VmBody]:
         """Return the VMs of one failure domain, or of all for ""."""
         return [
             vm
-            for vm in self._visible(now).vms
+            for vm in self._visible_snapshot(now).vms
             if failure_domain in ("", vm["failure_domain"])
         ]
 
     def etag(self, now: float) -> str:
         """Return a tag that differs whenever the visible list does."""
-        return f'"{self._instance}-{self._visible(now).number}"'
+        return f'"{self._process_tag}-{self._visible_snapshot(now).version}"'
 
-    def _visible(self, now: float) -> _Snapshot:
+    def _visible_snapshot(self, now: float) -> _Snapshot:
         snapshots = self._snapshots
         while len(snapshots) > 1 and snapshots[1].changed_at + self.lag_s <= now:
             snapshots.popleft()
--- a/src/redwingrudder/standins/_worker_core.py
+++ b/src/redwingrudder/standins/_worker_core.py
@@ -24,12 +24,12 @@
 )
 from ._worker_tasks import TaskPlan, plan_task
 
-RETENTION_S = 600.0  # results are kept this long after the end
+RESULT_RETENTION_S = 600.0  # results are kept this long after the end
 USAGE_LAG_S = 5.0  # usage is reported this late
-HISTORY_LIMIT = 100_000  # entries
-CHECKPOINT_SHARE = 0.5  # of the stop bound of a job
+MAX_HISTORY_ENTRIES = 100_000  # entries
+CHECKPOINT_TIME_FRACTION = 0.5  # of the stop bound of a job
 
-_UNCLAIMED = Epoch(-1, -1, -1)
+_NO_EPOCH = Epoch(-1, -1, -1)
 
 
 class RejectedEpochError(StaleEpochError):
@@ -95,11 +95,11 @@
         self.boot_id = boot_id or uuid.uuid4().hex
         self.draining = False
         self.fail_everything = False
-        self.highest_epoch = _UNCLAIMED
+        self.highest_epoch = _NO_EPOCH
         self.lease_until = now
-        self.history: deque[HistoryEntry] = deque(maxlen=HISTORY_LIMIT)
+        self.history: deque[HistoryEntry] = deque(maxlen=MAX_HISTORY_ENTRIES)
         self._lease_s = 0.0
-        self._sequence = 0
+        self._last_sequence = 0
         self._events: deque[TaskEndedBody] = deque()
         self._members_by_gang: dict[str, _Member] = {}
         self._closed_gang_ids: set[str] = set()
@@ -135,7 +135,7 @@
             cores=self.info.cores,
             memory_mb=self.info.memory_mb,
             members=[_member_body(m) for m in self._members_by_gang.values()],
-            sequence=self._sequence,
+            sequence=self._last_sequence,
         )
 
     def poll(self, request: PollRequest, now: float) -> PollReply:
@@ -143,7 +143,7 @@
 
         Events up to ``after`` are acknowledged and dropped.
         """
-        self._accept(request["epoch"], now)
+        self._check_epoch_and_renew(request["epoch"], now)
         while self._events and self._events[0]["sequence"] <= request["after"]:
             self._events.popleft()
         return PollReply(
@@ -160,7 +160,7 @@
 
     def reserve(self, request: ReserveRequest, now: float) -> CommandReply:
         """Hold resources for a gang member until it is released."""
-        self._accept(request["epoch"], now)
+        self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         held = self._members_by_gang.get(gang_id)
         if held is not None and held.state is MemberState.RESERVED:
@@ -171,22 +171,22 @@
         if gang_id in self._closed_gang_ids:
             return self._reply("already_ended")
         spec = spec_from_body(request["spec"])
-        code = self._refusal(request, spec)
+        code = self._rejection_code(request, spec)
         if code:
             return self._reply(code)
         member = _Member(request, spec, MemberState.RESERVED)
         self._members_by_gang[gang_id] = member
-        self._record("reserved", member, now)
+        self._record_change("reserved", member, now)
         return self._reply()
 
     def start(self, request: MemberRequest, now: float) -> CommandReply:
         """Start a reserved member; repeating it has no further effect."""
-        self._accept(request["epoch"], now)
+        self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None:
-            known = gang_id in self._started_gang_ids
-            return self._reply("already_started" if known else "unknown_gang")
+            was_started = gang_id in self._started_gang_ids
+            return self._reply("already_started" if was_started else "unknown_gang")
         if member.state is not MemberState.RESERVED:
             return self._reply()
         self._started_gang_ids.add(gang_id)
@@ -196,66 +196,68 @@
         )
         started = member._replace(state=MemberState.STARTED, running=plans)
         self._members_by_gang[gang_id] = started
-        self._record("started", started, now)
+        self._record_change("started", started, now)
         return self._reply()
 
     def release(self, request: MemberRequest, now: float) -> CommandReply:
         """Drop a reservation or retained results."""
-        self._accept(request["epoch"], now)
+        self._check_epoch_and_renew(request["epoch"], now)
         member = self._members_by_gang.get(request["gang_id"])
         if member is not None and member.state is MemberState.STARTED:
             return self._reply("member_running")
-        self._close(request["gang_id"], now)
+        self._close_gang(request["gang_id"], now)
         return self._reply()
 
     def stop(self, request: StopRequest, now: float) -> CommandReply:
         """Stop a started member; a mere reservation is dropped instead."""
-        self._accept(request["epoch"], now)
+        self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None or member.state is MemberState.RESERVED:
-            self._close(gang_id, now)
+            self._close_gang(gang_id, now)
             return self._reply("unknown_gang")
         if member.state is MemberState.ENDED:
             return self._reply("already_ended")
         outcome, ends_at = TaskOutcome.STOPPED, now
         if request["checkpoint"] and member.spec.preemptible:
             outcome = TaskOutcome.CHECKPOINTED
-            ends_at = now + member.spec.stop_bound_s * CHECKPOINT_SHARE
+            ends_at = now + member.spec.stop_bound_s * CHECKPOINT_TIME_FRACTION
         self._stop_tasks(gang_id, ends_at, outcome)
         self.advance(now)
         return self._reply()
 
     def throttle(self, request: ThrottleRequest, now: float) -> CommandReply:
         """Limit a member to a share of its cores, which slows its tasks."""
-        self._accept(request["epoch"], now)
+        self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None:
             return self._reply("unknown_gang")
         if member.state is MemberState.ENDED:
             return self._reply("already_ended")
-        slower = tuple(p.throttled(request["share"], now) for p in member.running)
-        self._members_by_gang[gang_id] = member._replace(running=slower)
+        slower_plans = tuple(p.throttled(request["share"], now) for p in member.running)
+        self._members_by_gang[gang_id] = member._replace(running=slower_plans)
         return self._reply()
 
     def advance(self, now: float) -> None:
         """End the tasks that are due and everything when the lease lapsed."""
         self._end_due_tasks(min(now, self.lease_until))
         if now >= self.lease_until:
-            self._lapse()
+            self._expire_lease()
         self._drop_expired_results(now)
 
-    def next_change(self) -> float | None:
+    def next_deadline(self) -> float | None:
         """Return when the next task ends or the lease lapses, if any."""
-        times = [p.ends_at for m in self._members_by_gang.values() for p in m.running]
+        deadlines = [
+            p.ends_at for m in self._members_by_gang.values() for p in m.running
+        ]
         if any(m.holds_resources for m in self._members_by_gang.values()):
-            times.append(self.lease_until)
-        return min(times, default=None)
+            deadlines.append(self.lease_until)
+        return min(deadlines, default=None)
 
-    def _accept(self, numbers: list[int], now: float) -> None:
+    def _check_epoch_and_renew(self, epoch_numbers: list[int], now: float) -> None:
         self.advance(now)
-        epoch = Epoch(*numbers)
+        epoch = Epoch(*epoch_numbers)
         if epoch < self.highest_epoch:
             raise RejectedEpochError(self.highest_epoch, "stale_epoch")
         if epoch > self.highest_epoch:
@@ -270,14 +272,14 @@
             reply["code"] = code
         return reply
 
-    def _refusal(self, request: ReserveRequest, spec: JobSpec) -> str:
-        wanted = set(request["accelerators"])
+    def _rejection_code(self, request: ReserveRequest, spec: JobSpec) -> str:
+        requested = set(request["accelerators"])
         if self.draining:
             return "draining"
-        if not wanted <= set(range(self.info.accelerators)):
+        if not requested <= set(range(self.info.accelerators)):
             return "no_such_accelerator"
         holding = [m for m in self._members_by_gang.values() if m.holds_resources]
-        if any(wanted & set(m.request["accelerators"]) for m in holding):
+        if any(requested & set(m.request["accelerators"]) for m in holding):
             return "busy"
         count = len(request["tasks"])
         slots = count
@@ -296,13 +298,13 @@
         return "" if fits else "busy"
 
     def _end_due_tasks(self, until: float) -> None:
-        due = [
+        due_tasks = [
             (plan.ends_at, gang_id, plan)
             for gang_id, member in self._members_by_gang.items()
             for plan in member.running
             if plan.ends_at <= until
         ]
-        for _, gang_id, plan in sorted(due):
+        for _, gang_id, plan in sorted(due_tasks):
             self._end_task(gang_id, plan)
 
     def _end_task(self, gang_id: str, plan: TaskPlan) -> None:
@@ -315,20 +317,20 @@
         if not running:
             member = member._replace(state=MemberState.ENDED, ended_at=plan.ends_at)
         self._members_by_gang[gang_id] = member
-        self._sequence += 1
-        event = TaskEndedBody(sequence=self._sequence, gang_id=gang_id, **body)
+        self._last_sequence += 1
+        event = TaskEndedBody(sequence=self._last_sequence, gang_id=gang_id, **body)
         self._events.append(event)
-        self._record("ended", member, plan.ends_at, plan)
+        self._record_change("ended", member, plan.ends_at, plan)
 
     def _stop_tasks(self, gang_id: str, ends_at: float, outcome: TaskOutcome) -> None:
         member = self._members_by_gang[gang_id]
         plans = tuple(plan.stopped(ends_at, outcome) for plan in member.running)
         self._members_by_gang[gang_id] = member._replace(running=plans)
 
-    def _lapse(self) -> None:
+    def _expire_lease(self) -> None:
         for gang_id, member in list(self._members_by_gang.items()):
             if member.state is MemberState.RESERVED:
-                self._close(gang_id, self.lease_until)
+                self._close_gang(gang_id, self.lease_until)
             elif member.state is MemberState.STARTED:
                 self._stop_tasks(gang_id, self.lease_until, TaskOutcome.STOPPED)
         self._end_due_tasks(self.lease_until)
@@ -336,16 +338,16 @@
     def _drop_expired_results(self, now: float) -> None:
         for gang_id, member in list(self._members_by_gang.items()):
             ended = member.state is MemberState.ENDED
-            if ended and now >= member.ended_at + RETENTION_S:
-                self._close(gang_id, now)
+            if ended and now >= member.ended_at + RESULT_RETENTION_S:
+                self._close_gang(gang_id, now)
 
-    def _close(self, gang_id: str, now: float) -> None:
+    def _close_gang(self, gang_id: str, now: float) -> None:
         self._closed_gang_ids.add(gang_id)
         member = self._members_by_gang.pop(gang_id, None)
         if member is not None:
-            self._record("released", member, now)
+            self._record_change("released", member, now)
 
-    def _record(
+    def _record_change(
         self, what: str, member: _Member, at: float, plan: TaskPlan | None = None
     ) -> None:
         request = member.request
--- a/src/redwingrudder/standins/_worker_http.py
+++ b/src/redwingrudder/standins/_worker_http.py
@@ -27,10 +27,10 @@
 BODY_LIMIT_BYTES = 1_048_576
 
 _POLL_PATH = "/v1/poll"
-_CHANGE_TIMER = "change"
+_DEADLINE_TIMER = "change"
 
 
-class FaultOrders(TypedDict, total=False):
+class FaultsRequest(TypedDict, total=False):
     """Body of ``POST /admin/faults``; absent fields stay as they are."""
 
     fail_everything: bool
@@ -55,7 +55,7 @@
     content: bytes
 
 
-class _Waiter(NamedTuple):
+class _WaitingPoll(NamedTuple):
     request: PollRequest
     reply: Deferred
 
@@ -74,7 +74,7 @@
     "/v1/release": TypeAdapter(MemberRequest),
     "/v1/stop": TypeAdapter(StopRequest),
     "/v1/throttle": TypeAdapter(ThrottleRequest),
-    "/admin/faults": TypeAdapter(FaultOrders),
+    "/admin/faults": TypeAdapter(FaultsRequest),
 }
 
 
@@ -102,20 +102,20 @@
         self._interface = interface
         self._port: Any = None
         self._faults = _Faults()
-        self._waiters_by_timer: dict[str, _Waiter] = {}
-        self._waiter_count = 0
-        self._delayed_by_timer: dict[str, tuple[Deferred, Answer]] = {}
+        self._waiting_polls_by_timer: dict[str, _WaitingPoll] = {}
+        self._timer_count = 0
+        self._delayed_replies_by_timer: dict[str, tuple[Deferred, Answer]] = {}
         self.address = ""
         self.core = WorkerCore(info, system.clock.seconds())
         super().__init__(system, f"standin:{info.worker_id}")
 
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
-        return {_Call: self._answer_call, TimerFired: self._fire}
+        return {_Call: self._answer_with_faults, TimerFired: self._handle_timer}
 
     def start(self) -> None:
         """Listen; the same port again after a restart."""
-        site = Site(_Root(self))
+        site = Site(_WorkerResource(self))
         self._port = self._reactor.listenTCP(
             self._port_number, site, interface=self._interface
         )
@@ -126,36 +126,36 @@
 
     def stop(self) -> Deferred | None:
         """Stop listening and answer the waiting polls."""
-        for waiter in self._waiters_by_timer.values():
-            waiter.reply.callback(Answer(0))
-        self._waiters_by_timer.clear()
+        for waiting_poll in self._waiting_polls_by_timer.values():
+            waiting_poll.reply.callback(Answer(0))
+        self._waiting_polls_by_timer.clear()
         return self._port and self._port.stopListening()
 
     def restart(self) -> None:
         """Lose everything and come back with a new boot id."""
         self.core = WorkerCore(self.core.info, self._now())
-        self._wake_waiters()
+        self._answer_due_polls()
 
     def _now(self) -> float:
         return self.system.clock.seconds()
 
-    def _answer_call(self, call: _Call) -> Answer | Deferred:
+    def _answer_with_faults(self, call: _Call) -> Answer | Deferred:
         if call.path == "/admin/faults":
-            return self._answer_checked(call)
+            return self._answer_request(call)
         if call.path == "/admin/history":
             return Answer(200, [entry._asdict() for entry in self.core.history])
         if self._now() < self._faults.cut_until:
             return Answer(0)
-        answer = self._answer_checked(call)
+        answer = self._answer_request(call)
         if self._faults.drop_replies > 0 and call.path != _POLL_PATH:
-            rest = self._faults.drop_replies - 1
-            self._faults = self._faults._replace(drop_replies=rest)
+            remaining = self._faults.drop_replies - 1
+            self._faults = self._faults._replace(drop_replies=remaining)
             return Answer(0)
         if self._faults.slow_s > 0 and isinstance(answer, Answer):
-            return self._delay(answer)
+            return self._delay_answer(answer)
         return answer
 
-    def _answer_checked(self, call: _Call) -> Answer | Deferred:
+    def _answer_request(self, call: _Call) -> Answer | Deferred:
         if call.method == "GET" and call.path == "/v1/state":
             return Answer(200, self.core.state(self._now()))
         adapter = _ADAPTERS_BY_PATH.get(call.path)
@@ -185,69 +185,71 @@
             "/v1/throttle": self.core.throttle,
         }
         reply = commands_by_path[path](body, now)
-        self._wake_waiters()
+        self._answer_due_polls()
         return Answer(200, reply)
 
-    def _set_faults(self, orders: FaultOrders) -> Answer:
+    def _set_faults(self, request: FaultsRequest) -> Answer:
         faults = self._faults
         self._faults = _Faults(
-            orders.get("slow_s", faults.slow_s),
-            orders.get("drop_replies", faults.drop_replies),
-            self._now() + orders["cut_s"] if "cut_s" in orders else faults.cut_until,
+            request.get("slow_s", faults.slow_s),
+            request.get("drop_replies", faults.drop_replies),
+            self._now() + request["cut_s"] if "cut_s" in request else faults.cut_until,
         )
         core = self.core
-        core.fail_everything = orders.get("fail_everything", core.fail_everything)
-        changed = "drain" in orders and orders["drain"] != core.draining
-        core.draining = orders.get("drain", core.draining)
-        self._wake_waiters(all_of_them=changed)
+        core.fail_everything = request.get("fail_everything", core.fail_everything)
+        drain_changed = "drain" in request and request["drain"] != core.draining
+        core.draining = request.get("drain", core.draining)
+        self._answer_due_polls(answer_all=drain_changed)
         return Answer(200, {})
 
     def _poll(self, request: PollRequest) -> Answer | Deferred:
         reply = self.core.poll(request, self._now())
         if reply["events"] or request["wait_s"] <= 0:
             return Answer(200, reply)
-        self._waiter_count += 1
-        timer = f"poll:{self._waiter_count}"
-        waiter = _Waiter(request, Deferred())
-        self._waiters_by_timer[timer] = waiter
+        self._timer_count += 1
+        timer = f"poll:{self._timer_count}"
+        waiting_poll = _WaitingPoll(request, Deferred())
+        self._waiting_polls_by_timer[timer] = waiting_poll
         self.tell(TIMERS, Subscribe(self.name, timer, request["wait_s"]))
-        return waiter.reply
+        return waiting_poll.reply
 
-    def _fire(self, fired: TimerFired) -> None:
-        if fired.timer in self._waiters_by_timer:
-            self._settle(fired.timer)
-        elif fired.timer in self._delayed_by_timer:
-            reply, answer = self._delayed_by_timer.pop(fired.timer)
+    def _handle_timer(self, fired: TimerFired) -> None:
+        if fired.timer in self._waiting_polls_by_timer:
+            self._answer_poll(fired.timer)
+        elif fired.timer in self._delayed_replies_by_timer:
+            reply, answer = self._delayed_replies_by_timer.pop(fired.timer)
             reply.callback(answer)
-        self._wake_waiters()
-
-    def _wake_waiters(self, all_of_them: bool = False) -> None:
-        for timer, waiter in list(self._waiters_by_timer.items()):
-            if all_of_them or self.core.must_answer_poll(waiter.request, self._now()):
-                self._settle(timer)
-        change_at = self.core.next_change()
-        if change_at is not None:
-            delay_s = change_at - self._now()
-            self.tell(TIMERS, Subscribe(self.name, _CHANGE_TIMER, delay_s))
-
-    def _settle(self, timer: str) -> None:
-        waiter = self._waiters_by_timer.pop(timer)
+        self._answer_due_polls()
+
+    def _answer_due_polls(self, answer_all: bool = False) -> None:
+        for timer, waiting_poll in list(self._waiting_polls_by_timer.items()):
+            if answer_all or self.core.must_answer_poll(
+                waiting_poll.request, self._now()
+            ):
+                self._answer_poll(timer)
+        deadline = self.core.next_deadline()
+        if deadline is not None:
+            delay_s = deadline - self._now()
+            self.tell(TIMERS, Subscribe(self.name, _DEADLINE_TIMER, delay_s))
+
+    def _answer_poll(self, timer: str) -> None:
+        waiting_poll = self._waiting_polls_by_timer.pop(timer)
         self.tell(TIMERS, Unsubscribe(self.name, timer))
         try:
             # The wait is no renewal: the lease counts from the request.
             lease_until = self.core.lease_until
-            reply = self.core.poll(waiter.request, self._now())
+            reply = self.core.poll(waiting_poll.request, self._now())
             self.core.lease_until = lease_until
             answer = Answer(200, reply)
         except RejectedEpochError as error:
             answer = _rejection(error)
-        waiter.reply.callback(answer)
+        waiting_poll.reply.callback(answer)
 
-    def _delay(self, answer: Answer) -> Deferred:
-        self._waiter_count += 1
-        timer = f"slow:{self._waiter_count}"
+    def _delay_answer(self, answer: Answer) -> Deferred:
+        self._timer_count += 1
+        timer = f"slow:{self._timer_count}"
         reply: Deferred = Deferred()
-        self._delayed_by_timer[timer] = (reply, answer)
+        self._delayed_replies_by_timer[timer] = (reply, answer)
         self.tell(TIMERS, Subscribe(self.name, timer, self._faults.slow_s))
         return reply
 
@@ -265,7 +267,7 @@
     return Answer(409, body)
 
 
-class _Root(Resource):
+class _WorkerResource(Resource):
     """Passes every request to the actor."""
 
     def __init__(self, actor: Actor) -> None:
@@ -280,11 +282,15 @@
             request.setResponseCode(413)
             return b'{"code":"payload_too_large","detail":""}'
         call = _Call(request.method.decode(), request.path.decode(), content)
-        gone: list[Any] = []
-        request.notifyFinish().addErrback(gone.append)
-        answered = self._actor.ask(self._actor.name, call)
-        answered.addCallback(lambda answer: gone or _write(request, answer))
-        answered.addErrback(lambda _: gone or _write(request, _problem(500, "", "")))
+        disconnects: list[Any] = []
+        request.notifyFinish().addErrback(disconnects.append)
+        answer_deferred = self._actor.ask(self._actor.name, call)
+        answer_deferred.addCallback(
+            lambda answer: disconnects or _write(request, answer)
+        )
+        answer_deferred.addErrback(
+            lambda _: disconnects or _write(request, _problem(500, "", ""))
+        )
         return NOT_DONE_YET
 
 
--- a/src/redwingrudder/standins/_worker_tasks.py
+++ b/src/redwingrudder/standins/_worker_tasks.py
@@ -6,8 +6,8 @@
 
 from ..model import JobSpec, TaskOutcome
 
-TASK_SPREAD_S = 0.002  # tasks of a gang end this much apart
-FAILURE_DELAY_S = 0.05  # run time of a task when everything fails
+TASK_END_INTERVAL_S = 0.002  # tasks of a gang end this much apart
+FAULTY_TASK_RUN_S = 0.05  # run time of a task when everything fails
 
 
 class TaskPlan(NamedTuple):
@@ -17,12 +17,12 @@
     ends_at: float
     outcome: TaskOutcome
     result: str
-    share: float = 1.0
+    core_share: float = 1.0
 
-    def throttled(self, share: float, now: float) -> "TaskPlan":
+    def throttled(self, core_share: float, now: float) -> "TaskPlan":
         """Return the plan with the rest of the run time stretched."""
-        rest_s = max(self.ends_at - now, 0.0) * self.share / share
-        return self._replace(ends_at=now + rest_s, share=share)
+        remaining_s = max(self.ends_at - now, 0.0) * self.core_share / core_share
+        return self._replace(ends_at=now + remaining_s, core_share=core_share)
 
     def stopped(self, ends_at: float, outcome: TaskOutcome) -> "TaskPlan":
         """Return the plan of the task when it is stopped."""
@@ -31,7 +31,7 @@
         return self._replace(ends_at=ends_at, outcome=outcome, result="")
 
 
-class _Script(NamedTuple):
+class _TaskScript(NamedTuple):
     """What the payload of a job asks of its simulated tasks."""
 
     run_s: float
@@ -50,9 +50,9 @@
     digest of the payload with the task index as the result.
     """
     script = _read_script(spec)
-    ends_at = now + script.run_s + TASK_SPREAD_S * task_index
+    ends_at = now + script.run_s + TASK_END_INTERVAL_S * task_index
     if fail_everything:
-        ends_at = now + FAILURE_DELAY_S
+        ends_at = now + FAULTY_TASK_RUN_S
         return TaskPlan(task_index, ends_at, TaskOutcome.FAILED, "worker fault")
     if script.fail or task_index in script.fail_tasks:
         return TaskPlan(task_index, ends_at, TaskOutcome.FAILED, "as ordered")
@@ -63,14 +63,14 @@
     return TaskPlan(task_index, ends_at, TaskOutcome.SUCCEEDED, result)
 
 
-def _read_script(spec: JobSpec) -> _Script:
+def _read_script(spec: JobSpec) -> _TaskScript:
     try:
-        orders = json.loads(spec.payload)
-        return _Script(
-            float(orders.get("run_s", spec.declared_run_s)),
-            orders.get("result"),
-            bool(orders.get("fail", False)),
-            frozenset(orders.get("fail_tasks", ())),
+        payload = json.loads(spec.payload)
+        return _TaskScript(
+            float(payload.get("run_s", spec.declared_run_s)),
+            payload.get("result"),
+            bool(payload.get("fail", False)),
+            frozenset(payload.get("fail_tasks", ())),
         )
     except (ValueError, TypeError, AttributeError):
-        return _Script(spec.declared_run_s, None, False, frozenset())
+        return _TaskScript(spec.declared_run_s, None, False, frozenset())
--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -17,12 +17,12 @@
 
 from ..exceptions import RedwingrudderError
 from ..platform_api import BODY_LIMIT, DOMAIN_HEADER, WatchLine
-from ._platform_service import Budget, Call, PlatformService, Reply, WatchStream
+from ._platform_service import RateLimits, Call, PlatformService, Reply, WatchStream
 
-TOO_MANY_REQUESTS = 429
-GZIP_FROM = 1_000  # bytes
-STREAM_QUEUE_LIMIT = 8_000_000  # bytes that wait for a slow reader of a watch
-CONNECTION_TIMEOUT_S = 120.0  # idle persistent connections
+HTTP_TOO_MANY_REQUESTS = 429
+MIN_GZIP_BYTES = 1_000  # bytes
+MAX_STREAM_QUEUE_BYTES = 8_000_000  # bytes that wait for a slow reader of a watch
+IDLE_CONNECTION_TIMEOUT_S = 120.0  # idle persistent connections
 
 
 class PlatformStandin:
@@ -37,10 +37,10 @@
     def __init__(
         self,
         clock: IReactorTime,
-        budget: Budget | None = None,
+        rate_limits: RateLimits | None = None,
         vm_lag_s: float = 0.0,
     ) -> None:
-        self.service = PlatformService(clock, budget, vm_lag_s)
+        self.service = PlatformService(clock, rate_limits, vm_lag_s)
         self._clock = clock
         self._port: Any = None
         self._site: server.Site | None = None
@@ -49,7 +49,7 @@
         """Open the server; the Deferred fires with the port number."""
         root = _PlatformResource(self.service, self._clock)
         self._site = server.Site(
-            root, requestFactory=_BoundedRequest, timeout=CONNECTION_TIMEOUT_S
+            root, requestFactory=_BoundedRequest, timeout=IDLE_CONNECTION_TIMEOUT_S
         )
         self._port = reactor.listenTCP(port, self._site, interface=host)
         return succeed(self._port.getHost().port)
@@ -69,24 +69,24 @@
     """
     platform = PlatformStandin(reactor)
 
-    def announce(bound: int) -> None:
-        print(f"platform {host}:{bound}", flush=True)
+    def print_address(bound_port: int) -> None:
+        print(f"platform {host}:{bound_port}", flush=True)
 
-    def begin() -> None:
-        platform.listen(reactor, host, port).addCallback(announce)
+    def start() -> None:
+        platform.listen(reactor, host, port).addCallback(print_address)
 
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(start)
     reactor.run()
 
 
 class _BoundedRequest(server.Request):
     """Closes the connection of a request whose body exceeds the limit."""
 
-    _received = 0
+    _received_bytes = 0
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        self._received += len(data)
-        if self._received > BODY_LIMIT:
+        self._received_bytes += len(data)
+        if self._received_bytes > BODY_LIMIT:
             self.channel.forceAbortClient()
             return
         super().handleContentChunk(data)
@@ -105,14 +105,14 @@
     def render(self, request: server.Request) -> Any:
         path = request.path.decode("utf-8", "replace")
         if path.startswith("/admin/"):
-            _write(request, self._administer(path, request))
+            _write(request, self._answer_admin(path, request))
         elif path == "/v3/watch":
             self._watch(request)
         else:
             self._answer(request, self._service.handle(_decode_call(request)))
         return server.NOT_DONE_YET
 
-    def _administer(self, path: str, request: server.Request) -> Reply:
+    def _answer_admin(self, path: str, request: server.Request) -> Reply:
         try:
             if path == "/admin/faults":
                 return Reply(200, self._service.set_faults(request.content.read()))
@@ -131,27 +131,27 @@
         if reply.delay_s <= 0:
             _write(request, reply)
             return
-        call = self._clock.callLater(reply.delay_s, _write, request, reply)
+        delayed_write = self._clock.callLater(reply.delay_s, _write, request, reply)
 
         def cancel(failure: Failure) -> None:
-            if call.active():
-                call.cancel()
+            if delayed_write.active():
+                delayed_write.cancel()
 
         request.notifyFinish().addErrback(cancel)
 
     def _watch(self, request: server.Request) -> None:
-        lines = _LineProducer(request)
-        stream = WatchStream(lines.send, lines.close)
-        outcome = self._service.open_watch(_decode_call(request), stream)
-        if isinstance(outcome, int):
+        producer = _WatchProducer(request)
+        stream = WatchStream(producer.send, producer.close)
+        result = self._service.open_watch(_decode_call(request), stream)
+        if isinstance(result, int):
             closed = request.notifyFinish()
-            closed.addBoth(lambda _: self._service.close_watch(outcome))
-        elif not lines.closed:
-            self._answer(request, outcome)
+            closed.addBoth(lambda _: self._service.close_watch(result))
+        elif not producer.closed:
+            self._answer(request, result)
 
 
 @implementer(IPushProducer)
-class _LineProducer:
+class _WatchProducer:
     """Writes lines to a request and bounds what a slow reader leaves."""
 
     def __init__(self, request: server.Request) -> None:
@@ -159,9 +159,9 @@
         self._request = request
         self._paused = False
         self._started = False
-        self._lines: deque[bytes] = deque()
-        self._waiting_bytes = 0
-        request.notifyFinish().addBoth(self._finished)
+        self._queued_lines: deque[bytes] = deque()
+        self._queued_bytes = 0
+        request.notifyFinish().addBoth(self._connection_ended)
 
     def send(self, line: WatchLine) -> None:
         if self.closed:
@@ -171,12 +171,12 @@
             self._request.setHeader("Content-Type", "application/json")
             self._request.registerProducer(self, True)
         data = json.dumps(line).encode() + b"\n"
-        self._waiting_bytes += len(data)
-        if self._waiting_bytes > STREAM_QUEUE_LIMIT:
+        self._queued_bytes += len(data)
+        if self._queued_bytes > MAX_STREAM_QUEUE_BYTES:
             # The client resumes after the last revision that it received.
             self.close()
             return
-        self._lines.append(data)
+        self._queued_lines.append(data)
         self._flush()
 
     def close(self) -> None:
@@ -184,7 +184,7 @@
         if self.closed:
             return
         self.closed = True
-        self._lines.clear()
+        self._queued_lines.clear()
         if self._started:
             self._request.unregisterProducer()
         self._request.channel.loseConnection()
@@ -200,12 +200,12 @@
         self.closed = True
 
     def _flush(self) -> None:
-        while self._lines and not self._paused and not self.closed:
-            data = self._lines.popleft()
-            self._waiting_bytes -= len(data)
+        while self._queued_lines and not self._paused and not self.closed:
+            data = self._queued_lines.popleft()
+            self._queued_bytes -= len(data)
             self._request.write(data)
 
-    def _finished(self, result: Any) -> None:
+    def _connection_ended(self, result: Any) -> None:
         self.closed = True
 
 
@@ -228,7 +228,7 @@
         return
     request.setResponseCode(reply.status)
     request.setHeader("Content-Type", "application/json")
-    if reply.status == TOO_MANY_REQUESTS:
+    if reply.status == HTTP_TOO_MANY_REQUESTS:
         request.setHeader("Retry-After", "1")
     if reply.etag:
         request.setHeader("ETag", reply.etag)
@@ -240,7 +240,7 @@
 def _encode_body(request: server.Request, reply: Reply) -> bytes:
     body = json.dumps(reply.body).encode()
     accepted = request.getHeader("Accept-Encoding") or ""
-    if len(body) < GZIP_FROM or "gzip" not in accepted:
+    if len(body) < MIN_GZIP_BYTES or "gzip" not in accepted:
         return body
     request.setHeader("Content-Encoding", "gzip")
     return gzip.compress(body, compresslevel=1)
--- a/src/redwingrudder/standins/worker.py
+++ b/src/redwingrudder/standins/worker.py
@@ -14,7 +14,7 @@
 from ..model import WorkerInfo
 from ..timers import TimerService
 from ._worker_core import HistoryEntry, RejectedEpochError, WorkerCore
-from ._worker_http import FaultOrders, WorkerStandIn
+from ._worker_http import FaultsRequest, WorkerStandIn
 
 __all__ = [
     "FaultOrders",
@@ -35,9 +35,9 @@
     TimerService(system)
     stand_in = WorkerStandIn(system, info, reactor, port, host)
 
-    def begin() -> None:
+    def start() -> None:
         system.start()
         print(f"worker {info.worker_id} {stand_in.address}", flush=True)
 
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(start)
     reactor.run()
--- a/tests/platform_proxy.py
+++ b/tests/platform_proxy.py
@@ -33,67 +33,69 @@
 
     def __init__(self):
         self.mode = "up"
-        self.ends = set()
+        self.connections = set()
 
     def set_mode(self, mode):
         if mode == "reset":
-            for end in list(self.ends):
-                end.transport.abortConnection()
+            for connection in list(self.connections):
+                connection.transport.abortConnection()
         elif mode == "mute":
-            for end in self.ends:
-                end.muted = True
+            for connection in self.connections:
+                connection.muted = True
         self.mode = mode
 
 
-class _End:
+class _ForwardedConnection:
     """What both ends of a forwarded connection do with bytes."""
 
     muted = False
-    due = 0.0
-    inward = False
+    last_delivery_at = 0.0
+    from_node = False
 
     def connectionMade(self):  # noqa: N802
-        self.link.ends.add(self)
+        self.link.connections.add(self)
         super().connectionMade()
 
     def connectionLost(self, reason):  # noqa: N802
-        self.link.ends.discard(self)
+        self.link.connections.discard(self)
         if not self.muted and self.link.mode not in ("cut", "one_way"):
             super().connectionLost(reason)
 
     def dataReceived(self, data):  # noqa: N802
         mode = self.link.mode
-        if self.muted or mode == "cut" or (mode == "one_way" and self.inward):
+        if self.muted or mode == "cut" or (mode == "one_way" and self.from_node):
             return
         now = reactor.seconds()
-        self.due = max(now + DELAY_S if mode == "delay" else now, self.due)
-        if self.due > now:
-            reactor.callLater(self.due - now, self._pass, data)
+        self.last_delivery_at = max(
+            now + DELAY_S if mode == "delay" else now, self.last_delivery_at
+        )
+        if self.last_delivery_at > now:
+            reactor.callLater(self.last_delivery_at - now, self._forward, data)
         else:
-            self._pass(data)
+            self._forward(data)
 
-    def _pass(self, data):
+    def _forward(self, data):
         if self.peer is not None and self.peer.transport is not None:
             self.peer.transport.write(data)
 
 
-class ServerEnd(_End, ProxyServer):
+class NodeConnection(_ForwardedConnection, ProxyServer):
     """The connection from a node."""
 
-    inward = True
+    from_node = True
 
     @property
     def link(self):
         return self.factory.link
 
     def clientProtocolFactory(self):  # noqa: N802
-        made = ProxyClientFactory()
-        made.protocol = ClientEnd
-        made.link = self.link
-        return made
+        client_factory = ProxyClientFactory()
+        client_factory.protocol = TargetConnection
+        client_factory.link = self.link
+        return client_factory
 
 
-class ClientEnd(_End, ProxyClient):
+class TargetConnection(_ForwardedConnection, ProxyClient):
     """The connection to the stand-in."""
 
     @property
@@ -116,17 +118,17 @@
         return b"{}"
 
 
-def main(control, pairs):
+def main(control_port, port_pairs):
     """Serve until the process is ended."""
     links = {}
-    for pair in pairs:
-        listen, _, target = pair.partition(":")
-        factory = ProxyFactory("127.0.0.1", int(target))
+    for port_pair in port_pairs:
+        listen_port, _, target_port = port_pair.partition(":")
+        factory = ProxyFactory("127.0.0.1", int(target_port))
         factory.noisy = False
-        factory.protocol = ServerEnd
-        factory.link = links[listen] = Link()
-        reactor.listenTCP(int(listen), factory, interface="127.0.0.1")
-    reactor.listenTCP(control, Site(Control(links)), interface="127.0.0.1")
+        factory.protocol = NodeConnection
+        factory.link = links[listen_port] = Link()
+        reactor.listenTCP(int(listen_port), factory, interface="127.0.0.1")
+    reactor.listenTCP(control_port, Site(Control(links)), interface="127.0.0.1")
     reactor.run()
 
 
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -21,10 +21,10 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-NODES = 3
-WORKERS = 3
-ANSWER_S = 4.0
-KINDS = (
+NODE_COUNT = 3
+WORKER_COUNT = 3
+REQUEST_TIMEOUT_S = 4.0
+FAULT_KINDS = (
     "kill",
     "term",
     "pause",
@@ -35,16 +35,16 @@
     "hup",
     "cancel",
 )
-LINK_KINDS = (*KINDS, "link", "link")
+FAULT_KINDS_WITH_LINKS = (*FAULT_KINDS, "link", "link")
 # Seeds below were drawn before there were proxies and keep their faults.
 FIRST_LINK_SEED = 500
 LINK_MODES = ("delay", "cut", "one_way", "reset", "mute")
-SETTLE_S = 40.0  # from the last fault until all jobs must have ended
+JOB_END_TIMEOUT_S = 40.0  # from the last fault until all jobs must have ended
 # Seeds that failed once. 3 and 105: a start without an answer reached the next
 # life of a worker that had restarted, beside the run that replaced it.
 # 600: a start that was sent again after a silence of its worker ran beside its
 # successor.
-REGRESSIONS = (3, 105, 600)
+REGRESSION_SEEDS = (3, 105, 600)
 
 SETTINGS = """
 nodeName = "{name}"
@@ -64,7 +64,7 @@
 """
 
 
-class Broken(Exception):
+class InvariantViolation(Exception):
     """A promise was broken; the text says which."""
 
 
@@ -74,19 +74,19 @@
         try:
             sockets = []
             for port in range(first, first + count):
-                made = socket.socket()
-                sockets.append(made)
-                made.bind(("127.0.0.1", port))
+                candidate = socket.socket()
+                sockets.append(candidate)
+                candidate.bind(("127.0.0.1", port))
             return first
         except OSError:
             continue
         finally:
-            for made in sockets:
-                made.close()
+            for candidate in sockets:
+                candidate.close()
     raise RuntimeError("no free ports")
 
 
-def call(method, url, body=None, timeout_s=ANSWER_S):
+def send_request(method, url, body=None, timeout_s=REQUEST_TIMEOUT_S):
     """Return status and body; status 0 means no answer."""
     headers = {"Host": "jobs.example", "Authorization": "Token key"}
     content = json.dumps(body).encode() if body is not None else None
@@ -100,7 +100,7 @@
         return 0, {}
 
 
-class System:
+class Deployment:
     """The processes of one seed.
 
     Args:
@@ -109,70 +109,88 @@
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
-        self.base = free_ports(2 * (1 + WORKERS) + 5 * NODES)
+        self.first_port = free_ports(2 * (1 + WORKER_COUNT) + 5 * NODE_COUNT)
         # The last ports are those of the proxies: control, a way to each
         # worker, a way from each node to the store.
-        self.proxy = self.base + 1 + WORKERS + 4 * NODES
-        shown = self.proxy + 1
-        self.store_links = [shown + WORKERS + index for index in range(NODES)]
-        self.worker_links = [shown + index for index in range(WORKERS)]
-        pairs = [f"{port}:{self.base}" for port in self.store_links]
-        for index, port in enumerate(self.worker_links):
-            pairs.append(f"{port}:{self.base + 1 + index}")
+        self.proxy_control_port = self.first_port + 1 + WORKER_COUNT + 4 * NODE_COUNT
+        first_worker_proxy = self.proxy_control_port + 1
+        self.store_proxy_ports = [
+            first_worker_proxy + WORKER_COUNT + index for index in range(NODE_COUNT)
+        ]
+        self.worker_proxy_ports = [
+            first_worker_proxy + index for index in range(WORKER_COUNT)
+        ]
+        proxy_pairs = [f"{port}:{self.first_port}" for port in self.store_proxy_ports]
+        for index, port in enumerate(self.worker_proxy_ports):
+            proxy_pairs.append(f"{port}:{self.first_port + 1 + index}")
         self.processes = {}
         self.begin(
-            "standin", ["-m", "tests.platform_standin", self.base, WORKERS, shown]
+            "standin",
+            [
+                "-m",
+                "tests.platform_standin",
+                self.first_port,
+                WORKER_COUNT,
+                first_worker_proxy,
+            ],
         )
-        self.begin("proxy", ["-m", "tests.platform_proxy", self.proxy, *pairs])
-        for index in range(NODES):
-            self.begin_node(index)
+        self.begin(
+            "proxy",
+            ["-m", "tests.platform_proxy", self.proxy_control_port, *proxy_pairs],
+        )
+        for index in range(NODE_COUNT):
+            self.start_node(index)
 
-    def begin(self, name, arguments, **variables):
+    def begin(self, name, arguments, **environment):
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(
             [sys.executable, *map(str, arguments)],
             cwd=ROOT,
-            env={**os.environ, **variables},
+            env={**os.environ, **environment},
             stdout=log,
             stderr=log,
         )
 
-    def begin_node(self, index):
-        first = self.base + 1 + WORKERS + 4 * index
+    def start_node(self, index):
+        first = self.first_port + 1 + WORKER_COUNT + 4 * index
         settings = SETTINGS.format(
             name=f"n{index}",
             peers=first,
             metrics=first + 1,
             front=first + 2,
             ready=first + 3,
-            store=self.store_links[index],
+            store=self.store_proxy_ports[index],
         )
         path = self.folder / f"n{index}.toml"
         path.write_text(settings, "utf-8")
         self.begin(f"n{index}", ["deploy/node.py"], REDWINGRUDDER_CONFIG=str(path))
 
     def front(self, index, path):
-        port = self.base + 1 + WORKERS + 4 * index + 2
+        port = self.first_port + 1 + WORKER_COUNT + 4 * index + 2
         return f"http://127.0.0.1:{port}{path}"
 
     def control(self, body=None):
-        return call("POST", f"http://127.0.0.1:{self.base}/control", body or {})[1]
+        return send_request(
+            "POST", f"http://127.0.0.1:{self.first_port}/control", body or {}
+        )[1]
 
-    def set_link(self, port, mode):
+    def set_link_mode(self, port, mode):
         """Set the mode of a proxy, see ``platform_proxy``."""
-        call("POST", f"http://127.0.0.1:{self.proxy}/", {str(port): mode})
+        send_request(
+            "POST", f"http://127.0.0.1:{self.proxy_control_port}/", {str(port): mode}
+        )
 
-    def signal(self, index, number):
+    def signal(self, index, signal_number):
         process = self.processes[f"n{index}"]
         if process.poll() is None:
-            process.send_signal(number)
+            process.send_signal(signal_number)
 
     def restart(self, index):
         process = self.processes[f"n{index}"]
         if process.poll() is None:
             process.kill()
         process.wait()
-        self.begin_node(index)
+        self.start_node(index)
 
     def close(self):
         for process in self.processes.values():
@@ -185,8 +203,8 @@
 class Soak:
     """One seed: jobs, faults and checks."""
 
-    def __init__(self, system, seed):
-        self.system = system
+    def __init__(self, deployment, seed):
+        self.deployment = deployment
         self.seed = seed
         self.random = random.Random(seed)
         self.accepted = {}
@@ -194,28 +212,28 @@
         self.cancelled = set()
 
     def run(self, seconds):
-        self._await_ready()
+        self._wait_until_ready()
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             self._submit()
             if self.random.random() < 0.25:
-                self._fault()
+                self._inject_fault()
             time.sleep(self.random.uniform(0.05, 0.3))
-        self._heal()
-        self._await_end()
+        self._clear_faults()
+        self._wait_for_jobs()
         self._check_runs()
 
-    def _await_ready(self):
+    def _wait_until_ready(self):
         deadline = time.monotonic() + 30
         while time.monotonic() < deadline:
-            url = self.system.front(0, "/urgent/")
-            if call("GET", url)[0] == 200:
+            url = self.deployment.front(0, "/urgent/")
+            if send_request("GET", url)[0] == 200:
                 return
             time.sleep(0.1)
-        raise Broken("the nodes did not become ready")
+        raise InvariantViolation("the nodes did not become ready")
 
     def _submit(self):
-        job = f"{self.random.getrandbits(64):016x}"
+        job_id = f"{self.random.getrandbits(64):016x}"
         queue = self.random.choice(("urgent", "patient"))
         gang = self.random.random() < 0.5
         tasks = self.random.randint(1, 3)
@@ -225,119 +243,132 @@
         if self.random.random() < 0.3:
             steps.append({**step, "count": 1, "after": [0]})
         body = {"spec": json.dumps(spec), "steps": steps}
-        answers = []
+        statuses = []
         for _ in range(3):
-            index = self.random.randrange(NODES)
-            url = self.system.front(index, f"/{queue}/{job}")
-            status, _ = call("POST", url, body, 1.5)
-            answers.append(status)
+            index = self.random.randrange(NODE_COUNT)
+            url = self.deployment.front(index, f"/{queue}/{job_id}")
+            status, _ = send_request("POST", url, body, 1.5)
+            statuses.append(status)
             if status == 200:
-                self.accepted[job] = queue
+                self.accepted[job_id] = queue
                 return
-        if all(status in (429, 503) for status in answers):
-            self.refused.add(job)
-
-    def _fault(self):
-        system, choose = self.system, self.random.choice
-        index = self.random.randrange(NODES)
-        kind = choose(KINDS if self.seed < FIRST_LINK_SEED else LINK_KINDS)
+        if all(status in (429, 503) for status in statuses):
+            self.refused.add(job_id)
+
+    def _inject_fault(self):
+        deployment, choose = self.deployment, self.random.choice
+        index = self.random.randrange(NODE_COUNT)
+        kind = choose(
+            FAULT_KINDS if self.seed < FIRST_LINK_SEED else FAULT_KINDS_WITH_LINKS
+        )
         if kind == "kill":
-            system.restart(index)
+            deployment.restart(index)
         elif kind == "term":
-            system.signal(index, signal.SIGTERM)
+            deployment.signal(index, signal.SIGTERM)
             time.sleep(0.3)
-            self._revive()
+            self._restart_ended_nodes()
         elif kind == "pause":
-            system.signal(index, signal.SIGSTOP)
+            deployment.signal(index, signal.SIGSTOP)
             time.sleep(self.random.uniform(0.5, 4.0))
-            system.signal(index, signal.SIGCONT)
+            deployment.signal(index, signal.SIGCONT)
         elif kind == "store":
             mode = choose(("down", "silent", "slow", "lossy"))
-            system.control({"store": mode})
+            deployment.control({"store": mode})
             time.sleep(self.random.uniform(0.5, 3.0))
-            system.control({"store": "up"})
+            deployment.control({"store": "up"})
         elif kind in ("worker", "late"):
             mode = "silent" if kind == "worker" else "late"
-            name = str(self.random.randrange(WORKERS))
-            system.control({"workers": {name: mode}})
+            name = str(self.random.randrange(WORKER_COUNT))
+            deployment.control({"workers": {name: mode}})
             time.sleep(self.random.uniform(0.5, 2.0))
-            system.control({"workers": {name: "up"}})
+            deployment.control({"workers": {name: "up"}})
         elif kind == "crash":
-            name = str(self.random.randrange(WORKERS))
-            system.control({"workers": {name: "crash"}})
+            name = str(self.random.randrange(WORKER_COUNT))
+            deployment.control({"workers": {name: "crash"}})
         elif kind == "link":
-            port = choose(system.store_links + system.worker_links)
-            system.set_link(port, choose(LINK_MODES))
+            port = choose(deployment.store_proxy_ports + deployment.worker_proxy_ports)
+            deployment.set_link_mode(port, choose(LINK_MODES))
             time.sleep(self.random.uniform(0.3, 4.0))
-            system.set_link(port, "up")
+            deployment.set_link_mode(port, "up")
         elif kind == "hup":
-            system.signal(index, signal.SIGHUP)
+            deployment.signal(index, signal.SIGHUP)
         elif self.accepted:
-            job = choose(sorted(self.accepted))
-            path = f"/{self.accepted[job]}/{job}"
-            if call("DELETE", system.front(index, path), None, 1.5)[0] == 200:
-                self.cancelled.add(job)
-
-    def _revive(self):
-        for index in range(NODES):
-            process = self.system.processes[f"n{index}"]
+            job_id = choose(sorted(self.accepted))
+            path = f"/{self.accepted[job_id]}/{job_id}"
+            if (
+                send_request("DELETE", deployment.front(index, path), None, 1.5)[0]
+                == 200
+            ):
+                self.cancelled.add(job_id)
+
+    def _restart_ended_nodes(self):
+        for index in range(NODE_COUNT):
+            process = self.deployment.processes[f"n{index}"]
             if process.poll() is not None:
-                self.system.begin_node(index)
+                self.deployment.start_node(index)
 
-    def _heal(self):
-        self.system.control(
-            {"store": "up", "workers": {str(i): "up" for i in range(WORKERS)}}
+    def _clear_faults(self):
+        self.deployment.control(
+            {"store": "up", "workers": {str(i): "up" for i in range(WORKER_COUNT)}}
         )
-        for port in self.system.store_links + self.system.worker_links:
-            self.system.set_link(port, "up")
-        for index in range(NODES):
-            self.system.signal(index, signal.SIGCONT)
+        for port in (
+            self.deployment.store_proxy_ports + self.deployment.worker_proxy_ports
+        ):
+            self.deployment.set_link_mode(port, "up")
+        for index in range(NODE_COUNT):
+            self.deployment.signal(index, signal.SIGCONT)
         time.sleep(0.2)
-        self._revive()
+        self._restart_ended_nodes()
 
-    def _await_end(self):
+    def _wait_for_jobs(self):
         """All accepted jobs end, and their state can be read at any node."""
-        open_jobs = dict(self.accepted)
-        deadline = time.monotonic() + SETTLE_S
-        while open_jobs and time.monotonic() < deadline:
-            self._revive()
-            for job, queue in list(open_jobs.items()):
-                index = self.random.randrange(NODES)
-                path = f"/{queue}/{job}"
-                status, body = call("GET", self.system.front(index, path))
+        queues_by_job = dict(self.accepted)
+        deadline = time.monotonic() + JOB_END_TIMEOUT_S
+        while queues_by_job and time.monotonic() < deadline:
+            self._restart_ended_nodes()
+            for job_id, queue in list(queues_by_job.items()):
+                index = self.random.randrange(NODE_COUNT)
+                path = f"/{queue}/{job_id}"
+                status, body = send_request("GET", self.deployment.front(index, path))
                 state = body.get("state", "")
                 if status == 410:
-                    raise Broken(f"accepted job {job} is unknown")
+                    raise InvariantViolation(f"accepted job {job_id} is unknown")
                 if state == "failed":
-                    raise Broken(f"job {job} failed without a failed run")
-                if state == "cancelled" and job not in self.cancelled:
+                    raise InvariantViolation(
+                        f"job {job_id} failed without a failed run"
+                    )
+                if state == "cancelled" and job_id not in self.cancelled:
                     # A cancellation whose answer was lost still counts.
-                    self.cancelled.add(job)
+                    self.cancelled.add(job_id)
                 if state in ("done", "cancelled"):
-                    del open_jobs[job]
+                    del queues_by_job[job_id]
             time.sleep(0.2)
-        if open_jobs:
-            raise Broken(f"jobs did not end: {sorted(open_jobs)}")
+        if queues_by_job:
+            raise InvariantViolation(f"jobs did not end: {sorted(queues_by_job)}")
 
     def _check_runs(self):
-        runs = self.system.control()["runs"]
-        by_task = {}
+        runs = self.deployment.control()["runs"]
+        runs_by_task = {}
         for task, run, begin, end, how, worker, noted in runs:
             row = (begin, end, run, how, worker, noted)
-            by_task.setdefault(task, []).append(row)
-        for task, rows in by_task.items():
+            runs_by_task.setdefault(task, []).append(row)
+        for task, rows in runs_by_task.items():
             rows.sort()
             for earlier, later in zip(rows, rows[1:], strict=False):
                 if not earlier[1] or later[0] < earlier[1]:
-                    raise Broken(f"{task} ran twice at a time: {earlier} {later}")
+                    raise InvariantViolation(
+                        f"{task} ran twice at a time: {earlier} {later}"
+                    )
             # An end that its worker forgot before it was acknowledged is one
             # that nobody can know of, as seed 8 showed with a worker that fell
             # silent and crashed.
             noted = [row for row in rows if row[3] == "done" and row[5]]
             if noted and any(row[0] > noted[0][1] for row in rows):
-                raise Broken(f"{task} ran again after it was done: {rows}")
+                raise InvariantViolation(f"{task} ran again after it was done: {rows}")
             if task.partition(".")[0] in self.refused:
-                raise Broken(f"{task} ran, but all its submissions were refused")
+                raise InvariantViolation(
+                    f"{task} ran, but all its submissions were refused"
+                )
 
 
 def run_seed(seed, seconds, folder):
@@ -346,11 +377,11 @@
     Raises:
         Broken: A promise was broken.
     """
-    system = System(folder)
+    deployment = Deployment(folder)
     try:
-        Soak(system, seed).run(seconds)
+        Soak(deployment, seed).run(seconds)
     finally:
-        system.close()
+        deployment.close()
 
 
 def main():
@@ -362,12 +393,12 @@
     arguments = parser.parse_args()
     failed = 0
     seeds = range(arguments.first, arguments.first + arguments.seeds)
-    for seed in [*REGRESSIONS, *seeds]:
+    for seed in [*REGRESSION_SEEDS, *seeds]:
         folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         try:
             run_seed(seed, arguments.seconds, folder)
             print(f"seed {seed}: kept", flush=True)
-        except Broken as error:
+        except InvariantViolation as error:
             failed += 1
             print(f"seed {seed}: BROKEN {error}; logs in {folder}", flush=True)
     return 1 if failed else 0
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -16,9 +16,9 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-HISTORY_LIMIT = 5000  # changes; older watches get 410
-LOOK_LIMIT_S = 2.0
-LEASE_LIMIT_S = 6.0
+MAX_HISTORY_CHANGES = 5000  # changes; older watches get 410
+MAX_POLL_WAIT_S = 2.0
+MAX_LEASE_S = 6.0
 POOL = "pool"
 
 
@@ -45,25 +45,27 @@
             "created": created,
             "lease": lease,
         }
-        self._changed(dict(self.items[key]))
+        self._append_change(dict(self.items[key]))
 
     def remove(self, key):
         """Remove a key at the present revision."""
         if key in self.items:
             del self.items[key]
-            self._changed({"key": key, "revision": self.revision, "deleted": True})
+            self._append_change(
+                {"key": key, "revision": self.revision, "deleted": True}
+            )
 
-    def _changed(self, event):
+    def _append_change(self, event):
         self.history.append(event)
-        del self.history[:-HISTORY_LIMIT]
+        del self.history[:-MAX_HISTORY_CHANGES]
 
     @contextlib.contextmanager
     def change(self):
         """Give all changes within one revision, then tell the watches."""
         self.revision += 1
         yield
-        waiting, self.watches = self.watches, []
-        for watch in waiting:
+        waiting_watches, self.watches = self.watches, []
+        for watch in waiting_watches:
             self.answer_watch(*watch)
 
     def answer_watch(self, prefix, after, request, timer):
@@ -105,10 +107,10 @@
         lease = self.next_lease
         self.next_lease += 1
         self.leases[lease] = (ttl_s, None)
-        self.keep(lease)
+        self.extend_lease(lease)
         return lease
 
-    def keep(self, lease):
+    def extend_lease(self, lease):
         ttl_s, timer = self.leases[lease]
         if timer is not None and timer.active():
             timer.cancel()
@@ -148,8 +150,8 @@
         write = path.endswith("kv-txn")
         if mode == "lossy" and write and self.store.random.random() < 0.3:
             # Half of the unanswered writes take effect seconds later.
-            late = self.store.random.random() < 0.5
-            reactor.callLater(2.0 if late else 0, self.store.transact, body)
+            delayed = self.store.random.random() < 0.5
+            reactor.callLater(2.0 if delayed else 0, self.store.transact, body)
             return NOT_DONE_YET
         self._serve(request, path, body)
         return NOT_DONE_YET
@@ -191,7 +193,7 @@
         elif name.startswith("kv-keep/"):
             lease = int(name.rpartition("/")[2])
             if lease in store.leases:
-                reply(request, 200, {"ttlMs": int(store.keep(lease) * 1000)})
+                reply(request, 200, {"ttlMs": int(store.extend_lease(lease) * 1000)})
             else:
                 reply(request, 404, {})
         else:
@@ -210,20 +212,22 @@
         self.address = address
         self.store = store
         self.runs = []
-        self.looks = []
+        self.waiting_polls = []
         self.mode = "up"
-        self.born = 0
+        self.process_started_ms = 0
         self.reset()
 
     def reset(self):
-        self.born = max(self.born + 1, int(time.time() * 1000))
-        self.begun = time.monotonic()
+        self.process_started_ms = max(
+            self.process_started_ms + 1, int(time.time() * 1000)
+        )
+        self.started_at = time.monotonic()
         self.fence = 0
         self.running = {}
-        self.ended = []
-        self.number = 0
+        self.unacknowledged_ends = []
+        self.last_end_number = 0
         self.rows_by_number = {}
-        self.void = {}
+        self.last_closed_run_by_task = {}
         self.lease = None
         self.register()
 
@@ -233,7 +237,7 @@
             "address": self.address,
             "zone": "z",
             "state": state,
-            "born": self.born,
+            "born": self.process_started_ms,
             "capacity": {"cpu": 16000, "memMb": 32000, "gpu": 8},
             "labels": ["a", "r1"],
             "remainingMs": 2000,
@@ -244,34 +248,34 @@
     def change(self, mode):
         if mode == "crash":
             for task in list(self.running):
-                self._finish(task, "crashed", listed=False)
+                self._finish(task, "crashed", reported=False)
             self.reset()
         else:
             self.mode = mode
 
     @property
     def clock_ms(self):
-        return int((time.monotonic() - self.begun) * 1000)
+        return int((time.monotonic() - self.started_at) * 1000)
 
     def extend(self, until_ms):
-        until_ms = min(until_ms, self.clock_ms + int(LEASE_LIMIT_S * 1000))
+        until_ms = min(until_ms, self.clock_ms + int(MAX_LEASE_S * 1000))
         if self.lease is not None and self.lease.active():
             until_ms = max(until_ms, self.lease_until_ms)
             self.lease.cancel()
         self.lease_until_ms = until_ms
         delay_s = max(until_ms - self.clock_ms, 0) / 1000
-        self.lease = reactor.callLater(delay_s, self.lapse)
+        self.lease = reactor.callLater(delay_s, self.expire_lease)
 
-    def lapse(self):
+    def expire_lease(self):
         for task in list(self.running):
             self._finish(task, "lapsed")
 
     def start(self, body):
         task, run = body["task"], body["runId"]
-        present = self.running.get(task)
-        if present is not None and present["run"] == run:
+        current = self.running.get(task)
+        if current is not None and current["run"] == run:
             return 200, {}
-        if run <= self.void.get(task, 0) or present is not None:
+        if run <= self.last_closed_run_by_task.get(task, 0) or current is not None:
             return 409, {"reason": "old"}
         if body["deadlineAtMs"] <= self.clock_ms:
             return 409, {"reason": "late"}
@@ -279,65 +283,73 @@
         spec = json.loads(body["spec"])
         row = [task, run, time.monotonic(), 0, "", self.worker_id, False]
         self.runs.append(row)
-        how = "failed" if spec.get("fails") else "done"
-        timer = reactor.callLater(spec["run_s"], self._finish, task, how)
+        outcome = "failed" if spec.get("fails") else "done"
+        timer = reactor.callLater(spec["run_s"], self._finish, task, outcome)
         self.running[task] = {"run": run, "row": row, "timer": timer}
         self.running[task]["run_s"] = spec["run_s"]
         return 200, {}
 
     def stop(self, body):
         task, run = body["task"], body["runId"]
-        present = self.running.get(task)
-        if present is not None and present["run"] == run:
+        current = self.running.get(task)
+        if current is not None and current["run"] == run:
             self._finish(task, "stopped")
-        self.void[task] = max(self.void.get(task, 0), run)
+        self.last_closed_run_by_task[task] = max(
+            self.last_closed_run_by_task.get(task, 0), run
+        )
         return 200, {}
 
-    def _finish(self, task, how, listed=True):
-        present = self.running.pop(task)
-        if present["timer"].active():
-            present["timer"].cancel()
-        present["row"][3], present["row"][4] = time.monotonic(), how
-        self.void[task] = max(self.void.get(task, 0), present["run"])
-        if listed:
-            self.number += 1
-            self.ended.append([self.number, task, present["run"], how, ""])
-            self.rows_by_number[self.number] = present["row"]
-            looks, self.looks = self.looks, []
-            for request, timer in looks:
+    def _finish(self, task, outcome, reported=True):
+        current = self.running.pop(task)
+        if current["timer"].active():
+            current["timer"].cancel()
+        current["row"][3], current["row"][4] = time.monotonic(), outcome
+        self.last_closed_run_by_task[task] = max(
+            self.last_closed_run_by_task.get(task, 0), current["run"]
+        )
+        if reported:
+            self.last_end_number += 1
+            self.unacknowledged_ends.append(
+                [self.last_end_number, task, current["run"], outcome, ""]
+            )
+            self.rows_by_number[self.last_end_number] = current["row"]
+            waiting_polls, self.waiting_polls = self.waiting_polls, []
+            for request, timer in waiting_polls:
                 if timer.active():
                     timer.cancel()
-                    self.answer_look(request)
+                    self.answer_poll(request)
 
-    def look(self, request, body):
+    def poll(self, request, body):
         if body.get("deadlineAtMs"):
             self.extend(body["deadlineAtMs"])
-        for end in self.ended:
+        for end in self.unacknowledged_ends:
             if end[0] <= body.get("observed", 0):
                 self.rows_by_number[end[0]][6] = True
-        self.ended = [end for end in self.ended if end[0] > body.get("observed", 0)]
-        wait_s = min(body.get("waitMs", 0) / 1000, LOOK_LIMIT_S)
-        if self.ended or not wait_s:
-            self.answer_look(request)
+        self.unacknowledged_ends = [
+            end for end in self.unacknowledged_ends if end[0] > body.get("observed", 0)
+        ]
+        wait_s = min(body.get("waitMs", 0) / 1000, MAX_POLL_WAIT_S)
+        if self.unacknowledged_ends or not wait_s:
+            self.answer_poll(request)
             return
-        self.looks.append(
-            (request, reactor.callLater(wait_s, self.answer_look, request))
+        self.waiting_polls.append(
+            (request, reactor.callLater(wait_s, self.answer_poll, request))
         )
 
-    def answer_look(self, request):
+    def answer_poll(self, request):
         running = []
-        for task, present in self.running.items():
-            spent = time.monotonic() - present["row"][2]
-            percent = min(100, int(100 * spent / present["run_s"]))
-            running.append([task, present["run"], "", percent, 1])
+        for task, current in self.running.items():
+            elapsed_s = time.monotonic() - current["row"][2]
+            percent = min(100, int(100 * elapsed_s / current["run_s"]))
+            running.append([task, current["run"], "", percent, 1])
         reply(
             request,
             200,
             {
                 "clockMs": self.clock_ms,
-                "born": self.born,
+                "born": self.process_started_ms,
                 "running": running,
-                "ended": self.ended[:500],
+                "ended": self.unacknowledged_ends[:500],
             },
         )
 
@@ -362,10 +374,10 @@
             return reply(request, 409, {"clockMs": worker.clock_ms, "reason": "fence"})
         worker.fence = body.get("fencingToken", 0)
         if name == "hold":
-            worker.look(request, body)
+            worker.poll(request, body)
             return NOT_DONE_YET
-        status, answer = self._order(name, body)
-        return reply(request, status, {**answer, "clockMs": worker.clock_ms})
+        status, result = self._order(name, body)
+        return reply(request, status, {**result, "clockMs": worker.clock_ms})
 
     def _order(self, name, body):
         worker = self.worker
@@ -409,14 +421,14 @@
     }
 
 
-def main(port, count, shown=0):
+def main(port, count, first_registered_port=0):
     """Serve until the process is ended."""
     store = Store()
     with store.change():
         store.put("op/config", json.dumps(configuration()).encode())
     workers = []
     for index in range(count):
-        address = f"127.0.0.1:{(shown or port + 1) + index}"
+        address = f"127.0.0.1:{(first_registered_port or port + 1) + index}"
         worker = Worker(index, address, store)
         workers.append(worker)
         reactor.listenTCP(
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,21 +18,21 @@
 import redwingrudder
 
 HOST = "127.0.0.1"
-DOMAIN, REMOTE = "hobart", "devonport"
+DOMAIN, REMOTE_DOMAIN = "hobart", "devonport"
 # Longer than a takeover: workers stop their tasks after this time without an
 # owner, and a store lease of 3 s has to lapse before the next owner claims.
 WORKER_LEASE_S = 7.0
-WAIT_S = 30.0  # generous: only its end fails a test
-POLL_S = 0.05
-REQUEST_S = 35.0  # longer than the long poll of a node
+WAIT_TIMEOUT_S = 30.0  # generous: only its end fails a test
+POLL_INTERVAL_S = 0.05
+REQUEST_TIMEOUT_S = 35.0  # longer than the long poll of a node
 ACCELERATORS = 4
 CONFIGURATION = {
     "format_version": 1,
     "organisations": {"huon": {"guarantees": []}},
     "classes": {"proof": {"target_s": 60.0}},
 }
-UNREACHED = 0  # status of a request that found no listening node
-BROKEN = -1  # status of a request whose connection broke
+STATUS_UNREACHABLE = 0  # status of a request that found no listening node
+STATUS_CONNECTION_BROKEN = -1  # status of a request whose connection broke
 _SOURCES = pathlib.Path(redwingrudder.__file__).parent.parent
 
 
@@ -50,12 +50,12 @@
         case.addCleanup(self.kill)
 
     def printed_address(self):
-        if not select.select([self._popen.stdout], [], [], WAIT_S)[0]:
+        if not select.select([self._popen.stdout], [], [], WAIT_TIMEOUT_S)[0]:
             raise AssertionError("a stand-in prints no address")
         return self._popen.stdout.readline().split()[-1].decode()
 
-    def send(self, number):
-        self._popen.send_signal(number)
+    def send(self, signal_number):
+        self._popen.send_signal(signal_number)
 
     def kill(self):
         """End the process, also a stopped one."""
@@ -81,20 +81,20 @@
         self.platform = Daemon(case, "platform", "--port=0")
         self._platform_url = f"http://{self.platform.printed_address()}"
         self.workers, self.addresses, self.nodes, self.urls = {}, {}, {}, {}
-        self._thrift = {}
+        self._thrift_addresses = {}
         names = [(f"w{n}", DOMAIN) for n in range(1, workers + 1)]
-        names += [("w9", REMOTE)] if remote else []
+        names += [("w9", REMOTE_DOMAIN)] if remote else []
         for name, domain in names:
             self.start_worker(name, domain)
         names = [(f"hobart-{n}", DOMAIN, n) for n in (1, 2, 3)]
-        names += [("devonport-1", REMOTE, 1)] if remote else []
+        names += [("devonport-1", REMOTE_DOMAIN, 1)] if remote else []
         for name, domain, rank in names:
-            self._write_settings(name, domain, rank, remote)
+            self._write_settings_file(name, domain, rank, remote)
             self.start_node(name)
-        vms = [_node_vm(*each, self._thrift[each[0]]) for each in names]
+        vms = [_node_vm(*each, self._thrift_addresses[each[0]]) for each in names]
         vms += [_worker_vm(name, *each) for name, each in self.addresses.items()]
-        call("POST", f"{self._platform_url}/admin/vms", {"register": vms})
-        self._configure()
+        send_request("POST", f"{self._platform_url}/admin/vms", {"register": vms})
+        self._apply_configuration()
 
     def start_worker(self, name, domain=DOMAIN):
         """Start a worker, again at its address."""
@@ -114,36 +114,40 @@
     def wait_ready(self, *names):
         for name in names or self.nodes:
             url = f"{self.urls[name]}/readyz"
-            self.wait_for(lambda url=url: call("GET", url)[0] == 200, f"{name} ready")
+            self.wait_for(
+                lambda url=url: send_request("GET", url)[0] == 200, f"{name} ready"
+            )
 
     def wait_for(self, condition, what):
         """Return the first true result of a condition."""
-        deadline = time.monotonic() + WAIT_S
+        deadline = time.monotonic() + WAIT_TIMEOUT_S
         while time.monotonic() < deadline:
             result = condition()
             if result:
                 return result
-            time.sleep(POLL_S)
+            time.sleep(POLL_INTERVAL_S)
         logs = [path.read_text()[-1500:] for path in self._folder.glob("*.log")]
         raise AssertionError("\n".join([f"not seen: {what}", *logs]))
 
-    def owner(self, through, domain=DOMAIN):
+    def owner(self, node, domain=DOMAIN):
         """Return the node that owns a domain and its epoch, or None."""
-        status, body = call("GET", f"{self.urls[through]}/v1/status")
+        status, body = send_request("GET", f"{self.urls[node]}/v1/status")
         domains = body["failure_domains"] if status == 200 else ()
         for each in domains:
             if each["failure_domain"] == domain and each["owner"]:
                 return each["owner"], list(each["epoch"].values())
         return None
 
-    def others(self, name):
+    def other_nodes(self, name):
         return [node for node in self.nodes if node != name]
 
-    def submit(self, node, key, timeout=REQUEST_S, **fields):
+    def submit(self, node, key, timeout=REQUEST_TIMEOUT_S, **fields):
         url = f"{self.urls[node]}/v1/jobs"
-        return call("POST", url, job(**fields), {"Idempotency-Key": key}, timeout)
+        return send_request(
+            "POST", url, job_body(**fields), {"Idempotency-Key": key}, timeout
+        )
 
-    def accept(self, node, key, **fields):
+    def submit_until_accepted(self, node, key, **fields):
         """Submit until the job is accepted; returns its body."""
 
         def accepted():
@@ -152,12 +156,12 @@
 
         return self.wait_for(accepted, f"{key} accepted by {node}")
 
-    def finish(self, node, job_id):
+    def wait_until_finished(self, node, job_id):
         """Return the final answer of a job."""
 
         def ended():
             url = f"{self.urls[node]}/v1/jobs/{job_id}?wait=5"
-            status, body = call("GET", url)
+            status, body = send_request("GET", url)
             return body if status == 200 else None
 
         return self.wait_for(ended, f"end of {job_id}")
@@ -166,7 +170,7 @@
         for job_id in job_ids:
             url = f"{self.urls[node]}/v1/jobs/{job_id}"
             self.wait_for(
-                lambda url=url: call("GET", url)[1].get("state") == "running",
+                lambda url=url: send_request("GET", url)[1].get("state") == "running",
                 f"{job_id} running",
             )
 
@@ -174,7 +178,7 @@
         """Return what happened at the workers that are up, in order."""
         entries = []
         for name, (address, _) in self.addresses.items():
-            status, body = call("GET", f"http://{address}/admin/history")
+            status, body = send_request("GET", f"http://{address}/admin/history")
             found = body if status == 200 else ()
             entries += [{**entry, "worker": name} for entry in found]
         return sorted(
@@ -186,16 +190,16 @@
             key=lambda entry: entry["at"],
         )
 
-    def _write_settings(self, name, domain, rank, remote):
+    def _write_settings_file(self, name, domain, rank, remote):
         http_port, thrift_port = _free_ports(2)
         self.urls[name] = f"http://{HOST}:{http_port}"
-        self._thrift[name] = f"{HOST}:{thrift_port}"
+        self._thrift_addresses[name] = f"{HOST}:{thrift_port}"
         settings = {
             "kind": "node",
             "node_id": name,
             "rank": rank,
             "failure_domain": domain,
-            "failure_domains": [DOMAIN, REMOTE] if remote else [DOMAIN],
+            "failure_domains": [DOMAIN, REMOTE_DOMAIN] if remote else [DOMAIN],
             "listen": {
                 "http": f"{HOST}:{http_port}",
                 "thrift": f"{HOST}:{thrift_port}",
@@ -205,13 +209,13 @@
         }
         (self._folder / f"{name}.json").write_text(json.dumps(settings))
 
-    def _configure(self):
+    def _apply_configuration(self):
         first = next(iter(self.urls.values()))
 
         def applied():
             header = {"If-Match": "0"}
             url = f"{first}/v1/configuration"
-            return call("PUT", url, CONFIGURATION, header)[0] in (200, 409)
+            return send_request("PUT", url, CONFIGURATION, header)[0] in (200, 409)
 
         self.wait_for(applied, "configuration accepted")
         self.wait_ready()
@@ -219,14 +223,14 @@
             self.wait_for(lambda name=name: self.owner(name), "an owner")
 
 
-def job(payload=None, **fields):
+def job_body(payload=None, **fields):
     """Return the body of a job whose task runs a tenth of a second."""
     body = {"organisation": "huon", "class": "proof", "idempotent": True}
     body["payload"] = {"run_s": 0.1, **(payload or {})}
     return {**body, "declared_run_s": body["payload"]["run_s"], **fields}
 
 
-def call(method, url, body=None, headers=None, timeout=REQUEST_S):
+def send_request(method, url, body=None, headers=None, timeout=REQUEST_TIMEOUT_S):
     """Return status and parsed body of one request."""
     data = None if body is None else json.dumps(body).encode()
     headers = {"Content-Type": "application/json", **(headers or {})}
@@ -239,20 +243,22 @@
             return error.code, _parse(error.read())
     except urllib.error.URLError as error:
         refused = isinstance(error.reason, ConnectionRefusedError)
-        return (UNREACHED if refused else BROKEN), {"detail": repr(error)}
+        return (STATUS_UNREACHABLE if refused else STATUS_CONNECTION_BROKEN), {
+            "detail": repr(error)
+        }
     except (OSError, http.client.HTTPException) as error:
-        return BROKEN, {"detail": repr(error)}
+        return STATUS_CONNECTION_BROKEN, {"detail": repr(error)}
 
 
 @contextlib.contextmanager
 def long_poll(base_url, path):
     """Send a GET and give a function that reads its answer later."""
     host = base_url.removeprefix("http://")
-    connection = http.client.HTTPConnection(host, timeout=REQUEST_S)
+    connection = http.client.HTTPConnection(host, timeout=REQUEST_TIMEOUT_S)
     with contextlib.closing(connection):
         connection.request("GET", path)
         # Connections are accepted in order: now the first one is in progress.
-        call("GET", f"{base_url}/livez")
+        send_request("GET", f"{base_url}/livez")
 
         def answer():
             reply = connection.getresponse()
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -16,7 +16,7 @@
     PayloadTooLargeError,
 )
 from redwingrudder.standins._key_value import (
-    VALUE_LIMIT,
+    MAX_VALUE_BYTES,
     CompactedError,
     Delete,
     KeyValueCore,
@@ -25,7 +25,7 @@
     prefix_end,
 )
 from redwingrudder.standins._platform_service import (
-    Budget,
+    RateLimits,
     Call,
     PlatformService,
     WatchStream,
@@ -33,23 +33,31 @@
 from redwingrudder.standins.platform import PlatformStandin
 
 
-def b64(text):
+def encode_base64(text):
     return base64.b64encode(text.encode()).decode()
 
 
 def put_body(key, value, mod_revision=None):
-    body = {"success": [{"request_put": {"key": b64(key), "value": b64(value)}}]}
+    body = {
+        "success": [
+            {"request_put": {"key": encode_base64(key), "value": encode_base64(value)}}
+        ]
+    }
     if mod_revision is not None:
-        compare = {"target": "MOD", "key": b64(key), "mod_revision": mod_revision}
+        compare = {
+            "target": "MOD",
+            "key": encode_base64(key),
+            "mod_revision": mod_revision,
+        }
         body["compare"] = [compare]
     return json.dumps(body).encode()
 
 
 class KeyValueCoreTests(unittest.TestCase):
     def setUp(self):
-        self.core = KeyValueCore(history_limit=4)
+        self.core = KeyValueCore(max_history_changes=4)
 
-    def put(self, key, value=b"v", lease_id=0):
+    def write(self, key, value=b"v", lease_id=0):
         return self.core.transact((), (Put(key, value, lease_id),), 0.0)
 
     def test_only_one_of_two_creates_wins(self):
@@ -59,7 +67,7 @@
         self.assertEqual(self.core.range(b"a")[0].value, b"1")
 
     def test_a_refused_transaction_changes_nothing(self):
-        large = Put(b"b", b"x" * (VALUE_LIMIT + 1))
+        large = Put(b"b", b"x" * (MAX_VALUE_BYTES + 1))
         for error, operations in (
             (PayloadTooLargeError, (Put(b"a", b"1"), large)),
             (BadRequestError, (Put(b"a", b"1"), Put(b"a", b"2"))),
@@ -71,9 +79,9 @@
 
     def test_keys_of_a_lapsed_lease_vanish_unless_written_anew(self):
         lease = self.core.grant_lease(3, 0.0)
-        self.put(b"a", b"1", lease)
-        self.put(b"b", b"1", lease)
-        self.put(b"b", b"2")
+        self.write(b"a", b"1", lease)
+        self.write(b"b", b"1", lease)
+        self.write(b"b", b"2")
         self.assertEqual(self.core.keep_alive(lease, 2.0), 3)
         self.core.expire(4.9)
         self.assertTrue(self.core.range(b"a"))
@@ -83,15 +91,15 @@
 
     def test_watch_resumes_in_order_and_fails_after_compaction(self):
         for key in (b"p/1", b"q", b"p/2"):
-            self.put(key)
-        seen = []
-        self.core.watch(b"p/", prefix_end(b"p/"), 2, lambda r, _: seen.extend(r))
+            self.write(key)
+        delivered = []
+        self.core.watch(b"p/", prefix_end(b"p/"), 2, lambda r, _: delivered.extend(r))
         self.core.transact((), (Delete(b"p/1"),), 0.0)
         self.assertEqual(
-            [(r.key, r.value, r.mod_revision) for r in seen],
+            [(r.key, r.value, r.mod_revision) for r in delivered],
             [(b"p/1", b"v", 2), (b"p/2", b"v", 4), (b"p/1", None, 5)],
         )
-        self.put(b"q")
+        self.write(b"q")
         with self.assertRaises(CompactedError):
             self.core.watch(b"p/", prefix_end(b"p/"), 2, lambda *_: None)
 
@@ -99,36 +107,38 @@
 class PlatformServiceTests(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
-        self.service = PlatformService(self.clock, Budget(2.0, 3.0))
+        self.service = PlatformService(self.clock, RateLimits(2.0, 3.0))
 
     def test_budget_refuses_reads_and_writes_apart_and_recovers(self):
-        put = Call("/v3/kv/txn", put_body("a", "1"))
-        read = Call("/v3/kv/range", json.dumps({"key": b64("a")}).encode())
-        writes = [self.service.handle(put).status for _ in range(3)]
+        write = Call("/v3/kv/txn", put_body("a", "1"))
+        read = Call("/v3/kv/range", json.dumps({"key": encode_base64("a")}).encode())
+        writes = [self.service.handle(write).status for _ in range(3)]
         reads = [self.service.handle(read).status for _ in range(4)]
         self.assertEqual(writes, [200, 200, 429])
         self.assertEqual(reads, [200, 200, 200, 429])
         self.clock.advance(0.5)
-        self.assertEqual(self.service.handle(put).status, 200)
+        self.assertEqual(self.service.handle(write).status, 200)
         counters = self.service.counters
         self.assertEqual(
             (counters["txn"], counters["range"], counters["refused"]), (4, 4, 2)
         )
 
     def test_cut_domain_loses_calls_and_its_watch_and_others_do_not(self):
-        closed = []
-        body = json.dumps({"create_request": {"key": b64("a")}}).encode()
+        closed_domains = []
+        body = json.dumps({"create_request": {"key": encode_base64("a")}}).encode()
         for domain in ("north", "south"):
-            stream = WatchStream(lambda _: None, lambda d=domain: closed.append(d))
+            stream = WatchStream(
+                lambda _: None, lambda d=domain: closed_domains.append(d)
+            )
             self.service.open_watch(Call("/v3/watch", body, domain), stream)
         self.service.set_faults(b'{"cut_domains": ["north"]}')
-        self.assertEqual((closed, self.service.open_watches()), (["north"], 1))
-        put = Call("/v3/kv/txn", put_body("a", "1"))
+        self.assertEqual((closed_domains, self.service.open_watches()), (["north"], 1))
+        write = Call("/v3/kv/txn", put_body("a", "1"))
         self.assertTrue(
-            self.service.handle(put._replace(failure_domain="north")).dropped
+            self.service.handle(write._replace(failure_domain="north")).dropped
         )
         self.assertFalse(
-            self.service.handle(put._replace(failure_domain="south")).dropped
+            self.service.handle(write._replace(failure_domain="south")).dropped
         )
 
     def test_malformed_bodies_are_refused(self):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,11 +6,11 @@
 
 from tests.processes import (
     ACCELERATORS,
-    BROKEN,
+    STATUS_CONNECTION_BROKEN,
     DOMAIN,
-    POLL_S,
+    POLL_INTERVAL_S,
     Cluster,
-    call,
+    send_request,
     long_poll,
     pause,
     resume,
@@ -30,11 +30,11 @@
         for index, node in enumerate(nodes):
             fields = {"tasks": 5, "accelerators_per_task": 1, "idempotent": False}
             fields["payload"] = {"result": f"by {node}"}
-            accepted = cluster.accept(node, node, **fields)
-            answer = cluster.finish(node, accepted["job_id"])
+            accepted = cluster.submit_until_accepted(node, node, **fields)
+            answer = cluster.wait_until_finished(node, accepted["job_id"])
             self.assertEqual("succeeded", answer["state"])
             self.assertEqual([f"by {node}"] * 5, answer["results"])
-            again = cluster.accept(nodes[index - 1], node, **fields)
+            again = cluster.submit_until_accepted(nodes[index - 1], node, **fields)
             self.assertEqual(answer, again)
             gangs = _gangs(cluster.history(answer["job_id"], "started"))
             self.assertEqual(1, len(gangs))
@@ -43,21 +43,26 @@
         """Guards against lost or repeated gangs when the owner dies."""
         cluster = Cluster(self)
         owner, epoch = cluster.owner("hobart-1")
-        other, *_ = cluster.others(owner)
-        gang = cluster.accept(
+        other, *_ = cluster.other_nodes(owner)
+        gang = cluster.submit_until_accepted(
             other, "gang", tasks=2, payload={"run_s": 6.0}, **WHOLE_WORKER
         )
-        filler = cluster.accept(other, "filler", payload={"run_s": 1.0}, **WHOLE_WORKER)
+        filler = cluster.submit_until_accepted(
+            other, "filler", payload={"run_s": 1.0}, **WHOLE_WORKER
+        )
         cluster.wait_running(other, gang["job_id"], filler["job_id"])
-        queued = [cluster.accept(other, f"q{n}", **WHOLE_WORKER) for n in range(3)]
+        queued = [
+            cluster.submit_until_accepted(other, f"q{n}", **WHOLE_WORKER)
+            for n in range(3)
+        ]
         self.assertEqual({"queued"}, {view["state"] for view in queued})
 
-        killed_at = time.time()
+        owner_killed_at = time.time()
         cluster.nodes[owner].kill()
         for view in queued:
-            answer = cluster.finish(other, view["job_id"])
+            answer = cluster.wait_until_finished(other, view["job_id"])
             self.assertEqual("succeeded", answer["state"])
-        answer = cluster.finish(other, gang["job_id"])
+        answer = cluster.wait_until_finished(other, gang["job_id"])
         self.assertEqual("succeeded", answer["state"])
         self.assertEqual(2, len(answer["results"]))
 
@@ -74,7 +79,7 @@
         self.assertEqual(3, len(placed))
         self.assertTrue(all(entry["epoch"] > epoch for entry in placed))
         self.assertLess(placed[0]["at"], ends[0]["at"])
-        placed_s = placed[0]["at"] - killed_at
+        placed_s = placed[0]["at"] - owner_killed_at
         print(f"work placed {placed_s:.2f} s after the owner's death")
         self.assertLess(placed_s, OWNER_LEASE_S + PLACING_BOUND_S)
 
@@ -82,49 +87,53 @@
         """Guards against a second start by an owner that wakes up late."""
         cluster = Cluster(self, workers=1)
         owner, epoch = cluster.owner("hobart-1")
-        other, *_ = cluster.others(owner)
-        filler = cluster.accept(other, "filler", payload={"run_s": 1.5}, **WHOLE_WORKER)
+        other, *_ = cluster.other_nodes(owner)
+        filler = cluster.submit_until_accepted(
+            other, "filler", payload={"run_s": 1.5}, **WHOLE_WORKER
+        )
         cluster.wait_running(other, filler["job_id"])
         once = {"idempotent": False, **WHOLE_WORKER}
-        view = cluster.accept(other, "once", **once)
+        view = cluster.submit_until_accepted(other, "once", **once)
         self.assertEqual("queued", view["state"])
 
         pause(cluster.nodes[owner])
-        answer = cluster.finish(other, view["job_id"])
+        answer = cluster.wait_until_finished(other, view["job_id"])
         self.assertEqual("succeeded", answer["state"])
-        successor, raised = cluster.owner(other)
+        successor, successor_epoch = cluster.owner(other)
         self.assertNotEqual(owner, successor)
-        self.assertGreater(raised, epoch)
+        self.assertGreater(successor_epoch, epoch)
         resume(cluster.nodes[owner])
-        late = cluster.accept(owner, "late", **once)
-        self.assertEqual("succeeded", cluster.finish(owner, late["job_id"])["state"])
-        self.assertEqual((successor, raised), cluster.owner(owner))
+        late = cluster.submit_until_accepted(owner, "late", **once)
+        self.assertEqual(
+            "succeeded", cluster.wait_until_finished(owner, late["job_id"])["state"]
+        )
+        self.assertEqual((successor, successor_epoch), cluster.owner(owner))
         for job_id in (view["job_id"], late["job_id"]):
             starts = cluster.history(job_id, "started")
-            self.assertEqual([raised], [entry["epoch"] for entry in starts])
+            self.assertEqual([successor_epoch], [entry["epoch"] for entry in starts])
 
     def test_store_outage(self):
         """Guards against refused idempotent work and unrecorded other work."""
         cluster = Cluster(self)
-        running = cluster.accept(
+        running = cluster.submit_until_accepted(
             "hobart-1", "running", payload={"run_s": 3.0}, idempotent=False
         )
         cluster.wait_running("hobart-1", running["job_id"])
         pause(cluster.platform)
         for node in cluster.nodes:
-            body = cluster.accept(node, f"again {node}")
+            body = cluster.submit_until_accepted(node, f"again {node}")
             self.assertFalse(body["durable"])
-            answer = cluster.finish(node, body["job_id"])
+            answer = cluster.wait_until_finished(node, body["job_id"])
             self.assertEqual("succeeded", answer["state"])
             status, problem = cluster.submit(node, f"once {node}", idempotent=False)
             self.assertEqual((503, "store_unavailable"), (status, problem["code"]))
-        answer = cluster.finish("hobart-2", running["job_id"])
+        answer = cluster.wait_until_finished("hobart-2", running["job_id"])
         self.assertEqual("succeeded", answer["state"])
         resume(cluster.platform)
         for node in cluster.nodes:
-            body = cluster.accept(node, f"once {node}", idempotent=False)
+            body = cluster.submit_until_accepted(node, f"once {node}", idempotent=False)
             self.assertTrue(body["durable"])
-            answer = cluster.finish(node, body["job_id"])
+            answer = cluster.wait_until_finished(node, body["job_id"])
             self.assertEqual("succeeded", answer["state"])
             starts = cluster.history(body["job_id"], "started")
             self.assertEqual(1, len(starts))
@@ -132,27 +141,31 @@
     def test_rolling_restart(self):
         """Guards against requests that a planned stop fails or doubles."""
         cluster = Cluster(self)
-        trickle = _Trickle(self, cluster)
+        submitter = _ContinuousSubmitter(self, cluster)
         for name in list(cluster.nodes):
-            running = cluster.accept(name, f"long {name}", payload={"run_s": 1.0})
+            running = cluster.submit_until_accepted(
+                name, f"long {name}", payload={"run_s": 1.0}
+            )
             path = f"/v1/jobs/{running['job_id']}?wait=20"
             with long_poll(cluster.urls[name], path) as answer:
                 cluster.nodes[name].send(signal.SIGTERM)
-                trickle.run_until(cluster.nodes[name].has_ended)
+                submitter.run_until(cluster.nodes[name].has_ended)
                 status, body = answer()
             self.assertEqual((200, "succeeded"), (status, body.get("state")), body)
             self.assertEqual(0, cluster.nodes[name].exit_code())
             cluster.start_node(name)
             ready = f"{cluster.urls[name]}/readyz"
-            trickle.run_until(lambda ready=ready: call("GET", ready)[0] == 200)
-        self.assertGreater(len(trickle.job_ids_by_key), 10)
-        for key, job_id in trickle.job_ids_by_key.items():
-            answer = cluster.finish("hobart-1", job_id)
+            submitter.run_until(
+                lambda ready=ready: send_request("GET", ready)[0] == 200
+            )
+        self.assertGreater(len(submitter.job_ids_by_key), 10)
+        for key, job_id in submitter.job_ids_by_key.items():
+            answer = cluster.wait_until_finished("hobart-1", job_id)
             found = (answer["state"], answer["results"])
             seen = cluster.history(job_id) if found[0] != "succeeded" else ()
             self.assertEqual(("succeeded", [key]), found, (answer, seen))
         started = [entry["job_id"] for entry in cluster.history(what="started")]
-        for job_id in trickle.job_ids_by_key.values():
+        for job_id in submitter.job_ids_by_key.values():
             self.assertEqual(1, started.count(job_id))
 
     def test_worker_restarts_empty(self):
@@ -161,8 +174,10 @@
         # Each gang fills a worker and half of a third one, which they share.
         size = {"tasks": ACCELERATORS * 3 // 2, "accelerators_per_task": 1}
         size["payload"] = {"run_s": 3.0}
-        again = cluster.accept("hobart-1", "again", **size)["job_id"]
-        once = cluster.accept("hobart-2", "once", idempotent=False, **size)["job_id"]
+        again = cluster.submit_until_accepted("hobart-1", "again", **size)["job_id"]
+        once = cluster.submit_until_accepted(
+            "hobart-2", "once", idempotent=False, **size
+        )["job_id"]
         cluster.wait_running("hobart-1", again, once)
         before = cluster.history(what="started")
         hosts = [
@@ -173,8 +188,10 @@
         cluster.workers[shared].kill()
         cluster.start_worker(shared, DOMAIN)
 
-        self.assertEqual("interrupted", cluster.finish("hobart-3", once)["state"])
-        answer = cluster.finish("hobart-3", again)
+        self.assertEqual(
+            "interrupted", cluster.wait_until_finished("hobart-3", once)["state"]
+        )
+        answer = cluster.wait_until_finished("hobart-3", again)
         self.assertEqual("succeeded", answer["state"])
         self.assertEqual(size["tasks"], len(answer["results"]))
         after = cluster.history()
@@ -190,7 +207,7 @@
         self.assertLess(max(stopped), min(second))
 
 
-class _Trickle:
+class _ContinuousSubmitter:
     """A caller that submits job after job and fails over between nodes."""
 
     def __init__(self, case, cluster):
@@ -205,14 +222,14 @@
             key = f"trickle {len(self.job_ids_by_key)}"
             body = self._cluster.wait_for(lambda key=key: self._submit(key), key)
             self.job_ids_by_key[key] = body["job_id"]
-            time.sleep(POLL_S)
+            time.sleep(POLL_INTERVAL_S)
 
     def _submit(self, key):
         fields = {"idempotent": False, "payload": {"run_s": 0.02, "result": key}}
         for node in self._cluster.nodes:
             status, body = self._cluster.submit(node, key, **fields)
             # A node that stops refuses; it breaks no connection.
-            self._case.assertNotEqual(BROKEN, status, (node, body))
+            self._case.assertNotEqual(STATUS_CONNECTION_BROKEN, status, (node, body))
             if status in (200, 202):
                 return body
             self._case.assertIn(status, (0, 503), body)
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -70,14 +70,14 @@
         return [event["outcome"] for event in events]
 
     def test_only_a_claim_raises_the_epoch_and_lower_ones_are_rejected(self):
-        with self.assertRaises(RejectedEpochError) as caught:
+        with self.assertRaises(RejectedEpochError) as raised:
             self.core.reserve(reserve("g", term=2), 1.0)
-        self.assertEqual(caught.exception.code, "not_claimed")
+        self.assertEqual(raised.exception.code, "not_claimed")
         self.core.claim(claim(2), 1.0)
         for command in (self.core.start, self.core.release):
-            with self.assertRaises(RejectedEpochError) as caught:
+            with self.assertRaises(RejectedEpochError) as raised:
                 command(member("g"), 1.0)
-            self.assertEqual(caught.exception.code, "stale_epoch")
+            self.assertEqual(raised.exception.code, "stale_epoch")
         self.assertEqual(self.core.state(1.0)["members"], [])
 
     def test_a_repeated_start_runs_the_gang_once_even_after_its_release(self):
@@ -86,10 +86,10 @@
         self.assertTrue(self.core.start(member("g"), 0.5)["accepted"])
         self.assertEqual(self.outcomes(2.0), ["succeeded", "succeeded"])
         self.assertTrue(self.core.release(member("g"), 2.0)["accepted"])
-        for late in (reserve("g"), member("g")):
-            command = self.core.reserve if "spec" in late else self.core.start
-            self.assertEqual(command(late, 3.0)["code"], "already_started")
-        started = [e for e in self.core.history if e.what == "started"]
+        for request in (reserve("g"), member("g")):
+            command = self.core.reserve if "spec" in request else self.core.start
+            self.assertEqual(command(request, 3.0)["code"], "already_started")
+        started = [entry for entry in self.core.history if entry.what == "started"]
         self.assertEqual(len(started), 1)
 
     def test_a_late_duplicate_of_a_released_reservation_holds_nothing(self):
@@ -108,9 +108,9 @@
     def test_tasks_stop_when_the_lease_lapses_while_nobody_asks(self):
         self.run_gang(spec=make_spec('{"run_s": 100}'))
         self.core.advance(1_000.0)
-        ended = [e for e in self.core.history if e.what == "ended"]
-        self.assertEqual([e.at for e in ended], [LEASE_S, LEASE_S])
-        self.assertEqual({e.outcome for e in ended}, {"stopped"})
+        ended = [entry for entry in self.core.history if entry.what == "ended"]
+        self.assertEqual([entry.at for entry in ended], [LEASE_S, LEASE_S])
+        self.assertEqual({entry.outcome for entry in ended}, {"stopped"})
 
     def test_events_stay_until_a_poll_acknowledges_them(self):
         self.run_gang(spec=make_spec('{"run_s": 1, "fail_tasks": [1]}'))
@@ -128,12 +128,12 @@
         self.assertEqual(len(self.core.state(600.5)["members"]), 0)
 
     def test_refusals_name_their_cause(self):
-        too_many = reserve("g", accelerators=(7, 8))
+        absent_accelerators = reserve("g", accelerators=(7, 8))
         self.assertEqual(
-            self.core.reserve(too_many, 0.0)["code"], "no_such_accelerator"
+            self.core.reserve(absent_accelerators, 0.0)["code"], "no_such_accelerator"
         )
-        too_big = reserve("g", spec=make_spec(cores_per_task=65))
-        self.assertEqual(self.core.reserve(too_big, 0.0)["code"], "busy")
+        too_many_cores = reserve("g", spec=make_spec(cores_per_task=65))
+        self.assertEqual(self.core.reserve(too_many_cores, 0.0)["code"], "busy")
         self.core.draining = True
         self.assertEqual(self.core.reserve(reserve("g"), 0.0)["code"], "draining")
 
@@ -168,21 +168,21 @@
         await self.post("/v1/claim", claim())
         spec = make_spec('{"run_s": 0.05}')
         await self.post("/v1/reserve", reserve("g", spec=spec))
-        waiting = treq.post(
+        pending_poll = treq.post(
             f"http://{self.worker.address}/v1/poll",
             json.dumps(poll(wait_s=8.0)).encode(),
             persistent=False,
         )
         await self.post("/v1/start", member("g"))
-        events = (await (await waiting).json())["events"]
+        events = (await (await pending_poll).json())["events"]
         self.assertEqual(events[0]["outcome"], "succeeded")
 
     async def test_a_waiting_poll_of_a_fenced_owner_is_rejected(self):
         await self.post("/v1/claim", claim(1))
-        waiting = self.post("/v1/poll", poll(wait_s=8.0))
-        answered = ensureDeferred(waiting)
+        pending_poll = self.post("/v1/poll", poll(wait_s=8.0))
+        poll_answer = ensureDeferred(pending_poll)
         await self.post("/v1/claim", claim(2))
-        status, body = await answered
+        status, body = await poll_answer
         self.assertEqual((status, body["highest"]), (409, [2, 0, 0]))
 
     async def test_a_dropped_reply_has_taken_effect(self):
