Reword the texts of the stand-ins in plain technical English

Comments and docstrings were terse and used private nouns. They now say what a call does, in which unit and under which condition; literals inside decisions got named constants of the same value.

--- a/src/redwingrudder/standins/__init__.py
+++ b/src/redwingrudder/standins/__init__.py
@@ -1,1 +1,5 @@
-"""Stand-ins of the outside systems: platform and workers."""
+"""Stand-ins for the external systems: the platform and the workers.
+
+They are HTTP servers with fault switches, for tests, measurements and local
+deployments.
+"""
--- a/src/redwingrudder/standins/_gateway.py
+++ b/src/redwingrudder/standins/_gateway.py
@@ -1,4 +1,8 @@
-"""Conversion between the JSON gateway's bodies and the key-value core."""
+"""Conversion between JSON request bodies and calls of ``KeyValueCore``.
+
+The bodies are those of the JSON gateway of etcd v3: keys and values are in
+base64, and 64-bit integers may be strings.
+"""
 
 import base64
 import binascii
@@ -35,9 +39,15 @@
 _LEASE = TypeAdapter(LeaseRequest)
 _WATCH = TypeAdapter(WatchRequest)
 
+MIN_LEASE_TTL_S = 1
+
 
 class WatchSelection(NamedTuple):
-    """What a watch asks for."""
+    """Key range and first revision of a watch.
+
+    An empty ``range_end`` selects one key, ``start_revision`` 0 selects
+    changes from now on.
+    """
 
     key: bytes
     range_end: bytes
@@ -45,13 +55,17 @@
 
 
 class Gateway:
-    """Carries out decoded requests on a core."""
+    """Executes the requests of the JSON gateway on a key-value core.
+
+    Each method decodes a JSON body, raises ``BadRequestError`` if it is
+    invalid, and returns the reply to encode. Times are in seconds.
+    """
 
     def __init__(self, core: KeyValueCore) -> None:
         self._core = core
 
     def range(self, body: bytes) -> RangeReply:
-        """Answer ``/v3/kv/range``."""
+        """Handle ``/v3/kv/range``; a limit of 0 means no limit."""
         request = parse(_RANGE, body)
         key = _decode(request["key"])
         records = self._core.range(key, _decode(request.get("range_end", "")))
@@ -65,7 +79,11 @@
         return reply
 
     def txn(self, body: bytes, now: float) -> TxnReply:
-        """Answer ``/v3/kv/txn``."""
+        """Handle ``/v3/kv/txn``.
+
+        As in the JSON encoding of etcd, ``succeeded`` is absent when it is
+        false.
+        """
         request = parse(_TXN, body)
         compares = tuple(_compare(item) for item in request.get("compare", []))
         operations = tuple(_operation(item) for item in request.get("success", []))
@@ -76,15 +94,20 @@
         return reply
 
     def grant(self, body: bytes, now: float) -> LeaseReply:
-        """Answer ``/v3/lease/grant``."""
+        """Handle ``/v3/lease/grant``; the TTL is in seconds."""
         ttl_s = _integer(parse(_GRANT, body)["TTL"])
-        if ttl_s < 1:
-            raise BadRequestError(f"TTL is {ttl_s}, allowed are 1 s and more")
+        if ttl_s < MIN_LEASE_TTL_S:
+            raise BadRequestError(
+                f"lease TTL is {ttl_s} s, the minimum is {MIN_LEASE_TTL_S} s"
+            )
         lease_id = self._core.grant_lease(ttl_s, now)
         return LeaseReply(header=self.header(), ID=str(lease_id), TTL=str(ttl_s))
 
     def keep_alive(self, body: bytes, now: float) -> dict[str, LeaseReply]:
-        """Answer ``/v3/lease/keepalive``."""
+        """Handle ``/v3/lease/keepalive``.
+
+        The reply has no TTL if the lease has expired.
+        """
         lease_id = _integer(parse(_LEASE, body)["ID"])
         ttl_s = self._core.keep_alive(lease_id, now)
         reply = LeaseReply(header=self.header(), ID=str(lease_id))
@@ -93,16 +116,16 @@
         return {"result": reply}
 
     def revoke(self, body: bytes) -> LeaseReply:
-        """Answer ``/v3/lease/revoke``."""
+        """Handle ``/v3/lease/revoke``."""
         self._core.revoke_lease(_integer(parse(_LEASE, body)["ID"]))
         return LeaseReply(header=self.header())
 
     def watch_created(self) -> WatchLine:
-        """Return the line that confirms a watch."""
+        """Return the line that confirms the creation of a watch."""
         return WatchLine(result=WatchResult(header=self.header(), created=True))
 
     def watch_compacted(self, compact_revision: int) -> WatchLine:
-        """Return the line that ends a watch whose history is gone."""
+        """Return the line that cancels a watch of compacted revisions."""
         return WatchLine(
             result=WatchResult(
                 header=self.header(),
@@ -112,17 +135,21 @@
         )
 
     def watch_changes(self, records: tuple[Record, ...]) -> WatchLine:
-        """Return the line that delivers changes."""
+        """Return the line that delivers changes to a watch."""
         events = [_event(record) for record in records]
         return WatchLine(result=WatchResult(header=self.header(), events=events))
 
     def header(self) -> Header:
-        """Return the header of a reply."""
+        """Return the reply header, which holds the present revision."""
         return Header(revision=str(self._core.revision))
 
 
 def decode_watch(body: bytes) -> WatchSelection:
-    """Decode the request of ``/v3/watch``."""
+    """Decode the body of a ``/v3/watch`` request.
+
+    Raises:
+        BadRequestError: The body is invalid.
+    """
     request: CreateWatch = parse(_WATCH, body)["create_request"]
     return WatchSelection(
         _decode(request["key"]),
@@ -132,10 +159,10 @@
 
 
 def parse(adapter: TypeAdapter, body: bytes) -> Any:
-    """Parse and check a JSON body.
+    """Parse a JSON body and validate it with the adapter.
 
     Raises:
-        BadRequestError: The body does not match the type.
+        BadRequestError: The body is not JSON or fails the validation.
     """
     try:
         return adapter.validate_python(json.loads(body))
@@ -145,7 +172,7 @@
 
 def _compare(body: CompareBody) -> ModCompare:
     if body["target"] != "MOD" or body.get("result", "EQUAL") != "EQUAL":
-        raise BadRequestError("only the comparison MOD EQUAL is supported")
+        raise BadRequestError("only comparisons of MOD with EQUAL are supported")
     return ModCompare(_decode(body["key"]), _integer(body.get("mod_revision", 0)))
 
 
@@ -190,11 +217,11 @@
     try:
         return base64.b64decode(text, validate=True)
     except (binascii.Error, ValueError):
-        raise BadRequestError("a key or value is not base64") from None
+        raise BadRequestError("a key or value is not valid base64") from None
 
 
 def _integer(value: Int64) -> int:
     try:
         return int(value)
     except ValueError:
-        raise BadRequestError(f"{value!r} is not a number") from None
+        raise BadRequestError(f"{value!r} is not an integer") from None
--- a/src/redwingrudder/standins/_key_value.py
+++ b/src/redwingrudder/standins/_key_value.py
@@ -1,7 +1,8 @@
 """In-memory key-value store with revisions, leases and watches.
 
-Pure: the caller passes the time. It follows the published semantics of etcd
-v3 as far as docs/design.md section 5 uses them.
+The module does no I/O and reads no clock: callers pass the time, in seconds.
+It follows the published semantics of etcd v3 as far as docs/design.md
+section 5 uses them.
 """
 
 import bisect
@@ -16,16 +17,23 @@
     PayloadTooLargeError,
 )
 
-MAX_VALUE_BYTES = 1_000_000  # bytes
-MAX_KEYS = 200_000  # keys
-MAX_LEASES = 10_000  # leases
-MAX_WATCHES = 10_000  # watches
-MAX_HISTORY_CHANGES = 10_000  # changes kept for watches that resume
-MAX_HISTORY_BYTES = 64_000_000  # bytes
+MAX_VALUE_BYTES = 1_000_000
+MAX_KEYS = 200_000
+MAX_LEASES = 10_000
+MAX_WATCHES = 10_000
+MAX_HISTORY_CHANGES = 10_000  # kept for watches that start at a past revision
+MAX_HISTORY_BYTES = 64_000_000  # sum of the values in the history
+
+_NO_UPPER_BOUND = b"\x00"  # range_end that selects all keys from the first on
 
 
 class Record(NamedTuple):
-    """A key with its value; ``value`` is None for a deleted key."""
+    """A key at its last change; ``value`` is None if that was a deletion.
+
+    ``create_revision`` and ``mod_revision`` are the store revisions of the
+    key's creation and last change, ``version`` counts its writes since the
+    creation. ``lease_id`` is 0 for a key without a lease.
+    """
 
     key: bytes
     value: bytes | None
@@ -36,7 +44,7 @@
 
 
 class Put(NamedTuple):
-    """A write within a transaction."""
+    """A write in a transaction; ``lease_id`` 0 means without a lease."""
 
     key: bytes
     value: bytes
@@ -44,21 +52,24 @@
 
 
 class Delete(NamedTuple):
-    """A deletion within a transaction; ``range_end`` empty for one key."""
+    """A deletion in a transaction; an empty ``range_end`` selects one key."""
 
     key: bytes
     range_end: bytes = b""
 
 
 class ModCompare(NamedTuple):
-    """Holds when the key's last change has this revision, 0 if absent."""
+    """A condition: the key was last changed at this revision.
+
+    Revision 0 requires that the key does not exist.
+    """
 
     key: bytes
     mod_revision: int
 
 
 class CompactedError(NotFoundError):
-    """The history that a watch asks for is gone."""
+    """The changes that a watch requested were dropped from the history."""
 
     code = "compacted"
 
@@ -86,12 +97,17 @@
     """Return the ``range_end`` that selects all keys with this prefix."""
     trimmed = prefix.rstrip(b"\xff")
     if not trimmed:
-        return b"\x00"
+        return _NO_UPPER_BOUND
     return trimmed[:-1] + bytes([trimmed[-1] + 1])
 
 
 class KeyValueCore:
-    """Keys in order, their revisions, leases and the history of changes."""
+    """A key-value store: sorted keys, leases, watches and recent changes.
+
+    Args:
+        max_history_changes: Number of changes that the history holds at
+            most; older ones are compacted.
+    """
 
     def __init__(self, max_history_changes: int = MAX_HISTORY_CHANGES) -> None:
         self.revision = 1
@@ -107,13 +123,17 @@
         self._next_watch_id = 1
 
     def range(self, key: bytes, range_end: bytes = b"") -> tuple[Record, ...]:
-        """Return the records from ``key`` up to ``range_end``, in order."""
+        """Return the records of a key range in key order.
+
+        The range includes ``key`` and excludes ``range_end``. An empty
+        ``range_end`` selects ``key`` alone.
+        """
         if not range_end:
             record = self._records_by_key.get(key)
             return () if record is None else (record,)
         start = bisect.bisect_left(self._keys, key)
         end = len(self._keys)
-        if range_end != b"\x00":
+        if range_end != _NO_UPPER_BOUND:
             end = bisect.bisect_left(self._keys, range_end)
         return tuple(
             self._records_by_key[stored_key] for stored_key in self._keys[start:end]
@@ -125,16 +145,16 @@
         operations: tuple[Put | Delete, ...],
         now: float,
     ) -> bool:
-        """Carry out all operations if all compares hold.
+        """Apply all operations atomically if all conditions are met.
 
         Returns:
-            Whether the compares held.
+            Whether the conditions were met.
 
         Raises:
             BadRequestError: A key is written twice.
             NotFoundError: A lease does not exist.
-            PayloadTooLargeError: A value exceeds ``VALUE_LIMIT``.
-            OverloadedError: The store holds ``KEY_LIMIT`` keys.
+            PayloadTooLargeError: A value exceeds ``MAX_VALUE_BYTES``.
+            OverloadedError: The store could exceed ``MAX_KEYS`` keys.
         """
         self.expire(now)
         self._check_operations(operations)
@@ -147,16 +167,20 @@
         return True
 
     def grant_lease(self, ttl_s: int, now: float) -> int:
-        """Create a lease and return its id."""
+        """Create a lease and return its id.
+
+        Raises:
+            OverloadedError: The store holds ``MAX_LEASES`` leases.
+        """
         self.expire(now)
         if len(self._leases_by_id) >= MAX_LEASES:
-            raise OverloadedError(f"the store holds {MAX_LEASES} leases")
+            raise OverloadedError(f"the store holds the maximum of {MAX_LEASES} leases")
         self._last_lease_id += 1
         self._leases_by_id[self._last_lease_id] = _Lease(ttl_s, now + ttl_s, set())
         return self._last_lease_id
 
     def keep_alive(self, lease_id: int, now: float) -> int:
-        """Renew a lease and return its TTL in seconds, 0 if it lapsed."""
+        """Renew a lease and return its TTL in seconds, 0 if it has expired."""
         self.expire(now)
         lease = self._leases_by_id.get(lease_id)
         if lease is None:
@@ -166,21 +190,23 @@
         return lease.ttl_s
 
     def revoke_lease(self, lease_id: int) -> None:
-        """End a lease and delete its keys.
+        """End a lease and delete the keys that are attached to it.
 
         Raises:
             NotFoundError: The lease does not exist.
         """
         lease = self._leases_by_id.pop(lease_id, None)
         if lease is None:
-            raise NotFoundError(f"no lease {lease_id}", code="no_such_lease")
+            raise NotFoundError(
+                f"lease {lease_id} does not exist", code="no_such_lease"
+            )
         changes = self._apply(tuple(Delete(key) for key in sorted(lease.keys)))
         if changes:
             self.revision += 1
             self._publish(tuple(changes))
 
     def expire(self, now: float) -> None:
-        """End all leases that have lapsed."""
+        """Revoke the leases that have expired at ``now``."""
         expired_ids = [
             lease_id
             for lease_id, lease in self._leases_by_id.items()
@@ -190,7 +216,7 @@
             self.revoke_lease(lease_id)
 
     def next_expiry(self) -> float | None:
-        """Return when the next lease lapses unless it is renewed."""
+        """Return when the next lease expires unless it is renewed."""
         expiry_times = [lease.expires_at for lease in self._leases_by_id.values()]
         return min(expiry_times, default=None)
 
@@ -201,16 +227,20 @@
         start_revision: int,
         callback: WatchCallback,
     ) -> int:
-        """Deliver changes from ``start_revision`` on; 0 means from now.
+        """Open a watch on a key range and return its id.
+
+        The callback receives the changes from ``start_revision`` on, each
+        time with the present revision; with 0 it receives only later
+        changes. Past changes are delivered before the method returns.
 
         Raises:
             CompactedError: The history no longer holds the revision.
-            OverloadedError: ``WATCH_LIMIT`` watches are open.
+            OverloadedError: ``MAX_WATCHES`` watches are open.
         """
         if 0 < start_revision <= self.compact_revision:
             raise CompactedError(self.compact_revision)
         if len(self._watches_by_id) >= MAX_WATCHES:
-            raise OverloadedError(f"{MAX_WATCHES} watches are open")
+            raise OverloadedError(f"the maximum of {MAX_WATCHES} watches are open")
         watch = _Watch(key, range_end, callback)
         if start_revision > 0:
             missed_changes = (
@@ -223,11 +253,11 @@
         return watch_id
 
     def unwatch(self, watch_id: int) -> None:
-        """End a watch; unknown ids are ignored."""
+        """Close a watch; unknown ids are ignored."""
         self._watches_by_id.pop(watch_id, None)
 
     def compact(self, revision: int) -> None:
-        """Drop the history up to and including a revision."""
+        """Drop the changes up to and including a revision from the history."""
         self.compact_revision = max(self.compact_revision, revision)
         while self._history and self._history[0].mod_revision <= revision:
             self._history_bytes -= len(self._history.popleft().value or b"")
@@ -239,12 +269,12 @@
         for put in puts:
             if len(put.value) > MAX_VALUE_BYTES:
                 raise PayloadTooLargeError(
-                    f"value has {len(put.value)} bytes, allowed are {MAX_VALUE_BYTES}"
+                    f"value has {len(put.value)} bytes, the limit is {MAX_VALUE_BYTES}"
                 )
             if put.lease_id and put.lease_id not in self._leases_by_id:
                 raise NotFoundError("requested lease not found", code="no_such_lease")
         if len(self._keys) + len(puts) > MAX_KEYS:
-            raise OverloadedError(f"the store holds {MAX_KEYS} keys")
+            raise OverloadedError(f"the store is limited to {MAX_KEYS} keys")
 
     def _matches(self, compare: ModCompare) -> bool:
         record = self._records_by_key.get(compare.key)
@@ -311,6 +341,6 @@
 def _selects(watch: _Watch, key: bytes) -> bool:
     if not watch.range_end:
         return key == watch.key
-    if watch.range_end == b"\x00":
+    if watch.range_end == _NO_UPPER_BOUND:
         return key >= watch.key
     return watch.key <= key < watch.range_end
--- a/src/redwingrudder/standins/_platform_service.py
+++ b/src/redwingrudder/standins/_platform_service.py
@@ -1,6 +1,7 @@
-"""Calls of the platform stand-in: budget, counters and fault switches.
+"""Requests to the platform stand-in: rate limits, counters, fault switches.
 
-Independent of the HTTP server, so that tests can call it directly.
+The module is independent of the HTTP server, so that tests can call it
+directly.
 """
 
 from collections.abc import Callable
@@ -19,9 +20,10 @@
 
 WRITES_PER_S = 500.0
 READS_PER_S = 2000.0
-GRPC_NOT_FOUND = 5  # gRPC NOT_FOUND
-GRPC_RESOURCE_EXHAUSTED = 8  # gRPC RESOURCE_EXHAUSTED
-GRPC_INVALID_ARGUMENT = 3  # gRPC INVALID_ARGUMENT
+HTTP_OK = 200
+GRPC_NOT_FOUND = 5  # status codes of gRPC, in the bodies of error replies
+GRPC_RESOURCE_EXHAUSTED = 8
+GRPC_INVALID_ARGUMENT = 3
 
 _OPERATIONS_BY_PATH = {
     "/v3/kv/range": "range",
@@ -33,19 +35,24 @@
     "/v1/vms": "vms",
 }
 _WRITE_OPERATIONS = frozenset({"txn", "lease_grant", "lease_keepalive", "lease_revoke"})
-# A lost keepalive reply has no effect worth testing, so it is not counted.
+# Operations whose replies ``lost_replies`` drops. Losing a keepalive reply
+# would test nothing, so keepalives do not count towards the number.
 _LOSSY_OPERATIONS = frozenset({"txn", "lease_grant", "lease_revoke"})
 
 
 class RateLimits(NamedTuple):
-    """Calls a second that the platform answers; beyond it 429."""
+    """Accepted calls per second; further calls are answered with 429."""
 
     writes_per_s: float = WRITES_PER_S
     reads_per_s: float = READS_PER_S
 
 
 class Call(NamedTuple):
-    """One request; ``failure_domain`` is that of the client or ""."""
+    """One request.
+
+    ``failure_domain`` is that of the client, ``vm_domain`` the one whose VMs
+    are listed; both may be empty.
+    """
 
     path: str
     body: bytes = b""
@@ -55,7 +62,10 @@
 
 
 class Reply(NamedTuple):
-    """An answer; ``dropped`` closes the connection instead."""
+    """An HTTP reply, sent after ``delay_s``.
+
+    ``dropped`` aborts the connection without sending a reply.
+    """
 
     status: int
     body: Any
@@ -65,7 +75,13 @@
 
 
 class Faults(TypedDict):
-    """Fault switches; fields that are left out keep their value."""
+    """Body of ``POST /admin/faults``; absent fields keep their value.
+
+    ``outage`` cuts off all clients, ``cut_domains`` the clients in these
+    failure domains: their calls get no reply and their watches are closed.
+    ``slow_s`` delays every reply by this many seconds. ``lost_replies`` is the
+    number of following writes that take effect without a reply.
+    """
 
     outage: NotRequired[bool]
     slow_s: NotRequired[float]
@@ -74,7 +90,11 @@
 
 
 class VmChange(TypedDict):
-    """A change of the VM list."""
+    """Body of ``POST /admin/vms``, a change of the VM list.
+
+    ``leaving`` and ``remove`` hold VM ids, ``lag_s`` sets the lag of the list
+    in seconds.
+    """
 
     register: NotRequired[list[VmBody]]
     leaving: NotRequired[list[str]]
@@ -83,7 +103,7 @@
 
 
 class WatchStream(NamedTuple):
-    """Where the lines of a watch go; ``close`` ends its connection."""
+    """Output of a watch: ``send`` writes a line, ``close`` disconnects."""
 
     send: Callable[[WatchLine], None]
     close: Callable[[], None]
@@ -101,7 +121,14 @@
 
 
 class PlatformService:
-    """The store and the VM list behind their budget and faults."""
+    """Key-value store and VM list with rate limits and injected faults.
+
+    Args:
+        clock: The reactor, or a ``twisted.internet.task.Clock`` in tests.
+        rate_limits: Calls per second that are accepted.
+        vm_lag_s: Lag of the VM list in seconds.
+        core: The key-value store; a new one by default.
+    """
 
     def __init__(
         self,
@@ -129,7 +156,7 @@
         self._expiry_timer: IDelayedCall | None = None
 
     def handle(self, call: Call) -> Reply:
-        """Carry out one call other than a watch."""
+        """Execute a call other than a watch and return its reply."""
         operation = _OPERATIONS_BY_PATH.get(call.path)
         if operation is None or operation == "watch":
             return Reply(404, ErrorReply(code=GRPC_NOT_FOUND, message="not found"))
@@ -137,7 +164,7 @@
             return _CONNECTION_ABORTED
         reply = self._answer(operation, call)
         if (
-            reply.status == 200
+            reply.status == HTTP_OK
             and operation in _LOSSY_OPERATIONS
             and self._faults["lost_replies"]
         ):
@@ -146,7 +173,11 @@
         return reply._replace(delay_s=self._faults["slow_s"])
 
     def open_watch(self, call: Call, stream: WatchStream) -> Reply | int:
-        """Open a watch; returns its id, or the answer when it is refused."""
+        """Open a watch; returns its id, or the reply if it was rejected.
+
+        The first line confirms the watch. A watch of compacted revisions is
+        cancelled with a second line, and its stream is closed.
+        """
         if self._is_cut_off(call.failure_domain):
             return _CONNECTION_ABORTED
         try:
@@ -156,16 +187,22 @@
             return _error_reply(error)
 
     def close_watch(self, watch_id: int) -> None:
-        """Forget a watch whose connection is closed."""
+        """Remove a watch when its connection closes; ignores unknown ids."""
         if self._watches_by_id.pop(watch_id, None) is not None:
             self.core.unwatch(watch_id)
 
     def open_watches(self) -> int:
-        """Return the number of waiting watches."""
+        """Return the number of open watches."""
         return len(self._watches_by_id)
 
     def set_faults(self, body: bytes) -> Faults:
-        """Change the fault switches and return them all."""
+        """Set the fault switches of a JSON body and return all switches.
+
+        Watches of clients that are cut off are closed.
+
+        Raises:
+            BadRequestError: The body is invalid.
+        """
         self._faults.update(parse(_FAULTS, body))
         for watch in list(self._watches_by_id.values()):
             if self._is_cut_off(watch.failure_domain):
@@ -174,7 +211,12 @@
         return self._faults
 
     def change_vms(self, body: bytes) -> None:
-        """Change the VM list."""
+        """Apply the change of the VM list in a JSON body.
+
+        Raises:
+            BadRequestError: The body is invalid.
+            OverloadedError: The list would be too long.
+        """
         change = parse(_VM_CHANGE, body)
         self.vms.lag_s = change.get("lag_s", self.vms.lag_s)
         self.vms.change(
@@ -185,7 +227,7 @@
         )
 
     def stop(self) -> None:
-        """Close all watches and cancel the lease timer."""
+        """Close all watches and cancel the timer of the lease expiry."""
         for watch in list(self._watches_by_id.values()):
             self.close_watch(watch.watch_id)
             watch.stream.close()
--- a/src/redwingrudder/standins/_vm_list.py
+++ b/src/redwingrudder/standins/_vm_list.py
@@ -1,4 +1,4 @@
-"""The platform's list of live and leaving VMs, which lags."""
+"""The platform's list of live and leaving VMs, published with a lag."""
 
 import uuid
 from collections import deque
@@ -7,8 +7,8 @@
 from ..exceptions import OverloadedError
 from ..platform_api import VmBody
 
-MAX_VMS = 20_000  # entries
-MAX_SNAPSHOTS = 1_000  # changes that wait for the lag to pass
+MAX_VMS = 20_000
+MAX_SNAPSHOTS = 1_000  # versions kept until the lag has passed
 
 
 class _Snapshot(NamedTuple):
@@ -18,7 +18,7 @@
 
 
 class VmList:
-    """VMs by id; readers see the list as it was ``lag_s`` seconds ago."""
+    """List of VMs; readers see the list as it was ``lag_s`` seconds ago."""
 
     def __init__(self, lag_s: float = 0.0) -> None:
         self.lag_s = lag_s
@@ -36,11 +36,17 @@
     ) -> None:
         """Add or replace VMs, mark VMs as leaving and remove VMs.
 
+        Args:
+            register: VMs to add; an entry of the same id is replaced.
+            leaving: Ids of VMs to mark as leaving; unknown ids are ignored.
+            remove: Ids of VMs to remove; unknown ids are ignored.
+            now: Time of the change, in seconds.
+
         Raises:
-            OverloadedError: The list would exceed ``VM_LIMIT`` entries.
+            OverloadedError: The list could exceed ``MAX_VMS`` entries.
         """
         if len(self._vms_by_id) + len(register) > MAX_VMS:
-            raise OverloadedError(f"the list holds at most {MAX_VMS} VMs")
+            raise OverloadedError(f"the list of VMs is limited to {MAX_VMS} entries")
         for vm in register:
             self._vms_by_id[vm["vm_id"]] = vm
         for vm_id in leaving:
@@ -54,7 +60,7 @@
         self._snapshots.append(_Snapshot(version, now, vms))
 
     def read(self, failure_domain: str, now: float) -> list[VmBody]:
-        """Return the VMs of one failure domain, or of all for ""."""
+        """Return the VMs of a failure domain; "" selects all domains."""
         return [
             vm
             for vm in self._visible_snapshot(now).vms
@@ -62,7 +68,10 @@
         ]
 
     def etag(self, now: float) -> str:
-        """Return a tag that differs whenever the visible list does."""
+        """Return the entity tag of the visible list.
+
+        It changes with the list and differs between ``VmList`` instances.
+        """
         return f'"{self._process_tag}-{self._visible_snapshot(now).version}"'
 
     def _visible_snapshot(self, now: float) -> _Snapshot:
--- a/src/redwingrudder/standins/_worker_core.py
+++ b/src/redwingrudder/standins/_worker_core.py
@@ -1,4 +1,7 @@
-"""What a worker does, without sockets: the rules of ``worker_api``."""
+"""Behaviour of a worker as specified in ``worker_api``, without I/O.
+
+Callers pass the time, in seconds.
+"""
 
 import uuid
 from collections import deque
@@ -24,31 +27,34 @@
 )
 from ._worker_tasks import TaskPlan, plan_task
 
-RESULT_RETENTION_S = 600.0  # results are kept this long after the end
-USAGE_LAG_S = 5.0  # usage is reported this late
-MAX_HISTORY_ENTRIES = 100_000  # entries
-CHECKPOINT_TIME_FRACTION = 0.5  # of the stop bound of a job
+RESULT_RETENTION_S = 600.0  # how long results are kept after a member ended
+USAGE_LAG_S = 5.0  # age of the reported usage
+MAX_HISTORY_ENTRIES = 100_000
+CHECKPOINT_TIME_FRACTION = 0.5  # time of a checkpoint, of the job's stop bound
 
-_NO_EPOCH = Epoch(-1, -1, -1)
+_NO_EPOCH = Epoch(-1, -1, -1)  # lower than any epoch of an owner
 
 
 class RejectedEpochError(StaleEpochError):
-    """A command came with an epoch that the worker does not accept.
+    """The epoch of a command differs from that of the last claim.
 
-    ``not_claimed`` is the code for an epoch above the highest one seen, as
-    after a restart: only a claim raises the epoch.
+    The code is ``stale_epoch`` for a lower epoch. It is ``not_claimed`` for a
+    higher one, for example after a restart of the worker, because only a
+    claim raises the epoch.
     """
 
     def __init__(self, highest: Epoch, code: str) -> None:
-        super().__init__(f"highest epoch seen is {tuple(highest)}", code=code)
+        super().__init__(
+            f"the highest epoch claimed at this worker is {tuple(highest)}", code=code
+        )
         self.highest = highest
 
 
 class HistoryEntry(NamedTuple):
-    """Something that happened at the worker, for checks of histories.
+    """An event at the worker, recorded for checks in tests.
 
-    ``what`` is "reserved", "started", "ended" or "released"; the task index
-    is -1 unless a task ended.
+    ``what`` is "reserved", "started", "ended" or "released". ``at`` is in
+    seconds. ``task_index`` and ``outcome`` are set only when a task ended.
     """
 
     at: float
@@ -61,7 +67,7 @@
 
 
 class _Member(NamedTuple):
-    """A gang member; replaced on every change."""
+    """The tasks of a gang on this worker; immutable, replaced on changes."""
 
     request: ReserveRequest
     spec: JobSpec
@@ -82,12 +88,17 @@
 
 
 class WorkerCore:
-    """A worker under a lease; every method first catches up with ``now``.
+    """A simulated worker whose owner holds a lease.
+
+    Methods with a parameter ``now`` first simulate what happened until then:
+    task ends, the lease expiry and the expiry of results. Commands raise
+    ``RejectedEpochError`` unless their epoch is that of the last claim, and
+    renew the lease.
 
     Args:
-        info: What the worker has.
+        info: Name, location and resources of the worker.
         now: Time of the start, in seconds.
-        boot_id: Identity of this start; a new one by default.
+        boot_id: Identifier of this start; a random one by default.
     """
 
     def __init__(self, info: WorkerInfo, now: float, boot_id: str = "") -> None:
@@ -107,10 +118,10 @@
         self._usage: deque[_Usage] = deque([_Usage(now, 0, 0)])
 
     def claim(self, request: ClaimRequest, now: float) -> ClaimReply:
-        """Take the worker over under an epoch that is not lower.
+        """Set epoch and lease of the worker for an owner; returns its state.
 
         Raises:
-            RejectedEpochError: A higher epoch has been seen.
+            RejectedEpochError: The worker was claimed under a higher epoch.
         """
         self.advance(now)
         epoch = Epoch(*request["epoch"])
@@ -122,7 +133,7 @@
         return self.state(now)
 
     def state(self, now: float) -> ClaimReply:
-        """Return everything that the worker holds."""
+        """Return resources, gang members and retained results."""
         self.advance(now)
         return ClaimReply(
             boot_id=self.boot_id,
@@ -139,7 +150,7 @@
         )
 
     def poll(self, request: PollRequest, now: float) -> PollReply:
-        """Renew the lease and return the events after ``after`` at once.
+        """Renew the lease and return the events after ``after`` immediately.
 
         Events up to ``after`` are acknowledged and dropped.
         """
@@ -154,18 +165,25 @@
         )
 
     def must_answer_poll(self, request: PollRequest, now: float) -> bool:
-        """Whether a waiting poll must be answered; renews no lease."""
+        """Whether a waiting poll has to be answered now.
+
+        That is so if there are events or if another epoch has been claimed.
+        The lease is not renewed.
+        """
         self.advance(now)
         return bool(self._events) or Epoch(*request["epoch"]) != self.highest_epoch
 
     def reserve(self, request: ReserveRequest, now: float) -> CommandReply:
-        """Hold resources for a gang member until it is released."""
+        """Reserve resources for a gang member until its tasks have ended.
+
+        A release or the lease expiry end the reservation as well.
+        """
         self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
-        held = self._members_by_gang.get(gang_id)
-        if held is not None and held.state is MemberState.RESERVED:
+        existing = self._members_by_gang.get(gang_id)
+        if existing is not None and existing.state is MemberState.RESERVED:
             return self._reply()
-        # A late duplicate must not hold what was released before it came.
+        # A delayed duplicate must not reserve again after the release.
         if gang_id in self._started_gang_ids:
             return self._reply("already_started")
         if gang_id in self._closed_gang_ids:
@@ -180,7 +198,7 @@
         return self._reply()
 
     def start(self, request: MemberRequest, now: float) -> CommandReply:
-        """Start a reserved member; repeating it has no further effect."""
+        """Start the tasks of a reserved member; repetitions have no effect."""
         self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
@@ -200,7 +218,7 @@
         return self._reply()
 
     def release(self, request: MemberRequest, now: float) -> CommandReply:
-        """Drop a reservation or retained results."""
+        """Drop the reservation or the retained results of a gang member."""
         self._check_epoch_and_renew(request["epoch"], now)
         member = self._members_by_gang.get(request["gang_id"])
         if member is not None and member.state is MemberState.STARTED:
@@ -209,7 +227,11 @@
         return self._reply()
 
     def stop(self, request: StopRequest, now: float) -> CommandReply:
-        """Stop a started member; a mere reservation is dropped instead."""
+        """Stop the tasks of a started member.
+
+        A member that has not started is released instead. If requested,
+        preemptible tasks write a checkpoint before they end.
+        """
         self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
@@ -240,14 +262,21 @@
         return self._reply()
 
     def advance(self, now: float) -> None:
-        """End the tasks that are due and everything when the lease lapsed."""
+        """Simulate what happens until ``now``.
+
+        Due tasks end. When the lease has expired, reservations are dropped
+        and running tasks stopped. Expired results are dropped.
+        """
         self._end_due_tasks(min(now, self.lease_until))
         if now >= self.lease_until:
             self._expire_lease()
         self._drop_expired_results(now)
 
     def next_deadline(self) -> float | None:
-        """Return when the next task ends or the lease lapses, if any."""
+        """Return the earlier of the next task end and the lease expiry.
+
+        The result is None if no member holds resources.
+        """
         deadlines = [
             p.ends_at for m in self._members_by_gang.values() for p in m.running
         ]
@@ -286,10 +315,10 @@
         cores = count * spec.cores_per_task
         memory_mb = count * spec.memory_mb_per_task
         for member in holding:
-            held = len(member.request["tasks"])
-            slots += held
-            cores += held * member.spec.cores_per_task
-            memory_mb += held * member.spec.memory_mb_per_task
+            task_count = len(member.request["tasks"])
+            slots += task_count
+            cores += task_count * member.spec.cores_per_task
+            memory_mb += task_count * member.spec.memory_mb_per_task
         fits = (
             slots <= self.info.slots
             and cores <= self.info.cores
--- a/src/redwingrudder/standins/_worker_http.py
+++ b/src/redwingrudder/standins/_worker_http.py
@@ -1,4 +1,4 @@
-"""HTTP shell of the worker stand-in (twisted.web)."""
+"""HTTP server of the worker stand-in, with fault switches."""
 
 import json
 from typing import Any, NamedTuple
@@ -24,14 +24,20 @@
 )
 from ._worker_core import RejectedEpochError, WorkerCore
 
-BODY_LIMIT_BYTES = 1_048_576
+MAX_BODY_BYTES = 1_048_576
+
+MAX_DETAIL_CHARS = 300  # of a validation error
+NO_ANSWER_STATUS = 0  # abort the connection instead of sending an answer
 
 _POLL_PATH = "/v1/poll"
 _DEADLINE_TIMER = "change"
 
 
 class FaultsRequest(TypedDict, total=False):
-    """Body of ``POST /admin/faults``; absent fields stay as they are."""
+    """Body of ``POST /admin/faults``; absent fields keep their value.
+
+    See ``standins.worker`` for the fields.
+    """
 
     fail_everything: bool
     slow_s: float
@@ -41,14 +47,14 @@
 
 
 class Answer(NamedTuple):
-    """An HTTP answer; ``status`` 0 closes the connection without one."""
+    """An HTTP answer; ``NO_ANSWER_STATUS`` aborts the connection instead."""
 
     status: int
     body: Any = None
 
 
 class _Call(NamedTuple):
-    """Ask -> ``Answer``: one HTTP request."""
+    """One HTTP request, sent with ``ask``; the reply is an ``Answer``."""
 
     method: str
     path: str
@@ -79,14 +85,17 @@
 
 
 class WorkerStandIn(Actor):
-    """Serves a ``WorkerCore`` over HTTP; a restart makes a new core.
+    """Actor that serves a ``WorkerCore`` over HTTP.
+
+    A restart replaces the core. ``address`` is "host:port" once the actor has
+    started.
 
     Args:
-        system: Actors of the process.
-        info: The worker; its address is filled in when the port is bound.
-        reactor: Provides the listening port.
-        port: TCP port, 0 for any.
-        interface: Address to listen on.
+        system: Actor system of the process.
+        info: The worker; its address is set when the port is bound.
+        reactor: Opens the listening port.
+        port: TCP port, 0 for any free port.
+        interface: IP address to listen on.
     """
 
     def __init__(
@@ -114,7 +123,7 @@
         return {_Call: self._answer_with_faults, TimerFired: self._handle_timer}
 
     def start(self) -> None:
-        """Listen; the same port again after a restart."""
+        """Open the listening port; a later start binds the same port."""
         site = Site(_WorkerResource(self))
         self._port = self._reactor.listenTCP(
             self._port_number, site, interface=self._interface
@@ -125,14 +134,14 @@
         self.core = WorkerCore(info, self._now())
 
     def stop(self) -> Deferred | None:
-        """Stop listening and answer the waiting polls."""
+        """Close the listening port and abort the waiting polls."""
         for waiting_poll in self._waiting_polls_by_timer.values():
-            waiting_poll.reply.callback(Answer(0))
+            waiting_poll.reply.callback(Answer(NO_ANSWER_STATUS))
         self._waiting_polls_by_timer.clear()
         return self._port and self._port.stopListening()
 
     def restart(self) -> None:
-        """Lose everything and come back with a new boot id."""
+        """Simulate a restart: all state is lost and the boot id changes."""
         self.core = WorkerCore(self.core.info, self._now())
         self._answer_due_polls()
 
@@ -145,12 +154,12 @@
         if call.path == "/admin/history":
             return Answer(200, [entry._asdict() for entry in self.core.history])
         if self._now() < self._faults.cut_until:
-            return Answer(0)
+            return Answer(NO_ANSWER_STATUS)
         answer = self._answer_request(call)
         if self._faults.drop_replies > 0 and call.path != _POLL_PATH:
             remaining = self._faults.drop_replies - 1
             self._faults = self._faults._replace(drop_replies=remaining)
-            return Answer(0)
+            return Answer(NO_ANSWER_STATUS)
         if self._faults.slow_s > 0 and isinstance(answer, Answer):
             return self._delay_answer(answer)
         return answer
@@ -164,7 +173,7 @@
         try:
             return self._execute(call.path, adapter.validate_json(call.content))
         except ValidationError as error:
-            return _problem(400, "bad_request", str(error)[:300])
+            return _problem(400, "bad_request", str(error)[:MAX_DETAIL_CHARS])
         except RejectedEpochError as error:
             return _rejection(error)
         except RedwingrudderError as error:
@@ -236,7 +245,8 @@
         waiting_poll = self._waiting_polls_by_timer.pop(timer)
         self.tell(TIMERS, Unsubscribe(self.name, timer))
         try:
-            # The wait is no renewal: the lease counts from the request.
+            # The lease runs from the arrival of the poll. Answering it must
+            # not renew the lease, so the expiry is restored.
             lease_until = self.core.lease_until
             reply = self.core.poll(waiting_poll.request, self._now())
             self.core.lease_until = lease_until
@@ -268,7 +278,7 @@
 
 
 class _WorkerResource(Resource):
-    """Passes every request to the actor."""
+    """Passes every request to the actor and writes its answer."""
 
     def __init__(self, actor: Actor) -> None:
         super().__init__()
@@ -277,8 +287,8 @@
 
     def render(self, request: Request) -> int | bytes:
         """See base class."""
-        content = request.content.read(BODY_LIMIT_BYTES + 1)
-        if len(content) > BODY_LIMIT_BYTES:
+        content = request.content.read(MAX_BODY_BYTES + 1)
+        if len(content) > MAX_BODY_BYTES:
             request.setResponseCode(413)
             return b'{"code":"payload_too_large","detail":""}'
         call = _Call(request.method.decode(), request.path.decode(), content)
@@ -295,7 +305,7 @@
 
 
 def _write(request: Request, answer: Answer) -> None:
-    if answer.status == 0:
+    if answer.status == NO_ANSWER_STATUS:
         request.transport.abortConnection()
         return
     request.setResponseCode(answer.status)
--- a/src/redwingrudder/standins/_worker_tasks.py
+++ b/src/redwingrudder/standins/_worker_tasks.py
@@ -1,4 +1,4 @@
-"""Simulated tasks of the worker stand-in."""
+"""Planned ends of the simulated tasks of the worker stand-in."""
 
 import hashlib
 import json
@@ -6,12 +6,16 @@
 
 from ..model import JobSpec, TaskOutcome
 
-TASK_END_INTERVAL_S = 0.002  # tasks of a gang end this much apart
-FAULTY_TASK_RUN_S = 0.05  # run time of a task when everything fails
+TASK_END_INTERVAL_S = 0.002  # between the ends of the tasks of a gang
+FAULTY_TASK_RUN_S = 0.05  # run time of each task of a worker at fault
 
 
 class TaskPlan(NamedTuple):
-    """How a simulated task will end; ``share`` is its share of cores."""
+    """When and how a simulated task will end.
+
+    ``ends_at`` is in seconds; ``core_share`` is the fraction of its cores that
+    the task may use.
+    """
 
     task_index: int
     ends_at: float
@@ -20,19 +24,25 @@
     core_share: float = 1.0
 
     def throttled(self, core_share: float, now: float) -> "TaskPlan":
-        """Return the plan with the rest of the run time stretched."""
+        """Return the plan with the remaining time scaled to a core share."""
         remaining_s = max(self.ends_at - now, 0.0) * self.core_share / core_share
         return self._replace(ends_at=now + remaining_s, core_share=core_share)
 
     def stopped(self, ends_at: float, outcome: TaskOutcome) -> "TaskPlan":
-        """Return the plan of the task when it is stopped."""
+        """Return the plan of the task if it is stopped at ``ends_at``.
+
+        A task that ends earlier keeps its outcome and result.
+        """
         if self.ends_at <= ends_at:
             return self
         return self._replace(ends_at=ends_at, outcome=outcome, result="")
 
 
 class _TaskScript(NamedTuple):
-    """What the payload of a job asks of its simulated tasks."""
+    """Behaviour of the simulated tasks as specified by a job's payload.
+
+    A ``result`` of None selects the default result.
+    """
 
     run_s: float
     result: str | None
@@ -46,8 +56,15 @@
     """Return when and how a task that starts now will end.
 
     A payload that is a JSON object may set ``run_s``, ``result``, ``fail``
-    and ``fail_tasks``. Any other payload gives the declared run time and a
-    digest of the payload with the task index as the result.
+    (all tasks fail) and ``fail_tasks`` (indexes of the tasks that fail). By
+    default and with any other payload a task runs for the declared time and
+    its result is a digest of the payload with the task index.
+
+    Args:
+        spec: Job of the task.
+        task_index: Index of the task in the job.
+        now: Time of the start, in seconds.
+        fail_everything: Whether the worker fails all tasks.
     """
     script = _read_script(spec)
     ends_at = now + script.run_s + TASK_END_INTERVAL_S * task_index
--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -1,6 +1,6 @@
-"""Stand-in of the platform: key-value store and VM list over HTTP.
+"""Stand-in for the platform: key-value store and VM list over HTTP.
 
-It answers the calls of ``platform_api`` and, for tests, ``POST
+It serves the calls of ``platform_api``. For tests there are also ``POST
 /admin/faults``, ``POST /admin/vms`` and ``GET /admin/counters``.
 """
 
@@ -17,21 +17,22 @@
 
 from ..exceptions import RedwingrudderError
 from ..platform_api import BODY_LIMIT, DOMAIN_HEADER, WatchLine
-from ._platform_service import RateLimits, Call, PlatformService, Reply, WatchStream
+from ._platform_service import Call, PlatformService, RateLimits, Reply, WatchStream
 
 HTTP_TOO_MANY_REQUESTS = 429
-MIN_GZIP_BYTES = 1_000  # bytes
-MAX_STREAM_QUEUE_BYTES = 8_000_000  # bytes that wait for a slow reader of a watch
-IDLE_CONNECTION_TIMEOUT_S = 120.0  # idle persistent connections
+MIN_GZIP_BYTES = 1_000  # shorter bodies are not compressed
+MAX_STREAM_QUEUE_BYTES = 8_000_000  # unsent output of one watch
+IDLE_CONNECTION_TIMEOUT_S = 120.0
+RETRY_AFTER_S = "1"
 
 
 class PlatformStandin:
-    """The platform as an HTTP server.
+    """HTTP server of the platform stand-in.
 
     Args:
         clock: The reactor, or a ``twisted.internet.task.Clock`` in tests.
-        budget: Calls a second that are answered.
-        vm_lag_s: Seconds by which the VM list lags.
+        budget: Calls per second that are accepted.
+        vm_lag_s: Lag of the VM list in seconds.
     """
 
     def __init__(
@@ -46,7 +47,7 @@
         self._site: server.Site | None = None
 
     def listen(self, reactor: Any, host: str, port: int) -> Deferred:
-        """Open the server; the Deferred fires with the port number."""
+        """Open the listening port; the Deferred fires with its number."""
         root = _PlatformResource(self.service, self._clock)
         self._site = server.Site(
             root, requestFactory=_BoundedRequest, timeout=IDLE_CONNECTION_TIMEOUT_S
@@ -55,7 +56,10 @@
         return succeed(self._port.getHost().port)
 
     def stop(self) -> Deferred:
-        """Close the server; the Deferred fires when the port is closed."""
+        """Close the watches and the port.
+
+        The Deferred fires when the port is closed.
+        """
         self.service.stop()
         if self._port is None:
             return succeed(None)
@@ -63,7 +67,7 @@
 
 
 def run_platform(host: str, port: int, reactor: Any) -> None:
-    """Serve the platform until the process ends.
+    """Run the server of the platform stand-in until the process ends.
 
     The bound address is printed as ``platform <host>:<port>``.
     """
@@ -80,7 +84,7 @@
 
 
 class _BoundedRequest(server.Request):
-    """Closes the connection of a request whose body exceeds the limit."""
+    """A request that aborts its connection if the body is too large."""
 
     _received_bytes = 0
 
@@ -93,7 +97,7 @@
 
 
 class _PlatformResource(resource.Resource):
-    """Passes requests to the service and writes its replies."""
+    """Decodes requests for the service and writes its replies."""
 
     isLeaf = True  # noqa: N815
 
@@ -125,7 +129,7 @@
             watches = self._service.open_watches()
             body = {"counters": self._service.counters, "open_watches": watches}
             return Reply(200, body)
-        return Reply(404, {"message": f"no {path}"})
+        return Reply(404, {"message": f"no resource {path}"})
 
     def _answer(self, request: server.Request, reply: Reply) -> None:
         if reply.delay_s <= 0:
@@ -152,7 +156,11 @@
 
 @implementer(IPushProducer)
 class _WatchProducer:
-    """Writes lines to a request and bounds what a slow reader leaves."""
+    """Writes the lines of a watch and bounds the queue of a slow client.
+
+    A client that lets the queue exceed ``MAX_STREAM_QUEUE_BYTES`` is
+    disconnected.
+    """
 
     def __init__(self, request: server.Request) -> None:
         self.closed = False
@@ -173,14 +181,15 @@
         data = json.dumps(line).encode() + b"\n"
         self._queued_bytes += len(data)
         if self._queued_bytes > MAX_STREAM_QUEUE_BYTES:
-            # The client resumes after the last revision that it received.
+            # No change is lost: the client opens a new watch after the last
+            # revision that it received.
             self.close()
             return
         self._queued_lines.append(data)
         self._flush()
 
     def close(self) -> None:
-        """End the stream after what has been written."""
+        """Drop the queued lines and close the connection."""
         if self.closed:
             return
         self.closed = True
@@ -229,7 +238,7 @@
     request.setResponseCode(reply.status)
     request.setHeader("Content-Type", "application/json")
     if reply.status == HTTP_TOO_MANY_REQUESTS:
-        request.setHeader("Retry-After", "1")
+        request.setHeader("Retry-After", RETRY_AFTER_S)
     if reply.etag:
         request.setHeader("ETag", reply.etag)
     if reply.body is not None:
--- a/src/redwingrudder/standins/worker.py
+++ b/src/redwingrudder/standins/worker.py
@@ -1,11 +1,19 @@
-"""Stand-in of a backend worker: an HTTP server that simulates its tasks.
-
-``WorkerCore`` holds the rules, ``WorkerStandIn`` serves them. The switches
-at ``POST /admin/faults`` take a JSON object with any of ``fail_everything``
-(bool), ``slow_s`` (delay of every answer), ``drop_replies`` (number of
-commands that take effect and get no answer), ``cut_s`` (refuse everything
-for so long) and ``drain`` (bool). ``GET /admin/history`` returns what
-started and ended.
+"""Stand-in for a backend worker: an HTTP server that simulates its tasks.
+
+``WorkerCore`` implements the behaviour of a worker, ``WorkerStandIn`` is its
+HTTP server. ``POST /admin/faults`` sets fault switches from a JSON object
+with any of these fields:
+
+- ``fail_everything`` (bool): all tasks that start fail.
+- ``slow_s``: delay of answers in seconds, except those to waiting polls.
+- ``drop_replies``: number of requests, without polls, that take effect but
+  get no answer.
+- ``cut_s``: for so many seconds all requests except those to ``/admin`` have
+  no effect and get no answer.
+- ``drain`` (bool): the worker reports that it drains and rejects
+  reservations.
+
+``GET /admin/history`` returns the ``HistoryEntry`` list of the worker.
 """
 
 from typing import Any
@@ -17,7 +25,7 @@
 from ._worker_http import FaultsRequest, WorkerStandIn
 
 __all__ = [
-    "FaultOrders",
+    "FaultsRequest",
     "HistoryEntry",
     "RejectedEpochError",
     "WorkerCore",
@@ -27,7 +35,7 @@
 
 
 def run_worker(info: WorkerInfo, host: str, port: int, reactor: Any) -> None:
-    """Serve one worker until the process ends.
+    """Run the server of one worker until the process ends.
 
     The bound address is printed as ``worker <id> <host>:<port>``.
     """
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -25,9 +25,9 @@
     prefix_end,
 )
 from redwingrudder.standins._platform_service import (
-    RateLimits,
     Call,
     PlatformService,
+    RateLimits,
     WatchStream,
 )
 from redwingrudder.standins.platform import PlatformStandin
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,14 +6,14 @@
 
 from tests.processes import (
     ACCELERATORS,
-    STATUS_CONNECTION_BROKEN,
     DOMAIN,
     POLL_INTERVAL_S,
+    STATUS_CONNECTION_BROKEN,
     Cluster,
-    send_request,
     long_poll,
     pause,
     resume,
+    send_request,
 )
 
 # After an owner's death, work is placed within 5 s of the end of its lease.
