--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -31,7 +31,7 @@
 
     Args:
         clock: The reactor, or a ``twisted.internet.task.Clock`` in tests.
-        budget: Calls per second that are accepted.
+        rate_limits: Calls per second that are accepted.
         vm_lag_s: Lag of the VM list in seconds.
     """
 
--- a/tests/platform_proxy.py
+++ b/tests/platform_proxy.py
@@ -1,15 +1,16 @@
-"""Loopback proxies with fault switches, between nodes and the stand-in.
+"""TCP proxies with fault switches, between the nodes and the stand-in.
 
 Run as ``python -m tests.platform_proxy CONTROL_PORT LISTEN:TARGET...``. Each
-pair is one link. A POST of ``{"LISTEN": "MODE"}`` to the control port sets a
-link's mode:
-
-- ``up``: bytes pass.
-- ``delay``: bytes arrive ``DELAY_S`` later, in order.
-- ``cut``: bytes vanish in both directions; connections stay open.
-- ``one_way``: only what the nodes send vanishes.
-- ``reset``: the present connections are reset; new ones work.
-- ``mute``: the present connections carry nothing any more; new ones work.
+pair of ports on the loopback interface is one link. A POST of
+``{"LISTEN": "MODE"}`` to the control port sets the mode of a link:
+
+- ``up``: data is forwarded.
+- ``delay``: data is forwarded ``DELAY_S`` later, in order.
+- ``cut``: data of both directions is dropped; connections stay open.
+- ``one_way``: data from the nodes is dropped, data to them is forwarded.
+- ``reset``: the open connections are reset; new connections work.
+- ``mute``: data on the open connections is dropped for good; new connections
+  work.
 """
 
 import json
@@ -25,11 +26,12 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-DELAY_S = 0.3  # below the time-outs of the nodes, above all usual answers
+# Below the timeouts of the nodes, above the usual response times.
+DELAY_S = 0.3
 
 
 class Link:
-    """The mode and the connections of one link."""
+    """Mode and open connections of one link."""
 
     def __init__(self):
         self.mode = "up"
@@ -46,7 +48,11 @@
 
 
 class _ForwardedConnection:
-    """What both ends of a forwarded connection do with bytes."""
+    """Forwarding common to the two sides of a proxied connection.
+
+    ``last_delivery_at`` is the delivery time of the last data received, which
+    keeps the order when a delay ends.
+    """
 
     muted = False
     last_delivery_at = 0.0
@@ -58,6 +64,7 @@
 
     def connectionLost(self, reason):  # noqa: N802
         self.link.connections.discard(self)
+        # The peer must not notice the end of a connection that drops data.
         if not self.muted and self.link.mode not in ("cut", "one_way"):
             super().connectionLost(reason)
 
@@ -80,7 +87,7 @@
 
 
 class NodeConnection(_ForwardedConnection, ProxyServer):
-    """The connection from a node."""
+    """Connection from a node to the proxy."""
 
     from_node = True
 
@@ -96,7 +103,7 @@
 
 
 class TargetConnection(_ForwardedConnection, ProxyClient):
-    """The connection to the stand-in."""
+    """Connection from the proxy to the stand-in."""
 
     @property
     def link(self):
@@ -104,7 +111,7 @@
 
 
 class Control(Resource):
-    """Sets the modes of links by their port."""
+    """Sets the modes of links, which are named by their listening port."""
 
     isLeaf = True  # noqa: N815
 
@@ -119,7 +126,7 @@
 
 
 def main(control_port, port_pairs):
-    """Serve until the process is ended."""
+    """Run the proxies until the process ends."""
     links = {}
     for port_pair in port_pairs:
         listen_port, _, target_port = port_pair.partition(":")
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -1,9 +1,9 @@
-"""Randomized faults on real nodes beside the stand-in of the platform.
+"""Soak test: random faults on node processes and the platform stand-in.
 
-Run as ``python -m tests.platform_soak --seeds 5 --first 1``. Each seed starts
-the stand-in and three nodes as processes, submits jobs, injects faults from
-outside and checks what callers and workers saw. Only processes that the soak
-started are ended, by their ids.
+Run as ``python -m tests.platform_soak --seeds 5 --first 1``. For each seed it
+starts the stand-in and three nodes as processes, submits jobs, injects faults
+from outside, and checks the answers to callers and the runs at the workers.
+It ends only processes that it started, by their ids.
 """
 
 import argparse
@@ -24,6 +24,8 @@
 NODE_COUNT = 3
 WORKER_COUNT = 3
 REQUEST_TIMEOUT_S = 4.0
+# The kinds are explained by ``Soak._inject_fault``. Their order decides which
+# fault a seed draws.
 FAULT_KINDS = (
     "kill",
     "term",
@@ -36,14 +38,25 @@
     "cancel",
 )
 FAULT_KINDS_WITH_LINKS = (*FAULT_KINDS, "link", "link")
-# Seeds below were drawn before there were proxies and keep their faults.
+# Seeds below this one are older than the proxies. They get no link faults, so
+# that they keep their sequence of faults.
 FIRST_LINK_SEED = 500
 LINK_MODES = ("delay", "cut", "one_way", "reset", "mute")
+READY_TIMEOUT_S = 30
 JOB_END_TIMEOUT_S = 40.0  # from the last fault until all jobs must have ended
-# Seeds that failed once. 3 and 105: a start without an answer reached the next
-# life of a worker that had restarted, beside the run that replaced it.
-# 600: a start that was sent again after a silence of its worker ran beside its
-# successor.
+JOB_REQUEST_TIMEOUT_S = 1.5  # of submissions and cancellations
+SUBMIT_ATTEMPTS = 3
+FAULT_PROBABILITY = 0.25  # per submitted job
+GANG_PROBABILITY = 0.5
+SECOND_STEP_PROBABILITY = 0.3
+HTTP_OK = 200
+HTTP_GONE = 410
+REJECTED_STATUSES = (429, 503)  # the job was not accepted and must not run
+# Seeds that failed in the past and are run every time.
+# 3 and 105: a start that had not been answered reached a worker after its
+# restart and ran at the same time as the run that replaced it.
+# 600: a worker did not answer for a while, and the start that was sent again
+# ran at the same time as its successor.
 REGRESSION_SEEDS = (3, 105, 600)
 
 SETTINGS = """
@@ -65,11 +78,11 @@
 
 
 class InvariantViolation(Exception):
-    """A promise was broken; the text says which."""
+    """A check of the soak test failed; the message says which one."""
 
 
 def free_ports(count):
-    """Return a range of ports that nothing listens on."""
+    """Return the first of ``count`` consecutive ports that are free."""
     for first in range(random.SystemRandom().randrange(20000, 50000), 60000, 37):
         try:
             sockets = []
@@ -83,11 +96,14 @@
         finally:
             for candidate in sockets:
                 candidate.close()
-    raise RuntimeError("no free ports")
+    raise RuntimeError(f"found no {count} consecutive free ports")
 
 
 def send_request(method, url, body=None, timeout_s=REQUEST_TIMEOUT_S):
-    """Return status and body; status 0 means no answer."""
+    """Return status and JSON body of an answer; status 0 means no answer.
+
+    The body of an HTTP error is not read.
+    """
     headers = {"Host": "jobs.example", "Authorization": "Token key"}
     content = json.dumps(body).encode() if body is not None else None
     request = urllib.request.Request(url, content, headers, method=method)
@@ -101,17 +117,18 @@
 
 
 class Deployment:
-    """The processes of one seed.
+    """The processes that are started for one seed.
 
     Args:
-        folder: Settings and logs lie here.
+        folder: Folder for the settings and logs of the processes.
     """
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
         self.first_port = free_ports(2 * (1 + WORKER_COUNT) + 5 * NODE_COUNT)
-        # The last ports are those of the proxies: control, a way to each
-        # worker, a way from each node to the store.
+        # Order of the ports: the store, the workers, four ports of each node,
+        # the control port of the proxies, the proxy in front of each worker,
+        # the proxy between each node and the store.
         self.proxy_control_port = self.first_port + 1 + WORKER_COUNT + 4 * NODE_COUNT
         first_worker_proxy = self.proxy_control_port + 1
         self.store_proxy_ports = [
@@ -124,7 +141,7 @@
         for index, port in enumerate(self.worker_proxy_ports):
             proxy_pairs.append(f"{port}:{self.first_port + 1 + index}")
         self.processes = {}
-        self.begin(
+        self.start_process(
             "standin",
             [
                 "-m",
@@ -134,14 +151,15 @@
                 first_worker_proxy,
             ],
         )
-        self.begin(
+        self.start_process(
             "proxy",
             ["-m", "tests.platform_proxy", self.proxy_control_port, *proxy_pairs],
         )
         for index in range(NODE_COUNT):
             self.start_node(index)
 
-    def begin(self, name, arguments, **environment):
+    def start_process(self, name, arguments, **environment):
+        """Start Python with the arguments; the log file is ``name``.log."""
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(
             [sys.executable, *map(str, arguments)],
@@ -152,20 +170,22 @@
         )
 
     def start_node(self, index):
-        first = self.first_port + 1 + WORKER_COUNT + 4 * index
+        first_node_port = self.first_port + 1 + WORKER_COUNT + 4 * index
         settings = SETTINGS.format(
             name=f"n{index}",
-            peers=first,
-            metrics=first + 1,
-            front=first + 2,
-            ready=first + 3,
+            peers=first_node_port,
+            metrics=first_node_port + 1,
+            front=first_node_port + 2,
+            ready=first_node_port + 3,
             store=self.store_proxy_ports[index],
         )
         path = self.folder / f"n{index}.toml"
         path.write_text(settings, "utf-8")
-        self.begin(f"n{index}", ["deploy/node.py"], REDWINGRUDDER_CONFIG=str(path))
+        self.start_process(
+            f"n{index}", ["deploy/node.py"], REDWINGRUDDER_CONFIG=str(path)
+        )
 
-    def front(self, index, path):
+    def front_end_url(self, index, path):
         port = self.first_port + 1 + WORKER_COUNT + 4 * index + 2
         return f"http://127.0.0.1:{port}{path}"
 
@@ -175,17 +195,19 @@
         )[1]
 
     def set_link_mode(self, port, mode):
-        """Set the mode of a proxy, see ``platform_proxy``."""
+        """Set the mode of the proxy at a port, see ``platform_proxy``."""
         send_request(
             "POST", f"http://127.0.0.1:{self.proxy_control_port}/", {str(port): mode}
         )
 
     def signal(self, index, signal_number):
+        """Send a signal to a node, unless its process has ended."""
         process = self.processes[f"n{index}"]
         if process.poll() is None:
             process.send_signal(signal_number)
 
-    def restart(self, index):
+    def restart_node(self, index):
+        """Kill a node if it still runs and start it again."""
         process = self.processes[f"n{index}"]
         if process.poll() is None:
             process.kill()
@@ -193,6 +215,7 @@
         self.start_node(index)
 
     def close(self):
+        """Kill all processes, also paused ones."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -201,14 +224,14 @@
 
 
 class Soak:
-    """One seed: jobs, faults and checks."""
+    """Run of one seed: submits jobs, injects faults and checks invariants."""
 
     def __init__(self, deployment, seed):
         self.deployment = deployment
         self.seed = seed
         self.random = random.Random(seed)
         self.accepted = {}
-        self.refused = set()
+        self.rejected = set()
         self.cancelled = set()
 
     def run(self, seconds):
@@ -216,7 +239,7 @@
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             self._submit()
-            if self.random.random() < 0.25:
+            if self.random.random() < FAULT_PROBABILITY:
                 self._inject_fault()
             time.sleep(self.random.uniform(0.05, 0.3))
         self._clear_faults()
@@ -224,36 +247,38 @@
         self._check_runs()
 
     def _wait_until_ready(self):
-        deadline = time.monotonic() + 30
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
-            url = self.deployment.front(0, "/urgent/")
-            if send_request("GET", url)[0] == 200:
+            url = self.deployment.front_end_url(0, "/urgent/")
+            if send_request("GET", url)[0] == HTTP_OK:
                 return
             time.sleep(0.1)
-        raise InvariantViolation("the nodes did not become ready")
+        raise InvariantViolation(
+            f"the first node was not ready within {READY_TIMEOUT_S} s"
+        )
 
     def _submit(self):
         job_id = f"{self.random.getrandbits(64):016x}"
         queue = self.random.choice(("urgent", "patient"))
-        gang = self.random.random() < 0.5
+        gang = self.random.random() < GANG_PROBABILITY
         tasks = self.random.randint(1, 3)
         step = {"count": tasks, "cpu": 1000, "memMb": 1000, "gpu": 1}
         spec = {"run_s": round(self.random.uniform(0.1, 1.5), 2)}
         steps = [{**step, "gang": gang}]
-        if self.random.random() < 0.3:
+        if self.random.random() < SECOND_STEP_PROBABILITY:
             steps.append({**step, "count": 1, "after": [0]})
         body = {"spec": json.dumps(spec), "steps": steps}
         statuses = []
-        for _ in range(3):
+        for _ in range(SUBMIT_ATTEMPTS):
             index = self.random.randrange(NODE_COUNT)
-            url = self.deployment.front(index, f"/{queue}/{job_id}")
-            status, _ = send_request("POST", url, body, 1.5)
+            url = self.deployment.front_end_url(index, f"/{queue}/{job_id}")
+            status, _ = send_request("POST", url, body, JOB_REQUEST_TIMEOUT_S)
             statuses.append(status)
-            if status == 200:
+            if status == HTTP_OK:
                 self.accepted[job_id] = queue
                 return
-        if all(status in (429, 503) for status in statuses):
-            self.refused.add(job_id)
+        if all(status in REJECTED_STATUSES for status in statuses):
+            self.rejected.add(job_id)
 
     def _inject_fault(self):
         deployment, choose = self.deployment, self.random.choice
@@ -262,7 +287,7 @@
             FAULT_KINDS if self.seed < FIRST_LINK_SEED else FAULT_KINDS_WITH_LINKS
         )
         if kind == "kill":
-            deployment.restart(index)
+            deployment.restart_node(index)
         elif kind == "term":
             deployment.signal(index, signal.SIGTERM)
             time.sleep(0.3)
@@ -278,13 +303,13 @@
             deployment.control({"store": "up"})
         elif kind in ("worker", "late"):
             mode = "silent" if kind == "worker" else "late"
-            name = str(self.random.randrange(WORKER_COUNT))
-            deployment.control({"workers": {name: mode}})
+            worker_index = str(self.random.randrange(WORKER_COUNT))
+            deployment.control({"workers": {worker_index: mode}})
             time.sleep(self.random.uniform(0.5, 2.0))
-            deployment.control({"workers": {name: "up"}})
+            deployment.control({"workers": {worker_index: "up"}})
         elif kind == "crash":
-            name = str(self.random.randrange(WORKER_COUNT))
-            deployment.control({"workers": {name: "crash"}})
+            worker_index = str(self.random.randrange(WORKER_COUNT))
+            deployment.control({"workers": {worker_index: "crash"}})
         elif kind == "link":
             port = choose(deployment.store_proxy_ports + deployment.worker_proxy_ports)
             deployment.set_link_mode(port, choose(LINK_MODES))
@@ -296,8 +321,13 @@
             job_id = choose(sorted(self.accepted))
             path = f"/{self.accepted[job_id]}/{job_id}"
             if (
-                send_request("DELETE", deployment.front(index, path), None, 1.5)[0]
-                == 200
+                send_request(
+                    "DELETE",
+                    deployment.front_end_url(index, path),
+                    None,
+                    JOB_REQUEST_TIMEOUT_S,
+                )[0]
+                == HTTP_OK
             ):
                 self.cancelled.add(job_id)
 
@@ -321,7 +351,7 @@
         self._restart_ended_nodes()
 
     def _wait_for_jobs(self):
-        """All accepted jobs end, and their state can be read at any node."""
+        """Check that all accepted jobs end; reads states at random nodes."""
         queues_by_job = dict(self.accepted)
         deadline = time.monotonic() + JOB_END_TIMEOUT_S
         while queues_by_job and time.monotonic() < deadline:
@@ -329,53 +359,59 @@
             for job_id, queue in list(queues_by_job.items()):
                 index = self.random.randrange(NODE_COUNT)
                 path = f"/{queue}/{job_id}"
-                status, body = send_request("GET", self.deployment.front(index, path))
+                status, body = send_request(
+                    "GET", self.deployment.front_end_url(index, path)
+                )
                 state = body.get("state", "")
-                if status == 410:
-                    raise InvariantViolation(f"accepted job {job_id} is unknown")
+                if status == HTTP_GONE:
+                    raise InvariantViolation(
+                        f"accepted job {job_id} is unknown to a node"
+                    )
                 if state == "failed":
                     raise InvariantViolation(
-                        f"job {job_id} failed without a failed run"
+                        f"job {job_id} failed although none of its runs can fail"
                     )
                 if state == "cancelled" and job_id not in self.cancelled:
-                    # A cancellation whose answer was lost still counts.
+                    # The cancellation took effect without an answer.
                     self.cancelled.add(job_id)
                 if state in ("done", "cancelled"):
                     del queues_by_job[job_id]
             time.sleep(0.2)
         if queues_by_job:
-            raise InvariantViolation(f"jobs did not end: {sorted(queues_by_job)}")
+            raise InvariantViolation(
+                f"jobs open after {JOB_END_TIMEOUT_S} s: {sorted(queues_by_job)}"
+            )
 
     def _check_runs(self):
         runs = self.deployment.control()["runs"]
         runs_by_task = {}
-        for task, run, begin, end, how, worker, noted in runs:
-            row = (begin, end, run, how, worker, noted)
+        for task, run, begin, end, outcome, worker, acknowledged in runs:
+            row = (begin, end, run, outcome, worker, acknowledged)
             runs_by_task.setdefault(task, []).append(row)
         for task, rows in runs_by_task.items():
             rows.sort()
             for earlier, later in zip(rows, rows[1:], strict=False):
                 if not earlier[1] or later[0] < earlier[1]:
                     raise InvariantViolation(
-                        f"{task} ran twice at a time: {earlier} {later}"
+                        f"{task} had two concurrent runs: {earlier} {later}"
                     )
-            # An end that its worker forgot before it was acknowledged is one
-            # that nobody can know of, as seed 8 showed with a worker that fell
-            # silent and crashed.
-            noted = [row for row in rows if row[3] == "done" and row[5]]
-            if noted and any(row[0] > noted[0][1] for row in rows):
+            # Only acknowledged ends count: no node can know of an end that its
+            # worker lost before the acknowledgement. That happened in seed 8,
+            # where a worker stopped answering and then crashed.
+            done_rows = [row for row in rows if row[3] == "done" and row[5]]
+            if done_rows and any(row[0] > done_rows[0][1] for row in rows):
                 raise InvariantViolation(f"{task} ran again after it was done: {rows}")
-            if task.partition(".")[0] in self.refused:
+            if task.partition(".")[0] in self.rejected:
                 raise InvariantViolation(
-                    f"{task} ran, but all its submissions were refused"
+                    f"{task} ran although its job was always rejected"
                 )
 
 
 def run_seed(seed, seconds, folder):
-    """Run one seed in a folder of its own.
+    """Run one seed for ``seconds`` of faults with its files in ``folder``.
 
     Raises:
-        Broken: A promise was broken.
+        InvariantViolation: A check failed.
     """
     deployment = Deployment(folder)
     try:
@@ -385,7 +421,7 @@
 
 
 def main():
-    """Run seeds and print one line for each."""
+    """Run the seeds, print a line for each and return the exit status."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--first", type=int, default=1)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -1,8 +1,9 @@
-"""A small stand-in of the users' platform: store, operator and workers.
+"""Small stand-in for the users' platform: store, configuration and workers.
 
 Run as ``python -m tests.platform_standin PORT WORKERS [SHOWN]``. The store
-listens on PORT, worker N on PORT + 1 + N and is registered at SHOWN + N, where
-a proxy may listen. ``/control`` sets faults and shows what ran.
+listens on PORT. Worker N listens on PORT + 1 + N and is registered with port
+SHOWN + N, where a proxy may listen; SHOWN defaults to PORT + 1. A POST to
+``/control`` of the store sets fault modes and returns the runs of all workers.
 """
 
 import base64
@@ -16,14 +17,26 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-MAX_HISTORY_CHANGES = 5000  # changes; older watches get 410
+MAX_HISTORY_CHANGES = 5000  # changes kept for watches; older ones are dropped
 MAX_POLL_WAIT_S = 2.0
 MAX_LEASE_S = 6.0
+MAX_REPORTED_ENDS = 500  # ends of runs in the answer to a poll
+SLOW_STORE_DELAY_S = 0.2
+LOST_REPLY_PROBABILITY = 0.3  # of a write in mode "lossy"
+DELAYED_WRITE_PROBABILITY = 0.5  # of a write whose reply is lost
+DELAYED_WRITE_S = 2.0
+LATE_START_DELAY_S = 2.0
+# Columns of a row of ``Worker.runs``.
+BEGIN_COLUMN, END_COLUMN, OUTCOME_COLUMN, ACKNOWLEDGED_COLUMN = 2, 3, 4, 6
 POOL = "pool"
 
 
 class Store:
-    """Keys, leases, watches and the fault switches of the store."""
+    """Keys, leases and watches of the store, and its fault mode.
+
+    Modes are "up", "down" (answers 503), "silent" (no answers), "slow" and
+    "lossy" (some writes get no answer but take effect).
+    """
 
     def __init__(self):
         self.revision = 1
@@ -36,7 +49,7 @@
         self.random = random.Random(0)
 
     def put(self, key, value, lease=0):
-        """Write a key at the present revision."""
+        """Write a key at the present revision, within ``new_revision``."""
         created = self.items.get(key, {}).get("created", self.revision)
         self.items[key] = {
             "key": key,
@@ -48,7 +61,7 @@
         self._append_change(dict(self.items[key]))
 
     def remove(self, key):
-        """Remove a key at the present revision."""
+        """Remove a key at the present revision, within ``new_revision``."""
         if key in self.items:
             del self.items[key]
             self._append_change(
@@ -60,8 +73,8 @@
         del self.history[:-MAX_HISTORY_CHANGES]
 
     @contextlib.contextmanager
-    def change(self):
-        """Give all changes within one revision, then tell the watches."""
+    def new_revision(self):
+        """Give the changes inside one new revision, then notify watches."""
         self.revision += 1
         yield
         waiting_watches, self.watches = self.watches, []
@@ -69,6 +82,7 @@
             self.answer_watch(*watch)
 
     def answer_watch(self, prefix, after, request, timer):
+        """Answer with the changes after a revision, or wait for a change."""
         events = [
             event
             for event in self.history
@@ -81,21 +95,23 @@
         else:
             self.watches.append((prefix, after, request, timer))
 
-    def end_watch(self, request):
+    def time_out_watch(self, request):
+        """Answer a waiting watch without changes."""
         for watch in list(self.watches):
             if watch[2] is request:
                 self.watches.remove(watch)
                 reply(request, 200, {"events": [], "currentRev": self.revision})
 
     def transact(self, body):
-        for row in body.get("precondition", []):
-            item = self.items.get(row["key"])
-            if (item["revision"] if item else 0) != row["revision"]:
+        """Apply the writes if all preconditions hold; returns status, body."""
+        for condition in body.get("precondition", []):
+            item = self.items.get(condition["key"])
+            if (item["revision"] if item else 0) != condition["revision"]:
                 return 412, {"items": []}
         for put in body.get("puts", []):
             if put.get("lease") and put["lease"] not in self.leases:
                 return 404, {}
-        with self.change():
+        with self.new_revision():
             for put in body.get("puts", []):
                 value = base64.b64decode(put["value"])
                 self.put(put["key"], value, put.get("lease", 0))
@@ -121,12 +137,14 @@
         _, timer = self.leases.pop(lease, (0, None))
         if timer is not None and timer.active():
             timer.cancel()
-        with self.change():
+        with self.new_revision():
             for key in [k for k, i in self.items.items() if i["lease"] == lease]:
                 self.remove(key)
 
 
 class StoreResource(Resource):
+    """HTTP interface of the store and of ``/control``."""
+
     isLeaf = True  # noqa: N815
 
     def __init__(self, store, workers):
@@ -145,13 +163,19 @@
         if mode == "silent":
             return NOT_DONE_YET
         if mode == "slow":
-            reactor.callLater(0.2, self._serve, request, path, body)
+            reactor.callLater(SLOW_STORE_DELAY_S, self._serve, request, path, body)
             return NOT_DONE_YET
-        write = path.endswith("kv-txn")
-        if mode == "lossy" and write and self.store.random.random() < 0.3:
-            # Half of the unanswered writes take effect seconds later.
-            delayed = self.store.random.random() < 0.5
-            reactor.callLater(2.0 if delayed else 0, self.store.transact, body)
+        is_write = path.endswith("kv-txn")
+        if (
+            mode == "lossy"
+            and is_write
+            and self.store.random.random() < LOST_REPLY_PROBABILITY
+        ):
+            # The writes take effect, some of them only after a delay.
+            delayed = self.store.random.random() < DELAYED_WRITE_PROBABILITY
+            reactor.callLater(
+                DELAYED_WRITE_S if delayed else 0, self.store.transact, body
+            )
             return NOT_DONE_YET
         self._serve(request, path, body)
         return NOT_DONE_YET
@@ -159,8 +183,8 @@
     def _control(self, request, body):
         if "store" in body:
             self.store.mode = body["store"]
-        for index, change in body.get("workers", {}).items():
-            self.workers[int(index)].change(change)
+        for index, mode in body.get("workers", {}).items():
+            self.workers[int(index)].set_mode(mode)
         runs = [run for worker in self.workers for run in worker.runs]
         return reply(request, 200, {"runs": runs, "now": time.monotonic()})
 
@@ -181,7 +205,7 @@
             reply(request, 200, page)
         elif name == "kv-watch":
             wait_s = int(argument(b"waitMs")) / 1000
-            timer = reactor.callLater(wait_s, store.end_watch, request)
+            timer = reactor.callLater(wait_s, store.time_out_watch, request)
             store.answer_watch(
                 argument(b"prefix"), int(argument(b"after")), request, timer
             )
@@ -201,10 +225,12 @@
 
 
 class Worker:
-    """Runs tasks under one lease and one fence, and keeps what it did.
+    """Simulates tasks under a lease and a fencing token; records the runs.
 
-    ``runs`` has rows of task, run, begin, end (0 while it runs), how, worker
-    and whether the end was acknowledged.
+    The rows of ``runs`` are lists of task, run, begin, end (0 while it runs),
+    outcome, worker and whether the end was acknowledged. Times are in seconds.
+    Modes are "up", "silent" (no answers) and "late" (starts get no answer and
+    take effect later).
     """
 
     def __init__(self, index, address, store):
@@ -222,13 +248,13 @@
             self.process_started_ms + 1, int(time.time() * 1000)
         )
         self.started_at = time.monotonic()
-        self.fence = 0
+        self.highest_token = 0
         self.running = {}
         self.unacknowledged_ends = []
         self.last_end_number = 0
-        self.rows_by_number = {}
+        self.rows_by_end_number = {}
         self.last_closed_run_by_task = {}
-        self.lease = None
+        self.lease_timer = None
         self.register()
 
     def register(self, state="ready"):
@@ -242,10 +268,11 @@
             "labels": ["a", "r1"],
             "remainingMs": 2000,
         }
-        with self.store.change():
+        with self.store.new_revision():
             self.store.put(f"servers/{self.worker_id}", json.dumps(entry).encode())
 
-    def change(self, mode):
+    def set_mode(self, mode):
+        """Set the mode; "crash" loses all state and restarts the worker."""
         if mode == "crash":
             for task in list(self.running):
                 self._finish(task, "crashed", reported=False)
@@ -257,20 +284,22 @@
     def clock_ms(self):
         return int((time.monotonic() - self.started_at) * 1000)
 
-    def extend(self, until_ms):
+    def extend_lease(self, until_ms):
         until_ms = min(until_ms, self.clock_ms + int(MAX_LEASE_S * 1000))
-        if self.lease is not None and self.lease.active():
+        if self.lease_timer is not None and self.lease_timer.active():
             until_ms = max(until_ms, self.lease_until_ms)
-            self.lease.cancel()
+            self.lease_timer.cancel()
         self.lease_until_ms = until_ms
         delay_s = max(until_ms - self.clock_ms, 0) / 1000
-        self.lease = reactor.callLater(delay_s, self.expire_lease)
+        self.lease_timer = reactor.callLater(delay_s, self.expire_lease)
 
     def expire_lease(self):
+        """End all running tasks with the outcome "lapsed"."""
         for task in list(self.running):
             self._finish(task, "lapsed")
 
     def start(self, body):
+        """Start a run of a task; a repeated start has no effect."""
         task, run = body["task"], body["runId"]
         current = self.running.get(task)
         if current is not None and current["run"] == run:
@@ -279,7 +308,7 @@
             return 409, {"reason": "old"}
         if body["deadlineAtMs"] <= self.clock_ms:
             return 409, {"reason": "late"}
-        self.extend(body["deadlineAtMs"])
+        self.extend_lease(body["deadlineAtMs"])
         spec = json.loads(body["spec"])
         row = [task, run, time.monotonic(), 0, "", self.worker_id, False]
         self.runs.append(row)
@@ -290,6 +319,7 @@
         return 200, {}
 
     def stop(self, body):
+        """Stop a run of a task and reject later starts of that run."""
         task, run = body["task"], body["runId"]
         current = self.running.get(task)
         if current is not None and current["run"] == run:
@@ -303,7 +333,10 @@
         current = self.running.pop(task)
         if current["timer"].active():
             current["timer"].cancel()
-        current["row"][3], current["row"][4] = time.monotonic(), outcome
+        current["row"][END_COLUMN], current["row"][OUTCOME_COLUMN] = (
+            time.monotonic(),
+            outcome,
+        )
         self.last_closed_run_by_task[task] = max(
             self.last_closed_run_by_task.get(task, 0), current["run"]
         )
@@ -312,7 +345,7 @@
             self.unacknowledged_ends.append(
                 [self.last_end_number, task, current["run"], outcome, ""]
             )
-            self.rows_by_number[self.last_end_number] = current["row"]
+            self.rows_by_end_number[self.last_end_number] = current["row"]
             waiting_polls, self.waiting_polls = self.waiting_polls, []
             for request, timer in waiting_polls:
                 if timer.active():
@@ -320,11 +353,16 @@
                     self.answer_poll(request)
 
     def poll(self, request, body):
+        """Extend the lease, drop acknowledged ends and answer the request.
+
+        Without unacknowledged ends the answer waits for the next end, for
+        ``waitMs`` at most.
+        """
         if body.get("deadlineAtMs"):
-            self.extend(body["deadlineAtMs"])
+            self.extend_lease(body["deadlineAtMs"])
         for end in self.unacknowledged_ends:
             if end[0] <= body.get("observed", 0):
-                self.rows_by_number[end[0]][6] = True
+                self.rows_by_end_number[end[0]][ACKNOWLEDGED_COLUMN] = True
         self.unacknowledged_ends = [
             end for end in self.unacknowledged_ends if end[0] > body.get("observed", 0)
         ]
@@ -339,7 +377,7 @@
     def answer_poll(self, request):
         running = []
         for task, current in self.running.items():
-            elapsed_s = time.monotonic() - current["row"][2]
+            elapsed_s = time.monotonic() - current["row"][BEGIN_COLUMN]
             percent = min(100, int(100 * elapsed_s / current["run_s"]))
             running.append([task, current["run"], "", percent, 1])
         reply(
@@ -349,12 +387,14 @@
                 "clockMs": self.clock_ms,
                 "born": self.process_started_ms,
                 "running": running,
-                "ended": self.unacknowledged_ends[:500],
+                "ended": self.unacknowledged_ends[:MAX_REPORTED_ENDS],
             },
         )
 
 
 class WorkerResource(Resource):
+    """HTTP interface of a worker."""
+
     isLeaf = True  # noqa: N815
 
     def __init__(self, worker):
@@ -368,26 +408,26 @@
         if worker.mode == "silent":
             return NOT_DONE_YET
         if worker.mode == "late" and name == "run-start":
-            reactor.callLater(2.0, self._order, name, body)
+            reactor.callLater(LATE_START_DELAY_S, self._execute, name, body)
             return NOT_DONE_YET
-        if body.get("fencingToken", 0) < worker.fence:
+        if body.get("fencingToken", 0) < worker.highest_token:
             return reply(request, 409, {"clockMs": worker.clock_ms, "reason": "fence"})
-        worker.fence = body.get("fencingToken", 0)
+        worker.highest_token = body.get("fencingToken", 0)
         if name == "hold":
             worker.poll(request, body)
             return NOT_DONE_YET
-        status, result = self._order(name, body)
+        status, result = self._execute(name, body)
         return reply(request, status, {**result, "clockMs": worker.clock_ms})
 
-    def _order(self, name, body):
+    def _execute(self, name, body):
         worker = self.worker
-        if body.get("fencingToken", 0) < worker.fence:
+        if body.get("fencingToken", 0) < worker.highest_token:
             return 409, {"reason": "fence"}
         return worker.start(body) if name == "run-start" else worker.stop(body)
 
 
 def reply(request, status, body):
-    """Write an answer, unless the caller has gone."""
+    """Write an answer unless the client has disconnected."""
     if not request.finished and not getattr(request, "_disconnected", False):
         request.setResponseCode(status)
         request.setHeader(b"Content-Type", b"application/json")
@@ -397,7 +437,7 @@
 
 
 def configuration():
-    """Return the operator's document."""
+    """Return the configuration document of the operator."""
     routes = [
         {
             "name": name,
@@ -422,9 +462,9 @@
 
 
 def main(port, count, first_registered_port=0):
-    """Serve until the process is ended."""
+    """Run store and workers until the process ends."""
     store = Store()
-    with store.change():
+    with store.new_revision():
         store.put("op/config", json.dumps(configuration()).encode())
     workers = []
     for index in range(count):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,4 +1,7 @@
-"""Starts the daemons as separate processes on the loopback interface."""
+"""Starts platform, workers and nodes as processes on the loopback interface.
+
+The platform and the workers are the stand-ins of ``redwingrudder.standins``.
+"""
 
 import contextlib
 import http.client
@@ -19,27 +22,30 @@
 
 HOST = "127.0.0.1"
 DOMAIN, REMOTE_DOMAIN = "hobart", "devonport"
-# Longer than a takeover: workers stop their tasks after this time without an
-# owner, and a store lease of 3 s has to lapse before the next owner claims.
+# Longer than a takeover takes: workers stop their tasks after this time
+# without an owner, and a store lease of 3 s has to expire before the next
+# owner claims the workers.
 WORKER_LEASE_S = 7.0
-WAIT_TIMEOUT_S = 30.0  # generous: only its end fails a test
+WAIT_TIMEOUT_S = 30.0  # long, since only a failing test waits for so long
 POLL_INTERVAL_S = 0.05
-REQUEST_TIMEOUT_S = 35.0  # longer than the long poll of a node
+REQUEST_TIMEOUT_S = 35.0  # longer than a node lets a long poll wait
 ACCELERATORS = 4
 CONFIGURATION = {
     "format_version": 1,
     "organisations": {"huon": {"guarantees": []}},
     "classes": {"proof": {"target_s": 60.0}},
 }
-STATUS_UNREACHABLE = 0  # status of a request that found no listening node
-STATUS_CONNECTION_BROKEN = -1  # status of a request whose connection broke
+# Returned in place of an HTTP status.
+STATUS_UNREACHABLE = 0  # the connection was refused
+STATUS_CONNECTION_BROKEN = -1  # the connection broke, or the request timed out
+LOG_TAIL_CHARS = 1500  # of each log, shown when a wait fails
 _SOURCES = pathlib.Path(redwingrudder.__file__).parent.parent
 
 
 class Daemon:
-    """One process of the project."""
+    """One process of the project; it is killed at the end of the test."""
 
-    def __init__(self, case, *arguments, log=subprocess.DEVNULL):
+    def __init__(self, test_case, *arguments, log=subprocess.DEVNULL):
         self._popen = subprocess.Popen(
             [sys.executable, "-m", "redwingrudder", *arguments],
             env={**os.environ, "PYTHONPATH": str(_SOURCES)},
@@ -47,18 +53,20 @@
             stdout=subprocess.PIPE,
             stderr=log,
         )
-        case.addCleanup(self.kill)
+        test_case.addCleanup(self.kill)
 
     def printed_address(self):
         if not select.select([self._popen.stdout], [], [], WAIT_TIMEOUT_S)[0]:
-            raise AssertionError("a stand-in prints no address")
+            raise AssertionError(
+                f"a stand-in printed no address within {WAIT_TIMEOUT_S} s"
+            )
         return self._popen.stdout.readline().split()[-1].decode()
 
     def send(self, signal_number):
         self._popen.send_signal(signal_number)
 
     def kill(self):
-        """End the process, also a stopped one."""
+        """Kill the process, even if it is paused."""
         self._popen.kill()
         self._popen.wait()
         self._popen.stdout.close()
@@ -71,37 +79,47 @@
 
 
 class Cluster:
-    """Platform, workers and nodes of one test; all end with the test."""
+    """Platform, workers and nodes of one test, all killed at its end.
 
-    def __init__(self, case, workers=3, remote=False):
-        self._case = case
+    The constructor returns when every node is ready and knows an owner of the
+    failure domain ``DOMAIN``.
+    """
+
+    def __init__(self, test_case, workers=3, remote=False):
+        self._test_case = test_case
         folder = tempfile.TemporaryDirectory()
-        case.addCleanup(folder.cleanup)
+        test_case.addCleanup(folder.cleanup)
         self._folder = pathlib.Path(folder.name)
-        self.platform = Daemon(case, "platform", "--port=0")
+        self.platform = Daemon(test_case, "platform", "--port=0")
         self._platform_url = f"http://{self.platform.printed_address()}"
         self.workers, self.addresses, self.nodes, self.urls = {}, {}, {}, {}
         self._thrift_addresses = {}
-        names = [(f"w{n}", DOMAIN) for n in range(1, workers + 1)]
-        names += [("w9", REMOTE_DOMAIN)] if remote else []
-        for name, domain in names:
+        worker_domains = [(f"w{n}", DOMAIN) for n in range(1, workers + 1)]
+        worker_domains += [("w9", REMOTE_DOMAIN)] if remote else []
+        for name, domain in worker_domains:
             self.start_worker(name, domain)
-        names = [(f"hobart-{n}", DOMAIN, n) for n in (1, 2, 3)]
-        names += [("devonport-1", REMOTE_DOMAIN, 1)] if remote else []
-        for name, domain, rank in names:
+        node_ranks = [(f"hobart-{n}", DOMAIN, n) for n in (1, 2, 3)]
+        node_ranks += [("devonport-1", REMOTE_DOMAIN, 1)] if remote else []
+        for name, domain, rank in node_ranks:
             self._write_settings_file(name, domain, rank, remote)
             self.start_node(name)
-        vms = [_node_vm(*each, self._thrift_addresses[each[0]]) for each in names]
-        vms += [_worker_vm(name, *each) for name, each in self.addresses.items()]
+        vms = [_node_vm(*node, self._thrift_addresses[node[0]]) for node in node_ranks]
+        vms += [_worker_vm(name, *place) for name, place in self.addresses.items()]
         send_request("POST", f"{self._platform_url}/admin/vms", {"register": vms})
         self._apply_configuration()
 
     def start_worker(self, name, domain=DOMAIN):
-        """Start a worker, again at its address."""
+        """Start a worker; a restarted one gets its previous address."""
         address, _ = self.addresses.get(name, (f"{HOST}:0", ""))
         size = (f"--accelerators={ACCELERATORS}", "--slots=16")
         daemon = Daemon(
-            self._case, "worker", name, domain, "r1", f"--port={_port(address)}", *size
+            self._test_case,
+            "worker",
+            name,
+            domain,
+            "r1",
+            f"--port={_port(address)}",
+            *size,
         )
         self.workers[name] = daemon
         self.addresses[name] = (daemon.printed_address(), domain)
@@ -109,33 +127,46 @@
     def start_node(self, name):
         with (self._folder / f"{name}.log").open("ab") as log:
             settings = str(self._folder / f"{name}.json")
-            self.nodes[name] = Daemon(self._case, "node", settings, log=log)
+            self.nodes[name] = Daemon(self._test_case, "node", settings, log=log)
 
-    def wait_ready(self, *names):
+    def wait_until_ready(self, *names):
         for name in names or self.nodes:
             url = f"{self.urls[name]}/readyz"
             self.wait_for(
-                lambda url=url: send_request("GET", url)[0] == 200, f"{name} ready"
+                lambda url=url: send_request("GET", url)[0] == 200, f"{name} is ready"
             )
 
-    def wait_for(self, condition, what):
-        """Return the first true result of a condition."""
+    def wait_for(self, condition, description):
+        """Call the condition until its result is true and return that result.
+
+        Raises:
+            AssertionError: The result is not true within ``WAIT_TIMEOUT_S``.
+        """
         deadline = time.monotonic() + WAIT_TIMEOUT_S
         while time.monotonic() < deadline:
             result = condition()
             if result:
                 return result
             time.sleep(POLL_INTERVAL_S)
-        logs = [path.read_text()[-1500:] for path in self._folder.glob("*.log")]
-        raise AssertionError("\n".join([f"not seen: {what}", *logs]))
+        logs = [
+            path.read_text()[-LOG_TAIL_CHARS:] for path in self._folder.glob("*.log")
+        ]
+        raise AssertionError(
+            "\n".join(
+                [
+                    f"timed out after {WAIT_TIMEOUT_S} s waiting for: {description}",
+                    *logs,
+                ]
+            )
+        )
 
     def owner(self, node, domain=DOMAIN):
-        """Return the node that owns a domain and its epoch, or None."""
+        """Return owner and epoch of a domain as a node knows them, or None."""
         status, body = send_request("GET", f"{self.urls[node]}/v1/status")
         domains = body["failure_domains"] if status == 200 else ()
-        for each in domains:
-            if each["failure_domain"] == domain and each["owner"]:
-                return each["owner"], list(each["epoch"].values())
+        for entry in domains:
+            if entry["failure_domain"] == domain and entry["owner"]:
+                return entry["owner"], list(entry["epoch"].values())
         return None
 
     def other_nodes(self, name):
@@ -148,44 +179,47 @@
         )
 
     def submit_until_accepted(self, node, key, **fields):
-        """Submit until the job is accepted; returns its body."""
+        """Submit a job until it is accepted; returns the answer's body."""
 
         def accepted():
             status, body = self.submit(node, key, **fields)
             return body if status in (200, 202) else None
 
-        return self.wait_for(accepted, f"{key} accepted by {node}")
+        return self.wait_for(accepted, f"{node} accepts the job with key {key!r}")
 
     def wait_until_finished(self, node, job_id):
-        """Return the final answer of a job."""
+        """Poll a job until it has ended; returns the body of the answer."""
 
         def ended():
             url = f"{self.urls[node]}/v1/jobs/{job_id}?wait=5"
             status, body = send_request("GET", url)
             return body if status == 200 else None
 
-        return self.wait_for(ended, f"end of {job_id}")
+        return self.wait_for(ended, f"end of job {job_id}")
 
-    def wait_running(self, node, *job_ids):
+    def wait_until_running(self, node, *job_ids):
         for job_id in job_ids:
             url = f"{self.urls[node]}/v1/jobs/{job_id}"
             self.wait_for(
                 lambda url=url: send_request("GET", url)[1].get("state") == "running",
-                f"{job_id} running",
+                f"job {job_id} is running",
             )
 
-    def history(self, job_id=None, what=None):
-        """Return what happened at the workers that are up, in order."""
+    def history(self, job_id=None, event=None):
+        """Return the history entries of all running workers, sorted by time.
+
+        Each entry has the name of its worker added as ``worker``.
+        """
         entries = []
         for name, (address, _) in self.addresses.items():
             status, body = send_request("GET", f"http://{address}/admin/history")
-            found = body if status == 200 else ()
-            entries += [{**entry, "worker": name} for entry in found]
+            worker_entries = body if status == 200 else ()
+            entries += [{**entry, "worker": name} for entry in worker_entries]
         return sorted(
             (
                 entry
                 for entry in entries
-                if job_id in (None, entry["job_id"]) and what in (None, entry["what"])
+                if job_id in (None, entry["job_id"]) and event in (None, entry["what"])
             ),
             key=lambda entry: entry["at"],
         )
@@ -210,28 +244,32 @@
         (self._folder / f"{name}.json").write_text(json.dumps(settings))
 
     def _apply_configuration(self):
-        first = next(iter(self.urls.values()))
+        first_url = next(iter(self.urls.values()))
 
         def applied():
             header = {"If-Match": "0"}
-            url = f"{first}/v1/configuration"
+            url = f"{first_url}/v1/configuration"
             return send_request("PUT", url, CONFIGURATION, header)[0] in (200, 409)
 
-        self.wait_for(applied, "configuration accepted")
-        self.wait_ready()
+        self.wait_for(applied, "a node accepts the configuration")
+        self.wait_until_ready()
         for name in self.nodes:
-            self.wait_for(lambda name=name: self.owner(name), "an owner")
+            self.wait_for(lambda name=name: self.owner(name), f"{name} knows an owner")
 
 
 def job_body(payload=None, **fields):
-    """Return the body of a job whose task runs a tenth of a second."""
+    """Return the body of a job; its tasks run for 0.1 s by default."""
     body = {"organisation": "huon", "class": "proof", "idempotent": True}
     body["payload"] = {"run_s": 0.1, **(payload or {})}
     return {**body, "declared_run_s": body["payload"]["run_s"], **fields}
 
 
 def send_request(method, url, body=None, headers=None, timeout=REQUEST_TIMEOUT_S):
-    """Return status and parsed body of one request."""
+    """Return the status and the parsed JSON body of the answer.
+
+    Without an answer the status is ``STATUS_UNREACHABLE`` or
+    ``STATUS_CONNECTION_BROKEN``.
+    """
     data = None if body is None else json.dumps(body).encode()
     headers = {"Content-Type": "application/json", **(headers or {})}
     request = urllib.request.Request(url, data, headers, method=method)
@@ -252,19 +290,20 @@
 
 @contextlib.contextmanager
 def long_poll(base_url, path):
-    """Send a GET and give a function that reads its answer later."""
+    """Send a GET; provides a function that waits for and reads its answer."""
     host = base_url.removeprefix("http://")
     connection = http.client.HTTPConnection(host, timeout=REQUEST_TIMEOUT_S)
     with contextlib.closing(connection):
         connection.request("GET", path)
-        # Connections are accepted in order: now the first one is in progress.
+        # A node accepts connections in order. When this request is answered,
+        # the long poll is in progress.
         send_request("GET", f"{base_url}/livez")
 
-        def answer():
+        def read_answer():
             reply = connection.getresponse()
             return reply.status, _parse(reply.read())
 
-        yield answer
+        yield read_answer
 
 
 def pause(daemon):
@@ -285,9 +324,9 @@
 def _free_ports(count):
     with contextlib.ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind((HOST, 0))
-        return [each.getsockname()[1] for each in sockets]
+        for bound in sockets:
+            bound.bind((HOST, 0))
+        return [bound.getsockname()[1] for bound in sockets]
 
 
 def _port(address):
@@ -304,7 +343,7 @@
 
 
 def _vm(name, role, address, domain, **fields):
-    numbers = ("rank", "accelerators", "slots", "cores", "memory_mb")
+    numeric_fields = ("rank", "accelerators", "slots", "cores", "memory_mb")
     return {
         "vm_id": name,
         "role": role,
@@ -312,6 +351,6 @@
         "address": address,
         "failure_domain": domain,
         "rack": "r1" if role == "worker" else "",
-        **dict.fromkeys(numbers, 0),
+        **dict.fromkeys(numeric_fields, 0),
         **fields,
     }
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -1,18 +1,18 @@
-"""A short seeded run of the soak: real nodes, faults from outside."""
+"""Short run of the soak test with one seed, on node processes."""
 
 import tempfile
 import unittest
 
 from .platform_soak import run_seed
 
-SECONDS = 6.0
+FAULT_PERIOD_S = 6.0
 
 
 class PlatformSoakTests(unittest.TestCase):
-    def test_promises_hold_under_faults(self):
-        """Guards against jobs lost, doubled or run after a refusal."""
+    def test_invariants_hold_under_faults(self):
+        """Guards against lost jobs, double runs and runs of rejected jobs."""
         with tempfile.TemporaryDirectory() as folder:
-            run_seed(1, SECONDS, folder)
+            run_seed(1, FAULT_PERIOD_S, folder)
 
 
 if __name__ == "__main__":
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -1,4 +1,4 @@
-"""Tests of the platform stand-in: store semantics, budget and faults."""
+"""Tests of the platform stand-in: store, rate limits and fault switches."""
 
 import base64
 import json
@@ -54,6 +54,8 @@
 
 
 class KeyValueCoreTests(unittest.TestCase):
+    """Conditions, leases, revisions and watches of the store."""
+
     def setUp(self):
         self.core = KeyValueCore(max_history_changes=4)
 
@@ -66,7 +68,7 @@
         self.assertFalse(self.core.transact(absent, (Put(b"a", b"2"),), 0.0))
         self.assertEqual(self.core.range(b"a")[0].value, b"1")
 
-    def test_a_refused_transaction_changes_nothing(self):
+    def test_a_rejected_transaction_changes_nothing(self):
         large = Put(b"b", b"x" * (MAX_VALUE_BYTES + 1))
         for error, operations in (
             (PayloadTooLargeError, (Put(b"a", b"1"), large)),
@@ -77,7 +79,7 @@
                 self.core.transact((), operations, 0.0)
         self.assertEqual((self.core.range(b"a"), self.core.revision), ((), 1))
 
-    def test_keys_of_a_lapsed_lease_vanish_unless_written_anew(self):
+    def test_keys_of_an_expired_lease_are_deleted_unless_rewritten(self):
         lease = self.core.grant_lease(3, 0.0)
         self.write(b"a", b"1", lease)
         self.write(b"b", b"1", lease)
@@ -105,11 +107,13 @@
 
 
 class PlatformServiceTests(unittest.TestCase):
+    """Rate limits, fault switches and the VM list, without sockets."""
+
     def setUp(self):
         self.clock = Clock()
         self.service = PlatformService(self.clock, RateLimits(2.0, 3.0))
 
-    def test_budget_refuses_reads_and_writes_apart_and_recovers(self):
+    def test_reads_and_writes_have_separate_rate_limits(self):
         write = Call("/v3/kv/txn", put_body("a", "1"))
         read = Call("/v3/kv/range", json.dumps({"key": encode_base64("a")}).encode())
         writes = [self.service.handle(write).status for _ in range(3)]
@@ -123,7 +127,7 @@
             (counters["txn"], counters["range"], counters["refused"]), (4, 4, 2)
         )
 
-    def test_cut_domain_loses_calls_and_its_watch_and_others_do_not(self):
+    def test_only_the_cut_domain_loses_its_calls_and_its_watch(self):
         closed_domains = []
         body = json.dumps({"create_request": {"key": encode_base64("a")}}).encode()
         for domain in ("north", "south"):
@@ -141,12 +145,12 @@
             self.service.handle(write._replace(failure_domain="south")).dropped
         )
 
-    def test_malformed_bodies_are_refused(self):
+    def test_malformed_bodies_are_rejected(self):
         for body in (b"", b"[]", b'{"key": "*"}'):
             reply = self.service.handle(Call("/v3/kv/range", body))
             self.assertEqual(reply.status, 400, body)
 
-    def test_vm_list_lags(self):
+    def test_changes_of_the_vm_list_show_after_the_lag(self):
         vm = {
             "vm_id": "w1", "role": "worker", "state": "live", "address": "a:1",
             "failure_domain": "north", "rack": "r1", "rank": 0, "accelerators": 8,
@@ -165,6 +169,8 @@
 
 
 class PlatformStandinTests(TestCase):
+    """Fault switches as an HTTP client sees them."""
+
     async def start(self):
         self.standin = PlatformStandin(reactor)
         port = await self.standin.listen(reactor, "127.0.0.1", 0)
@@ -177,7 +183,7 @@
         response = await self.client.post(self.url + path, data=body)
         return response.code, json.loads(await response.content())
 
-    async def test_a_lost_reply_leaves_its_effect(self):
+    async def test_a_write_with_a_lost_reply_takes_effect(self):
         await self.start()
         await self.post("/admin/faults", b'{"lost_replies": 1}')
         with self.assertRaises(Exception):  # noqa: B017
@@ -185,7 +191,7 @@
         code, reply = await self.post("/v3/kv/txn", put_body("a", "1", 0))
         self.assertEqual((code, reply.get("succeeded")), (200, None))
 
-    async def test_outage_closes_connections_and_ends(self):
+    async def test_outage_closes_connections_until_it_ends(self):
         await self.start()
         await self.post("/admin/faults", b'{"outage": true}')
         with self.assertRaises(Exception):  # noqa: B017
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,4 +1,4 @@
-"""Faults of real processes: killed, paused and restarted daemons."""
+"""Fault tests with processes: daemons are killed, paused and restarted."""
 
 import signal
 import time
@@ -9,6 +9,7 @@
     DOMAIN,
     POLL_INTERVAL_S,
     STATUS_CONNECTION_BROKEN,
+    STATUS_UNREACHABLE,
     Cluster,
     long_poll,
     pause,
@@ -16,15 +17,16 @@
     send_request,
 )
 
-# After an owner's death, work is placed within 5 s of the end of its lease.
+# After an owner has died, jobs have to be placed within this time of the
+# expiry of its store lease.
 PLACING_BOUND_S = 5.0
-OWNER_LEASE_S = 3.0  # section 4.1 of docs/design.md
+OWNER_LEASE_S = 3.0  # TTL of the store lease, docs/design.md section 4.1
 WHOLE_WORKER = {"accelerators_per_task": ACCELERATORS}
 
 
 class ProcessesTest(unittest.TestCase):
     def test_same_answer_through_every_node(self):
-        """Guards against partial answers and against a key that runs twice."""
+        """Guards against partial results and double runs of a repeated key."""
         cluster = Cluster(self, remote=True)
         nodes = list(cluster.nodes)
         for index, node in enumerate(nodes):
@@ -34,13 +36,13 @@
             answer = cluster.wait_until_finished(node, accepted["job_id"])
             self.assertEqual("succeeded", answer["state"])
             self.assertEqual([f"by {node}"] * 5, answer["results"])
-            again = cluster.submit_until_accepted(nodes[index - 1], node, **fields)
-            self.assertEqual(answer, again)
+            repeated = cluster.submit_until_accepted(nodes[index - 1], node, **fields)
+            self.assertEqual(answer, repeated)
             gangs = _gangs(cluster.history(answer["job_id"], "started"))
             self.assertEqual(1, len(gangs))
 
     def test_kill_of_owner(self):
-        """Guards against lost or repeated gangs when the owner dies."""
+        """Guards against lost or doubly started gangs when the owner dies."""
         cluster = Cluster(self)
         owner, epoch = cluster.owner("hobart-1")
         other, *_ = cluster.other_nodes(owner)
@@ -50,7 +52,7 @@
         filler = cluster.submit_until_accepted(
             other, "filler", payload={"run_s": 1.0}, **WHOLE_WORKER
         )
-        cluster.wait_running(other, gang["job_id"], filler["job_id"])
+        cluster.wait_until_running(other, gang["job_id"], filler["job_id"])
         queued = [
             cluster.submit_until_accepted(other, f"q{n}", **WHOLE_WORKER)
             for n in range(3)
@@ -73,27 +75,27 @@
         self.assertEqual(["succeeded"] * 2, [entry["outcome"] for entry in ends])
         placed = [
             entry
-            for entry in cluster.history(what="started")
+            for entry in cluster.history(event="started")
             if entry["job_id"] in {view["job_id"] for view in queued}
         ]
         self.assertEqual(3, len(placed))
         self.assertTrue(all(entry["epoch"] > epoch for entry in placed))
         self.assertLess(placed[0]["at"], ends[0]["at"])
         placed_s = placed[0]["at"] - owner_killed_at
-        print(f"work placed {placed_s:.2f} s after the owner's death")
+        print(f"jobs placed {placed_s:.2f} s after the owner was killed")
         self.assertLess(placed_s, OWNER_LEASE_S + PLACING_BOUND_S)
 
     def test_paused_owner_is_fenced(self):
-        """Guards against a second start by an owner that wakes up late."""
+        """Guards against a second start by an owner resumed after takeover."""
         cluster = Cluster(self, workers=1)
         owner, epoch = cluster.owner("hobart-1")
         other, *_ = cluster.other_nodes(owner)
         filler = cluster.submit_until_accepted(
             other, "filler", payload={"run_s": 1.5}, **WHOLE_WORKER
         )
-        cluster.wait_running(other, filler["job_id"])
-        once = {"idempotent": False, **WHOLE_WORKER}
-        view = cluster.submit_until_accepted(other, "once", **once)
+        cluster.wait_until_running(other, filler["job_id"])
+        fields = {"idempotent": False, **WHOLE_WORKER}
+        view = cluster.submit_until_accepted(other, "once", **fields)
         self.assertEqual("queued", view["state"])
 
         pause(cluster.nodes[owner])
@@ -103,7 +105,7 @@
         self.assertNotEqual(owner, successor)
         self.assertGreater(successor_epoch, epoch)
         resume(cluster.nodes[owner])
-        late = cluster.submit_until_accepted(owner, "late", **once)
+        late = cluster.submit_until_accepted(owner, "late", **fields)
         self.assertEqual(
             "succeeded", cluster.wait_until_finished(owner, late["job_id"])["state"]
         )
@@ -113,12 +115,16 @@
             self.assertEqual([successor_epoch], [entry["epoch"] for entry in starts])
 
     def test_store_outage(self):
-        """Guards against refused idempotent work and unrecorded other work."""
+        """Guards against two faults during a store outage.
+
+        Idempotent jobs are rejected, or other jobs are accepted without a
+        record.
+        """
         cluster = Cluster(self)
         running = cluster.submit_until_accepted(
             "hobart-1", "running", payload={"run_s": 3.0}, idempotent=False
         )
-        cluster.wait_running("hobart-1", running["job_id"])
+        cluster.wait_until_running("hobart-1", running["job_id"])
         pause(cluster.platform)
         for node in cluster.nodes:
             body = cluster.submit_until_accepted(node, f"again {node}")
@@ -139,7 +145,7 @@
             self.assertEqual(1, len(starts))
 
     def test_rolling_restart(self):
-        """Guards against requests that a planned stop fails or doubles."""
+        """Guards against failed or repeated requests in a planned restart."""
         cluster = Cluster(self)
         submitter = _ContinuousSubmitter(self, cluster)
         for name in list(cluster.nodes):
@@ -164,54 +170,64 @@
             found = (answer["state"], answer["results"])
             seen = cluster.history(job_id) if found[0] != "succeeded" else ()
             self.assertEqual(("succeeded", [key]), found, (answer, seen))
-        started = [entry["job_id"] for entry in cluster.history(what="started")]
+        started = [entry["job_id"] for entry in cluster.history(event="started")]
         for job_id in submitter.job_ids_by_key.values():
             self.assertEqual(1, started.count(job_id))
 
     def test_worker_restarts_empty(self):
-        """Guards against gangs that go on in part after a worker's death."""
+        """Guards against gangs that keep running in part without a worker."""
         cluster = Cluster(self)
-        # Each gang fills a worker and half of a third one, which they share.
-        size = {"tasks": ACCELERATORS * 3 // 2, "accelerators_per_task": 1}
-        size["payload"] = {"run_s": 3.0}
-        again = cluster.submit_until_accepted("hobart-1", "again", **size)["job_id"]
-        once = cluster.submit_until_accepted(
-            "hobart-2", "once", idempotent=False, **size
+        # Each gang takes one worker and half of a third one, which they share.
+        fields = {"tasks": ACCELERATORS * 3 // 2, "accelerators_per_task": 1}
+        fields["payload"] = {"run_s": 3.0}
+        idempotent_id = cluster.submit_until_accepted("hobart-1", "again", **fields)[
+            "job_id"
+        ]
+        other_id = cluster.submit_until_accepted(
+            "hobart-2", "once", idempotent=False, **fields
         )["job_id"]
-        cluster.wait_running("hobart-1", again, once)
-        before = cluster.history(what="started")
+        cluster.wait_until_running("hobart-1", idempotent_id, other_id)
+        starts_before = cluster.history(event="started")
         hosts = [
-            {entry["worker"] for entry in before if entry["job_id"] == job_id}
-            for job_id in (again, once)
+            {entry["worker"] for entry in starts_before if entry["job_id"] == job_id}
+            for job_id in (idempotent_id, other_id)
         ]
-        shared = min(hosts[0] & hosts[1])
-        cluster.workers[shared].kill()
-        cluster.start_worker(shared, DOMAIN)
+        shared_worker = min(hosts[0] & hosts[1])
+        cluster.workers[shared_worker].kill()
+        cluster.start_worker(shared_worker, DOMAIN)
 
         self.assertEqual(
-            "interrupted", cluster.wait_until_finished("hobart-3", once)["state"]
+            "interrupted", cluster.wait_until_finished("hobart-3", other_id)["state"]
         )
-        answer = cluster.wait_until_finished("hobart-3", again)
+        answer = cluster.wait_until_finished("hobart-3", idempotent_id)
         self.assertEqual("succeeded", answer["state"])
-        self.assertEqual(size["tasks"], len(answer["results"]))
-        after = cluster.history()
-        first, *_ = _gangs(e for e in before if e["job_id"] == again)
-        self.assertEqual(1, len(_gangs(e for e in after if e["job_id"] == once)))
-        second = [
+        self.assertEqual(fields["tasks"], len(answer["results"]))
+        entries_after = cluster.history()
+        first_gang_id, *_ = _gangs(
+            e for e in starts_before if e["job_id"] == idempotent_id
+        )
+        self.assertEqual(
+            1, len(_gangs(e for e in entries_after if e["job_id"] == other_id))
+        )
+        second_start_times = [
             entry["at"]
-            for entry in cluster.history(again, "started")
-            if entry["gang_id"] != first
+            for entry in cluster.history(idempotent_id, "started")
+            if entry["gang_id"] != first_gang_id
+        ]
+        first_end_times = [
+            e["at"]
+            for e in entries_after
+            if e["gang_id"] == first_gang_id and e["outcome"]
         ]
-        stopped = [e["at"] for e in after if e["gang_id"] == first and e["outcome"]]
-        self.assertTrue(stopped)
-        self.assertLess(max(stopped), min(second))
+        self.assertTrue(first_end_times)
+        self.assertLess(max(first_end_times), min(second_start_times))
 
 
 class _ContinuousSubmitter:
-    """A caller that submits job after job and fails over between nodes."""
+    """Client that submits one job after another, with failover of nodes."""
 
-    def __init__(self, case, cluster):
-        self._case = case
+    def __init__(self, test_case, cluster):
+        self._test_case = test_case
         self._cluster = cluster
         self.job_ids_by_key = {}
 
@@ -228,11 +244,13 @@
         fields = {"idempotent": False, "payload": {"run_s": 0.02, "result": key}}
         for node in self._cluster.nodes:
             status, body = self._cluster.submit(node, key, **fields)
-            # A node that stops refuses; it breaks no connection.
-            self._case.assertNotEqual(STATUS_CONNECTION_BROKEN, status, (node, body))
+            # A stopping node rejects requests but breaks no connection.
+            self._test_case.assertNotEqual(
+                STATUS_CONNECTION_BROKEN, status, (node, body)
+            )
             if status in (200, 202):
                 return body
-            self._case.assertIn(status, (0, 503), body)
+            self._test_case.assertIn(status, (STATUS_UNREACHABLE, 503), body)
         return None
 
 
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -1,4 +1,4 @@
-"""Tests of the worker stand-in against the rules of ``worker_api``."""
+"""Tests that the worker stand-in behaves as ``worker_api`` specifies."""
 
 import json
 import unittest
@@ -57,6 +57,8 @@
 
 
 class WorkerCoreTests(unittest.TestCase):
+    """Epochs, lease, gang members and events, with simulated time."""
+
     def setUp(self):
         self.core = WorkerCore(INFO, 0.0, "boot-1")
         self.core.claim(claim(), 0.0)
@@ -92,27 +94,27 @@
         started = [entry for entry in self.core.history if entry.what == "started"]
         self.assertEqual(len(started), 1)
 
-    def test_a_late_duplicate_of_a_released_reservation_holds_nothing(self):
+    def test_a_delayed_duplicate_of_a_released_reservation_is_rejected(self):
         self.core.reserve(reserve("g"), 0.0)
         self.core.release(member("g"), 0.0)
         self.assertEqual(self.core.reserve(reserve("g"), 0.0)["code"], "already_ended")
         self.assertTrue(self.core.reserve(reserve("h"), 0.0)["accepted"])
 
-    def test_a_reservation_outlives_everything_but_the_lease(self):
+    def test_a_reservation_lasts_until_the_lease_expires(self):
         self.core.reserve(reserve("g"), 0.0)
         for now in range(10, 300, 10):
             self.core.poll(poll(), float(now))
         self.assertEqual(self.core.reserve(reserve("h"), 300.0)["code"], "busy")
         self.assertEqual(self.core.start(member("g"), 331.0)["code"], "unknown_gang")
 
-    def test_tasks_stop_when_the_lease_lapses_while_nobody_asks(self):
+    def test_tasks_stop_when_the_lease_expires_without_requests(self):
         self.run_gang(spec=make_spec('{"run_s": 100}'))
         self.core.advance(1_000.0)
         ended = [entry for entry in self.core.history if entry.what == "ended"]
         self.assertEqual([entry.at for entry in ended], [LEASE_S, LEASE_S])
         self.assertEqual({entry.outcome for entry in ended}, {"stopped"})
 
-    def test_events_stay_until_a_poll_acknowledges_them(self):
+    def test_events_are_kept_until_a_poll_acknowledges_them(self):
         self.run_gang(spec=make_spec('{"run_s": 1, "fail_tasks": [1]}'))
         self.assertEqual(self.outcomes(2.0), ["succeeded", "failed"])
         self.assertEqual(self.outcomes(2.0), ["succeeded", "failed"])
@@ -121,13 +123,13 @@
         results = self.core.state(3.0)["members"][0]["results"]
         self.assertEqual(len(results), 2)
 
-    def test_running_work_is_not_released_and_results_expire(self):
+    def test_running_members_are_not_released_and_results_expire(self):
         self.run_gang(spec=make_spec('{"run_s": 1}'))
         self.assertEqual(self.core.release(member("g"), 0.5)["code"], "member_running")
         self.core.claim(claim(), 601.1)
         self.assertEqual(len(self.core.state(600.5)["members"]), 0)
 
-    def test_refusals_name_their_cause(self):
+    def test_rejections_have_a_code(self):
         absent_accelerators = reserve("g", accelerators=(7, 8))
         self.assertEqual(
             self.core.reserve(absent_accelerators, 0.0)["code"], "no_such_accelerator"
@@ -148,6 +150,8 @@
 
 
 class WorkerStandInTests(trial.TestCase):
+    """Waiting polls, fault switches and errors over HTTP."""
+
     timeout = 10
 
     def setUp(self):
@@ -194,7 +198,7 @@
         status, body = await self.post("/v1/reserve", reserve("g"))
         self.assertTrue(body["accepted"])
 
-    async def test_malformed_bodies_are_refused_with_a_code(self):
+    async def test_malformed_bodies_are_rejected_with_a_code(self):
         status, body = await self.post("/v1/reserve", {"epoch": "x"})
         self.assertEqual((status, body["code"]), (400, "bad_request"))
         status, body = await self.post("/v1/nothing", {})
