--- a/src/redwingrudder/_cell_check.py
+++ b/src/redwingrudder/_cell_check.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from ._cells import Cell, Level, WantedCell, cell_level
+from ._cells import AdjacencyLevel, Cell, WantedCell, cell_level
 from ._worker_capacity import cell_share, is_borrower
 from .fleet import Fleet, HeldGang, WorkerState
 from .model import GuaranteeShortage
@@ -73,9 +73,9 @@
     if sum(len(set(i)) for i in cell.accelerators_by_worker.values()) != cell.size:
         found.append(f"{_name(cell)}: not {cell.size} accelerators")
     level = cell_level(fleet, cell.size)
-    if level is Level.WORKER and len(cell.accelerators_by_worker) > 1:
+    if level is AdjacencyLevel.WORKER and len(cell.accelerators_by_worker) > 1:
         found.append(f"{_name(cell)}: spread over several workers")
-    if level is Level.RACK and len(racks) > 1:
+    if level is AdjacencyLevel.RACK and len(racks) > 1:
         found.append(f"{_name(cell)}: spread over several racks")
     return found
 
--- a/src/redwingrudder/_cells.py
+++ b/src/redwingrudder/_cells.py
@@ -15,7 +15,7 @@
 from .model import CellAssignment, Configuration
 
 
-class Level(enum.IntEnum):
+class AdjacencyLevel(enum.IntEnum):
     """The smallest unit that a gang has to stay within."""
 
     WORKER = 0
@@ -57,13 +57,13 @@
     missing: int
 
 
-def cell_level(fleet: Fleet, accelerators: int) -> Level:
+def cell_level(fleet: Fleet, accelerators: int) -> AdjacencyLevel:
     """Return the unit that a cell has to stay within."""
     if accelerators <= fleet.largest_worker():
-        return Level.WORKER
+        return AdjacencyLevel.WORKER
     if accelerators <= fleet.largest_rack():
-        return Level.RACK
-    return Level.DOMAIN
+        return AdjacencyLevel.RACK
+    return AdjacencyLevel.DOMAIN
 
 
 class CellLayout:
@@ -159,9 +159,9 @@
 
     def _is_adjacent(self, cell: Cell) -> bool:
         level = cell_level(self.fleet, cell.size)
-        if level is Level.WORKER:
+        if level is AdjacencyLevel.WORKER:
             return len(cell.accelerators_by_worker) == 1
-        if level is Level.RACK:
+        if level is AdjacencyLevel.RACK:
             workers = self.fleet.workers_by_id
             racks = {workers[w].info.rack for w in cell.accelerators_by_worker}
             return len(racks) == 1
@@ -203,13 +203,13 @@
         Those that are too small come last and serve to tell what is missing.
         """
         level = cell_level(self.fleet, wanted.size)
-        if level is Level.WORKER:
+        if level is AdjacencyLevel.WORKER:
             groups = self._worker_ids_by_unassigned
             for count in sorted(groups, key=lambda n: _size_order(n, wanted.size)):
                 for worker_id in tuple(groups[count]):
                     yield count, [worker_id]
             return
-        if level is Level.DOMAIN:
+        if level is AdjacencyLevel.DOMAIN:
             yield self.unassigned(), list(self._unassigned_by_worker)
             return
         racks = []
--- a/src/redwingrudder/_domain_directory.py
+++ b/src/redwingrudder/_domain_directory.py
@@ -47,7 +47,7 @@
         """Note that a node does not answer its peers."""
         self._silent_nodes.add(message.node_id)
 
-    def note_sent(self, domain: str, accelerators: int) -> None:
+    def count_submission(self, domain: str, accelerators: int) -> None:
         """Count a submission against the load until the next report.
 
         Otherwise a burst between two reports would all go to one domain.
--- a/src/redwingrudder/_drain.py
+++ b/src/redwingrudder/_drain.py
@@ -25,11 +25,11 @@
         """Whether a drain was asked for."""
         return self._chart.state != _CHART.initial
 
-    def enter(self) -> None:
+    def begin_request(self) -> None:
         """Count a request that begins."""
         self.in_progress += 1
 
-    def leave(self) -> None:
+    def end_request(self) -> None:
         """Count a request that ended."""
         self.in_progress -= 1
         if not self.in_progress:
--- a/src/redwingrudder/_fcfs_policy.py
+++ b/src/redwingrudder/_fcfs_policy.py
@@ -86,6 +86,6 @@
     def forget(self, worker_id: str) -> None:
         """Keep nothing to forget."""
 
-    def next_change(self, now: float) -> float | None:
+    def next_probe_at(self, now: float) -> float | None:
         """Return None."""
         return None
--- a/src/redwingrudder/_first_fit.py
+++ b/src/redwingrudder/_first_fit.py
@@ -1,6 +1,6 @@
 """First-fit placement, the baseline that the shipped policy is measured by."""
 
-from ._cells import Level
+from ._cells import AdjacencyLevel
 from ._offers import (
     Offer,
     Space,
@@ -48,14 +48,14 @@
 
 
 def _place(
-    spec: JobSpec, offers: list[Offer], level: Level, tier: Tier
+    spec: JobSpec, offers: list[Offer], level: AdjacencyLevel, tier: Tier
 ) -> Placement | None:
-    if level is Level.DOMAIN:
+    if level is AdjacencyLevel.DOMAIN:
         return fill_offers(spec, offers, tier)
     units: dict[str, list[Offer]] = {}
     for offer in offers:
         info = offer.capacity.worker.info
-        name = info.rack if level is Level.RACK else info.worker_id
+        name = info.rack if level is AdjacencyLevel.RACK else info.worker_id
         units.setdefault(name, []).append(offer)
     for unit in units.values():
         if count_offered(unit) >= spec.tasks:
--- a/src/redwingrudder/_gang_commands.py
+++ b/src/redwingrudder/_gang_commands.py
@@ -36,7 +36,7 @@
         self._draining = True
         return bool(self.starting_jobs)
 
-    def may_record(self, job_id: str) -> bool:
+    def try_begin_start(self, job_id: str) -> bool:
         """Note that a start is recorded, unless the owner is leaving.
 
         The next owner releases a gang without a recorded start and places
@@ -46,7 +46,7 @@
             self.starting_jobs.add(job_id)
         return not self._draining
 
-    def note_report(self, report: WorkerReport) -> None:
+    def track_members(self, report: WorkerReport) -> None:
         """Remember the gangs that a worker holds."""
         for member in report.members:
             self._note_member(member.gang_id, member.job_id)
--- a/src/redwingrudder/_http_client.py
+++ b/src/redwingrudder/_http_client.py
@@ -21,7 +21,7 @@
 REPLY_LIMIT_BYTES = 16 * 1024 * 1024
 
 
-class HttpAnswer(NamedTuple):
+class HttpResponse(NamedTuple):
     """An HTTP answer."""
 
     status: int
@@ -61,7 +61,7 @@
         content: bytes | None,
         timeout_s: float,
         headers: dict[str, str] | None = None,
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         """Send a request, with JSON unless the content is None.
 
         Raises:
@@ -85,7 +85,7 @@
 
     async def _exchange(
         self, method: str, url: str, content: bytes | None, extra: dict[str, str]
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         headers, producer = Headers(), None
         for name, value in extra.items():
             headers.addRawHeader(name.encode(), value.encode())
@@ -97,4 +97,4 @@
         )
         collector = BodyCollector(REPLY_LIMIT_BYTES)
         response.deliverBody(collector)
-        return HttpAnswer(response.code, await collector.body)
+        return HttpResponse(response.code, await collector.body)
--- a/src/redwingrudder/_http_resources.py
+++ b/src/redwingrudder/_http_resources.py
@@ -13,7 +13,7 @@
 from . import requests
 from ._job_body import WAIT_LIMIT_S, check_content_type, parse_job
 from ._json_values import to_json
-from ._problems import Answer
+from ._problems import Response
 from .configuration import ConfigurationDocument, to_document
 from .exceptions import (
     BadRequestError,
@@ -72,7 +72,7 @@
     cells: tuple[CellAssignment, ...]
 
 
-Handler = Callable[[Call], Awaitable[Answer]]
+Handler = Callable[[Call], Awaitable[Response]]
 
 
 class Resources:
@@ -85,7 +85,7 @@
     def __init__(self, ask: Ask) -> None:
         self._ask = ask
 
-    async def answer(self, call: Call) -> Answer:
+    async def answer(self, call: Call) -> Response:
         """Return the answer; raises ``RedwingrudderError`` for problems."""
         handlers = self._handlers(call.path)
         handler = handlers.get(call.method)
@@ -108,7 +108,7 @@
                 return {"GET": self._get_configuration, "PUT": self._put_configuration}
         raise NotFoundError("no such resource", code="no_such_resource")
 
-    async def _submit(self, call: Call) -> Answer:
+    async def _submit(self, call: Call) -> Response:
         spec, wait_s = parse_job(
             call.content,
             call.headers.get("content-type"),
@@ -128,27 +128,27 @@
         except RedwingrudderError:
             return accepted
 
-    async def _poll(self, call: Call) -> Answer:
+    async def _poll(self, call: Call) -> Response:
         poll = requests.PollJob(_job_id(call), _wait_s(call))
         return _view_answer(await self._ask(requests.ROUTER, poll))
 
-    async def _cancel(self, call: Call) -> Answer:
+    async def _cancel(self, call: Call) -> Response:
         cancellation = requests.CancelJob(_job_id(call))
         return _view_answer(await self._ask(requests.ROUTER, cancellation))
 
-    async def _explain(self, call: Call) -> Answer:
+    async def _explain(self, call: Call) -> Response:
         question = requests.ExplainJob(_job_id(call))
         return _json_answer(await self._ask(requests.ROUTER, question))
 
-    async def _status(self, call: Call) -> Answer:
+    async def _status(self, call: Call) -> Response:
         question = requests.GetDeploymentStatus()
         return _json_answer(await self._ask(requests.ROUTER, question))
 
-    async def _get_configuration(self, call: Call) -> Answer:
+    async def _get_configuration(self, call: Call) -> Response:
         message = requests.GetConfiguration()
         return _configuration_answer(await self._ask(requests.CONFIGURATION, message))
 
-    async def _put_configuration(self, call: Call) -> Answer:
+    async def _put_configuration(self, call: Call) -> Response:
         base_version = _base_version(call.headers.get("if-match"))
         check_content_type(call.headers.get("content-type"))
         document = _decode_text(call.content)
@@ -200,7 +200,7 @@
         ) from None
 
 
-def _view_answer(view: JobView) -> Answer:
+def _view_answer(view: JobView) -> Response:
     body: JobViewBody = {
         "job_id": view.job_id,
         "organisation": view.organisation,
@@ -218,7 +218,7 @@
     return _json_answer(body, 200 if final else 202, () if final else (location,))
 
 
-def _configuration_answer(configuration: Configuration) -> Answer:
+def _configuration_answer(configuration: Configuration) -> Response:
     headers = (("ETag", f'"{configuration.version}"'),)
     body: ConfigurationBody = {
         "version": configuration.version,
@@ -230,5 +230,5 @@
 
 def _json_answer(
     value: Any, status: int = 200, headers: tuple[tuple[str, str], ...] = ()
-) -> Answer:
-    return Answer(status, JSON_TYPE, to_json(value).encode(), headers)
+) -> Response:
+    return Response(status, JSON_TYPE, to_json(value).encode(), headers)
--- a/src/redwingrudder/_http_server.py
+++ b/src/redwingrudder/_http_server.py
@@ -12,7 +12,7 @@
 from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 
-from ._problems import Answer, problem_answer
+from ._problems import Response, problem_answer
 from .exceptions import (
     BadRequestError,
     PayloadTooLargeError,
@@ -72,7 +72,7 @@
         if not self.refused:
             super().requestReceived(*arguments)
 
-    def write_answer(self, answer: Answer) -> None:
+    def write_response(self, answer: Response) -> None:
         """Write a whole answer and end the request."""
         self.setResponseCode(answer.status)
         self.setHeader(b"Content-Type", answer.content_type.encode("ascii"))
--- a/src/redwingrudder/_measure_decisions.py
+++ b/src/redwingrudder/_measure_decisions.py
@@ -216,10 +216,10 @@
     started = time.process_time()
     new = new._replace(cells=plan_cells(new, infos))
     plan_ms = (time.process_time() - started) * MILLISECONDS
-    text = codec.encode_change(codec.compare(old, new, "0" * 32))
+    text = codec.encode_change(codec.build_change(old, new, "0" * 32))
     started = time.process_time()
     for _ in range(CHANGES):
-        codec.apply(old, codec.decode_change(text))
+        codec.apply_change(old, codec.decode_change(text))
     apply_ms = (time.process_time() - started) * MILLISECONDS / CHANGES
     size = len(codec.encode_configuration(new).encode())
     return ConfigurationRow(count, size, len(text.encode()), plan_ms, apply_ms)
--- a/src/redwingrudder/_measure_links.py
+++ b/src/redwingrudder/_measure_links.py
@@ -9,7 +9,7 @@
 from ._measure_counting import CountingReactor, counting
 from ._placement_cost import _worker_infos
 from ._worker_link import WorkerLink
-from ._worker_messages import ClaimSeen, LinkEvent, LinkSettings, link_name
+from ._worker_messages import ClaimHandled, LinkEvent, LinkSettings, link_name
 from ._worker_transport import HttpTransport
 from .actors import Actor, ActorSystem, Handler
 from .messages import WorkerClaimed
@@ -86,7 +86,7 @@
     def _take(self, message: LinkEvent) -> None:
         if isinstance(message.event, WorkerClaimed):
             worker_id = message.event.report.worker.worker_id
-            self.tell(link_name(worker_id), ClaimSeen())
+            self.tell(link_name(worker_id), ClaimHandled())
 
 
 class _CountingTransport(HttpTransport):
--- a/src/redwingrudder/_offers.py
+++ b/src/redwingrudder/_offers.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from ._cells import CellLayout, Level
+from ._cells import AdjacencyLevel, CellLayout
 from ._worker_capacity import WorkerCapacity, fitting_tasks, is_borrower
 from .fleet import Fleet, WorkerState
 from .model import JobSpec, MemberPlacement, Placement
@@ -31,19 +31,19 @@
     return tuple(Tier) if is_borrower(spec) else (Tier.UNASSIGNED, Tier.OWN_CELLS)
 
 
-def gang_level(spec: JobSpec, fleet: Fleet) -> Level:
+def gang_level(spec: JobSpec, fleet: Fleet) -> AdjacencyLevel:
     """Return the unit that a gang has to stay within.
 
     It depends on what the workers and racks of the fleet can hold when they
     are empty, so a busy fleet does not spread a gang more widely.
     """
     if not spec.accelerators_per_task:
-        return Level.DOMAIN
+        return AdjacencyLevel.DOMAIN
     if fleet.could_worker_hold(spec):
-        return Level.WORKER
+        return AdjacencyLevel.WORKER
     if fleet.could_rack_hold(spec):
-        return Level.RACK
-    return Level.DOMAIN
+        return AdjacencyLevel.RACK
+    return AdjacencyLevel.DOMAIN
 
 
 class Space(NamedTuple):
--- a/src/redwingrudder/_ownership_term.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -173,9 +173,9 @@
 
     def handle_link_event(self, message: LinkEvent) -> None:
         """Take what a worker link tells."""
-        for event in self.roster.take(message):
+        for event in self.roster.process_event(message):
             if isinstance(event, messages.WorkerClaimed):
-                self._commands.note_report(event.report)
+                self._commands.track_members(event.report)
             self.feed(event)
         self._judge_reported()
         self._check_recovery()
@@ -285,7 +285,7 @@
         self.waiters.job_ended(job_id)
 
     def _is_certain(self, job_id: str) -> bool:
-        everyone = self._members_known and self.roster.settled
+        everyone = self._members_known and self.roster.all_claimed_or_lost
         return everyone or self.scheduler.view(job_id) is not None
 
     def _judge_reported(self) -> None:
@@ -303,7 +303,7 @@
     def _check_recovery(self) -> None:
         if self._recovered:
             return
-        if self._loaded and self._members_known and self.roster.settled:
+        if self._loaded and self._members_known and self.roster.all_claimed_or_lost:
             self._judge_reported()
             self._end_recovery()
 
@@ -317,7 +317,7 @@
     # Effects.
 
     def _record_start(self, effect: messages.RecordStart) -> None:
-        if self._commands.may_record(effect.job_id):
+        if self._commands.try_begin_start(effect.job_id):
             self.run(self._write_start(effect))
 
     async def _write_start(self, effect: messages.RecordStart) -> None:
@@ -342,7 +342,9 @@
         the job records and the reports of all workers could tell.
         """
         view = self.scheduler.view(job_id)
-        complete = self._loaded and self._members_known and self.roster.settled
+        complete = (
+            self._loaded and self._members_known and self.roster.all_claimed_or_lost
+        )
         if view.state is not JobState.NOT_RUN or complete:
             return view
         if self.ledger.durable(job_id):
--- a/src/redwingrudder/_peer_handler.py
+++ b/src/redwingrudder/_peer_handler.py
@@ -102,13 +102,13 @@
         return ensureDeferred(self._guarded(answering))
 
     async def _guarded(self, answering: Awaitable[Any]) -> Any:
-        self._gate.enter()
+        self._gate.begin_request()
         try:
             return await answering
         except RedwingrudderError as error:
             raise encode_error(error) from None
         finally:
-            self._gate.leave()
+            self._gate.end_request()
 
     async def _submit(self, spec: WireJobSpec, correlation_id: str) -> WireJobView:
         submission = requests.SubmitJob(decode_spec(spec), correlation_id or "")
--- a/src/redwingrudder/_problems.py
+++ b/src/redwingrudder/_problems.py
@@ -11,7 +11,7 @@
 PROBLEMS_LIMIT = 50  # findings listed in one answer
 
 
-class Answer(NamedTuple):
+class Response(NamedTuple):
     """An HTTP answer that is ready to be written."""
 
     status: int
@@ -32,7 +32,7 @@
     retry_after_s: NotRequired[float]
 
 
-def problem_answer(error: RedwingrudderError, correlation_id: str) -> Answer:
+def problem_answer(error: RedwingrudderError, correlation_id: str) -> Response:
     """Return the answer for an error of the library."""
     body = problem_body(error, correlation_id)
     headers: tuple[tuple[str, str], ...] = ()
@@ -40,7 +40,7 @@
         body["retry_after_s"] = error.retry_after_s
         headers = (("Retry-After", str(max(1, math.ceil(error.retry_after_s)))),)
     text = json.dumps(body, separators=(",", ":"))
-    return Answer(error.http_status, CONTENT_TYPE, text.encode(), headers)
+    return Response(error.http_status, CONTENT_TYPE, text.encode(), headers)
 
 
 def problem_body(error: RedwingrudderError, correlation_id: str) -> ProblemBody:
@@ -56,7 +56,7 @@
     }
 
 
-def internal_problem(correlation_id: str) -> Answer:
+def internal_problem(correlation_id: str) -> Response:
     """Return the answer for an unexpected exception, without its text."""
     error = RedwingrudderError(
         "an unexpected error occurred; the log has it under the correlation id"
--- a/src/redwingrudder/_reclaim.py
+++ b/src/redwingrudder/_reclaim.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from ._cells import Cell, CellLayout, Level
+from ._cells import AdjacencyLevel, Cell, CellLayout
 from ._offers import Offer, Tier, count_offered, fill_offers, gang_level
 from ._worker_capacity import fitting_tasks, is_borrower, member_use
 from .fleet import Fleet, WorkerState
@@ -92,7 +92,7 @@
 
 
 def _units(
-    cell: Cell, layout: CellLayout, level: Level, avoid: frozenset[str]
+    cell: Cell, layout: CellLayout, level: AdjacencyLevel, avoid: frozenset[str]
 ) -> list[CellUnit]:
     by_unit: dict[str, dict[str, tuple[int, ...]]] = {}
     for worker_id, indexes in sorted(cell.accelerators_by_worker.items()):
--- a/src/redwingrudder/_scheduler_backfill.py
+++ b/src/redwingrudder/_scheduler_backfill.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from ._cells import Level
+from ._cells import AdjacencyLevel
 from ._offers import gang_level
 from .fleet import Fleet, WorkerState
 from .guarantees import CellTable, is_borrower
@@ -53,12 +53,12 @@
 def _scopes(spec: JobSpec, fleet: Fleet) -> list[list[WorkerState]]:
     workers = fleet.placeable_workers()
     level = gang_level(spec, fleet)
-    if level is Level.DOMAIN:
+    if level is AdjacencyLevel.DOMAIN:
         return [workers]
     scopes: dict[str, list[WorkerState]] = {}
     for worker in workers:
         info = worker.info
-        name = info.rack if level is Level.RACK else info.worker_id
+        name = info.rack if level is AdjacencyLevel.RACK else info.worker_id
         scopes.setdefault(name, []).append(worker)
     return list(scopes.values())
 
--- a/src/redwingrudder/_scheduler_gang_life.py
+++ b/src/redwingrudder/_scheduler_gang_life.py
@@ -15,7 +15,7 @@
 )
 
 
-class GangLife:
+class GangLifecycle:
     """Gangs by id; raises the chart's events and carries out its actions."""
 
     def __init__(self, context: Context, jobs: JobTable) -> None:
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -1,7 +1,7 @@
 """Life of gangs: facts that workers confirm and the state chart over them."""
 
 from ._scheduler_chart import GANG_CHART
-from ._scheduler_gang_life import GangLife, service_units
+from ._scheduler_gang_lifecycle import GangLifecycle, service_units
 from ._scheduler_state import GangRecord, GangStopCause, JobRecord
 from .exceptions import RedwingrudderError
 from .messages import (
@@ -18,7 +18,7 @@
 OVERRUN_SHARE = 0.5
 
 
-class GangTable(GangLife):
+class GangTable(GangLifecycle):
     """All gangs that hold resources or wait for answers of workers."""
 
     def create(self, job: JobRecord, placement: Placement, probed: str | None) -> None:
@@ -255,7 +255,7 @@
     def _is_still_allowed(self, gang: GangRecord) -> bool:
         cell_table = self._context.guarantees
         return all(
-            cell_table.allows(gang.spec, gang.members_by_worker[worker_id])
+            cell_table.allows_member(gang.spec, gang.members_by_worker[worker_id])
             for worker_id in gang.unheld
         )
 
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -275,7 +275,7 @@
         for job_id in self._streaks_by_worker.pop(worker_id, ()):
             self._drop(worker_id, job_id)
 
-    def next_change(self, now: float) -> float | None:
+    def next_probe_at(self, now: float) -> float | None:
         """Return when the next worker may be probed."""
         times = [q.until for q in self._quarantines_by_worker.values() if q.until > now]
         return min(times, default=None)
--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -19,7 +19,7 @@
 )
 from ._worker_log import LinkLog
 from ._worker_messages import (
-    ClaimSeen,
+    ClaimHandled,
     CloseLink,
     LinkEvent,
     LinkSettings,
@@ -118,7 +118,7 @@
             StartMember: self._take_command,
             ReleaseMember: self._take_command,
             StopMember: self._take_command,
-            ClaimSeen: self._see_claim,
+            ClaimHandled: self._see_claim,
             EpochRaised: self._raise_epoch,
             CloseLink: self._close,
             TimerFired: self._fire,
@@ -279,7 +279,7 @@
 
     # Messages of the dispatcher.
 
-    def _see_claim(self, _: ClaimSeen) -> None:
+    def _see_claim(self, _: ClaimHandled) -> None:
         self._claims_unseen -= 1
 
     def _raise_epoch(self, raised: EpochRaised) -> None:
--- a/src/redwingrudder/_worker_messages.py
+++ b/src/redwingrudder/_worker_messages.py
@@ -24,7 +24,7 @@
     event: Event
 
 
-class ClaimSeen(NamedTuple):
+class ClaimHandled(NamedTuple):
     """Told to a link when its ``WorkerClaimed`` was handled.
 
     Commands that arrive before belong to an earlier claim and are dropped:
--- a/src/redwingrudder/_worker_roster.py
+++ b/src/redwingrudder/_worker_roster.py
@@ -5,7 +5,7 @@
 
 from ._worker_link import WorkerLink
 from ._worker_messages import (
-    ClaimSeen,
+    ClaimHandled,
     CloseLink,
     LinkEvent,
     LinkSettings,
@@ -39,7 +39,7 @@
     listed: bool = True
     leaving: bool = False
     claimed: bool = False
-    settled: bool = False
+    all_claimed_or_lost: bool = False
 
 
 class WorkerRoster:
@@ -62,9 +62,9 @@
         self._closed = False
 
     @property
-    def settled(self) -> bool:
+    def all_claimed_or_lost(self) -> bool:
         """Whether every worker was claimed or given up."""
-        return all(link.settled for link in self._links_by_worker.values())
+        return all(link.all_claimed_or_lost for link in self._links_by_worker.values())
 
     def sync(self, vms: tuple[VmInfo, ...]) -> list[Event]:
         """Follow the VM list; returns what the scheduler is to be told.
@@ -84,7 +84,7 @@
         self._open_missing()
         return events
 
-    def take(self, message: LinkEvent) -> list[Event]:
+    def process_event(self, message: LinkEvent) -> list[Event]:
         """Return the events of a link to be told, none from a closed link."""
         worker_id = self._workers_by_number.get(message.number)
         if worker_id is None:
@@ -94,7 +94,7 @@
         if isinstance(event, WorkerClaimed):
             return self._note_claim(worker_id, link, event)
         if isinstance(event, WorkerLost):
-            self._update(worker_id, claimed=False, settled=True)
+            self._update(worker_id, claimed=False, all_claimed_or_lost=True)
             self._forget_leaving(worker_id)
             if not link.listed:
                 self._close(worker_id)
@@ -134,7 +134,7 @@
         told = link.leaving and link.claimed
         leaving = told or (vm is not None and not _stays(vm, link.address))
         self._update(worker_id, listed=listed, leaving=leaving)
-        if not listed and not link.claimed and link.settled:
+        if not listed and not link.claimed and link.all_claimed_or_lost:
             self._close(worker_id)
             return []
         newly = leaving and not link.leaving and link.claimed
@@ -143,8 +143,8 @@
     def _note_claim(
         self, worker_id: str, link: _Link, event: WorkerClaimed
     ) -> list[Event]:
-        self._update(worker_id, claimed=True, settled=True)
-        self.send(worker_id, ClaimSeen())
+        self._update(worker_id, claimed=True, all_claimed_or_lost=True)
+        self.send(worker_id, ClaimHandled())
         if not link.leaving:
             return [event]
         # The report says so too: work could be placed between two events.
--- a/src/redwingrudder/_worker_transport.py
+++ b/src/redwingrudder/_worker_transport.py
@@ -6,8 +6,8 @@
 
 from twisted.internet.interfaces import IReactorTCP
 
-from ._http_client import HttpAnswer as WorkerAnswer
 from ._http_client import HttpClient
+from ._http_client import HttpResponse as WorkerAnswer
 from .exceptions import OutcomeUnknownError, UnavailableError
 
 CONNECTIONS_PER_WORKER = 6  # one long poll and the commands in flight
--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -19,7 +19,7 @@
     GetConfigurationDocument,
     OfferConfigurationDocument,
 )
-from .metrics import METRICS, Measured
+from .metrics import METRICS, SetGauge
 
 WATCH_S = 1.0  # a watch that has gone silent is noticed within this time
 RETRY_S = 0.3  # below the bound on configuration changes
@@ -110,7 +110,7 @@
             "configuration in force",
             extra={"version": configuration.version, "old": old, "source": source},
         )
-        version = Measured("configuration_version", configuration.version)
+        version = SetGauge("configuration_version", configuration.version)
         self.tell(METRICS, version)
         for subscriber in self._subscribers:
             self.tell(subscriber, ConfigurationInForce(configuration))
--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -35,12 +35,12 @@
     Resign,
     StartSettled,
     ThrottleUnanswered,
-    WorkerLapsed,
+    WorkerLeaseLapsed,
     WorkerPolled,
     WorkerSilent,
     WorkflowStored,
 )
-from .metrics import METRICS, Counted, Measured
+from .metrics import METRICS, IncrementCounter, SetGauge
 from .peers import GetTimeOfDay, ListPeers
 from .recovery import (
     accept_stored,
@@ -50,7 +50,7 @@
     workflow_id_of,
 )
 from .term import Term, open_term
-from .watching import follow
+from .watching import follow_prefix
 
 PLAN_DELAY_S = 0.005  # collects events that arrive together
 # Pause after a planning pass, as a multiple of what the pass took: under load
@@ -99,7 +99,7 @@
             GetQueueLength: self._get_queue_length,
             WorkerPolled: self._worker_polled,
             WorkerSilent: self._worker_silent,
-            WorkerLapsed: self._worker_lapsed,
+            WorkerLeaseLapsed: self._worker_lapsed,
             StartSettled: self._start_settled,
             TimerFired: self._timer_fired,
             ThrottleUnanswered: self._throttle_unanswered,
@@ -119,7 +119,7 @@
             self.system, self._fleet, message, self._guaranteed, self._deposed
         )
         self._term = term
-        self.tell(METRICS, Measured("coordinator", 1.0))
+        self.tell(METRICS, SetGauge("coordinator", 1.0))
         _logger.info("term began", extra={"term": term.number})
         give_up_at = self.system.clock.seconds() + RECOVERY_LIMIT_S
         while self._term is term:
@@ -180,7 +180,7 @@
     ) -> None:
         """Follow a prefix for as long as the term lasts."""
         clock = self.system.clock
-        watch = follow(
+        watch = follow_prefix(
             self.ask,
             clock,
             prefix,
@@ -194,7 +194,7 @@
     def _end(self, message: EndTerm) -> None:
         number = self._term.number if self._term is not None else 0
         _logger.info("term ended", extra={"term": number, "reason": message.reason})
-        self.tell(METRICS, Measured("coordinator", 0.0))
+        self.tell(METRICS, SetGauge("coordinator", 0.0))
         self.tell(TIMERS, Unsubscribe(self.name, "tick"))
         self._close_term()
 
@@ -294,7 +294,7 @@
         if self._ready:
             self._term.workers.set_silent(message.worker_id)
 
-    def _worker_lapsed(self, message: WorkerLapsed) -> None:
+    def _worker_lapsed(self, message: WorkerLeaseLapsed) -> None:
         if self._ready:
             self._term.workers.set_lapsed(message.worker_id)
             self._plan_soon()
@@ -302,7 +302,7 @@
     def _start_settled(self, message: StartSettled) -> None:
         start, reply = message.run, message.reply
         outcome = "accepted" if reply.accepted else reply.reason
-        self.tell(METRICS, Counted("starts", (outcome,)))
+        self.tell(METRICS, IncrementCounter("starts", (outcome,)))
         if not self._ready:
             return
         now = self.system.clock.seconds()
@@ -365,7 +365,7 @@
         if not self._ready:
             return
         tickets, valid_s = message.advice or (None, 0.0)
-        self._term.engine.take_advice(
+        self._term.engine.record_advice(
             message.question, tickets, valid_s, message.asked_at
         )
         self._plan_soon()
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -212,7 +212,7 @@
     async def poll(
         self,
         fence: int,
-        seen: int,
+        acknowledged_end: int,
         lease_until_ms: int,
         wait_s: float,
         timeout_s: float,
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -35,7 +35,7 @@
 from .messages import (
     BeginTerm,
     CoordinatorKnown,
-    CoordinatorSilent,
+    CoordinatorUnreachable,
     Drain,
     EndTerm,
     Fenced,
@@ -153,7 +153,7 @@
         """See base class."""
         return {
             TimerFired: self._timer_fired,
-            CoordinatorSilent: self._coordinator_silent,
+            CoordinatorUnreachable: self._coordinator_silent,
             Fenced: self._fenced,
             Resign: self._resign,
             Drain: self._drain,
@@ -257,7 +257,7 @@
         for subscriber in self._subscribers:
             self.tell(subscriber, CoordinatorKnown(node_id, address, term))
 
-    def _coordinator_silent(self, message: CoordinatorSilent) -> None:
+    def _coordinator_silent(self, message: CoordinatorUnreachable) -> None:
         if self._stopping or self._holder is None:
             return
         if self._holder.address == message.address and not self.leading:
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -65,7 +65,7 @@
     term: int
 
 
-class CoordinatorSilent(NamedTuple):
+class CoordinatorUnreachable(NamedTuple):
     """Told by PEERS: the coordinator's process refuses connections."""
 
     address: str
@@ -170,7 +170,7 @@
     worker_id: str
 
 
-class WorkerLapsed(NamedTuple):
+class WorkerLeaseLapsed(NamedTuple):
     """Tell COORDINATOR: a silent worker's lease has surely lapsed."""
 
     worker_id: str
@@ -197,7 +197,7 @@
     asked_at: float
 
 
-class LeaseWorker(NamedTuple):
+class AllowLeaseExtension(NamedTuple):
     """Tell a worker session: whether leases may be extended."""
 
     allowed: bool
@@ -215,7 +215,7 @@
     facts: WorkerFacts
 
 
-class EntryRemoved(NamedTuple):
+class RegistryEntryRemoved(NamedTuple):
     """Tell a worker session: the registry no longer lists the worker.
 
     ``drained`` says that it had announced to leave, and that it has stayed
--- a/src/redwingrudder/coordination/metrics.py
+++ b/src/redwingrudder/coordination/metrics.py
@@ -44,14 +44,14 @@
 }
 
 
-class Counted(NamedTuple):
+class IncrementCounter(NamedTuple):
     """Tell METRICS: one more event."""
 
     name: str
     labels: tuple[str, ...]
 
 
-class Observed(NamedTuple):
+class ObserveDuration(NamedTuple):
     """Tell METRICS: a duration in seconds."""
 
     name: str
@@ -59,7 +59,7 @@
     seconds: float
 
 
-class Measured(NamedTuple):
+class SetGauge(NamedTuple):
     """Tell METRICS: the present value of a gauge."""
 
     name: str
@@ -80,7 +80,7 @@
     ) -> None:
         self._reactor = reactor
         self._address = address
-        self._kept: list[Counted | Observed | Measured] = []
+        self._kept: list[IncrementCounter | ObserveDuration | SetGauge] = []
         self._library: Any = None
         self._registry: Any = None
         self._metrics_by_name: dict[str, Any] = {}
@@ -90,9 +90,9 @@
     def handlers(self) -> dict[type, Handler]:
         """See base class."""
         return {
-            Counted: self._take,
-            Observed: self._take,
-            Measured: self._take,
+            IncrementCounter: self._take,
+            ObserveDuration: self._take,
+            SetGauge: self._take,
             TimerFired: lambda _: self._load(),
         }
 
@@ -138,15 +138,15 @@
             f"redwingrudder_{name}", text, labels, registry=self._registry, **options
         )
 
-    def _take(self, message: Counted | Observed | Measured) -> None:
+    def _take(self, message: IncrementCounter | ObserveDuration | SetGauge) -> None:
         if self._library is None:
             if len(self._kept) < KEPT_LIMIT:
                 self._kept.append(message)
             return
         metric = self._metrics_by_name[message.name]
-        if isinstance(message, Counted):
+        if isinstance(message, IncrementCounter):
             metric.labels(*message.labels).inc()
-        elif isinstance(message, Observed):
+        elif isinstance(message, ObserveDuration):
             metric.labels(*message.labels).observe(message.seconds)
         else:
             metric.set(message.value)
--- a/src/redwingrudder/coordination/peers.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -33,7 +33,7 @@
 from .messages import (
     ConfigurationInForce,
     CoordinatorKnown,
-    CoordinatorSilent,
+    CoordinatorUnreachable,
     Drain,
     NodeSummary,
     OfferConfigurationDocument,
@@ -269,7 +269,7 @@
             if error.code == "connection_refused" and (
                 address == self._coordinator.address
             ):
-                self.tell(LEADERSHIP, CoordinatorSilent(address))
+                self.tell(LEADERSHIP, CoordinatorUnreachable(address))
             return
         self._take(reply, address)
 
--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -11,7 +11,7 @@
 from ..workflows.model import FINAL_STATES, StartRun
 from ..workflows.state import WorkflowProgress
 from .gateways import COORDINATOR
-from .metrics import METRICS, Counted, Observed
+from .metrics import METRICS, IncrementCounter, ObserveDuration
 from .recorder import BATCH, Recorder
 from .worker_table import WorkerTable
 
@@ -79,7 +79,7 @@
         included = set(batch)
         engine.dirty -= included
         starts = [s for s in self._waiting_starts if s.key.workflow_id in included]
-        ends = self._workers.ends_of(included)
+        ends = self._workers.find_unrecorded_ends(included)
         try:
             written = await self._recorder.write(engine, batch)
         except RedwingrudderError as error:
@@ -110,7 +110,7 @@
         ]
         for start in starts:
             self._send_start(start)
-        self._workers.ends_recorded(ends)
+        self._workers.acknowledge_ends(ends)
 
     def _send_start(self, start: StartRun) -> None:
         now = self._system.clock.seconds()
@@ -127,12 +127,12 @@
         waited = self._system.clock.seconds() - progress.accepted_mono
         if progress.begun and not progress.wait_observed:
             progress.wait_observed = True
-            self._tell(Observed("queue_wait_seconds", labels, waited))
+            self._tell(ObserveDuration("queue_wait_seconds", labels, waited))
         if progress.recorded_state in FINAL_STATES and not progress.end_observed:
             progress.end_observed = True
             state = str(progress.recorded_state)
-            self._tell(Counted("workflows_ended", (*labels, state)))
-            self._tell(Observed("completion_seconds", labels, waited))
+            self._tell(IncrementCounter("workflows_ended", (*labels, state)))
+            self._tell(ObserveDuration("completion_seconds", labels, waited))
 
-    def _tell(self, message: Counted | Observed) -> None:
+    def _tell(self, message: IncrementCounter | ObserveDuration) -> None:
         self._system.tell(METRICS, message)
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -122,5 +122,5 @@
     progress.wait_observed = progress.begun
     if record.state in FINAL_STATES:
         progress.end_observed = True
-        engine.close(workflow_id, record.state, now)
+        engine.restore_final_state(workflow_id, record.state, now)
     return record.placed
--- a/src/redwingrudder/coordination/watching.py
+++ b/src/redwingrudder/coordination/watching.py
@@ -17,7 +17,7 @@
 _logger = logging.getLogger(__name__)
 
 
-async def follow(
+async def follow_prefix(
     ask: Callable[..., Any],
     clock: IReactorTime,
     prefix: str,
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -21,13 +21,13 @@
 from .leadership import LEASE_TTL_S, boot_clock
 from .messages import (
     AcknowledgeEnds,
-    EntryRemoved,
+    AllowLeaseExtension,
     Fenced,
-    LeaseWorker,
+    RegistryEntryRemoved,
     StartSettled,
     ThrottleUnanswered,
     UpdateFacts,
-    WorkerLapsed,
+    WorkerLeaseLapsed,
     WorkerPolled,
     WorkerSilent,
 )
@@ -92,7 +92,7 @@
         self._unseen = 0
         self._answered_at = boot_clock()
         # Until this boot-clock time a run of any coordinator may exist.
-        self._leased_until = boot_clock() + longest_hold_s(self._lease_s)
+        self._leased_until = boot_clock() + prior_lease_timeout_s(self._lease_s)
         self._clock_ms = 0
         self._clock_at = 0.0
         self._polling = False
@@ -115,9 +115,9 @@
             ),
             StopRun: lambda message: run(self._stop(message), self.name) and None,
             AcknowledgeEnds: self._acknowledge,
-            LeaseWorker: self._set_allowed,
+            AllowLeaseExtension: self._set_allowed,
             UpdateFacts: self._update,
-            EntryRemoved: self._entry_removed,
+            RegistryEntryRemoved: self._entry_removed,
         }
 
     def start(self) -> None:
@@ -137,7 +137,7 @@
         self._facts = message.facts
         self._left_at = math.inf
 
-    def _entry_removed(self, message: EntryRemoved) -> None:
+    def _entry_removed(self, message: RegistryEntryRemoved) -> None:
         """Tell a worker that has left from one that has fallen silent.
 
         An entry that ends by silence does so after three heartbeats, so a
@@ -150,7 +150,7 @@
             self._left_at = now
             self._poll_soon()
 
-    def _set_allowed(self, message: LeaseWorker) -> None:
+    def _set_allowed(self, message: AllowLeaseExtension) -> None:
         self._allowed = message.allowed
 
     def _acknowledge(self, message: AcknowledgeEnds) -> None:
@@ -382,7 +382,7 @@
         self.tell(COORDINATOR, WorkerSilent(self._facts.worker_id))
 
     def _report_lapsed(self) -> None:
-        self.tell(COORDINATOR, WorkerLapsed(self._facts.worker_id))
+        self.tell(COORDINATOR, WorkerLeaseLapsed(self._facts.worker_id))
 
 
 def session_name(worker_id: str) -> str:
@@ -390,7 +390,7 @@
     return f"worker {worker_id}"
 
 
-def longest_hold_s(longest_lease_s: float) -> float:
+def prior_lease_timeout_s(longest_lease_s: float) -> float:
     """Return for how long runs of an earlier coordinator may go on.
 
     That coordinator may be cut off and extend leases until its own lease at
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -9,14 +9,14 @@
 from .gateways import ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
     AcknowledgeEnds,
-    EntryRemoved,
-    LeaseWorker,
+    AllowLeaseExtension,
+    RegistryEntryRemoved,
     SessionCommand,
     UpdateFacts,
     WorkerPolled,
 )
-from .metrics import METRICS, Counted
-from .worker_session import WorkerSession, longest_hold_s, session_name
+from .metrics import METRICS, IncrementCounter
+from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
 
 UNLISTED_GONE_S = 2.5  # after the store's return, above what entries may take
 
@@ -50,7 +50,7 @@
         self._sessions_by_worker: dict[str, WorkerSession] = {}
         self._unlisted_since: dict[str, float] = {}
         # Then runs on workers that had no entry in this term have lapsed.
-        self._lost_until = system.clock.seconds() + longest_hold_s(
+        self._lost_until = system.clock.seconds() + prior_lease_timeout_s(
             times.longest_lease_s
         )
         self._unrecorded_ends: dict[str, dict[int, str]] = {}
@@ -71,7 +71,7 @@
     def allow_leases(self, allowed: bool) -> None:
         """Tell all sessions whether leases may be extended."""
         for session in self._sessions_by_worker.values():
-            self._system.tell(session.name, LeaseWorker(allowed))
+            self._system.tell(session.name, AllowLeaseExtension(allowed))
 
     def send(self, command: SessionCommand) -> bool:
         """Hand a command to the worker's session; False without one."""
@@ -162,7 +162,7 @@
             present = {(entry.key, entry.run) for entry in report.running}
             self._engine.reconcile(message.worker_id, present, first, now)
 
-    def ends_of(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
+    def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
         """Return the ends, by worker and number, that wait for records."""
         return [
             (worker_id, number)
@@ -171,7 +171,7 @@
             if workflow_id in workflow_ids
         ]
 
-    def ends_recorded(self, ends: list[tuple[str, int]]) -> None:
+    def acknowledge_ends(self, ends: list[tuple[str, int]]) -> None:
         """Acknowledge ends to their workers."""
         for worker_id, number in ends:
             self._unrecorded_ends.get(worker_id, {}).pop(number, None)
@@ -222,7 +222,7 @@
             session = self._sessions_by_worker.get(worker_id)
             if session is not None:
                 drained = worker.facts.draining and now >= worker.leaves_at
-                self._system.tell(session.name, EntryRemoved(drained))
+                self._system.tell(session.name, RegistryEntryRemoved(drained))
             _logger.info("worker no longer listed", extra={"worker": worker_id})
 
     def _is_new_life(self, facts: WorkerFacts) -> bool:
@@ -272,7 +272,7 @@
             if end.number <= last:
                 continue
             last = end.number
-            self._system.tell(METRICS, Counted("run_ends", (str(end.kind),)))
+            self._system.tell(METRICS, IncrementCounter("run_ends", (str(end.kind),)))
             workflow_id = self._engine.end(worker_id, end, now)
             if workflow_id is not None:
                 unrecorded[end.number] = workflow_id
--- a/src/redwingrudder/guarantees.py
+++ b/src/redwingrudder/guarantees.py
@@ -80,7 +80,7 @@
             accelerators += capacity.foreign(spec.organisation)
         return accelerators if fitting_tasks(spec, capacity, accelerators) else ()
 
-    def allows(self, spec: JobSpec, member: MemberPlacement) -> bool:
+    def allows_member(self, spec: JobSpec, member: MemberPlacement) -> bool:
         """Whether a member may be held without breaking a cell.
 
         Whether its accelerators are free is left to the fleet. Cells may move
--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -18,7 +18,7 @@
 from ._drain import DrainGate
 from ._http_resources import Call, Resources
 from ._http_server import ApiSite, BoundedConnections, LimitedRequest
-from ._problems import Answer, internal_problem, problem_answer
+from ._problems import Response, internal_problem, problem_answer
 from .actors import Actor, ActorSystem, Handler
 from .exceptions import RedwingrudderError, UnavailableError
 from .messages import ConfigurationChanged
@@ -132,19 +132,19 @@
 
     def _probe_answer(
         self, request: LimitedRequest, correlation_id: str
-    ) -> Answer | None:
+    ) -> Response | None:
         """Answer the balancer and the metrics reader, even when overloaded."""
         if request.method not in (b"GET", b"HEAD"):
             return None
         if request.path == b"/livez":
-            return Answer(200, "text/plain", b"ok\n")
+            return Response(200, "text/plain", b"ok\n")
         if request.path == b"/metrics":
-            return Answer(200, self._metrics.content_type, self._metrics.render())
+            return Response(200, self._metrics.content_type, self._metrics.render())
         if request.path == b"/readyz":
             problem = self._not_ready()
             if problem is not None:
                 return problem_answer(problem, correlation_id)
-            return Answer(200, "text/plain", b"ready\n")
+            return Response(200, "text/plain", b"ready\n")
         return None
 
     def _not_ready(self) -> RedwingrudderError | None:
@@ -159,7 +159,7 @@
     def _begin(self, request: LimitedRequest, correlation_id: str) -> None:
         self._asks_outstanding += 1
         self._live_requests.add(request)
-        self._gate.enter()
+        self._gate.begin_request()
         # The request also ends when the caller disconnects; what was asked
         # for goes on, because a job outlives the connection of its caller.
         request.notifyFinish().addBoth(self._request_ended, request)
@@ -167,7 +167,7 @@
         answering.addErrback(self._log_unexpected, correlation_id)
         answering.addCallback(self._answered, request)
 
-    async def _answer(self, request: LimitedRequest, correlation_id: str) -> Answer:
+    async def _answer(self, request: LimitedRequest, correlation_id: str) -> Response:
         try:
             return await self._resources.answer(_call(request, correlation_id))
         except RedwingrudderError as error:
@@ -179,7 +179,7 @@
                 )
             return problem_answer(error, correlation_id)
 
-    def _log_unexpected(self, failure: Failure, correlation_id: str) -> Answer:
+    def _log_unexpected(self, failure: Failure, correlation_id: str) -> Response:
         _logger.error(
             "request failed unexpectedly",
             extra={
@@ -191,20 +191,20 @@
         self._metrics.count_refusal(RedwingrudderError.code)
         return internal_problem(correlation_id)
 
-    def _answered(self, answer: Answer, request: LimitedRequest) -> None:
+    def _answered(self, answer: Response, request: LimitedRequest) -> None:
         self._asks_outstanding -= 1
         if request in self._live_requests:
             self._write(request, answer)
 
-    def _write(self, request: LimitedRequest, answer: Answer) -> None:
+    def _write(self, request: LimitedRequest, answer: Response) -> None:
         if self._gate.is_draining:
             request.setHeader(b"Connection", b"close")
             request.channel.persistent = False
-        request.write_answer(answer)
+        request.write_response(answer)
 
     def _request_ended(self, _: object, request: LimitedRequest) -> None:
         self._live_requests.discard(request)
-        self._gate.leave()
+        self._gate.end_request()
 
 
 def _correlation_id(request: LimitedRequest) -> str:
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -8,7 +8,7 @@
 
 from .._background import run
 from .._http_server import ApiSite, BoundedConnections, LimitedRequest
-from .._problems import Answer
+from .._problems import Response
 from .._token_bucket import TokenBucket
 from ..actors import Actor, ActorSystem, Handler
 from ..coordination.gateways import INTAKE, OperatorConfiguration, Queue
@@ -20,7 +20,7 @@
     GetState,
     SubmitWorkflow,
 )
-from ..coordination.metrics import METRICS, Counted, Observed
+from ..coordination.metrics import METRICS, IncrementCounter, ObserveDuration
 from ..exceptions import (
     BadRequestError,
     OutcomeUnknownError,
@@ -124,16 +124,16 @@
             # The balancer leads the caller's next connection to a node that
             # is ready; an open one would stay here.
             request.setHeader(b"Connection", b"close")
-        request.write_answer(answer)
+        request.write_response(answer)
 
     def _count(self, request: LimitedRequest, status: int, seconds: float) -> None:
         method = request.method.decode("ascii", "replace")
         if method not in ("GET", "POST", "DELETE"):
             method = "other"
-        self.tell(METRICS, Counted("requests", (method, str(status))))
-        self.tell(METRICS, Observed("request_seconds", (method,), seconds))
+        self.tell(METRICS, IncrementCounter("requests", (method, str(status))))
+        self.tell(METRICS, ObserveDuration("request_seconds", (method,), seconds))
 
-    def _log_refusal(self, request: LimitedRequest, answer: Answer) -> None:
+    def _log_refusal(self, request: LimitedRequest, answer: Response) -> None:
         """Log what was not done for a caller, in bounded volume."""
         if not self._refusal_logs.take(self._reactor.seconds()):
             _logger.info(
@@ -149,7 +149,7 @@
                 },
             )
 
-    async def _handle(self, request: LimitedRequest) -> Answer:
+    async def _handle(self, request: LimitedRequest) -> Response:
         configuration = self._configuration
         if configuration is None:
             raise UnavailableError(
@@ -178,7 +178,7 @@
 
     async def _serve(
         self, request: LimitedRequest, queue: Queue, organisation: str, name: str
-    ) -> Answer:
+    ) -> Response:
         patience_s = ANSWER_SHARE * _patience(request, queue)
         if request.method == b"POST":
             workflow = decode_submission(
@@ -273,14 +273,14 @@
     return min(limits, default=DEFAULT_PATIENCE_S)
 
 
-def _json(status: int, body: dict[str, Any], retry_after_s: float = 0.0) -> Answer:
+def _json(status: int, body: dict[str, Any], retry_after_s: float = 0.0) -> Response:
     headers = ()
     if retry_after_s:
         headers = (("Retry-After", str(max(1, round(retry_after_s)))),)
-    return Answer(status, "application/json", json.dumps(body).encode(), headers)
+    return Response(status, "application/json", json.dumps(body).encode(), headers)
 
 
-def _error(status: int, error: RedwingrudderError) -> Answer:
+def _error(status: int, error: RedwingrudderError) -> Response:
     body: dict[str, Any] = {"error": error.code, "detail": error.detail}
     if error.retry_after_s:
         body["retryAfterMs"] = int(error.retry_after_s * 1000)
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -23,7 +23,7 @@
 from ..actors import Actor, ActorSystem, Handler
 from ..coordination.gateways import STORE, AwaitChanges, Change, Changes
 from ..coordination.messages import StoreAvailability
-from ..coordination.metrics import METRICS, Counted, Measured
+from ..coordination.metrics import METRICS, IncrementCounter, SetGauge
 from ..exceptions import (
     NotFoundError,
     OutcomeUnknownError,
@@ -222,7 +222,7 @@
             self._failed()
             raise StoreUnavailableError(error.detail) from error
         finally:
-            self.tell(METRICS, Counted("store_calls", (outcome,)))
+            self.tell(METRICS, IncrementCounter("store_calls", (outcome,)))
         if reply.status in (200, 404, 410, 412):
             if not wait_s and not transfer_s:
                 self._answered(self.system.clock.seconds() - begun)
@@ -252,7 +252,7 @@
         if available == self.available:
             return
         self.available = available
-        self.tell(METRICS, Measured("store_available", float(available)))
+        self.tell(METRICS, SetGauge("store_available", float(available)))
         _logger.info("store availability", extra={"available": available})
         for subscriber in self._subscribers:
             self.tell(subscriber, StoreAvailability(available))
--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -98,13 +98,13 @@
     async def poll(
         self,
         fence: int,
-        seen: int,
+        acknowledged_end: int,
         lease_until_ms: int,
         wait_s: float,
         timeout_s: float,
     ) -> WorkerReport | CommandReply:
         """See base class."""
-        body: dict[str, Any] = {"fencingToken": fence, "observed": seen}
+        body: dict[str, Any] = {"fencingToken": fence, "observed": acknowledged_end}
         if lease_until_ms:
             body["deadlineAtMs"] = lease_until_ms
         if wait_s:
--- a/src/redwingrudder/platform_api.py
+++ b/src/redwingrudder/platform_api.py
@@ -28,7 +28,7 @@
 from typing_extensions import TypedDict  # pydantic needs it before 3.12
 
 DOMAIN_HEADER = "X-Failure-Domain"
-BODY_LIMIT = 4_000_000  # bytes; two values of 1 MB in base64 and their keys
+MAX_BODY_BYTES = 4_000_000  # bytes; two values of 1 MB in base64 and their keys
 
 Int64 = int | str
 
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -178,7 +178,7 @@
         """Drop what is known of a worker that was lost."""
 
     @abc.abstractmethod
-    def next_change(self, now: float) -> float | None:
+    def next_probe_at(self, now: float) -> float | None:
         """Return when the next quarantine becomes a probe, if any."""
 
 
--- a/src/redwingrudder/router.py
+++ b/src/redwingrudder/router.py
@@ -292,7 +292,7 @@
         )
         domain = self._choose_among(spec, untried) or self._choose_among(spec, loads)
         if domain is not None:
-            self._directory.note_sent(domain, spec.accelerators)
+            self._directory.count_submission(domain, spec.accelerators)
         return domain
 
     def _choose_among(self, spec: JobSpec, loads: tuple[DomainLoad, ...]) -> str | None:
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -264,7 +264,7 @@
         context = self._context
         times = [
             context.times.next_at(),
-            context.policies.health.next_change(context.now),
+            context.policies.health.next_probe_at(context.now),
         ]
         wake_at = min((at for at in times if at is not None), default=None)
         if wake_at is not None and wake_at != self._wake_at:
--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -16,7 +16,7 @@
 from zope.interface import implementer
 
 from ..exceptions import RedwingrudderError
-from ..platform_api import BODY_LIMIT, DOMAIN_HEADER, WatchLine
+from ..platform_api import DOMAIN_HEADER, MAX_BODY_BYTES, WatchLine
 from ._platform_service import Call, PlatformService, RateLimits, Reply, WatchStream
 
 HTTP_TOO_MANY_REQUESTS = 429
@@ -90,7 +90,7 @@
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         self._received_bytes += len(data)
-        if self._received_bytes > BODY_LIMIT:
+        if self._received_bytes > MAX_BODY_BYTES:
             self.channel.forceAbortClient()
             return
         super().handleContentChunk(data)
--- a/src/redwingrudder/workers.py
+++ b/src/redwingrudder/workers.py
@@ -2,7 +2,6 @@
 
 from ._worker_link import WorkerLink
 from ._worker_messages import (
-    ClaimSeen,
     CloseLink,
     LinkEvent,
     LinkSettings,
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -233,7 +233,7 @@
             self.assign(task, worker, runs_by_stage, now)
         return self.take_effects()
 
-    def take_advice(
+    def record_advice(
         self,
         question: AskAdvice,
         tickets: dict[str, str] | None,
@@ -340,7 +340,9 @@
             if settled and (task.key, task.run) not in present:
                 self.step(task, "run_interrupted", now)
 
-    def close(self, workflow_id: str, state: WorkflowState, now: float) -> None:
+    def restore_final_state(
+        self, workflow_id: str, state: WorkflowState, now: float
+    ) -> None:
         """Take over a final state from a record."""
         progress = self.workflows_by_id[workflow_id]
         progress.ended_at = now
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -25,9 +25,9 @@
 )
 from redwingrudder.coordination.metrics import (
     METRICS,
-    Counted,
-    Measured,
-    Observed,
+    IncrementCounter,
+    ObserveDuration,
+    SetGauge,
 )
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
 
@@ -82,12 +82,12 @@
     def __init__(self, system, contents):
         self.contents = contents
         self.down = False
-        self.lose_answers = 0
-        self.put_off = 0
-        self.down_after_put_off = False
+        self.replies_to_lose = 0
+        self.writes_to_delay = 0
+        self.down_after_delayed_write = False
         self.renewals = 1.5
-        self.late_writes = []
-        self.calls = []
+        self.delayed_writes = []
+        self.transactions = []
         self.watches = []
         super().__init__(system, STORE)
 
@@ -102,9 +102,9 @@
             AwaitChanges: self._watch,
         }
 
-    def carry_out(self):
+    def apply_delayed_writes(self):
         """Do the writes that were put off, if their condition still holds."""
-        late, self.late_writes = self.late_writes, []
+        late, self.delayed_writes = self.delayed_writes, []
         return [self.contents.transact(message).succeeded for message in late]
 
     def notify(self):
@@ -137,15 +137,15 @@
 
     def _transact(self, message):
         self._checked(None)
-        self.calls.append(message)
-        if self.put_off:
-            self.put_off -= 1
-            self.down = self.down_after_put_off
-            self.late_writes.append(message)
+        self.transactions.append(message)
+        if self.writes_to_delay:
+            self.writes_to_delay -= 1
+            self.down = self.down_after_delayed_write
+            self.delayed_writes.append(message)
             raise OutcomeUnknownError("put off")
         reply = self.contents.transact(message)
-        if self.lose_answers:
-            self.lose_answers -= 1
+        if self.replies_to_lose:
+            self.replies_to_lose -= 1
             raise OutcomeUnknownError("lost")
         return reply
 
@@ -190,7 +190,9 @@
     """Return a clock, an actor system on it and a store actor."""
     clock = Clock()
     system = ActorSystem(clock)
-    Recording(system, METRICS, {Counted: None, Observed: None, Measured: None})
+    Recording(
+        system, METRICS, {IncrementCounter: None, ObserveDuration: None, SetGauge: None}
+    )
     store = MemoryStore(system, contents or StoreContents())
     return clock, system, store
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -108,8 +108,8 @@
         self.entries = entries
         self.kind = kind
         self.cut = set()
-        self.deaf = set()
-        self.dropped_replies = 0
+        self.losing_replies = set()
+        self.replies_to_drop = 0
         self.cores_by_address = {}
         for info in WORKERS:
             self.restart(info, 0.0)
@@ -125,16 +125,16 @@
         self.clock = clock
         self.workers = workers
         self.cores_by_address = workers.cores_by_address
-        self.cut, self.deaf = workers.cut, workers.deaf
-        self.garbled, self.posted = {}, []
+        self.cut, self.losing_replies = workers.cut, workers.losing_replies
+        self.malformed_replies, self.posted = {}, []
 
     @property
-    def dropped_replies(self):
-        return self.workers.dropped_replies
+    def replies_to_drop(self):
+        return self.workers.replies_to_drop
 
-    @dropped_replies.setter
-    def dropped_replies(self, count):
-        self.workers.dropped_replies = count
+    @replies_to_drop.setter
+    def replies_to_drop(self, count):
+        self.workers.replies_to_drop = count
 
 
 class Peers(Actor):
@@ -359,8 +359,8 @@
     def heal(self):
         """End all faults; leaving workers are replaced."""
         self.workers.cut.clear()
-        self.workers.deaf.clear()
-        self.workers.dropped_replies = 0
+        self.workers.losing_replies.clear()
+        self.workers.replies_to_drop = 0
         for node in self.nodes:
             node.store.lost_replies = 0
             if not node.running:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -30,9 +30,9 @@
     def __init__(self, system, core=None, available=True):
         self.core = core or KeyValueCore()
         self.available = available
-        self.losable = WRITES
+        self.lossy_types = WRITES
         self.lost_replies = 0
-        self.unsent = 0
+        self.requests_to_lose = 0
         self.vms = ()
         self.calls = []
         self._status_subscribers = []
@@ -89,13 +89,13 @@
             if not self.available:
                 raise StoreUnavailableError("outage")
             self.calls.append(message)
-            if self.unsent and isinstance(message, self.losable):
-                self.unsent -= 1
+            if self.requests_to_lose and isinstance(message, self.lossy_types):
+                self.requests_to_lose -= 1
                 raise OutcomeUnknownError("request lost")
             self.core.expire(self.now())
             reply = method(message)
             self._schedule_expiry()
-            if self.lost_replies and isinstance(message, self.losable):
+            if self.lost_replies and isinstance(message, self.lossy_types):
                 self.lost_replies -= 1
                 raise OutcomeUnknownError("reply lost")
             return reply
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -189,7 +189,7 @@
         node = self.node()
         node.store.lost_replies = 1
         self.assertEqual(node.apply(0).version, 1)
-        node.store.unsent = 1
+        node.store.requests_to_lose = 1
         self.assertEqual(node.apply(1).version, 2)
         with self.assertRaises(ConflictError):
             node.apply(1)
@@ -197,7 +197,7 @@
 
     def test_a_write_that_is_never_confirmed_is_reported_as_unknown(self):
         node = self.node()
-        node.store.unsent = 9
+        node.store.requests_to_lose = 9
         with self.assertRaises(OutcomeUnknownError):
             node.apply(0)
         self.assertEqual(node.versions(), [])
@@ -319,7 +319,7 @@
                 elif kind == "lose":
                     store.lost_replies += 1
                 elif kind == "unsent":
-                    store.unsent += 1
+                    store.requests_to_lose += 1
                 else:
                     core.compact(core.revision)
         for node in nodes:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -31,7 +31,7 @@
     CancelStored,
     CancelWorkflow,
     CoordinatorKnown,
-    CoordinatorSilent,
+    CoordinatorUnreachable,
     EndTerm,
     GetQueueLength,
     GetState,
@@ -118,15 +118,15 @@
 
     def test_lost_answer_is_resolved_by_a_second_write(self):
         """Guards against refusing what the store has taken."""
-        self.store.lose_answers = 1
+        self.store.replies_to_lose = 1
         self.assertIs(self.submit(), True)
 
     def test_unconfirmed_write_is_not_called_not_run(self):
         """Guards against a refusal of a workflow that is stored later."""
-        self.store.put_off = 1000
+        self.store.writes_to_delay = 1000
         error = self.submit(seconds=2.5)
         self.assertIsInstance(error, OutcomeUnknownError)
-        self.assertTrue(self.store.carry_out()[0])
+        self.assertTrue(self.store.apply_delayed_writes()[0])
 
     def test_store_that_does_nothing_is_a_refusal_with_retry_time(self):
         """Guards against a refusal without a time to come back."""
@@ -143,12 +143,12 @@
         error = self.submit()
         self.assertNotIsInstance(error, OutcomeUnknownError)
         self.assertGreater(error.retry_after_s, 0)
-        self.assertEqual(self.store.calls, [])
+        self.assertEqual(self.store.transactions, [])
 
     def test_refusal_after_an_unconfirmed_write_stays_unknown(self):
         """Guards against "not run" while an earlier write may take effect."""
-        self.store.put_off = 1
-        self.store.down_after_put_off = True
+        self.store.writes_to_delay = 1
+        self.store.down_after_delayed_write = True
         self.assertIsInstance(self.submit(seconds=2.5), OutcomeUnknownError)
 
     def test_same_id_again_is_the_same_job(self):
@@ -289,7 +289,7 @@
         others = [node for node in self.nodes if node[4] is not leader]
         address = f"10.0.0.1:{leader._identity.node_id}"
         for _, system, _, _, _ in others:
-            system.tell(LEADERSHIP, CoordinatorSilent(address))
+            system.tell(LEADERSHIP, CoordinatorUnreachable(address))
         self.advance(1.0)
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "2")
         self.assertNotIn(leader, self.leaders())
@@ -325,11 +325,11 @@
 
     def test_late_write_cannot_replace_a_newer_one(self):
         """Guards against an old record that takes effect seconds later."""
-        self.store.put_off = 1
+        self.store.writes_to_delay = 1
         self.assertIsInstance(self.write(), OutcomeUnknownError)
         begun = fx.starts(self.engine.plan(0.0, 0.0))
         self.write()
-        self.assertEqual(self.store.carry_out(), [False])
+        self.assertEqual(self.store.apply_delayed_writes(), [False])
         self.assertEqual(len(self.record().placed), len(begun))
 
     def test_write_of_an_older_term_is_refused(self):
--- a/tests/test_dispatcher_faults.py
+++ b/tests/test_dispatcher_faults.py
@@ -117,7 +117,7 @@
 
     def cut(self):
         worker = self.random.choice(WORKERS)
-        self.random.choice((self.transport.cut, self.transport.deaf)).add(
+        self.random.choice((self.transport.cut, self.transport.losing_replies)).add(
             worker.address
         )
 
@@ -125,7 +125,7 @@
         self.transport.restart(self.random.choice(WORKERS).address)
 
     def drop_replies(self):
-        self.transport.dropped_replies = self.random.randint(1, 4)
+        self.transport.replies_to_drop = self.random.randint(1, 4)
 
     def store_outage(self):
         self.node.store.set_available(False)
@@ -171,8 +171,8 @@
                 self.transport.restart(address)
         self.left.clear()
         self.transport.cut.clear()
-        self.transport.deaf.clear()
-        self.transport.dropped_replies = 0
+        self.transport.losing_replies.clear()
+        self.transport.replies_to_drop = 0
         self.node.store.lost_replies = 0
         self.node.store.set_available(True)
 
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -235,13 +235,15 @@
         plan = CellReclaim().reclaim(spec, domain.fleet, domain.cell_table)
         self.assertEqual(plan.gangs_to_stop, (borrower,))
         member = plan.placement.members[0]
-        self.assertTrue(domain.cell_table.allows(spec, member))
+        self.assertTrue(domain.cell_table.allows_member(spec, member))
         foreign = spec._replace(organisation="z")
-        self.assertFalse(domain.cell_table.allows(foreign, member))
+        self.assertFalse(domain.cell_table.allows_member(foreign, member))
         cpu_only = MemberPlacement("d0w0", (), (0,))
-        self.assertFalse(domain.cell_table.allows(make_spec("z", 1, 0), cpu_only))
+        self.assertFalse(
+            domain.cell_table.allows_member(make_spec("z", 1, 0), cpu_only)
+        )
         domain.fleet.set_draining("d0w0")
-        self.assertFalse(domain.cell_table.allows(spec, member))
+        self.assertFalse(domain.cell_table.allows_member(spec, member))
         avoid = frozenset({"d0w0"})
         self.assertIsNone(
             CellReclaim().reclaim(spec, domain.fleet, domain.cell_table, avoid)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -99,19 +99,19 @@
 
     def cut_worker(self, number):
         workers = self.deployment.workers
-        chosen = (workers.cut, workers.deaf)[number // 3 % 2]
+        chosen = (workers.cut, workers.losing_replies)[number // 3 % 2]
         chosen.add(self._worker(number).address)
 
     def reconnect_workers(self, number):
         self.deployment.workers.cut.clear()
-        self.deployment.workers.deaf.clear()
+        self.deployment.workers.losing_replies.clear()
 
     def drain_worker(self, number):
         if not self.deployment.leaving:
             self.deployment.drain_worker(self._worker(number), number % 2 == 0)
 
     def lose_worker_replies(self, number):
-        self.deployment.workers.dropped_replies = 1 + number % 4
+        self.deployment.workers.replies_to_drop = 1 + number % 4
 
     def lose_store_replies(self, number):
         for node in self.deployment.nodes:
@@ -311,7 +311,7 @@
 
     def test_start_without_an_order_makes_not_run_false(self):
         deployment = Deployment(EagerWorker)
-        deployment.workers.deaf.update(info.address for info in WORKERS)
+        deployment.workers.losing_replies.update(info.address for info in WORKERS)
         spec = SPEC._replace(idempotent=False, tasks=1, payload='{"run_s": 60}')
         deployment.submit(deployment.owners[0], spec)
         deployment.run_for(0.5)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -249,7 +249,7 @@
     def test_a_lost_reply_of_the_acquisition_costs_no_second_term(self):
         node = Node(self.core, 0, self.now, available=False)
         self.nodes.append(node)
-        node.store.losable = (Transact,)
+        node.store.lossy_types = (Transact,)
         node.store.lost_replies = 1
         self.set_available(True)
         self.run_for(2.0)
@@ -261,8 +261,8 @@
         nodes = self.start(1)
         self.run_for(2.0)
         node = nodes[0]
-        node.store.losable = (GrantLease,)
-        node.store.unsent = 1000
+        node.store.lossy_types = (GrantLease,)
+        node.store.requests_to_lose = 1000
         node.store.calls.clear()
         self.core.revoke_lease(1001)
         self.run_for(10.0)
@@ -349,7 +349,7 @@
             elif kind == "lose":
                 node.store.lost_replies += 1
             elif kind == "unsent":
-                node.store.unsent += 1
+                node.store.requests_to_lose += 1
             cluster.run_for(wait_s)
         for node in nodes:
             node.running = True
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -92,7 +92,7 @@
         )
         self.assertEqual(facts.capacity, Resources(16000, 32768, 8))
 
-    def test_entries_of_other_writers_name_no_worker(self):
+    def test_invalid_entries_yield_no_worker(self):
         """Guards against one bad entry that hides the others."""
         for changes in (
             {"state": "odd"},
@@ -132,7 +132,7 @@
         self.assertEqual((policy.priority, policy.latency_s), (0, 0.25))
         self.assertIsNone(read.find_queue("h", "/b/"))
 
-    def test_unusable_document_is_a_coded_error(self):
+    def test_invalid_document_is_a_coded_error(self):
         """Guards against a node that stops for one bad document."""
         for document in ("{", "[]", '{"routes": [{}], "version": 1}'):
             with self.assertRaises(InvalidConfigurationError):
@@ -195,13 +195,13 @@
 
 
 class WorkerTests(unittest.TestCase):
-    def test_task_names_go_both_ways(self):
+    def test_task_names_are_encoded_and_decoded(self):
         """Guards against a report that names another task."""
         key = TaskKey(ID, 0, 1, 17)
         self.assertEqual(task_name(key), f"{ID}.0.1.17")
         self.assertEqual(parse_task_name(task_name(key)), key)
 
-    def test_reads_lists_of_runs(self):
+    def test_reads_reports_of_runs(self):
         """Guards against ends or checkpoints that are lost in reading."""
         report = _report(
             {
@@ -215,7 +215,7 @@
         self.assertEqual((run.run, run.checkpoint, run.percent), (2, "cp", 41.0))
         self.assertEqual(report.ended[0].kind, EndKind.BROKEN)
 
-    def test_unreadable_list_is_no_answer(self):
+    def test_malformed_report_is_unavailable(self):
         """Guards against runs that seem gone as their list is unreadable."""
         for body in (
             {},
@@ -225,7 +225,7 @@
             with self.assertRaises(UnavailableError):
                 _report(body)
 
-    def test_rejections_have_reasons(self):
+    def test_rejections_are_mapped_to_reasons(self):
         """Guards against a fenced coordinator that goes on."""
         reply = _command(JsonReply(409, {"clockMs": 3, "reason": "fence"}))
         self.assertEqual((reply.accepted, reply.reason), (False, "fenced"))
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -5,9 +5,13 @@
 from twisted.internet.task import Clock
 from twisted.web.test.requesthelper import DummyRequest
 
-from redwingrudder._problems import Answer
+from redwingrudder._problems import Response
 from redwingrudder.actors import ActorSystem
-from redwingrudder.coordination.metrics import METRICS, Counted, Observed
+from redwingrudder.coordination.metrics import (
+    METRICS,
+    IncrementCounter,
+    ObserveDuration,
+)
 from redwingrudder.platform.front_end import FrontEnd
 
 from .coordination_fakes import Recording, run_for
@@ -25,7 +29,7 @@
     def header(self, name):
         return None
 
-    def write_answer(self, answer: Answer):
+    def write_response(self, answer: Response):
         self.answer = answer
 
 
@@ -34,7 +38,7 @@
         """Guards against a caller that retries at a node that is cut off."""
         clock = Clock()
         system = ActorSystem(clock)
-        Recording(system, METRICS, {Counted: None, Observed: None})
+        Recording(system, METRICS, {IncrementCounter: None, ObserveDuration: None})
         front = FrontEnd(system, clock, ("127.0.0.1", 0))
         request = FakeRequest()
         front._respond(request)
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -58,7 +58,7 @@
         headers = client.calls[0][3]
         self.assertEqual(headers, {"X-Lease-Holder": "n1", "X-Fencing-Token": "3"})
 
-    def test_refusals_keep_their_meaning(self):
+    def test_rejections_are_mapped_to_replies(self):
         """Guards against an upkeep that is repeated in vain, or given up."""
         expected = {
             "fence": MachineReply.FENCED,
@@ -75,7 +75,7 @@
         self.assertIsInstance(self.order(429, {})[0], OverloadedError)
         self.assertIsInstance(self.order(503, {})[0], UnavailableError)
 
-    def test_wave_of_another_writer(self):
+    def test_invalid_documents_yield_no_wave(self):
         """Guards against a document that names no wave."""
         self.assertIsNone(PlatformWaves().decode("op/wave/1", '{"wave": 1}'))
         self.assertFalse(PlatformWaves().is_done("[]"))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,7 +8,7 @@
 from redwingrudder._store_requests import GetKey, GetPrefix
 from redwingrudder.actors import ActorSystem
 from redwingrudder.coordination.gateways import STORE
-from redwingrudder.coordination.metrics import METRICS, Counted, Measured
+from redwingrudder.coordination.metrics import METRICS, IncrementCounter, SetGauge
 from redwingrudder.platform.http_client import JsonReply
 from redwingrudder.platform.store import TIMEOUT_S, PlatformStore
 
@@ -33,11 +33,11 @@
         pass
 
 
-class TimeLimitTests(unittest.TestCase):
+class TimeoutTests(unittest.TestCase):
     def timeouts(self, link_bps):
         clock = Clock()
         system = ActorSystem(clock)
-        Recording(system, METRICS, {Counted: None, Measured: None})
+        Recording(system, METRICS, {IncrementCounter: None, SetGauge: None})
         client = FakeClient()
         PlatformStore(system, client, (), link_bps)
         for message in (GetKey("k"), GetPrefix("k")):
@@ -46,13 +46,13 @@
             outcome(reply)
         return client.timeouts
 
-    def test_narrow_link_is_given_time_for_a_page(self):
+    def test_slow_link_extends_the_timeout_of_a_page(self):
         """Guards against a takeover that times out before a page is here."""
         key_s, page_s = self.timeouts(10e6)
         self.assertEqual(key_s, TIMEOUT_S)
         self.assertGreater(page_s, 3.0)
 
-    def test_wide_link_waits_little(self):
+    def test_fast_link_keeps_the_timeout_short(self):
         """Guards against a silent store that holds a takeover up."""
         self.assertLess(self.timeouts(1e9)[1], 2 * TIMEOUT_S)
 
--- a/tests/test_slack_policy.py
+++ b/tests/test_slack_policy.py
@@ -177,7 +177,7 @@
         self.succeed("a", "b", "c")
         now, waits = NOW, []
         for probe in range(6):
-            due = self.policy.next_change(now)
+            due = self.policy.next_probe_at(now)
             waits.append(due - now)
             self.assertEqual(self.policy.probes(due - 1), frozenset())
             self.assertEqual(self.policy.probes(due), {"w0"})
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -227,7 +227,7 @@
         advance(system, 1.5)
         self.assertEqual(seen, [StoreStatus(False), StoreStatus(True)])
 
-    def test_writes_beyond_the_budget_are_refused_and_leases_are_not(self):
+    def test_writes_beyond_the_rate_limit_are_refused_and_leases_are_not(self):
         for number in range(50):
             self.put(f"/a/{number}")
         error = self.fails(Transact((), (PutKey("/a", "1"),)), OverloadedError)
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -15,14 +15,17 @@
     WorkerTimes,
 )
 from redwingrudder.coordination.messages import (
-    EntryRemoved,
     Fenced,
+    RegistryEntryRemoved,
     StartSettled,
-    WorkerLapsed,
+    WorkerLeaseLapsed,
     WorkerPolled,
     WorkerSilent,
 )
-from redwingrudder.coordination.worker_session import WorkerSession, longest_hold_s
+from redwingrudder.coordination.worker_session import (
+    WorkerSession,
+    prior_lease_timeout_s,
+)
 from redwingrudder.exceptions import UnavailableError
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows.model import StartRun, StopRun
@@ -78,7 +81,7 @@
     async def throttle(self, run, fence, timeout_s):
         return self._reply("pace")
 
-    async def poll(self, fence, seen, lease_until_ms, wait_s, timeout_s):
+    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
         if self.hanging:
             await Deferred()
         reply = self._reply(f"poll {bool(lease_until_ms)}")
@@ -97,7 +100,7 @@
     def setUp(self):
         self.clock, self.system, _ = node_system()
         TimerService(self.system)
-        kinds = (WorkerPolled, WorkerSilent, WorkerLapsed, StartSettled)
+        kinds = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
         self.coordinator = Recording(
             self.system, COORDINATOR, dict.fromkeys(kinds, None)
         )
@@ -162,57 +165,57 @@
         self.channel.deaf = True
         run_for(self.clock, LEASE_S)
         self.assertTrue(self.told(WorkerSilent))
-        self.assertFalse(self.told(WorkerLapsed))
-        run_for(self.clock, longest_hold_s(LEASE_S) - LEASE_S + 2.0)
-        self.assertTrue(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
+        run_for(self.clock, prior_lease_timeout_s(LEASE_S) - LEASE_S + 2.0)
+        self.assertTrue(self.told(WorkerLeaseLapsed))
 
     def remove_entry(self, drained, silent_s=0.0):
         """Let the worker fall silent, and its entry end after a time."""
         self.channel.deaf = True
         run_for(self.clock, silent_s)
-        self.system.tell(self.session.name, EntryRemoved(drained))
+        self.system.tell(self.session.name, RegistryEntryRemoved(drained))
         run_for(self.clock, 1.0)
 
     def test_worker_that_left_by_itself_holds_nothing(self):
         """Guards against a gang that waits out the lease of a left worker."""
         self.remove_entry(drained=True)
-        self.assertTrue(self.told(WorkerLapsed))
+        self.assertTrue(self.told(WorkerLeaseLapsed))
 
     def test_entry_that_a_silence_ended_says_nothing(self):
         """Guards against a second run beside a worker that is cut off."""
         self.remove_entry(drained=True, silent_s=3 * HEARTBEAT_S)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
 
     def test_worker_that_did_not_drain_may_be_cut_off(self):
         """Guards against a second run when the store forgot an entry."""
         self.remove_entry(drained=False)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
 
     def test_worker_that_still_answers_has_not_left(self):
         """Guards against runs given up on a worker that lingers."""
-        self.system.tell(self.session.name, EntryRemoved(True))
+        self.system.tell(self.session.name, RegistryEntryRemoved(True))
         run_for(self.clock, 1.0)
         self.channel.deaf = True
         run_for(self.clock, 0.5)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
 
     def test_lost_stop_does_not_tell_that_a_worker_left(self):
         """Guards against runs given up while the last poll is on its way."""
         self.channel.deaf = True
-        self.system.tell(self.session.name, EntryRemoved(True))
+        self.system.tell(self.session.name, RegistryEntryRemoved(True))
         run_for(self.clock, 0.1)
         self.channel.hanging = True
         run_for(self.clock, 0.4)
         self.system.tell(self.session.name, StopRun("w1", fx.key(), 1))
         run_for(self.clock, 0.05)
         self.assertIn("stop", self.channel.calls)
-        self.assertFalse(self.told(WorkerLapsed))
+        self.assertFalse(self.told(WorkerLeaseLapsed))
 
     def test_start_to_a_lapsed_worker_settles(self):
         """Guards against a task that waits for a lost worker for ever."""
         self.channel.deaf = True
         self.start_run()
-        run_for(self.clock, longest_hold_s(LEASE_S) + 5.0)
+        run_for(self.clock, prior_lease_timeout_s(LEASE_S) + 5.0)
         self.assertEqual(len(self.told(StartSettled)), 1)
 
     def test_unsettled_runs_are_stopped_before_the_first_poll(self):
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -36,7 +36,7 @@
 from redwingrudder.standins.worker import WorkerStandIn
 from redwingrudder.timers import TimerService
 from redwingrudder.workers import (
-    ClaimSeen,
+    ClaimHandled,
     HttpTransport,
     LinkEvent,
     LinkSettings,
@@ -63,7 +63,7 @@
     def take_event(self, message):
         self.received.append(message.event)
         if isinstance(message.event, WorkerClaimed):
-            self.tell("worker:w1", ClaimSeen())
+            self.tell("worker:w1", ClaimHandled())
 
 
 class HttpTransportTests(trial.TestCase):
@@ -172,7 +172,7 @@
 
     def test_lost_replies_are_retried_without_a_second_start(self):
         self.take()
-        self.transport.dropped_replies = 2
+        self.transport.replies_to_drop = 2
         self.send(self.reserve("g"), StartMember("g", "w1"))
         answers = self.take() + self.take()
         self.assertEqual([type(a) for a in answers[:1]], [ReserveAnswered])
@@ -202,7 +202,7 @@
         self.take()
         self.send(self.reserve("g"), StartMember("g", "w1"))
         self.run_for(0.2)
-        self.transport.deaf.add(ADDRESS)
+        self.transport.losing_replies.add(ADDRESS)
         self.run_for(7.0)
         self.assertIn(WorkerLost("w1", "lease_lapsed"), self.take())
         self.assertLess(self.core.lease_until, self.clock.seconds())
@@ -235,7 +235,7 @@
         self.send(self.reserve("g"))
         self.run_for(1.0)
         self.assertNotIn("/v1/reserve", self.transport.paths())
-        self.send(ClaimSeen(), self.reserve("h"))
+        self.send(ClaimHandled(), self.reserve("h"))
         self.run_for(1.0)
         self.assertEqual(len(self.core.state(0.0)["members"]), 1)
 
@@ -297,16 +297,16 @@
 
     def test_malformed_replies_are_logged_with_a_code_and_retried(self):
         self.take()
-        garbled = {
+        malformed_replies = {
             "/v1/reserve": b"<html>",
             "/v1/poll": b'{"boot_id": 1, "events": "none"}',
         }
-        self.transport.garbled = garbled
+        self.transport.malformed_replies = malformed_replies
         with self.assertLogs("redwingrudder._worker_log", "WARNING") as logs:
             self.send(self.reserve("g"))
             self.run_for(1.5)
         self.assertEqual({r.code for r in logs.records}, {"bad_worker_reply"})
-        self.transport.garbled = {}
+        self.transport.malformed_replies = {}
         self.run_for(2.0)
         self.assertEqual(self.take(), [ReserveAnswered("g", "w1", True)])
 
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -427,14 +427,14 @@
         engine, effects = self.advised()
         self.assertEqual(fx.starts(effects), [])
         self.assertIsInstance(effects[0], AskAdvice)
-        engine.take_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
         begun = fx.starts(engine.plan(0.1, 0.1))
         self.assertEqual([(s.worker_id, s.ticket) for s in begun], [("w2", "ticket")])
 
     def test_permit_is_not_used_at_its_end(self):
         """Guards against a start that arrives after its permit expired."""
         engine, effects = self.advised()
-        engine.take_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
         effects = engine.plan(2.9, 2.9)
         self.assertEqual(fx.starts(effects), [])
         self.assertEqual(effects[0].worker_ids, ("w2",))
@@ -443,7 +443,7 @@
         """Guards against a queue that stands still after one lost answer."""
         engine, effects = self.advised()
         self.assertEqual(engine.plan(0.1, 0.1), [])
-        engine.take_advice(effects[0], None, 0.0, 0.0)
+        engine.record_advice(effects[0], None, 0.0, 0.0)
         self.assertIsInstance(engine.plan(0.2, 0.2)[0], AskAdvice)
 
 
--- a/tests/worker_fakes.py
+++ b/tests/worker_fakes.py
@@ -25,9 +25,9 @@
         }
         self.retired_cores = []
         self.cut = set()
-        self.deaf = set()
-        self.dropped_replies = 0
-        self.garbled = {}
+        self.losing_replies = set()
+        self.replies_to_drop = 0
+        self.malformed_replies = {}
         self.posted = []
 
     def restart(self, address):
@@ -54,19 +54,19 @@
         if self.cores_by_address[address] is not core:
             raise UnavailableError("the connection ended with the process")
         status, reply = self._execute(address, path, json.loads(json.dumps(body)))
-        if address in self.deaf:
+        if address in self.losing_replies:
             await self._sleep(timeout_s)
             raise UnavailableError("replies lost")
-        if self.dropped_replies and path != "/v1/poll":
-            self.dropped_replies -= 1
+        if self.replies_to_drop and path != "/v1/poll":
+            self.replies_to_drop -= 1
             raise UnavailableError("reply dropped")
-        if path in self.garbled:
-            return WorkerAnswer(200, self.garbled[path])
+        if path in self.malformed_replies:
+            return WorkerAnswer(200, self.malformed_replies[path])
         return WorkerAnswer(status, json.dumps(reply).encode())
 
     async def get(self, address, path, timeout_s):
         self.posted.append((address, path, None))
-        if address in self.cut | self.deaf:
+        if address in self.cut | self.losing_replies:
             await self._sleep(timeout_s)
             raise UnavailableError("cut")
         await self._sleep(0.001)
