--- a/src/redwingrudder/standins/_platform_service.py
+++ b/src/redwingrudder/standins/_platform_service.py
@@ -1,6 +1,7 @@
-"""Calls of the platform stand-in: budget, counters and fault switches.
+"""Requests to the platform stand-in: rate limits, counters, fault switches.
 
-Independent of the HTTP server, so that tests can call it directly.
+The module is independent of the HTTP server, so that tests can call it
+directly.
 """
 
 from collections.abc import Callable
@@ -19,11 +20,12 @@
 
 WRITES_PER_S = 500.0
 READS_PER_S = 2000.0
-NOT_FOUND_CODE = 5  # gRPC NOT_FOUND
-OVERLOADED_CODE = 8  # gRPC RESOURCE_EXHAUSTED
-INVALID_CODE = 3  # gRPC INVALID_ARGUMENT
+HTTP_OK = 200
+GRPC_NOT_FOUND = 5  # status codes of gRPC, in the bodies of error replies
+GRPC_RESOURCE_EXHAUSTED = 8
+GRPC_INVALID_ARGUMENT = 3
 
-_CALLS_BY_PATH = {
+_OPERATIONS_BY_PATH = {
     "/v3/kv/range": "range",
     "/v3/kv/txn": "txn",
     "/v3/lease/grant": "lease_grant",
@@ -32,20 +34,25 @@
     "/v3/watch": "watch",
     "/v1/vms": "vms",
 }
-_WRITES = frozenset({"txn", "lease_grant", "lease_keepalive", "lease_revoke"})
-# A lost keepalive reply has no effect worth testing, so it is not counted.
-_LOSABLE = frozenset({"txn", "lease_grant", "lease_revoke"})
+_WRITE_OPERATIONS = frozenset({"txn", "lease_grant", "lease_keepalive", "lease_revoke"})
+# Operations whose replies ``lost_replies`` drops. Losing a keepalive reply
+# would test nothing, so keepalives do not count towards the number.
+_LOSSY_OPERATIONS = frozenset({"txn", "lease_grant", "lease_revoke"})
 
 
-class Budget(NamedTuple):
-    """Calls a second that the platform answers; beyond it 429."""
+class RateLimits(NamedTuple):
+    """Accepted calls per second; further calls are answered with 429."""
 
     writes_per_s: float = WRITES_PER_S
     reads_per_s: float = READS_PER_S
 
 
 class Call(NamedTuple):
-    """One request; ``failure_domain`` is that of the client or ""."""
+    """One request.
+
+    ``failure_domain`` is that of the client, ``vm_domain`` the one whose VMs
+    are listed; both may be empty.
+    """
 
     path: str
     body: bytes = b""
@@ -55,7 +62,10 @@
 
 
 class Reply(NamedTuple):
-    """An answer; ``dropped`` closes the connection instead."""
+    """An HTTP reply, sent after ``delay_s``.
+
+    ``dropped`` aborts the connection without sending a reply.
+    """
 
     status: int
     body: Any
@@ -65,7 +75,13 @@
 
 
 class Faults(TypedDict):
-    """Fault switches; fields that are left out keep their value."""
+    """Body of ``POST /admin/faults``; absent fields keep their value.
+
+    ``outage`` cuts off all clients, ``cut_domains`` the clients in these
+    failure domains: their calls get no reply and their watches are closed.
+    ``slow_s`` delays every reply by this many seconds. ``lost_replies`` is the
+    number of following writes that take effect without a reply.
+    """
 
     outage: NotRequired[bool]
     slow_s: NotRequired[float]
@@ -74,7 +90,11 @@
 
 
 class VmChange(TypedDict):
-    """A change of the VM list."""
+    """Body of ``POST /admin/vms``, a change of the VM list.
+
+    ``leaving`` and ``remove`` hold VM ids, ``lag_s`` sets the lag of the list
+    in seconds.
+    """
 
     register: NotRequired[list[VmBody]]
     leaving: NotRequired[list[str]]
@@ -83,7 +103,7 @@
 
 
 class WatchStream(NamedTuple):
-    """Where the lines of a watch go; ``close`` ends its connection."""
+    """Output of a watch: ``send`` writes a line, ``close`` disconnects."""
 
     send: Callable[[WatchLine], None]
     close: Callable[[], None]
@@ -97,50 +117,69 @@
 
 _FAULTS = TypeAdapter(Faults)
 _VM_CHANGE = TypeAdapter(VmChange)
-_DROPPED = Reply(0, None, dropped=True)
+_CONNECTION_ABORTED = Reply(0, None, dropped=True)
 
 
 class PlatformService:
-    """The store and the VM list behind their budget and faults."""
+    """Key-value store and VM list with rate limits and injected faults.
+
+    Args:
+        clock: The reactor, or a ``twisted.internet.task.Clock`` in tests.
+        rate_limits: Calls per second that are accepted.
+        vm_lag_s: Lag of the VM list in seconds.
+        core: The key-value store; a new one by default.
+    """
 
     def __init__(
         self,
         clock: IReactorTime,
-        budget: Budget | None = None,
+        rate_limits: RateLimits | None = None,
         vm_lag_s: float = 0.0,
         core: KeyValueCore | None = None,
     ) -> None:
-        budget = budget or Budget()
+        rate_limits = rate_limits or RateLimits()
         now = clock.seconds()
         self.core = core or KeyValueCore()
         self.vms = VmList(vm_lag_s)
-        self.counters: dict[str, int] = dict.fromkeys(_CALLS_BY_PATH.values(), 0)
+        self.counters: dict[str, int] = dict.fromkeys(_OPERATIONS_BY_PATH.values(), 0)
         self.counters["refused"] = 0
         self._clock = clock
         self._gateway = Gateway(self.core)
-        self._writes = TokenBucket(budget.writes_per_s, budget.writes_per_s, now)
-        self._reads = TokenBucket(budget.reads_per_s, budget.reads_per_s, now)
+        self._write_bucket = TokenBucket(
+            rate_limits.writes_per_s, rate_limits.writes_per_s, now
+        )
+        self._read_bucket = TokenBucket(
+            rate_limits.reads_per_s, rate_limits.reads_per_s, now
+        )
         self._faults = Faults(outage=False, slow_s=0.0, lost_replies=0, cut_domains=[])
         self._watches_by_id: dict[int, _OpenWatch] = {}
-        self._expiry_call: IDelayedCall | None = None
+        self._expiry_timer: IDelayedCall | None = None
 
     def handle(self, call: Call) -> Reply:
-        """Carry out one call other than a watch."""
-        kind = _CALLS_BY_PATH.get(call.path)
-        if kind is None or kind == "watch":
-            return Reply(404, ErrorReply(code=NOT_FOUND_CODE, message="not found"))
-        if self._is_cut(call.failure_domain):
-            return _DROPPED
-        reply = self._answer(kind, call)
-        if reply.status == 200 and kind in _LOSABLE and self._faults["lost_replies"]:
+        """Execute a call other than a watch and return its reply."""
+        operation = _OPERATIONS_BY_PATH.get(call.path)
+        if operation is None or operation == "watch":
+            return Reply(404, ErrorReply(code=GRPC_NOT_FOUND, message="not found"))
+        if self._is_cut_off(call.failure_domain):
+            return _CONNECTION_ABORTED
+        reply = self._answer(operation, call)
+        if (
+            reply.status == HTTP_OK
+            and operation in _LOSSY_OPERATIONS
+            and self._faults["lost_replies"]
+        ):
             self._faults["lost_replies"] -= 1
-            return _DROPPED
+            return _CONNECTION_ABORTED
         return reply._replace(delay_s=self._faults["slow_s"])
 
     def open_watch(self, call: Call, stream: WatchStream) -> Reply | int:
-        """Open a watch; returns its id, or the answer when it is refused."""
-        if self._is_cut(call.failure_domain):
-            return _DROPPED
+        """Open a watch; returns its id, or the reply if it was rejected.
+
+        The first line confirms the watch. A watch of compacted revisions is
+        cancelled with a second line, and its stream is closed.
+        """
+        if self._is_cut_off(call.failure_domain):
+            return _CONNECTION_ABORTED
         try:
             self._admit("watch")
             return self._start_watch(call, stream)
@@ -148,25 +187,36 @@
             return _error_reply(error)
 
     def close_watch(self, watch_id: int) -> None:
-        """Forget a watch whose connection is closed."""
+        """Remove a watch when its connection closes; ignores unknown ids."""
         if self._watches_by_id.pop(watch_id, None) is not None:
             self.core.unwatch(watch_id)
 
     def open_watches(self) -> int:
-        """Return the number of waiting watches."""
+        """Return the number of open watches."""
         return len(self._watches_by_id)
 
     def set_faults(self, body: bytes) -> Faults:
-        """Change the fault switches and return them all."""
+        """Set the fault switches of a JSON body and return all switches.
+
+        Watches of clients that are cut off are closed.
+
+        Raises:
+            BadRequestError: The body is invalid.
+        """
         self._faults.update(parse(_FAULTS, body))
         for watch in list(self._watches_by_id.values()):
-            if self._is_cut(watch.failure_domain):
+            if self._is_cut_off(watch.failure_domain):
                 self.close_watch(watch.watch_id)
                 watch.stream.close()
         return self._faults
 
     def change_vms(self, body: bytes) -> None:
-        """Change the VM list."""
+        """Apply the change of the VM list in a JSON body.
+
+        Raises:
+            BadRequestError: The body is invalid.
+            OverloadedError: The list would be too long.
+        """
         change = parse(_VM_CHANGE, body)
         self.vms.lag_s = change.get("lag_s", self.vms.lag_s)
         self.vms.change(
@@ -177,47 +227,49 @@
         )
 
     def stop(self) -> None:
-        """Close all watches and cancel the lease timer."""
+        """Close all watches and cancel the timer of the lease expiry."""
         for watch in list(self._watches_by_id.values()):
             self.close_watch(watch.watch_id)
             watch.stream.close()
-        if self._expiry_call is not None:
-            self._expiry_call.cancel()
-            self._expiry_call = None
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
+            self._expiry_timer = None
 
-    def _is_cut(self, failure_domain: str) -> bool:
-        cut = failure_domain in self._faults["cut_domains"]
-        return self._faults["outage"] or cut
+    def _is_cut_off(self, failure_domain: str) -> bool:
+        domain_is_cut_off = failure_domain in self._faults["cut_domains"]
+        return self._faults["outage"] or domain_is_cut_off
 
-    def _answer(self, kind: str, call: Call) -> Reply:
+    def _answer(self, operation: str, call: Call) -> Reply:
         try:
-            self._admit(kind)
-            if kind == "vms":
+            self._admit(operation)
+            if operation == "vms":
                 return self._list_vms(call)
-            return Reply(200, self._carry_out(kind, call))
+            return Reply(200, self._execute(operation, call))
         except RedwingrudderError as error:
             return _error_reply(error)
 
-    def _admit(self, kind: str) -> None:
-        self.counters[kind] += 1
-        bucket = self._writes if kind in _WRITES else self._reads
+    def _admit(self, operation: str) -> None:
+        self.counters[operation] += 1
+        bucket = (
+            self._write_bucket if operation in _WRITE_OPERATIONS else self._read_bucket
+        )
         wait_s = bucket.take(self._clock.seconds())
         if wait_s > 0:
             self.counters["refused"] += 1
             raise OverloadedError("too many requests", retry_after_s=wait_s)
 
-    def _carry_out(self, kind: str, call: Call) -> Any:
+    def _execute(self, operation: str, call: Call) -> Any:
         now = self._clock.seconds()
         self.core.expire(now)
-        if kind == "range":
+        if operation == "range":
             return self._gateway.range(call.body)
-        if kind == "txn":
+        if operation == "txn":
             return self._gateway.txn(call.body, now)
-        if kind == "lease_grant":
+        if operation == "lease_grant":
             reply = self._gateway.grant(call.body, now)
             self._schedule_expiry()
             return reply
-        if kind == "lease_keepalive":
+        if operation == "lease_keepalive":
             return self._gateway.keep_alive(call.body, now)
         return self._gateway.revoke(call.body)
 
@@ -240,7 +292,7 @@
         except CompactedError as error:
             stream.send(self._gateway.watch_compacted(error.compact_revision))
             stream.close()
-            return _DROPPED
+            return _CONNECTION_ABORTED
         self._watches_by_id[watch_id] = _OpenWatch(
             watch_id, call.failure_domain, stream
         )
@@ -248,21 +300,21 @@
 
     def _schedule_expiry(self) -> None:
         expires_at = self.core.next_expiry()
-        if self._expiry_call is not None or expires_at is None:
+        if self._expiry_timer is not None or expires_at is None:
             return
         delay_s = max(0.0, expires_at - self._clock.seconds())
-        self._expiry_call = self._clock.callLater(delay_s, self._expire)
+        self._expiry_timer = self._clock.callLater(delay_s, self._expire_leases)
 
-    def _expire(self) -> None:
-        self._expiry_call = None
+    def _expire_leases(self) -> None:
+        self._expiry_timer = None
         self.core.expire(self._clock.seconds())
         self._schedule_expiry()
 
 
 def _error_reply(error: RedwingrudderError) -> Reply:
-    code = INVALID_CODE
+    code = GRPC_INVALID_ARGUMENT
     if isinstance(error, OverloadedError):
-        code = OVERLOADED_CODE
+        code = GRPC_RESOURCE_EXHAUSTED
     elif isinstance(error, NotFoundError):
-        code = NOT_FOUND_CODE
+        code = GRPC_NOT_FOUND
     return Reply(error.http_status, ErrorReply(code=code, message=error.detail))
--- a/src/redwingrudder/standins/_vm_list.py
+++ b/src/redwingrudder/standins/_vm_list.py
@@ -1,4 +1,4 @@
-"""The platform's list of live and leaving VMs, which lags."""
+"""The platform's list of live and leaving VMs, published with a lag."""
 
 import uuid
 from collections import deque
@@ -7,25 +7,25 @@
 from ..exceptions import OverloadedError
 from ..platform_api import VmBody
 
-VM_LIMIT = 20_000  # entries
-SNAPSHOT_LIMIT = 1_000  # changes that wait for the lag to pass
+MAX_VMS = 20_000
+MAX_SNAPSHOTS = 1_000  # versions kept until the lag has passed
 
 
 class _Snapshot(NamedTuple):
-    number: int
+    version: int
     changed_at: float
     vms: tuple[VmBody, ...]
 
 
 class VmList:
-    """VMs by id; readers see the list as it was ``lag_s`` seconds ago."""
+    """List of VMs; readers see the list as it was ``lag_s`` seconds ago."""
 
     def __init__(self, lag_s: float = 0.0) -> None:
         self.lag_s = lag_s
         self._vms_by_id: dict[str, VmBody] = {}
-        self._snapshots: deque[_Snapshot] = deque(maxlen=SNAPSHOT_LIMIT)
+        self._snapshots: deque[_Snapshot] = deque(maxlen=MAX_SNAPSHOTS)
         self._snapshots.append(_Snapshot(0, 0.0, ()))
-        self._instance = uuid.uuid4().hex[:8]
+        self._process_tag = uuid.uuid4().hex[:8]
 
     def change(
         self,
@@ -36,36 +36,45 @@
     ) -> None:
         """Add or replace VMs, mark VMs as leaving and remove VMs.
 
+        Args:
+            register: VMs to add; an entry of the same id is replaced.
+            leaving: Ids of VMs to mark as leaving; unknown ids are ignored.
+            remove: Ids of VMs to remove; unknown ids are ignored.
+            now: Time of the change, in seconds.
+
         Raises:
-            OverloadedError: The list would exceed ``VM_LIMIT`` entries.
+            OverloadedError: The list could exceed ``MAX_VMS`` entries.
         """
-        if len(self._vms_by_id) + len(register) > VM_LIMIT:
-            raise OverloadedError(f"the list holds at most {VM_LIMIT} VMs")
+        if len(self._vms_by_id) + len(register) > MAX_VMS:
+            raise OverloadedError(f"the list of VMs is limited to {MAX_VMS} entries")
         for vm in register:
             self._vms_by_id[vm["vm_id"]] = vm
         for vm_id in leaving:
             if vm_id in self._vms_by_id:
-                leaver = VmBody(**{**self._vms_by_id[vm_id], "state": "leaving"})
-                self._vms_by_id[vm_id] = leaver
+                leaving_vm = VmBody(**{**self._vms_by_id[vm_id], "state": "leaving"})
+                self._vms_by_id[vm_id] = leaving_vm
         for vm_id in remove:
             self._vms_by_id.pop(vm_id, None)
         vms = tuple(self._vms_by_id[vm_id] for vm_id in sorted(self._vms_by_id))
-        number = self._snapshots[-1].number + 1
-        self._snapshots.append(_Snapshot(number, now, vms))
+        version = self._snapshots[-1].version + 1
+        self._snapshots.append(_Snapshot(version, now, vms))
 
     def read(self, failure_domain: str, now: float) -> list[VmBody]:
-        """Return the VMs of one failure domain, or of all for ""."""
+        """Return the VMs of a failure domain; "" selects all domains."""
         return [
             vm
-            for vm in self._visible(now).vms
+            for vm in self._visible_snapshot(now).vms
             if failure_domain in ("", vm["failure_domain"])
         ]
 
     def etag(self, now: float) -> str:
-        """Return a tag that differs whenever the visible list does."""
-        return f'"{self._instance}-{self._visible(now).number}"'
+        """Return the entity tag of the visible list.
+
+        It changes with the list and differs between ``VmList`` instances.
+        """
+        return f'"{self._process_tag}-{self._visible_snapshot(now).version}"'
 
-    def _visible(self, now: float) -> _Snapshot:
+    def _visible_snapshot(self, now: float) -> _Snapshot:
         snapshots = self._snapshots
         while len(snapshots) > 1 and snapshots[1].changed_at + self.lag_s <= now:
             snapshots.popleft()
--- a/src/redwingrudder/standins/_worker_core.py
+++ b/src/redwingrudder/standins/_worker_core.py
@@ -1,4 +1,7 @@
-"""What a worker does, without sockets: the rules of ``worker_api``."""
+"""Behaviour of a worker as specified in ``worker_api``, without I/O.
+
+Callers pass the time, in seconds.
+"""
 
 import uuid
 from collections import deque
@@ -24,31 +27,34 @@
 )
 from ._worker_tasks import TaskPlan, plan_task
 
-RETENTION_S = 600.0  # results are kept this long after the end
-USAGE_LAG_S = 5.0  # usage is reported this late
-HISTORY_LIMIT = 100_000  # entries
-CHECKPOINT_SHARE = 0.5  # of the stop bound of a job
+RESULT_RETENTION_S = 600.0  # how long results are kept after a member ended
+USAGE_LAG_S = 5.0  # age of the reported usage
+MAX_HISTORY_ENTRIES = 100_000
+CHECKPOINT_TIME_FRACTION = 0.5  # time of a checkpoint, of the job's stop bound
 
-_UNCLAIMED = Epoch(-1, -1, -1)
+_NO_EPOCH = Epoch(-1, -1, -1)  # lower than any epoch of an owner
 
 
 class RejectedEpochError(StaleEpochError):
-    """A command came with an epoch that the worker does not accept.
+    """The epoch of a command differs from that of the last claim.
 
-    ``not_claimed`` is the code for an epoch above the highest one seen, as
-    after a restart: only a claim raises the epoch.
+    The code is ``stale_epoch`` for a lower epoch. It is ``not_claimed`` for a
+    higher one, for example after a restart of the worker, because only a
+    claim raises the epoch.
     """
 
     def __init__(self, highest: Epoch, code: str) -> None:
-        super().__init__(f"highest epoch seen is {tuple(highest)}", code=code)
+        super().__init__(
+            f"the highest epoch claimed at this worker is {tuple(highest)}", code=code
+        )
         self.highest = highest
 
 
 class HistoryEntry(NamedTuple):
-    """Something that happened at the worker, for checks of histories.
+    """An event at the worker, recorded for checks in tests.
 
-    ``what`` is "reserved", "started", "ended" or "released"; the task index
-    is -1 unless a task ended.
+    ``what`` is "reserved", "started", "ended" or "released". ``at`` is in
+    seconds. ``task_index`` and ``outcome`` are set only when a task ended.
     """
 
     at: float
@@ -61,7 +67,7 @@
 
 
 class _Member(NamedTuple):
-    """A gang member; replaced on every change."""
+    """The tasks of a gang on this worker; immutable, replaced on changes."""
 
     request: ReserveRequest
     spec: JobSpec
@@ -82,12 +88,17 @@
 
 
 class WorkerCore:
-    """A worker under a lease; every method first catches up with ``now``.
+    """A simulated worker whose owner holds a lease.
+
+    Methods with a parameter ``now`` first simulate what happened until then:
+    task ends, the lease expiry and the expiry of results. Commands raise
+    ``RejectedEpochError`` unless their epoch is that of the last claim, and
+    renew the lease.
 
     Args:
-        info: What the worker has.
+        info: Name, location and resources of the worker.
         now: Time of the start, in seconds.
-        boot_id: Identity of this start; a new one by default.
+        boot_id: Identifier of this start; a random one by default.
     """
 
     def __init__(self, info: WorkerInfo, now: float, boot_id: str = "") -> None:
@@ -95,11 +106,11 @@
         self.boot_id = boot_id or uuid.uuid4().hex
         self.draining = False
         self.fail_everything = False
-        self.highest_epoch = _UNCLAIMED
+        self.highest_epoch = _NO_EPOCH
         self.lease_until = now
-        self.history: deque[HistoryEntry] = deque(maxlen=HISTORY_LIMIT)
+        self.history: deque[HistoryEntry] = deque(maxlen=MAX_HISTORY_ENTRIES)
         self._lease_s = 0.0
-        self._sequence = 0
+        self._last_sequence = 0
         self._events: deque[TaskEndedBody] = deque()
         self._members_by_gang: dict[str, _Member] = {}
         self._closed_gang_ids: set[str] = set()
@@ -107,10 +118,10 @@
         self._usage: deque[_Usage] = deque([_Usage(now, 0, 0)])
 
     def claim(self, request: ClaimRequest, now: float) -> ClaimReply:
-        """Take the worker over under an epoch that is not lower.
+        """Set epoch and lease of the worker for an owner; returns its state.
 
         Raises:
-            RejectedEpochError: A higher epoch has been seen.
+            RejectedEpochError: The worker was claimed under a higher epoch.
         """
         self.advance(now)
         epoch = Epoch(*request["epoch"])
@@ -122,7 +133,7 @@
         return self.state(now)
 
     def state(self, now: float) -> ClaimReply:
-        """Return everything that the worker holds."""
+        """Return resources, gang members and retained results."""
         self.advance(now)
         return ClaimReply(
             boot_id=self.boot_id,
@@ -135,15 +146,15 @@
             cores=self.info.cores,
             memory_mb=self.info.memory_mb,
             members=[_member_body(m) for m in self._members_by_gang.values()],
-            sequence=self._sequence,
+            sequence=self._last_sequence,
         )
 
     def poll(self, request: PollRequest, now: float) -> PollReply:
-        """Renew the lease and return the events after ``after`` at once.
+        """Renew the lease and return the events after ``after`` immediately.
 
         Events up to ``after`` are acknowledged and dropped.
         """
-        self._accept(request["epoch"], now)
+        self._check_epoch_and_renew(request["epoch"], now)
         while self._events and self._events[0]["sequence"] <= request["after"]:
             self._events.popleft()
         return PollReply(
@@ -154,39 +165,46 @@
         )
 
     def must_answer_poll(self, request: PollRequest, now: float) -> bool:
-        """Whether a waiting poll must be answered; renews no lease."""
+        """Whether a waiting poll has to be answered now.
+
+        That is so if there are events or if another epoch has been claimed.
+        The lease is not renewed.
+        """
         self.advance(now)
         return bool(self._events) or Epoch(*request["epoch"]) != self.highest_epoch
 
     def reserve(self, request: ReserveRequest, now: float) -> CommandReply:
-        """Hold resources for a gang member until it is released."""
-        self._accept(request["epoch"], now)
+        """Reserve resources for a gang member until its tasks have ended.
+
+        A release or the lease expiry end the reservation as well.
+        """
+        self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
-        held = self._members_by_gang.get(gang_id)
-        if held is not None and held.state is MemberState.RESERVED:
+        existing = self._members_by_gang.get(gang_id)
+        if existing is not None and existing.state is MemberState.RESERVED:
             return self._reply()
-        # A late duplicate must not hold what was released before it came.
+        # A delayed duplicate must not reserve again after the release.
         if gang_id in self._started_gang_ids:
             return self._reply("already_started")
         if gang_id in self._closed_gang_ids:
             return self._reply("already_ended")
         spec = spec_from_body(request["spec"])
-        code = self._refusal(request, spec)
+        code = self._rejection_code(request, spec)
         if code:
             return self._reply(code)
         member = _Member(request, spec, MemberState.RESERVED)
         self._members_by_gang[gang_id] = member
-        self._record("reserved", member, now)
+        self._record_change("reserved", member, now)
         return self._reply()
 
     def start(self, request: MemberRequest, now: float) -> CommandReply:
-        """Start a reserved member; repeating it has no further effect."""
-        self._accept(request["epoch"], now)
+        """Start the tasks of a reserved member; repetitions have no effect."""
+        self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None:
-            known = gang_id in self._started_gang_ids
-            return self._reply("already_started" if known else "unknown_gang")
+            was_started = gang_id in self._started_gang_ids
+            return self._reply("already_started" if was_started else "unknown_gang")
         if member.state is not MemberState.RESERVED:
             return self._reply()
         self._started_gang_ids.add(gang_id)
@@ -196,66 +214,79 @@
         )
         started = member._replace(state=MemberState.STARTED, running=plans)
         self._members_by_gang[gang_id] = started
-        self._record("started", started, now)
+        self._record_change("started", started, now)
         return self._reply()
 
     def release(self, request: MemberRequest, now: float) -> CommandReply:
-        """Drop a reservation or retained results."""
-        self._accept(request["epoch"], now)
+        """Drop the reservation or the retained results of a gang member."""
+        self._check_epoch_and_renew(request["epoch"], now)
         member = self._members_by_gang.get(request["gang_id"])
         if member is not None and member.state is MemberState.STARTED:
             return self._reply("member_running")
-        self._close(request["gang_id"], now)
+        self._close_gang(request["gang_id"], now)
         return self._reply()
 
     def stop(self, request: StopRequest, now: float) -> CommandReply:
-        """Stop a started member; a mere reservation is dropped instead."""
-        self._accept(request["epoch"], now)
+        """Stop the tasks of a started member.
+
+        A member that has not started is released instead. If requested,
+        preemptible tasks write a checkpoint before they end.
+        """
+        self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None or member.state is MemberState.RESERVED:
-            self._close(gang_id, now)
+            self._close_gang(gang_id, now)
             return self._reply("unknown_gang")
         if member.state is MemberState.ENDED:
             return self._reply("already_ended")
         outcome, ends_at = TaskOutcome.STOPPED, now
         if request["checkpoint"] and member.spec.preemptible:
             outcome = TaskOutcome.CHECKPOINTED
-            ends_at = now + member.spec.stop_bound_s * CHECKPOINT_SHARE
+            ends_at = now + member.spec.stop_bound_s * CHECKPOINT_TIME_FRACTION
         self._stop_tasks(gang_id, ends_at, outcome)
         self.advance(now)
         return self._reply()
 
     def throttle(self, request: ThrottleRequest, now: float) -> CommandReply:
         """Limit a member to a share of its cores, which slows its tasks."""
-        self._accept(request["epoch"], now)
+        self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None:
             return self._reply("unknown_gang")
         if member.state is MemberState.ENDED:
             return self._reply("already_ended")
-        slower = tuple(p.throttled(request["share"], now) for p in member.running)
-        self._members_by_gang[gang_id] = member._replace(running=slower)
+        slower_plans = tuple(p.throttled(request["share"], now) for p in member.running)
+        self._members_by_gang[gang_id] = member._replace(running=slower_plans)
         return self._reply()
 
     def advance(self, now: float) -> None:
-        """End the tasks that are due and everything when the lease lapsed."""
+        """Simulate what happens until ``now``.
+
+        Due tasks end. When the lease has expired, reservations are dropped
+        and running tasks stopped. Expired results are dropped.
+        """
         self._end_due_tasks(min(now, self.lease_until))
         if now >= self.lease_until:
-            self._lapse()
+            self._expire_lease()
         self._drop_expired_results(now)
 
-    def next_change(self) -> float | None:
-        """Return when the next task ends or the lease lapses, if any."""
-        times = [p.ends_at for m in self._members_by_gang.values() for p in m.running]
+    def next_deadline(self) -> float | None:
+        """Return the earlier of the next task end and the lease expiry.
+
+        The result is None if no member holds resources.
+        """
+        deadlines = [
+            p.ends_at for m in self._members_by_gang.values() for p in m.running
+        ]
         if any(m.holds_resources for m in self._members_by_gang.values()):
-            times.append(self.lease_until)
-        return min(times, default=None)
+            deadlines.append(self.lease_until)
+        return min(deadlines, default=None)
 
-    def _accept(self, numbers: list[int], now: float) -> None:
+    def _check_epoch_and_renew(self, epoch_numbers: list[int], now: float) -> None:
         self.advance(now)
-        epoch = Epoch(*numbers)
+        epoch = Epoch(*epoch_numbers)
         if epoch < self.highest_epoch:
             raise RejectedEpochError(self.highest_epoch, "stale_epoch")
         if epoch > self.highest_epoch:
@@ -270,24 +301,24 @@
             reply["code"] = code
         return reply
 
-    def _refusal(self, request: ReserveRequest, spec: JobSpec) -> str:
-        wanted = set(request["accelerators"])
+    def _rejection_code(self, request: ReserveRequest, spec: JobSpec) -> str:
+        requested = set(request["accelerators"])
         if self.draining:
             return "draining"
-        if not wanted <= set(range(self.info.accelerators)):
+        if not requested <= set(range(self.info.accelerators)):
             return "no_such_accelerator"
         holding = [m for m in self._members_by_gang.values() if m.holds_resources]
-        if any(wanted & set(m.request["accelerators"]) for m in holding):
+        if any(requested & set(m.request["accelerators"]) for m in holding):
             return "busy"
         count = len(request["tasks"])
         slots = count
         cores = count * spec.cores_per_task
         memory_mb = count * spec.memory_mb_per_task
         for member in holding:
-            held = len(member.request["tasks"])
-            slots += held
-            cores += held * member.spec.cores_per_task
-            memory_mb += held * member.spec.memory_mb_per_task
+            task_count = len(member.request["tasks"])
+            slots += task_count
+            cores += task_count * member.spec.cores_per_task
+            memory_mb += task_count * member.spec.memory_mb_per_task
         fits = (
             slots <= self.info.slots
             and cores <= self.info.cores
@@ -296,13 +327,13 @@
         return "" if fits else "busy"
 
     def _end_due_tasks(self, until: float) -> None:
-        due = [
+        due_tasks = [
             (plan.ends_at, gang_id, plan)
             for gang_id, member in self._members_by_gang.items()
             for plan in member.running
             if plan.ends_at <= until
         ]
-        for _, gang_id, plan in sorted(due):
+        for _, gang_id, plan in sorted(due_tasks):
             self._end_task(gang_id, plan)
 
     def _end_task(self, gang_id: str, plan: TaskPlan) -> None:
@@ -315,20 +346,20 @@
         if not running:
             member = member._replace(state=MemberState.ENDED, ended_at=plan.ends_at)
         self._members_by_gang[gang_id] = member
-        self._sequence += 1
-        event = TaskEndedBody(sequence=self._sequence, gang_id=gang_id, **body)
+        self._last_sequence += 1
+        event = TaskEndedBody(sequence=self._last_sequence, gang_id=gang_id, **body)
         self._events.append(event)
-        self._record("ended", member, plan.ends_at, plan)
+        self._record_change("ended", member, plan.ends_at, plan)
 
     def _stop_tasks(self, gang_id: str, ends_at: float, outcome: TaskOutcome) -> None:
         member = self._members_by_gang[gang_id]
         plans = tuple(plan.stopped(ends_at, outcome) for plan in member.running)
         self._members_by_gang[gang_id] = member._replace(running=plans)
 
-    def _lapse(self) -> None:
+    def _expire_lease(self) -> None:
         for gang_id, member in list(self._members_by_gang.items()):
             if member.state is MemberState.RESERVED:
-                self._close(gang_id, self.lease_until)
+                self._close_gang(gang_id, self.lease_until)
             elif member.state is MemberState.STARTED:
                 self._stop_tasks(gang_id, self.lease_until, TaskOutcome.STOPPED)
         self._end_due_tasks(self.lease_until)
@@ -336,16 +367,16 @@
     def _drop_expired_results(self, now: float) -> None:
         for gang_id, member in list(self._members_by_gang.items()):
             ended = member.state is MemberState.ENDED
-            if ended and now >= member.ended_at + RETENTION_S:
-                self._close(gang_id, now)
+            if ended and now >= member.ended_at + RESULT_RETENTION_S:
+                self._close_gang(gang_id, now)
 
-    def _close(self, gang_id: str, now: float) -> None:
+    def _close_gang(self, gang_id: str, now: float) -> None:
         self._closed_gang_ids.add(gang_id)
         member = self._members_by_gang.pop(gang_id, None)
         if member is not None:
-            self._record("released", member, now)
+            self._record_change("released", member, now)
 
-    def _record(
+    def _record_change(
         self, what: str, member: _Member, at: float, plan: TaskPlan | None = None
     ) -> None:
         request = member.request
--- a/src/redwingrudder/standins/_worker_tasks.py
+++ b/src/redwingrudder/standins/_worker_tasks.py
@@ -1,4 +1,4 @@
-"""Simulated tasks of the worker stand-in."""
+"""Planned ends of the simulated tasks of the worker stand-in."""
 
 import hashlib
 import json
@@ -6,33 +6,43 @@
 
 from ..model import JobSpec, TaskOutcome
 
-TASK_SPREAD_S = 0.002  # tasks of a gang end this much apart
-FAILURE_DELAY_S = 0.05  # run time of a task when everything fails
+TASK_END_INTERVAL_S = 0.002  # between the ends of the tasks of a gang
+FAULTY_TASK_RUN_S = 0.05  # run time of each task of a worker at fault
 
 
 class TaskPlan(NamedTuple):
-    """How a simulated task will end; ``share`` is its share of cores."""
+    """When and how a simulated task will end.
+
+    ``ends_at`` is in seconds; ``core_share`` is the fraction of its cores that
+    the task may use.
+    """
 
     task_index: int
     ends_at: float
     outcome: TaskOutcome
     result: str
-    share: float = 1.0
+    core_share: float = 1.0
 
-    def throttled(self, share: float, now: float) -> "TaskPlan":
-        """Return the plan with the rest of the run time stretched."""
-        rest_s = max(self.ends_at - now, 0.0) * self.share / share
-        return self._replace(ends_at=now + rest_s, share=share)
+    def throttled(self, core_share: float, now: float) -> "TaskPlan":
+        """Return the plan with the remaining time scaled to a core share."""
+        remaining_s = max(self.ends_at - now, 0.0) * self.core_share / core_share
+        return self._replace(ends_at=now + remaining_s, core_share=core_share)
 
     def stopped(self, ends_at: float, outcome: TaskOutcome) -> "TaskPlan":
-        """Return the plan of the task when it is stopped."""
+        """Return the plan of the task if it is stopped at ``ends_at``.
+
+        A task that ends earlier keeps its outcome and result.
+        """
         if self.ends_at <= ends_at:
             return self
         return self._replace(ends_at=ends_at, outcome=outcome, result="")
 
 
-class _Script(NamedTuple):
-    """What the payload of a job asks of its simulated tasks."""
+class _TaskScript(NamedTuple):
+    """Behaviour of the simulated tasks as specified by a job's payload.
+
+    A ``result`` of None selects the default result.
+    """
 
     run_s: float
     result: str | None
@@ -46,13 +56,20 @@
     """Return when and how a task that starts now will end.
 
     A payload that is a JSON object may set ``run_s``, ``result``, ``fail``
-    and ``fail_tasks``. Any other payload gives the declared run time and a
-    digest of the payload with the task index as the result.
+    (all tasks fail) and ``fail_tasks`` (indexes of the tasks that fail). By
+    default and with any other payload a task runs for the declared time and
+    its result is a digest of the payload with the task index.
+
+    Args:
+        spec: Job of the task.
+        task_index: Index of the task in the job.
+        now: Time of the start, in seconds.
+        fail_everything: Whether the worker fails all tasks.
     """
     script = _read_script(spec)
-    ends_at = now + script.run_s + TASK_SPREAD_S * task_index
+    ends_at = now + script.run_s + TASK_END_INTERVAL_S * task_index
     if fail_everything:
-        ends_at = now + FAILURE_DELAY_S
+        ends_at = now + FAULTY_TASK_RUN_S
         return TaskPlan(task_index, ends_at, TaskOutcome.FAILED, "worker fault")
     if script.fail or task_index in script.fail_tasks:
         return TaskPlan(task_index, ends_at, TaskOutcome.FAILED, "as ordered")
@@ -63,14 +80,14 @@
     return TaskPlan(task_index, ends_at, TaskOutcome.SUCCEEDED, result)
 
 
-def _read_script(spec: JobSpec) -> _Script:
+def _read_script(spec: JobSpec) -> _TaskScript:
     try:
-        orders = json.loads(spec.payload)
-        return _Script(
-            float(orders.get("run_s", spec.declared_run_s)),
-            orders.get("result"),
-            bool(orders.get("fail", False)),
-            frozenset(orders.get("fail_tasks", ())),
+        payload = json.loads(spec.payload)
+        return _TaskScript(
+            float(payload.get("run_s", spec.declared_run_s)),
+            payload.get("result"),
+            bool(payload.get("fail", False)),
+            frozenset(payload.get("fail_tasks", ())),
         )
     except (ValueError, TypeError, AttributeError):
-        return _Script(spec.declared_run_s, None, False, frozenset())
+        return _TaskScript(spec.declared_run_s, None, False, frozenset())
--- a/src/redwingrudder/standins/platform.py
+++ b/src/redwingrudder/standins/platform.py
@@ -1,6 +1,6 @@
-"""Stand-in of the platform: key-value store and VM list over HTTP.
+"""Stand-in for the platform: key-value store and VM list over HTTP.
 
-It answers the calls of ``platform_api`` and, for tests, ``POST
+It serves the calls of ``platform_api``. For tests there are also ``POST
 /admin/faults``, ``POST /admin/vms`` and ``GET /admin/counters``.
 """
 
@@ -17,45 +17,49 @@
 
 from ..exceptions import RedwingrudderError
 from ..platform_api import DOMAIN_HEADER, MAX_BODY_BYTES, WatchLine
-from ._platform_service import Budget, Call, PlatformService, Reply, WatchStream
+from ._platform_service import Call, PlatformService, RateLimits, Reply, WatchStream
 
-TOO_MANY_REQUESTS = 429
-GZIP_FROM = 1_000  # bytes
-STREAM_QUEUE_LIMIT = 8_000_000  # bytes that wait for a slow reader of a watch
-CONNECTION_TIMEOUT_S = 120.0  # idle persistent connections
+HTTP_TOO_MANY_REQUESTS = 429
+MIN_GZIP_BYTES = 1_000  # shorter bodies are not compressed
+MAX_STREAM_QUEUE_BYTES = 8_000_000  # unsent output of one watch
+IDLE_CONNECTION_TIMEOUT_S = 120.0
+RETRY_AFTER_S = "1"
 
 
 class PlatformStandin:
-    """The platform as an HTTP server.
+    """HTTP server of the platform stand-in.
 
     Args:
         clock: The reactor, or a ``twisted.internet.task.Clock`` in tests.
-        budget: Calls a second that are answered.
-        vm_lag_s: Seconds by which the VM list lags.
+        rate_limits: Calls per second that are accepted.
+        vm_lag_s: Lag of the VM list in seconds.
     """
 
     def __init__(
         self,
         clock: IReactorTime,
-        budget: Budget | None = None,
+        rate_limits: RateLimits | None = None,
         vm_lag_s: float = 0.0,
     ) -> None:
-        self.service = PlatformService(clock, budget, vm_lag_s)
+        self.service = PlatformService(clock, rate_limits, vm_lag_s)
         self._clock = clock
         self._port: Any = None
         self._site: server.Site | None = None
 
     def listen(self, reactor: Any, host: str, port: int) -> Deferred:
-        """Open the server; the Deferred fires with the port number."""
+        """Open the listening port; the Deferred fires with its number."""
         root = _PlatformResource(self.service, self._clock)
         self._site = server.Site(
-            root, requestFactory=_BoundedRequest, timeout=CONNECTION_TIMEOUT_S
+            root, requestFactory=_BoundedRequest, timeout=IDLE_CONNECTION_TIMEOUT_S
         )
         self._port = reactor.listenTCP(port, self._site, interface=host)
         return succeed(self._port.getHost().port)
 
     def stop(self) -> Deferred:
-        """Close the server; the Deferred fires when the port is closed."""
+        """Close the watches and the port.
+
+        The Deferred fires when the port is closed.
+        """
         self.service.stop()
         if self._port is None:
             return succeed(None)
@@ -63,37 +67,37 @@
 
 
 def run_platform(host: str, port: int, reactor: Any) -> None:
-    """Serve the platform until the process ends.
+    """Run the server of the platform stand-in until the process ends.
 
     The bound address is printed as ``platform <host>:<port>``.
     """
     platform = PlatformStandin(reactor)
 
-    def announce(bound: int) -> None:
-        print(f"platform {host}:{bound}", flush=True)
+    def print_address(bound_port: int) -> None:
+        print(f"platform {host}:{bound_port}", flush=True)
 
-    def begin() -> None:
-        platform.listen(reactor, host, port).addCallback(announce)
+    def start() -> None:
+        platform.listen(reactor, host, port).addCallback(print_address)
 
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(start)
     reactor.run()
 
 
 class _BoundedRequest(server.Request):
-    """Closes the connection of a request whose body exceeds the limit."""
+    """A request that aborts its connection if the body is too large."""
 
-    _received = 0
+    _received_bytes = 0
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        self._received += len(data)
-        if self._received > MAX_BODY_BYTES:
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_BODY_BYTES:
             self.channel.forceAbortClient()
             return
         super().handleContentChunk(data)
 
 
 class _PlatformResource(resource.Resource):
-    """Passes requests to the service and writes its replies."""
+    """Decodes requests for the service and writes its replies."""
 
     isLeaf = True  # noqa: N815
 
@@ -105,14 +109,14 @@
     def render(self, request: server.Request) -> Any:
         path = request.path.decode("utf-8", "replace")
         if path.startswith("/admin/"):
-            _write(request, self._administer(path, request))
+            _write(request, self._answer_admin(path, request))
         elif path == "/v3/watch":
             self._watch(request)
         else:
             self._answer(request, self._service.handle(_decode_call(request)))
         return server.NOT_DONE_YET
 
-    def _administer(self, path: str, request: server.Request) -> Reply:
+    def _answer_admin(self, path: str, request: server.Request) -> Reply:
         try:
             if path == "/admin/faults":
                 return Reply(200, self._service.set_faults(request.content.read()))
@@ -125,43 +129,47 @@
             watches = self._service.open_watches()
             body = {"counters": self._service.counters, "open_watches": watches}
             return Reply(200, body)
-        return Reply(404, {"message": f"no {path}"})
+        return Reply(404, {"message": f"no resource {path}"})
 
     def _answer(self, request: server.Request, reply: Reply) -> None:
         if reply.delay_s <= 0:
             _write(request, reply)
             return
-        call = self._clock.callLater(reply.delay_s, _write, request, reply)
+        delayed_write = self._clock.callLater(reply.delay_s, _write, request, reply)
 
         def cancel(failure: Failure) -> None:
-            if call.active():
-                call.cancel()
+            if delayed_write.active():
+                delayed_write.cancel()
 
         request.notifyFinish().addErrback(cancel)
 
     def _watch(self, request: server.Request) -> None:
-        lines = _LineProducer(request)
-        stream = WatchStream(lines.send, lines.close)
-        outcome = self._service.open_watch(_decode_call(request), stream)
-        if isinstance(outcome, int):
+        producer = _WatchProducer(request)
+        stream = WatchStream(producer.send, producer.close)
+        result = self._service.open_watch(_decode_call(request), stream)
+        if isinstance(result, int):
             closed = request.notifyFinish()
-            closed.addBoth(lambda _: self._service.close_watch(outcome))
-        elif not lines.closed:
-            self._answer(request, outcome)
+            closed.addBoth(lambda _: self._service.close_watch(result))
+        elif not producer.closed:
+            self._answer(request, result)
 
 
 @implementer(IPushProducer)
-class _LineProducer:
-    """Writes lines to a request and bounds what a slow reader leaves."""
+class _WatchProducer:
+    """Writes the lines of a watch and bounds the queue of a slow client.
+
+    A client that lets the queue exceed ``MAX_STREAM_QUEUE_BYTES`` is
+    disconnected.
+    """
 
     def __init__(self, request: server.Request) -> None:
         self.closed = False
         self._request = request
         self._paused = False
         self._started = False
-        self._lines: deque[bytes] = deque()
-        self._waiting_bytes = 0
-        request.notifyFinish().addBoth(self._finished)
+        self._queued_lines: deque[bytes] = deque()
+        self._queued_bytes = 0
+        request.notifyFinish().addBoth(self._connection_ended)
 
     def send(self, line: WatchLine) -> None:
         if self.closed:
@@ -171,20 +179,21 @@
             self._request.setHeader("Content-Type", "application/json")
             self._request.registerProducer(self, True)
         data = json.dumps(line).encode() + b"\n"
-        self._waiting_bytes += len(data)
-        if self._waiting_bytes > STREAM_QUEUE_LIMIT:
-            # The client resumes after the last revision that it received.
+        self._queued_bytes += len(data)
+        if self._queued_bytes > MAX_STREAM_QUEUE_BYTES:
+            # No change is lost: the client opens a new watch after the last
+            # revision that it received.
             self.close()
             return
-        self._lines.append(data)
+        self._queued_lines.append(data)
         self._flush()
 
     def close(self) -> None:
-        """End the stream after what has been written."""
+        """Drop the queued lines and close the connection."""
         if self.closed:
             return
         self.closed = True
-        self._lines.clear()
+        self._queued_lines.clear()
         if self._started:
             self._request.unregisterProducer()
         self._request.channel.loseConnection()
@@ -200,12 +209,12 @@
         self.closed = True
 
     def _flush(self) -> None:
-        while self._lines and not self._paused and not self.closed:
-            data = self._lines.popleft()
-            self._waiting_bytes -= len(data)
+        while self._queued_lines and not self._paused and not self.closed:
+            data = self._queued_lines.popleft()
+            self._queued_bytes -= len(data)
             self._request.write(data)
 
-    def _finished(self, result: Any) -> None:
+    def _connection_ended(self, result: Any) -> None:
         self.closed = True
 
 
@@ -228,8 +237,8 @@
         return
     request.setResponseCode(reply.status)
     request.setHeader("Content-Type", "application/json")
-    if reply.status == TOO_MANY_REQUESTS:
-        request.setHeader("Retry-After", "1")
+    if reply.status == HTTP_TOO_MANY_REQUESTS:
+        request.setHeader("Retry-After", RETRY_AFTER_S)
     if reply.etag:
         request.setHeader("ETag", reply.etag)
     if reply.body is not None:
@@ -240,7 +249,7 @@
 def _encode_body(request: server.Request, reply: Reply) -> bytes:
     body = json.dumps(reply.body).encode()
     accepted = request.getHeader("Accept-Encoding") or ""
-    if len(body) < GZIP_FROM or "gzip" not in accepted:
+    if len(body) < MIN_GZIP_BYTES or "gzip" not in accepted:
         return body
     request.setHeader("Content-Encoding", "gzip")
     return gzip.compress(body, compresslevel=1)
--- a/tests/platform_proxy.py
+++ b/tests/platform_proxy.py
@@ -1,15 +1,16 @@
-"""Loopback proxies with fault switches, between nodes and the stand-in.
+"""TCP proxies with fault switches, between the nodes and the stand-in.
 
 Run as ``python -m tests.platform_proxy CONTROL_PORT LISTEN:TARGET...``. Each
-pair is one link. A POST of ``{"LISTEN": "MODE"}`` to the control port sets a
-link's mode:
-
-- ``up``: bytes pass.
-- ``delay``: bytes arrive ``DELAY_S`` later, in order.
-- ``cut``: bytes vanish in both directions; connections stay open.
-- ``one_way``: only what the nodes send vanishes.
-- ``reset``: the present connections are reset; new ones work.
-- ``mute``: the present connections carry nothing any more; new ones work.
+pair of ports on the loopback interface is one link. A POST of
+``{"LISTEN": "MODE"}`` to the control port sets the mode of a link:
+
+- ``up``: data is forwarded.
+- ``delay``: data is forwarded ``DELAY_S`` later, in order.
+- ``cut``: data of both directions is dropped; connections stay open.
+- ``one_way``: data from the nodes is dropped, data to them is forwarded.
+- ``reset``: the open connections are reset; new connections work.
+- ``mute``: data on the open connections is dropped for good; new connections
+  work.
 """
 
 import json
@@ -25,76 +26,84 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-DELAY_S = 0.3  # below the time-outs of the nodes, above all usual answers
+# Below the timeouts of the nodes, above the usual response times.
+DELAY_S = 0.3
 
 
 class Link:
-    """The mode and the connections of one link."""
+    """Mode and open connections of one link."""
 
     def __init__(self):
         self.mode = "up"
-        self.ends = set()
+        self.connections = set()
 
     def set_mode(self, mode):
         if mode == "reset":
-            for end in list(self.ends):
-                end.transport.abortConnection()
+            for connection in list(self.connections):
+                connection.transport.abortConnection()
         elif mode == "mute":
-            for end in self.ends:
-                end.muted = True
+            for connection in self.connections:
+                connection.muted = True
         self.mode = mode
 
 
-class _End:
-    """What both ends of a forwarded connection do with bytes."""
+class _ForwardedConnection:
+    """Forwarding common to the two sides of a proxied connection.
+
+    ``last_delivery_at`` is the delivery time of the last data received, which
+    keeps the order when a delay ends.
+    """
 
     muted = False
-    due = 0.0
-    inward = False
+    last_delivery_at = 0.0
+    from_node = False
 
     def connectionMade(self):  # noqa: N802
-        self.link.ends.add(self)
+        self.link.connections.add(self)
         super().connectionMade()
 
     def connectionLost(self, reason):  # noqa: N802
-        self.link.ends.discard(self)
+        self.link.connections.discard(self)
+        # The peer must not notice the end of a connection that drops data.
         if not self.muted and self.link.mode not in ("cut", "one_way"):
             super().connectionLost(reason)
 
     def dataReceived(self, data):  # noqa: N802
         mode = self.link.mode
-        if self.muted or mode == "cut" or (mode == "one_way" and self.inward):
+        if self.muted or mode == "cut" or (mode == "one_way" and self.from_node):
             return
         now = reactor.seconds()
-        self.due = max(now + DELAY_S if mode == "delay" else now, self.due)
-        if self.due > now:
-            reactor.callLater(self.due - now, self._pass, data)
+        self.last_delivery_at = max(
+            now + DELAY_S if mode == "delay" else now, self.last_delivery_at
+        )
+        if self.last_delivery_at > now:
+            reactor.callLater(self.last_delivery_at - now, self._forward, data)
         else:
-            self._pass(data)
+            self._forward(data)
 
-    def _pass(self, data):
+    def _forward(self, data):
         if self.peer is not None and self.peer.transport is not None:
             self.peer.transport.write(data)
 
 
-class ServerEnd(_End, ProxyServer):
-    """The connection from a node."""
+class NodeConnection(_ForwardedConnection, ProxyServer):
+    """Connection from a node to the proxy."""
 
-    inward = True
+    from_node = True
 
     @property
     def link(self):
         return self.factory.link
 
     def clientProtocolFactory(self):  # noqa: N802
-        made = ProxyClientFactory()
-        made.protocol = ClientEnd
-        made.link = self.link
-        return made
+        client_factory = ProxyClientFactory()
+        client_factory.protocol = TargetConnection
+        client_factory.link = self.link
+        return client_factory
 
 
-class ClientEnd(_End, ProxyClient):
-    """The connection to the stand-in."""
+class TargetConnection(_ForwardedConnection, ProxyClient):
+    """Connection from the proxy to the stand-in."""
 
     @property
     def link(self):
@@ -102,7 +111,7 @@
 
 
 class Control(Resource):
-    """Sets the modes of links by their port."""
+    """Sets the modes of links, which are named by their listening port."""
 
     isLeaf = True  # noqa: N815
 
@@ -116,17 +125,17 @@
         return b"{}"
 
 
-def main(control, pairs):
-    """Serve until the process is ended."""
+def main(control_port, port_pairs):
+    """Run the proxies until the process ends."""
     links = {}
-    for pair in pairs:
-        listen, _, target = pair.partition(":")
-        factory = ProxyFactory("127.0.0.1", int(target))
+    for port_pair in port_pairs:
+        listen_port, _, target_port = port_pair.partition(":")
+        factory = ProxyFactory("127.0.0.1", int(target_port))
         factory.noisy = False
-        factory.protocol = ServerEnd
-        factory.link = links[listen] = Link()
-        reactor.listenTCP(int(listen), factory, interface="127.0.0.1")
-    reactor.listenTCP(control, Site(Control(links)), interface="127.0.0.1")
+        factory.protocol = NodeConnection
+        factory.link = links[listen_port] = Link()
+        reactor.listenTCP(int(listen_port), factory, interface="127.0.0.1")
+    reactor.listenTCP(control_port, Site(Control(links)), interface="127.0.0.1")
     reactor.run()
 
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -1,8 +1,9 @@
-"""A small stand-in of the users' platform: store, operator and workers.
+"""Small stand-in for the users' platform: store, configuration and workers.
 
 Run as ``python -m tests.platform_standin PORT WORKERS [SHOWN]``. The store
-listens on PORT, worker N on PORT + 1 + N and is registered at SHOWN + N, where
-a proxy may listen. ``/control`` sets faults and shows what ran.
+listens on PORT. Worker N listens on PORT + 1 + N and is registered with port
+SHOWN + N, where a proxy may listen; SHOWN defaults to PORT + 1. A POST to
+``/control`` of the store sets fault modes and returns the runs of all workers.
 """
 
 import base64
@@ -16,14 +17,26 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-HISTORY_LIMIT = 5000  # changes; older watches get 410
-LOOK_LIMIT_S = 2.0
-LEASE_LIMIT_S = 6.0
+MAX_HISTORY_CHANGES = 5000  # changes kept for watches; older ones are dropped
+MAX_POLL_WAIT_S = 2.0
+MAX_LEASE_S = 6.0
+MAX_REPORTED_ENDS = 500  # ends of runs in the answer to a poll
+SLOW_STORE_DELAY_S = 0.2
+LOST_REPLY_PROBABILITY = 0.3  # of a write in mode "lossy"
+DELAYED_WRITE_PROBABILITY = 0.5  # of a write whose reply is lost
+DELAYED_WRITE_S = 2.0
+LATE_START_DELAY_S = 2.0
+# Columns of a row of ``Worker.runs``.
+BEGIN_COLUMN, END_COLUMN, OUTCOME_COLUMN, ACKNOWLEDGED_COLUMN = 2, 3, 4, 6
 POOL = "pool"
 
 
 class Store:
-    """Keys, leases, watches and the fault switches of the store."""
+    """Keys, leases and watches of the store, and its fault mode.
+
+    Modes are "up", "down" (answers 503), "silent" (no answers), "slow" and
+    "lossy" (some writes get no answer but take effect).
+    """
 
     def __init__(self):
         self.revision = 1
@@ -36,7 +49,7 @@
         self.random = random.Random(0)
 
     def put(self, key, value, lease=0):
-        """Write a key at the present revision."""
+        """Write a key at the present revision, within ``new_revision``."""
         created = self.items.get(key, {}).get("created", self.revision)
         self.items[key] = {
             "key": key,
@@ -45,28 +58,31 @@
             "created": created,
             "lease": lease,
         }
-        self._changed(dict(self.items[key]))
+        self._append_change(dict(self.items[key]))
 
     def remove(self, key):
-        """Remove a key at the present revision."""
+        """Remove a key at the present revision, within ``new_revision``."""
         if key in self.items:
             del self.items[key]
-            self._changed({"key": key, "revision": self.revision, "deleted": True})
+            self._append_change(
+                {"key": key, "revision": self.revision, "deleted": True}
+            )
 
-    def _changed(self, event):
+    def _append_change(self, event):
         self.history.append(event)
-        del self.history[:-HISTORY_LIMIT]
+        del self.history[:-MAX_HISTORY_CHANGES]
 
     @contextlib.contextmanager
-    def change(self):
-        """Give all changes within one revision, then tell the watches."""
+    def new_revision(self):
+        """Give the changes inside one new revision, then notify watches."""
         self.revision += 1
         yield
-        waiting, self.watches = self.watches, []
-        for watch in waiting:
+        waiting_watches, self.watches = self.watches, []
+        for watch in waiting_watches:
             self.answer_watch(*watch)
 
     def answer_watch(self, prefix, after, request, timer):
+        """Answer with the changes after a revision, or wait for a change."""
         events = [
             event
             for event in self.history
@@ -79,21 +95,23 @@
         else:
             self.watches.append((prefix, after, request, timer))
 
-    def end_watch(self, request):
+    def time_out_watch(self, request):
+        """Answer a waiting watch without changes."""
         for watch in list(self.watches):
             if watch[2] is request:
                 self.watches.remove(watch)
                 reply(request, 200, {"events": [], "currentRev": self.revision})
 
     def transact(self, body):
-        for row in body.get("precondition", []):
-            item = self.items.get(row["key"])
-            if (item["revision"] if item else 0) != row["revision"]:
+        """Apply the writes if all preconditions hold; returns status, body."""
+        for condition in body.get("precondition", []):
+            item = self.items.get(condition["key"])
+            if (item["revision"] if item else 0) != condition["revision"]:
                 return 412, {"items": []}
         for put in body.get("puts", []):
             if put.get("lease") and put["lease"] not in self.leases:
                 return 404, {}
-        with self.change():
+        with self.new_revision():
             for put in body.get("puts", []):
                 value = base64.b64decode(put["value"])
                 self.put(put["key"], value, put.get("lease", 0))
@@ -105,10 +123,10 @@
         lease = self.next_lease
         self.next_lease += 1
         self.leases[lease] = (ttl_s, None)
-        self.keep(lease)
+        self.extend_lease(lease)
         return lease
 
-    def keep(self, lease):
+    def extend_lease(self, lease):
         ttl_s, timer = self.leases[lease]
         if timer is not None and timer.active():
             timer.cancel()
@@ -119,12 +137,14 @@
         _, timer = self.leases.pop(lease, (0, None))
         if timer is not None and timer.active():
             timer.cancel()
-        with self.change():
+        with self.new_revision():
             for key in [k for k, i in self.items.items() if i["lease"] == lease]:
                 self.remove(key)
 
 
 class StoreResource(Resource):
+    """HTTP interface of the store and of ``/control``."""
+
     isLeaf = True  # noqa: N815
 
     def __init__(self, store, workers):
@@ -143,13 +163,19 @@
         if mode == "silent":
             return NOT_DONE_YET
         if mode == "slow":
-            reactor.callLater(0.2, self._serve, request, path, body)
+            reactor.callLater(SLOW_STORE_DELAY_S, self._serve, request, path, body)
             return NOT_DONE_YET
-        write = path.endswith("kv-txn")
-        if mode == "lossy" and write and self.store.random.random() < 0.3:
-            # Half of the unanswered writes take effect seconds later.
-            late = self.store.random.random() < 0.5
-            reactor.callLater(2.0 if late else 0, self.store.transact, body)
+        is_write = path.endswith("kv-txn")
+        if (
+            mode == "lossy"
+            and is_write
+            and self.store.random.random() < LOST_REPLY_PROBABILITY
+        ):
+            # The writes take effect, some of them only after a delay.
+            delayed = self.store.random.random() < DELAYED_WRITE_PROBABILITY
+            reactor.callLater(
+                DELAYED_WRITE_S if delayed else 0, self.store.transact, body
+            )
             return NOT_DONE_YET
         self._serve(request, path, body)
         return NOT_DONE_YET
@@ -157,8 +183,8 @@
     def _control(self, request, body):
         if "store" in body:
             self.store.mode = body["store"]
-        for index, change in body.get("workers", {}).items():
-            self.workers[int(index)].change(change)
+        for index, mode in body.get("workers", {}).items():
+            self.workers[int(index)].set_mode(mode)
         runs = [run for worker in self.workers for run in worker.runs]
         return reply(request, 200, {"runs": runs, "now": time.monotonic()})
 
@@ -179,7 +205,7 @@
             reply(request, 200, page)
         elif name == "kv-watch":
             wait_s = int(argument(b"waitMs")) / 1000
-            timer = reactor.callLater(wait_s, store.end_watch, request)
+            timer = reactor.callLater(wait_s, store.time_out_watch, request)
             store.answer_watch(
                 argument(b"prefix"), int(argument(b"after")), request, timer
             )
@@ -191,7 +217,7 @@
         elif name.startswith("kv-keep/"):
             lease = int(name.rpartition("/")[2])
             if lease in store.leases:
-                reply(request, 200, {"ttlMs": int(store.keep(lease) * 1000)})
+                reply(request, 200, {"ttlMs": int(store.extend_lease(lease) * 1000)})
             else:
                 reply(request, 404, {})
         else:
@@ -199,10 +225,12 @@
 
 
 class Worker:
-    """Runs tasks under one lease and one fence, and keeps what it did.
+    """Simulates tasks under a lease and a fencing token; records the runs.
 
-    ``runs`` has rows of task, run, begin, end (0 while it runs), how, worker
-    and whether the end was acknowledged.
+    The rows of ``runs`` are lists of task, run, begin, end (0 while it runs),
+    outcome, worker and whether the end was acknowledged. Times are in seconds.
+    Modes are "up", "silent" (no answers) and "late" (starts get no answer and
+    take effect later).
     """
 
     def __init__(self, index, address, store):
@@ -210,21 +238,23 @@
         self.address = address
         self.store = store
         self.runs = []
-        self.looks = []
+        self.waiting_polls = []
         self.mode = "up"
-        self.born = 0
+        self.process_started_ms = 0
         self.reset()
 
     def reset(self):
-        self.born = max(self.born + 1, int(time.time() * 1000))
-        self.begun = time.monotonic()
-        self.fence = 0
+        self.process_started_ms = max(
+            self.process_started_ms + 1, int(time.time() * 1000)
+        )
+        self.started_at = time.monotonic()
+        self.highest_token = 0
         self.running = {}
-        self.ended = []
-        self.number = 0
-        self.rows_by_number = {}
-        self.void = {}
-        self.lease = None
+        self.unacknowledged_ends = []
+        self.last_end_number = 0
+        self.rows_by_end_number = {}
+        self.last_closed_run_by_task = {}
+        self.lease_timer = None
         self.register()
 
     def register(self, state="ready"):
@@ -233,116 +263,138 @@
             "address": self.address,
             "zone": "z",
             "state": state,
-            "born": self.born,
+            "born": self.process_started_ms,
             "capacity": {"cpu": 16000, "memMb": 32000, "gpu": 8},
             "labels": ["a", "r1"],
             "remainingMs": 2000,
         }
-        with self.store.change():
+        with self.store.new_revision():
             self.store.put(f"servers/{self.worker_id}", json.dumps(entry).encode())
 
-    def change(self, mode):
+    def set_mode(self, mode):
+        """Set the mode; "crash" loses all state and restarts the worker."""
         if mode == "crash":
             for task in list(self.running):
-                self._finish(task, "crashed", listed=False)
+                self._finish(task, "crashed", reported=False)
             self.reset()
         else:
             self.mode = mode
 
     @property
     def clock_ms(self):
-        return int((time.monotonic() - self.begun) * 1000)
+        return int((time.monotonic() - self.started_at) * 1000)
 
-    def extend(self, until_ms):
-        until_ms = min(until_ms, self.clock_ms + int(LEASE_LIMIT_S * 1000))
-        if self.lease is not None and self.lease.active():
+    def extend_lease(self, until_ms):
+        until_ms = min(until_ms, self.clock_ms + int(MAX_LEASE_S * 1000))
+        if self.lease_timer is not None and self.lease_timer.active():
             until_ms = max(until_ms, self.lease_until_ms)
-            self.lease.cancel()
+            self.lease_timer.cancel()
         self.lease_until_ms = until_ms
         delay_s = max(until_ms - self.clock_ms, 0) / 1000
-        self.lease = reactor.callLater(delay_s, self.lapse)
+        self.lease_timer = reactor.callLater(delay_s, self.expire_lease)
 
-    def lapse(self):
+    def expire_lease(self):
+        """End all running tasks with the outcome "lapsed"."""
         for task in list(self.running):
             self._finish(task, "lapsed")
 
     def start(self, body):
+        """Start a run of a task; a repeated start has no effect."""
         task, run = body["task"], body["runId"]
-        present = self.running.get(task)
-        if present is not None and present["run"] == run:
+        current = self.running.get(task)
+        if current is not None and current["run"] == run:
             return 200, {}
-        if run <= self.void.get(task, 0) or present is not None:
+        if run <= self.last_closed_run_by_task.get(task, 0) or current is not None:
             return 409, {"reason": "old"}
         if body["deadlineAtMs"] <= self.clock_ms:
             return 409, {"reason": "late"}
-        self.extend(body["deadlineAtMs"])
+        self.extend_lease(body["deadlineAtMs"])
         spec = json.loads(body["spec"])
         row = [task, run, time.monotonic(), 0, "", self.worker_id, False]
         self.runs.append(row)
-        how = "failed" if spec.get("fails") else "done"
-        timer = reactor.callLater(spec["run_s"], self._finish, task, how)
+        outcome = "failed" if spec.get("fails") else "done"
+        timer = reactor.callLater(spec["run_s"], self._finish, task, outcome)
         self.running[task] = {"run": run, "row": row, "timer": timer}
         self.running[task]["run_s"] = spec["run_s"]
         return 200, {}
 
     def stop(self, body):
+        """Stop a run of a task and reject later starts of that run."""
         task, run = body["task"], body["runId"]
-        present = self.running.get(task)
-        if present is not None and present["run"] == run:
+        current = self.running.get(task)
+        if current is not None and current["run"] == run:
             self._finish(task, "stopped")
-        self.void[task] = max(self.void.get(task, 0), run)
+        self.last_closed_run_by_task[task] = max(
+            self.last_closed_run_by_task.get(task, 0), run
+        )
         return 200, {}
 
-    def _finish(self, task, how, listed=True):
-        present = self.running.pop(task)
-        if present["timer"].active():
-            present["timer"].cancel()
-        present["row"][3], present["row"][4] = time.monotonic(), how
-        self.void[task] = max(self.void.get(task, 0), present["run"])
-        if listed:
-            self.number += 1
-            self.ended.append([self.number, task, present["run"], how, ""])
-            self.rows_by_number[self.number] = present["row"]
-            looks, self.looks = self.looks, []
-            for request, timer in looks:
+    def _finish(self, task, outcome, reported=True):
+        current = self.running.pop(task)
+        if current["timer"].active():
+            current["timer"].cancel()
+        current["row"][END_COLUMN], current["row"][OUTCOME_COLUMN] = (
+            time.monotonic(),
+            outcome,
+        )
+        self.last_closed_run_by_task[task] = max(
+            self.last_closed_run_by_task.get(task, 0), current["run"]
+        )
+        if reported:
+            self.last_end_number += 1
+            self.unacknowledged_ends.append(
+                [self.last_end_number, task, current["run"], outcome, ""]
+            )
+            self.rows_by_end_number[self.last_end_number] = current["row"]
+            waiting_polls, self.waiting_polls = self.waiting_polls, []
+            for request, timer in waiting_polls:
                 if timer.active():
                     timer.cancel()
-                    self.answer_look(request)
+                    self.answer_poll(request)
 
-    def look(self, request, body):
+    def poll(self, request, body):
+        """Extend the lease, drop acknowledged ends and answer the request.
+
+        Without unacknowledged ends the answer waits for the next end, for
+        ``waitMs`` at most.
+        """
         if body.get("deadlineAtMs"):
-            self.extend(body["deadlineAtMs"])
-        for end in self.ended:
+            self.extend_lease(body["deadlineAtMs"])
+        for end in self.unacknowledged_ends:
             if end[0] <= body.get("observed", 0):
-                self.rows_by_number[end[0]][6] = True
-        self.ended = [end for end in self.ended if end[0] > body.get("observed", 0)]
-        wait_s = min(body.get("waitMs", 0) / 1000, LOOK_LIMIT_S)
-        if self.ended or not wait_s:
-            self.answer_look(request)
+                self.rows_by_end_number[end[0]][ACKNOWLEDGED_COLUMN] = True
+        self.unacknowledged_ends = [
+            end for end in self.unacknowledged_ends if end[0] > body.get("observed", 0)
+        ]
+        wait_s = min(body.get("waitMs", 0) / 1000, MAX_POLL_WAIT_S)
+        if self.unacknowledged_ends or not wait_s:
+            self.answer_poll(request)
             return
-        self.looks.append(
-            (request, reactor.callLater(wait_s, self.answer_look, request))
+        self.waiting_polls.append(
+            (request, reactor.callLater(wait_s, self.answer_poll, request))
         )
 
-    def answer_look(self, request):
+    def answer_poll(self, request):
         running = []
-        for task, present in self.running.items():
-            spent = time.monotonic() - present["row"][2]
-            percent = min(100, int(100 * spent / present["run_s"]))
-            running.append([task, present["run"], "", percent, 1])
+        for task, current in self.running.items():
+            elapsed_s = time.monotonic() - current["row"][BEGIN_COLUMN]
+            percent = min(100, int(100 * elapsed_s / current["run_s"]))
+            running.append([task, current["run"], "", percent, 1])
         reply(
             request,
             200,
             {
                 "clockMs": self.clock_ms,
-                "born": self.born,
+                "born": self.process_started_ms,
                 "running": running,
-                "ended": self.ended[:500],
+                "ended": self.unacknowledged_ends[:MAX_REPORTED_ENDS],
             },
         )
 
 
 class WorkerResource(Resource):
+    """HTTP interface of a worker."""
+
     isLeaf = True  # noqa: N815
 
     def __init__(self, worker):
@@ -356,26 +408,26 @@
         if worker.mode == "silent":
             return NOT_DONE_YET
         if worker.mode == "late" and name == "run-start":
-            reactor.callLater(2.0, self._order, name, body)
+            reactor.callLater(LATE_START_DELAY_S, self._execute, name, body)
             return NOT_DONE_YET
-        if body.get("fencingToken", 0) < worker.fence:
+        if body.get("fencingToken", 0) < worker.highest_token:
             return reply(request, 409, {"clockMs": worker.clock_ms, "reason": "fence"})
-        worker.fence = body.get("fencingToken", 0)
+        worker.highest_token = body.get("fencingToken", 0)
         if name == "hold":
-            worker.look(request, body)
+            worker.poll(request, body)
             return NOT_DONE_YET
-        status, answer = self._order(name, body)
-        return reply(request, status, {**answer, "clockMs": worker.clock_ms})
+        status, result = self._execute(name, body)
+        return reply(request, status, {**result, "clockMs": worker.clock_ms})
 
-    def _order(self, name, body):
+    def _execute(self, name, body):
         worker = self.worker
-        if body.get("fencingToken", 0) < worker.fence:
+        if body.get("fencingToken", 0) < worker.highest_token:
             return 409, {"reason": "fence"}
         return worker.start(body) if name == "run-start" else worker.stop(body)
 
 
 def reply(request, status, body):
-    """Write an answer, unless the caller has gone."""
+    """Write an answer unless the client has disconnected."""
     if not request.finished and not getattr(request, "_disconnected", False):
         request.setResponseCode(status)
         request.setHeader(b"Content-Type", b"application/json")
@@ -385,7 +437,7 @@
 
 
 def configuration():
-    """Return the operator's document."""
+    """Return the configuration document of the operator."""
     routes = [
         {
             "name": name,
@@ -409,14 +461,14 @@
     }
 
 
-def main(port, count, shown=0):
-    """Serve until the process is ended."""
+def main(port, count, first_registered_port=0):
+    """Run store and workers until the process ends."""
     store = Store()
-    with store.change():
+    with store.new_revision():
         store.put("op/config", json.dumps(configuration()).encode())
     workers = []
     for index in range(count):
-        address = f"127.0.0.1:{(shown or port + 1) + index}"
+        address = f"127.0.0.1:{(first_registered_port or port + 1) + index}"
         worker = Worker(index, address, store)
         workers.append(worker)
         reactor.listenTCP(
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -1,4 +1,4 @@
-"""Tests of the worker stand-in against the rules of ``worker_api``."""
+"""Tests that the worker stand-in behaves as ``worker_api`` specifies."""
 
 import json
 import unittest
@@ -57,6 +57,8 @@
 
 
 class WorkerCoreTests(unittest.TestCase):
+    """Epochs, lease, gang members and events, with simulated time."""
+
     def setUp(self):
         self.core = WorkerCore(INFO, 0.0, "boot-1")
         self.core.claim(claim(), 0.0)
@@ -70,14 +72,14 @@
         return [event["outcome"] for event in events]
 
     def test_only_a_claim_raises_the_epoch_and_lower_ones_are_rejected(self):
-        with self.assertRaises(RejectedEpochError) as caught:
+        with self.assertRaises(RejectedEpochError) as raised:
             self.core.reserve(reserve("g", term=2), 1.0)
-        self.assertEqual(caught.exception.code, "not_claimed")
+        self.assertEqual(raised.exception.code, "not_claimed")
         self.core.claim(claim(2), 1.0)
         for command in (self.core.start, self.core.release):
-            with self.assertRaises(RejectedEpochError) as caught:
+            with self.assertRaises(RejectedEpochError) as raised:
                 command(member("g"), 1.0)
-            self.assertEqual(caught.exception.code, "stale_epoch")
+            self.assertEqual(raised.exception.code, "stale_epoch")
         self.assertEqual(self.core.state(1.0)["members"], [])
 
     def test_a_repeated_start_runs_the_gang_once_even_after_its_release(self):
@@ -86,33 +88,33 @@
         self.assertTrue(self.core.start(member("g"), 0.5)["accepted"])
         self.assertEqual(self.outcomes(2.0), ["succeeded", "succeeded"])
         self.assertTrue(self.core.release(member("g"), 2.0)["accepted"])
-        for late in (reserve("g"), member("g")):
-            command = self.core.reserve if "spec" in late else self.core.start
-            self.assertEqual(command(late, 3.0)["code"], "already_started")
-        started = [e for e in self.core.history if e.what == "started"]
+        for request in (reserve("g"), member("g")):
+            command = self.core.reserve if "spec" in request else self.core.start
+            self.assertEqual(command(request, 3.0)["code"], "already_started")
+        started = [entry for entry in self.core.history if entry.what == "started"]
         self.assertEqual(len(started), 1)
 
-    def test_a_late_duplicate_of_a_released_reservation_holds_nothing(self):
+    def test_a_delayed_duplicate_of_a_released_reservation_is_rejected(self):
         self.core.reserve(reserve("g"), 0.0)
         self.core.release(member("g"), 0.0)
         self.assertEqual(self.core.reserve(reserve("g"), 0.0)["code"], "already_ended")
         self.assertTrue(self.core.reserve(reserve("h"), 0.0)["accepted"])
 
-    def test_a_reservation_outlives_everything_but_the_lease(self):
+    def test_a_reservation_lasts_until_the_lease_expires(self):
         self.core.reserve(reserve("g"), 0.0)
         for now in range(10, 300, 10):
             self.core.poll(poll(), float(now))
         self.assertEqual(self.core.reserve(reserve("h"), 300.0)["code"], "busy")
         self.assertEqual(self.core.start(member("g"), 331.0)["code"], "unknown_gang")
 
-    def test_tasks_stop_when_the_lease_lapses_while_nobody_asks(self):
+    def test_tasks_stop_when_the_lease_expires_without_requests(self):
         self.run_gang(spec=make_spec('{"run_s": 100}'))
         self.core.advance(1_000.0)
-        ended = [e for e in self.core.history if e.what == "ended"]
-        self.assertEqual([e.at for e in ended], [LEASE_S, LEASE_S])
-        self.assertEqual({e.outcome for e in ended}, {"stopped"})
+        ended = [entry for entry in self.core.history if entry.what == "ended"]
+        self.assertEqual([entry.at for entry in ended], [LEASE_S, LEASE_S])
+        self.assertEqual({entry.outcome for entry in ended}, {"stopped"})
 
-    def test_events_stay_until_a_poll_acknowledges_them(self):
+    def test_events_are_kept_until_a_poll_acknowledges_them(self):
         self.run_gang(spec=make_spec('{"run_s": 1, "fail_tasks": [1]}'))
         self.assertEqual(self.outcomes(2.0), ["succeeded", "failed"])
         self.assertEqual(self.outcomes(2.0), ["succeeded", "failed"])
@@ -121,19 +123,19 @@
         results = self.core.state(3.0)["members"][0]["results"]
         self.assertEqual(len(results), 2)
 
-    def test_running_work_is_not_released_and_results_expire(self):
+    def test_running_members_are_not_released_and_results_expire(self):
         self.run_gang(spec=make_spec('{"run_s": 1}'))
         self.assertEqual(self.core.release(member("g"), 0.5)["code"], "member_running")
         self.core.claim(claim(), 601.1)
         self.assertEqual(len(self.core.state(600.5)["members"]), 0)
 
-    def test_refusals_name_their_cause(self):
-        too_many = reserve("g", accelerators=(7, 8))
+    def test_rejections_have_a_code(self):
+        absent_accelerators = reserve("g", accelerators=(7, 8))
         self.assertEqual(
-            self.core.reserve(too_many, 0.0)["code"], "no_such_accelerator"
+            self.core.reserve(absent_accelerators, 0.0)["code"], "no_such_accelerator"
         )
-        too_big = reserve("g", spec=make_spec(cores_per_task=65))
-        self.assertEqual(self.core.reserve(too_big, 0.0)["code"], "busy")
+        too_many_cores = reserve("g", spec=make_spec(cores_per_task=65))
+        self.assertEqual(self.core.reserve(too_many_cores, 0.0)["code"], "busy")
         self.core.draining = True
         self.assertEqual(self.core.reserve(reserve("g"), 0.0)["code"], "draining")
 
@@ -148,6 +150,8 @@
 
 
 class WorkerStandInTests(trial.TestCase):
+    """Waiting polls, fault switches and errors over HTTP."""
+
     timeout = 10
 
     def setUp(self):
@@ -168,21 +172,21 @@
         await self.post("/v1/claim", claim())
         spec = make_spec('{"run_s": 0.05}')
         await self.post("/v1/reserve", reserve("g", spec=spec))
-        waiting = treq.post(
+        pending_poll = treq.post(
             f"http://{self.worker.address}/v1/poll",
             json.dumps(poll(wait_s=8.0)).encode(),
             persistent=False,
         )
         await self.post("/v1/start", member("g"))
-        events = (await (await waiting).json())["events"]
+        events = (await (await pending_poll).json())["events"]
         self.assertEqual(events[0]["outcome"], "succeeded")
 
     async def test_a_waiting_poll_of_a_fenced_owner_is_rejected(self):
         await self.post("/v1/claim", claim(1))
-        waiting = self.post("/v1/poll", poll(wait_s=8.0))
-        answered = ensureDeferred(waiting)
+        pending_poll = self.post("/v1/poll", poll(wait_s=8.0))
+        poll_answer = ensureDeferred(pending_poll)
         await self.post("/v1/claim", claim(2))
-        status, body = await answered
+        status, body = await poll_answer
         self.assertEqual((status, body["highest"]), (409, [2, 0, 0]))
 
     async def test_a_dropped_reply_has_taken_effect(self):
@@ -194,7 +198,7 @@
         status, body = await self.post("/v1/reserve", reserve("g"))
         self.assertTrue(body["accepted"])
 
-    async def test_malformed_bodies_are_refused_with_a_code(self):
+    async def test_malformed_bodies_are_rejected_with_a_code(self):
         status, body = await self.post("/v1/reserve", {"epoch": "x"})
         self.assertEqual((status, body["code"]), (400, "bad_request"))
         status, body = await self.post("/v1/nothing", {})
