Correct docstrings of the worker links, peers, stores and front ends

Cause: a second reading found docstrings that differ from the code (receivers of PeerReport and Drain, statuses that the store client reports as unavailability, a time-out described by an older lease duration), and sentences that had to be read twice. Change: comments, docstrings and two named constants (_PROBE_TIMER, STATUS_MISDIRECTED); the code does the same.

--- a/src/redwingrudder/_domain_directory.py
+++ b/src/redwingrudder/_domain_directory.py
@@ -26,7 +26,7 @@
         self._silent_nodes: set[str] = set()
 
     def set_members(self, message: MembersChanged) -> None:
-        """Replace the failure domains that the VM list contains."""
+        """Replace the set of failure domains by those of the VM list."""
         self._member_domains = frozenset(vm.failure_domain for vm in message.vms)
 
     def set_owner(self, owner: OwnerChanged) -> None:
--- a/src/redwingrudder/_gang_commands.py
+++ b/src/redwingrudder/_gang_commands.py
@@ -1,6 +1,6 @@
 """Sends the commands for gang members, and delays some releases.
 
-A release is delayed while only the workers have the results of a job.
+A release is delayed until the results of its job are recorded or have expired.
 """
 
 from collections.abc import Callable
--- a/src/redwingrudder/_http_resources.py
+++ b/src/redwingrudder/_http_resources.py
@@ -1,6 +1,7 @@
-"""Resources of the HTTP interface: requests to actor messages and back.
+"""Resources of the HTTP interface.
 
-This module does no I/O: ``http_api`` passes each request to ``Resources`` and
+Converts requests to actor messages, and their replies to responses. This
+module does no I/O: ``http_api`` passes each request to ``Resources`` and
 writes the response.
 """
 
--- a/src/redwingrudder/_peer_codec.py
+++ b/src/redwingrudder/_peer_codec.py
@@ -34,7 +34,7 @@
 
 
 def encode_view(view: JobView) -> WireJobView:
-    """Encode the state of a job; enum values travel as text."""
+    """Encode the state of a job; enum values are sent as text."""
     fields = view._asdict()
     fields.update(state=str(view.state), results=list(view.results))
     return WireJobView(**fields)
--- a/src/redwingrudder/_peer_plan.py
+++ b/src/redwingrudder/_peer_plan.py
@@ -40,7 +40,7 @@
 
 
 class SilentPeer(NamedTuple):
-    """A peer that has not sent a report for ``silent_s`` seconds.
+    """A peer that has not answered for ``silent_s`` seconds.
 
     Only peers with which this node recently started an exchange are reported.
     """
@@ -111,7 +111,7 @@
         """Record a report that a peer sent in a request or in a reply.
 
         Returns:
-            The address of a replaced owner, as of ``set_owner``.
+            The address of a replaced owner, see ``set_owner``.
         """
         self._last_report_at_by_id[report.node_id] = now
         self._unanswered_since_by_id.pop(report.node_id, None)
@@ -124,7 +124,7 @@
         )
 
     def select_addresses(self, now: float) -> tuple[str, ...]:
-        """Return the addresses to exchange with now.
+        """Return the addresses of the peers to exchange reports with now.
 
         The exchanges count as started at ``now``.
         """
@@ -233,10 +233,11 @@
     def _select_search_targets(
         self, domain: str, owner: _Peer | None, now: float, interval_s: float
     ) -> list[_Peer]:
-        """Return the next node of a domain in turn, and a due owner.
+        """Return the next node of a domain, and the owner if it is due.
 
         While the store is unavailable, the report of a new owner is the only
-        source of its identity. Each call tries one more node of the domain.
+        source of its identity. The nodes of the domain are tried in turn, one
+        for each call.
         """
         members = sorted(
             peer for peer in self._peers_by_id.values() if peer.failure_domain == domain
--- a/src/redwingrudder/_peer_wire.py
+++ b/src/redwingrudder/_peer_wire.py
@@ -70,8 +70,9 @@
     def stringReceived(self, frame: bytes) -> None:  # noqa: N802
         """Process one call.
 
-        A call of an unknown method is answered with an error. Then, and after
-        a frame that cannot be decoded, the connection is closed.
+        A call of an unknown method is answered with an error, and the
+        connection is closed. A frame that cannot be decoded closes the
+        connection without an answer.
         """
         try:
             name = self._read_method(frame)
--- a/src/redwingrudder/_store_codec.py
+++ b/src/redwingrudder/_store_codec.py
@@ -24,7 +24,9 @@
 class EncodedCall(NamedTuple):
     """An HTTP request: a GET when ``body`` is None, else a POST.
 
-    ``etag`` identifies a cached reply that the server need not send again.
+    ``writes`` is true if the request changes the store, so that its outcome
+    is unknown when the reply is lost. ``etag`` identifies a cached reply that
+    the server need not send again.
     """
 
     path: str
--- a/src/redwingrudder/_store_requests.py
+++ b/src/redwingrudder/_store_requests.py
@@ -1,8 +1,9 @@
 """Messages to and from the client actor of the platform store (STORE).
 
 "Ask -> reply" names the reply to a message that is sent by ``ask``. Every
-ask may raise ``StoreUnavailableError``, if the request was not sent or only
-reads, or ``OutcomeUnknownError``, if a write was sent and its reply is lost.
+ask may fail with ``StoreUnavailableError``, if the request was not sent or
+was a read whose reply is lost, or with ``OutcomeUnknownError``, if a write was
+sent and its reply is lost.
 """
 
 from typing import NamedTuple
--- a/src/redwingrudder/_store_transport.py
+++ b/src/redwingrudder/_store_transport.py
@@ -25,7 +25,7 @@
 from .exceptions import OutcomeUnknownError, StoreUnavailableError
 from .platform_api import DOMAIN_HEADER
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 1.0  # of a stream: until the response headers arrive
 MAX_REPLY_BYTES = 32_000_000
 MAX_LINE_BYTES = 8_000_000  # of one line of a watch stream
 MAX_IDLE_CONNECTIONS = 8
--- a/src/redwingrudder/_store_watch.py
+++ b/src/redwingrudder/_store_watch.py
@@ -50,7 +50,10 @@
         self._attempts = 0
 
     def open(self) -> None:
-        """Open the stream after the last delivered revision, unless open."""
+        """Open the stream after the last delivered revision.
+
+        Has no effect while the stream is open.
+        """
         if self._stream is None:
             call = encode_watch(self._prefix, self._after_revision + 1)
             self._stream = self._transport.open_stream(
--- a/src/redwingrudder/_worker_commands.py
+++ b/src/redwingrudder/_worker_commands.py
@@ -69,7 +69,7 @@
 
         Releases and stops are queued even then, because they free resources.
         Their number is bounded: there are at most two of them for each gang
-        that the worker holds.
+        at the worker.
         """
         frees_resources = isinstance(command, ReleaseMember | StopMember)
         if self._size >= MAX_QUEUED_COMMANDS and not frees_resources:
--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -58,7 +58,7 @@
 TIMEOUT_LEASE_SHARE = 1 / 6
 CLAIM_TIMEOUT_S = 2.0
 COMMAND_TIMEOUT_S = 5.0
-POLL_ANSWER_MARGIN_S = 3.0  # time for the reply after the wait of a poll
+POLL_ANSWER_MARGIN_S = 3.0  # time for the reply once the wait of a long poll ends
 LAPSE_MARGIN_S = 1.0  # allows for a worker whose clock runs slower
 OUTBOX_RETRY_S = 0.1  # while the mailbox of the dispatcher is full
 
--- a/src/redwingrudder/_worker_messages.py
+++ b/src/redwingrudder/_worker_messages.py
@@ -27,14 +27,14 @@
 
 
 class LinkEvent(NamedTuple):
-    """Told to DISPATCHER: an event from the link with this number."""
+    """Sent to DISPATCHER: an event from the link with this number."""
 
     number: int
     event: Event
 
 
 class ClaimHandled(NamedTuple):
-    """Told to a link when the dispatcher has handled its ``WorkerClaimed``.
+    """Sent to a link when the dispatcher has handled its ``WorkerClaimed``.
 
     A link drops the commands that arrive between the claim and this message:
     the scheduler sent them for an earlier claim, before it learned that the
--- a/src/redwingrudder/_worker_outbox.py
+++ b/src/redwingrudder/_worker_outbox.py
@@ -7,11 +7,12 @@
 
 
 class Outbox:
-    """Delivers messages to one actor in order, and keeps them until then.
+    """Delivers messages to one actor in order, and queues them until then.
 
-    Messages are discarded only when the receiver no longer exists. The size
-    is bounded by what a worker holds: there is one message for each answered
-    command and each ended task.
+    Messages are discarded only when the receiver no longer exists. The queue
+    has no limit. Its length is bounded by the number of gangs and tasks at
+    one worker: there is one message for each answered command and each ended
+    task.
 
     Args:
         system: The actors of the node.
--- a/src/redwingrudder/_worker_replies.py
+++ b/src/redwingrudder/_worker_replies.py
@@ -22,9 +22,10 @@
     Attributes:
         name: The event as spelled in ``worker_link.scxml``.
         claim: The reply of a "claimed" event.
-        report: What the worker holds, for a "claimed" event.
+        report: The gang members at the worker, for a "claimed" event.
         poll: The reply of a "polled" event.
-        highest_epoch: The epoch that the worker knows, for "fenced".
+        highest_epoch: The highest epoch that the worker has seen, for a
+            "fenced" event.
     """
 
     name: str
@@ -35,7 +36,7 @@
 
 
 class Expectation(NamedTuple):
-    """What a link knows about its worker, to check answers against.
+    """State of a link that the answers of its worker are checked against.
 
     Attributes:
         worker_id: Id of the worker according to the VM list.
--- a/src/redwingrudder/_worker_roster.py
+++ b/src/redwingrudder/_worker_roster.py
@@ -133,7 +133,7 @@
         """Send a message to the link of a worker.
 
         It is dropped when there is no link, because the scheduler has then
-        been told that the worker is lost.
+        been notified that the worker is lost.
         """
         link = self._links_by_worker.get(worker_id)
         if link is not None:
--- a/src/redwingrudder/actors.py
+++ b/src/redwingrudder/actors.py
@@ -52,7 +52,11 @@
         """Return the handler of each message type that the actor accepts."""
 
     def start(self) -> None:
-        """Open sockets and subscribe to timers; called once by the system."""
+        """Open sockets and subscribe to timers.
+
+        The system calls it once for each actor that is registered when the
+        system starts. An actor created later is started by its creator.
+        """
 
     def stop(self) -> Deferred | None:
         """Close sockets; the returned Deferred fires when all are closed."""
--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -33,7 +33,7 @@
 CLOSE_DELAY_S = 0.5
 
 _LINGER_TIMER = "linger"
-_SERVER_ERROR_STATUS = 500  # and above
+_SERVER_ERROR_STATUS = 500  # lowest status of a server error
 _CORRELATION_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _logger = logging.getLogger(__name__)
 
--- a/src/redwingrudder/membership.py
+++ b/src/redwingrudder/membership.py
@@ -14,7 +14,7 @@
 from .exceptions import RedwingrudderError
 from .timers import TIMERS, Subscribe, TimerFired
 
-DOMAIN_READ_INTERVAL_S = 1.0  # VMs of its own domain, read by the owner only
+DOMAIN_READ_INTERVAL_S = 1.0  # VMs of the node's domain, read by its owner only
 LIST_READ_INTERVAL_S = 10.0  # VMs of all domains, read by every node
 RETRY_INTERVAL_S = 1.0  # after a failed read
 JITTER_SHARE = 0.1  # largest relative change of a whole-list interval
@@ -25,14 +25,14 @@
 
 
 class MembershipActor(Actor):
-    """Reads the VM list and tells its subscribers when the list changes.
+    """Reads the VM list and notifies its subscribers when the list changes.
 
     The ownership actor must have this actor among its subscribers, because
     only the owner of a domain reads the VMs of the domain every second.
 
     Args:
         system: The actors of the node.
-        subscribers: Names of the actors that are told ``MembersChanged``.
+        subscribers: Names of the actors that receive ``MembersChanged``.
         failure_domain: Failure domain of the node.
         seed: Seed of the random jitter of the read interval.
     """
--- a/src/redwingrudder/peers.py
+++ b/src/redwingrudder/peers.py
@@ -36,9 +36,9 @@
 CANCEL_TIMEOUT_S = 30.0  # a cancellation waits until workers release the gang
 POLL_MARGIN_S = 5.0  # added to the wait time that the caller requested
 EXCHANGE_TIMEOUT_S = 2.0
-# Nodes normally receive a configuration change through their store watch.
-# Copying the whole document from a peer immediately would use most of the
-# traffic budget.
+# Delay before a newer configuration is copied from a peer. Nodes normally
+# receive a change through their store watch, and copying the whole document
+# immediately would use most of the traffic budget.
 CONFIGURATION_LAG_S = 2.0
 
 _EXCHANGE = "exchange"
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -289,7 +289,8 @@
 def _client_timeout_s(request: LimitedRequest, queue: Queue) -> float:
     """Return how many seconds the client waits for an answer.
 
-    This is the shorter of the client's header and the timeout of the queue.
+    This is the shorter of the client's header and the timeout of the queue,
+    or ``DEFAULT_TIMEOUT_S`` if neither is set.
     """
     try:
         requested_s = float(request.header("X-Timeout-Ms") or 0) / 1000
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -33,7 +33,7 @@
 from .http_client import JsonClient, JsonReply
 
 TIMEOUT_S = 0.4  # the usual reply takes a few milliseconds
-MAX_TIMEOUT_S = 1.2  # half of the coordinator's lease
+MAX_TIMEOUT_S = 1.2  # shorter than the coordinator's lease of 1.5 s
 TIMEOUT_LATENCY_FACTOR = 6  # multiple of the mean reply time, for a slow store
 LATENCY_WEIGHT = 0.2  # weight of the newest reply in the moving mean
 TIMEOUT_GROWTH_FACTOR = 1.5  # after a call without a reply
@@ -208,8 +208,9 @@
     ) -> JsonReply:
         """Send a call, track the store's availability and return the reply.
 
-        The store answers 429 and 503 without having executed the call, so
-        these are reported as unavailability.
+        Every status other than 200, 404, 410 and 412 is reported as
+        unavailability. The store answers 429 and 503 without having executed
+        the call.
 
         Args:
             method: HTTP method.
--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -24,6 +24,7 @@
 from .http_client import JsonClient, JsonReply
 
 MAX_IDLE_CONNECTIONS = 12  # a worker accepts 64 connections
+STATUS_MISDIRECTED = 421  # the address now belongs to a different worker
 
 # Reasons for which a worker rejects a command, by the platform's name of the
 # reason.
@@ -152,7 +153,7 @@
         return CommandReply(True, "", clock_ms)
     if reply.status == 409:
         reason = REASONS_BY_PLATFORM_NAME.get(reply.body.get("reason", ""), "invalid")
-    elif reply.status == 421:
+    elif reply.status == STATUS_MISDIRECTED:
         reason = "other_life"
     elif reply.status in (429, 503):
         reason = "unhealthy"
--- a/src/redwingrudder/requests.py
+++ b/src/redwingrudder/requests.py
@@ -244,7 +244,7 @@
 
 
 class OwnershipEnded(NamedTuple):
-    """This node no longer owns its domain; the scheduling state is dropped."""
+    """This node no longer owns its domain; scheduling state is discarded."""
 
     reason: str
 
@@ -263,7 +263,7 @@
 
 
 class Fenced(NamedTuple):
-    """Told to OWNERSHIP when a worker rejects a command with ``epoch``.
+    """Sent to OWNERSHIP when a worker rejects a command with ``epoch``.
 
     ``highest`` is the highest epoch that the worker has seen.
     """
@@ -273,7 +273,7 @@
 
 
 class Drain(NamedTuple):
-    """Ask of OWNERSHIP, HTTP_API or DISPATCHER -> None when it has drained."""
+    """Ask of HTTP_API, DISPATCHER, OWNERSHIP or PEERS -> None when drained."""
 
 
 # Membership of the deployment. MEMBERSHIP tells the changes to DISPATCHER,
@@ -303,15 +303,16 @@
 
 
 class MembersChanged(NamedTuple):
-    """The VM list as last read; told after each change."""
+    """The VM list as last read; sent after each change."""
 
     vms: tuple[VmInfo, ...]
 
 
 class PeerReport(NamedTuple):
-    """State of a node; told to OWNERSHIP, ROUTER and CONFIGURATION by PEERS.
+    """State of a node; sent to OWNERSHIP and ROUTER by PEERS.
 
-    The load of this node comes from ``LocalLoad``.
+    ROUTER also receives the report of this node, whose load comes from
+    ``LocalLoad``.
     """
 
     node_id: str
@@ -328,9 +329,9 @@
 
 
 class PeerSilent(NamedTuple):
-    """Told to OWNERSHIP and ROUTER when a node does not answer.
+    """Sent to OWNERSHIP and ROUTER when a node does not answer.
 
-    ``silent_s`` is the time since the last exchange with it in seconds.
+    ``silent_s`` is the time in seconds for which it has not answered.
     """
 
     node_id: str
@@ -341,7 +342,7 @@
 class LocalLoad(NamedTuple):
     """Load of the failure domain that this node owns.
 
-    Told to PEERS by DISPATCHER about once a second.
+    Sent to PEERS by DISPATCHER about once a second.
     """
 
     free_accelerators: int
@@ -350,7 +351,7 @@
 
 
 # Configuration. CONFIGURATION tells ``messages.ConfigurationChanged`` to
-# DISPATCHER, ROUTER, HTTP_API and PEERS.
+# DISPATCHER, ROUTER, HTTP_API, PEERS and the metrics actor.
 
 
 class GetConfiguration(NamedTuple):
@@ -370,7 +371,7 @@
 
 
 class OfferConfiguration(NamedTuple):
-    """Told to CONFIGURATION by PEERS: the configuration in force at a peer."""
+    """Sent to CONFIGURATION by PEERS: the configuration in force at a peer."""
 
     configuration: Configuration
 
--- a/src/redwingrudder/router.py
+++ b/src/redwingrudder/router.py
@@ -29,7 +29,7 @@
 from .statecharts import load_chart
 from .timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 
-# A failed owner is replaced within 5 s; the rest covers one more attempt.
+# A failed owner is replaced within 5 s; 3 s remain for one more attempt.
 FORWARD_TIMEOUT_S = 8.0
 STATUS_TIMEOUT_S = 1.0
 FIRST_RETRY_DELAY_S = 0.1
@@ -133,7 +133,7 @@
         self.domain = None
 
     def current_request(self, now: float) -> Request:
-        """Return the request with the rest of the caller's wait time."""
+        """Return the request with the remaining wait time of the caller."""
         if isinstance(self.request, requests.PollJob):
             return self.request._replace(wait_s=max(0.0, self.poll_until - now))
         return self.request
--- a/src/redwingrudder/statecharts.py
+++ b/src/redwingrudder/statecharts.py
@@ -3,8 +3,8 @@
 A chart file is a W3C SCXML document with atomic and final states. The
 ``event`` of a ``<send>`` inside a transition names an action that the caller
 carries out. A transition without a target keeps the state. An event that a
-state does not list is an error at run time, so the file has to state for
-every state how it handles each event that can occur.
+state does not list is an error at run time, so every state must list each
+event that can occur in it.
 """
 
 import importlib.resources
--- a/src/redwingrudder/store.py
+++ b/src/redwingrudder/store.py
@@ -43,6 +43,7 @@
 BUSY_RETRY_AFTER_S = 1.0
 NOT_MODIFIED = 304
 PROBE = requests.GetKey("/probe")
+_PROBE_TIMER = "probe"
 
 _logger = logging.getLogger(__name__)
 _EVENTS = frozenset({"probe_due", "answered", "call_failed", "probe_failed"})
@@ -121,7 +122,7 @@
 
     def start(self) -> None:
         """Schedule the first probe of the store, without a delay."""
-        self.tell(TIMERS, Subscribe(self.name, "probe", 0.0))
+        self.tell(TIMERS, Subscribe(self.name, _PROBE_TIMER, 0.0))
 
     def stop(self) -> Any:
         """Close the watches and the connections."""
@@ -232,7 +233,7 @@
             raise _unanswered_error(call, str(decode_failure)) from None
 
     def _timer_fired(self, fired: TimerFired) -> None:
-        if fired.timer == "probe":
+        if fired.timer == _PROBE_TIMER:
             self._chart.step("probe_due")
             return
         for key, watch in list(self._watches_by_key.items()):
@@ -256,7 +257,7 @@
 
     def _schedule_probe(self) -> None:
         delay_s = PROBE_INTERVAL_S + self._jitter.uniform(0.0, PROBE_JITTER_S)
-        self.tell(TIMERS, Subscribe(self.name, "probe", delay_s))
+        self.tell(TIMERS, Subscribe(self.name, _PROBE_TIMER, delay_s))
 
     def _announce_status(self, available: bool) -> None:
         _logger.info("store status changed", extra={"available": available})
--- a/src/redwingrudder/timers.py
+++ b/src/redwingrudder/timers.py
@@ -16,7 +16,7 @@
 class Subscribe(NamedTuple):
     """Request ``TimerFired``; replaces the subscriber's timer of that name.
 
-    Args:
+    Attributes:
         subscriber: Name of the actor that receives the event.
         timer: Name of the timer, unique for the subscriber.
         delay_s: Seconds until the first event.
