Call an HTTP response of a worker a response

Cause: answer, reply and response named three layers without a rule: the HTTP response, its parsed body and the event for the dispatcher. Change: WorkerAnswer becomes WorkerResponse, and the locals and docstrings of the worker transport follow; reply stays the parsed body, and answer the event.

--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -34,7 +34,7 @@
     read_poll,
     read_probe,
 )
-from ._worker_transport import WorkerAnswer, WorkerTransport
+from ._worker_transport import WorkerResponse, WorkerTransport
 from .actors import Actor, ActorSystem, Handler
 from .exceptions import UnavailableError
 from .messages import (
@@ -69,7 +69,7 @@
 
 _PROBE_PATH = "/v1/state"
 
-_ReplyReader = Callable[[WorkerAnswer, Expectation], ChartEvent]
+_ReplyReader = Callable[[WorkerResponse, Expectation], ChartEvent]
 
 
 class WorkerLink(Actor):
@@ -221,8 +221,8 @@
         read_reply: _ReplyReader,
     ) -> None:
         try:
-            answer = await self._send(path, body, timeout_s)
-            chart_event = read_reply(answer, self._expectation())
+            response = await self._send(path, body, timeout_s)
+            chart_event = read_reply(response, self._expectation())
         except UnavailableError as error:
             chart_event = self._handle_failed_call(path, error)
         if call_number != self._call_number:
@@ -232,7 +232,7 @@
             self.tell(TIMERS, Unsubscribe(self.name, _LAPSE_TIMER))
         self._step(chart_event)
 
-    async def _send(self, path: str, body: object, timeout_s: float) -> WorkerAnswer:
+    async def _send(self, path: str, body: object, timeout_s: float) -> WorkerResponse:
         address = self._settings.address
         if path == _PROBE_PATH:
             return await self._transport.get(address, path, timeout_s)
@@ -343,9 +343,9 @@
         try:
             body = body_of(command, self._epoch)
             timeout_s = self._timeout_s(COMMAND_TIMEOUT_S)
-            answer = await self._send(path, body, timeout_s)
+            response = await self._send(path, body, timeout_s)
             if queue_generation == self._queue_generation:
-                self._handle_command_reply(pending, answer)
+                self._handle_command_reply(pending, response)
         except UnavailableError as error:
             self._handle_failed_call(path, error)
             if queue_generation == self._queue_generation:
@@ -354,9 +354,9 @@
             self._send_commands()
 
     def _handle_command_reply(
-        self, pending: PendingCommand, answer: WorkerAnswer
+        self, pending: PendingCommand, response: WorkerResponse
     ) -> None:
-        reply = read_command(answer, self._expectation())
+        reply = read_command(response, self._expectation())
         if isinstance(reply, ChartEvent):
             self._step(reply)
             return
--- a/src/redwingrudder/_worker_replies.py
+++ b/src/redwingrudder/_worker_replies.py
@@ -1,9 +1,9 @@
-"""Converts HTTP answers of a worker to events of the link's state chart."""
+"""Converts HTTP responses of a worker to events of the link's state chart."""
 
 from typing import NamedTuple
 
 from . import _worker_codec as codec
-from ._worker_transport import WorkerAnswer
+from ._worker_transport import WorkerResponse
 from .exceptions import UnavailableError
 from .model import Epoch, WorkerReport
 from .worker_api import ClaimReply, CommandReply, PollReply
@@ -36,7 +36,7 @@
 
 
 class Expectation(NamedTuple):
-    """State of a link that the answers of its worker are checked against.
+    """State of a link that the responses of its worker are checked against.
 
     Attributes:
         worker_id: Id of the worker according to the VM list.
@@ -52,16 +52,16 @@
     boot_id: str
 
 
-def read_claim(answer: WorkerAnswer, expected: Expectation) -> ChartEvent:
-    """Convert the answer to a claim: "claimed", "restarted" or "fenced".
+def read_claim(response: WorkerResponse, expected: Expectation) -> ChartEvent:
+    """Convert the response to a claim: "claimed", "restarted" or "fenced".
 
     Raises:
-        UnavailableError: The status or the body is not a valid answer.
+        UnavailableError: The status or the body is not valid.
     """
-    rejection = _read_rejection(answer, expected)
+    rejection = _read_rejection(response, expected)
     if rejection is not None:
         return rejection
-    reply = codec.parse_reply(codec.CLAIM_REPLY, answer.content)
+    reply = codec.parse_reply(codec.CLAIM_REPLY, response.content)
     report = codec.report_from_claim(reply, expected.address)
     if report.worker.worker_id != expected.worker_id:
         detail = (
@@ -74,16 +74,16 @@
     return ChartEvent("claimed", claim=reply, report=report)
 
 
-def read_poll(answer: WorkerAnswer, expected: Expectation) -> ChartEvent:
-    """Convert the answer to a poll: "polled", "restarted" or "fenced".
+def read_poll(response: WorkerResponse, expected: Expectation) -> ChartEvent:
+    """Convert the response to a poll: "polled", "restarted" or "fenced".
 
     Raises:
-        UnavailableError: The status or the body is not a valid answer.
+        UnavailableError: The status or the body is not valid.
     """
-    rejection = _read_rejection(answer, expected)
+    rejection = _read_rejection(response, expected)
     if rejection is not None:
         return rejection
-    reply = codec.parse_reply(codec.POLL_REPLY, answer.content)
+    reply = codec.parse_reply(codec.POLL_REPLY, response.content)
     if reply["boot_id"] != expected.boot_id:
         return ChartEvent(RESTARTED)
     for body in reply["events"]:
@@ -91,20 +91,20 @@
     return ChartEvent("polled", poll=reply)
 
 
-def read_probe(answer: WorkerAnswer, expected: Expectation) -> ChartEvent:
-    """Convert the answer to a probe: "reachable".
+def read_probe(response: WorkerResponse, expected: Expectation) -> ChartEvent:
+    """Convert the response to a probe: "reachable".
 
     Raises:
-        UnavailableError: The status or the body is not a valid answer.
+        UnavailableError: The status or the body is not valid.
     """
-    if answer.status != _STATUS_OK:
-        raise UnavailableError(f"unexpected HTTP status {answer.status}")
-    codec.parse_reply(codec.CLAIM_REPLY, answer.content)
+    if response.status != _STATUS_OK:
+        raise UnavailableError(f"unexpected HTTP status {response.status}")
+    codec.parse_reply(codec.CLAIM_REPLY, response.content)
     return ChartEvent("reachable")
 
 
 def read_command(
-    answer: WorkerAnswer, expected: Expectation
+    response: WorkerResponse, expected: Expectation
 ) -> CommandReply | ChartEvent:
     """Return the reply to a command, or the event "restarted" or "fenced".
 
@@ -112,31 +112,33 @@
     sending the same command again would give the same status.
 
     Raises:
-        UnavailableError: The status or the body is not a valid answer.
+        UnavailableError: The status or the body is not valid.
     """
     if (
-        _FIRST_CLIENT_ERROR_STATUS <= answer.status < _FIRST_SERVER_ERROR_STATUS
-        and answer.status != _STATUS_CONFLICT
+        _FIRST_CLIENT_ERROR_STATUS <= response.status < _FIRST_SERVER_ERROR_STATUS
+        and response.status != _STATUS_CONFLICT
     ):
         return CommandReply(
             boot_id=expected.boot_id,
             draining=False,
             accepted=False,
-            code=f"http_{answer.status}",
+            code=f"http_{response.status}",
         )
-    rejection = _read_rejection(answer, expected)
+    rejection = _read_rejection(response, expected)
     if rejection is not None:
         return rejection
-    reply = codec.parse_reply(codec.COMMAND_REPLY, answer.content)
+    reply = codec.parse_reply(codec.COMMAND_REPLY, response.content)
     return reply if reply["boot_id"] == expected.boot_id else ChartEvent(RESTARTED)
 
 
-def _read_rejection(answer: WorkerAnswer, expected: Expectation) -> ChartEvent | None:
-    if answer.status == _STATUS_OK:
+def _read_rejection(
+    response: WorkerResponse, expected: Expectation
+) -> ChartEvent | None:
+    if response.status == _STATUS_OK:
         return None
-    if answer.status != _STATUS_CONFLICT:
-        raise UnavailableError(f"unexpected HTTP status {answer.status}")
-    body = codec.parse_reply(codec.STALE_EPOCH_REPLY, answer.content)
+    if response.status != _STATUS_CONFLICT:
+        raise UnavailableError(f"unexpected HTTP status {response.status}")
+    body = codec.parse_reply(codec.STALE_EPOCH_REPLY, response.content)
     highest_epoch = codec.epoch_from_body(body["highest"])
     if highest_epoch > expected.epoch:
         return ChartEvent("fenced", highest_epoch=highest_epoch)
--- a/src/redwingrudder/_worker_transport.py
+++ b/src/redwingrudder/_worker_transport.py
@@ -10,7 +10,7 @@
 from twisted.internet.interfaces import IReactorTCP
 
 from ._http_client import HttpClient
-from ._http_client import HttpResponse as WorkerAnswer
+from ._http_client import HttpResponse as WorkerResponse
 from .exceptions import OutcomeUnknownError, UnavailableError
 
 CONNECTIONS_PER_WORKER = 6  # for a long poll and the commands in flight
@@ -27,31 +27,31 @@
     @abc.abstractmethod
     async def post(
         self, address: str, path: str, body: Any, timeout_s: float
-    ) -> WorkerAnswer:
-        """Send a POST request and return the answer.
+    ) -> WorkerResponse:
+        """Send a POST request and return the response.
 
         Args:
             address: The ``host:port`` of the worker.
             path: URL path of the request.
             body: Value that is sent as JSON.
-            timeout_s: Longest time to wait for the answer in seconds.
+            timeout_s: Longest time to wait for the response in seconds.
 
         Raises:
-            UnavailableError: No answer arrived in time, but the command may
+            UnavailableError: No response arrived in time, but the command may
                 have taken effect.
         """
 
     @abc.abstractmethod
-    async def get(self, address: str, path: str, timeout_s: float) -> WorkerAnswer:
+    async def get(self, address: str, path: str, timeout_s: float) -> WorkerResponse:
         """Send a GET request, which does not renew the worker's lease.
 
         Args:
             address: The ``host:port`` of the worker.
             path: URL path of the request.
-            timeout_s: Longest time to wait for the answer in seconds.
+            timeout_s: Longest time to wait for the response in seconds.
 
         Raises:
-            UnavailableError: No answer arrived in time.
+            UnavailableError: No response arrived in time.
         """
 
     async def close(self) -> None:
@@ -75,12 +75,12 @@
 
     async def post(
         self, address: str, path: str, body: Any, timeout_s: float
-    ) -> WorkerAnswer:
+    ) -> WorkerResponse:
         """See base class."""
         content = json.dumps(body, separators=(",", ":")).encode()
         return await self._request("POST", address, path, content, timeout_s)
 
-    async def get(self, address: str, path: str, timeout_s: float) -> WorkerAnswer:
+    async def get(self, address: str, path: str, timeout_s: float) -> WorkerResponse:
         """See base class."""
         return await self._request("GET", address, path, None, timeout_s)
 
@@ -95,11 +95,11 @@
         path: str,
         content: bytes | None,
         timeout_s: float,
-    ) -> WorkerAnswer:
+    ) -> WorkerResponse:
         """Send a request.
 
         Raises:
-            UnavailableError: There was no answer. The callers do not need to
+            UnavailableError: There was no response. The callers need not
                 know whether the request was sent.
         """
         url = f"http://{address}{path}"
--- a/src/redwingrudder/platform/http_client.py
+++ b/src/redwingrudder/platform/http_client.py
@@ -59,16 +59,16 @@
         content = None
         if body is not None:
             content = json.dumps(body, separators=(",", ":")).encode()
-        answer = await self._client.send(
+        response = await self._client.send(
             method, self._base + path, content, timeout_s, headers
         )
         try:
-            document = json.loads(answer.content) if answer.content.strip() else {}
+            document = json.loads(response.content) if response.content.strip() else {}
             if not isinstance(document, dict):
                 raise ValueError("the reply is not a JSON object")
         except ValueError as error:
             raise OutcomeUnknownError(f"malformed reply to {path}: {error}") from error
-        return JsonReply(answer.status, document)
+        return JsonReply(response.status, document)
 
     def reset(self) -> None:
         """Close idle connections, whose peer may be unreachable by now."""
--- a/src/redwingrudder/workers.py
+++ b/src/redwingrudder/workers.py
@@ -11,7 +11,7 @@
     LinkSettings,
     link_name,
 )
-from ._worker_transport import HttpTransport, WorkerAnswer, WorkerTransport
+from ._worker_transport import HttpTransport, WorkerResponse, WorkerTransport
 
 __all__ = [
     "ClaimHandled",
@@ -19,8 +19,8 @@
     "HttpTransport",
     "LinkEvent",
     "LinkSettings",
-    "WorkerAnswer",
     "WorkerLink",
+    "WorkerResponse",
     "WorkerTransport",
     "link_name",
 ]
--- a/tests/worker_fakes.py
+++ b/tests/worker_fakes.py
@@ -6,7 +6,7 @@
 
 from redwingrudder.exceptions import UnavailableError
 from redwingrudder.standins.worker import RejectedEpochError, WorkerCore
-from redwingrudder.workers import WorkerAnswer, WorkerTransport
+from redwingrudder.workers import WorkerResponse, WorkerTransport
 
 REQUEST_DELAY_S = 0.001
 POLL_CHECK_INTERVAL_S = 0.1  # between checks of a waiting poll for events
@@ -70,8 +70,8 @@
             self.replies_to_drop -= 1
             raise UnavailableError("reply dropped after the request was executed")
         if path in self.malformed_replies:
-            return WorkerAnswer(200, self.malformed_replies[path])
-        return WorkerAnswer(status, json.dumps(reply).encode())
+            return WorkerResponse(200, self.malformed_replies[path])
+        return WorkerResponse(status, json.dumps(reply).encode())
 
     async def get(self, address, path, timeout_s):
         self.posted.append((address, path, None))
@@ -80,7 +80,7 @@
             raise UnavailableError("worker unreachable")
         await self._sleep(REQUEST_DELAY_S)
         reply = self.cores_by_address[address].state(self.clock.seconds())
-        return WorkerAnswer(200, json.dumps(reply).encode())
+        return WorkerResponse(200, json.dumps(reply).encode())
 
     def _execute(self, address, path, body):
         core = self.cores_by_address[address]
