Use one word for HTTP responses, and plain verbs in docstrings

Cause: the platform's front end called its Response objects answers; several docstrings used hold, take, rest and others loosely, and one named a wrong end of the shutdown. Change: locals and private functions of the front end are named after the response (the log field answer stays); docstrings are reworded.

--- a/src/redwingrudder/_announcer.py
+++ b/src/redwingrudder/_announcer.py
@@ -32,7 +32,7 @@
         """Send a message to all subscribers.
 
         Raises:
-            MailboxFullError: The queue of a subscriber already holds
+            MailboxFullError: The queue of a subscriber already has
                 ``MAX_QUEUED_MESSAGES``; nothing was sent.
         """
         queues = self._queues_by_subscriber
--- a/src/redwingrudder/_chart_runner.py
+++ b/src/redwingrudder/_chart_runner.py
@@ -9,7 +9,7 @@
 
 
 class ChartRunner:
-    """Holds the current state of a chart and carries out its actions.
+    """Stores the current state of a chart and carries out its actions.
 
     Args:
         chart: The loaded chart.
--- a/src/redwingrudder/_domain_choice.py
+++ b/src/redwingrudder/_domain_choice.py
@@ -64,7 +64,7 @@
     it waits in the node's own domain. Domains whose queue is much longer than
     the shortest one are the last choice to wait in. Otherwise all jobs of an
     organisation that submits very many would wait in one domain while the
-    others are idle.
+    other domains are idle.
     """
 
     def choose(
--- a/src/redwingrudder/_peer_link.py
+++ b/src/redwingrudder/_peer_link.py
@@ -1,6 +1,6 @@
 """Client connection to one peer node, with its outstanding calls.
 
-The chart ``peer_link.scxml`` holds the states of the connection.
+The chart ``peer_link.scxml`` defines the states of the connection.
 """
 
 import enum
--- a/src/redwingrudder/_store_codec.py
+++ b/src/redwingrudder/_store_codec.py
@@ -15,7 +15,7 @@
     RedwingrudderError,
 )
 
-PAGE_KEYS = 200  # bounds the size of a reply: job records hold up to 64 KB
+PAGE_KEYS = 200  # bounds the size of a reply: job records have up to 64 KB
 MAX_VALUE_BYTES = 1_000_000  # limit of the platform's store
 BUSY_RETRY_AFTER_S = 1.0
 MAX_DETAIL_BYTES = 200  # of a reply that is quoted in an error
--- a/src/redwingrudder/actors.py
+++ b/src/redwingrudder/actors.py
@@ -78,7 +78,7 @@
         """Append a message to the mailbox; called by the actor system only.
 
         Raises:
-            MailboxFullError: The mailbox holds ``MAILBOX_LIMIT`` messages.
+            MailboxFullError: The mailbox has ``MAILBOX_LIMIT`` messages.
         """
         if len(self._mailbox) >= MAILBOX_LIMIT:
             raise MailboxFullError(
--- a/src/redwingrudder/http_api.py
+++ b/src/redwingrudder/http_api.py
@@ -43,7 +43,7 @@
 
     Attributes:
         interface: Address to listen on.
-        port: TCP port; 0 takes any free port.
+        port: TCP port; 0 selects any free port.
         requests_limit: Requests in progress above which more are refused.
     """
 
--- a/src/redwingrudder/membership.py
+++ b/src/redwingrudder/membership.py
@@ -126,6 +126,7 @@
         self.tell(TIMERS, Subscribe(self.name, timer, delay_s))
 
     def _merge_vms(self, failure_domain: str, vms: tuple[requests.VmInfo, ...]) -> None:
+        # The store client returns the same tuple while the list is unchanged.
         if vms is self._last_read:
             return
         self._last_read = vms
--- a/src/redwingrudder/peers.py
+++ b/src/redwingrudder/peers.py
@@ -56,7 +56,7 @@
         node_rank: Rank of this node, which its epochs contain.
         failure_domain: Failure domain of this node.
         interface: Address that the thrift server listens on.
-        port: Port of the thrift server; 0 takes any free port.
+        port: Port of the thrift server; 0 selects any free port.
         advertised_address: host:port that other nodes connect to. If it is
             empty, the address of the listening socket is advertised.
     """
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -42,7 +42,7 @@
 ID_HEX_DIGITS = 16
 MAX_STEPS = 64
 MAX_TASKS = 20_000  # of one workflow, over all its occurrences
-LOGGED_ANSWER_CHARACTERS = 200
+LOGGED_RESPONSE_CHARACTERS = 200
 LISTEN_BACKLOG = 1024  # connections
 
 _logger = logging.getLogger(__name__)
@@ -99,7 +99,7 @@
         self._configuration = message.configuration
 
     def _drain(self, message: Drain) -> None:
-        """Close each client connection after its next answer from now on."""
+        """Close each client connection after its next response."""
         self._draining = True
 
     def _respond(self, request: LimitedRequest) -> None:
@@ -113,28 +113,28 @@
     ) -> None:
         started_at = self._reactor.seconds()
         try:
-            answer = await self._handle(request)
+            response = await self._handle(request)
         except OutcomeUnknownError as error:
-            answer = _error_answer(504, error)
+            response = _error_response(504, error)
         except RedwingrudderError as error:
-            answer = _error_answer(error.http_status, error)
+            response = _error_response(error.http_status, error)
         except Exception:
             _logger.exception("request handler raised an unexpected exception")
-            answer = _json_answer(500, {"error": "internal_error"})
+            response = _json_response(500, {"error": "internal_error"})
         finally:
             self._open_count -= 1
         self._count_request(
-            request, answer.status, self._reactor.seconds() - started_at
+            request, response.status, self._reactor.seconds() - started_at
         )
-        if answer.status >= 400:
-            self._log_refusal(request, answer)
+        if response.status >= 400:
+            self._log_refusal(request, response)
         if connection_errors:
             return
-        if self._draining or answer.status == 503:
+        if self._draining or response.status == 503:
             # The load balancer routes the client's next connection to a node
             # that is ready; an open connection would stay with this node.
             request.setHeader(b"Connection", b"close")
-        request.write_response(answer)
+        request.write_response(response)
 
     def _count_request(
         self, request: LimitedRequest, status: int, seconds: float
@@ -145,17 +145,17 @@
         self.tell(METRICS, IncrementCounter("requests", (method, str(status))))
         self.tell(METRICS, ObserveDuration("request_seconds", (method,), seconds))
 
-    def _log_refusal(self, request: LimitedRequest, answer: Response) -> None:
-        """Log an answer with an error status, at a limited rate."""
+    def _log_refusal(self, request: LimitedRequest, response: Response) -> None:
+        """Log a response with an error status, at a limited rate."""
         if not self._refusal_logs.take(self._reactor.seconds()):
             _logger.info(
                 "request refused",
                 extra={
                     "job": request.path.decode("ascii", "replace").rpartition("/")[2],
                     "method": request.method.decode("ascii", "replace"),
-                    "status": answer.status,
-                    "answer": answer.body.decode("utf-8", "replace")[
-                        :LOGGED_ANSWER_CHARACTERS
+                    "status": response.status,
+                    "answer": response.body.decode("utf-8", "replace")[
+                        :LOGGED_RESPONSE_CHARACTERS
                     ],
                     "configuration_version": (
                         self._configuration.version if self._configuration else 0
@@ -175,10 +175,10 @@
         path = request.path.decode("ascii", "replace")
         queue = configuration.find_queue(host, path)
         if queue is None:
-            return _json_answer(404, {"error": "no_such_queue"})
+            return _json_response(404, {"error": "no_such_queue"})
         organisation = self._find_organisation(request, configuration)
         if organisation is None and not queue.open:
-            return _json_answer(401, {"error": "unknown_key"})
+            return _json_response(401, {"error": "unknown_key"})
         workflow_id = path[len(queue.prefix) :]
         return await self._serve(request, queue, organisation or "", workflow_id)
 
@@ -199,19 +199,19 @@
                 workflow_id, request.content.getvalue(), queue, organisation
             )
             await self.ask(INTAKE, SubmitWorkflow(workflow, timeout_s))
-            return _json_answer(200, {})
+            return _json_response(200, {})
         if request.method == b"GET" and not workflow_id:
             count = await self.ask(INTAKE, GetQueueLength(queue.name))
-            return _json_answer(200, {"pending": count})
+            return _json_response(200, {"pending": count})
         if request.method == b"GET":
             state = await self.ask(INTAKE, GetState(workflow_id))
             if not state:
-                return _json_answer(410, {"error": "no_such_job"})
-            return _json_answer(200, {"state": str(state)})
+                return _json_response(410, {"error": "no_such_job"})
+            return _json_response(200, {"state": str(state)})
         if request.method == b"DELETE" and workflow_id:
             found = await self.ask(INTAKE, CancelWorkflow(workflow_id, timeout_s))
-            return _json_answer(200 if found else 410, {})
-        return _json_answer(405, {"error": "method_not_allowed"})
+            return _json_response(200 if found else 410, {})
+        return _json_response(405, {"error": "method_not_allowed"})
 
 
 def decode_submission(
@@ -300,7 +300,7 @@
     return min(limits, default=DEFAULT_TIMEOUT_S)
 
 
-def _json_answer(
+def _json_response(
     status: int, body: dict[str, Any], retry_after_s: float = 0.0
 ) -> Response:
     headers = ()
@@ -309,8 +309,8 @@
     return Response(status, "application/json", json.dumps(body).encode(), headers)
 
 
-def _error_answer(status: int, error: RedwingrudderError) -> Response:
+def _error_response(status: int, error: RedwingrudderError) -> Response:
     body: dict[str, Any] = {"error": error.code, "detail": error.detail}
     if error.retry_after_s:
         body["retryAfterMs"] = int(error.retry_after_s * 1000)
-    return _json_answer(status, body, error.retry_after_s or 0.0)
+    return _json_response(status, body, error.retry_after_s or 0.0)
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -44,8 +44,8 @@
 SETTINGS_VARIABLE = "REDWINGRUDDER_CONFIG"
 # End of the grace period that is reserved for the last answers to clients.
 FINAL_ANSWERS_S = 1.0
-# Share of FINAL_ANSWERS_S for which open requests are awaited; the rest is for
-# closing the sockets.
+# Share of FINAL_ANSWERS_S for which open requests are awaited; the remaining
+# time is for closing the sockets.
 FINAL_ANSWERS_WAIT_SHARE = 0.7
 DRAIN_CHECK_INTERVAL_S = 0.05
 # Time for which a node without the store stays ready, since shorter outages
@@ -125,7 +125,7 @@
         )
 
     def stop(self) -> None:
-        """Hand the coordination over and exit when the grace period ends."""
+        """Hand the coordination over and exit before the grace period ends."""
         if not self._stopping:
             self._stopping = True
             _logger.info("node is draining")
--- a/src/redwingrudder/router.py
+++ b/src/redwingrudder/router.py
@@ -1,6 +1,6 @@
 """Routing of requests to the owner of a failure domain.
 
-The chart ``forward.scxml`` holds the rules for repeating a request: to which
+The chart ``forward.scxml`` defines the rules for repeating a request: to which
 domain it may be sent after each outcome, and which result the caller gets.
 """
 
