Correct the clock and several docstrings of the workflow engine

The docstrings called the engine's time a steady clock, but callers pass the time of the Twisted reactor, which is the system clock. They now say node-clock seconds, and WorkflowProgress.accepted_mono is accepted_at.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -133,7 +133,7 @@
         """Report queue wait and completion of a workflow, each once."""
         workflow = progress.workflow
         labels = (workflow.queue, workflow.organisation)
-        elapsed_s = self._system.clock.seconds() - progress.accepted_mono
+        elapsed_s = self._system.clock.seconds() - progress.accepted_at
         if progress.begun and not progress.wait_observed:
             progress.wait_observed = True
             self._tell_metrics(ObserveDuration("queue_wait_seconds", labels, elapsed_s))
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -106,11 +106,11 @@
         worker.update_leave_time(now)
 
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
-        """Interrupt all runs of a worker on which nothing runs any more.
+        """Mark all runs of a worker as interrupted; none may be running.
 
         Args:
             worker_id: The worker; an unknown one is ignored.
-            now: Steady-clock seconds.
+            now: Node-clock seconds.
             reason: Cause, for the log.
         """
         worker = self.workers_by_id.get(worker_id)
@@ -147,7 +147,7 @@
         )
 
     def remove_worker(self, worker_id: str, now: float, reason: str) -> None:
-        """Remove a worker that is known to be gone; interrupt its runs."""
+        """Remove a worker that is gone, and interrupt its runs."""
         self.interrupt_worker(worker_id, now, reason)
         self.workers_by_id.pop(worker_id, None)
 
@@ -173,7 +173,7 @@
             run: Number of the run.
             reason: Code of the refusal. "permit" also drops the worker's
                 permit for the step.
-            now: Steady-clock seconds.
+            now: Node-clock seconds.
         """
         task = self.current(key, run)
         if task is None:
@@ -187,8 +187,8 @@
     def report(self, worker_id: str, running: Iterable[RunReport], now: float) -> None:
         """Update progress and checkpoints from the runs that a worker lists.
 
-        A listed run confirms its start. Runs that are not the current run of
-        their task are stopped.
+        A listed run confirms its start. A listed run that is not the current
+        run of its task is passed to ``stop_superseded_run``.
         """
         for entry in running:
             task = self.find(entry.key)
@@ -256,7 +256,7 @@
         """Run a planning pass and return all pending effects.
 
         Args:
-            now: Steady-clock seconds.
+            now: Node-clock seconds.
             wall: Unix seconds, for occurrences with a due time.
         """
         active = [p for p in self.workflows_by_id.values() if p.ended_at is None]
@@ -294,7 +294,7 @@
             tickets: Ticket by id of each worker that may run the step; None
                 if the service did not answer.
             valid_s: Seconds for which the tickets are valid.
-            now: Steady-clock seconds at which the request was sent.
+            now: Node-clock seconds at which the request was sent.
         """
         progress = self.workflows_by_id.get(advice_request.workflow_id)
         if progress is None:
@@ -341,9 +341,10 @@
             task.speed_percent = FULL_SPEED_PERCENT
 
     def supervise(self, now: float) -> None:
-        """Stop runs that are stuck, far too slow, or on leaving workers.
+        """Stop runs that should be restarted on another worker.
 
-        Their tasks become ready to run on another worker.
+        These are runs that are stuck, that a slow worker delays, or that would
+        end only after their worker leaves.
         """
         workers = list(self.workers_by_id.values())
         for task, reason, counts_against_worker in runs_to_interrupt(
@@ -361,13 +362,16 @@
     ) -> None:
         """Restore a run that is named by a stored record or by a worker.
 
+        A task that is placed already keeps its current run; the start of that
+        run is confirmed if it is the given one and ``started`` is set.
+
         Args:
-            key: The task. Unknown and ended tasks are ignored.
+            key: The task; the run is ignored if the task is unknown or ended.
             run: Number of the run.
             worker_id: Worker of the run; the run is ignored if the worker is
                 unknown.
             started: Whether the worker has confirmed the start.
-            now: Steady-clock seconds.
+            now: Node-clock seconds.
         """
         task = self.find(key)
         if task is None or task.ended:
@@ -402,8 +406,8 @@
                 rejects starts sent by earlier sessions, and this session has
                 sent none yet: a missing run cannot start any more. In later
                 reports, a run that is starting or stopping is kept, since the
-                session's command may still arrive.
-            now: Steady-clock seconds.
+                session's command may be in flight.
+            now: Node-clock seconds.
         """
         worker = self.workers_by_id.get(worker_id)
         for task in list(worker.tasks_by_key.values()) if worker else ():
@@ -448,7 +452,7 @@
         if current and task.state == "running":
             self.run_times.record_end(task, now)
         # The members of a gang end together, so the end of one member
-        # completes the others as well.
+        # completes all of them.
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
             if member.ended:
--- a/src/redwingrudder/workflows/maintenance.py
+++ b/src/redwingrudder/workflows/maintenance.py
@@ -68,7 +68,7 @@
         state: State in ``UPKEEP_CHART``.
         worker_id: Worker on the machine when it was chosen, "" before. The
             machine has had its upkeep when it is up with another worker.
-        empty_by: Steady-clock seconds until which runs may end by themselves.
+        empty_by: Node-clock seconds until which runs may end by themselves.
     """
 
     def __init__(self, machine_id: str) -> None:
@@ -138,8 +138,8 @@
 
         Args:
             listed: Machines that the platform lists.
-            workers_by_id: Known workers.
-            now: Steady-clock seconds.
+            workers_by_id: All workers.
+            now: Node-clock seconds.
 
         Returns:
             The machines that were chosen, now in state "emptying".
@@ -171,13 +171,14 @@
     """Return the runs to stop on a worker that is being emptied.
 
     Runs that are expected to end in time are not stopped. For a service with
-    a limit on unavailable tasks, only as many runs are stopped as it allows.
+    a limit on unavailable tasks, only as many runs are stopped as it allows;
+    runs of other services are always stopped.
 
     Args:
         worker: The worker.
-        empty_by: Steady-clock seconds until which runs may end by themselves.
+        empty_by: Node-clock seconds until which runs may end by themselves.
         run_times: Expected run times.
-        now: Steady-clock seconds.
+        now: Node-clock seconds.
     """
     stopped: list[Task] = []
     for task in worker.tasks_by_key.values():
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -191,7 +191,7 @@
         rack: Rack label, "" if the worker has none.
         labels: All labels, including the rack.
         capacity: Total resources of the worker.
-        draining: Whether the worker is about to leave and takes no new work.
+        draining: Whether the worker is about to leave and accepts no new runs.
         remaining_s: While draining, seconds for which the worker is
             guaranteed to stay.
     """
@@ -209,7 +209,11 @@
 
 
 class EndKind(enum.StrEnum):
-    """Way in which a run ended, as reported by its worker."""
+    """Way in which a run ended, as reported by its worker.
+
+    All kinds except DONE and FAILED are interruptions, which do not count as
+    failed attempts.
+    """
 
     DONE = "done"
     FAILED = "failed"
--- a/src/redwingrudder/workflows/ordering.py
+++ b/src/redwingrudder/workflows/ordering.py
@@ -55,8 +55,8 @@
 
 
 def slack_s(stage: Stage, run_times: RunTimeEstimates, now: float) -> float:
-    """Return how many seconds the step can wait and still be on time."""
-    waited = now - stage.workflow.accepted_mono
+    """Return how many seconds the step can wait without being late."""
+    waited = now - stage.workflow.accepted_at
     return objective_s(stage, run_times) - waited - remaining_chain_s(stage, run_times)
 
 
@@ -64,10 +64,10 @@
     """Orders steps by priority, then lateness, then slack or amount of work.
 
     Within a priority, steps that are on time come first, the one with the
-    least slack before the others. Steps that are late but still earn reduced
-    credit follow, and steps too late for any credit come last; both groups
-    are sorted by the smallest amount of work. Services always count as on
-    time.
+    least slack first. They are followed by steps that are late but earn
+    reduced credit, and then by steps that are too late for any credit; both
+    of these groups are sorted by amount of work, the smallest first. Services
+    always count as on time.
 
     Args:
         run_times: Expected run times.
@@ -80,7 +80,7 @@
         """See base class."""
         policy = stage.workflow.workflow.policy
         slack = slack_s(stage, self._run_times, now)
-        waited = now - stage.workflow.accepted_mono
+        waited = now - stage.workflow.accepted_at
         if slack >= 0 or stage.spec.service:
             lateness = ON_TIME
         elif waited + remaining_chain_s(
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -14,7 +14,7 @@
 # released.
 PREEMPTED_RUN_S = 0.2
 # Below this progress and elapsed time, the remaining run time is derived from
-# the expected run time rather than from the run's own progress.
+# the expected run time rather than from the progress of the run.
 MIN_PROJECTION_PERCENT = 5
 MIN_PROJECTION_S = 0.3
 # Lower bounds on the remaining time of a run that should have ended by now: a
@@ -82,7 +82,7 @@
     """Capacity that is idle, or free when runs end at their expected time.
 
     Args:
-        now: Steady-clock seconds.
+        now: Node-clock seconds.
         run_times: Expected run times.
     """
 
@@ -120,7 +120,7 @@
     """Capacity that is idle, or free after less urgent runs are stopped.
 
     Args:
-        now: Steady-clock seconds.
+        now: Node-clock seconds.
         rank: Rank of the step that needs capacity.
         rank_of: Returns the rank of a running task's step. Only tasks with a
             numerically higher rank are stopped.
@@ -265,8 +265,8 @@
     Args:
         pool: Name of the pool.
         label: Label that a worker must have, "" for any worker.
-        workers: All known workers.
-        now: Steady-clock seconds.
+        workers: All workers.
+        now: Node-clock seconds.
     """
     return [
         worker
@@ -282,16 +282,16 @@
 ) -> list[Worker]:
     """Return the workers that may run a step's tasks.
 
-    Slow workers are excluded as long as the others could hold the step. The
-    same applies, for a step with failed runs, to workers that are suspected
-    of causing failures, since the step has few attempts left. A queue that
-    needs advice uses only workers with a valid permit.
+    Slow workers are excluded if the remaining workers have enough capacity
+    for the step. If the step has failed runs, so that few attempts are left,
+    the same applies to workers that are suspected of causing failures. A queue
+    that needs advice uses only workers with a valid permit.
 
     Args:
         stage: The step.
         usable: Workers of its pool, with its label, that accept new runs.
         not_slow: The workers in ``usable`` that are not slow.
-        now: Steady-clock seconds.
+        now: Node-clock seconds.
     """
     preferred = not_slow
     if stage.workflow.workflow.policy.advised:
@@ -337,15 +337,15 @@
     """Choose placement options for tasks of a step, at most one for each.
 
     For a gang, either all tasks get an option or none does. A gang that is
-    slower on several racks is spread over racks only if no single rack could
-    hold it when empty.
+    slower on several racks is spread over racks only if it would not fit into
+    any single rack even when that rack is idle.
 
     Args:
         stage: The step.
         tasks: Tasks of the step to place.
         workers: Workers that may run them.
         source: Lists the capacity of a worker.
-        now: Steady-clock seconds.
+        now: Node-clock seconds.
     """
     spec = stage.spec
     demand = resources_used(spec)
@@ -411,7 +411,7 @@
 
 
 def fits_when_empty(stage: Stage, count: int, workers: list[Worker]) -> bool:
-    """Return whether the workers, when idle, could hold the tasks at once.
+    """Return whether tasks of a step fit on the workers when these are idle.
 
     Args:
         stage: The step.
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -31,8 +31,8 @@
 # Rank of urgent work that fits its organisation's guarantee. It is placed
 # before, and may preempt, all other work.
 GUARANTEED_RANK = -1
-# A step that is not of an urgent queue may preempt less urgent work only
-# when it is still on time and its slack is below this.
+# A step that is not of an urgent queue may preempt less urgent work only if
+# its slack is below this and it is not late yet.
 PREEMPT_SLACK_S = 2.0
 # Number of waiting steps for which a pass reserves capacity. Reserving for
 # more steps would leave too much of the fleet idle.
@@ -82,10 +82,10 @@
 
         Args:
             progress: Workflows that have not ended.
-            workers: All known workers.
+            workers: All workers.
             guaranteed_by_organisation: Number of accelerators guaranteed to
                 the urgent workflows of each organisation.
-            now: Steady-clock seconds.
+            now: Node-clock seconds.
             wall: Unix seconds, for occurrences with a due time.
         """
 
@@ -256,11 +256,12 @@
             self.advice_requests.append((stage, worker_ids))
 
     def _near_data(self, stage: Stage, candidates: list[Worker]) -> list[Worker]:
-        """Return the workers in the data's rack while waiting for them pays.
+        """Return the workers that are worth waiting for, near the input data.
 
-        All candidates are returned if the step has no data rack or has waited
-        long enough, if no candidate is in that rack, or if the step is a gang
-        that would not fit into it.
+        These are the candidates in the step's data rack. All candidates are
+        returned if the step has no data rack or has waited long enough, if no
+        candidate is in that rack, or if the step is a gang that would not fit
+        into it.
         """
         rack = stage.spec.data_rack
         waited = self._now - (stage.ready_at or self._now)
@@ -319,7 +320,7 @@
     def _add_starts(
         self, stage: Stage, tasks: list[Task], options: list[PlacementOption]
     ) -> None:
-        """Plan starts and claim their capacity for the rest of the pass."""
+        """Plan starts and claim their capacity until the next pass."""
         pairs = zip(tasks, options, strict=False)
         self.starts.extend((task, option.worker) for task, option in pairs)
         self._claim(stage, options)
@@ -370,7 +371,7 @@
 
     Args:
         active: Workflows that have not ended.
-        now: Steady-clock seconds, the ready time of steps without one.
+        now: Node-clock seconds, the ready time of steps without one.
         wall: Unix seconds; occurrences that are due later are skipped.
     """
     ready = []
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -114,7 +114,7 @@
             started_ms = started_ms_by_worker.get(task.worker_id, 0)
             placed.append([*key, task.run, task.worker_id, started_ms])
         # The worker of a placed run reports its checkpoint, so it need not be
-        # stored. A gang's checkpoint is kept with its first task and may have
+        # stored. A gang's checkpoint is saved in its first task and may have
         # been reported by any member, so it is always stored.
         if task.checkpoint and (task.stage.spec.gang or not task.placed):
             checkpoints.append([*key, task.checkpoint])
@@ -156,7 +156,7 @@
 
 
 def restore_progress(progress: WorkflowProgress, record: ProgressRecord) -> None:
-    """Apply a record to a new progress.
+    """Apply a record to the progress of a newly accepted workflow.
 
     The placed runs are not restored; see ``Engine.adopt_run``.
     """
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -41,9 +41,9 @@
 
     Attributes:
         workflows_by_id: Accepted workflows.
-        workers_by_id: Known workers.
+        workers_by_id: All workers.
         dirty: Ids of workflows whose progress differs from the stored record.
-        effects: Effects that have not been taken yet.
+        effects: Effects that ``take_effects`` has not returned yet.
         term: Number of the coordinator's term.
         run_times: Expected run times.
     """
@@ -88,7 +88,7 @@
             worker: The worker.
             runs_by_stage: Run numbers of the gangs placed in this pass, by
                 ``id`` of the step. All members of a gang share a run number.
-            now: Steady-clock seconds.
+            now: Node-clock seconds.
         """
         stage = task.stage
         if stage.spec.gang:
@@ -172,8 +172,8 @@
     def stop_superseded_run(self, worker_id: str, entry: RunReport, task: Task) -> None:
         """Stop a listed run that is not the current run of its task.
 
-        A run with a higher number than the newest known one is left running
-        unless the task has ended.
+        A run with a higher number than the current run of its task is left
+        running unless the task has ended.
         """
         if entry.run <= task.run or task.ended:
             self.effects.append(StopRun(worker_id, entry.key, entry.run))
@@ -201,14 +201,14 @@
                     "organisation": progress.workflow.organisation,
                     "queue": progress.workflow.queue,
                     "state": str(state),
-                    "after_s": round(now - progress.accepted_mono, 3),
+                    "after_s": round(now - progress.accepted_at, 3),
                 },
             )
 
     def save_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Save a task's newest checkpoint; an empty one is ignored.
 
-        The members of a gang share a checkpoint, kept with the first task.
+        The members of a gang share a checkpoint, which the first task stores.
         """
         if checkpoint:
             checkpoint_holder = task.stage.tasks[0] if task.stage.spec.gang else task
--- a/src/redwingrudder/workflows/run_times.py
+++ b/src/redwingrudder/workflows/run_times.py
@@ -30,8 +30,8 @@
 # and has recovered.
 RECOVERED_RATIO = 1.5
 # Jobs of one queue differ, so a run on a worker of normal speed may take up to
-# this multiple of the mean run time. Without other runs of the same step to
-# compare with, a longer run means that its worker is slow.
+# this multiple of the mean run time. If no other runs of the same step can be
+# compared with, a longer run means that its worker is slow.
 LONG_RUN_FACTOR = 2.0
 # Time without a new speed measurement after which a worker's speed is taken as
 # normal again, so that a slow worker is tried again.
@@ -103,11 +103,12 @@
 
 
 def reference_run_s(task: Task, run_times: RunTimeEstimates) -> float | None:
-    """Return the seconds that a run should take at most on a normal worker.
+    """Return the run time, in seconds, with which a run is compared.
 
-    The median projection of the step's other runs is preferred, since the
-    tasks of a step are alike, while the mean of a queue says little about a
-    single job. Otherwise a multiple of the learned mean is used.
+    A run that takes much longer is on a slow worker. The median projection of
+    the step's other runs is preferred, since the tasks of a step are alike,
+    while the mean of a queue says little about a single job. Otherwise a
+    multiple of the learned mean is used.
 
     Returns:
         The reference time, or None if there is nothing to compare with.
@@ -155,8 +156,8 @@
 def _rate_change(task: Task) -> float | None:
     """Return a run's latest rate of progress relative to its earlier rate.
 
-    This detects a worker that becomes slow, or recovers, earlier than the
-    projected run time does, which averages over the whole run.
+    The ratio shows a worker's slowdown or recovery sooner than the projected
+    run time, which averages over the whole run.
 
     Returns:
         The ratio, or None without sufficient progress data.
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -33,7 +33,7 @@
     frozenset({"occupy", "release", "count_failure"}),
 )
 # Time after a failure during which a worker without a later success is a
-# suspect and is chosen last. Failing workers were seen to fail for some 7 s.
+# suspect and is chosen last. Failing workers typically fail for some 7 s.
 SUSPECT_S = 8.0
 PLACED_STATES = frozenset({"starting", "running", "stopping"})
 
@@ -43,7 +43,7 @@
 
     Attributes:
         ticket: Ticket to send with a start.
-        until: Steady-clock seconds until which the ticket may be used.
+        until: Node-clock seconds until which the ticket may be used.
     """
 
     ticket: str
@@ -61,16 +61,16 @@
         run_resumed: Whether the newest run resumed from a checkpoint.
         worker_id: Worker of the newest run, "" before the first.
         checkpoint: Newest checkpoint, "" if there is none. A gang's checkpoint
-            is kept in its first task.
+            is stored in its first task.
         failures: Number of failed runs. Those of a gang are counted in its
             first task.
         failed_workers: Workers on which runs of the task failed.
-        started_at: Steady-clock seconds at which the newest run started.
+        started_at: Node-clock seconds at which the newest run started.
         percent: Reported progress of the newest run in percent.
-        progressed_at: Steady-clock seconds at which the progress last changed.
-        reported_at: Steady-clock seconds of the last report.
-        rate_baseline_at: Steady-clock seconds of an earlier report, from
-            which the latest rate of progress is computed.
+        progressed_at: Node-clock seconds at which the progress last changed.
+        reported_at: Time of the last report, in node-clock seconds.
+        rate_baseline_at: Time of an earlier report, from which the latest rate
+            of progress is computed, in node-clock seconds.
         rate_baseline_percent: Progress in that earlier report.
         usage: Last reported usage; see ``RunReport``.
         speed_percent: Throttled speed of a filling task in percent.
@@ -139,7 +139,7 @@
         occurrence: Index of the occurrence.
         index: Index of the step.
         spec: Specification of the step.
-        ready_at: Steady-clock seconds at which the step became ready, None
+        ready_at: Node-clock seconds at which the step became ready, None
             before.
         failed_runs: Numbers of the failed runs of a gang.
         restarts: Number of runs that were stopped because of slow workers.
@@ -214,13 +214,13 @@
 
     Attributes:
         workflow: The workflow.
-        accepted_mono: Steady-clock seconds of the acceptance.
+        accepted_at: Time of the acceptance, in node-clock seconds.
         cancelled: Whether the workflow was cancelled.
         begun: Whether a run of the workflow was ever placed.
         recorded_state: State in the newest stored record. It is reported to
             callers because a later state is lost if the coordinator fails
             before storing it.
-        ended_at: Steady-clock seconds at which the state became final, None
+        ended_at: Node-clock seconds at which the state became final, None
             before.
         wait_observed: Whether the waiting time was added to the metrics.
         end_observed: Whether the end was added to the metrics.
@@ -228,7 +228,7 @@
     """
 
     __slots__ = (
-        "accepted_mono",
+        "accepted_at",
         "begun",
         "cancelled",
         "end_observed",
@@ -241,7 +241,7 @@
 
     def __init__(self, workflow: Workflow, now: float) -> None:
         self.workflow = workflow
-        self.accepted_mono = now
+        self.accepted_at = now
         self.cancelled = False
         self.begun = False
         self.recorded_state = WorkflowState.QUEUED
@@ -297,14 +297,14 @@
         reachable: Whether the worker answers.
         emptying: Whether its machine is about to be taken down for upkeep.
         failures: Number of failed runs since the last successful one.
-        failed_at: Steady-clock seconds of the newest failure.
-        quarantined_until: Steady-clock seconds until which the worker gets no
+        failed_at: Time of the newest failure, in node-clock seconds.
+        quarantined_until: Node-clock seconds until which the worker gets no
             new runs.
-        leaves_at: Steady-clock seconds until which a draining worker is
+        leaves_at: Node-clock seconds until which a draining worker is
             guaranteed to stay, infinite if it does not drain.
         speed: Speed relative to other workers, 1.0 for normal.
-        speed_at: Steady-clock seconds at which the speed was last measured.
-        throttled_at: Steady-clock seconds at which the speed of its filling
+        speed_at: Node-clock seconds at which the speed was last measured.
+        throttled_at: Node-clock seconds at which the speed of its filling
             tasks was last changed.
     """
 
--- a/src/redwingrudder/workflows/supervision.py
+++ b/src/redwingrudder/workflows/supervision.py
@@ -13,8 +13,9 @@
 )
 from .state import Task, Worker
 
-# A run without progress for this time is stuck. Progress is reported in whole
-# percents, so a run may also take this share of its run time for each change.
+# A run is stuck if its progress has not changed for STUCK_S and for
+# STUCK_RUN_SHARE of its run time. The share is needed for long runs: progress
+# is reported in whole percents, so it changes rarely.
 STUCK_S = 3.0
 STUCK_RUN_SHARE = 0.1
 # Time needed for the end of a run to be reported before its worker leaves.
@@ -42,9 +43,9 @@
     """Yield the runs to stop so that their tasks can run elsewhere.
 
     Args:
-        workers: All known workers.
+        workers: All workers.
         run_times: Expected run times.
-        now: Steady-clock seconds.
+        now: Node-clock seconds.
     """
     for worker in workers:
         for task in list(worker.tasks_by_key.values()):
--- a/src/redwingrudder/workflows/throttling.py
+++ b/src/redwingrudder/workflows/throttling.py
@@ -41,7 +41,7 @@
 
         Args:
             worker: The worker.
-            now: Steady-clock seconds.
+            now: Node-clock seconds.
         """
 
 
