Reword docstrings of the coordination package

Replies of workers and services are called replies, commands to workers commands, and node-clock seconds replace steady-clock seconds. LeaseConfirmed and CoordinatorKnown name all cases in which they are sent. The comment on the campaign without a delay no longer claims that the state is kept in memory, since each term recovers it from the store. PeerView.known is peer_count.

--- a/src/redwingrudder/coordination/advisor.py
+++ b/src/redwingrudder/coordination/advisor.py
@@ -44,6 +44,6 @@
                 "request to the advice service failed",
                 extra={"job": request.workflow_id, "error": str(error)},
             )
-            # The engine may send the request again once it gets the reply.
+            # The engine may send the request again once it gets the result.
             await pause(self.system.clock, RETRY_DELAY_S)
         self.tell(COORDINATOR, AdviceGiven(request, advice, asked_at))
--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -88,7 +88,7 @@
         self._plan_scheduled = False
         self._plan_pause_s = PLAN_DELAY_S
         self._guaranteed_by_organisation: dict[str, int] = {}
-        # Unix time minus steady-clock time.
+        # Median Unix time of the nodes minus the time of this node's clock.
         self._unix_time_offset_s = time.time() - system.clock.seconds()
         super().__init__(system, COORDINATOR)
 
@@ -242,7 +242,7 @@
         self._schedule_planning()
 
     async def _check_authority(self) -> None:
-        """Stop planning and extending leases when a successor may exist.
+        """Stop planning and extending leases while a successor may exist.
 
         A successor may exist once the lease on the coordinator record may
         have expired, unless the store is down for most nodes: then none can
@@ -400,9 +400,9 @@
         self._schedule_planning()
 
     def _throttle_unanswered(self, message: ThrottleUnanswered) -> None:
-        """Let the engine assume full speed for the run of the command.
+        """Let the engine assume that the throttled run is at full speed.
 
-        The throttle policy then repeats the change of speed.
+        The throttle policy then sends the change of speed again.
         """
         if self._ready:
             self._term.engine.throttle_unanswered(message.run.key, message.run.run)
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -81,7 +81,7 @@
         host: Host name of the HTTP requests that the queue serves.
         prefix: Path prefix of these requests.
         open: Whether requests need no access key.
-        timeout_s: Time limit for the answer to a request, in seconds.
+        timeout_s: Time limit for the response to a request, in seconds.
         policy: Scheduling policy of its workflows.
     """
 
@@ -168,7 +168,7 @@
 
 
 class WorkerReport(NamedTuple):
-    """A worker's answer to a poll.
+    """A worker's reply to a poll.
 
     Attributes:
         clock_ms: Reading of the worker's monotonic clock in milliseconds.
@@ -185,7 +185,7 @@
 
 
 class CommandReply(NamedTuple):
-    """A worker's answer to a command.
+    """A worker's reply to a command.
 
     Attributes:
         accepted: Whether the command took effect.
@@ -204,9 +204,9 @@
     """Connections to one incarnation of a worker.
 
     Every call carries ``fence``, the coordinator's term as fencing token, and
-    waits at most ``timeout_s`` seconds for the answer. It raises
+    waits at most ``timeout_s`` seconds for the reply. It raises
     ``UnavailableError`` if there is none; the command may then have taken
-    effect already or may still do so later.
+    effect or may take effect later.
     """
 
     @abc.abstractmethod
@@ -220,7 +220,7 @@
             lease_until_ms: End of the lease on the worker's clock in
                 milliseconds.
             fence: Fencing token.
-            timeout_s: Time limit for the answer in seconds.
+            timeout_s: Time limit for the reply in seconds.
         """
 
     @abc.abstractmethod
@@ -252,14 +252,14 @@
                 store.
             lease_until_ms: New end of the lease on the worker's clock in
                 milliseconds, 0 to leave the lease unchanged.
-            wait_s: Time in seconds for which the worker may delay its answer
+            wait_s: Time in seconds for which the worker may delay its reply
                 until a run ends.
-            timeout_s: Time limit for the answer in seconds.
+            timeout_s: Time limit for the reply in seconds.
         """
 
     @abc.abstractmethod
     def reset(self) -> None:
-        """Drop idle connections, which may be dead without an error."""
+        """Close idle connections, which may be dead without an error."""
 
     @abc.abstractmethod
     def close(self) -> None:
@@ -267,11 +267,11 @@
 
 
 class Advice(NamedTuple):
-    """Answer of the advice service: the workers that may run a step.
+    """Reply of the advice service: the workers that may run a step.
 
     Attributes:
         tickets: Ticket that a start on a worker has to carry, by worker id.
-        valid_s: Time in seconds for which the answer is valid.
+        valid_s: Time in seconds for which the tickets are valid.
     """
 
     tickets: dict[str, str]
@@ -290,12 +290,12 @@
             worker_ids: Ids of the workers in question.
 
         Raises:
-            RedwingrudderError: The service gave no answer.
+            RedwingrudderError: The service did not answer.
         """
 
 
 class MachineReply(enum.StrEnum):
-    """Answers to a maintenance order.
+    """Replies to a maintenance order.
 
     All values except FENCED are also events of the upkeep state chart.
     """
@@ -309,8 +309,8 @@
 class MachineService(abc.ABC):
     """Lists machines and takes them down for maintenance.
 
-    Every call raises ``UnavailableError`` if there is no answer. An order may
-    have been carried out in that case and has to be repeated.
+    Every call raises ``UnavailableError`` if there is no reply. An order may
+    then have been carried out, and the caller has to repeat it.
     """
 
     @abc.abstractmethod
@@ -326,13 +326,13 @@
         Args:
             machine_id: Machine to take down.
             wave_id: Maintenance wave that the order belongs to.
-            holder: Name of the process that gives the order.
+            holder: Name of the process that sends the order.
             fence: Fencing token.
         """
 
 
 class WaveCodec(abc.ABC):
-    """Decodes the operators' maintenance waves and encodes their state.
+    """Decodes the operators' maintenance waves and encodes their status.
 
     Attributes:
         prefix: Key prefix of the waves in the store.
@@ -346,7 +346,7 @@
 
     @abc.abstractmethod
     def status_key(self, wave_id: int) -> str:
-        """Return the store key of a wave's state."""
+        """Return the store key of a wave's status."""
 
     @abc.abstractmethod
     def encode_status(self, wave_id: int, done: bool) -> str:
@@ -354,18 +354,19 @@
 
     @abc.abstractmethod
     def is_done(self, document: str) -> bool:
-        """Return whether a state document marks its wave as done."""
+        """Return whether a status document marks its wave as done."""
 
 
 class UpkeepGateway(NamedTuple):
     """Platform services used by maintenance waves.
 
     Attributes:
-        waves: Decodes waves and encodes their state.
+        waves: Decodes waves and encodes their status.
         machines: Takes machines down.
         holder: Name of this process in orders.
         quiet_s: Time in seconds after a change of the coordinator in which
-            no orders are given, so that two coordinators do not alternate.
+            no orders are sent, so that an old and a new coordinator do not
+            send orders alternately.
     """
 
     waves: WaveCodec
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -44,7 +44,8 @@
 # Retry time that callers get while no reachable node can use the store.
 RETRY_AFTER_S = 1.0
 NO_COORDINATOR_RETRY_AFTER_S = 1.0
-# Limits the load on a store that resets connections.
+# Delay before a write with an unknown outcome is repeated. It limits the load
+# on a store that resets connections.
 WRITE_RETRY_DELAY_S = 0.05
 MAX_RELAY_PEERS = 2  # peers that a call is relayed to, one after the other
 RELAY_CALL_TIMEOUT_S = 1.5
@@ -125,8 +126,8 @@
     def _require_store(self) -> None:
         """Fail before a write is sent to a store that does not answer.
 
-        Such a write might still take effect later. The caller could then be
-        told neither that its workflow was accepted nor that it will not run.
+        Such a write might take effect later, so the reply to the caller could
+        say neither that the workflow was accepted nor that it will not run.
 
         Raises:
             StoreUnavailableError: The store does not answer this node.
@@ -140,13 +141,14 @@
         """Store a document on the condition that its id is new.
 
         Writes with an unknown outcome are repeated until the deadline, which
-        is in steady-clock seconds. A repeated write changes nothing if an
+        is in node-clock seconds. A repeated write changes nothing if an
         earlier one took effect.
 
         Raises:
             StoreUnavailableError: The document was not stored, and no write
                 that could store it later is pending.
-            OutcomeUnknownError: A write may still take effect.
+            OutcomeUnknownError: A write may have taken effect or may take
+                effect later.
         """
         key = INTAKE_PREFIX + workflow_id
         uncertain = False
@@ -178,7 +180,8 @@
         Args:
             method: Thrift method of the peer.
             arguments: Arguments of the method.
-            deadline: Steady-clock seconds after which no peer is tried.
+            deadline: Time in node-clock seconds after which no further
+                peer is called.
 
         Raises:
             UnavailableError: No peer could carry out the call, and nothing
@@ -227,15 +230,15 @@
     async def _cancel(self, message: CancelWorkflow) -> bool:
         deadline = self.system.clock.seconds() + message.timeout_s
         try:
-            known = await self._store_cancel(message.workflow_id, deadline)
+            exists = await self._store_cancel(message.workflow_id, deadline)
         except UnavailableError:
-            known = await self._relay_to_peer(
+            exists = await self._relay_to_peer(
                 "store_cancel", (message.workflow_id,), deadline
             )
-        if known:
+        if exists:
             _logger.info("job cancelled", extra={"job": message.workflow_id})
             self._announce("announce_cancel", CancelStored(message.workflow_id))
-        return known
+        return exists
 
     async def _store_cancel(self, workflow_id: str, deadline: float) -> bool:
         """Store a cancellation; returns whether the workflow exists.
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -43,7 +43,7 @@
     Resign,
 )
 
-# Scheduling stops for about this long when the coordinator loses its power.
+# Scheduling stops for about this long when the coordinator's machine fails.
 LEASE_TTL_S = 1.5
 RENEW_INTERVAL_S = 0.35  # allows four attempts within LEASE_TTL_S
 WATCH_TIMEOUT_S = 1.0  # longest wait of one watch request
@@ -59,8 +59,8 @@
 WEAK_CORES_DELAY_S = 0.35  # per missing core below UNCONSTRAINED_CORES
 UNCONSTRAINED_LINK_BPS = 50e6
 WEAK_LINK_DELAY_S = 0.2
-# Extra delay of a node that has resigned; longer than the election of another
-# node takes.
+# Extra delay of a node that has resigned. It exceeds the duration of the
+# election of another node.
 RESIGNED_DELAY_S = 2.0
 
 _EVENTS = frozenset({"vacant", "acquired", "failed", "deposed", "resign", "drain"})
@@ -179,7 +179,7 @@
         """See base class."""
         return {
             TimerFired: self._timer_fired,
-            CoordinatorUnreachable: self._coordinator_silent,
+            CoordinatorUnreachable: self._coordinator_unreachable,
             Fenced: self._handle_fenced,
             Resign: self._resign,
             Drain: self._drain,
@@ -264,8 +264,8 @@
             self._holder = None
             self._announce("", "", 0)
             if not self._stopping:
-                # The former holder campaigns without a delay, since it still
-                # has the whole state in memory.
+                # The former holder campaigns without a delay, so that it is
+                # usually elected again.
                 delay_s = 0.0 if self.leading else self._campaign_delay_s()
                 self.tell(TIMERS, Subscribe(self.name, "campaign", delay_s))
             return
@@ -300,7 +300,7 @@
         for subscriber in self._subscribers:
             self.tell(subscriber, CoordinatorKnown(node_id, address, term))
 
-    def _coordinator_silent(self, message: CoordinatorUnreachable) -> None:
+    def _coordinator_unreachable(self, message: CoordinatorUnreachable) -> None:
         """Campaign if the current coordinator refuses connections."""
         if self._stopping or self._holder is None:
             return
@@ -400,7 +400,7 @@
         return term, revision
 
     async def _read_own_term(self, record: str, term: int) -> int:
-        """Check whether a write without an answer took effect.
+        """Check whether a write with an unknown outcome took effect.
 
         Returns:
             The revision of the term's key, 0 if the write had no effect or
@@ -421,7 +421,7 @@
         self.tell(COORDINATOR, BeginTerm(term, revision))
 
     async def _renew(self) -> None:
-        """Renew the lease and report until when it holds to COORDINATOR."""
+        """Renew the lease and report its new expiry time to COORDINATOR."""
         sent_at = boot_clock()
         lease = self._lease
         try:
@@ -455,7 +455,7 @@
         )
 
     async def _withdraw_record(self) -> None:
-        """Remove the record if this process still holds it."""
+        """Remove the record if it names this process."""
         try:
             holder = self._holder
             if holder is None or holder.incarnation != self._identity.incarnation:
--- a/src/redwingrudder/coordination/maintenance.py
+++ b/src/redwingrudder/coordination/maintenance.py
@@ -23,7 +23,7 @@
 from .messages import Fenced
 from .recorder import Recorder
 
-READ_INTERVAL_S = 2.0  # short against a wave, which lasts many seconds
+READ_INTERVAL_S = 2.0  # short compared with a wave, which lasts many seconds
 ACTIVE_READ_INTERVAL_S = 0.5  # while at least one wave is in progress
 
 _logger = logging.getLogger(__name__)
@@ -35,7 +35,7 @@
     Args:
         system: The node's actor system.
         engine: The engine of the term.
-        recorder: Holds the store revision of the term.
+        recorder: Provides the store revision of the term.
         wave_codec: Decodes waves and encodes their status.
         machine_service: Lists machines and takes them down.
         holder: Identifies this process to the machine service.
@@ -74,8 +74,8 @@
     def advance(self, now: float) -> None:
         """Start the next step of all waves if it is due.
 
-        Nothing is started while the previous step is still in progress.
-        ``now`` is in steady-clock seconds.
+        Nothing is started while the previous step is in progress.
+        ``now`` is in node-clock seconds.
         """
         if self._advancing or self._closed or now < self._next_advance_at:
             return
@@ -115,7 +115,7 @@
                 await self._take_over_wave(WaveProgress(wave))
 
     async def _take_over_wave(self, progress: WaveProgress) -> None:
-        """Begin a wave, or continue one of an earlier coordinator."""
+        """Begin a wave, or continue one that an earlier coordinator began."""
         wave_id = progress.wave.wave_id
         status_key = self._wave_codec.status_key(wave_id)
         status = await self._system.ask(STORE, GetPrefix(status_key))
@@ -237,8 +237,8 @@
     async def _write(self, *operations: PutKey | DeleteKey) -> None:
         """Write to the store on the condition that the term is unchanged.
 
-        If the condition fails, no more orders are sent and LEADERSHIP is told
-        that this coordinator is fenced.
+        If the condition fails, no more orders are sent and LEADERSHIP is
+        notified that this coordinator is fenced.
 
         Raises:
             UnavailableError: The write did not take effect, or its outcome is
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -34,7 +34,7 @@
 
 
 class OfferConfigurationDocument(NamedTuple):
-    """Tells CONFIGURATION about a document that a peer holds."""
+    """Tells CONFIGURATION the configuration document of a peer."""
 
     document: str
 
@@ -47,8 +47,8 @@
         address: "host:port" of its thrift server.
         incarnation: Random id of its process.
         configuration_version: Configuration version in force on the node.
-        coordinator_id: Node that it takes for the coordinator; "" if it
-            knows of none.
+        coordinator_id: Node that it considers the coordinator; "" if there is
+            none.
         coordinator_address: "host:port" of that coordinator.
         term: Term of that coordinator.
         store_available: Whether the store answered its latest calls.
@@ -69,6 +69,8 @@
 class CoordinatorKnown(NamedTuple):
     """LEADERSHIP tells its subscribers which node is the coordinator.
 
+    PEERS sends it to INTAKE as well, when a peer reports a higher term.
+
     Attributes:
         node_id: Name of the coordinator; "" if no coordinator is known.
         address: "host:port" of its thrift server, or "".
@@ -119,7 +121,7 @@
 
 
 class Resign(NamedTuple):
-    """Tells LEADERSHIP to give up the term in favour of another node.
+    """Tells LEADERSHIP to end the term, so that another node is elected.
 
     It is sent when this node cannot do the coordinator's work.
     """
@@ -128,8 +130,9 @@
 
 
 class LeaseConfirmed(NamedTuple):
-    """Tells COORDINATOR that the lease on the coordinator record was renewed.
+    """Tells COORDINATOR that the coordinator record's lease is in force.
 
+    It is sent when the lease was acquired or renewed.
     ``until`` is its expiry time in boot-clock seconds.
     """
 
@@ -150,7 +153,7 @@
 
     Attributes:
         workflow: The submitted workflow.
-        timeout_s: Seconds after which the caller no longer needs an answer.
+        timeout_s: Seconds after which the caller no longer needs a reply.
     """
 
     workflow: Workflow
@@ -197,7 +200,7 @@
 
 
 class WorkerPolled(NamedTuple):
-    """Tells COORDINATOR what a worker reported in its answer to a poll."""
+    """Tells COORDINATOR what a worker reported in its reply to a poll."""
 
     worker_id: str
     report: WorkerReport
@@ -221,7 +224,7 @@
 class StartSettled(NamedTuple):
     """Tells COORDINATOR the final outcome of a start command.
 
-    The reply is the worker's own, or a rejection once it is certain that the
+    ``reply`` is that of the worker, or a rejection once it is certain that the
     run will not begin.
     """
 
@@ -230,18 +233,18 @@
 
 
 class ThrottleUnanswered(NamedTuple):
-    """Tells COORDINATOR that a throttle command got no answer."""
+    """Tells COORDINATOR that a throttle command got no reply."""
 
     run: ThrottleRun
 
 
 class AdviceGiven(NamedTuple):
-    """Tells COORDINATOR the answer of the advice service.
+    """Tells COORDINATOR the reply of the advice service.
 
     Attributes:
         question: The request that was sent to the service.
-        advice: The answer; None if the request failed.
-        asked_at: Time of the request in steady-clock seconds.
+        advice: The reply; None if the request failed.
+        asked_at: Time of the request in node-clock seconds.
     """
 
     question: AskAdvice
--- a/src/redwingrudder/coordination/peer_calls.py
+++ b/src/redwingrudder/coordination/peer_calls.py
@@ -111,7 +111,7 @@
     Args:
         ask: Sends a message to an actor and returns a Deferred of the reply.
         tell: Sends a message to an actor without a reply.
-        exchange: Takes the summary of the calling node and returns that of
+        exchange: Applies the summary of the calling node and returns that of
             this node.
     """
 
--- a/src/redwingrudder/coordination/peers.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -57,7 +57,7 @@
 # several times the interval between two discoveries in the largest system.
 NODE_LEASE_S = 300.0
 MAX_FRESH_AGE_S = 2.0  # age above which a summary is ignored
-FORGET_AFTER_S = 30.0  # time without an exchange after which a node is dropped
+REMOVE_AFTER_S = 30.0  # time without an exchange after which a node is removed
 
 _logger = logging.getLogger(__name__)
 
@@ -83,26 +83,29 @@
 
 
 class PeerView(NamedTuple):
-    """Snapshot of what this node knows of the other nodes.
+    """Snapshot of the other nodes, as this node sees them.
 
     Attributes:
         fresh: Summaries that are younger than ``MAX_FRESH_AGE_S``.
-        known: Number of other nodes, including those without a fresh summary.
+        peer_count: Number of other nodes, including those without a fresh
+            summary.
     """
 
     fresh: tuple[NodeSummary, ...]
-    known: int
+    peer_count: int
 
     @property
     def store_is_down(self) -> bool:
-        """Whether a majority of nodes is known and none of it has the store.
+        """Whether a majority of all nodes is known not to reach the store.
 
-        This node counts as one without the store. A minority is not enough,
-        since a network partition may have cut all of it off from the store.
+        It consists of this node, which counts as one without the store, and
+        the nodes with a fresh summary, none of which may reach the store. A
+        minority is not enough, since a network partition may have cut all of
+        it off from the store.
         """
         if any(summary.store_available for summary in self.fresh):
             return False
-        return 2 * (len(self.fresh) + 1) > self.known + 1
+        return 2 * (len(self.fresh) + 1) > self.peer_count + 1
 
 
 class GetTimeOfDay(NamedTuple):
@@ -205,7 +208,7 @@
         return self._links_by_address[address]
 
     async def _discover(self) -> None:
-        """Register this node, read the list and schedule the next time."""
+        """Register this node, read the node list, schedule the next read."""
         delay_s = DISCOVERY_RETRY_DELAY_S
         try:
             await self._register()
@@ -261,10 +264,10 @@
                 )
 
     async def _exchange_all(self) -> None:
-        """Drop expired nodes and start the exchanges of one round."""
+        """Remove nodes that do not answer and start one round of exchanges."""
         now = self._reactor.seconds()
         for node_id, (received_at, _) in list(self._summaries_by_id.items()):
-            if now - received_at > FORGET_AFTER_S:
+            if now - received_at > REMOVE_AFTER_S:
                 del self._summaries_by_id[node_id]
         addresses = [summary.address for _, summary in self._summaries_by_id.values()]
         chosen = set(
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -43,7 +43,7 @@
         term_revision: Store revision of the term's key.
 
     Attributes:
-        term_revision: Latest known store revision of the term's key.
+        term_revision: Store revision of the term's key, as last read.
     """
 
     def __init__(self, ask: Callable[..., Any], term: int, term_revision: int) -> None:
@@ -57,19 +57,19 @@
         self._revisions_by_id[workflow_id] = revision
 
     def forget(self, workflow_id: str) -> None:
-        """Drop the revision of a record that was removed from the store."""
+        """Remove the revision of a record that was removed from the store."""
         self._revisions_by_id.pop(workflow_id, None)
 
     async def write(self, engine: Engine, workflow_ids: list[str]) -> WriteOutcome:
         """Write the current progress of some workflows in one transaction.
 
         Args:
-            engine: Holds the progress of the workflows.
+            engine: Engine with the progress of the workflows.
             workflow_ids: At most ``MAX_RECORDS_PER_WRITE`` workflows.
 
         Raises:
             OutcomeUnknownError: The write was sent but not confirmed, so it
-                may still take effect.
+                may have taken effect or may take effect later.
             UnavailableError: The store did not answer.
         """
         process_started_ms_by_worker = {
@@ -92,7 +92,7 @@
         try:
             reply = await self._ask(STORE, Transact(tuple(compares), tuple(puts)))
         except OutcomeUnknownError:
-            # The write may have taken effect or may still do so, so the next
+            # The write may have taken effect or may do so later, so the next
             # write needs the revisions that the store has now.
             await self._refresh_revisions(workflow_ids)
             raise
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -25,7 +25,8 @@
 class StoredState(NamedTuple):
     """All records that a coordinator recovers from.
 
-    The three prefixes are read independently, each at a revision of its own.
+    The three prefixes are read independently, so each reply has a different
+    store revision.
     """
 
     intake: PrefixReply
@@ -66,7 +67,7 @@
         engine: The engine of the term.
         key: Store key or workflow id of the document, for the log.
         document: The stored workflow as JSON.
-        now: Steady-clock seconds.
+        now: Node-clock seconds.
         recovering: Whether this is part of a recovery. The workflow then keeps
             the age that its time of acceptance gives; otherwise it counts as
             accepted now.
@@ -144,7 +145,8 @@
         return ()
     recorder.set_revision(workflow_id, pair.mod_revision)
     records.restore_progress(progress, record)
-    # What is already on record is not counted in the metrics again.
+    # The coordinator that recorded a first start or an end has added it to its
+    # metrics.
     progress.wait_observed = progress.begun
     if record.state in FINAL_STATES:
         progress.end_observed = True
--- a/src/redwingrudder/coordination/retention.py
+++ b/src/redwingrudder/coordination/retention.py
@@ -20,14 +20,14 @@
 
 
 class RecordRetention:
-    """Deletes the records of ended workflows once nobody may query them.
+    """Removes the records of ended workflows after the retention period.
 
     Args:
         system: The node's actor system.
         engine: The engine of the term.
-        recorder: Holds the store revisions of the term and of its records.
-        retention_s: Seconds after its end for which callers can still query
-            a workflow.
+        recorder: Provides the store revisions of the term and of its records.
+        retention_s: Seconds for which callers can query a workflow after its
+            end.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         """Start to remove a batch of expired records if a sweep is due.
 
         Nothing is started while an earlier removal is in progress. ``now`` is
-        in steady-clock seconds.
+        in node-clock seconds.
         """
         if self._removing or now < self._next_sweep_at:
             return
--- a/src/redwingrudder/coordination/term.py
+++ b/src/redwingrudder/coordination/term.py
@@ -45,7 +45,7 @@
     guaranteed_by_organisation: dict[str, int],
     on_deposed: Callable[[], Any],
 ) -> Term:
-    """Create the objects of a term; they hold no workflows or workers yet.
+    """Create the objects of a term, without any workflows or workers.
 
     Args:
         system: The node's actor system.
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -32,14 +32,14 @@
     WorkerSilent,
 )
 
-# Time for which a worker may delay the answer to a poll, and interval between
+# Time for which a worker may delay the reply to a poll, and interval between
 # polls of an idle worker. It bounds the age of the progress figures.
 POLL_WAIT_S = 1.0
 POLL_MARGIN_S = 0.8  # time limit of a poll beyond the worker's wait
 START_TIMEOUTS_S = (0.4, 0.5, 0.8)  # of the successive attempts of a start
 COMMAND_TIMEOUT_S = 0.5  # of a stop or throttle command
 STOP_RETRY_DELAY_S = 0.3
-SILENT_AFTER_S = 2.0  # time without an answer until a worker counts as silent
+SILENT_AFTER_S = 2.0  # time without a reply until a worker counts as silent
 RETRY_DELAY_S = 0.3  # after a poll that failed or was rejected
 # Interval between polls while reported ends are not recorded yet, and between
 # polls of workers that answer without waiting.
@@ -63,7 +63,7 @@
     """Owns the connections to one incarnation of a worker.
 
     It sends commands, extends the worker's lease by polls and reports the
-    answers, silence and the lapse of the lease to COORDINATOR.
+    replies, silence and the lapse of the lease to COORDINATOR.
 
     Args:
         system: The actor system of this node.
@@ -71,8 +71,8 @@
         channel: Connections to the worker.
         fence: Term of the coordinator, sent as fencing token.
         times: Timing parameters of the workers.
-        unsettled: Runs for which orders sent earlier may still arrive at the
-            worker; they are stopped before the first poll.
+        unsettled: Runs for which commands of an earlier session may arrive at
+            the worker later; they are stopped before the first poll.
     """
 
     def __init__(
@@ -102,7 +102,7 @@
         self._newest_end = 0
         self._last_answer_at = boot_clock()
         # Boot-clock time until which the worker may hold a lease, including
-        # one that an earlier coordinator has given.
+        # one that an earlier coordinator has granted.
         self._leases_end_at = boot_clock() + prior_lease_timeout_s(self._lease_s)
         self._worker_clock_ms = 0
         self._worker_clock_read_at = 0.0
@@ -144,7 +144,7 @@
             self._poll_soon()
 
     def stop(self) -> None:
-        """Close the connections; replies to calls in progress are dropped."""
+        """Close the connections; replies to calls in progress are ignored."""
         self._closed = True
         self._channel.close()
 
@@ -158,7 +158,7 @@
         The entry of a silent worker is removed after three heartbeats. A
         drained worker whose entry is removed sooner after an answered poll
         has therefore left by itself, and nothing runs on it. It is polled
-        once more, since only a poll without an answer confirms this.
+        once more, since only a poll without a reply confirms this.
         """
         now = boot_clock()
         since_answered_poll_s = now - self._answered_poll_sent_at
@@ -182,14 +182,14 @@
             run(self._poll(), self.name)
 
     async def _stop_unsettled_then_poll(self) -> None:
-        """Stop the unsettled runs, so that no order arrives after the poll."""
+        """Stop the unsettled runs, so that none can start after the poll."""
         for stop in self._unsettled:
             await self._send_stop(stop)
         self._polling = False
         self._poll_soon()
 
     async def _poll(self) -> None:
-        """Poll once and schedule the next poll according to the answer."""
+        """Poll once and schedule the next poll according to the reply."""
         wait_s = POLL_WAIT_S if self._newest_end <= self._acknowledged_end else 0.0
         if self._chart.state != "answering":
             wait_s = 0.0
@@ -204,7 +204,7 @@
             self._note_no_answer(sent_at)
             self._poll_later(RETRY_DELAY_S)
         elif isinstance(reply, CommandReply):
-            self._handle_refusal(reply)
+            self._handle_rejection(reply)
             self._poll_later(RETRY_DELAY_S)
         else:
             self._handle_report(reply, sent_at)
@@ -256,12 +256,12 @@
         if not self._closed:
             self.tell(TIMERS, Subscribe(self.name, "look", delay_s))
 
-    def _handle_refusal(self, reply: CommandReply) -> None:
+    def _handle_rejection(self, reply: CommandReply) -> None:
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
         elif reply.reason == "other_life":
-            # The worker has restarted: no lease of the incarnation that this
-            # session was opened for can still hold.
+            # The worker has restarted, so no lease of the incarnation that
+            # this session was opened for is valid any more.
             self._leases_end_at = 0.0
         self._note_no_answer()
 
@@ -279,8 +279,8 @@
         """Update the worker's state after a call that failed or was rejected.
 
         Args:
-            poll_sent_at: Boot-clock time at which the poll was sent, 0.0 if
-                the call was not a poll without an answer.
+            poll_sent_at: Boot-clock time at which an unanswered poll was sent,
+                0.0 for a poll that was rejected and for other calls.
         """
         self._channel.reset()
         self._chart.step("unanswered")
@@ -309,7 +309,7 @@
     def _lease_until(self) -> int:
         """Return the end of a full lease on the worker's clock, in ms.
 
-        Records the latest boot-clock time at which this lease may hold.
+        Records the latest boot-clock time at which this lease may be valid.
         """
         now = boot_clock()
         elapsed_s = now - self._worker_clock_read_at
@@ -328,8 +328,9 @@
     async def _start(self, message: StartRun) -> None:
         """Send a start and report its outcome to COORDINATOR.
 
-        Before a start counts as not carried out, the ends at the worker are
-        reported.
+        If the start got no reply, or the worker rejects it as outdated, the
+        worker is polled first, so that an end of the run is reported before
+        the outcome.
         """
         run_key = (message.key, message.run)
         self._starts_in_flight.add(run_key)
@@ -376,11 +377,11 @@
         return CommandReply(False, "unanswered")
 
     async def _poll_for_end(self) -> None:
-        """Poll until an answer, so that the end of a started run is reported.
+        """Poll until a reply, so that the end of a started run is reported.
 
-        A start without an answer may have begun a run that has already ended.
-        COORDINATOR has to learn of this end before it considers the start as
-        failed; otherwise it would run the task a second time.
+        A start without a reply may have begun a run that has ended since.
+        COORDINATOR has to receive this end before the failure of the start;
+        otherwise it would run the task a second time.
         """
         while not self._closed and self._chart.state != "lapsed":
             sent_at = boot_clock()
@@ -390,7 +391,7 @@
                 await pause(self.system.clock, RETRY_DELAY_S)
                 continue
             if isinstance(reply, CommandReply):
-                self._handle_refusal(reply)
+                self._handle_rejection(reply)
             elif not self._closed:
                 self._handle_report(reply, sent_at)
             return
@@ -401,7 +402,7 @@
             self._poll_soon()
 
     async def _throttle(self, message: ThrottleRun) -> None:
-        """Send a throttle command; one that is lost is not repeated here."""
+        """Send a throttle command once; report a missing reply."""
         try:
             reply = await self._channel.throttle(
                 message, self._fence, COMMAND_TIMEOUT_S
@@ -451,7 +452,7 @@
 
 
 def prior_lease_timeout_s(longest_lease_s: float) -> float:
-    """Return how long leases given by an earlier coordinator may last.
+    """Return how long leases granted by an earlier coordinator may last.
 
     That coordinator may be cut off and extend leases until its own lease in
     the store lapses, even if it refuses connections.
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -18,15 +18,15 @@
 from .metrics import METRICS, IncrementCounter
 from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
 
-# After the store has come back, workers may need nearly this long until their
-# entries are written again.
+# After an outage of the store, workers may need nearly this long until they
+# have written their entries again.
 REMOVE_UNLISTED_AFTER_S = 2.5
 
 _logger = logging.getLogger(__name__)
 
 
 class WorkerTable:
-    """Maps registry entries and reports to the workers of the engine.
+    """Applies registry entries and reports to the workers of the engine.
 
     It opens one session for each incarnation of a worker and acknowledges
     ends of runs after they are recorded in the store.
@@ -54,7 +54,7 @@
         self._times = times
         self._sessions_by_worker: dict[str, WorkerSession] = {}
         self._unlisted_since_by_worker: dict[str, float] = {}
-        # From this time on, no lease of an earlier term can hold on a worker
+        # From this time on, no lease of an earlier term is valid on a worker
         # that has had no entry in this term.
         self._prior_leases_end_at = system.clock.seconds() + prior_lease_timeout_s(
             times.longest_lease_s
@@ -205,7 +205,7 @@
             _logger.info("worker does not answer", extra={"worker": worker_id})
 
     def set_lapsed(self, worker_id: str) -> None:
-        """Interrupt all runs of a worker whose lease can no longer hold."""
+        """Interrupt all runs of a worker whose lease has lapsed."""
         now = self._system.clock.seconds()
         _logger.info(
             "lease of a worker has lapsed; its runs are interrupted",
@@ -256,7 +256,10 @@
             )
 
     def _is_new_incarnation(self, facts: WorkerFacts) -> bool:
-        """Return whether an entry is of a worker process not known yet."""
+        """Return whether an entry belongs to a new or restarted worker.
+
+        Changes of the drain state are logged.
+        """
         known_worker = self._engine.workers_by_id.get(facts.worker_id)
         if known_worker is None:
             return True
