Reword docstrings of the workflow and coordination tests

They name the failure in plain terms and use reply, command and valid lease as the source does. The fake store's renewals is renewal_remaining_s.

--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -82,8 +82,8 @@
             and take effect in ``apply_delayed_writes``.
         down_after_delayed_write: Whether the store goes down after a delayed
             write.
-        renewals: Remaining seconds that renewals of leases return; 0.0 means
-            that the lease has expired.
+        renewal_remaining_s: Remaining time of a lease that each renewal
+            returns; 0.0 means that the lease has expired.
     """
 
     def __init__(self, system, contents):
@@ -92,7 +92,7 @@
         self.replies_to_lose = 0
         self.writes_to_delay = 0
         self.down_after_delayed_write = False
-        self.renewals = 1.5
+        self.renewal_remaining_s = 1.5
         self.delayed_writes = []
         self.transactions = []
         self.watches = []
@@ -104,18 +104,18 @@
             GetPrefix: self._get_prefix,
             Transact: self._transact,
             GrantLease: lambda _: self._answer_if_up(LEASE_ID),
-            KeepLeaseAlive: lambda _: self._answer_if_up(self.renewals),
+            KeepLeaseAlive: lambda _: self._answer_if_up(self.renewal_remaining_s),
             RevokeLease: self._revoke,
             AwaitChanges: self._watch,
         }
 
     def apply_delayed_writes(self):
-        """Apply the delayed writes; returns which conditions still held."""
+        """Apply the delayed writes; returns for each whether it succeeded."""
         messages, self.delayed_writes = self.delayed_writes, []
         return [self.contents.transact(message).succeeded for message in messages]
 
     def notify(self):
-        """Answer the watches for which there are changes."""
+        """Reply to the watches for which there are changes."""
         waiting, self.watches = self.watches, []
         for message, reply in waiting:
             self._answer_or_wait(message, reply)
@@ -175,7 +175,7 @@
 
 
 class Recording(Actor):
-    """Records messages of given types; answers each with a fixed reply.
+    """Records messages of given types; gives each type a fixed reply.
 
     A reply that is an exception is raised.
     """
@@ -208,7 +208,7 @@
 
 
 def run_for(clock, seconds, stores=()):
-    """Advance the clock in steps of 10 ms; answer watches after each."""
+    """Advance the clock in steps of 10 ms; notify the stores after each."""
     for _ in range(max(int(seconds / STEP_S), 1)):
         clock.advance(STEP_S)
         for store in stores:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -126,7 +126,7 @@
     def test_unconfirmed_write_is_not_called_not_run(self):
         """Guards against refusing a workflow that is stored afterwards.
 
-        The store delays all writes, and carries them out after the answer to
+        The store delays all writes, and carries them out after the reply to
         the caller.
         """
         self.store.writes_to_delay = 1000
@@ -144,10 +144,9 @@
         self.assertEqual(self.store.contents.items_by_key, {})
 
     def test_silent_store_gets_no_write(self):
-        """Guards against a needless unknown outcome.
+        """Guards against an unknown outcome where a refusal would be certain.
 
-        While the store does not answer, no write may be sent: a refusal is
-        then certain.
+        No write may be sent while the store does not answer.
         """
         self.system.tell(INTAKE, StoreAvailability(False))
         error = self.submit()
@@ -156,7 +155,7 @@
         self.assertEqual(self.store.transactions, [])
 
     def test_refusal_after_an_unconfirmed_write_stays_unknown(self):
-        """Guards against a refusal while an earlier write may take effect."""
+        """Guards against refusing a job that an earlier write may store."""
         self.store.writes_to_delay = 1
         self.store.down_after_delayed_write = True
         self.assertIsInstance(self.submit(seconds=2.5), OutcomeUnknownError)
@@ -205,10 +204,10 @@
 
 
 class PeerViewTests(unittest.TestCase):
-    def view(self, available, known):
+    def view(self, available, peer_count):
         summary = NodeSummary("n", "a", "l", 1, "", "", 0, False, 0.0)
         fresh = [summary._replace(store_available=value) for value in available]
-        return PeerView(tuple(fresh), known)
+        return PeerView(tuple(fresh), peer_count)
 
     def test_minority_without_store_is_no_outage(self):
         """Guards against lease extensions by a partitioned coordinator."""
@@ -255,7 +254,7 @@
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "1")
 
     def test_weak_node_campaigns_later(self):
-        """Guards against electing a node with few cores before others."""
+        """Guards against electing a node with few cores although others exist."""
         _, system, _ = node_system(self.contents)
         identity = Identity("weak", "10.0.0.1:9", "life-weak")
         constrained_node = Leadership(system, identity, (), NodeResources(0.25))
@@ -306,7 +305,7 @@
     def test_refused_connection_replaces_a_live_lease(self):
         """Guards against waiting for the lease of a killed process to expire.
 
-        Its address refuses connections, so the process is known to be dead.
+        Its address refuses connections, so the process no longer exists.
         """
         self.advance(1.0)
         leader = self.leaders()[0]
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,7 +1,4 @@
-"""Tests of maintenance waves.
-
-Each test provokes one failure of machines, calls or the coordinator.
-"""
+"""Tests of maintenance waves, with failures of machines and calls."""
 
 import json
 import unittest
@@ -49,8 +46,8 @@
     """Machine service that keeps its machines in memory.
 
     Attributes:
-        lost_replies: Number of orders that are still to be carried out with
-            their reply lost.
+        lost_replies: Number of orders that are carried out although their
+            reply is lost.
         reply: Returned instead of carrying out an order, unless None.
         orders: Machine, holder and fencing token of each order.
         max_machines_down: Largest number of machines down at the same time.
@@ -195,7 +192,7 @@
         self.assertEqual(self.status(), "done")
 
     def test_worker_is_emptied_first(self):
-        """Guards against taking down a machine on which runs are left."""
+        """Guards against taking down a machine that has runs."""
         self.engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 0.0)
         starts = fx.starts(self.engine.plan(0.0, 0.0))
         fx.confirm(self.engine, starts)
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -29,21 +29,21 @@
         run_for(self.clock, 0.1)
 
     def test_entry_is_under_a_lease(self):
-        """Guards against entries of nodes that are gone and never expire."""
+        """Guards against entries that remain after their nodes are gone."""
         self.assertTrue(self.store.contents.leases[KEY])
 
     def test_lapsed_entry_is_written_again(self):
         """Guards against a node that stays unlisted after a store outage.
 
-        Its entry expires in the outage, since its lease is not renewed.
+        Its entry expires during the outage, since its lease is not renewed.
         """
         self.store.contents.remove(KEY)
-        self.store.renewals = 0.0
+        self.store.renewal_remaining_s = 0.0
         run_for(self.clock, DISCOVERY_INTERVAL_S + 0.1)
         self.assertIn(KEY, self.store.contents.items_by_key)
 
     def test_entry_of_drained_node_is_removed(self):
-        """Guards against calls to a node that was shut down in order."""
+        """Guards against calls to a node that has shut down gracefully."""
         self.system.tell(PEERS, Drain())
         run_for(self.clock, 3 * DISCOVERY_INTERVAL_S)
         self.assertNotIn(KEY, self.store.contents.items_by_key)
@@ -55,7 +55,7 @@
         reply = self.system.ask(PEERS, ListPeers())
         run_for(self.clock, 0.05)
         view = outcome(reply)
-        self.assertEqual((view.fresh, view.known), ((), 1))
+        self.assertEqual((view.fresh, view.peer_count), ((), 1))
 
     def test_node_that_is_cut_off_does_not_reach_the_store(self):
         """Guards against a node that reports ready but refuses all requests.
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -42,12 +42,13 @@
     """Channel that answers immediately, except for injected faults.
 
     Attributes:
-        unanswering: Every call fails.
-        starts_to_lose: Number of starts that fail without an answer.
-        hangs: Polls neither get an answer nor fail.
+        unanswering: Every call fails without a reply.
+        starts_to_lose: Number of starts that fail without a reply.
+        hangs: Polls neither get a reply nor fail.
         rejects_starts: Starts are rejected as "outdated": the run has ended
             already.
-        refusal: Reason with which all calls are rejected, "" for none.
+        rejection_reason: Reason with which all calls are rejected, "" if they
+            are accepted.
         calls: Calls in the order of arrival.
     """
 
@@ -57,15 +58,15 @@
         self.starts_to_lose = 0
         self.hangs = False
         self.rejects_starts = False
-        self.refusal = ""
+        self.rejection_reason = ""
         self.calls = []
 
     def _reply(self, name):
         self.calls.append(name)
         if self.unanswering:
             raise UnavailableError("the fake worker does not answer")
-        if self.refusal:
-            return CommandReply(False, self.refusal)
+        if self.rejection_reason:
+            return CommandReply(False, self.rejection_reason)
         return CommandReply(True, "", int(self.clock.seconds() * 1000) + 1)
 
     async def start(self, run, lease_until_ms, fence, timeout_s):
@@ -129,7 +130,7 @@
         self.system.tell(self.session.name, run)
 
     def test_first_poll_extends_no_lease(self):
-        """Guards against a lease before the worker's clock is known."""
+        """Guards against a lease end computed without the worker's clock."""
         self.assertEqual(self.channel.calls[0], "poll False")
 
     def test_lost_start_is_sent_again(self):
@@ -156,7 +157,7 @@
     def test_end_is_reported_before_a_repeated_start_is_settled(self):
         """Guards against a second run of a task whose first run has ended.
 
-        The first run began although its start got no answer, so the start is
+        The first run began although its start got no reply, so the start is
         sent again. The model in ``_spec_workflow`` found this case.
         """
         for unanswered in (False, True):
@@ -171,7 +172,7 @@
                 )
 
     def test_silent_worker_lapses_only_after_its_longest_lease(self):
-        """Guards against a second run while the worker's lease may hold."""
+        """Guards against a second run while the worker's lease may be valid."""
         self.channel.unanswering = True
         run_for(self.clock, LEASE_S)
         self.assertTrue(self.sent_to_coordinator(WorkerSilent))
@@ -202,7 +203,7 @@
         self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
 
     def test_worker_that_still_answers_has_not_left(self):
-        """Guards against interrupted runs on a worker that still answers."""
+        """Guards against interrupting runs on a worker that answers polls."""
         self.system.tell(self.session.name, RegistryEntryRemoved(True))
         run_for(self.clock, 1.0)
         self.channel.unanswering = True
@@ -210,9 +211,9 @@
         self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
 
     def test_lost_stop_does_not_confirm_that_a_worker_left(self):
-        """Guards against interrupted runs while the last poll is in flight.
+        """Guards against interrupting runs while the last poll is in flight.
 
-        Only a poll without an answer confirms that a worker has left.
+        Only a poll without a reply confirms that a worker has left.
         """
         self.channel.unanswering = True
         self.system.tell(self.session.name, RegistryEntryRemoved(True))
@@ -232,7 +233,7 @@
         self.assertEqual(len(self.sent_to_coordinator(StartSettled)), 1)
 
     def test_unsettled_runs_are_stopped_before_the_first_poll(self):
-        """Guards against orders that take effect after the first report."""
+        """Guards against starts that take effect after the first report."""
         channel = FakeChannel(self.clock)
         unsettled = (StopRun("w2", fx.key(), 4),)
         session = WorkerSession(
@@ -244,7 +245,7 @@
 
     def test_fence_is_reported(self):
         """Guards against a deposed coordinator that continues its term."""
-        self.channel.refusal = "fenced"
+        self.channel.rejection_reason = "fenced"
         run_for(self.clock, 2.0)
         self.assertTrue(self.leadership.received)
 
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -137,7 +137,7 @@
         self.assertIs(progress.state, WorkflowState.DONE)
 
     def test_member_that_waits_at_the_end_is_not_stuck(self):
-        """Guards against stopping a gang while its slower members still work.
+        """Guards against stopping a gang while its slower members are running.
 
         A member at 100 percent makes no progress while it waits for them.
         """
@@ -171,7 +171,7 @@
         self.assertTrue(progress.settled)
 
     def test_late_answer_to_a_start_of_an_ended_task(self):
-        """Guards against an exception for the late answer to a start."""
+        """Guards against an exception for the late reply to a start."""
         for answer in ("start_confirmed", "start_rejected"):
             with self.subTest(answer=answer):
                 engine = fx.engine()
@@ -448,7 +448,7 @@
         self.assertEqual(effects[0].worker_ids, ("w2",))
 
     def test_unanswered_question_is_asked_again(self):
-        """Guards against a queue that is blocked by one lost answer."""
+        """Guards against a queue that is blocked by one lost reply."""
         engine, effects = self.plan_with_advice()
         self.assertEqual(engine.plan(0.1, 0.1), [])
         engine.record_advice(effects[0], None, 0.0, 0.0)
@@ -553,7 +553,7 @@
         self.assertEqual([s.key.workflow_id for s in starts], ["fast"])
 
     def test_guarantee_goes_before_other_urgent_work(self):
-        """Guards against guaranteed capacity held by another organisation."""
+        """Guards against guaranteed capacity that another organisation uses."""
         engine = fx.engine(fx.worker("w1"))
         engine.guaranteed_by_organisation = {"owner": 8}
         other = fx.workflow("a", fx.step(8), priority=0, organisation="other")
--- a/tests/workflow_fixtures.py
+++ b/tests/workflow_fixtures.py
@@ -61,7 +61,7 @@
 
 
 def confirm(engine, effects, now=0.0):
-    """Confirm all starts among the effects, as if the workers had answered."""
+    """Confirm all starts among the effects, as if the workers had replied."""
     for start in starts(effects):
         engine.start_confirmed(start.key, start.run, now)
 
