Reword remaining vague wording of the workflow code and tests

Replaces still, known and note_* by what is meant; the session's private methods are _record_answer and _record_no_answer. Two test docstrings name the failure more plainly.

--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -72,7 +72,7 @@
     PEERS sends it to INTAKE as well, when a peer reports a higher term.
 
     Attributes:
-        node_id: Name of the coordinator; "" if no coordinator is known.
+        node_id: Name of the coordinator; "" if there is none.
         address: "host:port" of its thrift server, or "".
         term: Its term, or 0.
     """
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -109,7 +109,7 @@
         """Read the revisions of the term and of some records again.
 
         Returns:
-            Whether the store still holds the term of this coordinator.
+            Whether the term in the store is that of this coordinator.
         """
         term: KeyValue | None = await self._ask(STORE, GetKey(TERM_KEY))
         if term is None or int(term.value) != self._term:
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -110,7 +110,7 @@
     """Restore all workflows and their progress.
 
     Returns:
-        The recorded runs, each of which may still exist on its worker.
+        The recorded runs, each of which may exist on its worker.
     """
     for pair in state.intake.pairs:
         if not pair.key.endswith(CANCEL_SUFFIX):
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -201,7 +201,7 @@
         if self._closed:
             return
         if reply is None:
-            self._note_no_answer(sent_at)
+            self._record_no_answer(sent_at)
             self._poll_later(RETRY_DELAY_S)
         elif isinstance(reply, CommandReply):
             self._handle_rejection(reply)
@@ -233,7 +233,7 @@
             reply: The worker's report.
             sent_at: Boot-clock time at which the poll was sent.
         """
-        self._note_answer(reply.clock_ms)
+        self._record_answer(reply.clock_ms)
         self._answered_poll_sent_at = max(self._answered_poll_sent_at, sent_at)
         answered_immediately = boot_clock() - sent_at < MIN_POLL_DURATION_S
         self._has_runs = bool(reply.running) or bool(self._starts_in_flight)
@@ -263,9 +263,9 @@
             # The worker has restarted, so no lease of the incarnation that
             # this session was opened for is valid any more.
             self._leases_end_at = 0.0
-        self._note_no_answer()
+        self._record_no_answer()
 
-    def _note_answer(self, clock_ms: int) -> None:
+    def _record_answer(self, clock_ms: int) -> None:
         self._last_answer_at = boot_clock()
         self._departed_at = math.inf
         if clock_ms:
@@ -275,7 +275,7 @@
             )
         self._chart.step("answered")
 
-    def _note_no_answer(self, poll_sent_at: float = 0.0) -> None:
+    def _record_no_answer(self, poll_sent_at: float = 0.0) -> None:
         """Update the worker's state after a call that failed or was rejected.
 
         Args:
@@ -360,7 +360,7 @@
                 reply = await self._channel.start(
                     message, self._lease_until(), self._fence, timeout_s
                 )
-                self._note_answer(reply.clock_ms)
+                self._record_answer(reply.clock_ms)
                 return reply
             except RedwingrudderError as error:
                 _logger.info(
@@ -372,7 +372,7 @@
                         "error": str(error),
                     },
                 )
-                self._note_no_answer()
+                self._record_no_answer()
         await self._send_stop(message)
         return CommandReply(False, "unanswered")
 
@@ -387,7 +387,7 @@
             sent_at = boot_clock()
             reply = await self._send_poll(0.0)
             if reply is None:
-                self._note_no_answer(sent_at)
+                self._record_no_answer(sent_at)
                 await pause(self.system.clock, RETRY_DELAY_S)
                 continue
             if isinstance(reply, CommandReply):
@@ -407,7 +407,7 @@
             reply = await self._channel.throttle(
                 message, self._fence, COMMAND_TIMEOUT_S
             )
-            self._note_answer(reply.clock_ms)
+            self._record_answer(reply.clock_ms)
         except RedwingrudderError as error:
             _logger.info(
                 "worker did not answer a throttle command",
@@ -422,7 +422,7 @@
                 reply = await self._channel.stop(
                     message, self._fence, COMMAND_TIMEOUT_S
                 )
-                self._note_answer(reply.clock_ms)
+                self._record_answer(reply.clock_ms)
                 if reply.reason == "fenced":
                     self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
                 return
@@ -436,7 +436,7 @@
                         "error": str(error),
                     },
                 )
-                self._note_no_answer()
+                self._record_no_answer()
             await pause(self.system.clock, STOP_RETRY_DELAY_S)
 
     def _report_silent(self) -> None:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -152,7 +152,7 @@
         self.workers_by_id.pop(worker_id, None)
 
     def is_starting(self, key: TaskKey, run: int) -> bool:
-        """Return whether the start of a run is still unconfirmed."""
+        """Return whether a run is current and its start is not confirmed."""
         task = self.current(key, run)
         return task is not None and task.state == "starting"
 
@@ -164,14 +164,14 @@
             self.step(task, "started", now)
 
     def start_rejected(self, key: TaskKey, run: int, reason: str, now: float) -> None:
-        """Record that a run was refused and will never start.
+        """Record that a run was rejected and will never start.
 
         The other members of a gang's run are stopped.
 
         Args:
             key: The task.
             run: Number of the run.
-            reason: Code of the refusal. "permit" also drops the worker's
+            reason: Code of the rejection. "permit" also removes the worker's
                 permit for the step.
             now: Node-clock seconds.
         """
@@ -287,7 +287,7 @@
         valid_s: float,
         now: float,
     ) -> None:
-        """Record the answer of the advice service to a request.
+        """Record the reply of the advice service to a request.
 
         Args:
             advice_request: The request that was sent to the service.
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -232,8 +232,8 @@
 def stop_cost(task: Task, now: float) -> float:
     """Return the core-seconds of work lost by stopping a run.
 
-    An accelerator counts as 8 cores. Stopping one member of a gang stops all
-    of them, so the cost is that of the whole gang.
+    An accelerator counts as ``CORES_PER_ACCELERATOR`` cores. Stopping one
+    member of a gang stops all of them, so the cost is that of the whole gang.
     """
     spec = task.stage.spec
     lost_s = (
--- a/src/redwingrudder/workflows/run_times.py
+++ b/src/redwingrudder/workflows/run_times.py
@@ -14,7 +14,7 @@
 DEFAULT_RUN_TIME_S = 5.0
 # Lower bound on an observed run time.
 MIN_RUN_TIME_S = 0.05
-# A worker is slow below this speed relative to the others. Ordinary workers
+# A worker is slow below this speed relative to other workers. Normal workers
 # differ by at most a third.
 SLOW_SPEED_RATIO = 0.45
 # Progress of a task that has completed its work, or of a service that serves.
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -254,7 +254,7 @@
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "1")
 
     def test_weak_node_campaigns_later(self):
-        """Guards against electing a node with few cores although others exist."""
+        """Guards against electing a weak node where a stronger one exists."""
         _, system, _ = node_system(self.contents)
         identity = Identity("weak", "10.0.0.1:9", "life-weak")
         constrained_node = Leadership(system, identity, (), NodeResources(0.25))
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -172,7 +172,7 @@
                 )
 
     def test_silent_worker_lapses_only_after_its_longest_lease(self):
-        """Guards against a second run while the worker's lease may be valid."""
+        """Guards against a second run during the lease of a silent worker."""
         self.channel.unanswering = True
         run_for(self.clock, LEASE_S)
         self.assertTrue(self.sent_to_coordinator(WorkerSilent))
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -553,7 +553,7 @@
         self.assertEqual([s.key.workflow_id for s in starts], ["fast"])
 
     def test_guarantee_goes_before_other_urgent_work(self):
-        """Guards against guaranteed capacity that another organisation uses."""
+        """Guards against guaranteed capacity held by another organisation."""
         engine = fx.engine(fx.worker("w1"))
         engine.guaranteed_by_organisation = {"owner": 8}
         other = fx.workflow("a", fx.step(8), priority=0, organisation="other")
