--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -330,7 +330,7 @@
         self._chart.step("resign", message.reason)
 
     async def _acquire(self) -> None:
-        """Write the record if it is vacant and unchanged since it was read."""
+        """Write the record if it is vacant or its process no longer exists."""
         event = "failed"
         result: tuple[int, int] | None = None
         try:
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -253,7 +253,10 @@
 
 
 class AllowLeaseExtension(NamedTuple):
-    """Tells a worker session whether it may extend the worker's lease."""
+    """Tells a worker session whether it may extend the worker's lease.
+
+    Without this permission the session sends no starts either.
+    """
 
     allowed: bool
 
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -75,7 +75,7 @@
             self._drop_session(worker_id)
 
     def allow_leases(self, allowed: bool) -> None:
-        """Set for all sessions whether they may extend leases."""
+        """Set for all open sessions whether they may extend leases."""
         for session in self._sessions_by_worker.values():
             self._system.tell(session.name, AllowLeaseExtension(allowed))
 
