Clarify the comments of the scheduler modules

A second reading found vague wording (known, given up, take, held back) and a docstring of JobRecord.may_have_run that left out recorded starts. Only docstrings, comments, two explanation texts, two locals and the names JobTable.remove_reported and JobQueue.pop_all change.

--- a/src/redwingrudder/_scheduler_backfill.py
+++ b/src/redwingrudder/_scheduler_backfill.py
@@ -11,7 +11,7 @@
 
 
 class Reservation(NamedTuple):
-    """Workers kept for a waiting gang until it can be placed.
+    """Workers reserved for a waiting gang until it can be placed.
 
     Attributes:
         at: Time at which the workers are expected to have enough free
@@ -96,7 +96,7 @@
 def _accelerator_releases(
     spec: JobSpec, scope: list[WorkerState], forecast: Forecast
 ) -> Iterator[_AcceleratorRelease]:
-    """Yield the expected release of each accelerator that the job may use."""
+    """Yield when each accelerator that the job may use should be free."""
     layout = forecast.guarantees.layout_of(forecast.fleet)
     may_borrow = is_borrower(spec)
     for worker in scope:
--- a/src/redwingrudder/_scheduler_gang_lifecycle.py
+++ b/src/redwingrudder/_scheduler_gang_lifecycle.py
@@ -23,8 +23,9 @@
         reclaiming: Ids of the gangs in the state ``reclaiming``.
         recovering: Ids of the gangs in the state ``recovering``.
         running_count: Number of gangs in the state ``running``.
-        held_by_class: Units held by each job class: accelerators under True
-            for jobs that use accelerators, slots under False for the others.
+        held_by_class: Units in use by each job class. The key True has the
+            accelerators of jobs that use accelerators, the key False the slots
+            of all other jobs.
     """
 
     def __init__(self, context: Context, jobs: JobTable) -> None:
@@ -57,7 +58,7 @@
             self._count_held(self.gangs_by_id.pop(gang_id), -1)
 
     def advance(self, gang_id: str) -> None:
-        """Fire the events that follow from what all members have confirmed."""
+        """Fire the events that are due once all members confirmed a step."""
         gang = self.gangs_by_id.get(gang_id)
         if gang is None:
             return
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -287,7 +287,7 @@
 
 
 def empty_gang(gang_id: str, job: JobRecord, member_count: int) -> GangRecord:
-    """Return a new gang of a job, in which no member is known yet."""
+    """Return a new gang of a job, without members yet."""
     return GangRecord(
         gang_id,
         job.job_id,
--- a/src/redwingrudder/_scheduler_jobs.py
+++ b/src/redwingrudder/_scheduler_jobs.py
@@ -38,8 +38,8 @@
         new_job_ids: Jobs queued since the last placement pass.
         waiting_for_recovery: Jobs that are queued only after recovery,
             because a worker that has not reported may run them.
-        counts_by_class: Number of jobs per class by state, and of jobs
-            submitted and targets met or missed.
+        counts_by_class: For each class, the number of jobs by state, and the
+            numbers of jobs submitted and of targets met and missed.
         queued_by_group: Queued jobs by organisation and class.
         queued_by_caller: Queued jobs by organisation, class and caller.
     """
@@ -109,7 +109,7 @@
             )
         )
 
-    def drop_reported(self, job_id: str) -> None:
+    def remove_reported(self, job_id: str) -> None:
         """Remove a job that is known only from a report and never ran."""
         job = self.jobs_by_id.pop(job_id)
         self._add_to_counts(job, -1)
@@ -184,7 +184,7 @@
         )
         if cell_owners == self.queue.cell_owners:
             return
-        job_ids = self.queue.take_all()
+        job_ids = self.queue.pop_all()
         self.queue.cell_owners = cell_owners
         for job_id in job_ids:
             self.queue.add(self.jobs_by_id[job_id])
--- a/src/redwingrudder/_scheduler_outcome.py
+++ b/src/redwingrudder/_scheduler_outcome.py
@@ -12,9 +12,9 @@
 # Delay after a worker refused a reservation as busy or the store refused a
 # start record. Without it the request would be repeated immediately.
 REFUSAL_DELAY_S = 0.5
-# A job avoids a worker on which it failed for this time, so that a worker on
-# which every task fails does not use up all attempts. The time is limited so
-# that a fleet with a single worker can still retry.
+# Time for which a job avoids a worker on which it failed. Without it, a worker
+# on which every task fails could use up all attempts. The time is limited so
+# that a job can be retried in a fleet with a single worker.
 AVOID_WORKER_S = 30.0
 
 
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -21,7 +21,7 @@
 # Ordering all lanes takes time linear in their number, so the passes in
 # between order only the lanes that the release may help.
 FULL_PASS_INTERVAL_S = 1.0
-# Interval at which classes are tried again that must leave headroom to others.
+# Interval at which classes that must leave headroom are tried again.
 HEADROOM_RECHECK_S = 1.0
 
 
@@ -38,7 +38,7 @@
             workers reserved for the first gang that does not fit.
         headroom_blocked_classes: Classes that are placed only within cells,
             to leave headroom for other work.
-        reservation: Workers kept for the first gang that does not fit.
+        reservation: Workers reserved for the first gang that does not fit.
     """
 
     def __init__(self, context: Context, jobs: JobTable, gangs: GangTable) -> None:
@@ -81,7 +81,7 @@
             self._try_new_jobs(new_job_ids)
 
     def _unblock_shapes(self, freed: set[str]) -> None:
-        """Unblock the shapes of which a freed worker can hold a task."""
+        """Unblock the shapes of which a task now fits on a freed worker."""
         context = self._context
         workers = [context.fleet.workers_by_id.get(worker_id) for worker_id in freed]
         workers = [worker for worker in workers if worker and worker.accepts_work]
@@ -237,10 +237,11 @@
         return order.leaves_headroom(job, use, self._context.now)
 
     def _headroom_claimed_by_other(self, job: QueuedJob) -> int:
-        """Return the units that another job waits for beyond the headroom.
+        """Return the units claimed by another job that waits for headroom.
 
-        This job is the first one held back for headroom in the pass. Without
-        its claim, small jobs would take each accelerator that becomes free.
+        The claimant is the first job in the pass that was not placed in order
+        to leave headroom. Without its claim, small jobs would use each
+        accelerator that becomes free.
         """
         claimant = self._headroom_claimant
         if claimant is None or claimant.job_id not in self._jobs.queue:
--- a/src/redwingrudder/_scheduler_queue.py
+++ b/src/redwingrudder/_scheduler_queue.py
@@ -81,7 +81,7 @@
         if not keys:
             del self._keys_by_shape[key.shape]
 
-    def take_all(self) -> list[str]:
+    def pop_all(self) -> list[str]:
         """Empty the queue and return the ids of its jobs, lane by lane."""
         job_ids = [job_id for lane in self._lanes_by_key.values() for job_id in lane]
         self._lanes_by_key.clear()
@@ -119,15 +119,15 @@
     def _lane_key(self, job: JobRecord) -> LaneKey:
         spec = job.spec
         has_cell = spec.organisation in self.cell_owners
-        takes_accelerators = spec.accelerators_per_task > 0
+        uses_accelerators = spec.accelerators_per_task > 0
         shape = ShapeKey(
-            spec.organisation if has_cell and takes_accelerators else "",
+            spec.organisation if has_cell and uses_accelerators else "",
             spec.tasks,
             spec.accelerators_per_task,
             spec.cores_per_task,
             spec.memory_mb_per_task,
-            takes_accelerators and spec.preemptible and spec.idempotent,
-            spec.stop_bound_s if takes_accelerators else 0.0,
+            uses_accelerators and spec.preemptible and spec.idempotent,
+            spec.stop_bound_s if uses_accelerators else 0.0,
             job.avoided,
         )
         return LaneKey(shape, spec.organisation, spec.job_class, spec.caller)
--- a/src/redwingrudder/_scheduler_recovery.py
+++ b/src/redwingrudder/_scheduler_recovery.py
@@ -22,15 +22,18 @@
         self._gangs = gangs
 
     def worker_claimed(self, report: WorkerReport) -> None:
-        """Add a claimed worker, or compare a known one with its report."""
+        """Add a claimed worker, or update gangs if it is in the fleet already.
+
+        A worker that restarted is added again, without its previous members.
+        """
         fleet, worker_id = self._context.fleet, report.worker.worker_id
-        known = fleet.workers_by_id.get(worker_id)
-        if known is not None and known.boot_id == report.boot_id:
+        current = fleet.workers_by_id.get(worker_id)
+        if current is not None and current.boot_id == report.boot_id:
             if report.draining:
                 self._gangs.worker_draining(worker_id)
             self._reconcile(report)
         else:
-            if known is not None:
+            if current is not None:
                 self._gangs.worker_lost(worker_id, "worker_restarted")
                 self._context.policies.health.forget(worker_id)
             fleet.add_worker(report.worker, report.boot_id, report.draining)
@@ -45,7 +48,7 @@
         self._jobs.recovery_ended()
 
     def _roll_forward_complete(self, reported: set[str]) -> None:
-        """Continue complete gangs; others wait for the end of recovery."""
+        """Continue complete gangs; the other ones wait until recovery ends."""
         for gang_id in sorted(reported & self._gangs.recovering):
             gang = self._gangs.gangs_by_id[gang_id]
             if _can_continue(gang) and self._attach_to_job(gang):
@@ -58,8 +61,8 @@
         """Stop or release the gangs that cannot be continued."""
         gangs = self._gangs
         waiting = [gangs.gangs_by_id[gang_id] for gang_id in gangs.recovering]
-        # If a job has several gangs, a started one takes the job before one
-        # that is only reserved.
+        # If a job has several gangs, a started one is attached to the job
+        # before one that is only reserved.
         waiting.sort(key=lambda gang: (not gang.start_sent, gang.gang_id))
         for gang in waiting:
             if gang.start_sent:
@@ -80,7 +83,7 @@
         job = self._jobs.jobs_by_id.get(gang.job_id)
         if job is not None and not job.submitted and job.gang_id is None:
             # No member has run, and the job may already be recorded as final.
-            self._jobs.drop_reported(gang.job_id)
+            self._jobs.remove_reported(gang.job_id)
         elif self._attach_to_job(gang) and job.start_recorded:
             # The previous owner may have sent a start, and a non-idempotent
             # job must not be started a second time.
@@ -124,8 +127,9 @@
         try:
             fleet.hold_member(gang.gang_id, gang.spec, report.placement)
         except RedwingrudderError:
-            # The worker itself refuses to reserve resources twice. The member
-            # is only left out of the resources in use until it is released.
+            # The fleet counts these resources as used by another gang. The
+            # worker itself never reserves them twice, so the only effect is
+            # that this member is not counted as resources in use.
             return
 
     def _new_gang(self, report: MemberReport) -> GangRecord:
--- a/src/redwingrudder/_scheduler_state.py
+++ b/src/redwingrudder/_scheduler_state.py
@@ -78,12 +78,12 @@
         recorded: Whether the store holds the job.
         start_recorded: Whether a previous owner recorded a start of this
             non-idempotent job.
-        may_have_run: True once a start was sent, and for an idempotent job
-            that a previous owner may have started.
+        may_have_run: True once a start was sent, and for a job that a
+            previous owner may have started.
         target_at: Time by which the job should be complete.
         attempts: Number of attempts started, without preempted ones.
-        waits_for_recovery: Whether the job must not be queued before all
-            workers were claimed or given up.
+        waits_for_recovery: Whether the job must not be queued before recovery
+            has ended.
         parked_until: The job is not placed before this time.
         avoided: Workers on which the job failed. They are used again from
             ``avoided_until`` on.
@@ -190,12 +190,12 @@
 
     @property
     def all_released(self) -> bool:
-        """Whether no known member holds resources any more."""
+        """Whether every member of ``members_by_worker`` was released."""
         return all(worker_id in self.released for worker_id in self.members_by_worker)
 
     @property
     def all_ended(self) -> bool:
-        """Whether every known member has ended or was released."""
+        """Whether every ``members_by_worker`` entry ended or was released."""
         return all(
             worker_id in self.released or self.member_ended(worker_id)
             for worker_id in self.members_by_worker
@@ -220,7 +220,7 @@
         effects: Effects of the event that is being handled.
         now: Time of the event that is being handled.
         created_at: Time of the first event.
-        recovered: Whether all workers were claimed or given up.
+        recovered: Whether recovery has ended, see ``RecoveryEnded``.
         resources_changed: Whether a full placement pass is needed.
         freed_workers: Workers with resources freed since the last pass.
         cells_changed: Whether the cells have to be assigned again.
@@ -253,6 +253,6 @@
         self.effects.append(effect)
 
     def release(self, gang_id: str, worker_id: str) -> None:
-        """Free the resources of a member and note its worker as freed."""
+        """Free the resources of a member; its worker counts as freed."""
         self.fleet.release_member(gang_id, worker_id)
         self.freed_workers.add(worker_id)
--- a/src/redwingrudder/_scheduler_status.py
+++ b/src/redwingrudder/_scheduler_status.py
@@ -18,7 +18,7 @@
     """Return the state of a job with the reasons for it in plain text."""
     job = jobs.jobs_by_id.get(job_id)
     if job is None:
-        return Explanation(job_id, "unknown", ("no job with this id is known",))
+        return Explanation(job_id, "unknown", ("there is no job with this id",))
     reasons = [f"last reason: {job.reason}"] if job.reason else []
     if job.target_missed:
         reasons.append(f"cannot meet its target, {_format_time(job.target_at)}")
@@ -58,7 +58,7 @@
         shape not in placer.blocked_shapes
         and spec.job_class in placer.headroom_blocked_classes
     ):
-        return "its class leaves headroom for work that cannot wait for it"
+        return "waits to leave headroom for classes that cannot wait until it ends"
     return (
         f"no free place for {spec.tasks} tasks with"
         f" {spec.accelerators_per_task} adjacent accelerators each"
--- a/src/redwingrudder/messages.py
+++ b/src/redwingrudder/messages.py
@@ -46,7 +46,8 @@
 class RecoveryEnded(NamedTuple):
     """The new owner has finished claiming its workers.
 
-    Each worker has answered the claim, or the owner waits for it no longer.
+    Each worker has answered the claim or is lost, or the time limit of the
+    recovery has passed.
     """
 
 
@@ -170,7 +171,7 @@
 
 
 class ReleaseMember(NamedTuple):
-    """Release a reservation, or the results kept for an ended member."""
+    """Release a reservation, or the results retained for an ended member."""
 
     gang_id: str
     worker_id: str
--- a/src/redwingrudder/model.py
+++ b/src/redwingrudder/model.py
@@ -40,7 +40,7 @@
 class JobSpec(NamedTuple):
     """A job as described by its caller.
 
-    All tasks run as one gang. Each task takes one slot of its worker and the
+    All tasks run as one gang. Each task uses one slot of its worker and the
     resources given per task.
 
     Attributes:
--- a/src/redwingrudder/scheduler.py
+++ b/src/redwingrudder/scheduler.py
@@ -42,7 +42,7 @@
 # A job whose gang is being recovered does not expire, because a member that
 # has not reported may have started. Expiry is checked again after this time.
 EXPIRY_RECHECK_S = 1.0
-# Retry time given to callers whose job is refused without a configuration.
+# Retry delay given to callers whose job is refused without a configuration.
 NO_CONFIGURATION_RETRY_S = 1.0
 
 
