Clarify the comments of the policies, cells and the fleet

Several docstrings said less than the code does: late jobs are also ordered by attained service, a success on a worker ends its quarantine as well, and the placement measurement also releases a gang when the next one does not fit. Only docstrings, comments and one local change.

--- a/src/redwingrudder/_cell_plan.py
+++ b/src/redwingrudder/_cell_plan.py
@@ -126,7 +126,12 @@
     """
 
     def preference(domain: str) -> tuple[int, int, int, str]:
-        """Sort by level, then by own cells to spread or fullness to pack."""
+        """Return the sort key of a domain.
+
+        After the level, spreading prefers domains with few cells of the
+        organisation and then with many unassigned accelerators. Packing
+        prefers domains with few unassigned accelerators.
+        """
         layout = layouts[domain]
         own_cells = sum(
             key.organisation == copy.key.organisation for key in layout.cells_by_key
@@ -160,8 +165,8 @@
 ) -> dict[CellAssignment, int]:
     """Return what is missing if every domain lays out its cells from scratch.
 
-    An owner that takes over a domain has no layout yet and has to find room
-    for all its cells.
+    An owner that takes over a domain has no layout yet and has to place all
+    cells again.
     """
     planned = configuration._replace(cells=cells)
     missing: dict[CellAssignment, int] = {}
--- a/src/redwingrudder/_cells.py
+++ b/src/redwingrudder/_cells.py
@@ -52,7 +52,7 @@
 
 
 class Candidate(NamedTuple):
-    """Accelerators of a worker that a cell may take, preferred ones first.
+    """Accelerators of a worker that a cell may use, preferred ones first.
 
     The last ``held_by_organisation`` of them are in use by the organisation
     itself. They come last because jobs that run outside the organisation's
@@ -101,7 +101,10 @@
         self.rebuild_indexes()
 
     def rebuild_indexes(self) -> None:
-        """Rebuild the index of accelerators outside all cells."""
+        """Rebuild the index of accelerators outside all cells.
+
+        Cached capacities of workers that have left the fleet are removed.
+        """
         workers = self.fleet.workers_by_id
         for worker_id in self._capacities_by_worker.keys() - workers.keys():
             del self._capacities_by_worker[worker_id]
@@ -149,7 +152,7 @@
             self._refresh_worker(worker_id)
 
     def remove_cell(self, key: CellAssignment) -> None:
-        """Remove a cell, also if workers of it have left the fleet."""
+        """Remove a cell, even if some of its workers have left the fleet."""
         cell = self.cells_by_key.pop(key)
         for worker_id, indexes in cell.accelerators_by_worker.items():
             owners = replace_owner(self.owners_by_worker[worker_id], indexes, None)
@@ -385,7 +388,7 @@
 
 
 def _size_order(count: int, required: int) -> tuple[bool, int]:
-    """Sort sufficient units first, smallest first, then others descending."""
+    """Sort sufficient units by size, then smaller ones, largest first."""
     return (False, count) if count >= required else (True, -count)
 
 
--- a/src/redwingrudder/_placement.py
+++ b/src/redwingrudder/_placement.py
@@ -108,8 +108,9 @@
 def _place_on_racks(scope: PlacementScope, tier: Tier) -> Placement | None:
     """Place the gang on as few racks as possible.
 
-    Whole racks are taken in the order of the tasks that they can hold. The
-    remaining tasks go to the fullest rack that can hold all of them.
+    While no single rack can hold all remaining tasks, the rack that can hold
+    the most tasks is used completely. The remaining tasks go to the fullest
+    rack that can hold all of them.
     """
     candidates = _RackCandidates(scope, tier)
     chosen_offers: list[Offer] = []
@@ -184,8 +185,9 @@
 
     Workers without free accelerators are preferred. Among these, the worker
     with the fewest free slots that fits the whole gang is used. If there is
-    none, workers with many free slots come first, because every member of a
-    gang costs calls to its worker.
+    none, the gang is spread over several workers. Of the preferred ones, those
+    with the most free slots are used first, because every member of a gang
+    costs calls to its worker.
     """
     spec = scope.spec
     without_free_accelerators: list[WorkerState] = []
--- a/src/redwingrudder/_placement_cost.py
+++ b/src/redwingrudder/_placement_cost.py
@@ -21,7 +21,7 @@
 
 DECISIONS = 400
 GANG_TASKS = 64
-# Gangs that were placed by the measurement and hold resources at a time.
+# Maximum number of measured gangs that hold resources at the same time.
 HELD_GANGS_LIMIT = 8
 BORROWER_SHARE = 0.5
 ORGANISATIONS = 140
@@ -59,9 +59,9 @@
 
     Workers have 1.5 accelerators on average and run 19,000 tasks per 1,700
     workers. Half of the measured gangs of 64 tasks are borrowers. Each gang
-    that was placed holds its resources, and beyond 8 gangs the oldest one is
-    released, so that the measured time includes the updates of caches after
-    changes of the fleet.
+    that was placed holds its resources. The oldest one is released if more
+    than 8 hold resources or if the next gang does not fit, so that the
+    measured time includes the updates of caches after changes of the fleet.
 
     Args:
         workers: Number of workers in the failure domain.
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -20,7 +20,7 @@
     ResourceUse,
 )
 
-# Run times kept for each organisation and class.
+# Number of run times kept per organisation and class.
 RUN_HISTORY_LIMIT = 50
 # With fewer runs in the history, the declared run time keeps part of the
 # weight.
@@ -97,10 +97,10 @@
         Jobs that can still meet their target come first, by slack. The
         positions of each class in this order are then assigned to its jobs by
         least attained service. Jobs that can no longer meet their target
-        follow. The aged job that has waited longest relative to its target is
-        moved to the first position during one tenth of the time and to the
-        second position otherwise, so that it gets the reservation that the
-        scheduler makes for a waiting gang.
+        follow, also by least attained service. The aged job that has waited
+        longest relative to its target is moved to the first position during
+        one tenth of the time and to the second position otherwise, so that it
+        gets the reservation that the scheduler makes for a waiting gang.
         """
         jobs_with_slack = [(self._slack(job, now), job) for job in jobs]
         on_time = [
@@ -210,9 +210,9 @@
 class _Headroom:
     """Keeps capacity free for classes that cannot wait for a long job to end.
 
-    Otherwise a flood of long jobs would take all accelerators until long
-    after the targets of jobs of shorter classes. Demand is kept separately
-    for jobs with and without accelerators.
+    Otherwise a flood of long jobs would occupy all accelerators until long
+    after the targets of short jobs. Demand is recorded separately for jobs
+    with and without accelerators.
     """
 
     def __init__(self) -> None:
@@ -304,7 +304,7 @@
 
     A failure counts only after the same job has succeeded on another worker,
     because a job that fails everywhere says nothing about the worker. Any
-    success on the worker ends its streak of failures.
+    success on the worker ends its streak of failures and its quarantine.
     """
 
     def __init__(self) -> None:
@@ -316,7 +316,8 @@
         """Record the outcome of a task.
 
         A failure extends the streak of the worker. A success ends the streak
-        of the worker and confirms the failures of the same job on others.
+        and the quarantine of the worker, and confirms the failures of the
+        same job on other workers.
         """
         if failed:
             self._record_failure(worker_id, job_id, now)
--- a/src/redwingrudder/_worker_capacity.py
+++ b/src/redwingrudder/_worker_capacity.py
@@ -1,4 +1,4 @@
-"""Resources that one worker can still give without making a cell unusable.
+"""Resources of a worker that can be used without making a cell unusable.
 
 The accelerators of a cell can be used only together with slots, cores and
 memory, so these are reserved as well. Each accelerator of a cell has a share:
@@ -66,9 +66,9 @@
         unassigned: Free accelerators outside all cells.
         free_by_owner: Free accelerators in cells, by the owner of the cell.
         free_accelerators: Number of all free accelerators.
-        margin: Resources that non-reclaimable use outside cells may still
-            take. A component is negative if a cell on this worker could not
-            be used completely.
+        margin: Resources that are available to further non-reclaimable use
+            outside cells. A component is negative if a cell on this worker
+            could not be used completely.
         unused_shares_by_organisation: The part of the share of each owner
             that its own gangs do not use.
         blocked_accelerators: Accelerators of cells that are held by a gang
@@ -295,8 +295,8 @@
         and spec.organisation not in capacity.owners
     ):
         return True
-    taken = accelerators[: tasks * spec.accelerators_per_task]
-    inside, outside = split_use(spec, tasks, taken, capacity.owners)
+    used = accelerators[: tasks * spec.accelerators_per_task]
+    inside, outside = split_use(spec, tasks, used, capacity.owners)
     share = capacity.unused_shares_by_organisation.get(spec.organisation, NO_RESOURCES)
     beyond_share = inside.plus(share, -1).maximum(NO_RESOURCES)
     return min(capacity.margin.plus(outside, -1).plus(beyond_share, -1)) >= 0
--- a/src/redwingrudder/policies.py
+++ b/src/redwingrudder/policies.py
@@ -21,8 +21,8 @@
 
     ``submitted_at`` and ``target_at`` are Unix times in seconds; the job
     should be complete by ``target_at``. ``expected_run_s`` is the estimate of
-    the order policy, in seconds. ``attempts`` is the number of gangs of this
-    job that were started before.
+    the order policy, in seconds. ``attempts`` is the number of attempts
+    started so far, without preempted ones.
     """
 
     job_id: str
