Clarify the comments of the ownership and job record modules

The store's answers are called replies throughout. Private names without a clear meaning (_find_known, _take_due, _has_run_since) are replaced.

--- a/src/redwingrudder/_job_body.py
+++ b/src/redwingrudder/_job_body.py
@@ -16,15 +16,15 @@
 from .model import JobSpec
 
 NESTING_LIMIT = 64  # levels of arrays and objects
-GANG_TASKS_LIMIT = 64  # of a job whose tasks use accelerators
-CPU_TASKS_LIMIT = 1_024  # of a job whose tasks use only CPUs
+GANG_TASKS_LIMIT = 64  # tasks of a job that uses accelerators
+CPU_TASKS_LIMIT = 1_024  # tasks of a job that uses no accelerators
 DURATION_LIMIT_S = 30 * 86_400.0
 WAIT_LIMIT_S = 30.0
 KEY_LENGTH_LIMIT = 200  # characters
 ACCELERATORS_PER_TASK_LIMIT = 64
 CORES_PER_TASK_LIMIT = 1_024
 MEMORY_MB_PER_TASK_LIMIT = 16_777_216
-PATH_PART_LIMIT = 64  # characters of a field name that a problem repeats
+PATH_PART_LIMIT = 64  # characters of a field name in an error message
 
 DEFAULT_CORES_PER_TASK = 1
 DEFAULT_MEMORY_MB_PER_TASK = 1_024
@@ -158,9 +158,10 @@
 
 
 def _gang_problems(value: Any) -> list[str]:
-    """Return violations of the rule that involves two fields.
+    """Return a problem if a job with accelerators has too many tasks.
 
-    Jobs that use accelerators have a lower limit on their tasks.
+    Its limit is lower than the limit in ``JobBody``, which applies to all
+    jobs.
     """
     if not isinstance(value, dict):
         return []
--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -79,7 +79,7 @@
 
         Raises:
             ResultExpiredError: The results were too large to be recorded,
-                and the workers have dropped them.
+                and the workers no longer have them.
         """
         entry = self._entries_by_job.get(job_id)
         if entry is None or entry.answer is None or not entry.published:
@@ -97,7 +97,7 @@
         return None if entry is None or entry.published else entry.answer
 
     def is_pending(self, job_id: str) -> bool:
-        """Whether the final answer is kept only in memory and at workers."""
+        """Whether a job has ended but the store lacks its answer or results."""
         entry = self._entries_by_job.get(job_id)
         if entry is None or entry.answer is None:
             return False
@@ -108,7 +108,7 @@
         return records.open_record(self._failure_domain, spec, now, uuid.uuid4().hex)
 
     async def create(self, body: JobRecordBody) -> StoredRecord:
-        """Write the record of a new job unless its key is taken.
+        """Write the record of a new job unless its key has a record.
 
         Returns:
             The record that the store holds for the idempotency key.
@@ -131,7 +131,8 @@
     def add_stored(self, record: StoredRecord) -> None:
         """Add a record read from the store.
 
-        Ignored if the entry is as new, has ended or is being written.
+        The record is ignored if the ledger has the same or a newer revision,
+        or if the job has ended or its record is being written.
         """
         body = record.body
         job_id = body["job_id"]
@@ -269,7 +270,7 @@
         return {**body, "job_id": view.job_id}
 
     def _add_results(self, entry: LedgerEntry, view: JobView, now: float) -> None:
-        """Add results that workers reported to an answer without them."""
+        """Add the results that workers reported if the answer has none."""
         available_until = (entry.answer.finished_at or now) + RESULT_RETENTION_S
         if not entry.body["results_kept"] and view.results and now < available_until:
             answer = entry.answer._replace(results=view.results)
@@ -283,7 +284,7 @@
             self._callbacks.answer_published(job_id)
 
     async def _write(self, job_id: str) -> bool:
-        """Write one record; returns whether the store answered."""
+        """Write one record; returns whether the store replied."""
         self._job_ids_being_written.add(job_id)
         entry = self._entries_by_job[job_id]
         try:
@@ -370,7 +371,8 @@
         elif records.epoch_of(stored.body) < self._store.epoch:
             self._apply_recorded_start(job_id, entry, stored)
         else:
-            # A later owner has taken the job over and alone may answer for it.
+            # A later owner has taken over the job. Only that owner may publish
+            # its final answer.
             _logger.error("the job record was changed by a later owner", extra=fields)
             del self._unwritten_job_ids[job_id]
 
@@ -379,7 +381,8 @@
     ) -> None:
         """Apply a start that a previous owner had recorded.
 
-        A job that ended here without a known start ends as interrupted.
+        If this owner has ended the job without having seen the start, the job
+        may have run, so its end becomes interrupted.
         """
         del self._unwritten_job_ids[job_id]
         if entry.answer is None:
--- a/src/redwingrudder/_job_store.py
+++ b/src/redwingrudder/_job_store.py
@@ -37,8 +37,8 @@
     TransactReply,
 )
 
-# Records with these states are written only while the owner record names this
-# owner, see JobStore.
+# Records with these states are written only while the owner record has the
+# epoch of this owner, see JobStore.
 _GUARDED_STATES = frozenset({OPEN, STARTING, JobState.NOT_RUN.value})
 
 # Attempts to write one record before its outcome is reported as unknown.
@@ -73,9 +73,10 @@
     After a lost reply the record is read to learn whether the write took
     effect.
 
-    A successor reads the job records after it has written the owner record.
-    Writes that it would miss otherwise are therefore conditional on the owner
-    record still naming this owner's epoch.
+    A successor writes the owner record and then reads the job records. It
+    would miss a job record that this owner writes later. Records of new jobs,
+    of starts and of jobs that did not run are therefore written only if the
+    owner record still has the epoch of this owner.
 
     Args:
         system: Actor system of the node.
@@ -142,7 +143,7 @@
         """Write a record if the store holds an expected revision.
 
         If the revision is not known or has changed, the stored record is
-        read, and replaced if it may be.
+        read, and replaced if ``_can_replace`` or ``replaceable`` allows it.
 
         Args:
             body: The record to write.
@@ -231,9 +232,10 @@
 def _can_replace(new: JobRecordBody, old: JobRecordBody) -> bool:
     """Whether a record may replace a stored record of the same key.
 
-    Not replaced are final records, records changed by an owner with a higher
-    epoch and starts recorded by another owner. The one exception is a final
-    record with the state "not run", which the end of a run replaces.
+    Both records must come from the same acceptance of the job, and the new
+    one must be a start or an end. Final records, records changed by an owner
+    with a higher epoch and starts recorded by another owner are not replaced,
+    with one exception: the end of a run replaces the final state "not run".
     """
     if old["state"] == JobState.NOT_RUN and is_final(new):
         return new["nonce"] == old["nonce"] and new["state"] != JobState.NOT_RUN
--- a/src/redwingrudder/_job_submitter.py
+++ b/src/redwingrudder/_job_submitter.py
@@ -80,9 +80,9 @@
         while job_id in self._waiters_by_new_job:
             await self._wait_for_creation(job_id)
         ownership_term = self._get_ownership_term()
-        known_view = self._find_known(ownership_term, job_id, spec)
-        if known_view is not None:
-            return known_view
+        accepted_view = self._find_accepted(ownership_term, job_id, spec)
+        if accepted_view is not None:
+            return accepted_view
         try:
             self._check_admission(ownership_term, spec)
         except RedwingrudderError as refusal:
@@ -103,7 +103,7 @@
         domain = self._failure_domain
         return job_id_for(domain, spec.organisation, spec.idempotency_key)
 
-    def _find_known(
+    def _find_accepted(
         self, ownership_term: OwnershipTerm, job_id: str, spec: JobSpec
     ) -> JobView | None:
         digest = ownership_term.ledger.digest(job_id)
@@ -131,16 +131,16 @@
     async def _refuse(
         self, ownership_term: OwnershipTerm, spec: JobSpec, refusal: RedwingrudderError
     ) -> None:
-        """Raise the refusal, unless the key may have been accepted before.
+        """Raise the refusal, or another error if another domain has the key.
 
         A refusal assures the caller that nothing was run. Another domain may
-        have accepted the key, so its record is read first.
+        have accepted the key, so the record of the key is read first.
 
         Raises:
             ConflictError: The key was used for another body or by another
                 domain.
             OutcomeUnknownError: The record could not be read.
-            RedwingrudderError: The refusal, if the key was not accepted.
+            RedwingrudderError: The refusal.
         """
         wait_s = self._refusal_read_bucket.take(self._now())
         try:
--- a/src/redwingrudder/_job_waiters.py
+++ b/src/redwingrudder/_job_waiters.py
@@ -11,7 +11,7 @@
 from .timers import TIMERS, Subscribe, Unsubscribe
 
 MAX_WAITERS = 10_000
-RETRY_S = 1.0  # retry delay given to callers above the limit
+RETRY_S = 1.0  # retry delay that callers above the limit are given
 TIMER_PREFIX = "wait:"
 
 
@@ -21,7 +21,7 @@
 
 
 class JobWaiters:
-    """Callers that wait until a job ends, a time-out or an error.
+    """Callers that wait until a job ends, with a time-out for each wait.
 
     Args:
         system: Actor system of the node.
--- a/src/redwingrudder/_ledger_entry.py
+++ b/src/redwingrudder/_ledger_entry.py
@@ -11,13 +11,14 @@
     """Callbacks of the job ledger.
 
     Attributes:
-        answer_published: Takes a job id; callers may see its final answer
-            from now on.
-        results_releasable: Takes a job id; workers may drop its results.
-        record_created: Takes the id of a job that was accepted without a
-            record; it has one now.
-        changed_by_other_owner: Takes the record of a queued job that
-            another owner has changed.
+        answer_published: Called with the id of a job whose final answer
+            callers may see from now on.
+        results_releasable: Called with the id of a job whose results workers
+            may delete.
+        record_created: Called with the id of a job that was accepted without
+            a record and has one now.
+        changed_by_other_owner: Called with the record of a job that another
+            owner has started or ended.
         schedule_retry: Requests a call of ``write_all`` after a delay.
     """
 
@@ -35,7 +36,7 @@
         body: The record that the store should hold.
         mod_revision: Revision of the record in the store, 0 if there is
             none, None if it is not known.
-        stored: Whether the store is known to hold ``body``.
+        stored: Whether the store has confirmed that it holds ``body``.
         may_have_record: Whether the store may hold some record of the job.
         answer: Final answer of the job, None while it has not ended.
         published: Whether callers may see the answer.
--- a/src/redwingrudder/_ownership_record.py
+++ b/src/redwingrudder/_ownership_record.py
@@ -79,21 +79,21 @@
 
 
 class RecordView:
-    """Latest known owner record of one domain: read, watched or written."""
+    """Latest owner record of one domain that was read, watched or written."""
 
     def __init__(self) -> None:
         self.record: OwnerRecord | None = None
         self._revision = 0
 
     def update(self, record: OwnerRecord | None, revision: int) -> bool:
-        """Replace the known record unless the given one is older.
+        """Replace the current record unless the given one is older.
 
         Args:
             record: The record, None if it is absent.
             revision: Store revision at which this was the record.
 
         Returns:
-            Whether the known record changed.
+            Whether the current record changed.
         """
         # Watch messages may arrive after a later read or write.
         if revision < self._revision:
@@ -108,7 +108,7 @@
     """Reads, acquires, renews and releases the record of one domain.
 
     Args:
-        ask_store: Sends a request to the store actor, returns its answer.
+        ask_store: Sends a request to the store actor and returns its reply.
         now: Returns the time of the node's clock in seconds.
         failure_domain: Failure domain of this node.
         node_id: Id of this node.
--- a/src/redwingrudder/_ownership_term.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -45,7 +45,7 @@
 SWEEP_TIMER = "sweep"
 FLUSH_TIMER = "flush"
 
-# Reason shown for an ended job whose end must be recorded before it is told.
+# Reason shown for an ended job as long as its end is not recorded.
 NOT_RECORDED_YET = "recording_the_end"
 
 _logger = logging.getLogger(__name__)
@@ -86,10 +86,9 @@
         self._members_known = False
         self._events: deque[messages.Event] = deque()
         self._processing_events = False
-        # Records of jobs without a known end that the scheduler has not
-        # received. If a start is recorded, the job is submitted only when a
-        # worker has reported it or all workers are known: each one has been
-        # claimed or certainly has no tasks.
+        # Records of unfinished jobs that have not been submitted to the
+        # scheduler. A job with a recorded start is submitted only once a
+        # worker has reported it or every worker was claimed or lost.
         self._unresolved_records_by_job: dict[str, JobRecordBody] = {}
         self._handlers_by_effect_type: dict[type, Callable] = {
             messages.ReserveMember: self._commands.reserve,
@@ -129,7 +128,7 @@
     def end(self, reason: str) -> None:
         """Close the links and fail all waiting callers with ``not_owner``.
 
-        Running tasks go on; the next owner claims their workers.
+        Running tasks continue; the next owner claims their workers.
         """
         self.closed = True
         self.ledger.close()
@@ -143,7 +142,7 @@
         self.waiters.fail_all(error)
 
     def drain(self) -> bool:
-        """Stop recording starts of jobs.
+        """Stop recording job starts.
 
         Returns:
             Whether a start or a write of a record is still in progress.
@@ -202,21 +201,22 @@
         self.epoch = epoch
         self._store.epoch = epoch
         self.roster.raise_epoch(epoch)
-        # Writes may have failed because the owner record was not held.
+        # Writes may have failed because this node did not hold the owner
+        # record.
         self._schedule_record_retry()
 
     def view(self, job_id: str) -> JobView | None:
         """Return the state of a job as callers may see it.
 
         Returns:
-            The view, or None if neither the ledger nor the scheduler knows
+            The view, or None if neither the ledger nor the scheduler has
             the job.
 
         Raises:
             ResultExpiredError: The results are no longer kept.
         """
         answer = self.ledger.answer(job_id, self.now())
-        if answer is not None and not self._has_run_since(answer):
+        if answer is not None and not self._has_changed_since(answer):
             return answer
         unpublished_view = self.ledger.unpublished_answer(job_id)
         if unpublished_view is not None:
@@ -227,8 +227,11 @@
         view = self.scheduler.view(job_id)
         return view and view._replace(durable=self.ledger.is_durable(job_id))
 
-    def _has_run_since(self, answer: JobView) -> bool:
-        """Whether a job recorded as not run has run since, submitted again."""
+    def _has_changed_since(self, answer: JobView) -> bool:
+        """Whether the scheduler has a job again that was answered as not run.
+
+        The job was submitted again, or a worker reported a run of it.
+        """
         if answer.state is not JobState.NOT_RUN:
             return False
         view = self.scheduler.view(answer.job_id)
--- a/src/redwingrudder/_record_sweeper.py
+++ b/src/redwingrudder/_record_sweeper.py
@@ -49,13 +49,13 @@
             return
         self._sweeping = True
         try:
-            batch = self._take_due(now)
+            batch = self._pop_due(now)
             while batch and await self._delete(batch):
-                batch = self._take_due(now)
+                batch = self._pop_due(now)
         finally:
             self._sweeping = False
 
-    def _take_due(self, now: float) -> list[_Deletion]:
+    def _pop_due(self, now: float) -> list[_Deletion]:
         batch: list[_Deletion] = []
         while self._deletions and len(batch) < MAX_BATCH_KEYS:
             if self._deletions[0].due_at > now:
--- a/src/redwingrudder/_takeover_policy.py
+++ b/src/redwingrudder/_takeover_policy.py
@@ -8,12 +8,13 @@
 # their ranks, at this interval.
 TURN_INTERVAL_S = 0.2
 MAX_TURN_JITTER_S = 0.1
-# Limit of the turns that a node waits by its rank while it knows no others.
+# Maximum number of turns that a node waits according to its rank while neither
+# the VM list nor a report has named another node.
 MAX_TURNS = 10
-# After an outage the owner may notice that the store is back up to 1.2 s later
-# than other nodes, because of the interval between probes. An owner without a
-# record for longer than this cannot write job records, so another node takes
-# over.
+# After an outage, the owner may detect the recovered store as much as 1.2 s
+# later than other nodes, because the store is probed at intervals. If the
+# owner record is absent for longer than this limit, another node takes over,
+# because an owner without a record cannot write job records.
 MAX_RECORD_ABSENCE_S = 2.5
 # Once the owner is silent all nodes exchange reports. A node of the VM list
 # that has sent none for this long no longer precedes this node.
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -52,8 +52,8 @@
     "job_id_for",
 ]
 
-# A cancellation whose end is not confirmed in this time is answered with an
-# unknown outcome.
+# If the end of a cancelled job is not confirmed within this time, the request
+# fails with an unknown outcome.
 CANCEL_TIMEOUT_S = 30.0
 CANCEL_RETRY_S = 1.0  # retry delay that callers are given
 NOT_OWNER_RETRY_S = 0.5  # retry delay that callers are given
--- a/src/redwingrudder/ownership.py
+++ b/src/redwingrudder/ownership.py
@@ -111,7 +111,7 @@
                 "end_owning": self._end_owning,
             },
         )
-        # Highest epoch known for this node's failure domain.
+        # Highest epoch seen for this node's failure domain.
         self._highest_epoch = Epoch(0, 0, 0)
         # Epoch of this node's ownership, None while it is not the owner.
         self._epoch: Epoch | None = None
@@ -248,7 +248,7 @@
             await self._release_in_progress
 
     def _take_over_if_due(self) -> None:
-        """Start a takeover if this node follows and its time has come.
+        """Start a takeover if this node is following and one is due.
 
         With the store available, an absent record is acquired and the
         record of a silent owner is read again. Without the store, the
@@ -333,7 +333,7 @@
         """Apply an owner record that was read or watched.
 
         Returns:
-            Whether the known record of this node's domain changed.
+            Whether the current record of this node's domain changed.
         """
         if record is not None:
             self._owner_announcer.announce_owner(
