--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -97,7 +97,7 @@
         return None if entry is None or entry.published else entry.answer
 
     def is_pending(self, job_id: str) -> bool:
-        """Whether a job has ended but the store lacks its answer or results."""
+        """Whether a job has ended and its answer or results are not stored."""
         entry = self._entries_by_job.get(job_id)
         if entry is None or entry.answer is None:
             return False
