Explain releases, refused starts and probes in the scheduler

A reader had to derive from the chart why a closed gang releases stopped members, why a refused start is answered by a release, and why a probe lifts the quarantine.

--- a/src/redwingrudder/_job_submitter.py
+++ b/src/redwingrudder/_job_submitter.py
@@ -131,7 +131,7 @@
     async def _refuse(
         self, ownership_term: OwnershipTerm, spec: JobSpec, refusal: RedwingrudderError
     ) -> None:
-        """Raise the refusal, or another error if another domain has the key.
+        """Raise the refusal, or an error about an earlier use of the key.
 
         A refusal assures the caller that nothing was run. Another domain may
         have accepted the key, so the record of the key is read first.
--- a/src/redwingrudder/_ownership_term.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -45,7 +45,8 @@
 SWEEP_TIMER = "sweep"
 FLUSH_TIMER = "flush"
 
-# Reason shown for an ended job as long as its end is not recorded.
+# Reason shown for an ended job whose end callers may see only once it is
+# recorded.
 NOT_RECORDED_YET = "recording_the_end"
 
 _logger = logging.getLogger(__name__)
--- a/src/redwingrudder/_scheduler_gang_lifecycle.py
+++ b/src/redwingrudder/_scheduler_gang_lifecycle.py
@@ -124,6 +124,8 @@
         self._count_attempt(gang)
 
     def _release_members(self, gang: GangRecord) -> None:
+        # When a gang is closed, stopped members are released as well, because
+        # their workers retain the results until then.
         for worker_id in gang.members_by_worker:
             skipped = (
                 gang.released
--- a/src/redwingrudder/_scheduler_gangs.py
+++ b/src/redwingrudder/_scheduler_gangs.py
@@ -130,6 +130,7 @@
         if event.accepted or event.reason in STARTED_REASONS:
             self._member_started(gang, event.worker_id)
         else:
+            # The member did not start, so a release is sent instead of a stop.
             gang.start_sent.discard(event.worker_id)
             gang.stop_sent.discard(event.worker_id)
             self.set_cause(
@@ -268,6 +269,7 @@
         if outcome is TaskOutcome.FAILED:
             health.observe(event.worker_id, gang.job_id, True, now)
             self.set_cause(gang.gang_id, GangStopCause.FAILED, "task_failed")
+        # Without effect if a cause is set already, as for a failed task.
         self.set_cause(gang.gang_id, GangStopCause.LOST, "stopped_by_worker")
         self.fire(gang.gang_id, "task_failed")
 
--- a/src/redwingrudder/_scheduler_placing.py
+++ b/src/redwingrudder/_scheduler_placing.py
@@ -326,7 +326,10 @@
         return self._order([holder, job])[0] is job
 
     def _reserve_for(self, job: QueuedJob) -> None:
-        """Reserve workers for the first gang in a pass that does not fit."""
+        """Reserve workers for the first gang in a pass that does not fit.
+
+        Only gangs with several accelerators get a reservation.
+        """
         if self._reservation_tried or job.spec.accelerators <= 1:
             return
         self._reservation_tried = True
@@ -351,7 +354,11 @@
         return reservation is None or reservation.job_id not in self._jobs.queue
 
     def _place_probes(self, waiting: list[QueuedJob]) -> None:
-        """Place one idempotent job on each worker that is due for a probe."""
+        """Place one idempotent job on each worker that is due for a probe.
+
+        The quarantine is lifted during the search, because policies place
+        nothing on quarantined workers.
+        """
         context = self._context
         candidates = [job for job in waiting if job.spec.idempotent]
         for worker_id in sorted(self._due_probes()):
--- a/src/redwingrudder/_slack_policy.py
+++ b/src/redwingrudder/_slack_policy.py
@@ -161,6 +161,7 @@
             self._discard_small_service(now)
 
     def _discard_small_service(self, now: float) -> None:
+        """Remove the entries with the least service, half of the limit."""
         entries = sorted(
             self._service_by_key.items(), key=lambda entry: entry[1].decayed(now)
         )
