Correct doc texts of configuration, bench and specification

Several docstrings were incomplete or ambiguous: the errors that load_fleet, run_local and run_demo raise, how the time of I8 is counted in check_configuration, the parts listed by the command measure, and the limit on the tasks of jobs with accelerators. Private names that said little are replaced: rate (accelerators in demand), _handle_answer, FOREIGN_FIRM and REFUSED_IS_OUT. No behaviour changes.

--- a/src/redwingrudder/_bench_load.py
+++ b/src/redwingrudder/_bench_load.py
@@ -236,32 +236,32 @@
     """
     generated: list[Arrival] = []
     for index, kind in enumerate(workload.kinds):
-        rate = STEADY_SHARE * kind.share * accelerators
+        demanded_accelerators = STEADY_SHARE * kind.share * accelerators
         generated += _generate_stream(
-            kind, rate, 0.0, HORIZON_S, f"{seed}-{index}", scenario
+            kind, demanded_accelerators, 0.0, HORIZON_S, f"{seed}-{index}", scenario
         )
     if scenario.flood_role:
         kind = workload.kinds_by_role[scenario.flood_role]
         if scenario.flood_gangs:
             kind = kind._replace(gang_sizes=FLOOD_GANG_SIZES, run_s=FLOOD_GANG_RUN_S)
-        rate = FLOOD_FACTOR * accelerators
+        demanded_accelerators = FLOOD_FACTOR * accelerators
         end = FLOOD_START_S + FLOOD_DURATION_S
         generated += _generate_stream(
-            kind, rate, FLOOD_START_S, end, f"{seed}-flood", scenario
+            kind, demanded_accelerators, FLOOD_START_S, end, f"{seed}-flood", scenario
         )
     if scenario.large_gangs:
         size = min(MAX_GANG_TASKS, largest_gang)
         kind = workload.kinds[-1]._replace(gang_sizes=(size,), run_s=LARGE_GANG_RUN_S)
-        rate = LARGE_GANG_SHARE * accelerators
+        demanded_accelerators = LARGE_GANG_SHARE * accelerators
         generated += _generate_stream(
-            kind, rate, 0.0, HORIZON_S, f"{seed}-gangs", scenario
+            kind, demanded_accelerators, 0.0, HORIZON_S, f"{seed}-gangs", scenario
         )
     return iter(sorted(generated, key=lambda arrival: arrival.at))
 
 
 def _generate_stream(
     kind: WorkKind,
-    rate: float,
+    demanded_accelerators: float,
     start: float,
     end: float,
     stream_key: str,
@@ -269,13 +269,13 @@
 ) -> list[Arrival]:
     """Return Poisson arrivals of one kind, from ``start`` to ``end`` seconds.
 
-    The interval between arrivals is chosen so that the jobs occupy ``rate``
-    accelerators on average.
+    The interval between arrivals is chosen so that the running jobs would
+    occupy ``demanded_accelerators`` on average if no job had to wait.
     """
     rng = random.Random(f"{stream_key}-{kind.job_class}-{kind.organisation}")
     mean_size = sum(kind.gang_sizes) / len(kind.gang_sizes)
     mean_run_s = kind.run_s * EULER_NUMBER ** (kind.sigma**2 / 2)
-    interval_s = mean_size * mean_run_s / rate
+    interval_s = mean_size * mean_run_s / demanded_accelerators
     generated = []
     at = start + rng.expovariate(1 / interval_s)
     while at < end:
--- a/src/redwingrudder/_bench_report.py
+++ b/src/redwingrudder/_bench_report.py
@@ -46,7 +46,7 @@
         honoured_percent: Share that started within
             ``GUARANTEED_START_LIMIT_S``; 100 without such jobs.
         start_p95_s: 95th percentile of the time from arrival to the first
-            start, in seconds; infinite for jobs that never started.
+            start, in seconds; jobs that never started count as infinite.
     """
 
     organisation: str
@@ -113,7 +113,7 @@
 def target_met_share(
     records: Iterable[JobRecord], configuration: Configuration
 ) -> float:
-    """Return the share of all jobs, with refused ones, that met their target.
+    """Return the share of all jobs, including refused ones, that met targets.
 
     Without jobs it is 1.
     """
--- a/src/redwingrudder/_bench_runner.py
+++ b/src/redwingrudder/_bench_runner.py
@@ -93,7 +93,8 @@
         configuration: Configuration with planned cells.
         scenario: Faults and cancellations of the run.
         policies: Creates the policy set of one failure domain.
-        seed: Seed of the entry nodes, cancellations and stop times.
+        seed: Seed of the choice of entry nodes, of the cancellations and of
+            the stop times.
     """
 
     def __init__(
--- a/src/redwingrudder/_configuration_writer.py
+++ b/src/redwingrudder/_configuration_writer.py
@@ -28,7 +28,8 @@
     VmInfo,
 )
 
-# The transaction is sent again when its reply is lost, up to this many times.
+# The transaction is sent again when its reply is lost. This is the maximum
+# number of times that it is sent, including the first.
 MAX_WRITE_ATTEMPTS = 3
 
 AskStore = Callable[[Any], Awaitable[Any]]
--- a/src/redwingrudder/_history_jobs.py
+++ b/src/redwingrudder/_history_jobs.py
@@ -158,7 +158,10 @@
 
 
 def check_at_most_once(entries: list[Entry]) -> Iterator[Violation]:
-    """Check I5: a job that is not idempotent starts in at most one gang."""
+    """Check I5: a job that is not idempotent starts in at most one gang.
+
+    Each of its tasks must start at most once.
+    """
     non_idempotent_jobs = {
         entry.job_id
         for entry in entries
--- a/src/redwingrudder/_history_nodes.py
+++ b/src/redwingrudder/_history_nodes.py
@@ -29,7 +29,10 @@
 
 
 def check_fencing(entries: list[Entry]) -> Iterator[Violation]:
-    """Check I2 and I5: epochs are unique and decrease on no worker."""
+    """Check fencing: epochs are unique and decrease on no worker.
+
+    All violations are reported as I5.
+    """
     highest: dict[tuple[str, str], Epoch] = {}
     nodes_by_epoch: dict[tuple[str, Epoch], str] = {}
     for entry in entries:
@@ -98,10 +101,11 @@
 def check_configuration(entries: list[Entry], limit_s: float) -> Iterator[Violation]:
     """Check I8: an accepted version comes into force and never reverts.
 
-    Each node has ``limit_s`` seconds to put it in force. This time only runs
-    while the node can learn of the change: from the store, or from a peer
-    that reaches the store. During an outage of the store it does not run,
-    because nodes can then only copy from each other.
+    Each node has ``limit_s`` seconds to put it in force. This time counts only
+    while the node can learn of the change, from the store or from a peer that
+    reaches the store, and begins anew after each interruption. It does not
+    count during an outage of the store, because nodes can then only copy the
+    configuration from each other.
     """
     yield from _check_versions(entries)
     nodes = {e.node_id for e in entries if isinstance(e, ConfigurationInForce)}
--- a/src/redwingrudder/_job_body.py
+++ b/src/redwingrudder/_job_body.py
@@ -24,7 +24,7 @@
 ACCELERATORS_PER_TASK_LIMIT = 64
 CORES_PER_TASK_LIMIT = 1_024
 MEMORY_MB_PER_TASK_LIMIT = 16_777_216
-PATH_PART_LIMIT = 64  # characters of a field name that a problem repeats
+PATH_PART_LIMIT = 64  # characters of a field name quoted in a problem
 
 DEFAULT_CORES_PER_TASK = 1
 DEFAULT_MEMORY_MB_PER_TASK = 1_024
@@ -160,7 +160,7 @@
 def _gang_problems(value: Any) -> list[str]:
     """Return violations of the rule that involves two fields.
 
-    Jobs that use accelerators have a lower limit on their tasks.
+    The maximum number of tasks is smaller for jobs that use accelerators.
     """
     if not isinstance(value, dict):
         return []
--- a/src/redwingrudder/_measure_links.py
+++ b/src/redwingrudder/_measure_links.py
@@ -22,8 +22,8 @@
 EXCHANGE_SIZES = (5, 10, 20)  # nodes of one failure domain
 TARGET_LINKS = 425  # workers of one owner at the target size
 TARGET_POLL_INTERVAL_S = 30.0
-# The poll interval follows from the lease; it is short, so that a window of
-# seconds contains several polls.
+# The poll interval follows from the lease. The lease is short, so that each
+# link polls several times within the window.
 LEASE_S = 6.0
 WINDOW_S = 9.0  # time in which polls and exchanges are counted
 SETTLE_S = 2.0  # time before the window in which connections are set up
@@ -115,9 +115,9 @@
         self.polls = 0
 
     async def post(self, address: str, path: str, body: Any, timeout_s: float) -> Any:
-        answer = await super().post(address, path, body, timeout_s)
+        reply = await super().post(address, path, body, timeout_s)
         self.polls += path == POLL_PATH
-        return answer
+        return reply
 
 
 async def measure_links(
--- a/src/redwingrudder/_measure_members.py
+++ b/src/redwingrudder/_measure_members.py
@@ -86,7 +86,7 @@
     """Repeat a read until the store client reaches the stand-in.
 
     Raises:
-        UnavailableError: There was no answer within ``CONNECT_TIMEOUT_S``.
+        UnavailableError: There was no reply within ``CONNECT_TIMEOUT_S``.
     """
     deadline = reactor.seconds() + CONNECT_TIMEOUT_S
     while reactor.seconds() < deadline:
@@ -96,7 +96,7 @@
         except UnavailableError:
             await deferLater(reactor, CONNECT_RETRY_INTERVAL_S)
     raise UnavailableError(
-        f"no answer from the platform stand-in within {CONNECT_TIMEOUT_S:g} s"
+        f"no reply from the platform stand-in within {CONNECT_TIMEOUT_S:g} s"
     )
 
 
--- a/src/redwingrudder/_measure_nodes.py
+++ b/src/redwingrudder/_measure_nodes.py
@@ -19,6 +19,7 @@
 
 EXAMPLE = "examples/huon"
 FIRST_PORT = 28_080
+# Thrift ports of up to 100 nodes; see ``local.THRIFT_PORT_OFFSET``.
 THRIFT_PORTS = range(FIRST_PORT + 1_000, FIRST_PORT + 1_100)
 SETTLE_S = 5.0  # time before a measurement in which the nodes start up
 IDLE_WINDOW_S = 20.0
@@ -79,7 +80,7 @@
     """Cost of a node in its own process, idle and then with jobs.
 
     Attributes:
-        pid: The process.
+        pid: Process id of the node.
         idle_percent: Share of a core that the idle process uses.
         resident_mb: Resident memory after the idle time, in megabytes.
         jobs: Number of jobs.
@@ -172,7 +173,7 @@
 
     Args:
         reactor: The running Twisted reactor.
-        pid: Process of the node.
+        pid: Process id of the node.
         node: Entry node URL of that process.
         window_s: Seconds of the idle measurement.
 
--- a/src/redwingrudder/_measure_planning.py
+++ b/src/redwingrudder/_measure_planning.py
@@ -27,7 +27,8 @@
 WORKFLOWS_PER_WORKER = 0.7  # enough to fill all workers
 WORKER_CAPACITY = Resources(128_000, 262_144, 8)
 ORGANISATIONS = 10
-# Cumulative probabilities in the mix of workflows; the rest are small tasks.
+# Cumulative probabilities in the mix of workflows; all other workflows consist
+# of small tasks.
 RACK_GANGS_BELOW = 0.25
 URGENT_GANGS_BELOW = 0.75
 MS_PER_S = 1000
@@ -41,7 +42,7 @@
         running: Tasks that run after the last pass.
         waiting: Workflows that have not ended after the last pass.
         mean_ms: Mean processor time of a pass, in milliseconds.
-        largest_ms: Processor time of the longest pass, which is the first, in
+        largest_ms: Processor time of the longest pass, usually the first, in
             milliseconds.
     """
 
--- a/src/redwingrudder/_metrics_actor.py
+++ b/src/redwingrudder/_metrics_actor.py
@@ -81,7 +81,7 @@
     """Counts jobs and records their durations.
 
     The queue wait is measured only for jobs that this node accepted, since
-    the time of submission is held in memory.
+    the time of submission is kept only in memory.
 
     Args:
         metrics: The metrics of the node.
@@ -133,7 +133,7 @@
         self._metrics.set_shortages(shortages)
 
     def _target_s(self, view: JobView) -> float:
-        """Return the seconds from submission to target; 0 if unknown."""
+        """Return the seconds from submission to target; 0 without a class."""
         configuration = self._get_configuration()
         classes = configuration.classes_by_name if configuration else {}
         job_class = classes.get(view.job_class)
--- a/src/redwingrudder/_spec_configuration.py
+++ b/src/redwingrudder/_spec_configuration.py
@@ -17,7 +17,7 @@
 NEVER_REVERTS = "I8: the version in force on a node never decreases"
 ONE_DOCUMENT = "I8: a version has one document on all nodes"
 NEVER_LOST = "I8: an accepted version stays in the store"
-REFUSED_IS_OUT = "I8: a change that was refused is never in force"
+REFUSED_NOT_IN_FORCE = "I8: a change that was refused is never in force"
 
 CHART = load_chart("configuration", _EVENTS, _ACTIONS)
 MAX_OUTAGES = 1
@@ -41,7 +41,7 @@
     (Flaw.ADOPT_ANY, NEVER_REVERTS),
     (Flaw.BLIND_WRITE, ONE_DOCUMENT),
     (Flaw.BLIND_WRITE, NEVER_LOST),
-    (Flaw.NO_NONCE, REFUSED_IS_OUT),
+    (Flaw.NO_NONCE, REFUSED_NOT_IN_FORCE),
 )
 
 
@@ -126,7 +126,7 @@
         NEVER_REVERTS: lambda deployment: not deployment.reverted,
         ONE_DOCUMENT: _have_one_document,
         NEVER_LOST: _are_accepted_stored,
-        REFUSED_IS_OUT: _are_refused_unused,
+        REFUSED_NOT_IN_FORCE: _are_refused_unused,
     }
     successors = _Successors(coverage, flaw)
     return Model("configuration", flaw, initial, successors, invariants)
--- a/src/redwingrudder/_spec_gang.py
+++ b/src/redwingrudder/_spec_gang.py
@@ -308,7 +308,7 @@
             after = after._replace(workers=workers)
             if after != world:
                 yield f"{name}: {command}, reply lost", after
-            step = self._handle_answer(
+            step = self._handle_reply(
                 after, owner_index, gang_id, worker_index, command, accepted
             )
             yield f"{name}: {command}", _with_step(after, owner_index, step)
@@ -319,7 +319,7 @@
             if after != world:
                 yield f"{name}: end reported", after
 
-    def _handle_answer(
+    def _handle_reply(
         self,
         world: World,
         owner_index: int,
--- a/src/redwingrudder/_spec_gang_types.py
+++ b/src/redwingrudder/_spec_gang_types.py
@@ -103,7 +103,8 @@
         start_recorded: Whether the record that the owner read held a start.
         may_have_run: Whether a gang of the job may have started.
         current_gang: The gang that the job is placed in, -1 for none.
-        gangs: Gangs in the view of the owner, None for one it has not.
+        gangs: Gangs in the view of the owner, by number; None for a gang that
+            it does not have.
         claimed_workers: Set of workers that the owner has claimed.
         recovered: Whether the recovery of the owner has ended.
         revision: Revision of the job record that the owner knows.
--- a/src/redwingrudder/_spec_guarantee.py
+++ b/src/redwingrudder/_spec_guarantee.py
@@ -32,13 +32,13 @@
     """A rule of the policies that a broken variant of the model leaves out."""
 
     NONE = ""
-    FOREIGN_FIRM = "work that cannot be stopped is placed like a borrower"
+    UNSTOPPABLE_BORROWER = "work that cannot be stopped is placed like a borrower"
     NO_REASSIGNMENT = "cells are not assigned anew after a loss"
     NO_RECLAIM = "borrowers are never stopped"
 
 
 FLAWS = (
-    (Flaw.FOREIGN_FIRM, RECLAIMABLE),
+    (Flaw.UNSTOPPABLE_BORROWER, RECLAIMABLE),
     (Flaw.NO_REASSIGNMENT, REPORTED),
     (Flaw.NO_RECLAIM, OBTAINED),
 )
@@ -98,6 +98,7 @@
     )
 
 
+# A "firm" job is not preemptible, so it is not a borrower.
 SPECS_BY_NAME = {
     "a firm 2": _job_spec("a", 2, borrower=False),
     "a borrower 1": _job_spec("a", 1, borrower=True),
@@ -224,7 +225,7 @@
         self, spec: JobSpec
     ) -> tuple[Placement | None, tuple[str, ...]]:
         requested = spec
-        if self._flaw is Flaw.FOREIGN_FIRM:
+        if self._flaw is Flaw.UNSTOPPABLE_BORROWER:
             requested = spec._replace(idempotent=True, preemptible=True)
         placement = BestFitPlacement().place(requested, self._fleet, self._cell_table)
         if placement is not None or self._flaw is Flaw.NO_RECLAIM:
--- a/src/redwingrudder/_spec_ownership.py
+++ b/src/redwingrudder/_spec_ownership.py
@@ -167,7 +167,7 @@
         if node.call == SENT and not domain.store_up:
             yield (
                 f"{name}: call failed",
-                self._handle_answer(domain, index, "store_lost"),
+                self._handle_reply(domain, index, "store_lost"),
             )
         elif node.call == SENT and domain.record is not None:
             held = _with_node(domain, index, node._replace(call=HELD))
@@ -177,16 +177,16 @@
         elif node.call == HELD:
             yield (
                 f"{name}: call answered",
-                self._handle_answer(domain, index, "record_held"),
+                self._handle_reply(domain, index, "record_held"),
             )
         elif isinstance(node.call, Epoch):
             yield (
                 f"{name}: call answered",
-                self._handle_answer(domain, index, "acquired"),
+                self._handle_reply(domain, index, "acquired"),
             )
             yield (
                 f"{name}: reply lost",
-                self._handle_answer(domain, index, "store_lost"),
+                self._handle_reply(domain, index, "store_lost"),
             )
 
     def _write_record(self, domain: Domain, index: int, node: Node) -> Domain:
@@ -215,7 +215,7 @@
             accepted = domain._replace(accepted_stale=stale)
             yield f"node {index}: command accepted", accepted
 
-    def _handle_answer(self, domain: Domain, index: int, event: str) -> Domain:
+    def _handle_reply(self, domain: Domain, index: int, event: str) -> Domain:
         node = domain.nodes[index]
         cleared = _with_node(domain, index, node._replace(call=""))
         return self._fire(cleared, index, event, node.call)
--- a/src/redwingrudder/_spec_workflow.py
+++ b/src/redwingrudder/_spec_workflow.py
@@ -90,7 +90,8 @@
         sending: The order that the worker session repeats until it is
             answered, "" for none.
         has_reported: For each worker, whether it reported in this term.
-        unresponsive: For each worker, whether it stopped answering since.
+        unresponsive: For each worker, whether it has stopped answering since
+            its last report.
     """
 
     term: int
@@ -112,7 +113,7 @@
         recorded_placement: Run and worker that the store holds for the task.
         end_recorded: Whether the store holds the end of the task.
         end_acknowledged: Whether an end was acknowledged to a worker.
-        ran_again: Whether a run began after that.
+        ran_again: Whether a run began after an end was acknowledged.
         cuts_left: Network cuts that may still begin.
         silences_left: How many times a worker may still stop answering.
     """
@@ -238,11 +239,11 @@
             coordinator.sending,
         ):
             if not self._is_final(coordinator):
-                coordinator = self._handle_answer(coordinator, order, accepted)
+                coordinator = self._handle_reply(coordinator, order, accepted)
             coordinator = coordinator._replace(sending=NO_ORDER)
             yield f"{order.kind} answered", world._replace(coordinator=coordinator)
 
-    def _handle_answer(
+    def _handle_reply(
         self, coordinator: Coordinator, order: Order, accepted: bool
     ) -> Coordinator:
         if order.kind == START and accepted:
@@ -349,8 +350,9 @@
     def _lapse_lease(self, world: World, index: int) -> World:
         """Let the lease of a worker lapse.
 
-        The run of the worker ends. Starts in flight to it are refused later,
-        because the time limit that they carry has passed.
+        The run of the worker ends, and the coordinator treats it as
+        interrupted. Starts in flight to the worker are refused later, because
+        the time limit that they carry has passed.
         """
         worker, coordinator = world.workers[index], world.coordinator
         if self._flaw is not Flaw.EARLY_LAPSE:
--- a/src/redwingrudder/bench.py
+++ b/src/redwingrudder/bench.py
@@ -57,7 +57,7 @@
     Attributes:
         kept_share: Share of the jobs outside the flooded class that met their
             target, over the same share in the "steady" scenario. None in
-            scenarios without a flood.
+            scenarios without a flood, or if the latter share is 0.
         small_caller_ratio: 95th percentile of the completion time of the small
             callers' jobs, over the same percentile in a run with only these
             jobs. None in scenarios without a large caller.
@@ -113,7 +113,10 @@
         folder: Folder with deployment.jsonc and configuration.jsonc.
 
     Raises:
-        SettingsError: A file is missing or invalid.
+        SettingsError: A file cannot be read, or the deployment file is
+            invalid.
+        BadRequestError: The configuration is invalid, or its guarantees do not
+            fit the workers.
     """
     path = pathlib.Path(folder)
     deployment = load_deployment(str(path / "deployment.jsonc"))
--- a/src/redwingrudder/cli.py
+++ b/src/redwingrudder/cli.py
@@ -140,8 +140,8 @@
 
         Args:
             parts: "all", or any of placement, state, links, exchange, members,
-                nodes, jobs and configuration, separated by commas; "process"
-                measures a running node.
+                nodes, jobs, configuration and planning, separated by commas;
+                "process" measures a running node.
             seed: Seed of the generated load.
             pid: Process id of the node, for the part "process" (Linux only).
             node: Entry node URL of that process.
--- a/src/redwingrudder/configuration.py
+++ b/src/redwingrudder/configuration.py
@@ -75,9 +75,9 @@
 class ConfigurationActor(Actor):
     """Keeps the configuration in force and notifies subscribers of changes.
 
-    It reads the document from the store, watches the change keys, takes
-    newer versions from peers, and writes the changes that operators request.
-    The chart ``configuration`` decides what it does on each event.
+    It reads the document from the store, watches the change keys, adopts
+    newer versions that peers offer, and writes the changes that operators
+    request. The chart ``configuration`` decides what it does on each event.
 
     Args:
         system: The actor system of the node.
--- a/src/redwingrudder/demo.py
+++ b/src/redwingrudder/demo.py
@@ -98,7 +98,7 @@
 
 
 class Demo:
-    """Submits jobs over HTTP to all entry nodes in turn and follows them.
+    """Submits jobs over HTTP to all entry nodes in turn and awaits their end.
 
     Args:
         local: A started deployment.
@@ -281,7 +281,8 @@
         has all of its results.
 
     Raises:
-        SettingsError: The deployment file is invalid.
+        SettingsError: A file cannot be read, or the deployment file is
+            invalid.
         RedwingrudderError: The configuration is invalid, or the deployment
             did not become ready.
         FirstError: A request of a job failed; it holds the failure.
--- a/src/redwingrudder/exceptions.py
+++ b/src/redwingrudder/exceptions.py
@@ -163,7 +163,10 @@
 
 
 class UnavailableError(RedwingrudderError):
-    """A required component is unreachable; the request had no effect."""
+    """A required component is unreachable.
+
+    The request had no effect, except in the subclass ``OutcomeUnknownError``.
+    """
 
     code = "unavailable"
     http_status = 503
@@ -177,7 +180,7 @@
 
 
 class OutcomeUnknownError(UnavailableError):
-    """The request was forwarded, but whether it took effect is unknown."""
+    """The request was sent, but whether it took effect is unknown."""
 
     code = "outcome_unknown"
 
--- a/src/redwingrudder/history.py
+++ b/src/redwingrudder/history.py
@@ -1,4 +1,4 @@
-"""Histories of what callers, owners, workers and nodes observed; their check.
+"""Checks histories of what callers, owners, workers and nodes observed.
 
 A test records entries while a deployment runs under faults and passes them to
 ``check_history``. The check uses only these observations and shares no logic
@@ -95,7 +95,7 @@
 
     Args:
         entries: The observations, in any order. Entries with the same time
-            are taken in the order given.
+            are processed in the order given.
         limits: Bounds for the deployment that was observed.
     """
     ordered = sorted(entries, key=lambda entry: entry.at)
--- a/src/redwingrudder/local.py
+++ b/src/redwingrudder/local.py
@@ -150,10 +150,10 @@
     async def _apply_until_ready(self, document: ConfigurationDocument) -> None:
         """Apply the first configuration and wait until workers are claimed.
 
-        After an error it is tried again until ``READY_TIMEOUT_S`` has passed.
+        After an error both are repeated until ``READY_TIMEOUT_S`` has passed.
 
         Raises:
-            UnavailableError: The time has passed.
+            UnavailableError: ``READY_TIMEOUT_S`` has passed.
         """
         client = Client(self.urls, self._reactor)
         deadline = self._reactor.seconds() + READY_TIMEOUT_S
@@ -183,7 +183,7 @@
         raise UnavailableError("not all workers were claimed in time")
 
     async def _count_claimed_workers(self) -> int:
-        """Return the number of workers of all nodes with a configuration."""
+        """Count the workers claimed by owners that have a configuration."""
         claimed = 0
         for node in self.nodes:
             try:
@@ -207,7 +207,8 @@
         reactor: The Twisted reactor, not yet running.
 
     Raises:
-        SettingsError: The deployment file is invalid.
+        SettingsError: A file cannot be read, or the deployment file is
+            invalid.
         BadRequestError: The configuration is invalid.
         UnavailableError: The deployment could not be started (code
             ``not_started``).
--- a/src/redwingrudder/logs.py
+++ b/src/redwingrudder/logs.py
@@ -64,8 +64,8 @@
             MAX_LINES_PER_S, MAX_BURST_LINES, time.monotonic()
         )
         self._descriptor = _non_blocking_descriptor(stream)
-        # The rest of a line that the pipe took only in part. It is written
-        # before any other line.
+        # Remainder of a line of which the pipe accepted only a part. It is
+        # written before any other line.
         self._unwritten = b""
         self._dropped_lines = 0
 
@@ -95,7 +95,7 @@
             self._dropped_lines = 0
 
     def _write(self, line: str) -> bool:
-        """Return whether the line was written, completely or in part."""
+        """Write a line; return False if no part of it was written."""
         if self._descriptor is None:
             self.stream.write(line + self.terminator)
             self.flush()
--- a/src/redwingrudder/measure.py
+++ b/src/redwingrudder/measure.py
@@ -72,7 +72,7 @@
         part: One of ``PARTS``, or ``PROCESS``.
         seed: Seed of the generated load.
         reactor: The running Twisted reactor.
-        pid: Process of a running node, for ``PROCESS`` only.
+        pid: Process id of a running node, for ``PROCESS`` only.
         node: Entry node URL of that process.
 
     Returns:
@@ -110,7 +110,7 @@
     Args:
         parts: Names of parts, or only "all" for ``PARTS``.
         seed: Seed of the generated load.
-        pid: Process of a running node, for ``PROCESS`` only.
+        pid: Process id of a running node, for ``PROCESS`` only.
         node: Entry node URL of that process.
         as_json: Print one JSON document at the end instead of tables.
         reactor: The Twisted reactor, not yet running.
--- a/src/redwingrudder/metrics.py
+++ b/src/redwingrudder/metrics.py
@@ -33,9 +33,9 @@
     Attributes:
         completion_s: Until the job ended.
         queue_wait_s: Until it first started; None if it never started
-            or if the time of submission is not known.
+            or if its submission was not recorded.
         target_s: Until its target time, also for a class whose target is a
-            time of day; 0 if the target is not known.
+            time of day; 0 if the class is not configured.
     """
 
     completion_s: float
--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -197,7 +197,7 @@
 
 
 def _broken_models() -> list[tuple[Model, str]]:
-    coverage = Coverage()  # discarded: only correct models count
+    coverage = Coverage()  # discarded: transitions of broken variants do not count
     broken = [
         (_spec_gang.build_broken_model(coverage, scenario_name, flaw), property_name)
         for scenario_name, flaw, property_name in _spec_gang.FLAWS
@@ -221,7 +221,7 @@
     Args:
         results: Properties that must hold.
         rejections: Broken variants that must violate their property.
-        write: Takes the text in pieces.
+        write: Called with each part of the text.
 
     Returns:
         Whether every property holds and every broken variant was rejected.
