Name timers of the configuration and state flags as questions

The timers of the configuration and metrics actors get named constants. Labels of model steps use the words of the other models (reply lost); the printed properties and flaws are unchanged.

--- a/src/redwingrudder/_bench_fakes.py
+++ b/src/redwingrudder/_bench_fakes.py
@@ -53,8 +53,9 @@
         gang_started_at: Start time of the latest gang.
         remaining_s: True run time that is left after the last checkpoint.
         gang_run_s: Run time of the latest gang if nothing stops it.
-        target_missed: The scheduler reported a missed target.
-        guaranteed: The job was within its organisation's guarantee on arrival.
+        target_missed: Whether the scheduler reported a missed target.
+        guaranteed: Whether the job was within its organisation's guarantee on
+            arrival.
     """
 
     def __init__(self, arrival: Arrival, job_id: str, domain: str) -> None:
@@ -124,7 +125,7 @@
         self._send(info.failure_domain, messages.WorkerClaimed(report))
 
     def fail_worker(self, worker_id: str) -> None:
-        """Drop a worker's tasks and report the loss when its lease expires."""
+        """Drop a worker's tasks and report the loss when its lease lapses."""
         self._lost_workers.add(worker_id)
         self._boot_count_by_worker[worker_id] += 1
         for key in [key for key in self._members_by_key if key[1] == worker_id]:
--- a/src/redwingrudder/_bench_load.py
+++ b/src/redwingrudder/_bench_load.py
@@ -40,8 +40,8 @@
         gang_sizes: Numbers of tasks, chosen with equal probability.
         run_s: Median of the run time in seconds.
         sigma: Standard deviation of the run time's logarithm.
-        idempotent: Jobs may run more than once.
-        preemptible: Jobs may be stopped for other jobs.
+        idempotent: Whether jobs may run more than once.
+        preemptible: Whether jobs may be stopped for other jobs.
     """
 
     job_class: str
@@ -94,9 +94,9 @@
         name: Name on the command line.
         description: What the scenario does, in a few words.
         flood_role: Role in the workload of the flooded kind of work, or "".
-        flood_gangs: The flood consists of large gangs.
-        large_caller: All jobs of the flood come from one caller.
-        large_gangs: Gangs of up to a whole failure domain arrive too.
+        flood_gangs: Whether the flood consists of large gangs.
+        large_caller: Whether all jobs of the flood come from one caller.
+        large_gangs: Whether gangs of up to a whole failure domain arrive too.
         failing_workers: Workers in each failure domain on which tasks fail.
         cancel_wave: Cancellation of many jobs at one time, or None.
         store_outage: Time without the platform store, or None.
--- a/src/redwingrudder/_bench_runner.py
+++ b/src/redwingrudder/_bench_runner.py
@@ -38,8 +38,9 @@
         started_at: Time of the first start, or None.
         finished_at: Time at which the job became final, or None.
         starts: Number of gangs that started.
-        missed: The scheduler reported a missed target.
-        guaranteed: The job was within its organisation's guarantee on arrival.
+        missed: Whether the scheduler reported a missed target.
+        guaranteed: Whether the job was within its organisation's guarantee on
+            arrival.
     """
 
     arrival: Arrival
--- a/src/redwingrudder/_measure_nodes.py
+++ b/src/redwingrudder/_measure_nodes.py
@@ -40,7 +40,7 @@
 
     Attributes:
         node: Identifier of the node.
-        owner: The node owns its failure domain.
+        owner: Whether the node owns its failure domain.
         core_percent: Share of a core that the node's callbacks use.
         process_percent: Share of a core that the whole process uses, with the
             stand-ins and the reactor's loop, divided by the number of nodes.
--- a/src/redwingrudder/_metrics_actor.py
+++ b/src/redwingrudder/_metrics_actor.py
@@ -14,6 +14,7 @@
 
 METRICS = "metrics"
 STATUS_INTERVAL_S = 5.0  # between updates of the failure domain's gauges
+_DOMAIN_TIMER = "domain"
 # The queue wait is measured for at most this many queued jobs at a time, which
 # bounds the memory that it needs.
 MAX_TIMED_JOBS = 50_000
@@ -61,13 +62,13 @@
 
     def _ownership_gained(self, message: requests.OwnershipGained) -> None:
         self._metrics.set_owner(True)
-        timer = Subscribe(self.name, "domain", 0.0, STATUS_INTERVAL_S)
+        timer = Subscribe(self.name, _DOMAIN_TIMER, 0.0, STATUS_INTERVAL_S)
         self.tell(TIMERS, timer)
 
     def _ownership_ended(self, message: requests.OwnershipEnded) -> None:
         self._metrics.set_owner(False)
         self._metrics.clear_domain()
-        self.tell(TIMERS, Unsubscribe(self.name, "domain"))
+        self.tell(TIMERS, Unsubscribe(self.name, _DOMAIN_TIMER))
 
     async def _update_domain_gauges(self, fired: TimerFired) -> None:
         try:
--- a/src/redwingrudder/_spec_configuration.py
+++ b/src/redwingrudder/_spec_configuration.py
@@ -214,7 +214,7 @@
             if may_reset:
                 skipped = _with_node(reset, index, advanced)
                 after = self._fire(skipped, index, "gap_found")
-                yield f"{name}: change not understood", after
+                yield f"{name}: change cannot be decoded", after
 
     def _read_steps(self, deployment: Deployment, index: int, node: Node) -> Steps:
         name = f"node {index}"
--- a/src/redwingrudder/_spec_guarantee.py
+++ b/src/redwingrudder/_spec_guarantee.py
@@ -93,7 +93,10 @@
     return JobSpec(
         organisation,
         *("class", "caller", "key"),
+        # One task with 1 core and 1 MB; only a borrower is idempotent and
+        # preemptible.
         *(1, accelerators, 1, 1, borrower, borrower),
+        # Declared run time and stop bound in seconds, payload.
         *(10.0, 2.0, ""),
     )
 
--- a/src/redwingrudder/_spec_workflow.py
+++ b/src/redwingrudder/_spec_workflow.py
@@ -190,7 +190,7 @@
             else:
                 without_start = coordinator._replace(sending=STOP)
             yield (
-                "give up an unanswered start",
+                "abandon an unanswered start",
                 world._replace(coordinator=without_start),
             )
 
@@ -231,7 +231,7 @@
         world = world._replace(
             ran_again=world.ran_again or (begins and world.end_acknowledged)
         )
-        yield f"{order.kind} without an answer", world
+        yield f"{order.kind}, reply lost", world
         coordinator = world.coordinator
         if (order.run, order.fence, order.kind) == (
             coordinator.run,
--- a/src/redwingrudder/configuration.py
+++ b/src/redwingrudder/configuration.py
@@ -39,6 +39,8 @@
 READ_RETRY_S = 1.0
 READ_RETRY_MIN_SHARE = 0.5
 NOTIFY_RETRY_S = 0.1  # delay after a subscriber's mailbox was full
+_READ_TIMER = "read"
+_NOTIFY_TIMER = "tell"
 
 _logger = logging.getLogger(__name__)
 _EVENTS = frozenset(
@@ -151,7 +153,7 @@
                 self._chart.step("changed", change.value)
 
     def _timer_fired(self, fired: TimerFired) -> None:
-        if fired.timer == "read":
+        if fired.timer == _READ_TIMER:
             self._chart.step("retry_due")
         else:
             self._notify_subscribers()
@@ -177,7 +179,7 @@
 
     def _schedule_read(self, argument: Any) -> None:
         delay_s = READ_RETRY_S * self._rng.uniform(READ_RETRY_MIN_SHARE, 1.0)
-        self.tell(TIMERS, Subscribe(self.name, "read", delay_s))
+        self.tell(TIMERS, Subscribe(self.name, _READ_TIMER, delay_s))
 
     def _watch_changes(self, result: _ReadResult) -> None:
         watch = requests.WatchPrefix(self.name, codec.CHANGE_PREFIX, result.revision)
@@ -221,4 +223,4 @@
             except MailboxFullError:
                 # Every subscriber must receive the latest version, so the
                 # message is sent again later.
-                self.tell(TIMERS, Subscribe(self.name, "tell", NOTIFY_RETRY_S))
+                self.tell(TIMERS, Subscribe(self.name, _NOTIFY_TIMER, NOTIFY_RETRY_S))
