--- a/src/redwingrudder/_bench_runner.py
+++ b/src/redwingrudder/_bench_runner.py
@@ -38,8 +38,9 @@
         started_at: Time of the first start, or None.
         finished_at: Time at which the job became final, or None.
         starts: Number of gangs that started.
-        missed: The scheduler reported a missed target.
-        guaranteed: The job was within its organisation's guarantee on arrival.
+        missed: Whether the scheduler reported a missed target.
+        guaranteed: Whether the job was within its organisation's guarantee on
+            arrival.
     """
 
     arrival: Arrival
@@ -93,7 +94,8 @@
         configuration: Configuration with planned cells.
         scenario: Faults and cancellations of the run.
         policies: Creates the policy set of one failure domain.
-        seed: Seed of the entry nodes, cancellations and stop times.
+        seed: Seed of the choice of entry nodes, of the cancellations and of
+            the stop times.
     """
 
     def __init__(
--- a/src/redwingrudder/_metrics_actor.py
+++ b/src/redwingrudder/_metrics_actor.py
@@ -14,6 +14,7 @@
 
 METRICS = "metrics"
 STATUS_INTERVAL_S = 5.0  # between updates of the failure domain's gauges
+_DOMAIN_TIMER = "domain"
 # The queue wait is measured for at most this many queued jobs at a time, which
 # bounds the memory that it needs.
 MAX_TIMED_JOBS = 50_000
@@ -61,13 +62,13 @@
 
     def _ownership_gained(self, message: requests.OwnershipGained) -> None:
         self._metrics.set_owner(True)
-        timer = Subscribe(self.name, "domain", 0.0, STATUS_INTERVAL_S)
+        timer = Subscribe(self.name, _DOMAIN_TIMER, 0.0, STATUS_INTERVAL_S)
         self.tell(TIMERS, timer)
 
     def _ownership_ended(self, message: requests.OwnershipEnded) -> None:
         self._metrics.set_owner(False)
         self._metrics.clear_domain()
-        self.tell(TIMERS, Unsubscribe(self.name, "domain"))
+        self.tell(TIMERS, Unsubscribe(self.name, _DOMAIN_TIMER))
 
     async def _update_domain_gauges(self, fired: TimerFired) -> None:
         try:
@@ -81,7 +82,7 @@
     """Counts jobs and records their durations.
 
     The queue wait is measured only for jobs that this node accepted, since
-    the time of submission is held in memory.
+    the time of submission is kept only in memory.
 
     Args:
         metrics: The metrics of the node.
@@ -133,7 +134,7 @@
         self._metrics.set_shortages(shortages)
 
     def _target_s(self, view: JobView) -> float:
-        """Return the seconds from submission to target; 0 if unknown."""
+        """Return the seconds from submission to target; 0 without a class."""
         configuration = self._get_configuration()
         classes = configuration.classes_by_name if configuration else {}
         job_class = classes.get(view.job_class)
