Say in test docstrings which failure each test guards against

Several tests of the scheduler, ownership, peers, router, HTTP front end, configuration and command line had no docstring, or names with words such as "told", "promises" and "lets go". They now name the failure.

--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -66,9 +66,10 @@
         workers_by_gang: Workers with a member of the gang.
         confirmed_members: Pairs of gang and worker whose reservation the
             worker has confirmed or reported.
-        reported_draining: Workers that the scheduler knows to be draining.
-        unnoticed_restarts: Workers whose restart is unknown to the scheduler.
-        known_workers: Workers that the present owner has claimed.
+        reported_draining: Workers whose drain was reported to the scheduler
+            with ``WorkerDraining`` after their last claim.
+        unnoticed_restarts: Workers that restarted without an event.
+        known_workers: Workers that the present owner has claimed and not lost.
         unclaimed: Workers that the present owner has not claimed yet.
     """
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -42,6 +42,7 @@
             self.assertGreater(report.figures.classes[0].succeeded, 100)
 
     def test_error_for_an_unknown_name_lists_the_available_names(self):
+        """Guards against an error that does not help to correct the name."""
         with self.assertRaisesRegex(NotFoundError, "flood-urgent"):
             bench.find_scenario("flood")
         with self.assertRaisesRegex(NotFoundError, "slack"):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -29,11 +29,13 @@
         return 0, output.getvalue()
 
     def test_check_accepts_all_examples(self):
+        """Guards against example files that the check refuses."""
         files = map(str, sorted(EXAMPLES.glob("*/*.jsonc")))
         code, text = self.run_command("check", *files)
         self.assertEqual((code, "no problems" in text), (0, True), text)
 
     def test_check_names_file_path_found_and_allowed(self):
+        """Guards against problems that an operator cannot locate."""
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "wrong.jsonc")
             text = (EXAMPLES / "huon/configuration.jsonc").read_text("utf-8")
@@ -45,6 +47,7 @@
         self.assertIn("allowed", text)
 
     def test_errors_of_each_family_have_their_exit_code(self):
+        """Guards against tracebacks and against wrong exit codes."""
         arguments_by_exit_code = {
             2: ("submit", "not json", "--key", "k"),
             3: ("check", "/nonexistent.jsonc"),
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -99,6 +99,7 @@
 
 class DocumentTests(unittest.TestCase):
     def test_all_problems_are_named_with_path_found_and_allowed(self):
+        """Guards against reporting only the first of several problems."""
         text = document(copies=0).replace('"urgent"', '"Urgent"')
         text = text.replace("{", '{"weight": 3,', 1)
         with self.assertRaises(InvalidConfigurationError) as raised:
@@ -111,7 +112,8 @@
         ):
             self.assertIn(part, problems)
 
-    def test_documents_that_are_refused(self):
+    def test_invalid_documents_are_refused(self):
+        """Guards against an invalid document that is accepted."""
         for text, error in (
             ("{", BadRequestError),
             ("[" * 100_000, BadRequestError),
@@ -130,6 +132,7 @@
                 parse_document(text)
 
     def test_comments_are_allowed(self):
+        """Guards against refusing a document with comments."""
         parse_document("// agreed in May\n" + document())
 
 
@@ -182,6 +185,7 @@
         return ConfigurationNode(self.clock, self.core, available)
 
     def test_a_change_is_in_force_on_all_nodes_in_order(self):
+        """Guards against nodes that miss or reorder changes."""
         first, second = self.node(), self.node()
         for version in range(3):
             first.apply(version, document(copies=version + 1))
@@ -191,6 +195,7 @@
         self.assertEqual(self.node().in_force(), first.in_force())
 
     def test_one_of_two_racing_operators_gets_a_conflict(self):
+        """Guards against a change that overwrites a concurrent one."""
         nodes = self.node(), self.node()
         outcomes = []
         for node in nodes:
@@ -208,7 +213,7 @@
         )
 
     def test_a_lost_reply_is_resolved_by_the_nonce(self):
-        """Guards against reporting an own write as a conflict.
+        """Guards against reporting the write of this node as a conflict.
 
         A write whose reply is lost has taken effect when it is sent again.
         """
@@ -222,6 +227,7 @@
         self.assertEqual(node.versions(), [1, 2])
 
     def test_a_write_that_is_never_confirmed_is_reported_as_unknown(self):
+        """Guards against reporting an unconfirmed write as done or refused."""
         node = self.node()
         node.store.requests_to_lose = 9
         with self.assertRaises(OutcomeUnknownError):
@@ -229,6 +235,7 @@
         self.assertEqual(node.versions(), [])
 
     def test_guarantees_that_do_not_fit_change_nothing(self):
+        """Guards against storing guarantees that do not fit the workers."""
         node = self.node()
         error = UnprocessableError("x", code="guarantees_do_not_fit")
         with (
@@ -255,7 +262,7 @@
     def test_a_start_in_an_outage_copies_from_a_peer_and_never_goes_back(self):
         """Guards against a node that needs the store to start.
 
-        It takes the configuration of a peer, and no older version after it.
+        It copies the configuration of a peer and then ignores older versions.
         """
         other = self.node()
         accepted = other.apply(0)
@@ -298,7 +305,7 @@
         settle(second.system)
         self.assertEqual(second.versions(), [1, 4, 5])
 
-    def test_a_missing_change_is_made_up_for_by_the_document(self):
+    def test_a_missing_change_is_replaced_by_the_document(self):
         """Guards against applying a change to a version it does not follow."""
         node = self.node()
         later_configuration = node.apply(0)._replace(version=5, classes_by_name={})
@@ -311,6 +318,7 @@
         self.assertEqual(node.in_force(), later_configuration)
 
     def test_old_changes_are_pruned(self):
+        """Guards against change records that accumulate in the store."""
         node = self.node()
         with mock.patch.object(codec, "CHANGES_KEPT", 2):
             for version in range(4):
@@ -319,7 +327,7 @@
         changes = [key for key in keys if key.startswith(codec.CHANGE_PREFIX)]
         self.assertEqual(changes, [codec.change_key(3), codec.change_key(4)])
 
-    def test_a_subscriber_with_a_full_mailbox_is_told_later(self):
+    def test_a_subscriber_with_a_full_mailbox_is_notified_later(self):
         """Guards against a subscriber that stays on an old version."""
         node = self.node()
         with mock.patch.object(actors, "MAILBOX_LIMIT", 1):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -181,8 +181,8 @@
         self.assertEqual(self.members(), [])
         self.assertEqual(self.node.observer.finished, [JobState.SUCCEEDED])
 
-    def test_a_key_gives_one_job_and_no_other_body(self):
-        """A repeated key returns the same job and rejects another body."""
+    def test_a_key_gives_one_job_and_rejects_another_body(self):
+        """A repeated key must return the same job and reject another body."""
         first = self.node.submit()
         self.assertEqual(self.node.submit().job_id, first.job_id)
         with self.assertRaises(ConflictError) as caught:
@@ -191,14 +191,14 @@
         self.assertEqual(len(self.node.observer.submitted), 1)
 
     def test_concurrent_submissions_of_a_key_start_one_job(self):
-        """Requests that arrive during the first write must not start twice."""
-        replies = []
+        """Repeats during the first write must not start a second job."""
+        views = []
         for _ in range(3):
             asked = self.node.system.ask(r.DISPATCHER, r.SubmitJob(ONCE, ""))
-            asked.addCallback(replies.append)
+            asked.addCallback(views.append)
         self.node.run_for(3.0)
-        self.assertEqual(len({view.job_id for view in replies}), 1)
-        self.assertEqual((len(replies), len(self.starts())), (3, 1))
+        self.assertEqual(len({view.job_id for view in views}), 1)
+        self.assertEqual((len(views), len(self.starts())), (3, 1))
 
     def test_a_lost_reply_of_the_store_does_not_lose_or_repeat_a_job(self):
         """A record write with a lost reply must be found by reading."""
@@ -280,8 +280,8 @@
         self.assertIs(done.state, JobState.INTERRUPTED)
         self.assertEqual(self.starts(), [])
 
-    def test_a_recorded_start_is_not_judged_while_a_worker_is_silent(self):
-        """A job must not be ended while an unreachable worker may run it."""
+    def test_a_recorded_start_is_undecided_while_a_worker_is_unreachable(self):
+        """A job that an unreachable worker may run must not be interrupted."""
         view = self.node.submit(ONCE._replace(payload='{"run_s": 6}'))
         self.node.run_for(0.5)
         (held,) = self.members()
@@ -312,7 +312,7 @@
         view = successor.submit()
         self.assertIs(successor.poll(view.job_id, 3.0).state, JobState.SUCCEEDED)
 
-    def test_a_cancelled_job_is_not_run_only_once_that_is_recorded(self):
+    def test_a_cancelled_job_is_not_run_only_after_that_is_recorded(self):
         """Until "not run" is recorded, another owner could run the job."""
         for core in self.transport.cores_by_address.values():
             core.draining = True
--- a/tests/test_dispatcher_faults.py
+++ b/tests/test_dispatcher_faults.py
@@ -196,15 +196,15 @@
 
 
 class DispatcherFaultTests(unittest.TestCase):
-    """Checks of the guarantees to callers after random faults.
+    """Checks the invariants of jobs after random faults.
 
     Each accepted job must reach a final state. A job that is not idempotent
     must not run twice or get two answers, a job reported as not run must not
     have run, and no worker may keep members of ended gangs.
     """
 
-    def test_every_schedule_keeps_the_promises(self):
-        """Lost connections, restarts, outages and takeovers in any order."""
+    def test_every_schedule_keeps_the_invariants(self):
+        """Covers cut links, restarts, outages and takeovers in any order."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self.check_schedule(seed)
@@ -213,8 +213,8 @@
         """A job's own reservation must not block the job in this schedule."""
         self.check_schedule(470)
 
-    def test_leaving_and_failing_workers_keep_the_promises(self):
-        """The same with workers that leave, shut down or fail all tasks."""
+    def test_leaving_and_failing_workers_keep_the_invariants(self):
+        """Covers workers that leave, shut down or fail all tasks."""
         for seed in SEEDS_WITH_LEAVING:
             with self.subTest(seed=seed):
                 self.check_schedule(seed, leaving=True)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -211,7 +211,7 @@
                 self.assertEqual(len(found), usable)
 
     def test_spread_cell_moves_into_a_rack_that_came_back(self):
-        """A cell that a loss spread over racks must become adjacent again."""
+        """A cell spread over racks by a loss must become adjacent again."""
         domain = SimulatedDomain({"a": (Shape(12, 1),)})
         for worker_id in ("d0w0", "d0w1", "d0w4", "d0w5"):
             domain.fleet.remove_worker(worker_id)
@@ -230,7 +230,7 @@
         found = domain.cell_table.usable_accelerators(make_spec("z"), "d0w0")
         self.assertEqual(found, (2, 3))
 
-    def test_work_outside_cells_does_not_reduce_the_claim(self):
+    def test_work_outside_cells_does_not_reduce_the_guarantee(self):
         """A moved cell must not include accelerators the owner already holds.
 
         Otherwise jobs of the owner outside its cells would use up its
@@ -261,9 +261,9 @@
     def test_reclaim_stops_only_borrowers_for_slots(self):
         """CPU-only gangs that cannot be stopped must survive a reclaim.
 
-        This holds although the gang is younger than the borrower. The plan
-        stays allowed for the owner only, and only while the worker accepts
-        work.
+        This holds although the gang is younger than the borrower. The
+        planned placement is allowed for the owner only, and only while the
+        worker accepts work.
         """
         domain = SimulatedDomain({"a": (Shape(4, 1),)}, make_workers(1, slots=8))
         cpu_only = make_spec("z", 4, 0, borrower=True, cores=0, memory_mb=0)
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -105,7 +105,8 @@
 
 
 class HttpApiTests(HttpApiTestCase):
-    def test_job_that_goes_on_is_answered_with_its_location(self):
+    def test_unfinished_job_is_answered_with_its_location(self):
+        """Guards against a caller that cannot find its unfinished job."""
         self.router.script = [QUEUED]
         response = self.submit(JOB)
         self.assertEqual(response.status, 202)
@@ -113,6 +114,7 @@
         self.assertEqual(len(self.router.received), 1)
 
     def test_waiting_submission_returns_the_final_answer(self):
+        """Guards against an answer before the end of the wait or the job."""
         self.router.script = [QUEUED]
         response = self.submit({**JOB, "wait_s": 5.0, "payload": {"b": [1, None]}})
         self.assertEqual(response.status, 200)
@@ -137,6 +139,7 @@
         self.assertEqual(self.router.received, [])
 
     def test_unusable_bodies_have_codes(self):
+        """Guards against malformed bodies that are accepted or get no code."""
         deep = b'{"payload":' + b"[" * 90 + b"]" * 90 + b"}"
         cases = (
             (b"{", "malformed_json"),
@@ -164,6 +167,7 @@
         self.assertEqual(self.submit({**JOB, "tasks": 1025}).status, 400)
 
     def test_key_is_required_and_printable(self):
+        """Guards against submissions without a usable idempotency key."""
         missing = self.request("POST", "/v1/jobs", JOB, Content_Type=JSON)
         self.assertEqual(missing.error, (400, "missing_idempotency_key"))
         for key in ("", "x" * 201, "a\x01b", "kéy"):
@@ -171,6 +175,7 @@
             self.assertEqual(error, (400, "invalid_idempotency_key"))
 
     def test_announced_body_above_the_limit_is_refused_before_it_is_read(self):
+        """Guards against receiving a body that is refused anyway."""
         channel, transport = self.connect()
         channel.dataReceived(
             b"POST /v1/jobs HTTP/1.1\r\nExpect: 100-continue\r\n"
@@ -212,7 +217,7 @@
         third.connectionLost(Failure(ConnectionDone()))
         self.assertEqual(self.api.site.body_bytes, 0)
 
-    def test_what_is_no_http_request_has_a_code(self):
+    def test_malformed_http_requests_have_a_code(self):
         """Guards against malformed requests that get no error code."""
         for data in (
             b"HELLO\r\n\r\n",
@@ -238,16 +243,19 @@
         self.assertIn("secret value", logs.records[0].traceback)
 
     def test_retry_time_is_a_header(self):
+        """Guards against a retry time that is missing or rounded down."""
         self.router.script = [exceptions.OverloadedError("full", retry_after_s=2.2)]
         response = self.submit(JOB)
         self.assertEqual(response.status, 429)
         self.assertEqual(response.headers["retry-after"], "3")
 
     def test_malformed_correlation_id_is_replaced(self):
+        """Guards against arbitrary text of a caller as correlation id."""
         response = self.request("GET", "/livez", X_Correlation_Id="a b" + "c" * 99)
         self.assertRegex(response.headers["x-correlation-id"], "^[0-9a-f]{32}$")
 
-    def test_paths_methods_and_parameters_that_do_not_exist(self):
+    def test_invalid_paths_methods_and_parameters_are_refused(self):
+        """Guards against invalid requests that reach the router."""
         cases = (
             ("GET", "/nope", 404),
             ("GET", "/v1/jobs", 405),
@@ -276,7 +284,7 @@
         change = requests.ApplyConfiguration(text, 6)
         self.assertEqual(self.configuration.received, [change])
 
-    def test_requests_above_the_bound_are_refused(self):
+    def test_requests_above_the_limit_are_refused(self):
         """Guards against health checks that fail because of overload."""
         pending = self.router.script = [Deferred() for _ in range(3)]
         first = pending[0]
@@ -309,6 +317,7 @@
         return drained
 
     def test_node_is_ready_only_with_a_configuration_and_until_its_drain(self):
+        """Guards against traffic to a node that refuses its requests."""
         ready = ("GET", "/readyz")
         self.assertEqual(self.request(*ready).error, (503, "no_configuration"))
         self.system.tell(requests.HTTP_API, ConfigurationChanged(CONFIGURATION))
--- a/tests/test_http_body.py
+++ b/tests/test_http_body.py
@@ -11,12 +11,12 @@
 
 class BodyCollectorTests(unittest.TestCase):
     def setUp(self):
-        # The HTTP client gives the protocol that reads a body such a proxy.
+        # The HTTP client connects the body protocol to such a proxy.
         self.transport = StringTransport()
         self.collector = BodyCollector(10)
         self.collector.makeConnection(TransportProxyProducer(self.transport))
 
-    def test_cancelling_ends_a_stalled_answer(self):
+    def test_cancellation_closes_the_connection_of_a_stalled_body(self):
         """Guards against a worker link that a stalled response body blocks."""
         failures = []
         self.collector.body.addErrback(failures.append)
--- a/tests/test_http_endpoints.py
+++ b/tests/test_http_endpoints.py
@@ -15,14 +15,15 @@
         endpoint.connect(None)
         return reactor
 
-    def test_addresses_are_connected_to_as_they_are(self):
+    def test_ip_addresses_are_connected_to_directly(self):
         """Guards against a wrong port or timeout, which mimics an outage."""
         (client,) = self.connect(b"http://10.0.0.1:2379/x").tcpClients
         self.assertEqual((client[0], client[1], client[3]), ("10.0.0.1", 2379, 1.5))
         (client,) = self.connect(b"http://[fd00::1]:80/").tcpClients
         self.assertEqual(client[:2], ("fd00::1", 80))
 
-    def test_tls_and_names_are_served_too(self):
+    def test_tls_and_host_names_are_supported(self):
+        """Guards against an endpoint type without support for TLS or names."""
         (client,) = self.connect(b"https://10.0.0.1/x").tcpClients
         self.assertEqual(client[1], 443)
         # MemoryReactorClock resolves every name to the loopback address.
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -53,6 +53,7 @@
         self.assertEqual(refused, 100 - MAX_ERROR_CODES)
 
     def test_times_of_a_job_are_observed_by_organisation_and_class(self):
+        """Guards against a queue wait for a job that never started."""
         times = JobTimes(completion_s=4.0, queue_wait_s=1.0, target_s=5.0)
         self.metrics.count_finished("shop", "proof", JobState.SUCCEEDED, times)
         never_started_times = JobTimes(9.0, None, 5.0)
@@ -67,6 +68,7 @@
         self.assertEqual(not_run, 1)
 
     def test_observer_measures_the_wait_and_the_share_of_the_target(self):
+        """Guards against a restart that counts as a second queue wait."""
         clock = Clock()
         observer = MetricsObserver(self.metrics, lambda: CONFIGURATION, clock.seconds)
         spec = JobSpec("shop", "proof", "", "k", 1, 1, 1, 1, True, True, 1.0, 1.0, "")
@@ -123,6 +125,7 @@
 
 class LogTests(unittest.TestCase):
     def test_line_is_json_with_the_extra_fields(self):
+        """Guards against lost extra fields and lines that are not JSON."""
         stream = io.StringIO()
         handler = logging.StreamHandler(stream)
         handler.setFormatter(LineFormatter("n1"))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -83,7 +83,10 @@
 
 
 class OwnershipTests(unittest.TestCase):
-    """Single scenarios; also the cluster of ``OwnershipScheduleTests``."""
+    """Tests of single scenarios.
+
+    ``OwnershipScheduleTests`` uses an instance as its cluster of nodes.
+    """
 
     def setUp(self):
         self.core = KeyValueCore()
@@ -117,7 +120,7 @@
                 self.exchange_reports()
 
     def exchange_reports(self):
-        """Deliver the reports of running nodes and PeerSilent for others.
+        """Deliver the reports of running nodes and PeerSilent for paused ones.
 
         A node is reported as silent after a pause of SILENCE_REPORT_S.
         """
@@ -159,7 +162,7 @@
         self.assertIn(changed, nodes[8].seen)
 
     def test_a_dead_owner_is_replaced_in_time_under_a_higher_epoch(self):
-        """After the death of the owner the next rank owns within 4.5 s."""
+        """The next rank must take over from a dead owner within 4.5 s."""
         nodes = self.start(3)
         self.run_for(4.3)
         nodes[0].running = False
@@ -167,7 +170,7 @@
         self.assertEqual(self.owners(), [nodes[1]])
         self.assertEqual(nodes[1].epoch, Epoch(2, 0, 1))
 
-    def test_an_owner_goes_on_in_an_outage_and_reacquires_higher(self):
+    def test_an_owner_continues_in_an_outage_and_reacquires_at_a_higher_epoch(self):
         """An owner must keep its domain while the store is unreachable."""
         nodes = self.start(2)
         self.run_for(2.0)
@@ -214,7 +217,7 @@
         self.assertEqual(self.owners(), [nodes[1]])
         self.assertEqual(nodes[1].epoch, Epoch(1, 0, 1))
 
-    def test_a_start_in_an_outage_follows_the_living_owner(self):
+    def test_a_start_in_an_outage_follows_the_live_owner(self):
         """A node that starts in an outage must not claim an owned domain."""
         nodes = self.start(1, first_rank=3)
         self.run_for(2.0)
@@ -262,7 +265,7 @@
         self.run_for(5.0)
         self.assertIsNone(follower.epoch)
 
-    def test_a_fenced_owner_lets_go_and_old_fences_are_ignored(self):
+    def test_a_fenced_owner_stops_and_older_fences_are_ignored(self):
         """A fenced owner must stop; fences of lower epochs change nothing."""
         nodes = self.start(2)
         self.run_for(2.0)
@@ -299,7 +302,7 @@
         call_types = [type(call) for call in node.store.calls]
         self.assertIn(call_types.count(GrantLease), range(9, 23))
 
-    def test_an_owner_that_finds_the_store_later_keeps_its_domain(self):
+    def test_an_owner_that_reaches_the_store_later_keeps_its_domain(self):
         """After an outage other nodes must leave the record to the owner."""
         nodes = self.start(3)
         self.run_for(2.0)
@@ -312,12 +315,12 @@
         self.run_for(3.0)
         self.assertEqual([n.epoch for n in nodes], [Epoch(2, 0, 0), None, None])
 
-    def test_a_member_that_is_never_heard_of_holds_nobody_up(self):
+    def test_a_member_without_reports_delays_a_claim_only_shortly(self):
         """A listed node without reports must delay a claim only shortly."""
         nodes = self.start(2)
-        unheard_member = nodes[0].vm._replace(vm_id="north-00", rank=-1)
+        member_without_reports = nodes[0].vm._replace(vm_id="north-00", rank=-1)
         self.run_for(2.0)
-        nodes[1].tell(MembersChanged((unheard_member, nodes[0].vm)))
+        nodes[1].tell(MembersChanged((member_without_reports, nodes[0].vm)))
         self.set_available(False)
         nodes[0].running = False
         self.run_for(4.0)
@@ -326,7 +329,7 @@
         self.assertEqual(self.owners(), [nodes[1]])
 
     def test_drain_hands_over_at_once(self):
-        """A draining owner must not leave its domain to a lease expiry."""
+        """The successor must not wait for the lease of a drained owner."""
         nodes = self.start(2)
         self.run_for(2.0)
         done = []
@@ -338,8 +341,8 @@
         nodes[0].tell(Fenced(Epoch(1, 0, 0), Epoch(7, 2, 5)))
         self.assertIsNone(nodes[0].epoch)
 
-    def test_owners_of_other_domains_are_told(self):
-        """Subscribers must be told the owners of other domains too."""
+    def test_owners_of_other_domains_are_announced(self):
+        """Subscribers must be notified of the owners of other domains too."""
         (north,) = self.start(1)
         (south,) = self.start(1, domain="south")
         self.run_for(2.0)
@@ -347,7 +350,7 @@
             domains = [m.failure_domain for m in node.seen if type(m) is OwnerChanged]
             self.assertIn(domain, domains)
 
-    def test_a_lost_watch_is_made_up_for_by_reading(self):
+    def test_reads_replace_a_lost_watch(self):
         """A watch that ends without an error must not prevent a takeover."""
         nodes = self.start(2)
         self.run_for(2.0)
@@ -371,8 +374,8 @@
     """Random schedules of pauses, store outages and failing store calls.
 
     Guards against two ownerships with the same epoch, owners announced out
-    of order, and a cluster that has not exactly one owner once all faults
-    have ended.
+    of order, and a cluster without exactly one owner after all faults have
+    ended.
     """
 
     @settings(derandomize=True, max_examples=60, deadline=None)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -149,6 +149,7 @@
 
 class CallTests(PeersTestCase):
     async def test_call_reaches_the_other_dispatcher_unchanged(self):
+        """Guards against fields that are lost or altered in the encoding."""
         submission = requests.SubmitJob(SPEC, "corr")
         self.assertEqual(await self.one.ask(self.two.address, submission), VIEW)
         self.assertEqual(self.two.dispatcher.received, [submission])
@@ -227,7 +228,7 @@
         self.one.tell(new)
         await self.assertFailure(ask, exceptions.OutcomeUnknownError)
 
-    async def test_calls_above_the_bound_are_refused_and_the_rest_answered(self):
+    async def test_calls_above_the_limit_are_refused_and_the_others_answered(self):
         """Guards against unlimited memory for calls to a slow peer."""
         self.patch(_peer_link, "OUTSTANDING_CALLS_LIMIT", 3)
         asks = [self.one.ask(self.two.address, POLL) for _ in range(5)]
@@ -278,6 +279,7 @@
             self.assertEqual(len(self.two.peers.server.connections), 1)
 
     async def test_truncated_frame_is_reported(self):
+        """Guards against a truncated frame that leaves no log line."""
         client = await self.connect()
         client.transport.write(struct.pack("!I", 100) + b"part")
         await sleep(0.05)
@@ -297,6 +299,7 @@
         self.assertIn(b"bad_request/bad_frame", client.received)
 
     async def test_random_frames_never_reach_the_dispatcher(self):
+        """Guards against malformed frames that are executed as calls."""
         generator = random.Random(7)
         with self.assertLogs(WIRE_LOG, "WARNING"):
             for _ in range(30):
@@ -309,6 +312,7 @@
         self.assertEqual(self.two.dispatcher.received, [POLL])
 
     async def test_garbage_from_a_server_fails_the_calls_on_it(self):
+        """Guards against calls that wait for a peer with invalid replies."""
         ask = self.one.ask(self.listen(InvalidReplyServer), POLL)
         with self.assertLogs(WIRE_LOG, "WARNING"):
             await self.assertFailure(ask, exceptions.OutcomeUnknownError)
@@ -324,6 +328,7 @@
             node.tell(requests.MembersChanged(vms))
 
     async def test_reports_reach_both_sides_and_carry_the_load(self):
+        """Guards against a report that only one of the two nodes receives."""
         self.two.tell(requests.OwnershipGained(Epoch(4, 0, 2)))
         self.two.tell(requests.LocalLoad(9, 8, 3))
         await self.one.tick()
@@ -332,7 +337,7 @@
         self.assertEqual(report.largest_free_gang, 8)
         self.assertEqual(self.two.ownership.received[0].node_id, "n1")
 
-    async def test_silence_is_told_to_ownership_and_router(self):
+    async def test_silence_is_reported_to_ownership_and_router(self):
         """Guards against an undetected failure of a peer."""
         await self.one.tick()
         await defer.maybeDeferred(self.two.peers._port.stopListening)
@@ -344,7 +349,8 @@
         self.assertIn(requests.PeerSilent, received_types)
         self.assertEqual(received_types, [type(m) for m in self.one.ownership.received])
 
-    async def test_node_without_configuration_copies_a_peers(self):
+    async def test_node_without_configuration_copies_that_of_a_peer(self):
+        """Guards against a node that needs the store for its configuration."""
         self.two.tell(ConfigurationChanged(CONFIGURATION))
         await self.one.tick()
         await self.one.tick(1.0)
@@ -362,8 +368,11 @@
         await self.one.tick(3.0)
         self.assertEqual(configuration_requests, [requests.GetConfiguration()])
 
-    def test_exchange_stays_under_its_size(self):
-        """The traffic budget of a node allows 150 bytes in each direction."""
+    def test_report_fits_the_traffic_budget(self):
+        """Guards against a report that exceeds the traffic budget of a node.
+
+        The budget allows 150 bytes in each direction of an exchange.
+        """
         report = make_report("vm-bangkok-a-0017", True)._replace(
             failure_domain="bangkok-a",
             address="10.112.113.114:7411",
@@ -477,6 +486,7 @@
         self.assertEqual(_peer_codec.decode_view(wire), view)
 
     def test_errors_survive_the_conversion(self):
+        """Guards against errors that change their class or code in transit."""
         for error in (
             exceptions.ConflictError("d2: there", code="other_domain"),
             exceptions.NotFoundError("no", code="no_such_job"),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -143,8 +143,8 @@
         small = domain.cell_table.cells()[1].accelerators_by_worker
         self.assertEqual({m.worker_id for m in placement.members}, set(small))
 
-    def test_shares_of_own_cells_are_used_when_others_have_no_slots(self):
-        """A job must get the slots that are reserved for its own cells."""
+    def test_cells_of_the_owner_are_used_when_no_other_slots_are_free(self):
+        """A job must get the slots reserved for cells of its organisation."""
         workers = make_workers(1, accelerators=8, slots=8)
         domain = SimulatedDomain({"a": (Shape(2, 2),)}, workers)
         domain.place(make_spec("z", 4, 0, cores=0, memory_mb=0))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -70,11 +70,13 @@
         return [message.address for message in self.peers.received]
 
     def test_owner_answers_itself(self):
+        """Guards against forwarding a request that the owner can serve."""
         self.gain_ownership()
         self.assertEqual(self.ask(SUBMISSION), [VIEW])
         self.assertEqual(self.dispatcher.received, [SUBMISSION])
 
     def test_job_goes_to_the_domain_of_its_id(self):
+        """Guards against asking a domain that does not have the job."""
         self.gain_ownership()
         self.announce_owner("d2", "n2")
         self.ask(requests.CancelJob("d2-abc"))
@@ -175,7 +177,7 @@
         self.assertEqual(error.code, "domain_unreachable")
         self.assertLessEqual(len(self.peers.received), 16)
 
-    def test_unsent_submission_takes_another_domain(self):
+    def test_unsent_submission_goes_to_another_domain(self):
         """Guards against waiting for a domain that is unreachable."""
         self.report_load("d2", "n2", 160)
         self.report_load("d3", "n3", 12)
@@ -232,13 +234,14 @@
         self.assertEqual(status, requests.DeploymentStatus((VIEW,), ("d2",)))
 
     def test_silent_owner_gets_no_submission(self):
+        """Guards against submissions to an owner that does not respond."""
         self.report_load("d1", "n1a", 64)
         self.report_load("d2", "n2", 16)
         self.tell(requests.PeerSilent("n1a", "d1", 2.5))
         self.ask(SUBMISSION)
         self.assertEqual(self.called_addresses(), ["n2:1"])
 
-    def test_full_domains_leave_the_job_where_it_can_be_reclaimed(self):
+    def test_guaranteed_job_queues_in_the_domain_of_its_cells(self):
         """Guards against queueing a guaranteed job away from its cells.
 
         Only the domain with the cells can reclaim accelerators for the job.
@@ -257,6 +260,7 @@
 
 class FreeGangChoiceTests(unittest.TestCase):
     def test_unreachable_domains_are_never_chosen(self):
+        """Guards against choosing an unreachable domain with free capacity."""
         loads = (DomainLoad("d1", False, 64, 0), DomainLoad("d2", True, 0, 900))
         choice = FreeGangChoice()
         self.assertEqual(choice.choose(SPEC, "d1", loads, None), "d2")
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -37,6 +37,7 @@
         self.assertEqual(status.queued_jobs, 0)
 
     def test_baseline_policies_end_every_job(self):
+        """Guards against jobs that never end under the baseline policies."""
         world = World(7, fcfs_policies)
         for _ in range(SCHEDULE_STEPS):
             world.step()
@@ -75,8 +76,8 @@
         job = world.scheduler.jobs_by_id[borrowers[-1]]
         self.assertEqual((job.state, job.attempts), (JobState.QUEUED, 0))
 
-    def test_freed_cell_is_kept_while_other_borrowers_stop(self):
-        """Guards against other jobs that take accelerators from a reclaim."""
+    def test_freed_cell_stays_reserved_while_other_borrowers_stop(self):
+        """Guards against other jobs on accelerators freed by a reclaim."""
         world = self.world
         self.fill_accelerators()
         borrowers = [
@@ -137,7 +138,7 @@
         self.assertEqual(missed.count(late), 1)
         self.assertEqual(self.world.state(late), JobState.QUEUED)
 
-    def test_miss_that_was_predicted_wrongly_is_taken_back(self):
+    def test_wrongly_predicted_miss_is_withdrawn(self):
         """Guards against a reported miss for a job that ended in time."""
         job = self.world.submit_and_start(declared_run_s=60.0)
         self.world.end_job(job)
@@ -145,6 +146,7 @@
         self.assertFalse(self.world.scheduler.view(job).target_missed)
 
     def test_finish_by_is_a_time_of_day_in_utc(self):
+        """Guards against a target that is in the past or a day too late."""
         press_class = JobClass("press", None, "22:15")
         # 2023-11-14 22:13:20 UTC, 100 s before the target. A job submitted at
         # the target time itself is due on the next day.
@@ -163,6 +165,7 @@
         self.assertEqual((view.state, view.reason), (JobState.NOT_RUN, "expired"))
 
     def test_failing_job_is_tried_three_times(self):
+        """Guards against endless retries and against a missing retry."""
         job = self.world.submit_and_start(tasks=2)
         for _ in range(3):
             self.assertEqual(self.world.state(job), JobState.RUNNING)
@@ -193,7 +196,7 @@
         starts = sum(len(self.world.started_gangs_by_job[job]) for job in jobs)
         self.assertLessEqual(starts, 1.2 * len(jobs))
 
-    def test_cancelled_job_that_ran_before_is_not_called_not_run(self):
+    def test_cancelled_job_that_ran_before_is_not_reported_as_not_run(self):
         """Invariant I4: a job that waits for its retry has run before."""
         self.fill_accelerators()
         job = self.world.submit_and_start(organisation="gold", tasks=4)
@@ -204,7 +207,7 @@
         self.world.handle(m.CancelRequested(job))
         self.assertEqual(self.world.state(job), JobState.INTERRUPTED)
 
-    def test_takeover_keeps_running_jobs_and_holds_back_old_ones(self):
+    def test_takeover_places_old_jobs_only_after_all_workers_are_claimed(self):
         """Guards against restarting a job that an unclaimed worker runs."""
         world = self.world
         running = world.submit_and_start(tasks=8, organisation="gold")
@@ -259,7 +262,7 @@
         world.end_job(probe)
         self.assertEqual(world.scheduler.status(world.now).quarantined_workers, 0)
 
-    def test_admission_names_what_is_wrong(self):
+    def test_admission_reports_the_refusal_code(self):
         """Guards against a wrong refusal code for an invalid job."""
         admit = self.world.scheduler.admit
         cases = {
--- a/tests/test_scheduler_recovery.py
+++ b/tests/test_scheduler_recovery.py
@@ -65,8 +65,8 @@
         self.handle(m.TaskEnded("g1", "w1", result))
         self.assertEqual(self.scheduler.view("j1").state, JobState.INTERRUPTED)
 
-    def test_cancelled_job_with_an_ended_member_is_not_told_not_run(self):
-        """Guards against ``not_run`` for a job of which a task has ended."""
+    def test_cancelled_job_with_an_ended_member_is_not_reported_as_not_run(self):
+        """Guards against ``not_run`` for a job that has an ended task."""
         self.handle(m.CancelRequested("j1"))
         result = TaskResult(1, TaskOutcome.SUCCEEDED, "done")
         self.handle(m.WorkerClaimed(report_member(1, MemberState.ENDED, (result,))))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -30,6 +30,7 @@
         return caught.exception.problems
 
     def test_examples_are_valid(self):
+        """Guards against example files that are invalid or of another size."""
         # Numbers of workers, accelerators and entry nodes.
         sizes = {
             "huon": (24, 192, 9),
@@ -65,11 +66,13 @@
         )
 
     def test_malformed_documents(self):
+        """Guards against malformed files that raise another error."""
         for text in ("{", '{"a": 1, "a": 2}', '{"a": NaN}', "[" * 100_000, "[]"):
             with self.subTest(text[:20]):
                 self.assertEqual(len(self.problems(text)), 1)
 
     def test_missing_file_and_unknown_domain(self):
+        """Guards against a wrong error code and an unnamed invalid domain."""
         with self.assertRaises(SettingsError) as caught:
             load_node_settings("/nonexistent.jsonc")
         self.assertEqual(caught.exception.code, "unreadable_file")
--- a/tests/test_slack_policy.py
+++ b/tests/test_slack_policy.py
@@ -67,8 +67,8 @@
     def test_aged_job_gets_a_bounded_share(self):
         """An aged job must come first in one tenth of the time only.
 
-        Without it, late jobs could starve. With more, the late jobs of a
-        flood would displace jobs that can still meet their target.
+        Without this share, late jobs could starve. With a larger one, the late
+        jobs of a flood would displace jobs that can still meet their target.
         """
         aged = self.job("aged", waited_s=30.0)
         late = self.job("late", waited_s=10.0)
@@ -138,7 +138,7 @@
     def test_bounds_give_a_retry_time(self):
         """One class or caller must not fill the queue.
 
-        Refused callers are told when to retry.
+        A refusal must say after which time to retry.
         """
         policy = SlackAdmission()
         group, caller = QUEUED_GROUP_LIMIT, QUEUED_CALLER_LIMIT
@@ -153,7 +153,7 @@
             self.assertTrue(refusal is None or refusal.retry_after_s > 0)
 
 
-class StreakHealthTests(unittest.TestCase):
+class FailureStreakHealthTests(unittest.TestCase):
     def setUp(self):
         self.policy = FailureStreakHealth()
 
--- a/tests/test_specification.py
+++ b/tests/test_specification.py
@@ -17,7 +17,7 @@
 
 
 class SpecificationTests(unittest.TestCase):
-    """Guards the protocol, and the models against charts that changed."""
+    """Guards against protocol flaws and models that differ from the charts."""
 
     @classmethod
     def setUpClass(cls):
@@ -61,7 +61,7 @@
 
 
 class ChartFileTests(unittest.TestCase):
-    """Guards the SCXML parser against a reading that deviates from SCXML."""
+    """Guards against a chart parser that deviates from SCXML."""
 
     def test_another_scxml_implementation_reads_the_same_charts(self):
         charts = importlib.resources.files("redwingrudder").joinpath("charts")
