Name the claimed workers of the scheduler simulation

"known_workers" did not say who knows them; they are the workers that the present owner has claimed and not lost.

--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -69,7 +69,8 @@
         reported_draining: Workers whose drain was reported to the scheduler
             with ``WorkerDraining`` after their last claim.
         unnoticed_restarts: Workers that restarted without an event.
-        known_workers: Workers that the present owner has claimed and not lost.
+        claimed_workers: Workers that the present owner has claimed and not
+            lost.
         unclaimed: Workers that the present owner has not claimed yet.
     """
 
@@ -94,7 +95,7 @@
         self.effects = []
         self.unnoticed_restarts = set()
         self.policies = policies
-        self.known_workers = set()
+        self.claimed_workers = set()
         self.recovering = False
         self.take_over()
         while self.recovering:
@@ -117,9 +118,10 @@
             self.submit_recorded(job_id)
         self.unclaimed = sorted(self.workers)
         self.random.shuffle(self.unclaimed)
-        self.known_workers = set()
+        self.claimed_workers = set()
 
     def claim_next(self):
+        """Claim a worker, or end the recovery if all have been claimed."""
         if self.unclaimed:
             self.claim(self.unclaimed.pop())
         else:
@@ -128,7 +130,7 @@
 
     def claim(self, worker_id):
         worker = self.workers[worker_id]
-        self.known_workers.add(worker_id)
+        self.claimed_workers.add(worker_id)
         self.reported_draining.discard(worker_id)
         if worker_id in self.unnoticed_restarts:
             self.unnoticed_restarts.discard(worker_id)
@@ -185,7 +187,7 @@
             self.wake_at = effect.at
 
     def send_command(self, worker_id, command):
-        if worker_id in self.known_workers:
+        if worker_id in self.claimed_workers:
             self.workers[worker_id].commands.append(command)
 
     def check_start(self, effect):
@@ -290,9 +292,10 @@
         return True
 
     def lose_worker(self):
+        """Report a worker as lost; an unclaimed one only restarts."""
         worker_id = self.random.choice(sorted(self.workers))
         worker = self.workers[worker_id]
-        if worker_id not in self.known_workers:
+        if worker_id not in self.claimed_workers:
             worker.restart()
             return
         worker.commands.clear()
@@ -304,12 +307,12 @@
                     worker.end_task(member.gang_id, task, TaskOutcome.STOPPED)
         else:
             worker.restart()
-        self.known_workers.discard(worker_id)
+        self.claimed_workers.discard(worker_id)
         self.handle(m.WorkerLost(worker_id, "lease_lapsed"))
 
     def restart_unnoticed(self):
         """Restart a worker to which queued commands are still delivered."""
-        worker_id = self.random.choice(sorted(self.known_workers))
+        worker_id = self.random.choice(sorted(self.claimed_workers))
         worker = self.workers[worker_id]
         commands = list(worker.commands)
         worker.restart()
@@ -320,16 +323,17 @@
         worker_id = self.random.choice(sorted(self.workers))
         self.workers[worker_id].draining = True
         if (
-            worker_id in self.known_workers
+            worker_id in self.claimed_workers
             and self.random.random() < REPORTED_DRAIN_SHARE
         ):
             self.handle(m.WorkerDraining(worker_id))
 
     def return_workers(self):
+        """Claim the workers that were lost or restarted without an event."""
         for worker_id in sorted(self.workers):
             claim_pending = self.recovering and worker_id in self.unclaimed
-            known = worker_id in self.known_workers - self.unnoticed_restarts
-            if not known and not claim_pending:
+            is_claimed = worker_id in self.claimed_workers - self.unnoticed_restarts
+            if not is_claimed and not claim_pending:
                 self.claim(worker_id)
 
     def submit_random(self):
@@ -368,7 +372,7 @@
             (1, self.lose_worker),
             (2, self.return_workers),
             (0.5, self.drain_worker),
-            (0.5, lambda: self.known_workers and self.restart_unnoticed()),
+            (0.5, lambda: self.claimed_workers and self.restart_unnoticed()),
             (4, lambda: self.tick(self.random.choice([0.01, 1, 10]))),
             (0.4, self.take_over),
             (4, lambda: self.recovering and self.claim_next()),
@@ -382,7 +386,7 @@
             self.claim_next()
         for worker_id, worker in self.workers.items():
             if worker.draining:
-                self.known_workers.discard(worker_id)
+                self.claimed_workers.discard(worker_id)
                 worker.restart()
                 self.handle(m.WorkerLost(worker_id, "stopped"))
         self.return_workers()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,6 +1,6 @@
-"""Tests that gangs are placed whole, adjacent, compact and within limits.
+"""Tests that placements of gangs are complete, adjacent and compact.
 
-The limits are the cells that are guaranteed to other organisations.
+Placements must also respect the cells guaranteed to other organisations.
 """
 
 import random
@@ -101,7 +101,7 @@
         self.assertEqual(sorted(used.values()), [3])
         self.assertIsNotNone(domain.place(make_spec("a", 16)))
 
-    def test_rack_gang_takes_the_fullest_rack(self):
+    def test_gang_that_fits_a_rack_uses_the_fullest_one(self):
         """An empty rack must stay free if a partly used one fits the gang."""
         domain = SimulatedDomain({"a": ()}, make_workers(12))
         domain.place(make_spec("a", 4))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -68,8 +68,10 @@
             world.submit_and_start(tasks=4, preemptible=True)
         ]
         self.assertEqual({world.state(job) for job in borrowers}, {JobState.RUNNING})
-        owner = world.submit_and_start(organisation="gold", tasks=4, idempotent=False)
-        self.assertEqual(world.state(owner), JobState.RUNNING)
+        guaranteed = world.submit_and_start(
+            organisation="gold", tasks=4, idempotent=False
+        )
+        self.assertEqual(world.state(guaranteed), JobState.RUNNING)
         self.assertEqual(
             [stop.checkpoint for stop in self.effects_of_type(m.StopMember)], [True]
         )
@@ -84,12 +86,12 @@
             world.submit_and_start(preemptible=True, job_class="later")
             for _ in range(4)
         ]
-        owner = world.submit(organisation="gold", tasks=4)
+        guaranteed = world.submit(organisation="gold", tasks=4)
         world.deliver_command()
         world.deliver_event()
         competitor = world.submit(preemptible=True, job_class="urgent")
         world.deliver_all()
-        self.assertEqual(world.state(owner), JobState.RUNNING)
+        self.assertEqual(world.state(guaranteed), JobState.RUNNING)
         queued = [world.state(job) for job in [competitor, *borrowers]]
         self.assertEqual(set(queued), {JobState.QUEUED})
 
