--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,6 +1,6 @@
-"""Tests that gangs are placed whole, adjacent, compact and within limits.
+"""Tests that placements of gangs are complete, adjacent and compact.
 
-The limits are the cells that are guaranteed to other organisations.
+Placements must also respect the cells guaranteed to other organisations.
 """
 
 import random
@@ -101,7 +101,7 @@
         self.assertEqual(sorted(used.values()), [3])
         self.assertIsNotNone(domain.place(make_spec("a", 16)))
 
-    def test_rack_gang_takes_the_fullest_rack(self):
+    def test_gang_that_fits_a_rack_uses_the_fullest_one(self):
         """An empty rack must stay free if a partly used one fits the gang."""
         domain = SimulatedDomain({"a": ()}, make_workers(12))
         domain.place(make_spec("a", 4))
@@ -143,8 +143,8 @@
         small = domain.cell_table.cells()[1].accelerators_by_worker
         self.assertEqual({m.worker_id for m in placement.members}, set(small))
 
-    def test_shares_of_own_cells_are_used_when_others_have_no_slots(self):
-        """A job must get the slots that are reserved for its own cells."""
+    def test_cells_of_the_owner_are_used_when_no_other_slots_are_free(self):
+        """A job must get the slots reserved for cells of its organisation."""
         workers = make_workers(1, accelerators=8, slots=8)
         domain = SimulatedDomain({"a": (Shape(2, 2),)}, workers)
         domain.place(make_spec("z", 4, 0, cores=0, memory_mb=0))
