Override the renamed methods of WorkerCore in the recording worker

The rename of the stand-ins turned _accept and _record of WorkerCore into _check_epoch_and_renew and _record_change, but RecordingWorker and UnfencedWorker still defined the old names, so no worker event reached the history and three tests of FaultyWorkerTests failed. The overrides get the new names; tests.test_history.{FaultyWorkerTests,HistoryCheckTests, RegressionTests}: 14 tests pass.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -52,8 +52,8 @@
         self._record_epoch(request["epoch"], now)
         return reply
 
-    def _accept(self, epoch_numbers, now):
-        super()._accept(epoch_numbers, now)
+    def _check_epoch_and_renew(self, epoch_numbers, now):
+        super()._check_epoch_and_renew(epoch_numbers, now)
         self._record_epoch(epoch_numbers, now)
 
     def _record_epoch(self, epoch_numbers, now):
@@ -62,8 +62,8 @@
         )
         self.entries.append(entry)
 
-    def _record(self, event, member, at, plan=None):
-        super()._record(event, member, at, plan)
+    def _record_change(self, what, member, at, plan=None):
+        super()._record_change(what, member, at, plan)
         request, worker = member.request, self.info.worker_id
         gang, job = request["gang_id"], request["job_id"]
         entry = {
@@ -77,7 +77,7 @@
                 at, worker, gang, job, plan.task_index, plan.outcome, plan.result
             ),
             "released": lambda: h.MemberReleased(at, worker, gang),
-        }[event]()
+        }[what]()
         self.entries.append(entry)
 
 
@@ -88,9 +88,9 @@
         self.highest_epoch = Epoch(*request["epoch"])
         return super().claim(request, now)
 
-    def _accept(self, epoch_numbers, now):
+    def _check_epoch_and_renew(self, epoch_numbers, now):
         self.highest_epoch = Epoch(*epoch_numbers)
-        super()._accept(epoch_numbers, now)
+        super()._check_epoch_and_renew(epoch_numbers, now)
 
 
 class EagerWorker(RecordingWorker):
