Correct the texts of the stand-ins and use one word for replies

The docstrings of the fault switches named all replies and all writes; some are exempt. Answer in the HTTP server of the worker becomes Reply, as in the platform stand-in and worker_api.

--- a/src/redwingrudder/standins/_key_value.py
+++ b/src/redwingrudder/standins/_key_value.py
@@ -21,7 +21,7 @@
 MAX_KEYS = 200_000
 MAX_LEASES = 10_000
 MAX_WATCHES = 10_000
-MAX_HISTORY_CHANGES = 10_000  # kept for watches that start at a past revision
+MAX_HISTORY_CHANGES = 10_000  # available to watches that start in the past
 MAX_HISTORY_BYTES = 64_000_000  # sum of the values in the history
 
 _NO_UPPER_BOUND = b"\x00"  # range_end that selects all keys from the first on
--- a/src/redwingrudder/standins/_platform_service.py
+++ b/src/redwingrudder/standins/_platform_service.py
@@ -35,8 +35,8 @@
     "/v1/vms": "vms",
 }
 _WRITE_OPERATIONS = frozenset({"txn", "lease_grant", "lease_keepalive", "lease_revoke"})
-# Operations whose replies ``lost_replies`` drops. Losing a keepalive reply
-# would test nothing, so keepalives do not count towards the number.
+# Operations whose replies ``lost_replies`` drops. Losing the reply to a
+# keepalive would test nothing, so keepalives do not use up the number.
 _LOSSY_OPERATIONS = frozenset({"txn", "lease_grant", "lease_revoke"})
 
 
@@ -79,8 +79,9 @@
 
     ``outage`` cuts off all clients, ``cut_domains`` the clients in these
     failure domains: their calls get no reply and their watches are closed.
-    ``slow_s`` delays every reply by this many seconds. ``lost_replies`` is the
-    number of following writes that take effect without a reply.
+    ``slow_s`` delays replies by this many seconds, except those to watches.
+    ``lost_replies`` is the number of following transactions, lease grants and
+    lease revocations that take effect without a reply.
     """
 
     outage: NotRequired[bool]
--- a/src/redwingrudder/standins/_vm_list.py
+++ b/src/redwingrudder/standins/_vm_list.py
@@ -8,7 +8,7 @@
 from ..platform_api import VmBody
 
 MAX_VMS = 20_000
-MAX_SNAPSHOTS = 1_000  # versions kept until the lag has passed
+MAX_SNAPSHOTS = 1_000  # versions of the list that the lag still hides
 
 
 class _Snapshot(NamedTuple):
@@ -25,7 +25,7 @@
         self._vms_by_id: dict[str, VmBody] = {}
         self._snapshots: deque[_Snapshot] = deque(maxlen=MAX_SNAPSHOTS)
         self._snapshots.append(_Snapshot(0, 0.0, ()))
-        self._process_tag = uuid.uuid4().hex[:8]
+        self._instance_tag = uuid.uuid4().hex[:8]
 
     def change(
         self,
@@ -72,7 +72,7 @@
 
         It changes with the list and differs between ``VmList`` instances.
         """
-        return f'"{self._process_tag}-{self._visible_snapshot(now).version}"'
+        return f'"{self._instance_tag}-{self._visible_snapshot(now).version}"'
 
     def _visible_snapshot(self, now: float) -> _Snapshot:
         snapshots = self._snapshots
--- a/src/redwingrudder/standins/_worker_core.py
+++ b/src/redwingrudder/standins/_worker_core.py
@@ -28,9 +28,9 @@
 from ._worker_tasks import TaskPlan, plan_task
 
 RESULT_RETENTION_S = 600.0  # how long results are kept after a member ended
-USAGE_LAG_S = 5.0  # age of the reported usage
+USAGE_LAG_S = 5.0  # age of the usage that replies to polls report
 MAX_HISTORY_ENTRIES = 100_000
-CHECKPOINT_TIME_FRACTION = 0.5  # time of a checkpoint, of the job's stop bound
+CHECKPOINT_TIME_FRACTION = 0.5  # of the job's stop bound
 
 _NO_EPOCH = Epoch(-1, -1, -1)  # lower than any epoch of an owner
 
@@ -150,9 +150,9 @@
         )
 
     def poll(self, request: PollRequest, now: float) -> PollReply:
-        """Renew the lease and return the events after ``after`` immediately.
+        """Renew the lease and return the events and the usage at once.
 
-        Events up to ``after`` are acknowledged and dropped.
+        Events up to sequence number ``after`` are acknowledged and dropped.
         """
         self._check_epoch_and_renew(request["epoch"], now)
         while self._events and self._events[0]["sequence"] <= request["after"]:
@@ -176,7 +176,7 @@
     def reserve(self, request: ReserveRequest, now: float) -> CommandReply:
         """Reserve resources for a gang member until its tasks have ended.
 
-        A release or the lease expiry end the reservation as well.
+        A release or the expiry of the lease also ends the reservation.
         """
         self._check_epoch_and_renew(request["epoch"], now)
         gang_id = request["gang_id"]
@@ -218,7 +218,10 @@
         return self._reply()
 
     def release(self, request: MemberRequest, now: float) -> CommandReply:
-        """Drop the reservation or the retained results of a gang member."""
+        """Drop the reservation or the retained results of a gang member.
+
+        A member that is running is not released.
+        """
         self._check_epoch_and_renew(request["epoch"], now)
         member = self._members_by_gang.get(request["gang_id"])
         if member is not None and member.state is MemberState.STARTED:
@@ -273,9 +276,10 @@
         self._drop_expired_results(now)
 
     def next_deadline(self) -> float | None:
-        """Return the earlier of the next task end and the lease expiry.
+        """Return the time of the next task end or lease expiry.
 
-        The result is None if no member holds resources.
+        The earlier one counts. The result is None if no member holds
+        resources.
         """
         deadlines = [
             p.ends_at for m in self._members_by_gang.values() for p in m.running
--- a/src/redwingrudder/standins/_worker_http.py
+++ b/src/redwingrudder/standins/_worker_http.py
@@ -27,7 +27,7 @@
 MAX_BODY_BYTES = 1_048_576
 
 MAX_DETAIL_CHARS = 300  # of a validation error
-NO_ANSWER_STATUS = 0  # abort the connection instead of sending an answer
+NO_REPLY_STATUS = 0  # abort the connection instead of sending a reply
 
 _POLL_PATH = "/v1/poll"
 _DEADLINE_TIMER = "change"
@@ -46,15 +46,15 @@
     drain: bool
 
 
-class Answer(NamedTuple):
-    """An HTTP answer; ``NO_ANSWER_STATUS`` aborts the connection instead."""
+class Reply(NamedTuple):
+    """An HTTP reply; ``NO_REPLY_STATUS`` aborts the connection instead."""
 
     status: int
     body: Any = None
 
 
 class _Call(NamedTuple):
-    """One HTTP request, sent with ``ask``; the reply is an ``Answer``."""
+    """One HTTP request, sent with ``ask``; the actor returns a ``Reply``."""
 
     method: str
     path: str
@@ -63,7 +63,7 @@
 
 class _WaitingPoll(NamedTuple):
     request: PollRequest
-    reply: Deferred
+    deferred: Deferred
 
 
 class _Faults(NamedTuple):
@@ -113,7 +113,7 @@
         self._faults = _Faults()
         self._waiting_polls_by_timer: dict[str, _WaitingPoll] = {}
         self._timer_count = 0
-        self._delayed_replies_by_timer: dict[str, tuple[Deferred, Answer]] = {}
+        self._delayed_replies_by_timer: dict[str, tuple[Deferred, Reply]] = {}
         self.address = ""
         self.core = WorkerCore(info, system.clock.seconds())
         super().__init__(system, f"standin:{info.worker_id}")
@@ -136,7 +136,7 @@
     def stop(self) -> Deferred | None:
         """Close the listening port and abort the waiting polls."""
         for waiting_poll in self._waiting_polls_by_timer.values():
-            waiting_poll.reply.callback(Answer(NO_ANSWER_STATUS))
+            waiting_poll.deferred.callback(Reply(NO_REPLY_STATUS))
         self._waiting_polls_by_timer.clear()
         return self._port and self._port.stopListening()
 
@@ -148,25 +148,25 @@
     def _now(self) -> float:
         return self.system.clock.seconds()
 
-    def _answer_with_faults(self, call: _Call) -> Answer | Deferred:
+    def _answer_with_faults(self, call: _Call) -> Reply | Deferred:
         if call.path == "/admin/faults":
             return self._answer_request(call)
         if call.path == "/admin/history":
-            return Answer(200, [entry._asdict() for entry in self.core.history])
+            return Reply(200, [entry._asdict() for entry in self.core.history])
         if self._now() < self._faults.cut_until:
-            return Answer(NO_ANSWER_STATUS)
-        answer = self._answer_request(call)
+            return Reply(NO_REPLY_STATUS)
+        reply = self._answer_request(call)
         if self._faults.drop_replies > 0 and call.path != _POLL_PATH:
             remaining = self._faults.drop_replies - 1
             self._faults = self._faults._replace(drop_replies=remaining)
-            return Answer(NO_ANSWER_STATUS)
-        if self._faults.slow_s > 0 and isinstance(answer, Answer):
-            return self._delay_answer(answer)
-        return answer
+            return Reply(NO_REPLY_STATUS)
+        if self._faults.slow_s > 0 and isinstance(reply, Reply):
+            return self._delay_reply(reply)
+        return reply
 
-    def _answer_request(self, call: _Call) -> Answer | Deferred:
+    def _answer_request(self, call: _Call) -> Reply | Deferred:
         if call.method == "GET" and call.path == "/v1/state":
-            return Answer(200, self.core.state(self._now()))
+            return Reply(200, self.core.state(self._now()))
         adapter = _ADAPTERS_BY_PATH.get(call.path)
         if adapter is None or call.method != "POST":
             return _problem(404, "not_found", f"{call.method} {call.path}")
@@ -179,7 +179,7 @@
         except RedwingrudderError as error:
             return _problem(error.http_status, error.code, error.detail)
 
-    def _execute(self, path: str, body: Any) -> Answer | Deferred:
+    def _execute(self, path: str, body: Any) -> Reply | Deferred:
         now = self._now()
         if path == "/admin/faults":
             return self._set_faults(body)
@@ -193,11 +193,11 @@
             "/v1/stop": self.core.stop,
             "/v1/throttle": self.core.throttle,
         }
-        reply = commands_by_path[path](body, now)
+        reply_body = commands_by_path[path](body, now)
         self._answer_due_polls()
-        return Answer(200, reply)
+        return Reply(200, reply_body)
 
-    def _set_faults(self, request: FaultsRequest) -> Answer:
+    def _set_faults(self, request: FaultsRequest) -> Reply:
         faults = self._faults
         self._faults = _Faults(
             request.get("slow_s", faults.slow_s),
@@ -209,25 +209,25 @@
         drain_changed = "drain" in request and request["drain"] != core.draining
         core.draining = request.get("drain", core.draining)
         self._answer_due_polls(answer_all=drain_changed)
-        return Answer(200, {})
+        return Reply(200, {})
 
-    def _poll(self, request: PollRequest) -> Answer | Deferred:
-        reply = self.core.poll(request, self._now())
-        if reply["events"] or request["wait_s"] <= 0:
-            return Answer(200, reply)
+    def _poll(self, request: PollRequest) -> Reply | Deferred:
+        body = self.core.poll(request, self._now())
+        if body["events"] or request["wait_s"] <= 0:
+            return Reply(200, body)
         self._timer_count += 1
         timer = f"poll:{self._timer_count}"
         waiting_poll = _WaitingPoll(request, Deferred())
         self._waiting_polls_by_timer[timer] = waiting_poll
         self.tell(TIMERS, Subscribe(self.name, timer, request["wait_s"]))
-        return waiting_poll.reply
+        return waiting_poll.deferred
 
     def _handle_timer(self, fired: TimerFired) -> None:
         if fired.timer in self._waiting_polls_by_timer:
             self._answer_poll(fired.timer)
         elif fired.timer in self._delayed_replies_by_timer:
-            reply, answer = self._delayed_replies_by_timer.pop(fired.timer)
-            reply.callback(answer)
+            deferred, reply = self._delayed_replies_by_timer.pop(fired.timer)
+            deferred.callback(reply)
         self._answer_due_polls()
 
     def _answer_due_polls(self, answer_all: bool = False) -> None:
@@ -248,37 +248,37 @@
             # The lease runs from the arrival of the poll. Answering it must
             # not renew the lease, so the expiry is restored.
             lease_until = self.core.lease_until
-            reply = self.core.poll(waiting_poll.request, self._now())
+            body = self.core.poll(waiting_poll.request, self._now())
             self.core.lease_until = lease_until
-            answer = Answer(200, reply)
+            reply = Reply(200, body)
         except RejectedEpochError as error:
-            answer = _rejection(error)
-        waiting_poll.reply.callback(answer)
+            reply = _rejection(error)
+        waiting_poll.deferred.callback(reply)
 
-    def _delay_answer(self, answer: Answer) -> Deferred:
+    def _delay_reply(self, reply: Reply) -> Deferred:
         self._timer_count += 1
         timer = f"slow:{self._timer_count}"
-        reply: Deferred = Deferred()
-        self._delayed_replies_by_timer[timer] = (reply, answer)
+        deferred: Deferred = Deferred()
+        self._delayed_replies_by_timer[timer] = (deferred, reply)
         self.tell(TIMERS, Subscribe(self.name, timer, self._faults.slow_s))
-        return reply
+        return deferred
 
 
-def _problem(status: int, code: str, detail: str) -> Answer:
-    return Answer(status, {"code": code, "detail": detail})
+def _problem(status: int, code: str, detail: str) -> Reply:
+    return Reply(status, {"code": code, "detail": detail})
 
 
-def _rejection(error: RejectedEpochError) -> Answer:
+def _rejection(error: RejectedEpochError) -> Reply:
     body = {
         "code": error.code,
         "detail": error.detail,
         "highest": list(error.highest),
     }
-    return Answer(409, body)
+    return Reply(409, body)
 
 
 class _WorkerResource(Resource):
-    """Passes every request to the actor and writes its answer."""
+    """Passes every request to the actor and writes its reply."""
 
     def __init__(self, actor: Actor) -> None:
         super().__init__()
@@ -294,23 +294,21 @@
         call = _Call(request.method.decode(), request.path.decode(), content)
         disconnects: list[Any] = []
         request.notifyFinish().addErrback(disconnects.append)
-        answer_deferred = self._actor.ask(self._actor.name, call)
-        answer_deferred.addCallback(
-            lambda answer: disconnects or _write(request, answer)
-        )
-        answer_deferred.addErrback(
+        reply_deferred = self._actor.ask(self._actor.name, call)
+        reply_deferred.addCallback(lambda reply: disconnects or _write(request, reply))
+        reply_deferred.addErrback(
             lambda _: disconnects or _write(request, _problem(500, "", ""))
         )
         return NOT_DONE_YET
 
 
-def _write(request: Request, answer: Answer) -> None:
-    if answer.status == NO_ANSWER_STATUS:
+def _write(request: Request, reply: Reply) -> None:
+    if reply.status == NO_REPLY_STATUS:
         request.transport.abortConnection()
         return
-    request.setResponseCode(answer.status)
+    request.setResponseCode(reply.status)
     request.setHeader(b"content-type", b"application/json")
-    content = json.dumps(answer.body, separators=(",", ":")).encode()
+    content = json.dumps(reply.body, separators=(",", ":")).encode()
     request.setHeader(b"content-length", b"%d" % len(content))
     request.write(content)
     request.finish()
--- a/src/redwingrudder/standins/_worker_tasks.py
+++ b/src/redwingrudder/standins/_worker_tasks.py
@@ -7,7 +7,7 @@
 from ..model import JobSpec, TaskOutcome
 
 TASK_END_INTERVAL_S = 0.002  # between the ends of the tasks of a gang
-FAULTY_TASK_RUN_S = 0.05  # run time of each task of a worker at fault
+FAULTY_TASK_RUN_S = 0.05  # run time of tasks under ``fail_everything``
 
 
 class TaskPlan(NamedTuple):
@@ -41,7 +41,8 @@
 class _TaskScript(NamedTuple):
     """Behaviour of the simulated tasks as specified by a job's payload.
 
-    A ``result`` of None selects the default result.
+    ``fail`` lets all tasks fail, ``fail_tasks`` holds the indexes of tasks
+    that fail. A ``result`` of None selects the default result.
     """
 
     run_s: float
--- a/src/redwingrudder/standins/worker.py
+++ b/src/redwingrudder/standins/worker.py
@@ -4,12 +4,13 @@
 HTTP server. ``POST /admin/faults`` sets fault switches from a JSON object
 with any of these fields:
 
-- ``fail_everything`` (bool): all tasks that start fail.
-- ``slow_s``: delay of answers in seconds, except those to waiting polls.
-- ``drop_replies``: number of requests, without polls, that take effect but
-  get no answer.
-- ``cut_s``: for so many seconds all requests except those to ``/admin`` have
-  no effect and get no answer.
+- ``fail_everything`` (bool): tasks that start while it is set fail.
+- ``slow_s``: delay of replies in seconds; replies to waiting polls and to
+  ``/admin`` are not delayed.
+- ``drop_replies``: number of following requests, not counting polls, that take
+  effect but get no reply.
+- ``cut_s``: for this many seconds all requests except those to ``/admin`` have
+  no effect and get no reply.
 - ``drain`` (bool): the worker reports that it drains and rejects
   reservations.
 
