Say in each test which failure it guards against

Tests of the stand-ins, workers, membership and histories get a docstring with the failure; test names that said told, hears or costs nothing use the usual terms. Texts of the test harness say reply throughout, the kinds of faults of the soak are explained where they are listed, and the docstring of Workers names its attributes by their present names. No assertion changes.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -82,7 +82,7 @@
 
 
 class UnfencedWorker(RecordingWorker):
-    """A faulty worker that accepts every epoch, also a lower one."""
+    """A faulty worker that accepts every epoch, even a lower one."""
 
     def claim(self, request, now):
         self.highest_epoch = Epoch(*request["epoch"])
@@ -94,7 +94,7 @@
 
 
 class EagerWorker(RecordingWorker):
-    """A faulty worker that starts a member once it is reserved, unasked."""
+    """A faulty worker that starts a member on its reservation."""
 
     def reserve(self, request, now):
         reply = super().reserve(request, now)
@@ -107,8 +107,9 @@
     """The workers of the domain, shared by all nodes.
 
     ``cut`` holds the addresses of workers that cannot be reached, and
-    ``deaf`` those of workers whose replies are all lost. ``dropped_replies``
-    is the number of commands that will take effect without a reply.
+    ``losing_replies`` those of workers whose replies are all lost.
+    ``replies_to_drop`` is the number of following commands that take effect
+    without a reply.
     """
 
     def __init__(self, entries, worker_type=RecordingWorker):
@@ -147,8 +148,8 @@
 class Peers(Actor):
     """Receives reports of other nodes, as the production peer actor does.
 
-    It offers the configuration of a peer that is ahead for
-    ``CONFIGURATION_LAG_S``.
+    It offers the configuration of a peer to this node once the version of
+    this node has been lower for ``CONFIGURATION_LAG_S``.
     """
 
     def __init__(self, system, node):
@@ -412,7 +413,7 @@
         self.leaving = ()
         self._list_workers()
 
-    # Requests of callers and operators, with their replies.
+    # Requests of callers and operators; their replies are recorded.
 
     def submit(self, node, spec):
         reply = self._ask(node, r.DISPATCHER, r.SubmitJob(spec, ""))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -30,8 +30,9 @@
             with OutcomeUnknownError.
         requests_to_lose: Number of next calls that fail with
             OutcomeUnknownError without taking effect.
-        vms: VM list that answers to ``ListVms`` are selected from.
-        calls: All messages that arrived outside an outage.
+        vms: VM list from which ``ListVms`` requests are answered.
+        calls: Requests that arrived outside an outage, without watches and
+            subscriptions.
     """
 
     def __init__(self, system, core=None, available=True):
@@ -82,7 +83,7 @@
         self.resume_watches()
 
     def put(self, key, value):
-        """Write one key like another node would, unaffected by faults."""
+        """Write one key as another node would, unaffected by faults."""
         put = Put(key.encode(), value.encode())
         self.core.transact((), (put,), self.now())
 
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -2,7 +2,7 @@
 
 Run as ``python -m tests.platform_soak --seeds 5 --first 1``. For each seed it
 starts the stand-in and three nodes as processes, submits jobs, injects faults
-from outside, and checks the answers to callers and the runs at the workers.
+from outside, and checks the replies to callers and the runs at the workers.
 It ends only processes that it started, by their ids.
 """
 
@@ -24,18 +24,18 @@
 NODE_COUNT = 3
 WORKER_COUNT = 3
 REQUEST_TIMEOUT_S = 4.0
-# The kinds are explained by ``Soak._inject_fault``. Their order decides which
-# fault a seed draws.
+# ``Soak._inject_fault`` injects them. Their order decides which fault a seed
+# draws.
 FAULT_KINDS = (
-    "kill",
-    "term",
-    "pause",
-    "store",
-    "worker",
-    "crash",
-    "late",
-    "hup",
-    "cancel",
+    "kill",  # a node is killed and restarted
+    "term",  # a node gets SIGTERM and is restarted after its end
+    "pause",  # a node is paused for a while
+    "store",  # the store is down, silent, slow or lossy for a while
+    "worker",  # a worker does not reply for a while
+    "crash",  # a worker loses all state and restarts
+    "late",  # starts at a worker take effect late, for a while
+    "hup",  # a node gets SIGHUP
+    "cancel",  # an accepted job is cancelled
 )
 FAULT_KINDS_WITH_LINKS = (*FAULT_KINDS, "link", "link")
 # Seeds below this one are older than the proxies. They get no link faults, so
@@ -100,16 +100,17 @@
 
 
 def send_request(method, url, body=None, timeout_s=REQUEST_TIMEOUT_S):
-    """Return status and JSON body of an answer; status 0 means no answer.
+    """Return status and JSON body of the reply.
 
-    The body of an HTTP error is not read.
+    Status 0 means no reply or one that is not JSON. The body of an HTTP error
+    is not read.
     """
     headers = {"Host": "jobs.example", "Authorization": "Token key"}
     content = json.dumps(body).encode() if body is not None else None
     request = urllib.request.Request(url, content, headers, method=method)
     try:
-        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
-            return answer.status, json.loads(answer.read() or b"{}")
+        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
+            return reply.status, json.loads(reply.read() or b"{}")
     except urllib.error.HTTPError as error:
         return error.code, {}
     except (OSError, ValueError):
@@ -190,6 +191,7 @@
         return f"http://127.0.0.1:{port}{path}"
 
     def control(self, body=None):
+        """Set fault modes of the stand-in; returns the runs of all workers."""
         return send_request(
             "POST", f"http://127.0.0.1:{self.first_port}/control", body or {}
         )[1]
@@ -372,7 +374,7 @@
                         f"job {job_id} failed although none of its runs can fail"
                     )
                 if state == "cancelled" and job_id not in self.cancelled:
-                    # The cancellation took effect without an answer.
+                    # The cancellation took effect without a reply.
                     self.cancelled.add(job_id)
                 if state in ("done", "cancelled"):
                     del queues_by_job[job_id]
@@ -408,7 +410,9 @@
 
 
 def run_seed(seed, seconds, folder):
-    """Run one seed for ``seconds`` of faults with its files in ``folder``.
+    """Run one seed, which injects faults for ``seconds``.
+
+    Settings and logs of the processes are written to ``folder``.
 
     Raises:
         InvariantViolation: A check failed.
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -17,10 +17,10 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-MAX_HISTORY_CHANGES = 5000  # changes kept for watches; older ones are dropped
+MAX_HISTORY_CHANGES = 5000  # available to watches; older ones are dropped
 MAX_POLL_WAIT_S = 2.0
 MAX_LEASE_S = 6.0
-MAX_REPORTED_ENDS = 500  # ends of runs in the answer to a poll
+MAX_REPORTED_ENDS = 500  # ends of runs in the reply to a poll
 SLOW_STORE_DELAY_S = 0.2
 LOST_REPLY_PROBABILITY = 0.3  # of a write in mode "lossy"
 DELAYED_WRITE_PROBABILITY = 0.5  # of a write whose reply is lost
@@ -34,8 +34,8 @@
 class Store:
     """Keys, leases and watches of the store, and its fault mode.
 
-    Modes are "up", "down" (answers 503), "silent" (no answers), "slow" and
-    "lossy" (some writes get no answer but take effect).
+    Modes are "up", "down" (status 503), "silent" (no replies), "slow" (delayed
+    replies) and "lossy" (some writes take effect without a reply).
     """
 
     def __init__(self):
@@ -49,7 +49,7 @@
         self.random = random.Random(0)
 
     def put(self, key, value, lease=0):
-        """Write a key at the present revision, within ``new_revision``."""
+        """Write a key; to be called within ``new_revision``."""
         created = self.items.get(key, {}).get("created", self.revision)
         self.items[key] = {
             "key": key,
@@ -61,7 +61,7 @@
         self._append_change(dict(self.items[key]))
 
     def remove(self, key):
-        """Remove a key at the present revision, within ``new_revision``."""
+        """Remove a key; to be called within ``new_revision``."""
         if key in self.items:
             del self.items[key]
             self._append_change(
@@ -74,7 +74,7 @@
 
     @contextlib.contextmanager
     def new_revision(self):
-        """Give the changes inside one new revision, then notify watches."""
+        """Give the changes in the block one revision, then notify watches."""
         self.revision += 1
         yield
         waiting_watches, self.watches = self.watches, []
@@ -82,7 +82,7 @@
             self.answer_watch(*watch)
 
     def answer_watch(self, prefix, after, request, timer):
-        """Answer with the changes after a revision, or wait for a change."""
+        """Reply with the changes after a revision, or wait for a change."""
         events = [
             event
             for event in self.history
@@ -96,7 +96,7 @@
             self.watches.append((prefix, after, request, timer))
 
     def time_out_watch(self, request):
-        """Answer a waiting watch without changes."""
+        """Reply to a waiting watch that there are no changes."""
         for watch in list(self.watches):
             if watch[2] is request:
                 self.watches.remove(watch)
@@ -229,7 +229,7 @@
 
     The rows of ``runs`` are lists of task, run, begin, end (0 while it runs),
     outcome, worker and whether the end was acknowledged. Times are in seconds.
-    Modes are "up", "silent" (no answers) and "late" (starts get no answer and
+    Modes are "up", "silent" (no replies) and "late" (starts get no reply and
     take effect later).
     """
 
@@ -244,6 +244,7 @@
         self.reset()
 
     def reset(self):
+        """Begin with empty state, like a restarted process, and register."""
         self.process_started_ms = max(
             self.process_started_ms + 1, int(time.time() * 1000)
         )
@@ -353,9 +354,9 @@
                     self.answer_poll(request)
 
     def poll(self, request, body):
-        """Extend the lease, drop acknowledged ends and answer the request.
+        """Extend the lease, drop acknowledged ends and reply.
 
-        Without unacknowledged ends the answer waits for the next end, for
+        Without unacknowledged ends the reply waits for the next end, for
         ``waitMs`` at most.
         """
         if body.get("deadlineAtMs"):
@@ -421,13 +422,14 @@
 
     def _execute(self, name, body):
         worker = self.worker
+        # A late start may have been fenced while it was delayed.
         if body.get("fencingToken", 0) < worker.highest_token:
             return 409, {"reason": "fence"}
         return worker.start(body) if name == "run-start" else worker.stop(body)
 
 
 def reply(request, status, body):
-    """Write an answer unless the client has disconnected."""
+    """Send a reply unless the client has disconnected."""
     if not request.finished and not getattr(request, "_disconnected", False):
         request.setResponseCode(status)
         request.setHeader(b"Content-Type", b"application/json")
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -179,7 +179,7 @@
         )
 
     def submit_until_accepted(self, node, key, **fields):
-        """Submit a job until it is accepted; returns the answer's body."""
+        """Submit a job until it is accepted; returns the body of the reply."""
 
         def accepted():
             status, body = self.submit(node, key, **fields)
@@ -188,7 +188,7 @@
         return self.wait_for(accepted, f"{node} accepts the job with key {key!r}")
 
     def wait_until_finished(self, node, job_id):
-        """Poll a job until it has ended; returns the body of the answer."""
+        """Poll a job until it has ended; returns the body of the reply."""
 
         def ended():
             url = f"{self.urls[node]}/v1/jobs/{job_id}?wait=5"
@@ -208,7 +208,8 @@
     def history(self, job_id=None, event=None):
         """Return the history entries of all running workers, sorted by time.
 
-        Each entry has the name of its worker added as ``worker``.
+        ``job_id`` and ``event`` select entries; None selects all. Each entry
+        has the name of its worker added as ``worker``.
         """
         entries = []
         for name, (address, _) in self.addresses.items():
@@ -265,9 +266,9 @@
 
 
 def send_request(method, url, body=None, headers=None, timeout=REQUEST_TIMEOUT_S):
-    """Return the status and the parsed JSON body of the answer.
+    """Return the status and the parsed JSON body of the reply.
 
-    Without an answer the status is ``STATUS_UNREACHABLE`` or
+    Without a reply the status is ``STATUS_UNREACHABLE`` or
     ``STATUS_CONNECTION_BROKEN``.
     """
     data = None if body is None else json.dumps(body).encode()
@@ -290,20 +291,20 @@
 
 @contextlib.contextmanager
 def long_poll(base_url, path):
-    """Send a GET; provides a function that waits for and reads its answer."""
+    """Send a GET; provides a function that waits for the reply."""
     host = base_url.removeprefix("http://")
     connection = http.client.HTTPConnection(host, timeout=REQUEST_TIMEOUT_S)
     with contextlib.closing(connection):
         connection.request("GET", path)
-        # A node accepts connections in order. When this request is answered,
+        # A node accepts connections in order. Once this request has a reply,
         # the long poll is in progress.
         send_request("GET", f"{base_url}/livez")
 
-        def read_answer():
+        def read_reply():
             reply = connection.getresponse()
             return reply.status, _parse(reply.read())
 
-        yield read_answer
+        yield read_reply
 
 
 def pause(daemon):
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,4 @@
-"""Runs the test suite and prints a last line with the counts.
+"""Runs the test suite; the last line counts the passed and failed tests.
 
 Tests listed in KNOWN-RED.txt run too; their failures are printed but do not
 fail the run. Each entry starts with a line ``test: <unittest id>``.
--- a/tests/run_schedules.py
+++ b/tests/run_schedules.py
@@ -28,7 +28,7 @@
 
 
 def main():
-    """Run schedules until the time is over; return the exit status."""
+    """Run schedules for the given time; return the exit status."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=1)
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -25,7 +25,7 @@
 
 
 class Counter(Actor):
-    """Adds amounts, fails on negative ones; records its timers."""
+    """Adds amounts, fails on negative ones and records fired timers."""
 
     def __init__(self, system):
         self.total = 0
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -51,15 +51,15 @@
 class Schedule:
     """Performs the steps of a schedule on a deployment.
 
-    Each public method except ``take`` is an action. Its number selects the
+    Each public method except ``perform`` is an action. Its number selects the
     target, such as the owner, worker or job.
     """
 
     def __init__(self, deployment):
         self.deployment = deployment
 
-    def take(self, action, number):
-        """Perform the action of this name."""
+    def perform(self, action, number):
+        """Perform the action with this name."""
         getattr(self, action)(number)
 
     def submit(self, number):
@@ -73,7 +73,7 @@
                 self.deployment.cancel(node, jobs[number // 7 % len(jobs)])
 
     def poll(self, number):
-        """Ask an owner for the state of every job that was submitted."""
+        """Ask an owner for the state of every submitted job."""
         for node in self._choose_owner(number):
             for job_id in sorted(self.deployment.specs_by_job):
                 self.deployment.poll(node, job_id)
@@ -150,7 +150,7 @@
 
 
 ACTIONS = tuple(
-    name for name in vars(Schedule) if not name.startswith("_") and name != "take"
+    name for name in vars(Schedule) if not name.startswith("_") and name != "perform"
 )
 STEPS = st.lists(
     st.tuples(
@@ -167,7 +167,7 @@
     """Perform all steps, end all faults and poll all jobs."""
     schedule = Schedule(deployment)
     for action, number, pause_s in steps:
-        schedule.take(action, number)
+        schedule.perform(action, number)
         deployment.run_for(pause_s)
     deployment.heal()
     deployment.run_for(HEALING_S)
@@ -250,32 +250,40 @@
             self.assertNotIn(invariant, broken, f"violated by the schedule {steps}")
 
     def test_one_owner_remains(self):
+        """Guards against a domain with no owner or two after all faults."""
         self.check("owner")
 
     def test_every_job_becomes_final(self):
+        """Guards against jobs that are lost or never end after all faults."""
         self.check("end")
 
     def test_gangs_do_not_run_partially(self):
+        """Guards against gangs of which only some members run (I2)."""
         self.check("I2")
 
     def test_results_come_from_one_gang(self):
+        """Guards against results that are mixed from two gangs (I3)."""
         self.check("I3")
 
     def test_jobs_reported_not_run_never_start(self):
+        """Guards against runs of jobs that were reported as not run (I4)."""
         self.check("I4")
 
     def test_jobs_run_at_most_once(self):
+        """Guards against second runs of jobs that are not idempotent (I5)."""
         self.check("I5")
 
     def test_leaving_workers_get_no_work(self):
+        """Guards against reservations at workers that are leaving (I6)."""
         self.check("I6")
 
     def test_configuration_never_reverts(self):
+        """Guards against nodes with an older configuration (I8)."""
         self.check("I8")
 
 
 class RegressionTests(unittest.TestCase):
-    """Schedules that violated an invariant in an earlier version."""
+    """Guards against the return of violations that schedules have found."""
 
     def check(self, steps, invariant):
         self.assertNotIn(invariant, find_violations(steps))
@@ -306,7 +314,7 @@
         ]
         self.check(steps, "I6")
 
-    def test_reservation_without_answer_is_not_repeated_after_its_release(self):
+    def test_reservation_without_reply_is_not_repeated_after_its_release(self):
         # The worker was cut off, was listed as leaving and became reachable
         # again.
         steps = [
@@ -323,7 +331,7 @@
 class FaultyWorkerTests(unittest.TestCase):
     """Guards against a check that misses the violations of faulty workers."""
 
-    def test_start_without_an_order_breaks_gangs_and_at_most_once(self):
+    def test_start_without_a_command_breaks_gangs_and_at_most_once(self):
         rejected = set()
         for seed in (5, 17):
             rng = random.Random(seed)
@@ -338,7 +346,7 @@
             rejected |= find_violations(steps, EagerWorker).keys()
         self.assertLessEqual({"I2", "I5"}, rejected)
 
-    def test_start_without_an_order_contradicts_not_run(self):
+    def test_start_without_a_command_contradicts_not_run(self):
         deployment = Deployment(EagerWorker)
         deployment.workers.losing_replies.update(info.address for info in WORKERS)
         spec = SPEC._replace(idempotent=False, tasks=1, payload='{"run_s": 60}')
@@ -360,7 +368,7 @@
 
 
 class HistoryCheckTests(unittest.TestCase):
-    """Tests of the check on violations that the schedules do not produce."""
+    """Guards against a check that misses what no schedule produces."""
 
     def check(self, invariant, *entries):
         found = h.check_history(entries, LIMITS)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -49,6 +49,7 @@
         return {vm.vm_id: vm.state for vm in self.subscriber_messages[-1].vms}
 
     def test_calls_a_second_stay_within_the_budget_of_the_design(self):
+        """Guards against VM list reads that exceed the rate of the design."""
         self.start(owning=True)
         advance(self.system, 60.0)
         calls = self.store.calls
@@ -61,7 +62,8 @@
         self.assertIn(len(self.store.calls), range(5, 8))
         self.assertEqual(len(self.subscriber_messages), 1)
 
-    def test_an_owner_hears_of_a_leaving_worker_within_about_a_second(self):
+    def test_an_owner_learns_of_a_leaving_worker_within_about_a_second(self):
+        """Guards against an owner that places work on a leaving worker."""
         self.start(owning=True)
         advance(self.system, 2.0)
         self.store.vms = (vm("w1", state="leaving"), vm("w2", "south", "leaving"))
@@ -73,7 +75,8 @@
         advance(self.system, 1.2)
         self.assertEqual(self.vm_states_by_id(), {"w2": "leaving"})
 
-    def test_a_late_answer_does_not_bring_a_leaving_worker_back(self):
+    def test_a_late_reply_does_not_bring_a_leaving_worker_back(self):
+        """Guards against an older whole list that replaces newer entries."""
         self.start(owning=True)
         membership = self.system._actors_by_name[MEMBERSHIP]
         earlier = self.store.vms
@@ -86,6 +89,7 @@
         )
 
     def test_an_outage_keeps_the_list_and_costs_no_calls(self):
+        """Guards against a VM list that is emptied by a store outage."""
         self.start(owning=True)
         self.store.set_available(False)
         advance(self.system, 30.0)
@@ -98,6 +102,7 @@
         self.assertLess(len(self.store.calls), 5)
 
     def test_a_change_survives_a_full_mailbox(self):
+        """Guards against a change that a full mailbox loses."""
         self.start()
         membership = self.system._actors_by_name[MEMBERSHIP]
         with mock.patch.object(membership, "tell") as tell:
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -93,7 +93,7 @@
         self.assertEqual(facts.capacity, Resources(16000, 32768, 8))
 
     def test_invalid_entries_yield_no_worker(self):
-        """Guards against an invalid entry that stops reading of the others."""
+        """Guards against an exception for an entry that is invalid."""
         for changes in (
             {"state": "odd"},
             {"service": 7},
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -18,27 +18,27 @@
 
 
 class FakeRequest(DummyRequest):
-    """A request with the data that the front end reads; keeps the answer."""
+    """A request as the front end reads it; stores the response."""
 
     path = b"/queue/job"
 
     def __init__(self):
         super().__init__([b"queue", b"job"])
-        self.answer = None
+        self.response = None
 
     def header(self, name):
         return None
 
-    def write_response(self, answer: Response):
-        self.answer = answer
+    def write_response(self, response: Response):
+        self.response = response
 
 
 class ConnectionTests(unittest.TestCase):
     def test_unavailable_node_closes_the_connection(self):
         """Guards against a client that keeps using an unavailable node.
 
-        The client would retry on its persistent connection if the answer
-        503 did not close it.
+        The client would retry on its persistent connection if the response
+        with status 503 did not close it.
         """
         clock = Clock()
         system = ActorSystem(clock)
@@ -47,7 +47,7 @@
         request = FakeRequest()
         front_end._respond(request)
         run_for(clock, 0.05)
-        self.assertEqual(request.answer.status, 503)
+        self.assertEqual(request.response.status, 503)
         header = request.responseHeaders.getRawHeaders(b"connection")
         self.assertEqual(header, [b"close"])
 
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -63,12 +63,14 @@
         return self.core.transact((), (Put(key, value, lease_id),), 0.0)
 
     def test_only_one_of_two_creates_wins(self):
+        """Guards against a second create that overwrites the first one."""
         absent = (ModCompare(b"a", 0),)
         self.assertTrue(self.core.transact(absent, (Put(b"a", b"1"),), 0.0))
         self.assertFalse(self.core.transact(absent, (Put(b"a", b"2"),), 0.0))
         self.assertEqual(self.core.range(b"a")[0].value, b"1")
 
     def test_a_rejected_transaction_changes_nothing(self):
+        """Guards against a rejected transaction that is applied in part."""
         large = Put(b"b", b"x" * (MAX_VALUE_BYTES + 1))
         for error, operations in (
             (PayloadTooLargeError, (Put(b"a", b"1"), large)),
@@ -80,6 +82,7 @@
         self.assertEqual((self.core.range(b"a"), self.core.revision), ((), 1))
 
     def test_keys_of_an_expired_lease_are_deleted_unless_rewritten(self):
+        """Guards against keys that outlive their lease or end with another."""
         lease = self.core.grant_lease(3, 0.0)
         self.write(b"a", b"1", lease)
         self.write(b"b", b"1", lease)
@@ -92,6 +95,7 @@
         self.assertTrue(self.core.range(b"b"))
 
     def test_watch_resumes_in_order_and_fails_after_compaction(self):
+        """Guards against a resumed watch that misses changes silently."""
         for key in (b"p/1", b"q", b"p/2"):
             self.write(key)
         delivered = []
@@ -114,6 +118,7 @@
         self.service = PlatformService(self.clock, RateLimits(2.0, 3.0))
 
     def test_reads_and_writes_have_separate_rate_limits(self):
+        """Guards against reads that use up the rate limit of the writes."""
         write = Call("/v3/kv/txn", put_body("a", "1"))
         read = Call("/v3/kv/range", json.dumps({"key": encode_base64("a")}).encode())
         writes = [self.service.handle(write).status for _ in range(3)]
@@ -128,6 +133,7 @@
         )
 
     def test_only_the_cut_domain_loses_its_calls_and_its_watch(self):
+        """Guards against a cut that affects clients of other domains."""
         closed_domains = []
         body = json.dumps({"create_request": {"key": encode_base64("a")}}).encode()
         for domain in ("north", "south"):
@@ -146,11 +152,13 @@
         )
 
     def test_malformed_bodies_are_rejected(self):
+        """Guards against an exception for the malformed body of a client."""
         for body in (b"", b"[]", b'{"key": "*"}'):
             reply = self.service.handle(Call("/v3/kv/range", body))
             self.assertEqual(reply.status, 400, body)
 
     def test_changes_of_the_vm_list_show_after_the_lag(self):
+        """Guards against changes that are visible before the lag ends."""
         vm = {
             "vm_id": "w1", "role": "worker", "state": "live", "address": "a:1",
             "failure_domain": "north", "rack": "r1", "rank": 0, "accelerators": 8,
@@ -184,6 +192,7 @@
         return response.code, json.loads(await response.content())
 
     async def test_a_write_with_a_lost_reply_takes_effect(self):
+        """Guards against a lost reply that also loses the write."""
         await self.start()
         await self.post("/admin/faults", b'{"lost_replies": 1}')
         with self.assertRaises(Exception):  # noqa: B017
@@ -192,6 +201,7 @@
         self.assertEqual((code, reply.get("succeeded")), (200, None))
 
     async def test_outage_closes_connections_until_it_ends(self):
+        """Guards against replies during an outage, or none after it."""
         await self.start()
         await self.post("/admin/faults", b'{"outage": true}')
         with self.assertRaises(Exception):  # noqa: B017
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -25,7 +25,7 @@
 
 
 class ProcessesTest(unittest.TestCase):
-    def test_same_answer_through_every_node(self):
+    def test_same_result_through_every_node(self):
         """Guards against partial results and double runs of a repeated key."""
         cluster = Cluster(self, remote=True)
         nodes = list(cluster.nodes)
@@ -33,12 +33,12 @@
             fields = {"tasks": 5, "accelerators_per_task": 1, "idempotent": False}
             fields["payload"] = {"result": f"by {node}"}
             accepted = cluster.submit_until_accepted(node, node, **fields)
-            answer = cluster.wait_until_finished(node, accepted["job_id"])
-            self.assertEqual("succeeded", answer["state"])
-            self.assertEqual([f"by {node}"] * 5, answer["results"])
+            reply = cluster.wait_until_finished(node, accepted["job_id"])
+            self.assertEqual("succeeded", reply["state"])
+            self.assertEqual([f"by {node}"] * 5, reply["results"])
             repeated = cluster.submit_until_accepted(nodes[index - 1], node, **fields)
-            self.assertEqual(answer, repeated)
-            gangs = _gangs(cluster.history(answer["job_id"], "started"))
+            self.assertEqual(reply, repeated)
+            gangs = _gangs(cluster.history(reply["job_id"], "started"))
             self.assertEqual(1, len(gangs))
 
     def test_kill_of_owner(self):
@@ -62,11 +62,11 @@
         owner_killed_at = time.time()
         cluster.nodes[owner].kill()
         for view in queued:
-            answer = cluster.wait_until_finished(other, view["job_id"])
-            self.assertEqual("succeeded", answer["state"])
-        answer = cluster.wait_until_finished(other, gang["job_id"])
-        self.assertEqual("succeeded", answer["state"])
-        self.assertEqual(2, len(answer["results"]))
+            reply = cluster.wait_until_finished(other, view["job_id"])
+            self.assertEqual("succeeded", reply["state"])
+        reply = cluster.wait_until_finished(other, gang["job_id"])
+        self.assertEqual("succeeded", reply["state"])
+        self.assertEqual(2, len(reply["results"]))
 
         starts = cluster.history(gang["job_id"], "started")
         self.assertEqual(2, len(starts))
@@ -99,8 +99,8 @@
         self.assertEqual("queued", view["state"])
 
         pause(cluster.nodes[owner])
-        answer = cluster.wait_until_finished(other, view["job_id"])
-        self.assertEqual("succeeded", answer["state"])
+        reply = cluster.wait_until_finished(other, view["job_id"])
+        self.assertEqual("succeeded", reply["state"])
         successor, successor_epoch = cluster.owner(other)
         self.assertNotEqual(owner, successor)
         self.assertGreater(successor_epoch, epoch)
@@ -129,18 +129,18 @@
         for node in cluster.nodes:
             body = cluster.submit_until_accepted(node, f"again {node}")
             self.assertFalse(body["durable"])
-            answer = cluster.wait_until_finished(node, body["job_id"])
-            self.assertEqual("succeeded", answer["state"])
+            reply = cluster.wait_until_finished(node, body["job_id"])
+            self.assertEqual("succeeded", reply["state"])
             status, problem = cluster.submit(node, f"once {node}", idempotent=False)
             self.assertEqual((503, "store_unavailable"), (status, problem["code"]))
-        answer = cluster.wait_until_finished("hobart-2", running["job_id"])
-        self.assertEqual("succeeded", answer["state"])
+        reply = cluster.wait_until_finished("hobart-2", running["job_id"])
+        self.assertEqual("succeeded", reply["state"])
         resume(cluster.platform)
         for node in cluster.nodes:
             body = cluster.submit_until_accepted(node, f"once {node}", idempotent=False)
             self.assertTrue(body["durable"])
-            answer = cluster.wait_until_finished(node, body["job_id"])
-            self.assertEqual("succeeded", answer["state"])
+            reply = cluster.wait_until_finished(node, body["job_id"])
+            self.assertEqual("succeeded", reply["state"])
             starts = cluster.history(body["job_id"], "started")
             self.assertEqual(1, len(starts))
 
@@ -153,10 +153,10 @@
                 name, f"long {name}", payload={"run_s": 1.0}
             )
             path = f"/v1/jobs/{running['job_id']}?wait=20"
-            with long_poll(cluster.urls[name], path) as answer:
+            with long_poll(cluster.urls[name], path) as read_reply:
                 cluster.nodes[name].send(signal.SIGTERM)
                 submitter.run_until(cluster.nodes[name].has_ended)
-                status, body = answer()
+                status, body = read_reply()
             self.assertEqual((200, "succeeded"), (status, body.get("state")), body)
             self.assertEqual(0, cluster.nodes[name].exit_code())
             cluster.start_node(name)
@@ -166,10 +166,10 @@
             )
         self.assertGreater(len(submitter.job_ids_by_key), 10)
         for key, job_id in submitter.job_ids_by_key.items():
-            answer = cluster.wait_until_finished("hobart-1", job_id)
-            found = (answer["state"], answer["results"])
+            reply = cluster.wait_until_finished("hobart-1", job_id)
+            found = (reply["state"], reply["results"])
             seen = cluster.history(job_id) if found[0] != "succeeded" else ()
-            self.assertEqual(("succeeded", [key]), found, (answer, seen))
+            self.assertEqual(("succeeded", [key]), found, (reply, seen))
         started = [entry["job_id"] for entry in cluster.history(event="started")]
         for job_id in submitter.job_ids_by_key.values():
             self.assertEqual(1, started.count(job_id))
@@ -199,9 +199,9 @@
         self.assertEqual(
             "interrupted", cluster.wait_until_finished("hobart-3", other_id)["state"]
         )
-        answer = cluster.wait_until_finished("hobart-3", idempotent_id)
-        self.assertEqual("succeeded", answer["state"])
-        self.assertEqual(fields["tasks"], len(answer["results"]))
+        reply = cluster.wait_until_finished("hobart-3", idempotent_id)
+        self.assertEqual("succeeded", reply["state"])
+        self.assertEqual(fields["tasks"], len(reply["results"]))
         entries_after = cluster.history()
         first_gang_id, *_ = _gangs(
             e for e in starts_before if e["job_id"] == idempotent_id
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -72,6 +72,7 @@
         return [event["outcome"] for event in events]
 
     def test_only_a_claim_raises_the_epoch_and_lower_ones_are_rejected(self):
+        """Guards against commands under an epoch that was not claimed."""
         with self.assertRaises(RejectedEpochError) as raised:
             self.core.reserve(reserve("g", term=2), 1.0)
         self.assertEqual(raised.exception.code, "not_claimed")
@@ -83,6 +84,7 @@
         self.assertEqual(self.core.state(1.0)["members"], [])
 
     def test_a_repeated_start_runs_the_gang_once_even_after_its_release(self):
+        """Guards against a delayed duplicate that runs a gang again."""
         spec = make_spec('{"run_s": 1}')
         self.run_gang(spec=spec)
         self.assertTrue(self.core.start(member("g"), 0.5)["accepted"])
@@ -95,12 +97,14 @@
         self.assertEqual(len(started), 1)
 
     def test_a_delayed_duplicate_of_a_released_reservation_is_rejected(self):
+        """Guards against a released reservation that is made again."""
         self.core.reserve(reserve("g"), 0.0)
         self.core.release(member("g"), 0.0)
         self.assertEqual(self.core.reserve(reserve("g"), 0.0)["code"], "already_ended")
         self.assertTrue(self.core.reserve(reserve("h"), 0.0)["accepted"])
 
     def test_a_reservation_lasts_until_the_lease_expires(self):
+        """Guards against a reservation that ends before or after its lease."""
         self.core.reserve(reserve("g"), 0.0)
         for now in range(10, 300, 10):
             self.core.poll(poll(), float(now))
@@ -108,6 +112,7 @@
         self.assertEqual(self.core.start(member("g"), 331.0)["code"], "unknown_gang")
 
     def test_tasks_stop_when_the_lease_expires_without_requests(self):
+        """Guards against tasks that run on after the lease has expired."""
         self.run_gang(spec=make_spec('{"run_s": 100}'))
         self.core.advance(1_000.0)
         ended = [entry for entry in self.core.history if entry.what == "ended"]
@@ -115,6 +120,7 @@
         self.assertEqual({entry.outcome for entry in ended}, {"stopped"})
 
     def test_events_are_kept_until_a_poll_acknowledges_them(self):
+        """Guards against events that are dropped before an acknowledgement."""
         self.run_gang(spec=make_spec('{"run_s": 1, "fail_tasks": [1]}'))
         self.assertEqual(self.outcomes(2.0), ["succeeded", "failed"])
         self.assertEqual(self.outcomes(2.0), ["succeeded", "failed"])
@@ -124,12 +130,14 @@
         self.assertEqual(len(results), 2)
 
     def test_running_members_are_not_released_and_results_expire(self):
+        """Guards against a release of running tasks and unlimited results."""
         self.run_gang(spec=make_spec('{"run_s": 1}'))
         self.assertEqual(self.core.release(member("g"), 0.5)["code"], "member_running")
         self.core.claim(claim(), 601.1)
         self.assertEqual(len(self.core.state(600.5)["members"]), 0)
 
     def test_rejections_have_a_code(self):
+        """Guards against rejections whose reason the owner cannot see."""
         absent_accelerators = reserve("g", accelerators=(7, 8))
         self.assertEqual(
             self.core.reserve(absent_accelerators, 0.0)["code"], "no_such_accelerator"
@@ -140,6 +148,7 @@
         self.assertEqual(self.core.reserve(reserve("g"), 0.0)["code"], "draining")
 
     def test_checkpoint_throttle_and_usage_lag(self):
+        """Guards against a stand-in that ignores throttles or checkpoints."""
         self.run_gang(spec=make_spec('{"run_s": 8}'))
         self.core.throttle(member("g", share=0.5), 4.0)
         usage = self.core.poll(poll(), 4.0)["usage"]
@@ -169,6 +178,7 @@
         return response.code, await response.json()
 
     async def test_a_waiting_poll_returns_when_a_task_ends(self):
+        """Guards against a poll that waits although there is an event."""
         await self.post("/v1/claim", claim())
         spec = make_spec('{"run_s": 0.05}')
         await self.post("/v1/reserve", reserve("g", spec=spec))
@@ -182,6 +192,7 @@
         self.assertEqual(events[0]["outcome"], "succeeded")
 
     async def test_a_waiting_poll_of_a_fenced_owner_is_rejected(self):
+        """Guards against a fenced owner that notices this only later."""
         await self.post("/v1/claim", claim(1))
         pending_poll = self.post("/v1/poll", poll(wait_s=8.0))
         poll_answer = ensureDeferred(pending_poll)
@@ -190,6 +201,7 @@
         self.assertEqual((status, body["highest"]), (409, [2, 0, 0]))
 
     async def test_a_dropped_reply_has_taken_effect(self):
+        """Guards against a dropped reply that also drops the command."""
         await self.post("/v1/claim", claim())
         await self.post("/admin/faults", {"drop_replies": 1})
         with self.assertRaises((ResponseNeverReceived, ConnectionLost, ConnectionDone)):
@@ -199,6 +211,7 @@
         self.assertTrue(body["accepted"])
 
     async def test_malformed_bodies_are_rejected_with_a_code(self):
+        """Guards against status 500 for an invalid request."""
         status, body = await self.post("/v1/reserve", {"epoch": "x"})
         self.assertEqual((status, body["code"]), (400, "bad_request"))
         status, body = await self.post("/v1/nothing", {})
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -99,11 +99,12 @@
                 return found
             await deferLater(reactor, 0.02)
 
-    async def inject_faults(self, **orders):
+    async def inject_faults(self, **switches):
         url = f"http://{self.worker.address}/admin/faults"
-        await treq.post(url, json.dumps(orders).encode(), persistent=False)
+        await treq.post(url, json.dumps(switches).encode(), persistent=False)
 
     async def test_a_gang_runs_through_dropped_replies_and_a_cut(self):
+        """Guards against a gang that is started twice or lost by the link."""
         await self.wait_for(WorkerClaimed)
         await self.inject_faults(drop_replies=2, slow_s=0.05)
         member = MemberPlacement("w1", (0,), (0,))
@@ -121,6 +122,7 @@
         )
 
     async def test_a_restart_is_noticed_within_a_poll(self):
+        """Guards against an owner that keeps a restarted worker as running."""
         await self.wait_for(WorkerClaimed)
         self.worker.restart()
         (lost,) = await self.wait_for(WorkerLost)
@@ -154,6 +156,7 @@
         run_clock(self.clock, duration_s)
 
     def run_and_take_events(self):
+        """Return the events since the last call, after a further 0.5 s."""
         self.run_for(0.5)
         received, self.dispatcher.received = self.dispatcher.received, []
         return received
@@ -167,6 +170,7 @@
         return ReserveMember(gang_id, f"j-{gang_id}", SPEC, 0.0, member, 1)
 
     def test_commands_of_a_gang_arrive_in_order_and_results_return(self):
+        """Guards against commands of a gang that overtake each other."""
         self.run_and_take_events()
         release = ReleaseMember("g", "w1")
         self.send(self.reserve("g"), StartMember("g", "w1"))
@@ -181,6 +185,7 @@
         self.assertEqual(released, ReleaseAnswered("g", "w1"))
 
     def test_lost_replies_are_retried_without_a_second_start(self):
+        """Guards against a retried command that starts a gang twice."""
         self.run_and_take_events()
         self.transport.replies_to_drop = 2
         self.send(self.reserve("g"), StartMember("g", "w1"))
@@ -192,6 +197,7 @@
         self.assertEqual(len(started), 1)
 
     def test_the_worker_stops_its_tasks_before_the_owner_calls_it_lost(self):
+        """Guards against a second run of tasks that the worker still runs."""
         self.run_and_take_events()
         self.send(self.reserve("g"), StartMember("g", "w1"))
         self.run_for(0.9)
@@ -208,6 +214,7 @@
         self.assertEqual(self.core.state(lost_at)["members"][0]["state"], "ended")
 
     def test_lost_replies_to_renewals_do_not_keep_lost_work_running(self):
+        """Guards against renewals for a worker that is regarded as lost."""
         # Requests reach the worker, but all replies are lost. If the retries
         # renewed the lease, the worker would run tasks of a lost gang.
         self.run_and_take_events()
@@ -218,7 +225,8 @@
         self.assertIn(WorkerLost("w1", "lease_lapsed"), self.run_and_take_events())
         self.assertLess(self.core.lease_until, self.clock.seconds())
 
-    def test_a_short_cut_costs_nothing(self):
+    def test_a_short_cut_does_not_lose_the_worker(self):
+        """Guards against the loss of a worker whose lease has not expired."""
         self.run_and_take_events()
         self.transport.cut.add(ADDRESS)
         self.run_for(2.0)
@@ -228,6 +236,7 @@
         self.assertGreater(self.core.lease_until, self.clock.seconds())
 
     def test_a_new_boot_id_is_a_loss_followed_by_a_new_claim(self):
+        """Guards against gangs of a restarted worker that count as running."""
         self.run_and_take_events()
         self.send(self.reserve("g"))
         self.run_and_take_events()
@@ -240,9 +249,10 @@
         self.assertEqual(lost, WorkerLost("w1", "restarted"))
         self.assertEqual(claimed.report.members, ())
 
-    def test_commands_sent_before_the_loss_was_known_reach_no_new_claim(self):
+    def test_commands_for_a_lost_claim_are_not_sent_under_the_next_one(self):
+        """Guards against commands that refer to an earlier claim."""
         # A reservation sent for the claim before the restart would otherwise
-        # hold its accelerator for ever, because the scheduler does not know
+        # occupy its accelerator for ever, because the scheduler has no record
         # of it.
         self.run_and_take_events()
         self.dispatcher.handle_link_event = None
@@ -256,7 +266,8 @@
         self.run_for(1.0)
         self.assertEqual(len(self.core.state(0.0)["members"]), 1)
 
-    def test_a_stale_epoch_is_told_to_ownership_and_ends_the_link(self):
+    def test_a_stale_epoch_is_reported_to_ownership_and_ends_the_link(self):
+        """Guards against a fenced owner that keeps claiming the worker."""
         self.run_and_take_events()
         claim = {"epoch": [2, 0, 0], "node_id": "n2", "lease_s": LEASE_S}
         self.core.claim(claim, self.clock.seconds())
@@ -267,6 +278,7 @@
         self.assertEqual(self.core.highest_epoch, Epoch(2, 0, 0))
 
     def test_a_raised_epoch_keeps_work_and_queued_commands(self):
+        """Guards against work that is lost when the owner raises its epoch."""
         self.run_and_take_events()
         self.send(self.reserve("g"), EpochRaised(Epoch(3, 0, 0)))
         self.send(StartMember("g", "w1"))
@@ -277,6 +289,7 @@
         self.assertEqual(self.ownership.received, [])
 
     def test_a_new_owner_learns_running_gangs_and_their_results(self):
+        """Guards against gangs that are lost or run again after a takeover."""
         self.run_and_take_events()
         self.send(self.reserve("g"), StartMember("g", "w1"), self.reserve("h", 1))
         self.run_for(2.0)
@@ -291,6 +304,7 @@
         self.assertEqual(members_by_gang["h"].spec, SPEC)
 
     def test_a_full_queue_refuses_new_work_but_no_release(self):
+        """Guards against an unbounded queue, and releases that are lost."""
         self.run_and_take_events()
         self.transport.cut.add(ADDRESS)
         with mock.patch.object(_worker_commands, "MAX_QUEUED_COMMANDS", 2):
@@ -304,6 +318,7 @@
         self.assertIn(ReleaseAnswered("g0", "w1"), self.dispatcher.received)
 
     def test_a_full_mailbox_delays_events_and_loses_none(self):
+        """Guards against events that a full mailbox causes to be lost."""
         self.run_and_take_events()
         self.send(self.reserve("g"))
         full = MailboxFullError("full")
@@ -313,6 +328,7 @@
         self.assertIn(WorkerDraining("w1"), self.dispatcher.received)
 
     def test_malformed_replies_are_logged_with_a_code_and_retried(self):
+        """Guards against a link that fails on a malformed reply."""
         self.run_and_take_events()
         malformed_replies = {
             "/v1/reserve": b"<html>",
@@ -327,7 +343,8 @@
         self.run_for(2.0)
         self.assertEqual(self.run_and_take_events(), [ReserveAnswered("g", "w1", True)])
 
-    def test_an_announced_stop_of_the_worker_is_told_once(self):
+    def test_a_draining_worker_is_reported_once(self):
+        """Guards against a draining worker that is reported repeatedly."""
         self.run_and_take_events()
         self.core.draining = True
         self.send(self.reserve("g"))
@@ -335,7 +352,8 @@
         refused = ReserveAnswered("g", "w1", False, "draining")
         self.assertEqual(self.run_and_take_events(), [refused, WorkerDraining("w1")])
 
-    def test_stopping_an_unknown_gang_tells_that_nothing_is_held(self):
+    def test_stopping_an_unknown_gang_is_answered_as_a_release(self):
+        """Guards against a dispatcher that waits for an unknown gang."""
         self.run_and_take_events()
         self.send(StopMember("g", "w1", False))
         self.assertEqual(self.run_and_take_events(), [ReleaseAnswered("g", "w1")])
--- a/tests/worker_fakes.py
+++ b/tests/worker_fakes.py
@@ -20,8 +20,8 @@
         cut: Addresses that cannot be reached.
         losing_replies: Addresses that execute requests, but whose replies
             are all lost.
-        replies_to_drop: Number of commands still to be executed without a
-            reply; polls are not counted.
+        replies_to_drop: Number of following commands that are executed
+            without a reply; polls are not counted.
         malformed_replies: Maps a path to the bytes that are returned instead
             of the reply.
         posted: The address, path and body of every request.
