Use poll and command throughout the workflow model

The model named the worker poll "look" in the texts of its flaws and called commands "orders", unlike the rest of the code base. Texts such as "given up", "its record" and "drops starts in flight" did not say what was abandoned, recorded or dropped.

The texts now say poll, abandoned and recorded. Order becomes Command, NO_ORDER becomes NO_COMMAND, NOT_AGAIN becomes NO_RUN_AFTER_END, ran_again becomes ran_after_end. States, actions and their sequence are unchanged; the members of Flaw keep their names and the invariants keep their texts.

--- a/src/redwingrudder/_spec_workflow.py
+++ b/src/redwingrudder/_spec_workflow.py
@@ -1,6 +1,6 @@
 """Model of one workflow task, two workers and successive coordinators.
 
-An order that was sent stays in a set until it is delivered. Orders may be
+A command that was sent stays in a set until it is delivered. Commands may be
 delivered at any later time and in any sequence, and replies may be lost. A
 worker that is cut off from the coordinator continues its run until its lease
 lapses.
@@ -14,42 +14,42 @@
 from .workflows.state import TASK_CHART as CHART
 
 ONE_RUN = "I5: one run of a task at a time"
-NOT_AGAIN = "I5: no run begins after an end that was acknowledged"
+NO_RUN_AFTER_END = "I5: no run begins after an end that was acknowledged"
 
 MAX_RUNS = 2
 MAX_TERMS = 2
 MAX_CUTS = 1
 MAX_SILENCES = 1
 WORKERS = (0, 1)
-START, STOP, NO_ORDER = "start", "stop", ""
+START, STOP, NO_COMMAND = "start", "stop", ""
 
 
 class Flaw(enum.StrEnum):
-    """A rule of the protocol that a broken variant of the model leaves out."""
+    """The fault of a broken variant of the model, which violates one rule."""
 
     NONE = ""
-    NO_RECORD = "a start is sent before its record"
-    NO_FENCE = "a look does not raise the worker's fence"
-    NO_STOP = "an unanswered start is given up without a stop"
-    NO_POLL = "a start is given up without a look for the end of its run"
-    DROP_STARTS = "a look after a silence drops starts in flight"
-    EARLY_LAPSE = "a lease is taken as lapsed too early"
-    ACKNOWLEDGE_FIRST = "an end is acknowledged before its record"
+    NO_RECORD = "a start is sent before its placement is recorded"
+    NO_FENCE = "a poll does not raise the worker's fence"
+    NO_STOP = "an unanswered start is abandoned without a stop"
+    NO_POLL = "a start is abandoned without a poll for the end of its run"
+    DROP_STARTS = "a poll after a silence drops a run whose start is in flight"
+    EARLY_LAPSE = "a lease is treated as lapsed too early"
+    ACKNOWLEDGE_FIRST = "an end is acknowledged before it is recorded"
 
 
 FLAWS = (
     (Flaw.NO_RECORD, ONE_RUN),
     (Flaw.NO_FENCE, ONE_RUN),
     (Flaw.NO_STOP, ONE_RUN),
-    (Flaw.NO_POLL, NOT_AGAIN),
+    (Flaw.NO_POLL, NO_RUN_AFTER_END),
     (Flaw.DROP_STARTS, ONE_RUN),
     (Flaw.EARLY_LAPSE, ONE_RUN),
-    (Flaw.ACKNOWLEDGE_FIRST, NOT_AGAIN),
+    (Flaw.ACKNOWLEDGE_FIRST, NO_RUN_AFTER_END),
 )
 
 
-class Order(NamedTuple):
-    """A start or stop of a run, on its way to a worker.
+class Command(NamedTuple):
+    """A command to start or stop a run, in flight to a worker.
 
     ``fence`` is the term of the coordinator that sent it.
     """
@@ -64,11 +64,11 @@
     """A worker.
 
     Attributes:
-        fence: The highest term that it knows; it refuses orders of lower ones.
+        fence: Highest term received; commands with a lower fence are refused.
         run: Number of the run in progress, 0 for none.
-        highest_closed_run: Starts of this run and of lower ones are refused.
-        unacknowledged_run: A run that is done and whose end was not
-            acknowledged, 0 for none.
+        highest_closed_run: Starts of this run and of earlier runs are refused.
+        unacknowledged_run: Number of a run that is done and whose end was
+            not acknowledged, 0 for none.
         cut_off: Whether the worker is cut off from all coordinators.
     """
 
@@ -83,12 +83,12 @@
     """The view that the current coordinator has of the task.
 
     Attributes:
-        term: Its term, used as the fence of its orders.
+        term: The coordinator's term, used as the fence of its commands.
         state: State of the task chart.
         run: Number of the latest run.
         worker: The worker of the latest run.
-        sending: The order that the worker session repeats until it is
-            answered, "" for none.
+        sending: Kind of the command that the worker session repeats until
+            it is answered, "" for none.
         has_reported: For each worker, whether it reported in this term.
         unresponsive: For each worker, whether it has stopped answering since
             its last report.
@@ -98,7 +98,7 @@
     state: str
     run: int = 0
     worker: int = 0
-    sending: str = NO_ORDER
+    sending: str = NO_COMMAND
     has_reported: tuple[bool, bool] = (False, False)
     unresponsive: tuple[bool, bool] = (False, False)
 
@@ -109,22 +109,22 @@
     Attributes:
         coordinator: The current coordinator.
         workers: Both workers.
-        orders: Orders that may still be delivered.
+        commands: Commands that may still be delivered.
         recorded_placement: Run and worker that the store holds for the task.
         end_recorded: Whether the store holds the end of the task.
         end_acknowledged: Whether an end was acknowledged to a worker.
-        ran_again: Whether a run began after an end was acknowledged.
+        ran_after_end: Whether a run began after an end was acknowledged.
         cuts_left: Network cuts that may still begin.
         silences_left: How many times a worker may still stop answering.
     """
 
     coordinator: Coordinator
     workers: tuple[Worker, Worker] = (Worker(), Worker())
-    orders: frozenset[Order] = frozenset()
+    commands: frozenset[Command] = frozenset()
     recorded_placement: tuple[int, int] = (0, 0)
     end_recorded: bool = False
     end_acknowledged: bool = False
-    ran_again: bool = False
+    ran_after_end: bool = False
     cuts_left: int = MAX_CUTS
     silences_left: int = MAX_SILENCES
 
@@ -133,10 +133,10 @@
 
 
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
-    """Return the model, or the variant without the rule ``flaw``."""
+    """Return the model, or its broken variant with ``flaw``."""
     invariants = {
         ONE_RUN: lambda world: sum(w.run > 0 for w in world.workers) <= 1,
-        NOT_AGAIN: lambda world: not world.ran_again,
+        NO_RUN_AFTER_END: lambda world: not world.ran_after_end,
     }
     initial = World(Coordinator(1, CHART.initial))
     return Model("workflow", flaw, initial, _Successors(coverage, flaw), invariants)
@@ -151,8 +151,8 @@
 
     def __call__(self, world: World) -> Steps:
         yield from self._coordinator_steps(world)
-        for order in world.orders:
-            yield from self._delivery_steps(world, order)
+        for command in world.commands:
+            yield from self._delivery_steps(world, command)
         for index in WORKERS:
             yield from self._poll_steps(world, index)
             yield from self._worker_steps(world, index)
@@ -174,18 +174,18 @@
                     and not coordinator.unresponsive[index]
                 ):
                     yield from self._placement_steps(world, index)
-        order = Order(
+        command = Command(
             coordinator.sending, coordinator.worker, coordinator.run, coordinator.term
         )
-        if coordinator.sending and order not in world.orders:
+        if coordinator.sending and command not in world.commands:
             yield (
                 f"send {coordinator.sending}",
-                world._replace(orders=world.orders | {order}),
+                world._replace(commands=world.commands | {command}),
             )
         if coordinator.sending == START and not self._is_final(coordinator):
             if self._flaw is Flaw.NO_STOP:
                 without_start = self._fire(coordinator, "rejected")._replace(
-                    sending=NO_ORDER
+                    sending=NO_COMMAND
                 )
             else:
                 without_start = coordinator._replace(sending=STOP)
@@ -209,44 +209,44 @@
             ),
         )
 
-    def _delivery_steps(self, world: World, order: Order) -> Steps:
-        worker = world.workers[order.worker]
+    def _delivery_steps(self, world: World, command: Command) -> Steps:
+        worker = world.workers[command.worker]
         if worker.cut_off:
             return
-        world = world._replace(orders=world.orders - {order})
-        accepted = order.fence >= worker.fence
+        world = world._replace(commands=world.commands - {command})
+        accepted = command.fence >= worker.fence
         if accepted:
-            worker = worker._replace(fence=order.fence)
+            worker = worker._replace(fence=command.fence)
         begins = False
-        if accepted and order.kind == START:
-            accepted = order.run > worker.highest_closed_run
+        if accepted and command.kind == START:
+            accepted = command.run > worker.highest_closed_run
             begins = accepted and not worker.run
-            worker = worker._replace(run=order.run if begins else worker.run)
+            worker = worker._replace(run=command.run if begins else worker.run)
         elif accepted:
             worker = worker._replace(
-                highest_closed_run=max(worker.highest_closed_run, order.run),
-                run=0 if worker.run == order.run else worker.run,
+                highest_closed_run=max(worker.highest_closed_run, command.run),
+                run=0 if worker.run == command.run else worker.run,
             )
-        world = _with_worker(world, order.worker, worker)
+        world = _with_worker(world, command.worker, worker)
         world = world._replace(
-            ran_again=world.ran_again or (begins and world.end_acknowledged)
+            ran_after_end=world.ran_after_end or (begins and world.end_acknowledged)
         )
-        yield f"{order.kind}, reply lost", world
+        yield f"{command.kind}, reply lost", world
         coordinator = world.coordinator
-        if (order.run, order.fence, order.kind) == (
+        if (command.run, command.fence, command.kind) == (
             coordinator.run,
             coordinator.term,
             coordinator.sending,
         ):
             if not self._is_final(coordinator):
-                coordinator = self._handle_reply(coordinator, order, accepted)
-            coordinator = coordinator._replace(sending=NO_ORDER)
-            yield f"{order.kind} answered", world._replace(coordinator=coordinator)
+                coordinator = self._handle_reply(coordinator, command, accepted)
+            coordinator = coordinator._replace(sending=NO_COMMAND)
+            yield f"{command.kind} answered", world._replace(coordinator=coordinator)
 
     def _handle_reply(
-        self, coordinator: Coordinator, order: Order, accepted: bool
+        self, coordinator: Coordinator, command: Command, accepted: bool
     ) -> Coordinator:
-        if order.kind == START and accepted:
+        if command.kind == START and accepted:
             return self._fire(coordinator, "started")
         if self._flaw is Flaw.NO_POLL:
             return self._fire(coordinator, "rejected")
@@ -265,7 +265,7 @@
             has_reported=_replace_flag(coordinator.has_reported, index, True),
             unresponsive=_replace_flag(coordinator.unresponsive, index, False),
         )
-        orders = world.orders
+        commands = world.commands
         assigned_here = coordinator.worker == index and not self._is_final(coordinator)
         if (
             assigned_here
@@ -274,7 +274,9 @@
         ):
             coordinator = self._fire(coordinator, "started")
         elif assigned_here and worker.unacknowledged_run == coordinator.run > 0:
-            coordinator = self._fire(coordinator, "run_done")._replace(sending=NO_ORDER)
+            coordinator = self._fire(coordinator, "run_done")._replace(
+                sending=NO_COMMAND
+            )
         elif (
             assigned_here
             and coordinator.state == "starting"
@@ -290,16 +292,16 @@
             run_dropped = first_report or coordinator.state == "running"
             if self._flaw is Flaw.DROP_STARTS and coordinator.sending == START:
                 # The session continues to send the start of the dropped run.
-                orders = orders | {
-                    Order(START, index, coordinator.run, coordinator.term)
+                commands = commands | {
+                    Command(START, index, coordinator.run, coordinator.term)
                 }
                 run_dropped = True
             if run_dropped:
                 coordinator = self._fire(coordinator, "run_interrupted")._replace(
-                    sending=NO_ORDER
+                    sending=NO_COMMAND
                 )
         world = _with_worker(world, index, worker)
-        world = world._replace(coordinator=coordinator, orders=orders)
+        world = world._replace(coordinator=coordinator, commands=commands)
         if not worker.unacknowledged_run:
             yield f"poll worker {index}", world
         elif (
@@ -362,10 +364,10 @@
                 run=0, highest_closed_run=highest_closed_run, unacknowledged_run=0
             )
             world = world._replace(
-                orders=frozenset(
-                    order
-                    for order in world.orders
-                    if order.worker != index or order.kind != START
+                commands=frozenset(
+                    command
+                    for command in world.commands
+                    if command.worker != index or command.kind != START
                 )
             )
         if coordinator.worker == index and coordinator.state in (
@@ -374,15 +376,15 @@
             "stopping",
         ):
             coordinator = self._fire(coordinator, "run_interrupted")._replace(
-                sending=NO_ORDER
+                sending=NO_COMMAND
             )
         return _with_worker(world, index, worker)._replace(coordinator=coordinator)
 
     def _takeover_steps(self, world: World) -> Steps:
         """Let a successor take over.
 
-        It knows what the store holds. Orders of its predecessor may still be
-        delivered later.
+        The successor starts from what the store holds. Commands of its
+        predecessor may still be delivered later.
         """
         predecessor = world.coordinator
         if predecessor.term == MAX_TERMS:
@@ -393,16 +395,16 @@
             successor = self._fire(successor, "run_done")
         elif run:
             successor = self._fire(successor, "assign")
-        orders = world.orders
+        commands = world.commands
         if predecessor.sending:
-            late_order = Order(
+            late_command = Command(
                 predecessor.sending,
                 predecessor.worker,
                 predecessor.run,
                 predecessor.term,
             )
-            orders = orders | {late_order}
-        yield "take over", world._replace(coordinator=successor, orders=orders)
+            commands = commands | {late_command}
+        yield "take over", world._replace(coordinator=successor, commands=commands)
 
 
 def _with_worker(world: World, index: int, worker: Worker) -> World:
