Describe the flaws of the workflow model as the other models do

The doc comments of Flaw and build_model differed from those of the other four models, which have the same structure. They are worded alike again.

--- a/src/redwingrudder/_spec_workflow.py
+++ b/src/redwingrudder/_spec_workflow.py
@@ -25,7 +25,7 @@
 
 
 class Flaw(enum.StrEnum):
-    """The fault of a broken variant of the model, which violates one rule."""
+    """A rule of the protocol that a broken variant of the model leaves out."""
 
     NONE = ""
     NO_RECORD = "a start is sent before its placement is recorded"
@@ -133,7 +133,7 @@
 
 
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
-    """Return the model, or its broken variant with ``flaw``."""
+    """Return the model, or the variant without the rule ``flaw``."""
     invariants = {
         ONE_RUN: lambda world: sum(w.run > 0 for w in world.workers) <= 1,
         NO_RUN_AFTER_END: lambda world: not world.ran_after_end,
