Log how much of a reply had arrived, and which version a peer has

The error of an HTTP call now has the number of bytes received, a node logs once for each version that a peer has it first, and the line of a version in force has the size of its document.

No decision changes.

--- a/src/redwingrudder/_http_body.py
+++ b/src/redwingrudder/_http_body.py
@@ -14,18 +14,21 @@
 
     Args:
         limit_bytes: A longer body closes the connection, and ``body`` fails.
+
+    Attributes:
+        size_bytes: Size of the part of the body that has arrived.
     """
 
     def __init__(self, limit_bytes: int) -> None:
         self.body: Deferred = Deferred(lambda _: self._close())
         self._limit_bytes = limit_bytes
         self._parts: list[bytes] = []
-        self._size_bytes = 0
+        self.size_bytes = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """See base class."""
-        self._size_bytes += len(data)
-        if self._size_bytes > self._limit_bytes:
+        self.size_bytes += len(data)
+        if self.size_bytes > self._limit_bytes:
             self._close()
         else:
             self._parts.append(data)
--- a/src/redwingrudder/_http_client.py
+++ b/src/redwingrudder/_http_client.py
@@ -70,7 +70,10 @@
             OutcomeUnknownError: The request may have been sent, but no
                 complete response arrived within ``timeout_s`` seconds.
         """
-        pending = ensureDeferred(self._request(method, url, content, headers or {}))
+        collector = BodyCollector(REPLY_LIMIT_BYTES)
+        pending = ensureDeferred(
+            self._request(method, url, content, headers or {}, collector)
+        )
         pending.addTimeout(timeout_s, self._reactor)
         try:
             return await pending
@@ -82,7 +85,8 @@
             # Twisted's HTTP client raises many unrelated exception types for a
             # broken connection; all of them mean that there is no response.
             raise OutcomeUnknownError(
-                f"no response from {url}: {type(error).__name__}"
+                f"no complete response from {url}: {type(error).__name__} "
+                f"after {collector.size_bytes} bytes"
             ) from error
 
     def reset(self) -> Deferred:
@@ -99,6 +103,7 @@
         url: str,
         content: bytes | None,
         extra_headers: dict[str, str],
+        collector: BodyCollector,
     ) -> HttpResponse:
         headers, producer = Headers(), None
         for name, value in extra_headers.items():
@@ -109,6 +114,5 @@
         response = await self._agent.request(
             method.encode(), url.encode("ascii"), headers, producer
         )
-        collector = BodyCollector(REPLY_LIMIT_BYTES)
         response.deliverBody(collector)
         return HttpResponse(response.code, await collector.body)
--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -139,6 +139,7 @@
                 "version": configuration.version,
                 "old": old_version,
                 "source": source,
+                "bytes": len(document),
             },
         )
         gauge = SetGauge("configuration_version", configuration.version)
--- a/src/redwingrudder/coordination/peers.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -173,6 +173,8 @@
         # the store.
         self._store_missing_since_by_id: dict[str, float] = {}
         self._configuration_version = 0
+        # Highest configuration version that a peer has reported.
+        self._reported_version = 0
         self._coordinator = CoordinatorKnown("", "", 0)
         self._store_available = False
         self._store_answered_at = -math.inf
@@ -408,6 +410,7 @@
         )
         self._summaries_by_id[summary.node_id] = (now, summary)
         if summary.configuration_version > self._configuration_version:
+            self._log_newer_version(summary)
             run(self._fetch_configuration(address), self.name)
         if summary.term > self._coordinator.term and summary.coordinator_id:
             coordinator = CoordinatorKnown(
@@ -417,6 +420,19 @@
             self.tell(INTAKE, coordinator)
         return True
 
+    def _log_newer_version(self, summary: NodeSummary) -> None:
+        """Log once for each version that a peer has it and this node not."""
+        if summary.configuration_version > self._reported_version:
+            self._reported_version = summary.configuration_version
+            _logger.info(
+                "a peer has a newer configuration version",
+                extra={
+                    "peer": summary.node_id,
+                    "version": summary.configuration_version,
+                    "in_force": self._configuration_version,
+                },
+            )
+
     async def _fetch_configuration(self, address: str) -> None:
         try:
             document = await self._get_link(address).call(
