Fetch a configuration from a peer only without the store, one at a time

On a narrow link the configuration took 5 to 7 s to arrive although its transfer takes 0.9 s: each summary of a peer with a newer version began one more call for the whole document, several at a time and again every half second, with a limit of 0.6 s within which none of them can end there. This is a retry that multiplies the load which made the first try fail.

Peers now tell the configuration feed that a newer version was seen and where. The feed asks one peer at a time, and only while its own call of the store has failed or it has no configuration at all; the limit of the call follows the transfer, like that of the store's calls.

--- a/src/redwingrudder/_peer_wire.py
+++ b/src/redwingrudder/_peer_wire.py
@@ -188,6 +188,7 @@
         seconds: Returns the current time in seconds.
         on_lost: Called with this protocol when the connection is lost.
         service: Generated module of the thrift service.
+        on_data: Called when data has arrived.
     """
 
     MAX_LENGTH = FRAME_LIMIT_BYTES
@@ -198,11 +199,13 @@
         seconds: Callable[[], float],
         on_lost: Callable[["PeerClientProtocol"], None],
         service: Any = NodeService,
+        on_data: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(service.Client, protocol_factory())
         self._service = service
         self._seconds = seconds
         self._on_lost = on_lost
+        self._on_data = on_data
 
     def dispatch(self, msg: bytes) -> None:
         """Send a frame.
@@ -219,6 +222,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """See base class."""
         self.last_received = self._seconds()
+        self._on_data()
         super().dataReceived(data)
 
     def stringReceived(self, frame: bytes) -> None:  # noqa: N802
--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -9,6 +9,7 @@
 from ..timers import TIMERS, Subscribe, TimerFired
 from .gateways import (
     CONFIGURATION,
+    PEERS,
     STORE,
     AwaitChanges,
     ConfigurationCodec,
@@ -17,9 +18,10 @@
 from .messages import (
     ConfigurationInForce,
     GetConfigurationDocument,
-    OfferConfigurationDocument,
+    NewerConfigurationSeen,
 )
 from .metrics import METRICS, SetGauge
+from .peers import CallPeer
 
 # A watch whose connection has died without an error is noticed within this
 # time.
@@ -27,6 +29,8 @@
 # Must stay below the time within which a configuration change has to take
 # effect.
 RETRY_DELAY_S = 0.3
+# A peer's document of 1 MB on a link of 2 Mbit/s.
+PEER_TRANSFER_S = 4.0
 
 _logger = logging.getLogger(__name__)
 
@@ -34,8 +38,9 @@
 class ConfigurationFeed(Actor):
     """Keeps the newest configuration and announces each newer version.
 
-    Documents come from the store and from peers. One whose version is not
-    above the current version is ignored.
+    Documents come from the store, and from a peer while the store does not
+    answer this node. One whose version is not above the current version is
+    ignored.
 
     Args:
         system: The actor system of this node.
@@ -54,6 +59,8 @@
         self._codec = codec
         self._subscribers = subscribers
         self._document = ""
+        self._store_failed = False
+        self._fetching = False
         self._stopping = False
         super().__init__(system, CONFIGURATION)
 
@@ -62,9 +69,7 @@
         return {
             TimerFired: lambda _: run(self._follow(), self.name) and None,
             GetConfigurationDocument: self._get_document,
-            OfferConfigurationDocument: lambda m: self._apply_document(
-                m.document, "neighbour"
-            ),
+            NewerConfigurationSeen: self._consider_peer,
         }
 
     def start(self) -> None:
@@ -83,6 +88,7 @@
         """
         try:
             reply: PrefixReply = await self.ask(STORE, GetPrefix(self._codec.key))
+            self._store_failed = False
             for pair in reply.pairs:
                 if pair.key == self._codec.key:
                     self._apply_document(pair.value, "store")
@@ -100,6 +106,7 @@
                         self._apply_document(change.value, "store")
                 revision = changes.revision
         except RedwingrudderError as error:
+            self._store_failed = True
             _logger.info(
                 "configuration watch failed; it is started again",
                 extra={"error": str(error)},
@@ -109,6 +116,38 @@
         if not self._stopping:
             self.tell(TIMERS, Subscribe(self.name, "follow", RETRY_DELAY_S))
 
+    def _consider_peer(self, message: NewerConfigurationSeen) -> None:
+        """Fetch a newer document from a peer if the store does not send it.
+
+        While the store sends it, a copy from a peer would only delay it on
+        the node's link.
+        """
+        if self.current is not None and (
+            message.version <= self.current.version or not self._store_failed
+        ):
+            return
+        if not self._fetching:
+            self._fetching = True
+            run(self._fetch_from_peer(message.address), self.name)
+
+    async def _fetch_from_peer(self, address: str) -> None:
+        version = self.current.version if self.current is not None else 0
+        call = CallPeer(
+            address, "configuration", (version,), transfer_s=PEER_TRANSFER_S
+        )
+        try:
+            document = await self.ask(PEERS, call)
+        except RedwingrudderError as error:
+            _logger.info(
+                "configuration was not read from a peer",
+                extra={"peer": address, "error": str(error)},
+            )
+            return
+        finally:
+            self._fetching = False
+        if document:
+            self._apply_document(document, "neighbour")
+
     def _get_document(self, request: GetConfigurationDocument) -> str:
         is_newer = self.current is not None and (
             self.current.version > request.above_version
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -33,10 +33,16 @@
     above_version: int
 
 
-class OfferConfigurationDocument(NamedTuple):
-    """Tells CONFIGURATION the configuration document of a peer."""
+class NewerConfigurationSeen(NamedTuple):
+    """Tells CONFIGURATION that a peer has a version that this node has not.
 
-    document: str
+    Attributes:
+        version: Configuration version in force at the peer.
+        address: "host:port" of the peer's thrift server.
+    """
+
+    version: int
+    address: str
 
 
 class NodeSummary(NamedTuple):
--- a/src/redwingrudder/coordination/peer_calls.py
+++ b/src/redwingrudder/coordination/peer_calls.py
@@ -11,6 +11,7 @@
 from zope.interface import implementer
 
 from .._peer_wire import PeerClientProtocol
+from .._transfer_limit import TransferLimit
 from .._wire.generated.coordination import CoordinationService
 from .._wire.generated.coordination.ttypes import Fault, WireNodeSummary
 from ..exceptions import OutcomeUnknownError, RedwingrudderError, UnavailableError
@@ -47,15 +48,19 @@
             reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
         )
         self._protocol: PeerClientProtocol | None = None
-        self._connecting: Deferred | None = None
+        self._limits: set[TransferLimit] = set()
 
-    async def call(self, method: str, arguments: tuple, timeout_s: float) -> Any:
+    async def call(
+        self, method: str, arguments: tuple, timeout_s: float, transfer_s: float = 0.0
+    ) -> Any:
         """Call a method of ``CoordinationService`` and return its result.
 
         Args:
             method: Name of the method.
             arguments: Positional arguments of the method.
             timeout_s: Time limit in seconds, including the connection setup.
+            transfer_s: Additional seconds for a reply of which parts keep
+                arriving at most ``timeout_s`` apart.
 
         Raises:
             UnavailableError: The connection was refused (code
@@ -65,7 +70,8 @@
                 know whether the operation took effect.
         """
         reply = ensureDeferred(self._call(method, arguments))
-        reply.addTimeout(timeout_s, self._reactor)
+        limit = TransferLimit(self._reactor, reply, timeout_s, transfer_s)
+        self._limits.add(limit)
         try:
             return await reply
         except Fault as fault:
@@ -81,14 +87,20 @@
             raise UnavailableError(str(error), code="connection_refused") from error
         except (TException, Exception) as error:
             self.close()
+            reason = "time limit" if limit.expired else repr(error)
             raise UnavailableError(
-                f"call of {method} to a peer failed: {error!r}"
+                f"call of {method} to a peer failed: {reason}"
             ) from error
+        finally:
+            self._limits.discard(limit)
 
     async def _call(self, method: str, arguments: tuple) -> Any:
         if self._protocol is None:
             protocol = PeerClientProtocol(
-                self._reactor.seconds, self._connection_lost, CoordinationService
+                self._reactor.seconds,
+                self._connection_lost,
+                CoordinationService,
+                self._data_received,
             )
             self._protocol = await connectProtocol(self._endpoint, protocol)
         return await getattr(self._protocol.client, method)(*arguments)
@@ -99,6 +111,11 @@
         if protocol is not None and protocol.transport is not None:
             protocol.transport.abortConnection()
 
+    def _data_received(self) -> None:
+        """Extend the time limits: replies arrive one after the other."""
+        for limit in self._limits:
+            limit.extend()
+
     def _connection_lost(self, protocol: PeerClientProtocol) -> None:
         if self._protocol is protocol:
             self._protocol = None
--- a/src/redwingrudder/coordination/peers.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -38,8 +38,8 @@
     CoordinatorKnown,
     CoordinatorUnreachable,
     Drain,
+    NewerConfigurationSeen,
     NodeSummary,
-    OfferConfigurationDocument,
     StoreAnswered,
     StoreAvailability,
 )
@@ -79,12 +79,14 @@
         method: Name of a method of ``CoordinationService``.
         arguments: Positional arguments of the method.
         timeout_s: Time limit of the call in seconds.
+        transfer_s: Additional seconds for a reply that keeps arriving.
     """
 
     address: str
     method: str
     arguments: tuple
     timeout_s: float = CALL_TIMEOUT_S
+    transfer_s: float = 0.0
 
 
 class ListPeers(NamedTuple):
@@ -256,7 +258,9 @@
 
     async def _call(self, message: CallPeer) -> Any:
         link = self._get_link(message.address)
-        return await link.call(message.method, message.arguments, message.timeout_s)
+        return await link.call(
+            message.method, message.arguments, message.timeout_s, message.transfer_s
+        )
 
     def _get_link(self, address: str) -> PeerLink:
         if not is_address(address):
@@ -411,7 +415,10 @@
         self._summaries_by_id[summary.node_id] = (now, summary)
         if summary.configuration_version > self._configuration_version:
             self._log_newer_version(summary)
-            run(self._fetch_configuration(address), self.name)
+            self.tell(
+                CONFIGURATION,
+                NewerConfigurationSeen(summary.configuration_version, address),
+            )
         if summary.term > self._coordinator.term and summary.coordinator_id:
             coordinator = CoordinatorKnown(
                 summary.coordinator_id, summary.coordinator_address, summary.term
@@ -433,19 +440,6 @@
                 },
             )
 
-    async def _fetch_configuration(self, address: str) -> None:
-        try:
-            document = await self._get_link(address).call(
-                "configuration", (self._configuration_version,), CALL_TIMEOUT_S
-            )
-        except RedwingrudderError as error:
-            _logger.info(
-                "configuration was not read from a peer", extra={"error": str(error)}
-            )
-            return
-        if document:
-            self.tell(CONFIGURATION, OfferConfigurationDocument(document))
-
     def _build_summary(self) -> WireNodeSummary:
         return WireNodeSummary(
             self._identity.node_id,
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -3,10 +3,11 @@
 import unittest
 
 from redwingrudder._wire.generated.coordination.ttypes import WireNodeSummary
-from redwingrudder.coordination.gateways import NODES_PREFIX, PEERS
+from redwingrudder.coordination.gateways import CONFIGURATION, NODES_PREFIX, PEERS
 from redwingrudder.coordination.leadership import Identity
 from redwingrudder.coordination.messages import (
     Drain,
+    NewerConfigurationSeen,
     StoreAnswered,
     StoreAvailability,
 )
@@ -18,6 +19,7 @@
 )
 from redwingrudder.timers import TIMERS, Subscribe, TimerService
 
+from .coordination_fakes import Recording
 from .test_coordination import node_system, outcome, run_for
 
 KEY = NODES_PREFIX + "n1"
@@ -27,6 +29,7 @@
     def setUp(self):
         self.clock, self.system, self.store = node_system()
         TimerService(self.system)
+        Recording(self.system, CONFIGURATION, {NewerConfigurationSeen: None})
         identity = Identity("n1", "10.0.0.1:7000", "life")
         self.peers = Peers(self.system, self.clock, identity, ("10.0.0.1", 7000))
         self.system.tell(TIMERS, Subscribe(PEERS, "discover", 0.0))
