Answer 503 instead of 404 and 401 while a newer configuration is known

Callers were refused for good with 404 by nodes that had been told by peers for 4 s that a newer version exists. The front end judged by the version in force alone, whatever else the node knew. A queue or a key that is missing there may be in the newer version, so such a refusal may be false, and a caller gives up on it.

The configuration feed now tells the front end the newest version that a peer has. Until it is in force here, a queue or key that is not known is answered 503 configuration_outdated with a Retry-After, and the connection is closed, so that the retry reaches another node. Requests that the version in force allows are served as before.

--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -19,6 +19,7 @@
     ConfigurationInForce,
     GetConfigurationDocument,
     NewerConfigurationSeen,
+    NewestConfigurationVersion,
 )
 from .metrics import METRICS, SetGauge
 from .peers import CallPeer
@@ -47,6 +48,9 @@
         codec: Decodes the configuration document.
         subscribers: Names of the actors that get ``ConfigurationInForce``
             for each newer version.
+        version_subscribers: Names of the actors that get
+            ``NewestConfigurationVersion`` when a peer has a version before
+            this node.
     """
 
     def __init__(
@@ -54,10 +58,13 @@
         system: ActorSystem,
         codec: ConfigurationCodec,
         subscribers: tuple[str, ...],
+        version_subscribers: tuple[str, ...] = (),
     ) -> None:
         self.current: OperatorConfiguration | None = None
         self._codec = codec
         self._subscribers = subscribers
+        self._version_subscribers = version_subscribers
+        self._newest_version = 0
         self._document = ""
         self._store_failed = False
         self._fetching = False
@@ -122,11 +129,14 @@
         While the store sends it, a copy from a peer would only delay it on
         the node's link.
         """
-        if self.current is not None and (
-            message.version <= self.current.version or not self._store_failed
-        ):
+        current_version = self.current.version if self.current is not None else 0
+        if message.version <= current_version:
             return
-        if not self._fetching:
+        if message.version > self._newest_version:
+            self._newest_version = message.version
+            for subscriber in self._version_subscribers:
+                self.tell(subscriber, NewestConfigurationVersion(message.version))
+        if (self._store_failed or not current_version) and not self._fetching:
             self._fetching = True
             run(self._fetch_from_peer(message.address), self.name)
 
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -45,6 +45,16 @@
     address: str
 
 
+class NewestConfigurationVersion(NamedTuple):
+    """CONFIGURATION tells subscribers the newest version that a peer has.
+
+    Attributes:
+        version: Higher than the version in force on this node.
+    """
+
+    version: int
+
+
 class NodeSummary(NamedTuple):
     """State that nodes exchange with each other.
 
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -23,6 +23,7 @@
     Drain,
     GetQueueLength,
     GetState,
+    NewestConfigurationVersion,
     SubmitWorkflow,
 )
 from ..coordination.metrics import METRICS, IncrementCounter, ObserveDuration
@@ -69,6 +70,7 @@
         self._reactor = reactor
         self._address = address
         self._configuration: OperatorConfiguration | None = None
+        self._newest_version = 0
         self._draining = False
         # Connection errors of each request that is not answered yet.
         self._errors_by_request: dict[LimitedRequest, list[object]] = {}
@@ -90,6 +92,7 @@
         """See base class."""
         return {
             ConfigurationInForce: self._configure,
+            NewestConfigurationVersion: self._set_newest_version,
             Drain: self._drain,
             EndOpenRequests: lambda _: self._end_open_requests(),
         }
@@ -109,6 +112,9 @@
     def _configure(self, message: ConfigurationInForce) -> None:
         self._configuration = message.configuration
 
+    def _set_newest_version(self, message: NewestConfigurationVersion) -> None:
+        self._newest_version = message.version
+
     def _drain(self, message: Drain) -> None:
         """Close each client connection after its next response."""
         self._draining = True
@@ -189,6 +195,7 @@
                     "configuration_version": (
                         self._configuration.version if self._configuration else 0
                     ),
+                    "newest_version": self._newest_version,
                 },
             )
 
@@ -204,13 +211,29 @@
         path = request.path.decode("ascii", "replace")
         queue = configuration.find_queue(host, path)
         if queue is None:
+            self._check_not_outdated(configuration)
             return _json_response(404, {"error": "no_such_queue"})
         organisation = self._find_organisation(request, configuration)
         if organisation is None and not queue.open:
+            self._check_not_outdated(configuration)
             return _json_response(401, {"error": "unknown_key"})
         workflow_id = path[len(queue.prefix) :]
         return await self._serve(request, queue, organisation or "", workflow_id)
 
+    def _check_not_outdated(self, configuration: OperatorConfiguration) -> None:
+        """Raise an error if the queue or key may be in a newer version.
+
+        Raises:
+            UnavailableError: A peer has a newer version.
+        """
+        if configuration.version < self._newest_version:
+            raise UnavailableError(
+                f"version {self._newest_version} of the configuration has not "
+                "arrived yet",
+                code="configuration_outdated",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     def _find_organisation(
         self, request: LimitedRequest, configuration: OperatorConfiguration
     ) -> str | None:
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -78,6 +78,7 @@
             self.system,
             PlatformConfiguration(),
             (FRONT_END, PEERS, COORDINATOR),
+            (FRONT_END,),
         )
         resources = NodeResources(settings.cores, settings.link_bps)
         Leadership(self.system, identity, (PEERS, INTAKE), resources)
--- a/tests/test_configuration_transfer.py
+++ b/tests/test_configuration_transfer.py
@@ -127,7 +127,9 @@
         TimerService(self.system)
         self.store = MemoryStore(self.system, StoreContents())
         self.store.contents.put("op/config", "1")
-        self.feed = ConfigurationFeed(self.system, VersionCodec(), (FRONT_END, PEERS))
+        self.feed = ConfigurationFeed(
+            self.system, VersionCodec(), (FRONT_END, PEERS), (FRONT_END,)
+        )
         self.front_end = FrontEnd(self.system, self.reactor, ("127.0.0.1", 0))
         identity = Identity("n1", "10.0.0.1:7000", "life")
         self.peers = Peers(self.system, self.reactor, identity, ("10.0.0.1", 7000))
