Keep a connection to a peer on which a reply is arriving

A call to a peer that reached its time limit closed the connection, as it may be dead. The connection now stays open if data has arrived on it within the limit; a silent one is closed as before.

test_document_survives_the_time_limit_of_another_call failed before.

--- a/src/redwingrudder/_transfer_limit.py
+++ b/src/redwingrudder/_transfer_limit.py
@@ -1,5 +1,6 @@
 """Time limits of calls whose results take time to transfer."""
 
+import math
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -17,6 +18,7 @@
 
     Attributes:
         expired: Whether the limit was reached.
+        arriving: Whether data has arrived within the last ``timeout_s``.
     """
 
     def __init__(
@@ -31,12 +33,18 @@
         self._pending = pending
         self._timeout_s = timeout_s
         self._latest = clock.seconds() + timeout_s + transfer_s
+        self._extended_at = -math.inf
         self._timer = clock.callLater(timeout_s, self._expire)
         pending.addBoth(self._stop)
 
+    @property
+    def arriving(self) -> bool:
+        """See the class."""
+        return self._clock.seconds() - self._extended_at < self._timeout_s
+
     def extend(self) -> None:
         """Move the limit, because a part of the result has arrived."""
-        now = self._clock.seconds()
+        now = self._extended_at = self._clock.seconds()
         if self._timer.active():
             self._timer.reset(max(min(self._timeout_s, self._latest - now), 0.0))
 
--- a/src/redwingrudder/coordination/peer_calls.py
+++ b/src/redwingrudder/coordination/peer_calls.py
@@ -86,7 +86,9 @@
         except ConnectionRefusedError as error:
             raise UnavailableError(str(error), code="connection_refused") from error
         except (TException, Exception) as error:
-            self.close()
+            # A reply of another call may still be arriving.
+            if not (limit.expired and limit.arriving):
+                self.close()
             reason = "time limit" if limit.expired else repr(error)
             raise UnavailableError(
                 f"call of {method} to a peer failed: {reason}"
--- a/tests/test_configuration_transfer.py
+++ b/tests/test_configuration_transfer.py
@@ -8,8 +8,13 @@
 import json
 import unittest
 
+from thrift.Thrift import TMessageType
+from thrift.transport.TTransport import TMemoryBuffer
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
+from redwingrudder._peer_wire import protocol_factory
+from redwingrudder._wire.generated.coordination import CoordinationService
 from redwingrudder._wire.generated.coordination.ttypes import WireNodeSummary
 from redwingrudder.actors import ActorSystem
 from redwingrudder.coordination.configuration_feed import ConfigurationFeed
@@ -29,8 +34,9 @@
     ObserveDuration,
     SetGauge,
 )
+from redwingrudder.coordination.peer_calls import PeerLink
 from redwingrudder.coordination.peers import Peers
-from redwingrudder.exceptions import StoreUnavailableError
+from redwingrudder.exceptions import StoreUnavailableError, UnavailableError
 from redwingrudder.platform.front_end import FRONT_END, FrontEnd
 from redwingrudder.platform.http_client import JsonClient
 from redwingrudder.platform.store import PlatformStore
@@ -181,5 +187,48 @@
         self.assertEqual(self.request().status, 405)
 
 
+class PeerTransferTests(unittest.TestCase):
+    """A document of a peer arrives on the connection of other calls."""
+
+    def setUp(self):
+        self.reactor = MemoryReactorClock()
+        self.link = PeerLink(self.reactor, "10.0.0.2:7000")
+        self.document = self.call("configuration", (1,), 4.0)
+        factory = self.reactor.tcpClients[0][2]
+        self.connection = factory.buildProtocol(None)
+        self.transport = StringTransport()
+        self.connection.makeConnection(self.transport)
+        buffer = TMemoryBuffer()
+        protocol = protocol_factory().getProtocol(buffer)
+        protocol.writeMessageBegin("configuration", TMessageType.REPLY, 1)
+        CoordinationService.configuration_result(success=DOCUMENT).write(protocol)
+        protocol.writeMessageEnd()
+        frame = buffer.getvalue()
+        self.frame = len(frame).to_bytes(4, "big") + frame
+
+    def call(self, method, arguments, transfer_s=0.0):
+        return ensureDeferred(self.link.call(method, arguments, 0.6, transfer_s))
+
+    def transfer(self, content):
+        for start in range(0, len(content), 20_000):
+            run_for(self.reactor, PART_S)
+            self.connection.dataReceived(content[start : start + 20_000])
+
+    def test_document_survives_the_time_limit_of_another_call(self):
+        """Guards against a call that ends a transfer which it waits behind."""
+        later_call = self.call("queue_length", ("queue",))
+        self.transfer(self.frame)
+        self.assertIsInstance(outcome(later_call), UnavailableError)
+        self.assertFalse(self.transport.disconnected)
+        self.assertEqual(outcome(self.document), DOCUMENT)
+
+    def test_silent_connection_is_closed_at_the_time_limit(self):
+        """Guards against calls that are sent on a connection that is dead."""
+        self.transfer(self.frame[:40_000])
+        run_for(self.reactor, 0.7)
+        self.assertIsInstance(outcome(self.document), UnavailableError)
+        self.assertTrue(self.transport.disconnected)
+
+
 if __name__ == "__main__":
     unittest.main()
