Write down the timeline of crashing tasks, and log what a crash leaves

The log could not tell a crash from a cut link or a departure, nor how long a run had been seen on its worker. A session now logs that another process answers at its worker's address, and the line of an interrupted run has its state, its age and the time for which the worker reported it. No decision changes.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -295,6 +295,15 @@
         elif reply.reason == "other_life":
             # The worker has restarted, so no lease of the incarnation that
             # this session was opened for is valid any more.
+            if self._leases_end_at:
+                _logger.info(
+                    "another worker process answers at a worker's address",
+                    extra={
+                        "worker": self._facts.worker_id,
+                        "address": self._facts.address,
+                        "draining": self._facts.draining,
+                    },
+                )
             self._leases_end_at = 0.0
         self._record_no_answer()
 
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -132,7 +132,14 @@
         for task in list(worker.tasks_by_key.values()):
             _logger.info(
                 "run interrupted: worker lost",
-                extra={**run_log_fields(task), "worker": worker_id, "reason": reason},
+                extra={
+                    **run_log_fields(task),
+                    "worker": worker_id,
+                    "reason": reason,
+                    "state": task.state,
+                    "age_s": round(now - task.started_at, 3),
+                    "seen_s": round(task.reported_at - task.started_at, 3),
+                },
             )
             self.step(task, "run_interrupted", now)
 
