--- /dev/null
+++ b/tests/test_crashing_tasks.py
@@ -0,0 +1,249 @@
+"""Load pattern: some tasks crash each worker that starts them.
+
+The worker is back after some seconds with nothing that it had. A simulation of
+workers on a virtual clock drives the real engine.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+import unittest
+
+from redwingrudder.workflows import records
+from redwingrudder.workflows.engine import Engine
+from redwingrudder.workflows.model import (
+    EndKind,
+    RunEnd,
+    RunReport,
+    TaskKey,
+    WorkflowState,
+)
+
+from . import workflow_fixtures as fx
+
+STEP_S = 0.05
+RUN_S = 2.0
+REPORT_S = 0.5
+RETURN_S = 3.0
+# The users' limit: after three crashes under a task, it may be started twice.
+MAX_CRASHES = 5
+
+
+class CrashingFleet:
+    """Workers that run tasks, and crash under some of them.
+
+    Attributes:
+        engine: The engine under test.
+        deadly: Keys of the tasks that crash their workers.
+        crashes_by_key: Number of workers that crashed under each of them.
+        lost_runs: Number of runs of other tasks that were lost by crashes.
+        now: Node-clock seconds.
+    """
+
+    def __init__(self, workers=12):
+        self.facts_by_id = {
+            f"w{index}": fx.worker(f"w{index}", address=f"10.0.0.{index}:80")
+            for index in range(workers)
+        }
+        self.engine = fx.engine(*self.facts_by_id.values())
+        self.deadly = set()
+        self.crashes_by_key = collections.Counter()
+        self.lost_runs = 0
+        self.now = 0.0
+        self._running_by_worker = collections.defaultdict(dict)
+        self._returns = []
+        self._numbers = itertools.count(1)
+        self._report_at = 0.0
+
+    def accept(self, workflow_id, *steps, deadly=(), **changes):
+        """Add a workflow; ``deadly`` has indexes of tasks in its step 0."""
+        workflow = fx.workflow(workflow_id, *steps, **changes)
+        self.deadly |= {TaskKey(workflow_id, 0, 0, index) for index in deadly}
+        self.engine.accept(workflow, self.now)
+
+    def run_until(self, end_s):
+        while self.now < end_s:
+            self._bring_back()
+            self._finish_runs()
+            if self.now >= self._report_at:
+                self._report_at = self.now + REPORT_S
+                self._report()
+            self._execute(self.engine.plan(self.now, self.now))
+            self.engine.supervise(self.now)
+            self._execute(self.engine.take_effects())
+            self.now += STEP_S
+
+    def crash(self, worker_id):
+        """Let a worker end at once; it is back after ``RETURN_S``."""
+        runs = self._running_by_worker.pop(worker_id, {})
+        self.lost_runs += sum(key not in self.deadly for key in runs)
+        for key in runs:
+            if self.engine.find(key).stage.spec.gang:
+                self._break_gang(key)
+        facts = self.facts_by_id[worker_id]
+        if facts.address:
+            self.facts_by_id[worker_id] = facts._replace(
+                process_started_ms=facts.process_started_ms + 1
+            )
+            heapq.heappush(self._returns, (self.now + RETURN_S, worker_id))
+
+    def _break_gang(self, lost):
+        for runs in self._running_by_worker.values():
+            for key in [k for k in runs if k[:3] == lost[:3]]:
+                self._end(runs.pop(key)[0], EndKind.BROKEN)
+
+    def replace_coordinator(self):
+        """Restore the engine from the records of the present one."""
+        engine = Engine()
+        engine.term = self.engine.term + 1
+        for facts in self.facts_by_id.values():
+            engine.set_worker(facts, self.now)
+        for workflow_id, progress in self.engine.workflows_by_id.items():
+            engine.accept(progress.workflow, self.now)
+            started_ms_by_worker = {
+                worker_id: worker.facts.process_started_ms
+                for worker_id, worker in self.engine.workers_by_id.items()
+            }
+            document = records.encode_progress(
+                progress, self.engine.term, started_ms_by_worker
+            )
+            record = records.decode_progress(workflow_id, document)
+            records.restore_progress(engine.workflows_by_id[workflow_id], record)
+            if record.state in (WorkflowState.DONE, WorkflowState.FAILED):
+                engine.restore_final_state(workflow_id, record.state, self.now)
+            for placed in record.placed:
+                runs = self._running_by_worker[placed.worker_id]
+                engine.adopt_run(
+                    placed.key, placed.run, placed.worker_id, False, self.now
+                )
+                if placed.key not in runs:
+                    task = engine.find(placed.key)
+                    engine.step(task, "run_interrupted", self.now)
+        self.engine = engine
+
+    def state(self, workflow_id):
+        return self.engine.workflows_by_id[workflow_id].state
+
+    def states(self):
+        return collections.Counter(
+            progress.state for progress in self.engine.workflows_by_id.values()
+        )
+
+    def _execute(self, effects):
+        for start in fx.starts(effects):
+            if start.worker_id in self._gone:
+                continue
+            self.engine.start_confirmed(start.key, start.run, self.now)
+            self._running_by_worker[start.worker_id][start.key] = (start, self.now)
+        for stop in fx.stops(effects):
+            started = self._running_by_worker[stop.worker_id].pop(stop.key, None)
+            if started is not None:
+                self._end(started[0], EndKind.STOPPED)
+        for worker_id, runs in list(self._running_by_worker.items()):
+            deadly = self.deadly & set(runs)
+            if deadly:
+                self.crashes_by_key.update(deadly)
+                self.crash(worker_id)
+
+    @property
+    def _gone(self):
+        return {worker_id for _, worker_id in self._returns}
+
+    def _bring_back(self):
+        while self._returns and self._returns[0][0] <= self.now:
+            _, worker_id = heapq.heappop(self._returns)
+            self.engine.set_worker(self.facts_by_id[worker_id], self.now)
+            self.engine.reconcile(worker_id, set(), True, self.now)
+
+    def _finish_runs(self):
+        for runs in self._running_by_worker.values():
+            for key, (start, started_at) in list(runs.items()):
+                if self.now - started_at >= RUN_S:
+                    del runs[key]
+                    self._end(start, EndKind.DONE)
+
+    def _end(self, start, kind):
+        end = RunEnd(next(self._numbers), start.key, start.run, kind)
+        self.engine.end(start.worker_id, end, self.now)
+
+    def _report(self):
+        for worker_id in self.facts_by_id:
+            if worker_id not in self._gone:
+                runs = self._running_by_worker[worker_id].values()
+                reports = [
+                    RunReport(s.key, s.run, "", 100 * (self.now - at) / RUN_S)
+                    for s, at in runs
+                ]
+                self.engine.report(worker_id, reports, self.now)
+
+
+class CrashingTaskTests(unittest.TestCase):
+    def test_task_that_crashes_workers_is_given_up(self):
+        """Guards against a task that takes down one worker after another."""
+        fleet = CrashingFleet()
+        fleet.accept("deadly", fx.step(1), deadly=[0])
+        fleet.run_until(40.0)
+        self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
+        self.assertEqual(list(fleet.crashes_by_key.values()), [2])
+
+    def test_work_beside_crashing_tasks_is_done(self):
+        """Guards against blaming tasks that stood on a worker that crashed.
+
+        Nearly half of the jobs have a task that crashes its workers.
+        """
+        random_ = random.Random(1)
+        fleet = CrashingFleet(24)
+        for index in range(80):
+            deadly = [0] if random_.random() < 0.45 else []
+            name = f"deadly{index}" if deadly else f"sound{index}"
+            fleet.accept(name, fx.step(3), deadly=deadly)
+            fleet.run_until(fleet.now + 0.3)
+        fleet.run_until(fleet.now + 60.0)
+        for workflow_id in fleet.engine.workflows_by_id:
+            sound = workflow_id.startswith("sound")
+            expected = WorkflowState.DONE if sound else WorkflowState.FAILED
+            self.assertEqual(fleet.state(workflow_id), expected, workflow_id)
+        self.assertLessEqual(max(fleet.crashes_by_key.values()), 3)
+
+    def test_siblings_do_not_take_a_worker_each(self):
+        """Guards against a step whose equal tasks each crash workers."""
+        fleet = CrashingFleet()
+        fleet.accept("deadly", fx.step(10, fx.WHOLE_WORKER), deadly=range(10))
+        fleet.run_until(40.0)
+        self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
+        self.assertLessEqual(sum(fleet.crashes_by_key.values()), 11)
+
+    def test_gang_that_crashes_workers_is_given_up(self):
+        """Guards against a gang that is started again after each crash."""
+        fleet = CrashingFleet()
+        fleet.accept("deadly", fx.step(4, fx.HALF_WORKER, gang=True), deadly=[3])
+        fleet.run_until(40.0)
+        self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
+        self.assertEqual(list(fleet.crashes_by_key.values()), [2])
+
+    def test_count_survives_a_change_of_the_coordinator(self):
+        """Guards against a count that begins anew with each coordinator."""
+        fleet = CrashingFleet()
+        fleet.accept("deadly", fx.step(1), deadly=[0])
+        for _ in range(8):
+            fleet.run_until(fleet.now + RETURN_S + 0.5)
+            fleet.replace_coordinator()
+        fleet.run_until(60.0)
+        self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
+        self.assertLessEqual(fleet.crashes_by_key.total(), MAX_CRASHES)
+
+    def test_worker_that_crashes_by_itself_blames_no_task(self):
+        """Guards against giving up work that a worker's fault interrupts."""
+        fleet = CrashingFleet(3)
+        for index in range(12):
+            fleet.accept(f"sound{index}", fx.step(3, fx.HALF_WORKER))
+        for _ in range(10):
+            fleet.run_until(fleet.now + RETURN_S + 0.7)
+            fleet.crash("w1")
+        fleet.run_until(fleet.now + 60.0)
+        self.assertEqual(fleet.states(), {WorkflowState.DONE: 12})
+
+
+if __name__ == "__main__":
+    unittest.main()
