Give up tasks that crash their workers, and tell them from the others

A task that crashes each worker that starts it was started without end: the end of a worker was an interruption whatever its cause, which has no limit of attempts. Each start lost the work of all other runs of that worker.

A crash is now recorded when another process answers for a worker that has not drained: a rejection by another incarnation, an entry with a new start time, or a record of an earlier coordinator that names an older process. It is attributed to the runs that had just started, to all if none had. A suspected task next runs where no other run can be the cause, on a worker that has not crashed lately if there is one, and its siblings of the step wait for the outcome. If the worker goes on for half a second it is cleared; if it crashes too, the task is given up and its job shown as failed. A worker that crashes repeatedly does not count as proof until the third time. Number and suspicion are in the progress record, which is written before the next start.

Ruled out as the only evidence: lapsed leases, which a cut link causes too.

--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -246,9 +246,14 @@
     """Tells COORDINATOR that a silent worker's lease has certainly expired.
 
     Nothing that the worker ran under this lease is running any more.
+
+    Attributes:
+        worker_id: The worker.
+        restarted: Whether the worker's process is known to have ended.
     """
 
     worker_id: str
+    restarted: bool = False
 
 
 class StartSettled(NamedTuple):
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -124,6 +124,8 @@
         # Node-clock time at which the worker appears to have removed its own
         # registry entry.
         self._departed_at = math.inf
+        # Whether another process answers at the worker's address.
+        self._restarted = False
         self._has_runs = False
         self._closed = False
         self._starts_in_flight: set[tuple] = set()
@@ -295,7 +297,7 @@
         elif reply.reason == "other_life":
             # The worker has restarted, so no lease of the incarnation that
             # this session was opened for is valid any more.
-            if self._leases_end_at:
+            if not self._restarted:
                 _logger.info(
                     "another worker process answers at a worker's address",
                     extra={
@@ -305,6 +307,7 @@
                     },
                 )
             self._leases_end_at = 0.0
+            self._restarted = True
         self._record_no_answer()
 
     def _record_answer(self, clock_ms: int) -> None:
@@ -380,6 +383,8 @@
             reply = await self._send_start(message)
             if reply.reason in ("unanswered", "outdated"):
                 await self._poll_for_end()
+            if reply.reason == "unanswered" and self._restarted:
+                reply = CommandReply(False, "restarted")
         finally:
             self._starts_in_flight.discard(run_key)
         if self._closed:
@@ -395,13 +400,16 @@
 
         The stop keeps a start that arrives late from taking effect.
         """
-        for timeout_s in self._start_timeouts_s:
+        for attempt, timeout_s in enumerate(self._start_timeouts_s):
             if self._closed or not self._authority.valid or not self._worker_clock_ms:
                 break
             start = self._channel.start(
                 message, self._lease_until(), self._fence, timeout_s
             )
             reply = await self._await_reply(start, "start", _run_fields(message))
+            if attempt and reply is not None and reply.reason == "other_life":
+                # The worker may have started the run before it was restarted.
+                break
             if reply is not None:
                 self._record_answer(reply.clock_ms)
                 return reply
@@ -472,7 +480,9 @@
         self.tell(COORDINATOR, WorkerSilent(self._facts.worker_id))
 
     def _report_lapsed(self) -> None:
-        self.tell(COORDINATOR, WorkerLeaseLapsed(self._facts.worker_id))
+        self.tell(
+            COORDINATOR, WorkerLeaseLapsed(self._facts.worker_id, self._restarted)
+        )
 
 
 def _run_fields(run: StartRun | StopRun | ThrottleRun) -> dict[str, Any]:
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -142,7 +142,14 @@
             self._engine.set_worker(facts, now)
             self._engine.workers_by_id[placed.worker_id].listed = False
             self._unlisted_since_by_worker[placed.worker_id] = now
-        self._engine.adopt_run(placed.key, placed.run, placed.worker_id, False, now)
+        self._engine.adopt_run(
+            placed.key,
+            placed.run,
+            placed.worker_id,
+            False,
+            now,
+            placed.process_started_ms,
+        )
 
     def take_report(self, message: WorkerPolled) -> None:
         """Apply a worker's report: its running runs and its ends."""
@@ -207,13 +214,20 @@
             worker.reachable = False
             _logger.info("worker does not answer", extra={"worker": worker_id})
 
-    def set_lapsed(self, worker_id: str) -> None:
-        """Interrupt all runs of a worker whose lease has lapsed."""
+    def set_lapsed(self, worker_id: str, restarted: bool) -> None:
+        """Interrupt all runs of a worker whose lease has lapsed.
+
+        Args:
+            worker_id: The worker.
+            restarted: Whether its process is known to have ended.
+        """
         now = self._system.clock.seconds()
         _logger.info(
             "lease of a worker has lapsed; its runs are interrupted",
             extra={"worker": worker_id},
         )
+        if restarted:
+            self._engine.worker_restarted(worker_id, now)
         self._engine.interrupt_worker(worker_id, now, "lease_lapsed")
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and not worker.listed:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -4,6 +4,13 @@
 import math
 from collections.abc import Iterable
 
+from .crashes import (
+    clear_if_harmless,
+    record_crash,
+    step_suspicion,
+    suspected_runs,
+    suspicion_holder,
+)
 from .model import (
     AskAdvice,
     Effect,
@@ -34,6 +41,8 @@
 # is a margin for the start command to reach the worker before the ticket
 # expires.
 USABLE_TICKET_SHARE = 0.8
+CRASH_MEMORY_S = 600.0  # time for which crashes of an address are remembered
+LOGGED_SUSPECTS = 10
 
 _logger = logging.getLogger(__name__)
 _END_EVENTS = {EndKind.DONE: "run_done", EndKind.FAILED: "run_failed"}
@@ -65,6 +74,8 @@
         self.set_aside_ids: set[str] = set()
         self._awaited_workers: set[str] = set()
         self._reports_due_at = 0.0
+        # Node-clock time of the newest crash of a worker at each address.
+        self._crashed_at_by_address: dict[str, float] = {}
         self._throttle_policy: ThrottlePolicy = LatencyTargetPolicy()
         self._planner = planner or PriorityPlanner(self.run_times)
 
@@ -103,12 +114,16 @@
         worker = self.workers_by_id.get(facts.worker_id)
         if worker is None:
             worker = self.workers_by_id[facts.worker_id] = Worker(facts)
+            worker.crashed_at = self._crashed_at_by_address.get(
+                facts.address, -math.inf
+            )
             worker.update_leave_time(now)
             return
         if (
             facts.process_started_ms
             and worker.facts.process_started_ms != facts.process_started_ms
         ):
+            self.worker_restarted(facts.worker_id, now)
             self._interrupt_confirmed(worker, now)
             worker.failures = 0
             worker.sound_start_at = -math.inf
@@ -118,6 +133,41 @@
         worker.listed = True
         worker.update_leave_time(now)
 
+    def worker_restarted(self, worker_id: str, now: float) -> None:
+        """Attribute the end of a worker's process to the runs that it had.
+
+        A worker that was drained or emptied has been restarted on purpose.
+
+        Args:
+            worker_id: The worker; an unknown one is ignored.
+            now: Node-clock seconds.
+        """
+        worker = self.workers_by_id.get(worker_id)
+        if worker is None or worker.facts.draining or worker.emptying:
+            return
+        runs = list(worker.tasks_by_key.values())
+        suspects = record_crash(worker, now)
+        worker.crashed_at = now
+        self._crashed_at_by_address = {
+            address: crashed_at
+            for address, crashed_at in self._crashed_at_by_address.items()
+            if now - crashed_at < CRASH_MEMORY_S
+        }
+        self._crashed_at_by_address[worker.facts.address] = now
+        self.dirty.update(task.key.workflow_id for task in runs)
+        _logger.warning(
+            "worker crashed",
+            extra={
+                "worker": worker_id,
+                "address": worker.facts.address,
+                "runs": len(runs),
+                "suspects": [
+                    f"{task.key.workflow_id} {run_log_fields(task)['task']}"
+                    for task in suspects[:LOGGED_SUSPECTS]
+                ],
+            },
+        )
+
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
         """Mark all runs of a worker as interrupted; none may be running.
 
@@ -245,6 +295,12 @@
             task.percent = entry.percent
             task.reported_at = now
             task.usage = entry.usage
+            if clear_if_harmless(task):
+                self.dirty.add(task.key.workflow_id)
+                _logger.info(
+                    "task is no longer suspected of crashing its workers",
+                    extra={**run_log_fields(task), "worker": worker_id},
+                )
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
             update_worker_speed(worker, self.run_times, now)
@@ -296,6 +352,7 @@
             wall: Unix seconds, for occurrences with a due time.
         """
         active = [p for p in self.workflows_by_id.values() if p.ended_at is None]
+        self._mark_observers(active)
         scheduling_plan = self._planner.plan(
             active,
             list(self.workers_by_id.values()),
@@ -317,6 +374,15 @@
             self.assign(task, worker, runs_by_stage, now)
         return self.take_effects()
 
+    def _mark_observers(self, active: list[WorkflowProgress]) -> None:
+        """Keep other runs away from the workers of suspected tasks."""
+        for worker in self.workers_by_id.values():
+            worker.observes_suspect = False
+        for task in suspected_runs(active):
+            worker = self.workers_by_id.get(task.worker_id)
+            if worker is not None:
+                worker.observes_suspect = True
+
     def record_advice(
         self,
         advice_request: AskAdvice,
@@ -395,7 +461,13 @@
             self.stop_gang(task.stage, task.run)
 
     def adopt_run(
-        self, key: TaskKey, run: int, worker_id: str, started: bool, now: float
+        self,
+        key: TaskKey,
+        run: int,
+        worker_id: str,
+        started: bool,
+        now: float,
+        process_started_ms: int = 0,
     ) -> None:
         """Restore a run that is named by a stored record or by a worker.
 
@@ -409,6 +481,9 @@
                 unknown.
             started: Whether the worker has confirmed the start.
             now: Node-clock seconds.
+            process_started_ms: Start time of the worker process that was to
+                start the run, in Unix milliseconds, 0 if unknown. If the
+                worker has been restarted since, its crash is counted.
         """
         task = self.find(key)
         if task is None or task.ended:
@@ -422,6 +497,11 @@
         task.run, task.worker_id = run, worker_id
         task.record_start(now)
         self.step(task, "assign", now)
+        facts = self.workers_by_id[worker_id].facts
+        if process_started_ms and facts.process_started_ms != process_started_ms:
+            # The record does not tell how long the run had gone on.
+            suspicion_holder(task).crashes += 1
+            step_suspicion(task, "suspect")
         if started:
             self.step(task, "started", now)
         task.stage.workflow.begun = True
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .crashes import is_suspected, isolation_candidates, startable_suspects
 from .model import Resources, TaskKey
 from .ordering import (
     SlackOrder,
@@ -160,17 +161,24 @@
         self._preemption_allowed = preemption_allowed
         self._suspects = [worker for worker in workers if worker.is_suspect(now)]
         self._claimed_steps = 0
+        # Whether this pass has placed suspected tasks.
+        self._observers = False
         self._usable_by_kind: dict[
             tuple[str, str], tuple[list[Worker], list[Worker]]
         ] = {}
         self._unplaceable_by_pool: dict[str, list[tuple[Resources, int]]] = {}
 
     def place(self, stage: Stage, stage_rank: int) -> None:
-        waiting = waiting_tasks(stage)
+        waiting = startable_suspects(stage, waiting_tasks(stage))
         if not waiting:
             return
         usable, not_slow = self._find_usable_workers(stage)
         candidates = eligible_workers(stage, usable, not_slow, self._now)
+        if self._observers:
+            candidates = [w for w in candidates if not w.observes_suspect]
+        if is_suspected(waiting[0]):
+            self._place_suspect(stage, stage_rank, waiting, candidates)
+            return
         if stage.workflow.workflow.policy.advised:
             self._request_advice(stage, len(waiting), candidates, usable)
         began_to_fail_at = failures_since(stage, self._suspects)
@@ -186,6 +194,26 @@
         if waiting and candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
 
+    def _place_suspect(
+        self,
+        stage: Stage,
+        stage_rank: int,
+        waiting: list[Task],
+        candidates: list[Worker],
+    ) -> None:
+        """Start a suspected task or gang where it is the only suspect."""
+        busy_ids = {worker.facts.worker_id for _, worker in self.starts}
+        quiet = isolation_candidates(
+            candidates, stage, len(waiting), busy_ids, self._now
+        )
+        if not quiet:
+            return
+        planned = len(self.starts)
+        self._place_tasks(stage, stage_rank, waiting, quiet)
+        for _, worker in self.starts[planned:]:
+            worker.observes_suspect = True
+            self._observers = True
+
     def _retry(
         self, stage: Stage, waiting: list[Task], sound: list[Worker]
     ) -> list[Task]:
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -5,6 +5,7 @@
 
 from .._checked_json import Fields, Row, parse_json
 from ..exceptions import BadRequestError
+from .crashes import step_suspicion
 from .model import (
     QueuePolicy,
     Resources,
@@ -45,6 +46,8 @@
         state: State that is reported to callers.
         done: Tasks that are done.
         failures: Tasks with failed runs, and their number.
+        crashes: Tasks under which workers crashed, and their number.
+        suspected: Tasks that are suspected of crashing their workers.
         runs: Tasks that have had a run, and the number of the newest one.
         placed: Runs that may exist on workers.
         checkpoints: Tasks with a stored checkpoint, and that checkpoint.
@@ -54,6 +57,8 @@
     state: WorkflowState
     done: tuple[TaskKey, ...]
     failures: tuple[tuple[TaskKey, int], ...]
+    crashes: tuple[tuple[TaskKey, int], ...]
+    suspected: tuple[TaskKey, ...]
     runs: tuple[tuple[TaskKey, int], ...]
     placed: tuple[PlacedRun, ...]
     checkpoints: tuple[tuple[TaskKey, str], ...]
@@ -114,11 +119,16 @@
             milliseconds.
     """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
+    crashes, suspected = [], []
     for task in progress.tasks():
         key = list(task.key[1:])
         if task.state == "done":
             done.append(key)
             continue
+        if task.crashes:
+            crashes.append([*key, task.crashes])
+        if task.suspicion == "suspected":
+            suspected.append(key)
         if task.failures:
             failures.append([*key, task.failures])
         if task.run:
@@ -136,6 +146,8 @@
         "state": str(progress.state),
         "done": done,
         "failures": failures,
+        "crashes": crashes,
+        "suspected": suspected,
         "runs": runs,
         "placed": placed,
         "checkpoints": checkpoints,
@@ -163,6 +175,9 @@
             WorkflowState(document.text("state")),
             tuple(key(row) for row in rows("done")),
             tuple((key(row), row.integer(3)) for row in rows("failures")),
+            # Records of earlier releases have no crashes.
+            tuple((key(row), row.integer(3)) for row in document.rows("crashes")),
+            tuple(key(row) for row in document.rows("suspected")),
             tuple((key(row), row.integer(3)) for row in rows("runs")),
             tuple(
                 PlacedRun(key(row), row.integer(3), row.text(4), row.integer(5))
@@ -183,6 +198,14 @@
         task = progress.find(key)
         if task is not None:
             task.failures = failures
+    for key, crashes in record.crashes:
+        task = progress.find(key)
+        if task is not None:
+            task.crashes = crashes
+    for key in record.suspected:
+        task = progress.find(key)
+        if task is not None:
+            step_suspicion(task, "suspect")
     for key, run in record.runs:
         task = progress.find(key)
         if task is not None:
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from .crashes import is_guilty
 from .model import (
     FINAL_STATES,
     Effect,
@@ -148,6 +149,8 @@
         workflow_ended = task.stage.workflow.ended_at is not None
         if workflow_ended and task.state == "waiting":
             task.state = TASK_CHART.step("waiting", "withdraw").target
+        elif task.state == "waiting" and is_guilty(task):
+            self._give_up(task, "crashes_workers", now)
 
     def stop(self, task: Task, reason: str) -> None:
         """Stop the run of a task; a run that is not active is ignored.
@@ -242,12 +245,22 @@
         failures = (stage.tasks[0] if stage.spec.gang else task).failures
         if failures < limit or task.state != "waiting":
             return
+        self._give_up(task, "no_attempts_left", now)
+
+    def _give_up(self, task: Task, reason: str, now: float) -> None:
+        """End a task without success, and withdraw the rest of its job."""
+        holder = task.stage.tasks[0] if task.stage.spec.gang else task
         _logger.info(
-            "task has no attempts left",
-            extra={**run_log_fields(task), "failures": failures},
+            "task given up",
+            extra={
+                **run_log_fields(task),
+                "reason": reason,
+                "failures": holder.failures,
+                "crashes": holder.crashes,
+            },
         )
         self.step(task, "give_up", now)
-        self.withdraw(stage.workflow, now)
+        self.withdraw(task.stage.workflow, now)
 
     def _ticket(self, stage: Stage, worker_id: str) -> str:
         permit = stage.permits_by_worker.get(worker_id)
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -67,6 +67,10 @@
         failures: Number of failed runs. Those of a gang are counted in its
             first task.
         failed_workers: Workers on which runs of the task failed.
+        crashes: Number of workers that crashed under runs of the task. Those
+            of a gang are counted in its first task.
+        suspicion: State in the chart of crash suspicions; that of a gang is
+            stored in its first task.
         started_at: Node-clock seconds at which the newest run started.
         percent: Reported progress of the newest run in percent.
         progressed_at: Node-clock seconds at which the progress last changed.
@@ -80,6 +84,7 @@
 
     __slots__ = (
         "checkpoint",
+        "crashes",
         "failed_workers",
         "failures",
         "key",
@@ -94,6 +99,7 @@
         "stage",
         "started_at",
         "state",
+        "suspicion",
         "usage",
         "worker_id",
     )
@@ -108,6 +114,8 @@
         self.checkpoint = ""
         self.failures = 0
         self.failed_workers: set[str] = set()
+        self.crashes = 0
+        self.suspicion = "clear"
         self.started_at = 0.0
         self.percent = 0.0
         self.progressed_at = 0.0
@@ -145,6 +153,8 @@
             before.
         failed_runs: Numbers of the failed runs of a gang.
         failed_at: Time of the newest failed run, in node-clock seconds.
+        crashed_at: Time of the newest crash of a worker of which a task of the
+            step is suspected, in node-clock seconds.
         restarts: Number of runs that were stopped because of slow workers.
         permits_by_worker: Permits of the advice service.
         denied_workers: Workers that the advice service did not permit.
@@ -153,6 +163,7 @@
     """
 
     __slots__ = (
+        "crashed_at",
         "denied_workers",
         "failed_at",
         "failed_runs",
@@ -175,6 +186,7 @@
         self.ready_at: float | None = None
         self.failed_runs: set[int] = set()
         self.failed_at = -math.inf
+        self.crashed_at = -math.inf
         self.restarts = 0
         self.permits_by_worker: dict[str, Permit] = {}
         self.denied_workers: set[str] = set()
@@ -229,6 +241,8 @@
             before.
         wait_observed: Whether the waiting time was added to the metrics.
         end_observed: Whether the end was added to the metrics.
+        suspects_by_key: Tasks that are suspected of crashing their workers; of
+            a gang, the first task.
         occurrences: All occurrences.
     """
 
@@ -240,6 +254,7 @@
         "ended_at",
         "occurrences",
         "recorded_state",
+        "suspects_by_key",
         "wait_observed",
         "workflow",
     )
@@ -253,6 +268,7 @@
         self.ended_at: float | None = None
         self.wait_observed = False
         self.end_observed = False
+        self.suspects_by_key: dict[TaskKey, Task] = {}
         self.occurrences = [
             Occurrence(self, index, workflow.first_due_at + index * workflow.interval_s)
             for index in range(max(workflow.occurrences, 1))
@@ -307,6 +323,10 @@
             seconds.
         sound_start_at: Node-clock seconds at which the newest run started that
             ended successfully or did not fail for some time.
+        crashed_at: Time at which the worker, or an earlier one at its address,
+            was seen to have crashed, in node-clock seconds.
+        observes_suspect: Whether a task that is suspected of crashing its
+            workers runs there; the worker then gets no other new runs.
         quarantined_until: Node-clock seconds until which the worker gets no
             new runs.
         leaves_at: Node-clock seconds until which a draining worker is
@@ -321,6 +341,7 @@
         "_claimed",
         "_facts",
         "_used",
+        "crashed_at",
         "emptying",
         "failed_at",
         "failing_since",
@@ -328,6 +349,7 @@
         "free",
         "leaves_at",
         "listed",
+        "observes_suspect",
         "throttled_at",
         "quarantined_until",
         "reachable",
@@ -346,6 +368,8 @@
         self.listed = True
         self.reachable = True
         self.emptying = False
+        self.crashed_at = -math.inf
+        self.observes_suspect = False
         self.failures = 0
         self.failed_at = 0.0
         self.failing_since = 0.0
@@ -459,6 +483,7 @@
             and self.reachable
             and not self.facts.draining
             and not self.emptying
+            and not self.observes_suspect
             and now >= self.quarantined_until
         )
 
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -181,6 +181,29 @@
             self.sent_to_coordinator(StartSettled)[0].reply.reason, "unanswered"
         )
 
+    def test_start_that_may_have_crashed_its_worker_is_told_apart(self):
+        """Guards against a crash under a start whose reply was lost.
+
+        The reply never comes, and the next attempt meets another process.
+        """
+        self.channel.starts_to_lose = 1
+        self.channel.rejection_reason = "other_life"
+        self.start_run()
+        run_for(self.clock, 0.5)
+        reply = self.sent_to_coordinator(StartSettled)[0].reply
+        self.assertEqual(reply.reason, "restarted")
+        run_for(self.clock, 3.0)
+        lapsed = self.sent_to_coordinator(WorkerLeaseLapsed)
+        self.assertEqual(lapsed, [WorkerLeaseLapsed("w1", restarted=True)])
+
+    def test_start_that_meets_another_process_first_is_no_suspect(self):
+        """Guards against blaming a run that was never started."""
+        self.channel.rejection_reason = "other_life"
+        self.start_run()
+        run_for(self.clock, 0.5)
+        reply = self.sent_to_coordinator(StartSettled)[0].reply
+        self.assertEqual(reply.reason, "other_life")
+
     def last_message_types(self):
         """Return the types of the last two messages to the coordinator."""
         return [type(message) for message in self.coordinator.received[-2:]]
