Do not send starts to a worker that has shrunk since they were planned

A start is sent after the record that names it is written. While the store is slow this takes a while, and a worker may report less capacity meanwhile. The start was sent all the same, and a worker that does not guard its capacity would have carried it out over its limit. It is now rejected and planned anew.

Planning, preemption, gangs and runs that are being stopped go by the present capacity already: three tests of it passed before this change. The fourth test, test_start_is_not_sent_to_a_worker_that_has_shrunk, failed before (2 starts sent, 1 fits).

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -134,6 +134,9 @@
         if not self._engine.is_starting(start.key, start.run):
             # The run was stopped or withdrawn while the record was written.
             self._engine.start_rejected(start.key, start.run, "superseded", now)
+        elif not self._engine.has_room(start.worker_id):
+            # The worker's capacity has shrunk since the start was planned.
+            self._engine.start_rejected(start.key, start.run, "no_room", now)
         elif not self._workers.send(start):
             self._engine.start_rejected(start.key, start.run, "worker_gone", now)
 
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -12,6 +12,7 @@
     suspicion_holder,
 )
 from .model import (
+    NO_RESOURCES,
     AskAdvice,
     Effect,
     EndKind,
@@ -221,6 +222,14 @@
         self.interrupt_worker(worker_id, now, reason)
         self.workers_by_id.pop(worker_id, None)
 
+    def has_room(self, worker_id: str) -> bool:
+        """Return whether the runs of a worker fit into its capacity.
+
+        An unknown worker limits nothing.
+        """
+        worker = self.workers_by_id.get(worker_id)
+        return worker is None or worker.idle.covers(NO_RESOURCES)
+
     def is_starting(self, key: TaskKey, run: int) -> bool:
         """Return whether a run is current and its start is not confirmed."""
         task = self.current(key, run)
