Keep the product's store client going over odd replies and entries

A watch line that is nested very deeply raised RecursionError, one with "compact_revision": 1e400 OverflowError; the watch caught neither, so it neither reopened nor delivered, and its node stopped following the store without a sign. One value that is not text failed the whole page or line that held it: the prefix could not be read, and the reopened watch met the same entry again and again.

The codec of the product's store now uses the decoder of _checked_json, which bounds nesting and numbers, so each malformed reply is a ValueError and the watch reopens. Entries that are not text are logged and left out; the page tells where the next one begins, as its last entry may be one of these.

--- a/src/redwingrudder/_store_codec.py
+++ b/src/redwingrudder/_store_codec.py
@@ -2,11 +2,13 @@
 
 import base64
 import json
+import logging
 from collections.abc import Callable
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
 from . import requests
+from ._checked_json import parse_json
 from .exceptions import (
     BadRequestError,
     NotFoundError,
@@ -20,6 +22,8 @@
 BUSY_RETRY_AFTER_S = 1.0
 MAX_DETAIL_BYTES = 200  # of a reply that is quoted in an error
 
+_logger = logging.getLogger(__name__)
+
 
 class EncodedCall(NamedTuple):
     """An HTTP request: a GET when ``body`` is None, else a POST.
@@ -57,11 +61,13 @@
 def decode(message: Any, body: bytes) -> Any:
     """Decode the body of the reply to a message.
 
+    Pairs of a prefix whose key or value is not text are logged and left out.
+
     Raises:
         ValueError: The reply is malformed.
     """
     try:
-        return _DECODERS_BY_TYPE[type(message)](json.loads(body))
+        return _DECODERS_BY_TYPE[type(message)](parse_json(body))
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed reply of the store: {error!r}") from None
 
@@ -102,12 +108,14 @@
 def decode_watch_line(line: bytes) -> WatchProgress:
     """Decode one line of a watch stream.
 
+    Changes whose key or value is not text are logged and left out.
+
     Raises:
         ValueError: The line is malformed or reports an error.
     """
     try:
-        result = json.loads(line)["result"]
-        changes = tuple(_decode_change(event) for event in result.get("events", []))
+        result = parse_json(line)["result"]
+        changes = _decode_each(_decode_change, result.get("events", []))
         compacted = int(result.get("compact_revision", 0)) > 0
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed line of a watch: {error!r}") from None
@@ -121,7 +129,8 @@
 
 
 def _to_base64(text: str) -> str:
-    return base64.b64encode(text.encode()).decode("ascii")
+    data = text.encode(errors="surrogateescape")
+    return base64.b64encode(data).decode("ascii")
 
 
 def _from_base64(text: str) -> str:
@@ -194,6 +203,21 @@
     return EncodedCall(f"/v1/vms?failure_domain={domain}", None, False)
 
 
+def _decode_each(
+    decode_entry: Callable[[dict[str, Any]], Any], entries: list[dict[str, Any]]
+) -> tuple[Any, ...]:
+    """Decode entries, leaving out those that other writers stored as bytes."""
+    decoded = []
+    for entry in entries:
+        try:
+            decoded.append(decode_entry(entry))
+        except UnicodeDecodeError as error:
+            _logger.warning(
+                "store entry is not text and is ignored", extra={"error": str(error)}
+            )
+    return tuple(decoded)
+
+
 def _decode_pair(body: dict[str, Any]) -> requests.KeyValue:
     return requests.KeyValue(
         _from_base64(body["key"]),
@@ -215,8 +239,14 @@
 
 
 def _decode_prefix(body: dict[str, Any]) -> requests.PrefixReply:
-    pairs = tuple(_decode_pair(pair) for pair in body.get("kvs", []))
-    return requests.PrefixReply(pairs, int(body["header"]["revision"]))
+    entries = body.get("kvs", [])
+    pairs = _decode_each(_decode_pair, entries)
+    next_key = ""
+    if len(entries) >= PAGE_KEYS:
+        # The last key may be one of those that are left out.
+        last_key = base64.b64decode(entries[-1]["key"])
+        next_key = last_key.decode(errors="surrogateescape") + "\0"
+    return requests.PrefixReply(pairs, int(body["header"]["revision"]), next_key)
 
 
 def _decode_transact(body: dict[str, Any]) -> requests.TransactReply:
--- a/src/redwingrudder/_store_requests.py
+++ b/src/redwingrudder/_store_requests.py
@@ -30,10 +30,14 @@
 
 
 class PrefixReply(NamedTuple):
-    """The pairs ordered by key, and the revision of the store when read."""
+    """The pairs ordered by key, and the revision of the store when read.
+
+    ``next_key`` is set in a single page only: the first key of the next page.
+    """
 
     pairs: tuple[KeyValue, ...]
     revision: int
+    next_key: str = ""
 
 
 class Compare(NamedTuple):
--- a/src/redwingrudder/store.py
+++ b/src/redwingrudder/store.py
@@ -9,7 +9,6 @@
 from ._chart_runner import ChartRunner
 from ._store_codec import (
     CALL_TYPES,
-    PAGE_KEYS,
     EncodedCall,
     decode,
     decode_error,
@@ -152,9 +151,9 @@
             page = await self._exchange(message, call)
             pairs.extend(page.pairs)
             revision = revision or page.revision
-            if len(page.pairs) < PAGE_KEYS:
+            if not page.next_key:
                 return requests.PrefixReply(tuple(pairs), revision)
-            first_key = page.pairs[-1].key + "\0"
+            first_key = page.next_key
 
     async def _list_vms(self, message: requests.ListVms) -> tuple[requests.VmInfo, ...]:
         """Read the VM list, or return the cached one if it is unchanged."""
--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -1,8 +1,10 @@
 """Malformed documents and unexpected errors: each affects only its sender."""
 
+import base64
 import copy
 import json
 import logging
+import random
 import types
 import unittest
 from unittest import mock
@@ -11,7 +13,12 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
 
+from redwingrudder import (
+    _store_codec,
+    requests,
+)
 from redwingrudder._checked_json import MAX_INTEGER, parse_json
+from redwingrudder._store_watch import Watch
 from redwingrudder._wire.generated.coordination.ttypes import WireNodeSummary
 from redwingrudder.coordination.configuration_feed import ConfigurationFeed
 from redwingrudder.coordination.coordinator import Coordinator
@@ -353,6 +360,93 @@
         self.assertEqual(subscriber.received[-1].configuration.version, 7)
 
 
+DEEP = "[" * 100_000
+
+
+def stored_pair(key, value, revision=1):
+    """Return a pair as the product's store sends it; ``value`` is bytes."""
+    return {
+        "key": base64.b64encode(key.encode()).decode(),
+        "value": base64.b64encode(value).decode(),
+        "mod_revision": str(revision),
+    }
+
+
+class ProductStoreTests(unittest.TestCase):
+    """Odd replies and entries in the store of the product's own interface."""
+
+    def setUp(self):
+        self.told = []
+        self.reopened_after = []
+        self.watch = Watch(
+            requests.WatchPrefix("subscriber", "/owner/", 0),
+            mock.Mock(),
+            self.told.append,
+            self.reopened_after.append,
+            mock.Mock(),
+            mock.Mock(),
+            random.Random(1),
+        )
+        self.watch.open()
+
+    def test_odd_line_reopens_the_watch(self):
+        """Guards against a watch that neither reopens nor delivers."""
+        for line in (
+            '{"result":' + DEEP,
+            '{"result":{"compact_revision":1e400}}',
+            '{"result":{"events":[{"kv":{"mod_revision":1e400}}]}}',
+            '{"result":{"events":[7]}}',
+            '{"result":[]}',
+        ):
+            with self.subTest(line[:40]):
+                self.reopened_after.clear()
+                self.watch._line_received(line.encode())
+                self.assertEqual(len(self.reopened_after), 1)
+
+    def test_odd_entry_does_not_stop_the_watch(self):
+        """Guards against a watch that meets the same entry again and again."""
+        pairs = [stored_pair("/owner/a", b"\xff"), stored_pair("/owner/b", b"b", 2)]
+        line = json.dumps({"result": {"events": [{"kv": pair} for pair in pairs]}})
+        with self.assertLogs("redwingrudder", logging.WARNING):
+            self.watch._line_received(line.encode())
+        self.assertEqual(self.reopened_after, [])
+        (message,) = self.told
+        self.assertEqual([change.key for change in message.changes], ["/owner/b"])
+
+    def test_odd_entry_does_not_hide_the_others_of_a_page(self):
+        """Guards against a prefix that cannot be read for one bad value."""
+        pairs = [stored_pair("/owner/a", b"\xff"), stored_pair("/owner/b", b"b")]
+        body = {"header": {"revision": "4"}, "kvs": pairs}
+        with self.assertLogs("redwingrudder", logging.WARNING):
+            content = json.dumps(body).encode()
+            reply = _store_codec.decode(requests.GetPrefix("/owner/"), content)
+        self.assertEqual([pair.key for pair in reply.pairs], ["/owner/b"])
+
+    def test_odd_last_entry_does_not_end_the_pages(self):
+        """Guards against keys that are never read behind an odd one."""
+        pairs = [stored_pair(f"/owner/{n:03}", b"v") for n in range(199)]
+        last = stored_pair("", b"v")
+        last["key"] = base64.b64encode(b"/owner/\xff").decode()
+        body = {"header": {"revision": "4"}, "kvs": [*pairs, last]}
+        with self.assertLogs("redwingrudder", logging.WARNING):
+            content = json.dumps(body).encode()
+            reply = _store_codec.decode(requests.GetPrefix("/owner/"), content)
+        self.assertEqual(len(reply.pairs), 199)
+        call = _store_codec.encode_page("/owner/", reply.next_key)
+        key = base64.b64decode(json.loads(call.body)["key"])
+        self.assertEqual(key, b"/owner/\xff\0")
+
+    def test_odd_replies_are_value_errors(self):
+        """Guards against an error that the store client does not expect."""
+        for message in (requests.GetKey("k"), requests.GetPrefix("k")):
+            for text in (DEEP, '{"kvs":[1e400]}', "7", '{"kvs":[{}]}'):
+                with (
+                    self.subTest(message, text=text[:20]),
+                    self.assertRaises(ValueError),
+                ):
+                    _store_codec.decode(message, text.encode())
+
+
 class IdleChannels(ChannelFactory):
     """Channels whose calls are never answered."""
 
