Keep an odd stored record from stopping its readers

Deeply nested text under the configuration's keys or under an owner's key raised RecursionError in the decoders, and documents without their fields raised KeyError or AttributeError that not all readers expect: an operator got status 500, a node stopped applying changes after such an error in the watch, and one record that could not be read hid those of all domains, so that a node could not tell who owns its own.

All four decoders now use the parser of _checked_json and raise ValueError only. A malformed owner record is logged and left out; for the own domain the last readable one stays in force, as the key cannot be acquired while the odd record is there. A malformed value met by a change of an operator is answered 503 store_unavailable, with the key.

test_odd_configuration_is_a_value_error (RecursionError, KeyError, TypeError, AttributeError) and test_odd_owner_record_hides_no_other (KeyError) failed before.

--- a/src/redwingrudder/_configuration_codec.py
+++ b/src/redwingrudder/_configuration_codec.py
@@ -6,8 +6,10 @@
 """
 
 import json
-from typing import Any, NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
 
+from ._checked_json import Fields, parse_json
 from ._configuration_document import (
     FORMAT_VERSION,
     from_job_class,
@@ -28,6 +30,7 @@
 # By organisation: for each shape a list with the failure domain of each copy,
 # "" for a copy that no failure domain holds.
 EncodedCells = dict[str, list[list[str]]]
+Decoded = TypeVar("Decoded")
 
 
 class Head(NamedTuple):
@@ -144,11 +147,10 @@
     """Parse the value of ``HEAD_KEY``.
 
     Raises:
-        ValueError: The text is not valid JSON.
-        KeyError: A field is missing.
+        ValueError: The text is not the value of a head.
     """
-    body = json.loads(text)
-    return Head(body["version"], body["nonce"])
+    body = Fields(parse_json(text), "head")
+    return Head(body.integer("version"), body.text("nonce"))
 
 
 def encode_configuration(configuration: Configuration) -> str:
@@ -166,13 +168,15 @@
     """Parse the value of ``DOCUMENT_KEY``.
 
     Raises:
-        ValueError: The text is not valid JSON, or this release does not
+        ValueError: The text is not a configuration, or this release does not
             support its format version.
-        KeyError: A field is missing.
     """
-    body = _parse_body(text)
-    cells = _decode_cells(body["cells"])
-    return to_configuration(body, body["version"], cells)
+
+    def decode(body: dict[str, Any]) -> Configuration:
+        cells = _decode_cells(body["cells"])
+        return to_configuration(body, body["version"], cells)
+
+    return _decode_body(text, decode)
 
 
 def encode_change(change: Change) -> str:
@@ -197,40 +201,52 @@
     """Parse the value of a change key.
 
     Raises:
-        ValueError: The text is not valid JSON, or this release does not
-            support its format version.
-        KeyError: A field is missing.
+        ValueError: The text is not a change, or this release does not support
+            its format version.
     """
-    body = _parse_body(text)
-    return Change(
-        body["version"],
-        body["nonce"],
-        tuple(
-            to_organisation(name, document)
-            for name, document in body["organisations"].items()
-        ),
-        tuple(body["removed_organisations"]),
-        tuple(
-            to_job_class(name, document) for name, document in body["classes"].items()
-        ),
-        tuple(body["removed_classes"]),
-        _decode_cells(body["cells"]),
-    )
+
+    def decode(body: dict[str, Any]) -> Change:
+        return Change(
+            body["version"],
+            body["nonce"],
+            tuple(
+                to_organisation(name, document)
+                for name, document in body["organisations"].items()
+            ),
+            tuple(body["removed_organisations"]),
+            tuple(
+                to_job_class(name, document)
+                for name, document in body["classes"].items()
+            ),
+            tuple(body["removed_classes"]),
+            _decode_cells(body["cells"]),
+        )
+
+    return _decode_body(text, decode)
 
 
 def _dump(body: Any) -> str:
     return json.dumps(body, separators=(",", ":"), sort_keys=True)
 
 
-def _parse_body(text: str) -> dict[str, Any]:
-    body = json.loads(text)
-    format_version = body.get("format_version")
+def _decode_body(text: str, decode: Callable[[dict[str, Any]], Decoded]) -> Decoded:
+    """Decode a document of this release's format version.
+
+    Raises:
+        ValueError: The document is malformed or of another version.
+    """
+    body = parse_json(text)
+    format_version = Fields(body).integer("format_version")
     if format_version != FORMAT_VERSION:
         raise ValueError(
             f"unsupported format_version {format_version}, "
             f"this release reads {FORMAT_VERSION}"
         )
-    return body
+    Fields(body).integer("version")
+    try:
+        return decode(body)
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"malformed document: {error!r}") from error
 
 
 def _removed_names(old: dict[str, Any], new: dict[str, Any]) -> tuple[str, ...]:
--- a/src/redwingrudder/_configuration_writer.py
+++ b/src/redwingrudder/_configuration_writer.py
@@ -15,6 +15,7 @@
     ConflictError,
     OutcomeUnknownError,
     RedwingrudderError,
+    StoreUnavailableError,
 )
 from .model import Configuration, WorkerInfo
 from .requests import (
@@ -22,6 +23,7 @@
     Compare,
     DeleteKey,
     GetKey,
+    KeyValue,
     ListVms,
     PutKey,
     Transact,
@@ -95,7 +97,7 @@
         self, base_version: int, in_force: Configuration | None
     ) -> _Base:
         stored = await self._ask_store(GetKey(codec.HEAD_KEY))
-        version = 0 if stored is None else codec.decode_head(stored.value).version
+        version = 0 if stored is None else _decode(codec.decode_head, stored).version
         head_revision = 0 if stored is None else stored.mod_revision
         if in_force is not None and in_force.version > version:
             # The store has lost its data. Versions must not be reused, since
@@ -109,7 +111,7 @@
 
     async def _read_document(self, version: int) -> Configuration:
         stored = await self._ask_store(GetKey(codec.DOCUMENT_KEY))
-        configuration = codec.decode_configuration(stored.value)
+        configuration = _decode(codec.decode_configuration, stored)
         if configuration.version != version:
             raise _conflict_error(version, configuration.version)
         return configuration
@@ -151,15 +153,29 @@
             return True
         key = codec.change_key(accepted.version)
         stored = await self._ask_store(GetKey(key))
-        if stored is not None and codec.decode_change(stored.value).nonce == nonce:
+        if stored is not None and _decode(codec.decode_change, stored).nonce == nonce:
             return True
         head = await self._ask_store(GetKey(codec.HEAD_KEY))
         current = accepted.version
         if head is not None:
-            current = codec.decode_head(head.value).version
+            current = _decode(codec.decode_head, head).version
         raise _conflict_error(accepted.version - 1, current)
 
 
+def _decode(decoder: Callable[[str], Any], stored: KeyValue) -> Any:
+    """Decode a stored value.
+
+    Raises:
+        StoreUnavailableError: The value is malformed.
+    """
+    try:
+        return decoder(stored.value)
+    except ValueError as error:
+        raise StoreUnavailableError(
+            f"the value of {stored.key} in the store is malformed: {error}"
+        ) from error
+
+
 def live_workers(vms: tuple[VmInfo, ...]) -> tuple[WorkerInfo, ...]:
     """Return the workers of a VM list whose state is ``live``."""
     return tuple(
--- a/src/redwingrudder/_ownership_record.py
+++ b/src/redwingrudder/_ownership_record.py
@@ -1,10 +1,12 @@
 """Owner record of a failure domain in the platform store."""
 
 import json
+import logging
 import uuid
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
+from ._checked_json import Fields, parse_json
 from .exceptions import (
     ConflictError,
     OutcomeUnknownError,
@@ -37,6 +39,8 @@
 
 AskStore = Callable[[Any], Awaitable[Any]]
 
+_logger = logging.getLogger(__name__)
+
 
 class OwnerRecord(NamedTuple):
     """Owner of a failure domain, as stored.
@@ -55,10 +59,14 @@
 
 
 class Owners(NamedTuple):
-    """Owner records of all domains at one revision of the store."""
+    """Owner records of all domains at one revision of the store.
+
+    ``unreadable_domains`` are those whose record is malformed.
+    """
 
     records_by_domain: dict[str, OwnerRecord]
     revision: int
+    unreadable_domains: frozenset[str] = frozenset()
 
 
 class Acquisition(NamedTuple):
@@ -141,17 +149,19 @@
     async def read_all(self) -> Owners:
         """Read the owner records of all domains.
 
+        Malformed records are logged and left out.
+
         Raises:
             RedwingrudderError: The store failed.
-            ValueError, KeyError, TypeError: A record is malformed.
         """
         reply = await self._ask_store(GetPrefix(OWNER_PREFIX))
         records = {
-            pair.key.removeprefix(OWNER_PREFIX): decode_record(pair.value)
+            pair.key.removeprefix(OWNER_PREFIX): decode_or_ignore(pair.key, pair.value)
             for pair in reply.pairs
             if not pair.key.endswith(RELEASED_SUFFIX)
         }
-        return Owners(records, reply.revision)
+        readable = {domain: record for domain, record in records.items() if record}
+        return Owners(readable, reply.revision, frozenset(records.keys() - readable))
 
     async def acquire(self, highest_epoch: Epoch) -> Acquisition | OwnerRecord:
         """Create the record under a new lease and a higher epoch.
@@ -276,7 +286,12 @@
                 f"owner record {self._key} changed during its acquisition "
                 "and is absent now"
             )
-        holder = decode_record(pair.value)
+        try:
+            holder = decode_record(pair.value)
+        except ValueError as error:
+            raise ConflictError(
+                f"owner record {self._key} was written by another program: {error}"
+            ) from error
         return pair.mod_revision if self.is_own(holder) else holder
 
 
@@ -289,10 +304,24 @@
     """Decode the JSON text stored at an owner key.
 
     Raises:
-        ValueError: The text is not JSON.
-        KeyError: A field is missing.
-        TypeError: A field has another type.
+        ValueError: The text is not an owner record.
     """
-    body = json.loads(text)
-    epoch = Epoch(*body["epoch"])
-    return OwnerRecord(body["node_id"], body["address"], epoch, body["nonce"])
+    body = Fields(parse_json(text), "owner record")
+    epoch = body.integers("epoch")
+    if len(epoch) != len(Epoch._fields):
+        raise ValueError(f"owner record.epoch: expected 3 numbers, found {len(epoch)}")
+    return OwnerRecord(
+        body.text("node_id"), body.text("address"), Epoch(*epoch), body.text("nonce")
+    )
+
+
+def decode_or_ignore(key: str, text: str) -> OwnerRecord | None:
+    """Decode the text at an owner key; log and return None if malformed."""
+    try:
+        return decode_record(text)
+    except ValueError as error:
+        _logger.warning(
+            "owner record is malformed and ignored",
+            extra={"key": key, "error": str(error)},
+        )
+        return None
--- a/src/redwingrudder/configuration.py
+++ b/src/redwingrudder/configuration.py
@@ -168,7 +168,7 @@
             )
             values = [pair.value for pair in reply.pairs]
             configuration = codec.decode_configuration(values[0]) if values else None
-        except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
+        except (RedwingrudderError, ValueError) as error:
             _logger.warning(
                 "failed to read the configuration from the store",
                 extra={"error": str(error)},
@@ -193,7 +193,7 @@
         version = 0 if self._in_force is None else self._in_force.version
         try:
             change = codec.decode_change(value)
-        except (ValueError, KeyError, TypeError):
+        except ValueError:
             _logger.exception("failed to decode a configuration change")
             self._chart.step("gap_found")
             return
--- a/src/redwingrudder/ownership.py
+++ b/src/redwingrudder/ownership.py
@@ -29,7 +29,7 @@
     OwnerRecord,
     OwnerRecordClient,
     RecordView,
-    decode_record,
+    decode_or_ignore,
 )
 from ._takeover_policy import TakeoverPolicy
 from .actors import Actor, ActorSystem, Handler
@@ -205,7 +205,11 @@
         if domain.endswith(RELEASED_SUFFIX):
             self._peers.mark_released(change.value or "")
             return False
-        record = None if change.value is None else decode_record(change.value)
+        record = None
+        if change.value is not None:
+            record = decode_or_ignore(change.key, change.value)
+            if record is None:
+                return False
         return self._update_record(domain, record, change.mod_revision)
 
     def _watch_reset(self, message: requests.WatchReset) -> None:
@@ -313,7 +317,7 @@
         self._last_read_at = self._now()
         try:
             owners = await self._record_client.read_all()
-        except (RedwingrudderError, ValueError, KeyError, TypeError) as error:
+        except RedwingrudderError as error:
             _logger.warning(
                 "could not read the owner records", extra={"error": str(error)}
             )
@@ -323,8 +327,9 @@
         for domain, record in owners.records_by_domain.items():
             if domain != self._failure_domain:
                 self._update_record(domain, record, owners.revision)
-        own_record = owners.records_by_domain.get(self._failure_domain)
-        self._update_record(self._failure_domain, own_record, owners.revision)
+        if self._failure_domain not in owners.unreadable_domains:
+            own_record = owners.records_by_domain.get(self._failure_domain)
+            self._update_record(self._failure_domain, own_record, owners.revision)
         return owners.revision
 
     def _update_record(
--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -14,10 +14,13 @@
 from twisted.internet.defer import Deferred
 
 from redwingrudder import (
+    _configuration_codec,
+    _ownership_record,
     _store_codec,
     requests,
 )
 from redwingrudder._checked_json import MAX_INTEGER, parse_json
+from redwingrudder._store_requests import KeyValue
 from redwingrudder._store_watch import Watch
 from redwingrudder._wire.generated.coordination.ttypes import WireNodeSummary
 from redwingrudder.coordination.configuration_feed import ConfigurationFeed
@@ -63,6 +66,7 @@
 from redwingrudder.coordination.progress_writer import ProgressWriter
 from redwingrudder.coordination.recorder import WriteOutcome
 from redwingrudder.exceptions import BadRequestError, RedwingrudderError
+from redwingrudder.model import Epoch
 from redwingrudder.platform.advice import PlatformAdvice
 from redwingrudder.platform.front_end import decode_submission
 from redwingrudder.platform.http_client import JsonReply
@@ -446,6 +450,36 @@
                 ):
                     _store_codec.decode(message, text.encode())
 
+    def test_odd_configuration_is_a_value_error(self):
+        """Guards against a node that stops following the configuration."""
+        decoders = (
+            _configuration_codec.decode_head,
+            _configuration_codec.decode_change,
+            _configuration_codec.decode_configuration,
+            _ownership_record.decode_record,
+        )
+        texts = (DEEP, "{}", "7", '{"version":1e400}', '{"format_version":1}')
+        for decode_text in decoders:
+            for text in texts:
+                with self.subTest(decode_text.__name__, text=text[:20]):
+                    self.assertRaises(ValueError, decode_text, text)
+
+    def test_odd_owner_record_hides_no_other(self):
+        """Guards against a domain without owner for the record of another."""
+        record = _ownership_record.OwnerRecord("n", "10.0.0.1:1", Epoch(1, 0, 0), "x")
+        text = _ownership_record.encode_record(record)
+        pairs = (KeyValue("/owner/a", "{}", 1), KeyValue("/owner/b", text, 2))
+
+        async def answer(_):
+            return requests.PrefixReply(pairs, 2)
+
+        client = _ownership_record.OwnerRecordClient(
+            answer, lambda: 0.0, "b", "n", "10.0.0.1:1", 0
+        )
+        with self.assertLogs("redwingrudder", logging.WARNING):
+            owners = completed(client.read_all())
+        self.assertEqual(owners.records_by_domain, {"b": record})
+
 
 class IdleChannels(ChannelFactory):
     """Channels whose calls are never answered."""
