Refuse worker addresses with other scripts' digits or odd hosts

An entry of another writer with the address "host:" and Arabic digits, or with a space in the host, named a worker: str.isdecimal is true for digits of all scripts, and the host was not looked at. The session to it failed each call with an error of its own, so its neighbours went on, but starts were planned on it. Such an entry is now invalid and ignored, like one with a port out of range.

test_addresses_of_other_scripts_or_with_spaces_are_invalid failed before.

--- a/src/redwingrudder/_checked_json.py
+++ b/src/redwingrudder/_checked_json.py
@@ -7,6 +7,7 @@
 
 import json
 import math
+import re
 from typing import Any
 
 # Integers beyond this magnitude lose digits in programs that store numbers as
@@ -19,6 +20,8 @@
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
 
+# A host name, an IPv4 address, or an IPv6 address in brackets.
+_HOST = re.compile(r"[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]")
 _REQUIRED: Any = object()
 
 
@@ -43,7 +46,8 @@
     """Return whether a text has the form "host:port" with a valid port."""
     host, _, port = text.rpartition(":")
     return (
-        bool(host)
+        bool(_HOST.fullmatch(host))
+        and port.isascii()
         and port.isdecimal()
         and len(port) <= MAX_PORT_DIGITS
         and 0 < int(port) <= MAX_PORT
--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -19,7 +19,7 @@
     _store_codec,
     requests,
 )
-from redwingrudder._checked_json import MAX_INTEGER, parse_json
+from redwingrudder._checked_json import MAX_INTEGER, is_address, parse_json
 from redwingrudder._store_requests import KeyValue
 from redwingrudder._store_watch import Watch
 from redwingrudder._wire.generated.coordination.ttypes import WireNodeSummary
@@ -480,6 +480,15 @@
             owners = completed(client.read_all())
         self.assertEqual(owners.records_by_domain, {"b": record})
 
+    def test_addresses_of_other_scripts_or_with_spaces_are_invalid(self):
+        """Guards against a session to an address that no socket accepts."""
+        for text in ("host:\u0663\u0663", "a b:80", "a\n:80", "h:0", "h:99999"):
+            with self.subTest(text):
+                self.assertFalse(is_address(text))
+        for text in ("10.0.0.1:80", "store.example:81", "[fd00::1]:80"):
+            with self.subTest(text):
+                self.assertTrue(is_address(text))
+
 
 class IdleChannels(ChannelFactory):
     """Channels whose calls are never answered."""
