Blame no run for a crash that it cannot have caused

Only runs that had just started are suspected, or whose task was kept apart already. A session tells which starts its worker may have received; others are left out. A task is guilty after two crashes under confirmed runs, or three of any kind, always as the only suspect.

AttributionTests and test_start_that_was_not_sent_is_no_suspect show it. The lost reply of the fake channel is now an unknown outcome, as its name says.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -342,7 +342,7 @@
 
     def _worker_lease_lapsed(self, message: WorkerLeaseLapsed) -> None:
         if self._ready:
-            self._term.workers.set_lapsed(message.worker_id, message.restarted)
+            self._term.workers.set_lapsed(message)
             self._schedule_planning()
 
     def _start_settled(self, message: StartSettled) -> None:
@@ -352,8 +352,6 @@
         if not self._ready:
             return
         now = self.system.clock.seconds()
-        if reply.reason == "restarted":
-            self._term.workers.set_lapsed(start.worker_id, restarted=True)
         if reply.accepted:
             self._term.engine.start_confirmed(start.key, start.run, now)
         else:
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -11,6 +11,7 @@
     AskAdvice,
     StartRun,
     StopRun,
+    TaskKey,
     ThrottleRun,
     WorkerFacts,
     Workflow,
@@ -250,10 +251,12 @@
     Attributes:
         worker_id: The worker.
         restarted: Whether the worker's process is known to have ended.
+        unanswered_starts: Runs whose starts were sent and not answered.
     """
 
     worker_id: str
     restarted: bool = False
+    unanswered_starts: frozenset[tuple[TaskKey, int]] = frozenset()
 
 
 class StartSettled(NamedTuple):
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -2,16 +2,16 @@
 
 import logging
 import math
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from .._background import pause, run
 from .._chart_runner import ChartRunner
 from ..actors import Actor, ActorSystem, Handler
-from ..exceptions import RedwingrudderError
+from ..exceptions import OutcomeUnknownError, RedwingrudderError
 from ..statecharts import load_chart
 from ..timers import TIMERS, Subscribe, TimerFired
-from ..workflows.model import StartRun, StopRun, ThrottleRun, WorkerFacts
+from ..workflows.model import StartRun, StopRun, TaskKey, ThrottleRun, WorkerFacts
 from .authority import LONGEST_OVERLAP_S, Authority
 from .gateways import (
     COORDINATOR,
@@ -129,6 +129,8 @@
         self._has_runs = False
         self._closed = False
         self._starts_in_flight: set[tuple] = set()
+        # Starts in flight that the worker may have received.
+        self._unanswered_starts: set[tuple[TaskKey, int]] = set()
         super().__init__(system, session_name(facts.worker_id))
 
     def handlers(self) -> dict[type, Handler]:
@@ -236,7 +238,11 @@
         return await self._await_reply(poll, "poll", {})
 
     async def _await_reply(
-        self, call: Awaitable[Any], name: str, run_fields: dict[str, Any]
+        self,
+        call: Awaitable[Any],
+        name: str,
+        run_fields: dict[str, Any],
+        on_unknown_outcome: Callable[[], None] = lambda: None,
     ) -> Any:
         """Return the worker's reply to a call, None if there is no usable one.
 
@@ -247,6 +253,8 @@
             call: The call of the channel.
             name: Name of the call in log lines.
             run_fields: Identifies the run of the call in log lines.
+            on_unknown_outcome: Called if the worker may have received the
+                call.
         """
         fields = {"worker": self._facts.worker_id, **run_fields}
         try:
@@ -255,8 +263,11 @@
             _logger.info(
                 f"worker did not answer a {name}", extra={**fields, "error": str(error)}
             )
+            if isinstance(error, OutcomeUnknownError):
+                on_unknown_outcome()
         except Exception:
             _logger.exception(f"a {name} failed unexpectedly", extra=fields)
+            on_unknown_outcome()
         return None
 
     def _handle_report(self, reply: WorkerReport, sent_at: float) -> None:
@@ -384,9 +395,11 @@
             if reply.reason in ("unanswered", "outdated"):
                 await self._poll_for_end()
             if reply.reason == "unanswered" and self._restarted:
-                reply = CommandReply(False, "restarted")
+                # A run that crashed the worker has not ended otherwise.
+                self._report_lapsed()
         finally:
             self._starts_in_flight.discard(run_key)
+            self._unanswered_starts.discard(run_key)
         if self._closed:
             return
         if reply.reason == "fenced":
@@ -406,7 +419,12 @@
             start = self._channel.start(
                 message, self._lease_until(), self._fence, timeout_s
             )
-            reply = await self._await_reply(start, "start", _run_fields(message))
+            reply = await self._await_reply(
+                start,
+                "start",
+                _run_fields(message),
+                lambda: self._unanswered_starts.add((message.key, message.run)),
+            )
             if attempt and reply is not None and reply.reason == "other_life":
                 # The worker may have started the run before it was restarted.
                 break
@@ -480,9 +498,10 @@
         self.tell(COORDINATOR, WorkerSilent(self._facts.worker_id))
 
     def _report_lapsed(self) -> None:
-        self.tell(
-            COORDINATOR, WorkerLeaseLapsed(self._facts.worker_id, self._restarted)
+        lapsed = WorkerLeaseLapsed(
+            self._facts.worker_id, self._restarted, frozenset(self._unanswered_starts)
         )
+        self.tell(COORDINATOR, lapsed)
 
 
 def _run_fields(run: StartRun | StopRun | ThrottleRun) -> dict[str, Any]:
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -13,6 +13,7 @@
     RegistryEntryRemoved,
     SessionCommand,
     UpdateFacts,
+    WorkerLeaseLapsed,
     WorkerPolled,
 )
 from .metrics import METRICS, IncrementCounter
@@ -214,20 +215,16 @@
             worker.reachable = False
             _logger.info("worker does not answer", extra={"worker": worker_id})
 
-    def set_lapsed(self, worker_id: str, restarted: bool) -> None:
-        """Interrupt all runs of a worker whose lease has lapsed.
-
-        Args:
-            worker_id: The worker.
-            restarted: Whether its process is known to have ended.
-        """
+    def set_lapsed(self, message: WorkerLeaseLapsed) -> None:
+        """Interrupt all runs of a worker whose lease has lapsed."""
+        worker_id = message.worker_id
         now = self._system.clock.seconds()
         _logger.info(
             "lease of a worker has lapsed; its runs are interrupted",
             extra={"worker": worker_id},
         )
-        if restarted:
-            self._engine.worker_restarted(worker_id, now)
+        if message.restarted:
+            self._engine.worker_restarted(worker_id, now, message.unanswered_starts)
         self._engine.interrupt_worker(worker_id, now, "lease_lapsed")
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and not worker.listed:
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -1,15 +1,16 @@
 """Attribution of worker crashes to the tasks that ran on the workers.
 
 A crash interrupts all runs of a worker, and at most a few of them can be its
-cause. Runs that had gone on for some time are not suspected unless there is no
-other. A suspected task is next run where no other run can be the cause, so
-that a second crash is conclusive, and a task that stood beside the cause is
-cleared by a run that does not crash its worker.
+cause. A run that had gone on for some time is not suspected, unless that
+happens to its task again and again. A suspected task next runs where no other
+run can be the cause, so that a second crash is conclusive, and a task that
+stood beside the cause is cleared by a run that does not crash its worker.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 from ..statecharts import load_chart
+from .model import TaskKey
 from .placement import fits_when_empty
 from .state import Stage, Task, Worker, WorkflowProgress
 
@@ -25,8 +26,10 @@
 MAX_UNEXPLAINED_CRASHES = 3
 # A worker that crashes twice within this time may do so by its own fault.
 CRASH_PRONE_S = 20.0
-# Number of crashes with a task as the only suspect after which it is guilty
-# even if these workers had crashed before.
+# Number of crashes under confirmed runs before a task can be guilty.
+MIN_CRASHES = 2
+# Number of crashes after which a task that is the only suspect is guilty, even
+# if its workers had crashed before or had not confirmed its starts.
 CONCLUSIVE_CRASHES = 3
 # Time after a crash for which a suspect waits for room on a worker that has
 # not crashed recently.
@@ -80,29 +83,40 @@
     return now - worker.crashed_at < CRASH_PRONE_S
 
 
-def record_crash(worker: Worker, now: float) -> list[Task]:
+def record_crash(
+    worker: Worker, now: float, unanswered_starts: Container[tuple[TaskKey, int]]
+) -> list[Task]:
     """Attribute a crash to the runs of a worker.
 
+    Runs that the worker has certainly not started are left out.
+
     Args:
         worker: The worker, still with its runs and the time of its previous
             crash.
         now: Node-clock seconds.
+        unanswered_starts: Runs whose starts the worker may have received.
 
     Returns:
         The tasks that are suspected; of each gang, the first member found.
     """
-    runs = list(worker.tasks_by_key.values())
-    causes = [run for run in runs if not has_proved_harmless(run)] or runs
+    runs = [
+        run
+        for run in worker.tasks_by_key.values()
+        if run.run_confirmed or (run.key, run.run) in unanswered_starts
+    ]
+    runs.sort(key=lambda run: not run.run_confirmed)
+    causes = [r for r in runs if is_suspected(r) or not has_proved_harmless(r)]
     suspects = _one_per_gang(causes)
     for task in _one_per_gang(runs):
-        suspicion_holder(task).crashes += 1
+        holder = suspicion_holder(task)
+        if task.run_confirmed:
+            holder.crashes += 1
+        else:
+            holder.possible_crashes += 1
     for task in suspects:
         task.stage.crashed_at = now
-        crashes = suspicion_holder(task).crashes
-        conclusive = len(suspects) == 1 and (
-            crashes >= CONCLUSIVE_CRASHES or not is_crash_prone(worker, now)
-        )
-        step_suspicion(task, "sole_suspect" if conclusive else "suspect")
+        is_proof = len(suspects) == 1 and _is_conclusive(task, worker, now)
+        step_suspicion(task, "sole_suspect" if is_proof else "suspect")
     for task in _one_per_gang(runs):
         crashes = suspicion_holder(task).crashes
         if crashes >= MAX_UNEXPLAINED_CRASHES and not is_guilty(task):
@@ -110,6 +124,20 @@
     return suspects
 
 
+def _is_conclusive(task: Task, worker: Worker, now: float) -> bool:
+    """Return whether a crash with only this suspect can prove its guilt.
+
+    Args:
+        task: The task, with this crash counted.
+        worker: Its worker, with the time of the previous crash.
+        now: Node-clock seconds.
+    """
+    holder = suspicion_holder(task)
+    if holder.crashes + holder.possible_crashes >= CONCLUSIVE_CRASHES:
+        return True
+    return holder.crashes >= MIN_CRASHES and not is_crash_prone(worker, now)
+
+
 def clear_if_harmless(task: Task) -> bool:
     """End the suspicion of a task whose run has proved harmless.
 
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -2,10 +2,11 @@
 
 import logging
 import math
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from .crashes import (
     clear_if_harmless,
+    is_crash_prone,
     record_crash,
     step_suspicion,
     suspected_runs,
@@ -134,7 +135,12 @@
         worker.listed = True
         worker.update_leave_time(now)
 
-    def worker_restarted(self, worker_id: str, now: float) -> None:
+    def worker_restarted(
+        self,
+        worker_id: str,
+        now: float,
+        unanswered_starts: Container[tuple[TaskKey, int]] = frozenset(),
+    ) -> None:
         """Attribute the end of a worker's process to the runs that it had.
 
         A worker that was drained or emptied has been restarted on purpose.
@@ -142,12 +148,15 @@
         Args:
             worker_id: The worker; an unknown one is ignored.
             now: Node-clock seconds.
+            unanswered_starts: Runs whose starts the worker may have received.
         """
         worker = self.workers_by_id.get(worker_id)
         if worker is None or worker.facts.draining or worker.emptying:
             return
         runs = list(worker.tasks_by_key.values())
-        suspects = record_crash(worker, now)
+        if not runs and is_crash_prone(worker, now):
+            return  # seen before
+        suspects = record_crash(worker, now, unanswered_starts)
         worker.crashed_at = now
         self._crashed_at_by_address = {
             address: crashed_at
@@ -240,6 +249,7 @@
         task = self.current(key, run)
         if task is not None:
             task.record_start(now)
+            task.run_confirmed = True
             self.step(task, "started", now)
 
     def start_rejected(self, key: TaskKey, run: int, reason: str, now: float) -> None:
@@ -499,6 +509,7 @@
             return
         if task.placed:
             if task.worker_id == worker_id and task.run == run and started:
+                task.run_confirmed = True
                 self.step(task, "started", now)
             return
         if worker_id not in self.workers_by_id:
@@ -508,9 +519,11 @@
         self.step(task, "assign", now)
         facts = self.workers_by_id[worker_id].facts
         if process_started_ms and facts.process_started_ms != process_started_ms:
-            # The record does not tell how long the run had gone on.
-            suspicion_holder(task).crashes += 1
+            # The record does not tell whether and for how long the run had
+            # gone on.
+            suspicion_holder(task).possible_crashes += 1
             step_suspicion(task, "suspect")
+        task.run_confirmed = started
         if started:
             self.step(task, "started", now)
         task.stage.workflow.begun = True
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -61,14 +61,17 @@
         state: State in ``TASK_CHART``.
         run: Number of the newest run, 0 before the first.
         run_resumed: Whether the newest run resumed from a checkpoint.
+        run_confirmed: Whether the worker has confirmed the newest run's start.
         worker_id: Worker of the newest run, "" before the first.
         checkpoint: Newest checkpoint, "" if there is none. A gang's checkpoint
             is stored in its first task.
         failures: Number of failed runs. Those of a gang are counted in its
             first task.
         failed_workers: Workers on which runs of the task failed.
-        crashes: Number of workers that crashed under runs of the task. Those
-            of a gang are counted in its first task.
+        crashes: Number of workers that crashed under confirmed runs of the
+            task. Those of a gang are counted in its first task.
+        possible_crashes: Number of workers that crashed and may have started a
+            run of the task; counted like ``crashes`` and not recorded.
         suspicion: State in the chart of crash suspicions; that of a gang is
             stored in its first task.
         started_at: Node-clock seconds at which the newest run started.
@@ -88,6 +91,7 @@
         "failed_workers",
         "failures",
         "key",
+        "possible_crashes",
         "speed_percent",
         "percent",
         "progressed_at",
@@ -95,6 +99,7 @@
         "rate_baseline_percent",
         "reported_at",
         "run",
+        "run_confirmed",
         "run_resumed",
         "stage",
         "started_at",
@@ -110,11 +115,13 @@
         self.state = TASK_CHART.initial
         self.run = 0
         self.run_resumed = False
+        self.run_confirmed = False
         self.worker_id = ""
         self.checkpoint = ""
         self.failures = 0
         self.failed_workers: set[str] = set()
         self.crashes = 0
+        self.possible_crashes = 0
         self.suspicion = "clear"
         self.started_at = 0.0
         self.percent = 0.0
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -245,5 +245,46 @@
         self.assertEqual(fleet.states(), {WorkflowState.DONE: 12})
 
 
+class AttributionTests(unittest.TestCase):
+    """Which runs of a worker that has crashed are suspected."""
+
+    def setUp(self):
+        self.engine = fx.engine(fx.worker("w1"))
+        self.engine.accept(fx.workflow("job", fx.step(3)), 0.0)
+        self.starts = fx.starts(self.engine.plan(0.0, 0.0))
+
+    def crash(self, now, unanswered_starts=frozenset()):
+        """Let the worker crash; returns the suspicion of each task."""
+        self.engine.worker_restarted("w1", now, unanswered_starts)
+        self.engine.interrupt_worker("w1", now, "crashed")
+        tasks = self.engine.workflows_by_id["job"].tasks()
+        return [task.suspicion for task in tasks]
+
+    def test_run_that_was_not_started_is_not_suspected(self):
+        """Guards against giving up work for starts that were never sent."""
+        fx.confirm(self.engine, self.starts[:2])
+        self.assertEqual(self.crash(0.1), ["suspected", "suspected", "clear"])
+
+    def test_start_without_an_answer_is_suspected_but_no_proof(self):
+        """Guards against giving up work for a start that may be lost.
+
+        It is given up when that has happened three times.
+        """
+        (start, *_) = self.starts
+        unanswered = {(start.key, start.run)}
+        self.assertEqual(self.crash(0.1, unanswered), ["suspected", "clear", "clear"])
+        for now, expected in ((30.0, "suspected"), (60.0, "guilty")):
+            (start,) = fx.starts(self.engine.plan(now, now))
+            suspicions = self.crash(now, {(start.key, start.run)})
+            self.assertEqual(suspicions[0], expected)
+
+    def test_runs_that_had_gone_on_are_not_suspected(self):
+        """Guards against isolating all work of a worker that fails itself."""
+        fx.confirm(self.engine, self.starts)
+        reports = [fx.running(start) for start in self.starts]
+        self.engine.report("w1", reports, 1.0)
+        self.assertEqual(self.crash(2.0), ["clear"] * 3)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -28,7 +28,7 @@
     WorkerSession,
     prior_lease_timeout_s,
 )
-from redwingrudder.exceptions import UnavailableError
+from redwingrudder.exceptions import OutcomeUnknownError, UnavailableError
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows.model import StartRun, StopRun
 
@@ -79,7 +79,7 @@
         if self.starts_to_lose:
             self.starts_to_lose -= 1
             self.calls.append("lost start")
-            raise UnavailableError("the reply to the start was lost")
+            raise OutcomeUnknownError("the reply to the start was lost")
         if self.rejects_starts:
             return CommandReply(False, "outdated", 1)
         return self._reply("start")
@@ -190,11 +190,22 @@
         self.channel.rejection_reason = "other_life"
         self.start_run()
         run_for(self.clock, 0.5)
-        reply = self.sent_to_coordinator(StartSettled)[0].reply
-        self.assertEqual(reply.reason, "restarted")
+        self.assertEqual(self.last_message_types(), [WorkerLeaseLapsed, StartSettled])
+        lapsed = self.sent_to_coordinator(WorkerLeaseLapsed)[0]
+        self.assertTrue(lapsed.restarted)
+        self.assertEqual(lapsed.unanswered_starts, {(fx.key(), 1)})
+
+    def test_start_that_was_not_sent_is_no_suspect(self):
+        """Guards against blaming a run for a worker that was down before."""
+        self.channel.unanswering = True
+        self.start_run()
+        run_for(self.clock, 0.5)
+        self.channel.unanswering = False
+        self.channel.rejection_reason = "other_life"
         run_for(self.clock, 3.0)
-        lapsed = self.sent_to_coordinator(WorkerLeaseLapsed)
-        self.assertEqual(lapsed, [WorkerLeaseLapsed("w1", restarted=True)])
+        lapsed = self.sent_to_coordinator(WorkerLeaseLapsed)[0]
+        self.assertTrue(lapsed.restarted)
+        self.assertEqual(lapsed.unanswered_starts, frozenset())
 
     def test_start_that_meets_another_process_first_is_no_suspect(self):
         """Guards against blaming a run that was never started."""
