Let no suspicion of a crash block the work that waits for it

A suspect whose run ended before its worker had reported it for half a second stayed suspected, and its siblings waited for ever: an end that the worker reports clears it now. A run of a guilty gang that was being stopped on a worker that crashed raised UnexpectedEventError, so that none of that worker's runs was interrupted: guilty tasks are left out. A suspect was held for a worker that was at the step's limit, and one of a queue that needs permits never asked for a new one. Gangs choose among all quiet workers again, so that a rack counts.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -11,8 +11,8 @@
 
 from ..statecharts import load_chart
 from .model import TaskKey
-from .placement import fits_when_empty
-from .state import Stage, Task, Worker, WorkflowProgress
+from .placement import fits_when_empty, max_tasks_on_worker
+from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
 SUSPICION_CHART = load_chart(
     "crash_suspicion",
@@ -88,7 +88,8 @@
 ) -> list[Task]:
     """Attribute a crash to the runs of a worker.
 
-    Runs that the worker has certainly not started are left out.
+    Runs that the worker has certainly not started are left out, and those of
+    guilty tasks, which are being stopped.
 
     Args:
         worker: The worker, still with its runs and the time of its previous
@@ -102,7 +103,8 @@
     runs = [
         run
         for run in worker.tasks_by_key.values()
-        if run.run_confirmed or (run.key, run.run) in unanswered_starts
+        if (run.run_confirmed or (run.key, run.run) in unanswered_starts)
+        and not is_guilty(run)
     ]
     runs.sort(key=lambda run: not run.run_confirmed)
     causes = [r for r in runs if is_suspected(r) or not has_proved_harmless(r)]
@@ -138,19 +140,25 @@
     return holder.crashes >= MIN_CRASHES and not is_crash_prone(worker, now)
 
 
-def clear_if_harmless(task: Task) -> bool:
+def clear_if_harmless(task: Task, has_ended: bool = False) -> bool:
     """End the suspicion of a task whose run has proved harmless.
 
+    Args:
+        task: The task.
+        has_ended: Whether its worker has reported that the run ended by
+            itself.
+
     Returns:
         Whether the task or its gang was suspected before.
     """
     if not is_suspected(task):
         return False
-    if suspicion_holder(task).crashes >= MAX_UNEXPLAINED_CRASHES:
-        return False
-    members = task.stage.tasks if task.stage.spec.gang else [task]
-    if not all(has_proved_harmless(member) for member in members):
-        return False
+    if not has_ended:
+        if suspicion_holder(task).crashes >= MAX_UNEXPLAINED_CRASHES:
+            return False
+        members = task.stage.tasks if task.stage.spec.gang else [task]
+        if not all(has_proved_harmless(member) for member in members):
+            return False
     step_suspicion(task, "proved_harmless")
     return True
 
@@ -163,7 +171,7 @@
     """
     if stage.spec.gang or not stage.workflow.suspects_by_key:
         return waiting
-    suspects = [task for task in stage.tasks if is_suspected(task)]
+    suspects = [t for t in stage.tasks if is_suspected(t) and not t.ended]
     if not suspects:
         return waiting
     if any(task.placed for task in suspects):
@@ -178,8 +186,8 @@
 
     A worker with a run that may itself be the cause of a crash is left out.
     A crash is conclusive on a worker that has not crashed recently, so such
-    workers are waited for; idle ones come first, as the least work is lost
-    there.
+    workers are waited for. Those near the input data come first, and idle
+    ones, as the least work is lost there.
 
     Args:
         workers: Workers that may run the step.
@@ -198,12 +206,23 @@
         for worker in candidates
         if worker.facts.worker_id not in busy_ids
         and all(has_proved_harmless(run) for run in worker.tasks_by_key.values())
+        and max_tasks_on_worker(stage, worker, 1)
     ]
-    demand = stage.spec.demand
-    quiet.sort(key=lambda w: (is_crash_prone(w, now), len(w.tasks_by_key)))
-    fitting = [worker for worker in quiet if worker.idle.covers(demand)]
-    # Each has room for one task or more, so the first ones are enough.
-    return fitting[:count] if len(fitting) >= count else quiet
+    if stage.spec.gang:
+        return quiet
+    demand = resources_used(stage.spec)
+    rack = stage.spec.data_rack
+    fitting = [worker for worker in quiet if worker.free.covers(demand)]
+    best = min(
+        fitting,
+        key=lambda worker: (
+            is_crash_prone(worker, now),
+            bool(rack) and worker.facts.rack != rack,
+            len(worker.tasks_by_key),
+        ),
+        default=None,
+    )
+    return [best] if best is not None else quiet
 
 
 def _one_per_gang(tasks: list[Task]) -> list[Task]:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -346,6 +346,8 @@
                 "current": current,
             },
         )
+        if ended.kind in (EndKind.DONE, EndKind.FAILED) and current:
+            clear_if_harmless(task, has_ended=True)
         if ended.kind is EndKind.DONE and not task.stage.spec.service:
             return self._record_done(task, worker_id, current, now)
         if not current or task.ended or not task.placed:
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -388,7 +388,7 @@
     demand = resources_used(spec)
     options_by_rack: dict[str, list[PlacementOption]] = {}
     for worker in workers:
-        max_count = _max_tasks_on_worker(stage, worker, len(tasks))
+        max_count = max_tasks_on_worker(stage, worker, len(tasks))
         found = source.options(worker, demand, max_count) if max_count else []
         if found:
             options_by_rack.setdefault(worker.facts.rack, []).extend(found)
@@ -441,7 +441,7 @@
 ) -> int:
     sizes: dict[str, int] = {}
     for worker in workers:
-        max_count = _max_tasks_on_worker(stage, worker, count)
+        max_count = max_tasks_on_worker(stage, worker, count)
         size = count_fitting(worker.facts.capacity, demand, max_count)
         sizes[worker.facts.rack] = sizes.get(worker.facts.rack, 0) + size
     return max(sizes.values(), default=0)
@@ -458,14 +458,21 @@
     demand = resources_used(stage.spec)
     total = 0
     for worker in workers:
-        max_count = _max_tasks_on_worker(stage, worker, count)
+        max_count = max_tasks_on_worker(stage, worker, count)
         total += count_fitting(worker.facts.capacity, demand, max_count)
         if total >= count:
             return True
     return False
 
 
-def _max_tasks_on_worker(stage: Stage, worker: Worker, wanted: int) -> int:
+def max_tasks_on_worker(stage: Stage, worker: Worker, wanted: int) -> int:
+    """Return how many more tasks of a step its limit a worker allows.
+
+    Args:
+        stage: The step.
+        worker: The worker.
+        wanted: Upper bound of the result.
+    """
     limit = stage.spec.worker_limit
     if not limit:
         return wanted
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -176,11 +176,11 @@
         candidates = eligible_workers(stage, usable, not_slow, self._now)
         if self._observers:
             candidates = [w for w in candidates if not w.observes_suspect]
+        if stage.workflow.workflow.policy.advised:
+            self._request_advice(stage, len(waiting), candidates, usable)
         if is_suspected(waiting[0]):
             self._place_suspect(stage, stage_rank, waiting, candidates)
             return
-        if stage.workflow.workflow.policy.advised:
-            self._request_advice(stage, len(waiting), candidates, usable)
         began_to_fail_at = failures_since(stage, self._suspects)
         if began_to_fail_at is not None:
             sound = [
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -13,6 +13,7 @@
 from redwingrudder.workflows import records
 from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import (
+    AskAdvice,
     EndKind,
     RunEnd,
     RunReport,
@@ -285,6 +286,68 @@
         self.engine.report("w1", reports, 1.0)
         self.assertEqual(self.crash(2.0), ["clear"] * 3)
 
+    def test_short_run_clears_its_task_and_frees_its_siblings(self):
+        """Guards against a step that waits for a suspect that has ended.
+
+        The run ends before the worker has reported it for long enough.
+        """
+        fx.confirm(self.engine, self.starts[:1])
+        self.crash(0.1)
+        (suspect,) = fx.starts(self.engine.plan(30.0, 30.0))
+        fx.confirm(self.engine, [suspect], 30.0)
+        self.engine.end("w1", fx.ended(suspect), 30.1)
+        self.assertEqual(len(fx.starts(self.engine.plan(30.2, 30.2))), 2)
+
+    def test_crash_under_a_stopped_run_of_a_guilty_gang(self):
+        """Guards against runs that stay since their worker's end is an error.
+
+        A member of the gang is being stopped on another worker.
+        """
+        engine = fx.engine(fx.worker("w1"), fx.worker("w2", address="10.0.0.2:1"))
+        engine.accept(fx.workflow("gang", fx.step(2, fx.WHOLE_WORKER, gang=True)), 0)
+        for now in (0.0, 30.0):
+            fx.confirm(engine, engine.plan(now, now), now)
+            engine.worker_restarted("w1", now + 0.1)
+            engine.interrupt_worker("w1", now + 0.1, "crashed")
+            if not now:
+                engine.interrupt_worker("w2", now + 0.1, "lease_lapsed")
+        self.assertEqual(engine.workflows_by_id["gang"].state, WorkflowState.FAILED)
+        engine.worker_restarted("w2", 30.5)
+        engine.interrupt_worker("w2", 30.5, "crashed")
+        self.assertEqual(engine.workers_by_id["w2"].tasks_by_key, {})
+
+    def test_suspect_keeps_to_the_limit_a_worker(self):
+        """Guards against a suspect that waits for a worker at its limit."""
+        facts = [fx.worker(f"w{n}", address=f"10.0.0.{n}:1") for n in range(2)]
+        engine = fx.engine(*facts)
+        engine.accept(fx.workflow("job", fx.step(2, worker_limit=1)), 0.0)
+        lost, kept = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, [lost, kept])
+        engine.report(kept.worker_id, [fx.running(kept)], 1.0)
+        engine.worker_restarted(lost.worker_id, 1.0)
+        engine.interrupt_worker(lost.worker_id, 1.0, "crashed")
+        engine.accept(fx.workflow("other", fx.step(2)), 2.0)
+        others = [RunReport(fx.key("other", index=n), 1, "", 1.0) for n in range(2)]
+        for other in others:
+            engine.adopt_run(other.key, 1, lost.worker_id, True, 2.0)
+        engine.report(lost.worker_id, others, 3.0)
+        (retried,) = fx.starts(engine.plan(30.0, 30.0))
+        self.assertEqual(retried.worker_id, lost.worker_id)
+
+    def test_suspect_asks_for_advice_again(self):
+        """Guards against a suspect that waits for a permit without asking."""
+        workflow = fx.workflow("job", fx.step(1))
+        policy = workflow.policy._replace(advised=True)
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(workflow._replace(policy=policy), 0.0)
+        (request,) = engine.plan(0.0, 0.0)
+        engine.record_advice(request, {"w1": "ticket"}, 5.0, 0.0)
+        fx.confirm(engine, engine.plan(0.1, 0.1), 0.1)
+        engine.worker_restarted("w1", 0.2)
+        engine.interrupt_worker("w1", 0.2, "crashed")
+        (request,) = engine.plan(30.0, 30.0)
+        self.assertIsInstance(request, AskAdvice)
+
 
 if __name__ == "__main__":
     unittest.main()
