Let the time of writes extend the time limit of store calls again

Since the limits of writes follow their upload, no write counted for the mean reply time, from which the limit is derived while the store is slow: writes of a node that reads little would have been given up.

--- a/src/redwingrudder/_http_client.py
+++ b/src/redwingrudder/_http_client.py
@@ -89,7 +89,13 @@
             self._request(method, url, content, headers or {}, collector)
         )
         limit = TransferLimit(self._reactor, pending, timeout_s, transfer_s)
-        collector.on_part = lambda: (limit.extend(), on_progress and on_progress())
+
+        def record_progress() -> None:
+            limit.extend()
+            if on_progress is not None:
+                on_progress()
+
+        collector.on_part = record_progress
         try:
             return await pending
         except (ConnectError, ConnectingCancelledError, RequestNotSent) as error:
--- a/src/redwingrudder/platform/store.py
+++ b/src/redwingrudder/platform/store.py
@@ -287,7 +287,7 @@
             self._pending.discard(pending)
             self.tell(METRICS, IncrementCounter("store_calls", (outcome,)))
         if reply.status in (200, 404, 410, 412):
-            if not allowed_s:
+            if method != "GET" or not allowed_s:
                 self._record_latency(self.system.clock.seconds() - started_at)
             self._failures = 0
             self._answered_sent_at = max(self._answered_sent_at, started_at)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -77,6 +77,33 @@
         self.assertGreater(large_s, TIMEOUT_S + 8 * 500_000 / 5e6)
 
 
+class SlowClient(FakeClient):
+    """Answers each call after a time."""
+
+    def __init__(self, clock, delay_s):
+        super().__init__()
+        self.clock = clock
+        self.delay_s = delay_s
+
+    async def call(self, *arguments, **options):
+        await pause(self.clock, self.delay_s)
+        return await super().call(*arguments, **options)
+
+
+class SlowStoreTests(unittest.TestCase):
+    def test_slow_writes_extend_the_timeout(self):
+        """Guards against writes that are given up while a store is slow."""
+        clock = Clock()
+        system = ActorSystem(clock)
+        Recording(system, METRICS, {IncrementCounter: None, SetGauge: None})
+        client = SlowClient(clock, 0.3)
+        PlatformStore(system, client, (), (), 1e9)
+        for _ in range(12):
+            system.ask(STORE, Transact((), (PutKey("k", "v"),)))
+            run_for(clock, 0.4)
+        self.assertGreater(client.begin_timeouts[-1], 2 * TIMEOUT_S)
+
+
 class OutageClient:
     """Answers calls while it is up; others fail after their time limit."""
 
