Suspect recorded runs only if both start times of the worker are known

A record that names the start time of a worker's process, beside an entry of that worker without one, counted as a restart, so that each change of the coordinator would have isolated the runs of such workers. Found by reading the diff; the middle case of the new test failed before.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -519,8 +519,9 @@
         task.run, task.worker_id = run, worker_id
         task.record_start(now)
         self.step(task, "assign", now)
-        facts = self.workers_by_id[worker_id].facts
-        if process_started_ms and facts.process_started_ms != process_started_ms:
+        known_started_ms = self.workers_by_id[worker_id].facts.process_started_ms
+        both_known = process_started_ms and known_started_ms
+        if both_known and known_started_ms != process_started_ms:
             # The record does not tell whether and for how long the run had
             # gone on.
             suspicion_holder(task).possible_crashes += 1
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -334,6 +334,19 @@
         (retried,) = fx.starts(engine.plan(30.0, 30.0))
         self.assertEqual(retried.worker_id, lost.worker_id)
 
+    def test_recorded_run_is_suspected_of_a_known_restart_only(self):
+        """Guards against isolating work after each change of coordinator.
+
+        An entry of a worker may lack the start time of its process.
+        """
+        for started_ms, expected in ((1, "clear"), (0, "clear"), (2, "suspected")):
+            with self.subTest(started_ms):
+                engine = fx.engine(fx.worker("w1", process_started_ms=started_ms))
+                progress = engine.accept(fx.workflow("job"), 0.0)
+                engine.adopt_run(fx.key(), 1, "w1", False, 0.0, 1)
+                (task,) = progress.tasks()
+                self.assertEqual(task.suspicion, expected)
+
     def test_suspect_asks_for_advice_again(self):
         """Guards against a suspect that waits for a permit without asking."""
         workflow = fx.workflow("job", fx.step(1))
