Suspect runs that had just started on a worker whose lease lapses

A worker that came back later than its lease lasts was seen as silent first: its runs were interrupted without a count, and when another process answered at its address nothing was left to attribute. A task whose workers take longer to come back would have been started without end, as before the mend.

Such a lapse may be a cut link, so it makes the runs that had just started suspects and counts as a possible crash, of which three are needed with the task as the only suspect. test_crash_that_outlasts_the_lease_is_counted shows it: given up after three.

--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -225,6 +225,8 @@
         )
         if message.restarted:
             self._engine.worker_restarted(worker_id, now, message.unanswered_starts)
+        else:
+            self._engine.worker_lost(worker_id, now, message.unanswered_starts)
         self._engine.interrupt_worker(worker_id, now, "lease_lapsed")
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and not worker.listed:
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -84,7 +84,10 @@
 
 
 def record_crash(
-    worker: Worker, now: float, unanswered_starts: Container[tuple[TaskKey, int]]
+    worker: Worker,
+    now: float,
+    unanswered_starts: Container[tuple[TaskKey, int]],
+    certain: bool = True,
 ) -> list[Task]:
     """Attribute a crash to the runs of a worker.
 
@@ -96,6 +99,8 @@
             crash.
         now: Node-clock seconds.
         unanswered_starts: Runs whose starts the worker may have received.
+        certain: Whether the worker's process is known to have ended. It may
+            have been cut off otherwise.
 
     Returns:
         The tasks that are suspected; of each gang, the first member found.
@@ -109,9 +114,9 @@
     runs.sort(key=lambda run: not run.run_confirmed)
     causes = [r for r in runs if is_suspected(r) or not has_proved_harmless(r)]
     suspects = _one_per_gang(causes)
-    for task in _one_per_gang(runs):
+    for task in _one_per_gang(runs) if certain else suspects:
         holder = suspicion_holder(task)
-        if task.run_confirmed:
+        if task.run_confirmed and certain:
             holder.crashes += 1
         else:
             holder.possible_crashes += 1
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -178,6 +178,25 @@
             },
         )
 
+    def worker_lost(
+        self,
+        worker_id: str,
+        now: float,
+        unanswered_starts: Container[tuple[TaskKey, int]] = frozenset(),
+    ) -> None:
+        """Suspect the runs that had just started on a worker that fell silent.
+
+        The worker may have crashed and may come back after its lease.
+
+        Args:
+            worker_id: The worker; an unknown one is ignored.
+            now: Node-clock seconds.
+            unanswered_starts: Runs whose starts the worker may have received.
+        """
+        worker = self.workers_by_id.get(worker_id)
+        if worker is not None and not worker.facts.draining and not worker.emptying:
+            record_crash(worker, now, unanswered_starts, certain=False)
+
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
         """Mark all runs of a worker as interrupted; none may be running.
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -27,6 +27,7 @@
 RUN_S = 2.0
 REPORT_S = 0.5
 RETURN_S = 3.0
+LEASE_S = 6.0
 # The users' limit: after three crashes under a task, it may be started twice.
 MAX_CRASHES = 5
 
@@ -42,7 +43,9 @@
         now: Node-clock seconds.
     """
 
-    def __init__(self, workers=12):
+    def __init__(self, workers=12, return_s=RETURN_S):
+        self.return_s = return_s
+        self._lapses = []
         self.facts_by_id = {
             f"w{index}": fx.worker(f"w{index}", address=f"10.0.0.{index}:80")
             for index in range(workers)
@@ -76,7 +79,7 @@
             self.now += STEP_S
 
     def crash(self, worker_id):
-        """Let a worker end at once; it is back after ``RETURN_S``."""
+        """Let a worker end at once; it is back after ``return_s``."""
         runs = self._running_by_worker.pop(worker_id, {})
         self.lost_runs += sum(key not in self.deadly for key in runs)
         for key in runs:
@@ -87,7 +90,9 @@
             self.facts_by_id[worker_id] = facts._replace(
                 process_started_ms=facts.process_started_ms + 1
             )
-            heapq.heappush(self._returns, (self.now + RETURN_S, worker_id))
+            heapq.heappush(self._returns, (self.now + self.return_s, worker_id))
+            if self.return_s > LEASE_S:
+                self._lapses.append((self.now + LEASE_S, worker_id))
 
     def _break_gang(self, lost):
         for runs in self._running_by_worker.values():
@@ -152,9 +157,15 @@
         return {worker_id for _, worker_id in self._returns}
 
     def _bring_back(self):
+        while self._lapses and self._lapses[0][0] <= self.now:
+            _, worker_id = self._lapses.pop(0)
+            self.engine.workers_by_id[worker_id].reachable = False
+            self.engine.worker_lost(worker_id, self.now)
+            self.engine.interrupt_worker(worker_id, self.now, "lease_lapsed")
         while self._returns and self._returns[0][0] <= self.now:
             _, worker_id = heapq.heappop(self._returns)
             self.engine.set_worker(self.facts_by_id[worker_id], self.now)
+            self.engine.workers_by_id[worker_id].reachable = True
             self.engine.reconcile(worker_id, set(), True, self.now)
 
     def _finish_runs(self):
@@ -223,6 +234,14 @@
         self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
         self.assertEqual(list(fleet.crashes_by_key.values()), [2])
 
+    def test_crash_that_outlasts_the_lease_is_counted(self):
+        """Guards against a task whose workers come back after their leases."""
+        fleet = CrashingFleet(return_s=2 * LEASE_S)
+        fleet.accept("deadly", fx.step(1), deadly=[0])
+        fleet.run_until(80.0)
+        self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
+        self.assertEqual(list(fleet.crashes_by_key.values()), [3])
+
     def test_count_survives_a_change_of_the_coordinator(self):
         """Guards against a count that begins anew with each coordinator."""
         fleet = CrashingFleet()
