--- a/src/redwingrudder/coordination/peers.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -428,7 +428,7 @@
         return True
 
     def _log_newer_version(self, summary: NodeSummary) -> None:
-        """Log once for each version that a peer has it and this node not."""
+        """Log once for each version that a peer has before this node."""
         if summary.configuration_version > self._reported_version:
             self._reported_version = summary.configuration_version
             _logger.info(
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -466,7 +466,7 @@
 
 
 def max_tasks_on_worker(stage: Stage, worker: Worker, wanted: int) -> int:
-    """Return how many more tasks of a step its limit a worker allows.
+    """Return how many more tasks of a step may run on a worker.
 
     Args:
         stage: The step.
