--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -286,7 +286,16 @@
         task = self.current(key, run)
         if task is None:
             return
-        _logger.info("start rejected", extra={**run_log_fields(task), "reason": reason})
+        _logger.info(
+            "start rejected",
+            extra={
+                **run_log_fields(task),
+                "run": run,
+                "worker": task.worker_id,
+                "reason": reason,
+                "state": task.state,
+            },
+        )
         if reason == "permit":
             task.stage.permits_by_worker.pop(task.worker_id, None)
         self.step(task, "rejected", now)
@@ -363,6 +372,8 @@
                 "worker": worker_id,
                 "end": str(ended.kind),
                 "current": current,
+                "state": task.state,
+                "recorded": task.key.workflow_id not in self.dirty,
             },
         )
         if ended.kind in (EndKind.DONE, EndKind.FAILED) and current:
