--- /dev/null
+++ b/tests/test_settled_starts.py
@@ -0,0 +1,256 @@
+"""Tests of starts without an answer on workers that stop runs slowly."""
+
+import math
+import unittest
+
+from redwingrudder.coordination.authority import Authority
+from redwingrudder.coordination.gateways import (
+    COORDINATOR,
+    LEADERSHIP,
+    CommandReply,
+    WorkerChannel,
+    WorkerReport,
+)
+from redwingrudder.coordination.messages import (
+    Fenced,
+    StartSettled,
+    WorkerLeaseLapsed,
+    WorkerPolled,
+    WorkerSilent,
+)
+from redwingrudder.coordination.worker_session import WorkerSession
+from redwingrudder.exceptions import OutcomeUnknownError
+from redwingrudder.timers import TimerService
+from redwingrudder.workflows.model import EndKind, RunEnd, RunReport, StartRun, StopRun
+
+from . import workflow_fixtures as fx
+from .coordination_fakes import Recording, node_system, run_for
+from .test_worker_session import TIMES
+
+STOP_S = 0.9  # time for which a run goes on after its stop was answered
+WORK_S = 30.0  # duration of a run that is not stopped
+
+
+class SlowStopChannel(WorkerChannel):
+    """Channel to a worker whose runs go on for a while after a stop.
+
+    Attributes:
+        lost_starts: Number of following starts without a reply.
+        lost_starts_begin: Whether starts without a reply begin their run.
+        start_rejection: Reason with which starts are rejected after that.
+        lost_stops: Number of following stops that have no effect and no reply.
+        rejections: Reasons with which the next stops or polls are rejected, by
+            the name of the call.
+        runs: End of each run that has begun, in clock seconds, by its key.
+        stopped: Runs that were stopped or have ended.
+        calls: Names of the calls in the order of arrival.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.lost_starts = 0
+        self.lost_starts_begin = False
+        self.start_rejection = ""
+        self.lost_stops = 0
+        self.rejections = {"stop": [], "poll": []}
+        self.runs = {}
+        self.stopped = set()
+        self.calls = []
+
+    def begin(self, run_key):
+        self.runs[run_key] = self.clock.seconds() + WORK_S
+
+    def goes_on(self, run_key):
+        return self.runs.get(run_key, 0.0) > self.clock.seconds()
+
+    async def start(self, run, lease_until_ms, fence, timeout_s):
+        self.calls.append("start")
+        if self.lost_starts:
+            self.lost_starts -= 1
+            if self.lost_starts_begin:
+                self.begin((run.key, run.run))
+            raise OutcomeUnknownError("the reply to the start was lost")
+        return self._reply(self.start_rejection)
+
+    async def stop(self, run, fence, timeout_s):
+        self.calls.append("stop")
+        if self.lost_stops:
+            self.lost_stops -= 1
+            raise OutcomeUnknownError("the reply to the stop was lost")
+        if self.rejections["stop"]:
+            return self._reply(self.rejections["stop"].pop(0))
+        run_key = (run.key, run.run)
+        if run_key not in self.stopped and self.goes_on(run_key):
+            self.runs[run_key] = self.clock.seconds() + STOP_S
+        self.stopped.add(run_key)
+        return self._reply("")
+
+    async def throttle(self, run, fence, timeout_s):
+        return self._reply("")
+
+    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+        self.calls.append("poll")
+        if self.rejections["poll"]:
+            return self._reply(self.rejections["poll"].pop(0))
+        running = tuple(
+            RunReport(key, run, "", 50.0)
+            for key, run in self.runs
+            if self.goes_on((key, run))
+        )
+        ended = tuple(
+            RunEnd(number, key, run, EndKind.STOPPED, "")
+            for number, (key, run) in enumerate(self.runs, 1)
+            if not self.goes_on((key, run)) and number > acknowledged_end
+        )
+        return WorkerReport(self._clock_ms(), 1, running, ended)
+
+    def reset(self):
+        pass
+
+    def close(self):
+        pass
+
+    def _reply(self, reason):
+        return CommandReply(not reason, reason, self._clock_ms())
+
+    def _clock_ms(self):
+        return int(self.clock.seconds() * 1000) + 1
+
+
+class SettledStartTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, _ = node_system()
+        TimerService(self.system)
+        message_types = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
+        self.coordinator = Recording(
+            self.system, COORDINATOR, dict.fromkeys(message_types, None)
+        )
+        Recording(self.system, LEADERSHIP, {Fenced: None})
+        self.channel = SlowStopChannel(self.clock)
+        self.session = WorkerSession(
+            self.system,
+            fx.worker("w1"),
+            self.channel,
+            3,
+            TIMES,
+            Authority(self.clock.seconds, math.inf),
+        )
+        self.session.start()
+        run_for(self.clock, 0.1)
+        self.run_key = (fx.key(), 1)
+
+    def start_run(self, seconds):
+        self.system.tell(self.session.name, StartRun("w1", *self.run_key, "", ""))
+        run_for(self.clock, seconds)
+
+    def settled(self):
+        return [m for m in self.coordinator.received if isinstance(m, StartSettled)]
+
+    def run_until_settled(self, limit_s):
+        """Run until the start is settled; the run must not go on then."""
+        deadline = self.clock.seconds() + limit_s
+        while not self.settled() and self.clock.seconds() < deadline:
+            run_for(self.clock, 0.01)
+        self.assertEqual(len(self.settled()), 1, "the start was not settled")
+        self.assertFalse(self.channel.goes_on(self.run_key))
+
+    def assert_end_came_first(self):
+        """Check that COORDINATOR knew the end when the start was settled."""
+        received = self.coordinator.received
+        reports = received[: received.index(self.settled()[0])]
+        ends = [
+            (end.key, end.run)
+            for message in reports
+            if isinstance(message, WorkerPolled)
+            for end in message.report.ended
+        ]
+        self.assertIn(self.run_key, ends)
+
+    def test_answered_stop_is_not_taken_for_the_end_of_a_run(self):
+        """Guards against a second run while the first one is being stopped."""
+        self.channel.lost_starts, self.channel.lost_starts_begin = 3, True
+        self.start_run(STOP_S / 2)
+        self.assertIn("stop", self.channel.calls)
+        self.run_until_settled(STOP_S)
+        self.assert_end_came_first()
+
+    def test_stop_ordered_meanwhile_does_not_settle_a_start(self):
+        """Guards against a second run after two stops of the same run.
+
+        The coordinator stops the run as well, while the stop that follows its
+        start is not answered yet.
+        """
+        self.channel.lost_starts, self.channel.lost_starts_begin = 3, True
+        self.channel.lost_stops = 2
+        self.start_run(0.1)
+        self.system.tell(self.session.name, StopRun("w1", *self.run_key))
+        self.run_until_settled(3.0)
+        self.assert_end_came_first()
+
+    def test_rejected_stop_is_repeated(self):
+        """Guards against a run that goes on after a stop without an effect."""
+        for reason in ("unhealthy", "invalid"):
+            with self.subTest(reason=reason):
+                self.setUp()
+                self.channel.lost_starts, self.channel.lost_starts_begin = 3, True
+                self.channel.rejections["stop"] = [reason, reason]
+                self.start_run(0.1)
+                self.run_until_settled(5.0)
+                self.assert_end_came_first()
+
+    def test_rejected_poll_is_no_report_of_an_end(self):
+        """Guards against a second run after a poll that reported nothing."""
+        self.channel.lost_starts, self.channel.lost_starts_begin = 3, True
+        self.channel.rejections["poll"] = ["unhealthy"] * 2
+        self.start_run(0.1)
+        self.run_until_settled(5.0)
+        self.assert_end_came_first()
+
+    def test_rejection_after_a_lost_attempt_is_not_final(self):
+        """Guards against a second run beside the first attempt of a start.
+
+        The reply to the first attempt is lost, and the second attempt is
+        rejected for a reason that says nothing about the first.
+        """
+        for reason in ("room", "permit", "unhealthy", "lapsed", "invalid"):
+            for began in (False, True):
+                with self.subTest(reason=reason, began=began):
+                    self.setUp()
+                    self.channel.lost_starts = 1
+                    self.channel.lost_starts_begin = began
+                    self.channel.start_rejection = reason
+                    self.start_run(0.1)
+                    self.run_until_settled(5.0)
+                    self.assertIn("stop", self.channel.calls)
+                    self.assertEqual(self.settled()[0].reply.reason, reason)
+
+    def test_outdated_start_may_still_be_stopping(self):
+        """Guards against a second run of a task whose run is being stopped.
+
+        The first attempt began the run, and a stop was answered before the
+        second attempt, which is rejected as outdated.
+        """
+        self.channel.lost_starts = 1
+        self.channel.start_rejection = "outdated"
+        self.channel.runs[self.run_key] = self.clock.seconds() + STOP_S
+        self.channel.stopped.add(self.run_key)
+        self.start_run(0.1)
+        self.run_until_settled(5.0)
+        self.assert_end_came_first()
+
+    def test_start_that_never_began_is_settled_without_delay(self):
+        """Guards against waiting for the end of a run that never began."""
+        self.channel.lost_starts = 3
+        self.start_run(0.1)
+        self.run_until_settled(0.01)
+
+    def test_definite_rejection_needs_no_stop(self):
+        """Guards against calls that delay the next placement of a task."""
+        self.channel.start_rejection = "room"
+        self.start_run(0.1)
+        self.run_until_settled(0.01)
+        self.assertNotIn("stop", self.channel.calls)
+
+
+if __name__ == "__main__":
+    unittest.main()
