Settle a start only when its run has ended or can no longer begin

Cause: an answer to an order was taken for its effect. A start without a reply is followed by a stop; when the stop was answered and one poll had been answered, the start was settled as 'unanswered', although the worker may take the deployment's whole stop timeout to end the run. A task that the coordinator had stopped as well (state 'stopping') became 'waiting' on it and was placed on another worker. Ruled out: a hand-over, both runs belong to one term.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -45,6 +45,8 @@
 STOP_RETRY_DELAY_S = 0.3
 SILENT_AFTER_S = 2.0  # time without a reply until a worker counts as silent
 RETRY_DELAY_S = 0.3  # after a poll that failed or was rejected
+# Rejections after which the worker accepts no call of this session any more.
+FINAL_REJECTIONS = frozenset({"fenced", "other_life"})
 # Interval between polls while reported ends are not recorded yet, and between
 # polls of workers that answer without waiting.
 BUSY_POLL_INTERVAL_S = 0.25
@@ -384,16 +386,15 @@
     async def _start(self, message: StartRun) -> None:
         """Send a start and report its outcome to COORDINATOR.
 
-        If the start got no reply, or the worker rejects it as outdated, the
-        worker is polled first, so that an end of the run is reported before
-        the outcome.
+        A start that fails is reported only when its run cannot begin any more
+        and does not go on. An end of the run is reported before the outcome.
         """
         run_key = (message.key, message.run)
         self._starts_in_flight.add(run_key)
         try:
             reply = await self._send_start(message)
-            if reply.reason in ("unanswered", "outdated"):
-                await self._poll_for_end()
+            if self._may_have_begun(run_key, reply):
+                await self._close_run(message)
             if reply.reason == "unanswered" and self._restarted:
                 # A run that crashed the worker has not ended otherwise.
                 self._report_lapsed()
@@ -409,10 +410,7 @@
             self._poll_soon()
 
     async def _send_start(self, message: StartRun) -> CommandReply:
-        """Send a start until it is answered; after the last attempt, stop it.
-
-        The stop keeps a start that arrives late from taking effect.
-        """
+        """Send a start until it is answered, at most once per time limit."""
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
             if self._closed or not self._authority.valid or not self._worker_clock_ms:
                 break
@@ -432,28 +430,53 @@
                 self._record_answer(reply.clock_ms)
                 return reply
             self._record_no_answer()
-        await self._send_stop(message)
         return CommandReply(False, "unanswered")
 
-    async def _poll_for_end(self) -> None:
-        """Poll until a reply, so that the end of a started run is reported.
+    def _may_have_begun(
+        self, run_key: tuple[TaskKey, int], reply: CommandReply
+    ) -> bool:
+        """Return whether the run of a start that failed may go on or begin.
 
-        A start without a reply may have begun a run that has ended since.
-        COORDINATOR has to receive this end before the failure of the start;
-        otherwise it would run the task a second time.
+        A rejection says nothing about earlier attempts that got no reply. A
+        run that is being stopped makes its start outdated.
         """
+        if reply.accepted or reply.reason == "fenced":
+            return False
+        return (
+            reply.reason in ("unanswered", "outdated")
+            or run_key in self._unanswered_starts
+        )
+
+    async def _close_run(self, message: StartRun) -> None:
+        """Stop a run and wait until it has ended or the lease has lapsed.
+
+        After the reply to the stop the run cannot begin any more, but a run
+        that has begun goes on until the worker has stopped it. COORDINATOR
+        receives the end of such a run before this returns; otherwise it would
+        run the task a second time.
+        """
+        await self._send_stop(message)
+        run_key = (message.key, message.run)
+        wait_s = 0.0
         while not self._closed and self._chart.state != "lapsed":
             sent_at = self.system.clock.seconds()
-            reply = await self._send_poll(0.0)
+            reply = await self._send_poll(wait_s)
+            wait_s = 0.0
             if reply is None:
                 self._record_no_answer(sent_at)
-                await pause(self.system.clock, RETRY_DELAY_S)
-                continue
-            if isinstance(reply, CommandReply):
+            elif isinstance(reply, CommandReply):
                 self._handle_rejection(reply)
+                if reply.reason in FINAL_REJECTIONS:
+                    return
             elif not self._closed:
                 self._handle_report(reply, sent_at)
-            return
+                if run_key not in {(entry.key, entry.run) for entry in reply.running}:
+                    return
+                if self._newest_end <= self._acknowledged_end:
+                    # The worker replies as soon as the run has ended.
+                    wait_s = POLL_WAIT_S
+            if self.system.clock.seconds() - sent_at < MIN_POLL_DURATION_S:
+                await pause(self.system.clock, BUSY_POLL_INTERVAL_S)
 
     async def _stop(self, message: StopRun) -> None:
         await self._send_stop(message)
@@ -475,7 +498,7 @@
             self.tell(COORDINATOR, ThrottleUnanswered(message))
 
     async def _send_stop(self, message: StartRun | StopRun) -> None:
-        """Repeat a stop until the worker answers or its lease has lapsed.
+        """Repeat a stop until the worker accepts it or its lease has lapsed.
 
         Without authority nothing is sent: a successor may have adopted the
         run.
@@ -486,12 +509,23 @@
                 continue
             stop = self._channel.stop(message, self._fence, COMMAND_TIMEOUT_S)
             reply = await self._await_reply(stop, "stop", _run_fields(message))
-            if reply is not None:
-                self._record_answer(reply.clock_ms)
-                if reply.reason == "fenced":
-                    self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
+            if reply is None:
+                self._record_no_answer()
+            elif reply.reason in FINAL_REJECTIONS:
+                self._handle_rejection(reply)
                 return
-            self._record_no_answer()
+            else:
+                self._record_answer(reply.clock_ms)
+                if reply.accepted:
+                    return
+                _logger.warning(
+                    "worker rejected a stop; it is repeated",
+                    extra={
+                        "worker": self._facts.worker_id,
+                        **_run_fields(message),
+                        "reason": reply.reason,
+                    },
+                )
             await pause(self.system.clock, STOP_RETRY_DELAY_S)
 
     def _report_silent(self) -> None:
