Acknowledge ends only when the record of their job is complete

Cause: what is known in memory was taken for recorded. The first end of a gang completes all members in memory, so the ends of the others changed nothing and were acknowledged to their workers at once, while the record that makes the first end last waited for a silent store. The worker forgot them, the term ended, and the successor restored the gang as starting. The same holds for ends of older runs, of withdrawn tasks and for ends that a new session lists again. Ruled out: a write that was lost after its acknowledgement; the log has no acknowledgement of a record.

Change: an end waits until its workflow is recorded, whether or not it changes anything. Engine.is_recorded covers changed workflows and those whose write is in progress; ends that arrive during a write and change nothing are acknowledged with it. The removal of expired records uses the same test. Engine.end returns whether it changed anything; the assertion of test_end_of_an_older_run_changes_nothing is as strict as before with the new type.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -87,6 +87,7 @@
         ]
         included = set(batch)
         engine.dirty -= included
+        engine.being_recorded = included
         starts = [s for s in self._pending_starts if s.key.workflow_id in included]
         ends = self._workers.find_unrecorded_ends(included)
         try:
@@ -105,12 +106,20 @@
             self._closed = True
             self._on_deposed()
         elif not written.workflow_ids:
-            engine.dirty |= included
+            self._mark_unrecorded(included)
         else:
+            engine.being_recorded = set()
+            # Ends that arrived during the write and changed nothing are in the
+            # record too.
+            ends += self._workers.find_unrecorded_ends(included - engine.dirty)
             self._handle_recorded(written.workflow_ids, starts, ends)
 
-    async def _retry_later(self, workflow_ids: set[str]) -> None:
+    def _mark_unrecorded(self, workflow_ids: set[str]) -> None:
+        self._engine.being_recorded = set()
         self._engine.dirty |= workflow_ids
+
+    async def _retry_later(self, workflow_ids: set[str]) -> None:
+        self._mark_unrecorded(workflow_ids)
         await pause(self._system.clock, RETRY_DELAY_S)
 
     def _handle_recorded(
--- a/src/redwingrudder/coordination/retention.py
+++ b/src/redwingrudder/coordination/retention.py
@@ -66,7 +66,7 @@
             and now - progress.ended_at > self._retention_s
             and progress.settled
             and progress.recorded_state in FINAL_STATES
-            and workflow_id not in self._engine.dirty
+            and self._engine.is_recorded(workflow_id)
         ][:MAX_WORKFLOWS_PER_REMOVAL]
 
     async def _remove(self, workflow_ids: list[str]) -> None:
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -330,8 +330,9 @@
                 continue
             last_number = end.number
             self._system.tell(METRICS, IncrementCounter("run_ends", (str(end.kind),)))
-            workflow_id = self._engine.end(worker_id, end, now)
-            if workflow_id is not None:
+            self._engine.end(worker_id, end, now)
+            workflow_id = end.key.workflow_id
+            if not self._engine.is_recorded(workflow_id):
                 unrecorded[end.number] = workflow_id
         self._last_end_by_worker[worker_id] = last_number
         if last_number and not unrecorded:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -352,17 +352,19 @@
         if worker is not None:
             update_worker_speed(worker, self.run_times, now)
 
-    def end(self, worker_id: str, ended: RunEnd, now: float) -> str | None:
+    def end(self, worker_id: str, ended: RunEnd, now: float) -> bool:
         """Handle the end of a run that a worker reports.
 
+        The end may be acknowledged to the worker once ``is_recorded`` holds
+        for its workflow, also if it changes nothing: what is known of it may
+        not have been recorded yet.
+
         Returns:
-            The id of the workflow whose stored progress must include this end
-            before it is acknowledged to the worker, or None if the end
-            changes nothing.
+            Whether the end has changed the progress of its workflow.
         """
         task = self.find(ended.key)
         if task is None:
-            return None
+            return False
         current = task.run == ended.run and task.worker_id == worker_id
         _logger.info(
             "run ended",
@@ -373,7 +375,7 @@
                 "end": str(ended.kind),
                 "current": current,
                 "state": task.state,
-                "recorded": task.key.workflow_id not in self.dirty,
+                "recorded": self.is_recorded(task.key.workflow_id),
             },
         )
         if ended.kind in (EndKind.DONE, EndKind.FAILED) and current:
@@ -381,7 +383,7 @@
         if ended.kind is EndKind.DONE and not task.stage.spec.service:
             return self._record_done(task, worker_id, current, now)
         if not current or task.ended or not task.placed:
-            return None
+            return False
         self.save_checkpoint(task, ended.checkpoint)
         if ended.kind is EndKind.FAILED:
             task.failed_workers.add(worker_id)
@@ -393,7 +395,7 @@
             event = "run_interrupted"
         self.step(task, event, now)
         self._after_failure(task, ended.kind, now)
-        return ended.key.workflow_id
+        return True
 
     def plan(self, now: float, wall: float) -> list[Effect]:
         """Run a planning pass and return all pending effects.
@@ -623,9 +625,9 @@
 
     def _record_done(
         self, task: Task, worker_id: str, current: bool, now: float
-    ) -> str | None:
+    ) -> bool:
         if task.ended:
-            return None
+            return False
         worker = self.workers_by_id.get(worker_id)
         if worker is not None and current:
             worker.record_success(task.started_at)
@@ -644,7 +646,7 @@
                 self.stop(member, "done_elsewhere")
             self.step(member, "run_done", now)
         self.settle(task.stage.workflow, now)
-        return task.key.workflow_id
+        return True
 
     def _after_failure(self, task: Task, kind: EndKind, now: float) -> None:
         stage = task.stage
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -46,7 +46,9 @@
     Attributes:
         workflows_by_id: Accepted workflows.
         workers_by_id: All workers.
-        dirty: Ids of workflows whose progress differs from the stored record.
+        dirty: Ids of workflows whose progress has changed since their record
+            was last written or began to be written.
+        being_recorded: Ids of workflows whose record is being written.
         effects: Effects that ``take_effects`` has not returned yet.
         term: Number of the coordinator's term.
         run_times: Expected run times.
@@ -56,6 +58,7 @@
         self.workflows_by_id: dict[str, WorkflowProgress] = {}
         self.workers_by_id: dict[str, Worker] = {}
         self.dirty: set[str] = set()
+        self.being_recorded: set[str] = set()
         self.effects: list[Effect] = []
         self.term = 1
         self.run_times = run_times
@@ -65,6 +68,10 @@
             "count_failure": self._count_failure,
         }
 
+    def is_recorded(self, workflow_id: str) -> bool:
+        """Return whether the stored record has all progress of a workflow."""
+        return workflow_id not in self.dirty and workflow_id not in self.being_recorded
+
     def find(self, key: TaskKey) -> Task | None:
         """Return the task with the given key, None if it is unknown."""
         progress = self.workflows_by_id.get(key.workflow_id)
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -75,7 +75,7 @@
         second = fx.starts(engine.plan(0.0, 0.0))[0]
         fx.confirm(engine, [second])
         late = fx.ended(first, EndKind.FAILED)
-        self.assertIsNone(engine.end(first.worker_id, late, 0.0))
+        self.assertIs(engine.end(first.worker_id, late, 0.0), False)
         task = engine.workflows_by_id["job"].find(second.key)
         self.assertEqual((task.state, task.failures), ("running", 0))
 
