Let the soak stop runs slowly and lose workers in outages of the store

From seed 800 on a run goes on for 0.9 s after its stop, and in an outage the store is silent while a worker crashes. Earlier seeds keep their sequence of faults.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -38,9 +38,14 @@
     "cancel",  # an accepted job is cancelled
 )
 FAULT_KINDS_WITH_LINKS = (*FAULT_KINDS, "link", "link")
+# In an outage the store is silent, and a worker crashes meanwhile.
+FAULT_KINDS_WITH_OUTAGES = (*FAULT_KINDS_WITH_LINKS, "outage", "outage")
 # Seeds below this one are older than the proxies. They get no link faults, so
 # that they keep their sequence of faults.
 FIRST_LINK_SEED = 500
+# From this seed on, runs go on after their stops, and there are outages.
+FIRST_OUTAGE_SEED = 800
+STOP_S = 0.9
 LINK_MODES = ("delay", "cut", "one_way", "reset", "mute")
 READY_TIMEOUT_S = 30
 JOB_END_TIMEOUT_S = 40.0  # from the last fault until all jobs must have ended
@@ -70,6 +75,7 @@
 readiness = "127.0.0.1:{ready}"
 [bounds]
 maxHoldMs = 6000
+stopTimeoutMs = 900
 status_s = 120
 graceS = 3
 [platform]
@@ -238,6 +244,8 @@
 
     def run(self, seconds):
         self._wait_until_ready()
+        if self.seed >= FIRST_OUTAGE_SEED:
+            self.deployment.control({"stop_s": STOP_S})
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             self._submit()
@@ -282,12 +290,17 @@
         if all(status in REJECTED_STATUSES for status in statuses):
             self.rejected.add(job_id)
 
+    def _fault_kinds(self):
+        if self.seed < FIRST_LINK_SEED:
+            return FAULT_KINDS
+        if self.seed < FIRST_OUTAGE_SEED:
+            return FAULT_KINDS_WITH_LINKS
+        return FAULT_KINDS_WITH_OUTAGES
+
     def _inject_fault(self):
         deployment, choose = self.deployment, self.random.choice
         index = self.random.randrange(NODE_COUNT)
-        kind = choose(
-            FAULT_KINDS if self.seed < FIRST_LINK_SEED else FAULT_KINDS_WITH_LINKS
-        )
+        kind = choose(self._fault_kinds())
         if kind == "kill":
             deployment.restart_node(index)
         elif kind == "term":
@@ -312,6 +325,13 @@
         elif kind == "crash":
             worker_index = str(self.random.randrange(WORKER_COUNT))
             deployment.control({"workers": {worker_index: "crash"}})
+        elif kind == "outage":
+            worker_index = str(self.random.randrange(WORKER_COUNT))
+            deployment.control({"store": "silent"})
+            time.sleep(self.random.uniform(0.5, 1.5))
+            deployment.control({"workers": {worker_index: "crash"}})
+            time.sleep(self.random.uniform(0.5, 2.5))
+            deployment.control({"store": "up"})
         elif kind == "link":
             port = choose(deployment.store_proxy_ports + deployment.worker_proxy_ports)
             deployment.set_link_mode(port, choose(LINK_MODES))
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -183,6 +183,8 @@
     def _control(self, request, body):
         if "store" in body:
             self.store.mode = body["store"]
+        for worker in self.workers:
+            worker.stop_s = body.get("stop_s", worker.stop_s)
         for index, mode in body.get("workers", {}).items():
             self.workers[int(index)].set_mode(mode)
         runs = [run for worker in self.workers for run in worker.runs]
@@ -230,7 +232,7 @@
     The rows of ``runs`` are lists of task, run, begin, end (0 while it runs),
     outcome, worker and whether the end was acknowledged. Times are in seconds.
     Modes are "up", "silent" (no replies) and "late" (starts get no reply and
-    take effect later).
+    take effect later). A run goes on for ``stop_s`` seconds after its stop.
     """
 
     def __init__(self, index, address, store):
@@ -240,6 +242,7 @@
         self.runs = []
         self.waiting_polls = []
         self.mode = "up"
+        self.stop_s = 0.0
         self.process_started_ms = 0
         self.reset()
 
@@ -303,9 +306,10 @@
         """Start a run of a task; a repeated start has no effect."""
         task, run = body["task"], body["runId"]
         current = self.running.get(task)
-        if current is not None and current["run"] == run:
+        is_closed = run <= self.last_closed_run_by_task.get(task, 0)
+        if current is not None and current["run"] == run and not is_closed:
             return 200, {}
-        if run <= self.last_closed_run_by_task.get(task, 0) or current is not None:
+        if is_closed or current is not None:
             return 409, {"reason": "old"}
         if body["deadlineAtMs"] <= self.clock_ms:
             return 409, {"reason": "late"}
@@ -324,7 +328,13 @@
         task, run = body["task"], body["runId"]
         current = self.running.get(task)
         if current is not None and current["run"] == run:
-            self._finish(task, "stopped")
+            if not self.stop_s:
+                self._finish(task, "stopped")
+            elif run > self.last_closed_run_by_task.get(task, 0):
+                current["timer"].cancel()
+                current["timer"] = reactor.callLater(
+                    self.stop_s, self._finish, task, "stopped"
+                )
         self.last_closed_run_by_task[task] = max(
             self.last_closed_run_by_task.get(task, 0), run
         )
