Confirm a write by all of its records

Callers may see a task run twice or an end forgotten after a change of the coordinator: a start is sent, or an end acknowledged, whose record was never written. Not seen in a trial; found by reading.

Cause: a transaction without an answer is confirmed by its first put alone. An earlier write with an unknown outcome may take effect during the second one, and hold the same progress of the first job but not of the others: batches begin with the jobs of pending starts, which have not changed, and go on with others. The second write then fails its comparison in the store, while its lookup finds the first record as expected and reports all of them as written.

Change: all puts are looked up once the first has taken effect, and must have the same revision.

test_late_write_of_other_records_is_no_success failed before with WriteOutcome(('job', 'other')) while the store held the old record of 'other'.

--- a/src/redwingrudder/coordination/confirmation.py
+++ b/src/redwingrudder/coordination/confirmation.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, FirstError, gatherResults
 
 from .._background import run
 from .._store_requests import GetKey, KeyValue, PutKey, Transact, TransactReply
@@ -22,8 +22,9 @@
 
     Args:
         system: The node's actor system.
-        message: The transaction. Its first put is looked up; the value has to
-            differ from what other writers store under that key.
+        message: The transaction, with at least one put. Its puts are looked
+            up; the values have to differ from what other writers store under
+            these keys.
 
     Raises:
         OutcomeUnknownError: The transaction has not been seen to take effect,
@@ -64,8 +65,6 @@
     async def read_back(self) -> TransactReply | None:
         """Return the reply of a transaction that has taken effect, else None.
 
-        All operations take effect together, so one key is enough.
-
         Returns:
             None also if the store does not answer.
         """
@@ -90,14 +89,32 @@
             self._settle(reply)
 
     async def _find_effect(self) -> TransactReply | None:
-        put = next(op for op in self._message.operations if isinstance(op, PutKey))
+        """Look up all puts; an earlier write may have stored some of them.
+
+        Puts of one transaction have the same revision. The others are read
+        only if the first has taken effect.
+        """
+        puts = [op for op in self._message.operations if isinstance(op, PutKey)]
+        first: KeyValue | None = await self._system.ask(STORE, GetKey(puts[0].key))
+        revision = self._effect_revision(puts[0], first)
+        if not revision:
+            return None
+        calls = [self._system.ask(STORE, GetKey(put.key)) for put in puts[1:]]
+        try:
+            items = await gatherResults(calls, consumeErrors=True)
+        except FirstError as error:
+            raise error.subFailure.value from error
+        for put, item in zip(puts[1:], items, strict=True):
+            if self._effect_revision(put, item) != revision:
+                return None
+        return TransactReply(True, revision)
+
+    def _effect_revision(self, put: PutKey, item: KeyValue | None) -> int:
+        """Return the revision with which a put has taken effect, else 0."""
         known_revision = max(
             (c.mod_revision for c in self._message.compares if c.key == put.key),
             default=0,
         )
-        item: KeyValue | None = await self._system.ask(STORE, GetKey(put.key))
         if item is None or item.value != put.value:
-            return None
-        if item.mod_revision <= known_revision:
-            return None
-        return TransactReply(True, item.mod_revision)
+            return 0
+        return item.mod_revision if item.mod_revision > known_revision else 0
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -13,7 +13,7 @@
     CONFIRM_AFTER_S,
     transact,
 )
-from redwingrudder.coordination.gateways import TERM_KEY
+from redwingrudder.coordination.gateways import PROGRESS_PREFIX, TERM_KEY
 from redwingrudder.coordination.recorder import Recorder
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
 
@@ -90,6 +90,33 @@
             self.assertEqual(outcome(written).workflow_ids, ("job",))
         self.assertEqual(len(store.transactions), 2)
 
+    def test_late_write_of_other_records_is_no_success(self):
+        """Guards against starts and ends of records that were never written.
+
+        An earlier write takes effect while a later one, whose answer is lost,
+        is looked up. Both write the same progress of one job, and only the
+        later one has that of another job.
+        """
+        clock, system, store = node_system()
+        store.contents.put(TERM_KEY, "1")
+        term = store.contents.items_by_key[TERM_KEY]
+        recorder = Recorder(system, 1, term.mod_revision)
+        engine = fx.engine()
+        for workflow_id in ("job", "other"):
+            engine.accept(fx.workflow(workflow_id), 0.0)
+        store.writes_to_delay = 1
+        first = ensureDeferred(recorder.write(engine, ["job", "other"]))
+        run_for(clock, 2 * CONFIRM_AFTER_S)
+        self.assertIsInstance(outcome(first), OutcomeUnknownError)
+        engine.cancel("other", 0.0)
+        store.writes_to_delay = 1
+        second = ensureDeferred(recorder.write(engine, ["job", "other"]))
+        self.assertEqual(store.apply_delayed_writes(), [True])
+        run_for(clock, 2 * CONFIRM_AFTER_S)
+        stored = store.contents.items_by_key[PROGRESS_PREFIX + "other"].value
+        self.assertNotIn("cancelled", stored)
+        self.assertIsInstance(outcome(second), OutcomeUnknownError)
+
 
 if __name__ == "__main__":
     unittest.main()
