Model the time between a stop and an end, and between an end and its record

The model check passed although a task could run twice in two ways. In the model a stop ended the run when it was delivered, and the end of a run was recorded and acknowledged in the step that reported it. So neither an answer to a stop that was taken for the end, nor an acknowledgement of an end that was known in memory only, could do harm.

In the model a worker that has accepted a stop now goes on with the run until it ends as stopped or as done. The engine may order a stop itself while the session repeats a start or its stop. A coordinator knows an end before it is recorded, and the worker reports it again, also to the next coordinator, until a record exists. A run that begins on a worker beside another run of the task counts as a violation too. Three variants are new: an answered stop is taken for the end of its run; a report made before the answer settles a start; an end that changes nothing in memory is acknowledged at once.

States that differ only in commands without an effect and without a waiting session, in the reports that a coordinator had before the task ended, or by exchanging the workers before the first placement are merged now.

Bounds and earlier variants are unchanged.

--- a/src/redwingrudder/_spec_workflow.py
+++ b/src/redwingrudder/_spec_workflow.py
@@ -2,8 +2,9 @@
 
 A command that was sent stays in a set until it is delivered. Commands may be
 delivered at any later time and in any sequence, and replies may be lost. A
-worker that is cut off from the coordinator continues its run until its lease
-lapses.
+worker that has accepted a stop continues the run for a while, and a worker
+that is cut off from the coordinator continues it until its lease lapses. A
+coordinator knows the end of a run before the end is recorded.
 """
 
 import enum
@@ -22,6 +23,8 @@
 MAX_SILENCES = 1
 WORKERS = (0, 1)
 START, STOP, NO_COMMAND = "start", "stop", ""
+AWAIT_REPORT = "await report"  # no command: the session waits for a report
+PLACED_STATES = ("starting", "running", "stopping")
 
 
 class Flaw(enum.StrEnum):
@@ -32,9 +35,12 @@
     NO_FENCE = "a poll does not raise the worker's fence"
     NO_STOP = "an unanswered start is abandoned without a stop"
     NO_POLL = "a start is abandoned without a poll for the end of its run"
+    STOP_IS_END = "an answered stop is taken for the end of its run"
+    EARLY_REPORT = "a report made before the answer to a stop settles a start"
     DROP_STARTS = "a poll after a silence drops a run whose start is in flight"
     EARLY_LAPSE = "a lease is treated as lapsed too early"
     ACKNOWLEDGE_FIRST = "an end is acknowledged before it is recorded"
+    ACKNOWLEDGE_KNOWN = "an end that changes nothing in memory is acknowledged at once"
 
 
 FLAWS = (
@@ -42,9 +48,12 @@
     (Flaw.NO_FENCE, ONE_RUN),
     (Flaw.NO_STOP, ONE_RUN),
     (Flaw.NO_POLL, NO_RUN_AFTER_END),
+    (Flaw.STOP_IS_END, ONE_RUN),
+    (Flaw.EARLY_REPORT, ONE_RUN),
     (Flaw.DROP_STARTS, ONE_RUN),
     (Flaw.EARLY_LAPSE, ONE_RUN),
     (Flaw.ACKNOWLEDGE_FIRST, NO_RUN_AFTER_END),
+    (Flaw.ACKNOWLEDGE_KNOWN, NO_RUN_AFTER_END),
 )
 
 
@@ -67,6 +76,9 @@
         fence: Highest term received; commands with a lower fence are refused.
         run: Number of the run in progress, 0 for none.
         highest_closed_run: Starts of this run and of earlier runs are refused.
+            A run in progress that is not higher is being stopped.
+        stopped_run: Number of a run that has ended after a stop and whose end
+            was not reported, 0 for none.
         unacknowledged_run: Number of a run that is done and whose end was
             not acknowledged, 0 for none.
         cut_off: Whether the worker is cut off from all coordinators.
@@ -75,6 +87,7 @@
     fence: int = 0
     run: int = 0
     highest_closed_run: int = 0
+    stopped_run: int = 0
     unacknowledged_run: int = 0
     cut_off: bool = False
 
@@ -87,8 +100,11 @@
         state: State of the task chart.
         run: Number of the latest run.
         worker: The worker of the latest run.
-        sending: Kind of the command that the worker session repeats until
-            it is answered, "" for none.
+        sending: Kind of the command that the worker session repeats for a
+            start until it is answered, ``AWAIT_REPORT`` if it waits for a
+            report that settles the start, "" for none.
+        stop_ordered: Whether the session also repeats a stop that the engine
+            has ordered.
         has_reported: For each worker, whether it reported in this term.
         unresponsive: For each worker, whether it has stopped answering since
             its last report.
@@ -99,6 +115,7 @@
     run: int = 0
     worker: int = 0
     sending: str = NO_COMMAND
+    stop_ordered: bool = False
     has_reported: tuple[bool, bool] = (False, False)
     unresponsive: tuple[bool, bool] = (False, False)
 
@@ -114,6 +131,10 @@
         end_recorded: Whether the store holds the end of the task.
         end_acknowledged: Whether an end was acknowledged to a worker.
         ran_after_end: Whether a run began after an end was acknowledged.
+        ran_beside: Whether a run began on a worker beside another run.
+        has_early_report: Whether a report without the latest run, made before
+            the stop of its start was answered, is on its way. Only the variant
+            that accepts such a report needs it.
         cuts_left: Network cuts that may still begin.
         silences_left: How many times a worker may still stop answering.
     """
@@ -125,6 +146,8 @@
     end_recorded: bool = False
     end_acknowledged: bool = False
     ran_after_end: bool = False
+    ran_beside: bool = False
+    has_early_report: bool = False
     cuts_left: int = MAX_CUTS
     silences_left: int = MAX_SILENCES
 
@@ -135,7 +158,9 @@
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
     """Return the model, or the variant without the rule ``flaw``."""
     invariants = {
-        ONE_RUN: lambda world: sum(w.run > 0 for w in world.workers) <= 1,
+        ONE_RUN: lambda world: (
+            not world.ran_beside and sum(w.run > 0 for w in world.workers) <= 1
+        ),
         NO_RUN_AFTER_END: lambda world: not world.ran_after_end,
     }
     initial = World(Coordinator(1, CHART.initial))
@@ -150,6 +175,10 @@
         self._flaw = flaw
 
     def __call__(self, world: World) -> Steps:
+        for label, successor in self._all_steps(world):
+            yield label, _normalize(successor)
+
+    def _all_steps(self, world: World) -> Steps:
         yield from self._coordinator_steps(world)
         for command in world.commands:
             yield from self._delivery_steps(world, command)
@@ -157,6 +186,8 @@
             yield from self._poll_steps(world, index)
             yield from self._worker_steps(world, index)
         yield from self._takeover_steps(world)
+        if self._flaw is Flaw.EARLY_REPORT:
+            yield from self._early_report_steps(world)
 
     def _fire(self, coordinator: Coordinator, event: str) -> Coordinator:
         target = self._coverage.step(CHART, coordinator.state, event).target
@@ -168,20 +199,21 @@
     def _coordinator_steps(self, world: World) -> Steps:
         coordinator = world.coordinator
         if coordinator.state == "waiting" and coordinator.run < MAX_RUNS:
-            for index in WORKERS:
+            # The workers are alike, so that the first run of all may be placed
+            # on worker 0 without loss of generality.
+            is_first = coordinator.term == 1 and not coordinator.run
+            for index in WORKERS[:1] if is_first else WORKERS:
                 if (
                     coordinator.has_reported[index]
                     and not coordinator.unresponsive[index]
                 ):
                     yield from self._placement_steps(world, index)
-        command = Command(
-            coordinator.sending, coordinator.worker, coordinator.run, coordinator.term
-        )
-        if coordinator.sending and command not in world.commands:
-            yield (
-                f"send {coordinator.sending}",
-                world._replace(commands=world.commands | {command}),
-            )
+        for command in _repeated_commands(coordinator):
+            if command not in world.commands:
+                yield (
+                    f"send {command.kind}",
+                    world._replace(commands=world.commands | {command}),
+                )
         if coordinator.sending == START and not self._is_final(coordinator):
             if self._flaw is Flaw.NO_STOP:
                 without_start = self._fire(coordinator, "rejected")._replace(
@@ -193,6 +225,11 @@
                 "abandon an unanswered start",
                 world._replace(coordinator=without_start),
             )
+        if coordinator.state in ("starting", "running"):
+            stopping = self._fire(coordinator, "stop")._replace(stop_ordered=True)
+            yield "order a stop", world._replace(coordinator=stopping)
+        if self._is_final(coordinator) and not world.end_recorded:
+            yield "record the end", world._replace(end_recorded=True)
 
     def _placement_steps(self, world: World, index: int) -> Steps:
         coordinator = self._fire(world.coordinator, "assign")
@@ -220,12 +257,14 @@
         begins = False
         if accepted and command.kind == START:
             accepted = command.run > worker.highest_closed_run
-            begins = accepted and not worker.run
+            begins = accepted and worker.run != command.run
+            if begins and worker.run:
+                world = world._replace(ran_beside=True)
             worker = worker._replace(run=command.run if begins else worker.run)
         elif accepted:
+            # The run in progress continues until it has been stopped.
             worker = worker._replace(
-                highest_closed_run=max(worker.highest_closed_run, command.run),
-                run=0 if worker.run == command.run else worker.run,
+                highest_closed_run=max(worker.highest_closed_run, command.run)
             )
         world = _with_worker(world, command.worker, worker)
         world = world._replace(
@@ -233,15 +272,16 @@
         )
         yield f"{command.kind}, reply lost", world
         coordinator = world.coordinator
-        if (command.run, command.fence, command.kind) == (
-            coordinator.run,
-            coordinator.term,
-            coordinator.sending,
-        ):
-            if not self._is_final(coordinator):
-                coordinator = self._handle_reply(coordinator, command, accepted)
-            coordinator = coordinator._replace(sending=NO_COMMAND)
-            yield f"{command.kind} answered", world._replace(coordinator=coordinator)
+        if command not in _repeated_commands(coordinator):
+            return
+        if command.kind == coordinator.sending:
+            settled = coordinator._replace(sending=NO_COMMAND)
+            if coordinator.state in PLACED_STATES:
+                settled = self._handle_reply(settled, command, accepted)
+            yield f"{command.kind} answered", world._replace(coordinator=settled)
+        if command.kind == STOP and coordinator.stop_ordered:
+            coordinator = coordinator._replace(stop_ordered=False)
+            yield "ordered stop answered", world._replace(coordinator=coordinator)
 
     def _handle_reply(
         self, coordinator: Coordinator, command: Command, accepted: bool
@@ -250,8 +290,9 @@
             return self._fire(coordinator, "started")
         if self._flaw is Flaw.NO_POLL:
             return self._fire(coordinator, "rejected")
-        # The run may have started and ended already; the next poll shows it.
-        return coordinator
+        # The run may be in progress, or may have ended already; a report that
+        # is made from now on shows it.
+        return coordinator._replace(sending=AWAIT_REPORT)
 
     def _poll_steps(self, world: World, index: int) -> Steps:
         worker, coordinator = world.workers[index], world.coordinator
@@ -265,53 +306,69 @@
             has_reported=_replace_flag(coordinator.has_reported, index, True),
             unresponsive=_replace_flag(coordinator.unresponsive, index, False),
         )
-        commands = world.commands
-        assigned_here = coordinator.worker == index and not self._is_final(coordinator)
-        if (
-            assigned_here
-            and worker.run == coordinator.run
-            and coordinator.state == "starting"
-        ):
-            coordinator = self._fire(coordinator, "started")
-        elif assigned_here and worker.unacknowledged_run == coordinator.run > 0:
-            coordinator = self._fire(coordinator, "run_done")._replace(
-                sending=NO_COMMAND
-            )
-        elif (
-            assigned_here
-            and coordinator.state == "starting"
-            and not (coordinator.sending or first_report)
-        ):
-            coordinator = self._fire(coordinator, "rejected")
-        elif (
-            assigned_here
-            and answers_again
-            and worker.run != coordinator.run
-            and coordinator.state != "waiting"
-        ):
-            run_dropped = first_report or coordinator.state == "running"
-            if self._flaw is Flaw.DROP_STARTS and coordinator.sending == START:
-                # The session continues to send the start of the dropped run.
-                commands = commands | {
-                    Command(START, index, coordinator.run, coordinator.term)
-                }
-                run_dropped = True
-            if run_dropped:
-                coordinator = self._fire(coordinator, "run_interrupted")._replace(
-                    sending=NO_COMMAND
-                )
-        world = _with_worker(world, index, worker)
-        world = world._replace(coordinator=coordinator, commands=commands)
+        was_final = self._is_final(coordinator)
+        world = world._replace(coordinator=coordinator)
+        if worker.unacknowledged_run and not was_final:
+            world = self._end_run(world, "run_done")
+        elif coordinator.worker == index and coordinator.state in PLACED_STATES:
+            world = self._handle_report(world, worker, first_report, answers_again)
+        world = _with_worker(world, index, worker._replace(stopped_run=0))
         if not worker.unacknowledged_run:
             yield f"poll worker {index}", world
-        elif (
-            worker.unacknowledged_run == coordinator.run
-            and self._flaw is Flaw.ACKNOWLEDGE_FIRST
+        elif world.end_recorded:
+            yield "acknowledge a recorded end", self._acknowledge(world, index)
+        elif self._flaw is Flaw.ACKNOWLEDGE_FIRST or (
+            self._flaw is Flaw.ACKNOWLEDGE_KNOWN and was_final
         ):
             yield "acknowledge an end", self._acknowledge(world, index)
         else:
-            world = world._replace(end_recorded=True)
-            yield "record and acknowledge an end", self._acknowledge(world, index)
+            yield "report an end", world
+
+    def _handle_report(
+        self, world: World, worker: Worker, first_report: bool, answers_again: bool
+    ) -> World:
+        """Apply a report of the latest run's worker that lists no new end."""
+        coordinator = world.coordinator
+        is_listed = worker.run == coordinator.run
+        if is_listed and coordinator.state == "starting":
+            coordinator = self._fire(coordinator, "started")
+            world = world._replace(coordinator=coordinator)
+        if worker.stopped_run == coordinator.run:
+            return self._end_run(world, "run_interrupted")
+        is_settled = not is_listed or self._flaw is Flaw.STOP_IS_END
+        if coordinator.sending == AWAIT_REPORT and is_settled:
+            return self._settle_start(world)
+        if is_listed or not answers_again:
+            return world
+        if self._flaw is Flaw.DROP_STARTS and coordinator.sending == START:
+            # The session continues to send the start of the dropped run.
+            world = world._replace(
+                commands=world.commands.union(_repeated_commands(coordinator))
+            )
+            return self._end_run(world, "run_interrupted")
+        if first_report or coordinator.state == "running":
+            return self._end_run(world, "run_interrupted")
+        return world
+
+    def _settle_start(self, world: World) -> World:
+        coordinator = self._fire(world.coordinator, "rejected")
+        coordinator = coordinator._replace(sending=NO_COMMAND)
+        if coordinator.state == "waiting":
+            coordinator = coordinator._replace(stop_ordered=False)
+        return world._replace(coordinator=coordinator, has_early_report=False)
+
+    def _end_run(self, world: World, event: str) -> World:
+        coordinator = self._fire(world.coordinator, event)
+        coordinator = coordinator._replace(sending=NO_COMMAND, stop_ordered=False)
+        return world._replace(coordinator=coordinator, has_early_report=False)
+
+    def _early_report_steps(self, world: World) -> Steps:
+        coordinator = world.coordinator
+        is_listed = world.workers[coordinator.worker].run == coordinator.run
+        if coordinator.sending == STOP and not is_listed:
+            yield "a report is delayed", world._replace(has_early_report=True)
+        if coordinator.sending == AWAIT_REPORT and world.has_early_report:
+            yield "the delayed report arrives", self._settle_start(world)
 
     def _acknowledge(self, world: World, index: int) -> World:
         worker = world.workers[index]._replace(unacknowledged_run=0)
@@ -321,9 +378,18 @@
         worker, coordinator = world.workers[index], world.coordinator
         if worker.run:
             finished = worker._replace(
-                run=0, highest_closed_run=worker.run, unacknowledged_run=worker.run
+                run=0,
+                highest_closed_run=max(worker.highest_closed_run, worker.run),
+                stopped_run=0,
+                unacknowledged_run=worker.run,
             )
             yield f"run on worker {index} is done", _with_worker(world, index, finished)
+        if 0 < worker.run <= worker.highest_closed_run:
+            stopped = worker._replace(run=0, stopped_run=worker.run)
+            yield (
+                f"run on worker {index} is stopped",
+                _with_worker(world, index, stopped),
+            )
         if world.cuts_left and not worker.cut_off:
             isolated = _with_worker(world, index, worker._replace(cut_off=True))
             yield (
@@ -338,6 +404,7 @@
             yield f"lease of worker {index} lapses", self._lapse_lease(world, index)
         if (
             world.silences_left
+            and not self._is_final(coordinator)
             and coordinator.has_reported[index]
             and not coordinator.unresponsive[index]
         ):
@@ -361,7 +428,10 @@
             highest_closed_run = max(worker.highest_closed_run, worker.run)
             # An end that was not acknowledged before the lapse is discarded.
             worker = worker._replace(
-                run=0, highest_closed_run=highest_closed_run, unacknowledged_run=0
+                run=0,
+                highest_closed_run=highest_closed_run,
+                stopped_run=0,
+                unacknowledged_run=0,
             )
             world = world._replace(
                 commands=frozenset(
@@ -370,15 +440,10 @@
                     if command.worker != index or command.kind != START
                 )
             )
-        if coordinator.worker == index and coordinator.state in (
-            "starting",
-            "running",
-            "stopping",
-        ):
-            coordinator = self._fire(coordinator, "run_interrupted")._replace(
-                sending=NO_COMMAND
-            )
-        return _with_worker(world, index, worker)._replace(coordinator=coordinator)
+        world = _with_worker(world, index, worker)
+        if coordinator.worker == index and coordinator.state in PLACED_STATES:
+            world = self._end_run(world, "run_interrupted")
+        return world
 
     def _takeover_steps(self, world: World) -> Steps:
         """Let a successor take over.
@@ -395,16 +460,53 @@
             successor = self._fire(successor, "run_done")
         elif run:
             successor = self._fire(successor, "assign")
-        commands = world.commands
-        if predecessor.sending:
-            late_command = Command(
-                predecessor.sending,
-                predecessor.worker,
-                predecessor.run,
-                predecessor.term,
-            )
-            commands = commands | {late_command}
-        yield "take over", world._replace(coordinator=successor, commands=commands)
+        commands = world.commands.union(_repeated_commands(predecessor))
+        yield (
+            "take over",
+            world._replace(
+                coordinator=successor, commands=commands, has_early_report=False
+            ),
+        )
+
+
+def _repeated_commands(coordinator: Coordinator) -> frozenset[Command]:
+    """Return the commands that the session of the latest run repeats."""
+    kinds = {coordinator.sending} - {NO_COMMAND, AWAIT_REPORT}
+    if coordinator.stop_ordered:
+        kinds.add(STOP)
+    return frozenset(
+        Command(kind, coordinator.worker, coordinator.run, coordinator.term)
+        for kind in kinds
+    )
+
+
+def _normalize(world: World) -> World:
+    """Merge states that allow the same further steps.
+
+    Commands are removed that cannot have an effect any more and whose answer
+    the session does not wait for. After the end of the task it is irrelevant
+    which workers have reported.
+    """
+    coordinator = world.coordinator
+    awaited = _repeated_commands(coordinator)
+    commands = frozenset(
+        command
+        for command in world.commands
+        if command in awaited
+        or _may_have_effect(command, world.workers[command.worker])
+    )
+    if coordinator.state in CHART.final_states:
+        coordinator = coordinator._replace(
+            has_reported=(False, False), unresponsive=(False, False)
+        )
+    return world._replace(commands=commands, coordinator=coordinator)
+
+
+def _may_have_effect(command: Command, worker: Worker) -> bool:
+    is_closed = command.run <= worker.highest_closed_run
+    return command.fence > worker.fence or (
+        command.fence == worker.fence and not is_closed
+    )
 
 
 def _with_worker(world: World, index: int, worker: Worker) -> World:
--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -55,7 +55,7 @@
     "the model resets a watch once, while the node is in the state following"
 )
 _NO_TASK_FAILURE = "the task of the model always ends as done and is never withdrawn"
-_NO_TASK_STOP = "the task of the model is never stopped to free its resources"
+_ONE_TASK_STOP = "the engine of the model stops a placed task once"
 _SETTLED_BY_SESSION = "the worker session settles a run before the task is placed again"
 _RAISED_BY_OWNER_ONLY = (
     "production code raises the event only while the node is the owner"
@@ -116,17 +116,7 @@
         "task running withdraw",
         "task stopping withdraw",
     ),
-    _NO_TASK_STOP: (
-        "task waiting stop",
-        "task starting stop",
-        "task running stop",
-        "task stopping assign",
-        "task stopping started",
-        "task stopping rejected",
-        "task stopping stop",
-        "task stopping run_done",
-        "task stopping run_interrupted",
-    ),
+    _ONE_TASK_STOP: ("task waiting stop", "task stopping stop"),
     _SETTLED_BY_SESSION: (
         "task waiting started",
         "task waiting rejected",
@@ -134,6 +124,7 @@
         "task starting assign",
         "task running assign",
         "task running rejected",
+        "task stopping assign",
     ),
     _RAISED_BY_OWNER_ONLY: (
         "ownership following fenced",
