Model the ends of a gang and the record that acknowledges them

A gang ran twice after the end of one member had completed it in memory: the ends of the others changed nothing and were acknowledged, the coordinator changed before the record was written, and the worker whose end was not acknowledged was lost. The model of one task has no such second end.

The new model has a gang of two members on two workers, three terms, writes that fail or last while an end is reported, lost workers, and sessions that are opened anew in a term. No run may begin after an acknowledged end. Its variants acknowledge an end at once, or one that changes nothing in memory, or one that was reported during a write without it, or one that a new session reports again.

--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -18,6 +18,7 @@
     _spec_gang,
     _spec_guarantee,
     _spec_ownership,
+    _spec_run_ends,
     _spec_workflow,
 )
 from ._spec_common import Coverage, Finding, Model, check, find_violation
@@ -173,6 +174,7 @@
         _spec_configuration.build_model(coverage),
         _spec_guarantee.build_model(coverage),
         _spec_workflow.build_model(coverage),
+        _spec_run_ends.build_model(coverage),
     )
     return tuple(
         Result(model.name, finding) for model in models for finding in check(model)
@@ -193,7 +195,13 @@
         (_spec_gang.build_broken_model(coverage, scenario_name, flaw), property_name)
         for scenario_name, flaw, property_name in _spec_gang.FLAWS
     ]
-    modules = (_spec_ownership, _spec_configuration, _spec_guarantee, _spec_workflow)
+    modules = (
+        _spec_ownership,
+        _spec_configuration,
+        _spec_guarantee,
+        _spec_workflow,
+        _spec_run_ends,
+    )
     for module in modules:
         broken += [
             (module.build_model(coverage, flaw), property_name)
