Model a worker process that starts again under its id

A call names the id of a worker only, so that the next process with this id also receives what was sent to the one before. None of the models had a worker that loses its fence, its closed runs and its list.

The new model has two workers, two terms, a restart at any point, one lapse of a lease, and commands to the earlier process that reach the next one with a clock that begins anew. One run of a task at a time holds under two rules: each session has a fence of its own, and the run of a restarted worker is kept until the new process has reported.

The model assumes that a new process is polled by its own session before older commands reach it.

--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -19,6 +19,7 @@
     _spec_guarantee,
     _spec_ownership,
     _spec_run_ends,
+    _spec_worker_process,
     _spec_workflow,
 )
 from ._spec_common import Coverage, Finding, Model, check, find_violation
@@ -175,6 +176,7 @@
         _spec_guarantee.build_model(coverage),
         _spec_workflow.build_model(coverage),
         _spec_run_ends.build_model(coverage),
+        _spec_worker_process.build_model(coverage),
     )
     return tuple(
         Result(model.name, finding) for model in models for finding in check(model)
@@ -201,6 +203,7 @@
         _spec_guarantee,
         _spec_workflow,
         _spec_run_ends,
+        _spec_worker_process,
     )
     for module in modules:
         broken += [
