Add failing tests of final answers that are not recorded

Callers of an idempotent job that is cancelled while the store is down get the final answer "interrupted". After a change of the owner the same job runs a second time and ends as succeeded. A planned stop has the same effect: a drain waits for writes in progress, not for an answer whose write has failed and is repeated a second later.

Cause: an end that is known in memory is taken for recorded. JobLedger.finish publishes every answer except "not run" at once, and JobLedger.is_idle does not count unwritten records. The record of the job is that of its acceptance, and the next owner retries what the worker reports as stopped. Ruled out: jobs that are not idempotent have a recorded start and end as interrupted again; for an answer "not run" the record is awaited.

Nothing is changed here. Both tests fail: SUCCEEDED is not INTERRUPTED, and the record is still "open" when the drain has ended.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -334,6 +334,21 @@
         with self.assertRaises(OutcomeUnknownError):
             self.node.ask(r.CancelJob(view.job_id), 31.0)
 
+    def test_a_cancelled_job_does_not_run_again_under_the_next_owner(self):
+        """Guards against a final answer that only the previous owner knew."""
+        view = self.node.submit(SPEC._replace(payload='{"run_s": 4}'))
+        self.node.run_for(1.0)
+        self.assertEqual(len(self.starts()), 1)
+        self.node.store.set_available(False)
+        answer = self.node.ask(r.CancelJob(view.job_id), 2.0)
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        successor = self.second_node(2)
+        successor.run_for(5.0)
+        if answer is not None:
+            self.assertIs(answer.state, JobState.INTERRUPTED)
+            self.assertIs(successor.poll(view.job_id).state, answer.state)
+            self.assertEqual(len(self.starts()), 1)
+
     def test_a_leaving_worker_gets_no_new_work(self):
         """Jobs must be placed on the workers that stay."""
         leaving = list_vm(WORKERS[0], "leaving")
@@ -463,6 +478,26 @@
             self.node.submit(SPEC._replace(idempotency_key="late"))
         self.assertEqual(caught.exception.code, "draining")
 
+    def test_drain_waits_for_answers_that_are_not_recorded(self):
+        """Guards against a planned stop that loses a final answer.
+
+        The first write of the answer has failed, and the next one is due in a
+        second.
+        """
+        spec = SPEC._replace(payload='{"run_s": 4}')
+        view = self.node.submit(spec)
+        self.node.run_for(1.0)
+        self.node.store.set_available(False)
+        answer = self.node.ask(r.CancelJob(view.job_id), 0.2)
+        self.node.store.set_available(True)
+        drained = []
+        self.node.system.ask(r.DISPATCHER, r.Drain()).addBoth(drained.append)
+        while not drained:
+            self.node.run_for(0.1)
+        if answer is not None:
+            self.assertIs(answer.state, JobState.INTERRUPTED)
+            self.assertEqual(self.record(spec)["state"], "interrupted")
+
     def test_drain_waits_for_recorded_starts(self):
         """A drained owner must send a start that it has recorded (I7).
 
