Add a failing test of a start that is refused when it is repeated

Callers see a job that stays in the state placing, and its worker keeps the resources. The reply to the first attempt of a start was lost, and the second attempt was refused by an HTTP status from 400 to 499.

Cause: the refusal of a later attempt is taken for that of the earlier one. The member counts as not started, so a release is sent instead of a stop; the worker refuses it as the member runs, and the end of the task is ignored. A second run does not follow, since the release is never confirmed.

Nothing is changed here. The test fails: the job is placing after 20 s.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -40,6 +40,7 @@
 from redwingrudder.scheduler import Scheduler
 from redwingrudder.standins._key_value import Put
 from redwingrudder.timers import TimerService
+from redwingrudder.workers import WorkerResponse
 from tests.fakes import FakeStore, Recorder, list_vm
 from tests.worker_fakes import FakeTransport, run_clock
 
@@ -80,6 +81,31 @@
         pass
 
 
+class RefusingTransport(FakeTransport):
+    """Transport whose replies to starts can be lost or replaced.
+
+    Attributes:
+        refuse_start_after_lost_reply: Whether the next start is executed
+            without a reply, and its repetition refused by HTTP status 429.
+    """
+
+    def __init__(self, clock, worker_infos):
+        super().__init__(clock, worker_infos)
+        self.refuse_start_after_lost_reply = False
+        self._refuse = False
+
+    async def post(self, address, path, body, timeout_s):
+        if path == "/v1/start" and self._refuse:
+            self._refuse = False
+            self.posted.append((address, path, body))
+            return WorkerResponse(429, b"{}")
+        if path == "/v1/start" and self.refuse_start_after_lost_reply:
+            self.refuse_start_after_lost_reply = False
+            self._refuse = True
+            self.replies_to_drop = 1
+        return await super().post(address, path, body, timeout_s)
+
+
 class Node:
     """One node with its own actors; clock, store and workers may be shared."""
 
@@ -139,7 +165,7 @@
     def setUp(self):
         self.clock = Clock()
         self.clock.advance(1_000.0)
-        self.transport = FakeTransport(self.clock, WORKERS)
+        self.transport = RefusingTransport(self.clock, WORKERS)
         self.node = Node(self.clock, None, self.transport)
         self.core = self.node.store.core
         self.node.own(1)
@@ -349,6 +375,17 @@
             self.assertIs(successor.poll(view.job_id).state, answer.state)
             self.assertEqual(len(self.starts()), 1)
 
+    def test_a_refusal_after_a_lost_reply_does_not_mean_not_started(self):
+        """Guards against a started member that is never released."""
+        self.transport.refuse_start_after_lost_reply = True
+        view = self.node.submit()
+        done = self.node.poll(view.job_id, 20.0)
+        self.assertIn(
+            done.state, (JobState.SUCCEEDED, JobState.FAILED, JobState.INTERRUPTED)
+        )
+        self.node.run_for(1.0)
+        self.assertEqual(self.members(), [])
+
     def test_a_leaving_worker_gets_no_new_work(self):
         """Jobs must be placed on the workers that stay."""
         leaving = list_vm(WORKERS[0], "leaving")
