Add failing tests of rejected orders to machines that are down

Operators could see two machines of a wave down whose limit is one: an order to take a machine down is carried out although its reply is lost, or by a predecessor, and the repeated order is rejected, since the machine is not up.

Cause: the rejection of a later order is taken for that of the earlier one. The machine counts as waiting (charts/machine_upkeep.scxml, ordered, rejected) and no longer against the limit. Not known: whether the platform rejects such an order as busy or accepts it; its page allows both readings ("busy (not up, leaving)", "200 if the operation is already done").

Nothing is changed here.

--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -50,6 +50,8 @@
         lost_replies: Number of orders that are carried out although their
             reply is lost.
         reply: Returned instead of carrying out an order, unless None.
+        rejects_while_down: Whether orders to machines that are not up are
+            rejected.
         orders: Machine, holder and fencing token of each order.
         targets: Pool of each machine that was moved, in order.
         max_machines_down: Largest number of machines down at the same time.
@@ -59,6 +61,7 @@
         self.machines = {m.machine_id: m for m in running_machines(machines)}
         self.lost_replies = 0
         self.reply = None
+        self.rejects_while_down = False
         self.orders = []
         self.targets = []
         self.max_machines_down = 0
@@ -71,6 +74,8 @@
         if self.reply is not None:
             return self.reply
         machine = self.machines[machine_id]
+        if self.rejects_while_down and machine.state is not MachineState.UP:
+            return MachineReply.REJECTED
         if machine.worker_id.startswith("w"):
             self.machines[machine_id] = machine._replace(
                 state=MachineState.CHANGING, worker_id=""
@@ -200,6 +205,27 @@
         self.advance(20.0)
         self.assertEqual(self.status(), "done")
 
+    def test_rejection_after_a_lost_reply_does_not_mean_not_ordered(self):
+        """Guards against more machines down at once than a wave allows.
+
+        The first order was carried out although its reply is lost, and the
+        repeated order is rejected, as the machine is not up.
+        """
+        self.machines.rejects_while_down = True
+        self.machines.lost_replies = 1
+        self.advance(10.0, machines_return=False)
+        self.assertEqual(self.machines.max_machines_down, 1)
+
+    def test_rejection_of_a_successors_order_does_not_mean_not_ordered(self):
+        """Guards against more machines down at once after a takeover."""
+        self.machines.rejects_while_down = True
+        self.advance(6.0, machines_return=False)
+        self.assertEqual(self.machines.max_machines_down, 1)
+        self.maintenance.close()
+        self.maintenance = self.new_term()
+        self.advance(10.0, machines_return=False)
+        self.assertEqual(self.machines.max_machines_down, 1)
+
     def test_successor_goes_on(self):
         """Guards against a second upkeep of a machine after a takeover."""
         self.advance(6.0)
