Add a failing test of a renewal that takes effect late

A worker that pauses with a request in its buffer and executes it shortly before the end of its lease renews the lease by its full time. If the network is cut by then, the owner calls the worker lost one lease and a second after the request was sent, and the tasks run on for nearly a lease beside those of the next attempt of an idempotent job.

Cause: the sending of an order is taken for the time of its effect (WorkerLink._send, _loss_time). LAPSE_MARGIN_S covers a late execution by one second. Ruled out: a job that is not idempotent is interrupted, not repeated.

Nothing is changed here.

--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -225,6 +225,32 @@
         self.assertIn(WorkerLost("w1", "lease_lapsed"), self.run_and_take_events())
         self.assertLess(self.core.lease_until, self.clock.seconds())
 
+    def test_a_request_executed_late_does_not_keep_lost_work_running(self):
+        """Guards against a renewal that takes effect long after it was sent.
+
+        The worker process pauses before it reads the last request, and reads
+        it shortly before the end of its lease. The network is cut by then.
+        """
+        self.run_and_take_events()
+        spec = SPEC._replace(payload='{"run_s": 60}')
+        reserve = self.reserve("g")._replace(spec=spec)
+        self.send(reserve, StartMember("g", "w1"))
+        self.run_for(0.9)
+        self.transport.cut.add(ADDRESS)
+        self.dispatcher.received.clear()
+        self.run_for(2.0)
+        *_, poll = (body for _, path, body in self.transport.posted if body)
+        remaining_s = self.core.lease_until - self.clock.seconds()
+        self.run_for(remaining_s - 0.1)
+        self.core.poll(poll, self.clock.seconds())
+        for _ in range(200):
+            self.run_for(0.05)
+            if self.dispatcher.received:
+                break
+        self.assertEqual(self.dispatcher.received, [WorkerLost("w1", "lease_lapsed")])
+        (member,) = self.core.state(self.clock.seconds())["members"]
+        self.assertEqual(member["state"], "ended")
+
     def test_a_short_cut_does_not_lose_the_worker(self):
         """Guards against the loss of a worker whose lease has not expired."""
         self.run_and_take_events()
