Add a failing test of a cancellation that is shown as its effect

A job that has ended at the coordinator, but not in its record, is shown as cancelled once its cancellation is stored and while the coordinator does not answer the query. It is shown as done later, so a final state is taken back.

Cause: Intake._read_state takes the stored order for its effect, and Engine.cancel ignores a workflow that has ended in memory. The time between an end and its record is some milliseconds, and seconds for a slow store.

Nothing is changed here. The test fails: done is not cancelled.

--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -184,6 +184,30 @@
         self.assertEqual(self.ask(GetState("job")), WorkflowState.CANCELLED)
         self.assertIs(self.ask(CancelWorkflow("other", 1.0)), False)
 
+    def test_job_shown_as_cancelled_does_not_end_as_done(self):
+        """Guards against an order that is shown as its effect.
+
+        The job has ended at the coordinator when its cancellation is stored,
+        but its end is recorded later. The state is read from the store.
+        """
+        self.submit()
+        engine = fx.engine()
+        progress = engine.accept(fx.workflow("job", fx.step(1)), 0.0)
+        (start,) = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, [start])
+        self.record(progress)
+        engine.end(start.worker_id, fx.ended(start), 0.0)
+        self.ask(CancelWorkflow("job", 1.0))
+        shown = self.ask(GetState("job"))
+        engine.cancel("job", 0.0)
+        self.record(progress)
+        if shown == WorkflowState.CANCELLED:
+            self.assertEqual(self.ask(GetState("job")), shown)
+
+    def record(self, progress):
+        document = records.encode_progress(progress, 1, {}).decode()
+        self.store.contents.put("progress/job", document)
+
     def test_queue_without_coordinator_is_unavailable_not_absent(self):
         """Guards against 404 for a configured queue without a coordinator."""
         error = self.ask(GetQueueLength("queue"))
