--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -18,6 +18,8 @@
     _spec_gang,
     _spec_guarantee,
     _spec_ownership,
+    _spec_run_ends,
+    _spec_worker_process,
     _spec_workflow,
 )
 from ._spec_common import Coverage, Finding, Model, check, find_violation
@@ -55,7 +57,7 @@
     "the model resets a watch once, while the node is in the state following"
 )
 _NO_TASK_FAILURE = "the task of the model always ends as done and is never withdrawn"
-_NO_TASK_STOP = "the task of the model is never stopped to free its resources"
+_ONE_TASK_STOP = "the engine of the model stops a placed task once"
 _SETTLED_BY_SESSION = "the worker session settles a run before the task is placed again"
 _RAISED_BY_OWNER_ONLY = (
     "production code raises the event only while the node is the owner"
@@ -116,17 +118,7 @@
         "task running withdraw",
         "task stopping withdraw",
     ),
-    _NO_TASK_STOP: (
-        "task waiting stop",
-        "task starting stop",
-        "task running stop",
-        "task stopping assign",
-        "task stopping started",
-        "task stopping rejected",
-        "task stopping stop",
-        "task stopping run_done",
-        "task stopping run_interrupted",
-    ),
+    _ONE_TASK_STOP: ("task waiting stop", "task stopping stop"),
     _SETTLED_BY_SESSION: (
         "task waiting started",
         "task waiting rejected",
@@ -134,6 +126,7 @@
         "task starting assign",
         "task running assign",
         "task running rejected",
+        "task stopping assign",
     ),
     _RAISED_BY_OWNER_ONLY: (
         "ownership following fenced",
@@ -182,6 +175,8 @@
         _spec_configuration.build_model(coverage),
         _spec_guarantee.build_model(coverage),
         _spec_workflow.build_model(coverage),
+        _spec_run_ends.build_model(coverage),
+        _spec_worker_process.build_model(coverage),
     )
     return tuple(
         Result(model.name, finding) for model in models for finding in check(model)
@@ -202,7 +197,14 @@
         (_spec_gang.build_broken_model(coverage, scenario_name, flaw), property_name)
         for scenario_name, flaw, property_name in _spec_gang.FLAWS
     ]
-    modules = (_spec_ownership, _spec_configuration, _spec_guarantee, _spec_workflow)
+    modules = (
+        _spec_ownership,
+        _spec_configuration,
+        _spec_guarantee,
+        _spec_workflow,
+        _spec_run_ends,
+        _spec_worker_process,
+    )
     for module in modules:
         broken += [
             (module.build_model(coverage, flaw), property_name)
