Give each session with a worker a fencing token of its own

Seen by callers: none so far; by reading, a task that must run once could run twice.

Cause: the fencing token was the coordinator's term. A worker may restart under its id and then knows no fence. A call that was sent to its last process and is carried out late by the new one had the same token as the calls of the new session. It started a run that was given up, forgot ends that were never seen (their numbers begin anew) and set a lease by the clock of the last process.

Ruled out: a name of the process in each call, as the header that names the intended worker has its id only.

Change: the token is term x 10,000 + number of the session with the worker in the term, so the first answered call of a session closes all earlier ones. A coordinator that has used up the numbers of a worker resigns.

--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -214,12 +214,12 @@
 
 
 class WorkerChannel(abc.ABC):
-    """Connections to one incarnation of a worker.
+    """Connections to one process of a worker.
 
-    Every call carries ``fence``, the coordinator's term as fencing token, and
-    waits at most ``timeout_s`` seconds for the reply. It raises
-    ``UnavailableError`` if there is none; the command may then have taken
-    effect or may take effect later.
+    Every call carries ``fence``, the fencing token of the session, and waits
+    at most ``timeout_s`` seconds for the reply. It raises ``UnavailableError``
+    if there is none; the command may then have taken effect or may take effect
+    later.
     """
 
     @abc.abstractmethod
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -115,8 +115,8 @@
     """Tells COORDINATOR that this node was elected and leads from now on.
 
     Attributes:
-        term: Number of the term, used as the fencing token in commands to
-            workers.
+        term: Number of the term, from which the fencing tokens of commands
+            are derived.
         term_revision: Store revision of the term's key; writes to the store
             are made conditional on it.
         authority_ends_at: Time in node-clock seconds until which the lease of
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -66,7 +66,7 @@
 
 
 class WorkerSession(Actor):
-    """Owns the connections to one incarnation of a worker.
+    """Owns the connections to one process of a worker.
 
     It sends commands, extends the worker's lease by polls and reports the
     replies, silence and the lapse of the lease to COORDINATOR.
@@ -75,7 +75,8 @@
         system: The actor system of this node.
         facts: Registry entry of the worker.
         channel: Connections to the worker.
-        fence: Term of the coordinator, sent as fencing token.
+        fence: Fencing token of the session, above those of all earlier
+            sessions with the worker.
         times: Timing parameters of the workers.
         authority: Permission to send orders and to extend the lease.
         unsettled: Runs for which commands of an earlier session may arrive at
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -7,10 +7,11 @@
 from ..workflows.model import NO_RESOURCES, WorkerFacts
 from ..workflows.records import PlacedRun
 from .authority import Authority
-from .gateways import ChannelFactory, RegistryCodec, WorkerTimes
+from .gateways import LEADERSHIP, ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
     AcknowledgeEnds,
     RegistryEntryRemoved,
+    Resign,
     SessionCommand,
     UpdateFacts,
     WorkerLeaseLapsed,
@@ -19,6 +20,10 @@
 from .metrics import METRICS, IncrementCounter
 from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
 
+# Fencing tokens reserved for the sessions with one worker in each term. A new
+# coordinator's tokens are above all of those that the previous term may have
+# used.
+SESSIONS_PER_TERM = 10_000
 # After an outage of the store, workers may need nearly this long until they
 # have written their entries again.
 REMOVE_UNLISTED_AFTER_S = 2.5
@@ -29,8 +34,10 @@
 class WorkerTable:
     """Applies registry entries and reports to the workers of the engine.
 
-    It opens one session for each incarnation of a worker and acknowledges
-    ends of runs after they are recorded in the store.
+    It opens one session for each process of a worker and acknowledges ends of
+    runs after they are recorded in the store. Each session has a fencing token
+    above those of the worker's earlier sessions: a worker may restart under
+    its id and then rejects what was sent to its last process.
 
     Args:
         system: The actor system of this node.
@@ -57,6 +64,8 @@
         self._channels = channels
         self._times = times
         self._sessions_by_worker: dict[str, WorkerSession] = {}
+        # Number of sessions that were opened in this term.
+        self._session_count_by_worker: dict[str, int] = {}
         self._unlisted_since_by_worker: dict[str, float] = {}
         # From this time on, no lease of an earlier term is valid on a worker
         # that has had no entry in this term.
@@ -300,11 +309,17 @@
 
     def _open_session(self, facts: WorkerFacts) -> None:
         self._engine.workers_by_id[facts.worker_id].reachable = False
+        number = self._session_count_by_worker.get(facts.worker_id, 0)
+        if number >= SESSIONS_PER_TERM:
+            # The next term has tokens above all that were used in this one.
+            self._system.tell(LEADERSHIP, Resign("fencing tokens are used up"))
+            return
+        self._session_count_by_worker[facts.worker_id] = number + 1
         session = WorkerSession(
             self._system,
             facts,
             self._channels.open(facts),
-            self._engine.term,
+            self._engine.term * SESSIONS_PER_TERM + number,
             self._times,
             self._authority,
             self._engine.unsettled_runs(facts.worker_id),
