Ignore what an earlier session says about a worker

Seen by callers: none so far; by reading and by test, a second run of a task, or a coordinator that deposes itself.

Cause: three ways in which a session that was replaced still spoke for its worker. Its last report, still in the mailbox when the next session was opened, was taken for the first report of that session, which decides that a missing run can't start any more. A call that failed after it was closed could report the worker silent or its lease lapsed, which interrupts all runs, also those of the next process. A stop or poll that was answered as fenced, now by the fence of the next session, ended the term.

Change: messages about a worker carry the fencing token of their session, and those of earlier sessions are ignored; a closed session sends none, and its rejections have no effect. A start that was settled by an earlier session stays open until the first report of the next one.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -338,7 +338,7 @@
 
     def _worker_silent(self, message: WorkerSilent) -> None:
         if self._ready:
-            self._term.workers.set_silent(message.worker_id)
+            self._term.workers.set_silent(message)
 
     def _worker_lease_lapsed(self, message: WorkerLeaseLapsed) -> None:
         if self._ready:
@@ -349,7 +349,10 @@
         start, reply = message.run, message.reply
         outcome = "accepted" if reply.accepted else reply.reason
         self.tell(METRICS, IncrementCounter("starts", (outcome,)))
-        if not self._ready:
+        if not self._ready or not self._term.workers.is_current(
+            start.worker_id, message.fence
+        ):
+            # The first report to the next session decides about the run.
             return
         now = self.system.clock.seconds()
         if reply.accepted:
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -231,16 +231,29 @@
 
 
 class WorkerPolled(NamedTuple):
-    """Tells COORDINATOR what a worker reported in its reply to a poll."""
+    """Tells COORDINATOR what a worker reported in its reply to a poll.
+
+    Attributes:
+        worker_id: The worker.
+        report: Its report.
+        fence: Fencing token of the session that polled.
+    """
 
     worker_id: str
     report: WorkerReport
+    fence: int
 
 
 class WorkerSilent(NamedTuple):
-    """Tells COORDINATOR that a worker has stopped answering."""
+    """Tells COORDINATOR that a worker has stopped answering.
+
+    Attributes:
+        worker_id: The worker.
+        fence: Fencing token of its session.
+    """
 
     worker_id: str
+    fence: int
 
 
 class WorkerLeaseLapsed(NamedTuple):
@@ -250,11 +263,13 @@
 
     Attributes:
         worker_id: The worker.
+        fence: Fencing token of its session.
         restarted: Whether the worker's process is known to have ended.
         unanswered_starts: Runs whose starts were sent and not answered.
     """
 
     worker_id: str
+    fence: int
     restarted: bool = False
     unanswered_starts: frozenset[tuple[TaskKey, int]] = frozenset()
 
@@ -262,12 +277,16 @@
 class StartSettled(NamedTuple):
     """Tells COORDINATOR the final outcome of a start command.
 
-    ``reply`` is that of the worker, or a rejection once it is certain that the
-    run will not begin.
+    Attributes:
+        run: The run.
+        reply: Reply of the worker, or a rejection once it is certain that the
+            run will not begin.
+        fence: Fencing token of the session that sent the start.
     """
 
     run: StartRun
     reply: CommandReply
+    fence: int
 
 
 class ThrottleUnanswered(NamedTuple):
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -161,6 +161,11 @@
         else:
             self._poll_soon()
 
+    @property
+    def fence(self) -> int:
+        """Fencing token, which identifies the session in its messages."""
+        return self._fence
+
     def stop(self) -> None:
         """Close the connections; replies to calls in progress are ignored."""
         self._closed = True
@@ -289,7 +294,7 @@
         self._newest_end = max(
             (end.number for end in reply.ended), default=self._newest_end
         )
-        self.tell(COORDINATOR, WorkerPolled(self._facts.worker_id, reply))
+        self._tell_coordinator(WorkerPolled(self._facts.worker_id, reply, self._fence))
         if self._newest_end > self._acknowledged_end:
             self._poll_later(BUSY_POLL_INTERVAL_S)
         elif self._has_runs and not (answered_immediately and not reply.ended):
@@ -306,6 +311,9 @@
             self.tell(TIMERS, Subscribe(self.name, "look", delay_s))
 
     def _handle_rejection(self, reply: CommandReply) -> None:
+        if self._closed:
+            # A later session of this coordinator may have a higher fence.
+            return
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
         elif reply.reason == "other_life":
@@ -406,7 +414,7 @@
             return
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
-        self.tell(COORDINATOR, StartSettled(message, reply))
+        self._tell_coordinator(StartSettled(message, reply, self._fence))
         if not self._polling and reply.accepted:
             self._poll_soon()
 
@@ -487,7 +495,7 @@
     async def _throttle(self, message: ThrottleRun) -> None:
         """Send a throttle command once; report a missing reply."""
         if not self._authority.valid:
-            self.tell(COORDINATOR, ThrottleUnanswered(message))
+            self._tell_coordinator(ThrottleUnanswered(message))
             return
         throttle = self._channel.throttle(message, self._fence, COMMAND_TIMEOUT_S)
         reply = await self._await_reply(
@@ -496,7 +504,7 @@
         if reply is not None:
             self._record_answer(reply.clock_ms)
         else:
-            self.tell(COORDINATOR, ThrottleUnanswered(message))
+            self._tell_coordinator(ThrottleUnanswered(message))
 
     async def _send_stop(self, message: StartRun | StopRun) -> None:
         """Repeat a stop until the worker accepts it or its lease has lapsed.
@@ -530,13 +538,22 @@
             await pause(self.system.clock, STOP_RETRY_DELAY_S)
 
     def _report_silent(self) -> None:
-        self.tell(COORDINATOR, WorkerSilent(self._facts.worker_id))
+        self._tell_coordinator(WorkerSilent(self._facts.worker_id, self._fence))
 
     def _report_lapsed(self) -> None:
-        lapsed = WorkerLeaseLapsed(
-            self._facts.worker_id, self._restarted, frozenset(self._unanswered_starts)
+        self._tell_coordinator(
+            WorkerLeaseLapsed(
+                self._facts.worker_id,
+                self._fence,
+                self._restarted,
+                frozenset(self._unanswered_starts),
+            )
         )
-        self.tell(COORDINATOR, lapsed)
+
+    def _tell_coordinator(self, message: Any) -> None:
+        """Send a message, unless a later session may speak for the worker."""
+        if not self._closed:
+            self.tell(COORDINATOR, message)
 
 
 def _run_fields(run: StartRun | StopRun | ThrottleRun) -> dict[str, Any]:
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -16,6 +16,7 @@
     UpdateFacts,
     WorkerLeaseLapsed,
     WorkerPolled,
+    WorkerSilent,
 )
 from .metrics import METRICS, IncrementCounter
 from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
@@ -161,10 +162,24 @@
             placed.process_started_ms,
         )
 
+    def is_current(self, worker_id: str, fence: int) -> bool:
+        """Return whether a message comes from the worker's current session.
+
+        A message of an earlier session may wait in a mailbox while the next
+        session is opened. It says nothing about the calls that the worker
+        accepts from then on.
+
+        Args:
+            worker_id: The worker.
+            fence: Fencing token that the message names.
+        """
+        session = self._sessions_by_worker.get(worker_id)
+        return session is not None and session.fence == fence
+
     def take_report(self, message: WorkerPolled) -> None:
         """Apply a worker's report: its running runs and its ends."""
         worker = self._engine.workers_by_id.get(message.worker_id)
-        if worker is None:
+        if worker is None or not self.is_current(message.worker_id, message.fence):
             return
         report = message.report
         if report.process_started_ms and not worker.facts.process_started_ms:
@@ -217,16 +232,19 @@
         for worker_id in {worker_id for worker_id, _ in ends}:
             self._acknowledge(worker_id)
 
-    def set_silent(self, worker_id: str) -> None:
+    def set_silent(self, message: WorkerSilent) -> None:
         """Mark a worker unreachable, so that it gets no new runs."""
+        worker_id = message.worker_id
         worker = self._engine.workers_by_id.get(worker_id)
-        if worker is not None:
+        if worker is not None and self.is_current(worker_id, message.fence):
             worker.reachable = False
             _logger.info("worker does not answer", extra={"worker": worker_id})
 
     def set_lapsed(self, message: WorkerLeaseLapsed) -> None:
         """Interrupt all runs of a worker whose lease has lapsed."""
         worker_id = message.worker_id
+        if not self.is_current(worker_id, message.fence):
+            return
         now = self._system.clock.seconds()
         _logger.info(
             "lease of a worker has lapsed; its runs are interrupted",
