Open a new session when a worker's report names another process

Seen by callers: none so far; by reading and by test, an end that was forgotten before the coordinator had seen it, so that its run would be repeated.

Cause: the session took reports of any process under the worker's id for answers. Until the registry entry of the new process arrived, it polled with the number of ends that it had acknowledged to the last process, extended the lease by the clock of that process, and its late calls stayed valid.

Change: a session compares the start time in each report with that of its process. If it differs, the session closes, and the table opens one with a higher fence; an entry of a process that is known to have ended is ignored. The runs whose starts got no reply are told, as at a lapse, for the attribution of crashes. Ends are acknowledged in polls only while the worker answers, and once: a repeated number meets a new process otherwise.

Failed before, pass now: test_another_process_is_known_by_its_report, test_old_entry_does_not_replace_the_reported_process and test_poll_of_another_process_acknowledges_nothing.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -33,6 +33,7 @@
     GetQueueLength,
     GetState,
     LeaseConfirmed,
+    ProcessReplaced,
     Resign,
     StartSettled,
     ThrottleUnanswered,
@@ -116,6 +117,7 @@
             WorkerPolled: self._worker_polled,
             WorkerSilent: self._worker_silent,
             WorkerLeaseLapsed: self._worker_lease_lapsed,
+            ProcessReplaced: self._process_replaced,
             StartSettled: self._start_settled,
             TimerFired: self._timer_fired,
             ThrottleUnanswered: self._throttle_unanswered,
@@ -345,6 +347,11 @@
             self._term.workers.set_lapsed(message)
             self._schedule_planning()
 
+    def _process_replaced(self, message: ProcessReplaced) -> None:
+        if self._ready:
+            self._term.workers.replace_process(message)
+            self._schedule_planning()
+
     def _start_settled(self, message: StartSettled) -> None:
         start, reply = message.run, message.reply
         outcome = "accepted" if reply.accepted else reply.reason
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -274,6 +274,25 @@
     unanswered_starts: frozenset[tuple[TaskKey, int]] = frozenset()
 
 
+class ProcessReplaced(NamedTuple):
+    """Tells COORDINATOR that a worker has restarted under its id.
+
+    The session is closed. The new process may carry out calls of the session
+    until a new session calls it.
+
+    Attributes:
+        worker_id: The worker.
+        fence: Fencing token of the closed session.
+        process_started_ms: Start time of the new process in milliseconds.
+        unanswered_starts: Runs whose starts were sent and not answered.
+    """
+
+    worker_id: str
+    fence: int
+    process_started_ms: int
+    unanswered_starts: frozenset[tuple[TaskKey, int]]
+
+
 class StartSettled(NamedTuple):
     """Tells COORDINATOR the final outcome of a start command.
 
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -24,6 +24,7 @@
 from .messages import (
     AcknowledgeEnds,
     Fenced,
+    ProcessReplaced,
     RegistryEntryRemoved,
     StartSettled,
     ThrottleUnanswered,
@@ -111,7 +112,11 @@
             START_TIME_SHARE * times.gang_timeout_s / sum(START_TIMEOUTS_S), 1.0
         )
         self._start_timeouts_s = tuple(scale * value for value in START_TIMEOUTS_S)
+        # Start time of the worker's process, 0 until it is known.
+        self._process_started_ms = facts.process_started_ms
         self._acknowledged_end = 0
+        # Number up to which an answered poll has acknowledged ends.
+        self._forgotten_end = 0
         self._newest_end = 0
         self._last_answer_at = system.clock.seconds()
         # Node-clock time until which the worker may hold a lease, including
@@ -235,15 +240,50 @@
                 self._poll_later(RETRY_DELAY_S)
 
     async def _send_poll(self, wait_s: float) -> WorkerReport | CommandReply | None:
-        """Send a poll; returns None if the worker did not answer."""
+        """Send a poll; returns None if the worker did not answer.
+
+        A report of another process closes the session. A new process numbers
+        its ends anew, so ends are acknowledged only while the worker answers,
+        and not again after an answered poll has acknowledged them.
+        """
+        number = self._acknowledged_end
+        if number == self._forgotten_end or self._chart.state != "answering":
+            number = 0
         poll = self._channel.poll(
             self._fence,
-            self._acknowledged_end,
+            number,
             self._extend_lease(),
             wait_s,
             wait_s + POLL_MARGIN_S,
         )
-        return await self._await_reply(poll, "poll", {})
+        reply = await self._await_reply(poll, "poll", {})
+        if isinstance(reply, WorkerReport) and not self._closed:
+            self._process_started_ms = (
+                self._process_started_ms or reply.process_started_ms
+            )
+            if reply.process_started_ms in (0, self._process_started_ms):
+                self._forgotten_end = max(self._forgotten_end, number)
+            else:
+                self._close_for_new_process(reply.process_started_ms)
+        return reply
+
+    def _close_for_new_process(self, process_started_ms: int) -> None:
+        """Leave the worker to a session with its new process.
+
+        The new process accepts what this session has sent to the last one
+        until it is called with a higher fence. Nothing that is known of the
+        last process, such as its clock and the numbers of its ends, holds for
+        the new one.
+        """
+        self._tell_coordinator(
+            ProcessReplaced(
+                self._facts.worker_id,
+                self._fence,
+                process_started_ms,
+                frozenset(self._unanswered_starts),
+            )
+        )
+        self.stop()
 
     async def _await_reply(
         self,
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -10,6 +10,7 @@
 from .gateways import LEADERSHIP, ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
     AcknowledgeEnds,
+    ProcessReplaced,
     RegistryEntryRemoved,
     Resign,
     SessionCommand,
@@ -75,6 +76,7 @@
         )
         self._unrecorded_ends_by_worker: dict[str, dict[int, str]] = {}
         self._last_end_by_worker: dict[str, int] = {}
+        self._ended_processes_by_worker: dict[str, set[int]] = {}
         # Workers that have reported to their current session.
         self._reported: set[str] = set()
 
@@ -106,11 +108,15 @@
             self._mark_unlisted(worker_id)
             return
         facts = self._registry.decode(key, value)
-        if facts is None:
+        if facts is None or facts.process_started_ms in self._ended_processes(
+            worker_id
+        ):
             return
         self._unlisted_since_by_worker.pop(worker_id, None)
         session = self._sessions_by_worker.get(worker_id)
         if session is not None and self._is_new_incarnation(facts):
+            if facts.process_started_ms:
+                self._record_process(worker_id, facts.process_started_ms)
             self._drop_session(worker_id)
             session = None
         self._engine.set_worker(facts, self._system.clock.seconds())
@@ -186,14 +192,6 @@
             worker.facts = worker.facts._replace(
                 process_started_ms=report.process_started_ms
             )
-        elif (
-            report.process_started_ms
-            and report.process_started_ms != worker.facts.process_started_ms
-        ):
-            # The worker has restarted, but the registry entry of the new
-            # incarnation has not arrived yet.
-            worker.reachable = False
-            return
         now = self._system.clock.seconds()
         became_reachable, worker.reachable = not worker.reachable, True
         is_first_report = message.worker_id not in self._reported
@@ -209,6 +207,39 @@
             running = {(entry.key, entry.run) for entry in report.running}
             self._engine.reconcile(message.worker_id, running, is_first_report, now)
 
+    def replace_process(self, message: ProcessReplaced) -> None:
+        """Open a session with the new process of a worker that has restarted.
+
+        The registry entry of that process may not have arrived yet.
+        """
+        worker_id = message.worker_id
+        if not self.is_current(worker_id, message.fence):
+            return
+        _logger.info("worker restarted", extra={"worker": worker_id})
+        self._record_process(worker_id, message.process_started_ms)
+        self._drop_session(worker_id)
+        self._engine.replace_process(
+            worker_id,
+            message.process_started_ms,
+            self._system.clock.seconds(),
+            message.unanswered_starts,
+        )
+        self._open_session(self._engine.workers_by_id[worker_id].facts)
+
+    def _ended_processes(self, worker_id: str) -> set[int]:
+        """Return the start times of a worker's processes that have ended."""
+        return self._ended_processes_by_worker.setdefault(worker_id, set())
+
+    def _record_process(self, worker_id: str, process_started_ms: int) -> None:
+        """Record which process a worker has from now on.
+
+        A registry entry may be older than what the worker itself has said.
+        """
+        ended = self._ended_processes(worker_id)
+        ended.add(self._engine.workers_by_id[worker_id].facts.process_started_ms)
+        # An unknown start time identifies no process.
+        ended -= {0, process_started_ms}
+
     def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
         """Return the ends of workflows that are not recorded in the store.
 
@@ -279,6 +310,7 @@
     def _remove(self, worker_id: str, now: float) -> None:
         self._unlisted_since_by_worker.pop(worker_id, None)
         self._engine.remove_worker(worker_id, now, "gone")
+        self._ended_processes_by_worker.pop(worker_id, None)
         if worker_id in self._sessions_by_worker:
             self._drop_session(worker_id)
 
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -109,9 +109,7 @@
     def set_worker(self, facts: WorkerFacts, now: float) -> None:
         """Add a worker, or update it from its registry entry.
 
-        A changed process start time means that the worker has restarted: its
-        confirmed runs are interrupted, and its failure count, proof of
-        soundness, quarantine and emptying flag are reset.
+        A changed process start time means that the worker has restarted.
         """
         worker = self.workers_by_id.get(facts.worker_id)
         if worker is None:
@@ -125,16 +123,38 @@
             facts.process_started_ms
             and worker.facts.process_started_ms != facts.process_started_ms
         ):
-            self.worker_restarted(facts.worker_id, now)
-            self._interrupt_confirmed(worker, now)
-            worker.failures = 0
-            worker.sound_start_at = -math.inf
-            worker.emptying = False
-            worker.quarantined_until = 0.0
+            self.replace_process(facts.worker_id, facts.process_started_ms, now)
         worker.facts = facts
         worker.listed = True
         worker.update_leave_time(now)
 
+    def replace_process(
+        self,
+        worker_id: str,
+        process_started_ms: int,
+        now: float,
+        unanswered_starts: Container[tuple[TaskKey, int]] = frozenset(),
+    ) -> None:
+        """Record that a worker has restarted under its id.
+
+        Its confirmed runs are interrupted, and its failure count, proof of
+        soundness, quarantine and emptying flag are reset.
+
+        Args:
+            worker_id: The worker.
+            process_started_ms: Start time of the new process in milliseconds.
+            now: Node-clock seconds.
+            unanswered_starts: Runs whose starts the worker may have received.
+        """
+        worker = self.workers_by_id[worker_id]
+        self.worker_restarted(worker_id, now, unanswered_starts)
+        self._interrupt_confirmed(worker, now)
+        worker.failures = 0
+        worker.sound_start_at = -math.inf
+        worker.emptying = False
+        worker.quarantined_until = 0.0
+        worker.facts = worker.facts._replace(process_started_ms=process_started_ms)
+
     def worker_restarted(
         self,
         worker_id: str,
