Count the leases of late calls from the first report of a session

Seen by callers: none so far; by reading, a second run of a task under a lease that its coordinator took for lapsed.

Cause: a session counted the longest lease that others may have granted from its opening. Until its first answered poll, which raises the worker's fence, a worker that has restarted carries out calls of earlier sessions, and each of them may extend the lease by its full length. The lease was counted too short if the first answer came late and the session did not extend the lease itself.

Change: with the first report, the lease may last its full length from then on.

Failed before, passes now: test_leases_of_late_calls_count_from_the_first_answer.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -131,6 +131,7 @@
         # Whether another process answers at the worker's address.
         self._restarted = False
         self._has_runs = False
+        self._has_reported = False
         self._closed = False
         self._starts_in_flight: set[tuple] = set()
         # Starts in flight that the worker may have received.
@@ -312,6 +313,14 @@
             sent_at: Node-clock time at which the poll was sent.
         """
         self._record_answer(reply.clock_ms)
+        if not self._has_reported:
+            # Until this poll, calls of earlier sessions may have extended the
+            # lease by its full length.
+            self._has_reported = True
+            self._leases_end_at = max(
+                self._leases_end_at,
+                self._last_answer_at + longest_lease_timeout_s(self._lease_s),
+            )
         self._answered_poll_sent_at = max(self._answered_poll_sent_at, sent_at)
         answered_immediately = (
             self.system.clock.seconds() - sent_at < MIN_POLL_DURATION_S
@@ -604,8 +613,14 @@
     Returns:
         Seconds, counted from the beginning of the new term.
     """
-    return (
-        LONGEST_OVERLAP_S
-        + longest_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO)
-        + LAPSE_MARGIN_S
-    )
+    return LONGEST_OVERLAP_S + longest_lease_timeout_s(longest_lease_s)
+
+
+def longest_lease_timeout_s(longest_lease_s: float) -> float:
+    """Return how long a lease that begins now may last, in seconds.
+
+    Args:
+        longest_lease_s: Longest lease that workers accept, in seconds of their
+            clocks.
+    """
+    return longest_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO) + LAPSE_MARGIN_S
