Acknowledge recorded ends only to the session that listed them

Seen by callers: none so far; by reading and by test, an end that was forgotten before it was recorded, so that the next coordinator would repeat its run.

Cause: the writer notes which ends a record will cover, as pairs of worker and number, and acknowledges them when the record is written. If the worker restarted meanwhile, the number was that of another end of the new process.

Change: the ends carry the fencing token of the session to which they were listed, and those of earlier sessions are left out. A worker that has not restarted lists them to the next session, where they are recorded already or wait for the write in progress.

The test now carries the write out late: its first version delayed the reply only, and the coordinator confirms such a write by reading it back.

Failed before, passes now: test_record_of_an_earlier_end_acknowledges_no_new_one.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -18,7 +18,7 @@
 from .gateways import COORDINATOR
 from .metrics import METRICS, IncrementCounter, ObserveDuration
 from .recorder import MAX_RECORDS_PER_WRITE, Recorder
-from .worker_table import WorkerTable
+from .worker_table import UnrecordedEnd, WorkerTable
 
 RETRY_DELAY_S = 0.1
 
@@ -126,7 +126,7 @@
         self,
         workflow_ids: tuple[str, ...],
         starts: list[StartRun],
-        ends: list[tuple[str, int]],
+        ends: list[UnrecordedEnd],
     ) -> None:
         for workflow_id in workflow_ids:
             self._report_metrics(self._engine.workflows_by_id[workflow_id])
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -1,6 +1,7 @@
 """Workers of one term: registry entries, sessions and unrecorded ends."""
 
 import logging
+from typing import NamedTuple
 
 from ..actors import ActorSystem
 from ..workflows.engine import Engine
@@ -33,6 +34,20 @@
 _logger = logging.getLogger(__name__)
 
 
+class UnrecordedEnd(NamedTuple):
+    """End of a run that a worker has listed and that is not recorded yet.
+
+    Attributes:
+        worker_id: The worker.
+        fence: Fencing token of the session to which the worker listed the end.
+        number: Number of the end, which is unique in the worker's process.
+    """
+
+    worker_id: str
+    fence: int
+    number: int
+
+
 class WorkerTable:
     """Applies registry entries and reports to the workers of the engine.
 
@@ -240,27 +255,30 @@
         # An unknown start time identifies no process.
         ended -= {0, process_started_ms}
 
-    def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
+    def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[UnrecordedEnd]:
         """Return the ends of workflows that are not recorded in the store.
 
         Args:
             workflow_ids: Workflows whose ends are returned.
-
-        Returns:
-            Pairs of worker id and number of the end.
         """
         return [
-            (worker_id, number)
+            UnrecordedEnd(worker_id, self._sessions_by_worker[worker_id].fence, number)
             for worker_id, unrecorded in self._unrecorded_ends_by_worker.items()
             for number, workflow_id in unrecorded.items()
             if workflow_id in workflow_ids
         ]
 
-    def acknowledge_ends(self, ends: list[tuple[str, int]]) -> None:
-        """Acknowledge to the workers ends that are now recorded."""
-        for worker_id, number in ends:
-            self._unrecorded_ends_by_worker.get(worker_id, {}).pop(number, None)
-        for worker_id in {worker_id for worker_id, _ in ends}:
+    def acknowledge_ends(self, ends: list[UnrecordedEnd]) -> None:
+        """Acknowledge to the workers ends that are now recorded.
+
+        Ends that were listed to an earlier session are left out: the worker
+        lists them again, or it has restarted and their numbers are those of
+        other ends.
+        """
+        current = [end for end in ends if self.is_current(end.worker_id, end.fence)]
+        for end in current:
+            self._unrecorded_ends_by_worker[end.worker_id].pop(end.number, None)
+        for worker_id in {end.worker_id for end in current}:
             self._acknowledge(worker_id)
 
     def set_silent(self, message: WorkerSilent) -> None:
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -347,18 +347,20 @@
         self.assertEqual(len(self.w1.process.acknowledged), 1)
 
     def delay_next_write(self, delay_s):
-        """Carry out the next write at once, and reply to it later."""
+        """Carry out the next write late, also if the store is down then."""
         handlers = self.store._handlers_by_type
         transact = handlers[Transact]
 
-        def reply_later(message):
+        def carry_out_later(message):
             handlers[Transact] = transact
             reply = Deferred()
-            result = transact(message)
-            self.clock.callLater(delay_s, reply.callback, result)
+            self.clock.callLater(
+                delay_s,
+                lambda: reply.callback(self.store.contents.transact(message)),
+            )
             return reply
 
-        handlers[Transact] = reply_later
+        handlers[Transact] = carry_out_later
 
     def test_term_ends_when_its_fencing_tokens_are_used_up(self):
         """Guards against a session with a token of the next term."""
