Treat kept runs as unthrottled after a restart of their worker

Cause: a session that was closed no longer reported an unanswered throttle command, and a run that was kept over a restart kept the speed that was set in the last process. The throttle policy would then not send its change again, and a filling task would disturb a serving one.

Change: unanswered throttle commands are always reported; they name the run and say nothing about the worker. After a restart, the speed of a run is full until it is changed again.

Failed before, pass now: test_closed_session_reports_an_unanswered_throttle_command and test_run_on_a_new_process_is_at_full_speed.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -530,7 +530,7 @@
     async def _throttle(self, message: ThrottleRun) -> None:
         """Send a throttle command once; report a missing reply."""
         if not self._authority.valid:
-            self._tell_coordinator(ThrottleUnanswered(message))
+            self.tell(COORDINATOR, ThrottleUnanswered(message))
             return
         throttle = self._channel.throttle(message, self._fence, COMMAND_TIMEOUT_S)
         reply = await self._await_reply(
@@ -539,7 +539,7 @@
         if reply is not None:
             self._record_answer(reply.clock_ms)
         else:
-            self._tell_coordinator(ThrottleUnanswered(message))
+            self.tell(COORDINATOR, ThrottleUnanswered(message))
 
     async def _send_stop(self, message: StartRun | StopRun) -> None:
         """Repeat a stop until the worker accepts it or its lease has lapsed.
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -152,6 +152,7 @@
         self.worker_restarted(worker_id, now, unanswered_starts)
         for task in list(worker.tasks_by_key.values()):
             task.run_confirmed = False
+            task.speed_percent = FULL_SPEED_PERCENT
             self.step(task, "worker_restarted", now)
         worker.failures = 0
         worker.sound_start_at = -math.inf
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -28,6 +28,7 @@
     Fenced,
     Resign,
     StartSettled,
+    ThrottleUnanswered,
     WorkerLeaseLapsed,
     WorkerPolled,
     WorkerSilent,
@@ -46,7 +47,7 @@
 from redwingrudder.platform.registry import PlatformRegistry
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
-from redwingrudder.workflows.model import EndKind, StopRun
+from redwingrudder.workflows.model import EndKind, StopRun, ThrottleRun
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, StoreContents, node_system, run_for
@@ -405,7 +406,13 @@
     def setUp(self):
         self.clock, self.system, _ = node_system()
         TimerService(self.system)
-        messages = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
+        messages = (
+            WorkerPolled,
+            WorkerSilent,
+            WorkerLeaseLapsed,
+            StartSettled,
+            ThrottleUnanswered,
+        )
         self.coordinator = Recording(
             self.system, COORDINATOR, dict.fromkeys(messages, None)
         )
@@ -456,6 +463,19 @@
                 run_for(self.clock, 1.0)
                 self.assertEqual(self.coordinator.received, [])
 
+    def test_closed_session_reports_an_unanswered_throttle_command(self):
+        """Guards against a run at full speed that is taken for a slow one."""
+        channel = LateReplyChannel(self.clock)
+        session = self.open_session(channel)
+        session.stop()
+        self.system.tell(session.name, ThrottleRun("w1", fx.key(), 1, 40))
+        channel.unanswering = True
+        run_for(self.clock, 0.1)
+        self.assertEqual(
+            [type(message) for message in self.coordinator.received],
+            [ThrottleUnanswered],
+        )
+
     def test_leases_of_late_calls_count_from_the_first_answer(self):
         """Guards against a second run under a lease of a late call.
 
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -230,6 +230,16 @@
                 self.assertEqual(fx.starts(engine.plan(1.2, 1.2)), [])
                 self.assertEqual(engine.find(start.key).state, "running")
 
+    def test_run_on_a_new_process_is_at_full_speed(self):
+        """Guards against a filling task that is taken for a throttled one."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow(), 0.0)
+        start = fx.starts(engine.plan(0.0, 0.0))[0]
+        fx.confirm(engine, [start])
+        engine.find(start.key).speed_percent = 40
+        engine.set_worker(fx.worker("w1", process_started_ms=2), 1.0)
+        self.assertEqual(engine.find(start.key).speed_percent, 100)
+
     def test_stop_is_sent_again_to_the_new_process(self):
         """Guards against a stopped run that a late start has begun anew."""
         engine = fx.engine(fx.worker("w1"))
