Send no start before the first report of a session

Seen by callers: none; found on reading, a second run of a task.

Cause: a start needs the worker's clock, which the reply to a stop tells as well. A start that was sent between that reply and the first report could begin its run although that report, which does not list it, decides that it cannot.

Change: a session sends starts only after the first report.

Failed before, passes now: test_no_start_is_sent_before_the_first_report.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -456,7 +456,7 @@
     async def _send_start(self, message: StartRun) -> CommandReply:
         """Send a start until it is answered, at most once per time limit."""
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
-            if self._closed or not self._authority.valid or not self._worker_clock_ms:
+            if not self._may_start:
                 break
             start = self._channel.start(
                 message, self._lease_until(), self._fence, timeout_s
@@ -476,6 +476,20 @@
             self._record_no_answer()
         return CommandReply(False, "unanswered")
 
+    @property
+    def _may_start(self) -> bool:
+        """Whether a start may be sent.
+
+        The first report decides that runs that it does not list cannot start
+        any more, so none is sent before it.
+        """
+        return (
+            not self._closed
+            and self._authority.valid
+            and self._has_reported
+            and bool(self._worker_clock_ms)
+        )
+
     def _may_have_begun(
         self, run_key: tuple[TaskKey, int], reply: CommandReply
     ) -> bool:
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -47,7 +47,7 @@
 from redwingrudder.platform.registry import PlatformRegistry
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
-from redwingrudder.workflows.model import EndKind, StopRun, ThrottleRun
+from redwingrudder.workflows.model import EndKind, StartRun, StopRun, ThrottleRun
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, StoreContents, node_system, run_for
@@ -463,6 +463,26 @@
                 run_for(self.clock, 1.0)
                 self.assertEqual(self.coordinator.received, [])
 
+    def test_no_start_is_sent_before_the_first_report(self):
+        """Guards against a start that the first report does not list.
+
+        The reply to a stop tells the worker's clock before that report, which
+        decides that runs that it does not list cannot start any more.
+        """
+        channel = LateReplyChannel(self.clock)
+        session = self.open_session(channel)
+        self.system.tell(session.name, StopRun("w1", fx.key(), 1))
+        run_for(self.clock, 0.05)
+        poll, stop = channel.pending
+        stop.callback(CommandReply(True, "", 1000))
+        self.system.tell(session.name, StartRun("w1", fx.key(), 2, "payload", ""))
+        run_for(self.clock, 0.05)
+        self.assertNotIn("start", channel.calls)
+        poll.callback(WorkerReport(1000, 1, (), ()))
+        self.system.tell(session.name, StartRun("w1", fx.key(), 3, "payload", ""))
+        run_for(self.clock, 0.05)
+        self.assertIn("start", channel.calls)
+
     def test_closed_session_reports_an_unanswered_throttle_command(self):
         """Guards against a run at full speed that is taken for a slow one."""
         channel = LateReplyChannel(self.clock)
