--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -33,6 +33,7 @@
     GetQueueLength,
     GetState,
     LeaseConfirmed,
+    ProcessReplaced,
     Resign,
     StartSettled,
     ThrottleUnanswered,
@@ -116,6 +117,7 @@
             WorkerPolled: self._worker_polled,
             WorkerSilent: self._worker_silent,
             WorkerLeaseLapsed: self._worker_lease_lapsed,
+            ProcessReplaced: self._process_replaced,
             StartSettled: self._start_settled,
             TimerFired: self._timer_fired,
             ThrottleUnanswered: self._throttle_unanswered,
@@ -338,18 +340,26 @@
 
     def _worker_silent(self, message: WorkerSilent) -> None:
         if self._ready:
-            self._term.workers.set_silent(message.worker_id)
+            self._term.workers.set_silent(message)
 
     def _worker_lease_lapsed(self, message: WorkerLeaseLapsed) -> None:
         if self._ready:
             self._term.workers.set_lapsed(message)
             self._schedule_planning()
 
+    def _process_replaced(self, message: ProcessReplaced) -> None:
+        if self._ready:
+            self._term.workers.replace_process(message)
+            self._schedule_planning()
+
     def _start_settled(self, message: StartSettled) -> None:
         start, reply = message.run, message.reply
         outcome = "accepted" if reply.accepted else reply.reason
         self.tell(METRICS, IncrementCounter("starts", (outcome,)))
-        if not self._ready:
+        if not self._ready or not self._term.workers.is_current(
+            start.worker_id, message.fence
+        ):
+            # The first report to the next session decides about the run.
             return
         now = self.system.clock.seconds()
         if reply.accepted:
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -115,8 +115,8 @@
     """Tells COORDINATOR that this node was elected and leads from now on.
 
     Attributes:
-        term: Number of the term, used as the fencing token in commands to
-            workers.
+        term: Number of the term, from which the fencing tokens of commands
+            are derived.
         term_revision: Store revision of the term's key; writes to the store
             are made conditional on it.
         authority_ends_at: Time in node-clock seconds until which the lease of
@@ -231,16 +231,29 @@
 
 
 class WorkerPolled(NamedTuple):
-    """Tells COORDINATOR what a worker reported in its reply to a poll."""
+    """Tells COORDINATOR what a worker reported in its reply to a poll.
+
+    Attributes:
+        worker_id: The worker.
+        report: Its report.
+        fence: Fencing token of the session that polled.
+    """
 
     worker_id: str
     report: WorkerReport
+    fence: int
 
 
 class WorkerSilent(NamedTuple):
-    """Tells COORDINATOR that a worker has stopped answering."""
+    """Tells COORDINATOR that a worker has stopped answering.
+
+    Attributes:
+        worker_id: The worker.
+        fence: Fencing token of its session.
+    """
 
     worker_id: str
+    fence: int
 
 
 class WorkerLeaseLapsed(NamedTuple):
@@ -250,24 +263,49 @@
 
     Attributes:
         worker_id: The worker.
+        fence: Fencing token of its session.
         restarted: Whether the worker's process is known to have ended.
         unanswered_starts: Runs whose starts were sent and not answered.
     """
 
     worker_id: str
+    fence: int
     restarted: bool = False
     unanswered_starts: frozenset[tuple[TaskKey, int]] = frozenset()
 
 
+class ProcessReplaced(NamedTuple):
+    """Tells COORDINATOR that a worker has restarted under its id.
+
+    The session is closed. The new process may carry out calls of the session
+    until a new session calls it.
+
+    Attributes:
+        worker_id: The worker.
+        fence: Fencing token of the closed session.
+        process_started_ms: Start time of the new process in milliseconds.
+        unanswered_starts: Runs whose starts were sent and not answered.
+    """
+
+    worker_id: str
+    fence: int
+    process_started_ms: int
+    unanswered_starts: frozenset[tuple[TaskKey, int]]
+
+
 class StartSettled(NamedTuple):
     """Tells COORDINATOR the final outcome of a start command.
 
-    ``reply`` is that of the worker, or a rejection once it is certain that the
-    run will not begin.
+    Attributes:
+        run: The run.
+        reply: Reply of the worker, or a rejection once it is certain that the
+            run will not begin.
+        fence: Fencing token of the session that sent the start.
     """
 
     run: StartRun
     reply: CommandReply
+    fence: int
 
 
 class ThrottleUnanswered(NamedTuple):
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -24,6 +24,7 @@
 from .messages import (
     AcknowledgeEnds,
     Fenced,
+    ProcessReplaced,
     RegistryEntryRemoved,
     StartSettled,
     ThrottleUnanswered,
@@ -66,7 +67,7 @@
 
 
 class WorkerSession(Actor):
-    """Owns the connections to one incarnation of a worker.
+    """Owns the connections to one process of a worker.
 
     It sends commands, extends the worker's lease by polls and reports the
     replies, silence and the lapse of the lease to COORDINATOR.
@@ -75,11 +76,10 @@
         system: The actor system of this node.
         facts: Registry entry of the worker.
         channel: Connections to the worker.
-        fence: Term of the coordinator, sent as fencing token.
+        fence: Fencing token of the session, above those of all earlier
+            sessions with the worker.
         times: Timing parameters of the workers.
         authority: Permission to send orders and to extend the lease.
-        unsettled: Runs for which commands of an earlier session may arrive at
-            the worker later; they are stopped before the first poll.
     """
 
     def __init__(
@@ -90,7 +90,6 @@
         fence: int,
         times: WorkerTimes,
         authority: Authority,
-        unsettled: tuple[StopRun, ...] = (),
     ) -> None:
         self._facts = facts
         self._channel = channel
@@ -104,13 +103,16 @@
                 "report_lapsed": lambda _: self._report_lapsed(),
             },
         )
-        self._unsettled = unsettled
         self._authority = authority
         scale = min(
             START_TIME_SHARE * times.gang_timeout_s / sum(START_TIMEOUTS_S), 1.0
         )
         self._start_timeouts_s = tuple(scale * value for value in START_TIMEOUTS_S)
+        # Start time of the worker's process, 0 until it is known.
+        self._process_started_ms = facts.process_started_ms
         self._acknowledged_end = 0
+        # Number up to which an answered poll has acknowledged ends.
+        self._forgotten_end = 0
         self._newest_end = 0
         self._last_answer_at = system.clock.seconds()
         # Node-clock time until which the worker may hold a lease, including
@@ -129,6 +131,7 @@
         # Whether another process answers at the worker's address.
         self._restarted = False
         self._has_runs = False
+        self._has_reported = False
         self._closed = False
         self._starts_in_flight: set[tuple] = set()
         # Starts in flight that the worker may have received.
@@ -150,15 +153,17 @@
         }
 
     def start(self) -> None:
-        """Send the first poll, after the stops of all unsettled runs.
+        """Send the first poll.
 
-        These calls make the worker reject coordinators of lower terms.
+        It makes the worker reject calls of earlier sessions and of
+        coordinators of lower terms.
         """
-        if self._unsettled:
-            self._polling = True
-            run(self._stop_unsettled_then_poll(), self.name)
-        else:
-            self._poll_soon()
+        self._poll_soon()
+
+    @property
+    def fence(self) -> int:
+        """Fencing token, which identifies the session in its messages."""
+        return self._fence
 
     def stop(self) -> None:
         """Close the connections; replies to calls in progress are ignored."""
@@ -195,13 +200,6 @@
             self._polling = True
             run(self._poll(), self.name)
 
-    async def _stop_unsettled_then_poll(self) -> None:
-        """Stop the unsettled runs, so that none can start after the poll."""
-        for stop in self._unsettled:
-            await self._send_stop(stop)
-        self._polling = False
-        self._poll_soon()
-
     async def _poll(self) -> None:
         """Poll once and schedule the next poll according to the reply."""
         wait_s = POLL_WAIT_S if self._newest_end <= self._acknowledged_end else 0.0
@@ -229,15 +227,50 @@
                 self._poll_later(RETRY_DELAY_S)
 
     async def _send_poll(self, wait_s: float) -> WorkerReport | CommandReply | None:
-        """Send a poll; returns None if the worker did not answer."""
+        """Send a poll; returns None if the worker did not answer.
+
+        A report of another process closes the session. A new process numbers
+        its ends anew, so ends are acknowledged only while the worker answers,
+        and not again after an answered poll has acknowledged them.
+        """
+        number = self._acknowledged_end
+        if number == self._forgotten_end or self._chart.state != "answering":
+            number = 0
         poll = self._channel.poll(
             self._fence,
-            self._acknowledged_end,
+            number,
             self._extend_lease(),
             wait_s,
             wait_s + POLL_MARGIN_S,
         )
-        return await self._await_reply(poll, "poll", {})
+        reply = await self._await_reply(poll, "poll", {})
+        if isinstance(reply, WorkerReport) and not self._closed:
+            self._process_started_ms = (
+                self._process_started_ms or reply.process_started_ms
+            )
+            if reply.process_started_ms in (0, self._process_started_ms):
+                self._forgotten_end = max(self._forgotten_end, number)
+            else:
+                self._close_for_new_process(reply.process_started_ms)
+        return reply
+
+    def _close_for_new_process(self, process_started_ms: int) -> None:
+        """Leave the worker to a session with its new process.
+
+        The new process accepts what this session has sent to the last one
+        until it is called with a higher fence. Nothing that is known of the
+        last process, such as its clock and the numbers of its ends, holds for
+        the new one.
+        """
+        self._tell_coordinator(
+            ProcessReplaced(
+                self._facts.worker_id,
+                self._fence,
+                process_started_ms,
+                frozenset(self._unanswered_starts),
+            )
+        )
+        self.stop()
 
     async def _await_reply(
         self,
@@ -280,6 +313,14 @@
             sent_at: Node-clock time at which the poll was sent.
         """
         self._record_answer(reply.clock_ms)
+        if not self._has_reported:
+            # Until this poll, calls of earlier sessions may have extended the
+            # lease by its full length.
+            self._has_reported = True
+            self._leases_end_at = max(
+                self._leases_end_at,
+                self._last_answer_at + longest_lease_timeout_s(self._lease_s),
+            )
         self._answered_poll_sent_at = max(self._answered_poll_sent_at, sent_at)
         answered_immediately = (
             self.system.clock.seconds() - sent_at < MIN_POLL_DURATION_S
@@ -288,7 +329,7 @@
         self._newest_end = max(
             (end.number for end in reply.ended), default=self._newest_end
         )
-        self.tell(COORDINATOR, WorkerPolled(self._facts.worker_id, reply))
+        self._tell_coordinator(WorkerPolled(self._facts.worker_id, reply, self._fence))
         if self._newest_end > self._acknowledged_end:
             self._poll_later(BUSY_POLL_INTERVAL_S)
         elif self._has_runs and not (answered_immediately and not reply.ended):
@@ -305,6 +346,9 @@
             self.tell(TIMERS, Subscribe(self.name, "look", delay_s))
 
     def _handle_rejection(self, reply: CommandReply) -> None:
+        if self._closed:
+            # A later session of this coordinator may have a higher fence.
+            return
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
         elif reply.reason == "other_life":
@@ -405,14 +449,14 @@
             return
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
-        self.tell(COORDINATOR, StartSettled(message, reply))
+        self._tell_coordinator(StartSettled(message, reply, self._fence))
         if not self._polling and reply.accepted:
             self._poll_soon()
 
     async def _send_start(self, message: StartRun) -> CommandReply:
         """Send a start until it is answered, at most once per time limit."""
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
-            if self._closed or not self._authority.valid or not self._worker_clock_ms:
+            if not self._may_start:
                 break
             start = self._channel.start(
                 message, self._lease_until(), self._fence, timeout_s
@@ -432,6 +476,20 @@
             self._record_no_answer()
         return CommandReply(False, "unanswered")
 
+    @property
+    def _may_start(self) -> bool:
+        """Whether a start may be sent.
+
+        The first report decides that runs that it does not list cannot start
+        any more, so none is sent before it.
+        """
+        return (
+            not self._closed
+            and self._authority.valid
+            and self._has_reported
+            and bool(self._worker_clock_ms)
+        )
+
     def _may_have_begun(
         self, run_key: tuple[TaskKey, int], reply: CommandReply
     ) -> bool:
@@ -529,13 +587,22 @@
             await pause(self.system.clock, STOP_RETRY_DELAY_S)
 
     def _report_silent(self) -> None:
-        self.tell(COORDINATOR, WorkerSilent(self._facts.worker_id))
+        self._tell_coordinator(WorkerSilent(self._facts.worker_id, self._fence))
 
     def _report_lapsed(self) -> None:
-        lapsed = WorkerLeaseLapsed(
-            self._facts.worker_id, self._restarted, frozenset(self._unanswered_starts)
+        self._tell_coordinator(
+            WorkerLeaseLapsed(
+                self._facts.worker_id,
+                self._fence,
+                self._restarted,
+                frozenset(self._unanswered_starts),
+            )
         )
-        self.tell(COORDINATOR, lapsed)
+
+    def _tell_coordinator(self, message: Any) -> None:
+        """Send a message, unless a later session may speak for the worker."""
+        if not self._closed:
+            self.tell(COORDINATOR, message)
 
 
 def _run_fields(run: StartRun | StopRun | ThrottleRun) -> dict[str, Any]:
@@ -560,8 +627,14 @@
     Returns:
         Seconds, counted from the beginning of the new term.
     """
-    return (
-        LONGEST_OVERLAP_S
-        + longest_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO)
-        + LAPSE_MARGIN_S
-    )
+    return LONGEST_OVERLAP_S + longest_lease_timeout_s(longest_lease_s)
+
+
+def longest_lease_timeout_s(longest_lease_s: float) -> float:
+    """Return how long a lease that begins now may last, in seconds.
+
+    Args:
+        longest_lease_s: Longest lease that workers accept, in seconds of their
+            clocks.
+    """
+    return longest_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO) + LAPSE_MARGIN_S
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -1,24 +1,32 @@
 """Workers of one term: registry entries, sessions and unrecorded ends."""
 
 import logging
+from typing import NamedTuple
 
 from ..actors import ActorSystem
 from ..workflows.engine import Engine
 from ..workflows.model import NO_RESOURCES, WorkerFacts
 from ..workflows.records import PlacedRun
 from .authority import Authority
-from .gateways import ChannelFactory, RegistryCodec, WorkerTimes
+from .gateways import LEADERSHIP, ChannelFactory, RegistryCodec, WorkerTimes
 from .messages import (
     AcknowledgeEnds,
+    ProcessReplaced,
     RegistryEntryRemoved,
+    Resign,
     SessionCommand,
     UpdateFacts,
     WorkerLeaseLapsed,
     WorkerPolled,
+    WorkerSilent,
 )
 from .metrics import METRICS, IncrementCounter
 from .worker_session import WorkerSession, prior_lease_timeout_s, session_name
 
+# Fencing tokens reserved for the sessions with one worker in each term. A new
+# coordinator's tokens are above all of those that the previous term may have
+# used.
+SESSIONS_PER_TERM = 10_000
 # After an outage of the store, workers may need nearly this long until they
 # have written their entries again.
 REMOVE_UNLISTED_AFTER_S = 2.5
@@ -26,11 +34,27 @@
 _logger = logging.getLogger(__name__)
 
 
+class UnrecordedEnd(NamedTuple):
+    """End of a run that a worker has listed and that is not recorded yet.
+
+    Attributes:
+        worker_id: The worker.
+        fence: Fencing token of the session to which the worker listed the end.
+        number: Number of the end, which is unique in the worker's process.
+    """
+
+    worker_id: str
+    fence: int
+    number: int
+
+
 class WorkerTable:
     """Applies registry entries and reports to the workers of the engine.
 
-    It opens one session for each incarnation of a worker and acknowledges
-    ends of runs after they are recorded in the store.
+    It opens one session for each process of a worker and acknowledges ends of
+    runs after they are recorded in the store. Each session has a fencing token
+    above those of the worker's earlier sessions: a worker may restart under
+    its id and then rejects what was sent to its last process.
 
     Args:
         system: The actor system of this node.
@@ -57,6 +81,8 @@
         self._channels = channels
         self._times = times
         self._sessions_by_worker: dict[str, WorkerSession] = {}
+        # Number of sessions that were opened in this term.
+        self._session_count_by_worker: dict[str, int] = {}
         self._unlisted_since_by_worker: dict[str, float] = {}
         # From this time on, no lease of an earlier term is valid on a worker
         # that has had no entry in this term.
@@ -65,6 +91,7 @@
         )
         self._unrecorded_ends_by_worker: dict[str, dict[int, str]] = {}
         self._last_end_by_worker: dict[str, int] = {}
+        self._ended_processes_by_worker: dict[str, set[int]] = {}
         # Workers that have reported to their current session.
         self._reported: set[str] = set()
 
@@ -96,11 +123,15 @@
             self._mark_unlisted(worker_id)
             return
         facts = self._registry.decode(key, value)
-        if facts is None:
+        if facts is None or facts.process_started_ms in self._ended_processes(
+            worker_id
+        ):
             return
         self._unlisted_since_by_worker.pop(worker_id, None)
         session = self._sessions_by_worker.get(worker_id)
         if session is not None and self._is_new_incarnation(facts):
+            if facts.process_started_ms:
+                self._record_process(worker_id, facts.process_started_ms)
             self._drop_session(worker_id)
             session = None
         self._engine.set_worker(facts, self._system.clock.seconds())
@@ -152,24 +183,30 @@
             placed.process_started_ms,
         )
 
+    def is_current(self, worker_id: str, fence: int) -> bool:
+        """Return whether a message comes from the worker's current session.
+
+        A message of an earlier session may wait in a mailbox while the next
+        session is opened. It says nothing about the calls that the worker
+        accepts from then on.
+
+        Args:
+            worker_id: The worker.
+            fence: Fencing token that the message names.
+        """
+        session = self._sessions_by_worker.get(worker_id)
+        return session is not None and session.fence == fence
+
     def take_report(self, message: WorkerPolled) -> None:
         """Apply a worker's report: its running runs and its ends."""
         worker = self._engine.workers_by_id.get(message.worker_id)
-        if worker is None:
+        if worker is None or not self.is_current(message.worker_id, message.fence):
             return
         report = message.report
         if report.process_started_ms and not worker.facts.process_started_ms:
             worker.facts = worker.facts._replace(
                 process_started_ms=report.process_started_ms
             )
-        elif (
-            report.process_started_ms
-            and report.process_started_ms != worker.facts.process_started_ms
-        ):
-            # The worker has restarted, but the registry entry of the new
-            # incarnation has not arrived yet.
-            worker.reachable = False
-            return
         now = self._system.clock.seconds()
         became_reachable, worker.reachable = not worker.reachable, True
         is_first_report = message.worker_id not in self._reported
@@ -185,39 +222,78 @@
             running = {(entry.key, entry.run) for entry in report.running}
             self._engine.reconcile(message.worker_id, running, is_first_report, now)
 
-    def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[tuple[str, int]]:
+    def replace_process(self, message: ProcessReplaced) -> None:
+        """Open a session with the new process of a worker that has restarted.
+
+        The registry entry of that process may not have arrived yet.
+        """
+        worker_id = message.worker_id
+        if not self.is_current(worker_id, message.fence):
+            return
+        _logger.info("worker restarted", extra={"worker": worker_id})
+        self._record_process(worker_id, message.process_started_ms)
+        self._drop_session(worker_id)
+        self._engine.replace_process(
+            worker_id,
+            message.process_started_ms,
+            self._system.clock.seconds(),
+            message.unanswered_starts,
+        )
+        self._open_session(self._engine.workers_by_id[worker_id].facts)
+
+    def _ended_processes(self, worker_id: str) -> set[int]:
+        """Return the start times of a worker's processes that have ended."""
+        return self._ended_processes_by_worker.setdefault(worker_id, set())
+
+    def _record_process(self, worker_id: str, process_started_ms: int) -> None:
+        """Record which process a worker has from now on.
+
+        A registry entry may be older than what the worker itself has said.
+        """
+        ended = self._ended_processes(worker_id)
+        ended.add(self._engine.workers_by_id[worker_id].facts.process_started_ms)
+        # An unknown start time identifies no process.
+        ended -= {0, process_started_ms}
+
+    def find_unrecorded_ends(self, workflow_ids: set[str]) -> list[UnrecordedEnd]:
         """Return the ends of workflows that are not recorded in the store.
 
         Args:
             workflow_ids: Workflows whose ends are returned.
-
-        Returns:
-            Pairs of worker id and number of the end.
         """
         return [
-            (worker_id, number)
+            UnrecordedEnd(worker_id, self._sessions_by_worker[worker_id].fence, number)
             for worker_id, unrecorded in self._unrecorded_ends_by_worker.items()
             for number, workflow_id in unrecorded.items()
             if workflow_id in workflow_ids
         ]
 
-    def acknowledge_ends(self, ends: list[tuple[str, int]]) -> None:
-        """Acknowledge to the workers ends that are now recorded."""
-        for worker_id, number in ends:
-            self._unrecorded_ends_by_worker.get(worker_id, {}).pop(number, None)
-        for worker_id in {worker_id for worker_id, _ in ends}:
+    def acknowledge_ends(self, ends: list[UnrecordedEnd]) -> None:
+        """Acknowledge to the workers ends that are now recorded.
+
+        Ends that were listed to an earlier session are left out: the worker
+        lists them again, or it has restarted and their numbers are those of
+        other ends.
+        """
+        current = [end for end in ends if self.is_current(end.worker_id, end.fence)]
+        for end in current:
+            self._unrecorded_ends_by_worker[end.worker_id].pop(end.number, None)
+        for worker_id in {end.worker_id for end in current}:
             self._acknowledge(worker_id)
 
-    def set_silent(self, worker_id: str) -> None:
+    def set_silent(self, message: WorkerSilent) -> None:
         """Mark a worker unreachable, so that it gets no new runs."""
+        worker_id = message.worker_id
         worker = self._engine.workers_by_id.get(worker_id)
-        if worker is not None:
+        if worker is not None and self.is_current(worker_id, message.fence):
             worker.reachable = False
             _logger.info("worker does not answer", extra={"worker": worker_id})
 
     def set_lapsed(self, message: WorkerLeaseLapsed) -> None:
         """Interrupt all runs of a worker whose lease has lapsed."""
         worker_id = message.worker_id
+        if not self.is_current(worker_id, message.fence):
+            return
         now = self._system.clock.seconds()
         _logger.info(
             "lease of a worker has lapsed; its runs are interrupted",
@@ -252,6 +328,7 @@
     def _remove(self, worker_id: str, now: float) -> None:
         self._unlisted_since_by_worker.pop(worker_id, None)
         self._engine.remove_worker(worker_id, now, "gone")
+        self._ended_processes_by_worker.pop(worker_id, None)
         if worker_id in self._sessions_by_worker:
             self._drop_session(worker_id)
 
@@ -300,14 +377,19 @@
 
     def _open_session(self, facts: WorkerFacts) -> None:
         self._engine.workers_by_id[facts.worker_id].reachable = False
+        number = self._session_count_by_worker.get(facts.worker_id, 0)
+        if number >= SESSIONS_PER_TERM:
+            # The next term has tokens above all that were used in this one.
+            self._system.tell(LEADERSHIP, Resign("fencing tokens are used up"))
+            return
+        self._session_count_by_worker[facts.worker_id] = number + 1
         session = WorkerSession(
             self._system,
             facts,
             self._channels.open(facts),
-            self._engine.term,
+            self._engine.term * SESSIONS_PER_TERM + number,
             self._times,
             self._authority,
-            self._engine.unsettled_runs(facts.worker_id),
         )
         self._sessions_by_worker[facts.worker_id] = session
         session.start()
