--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -56,7 +56,7 @@
 )
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
-from redwingrudder.workflows.model import WorkflowState
+from redwingrudder.workflows.model import EndKind, WorkflowState
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import (
@@ -445,14 +445,14 @@
         self.engine = fx.engine()
         self.engine.accept(fx.workflow("job", fx.step(2)), 0.0)
 
-    def write(self):
-        reply = ensureDeferred(self.recorder.write(self.engine, ["job"]))
+    def write(self, workflow_id="job"):
+        reply = ensureDeferred(self.recorder.write(self.engine, [workflow_id]))
         run_for(self.clock, 0.05)
         return outcome(reply)
 
-    def record(self):
-        item = self.store.contents.items_by_key["progress/job"]
-        return records.decode_progress("job", item.value.encode())
+    def record(self, workflow_id="job"):
+        item = self.store.contents.items_by_key[f"progress/{workflow_id}"]
+        return records.decode_progress(workflow_id, item.value.encode())
 
     def test_record_restores_the_progress(self):
         """Guards against a successor that runs completed tasks again."""
@@ -464,6 +464,24 @@
         self.assertEqual(record.done, (begun[0].key,))
         self.assertEqual([p.key for p in record.placed], [begun[1].key])
 
+    def test_checkpoint_is_recorded_until_the_next_run_begins(self):
+        """Guards against work that is lost with the end of its run.
+
+        The end is acknowledged when the task has been placed again, and the
+        successor finds that this run has not begun.
+        """
+        step = fx.step(checkpoints=True)
+        self.engine.accept(fx.workflow("job 2", step), 0.0)
+        begun = fx.starts(self.engine.plan(0.0, 0.0))[-1]
+        fx.confirm(self.engine, [begun])
+        end = fx.ended(begun, EndKind.STOPPED, checkpoint="saved")
+        self.engine.end(begun.worker_id, end, 0.0)
+        again = fx.starts(self.engine.plan(0.0, 0.0))
+        self.assertEqual([start.checkpoint for start in again], ["saved"])
+        self.write("job 2")
+        checkpoints = self.record("job 2").checkpoints
+        self.assertEqual(checkpoints, ((begun.key, "saved"),))
+
     def test_late_write_cannot_replace_a_newer_one(self):
         """Guards against a delayed write that replaces a newer record."""
         self.store.writes_to_delay = 1
