Poll again if the report that ends a start cannot be handled

A task could stay in the state 'starting' until the term ended. Not seen in a trial; found by reading.

Cause: an unexpected error while the report is handled that shows the end of a start without a reply, such as a full mailbox of the coordinator, ended the coroutine of the start, and its outcome was never told. The regular polls catch such errors and go on.

Change: both handle reports in the same way; the start is settled by a later report.

test_report_that_cannot_be_handled_does_not_settle_a_start failed before (the start was not settled).

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -216,15 +216,8 @@
         elif isinstance(reply, CommandReply):
             self._handle_rejection(reply)
             self._poll_later(RETRY_DELAY_S)
-        else:
-            try:
-                self._handle_report(reply, sent_at)
-            except Exception:
-                _logger.exception(
-                    "report of a worker could not be handled",
-                    extra={"worker": self._facts.worker_id},
-                )
-                self._poll_later(RETRY_DELAY_S)
+        elif not self._try_report(reply, sent_at):
+            self._poll_later(RETRY_DELAY_S)
 
     async def _send_poll(self, wait_s: float) -> WorkerReport | CommandReply | None:
         """Send a poll; returns None if the worker did not answer.
@@ -305,6 +298,18 @@
             on_unknown_outcome()
         return None
 
+    def _try_report(self, reply: WorkerReport, sent_at: float) -> bool:
+        """Handle a report; returns False after an unexpected error."""
+        try:
+            self._handle_report(reply, sent_at)
+        except Exception:
+            _logger.exception(
+                "report of a worker could not be handled",
+                extra={"worker": self._facts.worker_id},
+            )
+            return False
+        return True
+
     def _handle_report(self, reply: WorkerReport, sent_at: float) -> None:
         """Pass a report to COORDINATOR and schedule the next poll.
 
@@ -526,8 +531,7 @@
                 self._handle_rejection(reply)
                 if reply.reason in FINAL_REJECTIONS:
                     return
-            elif not self._closed:
-                self._handle_report(reply, sent_at)
+            elif not self._closed and self._try_report(reply, sent_at):
                 if run_key not in {(entry.key, entry.run) for entry in reply.running}:
                     return
                 if self._newest_end <= self._acknowledged_end:
--- a/tests/test_settled_starts.py
+++ b/tests/test_settled_starts.py
@@ -1,7 +1,9 @@
 """Tests of starts without an answer on workers that stop runs slowly."""
 
+import logging
 import math
 import unittest
+from unittest import mock
 
 from redwingrudder.coordination.authority import Authority
 from redwingrudder.coordination.gateways import (
@@ -238,6 +240,21 @@
         self.run_until_settled(5.0)
         self.assert_end_came_first()
 
+    def test_report_that_cannot_be_handled_does_not_settle_a_start(self):
+        """Guards against a task that waits for its start forever."""
+        self.channel.lost_starts, self.channel.lost_starts_begin = 3, True
+        self.start_run(STOP_S / 2)
+        with (
+            mock.patch.object(
+                self.session, "_handle_report", side_effect=ZeroDivisionError
+            ),
+            self.assertLogs("redwingrudder", logging.ERROR),
+        ):
+            run_for(self.clock, STOP_S)
+        self.assertEqual(self.settled(), [])
+        self.run_until_settled(1.0)
+        self.assert_end_came_first()
+
     def test_start_that_never_began_is_settled_without_delay(self):
         """Guards against waiting for the end of a run that never began."""
         self.channel.lost_starts = 3
