Send no start to a worker whose lease has lapsed

A run could begin while the coordinator placed its task on another worker. Not seen in a trial; found by reading. It takes a start that the session receives before the coordinator handles the lapse: starts wait for the record of their job, and are sent although the worker is silent by then.

Cause: the session sent starts in the state 'lapsed' as well, with a new lease, and the stop that follows a start without a reply is not sent in that state.

Change: such a start settles as unanswered and is not sent.

test_start_is_not_sent_after_the_lease_has_lapsed failed before (one start was sent).

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -459,10 +459,16 @@
             self._poll_soon()
 
     async def _send_start(self, message: StartRun) -> CommandReply:
-        """Send a start until it is answered, at most once per time limit."""
+        """Send a start until it is answered, at most once per time limit.
+
+        It is not sent without authority or after the lease has lapsed, when
+        COORDINATOR gives up all runs of the worker.
+        """
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
             if not self._may_start:
                 break
+            if self._chart.state == "lapsed":
+                break
             start = self._channel.start(
                 message, self._lease_until(), self._fence, timeout_s
             )
--- a/tests/test_settled_starts.py
+++ b/tests/test_settled_starts.py
@@ -20,14 +20,17 @@
     WorkerPolled,
     WorkerSilent,
 )
-from redwingrudder.coordination.worker_session import WorkerSession
+from redwingrudder.coordination.worker_session import (
+    WorkerSession,
+    prior_lease_timeout_s,
+)
 from redwingrudder.exceptions import OutcomeUnknownError
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows.model import EndKind, RunEnd, RunReport, StartRun, StopRun
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, node_system, run_for
-from .test_worker_session import TIMES
+from .test_worker_session import LEASE_S, TIMES
 
 STOP_S = 0.9  # time for which a run goes on after its stop was answered
 WORK_S = 30.0  # duration of a run that is not stopped
@@ -46,6 +49,7 @@
         runs: End of each run that has begun, in clock seconds, by its key.
         stopped: Runs that were stopped or have ended.
         calls: Names of the calls in the order of arrival.
+        answers: Whether polls are answered.
     """
 
     def __init__(self, clock):
@@ -58,6 +62,7 @@
         self.runs = {}
         self.stopped = set()
         self.calls = []
+        self.answers = True
 
     def begin(self, run_key):
         self.runs[run_key] = self.clock.seconds() + WORK_S
@@ -92,6 +97,8 @@
 
     async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
         self.calls.append("poll")
+        if not self.answers:
+            raise OutcomeUnknownError("the reply to the poll was lost")
         if self.rejections["poll"]:
             return self._reply(self.rejections["poll"].pop(0))
         running = tuple(
@@ -255,6 +262,20 @@
         self.run_until_settled(1.0)
         self.assert_end_came_first()
 
+    def test_start_is_not_sent_after_the_lease_has_lapsed(self):
+        """Guards against a run that begins after its task is given up.
+
+        COORDINATOR has not handled the lapse when it passes on the start.
+        """
+        self.channel.answers = False
+        run_for(self.clock, prior_lease_timeout_s(LEASE_S) + 5.0)
+        self.assertTrue(
+            any(isinstance(m, WorkerLeaseLapsed) for m in self.coordinator.received)
+        )
+        self.start_run(5.0)
+        self.assertNotIn("start", self.channel.calls)
+        self.assertEqual(len(self.settled()), 1)
+
     def test_start_that_never_began_is_settled_without_delay(self):
         """Guards against waiting for the end of a run that never began."""
         self.channel.lost_starts = 3
