Count a rejected throttle command as without effect

A filling task could work on at full speed beside a service over its latency target while the coordinator took it for slowed down. Not seen in a trial; found by reading.

Cause: any answer to a throttle command was taken for its effect. A worker that is unhealthy rejects the command and does nothing, and the engine went on from the ordered speed.

Change: a rejected command is handled like one without a reply: later changes start from full speed.

test_rejected_throttle_has_no_effect failed before (no message).

--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -309,7 +309,7 @@
 
 
 class ThrottleUnanswered(NamedTuple):
-    """Tells COORDINATOR that a throttle command got no reply."""
+    """Tells COORDINATOR that a throttle command was not accepted."""
 
     run: ThrottleRun
 
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -552,7 +552,7 @@
             self._poll_soon()
 
     async def _throttle(self, message: ThrottleRun) -> None:
-        """Send a throttle command once; report a missing reply."""
+        """Send a throttle command once; report if it may have no effect."""
         if not self._authority.valid:
             self.tell(COORDINATOR, ThrottleUnanswered(message))
             return
@@ -562,7 +562,7 @@
         )
         if reply is not None:
             self._record_answer(reply.clock_ms)
-        else:
+        if reply is None or not reply.accepted:
             self.tell(COORDINATOR, ThrottleUnanswered(message))
 
     async def _send_stop(self, message: StartRun | StopRun) -> None:
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -20,6 +20,7 @@
     Fenced,
     RegistryEntryRemoved,
     StartSettled,
+    ThrottleUnanswered,
     WorkerLeaseLapsed,
     WorkerPolled,
     WorkerSilent,
@@ -30,7 +31,7 @@
 )
 from redwingrudder.exceptions import OutcomeUnknownError, UnavailableError
 from redwingrudder.timers import TimerService
-from redwingrudder.workflows.model import StartRun, StopRun
+from redwingrudder.workflows.model import StartRun, StopRun, ThrottleRun
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, node_system, run_for
@@ -109,7 +110,13 @@
     def setUp(self):
         self.clock, self.system, _ = node_system()
         TimerService(self.system)
-        message_types = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
+        message_types = (
+            WorkerPolled,
+            WorkerSilent,
+            WorkerLeaseLapsed,
+            StartSettled,
+            ThrottleUnanswered,
+        )
         self.coordinator = Recording(
             self.system, COORDINATOR, dict.fromkeys(message_types, None)
         )
@@ -297,6 +304,20 @@
         run_for(self.clock, prior_lease_timeout_s(LEASE_S) + 5.0)
         self.assertEqual(len(self.sent_to_coordinator(StartSettled)), 1)
 
+    def test_rejected_throttle_has_no_effect(self):
+        """Guards against filling at full speed that counts as slowed."""
+        throttle = ThrottleRun("w1", fx.key(), 1, 40)
+        self.channel.rejection_reason = "unhealthy"
+        self.system.tell(self.session.name, throttle)
+        run_for(self.clock, 0.1)
+        self.assertEqual(len(self.sent_to_coordinator(ThrottleUnanswered)), 1)
+
+    def test_accepted_throttle_is_not_sent_again(self):
+        """Guards against speeds that are computed from full speed."""
+        self.system.tell(self.session.name, ThrottleRun("w1", fx.key(), 1, 40))
+        run_for(self.clock, 0.1)
+        self.assertFalse(self.sent_to_coordinator(ThrottleUnanswered))
+
     def test_fence_is_reported(self):
         """Guards against a deposed coordinator that continues its term."""
         self.channel.rejection_reason = "fenced"
