Take an unknown start time of a worker for no restart

The runs of a worker could be started a second time while it went on with them. Not seen in a trial; found by reading.

Cause: entries need no start time to be decoded. One without it, which another writer may put under a worker's key, replaced the known time by 0, and the worker's next entry then looked like that of another process: all confirmed runs were interrupted, and the session was opened anew twice.

Change: an entry without a start time keeps the known one, and a time that becomes known is no restart.

test_start_time_that_becomes_known_is_no_restart failed before (a second start on w2).

--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -362,10 +362,8 @@
         if known_worker is None:
             return True
         known_facts = known_worker.facts
-        if (known_facts.process_started_ms, known_facts.address) != (
-            facts.process_started_ms,
-            facts.address,
-        ):
+        started = {known_facts.process_started_ms, facts.process_started_ms} - {0}
+        if len(started) > 1 or known_facts.address != facts.address:
             _logger.info("worker restarted", extra={"worker": facts.worker_id})
             return True
         if known_facts.draining != facts.draining:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -109,7 +109,8 @@
     def set_worker(self, facts: WorkerFacts, now: float) -> None:
         """Add a worker, or update it from its registry entry.
 
-        A changed process start time means that the worker has restarted.
+        A changed process start time means that the worker has restarted. An
+        entry without a start time does not change the known one.
         """
         worker = self.workers_by_id.get(facts.worker_id)
         if worker is None:
@@ -119,10 +120,10 @@
             )
             worker.update_leave_time(now)
             return
-        if (
-            facts.process_started_ms
-            and worker.facts.process_started_ms != facts.process_started_ms
-        ):
+        known_started_ms = worker.facts.process_started_ms
+        if not facts.process_started_ms:
+            facts = facts._replace(process_started_ms=known_started_ms)
+        if known_started_ms and known_started_ms != facts.process_started_ms:
             self.replace_process(facts.worker_id, facts.process_started_ms, now)
         worker.facts = facts
         worker.listed = True
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -258,6 +258,31 @@
         engine.reconcile("w1", listed, False, 1.2)
         self.assertEqual(engine.take_effects(), [])
 
+    def test_start_time_that_becomes_known_is_no_restart(self):
+        """Guards against a second run beside one of the same process.
+
+        An entry of another writer under the worker's key has no start time.
+        """
+        engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
+        engine.accept(fx.workflow(), 0.0)
+        start = fx.starts(engine.plan(0.0, 0.0))[0]
+        fx.confirm(engine, [start])
+        for started_ms in (0, 1):
+            facts = fx.worker(start.worker_id, process_started_ms=started_ms)
+            engine.set_worker(facts, 1.0)
+        self.assertEqual(fx.starts(engine.plan(1.0, 1.0)), [])
+
+    def test_restart_is_seen_past_an_entry_without_a_start_time(self):
+        """Guards against runs of a previous process that count as running."""
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow(), 0.0)
+        first = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, first)
+        for started_ms in (0, 2):
+            engine.set_worker(fx.worker("w1", process_started_ms=started_ms), 1.0)
+        engine.reconcile("w1", set(), True, 1.0)
+        self.assertEqual(len(fx.starts(engine.plan(1.0, 1.0))), 1)
+
     def test_unanswered_start_is_kept_after_worker_restart(self):
         """Guards against a second run while an unanswered start may arrive.
 
