Count the runs of ended jobs against capacity after a takeover

A worker that does not guard its capacity could get more than fits.

Cause: the tasks of a job whose record is cancelled or failed were restored as ended, so the runs that the record names as placed were not restored. A new coordinator stopped them only when a report listed them, and used their capacity at once, although a stop takes its time.

Change: these tasks are restored as being stopped, the stop is sent again, and the capacity is free when the end is listed or the worker is gone.

test_run_of_a_cancelled_job_uses_capacity_after_a_takeover failed before (a start on the full worker).

--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -160,5 +160,6 @@
     progress.wait_observed = progress.begun
     if record.state in FINAL_STATES:
         progress.end_observed = True
-        engine.restore_final_state(workflow_id, record.state, now)
+        placed = {run.key for run in record.placed}
+        engine.restore_final_state(workflow_id, record.state, now, placed)
     return record.placed
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -531,7 +531,8 @@
         """Restore a run that is named by a stored record or by a worker.
 
         A task that is placed already keeps its current run; the start of that
-        run is confirmed if it is the given one and ``started`` is set.
+        run is confirmed if it is the given one and ``started`` is set. The run
+        of an ended workflow is stopped.
 
         Args:
             key: The task; the run is ignored if the task is unknown or ended.
@@ -568,6 +569,9 @@
         if started:
             self.step(task, "started", now)
         task.stage.workflow.begun = True
+        if task.stage.workflow.ended_at is not None:
+            self.effects.append(StopRun(worker_id, key, run))
+            self.step(task, "withdraw", now)
 
     def reconcile(
         self,
@@ -600,14 +604,26 @@
                 self._interrupt(task, "not_listed", now)
 
     def restore_final_state(
-        self, workflow_id: str, state: WorkflowState, now: float
+        self,
+        workflow_id: str,
+        state: WorkflowState,
+        now: float,
+        placed: Container[TaskKey] = frozenset(),
     ) -> None:
-        """Mark a workflow as ended with the final state of its record."""
+        """Mark a workflow as ended with the final state of its record.
+
+        Args:
+            workflow_id: The workflow.
+            state: The final state.
+            now: Node-clock seconds.
+            placed: Tasks with a recorded run, which use capacity until it has
+                ended; see ``adopt_run``.
+        """
         progress = self.workflows_by_id[workflow_id]
         progress.ended_at = now
         progress.cancelled = state is WorkflowState.CANCELLED
         for task in progress.tasks():
-            if task.state == "waiting":
+            if task.state == "waiting" and task.key not in placed:
                 event = "give_up" if state is WorkflowState.FAILED else "withdraw"
                 task.state = TASK_CHART.step("waiting", event).target
 
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from redwingrudder.workflows import records
 from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import (
     AskAdvice,
@@ -258,6 +259,43 @@
         engine.reconcile("w1", listed, False, 1.2)
         self.assertEqual(engine.take_effects(), [])
 
+    def test_run_of_a_cancelled_job_uses_capacity_after_a_takeover(self):
+        """Guards against a worker over its capacity while runs are stopped."""
+        for state in ("cancelled", "failed"):
+            with self.subTest(state=state):
+                earlier = fx.engine(fx.worker("w1"))
+                workflow = fx.workflow("job", fx.step(2, fx.HALF_WORKER), attempts=1)
+                earlier.accept(workflow, 0.0)
+                starts = fx.starts(earlier.plan(0.0, 0.0))
+                fx.confirm(earlier, starts)
+                if state == "cancelled":
+                    earlier.cancel("job", 0.0)
+                    earlier.end("w1", fx.ended(starts[0], EndKind.STOPPED), 0.0)
+                else:
+                    earlier.end("w1", fx.ended(starts[0], EndKind.FAILED), 0.0)
+                document = records.encode_progress(
+                    earlier.workflows_by_id["job"], 1, {"w1": 1}
+                )
+                record = records.decode_progress("job", document)
+                self.assertEqual(record.state, state)
+                engine = fx.engine(fx.worker("w1"))
+                engine.term = 2
+                restored = engine.accept(workflow, 1.0)
+                records.restore_progress(restored, record)
+                placed = {run.key for run in record.placed}
+                engine.restore_final_state("job", record.state, 1.0, placed)
+                for run in record.placed:
+                    engine.adopt_run(run.key, run.run, run.worker_id, False, 1.0, 1)
+                engine.accept(fx.workflow("next", fx.step(1, fx.WHOLE_WORKER)), 1.0)
+                effects = engine.plan(1.0, 1.0)
+                self.assertEqual(fx.starts(effects), [])
+                self.assertEqual([s.run for s in fx.stops(effects)], [starts[1].run])
+                self.assertEqual(restored.state, state)
+                engine.end("w1", fx.ended(starts[1], EndKind.STOPPED), 2.0)
+                self.assertTrue(restored.settled)
+                self.assertEqual(restored.state, state)
+                self.assertEqual(len(fx.starts(engine.plan(2.0, 2.0))), 1)
+
     def test_start_time_that_becomes_known_is_no_restart(self):
         """Guards against a second run beside one of the same process.
 
