Keep runs that began after the poll whose report does not list them

A sound run could be interrupted in the coordinator and its task started a second time.

Cause: when a worker is reachable again, a run that its report does not list counts as gone if its start is confirmed. The start may be confirmed by its own reply while the poll is in flight: the worker has answered the poll first, and the two replies come over different connections and may overtake each other. It takes a start that is in flight while its worker is silent for two seconds.

Change: a report says when its poll was sent. A missing run whose start was confirmed after that is kept, and the next report decides.

--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -237,11 +237,13 @@
         worker_id: The worker.
         report: Its report.
         fence: Fencing token of the session that polled.
+        sent_at: Node-clock time at which the poll was sent.
     """
 
     worker_id: str
     report: WorkerReport
     fence: int
+    sent_at: float
 
 
 class WorkerSilent(NamedTuple):
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -334,7 +334,9 @@
         self._newest_end = max(
             (end.number for end in reply.ended), default=self._newest_end
         )
-        self._tell_coordinator(WorkerPolled(self._facts.worker_id, reply, self._fence))
+        self._tell_coordinator(
+            WorkerPolled(self._facts.worker_id, reply, self._fence, sent_at)
+        )
         if self._newest_end > self._acknowledged_end:
             self._poll_later(BUSY_POLL_INTERVAL_S)
         elif self._has_runs and not (answered_immediately and not reply.ended):
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -94,6 +94,9 @@
         self._ended_processes_by_worker: dict[str, set[int]] = {}
         # Workers that have reported to their current session.
         self._reported: set[str] = set()
+        # Workers with runs that began after their last poll was sent, so that
+        # its report could not list them.
+        self._undecided: set[str] = set()
 
     @property
     def count(self) -> int:
@@ -218,9 +221,15 @@
                 )
         self._engine.report(message.worker_id, report.running, now)
         self._handle_ends(message, now)
-        if became_reachable:
+        if became_reachable or message.worker_id in self._undecided:
             running = {(entry.key, entry.run) for entry in report.running}
-            self._engine.reconcile(message.worker_id, running, is_first_report, now)
+            decided = self._engine.reconcile(
+                message.worker_id, running, is_first_report, now, message.sent_at
+            )
+            if decided:
+                self._undecided.discard(message.worker_id)
+            else:
+                self._undecided.add(message.worker_id)
 
     def replace_process(self, message: ProcessReplaced) -> None:
         """Open a session with the new process of a worker that has restarted.
@@ -395,6 +404,7 @@
     def _drop_session(self, worker_id: str) -> None:
         session = self._sessions_by_worker.pop(worker_id)
         self._reported.discard(worker_id)
+        self._undecided.discard(worker_id)
         session.stop()
         self._system.unregister(session)
         self._last_end_by_worker.pop(worker_id, None)
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -579,7 +579,8 @@
         listed_runs: set[tuple[TaskKey, int]],
         first_report: bool,
         now: float,
-    ) -> None:
+        polled_at: float = math.inf,
+    ) -> bool:
         """Interrupt runs that a worker does not list.
 
         Stops are sent again if they were sent by an earlier session.
@@ -594,14 +595,24 @@
                 later reports, a run that is starting or stopping is kept,
                 since the session's command may be in flight.
             now: Node-clock seconds.
+            polled_at: Node-clock seconds at which the poll was sent. A run
+                whose start was confirmed later is kept, since the worker may
+                have replied to the poll before.
+
+        Returns:
+            Whether no run was kept for that reason.
         """
         worker = self.workers_by_id.get(worker_id)
+        decided = True
         for task in list(worker.tasks_by_key.values()) if worker else ():
             if (task.key, task.run) in listed_runs:
                 if first_report and task.state == "stopping":
                     self.effects.append(StopRun(worker_id, task.key, task.run))
+            elif task.state == "running" and task.started_at > polled_at:
+                decided = False
             elif first_report or task.state == "running":
                 self._interrupt(task, "not_listed", now)
+        return decided
 
     def restore_final_state(
         self,
