--- /dev/null
+++ b/tests/test_returning_entries.py
@@ -0,0 +1,123 @@
+"""Tests of workers whose registry entries appear after a recovery."""
+
+import math
+import unittest
+
+from redwingrudder.coordination.authority import Authority
+from redwingrudder.coordination.gateways import (
+    COORDINATOR,
+    LEADERSHIP,
+    ChannelFactory,
+    WorkerReport,
+)
+from redwingrudder.coordination.messages import (
+    Fenced,
+    StartSettled,
+    WorkerLeaseLapsed,
+    WorkerPolled,
+    WorkerSilent,
+)
+from redwingrudder.coordination.worker_table import WorkerTable
+from redwingrudder.platform.registry import PlatformRegistry
+from redwingrudder.timers import TimerService
+from redwingrudder.workflows.engine import Engine
+from redwingrudder.workflows.model import RunReport
+from redwingrudder.workflows.records import PlacedRun
+
+from . import workflow_fixtures as fx
+from .coordination_fakes import Recording, node_system, run_for
+from .test_worker_session import TIMES, FakeChannel
+from .test_worker_table import KEY, entry
+
+BORN_MS = 1
+EARLIER_RUN = 1001
+
+
+class ListingChannel(FakeChannel):
+    """Channel to a worker that lists the given runs as running."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.running = []
+
+    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+        reply = self._reply("poll")
+        if not reply.accepted:
+            return reply
+        running = tuple(RunReport(key, run, "", 50.0) for key, run in self.running)
+        return WorkerReport(reply.clock_ms, BORN_MS, running, ())
+
+
+class ListingChannels(ChannelFactory):
+    def __init__(self, clock):
+        self.channel = ListingChannel(clock)
+
+    def open(self, facts):
+        return self.channel
+
+
+class ReturningEntryTests(unittest.TestCase):
+    """A term begins while the entry of a worker with a run is missing."""
+
+    def setUp(self):
+        self.clock, self.system, _ = node_system()
+        TimerService(self.system)
+        message_types = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
+        self.coordinator = Recording(
+            self.system, COORDINATOR, dict.fromkeys(message_types, None)
+        )
+        Recording(self.system, LEADERSHIP, {Fenced: None})
+        self.channels = ListingChannels(self.clock)
+        self.channel = self.channels.channel
+        self.engine = Engine()
+        self.engine.term = 3
+        self.workers = WorkerTable(
+            self.system,
+            self.engine,
+            PlatformRegistry(),
+            self.channels,
+            TIMES,
+            Authority(self.clock.seconds, math.inf),
+        )
+        progress = self.engine.accept(fx.workflow(), 0.0)
+        self.task = progress.find(fx.key())
+        self.workers.adopt(PlacedRun(fx.key(), EARLIER_RUN, "w1", BORN_MS))
+
+    def run_for(self, seconds):
+        """Advance the clock, and apply what COORDINATOR would receive."""
+        for _ in range(round(seconds / 0.05)):
+            run_for(self.clock, 0.05)
+            received, self.coordinator.received = self.coordinator.received, []
+            for message in received:
+                if isinstance(message, WorkerPolled):
+                    self.workers.take_report(message)
+                elif isinstance(message, WorkerLeaseLapsed):
+                    self.workers.set_lapsed(message)
+            for effect in self.engine.take_effects():
+                self.workers.send(effect)
+
+    def test_run_of_an_earlier_term_goes_on(self):
+        """Guards against stopping sound runs when the entry is back."""
+        self.channel.running = [(fx.key(), EARLIER_RUN)]
+        self.workers.set_entry(KEY, entry())
+        self.run_for(0.5)
+        self.assertNotIn("stop", self.channel.calls)
+        self.assertEqual(self.task.state, "running")
+
+    def test_run_that_is_being_stopped_is_stopped_on_the_worker(self):
+        """Guards against a cancelled run that nobody stops."""
+        self.channel.running = [(fx.key(), EARLIER_RUN)]
+        self.engine.cancel("job", 0.0)
+        self.workers.set_entry(KEY, entry())
+        self.run_for(0.5)
+        self.assertIn("stop", self.channel.calls)
+
+    def test_run_that_is_not_listed_is_interrupted(self):
+        """Guards against a task that waits for a run that never began."""
+        self.workers.set_entry(KEY, entry())
+        self.run_for(0.5)
+        self.assertEqual(self.task.state, "waiting")
+
+
+if __name__ == "__main__":
+    unittest.main()
