Conclude no end of a run from a reply that cannot list all ends

A task could run again after its run had ended as done. It takes 500 ends of one worker that are not acknowledged, as with an end whose record is never written, which holds up all later ones.

Cause: a reply to a poll lists at most 500 ends. A run that is not listed as running counted as gone without an end, although its end may come after these: when a start without a reply is settled, and when a worker is reachable again.

Change: a report tells whether its list of ends is complete. Until it is, a start is not settled without the end of its run, and a worker stays unreachable.

test_end_beyond_a_full_list_does_not_settle_a_start, test_run_whose_end_is_not_listed_yet_is_kept and test_full_list_of_ends_is_incomplete failed before.

--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -189,12 +189,14 @@
             milliseconds, which identifies its incarnation; 0 if not reported.
         running: Runs that the worker currently executes.
         ended: Ends of runs that have not been acknowledged yet.
+        ends_complete: Whether there are no more such ends than a reply lists.
     """
 
     clock_ms: int
     process_started_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[RunEnd, ...]
+    ends_complete: bool = True
 
 
 class CommandReply(NamedTuple):
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -540,7 +540,7 @@
                 if reply.reason in FINAL_REJECTIONS:
                     return
             elif not self._closed and self._try_report(reply, sent_at):
-                if run_key not in {(entry.key, entry.run) for entry in reply.running}:
+                if _is_over(run_key, reply):
                     return
                 if self._newest_end <= self._acknowledged_end:
                     # The worker replies as soon as the run has ended.
@@ -617,6 +617,14 @@
             self.tell(COORDINATOR, message)
 
 
+def _is_over(run_key: tuple[TaskKey, int], report: WorkerReport) -> bool:
+    """Return whether a stopped run has ended, with its end listed if any."""
+    if run_key in {(end.key, end.run) for end in report.ended}:
+        return True
+    running = {(entry.key, entry.run) for entry in report.running}
+    return report.ends_complete and run_key not in running
+
+
 def _run_fields(run: StartRun | StopRun | ThrottleRun) -> dict[str, Any]:
     """Return the log fields that identify a run."""
     return {"job": run.key.workflow_id, "run": run.run}
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -201,7 +201,11 @@
         return session is not None and session.fence == fence
 
     def take_report(self, message: WorkerPolled) -> None:
-        """Apply a worker's report: its running runs and its ends."""
+        """Apply a worker's report: its running runs and its ends.
+
+        A worker whose report cannot list all ends is not reachable yet: a run
+        that is not listed may have an end that is listed later.
+        """
         worker = self._engine.workers_by_id.get(message.worker_id)
         if worker is None or not self.is_current(message.worker_id, message.fence):
             return
@@ -211,17 +215,21 @@
                 process_started_ms=report.process_started_ms
             )
         now = self._system.clock.seconds()
-        became_reachable, worker.reachable = not worker.reachable, True
+        was_reachable = worker.reachable
+        worker.reachable = was_reachable or report.ends_complete
+        became_reachable = worker.reachable and not was_reachable
         is_first_report = message.worker_id not in self._reported
-        self._reported.add(message.worker_id)
-        if became_reachable:
+        if worker.reachable:
+            self._reported.add(message.worker_id)
+        if not was_reachable:
             for entry in report.running:
                 self._engine.adopt_run(
                     entry.key, entry.run, message.worker_id, True, now
                 )
         self._engine.report(message.worker_id, report.running, now)
         self._handle_ends(message, now)
-        if became_reachable or message.worker_id in self._undecided:
+        is_undecided = message.worker_id in self._undecided and report.ends_complete
+        if became_reachable or is_undecided:
             running = {(entry.key, entry.run) for entry in report.running}
             decided = self._engine.reconcile(
                 message.worker_id, running, is_first_report, now, message.sent_at
--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -27,6 +27,8 @@
 MAX_IDLE_CONNECTIONS = 12  # a worker accepts 64 connections
 STATUS_MISDIRECTED = 421  # the address now belongs to a different worker
 
+MAX_LISTED_ENDS = 500  # in the reply to one poll
+
 # Reasons for which a worker rejects a command, by the platform's name of the
 # reason.
 REASONS_BY_PLATFORM_NAME = {
@@ -173,11 +175,13 @@
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
     try:
         report = Fields(body, "report")
+        ended = tuple(_decode_ended(row) for row in report.rows("ended"))
         return WorkerReport(
             int(report.number("clockMs")),
             report.integer("born", 0),
             tuple(_decode_running(row) for row in report.rows("running")),
-            tuple(_decode_ended(row) for row in report.rows("ended")),
+            ended,
+            len(ended) < MAX_LISTED_ENDS,
         )
     except ValueError as error:
         raise OutcomeUnknownError(f"malformed report of a worker: {error}") from error
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -223,6 +223,13 @@
         self.assertEqual((run.run, run.checkpoint, run.percent), (2, "cp", 41.0))
         self.assertEqual(report.ended[0].kind, EndKind.BROKEN)
 
+    def test_full_list_of_ends_is_incomplete(self):
+        """Guards against runs that seem gone without their ends."""
+        rows = [[n, f"{WORKFLOW_ID}.0.0.2", n, "done", ""] for n in range(1, 501)]
+        for ended, complete in ((rows, False), (rows[1:], True)):
+            report = _decode_report({"clockMs": 9, "ended": ended})
+            self.assertIs(report.ends_complete, complete)
+
     def test_malformed_report_is_unavailable(self):
         """Guards against runs that count as gone after a malformed report."""
         for body in (
--- a/tests/test_returning_entries.py
+++ b/tests/test_returning_entries.py
@@ -21,7 +21,7 @@
 from redwingrudder.platform.registry import PlatformRegistry
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows.engine import Engine
-from redwingrudder.workflows.model import RunReport
+from redwingrudder.workflows.model import EndKind, RunEnd, RunReport
 from redwingrudder.workflows.records import PlacedRun
 
 from . import workflow_fixtures as fx
@@ -34,18 +34,22 @@
 
 
 class ListingChannel(FakeChannel):
-    """Channel to a worker that lists the given runs as running."""
+    """Channel to a worker that lists the given runs and ends."""
 
     def __init__(self, clock):
         super().__init__(clock)
         self.running = []
+        self.ended = ()
+        self.ends_complete = True
 
     async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
         reply = self._reply("poll")
         if not reply.accepted:
             return reply
         running = tuple(RunReport(key, run, "", 50.0) for key, run in self.running)
-        return WorkerReport(reply.clock_ms, BORN_MS, running, ())
+        return WorkerReport(
+            reply.clock_ms, BORN_MS, running, self.ended, self.ends_complete
+        )
 
 
 class ListingChannels(ChannelFactory):
@@ -112,6 +116,23 @@
         self.run_for(0.5)
         self.assertIn("stop", self.channel.calls)
 
+    def test_run_whose_end_is_not_listed_yet_is_kept(self):
+        """Guards against a second run of a task that has ended as done.
+
+        The first report lists as many other ends as a reply can have.
+        """
+        other = RunEnd(1, fx.key("other"), 1, EndKind.DONE, "")
+        own = RunEnd(2, fx.key(), EARLIER_RUN, EndKind.DONE, "")
+        self.channel.ended, self.channel.ends_complete = (other,), False
+        self.workers.set_entry(KEY, entry())
+        self.run_for(0.5)
+        self.assertTrue(self.task.placed)
+        self.assertFalse(self.engine.workers_by_id["w1"].reachable)
+        self.channel.ended, self.channel.ends_complete = (own,), True
+        self.run_for(1.5)
+        self.assertEqual(self.task.state, "done")
+        self.assertTrue(self.engine.workers_by_id["w1"].reachable)
+
     def test_run_that_is_not_listed_is_interrupted(self):
         """Guards against a task that waits for a run that never began."""
         self.workers.set_entry(KEY, entry())
--- a/tests/test_settled_starts.py
+++ b/tests/test_settled_starts.py
@@ -14,6 +14,7 @@
     WorkerReport,
 )
 from redwingrudder.coordination.messages import (
+    AcknowledgeEnds,
     Fenced,
     StartSettled,
     WorkerLeaseLapsed,
@@ -50,6 +51,7 @@
         stopped: Runs that were stopped or have ended.
         calls: Names of the calls in the order of arrival.
         answers: Whether polls are answered.
+        listed_ends: Largest number of ends in a reply.
     """
 
     def __init__(self, clock):
@@ -63,6 +65,7 @@
         self.stopped = set()
         self.calls = []
         self.answers = True
+        self.listed_ends = 500
 
     def begin(self, run_key):
         self.runs[run_key] = self.clock.seconds() + WORK_S
@@ -111,7 +114,9 @@
             for number, (key, run) in enumerate(self.runs, 1)
             if not self.goes_on((key, run)) and number > acknowledged_end
         )
-        return WorkerReport(self._clock_ms(), 1, running, ended)
+        listed = ended[: self.listed_ends]
+        is_full = len(listed) == self.listed_ends
+        return WorkerReport(self._clock_ms(), 1, running, listed, not is_full)
 
     def reset(self):
         pass
@@ -247,6 +252,22 @@
         self.run_until_settled(5.0)
         self.assert_end_came_first()
 
+    def test_end_beyond_a_full_list_does_not_settle_a_start(self):
+        """Guards against a second run of a task whose end is not listed yet.
+
+        A reply lists a limited number of ends, in their order.
+        """
+        self.channel.listed_ends = 2
+        for index in range(1, 4):
+            earlier = (fx.key(index=index), 1)
+            self.channel.runs[earlier] = self.clock.seconds()
+        self.channel.lost_starts, self.channel.lost_starts_begin = 3, True
+        self.start_run(STOP_S + 1.0)
+        self.assertEqual(self.settled(), [])
+        self.system.tell(self.session.name, AcknowledgeEnds(2))
+        self.run_until_settled(1.0)
+        self.assert_end_came_first()
+
     def test_report_that_cannot_be_handled_does_not_settle_a_start(self):
         """Guards against a task that waits for its start forever."""
         self.channel.lost_starts, self.channel.lost_starts_begin = 3, True
