Conclude from no lost reply that a worker has left

A task could be started a second time beside its run on a worker that drains and stays longer than announced. Not seen in a trial; found by reading. It takes an entry that the store loses, as after its outage, and one or two lost replies.

Cause: any poll without a usable reply confirmed that a drained worker whose entry is removed had left, also one that the worker may have received.

Change: only a poll that could not be sent confirms it. Worker processes that end close their connections, so the next poll is not sent.

test_lost_replies_do_not_confirm_that_a_worker_left failed before (the lease was reported as lapsed).

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -180,7 +180,7 @@
         The entry of a silent worker is removed after three heartbeats. A
         drained worker whose entry is removed sooner after an answered poll
         has therefore left by itself, and nothing runs on it. It is polled
-        once more, since only a poll without a reply confirms this.
+        once more, since only a poll that cannot be sent confirms this.
         """
         now = self.system.clock.seconds()
         since_answered_poll_s = now - self._answered_poll_sent_at
@@ -236,7 +236,7 @@
             wait_s,
             wait_s + POLL_MARGIN_S,
         )
-        reply = await self._await_reply(poll, "poll", {})
+        reply = await self._await_reply(poll, "poll", {}, self._postpone_departure)
         if isinstance(reply, WorkerReport) and not self._closed:
             self._process_started_ms = (
                 self._process_started_ms or reply.process_started_ms
@@ -265,6 +265,14 @@
         )
         self.stop()
 
+    def _postpone_departure(self) -> None:
+        """Let only later polls confirm that the worker has left.
+
+        A poll was sent and its reply may be lost, so the worker may be there.
+        """
+        if not math.isinf(self._departed_at):
+            self._departed_at = self.system.clock.seconds()
+
     async def _await_reply(
         self,
         call: Awaitable[Any],
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -47,6 +47,7 @@
     Attributes:
         unanswering: Every call fails without a reply.
         starts_to_lose: Number of starts that fail without a reply.
+        polls_to_lose: Number of polls that fail without a reply.
         unexpected: Every call fails with an error that is not coded.
         hangs: Polls neither get a reply nor fail.
         rejects_starts: Starts are rejected as "outdated": the run has ended
@@ -60,6 +61,7 @@
         self.clock = clock
         self.unanswering = False
         self.starts_to_lose = 0
+        self.polls_to_lose = 0
         self.unexpected = False
         self.hangs = False
         self.rejects_starts = False
@@ -94,6 +96,9 @@
     async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
         if self.hangs:
             await Deferred()
+        if self.polls_to_lose:
+            self.polls_to_lose -= 1
+            raise OutcomeUnknownError("the reply to the poll was lost")
         reply = self._reply(f"poll {bool(lease_until_ms)}")
         if not reply.accepted:
             return reply
@@ -282,6 +287,18 @@
         run_for(self.clock, 0.5)
         self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
 
+    def test_lost_replies_do_not_confirm_that_a_worker_left(self):
+        """Guards against interrupting runs after two lost packets.
+
+        The worker stays longer than announced, and the store has lost its
+        entry.
+        """
+        self.channel.polls_to_lose = 2
+        self.system.tell(self.session.name, RegistryEntryRemoved(True))
+        run_for(self.clock, 2.0)
+        self.assertEqual(self.channel.polls_to_lose, 0)
+        self.assertFalse(self.sent_to_coordinator(WorkerLeaseLapsed))
+
     def test_lost_stop_does_not_confirm_that_a_worker_left(self):
         """Guards against interrupting runs while the last poll is in flight.
 
