--- a/tests/test_overtaken_reports.py
+++ b/tests/test_overtaken_reports.py
@@ -120,7 +120,7 @@
                 if isinstance(message, WorkerPolled):
                     self.workers.take_report(message)
                 elif isinstance(message, WorkerSilent):
-                    self.workers.set_silent(message.worker_id)
+                    self.workers.set_silent(message)
                 elif isinstance(message, StartSettled):
                     self.engine.start_confirmed(message.run.key, message.run.run, now)
 
--- a/tests/test_settled_starts.py
+++ b/tests/test_settled_starts.py
@@ -49,6 +49,7 @@
             the name of the call.
         runs: End of each run that has begun, in clock seconds, by its key.
         stopped: Runs that were stopped or have ended.
+        forgotten_end: Highest number of an end that was acknowledged.
         calls: Names of the calls in the order of arrival.
         answers: Whether polls are answered.
         listed_ends: Largest number of ends in a reply.
@@ -63,6 +64,7 @@
         self.rejections = {"stop": [], "poll": []}
         self.runs = {}
         self.stopped = set()
+        self.forgotten_end = 0
         self.calls = []
         self.answers = True
         self.listed_ends = 500
@@ -104,6 +106,7 @@
             raise OutcomeUnknownError("the reply to the poll was lost")
         if self.rejections["poll"]:
             return self._reply(self.rejections["poll"].pop(0))
+        self.forgotten_end = max(self.forgotten_end, acknowledged_end)
         running = tuple(
             RunReport(key, run, "", 50.0)
             for key, run in self.runs
@@ -112,7 +115,7 @@
         ended = tuple(
             RunEnd(number, key, run, EndKind.STOPPED, "")
             for number, (key, run) in enumerate(self.runs, 1)
-            if not self.goes_on((key, run)) and number > acknowledged_end
+            if not self.goes_on((key, run)) and number > self.forgotten_end
         )
         listed = ended[: self.listed_ends]
         is_full = len(listed) == self.listed_ends
