--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -28,6 +28,8 @@
 REPORT_S = 0.5
 RETURN_S = 3.0
 LEASE_S = 6.0
+START_LIMIT_S = 30.0
+RETURN_GAP_S = 0.3  # between workers that crashed at the same moment
 # The users' limit: after three crashes under a task, it may be started twice.
 MAX_CRASHES = 5
 
@@ -78,8 +80,9 @@
             self._execute(self.engine.take_effects())
             self.now += STEP_S
 
-    def crash(self, worker_id):
+    def crash(self, worker_id, return_s=None):
         """Let a worker end at once; it is back after ``return_s``."""
+        return_s = return_s or self.return_s
         runs = self._running_by_worker.pop(worker_id, {})
         self.lost_runs += sum(key not in self.deadly for key in runs)
         for key in runs:
@@ -90,10 +93,39 @@
             self.facts_by_id[worker_id] = facts._replace(
                 process_started_ms=facts.process_started_ms + 1
             )
-            heapq.heappush(self._returns, (self.now + self.return_s, worker_id))
-            if self.return_s > LEASE_S:
+            heapq.heappush(self._returns, (self.now + return_s, worker_id))
+            if return_s > LEASE_S:
                 self._lapses.append((self.now + LEASE_S, worker_id))
 
+    def crash_together(self, workflow_id, others):
+        """Crash the workers of a job that runs, and some that run nothing.
+
+        They are back one after the other, those without runs last.
+        """
+        held = [w for w, runs in self._running_by_worker.items() if runs]
+        hit = [
+            worker_id
+            for worker_id in held
+            if any(
+                k.workflow_id == workflow_id for k in self._running_by_worker[worker_id]
+            )
+        ]
+        idle = [w for w in self.facts_by_id if w not in held and w not in self._gone]
+        for index, worker_id in enumerate([*hit, *idle[:others]]):
+            self.crash(worker_id, self.return_s + index * RETURN_GAP_S)
+        return len(hit)
+
+    def run_until_started(self, workflow_id):
+        """Go on until a run of a job has started, at most ``START_LIMIT_S``."""
+        runs_by_worker = self._running_by_worker
+        limit = self.now + START_LIMIT_S
+        while self.now < limit and not any(
+            key.workflow_id == workflow_id
+            for runs in runs_by_worker.values()
+            for key in runs
+        ):
+            self.run_until(self.now + STEP_S)
+
     def _break_gang(self, lost):
         for runs in self._running_by_worker.values():
             for key in [k for k in runs if k[:3] == lost[:3]]:
@@ -381,5 +413,202 @@
         self.assertIsInstance(request, AskAdvice)
 
 
+class CommonCauseTests(unittest.TestCase):
+    """Crashes of several workers at one moment, with a cause outside the tasks."""
+
+    def test_sound_gang_whose_workers_crash_together_is_done(self):
+        """Guards against counting each worker of one run of a gang.
+
+        Idle workers crash at the same moments, which no task explains.
+        """
+        fleet = CrashingFleet(20)
+        fleet.accept("gang", fx.step(4, fx.WHOLE_WORKER, gang=True))
+        for _ in range(2):
+            fleet.run_until_started("gang")
+            self.assertEqual(fleet.crash_together("gang", 2), 4)
+            fleet.run_until(fleet.now + 0.5)
+        fleet.run_until(fleet.now + 30.0)
+        self.assertEqual(fleet.state("gang"), WorkflowState.DONE)
+
+    def test_workers_of_one_run_count_once(self):
+        """Guards against giving up a gang after a single run.
+
+        No other worker crashes, so that the gang itself may be the cause.
+        """
+        fleet = CrashingFleet()
+        fleet.accept("gang", fx.step(4, fx.WHOLE_WORKER, gang=True))
+        fleet.run_until_started("gang")
+        fleet.crash_together("gang", 0)
+        fleet.run_until(fleet.now + 30.0)
+        self.assertEqual(fleet.state("gang"), WorkflowState.DONE)
+
+    def test_sound_task_on_three_workers_that_crash_is_done(self):
+        """Guards against giving up a task for crashes of a common cause."""
+        fleet = CrashingFleet(20)
+        fleet.accept("sound", fx.step(1))
+        for _ in range(3):
+            fleet.run_until_started("sound")
+            self.assertEqual(fleet.crash_together("sound", 2), 1)
+            fleet.run_until(fleet.now + 0.5)
+        fleet.run_until(fleet.now + 30.0)
+        self.assertEqual(fleet.state("sound"), WorkflowState.DONE)
+
+    def test_sound_jobs_that_crash_together_twice_are_done(self):
+        """Guards against taking jobs hit at one moment for each other's proof."""
+        fleet = CrashingFleet(8)
+        for name in ("first", "second"):
+            fleet.accept(name, fx.step(1, fx.WHOLE_WORKER))
+        for _ in range(2):
+            for name in ("first", "second"):
+                fleet.run_until_started(name)
+            self.assertEqual(
+                fleet.crash_together("first", 0) + fleet.crash_together("second", 0), 2
+            )
+            fleet.run_until(fleet.now + 0.5)
+        fleet.run_until(fleet.now + 30.0)
+        self.assertEqual(fleet.states(), {WorkflowState.DONE: 2})
+
+    def test_task_that_crashes_workers_beside_a_cut_is_given_up(self):
+        """Guards against tasks that go on crashing workers beside other causes.
+
+        Idle workers crash at the moment of the task's first crash.
+        """
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                fleet = CrashingFleet(20)
+                fleet.accept("deadly", fx.step(2, gang=gang), deadly=[0])
+                fleet.run_until(fleet.now + STEP_S)
+                fleet.crash_together("deadly", 4)
+                fleet.run_until(60.0)
+                self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
+                self.assertLessEqual(max(fleet.crashes_by_key.values()), 3)
+
+    def test_crashes_of_one_run_survive_a_change_of_the_coordinator(self):
+        """Guards against records that forget which runs were counted."""
+        fleet = CrashingFleet()
+        fleet.accept("gang", fx.step(4, fx.WHOLE_WORKER, gang=True))
+        fleet.run_until_started("gang")
+        fleet.crash_together("gang", 0)
+        fleet.run_until(fleet.now + RETURN_S + 4 * RETURN_GAP_S)
+        fleet.replace_coordinator()
+        fleet.run_until_started("gang")
+        fleet.crash_together("gang", 2)
+        fleet.run_until(fleet.now + 30.0)
+        self.assertEqual(fleet.state("gang"), WorkflowState.DONE)
+
+    def test_gang_that_crashes_workers_is_given_up_by_later_coordinators(self):
+        """Guards against a gang whose counted runs each coordinator forgets."""
+        fleet = CrashingFleet()
+        fleet.accept("deadly", fx.step(4, fx.HALF_WORKER, gang=True), deadly=range(4))
+        for _ in range(8):
+            fleet.run_until(fleet.now + RETURN_S + 0.5)
+            fleet.replace_coordinator()
+        fleet.run_until(60.0)
+        self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
+        self.assertLessEqual(max(fleet.crashes_by_key.values()), MAX_CRASHES)
+
+
+class EvidenceTests(unittest.TestCase):
+    """When the second crash under a suspected task is a proof."""
+
+    def setUp(self):
+        facts = [fx.worker(f"w{n}", address=f"10.0.0.{n}:1") for n in range(4)]
+        self.engine = fx.engine(*facts)
+        self.progress = self.engine.accept(fx.workflow("job"), 0.0)
+        self.crash_suspect(1.0)
+
+    def crash_suspect(self, now):
+        """Start the task and crash its worker; returns that worker."""
+        (start,) = fx.starts(self.engine.plan(now, now))
+        self.report(now, {start.worker_id})
+        fx.confirm(self.engine, [start], now)
+        self.engine.worker_restarted(start.worker_id, now + 1.0)
+        self.engine.interrupt_worker(start.worker_id, now + 1.0, "crashed")
+        return start.worker_id
+
+    def report(self, now, silent=frozenset()):
+        for worker_id in set(self.engine.workers_by_id) - set(silent):
+            self.engine.report(worker_id, [], now)
+
+    def test_verdict_waits_for_workers_that_are_silent(self):
+        """Guards against a verdict before other crashes of the moment are seen."""
+        self.report(5.0)
+        crashed = self.crash_suspect(30.0)
+        (silent, *_) = sorted(set(self.engine.workers_by_id) - {crashed})
+        self.report(33.0, {silent, crashed})
+        self.assertEqual(fx.starts(self.engine.plan(33.0, 33.0)), [])
+        self.assertEqual(self.progress.state, WorkflowState.RUNNING)
+        self.engine.worker_restarted(silent, 36.0)
+        self.assertEqual(len(fx.starts(self.engine.plan(36.0, 36.0))), 1)
+        self.assertEqual(self.progress.state, WorkflowState.RUNNING)
+
+    def test_verdict_falls_when_all_workers_have_answered(self):
+        """Guards against a task that stays without a verdict."""
+        self.report(5.0)
+        crashed = self.crash_suspect(30.0)
+        self.report(33.0, {crashed})
+        self.engine.plan(33.0, 33.0)
+        self.assertEqual(self.progress.state, WorkflowState.FAILED)
+
+    def test_verdict_does_not_wait_for_a_worker_for_ever(self):
+        """Guards against a task that waits for a worker that never answers."""
+        self.report(5.0)
+        self.crash_suspect(30.0)
+        self.engine.plan(60.0, 60.0)
+        self.assertEqual(self.progress.state, WorkflowState.FAILED)
+
+    def test_worker_that_vanishes_idle_is_evidence(self):
+        """Guards against ignoring idle workers that come back under new ids."""
+        self.report(5.0)
+        crashed = self.crash_suspect(30.0)
+        (gone, *_) = sorted(set(self.engine.workers_by_id) - {crashed})
+        self.engine.remove_worker(gone, 33.0, "gone")
+        self.report(33.0, {crashed})
+        self.engine.plan(33.0, 33.0)
+        self.assertEqual(self.progress.state, WorkflowState.RUNNING)
+
+    def test_restarts_found_by_a_new_coordinator_count_once_a_run(self):
+        """Guards against counting a gang's run for each restarted worker."""
+        facts = [
+            fx.worker(f"w{n}", process_started_ms=2, address=f"10.0.0.{n}:1")
+            for n in range(4)
+        ]
+        engine = fx.engine(*facts)
+        progress = engine.accept(
+            fx.workflow("gang", fx.step(4, fx.WHOLE_WORKER, gang=True)), 0.0
+        )
+        for n in range(4):
+            engine.adopt_run(fx.key("gang", index=n), 1, f"w{n}", False, 0.0, 1)
+            engine.interrupt_worker(f"w{n}", 0.1, "restarted")
+        (start, *_) = fx.starts(engine.plan(30.0, 30.0))
+        engine.worker_restarted(start.worker_id, 30.1, {(start.key, start.run)})
+        engine.interrupt_worker(start.worker_id, 30.1, "crashed")
+        engine.plan(60.0, 60.0)
+        self.assertEqual(progress.state, WorkflowState.RUNNING)
+
+    def test_record_of_an_earlier_release_is_read(self):
+        """Guards against records whose counts do not name the runs.
+
+        Such a record counts each worker of a gang.
+        """
+        for gang, expected in ((False, WorkflowState.FAILED), (True, None)):
+            with self.subTest(gang=gang):
+                engine = fx.engine(fx.worker("w1"))
+                progress = engine.accept(fx.workflow("old", fx.step(1, gang=gang)), 0)
+                document = (
+                    b'{"term":1,"state":"running","done":[],"failures":[],'
+                    b'"crashes":[[0,0,0,2]],"suspected":[[0,0,0]],'
+                    b'"runs":[[0,0,0,2]],"placed":[],"checkpoints":[]}'
+                )
+                record = records.decode_progress("old", document)
+                records.restore_progress(progress, record)
+                (start,) = fx.starts(engine.plan(1.0, 1.0))
+                unanswered = {(start.key, start.run)}
+                engine.worker_restarted("w1", 1.1, unanswered)
+                engine.interrupt_worker("w1", 1.1, "crashed")
+                engine.plan(20.0, 20.0)
+                self.assertEqual(progress.state, expected or WorkflowState.RUNNING)
+
+
 if __name__ == "__main__":
     unittest.main()
