--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -80,22 +80,30 @@
             self._execute(self.engine.take_effects())
             self.now += STEP_S
 
-    def crash(self, worker_id, return_s=None):
-        """Let a worker end at once; it is back after ``return_s``."""
-        return_s = return_s or self.return_s
-        runs = self._running_by_worker.pop(worker_id, {})
-        self.lost_runs += sum(key not in self.deadly for key in runs)
-        for key in runs:
+    def crash(self, *worker_ids, gap_s=0.0):
+        """Let workers end at the same moment.
+
+        They are back after ``return_s`` and ``gap_s`` after each other.
+        """
+        lost = [
+            key
+            for worker_id in worker_ids
+            for key in self._running_by_worker.pop(worker_id, {})
+        ]
+        self.lost_runs += sum(key not in self.deadly for key in lost)
+        for key in lost:
             if self.engine.find(key).stage.spec.gang:
                 self._break_gang(key)
-        facts = self.facts_by_id[worker_id]
-        if facts.address:
-            self.facts_by_id[worker_id] = facts._replace(
-                process_started_ms=facts.process_started_ms + 1
-            )
-            heapq.heappush(self._returns, (self.now + return_s, worker_id))
-            if return_s > LEASE_S:
-                self._lapses.append((self.now + LEASE_S, worker_id))
+        for index, worker_id in enumerate(worker_ids):
+            facts = self.facts_by_id[worker_id]
+            return_s = self.return_s + index * gap_s
+            if facts.address:
+                self.facts_by_id[worker_id] = facts._replace(
+                    process_started_ms=facts.process_started_ms + 1
+                )
+                heapq.heappush(self._returns, (self.now + return_s, worker_id))
+                if return_s > LEASE_S:
+                    self._lapses.append((self.now + LEASE_S, worker_id))
 
     def crash_together(self, workflow_id, others):
         """Crash the workers of a job that runs, and some that run nothing.
@@ -111,8 +119,7 @@
             )
         ]
         idle = [w for w in self.facts_by_id if w not in held and w not in self._gone]
-        for index, worker_id in enumerate([*hit, *idle[:others]]):
-            self.crash(worker_id, self.return_s + index * RETURN_GAP_S)
+        self.crash(*hit, *idle[:others], gap_s=RETURN_GAP_S)
         return len(hit)
 
     def run_until_started(self, workflow_id):
@@ -178,11 +185,13 @@
             started = self._running_by_worker[stop.worker_id].pop(stop.key, None)
             if started is not None:
                 self._end(started[0], EndKind.STOPPED)
-        for worker_id, runs in list(self._running_by_worker.items()):
+        struck = []
+        for worker_id, runs in self._running_by_worker.items():
             deadly = self.deadly & set(runs)
             if deadly:
                 self.crashes_by_key.update(deadly)
-                self.crash(worker_id)
+                struck.append(worker_id)
+        self.crash(*struck)
 
     @property
     def _gone(self):
