Count crashes by run, and only those without a common cause

What callers saw: a sound job was shown as failed, one second after it had been accepted, when two workers of its gang crashed behind the same cut.

Cause: each worker that crashed under a run of a gang was counted, so one run was taken for two crashes. Crashes of other workers at the same moment were not considered. Ruled out: runs that were already suspected before the cut (first run of the job), failed ends (failures 0).

Change: the runs under which workers crashed are kept, with the last sign of life of the workers, and are in the progress record. A run is no evidence if a worker of other jobs that ran no possible cause crashed or fell silent at that moment, and a weaker one beside workers of other suspects. The verdict waits until each silent worker has answered or is known to have crashed. Records of earlier releases count one run for a gang.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -5,45 +5,65 @@
 happens to its task again and again. A suspected task next runs where no other
 run can be the cause, so that a second crash is conclusive, and a task that
 stood beside the cause is cleared by a run that does not crash its worker.
+Crashes that have a common cause outside the tasks are evidence against none
+(``crash_evidence``), so the verdict waits until they would have been seen.
 """
 
 from collections.abc import Container, Iterable, Iterator
 
 from ..statecharts import load_chart
+from .crash_evidence import (
+    CrashHistory,
+    WorkerCrash,
+    add_evidence,
+    refute_evidence,
+    suspicion_holder,
+    valid_evidence_by_run,
+)
 from .model import TaskKey
 from .placement import fits_when_empty, max_tasks_on_worker
 from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
 SUSPICION_CHART = load_chart(
     "crash_suspicion",
-    frozenset({"suspect", "sole_suspect", "proved_harmless"}),
+    frozenset(
+        {
+            "suspect",
+            "sole_suspect",
+            "proved_harmless",
+            "evidence_refuted",
+            "evidence_complete",
+        }
+    ),
     frozenset(),
 )
 # A task that crashes its worker does so within this time after its start.
 PROOF_RUN_S = 0.5
-# Number of crashes under a task after which it is suspected although each of
-# its runs had gone on for longer. It then stays apart until its run has ended.
+# Number of runs with crashes after which a task is suspected although each of
+# them had gone on for longer. It then stays apart until its run has ended.
 MAX_UNEXPLAINED_CRASHES = 3
 # A worker that crashes twice within this time may do so by its own fault.
 CRASH_PRONE_S = 20.0
-# Number of crashes under confirmed runs before a task can be guilty.
-MIN_CRASHES = 2
-# Number of crashes after which a task that is the only suspect is guilty, even
-# if its workers had crashed before or had not confirmed its starts.
-CONCLUSIVE_CRASHES = 3
+# Number of runs that had just been confirmed, each with a crash at a moment at
+# which no other suspect's worker crashed, before a task can be guilty.
+MIN_CRASHED_RUNS = 2
+# Number of runs with crashes after which a task that is the only suspect is
+# guilty, even if its workers had crashed before, had not confirmed its starts
+# or crashed together with those of other suspects.
+CONCLUSIVE_CRASHED_RUNS = 3
 # Time after a crash for which a suspect waits for room on a worker that has
 # not crashed recently.
 ISOLATION_WAIT_S = 2.0
 
 
-def suspicion_holder(task: Task) -> Task:
-    """Return the task that stores the suspicion; gangs share the first's."""
-    return task.stage.tasks[0] if task.stage.spec.gang else task
-
-
 def is_suspected(task: Task) -> bool:
     """Return whether the task or its gang is suspected."""
-    return suspicion_holder(task).suspicion == "suspected"
+    return suspicion_holder(task).suspicion in ("suspected", "accused")
+
+
+def is_accused(task: Task) -> bool:
+    """Return whether a verdict on the task or its gang is awaited."""
+    return suspicion_holder(task).suspicion == "accused"
 
 
 def is_guilty(task: Task) -> bool:
@@ -64,7 +84,7 @@
     holder = suspicion_holder(task)
     holder.suspicion = SUSPICION_CHART.step(holder.suspicion, event).target
     suspects = holder.stage.workflow.suspects_by_key
-    if holder.suspicion == "suspected":
+    if is_suspected(holder):
         suspects[holder.key] = holder
     else:
         suspects.pop(holder.key, None)
@@ -83,20 +103,29 @@
     return now - worker.crashed_at < CRASH_PRONE_S
 
 
+def suspicion_holders(workflows: Iterable[WorkflowProgress]) -> list[Task]:
+    """Return the suspected tasks; of a gang, the first task."""
+    return [
+        holder for workflow in workflows for holder in workflow.suspects_by_key.values()
+    ]
+
+
 def record_crash(
     worker: Worker,
+    history: CrashHistory,
     now: float,
     unanswered_starts: Container[tuple[TaskKey, int]],
     certain: bool = True,
 ) -> list[Task]:
     """Attribute a crash to the runs of a worker.
 
-    Runs that the worker has certainly not started are left out, and those of
-    guilty tasks, which are being stopped.
+    Runs that the worker has certainly not started are left out. Those of
+    guilty tasks, which are being stopped, explain the crash of others.
 
     Args:
         worker: The worker, still with its runs and the time of its previous
             crash.
+        history: Receives the crash.
         now: Node-clock seconds.
         unanswered_starts: Runs whose starts the worker may have received.
         certain: Whether the worker's process is known to have ended. It may
@@ -108,41 +137,103 @@
     runs = [
         run
         for run in worker.tasks_by_key.values()
-        if (run.run_confirmed or (run.key, run.run) in unanswered_starts)
-        and not is_guilty(run)
+        if run.run_confirmed or (run.key, run.run) in unanswered_starts
     ]
     runs.sort(key=lambda run: not run.run_confirmed)
-    causes = [r for r in runs if is_suspected(r) or not has_proved_harmless(r)]
-    suspects = _one_per_gang(causes)
-    for task in _one_per_gang(runs) if certain else suspects:
+    causes = [
+        run
+        for run in runs
+        if is_suspected(run) or is_guilty(run) or not has_proved_harmless(run)
+    ]
+    crash = WorkerCrash(
+        worker.facts.worker_id,
+        worker.heard_at,
+        now,
+        _holder_keys(causes),
+        _holder_keys(worker.tasks_by_key.values()),
+    )
+    history.add(crash)
+    suspects = _one_per_gang([task for task in causes if not is_guilty(task)])
+    open_runs = _one_per_gang([task for task in runs if not is_guilty(task)])
+    for task in open_runs if certain else suspects:
         holder = suspicion_holder(task)
-        if task.run_confirmed and certain:
-            holder.crashes += 1
-        else:
-            holder.possible_crashes += 1
+        confirmed = certain and task.run_confirmed
+        add_evidence(holder, task.run, crash, confirmed, holder.key in crash.causes)
+        refute_evidence(holder, history)
     for task in suspects:
         task.stage.crashed_at = now
-        is_proof = len(suspects) == 1 and _is_conclusive(task, worker, now)
+        is_proof = len(suspects) == 1 and _is_proof(task, worker, history, now)
         step_suspicion(task, "sole_suspect" if is_proof else "suspect")
-    for task in _one_per_gang(runs):
-        crashes = suspicion_holder(task).crashes
-        if crashes >= MAX_UNEXPLAINED_CRASHES and not is_guilty(task):
+    for task in open_runs:
+        if _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES:
             step_suspicion(task, "suspect")
     return suspects
 
 
-def _is_conclusive(task: Task, worker: Worker, now: float) -> bool:
+def settle_suspicion(
+    holder: Task, history: CrashHistory, workers: Iterable[Worker], now: float
+) -> bool:
+    """Drop refuted evidence, and decide on an accused task or gang.
+
+    Args:
+        holder: The task, or the first task of its gang.
+        history: The crashes of workers.
+        workers: All workers.
+        now: Node-clock seconds.
+
+    Returns:
+        Whether the suspicion or its evidence has changed.
+    """
+    changed = refute_evidence(holder, history)
+    if not is_accused(holder):
+        return changed
+    if not _has_enough_evidence(holder, history):
+        step_suspicion(holder, "evidence_refuted")
+        return True
+    if history.awaits_evidence(holder, workers, now):
+        return changed
+    step_suspicion(holder, "evidence_complete")
+    return True
+
+
+def _is_proof(task: Task, worker: Worker, history: CrashHistory, now: float) -> bool:
     """Return whether a crash with only this suspect can prove its guilt.
 
     Args:
         task: The task, with this crash counted.
         worker: Its worker, with the time of the previous crash.
+        history: The crashes of workers.
         now: Node-clock seconds.
     """
     holder = suspicion_holder(task)
-    if holder.crashes + holder.possible_crashes >= CONCLUSIVE_CRASHES:
+    earlier = [e for r, e in valid_evidence_by_run(holder).items() if r != task.run]
+    was_suspected = any(evidence.suspect for evidence in earlier)
+    if not was_suspected and len(earlier) < MAX_UNEXPLAINED_CRASHES:
+        return False
+    if len(earlier) + 1 < CONCLUSIVE_CRASHED_RUNS and is_crash_prone(worker, now):
+        return False
+    return _has_enough_evidence(holder, history)
+
+
+def _has_enough_evidence(holder: Task, history: CrashHistory) -> bool:
+    """Return whether the runs with crashes prove that the task causes them."""
+    valid = valid_evidence_by_run(holder).values()
+    if len(valid) >= CONCLUSIVE_CRASHED_RUNS:
         return True
-    return holder.crashes >= MIN_CRASHES and not is_crash_prone(worker, now)
+    clear = [
+        evidence
+        for evidence in valid
+        if evidence.confirmed
+        and evidence.suspect
+        and not history.is_beside_other_suspects(holder, evidence)
+    ]
+    return len(clear) >= MIN_CRASHED_RUNS
+
+
+def _crashed_runs(task: Task) -> int:
+    """Return the number of confirmed runs whose crashes are evidence."""
+    valid = valid_evidence_by_run(suspicion_holder(task))
+    return sum(evidence.confirmed for evidence in valid.values())
 
 
 def clear_if_harmless(task: Task, has_ended: bool = False) -> bool:
@@ -159,7 +250,7 @@
     if not is_suspected(task):
         return False
     if not has_ended:
-        if suspicion_holder(task).crashes >= MAX_UNEXPLAINED_CRASHES:
+        if _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES:
             return False
         members = task.stage.tasks if task.stage.spec.gang else [task]
         if not all(has_proved_harmless(member) for member in members):
@@ -172,14 +263,17 @@
     """Return which waiting tasks of a step may start beside its suspects.
 
     Tasks of a step are alike. While one of them is suspected, the others wait
-    for its outcome, so that each does not crash workers of its own.
+    for its outcome, so that each does not crash workers of its own. A task or
+    gang that is accused waits for the verdict.
     """
-    if stage.spec.gang or not stage.workflow.suspects_by_key:
+    if not stage.workflow.suspects_by_key:
         return waiting
+    if stage.spec.gang:
+        return [] if is_accused(stage.tasks[0]) else waiting
     suspects = [t for t in stage.tasks if is_suspected(t) and not t.ended]
     if not suspects:
         return waiting
-    if any(task.placed for task in suspects):
+    if any(task.placed or is_accused(task) for task in suspects):
         return []
     return [task for task in waiting if is_suspected(task)][:1]
 
@@ -234,3 +328,7 @@
     """Return the tasks without further members of the same gang."""
     by_holder = {suspicion_holder(task).key: task for task in reversed(tasks)}
     return list(by_holder.values())
+
+
+def _holder_keys(tasks: Iterable[Task]) -> frozenset[TaskKey]:
+    return frozenset(suspicion_holder(task).key for task in tasks)
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -4,13 +4,15 @@
 import math
 from collections.abc import Container, Iterable
 
+from .crash_evidence import CrashHistory, WorkerCrash, add_evidence, suspicion_holder
 from .crashes import (
     clear_if_harmless,
-    is_crash_prone,
+    is_guilty,
     record_crash,
+    settle_suspicion,
     step_suspicion,
     suspected_runs,
-    suspicion_holder,
+    suspicion_holders,
 )
 from .model import (
     NO_RESOURCES,
@@ -78,6 +80,7 @@
         self._reports_due_at = 0.0
         # Node-clock time of the newest crash of a worker at each address.
         self._crashed_at_by_address: dict[str, float] = {}
+        self._crash_history = CrashHistory()
         self._throttle_policy: ThrottlePolicy = LatencyTargetPolicy()
         self._planner = planner or PriorityPlanner(self.run_times)
 
@@ -116,6 +119,7 @@
         worker = self.workers_by_id.get(facts.worker_id)
         if worker is None:
             worker = self.workers_by_id[facts.worker_id] = Worker(facts)
+            worker.heard_at = now
             worker.crashed_at = self._crashed_at_by_address.get(
                 facts.address, -math.inf
             )
@@ -127,6 +131,7 @@
         ):
             self.worker_restarted(facts.worker_id, now)
             self._interrupt_confirmed(worker, now)
+            worker.heard_at = now
             worker.failures = 0
             worker.sound_start_at = -math.inf
             worker.emptying = False
@@ -154,9 +159,10 @@
         if worker is None or worker.facts.draining or worker.emptying:
             return
         runs = list(worker.tasks_by_key.values())
-        if not runs and is_crash_prone(worker, now):
+        if not runs and worker.crashed_at >= worker.heard_at:
             return  # seen before
-        suspects = record_crash(worker, now, unanswered_starts)
+        suspects = record_crash(worker, self._crash_history, now, unanswered_starts)
+        self._settle_suspicions(now)
         worker.crashed_at = now
         self._crashed_at_by_address = {
             address: crashed_at
@@ -195,7 +201,10 @@
         """
         worker = self.workers_by_id.get(worker_id)
         if worker is not None and not worker.facts.draining and not worker.emptying:
-            record_crash(worker, now, unanswered_starts, certain=False)
+            record_crash(
+                worker, self._crash_history, now, unanswered_starts, certain=False
+            )
+            self._settle_suspicions(now)
 
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
         """Mark all runs of a worker as interrupted; none may be running.
@@ -246,7 +255,13 @@
         )
 
     def remove_worker(self, worker_id: str, now: float, reason: str) -> None:
-        """Remove a worker that is gone, and interrupt its runs."""
+        """Remove a worker that is gone, and interrupt its runs.
+
+        One that has not drained may have crashed.
+        """
+        worker = self.workers_by_id.get(worker_id)
+        if worker is not None and not self._crash_history.has_seen(worker):
+            self.worker_lost(worker_id, now)
         self.interrupt_worker(worker_id, now, reason)
         self.workers_by_id.pop(worker_id, None)
 
@@ -269,6 +284,9 @@
         if task is not None:
             task.record_start(now)
             task.run_confirmed = True
+            worker = self.workers_by_id.get(task.worker_id)
+            if worker is not None:
+                worker.heard_at = now
             self.step(task, "started", now)
 
     def start_rejected(self, key: TaskKey, run: int, reason: str, now: float) -> None:
@@ -341,6 +359,7 @@
                 )
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
+            worker.heard_at = now
             update_worker_speed(worker, self.run_times, now)
 
     def end(self, worker_id: str, ended: RunEnd, now: float) -> str | None:
@@ -391,7 +410,8 @@
             now: Node-clock seconds.
             wall: Unix seconds, for occurrences with a due time.
         """
-        active = [p for p in self.workflows_by_id.values() if p.ended_at is None]
+        self._settle_suspicions(now)
+        active = self._active_workflows()
         self._mark_observers(active)
         scheduling_plan = self._planner.plan(
             active,
@@ -414,6 +434,19 @@
             self.assign(task, worker, runs_by_stage, now)
         return self.take_effects()
 
+    def _active_workflows(self) -> list[WorkflowProgress]:
+        return [p for p in self.workflows_by_id.values() if p.ended_at is None]
+
+    def _settle_suspicions(self, now: float) -> None:
+        """Drop refuted evidence, and give up tasks whose guilt is proved."""
+        workers = self.workers_by_id.values()
+        for holder in suspicion_holders(self._active_workflows()):
+            if not settle_suspicion(holder, self._crash_history, workers, now):
+                continue
+            self.dirty.add(holder.key.workflow_id)
+            if is_guilty(holder):
+                self.give_up_guilty(holder, now)
+
     def _mark_observers(self, active: list[WorkflowProgress]) -> None:
         """Keep other runs away from the workers of suspected tasks."""
         for worker in self.workers_by_id.values():
@@ -543,7 +576,11 @@
         if both_known and known_started_ms != process_started_ms:
             # The record does not tell whether and for how long the run had
             # gone on.
-            suspicion_holder(task).possible_crashes += 1
+            holder = suspicion_holder(task)
+            causes = frozenset({holder.key})
+            crash = WorkerCrash(worker_id, now, now, causes, causes)
+            self._crash_history.add(crash)
+            add_evidence(holder, run, crash, confirmed=False, suspect=True)
             step_suspicion(task, "suspect")
         task.run_confirmed = started
         if started:
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -1,10 +1,12 @@
 """Encoding of workflows and of their progress as documents in the store."""
 
 import json
+import math
 from typing import NamedTuple
 
 from .._checked_json import Fields, Row, parse_json
 from ..exceptions import BadRequestError
+from .crash_evidence import valid_evidence_by_run
 from .crashes import step_suspicion
 from .model import (
     QueuePolicy,
@@ -14,7 +16,7 @@
     Workflow,
     WorkflowState,
 )
-from .state import WorkflowProgress
+from .state import CrashEvidence, Task, WorkflowProgress
 
 # Format version of workflow documents. It is raised when documents written by
 # older nodes can no longer be read.
@@ -38,6 +40,22 @@
     process_started_ms: int
 
 
+class CrashedRun(NamedTuple):
+    """A run under which workers crashed.
+
+    Attributes:
+        key: Key of the task; of a gang, of the first task.
+        run: Number of the run.
+        confirmed: Whether the start was confirmed and the crash is certain.
+        suspect: Whether the run may be the cause.
+    """
+
+    key: TaskKey
+    run: int
+    confirmed: bool
+    suspect: bool
+
+
 class ProgressRecord(NamedTuple):
     """The stored progress of a workflow.
 
@@ -46,7 +64,10 @@
         state: State that is reported to callers.
         done: Tasks that are done.
         failures: Tasks with failed runs, and their number.
-        crashes: Tasks under which workers crashed, and their number.
+        crashes: Tasks under which workers crashed, and the number of their
+            confirmed runs; in records of earlier releases, of the workers.
+        crashed_runs: Runs under which workers crashed, none in records of
+            earlier releases.
         suspected: Tasks that are suspected of crashing their workers.
         runs: Tasks that have had a run, and the number of the newest one.
         placed: Runs that may exist on workers.
@@ -58,6 +79,7 @@
     done: tuple[TaskKey, ...]
     failures: tuple[tuple[TaskKey, int], ...]
     crashes: tuple[tuple[TaskKey, int], ...]
+    crashed_runs: tuple[CrashedRun, ...]
     suspected: tuple[TaskKey, ...]
     runs: tuple[tuple[TaskKey, int], ...]
     placed: tuple[PlacedRun, ...]
@@ -119,15 +141,20 @@
             milliseconds.
     """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
-    crashes, suspected = [], []
+    crashes, crashed_runs, suspected = [], [], []
     for task in progress.tasks():
         key = list(task.key[1:])
         if task.state == "done":
             done.append(key)
             continue
-        if task.crashes:
-            crashes.append([*key, task.crashes])
-        if task.suspicion == "suspected":
+        evidence_by_run = valid_evidence_by_run(task)
+        confirmed = sum(e.confirmed for e in evidence_by_run.values())
+        if confirmed:
+            crashes.append([*key, confirmed])  # read by earlier releases
+        crashed_runs += [
+            [*key, run, e.confirmed, e.suspect] for run, e in evidence_by_run.items()
+        ]
+        if task.suspicion in ("suspected", "accused"):
             suspected.append(key)
         if task.failures:
             failures.append([*key, task.failures])
@@ -147,6 +174,7 @@
         "done": done,
         "failures": failures,
         "crashes": crashes,
+        "crashed_runs": crashed_runs,
         "suspected": suspected,
         "runs": runs,
         "placed": placed,
@@ -177,6 +205,10 @@
             tuple((key(row), row.integer(3)) for row in rows("failures")),
             # Records of earlier releases have no crashes.
             tuple((key(row), row.integer(3)) for row in document.rows("crashes")),
+            tuple(
+                CrashedRun(key(row), row.integer(3), row.flag(4), row.flag(5))
+                for row in document.rows("crashed_runs")
+            ),
             tuple(key(row) for row in document.rows("suspected")),
             tuple((key(row), row.integer(3)) for row in rows("runs")),
             tuple(
@@ -198,10 +230,6 @@
         task = progress.find(key)
         if task is not None:
             task.failures = failures
-    for key, crashes in record.crashes:
-        task = progress.find(key)
-        if task is not None:
-            task.crashes = crashes
     for key in record.suspected:
         task = progress.find(key)
         if task is not None:
@@ -210,6 +238,7 @@
         task = progress.find(key)
         if task is not None:
             task.run = run
+    _restore_crashes(progress, record)
     for key, checkpoint in record.checkpoints:
         task = progress.find(key)
         if task is not None:
@@ -223,6 +252,30 @@
     progress.recorded_state = record.state
 
 
+def _restore_crashes(progress: WorkflowProgress, record: ProgressRecord) -> None:
+    """Restore the runs under which workers crashed.
+
+    A record of an earlier release has their number only, and for a gang that
+    of its workers, which may all have crashed under one run. Runs before the
+    newest one stand for them.
+    """
+    for key, run, confirmed, suspect in record.crashed_runs:
+        task = progress.find(key)
+        if task is not None:
+            _restore_crash(task, run, confirmed, suspect)
+    for key, crashes in record.crashes:
+        task = progress.find(key)
+        if task is not None and not task.crash_evidence_by_run:
+            for number in range(1 if task.stage.spec.gang else crashes):
+                _restore_crash(task, task.run - 1 - number, True, True)
+
+
+def _restore_crash(task: Task, run: int, confirmed: bool, suspect: bool) -> None:
+    task.crash_evidence_by_run[run] = CrashEvidence(
+        math.inf, -math.inf, -math.inf, frozenset(), confirmed, suspect, False
+    )
+
+
 def _step(row: Row, index: int) -> StepSpec:
     """Decode a step, whose fields have the order of ``StepSpec``."""
     position = {name: at for at, name in enumerate(StepSpec._fields)}
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from .crash_evidence import valid_evidence_by_run
 from .crashes import is_guilty
 from .model import (
     FINAL_STATES,
@@ -248,6 +249,20 @@
             return
         self._give_up(task, "no_attempts_left", now)
 
+    def give_up_guilty(self, holder: Task, now: float) -> None:
+        """End a workflow whose task or gang is guilty, unless it is placed.
+
+        Runs that are left are given up when they end.
+
+        Args:
+            holder: The task, or the first task of the gang.
+            now: Node-clock seconds.
+        """
+        members = holder.stage.tasks if holder.stage.spec.gang else [holder]
+        waiting = [task for task in members if task.state == "waiting"]
+        if waiting:
+            self._give_up(waiting[0], "crashes_workers", now)
+
     def _give_up(self, task: Task, reason: str, now: float) -> None:
         """End a task without success, and withdraw the rest of its job."""
         holder = task.stage.tasks[0] if task.stage.spec.gang else task
@@ -257,7 +272,7 @@
                 **run_log_fields(task),
                 "reason": reason,
                 "failures": holder.failures,
-                "crashes": holder.crashes,
+                "crashed_runs": sorted(valid_evidence_by_run(holder)),
             },
         )
         self.step(task, "give_up", now)
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -52,6 +52,33 @@
     until: float
 
 
+class CrashEvidence(NamedTuple):
+    """A run of a task or gang under which workers crashed.
+
+    Attributes:
+        first_heard_at: Last sign of life of the worker that was silent first,
+            in node-clock seconds; infinite, and ``last_heard_at`` minus
+            infinity, if an earlier coordinator saw the crash.
+        last_heard_at: Last sign of life of the worker that was silent last, in
+            node-clock seconds.
+        seen_at: Time at which the newest of the crashes was detected, in
+            node-clock seconds.
+        worker_ids: The workers.
+        confirmed: Whether the end of a worker is certain that had confirmed
+            the start.
+        suspect: Whether the run may be the cause.
+        refuted: Whether the crashes have a cause outside the task.
+    """
+
+    first_heard_at: float
+    last_heard_at: float
+    seen_at: float
+    worker_ids: frozenset[str]
+    confirmed: bool
+    suspect: bool
+    refuted: bool
+
+
 class Task:
     """A task and its newest run.
 
@@ -68,10 +95,8 @@
         failures: Number of failed runs. Those of a gang are counted in its
             first task.
         failed_workers: Workers on which runs of the task failed.
-        crashes: Number of workers that crashed under confirmed runs of the
-            task. Those of a gang are counted in its first task.
-        possible_crashes: Number of workers that crashed and may have started a
-            run of the task; counted like ``crashes`` and not recorded.
+        crash_evidence_by_run: Runs under which workers crashed or may have
+            crashed. Those of a gang are stored in its first task.
         suspicion: State in the chart of crash suspicions; that of a gang is
             stored in its first task.
         started_at: Node-clock seconds at which the newest run started.
@@ -87,11 +112,10 @@
 
     __slots__ = (
         "checkpoint",
-        "crashes",
+        "crash_evidence_by_run",
         "failed_workers",
         "failures",
         "key",
-        "possible_crashes",
         "speed_percent",
         "percent",
         "progressed_at",
@@ -120,8 +144,7 @@
         self.checkpoint = ""
         self.failures = 0
         self.failed_workers: set[str] = set()
-        self.crashes = 0
-        self.possible_crashes = 0
+        self.crash_evidence_by_run: dict[int, CrashEvidence] = {}
         self.suspicion = "clear"
         self.started_at = 0.0
         self.percent = 0.0
@@ -332,6 +355,8 @@
             ended successfully or did not fail for some time.
         crashed_at: Time at which the worker, or an earlier one at its address,
             was seen to have crashed, in node-clock seconds.
+        heard_at: Time of the last report, answered start or new entry of the
+            worker, in node-clock seconds.
         observes_suspect: Whether a task that is suspected of crashing its
             workers runs there; the worker then gets no other new runs.
         quarantined_until: Node-clock seconds until which the worker gets no
@@ -354,6 +379,7 @@
         "failing_since",
         "failures",
         "free",
+        "heard_at",
         "leaves_at",
         "listed",
         "observes_suspect",
@@ -376,6 +402,7 @@
         self.reachable = True
         self.emptying = False
         self.crashed_at = -math.inf
+        self.heard_at = -math.inf
         self.observes_suspect = False
         self.failures = 0
         self.failed_at = 0.0
