--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -158,8 +158,11 @@
     for task in open_runs if certain else suspects:
         holder = suspicion_holder(task)
         confirmed = certain and task.run_confirmed
-        add_evidence(holder, task.run, crash, confirmed, holder.key in crash.causes)
-        refute_evidence(holder, history)
+        is_cause = holder.key in crash.causes
+        add_evidence(holder, task.run, crash, confirmed, is_cause)
+        if not is_cause:
+            # Evidence against suspects is refuted by ``settle_suspicion``.
+            refute_evidence(holder, history)
     for task in suspects:
         task.stage.crashed_at = now
         is_proof = len(suspects) == 1 and _is_proof(task, worker, history, now)
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -4,9 +4,16 @@
 import math
 from collections.abc import Container, Iterable
 
-from .crash_evidence import CrashHistory, WorkerCrash, add_evidence, suspicion_holder
+from .crash_evidence import (
+    CrashHistory,
+    WorkerCrash,
+    add_evidence,
+    suspicion_holder,
+    valid_evidence_by_run,
+)
 from .crashes import (
     clear_if_harmless,
+    is_accused,
     is_guilty,
     record_crash,
     settle_suspicion,
@@ -410,7 +417,7 @@
             now: Node-clock seconds.
             wall: Unix seconds, for occurrences with a due time.
         """
-        self._settle_suspicions(now)
+        self._settle_suspicions(now, accused_only=True)
         active = self._active_workflows()
         self._mark_observers(active)
         scheduling_plan = self._planner.plan(
@@ -437,15 +444,26 @@
     def _active_workflows(self) -> list[WorkflowProgress]:
         return [p for p in self.workflows_by_id.values() if p.ended_at is None]
 
-    def _settle_suspicions(self, now: float) -> None:
+    def _settle_suspicions(self, now: float, accused_only: bool = False) -> None:
         """Drop refuted evidence, and give up tasks whose guilt is proved."""
         workers = self.workers_by_id.values()
         for holder in suspicion_holders(self._active_workflows()):
+            if accused_only and not is_accused(holder):
+                continue
             if not settle_suspicion(holder, self._crash_history, workers, now):
                 continue
             self.dirty.add(holder.key.workflow_id)
             if is_guilty(holder):
                 self.give_up_guilty(holder, now)
+                continue
+            _logger.info(
+                "crashes with a common cause are not counted against a task",
+                extra={
+                    **run_log_fields(holder),
+                    "run": holder.run,
+                    "crashed_runs": sorted(valid_evidence_by_run(holder)),
+                },
+            )
 
     def _mark_observers(self, active: list[WorkflowProgress]) -> None:
         """Keep other runs away from the workers of suspected tasks."""
