--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -123,7 +123,7 @@
         return len(hit)
 
     def run_until_started(self, workflow_id):
-        """Go on until a run of a job has started, at most ``START_LIMIT_S``."""
+        """Go on until a run of a job has started, or ``START_LIMIT_S``."""
         runs_by_worker = self._running_by_worker
         limit = self.now + START_LIMIT_S
         while self.now < limit and not any(
@@ -423,7 +423,7 @@
 
 
 class CommonCauseTests(unittest.TestCase):
-    """Crashes of several workers at one moment, with a cause outside the tasks."""
+    """Crashes of several workers that no task has caused."""
 
     def test_sound_gang_whose_workers_crash_together_is_done(self):
         """Guards against counting each worker of one run of a gang.
@@ -463,7 +463,7 @@
         self.assertEqual(fleet.state("sound"), WorkflowState.DONE)
 
     def test_sound_jobs_that_crash_together_twice_are_done(self):
-        """Guards against taking jobs hit at one moment for each other's proof."""
+        """Guards against giving up jobs that are hit at the same moment."""
         fleet = CrashingFleet(8)
         for name in ("first", "second"):
             fleet.accept(name, fx.step(1, fx.WHOLE_WORKER))
@@ -478,7 +478,7 @@
         self.assertEqual(fleet.states(), {WorkflowState.DONE: 2})
 
     def test_task_that_crashes_workers_beside_a_cut_is_given_up(self):
-        """Guards against tasks that go on crashing workers beside other causes.
+        """Guards against tasks that crash workers beside other causes.
 
         Idle workers crash at the moment of the task's first crash.
         """
@@ -506,7 +506,7 @@
         self.assertEqual(fleet.state("gang"), WorkflowState.DONE)
 
     def test_gang_that_crashes_workers_is_given_up_by_later_coordinators(self):
-        """Guards against a gang whose counted runs each coordinator forgets."""
+        """Guards against a gang whose runs each coordinator forgets."""
         fleet = CrashingFleet()
         fleet.accept("deadly", fx.step(4, fx.HALF_WORKER, gang=True), deadly=range(4))
         for _ in range(8):
@@ -540,7 +540,7 @@
             self.engine.report(worker_id, [], now)
 
     def test_verdict_waits_for_workers_that_are_silent(self):
-        """Guards against a verdict before other crashes of the moment are seen."""
+        """Guards against a verdict before all crashes are seen."""
         self.report(5.0)
         crashed = self.crash_suspect(30.0)
         (silent, *_) = sorted(set(self.engine.workers_by_id) - {crashed})
@@ -567,7 +567,7 @@
         self.assertEqual(self.progress.state, WorkflowState.FAILED)
 
     def test_worker_that_vanishes_idle_is_evidence(self):
-        """Guards against ignoring idle workers that come back under new ids."""
+        """Guards against ignoring idle workers that change their ids."""
         self.report(5.0)
         crashed = self.crash_suspect(30.0)
         (gone, *_) = sorted(set(self.engine.workers_by_id) - {crashed})
