Order the speed of a filling task again if it is not known

A filling task could stay slowed down, or standing still, for the rest of its run with no service over its target.

Cause: after a throttle command without a reply the task counts as running at full speed. If the command took effect, the latency is low, and the change back to full speed was never sent as it changes nothing in memory. The same holds for tasks that an earlier coordinator had slowed down, which a takeover restores at full speed.

Change: such a speed counts as unknown, and the next change is sent in any case.

test_lost_reply_to_a_throttle_leaves_no_task_slow and test_task_of_an_earlier_term_is_not_left_slow failed before (no command).

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -531,6 +531,7 @@
             for change in self._throttle_policy.changes(worker, now):
                 task = change.task
                 task.speed_percent = change.percent
+                task.speed_known = True
                 _logger.info(
                     "filling task throttled",
                     extra={
@@ -546,12 +547,13 @@
     def throttle_unanswered(self, key: TaskKey, run: int) -> None:
         """Record that a throttle command may not have taken effect.
 
-        The task is treated as running at full speed, from which later
-        throttle changes are computed.
+        Later changes are computed from full speed, and the next one is sent
+        even if that is full speed itself.
         """
         task = self.current(key, run)
         if task is not None:
             task.speed_percent = FULL_SPEED_PERCENT
+            task.speed_known = False
 
     def supervise(self, now: float) -> None:
         """Stop runs that should be restarted on another worker.
@@ -607,6 +609,7 @@
         if worker_id not in self.workers_by_id:
             return
         task.run, task.worker_id = run, worker_id
+        task.speed_percent, task.speed_known = FULL_SPEED_PERCENT, False
         task.record_start(now)
         self.step(task, "assign", now)
         known_started_ms = self.workers_by_id[worker_id].facts.process_started_ms
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -118,6 +118,7 @@
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
         task.speed_percent = FULL_SPEED_PERCENT
+        task.speed_known = True
         task.record_start(now)
         self.step(task, "assign", now)
         workflow = stage.workflow
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -109,6 +109,8 @@
         rate_baseline_percent: Progress in that earlier report.
         usage: Last reported usage; see ``RunReport``.
         speed_percent: Throttled speed of a filling task in percent.
+        speed_known: Whether the worker runs the task at that speed; an earlier
+            command may have set another one.
     """
 
     __slots__ = (
@@ -117,6 +119,7 @@
         "failed_workers",
         "failures",
         "key",
+        "speed_known",
         "speed_percent",
         "percent",
         "progressed_at",
@@ -155,6 +158,7 @@
         self.rate_baseline_percent = 0.0
         self.usage = 0.0
         self.speed_percent = 100
+        self.speed_known = True
 
     def record_start(self, now: float) -> None:
         """Reset the times of a run when it is placed or confirmed."""
--- a/src/redwingrudder/workflows/throttling.py
+++ b/src/redwingrudder/workflows/throttling.py
@@ -87,7 +87,7 @@
         changes = [
             ThrottleChange(task, rule(task.speed_percent))
             for task in filling
-            if rule(task.speed_percent) != task.speed_percent
+            if rule(task.speed_percent) != task.speed_percent or not task.speed_known
         ]
         if changes:
             worker.throttled_at = now
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -612,6 +612,41 @@
             speeds_percent.extend(effect.percent for effect in engine.take_effects())
         self.assertEqual(speeds_percent, [40, 16, 0])
 
+    def low_latency_speeds(self, engine, starts):
+        """Return the speeds that are ordered while the latency is low."""
+        speeds_percent = []
+        for now in (10.0, 12.0, 14.0):
+            service_report = fx.running(starts["serve"], 100.0)._replace(usage=20.0)
+            engine.report("w1", [service_report, fx.running(starts["fill"], now)], now)
+            engine.throttle(now)
+            speeds_percent.extend(effect.percent for effect in engine.take_effects())
+        return speeds_percent
+
+    def test_lost_reply_to_a_throttle_leaves_no_task_slow(self):
+        """Guards against a slow task that counts as running at full speed.
+
+        The command took effect, so the latency is low from then on.
+        """
+        engine, starts = self.build_shared_worker()
+        start = starts["fill"]
+        engine.workflows_by_id["fill"].find(start.key).speed_percent = 0
+        engine.throttle_unanswered(start.key, start.run)
+        self.assertEqual(self.low_latency_speeds(engine, starts), [100])
+
+    def test_task_of_an_earlier_term_is_not_left_slow(self):
+        """Guards against a task whose speed a takeover does not know of."""
+        earlier, starts = self.build_shared_worker()
+        engine = fx.engine(fx.worker("w1"))
+        for workflow_id, start in starts.items():
+            engine.accept(earlier.workflows_by_id[workflow_id].workflow, 0.0)
+            engine.adopt_run(start.key, start.run, "w1", True, 1.0)
+        self.assertEqual(self.low_latency_speeds(engine, starts), [100])
+
+    def test_known_speed_is_not_ordered_again(self):
+        """Guards against needless commands to workers."""
+        engine, starts = self.build_shared_worker()
+        self.assertEqual(self.low_latency_speeds(engine, starts), [])
+
     def test_speed_rises_again_in_steps(self):
         """Guards against filling tasks that are never sped up again."""
         engine, starts = self.build_shared_worker()
