Count a run whose task is done elsewhere until it has ended

A worker that does not guard its capacity could get more than fits. Not seen in a trial; found by reading.

Cause: when a worker whose lease had lapsed comes back and lists that an earlier run of a task is done, the newer run on another worker is stopped. Its capacity was free at once, although the order to stop it was not even sent yet and the stop takes its time.

Change: the worker keeps the capacity of such a run in use until a report does not list the run, or all runs of the worker are gone.

test_run_of_a_task_that_is_done_elsewhere_uses_capacity failed before (a start on the full worker). Unit tests of the engine, crashes, failing and shrinking workers, placement, maintenance, pool moves, worker table, coordination and ends pass.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Container
 
 from .crash_evidence import (
     CrashHistory,
@@ -162,6 +162,7 @@
         """
         worker = self.workers_by_id[worker_id]
         self.worker_restarted(worker_id, now, unanswered_starts)
+        worker.release_ended()
         for task in list(worker.tasks_by_key.values()):
             task.run_confirmed = False
             task.speed_percent = FULL_SPEED_PERCENT
@@ -250,6 +251,7 @@
         worker = self.workers_by_id.get(worker_id)
         if worker is None:
             return
+        worker.release_ended()
         for task in list(worker.tasks_by_key.values()):
             self._interrupt(task, reason, now)
 
@@ -346,7 +348,9 @@
         self._awaited_workers = set(self.workers_by_id)
         self._reports_due_at = until
 
-    def report(self, worker_id: str, running: Iterable[RunReport], now: float) -> None:
+    def report(
+        self, worker_id: str, running: Collection[RunReport], now: float
+    ) -> None:
         """Update progress and checkpoints from the runs that a worker lists.
 
         A listed run confirms its start. A listed run that is not the current
@@ -382,6 +386,7 @@
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
             worker.heard_at = now
+            worker.release_ended({(entry.key, entry.run) for entry in running})
             update_worker_speed(worker, self.run_times, now)
 
     def end(self, worker_id: str, ended: RunEnd, now: float) -> bool:
@@ -737,9 +742,12 @@
                 continue
             if member is not task and member.placed and member.run != task.run:
                 continue
-            if not current and member.placed:
+            goes_on = not current and member.placed
+            if goes_on:
                 self.stop(member, "done_elsewhere")
             self.step(member, "run_done", now)
+            if goes_on:
+                self.workers_by_id[member.worker_id].keep_until_ended(member)
         self.settle(task.stage.workflow, now)
         return True
 
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -1,7 +1,7 @@
 """Mutable state of the engine: tasks, steps, workflows and workers."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import NamedTuple
 
 from ..statecharts import load_chart
@@ -377,6 +377,7 @@
     __slots__ = (
         "_claimed",
         "_facts",
+        "_stopping",
         "_used",
         "crashed_at",
         "emptying",
@@ -401,6 +402,8 @@
         self._facts = facts
         self._used = NO_RESOURCES
         self._claimed = NO_RESOURCES
+        # Capacity of runs that are being stopped after their task was done.
+        self._stopping: dict[tuple[TaskKey, int], Resources] = {}
         self.free = facts.capacity
         self.tasks_by_key: dict[TaskKey, Task] = {}
         self.listed = True
@@ -451,6 +454,27 @@
             self._used = self._used.minus(resources_used(task.stage.spec))
             self._update_free()
 
+    def keep_until_ended(self, task: Task) -> None:
+        """Count the newest run of a task that is done elsewhere as used.
+
+        The run is being stopped and uses capacity until its end is listed.
+        """
+        run_key = (task.key, task.run)
+        if run_key not in self._stopping:
+            amount = self._stopping[run_key] = resources_used(task.stage.spec)
+            self._used = self._used.plus(amount)
+            self._update_free()
+
+    def release_ended(self, going_on: Container[tuple[TaskKey, int]] = ()) -> None:
+        """Free the capacity of the runs of ``keep_until_ended`` that ended.
+
+        Args:
+            going_on: Runs that the worker may still execute.
+        """
+        for run_key in [key for key in self._stopping if key not in going_on]:
+            self._used = self._used.minus(self._stopping.pop(run_key))
+            self._update_free()
+
     def claim(self, amount: Resources) -> None:
         """Reserve capacity until the next planning pass."""
         self._claimed = self._claimed.plus(amount)
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -259,6 +259,31 @@
         engine.reconcile("w1", listed, False, 1.2)
         self.assertEqual(engine.take_effects(), [])
 
+    def test_run_of_a_task_that_is_done_elsewhere_uses_capacity(self):
+        """Guards against a worker over its capacity while a run is stopped.
+
+        A worker that was given up reports that an earlier run is done.
+        """
+        engine = fx.engine(fx.worker("w1"))
+        engine.accept(fx.workflow("job", fx.step(1, fx.WHOLE_WORKER)), 0.0)
+        first = fx.starts(engine.plan(0.0, 0.0))[0]
+        fx.confirm(engine, [first])
+        engine.interrupt_worker("w1", 1.0, "lease_lapsed")
+        engine.workers_by_id["w1"].reachable = False
+        engine.set_worker(fx.worker("w2"), 1.0)
+        second = fx.starts(engine.plan(1.0, 1.0))[0]
+        fx.confirm(engine, [second], 1.0)
+        engine.accept(fx.workflow("next", fx.step(1, fx.WHOLE_WORKER)), 2.0)
+        engine.end("w1", fx.ended(first), 2.0)
+        effects = engine.plan(2.0, 2.0)
+        self.assertEqual([stop.run for stop in fx.stops(effects)], [second.run])
+        self.assertEqual(fx.starts(effects), [])
+        engine.report("w2", [fx.running(second)], 2.5)
+        self.assertEqual(fx.starts(engine.plan(2.5, 2.5)), [])
+        engine.end("w2", fx.ended(second, EndKind.STOPPED), 3.0)
+        engine.report("w2", [], 3.0)
+        self.assertEqual(len(fx.starts(engine.plan(3.0, 3.0))), 1)
+
     def test_run_of_a_cancelled_job_uses_capacity_after_a_takeover(self):
         """Guards against a worker over its capacity while runs are stopped."""
         for state in ("cancelled", "failed"):
