Let the model of restarted workers follow the sessions of the code

The chart of a task has the event worker_restarted, which no model took, so test_every_transition_is_taken_or_listed_with_a_reason failed. The model of restarted workers now takes it, opens the new session also when a poll meets another process, and stops no run before the first poll, like the code.

--- a/src/redwingrudder/_spec_worker_process.py
+++ b/src/redwingrudder/_spec_worker_process.py
@@ -2,9 +2,8 @@
 
 A new process has nothing of what its predecessor had: no run, no fence and no
 closed runs, and a clock that begins anew. Commands to the predecessor may be
-delivered to it. The session that the coordinator opens for it stops the
-unsettled run before its first poll. No step is ever forced, so the registry
-entry of the new process may arrive at any time.
+delivered to it. The coordinator opens a session for it when its registry entry
+arrives, at any time, or when a poll of the earlier session meets it.
 
 Only commands that a session repeats are delivered to a process before the
 first poll of the session that was opened for it. The workers offer no means
@@ -299,21 +298,13 @@
             coordinator.worker == index and coordinator.state in PLACED_STATES
         )
         if session.process != worker.process:
-            # The report is ignored until the entry of the new process arrives.
             world = _with_worker(world, index, worker)
-            reported = session._replace(is_reachable=False)
-            yield f"poll worker {index}", _with_session(world, index, reported)
+            yield (
+                f"poll of worker {index} meets another process",
+                self._open_session(world, index),
+            )
             return
         is_first = not session.has_reported
-        if (
-            is_first
-            and session.number
-            and is_placed_here
-            and coordinator.state != "running"
-        ):
-            worker = worker._replace(
-                highest_closed_run=max(worker.highest_closed_run, coordinator.run)
-            )
         world = _with_worker(world, index, worker)
         reported = session._replace(has_reported=True, is_reachable=True)
         world = _with_session(world, index, reported)
@@ -382,6 +373,8 @@
             is_confirmed = coordinator.state == "running"
             if is_confirmed and self._flaw is Flaw.EARLY_INTERRUPTION:
                 world = self._fire(world, "run_interrupted")
+            elif coordinator.state in PLACED_STATES:
+                world = self._fire(world, "worker_restarted")
         return _with_session(world, index, opened)
 
     def _lapse_lease(self, world: World, index: int) -> World:
--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -59,6 +59,8 @@
 _NO_TASK_FAILURE = "the task of the model always ends as done and is never withdrawn"
 _ONE_TASK_STOP = "the engine of the model stops a placed task once"
 _SETTLED_BY_SESSION = "the worker session settles a run before the task is placed again"
+_PLACED_TASKS_ONLY = "a restart of a worker concerns its runs only"
+_NO_STOP_BESIDE_RESTART = "the model of restarted workers stops no confirmed run"
 _RAISED_BY_OWNER_ONLY = (
     "production code raises the event only while the node is the owner"
 )
@@ -128,6 +130,8 @@
         "task running rejected",
         "task stopping assign",
     ),
+    _PLACED_TASKS_ONLY: ("task waiting worker_restarted",),
+    _NO_STOP_BESIDE_RESTART: ("task stopping worker_restarted",),
     _RAISED_BY_OWNER_ONLY: (
         "ownership following fenced",
         "ownership following lease_lapsed",
