Narrow the time in which a crash can have happened

A worker that has just confirmed a start answers every quarter of a second, and one that is found restarted at a takeover crashed before it.

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -12,12 +12,11 @@
 from .model import TaskKey
 from .state import CrashEvidence, Task, Worker
 
-# Workers that crash at the same moment were last heard from within this time
-# of each other. Idle workers answer once a second.
-SAME_MOMENT_S = 1.5
-# A crash that another task explains has a common cause only if both tasks had
-# just started, so that their workers were heard from within this time.
-SAME_START_S = 0.5
+# An idle worker answers once a second, so that it has crashed within this time
+# after its last answer.
+MAX_SILENCE_S = 1.5
+# A worker that has just confirmed a start answers every quarter of a second.
+MAX_BUSY_SILENCE_S = 0.75
 # Time after the detection of a crash for which workers that are silent are
 # waited for: the longest lease of a worker, 10 s, and a margin.
 EVIDENCE_WAIT_S = 12.0
@@ -36,6 +35,8 @@
     Attributes:
         worker_id: The worker.
         heard_at: Time of its last sign of life before, in node-clock seconds.
+        ended_by: Latest time at which it can have crashed, in node-clock
+            seconds.
         seen_at: Time of the detection, in node-clock seconds.
         causes: Keys of the tasks or gangs with a run there that may be the
             cause.
@@ -44,6 +45,7 @@
 
     worker_id: str
     heard_at: float
+    ended_by: float
     seen_at: float
     causes: frozenset[TaskKey]
     held: frozenset[TaskKey]
@@ -89,14 +91,13 @@
                 is about.
             evidence: A run under which workers crashed.
         """
-        crashes = self._others_near(holder, evidence, SAME_MOMENT_S)
-        return any(not crash.causes for crash in crashes)
+        return any(not crash.causes for crash in self._others_then(holder, evidence))
 
     def is_beside_other_suspects(self, holder: Task, evidence: CrashEvidence) -> bool:
         """Return whether workers of other suspects crashed at that moment."""
         return any(
             any(key.workflow_id != holder.key.workflow_id for key in crash.causes)
-            for crash in self._others_near(holder, evidence, SAME_START_S)
+            for crash in self._others_then(holder, evidence)
         )
 
     def awaits_evidence(
@@ -119,7 +120,7 @@
         ]
         if not open_evidence:
             return False
-        clear_at = max(e.last_heard_at for e in open_evidence) + SAME_MOMENT_S
+        clear_at = max(evidence.ended_by for evidence in open_evidence)
         worker_ids = frozenset().union(*(e.worker_ids for e in open_evidence))
         return any(
             worker.heard_at <= clear_at
@@ -131,21 +132,33 @@
             for worker in workers
         )
 
-    def _others_near(
-        self, holder: Task, evidence: CrashEvidence, within_s: float
+    def _others_then(
+        self, holder: Task, evidence: CrashEvidence
     ) -> Iterator[WorkerCrash]:
-        """Yield crashes of workers without a run of the task or gang."""
+        """Yield crashes of that moment without a run of the task or gang."""
         for crash in self._crashes_by_moment.values():
             if (
-                evidence.first_heard_at - within_s
-                <= crash.heard_at
-                <= evidence.last_heard_at + within_s
+                crash.heard_at <= evidence.ended_by
+                and crash.ended_by >= evidence.first_heard_at
                 and crash.worker_id not in evidence.worker_ids
                 and holder.key not in crash.held
             ):
                 yield crash
 
 
+def latest_end(heard_at: float, seen_at: float, has_started: bool) -> float:
+    """Return the latest time at which a worker can have crashed.
+
+    Args:
+        heard_at: Time of its last sign of life, in node-clock seconds.
+        seen_at: Time of the detection, in node-clock seconds.
+        has_started: Whether it had just confirmed a start.
+    """
+    return min(
+        heard_at + (MAX_BUSY_SILENCE_S if has_started else MAX_SILENCE_S), seen_at
+    )
+
+
 def add_evidence(
     holder: Task, run: int, crash: WorkerCrash, confirmed: bool, suspect: bool
 ) -> None:
@@ -165,7 +178,7 @@
         )
     holder.crash_evidence_by_run[run] = known._replace(
         first_heard_at=min(known.first_heard_at, crash.heard_at),
-        last_heard_at=max(known.last_heard_at, crash.heard_at),
+        ended_by=max(known.ended_by, crash.ended_by),
         seen_at=crash.seen_at,
         worker_ids=known.worker_ids | {crash.worker_id},
         confirmed=known.confirmed or confirmed,
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -16,6 +16,7 @@
     CrashHistory,
     WorkerCrash,
     add_evidence,
+    latest_end,
     refute_evidence,
     suspicion_holder,
     valid_evidence_by_run,
@@ -148,6 +149,7 @@
     crash = WorkerCrash(
         worker.facts.worker_id,
         worker.heard_at,
+        latest_end(worker.heard_at, now, any(run.run_confirmed for run in causes)),
         now,
         _holder_keys(causes),
         _holder_keys(worker.tasks_by_key.values()),
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -596,7 +596,7 @@
             # gone on.
             holder = suspicion_holder(task)
             causes = frozenset({holder.key})
-            crash = WorkerCrash(worker_id, now, now, causes, causes)
+            crash = WorkerCrash(worker_id, now, now, now, causes, causes)
             self._crash_history.add(crash)
             add_evidence(holder, run, crash, confirmed=False, suspect=True)
             step_suspicion(task, "suspect")
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -57,10 +57,10 @@
 
     Attributes:
         first_heard_at: Last sign of life of the worker that was silent first,
-            in node-clock seconds; infinite, and ``last_heard_at`` minus
-            infinity, if an earlier coordinator saw the crash.
-        last_heard_at: Last sign of life of the worker that was silent last, in
-            node-clock seconds.
+            in node-clock seconds; infinite, and ``ended_by`` minus infinity,
+            if an earlier coordinator saw the crash.
+        ended_by: Latest time at which a worker can have crashed, in node-clock
+            seconds.
         seen_at: Time at which the newest of the crashes was detected, in
             node-clock seconds.
         worker_ids: The workers.
@@ -71,7 +71,7 @@
     """
 
     first_heard_at: float
-    last_heard_at: float
+    ended_by: float
     seen_at: float
     worker_ids: frozenset[str]
     confirmed: bool
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -160,7 +160,12 @@
             for placed in record.placed:
                 runs = self._running_by_worker[placed.worker_id]
                 engine.adopt_run(
-                    placed.key, placed.run, placed.worker_id, False, self.now
+                    placed.key,
+                    placed.run,
+                    placed.worker_id,
+                    False,
+                    self.now,
+                    placed.process_started_ms,
                 )
                 if placed.key not in runs:
                     task = engine.find(placed.key)
