--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -497,6 +497,29 @@
                 self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
                 self.assertLessEqual(max(fleet.crashes_by_key.values()), 3)
 
+    def test_sound_jobs_survive_cuts_beside_crashing_tasks(self):
+        """Guards against giving up jobs on days with many kinds of crashes."""
+        random_ = random.Random(16)
+        fleet = CrashingFleet(24)
+        for index in range(40):
+            deadly = random_.random() < 0.1
+            tasks = random_.randint(1, 8)
+            fleet.accept(
+                f"{'deadly' if deadly else 'sound'}{index}",
+                fx.step(tasks, fx.HALF_WORKER, gang=random_.random() < 0.5),
+                deadly=range(tasks) if deadly else (),
+            )
+            fleet.run_until(fleet.now + 0.4)
+            if index % 12 == 6:
+                up = sorted(set(fleet.facts_by_id) - fleet._gone)
+                fleet.crash(*random_.sample(up, len(up) // 2), gap_s=RETURN_GAP_S)
+        fleet.run_until(fleet.now + 60.0)
+        for workflow_id in fleet.engine.workflows_by_id:
+            sound = workflow_id.startswith("sound")
+            expected = WorkflowState.DONE if sound else WorkflowState.FAILED
+            self.assertEqual(fleet.state(workflow_id), expected, workflow_id)
+        self.assertLessEqual(max(fleet.crashes_by_key.values()), MAX_CRASHES)
+
     def test_crashes_of_one_run_survive_a_change_of_the_coordinator(self):
         """Guards against records that forget which runs were counted."""
         fleet = CrashingFleet()
