--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -113,22 +113,21 @@
             workers: All workers.
             now: Node-clock seconds.
         """
-        open_evidence = [
+        awaited = [
             evidence
             for evidence in holder.crash_evidence_by_run.values()
             if not evidence.refuted and now - evidence.seen_at < EVIDENCE_WAIT_S
         ]
-        if not open_evidence:
-            return False
-        clear_at = max(evidence.ended_by for evidence in open_evidence)
-        worker_ids = frozenset().union(*(e.worker_ids for e in open_evidence))
         return any(
-            worker.heard_at <= clear_at
-            and worker.facts.worker_id not in worker_ids
+            evidence.first_heard_at - MAX_SILENCE_S
+            <= worker.heard_at
+            <= evidence.ended_by
+            and worker.facts.worker_id not in evidence.worker_ids
             and not worker.facts.draining
             and not worker.emptying
             and not self.has_seen(worker)
             and holder not in map(suspicion_holder, worker.tasks_by_key.values())
+            for evidence in awaited
             for worker in workers
         )
 
