--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -554,10 +554,14 @@
         self.progress = self.engine.accept(fx.workflow("job"), 0.0)
         self.crash_suspect(1.0)
 
-    def crash_suspect(self, now):
-        """Start the task and crash its worker; returns that worker."""
+    def crash_suspect(self, now, silent=0):
+        """Start the task and crash its worker; returns that worker.
+
+        The others answer at the moment of the start, but for ``silent`` ones.
+        """
         (start,) = fx.starts(self.engine.plan(now, now))
-        self.report(now, {start.worker_id})
+        others = sorted(set(self.engine.workers_by_id) - {start.worker_id})
+        self.report(now, {start.worker_id, *others[:silent]})
         fx.confirm(self.engine, [start], now)
         self.engine.worker_restarted(start.worker_id, now + 1.0)
         self.engine.interrupt_worker(start.worker_id, now + 1.0, "crashed")
@@ -587,6 +591,15 @@
         self.engine.plan(33.0, 33.0)
         self.assertEqual(self.progress.state, WorkflowState.FAILED)
 
+    def test_verdict_does_not_wait_for_a_worker_that_was_silent_before(self):
+        """Guards against a verdict that each worker that is cut off delays."""
+        self.report(5.0)
+        crashed = self.crash_suspect(30.0, silent=1)
+        (silent, *_) = sorted(set(self.engine.workers_by_id) - {crashed})
+        self.report(33.0, {silent, crashed})
+        self.engine.plan(33.0, 33.0)
+        self.assertEqual(self.progress.state, WorkflowState.FAILED)
+
     def test_verdict_does_not_wait_for_a_worker_for_ever(self):
         """Guards against a task that waits for a worker that never answers."""
         self.report(5.0)
