--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -160,7 +160,12 @@
             for placed in record.placed:
                 runs = self._running_by_worker[placed.worker_id]
                 engine.adopt_run(
-                    placed.key, placed.run, placed.worker_id, False, self.now
+                    placed.key,
+                    placed.run,
+                    placed.worker_id,
+                    False,
+                    self.now,
+                    placed.process_started_ms,
                 )
                 if placed.key not in runs:
                     task = engine.find(placed.key)
@@ -492,6 +497,29 @@
                 self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
                 self.assertLessEqual(max(fleet.crashes_by_key.values()), 3)
 
+    def test_sound_jobs_survive_cuts_beside_crashing_tasks(self):
+        """Guards against giving up jobs on days with many kinds of crashes."""
+        random_ = random.Random(16)
+        fleet = CrashingFleet(24)
+        for index in range(40):
+            deadly = random_.random() < 0.1
+            tasks = random_.randint(1, 8)
+            fleet.accept(
+                f"{'deadly' if deadly else 'sound'}{index}",
+                fx.step(tasks, fx.HALF_WORKER, gang=random_.random() < 0.5),
+                deadly=range(tasks) if deadly else (),
+            )
+            fleet.run_until(fleet.now + 0.4)
+            if index % 12 == 6:
+                up = sorted(set(fleet.facts_by_id) - fleet._gone)
+                fleet.crash(*random_.sample(up, len(up) // 2), gap_s=RETURN_GAP_S)
+        fleet.run_until(fleet.now + 60.0)
+        for workflow_id in fleet.engine.workflows_by_id:
+            sound = workflow_id.startswith("sound")
+            expected = WorkflowState.DONE if sound else WorkflowState.FAILED
+            self.assertEqual(fleet.state(workflow_id), expected, workflow_id)
+        self.assertLessEqual(max(fleet.crashes_by_key.values()), MAX_CRASHES)
+
     def test_crashes_of_one_run_survive_a_change_of_the_coordinator(self):
         """Guards against records that forget which runs were counted."""
         fleet = CrashingFleet()
@@ -526,10 +554,14 @@
         self.progress = self.engine.accept(fx.workflow("job"), 0.0)
         self.crash_suspect(1.0)
 
-    def crash_suspect(self, now):
-        """Start the task and crash its worker; returns that worker."""
+    def crash_suspect(self, now, silent=0):
+        """Start the task and crash its worker; returns that worker.
+
+        The others answer at the moment of the start, but for ``silent`` ones.
+        """
         (start,) = fx.starts(self.engine.plan(now, now))
-        self.report(now, {start.worker_id})
+        others = sorted(set(self.engine.workers_by_id) - {start.worker_id})
+        self.report(now, {start.worker_id, *others[:silent]})
         fx.confirm(self.engine, [start], now)
         self.engine.worker_restarted(start.worker_id, now + 1.0)
         self.engine.interrupt_worker(start.worker_id, now + 1.0, "crashed")
@@ -559,6 +591,15 @@
         self.engine.plan(33.0, 33.0)
         self.assertEqual(self.progress.state, WorkflowState.FAILED)
 
+    def test_verdict_does_not_wait_for_a_worker_that_was_silent_before(self):
+        """Guards against a verdict that each worker that is cut off delays."""
+        self.report(5.0)
+        crashed = self.crash_suspect(30.0, silent=1)
+        (silent, *_) = sorted(set(self.engine.workers_by_id) - {crashed})
+        self.report(33.0, {silent, crashed})
+        self.engine.plan(33.0, 33.0)
+        self.assertEqual(self.progress.state, WorkflowState.FAILED)
+
     def test_verdict_does_not_wait_for_a_worker_for_ever(self):
         """Guards against a task that waits for a worker that never answers."""
         self.report(5.0)
