Take a refused upkeep order as unsettled after an order without an answer

Seen by callers: none; found by unit tests. Two machines of a wave with the limit 1 were down at once.

Cause: a machine in upkeep refuses an order as busy. A refusal made the machine wait again, and freed its place in the wave, although an earlier order without an answer, or one of the previous coordinator, had taken it down.

Ruled out: moves of machines. There a refusal as busy changes nothing, and only a refusal that concerns the machine and its pool for good ends the move.

Change: the chart has a state for machines whose order may have been carried out. A refusal does not leave it: the order is repeated until it is accepted, or until the machine is up with another worker or is no longer listed. An order that is answered 429 was not carried out and settles nothing either.

Failed before, pass now: test_rejection_after_a_lost_reply_does_not_mean_not_ordered, test_rejection_of_a_successors_order_does_not_mean_not_ordered.

--- a/src/redwingrudder/coordination/maintenance.py
+++ b/src/redwingrudder/coordination/maintenance.py
@@ -5,8 +5,14 @@
 
 from .._store_requests import DeleteKey, GetPrefix, PutKey
 from ..actors import ActorSystem
+from ..exceptions import OverloadedError, RedwingrudderError
 from ..workflows.engine import Engine
-from ..workflows.maintenance import MachineUpkeep, WaveProgress, runs_to_stop
+from ..workflows.maintenance import (
+    ORDERED_STATES,
+    MachineUpkeep,
+    WaveProgress,
+    runs_to_stop,
+)
 from .authority import Authority
 from .gateways import (
     MAINTENANCE_PREFIX,
@@ -114,12 +120,12 @@
                 "wave": wave_id,
                 "machines": len(progress.wave.machine_ids),
                 "limit": progress.wave.limit,
-                "ordered": len(progress.in_state("ordered")),
+                "ordered": len(progress.in_state(*ORDERED_STATES)),
             },
         )
 
     def _restore_orders(self, progress: WaveProgress, ordered: dict[str, Any]) -> None:
-        """Restore the machines of recorded orders to the state "ordered".
+        """Restore the machines of recorded orders to the state "unconfirmed".
 
         An order may not have been sent after it was recorded, so it is sent
         again; the machine service carries it out only once.
@@ -128,8 +134,7 @@
             upkeep = progress.machines_by_id.get(machine_id)
             if upkeep is not None:
                 upkeep.worker_id = str(worker_id)
-                upkeep.step("chosen")
-                upkeep.step("emptied")
+                upkeep.step("restored")
 
     async def _advance_wave(
         self, progress: WaveProgress, listed: tuple, now: float
@@ -145,7 +150,7 @@
             await self._record_orders(progress, emptied)
         for upkeep in emptied:
             upkeep.step("emptied")
-        for upkeep in progress.in_state("ordered"):
+        for upkeep in progress.in_state(*ORDERED_STATES):
             if not self._may_order(self._system.clock.seconds()):
                 return
             if self._empty_worker(upkeep, now):
@@ -171,9 +176,16 @@
         self, progress: WaveProgress, upkeep: MachineUpkeep
     ) -> None:
         wave_id = progress.wave.wave_id
-        reply = await self._machine_service.begin_upkeep(
-            upkeep.machine_id, wave_id, self._holder, self._engine.term
-        )
+        try:
+            reply = await self._machine_service.begin_upkeep(
+                upkeep.machine_id, wave_id, self._holder, self._engine.term
+            )
+        except OverloadedError:
+            raise  # the order was answered and not carried out
+        except RedwingrudderError:
+            upkeep.step("unanswered")
+            self._log_upkeep(progress, upkeep, "unanswered")
+            raise
         if reply is MachineReply.FENCED:
             self._stop_as_fenced(upkeep.machine_id)
         elif upkeep.step(reply.value) and upkeep.state == "waiting":
--- a/src/redwingrudder/workflows/maintenance.py
+++ b/src/redwingrudder/workflows/maintenance.py
@@ -11,11 +11,24 @@
 
 UPKEEP_CHART = load_chart(
     "machine_upkeep",
-    frozenset({"chosen", "emptied", "accepted", "rejected", "returned", "gone"}),
+    frozenset(
+        {
+            "chosen",
+            "emptied",
+            "restored",
+            "unanswered",
+            "accepted",
+            "rejected",
+            "returned",
+            "gone",
+        }
+    ),
     frozenset(),
 )
 # States in which a machine counts against the wave's limit.
-BUSY_STATES = frozenset({"emptying", "ordered", "down"})
+BUSY_STATES = frozenset({"emptying", "ordered", "unconfirmed", "down"})
+# States in which the order to take a machine down is sent.
+ORDERED_STATES = frozenset({"ordered", "unconfirmed"})
 # A wave's time is divided evenly among its batches of machines. This share of
 # a batch's time is given to the runs on a machine to end by themselves.
 EMPTYING_TIME_SHARE = 0.4
