Show a stored cancellation as its effect only for a job without a record

Seen by callers: a job was shown as cancelled while no coordinator answered, and as done later; found by a unit test.

Cause: a node that reads the state from the store took a stored cancellation for the end of the job. The job may have ended at the coordinator before, and the record of its end may follow.

Ruled out: the coordinator's own answers, which are recorded states.

Change: a job that has a record is shown in the recorded state. It is shown as cancelled if it has no record, since nothing had been placed before then.

Failed before, passes now: test_job_shown_as_cancelled_does_not_end_as_done.

--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -342,19 +342,23 @@
             )
 
     async def _read_state(self, workflow_id: str) -> str:
+        """Return the state that the store shows, "" for an unknown workflow.
+
+        A workflow with a record of its progress may have ended already when
+        its cancellation was stored, so it counts as cancelled once that is
+        recorded. Without one nothing of it had been placed after the
+        cancellation was read.
+        """
         reply = await self.ask(STORE, GetPrefix(INTAKE_PREFIX + workflow_id))
         if not reply.pairs:
             return ""
         item: KeyValue | None = await self.ask(
             STORE, GetKey(PROGRESS_PREFIX + workflow_id)
         )
-        state = WorkflowState.QUEUED
         if item is not None:
-            state = _decode_state(workflow_id, item.value)
+            return _decode_state(workflow_id, item.value)
         cancelled = any(pair.key.endswith(CANCEL_SUFFIX) for pair in reply.pairs)
-        if cancelled and state in (WorkflowState.QUEUED, WorkflowState.RUNNING):
-            return WorkflowState.CANCELLED
-        return state
+        return WorkflowState.CANCELLED if cancelled else WorkflowState.QUEUED
 
     async def _get_queue_length(self, message: GetQueueLength) -> int:
         return await self._ask_coordinator("queue_length", message)
