Tell that a job was interrupted only once that is recorded

Seen by callers: a cancelled idempotent job was answered as interrupted while the store was down, and ran again and succeeded under the next owner. A planned stop could lose such an answer. Found by unit tests.

Cause: the ledger published every end but not_run before it was written. The next owner reads the older record and runs the job. A drain waited for writes in progress and not for those that wait to be repeated.

Ruled out for succeeded: workers keep results until the end is recorded, so the next owner finds them. Jobs that have no record in the store for certain are answered at once, as before.

Change: interrupted is published like not_run, after its record; until then the job is shown as running.

Failed before, pass now: test_a_cancelled_job_does_not_run_again_under_the_next_owner, test_drain_waits_for_answers_that_are_not_recorded.

--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -19,6 +19,10 @@
 RESULT_RETENTION_S = 600.0  # workers keep results for the same time
 MAX_CACHED_ANSWERS = 20_000
 
+# Answers that are published once they are recorded, if the store may hold a
+# record of the job: from an older record, another owner would run the job.
+RECORDED_FIRST = frozenset({JobState.NOT_RUN, JobState.INTERRUPTED})
+
 # Reasons for which ``record_start`` refuses a start.
 CONFLICT = "record_conflict"
 BUSY = "record_busy"
@@ -52,8 +56,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no write is in progress."""
-        return not self._job_ids_being_written
+        """Whether no write is in progress or still to be made."""
+        return not (self._job_ids_being_written or self._unwritten_job_ids)
 
     def close(self) -> None:
         """Start no further writes; called when the ownership ends."""
@@ -217,13 +221,12 @@
             body=records.final_record(entry.body, view),
             stored=False,
             answer=view,
+            published=False,
             results_available_until=now + RESULT_RETENTION_S,
         )
         self._unwritten_job_ids[job_id] = None
-        # If the store may hold a record, another owner could still run the job
-        # until "not run" is recorded.
         may_have_record = entry.may_have_record or job_id in self._job_ids_being_written
-        if view.state is not JobState.NOT_RUN or not may_have_record:
+        if view.state not in RECORDED_FIRST or not may_have_record:
             self._publish_answer(job_id)
 
     async def write(self, job_id: str) -> None:
--- a/src/redwingrudder/_ownership_term.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -146,7 +146,7 @@
         """Stop recording job starts.
 
         Returns:
-            Whether a start or a write of a record is still in progress.
+            Whether a start is still in progress or a record to be written.
         """
         return self._commands.drain() or not self.ledger.is_idle
 
@@ -222,8 +222,11 @@
         unpublished_view = self.ledger.unpublished_answer(job_id)
         if unpublished_view is not None:
             # Until the end is recorded, another owner could still run the job.
+            interrupted = unpublished_view.state is JobState.INTERRUPTED
             return unpublished_view._replace(
-                state=JobState.QUEUED, reason=NOT_RECORDED_YET, finished_at=None
+                state=JobState.RUNNING if interrupted else JobState.QUEUED,
+                reason=NOT_RECORDED_YET,
+                finished_at=None,
             )
         view = self.scheduler.view(job_id)
         return view and view._replace(durable=self.ledger.is_durable(job_id))
