Take an error status as a refusal only at the first attempt of a command

Seen by callers: a job stayed in placing for ever while its task ran; found by a unit test. A start was executed without a reply, and its repetition got status 429.

Cause: any status from 400 to 499 counted as the worker's refusal. It does not show what an earlier attempt has done. The member counted as not started, and its release was refused, as it was running. Releases and stops that got such a status were dropped, although nothing was released or stopped.

Ruled out: refusals in a worker's reply. The worker answers from its members, and an earlier attempt that started one is told as already_started.

Change: the status refuses a reservation or a start only if no earlier attempt went without a reply. Otherwise the command is repeated, and so are releases and stops.

--- a/src/redwingrudder/_worker_commands.py
+++ b/src/redwingrudder/_worker_commands.py
@@ -167,6 +167,16 @@
     return MemberRequest(epoch=list(epoch), gang_id=command.gang_id)
 
 
+def is_refusable(pending: PendingCommand) -> bool:
+    """Whether an error status of the request means that nothing was done.
+
+    It says nothing of earlier attempts without a reply, which may have been
+    carried out. Releases and stops are repeated until they are.
+    """
+    takes_resources = isinstance(pending.command, ReserveMember | StartMember)
+    return takes_resources and pending.attempts == 0
+
+
 def refusal_of(command: Command, worker_id: str, code: str) -> Answer | None:
     """Return the event that reports a command as refused.
 
--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -14,6 +14,7 @@
     answer_of,
     backoff_s,
     body_of,
+    is_refusable,
     path_of,
     refusal_of,
 )
@@ -356,7 +357,8 @@
     def _handle_command_reply(
         self, pending: PendingCommand, response: WorkerResponse
     ) -> None:
-        reply = read_command(response, self._expectation())
+        refusable = is_refusable(pending)
+        reply = read_command(response, self._expectation(), refusable)
         if isinstance(reply, ChartEvent):
             self._step(reply)
             return
--- a/src/redwingrudder/_worker_replies.py
+++ b/src/redwingrudder/_worker_replies.py
@@ -104,18 +104,23 @@
 
 
 def read_command(
-    response: WorkerResponse, expected: Expectation
+    response: WorkerResponse, expected: Expectation, refusable: bool
 ) -> CommandReply | ChartEvent:
     """Return the reply to a command, or the event "restarted" or "fenced".
 
-    A status from 400 to 499 other than 409 counts as a refusal, because
-    sending the same command again would give the same status.
+    Args:
+        response: The response of the worker.
+        expected: The state of the link.
+        refusable: Whether a status from 400 to 499 other than 409 means that
+            the command has had no effect; it then counts as a refusal.
 
     Raises:
-        UnavailableError: The status or the body is not valid.
+        UnavailableError: The status or the body is not valid, or the status
+            does not show whether the command has had an effect.
     """
     if (
-        _FIRST_CLIENT_ERROR_STATUS <= response.status < _FIRST_SERVER_ERROR_STATUS
+        refusable
+        and _FIRST_CLIENT_ERROR_STATUS <= response.status < _FIRST_SERVER_ERROR_STATUS
         and response.status != _STATUS_CONFLICT
     ):
         return CommandReply(
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -10,6 +10,7 @@
 from twisted.trial import unittest as trial
 
 from redwingrudder import _worker_commands
+from redwingrudder._worker_transport import WorkerResponse
 from redwingrudder.actors import Actor, ActorSystem
 from redwingrudder.exceptions import MailboxFullError
 from redwingrudder.messages import (
@@ -369,6 +370,27 @@
         self.run_for(2.0)
         self.assertEqual(self.run_and_take_events(), [ReserveAnswered("g", "w1", True)])
 
+    def test_an_error_status_settles_no_release(self):
+        """Guards against a reservation that is never released."""
+        self.run_and_take_events()
+        self.send(self.reserve("g"))
+        self.run_and_take_events()
+        post = self.transport.post
+        refused = []
+
+        async def refuse_first_release(address, path, body, timeout_s):
+            if path == "/v1/release" and not refused:
+                refused.append(body)
+                return WorkerResponse(429, b"{}")
+            return await post(address, path, body, timeout_s)
+
+        with mock.patch.object(self.transport, "post", refuse_first_release):
+            self.send(ReleaseMember("g", "w1"))
+            events = self.run_and_take_events()
+        self.assertEqual(events, [ReleaseAnswered("g", "w1")])
+        self.assertEqual(len(refused), 1)
+        self.assertEqual(self.core.state(self.clock.seconds())["members"], [])
+
     def test_a_draining_worker_is_reported_once(self):
         """Guards against a draining worker that is reported repeatedly."""
         self.run_and_take_events()
