Limit the lease that a command to a worker renews by the worker's clock

Seen by callers: none; found by a unit test. A worker that read a poll just before its lease ended ran on for a whole lease, while the owner called it lost one lease and a second after it had sent the poll. Its work could be running a second time.

Cause: a command renews the lease from its execution, which may be long after it was sent.

Ruled out: a longer wait at the owner. It cannot tell such a worker from one that is cut off and executes nothing, and the tests hold the wait for that one to 1.2 s after its lease. A new claim does not reach a worker that is cut off.

Change: replies to claims, polls and probes tell the worker's clock. Each command tells the time on it, one lease after it was sent, beyond which it does not renew the lease. Both fields are optional: a worker that does not know them behaves as before. The overrides of the renewal in tests/deployment.py take the request instead of its epoch and check the same.

Not covered: the first claim of a link, which does not know the clock yet; see the section on what is not proved in docs/invariants.md.

--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -1,6 +1,7 @@
 """Actor that connects the owner of a failure domain to one worker."""
 
 from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred, ensureDeferred
 
@@ -62,6 +63,7 @@
 POLL_ANSWER_MARGIN_S = 3.0  # time for the reply once the wait of a long poll ends
 LAPSE_MARGIN_S = 1.0  # allows for a worker whose clock runs slower
 OUTBOX_RETRY_S = 0.1  # while the mailbox of the dispatcher is full
+CLOCK_DIGITS = 3  # times of a worker's clock are told in milliseconds
 
 _PROBE_TIMER = "probe"
 _LAPSE_TIMER = "lapse"
@@ -70,6 +72,17 @@
 
 _PROBE_PATH = "/v1/state"
 
+
+class _ClockReading(NamedTuple):
+    """Time of a worker's clock, and of the node's clock when it was received.
+
+    Both are in seconds.
+    """
+
+    worker_s: float
+    received_at: float
+
+
 _ReplyReader = Callable[[WorkerResponse, Expectation], ChartEvent]
 
 
@@ -79,7 +92,9 @@
     Every command renews the lease, even when its reply is lost. A worker that
     does not answer therefore counts as lost only ``lease_s`` plus
     ``LAPSE_MARGIN_S`` after the last command was sent to it. By then its
-    lease has lapsed and it has stopped its tasks.
+    lease has lapsed and it has stopped its tasks, even if it executes a
+    command late: each one tells the time on the worker's clock at which the
+    lease that it renews ends.
 
     Args:
         system: The actors of the node.
@@ -97,6 +112,7 @@
         self._boot_id = ""
         self._sequence = 0
         self._renewal_sent_at = system.clock.seconds()
+        self._clock_reading: _ClockReading | None = None
         self._unhandled_claims = 0
         self._draining_reported = False
         self._failures_in_a_row = 0
@@ -228,18 +244,29 @@
             chart_event = self._handle_failed_call(path, error)
         if call_number != self._call_number:
             return
+        self._read_clock(chart_event)
         if chart_event.name in ("claimed", "polled"):
             self._failures_in_a_row = 0
             self.tell(TIMERS, Unsubscribe(self.name, _LAPSE_TIMER))
         self._step(chart_event)
 
-    async def _send(self, path: str, body: object, timeout_s: float) -> WorkerResponse:
+    async def _send(self, path: str, body: Any, timeout_s: float) -> WorkerResponse:
         address = self._settings.address
         if path == _PROBE_PATH:
             return await self._transport.get(address, path, timeout_s)
         self._renewal_sent_at = self._now()
+        reading = self._clock_reading
+        if reading is not None:
+            lease_end = self._renewal_sent_at + self._settings.lease_s
+            lease_until_s = reading.worker_s + lease_end - reading.received_at
+            body = {**body, "lease_until_s": round(lease_until_s, CLOCK_DIGITS)}
         return await self._transport.post(address, path, body, timeout_s)
 
+    def _read_clock(self, chart_event: ChartEvent) -> None:
+        reply = chart_event.poll or chart_event.claim
+        if reply is not None and "clock_s" in reply:
+            self._clock_reading = _ClockReading(reply["clock_s"], self._now())
+
     def _timeout_s(self, limit_s: float) -> float:
         return min(limit_s, self._settings.lease_s * TIMEOUT_LEASE_SHARE)
 
@@ -271,6 +298,7 @@
             self.tell(TIMERS, Unsubscribe(self.name, _RETRY_TIMER + gang_id))
         self._queue = CommandQueue()
         self._boot_id = ""
+        self._clock_reading = None
         self._failures_in_a_row = 0
         self.tell(TIMERS, Unsubscribe(self.name, _LAPSE_TIMER))
         self._send_event(WorkerLost(self._settings.worker_id, chart_event.name))
--- a/src/redwingrudder/_worker_replies.py
+++ b/src/redwingrudder/_worker_replies.py
@@ -21,7 +21,7 @@
 
     Attributes:
         name: The event as spelled in ``worker_link.scxml``.
-        claim: The reply of a "claimed" event.
+        claim: The reply of a "claimed" or "reachable" event.
         report: The gang members at the worker, for a "claimed" event.
         poll: The reply of a "polled" event.
         highest_epoch: The highest epoch that the worker has seen, for a
@@ -99,8 +99,8 @@
     """
     if response.status != _STATUS_OK:
         raise UnavailableError(f"unexpected HTTP status {response.status}")
-    codec.parse_reply(codec.CLAIM_REPLY, response.content)
-    return ChartEvent("reachable")
+    reply = codec.parse_reply(codec.CLAIM_REPLY, response.content)
+    return ChartEvent("reachable", claim=reply)
 
 
 def read_command(
--- a/src/redwingrudder/standins/_worker_core.py
+++ b/src/redwingrudder/standins/_worker_core.py
@@ -14,6 +14,7 @@
     ClaimReply,
     ClaimRequest,
     CommandReply,
+    EpochRequest,
     MemberBody,
     MemberRequest,
     PollReply,
@@ -31,6 +32,7 @@
 USAGE_LAG_S = 5.0  # age of the usage that replies to polls report
 MAX_HISTORY_ENTRIES = 100_000
 CHECKPOINT_TIME_FRACTION = 0.5  # of the job's stop bound
+CLOCK_DIGITS = 3  # clock readings in replies have milliseconds
 
 _NO_EPOCH = Epoch(-1, -1, -1)  # lower than any epoch of an owner
 
@@ -129,7 +131,7 @@
             raise RejectedEpochError(self.highest_epoch, "stale_epoch")
         self.highest_epoch = epoch
         self._lease_s = request["lease_s"]
-        self.lease_until = now + self._lease_s
+        self._renew_lease(request, now)
         return self.state(now)
 
     def state(self, now: float) -> ClaimReply:
@@ -147,6 +149,7 @@
             memory_mb=self.info.memory_mb,
             members=[_member_body(m) for m in self._members_by_gang.values()],
             sequence=self._last_sequence,
+            clock_s=round(now, CLOCK_DIGITS),
         )
 
     def poll(self, request: PollRequest, now: float) -> PollReply:
@@ -154,7 +157,7 @@
 
         Events up to sequence number ``after`` are acknowledged and dropped.
         """
-        self._check_epoch_and_renew(request["epoch"], now)
+        self._check_epoch_and_renew(request, now)
         while self._events and self._events[0]["sequence"] <= request["after"]:
             self._events.popleft()
         return PollReply(
@@ -162,6 +165,7 @@
             draining=self.draining,
             events=list(self._events),
             usage=self._lagged_usage(now),
+            clock_s=round(now, CLOCK_DIGITS),
         )
 
     def must_answer_poll(self, request: PollRequest, now: float) -> bool:
@@ -178,7 +182,7 @@
 
         A release or the expiry of the lease also ends the reservation.
         """
-        self._check_epoch_and_renew(request["epoch"], now)
+        self._check_epoch_and_renew(request, now)
         gang_id = request["gang_id"]
         existing = self._members_by_gang.get(gang_id)
         if existing is not None and existing.state is MemberState.RESERVED:
@@ -199,7 +203,7 @@
 
     def start(self, request: MemberRequest, now: float) -> CommandReply:
         """Start the tasks of a reserved member; repetitions have no effect."""
-        self._check_epoch_and_renew(request["epoch"], now)
+        self._check_epoch_and_renew(request, now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None:
@@ -222,7 +226,7 @@
 
         A member that is running is not released.
         """
-        self._check_epoch_and_renew(request["epoch"], now)
+        self._check_epoch_and_renew(request, now)
         member = self._members_by_gang.get(request["gang_id"])
         if member is not None and member.state is MemberState.STARTED:
             return self._reply("member_running")
@@ -235,7 +239,7 @@
         A member that has not started is released instead. If requested,
         preemptible tasks write a checkpoint before they end.
         """
-        self._check_epoch_and_renew(request["epoch"], now)
+        self._check_epoch_and_renew(request, now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None or member.state is MemberState.RESERVED:
@@ -253,7 +257,7 @@
 
     def throttle(self, request: ThrottleRequest, now: float) -> CommandReply:
         """Limit a member to a share of its cores, which slows its tasks."""
-        self._check_epoch_and_renew(request["epoch"], now)
+        self._check_epoch_and_renew(request, now)
         gang_id = request["gang_id"]
         member = self._members_by_gang.get(gang_id)
         if member is None:
@@ -288,14 +292,21 @@
             deadlines.append(self.lease_until)
         return min(deadlines, default=None)
 
-    def _check_epoch_and_renew(self, epoch_numbers: list[int], now: float) -> None:
+    def _check_epoch_and_renew(self, request: EpochRequest, now: float) -> None:
         self.advance(now)
-        epoch = Epoch(*epoch_numbers)
+        epoch = Epoch(*request["epoch"])
         if epoch < self.highest_epoch:
             raise RejectedEpochError(self.highest_epoch, "stale_epoch")
         if epoch > self.highest_epoch:
             raise RejectedEpochError(self.highest_epoch, "not_claimed")
-        self.lease_until = now + self._lease_s
+        self._renew_lease(request, now)
+
+    def _renew_lease(self, request: EpochRequest, now: float) -> None:
+        renewed_until = now + self._lease_s
+        if "lease_until_s" in request:
+            renewed_until = min(renewed_until, request["lease_until_s"])
+            renewed_until = max(renewed_until, self.lease_until)
+        self.lease_until = renewed_until
 
     def _reply(self, code: str = "") -> CommandReply:
         reply = CommandReply(
--- a/src/redwingrudder/worker_api.py
+++ b/src/redwingrudder/worker_api.py
@@ -31,9 +31,15 @@
 
 
 class EpochRequest(TypedDict):
-    """Fields of the requests of all commands."""
+    """Fields of the requests of all commands.
+
+    ``lease_until_s`` is a time of the worker's clock. A request does not renew
+    the lease beyond it, so one that is executed late does not renew it for as
+    long as one that is executed at once. Without it there is no such limit.
+    """
 
     epoch: list[int]
+    lease_until_s: NotRequired[float]
 
 
 class JobSpecBody(TypedDict):
@@ -91,7 +97,8 @@
     """Resources and gang members of the worker.
 
     ``sequence`` is the number of the latest event of the worker; a poll after
-    it returns later events only.
+    it returns later events only. ``clock_s`` is the time of the worker's
+    clock, which is never set back while its process runs.
     """
 
     boot_id: str
@@ -105,6 +112,7 @@
     memory_mb: int
     members: list[MemberBody]
     sequence: int
+    clock_s: NotRequired[float]
 
 
 class PollRequest(EpochRequest):
@@ -138,13 +146,15 @@
 class PollReply(TypedDict):
     """Reply to a poll, with the events in order of their sequence numbers.
 
-    ``draining`` may change from one reply to the next.
+    ``draining`` may change from one reply to the next. ``clock_s`` is the
+    time of the worker's clock, as in ``ClaimReply``.
     """
 
     boot_id: str
     draining: bool
     events: list[TaskEndedBody]
     usage: UsageBody
+    clock_s: NotRequired[float]
 
 
 class ReserveRequest(EpochRequest):
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -52,9 +52,9 @@
         self._record_epoch(request["epoch"], now)
         return reply
 
-    def _check_epoch_and_renew(self, epoch_numbers, now):
-        super()._check_epoch_and_renew(epoch_numbers, now)
-        self._record_epoch(epoch_numbers, now)
+    def _check_epoch_and_renew(self, request, now):
+        super()._check_epoch_and_renew(request, now)
+        self._record_epoch(request["epoch"], now)
 
     def _record_epoch(self, epoch_numbers, now):
         entry = h.CommandAccepted(
@@ -88,9 +88,9 @@
         self.highest_epoch = Epoch(*request["epoch"])
         return super().claim(request, now)
 
-    def _check_epoch_and_renew(self, epoch_numbers, now):
-        self.highest_epoch = Epoch(*epoch_numbers)
-        super()._check_epoch_and_renew(epoch_numbers, now)
+    def _check_epoch_and_renew(self, request, now):
+        self.highest_epoch = Epoch(*request["epoch"])
+        super()._check_epoch_and_renew(request, now)
 
 
 class EagerWorker(RecordingWorker):
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -111,6 +111,23 @@
         self.assertEqual(self.core.reserve(reserve("h"), 300.0)["code"], "busy")
         self.assertEqual(self.core.start(member("g"), 331.0)["code"], "unknown_gang")
 
+    def test_a_late_command_renews_the_lease_up_to_its_limit_only(self):
+        """Guards against a lease that a command executed late puts off.
+
+        A limit in the past must not end a lease that was renewed meanwhile.
+        """
+        self.run_gang(spec=make_spec('{"run_s": 300}'))
+        limited = {**poll(), "lease_until_s": LEASE_S + 2.0}
+        self.core.poll(limited, LEASE_S - 0.1)
+        self.assertEqual(self.core.lease_until, LEASE_S + 2.0)
+        self.core.poll(poll(), LEASE_S)
+        self.core.poll(limited, LEASE_S + 3.0)
+        self.assertEqual(self.core.lease_until, 2 * LEASE_S)
+        late_claim = {**claim(2), "lease_until_s": LEASE_S}
+        self.core.claim(late_claim, 2 * LEASE_S - 1.0)
+        (state,) = self.core.state(2 * LEASE_S)["members"]
+        self.assertEqual(state["state"], "ended")
+
     def test_tasks_stop_when_the_lease_expires_without_requests(self):
         """Guards against tasks that run on after the lease has expired."""
         self.run_gang(spec=make_spec('{"run_s": 100}'))
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -252,6 +252,21 @@
         (member,) = self.core.state(self.clock.seconds())["members"]
         self.assertEqual(member["state"], "ended")
 
+    def test_each_command_limits_the_lease_that_it_renews(self):
+        """Guards against a late command whose lease has no known end."""
+        self.run_and_take_events()
+        self.send(self.reserve("g"), StartMember("g", "w1"))
+        self.run_for(0.5)
+        self.send(StopMember("g", "w1", False), ReleaseMember("g", "w1"))
+        self.run_for(0.5)
+        (_, first_path, _), *later = self.transport.posted
+        self.assertEqual(first_path, "/v1/claim")
+        paths = {path for _, path, _ in later}
+        self.assertEqual(len(paths), 5, paths)
+        limits = [body["lease_until_s"] for _, _, body in later]
+        self.assertLessEqual(max(limits), self.clock.seconds() + LEASE_S)
+        self.assertGreater(min(limits), LEASE_S - 0.1)
+
     def test_a_short_cut_does_not_lose_the_worker(self):
         """Guards against the loss of a worker whose lease has not expired."""
         self.run_and_take_events()
