--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -10,6 +10,7 @@
 from twisted.trial import unittest as trial
 
 from redwingrudder import _worker_commands
+from redwingrudder._worker_transport import WorkerResponse
 from redwingrudder.actors import Actor, ActorSystem
 from redwingrudder.exceptions import MailboxFullError
 from redwingrudder.messages import (
@@ -251,6 +252,21 @@
         (member,) = self.core.state(self.clock.seconds())["members"]
         self.assertEqual(member["state"], "ended")
 
+    def test_each_command_limits_the_lease_that_it_renews(self):
+        """Guards against a late command whose lease has no known end."""
+        self.run_and_take_events()
+        self.send(self.reserve("g"), StartMember("g", "w1"))
+        self.run_for(0.5)
+        self.send(StopMember("g", "w1", False), ReleaseMember("g", "w1"))
+        self.run_for(0.5)
+        (_, first_path, _), *later = self.transport.posted
+        self.assertEqual(first_path, "/v1/claim")
+        paths = {path for _, path, _ in later}
+        self.assertEqual(len(paths), 5, paths)
+        limits = [body["lease_until_s"] for _, _, body in later]
+        self.assertLessEqual(max(limits), self.clock.seconds() + LEASE_S)
+        self.assertGreater(min(limits), LEASE_S - 0.1)
+
     def test_a_short_cut_does_not_lose_the_worker(self):
         """Guards against the loss of a worker whose lease has not expired."""
         self.run_and_take_events()
@@ -369,6 +385,27 @@
         self.run_for(2.0)
         self.assertEqual(self.run_and_take_events(), [ReserveAnswered("g", "w1", True)])
 
+    def test_an_error_status_settles_no_release(self):
+        """Guards against a reservation that is never released."""
+        self.run_and_take_events()
+        self.send(self.reserve("g"))
+        self.run_and_take_events()
+        post = self.transport.post
+        refused = []
+
+        async def refuse_first_release(address, path, body, timeout_s):
+            if path == "/v1/release" and not refused:
+                refused.append(body)
+                return WorkerResponse(429, b"{}")
+            return await post(address, path, body, timeout_s)
+
+        with mock.patch.object(self.transport, "post", refuse_first_release):
+            self.send(ReleaseMember("g", "w1"))
+            events = self.run_and_take_events()
+        self.assertEqual(events, [ReleaseAnswered("g", "w1")])
+        self.assertEqual(len(refused), 1)
+        self.assertEqual(self.core.state(self.clock.seconds())["members"], [])
+
     def test_a_draining_worker_is_reported_once(self):
         """Guards against a draining worker that is reported repeatedly."""
         self.run_and_take_events()
