Refute crash evidence only by workers that had answered

Cause: two kinds of crashes were taken for crashes that no task explains. The entry of a worker that had crashed was seen once more, and its new session found another process at the address, 1 to 3 s after the crash. After a change of the coordinator, a worker crashed under a run of the earlier term whose start was not confirmed in this one, so that the run was left out. Ruled out: the verdict's wait (verdicts fell at the detection).

Change: the last sign of life is an answer of this process, and a process that never answered is no evidence. Runs placed by an earlier coordinator may be the cause of a crash.

Result: two tests failed and pass.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -120,8 +120,9 @@
 ) -> list[Task]:
     """Attribute a crash to the runs of a worker.
 
-    Runs that the worker has certainly not started are left out. Those of
-    guilty tasks, which are being stopped, explain the crash of others.
+    Runs that the worker has certainly not started are left out; those that an
+    earlier coordinator placed may have been started. Those of guilty tasks,
+    which are being stopped, explain the crash of others.
 
     Args:
         worker: The worker, still with its runs and the time of its previous
@@ -138,7 +139,9 @@
     runs = [
         run
         for run in worker.tasks_by_key.values()
-        if run.run_confirmed or (run.key, run.run) in unanswered_starts
+        if run.run_confirmed
+        or run.run_adopted
+        or (run.key, run.run) in unanswered_starts
     ]
     runs.sort(key=lambda run: not run.run_confirmed)
     causes = [
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -126,7 +126,6 @@
         worker = self.workers_by_id.get(facts.worker_id)
         if worker is None:
             worker = self.workers_by_id[facts.worker_id] = Worker(facts)
-            worker.heard_at = now
             worker.crashed_at = self._crashed_at_by_address.get(
                 facts.address, -math.inf
             )
@@ -138,7 +137,7 @@
         ):
             self.worker_restarted(facts.worker_id, now)
             self._interrupt_confirmed(worker, now)
-            worker.heard_at = now
+            worker.heard_at = -math.inf
             worker.failures = 0
             worker.sound_start_at = -math.inf
             worker.emptying = False
@@ -167,7 +166,7 @@
             return
         runs = list(worker.tasks_by_key.values())
         if not runs and worker.crashed_at >= worker.heard_at:
-            return  # seen before
+            return  # seen before, or a process that has never answered
         suspects = record_crash(worker, self._crash_history, now, unanswered_starts)
         self._settle_suspicions(now)
         worker.crashed_at = now
@@ -207,11 +206,12 @@
             unanswered_starts: Runs whose starts the worker may have received.
         """
         worker = self.workers_by_id.get(worker_id)
-        if worker is not None and not worker.facts.draining and not worker.emptying:
-            record_crash(
-                worker, self._crash_history, now, unanswered_starts, certain=False
-            )
-            self._settle_suspicions(now)
+        if worker is None or worker.facts.draining or worker.emptying:
+            return
+        if not worker.tasks_by_key and worker.crashed_at >= worker.heard_at:
+            return  # seen before, or a process that has never answered
+        record_crash(worker, self._crash_history, now, unanswered_starts, certain=False)
+        self._settle_suspicions(now)
 
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
         """Mark all runs of a worker as interrupted; none may be running.
@@ -600,7 +600,7 @@
             self._crash_history.add(crash)
             add_evidence(holder, run, crash, confirmed=False, suspect=True)
             step_suspicion(task, "suspect")
-        task.run_confirmed = started
+        task.run_confirmed, task.run_adopted = started, True
         if started:
             self.step(task, "started", now)
         task.stage.workflow.begun = True
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -106,7 +106,7 @@
             run = self._next_run(task.run)
             checkpoint = task.checkpoint
         task.run = run
-        task.run_confirmed = False
+        task.run_confirmed = task.run_adopted = False
         task.worker_id = worker.facts.worker_id
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -89,6 +89,8 @@
         run: Number of the newest run, 0 before the first.
         run_resumed: Whether the newest run resumed from a checkpoint.
         run_confirmed: Whether the worker has confirmed the newest run's start.
+        run_adopted: Whether an earlier coordinator placed the newest run, so
+            that its start may have been sent.
         worker_id: Worker of the newest run, "" before the first.
         checkpoint: Newest checkpoint, "" if there is none. A gang's checkpoint
             is stored in its first task.
@@ -123,6 +125,7 @@
         "rate_baseline_percent",
         "reported_at",
         "run",
+        "run_adopted",
         "run_confirmed",
         "run_resumed",
         "stage",
@@ -139,6 +142,7 @@
         self.state = TASK_CHART.initial
         self.run = 0
         self.run_resumed = False
+        self.run_adopted = False
         self.run_confirmed = False
         self.worker_id = ""
         self.checkpoint = ""
@@ -355,8 +359,8 @@
             ended successfully or did not fail for some time.
         crashed_at: Time at which the worker, or an earlier one at its address,
             was seen to have crashed, in node-clock seconds.
-        heard_at: Time of the last report, answered start or new entry of the
-            worker, in node-clock seconds.
+        heard_at: Time of the last report or confirmed start of its process, in
+            node-clock seconds, minus infinity before the first.
         observes_suspect: Whether a task that is suspected of crashing its
             workers runs there; the worker then gets no other new runs.
         quarantined_until: Node-clock seconds until which the worker gets no
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -617,6 +617,43 @@
         self.engine.plan(33.0, 33.0)
         self.assertEqual(self.progress.state, WorkflowState.RUNNING)
 
+    def test_process_that_never_answered_is_no_evidence(self):
+        """Guards against a crash that refutes those of the next seconds.
+
+        The entry of a worker that has crashed is seen once more, and another
+        process answers at its address.
+        """
+        self.report(5.0)
+        crashed = self.crash_suspect(30.0)
+        self.engine.set_worker(fx.worker("old", address="10.0.0.9:1"), 30.1)
+        self.engine.worker_restarted("old", 30.2)
+        self.engine.remove_worker("old", 31.0, "gone")
+        self.report(33.0, {crashed})
+        self.engine.plan(33.0, 33.0)
+        self.assertEqual(self.progress.state, WorkflowState.FAILED)
+
+    def test_crash_under_a_run_of_an_earlier_term_refutes_nothing(self):
+        """Guards against taking crashes that an old run explains for a cut."""
+        self.report(5.0)
+        crashed = self.crash_suspect(30.0)
+        (other, *_) = sorted(set(self.engine.workers_by_id) - {crashed})
+        self.engine.accept(fx.workflow("old"), 30.0)
+        self.engine.adopt_run(fx.key("old"), 1, other, False, 30.0)
+        self.engine.worker_restarted(other, 31.0)
+        self.assertEqual(
+            [suspect.workflow_id for suspect in self.suspects()], ["job", "old"]
+        )
+        self.assertEqual(self.counted_runs("job"), 2)
+
+    def suspects(self):
+        workflows = self.engine.workflows_by_id.values()
+        return [key for workflow in workflows for key in workflow.suspects_by_key]
+
+    def counted_runs(self, workflow_id):
+        (task,) = self.engine.workflows_by_id[workflow_id].tasks()
+        evidence_by_run = task.crash_evidence_by_run
+        return sum(not evidence.refuted for evidence in evidence_by_run.values())
+
     def test_restarts_found_by_a_new_coordinator_count_once_a_run(self):
         """Guards against counting a gang's run for each restarted worker."""
         facts = [
