--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -120,9 +120,9 @@
 ) -> list[Task]:
     """Attribute a crash to the runs of a worker.
 
-    Runs that the worker has certainly not started are left out; those that an
-    earlier coordinator placed may have been started. Those of guilty tasks,
-    which are being stopped, explain the crash of others.
+    Runs that the worker has certainly not started are left out. Those of
+    guilty tasks, which are being stopped, and those that an earlier
+    coordinator placed explain the crash without being suspected of it.
 
     Args:
         worker: The worker, still with its runs and the time of its previous
@@ -140,7 +140,7 @@
         run
         for run in worker.tasks_by_key.values()
         if run.run_confirmed
-        or run.run_adopted
+        or (run.run_adopted and is_suspected(run))
         or (run.key, run.run) in unanswered_starts
     ]
     runs.sort(key=lambda run: not run.run_confirmed)
@@ -149,12 +149,15 @@
         for run in runs
         if is_suspected(run) or is_guilty(run) or not has_proved_harmless(run)
     ]
+    # Not suspected, as most of these runs are harmless.
+    adopted = [run for run in worker.tasks_by_key.values() if run.run_adopted]
+    unproved = [run for run in adopted if not has_proved_harmless(run)]
     crash = WorkerCrash(
         worker.facts.worker_id,
         worker.heard_at,
         latest_end(worker.heard_at, now, any(run.run_confirmed for run in causes)),
         now,
-        _holder_keys(causes),
+        _holder_keys([*causes, *unproved]),
         _holder_keys(worker.tasks_by_key.values()),
     )
     history.add(crash)
