Ask for a third crash only if each was beside other suspects

Crashes of different tasks have one cause only if both tasks had just answered, 0.3 s apart at most, and one crash apart from them is enough.

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -17,6 +17,9 @@
 MAX_SILENCE_S = 1.5
 # A worker that has just confirmed a start answers every quarter of a second.
 MAX_BUSY_SILENCE_S = 0.75
+# Workers that crash together after they have confirmed starts answered last
+# within this time of each other.
+SAME_START_S = 0.3
 # Time after the detection of a crash for which workers that are silent are
 # waited for: the longest lease of a worker, 10 s, and a margin.
 EVIDENCE_WAIT_S = 12.0
@@ -96,7 +99,8 @@
     def is_beside_other_suspects(self, holder: Task, evidence: CrashEvidence) -> bool:
         """Return whether workers of other suspects crashed at that moment."""
         return any(
-            any(key.workflow_id != holder.key.workflow_id for key in crash.causes)
+            abs(crash.heard_at - evidence.first_heard_at) <= SAME_START_S
+            and any(key.workflow_id != holder.key.workflow_id for key in crash.causes)
             for crash in self._others_then(holder, evidence)
         )
 
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -45,12 +45,12 @@
 MAX_UNEXPLAINED_CRASHES = 3
 # A worker that crashes twice within this time may do so by its own fault.
 CRASH_PRONE_S = 20.0
-# Number of runs that had just been confirmed, each with a crash at a moment at
-# which no other suspect's worker crashed, before a task can be guilty.
+# Number of runs with crashes that had just been confirmed, before a task can
+# be guilty; one of them when no other suspect's worker crashed.
 MIN_CRASHED_RUNS = 2
 # Number of runs with crashes after which a task that is the only suspect is
 # guilty, even if its workers had crashed before, had not confirmed its starts
-# or crashed together with those of other suspects.
+# or crashed together with those of other suspects each time.
 CONCLUSIVE_CRASHED_RUNS = 3
 # Time after a crash for which a suspect waits for room on a worker that has
 # not crashed recently.
@@ -231,14 +231,10 @@
     valid = valid_evidence_by_run(holder).values()
     if len(valid) >= CONCLUSIVE_CRASHED_RUNS:
         return True
-    clear = [
-        evidence
-        for evidence in valid
-        if evidence.confirmed
-        and evidence.suspect
-        and not history.is_beside_other_suspects(holder, evidence)
-    ]
-    return len(clear) >= MIN_CRASHED_RUNS
+    strong = [e for e in valid if e.confirmed and e.suspect]
+    return len(strong) >= MIN_CRASHED_RUNS and not all(
+        history.is_beside_other_suspects(holder, evidence) for evidence in strong
+    )
 
 
 def _crashed_runs(task: Task) -> int:
