Send no more starts to a worker whose address another process has

Cause: the rejection was recorded as an answer of the worker, so the worker stayed reachable and its last answer became ever newer. Ruled out: the planner, which places on reachable workers only.

Change: the reply of another process ends the lease that the session knows of, and the worker counts as silent and its lease as lapsed at once. test_worker_whose_address_another_process_has_gets_no_more_starts failed before.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -382,6 +382,16 @@
             self._restarted = True
         self._record_no_answer()
 
+    def _record_reply(self, reply: CommandReply) -> None:
+        """Record the reply to a start or throttle command.
+
+        The reply of another process is no answer of the worker.
+        """
+        if reply.reason == "other_life":
+            self._handle_rejection(reply)
+        else:
+            self._record_answer(reply.clock_ms)
+
     def _record_answer(self, clock_ms: int) -> None:
         self._last_answer_at = self.system.clock.seconds()
         self._departed_at = math.inf
@@ -405,7 +415,8 @@
         has_departed = poll_sent_at > self._departed_at
         if has_departed:
             self._leases_end_at = 0.0
-        if has_departed or now - self._last_answer_at > SILENT_AFTER_S:
+        is_gone = has_departed or self._restarted
+        if is_gone or now - self._last_answer_at > SILENT_AFTER_S:
             self._chart.step("silent")
         if now > self._leases_end_at:
             self._chart.step("lapsed")
@@ -492,7 +503,7 @@
                 # The worker may have started the run before it was restarted.
                 break
             if reply is not None:
-                self._record_answer(reply.clock_ms)
+                self._record_reply(reply)
                 return reply
             self._record_no_answer()
         return CommandReply(False, "unanswered")
@@ -571,7 +582,7 @@
             throttle, "throttle command", _run_fields(message)
         )
         if reply is not None:
-            self._record_answer(reply.clock_ms)
+            self._record_reply(reply)
         if reply is None or not reply.accepted:
             self.tell(COORDINATOR, ThrottleUnanswered(message))
 
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -219,6 +219,14 @@
         self.assertTrue(lapsed.restarted)
         self.assertEqual(lapsed.unanswered_starts, frozenset())
 
+    def test_worker_whose_address_another_process_has_gets_no_more_starts(self):
+        """Guards against starts that are sent there again and again."""
+        self.channel.rejection_reason = "other_life"
+        self.start_run()
+        run_for(self.clock, 0.05)
+        self.assertTrue(self.sent_to_coordinator(WorkerSilent))
+        self.assertTrue(self.sent_to_coordinator(WorkerLeaseLapsed))
+
     def test_start_that_meets_another_process_first_is_no_suspect(self):
         """Guards against blaming a run that was never started."""
         self.channel.rejection_reason = "other_life"
