--- a/tests/test_overtaken_reports.py
+++ b/tests/test_overtaken_reports.py
@@ -1,36 +1,21 @@
 """Tests of reports that the replies to later commands have overtaken."""
 
-import math
 import unittest
 
 from twisted.internet.defer import Deferred
 
-from redwingrudder.coordination.authority import Authority
 from redwingrudder.coordination.gateways import (
-    COORDINATOR,
-    LEADERSHIP,
     ChannelFactory,
     CommandReply,
     WorkerReport,
 )
-from redwingrudder.coordination.messages import (
-    Fenced,
-    StartSettled,
-    WorkerLeaseLapsed,
-    WorkerPolled,
-    WorkerSilent,
-)
 from redwingrudder.coordination.worker_session import SILENT_AFTER_S
-from redwingrudder.coordination.worker_table import WorkerTable
-from redwingrudder.platform.registry import PlatformRegistry
-from redwingrudder.timers import TimerService
-from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import RunReport
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import Recording, node_system, run_for
-from .test_worker_session import TIMES, FakeChannel
+from .test_worker_session import FakeChannel
 from .test_worker_table import KEY, entry
+from .worker_table_case import WorkerTableCase
 
 
 class HeldChannel(FakeChannel):
@@ -69,28 +54,14 @@
         return self.channel
 
 
-class OvertakenReportTests(unittest.TestCase):
+class OvertakenReportTests(WorkerTableCase):
     """A silent worker answers a poll and a start again at the same time."""
 
+    channels_type = HeldChannels
+
     def setUp(self):
-        self.clock, self.system, _ = node_system()
-        TimerService(self.system)
-        message_types = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
-        self.coordinator = Recording(
-            self.system, COORDINATOR, dict.fromkeys(message_types, None)
-        )
-        Recording(self.system, LEADERSHIP, {Fenced: None})
-        channels = HeldChannels(self.clock)
-        self.channel = channels.channel
-        self.engine = Engine()
-        self.workers = WorkerTable(
-            self.system,
-            self.engine,
-            PlatformRegistry(),
-            channels,
-            TIMES,
-            Authority(self.clock.seconds, math.inf),
-        )
+        super().setUp()
+        self.channel = self.channels.channel
         capacity = {"cpu": 128_000, "memMb": 262_144, "gpu": 8}
         self.workers.set_entry(KEY, entry(capacity=capacity))
         self.run_for(0.2)
@@ -110,20 +81,6 @@
         self.run_for(0.1)
         self.assertEqual(self.task.state, "running")
 
-    def run_for(self, seconds):
-        """Advance the clock, and apply what COORDINATOR would receive."""
-        for _ in range(round(seconds / 0.05)):
-            run_for(self.clock, 0.05)
-            received, self.coordinator.received = self.coordinator.received, []
-            for message in received:
-                now = self.clock.seconds()
-                if isinstance(message, WorkerPolled):
-                    self.workers.take_report(message)
-                elif isinstance(message, WorkerSilent):
-                    self.workers.set_silent(message)
-                elif isinstance(message, StartSettled):
-                    self.engine.start_confirmed(message.run.key, message.run.run, now)
-
     def test_report_from_before_a_start_does_not_interrupt_its_run(self):
         """Guards against a second run after replies in another order.
 
--- a/tests/test_returning_entries.py
+++ b/tests/test_returning_entries.py
@@ -1,33 +1,15 @@
 """Tests of workers whose registry entries appear after a recovery."""
 
-import math
 import unittest
 
-from redwingrudder.coordination.authority import Authority
-from redwingrudder.coordination.gateways import (
-    COORDINATOR,
-    LEADERSHIP,
-    ChannelFactory,
-    WorkerReport,
-)
-from redwingrudder.coordination.messages import (
-    Fenced,
-    StartSettled,
-    WorkerLeaseLapsed,
-    WorkerPolled,
-    WorkerSilent,
-)
-from redwingrudder.coordination.worker_table import WorkerTable
-from redwingrudder.platform.registry import PlatformRegistry
-from redwingrudder.timers import TimerService
-from redwingrudder.workflows.engine import Engine
+from redwingrudder.coordination.gateways import ChannelFactory, WorkerReport
 from redwingrudder.workflows.model import EndKind, RunEnd, RunReport
 from redwingrudder.workflows.records import PlacedRun
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import Recording, node_system, run_for
-from .test_worker_session import TIMES, FakeChannel
+from .test_worker_session import FakeChannel
 from .test_worker_table import KEY, entry
+from .worker_table_case import WorkerTableCase
 
 BORN_MS = 1
 EARLIER_RUN = 1001
@@ -60,46 +42,19 @@
         return self.channel
 
 
-class ReturningEntryTests(unittest.TestCase):
+class ReturningEntryTests(WorkerTableCase):
     """A term begins while the entry of a worker with a run is missing."""
 
+    channels_type = ListingChannels
+    term = 3
+
     def setUp(self):
-        self.clock, self.system, _ = node_system()
-        TimerService(self.system)
-        message_types = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
-        self.coordinator = Recording(
-            self.system, COORDINATOR, dict.fromkeys(message_types, None)
-        )
-        Recording(self.system, LEADERSHIP, {Fenced: None})
-        self.channels = ListingChannels(self.clock)
+        super().setUp()
         self.channel = self.channels.channel
-        self.engine = Engine()
-        self.engine.term = 3
-        self.workers = WorkerTable(
-            self.system,
-            self.engine,
-            PlatformRegistry(),
-            self.channels,
-            TIMES,
-            Authority(self.clock.seconds, math.inf),
-        )
         progress = self.engine.accept(fx.workflow(), 0.0)
         self.task = progress.find(fx.key())
         self.workers.adopt(PlacedRun(fx.key(), EARLIER_RUN, "w1", BORN_MS))
 
-    def run_for(self, seconds):
-        """Advance the clock, and apply what COORDINATOR would receive."""
-        for _ in range(round(seconds / 0.05)):
-            run_for(self.clock, 0.05)
-            received, self.coordinator.received = self.coordinator.received, []
-            for message in received:
-                if isinstance(message, WorkerPolled):
-                    self.workers.take_report(message)
-                elif isinstance(message, WorkerLeaseLapsed):
-                    self.workers.set_lapsed(message)
-            for effect in self.engine.take_effects():
-                self.workers.send(effect)
-
     def test_run_of_an_earlier_term_goes_on(self):
         """Guards against stopping sound runs when the entry is back."""
         self.channel.running = [(fx.key(), EARLIER_RUN)]
--- a/tests/test_unrecorded_ends.py
+++ b/tests/test_unrecorded_ends.py
@@ -2,39 +2,23 @@
 
 import itertools
 import json
-import math
 import unittest
 
-from redwingrudder.coordination.authority import Authority
 from redwingrudder.coordination.gateways import (
-    COORDINATOR,
-    LEADERSHIP,
     PROGRESS_PREFIX,
     TERM_KEY,
     ChannelFactory,
     WorkerReport,
 )
-from redwingrudder.coordination.messages import (
-    Fenced,
-    StartSettled,
-    WorkerLeaseLapsed,
-    WorkerPolled,
-    WorkerSilent,
-)
 from redwingrudder.coordination.progress_writer import ProgressWriter
 from redwingrudder.coordination.recorder import Recorder
-from redwingrudder.coordination.worker_table import WorkerTable
-from redwingrudder.platform.registry import PlatformRegistry
-from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
-from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import EndKind, RunEnd
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import Recording, node_system, run_for
-from .test_worker_session import TIMES, FakeChannel
+from .test_worker_session import FakeChannel
+from .worker_table_case import APPLY_INTERVAL_S, WorkerTableCase
 
-TERM = 1
 MEMBERS = 3
 
 
@@ -79,34 +63,19 @@
         )
 
 
-class UnrecordedEndTests(unittest.TestCase):
+class UnrecordedEndTests(WorkerTableCase):
     """A gang of three members on two workers while the store is down."""
 
+    channels_type = ListingChannels
+
     def setUp(self):
-        self.clock, self.system, self.store = node_system()
-        TimerService(self.system)
-        message_types = (WorkerPolled, WorkerSilent, WorkerLeaseLapsed, StartSettled)
-        self.coordinator = Recording(
-            self.system, COORDINATOR, dict.fromkeys(message_types, None)
-        )
-        Recording(self.system, LEADERSHIP, {Fenced: None})
-        self.store.contents.put(TERM_KEY, str(TERM))
+        super().setUp()
+        self.store.contents.put(TERM_KEY, str(self.term))
         revision = self.store.contents.items_by_key[TERM_KEY].mod_revision
-        self.engine = Engine()
-        self.engine.term = TERM
-        self.channels = ListingChannels(self.clock)
-        self.workers = WorkerTable(
-            self.system,
-            self.engine,
-            PlatformRegistry(),
-            self.channels,
-            TIMES,
-            Authority(self.clock.seconds, math.inf),
-        )
         self.writer = ProgressWriter(
             self.system,
             self.engine,
-            Recorder(self.system, TERM, revision),
+            Recorder(self.system, self.term, revision),
             self.workers,
             lambda: self.fail("the coordinator was deposed"),
         )
@@ -136,13 +105,9 @@
         self.workers.set_entry("servers/" + worker_id, json.dumps(entry))
 
     def run_for(self, seconds):
-        """Advance the clock, and apply what COORDINATOR would receive."""
-        for _ in range(round(seconds / 0.05)):
-            run_for(self.clock, 0.05)
-            received, self.coordinator.received = self.coordinator.received, []
-            for message in received:
-                if isinstance(message, WorkerPolled):
-                    self.workers.take_report(message)
+        """See base class; progress is recorded too."""
+        for _ in range(round(seconds / APPLY_INTERVAL_S)):
+            super().run_for(APPLY_INTERVAL_S)
             self.writer.schedule_write()
 
     def end(self, start, kind=EndKind.DONE):
