Log listed runs that are not placed, and cancellations of unknown jobs

The log could not tell two hypotheses of the incident apart: a worker that lists a run whose task waits or has ended left no line, and neither did a cancellation that found no job in the store or in the engine.

No change of logic. tests.test_workflow_engine and tests.test_coordination pass.

--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -295,6 +295,10 @@
         if exists:
             _logger.info("job cancelled", extra={"job": message.workflow_id})
             self._announce("announce_cancel", CancelStored(message.workflow_id))
+        else:
+            _logger.info(
+                "job to cancel is not stored", extra={"job": message.workflow_id}
+            )
         return exists
 
     async def _cancel_once(self, workflow_id: str) -> bool:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -111,7 +111,10 @@
         Unknown and ended workflows are ignored.
         """
         progress = self.workflows_by_id.get(workflow_id)
-        if progress is None or progress.ended_at is not None:
+        if progress is None:
+            _logger.info("unknown job is cancelled", extra={"job": workflow_id})
+            return
+        if progress.ended_at is not None:
             return
         progress.cancelled = True
         self.withdraw(progress, now)
@@ -359,6 +362,17 @@
         self._awaited_workers.discard(worker_id)
         for entry in running:
             task = self.find(entry.key)
+            if task is None or not task.placed:
+                _logger.info(
+                    "worker lists a run that is not placed",
+                    extra={
+                        "job": entry.key.workflow_id,
+                        "run": entry.run,
+                        "worker": worker_id,
+                        "state": task.state if task is not None else "unknown",
+                        "newest_run": task.run if task is not None else 0,
+                    },
+                )
             if task is None:
                 continue
             if task.run != entry.run or task.worker_id != worker_id:
