Stop listed runs whose task does not wait for them

Callers saw work of cancelled jobs go on. A run that a worker lists was taken for the current one if its number and worker were those of the task, whatever the task's state: both stay in the task after its run was released. A start that is carried out after it was rejected, a run that reappears after a report without it, and a run of a forgotten job were therefore left running, and the capacity that they used was not counted.

A listed run is the current one only if its task is placed. All others are stopped, again each second while they are listed, and use capacity until they are not. A task that waits for another run gets none before the one that has reappeared is over. Two kinds go on: runs of jobs that are set aside, and runs that are newer than all known ones, which a successor may have placed; the latter only while their task needs a run.

Ruled out: another event of the task chart, as no transition is missing (assign and stop give the state); adopting a run that reappears, as its gang may be gone and its end may have been handled.

--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -228,9 +228,11 @@
                 )
         self._engine.report(message.worker_id, report.running, now)
         self._handle_ends(message, now)
+        running = {(entry.key, entry.run) for entry in report.running}
+        if report.ends_complete:
+            self._engine.settle_reappeared(message.worker_id, running, now)
         is_undecided = message.worker_id in self._undecided and report.ends_complete
         if became_reachable or is_undecided:
-            running = {(entry.key, entry.run) for entry in report.running}
             decided = self._engine.reconcile(
                 message.worker_id, running, is_first_report, now, message.sent_at
             )
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -44,6 +44,7 @@
     Task,
     Worker,
     WorkflowProgress,
+    resources_used,
 )
 from .supervision import runs_to_interrupt
 from .throttling import FULL_SPEED_PERCENT, LatencyTargetPolicy, ThrottlePolicy
@@ -71,8 +72,6 @@
     Attributes:
         guaranteed_by_organisation: Number of accelerators guaranteed to the
             urgent workflows of each organisation.
-        set_aside_ids: Workflows that are not run because their stored
-            progress cannot be read.
     """
 
     def __init__(
@@ -82,7 +81,6 @@
     ) -> None:
         super().__init__(run_times or RunTimeEstimates())
         self.guaranteed_by_organisation: dict[str, int] = {}
-        self.set_aside_ids: set[str] = set()
         self._awaited_workers: set[str] = set()
         self._reports_due_at = 0.0
         # Node-clock time of the newest crash of a worker at each address.
@@ -357,26 +355,13 @@
         """Update progress and checkpoints from the runs that a worker lists.
 
         A listed run confirms its start. A listed run that is not the current
-        run of its task is passed to ``stop_superseded_run``.
+        run of a placed task is passed to ``stop_unwanted_run``.
         """
         self._awaited_workers.discard(worker_id)
         for entry in running:
             task = self.find(entry.key)
-            if task is None or not task.placed:
-                _logger.info(
-                    "worker lists a run that is not placed",
-                    extra={
-                        "job": entry.key.workflow_id,
-                        "run": entry.run,
-                        "worker": worker_id,
-                        "state": task.state if task is not None else "unknown",
-                        "newest_run": task.run if task is not None else 0,
-                    },
-                )
-            if task is None:
-                continue
-            if task.run != entry.run or task.worker_id != worker_id:
-                self.stop_superseded_run(worker_id, entry, task)
+            if task is None or not task.is_current(entry.run, worker_id):
+                self.stop_unwanted_run(worker_id, entry, task, now)
                 continue
             if task.state == "starting":
                 self.start_confirmed(entry.key, entry.run, now)
@@ -403,6 +388,25 @@
             worker.release_ended({(entry.key, entry.run) for entry in running})
             update_worker_speed(worker, self.run_times, now)
 
+    def settle_reappeared(
+        self, worker_id: str, listed_runs: set[tuple[TaskKey, int]], now: float
+    ) -> None:
+        """Interrupt runs that had reappeared and are not listed any more.
+
+        Their ends have been handled, unless an earlier report had listed them.
+
+        Args:
+            worker_id: The worker.
+            listed_runs: Runs that the worker's report lists.
+            now: Node-clock seconds.
+        """
+        worker = self.workers_by_id.get(worker_id)
+        for key, run in worker.reappeared - listed_runs if worker else ():
+            worker.reappeared.discard((key, run))
+            task = self.find(key)
+            if task is not None and task.is_current(run, worker_id):
+                self._interrupt(task, "not_listed", now)
+
     def end(self, worker_id: str, ended: RunEnd, now: float) -> bool:
         """Handle the end of a run that a worker reports.
 
@@ -761,7 +765,10 @@
                 self.stop(member, "done_elsewhere")
             self.step(member, "run_done", now)
             if goes_on:
-                self.workers_by_id[member.worker_id].keep_until_ended(member)
+                amount = resources_used(member.stage.spec)
+                self.workers_by_id[member.worker_id].keep_until_ended(
+                    member.key, member.run, amount, now
+                )
         self.settle(task.stage.workflow, now)
         return True
 
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -7,6 +7,7 @@
 from .crashes import is_guilty
 from .model import (
     FINAL_STATES,
+    NO_RESOURCES,
     Effect,
     RunReport,
     StartRun,
@@ -20,6 +21,7 @@
     Task,
     Worker,
     WorkflowProgress,
+    resources_used,
 )
 from .throttling import FULL_SPEED_PERCENT
 
@@ -51,6 +53,8 @@
             was last written or began to be written.
         being_recorded: Ids of workflows whose record is being written.
         effects: Effects that ``take_effects`` has not returned yet.
+        set_aside_ids: Workflows that are not run because their stored
+            progress cannot be read.
         term: Number of the coordinator's term.
         run_times: Expected run times.
     """
@@ -61,6 +65,7 @@
         self.dirty: set[str] = set()
         self.being_recorded: set[str] = set()
         self.effects: list[Effect] = []
+        self.set_aside_ids: set[str] = set()
         self.term = 1
         self.run_times = run_times
         self._actions: dict[str, Callable[[Task], None]] = {
@@ -185,15 +190,59 @@
                 if member.run == run:
                     self.stop(member, "gang_incomplete")
 
-    def stop_superseded_run(self, worker_id: str, entry: RunReport, task: Task) -> None:
-        """Stop a listed run that is not the current run of its task.
+    def stop_unwanted_run(
+        self, worker_id: str, entry: RunReport, task: Task | None, now: float
+    ) -> None:
+        """Stop a listed run that is not the current run of a placed task.
+
+        It uses capacity until it is no longer listed. A task that waits for
+        another run of the same number gets no new run before.
 
-        A run with a higher number than the current run of its task is left
-        running unless the task has ended.
+        Args:
+            worker_id: The worker of the list; an unknown one is ignored.
+            entry: The listed run.
+            task: Its task, None if that is unknown.
+            now: Node-clock seconds.
         """
-        if entry.run <= task.run or task.ended:
+        worker = self.workers_by_id.get(worker_id)
+        if worker is None or self._may_be_wanted(entry, task):
+            return
+        amount = NO_RESOURCES if task is None else resources_used(task.stage.spec)
+        reappears = (
+            task is not None
+            and task.state == "waiting"
+            and (task.run, task.worker_id) == (entry.run, worker_id)
+        )
+        if reappears:
+            self.step(task, "assign", now)
+            worker.reappeared.add((entry.key, entry.run))
+            self.stop(task, "reappeared")
+        elif worker.keep_until_ended(entry.key, entry.run, amount, now):
+            _logger.info(
+                "stopping a run that is not wanted",
+                extra={
+                    "job": entry.key.workflow_id,
+                    "task": _task_name(entry.key),
+                    "run": entry.run,
+                    "worker": worker_id,
+                    "state": task.state if task is not None else "unknown",
+                    "newest_run": task.run if task is not None else 0,
+                },
+            )
             self.effects.append(StopRun(worker_id, entry.key, entry.run))
 
+    def _may_be_wanted(self, entry: RunReport, task: Task | None) -> bool:
+        """Return whether a run may have been placed by somebody else.
+
+        A release that can read the record of a job that is set aside accounts
+        for its runs. A run that is newer than all known ones may be that of a
+        successor, unless its task needs no further run.
+        """
+        if task is None:
+            return entry.key.workflow_id in self.set_aside_ids
+        needs_run = not (task.ended or task.stage.workflow.cancelled)
+        return needs_run and entry.run > task.run
+
     def withdraw(self, progress: WorkflowProgress, now: float) -> None:
         """Withdraw the waiting tasks and stop the runs of a workflow."""
         for task in progress.tasks():
@@ -318,5 +367,9 @@
     """Return the fields that identify a task in log lines."""
     return {
         "job": task.key.workflow_id,
-        "task": f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
+        "task": _task_name(task.key),
     }
+
+
+def _task_name(key: TaskKey) -> str:
+    return f"{key.occurrence}.{key.step}.{key.index}"
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -39,6 +39,8 @@
 # A worker that fails whatever it starts does so within this time.
 SOUND_RUN_S = 0.3
 PLACED_STATES = frozenset({"starting", "running", "stopping"})
+# Time after which the stop of a run that is still listed is sent again.
+STOP_INTERVAL_S = 1.0
 
 
 class Permit(NamedTuple):
@@ -80,6 +82,18 @@
     refuted: bool
 
 
+class UnwantedRun(NamedTuple):
+    """A run on a worker that is being stopped and is no task's current run.
+
+    Attributes:
+        amount: Capacity that it uses.
+        stopped_at: Node-clock seconds at which its stop was last sent.
+    """
+
+    amount: Resources
+    stopped_at: float
+
+
 class Task:
     """A task and its newest run.
 
@@ -174,6 +188,10 @@
         """Whether a run exists or may exist on a worker."""
         return self.state in PLACED_STATES
 
+    def is_current(self, run: int, worker_id: str) -> bool:
+        """Return whether a run is the newest one and may exist on a worker."""
+        return self.placed and (self.run, self.worker_id) == (run, worker_id)
+
     @property
     def ended(self) -> bool:
         """Whether no further run is needed."""
@@ -353,6 +371,8 @@
     Attributes:
         free: Capacity that is neither used nor claimed for a waiting step.
         tasks_by_key: Tasks with a run on the worker.
+        reappeared: Current runs that the worker has listed while their task
+            was waiting, and that are being stopped.
         listed: Whether the registry lists the worker.
         reachable: Whether the worker answers.
         emptying: Whether its machine is about to be taken down or moved.
@@ -381,7 +401,7 @@
     __slots__ = (
         "_claimed",
         "_facts",
-        "_stopping",
+        "_unwanted_by_run",
         "_used",
         "crashed_at",
         "emptying",
@@ -396,6 +416,7 @@
         "throttled_at",
         "quarantined_until",
         "reachable",
+        "reappeared",
         "sound_start_at",
         "speed",
         "speed_at",
@@ -406,10 +427,10 @@
         self._facts = facts
         self._used = NO_RESOURCES
         self._claimed = NO_RESOURCES
-        # Capacity of runs that are being stopped after their task was done.
-        self._stopping: dict[tuple[TaskKey, int], Resources] = {}
+        self._unwanted_by_run: dict[tuple[TaskKey, int], UnwantedRun] = {}
         self.free = facts.capacity
         self.tasks_by_key: dict[TaskKey, Task] = {}
+        self.reappeared: set[tuple[TaskKey, int]] = set()
         self.listed = True
         self.reachable = True
         self.emptying = False
@@ -458,16 +479,30 @@
             self._used = self._used.minus(resources_used(task.stage.spec))
             self._update_free()
 
-    def keep_until_ended(self, task: Task) -> None:
-        """Count the newest run of a task that is done elsewhere as used.
+    def keep_until_ended(
+        self, key: TaskKey, run: int, amount: Resources, now: float
+    ) -> bool:
+        """Count a run that is no task's current run as used until its end.
+
+        Args:
+            key: Task of the run.
+            run: Number of the run.
+            amount: Capacity that the run uses.
+            now: Node-clock seconds.
 
-        The run is being stopped and uses capacity until its end is listed.
+        Returns:
+            Whether a stop has to be sent.
         """
-        run_key = (task.key, task.run)
-        if run_key not in self._stopping:
-            amount = self._stopping[run_key] = resources_used(task.stage.spec)
+        unwanted = self._unwanted_by_run.get((key, run))
+        if unwanted is None:
             self._used = self._used.plus(amount)
             self._update_free()
+        elif now - unwanted.stopped_at < STOP_INTERVAL_S:
+            return False
+        else:
+            amount = unwanted.amount
+        self._unwanted_by_run[key, run] = UnwantedRun(amount, now)
+        return True
 
     def release_ended(self, going_on: Container[tuple[TaskKey, int]] = ()) -> None:
         """Free the capacity of the runs of ``keep_until_ended`` that ended.
@@ -475,8 +510,8 @@
         Args:
             going_on: Runs that the worker may still execute.
         """
-        for run_key in [key for key in self._stopping if key not in going_on]:
-            self._used = self._used.minus(self._stopping.pop(run_key))
+        for run_key in [key for key in self._unwanted_by_run if key not in going_on]:
+            self._used = self._used.minus(self._unwanted_by_run.pop(run_key).amount)
             self._update_free()
 
     def claim(self, amount: Resources) -> None:
--- /dev/null
+++ b/tests/test_unwanted_runs.py
@@ -0,0 +1,165 @@
+"""Runs that a worker lists although no task is waiting for their end."""
+
+import unittest
+
+from redwingrudder.workflows.model import NO_RESOURCES, EndKind, RunReport
+from redwingrudder.workflows.state import STOP_INTERVAL_S
+
+from . import workflow_fixtures as fx
+
+
+class ListedRunCase(unittest.TestCase):
+    """Has one worker and a job of one task whose first run is placed."""
+
+    def setUp(self):
+        self.engine = fx.engine(fx.worker("w1"))
+        self.engine.accept(fx.workflow(), 0.0)
+        self.start = fx.starts(self.engine.plan(0.0, 0.0))[0]
+        self.task = self.engine.find(self.start.key)
+
+    @property
+    def used(self):
+        return self.engine.workers_by_id["w1"].used
+
+    def list_run(self, now, *entries):
+        """Report runs as in progress; returns the runs that are stopped."""
+        entries = entries or (fx.running(self.start),)
+        self.engine.report("w1", entries, now)
+        self.engine.settle_reappeared("w1", {(e.key, e.run) for e in entries}, now)
+        stops = fx.stops(self.engine.plan(now, now))
+        return [(stop.worker_id, stop.key, stop.run) for stop in stops]
+
+    def report_nothing(self, now):
+        self.engine.report("w1", [], now)
+        self.engine.settle_reappeared("w1", set(), now)
+
+    def reject(self, now):
+        self.engine.start_rejected(self.start.key, self.start.run, "unanswered", now)
+
+    def cancel(self, now):
+        self.engine.cancel("job", now)
+        self.engine.plan(now, now)
+
+    @property
+    def stop(self):
+        return ("w1", self.start.key, self.start.run)
+
+
+class CancelledJobTests(ListedRunCase):
+    """Runs of a job that was cancelled while its task had no run."""
+
+    def assert_stopped(self):
+        """Check that the listed run is stopped, and uses room until then."""
+        self.assertEqual(self.list_run(2.0), [self.stop])
+        self.assertEqual(self.used, fx.ONE_GPU)
+        self.report_nothing(2.2)
+        self.assertEqual(self.used, NO_RESOURCES)
+        self.assertEqual(self.task.state, "withdrawn")
+
+    def test_run_of_a_start_that_was_rejected_before_the_cancel(self):
+        """Guards against a run of a cancelled job that is left running."""
+        self.reject(0.5)
+        self.cancel(0.6)
+        self.assert_stopped()
+
+    def test_run_of_a_start_that_was_rejected_after_the_cancel(self):
+        """Guards against a run of a cancelled job that is left running."""
+        self.cancel(0.5)
+        self.reject(0.6)
+        self.engine.plan(0.6, 0.6)
+        self.assert_stopped()
+
+    def test_run_that_was_not_listed_before_the_cancel(self):
+        """Guards against a run that appears after a report without it."""
+        fx.confirm(self.engine, [self.start])
+        self.engine.reconcile("w1", set(), True, 0.5)
+        self.cancel(0.6)
+        self.assert_stopped()
+
+    def test_run_that_was_taken_as_lapsed_before_the_cancel(self):
+        """Guards against a worker that returns with a run after its lease."""
+        fx.confirm(self.engine, [self.start])
+        self.engine.interrupt_worker("w1", 0.5, "lease_lapsed")
+        self.cancel(0.6)
+        self.engine.adopt_run(self.start.key, self.start.run, "w1", True, 2.0)
+        self.assert_stopped()
+
+    def test_run_whose_end_was_taken_as_lapsed(self):
+        """Guards against an end that is taken as proof that nothing runs."""
+        fx.confirm(self.engine, [self.start])
+        self.engine.end("w1", fx.ended(self.start, EndKind.LAPSED), 0.5)
+        self.cancel(0.6)
+        self.assert_stopped()
+
+    def test_stop_is_repeated_while_the_run_is_listed(self):
+        """Guards against a stop that was lost with its session."""
+        self.reject(0.5)
+        self.cancel(0.6)
+        self.assertEqual(self.list_run(1.0), [self.stop])
+        self.assertEqual(self.list_run(1.0 + STOP_INTERVAL_S / 2), [])
+        self.assertEqual(self.list_run(1.0 + STOP_INTERVAL_S), [self.stop])
+        self.assertEqual(self.used, fx.ONE_GPU)
+
+
+class UnknownJobTests(ListedRunCase):
+    """Runs of jobs and tasks that the coordinator does not know."""
+
+    def test_run_of_a_forgotten_job_is_stopped(self):
+        """Guards against a late start after the records were removed."""
+        self.reject(0.5)
+        self.cancel(0.6)
+        self.engine.forget("job")
+        self.assertEqual(self.list_run(1.0), [self.stop])
+        self.assertEqual(self.list_run(1.2), [])
+
+    def test_run_of_an_unknown_task_is_stopped(self):
+        """Guards against a run of a task that its job does not have."""
+        entry = RunReport(fx.key(index=7), 1, "", 10.0)
+        stopped = self.list_run(1.0, fx.running(self.start), entry)
+        self.assertEqual(stopped, [("w1", entry.key, 1)])
+
+    def test_run_of_a_job_that_is_set_aside_goes_on(self):
+        """Guards against stopping a run that another release accounts for."""
+        self.engine.set_aside("job")
+        self.assertEqual(self.list_run(1.0), [])
+
+
+class WantedJobTests(ListedRunCase):
+    """Runs that reappear while their task waits to be started again."""
+
+    def test_task_waits_until_a_run_that_reappears_has_ended(self):
+        """Guards against a second run beside one that is being stopped."""
+        self.reject(0.5)
+        self.assertEqual(self.list_run(1.0), [self.stop])
+        self.assertEqual((self.task.state, self.used), ("stopping", fx.ONE_GPU))
+        self.engine.end("w1", fx.ended(self.start, EndKind.STOPPED), 1.2)
+        again = fx.starts(self.engine.plan(1.2, 1.2))
+        self.assertEqual([start.run for start in again], [self.start.run + 1])
+
+    def test_failure_of_a_run_that_reappears_is_counted(self):
+        """Guards against an attempt that does not count."""
+        self.reject(0.5)
+        self.list_run(1.0)
+        self.engine.end("w1", fx.ended(self.start, EndKind.FAILED), 1.2)
+        self.report_nothing(1.2)
+        self.assertEqual(self.task.failures, 1)
+
+    def test_task_does_not_wait_for_a_run_that_is_gone(self):
+        """Guards against a task that is blocked by an outdated report."""
+        self.reject(0.5)
+        self.list_run(1.0)
+        self.report_nothing(1.2)
+        again = fx.starts(self.engine.plan(1.2, 1.2))
+        self.assertEqual([start.run for start in again], [self.start.run + 1])
+
+    def test_run_that_is_newer_than_all_known_ones_goes_on(self):
+        """Guards against a coordinator that stops its successor's run."""
+        entry = RunReport(self.start.key, self.start.run + 1, "", 10.0)
+        self.assertEqual(self.list_run(1.0, entry), [])
+        self.engine.cancel("job", 1.1)
+        self.engine.plan(1.1, 1.1)
+        self.assertEqual(self.list_run(1.2, entry), [("w1", entry.key, entry.run)])
+
+
+if __name__ == "__main__":
+    unittest.main()
