--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -152,6 +152,16 @@
         again = fx.starts(self.engine.plan(1.2, 1.2))
         self.assertEqual([start.run for start in again], [self.start.run + 1])
 
+    def test_older_run_is_not_adopted(self):
+        """Guards against run numbers that are used a second time."""
+        self.reject(0.5)
+        newer = fx.starts(self.engine.plan(0.6, 0.6))[0]
+        self.engine.start_rejected(newer.key, newer.run, "unanswered", 0.7)
+        self.engine.adopt_run(self.start.key, self.start.run, "w1", True, 1.0)
+        self.assertEqual((self.task.state, self.task.run), ("waiting", newer.run))
+        self.assertEqual(self.list_run(1.0), [self.stop])
+        self.assertEqual(self.used.accelerators, 2)
+
     def test_run_that_is_newer_than_all_known_ones_goes_on(self):
         """Guards against a coordinator that stops its successor's run."""
         entry = RunReport(self.start.key, self.start.run + 1, "", 10.0)
