Add a model of a job that is cancelled while its parts are on their way

No model had a cancellation. In the new one the write of a submission, the news for the coordinator, starts and stops take effect at any later time, the worker may restart under its id, and a successor may read an old state of the store. Invariants: no start is recorded after a cancellation was answered; a listed run of a cancelled job is being stopped. The transitions of a withdrawal, which were listed as taken by no model, are taken now.

--- a/src/redwingrudder/specification.py
+++ b/src/redwingrudder/specification.py
@@ -14,6 +14,7 @@
 from tabulate import tabulate
 
 from . import (
+    _spec_cancellation,
     _spec_configuration,
     _spec_gang,
     _spec_guarantee,
@@ -56,7 +57,7 @@
 _ONE_WATCH_RESET = (
     "the model resets a watch once, while the node is in the state following"
 )
-_NO_TASK_FAILURE = "the task of the model always ends as done and is never withdrawn"
+_NO_TASK_FAILURE = "the tasks of the models do not fail"
 _ONE_TASK_STOP = "the engine of the model stops a placed task once"
 _SETTLED_BY_SESSION = "the worker session settles a run before the task is placed again"
 _PLACED_TASKS_ONLY = "a restart of a worker concerns its runs only"
@@ -115,10 +116,6 @@
         "task starting give_up",
         "task running give_up",
         "task stopping give_up",
-        "task waiting withdraw",
-        "task starting withdraw",
-        "task running withdraw",
-        "task stopping withdraw",
     ),
     _ONE_TASK_STOP: ("task waiting stop", "task stopping stop"),
     _SETTLED_BY_SESSION: (
@@ -181,6 +178,7 @@
         _spec_workflow.build_model(coverage),
         _spec_run_ends.build_model(coverage),
         _spec_worker_process.build_model(coverage),
+        _spec_cancellation.build_model(coverage),
     )
     return tuple(
         Result(model.name, finding) for model in models for finding in check(model)
@@ -208,6 +206,7 @@
         _spec_workflow,
         _spec_run_ends,
         _spec_worker_process,
+        _spec_cancellation,
     )
     for module in modules:
         broken += [
