Set jobs aside whose documents cannot be decoded

A document that this release cannot decode was skipped, so that its job was unknown. Since runs of unknown jobs are stopped, a coordinator of an earlier release would have stopped all runs that a later one had placed, during each upgrade. Such a job is set aside now, like one whose progress cannot be read: its runs go on. A malformed announcement of a known job changes nothing.

test_run_of_a_job_whose_document_is_unreadable_goes_on failed before.

--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -61,7 +61,8 @@
 ) -> bool:
     """Add a stored workflow to the engine.
 
-    A document that cannot be decoded is logged and skipped.
+    A job whose document cannot be decoded is logged and set aside: another
+    release may have accepted it and placed its runs.
 
     Args:
         engine: The engine of the term.
@@ -82,6 +83,8 @@
             "stored workflow could not be decoded",
             extra={"key": key, "error": str(error)},
         )
+        if workflow_id_of(key) not in engine.workflows_by_id:
+            engine.set_aside(workflow_id_of(key))
         return False
     workflow_id = workflow.workflow_id
     if workflow_id in engine.workflows_by_id or workflow_id in engine.set_aside_ids:
--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from redwingrudder.coordination.recovery import accept_stored
 from redwingrudder.workflows.model import NO_RESOURCES, EndKind, RunReport
 from redwingrudder.workflows.state import STOP_INTERVAL_S
 
@@ -123,6 +124,18 @@
         self.engine.set_aside("job")
         self.assertEqual(self.list_run(1.0), [])
 
+    def test_run_of_a_job_whose_document_is_unreadable_goes_on(self):
+        """Guards against stopping the runs that another release has placed."""
+        self.engine.forget("job")
+        accept_stored(self.engine, "intake/job", "{", 0.5, recovering=True)
+        self.assertEqual(self.list_run(1.0), [])
+
+    def test_unreadable_copy_of_a_document_changes_nothing(self):
+        """Guards against a job that a malformed announcement sets aside."""
+        accept_stored(self.engine, "job", "{", 0.5)
+        self.assertEqual(self.engine.set_aside_ids, set())
+        self.assertIs(self.engine.find(self.start.key), self.task)
+
 
 class WantedJobTests(ListedRunCase):
     """Runs that reappear while their task waits to be started again."""
