Keep cancellations of jobs that are not stored yet

What callers see: a cancellation was answered "no such job" (410) while a write of the job's submission was in flight, and the job then existed and ran. The write may be one that got no answer and is carried out seconds later, also for a peer, or a repetition of the submission.

Cause: the cancellation of an id that is not stored left nothing in the store, so no later write could know of it.

Change: the cancel key is written for such an id too, on the condition that the job's key is absent; if a job has appeared since the read, it is read again and cancelled. The caller still gets 410. The write of a submission also requires that the cancel key is absent. Calls for peers use the same two writes.

A submission of a cancelled id stores nothing and gets 200, like a repeated submission of any stored job, and the state of the id is "cancelled". A refusal was ruled out: the answer would depend on the order in which the store carried out two writes that callers cannot see, clients repeat 503 at other nodes, and no other status of a submission has a meaning for them. Consequences: a submission that its own node did not store is not announced, and a node that stores for a peer announces, because the reply of the call between them does not say whether the job was stored. An id that was cancelled and never submitted is shown as cancelled, where it was 410 before. A cancellation of an unknown id now needs a write, so it gets 504 if that is not confirmed.

Cancellations of ids without a job are removed by the coordinator after the retention period, counted from the time at which it has read them first, whether at the start of its term or by its watch, and under its term, the absence of the job and the revision that it has read. A failed comparison drops the entry from the table; if only the term's revision had changed, the next term removes it.

An id that no submission can have (not 16 hexadecimal digits) gets 410 without a call: a cancellation of ID/cancel would write a key that is read as the cancellation of ID. The test requests of the front end have a valid id now, since one of them is a cancellation; what they check is unchanged.

Measured: with the sources before, 8 of the 8 new tests of the two writes fail (a delayed write of the submission succeeds after the cancellation; the job that appears meanwhile gets False; a repeated submission is shown as queued; the caller of a peer announces the job). The test with a coordinator fails because both cancel keys stay; the 6 unit tests of the removal fail with an AttributeError, as the method they call is new, and those of its conditions fail when one of the three comparisons is taken out. The test of invalid ids fails in all 3 cases, as the cancellation was passed on. All pass now.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -177,7 +177,7 @@
         term.workers.set_all_entries({p.key: p.value for p in state.workers.pairs})
         for placed_run in placed_runs:
             term.workers.adopt(placed_run)
-        cancel_all(term.engine, state, now)
+        cancel_all(term.engine, term.retention, state, now)
         if term.pool_moves is not None:
             term.pool_moves.empty_workers()
         term.engine.await_reports(now + FIRST_REPORTS_TIMEOUT_S)
@@ -202,8 +202,8 @@
             term,
             INTAKE_PREFIX,
             state.intake.revision,
-            self._apply_intake_entries,
-            self._apply_intake_entries,
+            self._apply_intake_changes,
+            self._replace_intake_entries,
         )
         self.tell(
             TIMERS, Subscribe(self.name, TICK_TIMER, TICK_INTERVAL_S, TICK_INTERVAL_S)
@@ -282,17 +282,24 @@
 
     # Submissions and cancellations.
 
-    def _apply_intake_entries(self, items: tuple[Change | KeyValue, ...]) -> None:
-        for item in items:
-            _guard(self._apply_intake_entry, item.key, item.value)
+    def _apply_intake_changes(self, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            _guard(self._apply_intake_entry, *change)
+
+    def _replace_intake_entries(self, pairs: tuple[KeyValue, ...]) -> None:
+        for pair in pairs:
+            _guard(self._apply_intake_entry, *pair)
 
-    def _apply_intake_entry(self, key: str, value: str | None) -> None:
+    def _apply_intake_entry(self, key: str, value: str | None, revision: int) -> None:
         if value is None:
             return
+        workflow_id = workflow_id_of(key)
         if key.endswith(CANCEL_SUFFIX):
-            self._cancel_stored(CancelStored(workflow_id_of(key)))
+            now = self.system.clock.seconds()
+            self._term.retention.add_cancellation(workflow_id, revision, now)
+            self._cancel_stored(CancelStored(workflow_id))
         else:
-            self._workflow_stored(WorkflowStored(workflow_id_of(key), value))
+            self._workflow_stored(WorkflowStored(workflow_id, value))
 
     def _workflow_stored(self, message: WorkflowStored) -> None:
         if not self._ready:
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -101,7 +101,7 @@
     async def _submit(self, message: SubmitWorkflow) -> bool:
         workflow = message.workflow
         document = records.encode_workflow(workflow).decode()
-        _, via = await self._write_anywhere(
+        stored, via = await self._write_anywhere(
             lambda: self._store_once(workflow.workflow_id, document),
             "store_workflow",
             (workflow.workflow_id, document),
@@ -117,9 +117,9 @@
                 "via": via,
             },
         )
-        self._announce(
-            "announce_workflow", WorkflowStored(workflow.workflow_id, document)
-        )
+        if stored and via == "store":
+            # A peer announces what it has stored.
+            self._announce_workflow(workflow.workflow_id, document)
         return True
 
     async def _write_anywhere(
@@ -193,13 +193,16 @@
 
     async def _store_document(
         self, workflow_id: str, document: str, deadline: float
-    ) -> None:
+    ) -> bool:
         """Store a document on the condition that its id is new.
 
         Writes with an unknown outcome are repeated until the deadline, which
         is in node-clock seconds. A repeated write changes nothing if an
         earlier one took effect.
 
+        Returns:
+            The result of ``_store_once``.
+
         Raises:
             StoreUnavailableError: The document was not stored, and no write
                 that could store it later is pending.
@@ -223,12 +226,27 @@
                 )
             await pause(self.system.clock, WRITE_RETRY_DELAY_S)
 
-    async def _store_once(self, workflow_id: str, document: str) -> None:
-        """Store a document; a stored document of the same id is kept."""
-        key = INTAKE_PREFIX + workflow_id
-        # A failed comparison means that the id is already stored.
+    async def _store_once(self, workflow_id: str, document: str) -> bool:
+        """Store a document unless its id is already stored or cancelled.
+
+        A cancellation may overtake the submission, also one of which an
+        earlier write is carried out late. The caller gets the same reply in
+        all cases: the state of a cancelled id is shown as cancelled.
+
+        Returns:
+            Whether this write has stored the document. Otherwise the
+            coordinator must not be told that it is stored.
+        """
+        key, cancel_key = intake_keys(workflow_id)
+        is_new = (Compare(key, 0), Compare(cancel_key, 0))
         put = PutKey(key, document)
-        await transact(self.system, Transact((Compare(key, 0),), (put,)))
+        reply = await transact(self.system, Transact(is_new, (put,)))
+        if not reply.succeeded:
+            _logger.info(
+                "submission not stored: its id is already stored or cancelled",
+                extra={"job": workflow_id},
+            )
+        return reply.succeeded
 
     async def _relay_to_peer(
         self, method: str, arguments: tuple, deadline: float
@@ -283,7 +301,9 @@
     async def _store_for_peer(self, message: StoreForPeer) -> None:
         self._require_store()
         deadline = self.system.clock.seconds() + PEER_REQUEST_TIMEOUT_S
-        await self._store_document(message.workflow_id, message.document, deadline)
+        workflow_id, document = message
+        if await self._store_document(workflow_id, document, deadline):
+            self._announce_workflow(workflow_id, document)
 
     async def _cancel(self, message: CancelWorkflow) -> bool:
         exists, _ = await self._write_anywhere(
@@ -302,15 +322,20 @@
         return exists
 
     async def _cancel_once(self, workflow_id: str) -> bool:
-        """Store a cancellation; returns whether the workflow exists."""
+        """Store a cancellation; returns whether the workflow exists.
+
+        The cancellation of an id that is not stored is kept too: a write of
+        its submission may still be in flight, and is then refused. A job that
+        was stored or removed since the read fails the comparison.
+        """
         key, cancel_key = intake_keys(workflow_id)
-        item: KeyValue | None = await self.ask(STORE, GetKey(key))
-        if item is None:
-            return False
-        compare = Compare(key, item.mod_revision)
-        put = PutKey(cancel_key, str(time.time()))
-        await transact(self.system, Transact((compare,), (put,)))
-        return True
+        while True:
+            item: KeyValue | None = await self.ask(STORE, GetKey(key))
+            unchanged = Compare(key, item.mod_revision if item is not None else 0)
+            put = PutKey(cancel_key, str(time.time()))
+            reply = await transact(self.system, Transact((unchanged,), (put,)))
+            if reply.succeeded:
+                return item is not None
 
     async def _cancel_for_peer(self, message: CancelForPeer) -> bool:
         """Store a cancellation; repeats a write with an unknown outcome."""
@@ -380,6 +405,9 @@
             PEERS, CallPeer(self._coordinator.address, method, tuple(message))
         )
 
+    def _announce_workflow(self, workflow_id: str, document: str) -> None:
+        self._announce("announce_workflow", WorkflowStored(workflow_id, document))
+
     def _announce(self, method: str, message: WorkflowStored | CancelStored) -> None:
         """Notify the coordinator directly, which is faster than its watch.
 
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -179,8 +179,8 @@
 class SubmitWorkflow(NamedTuple):
     """Asks INTAKE to store a workflow.
 
-    The reply is True once the workflow is stored; otherwise the call fails
-    with an exception.
+    The reply is True once the workflow is stored, or if its id was cancelled
+    before; otherwise the call fails with an exception.
 
     Attributes:
         workflow: The submitted workflow.
@@ -192,7 +192,7 @@
 
 
 class CancelWorkflow(NamedTuple):
-    """Asks INTAKE to store a cancellation.
+    """Asks INTAKE to store a cancellation, also of an unknown id.
 
     The reply says whether the workflow exists; the call fails if the store
     does not answer within ``timeout_s`` seconds.
@@ -367,7 +367,10 @@
 
 
 class StoreForPeer(NamedTuple):
-    """Asks INTAKE to store a workflow for a peer that cannot use the store."""
+    """Asks INTAKE to store a workflow for a peer that cannot use the store.
+
+    INTAKE also announces the workflow to the coordinator if it has stored it.
+    """
 
     workflow_id: str
     document: str
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -14,6 +14,7 @@
 from ..workflows.model import FINAL_STATES
 from .gateways import CANCEL_SUFFIX, INTAKE_PREFIX, PROGRESS_PREFIX, STORE
 from .recorder import Recorder
+from .retention import RecordRetention
 
 # Upper limit for the age of a recovered workflow, which would be wrong if the
 # system clock jumped after the workflow was accepted.
@@ -141,11 +142,18 @@
     return placed_runs
 
 
-def cancel_all(engine: Engine, state: StoredState, now: float) -> None:
-    """Apply the stored cancellations to the restored workflows."""
+def cancel_all(
+    engine: Engine, retention: RecordRetention, state: StoredState, now: float
+) -> None:
+    """Apply the stored cancellations to the restored workflows.
+
+    All are noted for their removal, since some have no workflow.
+    """
     for pair in state.intake.pairs:
         if pair.key.endswith(CANCEL_SUFFIX):
-            engine.cancel(workflow_id_of(pair.key), now)
+            workflow_id = workflow_id_of(pair.key)
+            retention.add_cancellation(workflow_id, pair.mod_revision, now)
+            engine.cancel(workflow_id, now)
 
 
 def _restore_workflow(
--- a/src/redwingrudder/coordination/retention.py
+++ b/src/redwingrudder/coordination/retention.py
@@ -1,6 +1,7 @@
 """Removes the stored records of workflows after their retention period."""
 
 import logging
+from typing import NamedTuple
 
 from .._background import run
 from .._store_requests import Compare, DeleteKey, Transact
@@ -19,9 +20,24 @@
 _logger = logging.getLogger(__name__)
 
 
+class _Cancellation(NamedTuple):
+    """A stored cancellation.
+
+    Attributes:
+        revision: Store revision of its key.
+        seen_at: Node-clock seconds at which this coordinator has seen it.
+    """
+
+    revision: int
+    seen_at: float
+
+
 class RecordRetention:
     """Removes the records of ended workflows after the retention period.
 
+    A workflow's cancellation is removed with its other records. Cancellations
+    of ids without a workflow are removed one by one after the same period.
+
     Args:
         system: The node's actor system.
         engine: The engine of the term.
@@ -43,6 +59,21 @@
         self._retention_s = retention_s
         self._next_sweep_at = system.clock.seconds() + SWEEP_INTERVAL_S
         self._removing = False
+        self._cancellations_by_id: dict[str, _Cancellation] = {}
+
+    def add_cancellation(self, workflow_id: str, revision: int, now: float) -> None:
+        """Note a stored cancellation, whether its workflow is known or not.
+
+        One that is read again keeps the time at which it was seen first.
+
+        Args:
+            workflow_id: The cancelled workflow.
+            revision: Store revision of the cancellation's key.
+            now: Node-clock seconds.
+        """
+        noted = self._cancellations_by_id.get(workflow_id)
+        if noted is None or noted.revision != revision:
+            self._cancellations_by_id[workflow_id] = _Cancellation(revision, now)
 
     def sweep(self, now: float) -> None:
         """Start to remove a batch of expired records if a sweep is due.
@@ -54,9 +85,21 @@
             return
         self._next_sweep_at = now + SWEEP_INTERVAL_S
         expired = self._find_expired(now)
-        if expired:
+        cancelled_ids = self._find_expired_cancellations(now)
+        if expired or cancelled_ids:
             self._removing = True
-            run(self._remove(expired), COORDINATOR)
+            run(self._remove_all(expired, cancelled_ids), COORDINATOR)
+
+    async def _remove_all(
+        self, workflow_ids: list[str], cancelled_ids: list[str]
+    ) -> None:
+        try:
+            if workflow_ids:
+                await self._remove(workflow_ids)
+            for workflow_id in cancelled_ids:
+                await self._remove_cancellation(workflow_id)
+        finally:
+            self._removing = False
 
     def _find_expired(self, now: float) -> list[str]:
         return [
@@ -69,6 +112,54 @@
             and self._engine.is_recorded(workflow_id)
         ][:MAX_WORKFLOWS_PER_REMOVAL]
 
+    def _find_expired_cancellations(self, now: float) -> list[str]:
+        """Return ids without a workflow whose cancellation is to be removed.
+
+        Expired cancellations of known workflows are dropped from the table.
+        """
+        expired = [
+            workflow_id
+            for workflow_id, cancellation in self._cancellations_by_id.items()
+            if now - cancellation.seen_at > self._retention_s
+        ]
+        for workflow_id in expired:
+            if workflow_id in self._engine.workflows_by_id:
+                del self._cancellations_by_id[workflow_id]
+        return [
+            workflow_id
+            for workflow_id in expired
+            if workflow_id in self._cancellations_by_id
+        ][:MAX_WORKFLOWS_PER_REMOVAL]
+
+    async def _remove_cancellation(self, workflow_id: str) -> None:
+        """Remove the cancellation of an id that is not stored.
+
+        A failed comparison means that the term is over, that the workflow is
+        stored, or that there is a newer cancellation, which is noted anew.
+        """
+        noted = self._cancellations_by_id[workflow_id]
+        key, cancel_key = intake_keys(workflow_id)
+        compares = (
+            Compare(TERM_KEY, self._recorder.term_revision),
+            Compare(key, 0),
+            Compare(cancel_key, noted.revision),
+        )
+        try:
+            reply = await self._system.ask(
+                STORE, Transact(compares, (DeleteKey(cancel_key),))
+            )
+        except RedwingrudderError as error:
+            _logger.info(
+                "expired cancellation could not be removed",
+                extra={"job": workflow_id, "error": str(error)},
+            )
+            return
+        if self._cancellations_by_id.get(workflow_id) == noted:
+            del self._cancellations_by_id[workflow_id]
+        if reply.succeeded:
+            _logger.info("expired cancellation removed", extra={"job": workflow_id})
+            self._next_sweep_at = 0.0  # see ``_remove``
+
     async def _remove(self, workflow_ids: list[str]) -> None:
         keys = [
             key
@@ -84,8 +175,6 @@
                 "expired records could not be removed", extra={"error": str(error)}
             )
             return
-        finally:
-            self._removing = False
         if not reply.succeeded:
             return
         for workflow_id in workflow_ids:
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -261,11 +261,20 @@
                 return _json_response(410, {"error": "no_such_job"})
             return _json_response(200, {"state": str(state)})
         if request.method == b"DELETE" and workflow_id:
+            if not is_valid_id(workflow_id):
+                return _json_response(410, {"error": "no_such_job"})
             found = await self.ask(INTAKE, CancelWorkflow(workflow_id, timeout_s))
             return _json_response(200 if found else 410, {})
         return _json_response(405, {"error": "method_not_allowed"})
 
 
+def is_valid_id(workflow_id: str) -> bool:
+    """Return whether a submission may have the id."""
+    return len(workflow_id) == ID_HEX_DIGITS and all(
+        character in "0123456789abcdefABCDEF" for character in workflow_id
+    )
+
+
 def decode_submission(
     workflow_id: str, content: bytes, queue: Queue, organisation: str
 ) -> Workflow:
@@ -275,9 +284,7 @@
         BadRequestError: The id or the body is invalid, or the workflow has
             too many steps or tasks.
     """
-    if len(workflow_id) != ID_HEX_DIGITS or not all(
-        character in "0123456789abcdefABCDEF" for character in workflow_id
-    ):
+    if not is_valid_id(workflow_id):
         raise BadRequestError(
             "the workflow id must have 16 hexadecimal digits", code="invalid_id"
         )
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 from twisted.internet.defer import ensureDeferred
 
@@ -29,6 +30,7 @@
 )
 from redwingrudder.coordination.messages import (
     BeginTerm,
+    CancelForPeer,
     CancelStored,
     CancelWorkflow,
     CoordinatorKnown,
@@ -40,6 +42,7 @@
     NodeSummary,
     Resign,
     StoreAvailability,
+    StoreForPeer,
     SubmitWorkflow,
     WorkflowStored,
 )
@@ -291,6 +294,137 @@
         self.assertEqual(self.relayed(), [])
 
 
+class EarlyCancelTests(unittest.TestCase):
+    """Load pattern: cancellations of jobs whose submission is in flight.
+
+    The store carries out writes seconds after the call has ended. Two nodes
+    use the store.
+    """
+
+    def setUp(self):
+        self.contents = StoreContents()
+        self.clocks, self.systems, self.stores, self.coordinators = [], [], [], []
+        for name in ("n1", "n2"):
+            clock, system, store = node_system(self.contents)
+            Recording(system, PEERS, {ListPeers: PeerView((), 0)})
+            replies = {WorkflowStored: None, CancelStored: None, GetState: ""}
+            self.coordinators.append(Recording(system, COORDINATOR, replies))
+            Intake(system, Identity(name, f"10.0.0.1:{name}", "life"))
+            system.tell(INTAKE, CoordinatorKnown(name, f"10.0.0.1:{name}", 1))
+            self.clocks.append(clock)
+            self.systems.append(system)
+            self.stores.append(store)
+
+    def ask(self, message, node=0, seconds=0.3):
+        reply = self.systems[node].ask(INTAKE, message)
+        run_for(self.clocks[node], seconds)
+        return outcome(reply)
+
+    def submit_without_answer(self):
+        self.stores[0].writes_to_delay = 1000
+        error = self.ask(SubmitWorkflow(fx.workflow(), 0.2), seconds=1.0)
+        self.assertIsInstance(error, OutcomeUnknownError)
+        self.stores[0].writes_to_delay = 0
+
+    def announced(self, node=0):
+        return [type(message) for message in self.coordinators[node].received]
+
+    def stored_keys(self):
+        return sorted(self.contents.items_by_key)
+
+    def test_submission_after_its_cancellation_is_not_stored(self):
+        """Guards against a cancelled job that a late write stores."""
+        self.submit_without_answer()
+        self.assertIs(self.ask(CancelWorkflow("job", 1.0), node=1), False)
+        self.assertEqual(set(self.stores[0].apply_delayed_writes()), {False})
+        self.assertEqual(self.stored_keys(), ["intake/job/cancel"])
+
+    def test_cancellation_for_a_peer_is_kept_as_well(self):
+        """Guards against a cancellation that is lost on its way by a peer."""
+        self.submit_without_answer()
+        self.assertIs(self.ask(CancelForPeer("job"), node=1), False)
+        self.assertEqual(set(self.stores[0].apply_delayed_writes()), {False})
+
+    def test_repeated_submission_is_accepted_as_cancelled(self):
+        """Guards against a repeated submission that undoes a cancellation.
+
+        Each repetition gets the same reply, and the job is not announced.
+        """
+        self.submit_without_answer()
+        self.ask(CancelWorkflow("job", 1.0))
+        for node in (0, 1):
+            with self.subTest(node):
+                submission = SubmitWorkflow(fx.workflow(), 1.0)
+                self.assertIs(self.ask(submission, node), True)
+                shown = self.ask(GetState("job"), node)
+                self.assertEqual(shown, WorkflowState.CANCELLED)
+                self.assertNotIn(WorkflowStored, self.announced(node))
+        self.assertEqual(self.stored_keys(), ["intake/job/cancel"])
+
+    def test_peer_announces_only_what_it_has_stored(self):
+        """Guards against a cancelled job that a peer's caller announces."""
+        document = records.encode_workflow(fx.workflow()).decode()
+        self.ask(CancelWorkflow("job", 1.0))
+        self.ask(StoreForPeer("job", document), node=1)
+        self.assertEqual(self.announced(1), [])
+        self.ask(StoreForPeer("other", document), node=1)
+        self.assertEqual(self.announced(1), [WorkflowStored])
+
+    def test_caller_of_a_peer_announces_nothing(self):
+        """Guards against a cancelled job that is announced as stored.
+
+        The reply of a peer does not tell whether it has stored the job.
+        """
+        peer = NodeSummary("n2", "10.0.0.2:1", "l", 1, "", "", 0, True, 0.0)
+        clock, system, _ = node_system()
+        Recording(system, PEERS, {ListPeers: PeerView((peer,), 1), CallPeer: None})
+        coordinator = Recording(system, COORDINATOR, {WorkflowStored: None})
+        Intake(system, Identity("n1", "10.0.0.1:1", "life"))
+        system.tell(INTAKE, CoordinatorKnown("n1", "10.0.0.1:1", 1))
+        system.tell(INTAKE, StoreAvailability(False))
+        reply = system.ask(INTAKE, SubmitWorkflow(fx.workflow(), 1.0))
+        run_for(clock, 0.3)
+        self.assertIs(outcome(reply), True)
+        self.assertEqual(coordinator.received, [])
+
+    def test_job_that_appears_during_its_cancellation_is_cancelled(self):
+        """Guards against "no such job" for one that is stored meanwhile.
+
+        The submission is carried out between the read and the write of the
+        cancellation.
+        """
+        self.submit_without_answer()
+        transact = self.contents.transact
+
+        def store_job_first(message):
+            delayed, self.stores[0].delayed_writes = self.stores[0].delayed_writes, []
+            for write in delayed:
+                transact(write)
+            return transact(message)
+
+        with mock.patch.object(self.contents, "transact", store_job_first):
+            self.assertIs(self.ask(CancelWorkflow("job", 1.0)), True)
+        self.assertEqual(self.stored_keys(), ["intake/job", "intake/job/cancel"])
+        self.assertEqual(self.announced(), [CancelStored])
+
+    def test_cancellations_by_two_nodes(self):
+        """Guards against a repeated cancellation that is not confirmed.
+
+        Each node loses the answer to its write, and finds its own value.
+        """
+        for node in (0, 1, 0):
+            with self.subTest(node):
+                self.stores[node].replies_to_lose = 1
+                self.assertIs(self.ask(CancelWorkflow("job", 1.0), node), False)
+        self.assertEqual(self.stored_keys(), ["intake/job/cancel"])
+
+    def test_unconfirmed_cancellation_is_unknown(self):
+        """Guards against "no such job" before the cancellation is kept."""
+        self.stores[0].writes_to_delay = 1000
+        error = self.ask(CancelWorkflow("job", 0.2), seconds=1.0)
+        self.assertIsInstance(error, OutcomeUnknownError)
+
+
 class NotLeadingTests(unittest.TestCase):
     def test_idle_coordinator_refuses_with_503(self):
         """Guards against 404 for a queue while the coordinator changes."""
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -34,10 +34,10 @@
 class FakeRequest(DummyRequest):
     """A request as the front end reads it; stores the response."""
 
-    path = b"/queue/job"
+    path = b"/queue/0123456789abcdef"
 
     def __init__(self):
-        super().__init__([b"queue", b"job"])
+        super().__init__([b"queue", b"0123456789abcdef"])
         self.response = None
 
     def header(self, name):
@@ -66,6 +66,32 @@
         self.assertEqual(header, [b"close"])
 
 
+class InvalidIdTests(unittest.TestCase):
+    def test_cancellation_of_an_invalid_id_is_not_passed_on(self):
+        """Guards against keys in the store that no submission can have.
+
+        A cancellation is stored for ids without a job too. The second id
+        would also be a key below that of a valid one.
+        """
+        clock = Clock()
+        system = ActorSystem(clock)
+        Recording(system, METRICS, {IncrementCounter: None, ObserveDuration: None})
+        intake = Recording(system, INTAKE, {CancelWorkflow: False})
+        front_end = FrontEnd(system, clock, ("127.0.0.1", 0))
+        configuration = OperatorConfiguration(1, (QUEUE,), {}, {}, frozenset())
+        system.tell(FRONT_END, ConfigurationInForce(configuration))
+        run_for(clock, 0.05)
+        for name in (b"job", b"0123456789abcdef/cancel", b"0" * 17):
+            with self.subTest(name):
+                request = FakeRequest()
+                request.method = b"DELETE"
+                request.path = b"/queue/" + name
+                front_end._respond(request)
+                run_for(clock, 0.05)
+                self.assertEqual(request.response.status, 410)
+                self.assertEqual(intake.received, [])
+
+
 class DrainTests(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -2,13 +2,24 @@
 
 import unittest
 
-from redwingrudder.coordination.gateways import TERM_KEY
+from redwingrudder.coordination.coordinator import Coordinator
+from redwingrudder.coordination.gateways import (
+    COORDINATOR,
+    PEERS,
+    TERM_KEY,
+    FleetGateways,
+    WorkerTimes,
+)
+from redwingrudder.coordination.messages import BeginTerm
+from redwingrudder.coordination.peers import GetTimeOfDay, ListPeers, PeerView
 from redwingrudder.coordination.recorder import Recorder
 from redwingrudder.coordination.retention import SWEEP_INTERVAL_S, RecordRetention
+from redwingrudder.timers import TimerService
 from redwingrudder.workflows.model import WorkflowState
 
 from . import workflow_fixtures as fx
-from .test_coordination import node_system, run_for
+from .coordination_fakes import Recording, node_system, run_for
+from .test_coordination import EmptyRegistry, UnusedChannels
 
 RETENTION_S = 150.0
 RECORD_KEYS = ["intake/job", "intake/job/cancel", "progress/job"]
@@ -79,6 +90,94 @@
         self.sweep(RETENTION_S + 1.0 + SWEEP_INTERVAL_S)
         self.assertEqual(self.remaining_keys(), [])
 
+    def test_cancellation_without_a_job_is_removed(self):
+        """Guards against a store that keeps growing with each cancellation."""
+        self.note_cancellation("other")
+        self.sweep(RETENTION_S - 1.0)
+        self.assertIn("intake/other/cancel", self.store.contents.items_by_key)
+        self.sweep(RETENTION_S + SWEEP_INTERVAL_S)
+        self.assertNotIn("intake/other/cancel", self.store.contents.items_by_key)
+        self.assertEqual(self.remaining_keys(), RECORD_KEYS)
+
+    def test_cancellation_of_a_stored_job_stays(self):
+        """Guards against removing the cancellation of a job that may run.
+
+        One job is known to the coordinator, the other is in the store only.
+        """
+        self.store.contents.put("intake/other", "{}")
+        for job in ("job", "other"):
+            self.note_cancellation(job)
+        self.sweep(RETENTION_S + 1.0)
+        for job in ("job", "other"):
+            self.assertIn(f"intake/{job}/cancel", self.store.contents.items_by_key)
+
+    def test_newer_cancellation_stays(self):
+        """Guards against removing a cancellation that has just been stored.
+
+        The watch has not delivered the newer one when the older one expires.
+        """
+        self.note_cancellation("other")
+        self.store.contents.put("intake/other/cancel", "2.0")
+        self.sweep(RETENTION_S + 1.0)
+        self.assertIn("intake/other/cancel", self.store.contents.items_by_key)
+
+    def test_deposed_coordinator_removes_no_cancellation(self):
+        """Guards against removing what a successor has read."""
+        self.note_cancellation("other")
+        self.store.contents.put(TERM_KEY, "2")
+        self.sweep(RETENTION_S + 1.0)
+        self.assertIn("intake/other/cancel", self.store.contents.items_by_key)
+
+    def test_cancellation_is_removed_after_an_outage(self):
+        """Guards against cancellations that stay after a failed call."""
+        self.note_cancellation("other")
+        self.store.down = True
+        self.sweep(RETENTION_S + 1.0)
+        self.store.down = False
+        self.sweep(RETENTION_S + 1.0 + SWEEP_INTERVAL_S)
+        self.assertNotIn("intake/other/cancel", self.store.contents.items_by_key)
+
+    def test_cancellation_that_is_read_again_is_not_kept_for_longer(self):
+        """Guards against cancellations that stay for ever.
+
+        Load pattern: the watch has to read the prefix anew again and again.
+        """
+        self.note_cancellation("other")
+        revision = self.store.contents.items_by_key["intake/other/cancel"].mod_revision
+        self.retention.add_cancellation("other", revision, RETENTION_S - 1.0)
+        self.sweep(RETENTION_S + 1.0)
+        self.assertNotIn("intake/other/cancel", self.store.contents.items_by_key)
+
+    def note_cancellation(self, job):
+        key = f"intake/{job}/cancel"
+        self.store.contents.put(key, "1.0")
+        revision = self.store.contents.items_by_key[key].mod_revision
+        self.retention.add_cancellation(job, revision, 0.0)
+
+
+class CoordinatorRetentionTests(unittest.TestCase):
+    def test_coordinator_removes_cancellations_without_a_job(self):
+        """Guards against a store that keeps growing with each cancellation.
+
+        One was stored before the term, and one is delivered by the watch.
+        """
+        clock, system, store = node_system()
+        TimerService(system)
+        Recording(system, PEERS, {ListPeers: PeerView((), 0), GetTimeOfDay: 0.0})
+        gateways = FleetGateways(
+            EmptyRegistry(), UnusedChannels(), WorkerTimes(6.0, 1.5), RETENTION_S
+        )
+        Coordinator(system, gateways)
+        store.contents.put("intake/early/cancel", "1.0")
+        store.contents.put(TERM_KEY, "1")
+        system.tell(COORDINATOR, BeginTerm(1, store.contents.revision, 1e9))
+        run_for(clock, 0.3, (store,))
+        store.contents.put("intake/late/cancel", "2.0")
+        run_for(clock, 0.3, (store,))
+        clock.advance(RETENTION_S)
+        run_for(clock, 1.0, (store,))
+        self.assertEqual(list(store.contents.items_by_key), [TERM_KEY])
+
 
 if __name__ == "__main__":
     unittest.main()
