Apply cancellations that overtake their submissions

What callers see: a job could start although its cancellation had been acknowledged and was known to the coordinator.

Cause: the engine ignored the cancellation of an unknown id. The announcement of a cancellation comes from another node than that of the submission and may arrive first; the watch, which has the order of the store, may be late. The job was then accepted as a new one, and ran until the watch delivered the cancellation. The same holds for a submission that is announced by a node that does not know that the store has not taken it.

Change: the engine remembers cancellations of unknown ids, 10,000 of them and each for 60 s, and cancels a workflow that it accepts meanwhile: nothing starts and its record becomes final. Those that are read at the start of a term count too. The time is bounded because an id whose records were removed may be used again; where the retention period is shorter than 60 s, a job with such an id may still end as cancelled. ``forget`` is unchanged: it gets known workflows only, and an accepted workflow is no longer remembered.

Ruled out: a read of the cancel key for each announced submission, which costs a call per job and delays its start.

Measured: with the constants alone added to the sources before, 4 of the 7 new tests fail (a start is planned for the cancelled workflow; the cancelled one of the bounded memory is queued; at the coordinator no final record is written, in both tests). The other 3 check that nothing else is cancelled. All pass now.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -55,6 +55,10 @@
 USABLE_TICKET_SHARE = 0.8
 CRASH_MEMORY_S = 600.0  # time for which crashes of an address are remembered
 LOGGED_SUSPECTS = 10
+# The cancellations of this many unknown ids are remembered for this time: they
+# may overtake the submissions, whose announcement or watch is late.
+MAX_EARLY_CANCELS = 10_000
+EARLY_CANCEL_MEMORY_S = 60.0
 
 _logger = logging.getLogger(__name__)
 _END_EVENTS = {EndKind.DONE: "run_done", EndKind.FAILED: "run_failed"}
@@ -81,6 +85,8 @@
     ) -> None:
         super().__init__(run_times or RunTimeEstimates())
         self.guaranteed_by_organisation: dict[str, int] = {}
+        # Node-clock time of cancellations without a workflow, oldest first.
+        self._early_cancels_by_id: dict[str, float] = {}
         self._awaited_workers: set[str] = set()
         self._reports_due_at = 0.0
         # Node-clock time of the newest crash of a worker at each address.
@@ -92,7 +98,8 @@
     def accept(self, workflow: Workflow, now: float) -> WorkflowProgress:
         """Add a stored workflow and return its progress.
 
-        A workflow whose id has been added before is left unchanged.
+        A workflow whose id has been added before is left unchanged. One that
+        has been cancelled before is added as cancelled.
         """
         existing = self.workflows_by_id.get(workflow.workflow_id)
         if existing is not None:
@@ -101,22 +108,33 @@
         self.workflows_by_id[workflow.workflow_id] = progress
         for stage in progress.occurrences[0].stages:
             self.run_times.record_estimate(stage)
+        cancelled_at = self._early_cancels_by_id.pop(workflow.workflow_id, -math.inf)
+        if now - cancelled_at <= EARLY_CANCEL_MEMORY_S:
+            self.cancel(workflow.workflow_id, now)
         return progress
 
     def cancel(self, workflow_id: str, now: float) -> None:
         """Cancel a workflow: withdraw its waiting tasks and stop its runs.
 
-        Unknown and ended workflows are ignored.
+        The cancellation of an unknown workflow is remembered for some time
+        and applied when the workflow is accepted. Ended workflows are ignored.
         """
         progress = self.workflows_by_id.get(workflow_id)
         if progress is None:
             _logger.info("unknown job is cancelled", extra={"job": workflow_id})
+            self._remember_cancel(workflow_id, now)
             return
         if progress.ended_at is not None:
             return
         progress.cancelled = True
         self.withdraw(progress, now)
 
+    def _remember_cancel(self, workflow_id: str, now: float) -> None:
+        self._early_cancels_by_id.pop(workflow_id, None)
+        self._early_cancels_by_id[workflow_id] = now
+        if len(self._early_cancels_by_id) > MAX_EARLY_CANCELS:
+            del self._early_cancels_by_id[next(iter(self._early_cancels_by_id))]
+
     def set_worker(self, facts: WorkerFacts, now: float) -> None:
         """Add a worker, or update it from its registry entry.
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -48,6 +48,7 @@
 )
 from redwingrudder.coordination.peers import (
     CallPeer,
+    GetTimeOfDay,
     ListPeers,
     PeerView,
 )
@@ -439,6 +440,50 @@
         self.assertEqual((error.code, error.http_status), ("not_coordinator", 503))
 
 
+class LeadingTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        TimerService(self.system)
+        Recording(self.system, PEERS, {ListPeers: PeerView((), 0), GetTimeOfDay: 0.0})
+        gateways = FleetGateways(
+            EmptyRegistry(), UnusedChannels(), WorkerTimes(6.0, 1.5), 150.0
+        )
+        Coordinator(self.system, gateways)
+        self.store.contents.put(TERM_KEY, "1")
+        self.document = records.encode_workflow(fx.workflow()).decode()
+
+    def lead(self):
+        term_revision = self.store.contents.items_by_key[TERM_KEY].mod_revision
+        self.system.tell(COORDINATOR, BeginTerm(1, term_revision, 1e9))
+        run_for(self.clock, 0.3, (self.store,))
+
+    def recorded_state(self):
+        item = self.store.contents.items_by_key["progress/job"]
+        return records.decode_progress("job", item.value.encode()).state
+
+    def test_announced_cancellation_overtakes_the_submission(self):
+        """Guards against a job that starts after its cancellation is known.
+
+        The announcements come from different nodes, and the watch is late.
+        """
+        self.lead()
+        self.system.tell(COORDINATOR, CancelStored("job"))
+        self.system.tell(COORDINATOR, WorkflowStored("job", self.document))
+        run_for(self.clock, 0.3)
+        self.assertIs(self.recorded_state(), WorkflowState.CANCELLED)
+
+    def test_announced_submission_of_an_id_that_is_stored_as_cancelled(self):
+        """Guards against a node that announces a job that is not stored.
+
+        The cancellation was read at the start of the term.
+        """
+        self.store.contents.put(INTAKE_PREFIX + "job/cancel", "1.0")
+        self.lead()
+        self.system.tell(COORDINATOR, WorkflowStored("job", self.document))
+        run_for(self.clock, 0.3)
+        self.assertIs(self.recorded_state(), WorkflowState.CANCELLED)
+
+
 class PeerViewTests(unittest.TestCase):
     def view(self, available, peer_count, asked_at=50.0):
         summary = NodeSummary("n", "a", "l", 1, "", "", 0, False, 0.0)
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -3,7 +3,11 @@
 import unittest
 
 from redwingrudder.workflows import records
-from redwingrudder.workflows.engine import Engine
+from redwingrudder.workflows.engine import (
+    EARLY_CANCEL_MEMORY_S,
+    MAX_EARLY_CANCELS,
+    Engine,
+)
 from redwingrudder.workflows.model import (
     AskAdvice,
     EndKind,
@@ -97,6 +101,60 @@
         self.assertTrue(progress.settled)
 
 
+class EarlyCancelTests(unittest.TestCase):
+    """Load pattern: cancellations that overtake the submissions."""
+
+    def setUp(self):
+        self.engine = fx.engine()
+
+    def test_nothing_of_the_workflow_starts(self):
+        """Guards against a workflow that runs though its end is ordered."""
+        self.engine.cancel("job", 0.0)
+        progress = self.engine.accept(fx.workflow(), 1.0)
+        self.assertEqual(self.engine.plan(1.0, 1.0), [])
+        self.assertIs(progress.state, WorkflowState.CANCELLED)
+        self.assertTrue(progress.settled)
+        self.assertIn("job", self.engine.dirty)
+
+    def test_other_workflows_start(self):
+        """Guards against a cancellation that is applied to another id."""
+        self.engine.cancel("other", 0.0)
+        self.engine.accept(fx.workflow("job"), 1.0)
+        self.assertEqual(len(fx.starts(self.engine.plan(1.0, 1.0))), 1)
+
+    def test_cancellation_applies_to_one_acceptance(self):
+        """Guards against an id that can never be used again."""
+        self.engine.cancel("job", 0.0)
+        self.engine.accept(fx.workflow(), 1.0)
+        self.engine.forget("job")
+        self.engine.accept(fx.workflow(), 2.0)
+        self.assertEqual(len(fx.starts(self.engine.plan(2.0, 2.0))), 1)
+
+    def test_old_cancellation_is_not_applied(self):
+        """Guards against an id that stays cancelled after its records went."""
+        self.engine.cancel("job", 0.0)
+        now = EARLY_CANCEL_MEMORY_S + 1.0
+        self.engine.accept(fx.workflow(), now)
+        self.assertEqual(len(fx.starts(self.engine.plan(now, now))), 1)
+
+    def test_memory_is_bounded(self):
+        """Guards against memory that grows with each unknown id.
+
+        The oldest cancellations are forgotten first; a repeated one is new.
+        """
+        for job in ("repeated", "oldest", "repeated"):
+            self.engine.cancel(job, 0.0)
+        for index in range(MAX_EARLY_CANCELS - 1):
+            self.engine.cancel(f"job {index}", 0.0)
+        states = {
+            job: self.engine.accept(fx.workflow(job), 0.0).state
+            for job in ("oldest", "repeated", "job 0")
+        }
+        self.assertIs(states["oldest"], WorkflowState.QUEUED)
+        self.assertIs(states["repeated"], WorkflowState.CANCELLED)
+        self.assertIs(states["job 0"], WorkflowState.CANCELLED)
+
+
 class GangTests(unittest.TestCase):
     """Gangs, whose tasks run all together or not at all."""
 
