Store a submission whose id was cancelled, as a cancelled job

Callers: an id that was cancelled and never submitted was shown as cancelled, a job that nobody had handed in. A submission that was repeated after its cancellation was accepted and not stored.

The submission is now stored on the condition that its cancellation is, so that the job exists and has one state; the coordinator applies the cancellation when it learns of the job. An id with a cancellation alone is unknown.

--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -19,10 +19,8 @@
 from ..workflows.model import WorkflowState
 from .confirmation import transact
 from .gateways import (
-    CANCEL_SUFFIX,
     COORDINATOR,
     INTAKE,
-    INTAKE_PREFIX,
     PEERS,
     PROGRESS_PREFIX,
     STORE,
@@ -227,26 +225,34 @@
             await pause(self.system.clock, WRITE_RETRY_DELAY_S)
 
     async def _store_once(self, workflow_id: str, document: str) -> bool:
-        """Store a document unless its id is already stored or cancelled.
+        """Store a document; a stored document of the same id is kept.
 
         A cancellation may overtake the submission, also one of which an
-        earlier write is carried out late. The caller gets the same reply in
-        all cases: the state of a cancelled id is shown as cancelled.
+        earlier write is carried out late. The job is then stored on the
+        condition that its cancellation is, and its state is "cancelled".
 
         Returns:
-            Whether this write has stored the document. Otherwise the
-            coordinator must not be told that it is stored.
+            Whether this write has stored a job that is not cancelled. Others
+            must not be announced to the coordinator.
         """
         key, cancel_key = intake_keys(workflow_id)
-        is_new = (Compare(key, 0), Compare(cancel_key, 0))
         put = PutKey(key, document)
-        reply = await transact(self.system, Transact(is_new, (put,)))
-        if not reply.succeeded:
-            _logger.info(
-                "submission not stored: its id is already stored or cancelled",
-                extra={"job": workflow_id},
-            )
-        return reply.succeeded
+        is_new = (Compare(key, 0), Compare(cancel_key, 0))
+        while not (await transact(self.system, Transact(is_new, (put,)))).succeeded:
+            stored = await self.ask(STORE, GetPrefix(key))
+            revisions_by_key = {pair.key: pair.mod_revision for pair in stored.pairs}
+            if key in revisions_by_key:
+                return False
+            if cancel_key in revisions_by_key:
+                cancelled = Compare(cancel_key, revisions_by_key[cancel_key])
+                message = Transact((Compare(key, 0), cancelled), (put,))
+                if (await transact(self.system, message)).succeeded:
+                    _logger.info(
+                        "job was cancelled before it was stored",
+                        extra={"job": workflow_id},
+                    )
+                    return False
+        return True
 
     async def _relay_to_peer(
         self, method: str, arguments: tuple, deadline: float
@@ -378,16 +384,18 @@
         recorded. Without one nothing of it had been placed after the
         cancellation was read.
         """
-        reply = await self.ask(STORE, GetPrefix(INTAKE_PREFIX + workflow_id))
-        if not reply.pairs:
+        key, cancel_key = intake_keys(workflow_id)
+        reply = await self.ask(STORE, GetPrefix(key))
+        stored_keys = {pair.key for pair in reply.pairs}
+        if key not in stored_keys:
             return ""
         item: KeyValue | None = await self.ask(
             STORE, GetKey(PROGRESS_PREFIX + workflow_id)
         )
         if item is not None:
             return _decode_state(workflow_id, item.value)
-        cancelled = any(pair.key.endswith(CANCEL_SUFFIX) for pair in reply.pairs)
-        return WorkflowState.CANCELLED if cancelled else WorkflowState.QUEUED
+        is_cancelled = cancel_key in stored_keys
+        return WorkflowState.CANCELLED if is_cancelled else WorkflowState.QUEUED
 
     async def _get_queue_length(self, message: GetQueueLength) -> int:
         return await self._ask_coordinator("queue_length", message)
