Stop the runs of cancelled jobs that are set aside

The cancellation of a job whose records this release cannot read was stored and acknowledged, and had no effect on the runs of the job, which were left to a release that can read it. Cancelled jobs are wanted by no release.

test_run_of_a_cancelled_job_that_is_set_aside_is_stopped failed before.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -122,7 +122,10 @@
         progress = self.workflows_by_id.get(workflow_id)
         if progress is None:
             _logger.info("unknown job is cancelled", extra={"job": workflow_id})
-            self._remember_cancel(workflow_id, now)
+            if workflow_id in self.set_aside_ids:
+                self.cancelled_aside_ids.add(workflow_id)
+            else:
+                self._remember_cancel(workflow_id, now)
             return
         if progress.ended_at is not None:
             return
@@ -745,10 +748,14 @@
     def set_aside(self, workflow_id: str) -> None:
         """Exclude a workflow whose stored progress is unknown.
 
-        It is neither run nor accepted again.
+        It is neither run nor accepted again. Its runs go on, unless it has
+        been or will be cancelled.
         """
         self.set_aside_ids.add(workflow_id)
-        self.workflows_by_id.pop(workflow_id, None)
+        progress = self.workflows_by_id.pop(workflow_id, None)
+        was_cancelled = progress is not None and progress.cancelled
+        if was_cancelled or workflow_id in self._early_cancels_by_id:
+            self.cancelled_aside_ids.add(workflow_id)
 
     def queue_length(self, queue: str) -> int:
         """Return the number of a queue's workflows without a started task."""
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -55,6 +55,7 @@
         effects: Effects that ``take_effects`` has not returned yet.
         set_aside_ids: Workflows that are not run because their stored
             progress cannot be read.
+        cancelled_aside_ids: Those of them that are cancelled.
         term: Number of the coordinator's term.
         run_times: Expected run times.
     """
@@ -66,6 +67,7 @@
         self.being_recorded: set[str] = set()
         self.effects: list[Effect] = []
         self.set_aside_ids: set[str] = set()
+        self.cancelled_aside_ids: set[str] = set()
         self.term = 1
         self.run_times = run_times
         self._actions: dict[str, Callable[[Task], None]] = {
@@ -235,11 +237,12 @@
         """Return whether a run may have been placed by somebody else.
 
         A release that can read the record of a job that is set aside accounts
-        for its runs. A run that is newer than all known ones may be that of a
-        successor, unless its task needs no further run.
+        for its runs, until the job is cancelled. A run that is newer than all
+        known ones may be that of a successor, unless its task needs no run.
         """
         if task is None:
-            return entry.key.workflow_id in self.set_aside_ids
+            workflow_id = entry.key.workflow_id
+            return workflow_id in self.set_aside_ids - self.cancelled_aside_ids
         needs_run = not (task.ended or task.stage.workflow.cancelled)
         return needs_run and entry.run > task.run
 
--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -130,6 +130,18 @@
         accept_stored(self.engine, "intake/job", "{", 0.5, recovering=True)
         self.assertEqual(self.list_run(1.0), [])
 
+    def test_run_of_a_cancelled_job_that_is_set_aside_is_stopped(self):
+        """Guards against a cancellation without an effect on the runs."""
+        for cancelled_first in (False, True):
+            with self.subTest(cancelled_first=cancelled_first):
+                self.setUp()
+                if cancelled_first:
+                    self.engine.forget("job")
+                    self.engine.cancel("job", 0.4)
+                self.engine.set_aside("job")
+                self.engine.cancel("job", 0.6)
+                self.assertEqual(self.list_run(1.0), [self.stop])
+
     def test_unreadable_copy_of_a_document_changes_nothing(self):
         """Guards against a job that a malformed announcement sets aside."""
         accept_stored(self.engine, "job", "{", 0.5)
