Send no start after a stop of its run

Callers see a task of a cancelled job that a worker is told to start after the cancel was acknowledged, or a stopped run whose start is sent again.

Cause: the attempts of a start look at the authority and at the lease. They do not look at whether the coordinator has ordered a stop of the run since the first attempt. They rely on the worker to reject a start after a stop, which a stop without an effect yet, or a process that did not receive it, does not do.

Ruled out: an attempt that waits for its reply does not hold up the stop, which is sent beside it. The first attempt is sent in the turn in which the session handles the start, so nothing is withdrawn between the two; only the mailbox lies between the check of the progress writer and the first attempt, and a stop that follows in the mailbox is sent after the start.

Change: the session keeps the runs that it was ordered to stop until their stop and their start are settled, and sends no attempt of such a run. The start is settled as before: by an accepted stop and a later report.

Tests: five cases of three new tests of test_settled_starts failed before (a stop that is accepted, one without an answer at once or after the time limit, and one ordered before the start) and pass now; a fourth test, that a stop of an earlier run does not hold up the next one, passed before as well.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -136,6 +136,9 @@
         self._starts_in_flight: set[tuple] = set()
         # Starts in flight that the worker may have received.
         self._unanswered_starts: set[tuple[TaskKey, int]] = set()
+        # Runs that COORDINATOR has ordered to stop, as long as their stop or
+        # their start is in flight.
+        self._stopped_runs: set[tuple[TaskKey, int]] = set()
         super().__init__(system, session_name(facts.worker_id))
 
     def handlers(self) -> dict[type, Handler]:
@@ -146,7 +149,7 @@
             ThrottleRun: lambda message: (
                 run(self._throttle(message), self.name) and None
             ),
-            StopRun: lambda message: run(self._stop(message), self.name) and None,
+            StopRun: self._stop_run,
             AcknowledgeEnds: self._acknowledge,
             UpdateFacts: self._update_facts,
             RegistryEntryRemoved: self._entry_removed,
@@ -471,6 +474,7 @@
         finally:
             self._starts_in_flight.discard(run_key)
             self._unanswered_starts.discard(run_key)
+            self._stopped_runs.discard(run_key)
         if self._closed:
             return
         if reply.reason == "fenced":
@@ -482,14 +486,17 @@
     async def _send_start(self, message: StartRun) -> CommandReply:
         """Send a start until it is answered, at most once per time limit.
 
-        It is not sent without authority or after the lease has lapsed, when
-        COORDINATOR gives up all runs of the worker.
+        It is not sent without authority, after the lease has lapsed, when
+        COORDINATOR gives up all runs of the worker, or after a stop of the
+        run, which may have no effect yet.
         """
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
             if not self._may_start:
                 break
             if self._chart.state == "lapsed":
                 break
+            if (message.key, message.run) in self._stopped_runs:
+                break
             start = self._channel.start(
                 message, self._lease_until(), self._fence, timeout_s
             )
@@ -567,8 +574,19 @@
             if self.system.clock.seconds() - sent_at < MIN_POLL_DURATION_S:
                 await pause(self.system.clock, BUSY_POLL_INTERVAL_S)
 
+    def _stop_run(self, message: StopRun) -> None:
+        """Stop a run, also while its start waits for a reply."""
+        self._stopped_runs.add((message.key, message.run))
+        run(self._stop(message), self.name)
+
     async def _stop(self, message: StopRun) -> None:
-        await self._send_stop(message)
+        run_key = (message.key, message.run)
+        try:
+            await self._send_stop(message)
+        finally:
+            if run_key not in self._starts_in_flight:
+                # From now on the worker rejects a start of the run.
+                self._stopped_runs.discard(run_key)
         if not self._closed:
             self._poll_soon()
 
--- a/tests/test_settled_starts.py
+++ b/tests/test_settled_starts.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from redwingrudder._background import pause
 from redwingrudder.coordination.authority import Authority
 from redwingrudder.coordination.gateways import (
     COORDINATOR,
@@ -43,6 +44,8 @@
     Attributes:
         lost_starts: Number of following starts without a reply.
         lost_starts_begin: Whether starts without a reply begin their run.
+        waiting_calls: Names of commands whose lost replies are waited for
+            until the time limit; other lost replies are noticed at once.
         start_rejection: Reason with which starts are rejected after that.
         lost_stops: Number of following stops that have no effect and no reply.
         rejections: Reasons with which the next stops or polls are rejected, by
@@ -59,6 +62,7 @@
         self.clock = clock
         self.lost_starts = 0
         self.lost_starts_begin = False
+        self.waiting_calls = set()
         self.start_rejection = ""
         self.lost_stops = 0
         self.rejections = {"stop": [], "poll": []}
@@ -81,6 +85,7 @@
             self.lost_starts -= 1
             if self.lost_starts_begin:
                 self.begin((run.key, run.run))
+            await self._wait_in_vain("start", timeout_s)
             raise OutcomeUnknownError("the reply to the start was lost")
         return self._reply(self.start_rejection)
 
@@ -88,6 +93,7 @@
         self.calls.append("stop")
         if self.lost_stops:
             self.lost_stops -= 1
+            await self._wait_in_vain("stop", timeout_s)
             raise OutcomeUnknownError("the reply to the stop was lost")
         if self.rejections["stop"]:
             return self._reply(self.rejections["stop"].pop(0))
@@ -127,6 +133,10 @@
     def close(self):
         pass
 
+    async def _wait_in_vain(self, name, timeout_s):
+        if name in self.waiting_calls:
+            await pause(self.clock, timeout_s)
+
     def _reply(self, reason):
         return CommandReply(not reason, reason, self._clock_ms())
 
@@ -204,6 +214,71 @@
         self.run_until_settled(3.0)
         self.assert_end_came_first()
 
+    def assert_no_start_after_a_stop(self):
+        """Check that no start was sent after the first stop."""
+        calls = self.channel.calls
+        self.assertNotIn("start", calls[calls.index("stop") :])
+
+    def test_start_is_not_repeated_after_an_accepted_stop(self):
+        """Guards against a start of a run that is no longer wanted.
+
+        The stop is accepted while the first attempt has no reply yet.
+        """
+        for began in (False, True):
+            with self.subTest(began=began):
+                self.setUp()
+                self.channel.lost_starts = 3
+                self.channel.lost_starts_begin = began
+                self.channel.waiting_calls = {"start"}
+                self.start_run(0.1)
+                self.stop_run(0.1)
+                self.assertIn("stop", self.channel.calls)
+                self.run_until_settled(3.0)
+                self.assert_no_start_after_a_stop()
+                if began:
+                    self.assert_end_came_first()
+
+    def test_start_is_not_repeated_beside_an_unanswered_stop(self):
+        """Guards against a start that may reach the worker after a stop.
+
+        The replies to the first stops are lost too, at once or after the time
+        limit.
+        """
+        for waiting_calls in ({"start"}, {"start", "stop"}):
+            with self.subTest(waiting_calls=waiting_calls):
+                self.setUp()
+                self.channel.lost_starts, self.channel.lost_starts_begin = 3, True
+                self.channel.lost_stops = 3
+                self.channel.waiting_calls = waiting_calls
+                self.start_run(0.1)
+                self.stop_run(0.1)
+                self.assertIn("stop", self.channel.calls)
+                self.run_until_settled(5.0)
+                self.assert_no_start_after_a_stop()
+                self.assert_end_came_first()
+
+    def test_start_is_not_sent_after_a_stop_of_its_run(self):
+        """Guards against a start that follows an unanswered stop."""
+        self.channel.lost_stops = 3
+        self.channel.waiting_calls = {"stop"}
+        self.stop_run(0.1)
+        self.start_run(0.1)
+        self.run_until_settled(5.0)
+        self.assertNotIn("start", self.channel.calls)
+
+    def test_stop_of_an_earlier_run_does_not_delay_a_start(self):
+        """Guards against a task whose next run is never started."""
+        self.channel.lost_stops = 3
+        self.channel.waiting_calls = {"stop"}
+        self.stop_run(0.1)
+        self.system.tell(self.session.name, StartRun("w1", fx.key(), 2, "", ""))
+        run_for(self.clock, 0.1)
+        self.assertTrue(self.settled()[0].reply.accepted)
+
+    def stop_run(self, seconds):
+        self.system.tell(self.session.name, StopRun("w1", *self.run_key))
+        run_for(self.clock, seconds)
+
     def test_rejected_stop_is_repeated(self):
         """Guards against a run that goes on after a stop without an effect."""
         for reason in ("unhealthy", "invalid"):
