Do not repeat the start of a run whose end was reported

Callers see a task that is done run a second time, and nothing stops that run.

Cause: a start whose reply is missing is sent again although the worker has listed the end of its run meanwhile. The process that listed it rejects the attempt. A process that has replaced it since knows nothing of the run and begins it: the session has not heard of the new process yet, so its fence is the highest that this process knows.

Ruled out: a new session closes the old one only with the first report of the new process, and the poll that brings it is repeated later than the attempt.

Change: the end of a run whose start is in flight counts like an ordered stop.

Test: test_start_of_a_run_that_has_ended_is_not_repeated failed before (the new process had begun the run after its end was acknowledged) and passes now.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -136,9 +136,9 @@
         self._starts_in_flight: set[tuple] = set()
         # Starts in flight that the worker may have received.
         self._unanswered_starts: set[tuple[TaskKey, int]] = set()
-        # Runs that COORDINATOR has ordered to stop, as long as their stop or
-        # their start is in flight.
-        self._stopped_runs: set[tuple[TaskKey, int]] = set()
+        # Runs that COORDINATOR has ordered to stop or whose end was reported,
+        # as long as their stop or their start is in flight.
+        self._closed_runs: set[tuple[TaskKey, int]] = set()
         super().__init__(system, session_name(facts.worker_id))
 
     def handlers(self) -> dict[type, Handler]:
@@ -342,6 +342,9 @@
             self.system.clock.seconds() - sent_at < MIN_POLL_DURATION_S
         )
         self._has_runs = bool(reply.running) or bool(self._starts_in_flight)
+        self._closed_runs |= self._starts_in_flight & {
+            (end.key, end.run) for end in reply.ended
+        }
         self._newest_end = max(
             (end.number for end in reply.ended), default=self._newest_end
         )
@@ -474,7 +477,7 @@
         finally:
             self._starts_in_flight.discard(run_key)
             self._unanswered_starts.discard(run_key)
-            self._stopped_runs.discard(run_key)
+            self._closed_runs.discard(run_key)
         if self._closed:
             return
         if reply.reason == "fenced":
@@ -488,14 +491,15 @@
 
         It is not sent without authority, after the lease has lapsed, when
         COORDINATOR gives up all runs of the worker, or after a stop of the
-        run, which may have no effect yet.
+        run, which may have no effect yet. Nor is it sent after the run has
+        ended: the worker may have restarted and would run it again.
         """
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
             if not self._may_start:
                 break
             if self._chart.state == "lapsed":
                 break
-            if (message.key, message.run) in self._stopped_runs:
+            if (message.key, message.run) in self._closed_runs:
                 break
             start = self._channel.start(
                 message, self._lease_until(), self._fence, timeout_s
@@ -576,7 +580,7 @@
 
     def _stop_run(self, message: StopRun) -> None:
         """Stop a run, also while its start waits for a reply."""
-        self._stopped_runs.add((message.key, message.run))
+        self._closed_runs.add((message.key, message.run))
         run(self._stop(message), self.name)
 
     async def _stop(self, message: StopRun) -> None:
@@ -586,7 +590,7 @@
         finally:
             if run_key not in self._starts_in_flight:
                 # From now on the worker rejects a start of the run.
-                self._stopped_runs.discard(run_key)
+                self._closed_runs.discard(run_key)
         if not self._closed:
             self._poll_soon()
 
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -297,6 +297,27 @@
         self.register_new_process(1.0)
         self.assertEqual(self.w1.process.runs_by_key, {})
 
+    def test_start_of_a_run_that_has_ended_is_not_repeated(self):
+        """Guards against a second run of a task that is done.
+
+        The first attempt has no reply when the end is recorded. The worker
+        restarts before the second one.
+        """
+        self.submit("other", 0.5)
+        self.w1.late = {"start"}
+        self.submit("job", 0.05)
+        self.w1.carry_out_late_calls()
+        self.w1.late = set()
+        self.w1.process.end(KEY, EndKind.DONE)
+        self.run_for(0.2)
+        self.assertNotIn(KEY, self.w1.process.runs_by_key)
+        self.assertTrue(self.w1.process.acknowledged)
+        self.w1.restart()
+        self.run_for(3.0)
+        self.assertNotIn(KEY, self.w1.process.runs_by_key)
+        runs = [interval for interval in self.w1.all_intervals() if interval.key == KEY]
+        self.assertEqual(len(runs), 1)
+
     def test_report_to_an_earlier_session_is_not_the_first_report(self):
         """Guards against a second run beside a start that is in flight.
 
