Do not repeat a start after a lapse was reported

Callers see a second run of a task, or a run of a cancelled job, begin on a worker that was taken for gone.

Cause: each attempt of a start looks at the present state of the session only. The coordinator gives up all runs of a worker when the session reports a lapse. If the worker answers again before the next attempt, the session has left that state, and the attempt is sent.

Ruled out: an attempt extends the lease, so that it cannot run out between two of them. A drained worker that seems to have left lapses at once, though.

Change: a reported lapse closes all runs whose start is in flight.

Test: test_start_is_not_repeated_after_its_run_was_given_up failed before (two starts were sent) and passes now.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -136,8 +136,8 @@
         self._starts_in_flight: set[tuple] = set()
         # Starts in flight that the worker may have received.
         self._unanswered_starts: set[tuple[TaskKey, int]] = set()
-        # Runs that COORDINATOR has ordered to stop or whose end was reported,
-        # as long as their stop or their start is in flight.
+        # Runs that COORDINATOR has ordered to stop or gives up, or whose end
+        # was reported, as long as their stop or their start is in flight.
         self._closed_runs: set[tuple[TaskKey, int]] = set()
         super().__init__(system, session_name(facts.worker_id))
 
@@ -643,6 +643,8 @@
         self._tell_coordinator(WorkerSilent(self._facts.worker_id, self._fence))
 
     def _report_lapsed(self) -> None:
+        # COORDINATOR gives up these runs, also if the worker answers again.
+        self._closed_runs |= self._starts_in_flight
         self._tell_coordinator(
             WorkerLeaseLapsed(
                 self._facts.worker_id,
--- a/tests/test_settled_starts.py
+++ b/tests/test_settled_starts.py
@@ -17,6 +17,7 @@
 from redwingrudder.coordination.messages import (
     AcknowledgeEnds,
     Fenced,
+    RegistryEntryRemoved,
     StartSettled,
     WorkerLeaseLapsed,
     WorkerPolled,
@@ -26,7 +27,7 @@
     WorkerSession,
     prior_lease_timeout_s,
 )
-from redwingrudder.exceptions import OutcomeUnknownError
+from redwingrudder.exceptions import OutcomeUnknownError, UnavailableError
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows.model import EndKind, RunEnd, RunReport, StartRun, StopRun
 
@@ -266,6 +267,27 @@
         self.run_until_settled(5.0)
         self.assertNotIn("start", self.channel.calls)
 
+    def test_start_is_not_repeated_after_its_run_was_given_up(self):
+        """Guards against a run that begins after a lapse was reported.
+
+        The worker seems to have left while the first attempt has no reply,
+        and answers again before the next one.
+        """
+        self.channel.lost_starts = 1
+        self.channel.waiting_calls = {"start"}
+        self.start_run(0.05)
+        no_reply = UnavailableError("the worker cannot be reached")
+        with mock.patch.object(self.channel, "poll", side_effect=no_reply):
+            self.system.tell(self.session.name, RegistryEntryRemoved(True))
+            run_for(self.clock, 0.33)
+        self.assertTrue(
+            any(isinstance(m, WorkerLeaseLapsed) for m in self.coordinator.received)
+        )
+        self.system.tell(self.session.name, StopRun("w1", fx.key("other"), 1))
+        run_for(self.clock, 1.0)
+        self.assertEqual(self.channel.calls.count("start"), 1)
+        self.assertEqual(len(self.settled()), 1)
+
     def test_stop_of_an_earlier_run_does_not_delay_a_start(self):
         """Guards against a task whose next run is never started."""
         self.channel.lost_stops = 3
