Record a checkpoint until the run has saved one of its own

Callers see all work of a task repeated after a change of the coordinator, for example of a long task whose run had been stopped and had just resumed.

Cause: a checkpoint was left out of the record as soon as the worker had confirmed the run that resumed from it, because the worker reports the checkpoint of its run. It need not report one before the run saves one. If that run and the coordinator are lost, the work of all earlier runs is. The same holds after a restart of a worker whose new process has carried out a start without a checkpoint.

Ruled out: a gang's checkpoint is always recorded. The checkpoint that a run saves itself is still left out, so no record is written for a checkpoint.

Change: a task knows whether its run has saved a checkpoint on the present process of its worker; only then the checkpoint is left out.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -164,7 +164,7 @@
         self.worker_restarted(worker_id, now, unanswered_starts)
         worker.release_ended()
         for task in list(worker.tasks_by_key.values()):
-            task.run_confirmed = False
+            task.run_confirmed = task.run_saved = False
             task.speed_percent = FULL_SPEED_PERCENT
             self.step(task, "worker_restarted", now)
         worker.heard_at = -math.inf
@@ -638,6 +638,7 @@
         if worker_id not in self.workers_by_id or run < _newest_run(task):
             return
         task.run, task.worker_id = run, worker_id
+        task.run_saved = False
         task.speed_percent, task.speed_known = FULL_SPEED_PERCENT, False
         task.record_start(now)
         self.step(task, "assign", now)
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -163,10 +163,10 @@
         if task.placed:
             started_ms = started_ms_by_worker.get(task.worker_id, 0)
             placed.append([*key, task.run, task.worker_id, started_ms])
-        # The worker of a run that has begun reports its checkpoint, so it need
-        # not be stored. A gang's checkpoint is saved in its first task and may
-        # have been reported by any member, so it is always stored.
-        reported_by_worker = task.placed and task.run_confirmed
+        # The worker of a run that has saved a checkpoint reports it, so it
+        # need not be stored. A gang's checkpoint is saved in its first task
+        # and may have been reported by any member, so it is always stored.
+        reported_by_worker = task.placed and task.run_confirmed and task.run_saved
         if task.checkpoint and (task.stage.spec.gang or not reported_by_worker):
             checkpoints.append([*key, task.checkpoint])
     document = {
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -118,7 +118,7 @@
             run = self._next_run(task.run)
             checkpoint = task.checkpoint
         task.run = run
-        task.run_confirmed = task.run_adopted = False
+        task.run_confirmed = task.run_adopted = task.run_saved = False
         task.worker_id = worker.facts.worker_id
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
@@ -278,6 +278,7 @@
         if checkpoint:
             checkpoint_holder = task.stage.tasks[0] if task.stage.spec.gang else task
             checkpoint_holder.checkpoint = checkpoint
+            task.run_saved = True
 
     def record_worker_failure(self, worker_id: str, task: Task, now: float) -> None:
         """Count a failure against a worker, and quarantine it if it has many.
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -103,6 +103,8 @@
         state: State in ``TASK_CHART``.
         run: Number of the newest run, 0 before the first.
         run_resumed: Whether the newest run resumed from a checkpoint.
+        run_saved: Whether the newest run has saved a checkpoint on the present
+            process of its worker.
         run_confirmed: Whether the worker has confirmed the newest run's start.
         run_adopted: Whether an earlier coordinator placed the newest run, so
             that its start may have been sent.
@@ -146,6 +148,7 @@
         "run_adopted",
         "run_confirmed",
         "run_resumed",
+        "run_saved",
         "stage",
         "started_at",
         "state",
@@ -160,6 +163,7 @@
         self.state = TASK_CHART.initial
         self.run = 0
         self.run_resumed = False
+        self.run_saved = False
         self.run_adopted = False
         self.run_confirmed = False
         self.worker_id = ""
--- a/tests/test_checkpoints.py
+++ b/tests/test_checkpoints.py
@@ -182,6 +182,43 @@
         self.report_no_runs()
         self.assertEqual(self.next_checkpoints(), ["new"])
 
+    def test_record_keeps_the_checkpoint_that_a_run_resumed_from(self):
+        """Guards against work of all earlier runs that is lost at a takeover.
+
+        The second run has begun and has not saved a checkpoint of its own.
+        """
+        (first,) = self.start()
+        self.end(first, "saved")
+        (second,) = self.start()
+        self.assertEqual(second.checkpoint, "saved")
+        self.restore()
+        self.interrupt(second)
+        self.assertEqual(self.next_checkpoints(), ["saved"])
+
+    def test_record_keeps_the_checkpoint_after_several_terms(self):
+        """Guards against a checkpoint that is lost as its run is adopted."""
+        (first,) = self.start()
+        self.end(first, "saved")
+        (second,) = self.start()
+        self.restore(2)
+        self.engine.start_confirmed(second.key, second.run, 0.0)
+        self.restore(3)
+        self.interrupt(second)
+        self.assertEqual(self.next_checkpoints(), ["saved"])
+
+    def test_record_keeps_the_checkpoint_of_the_last_process(self):
+        """Guards against saved work that a new process does not report.
+
+        The new process has carried out the start, which had no checkpoint.
+        """
+        (first,) = self.start()
+        self.report(first, "saved")
+        self.engine.replace_process(first.worker_id, 2, 0.0)
+        self.report(first, "")
+        self.restore()
+        self.interrupt(first)
+        self.assertEqual(self.next_checkpoints(), ["saved"])
+
     def test_checkpoint_of_the_adopted_run_is_the_newest(self):
         """Guards against a record that hides what a worker reports later."""
         (first,) = self.start()
