Keep no checkpoint of a step that cannot resume

Callers see run times of such a step estimated from too few runs.

Cause: a checkpoint that a worker lists for a step without checkpoints was kept and recorded. The next start had none, as it should, but its run counted as resumed, and run times of resumed runs are left out of the estimates.

Ruled out: no start of such a step carried a checkpoint.

Change: only tasks that can resume keep a checkpoint.

Test: test_reported_checkpoint_is_not_used failed before (the run counted as resumed) and passes now.

--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -274,8 +274,9 @@
         """Save a task's newest checkpoint; an empty one is ignored.
 
         The members of a gang share a checkpoint, which the first task stores.
+        Tasks that cannot resume have none.
         """
-        if checkpoint:
+        if checkpoint and task.stage.spec.checkpoints:
             checkpoint_holder = task.stage.tasks[0] if task.stage.spec.gang else task
             checkpoint_holder.checkpoint = checkpoint
             task.run_saved = True
--- a/tests/test_checkpoints.py
+++ b/tests/test_checkpoints.py
@@ -287,5 +287,23 @@
         self.assert_next("saved")
 
 
+class NoCheckpointTests(CheckpointCase):
+    """A task of a step that cannot resume from checkpoints."""
+
+    step = fx.step()
+
+    def test_reported_checkpoint_is_not_used(self):
+        """Guards against a run that counts as resumed but begins anew.
+
+        Run times of runs that resumed are left out of the estimates.
+        """
+        (first,) = self.start()
+        self.report(first, "listed")
+        self.end(first, "ended")
+        (second,) = self.start()
+        self.assertEqual(second.checkpoint, "")
+        self.assertFalse(self.progress.find(second.key).run_resumed)
+
+
 if __name__ == "__main__":
     unittest.main()
