--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -185,7 +185,7 @@
         self.worker_restarted(worker_id, now, unanswered_starts)
         worker.release_ended()
         for task in list(worker.tasks_by_key.values()):
-            task.run_confirmed = False
+            task.run_confirmed = task.run_saved = False
             task.speed_percent = FULL_SPEED_PERCENT
             self.step(task, "worker_restarted", now)
         worker.heard_at = -math.inf
@@ -458,9 +458,14 @@
             clear_if_harmless(task, has_ended=True)
         if ended.kind is EndKind.DONE and not task.stage.spec.service:
             return self._record_done(task, worker_id, current, now)
-        if not current or task.ended or not task.placed:
+        if not current or task.ended:
             return False
         self.save_checkpoint(task, ended.checkpoint)
+        if not task.placed:
+            # The run was given up, but the next one may resume from its end.
+            if ended.checkpoint:
+                self.dirty.add(task.key.workflow_id)
+            return bool(ended.checkpoint)
         if ended.kind is EndKind.FAILED:
             task.failed_workers.add(worker_id)
             task.stage.failed_at = now
@@ -628,9 +633,9 @@
         """Restore a run that is named by a stored record or by a worker.
 
         A task that is placed already keeps its current run; the start of that
-        run is confirmed if it is the given one and ``started`` is set. A run
-        that is older than the newest one of its task or gang is ignored. The
-        run of an ended workflow is stopped.
+        run is confirmed if it is the given one and ``started`` is set. A
+        listed run that is older than the newest one of its task or gang is
+        ignored. The run of an ended workflow is stopped.
 
         Args:
             key: The task; the run is ignored if the task is unknown or ended.
@@ -651,9 +656,13 @@
                 task.run_confirmed = True
                 self.step(task, "started", now)
             return
-        if worker_id not in self.workers_by_id or run < _newest_run(task):
+        if worker_id not in self.workers_by_id:
+            return
+        if started and run < _newest_run(task):
             return
         task.run, task.worker_id = run, worker_id
+        task.highest_run = max(task.highest_run, run)
+        task.run_saved = False
         task.speed_percent, task.speed_known = FULL_SPEED_PERCENT, False
         task.record_start(now)
         self.step(task, "assign", now)
@@ -811,4 +820,4 @@
 def _newest_run(task: Task) -> int:
     """Return the number of the newest run of a task or of its gang."""
     members = task.stage.tasks if task.stage.spec.gang else [task]
-    return max(member.run for member in members)
+    return max(member.highest_run for member in members)
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -101,8 +101,12 @@
         key: Key of the task.
         stage: Step of the task.
         state: State in ``TASK_CHART``.
-        run: Number of the newest run, 0 before the first.
+        run: Number of the newest run, 0 before the first. It is lower while an
+            older run that a worker has listed is being stopped.
+        highest_run: Highest number that a run of the task has had.
         run_resumed: Whether the newest run resumed from a checkpoint.
+        run_saved: Whether the newest run has saved a checkpoint on the present
+            process of its worker.
         run_confirmed: Whether the worker has confirmed the newest run's start.
         run_adopted: Whether an earlier coordinator placed the newest run, so
             that its start may have been sent.
@@ -134,6 +138,7 @@
         "crash_evidence_by_run",
         "failed_workers",
         "failures",
+        "highest_run",
         "key",
         "speed_known",
         "speed_percent",
@@ -146,6 +151,7 @@
         "run_adopted",
         "run_confirmed",
         "run_resumed",
+        "run_saved",
         "stage",
         "started_at",
         "state",
@@ -159,7 +165,9 @@
         self.stage = stage
         self.state = TASK_CHART.initial
         self.run = 0
+        self.highest_run = 0
         self.run_resumed = False
+        self.run_saved = False
         self.run_adopted = False
         self.run_confirmed = False
         self.worker_id = ""
