Ignore announcements of jobs that may have been removed

Callers see: a job that has ended runs a second time, or runs although it was cancelled, after its records were removed from the store.

Cause: a node announces a job to the coordinator after it has stored it, and the announcement carries the document. The coordinator looked for the job in the engine only. The engine forgets a job with its records, and a new coordinator never had a job that was removed before its term. A node that is paused between its write and its announcement announces a job that is gone.

Ruled out: remembering removed ids, which a new coordinator does not have; reading the store for each announcement, which delays each start by a call to a store that may be slow.

Change: an announcement counts only if the job was accepted within half of the retention period. Records stay for the whole period after the end of a job, so such a job cannot have been removed unless the clocks of two nodes differ by the other half. A job whose announcement is ignored is reported by the watch if it is still stored.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -1,6 +1,7 @@
 """Runs the workflow engine while this node is the elected coordinator."""
 
 import logging
+import math
 import time
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -72,6 +73,10 @@
 # Time within which workers that can be reached report to a new coordinator.
 # Until then it preempts nothing.
 FIRST_REPORTS_TIMEOUT_S = 0.3
+# Share of the retention period within which an announced workflow is accepted.
+# Its records stay for the whole period after its end; the rest is a margin for
+# clocks that differ.
+ANNOUNCEMENT_AGE_SHARE = 0.5
 TICK_TIMER = "tick"
 
 Result = TypeVar("Result")
@@ -110,7 +115,7 @@
             EndTerm: self._end_term,
             LeaseConfirmed: self._lease_confirmed,
             ConfigurationInForce: self._set_configuration,
-            WorkflowStored: self._workflow_stored,
+            WorkflowStored: self._workflow_announced,
             CancelStored: self._cancel_stored,
             GetState: self._get_state,
             GetQueueLength: self._get_queue_length,
@@ -292,13 +297,30 @@
         if key.endswith(CANCEL_SUFFIX):
             self._cancel_stored(CancelStored(workflow_id_of(key)))
         else:
-            self._workflow_stored(WorkflowStored(workflow_id_of(key), value))
+            self._accept_stored(workflow_id_of(key), value)
 
-    def _workflow_stored(self, message: WorkflowStored) -> None:
+    def _workflow_announced(self, message: WorkflowStored) -> None:
+        """Accept a workflow that a node has stored.
+
+        An announcement may arrive after the records of the workflow were
+        removed, so one of an earlier acceptance is ignored. The watch reports
+        the workflow if it is still stored.
+        """
+        unix_time_s = self.system.clock.seconds() + self._unix_time_offset_s
+        max_age_s = ANNOUNCEMENT_AGE_SHARE * self._gateways.keep_ended_s
+        self._accept_stored(
+            message.workflow_id, message.document, unix_time_s - max_age_s
+        )
+
+    def _accept_stored(
+        self, workflow_id: str, document: str, accepted_since: float = -math.inf
+    ) -> None:
         if not self._ready:
             return
         now = self.system.clock.seconds()
-        if accept_stored(self._term.engine, message.workflow_id, message.document, now):
+        if accept_stored(
+            self._term.engine, workflow_id, document, now, accepted_since=accepted_since
+        ):
             self._schedule_planning()
 
     def _cancel_stored(self, message: CancelStored) -> None:
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -1,6 +1,7 @@
 """Restores the stored state of earlier coordinators at the start of a term."""
 
 import logging
+import math
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -57,7 +58,12 @@
 
 
 def accept_stored(
-    engine: Engine, key: str, document: str, now: float, recovering: bool = False
+    engine: Engine,
+    key: str,
+    document: str,
+    now: float,
+    recovering: bool = False,
+    accepted_since: float = -math.inf,
 ) -> bool:
     """Add a stored workflow to the engine.
 
@@ -71,9 +77,12 @@
         recovering: Whether this is part of a recovery. The workflow then keeps
             the age that its time of acceptance gives; otherwise it counts as
             accepted now.
+        accepted_since: Unix seconds; a workflow with an earlier time of
+            acceptance is skipped.
 
     Returns:
-        Whether the engine did not have the workflow before.
+        Whether the workflow was added: False if it cannot be decoded, is
+        skipped or was added before.
     """
     try:
         workflow = records.decode_workflow(document.encode())
@@ -86,6 +95,11 @@
     workflow_id = workflow.workflow_id
     if workflow_id in engine.workflows_by_id or workflow_id in engine.set_aside_ids:
         return False
+    if workflow.accepted_at < accepted_since:
+        _logger.info(
+            "late announcement of a job is ignored", extra={"job": workflow_id}
+        )
+        return False
     age_s = (
         min(max(time.time() - workflow.accepted_at, 0.0), MAX_RECOVERED_AGE_S)
         if recovering
