Apply only the last change of each key that a watch reports

Callers see: a job that has ended runs a second time after its records were removed from the store.

Cause: the coordinator learns of a job by an announcement, and its watch of the submissions may fail or lag while its other calls succeed. A watch that goes on after the records were removed reports the document and its removal together. Removals were skipped, so the job was accepted again.

Change: of the changes that arrive together, the last one of each key is applied, so a document that was removed since is not.

Remaining: if the document and its removal arrive in two replies of the watch, the job is accepted by the first of them.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -288,8 +288,10 @@
     # Submissions and cancellations.
 
     def _apply_intake_entries(self, items: tuple[Change | KeyValue, ...]) -> None:
-        for item in items:
-            _guard(self._apply_intake_entry, item.key, item.value)
+        # A watch that lags behind reports documents with their removal.
+        value_by_key = {item.key: item.value for item in items}
+        for key, value in value_by_key.items():
+            _guard(self._apply_intake_entry, key, value)
 
     def _apply_intake_entry(self, key: str, value: str | None) -> None:
         if value is None:
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -143,6 +143,12 @@
         self.run_for(1.0)
         self.assertEqual(self.running(), {fx.key("next")})
 
+    def test_change_of_a_key_that_was_removed_since_is_not_applied(self):
+        """Guards against a second run of a job by a watch that lags behind."""
+        self.run_job(stores=())
+        self.run_for(1.0)
+        self.assertEqual(self.running(), set())
+
 
 if __name__ == "__main__":
     unittest.main()
