Stop the runs of jobs whose end an earlier owner has recorded

Callers see: a cancelled job, answered and recorded as interrupted, goes on running on a worker that the next owner claims.

Cause: an owner that cannot reach a worker ends a cancelled job without the worker's answer, and the run lasts until the lease of the worker ends. If the domain changes hands within that time and the new owner claims the worker after it has loaded the job records, its scheduler has no such job, adds it from the report and lets the gang go on, which also renews the lease. In the other order, worker first and records second, the gang was stopped.

Ruled out: a restart of the tasks (the gang keeps its id and is not started again), and owners that saw the end themselves: their scheduler keeps the ended job and stops the gang.

Change: after a claim, the jobs that the worker reports as started and that the ledger has as ended are cancelled, as they are when their records are loaded after the claim.

Measured: the test failed before: the worker still listed the member as started four seconds after the claim.

--- a/src/redwingrudder/_ownership_term.py
+++ b/src/redwingrudder/_ownership_term.py
@@ -24,7 +24,15 @@
 from ._worker_messages import LinkEvent
 from ._worker_roster import WorkerRoster
 from .exceptions import StoreUnavailableError, UnavailableError
-from .model import FINAL_JOB_STATES, Epoch, GuaranteeShortage, JobState, JobView
+from .model import (
+    FINAL_JOB_STATES,
+    Epoch,
+    GuaranteeShortage,
+    JobState,
+    JobView,
+    MemberState,
+    WorkerReport,
+)
 from .requests import DISPATCHER, VmInfo
 from .timers import TIMERS, Subscribe, Unsubscribe
 
@@ -194,6 +202,8 @@
             if isinstance(event, messages.WorkerClaimed):
                 self._commands.track_members(event.report)
             self.process_event(event)
+            if isinstance(event, messages.WorkerClaimed):
+                self._cancel_ended_jobs(event.report)
         self._resolve_recovered_jobs()
         self._end_recovery_if_complete()
 
@@ -315,11 +325,25 @@
         self._end_recovery_if_complete()
 
     def _handle_final_record(self, job_id: str) -> None:
+        self._cancel_ended_job(job_id)
+        self.waiters.job_ended(job_id)
+
+    def _cancel_ended_jobs(self, report: WorkerReport) -> None:
+        """Cancel the ended jobs that a claimed worker still runs.
+
+        The scheduler does not have the jobs whose end a previous owner has
+        recorded, and lets a run that a worker reports go on.
+        """
+        for member in report.members:
+            started = member.state is MemberState.STARTED
+            if started and self.ledger.has_ended(member.job_id):
+                self._cancel_ended_job(member.job_id)
+
+    def _cancel_ended_job(self, job_id: str) -> None:
         view = self.scheduler.view(job_id)
         if view is not None and view.state not in FINAL_JOB_STATES:
             # A worker still holds members of a gang of this ended job.
             self.process_event(messages.CancelRequested(job_id))
-        self.waiters.job_ended(job_id)
 
     def _can_resolve(self, job_id: str) -> bool:
         all_workers_reported = self._members_known and self.roster.all_claimed_or_lost
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -375,6 +375,34 @@
             self.assertIs(successor.poll(view.job_id).state, answer.state)
             self.assertEqual(len(self.starts()), 1)
 
+    def test_a_worker_that_returns_does_not_go_on_with_an_ended_job(self):
+        """Guards against a cancelled job that a later owner lets run on.
+
+        The worker runs the job, cannot be reached while the job is cancelled,
+        and is claimed by the next owner after the job records were loaded.
+        """
+        view = self.node.submit(SPEC._replace(payload='{"run_s": 40}'))
+        self.node.run_for(0.5)
+        (busy,) = (
+            address
+            for address, core in self.transport.cores_by_address.items()
+            if core.history
+        )
+        self.transport.cut.add(busy)
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        for core in self.transport.cores_by_address.values():
+            core.draining = True
+        second = self.second_node(2)
+        second.run_for(3.0)
+        answer = second.ask(r.CancelJob(view.job_id))
+        self.assertIs(answer.state, JobState.INTERRUPTED)
+        second.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        third = self.second_node(3)
+        self.transport.cut.clear()
+        third.run_for(4.0)
+        self.assertNotIn("started", [member["state"] for member in self.members()])
+        self.assertIs(third.poll(view.job_id).state, JobState.INTERRUPTED)
+
     def test_a_refusal_after_a_lost_reply_does_not_mean_not_started(self):
         """Guards against a started member that is never released."""
         self.transport.refuse_start_after_lost_reply = True
