Send no start to a worker once its stop is queued

Callers see: a job that was cancelled before any worker had started it is started seconds after the cancellation, and stopped right away.

Cause: the commands of a gang are sent in order, and a start without a reply is repeated until it has one. If the job is cancelled meanwhile, the stop waits behind the start. When the worker can be reached again, it gets the start first and the stop after its reply. The same goes for a start that has not been sent yet, because other commands of the link await their replies.

Ruled out: an answer to the cancellation before the stop; it was given after the stop only. A start that is carried out after the stop: the worker does not start a gang that it has closed.

Change: a start whose stop is queued is dropped, as is a reservation whose release is queued, and the stop is sent in its place. A worker that has not started the member releases it and answers "unknown_gang", which the link reports as a refused start; the scheduler then sends the release. A worker that carried out an earlier attempt reports the ends of the tasks.

The worker started the member about two seconds after it could be reached again, with the stop queued since before that; it starts none now. After a lost reply the start was sent twice; it is sent once now.

--- a/src/redwingrudder/_worker_commands.py
+++ b/src/redwingrudder/_worker_commands.py
@@ -26,6 +26,7 @@
 MAX_RETRY_DELAY_S = 2.0
 MAX_RETRY_DOUBLINGS = 10  # bounds the exponent of the back-off
 OVERLOADED_CODE = "overloaded"
+STOPPED_FIRST_CODE = "stopped_first"  # of a start whose stop was sent instead
 
 Command = ReserveMember | StartMember | ReleaseMember | StopMember
 Answer = ReserveAnswered | StartAnswered | ReleaseAnswered
@@ -44,10 +45,13 @@
     Attributes:
         command: The command to send.
         attempts: Number of earlier attempts that got no reply.
+        replaces_start: Whether this is a stop that is sent in place of the
+            start of the gang.
     """
 
     command: Command
     attempts: int
+    replaces_start: bool = False
 
 
 class CommandQueue:
@@ -62,6 +66,7 @@
         self._attempts_by_gang: dict[str, int] = {}
         self._ready_gangs: deque[str] = deque()
         self._gangs_in_flight: set[str] = set()
+        self._replaced_starts: set[str] = set()
         self._size = 0
 
     def add(self, command: Command) -> bool:
@@ -96,8 +101,10 @@
         gang_id = self._ready_gangs.popleft()
         self._gangs_in_flight.add(gang_id)
         self._drop_released_reservation(gang_id)
+        self._drop_stopped_start(gang_id)
         attempts = self._attempts_by_gang.get(gang_id, 0)
-        return PendingCommand(self._queues_by_gang[gang_id][0], attempts)
+        command = self._queues_by_gang[gang_id][0]
+        return PendingCommand(command, attempts, gang_id in self._replaced_starts)
 
     def _drop_released_reservation(self, gang_id: str) -> None:
         """Drop the reservation of a gang if its release is queued as well.
@@ -109,17 +116,31 @@
         queue = self._queues_by_gang[gang_id]
         released = any(isinstance(command, ReleaseMember) for command in queue)
         if released and isinstance(queue[0], ReserveMember):
-            queue.popleft()
-            self._size -= 1
-            self._attempts_by_gang.pop(gang_id, None)
+            self._drop_first(gang_id)
+
+    def _drop_stopped_start(self, gang_id: str) -> None:
+        """Drop the start of a gang if its stop is queued as well.
+
+        The reply to the stop tells whether an earlier attempt to start has
+        reached the worker.
+        """
+        queue = self._queues_by_gang[gang_id]
+        stopped = any(isinstance(command, StopMember) for command in queue)
+        if stopped and isinstance(queue[0], StartMember):
+            self._drop_first(gang_id)
+            self._replaced_starts.add(gang_id)
+
+    def _drop_first(self, gang_id: str) -> None:
+        self._queues_by_gang[gang_id].popleft()
+        self._size -= 1
+        self._attempts_by_gang.pop(gang_id, None)
 
     def remove_answered(self, gang_id: str) -> None:
         """Remove a gang's answered command and make its next one ready."""
         self._gangs_in_flight.discard(gang_id)
-        self._attempts_by_gang.pop(gang_id, None)
+        self._replaced_starts.discard(gang_id)
+        self._drop_first(gang_id)
         queue = self._queues_by_gang[gang_id]
-        queue.popleft()
-        self._size -= 1
         if queue:
             self._ready_gangs.append(gang_id)
         else:
@@ -210,6 +231,8 @@
         return ReleaseAnswered(gang_id, worker_id) if reply["accepted"] else None
     # A worker that does not know the gang holds no resources for it.
     released = code == "unknown_gang"
+    if released and pending.replaces_start:
+        return StartAnswered(gang_id, worker_id, False, STOPPED_FIRST_CODE)
     return ReleaseAnswered(gang_id, worker_id) if released else None
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -375,6 +375,33 @@
             self.assertIs(successor.poll(view.job_id).state, answer.state)
             self.assertEqual(len(self.starts()), 1)
 
+    def test_a_job_cancelled_before_its_start_is_sent_is_never_started(self):
+        """Guards against a late start, and a member that is never released.
+
+        The workers cannot be reached from the reservation to the stop.
+        """
+        submitted = []
+        spec = SPEC._replace(payload='{"run_s": 40}')
+        self.node.system.ask(r.DISPATCHER, r.SubmitJob(spec, "c-1")).addCallback(
+            submitted.append
+        )
+        for _ in range(1000):
+            if "/v1/start" not in self.transport.paths():
+                self.clock.advance(0.0005)
+        self.assertIn("/v1/start", self.transport.paths())
+        self.transport.cut.update(info.address for info in WORKERS)
+        self.node.run_for(0.1)
+        answers = []
+        self.node.system.ask(
+            r.DISPATCHER, r.CancelJob(submitted[0].job_id)
+        ).addCallback(answers.append)
+        self.node.run_for(0.1)
+        self.transport.cut.clear()
+        self.node.run_for(8.0)
+        self.assertEqual([view.state for view in answers], [JobState.INTERRUPTED])
+        self.assertEqual(self.starts(), [])
+        self.assertEqual(self.members(), [])
+
     def test_a_worker_that_returns_does_not_go_on_with_an_ended_job(self):
         """Guards against a cancelled job that a later owner lets run on.
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -420,3 +420,42 @@
         self.run_and_take_events()
         self.send(StopMember("g", "w1", False))
         self.assertEqual(self.run_and_take_events(), [ReleaseAnswered("g", "w1")])
+
+    def cancel_while_cut_off(self, drop_replies=0):
+        """Send a start and its stop to a worker that loses replies or is cut.
+
+        Returns the events that follow once the worker answers again.
+        """
+        self.run_and_take_events()
+        self.send(self.reserve("g"))
+        self.run_and_take_events()
+        if drop_replies:
+            self.transport.replies_to_drop = drop_replies
+        else:
+            self.transport.cut.add(ADDRESS)
+        self.send(StartMember("g", "w1"))
+        self.run_for(0.1)
+        self.send(StopMember("g", "w1", False))
+        self.run_for(0.1)
+        self.transport.cut.clear()
+        self.run_for(2.0)
+        return self.run_and_take_events()
+
+    def test_a_start_is_not_sent_once_its_stop_is_queued(self):
+        """Guards against a start of a member whose job has been cancelled.
+
+        The worker cannot be reached when the start is sent for the first
+        time, and can be reached again when the stop has been queued.
+        """
+        events = self.cancel_while_cut_off()
+        history = [entry.what for entry in self.core.history]
+        self.assertEqual(history, ["reserved", "released"])
+        self.assertEqual(events, [StartAnswered("g", "w1", False, "stopped_first")])
+
+    def test_a_stop_in_place_of_a_start_reports_a_member_that_has_started(self):
+        """Guards against a started member that counts as never started."""
+        events = self.cancel_while_cut_off(drop_replies=1)
+        history = [entry.what for entry in self.core.history]
+        self.assertEqual(history, ["reserved", "started", "ended"])
+        self.assertEqual([type(event) for event in events], [TaskEnded])
+        self.assertEqual(self.transport.paths().count("/v1/start"), 1)
