Send no orders of a maintenance wave that was withdrawn or changed

Callers see: machines are taken down for a wave that the operators have withdrawn, or that no longer names them, and workers that were being emptied for it get no work until the next coordinator.

Cause: the coordinator reads the waves in each round and adds the new ones. A wave that it has begun stayed as it was first read, whatever the store held since; only a new coordinator would have seen the change.

Change: a wave that is no longer stored is dropped in the next round. It gets no status "done", its recorded orders stay, and the workers on machines that are not known to be down get work again. A wave with another document is dropped in the same way and begun again from its recorded orders, as a new coordinator does. A document that cannot be read changes nothing.

Remaining: an order that is on its way when the wave is withdrawn may still be carried out.

--- a/src/redwingrudder/coordination/maintenance.py
+++ b/src/redwingrudder/coordination/maintenance.py
@@ -68,6 +68,7 @@
         )
         self._wave_codec = wave_codec
         self._progress_by_id: dict[int, WaveProgress] = {}
+        self._keys_by_wave_id: dict[int, str] = {}
         self._finished_wave_ids: set[int] = set()
 
     async def _work(self, now: float) -> None:
@@ -86,13 +87,40 @@
         return ACTIVE_READ_INTERVAL_S if self._progress_by_id else READ_INTERVAL_S
 
     async def _read_waves(self) -> None:
+        """Read the waves; begin new ones and end those that were withdrawn.
+
+        A changed wave is begun again, from its recorded orders.
+        """
         reply = await self._system.ask(STORE, GetPrefix(self._wave_codec.prefix))
+        stored_keys = {pair.key for pair in reply.pairs}
+        for wave_id, key in list(self._keys_by_wave_id.items()):
+            if key not in stored_keys:
+                self._withdraw_wave(wave_id)
         for pair in reply.pairs:
             wave = self._wave_codec.decode(pair.key, pair.value)
             if wave is None or wave.wave_id in self._finished_wave_ids:
                 continue
-            if wave.wave_id not in self._progress_by_id:
+            progress = self._progress_by_id.get(wave.wave_id)
+            same_key = self._keys_by_wave_id.get(wave.wave_id) == pair.key
+            if progress is not None and same_key and progress.wave != wave:
+                self._withdraw_wave(wave.wave_id)
+                progress = None
+            if progress is None:
                 await self._take_over_wave(WaveProgress(wave))
+                self._keys_by_wave_id[wave.wave_id] = pair.key
+
+    def _withdraw_wave(self, wave_id: int) -> None:
+        """Send no more orders of a wave that is no longer stored as it was.
+
+        Its recorded orders are kept for a later form of the wave.
+        """
+        del self._keys_by_wave_id[wave_id]
+        progress = self._progress_by_id.pop(wave_id, None)
+        if progress is None:
+            return
+        for upkeep in progress.in_state("emptying", *ORDERED_STATES):
+            self._release_worker(upkeep)
+        _logger.info("maintenance wave withdrawn", extra={"wave": wave_id})
 
     async def _take_over_wave(self, progress: WaveProgress) -> None:
         """Begin a wave, or continue one that an earlier coordinator began."""
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -121,8 +121,8 @@
         self.engine.term = 5
         self.maintenance = self.new_term()
 
-    def document(self):
-        spec = wave()
+    def document(self, machines=3):
+        spec = wave(machines)
         return json.dumps(
             {
                 "wave": spec.wave_id,
@@ -259,6 +259,42 @@
         self.advance(20.0)
         self.assertEqual(self.status(), "done")
 
+    def test_withdrawn_wave_gets_no_more_orders(self):
+        """Guards against upkeep that the operators no longer want."""
+        self.advance(4.0, machines_return=False)
+        self.assertEqual(len(self.machines.orders), 1)
+        self.store.contents.remove("op/wave/1")
+        self.advance(10.0)
+        self.assertEqual(len(self.machines.orders), 1)
+        self.assertEqual(self.status(), "running")
+
+    def test_workers_of_a_withdrawn_wave_get_work_again(self):
+        """Guards against workers that stay excluded without an order."""
+        self.engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 0.0)
+        fx.confirm(self.engine, fx.starts(self.engine.plan(0.0, 0.0)))
+        workers = self.engine.workers_by_id.values()
+        self.advance(4.0)
+        self.assertTrue(any(worker.emptying for worker in workers))
+        self.store.contents.remove("op/wave/1")
+        self.advance(1.0)
+        self.assertFalse(any(worker.emptying for worker in workers))
+
+    def test_machine_that_left_the_wave_gets_no_order(self):
+        """Guards against upkeep of a machine by an older form of its wave."""
+        self.advance(4.0, machines_return=False)
+        self.assertEqual(len(self.machines.orders), 1)
+        self.store.contents.put("op/wave/1", self.document(machines=2))
+        self.advance(20.0)
+        self.assertEqual({name for name, _, _ in self.machines.orders}, {"m0", "m1"})
+        self.assertEqual(self.status(), "done")
+
+    def test_wave_that_becomes_unreadable_goes_on(self):
+        """Guards against a wave that an invalid document withdraws."""
+        self.advance(4.0)
+        self.store.contents.put("op/wave/1", "{")
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+
     def test_worker_is_emptied_first(self):
         """Guards against taking down a machine that has runs."""
         self.engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 0.0)
