Empty the present worker of a machine before its upkeep is ordered

Callers see: the runs of a worker end with the upkeep of its machine although it was never emptied; or a wave is reported as done and one of its machines has had no upkeep.

Cause: a machine keeps the id of the worker that it had when it was chosen. If another worker appears on it before an order was sent, the first one is unknown, which counted as empty, and the order was sent. With the order on record and not sent, the other worker counted as a proof of the upkeep.

Change: in the states "emptying" and "ordered", in which no order can have been carried out, another worker takes the machine back to "waiting", and it is chosen again with that worker. Once an order may have been carried out, another worker still means that the upkeep is over.

--- a/src/redwingrudder/workflows/maintenance.py
+++ b/src/redwingrudder/workflows/maintenance.py
@@ -57,8 +57,9 @@
     Attributes:
         machine_id: Id of the machine.
         state: State in ``UPKEEP_CHART``.
-        worker_id: Worker on the machine when it was chosen, "" before. The
-            machine has had its upkeep when it is up with another worker.
+        worker_id: Worker on the machine when it was chosen, "" before. After
+            an order the machine has had its upkeep when it is up with another
+            worker.
         empty_by: Node-clock seconds until which runs may end by themselves.
     """
 
@@ -100,7 +101,8 @@
         """Update the machines from the platform's list.
 
         A machine that is missing from the list is gone. A chosen machine that
-        is up with another worker has returned from upkeep.
+        is up with another worker has returned from upkeep if an order may have
+        been carried out; otherwise it may be chosen again.
         """
         by_id = {machine.machine_id: machine for machine in listed}
         for upkeep in self.machines_by_id.values():
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -15,7 +15,7 @@
 from redwingrudder.coordination.maintenance import Maintenance
 from redwingrudder.coordination.messages import Fenced
 from redwingrudder.coordination.recorder import Recorder
-from redwingrudder.exceptions import UnavailableError
+from redwingrudder.exceptions import OverloadedError, UnavailableError
 from redwingrudder.platform.machines import PlatformWaves
 from redwingrudder.workflows.machines import Machine, MachineState
 from redwingrudder.workflows.maintenance import (
@@ -30,6 +30,7 @@
 
 QUIET_S = 3.0
 STATUS = "status/wave/1"
+MACHINES = ("m0", "m1", "m2")
 
 
 def wave(machines=3, limit=1, duration_s=20.0):
@@ -52,6 +53,7 @@
         reply: Returned instead of carrying out an order, unless None.
         rejects_while_down: Whether orders to machines that are not up are
             rejected.
+        overloaded: Whether orders are answered with an overload.
         orders: Machine, holder and fencing token of each order.
         targets: Pool of each machine that was moved, in order.
         max_machines_down: Largest number of machines down at the same time.
@@ -62,6 +64,7 @@
         self.lost_replies = 0
         self.reply = None
         self.rejects_while_down = False
+        self.overloaded = False
         self.orders = []
         self.targets = []
         self.max_machines_down = 0
@@ -70,6 +73,8 @@
         return tuple(self.machines.values())
 
     async def begin_upkeep(self, machine_id, wave_id, holder, fence):
+        if self.overloaded:
+            raise OverloadedError("too many orders")
         self.orders.append((machine_id, holder, fence))
         if self.reply is not None:
             return self.reply
@@ -259,6 +264,51 @@
         self.advance(20.0)
         self.assertEqual(self.status(), "done")
 
+    def replace_worker(self, machine_id, worker_id):
+        """Let another worker appear on a machine, without any upkeep."""
+        self.engine.set_worker(fx.worker(worker_id), self.clock.seconds())
+        machine = self.machines.machines[machine_id]
+        self.machines.machines[machine_id] = machine._replace(worker_id=worker_id)
+
+    def test_new_worker_on_an_emptied_machine_is_emptied_too(self):
+        """Guards against an order that ends the runs of another worker.
+
+        The machine was chosen with a worker that another one has replaced.
+        """
+        self.engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 0.0)
+        fx.confirm(self.engine, fx.starts(self.engine.plan(0.0, 0.0)))
+        self.advance(4.0)
+        workers = self.engine.workers_by_id
+        (old,) = (worker for worker in workers.values() if worker.emptying)
+        old_id = old.facts.worker_id
+        machine_id = old_id.replace("w", "m")
+        now = self.clock.seconds()
+        self.engine.remove_worker(old_id, now, "test")
+        self.replace_worker(machine_id, "w-next")
+        self.engine.accept(fx.workflow("next", fx.step(1, fx.WHOLE_WORKER)), now)
+        fx.confirm(self.engine, self.engine.plan(now, now), now)
+        self.assertTrue(workers["w-next"].tasks_by_key)
+        self.advance(0.6)
+        self.assertEqual(self.machines.orders, [])
+
+    def test_new_worker_on_a_machine_without_an_order_is_no_upkeep(self):
+        """Guards against a wave that is done without the upkeep of a machine.
+
+        The order is on record, and the platform has not taken it.
+        """
+        self.machines.overloaded = True
+        self.advance(4.0)
+        self.assertEqual(len(self.machines.orders), 0)
+        (machine_id,) = json.loads(
+            self.store.contents.items_by_key[MAINTENANCE_PREFIX + "1"].value
+        )
+        self.replace_worker(machine_id, "w-next")
+        self.advance(1.0)
+        self.machines.overloaded = False
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+        self.assertEqual({name for name, _, _ in self.machines.orders}, set(MACHINES))
+
     def test_withdrawn_wave_gets_no_more_orders(self):
         """Guards against upkeep that the operators no longer want."""
         self.advance(4.0, machines_return=False)
