Empty the present worker of a machine before the machine is moved

Callers see: the runs of a worker end with the move of its machine to another pool although the worker was never emptied.

Cause: a move keeps the id of the worker that the machine had when it was chosen, also in the record that a later coordinator restores. If another worker has appeared on the machine, the first one is unknown, which counted as empty, and the order was sent.

Change: while the machine is listed in its old pool, the move follows the worker that is listed on it.

Measured: the test failed before: a restored move was ordered while the new worker had a run. Now it is ordered after the end of that run.

--- a/src/redwingrudder/workflows/pool_sizing.py
+++ b/src/redwingrudder/workflows/pool_sizing.py
@@ -73,7 +73,8 @@
     Attributes:
         machine_id: Id of the machine.
         target: Pool that the machine joins.
-        worker_id: Worker on the machine when it was chosen, "" if none ran.
+        worker_id: Last known worker on the machine before the move, "" if
+            none ran.
         state: State in ``MOVE_CHART``.
     """
 
@@ -96,7 +97,10 @@
         """Update the move from the listed machine, None if it is missing."""
         if machine is None:
             self.step("gone")
-        elif machine.pool == self.target and machine.state is not MachineState.CHANGING:
+        elif machine.pool != self.target:
+            # The worker may have been replaced since the machine was chosen.
+            self.worker_id = machine.worker_id or self.worker_id
+        elif machine.state is not MachineState.CHANGING:
             self.step("arrived")
 
 
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -299,6 +299,22 @@
         self.advance(2.0)
         self.assertEqual(self.service.targets, [("m" + index, "spare")])
 
+    def test_new_worker_on_a_machine_is_emptied_too(self):
+        """Guards against a move that ends the runs of another worker.
+
+        The move was recorded with a worker that another one has replaced.
+        """
+        self.store.contents.put(MOVES_KEY, json.dumps({"m0": ["spare", "w-last"]}))
+        self.engine.accept(fx.workflow("job", fx.step(1)), 0.0)
+        (start,) = fx.starts(self.engine.plan(0.0, 0.0))
+        fx.confirm(self.engine, [start])
+        self.assertEqual(start.worker_id, "w0")
+        self.advance(QUIET_S + 2.0)
+        self.assertEqual(self.service.orders, [])
+        self.engine.end("w0", fx.ended(start), 5.0)
+        self.advance(2.0)
+        self.assertEqual(self.service.targets, [("m0", "spare")])
+
     def test_needed_machine_is_kept(self):
         """Guards against a machine that leaves while work waits for it."""
         self.engine.set_worker(fx.worker("w1"), 0.0)
