Drop moves of machines that the configuration no longer has

Callers see: a machine is emptied and moved to a pool although the operators no longer keep that pool on standby.

Cause: a move was chosen by the roles of the pools at that time. While the machine was being emptied, only a shortage of its own pool ended the move.

Change: a move that has not been recorded ends if the present configuration does not have moves between its two pools. A recorded order may have been sent and is still repeated.

Measured: the test failed before: the machine was ordered into the pool.

--- a/src/redwingrudder/coordination/pool_moves.py
+++ b/src/redwingrudder/coordination/pool_moves.py
@@ -158,10 +158,7 @@
             if move.state != "emptying":
                 continue
             empty = self._set_emptying(move, True)
-            machine = by_id[move.machine_id]
-            if machine.pool in self._roles.serving and self._sizing.is_short(
-                machine.pool, now
-            ):
+            if self._is_needed(by_id[move.machine_id], move, now):
                 move.step("needed")
                 self._drop_if_ended(move)
             elif empty:
@@ -179,6 +176,13 @@
         for move in emptied:
             move.step("recorded")
 
+    def _is_needed(self, machine: Machine, move: MachineMove, now: float) -> bool:
+        """Return whether a machine has to stay in its pool after all."""
+        short = machine.pool in self._roles.serving and self._sizing.is_short(
+            machine.pool, now
+        )
+        return short or not self._roles.allows_move(machine.pool, move.target)
+
     async def _order(self, move: MachineMove) -> None:
         reply = await self._machine_service.move(
             move.machine_id, move.target, self._holder, self._engine.term
--- a/src/redwingrudder/workflows/pool_sizing.py
+++ b/src/redwingrudder/workflows/pool_sizing.py
@@ -44,6 +44,11 @@
         """Return the capacity that a pool must always have."""
         return Resources(accelerators=self.guaranteed_by_pool.get(pool, 0))
 
+    def allows_move(self, source: str, target: str) -> bool:
+        """Return whether machines move between two pools in this direction."""
+        spares = source in self.serving and target in self.standby
+        return spares or (source in self.standby and target in self.serving)
+
 
 NO_POOLS = PoolRoles(frozenset(), frozenset(), {})
 
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -315,6 +315,20 @@
         self.advance(2.0)
         self.assertEqual(self.service.targets, [("m0", "spare")])
 
+    def test_move_into_a_pool_that_is_no_longer_on_standby_is_dropped(self):
+        """Guards against a move that an older configuration asked for."""
+        self.engine.accept(fx.workflow("job", fx.step(1)), 0.0)
+        (start,) = fx.starts(self.engine.plan(0.0, 0.0))
+        fx.confirm(self.engine, [start])
+        self.moves._moves_by_machine["m0"] = MachineMove(machine(0), "spare")
+        self.advance(1.0)
+        self.assertTrue(self.engine.workers_by_id["w0"].emptying)
+        self.moves.set_roles(NO_STANDBY)
+        self.engine.end("w0", fx.ended(start), 1.0)
+        self.advance(QUIET_S + 2.0)
+        self.assertEqual(self.service.orders, [])
+        self.assertFalse(self.engine.workers_by_id["w0"].emptying)
+
     def test_needed_machine_is_kept(self):
         """Guards against a machine that leaves while work waits for it."""
         self.engine.set_worker(fx.worker("w1"), 0.0)
