Let a cancellation wait for the record of a new job

Callers see: a cancellation is answered with "no such job", and the job runs.

Cause: the id of a job follows from its idempotency key, so a caller whose submission is not answered in time can cancel it. While the record of the job was being written, the owner did not find the job.

Change: a cancellation waits until the submission in progress has ended, as a second submission of the key does, and then finds the job.

Remaining: a record whose write got no answer in all attempts may be written after the cancellation. The owner does not know such a job.

Measured: the test failed before: the cancellation got an error.

--- a/src/redwingrudder/_job_submitter.py
+++ b/src/redwingrudder/_job_submitter.py
@@ -77,8 +77,7 @@
         """
         spec = message.spec
         job_id = self._job_id(spec)
-        while job_id in self._waiters_by_new_job:
-            await self._wait_for_creation(job_id)
+        await self.wait_for_creation(job_id)
         ownership_term = self._get_ownership_term()
         accepted_view = self._find_accepted(ownership_term, job_id, spec)
         if accepted_view is not None:
@@ -94,10 +93,12 @@
             for waiter in self._waiters_by_new_job.pop(job_id):
                 waiter.callback(None)
 
-    def _wait_for_creation(self, job_id: str) -> Deferred:
-        waiter: Deferred = Deferred()
-        self._waiters_by_new_job[job_id].append(waiter)
-        return waiter
+    async def wait_for_creation(self, job_id: str) -> None:
+        """Wait while the record of a new job is being written."""
+        while job_id in self._waiters_by_new_job:
+            waiter: Deferred = Deferred()
+            self._waiters_by_new_job[job_id].append(waiter)
+            await waiter
 
     def _job_id(self, spec: JobSpec) -> str:
         domain = self._failure_domain
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -237,6 +237,7 @@
         return self._find_job(message.job_id)
 
     async def _cancel(self, message: CancelJob) -> JobView:
+        await self._submitter.wait_for_creation(message.job_id)
         view = self._find_job(message.job_id)
         if view.state in FINAL_JOB_STATES:
             return view
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -375,6 +375,23 @@
             self.assertIs(successor.poll(view.job_id).state, answer.state)
             self.assertEqual(len(self.starts()), 1)
 
+    def test_a_cancellation_waits_for_the_record_of_a_new_job(self):
+        """Guards against a job that runs after "no such job" for its cancel.
+
+        The caller knows the id of the job before its submission is answered.
+        """
+        job_id = job_id_for(DOMAIN, ONCE.organisation, ONCE.idempotency_key)
+        spec = ONCE._replace(payload='{"run_s": 40}')
+        views, outcomes = [], []
+        self.node.system.ask(r.DISPATCHER, r.SubmitJob(spec, "")).addCallback(
+            views.append
+        )
+        self.node.system.ask(r.DISPATCHER, r.CancelJob(job_id)).addBoth(outcomes.append)
+        self.node.run_for(3.0)
+        self.assertEqual([view.job_id for view in views], [job_id])
+        self.assertIn(outcomes[0].state, (JobState.NOT_RUN, JobState.INTERRUPTED))
+        self.assertNotIn("started", [member["state"] for member in self.members()])
+
     def test_a_job_cancelled_before_its_start_is_sent_is_never_started(self):
         """Guards against a late start, and a member that is never released.
 
