Name the worker process that a command is sent to

Callers see: a restarted worker runs a gang that its owner has given up and placed again; or the end of a task on a restarted worker never arrives.

Cause: a command named the owner's epoch only. The owner claims the next process of a worker under the same epoch, so a reservation and a start that were sent to the last process and are executed late by the next one were accepted. The owner has read the members of that process by then, and ignores the ends of a gang that it does not know. A late poll acknowledged, and so dropped, as many ends of the next process as the last one had reported.

Ruled out: a late command to the same process, which knows the gangs that it has closed, and a late command of an earlier owner, whose epoch is lower.

Change: each command but a claim has the boot id of the process that it is sent to, and another process rejects it with 409. The field is optional, as the end of the lease is: a worker that does not know it behaves as before.

Measured: the test failed before: the late reservation was answered with 200.

--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -70,6 +70,7 @@
 _OUTBOX_TIMER = "outbox"
 _RETRY_TIMER = "retry:"  # followed by the gang id
 
+_CLAIM_PATH = "/v1/claim"
 _PROBE_PATH = "/v1/state"
 
 
@@ -208,7 +209,7 @@
             node_id=self._settings.node_id,
             lease_s=self._settings.lease_s,
         )
-        self._call("/v1/claim", request, self._timeout_s(CLAIM_TIMEOUT_S), read_claim)
+        self._call(_CLAIM_PATH, request, self._timeout_s(CLAIM_TIMEOUT_S), read_claim)
 
     def _poll(self, _: ChartEvent | None = None) -> None:
         wait_s = self._settings.lease_s * POLL_WAIT_LEASE_SHARE
@@ -254,6 +255,8 @@
         address = self._settings.address
         if path == _PROBE_PATH:
             return await self._transport.get(address, path, timeout_s)
+        if path != _CLAIM_PATH:
+            body = {**body, "boot_id": self._boot_id}
         self._renewal_sent_at = self._now()
         reading = self._clock_reading
         if reading is not None:
--- a/src/redwingrudder/standins/_worker_core.py
+++ b/src/redwingrudder/standins/_worker_core.py
@@ -38,11 +38,12 @@
 
 
 class RejectedEpochError(StaleEpochError):
-    """The epoch of a command differs from that of the last claim.
+    """A command was sent under another claim or to another process.
 
     The code is ``stale_epoch`` for a lower epoch. It is ``not_claimed`` for a
     higher one, for example after a restart of the worker, because only a
-    claim raises the epoch.
+    claim raises the epoch. It is ``other_process`` for a command that was sent
+    to an earlier process of the worker.
     """
 
     def __init__(self, highest: Epoch, code: str) -> None:
@@ -93,9 +94,9 @@
     """A simulated worker whose owner holds a lease.
 
     Methods with a parameter ``now`` first simulate what happened until then:
-    task ends, the lease expiry and the expiry of results. Commands raise
-    ``RejectedEpochError`` unless their epoch is that of the last claim, and
-    renew the lease.
+    task ends, the lease expiry and the expiry of results. Commands renew the
+    lease. They raise ``RejectedEpochError`` unless their epoch is that of the
+    last claim and their ``boot_id``, if any, is that of this process.
 
     Args:
         info: Name, location and resources of the worker.
@@ -299,6 +300,8 @@
             raise RejectedEpochError(self.highest_epoch, "stale_epoch")
         if epoch > self.highest_epoch:
             raise RejectedEpochError(self.highest_epoch, "not_claimed")
+        if request.get("boot_id", self.boot_id) != self.boot_id:
+            raise RejectedEpochError(self.highest_epoch, "other_process")
         self._renew_lease(request, now)
 
     def _renew_lease(self, request: EpochRequest, now: float) -> None:
--- a/src/redwingrudder/worker_api.py
+++ b/src/redwingrudder/worker_api.py
@@ -36,10 +36,16 @@
     ``lease_until_s`` is a time of the worker's clock. A request does not renew
     the lease beyond it, so one that is executed late does not renew it for as
     long as one that is executed at once. Without it there is no such limit.
+
+    ``boot_id`` is that of the process to which the request is sent; claims do
+    not have it. Another process rejects the request with the code
+    ``other_process``, so one that is executed late by the next process of the
+    worker has no effect. Without it any process executes the request.
     """
 
     epoch: list[int]
     lease_until_s: NotRequired[float]
+    boot_id: NotRequired[str]
 
 
 class JobSpecBody(TypedDict):
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -291,6 +291,35 @@
         self.assertEqual(lost, WorkerLost("w1", "restarted"))
         self.assertEqual(claimed.report.members, ())
 
+    def test_a_restarted_worker_executes_no_requests_to_its_last_process(self):
+        """Guards against work that nobody wants, and ends that are lost.
+
+        Requests to the last process are executed late, by the next one. Its
+        owner has claimed it and has given up the gang.
+        """
+        self.run_and_take_events()
+        self.send(self.reserve("g"), StartMember("g", "w1"))
+        self.run_for(2.0)
+        self.send(self.reserve("h"), StartMember("h", "w1"))
+        self.run_for(2.0)
+        last = {path: body for _, path, body in self.transport.posted if body}
+        self.transport.restart(ADDRESS)
+        self.run_for(1.0)
+        self.send(self.reserve("next"), StartMember("next", "w1"))
+        self.run_for(0.5)
+        for path in ("/v1/reserve", "/v1/start"):
+            status, _ = self.transport._execute(ADDRESS, path, last[path])
+            self.assertEqual(status, 409)
+        members = self.core.state(self.clock.seconds())["members"]
+        self.assertEqual([member["gang_id"] for member in members], ["next"])
+        self.core.advance(self.clock.seconds() + 1.0)
+        status, _ = self.transport._execute(ADDRESS, "/v1/poll", last["/v1/poll"])
+        self.assertEqual(status, 409)
+        self.assertGreater(last["/v1/poll"]["after"], 0)
+        self.run_for(1.5)
+        ended = [e for e in self.dispatcher.received if isinstance(e, TaskEnded)]
+        self.assertEqual([event.gang_id for event in ended], ["g", "h", "next"])
+
     def test_commands_for_a_lost_claim_are_not_sent_under_the_next_one(self):
         """Guards against commands that refer to an earlier claim."""
         # A reservation sent for the claim before the restart would otherwise
