--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -375,6 +375,78 @@
             self.assertIs(successor.poll(view.job_id).state, answer.state)
             self.assertEqual(len(self.starts()), 1)
 
+    def test_a_cancellation_waits_for_the_record_of_a_new_job(self):
+        """Guards against a job that runs after "no such job" for its cancel.
+
+        The caller knows the id of the job before its submission is answered.
+        """
+        job_id = job_id_for(DOMAIN, ONCE.organisation, ONCE.idempotency_key)
+        spec = ONCE._replace(payload='{"run_s": 40}')
+        views, outcomes = [], []
+        self.node.system.ask(r.DISPATCHER, r.SubmitJob(spec, "")).addCallback(
+            views.append
+        )
+        self.node.system.ask(r.DISPATCHER, r.CancelJob(job_id)).addBoth(outcomes.append)
+        self.node.run_for(3.0)
+        self.assertEqual([view.job_id for view in views], [job_id])
+        self.assertIn(outcomes[0].state, (JobState.NOT_RUN, JobState.INTERRUPTED))
+        self.assertNotIn("started", [member["state"] for member in self.members()])
+
+    def test_a_job_cancelled_before_its_start_is_sent_is_never_started(self):
+        """Guards against a late start, and a member that is never released.
+
+        The workers cannot be reached from the reservation to the stop.
+        """
+        submitted = []
+        spec = SPEC._replace(payload='{"run_s": 40}')
+        self.node.system.ask(r.DISPATCHER, r.SubmitJob(spec, "c-1")).addCallback(
+            submitted.append
+        )
+        for _ in range(1000):
+            if "/v1/start" not in self.transport.paths():
+                self.clock.advance(0.0005)
+        self.assertIn("/v1/start", self.transport.paths())
+        self.transport.cut.update(info.address for info in WORKERS)
+        self.node.run_for(0.1)
+        answers = []
+        self.node.system.ask(
+            r.DISPATCHER, r.CancelJob(submitted[0].job_id)
+        ).addCallback(answers.append)
+        self.node.run_for(0.1)
+        self.transport.cut.clear()
+        self.node.run_for(8.0)
+        self.assertEqual([view.state for view in answers], [JobState.INTERRUPTED])
+        self.assertEqual(self.starts(), [])
+        self.assertEqual(self.members(), [])
+
+    def test_a_worker_that_returns_does_not_go_on_with_an_ended_job(self):
+        """Guards against a cancelled job that a later owner lets run on.
+
+        The worker runs the job, cannot be reached while the job is cancelled,
+        and is claimed by the next owner after the job records were loaded.
+        """
+        view = self.node.submit(SPEC._replace(payload='{"run_s": 40}'))
+        self.node.run_for(0.5)
+        (busy,) = (
+            address
+            for address, core in self.transport.cores_by_address.items()
+            if core.history
+        )
+        self.transport.cut.add(busy)
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        for core in self.transport.cores_by_address.values():
+            core.draining = True
+        second = self.second_node(2)
+        second.run_for(3.0)
+        answer = second.ask(r.CancelJob(view.job_id))
+        self.assertIs(answer.state, JobState.INTERRUPTED)
+        second.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        third = self.second_node(3)
+        self.transport.cut.clear()
+        third.run_for(4.0)
+        self.assertNotIn("started", [member["state"] for member in self.members()])
+        self.assertIs(third.poll(view.job_id).state, JobState.INTERRUPTED)
+
     def test_a_refusal_after_a_lost_reply_does_not_mean_not_started(self):
         """Guards against a started member that is never released."""
         self.transport.refuse_start_after_lost_reply = True
