Record starts only while the store has no cancellation of the job

Callers could see tasks of a job start long after its cancellation was acknowledged. The coordinator learns of a cancellation by its watch of the store and by one announcement that is not repeated. The transaction that records a placed run compared the term and the record's revision only, so a coordinator whose watch hangs or fails, while its other calls succeed, recorded and sent the starts of cancelled jobs for as long as that lasts.

A transaction that records starts now has the absence of the cancellation's key as a condition for each job that has them, unless the engine knows the job as cancelled or ended. When a comparison fails, these keys are read along with the revisions, and the engine cancels the jobs whose key exists. The start is then superseded, and the other jobs of the batch are written again at once. The condition is left out for ended jobs, since the engine ignores their cancellation and the write would be repeated forever.

A write that is carried out late meets the same condition at the store, so its record names no run that was placed after the cancellation. A write that is confirmed by a lookup implies the condition at its revision.

A write takes at most 32 entries: 10 jobs with starts, or 15 without. The revisions are read concurrently, as the keys of the cancellations add calls.

Ruled out: relying on the watch after a reset or a recovery. Both read the prefix and continue from the revision of the first page, so they miss nothing, but nothing bounds the time for which a watch fails.

Measured: on the code before, 4 of the 5 tests of test_missed_cancels fail (the cancelled job is started; the write done late is accepted); they pass now. The test of the size of a transaction passes on both. Without the exception for ended jobs, the new test of the recorder fails.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -17,7 +17,7 @@
 from ..workflows.state import WorkflowProgress
 from .gateways import COORDINATOR
 from .metrics import METRICS, IncrementCounter, ObserveDuration
-from .recorder import MAX_RECORDS_PER_WRITE, Recorder
+from .recorder import Recorder, select_batch
 from .worker_table import UnrecordedEnd, WorkerTable
 
 RETRY_DELAY_S = 0.1
@@ -80,18 +80,15 @@
 
     async def _write_batch(self) -> None:
         engine = self._engine
-        # Workflows with pending starts are written before all others.
-        urgent_ids = [start.key.workflow_id for start in self._pending_starts]
-        batch = list(dict.fromkeys([*urgent_ids, *engine.dirty]))[
-            :MAX_RECORDS_PER_WRITE
-        ]
+        starting_ids = {start.key.workflow_id: None for start in self._pending_starts}
+        batch = select_batch(starting_ids, engine.dirty)
         included = set(batch)
         engine.dirty -= included
         engine.being_recorded = included
         starts = [s for s in self._pending_starts if s.key.workflow_id in included]
         ends = self._workers.find_unrecorded_ends(included)
         try:
-            written = await self._recorder.write(engine, batch)
+            written = await self._recorder.write(engine, batch, starting_ids)
         except RedwingrudderError as error:
             _logger.info("progress could not be recorded", extra={"error": str(error)})
             await self._retry_later(included)
@@ -107,6 +104,7 @@
             self._on_deposed()
         elif not written.workflow_ids:
             self._mark_unrecorded(included)
+            self._cancel(written.cancelled_ids)
         else:
             engine.being_recorded = set()
             # Ends that arrived during the write and changed nothing are in the
@@ -118,6 +116,15 @@
         self._engine.being_recorded = set()
         self._engine.dirty |= workflow_ids
 
+    def _cancel(self, workflow_ids: tuple[str, ...]) -> None:
+        """Cancel workflows whose cancellations only the store has shown."""
+        now = self._system.clock.seconds()
+        for workflow_id in workflow_ids:
+            _logger.info(
+                "start withheld: the job is cancelled", extra={"job": workflow_id}
+            )
+            self._engine.cancel(workflow_id, now)
+
     async def _retry_later(self, workflow_ids: set[str]) -> None:
         self._mark_unrecorded(workflow_ids)
         await pause(self._system.clock, RETRY_DELAY_S)
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -1,19 +1,24 @@
 """Writes progress records to the store, guarded by the coordinator's term."""
 
 import logging
-from typing import NamedTuple
+from collections.abc import Collection, Iterable
+from itertools import chain
+from typing import Any, NamedTuple
+
+from twisted.internet.defer import FirstError, gatherResults
 
 from .._store_requests import Compare, GetKey, KeyValue, PutKey, Transact
 from ..actors import ActorSystem
-from ..exceptions import OutcomeUnknownError, RedwingrudderError
+from ..exceptions import OutcomeUnknownError
 from ..workflows import records
 from ..workflows.engine import Engine
 from .confirmation import transact
-from .gateways import PROGRESS_PREFIX, STORE, TERM_KEY
+from .gateways import PROGRESS_PREFIX, STORE, TERM_KEY, intake_keys
 
-# The store accepts at most 32 entries in a transaction: each record takes a
-# comparison and a put, and the comparison of the term takes one more entry.
-MAX_RECORDS_PER_WRITE = 15
+MAX_TRANSACTION_ENTRIES = 32  # comparisons and puts that the store accepts
+TERM_ENTRIES = 1  # comparison of the term
+RECORD_ENTRIES = 2  # comparison and put of a record
+CANCEL_ENTRIES = 1  # comparison of a cancellation
 
 _logger = logging.getLogger(__name__)
 
@@ -25,10 +30,35 @@
         workflow_ids: Workflows whose progress was recorded; empty if a
             comparison of the transaction failed.
         deposed: Whether the store holds the term of another coordinator.
+        cancelled_ids: Workflows that were not recorded since the store has
+            their cancellations.
     """
 
     workflow_ids: tuple[str, ...]
     deposed: bool = False
+    cancelled_ids: tuple[str, ...] = ()
+
+
+def select_batch(starting_ids: Iterable[str], other_ids: Iterable[str]) -> list[str]:
+    """Return the workflows that fit into one transaction.
+
+    Args:
+        starting_ids: Workflows with starts to record, which are chosen first.
+        other_ids: Other workflows to record; may include some of the former.
+    """
+    starting = dict.fromkeys(starting_ids)
+    batch: dict[str, None] = {}
+    entries = TERM_ENTRIES
+    for workflow_id in chain(starting, other_ids):
+        if workflow_id in batch:
+            continue
+        entries += RECORD_ENTRIES
+        if workflow_id in starting:
+            entries += CANCEL_ENTRIES
+        if entries > MAX_TRANSACTION_ENTRIES:
+            break
+        batch[workflow_id] = None
+    return list(batch)
 
 
 class Recorder:
@@ -36,7 +66,9 @@
 
     Each write is conditional on the revision of the term's key, so that a
     deposed coordinator cannot write, and on the revisions of the records, so
-    that a delayed write cannot replace a newer one.
+    that a delayed write cannot replace a newer one. A write that records
+    starts is also conditional on the absence of cancellations, which the
+    coordinator may not have seen yet.
 
     Args:
         system: The node's actor system.
@@ -61,12 +93,20 @@
         """Remove the revision of a record that was removed from the store."""
         self._revisions_by_id.pop(workflow_id, None)
 
-    async def write(self, engine: Engine, workflow_ids: list[str]) -> WriteOutcome:
+    async def write(
+        self,
+        engine: Engine,
+        workflow_ids: list[str],
+        starting_ids: Collection[str] = (),
+    ) -> WriteOutcome:
         """Write the current progress of some workflows in one transaction.
 
         Args:
             engine: Engine with the progress of the workflows.
-            workflow_ids: At most ``MAX_RECORDS_PER_WRITE`` workflows.
+            workflow_ids: The workflows, as many as ``select_batch`` returns.
+            starting_ids: Those of them that have starts to record. Nothing is
+                written if the store has a cancellation of one of them that the
+                engine does not know.
 
         Raises:
             OutcomeUnknownError: The write was sent but not confirmed, so it
@@ -78,6 +118,7 @@
             for worker_id, worker in engine.workers_by_id.items()
         }
         puts, states = [], {}
+        cancel_keys_by_id: dict[str, str] = {}
         for workflow_id in workflow_ids:
             progress = engine.workflows_by_id[workflow_id]
             document = records.encode_progress(
@@ -85,11 +126,15 @@
             )
             puts.append(PutKey(PROGRESS_PREFIX + workflow_id, document.decode()))
             states[workflow_id] = progress.state
+            can_be_cancelled = not progress.cancelled and progress.ended_at is None
+            if workflow_id in starting_ids and can_be_cancelled:
+                _, cancel_keys_by_id[workflow_id] = intake_keys(workflow_id)
         compares = [Compare(TERM_KEY, self.term_revision)]
         compares.extend(
             Compare(put.key, self._revisions_by_id.get(workflow_id, 0))
             for put, workflow_id in zip(puts, workflow_ids, strict=True)
         )
+        compares.extend(Compare(key, 0) for key in cancel_keys_by_id.values())
         try:
             reply = await transact(self._system, Transact(tuple(compares), tuple(puts)))
         except OutcomeUnknownError:
@@ -98,34 +143,51 @@
             await self._refresh_revisions(workflow_ids)
             raise
         if not reply.succeeded:
-            return WriteOutcome(
-                (), deposed=not await self._refresh_revisions(workflow_ids)
-            )
+            return await self._find_failed_comparison(workflow_ids, cancel_keys_by_id)
         for workflow_id in workflow_ids:
             self._revisions_by_id[workflow_id] = reply.revision
             engine.workflows_by_id[workflow_id].recorded_state = states[workflow_id]
         return WriteOutcome(tuple(workflow_ids))
 
+    async def _find_failed_comparison(
+        self, workflow_ids: list[str], cancel_keys_by_id: dict[str, str]
+    ) -> WriteOutcome:
+        """Read what a transaction was compared with, for the next write."""
+        if not await self._refresh_revisions(workflow_ids):
+            return WriteOutcome((), deposed=True)
+        items = await self._read_all(list(cancel_keys_by_id.values()))
+        return WriteOutcome(
+            (),
+            cancelled_ids=tuple(
+                workflow_id
+                for workflow_id, item in zip(cancel_keys_by_id, items, strict=True)
+                if item is not None
+            ),
+        )
+
     async def _refresh_revisions(self, workflow_ids: list[str]) -> bool:
         """Read the revisions of the term and of some records again.
 
         Returns:
             Whether the term in the store is that of this coordinator.
         """
-        term: KeyValue | None = await self._system.ask(STORE, GetKey(TERM_KEY))
+        record_keys = [PROGRESS_PREFIX + workflow_id for workflow_id in workflow_ids]
+        term, *items = await self._read_all([TERM_KEY, *record_keys])
         if term is None or int(term.value) != self._term:
             return False
         self.term_revision = term.mod_revision
-        for workflow_id in workflow_ids:
-            try:
-                item = await self._system.ask(
-                    STORE, GetKey(PROGRESS_PREFIX + workflow_id)
-                )
-            except RedwingrudderError as error:
-                _logger.info(
-                    "revision of a progress record could not be read",
-                    extra={"error": str(error)},
-                )
-                raise
+        for workflow_id, item in zip(workflow_ids, items, strict=True):
             self._revisions_by_id[workflow_id] = item.mod_revision if item else 0
         return True
+
+    async def _read_all(self, keys: list[str]) -> list[KeyValue | None]:
+        """Read some keys concurrently, which takes the time of one call."""
+        calls: list[Any] = [self._system.ask(STORE, GetKey(key)) for key in keys]
+        try:
+            return await gatherResults(calls, consumeErrors=True)
+        except FirstError as error:
+            _logger.info(
+                "revisions of progress records could not be read",
+                extra={"error": str(error.subFailure.value)},
+            )
+            raise error.subFailure.value from error
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -85,6 +85,7 @@
             and take effect in ``apply_delayed_writes``.
         down_after_delayed_write: Whether the store goes down after a delayed
             write.
+        watches_hang: Watches are not answered, although other calls are.
         renewal_remaining_s: Remaining time of a lease that each renewal
             returns; 0.0 means that the lease has expired.
     """
@@ -96,6 +97,7 @@
         self.answers_to_withhold = 0
         self.writes_to_delay = 0
         self.down_after_delayed_write = False
+        self.watches_hang = False
         self.renewal_remaining_s = 1.5
         self.delayed_writes = []
         self.transactions = []
@@ -178,7 +180,7 @@
             for change in self.contents.history
             if change.revision > message.after and change.key.startswith(message.prefix)
         )
-        if changes:
+        if changes and not self.watches_hang:
             reply.callback(Changes(changes, self.contents.revision))
         else:
             self.watches.append((message, reply))
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -445,8 +445,10 @@
         self.engine = fx.engine()
         self.engine.accept(fx.workflow("job", fx.step(2)), 0.0)
 
-    def write(self, workflow_id="job"):
-        reply = ensureDeferred(self.recorder.write(self.engine, [workflow_id]))
+    def write(self, workflow_id="job", starting_ids=()):
+        reply = ensureDeferred(
+            self.recorder.write(self.engine, [workflow_id], starting_ids)
+        )
         run_for(self.clock, 0.05)
         return outcome(reply)
 
@@ -498,6 +500,17 @@
         self.assertTrue(written.deposed)
         self.assertNotIn("progress/job", self.store.contents.items_by_key)
 
+    def test_cancellation_of_an_ended_job_allows_its_record(self):
+        """Guards against a write that a cancellation rejects each time.
+
+        The engine ignores the cancellation of a job that has ended.
+        """
+        self.engine.plan(0.0, 0.0)
+        self.engine.workflows_by_id["job"].ended_at = 1.0
+        self.store.contents.put("intake/job/cancel", "0.0")
+        written = self.write(starting_ids={"job"})
+        self.assertEqual(written.workflow_ids, ("job",))
+
     def test_state_shows_only_what_is_recorded(self):
         """Guards against showing callers a state that is not recorded.
 
--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -783,7 +783,7 @@
         engine.dirty.add("job")
         written = []
 
-        async def write(_, workflow_ids):
+        async def write(_, workflow_ids, starting_ids):
             if not written:
                 written.append("failed")
                 raise ZeroDivisionError("unexpected")
--- /dev/null
+++ b/tests/test_missed_cancels.py
@@ -0,0 +1,164 @@
+"""Tests of cancellations that the coordinator's watch does not deliver."""
+
+import json
+import math
+import unittest
+
+from redwingrudder.coordination.coordinator import Coordinator
+from redwingrudder.coordination.gateways import (
+    COORDINATOR,
+    LEADERSHIP,
+    PEERS,
+    PROGRESS_PREFIX,
+    TERM_KEY,
+    FleetGateways,
+    intake_keys,
+)
+from redwingrudder.coordination.messages import (
+    BeginTerm,
+    Fenced,
+    Resign,
+    WorkflowStored,
+)
+from redwingrudder.coordination.peers import GetTimeOfDay, ListPeers, PeerView
+from redwingrudder.platform.registry import PlatformRegistry
+from redwingrudder.timers import TimerService
+from redwingrudder.workflows import records
+from redwingrudder.workflows.model import EndKind, Resources, WorkflowState
+
+from . import workflow_fixtures as fx
+from .coordination_fakes import Recording, node_system, run_for
+from .test_authority import TIMES, StubChannels, WorkerStub
+from .test_platform_codecs import ENTRY
+
+SMALL = Resources(100, 100, 0)
+MAX_TRANSACTION_ENTRIES = 32  # that the store accepts
+
+
+class ListingChannel(WorkerStub):
+    """Channel to a worker that lists its runs.
+
+    Attributes:
+        started: Workflow of each start.
+        running: Reports of the runs that go on.
+        stopped: Keys of the runs that were stopped.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.started = []
+        self.running = []
+        self.stopped = []
+
+    async def start(self, run, lease_until_ms, fence, timeout_s):
+        self.started.append(run.key.workflow_id)
+        self.running.append(fx.running(run))
+        return await super().start(run, lease_until_ms, fence, timeout_s)
+
+    async def stop(self, run, fence, timeout_s):
+        self.stopped.append(run.key)
+        return await super().stop(run, fence, timeout_s)
+
+    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+        report = await super().poll(
+            fence, acknowledged_end, lease_until_ms, wait_s, timeout_s
+        )
+        return report._replace(running=tuple(self.running))
+
+
+class MissedCancelTests(unittest.TestCase):
+    """The coordinator hears of jobs, but its watch of the store hangs."""
+
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        self.contents = self.store.contents
+        TimerService(self.system)
+        Recording(self.system, LEADERSHIP, {Resign: None, Fenced: None})
+        Recording(self.system, PEERS, {ListPeers: PeerView((), 8), GetTimeOfDay: 0.0})
+        self.channel = ListingChannel(self.clock)
+        gateways = FleetGateways(
+            PlatformRegistry(), StubChannels(self.channel), TIMES, 150.0
+        )
+        self.coordinator = Coordinator(self.system, gateways)
+        self.contents.put("servers/w1", json.dumps(ENTRY))
+        self.contents.put(TERM_KEY, "1")
+        self.store.watches_hang = True
+        revision = self.contents.items_by_key[TERM_KEY].mod_revision
+        self.system.tell(COORDINATOR, BeginTerm(1, revision, math.inf))
+        run_for(self.clock, 0.5)
+
+    def submit(self, job, *steps):
+        """Store a job and announce it to the coordinator."""
+        workflow = fx.workflow(job, *(steps or (fx.step(1, SMALL),)))
+        document = records.encode_workflow(workflow).decode()
+        key, _ = intake_keys(job)
+        self.contents.put(key, document)
+        self.system.tell(COORDINATOR, WorkflowStored(job, document))
+
+    def cancel(self, job):
+        """Store a cancellation; its announcement is lost."""
+        _, cancel_key = intake_keys(job)
+        self.contents.put(cancel_key, "0.0")
+
+    def recorded(self, job):
+        item = self.contents.items_by_key[PROGRESS_PREFIX + job]
+        return records.decode_progress(job, item.value.encode())
+
+    def test_cancelled_job_is_not_started(self):
+        """Guards against a start of a job that was cancelled long before."""
+        self.submit("a")
+        self.cancel("a")
+        run_for(self.clock, 1.0)
+        self.assertEqual(self.channel.started, [])
+        self.assertIs(self.recorded("a").state, WorkflowState.CANCELLED)
+        self.assertEqual(self.recorded("a").placed, ())
+
+    def test_running_tasks_of_the_job_are_stopped(self):
+        """Guards against a cancellation that only prevents further starts.
+
+        One of two runs fails after the cancellation, and is placed again.
+        """
+        self.submit("a", fx.step(2, SMALL))
+        run_for(self.clock, 0.2)
+        self.assertEqual(self.channel.started, ["a", "a"])
+        self.cancel("a")
+        kept, failed = self.channel.running
+        self.channel.running = [kept]
+        end = fx.ended(failed, EndKind.FAILED)
+        self.coordinator._term.engine.end("w1", end, self.clock.seconds())
+        run_for(self.clock, 1.0)
+        self.assertEqual(self.channel.started, ["a", "a"])
+        self.assertIn(kept.key, self.channel.stopped)
+
+    def test_other_jobs_of_the_write_start_at_once(self):
+        """Guards against a cancelled job that delays the starts of others."""
+        for job in ("a", "b", "c"):
+            self.submit(job)
+        self.cancel("b")
+        run_for(self.clock, 0.05)
+        self.assertEqual(sorted(self.channel.started), ["a", "c"])
+
+    def test_large_batch_fits_into_a_transaction(self):
+        """Guards against writes that the store rejects as too large."""
+        jobs = [f"job {number}" for number in range(40)]
+        for job in jobs:
+            self.submit(job)
+        run_for(self.clock, 0.5)
+        self.assertEqual(sorted(self.channel.started), sorted(jobs))
+        sizes = {len(t.compares) + len(t.operations) for t in self.store.transactions}
+        self.assertLessEqual(max(sizes), MAX_TRANSACTION_ENTRIES)
+
+    def test_write_done_late_records_no_start_of_a_cancelled_job(self):
+        """Guards against a record that names a run after the cancellation."""
+        self.store.writes_to_delay = 1
+        self.submit("a")
+        run_for(self.clock, 0.02)
+        self.cancel("a")
+        self.assertEqual(self.store.apply_delayed_writes(), [False])
+        run_for(self.clock, 1.0)
+        self.assertEqual(self.channel.started, [])
+        self.assertIs(self.recorded("a").state, WorkflowState.CANCELLED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_shrinking_workers.py
+++ b/tests/test_shrinking_workers.py
@@ -70,7 +70,7 @@
         workers.find_unrecorded_ends.return_value = []
         recorder = mock.Mock()
 
-        async def shrink_then_write(_, workflow_ids):
+        async def shrink_then_write(_, workflow_ids, starting_ids):
             engine.set_worker(fx.worker("w1", capacity=HALF_SIZE), 0.0)
             return WriteOutcome(tuple(workflow_ids))
 
