Read a record again before a write that follows an unconfirmed one

Callers could see a task start although its job was cancelled long before. A write of progress that gets no answer may take effect, after which the revisions are read again. If that read failed too, the next write went on with the old revisions, and its lookup took the effect of the first write for its own: same document, newer than the known revision. The conditions of the transaction had then held whenever the first write was carried out, at any time before, for example before a cancellation during an outage at this node only.

The workflows of an unconfirmed write are now remembered until a write of them succeeds, and each write of them begins by reading the revisions. What a lookup confirms has then taken effect after the write began. The document is encoded before that read, so it belongs to the starts that the caller has collected.

Measured: the new test fails on the code before (the second write is reported as successful) and passes now.

--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -84,6 +84,9 @@
         self._term = term
         self.term_revision = term_revision
         self._revisions_by_id: dict[str, int] = {}
+        # Workflows with a write whose outcome was unknown and that may still
+        # take effect.
+        self._unconfirmed_ids: set[str] = set()
 
     def set_revision(self, workflow_id: str, revision: int) -> None:
         """Set the revision of a record that was read from the store."""
@@ -92,6 +95,7 @@
     def forget(self, workflow_id: str) -> None:
         """Remove the revision of a record that was removed from the store."""
         self._revisions_by_id.pop(workflow_id, None)
+        self._unconfirmed_ids.discard(workflow_id)
 
     async def write(
         self,
@@ -101,6 +105,9 @@
     ) -> WriteOutcome:
         """Write the current progress of some workflows in one transaction.
 
+        All conditions of a write that succeeds held at the store after this
+        call.
+
         Args:
             engine: Engine with the progress of the workflows.
             workflow_ids: The workflows, as many as ``select_batch`` returns.
@@ -129,6 +136,11 @@
             can_be_cancelled = not progress.cancelled and progress.ended_at is None
             if workflow_id in starting_ids and can_be_cancelled:
                 _, cancel_keys_by_id[workflow_id] = intake_keys(workflow_id)
+        # An earlier write that has taken effect already must not be taken for
+        # the effect of this one.
+        is_unconfirmed = not self._unconfirmed_ids.isdisjoint(workflow_ids)
+        if is_unconfirmed and not await self._refresh_revisions(workflow_ids):
+            return WriteOutcome((), deposed=True)
         compares = [Compare(TERM_KEY, self.term_revision)]
         compares.extend(
             Compare(put.key, self._revisions_by_id.get(workflow_id, 0))
@@ -138,12 +150,11 @@
         try:
             reply = await transact(self._system, Transact(tuple(compares), tuple(puts)))
         except OutcomeUnknownError:
-            # The write may have taken effect or may do so later, so the next
-            # write needs the revisions that the store has now.
-            await self._refresh_revisions(workflow_ids)
+            self._unconfirmed_ids.update(workflow_ids)
             raise
         if not reply.succeeded:
             return await self._find_failed_comparison(workflow_ids, cancel_keys_by_id)
+        self._unconfirmed_ids.difference_update(workflow_ids)
         for workflow_id in workflow_ids:
             self._revisions_by_id[workflow_id] = reply.revision
             engine.workflows_by_id[workflow_id].recorded_state = states[workflow_id]
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -51,6 +51,7 @@
 from redwingrudder.coordination.recorder import Recorder
 from redwingrudder.exceptions import (
     OutcomeUnknownError,
+    RedwingrudderError,
     StoreUnavailableError,
     UnavailableError,
 )
@@ -500,6 +501,26 @@
         self.assertTrue(written.deposed)
         self.assertNotIn("progress/job", self.store.contents.items_by_key)
 
+    def test_effect_of_an_earlier_write_does_not_confirm_a_later_one(self):
+        """Guards against a start on a condition that held long before.
+
+        A write is carried out while the store does not answer this node.
+        After the cancellation it is repeated, and gets no answer in time.
+        """
+        begun = self.engine.plan(0.0, 0.0)
+        self.assertTrue(fx.starts(begun))
+        self.store.writes_to_delay, self.store.down_after_delayed_write = 1, True
+        self.assertIsInstance(self.write(starting_ids={"job"}), RedwingrudderError)
+        self.assertEqual(self.store.apply_delayed_writes(), [True])
+        self.store.contents.put("intake/job/cancel", "0.0")
+        self.store.down = False
+        self.store.answers_to_withhold = 1
+        reply = ensureDeferred(self.recorder.write(self.engine, ["job"], {"job"}))
+        run_for(self.clock, 1.0)
+        written = outcome(reply)
+        if not isinstance(written, OutcomeUnknownError):
+            self.assertEqual(written.workflow_ids, ())
+
     def test_cancellation_of_an_ended_job_allows_its_record(self):
         """Guards against a write that a cancellation rejects each time.
 
