Read cancellations again before a start whose record was confirmed late

Callers could see a task start seconds after the cancellation of its job was acknowledged. The condition of the transaction that records a start holds when the store carries it out, and the start was sent whenever the answer was handled: after a slow answer or a pause of the process, seconds later. The checks before the sending look at the coordinator's authority, which its renewal gives back after a pause, and at the state in the engine, which a watch that is behind has not changed.

If handling the answer of a write takes more than 1 s from the beginning of the write, the keys of the cancellations are read again until a read is younger than that, and cancelled jobs are cancelled in the engine, which supersedes their starts. If the read fails, the starts stay pending and are recorded again. Recording them again each time was ruled out, since the upload of large records may take more than 1 s on a narrow link, so the starts would never be sent.

Measured: test_start_recorded_before_a_pause_is_not_sent fails on the code before (the cancelled job is started 5 s later) and passes now.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -21,6 +21,9 @@
 from .worker_table import UnrecordedEnd, WorkerTable
 
 RETRY_DELAY_S = 0.1
+# Age up to which the absence of a cancellation in the store counts when a
+# start is sent. The repeated attempts of a start take further time.
+MAX_CANCEL_CHECK_AGE_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -87,6 +90,7 @@
         engine.being_recorded = included
         starts = [s for s in self._pending_starts if s.key.workflow_id in included]
         ends = self._workers.find_unrecorded_ends(included)
+        begun_at = self._system.clock.seconds()
         try:
             written = await self._recorder.write(engine, batch, starting_ids)
         except RedwingrudderError as error:
@@ -110,7 +114,8 @@
             # Ends that arrived during the write and changed nothing are in the
             # record too.
             ends += self._workers.find_unrecorded_ends(included - engine.dirty)
-            self._handle_recorded(written.workflow_ids, starts, ends)
+            self._handle_recorded(written.workflow_ids, ends)
+            await self._send_starts(starts, begun_at)
 
     def _mark_unrecorded(self, workflow_ids: set[str]) -> None:
         self._engine.being_recorded = set()
@@ -130,20 +135,40 @@
         await pause(self._system.clock, RETRY_DELAY_S)
 
     def _handle_recorded(
-        self,
-        workflow_ids: tuple[str, ...],
-        starts: list[StartRun],
-        ends: list[UnrecordedEnd],
+        self, workflow_ids: tuple[str, ...], ends: list[UnrecordedEnd]
     ) -> None:
         for workflow_id in workflow_ids:
             self._report_metrics(self._engine.workflows_by_id[workflow_id])
+        self._workers.acknowledge_ends(ends)
+
+    async def _send_starts(self, starts: list[StartRun], checked_at: float) -> None:
+        """Send recorded starts unless their jobs were cancelled meanwhile.
+
+        After a late answer of the store the cancellations are read again. The
+        starts stay pending, and are recorded again, if that fails.
+
+        Args:
+            starts: The starts.
+            checked_at: Node-clock time after which the store had no
+                cancellation of their jobs.
+        """
+        clock = self._system.clock
+        workflow_ids = list({start.key.workflow_id: None for start in starts})
+        while starts and clock.seconds() - checked_at > MAX_CANCEL_CHECK_AGE_S:
+            checked_at = clock.seconds()
+            try:
+                self._cancel(await self._recorder.find_cancelled(workflow_ids))
+            except RedwingrudderError:
+                await pause(clock, RETRY_DELAY_S)
+                return
+            if self._closed:
+                return
         sent_runs = {(start.key, start.run) for start in starts}
         self._pending_starts = [
             s for s in self._pending_starts if (s.key, s.run) not in sent_runs
         ]
         for start in starts:
             self._send_start(start)
-        self._workers.acknowledge_ends(ends)
 
     def _send_start(self, start: StartRun) -> None:
         now = self._system.clock.seconds()
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -125,7 +125,7 @@
             for worker_id, worker in engine.workers_by_id.items()
         }
         puts, states = [], {}
-        cancel_keys_by_id: dict[str, str] = {}
+        uncancelled_ids: list[str] = []
         for workflow_id in workflow_ids:
             progress = engine.workflows_by_id[workflow_id]
             document = records.encode_progress(
@@ -135,7 +135,7 @@
             states[workflow_id] = progress.state
             can_be_cancelled = not progress.cancelled and progress.ended_at is None
             if workflow_id in starting_ids and can_be_cancelled:
-                _, cancel_keys_by_id[workflow_id] = intake_keys(workflow_id)
+                uncancelled_ids.append(workflow_id)
         # An earlier write that has taken effect already must not be taken for
         # the effect of this one.
         is_unconfirmed = not self._unconfirmed_ids.isdisjoint(workflow_ids)
@@ -146,34 +146,37 @@
             Compare(put.key, self._revisions_by_id.get(workflow_id, 0))
             for put, workflow_id in zip(puts, workflow_ids, strict=True)
         )
-        compares.extend(Compare(key, 0) for key in cancel_keys_by_id.values())
+        compares.extend(
+            Compare(intake_keys(workflow_id)[1], 0) for workflow_id in uncancelled_ids
+        )
         try:
             reply = await transact(self._system, Transact(tuple(compares), tuple(puts)))
         except OutcomeUnknownError:
             self._unconfirmed_ids.update(workflow_ids)
             raise
         if not reply.succeeded:
-            return await self._find_failed_comparison(workflow_ids, cancel_keys_by_id)
+            if not await self._refresh_revisions(workflow_ids):
+                return WriteOutcome((), deposed=True)
+            cancelled_ids = await self.find_cancelled(uncancelled_ids)
+            return WriteOutcome((), cancelled_ids=cancelled_ids)
         self._unconfirmed_ids.difference_update(workflow_ids)
         for workflow_id in workflow_ids:
             self._revisions_by_id[workflow_id] = reply.revision
             engine.workflows_by_id[workflow_id].recorded_state = states[workflow_id]
         return WriteOutcome(tuple(workflow_ids))
 
-    async def _find_failed_comparison(
-        self, workflow_ids: list[str], cancel_keys_by_id: dict[str, str]
-    ) -> WriteOutcome:
-        """Read what a transaction was compared with, for the next write."""
-        if not await self._refresh_revisions(workflow_ids):
-            return WriteOutcome((), deposed=True)
-        items = await self._read_all(list(cancel_keys_by_id.values()))
-        return WriteOutcome(
-            (),
-            cancelled_ids=tuple(
-                workflow_id
-                for workflow_id, item in zip(cancel_keys_by_id, items, strict=True)
-                if item is not None
-            ),
+    async def find_cancelled(self, workflow_ids: list[str]) -> tuple[str, ...]:
+        """Return those of some workflows whose cancellations the store has.
+
+        Raises:
+            UnavailableError: The store did not answer.
+        """
+        cancel_keys = [intake_keys(workflow_id)[1] for workflow_id in workflow_ids]
+        items = await self._read_all(cancel_keys)
+        return tuple(
+            workflow_id
+            for workflow_id, item in zip(workflow_ids, items, strict=True)
+            if item is not None
         )
 
     async def _refresh_revisions(self, workflow_ids: list[str]) -> bool:
@@ -198,7 +201,7 @@
             return await gatherResults(calls, consumeErrors=True)
         except FirstError as error:
             _logger.info(
-                "revisions of progress records could not be read",
+                "keys of jobs could not be read",
                 extra={"error": str(error.subFailure.value)},
             )
             raise error.subFailure.value from error
--- a/tests/test_missed_cancels.py
+++ b/tests/test_missed_cancels.py
@@ -3,6 +3,7 @@
 import json
 import math
 import unittest
+from unittest import mock
 
 from redwingrudder.coordination.coordinator import Coordinator
 from redwingrudder.coordination.gateways import (
@@ -21,6 +22,7 @@
     WorkflowStored,
 )
 from redwingrudder.coordination.peers import GetTimeOfDay, ListPeers, PeerView
+from redwingrudder.exceptions import StoreUnavailableError
 from redwingrudder.platform.registry import PlatformRegistry
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
@@ -28,7 +30,7 @@
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, node_system, run_for
-from .test_authority import TIMES, StubChannels, WorkerStub
+from .test_authority import PAUSE_S, TIMES, StubChannels, WorkerStub
 from .test_platform_codecs import ENTRY
 
 SMALL = Resources(100, 100, 0)
@@ -159,6 +161,45 @@
         self.assertEqual(self.channel.started, [])
         self.assertIs(self.recorded("a").state, WorkflowState.CANCELLED)
 
+    def record_before_pause(self, job):
+        """Let the store record a start; the answer comes after the pause."""
+        self.store.answers_to_withhold = 1
+        self.submit(job)
+        run_for(self.clock, 0.03)
+        self.assertEqual(len(self.recorded(job).placed), 1)
+
+    def test_start_recorded_before_a_pause_is_not_sent(self):
+        """Guards against a start on the state of the store before a pause.
+
+        The job is cancelled while the process of the coordinator is paused.
+        """
+        self.record_before_pause("a")
+        self.cancel("a")
+        self.clock.advance(PAUSE_S)
+        run_for(self.clock, 1.0)
+        self.assertEqual(self.channel.started, [])
+        self.assertIs(self.recorded("a").state, WorkflowState.CANCELLED)
+
+    def test_start_is_sent_after_a_pause(self):
+        """Guards against a start that is withheld after a pause for good."""
+        self.record_before_pause("a")
+        self.clock.advance(PAUSE_S)
+        run_for(self.clock, 0.1)
+        self.assertEqual(self.channel.started, ["a"])
+
+    def test_start_waits_for_the_store_after_a_pause(self):
+        """Guards against a start sent without a look at the cancellations."""
+        self.record_before_pause("a")
+        recorder = self.coordinator._term.recorder
+        error = StoreUnavailableError("no answer")
+        with mock.patch.object(recorder, "find_cancelled", side_effect=error):
+            self.clock.advance(PAUSE_S)
+            run_for(self.clock, 0.05)
+            self.assertEqual(self.channel.started, [])
+            recorder.find_cancelled.assert_called_with(["a"])
+        run_for(self.clock, 0.5)
+        self.assertEqual(self.channel.started, ["a"])
+
 
 if __name__ == "__main__":
     unittest.main()
