--- a/src/redwingrudder/coordination/watching.py
+++ b/src/redwingrudder/coordination/watching.py
@@ -15,6 +15,9 @@
 # time.
 WATCH_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.25
+# Time without an answer after which a watch is reported as behind. One lost
+# answer takes less.
+WATCH_LATE_AFTER_S = 2.0
 
 _logger = logging.getLogger(__name__)
 
@@ -31,7 +34,9 @@
     """Report the changes below a key prefix until the caller stops it.
 
     A failed call is logged and repeated after ``RETRY_DELAY_S``. After an
-    exception of a callback the watch goes on with the next changes.
+    exception of a callback the watch goes on with the next changes. A watch
+    without an answer for ``WATCH_LATE_AFTER_S`` is logged once, and again when
+    it is answered.
 
     Args:
         ask: Sends a message to an actor and returns the reply.
@@ -44,22 +49,61 @@
         on_reset: Called with all current pairs when the store no longer has
             the history since the last revision.
     """
+    age = _WatchAge(clock, prefix)
     while is_active():
         try:
             changes = await ask(STORE, AwaitChanges(prefix, revision, WATCH_TIMEOUT_S))
             if changes.expired:
                 reply = await ask(STORE, GetPrefix(prefix))
                 revision = reply.revision
+                age.answered()
                 if is_active():
                     on_reset(reply.pairs)
             else:
                 revision = changes.revision
+                age.answered()
                 if changes.changes and is_active():
                     on_changes(changes.changes)
         except RedwingrudderError as error:
             extra = {"prefix": prefix, "error": str(error)}
             _logger.info("watch of a key prefix failed; it is repeated", extra=extra)
+            age.failed()
             await pause(clock, RETRY_DELAY_S)
         except Exception:
             _logger.exception("watch of a key prefix failed unexpectedly")
             await pause(clock, RETRY_DELAY_S)
+
+
+class _WatchAge:
+    """Reports when a watch falls behind, and when it is answered again.
+
+    Args:
+        clock: Clock of the node.
+        prefix: Key prefix of the watch, for the log.
+    """
+
+    def __init__(self, clock: IReactorTime, prefix: str) -> None:
+        self._clock = clock
+        self._prefix = prefix
+        self._answered_at = clock.seconds()
+        self._is_behind = False
+
+    def answered(self) -> None:
+        """Record an answer, which contains all changes up to now."""
+        if self._is_behind:
+            self._is_behind = False
+            _logger.info(
+                "watch of a key prefix is answered again", extra=self._log_fields()
+            )
+        self._answered_at = self._clock.seconds()
+
+    def failed(self) -> None:
+        """Record a call without an answer."""
+        behind_s = self._clock.seconds() - self._answered_at
+        if behind_s > WATCH_LATE_AFTER_S and not self._is_behind:
+            self._is_behind = True
+            _logger.warning("watch of a key prefix is behind", extra=self._log_fields())
+
+    def _log_fields(self) -> dict[str, Any]:
+        behind_s = self._clock.seconds() - self._answered_at
+        return {"prefix": self._prefix, "behind_s": round(behind_s, 3)}
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -1,10 +1,12 @@
 """Tests of submission, election and recording with an in-memory store."""
 
 import json
+import logging
 import unittest
 
 from twisted.internet.defer import ensureDeferred
 
+from redwingrudder.coordination import watching
 from redwingrudder.coordination.authority import STORE_DOWN_EVIDENCE_S
 from redwingrudder.coordination.coordinator import Coordinator
 from redwingrudder.coordination.gateways import (
@@ -49,6 +51,7 @@
     PeerView,
 )
 from redwingrudder.coordination.recorder import Recorder
+from redwingrudder.coordination.watching import WATCH_LATE_AFTER_S, follow_prefix
 from redwingrudder.exceptions import (
     OutcomeUnknownError,
     RedwingrudderError,
@@ -437,6 +440,43 @@
         self.assertNotIn(leader, self.leaders())
 
 
+class WatchTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        self.seen = []
+        watch = follow_prefix(
+            lambda actor, message: self.system.ask(actor, message),
+            self.clock,
+            "a/",
+            0,
+            lambda: True,
+            self.seen.extend,
+            self.seen.extend,
+        )
+        self.store.down = True
+        ensureDeferred(watch)
+
+    def warnings(self, log):
+        return [r.message for r in log.records if r.levelno >= logging.WARNING]
+
+    def test_watch_that_stays_behind_is_logged_once(self):
+        """Guards against a view that grows old without a sign of it."""
+        with self.assertLogs(watching.__name__) as log:
+            run_for(self.clock, WATCH_LATE_AFTER_S - 0.5, (self.store,))
+        self.assertEqual(self.warnings(log), [])
+        with self.assertLogs(watching.__name__) as log:
+            run_for(self.clock, 10.0, (self.store,))
+        self.assertEqual(self.warnings(log), ["watch of a key prefix is behind"])
+        self.store.down = False
+        self.store.contents.put("a/key", "value")
+        with self.assertLogs(watching.__name__) as log:
+            run_for(self.clock, 1.0, (self.store,))
+        messages = [record.message for record in log.records]
+        self.assertEqual(messages, ["watch of a key prefix is answered again"])
+        self.assertGreater(log.records[0].behind_s, 10.0)
+        self.assertEqual([change.value for change in self.seen], ["value"])
+
+
 class RecorderTests(unittest.TestCase):
     def setUp(self):
         self.clock, self.system, self.store = node_system()
