--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -1,12 +1,14 @@
 """Tests of submission, election and recording with an in-memory store."""
 
 import json
+import logging
 import unittest
 from unittest import mock
 
 from twisted.internet.defer import ensureDeferred
 
 from redwingrudder._store_requests import PutKey, Transact
+from redwingrudder.coordination import watching
 from redwingrudder.coordination.authority import STORE_DOWN_EVIDENCE_S
 from redwingrudder.coordination.coordinator import Coordinator
 from redwingrudder.coordination.gateways import (
@@ -54,8 +56,10 @@
     PeerView,
 )
 from redwingrudder.coordination.recorder import Recorder
+from redwingrudder.coordination.watching import WATCH_LATE_AFTER_S, follow_prefix
 from redwingrudder.exceptions import (
     OutcomeUnknownError,
+    RedwingrudderError,
     StoreUnavailableError,
     UnavailableError,
 )
@@ -641,6 +645,43 @@
         self.assertNotIn(leader, self.leaders())
 
 
+class WatchTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        self.seen = []
+        watch = follow_prefix(
+            lambda actor, message: self.system.ask(actor, message),
+            self.clock,
+            "a/",
+            0,
+            lambda: True,
+            self.seen.extend,
+            self.seen.extend,
+        )
+        self.store.down = True
+        ensureDeferred(watch)
+
+    def warnings(self, log):
+        return [r.message for r in log.records if r.levelno >= logging.WARNING]
+
+    def test_watch_that_stays_behind_is_logged_once(self):
+        """Guards against a view that grows old without a sign of it."""
+        with self.assertLogs(watching.__name__) as log:
+            run_for(self.clock, WATCH_LATE_AFTER_S - 0.5, (self.store,))
+        self.assertEqual(self.warnings(log), [])
+        with self.assertLogs(watching.__name__) as log:
+            run_for(self.clock, 10.0, (self.store,))
+        self.assertEqual(self.warnings(log), ["watch of a key prefix is behind"])
+        self.store.down = False
+        self.store.contents.put("a/key", "value")
+        with self.assertLogs(watching.__name__) as log:
+            run_for(self.clock, 1.0, (self.store,))
+        messages = [record.message for record in log.records]
+        self.assertEqual(messages, ["watch of a key prefix is answered again"])
+        self.assertGreater(log.records[0].behind_s, 10.0)
+        self.assertEqual([change.value for change in self.seen], ["value"])
+
+
 class RecorderTests(unittest.TestCase):
     def setUp(self):
         self.clock, self.system, self.store = node_system()
@@ -650,8 +691,10 @@
         self.engine = fx.engine()
         self.engine.accept(fx.workflow("job", fx.step(2)), 0.0)
 
-    def write(self, workflow_id="job"):
-        reply = ensureDeferred(self.recorder.write(self.engine, [workflow_id]))
+    def write(self, workflow_id="job", starting_ids=()):
+        reply = ensureDeferred(
+            self.recorder.write(self.engine, [workflow_id], starting_ids)
+        )
         run_for(self.clock, 0.05)
         return outcome(reply)
 
@@ -703,6 +746,37 @@
         self.assertTrue(written.deposed)
         self.assertNotIn("progress/job", self.store.contents.items_by_key)
 
+    def test_effect_of_an_earlier_write_does_not_confirm_a_later_one(self):
+        """Guards against a start on a condition that held long before.
+
+        A write is carried out while the store does not answer this node.
+        After the cancellation it is repeated, and gets no answer in time.
+        """
+        begun = self.engine.plan(0.0, 0.0)
+        self.assertTrue(fx.starts(begun))
+        self.store.writes_to_delay, self.store.down_after_delayed_write = 1, True
+        self.assertIsInstance(self.write(starting_ids={"job"}), RedwingrudderError)
+        self.assertEqual(self.store.apply_delayed_writes(), [True])
+        self.store.contents.put("intake/job/cancel", "0.0")
+        self.store.down = False
+        self.store.answers_to_withhold = 1
+        reply = ensureDeferred(self.recorder.write(self.engine, ["job"], {"job"}))
+        run_for(self.clock, 1.0)
+        written = outcome(reply)
+        if not isinstance(written, OutcomeUnknownError):
+            self.assertEqual(written.workflow_ids, ())
+
+    def test_cancellation_of_an_ended_job_allows_its_record(self):
+        """Guards against a write that a cancellation rejects each time.
+
+        The engine ignores the cancellation of a job that has ended.
+        """
+        self.engine.plan(0.0, 0.0)
+        self.engine.workflows_by_id["job"].ended_at = 1.0
+        self.store.contents.put("intake/job/cancel", "0.0")
+        written = self.write(starting_ids={"job"})
+        self.assertEqual(written.workflow_ids, ("job",))
+
     def test_state_shows_only_what_is_recorded(self):
         """Guards against showing callers a state that is not recorded.
 
