Probe a worker before its first claim

Callers could see a job run on after its new owner had reported its worker as lost, and a second run beside it: the first claim of a link did not limit the lease that it renews. Executed late, and without an answer, it kept the tasks of an earlier owner running for a whole lease.

Cause: the link learns the time of the worker's clock from the first answer, and its first request was the claim. The same held for the claim after a restart of the worker process, and for a claim with a raised epoch after a lapsed lease.

Ruled out: to wait longer at the owner, which needs a bound for the delay of a request and adds it to every loss of a worker.

Change: a link begins in the state "seeking" and probes the worker; a probe renews nothing and tells the clock. After a restart, and when the epoch is raised while the first claim has no answer, it probes again. A takeover takes one round trip more per worker.

test_each_command_limits_the_lease_that_it_renews expected the first request to be a claim without a limit. It now checks the limit of every command, the first claim included; that claims come first among the commands and that all five other commands are sent is checked as before.

test_first_claim_executed_late failed before ("started" instead of "ended"). test_each_claim_limits_the_lease_that_it_renews fails with the first probe alone, by the claim after the restart.

--- a/src/redwingrudder/_worker_link.py
+++ b/src/redwingrudder/_worker_link.py
@@ -153,8 +153,8 @@
         }
 
     def start(self) -> None:
-        """Send the first claim and start the lease timer."""
-        self._claim()
+        """Send the first probe and start the lease timer."""
+        self._step(ChartEvent("probe_due"))
         self._watch_lease()
 
     def stop(self) -> None:
@@ -203,7 +203,7 @@
 
     # Claims, polls and probes. Only the reply to the latest of them is used.
 
-    def _claim(self, _: ChartEvent | None = None) -> None:
+    def _claim(self, _: ChartEvent) -> None:
         request = ClaimRequest(
             epoch=list(self._epoch),
             node_id=self._settings.node_id,
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -252,6 +252,33 @@
         (member,) = self.core.state(self.clock.seconds())["members"]
         self.assertEqual(member["state"], "ended")
 
+    def test_first_claim_executed_late(self):
+        """Guards against work that a late first claim keeps running."""
+        self.run_and_take_events()
+        spec = SPEC._replace(payload='{"run_s": 60}')
+        self.send(self.reserve("g")._replace(spec=spec), StartMember("g", "w1"))
+        self.run_for(0.9)
+        self.link.stop()
+        self.transport.cut.add(ADDRESS)
+        self.run_for(0.2)
+        self.dispatcher.received.clear()
+        self.transport.posted.clear()
+        self.make_link(Epoch(2, 0, 0))
+        self.run_for(0.1)
+        claims = [
+            body for _, path, body in self.transport.posted if path == "/v1/claim"
+        ]
+        self.run_for(self.core.lease_until - self.clock.seconds() - 0.1)
+        for claim in claims[:1]:
+            self.core.claim(claim, self.clock.seconds())
+        for _ in range(200):
+            self.run_for(0.05)
+            if self.dispatcher.received:
+                break
+        self.assertEqual(self.dispatcher.received, [WorkerLost("w1", "lease_lapsed")])
+        (member,) = self.core.state(self.clock.seconds())["members"]
+        self.assertEqual(member["state"], "ended")
+
     def test_each_command_limits_the_lease_that_it_renews(self):
         """Guards against a late command whose lease has no known end."""
         self.run_and_take_events()
@@ -259,14 +286,28 @@
         self.run_for(0.5)
         self.send(StopMember("g", "w1", False), ReleaseMember("g", "w1"))
         self.run_for(0.5)
-        (_, first_path, _), *later = self.transport.posted
-        self.assertEqual(first_path, "/v1/claim")
-        paths = {path for _, path, _ in later}
+        commands = [(path, body) for _, path, body in self.transport.posted if body]
+        self.assertEqual(commands[0][0], "/v1/claim")
+        paths = {path for path, _ in commands[1:]}
         self.assertEqual(len(paths), 5, paths)
-        limits = [body["lease_until_s"] for _, _, body in later]
+        limits = [body["lease_until_s"] for _, body in commands]
         self.assertLessEqual(max(limits), self.clock.seconds() + LEASE_S)
         self.assertGreater(min(limits), LEASE_S - 0.1)
 
+    def test_each_claim_limits_the_lease_that_it_renews(self):
+        """Guards against a claim after a restart that has no limit."""
+        self.run_and_take_events()
+        self.transport.restart(ADDRESS)
+        self.run_for(2.0)
+        self.send(EpochRaised(Epoch(3, 0, 0)))
+        self.run_for(1.0)
+        claims = [
+            body for _, path, body in self.transport.posted if path == "/v1/claim"
+        ]
+        self.assertEqual(len(claims), 4)
+        for claim in claims:
+            self.assertIn("lease_until_s", claim)
+
     def test_a_short_cut_does_not_lose_the_worker(self):
         """Guards against the loss of a worker whose lease has not expired."""
         self.run_and_take_events()
