Record a cancelled job whose submission had an unknown outcome

Callers could see a job run whose cancellation had been answered with "no such job": its submission ended with an unknown outcome, the store carried out the write of the record after the cancellation, and the next owner ran the job.

Cause: the owner kept nothing of a submission that it could not confirm, so its cancellation left no trace that a late write would be compared with.

Ruled out: a separate key that marks the cancellation, which each write of a submission would have to compare; and an error for the cancellation of such a job, which the caller could only repeat.

Change: the ledger keeps the records of these submissions without their payload, 10,000 at most. A cancellation writes the record as "not_run" if the key has none, or over the open record of the same acceptance; a late write of the submission is then refused by its own comparison. The cancellation is answered with the state "not_run" once that is recorded, and fails as unavailable or unknown before. Submissions with the same key wait meanwhile. A new owner needs no list, as late writes of its predecessor fail on the owner record.

--- a/src/redwingrudder/_job_ledger.py
+++ b/src/redwingrudder/_job_ledger.py
@@ -18,6 +18,7 @@
 
 RESULT_RETENTION_S = 600.0  # workers keep results for the same time
 MAX_CACHED_ANSWERS = 20_000
+MAX_UNCONFIRMED_JOBS = 10_000  # about 1 KB each, as payloads are not kept
 
 # Answers that are published once they are recorded, if the store may hold a
 # record of the job: from an older record, another owner would run the job.
@@ -50,6 +51,9 @@
         self._sweeper = RecordSweeper(store)
         self._entries_by_job: dict[str, LedgerEntry] = {}
         self._unwritten_job_ids: dict[str, None] = {}
+        # Records without payload of submissions that were not accepted and
+        # whose write may still take effect.
+        self._unconfirmed_bodies_by_job: dict[str, JobRecordBody] = {}
         self._job_ids_being_written: set[str] = set()
         self._ended_job_ids: deque[str] = deque()
         self._closed = False
@@ -121,9 +125,44 @@
             StoreUnavailableError: No record was written.
             OutcomeUnknownError: The record may have been written.
         """
-        reply = await self._store.save(body, 0)
+        try:
+            reply = await self._store.save(body, 0)
+        except OutcomeUnknownError:
+            self._add_unconfirmed(body)
+            raise
+        self._unconfirmed_bodies_by_job.pop(body["job_id"], None)
+        return reply.stored
+
+    async def cancel_unconfirmed(self, job_id: str, now: float) -> StoredRecord | None:
+        """Record a job as not run whose submission had an unknown outcome.
+
+        A write of the submission that takes effect later is then refused, as
+        the key has a record.
+
+        Returns:
+            The record that the store holds for the idempotency key, None if
+            the job had no such submission.
+
+        Raises:
+            UnavailableError: The end of the job is not recorded.
+        """
+        body = self._unconfirmed_bodies_by_job.get(job_id)
+        if body is None:
+            return None
+        view = records.view_of(body)._replace(
+            state=JobState.NOT_RUN, reason="cancelled", finished_at=now
+        )
+        reply = await self._store.save(records.final_record(body, view), None)
+        self._unconfirmed_bodies_by_job.pop(job_id, None)
         return reply.stored
 
+    def _add_unconfirmed(self, body: JobRecordBody) -> None:
+        body = {**body, "spec": {**body["spec"], "payload": ""}}
+        self._unconfirmed_bodies_by_job[body["job_id"]] = body
+        if len(self._unconfirmed_bodies_by_job) > MAX_UNCONFIRMED_JOBS:
+            oldest = next(iter(self._unconfirmed_bodies_by_job))
+            del self._unconfirmed_bodies_by_job[oldest]
+
     async def find(self, spec: JobSpec) -> StoredRecord | None:
         """Read the record for the idempotency key of a job, if any.
 
@@ -167,6 +206,7 @@
             may_have_record: Whether a failed write may have taken effect.
         """
         job_id = body["job_id"]
+        self._unconfirmed_bodies_by_job.pop(job_id, None)
         revision = None if may_have_record else 0
         self._entries_by_job[job_id] = LedgerEntry(
             body, revision, False, may_have_record
--- a/src/redwingrudder/_job_submitter.py
+++ b/src/redwingrudder/_job_submitter.py
@@ -100,6 +100,30 @@
             self._waiters_by_new_job[job_id].append(waiter)
             await waiter
 
+    async def cancel_unconfirmed(self, job_id: str) -> None:
+        """Record a job as not run if its submission had an unknown outcome.
+
+        Submissions with the same key wait meanwhile. Other jobs are left as
+        they are.
+
+        Raises:
+            UnavailableError: This node is not the owner, or the end of the
+                job is not recorded.
+        """
+        ownership_term = self._get_ownership_term()
+        self._waiters_by_new_job[job_id] = []
+        try:
+            stored = await ownership_term.ledger.cancel_unconfirmed(job_id, self._now())
+            if (
+                stored is not None
+                and stored.body["domain"] == self._failure_domain
+                and not ownership_term.closed
+            ):
+                ownership_term.add_record(stored)
+        finally:
+            for waiter in self._waiters_by_new_job.pop(job_id):
+                waiter.callback(None)
+
     def _job_id(self, spec: JobSpec) -> str:
         domain = self._failure_domain
         return job_id_for(domain, spec.organisation, spec.idempotency_key)
--- a/src/redwingrudder/dispatcher.py
+++ b/src/redwingrudder/dispatcher.py
@@ -238,6 +238,7 @@
 
     async def _cancel(self, message: CancelJob) -> JobView:
         await self._submitter.wait_for_creation(message.job_id)
+        await self._submitter.cancel_unconfirmed(message.job_id)
         view = self._find_job(message.job_id)
         if view.state in FINAL_JOB_STATES:
             return view
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -392,6 +392,71 @@
         self.assertIn(outcomes[0].state, (JobState.NOT_RUN, JobState.INTERRUPTED))
         self.assertNotIn("started", [member["state"] for member in self.members()])
 
+    def submit_without_answer(self, spec=ONCE):
+        """Return the id of a submission that failed, and its last write."""
+        self.node.store.requests_to_lose = 4
+        with self.assertRaises(OutcomeUnknownError):
+            self.node.submit(spec)
+        writes = [c for c in self.node.store.calls if isinstance(c, r.Transact)]
+        job_id = job_id_for(DOMAIN, spec.organisation, spec.idempotency_key)
+        return job_id, writes[-1]
+
+    def run_under_successor(self):
+        self.node.system.tell(r.DISPATCHER, r.OwnershipEnded("test"))
+        successor = self.second_node(2)
+        successor.run_for(5.0)
+        return successor
+
+    def test_late_record_of_a_cancelled_job_is_not_run(self):
+        """Guards against a job that runs although its cancel was answered.
+
+        The write of the submission is carried out after the cancellation.
+        """
+        job_id, write = self.submit_without_answer()
+        answer = self.node.ask(r.CancelJob(job_id))
+        self.assertIs(answer.state, JobState.NOT_RUN)
+        self.assertFalse(self.node.store._transact(write).succeeded)
+        self.assertIs(self.node.poll(job_id).state, JobState.NOT_RUN)
+        self.assertIs(self.node.submit(ONCE).state, JobState.NOT_RUN)
+        successor = self.run_under_successor()
+        self.assertEqual(self.starts(), [])
+        self.assertIs(successor.poll(job_id).state, JobState.NOT_RUN)
+
+    def test_cancel_after_a_late_record_ends_the_job(self):
+        """Guards against a cancel that overlooks a record made meanwhile."""
+        job_id, write = self.submit_without_answer()
+        self.assertTrue(self.node.store._transact(write).succeeded)
+        answer = self.node.ask(r.CancelJob(job_id))
+        self.assertIs(answer.state, JobState.NOT_RUN)
+        self.run_under_successor()
+        self.assertEqual(self.starts(), [])
+
+    def test_cancel_that_is_not_recorded_has_no_answer_yet(self):
+        """Guards against "no such job" while a late record is possible."""
+        job_id, write = self.submit_without_answer()
+        self.node.store.set_available(False)
+        with self.assertRaises(UnavailableError):
+            self.node.ask(r.CancelJob(job_id))
+        self.node.store.set_available(True)
+        self.assertIs(self.node.ask(r.CancelJob(job_id)).state, JobState.NOT_RUN)
+        self.assertFalse(self.node.store._transact(write).succeeded)
+
+    def test_cancel_of_a_job_that_was_submitted_again(self):
+        """Guards against "not run" for a job that runs by a repetition."""
+        spec = ONCE._replace(payload='{"run_s": 40}')
+        job_id, _ = self.submit_without_answer(spec)
+        self.node.submit(spec)
+        self.node.run_for(1.0)
+        self.assertEqual(len(self.starts()), 1)
+        answer = self.node.ask(r.CancelJob(job_id), 3.0)
+        self.assertIs(answer.state, JobState.INTERRUPTED)
+
+    def test_cancel_of_an_unknown_job_is_refused(self):
+        """Guards against records of jobs that were never submitted."""
+        with self.assertRaises(NotFoundError):
+            self.node.ask(r.CancelJob(f"{DOMAIN}-1"))
+        self.assertEqual(self.node.store.core.range(b"/jobs/", b"/jobs0"), ())
+
     def test_a_job_cancelled_before_its_start_is_sent_is_never_started(self):
         """Guards against a late start, and a member that is never released.
 
