Store no relayed submission that comes too late

Callers could see a job run twice: a node without access to the store relayed the submission to a peer, which carried out the call only after the job had run by another write of the same submission and its records had been removed.

Cause: the peer stores a document on the condition that its id is new, which it is again after the removal.

Ruled out: a refusal as "store_unavailable", which would let the calling node answer that the job was not run; and marks of removed ids, which would have to stay for as long as a call may be late.

Change: the peer compares the time of acceptance in the document with the median of the nodes' clocks, as the coordinator does for announcements, and answers with an unknown outcome if it is older than half of the retention period. The share moves from the coordinator to the gateways, where both read it. Documents of another format are stored as before. A late write of the store itself is not covered. Tests that construct an Intake pass the retention period, and those that relay to it answer the question for the time of day.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -19,6 +19,7 @@
     INTAKE_PREFIX,
     LEADERSHIP,
     PEERS,
+    SUBMISSION_AGE_SHARE,
     Change,
     FleetGateways,
     OperatorConfiguration,
@@ -73,10 +74,6 @@
 # Time within which workers that can be reached report to a new coordinator.
 # Until then it preempts nothing.
 FIRST_REPORTS_TIMEOUT_S = 0.3
-# Share of the retention period within which an announced workflow is accepted.
-# Its records stay for the whole period after its end; the rest is a margin for
-# clocks that differ.
-ANNOUNCEMENT_AGE_SHARE = 0.5
 TICK_TIMER = "tick"
 
 Result = TypeVar("Result")
@@ -312,7 +309,7 @@
         the workflow if it is still stored.
         """
         unix_time_s = self.system.clock.seconds() + self._unix_time_offset_s
-        max_age_s = ANNOUNCEMENT_AGE_SHARE * self._gateways.keep_ended_s
+        max_age_s = SUBMISSION_AGE_SHARE * self._gateways.keep_ended_s
         self._accept_stored(
             message.workflow_id, message.document, unix_time_s - max_age_s
         )
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -38,6 +38,11 @@
 
 DEFAULT_GANG_TIMEOUT_S = 3.0  # of deployments that do not state it
 NOT_COORDINATOR_RETRY_S = 1.0  # about the duration of an election
+# Share of the retention period within which a workflow that another node has
+# accepted is stored for it, or is run before the store reports it. Its records
+# stay for the whole period after its end; the rest is a margin for clocks that
+# differ.
+SUBMISSION_AGE_SHARE = 0.5
 
 
 class AwaitChanges(NamedTuple):
--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -24,6 +24,7 @@
     PEERS,
     PROGRESS_PREFIX,
     STORE,
+    SUBMISSION_AGE_SHARE,
     intake_keys,
 )
 from .leadership import Identity
@@ -40,7 +41,7 @@
     SubmitWorkflow,
     WorkflowStored,
 )
-from .peers import CallPeer, ListPeers
+from .peers import CallPeer, GetTimeOfDay, ListPeers
 
 # Retry time that callers get while no reachable node can use the store.
 RETRY_AFTER_S = 1.0
@@ -68,10 +69,15 @@
     Args:
         system: The node's actor system.
         identity: Identity of this node's process.
+        retention_s: Seconds for which the records of an ended workflow stay
+            in the store.
     """
 
-    def __init__(self, system: ActorSystem, identity: Identity) -> None:
+    def __init__(
+        self, system: ActorSystem, identity: Identity, retention_s: float
+    ) -> None:
         self._identity = identity
+        self._retention_s = retention_s
         self._coordinator = CoordinatorKnown("", "", 0)
         self._store_available = True
         super().__init__(system, INTAKE)
@@ -308,9 +314,34 @@
         self._require_store()
         deadline = self.system.clock.seconds() + PEER_REQUEST_TIMEOUT_S
         workflow_id, document = message
+        await self._check_age(workflow_id, document)
         if await self._store_document(workflow_id, document, deadline):
             self._announce_workflow(workflow_id, document)
 
+    async def _check_age(self, workflow_id: str, document: str) -> None:
+        """Fail if a relayed submission is so late that its job may have ended.
+
+        The calling node may have had it stored otherwise, and the records of
+        the job may have been removed since, so that its id looks new.
+        Documents of another format are not checked.
+
+        Raises:
+            OutcomeUnknownError: The job may have run.
+        """
+        try:
+            workflow = records.decode_workflow(document.encode())
+        except BadRequestError:
+            return
+        age_s = await self.ask(PEERS, GetTimeOfDay()) - workflow.accepted_at
+        if age_s > SUBMISSION_AGE_SHARE * self._retention_s:
+            _logger.warning(
+                "late submission of a peer is not stored",
+                extra={"job": workflow_id, "age_s": round(age_s, 1)},
+            )
+            raise OutcomeUnknownError(
+                f"the submission of job {workflow_id} came {age_s:.0f} s late"
+            )
+
     async def _cancel(self, message: CancelWorkflow) -> bool:
         exists, _ = await self._write_anywhere(
             lambda: self._cancel_once(message.workflow_id),
--- a/src/redwingrudder/platform/node.py
+++ b/src/redwingrudder/platform/node.py
@@ -98,7 +98,7 @@
         )
         Coordinator(self.system, fleet)
         Advisor(self.system, _build_advice_service(reactor, settings.advice_address))
-        Intake(self.system, identity)
+        Intake(self.system, identity, settings.ended_retention_s)
         self._front = FrontEnd(self.system, reactor, settings.front)
 
     def start(self) -> None:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -72,6 +72,8 @@
     run_for,
 )
 
+RETENTION_S = 150.0
+
 
 class EmptyRegistry(RegistryCodec):
     prefix = "servers/"
@@ -108,7 +110,7 @@
                 ),
             },
         )
-        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"))
+        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"), RETENTION_S)
         self.system.tell(INTAKE, CoordinatorKnown("n1", "10.0.0.1:1", 1))
 
     def ask(self, message, seconds=0.1):
@@ -231,7 +233,7 @@
         self.peers = Recording(
             self.system, PEERS, {ListPeers: PeerView((peer,), 8), CallPeer: True}
         )
-        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"))
+        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"), RETENTION_S)
 
     def ask(self, message):
         """Send a call; the store counts as unavailable after 0.3 s."""
@@ -308,10 +310,11 @@
         self.clocks, self.systems, self.stores, self.coordinators = [], [], [], []
         for name in ("n1", "n2"):
             clock, system, store = node_system(self.contents)
-            Recording(system, PEERS, {ListPeers: PeerView((), 0)})
+            peer_replies = {ListPeers: PeerView((), 0), GetTimeOfDay: 0.0}
+            Recording(system, PEERS, peer_replies)
             replies = {WorkflowStored: None, CancelStored: None, GetState: ""}
             self.coordinators.append(Recording(system, COORDINATOR, replies))
-            Intake(system, Identity(name, f"10.0.0.1:{name}", "life"))
+            Intake(system, Identity(name, f"10.0.0.1:{name}", "life"), RETENTION_S)
             system.tell(INTAKE, CoordinatorKnown(name, f"10.0.0.1:{name}", 1))
             self.clocks.append(clock)
             self.systems.append(system)
@@ -406,7 +409,7 @@
         clock, system, _ = node_system()
         Recording(system, PEERS, {ListPeers: PeerView((peer,), 1), CallPeer: None})
         coordinator = Recording(system, COORDINATOR, {WorkflowStored: None})
-        Intake(system, Identity("n1", "10.0.0.1:1", "life"))
+        Intake(system, Identity("n1", "10.0.0.1:1", "life"), RETENTION_S)
         system.tell(INTAKE, CoordinatorKnown("n1", "10.0.0.1:1", 1))
         system.tell(INTAKE, StoreAvailability(False))
         reply = system.ask(INTAKE, SubmitWorkflow(fx.workflow(), 1.0))
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -7,6 +7,7 @@
 from redwingrudder.coordination.coordinator import Coordinator
 from redwingrudder.coordination.gateways import (
     COORDINATOR,
+    INTAKE,
     INTAKE_PREFIX,
     LEADERSHIP,
     PEERS,
@@ -14,11 +15,14 @@
     FleetGateways,
     WorkerTimes,
 )
+from redwingrudder.coordination.intake import Intake
+from redwingrudder.coordination.leadership import Identity
 from redwingrudder.coordination.messages import (
     BeginTerm,
     EndTerm,
     Fenced,
     Resign,
+    StoreForPeer,
     WorkflowStored,
 )
 from redwingrudder.coordination.peers import (
@@ -27,13 +31,20 @@
     ListPeers,
     PeerView,
 )
+from redwingrudder.exceptions import OutcomeUnknownError
 from redwingrudder.platform.registry import PlatformRegistry
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
 from redwingrudder.workflows.model import EndKind
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import Recording, StoreContents, node_system, run_for
+from .coordination_fakes import (
+    Recording,
+    StoreContents,
+    node_system,
+    outcome,
+    run_for,
+)
 from .protocol_worker import ProtocolWorkers
 
 RETENTION_S = 20.0
@@ -149,6 +160,25 @@
         self.run_for(1.0)
         self.assertEqual(self.running(), set())
 
+    def test_relayed_write_after_removal(self):
+        """Guards against a second run by a relayed submission that is late."""
+        Intake(self.system, Identity("n1", "n1:1", "life"), RETENTION_S)
+        self.run_job((self.store,))
+        self.set_time_of_day(UNIX_TIME_S + RETENTION_S + SWEEP_S)
+        reply = self.system.ask(INTAKE, StoreForPeer("job", self.document()))
+        self.run_for(1.0)
+        self.assertEqual(self.running(), set())
+        self.assertIsInstance(outcome(reply), OutcomeUnknownError)
+        self.assertNotIn(INTAKE_PREFIX + "job", self.contents.items_by_key)
+
+    def test_relayed_write_in_time_is_stored(self):
+        """Guards against relayed submissions that are refused as too late."""
+        Intake(self.system, Identity("n1", "n1:1", "life"), RETENTION_S)
+        self.set_time_of_day(UNIX_TIME_S + RETENTION_S / 3)
+        self.system.ask(INTAKE, StoreForPeer("job", self.document()))
+        self.run_for(1.0)
+        self.assertEqual(self.running(), {fx.key("job")})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -93,6 +93,7 @@
 )
 from .test_platform_codecs import ENTRY, QUEUE, WORKFLOW_ID
 
+RETENTION_S = 150.0
 # Valid JSON whose value is infinite in double precision.
 HUGE = "1e400"
 CONFIGURATION_DOCUMENT = {
@@ -525,10 +526,10 @@
         self.leadership = Recording(self.system, LEADERSHIP, {Resign: None})
         Recording(self.system, PEERS, {ListPeers: PeerView((), 0), GetTimeOfDay: 0.0})
         gateways = FleetGateways(
-            PlatformRegistry(), IdleChannels(), WorkerTimes(6.0, 1.5), 150.0
+            PlatformRegistry(), IdleChannels(), WorkerTimes(6.0, 1.5), RETENTION_S
         )
         self.coordinator = Coordinator(self.system, gateways)
-        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"))
+        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"), RETENTION_S)
         for job in ("a", "b"):
             document = records.encode_workflow(fx.workflow(job)).decode()
             self.contents.put(INTAKE_PREFIX + job, document)
