Add two failing tests of late calls and unsent orders

Callers of the users' platform can lose a job that they handed in again under the id of an earlier one: an announced cancellation of the earlier job that arrives after the removal of its records stops the later one. Operators can see a wave as done without the upkeep of a machine: its order was recorded and never sent, and another worker is on the machine when a successor takes over.

Cause: the announcement carries only the id, and the record does not tell which orders were answered.

Ruled out for now: to read the stored cancellation before an announced one is applied, which adds a read to each of a mass of cancellations and was not measured; the age of the cancellation in the announcement, which does not cover one that is stored shortly before the removal; to empty and order all restored machines again, which test_successor_goes_on excludes, and whose answer does not tell a finished upkeep from a new one.

--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -19,6 +19,7 @@
 from redwingrudder.coordination.leadership import Identity
 from redwingrudder.coordination.messages import (
     BeginTerm,
+    CancelStored,
     EndTerm,
     Fenced,
     Resign,
@@ -179,6 +180,16 @@
         self.run_for(1.0)
         self.assertEqual(self.running(), {fx.key("job")})
 
+    def test_late_cancel_of_reused_id(self):
+        """Guards against a cancellation of a later job of the same id."""
+        self.run_job((self.store,))
+        self.set_time_of_day(UNIX_TIME_S + RETENTION_S + SWEEP_S)
+        self.contents.put(INTAKE_PREFIX + "job", self.document())
+        self.run_for(1.0)
+        self.system.tell(COORDINATOR, CancelStored("job"))
+        self.run_for(1.0)
+        self.assertEqual(self.running(), {fx.key("job")})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -243,6 +243,19 @@
         self.assertEqual(self.status(), "done")
         self.assertFalse(ordered & {name for name, _, _ in self.machines.orders})
 
+    def test_recorded_order_that_was_never_sent(self):
+        """Guards against a wave that is done without the upkeep of a machine.
+
+        The earlier coordinator has ended before it sent the order that it had
+        recorded. Another worker is on the machine since.
+        """
+        key = MAINTENANCE_PREFIX + "1"
+        self.store.contents.put(key, json.dumps({"m0": "w-last"}))
+        self.advance(25.0)
+        self.assertEqual(self.status(), "done")
+        ordered = {name for name, _, _ in self.machines.orders}
+        self.assertEqual(ordered, set(MACHINES))
+
     def test_fenced_coordinator_gives_up(self):
         """Guards against orders of a coordinator that has a successor."""
         self.machines.reply = MachineReply.FENCED
