Count the room of a listed older run once

What callers see: starts on a worker with free room were refused with "no_room" until an older run on it had ended.

Cause: the run was stopped and counted beside a newer one. When the newer one was rejected, the task waited for the older run, which was then counted a second time as the current run of the task.

Ruled out: a task that becomes placed by a new run. Its number is higher than all earlier ones, so it is never one of the runs that are counted until their end.

Change: Worker.add takes over the room of a run that was counted until its end.

Measured: the new test failed before with twice the room in use and passes now, with the other tests of listed runs.

--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -476,7 +476,13 @@
         return self._facts.capacity.minus(self._used)
 
     def add(self, task: Task) -> None:
-        """Add a task and count its resources as used."""
+        """Add a task and count its resources as used.
+
+        Its newest run may have been one of ``keep_until_ended``.
+        """
+        unwanted = self._unwanted_by_run.pop((task.key, task.run), None)
+        if unwanted is not None:
+            self._used = self._used.minus(unwanted.amount)
         self.tasks_by_key[task.key] = task
         self._used = self._used.plus(resources_used(task.stage.spec))
         self._update_free()
--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -203,6 +203,21 @@
         again = fx.starts(self.engine.plan(1.2, 1.2))
         self.assertEqual([start.run for start in again], [newer.run + 1])
 
+    def test_older_run_uses_room_once(self):
+        """Guards against starts that are refused on a worker with room.
+
+        The older run was stopped beside a newer one, and the task waits for
+        its end after that one was rejected.
+        """
+        self.reject(0.5)
+        newer = fx.starts(self.engine.plan(0.6, 0.6))[0]
+        self.engine.report("w1", [fx.running(self.start)], 0.7)
+        self.engine.start_rejected(newer.key, newer.run, "unanswered", 0.8)
+        self.engine.report("w1", [fx.running(self.start)], 0.9)
+        self.assertEqual((self.task.state, self.used), ("stopping", fx.ONE_GPU))
+        self.report_nothing(1.2)
+        self.assertEqual(self.used, NO_RESOURCES)
+
     def test_task_waits_until_its_run_on_another_worker_has_ended(self):
         """Guards against a new run beside one that a worker brings back.
 
