Forget runs that reappeared when they leave their task

What callers see: a run that goes on is interrupted and its task is started a second time.

Cause: a run that a worker lists while its task waits is noted until a complete report no longer lists it. If the lease of the worker lapses first, the note stays. The run is then adopted when the worker answers again, and a report from before that, which does not list it, interrupts the adopted run.

Ruled out: runs with another number. Numbers are not used twice, so the note applies to the adopted run only.

Change: Worker.remove drops the note together with the run.

Measured: both new tests failed before (task "waiting" instead of "running", one note left) and pass now.

--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -489,6 +489,7 @@
 
     def remove(self, task: Task) -> None:
         """Remove a task and free its resources; unknown tasks are ignored."""
+        self.reappeared.discard((task.key, task.run))
         if self.tasks_by_key.pop(task.key, None) is not None:
             self._used = self._used.minus(resources_used(task.stage.spec))
             self._update_free()
--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -203,6 +203,25 @@
         again = fx.starts(self.engine.plan(1.2, 1.2))
         self.assertEqual([start.run for start in again], [newer.run + 1])
 
+    def test_run_that_is_adopted_after_a_lapse_goes_on(self):
+        """Guards against interrupting a run because of an outdated report.
+
+        The run had reappeared before the lease of its worker lapsed.
+        """
+        self.reject(0.5)
+        self.list_run(1.0)
+        self.engine.interrupt_worker("w1", 2.0, "lease_lapsed")
+        self.engine.adopt_run(self.start.key, self.start.run, "w1", True, 3.0)
+        self.report_nothing(3.1)
+        self.assertEqual(self.task.state, "running")
+
+    def test_runs_that_ended_are_not_remembered(self):
+        """Guards against memory that grows with each run that reappears."""
+        self.reject(0.5)
+        self.list_run(1.0)
+        self.engine.end("w1", fx.ended(self.start, EndKind.STOPPED), 1.2)
+        self.assertEqual(self.engine.workers_by_id["w1"].reappeared, set())
+
     def test_older_run_uses_room_once(self):
         """Guards against starts that are refused on a worker with room.
 
