Send one stop of a run at a time

What callers see: a worker that rejects or does not answer stops, while it answers polls, gets one more series of stops for the same run each second.

Cause: the coordinator orders the stop of a listed run again after STOP_INTERVAL_S. The session repeats each order until it is accepted, so the orders pile up while the worker is overloaded.

Ruled out: leaving the repetition to the session alone. An order is lost with its session, so the coordinator has to repeat it.

Change: a session ignores the order of a stop that it is repeating already.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -139,6 +139,8 @@
         # Runs that COORDINATOR has ordered to stop or gives up, or whose end
         # was reported, as long as their stop or their start is in flight.
         self._closed_runs: set[tuple[TaskKey, int]] = set()
+        # Runs whose stop is repeated until it is answered.
+        self._stops_in_flight: set[tuple[TaskKey, int]] = set()
         super().__init__(system, session_name(facts.worker_id))
 
     def handlers(self) -> dict[type, Handler]:
@@ -579,8 +581,15 @@
                 await pause(self.system.clock, BUSY_POLL_INTERVAL_S)
 
     def _stop_run(self, message: StopRun) -> None:
-        """Stop a run, also while its start waits for a reply."""
-        self._closed_runs.add((message.key, message.run))
+        """Stop a run, also while its start waits for a reply.
+
+        A stop that is repeated already is not sent a second time.
+        """
+        run_key = (message.key, message.run)
+        if run_key in self._stops_in_flight:
+            return
+        self._closed_runs.add(run_key)
+        self._stops_in_flight.add(run_key)
         run(self._stop(message), self.name)
 
     async def _stop(self, message: StopRun) -> None:
@@ -588,6 +597,7 @@
         try:
             await self._send_stop(message)
         finally:
+            self._stops_in_flight.discard(run_key)
             if run_key not in self._starts_in_flight:
                 # From now on the worker rejects a start of the run.
                 self._closed_runs.discard(run_key)
--- a/tests/test_settled_starts.py
+++ b/tests/test_settled_starts.py
@@ -24,6 +24,7 @@
     WorkerSilent,
 )
 from redwingrudder.coordination.worker_session import (
+    STOP_RETRY_DELAY_S,
     WorkerSession,
     prior_lease_timeout_s,
 )
@@ -297,6 +298,23 @@
         run_for(self.clock, 0.1)
         self.assertTrue(self.settled()[0].reply.accepted)
 
+    def test_repeated_orders_of_a_stop_are_sent_once_at_a_time(self):
+        """Guards against calls that pile up on a worker that is overloaded.
+
+        COORDINATOR orders the stop of a run again while it is listed, and the
+        worker rejects stops meanwhile.
+        """
+        self.channel.rejections["stop"] = ["unhealthy"] * 1000
+        for _ in range(5):
+            self.stop_run(1.0)
+        most = 1 + int(5.0 / STOP_RETRY_DELAY_S)
+        self.assertLessEqual(self.channel.calls.count("stop"), most)
+        self.channel.rejections["stop"] = []
+        run_for(self.clock, 1.0)
+        answered = self.channel.calls.count("stop")
+        self.stop_run(1.0)
+        self.assertEqual(self.channel.calls.count("stop"), answered + 1)
+
     def stop_run(self, seconds):
         self.system.tell(self.session.name, StopRun("w1", *self.run_key))
         run_for(self.clock, seconds)
