Store a cancelled submission together with its cancellation

What callers see: a job whose state is "cancelled" is run.

Cause: the job of an id that was cancelled before is stored without a new cancellation. The coordinator that reads the job applies the cancellation only if it remembers it: for EARLY_CANCEL_MEMORY_S, among the newest MAX_EARLY_CANCELS.

Ruled out: a longer memory.

Change: the transaction that stores such a job writes the cancellation again, so the watch reports both at one revision.

Measured: both new tests failed before (two revisions; no record of the cancelled job, which waited to be run) and pass now.

--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -228,8 +228,9 @@
         """Store a document; a stored document of the same id is kept.
 
         A cancellation may overtake the submission, also one of which an
-        earlier write is carried out late. The job is then stored on the
-        condition that its cancellation is, and its state is "cancelled".
+        earlier write is carried out late. The job is then stored together
+        with its cancellation, and its state is "cancelled". The watch reports
+        both, since a coordinator may not remember the earlier one.
 
         Returns:
             Whether this write has stored a job that is not cancelled. Others
@@ -245,7 +246,8 @@
                 return False
             if cancel_key in revisions_by_key:
                 cancelled = Compare(cancel_key, revisions_by_key[cancel_key])
-                message = Transact((Compare(key, 0), cancelled), (put,))
+                cancel_again = PutKey(cancel_key, str(time.time()))
+                message = Transact((Compare(key, 0), cancelled), (put, cancel_again))
                 if (await transact(self.system, message)).succeeded:
                     _logger.info(
                         "job was cancelled before it was stored",
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -61,6 +61,7 @@
 )
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
+from redwingrudder.workflows.engine import EARLY_CANCEL_MEMORY_S
 from redwingrudder.workflows.model import EndKind, WorkflowState
 
 from . import workflow_fixtures as fx
@@ -365,6 +366,18 @@
         self.assertEqual(set(self.stores[0].apply_delayed_writes()), {False})
         self.assertEqual(self.stored_keys(), ["intake/job", "intake/job/cancel"])
 
+    def test_job_is_stored_together_with_its_cancellation(self):
+        """Guards against running a job that callers see as cancelled.
+
+        The cancellation may be much older than its job, and a coordinator
+        does not remember cancellations of unknown jobs for long.
+        """
+        self.ask(CancelWorkflow("job", 1.0))
+        self.ask(SubmitWorkflow(fx.workflow(), 1.0), node=1)
+        revisions = {item.mod_revision for item in self.contents.items_by_key.values()}
+        self.assertEqual(self.stored_keys(), ["intake/job", "intake/job/cancel"])
+        self.assertEqual(len(revisions), 1)
+
     def test_cancelled_id_without_a_submission_is_unknown(self):
         """Guards against showing a job that nobody has submitted."""
         self.ask(CancelWorkflow("job", 1.0))
@@ -483,6 +496,11 @@
         self.system.tell(COORDINATOR, BeginTerm(1, term_revision, 1e9))
         run_for(self.clock, 0.3, (self.store,))
 
+    def ask(self, message):
+        reply = self.system.ask(INTAKE, message)
+        run_for(self.clock, 0.3, (self.store,))
+        return outcome(reply)
+
     def recorded_state(self):
         item = self.store.contents.items_by_key["progress/job"]
         return records.decode_progress("job", item.value.encode()).state
@@ -498,6 +516,15 @@
         run_for(self.clock, 0.3)
         self.assertIs(self.recorded_state(), WorkflowState.CANCELLED)
 
+    def test_job_that_is_stored_long_after_its_cancellation(self):
+        """Guards against running a job that callers see as cancelled."""
+        self.lead()
+        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"))
+        self.ask(CancelWorkflow("job", 1.0))
+        self.clock.advance(EARLY_CANCEL_MEMORY_S + 1.0)
+        self.ask(SubmitWorkflow(fx.workflow(), 1.0))
+        self.assertIs(self.recorded_state(), WorkflowState.CANCELLED)
+
     def test_announced_submission_of_an_id_that_is_stored_as_cancelled(self):
         """Guards against a node that announces a job that is not stored.
 
