Look up set-aside jobs without copying their ids

What callers see: with many jobs set aside, the coordinator spends its time on the reports of workers that list their runs.

Cause: each listed run of an unknown job computed the difference of two sets of ids.

Ruled out: the other steps of a report.

Change: two look-ups instead of a difference.

--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -239,7 +239,8 @@
         """
         if task is None:
             workflow_id = entry.key.workflow_id
-            return workflow_id in self.set_aside_ids - self.cancelled_aside_ids
+            is_cancelled = workflow_id in self.cancelled_aside_ids
+            return workflow_id in self.set_aside_ids and not is_cancelled
         needs_run = not (task.ended or task.stage.workflow.cancelled)
         return needs_run and entry.run > task.highest_run
 
