--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -526,7 +526,7 @@
     def test_job_that_is_stored_long_after_its_cancellation(self):
         """Guards against running a job that callers see as cancelled."""
         self.lead()
-        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"))
+        Intake(self.system, Identity("n1", "10.0.0.1:1", "life"), RETENTION_S)
         self.ask(CancelWorkflow("job", 1.0))
         self.clock.advance(EARLY_CANCEL_MEMORY_S + 1.0)
         self.ask(SubmitWorkflow(fx.workflow(), 1.0))
