Set no job aside for a damaged announcement

An announcement of a job that cannot be decoded set the job aside for the whole term, so that the sound copy that the watch reports was refused. Only what the store reports sets a job aside now.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -1,7 +1,6 @@
 """Runs the workflow engine while this node is the elected coordinator."""
 
 import logging
-import math
 import time
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -311,18 +310,17 @@
         unix_time_s = self.system.clock.seconds() + self._unix_time_offset_s
         max_age_s = SUBMISSION_AGE_SHARE * self._gateways.keep_ended_s
         self._accept_stored(
-            message.workflow_id, message.document, unix_time_s - max_age_s
+            message.workflow_id,
+            message.document,
+            accepted_since=unix_time_s - max_age_s,
+            is_stored=False,
         )
 
-    def _accept_stored(
-        self, workflow_id: str, document: str, accepted_since: float = -math.inf
-    ) -> None:
+    def _accept_stored(self, workflow_id: str, document: str, **options: Any) -> None:
         if not self._ready:
             return
         now = self.system.clock.seconds()
-        if accept_stored(
-            self._term.engine, workflow_id, document, now, accepted_since=accepted_since
-        ):
+        if accept_stored(self._term.engine, workflow_id, document, now, **options):
             self._schedule_planning()
 
     def _cancel_stored(self, message: CancelStored) -> None:
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -65,11 +65,13 @@
     now: float,
     recovering: bool = False,
     accepted_since: float = -math.inf,
+    is_stored: bool = True,
 ) -> bool:
     """Add a stored workflow to the engine.
 
-    A job whose document cannot be decoded is logged and set aside: another
-    release may have accepted it and placed its runs.
+    A job whose document cannot be decoded is logged. If the store holds the
+    document, the job is set aside: another release may have accepted it and
+    placed its runs.
 
     Args:
         engine: The engine of the term.
@@ -81,6 +83,8 @@
             accepted now.
         accepted_since: Unix seconds; a workflow with an earlier time of
             acceptance is skipped.
+        is_stored: Whether the store has reported the document. One that a
+            node has announced may be damaged.
 
     Returns:
         Whether the workflow was added: False if it cannot be decoded, is
@@ -93,7 +97,7 @@
             "stored workflow could not be decoded",
             extra={"key": key, "error": str(error)},
         )
-        if workflow_id_of(key) not in engine.workflows_by_id:
+        if is_stored and workflow_id_of(key) not in engine.workflows_by_id:
             engine.set_aside(workflow_id_of(key))
         return False
     workflow_id = workflow.workflow_id
--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -3,6 +3,7 @@
 import unittest
 
 from redwingrudder.coordination.recovery import accept_stored
+from redwingrudder.workflows import records
 from redwingrudder.workflows.model import NO_RESOURCES, EndKind, RunReport
 from redwingrudder.workflows.state import STOP_INTERVAL_S
 
@@ -142,6 +143,12 @@
                 self.engine.cancel("job", 0.6)
                 self.assertEqual(self.list_run(1.0), [self.stop])
 
+    def test_unreadable_announcement_does_not_set_a_job_aside(self):
+        """Guards against a job that is refused for a damaged announcement."""
+        document = records.encode_workflow(fx.workflow("new")).decode()
+        accept_stored(self.engine, "new", document[:-5], 0.0, is_stored=False)
+        self.assertTrue(accept_stored(self.engine, "intake/new", document, 0.1))
+
     def test_unreadable_copy_of_a_document_changes_nothing(self):
         """Guards against a job that a malformed announcement sets aside."""
         accept_stored(self.engine, "job", "{", 0.5)
