Let a test of checkpoints wait for the run of another worker

test_run_listed_by_another_worker_saves_nothing failed since a task waits for all of its listed runs: it expected a start while another worker still listed a run of the task. It now checks that there is none, and the same checkpoint once that worker no longer lists the run.

--- a/tests/test_checkpoints.py
+++ b/tests/test_checkpoints.py
@@ -100,6 +100,8 @@
         other = {"w1": "w2", "w2": "w1"}[first.worker_id]
         self.report(first, "foreign", worker_id=other)
         self.interrupt(first)
+        self.assertEqual(self.next_checkpoints(), [])
+        self.report_no_runs()
         self.assertEqual(self.next_checkpoints(), ["saved"])
 
     def test_listed_run_of_a_task_that_is_not_placed_saves_nothing(self):
