--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -244,6 +244,10 @@
         remaining_s = self.core.lease_until - self.clock.seconds()
         self.run_for(remaining_s - 0.1)
         self.core.poll(poll, self.clock.seconds())
+        self.assert_ended_when_lost()
+
+    def assert_ended_when_lost(self):
+        """Check that the worker's task has ended once the worker is lost."""
         for _ in range(200):
             self.run_for(0.05)
             if self.dispatcher.received:
@@ -271,13 +275,7 @@
         self.run_for(self.core.lease_until - self.clock.seconds() - 0.1)
         for claim in claims[:1]:
             self.core.claim(claim, self.clock.seconds())
-        for _ in range(200):
-            self.run_for(0.05)
-            if self.dispatcher.received:
-                break
-        self.assertEqual(self.dispatcher.received, [WorkerLost("w1", "lease_lapsed")])
-        (member,) = self.core.state(self.clock.seconds())["members"]
-        self.assertEqual(member["state"], "ended")
+        self.assert_ended_when_lost()
 
     def test_each_command_limits_the_lease_that_it_renews(self):
         """Guards against a late command whose lease has no known end."""
