Log and count attempts of starts that get no reply

Cause: a start that was accepted in its second attempt left no line about the first one, and no line named the fence and the process that an attempt was sent to. So the logs could not tell whether a run that begins beside a newer one comes from this term or from an earlier one.

Change: StartSettled carries the time of the latest attempt without a reply; the session logs attempt, fence and process; the counter starts_with_lost_attempts counts such starts. No decision changes.

Measured: tests.test_late_calls and tests.test_worker_session pass.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -378,6 +378,8 @@
         start, reply = message.run, message.reply
         outcome = "accepted" if reply.accepted else reply.reason
         self.tell(METRICS, IncrementCounter("starts", (outcome,)))
+        if message.unanswered_at is not None:
+            self.tell(METRICS, IncrementCounter("starts_with_lost_attempts", ()))
         if not self._ready or not self._term.workers.is_current(
             start.worker_id, message.fence
         ):
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -303,11 +303,15 @@
         reply: Reply of the worker, or a rejection once it is certain that the
             run will not begin.
         fence: Fencing token of the session that sent the start.
+        unanswered_at: Node-clock seconds at which the latest attempt without a
+            reply was sent, None if all attempts were answered or not sent. The
+            worker, or its next process, may still carry it out.
     """
 
     run: StartRun
     reply: CommandReply
     fence: int
+    unanswered_at: float | None = None
 
 
 class ThrottleUnanswered(NamedTuple):
--- a/src/redwingrudder/coordination/metrics.py
+++ b/src/redwingrudder/coordination/metrics.py
@@ -39,6 +39,10 @@
 COUNTERS = {
     "requests": ("Answers to callers", ("method", "status")),
     "starts": ("Answers to starts of runs", ("outcome",)),
+    "starts_with_lost_attempts": (
+        "Starts of which at least one attempt got no reply",
+        (),
+    ),
     "run_ends": ("Ends of runs", ("kind",)),
     "store_calls": ("Calls of the store", ("outcome",)),
     "errors": ("Unexpected errors and unreadable documents", ("logger",)),
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 from .._background import pause, run
@@ -134,8 +135,9 @@
         self._has_reported = False
         self._closed = False
         self._starts_in_flight: set[tuple] = set()
-        # Starts in flight that the worker may have received.
-        self._unanswered_starts: set[tuple[TaskKey, int]] = set()
+        # Starts in flight that the worker may have received, with the time at
+        # which the latest attempt without a reply was sent.
+        self._unanswered_starts: dict[tuple[TaskKey, int], float] = {}
         # Runs that COORDINATOR has ordered to stop or gives up, or whose end
         # was reported, as long as their stop or their start is in flight.
         self._closed_runs: set[tuple[TaskKey, int]] = set()
@@ -469,8 +471,10 @@
         """
         run_key = (message.key, message.run)
         self._starts_in_flight.add(run_key)
+        unanswered_at: float | None = None
         try:
             reply = await self._send_start(message)
+            unanswered_at = self._unanswered_starts.get(run_key)
             if self._may_have_begun(run_key, reply):
                 await self._close_run(message)
             if reply.reason == "unanswered" and self._restarted:
@@ -478,13 +482,24 @@
                 self._report_lapsed()
         finally:
             self._starts_in_flight.discard(run_key)
-            self._unanswered_starts.discard(run_key)
+            self._unanswered_starts.pop(run_key, None)
             self._closed_runs.discard(run_key)
         if self._closed:
             return
         if reply.reason == "fenced":
             self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
-        self._tell_coordinator(StartSettled(message, reply, self._fence))
+        if unanswered_at is not None:
+            _logger.info(
+                "an attempt of a settled start got no reply",
+                extra={
+                    "worker": self._facts.worker_id,
+                    **_run_fields(message),
+                    "outcome": "accepted" if reply.accepted else reply.reason,
+                    "age_s": round(self.system.clock.seconds() - unanswered_at, 3),
+                    "fence": self._fence,
+                },
+            )
+        self._tell_coordinator(StartSettled(message, reply, self._fence, unanswered_at))
         if not self._polling and reply.accepted:
             self._poll_soon()
 
@@ -496,21 +511,28 @@
         run, which may have no effect yet. Nor is it sent after the run has
         ended: the worker may have restarted and would run it again.
         """
+        run_key = (message.key, message.run)
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
             if not self._may_start:
                 break
             if self._chart.state == "lapsed":
                 break
-            if (message.key, message.run) in self._closed_runs:
+            if run_key in self._closed_runs:
                 break
+            sent_at = self.system.clock.seconds()
             start = self._channel.start(
                 message, self._lease_until(), self._fence, timeout_s
             )
             reply = await self._await_reply(
                 start,
                 "start",
-                _run_fields(message),
-                lambda: self._unanswered_starts.add((message.key, message.run)),
+                {
+                    **_run_fields(message),
+                    "attempt": attempt + 1,
+                    "fence": self._fence,
+                    "process_started_ms": self._process_started_ms,
+                },
+                partial(self._unanswered_starts.__setitem__, run_key, sent_at),
             )
             if attempt and reply is not None and reply.reason == "other_life":
                 # The worker may have started the run before it was restarted.
