Repeat an upkeep order that was not accepted, whichever worker is there

Cause: a machine with a recorded order counted as upkept once it was up with another worker. The order may never have been sent, and the worker may have replaced one that crashed. The same within a term, for an order that was sent and lost. A state that an order has as its effect was taken for its answer.

Ruled out: to record which orders were sent. A successor would still not know whether one without an answer was carried out, nor would the sender.

Change: the record says which orders were accepted; other orders are recorded as before, so that releases read each other's records. Only an accepted order makes a machine count as upkept, when a list that was requested later shows it up. Another worker on a machine without an accepted order is emptied, with the time that runs get to end by themselves, and the order is repeated. The machine service carries out the upkeep of a wave once and accepts the orders after it, so the machine gets no second one, and may be up with the worker that it had; that worker gets work again. The cost of an answer that is lost is to empty one worker more, and that of an accepted order one more write.

Eight new tests, all of which fail without the change.

--- a/src/redwingrudder/coordination/maintenance.py
+++ b/src/redwingrudder/coordination/maintenance.py
@@ -1,13 +1,16 @@
 """Carries out the operators' maintenance waves while this node leads."""
 
 import logging
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, TypedDict
 
 from .._store_requests import DeleteKey, GetPrefix, PutKey
 from ..actors import ActorSystem
 from ..exceptions import OverloadedError, RedwingrudderError
 from ..workflows.engine import Engine
 from ..workflows.maintenance import (
+    ACCEPTED_STATES,
+    BUSY_STATES,
     ORDERED_STATES,
     MachineUpkeep,
     WaveProgress,
@@ -30,6 +33,22 @@
 _logger = logging.getLogger(__name__)
 
 
+class AcceptedOrder(TypedDict):
+    """Record of an order that the machine service has accepted.
+
+    An order that may not have been sent is recorded as a worker id only, as
+    former releases record all orders. They take a machine with this record
+    for one that has had its upkeep as soon as it is up.
+
+    Attributes:
+        worker: Worker that was emptied before the order.
+        accepted: Always true.
+    """
+
+    worker: str
+    accepted: bool
+
+
 class Maintenance(MachineDuty):
     """Carries out the maintenance waves during one term.
 
@@ -69,6 +88,8 @@
         self._wave_codec = wave_codec
         self._progress_by_id: dict[int, WaveProgress] = {}
         self._keys_by_wave_id: dict[int, str] = {}
+        # Orders by machine id as the store has them.
+        self._recorded_by_wave_id: dict[int, dict[str, Any]] = {}
         self._finished_wave_ids: set[int] = set()
 
     async def _work(self, now: float) -> None:
@@ -118,7 +139,7 @@
         progress = self._progress_by_id.pop(wave_id, None)
         if progress is None:
             return
-        for upkeep in progress.in_state("emptying", *ORDERED_STATES):
+        for upkeep in progress.in_state(*BUSY_STATES):
             self._release_worker(upkeep)
         _logger.info("maintenance wave withdrawn", extra={"wave": wave_id})
 
@@ -135,9 +156,12 @@
             return
         record_key = MAINTENANCE_PREFIX + str(wave_id)
         record = await self._system.ask(STORE, GetPrefix(record_key))
+        orders: dict[str, Any] = {}
         for pair in record.pairs:
             if pair.key == record_key:
-                self._restore_orders(progress, decode_orders(pair))
+                orders = decode_orders(pair)
+        self._recorded_by_wave_id[wave_id] = orders
+        self._restore_orders(progress, orders)
         await self._write(
             PutKey(status_key, self._wave_codec.encode_status(wave_id, False))
         )
@@ -149,40 +173,52 @@
                 "machines": len(progress.wave.machine_ids),
                 "limit": progress.wave.limit,
                 "ordered": len(progress.in_state(*ORDERED_STATES)),
+                "accepted": len(progress.in_state(*ACCEPTED_STATES)),
             },
         )
 
-    def _restore_orders(self, progress: WaveProgress, ordered: dict[str, Any]) -> None:
-        """Restore the machines of recorded orders to the state "unconfirmed".
+    def _restore_orders(self, progress: WaveProgress, orders: dict[str, Any]) -> None:
+        """Restore the machines of recorded orders.
 
-        An order may not have been sent after it was recorded, so it is sent
-        again; the machine service carries it out only once.
+        An order that is not recorded as accepted may not have been sent, so it
+        is sent again; the machine service carries it out only once.
         """
-        for machine_id, worker_id in ordered.items():
+        for machine_id, order in orders.items():
             upkeep = progress.machines_by_id.get(machine_id)
-            if upkeep is not None:
-                upkeep.worker_id = str(worker_id)
+            if upkeep is None:
+                continue
+            if isinstance(order, dict) and order.get("accepted") is True:
+                upkeep.worker_id = str(order.get("worker", ""))
+                upkeep.step("restored_accepted")
+            else:
+                upkeep.worker_id = str(order)
                 upkeep.step("restored")
 
     async def _advance_wave(
         self, progress: WaveProgress, listed: tuple, now: float
     ) -> None:
-        progress.observe(listed)
+        for upkeep in progress.observe(listed):
+            if upkeep.state == "done":
+                self._release_worker(upkeep)
+            elif upkeep.state == "unconfirmed":
+                upkeep.empty_by = now + progress.emptying_s
+            self._log_upkeep(progress, upkeep, "observed")
         if now >= self._quiet_period_ends_at:
             for upkeep in progress.choose(listed, self._engine.workers_by_id, now):
                 self._log_upkeep(progress, upkeep, "chosen")
         emptied = [
             u for u in progress.in_state("emptying") if self._empty_worker(u, now)
         ]
-        if emptied:
-            await self._record_orders(progress, emptied)
+        await self._record_orders(progress, emptied)
         for upkeep in emptied:
             upkeep.step("emptied")
         for upkeep in progress.in_state(*ORDERED_STATES):
             if not self._may_order(self._system.clock.seconds()):
-                return
+                break
             if self._empty_worker(upkeep, now):
                 await self._order_upkeep(progress, upkeep)
+        if not self._closed:
+            await self._record_orders(progress)
 
     def _empty_worker(self, upkeep: MachineUpkeep, now: float) -> bool:
         """Exclude a worker from placement and stop its runs as far as allowed.
@@ -226,24 +262,30 @@
             worker.emptying = False
 
     async def _record_orders(
-        self, progress: WaveProgress, emptied: list[MachineUpkeep]
+        self, progress: WaveProgress, emptied: Iterable[MachineUpkeep] = ()
     ) -> None:
-        """Record orders in the store, which is done before they are sent.
+        """Record in the store which orders may be sent, or were accepted.
 
-        A successor reads from the record which orders may have been sent.
+        Orders are recorded before they are sent. A successor repeats those
+        that are not recorded as accepted.
 
         Args:
             progress: The wave.
             emptied: Machines to which orders are sent next.
         """
-        ordered = {
+        orders: dict[str, Any] = {
             upkeep.machine_id: upkeep.worker_id
-            for upkeep in progress.machines_by_id.values()
-            if upkeep in emptied
-            or (upkeep.worker_id and upkeep.state not in ("waiting", "emptying"))
+            for upkeep in (*progress.in_state(*ORDERED_STATES), *emptied)
         }
-        key = MAINTENANCE_PREFIX + str(progress.wave.wave_id)
-        await self._write(PutKey(key, encode_orders(ordered)))
+        for upkeep in progress.in_state(*ACCEPTED_STATES):
+            orders[upkeep.machine_id] = AcceptedOrder(
+                worker=upkeep.worker_id, accepted=True
+            )
+        wave_id = progress.wave.wave_id
+        if orders != self._recorded_by_wave_id[wave_id]:
+            key = MAINTENANCE_PREFIX + str(wave_id)
+            await self._write(PutKey(key, encode_orders(orders)))
+            self._recorded_by_wave_id[wave_id] = orders
 
     async def _finish_wave(self, progress: WaveProgress) -> None:
         wave_id = progress.wave.wave_id
@@ -252,6 +294,7 @@
         await self._write(PutKey(self._wave_codec.status_key(wave_id), status), record)
         self._finished_wave_ids.add(wave_id)
         del self._progress_by_id[wave_id]
+        del self._recorded_by_wave_id[wave_id]
         _logger.info("maintenance wave completed", extra={"wave": wave_id})
 
     def _log_upkeep(
--- a/src/redwingrudder/workflows/maintenance.py
+++ b/src/redwingrudder/workflows/maintenance.py
@@ -16,10 +16,12 @@
             "chosen",
             "emptied",
             "restored",
+            "restored_accepted",
             "unanswered",
             "accepted",
             "rejected",
-            "returned",
+            "up",
+            "replaced",
             "gone",
         }
     ),
@@ -29,6 +31,8 @@
 BUSY_STATES = frozenset({"emptying", "ordered", "unconfirmed", "down"})
 # States in which the order to take a machine down is sent.
 ORDERED_STATES = frozenset({"ordered", "unconfirmed"})
+# States after an order that the machine service has accepted.
+ACCEPTED_STATES = frozenset({"down", "done"})
 # A wave's time is divided evenly among its batches of machines. This share of
 # a batch's time is given to the runs on a machine to end by themselves.
 EMPTYING_TIME_SHARE = 0.4
@@ -57,9 +61,8 @@
     Attributes:
         machine_id: Id of the machine.
         state: State in ``UPKEEP_CHART``.
-        worker_id: Worker on the machine when it was chosen, "" before. After
-            an order the machine has had its upkeep when it is up with another
-            worker.
+        worker_id: Worker that is emptied before the order, "" before the
+            machine is chosen.
         empty_by: Node-clock seconds until which runs may end by themselves.
     """
 
@@ -97,26 +100,36 @@
         """Return the machines that are in any of the given states."""
         return [m for m in self.machines_by_id.values() if m.state in states]
 
-    def observe(self, listed: Iterable[Machine]) -> None:
+    def observe(self, listed: Iterable[Machine]) -> list[MachineUpkeep]:
         """Update the machines from the platform's list.
 
-        A machine that is missing from the list is gone. A chosen machine that
-        is up with another worker has returned from upkeep if an order may have
-        been carried out; otherwise it may be chosen again.
+        A machine that is missing from the list is gone. One that is up has had
+        its upkeep if an order was accepted before the list was requested.
+        Otherwise another worker on it has to be emptied too.
+
+        Returns:
+            The machines whose state or worker has changed.
         """
         by_id = {machine.machine_id: machine for machine in listed}
+        changed = []
         for upkeep in self.machines_by_id.values():
             if upkeep.ended:
                 continue
             machine = by_id.get(upkeep.machine_id)
             if machine is None:
-                upkeep.step("gone")
-            elif (
-                machine.state is MachineState.UP
-                and upkeep.worker_id
-                and machine.worker_id != upkeep.worker_id
-            ):
-                upkeep.step("returned")
+                is_changed = upkeep.step("gone")
+            elif machine.state is not MachineState.UP:
+                continue
+            elif machine.worker_id == upkeep.worker_id:
+                is_changed = upkeep.step("up")
+            else:
+                is_changed = upkeep.step("replaced")
+                if upkeep.state == "unconfirmed":
+                    upkeep.worker_id = machine.worker_id
+                    is_changed = True
+            if is_changed:
+                changed.append(upkeep)
+        return changed
 
     def choose(
         self,
@@ -148,12 +161,14 @@
         chosen = []
         for upkeep, worker_id in ready[: max(free, 0)]:
             upkeep.worker_id = worker_id
-            upkeep.empty_by = now + self._emptying_s()
+            upkeep.empty_by = now + self.emptying_s
             upkeep.step("chosen")
             chosen.append(upkeep)
         return chosen
 
-    def _emptying_s(self) -> float:
+    @property
+    def emptying_s(self) -> float:
+        """Seconds for which the runs on a machine may end by themselves."""
         batches = -(-len(self.wave.machine_ids) // max(self.wave.limit, 1))
         return EMPTYING_TIME_SHARE * self.wave.duration_s / max(batches, 1)
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -30,6 +30,7 @@
 
 QUIET_S = 3.0
 STATUS = "status/wave/1"
+RECORD = MAINTENANCE_PREFIX + "1"
 MACHINES = ("m0", "m1", "m2")
 
 
@@ -47,6 +48,9 @@
 class FakeMachineService(MachineService):
     """Machine service that keeps its machines in memory.
 
+    It carries out the upkeep of a machine once, and accepts the orders after
+    it. An order ends the runs on its machine.
+
     Attributes:
         lost_replies: Number of orders that are carried out although their
             reply is lost.
@@ -55,6 +59,9 @@
             rejected.
         overloaded: Whether orders are answered with an overload.
         orders: Machine, holder and fencing token of each order.
+        lost_orders: Number of orders that fail without being carried out.
+        upkept_ids: Machines whose upkeep has begun.
+        ended_worker_ids: Workers on machines whose upkeep began.
         targets: Pool of each machine that was moved, in order.
         max_machines_down: Largest number of machines down at the same time.
     """
@@ -62,10 +69,13 @@
     def __init__(self, machines=3):
         self.machines = {m.machine_id: m for m in running_machines(machines)}
         self.lost_replies = 0
+        self.lost_orders = 0
         self.reply = None
         self.rejects_while_down = False
         self.overloaded = False
         self.orders = []
+        self.upkept_ids = []
+        self.ended_worker_ids = []
         self.targets = []
         self.max_machines_down = 0
 
@@ -78,10 +88,15 @@
         self.orders.append((machine_id, holder, fence))
         if self.reply is not None:
             return self.reply
+        if self.lost_orders:
+            self.lost_orders -= 1
+            raise UnavailableError("order lost")
         machine = self.machines[machine_id]
         if self.rejects_while_down and machine.state is not MachineState.UP:
             return MachineReply.REJECTED
-        if machine.worker_id.startswith("w"):
+        if machine_id not in self.upkept_ids:
+            self.upkept_ids.append(machine_id)
+            self.ended_worker_ids.append(machine.worker_id)
             self.machines[machine_id] = machine._replace(
                 state=MachineState.CHANGING, worker_id=""
             )
@@ -256,6 +271,131 @@
         ordered = {name for name, _, _ in self.machines.orders}
         self.assertEqual(ordered, set(MACHINES))
 
+    def recorded_orders(self):
+        return json.loads(self.store.contents.items_by_key[RECORD].value)
+
+    def succeed(self):
+        """Let another coordinator take over, which orders later."""
+        self.maintenance.close()
+        self.machines.orders.clear()
+        self.maintenance = self.new_term()
+
+    def advance_to_first_order(self):
+        while not self.machines.orders:
+            self.advance(0.2, machines_return=False)
+        return self.ordered_ids()
+
+    def ordered_ids(self):
+        return {name for name, _, _ in self.machines.orders}
+
+    def test_accepted_order_is_recorded_and_not_sent_again(self):
+        """Guards against an order to a machine that has had its upkeep.
+
+        The coordinator has ended while the machine was down.
+        """
+        self.advance(4.0, machines_return=False)
+        (machine_id,) = self.ordered_ids()
+        self.assertIs(self.recorded_orders()[machine_id]["accepted"], True)
+        self.succeed()
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+        self.assertNotIn(machine_id, self.ordered_ids())
+        self.assertEqual(sorted(self.machines.upkept_ids), list(MACHINES))
+
+    def test_acceptance_is_recorded_once_the_store_answers(self):
+        """Guards against an acceptance that a failed write loses."""
+        self.advance(QUIET_S - 0.4)
+        begin_upkeep = self.machines.begin_upkeep
+
+        def fail_next_write(*arguments):
+            self.store.writes_to_delay = 1
+            return begin_upkeep(*arguments)
+
+        self.machines.begin_upkeep = fail_next_write
+        self.advance(4.0, machines_return=False)
+        (machine_id,) = self.ordered_ids()
+        self.assertIs(self.recorded_orders()[machine_id]["accepted"], True)
+
+    def test_lost_answer_before_a_takeover(self):
+        """Guards against a wave that never ends, and against a second upkeep.
+
+        The order was carried out, and the machine is up with a new worker
+        before the successor reads the list.
+        """
+        self.machines.lost_replies = 1
+        (machine_id,) = self.advance_to_first_order()
+        self.machines.return_machines()
+        self.succeed()
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+        self.assertIn(machine_id, self.ordered_ids())
+        self.assertEqual(sorted(self.machines.upkept_ids), list(MACHINES))
+        self.assertEqual(self.machines.max_machines_down, 1)
+
+    def test_machine_with_an_unconfirmed_order_is_emptied_again(self):
+        """Guards against a repeated order that ends the runs of a new worker.
+
+        The order of the earlier coordinator was never sent.
+        """
+        self.store.contents.put(RECORD, json.dumps({"m0": "w-last"}))
+        self.engine.accept(fx.workflow("job", fx.step(3, fx.WHOLE_WORKER)), 0.0)
+        starts = fx.starts(self.engine.plan(0.0, 0.0))
+        fx.confirm(self.engine, starts)
+        self.advance(8.0)
+        self.assertEqual(self.machines.orders, [])
+        (start,) = (s for s in starts if s.worker_id == "w0")
+        end = fx.ended(start, EndKind.STOPPED)
+        self.engine.end("w0", end, self.clock.seconds())
+        self.advance(1.0, machines_return=False)
+        self.assertEqual(self.machines.ended_worker_ids, ["w0"])
+
+    def test_emptied_worker_of_a_finished_upkeep_gets_work_again(self):
+        """Guards against a worker that stays excluded after a lost answer."""
+        self.store.contents.put(RECORD, json.dumps({"m0": "w-last"}))
+        self.machines.upkept_ids.append("m0")
+        self.advance(QUIET_S + 1.0, machines_return=False)
+        self.assertIn("m0", self.ordered_ids())
+        self.assertFalse(self.engine.workers_by_id["w0"].emptying)
+
+    def test_lost_order_to_a_machine_with_a_new_worker(self):
+        """Guards against a wave that is done without the upkeep of a machine.
+
+        The order was sent and never carried out, and the worker crashed.
+        """
+        self.machines.lost_orders = 1
+        (machine_id,) = self.advance_to_first_order()
+        self.replace_worker(machine_id, "w-next")
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+        self.assertEqual(sorted(self.machines.upkept_ids), list(MACHINES))
+
+    def test_successor_of_a_former_release(self):
+        """Guards against two machines down by orders of a former release.
+
+        Its record does not tell which orders were accepted.
+        """
+        self.advance(4.0, machines_return=False)
+        (machine_id,) = self.ordered_ids()
+        worker_id = self.recorded_orders()[machine_id]["worker"]
+        self.store.contents.put(RECORD, json.dumps({machine_id: worker_id}))
+        self.succeed()
+        self.advance(10.0, machines_return=False)
+        self.assertEqual(self.machines.upkept_ids, [machine_id])
+        self.advance(20.0)
+        self.assertEqual(self.status(), "done")
+        self.assertEqual(sorted(self.machines.upkept_ids), list(MACHINES))
+        self.assertEqual(self.machines.max_machines_down, 1)
+
+    def test_unreadable_order_of_a_record(self):
+        """Guards against a machine that is skipped for a damaged record."""
+        for order in (7, None, [], {}, {"accepted": "yes"}, {"accepted": False}):
+            with self.subTest(order=order):
+                self.setUp()
+                self.store.contents.put(RECORD, json.dumps({"m0": order}))
+                self.advance(25.0)
+                self.assertEqual(self.status(), "done")
+                self.assertEqual(sorted(self.machines.upkept_ids), list(MACHINES))
+
     def test_fenced_coordinator_gives_up(self):
         """Guards against orders of a coordinator that has a successor."""
         self.machines.reply = MachineReply.FENCED
