Ask the peer with the newest configuration before the first one is in force

Cause: a process that starts while the store does not answer took the configuration of the first peer that it heard of, also when it already knew of a newer version at another peer. A key that was withdrawn before the restart was in use again. And until the first read of the store had failed, it did not replace that document by a newer one of a peer.

Ruled out: versions that fall within a process (only newer ones are put in force); outdated reads of the store (no read allows them); workers that have left, after a change of the coordinator (one without an entry is not listed, and one with an old entry gets no runs before it answers).

Change: without a configuration, a node asks the peer that has reported the newest version too, and takes the older document only if that peer has none. Documents of peers are fetched until the store has answered, one at a time as before.

Measured: of four new tests, two failed before; all pass. 136 tests of the modules concerned pass.

--- a/src/redwingrudder/coordination/configuration_feed.py
+++ b/src/redwingrudder/coordination/configuration_feed.py
@@ -64,9 +64,11 @@
         self._codec = codec
         self._subscribers = subscribers
         self._version_subscribers = version_subscribers
+        # Newest version that a peer has reported, and that peer's address.
         self._newest_version = 0
+        self._newest_address = ""
         self._document = ""
-        self._store_failed = False
+        self._store_answers = False
         self._fetching = False
         self._stopping = False
         super().__init__(system, CONFIGURATION)
@@ -95,7 +97,7 @@
         """
         try:
             reply: PrefixReply = await self.ask(STORE, GetPrefix(self._codec.key))
-            self._store_failed = False
+            self._store_answers = True
             for pair in reply.pairs:
                 if pair.key == self._codec.key:
                     self._apply_document(pair.value, "store")
@@ -113,7 +115,7 @@
                         self._apply_document(change.value, "store")
                 revision = changes.revision
         except RedwingrudderError as error:
-            self._store_failed = True
+            self._store_answers = False
             _logger.info(
                 "configuration watch failed; it is started again",
                 extra={"error": str(error)},
@@ -134,29 +136,46 @@
             return
         if message.version > self._newest_version:
             self._newest_version = message.version
+            self._newest_address = message.address
             for subscriber in self._version_subscribers:
                 self.tell(subscriber, NewestConfigurationVersion(message.version))
-        if (self._store_failed or not current_version) and not self._fetching:
+        is_needed = not self._store_answers or not current_version
+        if is_needed and not self._fetching:
             self._fetching = True
-            run(self._fetch_from_peer(message.address), self.name)
+            run(self._fetch_from_peer(message), self.name)
 
-    async def _fetch_from_peer(self, address: str) -> None:
+    async def _fetch_from_peer(self, seen: NewerConfigurationSeen) -> None:
+        """Fetch a document from a peer and put it in force.
+
+        A process without a configuration does not know which version was in
+        force before it started. If another peer has a newer version than the
+        first document, it is asked too, so that keys and queues that were
+        removed are not used again. An outdated document is better than none.
+        """
+        try:
+            document = await self._read_from_peer(seen.address)
+            if self.current is None and seen.version < self._newest_version:
+                newer = await self._read_from_peer(self._newest_address)
+                document = newer or document
+        finally:
+            self._fetching = False
+        if document:
+            self._apply_document(document, "neighbour")
+
+    async def _read_from_peer(self, address: str) -> str:
+        """Return the newer document of a peer, "" if there is none."""
         version = self.current.version if self.current is not None else 0
         call = CallPeer(
             address, "configuration", (version,), transfer_s=PEER_TRANSFER_S
         )
         try:
-            document = await self.ask(PEERS, call)
+            return await self.ask(PEERS, call)
         except RedwingrudderError as error:
             _logger.info(
                 "configuration was not read from a peer",
                 extra={"peer": address, "error": str(error)},
             )
-            return
-        finally:
-            self._fetching = False
-        if document:
-            self._apply_document(document, "neighbour")
+            return ""
 
     def _get_document(self, request: GetConfigurationDocument) -> str:
         is_newer = self.current is not None and (
--- a/tests/test_configuration_transfer.py
+++ b/tests/test_configuration_transfer.py
@@ -13,10 +13,11 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
+from redwingrudder._background import pause
 from redwingrudder._peer_wire import protocol_factory
 from redwingrudder._wire.generated.coordination import CoordinationService
 from redwingrudder._wire.generated.coordination.ttypes import WireNodeSummary
-from redwingrudder.actors import ActorSystem
+from redwingrudder.actors import Actor, ActorSystem
 from redwingrudder.coordination.configuration_feed import ConfigurationFeed
 from redwingrudder.coordination.gateways import (
     CONFIGURATION,
@@ -28,6 +29,10 @@
     Queue,
 )
 from redwingrudder.coordination.leadership import Identity
+from redwingrudder.coordination.messages import (
+    ConfigurationInForce,
+    NewerConfigurationSeen,
+)
 from redwingrudder.coordination.metrics import (
     METRICS,
     IncrementCounter,
@@ -35,7 +40,7 @@
     SetGauge,
 )
 from redwingrudder.coordination.peer_calls import PeerLink
-from redwingrudder.coordination.peers import Peers
+from redwingrudder.coordination.peers import CallPeer, Peers
 from redwingrudder.exceptions import StoreUnavailableError, UnavailableError
 from redwingrudder.platform.front_end import FRONT_END, FrontEnd
 from redwingrudder.platform.http_client import JsonClient
@@ -43,7 +48,14 @@
 from redwingrudder.timers import TIMERS, Subscribe, TimerService
 from redwingrudder.workflows.model import QueuePolicy
 
-from .coordination_fakes import MemoryStore, Recording, StoreContents, outcome, run_for
+from .coordination_fakes import (
+    MemoryStore,
+    Recording,
+    StoreContents,
+    node_system,
+    outcome,
+    run_for,
+)
 from .test_platform_front import FakeRequest
 
 LINK_BPS = 5e6
@@ -187,6 +199,84 @@
         self.assertEqual(self.request().status, 405)
 
 
+class DocumentPeers(Actor):
+    """Peers that send the document of their version after a delay.
+
+    Attributes:
+        versions_by_address: Version of each node that answers.
+    """
+
+    def __init__(self, system, versions_by_address):
+        self.versions_by_address = versions_by_address
+        super().__init__(system, PEERS)
+
+    def handlers(self):
+        return {CallPeer: self._call}
+
+    async def _call(self, message):
+        await pause(self.system.clock, PART_S)
+        if message.address not in self.versions_by_address:
+            raise UnavailableError("no answer")
+        (above_version,) = message.arguments
+        version = self.versions_by_address[message.address]
+        return str(version) if version > above_version else ""
+
+
+class RestartedNodeTests(unittest.TestCase):
+    """A node starts again while the store does not answer it.
+
+    One of its peers was paused and has an outdated version.
+    """
+
+    def setUp(self):
+        self.clock, self.system, self.store = node_system()
+        TimerService(self.system)
+        self.peers = DocumentPeers(self.system, {"old:1": 1, "new:1": 2})
+        self.front_end = Recording(self.system, FRONT_END, {ConfigurationInForce: None})
+        self.feed = ConfigurationFeed(self.system, VersionCodec(), (FRONT_END,))
+
+    def hear_of(self, version, address):
+        self.system.tell(CONFIGURATION, NewerConfigurationSeen(version, address))
+        run_for(self.clock, PART_S / 2)
+
+    def versions_in_force(self):
+        return [message.configuration.version for message in self.front_end.received]
+
+    def test_outdated_document_is_not_put_in_force(self):
+        """Guards against keys that were withdrawn before a restart.
+
+        The node hears of the newer version while it reads the older one.
+        """
+        self.hear_of(1, "old:1")
+        self.hear_of(2, "new:1")
+        run_for(self.clock, 1.0)
+        self.assertEqual(self.versions_in_force(), [2])
+
+    def test_outdated_document_is_better_than_none(self):
+        """Guards against a node that refuses everything for a lost peer."""
+        del self.peers.versions_by_address["new:1"]
+        self.hear_of(1, "old:1")
+        self.hear_of(2, "new:1")
+        run_for(self.clock, 1.0)
+        self.assertEqual(self.versions_in_force(), [1])
+
+    def test_newer_document_is_fetched_before_the_first_read_ends(self):
+        """Guards against an old version as long as the store is silent."""
+        self.hear_of(1, "old:1")
+        run_for(self.clock, 2 * PART_S)
+        self.hear_of(2, "new:1")
+        run_for(self.clock, 2 * PART_S)
+        self.assertEqual(self.versions_in_force(), [1, 2])
+
+    def test_store_that_is_read_first_is_not_overtaken(self):
+        """Guards against a document of a peer that replaces a newer one."""
+        self.hear_of(1, "old:1")
+        self.store.contents.put("op/config", "2")
+        self.system.tell(TIMERS, Subscribe(CONFIGURATION, "follow", 0.0))
+        run_for(self.clock, 1.0)
+        self.assertEqual(self.versions_in_force(), [2])
+
+
 class PeerTransferTests(unittest.TestCase):
     """A document of a peer arrives on the connection of other calls."""
 
