--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -45,6 +45,8 @@
         now: Node-clock seconds.
     """
     workers_left = [option.worker for option in options]
+    if not any(task.late_starts_by_worker for task in tasks):
+        return list(zip(tasks, workers_left, strict=False))
     workers_by_key: dict[TaskKey, Worker] = {}
     for task in tasks:
         preferred_ids = preferred_workers(task.stage, task, now)
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -504,7 +504,10 @@
 
 def _all_preferred(stage: Stage, tasks: list[Task], now: float) -> frozenset[str]:
     return frozenset(
-        worker_id for task in tasks for worker_id in preferred_workers(stage, task, now)
+        worker_id
+        for task in tasks
+        if task.late_starts_by_worker
+        for worker_id in preferred_workers(stage, task, now)
     )
 
 
