Count the lease of a late run, and only answered polls, before the next run

An attempt that reaches a new process in the last of the 12 s begins a run that goes on for its lease, and the next run began after the 12 s. And an accepted start counted as an answer, although it does not list the late run.

Change: the wait lasts 12 s and the longest lease. Only a poll counts, by the time at which it was sent (0.5 s at most), so that a poll that waited for an end is no proof of the present process. The model has attempts that stay in flight while a later one is answered, and workers that list a run that is not wanted; a worker starts no run of a task beside another one.

--- a/src/redwingrudder/_spec_worker_process.py
+++ b/src/redwingrudder/_spec_worker_process.py
@@ -5,9 +5,13 @@
 delivered to it. The coordinator opens a session for it when its registry entry
 arrives, at any time, or when a poll of the earlier session meets it.
 
-Only commands that a session repeats are delivered to a process before the
-first poll of the session that was opened for it. The workers offer no means
-against older commands that are so late.
+An attempt of a start may stay in flight while a later attempt is answered. The
+next run of the task is placed on another worker only while the worker of such
+an attempt answers, or with no such attempt left.
+
+A process that restarts after that carries out no older commands before the
+first poll of the session that was opened for it: the workers offer no means
+against commands that are so late.
 """
 
 import enum
@@ -41,12 +45,20 @@
         "commands of an earlier session are accepted by a worker's next process"
     )
     EARLY_INTERRUPTION = "a confirmed run is interrupted before the new process reports"
-    NO_FIRST_POLL = "older commands reach a new process before its first poll"
+    NO_HOLD = (
+        "a run is placed elsewhere while a worker that may carry out an earlier "
+        "start does not answer"
+    )
+    NO_FIRST_POLL = (
+        "a worker that restarts after the next run was placed elsewhere carries "
+        "out older commands before its first poll"
+    )
 
 
 FLAWS = (
     (Flaw.NO_SESSION_FENCE, ONE_RUN),
     (Flaw.EARLY_INTERRUPTION, ONE_RUN),
+    (Flaw.NO_HOLD, ONE_RUN),
     (Flaw.NO_FIRST_POLL, ONE_RUN),
 )
 
@@ -100,12 +112,15 @@
         number: Number of the session in this term.
         has_reported: Whether that process has reported to it.
         is_reachable: Whether the worker may get new runs.
+        lists_unwanted_run: Whether its last report listed a run that is being
+            stopped, and for which no task waits.
     """
 
     process: int = 0
     number: int = 0
     has_reported: bool = False
     is_reachable: bool = False
+    lists_unwanted_run: bool = False
 
 
 class Coordinator(NamedTuple):
@@ -120,6 +135,8 @@
             is answered, ``AWAIT_REPORT`` if it waits for a report that settles
             the start, "" for none.
         sessions: The session of each worker.
+        late_starts: Workers that may carry out a start without a reply.
+        lost_attempt: Whether an attempt to start the latest run got no reply.
     """
 
     term: int
@@ -128,6 +145,8 @@
     worker: int = 0
     sending: str = NO_COMMAND
     sessions: tuple[Session, ...] = (Session(), Session())
+    late_starts: frozenset[int] = frozenset()
+    lost_attempt: bool = False
 
 
 class World(NamedTuple):
@@ -138,7 +157,6 @@
         workers: Both workers.
         commands: Commands that may still be delivered.
         recorded_placement: Run and worker that the store holds for the task.
-        ran_beside: Whether a run began on a worker beside another run.
         restarts_left: How many times a worker may still be restarted.
         lapses_left: How many leases may still lapse.
     """
@@ -147,7 +165,6 @@
     workers: tuple[Worker, ...] = (Worker(), Worker())
     commands: frozenset[Command] = frozenset()
     recorded_placement: tuple[int, int] = (0, 0)
-    ran_beside: bool = False
     restarts_left: int = MAX_RESTARTS
     lapses_left: int = MAX_LAPSES
 
@@ -158,9 +175,7 @@
 def build_model(coverage: Coverage, flaw: Flaw = Flaw.NONE) -> Model:
     """Return the model, or the variant without the rule ``flaw``."""
     invariants = {
-        ONE_RUN: lambda world: (
-            not world.ran_beside and sum(w.run > 0 for w in world.workers) <= 1
-        ),
+        ONE_RUN: lambda world: sum(w.run > 0 for w in world.workers) <= 1,
     }
     initial = World(Coordinator(1, CHART.initial))
     successors = _Successors(coverage, flaw)
@@ -230,9 +245,17 @@
             # on worker 0 without loss of generality.
             is_first = coordinator.term == 1 and run == 1
             for index in WORKERS[:1] if is_first else WORKERS:
-                if coordinator.sessions[index].is_reachable:
+                if coordinator.sessions[index].is_reachable and self._may_place(
+                    world, index
+                ):
                     placed = self._fire(
-                        world, "assign", run=run, worker=index, sending=START
+                        world,
+                        "assign",
+                        run=run,
+                        worker=index,
+                        sending=START,
+                        late_starts=coordinator.late_starts | {index},
+                        lost_attempt=False,
                     )
                     yield (
                         f"place on worker {index}",
@@ -250,25 +273,50 @@
                 world._replace(coordinator=abandoned),
             )
 
+    def _may_place(self, world: World, index: int) -> bool:
+        """Return whether a run may be placed on a worker.
+
+        An answer shows that the worker's process has the fence of the session,
+        and which runs it has.
+        """
+        for other, session in enumerate(world.coordinator.sessions):
+            if session.lists_unwanted_run:
+                return False
+            answers = (
+                session.has_reported and session.process == world.workers[other].process
+            )
+            may_start = other in world.coordinator.late_starts
+            holds = may_start and other != index and not answers
+            if holds and self._flaw is not Flaw.NO_HOLD:
+                return False
+        return True
+
     def _delivery_steps(self, world: World, command: Command) -> Steps:
         index = command.worker
         worker, coordinator = world.workers[index], world.coordinator
         session = coordinator.sessions[index]
         is_repeated = command in self._repeated(coordinator)
         is_polled = session.process == worker.process and session.has_reported
+        goes_on_elsewhere = (
+            coordinator.state in PLACED_STATES and coordinator.worker != index
+        )
         if worker.process and not (
-            is_repeated or is_polled or self._flaw is Flaw.NO_FIRST_POLL
+            is_repeated
+            or is_polled
+            or not goes_on_elsewhere
+            or self._flaw is Flaw.NO_FIRST_POLL
         ):
             return
+        attempts_in_flight = world.commands
         world = world._replace(commands=world.commands - {command})
         accepted = command.fence >= worker.fence
         if accepted:
             worker = worker._replace(fence=command.fence)
         if accepted and command.kind == START:
             accepted = command.run > worker.highest_closed_run and not command.expired
-            if accepted and worker.run != command.run:
-                if worker.run:
-                    world = world._replace(ran_beside=True)
+            # A worker starts no run of a task beside another one.
+            accepted = accepted and worker.run in (0, command.run)
+            if accepted:
                 worker = worker._replace(run=command.run)
         elif accepted:
             # The run in progress continues until it has been stopped.
@@ -276,16 +324,36 @@
                 highest_closed_run=max(worker.highest_closed_run, command.run)
             )
         world = _with_worker(world, index, worker)
-        yield f"{command.kind}, reply lost", world
+        unanswered = coordinator
+        if is_repeated and command.kind == START:
+            unanswered = coordinator._replace(lost_attempt=True)
+        yield (
+            f"{command.kind}, reply lost",
+            world._replace(coordinator=unanswered),
+        )
         if not is_repeated:
             return
         if command.kind == START and accepted:
-            answered = self._fire(world, "started", sending=NO_COMMAND)
+            late_starts = coordinator.late_starts
+            if not coordinator.lost_attempt:
+                late_starts -= {index}
+            answered = self._fire(
+                world, "started", sending=NO_COMMAND, late_starts=late_starts
+            )
         else:
             answered = world._replace(
                 coordinator=coordinator._replace(sending=AWAIT_REPORT)
             )
         yield f"{command.kind} answered", answered
+        if command.kind == START:
+            late_starts = coordinator.late_starts | {index}
+            yield (
+                "start answered, an earlier attempt is in flight",
+                answered._replace(
+                    coordinator=answered.coordinator._replace(late_starts=late_starts),
+                    commands=attempts_in_flight,
+                ),
+            )
 
     def _poll_steps(self, world: World, index: int) -> Steps:
         worker, coordinator = world.workers[index], world.coordinator
@@ -311,8 +379,29 @@
         if is_placed_here:
             answers_again = is_first or not session.is_reachable
             world = self._handle_report(world, worker, is_first, answers_again)
+        elif worker.run:
+            world = self._handle_unwanted_run(world, index)
+        elif session.lists_unwanted_run:
+            world = _with_session(
+                world, index, reported._replace(lists_unwanted_run=False)
+            )
         yield f"poll worker {index}", world
 
+    def _handle_unwanted_run(self, world: World, index: int) -> World:
+        """Apply a report that lists a run of which no task is placed there.
+
+        The newest run of a waiting task is adopted; others are stopped.
+        """
+        coordinator, worker = world.coordinator, world.workers[index]
+        if coordinator.state == "waiting" and worker.run == coordinator.run:
+            adopted = self._fire(world, "assign", worker=index)
+            return self._fire(adopted, "started")
+        session = coordinator.sessions[index]._replace(lists_unwanted_run=True)
+        stopped = worker._replace(
+            highest_closed_run=max(worker.highest_closed_run, worker.run)
+        )
+        return _with_session(_with_worker(world, index, stopped), index, session)
+
     def _handle_report(
         self, world: World, worker: Worker, is_first: bool, answers_again: bool
     ) -> World:
@@ -402,7 +491,12 @@
         run, index = world.recorded_placement
         sessions = tuple(Session(s.process) for s in predecessor.sessions)
         successor = Coordinator(
-            predecessor.term + 1, CHART.initial, run, index, sessions=sessions
+            predecessor.term + 1,
+            CHART.initial,
+            run,
+            index,
+            sessions=sessions,
+            late_starts=predecessor.late_starts | ({index} if run else set()),
         )
         commands = world.commands | self._repeated(predecessor)
         world = world._replace(coordinator=successor, commands=commands)
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -184,7 +184,7 @@
     record = records.decode_progress(workflow_id, pair.value.encode())
     recorder.set_revision(workflow_id, pair.mod_revision)
     records.restore_progress(progress, record)
-    records.restore_late_starts(progress, record, now)
+    records.restore_late_starts(progress, record, engine.late_start_until(now))
     # The coordinator that recorded a first start or an end has added it to its
     # metrics.
     progress.wait_observed = progress.begun
--- a/src/redwingrudder/coordination/term.py
+++ b/src/redwingrudder/coordination/term.py
@@ -14,6 +14,7 @@
 from .progress_writer import ProgressWriter
 from .recorder import Recorder
 from .retention import RecordRetention
+from .worker_session import longest_lease_timeout_s
 from .worker_table import WorkerTable
 
 
@@ -73,6 +74,7 @@
     run_times = RunTimeEstimates(times.stop_timeout_s, times.remote_factor)
     engine = Engine(run_times=run_times)
     engine.term = message.term
+    engine.longest_lease_s = longest_lease_timeout_s(times.longest_lease_s)
     recorder = Recorder(system, message.term, message.term_revision)
     authority = Authority(system.clock.seconds, message.authority_ends_at)
     workers = WorkerTable(
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -1,6 +1,7 @@
 """Workers of one term: registry entries, sessions and unrecorded ends."""
 
 import logging
+import math
 from typing import NamedTuple
 
 from ..actors import ActorSystem
@@ -227,7 +228,7 @@
                 self._engine.adopt_run(
                     entry.key, entry.run, message.worker_id, True, now
                 )
-        self._engine.report(message.worker_id, report.running, now)
+        self._engine.report(message.worker_id, report.running, now, message.sent_at)
         self._handle_ends(message, now)
         running = {(entry.key, entry.run) for entry in report.running}
         if report.ends_complete:
@@ -394,7 +395,8 @@
         return False
 
     def _open_session(self, facts: WorkerFacts) -> None:
-        self._engine.workers_by_id[facts.worker_id].reachable = False
+        worker = self._engine.workers_by_id[facts.worker_id]
+        worker.reachable, worker.polled_at = False, -math.inf
         number = self._session_count_by_worker.get(facts.worker_id, 0)
         if number >= SESSIONS_PER_TERM:
             # The next term has tokens above all that were used in this one.
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -192,7 +192,7 @@
             task.run_confirmed = task.run_saved = False
             task.speed_percent = FULL_SPEED_PERCENT
             self.step(task, "worker_restarted", now)
-        worker.heard_at = -math.inf
+        worker.heard_at = worker.polled_at = -math.inf
         worker.failures = 0
         worker.sound_start_at = -math.inf
         worker.emptying = False
@@ -342,7 +342,7 @@
             return
         self.dirty.add(key.workflow_id)
         if unanswered_at is not None:
-            task.add_late_start(worker_id, unanswered_at)
+            task.add_late_start(worker_id, self.late_start_until(unanswered_at))
         if task.is_current(run, worker_id):
             task.start_settled = True
 
@@ -407,12 +407,23 @@
         self._reports_due_at = until
 
     def report(
-        self, worker_id: str, running: Collection[RunReport], now: float
+        self,
+        worker_id: str,
+        running: Collection[RunReport],
+        now: float,
+        polled_at: float | None = None,
     ) -> None:
         """Update progress and checkpoints from the runs that a worker lists.
 
         A listed run confirms its start. A listed run that is not the current
         run of a placed task is passed to ``stop_unwanted_run``.
+
+        Args:
+            worker_id: The worker.
+            running: The runs that it lists.
+            now: Node-clock seconds.
+            polled_at: Node-clock seconds at which the poll was sent, None for
+                the present time.
         """
         self._awaited_workers.discard(worker_id)
         for entry in running:
@@ -442,6 +453,8 @@
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
             worker.heard_at = now
+            answered_at = now if polled_at is None else polled_at
+            worker.polled_at = max(worker.polled_at, answered_at)
             worker.release_ended({(entry.key, entry.run) for entry in running})
             update_worker_speed(worker, self.run_times, now)
 
--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -8,7 +8,8 @@
 - The next run of the task begins on the same worker if that has room. There,
   a late start cannot begin a run beside another one.
 - It begins on another worker only right after the worker of the late start
-  has answered, so that its process has the fence of the current session.
+  has answered a poll, so that its process has the fence of the current session
+  and has listed its runs, or when the lease of a late run must have lapsed.
 """
 
 from typing import NamedTuple
@@ -17,9 +18,9 @@
 from .placement import PlacementOption, preferred_workers
 from .state import Task, Worker
 
-# Age up to which an answer shows that a worker's process has the fence of the
-# current session. The worker may have restarted since.
-ANSWER_AGE_S = 0.25
+# Age of a poll up to which its answer shows that a worker's process has the
+# fence of the current session. The worker may have restarted since.
+ANSWER_AGE_S = 0.5
 
 
 class HeldStart(NamedTuple):
@@ -85,7 +86,7 @@
 
 
 def _has_answered(worker: Worker | None, now: float) -> bool:
-    """Return whether a worker has just answered its current session."""
+    """Return whether a worker has just answered a poll of its session."""
     if worker is None or not worker.reachable:
         return False
-    return now - worker.heard_at <= ANSWER_AGE_S
+    return now - worker.polled_at <= ANSWER_AGE_S
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -275,22 +275,20 @@
 
 
 def restore_late_starts(
-    progress: WorkflowProgress, record: ProgressRecord, now: float
+    progress: WorkflowProgress, record: ProgressRecord, until: float
 ) -> None:
     """Restore which workers may still carry out a start.
 
-    The record does not tell when the starts were sent, so they count as sent
-    at the present time.
-
     Args:
         progress: Progress of the recorded workflow.
-        record: The record.
-        now: Node-clock seconds.
+        record: The record, which does not tell when the starts were sent.
+        until: Node-clock seconds after which starts that are sent at the
+            present time have no effect.
     """
     for key, worker_id in record.late_starts:
         task = progress.find(key)
         if task is not None:
-            task.add_late_start(worker_id, now)
+            task.add_late_start(worker_id, until)
 
 
 def _restore_crashes(progress: WorkflowProgress, record: ProgressRecord) -> None:
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -31,6 +31,10 @@
 RUNS_PER_TERM = 1000
 # Time within which all attempts of a start are sent.
 START_ATTEMPTS_S = 2.0
+# Time within which a worker, or its next process, may carry out a call that
+# got no reply.
+LATE_CALL_S = 12.0
+DEFAULT_LONGEST_LEASE_S = 10.0  # of workers whose limit is not known
 # Number of consecutive failures after which a worker gets no new runs for
 # QUARANTINE_S.
 QUARANTINE_FAILURES = 2
@@ -60,6 +64,7 @@
         cancelled_aside_ids: Those of them that are cancelled.
         term: Number of the coordinator's term.
         run_times: Expected run times.
+        longest_lease_s: Longest time for which a run goes on without a poll.
     """
 
     def __init__(self, run_times: RunTimeEstimates) -> None:
@@ -72,6 +77,7 @@
         self.cancelled_aside_ids: set[str] = set()
         self.term = 1
         self.run_times = run_times
+        self.longest_lease_s = DEFAULT_LONGEST_LEASE_S
         self._actions: dict[str, Callable[[Task], None]] = {
             "occupy": self._occupy,
             "release": self._release,
@@ -177,11 +183,20 @@
         elif task.state == "waiting" and is_guilty(task):
             self._give_up(task, "crashes_workers", now)
 
-    @staticmethod
-    def _keep_late_start(task: Task, now: float) -> None:
+    def late_start_until(self, sent_at: float) -> float:
+        """Return until when a start without a reply may have an effect.
+
+        The run that it begins goes on until its lease lapses.
+
+        Args:
+            sent_at: Node-clock seconds at which the start was sent.
+        """
+        return sent_at + LATE_CALL_S + self.longest_lease_s
+
+    def _keep_late_start(self, task: Task, now: float) -> None:
         if not task.start_settled and task.start_sent_at is not None:
             last_sent_at = min(now, task.start_sent_at + START_ATTEMPTS_S)
-            task.add_late_start(task.worker_id, last_sent_at)
+            task.add_late_start(task.worker_id, self.late_start_until(last_sent_at))
         task.start_settled, task.start_sent_at = True, None
 
     def stop(self, task: Task, reason: str) -> None:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -39,9 +39,6 @@
 # A worker that fails whatever it starts does so within this time.
 SOUND_RUN_S = 0.3
 PLACED_STATES = frozenset({"starting", "running", "stopping"})
-# Time within which a worker, or its next process, may carry out a call that
-# got no reply.
-LATE_CALL_S = 12.0
 # Time after which the stop of a run that is still listed is sent again.
 STOP_INTERVAL_S = 1.0
 
@@ -118,8 +115,8 @@
         start_sent_at: Node-clock seconds at which that start was first sent,
             None before.
         late_starts_by_worker: Workers that may still carry out a start of a
-            run that is over or going on, with the node-clock seconds until
-            which they may.
+            run that is over or going on, or execute its run, with the
+            node-clock seconds until which they may.
         worker_id: Worker of the newest run, "" before the first.
         checkpoint: Newest checkpoint, "" if there is none. A gang's checkpoint
             is stored in its first task.
@@ -207,15 +204,16 @@
         self.started_at = self.progressed_at = self.reported_at = now
         self.rate_baseline_at, self.rate_baseline_percent = now, 0.0
 
-    def add_late_start(self, worker_id: str, sent_at: float) -> None:
+    def add_late_start(self, worker_id: str, until: float) -> None:
         """Record that a worker may still carry out a start of the task.
 
         Args:
             worker_id: The worker.
-            sent_at: Node-clock seconds at which the start was sent.
+            until: Node-clock seconds after which neither the start can be
+                carried out nor its run go on.
         """
-        until = self.late_starts_by_worker.get(worker_id, -math.inf)
-        self.late_starts_by_worker[worker_id] = max(until, sent_at + LATE_CALL_S)
+        known_until = self.late_starts_by_worker.get(worker_id, -math.inf)
+        self.late_starts_by_worker[worker_id] = max(known_until, until)
 
     def late_start_workers(self, now: float) -> tuple[str, ...]:
         """Return the workers that may still carry out a start of the task.
@@ -435,6 +433,8 @@
             was seen to have crashed, in node-clock seconds.
         heard_at: Time of the last report or confirmed start of its process, in
             node-clock seconds, minus infinity before the first.
+        polled_at: Node-clock seconds at which the newest answered poll of its
+            process was sent, minus infinity before the first.
         poll_requested_at: Node-clock seconds at which a poll was last
             requested for a task with a late start.
         observes_suspect: Whether a task that is suspected of crashing its
@@ -465,6 +465,7 @@
         "listed",
         "observes_suspect",
         "poll_requested_at",
+        "polled_at",
         "throttled_at",
         "quarantined_until",
         "reachable",
@@ -488,6 +489,7 @@
         self.emptying = False
         self.crashed_at = -math.inf
         self.heard_at = -math.inf
+        self.polled_at = -math.inf
         self.poll_requested_at = -math.inf
         self.observes_suspect = False
         self.failures = 0
