Withhold the start of a task while a worker lists an older run of it

Cause: a listed run that is older than the newest one of its task was stopped, but a newer run in the state "starting" was left alone. Its start was recorded and sent, or repeated, beside the stop, which takes up to the stop time of the worker: two runs of one task. A task that waits was held back already.

Ruled out: waiting for the answer to the stop only, since an answer is not the end of a run. Stopping a run whose start was confirmed: both runs have begun, and a stop of the newer one, which alone saves checkpoints, would lose its work too. Stopping a run that an earlier term has placed, or whose worker has restarted: no attempt of its start is left.

Change: RunTable._withhold_start gives up a start that was not sent, and stops the run of one that got no reply, with the rest of its gang. The task then waits for both runs as before.

--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -213,7 +213,8 @@
         """Stop a listed run that is not the current run of a placed task.
 
         It uses capacity until it is no longer listed. A task that waits gets
-        no new run before; the listed one is its current run until then.
+        no new run before; the listed one is its current run until then. A
+        start that may still be withheld is; see ``_withhold_start``.
 
         Args:
             worker_id: The worker of the list; an unknown one is ignored.
@@ -225,6 +226,8 @@
         if worker is None or self._may_be_wanted(entry, task):
             return
         amount = NO_RESOURCES if task is None else resources_used(task.stage.spec)
+        if task is not None and entry.run < task.highest_run:
+            self._withhold_start(task, entry, worker_id, now)
         if task is not None and task.state == "waiting":
             task.run, task.worker_id = entry.run, worker_id
             task.run_saved = False
@@ -245,6 +248,38 @@
             )
             self.effects.append(StopRun(worker_id, entry.key, entry.run))
 
+    def _withhold_start(
+        self, task: Task, older: RunReport, older_worker_id: str, now: float
+    ) -> None:
+        """Withhold the start of a task's newest run beside an older one.
+
+        A start that was not sent is given up. Of one that was sent and got no
+        reply, no further attempt is sent and its run is stopped, so neither
+        run stays and the next one begins after both have ended. A run whose
+        start was confirmed stays: it has begun, and only the newest run saves
+        checkpoints. So does a run that an earlier coordinator has placed: no
+        attempt of its start is left, and it may have gone on for long.
+        """
+        if task.state != "starting" or task.run_adopted or task.start_settled:
+            return
+        run, was_sent = task.run, task.start_sent_at is not None
+        _logger.info(
+            "start withheld: an older run is listed",
+            extra={
+                **run_log_fields(task),
+                "run": run,
+                "worker": task.worker_id,
+                "sent": was_sent,
+                "older_run": older.run,
+                "older_worker": older_worker_id,
+            },
+        )
+        if was_sent:
+            self.stop(task, "older_run_listed")
+        else:
+            self.step(task, "rejected", now)
+        self.stop_gang(task.stage, run)
+
     def _may_be_wanted(self, entry: RunReport, task: Task | None) -> bool:
         """Return whether a run may have been placed by somebody else.
 
