Move the models of workers and of the store into a package

The worker model and the store model of the tests become part of redwingrudder.simulation, so that seeded schedules and tests use one model of each.

--- a/tests/late_call_case.py
+++ b/tests/late_call_case.py
@@ -22,12 +22,12 @@
     PeerView,
 )
 from redwingrudder.platform.registry import PlatformRegistry
+from redwingrudder.simulation import MAX_LEASE_S, ProtocolWorkers, StoreContents
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import Recording, StoreContents, node_system, run_for
-from .protocol_worker import MAX_LEASE_S, ProtocolWorkers
+from .coordination_fakes import Recording, node_system, run_for
 
 TIMES = WorkerTimes(MAX_LEASE_S, 1.5)
 TERM = 2
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -68,18 +68,13 @@
 from redwingrudder.exceptions import OutcomeUnknownError
 from redwingrudder.platform.machines import PlatformWaves
 from redwingrudder.platform.registry import PlatformRegistry
+from redwingrudder.simulation import StoreContents
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
 from redwingrudder.workflows.model import StartRun, StopRun, ThrottleRun
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import (
-    Recording,
-    StoreContents,
-    node_system,
-    outcome,
-    run_for,
-)
+from .coordination_fakes import Recording, node_system, outcome, run_for
 from .test_maintenance import FakeMachineService
 from .test_platform_codecs import ENTRY
 
--- a/tests/test_configuration_transfer.py
+++ b/tests/test_configuration_transfer.py
@@ -40,10 +40,11 @@
 from redwingrudder.platform.front_end import FRONT_END, FrontEnd
 from redwingrudder.platform.http_client import JsonClient
 from redwingrudder.platform.store import PlatformStore
+from redwingrudder.simulation import MemoryStore, StoreContents
 from redwingrudder.timers import TIMERS, Subscribe, TimerService
 from redwingrudder.workflows.model import QueuePolicy
 
-from .coordination_fakes import MemoryStore, Recording, StoreContents, outcome, run_for
+from .coordination_fakes import Recording, outcome, run_for
 from .test_platform_front import FakeRequest
 
 LINK_BPS = 5e6
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -16,9 +16,10 @@
 from redwingrudder.coordination.gateways import PROGRESS_PREFIX, TERM_KEY
 from redwingrudder.coordination.recorder import Recorder
 from redwingrudder.exceptions import OutcomeUnknownError, StoreUnavailableError
+from redwingrudder.simulation import CALL_TIMEOUT_S
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import CALL_TIMEOUT_S, node_system, outcome, run_for
+from .coordination_fakes import node_system, outcome, run_for
 
 
 class TransactTests(unittest.TestCase):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -63,19 +63,14 @@
     StoreUnavailableError,
     UnavailableError,
 )
+from redwingrudder.simulation import StoreContents
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
 from redwingrudder.workflows.engine import EARLY_CANCEL_MEMORY_S
 from redwingrudder.workflows.model import EndKind, WorkflowState
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import (
-    Recording,
-    StoreContents,
-    node_system,
-    outcome,
-    run_for,
-)
+from .coordination_fakes import Recording, node_system, outcome, run_for
 
 RETENTION_S = 150.0
 
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -34,19 +34,13 @@
 )
 from redwingrudder.exceptions import OutcomeUnknownError
 from redwingrudder.platform.registry import PlatformRegistry
+from redwingrudder.simulation import ProtocolWorkers, StoreContents
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
 from redwingrudder.workflows.model import EndKind
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import (
-    Recording,
-    StoreContents,
-    node_system,
-    outcome,
-    run_for,
-)
-from .protocol_worker import ProtocolWorkers
+from .coordination_fakes import Recording, node_system, outcome, run_for
 
 RETENTION_S = 20.0
 SWEEP_S = 6.0  # longer than the interval between two removals of records
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -32,13 +32,13 @@
     prior_lease_timeout_s,
 )
 from redwingrudder.exceptions import OutcomeUnknownError
+from redwingrudder.simulation import MAX_LEASE_S
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows.model import EndKind, StartRun, StopRun, ThrottleRun
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, node_system, run_for
 from .late_call_case import KEY, NO_ROOM, ROOM, TIMES, LateCallCase
-from .protocol_worker import MAX_LEASE_S
 from .test_worker_session import FakeChannel
 
 
--- a/tests/test_late_runs.py
+++ b/tests/test_late_runs.py
@@ -2,10 +2,10 @@
 
 import unittest
 
+from redwingrudder.simulation import ProtocolWorkers
 from redwingrudder.workflows.model import EndKind
 
 from . import workflow_fixtures as fx
-from .protocol_worker import ProtocolWorkers
 from .test_worker_table import KEY, entry
 from .worker_table_case import WorkerTableCase
 
--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -78,19 +78,13 @@
 from redwingrudder.platform.machines import PlatformMachines, PlatformWaves
 from redwingrudder.platform.registry import PlatformConfiguration, PlatformRegistry
 from redwingrudder.platform.workers import _decode_command_reply, _decode_report
+from redwingrudder.simulation import MemoryStore, StoreContents
 from redwingrudder.timers import TIMERS, Subscribe, TimerService
 from redwingrudder.workflows import records
 from redwingrudder.workflows.model import TaskKey
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import (
-    MemoryStore,
-    Recording,
-    StoreContents,
-    node_system,
-    outcome,
-    run_for,
-)
+from .coordination_fakes import Recording, node_system, outcome, run_for
 from .test_platform_codecs import ENTRY, QUEUE, WORKFLOW_ID
 
 RETENTION_S = 150.0
