Play seeded schedules of faults in memory

Two nodes with the production coordinator, three workers and a store run on a virtual clock; jobs, faults and run times come from one seed. Three invariants are checked on the history. A violation by a start that was sent to an earlier process of its worker is told from others.

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -4,35 +4,55 @@
 without sockets. Nothing of the product's decisions depends on this package.
 """
 
-from ._store import CALL_TIMEOUT_S, LEASE_ID, MemoryStore, StoreContents
+from ._cluster import play_schedule
+from ._history import Cancellation, Event, History, JobOutcome
+from ._invariants import (
+    INVARIANTS,
+    AtMostOneRun,
+    Invariant,
+    NoStartAfterCancel,
+    NoStartAfterDone,
+    Violation,
+    ViolationClass,
+    find_violations,
+)
+from ._schedule import Fault, FaultKind, Job, Schedule, draw_schedule
+from ._shrink import shrink
+from ._store import CALL_TIMEOUT_S, MemoryStore, StoreContents
 from ._workers import (
     MAX_LEASE_S,
     AcknowledgedEnd,
-    EndlessRuns,
-    LateCall,
-    ProtocolChannel,
-    ProtocolWorker,
     ProtocolWorkers,
     RunBehaviour,
     RunInterval,
-    WorkerProcess,
-    find_overlaps,
 )
 
 __all__ = [
     "CALL_TIMEOUT_S",
-    "LEASE_ID",
+    "INVARIANTS",
     "MAX_LEASE_S",
     "AcknowledgedEnd",
-    "EndlessRuns",
-    "LateCall",
+    "AtMostOneRun",
+    "Cancellation",
+    "Event",
+    "Fault",
+    "FaultKind",
+    "History",
+    "Invariant",
+    "Job",
+    "JobOutcome",
     "MemoryStore",
-    "ProtocolChannel",
-    "ProtocolWorker",
+    "NoStartAfterCancel",
+    "NoStartAfterDone",
     "ProtocolWorkers",
     "RunBehaviour",
     "RunInterval",
+    "Schedule",
     "StoreContents",
-    "WorkerProcess",
-    "find_overlaps",
+    "Violation",
+    "ViolationClass",
+    "draw_schedule",
+    "find_violations",
+    "play_schedule",
+    "shrink",
 ]
--- /dev/null
+++ b/src/redwingrudder/simulation/_history.py
@@ -0,0 +1,58 @@
+"""What happened in a schedule, and a text form of it."""
+
+from typing import NamedTuple
+
+from ..workflows.model import WorkflowState
+from ._workers import AcknowledgedEnd, RunInterval
+
+
+class Event(NamedTuple):
+    """A line about an event at a time in clock seconds."""
+
+    at_s: float
+    line: str
+
+
+class Cancellation(NamedTuple):
+    """A cancellation that was stored at a time in clock seconds."""
+
+    workflow_id: str
+    stored_at: float
+
+
+class JobOutcome(NamedTuple):
+    """What a caller sees of a job.
+
+    Attributes:
+        workflow_id: Id of the job.
+        submitted_at: Time of the submission in clock seconds.
+        state: Last recorded state.
+        ended_at: Time at which the end was recorded, None before.
+    """
+
+    workflow_id: str
+    submitted_at: float
+    state: WorkflowState
+    ended_at: float | None
+
+
+class History(NamedTuple):
+    """Everything that the invariants are checked on.
+
+    Attributes:
+        runs: All runs in the order of their begin.
+        acknowledged: All acknowledged ends.
+        cancellations: All stored cancellations.
+        jobs: All submitted jobs.
+        events: Lines about all events, in their order.
+    """
+
+    runs: tuple[RunInterval, ...] = ()
+    acknowledged: tuple[AcknowledgedEnd, ...] = ()
+    cancellations: tuple[Cancellation, ...] = ()
+    jobs: tuple[JobOutcome, ...] = ()
+    events: tuple[Event, ...] = ()
+
+    def timeline(self) -> str:
+        """Return the events, one a line, with times in seconds."""
+        return "\n".join(f"{at_s:7.3f}  {line}" for at_s, line in self.events)
--- /dev/null
+++ b/src/redwingrudder/simulation/_runs.py
@@ -0,0 +1,98 @@
+"""Runs of a schedule: their durations, and members of a gang."""
+
+from typing import NamedTuple
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..workflows.model import EndKind, TaskKey
+from ._schedule import RunPlan, Schedule, draw_run
+from ._workers import RunBehaviour, WorkerProcess
+
+GANG_TIMEOUT_S = 3.0  # until a member ends if the others have not started
+BROKEN_AFTER_S = 0.2  # from the end of a member to that of the others
+
+
+class _Member(NamedTuple):
+    """A run of a gang's member."""
+
+    process: WorkerProcess
+    key: TaskKey
+    run: int
+
+
+class DrawnRuns(RunBehaviour):
+    """Ends runs as their schedule has drawn it.
+
+    A gang works only while all of its members run. A member ends if the
+    others do not start in time, or after the end of another one.
+
+    Args:
+        clock: Clock of the simulation.
+        schedule: The schedule.
+    """
+
+    def __init__(self, clock: IReactorTime, schedule: Schedule) -> None:
+        self._clock = clock
+        self._seed = schedule.seed
+        self._gang_size_by_id = {
+            job.workflow_id: job.tasks for job in schedule.jobs if job.gang
+        }
+        self._members_by_gang_run: dict[tuple[str, int], dict[int, _Member]] = {}
+
+    def stop_duration_s(self, key: TaskKey, run: int) -> float:
+        """See base class."""
+        return draw_run(self._seed, key.workflow_id, key.index, run).stop_s
+
+    def begun(self, process: WorkerProcess, key: TaskKey, run: int) -> None:
+        """See base class."""
+        size = self._gang_size_by_id.get(key.workflow_id)
+        if size is None:
+            plan = draw_run(self._seed, key.workflow_id, key.index, run)
+            self._finish_later(_Member(process, key, run), plan.duration_s, plan.kind)
+            return
+        members = self._members(key, run)
+        members[key.index] = _Member(process, key, run)
+        if len(members) == size:
+            self._finish_gang_later(
+                members, draw_run(self._seed, key.workflow_id, 0, run)
+            )
+        else:
+            self._clock.callLater(
+                GANG_TIMEOUT_S, self._end_if_alone, members[key.index], size
+            )
+
+    def ended(
+        self, process: WorkerProcess, key: TaskKey, run: int, kind: EndKind
+    ) -> None:
+        """See base class."""
+        if key.workflow_id not in self._gang_size_by_id:
+            return
+        members = self._members(key, run)
+        member = members.get(key.index)
+        if member is None or member.process is not process:
+            return
+        del members[key.index]
+        if kind is not EndKind.DONE:
+            for other in members.values():
+                self._finish_later(other, BROKEN_AFTER_S, EndKind.BROKEN)
+
+    def _members(self, key: TaskKey, run: int) -> dict[int, _Member]:
+        return self._members_by_gang_run.setdefault((key.workflow_id, run), {})
+
+    def _finish_gang_later(self, members: dict[int, _Member], plan: RunPlan) -> None:
+        first = min(members)
+        for index, member in members.items():
+            # One member fails; the others end with it.
+            kind = plan.kind if index == first else EndKind.DONE
+            if plan.kind is EndKind.DONE or index == first:
+                self._finish_later(member, plan.duration_s, kind)
+
+    def _finish_later(self, member: _Member, delay_s: float, kind: EndKind) -> None:
+        self._clock.callLater(
+            delay_s, member.process.finish, member.key, member.run, kind
+        )
+
+    def _end_if_alone(self, member: _Member, size: int) -> None:
+        members = self._members(member.key, member.run)
+        if members.get(member.key.index) == member and len(members) < size:
+            member.process.finish(member.key, member.run, EndKind.ALONE)
--- /dev/null
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -0,0 +1,217 @@
+"""Schedules of jobs and faults that are drawn from a seed."""
+
+import enum
+import random
+from typing import NamedTuple
+
+from ..workflows.model import EndKind, QueuePolicy, Resources, StepSpec, Workflow
+
+NODES = 2
+WORKERS = 3
+DURATION_S = 40.0  # of a schedule
+FIRST_FAULT_S = 1.0
+LAST_JOB_S = 26.0
+JOBS = (10, 14)
+FAULTS = (8, 16)
+TASKS = (1, 3)
+GANG_SHARE = 0.5
+URGENT_SHARE = 0.25  # of jobs that preempt others
+CANCELLED_SHARE = 0.15
+CANCEL_AFTER_S = (0.1, 6.0)
+RUN_TIME_S = (0.5, 6.0)
+FAILED_SHARE = 0.15
+MAX_STOP_S = 0.9
+LATE_BY_S = (0.3, 12.0)
+FAULT_DURATION_S = (0.3, 6.0)
+ENTRY_DELAY_S = (0.0, 2.0)  # from a restart to the entry of the new process
+# Share of restarts with a silent time that begins at most SILENT_BEFORE_S
+# earlier, as before a crash of a busy machine.
+SILENT_RESTART_SHARE = 0.5
+SILENT_BEFORE_S = 1.0
+ATTEMPTS = 3
+TASK_CPU_MILLIS = 11_000
+TASK_MEMORY_MB = 29_000
+ACCELERATORS = (1, 2, 4, 8)
+ESTIMATE_S = 3.0
+
+
+class FaultKind(enum.StrEnum):
+    """Kinds of faults."""
+
+    LATE_STARTS = "late starts"
+    LATE_STOPS = "late stops"
+    LATE_POLLS = "late polls"
+    SILENCE = "silence"
+    MUTE = "mute"
+    RESTART = "restart"
+    REMOVED_ENTRY = "removed entry"
+    STORE_DOWN = "store down"
+    LOST_ANSWERS = "lost answers"
+    LATE_WRITES = "late writes"
+    HANGING_WATCHES = "hanging watches"
+    HAND_OVER = "hand-over"
+    TAKEOVER = "takeover"
+
+
+_WEIGHT_BY_KIND = {
+    FaultKind.LATE_STARTS: 5,
+    FaultKind.LATE_STOPS: 2,
+    FaultKind.LATE_POLLS: 2,
+    FaultKind.SILENCE: 2,
+    FaultKind.MUTE: 1,
+    FaultKind.RESTART: 5,
+    FaultKind.REMOVED_ENTRY: 2,
+    FaultKind.STORE_DOWN: 1,
+    FaultKind.LOST_ANSWERS: 1,
+    FaultKind.LATE_WRITES: 1,
+    FaultKind.HANGING_WATCHES: 1,
+    FaultKind.HAND_OVER: 1,
+    FaultKind.TAKEOVER: 1,
+}
+
+
+class Job(NamedTuple):
+    """A job of a schedule.
+
+    Attributes:
+        at_s: Time of the submission in clock seconds.
+        workflow_id: Id of the job.
+        tasks: Number of tasks.
+        gang: Whether the tasks run together or not at all.
+        accelerators: Accelerators that each task uses.
+        priority: Priority of the queue; 0 is the most urgent.
+        cancel_after_s: Seconds from the submission to the cancellation, None
+            if the job is not cancelled.
+    """
+
+    at_s: float
+    workflow_id: str
+    tasks: int
+    gang: bool
+    accelerators: int
+    priority: int
+    cancel_after_s: float | None
+
+    def workflow(self, accepted_at: float) -> Workflow:
+        """Return the workflow of the job.
+
+        Args:
+            accepted_at: Unix seconds of the acceptance.
+        """
+        demand = Resources(TASK_CPU_MILLIS, TASK_MEMORY_MB, self.accelerators)
+        step = StepSpec(self.tasks, demand, ESTIMATE_S, gang=self.gang)
+        policy = QueuePolicy("pool", self.priority, ATTEMPTS)
+        return Workflow(
+            self.workflow_id,
+            f"queue-{self.priority}",
+            "organisation",
+            "payload",
+            (step,),
+            policy,
+            accepted_at,
+        )
+
+
+class Fault(NamedTuple):
+    """A fault of a schedule.
+
+    Attributes:
+        at_s: Begin in clock seconds.
+        kind: Kind of the fault.
+        target: Index of the worker or node that it befalls.
+        duration_s: Seconds until it is over.
+        delay_s: Seconds by which calls, writes or a registry entry are late.
+    """
+
+    at_s: float
+    kind: FaultKind
+    target: int
+    duration_s: float
+    delay_s: float
+
+
+class Schedule(NamedTuple):
+    """Jobs and faults, in the order of their times, and their seed."""
+
+    seed: int
+    jobs: tuple[Job, ...]
+    faults: tuple[Fault, ...]
+
+
+class RunPlan(NamedTuple):
+    """How a run ends that is not disturbed.
+
+    Attributes:
+        duration_s: Seconds from its begin to its end.
+        kind: Way in which it ends.
+        stop_s: Seconds that its stop takes.
+    """
+
+    duration_s: float
+    kind: EndKind
+    stop_s: float
+
+
+def draw_schedule(seed: int) -> Schedule:
+    """Return the schedule of a seed."""
+    return Schedule(seed, _draw_jobs(seed), _draw_faults(seed))
+
+
+def draw_run(seed: int, workflow_id: str, index: int, run: int) -> RunPlan:
+    """Return how a run ends; it does not depend on the other runs.
+
+    Args:
+        seed: Seed of the schedule.
+        workflow_id: Id of the job.
+        index: Index of the task, 0 for all members of a gang.
+        run: Number of the run.
+    """
+    rng = random.Random(f"{seed} run {workflow_id} {index} {run}")
+    kind = EndKind.FAILED if rng.random() < FAILED_SHARE else EndKind.DONE
+    return RunPlan(rng.uniform(*RUN_TIME_S), kind, rng.uniform(0.0, MAX_STOP_S))
+
+
+def _draw_jobs(seed: int) -> tuple[Job, ...]:
+    rng = random.Random(f"{seed} jobs")
+    times = sorted(rng.uniform(0.5, LAST_JOB_S) for _ in range(rng.randint(*JOBS)))
+    jobs = []
+    for number, at_s in enumerate(times):
+        gang = rng.random() < GANG_SHARE
+        jobs.append(
+            Job(
+                at_s,
+                f"job{number}",
+                rng.randint(2 if gang else TASKS[0], TASKS[1]),
+                gang,
+                rng.choice(ACCELERATORS),
+                0 if rng.random() < URGENT_SHARE else 1,
+                rng.uniform(*CANCEL_AFTER_S)
+                if rng.random() < CANCELLED_SHARE
+                else None,
+            )
+        )
+    return tuple(jobs)
+
+
+def _draw_faults(seed: int) -> tuple[Fault, ...]:
+    rng = random.Random(f"{seed} faults")
+    kinds = list(_WEIGHT_BY_KIND)
+    weights = list(_WEIGHT_BY_KIND.values())
+    faults = []
+    for _ in range(rng.randint(*FAULTS)):
+        (kind,) = rng.choices(kinds, weights)
+        is_restart = kind is FaultKind.RESTART
+        fault = Fault(
+            rng.uniform(FIRST_FAULT_S, LAST_JOB_S),
+            kind,
+            rng.randrange(WORKERS),
+            rng.uniform(*FAULT_DURATION_S),
+            rng.uniform(*(ENTRY_DELAY_S if is_restart else LATE_BY_S)),
+        )
+        faults.append(fault)
+        if is_restart and rng.random() < SILENT_RESTART_SHARE:
+            begin_s = fault.at_s - rng.uniform(0.0, SILENT_BEFORE_S)
+            duration_s = rng.uniform(*FAULT_DURATION_S)
+            silence = FaultKind.SILENCE
+            faults.append(Fault(begin_s, silence, fault.target, duration_s, 0.0))
+    return tuple(sorted(faults))
