Allow a late start of a cancelled run whose stops are late too

The users' rule on cancelled jobs counts the time from the start for such a task. The invariant excuses exactly this: a start that was sent before the cancellation to the process that carries it out, a stop of the run that was sent to that process within the bound, and an end within the bound.

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -25,6 +25,7 @@
     ProtocolWorkers,
     RunBehaviour,
     RunInterval,
+    SentStop,
 )
 
 __all__ = [
@@ -48,6 +49,7 @@
     "RunBehaviour",
     "RunInterval",
     "Schedule",
+    "SentStop",
     "StoreContents",
     "Violation",
     "ViolationClass",
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -358,6 +358,7 @@
         return History(
             tuple(self.workers.intervals()),
             tuple(end for worker in workers for end in worker.acknowledged),
+            tuple(stop for worker in workers for stop in worker.stops),
             tuple(self._cancellations),
             tuple(
                 JobOutcome(
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..workflows.model import WorkflowState
-from ._workers import AcknowledgedEnd, RunInterval
+from ._workers import AcknowledgedEnd, RunInterval, SentStop
 
 
 class Event(NamedTuple):
@@ -42,6 +42,7 @@
     Attributes:
         runs: All runs in the order of their begin.
         acknowledged: All acknowledged ends.
+        stops: All stops that were sent.
         cancellations: All stored cancellations.
         jobs: All submitted jobs.
         events: Lines about all events, in their order.
@@ -49,6 +50,7 @@
 
     runs: tuple[RunInterval, ...] = ()
     acknowledged: tuple[AcknowledgedEnd, ...] = ()
+    stops: tuple[SentStop, ...] = ()
     cancellations: tuple[Cancellation, ...] = ()
     jobs: tuple[JobOutcome, ...] = ()
     events: tuple[Event, ...] = ()
--- a/src/redwingrudder/simulation/_invariants.py
+++ b/src/redwingrudder/simulation/_invariants.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ..workflows.model import EndKind
-from ._history import History
+from ._history import Cancellation, History
 from ._workers import RunInterval, find_overlaps
 
 CANCEL_BOUND_S = 3.0  # from a stored cancellation to the last start
@@ -96,7 +96,12 @@
 
 
 class NoStartAfterCancel(Invariant):
-    """No run begins more than ``CANCEL_BOUND_S`` after its cancellation."""
+    """No run begins more than ``CANCEL_BOUND_S`` after its cancellation.
+
+    A start that was sent before the cancellation may reach its process later
+    if a stop of the run was sent in time and has not reached it either. The
+    run has to end within the bound then.
+    """
 
     name = f"no start {CANCEL_BOUND_S:g} s after a stored cancellation"
 
@@ -108,9 +113,25 @@
             for run in history.runs
             if run.key.workflow_id == cancellation.workflow_id
             and run.begin > cancellation.stored_at + CANCEL_BOUND_S
+            and not _is_stopped_late(run, cancellation, history)
         ]
 
 
+def _is_stopped_late(
+    run: RunInterval, cancellation: Cancellation, history: History
+) -> bool:
+    """Return whether both the start and the stops of a run were late."""
+    if run.is_late_start or run.sent_at > cancellation.stored_at:
+        return False
+    has_stop = any(
+        (stop.key, stop.run, stop.worker_id, stop.process_started_ms)
+        == (run.key, run.run, run.worker_id, run.process_started_ms)
+        and 0 <= stop.sent_at - cancellation.stored_at <= CANCEL_BOUND_S
+        for stop in history.stops
+    )
+    return has_stop and run.end <= run.begin + CANCEL_BOUND_S
+
+
 INVARIANTS: tuple[Invariant, ...] = (
     AtMostOneRun(),
     NoStartAfterDone(),
