Import the worker model from its package in two more tests

Cause: the models moved while test_late_starts and test_overlapping_starts were written; the merge left their import of the old module.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -6,12 +6,12 @@
 from redwingrudder.coordination.gateways import COORDINATOR, TERM_KEY
 from redwingrudder.coordination.messages import BeginTerm, EndTerm
 from redwingrudder.coordination.worker_session import longest_lease_timeout_s
+from redwingrudder.simulation import MAX_LEASE_S
 from redwingrudder.workflows.model import EndKind
 from redwingrudder.workflows.run_table import LATE_CALL_S
 
 from . import workflow_fixtures as fx
 from .late_call_case import KEY, NO_ROOM, ROOM, TERM, LateCallCase
-from .protocol_worker import MAX_LEASE_S
 
 SMALL_ROOM = {**ROOM, "gpu": 1}
 
--- a/tests/test_overlapping_starts.py
+++ b/tests/test_overlapping_starts.py
@@ -6,6 +6,7 @@
 from redwingrudder.coordination.gateways import COORDINATOR
 from redwingrudder.coordination.messages import WorkflowStored
 from redwingrudder.coordination.worker_session import session_name
+from redwingrudder.simulation import MAX_LEASE_S
 from redwingrudder.workflows import records
 from redwingrudder.workflows.model import (
     NO_RESOURCES,
@@ -17,7 +18,6 @@
 
 from . import workflow_fixtures as fx
 from .late_call_case import KEY, NO_ROOM, ROOM, LateCallCase
-from .protocol_worker import MAX_LEASE_S
 
 
 class OlderRunCase(unittest.TestCase):
