Remove the records of an ended job on the condition of its own record

Cause: a removal of records depended on the term only, and the coordinator kept an ended job until a removal was answered. After a lost answer, a new job of the same id was acknowledged and not run, and the next removal deleted its records. A removal that the store carried out late deleted them as well. The effect of a removal was known by its answer only.

Ruled out: to read the documents before each removal. Between the read and a late removal the id can be used again.

Change: a removal is conditional on the revision of each job's record. If the condition fails, the records are read: jobs whose record is gone are forgotten. A document that the watch reports with a later revision than the record of an ended job is that of a new one; the ended job is forgotten, and no answer to its removal concerns the new one. A transaction now removes 7 jobs instead of 10, as each takes one more entry.

--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -92,6 +92,10 @@
         """Set the revision of a record that was read from the store."""
         self._revisions_by_id[workflow_id] = revision
 
+    def revision(self, workflow_id: str) -> int:
+        """Return the known revision of a record, 0 without a record."""
+        return self._revisions_by_id.get(workflow_id, 0)
+
     def forget(self, workflow_id: str) -> None:
         """Remove the revision of a record that was removed from the store."""
         self._revisions_by_id.pop(workflow_id, None)
--- a/src/redwingrudder/coordination/retention.py
+++ b/src/redwingrudder/coordination/retention.py
@@ -4,18 +4,20 @@
 from typing import NamedTuple
 
 from .._background import run
-from .._store_requests import Compare, DeleteKey, Transact
+from .._store_requests import Compare, DeleteKey, GetKey, KeyValue, Transact
 from ..actors import ActorSystem
 from ..exceptions import RedwingrudderError
 from ..workflows.engine import Engine
 from ..workflows.model import FINAL_STATES
+from ..workflows.state import WorkflowProgress
 from .gateways import COORDINATOR, PROGRESS_PREFIX, STORE, TERM_KEY, intake_keys
 from .recorder import Recorder
 
 SWEEP_INTERVAL_S = 5.0
 # The store accepts at most 32 entries in a transaction: each workflow takes
-# three deletions, and the comparison of the term takes one more entry.
-MAX_WORKFLOWS_PER_REMOVAL = 10
+# three deletions and the comparison of its record, and the comparison of the
+# term takes one more entry.
+MAX_WORKFLOWS_PER_REMOVAL = 7
 
 _logger = logging.getLogger(__name__)
 
@@ -75,6 +77,26 @@
         if noted is None or noted.revision != revision:
             self._cancellations_by_id[workflow_id] = _Cancellation(revision, now)
 
+    def take_stored(self, workflow_id: str, revision: int) -> None:
+        """Forget an ended workflow if its id is used by a later one.
+
+        A document is stored before the progress of its workflow is recorded.
+        One that was stored after it is that of another workflow, so the
+        records of the ended one have been removed.
+
+        Args:
+            workflow_id: The workflow.
+            revision: Store revision of its document.
+        """
+        progress = self._engine.workflows_by_id.get(workflow_id)
+        if (
+            progress is not None
+            and self._is_removable(progress)
+            and revision > self._recorder.revision(workflow_id)
+        ):
+            self._forget(workflow_id)
+            _logger.info("id of an ended job is used again", extra={"job": workflow_id})
+
     def sweep(self, now: float) -> None:
         """Start to remove a batch of expired records if a sweep is due.
 
@@ -107,10 +129,21 @@
             for workflow_id, progress in self._engine.workflows_by_id.items()
             if progress.ended_at is not None
             and now - progress.ended_at > self._retention_s
+            and self._is_removable(progress)
+        ][:MAX_WORKFLOWS_PER_REMOVAL]
+
+    def _is_removable(self, progress: WorkflowProgress) -> bool:
+        """Return whether a workflow has ended and its end is on record."""
+        return (
+            progress.ended_at is not None
             and progress.settled
             and progress.recorded_state in FINAL_STATES
-            and self._engine.is_recorded(workflow_id)
-        ][:MAX_WORKFLOWS_PER_REMOVAL]
+            and self._engine.is_recorded(progress.workflow.workflow_id)
+        )
+
+    def _forget(self, workflow_id: str) -> None:
+        self._engine.forget(workflow_id)
+        self._recorder.forget(workflow_id)
 
     def _find_expired_cancellations(self, now: float) -> list[str]:
         """Return ids without a workflow whose cancellation is to be removed.
@@ -161,26 +194,67 @@
             self._next_sweep_at = 0.0  # see ``_remove``
 
     async def _remove(self, workflow_ids: list[str]) -> None:
+        """Remove the records of ended workflows, and forget the workflows.
+
+        The removal is conditional on the records of their progress, so one
+        that is carried out late removes nothing of a later workflow.
+        """
+        progress_by_id = {
+            workflow_id: self._engine.workflows_by_id[workflow_id]
+            for workflow_id in workflow_ids
+        }
+        compares = [Compare(TERM_KEY, self._recorder.term_revision)]
+        compares.extend(
+            Compare(PROGRESS_PREFIX + workflow_id, self._recorder.revision(workflow_id))
+            for workflow_id in workflow_ids
+        )
         keys = [
             key
             for workflow_id in workflow_ids
             for key in (*intake_keys(workflow_id), PROGRESS_PREFIX + workflow_id)
         ]
-        term = Compare(TERM_KEY, self._recorder.term_revision)
         removals = tuple(DeleteKey(key) for key in keys)
         try:
-            reply = await self._system.ask(STORE, Transact((term,), removals))
+            reply = await self._system.ask(STORE, Transact(tuple(compares), removals))
+            if reply.succeeded:
+                removed_ids = workflow_ids
+            else:
+                removed_ids = await self._find_removed(progress_by_id)
         except RedwingrudderError as error:
             _logger.info(
                 "expired records could not be removed", extra={"error": str(error)}
             )
             return
-        if not reply.succeeded:
+        for workflow_id in removed_ids:
+            # The id may be used by a later workflow since.
+            progress = self._engine.workflows_by_id.get(workflow_id)
+            if progress is progress_by_id[workflow_id]:
+                self._forget(workflow_id)
+        if not removed_ids:
             return
-        for workflow_id in workflow_ids:
-            self._engine.forget(workflow_id)
-            self._recorder.forget(workflow_id)
-        _logger.info("expired records removed", extra={"jobs": len(workflow_ids)})
+        _logger.info("expired records removed", extra={"jobs": len(removed_ids)})
         # There may be more expired records than fit into one transaction, so
         # the next call of ``sweep`` does not wait for the interval.
         self._next_sweep_at = 0.0
+
+    async def _find_removed(
+        self, progress_by_id: dict[str, WorkflowProgress]
+    ) -> list[str]:
+        """Return the workflows whose records an earlier removal has removed.
+
+        A record that is still stored has been changed by a write without an
+        answer; its revision is noted for the next sweep.
+
+        Raises:
+            UnavailableError: The store did not answer.
+        """
+        removed_ids = []
+        for workflow_id, progress in progress_by_id.items():
+            item: KeyValue | None = await self._system.ask(
+                STORE, GetKey(PROGRESS_PREFIX + workflow_id)
+            )
+            if item is None:
+                removed_ids.append(workflow_id)
+            elif self._engine.workflows_by_id.get(workflow_id) is progress:
+                self._recorder.set_revision(workflow_id, item.mod_revision)
+        return removed_ids
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -208,6 +208,25 @@
         self.run_for(1.0)
         self.assertEqual(self.running(), {fx.key("job")})
 
+    def test_id_is_used_again_after_a_removal_without_an_answer(self):
+        """Guards against a job that is lost with an earlier one of its id.
+
+        The removal of those records has taken effect, and its answer was lost.
+        """
+        self.contents.put(INTAKE_PREFIX + "job", self.document())
+        self.announce()
+        self.worker.process.end(fx.key("job"), EndKind.DONE)
+        self.run_for(1.0)
+        self.store.replies_to_lose = 1
+        while INTAKE_PREFIX + "job" in self.contents.items_by_key:
+            self.run_for(0.1)
+        self.assertEqual(self.store.replies_to_lose, 0)
+        self.contents.put(INTAKE_PREFIX + "job", self.document())
+        self.run_for(1.0)
+        self.assertEqual(self.running(), {fx.key("job")})
+        self.run_for(2 * SWEEP_S)
+        self.assertIn(INTAKE_PREFIX + "job", self.contents.items_by_key)
+
     def cancel_unseen(self):
         """Cancel a running job while the watches are not answered."""
         self.contents.put(INTAKE_PREFIX + "job", self.document())
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -35,6 +35,8 @@
         self.engine = fx.engine()
         self.progress = self.engine.accept(fx.workflow("job"), 0.0)
         recorder = Recorder(self.system, 1, term.mod_revision)
+        record = self.store.contents.items_by_key["progress/job"]
+        recorder.set_revision("job", record.mod_revision)
         self.retention = RecordRetention(
             self.system, self.engine, recorder, RETENTION_S
         )
@@ -90,6 +92,62 @@
         self.sweep(RETENTION_S + 1.0 + SWEEP_INTERVAL_S)
         self.assertEqual(self.remaining_keys(), [])
 
+    def test_removal_without_an_answer(self):
+        """Guards against a job that is kept for ever after a lost answer."""
+        self.end()
+        self.store.replies_to_lose = 1
+        self.sweep(RETENTION_S + 1.0)
+        self.assertEqual(self.remaining_keys(), [])
+        self.assertIn("job", self.engine.workflows_by_id)
+        self.sweep(RETENTION_S + 1.0 + SWEEP_INTERVAL_S)
+        self.assertNotIn("job", self.engine.workflows_by_id)
+
+    def test_record_that_was_written_again(self):
+        """Guards against records that stay as their revision is not known."""
+        self.end()
+        self.store.contents.put("progress/job", "{}")
+        self.sweep(RETENTION_S + 1.0)
+        self.assertEqual(self.remaining_keys(), RECORD_KEYS)
+        self.sweep(RETENTION_S + 1.0 + SWEEP_INTERVAL_S)
+        self.assertEqual(self.remaining_keys(), [])
+
+    def test_removal_that_the_store_carries_out_late(self):
+        """Guards against the removal of a later job of the same id.
+
+        The removal was repeated, and the id is used again since.
+        """
+        self.end()
+        self.store.writes_to_delay = 1
+        self.sweep(RETENTION_S + 1.0)
+        self.sweep(RETENTION_S + 1.0 + SWEEP_INTERVAL_S)
+        self.assertEqual(self.remaining_keys(), [])
+        for key in RECORD_KEYS:
+            self.store.contents.put(key, "{}")
+        self.store.apply_delayed_writes()
+        self.assertEqual(self.remaining_keys(), RECORD_KEYS)
+
+    def test_id_is_used_again_before_the_removal_is_answered(self):
+        """Guards against forgetting a later job of the same id."""
+        self.end()
+        self.store.answers_to_withhold = 1
+        self.sweep(RETENTION_S + 1.0)
+        self.store.contents.put("intake/job", "{}")
+        stored = self.store.contents.items_by_key["intake/job"]
+        self.retention.take_stored("job", stored.mod_revision)
+        later = self.engine.accept(fx.workflow("job"), 0.0)
+        self.assertIsNot(later, self.progress)
+        run_for(self.clock, 1.0)
+        self.sweep(RETENTION_S + 1.0 + SWEEP_INTERVAL_S)
+        self.assertIs(self.engine.workflows_by_id["job"], later)
+        self.assertIn("intake/job", self.store.contents.items_by_key)
+
+    def test_document_that_the_watch_reports_late(self):
+        """Guards against a second run of a job whose document is seen late."""
+        stored = self.store.contents.items_by_key["intake/job"]
+        self.end()
+        self.retention.take_stored("job", stored.mod_revision)
+        self.assertIs(self.engine.workflows_by_id["job"], self.progress)
+
     def test_cancellation_without_a_job_is_removed(self):
         """Guards against a store that keeps growing with each cancellation."""
         self.note_cancellation("other")
