Soak: clients that keep their connections, and series of faults that overlap

Cause: the soak injected one fault after the other, and its callers opened a connection for each request, so it did not show what a node does with open connections after SIGTERM, nor what faults do beside each other.

Change: a process of clients keeps three connections to each node and sends requests on them until they end. The soak checks for each node that was told to end, unless it was also killed or paused, that it answers on them until it is gone, closes none early without saying so, and is gone within the grace period. From seed 1000 on, faults come in series of two to five and overlap: signals, also to the coordinator, pauses, changes of the configuration, faults of store, links and workers. A worker may carry out all calls up to 8 s late, restart under its id meanwhile, and the coordinator be killed beside it. At the end every node accepts the newest key and refuses the withdrawn one. The stand-in now raises a worker's fence by late calls too, as the platform does.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -8,22 +8,21 @@
 
 import argparse
 import json
-import os
-import pathlib
 import random
 import signal
-import socket
-import subprocess
 import sys
 import tempfile
 import time
-import urllib.error
-import urllib.request
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-NODE_COUNT = 3
-WORKER_COUNT = 3
-REQUEST_TIMEOUT_S = 4.0
+from .platform_deployment import (
+    NODE_COUNT,
+    WORKER_COUNT,
+    Deployment,
+    send_request,
+)
+from .platform_fault_series import FaultSeries
+from .platform_shutdowns import find_violation
+
 # ``Soak._inject_fault`` injects them. Their order decides which fault a seed
 # draws.
 FAULT_KINDS = (
@@ -45,6 +44,9 @@
 FIRST_LINK_SEED = 500
 # From this seed on, runs go on after their stops, and there are outages.
 FIRST_OUTAGE_SEED = 800
+# From this seed on, faults come in series and overlap, see ``FaultSeries``.
+FIRST_SERIES_SEED = 1000
+SERIES_PROBABILITY = 0.1  # per submitted job
 STOP_S = 0.9
 LINK_MODES = ("delay", "cut", "one_way", "reset", "mute")
 READY_TIMEOUT_S = 30
@@ -52,9 +54,14 @@
 JOB_REQUEST_TIMEOUT_S = 1.5  # of submissions and cancellations
 SUBMIT_ATTEMPTS = 3
 FAULT_PROBABILITY = 0.25  # per submitted job
+CANCEL_PROBABILITY = 0.05  # per submitted job, beside series of faults
 GANG_PROBABILITY = 0.5
 SECOND_STEP_PROBABILITY = 0.3
+# From the end of all faults until a configuration must be in force.
+CONFIGURATION_TIMEOUT_S = 5.0
+GONE_TIMEOUT_S = 4.0  # from the last signal until all shutdowns must be over
 HTTP_OK = 200
+HTTP_UNAUTHORIZED = 401
 HTTP_GONE = 410
 REJECTED_STATUSES = (429, 503)  # the job was not accepted and must not run
 # Seeds that failed in the past and are run every time.
@@ -62,175 +69,14 @@
 # restart and ran at the same time as the run that replaced it.
 # 600: a worker did not answer for a while, and the start that was sent again
 # ran at the same time as its successor.
-REGRESSION_SEEDS = (3, 105, 600)
-
-SETTINGS = """
-nodeName = "{name}"
-ip = "127.0.0.1"
-zone = "z"
-heartbeatMs = 1500
-internalPorts = [{peers}, {metrics}]
-[listen]
-front = "127.0.0.1:{front}"
-readiness = "127.0.0.1:{ready}"
-[bounds]
-maxHoldMs = 6000
-stopTimeoutMs = 900
-status_s = 120
-graceS = 3
-[platform]
-address = "127.0.0.1:{store}"
-"""
+# 809: a task failed whose runs had only been lost with their workers.
+REGRESSION_SEEDS = (3, 105, 600, 809)
 
 
 class InvariantViolation(Exception):
     """A check of the soak test failed; the message says which one."""
 
 
-def free_ports(count):
-    """Return the first of ``count`` consecutive ports that are free."""
-    for first in range(random.SystemRandom().randrange(20000, 50000), 60000, 37):
-        try:
-            sockets = []
-            for port in range(first, first + count):
-                candidate = socket.socket()
-                sockets.append(candidate)
-                candidate.bind(("127.0.0.1", port))
-            return first
-        except OSError:
-            continue
-        finally:
-            for candidate in sockets:
-                candidate.close()
-    raise RuntimeError(f"found no {count} consecutive free ports")
-
-
-def send_request(method, url, body=None, timeout_s=REQUEST_TIMEOUT_S):
-    """Return status and JSON body of the reply.
-
-    Status 0 means no reply or one that is not JSON. The body of an HTTP error
-    is not read.
-    """
-    headers = {"Host": "jobs.example", "Authorization": "Token key"}
-    content = json.dumps(body).encode() if body is not None else None
-    request = urllib.request.Request(url, content, headers, method=method)
-    try:
-        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
-            return reply.status, json.loads(reply.read() or b"{}")
-    except urllib.error.HTTPError as error:
-        return error.code, {}
-    except (OSError, ValueError):
-        return 0, {}
-
-
-class Deployment:
-    """The processes that are started for one seed.
-
-    Args:
-        folder: Folder for the settings and logs of the processes.
-    """
-
-    def __init__(self, folder):
-        self.folder = pathlib.Path(folder)
-        self.first_port = free_ports(2 * (1 + WORKER_COUNT) + 5 * NODE_COUNT)
-        # Order of the ports: the store, the workers, four ports of each node,
-        # the control port of the proxies, the proxy in front of each worker,
-        # the proxy between each node and the store.
-        self.proxy_control_port = self.first_port + 1 + WORKER_COUNT + 4 * NODE_COUNT
-        first_worker_proxy = self.proxy_control_port + 1
-        self.store_proxy_ports = [
-            first_worker_proxy + WORKER_COUNT + index for index in range(NODE_COUNT)
-        ]
-        self.worker_proxy_ports = [
-            first_worker_proxy + index for index in range(WORKER_COUNT)
-        ]
-        proxy_pairs = [f"{port}:{self.first_port}" for port in self.store_proxy_ports]
-        for index, port in enumerate(self.worker_proxy_ports):
-            proxy_pairs.append(f"{port}:{self.first_port + 1 + index}")
-        self.processes = {}
-        self.start_process(
-            "standin",
-            [
-                "-m",
-                "tests.platform_standin",
-                self.first_port,
-                WORKER_COUNT,
-                first_worker_proxy,
-            ],
-        )
-        self.start_process(
-            "proxy",
-            ["-m", "tests.platform_proxy", self.proxy_control_port, *proxy_pairs],
-        )
-        for index in range(NODE_COUNT):
-            self.start_node(index)
-
-    def start_process(self, name, arguments, **environment):
-        """Start Python with the arguments; the log file is ``name``.log."""
-        log = (self.folder / f"{name}.log").open("ab")
-        self.processes[name] = subprocess.Popen(
-            [sys.executable, *map(str, arguments)],
-            cwd=ROOT,
-            env={**os.environ, **environment},
-            stdout=log,
-            stderr=log,
-        )
-
-    def start_node(self, index):
-        first_node_port = self.first_port + 1 + WORKER_COUNT + 4 * index
-        settings = SETTINGS.format(
-            name=f"n{index}",
-            peers=first_node_port,
-            metrics=first_node_port + 1,
-            front=first_node_port + 2,
-            ready=first_node_port + 3,
-            store=self.store_proxy_ports[index],
-        )
-        path = self.folder / f"n{index}.toml"
-        path.write_text(settings, "utf-8")
-        self.start_process(
-            f"n{index}", ["deploy/node.py"], REDWINGRUDDER_CONFIG=str(path)
-        )
-
-    def front_end_url(self, index, path):
-        port = self.first_port + 1 + WORKER_COUNT + 4 * index + 2
-        return f"http://127.0.0.1:{port}{path}"
-
-    def control(self, body=None):
-        """Set fault modes of the stand-in; returns the runs of all workers."""
-        return send_request(
-            "POST", f"http://127.0.0.1:{self.first_port}/control", body or {}
-        )[1]
-
-    def set_link_mode(self, port, mode):
-        """Set the mode of the proxy at a port, see ``platform_proxy``."""
-        send_request(
-            "POST", f"http://127.0.0.1:{self.proxy_control_port}/", {str(port): mode}
-        )
-
-    def signal(self, index, signal_number):
-        """Send a signal to a node, unless its process has ended."""
-        process = self.processes[f"n{index}"]
-        if process.poll() is None:
-            process.send_signal(signal_number)
-
-    def restart_node(self, index):
-        """Kill a node if it still runs and start it again."""
-        process = self.processes[f"n{index}"]
-        if process.poll() is None:
-            process.kill()
-        process.wait()
-        self.start_node(index)
-
-    def close(self):
-        """Kill all processes, also paused ones."""
-        for process in self.processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-            process.wait()
-
-
 class Soak:
     """Run of one seed: submits jobs, injects faults and checks invariants."""
 
@@ -238,6 +84,7 @@
         self.deployment = deployment
         self.seed = seed
         self.random = random.Random(seed)
+        self.series = FaultSeries(deployment, self.random)
         self.accepted = {}
         self.rejected = set()
         self.cancelled = set()
@@ -249,13 +96,35 @@
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             self._submit()
-            if self.random.random() < FAULT_PROBABILITY:
+            if self.seed >= FIRST_SERIES_SEED:
+                self._continue_series()
+            elif self.random.random() < FAULT_PROBABILITY:
                 self._inject_fault()
             time.sleep(self.random.uniform(0.05, 0.3))
         self._clear_faults()
         self._wait_for_jobs()
+        self._check_configuration()
+        self._check_shutdowns()
         self._check_runs()
 
+    def summary(self):
+        """Return what was checked, as a text."""
+        deployment = self.deployment
+        return (
+            f"{len(self.accepted)} jobs, {len(deployment.control()['runs'])} runs, "
+            f"{len(deployment.connection_ends())} connections, "
+            f"{len(deployment.shutdowns)} shutdowns, "
+            f"{len(deployment.disruptions)} kills and pauses"
+        )
+
+    def _continue_series(self):
+        self.deployment.restart_ended_nodes()
+        self.series.advance()
+        if self.random.random() < SERIES_PROBABILITY:
+            self.series.begin()
+        if self.random.random() < CANCEL_PROBABILITY:
+            self._cancel_job()
+
     def _wait_until_ready(self):
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
@@ -280,7 +149,7 @@
         body = {"spec": json.dumps(spec), "steps": steps}
         statuses = []
         for _ in range(SUBMIT_ATTEMPTS):
-            index = self.random.randrange(NODE_COUNT)
+            index = self.random.randrange(self.deployment.node_count)
             url = self.deployment.front_end_url(index, f"/{queue}/{job_id}")
             status, _ = send_request("POST", url, body, JOB_REQUEST_TIMEOUT_S)
             statuses.append(status)
@@ -299,14 +168,14 @@
 
     def _inject_fault(self):
         deployment, choose = self.deployment, self.random.choice
-        index = self.random.randrange(NODE_COUNT)
+        index = self.random.randrange(self.deployment.node_count)
         kind = choose(self._fault_kinds())
         if kind == "kill":
             deployment.restart_node(index)
         elif kind == "term":
             deployment.signal(index, signal.SIGTERM)
             time.sleep(0.3)
-            self._restart_ended_nodes()
+            self.deployment.restart_ended_nodes()
         elif kind == "pause":
             deployment.signal(index, signal.SIGSTOP)
             time.sleep(self.random.uniform(0.5, 4.0))
@@ -318,15 +187,15 @@
             deployment.control({"store": "up"})
         elif kind in ("worker", "late"):
             mode = "silent" if kind == "worker" else "late"
-            worker_index = str(self.random.randrange(WORKER_COUNT))
+            worker_index = str(self.random.randrange(self.deployment.worker_count))
             deployment.control({"workers": {worker_index: mode}})
             time.sleep(self.random.uniform(0.5, 2.0))
             deployment.control({"workers": {worker_index: "up"}})
         elif kind == "crash":
-            worker_index = str(self.random.randrange(WORKER_COUNT))
+            worker_index = str(self.random.randrange(self.deployment.worker_count))
             deployment.control({"workers": {worker_index: "crash"}})
         elif kind == "outage":
-            worker_index = str(self.random.randrange(WORKER_COUNT))
+            worker_index = str(self.random.randrange(self.deployment.worker_count))
             deployment.control({"store": "silent"})
             time.sleep(self.random.uniform(0.5, 1.5))
             deployment.control({"workers": {worker_index: "crash"}})
@@ -339,47 +208,77 @@
             deployment.set_link_mode(port, "up")
         elif kind == "hup":
             deployment.signal(index, signal.SIGHUP)
-        elif self.accepted:
-            job_id = choose(sorted(self.accepted))
-            path = f"/{self.accepted[job_id]}/{job_id}"
-            if (
-                send_request(
-                    "DELETE",
-                    deployment.front_end_url(index, path),
-                    None,
-                    JOB_REQUEST_TIMEOUT_S,
-                )[0]
-                == HTTP_OK
-            ):
-                self.cancelled.add(job_id)
-
-    def _restart_ended_nodes(self):
-        for index in range(NODE_COUNT):
-            process = self.deployment.processes[f"n{index}"]
-            if process.poll() is not None:
-                self.deployment.start_node(index)
+        else:
+            self._cancel_job(index)
+
+    def _cancel_job(self, index=None):
+        """Cancel an accepted job, if any, at a given or random node."""
+        if not self.accepted:
+            return
+        if index is None:
+            index = self.random.randrange(self.deployment.node_count)
+        job_id = self.random.choice(sorted(self.accepted))
+        url = self.deployment.front_end_url(index, f"/{self.accepted[job_id]}/{job_id}")
+        if send_request("DELETE", url, None, JOB_REQUEST_TIMEOUT_S)[0] == HTTP_OK:
+            self.cancelled.add(job_id)
 
     def _clear_faults(self):
+        self.series.end()
+        workers = range(self.deployment.worker_count)
         self.deployment.control(
-            {"store": "up", "workers": {str(i): "up" for i in range(WORKER_COUNT)}}
+            {"store": "up", "workers": {str(index): "up" for index in workers}}
         )
         for port in (
             self.deployment.store_proxy_ports + self.deployment.worker_proxy_ports
         ):
             self.deployment.set_link_mode(port, "up")
-        for index in range(NODE_COUNT):
+        for index in range(self.deployment.node_count):
             self.deployment.signal(index, signal.SIGCONT)
         time.sleep(0.2)
-        self._restart_ended_nodes()
+        self.deployment.restart_ended_nodes()
+
+    def _check_configuration(self):
+        """Check that all nodes use the newest keys, and no withdrawn one."""
+        version = self.deployment.version
+        keys = [("key", HTTP_OK), (f"key-{version}", HTTP_OK)]
+        if version > 1:
+            keys.append((f"key-{version - 1}", HTTP_UNAUTHORIZED))
+        for index in range(self.deployment.node_count):
+            url = self.deployment.front_end_url(index, "/urgent/")
+            deadline = time.monotonic() + CONFIGURATION_TIMEOUT_S
+            for key, expected in keys:
+                status = 0
+                while status != expected and time.monotonic() < deadline:
+                    status = send_request("GET", url, key=key)[0]
+                    time.sleep(0.05)
+                if status != expected:
+                    raise InvariantViolation(
+                        f"node {index} answers {status} to {key!r}, not {expected}, "
+                        f"{CONFIGURATION_TIMEOUT_S} s after the last fault"
+                    )
+
+    def _check_shutdowns(self):
+        deployment = self.deployment
+        deadline = time.monotonic() + GONE_TIMEOUT_S
+        while deployment.shutdowns_pending and time.monotonic() < deadline:
+            deployment.restart_ended_nodes()
+            time.sleep(0.05)
+        if deployment.shutdowns_pending:
+            raise InvariantViolation("a node that was told to end is still there")
+        violation = find_violation(
+            deployment.shutdowns, deployment.disruptions, deployment.connection_ends()
+        )
+        if violation:
+            raise InvariantViolation(violation)
 
     def _wait_for_jobs(self):
         """Check that all accepted jobs end; reads states at random nodes."""
         queues_by_job = dict(self.accepted)
         deadline = time.monotonic() + JOB_END_TIMEOUT_S
         while queues_by_job and time.monotonic() < deadline:
-            self._restart_ended_nodes()
+            self.deployment.restart_ended_nodes()
             for job_id, queue in list(queues_by_job.items()):
-                index = self.random.randrange(NODE_COUNT)
+                index = self.random.randrange(self.deployment.node_count)
                 path = f"/{queue}/{job_id}"
                 status, body = send_request(
                     "GET", self.deployment.front_end_url(index, path)
@@ -429,17 +328,29 @@
                 )
 
 
-def run_seed(seed, seconds, folder):
+def run_seed(
+    seed, seconds, folder, node_count=NODE_COUNT, worker_count=WORKER_COUNT, usage=False
+):
     """Run one seed, which injects faults for ``seconds``.
 
-    Settings and logs of the processes are written to ``folder``.
+    Settings and logs of the processes are written to ``folder``. With
+    ``usage``, prints what the processes have used at the end.
+
+    Returns:
+        How many jobs were accepted, runs begun, connections ended and nodes
+        told to end, as one text.
 
     Raises:
         InvariantViolation: A check failed.
     """
-    deployment = Deployment(folder)
+    deployment = Deployment(folder, node_count, worker_count)
     try:
-        Soak(deployment, seed).run(seconds)
+        soak = Soak(deployment, seed)
+        soak.run(seconds)
+        if usage:
+            for name in sorted(deployment.processes):
+                print(f"{name}: {deployment.usage(name)}")
+        return soak.summary()
     finally:
         deployment.close()
 
@@ -450,14 +361,31 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--nodes", type=int, default=NODE_COUNT)
+    parser.add_argument("--workers", type=int, default=WORKER_COUNT)
+    parser.add_argument("--usage", action="store_true")
+    parser.add_argument(
+        "--no-regressions",
+        action="store_true",
+        help="leave out the seeds that failed in the past",
+    )
     arguments = parser.parse_args()
     failed = 0
-    seeds = range(arguments.first, arguments.first + arguments.seeds)
-    for seed in [*REGRESSION_SEEDS, *seeds]:
+    seeds = [*range(arguments.first, arguments.first + arguments.seeds)]
+    if not arguments.no_regressions:
+        seeds = [*REGRESSION_SEEDS, *seeds]
+    for seed in seeds:
         folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         try:
-            run_seed(seed, arguments.seconds, folder)
-            print(f"seed {seed}: kept", flush=True)
+            summary = run_seed(
+                seed,
+                arguments.seconds,
+                folder,
+                arguments.nodes,
+                arguments.workers,
+                arguments.usage,
+            )
+            print(f"seed {seed}: kept; {summary}", flush=True)
         except InvariantViolation as error:
             failed += 1
             print(f"seed {seed}: BROKEN {error}; logs in {folder}", flush=True)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -26,9 +26,11 @@
 DELAYED_WRITE_PROBABILITY = 0.5  # of a write whose reply is lost
 DELAYED_WRITE_S = 2.0
 LATE_START_DELAY_S = 2.0
+MAX_LATE_CALL_DELAY_S = 8.0  # in mode "late_calls"
 # Columns of a row of ``Worker.runs``.
 BEGIN_COLUMN, END_COLUMN, OUTCOME_COLUMN, ACKNOWLEDGED_COLUMN = 2, 3, 4, 6
 POOL = "pool"
+COORDINATOR_KEY = "coordination/holder"
 
 
 class Store:
@@ -187,8 +189,21 @@
             worker.stop_s = body.get("stop_s", worker.stop_s)
         for index, mode in body.get("workers", {}).items():
             self.workers[int(index)].set_mode(mode)
+        if "version" in body:
+            with self.store.new_revision():
+                document = json.dumps(configuration(body["version"])).encode()
+                self.store.put("op/config", document)
         runs = [run for worker in self.workers for run in worker.runs]
-        return reply(request, 200, {"runs": runs, "now": time.monotonic()})
+        holder = self.store.items.get(COORDINATOR_KEY, {}).get("value", "")
+        return reply(
+            request,
+            200,
+            {
+                "runs": runs,
+                "now": time.monotonic(),
+                "coordinator": json.loads(base64.b64decode(holder) or "{}").get("node"),
+            },
+        )
 
     def _serve(self, request, path, body):
         def argument(name):
@@ -231,8 +246,9 @@
 
     The rows of ``runs`` are lists of task, run, begin, end (0 while it runs),
     outcome, worker and whether the end was acknowledged. Times are in seconds.
-    Modes are "up", "silent" (no replies) and "late" (starts get no reply and
-    take effect later). A run goes on for ``stop_s`` seconds after its stop.
+    Modes are "up", "silent" (no replies), "late" (starts get no reply and
+    take effect later) and "late_calls" (the same of all calls, each with a
+    delay of its own). A run goes on for ``stop_s`` seconds after its stop.
     """
 
     def __init__(self, index, address, store):
@@ -243,6 +259,7 @@
         self.waiting_polls = []
         self.mode = "up"
         self.stop_s = 0.0
+        self.random = random.Random(index)
         self.process_started_ms = 0
         self.reset()
 
@@ -371,12 +388,7 @@
         """
         if body.get("deadlineAtMs"):
             self.extend_lease(body["deadlineAtMs"])
-        for end in self.unacknowledged_ends:
-            if end[0] <= body.get("observed", 0):
-                self.rows_by_end_number[end[0]][ACKNOWLEDGED_COLUMN] = True
-        self.unacknowledged_ends = [
-            end for end in self.unacknowledged_ends if end[0] > body.get("observed", 0)
-        ]
+        self.forget_ends(body.get("observed", 0))
         wait_s = min(body.get("waitMs", 0) / 1000, MAX_POLL_WAIT_S)
         if self.unacknowledged_ends or not wait_s:
             self.answer_poll(request)
@@ -385,6 +397,26 @@
             (request, reactor.callLater(wait_s, self.answer_poll, request))
         )
 
+    def late_poll(self, body, process_started_ms):
+        """Carry out a poll that gets no reply.
+
+        If it was sent to the last process, the ends that it makes this process
+        forget were never reported, so they do not count as acknowledged.
+        """
+        if body.get("deadlineAtMs"):
+            self.extend_lease(body["deadlineAtMs"])
+        is_same_process = process_started_ms == self.process_started_ms
+        self.forget_ends(body.get("observed", 0), is_same_process)
+
+    def forget_ends(self, last_number, acknowledged=True):
+        """Forget the ends up to a number."""
+        for end in self.unacknowledged_ends:
+            if end[0] <= last_number and acknowledged:
+                self.rows_by_end_number[end[0]][ACKNOWLEDGED_COLUMN] = True
+        self.unacknowledged_ends = [
+            end for end in self.unacknowledged_ends if end[0] > last_number
+        ]
+
     def answer_poll(self, request):
         running = []
         for task, current in self.running.items():
@@ -421,6 +453,11 @@
         if worker.mode == "late" and name == "run-start":
             reactor.callLater(LATE_START_DELAY_S, self._execute, name, body)
             return NOT_DONE_YET
+        if worker.mode == "late_calls":
+            delay_s = worker.random.uniform(0, MAX_LATE_CALL_DELAY_S)
+            sent_to_ms = worker.process_started_ms
+            reactor.callLater(delay_s, self._execute, name, body, sent_to_ms)
+            return NOT_DONE_YET
         if body.get("fencingToken", 0) < worker.highest_token:
             return reply(request, 409, {"clockMs": worker.clock_ms, "reason": "fence"})
         worker.highest_token = body.get("fencingToken", 0)
@@ -430,11 +467,14 @@
         status, result = self._execute(name, body)
         return reply(request, status, {**result, "clockMs": worker.clock_ms})
 
-    def _execute(self, name, body):
+    def _execute(self, name, body, sent_to_ms=0):
         worker = self.worker
-        # A late start may have been fenced while it was delayed.
+        # A late call may have been fenced while it was delayed.
         if body.get("fencingToken", 0) < worker.highest_token:
             return 409, {"reason": "fence"}
+        worker.highest_token = body.get("fencingToken", 0)
+        if name == "hold":
+            return 200, worker.late_poll(body, sent_to_ms)
         return worker.start(body) if name == "run-start" else worker.stop(body)
 
 
@@ -448,8 +488,13 @@
     return NOT_DONE_YET
 
 
-def configuration():
-    """Return the configuration document of the operator."""
+def version_key(version):
+    """Return the key that only one version of the configuration accepts."""
+    return f"key-{version}"
+
+
+def configuration(version):
+    """Return a version of the configuration document of the operator."""
     routes = [
         {
             "name": name,
@@ -465,10 +510,16 @@
         for name, priority in (("urgent", 0), ("patient", 2))
     ]
     return {
-        "version": 1,
+        "version": version,
         "routes": routes,
         "services": [{"name": POOL, "enforceCapacity": False}],
-        "tenants": [{"name": "t", "apiKeys": ["key"], "guaranteed": {"gpu": 8}}],
+        "tenants": [
+            {
+                "name": "t",
+                "apiKeys": ["key", version_key(version)],
+                "guaranteed": {"gpu": 8},
+            }
+        ],
         "limits": {},
     }
 
@@ -477,7 +528,7 @@
     """Run store and workers until the process ends."""
     store = Store()
     with store.new_revision():
-        store.put("op/config", json.dumps(configuration()).encode())
+        store.put("op/config", json.dumps(configuration(1)).encode())
     workers = []
     for index in range(count):
         address = f"127.0.0.1:{(first_registered_port or port + 1) + index}"
