Complete all members of a gang whose run is done, whatever run they are in

Cause: a worker restarted while the starts of a gang's run 1 were on their way. Its new process reported none of them, run 2 was placed, then carried out one start of run 1 late. That run was adopted to be stopped, but ended as done first. The end completed only this member, as the other one was placed in run 2. When run 2 had been stopped that member waited, and a gang starts only while all its members wait.

Ruled out: a lost end (it was reported, current, and recorded). A later term does not help: it reads the same record.

Change: an end as done completes the members that are in another run too. Such a run is stopped and uses capacity until it has ended, as after an end of a run that is not the current one.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -857,15 +857,14 @@
         if current and task.state == "running":
             self.run_times.record_end(task, now)
         # The members of a gang end together, so the end of one member
-        # completes all of them.
+        # completes all of them. Other runs of members go on until their stop.
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
             if member.ended:
                 # The member was withdrawn while this run was being stopped.
                 continue
-            if member is not task and member.placed and member.run != task.run:
-                continue
-            goes_on = not current and member.placed
+            has_ended = current and member.run == task.run
+            goes_on = member.placed and not has_ended
             if goes_on:
                 self.stop(member, "done_elsewhere")
             self.step(member, "run_done", now)
