Project the run times of a step once for each report

Cause: a report compared each run of its worker with all other runs of the step, so that a round of reports grew with the square of a wide step's tasks.

Ruled out: a sample of the other runs, which would change decisions.

Change: SiblingProjections sorts the projections of a step once for each report and takes the median without the run itself by its position. The result is the same.

--- a/src/redwingrudder/workflows/run_times.py
+++ b/src/redwingrudder/workflows/run_times.py
@@ -1,6 +1,7 @@
 """Learned run times of tasks, and detection of slow workers."""
 
 import statistics
+from bisect import bisect_left
 
 from .state import Stage, Task, Worker
 
@@ -133,7 +134,40 @@
     return elapsed_s * 100 / max(task.percent, MIN_PROGRESS_PERCENT)
 
 
-def reference_run_s(task: Task, run_times: RunTimeEstimates) -> float | None:
+class SiblingProjections:
+    """Projected run times of the steps that one report concerns.
+
+    The projections of a step are computed once, for all tasks of the step that
+    the reporting worker has.
+    """
+
+    def __init__(self) -> None:
+        self._sorted_s_by_stage: dict[int, list[float]] = {}
+
+    def median_of_others(self, task: Task) -> float | None:
+        """Return the median projection of a step's other runs in seconds.
+
+        Returns:
+            The median, None without a projection.
+        """
+        sorted_s = self._sorted_s_by_stage.get(id(task.stage))
+        if sorted_s is None:
+            projections = (projected_run_s(other) for other in task.stage.tasks)
+            sorted_s = sorted(value for value in projections if value is not None)
+            self._sorted_s_by_stage[id(task.stage)] = sorted_s
+        own_s = projected_run_s(task)
+        count = len(sorted_s) - (own_s is not None)
+        if count < 1:
+            return None
+        left_out = len(sorted_s) if own_s is None else bisect_left(sorted_s, own_s)
+        middle = [(count - 1) // 2, count // 2]
+        low_s, high_s = (sorted_s[i + (i >= left_out)] for i in middle)
+        return low_s if middle[0] == middle[1] else (low_s + high_s) / 2
+
+
+def reference_run_s(
+    task: Task, run_times: RunTimeEstimates, projections: SiblingProjections
+) -> float | None:
     """Return the run time, in seconds, with which a run is compared.
 
     A run that takes much longer is on a slow worker. The median projection of
@@ -141,16 +175,17 @@
     while the mean of a queue says little about a single job. Otherwise a
     multiple of the learned mean is used.
 
+    Args:
+        task: Task of the run.
+        run_times: Expected run times.
+        projections: Projections of the step's runs.
+
     Returns:
         The reference time, or None if there is nothing to compare with.
     """
-    sibling_projections_s = [
-        projected_s
-        for other in task.stage.tasks
-        if other is not task and (projected_s := projected_run_s(other)) is not None
-    ]
-    if sibling_projections_s:
-        return statistics.median(sibling_projections_s)
+    median_s = projections.median_of_others(task)
+    if median_s is not None:
+        return median_s
     if not run_times.has_observed(task.stage):
         return None
     return LONG_RUN_FACTOR * run_times.expected_s(task.stage)
@@ -160,8 +195,10 @@
     worker: Worker, run_times: RunTimeEstimates, now: float
 ) -> None:
     """Update a worker's relative speed from the progress of its runs."""
+    projections = SiblingProjections()
     run_ratios = (
-        _speed_ratio(task, run_times) for task in worker.tasks_by_key.values()
+        _speed_ratio(task, run_times, projections)
+        for task in worker.tasks_by_key.values()
     )
     ratios = [ratio for ratio in run_ratios if ratio is not None]
     if ratios:
@@ -171,14 +208,18 @@
         worker.speed = 1.0
 
 
-def _speed_ratio(task: Task, run_times: RunTimeEstimates) -> float | None:
+def _speed_ratio(
+    task: Task, run_times: RunTimeEstimates, projections: SiblingProjections
+) -> float | None:
     """Return a run's speed relative to normal, None without enough data."""
     rate_ratio = _rate_change(task)
     if rate_ratio is not None and rate_ratio > RECOVERED_RATIO:
         return rate_ratio
     projected_s = projected_run_s(task)
-    reference_s = reference_run_s(task, run_times) if projected_s is not None else None
-    if projected_s is None or reference_s is None:
+    if projected_s is None:
+        return rate_ratio
+    reference_s = reference_run_s(task, run_times, projections)
+    if reference_s is None:
         return rate_ratio
     ratio = reference_s / projected_s
     return ratio if rate_ratio is None else min(ratio, rate_ratio)
@@ -216,7 +257,7 @@
     Services, and steps that were restarted too often, are not restarted.
     """
     projected_s = projected_run_s(task)
-    reference_s = reference_run_s(task, run_times)
+    reference_s = reference_run_s(task, run_times, SiblingProjections())
     if projected_s is None or reference_s is None:
         return False
     if task.stage.restarts >= MAX_SLOW_WORKER_RESTARTS or task.stage.spec.service:
