--- a/src/redwingrudder/simulation/_workers.py
+++ b/src/redwingrudder/simulation/_workers.py
@@ -298,7 +298,7 @@
                 end,
                 self._worker.worker_id,
                 self._clock.seconds(),
-                self._lapsed_at >= interval.end,
+                self._lapsed_at > interval.end,
                 interval,
             )
         )
--- a/tests/run_simulation.py
+++ b/tests/run_simulation.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from redwingrudder.simulation import (
+    INVARIANTS,
     Violation,
     ViolationClass,
     draw_schedule,
@@ -85,6 +86,13 @@
     for violation_class in ViolationClass:
         seeds = [r.seed for r in results if r.of_class(violation_class)]
         print(f"{len(seeds)} broken, {violation_class}: {seeds}")
+        for invariant in INVARIANTS:
+            seeds = [
+                result.seed
+                for result in results
+                if (invariant.name, violation_class) in signature(result.violations)
+            ]
+            print(f"  {len(seeds)} {invariant.name}: {seeds}")
     states = sum((result.states for result in results), Counter())
     print(f"jobs: {dict(sorted(states.items()))}, done {states[WorkflowState.DONE]}")
     ended_jobs = sum(result.ended_jobs for result in results)
