--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -16,17 +16,13 @@
     ViolationClass,
     find_violations,
 )
+from ._run_records import AcknowledgedEnd, RunInterval, SentStop
+from ._runs import DrawnRuns
 from ._schedule import Fault, FaultKind, Job, Schedule, draw_schedule
 from ._shrink import shrink
 from ._store import CALL_TIMEOUT_S, MemoryStore, StoreContents
-from ._workers import (
-    MAX_LEASE_S,
-    AcknowledgedEnd,
-    ProtocolWorkers,
-    RunBehaviour,
-    RunInterval,
-    SentStop,
-)
+from ._worker_process import MAX_LEASE_S, RunBehaviour
+from ._workers import ProtocolWorkers
 
 __all__ = [
     "CALL_TIMEOUT_S",
@@ -35,6 +31,7 @@
     "AcknowledgedEnd",
     "AtMostOneRun",
     "Cancellation",
+    "DrawnRuns",
     "Event",
     "Fault",
     "FaultKind",
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -54,7 +54,8 @@
     Schedule,
 )
 from ._store import MemoryStore, StoreContents
-from ._workers import MAX_LEASE_S, ProtocolWorker, ProtocolWorkers
+from ._worker_process import MAX_LEASE_S
+from ._workers import ProtocolWorker, ProtocolWorkers
 
 UNIX_TIME_S = 1_800_000_000.0  # time of day at the begin of a schedule
 HEARTBEAT_S = 1.5
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..workflows.model import WorkflowState
-from ._workers import AcknowledgedEnd, RunInterval, SentStop
+from ._run_records import AcknowledgedEnd, RunInterval, SentStop
 
 
 class Event(NamedTuple):
--- a/src/redwingrudder/simulation/_invariants.py
+++ b/src/redwingrudder/simulation/_invariants.py
@@ -6,7 +6,7 @@
 
 from ..workflows.model import EndKind
 from ._history import Cancellation, History
-from ._workers import RunInterval, find_overlaps
+from ._run_records import RunInterval, find_overlaps
 
 CANCEL_BOUND_S = 3.0  # from a stored cancellation to the last start
 
--- a/src/redwingrudder/simulation/_runs.py
+++ b/src/redwingrudder/simulation/_runs.py
@@ -6,7 +6,7 @@
 
 from ..workflows.model import EndKind, TaskKey
 from ._schedule import RunPlan, Schedule, draw_run
-from ._workers import RunBehaviour, WorkerProcess
+from ._worker_process import RunBehaviour, WorkerProcess
 
 GANG_TIMEOUT_S = 3.0  # until a member ends if the others have not started
 BROKEN_AFTER_S = 0.2  # from the end of a member to that of the others
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -18,6 +18,7 @@
     AcknowledgedEnd,
     AtMostOneRun,
     Cancellation,
+    DrawnRuns,
     Fault,
     FaultKind,
     History,
@@ -42,7 +43,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FIRST_SEED = 1
-SEEDS = 120
+SEEDS = 200
 TIME_LIMIT_S = 60.0  # for all seeds
 KEY = fx.key("job")
 LATE = 1  # start time of a process before that of the runs below
@@ -304,5 +305,38 @@
                 self.worker.restart()
 
 
+class GangModelTests(unittest.TestCase):
+    """Runs of a gang of two at the workers of a cluster without calls."""
+
+    def setUp(self):
+        self.clock = Clock()
+        schedule = Schedule(1, (Job(0.0, "job", 2, True, 1, 1, None),), ())
+        behaviour = DrawnRuns(self.clock, schedule)
+        self.workers = ProtocolWorkers(self.clock, "w1", "w2", behaviour=behaviour)
+
+    def start(self, *indexes):
+        processes = [worker.process for worker in self.workers.workers_by_id.values()]
+        for index in indexes:
+            key = fx.key("job", index=index)
+            processes[index].start(1, key, 1, LEASE_MS)
+        return processes
+
+    def ends(self):
+        self.clock.pump([0.1] * 55)
+        workers = self.workers.workers_by_id.values()
+        return [end.kind for worker in workers for end in worker.process.ends]
+
+    def test_member_ends_without_the_others(self):
+        """Guards against a model in which a gang works without a member."""
+        self.start(0)
+        self.assertEqual(self.ends(), [EndKind.ALONE])
+
+    def test_members_end_with_the_one_that_was_stopped(self):
+        """Guards against a model whose gangs work on after losing a member."""
+        process, _ = self.start(0, 1)
+        process.end(fx.key("job"), EndKind.STOPPED)
+        self.assertEqual(self.ends(), [EndKind.STOPPED, EndKind.BROKEN])
+
+
 if __name__ == "__main__":
     unittest.main()
