Check whether a call may be sent again when its connection stands

Cause: the session, the coordinator and the duties for machines checked their permission when they prepared a call. A new connection may take 0.5 s, and in a process that was paused the event of the connection may be handled before the timer of the call's time limit. The call was written then, although the authority had run out, a stop of the run was ordered, the session was closed (the next process of the worker got the call, and a poll made it forget ends by the numbers of the last process), or the look at the cancellations was too old. The attempts of a start had no limit by that age either.

Ruled out: the time limits of the calls alone, since timers of a process that was paused run late. Leases need no check: their end is a time of the worker's clock, computed when the call is prepared. Calls of an earlier session or term are rejected by the worker once it has seen a later fence; a start after an acknowledged cancellation is rejected by nobody.

Change: HttpClient takes a condition and evaluates it when the connection stands, also on a kept one, and writes no request with a body after its time limit. WorkerChannel and MachineService pass the condition on; a call that is not written raises UnavailableError, which is a known outcome. In tests the fakes of both classes take the condition; ProtocolWorker and WorkerStub evaluate it.

--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -2,6 +2,7 @@
 
 import abc
 import enum
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..exceptions import UnavailableError
@@ -19,6 +20,9 @@
 )
 from ..workflows.run_times import DEFAULT_REMOTE_FACTOR, DEFAULT_STOP_TIMEOUT_S
 
+# Returns whether a call may still be sent.
+SendCondition = Callable[[], bool]
+
 STORE = "store"
 CONFIGURATION = "configuration"
 PEERS = "neighbours"
@@ -227,11 +231,21 @@
     at most ``timeout_s`` seconds for the reply. It raises ``UnavailableError``
     if there is none; the command may then have taken effect or may take effect
     later.
+
+    ``may_send`` is evaluated immediately before the call is written, which may
+    be after a connection was opened or after the process was paused. If it
+    returns False, nothing is sent, and the call raises ``UnavailableError``
+    but not ``OutcomeUnknownError``.
     """
 
     @abc.abstractmethod
     async def start(
-        self, run: StartRun, lease_until_ms: int, fence: int, timeout_s: float
+        self,
+        run: StartRun,
+        lease_until_ms: int,
+        fence: int,
+        timeout_s: float,
+        may_send: SendCondition,
     ) -> CommandReply:
         """Start a run under a lease.
 
@@ -241,17 +255,26 @@
                 milliseconds.
             fence: Fencing token.
             timeout_s: Time limit for the reply in seconds.
+            may_send: See the class.
         """
 
     @abc.abstractmethod
     async def stop(
-        self, run: StartRun | StopRun, fence: int, timeout_s: float
+        self,
+        run: StartRun | StopRun,
+        fence: int,
+        timeout_s: float,
+        may_send: SendCondition,
     ) -> CommandReply:
         """Stop a run; a start of it that arrives later has no effect."""
 
     @abc.abstractmethod
     async def throttle(
-        self, run: ThrottleRun, fence: int, timeout_s: float
+        self,
+        run: ThrottleRun,
+        fence: int,
+        timeout_s: float,
+        may_send: SendCondition,
     ) -> CommandReply:
         """Set the speed of a run, in percent of its full speed."""
 
@@ -263,6 +286,7 @@
         lease_until_ms: int,
         wait_s: float,
         timeout_s: float,
+        may_send: SendCondition,
     ) -> WorkerReport | CommandReply:
         """Extend the worker's lease, acknowledge ends and list the runs.
 
@@ -275,6 +299,7 @@
             wait_s: Time in seconds for which the worker may delay its reply
                 until a run ends.
             timeout_s: Time limit for the reply in seconds.
+            may_send: See the class.
         """
 
     @abc.abstractmethod
@@ -339,7 +364,12 @@
 
     @abc.abstractmethod
     async def begin_upkeep(
-        self, machine_id: str, wave_id: int, holder: str, fence: int
+        self,
+        machine_id: str,
+        wave_id: int,
+        holder: str,
+        fence: int,
+        may_send: SendCondition,
     ) -> MachineReply:
         """Take a machine down; the operation is idempotent.
 
@@ -348,11 +378,18 @@
             wave_id: Maintenance wave that the order belongs to.
             holder: Name of the process that sends the order.
             fence: Fencing token.
+            may_send: Evaluated immediately before the order is written; it is
+                not sent if this returns False.
         """
 
     @abc.abstractmethod
     async def move(
-        self, machine_id: str, pool: str, holder: str, fence: int
+        self,
+        machine_id: str,
+        pool: str,
+        holder: str,
+        fence: int,
+        may_send: SendCondition,
     ) -> MachineReply:
         """Move a machine into a pool; the operation is idempotent.
 
@@ -364,6 +401,8 @@
             pool: Pool that it joins.
             holder: Name of the process that sends the order.
             fence: Fencing token.
+            may_send: Evaluated immediately before the order is written; it is
+                not sent if this returns False.
         """
 
 
--- a/src/redwingrudder/coordination/machine_duty.py
+++ b/src/redwingrudder/coordination/machine_duty.py
@@ -108,6 +108,10 @@
             and self._authority.valid
         )
 
+    def _may_order_now(self) -> bool:
+        """Return whether an order may be sent, when it is written."""
+        return self._may_order(self._system.clock.seconds())
+
     def _stop_as_fenced(self, source: str) -> None:
         """Send no more orders, and tell LEADERSHIP of a newer coordinator."""
         self._closed = True
--- a/src/redwingrudder/coordination/maintenance.py
+++ b/src/redwingrudder/coordination/maintenance.py
@@ -179,7 +179,7 @@
         for upkeep in emptied:
             upkeep.step("emptied")
         for upkeep in progress.in_state(*ORDERED_STATES):
-            if not self._may_order(self._system.clock.seconds()):
+            if not self._may_order_now():
                 return
             if self._empty_worker(upkeep, now):
                 await self._order_upkeep(progress, upkeep)
@@ -206,7 +206,11 @@
         wave_id = progress.wave.wave_id
         try:
             reply = await self._machine_service.begin_upkeep(
-                upkeep.machine_id, wave_id, self._holder, self._engine.term
+                upkeep.machine_id,
+                wave_id,
+                self._holder,
+                self._engine.term,
+                self._may_order_now,
             )
         except OverloadedError:
             raise  # the order was answered and not carried out
--- a/src/redwingrudder/coordination/pool_moves.py
+++ b/src/redwingrudder/coordination/pool_moves.py
@@ -185,7 +185,11 @@
 
     async def _order(self, move: MachineMove) -> None:
         reply = await self._machine_service.move(
-            move.machine_id, move.target, self._holder, self._engine.term
+            move.machine_id,
+            move.target,
+            self._holder,
+            self._engine.term,
+            self._may_order_now,
         )
         _log_move(move, str(reply))
         if reply is MachineReply.FENCED:
--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -14,6 +14,7 @@
 from ..exceptions import RedwingrudderError
 from ..workflows.engine import Engine
 from ..workflows.model import FINAL_STATES, StartRun
+from ..workflows.run_table import START_ATTEMPTS_S
 from ..workflows.state import WorkflowProgress
 from .gateways import COORDINATOR
 from .metrics import METRICS, IncrementCounter, ObserveDuration
@@ -22,7 +23,7 @@
 
 RETRY_DELAY_S = 0.1
 # Age up to which the absence of a cancellation in the store counts when a
-# start is sent. The repeated attempts of a start take further time.
+# start is passed to the session. Its attempts end at the age START_ATTEMPTS_S.
 MAX_CANCEL_CHECK_AGE_S = 1.0
 
 _logger = logging.getLogger(__name__)
@@ -168,7 +169,7 @@
             s for s in self._pending_starts if (s.key, s.run) not in sent_runs
         ]
         for start in starts:
-            self._send_start(start)
+            self._send_start(start._replace(send_until=checked_at + START_ATTEMPTS_S))
 
     def _send_start(self, start: StartRun) -> None:
         now = self._system.clock.seconds()
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -265,12 +265,14 @@
         number = self._acknowledged_end
         if number == self._forgotten_end or self._chart.state != "answering":
             number = 0
+        lease_until_ms = self._extend_lease()
         poll = self._channel.poll(
             self._fence,
             number,
-            self._extend_lease(),
+            lease_until_ms,
             wait_s,
             wait_s + POLL_MARGIN_S,
+            partial(self._may_send_poll, lease_until_ms),
         )
         reply = await self._await_reply(poll, "poll", {}, self._postpone_departure)
         if isinstance(reply, WorkerReport) and not self._closed:
@@ -535,22 +537,20 @@
     async def _send_start(self, message: StartRun) -> CommandReply:
         """Send a start until it is answered, at most once per time limit.
 
-        It is not sent without authority, after the lease has lapsed, when
-        COORDINATOR gives up all runs of the worker, or after a stop of the
-        run, which may have no effect yet. Nor is it sent after the run has
-        ended: the worker may have restarted and would run it again.
+        The conditions of ``_may_send_start`` are checked before each attempt,
+        and again when its connection stands.
         """
         run_key = (message.key, message.run)
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
-            if not self._may_start:
-                break
-            if self._chart.state == "lapsed":
-                break
-            if run_key in self._closed_runs:
+            if not self._may_send_start(message):
                 break
             sent_at = self.system.clock.seconds()
             start = self._channel.start(
-                message, self._lease_until(), self._fence, timeout_s
+                message,
+                self._lease_until(),
+                self._fence,
+                timeout_s,
+                partial(self._may_send_start, message),
             )
             reply = await self._await_reply(
                 start,
@@ -572,20 +572,37 @@
             self._record_no_answer()
         return CommandReply(False, "unanswered")
 
-    @property
-    def _may_start(self) -> bool:
-        """Whether a start may be sent.
+    def _may_send_start(self, message: StartRun) -> bool:
+        """Return whether a start may be sent.
 
-        The first report decides that runs that it does not list cannot start
-        any more, so none is sent before it.
+        It is not sent without authority, after the lease has lapsed, when
+        COORDINATOR gives up all runs of the worker, or after a stop of the
+        run, which may have no effect yet. Nor is it sent after the run has
+        ended: the worker may have restarted and would run it again. The first
+        report decides that runs that it does not list cannot start any more,
+        so none is sent before it.
         """
         return (
-            not self._closed
-            and self._authority.valid
+            self._may_command()
             and self._has_reported
             and bool(self._worker_clock_ms)
+            and self._chart.state != "lapsed"
+            and (message.key, message.run) not in self._closed_runs
+            and self.system.clock.seconds() <= message.send_until
         )
 
+    def _may_command(self) -> bool:
+        """Return whether a stop or throttle command may be sent."""
+        return not self._closed and self._authority.valid
+
+    def _may_send_poll(self, lease_until_ms: int) -> bool:
+        """Return whether a poll that was prepared may still be sent.
+
+        A closed session may send nothing to the next process of the worker,
+        which numbers its ends anew.
+        """
+        return not self._closed and (self._authority.valid or not lease_until_ms)
+
     def _may_have_begun(
         self, run_key: tuple[TaskKey, int], reply: CommandReply
     ) -> bool:
@@ -660,7 +677,9 @@
         if not self._authority.valid:
             self.tell(COORDINATOR, ThrottleUnanswered(message))
             return
-        throttle = self._channel.throttle(message, self._fence, COMMAND_TIMEOUT_S)
+        throttle = self._channel.throttle(
+            message, self._fence, COMMAND_TIMEOUT_S, self._may_command
+        )
         reply = await self._await_reply(
             throttle, "throttle command", _run_fields(message)
         )
@@ -679,7 +698,9 @@
             if not self._authority.valid:
                 await pause(self.system.clock, STOP_RETRY_DELAY_S)
                 continue
-            stop = self._channel.stop(message, self._fence, COMMAND_TIMEOUT_S)
+            stop = self._channel.stop(
+                message, self._fence, COMMAND_TIMEOUT_S, self._may_command
+            )
             reply = await self._await_reply(stop, "stop", _run_fields(message))
             if reply is None:
                 self._record_no_answer()
--- a/src/redwingrudder/platform/http_client.py
+++ b/src/redwingrudder/platform/http_client.py
@@ -45,6 +45,7 @@
         headers: dict[str, str] | None = None,
         transfer_s: float = 0.0,
         on_progress: Callable[[], None] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> JsonReply:
         """Send a request and return the reply, whatever its status.
 
@@ -56,6 +57,8 @@
             headers: Additional HTTP headers.
             transfer_s: Additional seconds for a reply that keeps arriving.
             on_progress: Called for each part of the reply's body.
+            may_send: Evaluated immediately before a request with a body is
+                written; it is not sent if this returns False.
 
         Raises:
             UnavailableError: The request was not sent.
@@ -73,6 +76,7 @@
             headers,
             transfer_s,
             on_progress,
+            may_send,
         )
         try:
             document = parse_json(response.content) if response.content.strip() else {}
--- a/src/redwingrudder/platform/machines.py
+++ b/src/redwingrudder/platform/machines.py
@@ -6,7 +6,12 @@
 from urllib.parse import quote
 
 from .._checked_json import Fields, parse_json
-from ..coordination.gateways import MachineReply, MachineService, WaveCodec
+from ..coordination.gateways import (
+    MachineReply,
+    MachineService,
+    SendCondition,
+    WaveCodec,
+)
 from ..exceptions import OverloadedError, UnavailableError
 from ..workflows.machines import Machine, MachineState
 from ..workflows.maintenance import MaintenanceWave
@@ -62,25 +67,45 @@
         raise UnavailableError(f"the machine list has more than {MAX_PAGES} pages")
 
     async def begin_upkeep(
-        self, machine_id: str, wave_id: int, holder: str, fence: int
+        self,
+        machine_id: str,
+        wave_id: int,
+        holder: str,
+        fence: int,
+        may_send: SendCondition,
     ) -> MachineReply:
         """See base class."""
         body = {"machine": machine_id, "wave": wave_id}
-        return await self._order("machine-upkeep", body, holder, fence)
+        return await self._order("machine-upkeep", body, holder, fence, may_send)
 
     async def move(
-        self, machine_id: str, pool: str, holder: str, fence: int
+        self,
+        machine_id: str,
+        pool: str,
+        holder: str,
+        fence: int,
+        may_send: SendCondition,
     ) -> MachineReply:
         """See base class."""
         body = {"machine": machine_id, "pool": pool}
-        return await self._order("machine-move", body, holder, fence)
+        return await self._order("machine-move", body, holder, fence, may_send)
 
     async def _order(
-        self, name: str, body: dict[str, Any], holder: str, fence: int
+        self,
+        name: str,
+        body: dict[str, Any],
+        holder: str,
+        fence: int,
+        may_send: SendCondition,
     ) -> MachineReply:
         headers = {"X-Lease-Holder": holder, "X-Fencing-Token": str(fence)}
         reply = await self._client.call(
-            "POST", f"/redwingrudder/{name}", body, TIMEOUT_S, headers
+            "POST",
+            f"/redwingrudder/{name}",
+            body,
+            TIMEOUT_S,
+            headers,
+            may_send=may_send,
         )
         if reply.status == 200:
             return MachineReply.ACCEPTED
--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -8,6 +8,7 @@
 from ..coordination.gateways import (
     ChannelFactory,
     CommandReply,
+    SendCondition,
     WorkerChannel,
     WorkerReport,
 )
@@ -66,7 +67,12 @@
         self._headers = {"X-Expect-Instance": worker_id}
 
     async def start(
-        self, run: StartRun, lease_until_ms: int, fence: int, timeout_s: float
+        self,
+        run: StartRun,
+        lease_until_ms: int,
+        fence: int,
+        timeout_s: float,
+        may_send: SendCondition,
     ) -> CommandReply:
         """See base class."""
         body = {
@@ -80,17 +86,29 @@
             body["checkpoint"] = run.checkpoint
         if run.ticket:
             body["ticket"] = run.ticket
-        return _decode_command_reply(await self._post("run-start", body, timeout_s))
+        return _decode_command_reply(
+            await self._post("run-start", body, timeout_s, may_send)
+        )
 
     async def stop(
-        self, run: StartRun | StopRun, fence: int, timeout_s: float
+        self,
+        run: StartRun | StopRun,
+        fence: int,
+        timeout_s: float,
+        may_send: SendCondition,
     ) -> CommandReply:
         """See base class."""
         body = {"task": task_name(run.key), "runId": run.run, "fencingToken": fence}
-        return _decode_command_reply(await self._post("run-stop", body, timeout_s))
+        return _decode_command_reply(
+            await self._post("run-stop", body, timeout_s, may_send)
+        )
 
     async def throttle(
-        self, run: ThrottleRun, fence: int, timeout_s: float
+        self,
+        run: ThrottleRun,
+        fence: int,
+        timeout_s: float,
+        may_send: SendCondition,
     ) -> CommandReply:
         """See base class."""
         body = {
@@ -99,7 +117,9 @@
             "percent": run.percent,
             "fencingToken": fence,
         }
-        return _decode_command_reply(await self._post("pace", body, timeout_s))
+        return _decode_command_reply(
+            await self._post("pace", body, timeout_s, may_send)
+        )
 
     async def poll(
         self,
@@ -108,6 +128,7 @@
         lease_until_ms: int,
         wait_s: float,
         timeout_s: float,
+        may_send: SendCondition,
     ) -> WorkerReport | CommandReply:
         """See base class."""
         body: dict[str, Any] = {"fencingToken": fence, "observed": acknowledged_end}
@@ -115,7 +136,7 @@
             body["deadlineAtMs"] = lease_until_ms
         if wait_s:
             body["waitMs"] = int(wait_s * 1000)
-        reply = await self._post("hold", body, timeout_s)
+        reply = await self._post("hold", body, timeout_s, may_send)
         if reply.status != 200:
             return _decode_command_reply(reply)
         return _decode_report(reply.body)
@@ -129,10 +150,16 @@
         self._client.reset()
 
     async def _post(
-        self, name: str, body: dict[str, Any], timeout_s: float
+        self,
+        name: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        may_send: SendCondition,
     ) -> JsonReply:
         path = f"/redwingrudder/{name}"
-        return await self._client.call("POST", path, body, timeout_s, self._headers)
+        return await self._client.call(
+            "POST", path, body, timeout_s, self._headers, may_send=may_send
+        )
 
 
 def task_name(key: TaskKey) -> str:
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -1,6 +1,7 @@
 """Types of the workflow engine's interface: workflows, reports, effects."""
 
 import enum
+import math
 from typing import NamedTuple
 
 
@@ -271,6 +272,8 @@
         payload: Payload of the workflow.
         checkpoint: Checkpoint to resume from, "" to start from the beginning.
         ticket: Ticket from the advice service, "" if none is needed.
+        send_until: Node-clock seconds after which it is not sent any more,
+            because its job may have been cancelled meanwhile.
     """
 
     worker_id: str
@@ -279,6 +282,7 @@
     payload: str
     checkpoint: str
     ticket: str = ""
+    send_until: float = math.inf
 
 
 class StopRun(NamedTuple):
--- a/tests/protocol_worker.py
+++ b/tests/protocol_worker.py
@@ -147,6 +147,7 @@
             ``carry_out_late_calls``.
         late_calls: Calls to carry out later.
         fences: Fencing tokens of all calls that were sent, in their order.
+        connect_s: Time in seconds until a call is written.
     """
 
     def __init__(self, clock, worker_id):
@@ -158,6 +159,7 @@
         self.late = set()
         self.late_calls = []
         self.fences = []
+        self.connect_s = 0.0
 
     def restart(self):
         """Replace the process by one that knows nothing of the last one."""
@@ -179,8 +181,12 @@
             for key, (run, begin) in self.process.runs_by_key.items()
         ]
 
-    async def call(self, name, timeout_s, fence, *args):
+    async def call(self, name, timeout_s, may_send, fence, *args):
         """Carry out a call now or later, or not at all."""
+        if self.connect_s:
+            await pause(self.clock, self.connect_s)
+        if not may_send():
+            raise UnavailableError("the call was not sent")
         self.fences.append(fence)
         if self.silent:
             await pause(self.clock, timeout_s)
@@ -191,10 +197,10 @@
             raise OutcomeUnknownError("the worker does not answer in time")
         return getattr(self.process, name)(fence, *args)
 
-    async def poll(self, timeout_s, wait_s, *args):
+    async def poll(self, timeout_s, may_send, wait_s, *args):
         """Carry out a poll, and reply as soon as there is an end."""
         process = self.process
-        reply = await self.call("poll", timeout_s, *args)
+        reply = await self.call("poll", timeout_s, may_send, *args)
         deadline = self.clock.seconds() + wait_s
         while (
             isinstance(reply, WorkerReport)
@@ -214,20 +220,24 @@
     def __init__(self, worker):
         self.worker = worker
 
-    async def start(self, run, lease_until_ms, fence, timeout_s):
+    async def start(self, run, lease_until_ms, fence, timeout_s, may_send):
         return await self.worker.call(
-            "start", timeout_s, fence, run.key, run.run, lease_until_ms
+            "start", timeout_s, may_send, fence, run.key, run.run, lease_until_ms
         )
 
-    async def stop(self, run, fence, timeout_s):
-        return await self.worker.call("stop", timeout_s, fence, run.key, run.run)
+    async def stop(self, run, fence, timeout_s, may_send):
+        return await self.worker.call(
+            "stop", timeout_s, may_send, fence, run.key, run.run
+        )
 
-    async def throttle(self, run, fence, timeout_s):
+    async def throttle(self, run, fence, timeout_s, may_send):
         raise UnavailableError("not supported")
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         return await self.worker.poll(
-            timeout_s, wait_s, fence, acknowledged_end, lease_until_ms
+            timeout_s, may_send, wait_s, fence, acknowledged_end, lease_until_ms
         )
 
     def reset(self):
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -65,7 +65,7 @@
     WorkerSession,
     prior_lease_timeout_s,
 )
-from redwingrudder.exceptions import OutcomeUnknownError
+from redwingrudder.exceptions import OutcomeUnknownError, UnavailableError
 from redwingrudder.platform.machines import PlatformWaves
 from redwingrudder.platform.registry import PlatformRegistry
 from redwingrudder.timers import TimerService
@@ -105,23 +105,27 @@
         self.hold_polls = False
         self.held = []
 
-    async def _reply(self, name, timeout_s):
+    async def _reply(self, name, timeout_s, may_send):
+        if not may_send():
+            raise UnavailableError("not sent")
         self.sent.append((name, self.clock.seconds()))
         if name in self.lost:
             await pause(self.clock, timeout_s)
             raise OutcomeUnknownError("no reply")
         return CommandReply(True, "", int(self.clock.seconds() * 1000) + 1)
 
-    async def start(self, run, lease_until_ms, fence, timeout_s):
-        return await self._reply("start", timeout_s)
+    async def start(self, run, lease_until_ms, fence, timeout_s, may_send):
+        return await self._reply("start", timeout_s, may_send)
 
-    async def stop(self, run, fence, timeout_s):
-        return await self._reply("stop", timeout_s)
+    async def stop(self, run, fence, timeout_s, may_send):
+        return await self._reply("stop", timeout_s, may_send)
 
-    async def throttle(self, run, fence, timeout_s):
-        return await self._reply("throttle", timeout_s)
+    async def throttle(self, run, fence, timeout_s, may_send):
+        return await self._reply("throttle", timeout_s, may_send)
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         if lease_until_ms:
             self.sent.append(("extend", self.clock.seconds()))
         if self.hold_polls:
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -320,10 +320,12 @@
         super().__init__(clock)
         self.pending = []
 
-    async def stop(self, run, fence, timeout_s):
+    async def stop(self, run, fence, timeout_s, may_send):
         return await self._await_late_reply()
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         return await self._await_late_reply()
 
     async def _await_late_reply(self):
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -72,7 +72,7 @@
     async def list_machines(self):
         return tuple(self.machines.values())
 
-    async def begin_upkeep(self, machine_id, wave_id, holder, fence):
+    async def begin_upkeep(self, machine_id, wave_id, holder, fence, may_send):
         if self.overloaded:
             raise OverloadedError("too many orders")
         self.orders.append((machine_id, holder, fence))
@@ -89,7 +89,7 @@
             self.max_machines_down = max(self.max_machines_down, len(down))
         return self.answer()
 
-    async def move(self, machine_id, pool, holder, fence):
+    async def move(self, machine_id, pool, holder, fence, may_send):
         self.orders.append((machine_id, holder, fence))
         if self.reply is not None:
             return self.reply
--- a/tests/test_missed_cancels.py
+++ b/tests/test_missed_cancels.py
@@ -52,18 +52,20 @@
         self.running = []
         self.stopped = []
 
-    async def start(self, run, lease_until_ms, fence, timeout_s):
+    async def start(self, run, lease_until_ms, fence, timeout_s, may_send):
         self.started.append(run.key.workflow_id)
         self.running.append(fx.running(run))
-        return await super().start(run, lease_until_ms, fence, timeout_s)
+        return await super().start(run, lease_until_ms, fence, timeout_s, may_send)
 
-    async def stop(self, run, fence, timeout_s):
+    async def stop(self, run, fence, timeout_s, may_send):
         self.stopped.append(run.key)
-        return await super().stop(run, fence, timeout_s)
+        return await super().stop(run, fence, timeout_s, may_send)
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         report = await super().poll(
-            fence, acknowledged_end, lease_until_ms, wait_s, timeout_s
+            fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
         )
         return report._replace(running=tuple(self.running))
 
--- a/tests/test_overtaken_reports.py
+++ b/tests/test_overtaken_reports.py
@@ -33,10 +33,12 @@
         self.held_poll = None
         self.running = []
 
-    async def start(self, run, lease_until_ms, fence, timeout_s):
+    async def start(self, run, lease_until_ms, fence, timeout_s, may_send):
         return await self.held_start
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         reply = self._reply("poll")
         running = tuple(RunReport(key, run, "", 50.0) for key, run in self.running)
         report = WorkerReport(reply.clock_ms, 1, running, ())
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -21,7 +21,7 @@
         self.replies = list(replies)
         self.calls = []
 
-    async def call(self, method, path, body, timeout_s, headers=None):
+    async def call(self, method, path, body, timeout_s, headers=None, may_send=None):
         self.calls.append((method, path, body, headers))
         return self.replies.pop(0)
 
@@ -45,7 +45,7 @@
 class MachinesTests(unittest.TestCase):
     def order(self, status, body):
         client = FakeClient(JsonReply(status, body))
-        call = PlatformMachines(client).begin_upkeep("m1", 7, "n1", 3)
+        call = PlatformMachines(client).begin_upkeep("m1", 7, "n1", 3, lambda: True)
         return outcome(ensureDeferred(call)), client
 
     def test_all_pages_are_read(self):
@@ -76,7 +76,7 @@
     def test_move_names_the_pool_and_carries_the_fence(self):
         """Guards against a machine that joins another pool than decided."""
         client = FakeClient(JsonReply(200, {}))
-        call = PlatformMachines(client).move("m1", "p2", "n1", 3)
+        call = PlatformMachines(client).move("m1", "p2", "n1", 3, lambda: True)
         self.assertIs(outcome(ensureDeferred(call)), MachineReply.ACCEPTED)
         method, path, body, headers = client.calls[0]
         self.assertEqual((method, path), ("POST", "/redwingrudder/machine-move"))
--- a/tests/test_returning_entries.py
+++ b/tests/test_returning_entries.py
@@ -24,7 +24,9 @@
         self.ended = ()
         self.ends_complete = True
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         reply = self._reply("poll")
         if not reply.accepted:
             return reply
--- a/tests/test_settled_starts.py
+++ b/tests/test_settled_starts.py
@@ -81,7 +81,7 @@
     def goes_on(self, run_key):
         return self.runs.get(run_key, 0.0) > self.clock.seconds()
 
-    async def start(self, run, lease_until_ms, fence, timeout_s):
+    async def start(self, run, lease_until_ms, fence, timeout_s, may_send):
         self.calls.append("start")
         if self.lost_starts:
             self.lost_starts -= 1
@@ -91,7 +91,7 @@
             raise OutcomeUnknownError("the reply to the start was lost")
         return self._reply(self.start_rejection)
 
-    async def stop(self, run, fence, timeout_s):
+    async def stop(self, run, fence, timeout_s, may_send):
         self.calls.append("stop")
         if self.lost_stops:
             self.lost_stops -= 1
@@ -105,10 +105,12 @@
         self.stopped.add(run_key)
         return self._reply("")
 
-    async def throttle(self, run, fence, timeout_s):
+    async def throttle(self, run, fence, timeout_s, may_send):
         return self._reply("")
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         self.calls.append("poll")
         if not self.answers:
             raise OutcomeUnknownError("the reply to the poll was lost")
--- a/tests/test_unrecorded_ends.py
+++ b/tests/test_unrecorded_ends.py
@@ -40,7 +40,9 @@
         number = next(self._numbers)
         self.ends_by_number[number] = RunEnd(number, key, run, kind, "")
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         self.acknowledged = max(self.acknowledged, acknowledged_end)
         for number in list(self.ends_by_number):
             if number <= acknowledged_end:
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -78,7 +78,7 @@
             return CommandReply(False, self.rejection_reason)
         return CommandReply(True, "", int(self.clock.seconds() * 1000) + 1)
 
-    async def start(self, run, lease_until_ms, fence, timeout_s):
+    async def start(self, run, lease_until_ms, fence, timeout_s, may_send):
         if self.starts_to_lose:
             self.starts_to_lose -= 1
             self.calls.append("lost start")
@@ -87,13 +87,15 @@
             return CommandReply(False, "outdated", 1)
         return self._reply("start")
 
-    async def stop(self, run, fence, timeout_s):
+    async def stop(self, run, fence, timeout_s, may_send):
         return self._reply("stop")
 
-    async def throttle(self, run, fence, timeout_s):
+    async def throttle(self, run, fence, timeout_s, may_send):
         return self._reply("pace")
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         if self.hangs:
             await Deferred()
         if self.polls_to_lose:
@@ -163,7 +165,7 @@
         """
         limits = []
 
-        async def record_limit(run, lease_until_ms, fence, timeout_s):
+        async def record_limit(run, lease_until_ms, fence, timeout_s, may_send):
             limits.append(timeout_s)
             raise UnavailableError("the start got no reply")
 
--- a/tests/test_worker_table.py
+++ b/tests/test_worker_table.py
@@ -127,7 +127,7 @@
         self.runs = []
         self.restarts_at_start = False
 
-    async def start(self, run, lease_until_ms, fence, timeout_s):
+    async def start(self, run, lease_until_ms, fence, timeout_s, may_send):
         if self.restarts_at_start:
             self.restarts_at_start = False
             self.process_started_ms += 1
@@ -135,7 +135,9 @@
         self.runs.append(RunReport(run.key, run.run, "", 1.0))
         return self._reply("start")
 
-    async def poll(self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s):
+    async def poll(
+        self, fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
+    ):
         reply = self._reply("poll")
         return WorkerReport(
             reply.clock_ms, self.process_started_ms, tuple(self.runs), ()
