Refuse no submission or cancellation whose earlier call may be stored

Cause: a submission whose comparison fails is stored already, or its cancellation is, and the read that tells which was made. If the store did not answer the read, the submission counted as not stored: "503, the job will not run", or "store_unavailable" for the node that relayed it, although an earlier call, whose answer was lost, may have stored the job. A cancellation for a peer was repeated after a write without an answer, and a failure of the repeated read was passed on as a failure without an effect.

Ruled out: Intake._write_anywhere and _store_document, which remember a write without an answer; the fault is below and beside them.

Change: both cases raise OutcomeUnknownError, which is answered 504. A call that certainly wrote nothing is refused as before.

--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -246,7 +246,12 @@
         put = PutKey(key, document)
         is_new = (Compare(key, 0), Compare(cancel_key, 0))
         while not (await transact(self.system, Transact(is_new, (put,)))).succeeded:
-            stored = await self.ask(STORE, GetPrefix(key))
+            try:
+                stored = await self.ask(STORE, GetPrefix(key))
+            except RedwingrudderError as error:
+                # An earlier call may have stored the job, so that this one
+                # must not be refused as without an effect.
+                raise OutcomeUnknownError(error.detail) from error
             revisions_by_key = {pair.key: pair.mod_revision for pair in stored.pairs}
             if key in revisions_by_key:
                 return False
@@ -377,15 +382,29 @@
                 return item is not None
 
     async def _cancel_for_peer(self, message: CancelForPeer) -> bool:
-        """Store a cancellation; repeats a write with an unknown outcome."""
+        """Store a cancellation; repeats a write with an unknown outcome.
+
+        Raises:
+            StoreUnavailableError: Nothing was written.
+            OutcomeUnknownError: A write may have taken effect or may take
+                effect later.
+        """
         deadline = self.system.clock.seconds() + PEER_REQUEST_TIMEOUT_S
+        uncertain = False
         while True:
             try:
                 return await self._cancel_once(message.workflow_id)
             except OutcomeUnknownError:
-                if self.system.clock.seconds() > deadline:
+                uncertain = True
+            except RedwingrudderError:
+                if not uncertain:
                     raise
-                await pause(self.system.clock, WRITE_RETRY_DELAY_S)
+            if self.system.clock.seconds() > deadline:
+                raise OutcomeUnknownError(
+                    "the store did not confirm the cancellation of job "
+                    f"{message.workflow_id}"
+                )
+            await pause(self.system.clock, WRITE_RETRY_DELAY_S)
 
     async def _get_state(self, message: GetState) -> str:
         """Ask the coordinator for a state, and fall back to the store.
