Take an answer of a worker with an unforeseen status as an unknown outcome

Cause: every status other than 200, 409, 421, 429 and 503, and a 409 without a known reason, counted as a rejection of a start. The task was released and placed elsewhere at once, without a stop. A worker that fails while it starts a run answers 500 or the like, and a 409 whose reason is lost may mean that the run is there: two runs of one task.

Ruled out: 400, 429 and 503, with which the worker has done nothing.

Change: other answers raise OutcomeUnknownError, so the start is repeated, and then stopped and settled by a report, like one without an answer. Stops and polls are repeated as before.

Measured: test_answers_that_say_nothing_about_the_run fails before the change for all 8 answers.

--- a/src/redwingrudder/platform/workers.py
+++ b/src/redwingrudder/platform/workers.py
@@ -180,6 +180,12 @@
 
 
 def _decode_command_reply(reply: JsonReply) -> CommandReply:
+    """Return the worker's answer to a command.
+
+    Raises:
+        OutcomeUnknownError: The answer does not say whether the command took
+            effect.
+    """
     try:
         body = Fields(reply.body, "reply")
         clock_ms = int(body.number("clockMs", 0))
@@ -189,13 +195,17 @@
     if reply.status == 200:
         return CommandReply(True, "", clock_ms)
     if reply.status == 409:
-        reason = REASONS_BY_PLATFORM_NAME.get(platform_reason, "invalid")
+        reason = REASONS_BY_PLATFORM_NAME.get(platform_reason, "")
     elif reply.status == STATUS_MISDIRECTED:
         reason = "other_life"
     elif reply.status in (429, 503):
         reason = "unhealthy"
     else:
-        reason = "invalid"
+        reason = "invalid" if reply.status == 400 else ""
+    if not reason:
+        raise OutcomeUnknownError(
+            f"a worker answered {reply.status}, reason {platform_reason[:60]!r}"
+        )
     return CommandReply(False, reason, clock_ms)
 
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+from twisted.internet.defer import ensureDeferred
+
 from redwingrudder._store_requests import GetKey, GetPrefix
 from redwingrudder.coordination.gateways import COORDINATOR, INTAKE, PEERS
 from redwingrudder.coordination.intake import Intake
@@ -27,7 +29,10 @@
     StoreUnavailableError,
     UnavailableError,
 )
+from redwingrudder.platform.http_client import JsonReply
+from redwingrudder.platform.workers import PlatformChannel
 from redwingrudder.workflows import records
+from redwingrudder.workflows.model import StartRun
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, node_system, outcome, run_for
@@ -102,5 +107,48 @@
         self.system.tell(INTAKE, StoreAvailability(False))
 
 
+class StatusClient:
+    """Answers each call with one status and body."""
+
+    def __init__(self, status, body):
+        self.reply = JsonReply(status, body)
+
+    async def call(self, *arguments, **options):
+        return self.reply
+
+
+class WorkerReplyTests(unittest.TestCase):
+    def start(self, status, body):
+        channel = PlatformChannel(StatusClient(status, body), "w1")
+        run = StartRun("w1", fx.key(), 1, "payload", "")
+        call = channel.start(run, 1000, 1, 0.4, lambda: True)
+        return outcome(ensureDeferred(call))
+
+    def test_answers_that_say_nothing_about_the_run(self):
+        """Guards against a second run beside one that has begun.
+
+        A worker that fails while it starts a run answers with a status that
+        says nothing about that.
+        """
+        for status in (204, 404, 408, 500, 502, 504):
+            with self.subTest(status=status):
+                self.assertIsInstance(self.start(status, {}), OutcomeUnknownError)
+        for body in ({}, {"reason": "other"}):
+            with self.subTest(body=body):
+                self.assertIsInstance(self.start(409, body), OutcomeUnknownError)
+
+    def test_definite_rejections(self):
+        """Guards against stops that delay the next run of a task."""
+        for status, reason in (
+            (400, "invalid"),
+            (429, "unhealthy"),
+            (503, "unhealthy"),
+        ):
+            with self.subTest(status=status):
+                self.assertEqual(self.start(status, {}).reason, reason)
+        reply = self.start(409, {"reason": "room", "clockMs": 7})
+        self.assertEqual((reply.reason, reply.clock_ms), ("room", 7))
+
+
 if __name__ == "__main__":
     unittest.main()
