Merge the check of a call's condition when its connection stands

A call that waited for its connection, or for a process that was paused, was written after its permission had run out.

--- a/src/redwingrudder/simulation/_workers.py
+++ b/src/redwingrudder/simulation/_workers.py
@@ -69,6 +69,7 @@
             after it, by name of the call.
         fences: Fencing tokens of all calls that were sent, in their order.
         stops: All stops that were sent and might reach the worker.
+        connect_s: Time in seconds until a call is written.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self.delays_s: dict[str, float] = {}
         self.fences: list[int] = []
         self.stops: list[SentStop] = []
+        self.connect_s = 0.0
 
     def log(self, line: str) -> None:
         """Log a line about the current process."""
@@ -117,8 +119,19 @@
             for key, (run, begin) in self.process.runs_by_key.items()
         ]
 
-    async def call(self, name: str, timeout_s: float, fence: int, *args: Any) -> Any:
+    async def call(
+        self,
+        name: str,
+        timeout_s: float,
+        may_send: Callable[[], bool],
+        fence: int,
+        *args: Any,
+    ) -> Any:
         """Carry out a call now or later, or not at all."""
+        if self.connect_s:
+            await pause(self.clock, self.connect_s)
+        if not may_send():
+            raise UnavailableError("the call was not sent")
         self.fences.append(fence)
         if self.silent:
             await pause(self.clock, timeout_s)
@@ -134,10 +147,16 @@
             raise OutcomeUnknownError("the worker does not answer in time")
         return self._carry_out(call)
 
-    async def poll(self, timeout_s: float, wait_s: float, *args: Any) -> Any:
+    async def poll(
+        self,
+        timeout_s: float,
+        may_send: Callable[[], bool],
+        wait_s: float,
+        *args: Any,
+    ) -> Any:
         """Carry out a poll, and reply as soon as there is an end."""
         process = self.process
-        reply = await self.call("poll", timeout_s, *args)
+        reply = await self.call("poll", timeout_s, may_send, *args)
         deadline = self.clock.seconds() + wait_s
         while (
             isinstance(reply, WorkerReport)
@@ -181,21 +200,36 @@
         self.worker = worker
 
     async def start(
-        self, run: StartRun, lease_until_ms: int, fence: int, timeout_s: float
+        self,
+        run: StartRun,
+        lease_until_ms: int,
+        fence: int,
+        timeout_s: float,
+        may_send: Callable[[], bool],
     ) -> CommandReply:
         """See base class."""
         return await self.worker.call(
-            "start", timeout_s, fence, run.key, run.run, lease_until_ms
+            "start", timeout_s, may_send, fence, run.key, run.run, lease_until_ms
         )
 
     async def stop(
-        self, run: StartRun | StopRun, fence: int, timeout_s: float
+        self,
+        run: StartRun | StopRun,
+        fence: int,
+        timeout_s: float,
+        may_send: Callable[[], bool],
     ) -> CommandReply:
         """See base class."""
-        return await self.worker.call("stop", timeout_s, fence, run.key, run.run)
+        return await self.worker.call(
+            "stop", timeout_s, may_send, fence, run.key, run.run
+        )
 
     async def throttle(
-        self, run: ThrottleRun, fence: int, timeout_s: float
+        self,
+        run: ThrottleRun,
+        fence: int,
+        timeout_s: float,
+        may_send: Callable[[], bool],
     ) -> CommandReply:
         """See base class."""
         raise UnavailableError("not supported")
@@ -207,10 +241,11 @@
         lease_until_ms: int,
         wait_s: float,
         timeout_s: float,
+        may_send: Callable[[], bool],
     ) -> WorkerReport | CommandReply:
         """See base class."""
         return await self.worker.poll(
-            timeout_s, wait_s, fence, acknowledged_end, lease_until_ms
+            timeout_s, may_send, wait_s, fence, acknowledged_end, lease_until_ms
         )
 
     def reset(self) -> None:
