Plan no capacity for a task that waits for a silent worker

What callers saw: idle capacity stays unused, or runs of less urgent jobs are stopped pass after pass, while a task waits for a worker that does not answer and may carry out an earlier start (up to 12 s and the longest lease).

Cause: the held task was found out only when its option was chosen. It took the option before the other tasks of its step, whose starts nothing prevents; and if nothing was idle it preempted runs, was held on the capacity that became free, claimed none of it, and preempted the next run that was placed there.

Ruled out: tasks whose worker answers. These keep their option and its claim, as they start after one round trip.

Change: a task with a late start on a worker that is not reachable does not count as waiting in a planning pass; a gang with such a member neither. The later test whether an answer is expected soon is always true then, and is gone.

Measured: both new tests failed before; 181 tests of the engine, of placement, of late and held starts and of suspected tasks pass.

--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -85,6 +85,27 @@
     )
 
 
+def awaits_silent_worker(
+    task: Task, workers_by_id: dict[str, Worker], now: float
+) -> bool:
+    """Return whether a task cannot be started on any worker at present.
+
+    A worker that may carry out an earlier start does not answer. The task
+    should neither take capacity nor cause preemptions meanwhile.
+
+    Args:
+        task: The task.
+        workers_by_id: All workers.
+        now: Node-clock seconds.
+    """
+    if task.stage.spec.copies_allowed:
+        return False
+    workers = [
+        workers_by_id.get(worker_id) for worker_id in task.late_start_workers(now)
+    ]
+    return any(worker is None or not worker.reachable for worker in workers)
+
+
 def _has_answered(worker: Worker | None, now: float) -> bool:
     """Return whether a worker has just answered a poll of its session."""
     if worker is None or not worker.reachable:
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -5,7 +5,12 @@
 from typing import NamedTuple
 
 from .crashes import is_suspected, isolation_candidates, startable_suspects
-from .late_starts import HeldStart, match_workers, unconfirmed_workers
+from .late_starts import (
+    HeldStart,
+    awaits_silent_worker,
+    match_workers,
+    unconfirmed_workers,
+)
 from .model import Resources, TaskKey
 from .ordering import (
     SlackOrder,
@@ -178,9 +183,18 @@
         self._unplaceable_by_pool: dict[str, list[tuple[Resources, int]]] = {}
 
     def _waiting_tasks(self, stage: Stage) -> list[Task]:
-        """Return the tasks to start, without those with an older run."""
+        """Return the tasks to start, without those that have to wait.
+
+        These have an older run, or a worker that does not answer may carry out
+        an earlier start of theirs.
+        """
         tasks = waiting_tasks(stage)
-        free = [task for task in tasks if task.key not in self._held_keys]
+        free = [
+            task
+            for task in tasks
+            if task.key not in self._held_keys
+            and not awaits_silent_worker(task, self._workers_by_id, self._now)
+        ]
         return [] if stage.spec.gang and len(free) < len(tasks) else free
 
     def place(self, stage: Stage, stage_rank: int) -> None:
@@ -415,12 +429,9 @@
                 self.stops[task.key] = task
 
     def _claim(self, stage: Stage, options: list[PlacementOption]) -> None:
-        self._claim_on([option.worker for option in options], stage)
-
-    def _claim_on(self, workers: list[Worker], stage: Stage) -> None:
         demand = resources_used(stage.spec)
-        for worker in workers:
-            worker.claim(demand)
+        for option in options:
+            option.worker.claim(demand)
 
     def _add_starts(
         self, stage: Stage, tasks: list[Task], options: list[PlacementOption]
@@ -428,8 +439,7 @@
         """Plan starts and claim their capacity until the next pass.
 
         A task whose earlier start a worker may still carry out is held, and a
-        gang with it, until that worker answers. Its capacity is claimed only
-        if the answer is expected soon.
+        gang with it, until that worker answers.
         """
         pairs = match_workers(tasks[: len(options)], options, self._now)
         starts, held_starts = [], []
@@ -444,14 +454,7 @@
         self.held_starts += held_starts
         if not (stage.spec.gang and held_starts):
             self.starts += starts
-        if all(self._answers_soon(held) for held in held_starts):
-            self._claim(stage, options)
-        elif not stage.spec.gang:
-            self._claim_on([worker for _, worker in starts], stage)
-
-    def _answers_soon(self, held: HeldStart) -> bool:
-        workers = [self._workers_by_id.get(worker_id) for worker_id in held.worker_ids]
-        return all(worker is not None and worker.reachable for worker in workers)
+        self._claim(stage, options)
 
 
 def rank(stage: Stage, entitled: frozenset[str]) -> int:
--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -19,10 +19,10 @@
 class HeldStartTests(unittest.TestCase):
     """Runs of one job end as stopped after a start with a lost attempt."""
 
-    def start(self, step, *workers):
+    def start(self, step, *workers, **options):
         """Place a job, and let the attempts of its starts be known."""
         self.engine = fx.engine(*workers)
-        self.progress = self.engine.accept(fx.workflow("job", step), 0.0)
+        self.progress = self.engine.accept(fx.workflow("job", step, **options), 0.0)
         started = fx.starts(self.engine.plan(0.0, 0.0))
         for number, start in enumerate(started):
             unanswered_at = 0.0 if number == 0 else None
@@ -37,6 +37,11 @@
             end = fx.ended(start, EndKind.STOPPED, number)
             self.engine.end(start.worker_id, end, now)
 
+    def lose_worker(self):
+        """Interrupt the runs of w1, which does not answer any more."""
+        self.engine.workers_by_id["w1"].reachable = False
+        self.engine.interrupt_worker("w1", 1.0, "lease_lapsed")
+
     def place(self, now):
         effects = self.engine.plan(now, now)
         polls = [e.worker_id for e in effects if isinstance(e, PollWorker)]
@@ -149,6 +154,28 @@
         (start,), _ = self.place(LATE_START_S + START_ATTEMPTS_S + 0.1)
         self.assertEqual(start.worker_id, "w2")
 
+    def test_other_tasks_of_the_step_do_not_wait(self):
+        """Guards against idle capacity that is left to a held task."""
+        self.start(fx.step(2), fx.worker("w1"))
+        self.engine.set_worker(
+            fx.worker("w2", capacity=fx.ONE_GPU._replace(accelerators=1)), 1.0
+        )
+        self.lose_worker()
+        again, _ = self.place(2.0)
+        self.assertEqual([start.key.index for start in again], [1])
+
+    def test_no_run_is_preempted_for_a_held_task(self):
+        """Guards against stopping runs for a task that cannot start."""
+        self.start(fx.step(), fx.worker("w1"), priority=0)
+        self.lose_worker()
+        self.engine.set_worker(fx.worker("w2", capacity=fx.ONE_GPU), 1.0)
+        self.engine.accept(fx.workflow("other"), 1.0)
+        other = fx.starts(self.engine.plan(2.0, 2.0))
+        self.assertEqual([start.key.workflow_id for start in other], ["other"])
+        fx.confirm(self.engine, other, 2.0)
+        self.assertEqual(fx.stops(self.engine.plan(3.0, 3.0)), [])
+        self.assertEqual(len(fx.stops(self.engine.plan(LATE_START_S, 23.0))), 1)
+
     def test_start_that_was_never_sent(self):
         """Guards against a wait for a worker that has received nothing."""
         self.engine = fx.engine(fx.worker("w1"))
