Count the late start of an adopted run from the last possible attempt

What callers could see: two runs of one task, after a change of the coordinator.

Cause: when the first report to a new coordinator does not list a recorded run, the run is over and its start counts as sent until that time. That holds for sessions of this coordinator, which send no attempt for a run that is over. An earlier one that cannot reach the store may act for LONGEST_OVERLAP_S (2.0 s) after the election, and a start may be sent within START_ATTEMPTS_S (2.0 s) of its record. An attempt in this time that is carried out late by the next process of the worker began a run whose lease outlasted the wait by up to 2 s.

Ruled out: settled starts of the record, of which no attempt is left, and late starts in the record, which count from the recovery on.

Change: the attempts of an adopted run count as sent until START_ATTEMPTS_S after the recovery, however early the run is over.

Measured: the new test failed before; 184 tests of coordination, late and held starts, returning entries and the engine pass.

--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -195,7 +195,10 @@
 
     def _keep_late_start(self, task: Task, now: float) -> None:
         if not task.start_settled and task.start_sent_at is not None:
-            last_sent_at = min(now, task.start_sent_at + START_ATTEMPTS_S)
+            last_sent_at = task.start_sent_at + START_ATTEMPTS_S
+            if not task.run_adopted:
+                # An earlier coordinator may still send attempts.
+                last_sent_at = min(now, last_sent_at)
             task.add_late_start(task.worker_id, self.late_start_until(last_sent_at))
         task.start_settled, task.start_sent_at = True, None
 
--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -176,6 +176,20 @@
         self.assertEqual(fx.stops(self.engine.plan(3.0, 3.0)), [])
         self.assertEqual(len(fx.stops(self.engine.plan(LATE_START_S, 23.0))), 1)
 
+    def test_start_of_a_predecessor_that_still_acts(self):
+        """Guards against an attempt that is sent after its run ended.
+
+        The predecessor is cut off from the store, and its last attempt is sent
+        when the first report to its successor has not listed the run.
+        """
+        self.engine = fx.engine(fx.worker("w1"))
+        (task,) = self.engine.accept(fx.workflow(), 0.0).tasks()
+        self.engine.adopt_run(task.key, 1, "w1", False, 0.0)
+        self.engine.reconcile("w1", set(), True, 0.1)
+        last_effect_at = START_ATTEMPTS_S + LATE_START_S
+        self.assertEqual(task.late_start_workers(last_effect_at - 0.1), ("w1",))
+        self.assertEqual(task.late_start_workers(last_effect_at), ())
+
     def test_start_that_was_never_sent(self):
         """Guards against a wait for a worker that has received nothing."""
         self.engine = fx.engine(fx.worker("w1"))
