Take the process of a recorded run if the entry of its worker is older

What callers could see: a sound task is suspected of crashing its worker, so that its next run waits for a worker without others, and its job is nearer to failing.

Cause: a coordinator learns from a poll that a worker has restarted, before the entry of the new process is in the registry. It places a run there, and its record names the new process. A successor that reads the old entry compared the two start times with != and took the run for one of a process that has crashed.

Ruled out: entries that arrive later in the same term; the table knows which processes have ended.

Change: when a run is adopted whose record names a newer process than the entry, that process is the one of the worker, its session is opened anew, and the old entry is ignored from then on, as after a restart that a poll has shown. If the clock of the machine was set back, the first poll shows the other process, as before.

Measured: the test of the suspicion failed before. The one of the run that goes on did too, but in part because its fixture passes on no restarts. 199 tests of the tables, of coordination, late calls and starts, and crashing tasks pass.

--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -178,6 +178,7 @@
             self._engine.set_worker(facts, now)
             self._engine.workers_by_id[placed.worker_id].listed = False
             self._unlisted_since_by_worker[placed.worker_id] = now
+        self._take_recorded_process(placed.worker_id, placed.process_started_ms)
         self._engine.adopt_run(
             placed.key,
             placed.run,
@@ -188,6 +189,20 @@
             placed.start_settled,
         )
 
+    def _take_recorded_process(self, worker_id: str, process_started_ms: int) -> None:
+        """Open a session with the process of a record if its entry is older.
+
+        The earlier coordinator has heard of a restart from the worker itself.
+        """
+        worker = self._engine.workers_by_id[worker_id]
+        if not 0 < worker.facts.process_started_ms < process_started_ms:
+            return
+        self._record_process(worker_id, process_started_ms)
+        worker.facts = worker.facts._replace(process_started_ms=process_started_ms)
+        if worker_id in self._sessions_by_worker:
+            self._drop_session(worker_id)
+            self._open_session(worker.facts)
+
     def is_current(self, worker_id: str, fence: int) -> bool:
         """Return whether a message comes from the worker's current session.
 
--- a/tests/test_returning_entries.py
+++ b/tests/test_returning_entries.py
@@ -20,6 +20,7 @@
 
     def __init__(self, clock):
         super().__init__(clock)
+        self.process_started_ms = BORN_MS
         self.running = []
         self.ended = ()
         self.ends_complete = True
@@ -32,7 +33,11 @@
             return reply
         running = tuple(RunReport(key, run, "", 50.0) for key, run in self.running)
         return WorkerReport(
-            reply.clock_ms, BORN_MS, running, self.ended, self.ends_complete
+            reply.clock_ms,
+            self.process_started_ms,
+            running,
+            self.ended,
+            self.ends_complete,
         )
 
 
