Keep the coordinator writing when the progress of one job cannot be encoded

Cause: all changed jobs are recorded in batches. An unexpected error for one of them failed its batch, which was repeated every 0.1 s with that job in it, first those with starts. Until the end of the term jobs of its batch got no starts, and their ends were not acknowledged. The same happened for a job that changes while its expired records are removed: it is unknown afterwards, but still listed as changed.

Ruled out: setting the job aside, as is done for unreadable records: its runs would lose their task and keep their capacity. Clearing the mark in Engine.forget: an end of a forgotten job would count as recorded, which test_late_runs checks.

Change: the recorder names the job, and the writer leaves it out for 5 s. It is neither started nor are its ends acknowledged meanwhile; an unknown one is dropped.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -6,7 +6,8 @@
 """
 
 import logging
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Collection
 from typing import Any
 
 from .._background import pause, run
@@ -18,10 +19,12 @@
 from ..workflows.state import WorkflowProgress
 from .gateways import COORDINATOR
 from .metrics import METRICS, IncrementCounter, ObserveDuration
-from .recorder import Recorder, select_batch
+from .recorder import Recorder, UnwritableRecordError, select_batch
 from .worker_table import UnrecordedEnd, WorkerTable
 
 RETRY_DELAY_S = 0.1
+# Time after which a job whose progress could not be encoded is tried again.
+UNWRITABLE_RETRY_S = 5.0
 # Age up to which the absence of a cancellation in the store counts when a
 # start is passed to the session. Its attempts end at the age START_ATTEMPTS_S.
 MAX_CANCEL_CHECK_AGE_S = 1.0
@@ -55,6 +58,9 @@
         self._workers = workers
         self._on_deposed = on_deposed
         self._pending_starts: list[StartRun] = []
+        # Node-clock seconds before which workflows are not written again that
+        # could not be encoded.
+        self._retry_at_by_id: dict[str, float] = {}
         self._writing = False
         self._closed = False
 
@@ -73,7 +79,25 @@
             run(self._write(), COORDINATOR)
 
     def _has_pending_writes(self) -> bool:
-        return not self._closed and bool(self._engine.dirty or self._pending_starts)
+        if self._closed:
+            return False
+        return bool(self._starting_ids() or self._writable(self._engine.dirty))
+
+    def _starting_ids(self) -> Collection[str]:
+        """Return the workflows with starts that can be recorded, once each."""
+        ids = dict.fromkeys(start.key.workflow_id for start in self._pending_starts)
+        return self._writable(ids)
+
+    def _writable(self, workflow_ids: Collection[str]) -> Collection[str]:
+        """Return the workflows that are not to be tried again later."""
+        if not self._retry_at_by_id:
+            return workflow_ids
+        now = self._system.clock.seconds()
+        return [
+            workflow_id
+            for workflow_id in workflow_ids
+            if self._retry_at_by_id.get(workflow_id, -math.inf) <= now
+        ]
 
     async def _write(self) -> None:
         try:
@@ -84,8 +108,8 @@
 
     async def _write_batch(self) -> None:
         engine = self._engine
-        starting_ids = {start.key.workflow_id: None for start in self._pending_starts}
-        batch = select_batch(starting_ids, engine.dirty)
+        starting_ids = self._starting_ids()
+        batch = select_batch(starting_ids, self._writable(engine.dirty))
         included = set(batch)
         engine.dirty -= included
         engine.being_recorded = included
@@ -98,6 +122,10 @@
             _logger.info("progress could not be recorded", extra={"error": str(error)})
             await self._retry_later(included)
             return
+        except UnwritableRecordError as error:
+            self._mark_unrecorded(included)
+            self._leave_out(error)
+            return
         except Exception:
             _logger.exception("progress could not be recorded")
             await self._retry_later(included)
@@ -112,12 +140,36 @@
             self._cancel(written.cancelled_ids)
         else:
             engine.being_recorded = set()
+            for workflow_id in included & self._retry_at_by_id.keys():
+                del self._retry_at_by_id[workflow_id]
             # Ends that arrived during the write and changed nothing are in the
             # record too.
             ends += self._workers.find_unrecorded_ends(included - engine.dirty)
             self._handle_recorded(written.workflow_ids, ends)
             await self._send_starts(starts, begun_at)
 
+    def _leave_out(self, error: UnwritableRecordError) -> None:
+        """Leave a workflow out of the writes for ``UNWRITABLE_RETRY_S``.
+
+        Its starts stay pending, and its ends are not acknowledged. One that
+        has changed while its expired records were removed is dropped.
+        """
+        workflow_id = error.workflow_id
+        is_known = workflow_id in self._engine.workflows_by_id
+        _logger.error(
+            "progress of a job could not be encoded",
+            extra={"job": workflow_id, "known": is_known},
+            exc_info=error,
+        )
+        if is_known:
+            now = self._system.clock.seconds()
+            self._retry_at_by_id[workflow_id] = now + UNWRITABLE_RETRY_S
+        else:
+            self._engine.dirty.discard(workflow_id)
+            self._pending_starts = [
+                s for s in self._pending_starts if s.key.workflow_id != workflow_id
+            ]
+
     def _mark_unrecorded(self, workflow_ids: set[str]) -> None:
         self._engine.being_recorded = set()
         self._engine.dirty |= workflow_ids
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -23,6 +23,18 @@
 _logger = logging.getLogger(__name__)
 
 
+class UnwritableRecordError(Exception):
+    """The progress of a workflow cannot be encoded.
+
+    Attributes:
+        workflow_id: The workflow.
+    """
+
+    def __init__(self, workflow_id: str) -> None:
+        super().__init__(f"the progress of job {workflow_id} cannot be encoded")
+        self.workflow_id = workflow_id
+
+
 class WriteOutcome(NamedTuple):
     """Outcome of a write.
 
@@ -119,6 +131,8 @@
             OutcomeUnknownError: The write was sent but not confirmed, so it
                 may have taken effect or may take effect later.
             UnavailableError: The store did not answer.
+            UnwritableRecordError: Nothing was written because of one of the
+                workflows.
         """
         process_started_ms_by_worker = {
             worker_id: worker.facts.process_started_ms
@@ -127,13 +141,16 @@
         puts, states = [], {}
         uncancelled_ids: list[str] = []
         for workflow_id in workflow_ids:
-            progress = engine.workflows_by_id[workflow_id]
-            document = records.encode_progress(
-                progress,
-                self._term,
-                process_started_ms_by_worker,
-                self._system.clock.seconds(),
-            )
+            try:
+                progress = engine.workflows_by_id[workflow_id]
+                document = records.encode_progress(
+                    progress,
+                    self._term,
+                    process_started_ms_by_worker,
+                    self._system.clock.seconds(),
+                )
+            except Exception as error:
+                raise UnwritableRecordError(workflow_id) from error
             puts.append(PutKey(PROGRESS_PREFIX + workflow_id, document.decode()))
             states[workflow_id] = progress.state
             can_be_cancelled = not progress.cancelled and progress.ended_at is None
