--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -1,7 +1,6 @@
 """Runs the workflow engine while this node is the elected coordinator."""
 
 import logging
-import time
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -11,6 +10,8 @@
 from ..exceptions import RedwingrudderError
 from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 from ..workflows.model import AskAdvice, Effect, StartRun, WorkflowState
+from ..workflows.state import WorkflowProgress
+from ._announced_cancellations import AnnouncedCancellations
 from .gateways import (
     ADVISOR,
     CANCEL_SUFFIX,
@@ -100,8 +101,13 @@
         self._plan_scheduled = False
         self._plan_pause_s = PLAN_DELAY_S
         self._configuration: OperatorConfiguration | None = None
+        self._announced_cancellations = AnnouncedCancellations(
+            system,
+            self._find_workflow,
+            lambda item: _guard(self._apply_intake_entry, *item),
+        )
         # Median Unix time of the nodes minus the time of this node's clock.
-        self._unix_time_offset_s = time.time() - system.clock.seconds()
+        self._unix_time_offset_s = system.unix_time() - system.clock.seconds()
         super().__init__(system, COORDINATOR)
 
     def handlers(self) -> dict[type, Handler]:
@@ -174,7 +180,9 @@
         if self._term is not term:
             return
         now = self.system.clock.seconds()
-        placed_runs = restore_all(term.engine, term.recorder, state, now)
+        placed_runs = restore_all(
+            term.engine, term.recorder, state, now, self.system.unix_time()
+        )
         term.workers.set_all_entries({p.key: p.value for p in state.workers.pairs})
         for placed_run in placed_runs:
             term.workers.adopt(placed_run)
@@ -242,6 +250,7 @@
     def _close_term(self) -> None:
         term, self._term = self._term, None
         self._ready = False
+        self._announced_cancellations.clear()
         if term is not None:
             term.close()
 
@@ -296,8 +305,10 @@
         if key.endswith(CANCEL_SUFFIX):
             now = self.system.clock.seconds()
             self._term.retention.add_cancellation(workflow_id, revision, now)
-            self._cancel_stored(CancelStored(workflow_id))
+            self._term.engine.cancel(workflow_id, now)
+            self._schedule_planning()
         else:
+            self._term.retention.take_stored(workflow_id, revision)
             self._accept_stored(workflow_id, value)
 
     def _workflow_announced(self, message: WorkflowStored) -> None:
@@ -324,10 +335,14 @@
             self._schedule_planning()
 
     def _cancel_stored(self, message: CancelStored) -> None:
+        """Cancel a workflow once the store confirms the announcement."""
         if self._ready:
-            now = self.system.clock.seconds()
-            self._term.engine.cancel(message.workflow_id, now)
-            self._schedule_planning()
+            self._announced_cancellations.add(message.workflow_id)
+
+    def _find_workflow(self, workflow_id: str) -> WorkflowProgress | None:
+        if not self._ready:
+            return None
+        return self._term.engine.workflows_by_id.get(workflow_id)
 
     def _get_state(self, message: GetState) -> str:
         if not self._ready:
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -1,6 +1,7 @@
 """Workers of one term: registry entries, sessions and unrecorded ends."""
 
 import logging
+import math
 from typing import NamedTuple
 
 from ..actors import ActorSystem
@@ -227,7 +228,7 @@
                 self._engine.adopt_run(
                     entry.key, entry.run, message.worker_id, True, now
                 )
-        self._engine.report(message.worker_id, report.running, now)
+        self._engine.report(message.worker_id, report.running, now, message.sent_at)
         self._handle_ends(message, now)
         running = {(entry.key, entry.run) for entry in report.running}
         if report.ends_complete:
@@ -298,7 +299,7 @@
         current = [end for end in ends if self.is_current(end.worker_id, end.fence)]
         for end in current:
             self._unrecorded_ends_by_worker[end.worker_id].pop(end.number, None)
-        for worker_id in {end.worker_id for end in current}:
+        for worker_id in dict.fromkeys(end.worker_id for end in current):
             self._acknowledge(worker_id)
 
     def set_silent(self, message: WorkerSilent) -> None:
@@ -394,7 +395,8 @@
         return False
 
     def _open_session(self, facts: WorkerFacts) -> None:
-        self._engine.workers_by_id[facts.worker_id].reachable = False
+        worker = self._engine.workers_by_id[facts.worker_id]
+        worker.reachable, worker.polled_at = False, -math.inf
         number = self._session_count_by_worker.get(facts.worker_id, 0)
         if number >= SESSIONS_PER_TERM:
             # The next term has tokens above all that were used in this one.
--- a/tests/test_paused_senders.py
+++ b/tests/test_paused_senders.py
@@ -281,7 +281,8 @@
 
     def first_run_starts(self):
         """Return the late starts of the run that was placed first."""
-        runs = [args[2] for name, args in self.w1.late_calls if name == "start"]
+        calls = self.w1.late_calls
+        runs = [call.arguments[2] for call in calls if call.name == "start"]
         return runs.count(min(runs))
 
     def test_start_is_not_repeated_after_a_pause(self):
@@ -301,7 +302,7 @@
         self.clock.advance(START_ATTEMPTS_S)
         self.assertEqual(self.w1.late_calls, [])
         self.run_for(3.0)
-        runs = [args[2] for _, args in self.w1.late_calls]
+        runs = [call.arguments[2] for call in self.w1.late_calls]
         self.assertGreater(min(runs), 1001)
         self.w1.late_calls = []
 
