--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -260,6 +260,11 @@
         self.workers = ProtocolWorkers(self.clock, "w1", behaviour=SlowStops())
         self.worker = self.workers.workers_by_id["w1"]
 
+    def call_start(self):
+        """Send a start with fence 4."""
+        call = self.worker.call("start", 0.4, lambda: True, 4, KEY, 1, LEASE_MS)
+        return ensureDeferred(call)
+
     def test_stop_takes_time(self):
         """Guards against a model whose runs end with the reply to a stop."""
         self.worker.process.start(1, KEY, 1, LEASE_MS)
@@ -274,7 +279,7 @@
         """Guards against a model in which a restart drops calls in flight."""
         self.worker.process.poll(5, 0, 0)
         self.worker.delays_s["start"] = 2.0
-        call = ensureDeferred(self.worker.call("start", 0.4, 4, KEY, 1, LEASE_MS))
+        call = self.call_start()
         self.clock.advance(1.0)
         self.assertIsInstance(outcome(call), OutcomeUnknownError)
         self.worker.restart()
@@ -285,11 +290,10 @@
     def test_late_call_keeps_its_fence(self):
         """Guards against a model that accepts late calls of old sessions."""
         self.worker.delays_s["start"] = 2.0
-        ensureDeferred(self.worker.call("start", 0.4, 4, KEY, 1, LEASE_MS)).addErrback(
-            lambda _: None
-        )
+        call = self.call_start()
         self.worker.process.poll(5, 0, 0)
         self.clock.advance(2.0)
+        self.assertIsInstance(outcome(call), OutcomeUnknownError)
         self.assertEqual(self.workers.intervals(), [])
 
     def test_acknowledged_end_tells_whether_the_lease_lapsed(self):
