Name the probabilities of the soak's fault series

Cause: three probabilities stood in the code without a name, and the grace period twice.

Change: constants; the nodes' settings take the grace period of the check.

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from .platform_clients import ConnectionEnd
-from .platform_shutdowns import Shutdown
+from .platform_shutdowns import GRACE_S, Shutdown
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 NODE_COUNT = 3
@@ -37,7 +37,7 @@
 maxHoldMs = 6000
 stopTimeoutMs = 900
 status_s = 120
-graceS = 3
+graceS = {grace}
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -180,6 +180,7 @@
             front=first_node_port + 2,
             ready=first_node_port + 3,
             store=self.store_proxy_ports[index],
+            grace=GRACE_S,
         )
         path = self.folder / f"n{index}.toml"
         path.write_text(settings, "utf-8")
--- a/tests/platform_fault_series.py
+++ b/tests/platform_fault_series.py
@@ -6,6 +6,10 @@
 
 MAX_FAULTS = 5  # of one series
 SERIES_S = 1.5  # from the first to the last fault of a series
+SECOND_SIGTERM_PROBABILITY = 0.5
+# While calls to a worker are carried out late.
+COORDINATOR_KILL_PROBABILITY = 0.5
+WORKER_RESTART_PROBABILITY = 0.7
 
 
 class Fault(abc.ABC):
@@ -60,7 +64,8 @@
         self.deployment.signal(self.node, signal.SIGTERM)
 
     def end(self):
-        if self.draws.random() < 0.5 and self.deployment.is_terminating(self.node):
+        repeated = self.draws.random() < SECOND_SIGTERM_PROBABILITY
+        if repeated and self.deployment.is_terminating(self.node):
             self.deployment.signal(self.node, signal.SIGTERM)
 
 
@@ -150,9 +155,9 @@
         self.set_worker_mode("late_calls")
 
     def end(self):
-        if self.draws.random() < 0.5:
+        if self.draws.random() < COORDINATOR_KILL_PROBABILITY:
             CoordinatorKill(self.deployment, self.draws).begin()
-        if self.draws.random() < 0.7:
+        if self.draws.random() < WORKER_RESTART_PROBABILITY:
             self.set_worker_mode("crash")
         self.set_worker_mode("up")
 
