Let a task leave a worker on which its starts have no success

A task waits while another worker has room.

Cause: after a start without a reply the next run prefers the same worker. If it answers polls but loses or rejects every start of the task, each of them leaves a late start, which renews the preference: the task never goes elsewhere. Before it went to the worker that fits best.

Ruled out: workers that are slow, suspect of failures, or not reachable; these come last or are left out already.

Change: after two starts in a row without a run the preference ends, until a start of the task is confirmed. The wait for the answer of the worker stays.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -367,6 +367,7 @@
     def _confirm_start(self, task: Task, now: float) -> None:
         task.record_start(now)
         task.run_confirmed = True
+        task.rejections = 0
         worker = self.workers_by_id.get(task.worker_id)
         if worker is not None:
             worker.heard_at = now
@@ -398,6 +399,7 @@
             },
         )
         task.start_settled = True
+        task.rejections += 1
         if reason == "permit":
             task.stage.permits_by_worker.pop(task.worker_id, None)
         self.step(task, "rejected", now)
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -24,6 +24,9 @@
 SERIES_GAP_S = 1.0
 # A single failure may be that of a run that cannot succeed anywhere.
 MIN_FAILURES = 2
+# Number of starts in a row without a run after which a task does not return to
+# its worker any more.
+MAX_REJECTIONS = 2
 # Cores that an accelerator counts for in the cost of stopping a run.
 CORES_PER_ACCELERATOR = 8
 
@@ -491,7 +494,8 @@
 
     These may still carry out an earlier start of the task; beside the next
     run on the same worker that has no effect. A task that is suspected of
-    crashing its workers should not meet the same worker again.
+    crashing its workers should not meet the same worker again, nor a task
+    whose starts have no success there.
 
     Args:
         stage: Step of the task.
@@ -499,7 +503,9 @@
         now: Node-clock seconds.
     """
     holder = stage.tasks[0] if stage.spec.gang else task
-    return task.late_start_workers(now) if holder.suspicion == "clear" else ()
+    if holder.suspicion != "clear" or task.rejections >= MAX_REJECTIONS:
+        return ()
+    return task.late_start_workers(now)
 
 
 def _all_preferred(stage: Stage, tasks: list[Task], now: float) -> frozenset[str]:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -117,6 +117,8 @@
         late_starts_by_worker: Workers that may still carry out a start of a
             run that is over or going on, or execute its run, with the
             node-clock seconds until which they may.
+        rejections: Number of starts that were rejected, or got no reply, since
+            the last one that was confirmed.
         worker_id: Worker of the newest run, "" before the first.
         checkpoint: Newest checkpoint, "" if there is none. A gang's checkpoint
             is stored in its first task.
@@ -154,6 +156,7 @@
         "progressed_at",
         "rate_baseline_at",
         "rate_baseline_percent",
+        "rejections",
         "reported_at",
         "run",
         "run_adopted",
@@ -183,6 +186,7 @@
         self.start_settled = True
         self.start_sent_at: float | None = None
         self.late_starts_by_worker: dict[str, float] = {}
+        self.rejections = 0
         self.worker_id = ""
         self.checkpoint = ""
         self.failures = 0
--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -190,6 +190,25 @@
         self.assertEqual(task.late_start_workers(last_effect_at - 0.1), ("w1",))
         self.assertEqual(task.late_start_workers(last_effect_at), ())
 
+    def test_worker_that_answers_no_start(self):
+        """Guards against a task that returns to such a worker for good."""
+        self.engine = fx.engine(fx.worker("w1"))
+        self.engine.accept(fx.workflow(), 0.0)
+        worker_ids = []
+        for now in (0.0, 2.0, 4.0, 6.0):
+            (start,), _ = self.place(now)
+            worker_ids.append(start.worker_id)
+            self.engine.set_worker(fx.worker("w2", capacity=fx.ONE_GPU), now)
+            if start.worker_id == "w1":
+                self.engine.start_settled(start.key, start.run, "w1", now + 1.0)
+                self.engine.start_rejected(
+                    start.key, start.run, "unanswered", now + 1.8
+                )
+                self.report("w1", now + 1.9)
+            else:
+                break
+        self.assertEqual(worker_ids, ["w1", "w1", "w2"])
+
     def test_start_that_was_never_sent(self):
         """Guards against a wait for a worker that has received nothing."""
         self.engine = fx.engine(fx.worker("w1"))
