Count the answer to a requested poll until the next planning pass

Cause: an answer counted for 0.5 s, and planning passes of a loaded coordinator may be further apart.

Change: the answer to a poll that was requested for a held start counts for 2 s from the request. Without a request 0.5 s stay the limit.

Measured: the new test fails without the change; tests.test_held_starts and test_late_starts pass (27 tests).

--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -21,6 +21,9 @@
 # Age of a poll up to which its answer shows that a worker's process has the
 # fence of the current session. The worker may have restarted since.
 ANSWER_AGE_S = 0.5
+# The same for a poll that was requested for a held start. Planning passes may
+# be further apart than ANSWER_AGE_S.
+REQUESTED_ANSWER_AGE_S = 2.0
 
 
 class HeldStart(NamedTuple):
@@ -110,4 +113,7 @@
     """Return whether a worker has just answered a poll of its session."""
     if worker is None or not worker.reachable:
         return False
+    was_requested = worker.polled_at >= worker.poll_requested_at
+    if was_requested and now - worker.poll_requested_at <= REQUESTED_ANSWER_AGE_S:
+        return True
     return now - worker.polled_at <= ANSWER_AGE_S
--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -64,6 +64,17 @@
         (start,), polls = self.place(2.2)
         self.assertEqual((start.worker_id, polls), ("w2", []))
 
+    def test_answer_to_a_request_counts_until_the_next_pass(self):
+        """Guards against a task that is held as planning passes are slow."""
+        started = self.start(fx.step(), fx.worker("w1"))
+        self.engine.set_worker(fx.worker("w1", draining=True), 1.0)
+        self.engine.set_worker(fx.worker("w2"), 1.0)
+        self.stop(started, 1.0)
+        self.assertEqual(self.place(2.0), ([], ["w1"]))
+        self.engine.report("w1", [], 2.1, polled_at=2.0)
+        (start,), polls = self.place(2.9)
+        self.assertEqual((start.worker_id, polls), ("w2", []))
+
     def test_old_answer_does_not_count(self):
         """Guards against a worker that has restarted since it answered."""
         started = self.start(fx.step(), fx.worker("w1"))
