--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -28,6 +28,16 @@
         self.assertIn(KEY, self.w1.process.runs_by_key)
         self.assertEqual(len(self.w1.late_calls), 1)
 
+    def start_next_run_elsewhere(self):
+        """Settle the run while w1 answers; the next one begins on w2."""
+        self.start_with_lost_attempt()
+        self.register("w1", NO_ROOM)
+        self.register("w2", ROOM)
+        self.run_for(0.9)
+        self.w1.process.end(KEY, EndKind.STOPPED)
+        self.run_for(0.2)
+        self.assertIn(KEY, self.w2.process.runs_by_key)
+
     def stop_run_and_restart(self):
         """Settle the run on its process, which ends before the next run."""
         self.register("w1", NO_ROOM)
@@ -132,13 +142,7 @@
 
     def test_next_run_begins_elsewhere_at_once_while_the_worker_answers(self):
         """Guards against a task that waits although its worker has a fence."""
-        self.start_with_lost_attempt()
-        self.register("w1", NO_ROOM)
-        self.register("w2", ROOM)
-        self.run_for(0.9)
-        self.w1.process.end(KEY, EndKind.STOPPED)
-        self.run_for(0.2)
-        self.assertIn(KEY, self.w2.process.runs_by_key)
+        self.start_next_run_elsewhere()
 
     def test_next_run_begins_elsewhere_when_no_call_can_be_late_any_more(self):
         """Guards against a task that waits for a worker that never returns."""
@@ -206,13 +210,7 @@
 
     def test_restart_after_the_next_run_was_placed_elsewhere(self):
         """Guards against two runs that go on once the worker answers."""
-        self.start_with_lost_attempt()
-        self.register("w1", NO_ROOM)
-        self.register("w2", ROOM)
-        self.run_for(0.9)
-        self.w1.process.end(KEY, EndKind.STOPPED)
-        self.run_for(0.2)
-        self.assertIn(KEY, self.w2.process.runs_by_key)
+        self.start_next_run_elsewhere()
         self.w1.silent = True
         self.w1.restart()
         self.w1.carry_out_late_calls()
