Count metrics that have no labels

Change: labels are applied only if the message has some.

Measured: the new test records every counter and histogram; it fails without the change and passes.

--- a/src/redwingrudder/coordination/metrics.py
+++ b/src/redwingrudder/coordination/metrics.py
@@ -182,12 +182,15 @@
                 self._buffered.append(message)
             return
         metric = self._metrics_by_name[message.name]
+        if isinstance(message, SetGauge):
+            metric.set(message.value)
+            return
+        if message.labels:
+            metric = metric.labels(*message.labels)
         if isinstance(message, IncrementCounter):
-            metric.labels(*message.labels).inc()
-        elif isinstance(message, ObserveDuration):
-            metric.labels(*message.labels).observe(message.seconds)
+            metric.inc()
         else:
-            metric.set(message.value)
+            metric.observe(message.seconds)
 
 
 class ErrorCounter(logging.Handler):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,6 +10,7 @@
 from redwingrudder import requests
 from redwingrudder._metrics_actor import METRICS, MetricsActor, MetricsObserver
 from redwingrudder.actors import ActorSystem
+from redwingrudder.coordination import metrics as coordination_metrics
 from redwingrudder.logs import LineFormatter
 from redwingrudder.metrics import MAX_ERROR_CODES, JobTimes, NodeMetrics
 from redwingrudder.model import (
@@ -123,6 +124,34 @@
         self.assertIn(b"redwingrudder_owner 0.0", NodeMetrics().render())
 
 
+class CoordinationMetricsTests(unittest.TestCase):
+    """Metrics of nodes on the users' platform."""
+
+    def test_each_counter_and_histogram_can_be_recorded(self):
+        """Guards against a metric whose messages fail, one without labels."""
+        clock = Clock()
+        system = ActorSystem(clock)
+        TimerService(system)
+        metrics = coordination_metrics.Metrics(system, None, ("127.0.0.1", 0))
+        metrics._import_library()
+        for name, (_, labels) in coordination_metrics.COUNTERS.items():
+            system.tell(
+                coordination_metrics.METRICS,
+                coordination_metrics.IncrementCounter(name, labels),
+            )
+        for name, (_, labels) in coordination_metrics.HISTOGRAMS.items():
+            system.tell(
+                coordination_metrics.METRICS,
+                coordination_metrics.ObserveDuration(name, labels, 1.0),
+            )
+        clock.advance(0.1)
+        text = metrics.render().decode()
+        for name in coordination_metrics.COUNTERS:
+            self.assertRegex(text, rf"redwingrudder_{name}_total(\{{.*\}})? 1\.0")
+        for name in coordination_metrics.HISTOGRAMS:
+            self.assertRegex(text, rf"redwingrudder_{name}_count(\{{.*\}})? 1\.0")
+
+
 class LogTests(unittest.TestCase):
     def test_line_is_json_with_the_extra_fields(self):
         """Guards against lost extra fields and lines that are not JSON."""
