--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -1,6 +1,7 @@
 """Workers of one term: registry entries, sessions and unrecorded ends."""
 
 import logging
+import math
 from typing import NamedTuple
 
 from ..actors import ActorSystem
@@ -177,6 +178,7 @@
             self._engine.set_worker(facts, now)
             self._engine.workers_by_id[placed.worker_id].listed = False
             self._unlisted_since_by_worker[placed.worker_id] = now
+        self._take_recorded_process(placed.worker_id, placed.process_started_ms)
         self._engine.adopt_run(
             placed.key,
             placed.run,
@@ -187,6 +189,20 @@
             placed.start_settled,
         )
 
+    def _take_recorded_process(self, worker_id: str, process_started_ms: int) -> None:
+        """Open a session with the process of a record if its entry is older.
+
+        The earlier coordinator has heard of a restart from the worker itself.
+        """
+        worker = self._engine.workers_by_id[worker_id]
+        if not 0 < worker.facts.process_started_ms < process_started_ms:
+            return
+        self._record_process(worker_id, process_started_ms)
+        worker.facts = worker.facts._replace(process_started_ms=process_started_ms)
+        if worker_id in self._sessions_by_worker:
+            self._drop_session(worker_id)
+            self._open_session(worker.facts)
+
     def is_current(self, worker_id: str, fence: int) -> bool:
         """Return whether a message comes from the worker's current session.
 
@@ -227,7 +243,7 @@
                 self._engine.adopt_run(
                     entry.key, entry.run, message.worker_id, True, now
                 )
-        self._engine.report(message.worker_id, report.running, now)
+        self._engine.report(message.worker_id, report.running, now, message.sent_at)
         self._handle_ends(message, now)
         running = {(entry.key, entry.run) for entry in report.running}
         if report.ends_complete:
@@ -298,7 +314,7 @@
         current = [end for end in ends if self.is_current(end.worker_id, end.fence)]
         for end in current:
             self._unrecorded_ends_by_worker[end.worker_id].pop(end.number, None)
-        for worker_id in {end.worker_id for end in current}:
+        for worker_id in dict.fromkeys(end.worker_id for end in current):
             self._acknowledge(worker_id)
 
     def set_silent(self, message: WorkerSilent) -> None:
@@ -394,7 +410,8 @@
         return False
 
     def _open_session(self, facts: WorkerFacts) -> None:
-        self._engine.workers_by_id[facts.worker_id].reachable = False
+        worker = self._engine.workers_by_id[facts.worker_id]
+        worker.reachable, worker.polled_at = False, -math.inf
         number = self._session_count_by_worker.get(facts.worker_id, 0)
         if number >= SESSIONS_PER_TERM:
             # The next term has tokens above all that were used in this one.
--- /dev/null
+++ b/src/redwingrudder/simulation/__init__.py
@@ -0,0 +1,57 @@
+"""Models of the systems outside, and schedules of faults on a virtual clock.
+
+The actors of a node run unchanged against these models, in one process and
+without sockets. Nothing of the product's decisions depends on this package.
+"""
+
+from ._cluster import play_schedule
+from ._history import Cancellation, Event, History, JobOutcome
+from ._invariants import (
+    INVARIANTS,
+    AtMostOneRun,
+    Invariant,
+    NoStartAfterCancel,
+    NoStartAfterDone,
+    Violation,
+    ViolationClass,
+    find_violations,
+)
+from ._run_records import AcknowledgedEnd, RunInterval, SentStop
+from ._runs import DrawnRuns
+from ._schedule import Fault, FaultKind, Job, Schedule, draw_schedule
+from ._shrink import shrink
+from ._store import CALL_TIMEOUT_S, MemoryStore, StoreContents
+from ._worker_process import MAX_LEASE_S, RunBehaviour
+from ._workers import ProtocolWorkers
+
+__all__ = [
+    "CALL_TIMEOUT_S",
+    "INVARIANTS",
+    "MAX_LEASE_S",
+    "AcknowledgedEnd",
+    "AtMostOneRun",
+    "Cancellation",
+    "DrawnRuns",
+    "Event",
+    "Fault",
+    "FaultKind",
+    "History",
+    "Invariant",
+    "Job",
+    "JobOutcome",
+    "MemoryStore",
+    "NoStartAfterCancel",
+    "NoStartAfterDone",
+    "ProtocolWorkers",
+    "RunBehaviour",
+    "RunInterval",
+    "Schedule",
+    "SentStop",
+    "StoreContents",
+    "Violation",
+    "ViolationClass",
+    "draw_schedule",
+    "find_violations",
+    "play_schedule",
+    "shrink",
+]
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -21,7 +21,7 @@
     suspected_runs,
     suspicion_holders,
 )
-from .late_starts import HeldStart
+from .late_starts import HeldStart, awaits_silent_worker
 from .model import (
     NO_RESOURCES,
     AskAdvice,
@@ -192,7 +192,7 @@
             task.run_confirmed = task.run_saved = False
             task.speed_percent = FULL_SPEED_PERCENT
             self.step(task, "worker_restarted", now)
-        worker.heard_at = -math.inf
+        worker.heard_at = worker.polled_at = -math.inf
         worker.failures = 0
         worker.sound_start_at = -math.inf
         worker.emptying = False
@@ -319,6 +319,17 @@
         task = self.current(key, run)
         return task is not None and task.state == "starting"
 
+    def awaits_silent_worker(self, key: TaskKey, run: int, now: float) -> bool:
+        """Return whether a start has to wait for a worker that is silent.
+
+        Another worker than the one of the run may carry out an earlier start,
+        and has fallen silent since the run was planned.
+        """
+        task = self.current(key, run)
+        return task is not None and awaits_silent_worker(
+            task, self.workers_by_id, now, task.worker_id
+        )
+
     def start_sent(self, key: TaskKey, run: int, now: float) -> None:
         """Record that the start of a run is sent; its outcome is not known."""
         task = self.current(key, run)
@@ -342,7 +353,7 @@
             return
         self.dirty.add(key.workflow_id)
         if unanswered_at is not None:
-            task.add_late_start(worker_id, unanswered_at)
+            task.add_late_start(worker_id, self.late_start_until(unanswered_at))
         if task.is_current(run, worker_id):
             task.start_settled = True
 
@@ -356,6 +367,7 @@
     def _confirm_start(self, task: Task, now: float) -> None:
         task.record_start(now)
         task.run_confirmed = True
+        task.rejections = 0
         worker = self.workers_by_id.get(task.worker_id)
         if worker is not None:
             worker.heard_at = now
@@ -387,6 +399,7 @@
             },
         )
         task.start_settled = True
+        task.rejections += 1
         if reason == "permit":
             task.stage.permits_by_worker.pop(task.worker_id, None)
         self.step(task, "rejected", now)
@@ -407,12 +420,23 @@
         self._reports_due_at = until
 
     def report(
-        self, worker_id: str, running: Collection[RunReport], now: float
+        self,
+        worker_id: str,
+        running: Collection[RunReport],
+        now: float,
+        polled_at: float | None = None,
     ) -> None:
         """Update progress and checkpoints from the runs that a worker lists.
 
         A listed run confirms its start. A listed run that is not the current
         run of a placed task is passed to ``stop_unwanted_run``.
+
+        Args:
+            worker_id: The worker.
+            running: The runs that it lists.
+            now: Node-clock seconds.
+            polled_at: Node-clock seconds at which the poll was sent, None for
+                the present time.
         """
         self._awaited_workers.discard(worker_id)
         for entry in running:
@@ -442,6 +466,8 @@
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
             worker.heard_at = now
+            answered_at = now if polled_at is None else polled_at
+            worker.polled_at = max(worker.polled_at, answered_at)
             worker.release_ended({(entry.key, entry.run) for entry in running})
             update_worker_speed(worker, self.run_times, now)
 
@@ -844,15 +870,14 @@
         if current and task.state == "running":
             self.run_times.record_end(task, now)
         # The members of a gang end together, so the end of one member
-        # completes all of them.
+        # completes all of them. Other runs of members go on until their stop.
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
             if member.ended:
                 # The member was withdrawn while this run was being stopped.
                 continue
-            if member is not task and member.placed and member.run != task.run:
-                continue
-            goes_on = not current and member.placed
+            has_ended = current and member.run == task.run
+            goes_on = member.placed and not has_ended
             if goes_on:
                 self.stop(member, "done_elsewhere")
             self.step(member, "run_done", now)
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -31,6 +31,10 @@
 RUNS_PER_TERM = 1000
 # Time within which all attempts of a start are sent.
 START_ATTEMPTS_S = 2.0
+# Time within which a worker, or its next process, may carry out a call that
+# got no reply.
+LATE_CALL_S = 12.0
+DEFAULT_LONGEST_LEASE_S = 10.0  # of workers whose limit is not known
 # Number of consecutive failures after which a worker gets no new runs for
 # QUARANTINE_S.
 QUARANTINE_FAILURES = 2
@@ -60,6 +64,7 @@
         cancelled_aside_ids: Those of them that are cancelled.
         term: Number of the coordinator's term.
         run_times: Expected run times.
+        longest_lease_s: Longest time for which a run goes on without a poll.
     """
 
     def __init__(self, run_times: RunTimeEstimates) -> None:
@@ -72,6 +77,7 @@
         self.cancelled_aside_ids: set[str] = set()
         self.term = 1
         self.run_times = run_times
+        self.longest_lease_s = DEFAULT_LONGEST_LEASE_S
         self._actions: dict[str, Callable[[Task], None]] = {
             "occupy": self._occupy,
             "release": self._release,
@@ -177,11 +183,23 @@
         elif task.state == "waiting" and is_guilty(task):
             self._give_up(task, "crashes_workers", now)
 
-    @staticmethod
-    def _keep_late_start(task: Task, now: float) -> None:
+    def late_start_until(self, sent_at: float) -> float:
+        """Return until when a start without a reply may have an effect.
+
+        The run that it begins goes on until its lease lapses.
+
+        Args:
+            sent_at: Node-clock seconds at which the start was sent.
+        """
+        return sent_at + LATE_CALL_S + self.longest_lease_s
+
+    def _keep_late_start(self, task: Task, now: float) -> None:
         if not task.start_settled and task.start_sent_at is not None:
-            last_sent_at = min(now, task.start_sent_at + START_ATTEMPTS_S)
-            task.add_late_start(task.worker_id, last_sent_at)
+            last_sent_at = task.start_sent_at + START_ATTEMPTS_S
+            if not task.run_adopted:
+                # An earlier coordinator may still send attempts.
+                last_sent_at = min(now, last_sent_at)
+            task.add_late_start(task.worker_id, self.late_start_until(last_sent_at))
         task.start_settled, task.start_sent_at = True, None
 
     def stop(self, task: Task, reason: str) -> None:
@@ -213,7 +231,8 @@
         """Stop a listed run that is not the current run of a placed task.
 
         It uses capacity until it is no longer listed. A task that waits gets
-        no new run before; the listed one is its current run until then.
+        no new run before; the listed one is its current run until then. A
+        start that may still be withheld is; see ``_withhold_start``.
 
         Args:
             worker_id: The worker of the list; an unknown one is ignored.
@@ -225,6 +244,8 @@
         if worker is None or self._may_be_wanted(entry, task):
             return
         amount = NO_RESOURCES if task is None else resources_used(task.stage.spec)
+        if task is not None and entry.run < task.highest_run:
+            self._withhold_start(task, entry, worker_id, now)
         if task is not None and task.state == "waiting":
             task.run, task.worker_id = entry.run, worker_id
             task.run_saved = False
@@ -245,6 +266,38 @@
             )
             self.effects.append(StopRun(worker_id, entry.key, entry.run))
 
+    def _withhold_start(
+        self, task: Task, older: RunReport, older_worker_id: str, now: float
+    ) -> None:
+        """Withhold the start of a task's newest run beside an older one.
+
+        A start that was not sent is given up. Of one that was sent and got no
+        reply, no further attempt is sent and its run is stopped, so neither
+        run stays and the next one begins after both have ended. A run whose
+        start was confirmed stays: it has begun, and only the newest run saves
+        checkpoints. So does a run that an earlier coordinator has placed: no
+        attempt of its start is left, and it may have gone on for long.
+        """
+        if task.state != "starting" or task.run_adopted or task.start_settled:
+            return
+        run, was_sent = task.run, task.start_sent_at is not None
+        _logger.info(
+            "start withheld: an older run is listed",
+            extra={
+                **run_log_fields(task),
+                "run": run,
+                "worker": task.worker_id,
+                "sent": was_sent,
+                "older_run": older.run,
+                "older_worker": older_worker_id,
+            },
+        )
+        if was_sent:
+            self.stop(task, "older_run_listed")
+        else:
+            self.step(task, "rejected", now)
+        self.stop_gang(task.stage, run)
+
     def _may_be_wanted(self, entry: RunReport, task: Task | None) -> bool:
         """Return whether a run may have been placed by somebody else.
 
