Soak: wait for nodes that were told to end before keys are checked

The check of keys came before the one that waits for shutdowns.

Change: shutdowns are awaited and checked first, and a node must be ready before its 5 s for the configuration begin. What is checked is the same.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -57,7 +57,8 @@
 CANCEL_PROBABILITY = 0.05  # per submitted job, beside series of faults
 GANG_PROBABILITY = 0.5
 SECOND_STEP_PROBABILITY = 0.3
-# From the end of all faults until a configuration must be in force.
+# From the end of all faults, and from the first answer of a node that has been
+# restarted, until a configuration must be in force.
 CONFIGURATION_TIMEOUT_S = 5.0
 GONE_TIMEOUT_S = 4.0  # from the last signal until all shutdowns must be over
 HTTP_OK = 200
@@ -91,7 +92,7 @@
         self.cancelled = set()
 
     def run(self, seconds):
-        self._wait_until_ready()
+        self._wait_until_ready(0)
         if self.seed >= FIRST_OUTAGE_SEED:
             self.deployment.control({"stop_s": STOP_S})
         deadline = time.monotonic() + seconds
@@ -104,8 +105,8 @@
             time.sleep(self.random.uniform(0.05, 0.3))
         self._clear_faults()
         self._wait_for_jobs()
-        self._check_configuration()
         self._check_shutdowns()
+        self._check_configuration()
         self._check_runs()
 
     def summary(self):
@@ -126,15 +127,15 @@
         if self.random.random() < CANCEL_PROBABILITY:
             self._cancel_job()
 
-    def _wait_until_ready(self):
+    def _wait_until_ready(self, index):
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
-            url = self.deployment.front_end_url(0, "/urgent/")
+            url = self.deployment.front_end_url(index, "/urgent/")
             if send_request("GET", url)[0] == HTTP_OK:
                 return
             time.sleep(0.1)
         raise InvariantViolation(
-            f"the first node was not ready within {READY_TIMEOUT_S} s"
+            f"node {index} was not ready within {READY_TIMEOUT_S} s"
         )
 
     def _submit(self):
@@ -245,6 +246,7 @@
         if version > 1:
             keys.append((f"key-{version - 1}", HTTP_UNAUTHORIZED))
         for index in range(self.deployment.node_count):
+            self._wait_until_ready(index)
             url = self.deployment.front_end_url(index, "/urgent/")
             deadline = time.monotonic() + CONFIGURATION_TIMEOUT_S
             for key, expected in keys:
@@ -255,7 +257,7 @@
                 if status != expected:
                     raise InvariantViolation(
                         f"node {index} answers {status} to {key!r}, not {expected}, "
-                        f"{CONFIGURATION_TIMEOUT_S} s after the last fault"
+                        f"{CONFIGURATION_TIMEOUT_S} s after it was ready"
                     )
 
     def _check_shutdowns(self):
