--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -5,8 +5,8 @@
 it begins the run of a start that was sent to its last process. No rule of the
 coordinator can prevent that; these make it harmless where they can:
 
-- The next run of the task begins on the same worker if that has room. There,
-  a late start cannot begin a run beside another one.
+- The next run of the task begins on the same worker if that has room. Workers
+  are taken to begin no run of a task beside another one.
 - It begins on another worker only right after the worker of the late start
   has answered a poll, so that its process has the fence of the current session
   and has listed its runs, or when the lease of a late run must have lapsed.
