Wait for no worker that is gone, nor for attempts that were not sent

Cause: a draining worker had left; all three attempts of a start were refused connections, so that nothing was sent. The run was interrupted before the start was settled, and counted as one that may be carried out late.

Ruled out: the wait for an answer itself; the worker had no process and no entry.

Change: the session tells which starts the worker may have received, and the others are settled when the session ends or its lease lapses. A worker that is no longer known is not waited for, as it rarely comes back under its id.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -147,6 +147,8 @@
         # Starts in flight that the worker may have received, with the time at
         # which the latest attempt without a reply was sent.
         self._unanswered_starts: dict[tuple[TaskKey, int], float] = {}
+        # Starts of which an attempt waits for its reply.
+        self._awaited_starts: set[tuple[TaskKey, int]] = set()
         # Runs that COORDINATOR has ordered to stop or gives up, or whose end
         # was reported, as long as their stop or their start is in flight.
         self._closed_runs: set[tuple[TaskKey, int]] = set()
@@ -182,6 +184,11 @@
         """Fencing token, which identifies the session in its messages."""
         return self._fence
 
+    @property
+    def possible_starts(self) -> frozenset[tuple[TaskKey, int]]:
+        """Runs that the worker may begin by a start that is not settled."""
+        return frozenset(self._unanswered_starts) | self._awaited_starts
+
     def stop(self) -> None:
         """Close the connections; replies to calls in progress are ignored."""
         self._closed = True
@@ -545,6 +552,7 @@
             if not self._may_send_start(message):
                 break
             sent_at = self.system.clock.seconds()
+            self._awaited_starts.add(run_key)
             start = self._channel.start(
                 message,
                 self._lease_until(),
@@ -563,6 +571,7 @@
                 },
                 partial(self._unanswered_starts.__setitem__, run_key, sent_at),
             )
+            self._awaited_starts.discard(run_key)
             if attempt and reply is not None and reply.reason == "other_life":
                 # The worker may have started the run before it was restarted.
                 break
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -339,6 +339,7 @@
             self._engine.worker_restarted(worker_id, now, message.unanswered_starts)
         else:
             self._engine.worker_lost(worker_id, now, message.unanswered_starts)
+        self._settle_unsent_starts(worker_id)
         self._engine.interrupt_worker(worker_id, now, "lease_lapsed")
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and not worker.listed:
@@ -363,6 +364,7 @@
 
     def _remove(self, worker_id: str, now: float) -> None:
         self._unlisted_since_by_worker.pop(worker_id, None)
+        self._settle_unsent_starts(worker_id)
         self._engine.remove_worker(worker_id, now, "gone")
         self._ended_processes_by_worker.pop(worker_id, None)
         if worker_id in self._sessions_by_worker:
@@ -429,7 +431,14 @@
         self._sessions_by_worker[facts.worker_id] = session
         session.start()
 
+    def _settle_unsent_starts(self, worker_id: str) -> None:
+        """Settle the starts that the worker cannot have received."""
+        session = self._sessions_by_worker.get(worker_id)
+        if session is not None:
+            self._engine.settle_unsent_starts(worker_id, session.possible_starts)
+
     def _drop_session(self, worker_id: str) -> None:
+        self._settle_unsent_starts(worker_id)
         session = self._sessions_by_worker.pop(worker_id)
         self._reported.discard(worker_id)
         self._undecided.discard(worker_id)
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -357,6 +357,24 @@
         if task.is_current(run, worker_id):
             task.start_settled = True
 
+    def settle_unsent_starts(
+        self, worker_id: str, possible_starts: Container[tuple[TaskKey, int]]
+    ) -> None:
+        """Settle the starts that a worker's session has not sent for sure.
+
+        Runs that an earlier coordinator has placed are left out.
+
+        Args:
+            worker_id: The worker.
+            possible_starts: Runs that may begin by a start of the session that
+                is not settled.
+        """
+        worker = self.workers_by_id.get(worker_id)
+        for task in worker.tasks_by_key.values() if worker else ():
+            is_possible = (task.key, task.run) in possible_starts
+            if not task.run_adopted and not is_possible:
+                task.start_settled = True
+
     def start_confirmed(self, key: TaskKey, run: int, now: float) -> None:
         """Record that a worker has accepted the start of a run."""
         task = self.current(key, run)
--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -10,6 +10,8 @@
 - It begins on another worker only right after the worker of the late start
   has answered a poll, so that its process has the fence of the current session
   and has listed its runs, or when the lease of a late run must have lapsed.
+
+A worker that is gone is not waited for: it rarely comes back under its id.
 """
 
 from typing import NamedTuple
@@ -84,7 +86,8 @@
         worker_id
         for worker_id in task.late_start_workers(now)
         if worker_id != worker.facts.worker_id
-        and not _has_answered(workers_by_id.get(worker_id), now)
+        and worker_id in workers_by_id
+        and not _has_answered(workers_by_id[worker_id], now)
     )
 
 
@@ -101,17 +104,17 @@
     """
     if task.stage.spec.copies_allowed:
         return False
-    workers = [
-        workers_by_id.get(worker_id)
+    return any(
+        worker_id != chosen_id
+        and worker_id in workers_by_id
+        and not workers_by_id[worker_id].reachable
         for worker_id in task.late_start_workers(now)
-        if worker_id != chosen_id
-    ]
-    return any(worker is None or not worker.reachable for worker in workers)
+    )
 
 
-def _has_answered(worker: Worker | None, now: float) -> bool:
+def _has_answered(worker: Worker, now: float) -> bool:
     """Return whether a worker has just answered a poll of its session."""
-    if worker is None or not worker.reachable:
+    if not worker.reachable:
         return False
     was_requested = worker.polled_at >= worker.poll_requested_at
     if was_requested and now - worker.poll_requested_at <= REQUESTED_ANSWER_AGE_S:
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -152,6 +152,14 @@
         self.run_for(LATE_CALL_S + longest_lease_timeout_s(MAX_LEASE_S))
         self.assertIn(KEY, self.w2.process.runs_by_key)
 
+    def test_attempts_that_were_not_sent_hold_nothing(self):
+        """Guards against a task that waits although nothing can be late."""
+        self.w1.silent = True
+        self.submit()
+        self.register("w2", ROOM)
+        self.run_for(longest_lease_timeout_s(MAX_LEASE_S) + 2.5)
+        self.assertIn(KEY, self.w2.process.runs_by_key)
+
     def test_no_run_elsewhere_while_a_late_run_may_have_a_lease(self):
         """Guards against two runs by an attempt that is very late.
 
