Ignore a coordinator of an earlier term

What callers saw: a node answered the length of a queue with 503 not_coordinator for 35 s, until the end of the soak's seed 1100, although the others served it.

Cause: when no coordinator is known, PEERS takes the one that a peer reports, whatever its term, and tells INTAKE. A node that woke up from a pause reported itself, of term 8, while LEADERSHIP reported the one of term 9; the messages of two actors reached INTAKE in that order. By the logs the node's leadership knew term 9 all the time. The order of the two messages is concluded, not logged.

Change: INTAKE ignores a coordinator of a lower term than it has known.

Measured: the new test fails without the change; test_coordination passes. Seed 1100 joins the seeds that run every time; its fault depends on timing.

--- a/src/redwingrudder/coordination/intake.py
+++ b/src/redwingrudder/coordination/intake.py
@@ -79,6 +79,7 @@
         self._identity = identity
         self._retention_s = retention_s
         self._coordinator = CoordinatorKnown("", "", 0)
+        self._highest_term = 0
         self._store_available = True
         super().__init__(system, INTAKE)
 
@@ -100,7 +101,14 @@
         self._store_available = message.available
 
     def _set_coordinator(self, message: CoordinatorKnown) -> None:
-        self._coordinator = message
+        """Follow the newest coordinator.
+
+        PEERS may report the one of an earlier term after LEADERSHIP has
+        reported that of a later one.
+        """
+        if not message.term or message.term >= self._highest_term:
+            self._coordinator = message
+            self._highest_term = max(self._highest_term, message.term)
 
     async def _submit(self, message: SubmitWorkflow) -> bool:
         workflow = message.workflow
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -72,7 +72,8 @@
 # ran at the same time as its successor.
 # 810: a gang stayed open whose members had different runs, one of them done.
 # 809: a task failed whose runs had only been lost with their workers.
-REGRESSION_SEEDS = (3, 105, 600, 809, 810)
+# 1100: a node asked a former coordinator for good after a paused node woke up.
+REGRESSION_SEEDS = (3, 105, 600, 809, 810, 1100)
 
 
 class InvariantViolation(Exception):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -121,6 +121,18 @@
     def submit(self, seconds=0.1):
         return self.ask(SubmitWorkflow(fx.workflow(), 2.0), seconds)
 
+    def test_coordinator_of_an_earlier_term_is_ignored(self):
+        """Guards against a node that asks a former coordinator for good.
+
+        A peer that was paused reports it between two messages of LEADERSHIP.
+        """
+        self.system.tell(INTAKE, CoordinatorKnown("", "", 0))
+        self.system.tell(INTAKE, CoordinatorKnown("n3", "10.0.0.3:1", 9))
+        self.system.tell(INTAKE, CoordinatorKnown("n2", "10.0.0.2:1", 8))
+        self.ask(GetQueueLength("queue"))
+        calls = [m.address for m in self.peers.received if isinstance(m, CallPeer)]
+        self.assertEqual(calls, ["10.0.0.3:1"])
+
     def test_acceptance_is_stored_first(self):
         """Guards against accepting a workflow before it is in the store."""
         self.assertIs(self.submit(), True)
