Test that a cancellation before a job is set aside is kept

Cause: Engine.set_aside keeps a cancellation that came before, of a known job and of an unknown one. The test of it cancelled the job once more afterwards, so that it passed with either condition taken out.

Ruled out: coverage elsewhere.

--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -143,6 +143,18 @@
                 self.engine.cancel("job", 0.6)
                 self.assertEqual(self.list_run(1.0), [self.stop])
 
+    def test_cancellation_before_a_job_is_set_aside_is_kept(self):
+        """Guards against a run of a cancelled job that is never stopped."""
+        for was_known in (False, True):
+            with self.subTest(was_known=was_known):
+                self.setUp()
+                if not was_known:
+                    self.engine.forget("job")
+                self.engine.cancel("job", 0.4)
+                self.engine.take_effects()
+                self.engine.set_aside("job")
+                self.assertEqual(self.list_run(1.0), [self.stop])
+
     def test_unreadable_announcement_does_not_set_a_job_aside(self):
         """Guards against a job that is refused for a damaged announcement."""
         document = records.encode_workflow(fx.workflow("new")).decode()
