Test a submission whose cancellation is removed meanwhile

Cause: Intake._store_once stores a cancelled job on the condition that the cancellation it has read is still there. No test took it away between the read and the write.

Ruled out: test_submission_follows_a_newer_cancellation, which replaces the cancellation; it passes without the condition.

--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import ensureDeferred
 
-from redwingrudder._store_requests import PutKey, Transact
+from redwingrudder._store_requests import DeleteKey, PutKey, Transact
 from redwingrudder.coordination import watching
 from redwingrudder.coordination.authority import STORE_DOWN_EVIDENCE_S
 from redwingrudder.coordination.coordinator import Coordinator
@@ -415,6 +415,25 @@
             self.assertIs(self.ask(SubmitWorkflow(fx.workflow(), 1.0)), True)
         self.assertEqual(self.ask(GetState("job")), WorkflowState.CANCELLED)
 
+    def test_submission_after_its_cancellation_was_removed(self):
+        """Guards against a job that a removed cancellation cancels.
+
+        The cancellation is removed between the read and the write.
+        """
+        self.ask(CancelWorkflow("job", 1.0))
+        transact, seen = self.contents.transact, []
+
+        def remove_cancellation(message):
+            seen.append(message)
+            if len(seen) == 2:
+                transact(Transact((), (DeleteKey("intake/job/cancel"),)))
+            return transact(message)
+
+        with mock.patch.object(self.contents, "transact", remove_cancellation):
+            self.assertIs(self.ask(SubmitWorkflow(fx.workflow(), 1.0)), True)
+        self.assertEqual(self.stored_keys(), ["intake/job"])
+        self.assertEqual(self.announced(), [WorkflowStored])
+
     def test_peer_announces_only_what_it_has_stored(self):
         """Guards against a cancelled job that a peer's caller announces."""
         document = records.encode_workflow(fx.workflow()).decode()
