Test that a recorded checkpoint of a step without checkpoints is not sent

Cause: a record of an earlier release may have a checkpoint of a step that cannot resume. RunTable.assign leaves it out of the start; the only test of such steps reports the checkpoint, which is refused before that.

Ruled out: a checkpoint that is kept by a report or an end; save_checkpoint refuses it, with a test.

--- a/tests/test_checkpoints.py
+++ b/tests/test_checkpoints.py
@@ -321,6 +321,19 @@
         self.assertEqual(second.checkpoint, "")
         self.assertFalse(self.progress.find(second.key).run_resumed)
 
+    def test_recorded_checkpoint_is_not_sent(self):
+        """Guards against a start that resumes a step that cannot.
+
+        Earlier releases have recorded the checkpoints of such steps.
+        """
+        (task,) = self.progress.tasks()
+        task.checkpoint = "recorded"
+        self.restore()
+        (restored,) = self.progress.tasks()
+        self.assertEqual(restored.checkpoint, "recorded")
+        (start,) = self.start()
+        self.assertEqual(start.checkpoint, "")
+
 
 if __name__ == "__main__":
     unittest.main()
