Test that a damaged announcement does not set its job aside

Cause: Coordinator._workflow_announced tells that an announced document is not the stored one, so that one that cannot be decoded sets no job aside.

--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -155,6 +155,14 @@
         self.announce("next")
         self.assertEqual(self.running(), {fx.key("next")})
 
+    def test_damaged_announcement_does_not_set_a_job_aside(self):
+        """Guards against a job that is not run for a damaged announcement."""
+        damaged = WorkflowStored("job", self.document()[:-5])
+        self.system.tell(COORDINATOR, damaged)
+        self.contents.put(INTAKE_PREFIX + "job", self.document())
+        self.run_for(1.0)
+        self.assertEqual(self.running(), {fx.key("job")})
+
     def test_job_with_an_old_time_of_acceptance_is_run(self):
         """Guards against a job that is ignored as its node's clock is late."""
         self.set_time_of_day(UNIX_TIME_S + RETENTION_S + SWEEP_S)
