Test the room of an older run beside a newer one that has begun

Cause: test_older_run_uses_room_once does not reach what it guards any more. Since the start beside an older listed run is withheld, so that the older run is never counted beside a newer one there. A newer run that has begun stays, and this path had no test.

Ruled out: taking the earlier test away; it checks the same room where the start is withheld.

--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -256,6 +256,23 @@
         self.report_nothing(1.2)
         self.assertEqual(self.used, NO_RESOURCES)
 
+    def test_older_run_uses_room_once_after_a_confirmed_run(self):
+        """Guards against room that stays in use after an older run.
+
+        The older run was stopped beside a newer one that had begun, and the
+        task waits for its end after that one has ended.
+        """
+        self.reject(0.5)
+        newer = fx.starts(self.engine.plan(0.6, 0.6))[0]
+        self.engine.start_confirmed(newer.key, newer.run, 0.65)
+        both = [fx.running(self.start), fx.running(newer)]
+        self.engine.report("w1", both, 0.7)
+        self.engine.end("w1", fx.ended(newer, EndKind.STOPPED), 0.8)
+        self.engine.report("w1", [fx.running(self.start)], 0.9)
+        self.assertEqual((self.task.state, self.used), ("stopping", fx.ONE_GPU))
+        self.report_nothing(1.2)
+        self.assertEqual(self.used, NO_RESOURCES)
+
     def test_task_waits_until_its_run_on_another_worker_has_ended(self):
         """Guards against a new run beside one that a worker brings back.
 
