Test that orders to machines are checked when they are written

Cause: Maintenance and PoolMoves hand the machine service a condition that is evaluated when the connection of an order stands. The fake service of the tests ignored it, so that no test saw its absence.

Ruled out: the tests of paused senders; they check the HTTP client and the sessions of workers, not the duties of machines.

Change: the fake service evaluates the condition before it takes an order.

--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -418,6 +418,14 @@
         self.advance(3.0)
         self.assertEqual(len(self.machines.orders), 1)
 
+    def test_order_is_not_written_after_its_permission(self):
+        """Guards against an order whose connection outlasts its permission."""
+        self.authority.extend(math.inf)
+        self.machines.on_connection = self.authority.revoke
+        self.advance(3.0)
+        self.assertFalse(self.authority.valid)
+        self.assertEqual(self.machines.orders, [])
+
     def test_no_order_after_a_failed_comparison(self):
         """Guards against an order that the store has refused to record."""
         self.authority.extend(math.inf)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -59,6 +59,7 @@
             rejected.
         overloaded: Whether orders are answered with an overload.
         orders: Machine, holder and fencing token of each order.
+        on_connection: Called when the connection for an order stands.
         lost_orders: Number of orders that fail without being carried out.
         upkept_ids: Machines whose upkeep has begun.
         ended_worker_ids: Workers on machines whose upkeep began.
@@ -74,6 +75,7 @@
         self.rejects_while_down = False
         self.overloaded = False
         self.orders = []
+        self.on_connection = lambda: None
         self.upkept_ids = []
         self.ended_worker_ids = []
         self.targets = []
@@ -85,6 +87,7 @@
     async def begin_upkeep(self, machine_id, wave_id, holder, fence, may_send):
         if self.overloaded:
             raise OverloadedError("too many orders")
+        self.connect(may_send)
         self.orders.append((machine_id, holder, fence))
         if self.reply is not None:
             return self.reply
@@ -105,6 +108,7 @@
         return self.answer()
 
     async def move(self, machine_id, pool, holder, fence, may_send):
+        self.connect(may_send)
         self.orders.append((machine_id, holder, fence))
         if self.reply is not None:
             return self.reply
@@ -116,6 +120,11 @@
             )
         return self.answer()
 
+    def connect(self, may_send):
+        self.on_connection()
+        if not may_send():
+            raise UnavailableError("the order was not sent")
+
     def answer(self):
         if self.lost_replies:
             self.lost_replies -= 1
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -361,6 +361,14 @@
         self.advance(QUIET_S + 3.0)
         self.assertEqual(self.service.orders, [])
 
+    def test_order_is_not_written_after_its_permission(self):
+        """Guards against an order whose connection outlasts its permission."""
+        self.service.on_connection = self.authority.revoke
+        self.add_waiting_work()
+        self.advance(QUIET_S + 3.0)
+        self.assertNotEqual(self.recorded(), None)
+        self.assertEqual(self.service.orders, [])
+
     def test_without_standby_nothing_is_called(self):
         """Guards against calls on a site that has no pool on standby."""
         self.moves = self.new_term(NO_STANDBY)
