Test an id that is used again before its removal is confirmed

Cause: RecordRetention._remove forgets a job only if it is still the one whose records were removed. The test of an id that is used again withholds the reply for good, and so never reaches this check.

Ruled out: the reads after a failed comparison, which have tests of theirs.

--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -1,6 +1,7 @@
 """Tests of the removal of records after their retention period."""
 
 import unittest
+from unittest import mock
 
 from redwingrudder.coordination.coordinator import Coordinator
 from redwingrudder.coordination.gateways import (
@@ -141,6 +142,29 @@
         self.assertIs(self.engine.workflows_by_id["job"], later)
         self.assertIn("intake/job", self.store.contents.items_by_key)
 
+    def test_id_is_used_again_before_the_removal_is_confirmed(self):
+        """Guards against losing a later job of the same id.
+
+        The watch reports its document before the reply to the removal.
+        """
+        self.end()
+        transact = self.store.contents.transact
+
+        def use_id_again(message):
+            reply = transact(message)
+            self.store.contents.put("intake/job", "{}")
+            stored = self.store.contents.items_by_key["intake/job"]
+            self.retention.take_stored("job", stored.mod_revision)
+            self.engine.accept(fx.workflow("job"), 0.0)
+            return reply
+
+        with mock.patch.object(self.store.contents, "transact", use_id_again):
+            self.sweep(RETENTION_S + 1.0)
+        self.assertEqual(self.remaining_keys(), ["intake/job"])
+        later = self.engine.workflows_by_id.get("job")
+        self.assertIsNotNone(later)
+        self.assertIsNot(later, self.progress)
+
     def test_document_that_the_watch_reports_late(self):
         """Guards against a second run of a job whose document is seen late."""
         stored = self.store.contents.items_by_key["intake/job"]
