Test that a gang waits for an older run of one of its members

Cause: the planner starts no member of a gang while an older run of one goes on. The tests of waiting tasks have single tasks, and those of gangs have no older run that is listed beside a newer one that has begun.

Ruled out: gangs whose start is withheld, which wait by another rule.

--- a/tests/test_unwanted_runs.py
+++ b/tests/test_unwanted_runs.py
@@ -308,6 +308,23 @@
         again = fx.starts(engine.plan(0.7, 0.7))
         self.assertEqual([start.run for start in again], [older[1].run + 1])
 
+    def test_gang_waits_until_an_older_run_of_a_member_has_ended(self):
+        """Guards against a gang that begins without one of its members."""
+        self.engine.accept(fx.workflow("gang", fx.step(2, gang=True)), 0.0)
+        older = fx.starts(self.engine.plan(0.0, 0.0))
+        for start in older:
+            self.engine.start_rejected(start.key, start.run, "unanswered", 0.5)
+        newer = fx.starts(self.engine.plan(0.6, 0.6))
+        fx.confirm(self.engine, newer)
+        listed = [fx.running(start) for start in (older[0], *newer, self.start)]
+        self.engine.report("w1", listed, 0.7)
+        for start in newer:
+            self.engine.end("w1", fx.ended(start, EndKind.STOPPED), 0.8)
+        self.assertEqual(fx.starts(self.engine.plan(0.9, 0.9)), [])
+        self.engine.report("w1", [fx.running(self.start)], 1.2)
+        starts = fx.starts(self.engine.plan(1.3, 1.3))
+        self.assertEqual({start.key for start in starts}, {s.key for s in newer})
+
     def test_run_that_is_newer_than_all_known_ones_goes_on(self):
         """Guards against a coordinator that stops its successor's run."""
         entry = RunReport(self.start.key, self.start.run + 1, "", 10.0)
