Test when the attempts of a start end after a late answer of the store

Cause: ProgressWriter lets the attempts of a start end 2 s after the store was asked for cancellations, not after its answer.

Ruled out: starts whose look is older than 1 s; the cancellations are read again for these, with tests.

--- a/tests/test_missed_cancels.py
+++ b/tests/test_missed_cancels.py
@@ -22,11 +22,13 @@
     WorkflowStored,
 )
 from redwingrudder.coordination.peers import GetTimeOfDay, ListPeers, PeerView
+from redwingrudder.coordination.progress_writer import MAX_CANCEL_CHECK_AGE_S
 from redwingrudder.exceptions import StoreUnavailableError
 from redwingrudder.platform.registry import PlatformRegistry
 from redwingrudder.timers import TimerService
 from redwingrudder.workflows import records
 from redwingrudder.workflows.model import EndKind, Resources, WorkflowState
+from redwingrudder.workflows.run_table import START_ATTEMPTS_S
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, node_system, run_for
@@ -42,6 +44,7 @@
 
     Attributes:
         started: Workflow of each start.
+        send_until: Time after which the latest start is not sent any more.
         running: Reports of the runs that go on.
         stopped: Keys of the runs that were stopped.
     """
@@ -49,11 +52,13 @@
     def __init__(self, clock):
         super().__init__(clock)
         self.started = []
+        self.send_until = math.nan
         self.running = []
         self.stopped = []
 
     async def start(self, run, lease_until_ms, fence, timeout_s, may_send):
         self.started.append(run.key.workflow_id)
+        self.send_until = run.send_until
         self.running.append(fx.running(run))
         return await super().start(run, lease_until_ms, fence, timeout_s, may_send)
 
@@ -189,6 +194,15 @@
         run_for(self.clock, 0.1)
         self.assertEqual(self.channel.started, ["a"])
 
+    def test_attempts_end_soon_after_the_look_at_the_cancellations(self):
+        """Guards against attempts whose time begins with a late answer."""
+        self.record_before_pause("a")
+        looked_at = self.clock.seconds()
+        self.clock.advance(MAX_CANCEL_CHECK_AGE_S - 0.1)
+        run_for(self.clock, 0.05)
+        self.assertEqual(self.channel.started, ["a"])
+        self.assertLessEqual(self.channel.send_until, looked_at + START_ATTEMPTS_S)
+
     def test_start_waits_for_the_store_after_a_pause(self):
         """Guards against a start sent without a look at the cancellations."""
         self.record_before_pause("a")
