Check in memory that starts are as their jobs were submitted

Cause: all jobs of a schedule had the same payload and no checkpoints, and the model of a worker dropped both, so a start with the content of another job, or of a job that nobody submitted, passed.

Change: payloads differ, two fifths of the jobs save checkpoints (from a stream of random numbers of its own, so jobs and faults of a seed stay the same), and a history lists the starts that were sent and the checkpoints that workers have listed. StartsAsSubmitted compares them with the jobs.

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -16,11 +16,18 @@
     NoRunAfterCancel,
     NoStartAfterCancel,
     NoStartAfterDone,
+    StartsAsSubmitted,
     Violation,
     ViolationClass,
     find_violations,
 )
-from ._run_records import AcknowledgedEnd, RunInterval, SentStop
+from ._run_records import (
+    AcknowledgedEnd,
+    ProducedCheckpoint,
+    RunInterval,
+    SentStart,
+    SentStop,
+)
 from ._runs import DrawnRuns
 from ._schedule import Fault, FaultKind, Job, Schedule, draw_schedule
 from ._shrink import shrink
@@ -50,11 +57,14 @@
     "NoRunAfterCancel",
     "NoStartAfterCancel",
     "NoStartAfterDone",
+    "ProducedCheckpoint",
     "ProtocolWorkers",
     "RunBehaviour",
     "RunInterval",
     "Schedule",
+    "SentStart",
     "SentStop",
+    "StartsAsSubmitted",
     "StoreContents",
     "Violation",
     "ViolationClass",
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -370,18 +370,27 @@
                     job.workflow_id,
                     job.at_s,
                     *self._ended_by_id.get(job.workflow_id, unended),
+                    job.payload,
+                    job.tasks,
+                    job.gang,
                 )
                 for job in self._schedule.jobs
             ),
             tuple(self._events),
-            find_disruptions(
+            disruptions=find_disruptions(
                 self._schedule,
                 self._leads,
                 DEPOSED_AFTER_S,
                 workers,
                 [node.store for node in self.nodes],
             ),
-            self.clock.seconds(),
+            ended_at=self.clock.seconds(),
+            starts=tuple(start for worker in workers for start in worker.starts),
+            checkpoints=tuple(
+                produced
+                for worker in workers
+                for produced in worker.checkpoints.values()
+            ),
         )
 
 
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -5,7 +5,13 @@
 
 from ..workflows.model import WorkflowState
 from ._disruptions import Disruption
-from ._run_records import AcknowledgedEnd, RunInterval, SentStop
+from ._run_records import (
+    AcknowledgedEnd,
+    ProducedCheckpoint,
+    RunInterval,
+    SentStart,
+    SentStop,
+)
 
 
 class Event(NamedTuple):
@@ -30,12 +36,18 @@
         submitted_at: Time of the submission in clock seconds.
         state: Last recorded state.
         ended_at: Time at which the end was recorded, None before.
+        payload: Its payload.
+        tasks: Number of its tasks.
+        gang: Whether they share checkpoints.
     """
 
     workflow_id: str
     submitted_at: float
     state: WorkflowState
     ended_at: float | None
+    payload: str = ""
+    tasks: int = 1
+    gang: bool = False
 
 
 class History(NamedTuple):
@@ -50,6 +62,8 @@
         events: Lines about all events, in their order.
         disruptions: All disruptions in the order of their begin.
         ended_at: End of the history in clock seconds.
+        starts: All starts that were sent, by worker.
+        checkpoints: All checkpoints that workers have listed.
     """
 
     runs: tuple[RunInterval, ...] = ()
@@ -60,6 +74,8 @@
     events: tuple[Event, ...] = ()
     disruptions: tuple[Disruption, ...] = ()
     ended_at: float = math.inf
+    starts: tuple[SentStart, ...] = ()
+    checkpoints: tuple[ProducedCheckpoint, ...] = ()
 
     def timeline(self) -> str:
         """Return the events, one a line, with times in seconds."""
--- a/src/redwingrudder/simulation/_invariants.py
+++ b/src/redwingrudder/simulation/_invariants.py
@@ -2,12 +2,13 @@
 
 import abc
 import enum
+import math
 from typing import NamedTuple
 
-from ..workflows.model import EndKind
+from ..workflows.model import EndKind, TaskKey
 from ._disruptions import has_calm_stretch
-from ._history import Cancellation, History
-from ._run_records import RunInterval, find_overlaps
+from ._history import Cancellation, History, JobOutcome
+from ._run_records import RunInterval, SentStart, find_overlaps
 from ._schedule import MAX_STOP_S
 
 CANCEL_BOUND_S = 3.0  # from a stored cancellation to the last start
@@ -27,23 +28,17 @@
 
     Attributes:
         invariant: Name of the invariant.
-        runs: The runs that break it.
+        runs: The runs, or the starts of runs, that break it.
         classification: Class of the violation.
     """
 
     invariant: str
-    runs: tuple[RunInterval, ...]
+    runs: tuple[RunInterval | SentStart, ...]
     classification: ViolationClass
 
     def __str__(self) -> str:
         """Return the invariant and the runs in one line."""
-        runs = ", ".join(
-            f"run {run.run} of {run.key.workflow_id}.{run.key.step}.{run.key.index}"
-            f" on {run.worker_id}.{run.process_started_ms}"
-            f" (sent to {run.worker_id}.{run.sent_to_ms})"
-            f" {run.begin:.3f} to {run.end:.3f} s"
-            for run in self.runs
-        )
+        runs = ", ".join(run.describe() for run in self.runs)
         return f"{self.invariant}, {self.classification}: {runs}"
 
 
@@ -177,11 +172,61 @@
         return ViolationClass.BESIDE_DISRUPTION
 
 
+class StartsAsSubmitted(Invariant):
+    """A start is of a task of a submitted job and has that job's payload.
+
+    Its checkpoint is empty or one that this task, or a member of its gang,
+    has produced; all members of a gang start from the same.
+    """
+
+    name = "each start as its job was submitted"
+
+    def violations(self, history: History) -> list[Violation]:
+        """See base class."""
+        jobs_by_id = {job.workflow_id: job for job in history.jobs}
+        listed_at: dict[tuple[TaskKey, str], float] = {}
+        for produced in history.checkpoints:
+            job = jobs_by_id.get(produced.key.workflow_id)
+            saved = (_saved_key(produced.key, job), produced.checkpoint)
+            listed_at.setdefault(saved, produced.listed_at)
+        first_by_gang_run: dict[tuple[TaskKey, int], SentStart] = {}
+        violations = []
+        for start in history.starts:
+            job = jobs_by_id.get(start.key.workflow_id)
+            key = _saved_key(start.key, job)
+            first = first_by_gang_run.setdefault((key, start.run), start)
+            saved_at = listed_at.get((key, start.checkpoint), math.inf)
+            is_saved = not start.checkpoint or saved_at <= start.sent_at
+            if not (is_saved and _is_submitted(start, job)):
+                violations.append(self._finding(start))
+            elif job.gang and start.checkpoint != first.checkpoint:
+                violations.append(self._finding(first, start))
+        return violations
+
+    def _finding(self, *starts: SentStart) -> Violation:
+        return Violation(self.name, starts, ViolationClass.OTHER)
+
+
+def _saved_key(key: TaskKey, job: JobOutcome | None) -> TaskKey:
+    """Return the key under which a task's checkpoints are known."""
+    return key._replace(index=0) if job is not None and job.gang else key
+
+
+def _is_submitted(start: SentStart, job: JobOutcome | None) -> bool:
+    """Return whether a start is of a task that was submitted."""
+    if job is None or start.sent_at < job.submitted_at:
+        return False
+    occurrence, step, index = start.key[1:]
+    is_task = occurrence == step == 0 and 0 <= index < job.tasks
+    return is_task and start.payload == job.payload
+
+
 INVARIANTS: tuple[Invariant, ...] = (
     AtMostOneRun(),
     NoStartAfterDone(),
     NoStartAfterCancel(),
     NoRunAfterCancel(),
+    StartsAsSubmitted(),
 )
 
 
--- a/src/redwingrudder/simulation/_run_records.py
+++ b/src/redwingrudder/simulation/_run_records.py
@@ -38,6 +38,57 @@
         """Whether the start was carried out later than it was sent."""
         return self.is_late_start or self.begin > self.sent_at
 
+    def describe(self) -> str:
+        """Return the run in one line."""
+        return (
+            f"{run_label(self.key, self.run)}"
+            f" on {self.worker_id}.{self.process_started_ms}"
+            f" (sent to {self.worker_id}.{self.sent_to_ms})"
+            f" {self.begin:.3f} to {self.end:.3f} s"
+        )
+
+
+class SentStart(NamedTuple):
+    """A start that was sent, whether or not it was carried out.
+
+    Attributes:
+        key: Key of the task.
+        run: Number of the run.
+        payload: Payload that the run gets.
+        checkpoint: Checkpoint to resume from, "" for none.
+        worker_id: The worker.
+        sent_at: Time in clock seconds.
+    """
+
+    key: TaskKey
+    run: int
+    payload: str
+    checkpoint: str
+    worker_id: str
+    sent_at: float
+
+    def describe(self) -> str:
+        """Return the start in one line."""
+        return (
+            f"start of {run_label(self.key, self.run)} to {self.worker_id}"
+            f" at {self.sent_at:.3f} s with {self.payload!r}"
+            f" and checkpoint {self.checkpoint!r}"
+        )
+
+
+class ProducedCheckpoint(NamedTuple):
+    """A checkpoint that a run has produced and a worker has listed.
+
+    Attributes:
+        key: Key of the task.
+        checkpoint: The checkpoint.
+        listed_at: Time at which it was first listed, in clock seconds.
+    """
+
+    key: TaskKey
+    checkpoint: str
+    listed_at: float
+
 
 class SentStop(NamedTuple):
     """A stop that was sent, whether or not it was carried out.
--- a/src/redwingrudder/simulation/_runs.py
+++ b/src/redwingrudder/simulation/_runs.py
@@ -37,12 +37,19 @@
         self._gang_size_by_id = {
             job.workflow_id: job.tasks for job in schedule.jobs if job.gang
         }
+        self._checkpoint_interval_s_by_id = {
+            job.workflow_id: job.checkpoint_interval_s for job in schedule.jobs
+        }
         self._members_by_gang_run: dict[tuple[str, int], dict[int, _Member]] = {}
 
     def stop_duration_s(self, key: TaskKey, run: int) -> float:
         """See base class."""
         return draw_run(self._seed, key.workflow_id, key.index, run).stop_s
 
+    def checkpoint_interval_s(self, key: TaskKey) -> float | None:
+        """See base class."""
+        return self._checkpoint_interval_s_by_id.get(key.workflow_id)
+
     def begun(self, process: WorkerProcess, key: TaskKey, run: int) -> None:
         """See base class."""
         size = self._gang_size_by_id.get(key.workflow_id)
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -18,6 +18,8 @@
 URGENT_SHARE = 0.25  # of jobs that preempt others
 CANCELLED_SHARE = 0.15
 CANCEL_AFTER_S = (0.1, 6.0)
+CHECKPOINTS_SHARE = 0.4
+CHECKPOINT_INTERVAL_S = (0.3, 2.0)
 RUN_TIME_S = (0.5, 6.0)
 FAILED_SHARE = 0.15
 MAX_STOP_S = 0.9
@@ -82,6 +84,8 @@
         priority: Priority of the queue; 0 is the most urgent.
         cancel_after_s: Seconds from the submission to the cancellation, None
             if the job is not cancelled.
+        checkpoint_interval_s: Seconds of work between checkpoints, None if
+            the tasks have none.
     """
 
     at_s: float
@@ -91,6 +95,12 @@
     accelerators: int
     priority: int
     cancel_after_s: float | None
+    checkpoint_interval_s: float | None = None
+
+    @property
+    def payload(self) -> str:
+        """Payload of the job, which no other one has."""
+        return f"payload of {self.workflow_id}"
 
     def workflow(self, accepted_at: float) -> Workflow:
         """Return the workflow of the job.
@@ -100,12 +110,13 @@
         """
         demand = Resources(TASK_CPU_MILLIS, TASK_MEMORY_MB, self.accelerators)
         step = StepSpec(self.tasks, demand, ESTIMATE_S, gang=self.gang)
+        step = step._replace(checkpoints=self.checkpoint_interval_s is not None)
         policy = QueuePolicy("pool", self.priority, ATTEMPTS)
         return Workflow(
             self.workflow_id,
             f"queue-{self.priority}",
             "organisation",
-            "payload",
+            self.payload,
             (step,),
             policy,
             accepted_at,
@@ -173,6 +184,7 @@
 
 def _draw_jobs(seed: int) -> tuple[Job, ...]:
     rng = random.Random(f"{seed} jobs")
+    checkpoints_rng = random.Random(f"{seed} checkpoints")
     times = sorted(rng.uniform(0.5, LAST_JOB_S) for _ in range(rng.randint(*JOBS)))
     jobs = []
     for number, at_s in enumerate(times):
@@ -188,6 +200,9 @@
                 rng.uniform(*CANCEL_AFTER_S)
                 if rng.random() < CANCELLED_SHARE
                 else None,
+                checkpoints_rng.uniform(*CHECKPOINT_INTERVAL_S)
+                if checkpoints_rng.random() < CHECKPOINTS_SHARE
+                else None,
             )
         )
     return tuple(jobs)
--- a/src/redwingrudder/simulation/_worker_process.py
+++ b/src/redwingrudder/simulation/_worker_process.py
@@ -6,7 +6,12 @@
 
 from ..coordination.gateways import CommandReply, WorkerReport
 from ..workflows.model import EndKind, RunEnd, RunReport, TaskKey
-from ._run_records import AcknowledgedEnd, RunInterval, run_label
+from ._run_records import (
+    AcknowledgedEnd,
+    ProducedCheckpoint,
+    RunInterval,
+    run_label,
+)
 
 if TYPE_CHECKING:
     from ._workers import ProtocolWorker
@@ -23,6 +28,10 @@
     def stop_duration_s(self, key: TaskKey, run: int) -> float:
         """Return how long a run goes on after its stop was accepted."""
 
+    def checkpoint_interval_s(self, key: TaskKey) -> float | None:
+        """Return the time between checkpoints, None if there are none."""
+        return None
+
     def begun(self, process: "WorkerProcess", key: TaskKey, run: int) -> None:
         """Handle the begin of a run."""
 
@@ -48,10 +57,17 @@
 
 
 class _CurrentRun(NamedTuple):
-    """A run that is executed: its number and the time of its start."""
+    """A run that is executed.
+
+    Attributes:
+        run: Its number.
+        begin: Time of its start in clock seconds.
+        checkpoint: Checkpoint that it resumed from, "" for none.
+    """
 
     run: int
     begin: float
+    checkpoint: str
 
 
 class WorkerProcess:
@@ -63,7 +79,7 @@
 
     Attributes:
         started_ms: Start time in milliseconds.
-        runs_by_key: Runs that are executed: number and time of the start.
+        runs_by_key: Runs that are executed.
         ends: Ends that are not acknowledged.
         acknowledged: Ends that a poll has acknowledged.
         leases_end_at: End of the lease in clock seconds.
@@ -96,6 +112,8 @@
         key: TaskKey,
         run: int,
         lease_until_ms: int,
+        payload: str = "",
+        checkpoint: str = "",
         sent: Sent | None = None,
     ) -> CommandReply:
         """Start a run; a start of a run that goes on changes nothing.
@@ -105,6 +123,8 @@
             key: Key of the task.
             run: Number of the run.
             lease_until_ms: End of the lease on the worker's clock.
+            payload: Payload of the workflow.
+            checkpoint: Checkpoint to resume from, "" for none.
             sent: To which process the call was sent and when, None for a call
                 to this process that is not late.
         """
@@ -121,7 +141,7 @@
         if lease_until_ms <= self.clock_ms:
             return self._reply("lapsed")
         self._extend_lease(lease_until_ms)
-        self.runs_by_key[key] = _CurrentRun(run, self._clock.seconds())
+        self.runs_by_key[key] = _CurrentRun(run, self._clock.seconds(), checkpoint)
         self._sent_by_key[key] = sent or Sent(self.started_ms, self._clock.seconds())
         self._worker.log(f"begins {run_label(key, run)}")
         self._worker.behaviour.begun(self, key, run)
@@ -163,8 +183,9 @@
     def report(self) -> WorkerReport:
         """Return the lists of all runs and of the ends."""
         self.expire()
+        now = self._clock.seconds()
         running = tuple(
-            RunReport(key, current.run, "", PROGRESS_PERCENT)
+            RunReport(key, current.run, self._save(key, now), PROGRESS_PERCENT)
             for key, current in self.runs_by_key.items()
         )
         return WorkerReport(self.clock_ms, self.started_ms, running, tuple(self.ends))
@@ -178,14 +199,15 @@
 
     def end(self, key: TaskKey, kind: EndKind, at: float | None = None) -> None:
         """End a run; without ``at``, at this moment."""
-        run, begin = self.runs_by_key.pop(key)
         at = self._clock.seconds() if at is None else at
+        checkpoint = self._save(key, at, is_stopped=kind is EndKind.STOPPED)
+        run, begin, _ = self.runs_by_key.pop(key)
         interval = self.interval(key, run, begin, at)
         self._worker.intervals.append(interval)
         self._closed_run_by_key[key] = max(self._closed_run_by_key.get(key, 0), run)
         self._last_number += 1
         self._interval_by_number[self._last_number] = interval
-        self.ends.append(RunEnd(self._last_number, key, run, kind, ""))
+        self.ends.append(RunEnd(self._last_number, key, run, kind, checkpoint))
         self._worker.log(f"ends {run_label(key, run)} as {kind}")
         self._worker.behaviour.ended(self, key, run, kind)
 
@@ -208,6 +230,21 @@
             for key in list(self.runs_by_key):
                 self.end(key, EndKind.LAPSED, self.leases_end_at)
 
+    def _save(self, key: TaskKey, at: float, is_stopped: bool = False) -> str:
+        """Return the newest checkpoint of a run, which is listed now."""
+        current = self.runs_by_key[key]
+        interval_s = self._worker.behaviour.checkpoint_interval_s(key)
+        if interval_s is None:
+            return ""
+        count = int((at - current.begin) / interval_s) + is_stopped
+        if not count:
+            return current.checkpoint
+        name = f"{run_label(key, current.run)} on {self._worker.worker_id}"
+        checkpoint = f"{name}.{self.started_ms}, {count}"
+        produced = ProducedCheckpoint(key, checkpoint, self._clock.seconds())
+        self._worker.checkpoints.setdefault(checkpoint, produced)
+        return checkpoint
+
     def _acknowledge(self, end: RunEnd) -> None:
         self.acknowledged.append(end)
         interval = self._interval_by_number[end.number]
--- a/src/redwingrudder/simulation/_workers.py
+++ b/src/redwingrudder/simulation/_workers.py
@@ -23,7 +23,9 @@
 )
 from ._run_records import (
     AcknowledgedEnd,
+    ProducedCheckpoint,
     RunInterval,
+    SentStart,
     SentStop,
     find_overlaps,
     run_label,
@@ -68,7 +70,9 @@
         delays_s: Delay of the calls that get no reply and are carried out
             after it, by name of the call.
         fences: Fencing tokens of all calls that were sent, in their order.
+        starts: All starts that were sent and might reach the worker.
         stops: All stops that were sent and might reach the worker.
+        checkpoints: What its runs have produced, by checkpoint.
         connect_s: Time in seconds until a call is written.
         carried_out_late_at: Times at which late calls were carried out.
     """
@@ -93,7 +97,9 @@
         self.late_calls: list[LateCall] = []
         self.delays_s: dict[str, float] = {}
         self.fences: list[int] = []
+        self.starts: list[SentStart] = []
         self.stops: list[SentStop] = []
+        self.checkpoints: dict[str, ProducedCheckpoint] = {}
         self.connect_s = 0.0
         self.carried_out_late_at: list[float] = []
 
@@ -118,7 +124,7 @@
         self.process.expire()
         return self.intervals + [
             self.process.interval(key, run, begin, math.inf)
-            for key, (run, begin) in self.process.runs_by_key.items()
+            for key, (run, begin, _) in self.process.runs_by_key.items()
         ]
 
     async def call(
@@ -140,6 +146,11 @@
             raise UnavailableError("the worker does not answer")
         sent = Sent(self.process.started_ms, self.clock.seconds())
         call = LateCall(name, (fence, *args), sent)
+        if name == "start":
+            key, run, _, *content = args
+            payload, checkpoint = content or ("", "")
+            start = SentStart(key, run, payload, checkpoint, self.worker_id, sent.at)
+            self.starts.append(start)
         if name == "stop":
             self.stops.append(SentStop(*args, self.worker_id, *sent))
         if self.mute or name in self.late or name in self.delays_s:
@@ -215,7 +226,15 @@
     ) -> CommandReply:
         """See base class."""
         return await self.worker.call(
-            "start", timeout_s, may_send, fence, run.key, run.run, lease_until_ms
+            "start",
+            timeout_s,
+            may_send,
+            fence,
+            run.key,
+            run.run,
+            lease_until_ms,
+            run.payload,
+            run.checkpoint,
         )
 
     async def stop(
