Add lost and late announcements to the simulation

Intake announces each submission and cancellation once; nothing repeats an announcement. In the schedules every announcement arrived at once, so what depends on the watches alone was never seen.

Announcements now pass through a carrier that loses them or delivers them 0.3 to 6 s late, to the node to which they were sent. The kinds have weight 0, so seeds give the schedules that they gave before; UNHEARD_WEIGHT_BY_KIND draws them together with more hanging watches and hand-overs.

With a hanging watch and a lost announcement a job waits, and a cancelled run goes on, until the watch answers (tests.test_simulation_models, which fails without the kinds).

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -18,7 +18,14 @@
 )
 from ._run_records import AcknowledgedEnd, RunInterval, SentStop
 from ._runs import DrawnRuns
-from ._schedule import Fault, FaultKind, Job, Schedule, draw_schedule
+from ._schedule import (
+    UNHEARD_WEIGHT_BY_KIND,
+    Fault,
+    FaultKind,
+    Job,
+    Schedule,
+    draw_schedule,
+)
 from ._shrink import shrink
 from ._store import CALL_TIMEOUT_S, MemoryStore, StoreContents
 from ._worker_process import MAX_LEASE_S, RunBehaviour
@@ -28,6 +35,7 @@
     "CALL_TIMEOUT_S",
     "INVARIANTS",
     "MAX_LEASE_S",
+    "UNHEARD_WEIGHT_BY_KIND",
     "AcknowledgedEnd",
     "AtMostOneRun",
     "Cancellation",
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -39,6 +39,7 @@
 from ..timers import TimerService
 from ..workflows import records
 from ..workflows.model import FINAL_STATES, WorkflowState
+from ._announcements import Announcement, Announcements
 from ._entries import EntryCodec, entry_document
 from ._faults import MODEL_BY_KIND, FaultModel
 from ._history import Cancellation, Event, History, JobOutcome
@@ -173,6 +174,7 @@
         clock: Clock of everything in the cluster.
         contents: Contents of the store.
         workers: The workers.
+        announcements: Carries announcements to the coordinators.
         nodes: The nodes.
     """
 
@@ -194,6 +196,7 @@
             behaviour=DrawnRuns(self.clock, schedule),
             log=self.log,
         )
+        self.announcements = Announcements(self.clock, self._tell, self.log)
         self.nodes = [Node(self, index) for index in range(NODES)]
 
     def play(self) -> History:
@@ -235,10 +238,10 @@
 
     # Faults.
 
-    def is_active(self, kind: FaultKind, target: int) -> bool:
-        """Return whether a fault of a kind befalls a target now."""
+    def is_active(self, kind: FaultKind, target: int | None = None) -> bool:
+        """Return whether a fault of a kind befalls a target, or any, now."""
         return any(
-            fault.kind is kind and fault.target == target
+            fault.kind is kind and target in (None, fault.target)
             for fault in self._active_faults
         )
 
@@ -321,8 +324,7 @@
         gang = "gang of " if job.gang else ""
         self.log(f"{job.workflow_id} is submitted: {gang}{job.tasks} tasks")
         self.contents.put(INTAKE_PREFIX + job.workflow_id, document)
-        if self._leader is not None:
-            self._tell(self._leader, WorkflowStored(job.workflow_id, document))
+        self._announce(WorkflowStored(job.workflow_id, document))
         if job.cancel_after_s is not None:
             self.clock.callLater(job.cancel_after_s, self._cancel, job.workflow_id)
 
@@ -331,8 +333,11 @@
         now = self.clock.seconds()
         self._cancellations.append(Cancellation(workflow_id, now))
         self.contents.put(INTAKE_PREFIX + workflow_id + CANCEL_SUFFIX, str(now))
+        self._announce(CancelStored(workflow_id))
+
+    def _announce(self, message: Announcement) -> None:
         if self._leader is not None:
-            self._tell(self._leader, CancelStored(workflow_id))
+            self.announcements.send(self._leader, message)
 
     # The store.
 
--- a/src/redwingrudder/simulation/_faults.py
+++ b/src/redwingrudder/simulation/_faults.py
@@ -176,6 +176,43 @@
         cluster.nodes[fault.target % NODES].store.watches_hang = False
 
 
+class AnnouncementFault(FaultModel):
+    """A fault of the announcements to all coordinators."""
+
+    def target(self, fault: Fault) -> str:
+        """See base class."""
+        return "all nodes"
+
+
+class LostAnnouncements(AnnouncementFault):
+    """Announcements are lost."""
+
+    def begin(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        cluster.announcements.lost = True
+
+    def end(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        cluster.announcements.lost = cluster.is_active(fault.kind)
+
+
+class LateAnnouncements(AnnouncementFault):
+    """Announcements are late, also for a node that no longer leads then."""
+
+    def describe(self, fault: Fault) -> str:
+        """See base class."""
+        return f"{super().describe(fault)}, late by {fault.delay_s:.1f} s"
+
+    def begin(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        cluster.announcements.delay_s = fault.delay_s
+
+    def end(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        if not cluster.is_active(fault.kind):
+            cluster.announcements.delay_s = 0.0
+
+
 class HandOver(FaultModel):
     """The coordinator ends its term, and the other node begins one."""
 
@@ -214,4 +251,6 @@
     FaultKind.HANGING_WATCHES: HangingWatches(),
     FaultKind.HAND_OVER: HandOver(),
     FaultKind.TAKEOVER: Takeover(),
+    FaultKind.LOST_ANNOUNCEMENTS: LostAnnouncements(),
+    FaultKind.LATE_ANNOUNCEMENTS: LateAnnouncements(),
 }
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -2,6 +2,7 @@
 
 import enum
 import random
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from ..workflows.model import EndKind, QueuePolicy, Resources, StepSpec, Workflow
@@ -24,6 +25,7 @@
 LATE_BY_S = (0.3, 12.0)
 FAULT_DURATION_S = (0.3, 6.0)
 ENTRY_DELAY_S = (0.0, 2.0)  # from a restart to the entry of the new process
+ANNOUNCED_LATE_BY_S = (0.3, 6.0)
 # Share of restarts with a silent time that begins at most SILENT_BEFORE_S
 # earlier, as before a crash of a busy machine.
 SILENT_RESTART_SHARE = 0.5
@@ -51,9 +53,11 @@
     HANGING_WATCHES = "hanging watches"
     HAND_OVER = "hand-over"
     TAKEOVER = "takeover"
+    LOST_ANNOUNCEMENTS = "lost announcements"
+    LATE_ANNOUNCEMENTS = "late announcements"
 
 
-_WEIGHT_BY_KIND = {
+WEIGHT_BY_KIND = {
     FaultKind.LATE_STARTS: 5,
     FaultKind.LATE_STOPS: 2,
     FaultKind.LATE_POLLS: 2,
@@ -67,6 +71,22 @@
     FaultKind.HANGING_WATCHES: 1,
     FaultKind.HAND_OVER: 1,
     FaultKind.TAKEOVER: 1,
+    FaultKind.LOST_ANNOUNCEMENTS: 0,
+    FaultKind.LATE_ANNOUNCEMENTS: 0,
+}
+
+# Weights under which what the coordinator learns of clients is disturbed.
+UNHEARD_WEIGHT_BY_KIND = {
+    **WEIGHT_BY_KIND,
+    FaultKind.HANGING_WATCHES: 4,
+    FaultKind.LOST_ANNOUNCEMENTS: 4,
+    FaultKind.LATE_ANNOUNCEMENTS: 3,
+    FaultKind.HAND_OVER: 2,
+}
+
+_DELAY_S_BY_KIND = {
+    FaultKind.RESTART: ENTRY_DELAY_S,
+    FaultKind.LATE_ANNOUNCEMENTS: ANNOUNCED_LATE_BY_S,
 }
 
 
@@ -120,7 +140,8 @@
         kind: Kind of the fault.
         target: Index of the worker or node that it befalls.
         duration_s: Seconds until it is over.
-        delay_s: Seconds by which calls, writes or a registry entry are late.
+        delay_s: Seconds by which calls, writes, announcements or a registry
+            entry are late.
     """
 
     at_s: float
@@ -152,9 +173,16 @@
     stop_s: float
 
 
-def draw_schedule(seed: int) -> Schedule:
-    """Return the schedule of a seed."""
-    return Schedule(seed, _draw_jobs(seed), _draw_faults(seed))
+def draw_schedule(
+    seed: int, weight_by_kind: Mapping[FaultKind, int] = WEIGHT_BY_KIND
+) -> Schedule:
+    """Return the schedule of a seed.
+
+    Args:
+        seed: The seed.
+        weight_by_kind: Weights with which the kinds of faults are drawn.
+    """
+    return Schedule(seed, _draw_jobs(seed), _draw_faults(seed, weight_by_kind))
 
 
 def draw_run(seed: int, workflow_id: str, index: int, run: int) -> RunPlan:
@@ -193,10 +221,12 @@
     return tuple(jobs)
 
 
-def _draw_faults(seed: int) -> tuple[Fault, ...]:
+def _draw_faults(
+    seed: int, weight_by_kind: Mapping[FaultKind, int]
+) -> tuple[Fault, ...]:
     rng = random.Random(f"{seed} faults")
-    kinds = list(_WEIGHT_BY_KIND)
-    weights = list(_WEIGHT_BY_KIND.values())
+    kinds = list(weight_by_kind)
+    weights = list(weight_by_kind.values())
     faults = []
     for _ in range(rng.randint(*FAULTS)):
         (kind,) = rng.choices(kinds, weights)
@@ -206,7 +236,7 @@
             kind,
             rng.randrange(WORKERS),
             rng.uniform(*FAULT_DURATION_S),
-            rng.uniform(*(ENTRY_DELAY_S if is_restart else LATE_BY_S)),
+            rng.uniform(*_DELAY_S_BY_KIND.get(kind, LATE_BY_S)),
         )
         faults.append(fault)
         if is_restart and rng.random() < SILENT_RESTART_SHARE:
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -117,6 +117,8 @@
     """Each kind of fault disturbs a schedule of two jobs.
 
     The entry of one worker vanishes for a while, which only watches report.
+    Watches usually report more than announcements do, so those are disturbed
+    while the watches hang.
     """
 
     JOBS = (
@@ -124,6 +126,8 @@
         Job(2.0, "second", 2, True, 4, 1, 3.0),
     )
     ENTRY_FAULT = Fault(0.95, FaultKind.REMOVED_ENTRY, 0, 3.0, 0.0)
+    HANGING_WATCHES = Fault(0.9, FaultKind.HANGING_WATCHES, 0, 8.0, 0.0)
+    ANNOUNCEMENT_KINDS = (FaultKind.LOST_ANNOUNCEMENTS, FaultKind.LATE_ANNOUNCEMENTS)
 
     def setUp(self):
         logging.disable()
@@ -134,19 +138,25 @@
         faults = (self.ENTRY_FAULT, *faults)
         history = play_schedule(Schedule(1, self.JOBS, faults))
         self.assertEqual(find_violations(history), [])
-        return [event for event in history.events if "fault: " not in event.line]
+        return [
+            event
+            for event in history.events
+            if not event.line.startswith(("fault: ", "announcement of "))
+        ]
 
     def test_each_kind_has_an_effect(self):
         """Guards against a fault that is drawn and changes nothing."""
-        calm = self.lines(())
         for kind in FaultKind:
+            is_announced = kind in self.ANNOUNCEMENT_KINDS
+            others = (self.HANGING_WATCHES,) if is_announced else ()
             with self.subTest(kind):
                 faults = tuple(
                     Fault(0.9 + at_s, kind, target, 4.0, 1.5)
                     for at_s in (0.0, 1.1)
                     for target in (0, 1)
                 )
-                self.assertNotEqual(self.lines(faults), calm)
+                calm = self.lines(others)
+                self.assertNotEqual(self.lines((*others, *faults)), calm)
 
 
 class InvariantTests(unittest.TestCase):
--- /dev/null
+++ b/tests/test_simulation_models.py
@@ -0,0 +1,110 @@
+"""Tests of the models of what lies between the clients and the coordinator."""
+
+import logging
+import unittest
+
+from redwingrudder.simulation import (
+    UNHEARD_WEIGHT_BY_KIND,
+    Fault,
+    FaultKind,
+    Job,
+    Schedule,
+    draw_schedule,
+    play_schedule,
+)
+
+NO_DELAY_S = 0.0
+SEED = 6  # with a first run of "job" that takes 4.7 s
+
+
+class ModelTestCase(unittest.TestCase):
+    def setUp(self):
+        logging.disable()
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def first_event(self, history, text):
+        """Return the time of the first event with a text."""
+        times = [event.at_s for event in history.events if text in event.line]
+        self.assertTrue(times, f"no event: {text}\n{history.timeline()}")
+        return times[0]
+
+
+class AnnouncementTests(ModelTestCase):
+    """A job of one task while the watches of the first node hang."""
+
+    WATCHES_HANG_S = 9.0
+    SUBMITTED_AT = 1.0
+
+    def play(self, *faults, cancel_after_s=None):
+        hanging = Fault(
+            0.9, FaultKind.HANGING_WATCHES, 0, self.WATCHES_HANG_S, NO_DELAY_S
+        )
+        job = Job(self.SUBMITTED_AT, "job", 1, False, 1, 1, cancel_after_s)
+        return play_schedule(Schedule(SEED, (job,), (hanging, *faults)))
+
+    def start_delay_s(self, *faults):
+        """Return the seconds from the submission to the begin of the run."""
+        history = self.play(*faults)
+        return self.first_event(history, "begins run") - self.SUBMITTED_AT
+
+    def test_announcement_replaces_a_hanging_watch(self):
+        """Guards against models in which announcements have no effect."""
+        self.assertLess(self.start_delay_s(), 0.5)
+
+    def test_lost_announcement_is_not_repeated(self):
+        """Guards against a model that makes up for lost announcements."""
+        lost = Fault(0.9, FaultKind.LOST_ANNOUNCEMENTS, 0, 0.5, NO_DELAY_S)
+        self.assertGreater(self.start_delay_s(lost), self.WATCHES_HANG_S - 0.2)
+
+    def test_late_announcement_comes_when_it_is_due(self):
+        """Guards against a delay that begins with the end of the fault."""
+        late = Fault(0.9, FaultKind.LATE_ANNOUNCEMENTS, 0, 0.5, 3.0)
+        delay_s = self.start_delay_s(late)
+        self.assertGreaterEqual(delay_s, 3.0)
+        self.assertLess(delay_s, 3.5)
+
+    def test_announcements_that_come_after_a_fault_arrive(self):
+        """Guards against a fault that does not end."""
+        lost = Fault(0.5, FaultKind.LOST_ANNOUNCEMENTS, 0, 0.4, NO_DELAY_S)
+        late = Fault(0.5, FaultKind.LATE_ANNOUNCEMENTS, 1, 0.4, 3.0)
+        self.assertLess(self.start_delay_s(lost, late), 0.5)
+
+    def test_late_announcement_goes_to_the_node_that_led(self):
+        """Guards against a delay that a change of the coordinator undoes."""
+        late = Fault(0.9, FaultKind.LATE_ANNOUNCEMENTS, 0, 0.5, 3.0)
+        changes = (
+            Fault(2.0, FaultKind.HANGING_WATCHES, 1, 8.0, NO_DELAY_S),
+            Fault(2.0, FaultKind.HAND_OVER, 0, 0.1, NO_DELAY_S),
+        )
+        history = self.play(late, *changes)
+        line = "announcement of the submission of job to n1 is late by 3.0 s"
+        self.assertEqual(self.first_event(history, line), self.SUBMITTED_AT)
+        # The new coordinator reads the store when its term begins.
+        self.assertLess(self.first_event(history, "begins run"), 2.5)
+
+    def test_lost_cancellation_is_not_repeated(self):
+        """Guards against a model that loses announced submissions only."""
+        lost = Fault(1.1, FaultKind.LOST_ANNOUNCEMENTS, 0, 0.5, NO_DELAY_S)
+        for faults, ends_late in (((), False), ((lost,), True)):
+            with self.subTest(faults=faults):
+                history = self.play(*faults, cancel_after_s=0.2)
+                (run,) = history.runs
+                self.assertIs(run.end > 2.5, ends_late, history.timeline())
+
+
+class DrawnWeightTests(ModelTestCase):
+    KINDS = {FaultKind.LOST_ANNOUNCEMENTS, FaultKind.LATE_ANNOUNCEMENTS}
+
+    def kinds(self, **options):
+        schedules = [draw_schedule(seed, **options) for seed in range(1, 11)]
+        return {fault.kind for schedule in schedules for fault in schedule.faults}
+
+    def test_kinds_without_a_weight_are_not_drawn(self):
+        """Guards against seeds that give other schedules than before."""
+        self.assertFalse(self.kinds() & self.KINDS)
+        kinds = self.kinds(weight_by_kind=UNHEARD_WEIGHT_BY_KIND)
+        self.assertLessEqual(self.KINDS, kinds)
+
+
+if __name__ == "__main__":
+    unittest.main()
