Submit and cancel jobs through the intake of two nodes in the simulation

Submissions and cancellations were written to the store and announced by the cluster itself. So no cancellation overtook its submission, no submission came twice or was relayed, and the conditions of Intake's writes were never played.

With clients (--clients of tests.run_simulation), each job has a client that calls one node, and the other one after a lost connection, without an answer or with one that leaves the outcome open. Some cancellations are sent with the submission, some submissions arrive again 0.5 to 8 s after their acceptance. MemoryPeers carries the calls between the nodes through the product's PeerHandler; a new kind of fault (weight 0) loses their replies. In the history a client's cancellation counts as stored at its acknowledgement, and each submission has its answer. Clients have streams of random numbers of their own.

The actors of a node move to a module of their own.

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -4,8 +4,9 @@
 without sockets. Nothing of the product's decisions depends on this package.
 """
 
+from ._client_plans import ClientPlan
 from ._cluster import play_schedule
-from ._history import Cancellation, Event, History, JobOutcome
+from ._history import Cancellation, Event, History, JobOutcome, Submission
 from ._invariants import (
     INVARIANTS,
     AtMostOneRun,
@@ -39,6 +40,7 @@
     "AcknowledgedEnd",
     "AtMostOneRun",
     "Cancellation",
+    "ClientPlan",
     "DrawnRuns",
     "Event",
     "Fault",
@@ -56,6 +58,7 @@
     "Schedule",
     "SentStop",
     "StoreContents",
+    "Submission",
     "Violation",
     "ViolationClass",
     "draw_schedule",
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -3,50 +3,40 @@
 import json
 from typing import Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from ..actors import Actor, ActorSystem, Handler
 from ..coordination.authority import LEASE_TTL_S
-from ..coordination.coordinator import Coordinator
 from ..coordination.gateways import (
     CANCEL_SUFFIX,
     COORDINATOR,
+    INTAKE,
     INTAKE_PREFIX,
-    LEADERSHIP,
-    PEERS,
     PROGRESS_PREFIX,
     TERM_KEY,
-    FleetGateways,
-    WorkerTimes,
 )
 from ..coordination.leadership import RENEW_INTERVAL_S
 from ..coordination.messages import (
     BeginTerm,
     CancelStored,
+    CoordinatorKnown,
     EndTerm,
-    Fenced,
     LeaseConfirmed,
-    Resign,
+    StoreAvailability,
     WorkflowStored,
 )
-from ..coordination.metrics import (
-    METRICS,
-    IncrementCounter,
-    ObserveDuration,
-    SetGauge,
-)
-from ..coordination.peers import AskAllPeers, GetTimeOfDay, ListPeers, PeerView
-from ..timers import TimerService
 from ..workflows import records
 from ..workflows.model import FINAL_STATES, WorkflowState
 from ._announcements import Announcement, Announcements
+from ._clients import Clients
 from ._entries import EntryCodec, entry_document
 from ._faults import MODEL_BY_KIND, FaultModel
 from ._history import Cancellation, Event, History, JobOutcome
-from ._runs import GANG_TIMEOUT_S, DrawnRuns
+from ._node import UNIX_TIME_S, Node
+from ._peers import node_address, node_name
+from ._runs import DrawnRuns
 from ._schedule import (
     DURATION_S,
-    MAX_STOP_S,
     NODES,
     WORKERS,
     Fault,
@@ -54,114 +44,14 @@
     Job,
     Schedule,
 )
-from ._store import MemoryStore, StoreContents
-from ._worker_process import MAX_LEASE_S
+from ._store import StoreContents
 from ._workers import ProtocolWorker, ProtocolWorkers
 
-UNIX_TIME_S = 1_800_000_000.0  # time of day at the begin of a schedule
-HEARTBEAT_S = 1.5
-RETENTION_S = 150.0
 # Longest time until a node that was replaced without its consent learns it.
 DEPOSED_AFTER_S = 3.0
 MIN_ADVANCE_S = 0.001
-OTHER_NODES = 8  # that the nodes know of; none of them replies
-TIMES = WorkerTimes(MAX_LEASE_S, HEARTBEAT_S, GANG_TIMEOUT_S, MAX_STOP_S)
-
-
-class FixedReplies(Actor):
-    """Gives each type of message a fixed reply.
-
-    Args:
-        system: The node's actor system.
-        name: Name of the actor.
-        replies_by_type: Reply to each type of message.
-    """
-
-    def __init__(
-        self, system: ActorSystem, name: str, replies_by_type: dict[type, Any]
-    ) -> None:
-        self._replies_by_type = replies_by_type
-        super().__init__(system, name)
-
-    def handlers(self) -> dict[type, Handler]:
-        """See base class."""
-        return {message_type: self._reply for message_type in self._replies_by_type}
-
-    def _reply(self, message: Any) -> Any:
-        return self._replies_by_type[type(message)]
-
-
-class SilentPeers(FixedReplies):
-    """Peers of a node that hears of no other node.
-
-    Args:
-        system: The node's actor system.
-    """
-
-    def __init__(self, system: ActorSystem) -> None:
-        super().__init__(
-            system, PEERS, {ListPeers: PeerView((), OTHER_NODES), AskAllPeers: None}
-        )
-
-    def handlers(self) -> dict[type, Handler]:
-        """See base class."""
-        return {
-            **super().handlers(),
-            GetTimeOfDay: lambda _: self.system.unix_time(),
-        }
-
-
-class GivenLeadership(Actor):
-    """Leadership of a node whose terms the cluster begins and ends.
-
-    Args:
-        system: The node's actor system.
-        cluster: The cluster.
-        index: Index of the node.
-    """
-
-    def __init__(self, system: ActorSystem, cluster: "Cluster", index: int) -> None:
-        self._cluster = cluster
-        self._index = index
-        super().__init__(system, LEADERSHIP)
-
-    def handlers(self) -> dict[type, Handler]:
-        """See base class."""
-        return {
-            Fenced: lambda m: self._cluster.leave(self._index, f"fenced: {m.source}"),
-            Resign: lambda m: self._cluster.leave(self._index, m.reason),
-        }
-
-
-class Node:
-    """The actors of a node.
-
-    Args:
-        cluster: The cluster.
-        index: Index of the node.
-
-    Attributes:
-        system: The actor system.
-        store: The store actor.
-        notified_revision: Revision of the store up to which the watches were
-            notified.
-    """
-
-    def __init__(self, cluster: "Cluster", index: int) -> None:
-        clock = cluster.clock
-        self.system = ActorSystem(clock, lambda: UNIX_TIME_S + clock.seconds())
-        FixedReplies(
-            self.system,
-            METRICS,
-            {IncrementCounter: None, ObserveDuration: None, SetGauge: None},
-        )
-        SilentPeers(self.system)
-        self.store = MemoryStore(self.system, cluster.contents)
-        self.notified_revision = 0
-        TimerService(self.system)
-        GivenLeadership(self.system, cluster, index)
-        gateways = FleetGateways(EntryCodec(), cluster.workers, TIMES, RETENTION_S)
-        Coordinator(self.system, gateways)
+# Time until a node tells its actors, and the other node, of what has changed.
+NEWS_DELAY_S = 0.4
 
 
 class Cluster:
@@ -175,6 +65,9 @@
         contents: Contents of the store.
         workers: The workers.
         announcements: Carries announcements to the coordinators.
+        has_intake: Whether clients call the nodes; otherwise submissions and
+            cancellations are written to the store.
+        peer_replies_lost: Whether calls between nodes get no reply.
         nodes: The nodes.
     """
 
@@ -197,6 +90,11 @@
             log=self.log,
         )
         self.announcements = Announcements(self.clock, self._tell, self.log)
+        self.has_intake = bool(schedule.clients)
+        self.peer_replies_lost = False
+        self._clients = Clients(
+            self.clock, schedule.clients, self._ask_intake, self._unix_time, self.log
+        )
         self.nodes = [Node(self, index) for index in range(NODES)]
 
     def play(self) -> History:
@@ -205,8 +103,9 @@
             self.register(worker)
         self.begin_term(0)
         self.clock.callLater(RENEW_INTERVAL_S, self._renew_lease)
+        submit = self._clients.submit if self.has_intake else self._submit
         for job in self._schedule.jobs:
-            self.clock.callLater(job.at_s, self._submit, job)
+            self.clock.callLater(job.at_s, submit, job)
         for fault in self._schedule.faults:
             model = MODEL_BY_KIND[fault.kind]
             self.clock.callLater(fault.at_s, self._begin_fault, model, fault)
@@ -267,6 +166,12 @@
         ends_at = self._lease_confirmed_at + LEASE_TTL_S
         self.log(f"n{index + 1} begins term {self._term}")
         self._tell(index, BeginTerm(self._term, revision, ends_at))
+        if self.has_intake:
+            known = CoordinatorKnown(node_name(index), node_address(index), self._term)
+            self.nodes[index].system.tell(INTAKE, known)
+            for other, node in enumerate(self.nodes):
+                if other != index:
+                    self.clock.callLater(NEWS_DELAY_S, node.system.tell, INTAKE, known)
 
     def leave(self, index: int, reason: str) -> None:
         """Let a node end its term; another one takes over if it led."""
@@ -318,11 +223,16 @@
 
     # Jobs.
 
+    def _unix_time(self) -> float:
+        return UNIX_TIME_S + self.clock.seconds()
+
+    def _ask_intake(self, index: int, message: Any) -> Deferred:
+        return self.nodes[index].system.ask(INTAKE, message)
+
     def _submit(self, job: Job) -> None:
-        workflow = job.workflow(UNIX_TIME_S + self.clock.seconds())
+        workflow = job.workflow(self._unix_time())
         document = records.encode_workflow(workflow).decode()
-        gang = "gang of " if job.gang else ""
-        self.log(f"{job.workflow_id} is submitted: {gang}{job.tasks} tasks")
+        self.log(f"{job.workflow_id} is submitted: {job.describe()}")
         self.contents.put(INTAKE_PREFIX + job.workflow_id, document)
         self._announce(WorkflowStored(job.workflow_id, document))
         if job.cancel_after_s is not None:
@@ -341,6 +251,18 @@
 
     # The store.
 
+    def set_store_down(self, index: int, down: bool) -> None:
+        """Let the store stop or begin to answer a node."""
+        node = self.nodes[index]
+        if down and not node.store.down:
+            node.store_down_since = self.clock.seconds()
+        node.store.down = down
+        if self.has_intake:
+            self.clock.callLater(NEWS_DELAY_S, self._tell_store_availability, node)
+
+    def _tell_store_availability(self, node: Node) -> None:
+        node.system.tell(INTAKE, StoreAvailability(not node.store.down))
+
     def _notify_watches(self) -> None:
         for node in self.nodes:
             is_behind = node.notified_revision < self.contents.revision
@@ -365,7 +287,7 @@
             tuple(self.workers.intervals()),
             tuple(end for worker in workers for end in worker.acknowledged),
             tuple(stop for worker in workers for stop in worker.stops),
-            tuple(self._cancellations),
+            (*self._cancellations, *self._clients.cancellations),
             tuple(
                 JobOutcome(
                     job.workflow_id,
@@ -375,6 +297,7 @@
                 for job in self._schedule.jobs
             ),
             tuple(self._events),
+            tuple(self._clients.submissions_by_id.values()),
         )
 
 
--- a/src/redwingrudder/simulation/_faults.py
+++ b/src/redwingrudder/simulation/_faults.py
@@ -124,7 +124,7 @@
 
     def begin(self, cluster: "Cluster", fault: Fault) -> None:
         """See base class."""
-        cluster.nodes[fault.target % NODES].store.down = True
+        cluster.set_store_down(fault.target % NODES, True)
 
     def end(self, cluster: "Cluster", fault: Fault) -> None:
         """See base class."""
@@ -132,7 +132,7 @@
             cluster.is_active(fault.kind, target)
             for target in range(fault.target % NODES, WORKERS, NODES)
         ):
-            cluster.nodes[fault.target % NODES].store.down = False
+            cluster.set_store_down(fault.target % NODES, False)
 
 
 class LostAnswers(StoreFault):
@@ -213,6 +213,22 @@
             cluster.announcements.delay_s = 0.0
 
 
+class LostPeerReplies(FaultModel):
+    """Calls between nodes are carried out and get no reply."""
+
+    def target(self, fault: Fault) -> str:
+        """See base class."""
+        return "all nodes"
+
+    def begin(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        cluster.peer_replies_lost = True
+
+    def end(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        cluster.peer_replies_lost = cluster.is_active(fault.kind)
+
+
 class HandOver(FaultModel):
     """The coordinator ends its term, and the other node begins one."""
 
@@ -253,4 +269,5 @@
     FaultKind.TAKEOVER: Takeover(),
     FaultKind.LOST_ANNOUNCEMENTS: LostAnnouncements(),
     FaultKind.LATE_ANNOUNCEMENTS: LateAnnouncements(),
+    FaultKind.LOST_PEER_REPLIES: LostPeerReplies(),
 }
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -14,12 +14,30 @@
 
 
 class Cancellation(NamedTuple):
-    """A cancellation that was stored at a time in clock seconds."""
+    """A cancellation that was stored at a time in clock seconds.
+
+    That of a client counts as stored once it is acknowledged.
+    """
 
     workflow_id: str
     stored_at: float
 
 
+class Submission(NamedTuple):
+    """A job that a client has submitted.
+
+    Attributes:
+        workflow_id: Id of the job.
+        acknowledged_at: Time of the first positive answer in clock seconds,
+            None without one.
+        refused: Whether the client was told that the job never runs.
+    """
+
+    workflow_id: str
+    acknowledged_at: float | None = None
+    refused: bool = False
+
+
 class JobOutcome(NamedTuple):
     """What a caller sees of a job.
 
@@ -46,6 +64,7 @@
         cancellations: All stored cancellations.
         jobs: All submitted jobs.
         events: Lines about all events, in their order.
+        submissions: All jobs that clients have submitted.
     """
 
     runs: tuple[RunInterval, ...] = ()
@@ -54,6 +73,7 @@
     cancellations: tuple[Cancellation, ...] = ()
     jobs: tuple[JobOutcome, ...] = ()
     events: tuple[Event, ...] = ()
+    submissions: tuple[Submission, ...] = ()
 
     def timeline(self) -> str:
         """Return the events, one a line, with times in seconds."""
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..workflows.model import EndKind, QueuePolicy, Resources, StepSpec, Workflow
+from ._client_plans import ClientPlan, draw_client
 
 NODES = 2
 WORKERS = 3
@@ -55,6 +56,7 @@
     TAKEOVER = "takeover"
     LOST_ANNOUNCEMENTS = "lost announcements"
     LATE_ANNOUNCEMENTS = "late announcements"
+    LOST_PEER_REPLIES = "lost replies of peers"
 
 
 WEIGHT_BY_KIND = {
@@ -73,6 +75,7 @@
     FaultKind.TAKEOVER: 1,
     FaultKind.LOST_ANNOUNCEMENTS: 0,
     FaultKind.LATE_ANNOUNCEMENTS: 0,
+    FaultKind.LOST_PEER_REPLIES: 0,
 }
 
 # Weights under which what the coordinator learns of clients is disturbed.
@@ -82,6 +85,10 @@
     FaultKind.LOST_ANNOUNCEMENTS: 4,
     FaultKind.LATE_ANNOUNCEMENTS: 3,
     FaultKind.HAND_OVER: 2,
+    FaultKind.STORE_DOWN: 3,
+    FaultKind.LOST_ANSWERS: 3,
+    FaultKind.LATE_WRITES: 4,
+    FaultKind.LOST_PEER_REPLIES: 1,
 }
 
 _DELAY_S_BY_KIND = {
@@ -112,6 +119,10 @@
     priority: int
     cancel_after_s: float | None
 
+    def describe(self) -> str:
+        """Return the size of the job."""
+        return f"{'gang of ' if self.gang else ''}{self.tasks} tasks"
+
     def workflow(self, accepted_at: float) -> Workflow:
         """Return the workflow of the job.
 
@@ -152,11 +163,20 @@
 
 
 class Schedule(NamedTuple):
-    """Jobs and faults, in the order of their times, and their seed."""
+    """Jobs and faults, in the order of their times, and their seed.
+
+    Attributes:
+        seed: The seed.
+        jobs: The jobs.
+        faults: The faults.
+        clients: Clients that submit and cancel the jobs at the nodes. Without
+            any, all submissions and cancellations are written to the store.
+    """
 
     seed: int
     jobs: tuple[Job, ...]
     faults: tuple[Fault, ...]
+    clients: tuple[ClientPlan, ...] = ()
 
 
 class RunPlan(NamedTuple):
@@ -174,15 +194,24 @@
 
 
 def draw_schedule(
-    seed: int, weight_by_kind: Mapping[FaultKind, int] = WEIGHT_BY_KIND
+    seed: int,
+    weight_by_kind: Mapping[FaultKind, int] = WEIGHT_BY_KIND,
+    has_clients: bool = False,
 ) -> Schedule:
     """Return the schedule of a seed.
 
     Args:
         seed: The seed.
         weight_by_kind: Weights with which the kinds of faults are drawn.
+        has_clients: Whether the jobs have clients.
     """
-    return Schedule(seed, _draw_jobs(seed), _draw_faults(seed, weight_by_kind))
+    jobs, faults = _draw_jobs(seed), _draw_faults(seed, weight_by_kind)
+    clients = tuple(
+        draw_client(seed, job.workflow_id, job.cancel_after_s, NODES)
+        for job in jobs
+        if has_clients
+    )
+    return Schedule(seed, jobs, faults, clients)
 
 
 def draw_run(seed: int, workflow_id: str, index: int, run: int) -> RunPlan:
--- a/tests/run_simulation.py
+++ b/tests/run_simulation.py
@@ -3,9 +3,12 @@
 Call ``python -m tests.run_simulation --seeds 500 --first 1 --processes 2``.
 With ``--seed N`` one schedule is played and its timeline printed, with
 ``--shrink`` the shortest part of it that still breaks the same invariants.
+With ``--clients`` the jobs come from clients of the nodes, and what the
+coordinator learns of them is disturbed more often.
 """
 
 import argparse
+import functools
 import logging
 import multiprocessing
 import sys
@@ -15,6 +18,7 @@
 
 from redwingrudder.simulation import (
     INVARIANTS,
+    UNHEARD_WEIGHT_BY_KIND,
     Violation,
     ViolationClass,
     draw_schedule,
@@ -49,10 +53,17 @@
         return [v for v in self.violations if v.classification is violation_class]
 
 
-def play_seed(seed):
+def draw(seed, has_clients):
+    """Return the schedule of a seed, with or without clients of the nodes."""
+    if has_clients:
+        return draw_schedule(seed, UNHEARD_WEIGHT_BY_KIND, has_clients=True)
+    return draw_schedule(seed)
+
+
+def play_seed(seed, has_clients):
     """Play the schedule of a seed."""
     logging.disable()
-    history = play_schedule(draw_schedule(seed))
+    history = play_schedule(draw(seed, has_clients))
     ended = [job for job in history.jobs if job.ended_at is not None]
     return SeedResult(
         seed,
@@ -64,20 +75,21 @@
     )
 
 
-def play_seeds(seeds, processes):
+def play_seeds(seeds, processes, has_clients):
     """Yield the results of seeds in their order."""
+    play = functools.partial(play_seed, has_clients=has_clients)
     if processes == 1:
-        yield from map(play_seed, seeds)
+        yield from map(play, seeds)
         return
     with multiprocessing.Pool(processes) as pool:
-        yield from pool.imap(play_seed, seeds, chunksize=5)
+        yield from pool.imap(play, seeds, chunksize=5)
 
 
-def play_many(first, count, processes):
+def play_many(first, count, processes, has_clients):
     """Play schedules and print a summary; return those with findings."""
     began = time.monotonic()
     results = []
-    for result in play_seeds(range(first, first + count), processes):
+    for result in play_seeds(range(first, first + count), processes, has_clients):
         results.append(result)
         for violation in result.violations:
             print(f"seed {result.seed}: {violation}", flush=True)
@@ -120,10 +132,10 @@
     )
 
 
-def play_one(seed, is_shrunk):
+def play_one(seed, is_shrunk, has_clients):
     """Play one schedule and print its timeline and violations."""
     logging.disable()
-    schedule = draw_schedule(seed)
+    schedule = draw(seed, has_clients)
     if is_shrunk:
         schedule = shrink_seed(schedule)
     history = play_schedule(schedule)
@@ -143,11 +155,14 @@
     parser.add_argument("--processes", type=int, default=2)
     parser.add_argument("--seed", type=int)
     parser.add_argument("--shrink", action="store_true")
+    parser.add_argument("--clients", action="store_true")
     options = parser.parse_args()
     if options.seed is not None:
-        findings = play_one(options.seed, options.shrink)
+        findings = play_one(options.seed, options.shrink, options.clients)
     else:
-        findings = play_many(options.first, options.seeds, options.processes)
+        findings = play_many(
+            options.first, options.seeds, options.processes, options.clients
+        )
     return 1 if findings else 0
 
 
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -18,6 +18,7 @@
     AcknowledgedEnd,
     AtMostOneRun,
     Cancellation,
+    ClientPlan,
     DrawnRuns,
     Fault,
     FaultKind,
@@ -118,7 +119,8 @@
 
     The entry of one worker vanishes for a while, which only watches report.
     Watches usually report more than announcements do, so those are disturbed
-    while the watches hang.
+    while the watches hang. Calls between nodes are disturbed while the store
+    does not answer the node that is called by the clients.
     """
 
     JOBS = (
@@ -127,16 +129,23 @@
     )
     ENTRY_FAULT = Fault(0.95, FaultKind.REMOVED_ENTRY, 0, 3.0, 0.0)
     HANGING_WATCHES = Fault(0.9, FaultKind.HANGING_WATCHES, 0, 8.0, 0.0)
-    ANNOUNCEMENT_KINDS = (FaultKind.LOST_ANNOUNCEMENTS, FaultKind.LATE_ANNOUNCEMENTS)
+    STORE_DOWN = Fault(0.2, FaultKind.STORE_DOWN, 1, 5.0, 0.0)
+    CLIENTS = tuple(ClientPlan(job.workflow_id, node=1) for job in JOBS)
+    # Other faults, and clients, beside the kinds that need them.
+    SETTING_BY_KIND = {
+        FaultKind.LOST_ANNOUNCEMENTS: ((HANGING_WATCHES,), ()),
+        FaultKind.LATE_ANNOUNCEMENTS: ((HANGING_WATCHES,), ()),
+        FaultKind.LOST_PEER_REPLIES: ((STORE_DOWN,), CLIENTS),
+    }
 
     def setUp(self):
         logging.disable()
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    def lines(self, faults):
+    def lines(self, faults, clients):
         """Return the events of a schedule without the lines about faults."""
         faults = (self.ENTRY_FAULT, *faults)
-        history = play_schedule(Schedule(1, self.JOBS, faults))
+        history = play_schedule(Schedule(1, self.JOBS, faults, clients))
         self.assertEqual(find_violations(history), [])
         return [
             event
@@ -147,16 +156,15 @@
     def test_each_kind_has_an_effect(self):
         """Guards against a fault that is drawn and changes nothing."""
         for kind in FaultKind:
-            is_announced = kind in self.ANNOUNCEMENT_KINDS
-            others = (self.HANGING_WATCHES,) if is_announced else ()
+            others, clients = self.SETTING_BY_KIND.get(kind, ((), ()))
             with self.subTest(kind):
                 faults = tuple(
                     Fault(0.9 + at_s, kind, target, 4.0, 1.5)
                     for at_s in (0.0, 1.1)
                     for target in (0, 1)
                 )
-                calm = self.lines(others)
-                self.assertNotEqual(self.lines((*others, *faults)), calm)
+                calm = self.lines(others, clients)
+                self.assertNotEqual(self.lines((*others, *faults), clients), calm)
 
 
 class InvariantTests(unittest.TestCase):
--- a/tests/test_simulation_models.py
+++ b/tests/test_simulation_models.py
@@ -5,6 +5,7 @@
 
 from redwingrudder.simulation import (
     UNHEARD_WEIGHT_BY_KIND,
+    ClientPlan,
     Fault,
     FaultKind,
     Job,
@@ -15,6 +16,7 @@
 
 NO_DELAY_S = 0.0
 SEED = 6  # with a first run of "job" that takes 4.7 s
+SHORT_SEED = 1  # with one that takes 1.0 s
 
 
 class ModelTestCase(unittest.TestCase):
@@ -92,8 +94,88 @@
                 self.assertIs(run.end > 2.5, ends_late, history.timeline())
 
 
+class ClientTests(ModelTestCase):
+    """A job of one task, whose client calls the first node first."""
+
+    JOB = Job(1.0, "job", 1, False, 1, 1, None)
+
+    def play(self, plan, *faults, seed=SEED):
+        return play_schedule(Schedule(seed, (self.JOB,), faults, (plan,)))
+
+    def test_submission_and_cancellation_are_acknowledged(self):
+        """Guards against clients whose requests do not reach the store."""
+        history = self.play(ClientPlan("job", cancel_node=1, cancel_after_s=1.0))
+        (submission,) = history.submissions
+        self.assertGreaterEqual(submission.acknowledged_at, 1.0)
+        (cancellation,) = history.cancellations
+        self.assertGreaterEqual(cancellation.stored_at, 2.0)
+        (run,) = history.runs
+        self.assertLess(run.end, 3.5)
+
+    def test_cancellation_overtakes_a_late_write_of_the_submission(self):
+        """Guards against models that cancel only what is stored."""
+        late = Fault(0.9, FaultKind.LATE_WRITES, 0, 2.0, 3.0)
+        plan = ClientPlan("job", resend_after_s=8.0, cancel_node=1, cancel_after_s=0.1)
+        history = self.play(plan, late)
+        self.first_event(history, "cancellation of job is acknowledged, no such job")
+        self.assertEqual(history.runs, ())
+        acknowledged_at = self.first_event(history, "submission of job is acknowledged")
+        (cancellation,) = history.cancellations
+        self.assertGreater(acknowledged_at, cancellation.stored_at)
+
+    def test_submission_is_sent_again_to_the_other_node(self):
+        """Guards against clients that give up, and against a second job."""
+        plan = ClientPlan("job", hangs_up=True, resend_after_s=0.3)
+        history = self.play(plan, seed=SHORT_SEED)
+        self.first_event(history, "job is submitted at n1")
+        sent_at = self.first_event(history, "job is submitted at n2")
+        (submission,) = history.submissions
+        self.assertGreaterEqual(submission.acknowledged_at, sent_at)
+        self.assertEqual(len(history.runs), 1)
+
+    def test_submission_arrives_again_after_its_answer(self):
+        """Guards against models in which nothing comes twice."""
+        history = self.play(ClientPlan("job", repeat_after_s=7.0), seed=SHORT_SEED)
+        arrived_at = self.first_event(history, "submission of job arrives again at n2")
+        (run,) = history.runs
+        self.assertGreater(arrived_at, run.end)
+
+    def test_node_without_the_store_relays(self):
+        """Guards against models in which a node needs the store itself."""
+        down = Fault(0.1, FaultKind.STORE_DOWN, 1, 6.0, NO_DELAY_S)
+        history = self.play(
+            ClientPlan("job", node=1, cancel_node=1, cancel_after_s=1.0), down
+        )
+        (submission,) = history.submissions
+        self.assertLess(submission.acknowledged_at, 1.5)
+        (cancellation,) = history.cancellations
+        self.assertLess(cancellation.stored_at, 2.5)
+
+    def test_relayed_call_without_a_reply_has_an_effect(self):
+        """Guards against lost replies of calls that were not carried out."""
+        down = Fault(0.1, FaultKind.STORE_DOWN, 1, 6.0, NO_DELAY_S)
+        lost = Fault(0.1, FaultKind.LOST_PEER_REPLIES, 0, 2.0, NO_DELAY_S)
+        history = self.play(ClientPlan("job", node=1), down, lost)
+        begin = self.first_event(history, "begins run")
+        (submission,) = history.submissions
+        self.assertGreater(submission.acknowledged_at, begin + 1.0)
+
+    def test_refused_submission_does_not_run(self):
+        """Guards against a refusal that is recorded as an unknown outcome."""
+        down = [Fault(0.1, FaultKind.STORE_DOWN, node, 6.0, 0.0) for node in (0, 1)]
+        history = self.play(ClientPlan("job"), *down)
+        (submission,) = history.submissions
+        self.assertTrue(submission.refused)
+        self.assertIsNone(submission.acknowledged_at)
+        self.assertEqual(history.runs, ())
+
+
 class DrawnWeightTests(ModelTestCase):
-    KINDS = {FaultKind.LOST_ANNOUNCEMENTS, FaultKind.LATE_ANNOUNCEMENTS}
+    KINDS = {
+        FaultKind.LOST_ANNOUNCEMENTS,
+        FaultKind.LATE_ANNOUNCEMENTS,
+        FaultKind.LOST_PEER_REPLIES,
+    }
 
     def kinds(self, **options):
         schedules = [draw_schedule(seed, **options) for seed in range(1, 11)]
