Let workers drain and leave in the simulation

Workers only restarted at once, and entries that vanished came back within 6 s whatever the coordinator did with the session. So no run ended with a worker that had announced its leave, and no schedule was drawn for the window in which a session is closed while its runs go on under their leases.

The kind "drain" writes an entry that says so, lets the worker leave with its runs 2 to 6 s later, and starts it again under its id after 0.5 to 6 s. The kind "entry removed for long" takes an entry away for 2.6 to 8 s while calls and runs are not concerned. Both have weight 0 by default and are drawn by LEAVING_WEIGHT_BY_KIND (--clients leaving).

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -20,6 +20,7 @@
 from ._run_records import AcknowledgedEnd, RunInterval, SentStop
 from ._runs import DrawnRuns
 from ._schedule import (
+    LEAVING_WEIGHT_BY_KIND,
     UNHEARD_WEIGHT_BY_KIND,
     Fault,
     FaultKind,
@@ -35,6 +36,7 @@
 __all__ = [
     "CALL_TIMEOUT_S",
     "INVARIANTS",
+    "LEAVING_WEIGHT_BY_KIND",
     "MAX_LEASE_S",
     "UNHEARD_WEIGHT_BY_KIND",
     "AcknowledgedEnd",
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -29,11 +29,11 @@
 from ..workflows.model import FINAL_STATES, WorkflowState
 from ._announcements import Announcement, Announcements
 from ._clients import Clients
-from ._entries import EntryCodec, entry_document
 from ._faults import MODEL_BY_KIND, FaultModel
 from ._history import Cancellation, Event, History, JobOutcome
 from ._node import UNIX_TIME_S, Node
 from ._peers import node_address, node_name
+from ._registry import Registry
 from ._runs import DrawnRuns
 from ._schedule import (
     DURATION_S,
@@ -64,6 +64,7 @@
         clock: Clock of everything in the cluster.
         contents: Contents of the store.
         workers: The workers.
+        registry: Entries of the workers.
         announcements: Carries announcements to the coordinators.
         has_intake: Whether clients call the nodes; otherwise submissions and
             cancellations are written to the store.
@@ -74,6 +75,7 @@
     def __init__(self, schedule: Schedule) -> None:
         self.clock = Clock()
         self.contents = StoreContents()
+        self.registry = Registry(self.contents, self._is_entry_removed)
         self._schedule = schedule
         self._events: list[Event] = []
         self._active_faults: list[Fault] = []
@@ -100,7 +102,7 @@
     def play(self) -> History:
         """Play the schedule to its end."""
         for worker in self.workers.workers_by_id.values():
-            self.register(worker)
+            self.registry.write(worker)
         self.begin_term(0)
         self.clock.callLater(RENEW_INTERVAL_S, self._renew_lease)
         submit = self._clients.submit if self.has_intake else self._submit
@@ -126,15 +128,6 @@
         """Return a worker by its index."""
         return list(self.workers.workers_by_id.values())[index % WORKERS]
 
-    def register(self, worker: ProtocolWorker) -> None:
-        """Write the registry entry of a worker's process."""
-        document = entry_document(worker.process.started_ms)
-        self.contents.put(EntryCodec.prefix + worker.worker_id, json.dumps(document))
-
-    def unregister(self, worker: ProtocolWorker) -> None:
-        """Remove the registry entry of a worker."""
-        self.contents.remove(EntryCodec.prefix + worker.worker_id)
-
     # Faults.
 
     def is_active(self, kind: FaultKind, target: int | None = None) -> bool:
@@ -144,6 +137,11 @@
             for fault in self._active_faults
         )
 
+    def _is_entry_removed(self, worker: ProtocolWorker) -> bool:
+        target = list(self.workers.workers_by_id).index(worker.worker_id)
+        kinds = (FaultKind.REMOVED_ENTRY, FaultKind.LONG_REMOVED_ENTRY)
+        return any(self.is_active(kind, target) for kind in kinds)
+
     def _begin_fault(self, model: FaultModel, fault: Fault) -> None:
         self._active_faults.append(fault)
         self.log(f"fault: {model.describe(fault)}")
--- a/src/redwingrudder/simulation/_entries.py
+++ b/src/redwingrudder/simulation/_entries.py
@@ -7,6 +7,7 @@
 from ..workflows.model import Resources, WorkerFacts
 
 ADDRESS = "10.0.0.1:80"  # of all workers; their channels are given by id
+DRAIN_S = 2.0  # for which a draining worker stays at least
 CAPACITY = Resources(128_000, 262_144, 8)
 
 
@@ -17,18 +18,26 @@
 
     def decode(self, key: str, document: str) -> WorkerFacts | None:
         """See base class."""
+        entry = json.loads(document)
         return WorkerFacts(
             worker_id=key.removeprefix(self.prefix),
-            process_started_ms=json.loads(document)["started_ms"],
+            process_started_ms=entry["started_ms"],
             address=ADDRESS,
             pool="pool",
             failure_domain="domain",
             rack="r1",
             labels=frozenset({"a", "r1"}),
             capacity=CAPACITY,
+            draining=entry["draining"],
+            remaining_s=DRAIN_S if entry["draining"] else 0.0,
         )
 
 
-def entry_document(process_started_ms: int) -> dict[str, Any]:
-    """Return the entry of a worker's process by its start time."""
-    return {"started_ms": process_started_ms}
+def entry_document(process_started_ms: int, draining: bool = False) -> dict[str, Any]:
+    """Return the entry of a worker's process.
+
+    Args:
+        process_started_ms: Start time of the process.
+        draining: Whether it is about to leave.
+    """
+    return {"started_ms": process_started_ms, "draining": draining}
--- a/src/redwingrudder/simulation/_faults.py
+++ b/src/redwingrudder/simulation/_faults.py
@@ -64,7 +64,8 @@
     def end(self, cluster: "Cluster", fault: Fault) -> None:
         """See base class."""
         if not cluster.is_active(fault.kind, fault.target):
-            cluster.worker(fault.target).silent = False
+            worker = cluster.worker(fault.target)
+            worker.silent = worker.worker_id in cluster.registry.left_ids
 
 
 class Mute(FaultModel):
@@ -90,25 +91,47 @@
     def begin(self, cluster: "Cluster", fault: Fault) -> None:
         """See base class."""
         worker = cluster.worker(fault.target)
-        worker.restart()
-        cluster.clock.callLater(fault.delay_s, self._register, cluster, fault)
-
-    def _register(self, cluster: "Cluster", fault: Fault) -> None:
-        if not cluster.is_active(FaultKind.REMOVED_ENTRY, fault.target):
-            cluster.register(cluster.worker(fault.target))
+        if worker.worker_id not in cluster.registry.left_ids:
+            worker.restart()
+        cluster.clock.callLater(fault.delay_s, cluster.registry.write, worker)
 
 
 class RemovedEntry(FaultModel):
-    """The registry entry of a worker vanishes and comes back."""
+    """The registry entry of a worker vanishes and comes back.
+
+    The worker, its runs and its calls are not concerned.
+    """
 
     def begin(self, cluster: "Cluster", fault: Fault) -> None:
         """See base class."""
-        cluster.unregister(cluster.worker(fault.target))
+        cluster.registry.remove(cluster.worker(fault.target))
 
     def end(self, cluster: "Cluster", fault: Fault) -> None:
         """See base class."""
-        if not cluster.is_active(fault.kind, fault.target):
-            cluster.register(cluster.worker(fault.target))
+        cluster.registry.write(cluster.worker(fault.target))
+
+
+class Drain(FaultModel):
+    """A worker drains, leaves with all of its runs, and comes back later."""
+
+    def describe(self, fault: Fault) -> str:
+        """See base class."""
+        return f"{super().describe(fault)}, back {fault.delay_s:.1f} s later"
+
+    def begin(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        worker = cluster.worker(fault.target)
+        if worker.worker_id not in cluster.registry.left_ids:
+            cluster.registry.drain(worker)
+
+    def end(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        if cluster.registry.leave(cluster.worker(fault.target)):
+            cluster.clock.callLater(fault.delay_s, self._come_back, cluster, fault)
+
+    def _come_back(self, cluster: "Cluster", fault: Fault) -> None:
+        silent = cluster.is_active(FaultKind.SILENCE, fault.target)
+        cluster.registry.come_back(cluster.worker(fault.target), silent)
 
 
 class StoreFault(FaultModel):
@@ -270,4 +293,6 @@
     FaultKind.LOST_ANNOUNCEMENTS: LostAnnouncements(),
     FaultKind.LATE_ANNOUNCEMENTS: LateAnnouncements(),
     FaultKind.LOST_PEER_REPLIES: LostPeerReplies(),
+    FaultKind.DRAIN: Drain(),
+    FaultKind.LONG_REMOVED_ENTRY: RemovedEntry(),
 }
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -27,6 +27,10 @@
 FAULT_DURATION_S = (0.3, 6.0)
 ENTRY_DELAY_S = (0.0, 2.0)  # from a restart to the entry of the new process
 ANNOUNCED_LATE_BY_S = (0.3, 6.0)
+LEAVES_AFTER_S = (2.0, 6.0)  # from the report that a worker drains
+AWAY_S = (0.5, 6.0)
+# The coordinator closes the session of a worker without an entry within this.
+LONG_REMOVED_S = (2.6, 8.0)
 # Share of restarts with a silent time that begins at most SILENT_BEFORE_S
 # earlier, as before a crash of a busy machine.
 SILENT_RESTART_SHARE = 0.5
@@ -57,6 +61,8 @@
     LOST_ANNOUNCEMENTS = "lost announcements"
     LATE_ANNOUNCEMENTS = "late announcements"
     LOST_PEER_REPLIES = "lost replies of peers"
+    DRAIN = "drain"
+    LONG_REMOVED_ENTRY = "entry removed for long"
 
 
 WEIGHT_BY_KIND = {
@@ -76,6 +82,8 @@
     FaultKind.LOST_ANNOUNCEMENTS: 0,
     FaultKind.LATE_ANNOUNCEMENTS: 0,
     FaultKind.LOST_PEER_REPLIES: 0,
+    FaultKind.DRAIN: 0,
+    FaultKind.LONG_REMOVED_ENTRY: 0,
 }
 
 # Weights under which what the coordinator learns of clients is disturbed.
@@ -91,8 +99,21 @@
     FaultKind.LOST_PEER_REPLIES: 1,
 }
 
+# Weights under which workers leave and their entries vanish.
+LEAVING_WEIGHT_BY_KIND = {
+    **UNHEARD_WEIGHT_BY_KIND,
+    FaultKind.DRAIN: 5,
+    FaultKind.LONG_REMOVED_ENTRY: 4,
+}
+
+_DURATION_S_BY_KIND = {
+    FaultKind.DRAIN: LEAVES_AFTER_S,
+    FaultKind.LONG_REMOVED_ENTRY: LONG_REMOVED_S,
+}
+
 _DELAY_S_BY_KIND = {
     FaultKind.RESTART: ENTRY_DELAY_S,
+    FaultKind.DRAIN: AWAY_S,
     FaultKind.LATE_ANNOUNCEMENTS: ANNOUNCED_LATE_BY_S,
 }
 
@@ -264,7 +285,7 @@
             rng.uniform(FIRST_FAULT_S, LAST_JOB_S),
             kind,
             rng.randrange(WORKERS),
-            rng.uniform(*FAULT_DURATION_S),
+            rng.uniform(*_DURATION_S_BY_KIND.get(kind, FAULT_DURATION_S)),
             rng.uniform(*_DELAY_S_BY_KIND.get(kind, LATE_BY_S)),
         )
         faults.append(fault)
--- a/tests/run_simulation.py
+++ b/tests/run_simulation.py
@@ -4,7 +4,8 @@
 With ``--seed N`` one schedule is played and its timeline printed, with
 ``--shrink`` the shortest part of it that still breaks the same invariants.
 With ``--clients`` the jobs come from clients of the nodes, and what the
-coordinator learns of them is disturbed more often.
+coordinator learns of them is disturbed more often; with ``--clients leaving``
+workers leave as well, and their entries vanish for longer.
 """
 
 import argparse
@@ -18,6 +19,7 @@
 
 from redwingrudder.simulation import (
     INVARIANTS,
+    LEAVING_WEIGHT_BY_KIND,
     UNHEARD_WEIGHT_BY_KIND,
     Violation,
     ViolationClass,
@@ -28,6 +30,11 @@
 )
 from redwingrudder.workflows.model import WorkflowState
 
+WEIGHTS_BY_NAME = {
+    "unheard": UNHEARD_WEIGHT_BY_KIND,
+    "leaving": LEAVING_WEIGHT_BY_KIND,
+}
+
 
 class SeedResult(NamedTuple):
     """What one schedule came to.
@@ -53,17 +60,17 @@
         return [v for v in self.violations if v.classification is violation_class]
 
 
-def draw(seed, has_clients):
-    """Return the schedule of a seed, with or without clients of the nodes."""
-    if has_clients:
-        return draw_schedule(seed, UNHEARD_WEIGHT_BY_KIND, has_clients=True)
-    return draw_schedule(seed)
+def draw(seed, weights):
+    """Return the schedule of a seed, with clients if weights are named."""
+    if weights is None:
+        return draw_schedule(seed)
+    return draw_schedule(seed, WEIGHTS_BY_NAME[weights], has_clients=True)
 
 
-def play_seed(seed, has_clients):
+def play_seed(seed, weights):
     """Play the schedule of a seed."""
     logging.disable()
-    history = play_schedule(draw(seed, has_clients))
+    history = play_schedule(draw(seed, weights))
     ended = [job for job in history.jobs if job.ended_at is not None]
     return SeedResult(
         seed,
@@ -75,9 +82,9 @@
     )
 
 
-def play_seeds(seeds, processes, has_clients):
+def play_seeds(seeds, processes, weights):
     """Yield the results of seeds in their order."""
-    play = functools.partial(play_seed, has_clients=has_clients)
+    play = functools.partial(play_seed, weights=weights)
     if processes == 1:
         yield from map(play, seeds)
         return
@@ -85,11 +92,11 @@
         yield from pool.imap(play, seeds, chunksize=5)
 
 
-def play_many(first, count, processes, has_clients):
+def play_many(first, count, processes, weights):
     """Play schedules and print a summary; return those with findings."""
     began = time.monotonic()
     results = []
-    for result in play_seeds(range(first, first + count), processes, has_clients):
+    for result in play_seeds(range(first, first + count), processes, weights):
         results.append(result)
         for violation in result.violations:
             print(f"seed {result.seed}: {violation}", flush=True)
@@ -132,10 +139,10 @@
     )
 
 
-def play_one(seed, is_shrunk, has_clients):
+def play_one(seed, is_shrunk, weights):
     """Play one schedule and print its timeline and violations."""
     logging.disable()
-    schedule = draw(seed, has_clients)
+    schedule = draw(seed, weights)
     if is_shrunk:
         schedule = shrink_seed(schedule)
     history = play_schedule(schedule)
@@ -155,7 +162,9 @@
     parser.add_argument("--processes", type=int, default=2)
     parser.add_argument("--seed", type=int)
     parser.add_argument("--shrink", action="store_true")
-    parser.add_argument("--clients", action="store_true")
+    parser.add_argument(
+        "--clients", nargs="?", const="unheard", choices=WEIGHTS_BY_NAME
+    )
     options = parser.parse_args()
     if options.seed is not None:
         findings = play_one(options.seed, options.shrink, options.clients)
--- a/tests/test_simulation_models.py
+++ b/tests/test_simulation_models.py
@@ -4,7 +4,7 @@
 import unittest
 
 from redwingrudder.simulation import (
-    UNHEARD_WEIGHT_BY_KIND,
+    LEAVING_WEIGHT_BY_KIND,
     ClientPlan,
     Fault,
     FaultKind,
@@ -170,11 +170,58 @@
         self.assertEqual(history.runs, ())
 
 
+class LeavingTests(ModelTestCase):
+    """A job of one task, whose worker leaves or loses its entry."""
+
+    JOB = Job(1.0, "job", 1, False, 1, 1, None)
+
+    def play(self, kind, duration_s, delay_s=1.5, *faults):
+        first = Schedule(SEED, (self.JOB,), ())
+        run = play_schedule(first).runs[0]
+        self.worker_id = run.worker_id
+        target = int(run.worker_id.removeprefix("w")) - 1
+        fault = Fault(1.5, kind, target, duration_s, delay_s)
+        return play_schedule(first._replace(faults=(fault, *faults)))
+
+    def test_drained_worker_takes_its_runs_along(self):
+        """Guards against a worker that leaves and whose runs go on."""
+        history = self.play(FaultKind.DRAIN, 2.5)
+        left_at = self.first_event(history, f"{self.worker_id}.1 leaves")
+        back_at = self.first_event(history, f"{self.worker_id}.2 comes back")
+        self.assertAlmostEqual(left_at, 4.0)
+        self.assertAlmostEqual(back_at, 5.5)
+        for run in history.runs:
+            if run.worker_id == self.worker_id:
+                self.assertFalse(run.begin < left_at < run.end, run)
+                self.assertFalse(left_at < run.begin < back_at, run)
+
+    def test_coordinator_reads_that_a_worker_drains(self):
+        """Guards against entries that do not say that their worker leaves."""
+        history = self.play(FaultKind.DRAIN, 8.0)
+        begins = [r.begin for r in history.runs if r.worker_id == self.worker_id]
+        self.assertLess(max(begins), 1.5)
+        self.assertGreater(len(history.runs), 1)
+
+    def test_process_that_has_replaced_a_draining_one_stays(self):
+        """Guards against the end of a drain that ends another process."""
+        restarts = (Fault(2.0, FaultKind.RESTART, t, 0.1, 0.1) for t in range(3))
+        history = self.play(FaultKind.DRAIN, 2.5, 1.5, *restarts)
+        self.assertNotIn("leaves", history.timeline())
+
+    def test_runs_go_on_without_an_entry(self):
+        """Guards against a worker that ends with its entry."""
+        history = self.play(FaultKind.LONG_REMOVED_ENTRY, 8.0)
+        first = history.runs[0]
+        self.assertGreater(first.end, 1.5 + 2.5)
+
+
 class DrawnWeightTests(ModelTestCase):
     KINDS = {
         FaultKind.LOST_ANNOUNCEMENTS,
         FaultKind.LATE_ANNOUNCEMENTS,
         FaultKind.LOST_PEER_REPLIES,
+        FaultKind.DRAIN,
+        FaultKind.LONG_REMOVED_ENTRY,
     }
 
     def kinds(self, **options):
@@ -184,7 +231,7 @@
     def test_kinds_without_a_weight_are_not_drawn(self):
         """Guards against seeds that give other schedules than before."""
         self.assertFalse(self.kinds() & self.KINDS)
-        kinds = self.kinds(weight_by_kind=UNHEARD_WEIGHT_BY_KIND)
+        kinds = self.kinds(weight_by_kind=LEAVING_WEIGHT_BY_KIND)
         self.assertLessEqual(self.KINDS, kinds)
 
 
