Give jobs of the simulation a second step

All jobs had one step, so no schedule could show a step that begins before the one it waits for is done.

A share of the jobs (--clients steps; 0 by default) has a second step of one to three tasks, drawn from a stream of its own. DrawnRuns notes the runs of second steps that begin before the first one is done: all of its tasks, or one member of a gang. The history lists them.

--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -85,10 +85,11 @@
         self._term = 0
         self._leader: int | None = None
         self._lease_confirmed_at = 0.0
+        self._runs = DrawnRuns(self.clock, schedule)
         self.workers = ProtocolWorkers(
             self.clock,
             *(f"w{index + 1}" for index in range(WORKERS)),
-            behaviour=DrawnRuns(self.clock, schedule),
+            behaviour=self._runs,
             log=self.log,
         )
         self.announcements = Announcements(self.clock, self._tell, self.log)
@@ -295,7 +296,8 @@
                 for job in self._schedule.jobs
             ),
             tuple(self._events),
-            tuple(self._clients.submissions_by_id.values()),
+            submissions=tuple(self._clients.submissions_by_id.values()),
+            early_runs=tuple(self._runs.early),
         )
 
 
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from ..workflows.model import WorkflowState
+from ..workflows.model import TaskKey, WorkflowState
 from ._run_records import AcknowledgedEnd, RunInterval, SentStop
 
 
@@ -65,6 +65,8 @@
         jobs: All submitted jobs.
         events: Lines about all events, in their order.
         submissions: All jobs that clients have submitted.
+        early_runs: Runs of second steps that began before the first step was
+            done: their task and number.
     """
 
     runs: tuple[RunInterval, ...] = ()
@@ -74,6 +76,7 @@
     jobs: tuple[JobOutcome, ...] = ()
     events: tuple[Event, ...] = ()
     submissions: tuple[Submission, ...] = ()
+    early_runs: tuple[tuple[TaskKey, int], ...] = ()
 
     def timeline(self) -> str:
         """Return the events, one a line, with times in seconds."""
--- a/src/redwingrudder/simulation/_runs.py
+++ b/src/redwingrudder/simulation/_runs.py
@@ -29,11 +29,17 @@
     Args:
         clock: Clock of the simulation.
         schedule: The schedule.
+
+    Attributes:
+        early: Runs of second steps that began before the first step was done.
     """
 
     def __init__(self, clock: IReactorTime, schedule: Schedule) -> None:
         self._clock = clock
         self._seed = schedule.seed
+        self.early: list[tuple[TaskKey, int]] = []
+        self._job_by_id = {job.workflow_id: job for job in schedule.jobs}
+        self._done_keys: set[TaskKey] = set()
         self._gang_size_by_id = {
             job.workflow_id: job.tasks for job in schedule.jobs if job.gang
         }
@@ -41,13 +47,15 @@
 
     def stop_duration_s(self, key: TaskKey, run: int) -> float:
         """See base class."""
-        return draw_run(self._seed, key.workflow_id, key.index, run).stop_s
+        return self._draw(key, run).stop_s
 
     def begun(self, process: WorkerProcess, key: TaskKey, run: int) -> None:
         """See base class."""
-        size = self._gang_size_by_id.get(key.workflow_id)
+        if key.step and not self._is_first_step_done(key):
+            self.early.append((key, run))
+        size = None if key.step else self._gang_size_by_id.get(key.workflow_id)
         if size is None:
-            plan = draw_run(self._seed, key.workflow_id, key.index, run)
+            plan = self._draw(key, run)
             self._finish_later(_Member(process, key, run), plan.duration_s, plan.kind)
             return
         members = self._members(key, run)
@@ -65,7 +73,9 @@
         self, process: WorkerProcess, key: TaskKey, run: int, kind: EndKind
     ) -> None:
         """See base class."""
-        if key.workflow_id not in self._gang_size_by_id:
+        if kind is EndKind.DONE:
+            self._done_keys.add(key)
+        if key.step or key.workflow_id not in self._gang_size_by_id:
             return
         members = self._members(key, run)
         member = members.get(key.index)
@@ -76,6 +86,16 @@
             for other in members.values():
                 self._finish_later(other, BROKEN_AFTER_S, EndKind.BROKEN)
 
+    def _draw(self, key: TaskKey, run: int) -> RunPlan:
+        return draw_run(self._seed, key.workflow_id, key.index, run, key.step)
+
+    def _is_first_step_done(self, key: TaskKey) -> bool:
+        """Return whether all tasks are done, or one member of a gang."""
+        job = self._job_by_id[key.workflow_id]
+        keys = {key._replace(step=0, index=index) for index in range(job.tasks)}
+        done = keys & self._done_keys
+        return bool(done) if job.gang else done == keys
+
     def _members(self, key: TaskKey, run: int) -> dict[int, _Member]:
         return self._members_by_gang_run.setdefault((key.workflow_id, run), {})
 
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -130,6 +130,8 @@
         priority: Priority of the queue; 0 is the most urgent.
         cancel_after_s: Seconds from the submission to the cancellation, None
             if the job is not cancelled.
+        second_tasks: Number of tasks of a second step, which begins once the
+            first one is done; 0 if there is none.
     """
 
     at_s: float
@@ -139,10 +141,12 @@
     accelerators: int
     priority: int
     cancel_after_s: float | None
+    second_tasks: int = 0
 
     def describe(self) -> str:
         """Return the size of the job."""
-        return f"{'gang of ' if self.gang else ''}{self.tasks} tasks"
+        first = f"{'gang of ' if self.gang else ''}{self.tasks} tasks"
+        return f"{first}, then {self.second_tasks}" if self.second_tasks else first
 
     def workflow(self, accepted_at: float) -> Workflow:
         """Return the workflow of the job.
@@ -152,13 +156,14 @@
         """
         demand = Resources(TASK_CPU_MILLIS, TASK_MEMORY_MB, self.accelerators)
         step = StepSpec(self.tasks, demand, ESTIMATE_S, gang=self.gang)
+        second = StepSpec(self.second_tasks, demand, ESTIMATE_S, after=(0,))
         policy = QueuePolicy("pool", self.priority, ATTEMPTS)
         return Workflow(
             self.workflow_id,
             f"queue-{self.priority}",
             "organisation",
             "payload",
-            (step,),
+            (step, second) if self.second_tasks else (step,),
             policy,
             accepted_at,
         )
@@ -218,6 +223,7 @@
     seed: int,
     weight_by_kind: Mapping[FaultKind, int] = WEIGHT_BY_KIND,
     has_clients: bool = False,
+    second_step_share: float = 0.0,
 ) -> Schedule:
     """Return the schedule of a seed.
 
@@ -225,8 +231,10 @@
         seed: The seed.
         weight_by_kind: Weights with which the kinds of faults are drawn.
         has_clients: Whether the jobs have clients.
+        second_step_share: Share of the jobs that have a second step.
     """
-    jobs, faults = _draw_jobs(seed), _draw_faults(seed, weight_by_kind)
+    jobs = tuple(_add_step(seed, job, second_step_share) for job in _draw_jobs(seed))
+    faults = _draw_faults(seed, weight_by_kind)
     clients = tuple(
         draw_client(seed, job.workflow_id, job.cancel_after_s, NODES)
         for job in jobs
@@ -235,7 +243,9 @@
     return Schedule(seed, jobs, faults, clients)
 
 
-def draw_run(seed: int, workflow_id: str, index: int, run: int) -> RunPlan:
+def draw_run(
+    seed: int, workflow_id: str, index: int, run: int, step: int = 0
+) -> RunPlan:
     """Return how a run ends; it does not depend on the other runs.
 
     Args:
@@ -243,8 +253,10 @@
         workflow_id: Id of the job.
         index: Index of the task, 0 for all members of a gang.
         run: Number of the run.
+        step: Index of the step.
     """
-    rng = random.Random(f"{seed} run {workflow_id} {index} {run}")
+    task = f"{step}.{index}" if step else f"{index}"
+    rng = random.Random(f"{seed} run {workflow_id} {task} {run}")
     kind = EndKind.FAILED if rng.random() < FAILED_SHARE else EndKind.DONE
     return RunPlan(rng.uniform(*RUN_TIME_S), kind, rng.uniform(0.0, MAX_STOP_S))
 
@@ -271,6 +283,13 @@
     return tuple(jobs)
 
 
+def _add_step(seed: int, job: Job, share: float) -> Job:
+    rng = random.Random(f"{seed} steps {job.workflow_id}")
+    if rng.random() >= share:
+        return job
+    return job._replace(second_tasks=rng.randint(*TASKS))
+
+
 def _draw_faults(
     seed: int, weight_by_kind: Mapping[FaultKind, int]
 ) -> tuple[Fault, ...]:
--- a/tests/run_simulation.py
+++ b/tests/run_simulation.py
@@ -5,7 +5,8 @@
 ``--shrink`` the shortest part of it that still breaks the same invariants.
 With ``--clients`` the jobs come from clients of the nodes, and what the
 coordinator learns of them is disturbed more often; with ``--clients leaving``
-workers leave as well, and their entries vanish for longer.
+workers leave as well, and their entries vanish for longer; with ``--clients
+steps`` half of the jobs have a second step, too.
 """
 
 import argparse
@@ -33,7 +34,9 @@
 WEIGHTS_BY_NAME = {
     "unheard": UNHEARD_WEIGHT_BY_KIND,
     "leaving": LEAVING_WEIGHT_BY_KIND,
+    "steps": LEAVING_WEIGHT_BY_KIND,
 }
+SECOND_STEP_SHARE = 0.5
 
 
 class SeedResult(NamedTuple):
@@ -64,7 +67,8 @@
     """Return the schedule of a seed, with clients if weights are named."""
     if weights is None:
         return draw_schedule(seed)
-    return draw_schedule(seed, WEIGHTS_BY_NAME[weights], has_clients=True)
+    share = SECOND_STEP_SHARE if weights == "steps" else 0.0
+    return draw_schedule(seed, WEIGHTS_BY_NAME[weights], True, share)
 
 
 def play_seed(seed, weights):
--- a/tests/test_simulation_models.py
+++ b/tests/test_simulation_models.py
@@ -3,16 +3,23 @@
 import logging
 import unittest
 
+from twisted.internet.task import Clock
+
 from redwingrudder.simulation import (
     LEAVING_WEIGHT_BY_KIND,
     ClientPlan,
+    DrawnRuns,
     Fault,
     FaultKind,
     Job,
+    ProtocolWorkers,
     Schedule,
     draw_schedule,
     play_schedule,
 )
+from redwingrudder.workflows.model import EndKind, WorkflowState
+
+from . import workflow_fixtures as fx
 
 NO_DELAY_S = 0.0
 SEED = 6  # with a first run of "job" that takes 4.7 s
@@ -215,6 +222,56 @@
         self.assertGreater(first.end, 1.5 + 2.5)
 
 
+class StepTests(ModelTestCase):
+    """A job whose second step has to wait for the two tasks of the first."""
+
+    def test_second_step_is_run_after_the_first(self):
+        """Guards against schedules in which no second step begins."""
+        for gang in (False, True):
+            job = Job(1.0, "job", 2, gang, 1, 1, None, 2)
+            history = play_schedule(Schedule(SHORT_SEED, (job,), ()))
+            with self.subTest(gang=gang):
+                self.assertEqual({run.key.step for run in history.runs}, {0, 1})
+                self.assertIs(history.jobs[0].state, WorkflowState.DONE)
+                self.assertEqual(history.early_runs, ())
+
+    def early_runs(self, gang, done_indexes):
+        """Begin the second step after the end of some tasks of the first."""
+        clock = Clock()
+        job = Job(0.0, "job", 2, gang, 1, 1, None, 1)
+        behaviour = DrawnRuns(clock, Schedule(SEED, (job,), ()))
+        workers = ProtocolWorkers(clock, "w1", behaviour=behaviour)
+        process = workers.workers_by_id["w1"].process
+        for index in (0, 1):
+            key = fx.key("job", index=index)
+            process.start(1, key, 1, 6000)
+            kind = EndKind.DONE if index in done_indexes else EndKind.STOPPED
+            process.end(key, kind)
+        process.start(1, fx.key("job")._replace(step=1), 1, 6000)
+        return behaviour.early
+
+    def test_early_begin_is_found(self):
+        """Guards against a model that misses a step that is out of order."""
+        early = [(fx.key("job")._replace(step=1), 1)]
+        for gang, done_indexes, expected in (
+            (False, (), early),
+            (False, (1,), early),
+            (False, (0, 1), []),
+            (True, (), early),
+            # One end as done represents all members of a gang.
+            (True, (1,), []),
+        ):
+            with self.subTest(gang=gang, done_indexes=done_indexes):
+                self.assertEqual(self.early_runs(gang, done_indexes), expected)
+
+    def test_second_steps_are_drawn_only_if_asked_for(self):
+        """Guards against seeds that give other schedules than before."""
+        plain, stepped = draw_schedule(1), draw_schedule(1, second_step_share=0.5)
+        self.assertTrue(any(job.second_tasks for job in stepped.jobs))
+        jobs = tuple(job._replace(second_tasks=0) for job in stepped.jobs)
+        self.assertEqual(plain, stepped._replace(jobs=jobs))
+
+
 class DrawnWeightTests(ModelTestCase):
     KINDS = {
         FaultKind.LOST_ANNOUNCEMENTS,
