--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -6,11 +6,15 @@
 
 from ._client_plans import ClientPlan
 from ._cluster import play_schedule
+from ._disruptions import Disruption
 from ._history import Cancellation, Event, History, JobOutcome, Submission
 from ._invariants import (
+    CANCEL_BOUND_S,
+    CONTACT_BOUND_S,
     INVARIANTS,
     AtMostOneRun,
     Invariant,
+    NoRunAfterCancel,
     NoStartAfterCancel,
     NoStartAfterDone,
     Violation,
@@ -35,6 +39,8 @@
 
 __all__ = [
     "CALL_TIMEOUT_S",
+    "CANCEL_BOUND_S",
+    "CONTACT_BOUND_S",
     "INVARIANTS",
     "LEAVING_WEIGHT_BY_KIND",
     "MAX_LEASE_S",
@@ -43,6 +49,7 @@
     "AtMostOneRun",
     "Cancellation",
     "ClientPlan",
+    "Disruption",
     "DrawnRuns",
     "Event",
     "Fault",
@@ -52,6 +59,7 @@
     "Job",
     "JobOutcome",
     "MemoryStore",
+    "NoRunAfterCancel",
     "NoStartAfterCancel",
     "NoStartAfterDone",
     "ProtocolWorkers",
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -29,6 +29,7 @@
 from ..workflows.model import FINAL_STATES, WorkflowState
 from ._announcements import Announcement, Announcements
 from ._clients import Clients
+from ._disruptions import Lead, find_disruptions
 from ._faults import MODEL_BY_KIND, FaultModel
 from ._history import Cancellation, Event, History, JobOutcome
 from ._node import UNIX_TIME_S, Node
@@ -84,6 +85,7 @@
         self._seen_changes = 0
         self._term = 0
         self._leader: int | None = None
+        self._leads: list[Lead] = []
         self._lease_confirmed_at = 0.0
         self._runs = DrawnRuns(self.clock, schedule)
         self.workers = ProtocolWorkers(
@@ -159,6 +161,7 @@
         """Let a node begin a new term."""
         self._term += 1
         self._leader = index
+        self._leads.append(Lead(self.clock.seconds(), index))
         self.contents.put(TERM_KEY, str(self._term))
         revision = self.contents.items_by_key[TERM_KEY].mod_revision
         self._lease_confirmed_at = self.clock.seconds()
@@ -178,6 +181,7 @@
         self._tell(index, EndTerm(reason))
         if self._leader == index:
             self._leader = None
+            self._leads.append(Lead(self.clock.seconds(), None))
 
     def take_over(self) -> None:
         """Begin a term on the next node, which the last one does not know."""
@@ -298,6 +302,14 @@
             tuple(self._events),
             submissions=tuple(self._clients.submissions_by_id.values()),
             early_runs=tuple(self._runs.early),
+            disruptions=find_disruptions(
+                self._schedule,
+                self._leads,
+                DEPOSED_AFTER_S,
+                workers,
+                [node.store for node in self.nodes],
+            ),
+            ended_at=self.clock.seconds(),
         )
 
 
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -1,8 +1,10 @@
 """What happened in a schedule, and a text form of it."""
 
+import math
 from typing import NamedTuple
 
 from ..workflows.model import TaskKey, WorkflowState
+from ._disruptions import Disruption
 from ._run_records import AcknowledgedEnd, RunInterval, SentStop
 
 
@@ -67,6 +69,8 @@
         submissions: All jobs that clients have submitted.
         early_runs: Runs of second steps that began before the first step was
             done: their task and number.
+        disruptions: All disruptions in the order of their begin.
+        ended_at: End of the history in clock seconds.
     """
 
     runs: tuple[RunInterval, ...] = ()
@@ -77,6 +81,8 @@
     events: tuple[Event, ...] = ()
     submissions: tuple[Submission, ...] = ()
     early_runs: tuple[tuple[TaskKey, int], ...] = ()
+    disruptions: tuple[Disruption, ...] = ()
+    ended_at: float = math.inf
 
     def timeline(self) -> str:
         """Return the events, one a line, with times in seconds."""
