--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -4,9 +4,10 @@
 without sockets. Nothing of the product's decisions depends on this package.
 """
 
+from ._client_plans import ClientPlan
 from ._cluster import play_schedule
 from ._disruptions import Disruption
-from ._history import Cancellation, Event, History, JobOutcome
+from ._history import Cancellation, Event, History, JobOutcome, Submission
 from ._invariants import (
     CANCEL_BOUND_S,
     CONTACT_BOUND_S,
@@ -29,7 +30,15 @@
     SentStop,
 )
 from ._runs import DrawnRuns
-from ._schedule import Fault, FaultKind, Job, Schedule, draw_schedule
+from ._schedule import (
+    LEAVING_WEIGHT_BY_KIND,
+    UNHEARD_WEIGHT_BY_KIND,
+    Fault,
+    FaultKind,
+    Job,
+    Schedule,
+    draw_schedule,
+)
 from ._shrink import shrink
 from ._store import CALL_TIMEOUT_S, MemoryStore, StoreContents
 from ._worker_process import MAX_LEASE_S, RunBehaviour
@@ -40,10 +49,13 @@
     "CANCEL_BOUND_S",
     "CONTACT_BOUND_S",
     "INVARIANTS",
+    "LEAVING_WEIGHT_BY_KIND",
     "MAX_LEASE_S",
+    "UNHEARD_WEIGHT_BY_KIND",
     "AcknowledgedEnd",
     "AtMostOneRun",
     "Cancellation",
+    "ClientPlan",
     "Disruption",
     "DrawnRuns",
     "Event",
@@ -66,6 +78,7 @@
     "SentStop",
     "StartsAsSubmitted",
     "StoreContents",
+    "Submission",
     "Violation",
     "ViolationClass",
     "draw_schedule",
--- a/src/redwingrudder/simulation/_disruptions.py
+++ b/src/redwingrudder/simulation/_disruptions.py
@@ -56,6 +56,12 @@
     FaultKind.HANGING_WATCHES: Reach.LEADER,
     FaultKind.HAND_OVER: Reach.NOBODY,
     FaultKind.TAKEOVER: Reach.NOBODY,
+    # The watch reports what an announcement would have.
+    FaultKind.LOST_ANNOUNCEMENTS: Reach.NOBODY,
+    FaultKind.LATE_ANNOUNCEMENTS: Reach.NOBODY,
+    FaultKind.LOST_PEER_REPLIES: Reach.NOBODY,
+    FaultKind.DRAIN: Reach.NOBODY,
+    FaultKind.LONG_REMOVED_ENTRY: Reach.WORKER,
 }
 
 
