Check refused jobs and the order of steps in memory

With clients and second steps in the schedules, two more rules can be checked: a job that a client was told never runs has no run, and no run of a second step begins before the first step is done. A client that had no answer to an earlier request is not counted as refused.

The invariants are joined in _checks. Their tests fail without the checks.

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -4,6 +4,7 @@
 without sockets. Nothing of the product's decisions depends on this package.
 """
 
+from ._checks import INVARIANTS, find_violations
 from ._client_plans import ClientPlan
 from ._cluster import play_schedule
 from ._disruptions import Disruption
@@ -11,7 +12,6 @@
 from ._invariants import (
     CANCEL_BOUND_S,
     CONTACT_BOUND_S,
-    INVARIANTS,
     AtMostOneRun,
     Invariant,
     NoRunAfterCancel,
@@ -19,8 +19,8 @@
     NoStartAfterDone,
     Violation,
     ViolationClass,
-    find_violations,
 )
+from ._job_invariants import NoStartOfRefused, StepsInOrder
 from ._run_records import AcknowledgedEnd, RunInterval, SentStop
 from ._runs import DrawnRuns
 from ._schedule import (
@@ -62,11 +62,13 @@
     "NoRunAfterCancel",
     "NoStartAfterCancel",
     "NoStartAfterDone",
+    "NoStartOfRefused",
     "ProtocolWorkers",
     "RunBehaviour",
     "RunInterval",
     "Schedule",
     "SentStop",
+    "StepsInOrder",
     "StoreContents",
     "Submission",
     "Violation",
--- /dev/null
+++ b/src/redwingrudder/simulation/_checks.py
@@ -0,0 +1,21 @@
+"""All invariants of histories."""
+
+from ._history import History
+from ._invariants import INVARIANTS as RUN_INVARIANTS
+from ._invariants import Invariant, Violation
+from ._job_invariants import NoStartOfRefused, StepsInOrder
+
+INVARIANTS: tuple[Invariant, ...] = (
+    *RUN_INVARIANTS,
+    NoStartOfRefused(),
+    StepsInOrder(),
+)
+
+
+def find_violations(history: History) -> list[Violation]:
+    """Return all violations of all invariants."""
+    return [
+        violation
+        for invariant in INVARIANTS
+        for violation in invariant.violations(history)
+    ]
--- a/src/redwingrudder/simulation/_invariants.py
+++ b/src/redwingrudder/simulation/_invariants.py
@@ -183,12 +183,3 @@
     NoStartAfterCancel(),
     NoRunAfterCancel(),
 )
-
-
-def find_violations(history: History) -> list[Violation]:
-    """Return all violations of all invariants."""
-    return [
-        violation
-        for invariant in INVARIANTS
-        for violation in invariant.violations(history)
-    ]
--- a/tests/test_simulation_models.py
+++ b/tests/test_simulation_models.py
@@ -11,10 +11,17 @@
     DrawnRuns,
     Fault,
     FaultKind,
+    History,
     Job,
+    NoStartOfRefused,
     ProtocolWorkers,
+    RunInterval,
     Schedule,
+    StepsInOrder,
+    Submission,
+    ViolationClass,
     draw_schedule,
+    find_violations,
     play_schedule,
 )
 from redwingrudder.workflows.model import EndKind, WorkflowState
@@ -272,6 +279,38 @@
         self.assertEqual(plain, stepped._replace(jobs=jobs))
 
 
+class JobInvariantTests(unittest.TestCase):
+    RUNS = (
+        RunInterval(fx.key("job"), 1, "w1", 1.0, 2.0, 1, 1, 1.0),
+        RunInterval(fx.key("other"), 1, "w1", 2.0, 3.0, 1, 1, 2.0),
+    )
+
+    def test_start_of_a_refused_job(self):
+        """Guards against a check that misses work that nobody waits for."""
+        submissions = (
+            Submission("job", refused=True),
+            Submission("other", acknowledged_at=1.9),
+        )
+        history = History(runs=self.RUNS, submissions=submissions)
+        (violation,) = NoStartOfRefused().violations(history)
+        self.assertEqual(violation.runs, self.RUNS[:1])
+        self.assertIs(violation.classification, ViolationClass.OTHER)
+        self.assertIn(violation, find_violations(history))
+
+    def test_start_of_an_unanswered_job_is_allowed(self):
+        """Guards against a check that fails what may have been accepted."""
+        history = History(runs=self.RUNS, submissions=(Submission("job"),))
+        self.assertEqual(NoStartOfRefused().violations(history), [])
+
+    def test_start_before_the_step_it_waits_for(self):
+        """Guards against a check that misses or invents early steps."""
+        early = ((self.RUNS[1].key, 1), (self.RUNS[0].key, 2))
+        history = History(runs=self.RUNS, early_runs=early)
+        (violation,) = StepsInOrder().violations(history)
+        self.assertEqual(violation.runs, self.RUNS[1:])
+        self.assertIn(violation, find_violations(history))
+
+
 class DrawnWeightTests(ModelTestCase):
     KINDS = {
         FaultKind.LOST_ANNOUNCEMENTS,
