--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -4,6 +4,7 @@
 without sockets. Nothing of the product's decisions depends on this package.
 """
 
+from ._checks import INVARIANTS, find_violations
 from ._client_plans import ClientPlan
 from ._cluster import play_schedule
 from ._disruptions import Disruption
@@ -11,7 +12,6 @@
 from ._invariants import (
     CANCEL_BOUND_S,
     CONTACT_BOUND_S,
-    INVARIANTS,
     AtMostOneRun,
     Invariant,
     NoRunAfterCancel,
@@ -20,8 +20,8 @@
     StartsAsSubmitted,
     Violation,
     ViolationClass,
-    find_violations,
 )
+from ._job_invariants import NoStartOfRefused, StepsInOrder
 from ._run_records import (
     AcknowledgedEnd,
     ProducedCheckpoint,
@@ -69,6 +69,7 @@
     "NoRunAfterCancel",
     "NoStartAfterCancel",
     "NoStartAfterDone",
+    "NoStartOfRefused",
     "ProducedCheckpoint",
     "ProtocolWorkers",
     "RunBehaviour",
@@ -77,6 +78,7 @@
     "SentStart",
     "SentStop",
     "StartsAsSubmitted",
+    "StepsInOrder",
     "StoreContents",
     "Submission",
     "Violation",
--- a/src/redwingrudder/simulation/_invariants.py
+++ b/src/redwingrudder/simulation/_invariants.py
@@ -234,12 +234,3 @@
     NoRunAfterCancel(),
     StartsAsSubmitted(),
 )
-
-
-def find_violations(history: History) -> list[Violation]:
-    """Return all violations of all invariants."""
-    return [
-        violation
-        for invariant in INVARIANTS
-        for violation in invariant.violations(history)
-    ]
