--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -22,6 +22,7 @@
     ViolationClass,
 )
 from ._job_invariants import NoStartOfRefused, StepsInOrder
+from ._profiles import PROFILES_BY_NAME, Profile
 from ._run_records import (
     AcknowledgedEnd,
     ProducedCheckpoint,
@@ -66,11 +67,13 @@
     "Job",
     "JobOutcome",
     "MemoryStore",
+    "PROFILES_BY_NAME",
     "NoRunAfterCancel",
     "NoStartAfterCancel",
     "NoStartAfterDone",
     "NoStartOfRefused",
     "ProducedCheckpoint",
+    "Profile",
     "ProtocolWorkers",
     "RunBehaviour",
     "RunInterval",
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -20,6 +20,7 @@
 URGENT_SHARE = 0.25  # of jobs that preempt others
 CANCELLED_SHARE = 0.15
 CANCEL_AFTER_S = (0.1, 6.0)
+EARLY_CANCEL_AFTER_S = (0.02, 3.0)
 CHECKPOINTS_SHARE = 0.4
 CHECKPOINT_INTERVAL_S = (0.3, 2.0)
 RUN_TIME_S = (0.5, 6.0)
@@ -241,6 +242,7 @@
     weight_by_kind: Mapping[FaultKind, int] = WEIGHT_BY_KIND,
     has_clients: bool = False,
     second_step_share: float = 0.0,
+    early_cancel_share: float | None = None,
 ) -> Schedule:
     """Return the schedule of a seed.
 
@@ -249,8 +251,12 @@
         weight_by_kind: Weights with which the kinds of faults are drawn.
         has_clients: Whether the jobs have clients.
         second_step_share: Share of the jobs that have a second step.
+        early_cancel_share: Share of the jobs that are cancelled soon after
+            their submission; None for the usual cancellations.
     """
     jobs = tuple(_add_step(seed, job, second_step_share) for job in _draw_jobs(seed))
+    if early_cancel_share is not None:
+        jobs = tuple(_cancel_early(seed, job, early_cancel_share) for job in jobs)
     faults = _draw_faults(seed, weight_by_kind)
     clients = tuple(
         draw_client(seed, job.workflow_id, job.cancel_after_s, NODES)
@@ -311,6 +317,12 @@
     return job._replace(second_tasks=rng.randint(*TASKS))
 
 
+def _cancel_early(seed: int, job: Job, share: float) -> Job:
+    rng = random.Random(f"{seed} cancellations {job.workflow_id}")
+    after_s = rng.uniform(*EARLY_CANCEL_AFTER_S) if rng.random() < share else None
+    return job._replace(cancel_after_s=after_s)
+
+
 def _draw_faults(
     seed: int, weight_by_kind: Mapping[FaultKind, int]
 ) -> tuple[Fault, ...]:
--- a/tests/run_simulation.py
+++ b/tests/run_simulation.py
@@ -3,10 +3,8 @@
 Call ``python -m tests.run_simulation --seeds 500 --first 1 --processes 2``.
 With ``--seed N`` one schedule is played and its timeline printed, with
 ``--shrink`` the shortest part of it that still breaks the same invariants.
-With ``--clients`` the jobs come from clients of the nodes, and what the
-coordinator learns of them is disturbed more often; with ``--clients leaving``
-workers leave as well, and their entries vanish for longer; with ``--clients
-steps`` half of the jobs have a second step, too.
+With ``--profile`` other faults, clients and cancellations are drawn; see
+``redwingrudder.simulation.PROFILES_BY_NAME``.
 """
 
 import argparse
@@ -20,24 +18,15 @@
 
 from redwingrudder.simulation import (
     INVARIANTS,
-    LEAVING_WEIGHT_BY_KIND,
-    UNHEARD_WEIGHT_BY_KIND,
+    PROFILES_BY_NAME,
     Violation,
     ViolationClass,
-    draw_schedule,
     find_violations,
     play_schedule,
     shrink,
 )
 from redwingrudder.workflows.model import WorkflowState
 
-WEIGHTS_BY_NAME = {
-    "unheard": UNHEARD_WEIGHT_BY_KIND,
-    "leaving": LEAVING_WEIGHT_BY_KIND,
-    "steps": LEAVING_WEIGHT_BY_KIND,
-}
-SECOND_STEP_SHARE = 0.5
-
 
 class SeedResult(NamedTuple):
     """What one schedule came to.
@@ -63,18 +52,10 @@
         return [v for v in self.violations if v.classification is violation_class]
 
 
-def draw(seed, weights):
-    """Return the schedule of a seed, with clients if weights are named."""
-    if weights is None:
-        return draw_schedule(seed)
-    share = SECOND_STEP_SHARE if weights == "steps" else 0.0
-    return draw_schedule(seed, WEIGHTS_BY_NAME[weights], True, share)
-
-
-def play_seed(seed, weights):
+def play_seed(seed, profile):
     """Play the schedule of a seed."""
     logging.disable()
-    history = play_schedule(draw(seed, weights))
+    history = play_schedule(PROFILES_BY_NAME[profile].draw(seed))
     ended = [job for job in history.jobs if job.ended_at is not None]
     return SeedResult(
         seed,
@@ -86,9 +67,9 @@
     )
 
 
-def play_seeds(seeds, processes, weights):
+def play_seeds(seeds, processes, profile):
     """Yield the results of seeds in their order."""
-    play = functools.partial(play_seed, weights=weights)
+    play = functools.partial(play_seed, profile=profile)
     if processes == 1:
         yield from map(play, seeds)
         return
@@ -96,11 +77,11 @@
         yield from pool.imap(play, seeds, chunksize=5)
 
 
-def play_many(first, count, processes, weights):
+def play_many(first, count, processes, profile):
     """Play schedules and print a summary; return those with findings."""
     began = time.monotonic()
     results = []
-    for result in play_seeds(range(first, first + count), processes, weights):
+    for result in play_seeds(range(first, first + count), processes, profile):
         results.append(result)
         for violation in result.violations:
             print(f"seed {result.seed}: {violation}", flush=True)
@@ -143,10 +124,10 @@
     )
 
 
-def play_one(seed, is_shrunk, weights):
+def play_one(seed, is_shrunk, profile):
     """Play one schedule and print its timeline and violations."""
     logging.disable()
-    schedule = draw(seed, weights)
+    schedule = PROFILES_BY_NAME[profile].draw(seed)
     if is_shrunk:
         schedule = shrink_seed(schedule)
     history = play_schedule(schedule)
@@ -166,15 +147,13 @@
     parser.add_argument("--processes", type=int, default=2)
     parser.add_argument("--seed", type=int)
     parser.add_argument("--shrink", action="store_true")
-    parser.add_argument(
-        "--clients", nargs="?", const="unheard", choices=WEIGHTS_BY_NAME
-    )
+    parser.add_argument("--profile", default="plain", choices=PROFILES_BY_NAME)
     options = parser.parse_args()
     if options.seed is not None:
-        findings = play_one(options.seed, options.shrink, options.clients)
+        findings = play_one(options.seed, options.shrink, options.profile)
     else:
         findings = play_many(
-            options.first, options.seeds, options.processes, options.clients
+            options.first, options.seeds, options.processes, options.profile
         )
     return 1 if findings else 0
 
--- a/tests/test_cancelled_runs.py
+++ b/tests/test_cancelled_runs.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from redwingrudder.simulation import (
+    PROFILES_BY_NAME,
     Cancellation,
     Disruption,
     Fault,
@@ -20,7 +21,7 @@
 )
 from redwingrudder.workflows.run_table import RunTable
 
-from .test_simulation import LATE, run_interval
+from .test_simulation import FIRST_SEED, LATE, run_interval
 
 CANCELLATIONS = (Cancellation("job", 1.0),)
 
@@ -179,6 +180,38 @@
         classes = {violation.classification for violation in violations}
         self.assertEqual(classes, {ViolationClass.OTHER})
 
+    def test_drawn_schedules_find_it(self):
+        """Guards against a profile in which nothing can break the rule."""
+        draw = PROFILES_BY_NAME["cancellations"].draw
+        with mock.patch.object(RunTable, "withdraw", withdraw_without_stops):
+            found = {
+                (violation.invariant, violation.classification)
+                for seed in range(FIRST_SEED, FIRST_SEED + 10)
+                for violation in find_violations(play_schedule(draw(seed)))
+            }
+        self.assertIn((NoRunAfterCancel.name, ViolationClass.OTHER), found)
+
+
+class ProfileTests(unittest.TestCase):
+    def test_jobs_are_those_of_the_plain_profile(self):
+        """Guards against profiles that share no jobs, so can't be compared."""
+        early, plain = (
+            PROFILES_BY_NAME[name].draw(FIRST_SEED).jobs
+            for name in ("cancellations", "plain")
+        )
+        self.assertEqual(
+            [job._replace(cancel_after_s=None) for job in early],
+            [job._replace(cancel_after_s=None) for job in plain],
+        )
+
+    def test_share_of_early_cancellations(self):
+        """Guards against a profile that cancels few jobs, or all."""
+        draw = PROFILES_BY_NAME["cancellations"].draw
+        jobs = [job for seed in range(50) for job in draw(seed).jobs]
+        after_s = [j.cancel_after_s for j in jobs if j.cancel_after_s is not None]
+        self.assertAlmostEqual(len(after_s) / len(jobs), 0.6, delta=0.05)
+        self.assertTrue(0.0 < min(after_s) <= max(after_s) <= 3.0)
+
 
 def withdraw_without_stops(table, progress, now):
     """Withdraw the tasks of a workflow and leave their runs alone."""
