Count stops to workers that cannot be called as sent

The coordinator stops the run each time, but the history had only stops to workers that can be called, so the excuse for late starts with late stops did not apply.

Ruled out: a run that goes on. A stop that is not tried in time, or a run that goes on for 3 s, is a finding as before.

--- a/src/redwingrudder/simulation/_workers.py
+++ b/src/redwingrudder/simulation/_workers.py
@@ -71,7 +71,7 @@
             after it, by name of the call.
         fences: Fencing tokens of all calls that were sent, in their order.
         starts: All starts that were sent and might reach the worker.
-        stops: All stops that were sent and might reach the worker.
+        stops: All stops that were sent, those to a silent worker included.
         checkpoints: What its runs have produced, by checkpoint.
         connect_s: Time in seconds until a call is written.
         carried_out_late_at: Times at which late calls were carried out.
@@ -141,18 +141,18 @@
         if not may_send():
             raise UnavailableError("the call was not sent")
         self.fences.append(fence)
+        sent = Sent(self.process.started_ms, self.clock.seconds())
+        if name == "stop":
+            self.stops.append(SentStop(*args, self.worker_id, *sent))
         if self.silent:
             await pause(self.clock, timeout_s)
             raise UnavailableError("the worker does not answer")
-        sent = Sent(self.process.started_ms, self.clock.seconds())
         call = LateCall(name, (fence, *args), sent)
         if name == "start":
             key, run, _, *content = args
             payload, checkpoint = content or ("", "")
             start = SentStart(key, run, payload, checkpoint, self.worker_id, sent.at)
             self.starts.append(start)
-        if name == "stop":
-            self.stops.append(SentStop(*args, self.worker_id, *sent))
         if self.mute or name in self.late or name in self.delays_s:
             if not self.mute:
                 self._postpone(call)
--- a/tests/test_cancelled_runs.py
+++ b/tests/test_cancelled_runs.py
@@ -180,6 +180,22 @@
         classes = {violation.classification for violation in violations}
         self.assertEqual(classes, {ViolationClass.OTHER})
 
+    def test_late_start_whose_stops_a_silent_worker_does_not_get(self):
+        """Guards against a finding that no coordinator can avoid."""
+        jobs = (Job(1.0, "job", 3, True, 4, 1, 1.5),)
+        faults = tuple(
+            fault
+            for target in range(3)
+            for fault in (
+                Fault(0.5, FaultKind.LATE_STARTS, target, 3.0, 5.0),
+                Fault(2.0, FaultKind.SILENCE, target, 4.5, 0.0),
+            )
+        )
+        history = play_schedule(Schedule(1, jobs, faults))
+        self.assertGreater(history.runs[0].begin, 2.5 + 3.0)
+        self.assertTrue(history.stops)
+        self.assertEqual(find_violations(history), [])
+
     def test_drawn_schedules_find_it(self):
         """Guards against a profile in which nothing can break the rule."""
         draw = PROFILES_BY_NAME["cancellations"].draw
