Log and measure how late the coordinator learns of a cancellation

`coordinator cancels job` has its age by the clock of the node that stored it, the histogram cancellation_delay_seconds the same. Both ways in, watch and recovery, use one function. No change of logic.

Measured: test_age_of_a_cancellation_is_logged and test_cancellation_without_a_time_is_applied, which fail without it; the modules test_missed_cancels, test_late_announcements, test_logs, test_metrics pass.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -44,10 +44,11 @@
     WorkerSilent,
     WorkflowStored,
 )
-from .metrics import METRICS, IncrementCounter, SetGauge
+from .metrics import METRICS, IncrementCounter, ObserveDuration, SetGauge
 from .peers import AskAllPeers, GetTimeOfDay, ListPeers
 from .recovery import (
     accept_stored,
+    apply_cancellation,
     cancel_all,
     read_state,
     restore_all,
@@ -186,7 +187,7 @@
         term.workers.set_all_entries({p.key: p.value for p in state.workers.pairs})
         for placed_run in placed_runs:
             term.workers.adopt(placed_run)
-        cancel_all(term.engine, term.retention, state, now)
+        cancel_all(term.engine, term.retention, state, now, self.system.unix_time())
         if term.pool_moves is not None:
             term.pool_moves.empty_workers()
         term.engine.await_reports(now + FIRST_REPORTS_TIMEOUT_S)
@@ -303,10 +304,7 @@
             return
         workflow_id = workflow_id_of(key)
         if key.endswith(CANCEL_SUFFIX):
-            now = self.system.clock.seconds()
-            self._term.retention.add_cancellation(workflow_id, revision, now)
-            self._term.engine.cancel(workflow_id, now)
-            self._schedule_planning()
+            self._cancel(KeyValue(key, value, revision))
         else:
             self._term.retention.take_stored(workflow_id, revision)
             self._accept_stored(workflow_id, value)
@@ -339,6 +337,20 @@
         if self._ready:
             self._announced_cancellations.add(message.workflow_id)
 
+    def _cancel(self, pair: KeyValue) -> None:
+        now = self.system.clock.seconds()
+        age_s = apply_cancellation(
+            self._term.engine,
+            self._term.retention,
+            pair,
+            now,
+            now + self._unix_time_offset_s,
+        )
+        if age_s is not None:
+            delay = ObserveDuration("cancellation_delay_seconds", (), max(age_s, 0.0))
+            self.tell(METRICS, delay)
+        self._schedule_planning()
+
     def _find_workflow(self, workflow_id: str) -> WorkflowProgress | None:
         if not self._ready:
             return None
--- a/src/redwingrudder/coordination/metrics.py
+++ b/src/redwingrudder/coordination/metrics.py
@@ -57,6 +57,10 @@
         "Acceptance to the recorded end",
         ("queue", "organisation"),
     ),
+    "cancellation_delay_seconds": (
+        "Stored cancellation to its effect at the coordinator",
+        (),
+    ),
     "request_seconds": ("Answer time to callers", ("method",)),
 }
 GAUGES = {
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -180,7 +180,11 @@
 
 
 def cancel_all(
-    engine: Engine, retention: RecordRetention, state: StoredState, now: float
+    engine: Engine,
+    retention: RecordRetention,
+    state: StoredState,
+    now: float,
+    unix_time_s: float,
 ) -> None:
     """Apply the stored cancellations to the restored workflows.
 
@@ -188,9 +192,52 @@
     """
     for pair in state.intake.pairs:
         if pair.key.endswith(CANCEL_SUFFIX):
-            workflow_id = workflow_id_of(pair.key)
-            retention.add_cancellation(workflow_id, pair.mod_revision, now)
-            engine.cancel(workflow_id, now)
+            apply_cancellation(engine, retention, pair, now, unix_time_s)
+
+
+def apply_cancellation(
+    engine: Engine,
+    retention: RecordRetention,
+    pair: KeyValue,
+    now: float,
+    unix_time_s: float,
+) -> float | None:
+    """Note a stored cancellation and cancel its workflow.
+
+    Args:
+        engine: The engine of the term.
+        retention: The retention of the term.
+        pair: The key of the cancellation with its value and revision.
+        now: Node-clock seconds.
+        unix_time_s: Present time in Unix seconds.
+
+    Returns:
+        Seconds since the cancellation was sent to the store, by the clock of
+        the node that sent it; None if the workflow is unknown, was cancelled
+        before or has ended, or if the value is not a time.
+    """
+    workflow_id = workflow_id_of(pair.key)
+    progress = engine.workflows_by_id.get(workflow_id)
+    takes_effect = (
+        progress is not None and not progress.cancelled and progress.ended_at is None
+    )
+    retention.add_cancellation(workflow_id, pair.mod_revision, now)
+    engine.cancel(workflow_id, now)
+    if not takes_effect:
+        return None
+    try:
+        age_s = unix_time_s - float(pair.value)
+    except ValueError:
+        age_s = None
+    _logger.info(
+        "coordinator cancels job",
+        extra={
+            "job": workflow_id,
+            "age_s": None if age_s is None else round(age_s, 3),
+            "term": engine.term,
+        },
+    )
+    return age_s
 
 
 def _restore_workflow(
--- a/tests/test_missed_cancels.py
+++ b/tests/test_missed_cancels.py
@@ -134,6 +134,30 @@
         self.assertEqual(self.channel.started, ["a", "a"])
         self.assertIn(kept.key, self.channel.stopped)
 
+    def test_age_of_a_cancellation_is_logged(self):
+        """Guards against a late cancellation that the log does not show."""
+        self.submit("a")
+        run_for(self.clock, 0.2)
+        _, cancel_key = intake_keys("a")
+        unix_time_s = 0.0  # that the other nodes give
+        self.contents.put(cancel_key, str(unix_time_s - 2.0))
+        self.store.watches_hang = False
+        with self.assertLogs("redwingrudder.coordination.recovery") as logs:
+            run_for(self.clock, 0.2, (self.store,))
+        (line,) = [r for r in logs.records if r.msg == "coordinator cancels job"]
+        self.assertEqual((line.job, line.term), ("a", 1))
+        self.assertAlmostEqual(line.age_s, 2.0, delta=0.3)
+
+    def test_cancellation_without_a_time_is_applied(self):
+        """Guards against a cancellation that is refused for its value."""
+        self.submit("a")
+        run_for(self.clock, 0.2)
+        _, cancel_key = intake_keys("a")
+        self.contents.put(cancel_key, "no time")
+        self.store.watches_hang = False
+        run_for(self.clock, 0.2, (self.store,))
+        self.assertTrue(self.coordinator._find_workflow("a").cancelled)
+
     def test_other_jobs_of_the_write_start_at_once(self):
         """Guards against a cancelled job that delays the starts of others."""
         for job in ("a", "b", "c"):
