Record the lost attempt of a start whose session was replaced

Cause: an identity is taken for what it identified. `Coordinator` ignores the messages of a session that has been replaced, and a settled start was such a message. The session had dropped its lost attempt when it sent the message, so the table settled the start as one that was not sent, and nothing knew any more that the worker's next process may still carry out the attempt. The task was then placed on another worker once the lease of the new session had lapsed.

Ruled out: a message of an earlier term. Its record says that the start is not settled, so the successor counts it as late by itself; the message is ignored as before.

Change: the lost attempt of any session of the term is recorded first. The reply of a former session still decides nothing.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -395,15 +395,16 @@
         self.tell(METRICS, IncrementCounter("starts", (outcome,)))
         if message.unanswered_at is not None:
             self.tell(METRICS, IncrementCounter("starts_with_lost_attempts", ()))
-        if not self._ready or not self._term.workers.is_current(
-            start.worker_id, message.fence
-        ):
-            # The first report to the next session decides about the run.
+        if not self._ready or not self._term.workers.is_of_this_term(message.fence):
+            # The record tells a later term that the start is not settled.
             return
         now = self.system.clock.seconds()
         self._term.engine.start_settled(
             start.key, start.run, start.worker_id, message.unanswered_at
         )
+        if not self._term.workers.is_current(start.worker_id, message.fence):
+            # The first report to the next session decides about the run.
+            return
         if reply.accepted:
             self._term.engine.start_confirmed(start.key, start.run, now)
         else:
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -217,6 +217,14 @@
         session = self._sessions_by_worker.get(worker_id)
         return session is not None and session.fence == fence
 
+    def is_of_this_term(self, fence: int) -> bool:
+        """Return whether a message comes from a session of this term.
+
+        Args:
+            fence: Fencing token that the message names.
+        """
+        return fence // SESSIONS_PER_TERM == self._engine.term
+
     def take_report(self, message: WorkerPolled) -> None:
         """Apply a worker's report: its running runs and its ends.
 
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -2,10 +2,14 @@
 
 import math
 import unittest
+from unittest import mock
 
 from redwingrudder.coordination.gateways import COORDINATOR, TERM_KEY
-from redwingrudder.coordination.messages import BeginTerm, EndTerm
-from redwingrudder.coordination.worker_session import longest_lease_timeout_s
+from redwingrudder.coordination.messages import BeginTerm, EndTerm, StartSettled
+from redwingrudder.coordination.worker_session import (
+    longest_lease_timeout_s,
+    prior_lease_timeout_s,
+)
 from redwingrudder.simulation import MAX_LEASE_S
 from redwingrudder.workflows.model import EndKind
 from redwingrudder.workflows.run_table import LATE_CALL_S
@@ -121,6 +125,34 @@
         self.assertEqual(self.w2.process.runs_by_key, {})
         self.assert_runs_once_answering()
 
+    def test_settled_start_is_handled_after_the_next_session_is_open(self):
+        """Guards against two runs by an attempt that a dropped message names.
+
+        A registry entry opens the next session while the message of the last
+        one waits in the coordinator's mailbox. The clock of the last process
+        was far ahead of that of the new one.
+        """
+        self.run_for(30.0)
+        self.w1.late = {"start"}
+        self.submit("job", 0.1)
+        self.w1.late = set()
+        with mock.patch.object(self.coordinator, "_schedule_turn"):
+            self.run_for(0.6)
+            waiting = [type(each.message) for each in self.coordinator._mailbox]
+            self.assertIn(StartSettled, waiting)
+            self.w1.silent = True
+            self.w1.restart()
+            self.register("w1", NO_ROOM)
+            self.run_for(0.1)
+        self.coordinator._schedule_turn()
+        self.register("w2", ROOM)
+        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
+        self.w1.carry_out_late_calls()
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.run_for(1.0)
+        self.assertEqual(self.w2.process.runs_by_key, {})
+        self.assert_runs_once_answering()
+
     def test_next_run_goes_to_the_worker_of_a_lost_attempt(self):
         """Guards against two runs by a restart after the next run was placed.
 
