Keep the lost attempts of a session when the next one opens

What callers saw: nothing yet; found beside the settled start whose session is replaced.

Cause: a session settled what another one had sent. A start without a reply stays unsettled when its session is replaced, since the worker may have received it. When the lease of the next session lapsed, or the worker was removed, that session was asked for the starts that the worker may have received. It knows of none, so the start was settled as not sent, and the task was placed on another worker while the attempt could still reach the worker's next process.

Ruled out: runs that an earlier coordinator has placed; they were left out of that settlement.

Change: the starts that a worker may have received are recorded as late when their session closes.

The test failed before: test_lease_of_the_next_session_lapses AssertionError: {TaskKey(workflow_id='job', ...): _CurrentRun(run=1002, begin=39.25)} != {} tearDown: run 1002 on w2 from 39.25 s, run 1001 on w1 from 40.02 s, sent at 30.52 s to the last process

--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -446,8 +446,10 @@
             self._engine.settle_unsent_starts(worker_id, session.possible_starts)
 
     def _drop_session(self, worker_id: str) -> None:
-        self._settle_unsent_starts(worker_id)
         session = self._sessions_by_worker.pop(worker_id)
+        self._engine.session_closed(
+            worker_id, session.possible_starts, self._system.clock.seconds()
+        )
         self._reported.discard(worker_id)
         self._undecided.discard(worker_id)
         session.stop()
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -375,6 +375,27 @@
             if not task.run_adopted and not is_possible:
                 task.start_settled = True
 
+    def session_closed(
+        self,
+        worker_id: str,
+        possible_starts: Container[tuple[TaskKey, int]],
+        now: float,
+    ) -> None:
+        """Record which starts of a closed session may still be carried out.
+
+        A later session with the worker does not know of them.
+
+        Args:
+            worker_id: The worker.
+            possible_starts: See ``settle_unsent_starts``.
+            now: Node-clock seconds.
+        """
+        self.settle_unsent_starts(worker_id, possible_starts)
+        worker = self.workers_by_id.get(worker_id)
+        for task in worker.tasks_by_key.values() if worker else ():
+            if (task.key, task.run) in possible_starts:
+                self.keep_late_start(task, now)
+
     def start_confirmed(self, key: TaskKey, run: int, now: float) -> None:
         """Record that a worker has accepted the start of a run."""
         task = self.current(key, run)
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -171,7 +171,8 @@
         transition = TASK_CHART.step(task.state, event)
         changed = transition.target != task.state
         if task.placed and transition.target == "waiting":
-            self._keep_late_start(task, now)
+            self.keep_late_start(task, now)
+            task.start_settled, task.start_sent_at = True, None
         for action in transition.actions:
             self._actions[action](task)
         task.state = transition.target
@@ -193,14 +194,21 @@
         """
         return sent_at + LATE_CALL_S + self.longest_lease_s
 
-    def _keep_late_start(self, task: Task, now: float) -> None:
-        if not task.start_settled and task.start_sent_at is not None:
-            last_sent_at = task.start_sent_at + START_ATTEMPTS_S
-            if not task.run_adopted:
-                # An earlier coordinator may still send attempts.
-                last_sent_at = min(now, last_sent_at)
-            task.add_late_start(task.worker_id, self.late_start_until(last_sent_at))
-        task.start_settled, task.start_sent_at = True, None
+    def keep_late_start(self, task: Task, now: float) -> None:
+        """Record that a worker may carry out a start that is not settled.
+
+        Args:
+            task: The task, which is placed.
+            now: Node-clock seconds; a start of this term is not sent later.
+        """
+        if task.start_settled or task.start_sent_at is None:
+            return
+        last_sent_at = task.start_sent_at + START_ATTEMPTS_S
+        if not task.run_adopted:
+            # An earlier coordinator may still send attempts.
+            last_sent_at = min(now, last_sent_at)
+        task.add_late_start(task.worker_id, self.late_start_until(last_sent_at))
+        self.dirty.add(task.key.workflow_id)
 
     def stop(self, task: Task, reason: str) -> None:
         """Stop the run of a task; a run that is not active is ignored.
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -153,6 +153,26 @@
         self.assertEqual(self.w2.process.runs_by_key, {})
         self.assert_runs_once_answering()
 
+    def test_lease_of_the_next_session_lapses(self):
+        """Guards against two runs by an attempt that a later session settles.
+
+        The attempt waits for its reply when a registry entry replaces the
+        session. The next one has sent nothing.
+        """
+        self.run_for(30.0)
+        self.w1.late = {"start"}
+        self.submit("job", 0.1)
+        self.w1.silent = True
+        self.w1.restart()
+        self.register("w1", NO_ROOM)
+        self.register("w2", ROOM)
+        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
+        self.w1.carry_out_late_calls()
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.run_for(1.0)
+        self.assertEqual(self.w2.process.runs_by_key, {})
+        self.assert_runs_once_answering()
+
     def test_next_run_goes_to_the_worker_of_a_lost_attempt(self):
         """Guards against two runs by a restart after the next run was placed.
 
