Keep an attempt when the session that closes its run meets a restart

What callers saw: nothing yet; found while the sessions' starts were followed to their settlement.

Cause: a session that closes the run of a start without a reply polls the worker until the run is over. If that poll is answered by the worker's next process, the session closes itself, and the start returned and dropped its lost attempt in the same turn, before COORDINATOR had read the table. The start counted as one that was not sent. It needs a poll that takes longer than 50 ms, since a shorter one is followed by a pause, in which COORDINATOR reads the table.

Change: a closed session keeps its lost attempts.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -520,8 +520,10 @@
                 self._report_lapsed()
         finally:
             self._starts_in_flight.discard(run_key)
-            self._unanswered_starts.pop(run_key, None)
             self._closed_runs.discard(run_key)
+            if not self._closed:
+                # ``possible_starts`` is read after the session has closed.
+                self._unanswered_starts.pop(run_key, None)
         if self._closed:
             return
         if reply.reason == "fenced":
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -173,6 +173,29 @@
         self.assertEqual(self.w2.process.runs_by_key, {})
         self.assert_runs_once_answering()
 
+    def test_poll_of_a_settling_start_meets_the_next_process(self):
+        """Guards against two runs by an attempt that a closed session drops.
+
+        The calls take longer than a poll that is answered at once.
+        """
+        self.run_for(30.0)
+        self.w1.late = {"start"}
+        self.w1.connect_s = 0.1
+        self.submit("job", 0.1)
+        for _ in range(300):
+            self.run_for(0.01)
+            if self.w1.stops:
+                break
+        self.w1.restart()
+        self.run_for(0.11)
+        self.w1.silent = True
+        self.register("w2", ROOM)
+        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
+        self.w1.carry_out_late_calls()
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.run_for(1.0)
+        self.assertEqual(self.w2.process.runs_by_key, {})
+
     def test_next_run_goes_to_the_worker_of_a_lost_attempt(self):
         """Guards against two runs by a restart after the next run was placed.
 
