Read a key prefix when the store does not answer its watch

Cause: an announced cancellation is sent once, and the watch was only ever followed by the same watch. Each one without an answer took 1.65 s, so two in a row exceed the 3 s after a cancellation, and a store that answers all calls but watches left the run of a cancelled job alone for good. Starts were not concerned: their records depend on the cancellations in the store.

Ruled out: repeating the announcement. A node that stores a cancellation and ends, or whose write is carried out late, announces nothing.

Change: a watch without an answer is followed by one that the store may answer at once, which brings all changes since the last answer. If that gets none either, the prefix is read, and then in turn with such a watch. While watches are answered no call is added. While none is, there are about three calls in a second for a prefix; the test bounds them.

The test has watches that fail at the time limit of the store's client while all other calls are answered, and 15 times of the cancellation in steps of 0.21 s; the stop is sent within 2.7 s. It failed before, for all 15: test_running_task_of_a_cancelled_job_is_stopped_in_time (number=0) AssertionError: Lists differ: [] != [TaskKey(workflow_id='a', ...)]

--- a/src/redwingrudder/coordination/watching.py
+++ b/src/redwingrudder/coordination/watching.py
@@ -14,6 +14,9 @@
 # A watch whose connection has died without an error is noticed within this
 # time.
 WATCH_TIMEOUT_S = 1.0
+# The same for the first watch after one without an answer. The store may
+# answer at once, and its answer contains all changes since the last one.
+CATCH_UP_TIMEOUT_S = 0.05
 RETRY_DELAY_S = 0.25
 # Time without an answer after which a watch is reported as behind. One lost
 # answer takes less.
@@ -33,10 +36,12 @@
 ) -> None:
     """Report the changes below a key prefix until the caller stops it.
 
-    A failed call is logged and repeated after ``RETRY_DELAY_S``. After an
-    exception of a callback the watch goes on with the next changes. A watch
-    without an answer for ``WATCH_LATE_AFTER_S`` is logged once, and again when
-    it is answered.
+    A failed call is logged, and followed after ``RETRY_DELAY_S`` by a watch
+    that waits for ``CATCH_UP_TIMEOUT_S`` only. If that gets no answer either,
+    all pairs are read, so that a store that answers other calls than watches
+    keeps the view up to date. After an exception of a callback the watch goes
+    on with the next changes. A view that is older than ``WATCH_LATE_AFTER_S``
+    is logged once, and again when it is up to date.
 
     Args:
         ask: Sends a message to an actor and returns the reply.
@@ -47,15 +52,23 @@
             request and before each callback.
         on_changes: Called with the changes in the order of the store.
         on_reset: Called with all current pairs when the store no longer has
-            the history since the last revision.
+            the history since the last revision, or does not answer watches.
     """
     age = _WatchAge(clock, prefix)
+    # Number of calls without an answer since the last watch with one.
+    failures = 0
     while is_active():
+        # A read that was answered is followed by a watch.
+        must_read = failures > 1 and failures % 2 == 0
         try:
-            changes = await ask(STORE, AwaitChanges(prefix, revision, WATCH_TIMEOUT_S))
-            if changes.expired:
+            if not must_read:
+                wait_s = CATCH_UP_TIMEOUT_S if failures else WATCH_TIMEOUT_S
+                changes = await ask(STORE, AwaitChanges(prefix, revision, wait_s))
+                failures = 0
+            if must_read or changes.expired:
                 reply = await ask(STORE, GetPrefix(prefix))
                 revision = reply.revision
+                failures = min(failures, 1)
                 age.answered()
                 if is_active():
                     on_reset(reply.pairs)
@@ -65,7 +78,8 @@
                 if changes.changes and is_active():
                     on_changes(changes.changes)
         except RedwingrudderError as error:
-            extra = {"prefix": prefix, "error": str(error)}
+            failures += 1
+            extra = {"prefix": prefix, "read": must_read, "error": str(error)}
             _logger.info("watch of a key prefix failed; it is repeated", extra=extra)
             age.failed()
             await pause(clock, RETRY_DELAY_S)
@@ -75,7 +89,7 @@
 
 
 class _WatchAge:
-    """Reports when a watch falls behind, and when it is answered again.
+    """Reports when a view falls behind, and when it is up to date again.
 
     Args:
         clock: Clock of the node.
--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -1,18 +1,22 @@
 """Recording actors and helpers to run actors on a virtual clock."""
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
 from redwingrudder.actors import Actor, ActorSystem
+from redwingrudder.coordination.gateways import AwaitChanges
 from redwingrudder.coordination.metrics import (
     METRICS,
     IncrementCounter,
     ObserveDuration,
     SetGauge,
 )
+from redwingrudder.exceptions import StoreUnavailableError
 from redwingrudder.simulation import MemoryStore, StoreContents
 
 STEP_S = 0.01
+CALL_TIMEOUT_S = 0.4  # of the client of the platform's store
 
 
 class Recording(Actor):
@@ -56,6 +60,19 @@
             store.notify()
 
 
+def time_out_watches(store):
+    """Let all watches fail at the time limit of the client, in vain."""
+
+    def watch(message):
+        reply = Deferred()
+        error = StoreUnavailableError("no reply to the watch in time")
+        limit_s = message.wait_s + CALL_TIMEOUT_S
+        store.system.clock.callLater(limit_s, reply.errback, error)
+        return reply
+
+    store._handlers_by_type[AwaitChanges] = watch
+
+
 def outcome(deferred):
     """Return the result or exception of a Deferred, None if it is pending."""
     results = []
--- a/tests/test_missed_cancels.py
+++ b/tests/test_missed_cancels.py
@@ -5,13 +5,16 @@
 import unittest
 from unittest import mock
 
+from redwingrudder._store_requests import GetPrefix
 from redwingrudder.coordination.coordinator import Coordinator
 from redwingrudder.coordination.gateways import (
     COORDINATOR,
+    INTAKE_PREFIX,
     LEADERSHIP,
     PEERS,
     PROGRESS_PREFIX,
     TERM_KEY,
+    AwaitChanges,
     FleetGateways,
     intake_keys,
 )
@@ -29,12 +32,21 @@
 from redwingrudder.workflows.model import EndKind, Resources, WorkflowState
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import Recording, node_system, run_for
+from .coordination_fakes import (
+    STEP_S,
+    Recording,
+    node_system,
+    run_for,
+    time_out_watches,
+)
 from .test_authority import PAUSE_S, TIMES, StubChannels, WorkerStub
 from .test_platform_codecs import ENTRY
 
 SMALL = Resources(100, 100, 0)
 MAX_TRANSACTION_ENTRIES = 32  # that the store accepts
+MAX_CALLS_PER_S = 3.5  # for one key prefix whose watches get no reply
+RESERVE_S = 0.3  # for the calls and the stop
+CANCEL_LIMIT_S = 3.0  # from the acknowledged cancellation to the last start
 
 
 class ListingChannel(WorkerStub):
@@ -67,11 +79,14 @@
         report = await super().poll(
             fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
         )
-        return report._replace(running=tuple(self.running))
+        # Runs without progress are stopped.
+        percent = self.clock.seconds()
+        running = (entry._replace(percent=percent) for entry in self.running)
+        return report._replace(running=tuple(running))
 
 
-class MissedCancelTests(unittest.TestCase):
-    """The coordinator hears of jobs, but its watch of the store hangs."""
+class MissedCancelCase(unittest.TestCase):
+    """Has a coordinator that hears of jobs, but whose watch hangs."""
 
     def setUp(self):
         self.clock, self.system, self.store = node_system()
@@ -108,6 +123,10 @@
         item = self.contents.items_by_key[PROGRESS_PREFIX + job]
         return records.decode_progress(job, item.value.encode())
 
+
+class MissedCancelTests(MissedCancelCase):
+    """The coordinator hears of jobs, but its watch of the store hangs."""
+
     def test_cancelled_job_is_not_started(self):
         """Guards against a start of a job that was cancelled long before."""
         self.submit("a")
@@ -203,5 +222,49 @@
         self.assertEqual(self.channel.started, ["a"])
 
 
+class SilentWatchTests(MissedCancelCase):
+    """Watches get no reply from some time on, but all other calls do."""
+
+    def setUp(self):
+        super().setUp()
+        self.store.watches_hang = False
+        time_out_watches(self.store)
+        # Let the watches end that wait.
+        self.cancel("other")
+        self.contents.put("servers/w1", json.dumps(ENTRY))
+        run_for(self.clock, STEP_S, (self.store,))
+
+    def test_running_task_of_a_cancelled_job_is_stopped_in_time(self):
+        """Guards against a run that goes on while its cancellation is missed.
+
+        The announcement is lost. The cancellation comes at any time of the
+        attempts to watch.
+        """
+        for number in range(15):
+            with self.subTest(number=number):
+                self.setUp()
+                self.submit("a")
+                run_for(self.clock, 0.05 + 0.21 * number)
+                self.assertEqual(self.channel.started, ["a"])
+                self.cancel("a")
+                run_for(self.clock, CANCEL_LIMIT_S - RESERVE_S)
+                self.assertEqual(self.channel.stopped, [fx.key("a")])
+
+    def test_calls_while_watches_get_no_reply(self):
+        """Guards against reads that are more frequent than needed."""
+        with mock.patch.object(
+            self.system, "ask", side_effect=self.system.ask
+        ) as calls:
+            run_for(self.clock, 30.0)
+        prefixes = [
+            call.args[1].prefix
+            for call in calls.call_args_list
+            if isinstance(call.args[1], AwaitChanges | GetPrefix)
+        ]
+        calls_per_s = prefixes.count(INTAKE_PREFIX) / 30.0
+        self.assertGreater(calls_per_s, 0.0)
+        self.assertLess(calls_per_s, MAX_CALLS_PER_S)
+
+
 if __name__ == "__main__":
     unittest.main()
