Suspect no run of an earlier term for the time of its adoption

Cause: a run that an earlier coordinator placed begins, for its successor, at the time of the adoption. Once its worker had listed it, it counted as confirmed and just started, so a crash within 0.5 s of the takeover made its task a suspect, and under a task that was suspected already it was a proof: two crashes were enough, the second under a run that may have gone on for seconds. The rule says that such runs explain a crash without being suspected; the code kept to it only until the worker's first report.

Change: an adopted run has not just started. It still explains the crash of its worker; a suspected task's crash under one counts as one of three, not of two.

Both tests failed before ('suspected' instead of 'clear', 'guilty' instead of 'suspected').

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -80,6 +80,14 @@
     )
 
 
+def _has_just_started(task: Task) -> bool:
+    """Return whether the run may have begun within ``PROOF_RUN_S``.
+
+    One that an earlier coordinator placed may have gone on for long.
+    """
+    return not task.run_adopted and not has_proved_harmless(task)
+
+
 def step_suspicion(task: Task, event: str) -> None:
     """Apply an event of ``SUSPICION_CHART`` to a task or its gang."""
     holder = suspicion_holder(task)
@@ -147,7 +155,7 @@
     causes = [
         run
         for run in runs
-        if is_suspected(run) or is_guilty(run) or not has_proved_harmless(run)
+        if is_suspected(run) or is_guilty(run) or _has_just_started(run)
     ]
     # Not suspected, as most of these runs are harmless.
     adopted = [run for run in worker.tasks_by_key.values() if run.run_adopted]
@@ -165,8 +173,10 @@
     open_runs = _one_per_gang([task for task in runs if not is_guilty(task)])
     for task in open_runs if certain else suspects:
         holder = suspicion_holder(task)
-        confirmed = certain and task.run_confirmed
         is_cause = holder.key in crash.causes
+        # Of an adopted run it is not known when its start was confirmed.
+        is_start_known = not (is_cause and task.run_adopted)
+        confirmed = certain and task.run_confirmed and is_start_known
         add_evidence(holder, task.run, crash, confirmed, is_cause)
         if not is_cause:
             # Evidence against suspects is refuted by ``settle_suspicion``.
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -413,6 +413,46 @@
                 (task,) = progress.tasks()
                 self.assertEqual(task.suspicion, expected)
 
+    def test_run_of_an_earlier_term_is_not_suspected(self):
+        """Guards against taking the start of a term for that of its runs.
+
+        A worker lists a run that had gone on when the coordinator changed, and
+        crashes just after that.
+        """
+        for recorded in (True, False):
+            with self.subTest(recorded=recorded):
+                engine = fx.engine(fx.worker("w1"))
+                progress = engine.accept(fx.workflow("job"), 0.0)
+                if recorded:
+                    engine.adopt_run(fx.key(), 1, "w1", False, 0.0, 1)
+                engine.adopt_run(fx.key(), 1, "w1", True, 0.1)
+                engine.report("w1", [RunReport(fx.key(), 1, "", 1.0)], 0.1)
+                engine.worker_restarted("w1", 0.4)
+                (task,) = progress.tasks()
+                self.assertEqual(task.suspicion, "clear")
+
+    def test_start_of_an_earlier_term_is_no_proof(self):
+        """Guards against a verdict on a start that this coordinator never saw.
+
+        A suspected task has had one crash, and its second run had gone on for
+        an unknown time when the coordinator changed.
+        """
+        engine = fx.engine(fx.worker("w1"))
+        progress = engine.accept(fx.workflow("job"), 0.0)
+        (task,) = progress.tasks()
+        document = (
+            b'{"term":1,"state":"running","done":[],"failures":[],'
+            b'"crashes":[[0,0,0,1]],"crashed_runs":[[0,0,0,1,true,true]],'
+            b'"suspected":[[0,0,0]],"runs":[[0,0,0,2]],"placed":[],'
+            b'"checkpoints":[]}'
+        )
+        records.restore_progress(progress, records.decode_progress("job", document))
+        engine.adopt_run(fx.key(), 2, "w1", False, 0.0, 1)
+        engine.adopt_run(fx.key(), 2, "w1", True, 0.1)
+        engine.report("w1", [RunReport(fx.key(), 2, "", 1.0)], 0.1)
+        engine.worker_restarted("w1", 0.4)
+        self.assertEqual(task.suspicion, "suspected")
+
     def test_suspect_asks_for_advice_again(self):
         """Guards against a suspect that waits for a permit without asking."""
         workflow = fx.workflow("job", fx.step(1))
