--- a/src/redwingrudder/simulation/_disruptions.py
+++ b/src/redwingrudder/simulation/_disruptions.py
@@ -38,7 +38,7 @@
 
     WORKER = enum.auto()  # one worker
     LEADER = enum.auto()  # all workers while the node leads
-    NOBODY = enum.auto()  # only its effects do, which are recorded
+    NOBODY = enum.auto()  # at most its effects do, which are recorded
     ALL = enum.auto()  # all workers, and for the delay after it as well
 
 
@@ -56,6 +56,11 @@
     FaultKind.HANGING_WATCHES: Reach.LEADER,
     FaultKind.HAND_OVER: Reach.NOBODY,
     FaultKind.TAKEOVER: Reach.NOBODY,
+    FaultKind.LOST_ANNOUNCEMENTS: Reach.NOBODY,
+    FaultKind.LATE_ANNOUNCEMENTS: Reach.NOBODY,
+    FaultKind.LOST_PEER_REPLIES: Reach.NOBODY,
+    FaultKind.DRAIN: Reach.NOBODY,
+    FaultKind.LONG_REMOVED_ENTRY: Reach.WORKER,
 }
 
 
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -3,7 +3,7 @@
 import math
 from typing import NamedTuple
 
-from ..workflows.model import WorkflowState
+from ..workflows.model import TaskKey, WorkflowState
 from ._disruptions import Disruption
 from ._run_records import AcknowledgedEnd, RunInterval, SentStop
 
@@ -16,12 +16,30 @@
 
 
 class Cancellation(NamedTuple):
-    """A cancellation that was stored at a time in clock seconds."""
+    """A cancellation that was stored at a time in clock seconds.
+
+    That of a client counts as stored once it is acknowledged.
+    """
 
     workflow_id: str
     stored_at: float
 
 
+class Submission(NamedTuple):
+    """A job that a client has submitted.
+
+    Attributes:
+        workflow_id: Id of the job.
+        acknowledged_at: Time of the first positive answer in clock seconds,
+            None without one.
+        refused: Whether the client was told that the job never runs.
+    """
+
+    workflow_id: str
+    acknowledged_at: float | None = None
+    refused: bool = False
+
+
 class JobOutcome(NamedTuple):
     """What a caller sees of a job.
 
@@ -50,6 +68,9 @@
         events: Lines about all events, in their order.
         disruptions: All disruptions in the order of their begin.
         ended_at: End of the history in clock seconds.
+        submissions: All jobs that clients have submitted.
+        early_runs: Runs of second steps that began before the first step was
+            done: their task and number.
     """
 
     runs: tuple[RunInterval, ...] = ()
@@ -60,6 +81,8 @@
     events: tuple[Event, ...] = ()
     disruptions: tuple[Disruption, ...] = ()
     ended_at: float = math.inf
+    submissions: tuple[Submission, ...] = ()
+    early_runs: tuple[tuple[TaskKey, int], ...] = ()
 
     def timeline(self) -> str:
         """Return the events, one a line, with times in seconds."""
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -2,9 +2,11 @@
 
 import enum
 import random
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from ..workflows.model import EndKind, QueuePolicy, Resources, StepSpec, Workflow
+from ._client_plans import ClientPlan, draw_client
 
 NODES = 2
 WORKERS = 3
@@ -24,6 +26,11 @@
 LATE_BY_S = (0.3, 12.0)
 FAULT_DURATION_S = (0.3, 6.0)
 ENTRY_DELAY_S = (0.0, 2.0)  # from a restart to the entry of the new process
+ANNOUNCED_LATE_BY_S = (0.3, 6.0)
+LEAVES_AFTER_S = (2.0, 6.0)  # from the report that a worker drains
+AWAY_S = (0.5, 6.0)
+# The coordinator closes the session of a worker without an entry within this.
+LONG_REMOVED_S = (2.6, 8.0)
 # Share of restarts with a silent time that begins at most SILENT_BEFORE_S
 # earlier, as before a crash of a busy machine.
 SILENT_RESTART_SHARE = 0.5
@@ -51,9 +58,14 @@
     HANGING_WATCHES = "hanging watches"
     HAND_OVER = "hand-over"
     TAKEOVER = "takeover"
+    LOST_ANNOUNCEMENTS = "lost announcements"
+    LATE_ANNOUNCEMENTS = "late announcements"
+    LOST_PEER_REPLIES = "lost replies of peers"
+    DRAIN = "drain"
+    LONG_REMOVED_ENTRY = "entry removed for long"
 
 
-_WEIGHT_BY_KIND = {
+WEIGHT_BY_KIND = {
     FaultKind.LATE_STARTS: 5,
     FaultKind.LATE_STOPS: 2,
     FaultKind.LATE_POLLS: 2,
@@ -67,6 +79,42 @@
     FaultKind.HANGING_WATCHES: 1,
     FaultKind.HAND_OVER: 1,
     FaultKind.TAKEOVER: 1,
+    FaultKind.LOST_ANNOUNCEMENTS: 0,
+    FaultKind.LATE_ANNOUNCEMENTS: 0,
+    FaultKind.LOST_PEER_REPLIES: 0,
+    FaultKind.DRAIN: 0,
+    FaultKind.LONG_REMOVED_ENTRY: 0,
+}
+
+# Weights under which what the coordinator learns of clients is disturbed.
+UNHEARD_WEIGHT_BY_KIND = {
+    **WEIGHT_BY_KIND,
+    FaultKind.HANGING_WATCHES: 4,
+    FaultKind.LOST_ANNOUNCEMENTS: 4,
+    FaultKind.LATE_ANNOUNCEMENTS: 3,
+    FaultKind.HAND_OVER: 2,
+    FaultKind.STORE_DOWN: 3,
+    FaultKind.LOST_ANSWERS: 3,
+    FaultKind.LATE_WRITES: 4,
+    FaultKind.LOST_PEER_REPLIES: 1,
+}
+
+# Weights under which workers leave and their entries vanish.
+LEAVING_WEIGHT_BY_KIND = {
+    **UNHEARD_WEIGHT_BY_KIND,
+    FaultKind.DRAIN: 5,
+    FaultKind.LONG_REMOVED_ENTRY: 4,
+}
+
+_DURATION_S_BY_KIND = {
+    FaultKind.DRAIN: LEAVES_AFTER_S,
+    FaultKind.LONG_REMOVED_ENTRY: LONG_REMOVED_S,
+}
+
+_DELAY_S_BY_KIND = {
+    FaultKind.RESTART: ENTRY_DELAY_S,
+    FaultKind.DRAIN: AWAY_S,
+    FaultKind.LATE_ANNOUNCEMENTS: ANNOUNCED_LATE_BY_S,
 }
 
 
@@ -82,6 +130,8 @@
         priority: Priority of the queue; 0 is the most urgent.
         cancel_after_s: Seconds from the submission to the cancellation, None
             if the job is not cancelled.
+        second_tasks: Number of tasks of a second step, which begins once the
+            first one is done; 0 if there is none.
     """
 
     at_s: float
@@ -91,6 +141,12 @@
     accelerators: int
     priority: int
     cancel_after_s: float | None
+    second_tasks: int = 0
+
+    def describe(self) -> str:
+        """Return the size of the job."""
+        first = f"{'gang of ' if self.gang else ''}{self.tasks} tasks"
+        return f"{first}, then {self.second_tasks}" if self.second_tasks else first
 
     def workflow(self, accepted_at: float) -> Workflow:
         """Return the workflow of the job.
@@ -100,13 +156,14 @@
         """
         demand = Resources(TASK_CPU_MILLIS, TASK_MEMORY_MB, self.accelerators)
         step = StepSpec(self.tasks, demand, ESTIMATE_S, gang=self.gang)
+        second = StepSpec(self.second_tasks, demand, ESTIMATE_S, after=(0,))
         policy = QueuePolicy("pool", self.priority, ATTEMPTS)
         return Workflow(
             self.workflow_id,
             f"queue-{self.priority}",
             "organisation",
             "payload",
-            (step,),
+            (step, second) if self.second_tasks else (step,),
             policy,
             accepted_at,
         )
@@ -120,7 +177,8 @@
         kind: Kind of the fault.
         target: Index of the worker or node that it befalls.
         duration_s: Seconds until it is over.
-        delay_s: Seconds by which calls, writes or a registry entry are late.
+        delay_s: Seconds by which calls, writes, announcements or a registry
+            entry are late.
     """
 
     at_s: float
@@ -131,11 +189,20 @@
 
 
 class Schedule(NamedTuple):
-    """Jobs and faults, in the order of their times, and their seed."""
+    """Jobs and faults, in the order of their times, and their seed.
+
+    Attributes:
+        seed: The seed.
+        jobs: The jobs.
+        faults: The faults.
+        clients: Clients that submit and cancel the jobs at the nodes. Without
+            any, all submissions and cancellations are written to the store.
+    """
 
     seed: int
     jobs: tuple[Job, ...]
     faults: tuple[Fault, ...]
+    clients: tuple[ClientPlan, ...] = ()
 
 
 class RunPlan(NamedTuple):
@@ -152,12 +219,33 @@
     stop_s: float
 
 
-def draw_schedule(seed: int) -> Schedule:
-    """Return the schedule of a seed."""
-    return Schedule(seed, _draw_jobs(seed), _draw_faults(seed))
-
+def draw_schedule(
+    seed: int,
+    weight_by_kind: Mapping[FaultKind, int] = WEIGHT_BY_KIND,
+    has_clients: bool = False,
+    second_step_share: float = 0.0,
+) -> Schedule:
+    """Return the schedule of a seed.
 
-def draw_run(seed: int, workflow_id: str, index: int, run: int) -> RunPlan:
+    Args:
+        seed: The seed.
+        weight_by_kind: Weights with which the kinds of faults are drawn.
+        has_clients: Whether the jobs have clients.
+        second_step_share: Share of the jobs that have a second step.
+    """
+    jobs = tuple(_add_step(seed, job, second_step_share) for job in _draw_jobs(seed))
+    faults = _draw_faults(seed, weight_by_kind)
+    clients = tuple(
+        draw_client(seed, job.workflow_id, job.cancel_after_s, NODES)
+        for job in jobs
+        if has_clients
+    )
+    return Schedule(seed, jobs, faults, clients)
+
+
+def draw_run(
+    seed: int, workflow_id: str, index: int, run: int, step: int = 0
+) -> RunPlan:
     """Return how a run ends; it does not depend on the other runs.
 
     Args:
@@ -165,8 +253,10 @@
         workflow_id: Id of the job.
         index: Index of the task, 0 for all members of a gang.
         run: Number of the run.
+        step: Index of the step.
     """
-    rng = random.Random(f"{seed} run {workflow_id} {index} {run}")
+    task = f"{step}.{index}" if step else f"{index}"
+    rng = random.Random(f"{seed} run {workflow_id} {task} {run}")
     kind = EndKind.FAILED if rng.random() < FAILED_SHARE else EndKind.DONE
     return RunPlan(rng.uniform(*RUN_TIME_S), kind, rng.uniform(0.0, MAX_STOP_S))
 
@@ -193,10 +283,19 @@
     return tuple(jobs)
 
 
-def _draw_faults(seed: int) -> tuple[Fault, ...]:
+def _add_step(seed: int, job: Job, share: float) -> Job:
+    rng = random.Random(f"{seed} steps {job.workflow_id}")
+    if rng.random() >= share:
+        return job
+    return job._replace(second_tasks=rng.randint(*TASKS))
+
+
+def _draw_faults(
+    seed: int, weight_by_kind: Mapping[FaultKind, int]
+) -> tuple[Fault, ...]:
     rng = random.Random(f"{seed} faults")
-    kinds = list(_WEIGHT_BY_KIND)
-    weights = list(_WEIGHT_BY_KIND.values())
+    kinds = list(weight_by_kind)
+    weights = list(weight_by_kind.values())
     faults = []
     for _ in range(rng.randint(*FAULTS)):
         (kind,) = rng.choices(kinds, weights)
@@ -205,8 +304,8 @@
             rng.uniform(FIRST_FAULT_S, LAST_JOB_S),
             kind,
             rng.randrange(WORKERS),
-            rng.uniform(*FAULT_DURATION_S),
-            rng.uniform(*(ENTRY_DELAY_S if is_restart else LATE_BY_S)),
+            rng.uniform(*_DURATION_S_BY_KIND.get(kind, FAULT_DURATION_S)),
+            rng.uniform(*_DELAY_S_BY_KIND.get(kind, LATE_BY_S)),
         )
         faults.append(fault)
         if is_restart and rng.random() < SILENT_RESTART_SHARE:
