Ignore documents of removed jobs that were read before the removal

What callers saw: nothing yet; found while the read of the submissions became more frequent.

Cause: what named a job once is taken as proof that it is wanted now. A read of all documents takes several pages, and may begin before the records of an ended job are removed. Its answer came after the coordinator had forgotten the job, so its document counted as that of a new one, and the job ran again. So far only a store without the history of a watch led to such a read during a term.

Ruled out: changes that a watch reports. They come with the removal, and only the last change of a key is applied.

Change: the coordinator remembers for 60 s the revision of the record of a workflow that it forgets. A document that was stored before is ignored.

The test failed before: test_read_that_began_before_the_removal AssertionError: Items in the first set but not the second: TaskKey(workflow_id='job', occurrence=0, step=0, index=0)

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -307,8 +307,7 @@
             self._term.retention.add_cancellation(workflow_id, revision, now)
             self._term.engine.cancel(workflow_id, now)
             self._schedule_planning()
-        else:
-            self._term.retention.take_stored(workflow_id, revision)
+        elif self._term.retention.take_stored(workflow_id, revision):
             self._accept_stored(workflow_id, value)
 
     def _workflow_announced(self, message: WorkflowStored) -> None:
--- a/src/redwingrudder/coordination/retention.py
+++ b/src/redwingrudder/coordination/retention.py
@@ -14,6 +14,9 @@
 from .recorder import Recorder
 
 SWEEP_INTERVAL_S = 5.0
+# Time for which forgotten workflows are remembered. A read of all documents
+# that began before a removal takes less.
+FORGOTTEN_MEMORY_S = 60.0
 # The store accepts at most 32 entries in a transaction: each workflow takes
 # three deletions and the comparison of its record, and the comparison of the
 # term takes one more entry.
@@ -34,6 +37,18 @@
     seen_at: float
 
 
+class _ForgottenWorkflow(NamedTuple):
+    """An ended workflow whose records were removed.
+
+    Attributes:
+        revision: Store revision of the record of its progress.
+        forgotten_at: Node-clock seconds at which it was forgotten.
+    """
+
+    revision: int
+    forgotten_at: float
+
+
 class RecordRetention:
     """Removes the records of ended workflows after the retention period.
 
@@ -62,6 +77,8 @@
         self._next_sweep_at = system.clock.seconds() + SWEEP_INTERVAL_S
         self._removing = False
         self._cancellations_by_id: dict[str, _Cancellation] = {}
+        # Ordered by the time at which they were forgotten.
+        self._forgotten_by_id: dict[str, _ForgottenWorkflow] = {}
 
     def add_cancellation(self, workflow_id: str, revision: int, now: float) -> None:
         """Note a stored cancellation, whether its workflow is known or not.
@@ -77,16 +94,20 @@
         if noted is None or noted.revision != revision:
             self._cancellations_by_id[workflow_id] = _Cancellation(revision, now)
 
-    def take_stored(self, workflow_id: str, revision: int) -> None:
+    def take_stored(self, workflow_id: str, revision: int) -> bool:
         """Forget an ended workflow if its id is used by a later one.
 
         A document is stored before the progress of its workflow is recorded.
         One that was stored after it is that of another workflow, so the
-        records of the ended one have been removed.
+        records of the ended one have been removed. A document that was stored
+        before it may have been read before that removal.
 
         Args:
             workflow_id: The workflow.
             revision: Store revision of its document.
+
+        Returns:
+            False if the document is that of a forgotten workflow.
         """
         progress = self._engine.workflows_by_id.get(workflow_id)
         if (
@@ -96,6 +117,11 @@
         ):
             self._forget(workflow_id)
             _logger.info("id of an ended job is used again", extra={"job": workflow_id})
+        forgotten = self._forgotten_by_id.get(workflow_id)
+        if forgotten is None or revision > forgotten.revision:
+            return True
+        _logger.info("document of a removed job is ignored", extra={"job": workflow_id})
+        return False
 
     def sweep(self, now: float) -> None:
         """Start to remove a batch of expired records if a sweep is due.
@@ -106,6 +132,7 @@
         if self._removing or now < self._next_sweep_at:
             return
         self._next_sweep_at = now + SWEEP_INTERVAL_S
+        self._expire_forgotten(now)
         expired = self._find_expired(now)
         cancelled_ids = self._find_expired_cancellations(now)
         if expired or cancelled_ids:
@@ -142,9 +169,21 @@
         )
 
     def _forget(self, workflow_id: str) -> None:
+        self._forgotten_by_id.pop(workflow_id, None)
+        self._forgotten_by_id[workflow_id] = _ForgottenWorkflow(
+            self._recorder.revision(workflow_id), self._system.clock.seconds()
+        )
         self._engine.forget(workflow_id)
         self._recorder.forget(workflow_id)
 
+    def _expire_forgotten(self, now: float) -> None:
+        while self._forgotten_by_id:
+            oldest_id = next(iter(self._forgotten_by_id))
+            forgotten_at = self._forgotten_by_id[oldest_id].forgotten_at
+            if now - forgotten_at <= FORGOTTEN_MEMORY_S:
+                return
+            del self._forgotten_by_id[oldest_id]
+
     def _find_expired_cancellations(self, now: float) -> list[str]:
         """Return ids without a workflow whose cancellation is to be removed.
 
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -4,10 +4,11 @@
 import math
 import unittest
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from redwingrudder._background import pause
-from redwingrudder._store_requests import GetKey, KeyValue
+from redwingrudder._store_requests import GetKey, GetPrefix, KeyValue
 from redwingrudder.actors import Actor, ActorSystem
 from redwingrudder.coordination._announced_cancellations import (
     MAX_READS_IN_FLIGHT,
@@ -26,6 +27,7 @@
     TERM_KEY,
     FleetGateways,
     WorkerTimes,
+    intake_keys,
 )
 from redwingrudder.coordination.intake import Intake
 from redwingrudder.coordination.leadership import Identity
@@ -52,7 +54,13 @@
 from redwingrudder.workflows.model import EndKind
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import Recording, node_system, outcome, run_for
+from .coordination_fakes import (
+    Recording,
+    node_system,
+    outcome,
+    run_for,
+    time_out_watches,
+)
 
 RETENTION_S = 20.0
 SWEEP_S = 6.0  # longer than the interval between two removals of records
@@ -169,6 +177,37 @@
         self.run_for(1.0)
         self.assertEqual(self.running(), set())
 
+    def test_read_that_began_before_the_removal(self):
+        """Guards against a second run of a job by a read that takes long.
+
+        The store does not answer watches, so all documents are read.
+        """
+        self.contents.put(INTAKE_PREFIX + "job", self.document())
+        self.run_for(1.0)
+        self.worker.process.end(fx.key("job"), EndKind.DONE)
+        self.run_for(RETENTION_S - 1.0)
+        held = []
+        answer = self.store._handlers_by_type[GetPrefix]
+
+        def hold(message):
+            reply = Deferred()
+            held.append((reply, answer(message)))
+            return reply
+
+        self.store._handlers_by_type[GetPrefix] = hold
+        time_out_watches(self.store)
+        # The watch that waits ends with a change.
+        self.contents.put(intake_keys("other")[1], "0.0")
+        self.run_for(2 * SWEEP_S)
+        self.assertNotIn(INTAKE_PREFIX + "job", self.contents.items_by_key)
+        self.assertTrue(held)
+        self.store._handlers_by_type[GetPrefix] = answer
+        for reply, pairs in held:
+            reply.callback(pairs)
+        self.contents.put(INTAKE_PREFIX + "next", self.document("next"))
+        self.run_for(1.5)
+        self.assertEqual(self.running(), {fx.key("next")})
+
     def test_relayed_write_after_removal(self):
         """Guards against a second run by a relayed submission that is late."""
         Intake(self.system, Identity("n1", "n1:1", "life"), RETENTION_S)
