Keep the session of a worker with a run that is being stopped

Cause: a worker without an entry was removed after 2.5 s if it had no current run of a task. A listed run that is not wanted, of a job that is over or cancelled, is no current run, although its stop may still be repeated. The session was closed, the stop ended with it, and the run went on until its lease lapsed. A task that waited for this run no longer did so either.

Ruled out: current runs. Those of a cancelled job stay with the worker until they have ended or the lease has lapsed, and the session repeats their stops until then. Runs that an earlier coordinator has placed on a worker without an entry have no address to send a stop to; their leases are not extended, and the first report stops them if the entry is back (test_returning_entries).

Change: runs that are being stopped keep the worker and its session, until they have ended or the lease has lapsed.

The test failed before (the run went on after stops were answered again): test_late_run_of_a_cancelled_job_on_a_worker_without_an_entry AssertionError: {TaskKey(workflow_id='job', ...): _CurrentRun(run=1001, begin=2.6)} != {}

--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -365,7 +365,7 @@
             leases_have_lapsed = has_no_session and now > self._prior_leases_end_at
             is_idle = (
                 now - unlisted_since > REMOVE_UNLISTED_AFTER_S
-                and not worker.tasks_by_key
+                and not worker.may_have_runs
             )
             if leases_have_lapsed or is_idle:
                 self._remove(worker_id, now)
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -570,6 +570,11 @@
         self._unwanted_by_run[key, run] = UnwantedRun(amount, now)
         return True
 
+    @property
+    def may_have_runs(self) -> bool:
+        """Whether a run may go on, current or being stopped."""
+        return bool(self.tasks_by_key or self._unwanted_by_run)
+
     @property
     def unwanted_keys(self) -> list[TaskKey]:
         """Tasks of the runs that ``keep_until_ended`` counts."""
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -4,12 +4,17 @@
 import unittest
 from unittest import mock
 
-from redwingrudder.coordination.gateways import COORDINATOR, TERM_KEY
+from redwingrudder.coordination.gateways import (
+    COORDINATOR,
+    TERM_KEY,
+    intake_keys,
+)
 from redwingrudder.coordination.messages import BeginTerm, EndTerm, StartSettled
 from redwingrudder.coordination.worker_session import (
     longest_lease_timeout_s,
     prior_lease_timeout_s,
 )
+from redwingrudder.coordination.worker_table import REMOVE_UNLISTED_AFTER_S
 from redwingrudder.simulation import MAX_LEASE_S
 from redwingrudder.workflows.model import EndKind
 from redwingrudder.workflows.run_table import LATE_CALL_S
@@ -272,6 +277,28 @@
         self.assertEqual(self.w1.process.runs_by_key, {})
         self.assertIn(KEY, self.w2.process.runs_by_key)
 
+    def test_late_run_of_a_cancelled_job_on_a_worker_without_an_entry(self):
+        """Guards against a run that nobody stops as its worker seems idle.
+
+        The stops get no reply at first, and the entry is missing.
+        """
+        self.start_with_lost_attempt()
+        self.store.contents.put(intake_keys("job")[1], "0.0")
+        self.run_for(1.0)
+        self.assertEqual(self.w1.process.runs_by_key, {})
+        self.w1.restart()
+        self.w1.carry_out_late_calls()
+        self.w1.late = {"stop"}
+        self.run_for(0.5)
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.store.contents.remove("servers/w1")
+        self.run_for(REMOVE_UNLISTED_AFTER_S + 0.5)
+        self.w1.late = set()
+        self.run_for(1.0)
+        self.assertEqual(self.w1.process.runs_by_key, {})
+        self.run_for(1.0)
+        self.assertNotIn("w1", self.coordinator._term.engine.workers_by_id)
+
     def test_no_other_task_waits(self):
         """Guards against a worker that holds back tasks it was not sent."""
         self.start_with_lost_attempt()
