--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -305,8 +305,7 @@
         workflow_id = workflow_id_of(key)
         if key.endswith(CANCEL_SUFFIX):
             self._cancel(KeyValue(key, value, revision))
-        else:
-            self._term.retention.take_stored(workflow_id, revision)
+        elif self._term.retention.take_stored(workflow_id, revision):
             self._accept_stored(workflow_id, value)
 
     def _workflow_announced(self, message: WorkflowStored) -> None:
