Discount crashes that a harmless run of the task contradicts

Cause: a task that was cleared, since its run had gone on for 0.5 s, kept the evidence of earlier runs as if nothing had been learnt. One crash just after a start, a run without one and two crashes at starts again made three, which is a proof also on workers that crash often and for starts that no coordinator saw confirmed. A crash long after the start was added to crashes just after it in the same way, though its run shows that the start was harmless.

Change: a run that goes on for 0.5 s takes the meaning "may be the cause" from earlier runs with crashes; that is in the progress record. Three runs of any kind and one more crash are a proof as before, so tasks that crash their workers late are given up after as many crashes as before.

tests/test_harmless_runs.py: three of its four tests failed before ('guilty' instead of 'suspected').

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -204,6 +204,16 @@
     return bool(refuted)
 
 
+def discount_starts(holder: Task) -> None:
+    """Keep the runs with crashes, but not as ones that may be the cause."""
+    holder.crash_evidence_by_run.update(
+        {
+            run: evidence._replace(suspect=False)
+            for run, evidence in holder.crash_evidence_by_run.items()
+        }
+    )
+
+
 def valid_evidence_by_run(holder: Task) -> dict[int, CrashEvidence]:
     """Return the runs whose crashes are evidence against a task or gang."""
     return {
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -16,6 +16,7 @@
     CrashHistory,
     WorkerCrash,
     add_evidence,
+    discount_starts,
     latest_end,
     refute_evidence,
     suspicion_holder,
@@ -48,9 +49,10 @@
 # Number of runs with crashes that had just been confirmed, before a task can
 # be guilty; one of them when no other suspect's worker crashed.
 MIN_CRASHED_RUNS = 2
-# Number of runs with crashes after which a task that is the only suspect is
-# guilty, even if its workers had crashed before, had not confirmed its starts
-# or crashed together with those of other suspects each time.
+# Number of runs with crashes, which the starts may have caused, after which a
+# task that is the only suspect is guilty, even if its workers had crashed
+# before, had not confirmed its starts or crashed together with those of other
+# suspects each time.
 CONCLUSIVE_CRASHED_RUNS = 3
 # Time after a crash for which a suspect waits for room on a worker that has
 # not crashed recently.
@@ -228,25 +230,33 @@
     """
     holder = suspicion_holder(task)
     earlier = [e for r, e in valid_evidence_by_run(holder).items() if r != task.run]
-    was_suspected = any(evidence.suspect for evidence in earlier)
-    if not was_suspected and len(earlier) < MAX_UNEXPLAINED_CRASHES:
-        return False
-    if len(earlier) + 1 < CONCLUSIVE_CRASHED_RUNS and is_crash_prone(worker, now):
-        return False
-    return _has_enough_evidence(holder, history)
+    if any(evidence.suspect for evidence in earlier):
+        is_sound_worker = not is_crash_prone(worker, now)
+        is_proof = is_sound_worker or _is_conclusive(holder)
+        return is_proof and _has_enough_evidence(holder, history)
+    return len(earlier) >= MAX_UNEXPLAINED_CRASHES
 
 
 def _has_enough_evidence(holder: Task, history: CrashHistory) -> bool:
     """Return whether the runs with crashes prove that the task causes them."""
-    valid = valid_evidence_by_run(holder).values()
-    if len(valid) >= CONCLUSIVE_CRASHED_RUNS:
+    if _is_conclusive(holder):
         return True
+    valid = valid_evidence_by_run(holder).values()
     strong = [e for e in valid if e.confirmed and e.suspect]
     return len(strong) >= MIN_CRASHED_RUNS and not all(
         history.is_beside_other_suspects(holder, evidence) for evidence in strong
     )
 
 
+def _is_conclusive(holder: Task) -> bool:
+    """Return whether the number of runs with crashes alone is enough."""
+    valid = valid_evidence_by_run(holder).values()
+    suspect_runs = sum(evidence.suspect for evidence in valid)
+    return (
+        suspect_runs >= CONCLUSIVE_CRASHED_RUNS or len(valid) > MAX_UNEXPLAINED_CRASHES
+    )
+
+
 def _crashed_runs(task: Task) -> int:
     """Return the number of confirmed runs whose crashes are evidence."""
     valid = valid_evidence_by_run(suspicion_holder(task))
@@ -256,6 +266,9 @@
 def clear_if_harmless(task: Task, has_ended: bool = False) -> bool:
     """End the suspicion of a task whose run has proved harmless.
 
+    If the run has gone on for ``PROOF_RUN_S``, the starts of earlier runs are
+    no longer taken for the cause of their crashes.
+
     Args:
         task: The task.
         has_ended: Whether its worker has reported that the run ended by
@@ -266,12 +279,13 @@
     """
     if not is_suspected(task):
         return False
-    if not has_ended:
-        if _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES:
-            return False
-        members = task.stage.tasks if task.stage.spec.gang else [task]
-        if not all(has_proved_harmless(member) for member in members):
-            return False
+    members = task.stage.tasks if task.stage.spec.gang else [task]
+    has_gone_on = all(has_proved_harmless(member) for member in members)
+    is_unexplained = _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES
+    if not has_ended and (is_unexplained or not has_gone_on):
+        return False
+    if has_gone_on:
+        discount_starts(suspicion_holder(task))
     step_suspicion(task, "proved_harmless")
     return True
 
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -69,7 +69,8 @@
         worker_ids: The workers.
         confirmed: Whether the end of a worker is certain that had confirmed
             the start.
-        suspect: Whether the run may be the cause.
+        suspect: Whether the run may be the cause; False also once a later run
+            has proved harmless.
         refuted: Whether the crashes have a cause outside the task.
     """
 
