--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -20,6 +20,8 @@
 URGENT_SHARE = 0.25  # of jobs that preempt others
 CANCELLED_SHARE = 0.15
 CANCEL_AFTER_S = (0.1, 6.0)
+CHECKPOINTS_SHARE = 0.4
+CHECKPOINT_INTERVAL_S = (0.3, 2.0)
 RUN_TIME_S = (0.5, 6.0)
 FAILED_SHARE = 0.15
 MAX_STOP_S = 0.9
@@ -132,6 +134,8 @@
             if the job is not cancelled.
         second_tasks: Number of tasks of a second step, which begins once the
             first one is done; 0 if there is none.
+        checkpoint_interval_s: Seconds of work between checkpoints, None if
+            the tasks have none.
     """
 
     at_s: float
@@ -142,6 +146,17 @@
     priority: int
     cancel_after_s: float | None
     second_tasks: int = 0
+    checkpoint_interval_s: float | None = None
+
+    @property
+    def payload(self) -> str:
+        """Payload of the job, which no other one has."""
+        return f"payload of {self.workflow_id}"
+
+    @property
+    def tasks_by_step(self) -> tuple[int, ...]:
+        """Number of tasks of each step."""
+        return (self.tasks, self.second_tasks) if self.second_tasks else (self.tasks,)
 
     def describe(self) -> str:
         """Return the size of the job."""
@@ -157,13 +172,15 @@
         demand = Resources(TASK_CPU_MILLIS, TASK_MEMORY_MB, self.accelerators)
         step = StepSpec(self.tasks, demand, ESTIMATE_S, gang=self.gang)
         second = StepSpec(self.second_tasks, demand, ESTIMATE_S, after=(0,))
+        saves = self.checkpoint_interval_s is not None
+        steps = [step._replace(checkpoints=saves) for step in (step, second)]
         policy = QueuePolicy("pool", self.priority, ATTEMPTS)
         return Workflow(
             self.workflow_id,
             f"queue-{self.priority}",
             "organisation",
-            "payload",
-            (step, second) if self.second_tasks else (step,),
+            self.payload,
+            tuple(steps[: len(self.tasks_by_step)]),
             policy,
             accepted_at,
         )
@@ -263,6 +280,7 @@
 
 def _draw_jobs(seed: int) -> tuple[Job, ...]:
     rng = random.Random(f"{seed} jobs")
+    checkpoints_rng = random.Random(f"{seed} checkpoints")
     times = sorted(rng.uniform(0.5, LAST_JOB_S) for _ in range(rng.randint(*JOBS)))
     jobs = []
     for number, at_s in enumerate(times):
@@ -278,6 +296,9 @@
                 rng.uniform(*CANCEL_AFTER_S)
                 if rng.random() < CANCELLED_SHARE
                 else None,
+                checkpoint_interval_s=checkpoints_rng.uniform(*CHECKPOINT_INTERVAL_S)
+                if checkpoints_rng.random() < CHECKPOINTS_SHARE
+                else None,
             )
         )
     return tuple(jobs)
