Let writes of the simulation break off with the store

The kind "broken writes" takes the store from a node with a write, which is carried out 0.3 to 12 s after the store is back. It has weight 0 by default; the profile broken_writes draws it often.

--- a/src/redwingrudder/simulation/_disruptions.py
+++ b/src/redwingrudder/simulation/_disruptions.py
@@ -62,6 +62,7 @@
     FaultKind.LOST_PEER_REPLIES: Reach.NOBODY,
     FaultKind.DRAIN: Reach.NOBODY,
     FaultKind.LONG_REMOVED_ENTRY: Reach.WORKER,
+    FaultKind.BROKEN_WRITES: Reach.LEADER,
 }
 
 
@@ -159,6 +160,6 @@
             begin, last = max(fault.at_s, lead.at_s), min(end, lead_end)
             if lead.node == fault.target % NODES and begin <= last:
                 yield Disruption(fault.kind, "", begin, last)
-        if fault.kind is FaultKind.LATE_WRITES:
+        if fault.kind in (FaultKind.LATE_WRITES, FaultKind.BROKEN_WRITES):
             carried_out_at = end + fault.delay_s
             yield Disruption(fault.kind, "", carried_out_at, carried_out_at)
--- a/src/redwingrudder/simulation/_faults.py
+++ b/src/redwingrudder/simulation/_faults.py
@@ -151,13 +151,18 @@
 
     def end(self, cluster: "Cluster", fault: Fault) -> None:
         """See base class."""
-        if not any(
-            cluster.is_active(fault.kind, target)
-            for target in range(fault.target % NODES, WORKERS, NODES)
-        ):
+        if not _is_store_down(cluster, fault.target % NODES):
             cluster.set_store_down(fault.target % NODES, False)
 
 
+def _is_store_down(cluster: "Cluster", node: int) -> bool:
+    """Return whether a fault keeps the store from answering a node."""
+    return any(
+        cluster.is_active(FaultKind.STORE_DOWN, target)
+        for target in range(node, WORKERS, NODES)
+    )
+
+
 class LostAnswers(StoreFault):
     """Writes take effect, but their outcome is reported as unknown."""
 
@@ -187,6 +192,32 @@
         cluster.nodes[fault.target % NODES].store.writes_to_delay = 0
 
 
+class BrokenWrites(StoreFault):
+    """The store stops to answer with a write, which is carried out later."""
+
+    def describe(self, fault: Fault) -> str:
+        """See base class."""
+        return f"{super().describe(fault)}, late by {fault.delay_s:.1f} s"
+
+    def begin(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        store = cluster.nodes[fault.target % NODES].store
+        store.writes_to_delay = 1
+        store.down_after_delayed_write = True
+        cluster.clock.callLater(
+            fault.duration_s + fault.delay_s, store.apply_delayed_writes
+        )
+
+    def end(self, cluster: "Cluster", fault: Fault) -> None:
+        """See base class."""
+        node = fault.target % NODES
+        store = cluster.nodes[node].store
+        store.writes_to_delay = 0
+        store.down_after_delayed_write = False
+        if not _is_store_down(cluster, node):
+            cluster.set_store_down(node, False)
+
+
 class HangingWatches(StoreFault):
     """Watches of a node are not answered, although other calls are."""
 
@@ -295,4 +326,5 @@
     FaultKind.LOST_PEER_REPLIES: LostPeerReplies(),
     FaultKind.DRAIN: Drain(),
     FaultKind.LONG_REMOVED_ENTRY: RemovedEntry(),
+    FaultKind.BROKEN_WRITES: BrokenWrites(),
 }
--- a/src/redwingrudder/simulation/_node.py
+++ b/src/redwingrudder/simulation/_node.py
@@ -1,5 +1,6 @@
 """A node of a simulation: its actors, and what stands in for others."""
 
+import functools
 from typing import TYPE_CHECKING, Any
 
 from ..actors import Actor, ActorSystem, Handler
@@ -102,6 +103,7 @@
         )
         MemoryPeers(self.system, cluster, index)
         self.store = MemoryStore(self.system, cluster.contents)
+        self.store.go_down = functools.partial(cluster.set_store_down, index, True)
         self.notified_revision = 0
         self.store_down_since = 0.0
         TimerService(self.system)
--- a/src/redwingrudder/simulation/_profiles.py
+++ b/src/redwingrudder/simulation/_profiles.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ._schedule import (
+    BROKEN_WRITES_WEIGHT_BY_KIND,
     LEAVING_WEIGHT_BY_KIND,
     UNHEARD_WEIGHT_BY_KIND,
     WEIGHT_BY_KIND,
@@ -51,6 +52,8 @@
     "cancellations": _CANCELLATIONS,
     # What the coordinator learns of clients is disturbed.
     "unheard": Profile(UNHEARD_WEIGHT_BY_KIND, has_clients=True),
+    # The outcome of writes to the store is unknown as well.
+    "broken_writes": Profile(BROKEN_WRITES_WEIGHT_BY_KIND, has_clients=True),
     # Workers leave as well, and their entries vanish for longer.
     "leaving": Profile(LEAVING_WEIGHT_BY_KIND, has_clients=True),
     # Half of the jobs have a second step, too.
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -66,6 +66,7 @@
     LOST_PEER_REPLIES = "lost replies of peers"
     DRAIN = "drain"
     LONG_REMOVED_ENTRY = "entry removed for long"
+    BROKEN_WRITES = "broken writes"
 
 
 WEIGHT_BY_KIND = {
@@ -87,6 +88,7 @@
     FaultKind.LOST_PEER_REPLIES: 0,
     FaultKind.DRAIN: 0,
     FaultKind.LONG_REMOVED_ENTRY: 0,
+    FaultKind.BROKEN_WRITES: 0,
 }
 
 # Weights under which what the coordinator learns of clients is disturbed.
@@ -109,6 +111,12 @@
     FaultKind.LONG_REMOVED_ENTRY: 4,
 }
 
+# Weights under which the outcome of writes to the store is often unknown.
+BROKEN_WRITES_WEIGHT_BY_KIND = {
+    **UNHEARD_WEIGHT_BY_KIND,
+    FaultKind.BROKEN_WRITES: 12,
+}
+
 _DURATION_S_BY_KIND = {
     FaultKind.DRAIN: LEAVES_AFTER_S,
     FaultKind.LONG_REMOVED_ENTRY: LONG_REMOVED_S,
--- a/src/redwingrudder/simulation/_store.py
+++ b/src/redwingrudder/simulation/_store.py
@@ -1,5 +1,6 @@
 """Model of the platform's store with fault injection."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -87,6 +88,7 @@
             and take effect in ``apply_delayed_writes``.
         down_after_delayed_write: Whether the store goes down after a delayed
             write.
+        go_down: Called when it does; without another one, it sets ``down``.
         watches_hang: Watches are not answered, although other calls are.
         renewal_remaining_s: Remaining time of a lease that each renewal
             returns; 0.0 means that the lease has expired.
@@ -103,6 +105,7 @@
         self.answers_to_withhold = 0
         self.writes_to_delay = 0
         self.down_after_delayed_write = False
+        self.go_down: Callable[[], None] = self._go_down
         self.watches_hang = False
         self.renewal_remaining_s = 1.5
         self.delayed_writes: list[Transact] = []
@@ -134,6 +137,9 @@
         for message, reply in waiting:
             self._answer_or_wait(message, reply)
 
+    def _go_down(self) -> None:
+        self.down = True
+
     def _answer_if_up(self, value: Any) -> Any:
         if self.down:
             raise StoreUnavailableError("the store is down")
@@ -161,7 +167,8 @@
         self.transactions.append(message)
         if self.writes_to_delay:
             self.writes_to_delay -= 1
-            self.down = self.down_after_delayed_write
+            if self.down_after_delayed_write:
+                self.go_down()
             self.delayed_writes.append(message)
             raise OutcomeUnknownError("the write was delayed")
         reply = self.contents.transact(message)
--- a/tests/test_simulation_models.py
+++ b/tests/test_simulation_models.py
@@ -174,6 +174,19 @@
         (submission,) = history.submissions
         self.assertGreater(submission.acknowledged_at, begin + 1.0)
 
+    def test_write_that_breaks_off_leaves_the_outcome_open(self):
+        """Guards against clients that hear of each write what became of it."""
+        broken = Fault(0.9, FaultKind.BROKEN_WRITES, 1, 6.0, 1.0)
+        down = Fault(0.9, FaultKind.STORE_DOWN, 0, 4.0, NO_DELAY_S)
+        history = self.play(
+            ClientPlan("job", node=1, resend_after_s=20.0), broken, down
+        )
+        self.first_event(history, "submission of job gets no answer: outcome_unknown")
+        (submission,) = history.submissions
+        self.assertFalse(submission.refused)
+        begin = self.first_event(history, "begins run")
+        self.assertAlmostEqual(begin, 7.9, delta=0.1)
+
     def test_refused_submission_does_not_run(self):
         """Guards against a refusal that is recorded as an unknown outcome."""
         down = [Fault(0.1, FaultKind.STORE_DOWN, node, 6.0, 0.0) for node in (0, 1)]
