--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -69,7 +69,8 @@
         worker_ids: The workers.
         confirmed: Whether the end of a worker is certain that had confirmed
             the start.
-        suspect: Whether the run may be the cause.
+        suspect: Whether the run may be the cause; False also once a later run
+            has proved harmless.
         refuted: Whether the crashes have a cause outside the task.
     """
 
@@ -570,6 +571,11 @@
         self._unwanted_by_run[key, run] = UnwantedRun(amount, now)
         return True
 
+    @property
+    def may_have_runs(self) -> bool:
+        """Whether a run may go on, current or being stopped."""
+        return bool(self.tasks_by_key or self._unwanted_by_run)
+
     @property
     def unwanted_keys(self) -> list[TaskKey]:
         """Tasks of the runs that ``keep_until_ended`` counts."""
