Date a lost attempt by its failure, not by the begin of its call

Cause: the age of a start without a reply was counted from the begin of its call. The request is written when its connection stands, which may take until the time limit of the attempt, 0.8 s, so the 12 s for which it may come late ended too early by as much.

Change: the attempt is dated when its call has failed; nothing is written later.

The test failed before, with a connection that takes 0.3 s: test_lost_attempt_counts_from_the_time_it_is_written AssertionError: 18.94 not greater than or equal to 19.24

--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -305,8 +305,8 @@
             run will not begin.
         fence: Fencing token of the session that sent the start.
         unanswered_at: Node-clock seconds at which the latest attempt without a
-            reply was sent, None if all attempts were answered or not sent. The
-            worker, or its next process, may still carry it out.
+            reply had been sent, None if all attempts were answered or not
+            sent. The worker, or its next process, may still carry it out.
     """
 
     run: StartRun
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -144,8 +144,8 @@
         self._has_reported = False
         self._closed = False
         self._starts_in_flight: set[tuple] = set()
-        # Starts in flight that the worker may have received, with the time at
-        # which the latest attempt without a reply was sent.
+        # Starts in flight that the worker may have received, with a time at
+        # which the latest attempt without a reply had been sent.
         self._unanswered_starts: dict[tuple[TaskKey, int], float] = {}
         # Starts of which an attempt waits for its reply.
         self._awaited_starts: set[tuple[TaskKey, int]] = set()
@@ -553,7 +553,6 @@
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
             if not self._may_send_start(message):
                 break
-            sent_at = self.system.clock.seconds()
             self._awaited_starts.add(run_key)
             start = self._channel.start(
                 message,
@@ -571,7 +570,7 @@
                     "fence": self._fence,
                     "process_started_ms": self._process_started_ms,
                 },
-                partial(self._unanswered_starts.__setitem__, run_key, sent_at),
+                partial(self._record_unanswered_start, run_key),
             )
             self._awaited_starts.discard(run_key)
             if attempt and reply is not None and reply.reason == "other_life":
@@ -583,6 +582,14 @@
             self._record_no_answer()
         return CommandReply(False, "unanswered")
 
+    def _record_unanswered_start(self, run_key: tuple[TaskKey, int]) -> None:
+        """Record that an attempt was sent and got no reply.
+
+        It may have been written long after the call began, when its
+        connection stood.
+        """
+        self._unanswered_starts[run_key] = self.system.clock.seconds()
+
     def _may_send_start(self, message: StartRun) -> bool:
         """Return whether a start may be sent.
 
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -346,7 +346,7 @@
             run: Number of the run.
             worker_id: Worker of the run.
             unanswered_at: Node-clock seconds at which the latest attempt
-                without a reply was sent, None if there is none.
+                without a reply had been sent, None if there is none.
         """
         task = self.find(key)
         if task is None:
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -299,6 +299,20 @@
         self.run_for(1.0)
         self.assertNotIn("w1", self.coordinator._term.engine.workers_by_id)
 
+    def test_lost_attempt_counts_from_the_time_it_is_written(self):
+        """Guards against a hold that ends before a late call can come."""
+        self.w1.connect_s = 0.3
+        self.w1.late = {"start"}
+        self.submit("job", 0.4)
+        self.w1.late = set()
+        self.run_for(1.0)
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        engine = self.coordinator._term.engine
+        (late_call,) = self.w1.late_calls
+        late_until = late_call.sent.at + LATE_CALL_S + engine.longest_lease_s
+        known_until = engine.find(KEY).late_starts_by_worker["w1"]
+        self.assertGreaterEqual(known_until, late_until)
+
     def test_no_other_task_waits(self):
         """Guards against a worker that holds back tasks it was not sent."""
         self.start_with_lost_attempt()
