Test that a message of the last term settles no start

The test fails if the term is not compared: test_settled_start_of_the_last_term: AssertionError: True is not false

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -7,6 +7,7 @@
 from redwingrudder.coordination.gateways import (
     COORDINATOR,
     TERM_KEY,
+    CommandReply,
     intake_keys,
 )
 from redwingrudder.coordination.messages import BeginTerm, EndTerm, StartSettled
@@ -14,9 +15,12 @@
     longest_lease_timeout_s,
     prior_lease_timeout_s,
 )
-from redwingrudder.coordination.worker_table import REMOVE_UNLISTED_AFTER_S
+from redwingrudder.coordination.worker_table import (
+    REMOVE_UNLISTED_AFTER_S,
+    SESSIONS_PER_TERM,
+)
 from redwingrudder.simulation import MAX_LEASE_S
-from redwingrudder.workflows.model import EndKind
+from redwingrudder.workflows.model import EndKind, StartRun
 from redwingrudder.workflows.run_table import LATE_CALL_S
 
 from . import workflow_fixtures as fx
@@ -201,6 +205,22 @@
         self.run_for(1.0)
         self.assertEqual(self.w2.process.runs_by_key, {})
 
+    def test_settled_start_of_the_last_term(self):
+        """Guards against a start that a message of another term settles."""
+        self.w1.late = {"start"}
+        self.submit("job", 0.1)
+        self.hand_over(TERM + 1)
+        self.run_for(0.1)
+        task = self.coordinator._term.engine.find(KEY)
+        self.assertFalse(task.start_settled)
+        start = StartRun("w1", KEY, task.run, "", "")
+        rejection = CommandReply(False, "unanswered")
+        fence = TERM * SESSIONS_PER_TERM
+        self.system.tell(COORDINATOR, StartSettled(start, rejection, fence))
+        self.run_for(0.01)
+        self.assertFalse(task.start_settled)
+        self.assertTrue(task.placed)
+
     def test_next_run_goes_to_the_worker_of_a_lost_attempt(self):
         """Guards against two runs by a restart after the next run was placed.
 
