Decode no document of a job that is known already

Change: the id in the key decides first. The id in the document is checked as before.

The test failed before: test_known_documents_are_not_decoded_again AssertionError: Expected 'decode_workflow' to not have been called. Called 6 times.

--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -91,6 +91,9 @@
         Whether the workflow was added: False if it cannot be decoded, is
         skipped or was added before.
     """
+    workflow_id = workflow_id_of(key)
+    if workflow_id in engine.workflows_by_id or workflow_id in engine.set_aside_ids:
+        return False
     try:
         workflow = records.decode_workflow(document.encode())
     except BadRequestError as error:
@@ -98,8 +101,8 @@
             "stored workflow could not be decoded",
             extra={"key": key, "error": str(error)},
         )
-        if is_stored and workflow_id_of(key) not in engine.workflows_by_id:
-            engine.set_aside(workflow_id_of(key))
+        if is_stored:
+            engine.set_aside(workflow_id)
         return False
     workflow_id = workflow.workflow_id
     if workflow_id in engine.workflows_by_id or workflow_id in engine.set_aside_ids:
--- a/tests/test_missed_cancels.py
+++ b/tests/test_missed_cancels.py
@@ -250,6 +250,16 @@
                 run_for(self.clock, CANCEL_LIMIT_S - RESERVE_S)
                 self.assertEqual(self.channel.stopped, [fx.key("a")])
 
+    def test_known_documents_are_not_decoded_again(self):
+        """Guards against reads that take a coordinator's processor time."""
+        self.submit("a")
+        run_for(self.clock, 1.0)
+        with mock.patch.object(
+            records, "decode_workflow", side_effect=records.decode_workflow
+        ) as decode:
+            run_for(self.clock, 5.0)
+        decode.assert_not_called()
+
     def test_calls_while_watches_get_no_reply(self):
         """Guards against reads that are more frequent than needed."""
         with mock.patch.object(
