Use a permit only for the process that it was given for

What callers saw: nothing; a start that the worker rejects, which is priced, and a gang that is broken by it.

Cause: an identity outlives what it identifies. The permit of the advice service was kept by the id of the worker and used for the worker's next process, for which it is not valid.

Change: a permit names the process; for the next one the service is asked again. Denials are kept by the id.

The test failed before: test_permit_of_a_former_process_is_not_used AssertionError: Lists differ: [StartRun(worker_id='w2', ...)] != []

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -687,9 +687,12 @@
             return
         until = now + valid_s * USABLE_TICKET_SHARE
         for worker_id in advice_request.worker_ids:
-            if worker_id in tickets:
-                stage.permits_by_worker[worker_id] = Permit(tickets[worker_id], until)
-            else:
+            worker = self.workers_by_id.get(worker_id)
+            if worker_id in tickets and worker is not None:
+                stage.permits_by_worker[worker_id] = Permit(
+                    tickets[worker_id], until, worker.facts.process_started_ms
+                )
+            elif worker_id not in tickets:
                 stage.denied_workers.add(worker_id)
 
     def throttle(self, now: float) -> None:
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -364,7 +364,11 @@
 
 def _permitted(stage: Stage, worker: Worker, now: float) -> bool:
     permit = stage.permits_by_worker.get(worker.facts.worker_id)
-    return permit is not None and now < permit.until
+    return (
+        permit is not None
+        and now < permit.until
+        and permit.process_started_ms == worker.facts.process_started_ms
+    )
 
 
 def choose_options(
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -49,10 +49,13 @@
     Attributes:
         ticket: Ticket to send with a start.
         until: Node-clock seconds until which the ticket may be used.
+        process_started_ms: Start time of the worker's process for which it is
+            valid, in Unix milliseconds, 0 if unknown.
     """
 
     ticket: str
     until: float
+    process_started_ms: int
 
 
 class CrashEvidence(NamedTuple):
