Draw fresh values in the test of malformed documents

`DecoderTests.test_mutated_documents` failed once with "ValueError: Circular reference detected" from the encoder of the test itself; three repetitions passed. The lists and mappings that replace values were the same objects in all examples. A later replacement within such a value changed it for good, and one by itself made it circular, so that examples also depended on those before them.

The values are copied now; their set is the same.

--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -138,7 +138,10 @@
     st.booleans(),
     st.integers(-(10**400), 10**400),
     st.floats(allow_nan=False, allow_infinity=False),
-    st.sampled_from([HUGE_MARK, "", "\ud800", "x", [], {}, [[]], [None], -1]),
+    # Copies, since a value may be replaced within one that was drawn before.
+    st.sampled_from([HUGE_MARK, "", "\ud800", "x", [], {}, [[]], [None], -1]).map(
+        copy.deepcopy
+    ),
 )
 
 
