--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -7,6 +7,7 @@
 from redwingrudder.coordination.gateways import (
     COORDINATOR,
     TERM_KEY,
+    CommandReply,
     intake_keys,
 )
 from redwingrudder.coordination.messages import BeginTerm, EndTerm, StartSettled
@@ -14,9 +15,12 @@
     longest_lease_timeout_s,
     prior_lease_timeout_s,
 )
-from redwingrudder.coordination.worker_table import REMOVE_UNLISTED_AFTER_S
+from redwingrudder.coordination.worker_table import (
+    REMOVE_UNLISTED_AFTER_S,
+    SESSIONS_PER_TERM,
+)
 from redwingrudder.simulation import MAX_LEASE_S
-from redwingrudder.workflows.model import EndKind
+from redwingrudder.workflows.model import EndKind, StartRun
 from redwingrudder.workflows.run_table import LATE_CALL_S
 
 from . import workflow_fixtures as fx
@@ -201,6 +205,22 @@
         self.run_for(1.0)
         self.assertEqual(self.w2.process.runs_by_key, {})
 
+    def test_settled_start_of_the_last_term(self):
+        """Guards against a start that a message of another term settles."""
+        self.w1.late = {"start"}
+        self.submit("job", 0.1)
+        self.hand_over(TERM + 1)
+        self.run_for(0.1)
+        task = self.coordinator._term.engine.find(KEY)
+        self.assertFalse(task.start_settled)
+        start = StartRun("w1", KEY, task.run, "", "")
+        rejection = CommandReply(False, "unanswered")
+        fence = TERM * SESSIONS_PER_TERM
+        self.system.tell(COORDINATOR, StartSettled(start, rejection, fence))
+        self.run_for(0.01)
+        self.assertFalse(task.start_settled)
+        self.assertTrue(task.placed)
+
     def test_next_run_goes_to_the_worker_of_a_lost_attempt(self):
         """Guards against two runs by a restart after the next run was placed.
 
@@ -299,6 +319,20 @@
         self.run_for(1.0)
         self.assertNotIn("w1", self.coordinator._term.engine.workers_by_id)
 
+    def test_lost_attempt_counts_from_the_time_it_is_written(self):
+        """Guards against a hold that ends before a late call can come."""
+        self.w1.connect_s = 0.3
+        self.w1.late = {"start"}
+        self.submit("job", 0.4)
+        self.w1.late = set()
+        self.run_for(1.0)
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        engine = self.coordinator._term.engine
+        (late_call,) = self.w1.late_calls
+        late_until = late_call.sent.at + LATE_CALL_S + engine.longest_lease_s
+        known_until = engine.find(KEY).late_starts_by_worker["w1"]
+        self.assertGreaterEqual(known_until, late_until)
+
     def test_no_other_task_waits(self):
         """Guards against a worker that holds back tasks it was not sent."""
         self.start_with_lost_attempt()
