Record which crashes came beside those of other jobs

Cause: two suspects whose workers crash at one moment, twice, need a third crash each. Whether a crash came beside another suspect's was read from the history of crashes, which a new coordinator doesn't have and which is forgotten after 60 s. After a change of the coordinator, or a long pause, the first of two such crashes counted as one that came alone, and two sound jobs that were hit together twice were both given up.

Ruled out: refuted evidence is not affected, it is left out of the record.

Change: evidence notes that it came beside other suspects as soon as that is seen, and the progress record carries the note. Records of earlier releases have none and are read as before.

tests/test_recorded_crashes.py: its three tests failed before (FAILED instead of RUNNING after two moments).

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -204,6 +204,22 @@
     return bool(refuted)
 
 
+def note_other_suspects(holder: Task, history: CrashHistory) -> bool:
+    """Note the evidence beside which workers of other suspects crashed.
+
+    Returns:
+        Whether any has been noted.
+    """
+    noted = {
+        run: evidence._replace(beside_suspects=True)
+        for run, evidence in holder.crash_evidence_by_run.items()
+        if not evidence.beside_suspects
+        and history.is_beside_other_suspects(holder, evidence)
+    }
+    holder.crash_evidence_by_run.update(noted)
+    return bool(noted)
+
+
 def discount_starts(holder: Task) -> None:
     """Keep the runs with crashes, but not as ones that may be the cause."""
     holder.crash_evidence_by_run.update(
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -18,6 +18,7 @@
     add_evidence,
     discount_starts,
     latest_end,
+    note_other_suspects,
     refute_evidence,
     suspicion_holder,
     valid_evidence_by_run,
@@ -180,12 +181,13 @@
         is_start_known = not (is_cause and task.run_adopted)
         confirmed = certain and task.run_confirmed and is_start_known
         add_evidence(holder, task.run, crash, confirmed, is_cause)
+        note_other_suspects(holder, history)
         if not is_cause:
             # Evidence against suspects is refuted by ``settle_suspicion``.
             refute_evidence(holder, history)
     for task in suspects:
         task.stage.crashed_at = now
-        is_proof = len(suspects) == 1 and _is_proof(task, worker, history, now)
+        is_proof = len(suspects) == 1 and _is_proof(task, worker, now)
         step_suspicion(task, "sole_suspect" if is_proof else "suspect")
     for task in open_runs:
         if _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES:
@@ -210,7 +212,7 @@
     changed = refute_evidence(holder, history)
     if not is_accused(holder):
         return changed
-    if not _has_enough_evidence(holder, history):
+    if not _has_enough_evidence(holder):
         step_suspicion(holder, "evidence_refuted")
         return True
     if history.awaits_evidence(holder, workers, now):
@@ -219,13 +221,12 @@
     return True
 
 
-def _is_proof(task: Task, worker: Worker, history: CrashHistory, now: float) -> bool:
+def _is_proof(task: Task, worker: Worker, now: float) -> bool:
     """Return whether a crash with only this suspect can prove its guilt.
 
     Args:
         task: The task, with this crash counted.
         worker: Its worker, with the time of the previous crash.
-        history: The crashes of workers.
         now: Node-clock seconds.
     """
     holder = suspicion_holder(task)
@@ -233,18 +234,18 @@
     if any(evidence.suspect for evidence in earlier):
         is_sound_worker = not is_crash_prone(worker, now)
         is_proof = is_sound_worker or _is_conclusive(holder)
-        return is_proof and _has_enough_evidence(holder, history)
+        return is_proof and _has_enough_evidence(holder)
     return len(earlier) >= MAX_UNEXPLAINED_CRASHES
 
 
-def _has_enough_evidence(holder: Task, history: CrashHistory) -> bool:
+def _has_enough_evidence(holder: Task) -> bool:
     """Return whether the runs with crashes prove that the task causes them."""
     if _is_conclusive(holder):
         return True
     valid = valid_evidence_by_run(holder).values()
     strong = [e for e in valid if e.confirmed and e.suspect]
     return len(strong) >= MIN_CRASHED_RUNS and not all(
-        history.is_beside_other_suspects(holder, evidence) for evidence in strong
+        evidence.beside_suspects for evidence in strong
     )
 
 
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -8,6 +8,7 @@
     CrashHistory,
     WorkerCrash,
     add_evidence,
+    note_other_suspects,
     suspicion_holder,
     valid_evidence_by_run,
 )
@@ -615,6 +616,8 @@
         for holder in suspicion_holders(self._active_workflows()):
             if accused_only and not is_accused(holder):
                 continue
+            if note_other_suspects(holder, self._crash_history):
+                self.dirty.add(holder.key.workflow_id)
             if not settle_suspicion(holder, self._crash_history, workers, now):
                 continue
             self.dirty.add(holder.key.workflow_id)
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -51,12 +51,15 @@
         run: Number of the run.
         confirmed: Whether the start was confirmed and the crash is certain.
         suspect: Whether the run may be the cause.
+        beside_suspects: Whether workers of other suspects crashed at that
+            moment; False in records of earlier releases.
     """
 
     key: TaskKey
     run: int
     confirmed: bool
     suspect: bool
+    beside_suspects: bool = False
 
 
 class ProgressRecord(NamedTuple):
@@ -162,7 +165,8 @@
         if confirmed:
             crashes.append([*key, confirmed])  # read by earlier releases
         crashed_runs += [
-            [*key, run, e.confirmed, e.suspect] for run, e in evidence_by_run.items()
+            [*key, run, e.confirmed, e.suspect, e.beside_suspects]
+            for run, e in evidence_by_run.items()
         ]
         if task.suspicion in ("suspected", "accused"):
             suspected.append(key)
@@ -221,7 +225,9 @@
             # Records of earlier releases have no crashes.
             tuple((key(row), row.integer(3)) for row in document.rows("crashes")),
             tuple(
-                CrashedRun(key(row), row.integer(3), row.flag(4), row.flag(5))
+                CrashedRun(
+                    key(row), row.integer(3), row.flag(4), row.flag(5), row.flag(6)
+                )
                 for row in document.rows("crashed_runs")
             ),
             tuple(key(row) for row in document.rows("suspected")),
@@ -298,20 +304,29 @@
     of its workers, which may all have crashed under one run. Runs before the
     newest one stand for them.
     """
-    for key, run, confirmed, suspect in record.crashed_runs:
+    for key, run, confirmed, suspect, beside_suspects in record.crashed_runs:
         task = progress.find(key)
         if task is not None:
-            _restore_crash(task, run, confirmed, suspect)
+            _restore_crash(task, run, confirmed, suspect, beside_suspects)
     for key, crashes in record.crashes:
         task = progress.find(key)
         if task is not None and not task.crash_evidence_by_run:
             for number in range(1 if task.stage.spec.gang else crashes):
-                _restore_crash(task, task.run - 1 - number, True, True)
+                _restore_crash(task, task.run - 1 - number, True, True, False)
 
 
-def _restore_crash(task: Task, run: int, confirmed: bool, suspect: bool) -> None:
+def _restore_crash(
+    task: Task, run: int, confirmed: bool, suspect: bool, beside_suspects: bool
+) -> None:
     task.crash_evidence_by_run[run] = CrashEvidence(
-        math.inf, -math.inf, -math.inf, frozenset(), confirmed, suspect, False
+        math.inf,
+        -math.inf,
+        -math.inf,
+        frozenset(),
+        confirmed,
+        suspect,
+        False,
+        beside_suspects,
     )
 
 
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -72,6 +72,8 @@
         suspect: Whether the run may be the cause; False also once a later run
             has proved harmless.
         refuted: Whether the crashes have a cause outside the task.
+        beside_suspects: Whether workers of other suspects crashed at that
+            moment, so that their tasks may explain it.
     """
 
     first_heard_at: float
@@ -81,6 +83,7 @@
     confirmed: bool
     suspect: bool
     refuted: bool
+    beside_suspects: bool = False
 
 
 class UnwantedRun(NamedTuple):
