Remove records and use ids again in the simulation

Records were kept for 150 s, longer than a schedule, so nothing was removed and no id came twice. What is late by seconds after a removal, or meant for the earlier job of an id, was not played.

In the profile reused_ids, records are kept for 13 s, longer than calls are late. Once the state of an ended job is unknown at a node, its id is submitted again with another payload, by a client with a plan of its own. Generations names the tasks of the later job by the payload of their starts, so a late start of the earlier job stays one of that job in all invariants. New is CancelledByClient: no job is recorded as cancelled that its client has not cancelled.

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -8,6 +8,7 @@
 from ._client_plans import ClientPlan
 from ._cluster import play_schedule
 from ._disruptions import Disruption
+from ._generations import Generations
 from ._history import Cancellation, Event, History, JobOutcome, Submission
 from ._invariants import (
     CANCEL_BOUND_S,
@@ -21,7 +22,7 @@
     Violation,
     ViolationClass,
 )
-from ._job_invariants import NoStartOfRefused, StepsInOrder
+from ._job_invariants import CancelledByClient, NoStartOfRefused, StepsInOrder
 from ._profiles import PROFILES_BY_NAME, Profile
 from ._run_records import (
     AcknowledgedEnd,
@@ -56,12 +57,14 @@
     "AcknowledgedEnd",
     "AtMostOneRun",
     "Cancellation",
+    "CancelledByClient",
     "ClientPlan",
     "Disruption",
     "DrawnRuns",
     "Event",
     "Fault",
     "FaultKind",
+    "Generations",
     "History",
     "Invariant",
     "Job",
--- a/src/redwingrudder/simulation/_checks.py
+++ b/src/redwingrudder/simulation/_checks.py
@@ -3,12 +3,13 @@
 from ._history import History
 from ._invariants import INVARIANTS as RUN_INVARIANTS
 from ._invariants import Invariant, Violation
-from ._job_invariants import NoStartOfRefused, StepsInOrder
+from ._job_invariants import CancelledByClient, NoStartOfRefused, StepsInOrder
 
 INVARIANTS: tuple[Invariant, ...] = (
     *RUN_INVARIANTS,
     NoStartOfRefused(),
     StepsInOrder(),
+    CancelledByClient(),
 )
 
 
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -31,6 +31,7 @@
 from ._clients import Clients
 from ._disruptions import Lead, find_disruptions
 from ._faults import MODEL_BY_KIND, FaultModel
+from ._generations import Generations
 from ._history import Cancellation, Event, History, JobOutcome
 from ._node import UNIX_TIME_S, Node
 from ._peers import node_address, node_name
@@ -69,6 +70,7 @@
         announcements: Carries announcements to the coordinators.
         has_intake: Whether clients call the nodes; otherwise submissions and
             cancellations are written to the store.
+        retention_s: Seconds for which the records of an ended job are kept.
         peer_replies_lost: Whether calls between nodes get no reply.
         nodes: The nodes.
     """
@@ -96,9 +98,16 @@
         )
         self.announcements = Announcements(self.clock, self._tell, self.log)
         self.has_intake = bool(schedule.clients)
+        self.retention_s = schedule.retention_s
         self.peer_replies_lost = False
+        self._generations = Generations(schedule.jobs)
         self._clients = Clients(
-            self.clock, schedule.clients, self._ask_intake, self._unix_time, self.log
+            self.clock,
+            schedule.clients,
+            self._ask_intake,
+            self._unix_time,
+            self._generations.add_submission,
+            self.log,
         )
         self.nodes = [Node(self, index) for index in range(NODES)]
 
@@ -276,7 +285,9 @@
     def _note_recorded_ends(self) -> None:
         for change in self.contents.history[self._seen_changes :]:
             if change.key.startswith(PROGRESS_PREFIX) and change.value is not None:
-                workflow_id = change.key.removeprefix(PROGRESS_PREFIX)
+                workflow_id = self._generations.id_at(
+                    change.key.removeprefix(PROGRESS_PREFIX), self.clock.seconds()
+                )
                 state = WorkflowState(json.loads(change.value)["state"])
                 if state in FINAL_STATES and workflow_id not in self._ended_by_id:
                     self.log(f"{workflow_id} is recorded as {state}")
@@ -286,7 +297,7 @@
     def _history(self) -> History:
         unended = (WorkflowState.RUNNING, None)
         workers = self.workers.workers_by_id.values()
-        return History(
+        history = History(
             tuple(self.workers.intervals()),
             tuple(end for worker in workers for end in worker.acknowledged),
             tuple(stop for worker in workers for stop in worker.stops),
@@ -304,6 +315,7 @@
             ),
             tuple(self._events),
             submissions=tuple(self._clients.submissions_by_id.values()),
+            cancelled_ids=tuple(self._clients.cancelled_ids),
             early_runs=tuple(self._runs.early),
             disruptions=find_disruptions(
                 self._schedule,
@@ -320,6 +332,7 @@
                 for produced in worker.checkpoints.values()
             ),
         )
+        return self._generations.rename(history)
 
 
 def play_schedule(schedule: Schedule) -> History:
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -79,6 +79,7 @@
         jobs: All submitted jobs.
         events: Lines about all events, in their order.
         submissions: All jobs that clients have submitted.
+        cancelled_ids: Jobs of which a client has sent a cancellation.
         early_runs: Runs of second steps that began before the first step was
             done: their task and number.
         disruptions: All disruptions in the order of their begin.
@@ -94,6 +95,7 @@
     jobs: tuple[JobOutcome, ...] = ()
     events: tuple[Event, ...] = ()
     submissions: tuple[Submission, ...] = ()
+    cancelled_ids: tuple[str, ...] = ()
     early_runs: tuple[tuple[TaskKey, int], ...] = ()
     disruptions: tuple[Disruption, ...] = ()
     ended_at: float = math.inf
--- a/src/redwingrudder/simulation/_job_invariants.py
+++ b/src/redwingrudder/simulation/_job_invariants.py
@@ -1,7 +1,8 @@
 """Rules on what clients were told and on the order of steps."""
 
+from ..workflows.model import WorkflowState
 from ._history import History
-from ._invariants import Invariant, Violation
+from ._invariants import Invariant, Violation, ViolationClass
 
 
 class NoStartOfRefused(Invariant):
@@ -33,3 +34,24 @@
         return [
             self.violation(run) for run in history.runs if (run.key, run.run) in early
         ]
+
+
+class CancelledByClient(Invariant):
+    """No job is recorded as cancelled that its client has not cancelled."""
+
+    name = "no job is cancelled unasked"
+
+    def violations(self, history: History) -> list[Violation]:
+        """See base class."""
+        submitted = {submission.workflow_id for submission in history.submissions}
+        return [
+            Violation(
+                self.name,
+                tuple(r for r in history.runs if r.key.workflow_id == job.workflow_id),
+                ViolationClass.OTHER,
+            )
+            for job in history.jobs
+            if job.workflow_id in submitted
+            and job.workflow_id not in history.cancelled_ids
+            and job.state is WorkflowState.CANCELLED
+        ]
--- a/src/redwingrudder/simulation/_node.py
+++ b/src/redwingrudder/simulation/_node.py
@@ -28,7 +28,6 @@
 
 UNIX_TIME_S = 1_800_000_000.0  # time of day at the begin of a schedule
 HEARTBEAT_S = 1.5
-RETENTION_S = 150.0
 TIMES = WorkerTimes(MAX_LEASE_S, HEARTBEAT_S, GANG_TIMEOUT_S, MAX_STOP_S)
 
 
@@ -108,8 +107,9 @@
         self.store_down_since = 0.0
         TimerService(self.system)
         GivenLeadership(self.system, cluster, index)
-        gateways = FleetGateways(EntryCodec(), cluster.workers, TIMES, RETENTION_S)
+        retention_s = cluster.retention_s
+        gateways = FleetGateways(EntryCodec(), cluster.workers, TIMES, retention_s)
         Coordinator(self.system, gateways)
         if cluster.has_intake:
             identity = Identity(node_name(index), node_address(index), "")
-            Intake(self.system, identity, RETENTION_S)
+            Intake(self.system, identity, retention_s)
--- a/src/redwingrudder/simulation/_profiles.py
+++ b/src/redwingrudder/simulation/_profiles.py
@@ -23,12 +23,14 @@
         second_step_share: Share of the jobs that have a second step.
         early_cancel_share: Share of the jobs that are cancelled soon after
             their submission; None for the usual cancellations.
+        reused_id_share: Share of the jobs whose id is used again.
     """
 
     weight_by_kind: Mapping[FaultKind, int] = WEIGHT_BY_KIND
     has_clients: bool = False
     second_step_share: float = 0.0
     early_cancel_share: float | None = None
+    reused_id_share: float = 0.0
 
     def draw(self, seed: int) -> Schedule:
         """Return the schedule of a seed."""
@@ -54,6 +56,10 @@
     "unheard": Profile(UNHEARD_WEIGHT_BY_KIND, has_clients=True),
     # The outcome of writes to the store is unknown as well.
     "broken_writes": Profile(BROKEN_WRITES_WEIGHT_BY_KIND, has_clients=True),
+    # Records are removed, and most ids used again.
+    "reused_ids": Profile(
+        UNHEARD_WEIGHT_BY_KIND, has_clients=True, reused_id_share=0.8
+    ),
     # Workers leave as well, and their entries vanish for longer.
     "leaving": Profile(LEAVING_WEIGHT_BY_KIND, has_clients=True),
     # Half of the jobs have a second step, too.
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -27,6 +27,9 @@
 FAILED_SHARE = 0.15
 MAX_STOP_S = 0.9
 LATE_BY_S = (0.3, 12.0)
+RETENTION_S = 150.0
+# Kept longer than calls of a worker are late.
+SHORT_RETENTION_S = 13.0
 FAULT_DURATION_S = (0.3, 6.0)
 ENTRY_DELAY_S = (0.0, 2.0)  # from a restart to the entry of the new process
 ANNOUNCED_LATE_BY_S = (0.3, 6.0)
@@ -145,6 +148,8 @@
             first one is done; 0 if there is none.
         checkpoint_interval_s: Seconds of work between checkpoints, None if
             the tasks have none.
+        used_id: Id of an earlier job under which this one is submitted once
+            the records of that one are removed; "" for an id of its own.
     """
 
     at_s: float
@@ -156,6 +161,12 @@
     cancel_after_s: float | None
     second_tasks: int = 0
     checkpoint_interval_s: float | None = None
+    used_id: str = ""
+
+    @property
+    def submitted_id(self) -> str:
+        """Id under which the job is submitted."""
+        return self.used_id or self.workflow_id
 
     @property
     def payload(self) -> str:
@@ -185,7 +196,7 @@
         steps = [step._replace(checkpoints=saves) for step in (step, second)]
         policy = QueuePolicy("pool", self.priority, ATTEMPTS)
         return Workflow(
-            self.workflow_id,
+            self.submitted_id,
             f"queue-{self.priority}",
             "organisation",
             self.payload,
@@ -223,12 +234,14 @@
         faults: The faults.
         clients: Clients that submit and cancel the jobs at the nodes. Without
             any, all submissions and cancellations are written to the store.
+        retention_s: Seconds for which the records of an ended job are kept.
     """
 
     seed: int
     jobs: tuple[Job, ...]
     faults: tuple[Fault, ...]
     clients: tuple[ClientPlan, ...] = ()
+    retention_s: float = RETENTION_S
 
 
 class RunPlan(NamedTuple):
@@ -251,6 +264,7 @@
     has_clients: bool = False,
     second_step_share: float = 0.0,
     early_cancel_share: float | None = None,
+    reused_id_share: float = 0.0,
 ) -> Schedule:
     """Return the schedule of a seed.
 
@@ -261,17 +275,25 @@
         second_step_share: Share of the jobs that have a second step.
         early_cancel_share: Share of the jobs that are cancelled soon after
             their submission; None for the usual cancellations.
+        reused_id_share: Share of the jobs whose id is used again, by another
+            job with a client. Records are kept for a short time then.
     """
     jobs = tuple(_add_step(seed, job, second_step_share) for job in _draw_jobs(seed))
     if early_cancel_share is not None:
         jobs = tuple(_cancel_early(seed, job, early_cancel_share) for job in jobs)
+    jobs += tuple(
+        job._replace(workflow_id=f"{job.workflow_id}-again", used_id=job.workflow_id)
+        for job in jobs
+        if random.Random(f"{seed} ids {job.workflow_id}").random() < reused_id_share
+    )
+    retention_s = SHORT_RETENTION_S if reused_id_share else RETENTION_S
     faults = _draw_faults(seed, weight_by_kind)
     clients = tuple(
         draw_client(seed, job.workflow_id, job.cancel_after_s, NODES)
         for job in jobs
         if has_clients
     )
-    return Schedule(seed, jobs, faults, clients)
+    return Schedule(seed, jobs, faults, clients, retention_s)
 
 
 def draw_run(
--- a/tests/test_simulation_models.py
+++ b/tests/test_simulation_models.py
@@ -7,16 +7,20 @@
 
 from redwingrudder.simulation import (
     LEAVING_WEIGHT_BY_KIND,
+    CancelledByClient,
     ClientPlan,
     DrawnRuns,
     Fault,
     FaultKind,
+    Generations,
     History,
     Job,
+    JobOutcome,
     NoStartOfRefused,
     ProtocolWorkers,
     RunInterval,
     Schedule,
+    SentStart,
     StepsInOrder,
     Submission,
     ViolationClass,
@@ -29,6 +33,7 @@
 from . import workflow_fixtures as fx
 
 NO_DELAY_S = 0.0
+KEY = fx.key("job")
 SEED = 6  # with a first run of "job" that takes 4.7 s
 SHORT_SEED = 1  # with one that takes 1.0 s
 
@@ -292,6 +297,60 @@
         self.assertEqual(plain, stepped._replace(jobs=jobs))
 
 
+class ReusedIdTests(ModelTestCase):
+    """A job whose id is used by another job once its records are removed."""
+
+    JOB = Job(1.0, "job", 1, False, 1, 1, None)
+    LATER = JOB._replace(workflow_id="later", used_id="job")
+
+    def test_later_job_is_run(self):
+        """Guards against schedules in which no id is used again."""
+        plans = (ClientPlan("job"), ClientPlan("later"))
+        jobs = (self.JOB, self.LATER)
+        history = play_schedule(Schedule(SHORT_SEED, jobs, (), plans, 13.0))
+        removed_at = self.first_event(history, "job is removed")
+        self.assertGreater(removed_at, history.jobs[0].ended_at + 13.0)
+        for job in history.jobs:
+            self.assertIs(job.state, WorkflowState.DONE)
+        self.assertGreater(history.jobs[1].ended_at, removed_at)
+        ids = [run.key.workflow_id for run in history.runs]
+        self.assertEqual(ids, sorted(ids))
+        self.assertEqual(set(ids), {"job", "later"})
+        self.assertEqual(find_violations(history), [])
+
+    def test_late_start_is_that_of_the_earlier_job(self):
+        """Guards against work of a job that counts as that of a later one."""
+        generations = Generations((self.JOB, self.LATER))
+        generations.add_submission(self.LATER, 5.0)
+        starts = tuple(
+            SentStart(KEY, run, payload, "", "w1", at)
+            for run, payload, at in (
+                (1, self.JOB.payload, 1.0),
+                (2, self.JOB.payload, 5.1),
+                (1, self.LATER.payload, 5.2),
+            )
+        )
+        runs = tuple(
+            RunInterval(KEY, start.run, "w1", 6.0, 7.0, 1, 1, start.sent_at)
+            for start in starts
+        )
+        history = generations.rename(History(runs=runs, starts=starts))
+        for items in (history.runs, history.starts):
+            ids = [item.key.workflow_id for item in items]
+            self.assertEqual(ids, ["job", "job", "later"])
+
+    def test_ids_are_used_again_only_if_asked_for(self):
+        """Guards against seeds that give other schedules than before."""
+        plain = draw_schedule(1, has_clients=True)
+        again = draw_schedule(1, has_clients=True, reused_id_share=0.5)
+        count = len(plain.jobs)
+        self.assertGreater(len(again.jobs), count)
+        self.assertEqual(plain.jobs, again.jobs[:count])
+        self.assertEqual(plain.clients, again.clients[:count])
+        self.assertEqual(plain.faults, again.faults)
+        self.assertLess(again.retention_s, plain.retention_s)
+
+
 class JobInvariantTests(unittest.TestCase):
     RUNS = (
         RunInterval(fx.key("job"), 1, "w1", 1.0, 2.0, 1, 1, 1.0),
@@ -315,6 +374,16 @@
         history = History(runs=self.RUNS, submissions=(Submission("job"),))
         self.assertEqual(NoStartOfRefused().violations(history), [])
 
+    def test_job_that_is_cancelled_unasked(self):
+        """Guards against a check that misses a cancellation of another job."""
+        job = JobOutcome("job", 1.0, WorkflowState.CANCELLED, 2.0)
+        submissions = (Submission("job"),)
+        history = History(jobs=(job,), submissions=submissions)
+        (violation,) = CancelledByClient().violations(history)
+        self.assertIn(violation, find_violations(history))
+        asked = history._replace(cancelled_ids=("job",))
+        self.assertEqual(CancelledByClient().violations(asked), [])
+
     def test_start_before_the_step_it_waits_for(self):
         """Guards against a check that misses or invents early steps."""
         early = ((self.RUNS[1].key, 1), (self.RUNS[0].key, 2))
