--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -8,6 +8,7 @@
     CrashHistory,
     WorkerCrash,
     add_evidence,
+    note_other_suspects,
     suspicion_holder,
     valid_evidence_by_run,
 )
@@ -346,7 +347,7 @@
             run: Number of the run.
             worker_id: Worker of the run.
             unanswered_at: Node-clock seconds at which the latest attempt
-                without a reply was sent, None if there is none.
+                without a reply had been sent, None if there is none.
         """
         task = self.find(key)
         if task is None:
@@ -636,6 +637,8 @@
         for holder in suspicion_holders(self._active_workflows()):
             if accused_only and not is_accused(holder):
                 continue
+            if note_other_suspects(holder, self._crash_history):
+                self.dirty.add(holder.key.workflow_id)
             if not settle_suspicion(holder, self._crash_history, workers, now):
                 continue
             self.dirty.add(holder.key.workflow_id)
@@ -687,9 +690,12 @@
             return
         until = now + valid_s * USABLE_TICKET_SHARE
         for worker_id in advice_request.worker_ids:
-            if worker_id in tickets:
-                stage.permits_by_worker[worker_id] = Permit(tickets[worker_id], until)
-            else:
+            worker = self.workers_by_id.get(worker_id)
+            if worker_id in tickets and worker is not None:
+                stage.permits_by_worker[worker_id] = Permit(
+                    tickets[worker_id], until, worker.facts.process_started_ms
+                )
+            elif worker_id not in tickets:
                 stage.denied_workers.add(worker_id)
 
     def throttle(self, now: float) -> None:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -49,10 +49,13 @@
     Attributes:
         ticket: Ticket to send with a start.
         until: Node-clock seconds until which the ticket may be used.
+        process_started_ms: Start time of the worker's process for which it is
+            valid, in Unix milliseconds, 0 if unknown.
     """
 
     ticket: str
     until: float
+    process_started_ms: int
 
 
 class CrashEvidence(NamedTuple):
@@ -72,6 +75,8 @@
         suspect: Whether the run may be the cause; False also once a later run
             has proved harmless.
         refuted: Whether the crashes have a cause outside the task.
+        beside_suspects: Whether workers of other suspects crashed at that
+            moment, so that their tasks may explain it.
     """
 
     first_heard_at: float
@@ -81,6 +86,7 @@
     confirmed: bool
     suspect: bool
     refuted: bool
+    beside_suspects: bool = False
 
 
 class UnwantedRun(NamedTuple):
