Log the crashes of workers that a new coordinator finds

Cause: a crash between two terms counts as one of three under each recorded run of the worker, and no line said so.

Change: a warning with task, run and worker. The test failed before (no log).

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -780,6 +780,10 @@
             self._crash_history.add(crash)
             add_evidence(holder, run, crash, confirmed=False, suspect=True)
             step_suspicion(task, "suspect")
+            _logger.warning(
+                "worker crashed before the takeover",
+                extra={**run_log_fields(task), "run": run, "worker": worker_id},
+            )
         task.run_confirmed, task.run_adopted = started, True
         task.start_settled, task.start_sent_at = start_settled, now
         if started:
--- a/tests/test_recorded_crashes.py
+++ b/tests/test_recorded_crashes.py
@@ -70,5 +70,17 @@
         self.assertEqual(self.states(150.0), [WorkflowState.FAILED] * 2)
 
 
+class RestartBetweenTermsTests(unittest.TestCase):
+    def test_crash_found_by_a_new_coordinator_is_logged(self):
+        """Guards against verdicts whose evidence no log line names."""
+        engine = fx.engine(fx.worker("w1", process_started_ms=2))
+        engine.accept(fx.workflow("job"), 0.0)
+        with self.assertLogs("redwingrudder.workflows.engine", "WARNING") as logs:
+            engine.adopt_run(fx.key(), 1, "w1", False, 0.0, 1)
+        (record,) = logs.records
+        self.assertEqual(record.getMessage(), "worker crashed before the takeover")
+        self.assertEqual((record.job, record.run, record.worker), ("job", 1, "w1"))
+
+
 if __name__ == "__main__":
     unittest.main()
