--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -3,49 +3,42 @@
 import json
 from typing import Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from ..actors import Actor, ActorSystem, Handler
 from ..coordination.authority import LEASE_TTL_S
-from ..coordination.coordinator import Coordinator
 from ..coordination.gateways import (
     CANCEL_SUFFIX,
     COORDINATOR,
+    INTAKE,
     INTAKE_PREFIX,
-    LEADERSHIP,
-    PEERS,
     PROGRESS_PREFIX,
     TERM_KEY,
-    FleetGateways,
-    WorkerTimes,
 )
 from ..coordination.leadership import RENEW_INTERVAL_S
 from ..coordination.messages import (
     BeginTerm,
     CancelStored,
+    CoordinatorKnown,
     EndTerm,
-    Fenced,
     LeaseConfirmed,
-    Resign,
+    StoreAvailability,
     WorkflowStored,
 )
-from ..coordination.metrics import (
-    METRICS,
-    IncrementCounter,
-    ObserveDuration,
-    SetGauge,
-)
-from ..coordination.peers import AskAllPeers, GetTimeOfDay, ListPeers, PeerView
-from ..timers import TimerService
 from ..workflows import records
 from ..workflows.model import FINAL_STATES, WorkflowState
-from ._entries import EntryCodec, entry_document
+from ._announcements import Announcement, Announcements
+from ._clients import Clients
+from ._disruptions import Lead, find_disruptions
 from ._faults import MODEL_BY_KIND, FaultModel
+from ._generations import Generations
 from ._history import Cancellation, Event, History, JobOutcome
-from ._runs import GANG_TIMEOUT_S, DrawnRuns
+from ._node import UNIX_TIME_S, Node
+from ._peers import node_address, node_name
+from ._registry import Registry
+from ._runs import DrawnRuns
 from ._schedule import (
     DURATION_S,
-    MAX_STOP_S,
     NODES,
     WORKERS,
     Fault,
@@ -53,114 +46,14 @@
     Job,
     Schedule,
 )
-from ._store import MemoryStore, StoreContents
-from ._worker_process import MAX_LEASE_S
+from ._store import StoreContents
 from ._workers import ProtocolWorker, ProtocolWorkers
 
-UNIX_TIME_S = 1_800_000_000.0  # time of day at the begin of a schedule
-HEARTBEAT_S = 1.5
-RETENTION_S = 150.0
 # Longest time until a node that was replaced without its consent learns it.
 DEPOSED_AFTER_S = 3.0
 MIN_ADVANCE_S = 0.001
-OTHER_NODES = 8  # that the nodes know of; none of them replies
-TIMES = WorkerTimes(MAX_LEASE_S, HEARTBEAT_S, GANG_TIMEOUT_S, MAX_STOP_S)
-
-
-class FixedReplies(Actor):
-    """Gives each type of message a fixed reply.
-
-    Args:
-        system: The node's actor system.
-        name: Name of the actor.
-        replies_by_type: Reply to each type of message.
-    """
-
-    def __init__(
-        self, system: ActorSystem, name: str, replies_by_type: dict[type, Any]
-    ) -> None:
-        self._replies_by_type = replies_by_type
-        super().__init__(system, name)
-
-    def handlers(self) -> dict[type, Handler]:
-        """See base class."""
-        return {message_type: self._reply for message_type in self._replies_by_type}
-
-    def _reply(self, message: Any) -> Any:
-        return self._replies_by_type[type(message)]
-
-
-class SilentPeers(FixedReplies):
-    """Peers of a node that hears of no other node.
-
-    Args:
-        system: The node's actor system.
-    """
-
-    def __init__(self, system: ActorSystem) -> None:
-        super().__init__(
-            system, PEERS, {ListPeers: PeerView((), OTHER_NODES), AskAllPeers: None}
-        )
-
-    def handlers(self) -> dict[type, Handler]:
-        """See base class."""
-        return {
-            **super().handlers(),
-            GetTimeOfDay: lambda _: self.system.unix_time(),
-        }
-
-
-class GivenLeadership(Actor):
-    """Leadership of a node whose terms the cluster begins and ends.
-
-    Args:
-        system: The node's actor system.
-        cluster: The cluster.
-        index: Index of the node.
-    """
-
-    def __init__(self, system: ActorSystem, cluster: "Cluster", index: int) -> None:
-        self._cluster = cluster
-        self._index = index
-        super().__init__(system, LEADERSHIP)
-
-    def handlers(self) -> dict[type, Handler]:
-        """See base class."""
-        return {
-            Fenced: lambda m: self._cluster.leave(self._index, f"fenced: {m.source}"),
-            Resign: lambda m: self._cluster.leave(self._index, m.reason),
-        }
-
-
-class Node:
-    """The actors of a node.
-
-    Args:
-        cluster: The cluster.
-        index: Index of the node.
-
-    Attributes:
-        system: The actor system.
-        store: The store actor.
-        notified_revision: Revision of the store up to which the watches were
-            notified.
-    """
-
-    def __init__(self, cluster: "Cluster", index: int) -> None:
-        clock = cluster.clock
-        self.system = ActorSystem(clock, lambda: UNIX_TIME_S + clock.seconds())
-        FixedReplies(
-            self.system,
-            METRICS,
-            {IncrementCounter: None, ObserveDuration: None, SetGauge: None},
-        )
-        SilentPeers(self.system)
-        self.store = MemoryStore(self.system, cluster.contents)
-        self.notified_revision = 0
-        TimerService(self.system)
-        GivenLeadership(self.system, cluster, index)
-        gateways = FleetGateways(EntryCodec(), cluster.workers, TIMES, RETENTION_S)
-        Coordinator(self.system, gateways)
+# Time until a node tells its actors, and the other node, of what has changed.
+NEWS_DELAY_S = 0.4
 
 
 class Cluster:
@@ -173,12 +66,19 @@
         clock: Clock of everything in the cluster.
         contents: Contents of the store.
         workers: The workers.
+        registry: Entries of the workers.
+        announcements: Carries announcements to the coordinators.
+        has_intake: Whether clients call the nodes; otherwise submissions and
+            cancellations are written to the store.
+        retention_s: Seconds for which the records of an ended job are kept.
+        peer_replies_lost: Whether calls between nodes get no reply.
         nodes: The nodes.
     """
 
     def __init__(self, schedule: Schedule) -> None:
         self.clock = Clock()
         self.contents = StoreContents()
+        self.registry = Registry(self.contents, self._is_entry_removed)
         self._schedule = schedule
         self._events: list[Event] = []
         self._active_faults: list[Fault] = []
@@ -187,23 +87,39 @@
         self._seen_changes = 0
         self._term = 0
         self._leader: int | None = None
+        self._leads: list[Lead] = []
         self._lease_confirmed_at = 0.0
+        self._runs = DrawnRuns(self.clock, schedule)
         self.workers = ProtocolWorkers(
             self.clock,
             *(f"w{index + 1}" for index in range(WORKERS)),
-            behaviour=DrawnRuns(self.clock, schedule),
+            behaviour=self._runs,
             log=self.log,
         )
+        self.announcements = Announcements(self.clock, self._tell, self.log)
+        self.has_intake = bool(schedule.clients)
+        self.retention_s = schedule.retention_s
+        self.peer_replies_lost = False
+        self._generations = Generations(schedule.jobs)
+        self._clients = Clients(
+            self.clock,
+            schedule.clients,
+            self._ask_intake,
+            self._unix_time,
+            self._generations.add_submission,
+            self.log,
+        )
         self.nodes = [Node(self, index) for index in range(NODES)]
 
     def play(self) -> History:
         """Play the schedule to its end."""
         for worker in self.workers.workers_by_id.values():
-            self.register(worker)
+            self.registry.write(worker)
         self.begin_term(0)
         self.clock.callLater(RENEW_INTERVAL_S, self._renew_lease)
+        submit = self._clients.submit if self.has_intake else self._submit
         for job in self._schedule.jobs:
-            self.clock.callLater(job.at_s, self._submit, job)
+            self.clock.callLater(job.at_s, submit, job)
         for fault in self._schedule.faults:
             model = MODEL_BY_KIND[fault.kind]
             self.clock.callLater(fault.at_s, self._begin_fault, model, fault)
@@ -224,24 +140,20 @@
         """Return a worker by its index."""
         return list(self.workers.workers_by_id.values())[index % WORKERS]
 
-    def register(self, worker: ProtocolWorker) -> None:
-        """Write the registry entry of a worker's process."""
-        document = entry_document(worker.process.started_ms)
-        self.contents.put(EntryCodec.prefix + worker.worker_id, json.dumps(document))
-
-    def unregister(self, worker: ProtocolWorker) -> None:
-        """Remove the registry entry of a worker."""
-        self.contents.remove(EntryCodec.prefix + worker.worker_id)
-
     # Faults.
 
-    def is_active(self, kind: FaultKind, target: int) -> bool:
-        """Return whether a fault of a kind befalls a target now."""
+    def is_active(self, kind: FaultKind, target: int | None = None) -> bool:
+        """Return whether a fault of a kind befalls a target, or any, now."""
         return any(
-            fault.kind is kind and fault.target == target
+            fault.kind is kind and target in (None, fault.target)
             for fault in self._active_faults
         )
 
+    def _is_entry_removed(self, worker: ProtocolWorker) -> bool:
+        target = list(self.workers.workers_by_id).index(worker.worker_id)
+        kinds = (FaultKind.REMOVED_ENTRY, FaultKind.LONG_REMOVED_ENTRY)
+        return any(self.is_active(kind, target) for kind in kinds)
+
     def _begin_fault(self, model: FaultModel, fault: Fault) -> None:
         self._active_faults.append(fault)
         self.log(f"fault: {model.describe(fault)}")
@@ -258,12 +170,19 @@
         """Let a node begin a new term."""
         self._term += 1
         self._leader = index
+        self._leads.append(Lead(self.clock.seconds(), index))
         self.contents.put(TERM_KEY, str(self._term))
         revision = self.contents.items_by_key[TERM_KEY].mod_revision
         self._lease_confirmed_at = self.clock.seconds()
         ends_at = self._lease_confirmed_at + LEASE_TTL_S
         self.log(f"n{index + 1} begins term {self._term}")
         self._tell(index, BeginTerm(self._term, revision, ends_at))
+        if self.has_intake:
+            known = CoordinatorKnown(node_name(index), node_address(index), self._term)
+            self.nodes[index].system.tell(INTAKE, known)
+            for other, node in enumerate(self.nodes):
+                if other != index:
+                    self.clock.callLater(NEWS_DELAY_S, node.system.tell, INTAKE, known)
 
     def leave(self, index: int, reason: str) -> None:
         """Let a node end its term; another one takes over if it led."""
@@ -271,6 +190,7 @@
         self._tell(index, EndTerm(reason))
         if self._leader == index:
             self._leader = None
+            self._leads.append(Lead(self.clock.seconds(), None))
 
     def take_over(self) -> None:
         """Begin a term on the next node, which the last one does not know."""
@@ -315,14 +235,18 @@
 
     # Jobs.
 
+    def _unix_time(self) -> float:
+        return UNIX_TIME_S + self.clock.seconds()
+
+    def _ask_intake(self, index: int, message: Any) -> Deferred:
+        return self.nodes[index].system.ask(INTAKE, message)
+
     def _submit(self, job: Job) -> None:
-        workflow = job.workflow(UNIX_TIME_S + self.clock.seconds())
+        workflow = job.workflow(self._unix_time())
         document = records.encode_workflow(workflow).decode()
-        gang = "gang of " if job.gang else ""
-        self.log(f"{job.workflow_id} is submitted: {gang}{job.tasks} tasks")
+        self.log(f"{job.workflow_id} is submitted: {job.describe()}")
         self.contents.put(INTAKE_PREFIX + job.workflow_id, document)
-        if self._leader is not None:
-            self._tell(self._leader, WorkflowStored(job.workflow_id, document))
+        self._announce(WorkflowStored(job.workflow_id, document))
         if job.cancel_after_s is not None:
             self.clock.callLater(job.cancel_after_s, self._cancel, job.workflow_id)
 
@@ -331,11 +255,26 @@
         now = self.clock.seconds()
         self._cancellations.append(Cancellation(workflow_id, now))
         self.contents.put(INTAKE_PREFIX + workflow_id + CANCEL_SUFFIX, str(now))
+        self._announce(CancelStored(workflow_id))
+
+    def _announce(self, message: Announcement) -> None:
         if self._leader is not None:
-            self._tell(self._leader, CancelStored(workflow_id))
+            self.announcements.send(self._leader, message)
 
     # The store.
 
+    def set_store_down(self, index: int, down: bool) -> None:
+        """Let the store stop or begin to answer a node."""
+        node = self.nodes[index]
+        if down and not node.store.down:
+            node.store_down_since = self.clock.seconds()
+        node.store.down = down
+        if self.has_intake:
+            self.clock.callLater(NEWS_DELAY_S, self._tell_store_availability, node)
+
+    def _tell_store_availability(self, node: Node) -> None:
+        node.system.tell(INTAKE, StoreAvailability(not node.store.down))
+
     def _notify_watches(self) -> None:
         for node in self.nodes:
             is_behind = node.notified_revision < self.contents.revision
@@ -346,7 +285,9 @@
     def _note_recorded_ends(self) -> None:
         for change in self.contents.history[self._seen_changes :]:
             if change.key.startswith(PROGRESS_PREFIX) and change.value is not None:
-                workflow_id = change.key.removeprefix(PROGRESS_PREFIX)
+                workflow_id = self._generations.id_at(
+                    change.key.removeprefix(PROGRESS_PREFIX), self.clock.seconds()
+                )
                 state = WorkflowState(json.loads(change.value)["state"])
                 if state in FINAL_STATES and workflow_id not in self._ended_by_id:
                     self.log(f"{workflow_id} is recorded as {state}")
@@ -356,21 +297,42 @@
     def _history(self) -> History:
         unended = (WorkflowState.RUNNING, None)
         workers = self.workers.workers_by_id.values()
-        return History(
+        history = History(
             tuple(self.workers.intervals()),
             tuple(end for worker in workers for end in worker.acknowledged),
             tuple(stop for worker in workers for stop in worker.stops),
-            tuple(self._cancellations),
+            (*self._cancellations, *self._clients.cancellations),
             tuple(
                 JobOutcome(
                     job.workflow_id,
                     job.at_s,
                     *self._ended_by_id.get(job.workflow_id, unended),
+                    job.payload,
+                    job.tasks_by_step,
+                    job.gang,
                 )
                 for job in self._schedule.jobs
             ),
             tuple(self._events),
+            submissions=tuple(self._clients.submissions_by_id.values()),
+            cancelled_ids=tuple(self._clients.cancelled_ids),
+            early_runs=tuple(self._runs.early),
+            disruptions=find_disruptions(
+                self._schedule,
+                self._leads,
+                DEPOSED_AFTER_S,
+                workers,
+                [node.store for node in self.nodes],
+            ),
+            ended_at=self.clock.seconds(),
+            starts=tuple(start for worker in workers for start in worker.starts),
+            checkpoints=tuple(
+                produced
+                for worker in workers
+                for produced in worker.checkpoints.values()
+            ),
         )
+        return self._generations.rename(history)
 
 
 def play_schedule(schedule: Schedule) -> History:
--- a/src/redwingrudder/simulation/_workers.py
+++ b/src/redwingrudder/simulation/_workers.py
@@ -23,7 +23,9 @@
 )
 from ._run_records import (
     AcknowledgedEnd,
+    ProducedCheckpoint,
     RunInterval,
+    SentStart,
     SentStop,
     find_overlaps,
     run_label,
@@ -68,8 +70,11 @@
         delays_s: Delay of the calls that get no reply and are carried out
             after it, by name of the call.
         fences: Fencing tokens of all calls that were sent, in their order.
-        stops: All stops that were sent and might reach the worker.
+        starts: All starts that were sent and might reach the worker.
+        stops: All stops that were sent, those to a silent worker included.
+        checkpoints: What its runs have produced, by checkpoint.
         connect_s: Time in seconds until a call is written.
+        carried_out_late_at: Times at which late calls were carried out.
     """
 
     def __init__(
@@ -92,8 +97,11 @@
         self.late_calls: list[LateCall] = []
         self.delays_s: dict[str, float] = {}
         self.fences: list[int] = []
+        self.starts: list[SentStart] = []
         self.stops: list[SentStop] = []
+        self.checkpoints: dict[str, ProducedCheckpoint] = {}
         self.connect_s = 0.0
+        self.carried_out_late_at: list[float] = []
 
     def log(self, line: str) -> None:
         """Log a line about the current process."""
@@ -109,14 +117,14 @@
     def carry_out_late_calls(self) -> list[CommandReply | WorkerReport]:
         """Let the current process carry out the calls that were late."""
         late_calls, self.late_calls = self.late_calls, []
-        return [self._carry_out(call) for call in late_calls]
+        return [self._carry_out_late(call) for call in late_calls]
 
     def all_intervals(self) -> list[RunInterval]:
         """Return the intervals of all runs, those that go on included."""
         self.process.expire()
         return self.intervals + [
             self.process.interval(key, run, begin, math.inf)
-            for key, (run, begin) in self.process.runs_by_key.items()
+            for key, (run, begin, _) in self.process.runs_by_key.items()
         ]
 
     async def call(
@@ -133,13 +141,18 @@
         if not may_send():
             raise UnavailableError("the call was not sent")
         self.fences.append(fence)
+        sent = Sent(self.process.started_ms, self.clock.seconds())
+        if name == "stop":
+            self.stops.append(SentStop(*args, self.worker_id, *sent))
         if self.silent:
             await pause(self.clock, timeout_s)
             raise UnavailableError("the worker does not answer")
-        sent = Sent(self.process.started_ms, self.clock.seconds())
         call = LateCall(name, (fence, *args), sent)
-        if name == "stop":
-            self.stops.append(SentStop(*args, self.worker_id, *sent))
+        if name == "start":
+            key, run, _, *content = args
+            payload, checkpoint = content or ("", "")
+            start = SentStart(key, run, payload, checkpoint, self.worker_id, sent.at)
+            self.starts.append(start)
         if self.mute or name in self.late or name in self.delays_s:
             if not self.mute:
                 self._postpone(call)
@@ -180,7 +193,11 @@
         if call.name != "poll":
             key, run = call.arguments[1:3]
             self.log(f"{call.name} of {run_label(key, run)} is late by {delay_s:.1f} s")
-        self.clock.callLater(delay_s, self._carry_out, call)
+        self.clock.callLater(delay_s, self._carry_out_late, call)
+
+    def _carry_out_late(self, call: LateCall) -> CommandReply | WorkerReport:
+        self.carried_out_late_at.append(self.clock.seconds())
+        return self._carry_out(call)
 
     def _carry_out(self, call: LateCall) -> CommandReply | WorkerReport:
         if call.name == "start":
@@ -209,7 +226,15 @@
     ) -> CommandReply:
         """See base class."""
         return await self.worker.call(
-            "start", timeout_s, may_send, fence, run.key, run.run, lease_until_ms
+            "start",
+            timeout_s,
+            may_send,
+            fence,
+            run.key,
+            run.run,
+            lease_until_ms,
+            run.payload,
+            run.checkpoint,
         )
 
     async def stop(
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -347,7 +347,7 @@
             run: Number of the run.
             worker_id: Worker of the run.
             unanswered_at: Node-clock seconds at which the latest attempt
-                without a reply was sent, None if there is none.
+                without a reply had been sent, None if there is none.
         """
         task = self.find(key)
         if task is None:
@@ -376,6 +376,27 @@
             if not task.run_adopted and not is_possible:
                 task.start_settled = True
 
+    def session_closed(
+        self,
+        worker_id: str,
+        possible_starts: Container[tuple[TaskKey, int]],
+        now: float,
+    ) -> None:
+        """Record which starts of a closed session may still be carried out.
+
+        A later session with the worker does not know of them.
+
+        Args:
+            worker_id: The worker.
+            possible_starts: See ``settle_unsent_starts``.
+            now: Node-clock seconds.
+        """
+        self.settle_unsent_starts(worker_id, possible_starts)
+        worker = self.workers_by_id.get(worker_id)
+        for task in worker.tasks_by_key.values() if worker else ():
+            if (task.key, task.run) in possible_starts:
+                self.keep_late_start(task, now)
+
     def start_confirmed(self, key: TaskKey, run: int, now: float) -> None:
         """Record that a worker has accepted the start of a run."""
         task = self.current(key, run)
@@ -669,9 +690,12 @@
             return
         until = now + valid_s * USABLE_TICKET_SHARE
         for worker_id in advice_request.worker_ids:
-            if worker_id in tickets:
-                stage.permits_by_worker[worker_id] = Permit(tickets[worker_id], until)
-            else:
+            worker = self.workers_by_id.get(worker_id)
+            if worker_id in tickets and worker is not None:
+                stage.permits_by_worker[worker_id] = Permit(
+                    tickets[worker_id], until, worker.facts.process_started_ms
+                )
+            elif worker_id not in tickets:
                 stage.denied_workers.add(worker_id)
 
     def throttle(self, now: float) -> None:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -49,10 +49,13 @@
     Attributes:
         ticket: Ticket to send with a start.
         until: Node-clock seconds until which the ticket may be used.
+        process_started_ms: Start time of the worker's process for which it is
+            valid, in Unix milliseconds, 0 if unknown.
     """
 
     ticket: str
     until: float
+    process_started_ms: int
 
 
 class CrashEvidence(NamedTuple):
@@ -574,6 +577,11 @@
         self._unwanted_by_run[key, run] = UnwantedRun(amount, now)
         return True
 
+    @property
+    def may_have_runs(self) -> bool:
+        """Whether a run may go on, current or being stopped."""
+        return bool(self.tasks_by_key or self._unwanted_by_run)
+
     @property
     def unwanted_keys(self) -> list[TaskKey]:
         """Tasks of the runs that ``keep_until_ended`` counts."""
