--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -217,6 +217,14 @@
         session = self._sessions_by_worker.get(worker_id)
         return session is not None and session.fence == fence
 
+    def is_of_this_term(self, fence: int) -> bool:
+        """Return whether a message comes from a session of this term.
+
+        Args:
+            fence: Fencing token that the message names.
+        """
+        return fence // SESSIONS_PER_TERM == self._engine.term
+
     def take_report(self, message: WorkerPolled) -> None:
         """Apply a worker's report: its running runs and its ends.
 
@@ -357,7 +365,7 @@
             leases_have_lapsed = has_no_session and now > self._prior_leases_end_at
             is_idle = (
                 now - unlisted_since > REMOVE_UNLISTED_AFTER_S
-                and not worker.tasks_by_key
+                and not worker.may_have_runs
             )
             if leases_have_lapsed or is_idle:
                 self._remove(worker_id, now)
@@ -438,8 +446,10 @@
             self._engine.settle_unsent_starts(worker_id, session.possible_starts)
 
     def _drop_session(self, worker_id: str) -> None:
-        self._settle_unsent_starts(worker_id)
         session = self._sessions_by_worker.pop(worker_id)
+        self._engine.session_closed(
+            worker_id, session.possible_starts, self._system.clock.seconds()
+        )
         self._reported.discard(worker_id)
         self._undecided.discard(worker_id)
         session.stop()
--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -4,21 +4,43 @@
 without sockets. Nothing of the product's decisions depends on this package.
 """
 
+from ._checks import INVARIANTS, find_violations
+from ._client_plans import ClientPlan
 from ._cluster import play_schedule
-from ._history import Cancellation, Event, History, JobOutcome
+from ._disruptions import Disruption
+from ._generations import Generations
+from ._history import Cancellation, Event, History, JobOutcome, Submission
 from ._invariants import (
-    INVARIANTS,
+    CANCEL_BOUND_S,
+    CONTACT_BOUND_S,
     AtMostOneRun,
     Invariant,
+    NoRunAfterCancel,
     NoStartAfterCancel,
     NoStartAfterDone,
+    StartsAsSubmitted,
     Violation,
     ViolationClass,
-    find_violations,
 )
-from ._run_records import AcknowledgedEnd, RunInterval, SentStop
+from ._job_invariants import CancelledByClient, NoStartOfRefused, StepsInOrder
+from ._profiles import PROFILES_BY_NAME, Profile
+from ._run_records import (
+    AcknowledgedEnd,
+    ProducedCheckpoint,
+    RunInterval,
+    SentStart,
+    SentStop,
+)
 from ._runs import DrawnRuns
-from ._schedule import Fault, FaultKind, Job, Schedule, draw_schedule
+from ._schedule import (
+    LEAVING_WEIGHT_BY_KIND,
+    UNHEARD_WEIGHT_BY_KIND,
+    Fault,
+    FaultKind,
+    Job,
+    Schedule,
+    draw_schedule,
+)
 from ._shrink import shrink
 from ._store import CALL_TIMEOUT_S, MemoryStore, StoreContents
 from ._worker_process import MAX_LEASE_S, RunBehaviour
@@ -26,28 +48,45 @@
 
 __all__ = [
     "CALL_TIMEOUT_S",
+    "CANCEL_BOUND_S",
+    "CONTACT_BOUND_S",
     "INVARIANTS",
+    "LEAVING_WEIGHT_BY_KIND",
     "MAX_LEASE_S",
+    "UNHEARD_WEIGHT_BY_KIND",
     "AcknowledgedEnd",
     "AtMostOneRun",
     "Cancellation",
+    "CancelledByClient",
+    "ClientPlan",
+    "Disruption",
     "DrawnRuns",
     "Event",
     "Fault",
     "FaultKind",
+    "Generations",
     "History",
     "Invariant",
     "Job",
     "JobOutcome",
     "MemoryStore",
+    "PROFILES_BY_NAME",
+    "NoRunAfterCancel",
     "NoStartAfterCancel",
     "NoStartAfterDone",
+    "NoStartOfRefused",
+    "ProducedCheckpoint",
+    "Profile",
     "ProtocolWorkers",
     "RunBehaviour",
     "RunInterval",
     "Schedule",
+    "SentStart",
     "SentStop",
+    "StartsAsSubmitted",
+    "StepsInOrder",
     "StoreContents",
+    "Submission",
     "Violation",
     "ViolationClass",
     "draw_schedule",
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -8,6 +8,7 @@
     CrashHistory,
     WorkerCrash,
     add_evidence,
+    note_other_suspects,
     suspicion_holder,
     valid_evidence_by_run,
 )
@@ -346,7 +347,7 @@
             run: Number of the run.
             worker_id: Worker of the run.
             unanswered_at: Node-clock seconds at which the latest attempt
-                without a reply was sent, None if there is none.
+                without a reply had been sent, None if there is none.
         """
         task = self.find(key)
         if task is None:
@@ -375,6 +376,27 @@
             if not task.run_adopted and not is_possible:
                 task.start_settled = True
 
+    def session_closed(
+        self,
+        worker_id: str,
+        possible_starts: Container[tuple[TaskKey, int]],
+        now: float,
+    ) -> None:
+        """Record which starts of a closed session may still be carried out.
+
+        A later session with the worker does not know of them.
+
+        Args:
+            worker_id: The worker.
+            possible_starts: See ``settle_unsent_starts``.
+            now: Node-clock seconds.
+        """
+        self.settle_unsent_starts(worker_id, possible_starts)
+        worker = self.workers_by_id.get(worker_id)
+        for task in worker.tasks_by_key.values() if worker else ():
+            if (task.key, task.run) in possible_starts:
+                self.keep_late_start(task, now)
+
     def start_confirmed(self, key: TaskKey, run: int, now: float) -> None:
         """Record that a worker has accepted the start of a run."""
         task = self.current(key, run)
@@ -615,6 +637,8 @@
         for holder in suspicion_holders(self._active_workflows()):
             if accused_only and not is_accused(holder):
                 continue
+            if note_other_suspects(holder, self._crash_history):
+                self.dirty.add(holder.key.workflow_id)
             if not settle_suspicion(holder, self._crash_history, workers, now):
                 continue
             self.dirty.add(holder.key.workflow_id)
@@ -666,9 +690,12 @@
             return
         until = now + valid_s * USABLE_TICKET_SHARE
         for worker_id in advice_request.worker_ids:
-            if worker_id in tickets:
-                stage.permits_by_worker[worker_id] = Permit(tickets[worker_id], until)
-            else:
+            worker = self.workers_by_id.get(worker_id)
+            if worker_id in tickets and worker is not None:
+                stage.permits_by_worker[worker_id] = Permit(
+                    tickets[worker_id], until, worker.facts.process_started_ms
+                )
+            elif worker_id not in tickets:
                 stage.denied_workers.add(worker_id)
 
     def throttle(self, now: float) -> None:
@@ -777,6 +804,10 @@
             self._crash_history.add(crash)
             add_evidence(holder, run, crash, confirmed=False, suspect=True)
             step_suspicion(task, "suspect")
+            _logger.warning(
+                "worker crashed before the takeover",
+                extra={**run_log_fields(task), "run": run, "worker": worker_id},
+            )
         task.run_confirmed, task.run_adopted = started, True
         task.start_settled, task.start_sent_at = start_settled, now
         if started:
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -2,12 +2,25 @@
 
 import math
 import unittest
-
-from redwingrudder.coordination.gateways import COORDINATOR, TERM_KEY
-from redwingrudder.coordination.messages import BeginTerm, EndTerm
-from redwingrudder.coordination.worker_session import longest_lease_timeout_s
+from unittest import mock
+
+from redwingrudder.coordination.gateways import (
+    COORDINATOR,
+    TERM_KEY,
+    CommandReply,
+    intake_keys,
+)
+from redwingrudder.coordination.messages import BeginTerm, EndTerm, StartSettled
+from redwingrudder.coordination.worker_session import (
+    longest_lease_timeout_s,
+    prior_lease_timeout_s,
+)
+from redwingrudder.coordination.worker_table import (
+    REMOVE_UNLISTED_AFTER_S,
+    SESSIONS_PER_TERM,
+)
 from redwingrudder.simulation import MAX_LEASE_S
-from redwingrudder.workflows.model import EndKind
+from redwingrudder.workflows.model import EndKind, StartRun
 from redwingrudder.workflows.run_table import LATE_CALL_S
 
 from . import workflow_fixtures as fx
@@ -121,6 +134,93 @@
         self.assertEqual(self.w2.process.runs_by_key, {})
         self.assert_runs_once_answering()
 
+    def test_settled_start_is_handled_after_the_next_session_is_open(self):
+        """Guards against two runs by an attempt that a dropped message names.
+
+        A registry entry opens the next session while the message of the last
+        one waits in the coordinator's mailbox. The clock of the last process
+        was far ahead of that of the new one.
+        """
+        self.run_for(30.0)
+        self.w1.late = {"start"}
+        self.submit("job", 0.1)
+        self.w1.late = set()
+        with mock.patch.object(self.coordinator, "_schedule_turn"):
+            self.run_for(0.6)
+            waiting = [type(each.message) for each in self.coordinator._mailbox]
+            self.assertIn(StartSettled, waiting)
+            self.w1.silent = True
+            self.w1.restart()
+            self.register("w1", NO_ROOM)
+            self.run_for(0.1)
+        self.coordinator._schedule_turn()
+        self.register("w2", ROOM)
+        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
+        self.w1.carry_out_late_calls()
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.run_for(1.0)
+        self.assertEqual(self.w2.process.runs_by_key, {})
+        self.assert_runs_once_answering()
+
+    def test_lease_of_the_next_session_lapses(self):
+        """Guards against two runs by an attempt that a later session settles.
+
+        The attempt waits for its reply when a registry entry replaces the
+        session. The next one has sent nothing.
+        """
+        self.run_for(30.0)
+        self.w1.late = {"start"}
+        self.submit("job", 0.1)
+        self.w1.silent = True
+        self.w1.restart()
+        self.register("w1", NO_ROOM)
+        self.register("w2", ROOM)
+        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
+        self.w1.carry_out_late_calls()
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.run_for(1.0)
+        self.assertEqual(self.w2.process.runs_by_key, {})
+        self.assert_runs_once_answering()
+
+    def test_poll_of_a_settling_start_meets_the_next_process(self):
+        """Guards against two runs by an attempt that a closed session drops.
+
+        The calls take longer than a poll that is answered at once.
+        """
+        self.run_for(30.0)
+        self.w1.late = {"start"}
+        self.w1.connect_s = 0.1
+        self.submit("job", 0.1)
+        for _ in range(300):
+            self.run_for(0.01)
+            if self.w1.stops:
+                break
+        self.w1.restart()
+        self.run_for(0.11)
+        self.w1.silent = True
+        self.register("w2", ROOM)
+        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
+        self.w1.carry_out_late_calls()
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.run_for(1.0)
+        self.assertEqual(self.w2.process.runs_by_key, {})
+
+    def test_settled_start_of_the_last_term(self):
+        """Guards against a start that a message of another term settles."""
+        self.w1.late = {"start"}
+        self.submit("job", 0.1)
+        self.hand_over(TERM + 1)
+        self.run_for(0.1)
+        task = self.coordinator._term.engine.find(KEY)
+        self.assertFalse(task.start_settled)
+        start = StartRun("w1", KEY, task.run, "", "")
+        rejection = CommandReply(False, "unanswered")
+        fence = TERM * SESSIONS_PER_TERM
+        self.system.tell(COORDINATOR, StartSettled(start, rejection, fence))
+        self.run_for(0.01)
+        self.assertFalse(task.start_settled)
+        self.assertTrue(task.placed)
+
     def test_next_run_goes_to_the_worker_of_a_lost_attempt(self):
         """Guards against two runs by a restart after the next run was placed.
 
@@ -197,6 +297,42 @@
         self.assertEqual(self.w1.process.runs_by_key, {})
         self.assertIn(KEY, self.w2.process.runs_by_key)
 
+    def test_late_run_of_a_cancelled_job_on_a_worker_without_an_entry(self):
+        """Guards against a run that nobody stops as its worker seems idle.
+
+        The stops get no reply at first, and the entry is missing.
+        """
+        self.start_with_lost_attempt()
+        self.store.contents.put(intake_keys("job")[1], "0.0")
+        self.run_for(1.0)
+        self.assertEqual(self.w1.process.runs_by_key, {})
+        self.w1.restart()
+        self.w1.carry_out_late_calls()
+        self.w1.late = {"stop"}
+        self.run_for(0.5)
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.store.contents.remove("servers/w1")
+        self.run_for(REMOVE_UNLISTED_AFTER_S + 0.5)
+        self.w1.late = set()
+        self.run_for(1.0)
+        self.assertEqual(self.w1.process.runs_by_key, {})
+        self.run_for(1.0)
+        self.assertNotIn("w1", self.coordinator._term.engine.workers_by_id)
+
+    def test_lost_attempt_counts_from_the_time_it_is_written(self):
+        """Guards against a hold that ends before a late call can come."""
+        self.w1.connect_s = 0.3
+        self.w1.late = {"start"}
+        self.submit("job", 0.4)
+        self.w1.late = set()
+        self.run_for(1.0)
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        engine = self.coordinator._term.engine
+        (late_call,) = self.w1.late_calls
+        late_until = late_call.sent.at + LATE_CALL_S + engine.longest_lease_s
+        known_until = engine.find(KEY).late_starts_by_worker["w1"]
+        self.assertGreaterEqual(known_until, late_until)
+
     def test_no_other_task_waits(self):
         """Guards against a worker that holds back tasks it was not sent."""
         self.start_with_lost_attempt()
--- a/tests/test_missed_cancels.py
+++ b/tests/test_missed_cancels.py
@@ -5,13 +5,16 @@
 import unittest
 from unittest import mock
 
+from redwingrudder._store_requests import GetPrefix
 from redwingrudder.coordination.coordinator import Coordinator
 from redwingrudder.coordination.gateways import (
     COORDINATOR,
+    INTAKE_PREFIX,
     LEADERSHIP,
     PEERS,
     PROGRESS_PREFIX,
     TERM_KEY,
+    AwaitChanges,
     FleetGateways,
     intake_keys,
 )
@@ -31,12 +34,21 @@
 from redwingrudder.workflows.run_table import START_ATTEMPTS_S
 
 from . import workflow_fixtures as fx
-from .coordination_fakes import Recording, node_system, run_for
+from .coordination_fakes import (
+    STEP_S,
+    Recording,
+    node_system,
+    run_for,
+    time_out_watches,
+)
 from .test_authority import PAUSE_S, TIMES, StubChannels, WorkerStub
 from .test_platform_codecs import ENTRY
 
 SMALL = Resources(100, 100, 0)
 MAX_TRANSACTION_ENTRIES = 32  # that the store accepts
+MAX_CALLS_PER_S = 3.5  # for one key prefix whose watches get no reply
+RESERVE_S = 0.3  # for the calls and the stop
+CANCEL_LIMIT_S = 3.0  # from the acknowledged cancellation to the last start
 
 
 class ListingChannel(WorkerStub):
@@ -72,11 +84,14 @@
         report = await super().poll(
             fence, acknowledged_end, lease_until_ms, wait_s, timeout_s, may_send
         )
-        return report._replace(running=tuple(self.running))
+        # Runs without progress are stopped.
+        percent = self.clock.seconds()
+        running = (entry._replace(percent=percent) for entry in self.running)
+        return report._replace(running=tuple(running))
 
 
-class MissedCancelTests(unittest.TestCase):
-    """The coordinator hears of jobs, but its watch of the store hangs."""
+class MissedCancelCase(unittest.TestCase):
+    """Has a coordinator that hears of jobs, but whose watch hangs."""
 
     def setUp(self):
         self.clock, self.system, self.store = node_system()
@@ -113,6 +128,10 @@
         item = self.contents.items_by_key[PROGRESS_PREFIX + job]
         return records.decode_progress(job, item.value.encode())
 
+
+class MissedCancelTests(MissedCancelCase):
+    """The coordinator hears of jobs, but its watch of the store hangs."""
+
     def test_cancelled_job_is_not_started(self):
         """Guards against a start of a job that was cancelled long before."""
         self.submit("a")
@@ -139,6 +158,30 @@
         self.assertEqual(self.channel.started, ["a", "a"])
         self.assertIn(kept.key, self.channel.stopped)
 
+    def test_age_of_a_cancellation_is_logged(self):
+        """Guards against a late cancellation that the log does not show."""
+        self.submit("a")
+        run_for(self.clock, 0.2)
+        _, cancel_key = intake_keys("a")
+        unix_time_s = 0.0  # that the other nodes give
+        self.contents.put(cancel_key, str(unix_time_s - 2.0))
+        self.store.watches_hang = False
+        with self.assertLogs("redwingrudder.coordination.recovery") as logs:
+            run_for(self.clock, 0.2, (self.store,))
+        (line,) = [r for r in logs.records if r.msg == "coordinator cancels job"]
+        self.assertEqual((line.job, line.term), ("a", 1))
+        self.assertAlmostEqual(line.age_s, 2.0, delta=0.3)
+
+    def test_cancellation_without_a_time_is_applied(self):
+        """Guards against a cancellation that is refused for its value."""
+        self.submit("a")
+        run_for(self.clock, 0.2)
+        _, cancel_key = intake_keys("a")
+        self.contents.put(cancel_key, "no time")
+        self.store.watches_hang = False
+        run_for(self.clock, 0.2, (self.store,))
+        self.assertTrue(self.coordinator._find_workflow("a").cancelled)
+
     def test_other_jobs_of_the_write_start_at_once(self):
         """Guards against a cancelled job that delays the starts of others."""
         for job in ("a", "b", "c"):
@@ -217,5 +260,59 @@
         self.assertEqual(self.channel.started, ["a"])
 
 
+class SilentWatchTests(MissedCancelCase):
+    """Watches get no reply from some time on, but all other calls do."""
+
+    def setUp(self):
+        super().setUp()
+        self.store.watches_hang = False
+        time_out_watches(self.store)
+        # Let the watches end that wait.
+        self.cancel("other")
+        self.contents.put("servers/w1", json.dumps(ENTRY))
+        run_for(self.clock, STEP_S, (self.store,))
+
+    def test_running_task_of_a_cancelled_job_is_stopped_in_time(self):
+        """Guards against a run that goes on while its cancellation is missed.
+
+        The announcement is lost. The cancellation comes at any time of the
+        attempts to watch.
+        """
+        for number in range(15):
+            with self.subTest(number=number):
+                self.setUp()
+                self.submit("a")
+                run_for(self.clock, 0.05 + 0.21 * number)
+                self.assertEqual(self.channel.started, ["a"])
+                self.cancel("a")
+                run_for(self.clock, CANCEL_LIMIT_S - RESERVE_S)
+                self.assertEqual(self.channel.stopped, [fx.key("a")])
+
+    def test_known_documents_are_not_decoded_again(self):
+        """Guards against reads that take a coordinator's processor time."""
+        self.submit("a")
+        run_for(self.clock, 1.0)
+        with mock.patch.object(
+            records, "decode_workflow", side_effect=records.decode_workflow
+        ) as decode:
+            run_for(self.clock, 5.0)
+        decode.assert_not_called()
+
+    def test_calls_while_watches_get_no_reply(self):
+        """Guards against reads that are more frequent than needed."""
+        with mock.patch.object(
+            self.system, "ask", side_effect=self.system.ask
+        ) as calls:
+            run_for(self.clock, 30.0)
+        prefixes = [
+            call.args[1].prefix
+            for call in calls.call_args_list
+            if isinstance(call.args[1], AwaitChanges | GetPrefix)
+        ]
+        calls_per_s = prefixes.count(INTAKE_PREFIX) / 30.0
+        self.assertGreater(calls_per_s, 0.0)
+        self.assertLess(calls_per_s, MAX_CALLS_PER_S)
+
+
 if __name__ == "__main__":
     unittest.main()
