Ignore cancellations that were read before their removal

What callers saw: nothing yet; found by reading. A job whose id had been used by a cancelled one is reported as cancelled, and does not run.

Cause: what named a job once is taken as proof that it is meant now. A cancellation that was read before it was removed, and applied after, was one of an unknown id and was kept for the next job of that id for 60 s; if that job was known already, it was cancelled at once. Reads of all documents have become frequent while the store does not answer watches. Each of them also counted a cancellation without a job as new, so that it was kept beyond its removal.

Ruled out: announced cancellations. They are read after the removal, and a job that comes under the id during the read is compared.

Change: the coordinator remembers for 60 s the store revision of a removal, and ignores documents and cancellations up to it. A removed cancellation without a job is forgotten by the engine too. A document that uses an id again bounds the earlier ones, as it is stored only when they are gone or together with its own cancellation. If the answer to a removal is lost, the revision of the progress record is the bound.

--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -217,14 +217,16 @@
     Returns:
         Seconds since the cancellation was sent to the store, by the clock of
         the node that sent it; None if the workflow is unknown, was cancelled
-        before or has ended, or if the value is not a time.
+        before or has ended, if the cancellation is a removed one, or if the
+        value is not a time.
     """
     workflow_id = workflow_id_of(pair.key)
     progress = engine.workflows_by_id.get(workflow_id)
     takes_effect = (
         progress is not None and not progress.cancelled and progress.ended_at is None
     )
-    retention.add_cancellation(workflow_id, pair.mod_revision, now)
+    if not retention.add_cancellation(workflow_id, pair.mod_revision, now):
+        return None
     engine.cancel(workflow_id, now)
     if not takes_effect:
         return None
--- a/src/redwingrudder/coordination/retention.py
+++ b/src/redwingrudder/coordination/retention.py
@@ -38,10 +38,11 @@
 
 
 class _ForgottenWorkflow(NamedTuple):
-    """An ended workflow whose records were removed.
+    """An ended workflow, or a cancellation without one, that was removed.
 
     Attributes:
-        revision: Store revision of the record of its progress.
+        revision: Store revision up to which a document or a cancellation of
+            the id is known to be a removed one.
         forgotten_at: Node-clock seconds at which it was forgotten.
     """
 
@@ -80,19 +81,27 @@
         # Ordered by the time at which they were forgotten.
         self._forgotten_by_id: dict[str, _ForgottenWorkflow] = {}
 
-    def add_cancellation(self, workflow_id: str, revision: int, now: float) -> None:
+    def add_cancellation(self, workflow_id: str, revision: int, now: float) -> bool:
         """Note a stored cancellation, whether its workflow is known or not.
 
-        One that is read again keeps the time at which it was seen first.
+        One that is read again keeps the time at which it was seen first. One
+        that was read before its removal concerns no later workflow of the id.
 
         Args:
             workflow_id: The cancelled workflow.
             revision: Store revision of the cancellation's key.
             now: Node-clock seconds.
+
+        Returns:
+            False if the cancellation is a removed one.
         """
+        if self._is_forgotten(workflow_id, revision):
+            _logger.info("removed cancellation is ignored", extra={"job": workflow_id})
+            return False
         noted = self._cancellations_by_id.get(workflow_id)
         if noted is None or noted.revision != revision:
             self._cancellations_by_id[workflow_id] = _Cancellation(revision, now)
+        return True
 
     def take_stored(self, workflow_id: str, revision: int) -> bool:
         """Forget an ended workflow if its id is used by a later one.
@@ -115,10 +124,10 @@
             and self._is_removable(progress)
             and revision > self._recorder.revision(workflow_id)
         ):
-            self._forget(workflow_id)
+            # A document is stored after the removal of earlier cancellations.
+            self._forget(workflow_id, revision - 1)
             _logger.info("id of an ended job is used again", extra={"job": workflow_id})
-        forgotten = self._forgotten_by_id.get(workflow_id)
-        if forgotten is None or revision > forgotten.revision:
+        if not self._is_forgotten(workflow_id, revision):
             return True
         _logger.info("document of a removed job is ignored", extra={"job": workflow_id})
         return False
@@ -168,13 +177,20 @@
             and self._engine.is_recorded(progress.workflow.workflow_id)
         )
 
-    def _forget(self, workflow_id: str) -> None:
+    def _forget(self, workflow_id: str, revision: int) -> None:
+        self._remember_removal(workflow_id, revision)
+        self._engine.forget(workflow_id)
+        self._recorder.forget(workflow_id)
+
+    def _remember_removal(self, workflow_id: str, revision: int) -> None:
         self._forgotten_by_id.pop(workflow_id, None)
         self._forgotten_by_id[workflow_id] = _ForgottenWorkflow(
-            self._recorder.revision(workflow_id), self._system.clock.seconds()
+            revision, self._system.clock.seconds()
         )
-        self._engine.forget(workflow_id)
-        self._recorder.forget(workflow_id)
+
+    def _is_forgotten(self, workflow_id: str, revision: int) -> bool:
+        forgotten = self._forgotten_by_id.get(workflow_id)
+        return forgotten is not None and revision <= forgotten.revision
 
     def _expire_forgotten(self, now: float) -> None:
         while self._forgotten_by_id:
@@ -229,6 +245,8 @@
         if self._cancellations_by_id.get(workflow_id) == noted:
             del self._cancellations_by_id[workflow_id]
         if reply.succeeded:
+            self._remember_removal(workflow_id, reply.revision)
+            self._engine.forget_cancellation(workflow_id)
             _logger.info("expired cancellation removed", extra={"job": workflow_id})
             self._next_sweep_at = 0.0  # see ``_remove``
 
@@ -268,7 +286,8 @@
             # The id may be used by a later workflow since.
             progress = self._engine.workflows_by_id.get(workflow_id)
             if progress is progress_by_id[workflow_id]:
-                self._forget(workflow_id)
+                record_revision = self._recorder.revision(workflow_id)
+                self._forget(workflow_id, max(reply.revision, record_revision))
         if not removed_ids:
             return
         _logger.info("expired records removed", extra={"jobs": len(removed_ids)})
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -143,6 +143,10 @@
         if len(self._early_cancels_by_id) > MAX_EARLY_CANCELS:
             del self._early_cancels_by_id[next(iter(self._early_cancels_by_id))]
 
+    def forget_cancellation(self, workflow_id: str) -> None:
+        """Forget the cancellation of an unknown workflow that was removed."""
+        self._early_cancels_by_id.pop(workflow_id, None)
+
     def set_worker(self, facts: WorkerFacts, now: float) -> None:
         """Add a worker, or update it from its registry entry.
 
