Tell the attempts to write the coordinator's record apart

What callers saw: nothing yet; found by reading.

Cause: an attempt without an answer is forgotten. A node writes its record under a lease, gets no answer and does not find the record, so it tries again with another lease. If the first write is carried out late and the answer to the second one is lost, the record is found, with the same node, process and term. The node began the term and renewed the lease of the second attempt, which does not keep the record. The record went with the first lease, another node could be elected, and until the watch reported that, the first one took its permission to act from the wrong lease.

Ruled out: the lease of an earlier term, which is compared after each renewal; the term, which is compared by both writes.

Change: the record names its lease, so only the record of the same attempt counts. Readers of earlier releases ignore the new field.

The test failed before: test_record_of_a_late_write_is_not_that_of_the_next_attempt AssertionError: True is not false

--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -412,6 +412,9 @@
                 "address": self._identity.address,
                 "life": self._identity.incarnation,
                 "term": term,
+                # Tells the attempts of one process apart, of which an earlier
+                # one may be carried out late.
+                "lease": lease,
             }
         )
         compares = (
