Keep permits for the process that was asked about

What callers saw: nothing; a start that the worker rejects, which is priced, and a gang that is broken by it.

Cause: an identity outlives what it identifies. A permit was kept for the process that a worker had when the answer of the advice service came. If the worker restarted while the answer was awaited, the ticket is one of its last process.

Change: the question names the processes.

The test failed before: test_permit_that_was_requested_for_a_former_process AssertionError: Lists differ: [StartRun(worker_id='w2', ...)] != []

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -607,8 +607,14 @@
         for stage, worker_ids in scheduling_plan.advice_requests:
             stage.advice_pending = True
             workflow_id = stage.workflow.workflow.workflow_id
+            started_ms = tuple(
+                self.workers_by_id[worker_id].facts.process_started_ms
+                for worker_id in worker_ids
+            )
             self.effects.append(
-                AskAdvice(workflow_id, stage.occurrence, stage.index, worker_ids)
+                AskAdvice(
+                    workflow_id, stage.occurrence, stage.index, worker_ids, started_ms
+                )
             )
         runs_by_stage: dict[int, int] = {}
         for task, worker in scheduling_plan.starts:
@@ -693,13 +699,14 @@
         if tickets is None:
             return
         until = now + valid_s * USABLE_TICKET_SHARE
-        for worker_id in advice_request.worker_ids:
-            worker = self.workers_by_id.get(worker_id)
-            if worker_id in tickets and worker is not None:
+        for worker_id, process_started_ms in zip(
+            advice_request.worker_ids, advice_request.processes_started_ms, strict=True
+        ):
+            if worker_id in tickets:
                 stage.permits_by_worker[worker_id] = Permit(
-                    tickets[worker_id], until, worker.facts.process_started_ms
+                    tickets[worker_id], until, process_started_ms
                 )
-            elif worker_id not in tickets:
+            else:
                 stage.denied_workers.add(worker_id)
 
     def throttle(self, now: float) -> None:
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -294,12 +294,17 @@
 
 
 class AskAdvice(NamedTuple):
-    """Effect: ask the advice service which of the workers may run a step."""
+    """Effect: ask the advice service which of the workers may run a step.
+
+    ``processes_started_ms`` has the start times of the workers' processes for
+    which the answer is valid, in Unix milliseconds, 0 if unknown.
+    """
 
     workflow_id: str
     occurrence: int
     step: int
     worker_ids: tuple[str, ...]
+    processes_started_ms: tuple[int, ...]
 
 
 class ThrottleRun(NamedTuple):
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -661,6 +661,18 @@
         self.assertEqual(fx.starts(effects), [])
         self.assertEqual(effects[0].worker_ids, ("w2",))
 
+    def test_permit_that_was_requested_for_a_former_process(self):
+        """Guards against starts that a restarted worker rejects.
+
+        The worker restarts while the answer is awaited.
+        """
+        engine, effects = self.plan_with_advice()
+        engine.set_worker(fx.worker("w2", process_started_ms=2), 0.1)
+        engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        effects = engine.plan(0.2, 0.2)
+        self.assertEqual(fx.starts(effects), [])
+        self.assertEqual(effects[0].worker_ids, ("w2",))
+
     def test_unanswered_question_is_asked_again(self):
         """Guards against a queue that is blocked by one lost reply."""
         engine, effects = self.plan_with_advice()
