End no new term for an order or a write of the last one

What callers saw: nothing yet; found by reading. About 1.5 s without a coordinator, until the lease of its record has ended.

Cause: an identity outlives what it identifies. A node whose record was lost is usually elected again at once. If a write or an order of its maintenance or of its moves of machines was on the way, it was rejected for the higher term, which is that of the same node, and LEADERSHIP was told that another coordinator exists. The message names no term, so the new term was ended.

Ruled out: the writer of the records and the sessions with workers, which compare whether they are closed.

Change: a duty that is closed reports nothing.

The tests failed before: test_answer_after_the_term_does_not_end_the_next_one AssertionError: Lists differ: [Fenced(source='m0')] != [] test_write_after_the_term_does_not_end_the_next_one AssertionError: Lists differ: [Fenced(source='store')] != []

--- a/src/redwingrudder/coordination/machine_duty.py
+++ b/src/redwingrudder/coordination/machine_duty.py
@@ -113,7 +113,13 @@
         return self._may_order(self._system.clock.seconds())
 
     def _stop_as_fenced(self, source: str) -> None:
-        """Send no more orders, and tell LEADERSHIP of a newer coordinator."""
+        """Send no more orders, and tell LEADERSHIP of a newer coordinator.
+
+        After the term this says nothing: the newer coordinator may be the next
+        term of this node.
+        """
+        if self._closed:
+            return
         self._closed = True
         self._system.tell(LEADERSHIP, Fenced(source))
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -3,6 +3,7 @@
 import json
 import math
 import unittest
+from unittest import mock
 
 from redwingrudder.coordination.authority import Authority
 from redwingrudder.coordination.gateways import (
@@ -412,6 +413,33 @@
         self.assertEqual(len(self.machines.orders), 1)
         self.assertTrue(self.leadership.received)
 
+    def test_answer_after_the_term_does_not_end_the_next_one(self):
+        """Guards against a new term of this node that an old order ends."""
+
+        def close_when_written(may_send):
+            may_send()
+            self.maintenance.close()
+
+        self.machines.connect = close_when_written
+        self.machines.reply = MachineReply.FENCED
+        self.advance(10.0)
+        self.assertEqual(len(self.machines.orders), 1)
+        self.assertEqual(self.leadership.received, [])
+
+    def test_write_after_the_term_does_not_end_the_next_one(self):
+        """Guards against a new term of this node that an old write ends."""
+        transact = self.store.contents.transact
+
+        def begin_next_term(message):
+            self.maintenance.close()
+            self.store.contents.put(TERM_KEY, "6")
+            return transact(message)
+
+        with mock.patch.object(self.store.contents, "transact", begin_next_term):
+            self.advance(1.0)
+        self.assertEqual(self.store.contents.items_by_key[TERM_KEY].value, "6")
+        self.assertEqual(self.leadership.received, [])
+
     def test_busy_machine_is_tried_again(self):
         """Guards against a wave that stops after one rejected order."""
         self.machines.reply = MachineReply.REJECTED
