Let watches of the simulated store fail at the limit of its client

What callers saw: nothing; the simulation could not see the fault that mended.

Cause: in MemoryStore a watch that hangs was never answered, while the client of the store gives up 0.4 s after the wait of the watch. A coordinator that reads the prefix after a watch without an answer had no occasion to. Hanging watches at the leader therefore excused runs of cancelled jobs on all workers.

Ruled out: a limit for every user of MemoryStore. Unit tests that set watches_hang need a watch that never ends; they are unchanged.

Change: MemoryStore.watch_limit_s, None by default and 0.4 s in the nodes of a cluster. With a limit, a watch without changes is answered after its wait, so that none is older than its wait when watches begin to hang, and one without an answer, because watches hang or the store is down, fails with StoreUnavailableError. Hanging watches excuse no run any more (Reach.NOBODY).

Tests: in test_cancelled_runs.HangingWatchTests the announcement of a cancellation is lost while watches hang for 9 s and all other calls are answered, at 15 times of the attempts to watch; the run is gone within 3.9 s (0.3 to 1.4 s were seen).

Changed tests, since the store is now read while watches hang: - AnnouncementTests: a lost submission begins after the read (2.2 s), not after the fault (8.8 s); a late one is late by 1.5 s, before the read. Watches begin to hang just after an answer, which leaves the most time. - DisruptionTests: late writes replace hanging watches as the store fault of the leader, with the same periods and the moments at which writes are carried out; a new test says that hanging watches concern nobody.

--- a/src/redwingrudder/simulation/_disruptions.py
+++ b/src/redwingrudder/simulation/_disruptions.py
@@ -53,7 +53,8 @@
     FaultKind.STORE_DOWN: Reach.LEADER,
     FaultKind.LOST_ANSWERS: Reach.NOBODY,
     FaultKind.LATE_WRITES: Reach.LEADER,
-    FaultKind.HANGING_WATCHES: Reach.LEADER,
+    # What watches would report is read when they fail at their limit.
+    FaultKind.HANGING_WATCHES: Reach.NOBODY,
     FaultKind.HAND_OVER: Reach.NOBODY,
     FaultKind.TAKEOVER: Reach.NOBODY,
     # The watch reports what an announcement would have.
--- a/src/redwingrudder/simulation/_node.py
+++ b/src/redwingrudder/simulation/_node.py
@@ -20,7 +20,7 @@
 from ._peers import MemoryPeers, node_address, node_name
 from ._runs import GANG_TIMEOUT_S
 from ._schedule import MAX_STOP_S
-from ._store import MemoryStore
+from ._store import CALL_TIMEOUT_S, MemoryStore
 from ._worker_process import MAX_LEASE_S
 
 if TYPE_CHECKING:
@@ -102,6 +102,7 @@
         )
         MemoryPeers(self.system, cluster, index)
         self.store = MemoryStore(self.system, cluster.contents)
+        self.store.watch_limit_s = CALL_TIMEOUT_S
         self.store.go_down = functools.partial(cluster.set_store_down, index, True)
         self.notified_revision = 0
         self.store_down_since = 0.0
--- a/src/redwingrudder/simulation/_store.py
+++ b/src/redwingrudder/simulation/_store.py
@@ -90,6 +90,9 @@
             write.
         go_down: Called when it does; without another one, it sets ``down``.
         watches_hang: Watches are not answered, although other calls are.
+        watch_limit_s: Seconds after the wait of a watch at which a watch that
+            was not answered fails; None for a client that waits for ever. With
+            a limit, watches without changes are answered after their wait.
         renewal_remaining_s: Remaining time of a lease that each renewal
             returns; 0.0 means that the lease has expired.
         delayed_writes: Writes that ``apply_delayed_writes`` carries out.
@@ -107,6 +110,7 @@
         self.down_after_delayed_write = False
         self.go_down: Callable[[], None] = self._go_down
         self.watches_hang = False
+        self.watch_limit_s: float | None = None
         self.renewal_remaining_s = 1.5
         self.delayed_writes: list[Transact] = []
         self.transactions: list[Transact] = []
@@ -188,15 +192,38 @@
         self._answer_if_up(None)
         reply: Deferred = Deferred()
         self._answer_or_wait(message, reply)
+        if self.watch_limit_s is not None:
+            self.system.clock.callLater(message.wait_s, self._end_wait, message, reply)
         return reply
 
+    def _end_wait(self, message: AwaitChanges, reply: Deferred) -> None:
+        """Answer a watch after its wait, or let it fail at its limit."""
+        if reply.called:
+            return
+        if self.down or self.watches_hang:
+            self.system.clock.callLater(
+                self.watch_limit_s, self._fail_watch, message, reply
+            )
+            return
+        self.watches.remove((message, reply))
+        changes = self._changes(message)
+        reply.callback(Changes(changes, self.contents.revision))
+
+    def _fail_watch(self, message: AwaitChanges, reply: Deferred) -> None:
+        if not reply.called:
+            self.watches.remove((message, reply))
+            reply.errback(StoreUnavailableError("no reply to the watch in time"))
+
     def _answer_or_wait(self, message: AwaitChanges, reply: Deferred) -> None:
-        changes = tuple(
-            change
-            for change in self.contents.history
-            if change.revision > message.after and change.key.startswith(message.prefix)
-        )
+        changes = self._changes(message)
         if changes and not self.watches_hang:
             reply.callback(Changes(changes, self.contents.revision))
         else:
             self.watches.append((message, reply))
+
+    def _changes(self, message: AwaitChanges) -> tuple[Change, ...]:
+        return tuple(
+            change
+            for change in self.contents.history
+            if change.revision > message.after and change.key.startswith(message.prefix)
+        )
