--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -134,6 +134,15 @@
         self.assertEqual(self.w2.process.runs_by_key, {})
         self.assert_runs_once_answering()
 
+    def assert_only_the_late_attempt_begins_a_run(self):
+        """Carry out the attempt once the leases of the first worker lapsed."""
+        self.register("w2", ROOM)
+        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
+        self.w1.carry_out_late_calls()
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.run_for(1.0)
+        self.assertEqual(self.w2.process.runs_by_key, {})
+
     def test_settled_start_is_handled_after_the_next_session_is_open(self):
         """Guards against two runs by an attempt that a dropped message names.
 
@@ -154,12 +163,7 @@
             self.register("w1", NO_ROOM)
             self.run_for(0.1)
         self.coordinator._schedule_turn()
-        self.register("w2", ROOM)
-        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
-        self.w1.carry_out_late_calls()
-        self.assertIn(KEY, self.w1.process.runs_by_key)
-        self.run_for(1.0)
-        self.assertEqual(self.w2.process.runs_by_key, {})
+        self.assert_only_the_late_attempt_begins_a_run()
         self.assert_runs_once_answering()
 
     def test_lease_of_the_next_session_lapses(self):
@@ -174,12 +178,7 @@
         self.w1.silent = True
         self.w1.restart()
         self.register("w1", NO_ROOM)
-        self.register("w2", ROOM)
-        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
-        self.w1.carry_out_late_calls()
-        self.assertIn(KEY, self.w1.process.runs_by_key)
-        self.run_for(1.0)
-        self.assertEqual(self.w2.process.runs_by_key, {})
+        self.assert_only_the_late_attempt_begins_a_run()
         self.assert_runs_once_answering()
 
     def test_poll_of_a_settling_start_meets_the_next_process(self):
@@ -198,12 +197,7 @@
         self.w1.restart()
         self.run_for(0.11)
         self.w1.silent = True
-        self.register("w2", ROOM)
-        self.run_for(prior_lease_timeout_s(MAX_LEASE_S) + 1.0)
-        self.w1.carry_out_late_calls()
-        self.assertIn(KEY, self.w1.process.runs_by_key)
-        self.run_for(1.0)
-        self.assertEqual(self.w2.process.runs_by_key, {})
+        self.assert_only_the_late_attempt_begins_a_run()
 
     def test_settled_start_of_the_last_term(self):
         """Guards against a start that a message of another term settles."""
