--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -13,6 +13,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import urllib.error
 import urllib.request
 
@@ -465,6 +466,8 @@
         status = 1 if broken else 0
     except CannotRun as error:
         print(f"the case could not run: {error}")
+    except Exception:
+        traceback.print_exc()
     finally:
         if rig is not None:
             rig.close()
