Let accepted jobs follow their queue to another pool

Cause: Workflow.policy was read once, at the submission, and used wherever a pool, a priority, an objective or the need for advice was asked for. Term.configure passed only the guarantees to the engine, so pools were sized by one version and tasks placed by another.

Ruled out: a configuration that does not reach the coordinator (it logs the version, and jobs submitted later run in the new pool), and workers of the new service that are unknown or full.

Change: WorkflowProgress.policy is the policy in force, with the version of the configuration that has it. The configuration, the document of a job and the record of its progress may each set it; the highest version wins in any order. Attempts stay as accepted. A changed policy is recorded, so that a successor knows it when the queue is gone; the first record of a job is written only without a stored cancellation. Starts that were not sent are given up when their queue has left the pool. Run times are learned for each pool.

Two fakes of other tests got the new argument or method, with the same checks.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -109,7 +109,11 @@
     async def _write_batch(self) -> None:
         engine = self._engine
         starting_ids = self._starting_ids()
-        batch = select_batch(starting_ids, self._writable(engine.dirty))
+        # A stored cancellation is the state of a job without a record, so the
+        # first record of a job must not hide one.
+        first_ids = (i for i in engine.dirty if not self._recorder.revision(i))
+        checked_ids = dict.fromkeys([*starting_ids, *self._writable([*first_ids])])
+        batch = select_batch(checked_ids, self._writable(engine.dirty))
         included = set(batch)
         engine.dirty -= included
         engine.being_recorded = included
@@ -117,7 +121,7 @@
         ends = self._workers.find_unrecorded_ends(included)
         begun_at = self._system.clock.seconds()
         try:
-            written = await self._recorder.write(engine, batch, starting_ids)
+            written = await self._recorder.write(engine, batch, checked_ids)
         except RedwingrudderError as error:
             _logger.info("progress could not be recorded", extra={"error": str(error)})
             await self._retry_later(included)
@@ -231,6 +235,8 @@
         elif not self._engine.has_room(start.worker_id):
             # The worker's capacity has shrunk since the start was planned.
             self._engine.start_rejected(start.key, start.run, "no_room", now)
+        elif self._engine.has_left_pool(start.key, start.worker_id):
+            self._engine.start_rejected(start.key, start.run, "queue_moved", now)
         elif self._engine.awaits_silent_worker(start.key, start.run, now):
             self._engine.start_rejected(start.key, start.run, "silent_worker", now)
         elif self._workers.send(start):
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -51,21 +51,22 @@
     cancelled_ids: tuple[str, ...] = ()
 
 
-def select_batch(starting_ids: Iterable[str], other_ids: Iterable[str]) -> list[str]:
+def select_batch(checked_ids: Iterable[str], other_ids: Iterable[str]) -> list[str]:
     """Return the workflows that fit into one transaction.
 
     Args:
-        starting_ids: Workflows with starts to record, which are chosen first.
+        checked_ids: Workflows that are recorded only if the store has no
+            cancellation of them, which are chosen first.
         other_ids: Other workflows to record; may include some of the former.
     """
-    starting = dict.fromkeys(starting_ids)
+    checked = dict.fromkeys(checked_ids)
     batch: dict[str, None] = {}
     entries = TERM_ENTRIES
-    for workflow_id in chain(starting, other_ids):
+    for workflow_id in chain(checked, other_ids):
         if workflow_id in batch:
             continue
         entries += RECORD_ENTRIES
-        if workflow_id in starting:
+        if workflow_id in checked:
             entries += CANCEL_ENTRIES
         if entries > MAX_TRANSACTION_ENTRIES:
             break
@@ -79,8 +80,8 @@
     Each write is conditional on the revision of the term's key, so that a
     deposed coordinator cannot write, and on the revisions of the records, so
     that a delayed write cannot replace a newer one. A write that records
-    starts is also conditional on the absence of cancellations, which the
-    coordinator may not have seen yet.
+    starts, or is the first one of a job, is also conditional on the absence of
+    cancellations, which the coordinator may not have seen yet.
 
     Args:
         system: The node's actor system.
@@ -117,7 +118,7 @@
         self,
         engine: Engine,
         workflow_ids: list[str],
-        starting_ids: Collection[str] = (),
+        checked_ids: Collection[str] = (),
     ) -> WriteOutcome:
         """Write the current progress of some workflows in one transaction.
 
@@ -127,9 +128,9 @@
         Args:
             engine: Engine with the progress of the workflows.
             workflow_ids: The workflows, as many as ``select_batch`` returns.
-            starting_ids: Those of them that have starts to record. Nothing is
-                written if the store has a cancellation of one of them that the
-                engine does not know.
+            checked_ids: Those of them that have starts to record or no record
+                yet. Nothing is written if the store has a cancellation of one
+                of them that the engine does not know.
 
         Raises:
             OutcomeUnknownError: The write was sent but not confirmed, so it
@@ -158,7 +159,7 @@
             puts.append(PutKey(PROGRESS_PREFIX + workflow_id, document.decode()))
             states[workflow_id] = progress.state
             can_be_cancelled = not progress.cancelled and progress.ended_at is None
-            if workflow_id in starting_ids and can_be_cancelled:
+            if workflow_id in checked_ids and can_be_cancelled:
                 uncancelled_ids.append(workflow_id)
         # An earlier write that has taken effect already must not be taken for
         # the effect of this one.
--- a/src/redwingrudder/coordination/term.py
+++ b/src/redwingrudder/coordination/term.py
@@ -5,6 +5,7 @@
 
 from ..actors import ActorSystem
 from ..workflows.engine import Engine
+from ..workflows.queue_policies import QueuePolicies
 from ..workflows.run_times import RunTimeEstimates
 from .authority import Authority
 from .gateways import FleetGateways, OperatorConfiguration
@@ -38,9 +39,11 @@
 
     def configure(self, configuration: OperatorConfiguration) -> None:
         """Follow a new configuration of the operators."""
-        self.engine.guaranteed_by_organisation = (
-            configuration.guaranteed_by_organisation
+        policies = QueuePolicies(
+            configuration.version,
+            {queue.name: queue.policy for queue in configuration.queues},
         )
+        self.engine.configure(policies, configuration.guaranteed_by_organisation)
         if self.pool_moves is not None:
             self.pool_moves.set_roles(pool_roles(configuration))
 
--- a/src/redwingrudder/platform/front_end.py
+++ b/src/redwingrudder/platform/front_end.py
@@ -218,7 +218,9 @@
             self._check_not_outdated(configuration)
             return _json_response(401, {"error": "unknown_key"})
         workflow_id = path[len(queue.prefix) :]
-        return await self._serve(request, queue, organisation or "", workflow_id)
+        return await self._serve(
+            request, queue, organisation or "", workflow_id, configuration.version
+        )
 
     def _check_not_outdated(self, configuration: OperatorConfiguration) -> None:
         """Raise an error if the queue or key may be in a newer version.
@@ -243,12 +245,21 @@
         return configuration.organisations_by_key.get(key.strip())
 
     async def _serve(
-        self, request: LimitedRequest, queue: Queue, organisation: str, workflow_id: str
+        self,
+        request: LimitedRequest,
+        queue: Queue,
+        organisation: str,
+        workflow_id: str,
+        version: int,
     ) -> Response:
         timeout_s = ANSWER_TIMEOUT_SHARE * _client_timeout_s(request, queue)
         if request.method == b"POST":
             workflow = decode_submission(
-                workflow_id, request.content.getvalue(), queue, organisation
+                workflow_id,
+                request.content.getvalue(),
+                queue,
+                organisation,
+                version,
             )
             await self.ask(INTAKE, SubmitWorkflow(workflow, timeout_s))
             return _json_response(200, {})
@@ -276,10 +287,17 @@
 
 
 def decode_submission(
-    workflow_id: str, content: bytes, queue: Queue, organisation: str
+    workflow_id: str, content: bytes, queue: Queue, organisation: str, version: int
 ) -> Workflow:
     """Decode the body of a submission into a workflow.
 
+    Args:
+        workflow_id: Id chosen by the caller.
+        content: The body.
+        queue: Queue of the submission.
+        organisation: Organisation that owns the workflow.
+        version: Version of the configuration that has the queue.
+
     Raises:
         BadRequestError: The id or the body is invalid, or the workflow has
             too many steps or tasks.
@@ -306,6 +324,7 @@
             first_due_at=body.number("startAtMs", 0) / 1000,
             interval_s=body.seconds("intervalMs"),
             occurrences=max(body.integer("repeats", 0, high=MAX_TASKS), 1),
+            policy_version=version,
         )
     except ValueError as error:
         raise BadRequestError(f"invalid job: {error}", code="invalid_body") from error
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Collection, Container
 
 from .crash_evidence import (
@@ -39,6 +40,7 @@
     WorkflowState,
 )
 from .planner import Planner, PriorityPlanner
+from .queue_policies import QueuePolicies
 from .run_table import RunTable, run_log_fields
 from .run_times import MIN_ELAPSED_S, RunTimeEstimates, update_worker_speed
 from .state import (
@@ -90,6 +92,7 @@
     ) -> None:
         super().__init__(run_times or RunTimeEstimates())
         self.guaranteed_by_organisation: dict[str, int] = {}
+        self._queue_policies = QueuePolicies()
         # Node-clock time of cancellations without a workflow, oldest first.
         self._early_cancels_by_id: dict[str, float] = {}
         self._awaited_workers: set[str] = set()
@@ -100,6 +103,60 @@
         self._throttle_policy: ThrottlePolicy = LatencyTargetPolicy()
         self._planner = planner or PriorityPlanner(self.run_times)
 
+    def configure(
+        self, policies: QueuePolicies, guaranteed_by_organisation: dict[str, int]
+    ) -> None:
+        """Follow a new configuration of the operators.
+
+        The policies also apply to workflows that were accepted before; see
+        ``WorkflowProgress.policy``. Runs at work go on, also on workers of a
+        pool that their queue has left.
+        """
+        self.guaranteed_by_organisation = guaranteed_by_organisation
+        previous, self._queue_policies = self._queue_policies, policies
+        changed: Counter[str] = Counter()
+        dropped: Counter[str] = Counter()
+        for progress in self._active_workflows():
+            queue = progress.workflow.queue
+            if queue not in policies.by_queue:
+                dropped[queue] += not previous.version or queue in previous.by_queue
+            elif self._apply_queue_policy(progress):
+                changed[queue] += 1
+        for queue, count in changed.items():
+            policy = policies.by_queue[queue]
+            _logger.info(
+                "policy of accepted jobs changed",
+                extra={
+                    "queue": queue,
+                    "jobs": count,
+                    "version": policies.version,
+                    **policy._asdict(),
+                },
+            )
+        for queue, count in (+dropped).items():
+            _logger.info(
+                "accepted jobs keep the policy of a queue that was removed",
+                extra={"queue": queue, "jobs": count, "version": policies.version},
+            )
+
+    def _apply_queue_policy(self, progress: WorkflowProgress) -> bool:
+        pool = progress.policy.pool
+        if not self._queue_policies.apply(progress):
+            return False
+        # A successor may not learn of the policy otherwise, if the next
+        # configuration does not have the queue.
+        self.dirty.add(progress.workflow.workflow_id)
+        self._record_estimates(progress)
+        if progress.policy.pool != pool:
+            for stage in progress.stages():
+                # The pending request names workers of the former pool.
+                stage.advice_pending = False
+        return True
+
+    def _record_estimates(self, progress: WorkflowProgress) -> None:
+        for stage in progress.occurrences[0].stages:
+            self.run_times.record_estimate(stage)
+
     def accept(self, workflow: Workflow, now: float) -> WorkflowProgress:
         """Add a stored workflow and return its progress.
 
@@ -111,8 +168,8 @@
             return existing
         progress = WorkflowProgress(workflow, now)
         self.workflows_by_id[workflow.workflow_id] = progress
-        for stage in progress.occurrences[0].stages:
-            self.run_times.record_estimate(stage)
+        if not self._apply_queue_policy(progress):
+            self._record_estimates(progress)
         cancelled_at = self._early_cancels_by_id.pop(workflow.workflow_id, -math.inf)
         if now - cancelled_at <= EARLY_CANCEL_MEMORY_S:
             self.cancel(workflow.workflow_id, now)
@@ -319,6 +376,16 @@
         worker = self.workers_by_id.get(worker_id)
         return worker is None or worker.idle.covers(NO_RESOURCES)
 
+    def has_left_pool(self, key: TaskKey, worker_id: str) -> bool:
+        """Return whether the queue of a task has left the pool of a worker.
+
+        False if the task or the worker is unknown.
+        """
+        task, worker = self.find(key), self.workers_by_id.get(worker_id)
+        if task is None or worker is None:
+            return False
+        return worker.facts.pool != task.stage.workflow.policy.pool
+
     def is_starting(self, key: TaskKey, run: int) -> bool:
         """Return whether a run is current and its start is not confirmed."""
         task = self.current(key, run)
@@ -799,6 +866,7 @@
         if started and run < _newest_run(task):
             return
         task.run, task.worker_id = run, worker_id
+        task.pool = self.workers_by_id[worker_id].facts.pool
         task.highest_run = max(task.highest_run, run)
         task.run_saved = False
         task.speed_percent, task.speed_known = FULL_SPEED_PERCENT, False
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -123,12 +123,15 @@
         organisation: Organisation that owns the workflow.
         payload: Text that is sent to the worker with each start.
         steps: All steps; a step depends only on earlier ones.
-        policy: Policy of the queue at the time of submission.
+        policy: Policy of the queue at the time of submission. The one in force
+            is that of ``WorkflowProgress``.
         accepted_at: Unix seconds of the acceptance.
         first_due_at: Unix seconds at which occurrence 0 is due, 0.0 for
             immediately.
         interval_s: Seconds between the due times of occurrences.
         occurrences: Number of times the steps are run, at least 1.
+        policy_version: Version of the configuration that ``policy`` was read
+            from, 0 if unknown.
     """
 
     workflow_id: str
@@ -141,6 +144,7 @@
     first_due_at: float = 0.0
     interval_s: float = 0.0
     occurrences: int = 1
+    policy_version: int = 0
 
     @property
     def timed(self) -> bool:
--- a/src/redwingrudder/workflows/ordering.py
+++ b/src/redwingrudder/workflows/ordering.py
@@ -50,7 +50,7 @@
 
 def objective_s(stage: Stage, run_times: RunTimeEstimates) -> float:
     """Return the seconds after acceptance within which full credit is due."""
-    policy = stage.workflow.workflow.policy
+    policy = stage.workflow.policy
     return policy.stretch * chain_s(stage, run_times) + policy.latency_s
 
 
@@ -78,7 +78,7 @@
 
     def key(self, stage: Stage, now: float) -> tuple:
         """See base class."""
-        policy = stage.workflow.workflow.policy
+        policy = stage.workflow.policy
         slack = slack_s(stage, self._run_times, now)
         waited = now - stage.workflow.accepted_at
         if slack >= 0 or stage.spec.service:
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -229,7 +229,7 @@
         or task.percent < MIN_PROJECTION_PERCENT
         or reported_elapsed_s < MIN_PROJECTION_S
     ):
-        estimate = run_times.expected_s(task.stage) * share_left
+        estimate = run_times.expected_run_s(task) * share_left
         return max(estimate - since_report_s, MIN_REMAINING_ESTIMATE_SHARE * estimate)
     return max(
         reported_elapsed_s * 100 / task.percent * share_left - since_report_s,
@@ -305,7 +305,7 @@
         now: Node-clock seconds.
     """
     preferred = not_slow
-    if stage.workflow.workflow.policy.advised:
+    if stage.workflow.policy.advised:
         usable = [worker for worker in usable if _permitted(stage, worker, now)]
         preferred = [worker for worker in not_slow if _permitted(stage, worker, now)]
     if any(task.failures for task in stage.tasks):
@@ -337,7 +337,7 @@
     """
     if math.isinf(stage.failed_at):
         return None
-    pool = stage.workflow.workflow.policy.pool
+    pool = stage.workflow.policy.pool
     in_pool = [worker for worker in suspects if worker.facts.pool == pool]
     in_pool.sort(key=lambda worker: -worker.failing_since)
     began_at = math.inf
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -206,7 +206,7 @@
         candidates = eligible_workers(stage, usable, not_slow, self._now)
         if self._observers:
             candidates = [w for w in candidates if not w.observes_suspect]
-        if stage.workflow.workflow.policy.advised:
+        if stage.workflow.policy.advised:
             self._request_advice(stage, len(waiting), candidates, usable)
         if is_suspected(waiting[0]):
             self._place_suspect(stage, stage_rank, waiting, candidates)
@@ -305,7 +305,7 @@
 
     def _find_usable_workers(self, stage: Stage) -> tuple[list[Worker], list[Worker]]:
         """Return the usable workers of a step, and those that are not slow."""
-        kind = (stage.workflow.workflow.policy.pool, stage.spec.worker_label)
+        kind = (stage.workflow.policy.pool, stage.spec.worker_label)
         if kind not in self._usable_by_kind:
             usable = usable_workers(*kind, self._workers, self._now)
             not_slow = [worker for worker in usable if not is_slow(worker)]
@@ -323,7 +323,7 @@
         """
         demand = resources_used(stage.spec)
         count = len(waiting) if stage.spec.gang else 1
-        pool = stage.workflow.workflow.policy.pool
+        pool = stage.workflow.policy.pool
         whole_pool = self._usable_by_kind.get((pool, ""))
         covers_whole_pool = whole_pool is not None and workers is whole_pool[1]
         unplaceable = self._unplaceable_by_pool.setdefault(pool, [])
@@ -465,13 +465,11 @@
         stage: The step.
         entitled: Organisations whose urgent work fits their guarantee.
     """
-    workflow = stage.workflow.workflow
-    if (
-        workflow.policy.priority == URGENT_PRIORITY
-        and workflow.organisation in entitled
-    ):
+    priority = stage.workflow.policy.priority
+    organisation = stage.workflow.workflow.organisation
+    if priority == URGENT_PRIORITY and organisation in entitled:
         return GUARANTEED_RANK
-    return workflow.policy.priority
+    return priority
 
 
 def entitled_organisations(
@@ -486,7 +484,7 @@
     needed: dict[str, int] = {}
     for progress in active:
         workflow = progress.workflow
-        if workflow.policy.priority == URGENT_PRIORITY and progress.ended_at is None:
+        if progress.policy.priority == URGENT_PRIORITY and progress.ended_at is None:
             total = sum(s.tasks * s.demand.accelerators for s in workflow.steps)
             needed[workflow.organisation] = needed.get(workflow.organisation, 0) + total
     return frozenset(
--- a/src/redwingrudder/workflows/pool_sizing.py
+++ b/src/redwingrudder/workflows/pool_sizing.py
@@ -302,7 +302,7 @@
             idle_by_pool.setdefault(pool, []).append(worker)
     sizes = list(machine_sizes)
     for stage in ready_stages(active, now, wall):
-        pool = stage.workflow.workflow.policy.pool
+        pool = stage.workflow.policy.pool
         demand = resources_used(stage.spec)
         count = len(waiting_tasks(stage))
         room = sum(count_fitting(size, demand, count) for size in sizes)
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -80,6 +80,8 @@
         checkpoints: Tasks with a stored checkpoint, and that checkpoint.
         late_starts: Tasks with workers that may still carry out a start of an
             earlier run, none in records of earlier releases.
+        policy: Policy in force, None in records of earlier releases.
+        policy_version: Version of the configuration that has it.
     """
 
     term: int
@@ -93,6 +95,8 @@
     placed: tuple[PlacedRun, ...]
     checkpoints: tuple[tuple[TaskKey, str], ...]
     late_starts: tuple[tuple[TaskKey, str], ...] = ()
+    policy: QueuePolicy | None = None
+    policy_version: int = 0
 
 
 def encode_workflow(workflow: Workflow) -> bytes:
@@ -133,6 +137,8 @@
             first_due_at=document.number("first_due_at"),
             interval_s=document.number("interval_s"),
             occurrences=document.integer("occurrences", low=1),
+            # Documents of earlier releases have no version.
+            policy_version=document.integer("policy_version", 0),
         )
     except ValueError as error:
         raise BadRequestError(f"invalid workflow document: {error}") from error
@@ -198,6 +204,8 @@
         "placed": placed,
         "checkpoints": checkpoints,
         "late_starts": late_starts,
+        "policy": list(progress.policy),
+        "policy_version": progress.policy_version,
     }
     return json.dumps(document, separators=(",", ":")).encode()
 
@@ -244,6 +252,8 @@
             ),
             tuple((key(row), row.text(3)) for row in rows("checkpoints")),
             tuple((key(row), row.text(3)) for row in document.rows("late_starts")),
+            _policy(document.row("policy")) if document.has("policy") else None,
+            document.integer("policy_version", 0),
         )
     except ValueError as error:
         raise BadRequestError(f"invalid progress document: {error}") from error
@@ -275,6 +285,8 @@
         task = progress.find(key)
         if task is not None:
             task.state = "done"
+    if record.policy is not None:
+        progress.set_policy(record.policy, record.policy_version)
     progress.begun = bool(record.runs or record.done)
     progress.cancelled = record.state is WorkflowState.CANCELLED
     progress.recorded_state = record.state
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -130,7 +130,7 @@
         task.run = task.highest_run = run
         task.run_confirmed = task.run_adopted = task.run_saved = False
         task.start_settled, task.start_sent_at = False, None
-        task.worker_id = worker.facts.worker_id
+        task.worker_id, task.pool = worker.facts.worker_id, worker.facts.pool
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
         task.speed_percent = FULL_SPEED_PERCENT
@@ -256,6 +256,7 @@
             self._withhold_start(task, entry, worker_id, now)
         if task is not None and task.state == "waiting":
             task.run, task.worker_id = entry.run, worker_id
+            task.pool = worker.facts.pool
             task.run_saved = False
             self.step(task, "assign", now)
             worker.reappeared.add((entry.key, entry.run))
@@ -382,7 +383,7 @@
 
     def give_up_if_exhausted(self, stage: Stage, task: Task, now: float) -> None:
         """End a workflow as failed when a task has no attempts left."""
-        limit = stage.workflow.workflow.policy.attempts
+        limit = stage.workflow.policy.attempts
         failures = (stage.tasks[0] if stage.spec.gang else task).failures
         if failures < limit or task.state != "waiting":
             return
@@ -419,6 +420,9 @@
 
     def _ticket(self, stage: Stage, worker_id: str) -> str:
         permit = stage.permits_by_worker.get(worker_id)
+        if not stage.workflow.policy.advised:
+            # The permit is one of an earlier configuration.
+            return ""
         return permit.ticket if permit is not None else ""
 
     def _next_run(self, last: int) -> int:
--- a/src/redwingrudder/workflows/run_times.py
+++ b/src/redwingrudder/workflows/run_times.py
@@ -2,6 +2,7 @@
 
 import statistics
 from bisect import bisect_left
+from typing import NamedTuple
 
 from .state import Stage, Task, Worker
 
@@ -50,8 +51,19 @@
 MAX_SLOW_WORKER_RESTARTS = 2
 
 
+class _Kind(NamedTuple):
+    """Runs with a common mean run time.
+
+    The mean of one pool says little about another, whose workers may differ.
+    """
+
+    pool: str
+    queue: str
+    image: str
+
+
 class RunTimeEstimates:
-    """Moving means of run times for each kind of task (queue and image).
+    """Moving means of run times for each kind of task (pool, queue and image).
 
     Args:
         stop_timeout_s: Longest time that a worker takes to stop a run, in
@@ -72,12 +84,19 @@
         self.stopping_s = EXPECTED_STOP_SHARE * stop_timeout_s
         self.preempted_s = self.stopping_s + STOP_COMMAND_S
         self._remote_factor = remote_factor
-        self._mean_s_by_kind: dict[tuple[str, str], float] = {}
-        self._observed: set[tuple[str, str]] = set()
+        self._mean_s_by_kind: dict[_Kind, float] = {}
+        self._observed: set[_Kind] = set()
 
     def expected_s(self, stage: Stage) -> float:
-        """Return the expected run time of a task of a step in seconds."""
-        learned_s = self._mean_s_by_kind.get(_kind(stage))
+        """Return the expected run time of a step's next runs in seconds."""
+        return self._expected_s(stage, stage.workflow.policy.pool)
+
+    def expected_run_s(self, task: Task) -> float:
+        """Return the expected time of a task's newest run in seconds."""
+        return self._expected_s(task.stage, task.pool)
+
+    def _expected_s(self, stage: Stage, pool: str) -> float:
+        learned_s = self._mean_s_by_kind.get(_kind(stage, pool))
         return learned_s or stage.spec.estimate_s or DEFAULT_RUN_TIME_S
 
     def data_wait_s(self, stage: Stage) -> float:
@@ -89,7 +108,7 @@
 
     def record_estimate(self, stage: Stage) -> None:
         """Add a caller's estimate to the mean unless a run was observed."""
-        kind = _kind(stage)
+        kind = _kind(stage, stage.workflow.policy.pool)
         if stage.spec.estimate_s and kind not in self._observed:
             self._update_mean(kind, stage.spec.estimate_s, ESTIMATE_WEIGHT)
 
@@ -101,7 +120,7 @@
         """
         if task.run_resumed or task.started_at <= 0:
             return
-        kind = _kind(task.stage)
+        kind = _kind(task.stage, task.pool)
         elapsed_s = max(now - task.started_at, MIN_RUN_TIME_S)
         weight = (
             OBSERVATION_WEIGHT if kind in self._observed else FIRST_OBSERVATION_WEIGHT
@@ -109,13 +128,11 @@
         self._observed.add(kind)
         self._update_mean(kind, elapsed_s, weight)
 
-    def has_observed(self, stage: Stage) -> bool:
-        """Return whether a run of this kind of task has been observed."""
-        return _kind(stage) in self._observed
+    def has_observed(self, task: Task) -> bool:
+        """Return whether a run of this kind has been observed in its pool."""
+        return _kind(task.stage, task.pool) in self._observed
 
-    def _update_mean(
-        self, kind: tuple[str, str], value_s: float, weight: float
-    ) -> None:
+    def _update_mean(self, kind: _Kind, value_s: float, weight: float) -> None:
         mean = self._mean_s_by_kind.get(kind, value_s)
         self._mean_s_by_kind[kind] = mean + weight * (value_s - mean)
 
@@ -142,19 +159,21 @@
     """
 
     def __init__(self) -> None:
-        self._sorted_s_by_stage: dict[int, list[float]] = {}
+        self._sorted_s_by_stage_and_pool: dict[tuple[int, str], list[float]] = {}
 
     def median_of_others(self, task: Task) -> float | None:
-        """Return the median projection of a step's other runs in seconds.
+        """Return the median projection of a step's other runs in the pool.
 
         Returns:
-            The median, None without a projection.
+            The median in seconds, None without a projection.
         """
-        sorted_s = self._sorted_s_by_stage.get(id(task.stage))
+        group = id(task.stage), task.pool
+        sorted_s = self._sorted_s_by_stage_and_pool.get(group)
         if sorted_s is None:
-            projections = (projected_run_s(other) for other in task.stage.tasks)
+            others = (other for other in task.stage.tasks if other.pool == task.pool)
+            projections = (projected_run_s(other) for other in others)
             sorted_s = sorted(value for value in projections if value is not None)
-            self._sorted_s_by_stage[id(task.stage)] = sorted_s
+            self._sorted_s_by_stage_and_pool[group] = sorted_s
         own_s = projected_run_s(task)
         count = len(sorted_s) - (own_s is not None)
         if count < 1:
@@ -186,9 +205,9 @@
     median_s = projections.median_of_others(task)
     if median_s is not None:
         return median_s
-    if not run_times.has_observed(task.stage):
+    if not run_times.has_observed(task):
         return None
-    return LONG_RUN_FACTOR * run_times.expected_s(task.stage)
+    return LONG_RUN_FACTOR * run_times.expected_run_s(task)
 
 
 def update_worker_speed(
@@ -266,5 +285,5 @@
     return remaining_s > MIN_RESTART_GAIN * reference_s
 
 
-def _kind(stage: Stage) -> tuple[str, str]:
-    return stage.workflow.workflow.queue, stage.spec.image
+def _kind(stage: Stage, pool: str) -> _Kind:
+    return _Kind(pool, stage.workflow.workflow.queue, stage.spec.image)
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -7,6 +7,7 @@
 from ..statecharts import load_chart
 from .model import (
     NO_RESOURCES,
+    QueuePolicy,
     Resources,
     StepSpec,
     TaskKey,
@@ -127,6 +128,8 @@
         rejections: Number of starts that were rejected, or got no reply, since
             the last one that was confirmed.
         worker_id: Worker of the newest run, "" before the first.
+        pool: Pool of that worker when the run was placed or found. The queue
+            may have moved to another pool since.
         checkpoint: Newest checkpoint, "" if there is none. A gang's checkpoint
             is stored in its first task.
         failures: Number of failed runs. Those of a gang are counted in its
@@ -160,6 +163,7 @@
         "speed_known",
         "speed_percent",
         "percent",
+        "pool",
         "progressed_at",
         "rate_baseline_at",
         "rate_baseline_percent",
@@ -195,6 +199,7 @@
         self.late_starts_by_worker: dict[str, float] = {}
         self.rejections = 0
         self.worker_id = ""
+        self.pool = ""
         self.checkpoint = ""
         self.failures = 0
         self.failed_workers: set[str] = set()
@@ -349,6 +354,9 @@
         accepted_at: Time of the acceptance, in node-clock seconds.
         cancelled: Whether the workflow was cancelled.
         begun: Whether a run of the workflow was ever placed.
+        policy: Policy of the queue in the newest configuration that is known
+            to have the queue, but with the attempts of the submission.
+        policy_version: Version of that configuration, 0 if unknown.
         recorded_state: State in the newest stored record. It is reported to
             callers because a later state is lost if the coordinator fails
             before storing it.
@@ -368,6 +376,8 @@
         "end_observed",
         "ended_at",
         "occurrences",
+        "policy",
+        "policy_version",
         "recorded_state",
         "suspects_by_key",
         "wait_observed",
@@ -379,6 +389,8 @@
         self.accepted_at = now
         self.cancelled = False
         self.begun = False
+        self.policy = workflow.policy
+        self.policy_version = workflow.policy_version
         self.recorded_state = WorkflowState.QUEUED
         self.ended_at: float | None = None
         self.wait_observed = False
@@ -389,11 +401,37 @@
             for index in range(max(workflow.occurrences, 1))
         ]
 
+    def set_policy(self, policy: QueuePolicy, version: int) -> bool:
+        """Put a policy of the queue in force unless it is outdated.
+
+        The attempts stay as they were at the submission, so that a change of
+        the configuration alone neither fails a workflow nor starts a task
+        beyond its limit.
+
+        Args:
+            policy: The policy.
+            version: Version of the configuration that has it.
+
+        Returns:
+            Whether the policy in force has changed.
+        """
+        if version <= self.policy_version:
+            return False
+        self.policy_version = version
+        policy = policy._replace(attempts=self.workflow.policy.attempts)
+        has_changed = policy != self.policy
+        self.policy = policy
+        return has_changed
+
     def tasks(self) -> Iterator[Task]:
         """Yield the tasks of all steps of all occurrences, in order."""
+        for stage in self.stages():
+            yield from stage.tasks
+
+    def stages(self) -> Iterator[Stage]:
+        """Yield all steps of all occurrences, in order."""
         for occurrence in self.occurrences:
-            for stage in occurrence.stages:
-                yield from stage.tasks
+            yield from occurrence.stages
 
     def find(self, key: TaskKey) -> Task | None:
         """Return the task of a key, None if its indexes are out of range."""
--- a/src/redwingrudder/workflows/supervision.py
+++ b/src/redwingrudder/workflows/supervision.py
@@ -72,7 +72,7 @@
         or task.percent >= COMPLETE_PERCENT
     ):
         return False
-    run_time_s = run_times.expected_s(task.stage)
+    run_time_s = run_times.expected_run_s(task)
     if task.percent >= MIN_PROGRESS_PERCENT:
         elapsed_s = task.progressed_at - task.started_at
         run_time_s = max(run_time_s, elapsed_s * 100 / task.percent)
--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -211,7 +211,7 @@
     "worker entry": (ENTRY, lambda text: PlatformRegistry().decode("servers/w", text)),
     "submission": (
         SUBMISSION,
-        lambda text: decode_submission(WORKFLOW_ID, text.encode(), QUEUE, "org"),
+        lambda text: decode_submission(WORKFLOW_ID, text.encode(), QUEUE, "org", 1),
     ),
     "report": (REPORT, decode_reply(_decode_report)),
     "command reply": (
@@ -337,7 +337,7 @@
         for value in (HUGE, "1" * 400, "-1", str(MAX_INTEGER + 1)):
             text = '{"spec":"s","steps":[{"count":1,"cpu":' + value + "}]}"
             with self.subTest(value[:9]), self.assertRaises(BadRequestError):
-                decode_submission(WORKFLOW_ID, text.encode(), QUEUE, "org")
+                decode_submission(WORKFLOW_ID, text.encode(), QUEUE, "org", 1)
 
 
 class FailingOnceCodec:
@@ -790,7 +790,7 @@
 
         workers = mock.Mock()
         workers.find_unrecorded_ends.return_value = []
-        recorder = types.SimpleNamespace(write=write)
+        recorder = types.SimpleNamespace(write=write, revision=lambda _: 0)
         writer = ProgressWriter(system, engine, recorder, workers, mock.Mock())
         with self.assertLogs("redwingrudder", logging.ERROR):
             writer.schedule_write()
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -149,7 +149,9 @@
 
 class SubmissionTests(unittest.TestCase):
     def decode(self, body, workflow_id=WORKFLOW_ID):
-        return decode_submission(workflow_id, json.dumps(body).encode(), QUEUE, "org")
+        return decode_submission(
+            workflow_id, json.dumps(body).encode(), QUEUE, "org", 1
+        )
 
     def test_reads_steps(self):
         """Guards against fields of a step that are lost in decoding."""
