Do not wait for room that lasting tasks hold for good

Cause: fits_when_empty answered for empty workers whether they will have room, but lasting tasks neither end nor may be preempted; and workers on which a task failed were left out without a limit in time.

Ruled out: quarantine and suspicion (4 and 8 s; the task waits for 19 s and on), and a start held for an earlier one (its run was confirmed and its end reported).

After a failure the others are waited for until SUSPECT_S (8 s) after the newest one. If they never have room, the task returns, but not to a worker that failed twice in a row within 8 s, so a worker that fails all runs does not use up the attempts.

--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -6,8 +6,9 @@
 from typing import NamedTuple
 
 from .model import Resources, TaskKey
+from .room import Room, count_fitting, find_room, max_tasks_on_worker
 from .run_times import RunTimeEstimates, is_slow
-from .state import Stage, Task, Worker, resources_used
+from .state import SUSPECT_S, Stage, Task, Worker, is_lasting, resources_used
 
 # Below this progress and elapsed time, the remaining run time is derived from
 # the expected run time rather than from the progress of the run.
@@ -24,6 +25,8 @@
 SERIES_GAP_S = 1.0
 # A single failure may be that of a run that cannot succeed anywhere.
 MIN_FAILURES = 2
+# Failed runs in a row after which a worker is taken to fail all runs.
+MIN_REPEATED_FAILURES = 2
 # Number of starts in a row without a run after which a task does not return to
 # its worker any more.
 MAX_REJECTIONS = 2
@@ -106,7 +109,7 @@
         for task in running:
             if len(options) >= max_count:
                 break
-            if task.stage.spec.service:
+            if is_lasting(task):
                 continue
             free = free.plus(resources_used(task.stage.spec))
             count = count_fitting(free, demand, max_count)
@@ -253,18 +256,6 @@
     return cores * lost_s * (spec.tasks if spec.gang else 1)
 
 
-def count_fitting(free: Resources, demand: Resources, max_count: int) -> int:
-    """Return how often a demand fits into ``free``, at most ``max_count``."""
-    count = max_count
-    # Accelerators, the last field, are compared first: they are the scarcest.
-    for available, required in zip(reversed(free), reversed(demand), strict=True):
-        if required:
-            count = min(count, available // required)
-            if count <= 0:
-                return 0
-    return count
-
-
 def usable_workers(
     pool: str, label: str, workers: Iterable[Worker], now: float
 ) -> list[Worker]:
@@ -293,10 +284,13 @@
 ) -> list[Worker]:
     """Return the workers that may run a step's tasks.
 
-    Slow workers are excluded if the remaining workers have enough capacity
-    for the step. If the step has failed runs, so that few attempts are left,
-    the same applies to workers that are suspected of causing failures. A queue
-    that needs advice uses only workers with a valid permit.
+    Slow workers are excluded if the others have room, now or later. If the
+    step has failed runs, so that few attempts are left, so are the workers of
+    these runs and others that are suspected of causing failures. Room that
+    becomes free later is then waited for until ``SUSPECT_S`` after the newest
+    failure, as such workers have typically recovered by then. Without other
+    room the step returns to them, but not to one that has failed several runs
+    in a row. A queue that needs advice uses only workers with a valid permit.
 
     Args:
         stage: The step.
@@ -308,7 +302,8 @@
     if stage.workflow.policy.advised:
         usable = [worker for worker in usable if _permitted(stage, worker, now)]
         preferred = [worker for worker in not_slow if _permitted(stage, worker, now)]
-    if any(task.failures for task in stage.tasks):
+    has_failed = any(task.failures for task in stage.tasks)
+    if has_failed:
         failed = set().union(*(task.failed_workers for task in stage.tasks))
         preferred = [
             worker
@@ -318,7 +313,19 @@
     if len(preferred) == len(usable):
         return preferred
     needed = len(stage.tasks) if stage.spec.gang else 1
-    return preferred if fits_when_empty(stage, needed, preferred) else usable
+    room = find_room(stage, needed, preferred)
+    if room is Room.NOW:
+        return preferred
+    waits = not has_failed or now - stage.failed_at < SUSPECT_S
+    if room is Room.LATER and waits:
+        return preferred
+    if has_failed:
+        return [worker for worker in usable if not _fails_repeatedly(worker, now)]
+    return usable
+
+
+def _fails_repeatedly(worker: Worker, now: float) -> bool:
+    return worker.failures >= MIN_REPEATED_FAILURES and worker.is_suspect(now)
 
 
 def failures_since(stage: Stage, suspects: list[Worker]) -> float | None:
@@ -382,7 +389,7 @@
 
     For a gang, either all tasks get an option or none does. A gang that is
     slower on several racks is spread over racks only if it would not fit into
-    any single rack even when that rack is idle.
+    any single rack even if only the lasting tasks there went on.
 
     Args:
         stage: The step.
@@ -438,59 +445,22 @@
         )
         if best_key is None or key < best_key:
             best, best_key = chosen, key
-    if best or _largest_rack(stage, demand, count, workers) >= count:
+    if best or _may_fit_into_rack(stage, count, workers):
         return best
     racks = sorted(options_by_rack.values(), key=len, reverse=True)
     across_racks = [option for found in racks for option in found][:count]
     return across_racks if len(across_racks) == count else []
 
 
-def _largest_rack(
-    stage: Stage, demand: Resources, count: int, workers: list[Worker]
-) -> int:
-    sizes: dict[str, int] = {}
+def _may_fit_into_rack(stage: Stage, count: int, workers: list[Worker]) -> bool:
+    """Return whether one rack has room for the tasks, now or later."""
+    workers_by_rack: dict[str, list[Worker]] = {}
     for worker in workers:
-        max_count = max_tasks_on_worker(stage, worker, count)
-        size = count_fitting(worker.facts.capacity, demand, max_count)
-        sizes[worker.facts.rack] = sizes.get(worker.facts.rack, 0) + size
-    return max(sizes.values(), default=0)
-
-
-def fits_when_empty(stage: Stage, count: int, workers: list[Worker]) -> bool:
-    """Return whether tasks of a step fit on the workers when these are idle.
-
-    Args:
-        stage: The step.
-        count: Number of its tasks.
-        workers: The workers.
-    """
-    demand = resources_used(stage.spec)
-    total = 0
-    for worker in workers:
-        max_count = max_tasks_on_worker(stage, worker, count)
-        total += count_fitting(worker.facts.capacity, demand, max_count)
-        if total >= count:
-            return True
-    return False
-
-
-def max_tasks_on_worker(stage: Stage, worker: Worker, wanted: int) -> int:
-    """Return how many more tasks of a step may run on a worker.
-
-    Args:
-        stage: The step.
-        worker: The worker.
-        wanted: Upper bound of the result.
-    """
-    limit = stage.spec.worker_limit
-    if not limit:
-        return wanted
-    present = sum(
-        1
-        for task in stage.tasks
-        if task.worker_id == worker.facts.worker_id and task.placed
+        workers_by_rack.setdefault(worker.facts.rack, []).append(worker)
+    return any(
+        find_room(stage, count, in_rack) is not Room.NEVER
+        for in_rack in workers_by_rack.values()
     )
-    return max(min(wanted, limit - present), 0)
 
 
 def preferred_workers(stage: Stage, task: Task, now: float) -> tuple[str, ...]:
--- a/src/redwingrudder/workflows/pool_sizing.py
+++ b/src/redwingrudder/workflows/pool_sizing.py
@@ -8,8 +8,9 @@
 from ..statecharts import load_chart
 from .machines import Machine, MachineState
 from .model import NO_RESOURCES, Resources
-from .placement import count_fitting, stop_cost
+from .placement import stop_cost
 from .planner import ready_stages, waiting_tasks
+from .room import count_fitting
 from .state import Worker, WorkflowProgress, resources_used
 
 MOVE_CHART = load_chart(
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -501,6 +501,7 @@
     __slots__ = (
         "_claimed",
         "_facts",
+        "_lasting",
         "_unwanted_by_run",
         "_used",
         "crashed_at",
@@ -529,6 +530,7 @@
         self._facts = facts
         self._used = NO_RESOURCES
         self._claimed = NO_RESOURCES
+        self._lasting = NO_RESOURCES  # used by tasks of services
         self._unwanted_by_run: dict[tuple[TaskKey, int], UnwantedRun] = {}
         self.free = facts.capacity
         self.tasks_by_key: dict[TaskKey, Task] = {}
@@ -571,6 +573,17 @@
         """Capacity that no run holds, claimed or not."""
         return self._facts.capacity.minus(self._used)
 
+    @property
+    def capacity_beside_lasting(self) -> Resources:
+        """Capacity without that of lasting tasks, claimed or not."""
+        capacity = self._facts.capacity
+        if self._lasting == NO_RESOURCES:
+            return capacity
+        for task in self.tasks_by_key.values():
+            if is_lasting(task):
+                capacity = capacity.minus(resources_used(task.stage.spec))
+        return capacity
+
     def add(self, task: Task) -> None:
         """Add a task and count its resources as used.
 
@@ -580,14 +593,20 @@
         if unwanted is not None:
             self._used = self._used.minus(unwanted.amount)
         self.tasks_by_key[task.key] = task
-        self._used = self._used.plus(resources_used(task.stage.spec))
+        amount = resources_used(task.stage.spec)
+        self._used = self._used.plus(amount)
+        if task.stage.spec.service:
+            self._lasting = self._lasting.plus(amount)
         self._update_free()
 
     def remove(self, task: Task) -> None:
         """Remove a task and free its resources; unknown tasks are ignored."""
         self.reappeared.discard((task.key, task.run))
         if self.tasks_by_key.pop(task.key, None) is not None:
-            self._used = self._used.minus(resources_used(task.stage.spec))
+            amount = resources_used(task.stage.spec)
+            self._used = self._used.minus(amount)
+            if task.stage.spec.service:
+                self._lasting = self._lasting.minus(amount)
             self._update_free()
 
     def keep_until_ended(
@@ -711,6 +730,11 @@
         )
 
 
+def is_lasting(task: Task) -> bool:
+    """Return whether a task's run goes on for ever unless it is stopped."""
+    return task.stage.spec.service and task.state != "stopping"
+
+
 def resources_used(spec: StepSpec) -> Resources:
     """Return the resources that a task counts against a worker's capacity.
 
