--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -24,7 +24,7 @@
     valid_evidence_by_run,
 )
 from .model import TaskKey
-from .room import Room, find_room, max_tasks_on_worker
+from .room import max_tasks_on_worker, may_find_room
 from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
 SUSPICION_CHART = load_chart(
@@ -330,7 +330,7 @@
     candidates = list(workers)
     if now - stage.crashed_at < ISOLATION_WAIT_S:
         calm = [worker for worker in candidates if not is_crash_prone(worker, now)]
-        if find_room(stage, count, calm) is not Room.NEVER:
+        if may_find_room(stage, count, calm):
             candidates = calm
     quiet = [
         worker
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -6,7 +6,13 @@
 from typing import NamedTuple
 
 from .model import Resources, TaskKey
-from .room import Room, count_fitting, find_room, max_tasks_on_worker
+from .room import (
+    Room,
+    count_fitting,
+    find_room,
+    max_tasks_on_worker,
+    may_find_room,
+)
 from .run_times import RunTimeEstimates, is_slow
 from .state import SUSPECT_S, Stage, Task, Worker, is_lasting, resources_used
 
@@ -458,8 +464,7 @@
     for worker in workers:
         workers_by_rack.setdefault(worker.facts.rack, []).append(worker)
     return any(
-        find_room(stage, count, in_rack) is not Room.NEVER
-        for in_rack in workers_by_rack.values()
+        may_find_room(stage, count, in_rack) for in_rack in workers_by_rack.values()
     )
 
 
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -30,7 +30,7 @@
     usable_workers,
     workers_without_permit,
 )
-from .room import Room, find_room
+from .room import may_find_room
 from .run_times import RunTimeEstimates, is_slow
 from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
@@ -219,8 +219,7 @@
                 if worker.has_proved_sound(began_to_fail_at, self._now)
             ]
             waiting = self._retry(stage, waiting, sound)
-            room = find_room(stage, len(waiting), sound)
-            if stage.spec.gang and room is not Room.NEVER:
+            if stage.spec.gang and may_find_room(stage, len(waiting), sound):
                 candidates = sound
         if waiting and candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
@@ -294,8 +293,7 @@
             )
             self._preempt(stage, unplaced, candidates, source)
         elif self._claimed_steps < MAX_CLAIMING_STEPS and not stage.spec.service:
-            room = find_room(stage, len(unplaced), candidates)
-            if stage.spec.gang and room is Room.NEVER:
+            if stage.spec.gang and not may_find_room(stage, len(unplaced), candidates):
                 return
             self._claimed_steps += 1
             released = ReleasedCapacity(self._now, self._run_times)
@@ -383,10 +381,8 @@
         if not rack or waited > self._run_times.data_wait_s(stage):
             return candidates
         near_data = [worker for worker in candidates if worker.facts.rack == rack]
-        if stage.spec.gang:
-            room = find_room(stage, stage.spec.tasks, near_data)
-            if room is Room.NEVER:
-                return candidates
+        if stage.spec.gang and not may_find_room(stage, stage.spec.tasks, near_data):
+            return candidates
         return near_data or candidates
 
     def _may_preempt(self, stage: Stage, stage_rank: int) -> bool:
--- a/src/redwingrudder/workflows/room.py
+++ b/src/redwingrudder/workflows/room.py
@@ -31,8 +31,7 @@
         workers: The workers.
     """
     demand = resources_used(stage.spec)
-    later = 0
-    idle = 0
+    idle = beside_lasting = 0
     for worker in workers:
         max_count = max_tasks_on_worker(stage, worker, count)
         if not max_count:
@@ -40,9 +39,22 @@
         idle += count_fitting(worker.free, demand, max_count)
         if idle >= count:
             return Room.NOW
-        if later < count:
-            later += count_fitting(worker.capacity_beside_lasting, demand, max_count)
-    return Room.LATER if later >= count else Room.NEVER
+        if beside_lasting < count:
+            beside_lasting += count_fitting(
+                worker.capacity_beside_lasting, demand, max_count
+            )
+    return Room.LATER if beside_lasting >= count else Room.NEVER
+
+
+def may_find_room(stage: Stage, count: int, workers: Iterable[Worker]) -> bool:
+    """Return whether tasks of a step find room on the workers, now or later.
+
+    Args:
+        stage: The step.
+        count: Number of its tasks.
+        workers: The workers.
+    """
+    return find_room(stage, count, workers) is not Room.NEVER
 
 
 def count_fitting(free: Resources, demand: Resources, max_count: int) -> int:
