Do not record a restored policy again at a takeover

Found by reading the change of the policies: a job whose policy differs from that of its submission is recorded, so a takeover wrote the records of all jobs of a queue that had ever moved, though they had the policy. The recovery drops the mark if the record has the policy in force.

RecoveredRecordTests failed before (the record was written again).

--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -255,6 +255,9 @@
     record = records.decode_progress(workflow_id, pair.value.encode())
     recorder.set_revision(workflow_id, pair.mod_revision)
     records.restore_progress(progress, record)
+    if record.policy == progress.policy:
+        # A policy that has changed since the submission is on record already.
+        engine.dirty.discard(workflow_id)
     records.restore_late_starts(progress, record, engine.late_start_until(now))
     # The coordinator that recorded a first start or an end has added it to its
     # metrics.
--- a/src/redwingrudder/workflows/queue_policies.py
+++ b/src/redwingrudder/workflows/queue_policies.py
@@ -1,6 +1,7 @@
 """Policies of the queues in the operators' configuration."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from .model import QueuePolicy
@@ -16,7 +17,7 @@
     """
 
     version: int = 0
-    by_queue: Mapping[str, QueuePolicy] = {}
+    by_queue: Mapping[str, QueuePolicy] = MappingProxyType({})
 
     def apply(self, progress: WorkflowProgress) -> bool:
         """Put the policy of a workflow's queue in force.
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -575,7 +575,7 @@
 
     @property
     def capacity_beside_lasting(self) -> Resources:
-        """Capacity without that of lasting tasks, claimed or not."""
+        """Capacity that lasting runs do not hold, claimed or not."""
         capacity = self._facts.capacity
         if self._lasting == NO_RESOURCES:
             return capacity
@@ -731,7 +731,7 @@
 
 
 def is_lasting(task: Task) -> bool:
-    """Return whether a task's run goes on for ever unless it is stopped."""
+    """Return whether a task's run does not end unless it is stopped."""
     return task.stage.spec.service and task.state != "stopping"
 
 
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -295,6 +295,21 @@
         self.take_over()
 
 
+class RecoveredRecordTests(MovedQueueCase):
+    def test_recorded_policy_is_not_recorded_again(self):
+        """Guards against a takeover that writes the records of all jobs."""
+        self.configure(1, OLD)
+        self.begin_term()
+        self.submit(fx.workflow("job", fx.step(worker_label="none")))
+        self.configure(2, NEW)
+        revision = self.contents.items_by_key[PROGRESS_PREFIX + "job"].mod_revision
+        self.end_term()
+        self.add_node()
+        self.begin_term(1)
+        item = self.contents.items_by_key[PROGRESS_PREFIX + "job"]
+        self.assertEqual(item.mod_revision, revision)
+
+
 class UnseenCancellationTests(MovedQueueCase):
     def test_first_record_does_not_hide_a_cancellation(self):
         """Guards against a state that is taken back after a cancellation.
