--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -294,9 +294,11 @@
     step has failed runs, so that few attempts are left, so are the workers of
     these runs and others that are suspected of causing failures. Room that
     becomes free later is then waited for until ``SUSPECT_S`` after the newest
-    failure, as such workers have typically recovered by then. Without other
-    room the step returns to them, but not to one that has failed several runs
-    in a row. A queue that needs advice uses only workers with a valid permit.
+    failure, as such workers have typically recovered by then. If the others
+    have no room, the step returns to them, but neither to one that has failed
+    several runs in a row nor, with its last attempt, to a suspect. Without any
+    others it returns at once. A queue that needs advice uses only workers with
+    a valid permit.
 
     Args:
         stage: The step.
@@ -325,13 +327,20 @@
     waits = not has_failed or now - stage.failed_at < SUSPECT_S
     if room is Room.LATER and waits:
         return preferred
-    if has_failed:
-        return [worker for worker in usable if not _fails_repeatedly(worker, now)]
-    return usable
+    if not has_failed or not preferred:
+        return usable
+    limit = 1 if _is_last_attempt(stage) else MIN_REPEATED_FAILURES
+    return [
+        worker
+        for worker in usable
+        if worker.failures < limit or not worker.is_suspect(now)
+    ]
 
 
-def _fails_repeatedly(worker: Worker, now: float) -> bool:
-    return worker.failures >= MIN_REPEATED_FAILURES and worker.is_suspect(now)
+def _is_last_attempt(stage: Stage) -> bool:
+    """Return whether the next failure of a task or gang fails the workflow."""
+    failures = max(task.failures for task in stage.tasks if not task.ended)
+    return failures >= stage.workflow.policy.attempts - 1
 
 
 def failures_since(stage: Stage, suspects: list[Worker]) -> float | None:
--- a/tests/test_lasting_neighbours.py
+++ b/tests/test_lasting_neighbours.py
@@ -116,6 +116,22 @@
         self.fleet.run_for(15.0)
         self.assertIs(self.fleet.state(), WorkflowState.DONE)
 
+    def test_last_attempt_waits_until_the_only_worker_may_have_recovered(self):
+        """Guards against a job whose second and last attempt fails at once."""
+        self.fill(service=True)
+        self.submit(failing_s=GREY_S, attempts=2)
+        self.fleet.run_for(15.0)
+        self.assertIs(self.fleet.state(), WorkflowState.DONE)
+
+    def test_last_attempt_follows_a_success_of_another_job(self):
+        """Guards against a wait for a worker that has proved sound."""
+        self.fill(service=True)
+        self.submit(attempts=2)
+        self.fleet.run_for(FAILURE_S + 2 * STEP_S)
+        self.fleet.accept("other", fx.step())
+        self.fleet.run_for(2 * RUN_S + 1.0)
+        self.assertIs(self.fleet.state(), WorkflowState.DONE)
+
     def test_task_waits_for_a_worker_that_becomes_free(self):
         """Guards against attempts on a failing worker beside a sound one."""
         self.fill(run_s=SUSPECT_S - 1.0)
