Check in which workers tasks run, and the version of a submission

The tests of moved queues compared sets of workers that could be empty; assert_runs_in asks for a run as well. A submission's document has the version of the node's configuration.

--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -49,10 +49,11 @@
 KEY = fx.key("job")
 NEXT_STEP_KEY = fx.key("job", step_index=1)
 OLD, NEW = "pool", "new"
+WORKERS_BY_POOL = {OLD: {"w1", "w2"}, NEW: {"w3", "w4"}}
 
 
 class MovedQueueCase(unittest.TestCase):
-    """Nodes that coordinate in turn; OLD has w1 and w2, NEW the rest."""
+    """Nodes that coordinate in turn, and two workers in each pool."""
 
     def setUp(self):
         self.contents = StoreContents()
@@ -60,10 +61,9 @@
         self.term = 0
         self.add_node()
         self.channels = ProtocolWorkers(self.nodes[0][0], "w1", "w2", "w3", "w4")
-        for worker_id in ("w1", "w2"):
-            self.register(worker_id, OLD)
-        for worker_id in ("w3", "w4"):
-            self.register(worker_id, NEW)
+        for pool, worker_ids in WORKERS_BY_POOL.items():
+            for worker_id in worker_ids:
+                self.register(worker_id, pool)
 
     def add_node(self):
         clock, system, store = node_system(self.contents)
@@ -153,6 +153,11 @@
             if key in worker.process.runs_by_key
         }
 
+    def assert_runs_in(self, pool, key=KEY):
+        workers = self.workers_of(key)
+        self.assertTrue(workers)
+        self.assertLessEqual(workers, WORKERS_BY_POOL[pool])
+
     def process_of(self, key=KEY):
         (worker_id,) = self.workers_of(key)
         return self.channels.workers_by_id[worker_id].process
@@ -169,12 +174,11 @@
     def test_waiting_step_starts_in_the_new_pool(self):
         """Guards against jobs that wait for workers of the old pool."""
         self.submit(fx.workflow("job", fx.step(), fx.step(after=(0,))))
-        self.assertLessEqual(self.workers_of(), {"w1", "w2"})
+        self.assert_runs_in(OLD)
         self.configure(2, NEW)
         self.process_of().end(KEY, EndKind.DONE)
         self.run_for(1.0)
-        self.assertTrue(self.workers_of(NEXT_STEP_KEY))
-        self.assertLessEqual(self.workers_of(NEXT_STEP_KEY), {"w3", "w4"})
+        self.assert_runs_in(NEW, NEXT_STEP_KEY)
 
     def test_run_in_the_old_pool_goes_on(self):
         """Guards against work that is thrown away or run twice by a move."""
@@ -189,11 +193,10 @@
         """Guards against a lasting task that is never restarted."""
         self.submit(fx.workflow("job", fx.step(service=True)))
         self.configure(2, NEW)
-        for worker_id in ("w1", "w2"):
+        for worker_id in WORKERS_BY_POOL[OLD]:
             self.register(worker_id, OLD, "draining")
         self.run_for(2.0)
-        self.assertLessEqual(self.workers_of(), {"w3", "w4"})
-        self.assertTrue(self.workers_of())
+        self.assert_runs_in(NEW)
 
     def test_gang_starts_in_one_pool(self):
         """Guards against gangs with members in two pools.
@@ -206,7 +209,7 @@
         self.process_of().end(KEY, EndKind.FAILED)
         self.run_for(2.0)
         members = [self.workers_of(fx.key("job", index=index)) for index in range(2)]
-        self.assertEqual(set().union(*members), {"w3", "w4"})
+        self.assertEqual(set().union(*members), WORKERS_BY_POOL[NEW])
 
     def test_start_that_was_not_sent_is_given_up(self):
         """Guards against starts in a pool that the queue has left.
@@ -221,8 +224,7 @@
         self.tell_configuration(2, NEW)
         store.down = False
         self.run_for(2.0)
-        self.assertLessEqual(self.workers_of(), {"w3", "w4"})
-        self.assertTrue(self.workers_of())
+        self.assert_runs_in(NEW)
 
     def test_job_of_a_removed_queue_stays_in_its_last_pool(self):
         """Guards against accepted jobs that end with their queue."""
@@ -231,21 +233,20 @@
         self.configure(3, None)
         self.process_of().end(KEY, EndKind.DONE)
         self.run_for(1.0)
-        self.assertTrue(self.workers_of(NEXT_STEP_KEY))
-        self.assertLessEqual(self.workers_of(NEXT_STEP_KEY), {"w3", "w4"})
+        self.assert_runs_in(NEW, NEXT_STEP_KEY)
 
     def test_submission_by_a_node_that_is_behind(self):
         """Guards against an older pool that replaces a newer one."""
         self.configure(2, NEW)
         self.submit(fx.workflow()._replace(policy_version=1))
-        self.assertLessEqual(self.workers_of(), {"w3", "w4"})
+        self.assert_runs_in(NEW)
 
     def test_submission_by_a_node_that_is_ahead(self):
         """Guards against starts by a configuration older than the job."""
         ahead = fx.workflow()
         policy = ahead.policy._replace(pool=NEW)
         self.submit(ahead._replace(policy=policy, policy_version=2))
-        self.assertLessEqual(self.workers_of(), {"w3", "w4"})
+        self.assert_runs_in(NEW)
 
 
 class RecoveryTests(MovedQueueCase):
@@ -263,8 +264,7 @@
         self.begin_term(1)
         self.process_of().end(KEY, EndKind.DONE)
         self.run_for(1.0)
-        self.assertTrue(self.workers_of(NEXT_STEP_KEY))
-        self.assertLessEqual(self.workers_of(NEXT_STEP_KEY), {"w3", "w4"})
+        self.assert_runs_in(NEW, NEXT_STEP_KEY)
 
     def test_new_coordinator_uses_the_new_pool(self):
         """Guards against jobs that a takeover moves back to the old pool."""
@@ -279,8 +279,7 @@
         self.begin_term(1)
         self.process_of().end(KEY, EndKind.DONE)
         self.run_for(1.0)
-        self.assertLessEqual(self.workers_of(NEXT_STEP_KEY), {"w3", "w4"})
-        self.assertTrue(self.workers_of(NEXT_STEP_KEY))
+        self.assert_runs_in(NEW, NEXT_STEP_KEY)
 
     def test_new_coordinator_after_the_queue_was_removed(self):
         """Guards against jobs of a removed queue that return to a pool."""
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP front end of the platform."""
 
+import io
 import unittest
 
 from twisted.internet.defer import Deferred
@@ -17,6 +18,7 @@
     CancelWorkflow,
     ConfigurationInForce,
     GetState,
+    SubmitWorkflow,
 )
 from redwingrudder.coordination.metrics import (
     METRICS,
@@ -24,6 +26,7 @@
     ObserveDuration,
 )
 from redwingrudder.platform.front_end import FRONT_END, EndOpenRequests, FrontEnd
+from redwingrudder.workflows import records
 from redwingrudder.workflows.model import QueuePolicy
 
 from .coordination_fakes import Recording, run_for
@@ -92,6 +95,29 @@
                 self.assertEqual(intake.received, [])
 
 
+class SubmissionTests(unittest.TestCase):
+    def test_submission_has_the_version_of_its_policy(self):
+        """Guards against a policy whose age a coordinator cannot tell."""
+        clock = Clock()
+        system = ActorSystem(clock)
+        Recording(system, METRICS, {IncrementCounter: None, ObserveDuration: None})
+        intake = Recording(system, INTAKE, {SubmitWorkflow: True})
+        front_end = FrontEnd(system, clock, ("127.0.0.1", 0))
+        configuration = OperatorConfiguration(7, (QUEUE,), {}, {}, frozenset())
+        system.tell(FRONT_END, ConfigurationInForce(configuration))
+        run_for(clock, 0.05)
+        request = FakeRequest()
+        request.method = b"POST"
+        request.content = io.BytesIO(b'{"spec": "s", "steps": [{"count": 1}]}')
+        front_end._respond(request)
+        run_for(clock, 0.05)
+        (submission,) = intake.received
+        stored = records.encode_workflow(submission.workflow)
+        workflow = records.decode_workflow(stored)
+        self.assertEqual(workflow.policy_version, 7)
+        self.assertEqual(workflow.policy, QUEUE.policy)
+
+
 class DrainTests(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
