--- a/tests/test_lasting_neighbours.py
+++ b/tests/test_lasting_neighbours.py
@@ -116,6 +116,14 @@
         self.fleet.run_for(15.0)
         self.assertIs(self.fleet.state(), WorkflowState.DONE)
 
+    def test_worker_that_fails_all_runs_costs_two_attempts(self):
+        """Guards against attempts that are spaced by quarantine only."""
+        self.fill(service=True)
+        self.submit(failing_s=GREY_S)
+        self.fleet.run_for(15.0)
+        self.assertIs(self.fleet.state(), WorkflowState.DONE)
+        self.assertEqual(len(self.fleet.starts()), 3)
+
     def test_last_attempt_waits_until_the_only_worker_may_have_recovered(self):
         """Guards against a job whose second and last attempt fails at once."""
         self.fill(service=True)
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -40,7 +40,7 @@
 from redwingrudder.workflows.model import AskAdvice, EndKind, QueuePolicy, StartRun
 from redwingrudder.workflows.planner import GUARANTEED_RANK, rank
 from redwingrudder.workflows.queue_policies import QueuePolicies
-from redwingrudder.workflows.run_times import RunTimeEstimates
+from redwingrudder.workflows.run_times import RunTimeEstimates, SiblingProjections
 
 from . import workflow_fixtures as fx
 from .coordination_fakes import Recording, node_system, run_for
@@ -260,6 +260,10 @@
 
     def take_over(self):
         self.end_term()
+        self.resume()
+
+    def resume(self):
+        """Let another node coordinate, and end the run of the first step."""
         self.add_node()
         self.begin_term(1)
         self.process_of().end(KEY, EndKind.DONE)
@@ -275,11 +279,7 @@
         """Guards against a configuration that only a running term follows."""
         self.end_term()
         self.configure(2, NEW)
-        self.add_node()
-        self.begin_term(1)
-        self.process_of().end(KEY, EndKind.DONE)
-        self.run_for(1.0)
-        self.assert_runs_in(NEW, NEXT_STEP_KEY)
+        self.resume()
 
     def test_new_coordinator_after_the_queue_was_removed(self):
         """Guards against jobs of a removed queue that return to a pool."""
@@ -362,6 +362,15 @@
         self.configure(2, advised=False)
         self.assertEqual([start.ticket for start in self.starts()], [""])
 
+    def test_start_has_no_ticket_without_need_for_advice(self):
+        """Guards against a ticket of an earlier configuration."""
+        self.configure(1, advised=True)
+        (request,) = self.engine.plan(0.0, 0.0)
+        tickets = dict.fromkeys(request.worker_ids, "ticket")
+        self.engine.record_advice(request, tickets, 10.0, 0.0)
+        self.configure(2, advised=False)
+        self.assertEqual([start.ticket for start in self.starts()], [""])
+
     def test_advice_about_the_old_pool_is_not_waited_for(self):
         """Guards against a step that waits for an answer it cannot use."""
         self.configure(1, advised=True)
@@ -416,6 +425,23 @@
         self.assertFalse([e for e in effects if isinstance(e, StartRun)])
         self.assertEqual(self.progress.find(start.key).worker_id, "w1")
 
+    def test_run_is_compared_with_runs_of_its_pool(self):
+        """Guards against a pool that looks slow beside the other one."""
+        stage = (
+            self.engine.accept(fx.workflow("pair", fx.step(2)), 0.0)
+            .occurrences[0]
+            .stages[0]
+        )
+        for task, pool, percent in zip(
+            stage.tasks, (OLD, NEW), (80.0, 20.0), strict=True
+        ):
+            task.state, task.pool, task.percent = "running", pool, percent
+            task.started_at, task.reported_at = 0.0, 4.0
+        slower = stage.tasks[1]
+        self.assertIsNone(SiblingProjections().median_of_others(slower))
+        slower.pool = OLD
+        self.assertEqual(SiblingProjections().median_of_others(slower), 5.0)
+
     def test_run_times_are_learned_for_each_pool(self):
         """Guards against a new pool that counts as slow by other workers."""
         (start,) = self.starts()
