Ask for the permits of all members of a wide gang

Callers saw a gang of more than 30 tasks, each as large as a worker, that never began on an idle fleet if its queue needs advice.

Cause: a call named at most 30 workers, and no further call was sent once min(wanted, 8) permitted workers had room. That is enough for tasks that start one by one, but a gang needs the permits of all its members. Ruled out: permits that run out (no second call was sent) and the small jobs beside it (they end after 2 s).

For a gang the question is now whether all its members have room on permitted workers, and a call may name 100 workers, the limit of the service.

The tests run a coordinator, the Advisor, workers and a model of the service on a virtual clock.

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -4,6 +4,7 @@
 without sockets. Nothing of the product's decisions depends on this package.
 """
 
+from ._advice import AdviceModel
 from ._checks import INVARIANTS, find_violations
 from ._client_plans import ClientPlan
 from ._cluster import play_schedule
@@ -55,6 +56,7 @@
     "MAX_LEASE_S",
     "UNHEARD_WEIGHT_BY_KIND",
     "AcknowledgedEnd",
+    "AdviceModel",
     "AtMostOneRun",
     "Cancellation",
     "CancelledByClient",
--- a/src/redwingrudder/simulation/_worker_process.py
+++ b/src/redwingrudder/simulation/_worker_process.py
@@ -32,6 +32,12 @@
         """Return the time between checkpoints, None if there are none."""
         return None
 
+    def accepts_ticket(
+        self, process: "WorkerProcess", key: TaskKey, ticket: str
+    ) -> bool:
+        """Return whether a start with a ticket, "" for none, may begin."""
+        return True
+
     def begun(self, process: "WorkerProcess", key: TaskKey, run: int) -> None:
         """Handle the begin of a run."""
 
@@ -101,6 +107,11 @@
         self._interval_by_number: dict[int, RunInterval] = {}
         self._lapsed_at = -math.inf
 
+    @property
+    def worker_id(self) -> str:
+        """Id of the worker."""
+        return self._worker.worker_id
+
     @property
     def clock_ms(self) -> int:
         """Reading of the worker's clock in milliseconds."""
@@ -114,6 +125,7 @@
         lease_until_ms: int,
         payload: str = "",
         checkpoint: str = "",
+        ticket: str = "",
         sent: Sent | None = None,
     ) -> CommandReply:
         """Start a run; a start of a run that goes on changes nothing.
@@ -125,6 +137,7 @@
             lease_until_ms: End of the lease on the worker's clock.
             payload: Payload of the workflow.
             checkpoint: Checkpoint to resume from, "" for none.
+            ticket: Ticket of the advice service, "" for none.
             sent: To which process the call was sent and when, None for a call
                 to this process that is not late.
         """
@@ -140,6 +153,8 @@
             return self._reply("outdated")
         if lease_until_ms <= self.clock_ms:
             return self._reply("lapsed")
+        if not self._worker.behaviour.accepts_ticket(self, key, ticket):
+            return self._reply("permit")
         self._extend_lease(lease_until_ms)
         self.runs_by_key[key] = _CurrentRun(run, self._clock.seconds(), checkpoint)
         self._sent_by_key[key] = sent or Sent(self.started_ms, self._clock.seconds())
--- a/src/redwingrudder/simulation/_workers.py
+++ b/src/redwingrudder/simulation/_workers.py
@@ -150,7 +150,7 @@
         call = LateCall(name, (fence, *args), sent)
         if name == "start":
             key, run, _, *content = args
-            payload, checkpoint = content or ("", "")
+            payload, checkpoint, *_ = content or ("", "")
             start = SentStart(key, run, payload, checkpoint, self.worker_id, sent.at)
             self.starts.append(start)
         if self.mute or name in self.late or name in self.delays_s:
@@ -235,6 +235,7 @@
             lease_until_ms,
             run.payload,
             run.checkpoint,
+            run.ticket,
         )
 
     async def stop(
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -30,7 +30,7 @@
     usable_workers,
     workers_without_permit,
 )
-from .room import may_find_room
+from .room import Room, find_room, may_find_room
 from .run_times import RunTimeEstimates, is_slow
 from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
@@ -57,6 +57,8 @@
 ADVICE_WORKERS_PER_TASK = 2
 ADVICE_MIN_WORKERS = 8
 ADVICE_MAX_WORKERS = 30
+# A gang needs the permits of all its members at one time.
+ADVICE_MAX_GANG_WORKERS = 100  # the service accepts no more in a request
 
 
 class SchedulingPlan(NamedTuple):
@@ -352,11 +354,15 @@
             return
         max_workers = min(
             max(ADVICE_WORKERS_PER_TASK * wanted, ADVICE_MIN_WORKERS),
-            ADVICE_MAX_WORKERS,
+            ADVICE_MAX_GANG_WORKERS if stage.spec.gang else ADVICE_MAX_WORKERS,
         )
         demand = resources_used(stage.spec)
-        with_free_capacity = [w for w in permitted if w.free.covers(demand)]
-        if len(with_free_capacity) >= min(wanted, ADVICE_MIN_WORKERS):
+        if stage.spec.gang:
+            has_enough = find_room(stage, wanted, permitted) is Room.NOW
+        else:
+            with_free_capacity = [w for w in permitted if w.free.covers(demand)]
+            has_enough = len(with_free_capacity) >= min(wanted, ADVICE_MIN_WORKERS)
+        if has_enough:
             return
         unpermitted = workers_without_permit(stage, usable, self._now)
         unpermitted.sort(
