Ask the advice service about one step at a time

Cause: each waiting step sent its request at once. The service handles one call of a node at a time, so requests waited inside it, where they could be neither reordered nor withdrawn, while the validity of their tickets was counted from the sending. Once the waiting steps needed 2.4 s together, each reply was out of date on arrival and its step asked again. Ruled out: a service that is too slow for the usual rate (without the burst all jobs are done), starts that workers reject (none is sent), and the time limit of 5 s alone.

Steps now wait in the planner. One call is under way at a time, about the first step in the order of placement that has room. Workers that were not denied count for room and reservations; starts and preemption need a permit. Tickets whose validity is shorter than a call count from the expected reply; an attempt of a start is not sent after its ticket has expired. A step whose calls fail is asked about later. Metrics and log lines tell how many steps wait for advice and what became of each call.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -434,6 +434,7 @@
         _guard(self._term.engine.throttle, now)
         _guard(self._term.workers.sweep)
         _guard(self._term.retention.sweep, now)
+        _guard(self._report_advice_waits, now)
         if self._term.maintenance is not None:
             _guard(self._term.maintenance.advance, now)
         if self._term.pool_moves is not None:
@@ -442,6 +443,11 @@
             _guard(self._term.pool_moves.advance, now)
         self._schedule_planning()
 
+    def _report_advice_waits(self, now: float) -> None:
+        count, longest_s = self._term.engine.advice_requests.waits(now)
+        self.tell(METRICS, SetGauge("advice_waiting_steps", count))
+        self.tell(METRICS, SetGauge("advice_longest_wait_seconds", longest_s))
+
     async def _read_time_of_day(self) -> None:
         unix_time_s = await self.ask(PEERS, GetTimeOfDay())
         self._unix_time_offset_s = unix_time_s - self.system.clock.seconds()
@@ -479,10 +485,13 @@
     def _advice_given(self, message: AdviceGiven) -> None:
         if not self._ready:
             return
-        tickets, valid_s = message.advice or (None, 0.0)
-        self._term.engine.record_advice(
-            message.question, tickets, valid_s, message.asked_at
-        )
+        now = self.system.clock.seconds()
+        engine = self._term.engine
+        outcome = engine.record_advice(message.request, message.tickets, now)
+        self.tell(METRICS, IncrementCounter("advice_calls", (outcome,)))
+        if message.tickets is not None:
+            call_s = message.tickets.received_at - message.tickets.sent_at
+            self.tell(METRICS, ObserveDuration("advice_call_seconds", (), call_s))
         self._schedule_planning()
 
     def _throttle_unanswered(self, message: ThrottleUnanswered) -> None:
--- a/src/redwingrudder/coordination/gateways.py
+++ b/src/redwingrudder/coordination/gateways.py
@@ -9,6 +9,7 @@
 from ..workflows.machines import Machine
 from ..workflows.maintenance import MaintenanceWave
 from ..workflows.model import (
+    AdviceTimes,
     QueuePolicy,
     RunEnd,
     RunReport,
@@ -96,6 +97,7 @@
         open: Whether requests need no access key.
         timeout_s: Time limit for the response to a request, in seconds.
         policy: Scheduling policy of its workflows.
+        advice_times: Times of the advice service, if starts need its advice.
     """
 
     name: str
@@ -104,6 +106,7 @@
     open: bool
     timeout_s: float
     policy: QueuePolicy
+    advice_times: AdviceTimes = AdviceTimes()
 
 
 class OperatorConfiguration(NamedTuple):
@@ -316,7 +319,8 @@
 
     Attributes:
         tickets: Ticket that a start on a worker has to carry, by worker id.
-        valid_s: Time in seconds for which the tickets are valid.
+        valid_s: Time in seconds for which the tickets are valid, 0 if the
+            reply does not say it.
     """
 
     tickets: dict[str, str]
@@ -327,12 +331,15 @@
     """External service that selects the workers allowed for a step."""
 
     @abc.abstractmethod
-    async def ask(self, step: TaskKey, worker_ids: tuple[str, ...]) -> Advice:
+    async def ask(
+        self, step: TaskKey, worker_ids: tuple[str, ...], timeout_s: float
+    ) -> Advice:
         """Return which of the given workers may run a step.
 
         Args:
             step: Key of any task of the step; its task index is ignored.
             worker_ids: Ids of the workers in question.
+            timeout_s: Time limit for the reply in seconds.
 
         Raises:
             RedwingrudderError: The service did not answer.
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from ..workflows.advice import Tickets
 from ..workflows.model import (
     AskAdvice,
     PollWorker,
@@ -17,7 +18,7 @@
     WorkerFacts,
     Workflow,
 )
-from .gateways import Advice, CommandReply, OperatorConfiguration, WorkerReport
+from .gateways import CommandReply, OperatorConfiguration, WorkerReport
 
 
 class ConfigurationInForce(NamedTuple):
@@ -325,14 +326,12 @@
     """Tells COORDINATOR the reply of the advice service.
 
     Attributes:
-        question: The request that was sent to the service.
-        advice: The reply; None if the request failed.
-        asked_at: Time of the request in node-clock seconds.
+        request: The request that was sent to the service.
+        tickets: The reply; None if the request failed.
     """
 
-    question: AskAdvice
-    advice: Advice | None
-    asked_at: float
+    request: AskAdvice
+    tickets: Tickets | None
 
 
 class AcknowledgeEnds(NamedTuple):
--- a/src/redwingrudder/coordination/metrics.py
+++ b/src/redwingrudder/coordination/metrics.py
@@ -46,6 +46,7 @@
     "run_ends": ("Ends of runs", ("kind",)),
     "store_calls": ("Calls of the store", ("outcome",)),
     "errors": ("Unexpected errors and unreadable documents", ("logger",)),
+    "advice_calls": ("Calls to the advice service", ("outcome",)),
     "workflows_ended": ("Ended workflows", ("queue", "organisation", "state")),
 }
 HISTOGRAMS = {
@@ -61,12 +62,15 @@
         "Stored cancellation to its effect at the coordinator",
         (),
     ),
+    "advice_call_seconds": ("Answer time of the advice service", ()),
     "request_seconds": ("Answer time to callers", ("method",)),
 }
 GAUGES = {
     "coordinator": "1 while this node coordinates",
     "store_available": "1 while the store answers",
     "configuration_version": "Version in force",
+    "advice_waiting_steps": "Steps with room that lack only permits",
+    "advice_longest_wait_seconds": "Longest time for which one of them has waited",
 }
 
 
--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -225,7 +225,8 @@
             s for s in self._pending_starts if (s.key, s.run) not in sent_runs
         ]
         for start in starts:
-            self._send_start(start._replace(send_until=checked_at + START_ATTEMPTS_S))
+            send_until = min(checked_at + START_ATTEMPTS_S, start.ticket_until)
+            self._send_start(start._replace(send_until=send_until))
 
     def _send_start(self, start: StartRun) -> None:
         now = self._system.clock.seconds()
@@ -239,6 +240,8 @@
             self._engine.start_rejected(start.key, start.run, "queue_moved", now)
         elif self._engine.awaits_silent_worker(start.key, start.run, now):
             self._engine.start_rejected(start.key, start.run, "silent_worker", now)
+        elif now > start.ticket_until:
+            self._engine.start_rejected(start.key, start.run, "ticket_expired", now)
         elif self._workers.send(start):
             self._engine.start_sent(start.key, start.run, now)
         else:
--- a/src/redwingrudder/coordination/term.py
+++ b/src/redwingrudder/coordination/term.py
@@ -42,6 +42,7 @@
         policies = QueuePolicies(
             configuration.version,
             {queue.name: queue.policy for queue in configuration.queues},
+            {queue.name: queue.advice_times for queue in configuration.queues},
         )
         self.engine.configure(policies, configuration.guaranteed_by_organisation)
         if self.pool_moves is not None:
--- a/src/redwingrudder/platform/advice.py
+++ b/src/redwingrudder/platform/advice.py
@@ -7,7 +7,6 @@
 from .http_client import JsonClient
 
 MAX_IDLE_CONNECTIONS = 1  # the service handles one call of a node at a time
-TIMEOUT_S = 5.0  # the service takes seconds for a request about many workers
 OVERLOAD_RETRY_AFTER_S = 0.5
 
 
@@ -23,12 +22,14 @@
     def __init__(self, client: JsonClient) -> None:
         self._client = client
 
-    async def ask(self, step: TaskKey, worker_ids: tuple[str, ...]) -> Advice:
+    async def ask(
+        self, step: TaskKey, worker_ids: tuple[str, ...], timeout_s: float
+    ) -> Advice:
         """See base class."""
         step_name = f"{step.workflow_id}.{step.occurrence}.{step.step}"
         body = {"step": step_name, "workers": list(worker_ids)}
         reply = await self._client.call(
-            "POST", "/redwingrudder/advise", body, TIMEOUT_S
+            "POST", "/redwingrudder/advise", body, timeout_s
         )
         if reply.status == 429:
             raise OverloadedError(
--- a/src/redwingrudder/platform/registry.py
+++ b/src/redwingrudder/platform/registry.py
@@ -10,7 +10,7 @@
     RegistryCodec,
 )
 from ..exceptions import InvalidConfigurationError
-from ..workflows.model import QueuePolicy, Resources, WorkerFacts
+from ..workflows.model import AdviceTimes, QueuePolicy, Resources, WorkerFacts
 
 _logger = logging.getLogger(__name__)
 
@@ -105,7 +105,7 @@
 
 
 def _decode_queue(route: Fields) -> Queue:
-    route.child("advice")  # has to be an object
+    advice = route.child("advice")
     return Queue(
         name=route.text("name"),
         host=route.text("host"),
@@ -121,4 +121,9 @@
             latency_s=route.seconds("targetLatencyMs"),
             advised=route.has("advice"),
         ),
+        advice_times=AdviceTimes(
+            advice.seconds("decisionMs"),
+            advice.seconds("periodMs"),
+            advice.seconds("validMs"),
+        ),
     )
--- a/src/redwingrudder/simulation/_advice.py
+++ b/src/redwingrudder/simulation/_advice.py
@@ -12,7 +12,6 @@
 from ..workflows.model import TaskKey
 
 MAX_WAITING_CALLS = 32  # beyond the one that is handled
-CALL_TIMEOUT_S = 5.0  # after which the caller gives a call up
 OVERLOAD_RETRY_AFTER_S = 0.5
 
 
@@ -73,7 +72,9 @@
         self.stands_still_until = 0.0
         self.error: Exception | None = None
 
-    async def ask(self, step: TaskKey, worker_ids: tuple[str, ...]) -> Advice:
+    async def ask(
+        self, step: TaskKey, worker_ids: tuple[str, ...], timeout_s: float
+    ) -> Advice:
         """See base class."""
         if len(self._waiting) >= MAX_WAITING_CALLS:
             raise OverloadedError(
@@ -82,7 +83,7 @@
         call = AdviceCall(
             step._replace(index=0), worker_ids, self._clock.seconds(), Deferred()
         )
-        limit = self._clock.callLater(CALL_TIMEOUT_S, self._give_up, call)
+        limit = self._clock.callLater(timeout_s, self._give_up, call)
         self._waiting.append(call)
         self.most_waiting = max(self.most_waiting, len(self._waiting))
         self._handle_next()
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from collections.abc import Collection, Container
 
+from .advice import Tickets
+from .advice_requests import AdviceRequests
 from .crash_evidence import (
     CrashHistory,
     WorkerCrash,
@@ -45,7 +47,6 @@
 from .run_times import MIN_ELAPSED_S, RunTimeEstimates, update_worker_speed
 from .state import (
     TASK_CHART,
-    Permit,
     Task,
     Worker,
     WorkflowProgress,
@@ -56,10 +57,6 @@
 
 # Interval between requested polls of a worker.
 POLL_REQUEST_INTERVAL_S = 0.25
-# Fraction of a ticket's validity period in which the ticket is used. The rest
-# is a margin for the start command to reach the worker before the ticket
-# expires.
-USABLE_TICKET_SHARE = 0.8
 CRASH_MEMORY_S = 600.0  # time for which crashes of an address are remembered
 LOGGED_SUSPECTS = 10
 # The cancellations of this many unknown ids are remembered for this time: they
@@ -83,6 +80,7 @@
     Attributes:
         guaranteed_by_organisation: Number of accelerators guaranteed to the
             urgent workflows of each organisation.
+        advice_requests: Requests to the advice service.
     """
 
     def __init__(
@@ -102,6 +100,7 @@
         self._crash_history = CrashHistory()
         self._throttle_policy: ThrottlePolicy = LatencyTargetPolicy()
         self._planner = planner or PriorityPlanner(self.run_times)
+        self.advice_requests = AdviceRequests()
 
     def configure(
         self, policies: QueuePolicies, guaranteed_by_organisation: dict[str, int]
@@ -114,6 +113,7 @@
         """
         self.guaranteed_by_organisation = guaranteed_by_organisation
         previous, self._queue_policies = self._queue_policies, policies
+        self.advice_requests.times_by_queue = policies.advice_times_by_queue
         changed: Counter[str] = Counter()
         dropped: Counter[str] = Counter()
         for progress in self._active_workflows():
@@ -148,9 +148,8 @@
         self.dirty.add(progress.workflow.workflow_id)
         self._record_estimates(progress)
         if progress.policy.pool != pool:
-            for stage in progress.stages():
-                # The pending request names workers of the former pool.
-                stage.advice_pending = False
+            # The request under way names workers of the former pool.
+            self.advice_requests.withdraw(progress.workflow.workflow_id)
         return True
 
     def _record_estimates(self, progress: WorkflowProgress) -> None:
@@ -479,6 +478,7 @@
         task.record_start(now)
         task.run_confirmed = True
         task.rejections = 0
+        task.stage.advice.record_start()
         worker = self.workers_by_id.get(task.worker_id)
         if worker is not None:
             worker.heard_at = now
@@ -492,7 +492,7 @@
         Args:
             key: The task.
             run: Number of the run.
-            reason: Code of the rejection. "permit" also removes the worker's
+            reason: Code of the rejection. "permit" also ends the worker's
                 permit for the step.
             now: Node-clock seconds.
         """
@@ -512,7 +512,7 @@
         task.start_settled = True
         task.rejections += 1
         if reason == "permit":
-            task.stage.permits_by_worker.pop(task.worker_id, None)
+            task.stage.advice.record_rejection(task.worker_id, now)
         self.step(task, "rejected", now)
         self.stop_gang(task.stage, run)
 
@@ -668,21 +668,14 @@
             now,
             wall,
             not self._awaited_workers or now >= self._reports_due_at,
+            self.advice_requests.may_ask(now),
         )
         for task in scheduling_plan.stops:
             self.stop(task, "preempted")
-        for stage, worker_ids in scheduling_plan.advice_requests:
-            stage.advice_pending = True
-            workflow_id = stage.workflow.workflow.workflow_id
-            started_ms = tuple(
-                self.workers_by_id[worker_id].facts.process_started_ms
-                for worker_id in worker_ids
-            )
-            self.effects.append(
-                AskAdvice(
-                    workflow_id, stage.occurrence, stage.index, worker_ids, started_ms
-                )
-            )
+        self.advice_requests.note_waits(scheduling_plan.advice_waits, now)
+        if scheduling_plan.advice_request is not None:
+            stage, asked = scheduling_plan.advice_request
+            self.effects.append(self.advice_requests.ask(stage, asked, now))
         runs_by_stage: dict[int, int] = {}
         for task, worker in scheduling_plan.starts:
             self.assign(task, worker, runs_by_stage, now)
@@ -741,40 +734,23 @@
                 worker.observes_suspect = True
 
     def record_advice(
-        self,
-        advice_request: AskAdvice,
-        tickets: dict[str, str] | None,
-        valid_s: float,
-        now: float,
-    ) -> None:
-        """Record the reply of the advice service to a request.
+        self, request: AskAdvice, tickets: Tickets | None, now: float
+    ) -> str:
+        """Record the outcome of a request to the advice service.
 
         Args:
-            advice_request: The request that was sent to the service.
-            tickets: Ticket by id of each worker that may run the step; None
-                if the service did not answer.
-            valid_s: Seconds for which the tickets are valid.
-            now: Node-clock seconds at which the request was sent.
+            request: The request.
+            tickets: The reply; None if the service gave none.
+            now: Node-clock seconds.
+
+        Returns:
+            See ``AdviceRequests.record_reply``.
         """
-        progress = self.workflows_by_id.get(advice_request.workflow_id)
-        if progress is None:
-            return
-        stage = progress.occurrences[advice_request.occurrence].stages[
-            advice_request.step
-        ]
-        stage.advice_pending = False
-        if tickets is None:
-            return
-        until = now + valid_s * USABLE_TICKET_SHARE
-        for worker_id, process_started_ms in zip(
-            advice_request.worker_ids, advice_request.processes_started_ms, strict=True
-        ):
-            if worker_id in tickets:
-                stage.permits_by_worker[worker_id] = Permit(
-                    tickets[worker_id], until, process_started_ms
-                )
-            else:
-                stage.denied_workers.add(worker_id)
+        progress = self.workflows_by_id.get(request.workflow_id)
+        stage = None
+        if progress is not None:
+            stage = progress.occurrences[request.occurrence].stages[request.step]
+        return self.advice_requests.record_reply(request, stage, tickets, now)
 
     def throttle(self, now: float) -> None:
         """Adjust the speed of filling tasks to the measured tail latency."""
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -114,6 +114,24 @@
     advised: bool = False
 
 
+class AdviceTimes(NamedTuple):
+    """Times of the advice service, as configured for a queue.
+
+    Attributes:
+        decision_s: Seconds that the service takes for a call.
+        period_s: Additional seconds for each worker that is named.
+        valid_s: Seconds for which a ticket is valid, 0 if unknown.
+    """
+
+    decision_s: float = 0.0
+    period_s: float = 0.0
+    valid_s: float = 0.0
+
+    def call_s(self, workers: int) -> float:
+        """Return the seconds that a call about some workers takes."""
+        return self.decision_s + workers * self.period_s
+
+
 class Workflow(NamedTuple):
     """A workflow that was accepted for execution.
 
@@ -276,6 +294,7 @@
         payload: Payload of the workflow.
         checkpoint: Checkpoint to resume from, "" to start from the beginning.
         ticket: Ticket from the advice service, "" if none is needed.
+        ticket_until: Node-clock seconds until which it is sent with a start.
         send_until: Node-clock seconds after which it is not sent any more,
             because its job may have been cancelled meanwhile.
     """
@@ -286,6 +305,7 @@
     payload: str
     checkpoint: str
     ticket: str = ""
+    ticket_until: float = math.inf
     send_until: float = math.inf
 
 
@@ -300,8 +320,15 @@
 class AskAdvice(NamedTuple):
     """Effect: ask the advice service which of the workers may run a step.
 
-    ``processes_started_ms`` has the start times of the workers' processes for
-    which the answer is valid, in Unix milliseconds, 0 if unknown.
+    Attributes:
+        workflow_id: Id of the workflow.
+        occurrence: Index of the occurrence.
+        step: Index of the step.
+        worker_ids: The workers.
+        processes_started_ms: Start times of their processes, for which the
+            reply is valid, in Unix milliseconds, 0 if unknown.
+        call_s: Seconds that the service is expected to take, 0 if unknown.
+        waited_s: Seconds for which the step had waited for the call.
     """
 
     workflow_id: str
@@ -309,6 +336,8 @@
     step: int
     worker_ids: tuple[str, ...]
     processes_started_ms: tuple[int, ...]
+    call_s: float = 0.0
+    waited_s: float = 0.0
 
 
 class ThrottleRun(NamedTuple):
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -297,8 +297,8 @@
     failure, as such workers have typically recovered by then. If the others
     have no room, the step returns to them, but neither to one that has failed
     several runs in a row nor, with its last attempt, to a suspect. Without any
-    others it returns at once. A queue that needs advice uses only workers with
-    a valid permit.
+    others it returns at once. A queue that needs advice does not use workers
+    that the advice service has denied.
 
     Args:
         stage: The step.
@@ -308,8 +308,8 @@
     """
     preferred = not_slow
     if stage.workflow.policy.advised:
-        usable = [worker for worker in usable if _permitted(stage, worker, now)]
-        preferred = [worker for worker in not_slow if _permitted(stage, worker, now)]
+        usable = _without_denied(stage, usable)
+        preferred = _without_denied(stage, not_slow)
     has_failed = any(task.failures for task in stage.tasks)
     if has_failed:
         failed = set().union(*(task.failed_workers for task in stage.tasks))
@@ -372,25 +372,18 @@
     return began_at if failures >= MIN_FAILURES else None
 
 
-def workers_without_permit(
-    stage: Stage, usable: list[Worker], now: float
+def permitted_workers(
+    stage: Stage, workers: Iterable[Worker], now: float
 ) -> list[Worker]:
-    """Return usable workers without a valid permit that were not denied."""
-    return [
-        worker
-        for worker in usable
-        if worker.facts.worker_id not in stage.denied_workers
-        and not _permitted(stage, worker, now)
-    ]
+    """Return the workers with a permit for starts of a step."""
+    return [worker for worker in workers if stage.advice.permits(worker.facts, now)]
 
 
-def _permitted(stage: Stage, worker: Worker, now: float) -> bool:
-    permit = stage.permits_by_worker.get(worker.facts.worker_id)
-    return (
-        permit is not None
-        and now < permit.until
-        and permit.process_started_ms == worker.facts.process_started_ms
-    )
+def _without_denied(stage: Stage, workers: list[Worker]) -> list[Worker]:
+    if not stage.advice.has_denials:
+        # The planner recognises the list of a whole pool.
+        return workers
+    return [worker for worker in workers if not stage.advice.denies(worker.facts)]
 
 
 def choose_options(
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -26,11 +26,11 @@
     choose_options,
     eligible_workers,
     failures_since,
+    permitted_workers,
     stop_cost,
     usable_workers,
-    workers_without_permit,
 )
-from .room import Room, find_room, may_find_room
+from .room import may_find_room
 from .run_times import RunTimeEstimates, is_slow
 from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
@@ -67,16 +67,18 @@
     Attributes:
         starts: Tasks to start, each with its worker.
         stops: Tasks whose runs are preempted.
-        advice_requests: Steps that need advice, each with the ids of the
-            workers to ask about.
+        advice_request: The step that is asked about next, with the workers to
+            name; None if none is.
         held_starts: Tasks that could start but for an earlier start that a
             worker may still carry out.
+        advice_waits: Steps with room that wait for advice.
     """
 
     starts: tuple[tuple[Task, Worker], ...]
     stops: tuple[Task, ...]
-    advice_requests: tuple[tuple[Stage, tuple[str, ...]], ...] = ()
+    advice_request: tuple[Stage, tuple[Worker, ...]] | None = None
     held_starts: tuple[HeldStart, ...] = ()
+    advice_waits: tuple[Stage, ...] = ()
 
 
 class Planner(abc.ABC):
@@ -91,6 +93,7 @@
         now: float,
         wall: float,
         may_preempt: bool = True,
+        may_ask: bool = True,
     ) -> SchedulingPlan:
         """Run one planning pass.
 
@@ -102,6 +105,8 @@
             now: Node-clock seconds.
             wall: Unix seconds, for occurrences with a due time.
             may_preempt: Whether runs may be stopped for more urgent work.
+            may_ask: Whether the advice service may be asked, which handles one
+                call at a time.
         """
 
 
@@ -130,6 +135,7 @@
         now: float,
         wall: float,
         may_preempt: bool = True,
+        may_ask: bool = True,
     ) -> SchedulingPlan:
         """See base class."""
         active = list(progress)
@@ -140,15 +146,16 @@
         ranks = {id(stage): rank(stage, entitled) for stage in stages}
         stages.sort(key=lambda s: (ranks[id(s)], *self._order.key(s, now)))
         planning_pass = _PlanningPass(
-            workers, entitled, self._run_times, now, may_preempt
+            workers, entitled, self._run_times, now, may_preempt, may_ask
         )
         for stage in stages:
             planning_pass.place(stage, ranks[id(stage)])
         return SchedulingPlan(
             tuple(planning_pass.starts),
             tuple(planning_pass.stops.values()),
-            tuple(planning_pass.advice_requests),
+            planning_pass.advice_request,
             tuple(planning_pass.held_starts),
+            tuple(planning_pass.advice_waits),
         )
 
 
@@ -162,10 +169,12 @@
         run_times: RunTimeEstimates,
         now: float,
         preemption_allowed: bool,
+        may_ask: bool,
     ) -> None:
         self.starts: list[tuple[Task, Worker]] = []
         self.stops: dict[TaskKey, Task] = {}
-        self.advice_requests: list[tuple[Stage, tuple[str, ...]]] = []
+        self.advice_request: tuple[Stage, tuple[Worker, ...]] | None = None
+        self.advice_waits: list[Stage] = []
         self.held_starts: list[HeldStart] = []
         self._workers = workers
         self._workers_by_id = {worker.facts.worker_id: worker for worker in workers}
@@ -173,6 +182,7 @@
         self._run_times = run_times
         self._now = now
         self._preemption_allowed = preemption_allowed
+        self._may_ask = may_ask
         self._suspects = [worker for worker in workers if worker.is_suspect(now)]
         self._claimed_steps = 0
         # Tasks with an older run that is being stopped.
@@ -208,8 +218,6 @@
         candidates = eligible_workers(stage, usable, not_slow, self._now)
         if self._observers:
             candidates = [w for w in candidates if not w.observes_suspect]
-        if stage.workflow.policy.advised:
-            self._request_advice(stage, len(waiting), candidates, usable)
         if is_suspected(waiting[0]):
             self._place_suspect(stage, stage_rank, waiting, candidates)
             return
@@ -259,15 +267,12 @@
         """
         gang = stage.spec.gang
         retried = [task for task in waiting if gang or task.failures]
-        options = choose_options(stage, retried, sound, IdleCapacity(), self._now)
-        self._add_starts(stage, retried, options)
-        if options and stage.spec.worker_limit:
+        left = self._start_in_idle(stage, retried, sound)
+        if len(left) < len(retried) and stage.spec.worker_limit:
             # The limit counts placed runs, and those of this pass are not
             # placed yet; the other tasks wait for the next pass.
             return []
-        if self._now - stage.failed_at >= SOUND_WORKER_WAIT_S:
-            left = retried[len(options) :]
-        else:
+        if self._now - stage.failed_at < SOUND_WORKER_WAIT_S:
             left = []
         return left + [task for task in waiting if task not in retried]
 
@@ -280,9 +285,7 @@
     ) -> None:
         """Start tasks, and make room for those that do not fit yet."""
         near_data = self._near_data(stage, candidates)
-        options = self._choose_idle(stage, waiting, near_data)
-        self._add_starts(stage, waiting, options)
-        unplaced = waiting[len(options) :]
+        unplaced = self._start_in_idle(stage, waiting, near_data)
         if not unplaced:
             return
         if self._may_preempt(stage, stage_rank):
@@ -293,7 +296,7 @@
                 self.stops,
                 self._run_times,
             )
-            self._preempt(stage, unplaced, candidates, source)
+            self._preempt_permitted(stage, unplaced, candidates, source)
         elif self._claimed_steps < MAX_CLAIMING_STEPS and not stage.spec.service:
             if stage.spec.gang and not may_find_room(stage, len(unplaced), candidates):
                 return
@@ -338,41 +341,110 @@
             unplaceable.append((demand, count))
         return options
 
-    def _request_advice(
+    def _start_in_idle(
+        self, stage: Stage, tasks: list[Task], workers: list[Worker]
+    ) -> list[Task]:
+        """Start tasks in idle capacity.
+
+        Returns:
+            The tasks without room. Those that lack only permits wait for
+            advice.
+        """
+        if not stage.workflow.policy.advised:
+            options = self._choose_idle(stage, tasks, workers)
+            self._add_starts(stage, tasks, options)
+            return tasks[len(options) :]
+        permitted = permitted_workers(stage, workers, self._now)
+        options = choose_options(stage, tasks, permitted, IdleCapacity(), self._now)
+        self._add_starts(stage, tasks, options)
+        unplaced = tasks[len(options) :]
+        if not unplaced:
+            return []
+        options = self._choose_idle(stage, unplaced, workers)
+        if options:
+            self._await_advice(stage, unplaced[: len(options)], options, workers)
+        return unplaced[len(options) :]
+
+    def _preempt_permitted(
         self,
         stage: Stage,
-        wanted: int,
-        permitted: list[Worker],
-        usable: list[Worker],
+        unplaced: list[Task],
+        candidates: list[Worker],
+        source: CapacitySource,
+    ) -> None:
+        """Make room by stopping runs, if advice is needed once it is given."""
+        if not stage.workflow.policy.advised:
+            self._preempt(stage, unplaced, candidates, source)
+            return
+        permitted = permitted_workers(stage, candidates, self._now)
+        options = choose_options(stage, unplaced, permitted, source, self._now)
+        if options:
+            self._preempt(stage, unplaced[: len(options)], permitted, source)
+        unplaced = unplaced[len(options) :]
+        options = choose_options(stage, unplaced, candidates, source, self._now)
+        if unplaced and options:
+            self._await_advice(stage, unplaced, options, candidates)
+
+    def _await_advice(
+        self,
+        stage: Stage,
+        tasks: list[Task],
+        options: list[PlacementOption],
+        workers: list[Worker],
     ) -> None:
-        """Request advice about some workers that are likely to be used.
+        """Let tasks wait for advice, and ask for it if it is their turn.
 
-        Workers with enough free capacity come first. The number is limited,
-        since the service takes time for each worker.
+        The first step in the order of placement that has room is asked about.
+        Only the step that the service is asked about keeps its room: the call
+        ends soon, while further steps wait for an unknown time.
+
+        Args:
+            stage: The step.
+            tasks: Its tasks that lack permits.
+            options: Room for these tasks.
+            workers: Workers that may run them.
+        """
+        self.advice_waits.append(stage)
+        asked_ids = stage.advice.asked_ids
+        if asked_ids:
+            asked = [w for w in workers if w.facts.worker_id in asked_ids]
+            idle = IdleCapacity()
+            self._claim(stage, choose_options(stage, tasks, asked, idle, self._now))
+        elif (
+            self._may_ask
+            and self.advice_request is None
+            and self._now >= stage.advice.retry_at
+        ):
+            named = self._workers_to_name(stage, len(tasks), options, workers)
+            if named:
+                self.advice_request = stage, named
+                self._claim(stage, options)
+
+    def _workers_to_name(
+        self,
+        stage: Stage,
+        wanted: int,
+        options: list[PlacementOption],
+        workers: list[Worker],
+    ) -> tuple[Worker, ...]:
+        """Return the workers to ask about, those with room for tasks first.
+
+        The number is limited, since the service takes time for each worker.
         """
-        if stage.advice_pending:
-            return
         max_workers = min(
             max(ADVICE_WORKERS_PER_TASK * wanted, ADVICE_MIN_WORKERS),
             ADVICE_MAX_GANG_WORKERS if stage.spec.gang else ADVICE_MAX_WORKERS,
         )
         demand = resources_used(stage.spec)
-        if stage.spec.gang:
-            has_enough = find_room(stage, wanted, permitted) is Room.NOW
-        else:
-            with_free_capacity = [w for w in permitted if w.free.covers(demand)]
-            has_enough = len(with_free_capacity) >= min(wanted, ADVICE_MIN_WORKERS)
-        if has_enough:
-            return
-        unpermitted = workers_without_permit(stage, usable, self._now)
-        unpermitted.sort(
-            key=lambda w: (not w.free.covers(demand), -w.free.accelerators)
+        by_free_capacity = sorted(
+            workers, key=lambda w: (not w.free.covers(demand), -w.free.accelerators)
         )
-        if unpermitted:
-            worker_ids = tuple(
-                worker.facts.worker_id for worker in unpermitted[:max_workers]
-            )
-            self.advice_requests.append((stage, worker_ids))
+        chosen = dict.fromkeys(
+            worker
+            for worker in [*(option.worker for option in options), *by_free_capacity]
+            if not stage.advice.permits(worker.facts, self._now)
+        )
+        return tuple(chosen)[:max_workers]
 
     def _near_data(self, stage: Stage, candidates: list[Worker]) -> list[Worker]:
         """Return the workers that are worth waiting for, near the input data.
--- a/src/redwingrudder/workflows/queue_policies.py
+++ b/src/redwingrudder/workflows/queue_policies.py
@@ -4,7 +4,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
-from .model import QueuePolicy
+from .model import AdviceTimes, QueuePolicy
 from .state import WorkflowProgress
 
 
@@ -14,10 +14,13 @@
     Attributes:
         version: Version of the configuration, 0 before the first one.
         by_queue: Policy of each queue, by the name of the queue.
+        advice_times_by_queue: Times of the advice service for the queues that
+            need advice.
     """
 
     version: int = 0
     by_queue: Mapping[str, QueuePolicy] = MappingProxyType({})
+    advice_times_by_queue: Mapping[str, AdviceTimes] = MappingProxyType({})
 
     def apply(self, progress: WorkflowProgress) -> bool:
         """Put the policy of a workflow's queue in force.
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -1,6 +1,7 @@
 """Runs of all tasks: state transitions, capacity accounting and effects."""
 
 import logging
+import math
 from collections.abc import Callable
 
 from .crash_evidence import valid_evidence_by_run
@@ -157,7 +158,7 @@
                 run,
                 workflow.workflow.payload,
                 checkpoint if stage.spec.checkpoints else "",
-                self._ticket(stage, task.worker_id),
+                *self._ticket(stage, task.worker_id),
             )
         )
 
@@ -418,12 +419,13 @@
         self.step(task, "give_up", now)
         self.withdraw(task.stage.workflow, now)
 
-    def _ticket(self, stage: Stage, worker_id: str) -> str:
-        permit = stage.permits_by_worker.get(worker_id)
-        if not stage.workflow.policy.advised:
+    def _ticket(self, stage: Stage, worker_id: str) -> tuple[str, float]:
+        """Return the ticket for a start, "" for none, and its end."""
+        permit = stage.advice.permit_by_worker.get(worker_id)
+        if permit is None or not stage.workflow.policy.advised:
             # The permit is one of an earlier configuration.
-            return ""
-        return permit.ticket if permit is not None else ""
+            return "", math.inf
+        return permit.ticket, permit.send_until
 
     def _next_run(self, last: int) -> int:
         return max(last, (self.term - 1) * RUNS_PER_TERM) + 1
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ..statecharts import load_chart
+from .advice import StepAdvice
 from .model import (
     NO_RESOURCES,
     QueuePolicy,
@@ -44,21 +45,6 @@
 STOP_INTERVAL_S = 1.0
 
 
-class Permit(NamedTuple):
-    """Permission of the advice service to run a step on a worker.
-
-    Attributes:
-        ticket: Ticket to send with a start.
-        until: Node-clock seconds until which the ticket may be used.
-        process_started_ms: Start time of the worker's process for which it is
-            valid, in Unix milliseconds, 0 if unknown.
-    """
-
-    ticket: str
-    until: float
-    process_started_ms: int
-
-
 class CrashEvidence(NamedTuple):
     """A run of a task or gang under which workers crashed.
 
@@ -276,21 +262,17 @@
         crashed_at: Time of the newest crash of a worker of which a task of the
             step is suspected, in node-clock seconds.
         restarts: Number of runs that were stopped because of slow workers.
-        permits_by_worker: Permits of the advice service.
-        denied_workers: Workers that the advice service did not permit.
-        advice_pending: Whether a request to the advice service is unanswered.
+        advice: What the advice service has said of the step.
         tasks: All tasks of the step.
     """
 
     __slots__ = (
+        "advice",
         "crashed_at",
-        "denied_workers",
         "failed_at",
         "failed_runs",
         "index",
         "occurrence",
-        "permits_by_worker",
-        "advice_pending",
         "ready_at",
         "restarts",
         "spec",
@@ -308,9 +290,7 @@
         self.failed_at = -math.inf
         self.crashed_at = -math.inf
         self.restarts = 0
-        self.permits_by_worker: dict[str, Permit] = {}
-        self.denied_workers: set[str] = set()
-        self.advice_pending = False
+        self.advice = StepAdvice()
         self.tasks = [
             Task(TaskKey(workflow.workflow.workflow_id, occurrence, index, i), self)
             for i in range(self.spec.tasks)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -1,5 +1,7 @@
 """Tests of queues whose starts need tickets, from submission to start."""
 
+from redwingrudder.exceptions import UnavailableError
+
 from . import workflow_fixtures as fx
 from .advice_case import RUN_S, WHOLE_WORKER, AdviceCase
 
@@ -26,3 +28,157 @@
         """Guards against members that never get a permit."""
         self.submit_gang(36)
         self.assert_all_done(FINISH_S + RUN_S)
+
+
+class BurstTests(AdviceCase):
+    """The load of case 3 of the review, and what may come beside it.
+
+    A burst brings more requests than the service answers within the validity
+    of a ticket. The usual load that follows is one that it can carry.
+    """
+
+    usual_per_s, burst_per_s = 0.9, 2.25
+
+    def play_burst(self, disturb=lambda: None):
+        self.submit_for(8.0, self.usual_per_s)
+        self.submit_for(4.0, self.burst_per_s)
+        disturb()
+        self.submit_for(2.0, self.burst_per_s)
+        self.submit_for(8.0, self.usual_per_s)
+
+    def test_queue_drains_after_a_burst(self):
+        """Guards against tickets that run out while calls wait for others."""
+        self.play_burst()
+        self.assert_all_done(FINISH_S)
+        self.assertEqual(self.runs.rejected, 0)
+
+    def test_burst_with_another_coordinator(self):
+        """Guards against requests that are lost with their coordinator."""
+        self.add_node()
+
+        def replace_coordinator():
+            self.end_term(0)
+            self.begin_term(1)
+
+        self.play_burst(replace_coordinator)
+        self.assert_all_done(FINISH_S)
+
+    def test_burst_with_a_new_term_of_the_node(self):
+        """Guards against a call of the last term that occupies the service."""
+
+        def begin_new_term():
+            self.end_term(0)
+            self.run_for(0.1)
+            self.begin_term(0)
+
+        self.play_burst(begin_new_term)
+        self.assert_all_done(FINISH_S)
+
+    def test_burst_of_which_half_is_cancelled(self):
+        """Guards against requests of cancelled jobs that delay the others."""
+        cancelled = []
+
+        def cancel_half():
+            waiting = [job for job in self.submitted if self.state(job) == "queued"]
+            cancelled.extend(waiting[::2])
+            for job in cancelled:
+                self.cancel(job)
+
+        self.play_burst(cancel_half)
+        self.assertTrue(cancelled)
+        owed = [job for job in self.submitted if job not in cancelled]
+        self.assert_all_done(FINISH_S, owed)
+
+    def test_burst_while_the_service_stands_still(self):
+        """Guards against calls that are given up and still take their turn."""
+
+        def stand_still():
+            self.services[0].stands_still_until = self.clock.seconds() + 6.0
+
+        self.play_burst(stand_still)
+        self.assert_all_done(FINISH_S)
+
+    def test_burst_while_the_service_answers_with_errors(self):
+        """Guards against a queue that does not recover from failed calls."""
+
+        def fail_calls():
+            self.services[0].error = UnavailableError("the service answered 500")
+            self.clock.callLater(6.0, setattr, self.services[0], "error", None)
+
+        self.play_burst(fail_calls)
+        self.assert_all_done(FINISH_S)
+
+    def test_workers_restart_in_a_burst(self):
+        """Guards against tickets for a process that is gone."""
+
+        def restart_workers():
+            for index, worker_id in enumerate(list(self.workers.workers_by_id)[:8]):
+                self.workers.workers_by_id[worker_id].restart()
+                self.register(worker_id, f"r{index // 6}")
+
+        self.play_burst(restart_workers)
+        self.assert_all_done(FINISH_S)
+
+
+class OverloadTests(AdviceCase):
+    """More calls than the service can answer for some time."""
+
+    decision_s = 0.1
+
+    def test_queue_drains_after_an_overload(self):
+        """Guards against an idle fleet while calls wait for others."""
+        self.submit_for(20.0, 2.5)
+        self.assert_all_done(FINISH_S)
+
+
+class ManyGangsTests(AdviceCase):
+    """Wide gangs at once, beside small jobs."""
+
+    worker_count = 40
+
+    def test_gangs_beside_small_jobs(self):
+        """Guards against gangs whose first permits run out."""
+        for index in range(2):
+            self.submit(f"gang{index}", fx.step(36, WHOLE_WORKER, gang=True))
+            for small in range(3):
+                self.submit(f"small{index}{small}", fx.step(2))
+            self.run_for(0.3)
+        self.assert_all_done(2 * FINISH_S)
+
+
+class ShortValidityTests(AdviceCase):
+    """Tickets that hold for less time than a call takes."""
+
+    decision_s, period_s, valid_s = 0.8, 0.05, 1.0
+    worker_count = 8
+
+    def test_job_starts(self):
+        """Guards against tickets that count as run out on arrival."""
+        self.submit("job0")
+        self.submit("gang", fx.step(8, WHOLE_WORKER, gang=True))
+        self.assert_all_done(FINISH_S)
+        self.assertEqual(self.runs.rejected, 0)
+
+
+class DeniedWorkersTests(AdviceCase):
+    """A policy that allows only a third of the workers."""
+
+    worker_count = 36
+
+    def is_allowed(self, step, worker_id):
+        return int(worker_id[1:]) % 3 == 0
+
+    def test_gang_on_all_allowed_workers(self):
+        """Guards against a gang whose members need several calls."""
+        self.submit("gang", fx.step(12, WHOLE_WORKER, gang=True))
+        self.assert_all_done(FINISH_S)
+
+    def test_job_that_no_worker_may_run_delays_no_other(self):
+        """Guards against a step at the head that can never start."""
+        self.is_allowed = lambda step, worker_id: step.workflow_id != "denied"
+        self.submit("denied")
+        self.run_for(0.1)
+        self.submit("job0")
+        self.run_for(3.0)
+        self.submit("job1")
+        self.assert_all_done(FINISH_S, ["job0", "job1"])
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -460,7 +460,7 @@
         engine = fx.engine(fx.worker("w1"))
         engine.accept(workflow._replace(policy=policy), 0.0)
         (request,) = engine.plan(0.0, 0.0)
-        engine.record_advice(request, {"w1": "ticket"}, 5.0, 0.0)
+        fx.advise(engine, request, {"w1": "ticket"}, 5.0, 0.0)
         fx.confirm(engine, engine.plan(0.1, 0.1), 0.1)
         engine.worker_restarted("w1", 0.2)
         engine.interrupt_worker("w1", 0.2, "crashed")
--- a/tests/test_malformed_documents.py
+++ b/tests/test_malformed_documents.py
@@ -222,7 +222,9 @@
         ADVICE,
         decode_reply(
             lambda body: completed(
-                PlatformAdvice(ReplyingClient(body)).ask(TaskKey("j", 0, 0, 0), ("w",))
+                PlatformAdvice(ReplyingClient(body)).ask(
+                    TaskKey("j", 0, 0, 0), ("w",), 5.0
+                )
             )
         ),
     ),
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -367,7 +367,7 @@
         self.configure(1, advised=True)
         (request,) = self.engine.plan(0.0, 0.0)
         tickets = dict.fromkeys(request.worker_ids, "ticket")
-        self.engine.record_advice(request, tickets, 10.0, 0.0)
+        fx.advise(self.engine, request, tickets, 10.0, 0.0)
         self.configure(2, advised=False)
         self.assertEqual([start.ticket for start in self.starts()], [""])
 
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -640,14 +640,14 @@
         engine, effects = self.plan_with_advice()
         self.assertEqual(fx.starts(effects), [])
         self.assertIsInstance(effects[0], AskAdvice)
-        engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        fx.advise(engine, effects[0], {"w2": "ticket"}, 3.0, 0.0)
         starts = fx.starts(engine.plan(0.1, 0.1))
         self.assertEqual([(s.worker_id, s.ticket) for s in starts], [("w2", "ticket")])
 
     def test_permit_is_not_used_at_its_end(self):
         """Guards against a start that arrives after its ticket has expired."""
         engine, effects = self.plan_with_advice()
-        engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        fx.advise(engine, effects[0], {"w2": "ticket"}, 3.0, 0.0)
         effects = engine.plan(2.9, 2.9)
         self.assertEqual(fx.starts(effects), [])
         self.assertEqual(effects[0].worker_ids, ("w2",))
@@ -655,7 +655,7 @@
     def test_permit_of_a_former_process_is_not_used(self):
         """Guards against starts that a restarted worker rejects."""
         engine, effects = self.plan_with_advice()
-        engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        fx.advise(engine, effects[0], {"w2": "ticket"}, 3.0, 0.0)
         engine.set_worker(fx.worker("w2", process_started_ms=2), 0.1)
         effects = engine.plan(0.2, 0.2)
         self.assertEqual(fx.starts(effects), [])
@@ -668,7 +668,7 @@
         """
         engine, effects = self.plan_with_advice()
         engine.set_worker(fx.worker("w2", process_started_ms=2), 0.1)
-        engine.record_advice(effects[0], {"w2": "ticket"}, 3.0, 0.0)
+        fx.advise(engine, effects[0], {"w2": "ticket"}, 3.0, 0.0)
         effects = engine.plan(0.2, 0.2)
         self.assertEqual(fx.starts(effects), [])
         self.assertEqual(effects[0].worker_ids, ("w2",))
@@ -677,7 +677,7 @@
         """Guards against a queue that is blocked by one lost reply."""
         engine, effects = self.plan_with_advice()
         self.assertEqual(engine.plan(0.1, 0.1), [])
-        engine.record_advice(effects[0], None, 0.0, 0.0)
+        fx.advise(engine, effects[0], None, 0.0, 0.0)
         self.assertIsInstance(engine.plan(0.2, 0.2)[0], AskAdvice)
 
 
--- a/tests/workflow_fixtures.py
+++ b/tests/workflow_fixtures.py
@@ -1,5 +1,6 @@
 """Builders of workflows, workers, engines and reports for tests."""
 
+from redwingrudder.workflows.advice import Tickets
 from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import (
     EndKind,
@@ -67,6 +68,12 @@
         engine.start_confirmed(start.key, start.run, now)
 
 
+def advise(engine, request, tickets, valid_s, sent_at):
+    """Answer a request to the advice service at once; None: no answer."""
+    reply = None if tickets is None else Tickets(tickets, valid_s, sent_at, sent_at)
+    engine.record_advice(request, reply, sent_at)
+
+
 def ended(start, kind=EndKind.DONE, number=1, checkpoint=""):
     return RunEnd(number, start.key, start.run, kind, checkpoint)
 
