Log which step waits longest for advice, and guard the use of tickets

On-call engineers had a gauge of waiting steps, but no line that names a job. A line each 5 s at most now names the step that has waited longest, if that is more than 5 s.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -75,6 +75,9 @@
 # Time within which workers that can be reached report to a new coordinator.
 # Until then it preempts nothing.
 FIRST_REPORTS_TIMEOUT_S = 0.3
+# Time for which a step waits for advice before a log line tells it, and
+# interval between such lines.
+ADVICE_WAIT_LOG_S = 5.0
 TICK_TIMER = "tick"
 
 Result = TypeVar("Result")
@@ -99,6 +102,7 @@
         self._ready = False
         self._had_authority = True
         self._ask_peers_at = 0.0
+        self._log_advice_waits_at = 0.0
         self._plan_scheduled = False
         self._plan_pause_s = PLAN_DELAY_S
         self._configuration: OperatorConfiguration | None = None
@@ -444,9 +448,19 @@
         self._schedule_planning()
 
     def _report_advice_waits(self, now: float) -> None:
-        count, longest_s = self._term.engine.advice_requests.waits(now)
-        self.tell(METRICS, SetGauge("advice_waiting_steps", count))
-        self.tell(METRICS, SetGauge("advice_longest_wait_seconds", longest_s))
+        waits = self._term.engine.advice_requests.waits(now)
+        self.tell(METRICS, SetGauge("advice_waiting_steps", waits.count))
+        self.tell(METRICS, SetGauge("advice_longest_wait_seconds", waits.longest_s))
+        if waits.longest_s > ADVICE_WAIT_LOG_S and now >= self._log_advice_waits_at:
+            self._log_advice_waits_at = now + ADVICE_WAIT_LOG_S
+            _logger.info(
+                "steps wait for advice",
+                extra={
+                    "job": waits.workflow_id,
+                    "waited_s": round(waits.longest_s, 3),
+                    "steps": waits.count,
+                },
+            )
 
     async def _read_time_of_day(self) -> None:
         unix_time_s = await self.ask(PEERS, GetTimeOfDay())
--- a/src/redwingrudder/simulation/_advice.py
+++ b/src/redwingrudder/simulation/_advice.py
@@ -46,6 +46,8 @@
 
     Attributes:
         calls: All calls that were handled, in their order.
+        most_waiting: Largest number of calls that waited at a time, the one
+            that is handled included.
         stands_still_until: Clock seconds until which no call is handled.
         error: Raised in place of a reply at the end of each call, None for
             replies.
--- a/src/redwingrudder/workflows/advice_requests.py
+++ b/src/redwingrudder/workflows/advice_requests.py
@@ -56,6 +56,20 @@
         )
 
 
+class AdviceWaits(NamedTuple):
+    """Steps that have room and lack only permits.
+
+    Attributes:
+        count: Number of these steps.
+        longest_s: Time for which one of them has waited longest, in seconds.
+        workflow_id: Workflow of that step, "" if none waits.
+    """
+
+    count: int = 0
+    longest_s: float = 0.0
+    workflow_id: str = ""
+
+
 class AllowedShare(NamedTuple):
     """Share of the workers that the service has allowed, of recent calls.
 
@@ -249,18 +263,14 @@
                 stage.advice.waits_since = now
         self._waiting_stages = waiting
 
-    def waits(self, now: float) -> tuple[int, float]:
-        """Return how many steps wait for advice, and the longest wait.
-
-        They have room and lack only permits. The wait is in seconds, 0.0 if
-        there are none.
-        """
-        waits_s = [
-            now - stage.advice.waits_since
+    def waits(self, now: float) -> AdviceWaits:
+        """Return which steps wait for advice since the last planning pass."""
+        waits = [
+            (now - stage.advice.waits_since, stage.workflow.workflow.workflow_id)
             for stage in self._waiting_stages
             if stage.advice.waits_since is not None
         ]
-        return len(waits_s), max(waits_s, default=0.0)
+        return AdviceWaits(len(waits), *max(waits)) if waits else AdviceWaits()
 
     def _times(self, stage: Stage) -> AdviceTimes:
         return self._times_by_queue.get(stage.workflow.workflow.queue, AdviceTimes())
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -179,6 +179,58 @@
         self.assertEqual(self.runs.rejected, 0)
 
 
+class SlowRecordTests(AdviceCase):
+    """The store does not answer between the advice and the start."""
+
+    def test_start_whose_ticket_has_expired_is_not_sent(self):
+        """Guards against starts that their workers have to reject."""
+        self.submit("job0")
+        self.run_until(lambda: self.services[0].most_waiting, 1.0)
+        self.assertEqual(self.services[0].calls, [])
+        store = self.systems[0][1]
+        with self.assertLogs("redwingrudder.workflows", "INFO") as logs:
+            store.down = True
+            self.run_for(self.valid_s)
+            store.down = False
+            self.assert_all_done(FINISH_S)
+        self.assertEqual(self.runs.rejected, 0)
+        rejected = [r for r in logs.records if r.msg == "start rejected"]
+        self.assertEqual({r.reason for r in rejected}, {"ticket_expired"})
+
+
+class SlowConnectionTests(AdviceCase):
+    """Connections to the workers open late, and tickets hold for 1 s."""
+
+    valid_s = 1.0
+
+    def test_attempt_with_an_expired_ticket_is_not_sent(self):
+        """Guards against attempts that their workers have to reject."""
+        self.submit("job0")
+        self.run_until(lambda: self.services[0].most_waiting, 1.0)
+        self.assertEqual(self.services[0].calls, [])
+        for worker in self.workers.workers_by_id.values():
+            worker.connect_s = 1.2
+        self.run_for(2.0)
+        for worker in self.workers.workers_by_id.values():
+            worker.connect_s = 0.0
+        self.assert_all_done(FINISH_S)
+        self.assertEqual(self.runs.rejected, 0)
+
+
+class WaitLogTests(AdviceCase):
+    """What operators see of steps that wait for advice."""
+
+    def test_log_names_the_step_that_waits_longest(self):
+        """Guards against work that waits unseen, and against many lines."""
+        self.services[0].stands_still_until = self.clock.seconds() + 12.0
+        self.submit("job0")
+        self.submit("job1")
+        with self.assertLogs("redwingrudder.coordination", "INFO") as logs:
+            self.run_for(12.0)
+        lines = [r for r in logs.records if r.msg == "steps wait for advice"]
+        self.assertEqual([line.steps for line in lines], [2, 2])
+
+
 class DeniedWorkersTests(AdviceCase):
     """A policy that allows only a third of the workers."""
 
--- a/tests/test_advice_requests.py
+++ b/tests/test_advice_requests.py
@@ -152,10 +152,10 @@
         self.accept("a")
         self.accept("b")
         (request,) = requests(self.engine.plan(1.0, 1.0))
-        self.assertEqual(self.engine.advice_requests.waits(3.0), (2, 2.0))
+        self.assertEqual(self.engine.advice_requests.waits(3.0)[:2], (2, 2.0))
         fx.advise(self.engine, request, allow(request), 3.0, 3.0)
         self.engine.plan(3.0, 3.0)
-        self.assertEqual(self.engine.advice_requests.waits(3.5), (1, 2.5))
+        self.assertEqual(self.engine.advice_requests.waits(3.5)[:2], (1, 2.5))
 
     def test_preempts_only_where_it_is_permitted(self):
         """Guards against runs that are stopped for a start with no ticket."""
@@ -221,7 +221,7 @@
         self.build_engine(16)
         self.accept("gang", fx.step(12, fx.WHOLE_WORKER, gang=True))
         request = self.ask(0.0)
-        self.accept("soon", fx.step(1), stretch=1.0, latency_s=0.0)
+        self.accept("soon", fx.step(1), stretch=1.5, latency_s=0.0)
         denied = request.worker_ids[0]
         self.answer(request, lambda i: i != denied, 0.0, 0.9)
         # The request has named 12 workers and 4 spare ones.
@@ -234,7 +234,7 @@
         self.build_engine(40)
         self.accept("gang", fx.step(20, fx.WHOLE_WORKER, gang=True))
         request = self.ask(0.0)
-        self.accept("soon", fx.step(1), stretch=1.0, latency_s=0.0)
+        self.accept("soon", fx.step(1), stretch=1.5, latency_s=0.0)
         half = set(request.worker_ids[::2])
         self.answer(request, lambda i: i in half, 0.0, 1.0)
         self.assertEqual(self.ask(1.0).workflow_id, "gang")
@@ -270,6 +270,41 @@
         self.assertLessEqual(set(again.worker_ids), set(request.worker_ids))
         self.assertEqual(len(again.worker_ids), 4)
 
+    def test_worker_known_to_be_allowed_is_preferred_to_a_better_fit(self):
+        """Guards against calls about ever new workers."""
+        self.build_engine(5)
+        self.engine.set_worker(fx.worker("x", labels=frozenset({"x"})), 0.0)
+        self.accept("job", fx.step(1))
+        request = self.ask(0.0)
+        plain = fx.workflow("plain", fx.step(1, worker_label="x"))
+        self.engine.accept(plain, 0.1)
+        self.engine.plan(0.1, 0.1)
+        self.answer(request, lambda i: True, 0.0, 0.5)
+        request = self.ask(10.0)
+        self.assertEqual(self.engine.workers_by_id["x"].idle.accelerators, 7)
+        self.assertNotIn("x", request.worker_ids)
+
+    def test_suspect_starts_where_it_has_a_permit(self):
+        """Guards against a suspect that asks about each best worker anew."""
+        self.build_engine(3)
+        self.accept("job", fx.step(1))
+        request = self.ask(0.0)
+        crashed = request.worker_ids[0]
+        self.answer(request, lambda i: i == crashed, 0.0, 0.1)
+        fx.confirm(self.engine, self.engine.plan(0.1, 0.1), 0.1)
+        self.engine.worker_restarted(crashed, 0.2)
+        self.engine.interrupt_worker(crashed, 0.2, "crashed")
+        request = self.ask(30.0)
+        (asked,) = request.worker_ids
+        self.engine.accept(fx.workflow("plain", fx.step(1), priority=2), 30.1)
+        (plain,) = fx.starts(effects := self.engine.plan(30.1, 30.1))
+        self.assertEqual(plain.worker_id, asked)
+        fx.confirm(self.engine, effects, 30.1)
+        self.engine.report(asked, [fx.running(plain)], 30.8)
+        self.answer(request, lambda i: True, 30.0, 30.8)
+        (start,) = fx.starts(self.engine.plan(30.9, 30.9))
+        self.assertEqual((start.key.workflow_id, start.worker_id), ("job", asked))
+
     def test_gang_waits_for_the_permits_of_one_rack(self):
         """Guards against a gang that is slow because a few workers are denied.
 
