Choose placements only for the step whose turn it is to ask for advice

Only the step that is asked about, or that may be in this pass, needs a placement. Of the others it is asked whether they have room, which is answered by the first worker that has.

--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -376,6 +376,8 @@
     stage: Stage, workers: Iterable[Worker], now: float
 ) -> list[Worker]:
     """Return the workers with a permit for starts of a step."""
+    if not stage.advice.permit_by_worker:
+        return []
     return [worker for worker in workers if stage.advice.permits(worker.facts, now)]
 
 
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -331,6 +331,8 @@
         demand = resources_used(stage.spec)
         count = len(waiting) if stage.spec.gang else 1
         pool = stage.workflow.policy.pool
+        if not workers:
+            return []
         whole_pool = self._usable_by_kind.get((pool, ""))
         covers_whole_pool = whole_pool is not None and workers is whole_pool[1]
         unplaceable = self._unplaceable_by_pool.setdefault(pool, [])
@@ -359,7 +361,7 @@
             self._add_starts(stage, tasks, options)
             return tasks[len(options) :]
         permitted = permitted_workers(stage, workers, self._now)
-        options = choose_options(stage, tasks, permitted, IdleCapacity(), self._now)
+        options = self._choose_idle(stage, tasks, permitted)
         if _crosses_racks(stage, options) and not _crosses_racks(
             stage, self._choose_idle(stage, tasks, workers)
         ):
@@ -368,17 +370,35 @@
         unplaced = tasks[len(options) :]
         if not unplaced:
             return []
+        if not self._has_turn(stage, bool(permitted)):
+            count = len(unplaced) if stage.spec.gang else 1
+            if find_room(stage, count, workers) is not Room.NOW:
+                return unplaced
+            self.advice_waits.append(stage)
+            return []
         options = self._choose_for_advice(stage, unplaced, workers)
         if options:
             self._await_advice(stage, unplaced[: len(options)], options, workers)
         return unplaced[len(options) :]
 
+    def _has_turn(self, stage: Stage, has_permits: bool) -> bool:
+        """Return whether a step is asked about, or may be in this pass.
+
+        Placements are chosen for such steps only, which bounds the cost of a
+        pass while many steps wait for advice.
+        """
+        if stage.advice.asked_ids:
+            return True
+        if not self._may_ask or self._now < stage.advice.retry_at:
+            return False
+        return self.advice_need is None or (stage.spec.gang and has_permits)
+
     def _choose_for_advice(
         self, stage: Stage, tasks: list[Task], workers: list[Worker]
     ) -> list[PlacementOption]:
         """Choose idle capacity, if possible of workers known to be allowed."""
         allowed = [worker for worker in workers if stage.advice.allows(worker.facts)]
-        options = choose_options(stage, tasks, allowed, IdleCapacity(), self._now)
+        options = self._choose_idle(stage, tasks, allowed)
         crosses_racks = _crosses_racks(stage, options)
         if len(options) == len(tasks) and not crosses_racks:
             return options
@@ -404,8 +424,10 @@
         if options:
             self._preempt(stage, unplaced[: len(options)], permitted, source)
         unplaced = unplaced[len(options) :]
+        if not unplaced or not self._has_turn(stage, bool(permitted)):
+            return
         options = choose_options(stage, unplaced, candidates, source, self._now)
-        if unplaced and options:
+        if options:
             self._await_advice(stage, unplaced, options, candidates, preempts=True)
 
     def _await_advice(
@@ -436,7 +458,7 @@
             asked = [w for w in workers if w.facts.worker_id in asked_ids]
             idle = IdleCapacity()
             self._claim(stage, choose_options(stage, tasks, asked, idle, self._now))
-        elif self._may_ask and self._now >= stage.advice.retry_at:
+        elif self._has_turn(stage, True):
             need = AdviceNeed(
                 stage,
                 tuple(dict.fromkeys(option.worker for option in options)),
--- a/tests/test_advice_requests.py
+++ b/tests/test_advice_requests.py
@@ -1,6 +1,7 @@
 """Tests of what the advice service is asked, and when its tickets are used."""
 
 import unittest
+from unittest import mock
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -17,6 +18,7 @@
 )
 from redwingrudder.workflows.advice_requests import LOST_AFTER_S
 from redwingrudder.workflows.model import AdviceTimes, AskAdvice
+from redwingrudder.workflows.placement import choose_options
 from redwingrudder.workflows.queue_policies import QueuePolicies
 
 from . import workflow_fixtures as fx
@@ -147,6 +149,18 @@
         (request,) = requests(self.engine.plan(11.0, 11.0))
         self.assertEqual(request.worker_ids, ("w2",))
 
+    def test_cost_of_a_pass_while_many_steps_wait(self):
+        """Guards against placements that are chosen for each waiting step."""
+        for job in range(50):
+            self.accept(f"job{job}")
+        for now in (0.0, 0.1):
+            with mock.patch(
+                "redwingrudder.workflows.planner.choose_options", wraps=choose_options
+            ) as chosen:
+                self.engine.plan(now, now)
+            self.assertLess(chosen.call_count, 10)
+        self.assertEqual(self.engine.advice_requests.waits(0.1).count, 50)
+
     def test_waits_are_counted(self):
         """Guards against work that waits for advice unseen."""
         self.accept("a")
