Send stops when they are decided, not with the next planning pass

Callers of a busy coordinator saw cancelled runs go on, and members of a gang whose start was rejected wait for the others, until the next planning pass: passes are two times their own duration apart, so that stops that were decided by a report waited up to three of them.

Cause: the engine's effects were executed by the planning pass only. Effects that a message has caused are now executed when it has been handled; starts still come from passes alone.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -467,7 +467,17 @@
         self._unix_time_offset_s = unix_time_s - self.system.clock.seconds()
 
     def _schedule_planning(self) -> None:
-        if self._ready and not self._plan_scheduled:
+        """Let a planning pass follow what the engine has been told.
+
+        Stops that are decided already are sent now: passes are far apart while
+        they take long, and until its stop a run holds capacity or, in a gang
+        that cannot begin, waits for the others.
+        """
+        if not self._ready:
+            return
+        for effect in self._term.engine.take_effects():
+            _guard(self._execute_effect, effect)
+        if not self._plan_scheduled:
             self._plan_scheduled = True
             self.system.clock.callLater(self._plan_pause_s, self._plan)
 
