Stop the rest of a gang when a run of it is lost

Cause: if a run ends by a report, the other members are stopped; if it is lost (not listed in the first report to a new coordinator, a lease that has lapsed, a worker that is gone), they were not. They then waited for a member that would not come, until they timed out or made no progress for 3 s.

The members that are left are now stopped in the same step. Two of the three tests failed before (no stop); the third guards a gang that is done although one worker was lost.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -339,8 +339,20 @@
         if worker is None:
             return
         worker.release_ended()
-        for task in list(worker.tasks_by_key.values()):
+        self._interrupt_all(list(worker.tasks_by_key.values()), reason, now)
+
+    def _interrupt_all(self, tasks: list[Task], reason: str, now: float) -> None:
+        """Record that runs are lost, and stop the rest of their gangs.
+
+        A gang without one of its members ends, or waits in vain to begin.
+        """
+        gang_runs = {
+            (task.stage, task.run): None for task in tasks if task.stage.spec.gang
+        }
+        for task in tasks:
             self._interrupt(task, reason, now)
+        for stage, run in gang_runs:
+            self.stop_gang(stage, run)
 
     def _interrupt(self, task: Task, reason: str, now: float) -> None:
         _logger.info(
@@ -903,6 +915,7 @@
         """
         worker = self.workers_by_id.get(worker_id)
         decided = True
+        missing = []
         for task in list(worker.tasks_by_key.values()) if worker else ():
             if (task.key, task.run) in listed_runs:
                 if first_report and task.state == "stopping":
@@ -910,7 +923,8 @@
             elif task.state == "running" and task.started_at > polled_at:
                 decided = False
             elif first_report or task.state == "running":
-                self._interrupt(task, "not_listed", now)
+                missing.append(task)
+        self._interrupt_all(missing, "not_listed", now)
         return decided
 
     def restore_final_state(
--- a/tests/test_gang_stops.py
+++ b/tests/test_gang_stops.py
@@ -1,11 +1,13 @@
-"""Tests of the stops that a coordinator sends while planning takes long."""
+"""Tests of the stops of gangs that cannot begin, and of when they are sent."""
 
+import unittest
 from unittest import mock
 
 from redwingrudder.coordination import coordinator
 from redwingrudder.coordination.gateways import CANCEL_SUFFIX, INTAKE_PREFIX
 from redwingrudder.simulation import RunBehaviour
 from redwingrudder.workflows import records
+from redwingrudder.workflows.model import EndKind, RunEnd, RunReport
 
 from . import workflow_fixtures as fx
 from .late_call_case import ROOM, LateCallCase
@@ -24,6 +26,58 @@
         return False
 
 
+class LostMemberTests(unittest.TestCase):
+    """A member of a gang is lost while the others wait for it or work."""
+
+    def setUp(self):
+        self.engine = fx.engine(*(fx.worker(f"w{i}") for i in range(3)))
+        gang = fx.step(3, fx.WHOLE_WORKER, gang=True)
+        self.progress = self.engine.accept(fx.workflow("job", gang), 0.0)
+
+    def start_gang(self):
+        starts = fx.starts(self.engine.plan(0.0, 0.0))
+        self.assertEqual(len(starts), 3)
+        return starts
+
+    def stopped(self):
+        return sorted(stop.worker_id for stop in fx.stops(self.engine.take_effects()))
+
+    def test_run_that_was_not_started_before_a_takeover(self):
+        """Guards against members that wait alone after a takeover.
+
+        The last coordinator has recorded the run of the gang, and only one of
+        its starts has reached a worker.
+        """
+        for index in range(3):
+            key = fx.key("job", index=index)
+            self.engine.adopt_run(key, 1, f"w{index}", False, 0.0, 1)
+        listed = RunReport(fx.key("job"), 1, "", 0.0)
+        self.engine.report("w0", [listed], 0.1)
+        self.engine.reconcile("w0", {(listed.key, 1)}, True, 0.1)
+        self.assertEqual(self.stopped(), [])
+        self.engine.reconcile("w1", set(), True, 0.2)
+        self.assertEqual(self.stopped(), ["w0", "w2"])
+        self.engine.reconcile("w2", set(), True, 0.3)
+        self.engine.end("w0", RunEnd(1, listed.key, 1, EndKind.STOPPED), 0.4)
+        starts = self.start_gang()
+        self.assertEqual({start.run for start in starts}, {2})
+
+    def test_worker_that_is_gone(self):
+        """Guards against members that wait for one whose worker is gone."""
+        starts = self.start_gang()
+        fx.confirm(self.engine, starts)
+        self.engine.remove_worker("w1", 0.2, "gone")
+        self.assertEqual(self.stopped(), ["w0", "w2"])
+
+    def test_gang_that_has_ended_meanwhile(self):
+        """Guards against a gang that runs again although it is done."""
+        starts = self.start_gang()
+        fx.confirm(self.engine, starts)
+        self.engine.interrupt_worker("w1", 2.0, "lease_lapsed")
+        self.engine.end("w0", fx.ended(starts[0]), 2.1)
+        self.assertEqual(self.progress.state, "done")
+
+
 class SlowPlanningTests(LateCallCase):
     """Two workers with room, and passes that are far apart."""
 
