Give other steps a turn after a call for advice that allowed no worker

Callers would see jobs wait behind one whose step no worker may run: its step comes first again after each call, and goes through the whole fleet with at most 9 names a call, 190 calls at 1,700 workers. Found by reading.

After a call that allowed no worker, the step is not asked about for 0.25 s, so that others have a turn. Once ten workers are known, the number of spare names follows the share of allowed ones up to the limit of a call.

Both tests failed before: the second call was about the same step, and named 9 workers at the most.

--- a/src/redwingrudder/workflows/advice.py
+++ b/src/redwingrudder/workflows/advice.py
@@ -25,7 +25,9 @@
 # are asked about.
 MIN_RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 4.0
-MAX_COUNTED_FAILURES = 10
+MAX_COUNTED_FAILURES = 10  # bounds the power of two
+# Delay before a step is asked about again after a call that allowed no worker.
+DENIED_RETRY_DELAY_S = 0.25
 
 
 class Permit(NamedTuple):
@@ -141,7 +143,8 @@
 
         Returns:
             Whether it is of use. One whose tickets have expired on arrival
-            delays the next call about the step.
+            delays the next call about the step, and so does one without any,
+            to give other steps a turn.
         """
         valid_s = tickets.valid_s or times.valid_s
         issued_at = _issued_at(tickets, valid_s, call_s)
@@ -156,7 +159,10 @@
                 self.permit_by_worker[worker_id] = Permit(
                     ticket, until, send_until, process_started_ms
                 )
-        is_outdated = bool(tickets.tickets_by_worker) and until <= tickets.received_at
+        if not tickets.tickets_by_worker:
+            self.retry_at = tickets.received_at + DENIED_RETRY_DELAY_S
+            return True
+        is_outdated = until <= tickets.received_at
         if is_outdated:
             self.record_failure(tickets.received_at)
         return not is_outdated
--- a/src/redwingrudder/workflows/advice_requests.py
+++ b/src/redwingrudder/workflows/advice_requests.py
@@ -19,7 +19,10 @@
 MAX_WORKERS = 30
 # A gang needs the permits of all its members at one time.
 MAX_GANG_WORKERS = 100  # the service accepts no more in a request
+# Number of spare workers in a request while the share of allowed workers is
+# not known from as many as ``MIN_SHARE_SAMPLE`` recent ones.
 MAX_SPARE_WORKERS = 8
+MIN_SHARE_SAMPLE = 10
 # Time that a permit of a gang has to last beyond the reply about its other
 # members.
 GANG_RESERVE_S = 0.1
@@ -166,10 +169,11 @@
             ]
         unknown = sum(not advice.allows(worker.facts) for worker in named)
         share = self._share_by_queue.get(stage.workflow.workflow.queue, AllowedShare())
-        spare_count = min(
-            math.ceil(unknown / share.estimate) - unknown, MAX_SPARE_WORKERS
-        )
-        named += self._spare_workers(need)[:spare_count]
+        spare_count = math.ceil(unknown / share.estimate) - unknown
+        if share.named < MIN_SHARE_SAMPLE:
+            spare_count = min(spare_count, MAX_SPARE_WORKERS)
+        if spare_count:
+            named += self._spare_workers(need)[:spare_count]
         return named[: MAX_GANG_WORKERS if stage.spec.gang else MAX_WORKERS]
 
     def _spare_workers(self, need: AdviceNeed) -> list[Worker]:
--- a/tests/test_advice_requests.py
+++ b/tests/test_advice_requests.py
@@ -230,6 +230,29 @@
         self.accept("wide", fx.step(96, fx.WHOLE_WORKER))
         self.assertEqual(len(self.ask(0.0).worker_ids), 30)
 
+    def test_more_spare_workers_where_few_are_allowed(self):
+        """Guards against many calls until one names an allowed worker."""
+        self.build_engine(200)
+        self.accept("job", fx.step(1))
+        named = []
+        for turn in range(4):
+            request = self.ask(float(turn))
+            named.append(len(request.worker_ids))
+            self.answer(request, lambda i: False, turn, turn + 0.5)
+        self.assertEqual(named[0], 2)
+        self.assertEqual(named, sorted(named))
+        self.assertGreater(named[-1], 12)
+
+    def test_step_whose_workers_are_denied_gives_others_a_turn(self):
+        """Guards against a step at the head that asks about a whole fleet."""
+        self.build_engine(200)
+        self.accept("denied", fx.step(1), priority=0)
+        self.accept("other", fx.step(1), priority=2)
+        request = self.ask(0.0)
+        self.assertEqual(request.workflow_id, "denied")
+        self.answer(request, lambda i: False, 0.0, 0.5)
+        self.assertEqual(self.ask(0.51).workflow_id, "other")
+
     def test_second_call_of_a_gang_comes_next(self):
         """Guards against permits of a gang that expire between its calls."""
         self.build_engine(16)
