Reset the gauges of steps that wait for advice at the end of a term

A node that coordinates no more went on showing the last figures, so an alarm on the longest wait would not end. They are now reset, and sent only when they change, which spares two messages in each tick on queues without advice. The test failed before, at its first check: the gauge had been sent although no step waited. Its last check, the reset, was not reached then.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -9,6 +9,7 @@
 from ..actors import Actor, ActorSystem, Handler
 from ..exceptions import RedwingrudderError
 from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
+from ..workflows.advice_requests import AdviceWaits
 from ..workflows.model import AskAdvice, Effect, StartRun, WorkflowState
 from ..workflows.state import WorkflowProgress
 from ._announced_cancellations import AnnouncedCancellations
@@ -102,6 +103,7 @@
         self._ready = False
         self._had_authority = True
         self._ask_peers_at = 0.0
+        self._advice_waits = AdviceWaits()
         self._log_advice_waits_at = 0.0
         self._plan_scheduled = False
         self._plan_pause_s = PLAN_DELAY_S
@@ -257,6 +259,7 @@
         self._ready = False
         self._announced_cancellations.clear()
         if term is not None:
+            self._set_advice_gauges(AdviceWaits())
             term.close()
 
     def _on_deposed(self) -> None:
@@ -447,10 +450,16 @@
             _guard(self._term.pool_moves.advance, now)
         self._schedule_planning()
 
-    def _report_advice_waits(self, now: float) -> None:
-        waits = self._term.engine.advice_requests.waits(now)
+    def _set_advice_gauges(self, waits: AdviceWaits) -> None:
+        if waits == self._advice_waits:
+            return
+        self._advice_waits = waits
         self.tell(METRICS, SetGauge("advice_waiting_steps", waits.count))
         self.tell(METRICS, SetGauge("advice_longest_wait_seconds", waits.longest_s))
+
+    def _report_advice_waits(self, now: float) -> None:
+        waits = self._term.engine.advice_requests.waits(now)
+        self._set_advice_gauges(waits)
         if waits.longest_s > ADVICE_WAIT_LOG_S and now >= self._log_advice_waits_at:
             self._log_advice_waits_at = now + ADVICE_WAIT_LOG_S
             _logger.info(
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -1,5 +1,6 @@
 """Tests of queues whose starts need tickets, from submission to start."""
 
+from redwingrudder.coordination.metrics import METRICS
 from redwingrudder.exceptions import UnavailableError
 
 from . import workflow_fixtures as fx
@@ -230,6 +231,23 @@
         lines = [r for r in logs.records if r.msg == "steps wait for advice"]
         self.assertEqual([line.steps for line in lines], [2, 2])
 
+    def test_gauges_follow_and_end_with_the_term(self):
+        """Guards against an alarm about a node that coordinates no more."""
+        metrics = self.systems[0][0]._actors_by_name[METRICS].received
+
+        def gauge():
+            values = [m.value for m in metrics if m[0] == "advice_waiting_steps"]
+            return values[-1] if values else None
+
+        self.assertIsNone(gauge())
+        self.submit("job0")
+        self.submit("job1")
+        self.run_for(0.25)
+        self.assertEqual(gauge(), 2)
+        self.end_term(0)
+        self.run_for(0.1)
+        self.assertEqual(gauge(), 0)
+
 
 class DeniedWorkersTests(AdviceCase):
     """A policy that allows only a third of the workers."""
