Test that urgent work on queues with advice begins in time

Two tests from the submission to the start: urgent work that has to stop less urgent runs, and urgent work that comes while 30 other steps wait for advice.

--- a/tests/advice_case.py
+++ b/tests/advice_case.py
@@ -55,6 +55,9 @@
 class TicketedRuns(RunBehaviour):
     """Runs of ``RUN_S`` that begin only with a valid ticket.
 
+    Those of jobs whose ids begin with "plain" need none and go on until they
+    are stopped.
+
     Attributes:
         rejected: Number of starts without a valid ticket.
     """
@@ -68,6 +71,8 @@
         return 0.0
 
     def accepts_ticket(self, process, key, ticket):
+        if _is_plain(key):
+            return True
         accepted = any(
             service.is_valid(ticket, key, process.worker_id)
             for service in self._services
@@ -76,11 +81,20 @@
         return accepted
 
     def begun(self, process, key, run):
+        if _is_plain(key):
+            return
         self._clock.callLater(RUN_S, process.finish, key, run, EndKind.DONE)
 
 
+def _is_plain(key):
+    return key.workflow_id.startswith("plain")
+
+
 class AdviceCase(unittest.TestCase):
-    """Two nodes that may coordinate, and workers that ask for tickets."""
+    """Two nodes that may coordinate, and workers that ask for tickets.
+
+    The times are those of the advice service, in seconds.
+    """
 
     decision_s, period_s, valid_s = 0.2, 0.025, 3.0
     worker_count = 24
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -6,6 +6,7 @@
 from . import workflow_fixtures as fx
 from .advice_case import RUN_S, WHOLE_WORKER, AdviceCase
 
+URGENT_START_S = 2.6  # bound of the target for urgent work
 FINISH_S = 14.0  # time in which the bench asks for all jobs after the traffic
 
 
@@ -140,6 +141,30 @@
         self.assertLess(sum(named) / len(named), 5)
 
 
+class UrgentWorkTests(AdviceCase):
+    """Urgent work on a fleet that less urgent work fills."""
+
+    def test_urgent_step_begins_in_time(self):
+        """Guards against a step that waits for advice until there is room."""
+        self.submit("plain", fx.step(8 * self.worker_count), queue="plain")
+        self.run_for(1.0)
+        self.submit("urgent", fx.step(4, WHOLE_WORKER), queue="urgent")
+        self.run_for(URGENT_START_S)
+        begun = [i for i in self.workers.intervals() if i.key[0] == "urgent"]
+        self.assertEqual(len(begun), 4)
+        self.assertEqual(self.runs.rejected, 0)
+
+    def test_urgent_step_while_others_wait_for_advice(self):
+        """Guards against urgent work at the end of a queue of calls."""
+        for index in range(30):
+            self.submit(f"job{index:02}")
+        self.run_for(0.5)
+        self.submit("urgent", fx.step(4, WHOLE_WORKER), queue="urgent")
+        self.run_for(URGENT_START_S)
+        begun = [i for i in self.workers.intervals() if i.key[0] == "urgent"]
+        self.assertEqual(len(begun), 4)
+
+
 class OverloadTests(AdviceCase):
     """More calls than the service can answer for some time."""
 
