Close a term before its end is reported to other actors

A coordinator whose message about the end of its term could not be delivered, as to a full mailbox, kept the term's sessions open and its permission to send orders valid.

Cause: messages to other actors were sent first, and raise if the mailbox is full. The term is now closed first.

SlowerServiceTests play a restart of workers beside calls of 0.8 s.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -249,18 +249,18 @@
 
     def _end_term(self, message: EndTerm) -> None:
         number = self._term.number if self._term is not None else 0
+        self._close_term()
         _logger.info("term ended", extra={"term": number, "reason": message.reason})
         self.tell(METRICS, SetGauge("coordinator", 0.0))
         self.tell(TIMERS, Unsubscribe(self.name, TICK_TIMER))
-        self._close_term()
 
     def _close_term(self) -> None:
         term, self._term = self._term, None
         self._ready = False
         self._announced_cancellations.clear()
         if term is not None:
-            self._set_advice_gauges(AdviceWaits())
             term.close()
+            self._set_advice_gauges(AdviceWaits())
 
     def _on_deposed(self) -> None:
         self._ready = False
--- a/src/redwingrudder/workflows/advice.py
+++ b/src/redwingrudder/workflows/advice.py
@@ -48,7 +48,7 @@
 
 
 class Tickets(NamedTuple):
-    """Reply of the advice service.
+    """Reply of the advice service, with the times of its call.
 
     Attributes:
         tickets_by_worker: Ticket by id of each worker that may run the step.
@@ -142,9 +142,9 @@
             call_s: Expected duration of the call in seconds, 0 if unknown.
 
         Returns:
-            Whether it is of use. One whose tickets have expired on arrival
-            delays the next call about the step, and so does one without any,
-            to give other steps a turn.
+            False if its tickets had expired on arrival. That delays the next
+            call about the step, and so does a reply without any ticket, to
+            give other steps a turn.
         """
         valid_s = tickets.valid_s or times.valid_s
         issued_at = _issued_at(tickets, valid_s, call_s)
--- a/tests/advice_case.py
+++ b/tests/advice_case.py
@@ -45,7 +45,6 @@
 from .late_call_case import ROOM, TIMES
 
 RUN_S = 2.0
-STEP_S = 0.01
 RACK_SIZE = 6
 # The work of the review: 16 tasks on one accelerator each.
 JOB = fx.step(16, fx.ONE_GPU)._replace(estimate_s=RUN_S)
@@ -91,7 +90,7 @@
 
 
 class AdviceCase(unittest.TestCase):
-    """Two nodes that may coordinate, and workers that ask for tickets.
+    """Two nodes that may coordinate, and workers that check tickets.
 
     The times are those of the advice service, in seconds.
     """
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -1,7 +1,12 @@
 """Tests of queues whose starts need tickets, from submission to start."""
 
+import contextlib
+from unittest import mock
+
+from redwingrudder.coordination.gateways import COORDINATOR
+from redwingrudder.coordination.messages import EndTerm
 from redwingrudder.coordination.metrics import METRICS
-from redwingrudder.exceptions import UnavailableError
+from redwingrudder.exceptions import MailboxFullError, UnavailableError
 
 from . import workflow_fixtures as fx
 from .advice_case import RUN_S, WHOLE_WORKER, AdviceCase
@@ -127,6 +132,19 @@
         self.assert_all_done(FINISH_S)
 
 
+class SlowerServiceTests(AdviceCase):
+    """Workers that restart in a burst, with a service that takes longer.
+
+    Here the restart meets a step of which all tasks have just started, so
+    that each of them is suspected and observed by itself.
+    """
+
+    usual_per_s, burst_per_s = BurstTests.usual_per_s, BurstTests.burst_per_s
+    decision_s = 0.8
+    play_burst = BurstTests.play_burst
+    test_workers_restart_in_a_burst = BurstTests.test_workers_restart_in_a_burst
+
+
 class SteadyLoadTests(AdviceCase):
     """A load that the service carries if calls name what they need."""
 
@@ -256,6 +274,23 @@
         lines = [r for r in logs.records if r.msg == "steps wait for advice"]
         self.assertEqual([line.steps for line in lines], [2, 2])
 
+    def test_term_ends_although_its_metrics_cannot_be_sent(self):
+        """Guards against a permission that outlives a term by an error."""
+        coordinator = self.systems[0][0]._actors_by_name[COORDINATOR]
+        for end in (coordinator.stop, lambda: coordinator._end_term(EndTerm("test"))):
+            with self.subTest(end=end):
+                self.begin_term(0)
+                self.submit(f"job{self.term}")
+                self.run_for(0.25)
+                authority = coordinator._term.authority
+                full = MailboxFullError("full")
+                with (
+                    mock.patch.object(coordinator, "tell", side_effect=full),
+                    contextlib.suppress(MailboxFullError),
+                ):
+                    end()
+                self.assertFalse(authority.valid)
+
     def test_gauges_follow_and_end_with_the_term(self):
         """Guards against an alarm about a node that coordinates no more."""
         metrics = self.systems[0][0]._actors_by_name[METRICS].received
--- a/tests/test_advice_requests.py
+++ b/tests/test_advice_requests.py
@@ -253,8 +253,8 @@
         self.answer(request, lambda i: False, 0.0, 0.5)
         self.assertEqual(self.ask(0.51).workflow_id, "other")
 
-    def test_second_call_of_a_gang_comes_next(self):
-        """Guards against permits of a gang that expire between its calls."""
+    def test_spare_workers_take_the_place_of_denied_ones(self):
+        """Guards against a second call about a gang for one denied worker."""
         self.build_engine(16)
         self.accept("gang", fx.step(12, fx.WHOLE_WORKER, gang=True))
         request = self.ask(0.0)
