--- a/src/redwingrudder/simulation/_workers.py
+++ b/src/redwingrudder/simulation/_workers.py
@@ -69,6 +69,8 @@
         late_calls: Calls to carry out later.
         delays_s: Delay of the calls that get no reply and are carried out
             after it, by name of the call.
+        rejections_by_name: Reason with which calls are rejected that the
+            worker does not carry out, by name of the call.
         fences: Fencing tokens of all calls that were sent, in their order.
         starts: All starts that were sent and might reach the worker.
         stops: All stops that were sent, those to a silent worker included.
@@ -96,6 +98,7 @@
         self.late: set[str] = set()
         self.late_calls: list[LateCall] = []
         self.delays_s: dict[str, float] = {}
+        self.rejections_by_name: dict[str, str] = {}
         self.fences: list[int] = []
         self.starts: list[SentStart] = []
         self.stops: list[SentStop] = []
@@ -158,6 +161,9 @@
                 self._postpone(call)
             await pause(self.clock, timeout_s)
             raise OutcomeUnknownError("the worker does not answer in time")
+        if name in self.rejections_by_name:
+            reason = self.rejections_by_name[name]
+            return CommandReply(False, reason, self.process.clock_ms)
         return self._carry_out(call)
 
     async def poll(
--- a/tests/advice_case.py
+++ b/tests/advice_case.py
@@ -103,7 +103,7 @@
         self.clock, *first = node_system(self.contents)
         self.systems = [first]
         self.services = [self.build_service() for _ in range(2)]
-        self.runs = TicketedRuns(self.clock, self.services)
+        self.runs = self.build_runs()
         ids = [f"w{index:02}" for index in range(self.worker_count)]
         self.workers = ProtocolWorkers(self.clock, *ids, behaviour=self.runs)
         self.term = 0
@@ -116,6 +116,9 @@
     def is_allowed(self, step, worker_id):
         return True
 
+    def build_runs(self):
+        return TicketedRuns(self.clock, self.services)
+
     def build_service(self):
         return AdviceModel(
             self.clock,
--- a/tests/run.py
+++ b/tests/run.py
@@ -30,7 +30,7 @@
     )
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     known = known_failures()
-    failing = {case.id() for case, _ in result.failures + result.errors}
+    failing = {_test_id(case) for case, _ in result.failures + result.errors}
     for name in sorted(failing & known):
         print(f"known failure (KNOWN-RED.txt): {name}")
     failed = len(failing - known) + len(result.unexpectedSuccesses)
@@ -39,5 +39,10 @@
     return 1 if failed or not result.testsRun else 0
 
 
+def _test_id(case: unittest.TestCase) -> str:
+    """Return the id of a test; a subtest has that of its test."""
+    return getattr(case, "test_case", case).id()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tests/test_start_trials.py
@@ -0,0 +1,146 @@
+"""Tests of workers that answer polls and begin no run.
+
+Load pattern: jobs come evenly to a fleet that is mostly idle, and some of its
+workers leave starts unanswered or reject them.
+"""
+
+from redwingrudder.simulation import RunBehaviour
+from redwingrudder.workflows.model import EndKind
+
+from . import workflow_fixtures as fx
+from .advice_case import RUN_S, WHOLE_WORKER, AdviceCase
+
+FINISH_S = 14.0  # time in which the users ask for all jobs after the traffic
+TRAFFIC_S = 20.0
+JOBS = 14
+LATE_BY_S = 4.1
+MAX_STARTS = 100  # to the workers that begin no run
+TWO_GPUS = fx.ONE_GPU._replace(accelerators=2)
+JOB = fx.step(7, TWO_GPUS)._replace(estimate_s=RUN_S)
+GANG = fx.step(7, WHOLE_WORKER, gang=True)._replace(estimate_s=RUN_S)
+
+
+class TimedRuns(RunBehaviour):
+    """Runs that end as done after ``RUN_S``."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def stop_duration_s(self, key, run):
+        return 0.0
+
+    def begun(self, process, key, run):
+        self._clock.callLater(RUN_S, process.finish, key, run, EndKind.DONE)
+
+
+class StartTrialCase(AdviceCase):
+    """Twelve workers, jobs without advice, and workers that begin no run."""
+
+    worker_count = 12
+
+    def build_runs(self):
+        return TimedRuns(self.clock)
+
+    def unfit(self, count):
+        return [self.workers.workers_by_id[f"w{index:02}"] for index in range(count)]
+
+    def play_traffic(self, step=JOB):
+        for index in range(JOBS):
+            self.submit(f"job{index:03}", step, queue="plain")
+            self.run_for(TRAFFIC_S / JOBS)
+
+    def assert_few_starts(self, workers):
+        starts = sum(len(worker.starts) for worker in workers)
+        self.assertLessEqual(starts, MAX_STARTS)
+
+
+class UnansweredStartTests(StartTrialCase):
+    """Workers that answer polls carry out each start some seconds later."""
+
+    def play(self, count, step):
+        workers = self.unfit(count)
+        for worker in workers:
+            worker.delays_s["start"] = LATE_BY_S
+        self.play_traffic(step)
+        self.assert_all_done(FINISH_S)
+        self.assert_few_starts(workers)
+
+    def test_tasks(self):
+        """Guards against tasks that return to a worker without an answer."""
+        for count in (1, 2, 3):
+            with self.subTest(workers=count):
+                self.setUp()
+                self.play(count, JOB)
+
+    def test_gangs(self):
+        """Guards against gangs that fail to begin for one of their workers."""
+        for count in (1, 2, 3):
+            with self.subTest(workers=count):
+                self.setUp()
+                self.play(count, GANG)
+
+    def test_each_worker(self):
+        """Guards against an order of workers that hides the fault.
+
+        One job comes to an idle fleet, and the worker begins to leave starts
+        unanswered before.
+        """
+        for index in range(self.worker_count):
+            with self.subTest(worker=index):
+                self.setUp()
+                worker = self.workers.workers_by_id[f"w{index:02}"]
+                worker.delays_s["start"] = LATE_BY_S
+                self.submit("job", JOB, queue="plain")
+                self.assert_all_done(FINISH_S)
+
+    def test_worker_that_falls_silent_afterwards(self):
+        """Guards against tasks that are held for it beside an idle fleet.
+
+        The entry of the worker stays, so that it may be there.
+        """
+        for step in (JOB, GANG):
+            with self.subTest(gang=step.gang):
+                self.setUp()
+                (worker,) = self.unfit(1)
+                worker.late = {"start"}
+                self.play_traffic(step)
+                worker.silent = True
+                self.assert_all_done(FINISH_S)
+
+    def test_all_workers_for_a_while(self):
+        """Guards against workers that get no start after they recover."""
+        workers = self.unfit(self.worker_count)
+        for worker in workers:
+            worker.delays_s["start"] = LATE_BY_S
+        self.submit("job", JOB, queue="plain")
+        self.run_for(10.0)
+        for worker in workers:
+            worker.delays_s.clear()
+        self.assert_all_done(FINISH_S)
+
+
+class RejectedStartTests(StartTrialCase):
+    """Workers that answer polls reject all starts."""
+
+    def play(self, reason, count, step):
+        workers = self.unfit(count)
+        for worker in workers:
+            worker.rejections_by_name["start"] = reason
+        self.play_traffic(step)
+        self.assert_all_done(FINISH_S)
+        self.assert_few_starts(workers)
+
+    def test_starts_are_rejected(self):
+        """Guards against starts that are repeated at the rate of the passes."""
+        for reason in ("unhealthy", "room"):
+            for step in (JOB, GANG):
+                for count in (1, 3):
+                    with self.subTest(reason=reason, gang=step.gang, workers=count):
+                        self.setUp()
+                        self.play(reason, count, step)
+
+
+if __name__ == "__main__":
+    import unittest
+
+    unittest.main()
