Let the model of workers report the progress of timed runs

The model reported 10 percent for each run, so the supervision stopped runs of 2 s as slow, which is no fault of the product. Seen in the trace of two workers that answer no start: gangs were stopped as slow_worker and placed again. Runs with a known duration now report their share of it; all other tests see 10 percent as before.

--- a/src/redwingrudder/simulation/_worker_process.py
+++ b/src/redwingrudder/simulation/_worker_process.py
@@ -18,7 +18,7 @@
 
 MAX_LEASE_S = 6.0  # longer leases are shortened to this
 FIRST_CLOCK_MS = 1  # reading of a worker's clock when its process starts
-PROGRESS_PERCENT = 10.0  # that is reported of each run
+PROGRESS_PERCENT = 10.0  # that is reported of runs without a known duration
 
 
 class RunBehaviour(abc.ABC):
@@ -32,6 +32,10 @@
         """Return the time between checkpoints, None if there are none."""
         return None
 
+    def progress_percent(self, key: TaskKey, elapsed_s: float) -> float:
+        """Return the reported progress of a run, in percent."""
+        return PROGRESS_PERCENT
+
     def accepts_ticket(
         self, process: "WorkerProcess", key: TaskKey, ticket: str
     ) -> bool:
@@ -200,7 +204,12 @@
         self.expire()
         now = self._clock.seconds()
         running = tuple(
-            RunReport(key, current.run, self._save(key, now), PROGRESS_PERCENT)
+            RunReport(
+                key,
+                current.run,
+                self._save(key, now),
+                self._worker.behaviour.progress_percent(key, now - current.begin),
+            )
             for key, current in self.runs_by_key.items()
         )
         return WorkerReport(self.clock_ms, self.started_ms, running, tuple(self.ends))
--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -29,6 +29,9 @@
     def stop_duration_s(self, key, run):
         return 0.0
 
+    def progress_percent(self, key, elapsed_s):
+        return min(100 * elapsed_s / RUN_S, 100.0)
+
     def begun(self, process, key, run):
         self._clock.callLater(RUN_S, process.finish, key, run, EndKind.DONE)
 
@@ -131,7 +134,7 @@
         self.assert_few_starts(workers)
 
     def test_starts_are_rejected(self):
-        """Guards against starts that are repeated at the rate of the passes."""
+        """Guards against starts that are repeated with each planning pass."""
         for reason in ("unhealthy", "room"):
             for step in (JOB, GANG):
                 for count in (1, 3):
