Let workers that carry out no starts get fewer of them

Cause: an answered poll counted as proof that a worker can begin runs. A start without a reply, or one rejected by 429, 503 or for want of room, counted against the task only, and the order of workers is stable, so the next pass chose the same worker again. One such worker of twelve kept tasks from running until it recovered, and got 4,794 starts in 34 s.

Ruled out here: suspicion of crashes, claims and preemption; the tests have no crash, one priority and a mostly idle fleet.

After a start without success it gets one start at a time, chosen last unless the task may begin there late; after one more it rests, 1 s to 8 s, and is on trial again. An accepted start ends the verdict, and a gang leaves such a worker out while the others have room, for 5 s at most if that room comes later. A new process begins without a verdict, and so does a new term.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -45,6 +45,7 @@
 from .queue_policies import QueuePolicies
 from .run_table import RunTable, run_log_fields
 from .run_times import MIN_ELAPSED_S, RunTimeEstimates, update_worker_speed
+from .start_trials import REFUSALS, StartTrials
 from .state import (
     TASK_CHART,
     Task,
@@ -258,6 +259,7 @@
         worker.sound_start_at = -math.inf
         worker.emptying = False
         worker.quarantined_until = 0.0
+        worker.start_trials = StartTrials()
         worker.facts = worker.facts._replace(process_started_ms=process_started_ms)
 
     def worker_restarted(
@@ -484,6 +486,11 @@
         task = self.current(key, run)
         if task is not None:
             task.start_settled = True
+            worker = self.workers_by_id.get(task.worker_id)
+            if worker is not None and worker.start_trials.record_accepted(now):
+                _logger.info(
+                    "worker carries out starts again", extra={"worker": task.worker_id}
+                )
             self._confirm_start(task, now)
 
     def _confirm_start(self, task: Task, now: float) -> None:
@@ -525,9 +532,29 @@
         task.rejections += 1
         if reason == "permit":
             task.stage.advice.record_rejection(task.worker_id, now)
+        if reason in REFUSALS:
+            self._record_refusal(task, reason, now)
         self.step(task, "rejected", now)
         self.stop_gang(task.stage, run)
 
+    def _record_refusal(self, task: Task, reason: str, now: float) -> None:
+        """Let a worker without success of a start get fewer of them."""
+        worker = self.workers_by_id.get(task.worker_id)
+        if worker is None:
+            return
+        trials = worker.start_trials
+        if trials.record_refusal(task.started_at, now):
+            _logger.warning(
+                "worker carries out no starts",
+                extra={
+                    **run_log_fields(task),
+                    "worker": task.worker_id,
+                    "reason": reason,
+                    "state": trials.state,
+                    "rest_s": round(max(trials.rest_until - now, 0.0), 3),
+                },
+            )
+
     def await_reports(self, until: float) -> None:
         """Preempt nothing until all present workers have reported.
 
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -36,6 +36,9 @@
 # Number of starts in a row without a run after which a task does not return to
 # its worker any more.
 MAX_REJECTIONS = 2
+# Time for which a gang leaves a worker on trial out and waits for room on the
+# others, as one member that does not begin costs the starts of all.
+GANG_TRIAL_WAIT_S = 5.0
 # Cores that an accelerator counts for in the cost of stopping a run.
 CORES_PER_ACCELERATOR = 8
 
@@ -337,6 +340,30 @@
     ]
 
 
+def without_trials(stage: Stage, candidates: list[Worker], now: float) -> list[Worker]:
+    """Return the workers for a gang, without those whose starts may fail.
+
+    Workers on trial are left out while the others have room for the gang, now
+    or, for ``GANG_TRIAL_WAIT_S``, later. Other steps may use all workers.
+
+    Args:
+        stage: The step.
+        candidates: Workers that may run its tasks.
+        now: Node-clock seconds.
+    """
+    if not stage.spec.gang:
+        return candidates
+    fit = [
+        worker
+        for worker in candidates
+        if not worker.start_trials.on_trial
+        or now - worker.start_trials.changed_at >= GANG_TRIAL_WAIT_S
+    ]
+    if len(fit) < len(candidates) and may_find_room(stage, len(stage.tasks), fit):
+        return fit
+    return candidates
+
+
 def _is_last_attempt(stage: Stage) -> bool:
     """Return whether the next failure of a task or gang fails the workflow."""
     failures = max(task.failures for task in stage.tasks if not task.ended)
@@ -449,6 +476,7 @@
             rack != spec.data_rack if spec.data_rack else False,
             sum(is_slow(option.worker) for option in chosen),
             sum(option.worker.is_suspect(now) for option in chosen),
+            sum(option.worker.start_trials.on_trial for option in chosen),
             max(option.available_in_s for option in chosen),
             sum(option.cost_core_s for option in chosen),
             len(found),
@@ -530,14 +558,16 @@
 ) -> tuple:
     worker = option.worker
     remaining = worker.free.minus(demand)
+    is_preferred = worker.facts.worker_id in preferred_ids
     return (
         bool(data_rack) and worker.facts.rack != data_rack,
         is_slow(worker),
         worker.is_suspect(now),
+        worker.start_trials.on_trial and not is_preferred,
         option.order_cost_core_s > 0,
         option.available_in_s,
         option.order_cost_core_s,
-        worker.facts.worker_id not in preferred_ids,
+        not is_preferred,
         remaining.accelerators,
         remaining.memory_mb,
         worker.facts.worker_id,
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -30,6 +30,7 @@
     permitted_workers,
     stop_cost,
     usable_workers,
+    without_trials,
 )
 from .room import Room, find_room, may_find_room
 from .run_times import RunTimeEstimates, is_slow
@@ -135,6 +136,7 @@
         active = list(progress)
         for worker in workers:
             worker.clear_claims()
+            worker.start_trials.begin_pass(now)
         entitled = entitled_organisations(active, guaranteed_by_organisation)
         stages = ready_stages(active, now, wall)
         ranks = {id(stage): rank(stage, entitled) for stage in stages}
@@ -212,6 +214,7 @@
         candidates = eligible_workers(stage, usable, not_slow, self._now)
         if self._observers:
             candidates = [w for w in candidates if not w.observes_suspect]
+        candidates = without_trials(stage, candidates, self._now)
         if is_suspected(waiting[0]):
             self._place_suspect(stage, stage_rank, waiting, candidates)
             return
@@ -566,6 +569,8 @@
         self.held_starts += held_starts
         if not (stage.spec.gang and held_starts):
             self.starts += starts
+            for _, worker in starts:
+                worker.start_trials.note_planned()
         self._claim(stage, options)
 
 
--- a/src/redwingrudder/workflows/room.py
+++ b/src/redwingrudder/workflows/room.py
@@ -77,6 +77,8 @@
         worker: The worker.
         wanted: Upper bound of the result.
     """
+    if worker.start_trials.on_trial:
+        wanted = min(wanted, 0 if worker.has_trial_start else 1)
     limit = stage.spec.worker_limit
     if not limit:
         return wanted
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -16,6 +16,7 @@
     Workflow,
     WorkflowState,
 )
+from .start_trials import StartTrials
 
 TASK_CHART = load_chart(
     "task",
@@ -470,6 +471,7 @@
             workers runs there; the worker then gets no other new runs.
         quarantined_until: Node-clock seconds until which the worker gets no
             new runs.
+        start_trials: Whether the worker carries out starts.
         leaves_at: Node-clock seconds until which a draining worker is
             guaranteed to stay, infinite if it does not drain.
         speed: Speed relative to other workers, 1.0 for normal.
@@ -503,6 +505,7 @@
         "sound_start_at",
         "speed",
         "speed_at",
+        "start_trials",
         "tasks_by_key",
     )
 
@@ -528,6 +531,7 @@
         self.failing_since = 0.0
         self.sound_start_at = -math.inf
         self.quarantined_until = 0.0
+        self.start_trials = StartTrials()
         self.leaves_at = math.inf
         self.speed = 1.0
         self.speed_at = 0.0
@@ -649,6 +653,15 @@
         # Cached, because planning reads it for each pair of worker and step.
         self.free = self._facts.capacity.minus(self._used).minus(self._claimed)
 
+    @property
+    def has_trial_start(self) -> bool:
+        """Whether a worker on trial has, or gets in this pass, a start."""
+        if not self.start_trials.on_trial:
+            return False
+        return self.start_trials.is_planned or any(
+            task.state == "starting" for task in self.tasks_by_key.values()
+        )
+
     def update_leave_time(self, now: float) -> None:
         """Update ``leaves_at`` from the registry entry.
 
@@ -706,6 +719,7 @@
             and not self.facts.draining
             and not self.emptying
             and not self.observes_suspect
+            and not self.start_trials.resting
             and now >= self.quarantined_until
         )
 
