Let a slow answer to a requested poll end the hold of a start

Callers could see: a task that is held until a worker answers is not started although the worker answers each poll, until 22 s are over.

Cause: each pass 0.25 s after the last request asked for another poll and moved the time from which an answer counts. While answers take longer than the passes are apart, as on a busy coordinator, no answer was new enough.

Change: a request is repeated after 1 s only, which is longer than the 0.8 s within which a poll is answered or given up. The test failed before: with answers after 0.7 s and passes 0.3 s apart no start was placed in 3 s.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -56,8 +56,9 @@
 from .supervision import runs_to_interrupt
 from .throttling import FULL_SPEED_PERCENT, LatencyTargetPolicy, ThrottlePolicy
 
-# Interval between requested polls of a worker.
-POLL_REQUEST_INTERVAL_S = 0.25
+# Interval between requested polls of a worker. It is longer than a poll may
+# take: a later request makes the answer to an earlier one count for nothing.
+POLL_REQUEST_INTERVAL_S = 1.0
 CRASH_MEMORY_S = 600.0  # time for which crashes of an address are remembered
 LOGGED_SUSPECTS = 10
 # The cancellations of this many unknown ids are remembered for this time: they
--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -75,6 +75,25 @@
         (start,), polls = self.place(2.9)
         self.assertEqual((start.worker_id, polls), ("w2", []))
 
+    def test_slow_answer_counts_although_passes_go_on(self):
+        """Guards against a request that each pass repeats before its answer."""
+        started = self.start(fx.step(), fx.worker("w1"))
+        self.engine.set_worker(fx.worker("w1", draining=True), 1.0)
+        self.engine.set_worker(fx.worker("w2"), 1.0)
+        self.stop(started, 1.0)
+        requested_at = None
+        for tenths in range(20, 50, 3):
+            now = tenths / 10
+            if requested_at is not None and now - requested_at > 0.7:
+                self.engine.report("w1", [], now, polled_at=requested_at)
+                requested_at = None
+            starts, polls = self.place(now)
+            if starts:
+                break
+            if polls and requested_at is None:
+                requested_at = now
+        self.assertEqual([start.worker_id for start in starts], ["w2"])
+
     def test_old_answer_does_not_count(self):
         """Guards against a worker that has restarted since it answered."""
         started = self.start(fx.step(), fx.worker("w1"))
