--- a/src/redwingrudder/workflows/start_trials.py
+++ b/src/redwingrudder/workflows/start_trials.py
@@ -29,34 +29,31 @@
 
     Attributes:
         state: State in the chart of a worker's starts.
+        on_trial: Whether the worker gets one start at a time.
+        resting: Whether the worker gets no starts.
+        is_planned: Whether the present planning pass has a start on the
+            worker.
         rest_until: Node-clock seconds until which the worker gets no starts.
         changed_at: Node-clock seconds of the last change of the verdict.
     """
 
-    __slots__ = ("_is_planned", "_rest_s", "changed_at", "rest_until", "state")
+    __slots__ = (
+        "_rest_s",
+        "changed_at",
+        "is_planned",
+        "on_trial",
+        "rest_until",
+        "resting",
+        "state",
+    )
 
     def __init__(self) -> None:
         self.state = _CHART.initial
         self.rest_until = -math.inf
         self._rest_s = 0.0
         self.changed_at = -math.inf
-        # Whether the present planning pass has a start on the worker.
-        self._is_planned = False
-
-    @property
-    def on_trial(self) -> bool:
-        """Whether the worker gets one start at a time."""
-        return self.state == "on_trial"
-
-    @property
-    def resting(self) -> bool:
-        """Whether the worker gets no starts."""
-        return self.state == "resting"
-
-    @property
-    def is_planned(self) -> bool:
-        """Whether the present planning pass has a start on the worker."""
-        return self._is_planned
+        # Planning reads these for each pair of worker and step.
+        self.on_trial = self.resting = self.is_planned = False
 
     def begin_pass(self, now: float) -> None:
         """Forget the starts of the last planning pass, and end a rest.
@@ -64,13 +61,13 @@
         Args:
             now: Node-clock seconds.
         """
-        self._is_planned = False
+        self.is_planned = False
         if self.resting and now >= self.rest_until:
             self._step("rested", now)
 
     def note_planned(self) -> None:
         """Record that the present planning pass has a start on the worker."""
-        self._is_planned = True
+        self.is_planned = True
 
     def record_accepted(self, now: float) -> bool:
         """Record that the worker has accepted a start.
@@ -107,6 +104,8 @@
         transition = _CHART.step(self.state, event)
         changed = transition.target != self.state
         self.state = transition.target
+        self.on_trial = self.state == "on_trial"
+        self.resting = self.state == "resting"
         if changed:
             self.changed_at = now
         if "begin_rest" in transition.actions:
--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -76,7 +76,7 @@
         self.assertEqual((start.worker_id, polls), ("w2", []))
 
     def test_slow_answer_counts_although_passes_go_on(self):
-        """Guards against a request that each pass repeats before its answer."""
+        """Guards against requests that are repeated before their answer."""
         started = self.start(fx.step(), fx.worker("w1"))
         self.engine.set_worker(fx.worker("w1", draining=True), 1.0)
         self.engine.set_worker(fx.worker("w2"), 1.0)
