Observe more suspects of a step at once after harmless ones

What callers saw: a step of many tasks had one run at a time for half a minute while most of the fleet was idle, after several workers had restarted just as the step began on them. In memory, 12 workers of 8 accelerators and a step of 56 tasks of one accelerator, all of them suspected: done 33.2 s after its begin; without the restart it takes 2.05 s.

Cause: the siblings of a suspected task wait for its outcome, as tasks of a step are alike. Each suspect was observed by itself, one after the other, and a suspect that proved harmless changed nothing for the rest, although it speaks for tasks that are like it. On a queue with advice each also took a call of its own, and other steps waited for these calls.

Ruled out: late starts, quarantine, claims and preemption. In the schedules that showed it the tasks waited as suspects, or beside one, in every sample.

Change: each suspect of a step that proves harmless lets one more be observed at the same time, each on a worker of its own. The next crash under a suspect of the step ends that. A step whose tasks all crash their workers still costs one more crash after the first ones. The price: if the first half of a step is harmless and the second half is not, several workers crash at once (40 crashes in place of 29 for 28 of 56 tasks, 12 workers).

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -187,6 +187,7 @@
             refute_evidence(holder, history)
     for task in suspects:
         task.stage.crashed_at = now
+        task.stage.harmless_suspects = 0
         is_proof = len(suspects) == 1 and _is_proof(task, worker, now)
         step_suspicion(task, "sole_suspect" if is_proof else "suspect")
     for task in open_runs:
@@ -288,6 +289,7 @@
     if has_gone_on:
         discount_starts(suspicion_holder(task))
     step_suspicion(task, "proved_harmless")
+    task.stage.harmless_suspects += 1
     return True
 
 
@@ -295,8 +297,9 @@
     """Return which waiting tasks of a step may start beside its suspects.
 
     Tasks of a step are alike. While one of them is suspected, the others wait
-    for its outcome, so that each does not crash workers of its own. A task or
-    gang that is accused waits for the verdict.
+    for its outcome, so that each does not crash workers of its own. Each one
+    that proves harmless lets one more suspect be observed at the same time,
+    until the next crash. A task or gang that is accused waits for the verdict.
     """
     if not stage.workflow.suspects_by_key:
         return waiting
@@ -305,9 +308,11 @@
     suspects = [t for t in stage.tasks if is_suspected(t) and not t.ended]
     if not suspects:
         return waiting
-    if any(task.placed or is_accused(task) for task in suspects):
+    if any(is_accused(task) for task in suspects):
         return []
-    return [task for task in waiting if is_suspected(task)][:1]
+    observed = sum(task.placed for task in suspects)
+    count = max(1 + stage.harmless_suspects - observed, 0)
+    return [task for task in waiting if is_suspected(task)][:count]
 
 
 def isolation_candidates(
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -213,7 +213,7 @@
         if self._observers:
             candidates = [w for w in candidates if not w.observes_suspect]
         if is_suspected(waiting[0]):
-            self._place_suspect(stage, stage_rank, waiting, candidates)
+            self._place_suspects(stage, stage_rank, waiting, candidates)
             return
         began_to_fail_at = failures_since(stage, self._suspects)
         if began_to_fail_at is not None:
@@ -228,6 +228,44 @@
         if waiting and candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
 
+    def _place_suspects(
+        self,
+        stage: Stage,
+        stage_rank: int,
+        waiting: list[Task],
+        candidates: list[Worker],
+    ) -> None:
+        """Start a suspected gang, or suspected tasks on a worker each."""
+        if stage.spec.gang:
+            self._place_suspect(stage, stage_rank, waiting, candidates)
+            return
+        for position, task in enumerate(waiting, 1):
+            planned = len(self.starts)
+            free = [w for w in candidates if not w.observes_suspect]
+            self._place_suspect(stage, stage_rank, [task], free)
+            if len(self.starts) == planned:
+                self._ask_for_further_suspects(stage, waiting[position:], free)
+                return
+
+    def _ask_for_further_suspects(
+        self, stage: Stage, tasks: list[Task], candidates: list[Worker]
+    ) -> None:
+        """Let a call for advice name a worker for each further suspect."""
+        need = self.advice_need
+        if need is None or need.stage is not stage or need.preempts:
+            return
+        further: list[Worker] = []
+        for task in tasks:
+            others = [w for w in candidates if w not in (*need.needed, *further)]
+            quiet = self._find_quiet_workers(stage, [task], others)
+            if find_room(stage, 1, quiet) is not Room.NOW:
+                break
+            further += quiet
+        self._claim(stage, [PlacementOption(worker) for worker in further])
+        self.advice_need = need._replace(
+            needed=(*need.needed, *further), candidates=(*need.candidates, *further)
+        )
+
     def _place_suspect(
         self,
         stage: Stage,
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -261,6 +261,8 @@
         failed_at: Time of the newest failed run, in node-clock seconds.
         crashed_at: Time of the newest crash of a worker of which a task of the
             step is suspected, in node-clock seconds.
+        harmless_suspects: Number of suspected tasks that have proved harmless
+            since that crash.
         restarts: Number of runs that were stopped because of slow workers.
         advice: What the advice service has said of the step.
         tasks: All tasks of the step.
@@ -271,6 +273,7 @@
         "crashed_at",
         "failed_at",
         "failed_runs",
+        "harmless_suspects",
         "index",
         "occurrence",
         "ready_at",
@@ -289,6 +292,7 @@
         self.failed_runs: set[int] = set()
         self.failed_at = -math.inf
         self.crashed_at = -math.inf
+        self.harmless_suspects = 0
         self.restarts = 0
         self.advice = StepAdvice()
         self.tasks = [
--- /dev/null
+++ b/tests/test_idle_fleet.py
@@ -0,0 +1,91 @@
+"""Accepted work that waits although most of the fleet is idle."""
+
+import unittest
+
+from redwingrudder.workflows.model import WorkflowState
+
+from . import workflow_fixtures as fx
+from .test_crashing_tasks import CrashingFleet
+
+WORKERS = 12
+TASKS = 56  # fill seven workers
+RESTART_AT_S = 0.1
+DONE_WITHIN_S = 15.0
+
+
+class WideStepTests(unittest.TestCase):
+    """Workers restart as all tasks of a wide step have just begun on them."""
+
+    def restart_workers(self, **changes):
+        fleet = CrashingFleet(WORKERS)
+        fleet.accept("job", fx.step(TASKS), **changes)
+        fleet.run_until(RESTART_AT_S)
+        workers = fleet.engine.workers_by_id
+        fleet.crash(*(name for name, worker in workers.items() if worker.tasks_by_key))
+        return fleet
+
+    def test_sound_step_is_done_in_time(self):
+        """Guards against suspects that are observed one after the other."""
+        fleet = self.restart_workers()
+        fleet.run_until(RESTART_AT_S + DONE_WITHIN_S)
+        self.assertEqual(fleet.state("job"), WorkflowState.DONE)
+
+    def test_step_whose_tasks_all_crash_workers_takes_one_more(self):
+        """Guards against suspects that take a worker each."""
+        fleet = self.restart_workers(deadly=range(TASKS))
+        first = fleet.crashes_by_key.total()
+        fleet.run_until(60.0)
+        self.assertEqual(fleet.state("job"), WorkflowState.FAILED)
+        self.assertEqual(fleet.crashes_by_key.total(), first + 1)
+
+    def test_few_workers_crash_under_the_second_half_of_a_step(self):
+        """Guards against tasks that each crash several workers at once."""
+        deadly = range(TASKS // 2, TASKS)
+        fleet = self.restart_workers(deadly=deadly)
+        fleet.run_until(60.0)
+        self.assertEqual(fleet.state("job"), WorkflowState.FAILED)
+        self.assertLessEqual(max(fleet.crashes_by_key.values()), 2)
+        self.assertLessEqual(fleet.crashes_by_key.total(), len(deadly) + WORKERS)
+
+
+class ObservedSuspectsTests(unittest.TestCase):
+    """Eight tasks on a worker each, all of which have crashed."""
+
+    def setUp(self):
+        facts = [fx.worker(f"w{n}", address=f"10.0.0.{n}:80") for n in range(8)]
+        self.engine = fx.engine(*facts)
+        self.engine.accept(fx.workflow("job", fx.step(8, fx.WHOLE_WORKER)), 0.0)
+        self.crash(self.start(0.0), 0.1)
+
+    def start(self, now):
+        """Start and confirm runs in a planning pass."""
+        started = fx.starts(self.engine.plan(now, now))
+        fx.confirm(self.engine, started, now)
+        return started
+
+    def crash(self, started, now):
+        for start in started:
+            self.engine.worker_restarted(start.worker_id, now)
+            self.engine.interrupt_worker(start.worker_id, now, "crashed")
+
+    def report(self, started, now):
+        for start in started:
+            self.engine.report(start.worker_id, [fx.running(start)], now)
+
+    def test_each_harmless_suspect_lets_one_more_be_observed(self):
+        """Guards against suspects that are observed one after the other."""
+        counts = []
+        for now in (5.0, 6.0, 7.0, 8.0):
+            started = self.start(now)
+            counts.append(len(started))
+            self.assertEqual(len({s.worker_id for s in started}), len(started))
+            self.report(started, now + 0.7)
+        self.assertEqual(counts, [1, 2, 4, 1])
+
+    def test_crash_lets_the_next_suspect_be_observed_alone(self):
+        """Guards against suspects that go on to crash workers together."""
+        for now in (5.0, 6.0):
+            self.report(self.start(now), now + 0.7)
+        started = self.start(7.0)
+        self.crash(started, 7.1)
+        self.assertEqual((len(started), len(self.start(12.0))), (4, 1))
