--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -184,21 +184,11 @@
         state = await read_state(self.ask, self._gateways.registry.prefix)
         if term.pool_moves is not None:
             await term.pool_moves.restore()
-        if self._term is not term:
-            return
-        offsets = (await self.ask(PEERS, ListPeers())).unix_time_offsets
         if self._term is not term:
             return
         now = self.system.clock.seconds()
-        if offsets is not None:
-            term.recorder.unix_time_offset_s = offsets.high_s
         placed_runs = restore_all(
-            term.engine,
-            term.recorder,
-            state,
-            now,
-            self.system.unix_time(),
-            None if offsets is None else offsets.low_s,
+            term.engine, term.recorder, state, now, self.system.unix_time()
         )
         term.workers.set_all_entries({p.key: p.value for p in state.workers.pairs})
         for placed_run in placed_runs:
@@ -484,9 +474,6 @@
     async def _read_time_of_day(self) -> None:
         unix_time_s = await self.ask(PEERS, GetTimeOfDay())
         self._unix_time_offset_s = unix_time_s - self.system.clock.seconds()
-        offsets = (await self.ask(PEERS, ListPeers())).unix_time_offsets
-        if self._term is not None and offsets is not None:
-            self._term.recorder.unix_time_offset_s = offsets.high_s
 
     def _schedule_planning(self) -> None:
         """Let a planning pass follow what the engine has been told.
--- a/src/redwingrudder/coordination/peers.py
+++ b/src/redwingrudder/coordination/peers.py
@@ -24,7 +24,6 @@
 from ..exceptions import RedwingrudderError, UnavailableError
 from ..timers import TIMERS, Subscribe, TimerFired, Unsubscribe
 from .authority import STORE_DOWN_EVIDENCE_S
-from .clock_agreement import UnixTimeOffsets, estimate_offsets
 from .gateways import (
     CONFIGURATION,
     INTAKE,
@@ -109,15 +108,12 @@
             does not reach the store, the time of the request in node-clock
             seconds.
         seen_at: Time of the snapshot in node-clock seconds.
-        unix_time_offsets: Unix time minus node-clock time, None if too few
-            nodes were heard.
     """
 
     fresh: tuple[NodeSummary, ...]
     peer_count: int
     asked_at: tuple[float, ...] = ()
     seen_at: float = 0.0
-    unix_time_offsets: UnixTimeOffsets | None = None
 
     @property
     def relay_addresses(self) -> tuple[str, ...]:
@@ -473,22 +469,17 @@
 
     def _build_view(self) -> PeerView:
         now = self._reactor.seconds()
-        heard = [
-            (received_at, summary)
+        fresh = tuple(
+            summary
             for received_at, summary in self._summaries_by_id.values()
             if now - received_at < MAX_FRESH_AGE_S
-        ]
-        fresh = tuple(summary for _, summary in heard)
-        offsets = estimate_offsets(
-            time.time() - now,
-            [summary.unix_time - received_at for received_at, summary in heard],
         )
         asked_at = tuple(
             asked_at
             for node_id, asked_at in self._store_missing_since_by_id.items()
             if node_id in self._summaries_by_id
         )
-        return PeerView(fresh, len(self._summaries_by_id), asked_at, now, offsets)
+        return PeerView(fresh, len(self._summaries_by_id), asked_at, now)
 
 
 def _is_valid_summary(wire: WireNodeSummary) -> bool:
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -90,15 +90,12 @@
 
     Attributes:
         term_revision: Store revision of the term's key, as last read.
-        unix_time_offset_s: Upper estimate of the Unix time minus the node
-            clock, in seconds; None while it is unknown.
     """
 
     def __init__(self, system: ActorSystem, term: int, term_revision: int) -> None:
         self._system = system
         self._term = term
         self.term_revision = term_revision
-        self.unix_time_offset_s: float | None = None
         self._revisions_by_id: dict[str, int] = {}
         # Workflows with a write whose outcome was unknown and that may still
         # take effect.
@@ -156,7 +153,6 @@
                     self._term,
                     process_started_ms_by_worker,
                     self._system.clock.seconds(),
-                    self.unix_time_offset_s,
                 )
             except Exception as error:
                 raise UnwritableRecordError(workflow_id) from error
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -137,7 +137,6 @@
     state: StoredState,
     now: float,
     unix_time_s: float,
-    unix_time_offset_s: float | None = None,
 ) -> list[records.PlacedRun]:
     """Restore all workflows and their progress.
 
@@ -150,8 +149,6 @@
         state: The records that were read.
         now: Node-clock seconds.
         unix_time_s: Present time in Unix seconds.
-        unix_time_offset_s: Lower estimate of the Unix time minus the node
-            clock, in seconds, for late starts; None if it is unknown.
 
     Returns:
         The recorded runs, each of which may exist on its worker.
@@ -175,9 +172,7 @@
             )
             progress = progress_by_id.get(workflow_id)
             if progress is not None:
-                placed_runs += _restore_workflow(
-                    engine, recorder, progress, now, unix_time_offset_s
-                )
+                placed_runs += _restore_workflow(engine, recorder, progress, now)
         except Exception:
             _logger.exception(
                 "records of a job cannot be restored; the job is set aside",
@@ -251,11 +246,7 @@
 
 
 def _restore_workflow(
-    engine: Engine,
-    recorder: Recorder,
-    pair: KeyValue,
-    now: float,
-    unix_time_offset_s: float | None,
+    engine: Engine, recorder: Recorder, pair: KeyValue, now: float
 ) -> tuple[records.PlacedRun, ...]:
     workflow_id = pair.key.removeprefix(PROGRESS_PREFIX)
     progress = engine.workflows_by_id.get(workflow_id)
@@ -267,9 +258,7 @@
     if record.policy == progress.policy:
         # A policy that has changed since the submission is on record already.
         engine.dirty.discard(workflow_id)
-    records.restore_late_starts(
-        progress, record, engine.late_start_until(now), unix_time_offset_s
-    )
+    records.restore_late_starts(progress, record, engine.late_start_until(now))
     # The coordinator that recorded a first start or an end has added it to its
     # metrics.
     progress.wait_observed = progress.begun
--- a/src/redwingrudder/simulation/_peers.py
+++ b/src/redwingrudder/simulation/_peers.py
@@ -7,7 +7,6 @@
 from .._background import pause
 from .._wire.generated.coordination.ttypes import Fault
 from ..actors import Actor, ActorSystem, Handler
-from ..coordination.clock_agreement import estimate_offsets
 from ..coordination.gateways import PEERS
 from ..coordination.messages import NodeSummary
 from ..coordination.peer_calls import PeerHandler
@@ -65,10 +64,7 @@
     def _list(self) -> PeerView:
         others = [index for index in range(NODES) if index != self._index]
         fresh = tuple(self._summary(index) for index in others)
-        now = self.system.clock.seconds()
-        offset_s = self.system.unix_time() - now
-        offsets = estimate_offsets(offset_s, [offset_s] * OTHER_NODES)
-        return PeerView(fresh, OTHER_NODES, (), now, offsets)
+        return PeerView(fresh, OTHER_NODES, (), self.system.clock.seconds())
 
     def _summary(self, index: int) -> NodeSummary:
         """Return what was last heard of a node.
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -4,7 +4,7 @@
 import math
 from typing import NamedTuple
 
-from .._checked_json import MAX_INTEGER, Fields, Row, parse_json
+from .._checked_json import Fields, Row, parse_json
 from ..exceptions import BadRequestError
 from .crash_evidence import valid_evidence_by_run
 from .crashes import step_suspicion
@@ -21,8 +21,6 @@
 # Format version of workflow documents. It is raised when documents written by
 # older nodes can no longer be read.
 FORMAT = 1
-# Largest difference between the clocks of nodes that tell the right time.
-CLOCK_MARGIN_S = 0.5
 
 
 class PlacedRun(NamedTuple):
@@ -64,22 +62,6 @@
     beside_suspects: bool = False
 
 
-class LateStart(NamedTuple):
-    """A worker that may still carry out a start of an earlier run.
-
-    Attributes:
-        key: Key of the task.
-        worker_id: The worker.
-        until_unix_s: Unix seconds after which neither the start can be carried
-            out nor its run go on, 0.0 if unknown, as in records of earlier
-            releases.
-    """
-
-    key: TaskKey
-    worker_id: str
-    until_unix_s: float = 0.0
-
-
 class ProgressRecord(NamedTuple):
     """The stored progress of a workflow.
 
@@ -96,8 +78,8 @@
         runs: Tasks that have had a run, and the highest number of one.
         placed: Runs that may exist on workers.
         checkpoints: Tasks with a stored checkpoint, and that checkpoint.
-        late_starts: Workers that may still carry out a start of an earlier
-            run, none in records of earlier releases.
+        late_starts: Tasks with workers that may still carry out a start of an
+            earlier run, none in records of earlier releases.
         policy: Policy in force, None in records of earlier releases.
         policy_version: Version of the configuration that has it.
     """
@@ -112,7 +94,7 @@
     runs: tuple[tuple[TaskKey, int], ...]
     placed: tuple[PlacedRun, ...]
     checkpoints: tuple[tuple[TaskKey, str], ...]
-    late_starts: tuple[LateStart, ...] = ()
+    late_starts: tuple[tuple[TaskKey, str], ...] = ()
     policy: QueuePolicy | None = None
     policy_version: int = 0
 
@@ -167,7 +149,6 @@
     term: int,
     started_ms_by_worker: dict[str, int],
     now: float = -math.inf,
-    unix_time_offset_s: float | None = None,
 ) -> bytes:
     """Return the JSON document of a workflow's progress.
 
@@ -177,8 +158,6 @@
         started_ms_by_worker: Process start times of the workers in Unix
             milliseconds.
         now: Node-clock seconds, for the late starts.
-        unix_time_offset_s: Unix time minus the node clock, in seconds, for the
-            ends of their holds; None if it is unknown.
     """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
     crashes, crashed_runs, suspected, late_starts = [], [], [], []
@@ -201,10 +180,7 @@
             failures.append([*key, task.failures])
         if task.highest_run:
             runs.append([*key, task.highest_run])
-        late_starts += [
-            [*key, worker, _to_unix(until, unix_time_offset_s)]
-            for worker, until in task.late_starts(now)
-        ]
+        late_starts += [[*key, worker] for worker in task.late_start_workers(now)]
         if task.placed:
             started_ms = started_ms_by_worker.get(task.worker_id, 0)
             placed.append(
@@ -275,10 +251,7 @@
                 for row in rows("placed")
             ),
             tuple((key(row), row.text(3)) for row in rows("checkpoints")),
-            tuple(
-                LateStart(key(row), row.text(3), row.number(4, 0.0))
-                for row in document.rows("late_starts")
-            ),
+            tuple((key(row), row.text(3)) for row in document.rows("late_starts")),
             _policy(document.row("policy")) if document.has("policy") else None,
             document.integer("policy_version", 0),
         )
@@ -320,56 +293,20 @@
 
 
 def restore_late_starts(
-    progress: WorkflowProgress,
-    record: ProgressRecord,
-    until: float,
-    unix_time_offset_s: float | None = None,
+    progress: WorkflowProgress, record: ProgressRecord, until: float
 ) -> None:
-    """Restore which workers may still carry out a start, and until when.
-
-    A record tells the end of each hold as a time of day, which this node has
-    to read on its own clock. If its time of day were ahead of that of the
-    writer, for example as the clock of one machine has jumped forward, the
-    hold would end while the start may have an effect. Therefore neither of
-    them trusts its own clock alone: the writer gives an upper estimate of the
-    time and this node uses a lower one, both of which take the median of
-    several clocks into account; see ``clock_agreement.estimate_offsets``.
-    ``CLOCK_MARGIN_S`` covers the differences of right clocks. Each change of
-    the coordinator adds it once more.
-
-    The writer has sent all attempts of a late start before it records it. So a
-    hold lasts no longer than that of a start that is sent now. This limits
-    what a clock that is behind, or an implausible time, may cost, and is the
-    end of a hold whose time is not known.
+    """Restore which workers may still carry out a start.
 
     Args:
         progress: Progress of the recorded workflow.
-        record: The record.
+        record: The record, which does not tell when the starts were sent.
         until: Node-clock seconds after which starts that are sent at the
             present time have no effect.
-        unix_time_offset_s: Lower estimate of the Unix time minus the node
-            clock, in seconds; None if it is unknown.
     """
-    for key, worker_id, until_unix_s in record.late_starts:
+    for key, worker_id in record.late_starts:
         task = progress.find(key)
-        if task is None:
-            continue
-        ends_at = until
-        if until_unix_s and unix_time_offset_s is not None:
-            ends_at = until_unix_s - unix_time_offset_s + CLOCK_MARGIN_S
-        task.add_late_start(worker_id, min(ends_at, until))
-
-
-def _to_unix(seconds: float, unix_time_offset_s: float | None) -> float:
-    """Return the Unix time of a node-clock time, 0.0 if it is not known.
-
-    A time that a record cannot hold, by clocks that are wrong, counts as
-    unknown: the record has to be readable.
-    """
-    if unix_time_offset_s is None:
-        return 0.0
-    unix_s = seconds + unix_time_offset_s
-    return unix_s if 0.0 < unix_s < MAX_INTEGER else 0.0
+        if task is not None:
+            task.add_late_start(worker_id, until)
 
 
 def _restore_crashes(progress: WorkflowProgress, record: ProgressRecord) -> None:
--- a/tests/late_call_case.py
+++ b/tests/late_call_case.py
@@ -51,7 +51,7 @@
         self.leadership = Recording(
             self.system, LEADERSHIP, {Resign: None, Fenced: None}
         )
-        self.peers = Recording(
+        Recording(
             self.system,
             PEERS,
             {ListPeers: PeerView((), 8), GetTimeOfDay: 0.0, AskAllPeers: None},
