Let a hold for a late start end on time after a change of the coordinator

Cause: the record of a job names the workers that may still carry out a start, and not until when. Each coordinator held the task for the whole 22 s (12 s for a late call, 10 s for the longest lease) from its takeover on, so each change began the hold anew.

Ruled out: the end as a time of day, by the median of the nodes' clocks. The time that is left at the moment of the record, as the successor does not know when that was.

Change: the record has the end of each hold in seconds from the request for its writer's term on. LEADERSHIP remembers when it first saw each term, which is after that request, and the successor counts the seconds from that moment on its own node clock, plus 0.1 % for the rates of the clocks. So no hold ends earlier than by the writer's clock. If the successor did not see the term it counts from the takeover. No hold is longer than before, and with an older record it is as long. A malformed end is the error of an invalid progress document.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -166,7 +166,7 @@
         deadline = self.system.clock.seconds() + RECOVERY_TIMEOUT_S
         while self._term is term:
             try:
-                await self._recover(term)
+                await self._recover(term, dict(message.terms_seen_at))
                 return
             except RedwingrudderError as error:
                 _logger.warning(
@@ -180,7 +180,7 @@
                 return
             await pause(self.system.clock, RECOVERY_RETRY_DELAY_S)
 
-    async def _recover(self, term: Term) -> None:
+    async def _recover(self, term: Term, terms_seen_at: dict[int, float]) -> None:
         state = await read_state(self.ask, self._gateways.registry.prefix)
         if term.pool_moves is not None:
             await term.pool_moves.restore()
@@ -188,7 +188,12 @@
             return
         now = self.system.clock.seconds()
         placed_runs = restore_all(
-            term.engine, term.recorder, state, now, self.system.unix_time()
+            term.engine,
+            term.recorder,
+            state,
+            now,
+            self.system.unix_time(),
+            terms_seen_at,
         )
         term.workers.set_all_entries({p.key: p.value for p in state.workers.pairs})
         for placed_run in placed_runs:
--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -58,6 +58,8 @@
 WEAK_CORES_DELAY_S = 0.35  # per missing core below UNCONSTRAINED_CORES
 UNCONSTRAINED_LINK_BPS = 50e6
 WEAK_LINK_DELAY_S = 0.2
+# Number of terms of which the time is known at which they were first seen.
+MAX_TERMS_SEEN = 64
 # Extra delay of a node that has resigned. It exceeds the duration of the
 # election of another node.
 RESIGNED_DELAY_S = 2.0
@@ -190,6 +192,8 @@
         # none. Such a record may be replaced before its lease expires.
         self._abandoned_revision = 0
         self._announced: tuple[str, int] | None = None
+        # Node-clock seconds at which a record of the term was first seen.
+        self._seen_at_by_term: dict[int, float] = {}
         self._lease = 0
         self._stopping = False
         super().__init__(system, LEADERSHIP)
@@ -308,6 +312,7 @@
             )
             return
         self._holder = holder
+        self._record_term(holder.term)
         self._announce(holder.node_id, holder.address, holder.term)
         is_own_record = holder.incarnation == self._identity.incarnation
         if not is_own_record and self.leading:
@@ -319,6 +324,12 @@
         else:
             self.tell(TIMERS, Unsubscribe(self.name, "campaign"))
 
+    def _record_term(self, term: int) -> None:
+        """Record when a term was first seen, which is after its beginning."""
+        self._seen_at_by_term.setdefault(term, self.system.clock.seconds())
+        while len(self._seen_at_by_term) > MAX_TERMS_SEEN:
+            del self._seen_at_by_term[min(self._seen_at_by_term)]
+
     def _announce(self, node_id: str, address: str, term: int) -> None:
         """Notify the subscribers if the coordinator or its term changed."""
         if self._announced == (node_id, term):
@@ -431,7 +442,14 @@
         if not revision:
             return None
         self._lease = lease
-        return BeginTerm(term, revision, sent_at + LEASE_TTL_S)
+        self._record_term(term)
+        return BeginTerm(
+            term,
+            revision,
+            sent_at + LEASE_TTL_S,
+            sent_at,
+            tuple(self._seen_at_by_term.items()),
+        )
 
     async def _read_own_term(self, record: str, term: int) -> int:
         """Check whether a write with an unknown outcome took effect.
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -123,11 +123,17 @@
             are made conditional on it.
         authority_ends_at: Time in node-clock seconds until which the lease of
             the coordinator's record is known to be in force.
+        requested_at: Time in node-clock seconds before the request that began
+            the term, None if unknown.
+        terms_seen_at: Terms of which this node has seen the coordinator's
+            record, with the node-clock seconds at which it first did.
     """
 
     term: int
     term_revision: int
     authority_ends_at: float
+    requested_at: float | None = None
+    terms_seen_at: tuple[tuple[int, float], ...] = ()
 
 
 class EndTerm(NamedTuple):
--- a/src/redwingrudder/coordination/recorder.py
+++ b/src/redwingrudder/coordination/recorder.py
@@ -87,14 +87,23 @@
         system: The node's actor system.
         term: Term of the coordinator.
         term_revision: Store revision of the term's key.
+        term_requested_at: Node-clock seconds before the request that began the
+            term, None if unknown.
 
     Attributes:
         term_revision: Store revision of the term's key, as last read.
     """
 
-    def __init__(self, system: ActorSystem, term: int, term_revision: int) -> None:
+    def __init__(
+        self,
+        system: ActorSystem,
+        term: int,
+        term_revision: int,
+        term_requested_at: float | None = None,
+    ) -> None:
         self._system = system
         self._term = term
+        self._term_requested_at = term_requested_at
         self.term_revision = term_revision
         self._revisions_by_id: dict[str, int] = {}
         # Workflows with a write whose outcome was unknown and that may still
@@ -153,6 +162,7 @@
                     self._term,
                     process_started_ms_by_worker,
                     self._system.clock.seconds(),
+                    self._term_requested_at,
                 )
             except Exception as error:
                 raise UnwritableRecordError(workflow_id) from error
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 from twisted.internet.defer import FirstError, gatherResults
@@ -137,6 +137,7 @@
     state: StoredState,
     now: float,
     unix_time_s: float,
+    terms_seen_at: Mapping[int, float],
 ) -> list[records.PlacedRun]:
     """Restore all workflows and their progress.
 
@@ -149,6 +150,8 @@
         state: The records that were read.
         now: Node-clock seconds.
         unix_time_s: Present time in Unix seconds.
+        terms_seen_at: Node-clock seconds at which earlier terms, by their
+            number, were first seen.
 
     Returns:
         The recorded runs, each of which may exist on its worker.
@@ -172,7 +175,9 @@
             )
             progress = progress_by_id.get(workflow_id)
             if progress is not None:
-                placed_runs += _restore_workflow(engine, recorder, progress, now)
+                placed_runs += _restore_workflow(
+                    engine, recorder, progress, now, terms_seen_at
+                )
         except Exception:
             _logger.exception(
                 "records of a job cannot be restored; the job is set aside",
@@ -246,7 +251,11 @@
 
 
 def _restore_workflow(
-    engine: Engine, recorder: Recorder, pair: KeyValue, now: float
+    engine: Engine,
+    recorder: Recorder,
+    pair: KeyValue,
+    now: float,
+    terms_seen_at: Mapping[int, float],
 ) -> tuple[records.PlacedRun, ...]:
     workflow_id = pair.key.removeprefix(PROGRESS_PREFIX)
     progress = engine.workflows_by_id.get(workflow_id)
@@ -258,7 +267,12 @@
     if record.policy == progress.policy:
         # A policy that has changed since the submission is on record already.
         engine.dirty.discard(workflow_id)
-    records.restore_late_starts(progress, record, engine.late_start_until(now))
+    records.restore_late_starts(
+        progress,
+        record,
+        engine.late_start_until(now),
+        terms_seen_at.get(record.term, now),
+    )
     # The coordinator that recorded a first start or an end has added it to its
     # metrics.
     progress.wait_observed = progress.begun
--- a/src/redwingrudder/coordination/term.py
+++ b/src/redwingrudder/coordination/term.py
@@ -79,7 +79,9 @@
     engine = Engine(run_times=run_times)
     engine.term = message.term
     engine.longest_lease_s = longest_lease_timeout_s(times.longest_lease_s)
-    recorder = Recorder(system, message.term, message.term_revision)
+    recorder = Recorder(
+        system, message.term, message.term_revision, message.requested_at
+    )
     authority = Authority(system.clock.seconds, message.authority_ends_at)
     workers = WorkerTable(
         system,
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -86,6 +86,7 @@
         self._ended_by_id: dict[str, tuple[WorkflowState, float]] = {}
         self._seen_changes = 0
         self._term = 0
+        self._began_at_by_term: dict[int, float] = {}
         self._leader: int | None = None
         self._leads: list[Lead] = []
         self._lease_confirmed_at = 0.0
@@ -173,10 +174,16 @@
         self._leads.append(Lead(self.clock.seconds(), index))
         self.contents.put(TERM_KEY, str(self._term))
         revision = self.contents.items_by_key[TERM_KEY].mod_revision
-        self._lease_confirmed_at = self.clock.seconds()
-        ends_at = self._lease_confirmed_at + LEASE_TTL_S
+        now = self._lease_confirmed_at = self.clock.seconds()
+        ends_at = now + LEASE_TTL_S
         self.log(f"n{index + 1} begins term {self._term}")
-        self._tell(index, BeginTerm(self._term, revision, ends_at))
+        self._began_at_by_term[self._term] = now
+        seen_at = tuple(
+            (term, began_at + NEWS_DELAY_S)
+            for term, began_at in self._began_at_by_term.items()
+            if began_at + NEWS_DELAY_S <= now
+        )
+        self._tell(index, BeginTerm(self._term, revision, ends_at, now, seen_at))
         if self.has_intake:
             known = CoordinatorKnown(node_name(index), node_address(index), self._term)
             self.nodes[index].system.tell(INTAKE, known)
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -21,6 +21,9 @@
 # Format version of workflow documents. It is raised when documents written by
 # older nodes can no longer be read.
 FORMAT = 1
+# Upper limit for the difference of the rates of two nodes' clocks, each of
+# which may be adjusted by 500 ppm.
+MAX_RATE_DIFFERENCE = 0.001
 
 
 class PlacedRun(NamedTuple):
@@ -62,6 +65,22 @@
     beside_suspects: bool = False
 
 
+class LateStart(NamedTuple):
+    """A worker that may still carry out a start of an earlier run.
+
+    Attributes:
+        key: Key of the task.
+        worker_id: The worker.
+        until_s: Seconds from the request that began the term of the record to
+            the moment after which neither the start can be carried out nor its
+            run go on; 0.0 if unknown, as in records of earlier releases.
+    """
+
+    key: TaskKey
+    worker_id: str
+    until_s: float = 0.0
+
+
 class ProgressRecord(NamedTuple):
     """The stored progress of a workflow.
 
@@ -78,8 +97,8 @@
         runs: Tasks that have had a run, and the highest number of one.
         placed: Runs that may exist on workers.
         checkpoints: Tasks with a stored checkpoint, and that checkpoint.
-        late_starts: Tasks with workers that may still carry out a start of an
-            earlier run, none in records of earlier releases.
+        late_starts: Workers that may still carry out a start of an earlier
+            run, none in records of earlier releases.
         policy: Policy in force, None in records of earlier releases.
         policy_version: Version of the configuration that has it.
     """
@@ -94,7 +113,7 @@
     runs: tuple[tuple[TaskKey, int], ...]
     placed: tuple[PlacedRun, ...]
     checkpoints: tuple[tuple[TaskKey, str], ...]
-    late_starts: tuple[tuple[TaskKey, str], ...] = ()
+    late_starts: tuple[LateStart, ...] = ()
     policy: QueuePolicy | None = None
     policy_version: int = 0
 
@@ -149,6 +168,7 @@
     term: int,
     started_ms_by_worker: dict[str, int],
     now: float = -math.inf,
+    term_requested_at: float | None = None,
 ) -> bytes:
     """Return the JSON document of a workflow's progress.
 
@@ -158,6 +178,8 @@
         started_ms_by_worker: Process start times of the workers in Unix
             milliseconds.
         now: Node-clock seconds, for the late starts.
+        term_requested_at: Node-clock seconds before the request that began the
+            term, None if unknown.
     """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
     crashes, crashed_runs, suspected, late_starts = [], [], [], []
@@ -180,7 +202,10 @@
             failures.append([*key, task.failures])
         if task.highest_run:
             runs.append([*key, task.highest_run])
-        late_starts += [[*key, worker] for worker in task.late_start_workers(now)]
+        late_starts += [
+            [*key, worker, _since_term_request(until, term_requested_at)]
+            for worker, until in task.late_starts(now)
+        ]
         if task.placed:
             started_ms = started_ms_by_worker.get(task.worker_id, 0)
             placed.append(
@@ -251,7 +276,10 @@
                 for row in rows("placed")
             ),
             tuple((key(row), row.text(3)) for row in rows("checkpoints")),
-            tuple((key(row), row.text(3)) for row in document.rows("late_starts")),
+            tuple(
+                LateStart(key(row), row.text(3), row.number(4, 0.0))
+                for row in document.rows("late_starts")
+            ),
             _policy(document.row("policy")) if document.has("policy") else None,
             document.integer("policy_version", 0),
         )
@@ -293,20 +321,48 @@
 
 
 def restore_late_starts(
-    progress: WorkflowProgress, record: ProgressRecord, until: float
+    progress: WorkflowProgress,
+    record: ProgressRecord,
+    until: float,
+    term_seen_at: float | None = None,
 ) -> None:
-    """Restore which workers may still carry out a start.
+    """Restore which workers may still carry out a start, and until when.
+
+    No time of day tells the end of a hold: the clocks of most nodes may jump
+    together, and a hold that ends early permits two runs. The writer of the
+    record tells how long after its request for the term the hold ends, by its
+    node clock, which never jumps. This node saw the term when it had begun, so
+    after that request, and counts the same time from then on. Thus the hold
+    ends no earlier here than there, and later by the time that this node took
+    to see the term. ``MAX_RATE_DIFFERENCE`` covers the rates of the clocks.
+
+    The writer has sent all attempts of a late start before it records it. So a
+    hold lasts no longer than that of a start that is sent now. This is also
+    the end of a hold whose time is not known.
 
     Args:
         progress: Progress of the recorded workflow.
-        record: The record, which does not tell when the starts were sent.
+        record: The record.
         until: Node-clock seconds after which starts that are sent at the
             present time have no effect.
+        term_seen_at: Node-clock seconds at which this node knew that the term
+            of the record had begun, None if unknown.
     """
-    for key, worker_id in record.late_starts:
+    for key, worker_id, until_s in record.late_starts:
         task = progress.find(key)
-        if task is not None:
-            task.add_late_start(worker_id, until)
+        if task is None:
+            continue
+        ends_at = until
+        if until_s and term_seen_at is not None:
+            ends_at = term_seen_at + until_s * (1 + MAX_RATE_DIFFERENCE)
+        task.add_late_start(worker_id, min(ends_at, until))
+
+
+def _since_term_request(seconds: float, term_requested_at: float | None) -> float:
+    """Return the time from the request for the term on, 0.0 if unknown."""
+    if term_requested_at is None:
+        return 0.0
+    return max(seconds - term_requested_at, 0.0)
 
 
 def _restore_crashes(progress: WorkflowProgress, record: ProgressRecord) -> None:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -220,6 +220,14 @@
     def late_start_workers(self, now: float) -> tuple[str, ...]:
         """Return the workers that may still carry out a start of the task.
 
+        Args:
+            now: Node-clock seconds.
+        """
+        return tuple(worker_id for worker_id, _ in self.late_starts(now))
+
+    def late_starts(self, now: float) -> tuple[tuple[str, float], ...]:
+        """Return these workers, and the node-clock seconds of the end.
+
         Args:
             now: Node-clock seconds.
         """
@@ -230,7 +238,7 @@
             for worker_id, until in self.late_starts_by_worker.items()
             if now < until
         }
-        return tuple(self.late_starts_by_worker)
+        return tuple(self.late_starts_by_worker.items())
 
     @property
     def placed(self) -> bool:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -1,11 +1,12 @@
 """Tests of submission, election and recording with an in-memory store."""
 
+import functools
 import json
 import logging
 import unittest
 from unittest import mock
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from redwingrudder._store_requests import DeleteKey, PutKey, Transact
 from redwingrudder.coordination import watching
@@ -27,6 +28,7 @@
 from redwingrudder.coordination.intake import Intake
 from redwingrudder.coordination.leadership import (
     CAMPAIGN_JITTER_S,
+    MAX_TERMS_SEEN,
     Identity,
     Leadership,
     NodeResources,
@@ -632,6 +634,11 @@
     def leaders(self):
         return [node[4] for node in self.nodes if node[4].leading]
 
+    def answer_late(self, clock, handle, message):
+        reply = Deferred()
+        clock.callLater(0.3, reply.callback, handle(message))
+        return reply
+
     def test_one_term_at_the_start(self):
         """Guards against replacing a record that was written just before."""
         self.advance(2.0)
@@ -702,6 +709,50 @@
         self.assertEqual(self.contents.items_by_key[TERM_KEY].value, "2")
         self.assertNotIn(leader, self.leaders())
 
+    def test_successor_saw_the_last_term_after_it_was_requested(self):
+        """Guards against times since the last term that are too long.
+
+        The store carries out the writes at once and answers them late.
+        """
+        for clock, _, store, _, _ in self.nodes:
+            transact = store._handlers_by_type[Transact]
+            store._handlers_by_type[Transact] = functools.partial(
+                self.answer_late, clock, transact
+            )
+        self.advance(1.0)
+        address = f"10.0.0.1:{self.leaders()[0]._identity.node_id}"
+        for _, system, _, _, _ in self.nodes:
+            system.tell(LEADERSHIP, CoordinatorUnreachable(address))
+        self.advance(1.0)
+        begun = {
+            message.term: message
+            for _, _, _, coordinator, _ in self.nodes
+            for message in coordinator.received
+            if isinstance(message, BeginTerm)
+        }
+        self.assertEqual(sorted(begun), [1, 2])
+        for message in begun.values():
+            self.assertEqual(message.authority_ends_at - message.requested_at, 1.5)
+        seen_at = dict(begun[2].terms_seen_at)[1]
+        self.assertGreaterEqual(seen_at, begun[1].requested_at)
+        self.assertLess(seen_at, begun[1].requested_at + 0.2)
+
+    def test_first_time_counts_at_which_a_term_was_seen(self):
+        """Guards against a hold that each read of the record prolongs."""
+        leadership = self.nodes[0][4]
+        leadership._record_term(7)
+        self.advance(1.0)
+        for term in (7, *range(8, 8 + MAX_TERMS_SEEN)):
+            leadership._record_term(term)
+        seen_at_by_term = leadership._seen_at_by_term
+        self.assertNotIn(7, seen_at_by_term)
+        self.assertEqual(len(seen_at_by_term), MAX_TERMS_SEEN)
+        term = max(seen_at_by_term)
+        seen_at = seen_at_by_term[term]
+        self.advance(1.0)
+        leadership._record_term(term)
+        self.assertEqual(seen_at_by_term[term], seen_at)
+
 
 class WatchTests(unittest.TestCase):
     def setUp(self):
--- /dev/null
+++ b/tests/test_recorded_holds.py
@@ -0,0 +1,181 @@
+"""Tests of the ends of holds for late starts, on record and at takeovers."""
+
+import json
+import math
+import unittest
+
+from redwingrudder.coordination.gateways import COORDINATOR, TERM_KEY
+from redwingrudder.coordination.messages import BeginTerm, EndTerm
+from redwingrudder.coordination.worker_session import longest_lease_timeout_s
+from redwingrudder.exceptions import BadRequestError
+from redwingrudder.simulation import MAX_LEASE_S
+from redwingrudder.workflows import records
+from redwingrudder.workflows.records import MAX_RATE_DIFFERENCE
+from redwingrudder.workflows.run_table import LATE_CALL_S
+
+from . import workflow_fixtures as fx
+from .late_call_case import KEY, ROOM, TERM
+from .test_late_starts import LateStartCase
+
+HOLD_S = LATE_CALL_S + longest_lease_timeout_s(MAX_LEASE_S)
+REQUEST_S = 0.1  # from the request for a term to the time it is seen
+# From the end of a hold to the next run: a planning pass, a write and a start.
+PLACING_S = 0.3
+
+
+class TakeoverTests(LateStartCase):
+    """The worker of a lost attempt is silent, and its entry stays."""
+
+    def setUp(self):
+        super().setUp()
+        self.seen_at_by_term = {}
+        self.take_over(TERM + 1)
+        self.run_for(1.0)
+
+    def take_over(self, term, **options):
+        """Let the coordinator begin a term, as a successor would."""
+        self.system.tell(COORDINATOR, EndTerm("test"))
+        self.store.contents.put(TERM_KEY, str(term))
+        revision = self.store.contents.items_by_key[TERM_KEY].mod_revision
+        now = self.clock.seconds()
+        begin = BeginTerm(
+            term,
+            revision,
+            math.inf,
+            now - REQUEST_S,
+            tuple(self.seen_at_by_term.items()),
+        )
+        self.system.tell(COORDINATOR, begin._replace(**options))
+        self.seen_at_by_term[term] = now
+
+    def hold_start(self):
+        """Hold the next run; return the time at which the attempt was sent."""
+        self.start_with_lost_attempt()
+        (late_call,) = self.w1.late_calls
+        self.stop_run_and_restart()
+        self.register("w2", ROOM)
+        return late_call.sent.at
+
+    def run_until(self, at):
+        self.run_for(at - self.clock.seconds())
+
+    def assert_begins(self, earliest, latest):
+        self.run_until(earliest)
+        self.assertNotIn(KEY, self.w2.process.runs_by_key)
+        self.run_until(latest)
+        self.assertIn(KEY, self.w2.process.runs_by_key)
+
+    def assert_begins_after(self, hold_begins_at, late_s=0.0):
+        ends_at = hold_begins_at + HOLD_S
+        # An attempt counts as sent when its reply is overdue.
+        self.assert_begins(ends_at, ends_at + 0.5 + late_s + PLACING_S)
+
+    def test_changes_of_the_coordinator_do_not_begin_a_hold_anew(self):
+        """Guards against a task that waits as long as coordinators change."""
+        sent_at = self.hold_start()
+        for number, after_s in enumerate((5.0, 11.0, 17.0), 2):
+            self.run_until(sent_at + after_s)
+            self.take_over(TERM + number)
+        self.assert_begins_after(sent_at, 0.5)
+
+    def test_jump_of_all_times_of_day(self):
+        """Guards against two runs by clocks that jump on all nodes."""
+        self.system.unix_time = lambda: 1000.0
+        sent_at = self.hold_start()
+        self.system.unix_time = lambda: 1000.0 + 3600.0
+        self.run_until(sent_at + 5.0)
+        self.take_over(TERM + 2)
+        self.assert_begins_after(sent_at, 0.5)
+
+    def test_successor_that_saw_the_last_term_late(self):
+        """Guards against two runs by a time since a term that is too short."""
+        sent_at = self.hold_start()
+        self.run_until(sent_at + 8.0)
+        self.seen_at_by_term[TERM + 1] += 4.0
+        self.take_over(TERM + 2)
+        self.assert_begins_after(sent_at + 4.0, 0.5)
+
+    def test_successor_that_did_not_see_the_last_term(self):
+        """Guards against two runs by the time since an unknown moment."""
+        sent_at = self.hold_start()
+        self.run_until(sent_at + 5.0)
+        self.take_over(TERM + 2, terms_seen_at=())
+        self.assert_begins(sent_at + 5.0 + HOLD_S, sent_at + 5.5 + HOLD_S)
+
+    def test_writer_that_does_not_know_when_its_term_began(self):
+        """Guards against two runs by a recorded time from another moment."""
+        self.take_over(TERM + 2, requested_at=None)
+        self.run_for(1.0)
+        sent_at = self.hold_start()
+        self.run_until(sent_at + 5.0)
+        self.take_over(TERM + 3)
+        self.assert_begins(sent_at + 5.0 + HOLD_S, sent_at + 5.5 + HOLD_S)
+
+
+class RecordedHoldTests(unittest.TestCase):
+    """A worker may carry out a start until 120 s of its writer's clock.
+
+    The writer requested its term at 90 s of that clock.
+    """
+
+    def record(self, requested_at=90.0):
+        progress = fx.engine().accept(fx.workflow(), 0.0)
+        (task,) = progress.tasks()
+        task.add_late_start("w1", 120.0)
+        return records.encode_progress(progress, 1, {}, 100.0, requested_at)
+
+    def restore(self, content, seen_at, latest):
+        """Return the end of the hold by the node clock of a successor."""
+        record = records.decode_progress("job", content)
+        progress = fx.engine().accept(fx.workflow(), 0.0)
+        records.restore_late_starts(progress, record, latest, seen_at)
+        (task,) = progress.tasks()
+        return task.late_starts_by_worker["w1"]
+
+    def test_record_has_the_time_since_the_request_for_the_term(self):
+        """Guards against an end by a clock that no other node has."""
+        record = records.decode_progress("job", self.record())
+        self.assertEqual(record.late_starts, ((KEY, "w1", 30.0),))
+
+    def test_end_by_the_clock_of_the_successor(self):
+        """Guards against a hold that begins anew, or ends too early."""
+        ends_at = self.restore(self.record(), 1000.0, 1040.0)
+        self.assertAlmostEqual(ends_at, 1030.0 + 30.0 * MAX_RATE_DIFFERENCE)
+
+    def test_end_that_is_too_far_away(self):
+        """Guards against a hold that is longer than that of a new start."""
+        self.assertEqual(self.restore(self.record(), 1011.0, 1040.0), 1040.0)
+
+    def test_end_in_the_past(self):
+        """Guards against an old record that holds a task back."""
+        self.assertLess(self.restore(self.record(), 500.0, 1040.0), 531.0)
+
+    def test_unknown_times(self):
+        """Guards against two runs by a guess of the end."""
+        self.assertEqual(self.restore(self.record(), None, 1040.0), 1040.0)
+        self.assertEqual(self.restore(self.record(None), 1000.0, 1040.0), 1040.0)
+
+    def test_record_of_an_earlier_release(self):
+        """Guards against a job that is set aside for lack of an end."""
+        document = json.loads(self.record())
+        document["late_starts"] = [row[:4] for row in document["late_starts"]]
+        content = json.dumps(document).encode()
+        self.assertEqual(self.restore(content, 1000.0, 1040.0), 1040.0)
+
+    def test_malformed_end(self):
+        """Guards against an end that is no time, and no coded error."""
+        for value in ("soon", -1.0, True, [], 1e300):
+            document = json.loads(self.record())
+            document["late_starts"][0][4] = value
+            with self.subTest(value), self.assertRaises(BadRequestError) as caught:
+                records.decode_progress("job", json.dumps(document).encode())
+            self.assertEqual(caught.exception.code, BadRequestError.code)
+
+    def test_record_is_readable_whatever_its_writer_knows(self):
+        """Guards against a job that is set aside for a time of its record."""
+        content = self.record(130.0)
+        self.assertEqual(self.restore(content, 1000.0, 1040.0), 1040.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
