Tell why tasks wait although there is room

Callers saw accepted jobs without a run for 22 to 46 s while most of the fleet was idle, and no log line or metric told what they waited for: the line about held starts is written only if the worker that is waited for answers.

Once a second, right after a planning pass, the coordinator looks for waiting tasks whose turn has come and that fit into idle capacity, and names the first rule of the pass that keeps each back. Gauges tell their number and the longest wait by reason, and a log line tells one task with its worker and the end of the reason. Directly after a pass, because at any other moment a busy fleet has room that the next pass will fill. Capacity that is claimed for waiting steps counts as room, with a reason of its own: a held gang claims the room that it would use.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -56,6 +56,7 @@
     workflow_id_of,
 )
 from .term import Term, open_term
+from .waiting_report import WaitingReport
 from .watching import follow_prefix
 
 # Minimum delay before a planning pass, so that one pass covers all events that
@@ -105,6 +106,7 @@
         self._ask_peers_at = 0.0
         self._advice_waits = AdviceWaits()
         self._log_advice_waits_at = 0.0
+        self._waiting_report = WaitingReport(self.tell)
         self._plan_scheduled = False
         self._plan_pause_s = PLAN_DELAY_S
         self._configuration: OperatorConfiguration | None = None
@@ -261,6 +263,7 @@
         if term is not None:
             term.close()
             self._set_advice_gauges(AdviceWaits())
+            self._waiting_report.clear()
 
     def _on_deposed(self) -> None:
         self._ready = False
@@ -497,13 +500,15 @@
         engine = self._term.engine
         now = self.system.clock.seconds()
         effects: list[Effect] = []
-        if self._term.authority.valid:
-            wall = now + self._unix_time_offset_s
+        wall = now + self._unix_time_offset_s
+        may_plan = self._term.authority.valid
+        if may_plan:
             effects += _guard(engine.plan, now, wall) or []
         effects += engine.take_effects()
         for effect in effects:
             _guard(self._execute_effect, effect)
         self._term.writer.schedule_write()
+        _guard(self._waiting_report.check, engine, now, wall, may_plan)
         planning_s = self.system.clock.seconds() - now
         self._plan_pause_s = max(PLAN_DELAY_S, PLAN_PAUSE_RATIO * planning_s)
 
--- a/src/redwingrudder/coordination/metrics.py
+++ b/src/redwingrudder/coordination/metrics.py
@@ -66,11 +66,22 @@
     "request_seconds": ("Answer time to callers", ("method",)),
 }
 GAUGES = {
-    "coordinator": "1 while this node coordinates",
-    "store_available": "1 while the store answers",
-    "configuration_version": "Version in force",
-    "advice_waiting_steps": "Steps with room that lack only permits",
-    "advice_longest_wait_seconds": "Longest time for which one of them has waited",
+    "coordinator": ("1 while this node coordinates", ()),
+    "store_available": ("1 while the store answers", ()),
+    "configuration_version": ("Version in force", ()),
+    "advice_waiting_steps": ("Steps with room that lack only permits", ()),
+    "advice_longest_wait_seconds": (
+        "Longest time for which one of them has waited",
+        (),
+    ),
+    "waiting_tasks_with_room": (
+        "Tasks that wait although there is room",
+        ("reason",),
+    ),
+    "waiting_with_room_oldest_seconds": (
+        "Longest time for which one of them has waited",
+        ("reason",),
+    ),
 }
 
 
@@ -94,6 +105,7 @@
 
     name: str
     value: float
+    labels: tuple[str, ...] = ()
 
 
 class Metrics(Actor):
@@ -162,8 +174,8 @@
                 labels,
                 buckets=HISTOGRAM_BUCKETS_S,
             )
-        for name, help_text in GAUGES.items():
-            self._register_metric(name, prometheus_client.Gauge, help_text, ())
+        for name, (help_text, labels) in GAUGES.items():
+            self._register_metric(name, prometheus_client.Gauge, help_text, labels)
         buffered, self._buffered = self._buffered, []
         for message in buffered:
             self._record(message)
@@ -190,12 +202,11 @@
                 self._buffered.append(message)
             return
         metric = self._metrics_by_name[message.name]
-        if isinstance(message, SetGauge):
-            metric.set(message.value)
-            return
         if message.labels:
             metric = metric.labels(*message.labels)
-        if isinstance(message, IncrementCounter):
+        if isinstance(message, SetGauge):
+            metric.set(message.value)
+        elif isinstance(message, IncrementCounter):
             metric.inc()
         else:
             metric.observe(message.seconds)
