Count the starts that workers do not answer in the log

The coordinator counts starts of which no attempt got a reply by worker, and writes one line at most every 5 s, with the number of workers and starts and the five workers with most. The count is kept from one line to the next, and ends with the term. Nothing else uses it.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -56,6 +56,7 @@
     workflow_id_of,
 )
 from .term import Term, open_term
+from .unanswered_starts import UnansweredStarts
 from .waiting_report import WaitingReport
 from .watching import follow_prefix
 
@@ -107,6 +108,7 @@
         self._advice_waits = AdviceWaits()
         self._log_advice_waits_at = 0.0
         self._waiting_report = WaitingReport(self.tell)
+        self._unanswered_starts = UnansweredStarts()
         self._plan_scheduled = False
         self._plan_pause_s = PLAN_DELAY_S
         self._configuration: OperatorConfiguration | None = None
@@ -263,6 +265,7 @@
         if term is not None:
             term.close()
             self._set_advice_gauges(AdviceWaits())
+            self._unanswered_starts.clear()
             self._waiting_report.clear()
 
     def _on_deposed(self) -> None:
@@ -419,6 +422,7 @@
         if not self._ready or not self._term.workers.is_of_this_term(message.fence):
             # The record tells a later term that the start is not settled.
             return
+        self._unanswered_starts.note(start, reply)
         now = self.system.clock.seconds()
         self._term.engine.start_settled(
             start.key, start.run, start.worker_id, message.unanswered_at
@@ -445,6 +449,7 @@
         _guard(self._term.workers.sweep)
         _guard(self._term.retention.sweep, now)
         _guard(self._report_advice_waits, now)
+        _guard(self._unanswered_starts.log, now)
         if self._term.maintenance is not None:
             _guard(self._term.maintenance.advance, now)
         if self._term.pool_moves is not None:
--- a/tests/test_waiting_report.py
+++ b/tests/test_waiting_report.py
@@ -1,5 +1,6 @@
-"""Tests of what a coordinator tells of tasks that wait."""
+"""Tests of what a coordinator tells of tasks that wait and starts in vain."""
 
+import math
 import unittest
 from unittest import mock
 
@@ -7,20 +8,22 @@
 
 from redwingrudder.actors import ActorSystem
 from redwingrudder.coordination import metrics
-from redwingrudder.coordination.gateways import COORDINATOR
-from redwingrudder.coordination.messages import EndTerm
+from redwingrudder.coordination.gateways import COORDINATOR, TERM_KEY, CommandReply
+from redwingrudder.coordination.messages import BeginTerm, EndTerm
 from redwingrudder.coordination.metrics import METRICS, SetGauge
+from redwingrudder.coordination.unanswered_starts import UnansweredStarts
 from redwingrudder.timers import TimerService
-from redwingrudder.workflows.model import EndKind
+from redwingrudder.workflows.model import EndKind, StartRun
 
 from . import workflow_fixtures as fx
-from .late_call_case import NO_ROOM, ROOM, LateCallCase
+from .late_call_case import NO_ROOM, ROOM, TERM, LateCallCase
 
 
 class ReportTests(LateCallCase):
     """What the coordinator tells."""
 
     LOGGER = "redwingrudder.coordination.waiting_report"
+    STARTS_LOGGER = "redwingrudder.coordination.unanswered_starts"
 
     def gauges(self):
         """Return the newest value of each gauge, by name and labels."""
@@ -93,6 +96,63 @@
             self.submit("job", 2.0)
         self.assertIn(fx.key("job"), self.w1.process.runs_by_key)
 
+    def test_worker_that_does_not_answer_starts_is_named(self):
+        """Guards against starts without an effect that no line counts."""
+        self.w1.late = {"start"}
+        with self.assertLogs(self.STARTS_LOGGER, "WARNING") as logs:
+            self.submit("job", 14.0)
+        lines = self.lines(logs, "workers do not answer starts")
+        self.assertGreaterEqual(len(lines), 2)
+        self.assertLessEqual(len(lines), 3)
+        for line in lines:
+            self.assertEqual(list(line.starts_by_worker), ["w1"])
+            self.assertEqual(line.starts, line.starts_by_worker["w1"])
+            self.assertEqual(line.workers, 1)
+
+    def test_starts_of_the_last_term_are_not_told(self):
+        """Guards against a line that blames workers which answer by now."""
+        self.w1.late = {"start"}
+        self.submit("job", 6.0)
+        self.assertGreater(len(self.w1.late_calls), 3)
+        self.w1.late = set()
+        self.system.tell(COORDINATOR, EndTerm("test"))
+        self.store.contents.put(TERM_KEY, str(TERM + 1))
+        revision = self.store.contents.items_by_key[TERM_KEY].mod_revision
+        self.system.tell(COORDINATOR, BeginTerm(TERM + 1, revision, math.inf))
+        with self.assertNoLogs(self.STARTS_LOGGER, "WARNING"):
+            self.run_for(6.0)
+
+
+class UnansweredStartsTests(unittest.TestCase):
+    """Which starts the log line counts."""
+
+    def setUp(self):
+        self.starts = UnansweredStarts()
+
+    def note(self, worker_id, count, reason="unanswered"):
+        start = StartRun(worker_id, fx.key(), 1, "payload", "")
+        for _ in range(count):
+            self.starts.note(start, CommandReply(False, reason))
+
+    def test_workers_with_most_starts_are_named(self):
+        """Guards against a line as long as the fleet."""
+        for number in range(1, 8):
+            self.note(f"w{number}", number)
+        self.note("w8", 9, "room")
+        with self.assertLogs(level="WARNING") as logs:
+            self.starts.log(1.0)
+        (line,) = logs.records
+        self.assertEqual((line.workers, line.starts), (7, 28))
+        expected = {f"w{number}": number for number in range(7, 2, -1)}
+        self.assertEqual(line.starts_by_worker, expected)
+
+    def test_starts_of_an_earlier_term_are_not_told(self):
+        """Guards against a line about the starts of another term."""
+        self.note("w1", 1)
+        self.starts.clear()
+        with self.assertNoLogs(level="WARNING"):
+            self.starts.log(1.0)
+
 
 class GaugeTests(unittest.TestCase):
     def test_each_gauge_can_be_recorded(self):
