--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -56,6 +56,8 @@
     workflow_id_of,
 )
 from .term import Term, open_term
+from .unanswered_starts import UnansweredStarts
+from .waiting_report import WaitingReport
 from .watching import follow_prefix
 
 # Minimum delay before a planning pass, so that one pass covers all events that
@@ -105,6 +107,8 @@
         self._ask_peers_at = 0.0
         self._advice_waits = AdviceWaits()
         self._log_advice_waits_at = 0.0
+        self._waiting_report = WaitingReport(self.tell)
+        self._unanswered_starts = UnansweredStarts()
         self._plan_scheduled = False
         self._plan_pause_s = PLAN_DELAY_S
         self._configuration: OperatorConfiguration | None = None
@@ -266,6 +270,8 @@
         if term is not None:
             term.close()
             self._set_advice_gauges(AdviceWaits())
+            self._unanswered_starts.clear()
+            self._waiting_report.clear()
 
     def _on_deposed(self) -> None:
         self._ready = False
@@ -421,6 +427,7 @@
         if not self._ready or not self._term.workers.is_of_this_term(message.fence):
             # The record tells a later term that the start is not settled.
             return
+        self._unanswered_starts.note(start, reply)
         now = self.system.clock.seconds()
         self._term.engine.start_settled(
             start.key, start.run, start.worker_id, message.unanswered_at
@@ -447,6 +454,7 @@
         _guard(self._term.workers.sweep)
         _guard(self._term.retention.sweep, now)
         _guard(self._report_advice_waits, now)
+        _guard(self._unanswered_starts.log, now)
         if self._term.maintenance is not None:
             _guard(self._term.maintenance.advance, now)
         if self._term.pool_moves is not None:
@@ -502,13 +510,15 @@
         engine = self._term.engine
         now = self.system.clock.seconds()
         effects: list[Effect] = []
-        if self._term.authority.valid:
-            wall = now + self._unix_time_offset_s
+        wall = now + self._unix_time_offset_s
+        may_plan = self._term.authority.valid
+        if may_plan:
             effects += _guard(engine.plan, now, wall) or []
         effects += engine.take_effects()
         for effect in effects:
             _guard(self._execute_effect, effect)
         self._term.writer.schedule_write()
+        _guard(self._waiting_report.check, engine, now, wall, may_plan)
         planning_s = self.system.clock.seconds() - now
         self._plan_pause_s = max(PLAN_DELAY_S, PLAN_PAUSE_RATIO * planning_s)
 
