Observe another suspect while the worker of one is silent

Cause: the one suspect that was observed ran on a worker that fell silent. Whether its run has proved harmless is known only when the worker answers or its lease has lapsed, and all other suspects and their siblings waited.

Ruled out: the verdict on an accused task (none was), late starts, room: ten workers of twelve were idle and usable.

Change: while the worker of an observed suspect of the step is silent, one more suspect may be observed. Further silent workers allow no more, as the tasks may have crashed them.

The test test_silent_worker_does_not_keep_the_other_suspects_waiting failed before.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -9,7 +9,7 @@
 (``crash_evidence``), so the verdict waits until they would have been seen.
 """
 
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator, Mapping
 
 from ..statecharts import load_chart
 from .crash_evidence import (
@@ -293,13 +293,23 @@
     return True
 
 
-def startable_suspects(stage: Stage, waiting: list[Task]) -> list[Task]:
+def startable_suspects(
+    stage: Stage, waiting: list[Task], workers_by_id: Mapping[str, Worker]
+) -> list[Task]:
     """Return which waiting tasks of a step may start beside its suspects.
 
     Tasks of a step are alike. While one of them is suspected, the others wait
     for its outcome, so that each does not crash workers of its own. Each one
     that proves harmless lets one more suspect be observed at the same time,
-    until the next crash. A task or gang that is accused waits for the verdict.
+    until the next crash. So does one whose worker has fallen silent, since
+    its outcome is known only once the worker's lease has lapsed; further such
+    ones do not, as they may have crashed their workers. A task or gang that is
+    accused waits for the verdict.
+
+    Args:
+        stage: The step.
+        waiting: Its tasks that wait and could start.
+        workers_by_id: All workers.
     """
     if not stage.workflow.suspects_by_key:
         return waiting
@@ -310,8 +320,12 @@
         return waiting
     if any(is_accused(task) for task in suspects):
         return []
-    observed = sum(task.placed for task in suspects)
-    count = max(1 + stage.harmless_suspects - observed, 0)
+    placed = [task for task in suspects if task.placed]
+    has_silent = any(
+        task.worker_id in workers_by_id and not workers_by_id[task.worker_id].reachable
+        for task in placed
+    )
+    count = max(1 + stage.harmless_suspects + has_silent - len(placed), 0)
     return [task for task in waiting if is_suspected(task)][:count]
 
 
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -205,7 +205,9 @@
         return [] if stage.spec.gang and len(free) < len(tasks) else free
 
     def place(self, stage: Stage, stage_rank: int) -> None:
-        waiting = startable_suspects(stage, self._waiting_tasks(stage))
+        waiting = startable_suspects(
+            stage, self._waiting_tasks(stage), self._workers_by_id
+        )
         if not waiting:
             return
         usable, not_slow = self._find_usable_workers(stage)
--- a/tests/test_idle_fleet.py
+++ b/tests/test_idle_fleet.py
@@ -89,3 +89,11 @@
         started = self.start(7.0)
         self.crash(started, 7.1)
         self.assertEqual((len(started), len(self.start(12.0))), (4, 1))
+
+    def test_silent_worker_does_not_keep_the_other_suspects_waiting(self):
+        """Guards against a step that waits for the lease of one worker."""
+        for now, count in ((5.0, 1), (6.0, 1), (7.0, 0)):
+            started = self.start(now)
+            self.assertEqual(len(started), count)
+            for start in started:
+                self.engine.workers_by_id[start.worker_id].reachable = False
