Let a worker on trial get all members of a gang

Callers could see: a gang with several members on a worker waits for good beside an idle fleet after one of its workers has not answered a start, or has rejected it.

Cause: a worker on trial gets one start at a time, and a gang starts only as a whole. If it needs more than one place there, it never starts, and the verdict ends only by a start. Without other work for that worker this has no end.

Ruled out: holds and claims; one gang of one job on an empty fleet shows it.

Change: the members of one gang on a worker count as its one start.

--- a/src/redwingrudder/workflows/room.py
+++ b/src/redwingrudder/workflows/room.py
@@ -72,13 +72,19 @@
 def max_tasks_on_worker(stage: Stage, worker: Worker, wanted: int) -> int:
     """Return how many more tasks of a step may run on a worker.
 
+    A worker on trial gets one task, or members of one gang: these can start
+    only together, and would wait for good if the worker got one of them.
+
     Args:
         stage: The step.
         worker: The worker.
         wanted: Upper bound of the result.
     """
     if worker.start_trials.on_trial:
-        wanted = min(wanted, 0 if worker.has_trial_start else 1)
+        if worker.has_trial_start:
+            return 0
+        if not stage.spec.gang:
+            wanted = min(wanted, 1)
     limit = stage.spec.worker_limit
     if not limit:
         return wanted
--- a/src/redwingrudder/workflows/start_trials.py
+++ b/src/redwingrudder/workflows/start_trials.py
@@ -29,7 +29,8 @@
 
     Attributes:
         state: State in the chart of a worker's starts.
-        on_trial: Whether the worker gets one start at a time.
+        on_trial: Whether the worker gets one start at a time, or those of one
+            gang.
         resting: Whether the worker gets no starts.
         is_planned: Whether the present planning pass has a start on the
             worker.
--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -4,6 +4,8 @@
 workers leave starts unanswered or reject them.
 """
 
+import unittest
+
 from redwingrudder.simulation import RunBehaviour
 from redwingrudder.workflows.model import EndKind
 
@@ -143,7 +145,35 @@
                         self.play(reason, count, step)
 
 
-if __name__ == "__main__":
-    import unittest
+class TrialTests(unittest.TestCase):
+    """What the first planning pass after a start without success places."""
+
+    def refuse(self, worker_id, *workers):
+        """Let a worker leave the start of a job unanswered."""
+        self.engine = fx.engine(fx.worker(worker_id))
+        self.engine.accept(fx.workflow("first"), 0.0)
+        (start,) = fx.starts(self.engine.plan(0.0, 0.0))
+        self.engine.start_rejected(start.key, start.run, "unanswered", 2.0)
+        self.engine.cancel("first", 2.0)
+        for other_id in workers:
+            self.engine.set_worker(fx.worker(other_id), 2.0)
+
+    def place(self, step, now=2.1, workflow_id="job"):
+        self.engine.accept(fx.workflow(workflow_id, step), now)
+        return fx.starts(self.engine.plan(now, now))
+
+    def test_gang_with_several_members_on_a_worker(self):
+        """Guards against a gang that waits for a trial which never comes."""
+        self.refuse("w1", "w2")
+        self.assertEqual(len(self.place(fx.step(12, gang=True))), 12)
+        self.assertEqual(self.place(fx.step(), 2.2, "other"), [])
+        trials = self.engine.workers_by_id["w1"].start_trials
+        for member in self.engine.workflows_by_id["job"].tasks():
+            key, run = member.key, member.run
+            if member.worker_id == "w1":
+                self.engine.start_rejected(key, run, "unanswered", 4.2)
+        self.assertEqual((trials.state, trials.rest_until), ("resting", 5.2))
 
+
+if __name__ == "__main__":
     unittest.main()
