--- a/src/redwingrudder/workflows/_wait_rules.py
+++ b/src/redwingrudder/workflows/_wait_rules.py
@@ -138,7 +138,7 @@
         first = next((hold for hold in holds if hold is not None), None)
         if first is not None:
             return first
-        if not startable_suspects(stage, waiting):
+        if not startable_suspects(stage, waiting, self._workers_by_id):
             return Hold(WaitReason.SUSPECTED)
         room = self._find_step_room(waiting, fitting)
         return self._unconfirmed_hold(waiting, room) or room.hold
@@ -157,7 +157,8 @@
                 others.append(task)
             else:
                 held.append((task, hold))
-        startable_keys = {task.key for task in startable_suspects(stage, others)}
+        startable = startable_suspects(stage, others, self._workers_by_id)
+        startable_keys = {task.key for task in startable}
         sibling_hold = self._sibling_hold(stage)
         room_by_kind: dict[tuple[bool, bool], _StepRoom] = {}
         for task in others:
@@ -267,6 +268,11 @@
         for worker in resting:
             if worker.observes_suspect:
                 return Hold(WaitReason.SUSPECTED, worker.facts.worker_id)
+        without_starts = [w for w in resting if w.start_trials.resting]
+        if without_starts:
+            first = min(without_starts, key=lambda w: w.start_trials.rest_until)
+            ends_in_s = max(first.start_trials.rest_until - self._now, 0.0)
+            return Hold(WaitReason.WORKERS_REST, first.facts.worker_id, ends_in_s)
         return Hold(WaitReason.WORKERS_REST, *[w.facts.worker_id for w in resting[:1]])
 
     def _left_out_hold(self, stage: Stage, usable: list[Worker]) -> Hold:
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -180,6 +180,7 @@
         self._preemption_allowed = preemption_allowed
         self._may_ask = may_ask
         self._suspects = [worker for worker in workers if worker.is_suspect(now)]
+        self._has_trials = any(worker.start_trials.on_trial for worker in workers)
         self._claimed_steps = 0
         # Tasks with an older run that is being stopped.
         self._held_keys = {key for worker in workers for key in worker.unwanted_keys}
@@ -216,7 +217,8 @@
         candidates = eligible_workers(stage, usable, not_slow, self._now)
         if self._observers:
             candidates = [w for w in candidates if not w.observes_suspect]
-        candidates = without_trials(stage, candidates, self._now)
+        if self._has_trials:
+            candidates = without_trials(stage, candidates, self._now)
         if is_suspected(waiting[0]):
             self._place_suspects(stage, stage_rank, waiting, candidates)
             return
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -160,6 +160,15 @@
         with mock.patch.object(Worker, "usable", return_value=False):
             self.assert_held(1.0, WaitReason.WORKERS_REST, "w1")
 
+    def test_worker_that_rests_after_a_trial_is_named(self):
+        """Guards against a rest whose end no line tells."""
+        self.set_up(fx.worker("w1"))
+        self.accept("job")
+        for now in (0.0, 1.0):
+            (start,) = self.plan(now)
+            self.engine.start_rejected(start.key, start.run, "unhealthy", now)
+        self.assert_held(1.5, WaitReason.WORKERS_REST, "w1", 0.5)
+
     def test_worker_that_observes_a_suspect_is_named(self):
         """Guards against an observation that looks like a full fleet."""
         self.suspect_steps(fx.step())
