Let a worker that carries out no starts rest for 4 s at most

Callers could see: a task whose only worker rejected starts, or left them without a reply, for 15 s or more begins up to 8.9 s after the worker has recovered.

Cause: the rest of a worker doubles up to 8 s, and a resting worker gets no start although the task has no other.

Ruled out: to send starts to a resting worker if a task has no other one, as that is a start in each planning pass again.

Change: the longest rest is 4 s. With a trial of 2 s without a reply before it the time is 6 s.

--- a/src/redwingrudder/workflows/start_trials.py
+++ b/src/redwingrudder/workflows/start_trials.py
@@ -15,7 +15,7 @@
 # the run, the permit or the coordinator.
 REFUSALS = frozenset({"unanswered", "unhealthy", "room"})
 FIRST_REST_S = 1.0
-LONGEST_REST_S = 8.0
+LONGEST_REST_S = 4.0
 
 _CHART = load_chart(
     "worker_starts",
--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -17,6 +17,9 @@
 JOBS = 14
 LATE_BY_S = 4.1
 MAX_STARTS = 100  # to the workers that begin no run
+# Time after the last disruption in which a task that lasts has to begin if it
+# has room: 4 s until the users ask for it, and 3 s that it may wait.
+BEGUN_WITHIN_S = 7.0
 TWO_GPUS = fx.ONE_GPU._replace(accelerators=2)
 JOB = fx.step(7, TWO_GPUS)._replace(estimate_s=RUN_S)
 GANG = fx.step(7, WHOLE_WORKER, gang=True)._replace(estimate_s=RUN_S)
@@ -145,6 +148,42 @@
                         self.play(reason, count, step)
 
 
+class OnlyWorkerTests(StartTrialCase):
+    """The only worker for a task carries out no starts for a while."""
+
+    worker_count = 1
+
+    def play(self, outage_s, begin_outage, end_outage):
+        self.setUp()
+        (worker,) = self.unfit(1)
+        begin_outage(worker)
+        self.submit("job", fx.step(service=True), queue="plain")
+        self.run_for(outage_s)
+        end_outage(worker)
+        self.run_for(BEGUN_WITHIN_S)
+        self.assertTrue(worker.process.runs_by_key)
+
+    def test_starts_are_rejected(self):
+        """Guards against a rest that outlasts the outage by far."""
+        for outage_s in (16.0, 20.0, 24.0, 25.0):
+            with self.subTest(outage_s=outage_s):
+                self.play(
+                    outage_s,
+                    lambda w: w.rejections_by_name.update(start="unhealthy"),
+                    lambda w: w.rejections_by_name.clear(),
+                )
+
+    def test_starts_get_no_reply(self):
+        """Guards against a rest that outlasts the outage by far."""
+        for outage_s in (16.0, 20.0, 24.0, 25.0):
+            with self.subTest(outage_s=outage_s):
+                self.play(
+                    outage_s,
+                    lambda w: w.late.add("start"),
+                    lambda w: w.late.clear(),
+                )
+
+
 class TrialTests(unittest.TestCase):
     """What the first planning pass after a start without success places."""
 
