Observe suspects on workers that carry out starts

Callers could see: a step waits while the start of its suspected task goes to a worker that does not carry it out, although an idle worker does.

Cause: the worker for a suspect is not chosen by the order of options. Its own order knows nothing of workers on trial, and an idle worker that begins no run is the first in it as long as it does not rest. The siblings of the suspect wait for the outcome.

Ruled out: workers that have crashed or are far from the input data; in the test both workers are equal but for the trial.

Change: among workers that are as close to the data, those on trial come last.

Measured in memory: with one worker on trial and an idle one, the suspect was placed on the one on trial before, and on the other one after. test_suspect_is_observed_on_a_fit_worker failed before.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -322,8 +322,8 @@
 
     A worker with a run that may itself be the cause of a crash is left out.
     A crash is conclusive on a worker that has not crashed recently, so such
-    workers are waited for. Those near the input data come first, and idle
-    ones, as the least work is lost there.
+    workers are waited for. Those near the input data come first, then those
+    that are not on trial, and idle ones, as the least work is lost there.
 
     Args:
         workers: Workers that may run the step.
@@ -354,6 +354,7 @@
         key=lambda worker: (
             is_crash_prone(worker, now),
             bool(rack) and worker.facts.rack != rack,
+            worker.start_trials.on_trial,
             len(worker.tasks_by_key),
         ),
         default=None,
--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -213,6 +213,19 @@
                 self.engine.start_rejected(key, run, "unanswered", 4.2)
         self.assertEqual((trials.state, trials.rest_until), ("resting", 5.2))
 
+    def test_suspect_is_observed_on_a_fit_worker(self):
+        """Guards against a step that waits for one suspect without a start."""
+        self.refuse("w1")
+        self.engine.set_worker(fx.worker("w3", address="10.0.0.3:80"), 2.0)
+        (start,) = self.place(fx.step())
+        self.assertEqual(start.worker_id, "w3")
+        fx.confirm(self.engine, [start], 2.1)
+        self.engine.worker_restarted("w3", 2.2)
+        self.engine.interrupt_worker("w3", 2.2, "crashed")
+        self.engine.set_worker(fx.worker("w2"), 2.3)
+        (start,) = fx.starts(self.engine.plan(3.0, 3.0))
+        self.assertEqual(start.worker_id, "w2")
+
 
 if __name__ == "__main__":
     unittest.main()
