Count a start of an adopted run from the end of the term that placed it

A run whose start got no reply is adopted by each next coordinator while its worker is silent, and the hold for its late start counted from the adoption.

Cause: the attempts of an adopted run counted as sent until 2 s after the adoption. That is right for the first coordinator after the one that placed the run; a later one sends no start of it, as a start names a run that the same term has placed.

Ruled out: to record when a start was sent, as its record is written before.

Change: the number of a run tells the term that placed it, or a later one. The attempts count as sent until 2 s after the first later term was seen by this node (BeginTerm.terms_seen_at), at most until 2 s after the adoption. The leases of an adopted run count from the takeover as before.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -53,6 +53,7 @@
     cancel_all,
     read_state,
     restore_all,
+    successor_seen_at,
     workflow_id_of,
 )
 from .term import Term, open_term
@@ -197,7 +198,8 @@
         )
         term.workers.set_all_entries({p.key: p.value for p in state.workers.pairs})
         for placed_run in placed_runs:
-            term.workers.adopt(placed_run)
+            start_sent_by = successor_seen_at(placed_run.run, terms_seen_at)
+            term.workers.adopt(placed_run, start_sent_by)
         cancel_all(term.engine, term.retention, state, now, self.system.unix_time())
         if term.pool_moves is not None:
             term.pool_moves.empty_workers()
--- a/src/redwingrudder/coordination/recovery.py
+++ b/src/redwingrudder/coordination/recovery.py
@@ -12,6 +12,7 @@
 from ..workflows import records
 from ..workflows.engine import Engine
 from ..workflows.model import FINAL_STATES
+from ..workflows.run_table import RUNS_PER_TERM
 from .gateways import CANCEL_SUFFIX, INTAKE_PREFIX, PROGRESS_PREFIX, STORE
 from .recorder import Recorder
 from .retention import RecordRetention
@@ -187,6 +188,26 @@
     return placed_runs
 
 
+def successor_seen_at(run: int, terms_seen_at: Mapping[int, float]) -> float:
+    """Return when the term was seen to have ended that has placed a run.
+
+    The coordinator of that term sends starts for at most
+    ``LONGEST_OVERLAP_S`` after the next term has begun, and a later one sends
+    none of the run. The number of the run tells the term, or a later one.
+
+    Args:
+        run: Number of the run.
+        terms_seen_at: See ``restore_all``.
+
+    Returns:
+        Node-clock seconds at which a later term was first seen, infinite if
+        none is known.
+    """
+    placing_term = (run - 1) // RUNS_PER_TERM + 1
+    times = (at for term, at in terms_seen_at.items() if term > placing_term)
+    return min(times, default=math.inf)
+
+
 def cancel_all(
     engine: Engine,
     retention: RecordRetention,
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -177,11 +177,15 @@
             and self._entries_by_worker.get(worker_id) == value
         )
 
-    def adopt(self, placed: PlacedRun) -> None:
+    def adopt(self, placed: PlacedRun, start_sent_by: float = math.inf) -> None:
         """Add a recorded run to the engine, even if its worker has no entry.
 
         The entry may appear again soon; otherwise the run is kept until the
         worker's leases have lapsed.
+
+        Args:
+            placed: The run.
+            start_sent_by: See ``Engine.adopt_run``.
         """
         now = self._system.clock.seconds()
         if placed.worker_id not in self._engine.workers_by_id:
@@ -207,6 +211,7 @@
             now,
             placed.process_started_ms,
             placed.start_settled,
+            start_sent_by,
         )
 
     def _take_recorded_process(self, worker_id: str, process_started_ms: int) -> None:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -820,6 +820,7 @@
         now: float,
         process_started_ms: int = 0,
         start_settled: bool = False,
+        start_sent_by: float = math.inf,
     ) -> None:
         """Restore a run that is named by a stored record or by a worker.
 
@@ -840,6 +841,9 @@
                 worker has been restarted since, its crash is counted.
             start_settled: Whether the attempts of its start without a reply
                 are known.
+            start_sent_by: Node-clock seconds from which on attempts of its
+                start are sent for at most ``START_ATTEMPTS_S``; ``now`` counts
+                if it is earlier.
         """
         task = self.find(key)
         if task is None or task.ended:
@@ -876,7 +880,8 @@
                 extra={**run_log_fields(task), "run": run, "worker": worker_id},
             )
         task.run_confirmed, task.run_adopted = started, True
-        task.start_settled, task.start_sent_at = start_settled, now
+        task.start_settled = start_settled
+        task.start_sent_at = min(now, start_sent_by)
         if started:
             self.step(task, "started", now)
         task.stage.workflow.begun = True
--- a/tests/test_recorded_holds.py
+++ b/tests/test_recorded_holds.py
@@ -6,12 +6,17 @@
 
 from redwingrudder.coordination.gateways import COORDINATOR, TERM_KEY
 from redwingrudder.coordination.messages import BeginTerm, EndTerm
+from redwingrudder.coordination.recovery import successor_seen_at
 from redwingrudder.coordination.worker_session import longest_lease_timeout_s
 from redwingrudder.exceptions import BadRequestError
 from redwingrudder.simulation import MAX_LEASE_S
 from redwingrudder.workflows import records
 from redwingrudder.workflows.records import MAX_RATE_DIFFERENCE
-from redwingrudder.workflows.run_table import LATE_CALL_S
+from redwingrudder.workflows.run_table import (
+    LATE_CALL_S,
+    RUNS_PER_TERM,
+    START_ATTEMPTS_S,
+)
 
 from . import workflow_fixtures as fx
 from .late_call_case import KEY, ROOM, TERM
@@ -78,6 +83,47 @@
             self.take_over(TERM + number)
         self.assert_begins_after(sent_at, 0.5)
 
+    def take_over_with_unsettled_start(self, first_s=1.0):
+        """Let two coordinators take over a run whose start got no reply."""
+        self.w1.late = {"start"}
+        self.submit("job", 0.1)
+        self.w1.silent = True
+        self.w1.restart()
+        self.run_for(first_s)
+        self.take_over(TERM + 2)
+        first_at = self.clock.seconds()
+        self.run_for(7.0)
+        self.take_over(TERM + 3)
+        self.register("w2", ROOM)
+        return first_at
+
+    def test_unsettled_start_counts_from_the_first_takeover(self):
+        """Guards against a hold that each adoption of a run begins anew."""
+        first_at = self.take_over_with_unsettled_start()
+        self.assert_begins_after(first_at + START_ATTEMPTS_S)
+
+    def test_unsettled_start_of_a_term_whose_end_was_seen_late(self):
+        """Guards against two runs by an attempt of a term that still acts."""
+        self.take_over_with_unsettled_start()
+        second_at = self.clock.seconds()
+        self.run_for(1.0)
+        del self.seen_at_by_term[TERM + 2]
+        self.take_over(TERM + 4)
+        self.assert_begins_after(second_at + START_ATTEMPTS_S)
+
+    def test_term_of_a_run(self):
+        """Guards against an end of the term before the one of the run."""
+        seen_at_by_term = {2: 20.0, 3: 30.0, 5: 50.0}
+        for run, seen_at in (
+            (1, 20.0),
+            (RUNS_PER_TERM, 20.0),
+            (RUNS_PER_TERM + 1, 30.0),
+            (2 * RUNS_PER_TERM + 1, 50.0),
+            (4 * RUNS_PER_TERM + 1, math.inf),
+        ):
+            with self.subTest(run):
+                self.assertEqual(successor_seen_at(run, seen_at_by_term), seen_at)
+
     def test_jump_of_all_times_of_day(self):
         """Guards against two runs by clocks that jump on all nodes."""
         self.system.unix_time = lambda: 1000.0
