Bound the time for which a failed gang waits for proved workers

With a worker that goes on failing it waits for as long as that, and for as long as the runs of other workers last: 38 s and more in the test.

Cause: after a series of failures a gang uses only workers on which a run that started later has not failed. If these have room later, it waited for them, and nothing ended that while any worker of the pool was a suspect. Workers that had started nothing since did not count, which on an idle fleet is most of them.

Change: it keeps to proved workers with idle room as before, but waits for room on them, or makes it, only until SUSPECT_S (8 s) after its newest failure, like the choice of workers without a recent failure.

The test test_gang_waits_for_proved_workers_for_a_limited_time failed before.

--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -33,7 +33,14 @@
 )
 from .room import Room, find_room, may_find_room
 from .run_times import RunTimeEstimates, is_slow
-from .state import Stage, Task, Worker, WorkflowProgress, resources_used
+from .state import (
+    SUSPECT_S,
+    Stage,
+    Task,
+    Worker,
+    WorkflowProgress,
+    resources_used,
+)
 
 # Priority of urgent queues.
 URGENT_PRIORITY = 0
@@ -225,7 +232,7 @@
                 if worker.has_proved_sound(began_to_fail_at, self._now)
             ]
             waiting = self._retry(stage, waiting, sound)
-            if stage.spec.gang and may_find_room(stage, len(waiting), sound):
+            if stage.spec.gang and self._keeps_to_sound(stage, len(waiting), sound):
                 candidates = sound
         if waiting and candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
@@ -298,6 +305,15 @@
             candidates, stage, len(waiting), busy_ids, self._now
         )
 
+    def _keeps_to_sound(self, stage: Stage, count: int, sound: list[Worker]) -> bool:
+        """Return whether a gang with failed runs uses only proved workers.
+
+        It waits for them until ``SUSPECT_S`` after its newest failure.
+        """
+        room = find_room(stage, count, sound)
+        waits = self._now - stage.failed_at < SUSPECT_S
+        return room is Room.NOW or (room is Room.LATER and waits)
+
     def _retry(
         self, stage: Stage, waiting: list[Task], sound: list[Worker]
     ) -> list[Task]:
--- a/tests/test_idle_fleet.py
+++ b/tests/test_idle_fleet.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from redwingrudder.workflows.model import WorkflowState
+from redwingrudder.workflows.model import EndKind, WorkflowState
+from redwingrudder.workflows.state import SUSPECT_S
 
 from . import workflow_fixtures as fx
 from .test_crashing_tasks import CrashingFleet
@@ -11,6 +12,7 @@
 TASKS = 56  # fill seven workers
 RESTART_AT_S = 0.1
 DONE_WITHIN_S = 15.0
+LONG_RUN_S = 60.0
 
 
 class WideStepTests(unittest.TestCase):
@@ -97,3 +99,46 @@
             self.assertEqual(len(started), count)
             for start in started:
                 self.engine.workers_by_id[start.worker_id].reachable = False
+
+
+class FailedGangTests(unittest.TestCase):
+    """A gang has failed on w0, which fails again and again."""
+
+    def setUp(self):
+        facts = [fx.worker(f"w{n}", address=f"10.0.0.{n}:80") for n in range(5)]
+        self.engine = fx.engine(*facts)
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True)
+        self.engine.accept(fx.workflow("gang", gang, attempts=5), 0.0)
+        started = self.place(0.0)
+        for start, kind in zip(started, (EndKind.FAILED, EndKind.BROKEN), strict=True):
+            self.engine.end(start.worker_id, fx.ended(start, kind), 1.0)
+        self.count_failure("w0", 1.1)
+        # Two workers prove sound, with runs that go on.
+        step = fx.step(2, fx.WHOLE_WORKER, estimate_s=LONG_RUN_S)
+        self.engine.accept(fx.workflow("long", step), 1.2)
+        self.long = [start for start in self.place(1.2) if start.key[0] == "long"]
+
+    def place(self, now):
+        started = fx.starts(self.engine.plan(now, now))
+        fx.confirm(self.engine, started, now)
+        return started
+
+    def count_failure(self, worker_id, now):
+        self.engine.workers_by_id[worker_id].record_failure(now)
+
+    def test_gang_waits_for_proved_workers_for_a_limited_time(self):
+        """Guards against waiting for long runs beside idle workers."""
+        self.assertEqual(len(self.long), 2)
+        started_at = None
+        for now in range(2, 40):
+            if now % 4 == 0:
+                self.count_failure("w0", now)
+            percent = 100 * (now - 1.2) / LONG_RUN_S
+            reports = {s.worker_id: [fx.running(s, percent)] for s in self.long}
+            for worker_id in ("w1", "w2", "w3", "w4"):
+                self.engine.report(worker_id, reports.get(worker_id, []), now)
+            if started := self.place(now):
+                started_at = now
+                break
+        self.assertEqual(len(started), 2)
+        self.assertLessEqual(started_at, 1.0 + SUSPECT_S + 1.0)
