Count starts that a worker rejects as late in the verdict on it

Callers could see: tasks that do not run beside an idle fleet while one worker answers polls and rejects each start as late (409 late).

Cause: the verdict counts starts without a reply, 429, 503 and want of room. The deadline in a start follows from the worker's own clock, so a rejection as late says something about the worker too. The order of workers is stable, so the task returned to it in each pass.

Ruled out: to count 400 and 409 old as well; they concern the run, and one job that each worker rejects so would let all workers rest.

Change: a start rejected as late counts against the worker. A coordinator that was paused may cause some; the next start that is accepted ends the verdict.

The test failed before: all of 100 starts went to this worker. Found by reading; it was not seen at real workers.

--- a/src/redwingrudder/workflows/start_trials.py
+++ b/src/redwingrudder/workflows/start_trials.py
@@ -1,7 +1,8 @@
 """Verdicts on workers that answer polls and carry out no starts.
 
 An answered poll does not show that a worker can begin runs: its starts may get
-no reply, or be rejected as it is unhealthy or has less room than it reports.
+no reply, or be rejected as it is unhealthy, has less room than it reports or
+a clock that is wrong.
 Tasks that return to such a worker wait while others are idle. Each verdict
 ends by a start that is accepted, and a start is tried whenever work needs the
 worker and its rest is over.
@@ -13,7 +14,7 @@
 
 # Outcomes of starts that say something about the worker. The others concern
 # the run, the permit or the coordinator.
-REFUSALS = frozenset({"unanswered", "unhealthy", "room"})
+REFUSALS = frozenset({"unanswered", "unhealthy", "room", "lapsed"})
 FIRST_REST_S = 1.0
 LONGEST_REST_S = 4.0
 
--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -227,5 +227,24 @@
         self.assertEqual(start.worker_id, "w2")
 
 
+class OtherRejectionTests(unittest.TestCase):
+    """One of two idle workers rejects each start of a task."""
+
+    def assert_moves_on(self, reason):
+        engine = fx.engine()
+        engine.accept(fx.workflow(), 0.0)
+        for hundredths in range(MAX_STARTS):
+            now = hundredths / 100
+            (start,) = fx.starts(engine.plan(now, now))
+            if start.worker_id == "w2":
+                return
+            engine.start_rejected(start.key, start.run, reason, now)
+        self.fail(f"all of {MAX_STARTS} starts went to the same worker")
+
+    def test_deadline_has_passed_by_the_clock_of_the_worker(self):
+        """Guards against a return to a worker whose clock is wrong."""
+        self.assert_moves_on("lapsed")
+
+
 if __name__ == "__main__":
     unittest.main()
