Show starts that a worker rejects as invalid or old, as known red

A task returns in each pass to an idle worker that rejects all its starts by 400 or 409 old, beside another idle one: 100 of 100 starts. Without a fix, as these reasons concern the run: one job that each worker rejects so must not let all workers rest. Not seen at real workers.

--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -245,6 +245,12 @@
         """Guards against a return to a worker whose clock is wrong."""
         self.assert_moves_on("lapsed")
 
+    def test_start_concerns_the_run(self):
+        """Guards against a task that returns to a worker in each pass."""
+        for reason in ("invalid", "outdated"):
+            with self.subTest(reason):
+                self.assert_moves_on(reason)
+
 
 if __name__ == "__main__":
     unittest.main()
