Keep a gang in its rack if only a trial would spread it

Callers could see: a gang whose members should share a rack runs on several, and takes remoteFactor times as long, although a rack has room for it.

Cause: a gang leaves out workers on trial if the others have room. That room was counted over all racks. One start without a reply at one worker of the only rack with enough room spread the gang over the rest.

Ruled out: to wait for the end of the trial, as it ends only by a start.

Change: workers on trial stay candidates of such a gang if it fits into one rack with them and into none without them. If the trial is in vain, the worker rests and the gang starts elsewhere.

Measured in memory: a gang of two whole workers, room for both in one rack with one worker on trial, one worker in each of two other racks: placed on two racks before, in one after. test_gang_stays_in_the_only_rack_with_room failed before. With another rack that has room the trial is left out as before.

--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -344,7 +344,8 @@
     """Return the workers for a gang, without those whose starts may fail.
 
     Workers on trial are left out while the others have room for the gang, now
-    or, for ``GANG_TRIAL_WAIT_S``, later. Other steps may use all workers.
+    or, for ``GANG_TRIAL_WAIT_S``, later. This does not take a gang out of the
+    only rack that it fits into. Other steps may use all workers.
 
     Args:
         stage: The step.
@@ -359,9 +360,13 @@
         if not worker.start_trials.on_trial
         or now - worker.start_trials.changed_at >= GANG_TRIAL_WAIT_S
     ]
-    if len(fit) < len(candidates) and may_find_room(stage, len(stage.tasks), fit):
-        return fit
-    return candidates
+    count = len(stage.tasks)
+    if len(fit) == len(candidates) or not may_find_room(stage, count, fit):
+        return candidates
+    if stage.spec.same_rack and not _may_fit_into_rack(stage, count, fit):
+        # It would be spread over racks, and slow for as long as it runs.
+        return candidates if _may_fit_into_rack(stage, count, candidates) else fit
+    return fit
 
 
 def _is_last_attempt(stage: Stage) -> bool:
--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -213,6 +213,24 @@
                 self.engine.start_rejected(key, run, "unanswered", 4.2)
         self.assertEqual((trials.state, trials.rest_until), ("resting", 5.2))
 
+    def test_gang_stays_in_the_only_rack_with_room(self):
+        """Guards against a gang that is spread over racks for a trial."""
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True, same_rack=True)
+        self.refuse("w1", "w2")
+        for worker_id, rack in (("w3", "r2"), ("w4", "r3")):
+            self.engine.set_worker(fx.worker(worker_id, rack), 2.0)
+        started = self.place(gang)
+        self.assertEqual({s.worker_id for s in started}, {"w1", "w2"})
+
+    def test_gang_leaves_out_a_trial_for_another_rack(self):
+        """Guards against a gang that fails to begin for one of its workers."""
+        gang = fx.step(2, fx.WHOLE_WORKER, gang=True, same_rack=True)
+        self.refuse("w1", "w2")
+        for worker_id in ("w3", "w4"):
+            self.engine.set_worker(fx.worker(worker_id, "r2"), 2.0)
+        started = self.place(gang)
+        self.assertEqual({s.worker_id for s in started}, {"w3", "w4"})
+
     def test_suspect_is_observed_on_a_fit_worker(self):
         """Guards against a step that waits for one suspect without a start."""
         self.refuse("w1")
