--- a/src/redwingrudder/workflows/_wait_rules.py
+++ b/src/redwingrudder/workflows/_wait_rules.py
@@ -227,7 +227,8 @@
             if not self._room.has_for(tasks, candidates):
                 return _StepRoom(Hold(WaitReason.SUSPECTED))
         elif self._awaits_sound_worker(tasks):
-            ends_in_s = stage.failed_at + SOUND_WORKER_WAIT_S - self._now
+            wait_s = _sound_worker_wait_s(stage)
+            ends_in_s = stage.failed_at + wait_s - self._now
             return _StepRoom(Hold(WaitReason.FAILURES, "", ends_in_s))
         near_data = self._near_data(stage, eligible)
         if near_data is not eligible:
@@ -288,7 +289,7 @@
     def _awaits_sound_worker(self, tasks: list[Task]) -> bool:
         """Return whether an attempt waits for a worker that proved sound."""
         stage = tasks[0].stage
-        if self._now - stage.failed_at >= SOUND_WORKER_WAIT_S:
+        if self._now - stage.failed_at >= _sound_worker_wait_s(stage):
             return False
         if not stage.spec.gang and not tasks[0].failures:
             return False
@@ -357,3 +358,8 @@
                 if not is_worse or best.is_suspect(self._now) or is_slow(best):
                     return preferred
         return best
+
+
+def _sound_worker_wait_s(stage: Stage) -> float:
+    """Return how long after a failure a step waits for proved workers."""
+    return SUSPECT_S if stage.spec.gang else SOUND_WORKER_WAIT_S
