Let a step go on beside suspects on silent workers

Cause: the tasks of a step wait while any of them is suspected, also if what keeps the suspicion is a worker that does not answer.

Ruled out: the same for a suspect on a worker that answers: it is cleared or crashes its worker within a second, and the others still wait for that.

Change: if only suspects on silent workers are left in a step and others have proved harmless since the newest crash, the step goes on. Without a harmless one it waits as before: the tasks may be alike in crashing their workers.

Measured: in the test the four tasks that were never suspected start at once; none did before. The test test_silent_worker_does_not_keep_harmless_siblings_waiting failed before.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -303,8 +303,9 @@
     that proves harmless lets one more suspect be observed at the same time,
     until the next crash. So does one whose worker has fallen silent, since
     its outcome is known only once the worker's lease has lapsed; further such
-    ones do not, as they may have crashed their workers. A task or gang that is
-    accused waits for the verdict.
+    ones do not, as they may have crashed their workers. If only such suspects
+    are left and others have proved harmless, the step goes on. A task or gang
+    that is accused waits for the verdict.
 
     Args:
         stage: The step.
@@ -321,11 +322,15 @@
     if any(is_accused(task) for task in suspects):
         return []
     placed = [task for task in suspects if task.placed]
-    has_silent = any(
-        task.worker_id in workers_by_id and not workers_by_id[task.worker_id].reachable
+    silent = [
+        task
         for task in placed
-    )
-    count = max(1 + stage.harmless_suspects + has_silent - len(placed), 0)
+        if task.worker_id in workers_by_id
+        and not workers_by_id[task.worker_id].reachable
+    ]
+    if stage.harmless_suspects and len(silent) == len(suspects):
+        return waiting
+    count = max(1 + stage.harmless_suspects + bool(silent) - len(placed), 0)
     return [task for task in waiting if is_suspected(task)][:count]
 
 
--- a/tests/test_idle_fleet.py
+++ b/tests/test_idle_fleet.py
@@ -100,6 +100,22 @@
             for start in started:
                 self.engine.workers_by_id[start.worker_id].reachable = False
 
+    def test_silent_worker_does_not_keep_harmless_siblings_waiting(self):
+        """Guards against a step that waits for the lease of one worker."""
+        self.engine.accept(fx.workflow("wide", fx.step(12, fx.WHOLE_WORKER)), 20.0)
+        self.engine.cancel("job", 20.0)
+        self.crash(self.start(20.0), 20.1)
+        for now, count in ((25.0, 1), (26.0, 2), (27.0, 4)):
+            started = self.start(now)
+            self.assertEqual(len(started), count)
+            self.report(started, now + 0.7)
+            for start in started:
+                self.engine.end(start.worker_id, fx.ended(start), now + 0.8)
+        (last,) = self.start(28.0)
+        self.assertEqual(self.start(28.5), [])
+        self.engine.workers_by_id[last.worker_id].reachable = False
+        self.assertEqual(len(self.start(29.0)), 4)
+
 
 class FailedGangTests(unittest.TestCase):
     """A gang has failed on w0, which fails again and again."""
