Let a gang wait for 2 s at most beside workers on trial

Callers could see: a gang that lasts begins up to 8.7 s after its idle workers have recovered, while runs on the others go on.

Cause: after the rest of its workers the gang waits 5 s more for room on the others, from each end of a rest on.

Ruled out: to try such workers at once, as each member that does not begin costs the starts of all.

Change: the wait is 2 s.

--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -38,7 +38,7 @@
 MAX_REJECTIONS = 2
 # Time for which a gang leaves a worker on trial out and waits for room on the
 # others, as one member that does not begin costs the starts of all.
-GANG_TRIAL_WAIT_S = 5.0
+GANG_TRIAL_WAIT_S = 2.0
 # Cores that an accelerator counts for in the cost of stopping a run.
 CORES_PER_ACCELERATOR = 8
 
--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -8,6 +8,7 @@
 
 from redwingrudder.simulation import RunBehaviour
 from redwingrudder.workflows.model import EndKind
+from redwingrudder.workflows.start_trials import LONGEST_REST_S
 
 from . import workflow_fixtures as fx
 from .advice_case import RUN_S, WHOLE_WORKER, AdviceCase
@@ -231,6 +232,20 @@
         started = self.place(gang)
         self.assertEqual({s.worker_id for s in started}, {"w3", "w4"})
 
+    def test_gang_waits_for_room_on_the_others(self):
+        """Guards against a gang that waits beside workers that recovered.
+
+        A worker may have recovered when its longest rest began.
+        """
+        self.refuse("w1", "w2")
+        long_runs = self.place(fx.step(8), workflow_id="other")
+        fx.confirm(self.engine, long_runs, 2.1)
+        self.assertEqual({s.worker_id for s in long_runs}, {"w2"})
+        self.assertEqual(self.place(fx.step(4, gang=True)), [])
+        now = 2.0 + BEGUN_WITHIN_S - LONGEST_REST_S
+        started = fx.starts(self.engine.plan(now, now))
+        self.assertEqual([s.worker_id for s in started], ["w1"] * 4)
+
     def test_suspect_is_observed_on_a_fit_worker(self):
         """Guards against a step that waits for one suspect without a start."""
         self.refuse("w1")
