Let a start that is not sent end its part in a trial

Callers could see: if the record of one job can't be written, no other job starts on the worker that this job was placed on, while that worker is on trial.

Cause: the start of a job waits for its record, and a worker on trial gets no other start while one is open. A record that can't be encoded is tried again without end, so the verdict had none either.

Ruled out: the capacity that the unsent start holds; the worker is idle otherwise. A store that takes no writes is another matter, no start is sent then.

Change: a start that is not sent within 2 s of its placement no longer counts as the worker's one start.

--- a/src/redwingrudder/workflows/start_trials.py
+++ b/src/redwingrudder/workflows/start_trials.py
@@ -35,6 +35,7 @@
         resting: Whether the worker gets no starts.
         is_planned: Whether the present planning pass has a start on the
             worker.
+        planned_at: Node-clock seconds of the present planning pass.
         rest_until: Node-clock seconds until which the worker gets no starts.
         changed_at: Node-clock seconds of the last change of the verdict.
     """
@@ -44,6 +45,7 @@
         "changed_at",
         "is_planned",
         "on_trial",
+        "planned_at",
         "rest_until",
         "resting",
         "state",
@@ -51,7 +53,7 @@
 
     def __init__(self) -> None:
         self.state = _CHART.initial
-        self.rest_until = -math.inf
+        self.planned_at = self.rest_until = -math.inf
         self._rest_s = 0.0
         self.changed_at = -math.inf
         # Planning reads these for each pair of worker and step.
@@ -64,6 +66,7 @@
             now: Node-clock seconds.
         """
         self.is_planned = False
+        self.planned_at = now
         if self.resting and now >= self.rest_until:
             self._step("rested", now)
 
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -44,6 +44,9 @@
 PLACED_STATES = frozenset({"starting", "running", "stopping"})
 # Time after which the stop of a run that is still listed is sent again.
 STOP_INTERVAL_S = 1.0
+# Time for which a start that is not sent yet, as the record of its job is not
+# written, counts as the one of a worker on trial.
+UNSENT_TRIAL_S = 2.0
 
 
 class CrashEvidence(NamedTuple):
@@ -668,10 +671,14 @@
     @property
     def has_trial_start(self) -> bool:
         """Whether a worker on trial has, or gets in this pass, a start."""
-        if not self.start_trials.on_trial:
+        trials = self.start_trials
+        if not trials.on_trial:
             return False
-        return self.start_trials.is_planned or any(
-            task.state == "starting" for task in self.tasks_by_key.values()
+        unsent_since = trials.planned_at - UNSENT_TRIAL_S
+        return trials.is_planned or any(
+            task.state == "starting"
+            and (task.start_sent_at is not None or task.started_at > unsent_since)
+            for task in self.tasks_by_key.values()
         )
 
     def update_leave_time(self, now: float) -> None:
--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -214,6 +214,16 @@
                 self.engine.start_rejected(key, run, "unanswered", 4.2)
         self.assertEqual((trials.state, trials.rest_until), ("resting", 5.2))
 
+    def test_start_whose_record_cannot_be_written(self):
+        """Guards against a trial that is never sent and keeps others away."""
+        self.refuse("w1")
+        self.assertEqual(len(self.place(fx.step())), 1)
+        self.assertEqual(self.place(fx.step(), 2.2, "other"), [])
+        started = fx.starts(self.engine.plan(5.0, 5.0))
+        self.assertEqual([s.key.workflow_id for s in started], ["other"])
+        self.engine.start_sent(started[0].key, started[0].run, 5.1)
+        self.assertEqual(self.place(fx.step(), 9.0, "third"), [])
+
     def test_gang_stays_in_the_only_rack_with_room(self):
         """Guards against a gang that is spread over racks for a trial."""
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True, same_rack=True)
