--- a/tests/test_start_trials.py
+++ b/tests/test_start_trials.py
@@ -8,6 +8,7 @@
 
 from redwingrudder.simulation import RunBehaviour
 from redwingrudder.workflows.model import EndKind
+from redwingrudder.workflows.start_trials import LONGEST_REST_S
 
 from . import workflow_fixtures as fx
 from .advice_case import RUN_S, WHOLE_WORKER, AdviceCase
@@ -213,6 +214,16 @@
                 self.engine.start_rejected(key, run, "unanswered", 4.2)
         self.assertEqual((trials.state, trials.rest_until), ("resting", 5.2))
 
+    def test_start_whose_record_cannot_be_written(self):
+        """Guards against a trial that is never sent and keeps others away."""
+        self.refuse("w1")
+        self.assertEqual(len(self.place(fx.step())), 1)
+        self.assertEqual(self.place(fx.step(), 2.2, "other"), [])
+        started = fx.starts(self.engine.plan(5.0, 5.0))
+        self.assertEqual([s.key.workflow_id for s in started], ["other"])
+        self.engine.start_sent(started[0].key, started[0].run, 5.1)
+        self.assertEqual(self.place(fx.step(), 9.0, "third"), [])
+
     def test_gang_stays_in_the_only_rack_with_room(self):
         """Guards against a gang that is spread over racks for a trial."""
         gang = fx.step(2, fx.WHOLE_WORKER, gang=True, same_rack=True)
@@ -231,6 +242,20 @@
         started = self.place(gang)
         self.assertEqual({s.worker_id for s in started}, {"w3", "w4"})
 
+    def test_gang_waits_for_room_on_the_others(self):
+        """Guards against a gang that waits beside workers that recovered.
+
+        A worker may have recovered when its longest rest began.
+        """
+        self.refuse("w1", "w2")
+        long_runs = self.place(fx.step(8), workflow_id="other")
+        fx.confirm(self.engine, long_runs, 2.1)
+        self.assertEqual({s.worker_id for s in long_runs}, {"w2"})
+        self.assertEqual(self.place(fx.step(4, gang=True)), [])
+        now = 2.0 + BEGUN_WITHIN_S - LONGEST_REST_S
+        started = fx.starts(self.engine.plan(now, now))
+        self.assertEqual([s.worker_id for s in started], ["w1"] * 4)
+
     def test_suspect_is_observed_on_a_fit_worker(self):
         """Guards against a step that waits for one suspect without a start."""
         self.refuse("w1")
