Test that short work uses room kept for a later start, known as failing

What callers would see: work on whole workers waits beside six wholly idle ones of twelve, 90 of 96 accelerators idle, because a gang of seven of a more urgent queue waits for a long run and keeps them.

Cause: the claims of up to three waiting steps keep room whatever the time at which their tasks can begin, and work that would end before cannot use it.

Not mended: which work may use the room depends on expected run times, and what that costs gangs whose estimates are wrong has to be measured on the sites.

--- a/tests/test_idle_fleet.py
+++ b/tests/test_idle_fleet.py
@@ -158,3 +158,36 @@
                 break
         self.assertEqual(len(started), 2)
         self.assertLessEqual(started_at, 1.0 + SUSPECT_S + 1.0)
+
+
+class KeptRoomTests(unittest.TestCase):
+    """A gang of seven whole workers waits for one of six long runs."""
+
+    def setUp(self):
+        facts = [fx.worker(f"w{n}", address=f"10.0.0.{n}:80") for n in range(12)]
+        self.engine = fx.engine(*facts)
+        step = fx.step(6, estimate_s=LONG_RUN_S, worker_limit=1)
+        self.engine.accept(fx.workflow("long", step), 0.0)
+        self.assertEqual(len(self.place(0.0)), 6)
+        gang = fx.step(7, fx.WHOLE_WORKER, gang=True)
+        self.engine.accept(fx.workflow("gang", gang), 1.0)
+        self.assertEqual(self.place(1.0), [])
+
+    def place(self, now):
+        started = fx.starts(self.engine.plan(now, now))
+        fx.confirm(self.engine, started, now)
+        return started
+
+    def test_long_tasks_leave_the_room_to_the_gang(self):
+        """Guards against a gang that never finds room beside small work."""
+        step = fx.step(4, fx.WHOLE_WORKER, estimate_s=2 * LONG_RUN_S)
+        other = fx.workflow("other", step, priority=2)._replace(queue="other")
+        self.engine.accept(other, 2.0)
+        self.assertEqual(self.place(2.0), [])
+
+    def test_short_tasks_use_the_room_until_the_gang_can_begin(self):
+        """Guards against short work that waits beside an idle fleet."""
+        step = fx.step(4, fx.WHOLE_WORKER, estimate_s=1.0)
+        short = fx.workflow("short", step, priority=2)._replace(queue="short")
+        self.engine.accept(short, 2.0)
+        self.assertEqual(len(self.place(2.0)), 4)
