--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -539,7 +539,7 @@
         self.stop_gang(task.stage, run)
 
     def _record_refusal(self, task: Task, reason: str, now: float) -> None:
-        """Let a worker without success of a start get fewer of them."""
+        """Record a start without success; its worker then gets fewer."""
         worker = self.workers_by_id.get(task.worker_id)
         if worker is None:
             return
--- a/src/redwingrudder/workflows/start_trials.py
+++ b/src/redwingrudder/workflows/start_trials.py
@@ -2,10 +2,9 @@
 
 An answered poll does not show that a worker can begin runs: its starts may get
 no reply, or be rejected as it is unhealthy, has less room than it reports or
-a clock that is wrong.
-Tasks that return to such a worker wait while others are idle. Each verdict
-ends by a start that is accepted, and a start is tried whenever work needs the
-worker and its rest is over.
+a clock that is wrong. Tasks that return to such a worker wait while others are
+idle. Each verdict ends by a start that is accepted, and a start is tried
+whenever work needs the worker and its rest is over.
 """
 
 import math
@@ -81,7 +80,7 @@
             now: Node-clock seconds.
 
         Returns:
-            Whether the worker was not fit before.
+            Whether this ends a verdict against the worker.
         """
         was_fit = self.state == "fit"
         self._rest_s = 0.0
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -230,7 +230,7 @@
         return tuple(worker_id for worker_id, _ in self.late_starts(now))
 
     def late_starts(self, now: float) -> tuple[tuple[str, float], ...]:
-        """Return these workers, and the node-clock seconds of the end.
+        """Return the workers that may still carry out a start, and until when.
 
         Args:
             now: Node-clock seconds.
