--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -509,19 +509,12 @@
         """
         run_key = (message.key, message.run)
         self._starts_in_flight.add(run_key)
-        begun_at = self.system.clock.seconds()
         unanswered_at: float | None = None
         try:
             reply = await self._send_start(message)
             unanswered_at = self._unanswered_starts.get(run_key)
             if self._may_have_begun(run_key, reply):
                 await self._close_run(message)
-            elif reply.reason == "unanswered":
-                # The next start would meet the same worker, as it does not
-                # count as silent yet.
-                attempts_end_at = begun_at + sum(self._start_timeouts_s)
-                left_s = attempts_end_at - self.system.clock.seconds()
-                await pause(self.system.clock, max(left_s, 0.0))
             if reply.reason == "unanswered" and self._restarted:
                 # A run that crashed the worker has not ended otherwise.
                 self._report_lapsed()
@@ -634,12 +627,14 @@
         """Return whether the run of a start that failed may go on or begin.
 
         A rejection says nothing about earlier attempts that got no reply. A
-        run that is being stopped makes its start outdated. A start of which
-        no attempt was sent has no effect.
+        run that is being stopped makes its start outdated.
         """
         if reply.accepted or reply.reason == "fenced":
             return False
-        return reply.reason == "outdated" or run_key in self._unanswered_starts
+        return (
+            reply.reason in ("unanswered", "outdated")
+            or run_key in self._unanswered_starts
+        )
 
     async def _close_run(self, message: StartRun) -> None:
         """Stop a run and wait until it has ended or the lease has lapsed.
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -195,20 +195,6 @@
             self.sent_to_coordinator(StartSettled)[0].reply.reason, "unanswered"
         )
 
-    def test_start_that_was_not_sent_does_not_wait_for_the_lease(self):
-        """Guards against a task that waits for a worker it was not sent to.
-
-        It is not settled at once, as it would be placed there again and again.
-        """
-        self.channel.unanswering = True
-        self.start_run()
-        run_for(self.clock, 0.5)
-        self.assertEqual(self.sent_to_coordinator(StartSettled), [])
-        run_for(self.clock, 1.5)
-        (settled,) = self.sent_to_coordinator(StartSettled)
-        self.assertEqual(settled.reply.reason, "unanswered")
-        self.assertIsNone(settled.unanswered_at)
-
     def test_start_that_may_have_crashed_its_worker_is_told_apart(self):
         """Guards against a crash under a start whose reply was lost.
 
