--- a/tests/advice_case.py
+++ b/tests/advice_case.py
@@ -97,6 +97,7 @@
 
     decision_s, period_s, valid_s = 0.2, 0.025, 3.0
     worker_count = 24
+    times = TIMES
 
     def setUp(self):
         self.contents = StoreContents()
@@ -137,7 +138,7 @@
             {ListPeers: PeerView((), 8), GetTimeOfDay: 0.0, AskAllPeers: None},
         )
         Advisor(system, self.services[index])
-        gateways = FleetGateways(PlatformRegistry(), self.workers, TIMES, 150.0)
+        gateways = FleetGateways(PlatformRegistry(), self.workers, self.times, 150.0)
         Coordinator(system, gateways)
 
     def add_node(self):
