--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -23,8 +23,8 @@
 # Age of a poll up to which its answer shows that a worker's process has the
 # fence of the current session. The worker may have restarted since.
 ANSWER_AGE_S = 0.5
-# The same for a poll that was requested for a held start. Planning passes may
-# be further apart than ANSWER_AGE_S.
+# The same for a poll that was requested for a held start, unless the previous
+# planning pass requested it. Passes may be further apart than either.
 REQUESTED_ANSWER_AGE_S = 2.0
 
 
@@ -116,7 +116,9 @@
     """Return whether a worker has just answered a poll of its session."""
     if not worker.reachable:
         return False
-    was_requested = worker.polled_at >= worker.poll_requested_at
-    if was_requested and now - worker.poll_requested_at <= REQUESTED_ANSWER_AGE_S:
-        return True
+    if worker.polled_at >= worker.poll_requested_at:
+        if worker.poll_requested_at >= worker.previous_pass_at:
+            return True
+        if now - worker.poll_requested_at <= REQUESTED_ANSWER_AGE_S:
+            return True
     return now - worker.polled_at <= ANSWER_AGE_S
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -142,8 +142,7 @@
         """See base class."""
         active = list(progress)
         for worker in workers:
-            worker.clear_claims()
-            worker.start_trials.begin_pass(now)
+            worker.begin_pass(now)
         entitled = entitled_organisations(active, guaranteed_by_organisation)
         stages = ready_stages(active, now, wall)
         ranks = {id(stage): rank(stage, entitled) for stage in stages}
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -482,6 +482,8 @@
             process was sent, minus infinity before the first.
         poll_requested_at: Node-clock seconds at which a poll was last
             requested for a task with a late start.
+        previous_pass_at: Node-clock seconds of the planning pass before the
+            newest one, infinite if there is none.
         observes_suspect: Whether a task that is suspected of crashing its
             workers runs there; the worker then gets no other new runs.
         quarantined_until: Node-clock seconds until which the worker gets no
@@ -499,6 +501,7 @@
         "_claimed",
         "_facts",
         "_lasting",
+        "_pass_at",
         "_unwanted_by_run",
         "_used",
         "crashed_at",
@@ -513,6 +516,7 @@
         "observes_suspect",
         "poll_requested_at",
         "polled_at",
+        "previous_pass_at",
         "throttled_at",
         "quarantined_until",
         "reachable",
@@ -540,6 +544,7 @@
         self.heard_at = -math.inf
         self.polled_at = -math.inf
         self.poll_requested_at = -math.inf
+        self.previous_pass_at = self._pass_at = math.inf
         self.observes_suspect = False
         self.failures = 0
         self.failed_at = 0.0
@@ -658,8 +663,14 @@
         self._claimed = self._claimed.plus(amount)
         self._update_free()
 
-    def clear_claims(self) -> None:
-        """Release the capacity that the last planning pass claimed."""
+    def begin_pass(self, now: float) -> None:
+        """Release what the last planning pass claimed, and end a rest.
+
+        Args:
+            now: Node-clock seconds.
+        """
+        self.previous_pass_at, self._pass_at = self._pass_at, now
+        self.start_trials.begin_pass(now)
         if self._claimed is not NO_RESOURCES:
             self._claimed = NO_RESOURCES
             self._update_free()
