--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -304,7 +304,8 @@
     until the next crash. So does one whose worker has fallen silent, since
     its outcome is known only once the worker's lease has lapsed; further such
     ones do not, as they may have crashed their workers. If only such suspects
-    are left and others have proved harmless, the step goes on. A task or gang
+    are left and others have proved harmless, the step goes on. If none of the
+    suspects can be observed now, siblings are in their place. A task or gang
     that is accused waits for the verdict.
 
     Args:
@@ -330,8 +331,21 @@
     ]
     if stage.harmless_suspects and len(silent) == len(suspects):
         return waiting
-    count = max(1 + stage.harmless_suspects + bool(silent) - len(placed), 0)
-    return [task for task in waiting if is_suspected(task)][:count]
+    startable = [task for task in waiting if is_suspected(task)]
+    if startable or len(silent) < len(placed):
+        count = max(1 + stage.harmless_suspects + bool(silent) - len(placed), 0)
+        return startable[:count]
+    return waiting[: _observable_siblings(stage)]
+
+
+def _observable_siblings(stage: Stage) -> int:
+    """Return how many tasks may start while no suspect can be observed.
+
+    Each run that has proved harmless lets one more be observed.
+    """
+    siblings = [task for task in stage.tasks if task.placed and not is_suspected(task)]
+    harmless = sum(has_proved_harmless(task) for task in siblings)
+    return max(1 + 2 * harmless - len(siblings), 0)
 
 
 def isolation_candidates(
--- a/tests/test_idle_fleet.py
+++ b/tests/test_idle_fleet.py
@@ -117,6 +117,54 @@
         self.assertEqual(len(self.start(29.0)), 4)
 
 
+class HeldSuspectTests(unittest.TestCase):
+    """A step has a suspect that waits for a silent worker.
+
+    Its worker has fallen silent just after its start, of which an attempt got
+    no reply. The workers of its siblings fall silent later.
+    """
+
+    SIBLINGS = 7
+
+    def setUp(self):
+        count = 2 * (1 + self.SIBLINGS)
+        facts = [fx.worker(f"w{n}", address=f"10.0.0.{n}:80") for n in range(count)]
+        self.engine = fx.engine(*facts)
+        step = fx.step(1 + self.SIBLINGS, fx.WHOLE_WORKER)
+        self.engine.accept(fx.workflow("job", step), 0.0)
+        first, *others = self.start(0.0)
+        self.engine.start_settled(first.key, first.run, first.worker_id, 0.0)
+        self.report(others, 1.0)
+        for start in (first, *others):
+            self.engine.workers_by_id[start.worker_id].reachable = False
+        for start in (first, *others):
+            self.engine.worker_lost(start.worker_id, 11.0)
+            self.engine.interrupt_worker(start.worker_id, 11.0, "lease_lapsed")
+
+    def start(self, now):
+        started = fx.starts(self.engine.plan(now, now))
+        fx.confirm(self.engine, started, now)
+        return started
+
+    def report(self, started, now):
+        for start in started:
+            self.engine.report(start.worker_id, [fx.running(start)], now)
+
+    def test_siblings_go_on(self):
+        """Guards against a step that waits for one held task."""
+        counts = []
+        for now in (11.5, 12.5, 13.5):
+            started = self.start(now)
+            counts.append(len(started))
+            self.report(started, now + 0.7)
+        self.assertEqual(counts, [1, 2, 4])
+
+    def test_sibling_that_does_not_prove_harmless_is_the_only_one(self):
+        """Guards against siblings that each crash a worker of their own."""
+        self.assertEqual(len(self.start(11.5)), 1)
+        self.assertEqual(self.start(12.5), [])
+
+
 class FailedGangTests(unittest.TestCase):
     """A gang has failed on w0, which fails again and again."""
 
