--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -432,7 +432,11 @@
         self._unanswered_starts.note(start, reply)
         now = self.system.clock.seconds()
         self._term.engine.start_settled(
-            start.key, start.run, start.worker_id, message.unanswered_at
+            start.key,
+            start.run,
+            start.worker_id,
+            message.unanswered_at,
+            message.process_started_ms,
         )
         if not self._term.workers.is_current(start.worker_id, message.fence):
             # The first report to the next session decides about the run.
--- a/src/redwingrudder/coordination/messages.py
+++ b/src/redwingrudder/coordination/messages.py
@@ -314,12 +314,15 @@
         unanswered_at: Node-clock seconds at which the latest attempt without a
             reply had been sent, None if all attempts were answered or not
             sent. The worker, or its next process, may still carry it out.
+        process_started_ms: Start time of the process that the session is with,
+            in Unix milliseconds, 0 if unknown.
     """
 
     run: StartRun
     reply: CommandReply
     fence: int
     unanswered_at: float | None = None
+    process_started_ms: int = 0
 
 
 class ThrottleUnanswered(NamedTuple):
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -549,7 +549,10 @@
                     "fence": self._fence,
                 },
             )
-        self._tell_coordinator(StartSettled(message, reply, self._fence, unanswered_at))
+        settled = StartSettled(
+            message, reply, self._fence, unanswered_at, self._process_started_ms
+        )
+        self._tell_coordinator(settled)
         if not self._polling and reply.accepted:
             self._poll_soon()
 
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -268,6 +268,7 @@
         was_reachable = worker.reachable
         worker.reachable = was_reachable or report.ends_complete
         became_reachable = worker.reachable and not was_reachable
+        worker.lapsed = False
         is_first_report = message.worker_id not in self._reported
         if worker.reachable:
             self._reported.add(message.worker_id)
@@ -375,7 +376,10 @@
         self._settle_unsent_starts(worker_id)
         self._engine.interrupt_worker(worker_id, now, "lease_lapsed")
         worker = self._engine.workers_by_id.get(worker_id)
-        if worker is not None and not worker.listed:
+        if worker is None:
+            return
+        worker.lapsed = not message.restarted
+        if not worker.listed:
             self._remove(worker_id, now)
 
     def sweep(self) -> None:
@@ -448,6 +452,7 @@
     def _open_session(self, facts: WorkerFacts) -> None:
         worker = self._engine.workers_by_id[facts.worker_id]
         worker.reachable, worker.polled_at = False, -math.inf
+        worker.lapsed = False
         number = self._session_count_by_worker.get(facts.worker_id, 0)
         if number >= SESSIONS_PER_TERM:
             # The next term has tokens above all that were used in this one.
--- a/src/redwingrudder/workflows/_wait_rules.py
+++ b/src/redwingrudder/workflows/_wait_rules.py
@@ -6,7 +6,7 @@
 
 from ._wait_room import FleetRoom, common_workers, workers_by_rack
 from .crashes import is_suspected, isolation_candidates, startable_suspects
-from .late_starts import awaits_silent_worker, unconfirmed_workers
+from .late_starts import awaited_silent_workers, unconfirmed_workers
 from .placement import failures_since, permitted_workers, preferred_workers
 from .planner import SOUND_WORKER_WAIT_S
 from .room import Room, find_room, may_find_room
@@ -184,23 +184,18 @@
             return Hold(WaitReason.OLDER_RUN, worker_id)
         if not task.late_starts_by_worker:
             return None
-        if not awaits_silent_worker(task, self._workers_by_id, self._now):
+        silent_ids = awaited_silent_workers(task, self._workers_by_id, self._now)
+        if not silent_ids:
             return None
-        silent_ids = [
-            worker_id
-            for worker_id in task.late_starts_by_worker
-            if worker_id in self._workers_by_id
-            and not self._workers_by_id[worker_id].reachable
-        ]
         return self._late_start_hold(WaitReason.SILENT_WORKER, task, silent_ids)
 
     def _late_start_hold(
         self, reason: WaitReason, task: Task, worker_ids: Iterable[str]
     ) -> Hold:
         """Name the worker whose late start may have an effect for longest."""
-        until_by_worker = task.late_starts_by_worker
-        worker_id = max(worker_ids, key=lambda w: until_by_worker[w])
-        return Hold(reason, worker_id, until_by_worker[worker_id] - self._now)
+        starts_by_worker = task.late_starts_by_worker
+        worker_id = max(worker_ids, key=lambda w: starts_by_worker[w].until)
+        return Hold(reason, worker_id, starts_by_worker[worker_id].until - self._now)
 
     def _find_step_room(self, tasks: list[Task], fitting: list[Worker]) -> _StepRoom:
         """Return where tasks may start, by the rules of a pass in their order.
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -25,7 +25,7 @@
     suspected_runs,
     suspicion_holders,
 )
-from .late_starts import HeldStart, awaits_silent_worker
+from .late_starts import HeldStart, awaited_silent_workers
 from .model import (
     NO_RESOURCES,
     AskAdvice,
@@ -412,8 +412,8 @@
         and has fallen silent since the run was planned.
         """
         task = self.current(key, run)
-        return task is not None and awaits_silent_worker(
-            task, self.workers_by_id, now, task.worker_id
+        return task is not None and bool(
+            awaited_silent_workers(task, self.workers_by_id, now, task.worker_id)
         )
 
     def start_sent(self, key: TaskKey, run: int, now: float) -> None:
@@ -423,7 +423,12 @@
             task.start_sent_at = now
 
     def start_settled(
-        self, key: TaskKey, run: int, worker_id: str, unanswered_at: float | None
+        self,
+        key: TaskKey,
+        run: int,
+        worker_id: str,
+        unanswered_at: float | None,
+        process_started_ms: int = 0,
     ) -> None:
         """Record that no attempt of a start will be sent any more.
 
@@ -433,13 +438,16 @@
             worker_id: Worker of the run.
             unanswered_at: Node-clock seconds at which the latest attempt
                 without a reply had been sent, None if there is none.
+            process_started_ms: Start time of the process that it was sent to,
+                in Unix milliseconds, 0 if unknown.
         """
         task = self.find(key)
         if task is None:
             return
         self.dirty.add(key.workflow_id)
         if unanswered_at is not None:
-            task.add_late_start(worker_id, self.late_start_until(unanswered_at))
+            until = self.late_start_until(unanswered_at)
+            task.add_late_start(worker_id, until, process_started_ms)
         if task.is_current(run, worker_id):
             task.start_settled = True
 
@@ -887,6 +895,7 @@
             return
         task.run, task.worker_id = run, worker_id
         task.pool = self.workers_by_id[worker_id].facts.pool
+        task.start_process_ms = process_started_ms
         task.highest_run = max(task.highest_run, run)
         task.run_saved = False
         task.speed_percent, task.speed_known = FULL_SPEED_PERCENT, False
--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -10,6 +10,9 @@
 - It begins on another worker only right after the worker of the late start
   has answered a poll, so that its process has the fence of the current session
   and has listed its runs, or when the lease of a late run must have lapsed.
+- While that worker is silent, its registry entry tells which process it has.
+  A process rejects a start whose lease is over, so once all leases of the one
+  that it was sent to have lapsed, only a new process can carry it out.
 
 A worker that is gone is not waited for: it rarely comes back under its id.
 """
@@ -18,7 +21,7 @@
 
 from .model import TaskKey
 from .placement import PlacementOption, preferred_workers
-from .state import Task, Worker
+from .state import PossibleStart, Task, Worker
 
 # Age of a poll up to which its answer shows that a worker's process has the
 # fence of the current session. The worker may have restarted since.
@@ -83,18 +86,16 @@
     if task.stage.spec.copies_allowed:
         return ()
     return tuple(
-        worker_id
-        for worker_id in task.late_start_workers(now)
-        if worker_id != worker.facts.worker_id
-        and worker_id in workers_by_id
-        and not _has_answered(workers_by_id[worker_id], now)
+        other.facts.worker_id
+        for other in _awaited_workers(task, workers_by_id, now)
+        if other is not worker and not _has_answered(other, now)
     )
 
 
-def awaits_silent_worker(
+def awaited_silent_workers(
     task: Task, workers_by_id: dict[str, Worker], now: float, chosen_id: str = ""
-) -> bool:
-    """Return whether a worker does not answer that has to before a start.
+) -> tuple[str, ...]:
+    """Return the workers that do not answer and have to before a start.
 
     Args:
         task: The task.
@@ -103,12 +104,35 @@
         chosen_id: Worker on which the task is to be started, "" for any.
     """
     if task.stage.spec.copies_allowed:
-        return False
-    return any(
-        worker_id != chosen_id
-        and worker_id in workers_by_id
-        and not workers_by_id[worker_id].reachable
-        for worker_id in task.late_start_workers(now)
+        return ()
+    return tuple(
+        worker.facts.worker_id
+        for worker in _awaited_workers(task, workers_by_id, now)
+        if worker.facts.worker_id != chosen_id and not worker.reachable
+    )
+
+
+def _awaited_workers(
+    task: Task, workers_by_id: dict[str, Worker], now: float
+) -> list[Worker]:
+    """Return the present workers that may still carry out a start."""
+    return [
+        workers_by_id[worker_id]
+        for worker_id, start in task.late_starts(now)
+        if worker_id in workers_by_id and not _is_over(start, workers_by_id[worker_id])
+    ]
+
+
+def _is_over(start: PossibleStart, worker: Worker) -> bool:
+    """Return whether a start can have no effect on the process it was sent to.
+
+    Nor is there another process of the worker, by its registry entry.
+    """
+    return (
+        worker.lapsed
+        and worker.listed
+        and start.process_started_ms != 0
+        and start.process_started_ms == worker.facts.process_started_ms
     )
 
 
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -8,7 +8,7 @@
 from .crashes import is_suspected, isolation_candidates, startable_suspects
 from .late_starts import (
     HeldStart,
-    awaits_silent_worker,
+    awaited_silent_workers,
     match_workers,
     unconfirmed_workers,
 )
@@ -209,7 +209,7 @@
             task
             for task in tasks
             if task.key not in self._held_keys
-            and not awaits_silent_worker(task, self._workers_by_id, self._now)
+            and not awaited_silent_workers(task, self._workers_by_id, self._now)
         ]
         return [] if stage.spec.gang and len(free) < len(tasks) else free
 
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -74,11 +74,14 @@
         until_s: Seconds from the request that began the term of the record to
             the moment after which neither the start can be carried out nor its
             run go on; 0.0 if unknown, as in records of earlier releases.
+        process_started_ms: Start time of the worker process that the start was
+            sent to, in Unix milliseconds, 0 if unknown.
     """
 
     key: TaskKey
     worker_id: str
     until_s: float = 0.0
+    process_started_ms: int = 0
 
 
 class ProgressRecord(NamedTuple):
@@ -203,8 +206,13 @@
         if task.highest_run:
             runs.append([*key, task.highest_run])
         late_starts += [
-            [*key, worker, _since_term_request(until, term_requested_at)]
-            for worker, until in task.late_starts(now)
+            [
+                *key,
+                worker,
+                _since_term_request(start.until, term_requested_at),
+                start.process_started_ms,
+            ]
+            for worker, start in task.late_starts(now)
         ]
         if task.placed:
             started_ms = started_ms_by_worker.get(task.worker_id, 0)
@@ -277,7 +285,7 @@
             ),
             tuple((key(row), row.text(3)) for row in rows("checkpoints")),
             tuple(
-                LateStart(key(row), row.text(3), row.number(4, 0.0))
+                LateStart(key(row), row.text(3), row.number(4, 0.0), row.integer(5, 0))
                 for row in document.rows("late_starts")
             ),
             _policy(document.row("policy")) if document.has("policy") else None,
@@ -348,14 +356,14 @@
         term_seen_at: Node-clock seconds at which this node knew that the term
             of the record had begun, None if unknown.
     """
-    for key, worker_id, until_s in record.late_starts:
+    for key, worker_id, until_s, process_started_ms in record.late_starts:
         task = progress.find(key)
         if task is None:
             continue
         ends_at = until
         if until_s and term_seen_at is not None:
             ends_at = term_seen_at + until_s * (1 + MAX_RATE_DIFFERENCE)
-        task.add_late_start(worker_id, min(ends_at, until))
+        task.add_late_start(worker_id, min(ends_at, until), process_started_ms)
 
 
 def _since_term_request(seconds: float, term_requested_at: float | None) -> float:
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -132,6 +132,7 @@
         task.run_confirmed = task.run_adopted = task.run_saved = False
         task.start_settled, task.start_sent_at = False, None
         task.worker_id, task.pool = worker.facts.worker_id, worker.facts.pool
+        task.start_process_ms = worker.facts.process_started_ms
         task.percent = 0.0
         task.run_resumed = bool(checkpoint)
         task.speed_percent = FULL_SPEED_PERCENT
@@ -208,7 +209,8 @@
         if not task.run_adopted:
             # An earlier coordinator may still send attempts.
             last_sent_at = min(now, last_sent_at)
-        task.add_late_start(task.worker_id, self.late_start_until(last_sent_at))
+        until = self.late_start_until(last_sent_at)
+        task.add_late_start(task.worker_id, until, task.start_process_ms)
         self.dirty.add(task.key.workflow_id)
 
     def stop(self, task: Task, reason: str) -> None:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -92,6 +92,20 @@
     stopped_at: float
 
 
+class PossibleStart(NamedTuple):
+    """A start that a worker may still carry out.
+
+    Attributes:
+        until: Node-clock seconds after which neither the start can be carried
+            out nor its run go on.
+        process_started_ms: Start time of the process that it was sent to, in
+            Unix milliseconds, 0 if unknown.
+    """
+
+    until: float
+    process_started_ms: int = 0
+
+
 class Task:
     """A task and its newest run.
 
@@ -112,9 +126,10 @@
             sent any more, and those without a reply are known.
         start_sent_at: Node-clock seconds at which that start was first sent,
             None before.
+        start_process_ms: Start time in Unix milliseconds of the worker process
+            that the newest run was placed on, 0 if unknown.
         late_starts_by_worker: Workers that may still carry out a start of a
-            run that is over or going on, or execute its run, with the
-            node-clock seconds until which they may.
+            run that is over or going on, or execute its run.
         rejections: Number of starts that were rejected, or got no reply, since
             the last one that was confirmed.
         worker_id: Worker of the newest run, "" before the first.
@@ -165,6 +180,7 @@
         "run_resumed",
         "run_saved",
         "stage",
+        "start_process_ms",
         "start_sent_at",
         "start_settled",
         "started_at",
@@ -186,7 +202,8 @@
         self.run_confirmed = False
         self.start_settled = True
         self.start_sent_at: float | None = None
-        self.late_starts_by_worker: dict[str, float] = {}
+        self.start_process_ms = 0
+        self.late_starts_by_worker: dict[str, PossibleStart] = {}
         self.rejections = 0
         self.worker_id = ""
         self.pool = ""
@@ -210,16 +227,25 @@
         self.started_at = self.progressed_at = self.reported_at = now
         self.rate_baseline_at, self.rate_baseline_percent = now, 0.0
 
-    def add_late_start(self, worker_id: str, until: float) -> None:
+    def add_late_start(
+        self, worker_id: str, until: float, process_started_ms: int = 0
+    ) -> None:
         """Record that a worker may still carry out a start of the task.
 
         Args:
             worker_id: The worker.
             until: Node-clock seconds after which neither the start can be
                 carried out nor its run go on.
+            process_started_ms: Start time of the process that it was sent to,
+                in Unix milliseconds, 0 if unknown.
         """
-        known_until = self.late_starts_by_worker.get(worker_id, -math.inf)
-        self.late_starts_by_worker[worker_id] = max(known_until, until)
+        known = self.late_starts_by_worker.get(worker_id)
+        if known is not None:
+            until = max(known.until, until)
+            if known.process_started_ms != process_started_ms:
+                process_started_ms = 0
+        start = PossibleStart(until, process_started_ms)
+        self.late_starts_by_worker[worker_id] = start
 
     def late_start_workers(self, now: float) -> tuple[str, ...]:
         """Return the workers that may still carry out a start of the task.
@@ -229,8 +255,8 @@
         """
         return tuple(worker_id for worker_id, _ in self.late_starts(now))
 
-    def late_starts(self, now: float) -> tuple[tuple[str, float], ...]:
-        """Return the workers that may still carry out a start, and until when.
+    def late_starts(self, now: float) -> tuple[tuple[str, PossibleStart], ...]:
+        """Return the workers that may still carry out a start, with the start.
 
         Args:
             now: Node-clock seconds.
@@ -238,9 +264,9 @@
         if not self.late_starts_by_worker:
             return ()
         self.late_starts_by_worker = {
-            worker_id: until
-            for worker_id, until in self.late_starts_by_worker.items()
-            if now < until
+            worker_id: start
+            for worker_id, start in self.late_starts_by_worker.items()
+            if now < start.until
         }
         return tuple(self.late_starts_by_worker.items())
 
@@ -467,6 +493,8 @@
             was waiting, and that are being stopped.
         listed: Whether the registry lists the worker.
         reachable: Whether the worker answers.
+        lapsed: Whether the worker has been silent for so long that its process
+            can hold no lease any more.
         emptying: Whether its machine is about to be taken down or moved.
         failures: Number of failed runs since the last successful one.
         failed_at: Time of the newest failure, in node-clock seconds.
@@ -511,6 +539,7 @@
         "failures",
         "free",
         "heard_at",
+        "lapsed",
         "leaves_at",
         "listed",
         "observes_suspect",
@@ -539,6 +568,7 @@
         self.reappeared: set[tuple[TaskKey, int]] = set()
         self.listed = True
         self.reachable = True
+        self.lapsed = False
         self.emptying = False
         self.crashed_at = -math.inf
         self.heard_at = -math.inf
--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -142,6 +142,41 @@
         (start,), _ = self.place(LATE_START_S + 0.1)
         self.assertEqual(start.worker_id, "w2")
 
+    def lapse(self, sent_to_ms=1):
+        """Let the leases of w1 lapse, to which a late start was sent."""
+        self.start(fx.step(), fx.worker("w1", process_started_ms=1))
+        (task,) = self.progress.tasks()
+        task.late_starts_by_worker.clear()
+        task.add_late_start("w1", LATE_START_S, sent_to_ms)
+        self.engine.set_worker(fx.worker("w2"), 1.0)
+        self.lose_worker()
+        self.engine.workers_by_id["w1"].lapsed = True
+        return task
+
+    def test_start_that_has_lapsed_with_its_process_holds_nothing(self):
+        """Guards against a task that waits for a worker behind a cut."""
+        self.lapse()
+        (start,), _ = self.place(2.0)
+        self.assertEqual(start.worker_id, "w2")
+
+    def test_start_of_another_process_goes_on_to_hold(self):
+        """Guards against two runs by a start that reaches a new process."""
+        for sent_to_ms in (0, 2):
+            with self.subTest(sent_to_ms):
+                self.lapse(sent_to_ms)
+                self.assertEqual(self.place(2.0), ([], []))
+
+    def test_starts_of_two_processes_go_on_to_hold(self):
+        """Guards against two runs by the start that was sent first."""
+        self.lapse(2).add_late_start("w1", 5.0, 1)
+        self.assertEqual(self.place(6.0), ([], []))
+
+    def test_worker_without_an_entry_goes_on_to_hold(self):
+        """Guards against two runs at a process that nobody knows yet."""
+        self.lapse()
+        self.engine.workers_by_id["w1"].listed = False
+        self.assertEqual(self.place(2.0), ([], []))
+
     def test_worker_that_is_gone_is_not_waited_for(self):
         """Guards against a task that waits while the fleet has room."""
         started = self.start(fx.step(), fx.worker("w1"))
@@ -287,7 +322,7 @@
         """Guards against a successor that does not know what may be late."""
         (start,) = self.start(fx.step(), fx.worker("w1"))
         record = self.record(1.0)
-        self.assertEqual(record.late_starts, ((start.key, "w1", 0.0),))
+        self.assertEqual(record.late_starts, ((start.key, "w1", 0.0, 0),))
         self.assertTrue(record.placed[0].start_settled)
         self.assertEqual(self.record(LATE_START_S).late_starts, ())
         successor = fx.engine(fx.worker("w1"), fx.worker("w2"))
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -242,10 +242,25 @@
         """Guards against a task that waits for a worker that never returns."""
         self.start_with_lost_attempt()
         self.stop_run_and_restart()
+        self.register("w1", NO_ROOM)
         self.register("w2", ROOM)
         self.run_for(LATE_CALL_S + longest_lease_timeout_s(MAX_LEASE_S))
         self.assertIn(KEY, self.w2.process.runs_by_key)
 
+    def test_next_run_begins_elsewhere_once_the_process_has_no_lease(self):
+        """Guards against a task that waits for a worker behind a cut."""
+        self.start_with_lost_attempt()
+        self.register("w1", NO_ROOM)
+        self.run_for(0.1)
+        self.w1.process.end(KEY, EndKind.STOPPED)
+        self.run_for(1.0)
+        self.w1.silent = True
+        self.register("w2", ROOM)
+        self.run_for(MAX_LEASE_S - 1.0)
+        self.assertEqual(self.w2.process.runs_by_key, {})
+        self.run_for(3.5)
+        self.assertIn(KEY, self.w2.process.runs_by_key)
+
     def test_attempts_that_were_not_sent_hold_nothing(self):
         """Guards against a task that waits although nothing can be late."""
         self.w1.silent = True
@@ -263,6 +278,7 @@
         self.start_with_lost_attempt()
         sent_at = self.clock.seconds() - 1.1
         self.stop_run_and_restart()
+        self.register("w1", NO_ROOM)
         self.register("w2", ROOM)
         self.run_for(sent_at + LATE_CALL_S - self.clock.seconds() - 0.1)
         self.w1.carry_out_late_calls()
@@ -324,7 +340,7 @@
         engine = self.coordinator._term.engine
         (late_call,) = self.w1.late_calls
         late_until = late_call.sent.at + LATE_CALL_S + engine.longest_lease_s
-        known_until = engine.find(KEY).late_starts_by_worker["w1"]
+        known_until = engine.find(KEY).late_starts_by_worker["w1"].until
         self.assertGreaterEqual(known_until, late_until)
 
     def test_no_other_task_waits(self):
--- a/tests/test_recorded_holds.py
+++ b/tests/test_recorded_holds.py
@@ -7,7 +7,10 @@
 from redwingrudder.coordination.gateways import COORDINATOR, TERM_KEY
 from redwingrudder.coordination.messages import BeginTerm, EndTerm
 from redwingrudder.coordination.recovery import successor_seen_at
-from redwingrudder.coordination.worker_session import longest_lease_timeout_s
+from redwingrudder.coordination.worker_session import (
+    longest_lease_timeout_s,
+    prior_lease_timeout_s,
+)
 from redwingrudder.exceptions import BadRequestError
 from redwingrudder.simulation import MAX_LEASE_S
 from redwingrudder.workflows import records
@@ -24,13 +27,14 @@
 from .test_late_starts import LateStartCase
 
 HOLD_S = LATE_CALL_S + longest_lease_timeout_s(MAX_LEASE_S)
+PROCESS_MS = 7
 REQUEST_S = 0.1  # from the request for a term to the time it is seen
 # From the end of a hold to the next run: a planning pass, a write and a start.
 PLACING_S = 0.3
 
 
 class TakeoverCase(LateStartCase):
-    """The worker of a lost attempt is silent, and its entry stays."""
+    """The worker of a lost attempt is silent; its entry is of a new one."""
 
     def setUp(self):
         super().setUp()
@@ -59,6 +63,7 @@
         self.start_with_lost_attempt()
         (late_call,) = self.w1.late_calls
         self.stop_run_and_restart()
+        self.register("w1", NO_ROOM)
         self.register("w2", ROOM)
         return late_call.sent.at
 
@@ -88,12 +93,28 @@
             self.take_over(TERM + number)
         self.assert_begins_after(sent_at, 0.5)
 
+    def test_successor_ends_the_hold_of_a_process_without_a_lease(self):
+        """Guards against a hold that only the first coordinator ends early."""
+        self.start_with_lost_attempt()
+        self.register("w1", NO_ROOM)
+        self.run_for(0.1)
+        self.w1.process.end(KEY, EndKind.STOPPED)
+        self.run_for(1.0)
+        self.w1.silent = True
+        self.register("w2", ROOM)
+        self.run_for(1.0)
+        self.take_over(TERM + 2)
+        lapsed_at = self.clock.seconds() + prior_lease_timeout_s(MAX_LEASE_S)
+        # A silent worker is called again each second or so.
+        self.assert_begins(lapsed_at, lapsed_at + 1.5 + PLACING_S)
+
     def take_over_with_unsettled_start(self, first_s=1.0):
         """Let two coordinators take over a run whose start got no reply."""
         self.w1.late = {"start"}
         self.submit("job", 0.1)
         self.w1.silent = True
         self.w1.restart()
+        self.register("w1", NO_ROOM)
         self.run_for(first_s)
         self.take_over(TERM + 2)
         first_at = self.clock.seconds()
@@ -190,6 +211,7 @@
         self.w1.late = set()
         self.w1.silent = True
         self.w1.restart()
+        self.register("w1", NO_ROOM)
         self.register("w2", ROOM)
         return late_start, late_polls[-1:], late_start[0].sent.at
 
@@ -223,21 +245,23 @@
     def record(self, requested_at=90.0):
         progress = fx.engine().accept(fx.workflow(), 0.0)
         (task,) = progress.tasks()
-        task.add_late_start("w1", 120.0)
+        task.add_late_start("w1", 120.0, PROCESS_MS)
         return records.encode_progress(progress, 1, {}, 100.0, requested_at)
 
-    def restore(self, content, seen_at, latest):
+    def restore(self, content, seen_at, latest, process_ms=PROCESS_MS):
         """Return the end of the hold by the node clock of a successor."""
         record = records.decode_progress("job", content)
         progress = fx.engine().accept(fx.workflow(), 0.0)
         records.restore_late_starts(progress, record, latest, seen_at)
         (task,) = progress.tasks()
-        return task.late_starts_by_worker["w1"]
+        start = task.late_starts_by_worker["w1"]
+        self.assertEqual(start.process_started_ms, process_ms)
+        return start.until
 
     def test_record_has_the_time_since_the_request_for_the_term(self):
         """Guards against an end by a clock that no other node has."""
         record = records.decode_progress("job", self.record())
-        self.assertEqual(record.late_starts, ((KEY, "w1", 30.0),))
+        self.assertEqual(record.late_starts, ((KEY, "w1", 30.0, PROCESS_MS),))
 
     def test_end_by_the_clock_of_the_successor(self):
         """Guards against a hold that begins anew, or ends too early."""
@@ -262,7 +286,7 @@
         document = json.loads(self.record())
         document["late_starts"] = [row[:4] for row in document["late_starts"]]
         content = json.dumps(document).encode()
-        self.assertEqual(self.restore(content, 1000.0, 1040.0), 1040.0)
+        self.assertEqual(self.restore(content, 1000.0, 1040.0, 0), 1040.0)
 
     def test_malformed_end(self):
         """Guards against an end that is no time, and no coded error."""
--- a/tests/test_waiting_report.py
+++ b/tests/test_waiting_report.py
@@ -45,6 +45,8 @@
         self.w1.process.end(fx.key("job"), EndKind.STOPPED)
         self.run_for(1.2)
         self.w1.silent = True
+        self.w1.restart()
+        self.register("w1", NO_ROOM)
         self.run_for(3.0)
         self.register("w2", ROOM)
 
