--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -31,6 +31,10 @@
 # After an outage of the store, workers may need nearly this long until they
 # have written their entries again.
 REMOVE_UNLISTED_AFTER_S = 2.5
+# Heartbeats after which the entry of a silent process is removed, and time
+# after which this is seen at the latest.
+ENTRY_HEARTBEATS = 3
+ENTRY_DELAY_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -371,7 +375,7 @@
         )
         if message.restarted:
             self._engine.worker_restarted(worker_id, now, message.unanswered_starts)
-        else:
+        elif not self._is_alive(worker_id, now):
             self._engine.worker_lost(worker_id, now, message.unanswered_starts)
         self._settle_unsent_starts(worker_id)
         self._engine.interrupt_worker(worker_id, now, "lease_lapsed")
@@ -382,6 +386,17 @@
         if not worker.listed:
             self._remove(worker_id, now)
 
+    def _is_alive(self, worker_id: str, now: float) -> bool:
+        """Return whether the entry shows that a silent worker has not crashed.
+
+        The entry of a process that has ended would be removed by now.
+        """
+        worker = self._engine.workers_by_id.get(worker_id)
+        if worker is None or not worker.listed:
+            return False
+        entry_outlives_s = ENTRY_HEARTBEATS * self._times.heartbeat_s + ENTRY_DELAY_S
+        return now - worker.heard_at > entry_outlives_s
+
     def sweep(self) -> None:
         """Remove workers without an entry once no run can exist on them."""
         now = self._system.clock.seconds()
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -8,9 +8,11 @@
 from unittest import mock
 
 from redwingrudder.coordination.gateways import WorkerTimes
-from redwingrudder.simulation import _worker_process
+from redwingrudder.coordination.worker_session import longest_lease_timeout_s
+from redwingrudder.simulation import MAX_LEASE_S, _worker_process
 
 from . import workflow_fixtures as fx
+from .late_call_case import KEY, LateCallCase
 from .test_start_trials import FINISH_S, JOB, StartTrialCase
 
 LEASE_S = 10.0
@@ -49,5 +51,32 @@
         self.assert_all_done(FINISH_S)
 
 
+class SilentSuspectTests(LateCallCase):
+    """The worker falls silent just after its start, and its lease lapses."""
+
+    def lapse(self):
+        self.submit("job", 0.1)
+        self.assertIn(KEY, self.w1.process.runs_by_key)
+        self.w1.silent = True
+
+    def suspicion(self):
+        self.run_for(longest_lease_timeout_s(MAX_LEASE_S) + 2.0)
+        task = self.coordinator._term.engine.find(KEY)
+        self.assertEqual(task.state, "waiting")
+        return task.suspicion
+
+    def test_entry_that_stays_is_no_sign_of_a_crash(self):
+        """Guards against sound tasks that are observed one after the other."""
+        self.lapse()
+        self.assertEqual(self.suspicion(), "clear")
+
+    def test_entry_that_was_removed_may_be_that_of_a_crash(self):
+        """Guards against a task that crashes one worker after the other."""
+        self.lapse()
+        self.run_for(3 * HEARTBEAT_S)
+        self.store.contents.remove("servers/w1")
+        self.assertEqual(self.suspicion(), "suspected")
+
+
 if __name__ == "__main__":
     unittest.main()
