--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -61,6 +61,9 @@
 BUSY_POLL_INTERVAL_S = 0.25
 # A poll that is answered sooner than this was not delayed by the worker.
 MIN_POLL_DURATION_S = 0.05
+# Share of a lease below which it is extended although the last call to the
+# worker, for instance a command, got no answer.
+MIN_LEASE_SHARE = 0.5
 MAX_CLOCK_DRIFT_RATIO = 0.02  # a worker's clock may be slow by this fraction
 LAPSE_MARGIN_S = 0.3  # added to the computed end of a lease
 # A drained worker whose entry is removed within this many heartbeats after an
@@ -474,16 +477,25 @@
     def _extend_lease(self) -> int:
         """Return the new end of the lease for a poll, 0 to leave it unchanged.
 
-        The end is in milliseconds of the worker's clock. The lease is extended
-        only while the worker answers, so that it lapses and the worker's tasks
-        can be started elsewhere.
+        The end is in milliseconds of the worker's clock. The lease of a silent
+        worker is not extended, so that it lapses and the worker's tasks can
+        be started elsewhere. It lapses sooner if a worker that may be about
+        to fall silent gets no extension either while its lease has time left.
         """
         if not self._authority.valid or not self._worker_clock_ms:
             return 0
-        if self._chart.state != "answering":
+        if self._chart.state in ("silent", "lapsed"):
+            return 0
+        is_long = self._lease_left_s() > MIN_LEASE_SHARE * self._lease_s
+        if self._chart.state == "doubtful" and is_long:
             return 0
         return self._lease_until()
 
+    def _lease_left_s(self) -> float:
+        """Return the rest of the lease that was granted last, in seconds."""
+        elapsed_s = self.system.clock.seconds() - self._worker_clock_read_at
+        return (self._granted_until_ms - self._worker_clock_ms) / 1000 - elapsed_s
+
     def _start_lease(self) -> int:
         """Return the end of the lease for a start, as for a poll.
 
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -1,5 +1,6 @@
 """Tests of the worker session with an in-memory channel."""
 
+import itertools
 import logging
 import math
 import unittest
@@ -26,6 +27,7 @@
     WorkerSilent,
 )
 from redwingrudder.coordination.worker_session import (
+    SILENT_AFTER_S,
     WorkerSession,
     prior_lease_timeout_s,
 )
@@ -159,6 +161,21 @@
         run_for(self.clock, 2.5)
         self.assertEqual(self.channel.calls[:2], ["poll False", "poll True"])
 
+    def test_lost_commands_do_not_end_the_lease_of_a_worker(self):
+        """Guards against a lapse at a worker that answers all of its polls."""
+        lose = mock.AsyncMock(side_effect=OutcomeUnknownError("lost"))
+        extended_at = [self.clock.seconds()]
+        with mock.patch.object(self.channel, "stop", lose):
+            self.system.tell(self.session.name, StopRun("w1", fx.key(), 1))
+            for _ in range(120):
+                run_for(self.clock, 0.1)
+                if "poll True" in self.channel.calls:
+                    extended_at.append(self.clock.seconds())
+                self.channel.calls.clear()
+        extended_at.append(self.clock.seconds())
+        gaps_s = [b - a for a, b in itertools.pairwise(extended_at)]
+        self.assertLess(max(gaps_s), LEASE_S - SILENT_AFTER_S)
+
     def test_attempts_of_a_start_have_the_same_lease(self):
         """Guards against a lease that the attempts without a reply extend."""
         leases = []
