--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -7,7 +7,8 @@
 import unittest
 from unittest import mock
 
-from redwingrudder.coordination.gateways import WorkerTimes
+from redwingrudder.coordination.gateways import COORDINATOR, WorkerTimes
+from redwingrudder.coordination.messages import WorkerLeaseLapsed
 from redwingrudder.coordination.worker_session import longest_lease_timeout_s
 from redwingrudder.simulation import MAX_LEASE_S, _worker_process
 
@@ -77,6 +78,28 @@
         self.store.contents.remove("servers/w1")
         self.assertEqual(self.suspicion(), "suspected")
 
+    def test_worker_that_answers_again_has_not_lapsed(self):
+        """Guards against a hold that its next silence ends at once."""
+        self.lapse()
+        self.suspicion()
+        worker = self.coordinator._term.engine.workers_by_id["w1"]
+        self.assertTrue(worker.lapsed)
+        self.w1.silent = False
+        self.run_for(2.0)
+        self.assertFalse(worker.lapsed)
+
+    def test_restarted_worker_has_not_lapsed(self):
+        """Guards against two runs by a start that reaches its new process."""
+        self.lapse()
+        term = self.coordinator._term
+        run = term.engine.find(KEY).run
+        fence = term.workers._sessions_by_worker["w1"].fence
+        lapsed = WorkerLeaseLapsed("w1", fence, True, frozenset())
+        self.system.tell(COORDINATOR, lapsed)
+        self.run_for(0.1)
+        self.assertGreater(term.engine.find(KEY).run, run)
+        self.assertFalse(term.engine.workers_by_id["w1"].lapsed)
+
 
 if __name__ == "__main__":
     unittest.main()
