--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -6,7 +6,7 @@
 
 from ..actors import ActorSystem
 from ..workflows.engine import Engine
-from ..workflows.model import NO_RESOURCES, WorkerFacts
+from ..workflows.model import NO_RESOURCES, StartRun, TaskKey, WorkerFacts
 from ..workflows.records import PlacedRun
 from .authority import Authority
 from .gateways import LEADERSHIP, ChannelFactory, RegistryCodec, WorkerTimes
@@ -101,6 +101,9 @@
         self._ended_processes_by_worker: dict[str, set[int]] = {}
         # Workers that have reported to their current session.
         self._reported: set[str] = set()
+        # Starts that were handed to a session before its first report was
+        # handled. The session may have sent them after that report.
+        self._early_starts_by_worker: dict[str, set[tuple[TaskKey, int]]] = {}
         # Workers with runs that began after their last poll was sent, so that
         # its report could not list them.
         self._undecided: set[str] = set()
@@ -121,9 +124,13 @@
         Returns:
             False if the worker has no session.
         """
-        if command.worker_id not in self._sessions_by_worker:
+        worker_id = command.worker_id
+        if worker_id not in self._sessions_by_worker:
             return False
-        self._system.tell(session_name(command.worker_id), command)
+        if isinstance(command, StartRun) and worker_id not in self._reported:
+            early_starts = self._early_starts_by_worker.setdefault(worker_id, set())
+            early_starts.add((command.key, command.run))
+        self._system.tell(session_name(worker_id), command)
         return True
 
     def set_entry(self, key: str, value: str | None) -> None:
@@ -274,8 +281,10 @@
         became_reachable = worker.reachable and not was_reachable
         worker.lapsed = False
         is_first_report = message.worker_id not in self._reported
+        early_starts: set[tuple[TaskKey, int]] = set()
         if worker.reachable:
             self._reported.add(message.worker_id)
+            early_starts = self._early_starts_by_worker.pop(message.worker_id, set())
         if not was_reachable:
             for entry in report.running:
                 self._engine.adopt_run(
@@ -289,7 +298,12 @@
         is_undecided = message.worker_id in self._undecided and report.ends_complete
         if became_reachable or is_undecided:
             decided = self._engine.reconcile(
-                message.worker_id, running, is_first_report, now, message.sent_at
+                message.worker_id,
+                running,
+                is_first_report,
+                now,
+                message.sent_at,
+                early_starts,
             )
             if decided:
                 self._undecided.discard(message.worker_id)
@@ -497,6 +511,7 @@
             worker_id, session.possible_starts, self._system.clock.seconds()
         )
         self._reported.discard(worker_id)
+        self._early_starts_by_worker.pop(worker_id, None)
         self._undecided.discard(worker_id)
         session.stop()
         self._system.unregister(session)
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -933,6 +933,7 @@
         first_report: bool,
         now: float,
         polled_at: float = math.inf,
+        early_starts: Container[tuple[TaskKey, int]] = frozenset(),
     ) -> bool:
         """Interrupt runs that a worker does not list.
 
@@ -943,14 +944,17 @@
             listed_runs: Runs that the worker's report lists.
             first_report: Whether this is the first report of the session.
                 That poll has raised the worker's fencing token, so the worker
-                rejects what earlier sessions have sent, and this session has
-                sent no start yet: a missing run cannot start any more. In
-                later reports, a run that is starting or stopping is kept,
-                since the session's command may be in flight.
+                rejects what earlier sessions have sent, and this session had
+                sent no start before: a missing run cannot start any more,
+                unless it is one of ``early_starts``. In later reports, a run
+                that is starting or stopping is kept, since the session's
+                command may be in flight.
             now: Node-clock seconds.
             polled_at: Node-clock seconds at which the poll was sent. A run
                 whose start was confirmed later is kept, since the worker may
                 have replied to the poll before.
+            early_starts: Starts that the session has got before this report
+                was handled, and may have sent since. Their outcome is told.
 
         Returns:
             Whether no run was kept for that reason.
@@ -964,6 +968,8 @@
                     self.effects.append(StopRun(worker_id, task.key, task.run))
             elif task.state == "running" and task.started_at > polled_at:
                 decided = False
+            elif (task.key, task.run) in early_starts:
+                continue
             elif first_report or task.state == "running":
                 missing.append(task)
         self._interrupt_all(missing, "not_listed", now)
--- a/tests/test_worker_table.py
+++ b/tests/test_worker_table.py
@@ -205,6 +205,24 @@
         task = self.engine.find(start.key)
         self.assertEqual((task.state, task.worker_id), ("running", "w1"))
 
+    def test_start_that_overtakes_the_first_report_is_kept(self):
+        """Guards against a second run beside one that was just begun.
+
+        The worker restarts while the record of a start is written. The start
+        goes to the new process, whose first report is handled only then.
+        """
+        self.engine.accept(fx.workflow("job", fx.step(1, Resources(1, 1, 1))), 0.0)
+        (start,) = fx.starts(self.engine.plan(self.clock.seconds(), 0.0))
+        self.channel.process_started_ms = 2
+        self.workers.set_entry(KEY, entry(born=2))
+        run_for(self.clock, 0.1)
+        self.workers.send(start)
+        run_for(self.clock, 0.1)
+        self.assertEqual(len(self.channel.runs), 1)
+        self.run_for(0.1)
+        task = self.engine.find(start.key)
+        self.assertEqual((task.state, task.run), ("running", start.run))
+
 
 if __name__ == "__main__":
     unittest.main()
