--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -66,25 +66,16 @@
 
     def test_answer_to_a_request_counts_until_the_next_pass(self):
         """Guards against a task that is held as planning passes are slow."""
-        started = self.start(fx.step(), fx.worker("w1"))
-        self.engine.set_worker(fx.worker("w1", draining=True), 1.0)
-        self.engine.set_worker(fx.worker("w2"), 1.0)
-        self.stop(started, 1.0)
-        self.assertEqual(self.place(2.0), ([], ["w1"]))
-        self.engine.report("w1", [], 2.1, polled_at=2.0)
-        (start,), polls = self.place(2.9)
-        self.assertEqual((start.worker_id, polls), ("w2", []))
-
-    def test_answer_to_a_request_counts_however_far_apart_passes_are(self):
-        """Guards against a hold that no answer ends at a busy coordinator."""
-        started = self.start(fx.step(), fx.worker("w1"))
-        self.engine.set_worker(fx.worker("w1", draining=True), 1.0)
-        self.engine.set_worker(fx.worker("w2"), 1.0)
-        self.stop(started, 1.0)
-        self.assertEqual(self.place(2.0), ([], ["w1"]))
-        self.engine.report("w1", [], 2.1, polled_at=2.0)
-        (start,), polls = self.place(4.5)
-        self.assertEqual((start.worker_id, polls), ("w2", []))
+        for pass_at in (2.9, 4.5):
+            with self.subTest(pass_at):
+                started = self.start(fx.step(), fx.worker("w1"))
+                self.engine.set_worker(fx.worker("w1", draining=True), 1.0)
+                self.engine.set_worker(fx.worker("w2"), 1.0)
+                self.stop(started, 1.0)
+                self.assertEqual(self.place(2.0), ([], ["w1"]))
+                self.engine.report("w1", [], 2.1, polled_at=2.0)
+                (start,), polls = self.place(pass_at)
+                self.assertEqual((start.worker_id, polls), ("w2", []))
 
     def test_slow_answer_counts_although_passes_go_on(self):
         """Guards against requests that are repeated before their answer."""
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -60,6 +60,16 @@
         self.w1.silent = True
         self.w1.restart()
 
+    def stop_run_behind_cut(self):
+        """Settle the run on its process, which then cannot be reached."""
+        self.start_with_lost_attempt()
+        self.register("w1", NO_ROOM)
+        self.run_for(0.1)
+        self.w1.process.end(KEY, EndKind.STOPPED)
+        self.run_for(1.0)
+        self.w1.silent = True
+        self.register("w2", ROOM)
+
     def assert_runs_once_answering(self):
         """Let w1 answer; the run that the late attempt has begun goes on."""
         self.w1.silent = False
@@ -249,13 +259,7 @@
 
     def test_next_run_begins_elsewhere_once_the_process_has_no_lease(self):
         """Guards against a task that waits for a worker behind a cut."""
-        self.start_with_lost_attempt()
-        self.register("w1", NO_ROOM)
-        self.run_for(0.1)
-        self.w1.process.end(KEY, EndKind.STOPPED)
-        self.run_for(1.0)
-        self.w1.silent = True
-        self.register("w2", ROOM)
+        self.stop_run_behind_cut()
         self.run_for(MAX_LEASE_S - 1.0)
         self.assertEqual(self.w2.process.runs_by_key, {})
         self.run_for(3.5)
--- a/tests/test_recorded_holds.py
+++ b/tests/test_recorded_holds.py
@@ -95,13 +95,7 @@
 
     def test_successor_ends_the_hold_of_a_process_without_a_lease(self):
         """Guards against a hold that only the first coordinator ends early."""
-        self.start_with_lost_attempt()
-        self.register("w1", NO_ROOM)
-        self.run_for(0.1)
-        self.w1.process.end(KEY, EndKind.STOPPED)
-        self.run_for(1.0)
-        self.w1.silent = True
-        self.register("w2", ROOM)
+        self.stop_run_behind_cut()
         self.run_for(1.0)
         self.take_over(TERM + 2)
         lapsed_at = self.clock.seconds() + prior_lease_timeout_s(MAX_LEASE_S)
