--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -479,15 +479,15 @@
 
         The end is in milliseconds of the worker's clock. The lease of a silent
         worker is not extended, so that it lapses and the worker's tasks can
-        be started elsewhere. It lapses sooner if a worker that may be about
-        to fall silent gets no extension either while its lease has time left.
+        be started elsewhere. So that it lapses sooner, it is not extended
+        after a call without an answer either while most of it is left.
         """
         if not self._authority.valid or not self._worker_clock_ms:
             return 0
         if self._chart.state in ("silent", "lapsed"):
             return 0
-        is_long = self._lease_left_s() > MIN_LEASE_SHARE * self._lease_s
-        if self._chart.state == "doubtful" and is_long:
+        lasts = self._lease_left_s() > MIN_LEASE_SHARE * self._lease_s
+        if self._chart.state == "doubtful" and lasts:
             return 0
         return self._lease_until()
 
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -305,8 +305,8 @@
     its outcome is known only once the worker's lease has lapsed; further such
     ones do not, as they may have crashed their workers. If only such suspects
     are left and others have proved harmless, the step goes on. If none of the
-    suspects can be observed now, siblings are in their place. A task or gang
-    that is accused waits for the verdict.
+    suspects can be started or answers, other tasks of the step are observed
+    instead. A task or gang that is accused waits for the verdict.
 
     Args:
         stage: The step.
--- a/src/redwingrudder/workflows/late_starts.py
+++ b/src/redwingrudder/workflows/late_starts.py
@@ -21,7 +21,7 @@
 
 from .model import TaskKey
 from .placement import PlacementOption, preferred_workers
-from .state import PossibleStart, Task, Worker
+from .state import LateStart, Task, Worker
 
 # Age of a poll up to which its answer shows that a worker's process has the
 # fence of the current session. The worker may have restarted since.
@@ -123,7 +123,7 @@
     ]
 
 
-def _is_over(start: PossibleStart, worker: Worker) -> bool:
+def _is_over(start: LateStart, worker: Worker) -> bool:
     """Return whether a start can have no effect on the process it was sent to.
 
     Nor is there another process of the worker, by its registry entry.
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -65,7 +65,7 @@
     beside_suspects: bool = False
 
 
-class LateStart(NamedTuple):
+class RecordedLateStart(NamedTuple):
     """A worker that may still carry out a start of an earlier run.
 
     Attributes:
@@ -116,7 +116,7 @@
     runs: tuple[tuple[TaskKey, int], ...]
     placed: tuple[PlacedRun, ...]
     checkpoints: tuple[tuple[TaskKey, str], ...]
-    late_starts: tuple[LateStart, ...] = ()
+    late_starts: tuple[RecordedLateStart, ...] = ()
     policy: QueuePolicy | None = None
     policy_version: int = 0
 
@@ -285,7 +285,9 @@
             ),
             tuple((key(row), row.text(3)) for row in rows("checkpoints")),
             tuple(
-                LateStart(key(row), row.text(3), row.number(4, 0.0), row.integer(5, 0))
+                RecordedLateStart(
+                    key(row), row.text(3), row.number(4, 0.0), row.integer(5, 0)
+                )
                 for row in document.rows("late_starts")
             ),
             _policy(document.row("policy")) if document.has("policy") else None,
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -92,7 +92,7 @@
     stopped_at: float
 
 
-class PossibleStart(NamedTuple):
+class LateStart(NamedTuple):
     """A start that a worker may still carry out.
 
     Attributes:
@@ -203,7 +203,7 @@
         self.start_settled = True
         self.start_sent_at: float | None = None
         self.start_process_ms = 0
-        self.late_starts_by_worker: dict[str, PossibleStart] = {}
+        self.late_starts_by_worker: dict[str, LateStart] = {}
         self.rejections = 0
         self.worker_id = ""
         self.pool = ""
@@ -244,7 +244,7 @@
             until = max(known.until, until)
             if known.process_started_ms != process_started_ms:
                 process_started_ms = 0
-        start = PossibleStart(until, process_started_ms)
+        start = LateStart(until, process_started_ms)
         self.late_starts_by_worker[worker_id] = start
 
     def late_start_workers(self, now: float) -> tuple[str, ...]:
@@ -255,7 +255,7 @@
         """
         return tuple(worker_id for worker_id, _ in self.late_starts(now))
 
-    def late_starts(self, now: float) -> tuple[tuple[str, PossibleStart], ...]:
+    def late_starts(self, now: float) -> tuple[tuple[str, LateStart], ...]:
         """Return the workers that may still carry out a start, with the start.
 
         Args:
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -73,7 +73,9 @@
 # 810: a gang stayed open whose members had different runs, one of them done.
 # 809: a task failed whose runs had only been lost with their workers.
 # 1100: a node asked a former coordinator for good after a paused node woke up.
-REGRESSION_SEEDS = (3, 105, 600, 809, 810, 1100)
+# 1503: a start that overtook the first report of a restarted worker was taken
+# never to have been sent, and ran at the same time as its successor.
+REGRESSION_SEEDS = (3, 105, 600, 809, 810, 1100, 1503)
 
 
 class InvariantViolation(Exception):
