Show that an entry of another system's worker stops all work

As long as the registry has one entry whose service is in no configuration, and whose worker has seen a higher fencing token, no task starts anywhere. Accepted jobs stay queued beside idle workers.

Cause: a session is opened with each worker whose entry can be decoded, and the answer 409 fence of any of them ends the term of the coordinator (coordination/worker_table.py, set_entry; worker_session.py, _handle_rejection). Each further coordinator meets the same answer.

--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -205,7 +205,8 @@
         self.wait_for(lambda: self.admin("/state"), 5.0, "the store")
         self.admin("/put", {"key": "op/config", "value": CONFIGURATION})
 
-    def start_worker(self, index):
+    def start_worker(self, index, *service_and_fence):
+        """Start a worker, if wanted one of another service and system."""
         self._start_stand_in(
             f"w{index}",
             "worker.py",
@@ -217,6 +218,7 @@
             MAX_HOLD_MS,
             STOP_MS,
             self._racks[index],
+            *service_and_fence,
         )
 
     def _start_stand_in(self, name, program, *arguments):
--- a/review/standin-2/worker.py
+++ b/review/standin-2/worker.py
@@ -1,8 +1,10 @@
 """Stand-in of one worker of the platform, as PROTOCOL.md describes it.
 
 Run as ``worker.py ID PORT STORE_PORT LOG HEARTBEAT_MS MAX_HOLD_MS STOP_MS
-RACK``. The text of a task's ``spec`` is JSON with ``ms``, the time that it works, and
-``fails``, whether it then ends as failed. Starts and ends are written to LOG.
+RACK [SERVICE FENCE]``. FENCE is the highest fencing token that it has seen,
+which a worker of another system may have from that. The text of a task's
+``spec`` is JSON with ``ms``, the time that it works, and ``fails``, whether it
+then ends as failed. Starts and ends are written to LOG.
 """
 
 import asyncio
@@ -167,9 +169,19 @@
 
 
 async def main(
-    worker_id, port, store_port, log_path, beat_ms, max_hold_ms, stop_ms, rack
+    worker_id,
+    port,
+    store_port,
+    log_path,
+    beat_ms,
+    max_hold_ms,
+    stop_ms,
+    rack,
+    service="pool",
+    fence="0",
 ):
     worker = Worker(worker_id, log_path, max_hold_ms, stop_ms)
+    worker.fence = int(fence)
     await Server(worker.serve).listen(HOST, int(port))
     sequence = 0
     next_beat_at = 0.0
@@ -179,7 +191,7 @@
             next_beat_at = now + int(beat_ms) / 1000
             sequence += 1
             entry = {
-                "service": "pool",
+                "service": service,
                 "address": f"{HOST}:{port}",
                 "zone": "z-a",
                 "version": "v1",
