Show that a foreign entry makes a task run twice at the same time

What breaks: TWICE. An entry of a service that is in no configuration, written once under the id of a worker, makes the task that runs there start on another worker at once. Both runs go on for 10 s, on workers that are up.

Cause: the entry is applied and taken for a restart of the worker; the answer 421 at its address counts as a proof that the process has ended (coordination/worker_table.py, set_entry; worker_session.py, _handle_rejection).

--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -205,14 +205,22 @@
         self.wait_for(lambda: self.admin("/state"), 5.0, "the store")
         self.admin("/put", {"key": "op/config", "value": CONFIGURATION})
 
-    def start_worker(self, index, *service_and_fence):
-        """Start a worker, if wanted one of another service and system."""
+    def start_worker(self, index, *service_and_fence, name="", registers=True):
+        """Start a worker, if wanted one of another service and system.
+
+        Args:
+            index: The worker.
+            *service_and_fence: See the stand-in.
+            name: Its id, w and the index if it is left out.
+            registers: Whether it writes its entry.
+        """
+        name = name or f"w{index}"
         self._start_stand_in(
-            f"w{index}",
+            name,
             "worker.py",
-            f"w{index}",
+            name,
             self.worker_ports[index],
-            self.worker_store_port,
+            self.worker_store_port if registers else 0,
             self.worker_log,
             HEARTBEAT_MS,
             MAX_HOLD_MS,
--- a/review/standin-2/worker.py
+++ b/review/standin-2/worker.py
@@ -4,7 +4,8 @@
 RACK [SERVICE FENCE]``. FENCE is the highest fencing token that it has seen,
 which a worker of another system may have from that. The text of a task's
 ``spec`` is JSON with ``ms``, the time that it works, and ``fails``, whether it
-then ends as failed. Starts and ends are written to LOG.
+then ends as failed. Starts and ends are written to LOG. With STORE_PORT 0 it
+writes no entries.
 """
 
 import asyncio
@@ -204,7 +205,8 @@
                 "labels": ["a", rack],
             }
             beat = {"id": worker_id, "entry": entry}
-            asyncio.ensure_future(write_entry(int(store_port), beat))
+            if int(store_port):
+                asyncio.ensure_future(write_entry(int(store_port), beat))
         worker.advance()
         await asyncio.sleep(0.05)
 
