--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 ROOT = FOLDER.parent.parent
@@ -25,6 +26,9 @@
 PREFIX = "/lohu930/"  # queue of priority 1
 LOW_PREFIX = "/bopu901/"  # queue of priority 2
 MAX_ATTEMPTS = 4
+LIMIT_S = 115  # a script may run for 120 s
+# Exit statuses of a case.
+RULE_HELD, RULE_BROKEN, CASE_NOT_RUN = 0, 1, 2
 
 # The settings of a process as DEPLOY.md shows them, with the bounds of a
 # small site.
@@ -399,16 +403,28 @@
             rule was broken, "" if it held.
         racks: See ``Deployment``.
     """
-    deployment = Deployment(case_folder, node_count, worker_count, racks)
-    status = 2
+    for number in (signal.SIGALRM, signal.SIGTERM):
+        signal.signal(number, _end_case)
+    signal.alarm(LIMIT_S)
+    status = CASE_NOT_RUN
+    deployment = None
     try:
+        deployment = Deployment(case_folder, node_count, worker_count, racks)
         broken = play(deployment)
-        status = 1 if broken else 0
         deployment.note_logs()
         deployment.note(f"BROKEN: {broken}" if broken else "the rule held")
-    except CaseError as error:
-        deployment.note_logs()
-        deployment.note(f"the case could not run: {error}")
+        status = RULE_BROKEN if broken else RULE_HELD
+    except Exception as error:
+        traceback.print_exc()
+        if deployment is not None:
+            deployment.note_logs()
+            deployment.note(f"the case could not run: {error!r}")
     finally:
-        deployment.close()
+        signal.alarm(0)
+        if deployment is not None:
+            deployment.close()
     sys.exit(status)
+
+
+def _end_case(number, frame):
+    raise CaseError(f"ended by {signal.Signals(number).name}")
--- a/review/standin-2/worker.py
+++ b/review/standin-2/worker.py
@@ -156,7 +156,7 @@
 
 
 async def write_entry(store_port, body):
-    """Write an entry to the store; a failure is ignored until the next beat."""
+    """Write an entry to the store; the next beat makes up for a failure."""
     content = json.dumps(body).encode()
     head = f"POST /entry HTTP/1.1\r\nHost: s\r\nContent-Length: {len(content)}\r\n"
     try:
