Limit the waits of jobs for better room beside idle workers

Cause: a step might wait for better room without a limit in time. The planner reserved the idle part of a worker together with the part that long runs used, in each pass anew. A data rack was waited for in proportion to the run time, one rack for a gang and workers of full speed without any limit.

Ruled out: resting or suspected workers, want of room, a coordinator that does not plan; the log named "reserved", "data" and "one_rack".

Change: reserved capacity is used at once by runs that end before it is needed (backfill). Beyond estimates, a step whose job has nothing running waits for 1.5 s at most while its pool is mostly idle, whatever it waits for. The limit stands in one place (workflows/_deferral.py). Reservations are given up for all waiting steps at one moment and taken again, so that a gang can start beside a steady flow of short jobs.

--- /dev/null
+++ b/src/redwingrudder/workflows/_deferral.py
@@ -0,0 +1,168 @@
+"""How long a step may wait for better room while it has room.
+
+A step waits beside idle capacity if that is reserved for other steps, or if
+its tasks would run slower there: away from their data, in several racks or on
+slow workers. What it waits for may be hours away or never come, so all these
+waits have one limit, which is independent of estimates.
+"""
+
+import enum
+import math
+from collections.abc import Iterable
+
+from .model import NO_RESOURCES, Resources
+from .state import Stage, Worker, WorkflowProgress, resources_used
+
+# Time for which a step may wait for better room. The users' limit is 3 s; the
+# rest is for the interval between planning passes and the delay of a start.
+MAX_DEFERRAL_S = 1.5
+# Share of a pool in use from which on steps wait without a limit. The users'
+# limit is a half; runs that have just ended still count as capacity in use.
+UNLIMITED_SHARE = 0.55
+
+
+class DeferralEnd(enum.StrEnum):
+    """What a step uses whose wait for better room has ended.
+
+    RESERVED: Capacity that is reserved for other steps.
+    SLOWER: Capacity on which its tasks run slower.
+    """
+
+    RESERVED = "reserved"
+    SLOWER = "slower"
+
+
+class PoolUsage:
+    """Capacity of a pool and the part that runs and planned starts use."""
+
+    def __init__(self) -> None:
+        self._capacity = NO_RESOURCES
+        self._used = NO_RESOURCES
+
+    def add_worker(self, worker: Worker) -> None:
+        """Add the capacity of a worker and of its runs."""
+        self._capacity = self._capacity.plus(worker.facts.capacity)
+        self._used = self._used.plus(worker.used)
+
+    def add_start(self, demand: Resources) -> None:
+        """Add a planned start."""
+        self._used = self._used.plus(demand)
+
+    @property
+    def is_mostly_idle(self) -> bool:
+        """Whether steps may wait beside idle capacity for a limited time only.
+
+        That is so as long as any kind of resource is mostly idle.
+        """
+        return any(used < limit for used, limit in self._kinds())
+
+    def count_startable(self, demand: Resources, wanted: int) -> int:
+        """Return how many tasks may start until the pool is mostly in use.
+
+        Args:
+            demand: Resources that each task uses.
+            wanted: Upper bound of the result.
+        """
+        count = 0
+        for (used, limit), amount in zip(self._kinds(), demand, strict=True):
+            if used < limit:
+                until_limit = math.ceil((limit - used) / amount) if amount else wanted
+                count = max(count, until_limit)
+        return min(count, wanted)
+
+    def _kinds(self) -> list[tuple[float, float]]:
+        """Return the amount in use and the limit of each kind of resource."""
+        return [
+            (used, UNLIMITED_SHARE * capacity)
+            for used, capacity in zip(self._used, self._capacity, strict=True)
+        ]
+
+
+class DeferralLimit:
+    """Limits the waits of steps for better room, within one planning pass.
+
+    The wait of a step is limited while its job has nothing running and its
+    pool is mostly idle. That of a service is limited in any case, as each of
+    its tasks has to be at work.
+
+    A pool whose first step has waited for ``MAX_DEFERRAL_S`` gives up its
+    reservations for all steps that wait at that moment. The next steps wait
+    anew, so that short runs of a steady flow end together in between, and the
+    reservations can be used.
+
+    Args:
+        workers: All workers.
+        stages: The steps that are ready.
+        now: Node-clock seconds.
+    """
+
+    def __init__(
+        self, workers: Iterable[Worker], stages: Iterable[Stage], now: float
+    ) -> None:
+        self._now = now
+        self._usage_by_pool: dict[str, PoolUsage] = {}
+        for worker in workers:
+            facts = worker.facts
+            if worker.listed and not facts.draining and not worker.emptying:
+                self._usage(facts.pool).add_worker(worker)
+        self._at_work_by_id: dict[str, bool] = {}
+        overdue = [stage for stage in stages if self.is_overdue(stage)]
+        self._released_pools = {
+            stage.workflow.policy.pool for stage in overdue if not stage.spec.service
+        }
+
+    def add_start(self, stage: Stage) -> None:
+        """Count a planned start of a task."""
+        usage = self._usage(stage.workflow.policy.pool)
+        usage.add_start(resources_used(stage.spec))
+        self._at_work_by_id[stage.workflow.workflow.workflow_id] = True
+
+    def applies(self, stage: Stage) -> bool:
+        """Return whether the wait of a step is limited now."""
+        if stage.spec.service:
+            return True
+        usage = self._usage(stage.workflow.policy.pool)
+        return usage.is_mostly_idle and not self._is_at_work(stage.workflow)
+
+    def is_overdue(self, stage: Stage) -> bool:
+        """Return whether a step has waited for as long as it may."""
+        return self._now >= deferral_ends_at(stage)
+
+    def may_use_reserved(self, stage: Stage) -> bool:
+        """Return whether a step may use the reservations of its pool."""
+        if stage.spec.service:
+            return self.is_overdue(stage)
+        return stage.workflow.policy.pool in self._released_pools
+
+    def count_startable(self, stage: Stage, wanted: int) -> int:
+        """Return how many tasks of a step may use reserved capacity.
+
+        Args:
+            stage: The step, which is not a gang.
+            wanted: Upper bound of the result.
+        """
+        if stage.spec.service:
+            return wanted
+        usage = self._usage(stage.workflow.policy.pool)
+        return usage.count_startable(resources_used(stage.spec), wanted)
+
+    def _usage(self, pool: str) -> PoolUsage:
+        return self._usage_by_pool.setdefault(pool, PoolUsage())
+
+    def _is_at_work(self, progress: WorkflowProgress) -> bool:
+        job_id = progress.workflow.workflow_id
+        if job_id not in self._at_work_by_id:
+            at_work = any(task.placed for task in progress.tasks())
+            self._at_work_by_id[job_id] = at_work
+        return self._at_work_by_id[job_id]
+
+
+def deferral_ends_at(stage: Stage) -> float:
+    """Return when the wait of a step for better room ends at the latest.
+
+    Returns:
+        Node-clock seconds, infinite if the wait is not limited at present.
+    """
+    if stage.deferred_since is None:
+        return math.inf
+    return stage.deferred_since + MAX_DEFERRAL_S
--- a/src/redwingrudder/workflows/_wait_rules.py
+++ b/src/redwingrudder/workflows/_wait_rules.py
@@ -1,9 +1,11 @@
 """The rules of a planning pass that keep tasks back, one after the other."""
 
 import enum
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from ._deferral import deferral_ends_at
 from ._wait_room import FleetRoom, common_workers, workers_by_rack
 from .crashes import is_suspected, isolation_candidates, startable_suspects
 from .late_starts import awaited_silent_workers, unconfirmed_workers
@@ -229,10 +231,13 @@
         if near_data is not eligible:
             candidates = common_workers(candidates, near_data)
         if not self._room.has_for(tasks, candidates):
+            left_s = self._deferral_left_s(stage)
             ends_in_s = self._data_wait_left_s(stage)
+            ends_in_s = ends_in_s if left_s is None else min(left_s, ends_in_s)
             return _StepRoom(Hold(WaitReason.DATA, "", ends_in_s))
         if self._awaits_one_rack(tasks, candidates, near_data):
-            return _StepRoom(Hold(WaitReason.ONE_RACK))
+            ends_in_s = self._deferral_left_s(stage)
+            return _StepRoom(Hold(WaitReason.ONE_RACK, "", ends_in_s))
         if stage.workflow.policy.advised:
             candidates = permitted_workers(stage, candidates, self._now)
             if not self._room.has_for(tasks, candidates):
@@ -247,11 +252,15 @@
     def _step_room(
         self, reason: WaitReason, stage: Stage, workers: list[Worker]
     ) -> _StepRoom:
+        ends_in_s = None
+        if reason is WaitReason.RESERVED:
+            ends_in_s = self._deferral_left_s(stage)
+        hold = Hold(reason, "", ends_in_s)
         if not any(task.late_starts_by_worker for task in stage.tasks):
-            return _StepRoom(Hold(reason))
+            return _StepRoom(hold)
         best = min(workers, key=lambda w: (is_slow(w), w.is_suspect(self._now)))
         ids = frozenset(worker.facts.worker_id for worker in workers)
-        return _StepRoom(Hold(reason), best, ids)
+        return _StepRoom(hold, best, ids)
 
     def _resting_hold(self, fitting: list[Worker]) -> Hold:
         """Return why workers with room get no new runs."""
@@ -279,7 +288,17 @@
         if any(task.failures for task in stage.tasks):
             ends_in_s = max(stage.failed_at + SUSPECT_S - self._now, 0.0)
             return Hold(WaitReason.FAILURES, usable[0].facts.worker_id, ends_in_s)
-        return Hold(WaitReason.SLOW_WORKERS, usable[0].facts.worker_id)
+        ends_in_s = self._deferral_left_s(stage)
+        return Hold(WaitReason.SLOW_WORKERS, usable[0].facts.worker_id, ends_in_s)
+
+    def _deferral_left_s(self, stage: Stage) -> float | None:
+        """Return for how long a step still waits for better room at the most.
+
+        Returns:
+            The time in seconds, None if there is no limit at present.
+        """
+        left_s = deferral_ends_at(stage) - self._now
+        return None if math.isinf(left_s) else max(left_s, 0.0)
 
     def _awaits_sound_worker(self, tasks: list[Task]) -> bool:
         """Return whether an attempt waits for a worker that proved sound."""
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Collection, Container
 
+from ._deferral import DeferralEnd
 from .advice import Tickets
 from .advice_requests import AdviceRequests
 from .crash_evidence import (
@@ -48,6 +49,7 @@
 from .start_trials import REFUSALS, StartTrials
 from .state import (
     TASK_CHART,
+    Stage,
     Task,
     Worker,
     WorkflowProgress,
@@ -724,6 +726,8 @@
         if scheduling_plan.advice_need is not None:
             need = scheduling_plan.advice_need
             self.effects.append(self.advice_requests.ask(need, now))
+        for stage, end in scheduling_plan.deferral_ends:
+            self._log_deferral_end(stage, end)
         runs_by_stage: dict[int, int] = {}
         for task, worker in scheduling_plan.starts:
             self.assign(task, worker, runs_by_stage, now)
@@ -731,6 +735,16 @@
             self._poll_for(held, now)
         return self.take_effects()
 
+    def _log_deferral_end(self, stage: Stage, end: DeferralEnd) -> None:
+        _logger.info(
+            "step starts without waiting longer for better room",
+            extra={
+                "job": stage.workflow.workflow.workflow_id,
+                "step": f"{stage.occurrence}.{stage.index}",
+                "uses": str(end),
+            },
+        )
+
     def _poll_for(self, held: HeldStart, now: float) -> None:
         """Request polls of the workers whose answer a start waits for."""
         for worker_id in held.worker_ids:
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -57,6 +57,8 @@
             also rely on the capacity freed by the victims of earlier ones.
         position: Index of the option on its worker, 0 for options that need
             no preemption.
+        reserved_in_s: Expected seconds until a waiting step uses the capacity
+            that is reserved for it, infinite if the capacity is not reserved.
     """
 
     worker: Worker
@@ -65,6 +67,7 @@
     victims: tuple[Task, ...] = ()
     order_cost_core_s: float = 0.0
     position: int = 0
+    reserved_in_s: float = math.inf
 
 
 class CapacitySource(abc.ABC):
@@ -94,6 +97,30 @@
         return [PlacementOption(worker)] * count
 
 
+class LentCapacity(CapacitySource):
+    """Capacity that is idle at present, if need be from a reservation.
+
+    Args:
+        min_time_s: Seconds within which a reservation that is lent is not
+            expected to be used.
+    """
+
+    def __init__(self, min_time_s: float = 0.0) -> None:
+        self._min_time_s = min_time_s
+
+    def options(
+        self, worker: Worker, demand: Resources, max_count: int
+    ) -> list[PlacementOption]:
+        """See base class."""
+        count = count_fitting(worker.free, demand, max_count)
+        options = [PlacementOption(worker)] * count
+        if self._min_time_s <= worker.reserved_in_s < math.inf:
+            lent = PlacementOption(worker, reserved_in_s=worker.reserved_in_s)
+            lendable = count_fitting(worker.unclaimed, demand, max_count)
+            options += [lent] * (lendable - count)
+        return options
+
+
 class ReleasedCapacity(CapacitySource):
     """Capacity that is idle, or free when runs end at their expected time.
 
@@ -426,12 +453,14 @@
     workers: list[Worker],
     source: CapacitySource,
     now: float,
+    may_cross_racks: bool = False,
 ) -> list[PlacementOption]:
     """Choose placement options for tasks of a step, at most one for each.
 
     For a gang, either all tasks get an option or none does. A gang that is
     slower on several racks is spread over racks only if it would not fit into
-    any single rack even if only the lasting tasks there went on.
+    any single rack even if only the lasting tasks there went on, or if it may
+    not wait for one rack.
 
     Args:
         stage: The step.
@@ -439,6 +468,8 @@
         workers: Workers that may run them.
         source: Lists the capacity of a worker.
         now: Node-clock seconds.
+        may_cross_racks: Whether a gang is spread over racks if none has room
+            for it now.
     """
     spec = stage.spec
     demand = resources_used(spec)
@@ -449,7 +480,10 @@
         if found:
             options_by_rack.setdefault(worker.facts.rack, []).extend(found)
     if spec.gang and spec.same_rack and len(tasks) > 1:
-        return _choose_within_rack(stage, tasks, options_by_rack, workers, now)
+        in_rack = _choose_within_rack(stage, tasks, options_by_rack, workers, now)
+        if in_rack or not may_cross_racks:
+            return in_rack
+        return _choose_across_racks(options_by_rack, len(tasks))
     options = [option for found in options_by_rack.values() for option in found]
     preferred_ids = _all_preferred(stage, tasks, now)
     options.sort(key=_preference(spec.data_rack, demand, preferred_ids, now))
@@ -490,9 +524,16 @@
             best, best_key = chosen, key
     if best or _may_fit_into_rack(stage, count, workers):
         return best
+    return _choose_across_racks(options_by_rack, count)
+
+
+def _choose_across_racks(
+    options_by_rack: dict[str, list[PlacementOption]], count: int
+) -> list[PlacementOption]:
+    """Choose options in few racks, none if all racks have too few."""
     racks = sorted(options_by_rack.values(), key=len, reverse=True)
-    across_racks = [option for found in racks for option in found][:count]
-    return across_racks if len(across_racks) == count else []
+    chosen = [option for found in racks for option in found][:count]
+    return chosen if len(chosen) == count else []
 
 
 def _may_fit_into_rack(stage: Stage, count: int, workers: list[Worker]) -> bool:
@@ -571,6 +612,7 @@
         worker.start_trials.on_trial and not is_preferred,
         option.order_cost_core_s > 0,
         option.available_in_s,
+        -option.reserved_in_s,
         option.order_cost_core_s,
         not is_preferred,
         remaining.accelerators,
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -1,9 +1,11 @@
 """Planning passes: which tasks start where, and which runs are preempted."""
 
 import abc
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from ._deferral import DeferralEnd, DeferralLimit
 from .advice_requests import AdviceNeed
 from .crashes import is_suspected, isolation_candidates, startable_suspects
 from .late_starts import (
@@ -21,6 +23,7 @@
 from .placement import (
     CapacitySource,
     IdleCapacity,
+    LentCapacity,
     PlacementOption,
     PreemptibleCapacity,
     ReleasedCapacity,
@@ -32,8 +35,13 @@
     usable_workers,
     without_trials,
 )
-from .room import Room, find_room, may_find_room
-from .run_times import RunTimeEstimates, is_slow
+from .room import (
+    Room,
+    count_fitting,
+    find_room,
+    may_find_room,
+)
+from .run_times import LONG_RUN_FACTOR, RunTimeEstimates, is_slow
 from .state import (
     SUSPECT_S,
     Stage,
@@ -56,7 +64,10 @@
 SOUND_WORKER_WAIT_S = 2.0
 # Number of waiting steps for which a pass reserves capacity. Reserving for
 # more steps would leave too much of the fleet idle.
-MAX_CLAIMING_STEPS = 3
+MAX_RESERVING_STEPS = 3
+# Multiple of a step's room that has to be idle for it to start where it runs
+# slower.
+MIN_SPARE_ROOM = 2
 # Number of gangs that a pass stops one at a time for a step, choosing the
 # options anew after each. The remaining victims are then stopped together,
 # which bounds the duration of a pass.
@@ -74,6 +85,8 @@
         held_starts: Tasks that could start but for an earlier start that a
             worker may still carry out.
         advice_waits: Steps with room that wait for advice.
+        deferral_ends: Steps that start as they have waited for better room
+            for as long as they may, and what they use.
     """
 
     starts: tuple[tuple[Task, Worker], ...]
@@ -81,6 +94,7 @@
     advice_need: AdviceNeed | None = None
     held_starts: tuple[HeldStart, ...] = ()
     advice_waits: tuple[Stage, ...] = ()
+    deferral_ends: tuple[tuple[Stage, DeferralEnd], ...] = ()
 
 
 class Planner(abc.ABC):
@@ -115,8 +129,9 @@
 class PriorityPlanner(Planner):
     """Plans by strict priority, with guarantees, preemption and reservations.
 
-    The claims of waiting steps reserve capacity on workers until the next
-    pass, so that less urgent steps do not take it.
+    Waiting steps reserve capacity on workers until the next pass. Less urgent
+    steps use it only for runs that are expected to end before, or if they have
+    waited for as long as they may (``DeferralLimit``).
 
     Args:
         run_times: Expected run times.
@@ -148,7 +163,13 @@
         ranks = {id(stage): rank(stage, entitled) for stage in stages}
         stages.sort(key=lambda s: (ranks[id(s)], *self._order.key(s, now)))
         planning_pass = _PlanningPass(
-            workers, entitled, self._run_times, now, may_preempt, may_ask
+            workers,
+            entitled,
+            self._run_times,
+            DeferralLimit(workers, stages, now),
+            now,
+            may_preempt,
+            may_ask,
         )
         for stage in stages:
             planning_pass.place(stage, ranks[id(stage)])
@@ -158,6 +179,7 @@
             planning_pass.advice_need,
             tuple(planning_pass.held_starts),
             tuple(planning_pass.advice_waits),
+            tuple(planning_pass.deferral_ends),
         )
 
 
@@ -169,6 +191,7 @@
         workers: list[Worker],
         entitled: frozenset[str],
         run_times: RunTimeEstimates,
+        deferral_limit: DeferralLimit,
         now: float,
         preemption_allowed: bool,
         may_ask: bool,
@@ -178,16 +201,19 @@
         self.advice_need: AdviceNeed | None = None
         self.advice_waits: list[Stage] = []
         self.held_starts: list[HeldStart] = []
+        self.deferral_ends: list[tuple[Stage, DeferralEnd]] = []
         self._workers = workers
         self._workers_by_id = {worker.facts.worker_id: worker for worker in workers}
         self._entitled = entitled
         self._run_times = run_times
+        self._deferral_limit = deferral_limit
         self._now = now
         self._preemption_allowed = preemption_allowed
         self._may_ask = may_ask
         self._suspects = [worker for worker in workers if worker.is_suspect(now)]
         self._has_trials = any(worker.start_trials.on_trial for worker in workers)
-        self._claimed_steps = 0
+        self._reserving_steps = 0
+        self._has_reservations = False
         # Tasks with an older run that is being stopped.
         self._held_keys = {key for worker in workers for key in worker.unwanted_keys}
         # Whether this pass has placed suspected tasks.
@@ -196,6 +222,9 @@
             tuple[str, str], tuple[list[Worker], list[Worker]]
         ] = {}
         self._unplaceable_by_pool: dict[str, list[tuple[Resources, int]]] = {}
+        self._without_lendable_room: dict[
+            tuple[str, str], list[tuple[Resources, int]]
+        ] = {}
 
     def _waiting_tasks(self, stage: Stage) -> list[Task]:
         """Return the tasks to start, without those that have to wait.
@@ -214,6 +243,7 @@
         return [] if stage.spec.gang and len(free) < len(tasks) else free
 
     def place(self, stage: Stage, stage_rank: int) -> None:
+        deferred_since, stage.deferred_since = stage.deferred_since, None
         waiting = startable_suspects(
             stage, self._waiting_tasks(stage), self._workers_by_id
         )
@@ -238,8 +268,16 @@
             waiting = self._retry(stage, waiting, sound)
             if stage.spec.gang and self._keeps_to_sound(stage, len(waiting), sound):
                 candidates = sound
-        if waiting and candidates:
+        if not waiting:
+            return
+        stage.deferred_since = deferred_since
+        planned = len(self.starts) + len(self.held_starts)
+        if candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
+        if len(self.starts) + len(self.held_starts) > planned:
+            stage.deferred_since = None
+        else:
+            self._limit_deferral(stage, waiting, candidates, usable)
 
     def _place_suspects(
         self,
@@ -274,7 +312,7 @@
             if find_room(stage, 1, quiet) is not Room.NOW:
                 break
             further += quiet
-        self._claim(stage, [PlacementOption(worker) for worker in further])
+        self._reserve(stage, [PlacementOption(worker) for worker in further])
         self.advice_need = need._replace(
             needed=(*need.needed, *further), candidates=(*need.candidates, *further)
         )
@@ -350,6 +388,8 @@
         """Start tasks, and make room for those that do not fit yet."""
         near_data = self._near_data(stage, candidates)
         unplaced = self._start_in_idle(stage, waiting, near_data)
+        if unplaced:
+            unplaced = self._backfill(stage, unplaced, near_data)
         if not unplaced:
             return
         if self._may_preempt(stage, stage_rank):
@@ -361,15 +401,149 @@
                 self._run_times,
             )
             self._preempt_permitted(stage, unplaced, candidates, source)
-        elif self._claimed_steps < MAX_CLAIMING_STEPS and not stage.spec.service:
+        elif self._reserving_steps < MAX_RESERVING_STEPS and not stage.spec.service:
             if stage.spec.gang and not may_find_room(stage, len(unplaced), candidates):
                 return
-            self._claimed_steps += 1
+            self._reserving_steps += 1
             released = ReleasedCapacity(self._now, self._run_times)
-            self._claim(
+            self._reserve(
                 stage, choose_options(stage, unplaced, near_data, released, self._now)
             )
 
+    def _backfill(
+        self, stage: Stage, tasks: list[Task], workers: list[Worker]
+    ) -> list[Task]:
+        """Start tasks whose runs end before reserved capacity is needed.
+
+        A run may take up to ``LONG_RUN_FACTOR`` times the expected time, and
+        the wait for advice is not counted, so permits have to be there.
+
+        Returns:
+            The tasks without room.
+        """
+        if not self._has_reservations or stage.spec.service:
+            return tasks
+        run_s = LONG_RUN_FACTOR * self._run_times.expected_s(stage)
+        lenders = workers
+        if not stage.spec.gang:
+            lenders = [w for w in workers if run_s <= w.reserved_in_s < math.inf]
+        elif not any(run_s <= w.reserved_in_s < math.inf for w in workers):
+            return tasks
+        if stage.workflow.policy.advised:
+            lenders = permitted_workers(stage, lenders, self._now)
+        lent = LentCapacity(run_s)
+        options = choose_options(stage, tasks, lenders, lent, self._now)
+        self._add_starts(stage, tasks, options)
+        return tasks[len(options) :]
+
+    def _limit_deferral(
+        self,
+        stage: Stage,
+        waiting: list[Task],
+        candidates: list[Worker],
+        usable: list[Worker],
+    ) -> None:
+        """Start a step that has waited for better room for as long as it may.
+
+        Args:
+            stage: The step, of which nothing starts in this pass.
+            waiting: Its tasks that may start.
+            candidates: Workers on which it would start if they had room.
+            usable: Workers of its pool, with its label, that accept new runs.
+        """
+        deferred_since, stage.deferred_since = stage.deferred_since, None
+        needed = len(waiting) if stage.spec.gang else 1
+        if self.advice_waits and self.advice_waits[-1] is stage:
+            return
+        if not (
+            self._deferral_limit.applies(stage)
+            and self._has_lendable_room(stage, needed, usable)
+        ):
+            return
+        lent = LentCapacity()
+        workers, end = self._near_data(stage, candidates), DeferralEnd.RESERVED
+        if not choose_options(stage, waiting[:needed], workers, lent, self._now):
+            workers = self._acceptable_workers(stage, candidates, usable)
+            end = DeferralEnd.SLOWER
+            if not self._has_lendable_room(stage, MIN_SPARE_ROOM * needed, workers):
+                return
+        stage.deferred_since = self._now if deferred_since is None else deferred_since
+        if end is DeferralEnd.SLOWER:
+            may_start = self._deferral_limit.is_overdue(stage)
+        else:
+            may_start = self._deferral_limit.may_use_reserved(stage)
+        if may_start:
+            self._start_deferred(stage, waiting, workers, end)
+
+    def _acceptable_workers(
+        self, stage: Stage, candidates: list[Worker], usable: list[Worker]
+    ) -> list[Worker]:
+        """Return the workers on which a step may run, also if it is slower.
+
+        A step with failed runs keeps to its candidates, as these are chosen to
+        save its attempts.
+        """
+        if any(task.failures for task in stage.tasks):
+            return candidates
+        if self._observers:
+            usable = [w for w in usable if not w.observes_suspect]
+        if stage.workflow.policy.advised:
+            usable = [w for w in usable if not stage.advice.denies(w.facts)]
+        return usable
+
+    def _has_lendable_room(
+        self, stage: Stage, count: int, workers: list[Worker]
+    ) -> bool:
+        """Return whether tasks have room if reservations are lent.
+
+        Such room only shrinks within a pass. What did not fit into the whole
+        pool is therefore remembered, and as much or more is not looked for.
+        """
+        demand = resources_used(stage.spec)
+        kind = (stage.workflow.policy.pool, stage.spec.worker_label)
+        without_room = self._without_lendable_room.setdefault(kind, [])
+        if any(
+            demand.covers(known_demand) and count >= known_count
+            for known_demand, known_count in without_room
+        ):
+            return False
+        found = 0
+        for worker in workers:
+            found += count_fitting(worker.unclaimed, demand, count - found)
+            if found >= count:
+                return True
+        if workers is self._find_usable_workers(stage)[0]:
+            without_room.append((demand, count))
+        return False
+
+    def _start_deferred(
+        self, stage: Stage, tasks: list[Task], workers: list[Worker], end: DeferralEnd
+    ) -> None:
+        """Start tasks on idle capacity, reserved or not, or ask for advice.
+
+        One task that runs slower is enough for a job to be at work, so the
+        others go on waiting for better room.
+        """
+        if not stage.spec.gang:
+            count = self._deferral_limit.count_startable(stage, len(tasks))
+            if end is DeferralEnd.SLOWER and not stage.spec.service:
+                count = 1
+            tasks = tasks[:count]
+        permitted = workers
+        is_advised = stage.workflow.policy.advised
+        if is_advised:
+            permitted = permitted_workers(stage, workers, self._now)
+        lent, may_cross = LentCapacity(), end is DeferralEnd.SLOWER
+        options = choose_options(stage, tasks, permitted, lent, self._now, may_cross)
+        if options:
+            self._add_starts(stage, tasks, options)
+            self.deferral_ends.append((stage, end))
+            stage.deferred_since = None
+        elif is_advised and self._has_turn(stage, bool(permitted)):
+            options = choose_options(stage, tasks, workers, lent, self._now, may_cross)
+            if options:
+                self._await_advice(stage, tasks, options, workers)
+
     def _find_usable_workers(self, stage: Stage) -> tuple[list[Worker], list[Worker]]:
         """Return the usable workers of a step, and those that are not slow."""
         kind = (stage.workflow.policy.pool, stage.spec.worker_label)
@@ -517,7 +691,7 @@
         if asked_ids:
             asked = [w for w in workers if w.facts.worker_id in asked_ids]
             idle = IdleCapacity()
-            self._claim(stage, choose_options(stage, tasks, asked, idle, self._now))
+            self._reserve(stage, choose_options(stage, tasks, asked, idle, self._now))
         elif self._has_turn(stage, True):
             need = AdviceNeed(
                 stage,
@@ -528,7 +702,7 @@
             )
             if self.advice_need is None or self._goes_before(need, self.advice_need):
                 self.advice_need = need
-                self._claim(stage, options)
+                self._reserve(stage, options)
 
     def _goes_before(self, need: AdviceNeed, other: AdviceNeed) -> bool:
         """Return whether a step is asked about before one placed earlier.
@@ -591,7 +765,7 @@
         for option in options:
             for victim in option.victims:
                 self._add_stop(victim)
-        self._claim(stage, options)
+        self._reserve(stage, options)
 
     def _add_stop(self, victim: Task) -> None:
         """Plan to stop a run; for a gang, the runs of all members."""
@@ -600,10 +774,17 @@
             if task.state in ("starting", "running"):
                 self.stops[task.key] = task
 
-    def _claim(self, stage: Stage, options: list[PlacementOption]) -> None:
+    def _reserve(self, stage: Stage, options: list[PlacementOption]) -> None:
+        """Keep capacity for a step until the next pass.
+
+        A gang needs none of it before all of it is available.
+        """
         demand = resources_used(stage.spec)
+        last_in_s = max((option.available_in_s for option in options), default=0.0)
         for option in options:
-            option.worker.claim(demand)
+            available_in_s = last_in_s if stage.spec.gang else option.available_in_s
+            option.worker.reserve(demand, available_in_s)
+            self._has_reservations = True
 
     def _add_starts(
         self, stage: Stage, tasks: list[Task], options: list[PlacementOption]
@@ -611,9 +792,10 @@
         """Plan starts and claim their capacity until the next pass.
 
         A task whose earlier start a worker may still carry out is held, and a
-        gang with it, until that worker answers.
+        gang with it, until that worker answers. Its capacity is reserved.
         """
         pairs = match_workers(tasks[: len(options)], options, self._now)
+        demand = resources_used(stage.spec)
         starts, held_starts = [], []
         for task, worker in pairs:
             worker_ids = unconfirmed_workers(
@@ -621,14 +803,20 @@
             )
             if worker_ids:
                 held_starts.append(HeldStart(task, worker_ids))
+                worker.reserve(demand, 0.0)
             else:
                 starts.append((task, worker))
         self.held_starts += held_starts
-        if not (stage.spec.gang and held_starts):
-            self.starts += starts
+        self._has_reservations |= bool(held_starts)
+        if stage.spec.gang and held_starts:
             for _, worker in starts:
-                worker.start_trials.note_planned()
-        self._claim(stage, options)
+                worker.reserve(demand, 0.0)
+            return
+        self.starts += starts
+        for _, worker in starts:
+            worker.claim(demand)
+            worker.start_trials.note_planned()
+            self._deferral_limit.add_start(stage)
 
 
 def _crosses_racks(stage: Stage, options: list[PlacementOption]) -> bool:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -295,6 +295,9 @@
         spec: Specification of the step.
         ready_at: Node-clock seconds at which the step became ready, None
             before.
+        deferred_since: Node-clock seconds from which on each planning pass
+            has left the step waiting although it had room, None if the newest
+            one has not; see ``DeferralLimit``.
         failed_runs: Numbers of the failed runs of a gang.
         failed_at: Time of the newest failed run, in node-clock seconds.
         crashed_at: Time of the newest crash of a worker of which a task of the
@@ -309,6 +312,7 @@
     __slots__ = (
         "advice",
         "crashed_at",
+        "deferred_since",
         "failed_at",
         "failed_runs",
         "harmless_suspects",
@@ -327,6 +331,7 @@
         self.index = index
         self.spec: StepSpec = workflow.workflow.steps[index]
         self.ready_at: float | None = None
+        self.deferred_since: float | None = None
         self.failed_runs: set[int] = set()
         self.failed_at = -math.inf
         self.crashed_at = -math.inf
@@ -487,7 +492,10 @@
     """A worker, its runs, and its measured speed and failures.
 
     Attributes:
-        free: Capacity that is neither used nor claimed for a waiting step.
+        free: Capacity that is neither used, nor claimed for a planned start,
+            nor reserved for a step that waits.
+        reserved_in_s: Seconds until the first of the steps is expected to
+            start that capacity is reserved for, infinite without any.
         tasks_by_key: Tasks with a run on the worker.
         reappeared: Current runs that the worker has listed while their task
             was waiting, and that are being stopped.
@@ -530,6 +538,7 @@
         "_facts",
         "_lasting",
         "_pass_at",
+        "_reserved",
         "_unwanted_by_run",
         "_used",
         "crashed_at",
@@ -550,6 +559,7 @@
         "quarantined_until",
         "reachable",
         "reappeared",
+        "reserved_in_s",
         "sound_start_at",
         "speed",
         "speed_at",
@@ -561,6 +571,8 @@
         self._facts = facts
         self._used = NO_RESOURCES
         self._claimed = NO_RESOURCES
+        self._reserved = NO_RESOURCES
+        self.reserved_in_s = math.inf
         self._lasting = NO_RESOURCES  # used by tasks of services
         self._unwanted_by_run: dict[tuple[TaskKey, int], UnwantedRun] = {}
         self.free = facts.capacity
@@ -607,6 +619,11 @@
         """Capacity that no run holds, claimed or not."""
         return self._facts.capacity.minus(self._used)
 
+    @property
+    def unclaimed(self) -> Resources:
+        """Capacity that no run or planned start holds, reserved or not."""
+        return self.idle.minus(self._claimed)
+
     @property
     def capacity_beside_lasting(self) -> Resources:
         """Capacity that lasting runs do not hold, claimed or not."""
@@ -689,25 +706,37 @@
             self._update_free()
 
     def claim(self, amount: Resources) -> None:
-        """Reserve capacity until the next planning pass."""
+        """Take capacity for a planned start until the next planning pass."""
         self._claimed = self._claimed.plus(amount)
         self._update_free()
 
+    def reserve(self, amount: Resources, available_in_s: float) -> None:
+        """Keep capacity for a step that waits until the next planning pass.
+
+        Args:
+            amount: The capacity, idle or in use.
+            available_in_s: Expected seconds until the step starts.
+        """
+        self._reserved = self._reserved.plus(amount)
+        self.reserved_in_s = min(self.reserved_in_s, available_in_s)
+        self._update_free()
+
     def begin_pass(self, now: float) -> None:
-        """Release what the last planning pass claimed, and end a rest.
+        """Release what the last planning pass has kept, and end a rest.
 
         Args:
             now: Node-clock seconds.
         """
         self.previous_pass_at, self._pass_at = self._pass_at, now
         self.start_trials.begin_pass(now)
-        if self._claimed is not NO_RESOURCES:
-            self._claimed = NO_RESOURCES
+        if self._claimed is not NO_RESOURCES or self._reserved is not NO_RESOURCES:
+            self._claimed = self._reserved = NO_RESOURCES
+            self.reserved_in_s = math.inf
             self._update_free()
 
     def _update_free(self) -> None:
         # Cached, because planning reads it for each pair of worker and step.
-        self.free = self._facts.capacity.minus(self._used).minus(self._claimed)
+        self.free = self.unclaimed.minus(self._reserved)
 
     @property
     def has_trial_start(self) -> bool:
--- /dev/null
+++ b/tests/test_deferral.py
@@ -0,0 +1,260 @@
+"""Tests of steps that wait for better room while they have room."""
+
+import unittest
+
+from redwingrudder.workflows import _deferral, engine
+from redwingrudder.workflows.model import NO_RESOURCES, Resources
+
+from . import workflow_fixtures as fx
+from .test_lasting_neighbours import Fleet
+
+# The users' limit for a job without a run beside a mostly idle service.
+LIMIT_S = 3.0
+LONG_S = 600.0
+SMALL = fx.step(2)
+LARGE = fx.step(8, fx.WHOLE_WORKER, estimate_s=30.0)
+
+
+def workers(count, racks=1):
+    return [fx.worker(f"w{n}", rack=f"r{n % racks}") for n in range(count)]
+
+
+def lasting(step):
+    return step._replace(service=True)
+
+
+class DeferralCase(unittest.TestCase):
+    def assert_starts_in_time(self, job="job", tasks=1, within_s=LIMIT_S):
+        """Check that tasks of a job that was just accepted start in time."""
+        accepted_at = self.fleet.now
+        self.fleet.run_for(within_s)
+        starts = self.fleet.starts(job)
+        self.assertGreaterEqual(len(starts), tasks)
+        self.assertLess(starts[tasks - 1][1], accepted_at + within_s)
+
+
+class ReservationTests(DeferralCase):
+    """A large job waits for whole workers, each of which has a long run."""
+
+    def reserve(self, large=LARGE, long_s=LONG_S):
+        self.fleet = Fleet(*workers(8))
+        long = fx.step(8, worker_limit=1, estimate_s=long_s)
+        self.fleet.accept("long", long, long_s)
+        self.fleet.run_for(0.1)
+        self.fleet.accept("large", large, 30.0)
+        self.fleet.run_for(1.0)
+        self.assertEqual(self.fleet.starts("large"), [])
+
+    def test_short_job_starts_at_once(self):
+        """Guards against short jobs that wait for a job that cannot start."""
+        self.reserve()
+        short = SMALL._replace(estimate_s=1.0)
+        self.fleet.accept("job", short, 1.0, priority=2)
+        self.assert_starts_in_time(tasks=2, within_s=0.1)
+
+    def test_longer_job_starts_in_time(self):
+        """Guards against reservations that only short runs may use."""
+        self.reserve()
+        longer = SMALL._replace(estimate_s=2 * LONG_S)
+        self.fleet.accept("job", longer, 2 * LONG_S, priority=2)
+        self.assert_starts_in_time(tasks=2)
+
+    def test_job_behind_a_gang_starts_in_time(self):
+        """Guards against reservations of gangs that have no end."""
+        self.reserve(LARGE._replace(gang=True))
+        longer = SMALL._replace(estimate_s=2 * LONG_S)
+        self.fleet.accept("job", longer, 2 * LONG_S, priority=2)
+        self.assert_starts_in_time()
+
+    def test_gang_starts_in_time(self):
+        """Guards against gangs that need reserved capacity as a whole."""
+        self.reserve()
+        gang = fx.step(16, estimate_s=2 * LONG_S, gang=True)
+        self.fleet.accept("job", gang, 2 * LONG_S, priority=2)
+        self.assert_starts_in_time(tasks=16)
+
+    def test_lasting_task_starts_in_time(self):
+        """Guards against services that wait behind reservations."""
+        self.reserve()
+        self.fleet.accept("job", lasting(SMALL), LONG_S, priority=2)
+        self.assert_starts_in_time(tasks=2)
+
+    def test_wide_job_leaves_half_of_the_pool_to_the_reservation(self):
+        """Guards against a wide job that takes all reserved capacity."""
+        self.reserve()
+        wide = fx.step(56, Resources(16_000, 32_768, 1), estimate_s=2 * LONG_S)
+        self.fleet.accept("job", wide, 2 * LONG_S, priority=2)
+        self.fleet.run_for(2 * LIMIT_S)
+        self.assertLess(len(self.fleet.starts("job")), 36)
+        self.assertGreater(len(self.fleet.starts("job")), 20)
+
+    def test_reservation_holds_while_the_pool_is_in_use(self):
+        """Guards against large jobs that never find room on a busy fleet."""
+        self.fleet = Fleet(*workers(8))
+        three_quarters = Resources(96_000, 196_608, 6)
+        long = fx.step(8, three_quarters, estimate_s=LONG_S, worker_limit=1)
+        self.fleet.accept("long", long, LONG_S)
+        self.fleet.run_for(0.1)
+        self.fleet.accept("large", LARGE)
+        longer = SMALL._replace(estimate_s=2 * LONG_S)
+        self.fleet.accept("job", longer, 2 * LONG_S, priority=2)
+        self.fleet.run_for(5 * LIMIT_S)
+        self.assertEqual(self.fleet.starts("job"), [])
+
+    def test_steady_flow_lets_the_gang_start(self):
+        """Guards against a gang that starves behind short runs.
+
+        The estimates of the short runs are too high for them to be placed
+        before the gang, so only the limit of their waits lets them start.
+        """
+        self.reserve(LARGE._replace(gang=True), long_s=12.0)
+        flow = SMALL._replace(estimate_s=60.0)
+        waits = []
+        while not self.fleet.starts("large"):
+            job = f"flow {self.fleet.now:.2f}"
+            self.fleet.accept(job, flow, 1.0, priority=2)
+            waits.append((job, self.fleet.now))
+            self.fleet.run_for(0.3)
+            self.assertLess(self.fleet.now, 20.0)
+        started = [job for job, _ in waits if self.fleet.starts(job)]
+        self.assertGreater(len(started), 20)
+        for job, accepted_at in waits:
+            for _, at in self.fleet.starts(job)[:1]:
+                self.assertLess(at, accepted_at + LIMIT_S)
+
+    def test_stop_that_is_not_carried_out_keeps_others_for_a_limited_time(self):
+        """Guards against reservations beside a preempted run that goes on."""
+        self.fleet = Fleet(*workers(4))
+        low = fx.step(1, fx.WHOLE_WORKER, estimate_s=LONG_S)
+        self.fleet.accept("low", low, LONG_S, priority=3)
+        self.fleet.run_for(0.1)
+        gang = fx.step(4, fx.WHOLE_WORKER, gang=True, estimate_s=LONG_S)
+        self.fleet.engine.stop = lambda *arguments: None
+        self.fleet.accept("urgent", gang, LONG_S, priority=0)
+        self.fleet.run_for(0.1)
+        longer = SMALL._replace(estimate_s=LONG_S)
+        self.fleet.accept("job", longer, LONG_S, priority=2)
+        self.assert_starts_in_time()
+
+
+class SlowerRoomTests(DeferralCase):
+    """Steps whose tasks would run slower on the workers with room."""
+
+    def fill_rack(self):
+        """Fill rack r0, which has two of eight workers."""
+        self.fleet = Fleet(*workers(8, racks=4))
+        full = fx.step(2, fx.WHOLE_WORKER, estimate_s=LONG_S, worker_label="r0")
+        self.fleet.accept("full", full, LONG_S)
+        self.fleet.run_for(0.1)
+
+    def test_job_with_a_full_data_rack_starts_one_task(self):
+        """Guards against a wait near the data that grows with run times."""
+        self.fill_rack()
+        step = fx.step(3, estimate_s=LONG_S, data_rack="r0")
+        self.fleet.accept("job", step, LONG_S)
+        self.fleet.run_for(LIMIT_S)
+        self.assertEqual(len(self.fleet.starts()), 1)
+        self.fleet.run_for(LIMIT_S)
+        self.assertEqual(len(self.fleet.starts()), 1)
+
+    def test_lasting_tasks_with_a_full_data_rack_start(self):
+        """Guards against a service of which one task is at work."""
+        self.fill_rack()
+        step = lasting(fx.step(3, estimate_s=LONG_S, data_rack="r0"))
+        self.fleet.accept("job", step, LONG_S)
+        self.assert_starts_in_time(tasks=3)
+
+    def test_gang_starts_across_racks(self):
+        """Guards against a wait for one rack that has no limit."""
+        self.fleet = Fleet(*workers(8, racks=4))
+        for rack in range(4):
+            long = fx.step(estimate_s=LONG_S, worker_label=f"r{rack}")
+            self.fleet.accept(f"long {rack}", long, LONG_S)
+        self.fleet.run_for(0.1)
+        gang = fx.step(2, fx.WHOLE_WORKER, estimate_s=LONG_S, gang=True, same_rack=True)
+        self.fleet.accept("job", gang, LONG_S)
+        self.assert_starts_in_time(tasks=2)
+
+    def test_slow_workers_are_used(self):
+        """Guards against a wait for workers of full speed without an end."""
+        self.fleet = Fleet(*workers(4))
+        full = fx.step(1, fx.WHOLE_WORKER, estimate_s=LONG_S)
+        self.fleet.accept("full", full, LONG_S)
+        self.fleet.run_for(0.1)
+        for worker in self.fleet.engine.workers_by_id.values():
+            if not worker.tasks_by_key:
+                worker.speed = 0.1
+        self.fleet.accept("job", fx.step(estimate_s=LONG_S), LONG_S)
+        self.assert_starts_in_time()
+
+    def test_job_at_work_waits_for_better_room(self):
+        """Guards against slower runs of jobs that have something running."""
+        self.fill_rack()
+        steps = fx.step(estimate_s=LONG_S), fx.step(data_rack="r0", estimate_s=LONG_S)
+        self.fleet.run_s_by_job["job"] = LONG_S
+        self.fleet.engine.accept(fx.workflow("job", *steps), self.fleet.now)
+        self.fleet.run_for(2 * LIMIT_S)
+        self.assertEqual(len(self.fleet.starts()), 1)
+
+    def test_end_of_the_wait_is_logged(self):
+        """Guards against slower runs that no line explains."""
+        self.fill_rack()
+        step = fx.step(estimate_s=LONG_S, data_rack="r0")
+        self.fleet.accept("job", step, LONG_S)
+        with self.assertLogs(engine.__name__, "INFO") as logs:
+            self.fleet.run_for(LIMIT_S)
+        (line,) = [r for r in logs.records if "longer for better room" in r.message]
+        self.assertEqual((line.job, line.step, line.uses), ("job", "0.0", "slower"))
+
+
+class AdviceTests(DeferralCase):
+    def test_step_behind_a_reservation_is_asked_about(self):
+        """Guards against steps that get no permits for reserved capacity."""
+        fleet = fx.engine(*workers(4))
+        long = fx.step(4, worker_limit=1, estimate_s=LONG_S)
+        fleet.accept(fx.workflow("long", long)._replace(queue="long"), 0.0)
+        fx.confirm(fleet, fleet.plan(0.0, 0.0))
+        large = fx.step(4, fx.WHOLE_WORKER, estimate_s=LONG_S)
+        fleet.accept(fx.workflow("large", large)._replace(queue="large"), 0.0)
+        job = fx.workflow("job", fx.step(estimate_s=2 * LONG_S), priority=2)
+        policy = job.policy._replace(advised=True)
+        fleet.accept(job._replace(policy=policy, queue="advised"), 0.0)
+        self.assertEqual(fleet.plan(0.0, 0.0), [])
+        (request,) = fleet.plan(LIMIT_S / 2, 0.0)
+        self.assertEqual(request.workflow_id, "job")
+        tickets = dict.fromkeys(request.worker_ids, "ticket")
+        fx.advise(fleet, request, tickets, 5.0, LIMIT_S / 2)
+        (start,) = fx.starts(fleet.plan(LIMIT_S / 2 + 0.1, 0.0))
+        self.assertEqual(start.key.workflow_id, "job")
+
+
+class UsageTests(unittest.TestCase):
+    """When a pool counts as mostly idle."""
+
+    def usage(self, *used):
+        usage = _deferral.PoolUsage()
+        (worker,) = fx.engine(fx.worker("w1")).workers_by_id.values()
+        usage.add_worker(worker)
+        usage.add_start(Resources(*used))
+        return usage
+
+    def test_each_kind_of_resource_counts(self):
+        """Guards against a pool that counts as in use for one resource."""
+        cpu_millis, memory_mb, accelerators = fx.WORKER_SIZE
+        self.assertTrue(self.usage(cpu_millis, memory_mb, 0).is_mostly_idle)
+        self.assertTrue(self.usage(0, memory_mb, accelerators).is_mostly_idle)
+        full = self.usage(*(amount // 2 + 4 for amount in fx.WORKER_SIZE))
+        self.assertTrue(full.is_mostly_idle)
+        self.assertFalse(self.usage(*fx.WORKER_SIZE).is_mostly_idle)
+
+    def test_tasks_start_until_all_kinds_are_in_use(self):
+        """Guards against a limit that a task without a resource lifts."""
+        usage = self.usage(*NO_RESOURCES)
+        self.assertEqual(usage.count_startable(fx.ONE_GPU, 8), 7)
+        without_gpu = fx.ONE_GPU._replace(accelerators=0)
+        self.assertEqual(usage.count_startable(without_gpu, 8), 8)
+        self.assertEqual(self.usage(*fx.WORKER_SIZE).count_startable(fx.ONE_GPU, 8), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
