Count the wait for resting workers in the limit on deferrals

Cause: the limit counted from the first pass with room on workers that accept runs. A wait for workers in quarantine came before it. And spare room, which a step needs to start where it is slower, left such workers out, although their capacity is idle to callers.

Ruled out: passes that are too far apart; the traces show several each second.

Change: room for the limit, and spare room, is counted on all workers that answer and are to stay. Runs still start on those only that accept them.

Both new tests failed before.

--- a/src/redwingrudder/workflows/_wait_room.py
+++ b/src/redwingrudder/workflows/_wait_room.py
@@ -26,7 +26,7 @@
     def __init__(self, workers: Iterable[Worker], now: float) -> None:
         self.demands = 0
         self._now = now
-        self._present = [worker for worker in workers if _is_present(worker)]
+        self._present = [worker for worker in workers if worker.present]
         self._idle_by_id = {
             worker.facts.worker_id: Resources(*(max(x, 0) for x in worker.idle))
             for worker in self._present
@@ -129,9 +129,3 @@
 def _kind(stage: Stage) -> tuple[str, str]:
     """Return the pool and the label of a step's workers."""
     return stage.workflow.policy.pool, stage.spec.worker_label
-
-
-def _is_present(worker: Worker) -> bool:
-    """Return whether a worker answers and is to stay."""
-    leaves = worker.facts.draining or worker.emptying
-    return worker.listed and worker.reachable and not leaves
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -312,6 +312,23 @@
     ]
 
 
+def present_workers(pool: str, label: str, workers: Iterable[Worker]) -> list[Worker]:
+    """Return the workers of a pool that answer and are to stay.
+
+    Args:
+        pool: Name of the pool.
+        label: Label that a worker must have, "" for any worker.
+        workers: All workers.
+    """
+    return [
+        worker
+        for worker in workers
+        if worker.facts.pool == pool
+        and (not label or label in worker.facts.labels)
+        and worker.present
+    ]
+
+
 def eligible_workers(
     stage: Stage,
     usable: list[Worker],
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -31,6 +31,7 @@
     eligible_workers,
     failures_since,
     permitted_workers,
+    present_workers,
     stop_cost,
     usable_workers,
     without_trials,
@@ -222,6 +223,7 @@
             tuple[str, str], tuple[list[Worker], list[Worker]]
         ] = {}
         self._unplaceable_by_pool: dict[str, list[tuple[Resources, int]]] = {}
+        self._present_by_kind: dict[tuple[str, str], list[Worker]] = {}
         self._without_lendable_room: dict[
             tuple[str, str], list[tuple[Resources, int]]
         ] = {}
@@ -455,18 +457,17 @@
         needed = len(waiting) if stage.spec.gang else 1
         if self.advice_waits and self.advice_waits[-1] is stage:
             return
-        if not (
-            self._deferral_limit.applies(stage)
-            and self._has_lendable_room(stage, needed, usable)
-        ):
+        if not self._deferral_limit.applies(stage):
+            return
+        if not self._has_lendable_room(stage, needed):
             return
         lent = LentCapacity()
         workers, end = self._near_data(stage, candidates), DeferralEnd.RESERVED
         if not choose_options(stage, waiting[:needed], workers, lent, self._now):
+            if not self._has_lendable_room(stage, MIN_SPARE_ROOM * needed):
+                return
             workers = self._acceptable_workers(stage, candidates, usable)
             end = DeferralEnd.SLOWER
-            if not self._has_lendable_room(stage, MIN_SPARE_ROOM * needed, workers):
-                return
         stage.deferred_since = self._now if deferred_since is None else deferred_since
         if end is DeferralEnd.SLOWER:
             may_start = self._deferral_limit.is_overdue(stage)
@@ -491,13 +492,13 @@
             usable = [w for w in usable if not stage.advice.denies(w.facts)]
         return usable
 
-    def _has_lendable_room(
-        self, stage: Stage, count: int, workers: list[Worker]
-    ) -> bool:
+    def _has_lendable_room(self, stage: Stage, count: int) -> bool:
         """Return whether tasks have room if reservations are lent.
 
-        Such room only shrinks within a pass. What did not fit into the whole
-        pool is therefore remembered, and as much or more is not looked for.
+        Workers that get no new runs for a while count as well, so that the
+        wait for them is a part of the limit. Such room only shrinks within a
+        pass. What has none is therefore remembered, and as much or more is not
+        looked for.
         """
         demand = resources_used(stage.spec)
         kind = (stage.workflow.policy.pool, stage.spec.worker_label)
@@ -507,13 +508,14 @@
             for known_demand, known_count in without_room
         ):
             return False
+        if kind not in self._present_by_kind:
+            self._present_by_kind[kind] = present_workers(*kind, self._workers)
         found = 0
-        for worker in workers:
+        for worker in self._present_by_kind[kind]:
             found += count_fitting(worker.unclaimed, demand, count - found)
             if found >= count:
                 return True
-        if workers is self._find_usable_workers(stage)[0]:
-            without_room.append((demand, count))
+        without_room.append((demand, count))
         return False
 
     def _start_deferred(
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -800,13 +800,16 @@
             self.sound_start_at = max([self.sound_start_at, *starts])
         return self.sound_start_at >= since
 
+    @property
+    def present(self) -> bool:
+        """Whether the worker answers and is to stay."""
+        leaves = self.facts.draining or self.emptying
+        return self.listed and self.reachable and not leaves
+
     def usable(self, now: float) -> bool:
         """Return whether new runs may be placed on the worker."""
         return (
-            self.listed
-            and self.reachable
-            and not self.facts.draining
-            and not self.emptying
+            self.present
             and not self.observes_suspect
             and not self.start_trials.resting
             and now >= self.quarantined_until
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -101,6 +101,15 @@
         self.fleet.run_for(5 * LIMIT_S)
         self.assertEqual(self.fleet.starts("job"), [])
 
+    def test_wait_for_workers_that_rest_is_a_part_of_the_limit(self):
+        """Guards against waits with a limit that follow each other."""
+        self.reserve()
+        for worker in self.fleet.engine.workers_by_id.values():
+            worker.quarantined_until = self.fleet.now + LIMIT_S - 0.5
+        longer = SMALL._replace(estimate_s=2 * LONG_S)
+        self.fleet.accept("job", longer, 2 * LONG_S, priority=2)
+        self.assert_starts_in_time()
+
     def test_steady_flow_lets_the_gang_start(self):
         """Guards against a gang that starves behind short runs.
 
@@ -187,6 +196,17 @@
         self.fleet.accept("job", fx.step(estimate_s=LONG_S), LONG_S)
         self.assert_starts_in_time()
 
+    def test_workers_that_rest_count_as_spare_room(self):
+        """Guards against a wait for spare room that callers see."""
+        self.fleet = Fleet(*workers(4, racks=2))
+        full = fx.step(2, fx.WHOLE_WORKER, estimate_s=LONG_S, worker_label="r0")
+        self.fleet.accept("full", full, LONG_S)
+        self.fleet.run_for(0.1)
+        self.fleet.engine.workers_by_id["w1"].quarantined_until = LONG_S
+        step = fx.step(1, fx.WHOLE_WORKER, estimate_s=LONG_S, data_rack="r0")
+        self.fleet.accept("job", step, LONG_S)
+        self.assert_starts_in_time()
+
     def test_job_at_work_waits_for_better_room(self):
         """Guards against slower runs of jobs that have something running."""
         self.fill_rack()
