Draw schedules of jobs that wait for room, with an invariant on waiting

No invariant of the simulation said what must run, so reservations without an end broke none. The profile "waiting" draws long, large and small jobs without faults, and NoWaitBesideIdleWorkers has the users' sentence on idle capacity.

Worker counts, racks and known run times are fields of schedules and jobs now; the other profiles draw what they drew before (tests.test_simulation passes).

--- a/src/redwingrudder/simulation/__init__.py
+++ b/src/redwingrudder/simulation/__init__.py
@@ -22,6 +22,7 @@
     StartsAsSubmitted,
     Violation,
     ViolationClass,
+    Wait,
 )
 from ._job_invariants import CancelledByClient, NoStartOfRefused, StepsInOrder
 from ._profiles import PROFILES_BY_NAME, Profile
@@ -44,6 +45,7 @@
 )
 from ._shrink import shrink
 from ._store import CALL_TIMEOUT_S, MemoryStore, StoreContents
+from ._waiting_invariant import NoWaitBesideIdleWorkers
 from ._worker_process import MAX_LEASE_S, RunBehaviour
 from ._workers import ProtocolWorkers
 
@@ -77,6 +79,7 @@
     "NoStartAfterCancel",
     "NoStartAfterDone",
     "NoStartOfRefused",
+    "NoWaitBesideIdleWorkers",
     "ProducedCheckpoint",
     "Profile",
     "ProtocolWorkers",
@@ -91,6 +94,7 @@
     "Submission",
     "Violation",
     "ViolationClass",
+    "Wait",
     "draw_schedule",
     "find_violations",
     "play_schedule",
--- a/src/redwingrudder/simulation/_checks.py
+++ b/src/redwingrudder/simulation/_checks.py
@@ -4,12 +4,14 @@
 from ._invariants import INVARIANTS as RUN_INVARIANTS
 from ._invariants import Invariant, Violation
 from ._job_invariants import CancelledByClient, NoStartOfRefused, StepsInOrder
+from ._waiting_invariant import NoWaitBesideIdleWorkers
 
 INVARIANTS: tuple[Invariant, ...] = (
     *RUN_INVARIANTS,
     NoStartOfRefused(),
     StepsInOrder(),
     CancelledByClient(),
+    NoWaitBesideIdleWorkers(),
 )
 
 
--- a/src/redwingrudder/simulation/_cluster.py
+++ b/src/redwingrudder/simulation/_cluster.py
@@ -1,4 +1,4 @@
-"""A cluster on a virtual clock: two nodes, three workers and a store."""
+"""A cluster on a virtual clock: two nodes, some workers and a store."""
 
 import json
 from typing import Any
@@ -40,7 +40,6 @@
 from ._schedule import (
     DURATION_S,
     NODES,
-    WORKERS,
     Fault,
     FaultKind,
     Job,
@@ -78,7 +77,7 @@
     def __init__(self, schedule: Schedule) -> None:
         self.clock = Clock()
         self.contents = StoreContents()
-        self.registry = Registry(self.contents, self._is_entry_removed)
+        self.registry = Registry(self.contents, self._is_entry_removed, schedule.racks)
         self._schedule = schedule
         self._events: list[Event] = []
         self._active_faults: list[Fault] = []
@@ -93,7 +92,7 @@
         self._runs = DrawnRuns(self.clock, schedule)
         self.workers = ProtocolWorkers(
             self.clock,
-            *(f"w{index + 1}" for index in range(WORKERS)),
+            *(f"w{index + 1}" for index in range(schedule.workers)),
             behaviour=self._runs,
             log=self.log,
         )
@@ -139,7 +138,8 @@
 
     def worker(self, index: int) -> ProtocolWorker:
         """Return a worker by its index."""
-        return list(self.workers.workers_by_id.values())[index % WORKERS]
+        workers = list(self.workers.workers_by_id.values())
+        return workers[index % len(workers)]
 
     # Faults.
 
@@ -317,6 +317,8 @@
                     job.payload,
                     job.tasks_by_step,
                     job.gang,
+                    job.demand,
+                    job.run_s,
                 )
                 for job in self._schedule.jobs
             ),
@@ -338,6 +340,7 @@
                 for worker in workers
                 for produced in worker.checkpoints.values()
             ),
+            worker_ids=tuple(self.workers.workers_by_id),
         )
         return self._generations.rename(history)
 
--- a/src/redwingrudder/simulation/_disruptions.py
+++ b/src/redwingrudder/simulation/_disruptions.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from ._schedule import NODES, WORKERS, Fault, FaultKind, Schedule
+from ._schedule import NODES, Fault, FaultKind, Schedule
 from ._store import CALL_TIMEOUT_S, MemoryStore
 from ._workers import ProtocolWorker
 
@@ -89,7 +89,7 @@
         *_effects_of_faults(workers, stores),
     ]
     for fault in schedule.faults:
-        disruptions.extend(_disruptions_by_fault(fault, leads))
+        disruptions.extend(_disruptions_by_fault(fault, leads, schedule.workers))
     return tuple(sorted(disruptions, key=lambda d: (d.begin, d.end, d[:2])))
 
 
@@ -144,14 +144,16 @@
             yield Disruption("lost answer", "", at_s, at_s + CALL_TIMEOUT_S)
 
 
-def _disruptions_by_fault(fault: Fault, leads: list[Lead]) -> Iterator[Disruption]:
+def _disruptions_by_fault(
+    fault: Fault, leads: list[Lead], workers: int
+) -> Iterator[Disruption]:
     reach = _REACH_BY_KIND.get(fault.kind, Reach.ALL)
     duration_s = fault.duration_s
     if fault.kind is FaultKind.RESTART:
         duration_s = fault.delay_s  # until the entry of the new process
     end = fault.at_s + duration_s
     if reach is Reach.WORKER:
-        worker_id = f"w{fault.target % WORKERS + 1}"
+        worker_id = f"w{fault.target % workers + 1}"
         yield Disruption(fault.kind, worker_id, fault.at_s, end)
     elif reach is Reach.ALL:
         yield Disruption(fault.kind, "", fault.at_s, end + fault.delay_s)
--- a/src/redwingrudder/simulation/_entries.py
+++ b/src/redwingrudder/simulation/_entries.py
@@ -25,19 +25,27 @@
             address=ADDRESS,
             pool="pool",
             failure_domain="domain",
-            rack="r1",
-            labels=frozenset({"a", "r1"}),
+            rack=entry["rack"],
+            labels=frozenset({"a", entry["rack"]}),
             capacity=CAPACITY,
             draining=entry["draining"],
             remaining_s=DRAIN_S if entry["draining"] else 0.0,
         )
 
 
-def entry_document(process_started_ms: int, draining: bool = False) -> dict[str, Any]:
+def rack_name(index: int) -> str:
+    """Return the name of a rack."""
+    return f"r{index + 1}"
+
+
+def entry_document(
+    process_started_ms: int, draining: bool = False, rack: str = rack_name(0)
+) -> dict[str, Any]:
     """Return the entry of a worker's process.
 
     Args:
         process_started_ms: Start time of the process.
         draining: Whether it is about to leave.
+        rack: Rack of the worker.
     """
-    return {"started_ms": process_started_ms, "draining": draining}
+    return {"started_ms": process_started_ms, "draining": draining, "rack": rack}
--- a/src/redwingrudder/simulation/_history.py
+++ b/src/redwingrudder/simulation/_history.py
@@ -3,7 +3,7 @@
 import math
 from typing import NamedTuple
 
-from ..workflows.model import TaskKey, WorkflowState
+from ..workflows.model import NO_RESOURCES, Resources, TaskKey, WorkflowState
 from ._disruptions import Disruption
 from ._run_records import (
     AcknowledgedEnd,
@@ -57,6 +57,9 @@
         payload: Its payload.
         tasks_by_step: Number of tasks of each of its steps.
         gang: Whether those of the first step share checkpoints.
+        demand: Resources that each task uses.
+        run_s: Seconds that each run takes, infinite for a service, None if
+            that is drawn for each.
     """
 
     workflow_id: str
@@ -66,6 +69,8 @@
     payload: str = ""
     tasks_by_step: tuple[int, ...] = (1,)
     gang: bool = False
+    demand: Resources = NO_RESOURCES
+    run_s: float | None = None
 
 
 class History(NamedTuple):
@@ -86,6 +91,7 @@
         ended_at: End of the history in clock seconds.
         starts: All starts that were sent, by worker.
         checkpoints: All checkpoints that workers have listed.
+        worker_ids: Ids of the workers, which have equal capacity.
     """
 
     runs: tuple[RunInterval, ...] = ()
@@ -101,6 +107,7 @@
     ended_at: float = math.inf
     starts: tuple[SentStart, ...] = ()
     checkpoints: tuple[ProducedCheckpoint, ...] = ()
+    worker_ids: tuple[str, ...] = ()
 
     def timeline(self) -> str:
         """Return the events, one a line, with times in seconds."""
--- a/src/redwingrudder/simulation/_invariants.py
+++ b/src/redwingrudder/simulation/_invariants.py
@@ -23,17 +23,29 @@
     OTHER = "other"
 
 
+class Wait(NamedTuple):
+    """A time in which a job, or a task of a service, had nothing running."""
+
+    workflow_id: str
+    begin: float
+    end: float
+
+    def describe(self) -> str:
+        """Return the wait in one line."""
+        return f"{self.workflow_id} waited from {self.begin:.3f} to {self.end:.3f} s"
+
+
 class Violation(NamedTuple):
     """A broken invariant.
 
     Attributes:
         invariant: Name of the invariant.
-        runs: The runs, or the starts of runs, that break it.
+        runs: The runs, starts of runs or waits that break it.
         classification: Class of the violation.
     """
 
     invariant: str
-    runs: tuple[RunInterval | SentStart, ...]
+    runs: tuple[RunInterval | SentStart | Wait, ...]
     classification: ViolationClass
 
     def __str__(self) -> str:
--- a/src/redwingrudder/simulation/_profiles.py
+++ b/src/redwingrudder/simulation/_profiles.py
@@ -12,6 +12,7 @@
     Schedule,
     draw_schedule,
 )
+from ._waiting_profile import WaitingProfile
 
 
 class Profile(NamedTuple):
@@ -48,7 +49,7 @@
     early_cancel_share=0.6,
 )
 
-PROFILES_BY_NAME = {
+PROFILES_BY_NAME: Mapping[str, Profile | WaitingProfile] = {
     "plain": Profile(),
     # Work of cancelled jobs, and what delays the news of a cancellation.
     "cancellations": _CANCELLATIONS,
@@ -64,4 +65,6 @@
     "leaving": Profile(LEAVING_WEIGHT_BY_KIND, has_clients=True),
     # Half of the jobs have a second step, too.
     "steps": Profile(LEAVING_WEIGHT_BY_KIND, True, 0.5),
+    # Long, large and small jobs wait for the room of more workers.
+    "waiting": WaitingProfile(),
 }
--- a/src/redwingrudder/simulation/_registry.py
+++ b/src/redwingrudder/simulation/_registry.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Callable
 
-from ._entries import EntryCodec, entry_document
+from ._entries import EntryCodec, entry_document, rack_name
 from ._store import StoreContents
 from ._worker_process import WorkerProcess
 from ._workers import ProtocolWorker
@@ -15,16 +15,21 @@
     Args:
         contents: Contents of the store.
         is_removed: Returns whether a fault keeps a worker's entry away.
+        racks: Number of racks, over which the workers are spread.
 
     Attributes:
         left_ids: Workers that have drained and left.
     """
 
     def __init__(
-        self, contents: StoreContents, is_removed: Callable[[ProtocolWorker], bool]
+        self,
+        contents: StoreContents,
+        is_removed: Callable[[ProtocolWorker], bool],
+        racks: int = 1,
     ) -> None:
         self._contents = contents
         self._is_removed = is_removed
+        self._racks = racks
         self._draining_by_id: dict[str, WorkerProcess] = {}
         self.left_ids: set[str] = set()
 
@@ -32,7 +37,9 @@
         """Write the entry of a worker's process, unless it has to be away."""
         if worker.worker_id in self.left_ids or self._is_removed(worker):
             return
-        document = entry_document(worker.process.started_ms, self._drains(worker))
+        rack = rack_name(int(worker.worker_id.removeprefix("w")) % self._racks)
+        started_ms = worker.process.started_ms
+        document = entry_document(started_ms, self._drains(worker), rack)
         self._contents.put(EntryCodec.prefix + worker.worker_id, json.dumps(document))
 
     def remove(self, worker: ProtocolWorker) -> None:
--- a/src/redwingrudder/simulation/_runs.py
+++ b/src/redwingrudder/simulation/_runs.py
@@ -1,10 +1,12 @@
 """Runs of a schedule: their durations, and members of a gang."""
 
+import math
 from typing import NamedTuple
 
 from twisted.internet.interfaces import IReactorTime
 
 from ..workflows.model import EndKind, TaskKey
+from ..workflows.run_times import COMPLETE_PERCENT
 from ._schedule import RunPlan, Schedule, draw_run
 from ._worker_process import RunBehaviour, WorkerProcess
 
@@ -43,6 +45,9 @@
         self._gang_size_by_id = {
             job.workflow_id: job.tasks for job in schedule.jobs if job.gang
         }
+        self._run_s_by_id = {
+            job.workflow_id: job.run_s for job in schedule.jobs if job.run_s is not None
+        }
         self._checkpoint_interval_s_by_id = {
             job.workflow_id: job.checkpoint_interval_s for job in schedule.jobs
         }
@@ -56,6 +61,15 @@
         """See base class."""
         return self._checkpoint_interval_s_by_id.get(key.workflow_id)
 
+    def progress_percent(self, key: TaskKey, elapsed_s: float) -> float:
+        """See base class."""
+        run_s = self._run_s_by_id.get(key.workflow_id)
+        if run_s is None:
+            return super().progress_percent(key, elapsed_s)
+        if math.isinf(run_s):
+            return COMPLETE_PERCENT
+        return math.floor(min(COMPLETE_PERCENT, 100 * elapsed_s / run_s))
+
     def begun(self, process: WorkerProcess, key: TaskKey, run: int) -> None:
         """See base class."""
         if key.step and not self._is_first_step_done(key):
@@ -63,14 +77,14 @@
         size = None if key.step else self._gang_size_by_id.get(key.workflow_id)
         if size is None:
             plan = self._draw(key, run)
+            if math.isinf(plan.duration_s):
+                return
             self._finish_later(_Member(process, key, run), plan.duration_s, plan.kind)
             return
         members = self._members(key, run)
         members[key.index] = _Member(process, key, run)
         if len(members) == size:
-            self._finish_gang_later(
-                members, draw_run(self._seed, key.workflow_id, 0, run)
-            )
+            self._finish_gang_later(members, self._draw(key._replace(index=0), run))
         else:
             self._clock.callLater(
                 GANG_TIMEOUT_S, self._end_if_alone, members[key.index], size
@@ -94,7 +108,11 @@
                 self._finish_later(other, BROKEN_AFTER_S, EndKind.BROKEN)
 
     def _draw(self, key: TaskKey, run: int) -> RunPlan:
-        return draw_run(self._seed, key.workflow_id, key.index, run, key.step)
+        plan = draw_run(self._seed, key.workflow_id, key.index, run, key.step)
+        run_s = self._run_s_by_id.get(key.workflow_id)
+        if run_s is None:
+            return plan
+        return plan._replace(duration_s=run_s, kind=EndKind.DONE)
 
     def _is_first_step_done(self, key: TaskKey) -> bool:
         """Return whether all tasks are done, or one member of a gang."""
--- a/src/redwingrudder/simulation/_schedule.py
+++ b/src/redwingrudder/simulation/_schedule.py
@@ -1,6 +1,7 @@
 """Schedules of jobs and faults that are drawn from a seed."""
 
 import enum
+import math
 import random
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -150,6 +151,12 @@
             the tasks have none.
         used_id: Id of an earlier job under which this one is submitted once
             the records of that one are removed; "" for an id of its own.
+        run_s: Seconds that each run of a task takes, none of which fails;
+            infinite for a service. None to draw run times and failures.
+        estimate_s: Estimate of the caller.
+        same_rack: Whether the tasks slow down when spread over racks.
+        data_rack: Rack of the input data, "" for none.
+        worker_limit: Largest number of tasks on one worker, 0 for no limit.
     """
 
     at_s: float
@@ -162,6 +169,30 @@
     second_tasks: int = 0
     checkpoint_interval_s: float | None = None
     used_id: str = ""
+    run_s: float | None = None
+    estimate_s: float = ESTIMATE_S
+    same_rack: bool = False
+    data_rack: str = ""
+    worker_limit: int = 0
+
+    @property
+    def queue(self) -> str:
+        """Queue of the job; one with known run times has its own.
+
+        Run times are learned for each queue.
+        """
+        name = f"queue-{self.priority}"
+        return name if self.run_s is None else f"{name}-{self.workflow_id}"
+
+    @property
+    def is_service(self) -> bool:
+        """Whether the tasks run until the job is cancelled."""
+        return self.run_s == math.inf
+
+    @property
+    def demand(self) -> Resources:
+        """Resources that each task uses."""
+        return Resources(TASK_CPU_MILLIS, TASK_MEMORY_MB, self.accelerators)
 
     @property
     def submitted_id(self) -> str:
@@ -189,15 +220,23 @@
         Args:
             accepted_at: Unix seconds of the acceptance.
         """
-        demand = Resources(TASK_CPU_MILLIS, TASK_MEMORY_MB, self.accelerators)
-        step = StepSpec(self.tasks, demand, ESTIMATE_S, gang=self.gang)
-        second = StepSpec(self.second_tasks, demand, ESTIMATE_S, after=(0,))
+        step = StepSpec(
+            self.tasks,
+            self.demand,
+            self.estimate_s,
+            gang=self.gang,
+            same_rack=self.same_rack,
+            data_rack=self.data_rack,
+            worker_limit=self.worker_limit,
+            service=self.is_service,
+        )
+        second = StepSpec(self.second_tasks, self.demand, self.estimate_s, after=(0,))
         saves = self.checkpoint_interval_s is not None
         steps = [step._replace(checkpoints=saves) for step in (step, second)]
         policy = QueuePolicy("pool", self.priority, ATTEMPTS)
         return Workflow(
             self.submitted_id,
-            f"queue-{self.priority}",
+            self.queue,
             "organisation",
             self.payload,
             tuple(steps[: len(self.tasks_by_step)]),
@@ -235,6 +274,8 @@
         clients: Clients that submit and cancel the jobs at the nodes. Without
             any, all submissions and cancellations are written to the store.
         retention_s: Seconds for which the records of an ended job are kept.
+        workers: Number of workers.
+        racks: Number of racks, over which the workers are spread.
     """
 
     seed: int
@@ -242,6 +283,8 @@
     faults: tuple[Fault, ...]
     clients: tuple[ClientPlan, ...] = ()
     retention_s: float = RETENTION_S
+    workers: int = WORKERS
+    racks: int = 1
 
 
 class RunPlan(NamedTuple):
