Bound the stops of a task for want of progress

Cause: a run counts as stuck by the learned mean of its queue, which came before the caller's estimate, while progress in whole percents changes each 6 s in a run of 600 s.

Ruled out: the rule on slow workers (two restarts at most) and workers that stand still; the stops have the reason no_progress on sound workers.

Change: the longer one of learned mean and estimate counts, and each stop for want of progress doubles the time for the next runs of the task or gang.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -55,7 +55,7 @@
     WorkflowProgress,
     resources_used,
 )
-from .supervision import runs_to_interrupt
+from .supervision import runs_to_interrupt, stall_holder
 from .throttling import FULL_SPEED_PERCENT, LatencyTargetPolicy, ThrottlePolicy
 
 # Interval between requested polls of a worker. It is longer than a poll may
@@ -856,6 +856,8 @@
         ):
             if counts_against_worker:
                 self.record_worker_failure(task.worker_id, task, now)
+            if reason == "no_progress":
+                stall_holder(task).stalls += 1
             if reason == "slow_worker":
                 task.stage.restarts += 1
             self.stop(task, reason)
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -144,6 +144,8 @@
             crashed. Those of a gang are stored in its first task.
         suspicion: State in the chart of crash suspicions; that of a gang is
             stored in its first task.
+        stalls: Number of runs that were stopped for want of progress. Those of
+            a gang are counted in its first task.
         started_at: Node-clock seconds at which the newest run started.
         percent: Reported progress of the newest run in percent.
         progressed_at: Node-clock seconds at which the progress last changed.
@@ -167,6 +169,7 @@
         "late_starts_by_worker",
         "speed_known",
         "speed_percent",
+        "stalls",
         "percent",
         "pool",
         "progressed_at",
@@ -212,6 +215,7 @@
         self.failed_workers: set[str] = set()
         self.crash_evidence_by_run: dict[int, CrashEvidence] = {}
         self.suspicion = "clear"
+        self.stalls = 0
         self.started_at = 0.0
         self.percent = 0.0
         self.progressed_at = 0.0
--- a/src/redwingrudder/workflows/supervision.py
+++ b/src/redwingrudder/workflows/supervision.py
@@ -18,6 +18,9 @@
 # is reported in whole percents, so it changes rarely.
 STUCK_S = 3.0
 STUCK_RUN_SHARE = 0.1
+# Factor on both after each stop of a task for want of progress. The run time
+# may be wrong, and without it such a task would be stopped again and again.
+STUCK_GROWTH = 2.0
 # Time needed for the end of a run to be reported before its worker leaves.
 END_REPORT_MARGIN_S = 0.3
 
@@ -62,6 +65,9 @@
 def is_stuck(task: Task, worker: Worker, run_times: RunTimeEstimates) -> bool:
     """Return whether a run has made no progress for too long.
 
+    The run time is the longer one of what was learned and what the caller has
+    estimated, as jobs of one queue differ.
+
     A run at 100 percent is never stuck: it may be a member of a gang that
     waits for the slower members. Nor is the run of an unreachable worker,
     which sends no reports.
@@ -72,14 +78,20 @@
         or task.percent >= COMPLETE_PERCENT
     ):
         return False
-    run_time_s = run_times.expected_run_s(task)
+    run_time_s = max(run_times.expected_run_s(task), task.stage.spec.estimate_s)
     if task.percent >= MIN_PROGRESS_PERCENT:
         elapsed_s = task.progressed_at - task.started_at
         run_time_s = max(run_time_s, elapsed_s * 100 / task.percent)
     stuck_after_s = max(STUCK_S, STUCK_RUN_SHARE * run_time_s)
+    stuck_after_s *= STUCK_GROWTH ** stall_holder(task).stalls
     return task.reported_at - task.progressed_at > stuck_after_s
 
 
+def stall_holder(task: Task) -> Task:
+    """Return the task that counts the stops of a task or gang as stuck."""
+    return task.stage.tasks[0] if task.stage.spec.gang else task
+
+
 def ends_after_worker_leaves(
     task: Task, worker: Worker, run_times: RunTimeEstimates, now: float
 ) -> bool:
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -457,6 +457,57 @@
             engine.supervise(now)
         self.assertEqual(fx.stops(engine.take_effects()), [])
 
+    def test_long_run_is_not_stuck_beside_short_jobs_of_its_queue(self):
+        """Guards against long tasks that are stopped at each start.
+
+        The learned run time of the queue is that of its short jobs.
+        """
+        engine = fx.engine(fx.worker("w1"))
+        for number in range(10):
+            engine.accept(fx.workflow(f"short{number}", fx.step(estimate_s=1.0)), 0.0)
+            (short,) = fx.starts(engine.plan(0.0, 0.0))
+            fx.confirm(engine, [short])
+            engine.end("w1", fx.ended(short, number=number + 1), 1.0)
+        engine.accept(fx.workflow("long", fx.step(estimate_s=600.0)), 1.0)
+        (long,) = fx.starts(engine.plan(1.0, 1.0))
+        fx.confirm(engine, [long], 1.0)
+        for now in range(2, 12):
+            engine.report("w1", [fx.running(long, 0.0)], float(now))
+            engine.supervise(float(now))
+        self.assertEqual(fx.stops(engine.take_effects()), [])
+
+    def test_stops_for_want_of_progress_become_rare(self):
+        """Guards against a task that is stopped without end.
+
+        Its estimate is wrong, and its progress is reported in whole percents.
+        """
+        for gang in (False, True):
+            engine = fx.engine()
+            step = fx.step(2 if gang else 1, estimate_s=1.0, gang=gang)
+            engine.accept(fx.workflow("job", step), 0.0)
+            current, since, stops = [], 0.0, []
+            for now in map(float, range(60)):
+                reports = {"w1": [], "w2": []}
+                for start in current:
+                    percent = (now - since) // 20.0
+                    reports[start.worker_id].append(fx.running(start, percent))
+                for worker_id, running in reports.items():
+                    engine.report(worker_id, running, now)
+                engine.supervise(now)
+                for stop in fx.stops(engine.take_effects()):
+                    stops.append(now)
+                    end = fx.ended(stop, EndKind.STOPPED, len(stops))
+                    engine.end(stop.worker_id, end, now)
+                    current = []
+                if started := fx.starts(engine.plan(now, now)):
+                    fx.confirm(engine, started, now)
+                    current, since = started, now
+            with self.subTest(gang=gang):
+                self.assertLessEqual(len(set(stops)), 3)
+                self.assertEqual(
+                    {start.run for start in current}, {len(set(stops)) + 1}
+                )
+
     def test_last_attempt_waits_for_a_reliable_worker(self):
         """Guards against using up a task's attempts on a failing worker."""
         engine = fx.engine()
