Let progress count more than the estimate of a stuck run

A run at 60 percent that hangs was then stopped only after a tenth of an estimate that may be wrong by any factor. From 2 percent on, the run's own progress decides again, as before; below, the estimate is needed.

--- a/src/redwingrudder/workflows/supervision.py
+++ b/src/redwingrudder/workflows/supervision.py
@@ -65,8 +65,8 @@
 def is_stuck(task: Task, worker: Worker, run_times: RunTimeEstimates) -> bool:
     """Return whether a run has made no progress for too long.
 
-    The run time is the longer one of what was learned and what the caller has
-    estimated, as jobs of one queue differ.
+    Jobs of one queue differ, so without sufficient progress the run time is
+    the longer one of what was learned and what the caller has estimated.
 
     A run at 100 percent is never stuck: it may be a member of a gang that
     waits for the slower members. Nor is the run of an unreachable worker,
@@ -78,10 +78,11 @@
         or task.percent >= COMPLETE_PERCENT
     ):
         return False
-    run_time_s = max(run_times.expected_run_s(task), task.stage.spec.estimate_s)
+    own_run_time_s = task.stage.spec.estimate_s
     if task.percent >= MIN_PROGRESS_PERCENT:
         elapsed_s = task.progressed_at - task.started_at
-        run_time_s = max(run_time_s, elapsed_s * 100 / task.percent)
+        own_run_time_s = elapsed_s * 100 / task.percent
+    run_time_s = max(run_times.expected_run_s(task), own_run_time_s)
     stuck_after_s = max(STUCK_S, STUCK_RUN_SHARE * run_time_s)
     stuck_after_s *= STUCK_GROWTH ** stall_holder(task).stalls
     return task.reported_at - task.progressed_at > stuck_after_s
--- a/tests/test_workflow_engine.py
+++ b/tests/test_workflow_engine.py
@@ -16,6 +16,7 @@
 )
 from redwingrudder.workflows.placement import remaining_run_s
 from redwingrudder.workflows.run_times import RunTimeEstimates
+from redwingrudder.workflows.supervision import is_stuck
 
 from . import workflow_fixtures as fx
 
@@ -462,19 +463,27 @@
 
         The learned run time of the queue is that of its short jobs.
         """
+        self.assertFalse(self.is_long_run_stuck(lambda now: 0.0))
+
+    def test_progress_counts_more_than_a_long_estimate(self):
+        """Guards against runs that hang for a tenth of a wrong estimate."""
+        self.assertTrue(self.is_long_run_stuck(lambda now: min(10.0 * now, 60.0)))
+
+    def is_long_run_stuck(self, percent_at):
+        """Judge a run of an estimated 600 s that follows short runs."""
         engine = fx.engine(fx.worker("w1"))
         for number in range(10):
-            engine.accept(fx.workflow(f"short{number}", fx.step(estimate_s=1.0)), 0.0)
-            (short,) = fx.starts(engine.plan(0.0, 0.0))
-            fx.confirm(engine, [short])
-            engine.end("w1", fx.ended(short, number=number + 1), 1.0)
-        engine.accept(fx.workflow("long", fx.step(estimate_s=600.0)), 1.0)
-        (long,) = fx.starts(engine.plan(1.0, 1.0))
-        fx.confirm(engine, [long], 1.0)
-        for now in range(2, 12):
-            engine.report("w1", [fx.running(long, 0.0)], float(now))
-            engine.supervise(float(now))
-        self.assertEqual(fx.stops(engine.take_effects()), [])
+            engine.accept(fx.workflow(f"short{number}", fx.step(estimate_s=1.0)), 1.0)
+            (short,) = fx.starts(engine.plan(1.0, 1.0))
+            fx.confirm(engine, [short], 1.0)
+            engine.end("w1", fx.ended(short, number=number + 1), 2.0)
+        engine.accept(fx.workflow("long", fx.step(estimate_s=600.0)), 2.0)
+        (long,) = fx.starts(engine.plan(2.0, 2.0))
+        fx.confirm(engine, [long], 2.0)
+        for now in range(3, 13):
+            engine.report("w1", [fx.running(long, percent_at(now))], float(now))
+        worker = engine.workers_by_id["w1"]
+        return is_stuck(engine.find(long.key), worker, engine.run_times)
 
     def test_stops_for_want_of_progress_become_rare(self):
         """Guards against a task that is stopped without end.
