Keep reservations while an overdue step waits for advice

Seen in reading: a step that has waited for as long as it may makes its pool give up the reservations in each pass until it starts. If it needs advice, and the service does not reply or denies all workers with room, it never does, and the reservations of the pool are void for all other steps all the while.

--- a/src/redwingrudder/workflows/_deferral.py
+++ b/src/redwingrudder/workflows/_deferral.py
@@ -88,7 +88,8 @@
     A pool whose first step has waited for ``MAX_DEFERRAL_S`` gives up its
     reservations for all steps that wait at that moment. The next steps wait
     anew, so that short runs of a steady flow end together in between, and the
-    reservations can be used.
+    reservations can be used. A step that also waits for advice, or a service,
+    uses reservations alone.
 
     Args:
         workers: All workers.
@@ -106,9 +107,12 @@
             if worker.listed and not facts.draining and not worker.emptying:
                 self._usage(facts.pool).add_worker(worker)
         self._at_work_by_id: dict[str, bool] = {}
-        overdue = [stage for stage in stages if self.is_overdue(stage)]
         self._released_pools = {
-            stage.workflow.policy.pool for stage in overdue if not stage.spec.service
+            stage.workflow.policy.pool
+            for stage in stages
+            if self.is_overdue(stage)
+            and not stage.spec.service
+            and stage.advice.waits_since is None
         }
 
     def add_start(self, stage: Stage) -> None:
@@ -130,9 +134,10 @@
 
     def may_use_reserved(self, stage: Stage) -> bool:
         """Return whether a step may use the reservations of its pool."""
-        if stage.spec.service:
-            return self.is_overdue(stage)
-        return stage.workflow.policy.pool in self._released_pools
+        if self.is_overdue(stage):
+            return True
+        is_released = stage.workflow.policy.pool in self._released_pools
+        return is_released and not stage.spec.service
 
     def count_startable(self, stage: Stage, wanted: int) -> int:
         """Return how many tasks of a step may use reserved capacity.
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -3,6 +3,7 @@
 import unittest
 
 from redwingrudder.workflows import _deferral, engine
+from redwingrudder.workflows._deferral import MAX_DEFERRAL_S
 from redwingrudder.workflows.model import NO_RESOURCES, Resources
 
 from . import workflow_fixtures as fx
@@ -227,26 +228,55 @@
         self.assertEqual((line.job, line.step, line.uses), ("job", "0.0", "slower"))
 
 
-class AdviceTests(DeferralCase):
-    def test_step_behind_a_reservation_is_asked_about(self):
-        """Guards against steps that get no permits for reserved capacity."""
-        fleet = fx.engine(*workers(4))
+class AdviceTests(unittest.TestCase):
+    """A step that needs advice waits behind a reservation of all workers."""
+
+    def setUp(self):
+        self.engine = fx.engine(*workers(4))
         long = fx.step(4, worker_limit=1, estimate_s=LONG_S)
-        fleet.accept(fx.workflow("long", long)._replace(queue="long"), 0.0)
-        fx.confirm(fleet, fleet.plan(0.0, 0.0))
-        large = fx.step(4, fx.WHOLE_WORKER, estimate_s=LONG_S)
-        fleet.accept(fx.workflow("large", large)._replace(queue="large"), 0.0)
-        job = fx.workflow("job", fx.step(estimate_s=2 * LONG_S), priority=2)
-        policy = job.policy._replace(advised=True)
-        fleet.accept(job._replace(policy=policy, queue="advised"), 0.0)
-        self.assertEqual(fleet.plan(0.0, 0.0), [])
-        (request,) = fleet.plan(LIMIT_S / 2, 0.0)
+        self.accept("long", long)
+        fx.confirm(self.engine, self.plan(0.0))
+        self.accept("large", fx.step(4, fx.WHOLE_WORKER, estimate_s=LONG_S))
+        self.accept("job", fx.step(estimate_s=2 * LONG_S), advised=True, priority=2)
+        self.assertEqual(self.plan(0.0), [])
+
+    def accept(self, job, step, now=0.0, advised=False, **options):
+        workflow = fx.workflow(job, step, **options)
+        policy = workflow.policy._replace(advised=advised)
+        self.engine.accept(workflow._replace(policy=policy, queue=job), now)
+
+    def plan(self, now):
+        return self.engine.plan(now, now)
+
+    def test_step_is_asked_about(self):
+        """Guards against steps that get no permits for reserved capacity."""
+        (request,) = self.plan(MAX_DEFERRAL_S)
         self.assertEqual(request.workflow_id, "job")
         tickets = dict.fromkeys(request.worker_ids, "ticket")
-        fx.advise(fleet, request, tickets, 5.0, LIMIT_S / 2)
-        (start,) = fx.starts(fleet.plan(LIMIT_S / 2 + 0.1, 0.0))
+        fx.advise(self.engine, request, tickets, 5.0, MAX_DEFERRAL_S)
+        (start,) = fx.starts(self.plan(MAX_DEFERRAL_S + 0.1))
         self.assertEqual(start.key.workflow_id, "job")
 
+    def test_step_without_a_reply_leaves_others_their_reservations(self):
+        """Guards against a call without a reply that lifts reservations."""
+        self.plan(MAX_DEFERRAL_S)
+        now = MAX_DEFERRAL_S + 0.1
+        self.accept("later", fx.step(estimate_s=2 * LONG_S), now, priority=3)
+        self.assertEqual(self.plan(now), [])
+        (start,) = fx.starts(self.plan(now + MAX_DEFERRAL_S))
+        self.assertEqual(start.key.workflow_id, "later")
+
+    def test_denied_step_leaves_others_their_reservations(self):
+        """Guards against a step that no worker may run and that lifts them."""
+        (request,) = self.plan(MAX_DEFERRAL_S)
+        now = MAX_DEFERRAL_S
+        while request is not None:
+            fx.advise(self.engine, request, {}, 5.0, now)
+            now += 0.5
+            request = next(iter(self.plan(now)), None)
+        self.accept("later", fx.step(estimate_s=2 * LONG_S), now, priority=3)
+        self.assertEqual(self.plan(now), [])
+
 
 class UsageTests(unittest.TestCase):
     """When a pool counts as mostly idle."""
