Keep the limit of tasks on a worker when capacity is lent

Change: such a step uses reserved capacity in the next pass, as it does with retried tasks. The test failed before: three tasks on two workers, limit one.

--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -390,7 +390,9 @@
         """Start tasks, and make room for those that do not fit yet."""
         near_data = self._near_data(stage, candidates)
         unplaced = self._start_in_idle(stage, waiting, near_data)
-        if unplaced:
+        if len(unplaced) == len(waiting) or not stage.spec.worker_limit:
+            # The limit counts placed runs, and those of this pass are not
+            # placed yet; the other tasks wait for the next pass.
             unplaced = self._backfill(stage, unplaced, near_data)
         if not unplaced:
             return
@@ -423,7 +425,7 @@
         Returns:
             The tasks without room.
         """
-        if not self._has_reservations or stage.spec.service:
+        if not tasks or not self._has_reservations or stage.spec.service:
             return tasks
         run_s = LONG_RUN_FACTOR * self._run_times.expected_s(stage)
         lenders = workers
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -102,6 +102,26 @@
         self.fleet.run_for(5 * LIMIT_S)
         self.assertEqual(self.fleet.starts("job"), [])
 
+    def test_limit_of_tasks_on_a_worker_holds(self):
+        """Guards against tasks that start on free and on lent capacity.
+
+        The worker with room for both keeps a half for a gang.
+        """
+        engine = fx.engine(*workers(2))
+        five = Resources(11_000, 29_000, 5)
+        engine.accept(fx.workflow("long", fx.step(1, five, estimate_s=LONG_S)), 0.0)
+        fx.confirm(engine, engine.plan(0.0, 0.0))
+        gang = fx.step(2, fx.HALF_WORKER, gang=True, worker_limit=1)
+        engine.accept(fx.workflow("gang", gang), 0.0)
+        short = fx.workflow(
+            "job", fx.step(3, worker_limit=1, estimate_s=1.0), priority=2
+        )
+        engine.accept(short._replace(queue="short"), 0.0)
+        starts = fx.starts(engine.plan(0.0, 0.0))
+        worker_ids = [start.worker_id for start in starts]
+        self.assertEqual({start.key.workflow_id for start in starts}, {"job"})
+        self.assertEqual(len(set(worker_ids)), len(worker_ids))
+
     def test_wait_for_workers_that_rest_is_a_part_of_the_limit(self):
         """Guards against waits with a limit that follow each other."""
         self.reserve()
