End waits for better room after a pass, and only if something can start

Seen in reading: a step that had waited for as long as it may made its pool give up the reservations at the begin of the next pass, whether or not it could start.

Change: a pass notes the steps that wait and what they would use, and ends the waits of a pool after all steps had their turn. A step with a failed run that none of its candidates has room for is not deferred. Workers that a pass has given to suspected tasks are left out.

--- a/src/redwingrudder/workflows/_deferral.py
+++ b/src/redwingrudder/workflows/_deferral.py
@@ -9,9 +9,10 @@
 import enum
 import math
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from .model import NO_RESOURCES, Resources
-from .state import Stage, Worker, WorkflowProgress, resources_used
+from .state import Stage, Task, Worker, WorkflowProgress, resources_used
 
 # Time for which a step may wait for better room. The users' limit is 3 s; the
 # rest is for the interval between planning passes and the delay of a start.
@@ -32,6 +33,22 @@
     SLOWER = "slower"
 
 
+class Deferral(NamedTuple):
+    """A step that waits for better room.
+
+    Attributes:
+        stage: The step.
+        tasks: Its tasks that may start.
+        workers: Workers on which they may start once the wait ends.
+        end: What they use then.
+    """
+
+    stage: Stage
+    tasks: list[Task]
+    workers: list[Worker]
+    end: DeferralEnd
+
+
 class PoolUsage:
     """Capacity of a pool and the part that runs and planned starts use."""
 
@@ -93,13 +110,10 @@
 
     Args:
         workers: All workers.
-        stages: The steps that are ready.
         now: Node-clock seconds.
     """
 
-    def __init__(
-        self, workers: Iterable[Worker], stages: Iterable[Stage], now: float
-    ) -> None:
+    def __init__(self, workers: Iterable[Worker], now: float) -> None:
         self._now = now
         self._usage_by_pool: dict[str, PoolUsage] = {}
         for worker in workers:
@@ -107,17 +121,10 @@
             if worker.listed and not facts.draining and not worker.emptying:
                 self._usage(facts.pool).add_worker(worker)
         self._at_work_by_id: dict[str, bool] = {}
-        self._released_pools = {
-            stage.workflow.policy.pool
-            for stage in stages
-            if self.is_overdue(stage)
-            and not stage.spec.service
-            and stage.advice.waits_since is None
-        }
 
     def add_start(self, stage: Stage) -> None:
         """Count a planned start of a task."""
-        usage = self._usage(stage.workflow.policy.pool)
+        usage = self._usage(_pool(stage))
         usage.add_start(resources_used(stage.spec))
         self._at_work_by_id[stage.workflow.workflow.workflow_id] = True
 
@@ -125,19 +132,32 @@
         """Return whether the wait of a step is limited now."""
         if stage.spec.service:
             return True
-        usage = self._usage(stage.workflow.policy.pool)
+        usage = self._usage(_pool(stage))
         return usage.is_mostly_idle and not self._is_at_work(stage.workflow)
 
     def is_overdue(self, stage: Stage) -> bool:
         """Return whether a step has waited for as long as it may."""
         return self._now >= deferral_ends_at(stage)
 
-    def may_use_reserved(self, stage: Stage) -> bool:
-        """Return whether a step may use the reservations of its pool."""
-        if self.is_overdue(stage):
-            return True
-        is_released = stage.workflow.policy.pool in self._released_pools
-        return is_released and not stage.spec.service
+    def ended(self, deferrals: Iterable[Deferral]) -> list[Deferral]:
+        """Return the waits that end now.
+
+        Args:
+            deferrals: The waits of all steps.
+        """
+        released_pools = {
+            _pool(deferral.stage)
+            for deferral in deferrals
+            if _shares_release(deferral)
+            and self.is_overdue(deferral.stage)
+            and deferral.stage.advice.waits_since is None
+        }
+        return [
+            deferral
+            for deferral in deferrals
+            if self.is_overdue(deferral.stage)
+            or (_shares_release(deferral) and _pool(deferral.stage) in released_pools)
+        ]
 
     def count_startable(self, stage: Stage, wanted: int) -> int:
         """Return how many tasks of a step may use reserved capacity.
@@ -148,7 +168,7 @@
         """
         if stage.spec.service:
             return wanted
-        usage = self._usage(stage.workflow.policy.pool)
+        usage = self._usage(_pool(stage))
         return usage.count_startable(resources_used(stage.spec), wanted)
 
     def _usage(self, pool: str) -> PoolUsage:
@@ -162,6 +182,15 @@
         return self._at_work_by_id[job_id]
 
 
+def _shares_release(deferral: Deferral) -> bool:
+    """Return whether a step uses reservations together with others."""
+    return deferral.end is DeferralEnd.RESERVED and not deferral.stage.spec.service
+
+
+def _pool(stage: Stage) -> str:
+    return stage.workflow.policy.pool
+
+
 def deferral_ends_at(stage: Stage) -> float:
     """Return when the wait of a step for better room ends at the latest.
 
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ._deferral import DeferralEnd, DeferralLimit
+from ._deferral import Deferral, DeferralEnd, DeferralLimit
 from .advice_requests import AdviceNeed
 from .crashes import is_suspected, isolation_candidates, startable_suspects
 from .late_starts import (
@@ -167,13 +167,14 @@
             workers,
             entitled,
             self._run_times,
-            DeferralLimit(workers, stages, now),
+            DeferralLimit(workers, now),
             now,
             may_preempt,
             may_ask,
         )
         for stage in stages:
             planning_pass.place(stage, ranks[id(stage)])
+        planning_pass.end_deferrals()
         return SchedulingPlan(
             tuple(planning_pass.starts),
             tuple(planning_pass.stops.values()),
@@ -208,6 +209,7 @@
         self._entitled = entitled
         self._run_times = run_times
         self._deferral_limit = deferral_limit
+        self._deferrals: list[Deferral] = []
         self._now = now
         self._preemption_allowed = preemption_allowed
         self._may_ask = may_ask
@@ -279,7 +281,7 @@
         if len(self.starts) + len(self.held_starts) > planned:
             stage.deferred_since = None
         else:
-            self._limit_deferral(stage, waiting, candidates, usable)
+            self._note_deferral(stage, waiting, candidates, usable)
 
     def _place_suspects(
         self,
@@ -440,14 +442,17 @@
         self._add_starts(stage, tasks, options)
         return tasks[len(options) :]
 
-    def _limit_deferral(
+    def _note_deferral(
         self,
         stage: Stage,
         waiting: list[Task],
         candidates: list[Worker],
         usable: list[Worker],
     ) -> None:
-        """Start a step that has waited for better room for as long as it may.
+        """Note that a step waits for better room, if it does.
+
+        A step with failed runs uses none but its candidates, as these are
+        chosen to save its attempts.
 
         Args:
             stage: The step, of which nothing starts in this pass.
@@ -466,33 +471,21 @@
         lent = LentCapacity()
         workers, end = self._near_data(stage, candidates), DeferralEnd.RESERVED
         if not choose_options(stage, waiting[:needed], workers, lent, self._now):
+            if any(task.failures for task in stage.tasks):
+                return
             if not self._has_lendable_room(stage, MIN_SPARE_ROOM * needed):
                 return
-            workers = self._acceptable_workers(stage, candidates, usable)
-            end = DeferralEnd.SLOWER
+            workers, end = usable, DeferralEnd.SLOWER
+            if stage.workflow.policy.advised:
+                workers = [w for w in usable if not stage.advice.denies(w.facts)]
         stage.deferred_since = self._now if deferred_since is None else deferred_since
-        if end is DeferralEnd.SLOWER:
-            may_start = self._deferral_limit.is_overdue(stage)
-        else:
-            may_start = self._deferral_limit.may_use_reserved(stage)
-        if may_start:
-            self._start_deferred(stage, waiting, workers, end)
-
-    def _acceptable_workers(
-        self, stage: Stage, candidates: list[Worker], usable: list[Worker]
-    ) -> list[Worker]:
-        """Return the workers on which a step may run, also if it is slower.
+        self._deferrals.append(Deferral(stage, waiting, workers, end))
 
-        A step with failed runs keeps to its candidates, as these are chosen to
-        save its attempts.
-        """
-        if any(task.failures for task in stage.tasks):
-            return candidates
-        if self._observers:
-            usable = [w for w in usable if not w.observes_suspect]
-        if stage.workflow.policy.advised:
-            usable = [w for w in usable if not stage.advice.denies(w.facts)]
-        return usable
+    def end_deferrals(self) -> None:
+        """Start the steps that may not wait longer for better room."""
+        for deferral in self._deferral_limit.ended(self._deferrals):
+            if self._deferral_limit.applies(deferral.stage):
+                self._start_deferred(*deferral)
 
     def _has_lendable_room(self, stage: Stage, count: int) -> bool:
         """Return whether tasks have room if reservations are lent.
@@ -537,6 +530,8 @@
             if end is DeferralEnd.SLOWER and not stage.spec.service:
                 count = 1
             tasks = tasks[:count]
+        if self._observers:
+            workers = [w for w in workers if not w.observes_suspect]
         permitted = workers
         is_advised = stage.workflow.policy.advised
         if is_advised:
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -4,7 +4,7 @@
 
 from redwingrudder.workflows import _deferral, engine
 from redwingrudder.workflows._deferral import MAX_DEFERRAL_S
-from redwingrudder.workflows.model import NO_RESOURCES, Resources
+from redwingrudder.workflows.model import NO_RESOURCES, EndKind, Resources
 
 from . import workflow_fixtures as fx
 from .test_lasting_neighbours import Fleet
@@ -248,6 +248,26 @@
         self.assertEqual((line.job, line.step, line.uses), ("job", "0.0", "slower"))
 
 
+class FailedStepTests(unittest.TestCase):
+    def test_step_with_a_failed_run_leaves_others_their_reservations(self):
+        """Guards against a wait for sound workers that lifts reservations."""
+        engine = fx.engine(*workers(2))
+        whole = fx.step(1, fx.WHOLE_WORKER, estimate_s=LONG_S)
+        engine.accept(fx.workflow("full", whole), 0.0)
+        job = fx.workflow("failed", fx.step(), attempts=3, priority=2)
+        engine.accept(job, 0.0)
+        started = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, started)
+        (failed,) = [s for s in started if s.key.workflow_id == "failed"]
+        engine.end(failed.worker_id, fx.ended(failed, EndKind.FAILED), 0.5)
+        engine.accept(fx.workflow("gang", whole._replace(tasks=2, gang=True)), 0.5)
+        self.assertEqual(engine.plan(0.5, 0.5), [])
+        now = 0.5 + MAX_DEFERRAL_S
+        later = fx.workflow("later", fx.step(estimate_s=2 * LONG_S), priority=2)
+        engine.accept(later, now)
+        self.assertEqual(engine.plan(now, now), [])
+
+
 class AdviceTests(unittest.TestCase):
     """A step that needs advice waits behind a reservation of all workers."""
 
