Look for lent capacity at less cost

Cause: each step without room compared all workers with the reservations, and chose placements only to see whether there are any.

Change: a pass keeps a list of the workers with reservations, unclaimed capacity is cached like free capacity, and the check ends with the first room. The decisions stay the same.

--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -40,6 +40,7 @@
     Room,
     count_fitting,
     find_room,
+    max_tasks_on_worker,
     may_find_room,
 )
 from .run_times import LONG_RUN_FACTOR, RunTimeEstimates, is_slow
@@ -216,7 +217,7 @@
         self._suspects = [worker for worker in workers if worker.is_suspect(now)]
         self._has_trials = any(worker.start_trials.on_trial for worker in workers)
         self._reserving_steps = 0
-        self._has_reservations = False
+        self._reserved_workers: list[Worker] = []
         # Tasks with an older run that is being stopped.
         self._held_keys = {key for worker in workers for key in worker.unwanted_keys}
         # Whether this pass has placed suspected tasks.
@@ -427,18 +428,23 @@
         Returns:
             The tasks without room.
         """
-        if not tasks or not self._has_reservations or stage.spec.service:
+        if not tasks or stage.spec.service:
             return tasks
         run_s = LONG_RUN_FACTOR * self._run_times.expected_s(stage)
-        lenders = workers
-        if not stage.spec.gang:
-            lenders = [w for w in workers if run_s <= w.reserved_in_s < math.inf]
-        elif not any(run_s <= w.reserved_in_s < math.inf for w in workers):
+        demand = resources_used(stage.spec)
+        lenders = {
+            id(worker)
+            for worker in self._reserved_workers
+            if run_s <= worker.reserved_in_s and worker.unclaimed.covers(demand)
+        }
+        if not lenders:
             return tasks
+        if not stage.spec.gang:
+            workers = [worker for worker in workers if id(worker) in lenders]
         if stage.workflow.policy.advised:
-            lenders = permitted_workers(stage, lenders, self._now)
+            workers = permitted_workers(stage, workers, self._now)
         lent = LentCapacity(run_s)
-        options = choose_options(stage, tasks, lenders, lent, self._now)
+        options = choose_options(stage, tasks, workers, lent, self._now)
         self._add_starts(stage, tasks, options)
         return tasks[len(options) :]
 
@@ -468,9 +474,8 @@
             return
         if not self._has_lendable_room(stage, needed):
             return
-        lent = LentCapacity()
         workers, end = self._near_data(stage, candidates), DeferralEnd.RESERVED
-        if not choose_options(stage, waiting[:needed], workers, lent, self._now):
+        if not self._may_use_lent(stage, waiting[:needed], workers):
             if any(task.failures for task in stage.tasks):
                 return
             if not self._has_lendable_room(stage, MIN_SPARE_ROOM * needed):
@@ -481,6 +486,23 @@
         stage.deferred_since = self._now if deferred_since is None else deferred_since
         self._deferrals.append(Deferral(stage, waiting, workers, end))
 
+    def _may_use_lent(
+        self, stage: Stage, tasks: list[Task], workers: list[Worker]
+    ) -> bool:
+        """Return whether tasks would start on workers without reservations."""
+        if stage.spec.gang and stage.spec.same_rack:
+            lent = LentCapacity()
+            return bool(choose_options(stage, tasks, workers, lent, self._now))
+        demand = resources_used(stage.spec)
+        found = 0
+        for worker in workers:
+            if worker.unclaimed.covers(demand):
+                max_count = max_tasks_on_worker(stage, worker, len(tasks) - found)
+                found += count_fitting(worker.unclaimed, demand, max_count)
+                if found >= len(tasks):
+                    return True
+        return False
+
     def end_deferrals(self) -> None:
         """Start the steps that may not wait longer for better room."""
         for deferral in self._deferral_limit.ended(self._deferrals):
@@ -786,8 +808,14 @@
         last_in_s = max((option.available_in_s for option in options), default=0.0)
         for option in options:
             available_in_s = last_in_s if stage.spec.gang else option.available_in_s
-            option.worker.reserve(demand, available_in_s)
-            self._has_reservations = True
+            self._reserve_on(option.worker, demand, available_in_s)
+
+    def _reserve_on(
+        self, worker: Worker, demand: Resources, available_in_s: float = 0.0
+    ) -> None:
+        if math.isinf(worker.reserved_in_s):
+            self._reserved_workers.append(worker)
+        worker.reserve(demand, available_in_s)
 
     def _add_starts(
         self, stage: Stage, tasks: list[Task], options: list[PlacementOption]
@@ -806,14 +834,13 @@
             )
             if worker_ids:
                 held_starts.append(HeldStart(task, worker_ids))
-                worker.reserve(demand, 0.0)
+                self._reserve_on(worker, demand)
             else:
                 starts.append((task, worker))
         self.held_starts += held_starts
-        self._has_reservations |= bool(held_starts)
         if stage.spec.gang and held_starts:
             for _, worker in starts:
-                worker.reserve(demand, 0.0)
+                self._reserve_on(worker, demand)
             return
         self.starts += starts
         for _, worker in starts:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -498,6 +498,7 @@
     Attributes:
         free: Capacity that is neither used, nor claimed for a planned start,
             nor reserved for a step that waits.
+        unclaimed: The same, but reserved capacity counts as well.
         reserved_in_s: Seconds until the first of the steps is expected to
             start that capacity is reserved for, infinite without any.
         tasks_by_key: Tasks with a run on the worker.
@@ -569,6 +570,7 @@
         "speed_at",
         "start_trials",
         "tasks_by_key",
+        "unclaimed",
     )
 
     def __init__(self, facts: WorkerFacts) -> None:
@@ -579,7 +581,7 @@
         self.reserved_in_s = math.inf
         self._lasting = NO_RESOURCES  # used by tasks of services
         self._unwanted_by_run: dict[tuple[TaskKey, int], UnwantedRun] = {}
-        self.free = facts.capacity
+        self.free = self.unclaimed = facts.capacity
         self.tasks_by_key: dict[TaskKey, Task] = {}
         self.reappeared: set[tuple[TaskKey, int]] = set()
         self.listed = True
@@ -623,11 +625,6 @@
         """Capacity that no run holds, claimed or not."""
         return self._facts.capacity.minus(self._used)
 
-    @property
-    def unclaimed(self) -> Resources:
-        """Capacity that no run or planned start holds, reserved or not."""
-        return self.idle.minus(self._claimed)
-
     @property
     def capacity_beside_lasting(self) -> Resources:
         """Capacity that lasting runs do not hold, claimed or not."""
@@ -739,7 +736,8 @@
             self._update_free()
 
     def _update_free(self) -> None:
-        # Cached, because planning reads it for each pair of worker and step.
+        # Cached, because planning reads them for each pair of worker and step.
+        self.unclaimed = self._facts.capacity.minus(self._used).minus(self._claimed)
         self.free = self.unclaimed.minus(self._reserved)
 
     @property
