--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -525,18 +525,14 @@
             for known_demand, known_count in without_room
         ):
             return False
-        has_denials = stage.workflow.policy.advised and stage.advice.has_denials
         if kind not in self._present_by_kind:
             self._present_by_kind[kind] = present_workers(*kind, self._workers)
         found = 0
         for worker in self._present_by_kind[kind]:
-            if has_denials and stage.advice.denies(worker.facts):
-                continue
             found += count_fitting(worker.unclaimed, demand, count - found)
             if found >= count:
                 return True
-        if not has_denials:
-            without_room.append((demand, count))
+        without_room.append((demand, count))
         return False
 
     def _start_deferred(
