Count a pool as in use if one kind of resource is

Likely cause, by reading: a pool counted as mostly idle as long as one of cores, memory and accelerators was below the limit.

Change: all three have to be below the limit. The invariant of the profile waiting is narrowed in the same way: it no longer asks for a start on a fleet of which the accelerators are in use.

--- a/src/redwingrudder/workflows/_deferral.py
+++ b/src/redwingrudder/workflows/_deferral.py
@@ -69,9 +69,10 @@
     def is_mostly_idle(self) -> bool:
         """Whether steps may wait beside idle capacity for a limited time only.
 
-        That is so as long as any kind of resource is mostly idle.
+        A pool is in use if one kind of resource is: steps that wait need
+        several kinds.
         """
-        return any(used < limit for used, limit in self._kinds())
+        return all(used < limit for used, limit in self._kinds())
 
     def count_startable(self, demand: Resources, wanted: int) -> int:
         """Return how many tasks may start until the pool is mostly in use.
@@ -80,12 +81,12 @@
             demand: Resources that each task uses.
             wanted: Upper bound of the result.
         """
-        count = 0
         for (used, limit), amount in zip(self._kinds(), demand, strict=True):
-            if used < limit:
-                until_limit = math.ceil((limit - used) / amount) if amount else wanted
-                count = max(count, until_limit)
-        return min(count, wanted)
+            if used >= limit:
+                return 0
+            if amount:
+                wanted = min(wanted, math.ceil((limit - used) / amount))
+        return wanted
 
     def _kinds(self) -> list[tuple[float, float]]:
         """Return the amount in use and the limit of each kind of resource."""
