End the wait of a step for better room when its run is found

Seen in reading: a step that waits, and whose task gets a run from a report or a record instead of a start, kept the beginning of its wait. When that run ended, it used reservations at once, and with it all waiting steps of its pool.

Cause: only steps with waiting tasks are visited in a pass.

Change: the deferral of a step that is not ready ends. The test failed before: the step started on reserved capacity in the first pass after the run.

--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -893,6 +893,8 @@
 ) -> list[Stage]:
     """Return the steps with tasks that may start, and set their ready time.
 
+    The others wait for nothing, so their deferrals end.
+
     Args:
         active: Workflows that have not ended.
         now: Node-clock seconds, the ready time of steps without one.
@@ -906,10 +908,12 @@
             if occurrence.due_at > wall:
                 break
             for stage in occurrence.stages:
-                if _startable(stage, occurrence.stages):
-                    if stage.ready_at is None:
-                        stage.ready_at = now
-                    ready.append(stage)
+                if not _startable(stage, occurrence.stages):
+                    stage.deferred_since = None
+                    continue
+                if stage.ready_at is None:
+                    stage.ready_at = now
+                ready.append(stage)
     return ready
 
 
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -4,7 +4,7 @@
 
 from redwingrudder.workflows import _deferral, engine
 from redwingrudder.workflows._deferral import MAX_DEFERRAL_S
-from redwingrudder.workflows.model import NO_RESOURCES, EndKind, Resources
+from redwingrudder.workflows.model import NO_RESOURCES, EndKind, Resources, RunEnd
 
 from . import workflow_fixtures as fx
 from .test_lasting_neighbours import Fleet
@@ -248,6 +248,25 @@
         self.assertEqual((line.job, line.step, line.uses), ("job", "0.0", "slower"))
 
 
+class AdoptedRunTests(unittest.TestCase):
+    def test_run_that_is_found_ends_the_wait(self):
+        """Guards against a wait that goes on while the job is at work."""
+        engine = fx.engine(*workers(2))
+        long = fx.workflow("long", fx.step(2, worker_limit=1, estimate_s=LONG_S))
+        engine.accept(long, 0.0)
+        fx.confirm(engine, engine.plan(0.0, 0.0))
+        large = fx.step(2, fx.WHOLE_WORKER, estimate_s=LONG_S)
+        engine.accept(fx.workflow("large", large), 0.0)
+        job = fx.workflow("job", fx.step(estimate_s=2 * LONG_S), priority=2)
+        engine.accept(job, 0.0)
+        self.assertEqual(engine.plan(0.0, 0.0), [])
+        engine.adopt_run(fx.key(), 1, "w0", True, 0.5)
+        self.assertEqual(engine.plan(0.5, 0.5), [])
+        engine.end("w0", RunEnd(1, fx.key(), 1, EndKind.STOPPED), 2.0)
+        self.assertEqual(engine.plan(2.0, 2.0), [])
+        self.assertEqual(len(fx.starts(engine.plan(2.0 + MAX_DEFERRAL_S, 2.0))), 1)
+
+
 class FailedStepTests(unittest.TestCase):
     def test_step_with_a_failed_run_leaves_others_their_reservations(self):
         """Guards against a wait for sound workers that lifts reservations."""
