--- a/src/redwingrudder/simulation/_waiting_profile.py
+++ b/src/redwingrudder/simulation/_waiting_profile.py
@@ -34,8 +34,8 @@
     """Draws jobs that compete for the room of more workers.
 
     Run times are even on a logarithmic scale, and estimates are wrong by a
-    factor. Each job has a queue of its own, so no run times are learned: a run
-    that takes much longer than others of its queue counts as stuck.
+    factor. Each job has a queue of its own, as runs that take much longer than
+    others of their queue count as slow.
     """
 
     def draw(self, seed: int) -> Schedule:
--- a/src/redwingrudder/workflows/_wait_room.py
+++ b/src/redwingrudder/workflows/_wait_room.py
@@ -12,7 +12,7 @@
 class FleetRoom:
     """Idle capacity of the workers that answer and are to stay.
 
-    Capacity that is claimed for waiting steps counts as idle.
+    Capacity that is reserved for waiting steps counts as idle.
 
     Args:
         workers: All workers.
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -101,12 +101,12 @@
     """Capacity that is idle at present, if need be from a reservation.
 
     Args:
-        min_time_s: Seconds within which a reservation that is lent is not
-            expected to be used.
+        needed_for_s: Seconds for which the capacity is needed. Reservations
+            that are expected to be used sooner are not lent.
     """
 
-    def __init__(self, min_time_s: float = 0.0) -> None:
-        self._min_time_s = min_time_s
+    def __init__(self, needed_for_s: float = 0.0) -> None:
+        self._needed_for_s = needed_for_s
 
     def options(
         self, worker: Worker, demand: Resources, max_count: int
@@ -114,7 +114,7 @@
         """See base class."""
         count = count_fitting(worker.free, demand, max_count)
         options = [PlacementOption(worker)] * count
-        if self._min_time_s <= worker.reserved_in_s < math.inf:
+        if self._needed_for_s <= worker.reserved_in_s < math.inf:
             lent = PlacementOption(worker, reserved_in_s=worker.reserved_in_s)
             lendable = count_fitting(worker.unclaimed, demand, max_count)
             options += [lent] * (lendable - count)
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -227,7 +227,7 @@
         ] = {}
         self._unplaceable_by_pool: dict[str, list[tuple[Resources, int]]] = {}
         self._present_by_kind: dict[tuple[str, str], list[Worker]] = {}
-        self._without_lendable_room: dict[
+        self._without_visible_room: dict[
             tuple[str, str], list[tuple[Resources, int]]
         ] = {}
 
@@ -275,14 +275,12 @@
                 candidates = sound
         if not waiting:
             return
-        stage.deferred_since = deferred_since
         planned = len(self.starts) + len(self.held_starts)
         if candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
-        if len(self.starts) + len(self.held_starts) > planned:
-            stage.deferred_since = None
-        else:
-            self._note_deferral(stage, waiting, candidates, usable)
+        if len(self.starts) + len(self.held_starts) == planned:
+            since = self._now if deferred_since is None else deferred_since
+            self._note_deferral(stage, waiting, candidates, usable, since)
 
     def _place_suspects(
         self,
@@ -454,6 +452,7 @@
         waiting: list[Task],
         candidates: list[Worker],
         usable: list[Worker],
+        since: float,
     ) -> None:
         """Note that a step waits for better room, if it does.
 
@@ -465,31 +464,32 @@
             waiting: Its tasks that may start.
             candidates: Workers on which it would start if they had room.
             usable: Workers of its pool, with its label, that accept new runs.
+            since: Node-clock seconds since which it has waited, if it does.
         """
-        deferred_since, stage.deferred_since = stage.deferred_since, None
         needed = len(waiting) if stage.spec.gang else 1
+        # This step was placed last, so it can only be the last one there.
         if self.advice_waits and self.advice_waits[-1] is stage:
             return
         if not self._deferral_limit.applies(stage):
             return
-        if not self._has_lendable_room(stage, needed):
+        if not self._has_visible_room(stage, needed):
             return
         workers, end = self._near_data(stage, candidates), DeferralEnd.RESERVED
-        if not self._may_use_lent(stage, waiting[:needed], workers):
+        if not self._fits_if_lent(stage, waiting[:needed], workers):
             if any(task.failures for task in stage.tasks):
                 return
-            if not self._has_lendable_room(stage, MIN_SPARE_ROOM * needed):
+            if not self._has_visible_room(stage, MIN_SPARE_ROOM * needed):
                 return
             workers, end = usable, DeferralEnd.SLOWER
             if stage.workflow.policy.advised:
                 workers = [w for w in usable if not stage.advice.denies(w.facts)]
-        stage.deferred_since = self._now if deferred_since is None else deferred_since
+        stage.deferred_since = since
         self._deferrals.append(Deferral(stage, waiting, workers, end))
 
-    def _may_use_lent(
+    def _fits_if_lent(
         self, stage: Stage, tasks: list[Task], workers: list[Worker]
     ) -> bool:
-        """Return whether tasks would start on workers without reservations."""
+        """Return whether tasks fit on workers if reservations are lent."""
         if stage.spec.gang and stage.spec.same_rack:
             lent = LentCapacity()
             return bool(choose_options(stage, tasks, workers, lent, self._now))
@@ -509,17 +509,17 @@
             if self._deferral_limit.applies(deferral.stage):
                 self._start_deferred(*deferral)
 
-    def _has_lendable_room(self, stage: Stage, count: int) -> bool:
-        """Return whether tasks have room if reservations are lent.
+    def _has_visible_room(self, stage: Stage, count: int) -> bool:
+        """Return whether callers see room for tasks in the pool.
 
-        Workers that get no new runs for a while count as well, so that the
-        wait for them is a part of the limit. Such room only shrinks within a
-        pass. What has none is therefore remembered, and as much or more is not
-        looked for.
+        Reserved capacity counts. So do workers that get no new runs for a
+        while, so that the wait for them is a part of the limit. Such room only
+        shrinks within a pass. What has none is therefore remembered, and as
+        much or more is not looked for.
         """
         demand = resources_used(stage.spec)
         kind = (stage.workflow.policy.pool, stage.spec.worker_label)
-        without_room = self._without_lendable_room.setdefault(kind, [])
+        without_room = self._without_visible_room.setdefault(kind, [])
         if any(
             demand.covers(known_demand) and count >= known_count
             for known_demand, known_count in without_room
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -499,8 +499,8 @@
         free: Capacity that is neither used, nor claimed for a planned start,
             nor reserved for a step that waits.
         unclaimed: The same, but reserved capacity counts as well.
-        reserved_in_s: Seconds until the first of the steps is expected to
-            start that capacity is reserved for, infinite without any.
+        reserved_in_s: Expected seconds until the first step with a reservation
+            on the worker starts, infinite without any.
         tasks_by_key: Tasks with a run on the worker.
         reappeared: Current runs that the worker has listed while their task
             was waiting, and that are being stopped.
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from redwingrudder.workflows import _deferral, engine
-from redwingrudder.workflows._deferral import MAX_DEFERRAL_S
+from redwingrudder.workflows._deferral import MAX_DEFERRAL_S, PoolUsage
+from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import NO_RESOURCES, EndKind, Resources, RunEnd
 
 from . import workflow_fixtures as fx
@@ -242,7 +242,7 @@
         self.fill_rack()
         step = fx.step(estimate_s=LONG_S, data_rack="r0")
         self.fleet.accept("job", step, LONG_S)
-        with self.assertLogs(engine.__name__, "INFO") as logs:
+        with self.assertLogs(Engine.__module__, "INFO") as logs:
             self.fleet.run_for(LIMIT_S)
         (line,) = [r for r in logs.records if "longer for better room" in r.message]
         self.assertEqual((line.job, line.step, line.uses), ("job", "0.0", "slower"))
@@ -341,7 +341,7 @@
     """When a pool counts as mostly idle."""
 
     def usage(self, *used):
-        usage = _deferral.PoolUsage()
+        usage = PoolUsage()
         (worker,) = fx.engine(fx.worker("w1")).workers_by_id.values()
         usage.add_worker(worker)
         usage.add_start(Resources(*used))
--- a/tests/test_simulation_waiting.py
+++ b/tests/test_simulation_waiting.py
@@ -122,6 +122,13 @@
         runs = self.fill("w1")
         self.assertEqual(len(self.waits(self.job(), self.other(), runs=runs)), 1)
 
+    def test_pool_without_accelerators_excuses_a_wait(self):
+        """Guards against findings on a fleet whose accelerators are in use."""
+        accelerators = HALF._replace(cpu_millis=1_000, memory_mb=1_000)
+        other = self.other()._replace(demand=accelerators)
+        runs = self.fill("w1", "w2")
+        self.assertEqual(self.waits(self.job(), other, runs=runs), [])
+
     def test_gang_needs_room_twice_over(self):
         """Guards against findings about gangs that fit only once."""
         gang = self.job(tasks=4, gang=True)
