--- /dev/null
+++ b/review/standin_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform for the scripts of this review."""
