Log workers that fall silent just after starts, and the evidence of a verdict

For a job that was given up as crashes_workers the log named neither the workers nor whether their ends were confirmed, and a lapse that counted against a task left no line. No logic is changed.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -302,10 +302,7 @@
                 "worker": worker_id,
                 "address": worker.facts.address,
                 "runs": len(runs),
-                "suspects": [
-                    f"{task.key.workflow_id} {run_log_fields(task)['task']}"
-                    for task in suspects[:LOGGED_SUSPECTS]
-                ],
+                "suspects": _suspect_names(suspects),
             },
         )
 
@@ -329,8 +326,23 @@
             return
         if not worker.tasks_by_key and worker.crashed_at >= worker.heard_at:
             return  # seen before, or a process that has never answered
-        record_crash(worker, self._crash_history, now, unanswered_starts, certain=False)
+        runs = len(worker.tasks_by_key)
+        suspects = record_crash(
+            worker, self._crash_history, now, unanswered_starts, certain=False
+        )
         self._settle_suspicions(now)
+        if suspects:
+            _logger.warning(
+                "worker fell silent just after starts",
+                extra={
+                    "worker": worker_id,
+                    "address": worker.facts.address,
+                    "process_started_ms": worker.facts.process_started_ms,
+                    "heard_s_ago": _rounded(now - worker.heard_at),
+                    "runs": runs,
+                    "suspects": _suspect_names(suspects),
+                },
+            )
 
     def interrupt_worker(self, worker_id: str, now: float, reason: str) -> None:
         """Mark all runs of a worker as interrupted; none may be running.
@@ -1081,6 +1093,19 @@
             self.give_up_if_exhausted(stage, task, now)
 
 
+def _rounded(seconds: float) -> float | None:
+    """Return a time for a log line, None if it is infinite."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
+def _suspect_names(suspects: list[Task]) -> list[str]:
+    """Return the first suspects of a crash for a log line."""
+    return [
+        f"{task.key.workflow_id} {run_log_fields(task)['task']}"
+        for task in suspects[:LOGGED_SUSPECTS]
+    ]
+
+
 def _newest_run(task: Task) -> int:
     """Return the number of the newest run of a task or of its gang."""
     members = task.stage.tasks if task.stage.spec.gang else [task]
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -415,7 +415,15 @@
                 **run_log_fields(task),
                 "reason": reason,
                 "failures": holder.failures,
-                "crashed_runs": sorted(valid_evidence_by_run(holder)),
+                "crashed_runs": [
+                    {
+                        "run": run,
+                        "workers": sorted(evidence.worker_ids),
+                        "confirmed": evidence.confirmed,
+                        "suspect": evidence.suspect,
+                    }
+                    for run, evidence in sorted(valid_evidence_by_run(holder).items())
+                ],
             },
         )
         self.step(task, "give_up", now)
