Take a lapsed lease for a crash only once the process is known to have ended

Cause: Engine.worker_lost recorded a worker that fell silent as evidence against the runs that it had just started, and three such runs were a proof. Nothing took the evidence back when the same process answered again. In memory a sound task or gang ended as failed after three cuts 0.1 s after its starts, on 1, 2, 12 and 40 workers; no process had ended.

What happened on the users' machines is not shown by their record.

Change: the evidence of a lapse names the process. It proves nothing while that is silent, is withdrawn once the process answers a poll that was sent after the lapse had been noticed, and counts as a crash once another process answers for the worker or at its address. Both are in the progress record. At most five workers may crash or be silent under a task before its next start waits, for 60 s at most. With lapses gone, the rule that asked for two confirmed or three weaker runs is one rule: three runs with certain crashes, once at least without another suspect.

A task whose workers return after their leases crashes four workers instead of three, as the third lapse is not known to be a crash when it is started again.

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -5,21 +5,21 @@
 the worker before it, as workers come back one after the other.
 """
 
+import logging
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
-from .model import TaskKey
-from .state import CrashEvidence, Task, Worker
+from .model import TaskKey, WorkerFacts
+from .state import CrashEvidence, SilentProcess, Task, Worker
+
+_logger = logging.getLogger(__name__)
 
 # An idle worker answers once a second, so that it has crashed within this time
 # after its last answer.
 MAX_SILENCE_S = 1.5
 # A worker that has just confirmed a start answers every quarter of a second.
 MAX_BUSY_SILENCE_S = 0.75
-# Workers that crash together after they have confirmed starts answered last
-# within this time of each other.
-SAME_START_S = 0.3
 # Time after the detection of a crash for which workers that are silent are
 # waited for: the longest lease of a worker, 10 s, and a margin.
 EVIDENCE_WAIT_S = 12.0
@@ -96,14 +96,6 @@
         """
         return any(not crash.causes for crash in self._others_then(holder, evidence))
 
-    def is_beside_other_suspects(self, holder: Task, evidence: CrashEvidence) -> bool:
-        """Return whether workers of other suspects crashed at that moment."""
-        return any(
-            abs(crash.heard_at - evidence.first_heard_at) <= SAME_START_S
-            and any(key.workflow_id != holder.key.workflow_id for key in crash.causes)
-            for crash in self._others_then(holder, evidence)
-        )
-
     def awaits_evidence(
         self, holder: Task, workers: Iterable[Worker], now: float
     ) -> bool:
@@ -162,8 +154,29 @@
     )
 
 
+NO_EVIDENCE = CrashEvidence(
+    first_heard_at=math.inf,
+    ended_by=-math.inf,
+    seen_at=-math.inf,
+    worker_ids=frozenset(),
+    addresses=frozenset(),
+    certain=False,
+    confirmed=False,
+    suspect=False,
+    alone=False,
+    refuted=False,
+)
+
+
 def add_evidence(
-    holder: Task, run: int, crash: WorkerCrash, confirmed: bool, suspect: bool
+    holder: Task,
+    run: int,
+    crash: WorkerCrash,
+    worker: WorkerFacts,
+    certain: bool,
+    start_confirmed: bool,
+    suspect: bool,
+    alone: bool,
 ) -> None:
     """Count a crash under a run; several under one run of a gang count once.
 
@@ -171,24 +184,136 @@
         holder: The task, or the first task of its gang.
         run: Number of the run.
         crash: The crash.
-        confirmed: Whether the worker had confirmed the start and has ended.
+        worker: The worker, with the process that has ended or fell silent.
+        certain: Whether that process is known to have ended.
+        start_confirmed: Whether it had confirmed the start.
         suspect: Whether the run may be the cause.
+        alone: Whether no other run on the worker may be the cause.
     """
-    known = holder.crash_evidence_by_run.get(run)
-    if known is None:
-        known = CrashEvidence(
-            math.inf, -math.inf, 0.0, frozenset(), False, False, False
-        )
-    holder.crash_evidence_by_run[run] = known._replace(
+    known = holder.crash_evidence_by_run.get(run, NO_EVIDENCE)
+    evidence = known._replace(
         first_heard_at=min(known.first_heard_at, crash.heard_at),
         ended_by=max(known.ended_by, crash.ended_by),
         seen_at=crash.seen_at,
         worker_ids=known.worker_ids | {crash.worker_id},
-        confirmed=known.confirmed or confirmed,
         suspect=known.suspect or suspect,
+        alone=known.alone or alone,
+    )
+    process = SilentProcess(
+        worker.worker_id, worker.address, worker.process_started_ms, start_confirmed
+    )
+    if certain:
+        evidence = confirm_crash(evidence, process)
+    else:
+        evidence = evidence._replace(silent=evidence.silent | {process})
+    holder.crash_evidence_by_run[run] = evidence
+
+
+def confirm_crash(evidence: CrashEvidence, process: SilentProcess) -> CrashEvidence:
+    """Return the evidence with a process that is known to have ended."""
+    return evidence._replace(
+        addresses=evidence.addresses | {process.address},
+        certain=True,
+        confirmed=evidence.confirmed or process.start_confirmed,
+        silent=evidence.silent - {process},
     )
 
 
+def settle_silence(holder: Task, workers_by_id: Mapping[str, Worker]) -> bool:
+    """Decide on processes that fell silent and whose workers have answered.
+
+    A process that answers again was only cut off, so that its lapse is no
+    evidence. It has ended if another one answers at its address.
+
+    Args:
+        holder: The task, or the first task of its gang.
+        workers_by_id: All workers.
+
+    Returns:
+        Whether the evidence has changed.
+    """
+    changed = False
+    for run, evidence in list(holder.crash_evidence_by_run.items()):
+        for process in evidence.silent:
+            has_ended = _has_ended(process, evidence.seen_at, workers_by_id)
+            if has_ended is None:
+                continue
+            changed = True
+            _log_outcome(holder, run, process, has_ended)
+            if has_ended:
+                evidence = confirm_crash(evidence, process)
+            else:
+                evidence = evidence._replace(silent=evidence.silent - {process})
+        if evidence.certain or evidence.silent:
+            holder.crash_evidence_by_run[run] = evidence
+        else:
+            del holder.crash_evidence_by_run[run]
+    return changed
+
+
+def _has_ended(
+    process: SilentProcess, seen_at: float, workers_by_id: Mapping[str, Worker]
+) -> bool | None:
+    """Return whether a process has ended, None if that is not known.
+
+    Args:
+        process: The process, which fell silent.
+        seen_at: Time at which that was noticed, in node-clock seconds.
+        workers_by_id: All workers.
+    """
+    worker = workers_by_id.get(process.worker_id)
+    if worker is None:
+        return _is_replaced(process, seen_at, workers_by_id.values())
+    started_ms = worker.facts.process_started_ms
+    if not process.started_ms or not started_ms:
+        return None
+    if started_ms != process.started_ms:
+        return True
+    # The answer to a poll of the time before may arrive later.
+    return False if worker.polled_at > seen_at else None
+
+
+def _is_replaced(
+    process: SilentProcess, seen_at: float, workers: Iterable[Worker]
+) -> bool | None:
+    """Return True if a worker under another id has taken over the address."""
+    is_replaced = any(
+        worker.facts.address == process.address and worker.polled_at > seen_at
+        for worker in workers
+    )
+    return is_replaced or None
+
+
+def _log_outcome(
+    holder: Task, run: int, process: SilentProcess, has_ended: bool
+) -> None:
+    _logger.info(
+        "silent worker has crashed"
+        if has_ended
+        else "silent worker was only cut off; its lapse is no evidence",
+        extra={
+            "job": holder.key.workflow_id,
+            "task": f"{holder.key.occurrence}.{holder.key.step}.{holder.key.index}",
+            "run": run,
+            "worker": process.worker_id,
+            "process_started_ms": process.started_ms,
+        },
+    )
+
+
+def drop_silent_evidence(holder: Task) -> None:
+    """Drop what is not known to be a crash.
+
+    Args:
+        holder: The task, or the first task of its gang.
+    """
+    holder.crash_evidence_by_run = {
+        run: evidence._replace(silent=frozenset())
+        for run, evidence in holder.crash_evidence_by_run.items()
+        if evidence.certain
+    }
+
+
 def refute_evidence(holder: Task, history: CrashHistory) -> bool:
     """Drop the evidence of crashes that have a common cause.
 
@@ -204,22 +329,6 @@
     return bool(refuted)
 
 
-def note_other_suspects(holder: Task, history: CrashHistory) -> bool:
-    """Note the evidence beside which workers of other suspects crashed.
-
-    Returns:
-        Whether any has been noted.
-    """
-    noted = {
-        run: evidence._replace(beside_suspects=True)
-        for run, evidence in holder.crash_evidence_by_run.items()
-        if not evidence.beside_suspects
-        and history.is_beside_other_suspects(holder, evidence)
-    }
-    holder.crash_evidence_by_run.update(noted)
-    return bool(noted)
-
-
 def discount_starts(holder: Task) -> None:
     """Keep the runs with crashes, but not as ones that may be the cause."""
     holder.crash_evidence_by_run.update(
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -3,9 +3,11 @@
 A crash interrupts all runs of a worker, and at most a few of them can be its
 cause. A run that had gone on for some time is not suspected, unless that
 happens to its task again and again. A suspected task next runs where no other
-run can be the cause, so that a second crash is conclusive, and a task that
+run can be the cause, so that further crashes are conclusive, and a task that
 stood beside the cause is cleared by a run that does not crash its worker.
-Crashes that have a common cause outside the tasks are evidence against none
+A worker that falls silent may have crashed or be cut off; it sets its runs
+apart, and is evidence only once its process is known to have ended. Crashes
+that have a common cause outside the tasks are evidence against none
 (``crash_evidence``), so the verdict waits until they would have been seen.
 """
 
@@ -17,25 +19,33 @@
     WorkerCrash,
     add_evidence,
     discount_starts,
+    drop_silent_evidence,
     latest_end,
-    note_other_suspects,
     refute_evidence,
+    settle_silence,
     suspicion_holder,
     valid_evidence_by_run,
 )
 from .model import TaskKey
 from .room import max_tasks_on_worker, may_find_room
-from .state import Stage, Task, Worker, WorkflowProgress, resources_used
+from .state import (
+    Stage,
+    Task,
+    Worker,
+    WorkflowProgress,
+    resources_used,
+)
 
 SUSPICION_CHART = load_chart(
     "crash_suspicion",
     frozenset(
         {
             "suspect",
-            "sole_suspect",
+            "evidence_sufficient",
             "proved_harmless",
             "evidence_refuted",
             "evidence_complete",
+            "evidence_withdrawn",
         }
     ),
     frozenset(),
@@ -47,14 +57,13 @@
 MAX_UNEXPLAINED_CRASHES = 3
 # A worker that crashes twice within this time may do so by its own fault.
 CRASH_PRONE_S = 20.0
-# Number of runs with crashes that had just been confirmed, before a task can
-# be guilty; one of them when no other suspect's worker crashed.
-MIN_CRASHED_RUNS = 2
-# Number of runs with crashes, which the starts may have caused, after which a
-# task that is the only suspect is guilty, even if its workers had crashed
-# before, had not confirmed its starts or crashed together with those of other
-# suspects each time.
+# Number of runs with crashes just after their starts that make a task guilty.
 CONCLUSIVE_CRASHED_RUNS = 3
+# No task may crash more workers.
+MAX_CRASHED_RUNS = 5
+# Time for which the next start waits once that many workers have crashed or
+# fallen silent under a task, so that it can be told which of them crashed.
+SILENCE_WAIT_S = 60.0
 # Time after a crash for which a suspect waits for room on a worker that has
 # not crashed recently.
 ISOLATION_WAIT_S = 2.0
@@ -179,17 +188,25 @@
         is_cause = holder.key in crash.causes
         # Of an adopted run it is not known when its start was confirmed.
         is_start_known = not (is_cause and task.run_adopted)
-        confirmed = certain and task.run_confirmed and is_start_known
-        add_evidence(holder, task.run, crash, confirmed, is_cause)
-        note_other_suspects(holder, history)
+        add_evidence(
+            holder,
+            task.run,
+            crash,
+            worker.facts,
+            certain,
+            start_confirmed=task.run_confirmed and is_start_known,
+            suspect=is_cause,
+            alone=is_cause and len(suspects) == 1,
+        )
         if not is_cause:
             # Evidence against suspects is refuted by ``settle_suspicion``.
             refute_evidence(holder, history)
     for task in suspects:
         task.stage.crashed_at = now
         task.stage.harmless_suspects = 0
-        is_proof = len(suspects) == 1 and _is_proof(task, worker, now)
-        step_suspicion(task, "sole_suspect" if is_proof else "suspect")
+        step_suspicion(task, "suspect")
+        if _is_proved(suspicion_holder(task)):
+            step_suspicion(task, "evidence_sufficient")
     for task in open_runs:
         if _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES:
             step_suspicion(task, "suspect")
@@ -197,79 +214,82 @@
 
 
 def settle_suspicion(
-    holder: Task, history: CrashHistory, workers: Iterable[Worker], now: float
+    holder: Task,
+    history: CrashHistory,
+    workers_by_id: Mapping[str, Worker],
+    now: float,
 ) -> bool:
-    """Drop refuted evidence, and decide on an accused task or gang.
+    """Decide what the present evidence means for a suspected task or gang.
 
     Args:
-        holder: The task, or the first task of its gang.
+        holder: The task, or the first task of the gang.
         history: The crashes of workers.
-        workers: All workers.
+        workers_by_id: All workers.
         now: Node-clock seconds.
 
     Returns:
         Whether the suspicion or its evidence has changed.
     """
-    changed = refute_evidence(holder, history)
-    if not is_accused(holder):
-        return changed
-    if not _has_enough_evidence(holder):
-        step_suspicion(holder, "evidence_refuted")
+    changed = settle_silence(holder, workers_by_id)
+    if changed and not holder.crash_evidence_by_run:
+        step_suspicion(holder, "evidence_withdrawn")
         return True
-    if history.awaits_evidence(holder, workers, now):
+    changed |= refute_evidence(holder, history)
+    is_proved = _is_proved(holder)
+    must_wait = is_proved or _awaits_silent_workers(holder, now)
+    if must_wait != is_accused(holder):
+        event = "evidence_sufficient" if must_wait else "evidence_refuted"
+        step_suspicion(holder, event)
+        changed = True
+    if not is_proved or history.awaits_evidence(holder, workers_by_id.values(), now):
         return changed
     step_suspicion(holder, "evidence_complete")
     return True
 
 
-def _is_proof(task: Task, worker: Worker, now: float) -> bool:
-    """Return whether a crash with only this suspect can prove its guilt.
+def has_silent_workers(holder: Task) -> bool:
+    """Return whether silent workers may have crashed under a task."""
+    return any(e.silent for e in holder.crash_evidence_by_run.values())
 
-    Args:
-        task: The task, with this crash counted.
-        worker: Its worker, with the time of the previous crash.
-        now: Node-clock seconds.
-    """
-    holder = suspicion_holder(task)
-    earlier = [e for r, e in valid_evidence_by_run(holder).items() if r != task.run]
-    if any(evidence.suspect for evidence in earlier):
-        is_sound_worker = not is_crash_prone(worker, now)
-        is_proof = is_sound_worker or _is_conclusive(holder)
-        return is_proof and _has_enough_evidence(holder)
-    return len(earlier) >= MAX_UNEXPLAINED_CRASHES
 
+def _crashed_runs(task: Task) -> int:
+    """Return the number of confirmed runs whose crashes are evidence."""
+    valid = valid_evidence_by_run(suspicion_holder(task))
+    return sum(evidence.confirmed for evidence in valid.values())
 
-def _has_enough_evidence(holder: Task) -> bool:
-    """Return whether the runs with crashes prove that the task causes them."""
-    if _is_conclusive(holder):
-        return True
-    valid = valid_evidence_by_run(holder).values()
-    strong = [e for e in valid if e.confirmed and e.suspect]
-    return len(strong) >= MIN_CRASHED_RUNS and not all(
-        evidence.beside_suspects for evidence in strong
-    )
 
+def _is_proved(holder: Task) -> bool:
+    """Return whether crashes prove that the task or gang is guilty.
 
-def _is_conclusive(holder: Task) -> bool:
-    """Return whether the number of runs with crashes alone is enough."""
+    Workers that only fell silent prove nothing.
+    """
     valid = valid_evidence_by_run(holder).values()
-    suspect_runs = sum(evidence.suspect for evidence in valid)
-    return (
-        suspect_runs >= CONCLUSIVE_CRASHED_RUNS or len(valid) > MAX_UNEXPLAINED_CRASHES
+    certain = [evidence for evidence in valid if evidence.certain]
+    suspect_runs = sum(evidence.suspect for evidence in certain)
+    return any(evidence.alone for evidence in certain) and (
+        suspect_runs >= CONCLUSIVE_CRASHED_RUNS
+        or len(certain) > MAX_UNEXPLAINED_CRASHES
     )
 
 
-def _crashed_runs(task: Task) -> int:
-    """Return the number of confirmed runs whose crashes are evidence."""
-    valid = valid_evidence_by_run(suspicion_holder(task))
-    return sum(evidence.confirmed for evidence in valid.values())
+def _awaits_silent_workers(holder: Task, now: float) -> bool:
+    """Return whether the next start could crash one worker too many.
+
+    That is so if each of the workers that are silent has crashed.
+    """
+    evidence = valid_evidence_by_run(holder).values()
+    possible = [e for e in evidence if e.suspect and (e.certain or e.silent)]
+    return len(possible) >= MAX_CRASHED_RUNS and any(
+        e.silent and now - e.seen_at < SILENCE_WAIT_S for e in possible
+    )
 
 
 def clear_if_harmless(task: Task, has_ended: bool = False) -> bool:
     """End the suspicion of a task whose run has proved harmless.
 
     If the run has gone on for ``PROOF_RUN_S``, the starts of earlier runs are
-    no longer taken for the cause of their crashes.
+    no longer taken for the cause of their crashes. In any case, workers that
+    only fell silent are not counted any more.
 
     Args:
         task: The task.
@@ -286,6 +306,7 @@
     is_unexplained = _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES
     if not has_ended and (is_unexplained or not has_gone_on):
         return False
+    drop_silent_evidence(suspicion_holder(task))
     if has_gone_on:
         discount_starts(suspicion_holder(task))
     step_suspicion(task, "proved_harmless")
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -12,12 +12,12 @@
     CrashHistory,
     WorkerCrash,
     add_evidence,
-    note_other_suspects,
     suspicion_holder,
     valid_evidence_by_run,
 )
 from .crashes import (
     clear_if_harmless,
+    has_silent_workers,
     is_accused,
     is_guilty,
     record_crash,
@@ -720,7 +720,7 @@
             now: Node-clock seconds.
             wall: Unix seconds, for occurrences with a due time.
         """
-        self._settle_suspicions(now, accused_only=True)
+        self._settle_suspicions(now, awaited_only=True)
         active = self._active_workflows()
         self._mark_observers(active)
         scheduling_plan = self._planner.plan(
@@ -775,25 +775,32 @@
     def _active_workflows(self) -> list[WorkflowProgress]:
         return [p for p in self.workflows_by_id.values() if p.ended_at is None]
 
-    def _settle_suspicions(self, now: float, accused_only: bool = False) -> None:
-        """Drop refuted evidence, and give up tasks whose guilt is proved."""
-        workers = self.workers_by_id.values()
+    def _settle_suspicions(self, now: float, awaited_only: bool = False) -> None:
+        """Drop refuted evidence, and give up tasks whose guilt is proved.
+
+        Args:
+            now: Node-clock seconds.
+            awaited_only: Whether only tasks are looked at that wait for a
+                verdict or for an answer of a silent worker.
+        """
         for holder in suspicion_holders(self._active_workflows()):
-            if accused_only and not is_accused(holder):
+            is_awaited = is_accused(holder) or has_silent_workers(holder)
+            if awaited_only and not is_awaited:
                 continue
-            if note_other_suspects(holder, self._crash_history):
-                self.dirty.add(holder.key.workflow_id)
-            if not settle_suspicion(holder, self._crash_history, workers, now):
+            if not settle_suspicion(
+                holder, self._crash_history, self.workers_by_id, now
+            ):
                 continue
             self.dirty.add(holder.key.workflow_id)
             if is_guilty(holder):
                 self.give_up_guilty(holder, now)
                 continue
             _logger.info(
-                "crashes with a common cause are not counted against a task",
+                "evidence of crashes against a task has changed",
                 extra={
                     **run_log_fields(holder),
                     "run": holder.run,
+                    "suspicion": holder.suspicion,
                     "crashed_runs": sorted(valid_evidence_by_run(holder)),
                 },
             )
@@ -938,7 +945,16 @@
             causes = frozenset({holder.key})
             crash = WorkerCrash(worker_id, now, now, now, causes, causes)
             self._crash_history.add(crash)
-            add_evidence(holder, run, crash, confirmed=False, suspect=True)
+            add_evidence(
+                holder,
+                run,
+                crash,
+                self.workers_by_id[worker_id].facts,
+                certain=True,
+                start_confirmed=False,
+                suspect=True,
+                alone=False,
+            )
             step_suspicion(task, "suspect")
             _logger.warning(
                 "worker crashed before the takeover",
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -6,7 +6,7 @@
 
 from .._checked_json import Fields, Row, parse_json
 from ..exceptions import BadRequestError
-from .crash_evidence import valid_evidence_by_run
+from .crash_evidence import NO_EVIDENCE, valid_evidence_by_run
 from .crashes import step_suspicion
 from .model import (
     QueuePolicy,
@@ -16,7 +16,7 @@
     Workflow,
     WorkflowState,
 )
-from .state import CrashEvidence, Task, WorkflowProgress
+from .state import CrashEvidence, SilentProcess, WorkflowProgress
 
 # Format version of workflow documents. It is raised when documents written by
 # older nodes can no longer be read.
@@ -54,15 +54,40 @@
         run: Number of the run.
         confirmed: Whether the start was confirmed and the crash is certain.
         suspect: Whether the run may be the cause.
-        beside_suspects: Whether workers of other suspects crashed at that
-            moment; False in records of earlier releases.
+        certain: Whether a worker has crashed. Earlier releases recorded
+            workers that only fell silent in the same way, so that crashes
+            under starts without a reply are not certain in their records.
+        alone: Whether no other run on a worker may be the cause; False in
+            records of earlier releases.
+        addresses: Addresses of the workers, none in records of earlier
+            releases.
     """
 
     key: TaskKey
     run: int
     confirmed: bool
     suspect: bool
-    beside_suspects: bool = False
+    certain: bool
+    alone: bool = False
+    addresses: frozenset[str] = frozenset()
+
+
+class RecordedSilence(NamedTuple):
+    """A worker that fell silent under a run and may have crashed.
+
+    Attributes:
+        key: Key of the task; of a gang, of the first task.
+        run: Number of the run.
+        process: The process that fell silent.
+        suspect: Whether the run may be the cause.
+        alone: Whether no other run on the worker may be the cause.
+    """
+
+    key: TaskKey
+    run: int
+    process: SilentProcess
+    suspect: bool
+    alone: bool
 
 
 class RecordedLateStart(NamedTuple):
@@ -104,6 +129,8 @@
             run, none in records of earlier releases.
         policy: Policy in force, None in records of earlier releases.
         policy_version: Version of the configuration that has it.
+        silent_workers: Workers that fell silent and may have crashed, none in
+            records of earlier releases.
     """
 
     term: int
@@ -119,6 +146,7 @@
     late_starts: tuple[RecordedLateStart, ...] = ()
     policy: QueuePolicy | None = None
     policy_version: int = 0
+    silent_workers: tuple[RecordedSilence, ...] = ()
 
 
 def encode_workflow(workflow: Workflow) -> bytes:
@@ -185,7 +213,7 @@
             term, None if unknown.
     """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
-    crashes, crashed_runs, suspected, late_starts = [], [], [], []
+    crashes, crashed_runs, silent_workers, suspected, late_starts = [], [], [], [], []
     for task in progress.tasks():
         key = list(task.key[1:])
         if task.state == "done":
@@ -196,8 +224,14 @@
         if confirmed:
             crashes.append([*key, confirmed])  # read by earlier releases
         crashed_runs += [
-            [*key, run, e.confirmed, e.suspect, e.beside_suspects]
-            for run, e in evidence_by_run.items()
+            _crashed_run_row(key, run, evidence)
+            for run, evidence in evidence_by_run.items()
+            if evidence.certain
+        ]
+        silent_workers += [
+            [*key, run, *process, evidence.suspect, evidence.alone]
+            for run, evidence in evidence_by_run.items()
+            for process in sorted(evidence.silent)
         ]
         if task.suspicion in ("suspected", "accused"):
             suspected.append(key)
@@ -232,6 +266,7 @@
         "failures": failures,
         "crashes": crashes,
         "crashed_runs": crashed_runs,
+        "silent_workers": silent_workers,
         "suspected": suspected,
         "runs": runs,
         "placed": placed,
@@ -267,7 +302,13 @@
             tuple((key(row), row.integer(3)) for row in document.rows("crashes")),
             tuple(
                 CrashedRun(
-                    key(row), row.integer(3), row.flag(4), row.flag(5), row.flag(6)
+                    key(row),
+                    row.integer(3),
+                    confirmed=row.flag(4),
+                    suspect=row.flag(5),
+                    certain=row.flag(4) or row.flag(7),
+                    alone=row.flag(8),
+                    addresses=frozenset(row.texts(9)),
                 )
                 for row in document.rows("crashed_runs")
             ),
@@ -292,6 +333,18 @@
             ),
             _policy(document.row("policy")) if document.has("policy") else None,
             document.integer("policy_version", 0),
+            tuple(
+                RecordedSilence(
+                    key(row),
+                    row.integer(3),
+                    SilentProcess(
+                        row.text(4), row.text(5, ""), row.integer(6), row.flag(7)
+                    ),
+                    suspect=row.flag(8),
+                    alone=row.flag(9),
+                )
+                for row in document.rows("silent_workers")
+            ),
         )
     except ValueError as error:
         raise BadRequestError(f"invalid progress document: {error}") from error
@@ -382,30 +435,51 @@
     of its workers, which may all have crashed under one run. Runs before the
     newest one stand for them.
     """
-    for key, run, confirmed, suspect, beside_suspects in record.crashed_runs:
-        task = progress.find(key)
+    for crash in record.crashed_runs:
+        task = progress.find(crash.key)
         if task is not None:
-            _restore_crash(task, run, confirmed, suspect, beside_suspects)
+            task.crash_evidence_by_run[crash.run] = NO_EVIDENCE._replace(
+                addresses=crash.addresses,
+                certain=crash.certain,
+                confirmed=crash.confirmed,
+                suspect=crash.suspect,
+                alone=crash.alone,
+            )
     for key, crashes in record.crashes:
         task = progress.find(key)
         if task is not None and not task.crash_evidence_by_run:
             for number in range(1 if task.stage.spec.gang else crashes):
-                _restore_crash(task, task.run - 1 - number, True, True, False)
+                task.crash_evidence_by_run[task.run - 1 - number] = (
+                    NO_EVIDENCE._replace(certain=True, confirmed=True, suspect=True)
+                )
+    for silence in record.silent_workers:
+        task = progress.find(silence.key)
+        if task is not None:
+            evidence = task.crash_evidence_by_run.get(silence.run, NO_EVIDENCE)
+            task.crash_evidence_by_run[silence.run] = evidence._replace(
+                worker_ids=evidence.worker_ids | {silence.process.worker_id},
+                suspect=evidence.suspect or silence.suspect,
+                alone=evidence.alone or silence.alone,
+                silent=evidence.silent | {silence.process},
+            )
 
 
-def _restore_crash(
-    task: Task, run: int, confirmed: bool, suspect: bool, beside_suspects: bool
-) -> None:
-    task.crash_evidence_by_run[run] = CrashEvidence(
-        math.inf,
-        -math.inf,
-        -math.inf,
-        frozenset(),
-        confirmed,
-        suspect,
+def _crashed_run_row(key: list[int], run: int, evidence: CrashEvidence) -> list:
+    """Return the row of a run under which workers crashed.
+
+    The flag after ``suspect`` is read by earlier releases only, which ask for
+    more evidence if it is set.
+    """
+    return [
+        *key,
+        run,
+        evidence.confirmed,
+        evidence.suspect,
         False,
-        beside_suspects,
-    )
+        evidence.certain,
+        evidence.alone,
+        sorted(evidence.addresses),
+    ]
 
 
 def _step(row: Row, index: int) -> StepSpec:
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -419,6 +419,7 @@
                     {
                         "run": run,
                         "workers": sorted(evidence.worker_ids),
+                        "certain": evidence.certain,
                         "confirmed": evidence.confirmed,
                         "suspect": evidence.suspect,
                     }
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -49,6 +49,23 @@
 UNSENT_TRIAL_S = 2.0
 
 
+class SilentProcess(NamedTuple):
+    """A worker process whose lease lapsed, so that it may have crashed.
+
+    Attributes:
+        worker_id: The worker.
+        address: Its address.
+        started_ms: Start time of the process in Unix milliseconds, 0 if
+            unknown.
+        start_confirmed: Whether it had confirmed the start of the run.
+    """
+
+    worker_id: str
+    address: str
+    started_ms: int
+    start_confirmed: bool
+
+
 class CrashEvidence(NamedTuple):
     """A run of a task or gang under which workers crashed.
 
@@ -60,24 +77,28 @@
             seconds.
         seen_at: Time at which the newest of the crashes was detected, in
             node-clock seconds.
-        worker_ids: The workers.
-        confirmed: Whether the end of a worker is certain that had confirmed
-            the start.
+        worker_ids: The workers, with those that fell silent.
+        addresses: Addresses of the workers whose processes have ended.
+        certain: Whether the process of a worker has ended.
+        confirmed: Whether such a worker had confirmed the start.
         suspect: Whether the run may be the cause; False also once a later run
             has proved harmless.
+        alone: Whether no other run on a worker may be the cause.
         refuted: Whether the crashes have a cause outside the task.
-        beside_suspects: Whether workers of other suspects crashed at that
-            moment, so that their tasks may explain it.
+        silent: Processes that fell silent and may have ended.
     """
 
     first_heard_at: float
     ended_by: float
     seen_at: float
     worker_ids: frozenset[str]
+    addresses: frozenset[str]
+    certain: bool
     confirmed: bool
     suspect: bool
+    alone: bool
     refuted: bool
-    beside_suspects: bool = False
+    silent: frozenset[SilentProcess] = frozenset()
 
 
 class UnwantedRun(NamedTuple):
