Give no task up for crashes of runs that had gone on

Cause: crashes.py took four runs with crashes of any kind for a proof. A run that had gone on was counted, and so was a later crash of a run that was kept apart for the former ones.

Change: only a crash before the run has proved harmless is evidence of guilt. After three others the next run is kept apart from others, as before, but for 30 s instead of its whole life, so that a lasting task does not keep a worker for itself.

Ruled out: evidence that expires.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -53,8 +53,10 @@
 # A task that crashes its worker does so within this time after its start.
 PROOF_RUN_S = 0.5
 # Number of runs with crashes after which a task is suspected although each of
-# them had gone on for longer. It then stays apart until its run has ended.
+# them had gone on for longer. It stays apart until it has run for
+# ``APART_RUN_S``.
 MAX_UNEXPLAINED_CRASHES = 3
+APART_RUN_S = 30.0
 # A worker that crashes twice within this time may do so by its own fault.
 CRASH_PRONE_S = 20.0
 # Number of runs with crashes just after their starts that make a task guilty.
@@ -86,10 +88,14 @@
 
 def has_proved_harmless(task: Task) -> bool:
     """Return whether the worker has reported the run long after its start."""
-    return (
-        task.state in ("running", "stopping")
-        and task.reported_at - task.started_at >= PROOF_RUN_S
-    )
+    return _reported_s(task) >= PROOF_RUN_S
+
+
+def _reported_s(task: Task) -> float:
+    """Return for how many seconds the worker has reported the run."""
+    if task.state not in ("running", "stopping"):
+        return 0.0
+    return task.reported_at - task.started_at
 
 
 def _has_just_started(task: Task) -> bool:
@@ -195,7 +201,7 @@
             worker.facts,
             certain,
             start_confirmed=task.run_confirmed and is_start_known,
-            suspect=is_cause,
+            suspect=is_cause and not _has_outlasted_start(task),
             alone=is_cause and len(suspects) == 1,
         )
         if not is_cause:
@@ -258,18 +264,22 @@
     return sum(evidence.confirmed for evidence in valid.values())
 
 
+def _has_outlasted_start(task: Task) -> bool:
+    """Return whether a run, or that of a whole gang, has proved harmless."""
+    members = task.stage.tasks if task.stage.spec.gang else [task]
+    return all(has_proved_harmless(member) for member in members)
+
+
 def _is_proved(holder: Task) -> bool:
-    """Return whether crashes prove that the task or gang is guilty.
+    """Return whether crashes just after starts prove that the task is guilty.
 
-    Workers that only fell silent prove nothing.
+    Workers that only fell silent prove nothing. A run that had gone on is no
+    evidence, as any worker may crash at any time.
     """
     valid = valid_evidence_by_run(holder).values()
-    certain = [evidence for evidence in valid if evidence.certain]
-    suspect_runs = sum(evidence.suspect for evidence in certain)
-    return any(evidence.alone for evidence in certain) and (
-        suspect_runs >= CONCLUSIVE_CRASHED_RUNS
-        or len(certain) > MAX_UNEXPLAINED_CRASHES
-    )
+    crashes = [evidence for evidence in valid if evidence.certain and evidence.suspect]
+    has_been_alone = any(evidence.alone for evidence in crashes)
+    return has_been_alone and len(crashes) >= CONCLUSIVE_CRASHED_RUNS
 
 
 def _awaits_silent_workers(holder: Task, now: float) -> bool:
@@ -302,9 +312,10 @@
     if not is_suspected(task):
         return False
     members = task.stage.tasks if task.stage.spec.gang else [task]
-    has_gone_on = all(has_proved_harmless(member) for member in members)
+    has_gone_on = _has_outlasted_start(task)
     is_unexplained = _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES
-    if not has_ended and (is_unexplained or not has_gone_on):
+    needed_s = APART_RUN_S if is_unexplained else PROOF_RUN_S
+    if not has_ended and not all(_reported_s(member) >= needed_s for member in members):
         return False
     drop_silent_evidence(suspicion_holder(task))
     if has_gone_on:
@@ -375,7 +386,7 @@
     """Return the workers on which a suspected task can be observed.
 
     A worker with a run that may itself be the cause of a crash is left out.
-    A crash is conclusive on a worker that has not crashed recently, so such
+    A crash says more on a worker that has not crashed recently, so such
     workers are waited for. Those near the input data come first, then those
     that are not on trial, and idle ones, as the least work is lost there.
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -312,6 +312,61 @@
         self.assertEqual(fleet.states(), {WorkflowState.DONE: 12})
 
 
+class ChanceTests(unittest.TestCase):
+    """Workers crash by themselves under a sound task."""
+
+    def crash_after_starts(self, fleet, count, delay_s=0.1):
+        """Crash the worker of the job "sound" after each of its starts."""
+        for _ in range(count):
+            fleet.run_until_started("sound")
+            fleet.run_until(fleet.now + delay_s)
+            fleet.crash_together("sound", 0)
+            fleet.run_until(fleet.now + STEP_S)
+
+    def test_two_crashes_are_no_proof(self):
+        """Guards against giving up work that two crashes meet by chance."""
+        fleet = CrashingFleet()
+        fleet.accept("sound", fx.step(1))
+        self.crash_after_starts(fleet, 2)
+        fleet.run_until(fleet.now + 30.0)
+        self.assertEqual(fleet.state("sound"), WorkflowState.DONE)
+
+    def test_crashes_of_runs_that_had_gone_on_are_no_proof(self):
+        """Guards against giving up work that outlives the starts of its runs.
+
+        A gang that works for days meets many crashes.
+        """
+        steps = (
+            fx.step(1),
+            fx.step(2, gang=True),
+            fx.step(1, service=True),
+        )
+        for step in steps:
+            with self.subTest(gang=step.gang, service=step.service):
+                fleet = CrashingFleet()
+                fleet.accept("sound", step)
+                self.crash_after_starts(fleet, 8, delay_s=1.2)
+                self.assertEqual(fleet.state("sound"), WorkflowState.RUNNING)
+                fleet.run_until(fleet.now + 30.0)
+                self.assertNotEqual(fleet.state("sound"), WorkflowState.FAILED)
+
+    def test_lasting_task_is_kept_apart_for_some_time_only(self):
+        """Guards against a worker that one lasting task has for itself."""
+        engine = fx.engine(fx.worker("w1"))
+        progress = engine.accept(fx.workflow("job", fx.step(1, service=True)), 0.0)
+        (task,) = progress.tasks()
+        for now in (0.0, 60.0, 120.0, 180.0):
+            (start,) = fx.starts(engine.plan(now, now))
+            fx.confirm(engine, [start], now)
+            engine.report("w1", [fx.running(start)], now + 5.0)
+            if now < 180.0:
+                engine.worker_restarted("w1", now + 6.0)
+                engine.interrupt_worker("w1", now + 6.0, "crashed")
+        self.assertEqual(task.suspicion, "suspected")
+        engine.report("w1", [fx.running(start)], 211.0)
+        self.assertEqual(task.suspicion, "clear")
+
+
 class AttributionTests(unittest.TestCase):
     """Which runs of a worker that has crashed are suspected."""
 
