Count a worker that crashes again and again once in a verdict

Cause: three runs that ended with their worker just after their starts were a proof, also if it was the same worker each time, whose own fault explains them as well.

Change: two workers at least must have crashed independently of each other. A crash of a worker at the same address within 20 s of the one before, or after an unknown time, is not independent. Five such runs are enough on any worker, as no task may crash more.

Ruled out: keeping suspects away from workers that have crashed, as there may be no other with room.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -11,6 +11,7 @@
 (``crash_evidence``), so the verdict waits until they would have been seen.
 """
 
+import math
 from collections.abc import Container, Iterable, Iterator, Mapping
 
 from ..statecharts import load_chart
@@ -29,6 +30,7 @@
 from .model import TaskKey
 from .room import max_tasks_on_worker, may_find_room
 from .state import (
+    CrashEvidence,
     Stage,
     Task,
     Worker,
@@ -59,9 +61,12 @@
 APART_RUN_S = 30.0
 # A worker that crashes twice within this time may do so by its own fault.
 CRASH_PRONE_S = 20.0
-# Number of runs with crashes just after their starts that make a task guilty.
+# Number of runs with crashes just after their starts that make a task guilty,
+# and of the workers that crashed independently of each other.
 CONCLUSIVE_CRASHED_RUNS = 3
-# No task may crash more workers.
+MIN_CRASHED_WORKERS = 2
+# Number of such runs that is enough on one worker alone. No task may crash
+# more workers.
 MAX_CRASHED_RUNS = 5
 # Time for which the next start waits once that many workers have crashed or
 # fallen silent under a task, so that it can be told which of them crashed.
@@ -273,13 +278,46 @@
 def _is_proved(holder: Task) -> bool:
     """Return whether crashes just after starts prove that the task is guilty.
 
-    Workers that only fell silent prove nothing. A run that had gone on is no
-    evidence, as any worker may crash at any time.
+    Workers that only fell silent prove nothing, nor does one that crashes
+    again and again. A run that had gone on is no evidence, as any worker may
+    crash at any time.
     """
-    valid = valid_evidence_by_run(holder).values()
-    crashes = [evidence for evidence in valid if evidence.certain and evidence.suspect]
-    has_been_alone = any(evidence.alone for evidence in crashes)
-    return has_been_alone and len(crashes) >= CONCLUSIVE_CRASHED_RUNS
+    valid = valid_evidence_by_run(holder)
+    crashes = [e for _, e in sorted(valid.items()) if e.certain and e.suspect]
+    if not any(evidence.alone for evidence in crashes):
+        return False
+    return len(crashes) >= MAX_CRASHED_RUNS or (
+        len(crashes) >= CONCLUSIVE_CRASHED_RUNS
+        and _independent_crashes(crashes) >= MIN_CRASHED_WORKERS
+    )
+
+
+def _independent_crashes(crashes: list[CrashEvidence]) -> int:
+    """Return the number of crashes without repeated ones of a worker.
+
+    Args:
+        crashes: The crashes in the order of their runs. A worker that crashes
+            again within ``CRASH_PRONE_S``, or after an unknown time, may do so
+            by its own fault.
+    """
+    count = 0
+    seen_at_by_address: dict[str, float] = {}
+    for crash in crashes:
+        repeated = {
+            address
+            for address in crash.addresses
+            if address in seen_at_by_address
+            and not _are_apart(seen_at_by_address[address], crash.seen_at)
+        }
+        # Records of earlier releases name no workers.
+        count += not crash.addresses or repeated != crash.addresses
+        seen_at_by_address.update(dict.fromkeys(crash.addresses, crash.seen_at))
+    return count
+
+
+def _are_apart(earlier: float, later: float) -> bool:
+    """Return whether two crashes of a worker are separate ones."""
+    return math.isfinite(earlier) and later - earlier >= CRASH_PRONE_S
 
 
 def _awaits_silent_workers(holder: Task, now: float) -> bool:
@@ -387,8 +425,9 @@
 
     A worker with a run that may itself be the cause of a crash is left out.
     A crash says more on a worker that has not crashed recently, so such
-    workers are waited for. Those near the input data come first, then those
-    that are not on trial, and idle ones, as the least work is lost there.
+    workers are waited for. Those that have not crashed under the step come
+    first, then those near the input data, those that are not on trial, and
+    idle ones, as the least work is lost there.
 
     Args:
         workers: Workers that may run the step.
@@ -414,9 +453,16 @@
     demand = resources_used(stage.spec)
     rack = stage.spec.data_rack
     fitting = [worker for worker in quiet if worker.free.covers(demand)]
+    crashed_addresses = {
+        address
+        for holder in stage.tasks
+        for evidence in holder.crash_evidence_by_run.values()
+        for address in evidence.addresses
+    }
     best = min(
         fitting,
         key=lambda worker: (
+            worker.facts.address in crashed_addresses,
             is_crash_prone(worker, now),
             bool(rack) and worker.facts.rack != rack,
             worker.start_trials.on_trial,
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -323,6 +323,36 @@
             fleet.crash_together("sound", 0)
             fleet.run_until(fleet.now + STEP_S)
 
+    def test_worker_that_goes_down_and_up_is_no_proof(self):
+        """Guards against giving up work for one worker that is flapping."""
+        for crashes, gang in itertools.product((3, 4), (False, True)):
+            with self.subTest(crashes=crashes, gang=gang):
+                fleet = CrashingFleet(1)
+                fleet.accept("sound", fx.step(2, gang=gang))
+                self.crash_after_starts(fleet, crashes)
+                fleet.run_until(fleet.now + 30.0)
+                self.assertEqual(fleet.state("sound"), WorkflowState.DONE)
+
+    def test_task_that_crashes_the_only_worker_is_given_up(self):
+        """Guards against a task that crashes one worker without a limit."""
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                fleet = CrashingFleet(1)
+                fleet.accept("deadly", fx.step(2, gang=gang), deadly=[0])
+                fleet.run_until(60.0)
+                self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
+                self.assertEqual(max(fleet.crashes_by_key.values()), MAX_CRASHES)
+
+    def test_suspect_runs_on_another_worker(self):
+        """Guards against a suspect that returns to a worker that may flap."""
+        fleet = CrashingFleet(3)
+        fleet.accept("deadly", fx.step(1), deadly=[0])
+        fleet.run_until(40.0)
+        self.assertEqual(list(fleet.crashes_by_key.values()), [3])
+        (task,) = fleet.engine.workflows_by_id["deadly"].tasks()
+        workers = [e.worker_ids for e in task.crash_evidence_by_run.values()]
+        self.assertEqual(len(set(workers)), 3)
+
     def test_two_crashes_are_no_proof(self):
         """Guards against giving up work that two crashes meet by chance."""
         fleet = CrashingFleet()
