--- a/tests/test_harmless_runs.py
+++ b/tests/test_harmless_runs.py
@@ -74,7 +74,7 @@
         self.assertEqual(self.task.suspicion, "suspected")
 
     def test_task_is_kept_apart_after_three_later_crashes(self):
-        """Guards against late crashes that are not counted, or taken as proof."""
+        """Guards against late crashes that are not counted, or are proofs."""
         for crashes, now in enumerate((0.0, 25.0, 50.0, 75.0, 100.0, 125.0), 1):
             start = self.start(now)
             self.engine.report("w1", [fx.running(start)], now + 1.0)
