--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -821,6 +821,28 @@
                 engine.plan(20.0, 20.0)
                 self.assertEqual(progress.state, expected or WorkflowState.RUNNING)
 
+    def test_crashes_beside_other_suspects_are_no_proof(self):
+        """Guards against blame for a task that was never the only suspect."""
+        engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
+        progress = engine.accept(fx.workflow("job"), 0)
+        document = (
+            b'{"term":1,"state":"running","done":[],"failures":[],"crashes":[],'
+            b'"crashed_runs":[[0,0,0,1,true,true,false,true,false,["a"]],'
+            b'[0,0,0,2,true,true,false,true,false,["b"]],'
+            b'[0,0,0,3,true,true,false,true,false,["c"]]],'
+            b'"suspected":[[0,0,0]],"runs":[[0,0,0,3]],"placed":[],'
+            b'"checkpoints":[]}'
+        )
+        records.restore_progress(progress, records.decode_progress("job", document))
+        engine.report("w2", [], 0.4)
+        engine.worker_restarted("w2", 0.5)
+        (start,) = fx.starts(engine.plan(1.0, 1.0))
+        fx.confirm(engine, [start], 1.0)
+        engine.worker_restarted(start.worker_id, 1.1)
+        engine.interrupt_worker(start.worker_id, 1.1, "crashed")
+        engine.plan(20.0, 20.0)
+        self.assertEqual(progress.state, WorkflowState.FAILED)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_lapsed_leases.py
+++ b/tests/test_lapsed_leases.py
@@ -96,6 +96,22 @@
         (task,) = progress.tasks()
         self.assertEqual(len(task.crash_evidence_by_run), 1)
 
+    def test_harmless_run_withdraws_the_evidence(self):
+        """Guards against lapses that count although the task has gone on."""
+        engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
+        progress = engine.accept(fx.workflow("job"), 0.0)
+        (start,) = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, [start], 0.0)
+        engine.worker_lost(start.worker_id, 6.0)
+        engine.interrupt_worker(start.worker_id, 6.0, "lease_lapsed")
+        (start,) = fx.starts(engine.plan(8.5, 8.5))
+        fx.confirm(engine, [start], 8.5)
+        (task,) = progress.tasks()
+        self.assertEqual(len(task.crash_evidence_by_run), 1)
+        engine.report(start.worker_id, [fx.running(start)], 9.5)
+        self.assertEqual(task.suspicion, "clear")
+        self.assertEqual(task.crash_evidence_by_run, {})
+
     def test_lapse_withdrawn_by_a_later_coordinator(self):
         """Guards against evidence that a successor can't take back."""
         fleet = CutFleet()
