Keep a new term when its record was seen vacant meanwhile

What callers saw: nothing yet; found by reading. A node that was elected while the store was slow could end its term at once: it then neither renewed nor withdrew its own record, and nobody coordinated until that had lapsed (LEASE_TTL_S, 1.5 s).

Cause: while a node waits for the write of its record, the watch is answered without changes and schedules another campaign. The watch normally reports the node's own record before that campaign, which cancels it. If the watch is not answered then, the campaign fires in the new term.

Change: the beginning of a term cancels the campaign.

tests/test_repeated_vacancies.py fails before the change (the node does not lead a second later).

--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -467,6 +467,8 @@
         return current_term.mod_revision
 
     def _begin_term(self, message: BeginTerm) -> None:
+        # The vacancy may have been observed once more during the election.
+        self.tell(TIMERS, Unsubscribe(self.name, "campaign"))
         self._holder = Holder(*self._identity, message.term, message.term_revision)
         self._announce(self._identity.node_id, self._identity.address, message.term)
         self.tell(COORDINATOR, message)
