Let a node that has resigned campaign again

Cause: _resign added 2 s to the delay of all later campaigns of the process. A vacant record is observed after each watch without a change, each second, and each time the timer "campaign" was subscribed anew with that delay, so it never fired.

Change: a campaign that is scheduled stays scheduled; a vacancy that is seen again only brings it forward. The extra delay applies until another node has been elected since the resignation, or this one again, and counts from the vacancy.

Ruled out: a point in time counted from the resignation. A node that the store rejects cannot withdraw its record, which goes 1.5 s later, so the others would have had little or no lead.

--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -60,8 +60,8 @@
 WEAK_LINK_DELAY_S = 0.2
 # Number of terms of which the time is known at which they were first seen.
 MAX_TERMS_SEEN = 64
-# Extra delay of a node that has resigned. It exceeds the duration of the
-# election of another node.
+# Extra delay of a node that has resigned, from the time at which it sees a
+# vacant record. It exceeds the duration of the election of another node.
 RESIGNED_DELAY_S = 2.0
 
 _EVENTS = frozenset({"vacant", "acquired", "failed", "deposed", "resign", "drain"})
@@ -187,6 +187,11 @@
         self._subscribers = subscribers
         self._random = random.Random(identity.incarnation)
         self._extra_delay_s = resources.extra_campaign_delay_s()
+        # Whether this node has resigned and no other node has been elected
+        # since.
+        self._resigned = False
+        # Node-clock time of the next campaign, None if none is scheduled.
+        self._campaign_at: float | None = None
         self._holder: Holder | None = None
         # Revision of a record whose holder process no longer exists, 0 if
         # none. Such a record may be replaced before its lease expires.
@@ -234,8 +239,10 @@
             run(self._follow(), self.name)
         elif fired.timer == "renew" and self.leading:
             run(self._renew(), self.name)
-        elif fired.timer == "campaign" and not self._stopping:
-            self._chart.step("vacant", "vacant")
+        elif fired.timer == "campaign" and self._campaign_at is not None:
+            self._campaign_at = None
+            if not self._stopping:
+                self._chart.step("vacant", "vacant")
 
     async def _follow(self) -> None:
         """Read the record, then watch it until a call fails.
@@ -296,8 +303,9 @@
             if not self._stopping:
                 # The former holder campaigns without a delay, so that it is
                 # usually elected again.
-                delay_s = 0.0 if self.leading else self._campaign_delay_s()
-                self.tell(TIMERS, Subscribe(self.name, "campaign", delay_s))
+                self._schedule_campaign(
+                    0.0 if self.leading else self._campaign_delay_s()
+                )
             return
         try:
             holder = _decode_holder(value, revision)
@@ -307,11 +315,11 @@
                 "coordinator's record cannot be decoded", extra={"error": str(error)}
             )
             self._abandoned_revision = revision
-            self.tell(
-                TIMERS, Subscribe(self.name, "campaign", self._campaign_delay_s())
-            )
+            self._schedule_campaign(self._campaign_delay_s())
             return
         self._holder = holder
+        if holder.node_id != self._identity.node_id:
+            self._resigned = False
         self._record_term(holder.term)
         self._announce(holder.node_id, holder.address, holder.term)
         is_own_record = holder.incarnation == self._identity.incarnation
@@ -322,7 +330,7 @@
             self._abandoned_revision = revision
             self._chart.step("vacant", "record of an earlier incarnation")
         else:
-            self.tell(TIMERS, Unsubscribe(self.name, "campaign"))
+            self._cancel_campaign()
 
     def _record_term(self, term: int) -> None:
         """Record when a term was first seen, which is after its beginning."""
@@ -347,13 +355,26 @@
             return
         if self._holder.address == message.address and not self.leading:
             self._abandoned_revision = self._holder.revision
-            delay_s = self._campaign_delay_s()
-            self.tell(TIMERS, Subscribe(self.name, "campaign", delay_s))
+            self._schedule_campaign(self._campaign_delay_s())
 
     def _campaign_delay_s(self) -> float:
-        return self._extra_delay_s + self._random.uniform(
-            MIN_CAMPAIGN_DELAY_S, CAMPAIGN_JITTER_S
-        )
+        jitter_s = self._random.uniform(MIN_CAMPAIGN_DELAY_S, CAMPAIGN_JITTER_S)
+        return self._extra_delay_s + RESIGNED_DELAY_S * self._resigned + jitter_s
+
+    def _schedule_campaign(self, delay_s: float) -> None:
+        """Schedule a campaign, unless one is due sooner.
+
+        A vacancy may be observed again and again, more often than the delay.
+        """
+        at = self.system.clock.seconds() + delay_s
+        if self._campaign_at is None or at < self._campaign_at:
+            self.tell(TIMERS, Subscribe(self.name, "campaign", delay_s))
+            self._campaign_at = at
+
+    def _cancel_campaign(self) -> None:
+        """Cancel the campaign, also if its timer has just fired."""
+        self._campaign_at = None
+        self.tell(TIMERS, Unsubscribe(self.name, "campaign"))
 
     def _handle_fenced(self, message: Fenced) -> None:
         _logger.warning(
@@ -367,7 +388,7 @@
         _logger.warning(
             "coordinator resigns from its term", extra={"reason": message.reason}
         )
-        self._extra_delay_s += RESIGNED_DELAY_S
+        self._resigned = self._resigned or self.leading
         self._chart.step("resign", message.reason)
 
     async def _acquire(self) -> None:
@@ -401,7 +422,7 @@
             event, "the record was held, the write lost a race or a store call failed"
         )
         if not self._stopping and self._holder is None:
-            self.tell(TIMERS, Subscribe(self.name, "campaign", RETRY_DELAY_S))
+            self._schedule_campaign(RETRY_DELAY_S)
 
     async def _write_record(
         self,
@@ -468,7 +489,8 @@
 
     def _begin_term(self, message: BeginTerm) -> None:
         # The vacancy may have been observed once more during the election.
-        self.tell(TIMERS, Unsubscribe(self.name, "campaign"))
+        self._cancel_campaign()
+        self._resigned = False
         self._holder = Holder(*self._identity, message.term, message.term_revision)
         self._announce(self._identity.node_id, self._identity.address, message.term)
         self.tell(COORDINATOR, message)
