Take a fence only from a worker that has reported

Cause: each 409 fence was taken for the sign of a later coordinator, also the answer to the first poll at an address that nothing but an entry vouches for. Each coordinator ended its term for it.

Change: only a process that has reported to the session is believed: it had accepted the token before, so that one higher was sent since. Another one that answers fence counts as silent and gets no tasks. A coordinator that has a successor before its first polls learns of that from the record and from its writes, which are conditional on the term; the workers reject its calls anyway, and its authority has ended.

Ruled out: to look at the service of the entry alone. The entry of a foreign worker may name a service of ours.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -147,6 +147,8 @@
         self._restarted = False
         self._has_runs = False
         self._has_reported = False
+        # Whether a call was rejected as fenced before the first report.
+        self._fenced_unreported = False
         self._closed = False
         self._starts_in_flight: set[tuple] = set()
         # Starts in flight that the worker may have received, with a time at
@@ -418,7 +420,7 @@
             # A later session of this coordinator may have a higher fence.
             return
         if reply.reason == "fenced":
-            self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
+            self._report_fenced()
         elif reply.reason == "other_life":
             # The worker has restarted, so no lease of the incarnation that
             # this session was opened for is valid any more.
@@ -435,6 +437,26 @@
             self._restarted = True
         self._record_no_answer()
 
+    def _report_fenced(self) -> None:
+        """Tell LEADERSHIP that a later coordinator commands the worker.
+
+        A process that has not reported may belong to another system, whose
+        fencing tokens say nothing about the terms of this one. The worker
+        counts as silent then; the store knows of a later term, too.
+        """
+        if self._has_reported:
+            self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
+        elif not self._fenced_unreported:
+            self._fenced_unreported = True
+            _logger.warning(
+                "a worker that has not reported has seen a higher fencing token",
+                extra={
+                    "worker": self._facts.worker_id,
+                    "address": self._facts.address,
+                    "fence": self._fence,
+                },
+            )
+
     def _record_reply(self, reply: CommandReply) -> None:
         """Record the reply to a start or throttle command.
 
@@ -549,7 +571,7 @@
         if self._closed:
             return
         if reply.reason == "fenced":
-            self.tell(LEADERSHIP, Fenced(self._facts.worker_id))
+            self._report_fenced()
         if unanswered_at is not None:
             _logger.info(
                 "an attempt of a settled start got no reply",
--- a/tests/worker_table_case.py
+++ b/tests/worker_table_case.py
@@ -29,6 +29,7 @@
     Attributes:
         channels_type: Class of the channel factory; it gets the clock.
         term: Term of the engine.
+        leadership: Records what the sessions tell LEADERSHIP.
     """
 
     channels_type = None
@@ -46,7 +47,7 @@
         self._coordinator = Recording(
             self.system, COORDINATOR, dict.fromkeys(self._apply_by_type, None)
         )
-        Recording(self.system, LEADERSHIP, {Fenced: None})
+        self.leadership = Recording(self.system, LEADERSHIP, {Fenced: None})
         self.channels = self.channels_type(self.clock)
         self.engine = Engine()
         self.engine.term = self.term
