Use no worker of a service that is not known

Cause: WorkerTable.set_entry applied each entry that can be decoded. The other `born` was taken for a restart, so the session with the live process was replaced by one with the address of the entry, and the 421 there for the end of the process.

Change: the table knows the pools of the configuration. The entry of another pool is kept apart: no session is opened, and the worker that is known under its id stays as it is, as with an entry that cannot be decoded. It is applied once a configuration names the pool or an accepted job runs in it, since jobs outlive their service and may be known before the configuration. An entry that is replaced or removed meanwhile is forgotten. If a pool goes while its workers have runs, these go on and are polled, also by the next coordinator, which knows the process by its recorded start time; idle workers are removed.

Before the first configuration each pool counts as known, as before. Ruled out for now: to hold all entries until then.

--- a/src/redwingrudder/coordination/term.py
+++ b/src/redwingrudder/coordination/term.py
@@ -45,6 +45,8 @@
             {queue.name: queue.advice_times for queue in configuration.queues},
         )
         self.engine.configure(policies, configuration.guaranteed_by_organisation)
+        queue_pools = {queue.policy.pool for queue in configuration.queues}
+        self.workers.configure(configuration.pools | queue_pools)
         if self.pool_moves is not None:
             self.pool_moves.set_roles(pool_roles(configuration))
 
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -91,6 +91,11 @@
         self._unlisted_since_by_worker: dict[str, float] = {}
         # Registry entries that were applied last.
         self._entries_by_worker: dict[str, str] = {}
+        # Pools that the operators' configuration names, None before the first
+        # one: then each pool counts as known.
+        self._configured_pools: frozenset[str] | None = None
+        # Current entries that are not used, with their values.
+        self._foreign_entries_by_worker: dict[str, tuple[WorkerFacts, str]] = {}
         # From this time on, no lease of an earlier term is valid on a worker
         # that has had no entry in this term.
         self._prior_leases_end_at = system.clock.seconds() + prior_lease_timeout_s(
@@ -133,9 +138,24 @@
         self._system.tell(session_name(worker_id), command)
         return True
 
+    def configure(self, pools: frozenset[str]) -> None:
+        """Follow a new configuration of the operators.
+
+        Args:
+            pools: The pools that it names.
+        """
+        self._configured_pools = pools
+        self._follow_pools()
+
     def set_entry(self, key: str, value: str | None) -> None:
-        """Apply a registry entry; a value of None means its removal."""
+        """Apply a registry entry; a value of None means its removal.
+
+        One that names an unknown pool may come from another system, like one
+        that cannot be decoded. It says nothing about a worker that is known
+        under its id. It is applied once its pool is known.
+        """
         worker_id = key.removeprefix(self._registry.prefix)
+        was_foreign = self._foreign_entries_by_worker.pop(worker_id, None) is not None
         if value is None:
             self._mark_unlisted(worker_id)
             return
@@ -144,6 +164,16 @@
             worker_id
         ):
             return
+        if not self._is_configured(facts) and not self._is_in_use(
+            facts, self._engine.pools_in_use()
+        ):
+            self._foreign_entries_by_worker[worker_id] = (facts, value)
+            if not was_foreign:
+                _logger.warning(
+                    "registry entry names an unknown pool and is not used",
+                    extra={"worker": worker_id, "pool": facts.pool},
+                )
+            return
         self._entries_by_worker.pop(worker_id, None)
         self._unlisted_since_by_worker.pop(worker_id, None)
         session = self._sessions_by_worker.get(worker_id)
@@ -166,17 +196,73 @@
         """
         for key, value in pairs_by_key.items():
             if self._is_applied(key, value):
-                continue
-            try:
-                self.set_entry(key, value)
-            except Exception:
-                _logger.exception(
-                    "registry entry could not be applied", extra={"key": key}
-                )
-        for worker_id in list(self._sessions_by_worker):
+                worker_id = key.removeprefix(self._registry.prefix)
+                self._foreign_entries_by_worker.pop(worker_id, None)
+            else:
+                self._try_set_entry(key, value)
+        for worker_id in {*self._sessions_by_worker, *self._foreign_entries_by_worker}:
             if self._registry.prefix + worker_id not in pairs_by_key:
                 self.set_entry(self._registry.prefix + worker_id, None)
 
+    def _try_set_entry(self, key: str, value: str) -> None:
+        """Apply an entry, and log an unexpected error."""
+        try:
+            self.set_entry(key, value)
+        except Exception:
+            _logger.exception("registry entry could not be applied", extra={"key": key})
+
+    def _is_configured(self, facts: WorkerFacts) -> bool:
+        """Return whether the configuration names the pool of a worker."""
+        pools = self._configured_pools
+        return pools is None or facts.pool in pools
+
+    def _is_in_use(self, facts: WorkerFacts, pools_in_use: frozenset[str]) -> bool:
+        """Return whether a worker is needed that the configuration excludes.
+
+        Accepted workflows go on in a pool that a later configuration does not
+        name, and so does a process with runs. Workflows may also be known
+        before the configuration that names their pool.
+        """
+        if facts.pool in pools_in_use:
+            return True
+        worker = self._engine.workers_by_id.get(facts.worker_id)
+        return (
+            worker is not None
+            and worker.may_have_runs
+            and 0 < facts.process_started_ms == worker.facts.process_started_ms
+            and worker.facts.address in ("", facts.address)
+        )
+
+    def _follow_pools(self) -> None:
+        """Let workers join whose pools are known now, and leave others.
+
+        A worker of a pool that is not known any more is removed when it has
+        no runs.
+        """
+        workers = map(self._engine.workers_by_id.get, self._sessions_by_worker)
+        excluded = [
+            worker.facts
+            for worker in workers
+            if worker and worker.listed and not self._is_configured(worker.facts)
+        ]
+        if not excluded and not self._foreign_entries_by_worker:
+            return
+        pools_in_use = self._engine.pools_in_use()
+        for facts in excluded:
+            if not self._is_in_use(facts, pools_in_use):
+                self._set_unlisted(facts.worker_id)
+                value = self._entries_by_worker.pop(facts.worker_id, None)
+                if value is not None:
+                    entry = (facts, value)
+                    self._foreign_entries_by_worker.setdefault(facts.worker_id, entry)
+                _logger.info(
+                    "pool of a worker is not in use any more",
+                    extra={"worker": facts.worker_id, "pool": facts.pool},
+                )
+        for worker_id, (facts, value) in list(self._foreign_entries_by_worker.items()):
+            if self._is_configured(facts) or self._is_in_use(facts, pools_in_use):
+                self._try_set_entry(self._registry.prefix + worker_id, value)
+
     def _is_applied(self, key: str, value: str) -> bool:
         """Return whether a listed worker has an entry already."""
         worker_id = key.removeprefix(self._registry.prefix)
@@ -413,6 +499,7 @@
 
     def sweep(self) -> None:
         """Remove workers without an entry once no run can exist on them."""
+        self._follow_pools()
         now = self._system.clock.seconds()
         for worker_id, unlisted_since in list(self._unlisted_since_by_worker.items()):
             worker = self._engine.workers_by_id.get(worker_id)
@@ -441,10 +528,7 @@
         """Mark a worker whose entry was removed and inform its session."""
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and worker.listed:
-            worker.listed = False
-            now = self._unlisted_since_by_worker[worker_id] = (
-                self._system.clock.seconds()
-            )
+            now = self._set_unlisted(worker_id)
             session = self._sessions_by_worker.get(worker_id)
             if session is not None:
                 # The remaining time counts from the writing of the entry,
@@ -458,6 +542,12 @@
                 "registry entry of a worker was removed", extra={"worker": worker_id}
             )
 
+    def _set_unlisted(self, worker_id: str) -> float:
+        """Let a worker get no new runs; returns the node-clock time."""
+        self._engine.workers_by_id[worker_id].listed = False
+        now = self._unlisted_since_by_worker[worker_id] = self._system.clock.seconds()
+        return now
+
     def _is_new_incarnation(self, facts: WorkerFacts) -> bool:
         """Return whether an entry belongs to a new or restarted worker.
 
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -143,6 +143,10 @@
                 extra={"queue": queue, "jobs": count, "version": policies.version},
             )
 
+    def pools_in_use(self) -> frozenset[str]:
+        """Return the pools in which accepted workflows run."""
+        return frozenset(p.policy.pool for p in self._active_workflows())
+
     def _apply_queue_policy(self, progress: WorkflowProgress) -> bool:
         pool = progress.policy.pool
         if not self._queue_policies.apply(progress):
