Let a failed recovery end no later term

What callers saw: nothing yet; found by reading. A node could resign from a sound term as soon as it had been elected, and then left the next election to others.

Cause: a recovery that fails after 4 s (RECOVERY_TIMEOUT_S) tells LEADERSHIP to resign. If its term ended while its last read of the store had no answer, and the node was elected again, this concerned the new term.

Change: a recovery whose term has been replaced ends without a word.

tests/test_replaced_terms.py fails before the change: Resign is sent while term 4 is in force, for a read of term 3.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -180,6 +180,8 @@
                 )
             except Exception:
                 _logger.exception("recovery failed unexpectedly")
+            if self._term is not term:
+                return
             if self.system.clock.seconds() > deadline:
                 self.tell(LEADERSHIP, Resign("recovery failed"))
                 return
