Extend no authority in an outage after a later election

What callers saw: nothing yet; found by reading. Two coordinators could extend the leases of workers during a whole outage of the store, each those that it reaches. The later one takes the leases of the earlier one for lapsed 2 s and the longest lease after its own election, so it could start a task a second time when the store is back.

Cause: while the store is down for most nodes no successor can be elected, so the authority of the coordinator is extended. That was done too if it had ended before the outage, when a successor may have been elected: a node that is cut off from the store for 1.5 s just before the store goes down for all.

Change: the authority is not extended if a peer names a higher term. The summaries that prove the outage have it.

Ruled out: to extend it only without a gap. By its time limits (a watch of 1 s and 0.4 s) a peer may notice an outage 1.4 s after it begins, which is about when the authority ends, so leases would lapse in ordinary outages. What remains is a successor of which no peer with a fresh summary has heard.

tests/test_replaced_terms.py fails before the change in the part with a higher term.

--- a/src/redwingrudder/coordination/coordinator.py
+++ b/src/redwingrudder/coordination/coordinator.py
@@ -296,12 +296,14 @@
 
         A successor may exist once the lease on the coordinator's record may
         have expired, unless most nodes do not reach the store: then none can
-        have been elected.
+        be elected. One may have been elected before that; the nodes that have
+        heard of it name its term.
         """
-        authority = self._term.authority
+        number, authority = self._term.number, self._term.authority
         if authority.remaining_s < AUTHORITY_MARGIN_S:
             view = await self.ask(PEERS, ListPeers())
-            authority.extend(view.store_down_until)
+            if all(peer.term <= number for peer in view.fresh):
+                authority.extend(view.store_down_until)
         now = self.system.clock.seconds()
         if authority.remaining_s < AUTHORITY_MARGIN_S and now >= self._ask_peers_at:
             self._ask_peers_at = now + ASK_PEERS_INTERVAL_S
--- a/tests/test_replaced_terms.py
+++ b/tests/test_replaced_terms.py
@@ -13,7 +13,7 @@
     FleetGateways,
     WorkerTimes,
 )
-from redwingrudder.coordination.messages import BeginTerm, Fenced, Resign
+from redwingrudder.coordination.messages import BeginTerm, Fenced, NodeSummary, Resign
 from redwingrudder.coordination.peers import (
     AskAllPeers,
     GetTimeOfDay,
@@ -72,6 +72,29 @@
         run_for(self.clock, 1.0, (self.store,))
         self.assertEqual(self.leadership.received, [])
 
+    def test_outage_after_an_election_gives_no_authority(self):
+        """Guards against leases that two coordinators extend in an outage.
+
+        The authority ends while the node is cut off from the store. A
+        successor is elected before the store goes down for all nodes, and its
+        node is among the peers that answer.
+        """
+        self.begin_term(TERM, 0.2)
+        run_for(self.clock, 1.0, (self.store,))
+        for term, may_act in ((TERM, True), (TERM + 1, False)):
+            with self.subTest(term=term):
+                now = self.clock.seconds()
+                peer = NodeSummary(
+                    "n2", "10.0.0.2:1", "life", 1, "n2", "10.0.0.2:1", term, False, 0.0
+                )
+                view = PeerView((peer,), 2, (now + 2.0,) * 2, now + 2.0)
+                self.peers._replies = {**self.peers._replies, ListPeers: view}
+                run_for(self.clock, 1.0, (self.store,))
+                authority = self.coordinator._term.authority
+                self.assertEqual(authority.valid, may_act)
+                run_for(self.clock, 4.0, (self.store,))
+                self.assertFalse(authority.valid)
+
 
 if __name__ == "__main__":
     unittest.main()
