Keep the time for which a step has waited while its start is held

Cause: a step whose data is in a full rack, or that waits behind reservations, may wait for 1.5 s and then starts anywhere. Each planning pass that planned a held start for it, or in which its tasks waited for a silent worker, dropped the time since which it had waited. So the start at the end of the wait was held until the worker of an earlier start without a reply had answered, and then the step waited 1.5 s once more. A change of the coordinator leaves many such starts.

Ruled out: the hold alone. Without a wait for better room, the start follows the answer in the next pass.

Change: the time in which starts of a step are held counts as a wait for better room, if the limit of such waits applies to it and there is room. The wait has ended only once something starts.

After a silence of 5 s the step starts within 0.2 s of the answer, and did not before.

--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -249,9 +249,11 @@
 
     def place(self, stage: Stage, stage_rank: int) -> None:
         deferred_since, stage.deferred_since = stage.deferred_since, None
-        waiting = startable_suspects(
-            stage, self._waiting_tasks(stage), self._workers_by_id
-        )
+        free = self._waiting_tasks(stage)
+        if not free:
+            self._note_wait(stage, deferred_since)
+            return
+        waiting = startable_suspects(stage, free, self._workers_by_id)
         if not waiting:
             return
         usable, not_slow = self._find_usable_workers(stage)
@@ -275,13 +277,31 @@
                 candidates = sound
         if not waiting:
             return
-        planned = len(self.starts) + len(self.held_starts)
+        planned, held = len(self.starts), len(self.held_starts)
         if candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
-        if len(self.starts) + len(self.held_starts) == planned:
+        if len(self.held_starts) > held:
+            self._note_wait(stage, deferred_since)
+        elif len(self.starts) == planned:
             since = self._now if deferred_since is None else deferred_since
             self._note_deferral(stage, waiting, candidates, usable, since)
 
+    def _note_wait(self, stage: Stage, since: float | None) -> None:
+        """Count the time in which starts of a step are held as a wait.
+
+        Args:
+            stage: The step.
+            since: Node-clock seconds since which it has waited, None if it
+                has not.
+        """
+        waiting = waiting_tasks(stage)
+        if not waiting or not self._deferral_limit.applies(stage):
+            return
+        if self.advice_waits and self.advice_waits[-1] is stage:
+            return
+        if self._has_visible_room(stage, len(waiting) if stage.spec.gang else 1):
+            stage.deferred_since = self._now if since is None else since
+
     def _place_suspects(
         self,
         stage: Stage,
@@ -557,9 +577,11 @@
         lent, may_cross = LentCapacity(), end is DeferralEnd.SLOWER
         options = choose_options(stage, tasks, permitted, lent, self._now, may_cross)
         if options:
+            planned = len(self.starts)
             self._add_starts(stage, tasks, options)
-            self.deferral_ends.append((stage, end))
-            stage.deferred_since = None
+            if len(self.starts) > planned:
+                self.deferral_ends.append((stage, end))
+                stage.deferred_since = None
         elif is_advised and self._has_turn(stage, bool(permitted)):
             options = choose_options(stage, tasks, workers, lent, self._now, may_cross)
             if options:
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -4,7 +4,13 @@
 
 from redwingrudder.workflows._deferral import MAX_DEFERRAL_S, PoolUsage
 from redwingrudder.workflows.engine import Engine
-from redwingrudder.workflows.model import NO_RESOURCES, EndKind, Resources, RunEnd
+from redwingrudder.workflows.model import (
+    NO_RESOURCES,
+    EndKind,
+    PollWorker,
+    Resources,
+    RunEnd,
+)
 
 from . import workflow_fixtures as fx
 from .test_lasting_neighbours import Fleet
@@ -248,6 +254,76 @@
         self.assertEqual((line.job, line.step, line.uses), ("job", "0.0", "slower"))
 
 
+class HeldStartTests(unittest.TestCase):
+    """A worker may still carry out an earlier start of a step that waits.
+
+    The rack of the step's data is full, and another one is idle.
+    """
+
+    PASS_S = 0.1
+
+    def setUp(self):
+        self.engine = fx.engine(*workers(8, racks=4))
+        full = fx.step(1, fx.WHOLE_WORKER, estimate_s=LONG_S, worker_label="r0")
+        self.engine.accept(fx.workflow("full", full), 0.0)
+        fx.confirm(self.engine, self.engine.plan(0.0, 0.0))
+
+    def lose_start(self, step):
+        """Let a start in the rack get no reply, and the worker lose its room.
+
+        The run is over after 1 s.
+        """
+        step = step._replace(data_rack="r0", estimate_s=LONG_S)
+        self.engine.accept(fx.workflow("job", step), 0.0)
+        started = fx.starts(self.engine.plan(0.0, 0.0))
+        for start in started:
+            worker_id = self.worker_id = start.worker_id
+            self.engine.start_settled(start.key, start.run, worker_id, 0.0)
+        no_room = fx.worker(worker_id, "r0", capacity=NO_RESOURCES)
+        self.engine.set_worker(no_room, 1.0)
+        for start in started:
+            end = RunEnd(1, start.key, start.run, EndKind.STOPPED)
+            self.engine.end(worker_id, end, 1.0)
+        self.now = 1.0
+
+    def started_at(self, until, answer_s=0.0):
+        """Return when each task starts; requested polls take a time."""
+        times, answers = [], []
+        while self.now < until:
+            for sent_at in answers:
+                if self.now >= sent_at + answer_s:
+                    self.engine.report(self.worker_id, [], self.now, sent_at)
+            answers = [at for at in answers if self.now < at + answer_s]
+            for effect in self.engine.plan(self.now, self.now):
+                if isinstance(effect, PollWorker):
+                    answers.append(self.now)
+                elif effect in fx.starts([effect]):
+                    fx.confirm(self.engine, [effect], self.now)
+                    times.append(self.now)
+            self.now += self.PASS_S
+        return times
+
+    def test_worker_that_answers_late(self):
+        """Guards against a wait that begins anew whenever its end is held."""
+        for step in (fx.step(), lasting(fx.step(2))):
+            for answer_s in (0.1, 0.6, 0.9):
+                with self.subTest(service=step.service, answer_s=answer_s):
+                    self.setUp()
+                    self.lose_start(step)
+                    times = self.started_at(1.0 + LIMIT_S, answer_s)
+                    self.assertEqual(len(times), step.tasks)
+
+    def test_worker_that_does_not_answer_for_a_while(self):
+        """Guards against a wait that begins when a longer one is over."""
+        self.lose_start(fx.step())
+        worker = self.engine.workers_by_id[self.worker_id]
+        worker.reachable = False
+        self.assertEqual(self.started_at(6.0), [])
+        worker.reachable = True
+        self.engine.report(self.worker_id, [], self.now)
+        self.assertEqual(len(self.started_at(self.now + 0.2)), 1)
+
+
 class AdoptedRunTests(unittest.TestCase):
     def test_run_that_is_found_ends_the_wait(self):
         """Guards against a wait that goes on while the job is at work."""
