Let the tasks of a service that are left wait no longer than the others

Each task of a service has to be at work, so the users count each by itself.

Cause: the time for which a step waits for better room is counted from the first pass in which it starts nothing. A pass that starts some tasks of a service dropped it, so the others waited 1.5 s from the newest start of a sibling on, as often as one started. The same held for the tasks that found no room when the wait ended.

Change: a service that is left with tasks which have room keeps the time since which it has waited. Other jobs are at work then, and have no limit.

The test of LeftTasksTests failed before.

--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -280,14 +280,18 @@
         planned, held = len(self.starts), len(self.held_starts)
         if candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
-        if len(self.held_starts) > held:
-            self._note_wait(stage, deferred_since)
-        elif len(self.starts) == planned:
+        is_held = len(self.held_starts) > held
+        if len(self.starts) == planned and not is_held:
             since = self._now if deferred_since is None else deferred_since
             self._note_deferral(stage, waiting, candidates, usable, since)
+        elif len(self.starts) - planned < len(waiting):
+            self._note_wait(stage, deferred_since)
 
     def _note_wait(self, stage: Stage, since: float | None) -> None:
-        """Count the time in which starts of a step are held as a wait.
+        """Count the time of a step whose tasks do not all start as a wait.
+
+        Some starts are held, or they are those of a service that is left with
+        waiting tasks.
 
         Args:
             stage: The step.
@@ -581,7 +585,8 @@
             self._add_starts(stage, tasks, options)
             if len(self.starts) > planned:
                 self.deferral_ends.append((stage, end))
-                stage.deferred_since = None
+                if not stage.spec.service or len(self.starts) - planned == len(tasks):
+                    stage.deferred_since = None
         elif is_advised and self._has_turn(stage, bool(permitted)):
             options = choose_options(stage, tasks, workers, lent, self._now, may_cross)
             if options:
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -324,6 +324,31 @@
         self.assertEqual(len(self.started_at(self.now + 0.2)), 1)
 
 
+class LeftTasksTests(unittest.TestCase):
+    """A service with a full data rack, in which room comes bit by bit."""
+
+    def test_tasks_that_are_left_start_in_time(self):
+        """Guards against a task whose wait each start of a sibling renews."""
+        engine = fx.engine(*workers(8, racks=4))
+        full = fx.step(2, fx.WHOLE_WORKER, estimate_s=LONG_S, worker_label="r0")
+        engine.accept(fx.workflow("full", full), 0.0)
+        first, second = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, [first, second])
+        service = lasting(fx.step(3, fx.WHOLE_WORKER, data_rack="r0"))
+        engine.accept(fx.workflow("job", service), 0.0)
+        engine.cancel("full", 0.0)
+        over_at = {1.2: first, 2.4: second}
+        started = []
+        for now in (0.0, 1.2, 1.3, 2.4, 2.5, 2.9):
+            if now in over_at:
+                end = fx.ended(over_at[now], EndKind.STOPPED)
+                engine.end(over_at[now].worker_id, end, now)
+            starts = fx.starts(engine.plan(now, now))
+            fx.confirm(engine, starts, now)
+            started += starts
+        self.assertEqual(len(started), 3)
+
+
 class AdoptedRunTests(unittest.TestCase):
     def test_run_that_is_found_ends_the_wait(self):
         """Guards against a wait that goes on while the job is at work."""
