Name what keeps tasks back whose runs nothing proves

Cause of the missing line: the search of tasks that wait although there is room looks at waiting tasks alone. A recorded run is taken over as one that may exist until its worker answers the new coordinator or its leases have lapsed. Its task is "starting" until then, and no gauge or line tells of it. The same holds for a run whose worker falls silent within a term.

Change: a task whose worker does not answer is found like a waiting one if there is room for it elsewhere, with the reason "unproven_run" and the worker. Three of the six new tests failed before, as nothing was found; the others guard against false alarms.

--- a/src/redwingrudder/workflows/_wait_rules.py
+++ b/src/redwingrudder/workflows/_wait_rules.py
@@ -23,6 +23,7 @@
     """What keeps a task back that has room."""
 
     NOT_PLANNED = "not_planned"
+    UNPROVEN_RUN = "unproven_run"
     GANG_MEMBERS = "gang_members"
     OLDER_RUN = "older_run"
     SILENT_WORKER = "silent_worker"
@@ -107,6 +108,9 @@
     def examine(self, stage: Stage, may_plan: bool) -> list[tuple[Task, Hold]]:
         """Return the tasks of a step that wait although there is room.
 
+        So does a task whose run may have ended on a worker that does not
+        answer.
+
         Args:
             stage: The step.
             may_plan: Whether planning passes are made.
@@ -115,21 +119,34 @@
         if not fitting:
             return []
         self._steps_with_room += 1
+        unproven = [task for task in stage.tasks if self._is_unproven(task)]
         waiting = [task for task in stage.tasks if task.state == "waiting"]
         if not stage.spec.gang:
+            unproven = unproven[:MAX_TASKS_OF_STEP]
             waiting = waiting[:MAX_TASKS_OF_STEP]
-        count = self._room.count(stage, len(waiting), fitting)
-        if not count or (stage.spec.gang and count < len(waiting)):
+        wanted = len(unproven) + len(waiting)
+        count = self._room.count(stage, wanted, fitting)
+        if not count or (stage.spec.gang and count < wanted):
             return []
+        holds = [
+            (task, Hold(WaitReason.UNPROVEN_RUN, task.worker_id)) for task in unproven
+        ]
+        if not waiting:
+            return holds[:count]
         if not may_plan:
-            holds = [(task, Hold(WaitReason.NOT_PLANNED)) for task in waiting]
+            holds += [(task, Hold(WaitReason.NOT_PLANNED)) for task in waiting]
         elif stage.spec.gang:
             hold = self._gang_hold(stage, waiting, fitting)
-            holds = [(task, hold) for task in waiting]
+            holds += [(task, hold) for task in waiting]
         else:
-            holds = self._single_holds(stage, waiting, fitting)
+            holds += self._single_holds(stage, waiting, fitting)
         return holds[:count]
 
+    def _is_unproven(self, task: Task) -> bool:
+        """Return whether nothing proves that the run of a task goes on."""
+        worker = self._workers_by_id.get(task.worker_id)
+        return task.placed and worker is not None and not worker.reachable
+
     def _gang_hold(
         self, stage: Stage, waiting: list[Task], fitting: list[Worker]
     ) -> Hold:
--- a/src/redwingrudder/workflows/waiting.py
+++ b/src/redwingrudder/workflows/waiting.py
@@ -2,8 +2,10 @@
 
 For each waiting task whose turn has come and that fits into the idle capacity
 of the workers that are present, the first rule of a planning pass is named
-that keeps it back. The view is that of a moment right after a pass, which has
-placed all tasks that it could.
+that keeps it back. A task whose worker does not answer counts as waiting too:
+its run may have ended, and the next one has to wait for the worker's lease.
+The view is that of a moment right after a pass, which has placed all tasks
+that it could.
 """
 
 from collections.abc import Iterable, Iterator
@@ -82,7 +84,7 @@
         may_plan: Whether planning passes are made.
     """
     stages = sorted(
-        _due_stages(workflows, wall),
+        _due_stages(workflows, _stages_on_silent_workers(workers_by_id), wall),
         key=lambda stage: now if stage.ready_at is None else stage.ready_at,
     )
     check = StepCheck(workers_by_id, run_times, now)
@@ -131,8 +133,26 @@
     return sorted(summaries, key=lambda summary: -summary.longest_s)
 
 
-def _due_stages(workflows: Iterable[WorkflowProgress], wall: float) -> Iterator[Stage]:
-    """Yield the steps with waiting tasks whose turn has come."""
+def _stages_on_silent_workers(workers_by_id: dict[str, Worker]) -> set[int]:
+    """Return the ``id`` of each step with runs on silent workers."""
+    return {
+        id(task.stage)
+        for worker in workers_by_id.values()
+        if not worker.reachable
+        for task in worker.tasks_by_key.values()
+    }
+
+
+def _due_stages(
+    workflows: Iterable[WorkflowProgress], unproven_ids: set[int], wall: float
+) -> Iterator[Stage]:
+    """Yield the steps with tasks that may wait and whose turn has come.
+
+    Args:
+        workflows: All workflows.
+        unproven_ids: The ``id`` of each step with runs that nothing proves.
+        wall: Unix seconds.
+    """
     for progress in workflows:
         if progress.ended_at is not None:
             continue
@@ -140,7 +160,10 @@
             if occurrence.due_at > wall:
                 break
             for stage in occurrence.stages:
-                if any(task.state == "waiting" for task in stage.tasks) and all(
+                may_wait = id(stage) in unproven_ids or any(
+                    task.state == "waiting" for task in stage.tasks
+                )
+                if may_wait and all(
                     occurrence.stages[index].done for index in stage.spec.after
                 ):
                     yield stage
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -143,6 +143,52 @@
         self.assert_held(2.0, WaitReason.GANG_MEMBERS, second.worker_id)
 
 
+class UnprovenRunTests(WaitingCase):
+    """Tasks with a run on w1, which does not answer, beside w2."""
+
+    def start_on_silent_worker(self, step=None):
+        self.set_up(fx.worker("w1"))
+        self.start("job", step or fx.step())
+        self.engine.workers_by_id["w1"].reachable = False
+        self.engine.set_worker(fx.worker("w2"), 1.0)
+
+    def test_silent_worker_of_a_run_is_named(self):
+        """Guards against tasks that stand still and that no line tells."""
+        self.start_on_silent_worker(fx.step(2))
+        self.assert_held(5.0, WaitReason.UNPROVEN_RUN, "w1", tasks=2)
+
+    def test_gang_is_named(self):
+        """Guards against a gang that stands still and that no line tells."""
+        self.start_on_silent_worker(fx.step(2, gang=True))
+        self.assert_held(5.0, WaitReason.UNPROVEN_RUN, "w1", tasks=2)
+
+    def test_recorded_run_of_an_earlier_term_is_named(self):
+        """Guards against tasks that a takeover keeps back without a line."""
+        self.set_up(fx.worker("w1"), fx.worker("w2"))
+        self.accept("job")
+        self.engine.workers_by_id["w1"].reachable = False
+        self.engine.adopt_run(fx.key(), 1, "w1", False, 0.0)
+        self.assert_held(1.0, WaitReason.UNPROVEN_RUN, "w1")
+
+    def test_nothing_is_told_without_room(self):
+        """Guards against alarms about a task that could run nowhere else."""
+        self.start_on_silent_worker()
+        self.start("full", WHOLE, now=1.0)
+        self.assertEqual(self.find(5.0), [])
+
+    def test_nothing_is_told_of_a_worker_that_answers(self):
+        """Guards against alarms about runs that go on."""
+        self.start_on_silent_worker()
+        self.engine.workers_by_id["w1"].reachable = True
+        self.assertEqual(self.find(5.0), [])
+
+    def test_nothing_is_told_of_a_cancelled_job(self):
+        """Guards against alarms about a job that needs no run."""
+        self.start_on_silent_worker()
+        self.engine.cancel("job", 2.0)
+        self.assertEqual(self.find(5.0), [])
+
+
 class WorkerTests(WaitingCase):
     """Tasks for which only workers have room that are not chosen."""
 
