Count the leases of earlier terms from the election, not from the recovery

Cause: a recorded run on a worker that does not answer is kept until the leases of earlier terms must have ended. Each session counted them from the moment at which it was opened, after the recovery. The recovery waits for the store and is repeated for up to 4 s. Since the election, earlier coordinators may act for 2 s at most, so the end of their leases does not move with it. The table of the workers had the time already, for workers without an entry.

Change: the first session of a term with a worker gets that time. Further sessions count as before, as earlier ones of the term may have granted leases.

The test failed before.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -91,6 +91,9 @@
             sessions with the worker.
         times: Timing parameters of the workers.
         authority: Permission to send orders and to extend the lease.
+        prior_leases_end_at: Node-clock seconds from which on no lease is valid
+            that others have granted. None if they may have granted one up to
+            now.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         fence: int,
         times: WorkerTimes,
         authority: Authority,
+        prior_leases_end_at: float | None = None,
     ) -> None:
         self._facts = facts
         self._channel = channel
@@ -128,9 +132,10 @@
         self._last_answer_at = system.clock.seconds()
         # Node-clock time until which the worker may hold a lease, including
         # one that an earlier coordinator has granted.
-        self._leases_end_at = system.clock.seconds() + prior_lease_timeout_s(
-            self._lease_s
-        )
+        if prior_leases_end_at is None:
+            timeout_s = prior_lease_timeout_s(self._lease_s)
+            prior_leases_end_at = system.clock.seconds() + timeout_s
+        self._leases_end_at = prior_leases_end_at
         self._worker_clock_ms = 0
         self._worker_clock_read_at = 0.0
         # Latest end of a lease that was sent, by the worker's clock.
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -92,7 +92,7 @@
         # Registry entries that were applied last.
         self._entries_by_worker: dict[str, str] = {}
         # From this time on, no lease of an earlier term is valid on a worker
-        # that has had no entry in this term.
+        # that has not answered in this term.
         self._prior_leases_end_at = system.clock.seconds() + prior_lease_timeout_s(
             times.longest_lease_s
         )
@@ -495,6 +495,7 @@
             self._engine.term * SESSIONS_PER_TERM + number,
             self._times,
             self._authority,
+            self._prior_leases_end_at if number == 0 else None,
         )
         self._sessions_by_worker[facts.worker_id] = session
         session.start()
--- a/tests/test_recorded_holds.py
+++ b/tests/test_recorded_holds.py
@@ -102,6 +102,19 @@
         # A silent worker is called again each second or so.
         self.assert_begins(lapsed_at, lapsed_at + 1.5 + PLACING_S)
 
+    def test_slow_recovery_does_not_prolong_the_leases_of_earlier_terms(self):
+        """Guards against a lease that is counted from a late recovery on."""
+        self.submit("job")
+        self.w1.silent = True
+        self.register("w2", ROOM)
+        self.store.down = True
+        self.take_over(TERM + 2)
+        lapsed_at = self.clock.seconds() + prior_lease_timeout_s(MAX_LEASE_S)
+        self.run_for(3.0)
+        self.store.down = False
+        # A silent worker is called again each second or so.
+        self.assert_begins(lapsed_at, lapsed_at + 1.5 + PLACING_S)
+
     def take_over_with_unsettled_start(self, first_s=1.0):
         """Let two coordinators take over a run whose start got no reply."""
         self.w1.late = {"start"}
