Limit the wait of suspected tasks behind reservations

Cause: less urgent work uses capacity that is reserved for a waiting step after 1.5 s at the latest. Tasks suspected of crashing workers were placed by a branch of its own that never noted such a wait. So they waited as long as the reservation lasted, and that may be hours: with whole workers reserved, each of which has a long run. A crash of workers that each have many tasks makes many suspects at once, and so does a takeover after a worker has restarted.

Without the reservation the same suspects start after 0.0 and 0.55 s.

Change: suspects take part in the limit. They still start only on workers where they are the only possible cause of a crash, and other starts of the pass keep away from these.

Measured in memory, 8 workers each with one of 8 accelerators in use, and a step that reserves whole workers: a suspected job of 2 tasks had no run within 30 s before (reasons of the wait: "reserved" and "suspected"), and one after 1.55 s now. test_suspect_starts_in_time (task, gang, service) and test_tasks_that_start_with_it_use_other_workers failed before.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -419,7 +419,12 @@
 
 
 def isolation_candidates(
-    workers: Iterable[Worker], stage: Stage, count: int, busy_ids: set[str], now: float
+    workers: Iterable[Worker],
+    stage: Stage,
+    count: int,
+    busy_ids: set[str],
+    now: float,
+    lent: bool = False,
 ) -> list[Worker]:
     """Return the workers on which a suspected task can be observed.
 
@@ -435,6 +440,7 @@
         count: Number of tasks to start.
         busy_ids: Workers that get other runs in this planning pass.
         now: Node-clock seconds.
+        lent: Whether capacity that is reserved for other steps may be used.
     """
     candidates = list(workers)
     if now - stage.crashed_at < ISOLATION_WAIT_S:
@@ -452,7 +458,11 @@
         return quiet
     demand = resources_used(stage.spec)
     rack = stage.spec.data_rack
-    fitting = [worker for worker in quiet if worker.free.covers(demand)]
+    fitting = [
+        worker
+        for worker in quiet
+        if (worker.unclaimed if lent else worker.free).covers(demand)
+    ]
     crashed_addresses = {
         address
         for holder in stage.tasks
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -262,8 +262,12 @@
             candidates = [w for w in candidates if not w.observes_suspect]
         if self._has_trials:
             candidates = without_trials(stage, candidates, self._now)
+        planned = len(self.starts), len(self.held_starts)
         if is_suspected(waiting[0]):
             self._place_suspects(stage, stage_rank, waiting, candidates)
+            quiet = self._find_quiet_workers(stage, waiting, candidates, lent=True)
+            usable = self._find_quiet_workers(stage, waiting, usable, lent=True)
+            self._note_rest(stage, waiting, quiet, usable, planned, deferred_since)
             return
         began_to_fail_at = failures_since(stage, self._suspects)
         if began_to_fail_at is not None:
@@ -277,15 +281,37 @@
                 candidates = sound
         if not waiting:
             return
-        planned, held = len(self.starts), len(self.held_starts)
+        planned = len(self.starts), len(self.held_starts)
         if candidates:
             self._place_tasks(stage, stage_rank, waiting, candidates)
-        is_held = len(self.held_starts) > held
-        if len(self.starts) == planned and not is_held:
-            since = self._now if deferred_since is None else deferred_since
+        self._note_rest(stage, waiting, candidates, usable, planned, deferred_since)
+
+    def _note_rest(
+        self,
+        stage: Stage,
+        waiting: list[Task],
+        candidates: list[Worker],
+        usable: list[Worker],
+        planned: tuple[int, int],
+        since: float | None,
+    ) -> None:
+        """Note that a step waits if not all of its tasks have been started.
+
+        Args:
+            stage: The step.
+            waiting: See ``_note_deferral``.
+            candidates: See ``_note_deferral``.
+            usable: See ``_note_deferral``.
+            planned: Number of starts and of held starts before it was placed.
+            since: Node-clock seconds since which it has waited, None if it
+                has not.
+        """
+        started = len(self.starts) - planned[0]
+        if started == 0 and len(self.held_starts) == planned[1]:
+            since = self._now if since is None else since
             self._note_deferral(stage, waiting, candidates, usable, since)
-        elif len(self.starts) - planned < len(waiting):
-            self._note_wait(stage, deferred_since)
+        elif started < len(waiting):
+            self._note_wait(stage, since)
 
     def _note_wait(self, stage: Stage, since: float | None) -> None:
         """Count the time of a step whose tasks do not all start as a wait.
@@ -362,16 +388,28 @@
             return
         planned = len(self.starts)
         self._place_tasks(stage, stage_rank, waiting, quiet)
+        self._mark_observers(planned)
+
+    def _mark_observers(self, planned: int) -> None:
+        """Keep other starts of the pass away from the workers of suspects.
+
+        Args:
+            planned: Number of starts before the suspects were placed.
+        """
         for _, worker in self.starts[planned:]:
             worker.observes_suspect = True
             self._observers = True
 
     def _find_quiet_workers(
-        self, stage: Stage, waiting: list[Task], candidates: list[Worker]
+        self,
+        stage: Stage,
+        waiting: list[Task],
+        candidates: list[Worker],
+        lent: bool = False,
     ) -> list[Worker]:
         busy_ids = {worker.facts.worker_id for _, worker in self.starts}
         return isolation_candidates(
-            candidates, stage, len(waiting), busy_ids, self._now
+            candidates, stage, len(waiting), busy_ids, self._now, lent
         )
 
     def _keeps_to_sound(self, stage: Stage, count: int, sound: list[Worker]) -> bool:
@@ -574,6 +612,11 @@
             tasks = tasks[:count]
         if self._observers:
             workers = [w for w in workers if not w.observes_suspect]
+        wanted = len(tasks)
+        observed = is_suspected(tasks[0])
+        if observed:
+            tasks = tasks if stage.spec.gang else tasks[:1]
+            workers = self._find_quiet_workers(stage, tasks, workers, lent=True)
         permitted = workers
         is_advised = stage.workflow.policy.advised
         if is_advised:
@@ -583,9 +626,12 @@
         if options:
             planned = len(self.starts)
             self._add_starts(stage, tasks, options)
-            if len(self.starts) > planned:
+            started = len(self.starts) - planned
+            if observed:
+                self._mark_observers(planned)
+            if started:
                 self.deferral_ends.append((stage, end))
-                if not stage.spec.service or len(self.starts) - planned == len(tasks):
+                if not stage.spec.service or started == wanted:
                     stage.deferred_since = None
         elif is_advised and self._has_turn(stage, bool(permitted)):
             options = choose_options(stage, tasks, workers, lent, self._now, may_cross)
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -3,6 +3,7 @@
 import unittest
 
 from redwingrudder.workflows._deferral import MAX_DEFERRAL_S, PoolUsage
+from redwingrudder.workflows.crashes import step_suspicion
 from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import (
     NO_RESOURCES,
@@ -349,6 +350,67 @@
         self.assertEqual(len(started), 3)
 
 
+class SuspectTests(unittest.TestCase):
+    """Suspected tasks wait behind the reservation of all workers.
+
+    Each worker has a long run that has gone on for some time.
+    """
+
+    def setUp(self):
+        self.engine = fx.engine(*workers(8))
+        long = fx.step(8, worker_limit=1, estimate_s=LONG_S)
+        self.accept("long", long, 0.0)
+        self.long = self.start(0.0)
+        for start in self.long:
+            self.engine.report(start.worker_id, [fx.running(start)], 1.0)
+        self.accept("large", LARGE, 1.0)
+        self.assertEqual(self.start(1.0), [])
+
+    def accept(self, job, step, now, **options):
+        self.engine.accept(fx.workflow(job, step, **options), now)
+
+    def start(self, now):
+        started = fx.starts(self.engine.plan(now, now))
+        fx.confirm(self.engine, started, now)
+        return started
+
+    def suspect(self, step, now=1.0):
+        step = step._replace(estimate_s=2 * LONG_S)
+        self.accept("job", step, now, priority=2)
+        for task in self.engine.workflows_by_id["job"].tasks():
+            step_suspicion(task, "suspect")
+        self.assertEqual(self.start(now), [])
+
+    def test_suspect_starts_in_time(self):
+        """Guards against a suspect that waits behind reservations for good."""
+        for changes in ({}, {"gang": True}, {"service": True}):
+            with self.subTest(**changes):
+                self.setUp()
+                self.suspect(SMALL._replace(**changes))
+                started = self.start(1.0 + MAX_DEFERRAL_S)
+                tasks = 2 if "gang" in changes else 1
+                self.assertEqual(len(started), tasks)
+                self.assertEqual({s.key.workflow_id for s in started}, {"job"})
+
+    def test_tasks_that_start_with_it_use_other_workers(self):
+        """Guards against a crash that leaves two tasks to suspect."""
+        self.suspect(SMALL)
+        self.accept("other", SMALL._replace(estimate_s=LONG_S), 1.0, priority=2)
+        self.start(1.0)
+        started = self.start(1.1 + MAX_DEFERRAL_S)
+        observers = {s.worker_id for s in started if s.key.workflow_id == "job"}
+        others = {s.worker_id for s in started if s.key.workflow_id == "other"}
+        self.assertEqual((len(observers), len(others & observers)), (1, 0))
+        self.assertTrue(others)
+
+    def test_suspect_waits_for_workers_whose_runs_have_gone_on(self):
+        """Guards against a suspect beside runs that may crash the worker."""
+        self.suspect(SMALL)
+        for start in self.long:
+            self.engine.find(start.key).started_at = 1.0
+        self.assertEqual(self.start(1.0 + MAX_DEFERRAL_S), [])
+
+
 class AdoptedRunTests(unittest.TestCase):
     def test_run_that_is_found_ends_the_wait(self):
         """Guards against a wait that goes on while the job is at work."""
