Show that changes of the coordinator keep a lapsed run possible (red)

That this is what happened there is not shown.

A run whose worker is cut off for good keeps its task until the leases of earlier terms must have ended. Each new coordinator counts them from its own election, although those between have never reached the worker and can't have extended its lease. Nothing on record tells it so.

--- a/tests/test_recorded_holds.py
+++ b/tests/test_recorded_holds.py
@@ -102,6 +102,22 @@
         # A silent worker is called again each second or so.
         self.assert_begins(lapsed_at, lapsed_at + 1.5 + PLACING_S)
 
+    def test_changes_of_the_coordinator_do_not_keep_a_run_possible(self):
+        """Guards against a task that waits as long as coordinators change.
+
+        Its worker has answered none of the terms that follow the first change.
+        """
+        self.submit("job")
+        self.w1.silent = True
+        self.register("w2", ROOM)
+        self.take_over(TERM + 2)
+        lapsed_at = self.clock.seconds() + prior_lease_timeout_s(MAX_LEASE_S)
+        for number in (3, 4):
+            self.run_for(3.0)
+            self.take_over(TERM + number)
+        # A silent worker is called again each second or so.
+        self.assert_begins(lapsed_at, lapsed_at + 1.5 + PLACING_S)
+
     def test_slow_recovery_does_not_prolong_the_leases_of_earlier_terms(self):
         """Guards against a lease that is counted from a late recovery on."""
         self.submit("job")
