Count the wait for a suspect's outcome as a wait for better room

Cause: while a suspect of a step is observed, the others wait for its outcome. Such a pass dropped the time since which the step had waited for better room, and so did the start that ended its wait, if no other suspect might start. Each task of a service that is left behind a reservation therefore waited 1.5 s more after its sibling had proved harmless.

Change: the time in which no task may start because of suspects counts like that of held starts, and a service keeps its time as long as it has tasks that wait beside room.

The test failed before.

--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -249,12 +249,11 @@
 
     def place(self, stage: Stage, stage_rank: int) -> None:
         deferred_since, stage.deferred_since = stage.deferred_since, None
-        free = self._waiting_tasks(stage)
-        if not free:
-            self._note_wait(stage, deferred_since)
-            return
-        waiting = startable_suspects(stage, free, self._workers_by_id)
+        waiting = startable_suspects(
+            stage, self._waiting_tasks(stage), self._workers_by_id
+        )
         if not waiting:
+            self._note_wait(stage, deferred_since)
             return
         usable, not_slow = self._find_usable_workers(stage)
         candidates = eligible_workers(stage, usable, not_slow, self._now)
@@ -612,7 +611,6 @@
             tasks = tasks[:count]
         if self._observers:
             workers = [w for w in workers if not w.observes_suspect]
-        wanted = len(tasks)
         observed = is_suspected(tasks[0])
         if observed:
             tasks = tasks if stage.spec.gang else tasks[:1]
@@ -626,12 +624,11 @@
         if options:
             planned = len(self.starts)
             self._add_starts(stage, tasks, options)
-            started = len(self.starts) - planned
             if observed:
                 self._mark_observers(planned)
-            if started:
+            if len(self.starts) > planned:
                 self.deferral_ends.append((stage, end))
-                if not stage.spec.service or started == wanted:
+                if not stage.spec.service:
                     stage.deferred_since = None
         elif is_advised and self._has_turn(stage, bool(permitted)):
             options = choose_options(stage, tasks, workers, lent, self._now, may_cross)
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -392,6 +392,19 @@
                 self.assertEqual(len(started), tasks)
                 self.assertEqual({s.key.workflow_id for s in started}, {"job"})
 
+    def test_next_suspects_of_a_service_wait_for_the_outcome_alone(self):
+        """Guards against a wait that begins when a sibling is cleared."""
+        self.suspect(lasting(fx.step(4)))
+        now, started = 1.0, []
+        while now < 1.0 + LIMIT_S:
+            for start in (*self.long, *started):
+                worker_id = start.worker_id
+                runs = [s for s in (*self.long, *started) if s.worker_id == worker_id]
+                self.engine.report(worker_id, [fx.running(s) for s in runs], now)
+            started += self.start(now)
+            now += 0.1
+        self.assertEqual(len(started), 4)
+
     def test_tasks_that_start_with_it_use_other_workers(self):
         """Guards against a crash that leaves two tasks to suspect."""
         self.suspect(SMALL)
