--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -97,7 +97,7 @@
         # Current entries that are not used, with their values.
         self._foreign_entries_by_worker: dict[str, tuple[WorkerFacts, str]] = {}
         # From this time on, no lease of an earlier term is valid on a worker
-        # that has had no entry in this term.
+        # that has not answered in this term.
         self._prior_leases_end_at = system.clock.seconds() + prior_lease_timeout_s(
             times.longest_lease_s
         )
@@ -585,6 +585,7 @@
             self._engine.term * SESSIONS_PER_TERM + number,
             self._times,
             self._authority,
+            self._prior_leases_end_at if number == 0 else None,
         )
         self._sessions_by_worker[facts.worker_id] = session
         session.start()
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -3,8 +3,15 @@
 import unittest
 
 from redwingrudder.workflows._deferral import MAX_DEFERRAL_S, PoolUsage
+from redwingrudder.workflows.crashes import step_suspicion
 from redwingrudder.workflows.engine import Engine
-from redwingrudder.workflows.model import NO_RESOURCES, EndKind, Resources, RunEnd
+from redwingrudder.workflows.model import (
+    NO_RESOURCES,
+    EndKind,
+    PollWorker,
+    Resources,
+    RunEnd,
+)
 
 from . import workflow_fixtures as fx
 from .test_lasting_neighbours import Fleet
@@ -248,6 +255,175 @@
         self.assertEqual((line.job, line.step, line.uses), ("job", "0.0", "slower"))
 
 
+class HeldStartTests(unittest.TestCase):
+    """A worker may still carry out an earlier start of a step that waits.
+
+    The rack of the step's data is full, and another one is idle.
+    """
+
+    PASS_S = 0.1
+
+    def setUp(self):
+        self.engine = fx.engine(*workers(8, racks=4))
+        full = fx.step(1, fx.WHOLE_WORKER, estimate_s=LONG_S, worker_label="r0")
+        self.engine.accept(fx.workflow("full", full), 0.0)
+        fx.confirm(self.engine, self.engine.plan(0.0, 0.0))
+
+    def lose_start(self, step):
+        """Let a start in the rack get no reply, and the worker lose its room.
+
+        The run is over after 1 s.
+        """
+        step = step._replace(data_rack="r0", estimate_s=LONG_S)
+        self.engine.accept(fx.workflow("job", step), 0.0)
+        started = fx.starts(self.engine.plan(0.0, 0.0))
+        for start in started:
+            worker_id = self.worker_id = start.worker_id
+            self.engine.start_settled(start.key, start.run, worker_id, 0.0)
+        no_room = fx.worker(worker_id, "r0", capacity=NO_RESOURCES)
+        self.engine.set_worker(no_room, 1.0)
+        for start in started:
+            end = RunEnd(1, start.key, start.run, EndKind.STOPPED)
+            self.engine.end(worker_id, end, 1.0)
+        self.now = 1.0
+
+    def started_at(self, until, answer_s=0.0):
+        """Return when each task starts; requested polls take a time."""
+        times, answers = [], []
+        while self.now < until:
+            for sent_at in answers:
+                if self.now >= sent_at + answer_s:
+                    self.engine.report(self.worker_id, [], self.now, sent_at)
+            answers = [at for at in answers if self.now < at + answer_s]
+            for effect in self.engine.plan(self.now, self.now):
+                if isinstance(effect, PollWorker):
+                    answers.append(self.now)
+                elif effect in fx.starts([effect]):
+                    fx.confirm(self.engine, [effect], self.now)
+                    times.append(self.now)
+            self.now += self.PASS_S
+        return times
+
+    def test_worker_that_answers_late(self):
+        """Guards against a wait that begins anew whenever its end is held."""
+        for step in (fx.step(), lasting(fx.step(2))):
+            for answer_s in (0.1, 0.6, 0.9):
+                with self.subTest(service=step.service, answer_s=answer_s):
+                    self.setUp()
+                    self.lose_start(step)
+                    times = self.started_at(1.0 + LIMIT_S, answer_s)
+                    self.assertEqual(len(times), step.tasks)
+
+    def test_worker_that_does_not_answer_for_a_while(self):
+        """Guards against a wait that begins when a longer one is over."""
+        self.lose_start(fx.step())
+        worker = self.engine.workers_by_id[self.worker_id]
+        worker.reachable = False
+        self.assertEqual(self.started_at(6.0), [])
+        worker.reachable = True
+        self.engine.report(self.worker_id, [], self.now)
+        self.assertEqual(len(self.started_at(self.now + 0.2)), 1)
+
+
+class LeftTasksTests(unittest.TestCase):
+    """A service with a full data rack, in which room comes bit by bit."""
+
+    def test_tasks_that_are_left_start_in_time(self):
+        """Guards against a task whose wait each start of a sibling renews."""
+        engine = fx.engine(*workers(8, racks=4))
+        full = fx.step(2, fx.WHOLE_WORKER, estimate_s=LONG_S, worker_label="r0")
+        engine.accept(fx.workflow("full", full), 0.0)
+        first, second = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, [first, second])
+        service = lasting(fx.step(3, fx.WHOLE_WORKER, data_rack="r0"))
+        engine.accept(fx.workflow("job", service), 0.0)
+        engine.cancel("full", 0.0)
+        over_at = {1.2: first, 2.4: second}
+        started = []
+        for now in (0.0, 1.2, 1.3, 2.4, 2.5, 2.9):
+            if now in over_at:
+                end = fx.ended(over_at[now], EndKind.STOPPED)
+                engine.end(over_at[now].worker_id, end, now)
+            starts = fx.starts(engine.plan(now, now))
+            fx.confirm(engine, starts, now)
+            started += starts
+        self.assertEqual(len(started), 3)
+
+
+class SuspectTests(unittest.TestCase):
+    """Suspected tasks wait behind the reservation of all workers.
+
+    Each worker has a long run that has gone on for some time.
+    """
+
+    def setUp(self):
+        self.engine = fx.engine(*workers(8))
+        long = fx.step(8, worker_limit=1, estimate_s=LONG_S)
+        self.accept("long", long, 0.0)
+        self.long = self.start(0.0)
+        for start in self.long:
+            self.engine.report(start.worker_id, [fx.running(start)], 1.0)
+        self.accept("large", LARGE, 1.0)
+        self.assertEqual(self.start(1.0), [])
+
+    def accept(self, job, step, now, **options):
+        self.engine.accept(fx.workflow(job, step, **options), now)
+
+    def start(self, now):
+        started = fx.starts(self.engine.plan(now, now))
+        fx.confirm(self.engine, started, now)
+        return started
+
+    def suspect(self, step, now=1.0):
+        step = step._replace(estimate_s=2 * LONG_S)
+        self.accept("job", step, now, priority=2)
+        for task in self.engine.workflows_by_id["job"].tasks():
+            step_suspicion(task, "suspect")
+        self.assertEqual(self.start(now), [])
+
+    def test_suspect_starts_in_time(self):
+        """Guards against a suspect that waits behind reservations for good."""
+        for changes in ({}, {"gang": True}, {"service": True}):
+            with self.subTest(**changes):
+                self.setUp()
+                self.suspect(SMALL._replace(**changes))
+                started = self.start(1.0 + MAX_DEFERRAL_S)
+                tasks = 2 if "gang" in changes else 1
+                self.assertEqual(len(started), tasks)
+                self.assertEqual({s.key.workflow_id for s in started}, {"job"})
+
+    def test_next_suspects_of_a_service_wait_for_the_outcome_alone(self):
+        """Guards against a wait that begins when a sibling is cleared."""
+        self.suspect(lasting(fx.step(4)))
+        now, started = 1.0, []
+        while now < 1.0 + LIMIT_S:
+            for start in (*self.long, *started):
+                worker_id = start.worker_id
+                runs = [s for s in (*self.long, *started) if s.worker_id == worker_id]
+                self.engine.report(worker_id, [fx.running(s) for s in runs], now)
+            started += self.start(now)
+            now += 0.1
+        self.assertEqual(len(started), 4)
+
+    def test_tasks_that_start_with_it_use_other_workers(self):
+        """Guards against a crash that leaves two tasks to suspect."""
+        self.suspect(SMALL)
+        self.accept("other", SMALL._replace(estimate_s=LONG_S), 1.0, priority=2)
+        self.start(1.0)
+        started = self.start(1.1 + MAX_DEFERRAL_S)
+        observers = {s.worker_id for s in started if s.key.workflow_id == "job"}
+        others = {s.worker_id for s in started if s.key.workflow_id == "other"}
+        self.assertEqual((len(observers), len(others & observers)), (1, 0))
+        self.assertTrue(others)
+
+    def test_suspect_waits_for_workers_whose_runs_have_gone_on(self):
+        """Guards against a suspect beside runs that may crash the worker."""
+        self.suspect(SMALL)
+        for start in self.long:
+            self.engine.find(start.key).started_at = 1.0
+        self.assertEqual(self.start(1.0 + MAX_DEFERRAL_S), [])
+
+
 class AdoptedRunTests(unittest.TestCase):
     def test_run_that_is_found_ends_the_wait(self):
         """Guards against a wait that goes on while the job is at work."""
