Count crashes with another cause towards the limit of five

A task that crashes each worker that starts it crashed eight of 20 workers while an idle worker was cut off at the moment of each crash.

Cause: such a moment is a common cause, so that the run is no evidence. It is none either for the two limits that keep a task from a sixth crash: the verdict after five runs, and the wait for silent workers. Nor does the progress record name such runs, so that a successor knows nothing of them.

Change: both limits count each run whose worker crashed, or may have crashed, just after its start. Verdicts after three runs ask for valid evidence as before. The record has the refuted runs in a list of their own, as earlier releases would count them.

Ruled out: taking the refutation back once the idle worker answers again. The link that cut it off explains a lapse of the others, not a crash, but the two are told apart only when all have answered.

--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -65,8 +65,8 @@
 # and of the workers that crashed independently of each other.
 CONCLUSIVE_CRASHED_RUNS = 3
 MIN_CRASHED_WORKERS = 2
-# Number of such runs that is enough on one worker alone. No task may crash
-# more workers.
+# Number of such runs that is enough on one worker alone, or beside other
+# causes of the crashes. No task may crash more workers.
 MAX_CRASHED_RUNS = 5
 # Time for which the next start waits once that many workers have crashed or
 # fallen silent under a task, so that it can be told which of them crashed.
@@ -282,16 +282,23 @@
     again and again. A run that had gone on is no evidence, as any worker may
     crash at any time.
     """
+    if has_crashed_limit(holder):
+        return True
     valid = valid_evidence_by_run(holder)
     crashes = [e for _, e in sorted(valid.items()) if e.certain and e.suspect]
-    if not any(evidence.alone for evidence in crashes):
-        return False
-    return len(crashes) >= MAX_CRASHED_RUNS or (
-        len(crashes) >= CONCLUSIVE_CRASHED_RUNS
+    return (
+        any(evidence.alone for evidence in crashes)
+        and len(crashes) >= CONCLUSIVE_CRASHED_RUNS
         and _independent_crashes(crashes) >= MIN_CRASHED_WORKERS
     )
 
 
+def has_crashed_limit(holder: Task) -> bool:
+    """Return whether a task may crash no more workers, by whatever cause."""
+    evidence = holder.crash_evidence_by_run.values()
+    return sum(e.certain and e.suspect for e in evidence) >= MAX_CRASHED_RUNS
+
+
 def _independent_crashes(crashes: list[CrashEvidence]) -> int:
     """Return the number of crashes without repeated ones of a worker.
 
@@ -323,9 +330,10 @@
 def _awaits_silent_workers(holder: Task, now: float) -> bool:
     """Return whether the next start could crash one worker too many.
 
-    That is so if each of the workers that are silent has crashed.
+    That is so if each of the workers that are silent has crashed. A common
+    cause of crashes does not show that the task is not another one.
     """
-    evidence = valid_evidence_by_run(holder).values()
+    evidence = holder.crash_evidence_by_run.values()
     possible = [e for e in evidence if e.suspect and (e.certain or e.silent)]
     return len(possible) >= MAX_CRASHED_RUNS and any(
         e.silent and now - e.seen_at < SILENCE_WAIT_S for e in possible
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -61,6 +61,8 @@
             records of earlier releases.
         addresses: Addresses of the workers, none in records of earlier
             releases.
+        refuted: Whether the crashes had a cause outside the task; earlier
+            releases did not record such runs.
     """
 
     key: TaskKey
@@ -70,6 +72,7 @@
     certain: bool
     alone: bool = False
     addresses: frozenset[str] = frozenset()
+    refuted: bool = False
 
 
 class RecordedSilence(NamedTuple):
@@ -81,6 +84,7 @@
         process: The process that fell silent.
         suspect: Whether the run may be the cause.
         alone: Whether no other run on the worker may be the cause.
+        refuted: Whether the cause was found to be outside the task.
     """
 
     key: TaskKey
@@ -88,6 +92,7 @@
     process: SilentProcess
     suspect: bool
     alone: bool
+    refuted: bool
 
 
 class RecordedLateStart(NamedTuple):
@@ -213,26 +218,33 @@
             term, None if unknown.
     """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
-    crashes, crashed_runs, silent_workers, suspected, late_starts = [], [], [], [], []
+    crashes, crashed_runs, refuted_runs, silent_workers = [], [], [], []
+    suspected, late_starts = [], []
     for task in progress.tasks():
         key = list(task.key[1:])
         if task.state == "done":
             done.append(key)
             continue
-        evidence_by_run = valid_evidence_by_run(task)
-        confirmed = sum(e.confirmed for e in evidence_by_run.values())
+        valid = valid_evidence_by_run(task)
+        confirmed = sum(e.confirmed for e in valid.values())
         if confirmed:
             crashes.append([*key, confirmed])  # read by earlier releases
-        crashed_runs += [
-            _crashed_run_row(key, run, evidence)
-            for run, evidence in evidence_by_run.items()
-            if evidence.certain
-        ]
-        silent_workers += [
-            [*key, run, *process, evidence.suspect, evidence.alone]
-            for run, evidence in evidence_by_run.items()
-            for process in sorted(evidence.silent)
-        ]
+        for run, evidence in task.crash_evidence_by_run.items():
+            if evidence.certain:
+                # Earlier releases would count the refuted ones.
+                rows = refuted_runs if evidence.refuted else crashed_runs
+                rows.append(_crashed_run_row(key, run, evidence))
+            silent_workers += [
+                [
+                    *key,
+                    run,
+                    *process,
+                    evidence.suspect,
+                    evidence.alone,
+                    evidence.refuted,
+                ]
+                for process in sorted(evidence.silent)
+            ]
         if task.suspicion in ("suspected", "accused"):
             suspected.append(key)
         if task.failures:
@@ -266,6 +278,7 @@
         "failures": failures,
         "crashes": crashes,
         "crashed_runs": crashed_runs,
+        "refuted_runs": refuted_runs,
         "silent_workers": silent_workers,
         "suspected": suspected,
         "runs": runs,
@@ -309,8 +322,10 @@
                     certain=row.flag(4) or row.flag(7),
                     alone=row.flag(8),
                     addresses=frozenset(row.texts(9)),
+                    refuted=name == "refuted_runs",
                 )
-                for row in document.rows("crashed_runs")
+                for name in ("crashed_runs", "refuted_runs")
+                for row in document.rows(name)
             ),
             tuple(key(row) for row in document.rows("suspected")),
             tuple((key(row), row.integer(3)) for row in rows("runs")),
@@ -342,6 +357,7 @@
                     ),
                     suspect=row.flag(8),
                     alone=row.flag(9),
+                    refuted=row.flag(10),
                 )
                 for row in document.rows("silent_workers")
             ),
@@ -444,6 +460,7 @@
                 confirmed=crash.confirmed,
                 suspect=crash.suspect,
                 alone=crash.alone,
+                refuted=crash.refuted,
             )
     for key, crashes in record.crashes:
         task = progress.find(key)
@@ -460,6 +477,7 @@
                 worker_ids=evidence.worker_ids | {silence.process.worker_id},
                 suspect=evidence.suspect or silence.suspect,
                 alone=evidence.alone or silence.alone,
+                refuted=silence.refuted,
                 silent=evidence.silent | {silence.process},
             )
 
