Keep the limits on crashing tasks across changes of the coordinator

A task under which five workers may have crashed was started a sixth time by each successor.

Cause: two limits were bound to the coordinator. The wait for silent workers lasts 60 s from the time at which the silence was noticed, which a successor does not know, so that it did not wait at all. And a task that is accused is recorded as suspected, and the evidence of a suspect is looked at only after the next crash.

Change: a successor counts the wait from its first look at the evidence, and a restored task with five crashes is accused at once. A verdict after three runs is still left to the next run, since the successor can't see the other crashes of that moment: a common cause would not be found.

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -219,21 +219,27 @@
     )
 
 
-def settle_silence(holder: Task, workers_by_id: Mapping[str, Worker]) -> bool:
+def settle_silence(
+    holder: Task, workers_by_id: Mapping[str, Worker], now: float
+) -> bool:
     """Decide on processes that fell silent and whose workers have answered.
 
     A process that answers again was only cut off, so that its lapse is no
-    evidence. It has ended if another one answers at its address.
+    evidence. It has ended if another one answers at its address. What an
+    earlier coordinator noticed counts as noticed now.
 
     Args:
         holder: The task, or the first task of its gang.
         workers_by_id: All workers.
+        now: Node-clock seconds.
 
     Returns:
         Whether the evidence has changed.
     """
     changed = False
     for run, evidence in list(holder.crash_evidence_by_run.items()):
+        if evidence.silent and not math.isfinite(evidence.seen_at):
+            evidence = evidence._replace(seen_at=now)
         for process in evidence.silent:
             has_ended = _has_ended(process, evidence.seen_at, workers_by_id)
             if has_ended is None:
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -241,7 +241,7 @@
     Returns:
         Whether the suspicion or its evidence has changed.
     """
-    changed = settle_silence(holder, workers_by_id)
+    changed = settle_silence(holder, workers_by_id, now)
     if changed and not holder.crash_evidence_by_run:
         step_suspicion(holder, "evidence_withdrawn")
         return True
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -7,7 +7,7 @@
 from .._checked_json import Fields, Row, parse_json
 from ..exceptions import BadRequestError
 from .crash_evidence import NO_EVIDENCE, valid_evidence_by_run
-from .crashes import step_suspicion
+from .crashes import has_crashed_limit, is_suspected, step_suspicion
 from .model import (
     QueuePolicy,
     Resources,
@@ -480,6 +480,9 @@
                 refuted=silence.refuted,
                 silent=evidence.silent | {silence.process},
             )
+    for task in progress.tasks():
+        if is_suspected(task) and has_crashed_limit(task):
+            step_suspicion(task, "evidence_sufficient")
 
 
 def _crashed_run_row(key: list[int], run: int, evidence: CrashEvidence) -> list:
--- a/tests/test_crash_limit.py
+++ b/tests/test_crash_limit.py
@@ -1,8 +1,11 @@
 """No task crashes more workers than the limit, whatever else happens."""
 
+import itertools
 import unittest
 
+from redwingrudder.workflows import records
 from redwingrudder.workflows.model import WorkflowState
+from redwingrudder.workflows.state import SilentProcess
 
 from . import workflow_fixtures as fx
 from .test_crashing_tasks import MAX_CRASHES, RETURN_S, STEP_S
@@ -26,6 +29,54 @@
         self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
         self.assertLessEqual(sum(fleet.crashes_by_key.values()), MAX_CRASHES)
 
+    def restore(self, evidence_by_run, gang=False):
+        """Return a successor's engine with the record of a suspected job."""
+        workflow = fx.workflow("job", fx.step(gang=gang))
+        progress = fx.engine().accept(workflow, 0.0)
+        task = next(progress.tasks())
+        task.crash_evidence_by_run = evidence_by_run
+        task.suspicion = "suspected"
+        document = records.encode_progress(progress, 1, {})
+        successor = fx.engine(fx.worker("w1"))
+        restored = successor.accept(workflow, 0.0)
+        records.restore_progress(restored, records.decode_progress("job", document))
+        return successor
+
+    def test_wait_for_silent_workers_survives_a_change(self):
+        """Guards against a successor that starts a task once too often."""
+        engine = self.restore(
+            {
+                run: records.NO_EVIDENCE._replace(
+                    suspect=True,
+                    silent=frozenset({SilentProcess(f"lost{run}", "", 1, True)}),
+                )
+                for run in range(1, MAX_CRASHES + 1)
+            }
+        )
+        self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
+        self.assertEqual(fx.starts(engine.plan(59.0, 59.0)), [])
+        self.assertEqual(len(fx.starts(engine.plan(61.0, 61.0))), 1)
+
+    def test_verdict_is_known_to_a_successor(self):
+        """Guards against a start by each coordinator before the verdict."""
+        for refuted, gang in itertools.product((0, 2, MAX_CRASHES), (False, True)):
+            with self.subTest(refuted=refuted, gang=gang):
+                engine = self.restore(
+                    {
+                        run: records.NO_EVIDENCE._replace(
+                            certain=True,
+                            confirmed=True,
+                            suspect=True,
+                            refuted=run <= refuted,
+                        )
+                        for run in range(1, MAX_CRASHES + 1)
+                    },
+                    gang,
+                )
+                self.assertEqual(fx.starts(engine.plan(0.0, 0.0)), [])
+                state = engine.workflows_by_id["job"].state
+                self.assertEqual(state, WorkflowState.FAILED)
+
 
 if __name__ == "__main__":
     unittest.main()
