Withdraw with a lapse also what it said of another crash of its run

A worker of a gang crashed 4 s after its start, which is no evidence of guilt. Another one was cut off just after its start, and when it answered again, the crash counted as one just after a start: three of those are a verdict.

Cause: a run has one entry of evidence, with one flag for "may be the cause" and one for "no other suspect". A lapse set both at once, and its withdrawal removed the name of the process only.

Change: the flags of a lapse stay with the process until it is known to have ended. The rows of the progress record are as before.

The test fails before the change.

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -196,11 +196,14 @@
         ended_by=max(known.ended_by, crash.ended_by),
         seen_at=crash.seen_at,
         worker_ids=known.worker_ids | {crash.worker_id},
-        suspect=known.suspect or suspect,
-        alone=known.alone or alone,
     )
     process = SilentProcess(
-        worker.worker_id, worker.address, worker.process_started_ms, start_confirmed
+        worker.worker_id,
+        worker.address,
+        worker.process_started_ms,
+        start_confirmed,
+        suspect,
+        alone,
     )
     if certain:
         evidence = confirm_crash(evidence, process)
@@ -215,6 +218,8 @@
         addresses=evidence.addresses | {process.address},
         certain=True,
         confirmed=evidence.confirmed or process.start_confirmed,
+        suspect=evidence.suspect or process.suspect,
+        alone=evidence.alone or process.alone,
         silent=evidence.silent - {process},
     )
 
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -334,7 +334,11 @@
     cause of crashes does not show that the task is not another one.
     """
     evidence = holder.crash_evidence_by_run.values()
-    possible = [e for e in evidence if e.suspect and (e.certain or e.silent)]
+    possible = [
+        e
+        for e in evidence
+        if e.certain and e.suspect or any(process.suspect for process in e.silent)
+    ]
     return len(possible) >= MAX_CRASHED_RUNS and any(
         e.silent and now - e.seen_at < SILENCE_WAIT_S for e in possible
     )
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -82,16 +82,12 @@
         key: Key of the task; of a gang, of the first task.
         run: Number of the run.
         process: The process that fell silent.
-        suspect: Whether the run may be the cause.
-        alone: Whether no other run on the worker may be the cause.
         refuted: Whether the cause was found to be outside the task.
     """
 
     key: TaskKey
     run: int
     process: SilentProcess
-    suspect: bool
-    alone: bool
     refuted: bool
 
 
@@ -235,14 +231,7 @@
                 rows = refuted_runs if evidence.refuted else crashed_runs
                 rows.append(_crashed_run_row(key, run, evidence))
             silent_workers += [
-                [
-                    *key,
-                    run,
-                    *process,
-                    evidence.suspect,
-                    evidence.alone,
-                    evidence.refuted,
-                ]
+                [*key, run, *process, evidence.refuted]
                 for process in sorted(evidence.silent)
             ]
         if task.suspicion in ("suspected", "accused"):
@@ -353,10 +342,13 @@
                     key(row),
                     row.integer(3),
                     SilentProcess(
-                        row.text(4), row.text(5, ""), row.integer(6), row.flag(7)
+                        row.text(4),
+                        row.text(5, ""),
+                        row.integer(6),
+                        start_confirmed=row.flag(7),
+                        suspect=row.flag(8),
+                        alone=row.flag(9),
                     ),
-                    suspect=row.flag(8),
-                    alone=row.flag(9),
                     refuted=row.flag(10),
                 )
                 for row in document.rows("silent_workers")
@@ -475,8 +467,6 @@
             evidence = task.crash_evidence_by_run.get(silence.run, NO_EVIDENCE)
             task.crash_evidence_by_run[silence.run] = evidence._replace(
                 worker_ids=evidence.worker_ids | {silence.process.worker_id},
-                suspect=evidence.suspect or silence.suspect,
-                alone=evidence.alone or silence.alone,
                 refuted=silence.refuted,
                 silent=evidence.silent | {silence.process},
             )
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -58,12 +58,16 @@
         started_ms: Start time of the process in Unix milliseconds, 0 if
             unknown.
         start_confirmed: Whether it had confirmed the start of the run.
+        suspect: Whether the run may be the cause if it has crashed.
+        alone: Whether no other run on the worker may be the cause.
     """
 
     worker_id: str
     address: str
     started_ms: int
     start_confirmed: bool
+    suspect: bool
+    alone: bool
 
 
 class CrashEvidence(NamedTuple):
@@ -81,9 +85,9 @@
         addresses: Addresses of the workers whose processes have ended.
         certain: Whether the process of a worker has ended.
         confirmed: Whether such a worker had confirmed the start.
-        suspect: Whether the run may be the cause; False also once a later run
-            has proved harmless.
-        alone: Whether no other run on a worker may be the cause.
+        suspect: Whether the run may be the cause of such a crash; False also
+            once a later run has proved harmless.
+        alone: Whether no other run on such a worker may be the cause.
         refuted: Whether the crashes have a cause outside the task.
         silent: Processes that fell silent and may have ended.
     """
--- a/tests/test_crash_limit.py
+++ b/tests/test_crash_limit.py
@@ -47,8 +47,9 @@
         engine = self.restore(
             {
                 run: records.NO_EVIDENCE._replace(
-                    suspect=True,
-                    silent=frozenset({SilentProcess(f"lost{run}", "", 1, True)}),
+                    silent=frozenset(
+                        {SilentProcess(f"lost{run}", "", 1, True, True, True)}
+                    ),
                 )
                 for run in range(1, MAX_CRASHES + 1)
             }
--- a/tests/test_lapsed_leases.py
+++ b/tests/test_lapsed_leases.py
@@ -112,6 +112,26 @@
         self.assertEqual(task.suspicion, "clear")
         self.assertEqual(task.crash_evidence_by_run, {})
 
+    def test_answer_withdraws_what_the_lapse_said_of_a_crash(self):
+        """Guards against late crashes that a lapse under the run backdates.
+
+        One member of a gang has gone on for long when its worker crashes.
+        """
+        engine = fx.engine(fx.worker("w1"), fx.worker("w2", address="10.0.0.2:1"))
+        step = fx.step(2, fx.WHOLE_WORKER, gang=True)
+        (task, _) = engine.accept(fx.workflow("gang", step), 0.0).tasks()
+        first, second = fx.starts(engine.plan(0.0, 0.0))
+        fx.confirm(engine, [first, second])
+        engine.report(second.worker_id, [fx.running(second)], 3.0)
+        engine.worker_restarted(second.worker_id, 4.0)
+        engine.worker_lost(first.worker_id, 6.0)
+        engine.interrupt_worker(first.worker_id, 6.0, "lease_lapsed")
+        engine.report(first.worker_id, [], 9.0)
+        engine.plan(9.0, 9.0)
+        (evidence,) = task.crash_evidence_by_run.values()
+        self.assertTrue(evidence.certain)
+        self.assertFalse(evidence.suspect or evidence.alone)
+
     def test_lapse_withdrawn_by_a_later_coordinator(self):
         """Guards against evidence that a successor can't take back."""
         fleet = CutFleet()
