Take no entry of an earlier process for a restart of a silent worker

A worker restarts, starts a task and is cut off before its new entry is written. A successor that finds the entry of the former process took it for a newer one: the lapse became a certain crash, and stayed one when the worker answered again.

Cause: _has_ended took any other start time for a newer process, while the runs in the record (_take_recorded_process) go by the order of the two.

Change: an older start time proves nothing until the worker has answered a poll. A process that answers with an older time, after a clock was set back, is another one, and the crash counts as before.

test_entry_of_an_earlier_process_is_no_crash fails before the change; the test on clocks guards what the change must keep.

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -278,10 +278,12 @@
     started_ms = worker.facts.process_started_ms
     if not process.started_ms or not started_ms:
         return None
-    if started_ms != process.started_ms:
+    if started_ms > process.started_ms:
         return True
-    # The answer to a poll of the time before may arrive later.
-    return False if worker.polled_at > seen_at else None
+    # The answer to a poll of the time before may arrive later, and the entry
+    # of an earlier process may still be there.
+    has_answered = worker.polled_at > seen_at
+    return started_ms != process.started_ms if has_answered else None
 
 
 def _is_replaced(
--- a/tests/test_lapsed_leases.py
+++ b/tests/test_lapsed_leases.py
@@ -143,6 +143,40 @@
         fleet.run_until(fleet.now + RECOVERY_S)
         self.assertEqual(fleet.state("sound"), WorkflowState.DONE)
 
+    def test_entry_of_an_earlier_process_is_no_crash(self):
+        """Guards against a successor that takes an old entry for a restart."""
+        engine = fx.engine(fx.worker("w1", process_started_ms=5))
+        progress = engine.accept(fx.workflow("job"), 0.0)
+        document = (
+            b'{"term":1,"state":"running","done":[],"failures":[],"crashes":[],'
+            b'"silent_workers":[[0,0,0,1,"w1","10.0.0.1:2",9,true,true,true]],'
+            b'"suspected":[[0,0,0]],"runs":[[0,0,0,1]],"placed":[],'
+            b'"checkpoints":[]}'
+        )
+        records.restore_progress(progress, records.decode_progress("job", document))
+        (task,) = progress.tasks()
+        engine.plan(0.0, 0.0)
+        (evidence,) = task.crash_evidence_by_run.values()
+        self.assertFalse(evidence.certain)
+        engine.set_worker(fx.worker("w1", process_started_ms=9), 1.0)
+        engine.report("w1", [], 1.5)
+        engine.plan(2.0, 2.0)
+        self.assertEqual(task.crash_evidence_by_run, {})
+
+    def test_process_of_a_clock_that_was_set_back_is_a_crash(self):
+        """Guards against a restart that the start times don't show."""
+        engine = fx.engine(fx.worker("w1", process_started_ms=9))
+        progress = engine.accept(fx.workflow("job"), 0.0)
+        fx.confirm(engine, fx.starts(engine.plan(0.0, 0.0)))
+        engine.worker_lost("w1", 6.0)
+        engine.interrupt_worker("w1", 6.0, "lease_lapsed")
+        engine.set_worker(fx.worker("w1", process_started_ms=5), 7.0)
+        engine.report("w1", [], 7.5)
+        engine.plan(7.5, 7.5)
+        (task,) = progress.tasks()
+        (evidence,) = task.crash_evidence_by_run.values()
+        self.assertTrue(evidence.certain)
+
     def test_unconfirmed_crashes_of_an_earlier_release_prove_nothing(self):
         """Guards against records in which lapses look like crashes."""
         engine = fx.engine(fx.worker("w1"))
