Count crashes that only a successor notices towards the limit

Cause: a worker that crashes just before a change is noticed by the successor. For that, the run is one of an earlier term, of which it is not known when it began. Such runs were left out altogether, as most of them are harmless, so each change made one crash forgotten.

Change: such a run is still no suspect and no evidence for a verdict after three runs, but it counts towards the limit of five, until a run of its task goes on for 0.5 s. After three of them the task is suspected, so that its next runs are observed. In the record they are among the runs that earlier releases don't count.

Ruled out: counting them like others. A sound task whose runs meet a change of the coordinator would be given up sooner.

The test with runs that go on fails if they are not taken for harmless.

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -177,6 +177,7 @@
     start_confirmed: bool,
     suspect: bool,
     alone: bool,
+    undated: bool = False,
 ) -> None:
     """Count a crash under a run; several under one run of a gang count once.
 
@@ -189,6 +190,7 @@
         start_confirmed: Whether it had confirmed the start.
         suspect: Whether the run may be the cause.
         alone: Whether no other run on the worker may be the cause.
+        undated: Whether it is not known for how long the run had gone on.
     """
     known = holder.crash_evidence_by_run.get(run, NO_EVIDENCE)
     evidence = known._replace(
@@ -204,6 +206,7 @@
         start_confirmed,
         suspect,
         alone,
+        undated,
     )
     if certain:
         evidence = confirm_crash(evidence, process)
@@ -220,6 +223,7 @@
         confirmed=evidence.confirmed or process.start_confirmed,
         suspect=evidence.suspect or process.suspect,
         alone=evidence.alone or process.alone,
+        undated=evidence.undated or process.undated,
         silent=evidence.silent - {process},
     )
 
@@ -346,7 +350,7 @@
     """Keep the runs with crashes, but not as ones that may be the cause."""
     holder.crash_evidence_by_run.update(
         {
-            run: evidence._replace(suspect=False)
+            run: evidence._replace(suspect=False, undated=False)
             for run, evidence in holder.crash_evidence_by_run.items()
         }
     )
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -221,9 +221,30 @@
     for task in open_runs:
         if _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES:
             step_suspicion(task, "suspect")
+    # Nor are they known to be harmless: they count towards the limit until a
+    # run goes on.
+    for task in _one_per_gang([run for run in unproved if not _is_blamed(run)]):
+        holder = suspicion_holder(task)
+        add_evidence(
+            holder,
+            task.run,
+            crash,
+            worker.facts,
+            certain,
+            start_confirmed=False,
+            suspect=False,
+            alone=False,
+            undated=True,
+        )
+        if _possible_crashes(holder) >= MAX_UNEXPLAINED_CRASHES:
+            step_suspicion(task, "suspect")
     return suspects
 
 
+def _is_blamed(task: Task) -> bool:
+    return is_suspected(task) or is_guilty(task)
+
+
 def settle_suspicion(
     holder: Task,
     history: CrashHistory,
@@ -296,7 +317,20 @@
 def has_crashed_limit(holder: Task) -> bool:
     """Return whether a task may crash no more workers, by whatever cause."""
     evidence = holder.crash_evidence_by_run.values()
-    return sum(e.certain and e.suspect for e in evidence) >= MAX_CRASHED_RUNS
+    return sum(map(_counts_towards_limit, evidence)) >= MAX_CRASHED_RUNS
+
+
+def _counts_towards_limit(evidence: CrashEvidence) -> bool:
+    return evidence.certain and (evidence.suspect or evidence.undated)
+
+
+def _possible_crashes(holder: Task) -> int:
+    """Return the number of runs that count if silent workers have crashed."""
+    return sum(
+        _counts_towards_limit(evidence)
+        or any(process.suspect or process.undated for process in evidence.silent)
+        for evidence in holder.crash_evidence_by_run.values()
+    )
 
 
 def _independent_crashes(crashes: list[CrashEvidence]) -> int:
@@ -333,14 +367,9 @@
     That is so if each of the workers that are silent has crashed. A common
     cause of crashes does not show that the task is not another one.
     """
-    evidence = holder.crash_evidence_by_run.values()
-    possible = [
-        e
-        for e in evidence
-        if e.certain and e.suspect or any(process.suspect for process in e.silent)
-    ]
-    return len(possible) >= MAX_CRASHED_RUNS and any(
-        e.silent and now - e.seen_at < SILENCE_WAIT_S for e in possible
+    return _possible_crashes(holder) >= MAX_CRASHED_RUNS and any(
+        evidence.silent and now - evidence.seen_at < SILENCE_WAIT_S
+        for evidence in holder.crash_evidence_by_run.values()
     )
 
 
@@ -357,10 +386,10 @@
             itself.
 
     Returns:
-        Whether the task or its gang was suspected before.
+        Whether the suspicion or its evidence has changed.
     """
     if not is_suspected(task):
-        return False
+        return _drop_undated(task)
     members = task.stage.tasks if task.stage.spec.gang else [task]
     has_gone_on = _has_outlasted_start(task)
     is_unexplained = _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES
@@ -375,6 +404,16 @@
     return True
 
 
+def _drop_undated(task: Task) -> bool:
+    """Drop what counts against a task without suspicion once a run goes on."""
+    holder = suspicion_holder(task)
+    if not _possible_crashes(holder) or not _has_outlasted_start(task):
+        return False
+    drop_silent_evidence(holder)
+    discount_starts(holder)
+    return True
+
+
 def startable_suspects(
     stage: Stage, waiting: list[Task], workers_by_id: Mapping[str, Worker]
 ) -> list[Task]:
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -20,6 +20,7 @@
     has_silent_workers,
     is_accused,
     is_guilty,
+    is_suspected,
     record_crash,
     settle_suspicion,
     step_suspicion,
@@ -630,8 +631,10 @@
             task.percent = entry.percent
             task.reported_at = now
             task.usage = entry.usage
+            was_suspected = is_suspected(task)
             if clear_if_harmless(task):
                 self.dirty.add(task.key.workflow_id)
+            if was_suspected and not is_suspected(task):
                 _logger.info(
                     "task is no longer suspected of crashing its workers",
                     extra={**run_log_fields(task), "worker": worker_id},
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -61,8 +61,9 @@
             records of earlier releases.
         addresses: Addresses of the workers, none in records of earlier
             releases.
-        refuted: Whether the crashes had a cause outside the task; earlier
-            releases did not record such runs.
+        undated: Whether it is not known for how long the run had gone on.
+        refuted: Whether the crashes had a cause outside the task. Earlier
+            releases record no undated or refuted runs.
     """
 
     key: TaskKey
@@ -72,6 +73,7 @@
     certain: bool
     alone: bool = False
     addresses: frozenset[str] = frozenset()
+    undated: bool = False
     refuted: bool = False
 
 
@@ -214,7 +216,7 @@
             term, None if unknown.
     """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
-    crashes, crashed_runs, refuted_runs, silent_workers = [], [], [], []
+    crashes, crashed_runs, other_crashed_runs, silent_workers = [], [], [], []
     suspected, late_starts = [], []
     for task in progress.tasks():
         key = list(task.key[1:])
@@ -227,8 +229,9 @@
             crashes.append([*key, confirmed])  # read by earlier releases
         for run, evidence in task.crash_evidence_by_run.items():
             if evidence.certain:
-                # Earlier releases would count the refuted ones.
-                rows = refuted_runs if evidence.refuted else crashed_runs
+                # Earlier releases would count the others.
+                is_counted = run in valid and not evidence.undated
+                rows = crashed_runs if is_counted else other_crashed_runs
                 rows.append(_crashed_run_row(key, run, evidence))
             silent_workers += [
                 [*key, run, *process, evidence.refuted]
@@ -267,7 +270,7 @@
         "failures": failures,
         "crashes": crashes,
         "crashed_runs": crashed_runs,
-        "refuted_runs": refuted_runs,
+        "other_crashed_runs": other_crashed_runs,
         "silent_workers": silent_workers,
         "suspected": suspected,
         "runs": runs,
@@ -311,9 +314,10 @@
                     certain=row.flag(4) or row.flag(7),
                     alone=row.flag(8),
                     addresses=frozenset(row.texts(9)),
-                    refuted=name == "refuted_runs",
+                    undated=row.flag(10),
+                    refuted=row.flag(11),
                 )
-                for name in ("crashed_runs", "refuted_runs")
+                for name in ("crashed_runs", "other_crashed_runs")
                 for row in document.rows(name)
             ),
             tuple(key(row) for row in document.rows("suspected")),
@@ -348,8 +352,9 @@
                         start_confirmed=row.flag(7),
                         suspect=row.flag(8),
                         alone=row.flag(9),
+                        undated=row.flag(10),
                     ),
-                    refuted=row.flag(10),
+                    refuted=row.flag(11),
                 )
                 for row in document.rows("silent_workers")
             ),
@@ -452,6 +457,7 @@
                 confirmed=crash.confirmed,
                 suspect=crash.suspect,
                 alone=crash.alone,
+                undated=crash.undated,
                 refuted=crash.refuted,
             )
     for key, crashes in record.crashes:
@@ -490,6 +496,8 @@
         evidence.certain,
         evidence.alone,
         sorted(evidence.addresses),
+        evidence.undated,
+        evidence.refuted,
     ]
 
 
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -60,6 +60,7 @@
         start_confirmed: Whether it had confirmed the start of the run.
         suspect: Whether the run may be the cause if it has crashed.
         alone: Whether no other run on the worker may be the cause.
+        undated: Whether it is not known for how long the run had gone on.
     """
 
     worker_id: str
@@ -68,6 +69,7 @@
     start_confirmed: bool
     suspect: bool
     alone: bool
+    undated: bool = False
 
 
 class CrashEvidence(NamedTuple):
@@ -88,6 +90,8 @@
         suspect: Whether the run may be the cause of such a crash; False also
             once a later run has proved harmless.
         alone: Whether no other run on such a worker may be the cause.
+        undated: Whether it is not known for how long the run had gone on, as
+            an earlier coordinator placed it. It counts towards the limit.
         refuted: Whether the crashes have a cause outside the task.
         silent: Processes that fell silent and may have ended.
     """
@@ -102,6 +106,7 @@
     suspect: bool
     alone: bool
     refuted: bool
+    undated: bool = False
     silent: frozenset[SilentProcess] = frozenset()
 
 
--- a/tests/test_crash_limit.py
+++ b/tests/test_crash_limit.py
@@ -29,6 +29,53 @@
         self.assertEqual(fleet.state("deadly"), WorkflowState.FAILED)
         self.assertLessEqual(sum(fleet.crashes_by_key.values()), MAX_CRASHES)
 
+    def play_terms(self, goes_on):
+        """Change the coordinator after each start, before a crash is noticed.
+
+        Args:
+            goes_on: Whether the run is reported for a second before that.
+
+        Returns:
+            The number of starts, the last progress, and the states of the
+            suspicion before each start.
+        """
+        starts, document, suspicions = 0, None, set()
+        for term in range(1, MAX_CRASHES + 4):
+            engine = fx.engine(fx.worker("w1", process_started_ms=term))
+            progress = engine.accept(fx.workflow("job"), 0.0)
+            if document is not None:
+                record = records.decode_progress("job", document)
+                records.restore_progress(progress, record)
+                for placed in record.placed:
+                    engine.adopt_run(*placed[:3], False, 0.0, term)
+            engine.worker_lost("w1", 6.0)
+            engine.interrupt_worker("w1", 6.0, "lease_lapsed")
+            engine.set_worker(fx.worker("w1", process_started_ms=term + 1), 8.0)
+            engine.report("w1", [], 8.5)
+            suspicions.add(next(progress.tasks()).suspicion)
+            effects = fx.starts(engine.plan(9.0, 9.0))
+            starts += len(effects)
+            if progress.state is WorkflowState.FAILED:
+                break
+            fx.confirm(engine, effects, 9.0)
+            if goes_on:
+                reports = [fx.running(start) for start in effects]
+                engine.report("w1", reports, 10.0)
+            document = records.encode_progress(progress, term, {"w1": term + 1})
+        return starts, progress, suspicions
+
+    def test_crashes_noticed_by_a_successor_count(self):
+        """Guards against a task whose crashes each change makes forgotten."""
+        starts, progress, _ = self.play_terms(goes_on=False)
+        self.assertEqual(progress.state, WorkflowState.FAILED)
+        self.assertLessEqual(starts, MAX_CRASHES)
+
+    def test_runs_that_go_on_keep_their_task_below_the_limit(self):
+        """Guards against blame for work that outlives many coordinators."""
+        starts, progress, suspicions = self.play_terms(goes_on=True)
+        self.assertEqual(progress.state, WorkflowState.RUNNING)
+        self.assertEqual((starts, suspicions), (MAX_CRASHES + 3, {"clear"}))
+
     def restore(self, evidence_by_run, gang=False):
         """Return a successor's engine with the record of a suspected job."""
         workflow = fx.workflow("job", fx.step(gang=gang))
