Count the time between crashes of a worker from its return on

What callers saw: a sound job, a task or a gang, on a fleet with one worker was shown as failed after three crashes of the worker just after its starts, if the worker took 22 or 45 s to come back each time. With 3 to 19 s the job was done.

Cause: a worker that crashes again within 20 s counts once. The 20 s ran from the detection of one crash to that of the next, so that the time for which the worker was away counted as time for which it had gone on.

Change: they run from the time at which a crash is known, which is when the next process answers, to the time at which that one crashed.

--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -256,7 +256,7 @@
             changed = True
             _log_outcome(holder, run, process, has_ended)
             if has_ended:
-                evidence = confirm_crash(evidence, process)
+                evidence = confirm_crash(evidence, process)._replace(seen_at=now)
             else:
                 evidence = evidence._replace(silent=evidence.silent - {process})
         if evidence.certain or evidence.silent:
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -338,27 +338,29 @@
 
     Args:
         crashes: The crashes in the order of their runs. A worker that crashes
-            again within ``CRASH_PRONE_S``, or after an unknown time, may do so
-            by its own fault.
+            again within ``CRASH_PRONE_S`` after it came back, or after an
+            unknown time, may do so by its own fault.
     """
     count = 0
-    seen_at_by_address: dict[str, float] = {}
+    back_at_by_address: dict[str, float] = {}
     for crash in crashes:
+        is_heard = math.isfinite(crash.first_heard_at)
+        crashed_at = crash.ended_by if is_heard else crash.seen_at
         repeated = {
             address
             for address in crash.addresses
-            if address in seen_at_by_address
-            and not _are_apart(seen_at_by_address[address], crash.seen_at)
+            if address in back_at_by_address
+            and not _are_apart(back_at_by_address[address], crashed_at)
         }
         # Records of earlier releases name no workers.
         count += not crash.addresses or repeated != crash.addresses
-        seen_at_by_address.update(dict.fromkeys(crash.addresses, crash.seen_at))
+        back_at_by_address.update(dict.fromkeys(crash.addresses, crash.seen_at))
     return count
 
 
-def _are_apart(earlier: float, later: float) -> bool:
+def _are_apart(back_at: float, crashed_at: float) -> bool:
     """Return whether two crashes of a worker are separate ones."""
-    return math.isfinite(earlier) and later - earlier >= CRASH_PRONE_S
+    return math.isfinite(back_at) and crashed_at - back_at >= CRASH_PRONE_S
 
 
 def _awaits_silent_workers(holder: Task, now: float) -> bool:
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -81,8 +81,8 @@
             if an earlier coordinator saw the crash.
         ended_by: Latest time at which a worker can have crashed, in node-clock
             seconds.
-        seen_at: Time at which the newest of the crashes was detected, in
-            node-clock seconds.
+        seen_at: Time at which the newest of the crashes was detected, or found
+            to be one, in node-clock seconds.
         worker_ids: The workers, with those that fell silent.
         addresses: Addresses of the workers whose processes have ended.
         certain: Whether the process of a worker has ended.
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -325,9 +325,11 @@
 
     def test_worker_that_goes_down_and_up_is_no_proof(self):
         """Guards against giving up work for one worker that is flapping."""
-        for crashes, gang in itertools.product((3, 4), (False, True)):
-            with self.subTest(crashes=crashes, gang=gang):
-                fleet = CrashingFleet(1)
+        for crashes, gang, return_s in itertools.product(
+            (3, 4), (False, True), (RETURN_S, 22.0)
+        ):
+            with self.subTest(crashes=crashes, gang=gang, return_s=return_s):
+                fleet = CrashingFleet(1, return_s)
                 fleet.accept("sound", fx.step(2, gang=gang))
                 self.crash_after_starts(fleet, crashes)
                 fleet.run_until(fleet.now + 30.0)
