--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -177,6 +177,7 @@
     start_confirmed: bool,
     suspect: bool,
     alone: bool,
+    undated: bool = False,
 ) -> None:
     """Count a crash under a run; several under one run of a gang count once.
 
@@ -189,6 +190,7 @@
         start_confirmed: Whether it had confirmed the start.
         suspect: Whether the run may be the cause.
         alone: Whether no other run on the worker may be the cause.
+        undated: Whether it is not known for how long the run had gone on.
     """
     known = holder.crash_evidence_by_run.get(run, NO_EVIDENCE)
     evidence = known._replace(
@@ -196,11 +198,15 @@
         ended_by=max(known.ended_by, crash.ended_by),
         seen_at=crash.seen_at,
         worker_ids=known.worker_ids | {crash.worker_id},
-        suspect=known.suspect or suspect,
-        alone=known.alone or alone,
     )
     process = SilentProcess(
-        worker.worker_id, worker.address, worker.process_started_ms, start_confirmed
+        worker.worker_id,
+        worker.address,
+        worker.process_started_ms,
+        start_confirmed,
+        suspect,
+        alone,
+        undated,
     )
     if certain:
         evidence = confirm_crash(evidence, process)
@@ -215,25 +221,34 @@
         addresses=evidence.addresses | {process.address},
         certain=True,
         confirmed=evidence.confirmed or process.start_confirmed,
+        suspect=evidence.suspect or process.suspect,
+        alone=evidence.alone or process.alone,
+        undated=evidence.undated or process.undated,
         silent=evidence.silent - {process},
     )
 
 
-def settle_silence(holder: Task, workers_by_id: Mapping[str, Worker]) -> bool:
+def settle_silence(
+    holder: Task, workers_by_id: Mapping[str, Worker], now: float
+) -> bool:
     """Decide on processes that fell silent and whose workers have answered.
 
     A process that answers again was only cut off, so that its lapse is no
-    evidence. It has ended if another one answers at its address.
+    evidence. It has ended if another one answers at its address. What an
+    earlier coordinator noticed counts as noticed now.
 
     Args:
         holder: The task, or the first task of its gang.
         workers_by_id: All workers.
+        now: Node-clock seconds.
 
     Returns:
         Whether the evidence has changed.
     """
     changed = False
     for run, evidence in list(holder.crash_evidence_by_run.items()):
+        if evidence.silent and not math.isfinite(evidence.seen_at):
+            evidence = evidence._replace(seen_at=now)
         for process in evidence.silent:
             has_ended = _has_ended(process, evidence.seen_at, workers_by_id)
             if has_ended is None:
@@ -241,7 +256,7 @@
             changed = True
             _log_outcome(holder, run, process, has_ended)
             if has_ended:
-                evidence = confirm_crash(evidence, process)
+                evidence = confirm_crash(evidence, process)._replace(seen_at=now)
             else:
                 evidence = evidence._replace(silent=evidence.silent - {process})
         if evidence.certain or evidence.silent:
@@ -267,10 +282,12 @@
     started_ms = worker.facts.process_started_ms
     if not process.started_ms or not started_ms:
         return None
-    if started_ms != process.started_ms:
+    if started_ms > process.started_ms:
         return True
-    # The answer to a poll of the time before may arrive later.
-    return False if worker.polled_at > seen_at else None
+    # The answer to a poll of the time before may arrive later, and the entry
+    # of an earlier process may still be there.
+    has_answered = worker.polled_at > seen_at
+    return started_ms != process.started_ms if has_answered else None
 
 
 def _is_replaced(
@@ -333,7 +350,7 @@
     """Keep the runs with crashes, but not as ones that may be the cause."""
     holder.crash_evidence_by_run.update(
         {
-            run: evidence._replace(suspect=False)
+            run: evidence._replace(suspect=False, undated=False)
             for run, evidence in holder.crash_evidence_by_run.items()
         }
     )
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -65,8 +65,8 @@
 # and of the workers that crashed independently of each other.
 CONCLUSIVE_CRASHED_RUNS = 3
 MIN_CRASHED_WORKERS = 2
-# Number of such runs that is enough on one worker alone. No task may crash
-# more workers.
+# Number of such runs that is enough on one worker alone, or beside other
+# causes of the crashes. No task may crash more workers.
 MAX_CRASHED_RUNS = 5
 # Time for which the next start waits once that many workers have crashed or
 # fallen silent under a task, so that it can be told which of them crashed.
@@ -221,9 +221,30 @@
     for task in open_runs:
         if _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES:
             step_suspicion(task, "suspect")
+    # Nor are they known to be harmless: they count towards the limit until a
+    # run goes on.
+    for task in _one_per_gang([run for run in unproved if not _is_blamed(run)]):
+        holder = suspicion_holder(task)
+        add_evidence(
+            holder,
+            task.run,
+            crash,
+            worker.facts,
+            certain,
+            start_confirmed=False,
+            suspect=False,
+            alone=False,
+            undated=True,
+        )
+        if _possible_crashes(holder) >= MAX_UNEXPLAINED_CRASHES:
+            step_suspicion(task, "suspect")
     return suspects
 
 
+def _is_blamed(task: Task) -> bool:
+    return is_suspected(task) or is_guilty(task)
+
+
 def settle_suspicion(
     holder: Task,
     history: CrashHistory,
@@ -241,7 +262,7 @@
     Returns:
         Whether the suspicion or its evidence has changed.
     """
-    changed = settle_silence(holder, workers_by_id)
+    changed = settle_silence(holder, workers_by_id, now)
     if changed and not holder.crash_evidence_by_run:
         step_suspicion(holder, "evidence_withdrawn")
         return True
@@ -282,53 +303,75 @@
     again and again. A run that had gone on is no evidence, as any worker may
     crash at any time.
     """
+    if has_crashed_limit(holder):
+        return True
     valid = valid_evidence_by_run(holder)
     crashes = [e for _, e in sorted(valid.items()) if e.certain and e.suspect]
-    if not any(evidence.alone for evidence in crashes):
-        return False
-    return len(crashes) >= MAX_CRASHED_RUNS or (
-        len(crashes) >= CONCLUSIVE_CRASHED_RUNS
+    return (
+        any(evidence.alone for evidence in crashes)
+        and len(crashes) >= CONCLUSIVE_CRASHED_RUNS
         and _independent_crashes(crashes) >= MIN_CRASHED_WORKERS
     )
 
 
+def has_crashed_limit(holder: Task) -> bool:
+    """Return whether a task may crash no more workers, by whatever cause."""
+    evidence = holder.crash_evidence_by_run.values()
+    return sum(map(_counts_towards_limit, evidence)) >= MAX_CRASHED_RUNS
+
+
+def _counts_towards_limit(evidence: CrashEvidence) -> bool:
+    return evidence.certain and (evidence.suspect or evidence.undated)
+
+
+def _possible_crashes(holder: Task) -> int:
+    """Return the number of runs that count if silent workers have crashed."""
+    return sum(
+        _counts_towards_limit(evidence)
+        or any(process.suspect or process.undated for process in evidence.silent)
+        for evidence in holder.crash_evidence_by_run.values()
+    )
+
+
 def _independent_crashes(crashes: list[CrashEvidence]) -> int:
     """Return the number of crashes without repeated ones of a worker.
 
     Args:
         crashes: The crashes in the order of their runs. A worker that crashes
-            again within ``CRASH_PRONE_S``, or after an unknown time, may do so
-            by its own fault.
+            again within ``CRASH_PRONE_S`` after it came back, or after an
+            unknown time, may do so by its own fault.
     """
     count = 0
-    seen_at_by_address: dict[str, float] = {}
+    back_at_by_address: dict[str, float] = {}
     for crash in crashes:
+        is_heard = math.isfinite(crash.first_heard_at)
+        crashed_at = crash.ended_by if is_heard else crash.seen_at
         repeated = {
             address
             for address in crash.addresses
-            if address in seen_at_by_address
-            and not _are_apart(seen_at_by_address[address], crash.seen_at)
+            if address in back_at_by_address
+            and not _are_apart(back_at_by_address[address], crashed_at)
         }
         # Records of earlier releases name no workers.
         count += not crash.addresses or repeated != crash.addresses
-        seen_at_by_address.update(dict.fromkeys(crash.addresses, crash.seen_at))
+        back_at_by_address.update(dict.fromkeys(crash.addresses, crash.seen_at))
     return count
 
 
-def _are_apart(earlier: float, later: float) -> bool:
+def _are_apart(back_at: float, crashed_at: float) -> bool:
     """Return whether two crashes of a worker are separate ones."""
-    return math.isfinite(earlier) and later - earlier >= CRASH_PRONE_S
+    return math.isfinite(back_at) and crashed_at - back_at >= CRASH_PRONE_S
 
 
 def _awaits_silent_workers(holder: Task, now: float) -> bool:
     """Return whether the next start could crash one worker too many.
 
-    That is so if each of the workers that are silent has crashed.
+    That is so if each of the workers that are silent has crashed. A common
+    cause of crashes does not show that the task is not another one.
     """
-    evidence = valid_evidence_by_run(holder).values()
-    possible = [e for e in evidence if e.suspect and (e.certain or e.silent)]
-    return len(possible) >= MAX_CRASHED_RUNS and any(
-        e.silent and now - e.seen_at < SILENCE_WAIT_S for e in possible
+    return _possible_crashes(holder) >= MAX_CRASHED_RUNS and any(
+        evidence.silent and now - evidence.seen_at < SILENCE_WAIT_S
+        for evidence in holder.crash_evidence_by_run.values()
     )
 
 
@@ -345,10 +388,10 @@
             itself.
 
     Returns:
-        Whether the task or its gang was suspected before.
+        Whether the suspicion or its evidence has changed.
     """
     if not is_suspected(task):
-        return False
+        return _drop_undated(task)
     members = task.stage.tasks if task.stage.spec.gang else [task]
     has_gone_on = _has_outlasted_start(task)
     is_unexplained = _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES
@@ -363,6 +406,16 @@
     return True
 
 
+def _drop_undated(task: Task) -> bool:
+    """Drop what counts against a task without suspicion once a run goes on."""
+    holder = suspicion_holder(task)
+    if not _possible_crashes(holder) or not _has_outlasted_start(task):
+        return False
+    drop_silent_evidence(holder)
+    discount_starts(holder)
+    return True
+
+
 def startable_suspects(
     stage: Stage, waiting: list[Task], workers_by_id: Mapping[str, Worker]
 ) -> list[Task]:
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -7,7 +7,7 @@
 from .._checked_json import Fields, Row, parse_json
 from ..exceptions import BadRequestError
 from .crash_evidence import NO_EVIDENCE, valid_evidence_by_run
-from .crashes import step_suspicion
+from .crashes import has_crashed_limit, is_suspected, step_suspicion
 from .model import (
     QueuePolicy,
     Resources,
@@ -61,6 +61,9 @@
             records of earlier releases.
         addresses: Addresses of the workers, none in records of earlier
             releases.
+        undated: Whether it is not known for how long the run had gone on.
+        refuted: Whether the crashes had a cause outside the task. Earlier
+            releases record no undated or refuted runs.
     """
 
     key: TaskKey
@@ -70,6 +73,8 @@
     certain: bool
     alone: bool = False
     addresses: frozenset[str] = frozenset()
+    undated: bool = False
+    refuted: bool = False
 
 
 class RecordedSilence(NamedTuple):
@@ -79,15 +84,13 @@
         key: Key of the task; of a gang, of the first task.
         run: Number of the run.
         process: The process that fell silent.
-        suspect: Whether the run may be the cause.
-        alone: Whether no other run on the worker may be the cause.
+        refuted: Whether the cause was found to be outside the task.
     """
 
     key: TaskKey
     run: int
     process: SilentProcess
-    suspect: bool
-    alone: bool
+    refuted: bool
 
 
 class RecordedLateStart(NamedTuple):
@@ -213,26 +216,27 @@
             term, None if unknown.
     """
     done, failures, runs, placed, checkpoints = [], [], [], [], []
-    crashes, crashed_runs, silent_workers, suspected, late_starts = [], [], [], [], []
+    crashes, crashed_runs, other_crashed_runs, silent_workers = [], [], [], []
+    suspected, late_starts = [], []
     for task in progress.tasks():
         key = list(task.key[1:])
         if task.state == "done":
             done.append(key)
             continue
-        evidence_by_run = valid_evidence_by_run(task)
-        confirmed = sum(e.confirmed for e in evidence_by_run.values())
+        valid = valid_evidence_by_run(task)
+        confirmed = sum(e.confirmed for e in valid.values())
         if confirmed:
             crashes.append([*key, confirmed])  # read by earlier releases
-        crashed_runs += [
-            _crashed_run_row(key, run, evidence)
-            for run, evidence in evidence_by_run.items()
-            if evidence.certain
-        ]
-        silent_workers += [
-            [*key, run, *process, evidence.suspect, evidence.alone]
-            for run, evidence in evidence_by_run.items()
-            for process in sorted(evidence.silent)
-        ]
+        for run, evidence in task.crash_evidence_by_run.items():
+            if evidence.certain:
+                # Earlier releases would count the others.
+                is_counted = run in valid and not evidence.undated
+                rows = crashed_runs if is_counted else other_crashed_runs
+                rows.append(_crashed_run_row(key, run, evidence))
+            silent_workers += [
+                [*key, run, *process, evidence.refuted]
+                for process in sorted(evidence.silent)
+            ]
         if task.suspicion in ("suspected", "accused"):
             suspected.append(key)
         if task.failures:
@@ -266,6 +270,7 @@
         "failures": failures,
         "crashes": crashes,
         "crashed_runs": crashed_runs,
+        "other_crashed_runs": other_crashed_runs,
         "silent_workers": silent_workers,
         "suspected": suspected,
         "runs": runs,
@@ -309,8 +314,11 @@
                     certain=row.flag(4) or row.flag(7),
                     alone=row.flag(8),
                     addresses=frozenset(row.texts(9)),
+                    undated=row.flag(10),
+                    refuted=row.flag(11),
                 )
-                for row in document.rows("crashed_runs")
+                for name in ("crashed_runs", "other_crashed_runs")
+                for row in document.rows(name)
             ),
             tuple(key(row) for row in document.rows("suspected")),
             tuple((key(row), row.integer(3)) for row in rows("runs")),
@@ -338,10 +346,15 @@
                     key(row),
                     row.integer(3),
                     SilentProcess(
-                        row.text(4), row.text(5, ""), row.integer(6), row.flag(7)
+                        row.text(4),
+                        row.text(5, ""),
+                        row.integer(6),
+                        start_confirmed=row.flag(7),
+                        suspect=row.flag(8),
+                        alone=row.flag(9),
+                        undated=row.flag(10),
                     ),
-                    suspect=row.flag(8),
-                    alone=row.flag(9),
+                    refuted=row.flag(11),
                 )
                 for row in document.rows("silent_workers")
             ),
@@ -444,6 +457,8 @@
                 confirmed=crash.confirmed,
                 suspect=crash.suspect,
                 alone=crash.alone,
+                undated=crash.undated,
+                refuted=crash.refuted,
             )
     for key, crashes in record.crashes:
         task = progress.find(key)
@@ -458,10 +473,12 @@
             evidence = task.crash_evidence_by_run.get(silence.run, NO_EVIDENCE)
             task.crash_evidence_by_run[silence.run] = evidence._replace(
                 worker_ids=evidence.worker_ids | {silence.process.worker_id},
-                suspect=evidence.suspect or silence.suspect,
-                alone=evidence.alone or silence.alone,
+                refuted=silence.refuted,
                 silent=evidence.silent | {silence.process},
             )
+    for task in progress.tasks():
+        if is_suspected(task) and has_crashed_limit(task):
+            step_suspicion(task, "evidence_sufficient")
 
 
 def _crashed_run_row(key: list[int], run: int, evidence: CrashEvidence) -> list:
@@ -479,6 +496,8 @@
         evidence.certain,
         evidence.alone,
         sorted(evidence.addresses),
+        evidence.undated,
+        evidence.refuted,
     ]
 
 
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -58,12 +58,18 @@
         started_ms: Start time of the process in Unix milliseconds, 0 if
             unknown.
         start_confirmed: Whether it had confirmed the start of the run.
+        suspect: Whether the run may be the cause if it has crashed.
+        alone: Whether no other run on the worker may be the cause.
+        undated: Whether it is not known for how long the run had gone on.
     """
 
     worker_id: str
     address: str
     started_ms: int
     start_confirmed: bool
+    suspect: bool
+    alone: bool
+    undated: bool = False
 
 
 class CrashEvidence(NamedTuple):
@@ -75,15 +81,17 @@
             if an earlier coordinator saw the crash.
         ended_by: Latest time at which a worker can have crashed, in node-clock
             seconds.
-        seen_at: Time at which the newest of the crashes was detected, in
-            node-clock seconds.
+        seen_at: Time at which the newest of the crashes was detected, or found
+            to be one, in node-clock seconds.
         worker_ids: The workers, with those that fell silent.
         addresses: Addresses of the workers whose processes have ended.
         certain: Whether the process of a worker has ended.
         confirmed: Whether such a worker had confirmed the start.
-        suspect: Whether the run may be the cause; False also once a later run
-            has proved harmless.
-        alone: Whether no other run on a worker may be the cause.
+        suspect: Whether the run may be the cause of such a crash; False also
+            once a later run has proved harmless.
+        alone: Whether no other run on such a worker may be the cause.
+        undated: Whether it is not known for how long the run had gone on, as
+            an earlier coordinator placed it. It counts towards the limit.
         refuted: Whether the crashes have a cause outside the task.
         silent: Processes that fell silent and may have ended.
     """
@@ -98,6 +106,7 @@
     suspect: bool
     alone: bool
     refuted: bool
+    undated: bool = False
     silent: frozenset[SilentProcess] = frozenset()
 
 
