Place no runs on a new process before its registry entry

A worker that restarts under its id may be of another kind or size. Its answer to a poll names the new process before the registry does, and the table then opened a session with it, but kept the labels and the capacity of the last process. After a takeover a record that is newer than the entry did the same.

Of such a process only the address and start time are known now, as of a worker that a record names and the registry does not: no pool, label or capacity, so that nothing is placed on it. What it reports counts at once. Its drain is over with the last process. An entry that was passed over, as its process seemed to have ended, is applied when the worker confirms that process, since an unchanged entry does not arrive again. A start that waits for its record is checked for the label too when it is sent; "no_room" covers the time before the entry.

No time limit was added.

--- a/src/redwingrudder/coordination/progress_writer.py
+++ b/src/redwingrudder/coordination/progress_writer.py
@@ -238,6 +238,9 @@
             self._engine.start_rejected(start.key, start.run, "no_room", now)
         elif self._engine.has_left_pool(start.key, start.worker_id):
             self._engine.start_rejected(start.key, start.run, "queue_moved", now)
+        elif self._engine.lacks_label(start.key, start.worker_id):
+            # The worker has restarted as another kind since.
+            self._engine.start_rejected(start.key, start.run, "other_kind", now)
         elif self._engine.awaits_silent_worker(start.key, start.run, now):
             self._engine.start_rejected(start.key, start.run, "silent_worker", now)
         elif now > start.ticket_until:
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -6,7 +6,7 @@
 
 from ..actors import ActorSystem
 from ..workflows.engine import Engine
-from ..workflows.model import NO_RESOURCES, StartRun, TaskKey, WorkerFacts
+from ..workflows.model import StartRun, TaskKey, WorkerFacts
 from ..workflows.records import PlacedRun
 from .authority import Authority
 from .gateways import LEADERSHIP, ChannelFactory, RegistryCodec, WorkerTimes
@@ -91,6 +91,9 @@
         self._unlisted_since_by_worker: dict[str, float] = {}
         # Registry entries that were applied last.
         self._entries_by_worker: dict[str, str] = {}
+        # Newest registry entries, also those of processes that seemed to have
+        # ended.
+        self._newest_facts_by_worker: dict[str, WorkerFacts] = {}
         # From this time on, no lease of an earlier term is valid on a worker
         # that has had no entry in this term.
         self._prior_leases_end_at = system.clock.seconds() + prior_lease_timeout_s(
@@ -140,9 +143,10 @@
             self._mark_unlisted(worker_id)
             return
         facts = self._registry.decode(key, value)
-        if facts is None or facts.process_started_ms in self._ended_processes(
-            worker_id
-        ):
+        if facts is None:
+            return
+        self._newest_facts_by_worker[worker_id] = facts
+        if facts.process_started_ms in self._ended_processes(worker_id):
             return
         self._entries_by_worker.pop(worker_id, None)
         self._unlisted_since_by_worker.pop(worker_id, None)
@@ -200,15 +204,8 @@
         """
         now = self._system.clock.seconds()
         if placed.worker_id not in self._engine.workers_by_id:
-            facts = WorkerFacts(
-                placed.worker_id,
-                placed.process_started_ms,
-                "",
-                "",
-                "",
-                "",
-                frozenset(),
-                NO_RESOURCES,
+            facts = WorkerFacts.without_entry(
+                placed.worker_id, placed.process_started_ms
             )
             self._engine.set_worker(facts, now)
             self._engine.workers_by_id[placed.worker_id].listed = False
@@ -234,7 +231,10 @@
         if not 0 < worker.facts.process_started_ms < process_started_ms:
             return
         self._record_process(worker_id, process_started_ms)
-        worker.facts = worker.facts._replace(process_started_ms=process_started_ms)
+        worker.facts = WorkerFacts.without_entry(
+            worker_id, process_started_ms, worker.facts.address
+        )
+        worker.update_leave_time(self._system.clock.seconds())
         if worker_id in self._sessions_by_worker:
             self._drop_session(worker_id)
             self._open_session(worker.facts)
@@ -313,7 +313,8 @@
     def replace_process(self, message: ProcessReplaced) -> None:
         """Open a session with the new process of a worker that has restarted.
 
-        The registry entry of that process may not have arrived yet.
+        The registry entry of that process may not have arrived yet. What the
+        process reports counts nevertheless.
         """
         worker_id = message.worker_id
         if not self.is_current(worker_id, message.fence):
@@ -321,12 +322,14 @@
         _logger.info("worker restarted", extra={"worker": worker_id})
         self._record_process(worker_id, message.process_started_ms)
         self._drop_session(worker_id)
+        now = self._system.clock.seconds()
         self._engine.replace_process(
-            worker_id,
-            message.process_started_ms,
-            self._system.clock.seconds(),
-            message.unanswered_starts,
+            worker_id, message.process_started_ms, now, message.unanswered_starts
         )
+        facts = self._newest_facts_by_worker.get(worker_id)
+        if facts is not None and facts.process_started_ms == message.process_started_ms:
+            # The entry does not arrive again while it is unchanged.
+            self._engine.set_worker(facts, now)
         self._open_session(self._engine.workers_by_id[worker_id].facts)
 
     def _ended_processes(self, worker_id: str) -> set[int]:
@@ -439,6 +442,7 @@
 
     def _mark_unlisted(self, worker_id: str) -> None:
         """Mark a worker whose entry was removed and inform its session."""
+        self._newest_facts_by_worker.pop(worker_id, None)
         worker = self._engine.workers_by_id.get(worker_id)
         if worker is not None and worker.listed:
             worker.listed = False
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -242,7 +242,8 @@
         Its failure count, proof of soundness, quarantine and emptying flag are
         reset. The new process may carry out starts that were sent to the last
         one, also of runs whose start was confirmed later, so all runs are kept
-        until its first report; see ``reconcile``.
+        until its first report; see ``reconcile``. It may be of another kind or
+        size, and gets no new runs before its registry entry.
 
         Args:
             worker_id: The worker.
@@ -263,7 +264,10 @@
         worker.emptying = False
         worker.quarantined_until = 0.0
         worker.start_trials = StartTrials()
-        worker.facts = worker.facts._replace(process_started_ms=process_started_ms)
+        worker.facts = WorkerFacts.without_entry(
+            worker_id, process_started_ms, worker.facts.address
+        )
+        worker.update_leave_time(now)
 
     def worker_restarted(
         self,
@@ -414,6 +418,17 @@
             return False
         return worker.facts.pool != task.stage.workflow.policy.pool
 
+    def lacks_label(self, key: TaskKey, worker_id: str) -> bool:
+        """Return whether a worker lacks the label that a task requires.
+
+        False if the task or the worker is unknown.
+        """
+        task, worker = self.find(key), self.workers_by_id.get(worker_id)
+        if task is None or worker is None:
+            return False
+        label = task.stage.spec.worker_label
+        return bool(label) and label not in worker.facts.labels
+
     def is_starting(self, key: TaskKey, run: int) -> bool:
         """Return whether a run is current and its start is not confirmed."""
         task = self.current(key, run)
--- a/src/redwingrudder/workflows/model.py
+++ b/src/redwingrudder/workflows/model.py
@@ -230,6 +230,30 @@
     draining: bool = False
     remaining_s: float = 0.0
 
+    @classmethod
+    def without_entry(
+        cls, worker_id: str, process_started_ms: int, address: str = ""
+    ) -> "WorkerFacts":
+        """Return what is known of a process that has no registry entry yet.
+
+        It has no pool, label or capacity, so no new runs are placed on it.
+
+        Args:
+            worker_id: Id of the worker.
+            process_started_ms: See above.
+            address: See above, "" if unknown.
+        """
+        return cls(
+            worker_id,
+            process_started_ms,
+            address,
+            pool="",
+            failure_domain="",
+            rack="",
+            labels=frozenset(),
+            capacity=NO_RESOURCES,
+        )
+
 
 class EndKind(enum.StrEnum):
     """Way in which a run ended, as reported by its worker.
--- a/tests/worker_table_case.py
+++ b/tests/worker_table_case.py
@@ -7,6 +7,7 @@
 from redwingrudder.coordination.gateways import COORDINATOR, LEADERSHIP
 from redwingrudder.coordination.messages import (
     Fenced,
+    ProcessReplaced,
     StartSettled,
     WorkerLeaseLapsed,
     WorkerPolled,
@@ -41,6 +42,7 @@
             WorkerPolled: lambda message: self.workers.take_report(message),
             WorkerSilent: lambda message: self.workers.set_silent(message),
             WorkerLeaseLapsed: lambda message: self.workers.set_lapsed(message),
+            ProcessReplaced: lambda message: self.workers.replace_process(message),
             StartSettled: self._settle_start,
         }
         self._coordinator = Recording(
