Poll a worker before a start if it may have restarted unseen

A start names the id of the worker only, so the worker can't refuse it, and its reply doesn't name the process.

Before the first attempt of a start the session polls the worker, unless a poll waits at it since the last answer, which would fail with the process, or one was answered within the last 0.3 s. Starts at the same time share the poll. A worker with runs is polled without pauses, so this concerns idle workers and those whose last call failed. An attempt whose poll gets no answer is not sent.

What the polls cost on a large site was not measured; each counts as a probe there.

--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -6,6 +6,8 @@
 from functools import partial
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from .._background import pause, run
 from .._chart_runner import ChartRunner
 from ..actors import Actor, ActorSystem, Handler
@@ -66,6 +68,8 @@
 MIN_LEASE_SHARE = 0.5
 MAX_CLOCK_DRIFT_RATIO = 0.02  # a worker's clock may be slow by this fraction
 LAPSE_MARGIN_S = 0.3  # added to the computed end of a lease
+# A worker that has answered a poll this recently has not started again since.
+RESTART_TAKES_S = 0.3
 # A drained worker whose entry is removed within this many heartbeats after an
 # answered poll has removed the entry itself: the entry of a silent worker is
 # removed only after three heartbeats.
@@ -140,11 +144,19 @@
         self._polling_beside = False
         # Node-clock time at which the latest answered poll was sent.
         self._answered_poll_sent_at = 0.0
+        # Node-clock time of the latest answer to a poll.
+        self._polled_at = -math.inf
         # Node-clock time at which the worker appears to have removed its own
         # registry entry.
         self._departed_at = math.inf
         # Whether another process answers at the worker's address.
         self._restarted = False
+        # Whether polls have followed each other closely, without a failed
+        # call, since one was answered. A restart would have broken one.
+        self._is_watched = False
+        # Starts that wait for a poll in progress to name the process, None
+        # without such a poll.
+        self._awaiting_process: list[Deferred] | None = None
         self._has_runs = False
         self._has_reported = False
         self._closed = False
@@ -234,6 +246,7 @@
         wait_s = POLL_WAIT_S if self._newest_end <= self._acknowledged_end else 0.0
         if self._chart.state != "answering":
             wait_s = 0.0
+        self._is_watched = self._is_watched and self._has_just_answered()
         sent_at = self.system.clock.seconds()
         reply = await self._send_poll(wait_s)
         self._polling = False
@@ -385,6 +398,8 @@
                 self._last_answer_at + longest_lease_timeout_s(self._lease_s),
             )
         self._answered_poll_sent_at = max(self._answered_poll_sent_at, sent_at)
+        self._polled_at = self.system.clock.seconds()
+        self._is_watched = True
         answered_immediately = (
             self.system.clock.seconds() - sent_at < MIN_POLL_DURATION_S
         )
@@ -463,6 +478,7 @@
                 0.0 for a poll that was rejected and for other calls.
         """
         self._channel.reset()
+        self._is_watched = False
         self._chart.step("unanswered")
         now = self.system.clock.seconds()
         has_departed = poll_sent_at > self._departed_at
@@ -572,10 +588,18 @@
         """Send a start until it is answered, at most once per time limit.
 
         The conditions of ``_may_send_start`` are checked before each attempt,
-        and again when its connection stands.
+        and again when its connection stands. The first attempt is sent only
+        to the process that the session was opened for, as far as that can be
+        told: another one may be of a different kind or size.
         """
         run_key = (message.key, message.run)
+        is_known = False
         for attempt, timeout_s in enumerate(self._start_timeouts_s):
+            if not self._may_send_start(message):
+                break
+            is_known = is_known or await self._confirm_process()
+            if not is_known:
+                continue
             if not self._may_send_start(message):
                 break
             self._awaited_starts.add(run_key)
@@ -607,6 +631,42 @@
             self._record_no_answer()
         return CommandReply(False, "unanswered")
 
+    async def _confirm_process(self) -> bool:
+        """Poll unless a restart would have been noticed.
+
+        Starts that come at the same time share a poll.
+
+        Returns:
+            Whether the process of the session is known to be there still.
+        """
+        if self._knows_process():
+            return True
+        if self._awaiting_process is not None:
+            poll_ended: Deferred[None] = Deferred()
+            self._awaiting_process.append(poll_ended)
+            await poll_ended
+            return self._knows_process()
+        self._awaiting_process = []
+        try:
+            await self._poll_once()
+        finally:
+            waiting, self._awaiting_process = self._awaiting_process, None
+            for poll_ended in waiting:
+                poll_ended.callback(None)
+        return self._knows_process()
+
+    def _knows_process(self) -> bool:
+        """Return whether the worker cannot have restarted unnoticed.
+
+        A poll that waits at the worker fails when its process ends.
+        """
+        if self._closed or not self._is_watched:
+            return False
+        return self._polling or self._has_just_answered()
+
+    def _has_just_answered(self) -> bool:
+        return self.system.clock.seconds() - self._polled_at <= RESTART_TAKES_S
+
     def _record_unanswered_start(self, run_key: tuple[TaskKey, int]) -> None:
         """Record that an attempt was sent and got no reply.
 
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -5,6 +5,8 @@
 
 from redwingrudder.coordination.progress_writer import ProgressWriter
 from redwingrudder.coordination.recorder import WriteOutcome
+from redwingrudder.coordination.worker_session import RESTART_TAKES_S
+from redwingrudder.simulation._workers import ProtocolChannel
 from redwingrudder.workflows.model import NO_RESOURCES
 from redwingrudder.workflows.records import PlacedRun
 
@@ -33,6 +35,36 @@
         self.assertIn(KEY, self.w1.process.runs_by_key)
 
 
+class UnseenRestartTests(LateCallCase):
+    """The only worker with room restarts between two polls."""
+
+    def test_start_is_not_sent_before_a_poll(self):
+        """Guards against starts by what was known of the last process."""
+        for tenths in range(0, 20, 2):
+            with self.subTest(tenths=tenths):
+                self.setUp()
+                self.run_for(tenths / 10)
+                self.w1.restart()
+                self.run_for(RESTART_TAKES_S + 0.01)
+                self.submit("job", 0.1)
+                self.assertEqual(self.w1.process.runs_by_key, {})
+                self.register("w1", ROOM)
+                self.run_for(2.0)
+                self.assertIn(KEY, self.w1.process.runs_by_key)
+
+    def test_starts_at_the_same_time_share_a_poll(self):
+        """Guards against a poll for each of many starts."""
+        self.run_for(1.5)
+        with mock.patch.object(
+            ProtocolChannel, "poll", autospec=True, side_effect=ProtocolChannel.poll
+        ) as poll:
+            for number in range(4):
+                self.submit(f"job{number}", 0.0)
+            self.run_for(0.1)
+        self.assertEqual(len(self.w1.process.runs_by_key), 4)
+        self.assertLessEqual(poll.call_count, 2)
+
+
 class WaitingStartTests(unittest.TestCase):
     """A worker restarts while the record of a start on it is written."""
 
