Count jobs as pending until a worker has begun a task of them

`RunTable.assign` and `Engine.adopt_run` set `begun` when a run was placed, it stayed set when the start was rejected or got no reply, and a record counted as begun if a run had a number.

A job has begun now once a worker has accepted a start, or has listed a run or an end of it. The record says if it hasn't, so that a job that was stopped is not counted again after a change of the coordinator; records of earlier releases are read as before, and earlier releases ignore the field.

--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -532,6 +532,7 @@
             self._confirm_start(task, now)
 
     def _confirm_start(self, task: Task, now: float) -> None:
+        self.note_begun(task)
         task.record_start(now)
         task.run_confirmed = True
         task.rejections = 0
@@ -629,6 +630,8 @@
         self._awaited_workers.discard(worker_id)
         for entry in running:
             task = self.find(entry.key)
+            if task is not None:
+                self.note_begun(task)
             if task is None or not task.is_current(entry.run, worker_id):
                 self.stop_unwanted_run(worker_id, entry, task, now)
                 continue
@@ -691,6 +694,7 @@
         task = self.find(ended.key)
         if task is None:
             return False
+        self.note_begun(task)
         current = task.run == ended.run and task.worker_id == worker_id
         _logger.info(
             "run ended",
@@ -934,6 +938,8 @@
         task = self.find(key)
         if task is None or task.ended:
             return
+        if started:
+            self.note_begun(task)
         if task.placed:
             if task.worker_id == worker_id and task.run == run and started:
                 task.run_confirmed = True
@@ -980,7 +986,6 @@
         task.start_sent_at = min(now, start_sent_by)
         if started:
             self.step(task, "started", now)
-        task.stage.workflow.begun = True
         if task.stage.workflow.ended_at is not None:
             self.effects.append(StopRun(worker_id, key, run))
             self.step(task, "withdraw", now)
@@ -1075,7 +1080,7 @@
             self.cancelled_aside_ids.add(workflow_id)
 
     def queue_length(self, queue: str) -> int:
-        """Return the number of a queue's workflows without a started task."""
+        """Return the number of a queue's workflows that have not begun."""
         return sum(
             1
             for progress in self.workflows_by_id.values()
--- a/src/redwingrudder/workflows/records.py
+++ b/src/redwingrudder/workflows/records.py
@@ -131,6 +131,8 @@
         policy_version: Version of the configuration that has it.
         silent_workers: Workers that fell silent and may have crashed, none in
             records of earlier releases.
+        begun: Whether a task had begun; in records of earlier releases,
+            whether a run had been placed.
     """
 
     term: int
@@ -147,6 +149,7 @@
     policy: QueuePolicy | None = None
     policy_version: int = 0
     silent_workers: tuple[RecordedSilence, ...] = ()
+    begun: bool = False
 
 
 def encode_workflow(workflow: Workflow) -> bytes:
@@ -262,6 +265,7 @@
     document = {
         "term": term,
         "state": str(progress.state),
+        "not_begun": not progress.begun,
         "done": done,
         "failures": failures,
         "crashes": crashes,
@@ -345,6 +349,8 @@
                 )
                 for row in document.rows("silent_workers")
             ),
+            # Records of earlier releases do not have the field.
+            bool(rows("runs") or rows("done")) and not document.flag("not_begun"),
         )
     except ValueError as error:
         raise BadRequestError(f"invalid progress document: {error}") from error
@@ -378,7 +384,7 @@
             task.state = "done"
     if record.policy is not None:
         progress.set_policy(record.policy, record.policy_version)
-    progress.begun = bool(record.runs or record.done)
+    progress.begun = record.begun
     progress.cancelled = record.state is WorkflowState.CANCELLED
     progress.recorded_state = record.state
 
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -140,7 +140,6 @@
         task.record_start(now)
         self.step(task, "assign", now)
         workflow = stage.workflow
-        workflow.begun = True
         _logger.info(
             "run placed",
             extra={
@@ -213,6 +212,13 @@
         task.add_late_start(task.worker_id, until, task.start_process_ms)
         self.dirty.add(task.key.workflow_id)
 
+    def note_begun(self, task: Task) -> None:
+        """Record that a run of a task has begun."""
+        workflow = task.stage.workflow
+        if not workflow.begun:
+            workflow.begun = True
+            self.dirty.add(task.key.workflow_id)
+
     def stop(self, task: Task, reason: str) -> None:
         """Stop the run of a task; a run that is not active is ignored.
 
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -405,7 +405,8 @@
         workflow: The workflow.
         accepted_at: Time of the acceptance, in node-clock seconds.
         cancelled: Whether the workflow was cancelled.
-        begun: Whether a run of the workflow was ever placed.
+        begun: Whether a worker has accepted a start of the workflow, or has
+            listed a run or the end of one.
         policy: Policy of the queue in the newest configuration that is known
             to have the queue, but with the attempts of the submission.
         policy_version: Version of that configuration, 0 if unknown.
