Count lasting tasks on lost workers as away in an upkeep

A task counted as serving by its last report, until the leases of its worker had lapsed: up to 10.5 s.

A task whose worker is silent or has no registry entry doesn't serve now. An upkeep of the others waits until it serves again, or until its lease has lapsed and it has been started elsewhere.

--- a/src/redwingrudder/coordination/maintenance.py
+++ b/src/redwingrudder/coordination/maintenance.py
@@ -230,8 +230,10 @@
         if worker is None:
             return True
         worker.emptying = True
-        run_times = self._engine.run_times
-        for task in runs_to_stop(worker, upkeep.empty_by, run_times, now):
+        engine = self._engine
+        for task in runs_to_stop(
+            worker, engine.workers_by_id, upkeep.empty_by, engine.run_times, now
+        ):
             self._engine.stop(task, "machine_upkeep")
             self._engine.stop_gang(task.stage, task.run)
         return not worker.tasks_by_key
--- a/src/redwingrudder/workflows/maintenance.py
+++ b/src/redwingrudder/workflows/maintenance.py
@@ -174,7 +174,11 @@
 
 
 def runs_to_stop(
-    worker: Worker, empty_by: float, run_times: RunTimeEstimates, now: float
+    worker: Worker,
+    workers_by_id: dict[str, Worker],
+    empty_by: float,
+    run_times: RunTimeEstimates,
+    now: float,
 ) -> list[Task]:
     """Return the runs to stop on a worker that is being emptied.
 
@@ -184,6 +188,7 @@
 
     Args:
         worker: The worker.
+        workers_by_id: All workers.
         empty_by: Node-clock seconds until which runs may end by themselves.
         run_times: Expected run times.
         now: Node-clock seconds.
@@ -194,7 +199,9 @@
             continue
         spec = task.stage.spec
         if spec.service and spec.unavailable_limit:
-            unavailable = sum(not _is_serving(other) for other in task.stage.tasks)
+            unavailable = sum(
+                not _is_serving(other, workers_by_id) for other in task.stage.tasks
+            )
             already_chosen = sum(other.stage is task.stage for other in stopped)
             if unavailable + already_chosen < spec.unavailable_limit:
                 stopped.append(task)
@@ -203,9 +210,15 @@
     return stopped
 
 
-def _is_serving(task: Task) -> bool:
-    # A service task reports 100 percent while it serves requests.
-    return task.state == "running" and task.percent >= COMPLETE_PERCENT
+def _is_serving(task: Task, workers_by_id: dict[str, Worker]) -> bool:
+    """Return whether a task of a service is at work.
+
+    It reports 100 percent while it serves requests. What a worker has reported
+    says nothing once it is silent or has no registry entry.
+    """
+    worker = workers_by_id.get(task.worker_id)
+    is_known = worker is not None and worker.reachable and worker.listed
+    return is_known and task.state == "running" and task.percent >= COMPLETE_PERCENT
 
 
 def _total_stop_cost(worker: Worker | None, now: float) -> float:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -573,12 +573,31 @@
         fx.confirm(engine, starts)
         rows = [fx.running(start, 100.0) for start in starts]
         engine.report("w1", rows, 1.0)
-        worker = engine.workers_by_id["w1"]
-        first = runs_to_stop(worker, 0.0, engine.run_times, 1.0)
+        first = self.stopped_on(engine, "w1")
         self.assertEqual(len(first), 2)
         for task in first:
             engine.stop(task, "machine_upkeep")
-        self.assertEqual(runs_to_stop(worker, 0.0, engine.run_times, 1.0), [])
+        self.assertEqual(self.stopped_on(engine, "w1"), [])
+
+    def stopped_on(self, engine, worker_id):
+        workers = engine.workers_by_id
+        return runs_to_stop(workers[worker_id], workers, 0.0, engine.run_times, 1.0)
+
+    def test_service_with_a_task_on_a_lost_worker(self):
+        """Guards against stopping a task beside one that is away already."""
+        for lost in ("reachable", "listed"):
+            with self.subTest(lost=lost):
+                engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
+                service = fx.step(2, fx.WHOLE_WORKER, service=True, unavailable_limit=1)
+                engine.accept(fx.workflow("job", service), 0.0)
+                starts = fx.starts(engine.plan(0.0, 0.0))
+                fx.confirm(engine, starts)
+                for start in starts:
+                    engine.report(start.worker_id, [fx.running(start, 100.0)], 1.0)
+                setattr(engine.workers_by_id["w2"], lost, False)
+                self.assertEqual(self.stopped_on(engine, "w1"), [])
+                setattr(engine.workers_by_id["w2"], lost, True)
+                self.assertEqual(len(self.stopped_on(engine, "w1")), 1)
 
     def test_machine_that_left_does_not_hold_the_wave(self):
         """Guards against a wave that waits for a machine no longer listed."""
