--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -247,7 +247,8 @@
         Its failure count, proof of soundness, quarantine and emptying flag are
         reset. The new process may carry out starts that were sent to the last
         one, also of runs whose start was confirmed later, so all runs are kept
-        until its first report; see ``reconcile``.
+        until its first report; see ``reconcile``. It may be of another kind or
+        size, and gets no new runs before its registry entry.
 
         Args:
             worker_id: The worker.
@@ -268,7 +269,10 @@
         worker.emptying = False
         worker.quarantined_until = 0.0
         worker.start_trials = StartTrials()
-        worker.facts = worker.facts._replace(process_started_ms=process_started_ms)
+        worker.facts = WorkerFacts.without_entry(
+            worker_id, process_started_ms, worker.facts.address
+        )
+        worker.update_leave_time(now)
 
     def worker_restarted(
         self,
@@ -419,6 +423,17 @@
             return False
         return worker.facts.pool != task.stage.workflow.policy.pool
 
+    def lacks_label(self, key: TaskKey, worker_id: str) -> bool:
+        """Return whether a worker lacks the label that a task requires.
+
+        False if the task or the worker is unknown.
+        """
+        task, worker = self.find(key), self.workers_by_id.get(worker_id)
+        if task is None or worker is None:
+            return False
+        label = task.stage.spec.worker_label
+        return bool(label) and label not in worker.facts.labels
+
     def is_starting(self, key: TaskKey, run: int) -> bool:
         """Return whether a run is current and its start is not confirmed."""
         task = self.current(key, run)
@@ -522,6 +537,7 @@
             self._confirm_start(task, now)
 
     def _confirm_start(self, task: Task, now: float) -> None:
+        self.note_begun(task)
         task.record_start(now)
         task.run_confirmed = True
         task.rejections = 0
@@ -619,6 +635,8 @@
         self._awaited_workers.discard(worker_id)
         for entry in running:
             task = self.find(entry.key)
+            if task is not None:
+                self.note_begun(task)
             if task is None or not task.is_current(entry.run, worker_id):
                 self.stop_unwanted_run(worker_id, entry, task, now)
                 continue
@@ -683,6 +701,7 @@
         task = self.find(ended.key)
         if task is None:
             return False
+        self.note_begun(task)
         current = task.run == ended.run and task.worker_id == worker_id
         _logger.info(
             "run ended",
@@ -926,6 +945,8 @@
         task = self.find(key)
         if task is None or task.ended:
             return
+        if started:
+            self.note_begun(task)
         if task.placed:
             if task.worker_id == worker_id and task.run == run and started:
                 task.run_confirmed = True
@@ -972,7 +993,6 @@
         task.start_sent_at = min(now, start_sent_by)
         if started:
             self.step(task, "started", now)
-        task.stage.workflow.begun = True
         if task.stage.workflow.ended_at is not None:
             self.effects.append(StopRun(worker_id, key, run))
             self.step(task, "withdraw", now)
@@ -1067,7 +1087,7 @@
             self.cancelled_aside_ids.add(workflow_id)
 
     def queue_length(self, queue: str) -> int:
-        """Return the number of a queue's workflows without a started task."""
+        """Return the number of a queue's workflows that have not begun."""
         return sum(
             1
             for progress in self.workflows_by_id.values()
--- a/tests/test_unknown_pools.py
+++ b/tests/test_unknown_pools.py
@@ -145,6 +145,20 @@
         self.assertEqual(self.engine.workers_by_id, {})
 
 
+class RestartedWorkerTests(UnknownPoolCase):
+    def test_worker_stays_until_the_entry_of_its_new_process(self):
+        """Guards against the removal of a worker whose pool is unknown yet."""
+        self.workers.configure(frozenset({"pool"}))
+        self.workers.set_entry(KEY, OWN)
+        self.run_for(0.4)
+        self.own.process_started_ms = BORN_MS + 1_000
+        self.run_for(REMOVED_S)
+        self.assertTrue(self.engine.workers_by_id["w1"].present)
+        self.workers.set_entry(KEY, entry(address=OWN_ADDRESS, born=BORN_MS + 1_000))
+        self.run_for(0.4)
+        self.assertEqual(self.engine.workers_by_id["w1"].facts.pool, "pool")
+
+
 class AcceptedJobTests(UnknownPoolCase):
     """Jobs that were accepted before their pool was removed."""
 
