Withdraw a record that was written during a shutdown

What callers saw: nothing yet; found by reading. When a node is told to drain while its write of the coordinator's record waits for its answer, the record stayed until its lease lapsed (1.5 s), and no other node was elected.

Cause: the record is withdrawn if it names this process by what the node has read. It had read nothing by then, and reads nothing while it shuts down.

Change: the record counts as known from its write on.

tests/test_drained_candidates.py fails before the change.

--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -463,6 +463,7 @@
         if not revision:
             return None
         self._lease = lease
+        self._holder = Holder(*self._identity, term, revision)
         self._record_term(term)
         return BeginTerm(
             term,
@@ -491,7 +492,6 @@
         # The vacancy may have been observed once more during the election.
         self._cancel_campaign()
         self._resigned = False
-        self._holder = Holder(*self._identity, message.term, message.term_revision)
         self._announce(self._identity.node_id, self._identity.address, message.term)
         self.tell(COORDINATOR, message)
 
