Quarantine a worker only for failures of several jobs

Callers saw sound jobs of other tenants wait for 4 s at a time beside an idle fleet, as soon as a job whose tasks all fail had run on it.

Two failed runs in a row quarantined a worker, also if both were of one job. Such failures are not independent: the job may cause them all, and then it fails on each worker that it reaches. Failures on several workers were left out only for the same task, so that a job of many tasks, or many bad jobs of one task, had quarantined each worker before.

The quarantine now concerns the jobs that failed on the worker, which are spaced as before, so that the attempts of a job are not used up on one bad worker. It concerns all jobs once runs of two jobs have failed there without a success in between, as soon as before. At most half of a pool, and one worker at least, is quarantined for all at a time: if more workers fail, the work is the likely cause. The search for waiting tasks names the quarantine of single jobs too.

Tried and dropped: the count of jobs without a quarantine for the job itself; on the only worker of a pool a bad job used all of its four attempts within 2.5 s instead of two.

The test of the search for waiting tasks fails with the old search. No existing test was changed.

--- a/src/redwingrudder/workflows/_wait_room.py
+++ b/src/redwingrudder/workflows/_wait_room.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from .model import Resources
-from .placement import eligible_workers
+from .placement import eligible_workers, without_quarantined
 from .room import count_fitting, max_tasks_on_worker
 from .run_times import is_slow
 from .state import Stage, Task, Worker, resources_used
@@ -27,6 +27,7 @@
         self.demands = 0
         self._now = now
         self._present = [worker for worker in workers if worker.present]
+        self._suspects = [w for w in self._present if w.is_suspect(now)]
         self._idle_by_id = {
             worker.facts.worker_id: Resources(*(max(x, 0) for x in worker.idle))
             for worker in self._present
@@ -52,18 +53,21 @@
     def usable(self, stage: Stage, workers: list[Worker]) -> list[Worker]:
         """Return those of the workers that accept new runs."""
         of_kind = self._of_kind(stage)
-        if len(of_kind.usable) == len(of_kind.present):
-            return workers
-        return common_workers(workers, of_kind.usable)
+        if len(of_kind.usable) < len(of_kind.present):
+            workers = common_workers(workers, of_kind.usable)
+        return self._without_quarantined(stage, workers)
 
     def count_usable(self, stage: Stage) -> int:
         """Return how many workers accept new runs, with room or without."""
-        return len(self._of_kind(stage).usable)
+        usable = self._of_kind(stage).usable
+        return len(self._without_quarantined(stage, usable))
 
     def eligible(self, stage: Stage) -> list[Worker]:
         """Return the workers that a pass may choose, with room or without."""
         of_kind = self._of_kind(stage)
-        return eligible_workers(stage, of_kind.usable, of_kind.not_slow, self._now)
+        usable = self._without_quarantined(stage, of_kind.usable)
+        not_slow = self._without_quarantined(stage, of_kind.not_slow)
+        return eligible_workers(stage, usable, not_slow, self._now)
 
     def count(self, stage: Stage, wanted: int, workers: Iterable[Worker]) -> int:
         """Return how many tasks of a step fit, at most ``wanted``."""
@@ -82,6 +86,9 @@
         """Return whether tasks of one step fit on workers together."""
         return self.count(tasks[0].stage, len(tasks), workers) == len(tasks)
 
+    def _without_quarantined(self, stage: Stage, workers: list[Worker]) -> list[Worker]:
+        return without_quarantined(stage, workers, self._suspects, self._now)
+
     def _of_kind(self, stage: Stage) -> "_WorkersOfKind":
         kind = _kind(stage)
         if kind not in self._workers_by_kind:
--- a/src/redwingrudder/workflows/_wait_rules.py
+++ b/src/redwingrudder/workflows/_wait_rules.py
@@ -226,7 +226,7 @@
         stage = tasks[0].stage
         usable = self._room.usable(stage, fitting)
         if not self._room.has_for(tasks, usable):
-            return _StepRoom(self._resting_hold(fitting))
+            return _StepRoom(self._resting_hold(stage, fitting))
         eligible = self._room.eligible(stage)
         candidates = usable
         if len(eligible) < self._room.count_usable(stage):
@@ -279,14 +279,16 @@
         ids = frozenset(worker.facts.worker_id for worker in workers)
         return _StepRoom(hold, best, ids)
 
-    def _resting_hold(self, fitting: list[Worker]) -> Hold:
-        """Return why workers with room get no new runs."""
-        resting = [worker for worker in fitting if not worker.usable(self._now)]
-        quarantined = [w for w in resting if w.quarantined_until > self._now]
+    def _resting_hold(self, stage: Stage, fitting: list[Worker]) -> Hold:
+        """Return why workers with room get no new runs of a step."""
+        workflow_id = stage.workflow.workflow.workflow_id
+        ends = [(w.quarantine_ends_at(workflow_id), w) for w in fitting]
+        quarantined = [end for end in ends if end[0] > self._now]
         if quarantined:
-            first = min(quarantined, key=lambda worker: worker.quarantined_until)
-            ends_in_s = first.quarantined_until - self._now
+            ends_at, first = min(quarantined, key=lambda end: end[0])
+            ends_in_s = ends_at - self._now
             return Hold(WaitReason.QUARANTINE, first.facts.worker_id, ends_in_s)
+        resting = [worker for worker in fitting if not worker.usable(self._now)]
         for worker in resting:
             if worker.observes_suspect:
                 return Hold(WaitReason.SUSPECTED, worker.facts.worker_id)
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -264,10 +264,10 @@
             task.speed_percent = FULL_SPEED_PERCENT
             self.step(task, "worker_restarted", now)
         worker.heard_at = worker.polled_at = -math.inf
-        worker.failures = 0
+        worker.clear_failures()
         worker.sound_start_at = -math.inf
         worker.emptying = False
-        worker.quarantined_until = 0.0
+        worker.quarantined_until = worker.quarantined_for_failed_until = 0.0
         worker.start_trials = StartTrials()
         worker.facts = WorkerFacts.without_entry(
             worker_id, process_started_ms, worker.facts.address
--- a/src/redwingrudder/workflows/placement.py
+++ b/src/redwingrudder/workflows/placement.py
@@ -312,6 +312,32 @@
     ]
 
 
+def without_quarantined(
+    stage: Stage, workers: list[Worker], suspects: list[Worker], now: float
+) -> list[Worker]:
+    """Return the workers that are not in quarantine for a step's workflow.
+
+    Args:
+        stage: The step.
+        workers: Workers that may run its tasks.
+        suspects: Workers whose newest runs failed; no others are in
+            quarantine for single workflows.
+        now: Node-clock seconds.
+
+    Returns:
+        The same list if none is.
+    """
+    workflow_id = stage.workflow.workflow.workflow_id
+    left_out = {
+        worker.facts.worker_id
+        for worker in suspects
+        if now < worker.quarantine_ends_at(workflow_id)
+    }
+    if not left_out:
+        return workers
+    return [worker for worker in workers if worker.facts.worker_id not in left_out]
+
+
 def present_workers(pool: str, label: str, workers: Iterable[Worker]) -> list[Worker]:
     """Return the workers of a pool that answer and are to stay.
 
--- a/src/redwingrudder/workflows/planner.py
+++ b/src/redwingrudder/workflows/planner.py
@@ -34,6 +34,7 @@
     present_workers,
     stop_cost,
     usable_workers,
+    without_quarantined,
     without_trials,
 )
 from .room import (
@@ -642,7 +643,11 @@
             usable = usable_workers(*kind, self._workers, self._now)
             not_slow = [worker for worker in usable if not is_slow(worker)]
             self._usable_by_kind[kind] = usable, not_slow
-        return self._usable_by_kind[kind]
+        usable, not_slow = self._usable_by_kind[kind]
+        return (
+            without_quarantined(stage, usable, self._suspects, self._now),
+            without_quarantined(stage, not_slow, self._suspects, self._now),
+        )
 
     def _choose_idle(
         self, stage: Stage, waiting: list[Task], workers: list[Worker]
--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -36,10 +36,16 @@
 # got no reply.
 LATE_CALL_S = 12.0
 DEFAULT_LONGEST_LEASE_S = 10.0  # of workers whose limit is not known
-# Number of consecutive failures after which a worker gets no new runs for
-# QUARANTINE_S.
+# Number of consecutive failures after which a worker gets no new runs of the
+# same workflows for QUARANTINE_S.
 QUARANTINE_FAILURES = 2
 QUARANTINE_S = 4.0
+# Number of workflows with such failures after which it gets no runs at all.
+# Failures of one workflow may all be caused by itself.
+QUARANTINE_WORKFLOWS = 2
+# Share of a pool that may be quarantined at a time. Failures on more workers
+# are presumed to be caused by the work.
+MAX_QUARANTINED_SHARE = 0.5
 # A task that failed on more workers than this is presumed to be the cause
 # itself, so that its failures are not counted against a worker.
 MAX_FAILED_WORKERS = 1
@@ -375,7 +381,9 @@
         """Count a failure against a worker, and quarantine it if it has many.
 
         Failures of services, and of tasks that have failed on several
-        workers, are not counted.
+        workers, are not counted. The quarantine concerns the workflows with
+        failures; it needs several of them to concern all others, for which a
+        part of the pool always stays in use.
         """
         worker = self.workers_by_id.get(worker_id)
         if worker is None or len(task.failed_workers) > MAX_FAILED_WORKERS:
@@ -383,12 +391,36 @@
         if task.stage.spec.service:
             return
         worker.record_failure(now)
-        if worker.failures >= QUARANTINE_FAILURES:
+        worker.failed_workflow_ids.add(task.key.workflow_id)
+        if worker.failures < QUARANTINE_FAILURES:
+            return
+        worker.quarantined_for_failed_until = now + QUARANTINE_S
+        jobs = len(worker.failed_workflow_ids)
+        for_all = jobs >= QUARANTINE_WORKFLOWS and self._may_quarantine(worker, now)
+        if for_all:
             worker.quarantined_until = now + QUARANTINE_S
-            _logger.warning(
-                "worker quarantined",
-                extra={"worker": worker_id, "failures": worker.failures},
-            )
+        _logger.warning(
+            "worker quarantined",
+            extra={
+                "worker": worker_id,
+                "failures": worker.failures,
+                "jobs": jobs,
+                "for_all": for_all,
+            },
+        )
+
+    def _may_quarantine(self, worker: Worker, now: float) -> bool:
+        """Return whether enough of a worker's pool would stay in use."""
+        others = [
+            other
+            for other in self.workers_by_id.values()
+            if other.facts.pool == worker.facts.pool
+            and other.present
+            and other is not worker
+        ]
+        quarantined = sum(now < other.quarantined_until for other in others)
+        limit = int(MAX_QUARANTINED_SHARE * (len(others) + 1))
+        return quarantined < max(limit, 1)
 
     def give_up_if_exhausted(self, stage: Stage, task: Task, now: float) -> None:
         """End a workflow as failed when a task has no attempts left."""
--- a/src/redwingrudder/workflows/state.py
+++ b/src/redwingrudder/workflows/state.py
@@ -541,6 +541,7 @@
             can hold no lease any more.
         emptying: Whether its machine is about to be taken down or moved.
         failures: Number of failed runs since the last successful one.
+        failed_workflow_ids: Workflows of these runs.
         failed_at: Time of the newest failure, in node-clock seconds.
         failing_since: Time of the first of these failures, in node-clock
             seconds.
@@ -560,6 +561,8 @@
             workers runs there; the worker then gets no other new runs.
         quarantined_until: Node-clock seconds until which the worker gets no
             new runs.
+        quarantined_for_failed_until: Node-clock seconds until which it gets no
+            new runs of ``failed_workflow_ids``.
         start_trials: Whether the worker carries out starts.
         leaves_at: Node-clock seconds until which a draining worker is
             guaranteed to stay, infinite if it does not drain.
@@ -580,6 +583,7 @@
         "crashed_at",
         "emptying",
         "failed_at",
+        "failed_workflow_ids",
         "failing_since",
         "failures",
         "free",
@@ -592,6 +596,7 @@
         "polled_at",
         "previous_pass_at",
         "throttled_at",
+        "quarantined_for_failed_until",
         "quarantined_until",
         "reachable",
         "reappeared",
@@ -626,10 +631,11 @@
         self.previous_pass_at = self._pass_at = math.inf
         self.observes_suspect = False
         self.failures = 0
+        self.failed_workflow_ids: set[str] = set()
         self.failed_at = 0.0
         self.failing_since = 0.0
         self.sound_start_at = -math.inf
-        self.quarantined_until = 0.0
+        self.quarantined_until = self.quarantined_for_failed_until = 0.0
         self.start_trials = StartTrials()
         self.leaves_at = math.inf
         self.speed = 1.0
@@ -813,7 +819,12 @@
         """
         self.sound_start_at = max(self.sound_start_at, started_at)
         if started_at >= self.failing_since:
-            self.failures = 0
+            self.clear_failures()
+
+    def clear_failures(self) -> None:
+        """Forget all failed runs."""
+        self.failures = 0
+        self.failed_workflow_ids.clear()
 
     def has_proved_sound(self, since: float, now: float) -> bool:
         """Return whether a run that started after a time has not failed.
@@ -848,6 +859,19 @@
             and now >= self.quarantined_until
         )
 
+    def quarantine_ends_at(self, workflow_id: str) -> float:
+        """Return until when the worker gets no new runs of a workflow.
+
+        Args:
+            workflow_id: The workflow.
+
+        Returns:
+            Node-clock seconds.
+        """
+        if workflow_id in self.failed_workflow_ids:
+            return max(self.quarantined_until, self.quarantined_for_failed_until)
+        return self.quarantined_until
+
 
 def is_lasting(task: Task) -> bool:
     """Return whether a task's run does not end unless it is stopped."""
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -200,6 +200,15 @@
         reason = WaitReason.QUARANTINE
         self.assert_held(1.0, reason, "w1", QUARANTINE_S - 1.0)
 
+    def test_worker_in_quarantine_for_the_job_is_named(self):
+        """Guards against a quarantine for one job that no line tells."""
+        self.set_up(fx.worker("w1"))
+        for start in self.start("job", fx.step(2), attempts=4):
+            self.end(start, 1.0, EndKind.FAILED)
+        self.assertEqual(self.plan(4.0), [])
+        reason = WaitReason.QUARANTINE
+        self.assert_held(4.0, reason, "w1", 1.0 + QUARANTINE_S - 4.0, tasks=2)
+
     def test_worker_without_new_starts_is_named(self):
         """Guards against a verdict on workers that no line tells."""
         self.set_up(fx.worker("w1"))
