Name all runs with crashes in the log of a verdict

What operators saw: `task given up` with crashes_workers and an empty list of runs, if the verdict fell after five crashes beside other causes.

Cause: counts crashes with another cause, and runs of an earlier term, towards the limit of five.

Change: it lists each run with crashes, with `undated` and `refuted`.

test_log_of_a_verdict_names_all_runs_that_count fails with the old list.

--- a/src/redwingrudder/workflows/run_table.py
+++ b/src/redwingrudder/workflows/run_table.py
@@ -4,7 +4,6 @@
 import math
 from collections.abc import Callable
 
-from .crash_evidence import valid_evidence_by_run
 from .crashes import is_guilty
 from .model import (
     FINAL_STATES,
@@ -382,8 +381,8 @@
 
         Failures of services, and of tasks that have failed on several
         workers, are not counted. The quarantine concerns the workflows with
-        failures; it needs several of them to concern all others, for which a
-        part of the pool always stays in use.
+        failures. It concerns all others too once there are several of these,
+        on half of a pool at most, but on one worker at least.
         """
         worker = self.workers_by_id.get(worker_id)
         if worker is None or len(task.failed_workers) > MAX_FAILED_WORKERS:
@@ -460,8 +459,10 @@
                         "certain": evidence.certain,
                         "confirmed": evidence.confirmed,
                         "suspect": evidence.suspect,
+                        "undated": evidence.undated,
+                        "refuted": evidence.refuted,
                     }
-                    for run, evidence in sorted(valid_evidence_by_run(holder).items())
+                    for run, evidence in sorted(holder.crash_evidence_by_run.items())
                 ],
             },
         )
--- a/tests/test_crash_limit.py
+++ b/tests/test_crash_limit.py
@@ -125,6 +125,16 @@
                 state = engine.workflows_by_id["job"].state
                 self.assertEqual(state, WorkflowState.FAILED)
 
+    def test_log_of_a_verdict_names_all_runs_that_count(self):
+        """Guards against a job given up for runs that no line names."""
+        crash = records.NO_EVIDENCE._replace(certain=True, suspect=True, refuted=True)
+        engine = self.restore({run: crash for run in range(1, MAX_CRASHES + 1)})
+        with self.assertLogs("redwingrudder.workflows.run_table") as logs:
+            engine.plan(0.0, 0.0)
+        (line,) = [r for r in logs.records if r.getMessage() == "task given up"]
+        rows = [(row["run"], row["refuted"]) for row in line.crashed_runs]
+        self.assertEqual(rows, [(run, True) for run in range(1, MAX_CRASHES + 1)])
+
 
 if __name__ == "__main__":
     unittest.main()
