--- a/tests/coordination_fakes.py
+++ b/tests/coordination_fakes.py
@@ -5,7 +5,9 @@
 from twisted.python.failure import Failure
 
 from redwingrudder.actors import Actor, ActorSystem
-from redwingrudder.coordination.gateways import AwaitChanges
+from redwingrudder.coordination.gateways import COORDINATOR, AwaitChanges
+from redwingrudder.coordination.leadership import Identity, Leadership
+from redwingrudder.coordination.messages import BeginTerm, EndTerm, LeaseConfirmed
 from redwingrudder.coordination.metrics import (
     METRICS,
     IncrementCounter,
@@ -14,6 +16,7 @@
 )
 from redwingrudder.exceptions import StoreUnavailableError
 from redwingrudder.simulation import MemoryStore, StoreContents
+from redwingrudder.timers import TimerService
 
 STEP_S = 0.01
 CALL_TIMEOUT_S = 0.4  # of the client of the platform's store
@@ -52,6 +55,14 @@
     return clock, system, store
 
 
+def leadership_of_one_node(system):
+    """Return the leadership of a node "n1" and the recorded coordinator."""
+    TimerService(system)
+    handled = {BeginTerm: None, EndTerm: None, LeaseConfirmed: None}
+    coordinator = Recording(system, COORDINATOR, handled)
+    return Leadership(system, Identity("n1", "10.0.0.1:1", "life"), ()), coordinator
+
+
 def run_for(clock, seconds, stores=()):
     """Advance the clock in steps of 10 ms; notify the stores after each."""
     for _ in range(max(int(seconds / STEP_S), 1)):
--- a/tests/test_crash_verdict_schedules.py
+++ b/tests/test_crash_verdict_schedules.py
@@ -21,6 +21,7 @@
     RUN_S,
     STEP_S,
     CrashingFleet,
+    adopt_placed_runs,
 )
 
 FAULTS_S = 60.0
@@ -319,16 +320,7 @@
                     self.now,
                     {placed.key for placed in record.placed},
                 )
-            for placed in record.placed:
-                self.engine.adopt_run(
-                    placed.key,
-                    placed.run,
-                    placed.worker_id,
-                    False,
-                    self.now,
-                    placed.process_started_ms,
-                    placed.start_settled,
-                )
+            adopt_placed_runs(self.engine, record, self.now)
         for worker_id, absence in self._absences.items():
             self._absences[worker_id] = absence._replace(lapses_at=self.now + LEASE_S)
         self._has_coordinator = True
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -34,6 +34,20 @@
 MAX_CRASHES = 5
 
 
+def adopt_placed_runs(engine, record, now):
+    """Let a successor take over the runs of a record as not known to exist."""
+    for placed in record.placed:
+        engine.adopt_run(
+            placed.key,
+            placed.run,
+            placed.worker_id,
+            False,
+            now,
+            placed.process_started_ms,
+            placed.start_settled,
+        )
+
+
 class CrashingFleet:
     """Workers that run tasks, and crash under some of them.
 
@@ -157,18 +171,9 @@
             records.restore_progress(engine.workflows_by_id[workflow_id], record)
             if record.state in (WorkflowState.DONE, WorkflowState.FAILED):
                 engine.restore_final_state(workflow_id, record.state, self.now)
+            adopt_placed_runs(engine, record, self.now)
             for placed in record.placed:
-                runs = self._running_by_worker[placed.worker_id]
-                engine.adopt_run(
-                    placed.key,
-                    placed.run,
-                    placed.worker_id,
-                    False,
-                    self.now,
-                    placed.process_started_ms,
-                    placed.start_settled,
-                )
-                if placed.key not in runs:
+                if placed.key not in self._running_by_worker[placed.worker_id]:
                     task = engine.find(placed.key)
                     engine.step(task, "run_interrupted", self.now)
         self.engine = engine
@@ -527,13 +532,12 @@
         engine = fx.engine(fx.worker("w1"))
         progress = engine.accept(fx.workflow("job"), 0.0)
         (task,) = progress.tasks()
-        document = (
-            b'{"term":1,"state":"running","done":[],"failures":[],'
-            b'"crashes":[[0,0,0,1]],"crashed_runs":[[0,0,0,1,true,true]],'
-            b'"suspected":[[0,0,0]],"runs":[[0,0,0,2]],"placed":[],'
-            b'"checkpoints":[]}'
+        fx.restore(
+            progress,
+            crashes=[[0, 0, 0, 1]],
+            crashed_runs=[[0, 0, 0, 1, True, True]],
+            runs=[[0, 0, 0, 2]],
         )
-        records.restore_progress(progress, records.decode_progress("job", document))
         engine.adopt_run(fx.key(), 2, "w1", False, 0.0, 1)
         engine.adopt_run(fx.key(), 2, "w1", True, 0.1)
         engine.report("w1", [RunReport(fx.key(), 2, "", 1.0)], 0.1)
@@ -809,13 +813,7 @@
             with self.subTest(gang=gang):
                 engine = fx.engine(fx.worker("w1"))
                 progress = engine.accept(fx.workflow("old", fx.step(1, gang=gang)), 0)
-                document = (
-                    b'{"term":1,"state":"running","done":[],"failures":[],'
-                    b'"crashes":[[0,0,0,2]],"suspected":[[0,0,0]],'
-                    b'"runs":[[0,0,0,2]],"placed":[],"checkpoints":[]}'
-                )
-                record = records.decode_progress("old", document)
-                records.restore_progress(progress, record)
+                fx.restore(progress, crashes=[[0, 0, 0, 2]], runs=[[0, 0, 0, 2]])
                 (start,) = fx.starts(engine.plan(1.0, 1.0))
                 unanswered = {(start.key, start.run)}
                 engine.worker_restarted("w1", 1.1, unanswered)
@@ -827,15 +825,11 @@
         """Guards against blame for a task that was never the only suspect."""
         engine = fx.engine(fx.worker("w1"), fx.worker("w2"))
         progress = engine.accept(fx.workflow("job"), 0)
-        document = (
-            b'{"term":1,"state":"running","done":[],"failures":[],"crashes":[],'
-            b'"crashed_runs":[[0,0,0,1,true,true,false,true,false,["a"]],'
-            b'[0,0,0,2,true,true,false,true,false,["b"]],'
-            b'[0,0,0,3,true,true,false,true,false,["c"]]],'
-            b'"suspected":[[0,0,0]],"runs":[[0,0,0,3]],"placed":[],'
-            b'"checkpoints":[]}'
-        )
-        records.restore_progress(progress, records.decode_progress("job", document))
+        crashed_runs = [
+            [0, 0, 0, run, True, True, False, True, False, [f"10.0.0.{run}:1"]]
+            for run in (1, 2, 3)
+        ]
+        fx.restore(progress, crashed_runs=crashed_runs, runs=[[0, 0, 0, 3]])
         engine.report("w2", [], 0.4)
         engine.worker_restarted("w2", 0.5)
         (start,) = fx.starts(engine.plan(1.0, 1.0))
--- a/tests/test_drained_candidates.py
+++ b/tests/test_drained_candidates.py
@@ -6,20 +6,14 @@
 
 from redwingrudder._store_requests import Transact
 from redwingrudder.coordination.gateways import (
-    COORDINATOR,
     COORDINATOR_KEY,
     LEADERSHIP,
 )
-from redwingrudder.coordination.leadership import Identity, Leadership
 from redwingrudder.coordination.messages import (
-    BeginTerm,
     Drain,
-    EndTerm,
-    LeaseConfirmed,
 )
-from redwingrudder.timers import TimerService
 
-from .coordination_fakes import Recording, node_system, run_for
+from .coordination_fakes import leadership_of_one_node, node_system, run_for
 
 ANSWER_DELAY_S = 0.2
 
@@ -31,10 +25,7 @@
         The write of the record is answered after the node was told to drain.
         """
         clock, system, store = node_system()
-        TimerService(system)
-        handled = {BeginTerm: None, EndTerm: None, LeaseConfirmed: None}
-        coordinator = Recording(system, COORDINATOR, handled)
-        leadership = Leadership(system, Identity("n1", "10.0.0.1:1", "life"), ())
+        leadership, coordinator = leadership_of_one_node(system)
         transact = store._handlers_by_type[Transact]
 
         def answer_late(message):
--- a/tests/test_lapsed_leases.py
+++ b/tests/test_lapsed_leases.py
@@ -9,7 +9,6 @@
 import math
 import unittest
 
-from redwingrudder.workflows import records
 from redwingrudder.workflows.model import WorkflowState
 
 from . import workflow_fixtures as fx
@@ -19,6 +18,12 @@
 RECOVERY_S = 60.0
 
 
+def lapse(engine, worker_id, now=6.0):
+    """Let the lease of a worker lapse that has fallen silent."""
+    engine.worker_lost(worker_id, now)
+    engine.interrupt_worker(worker_id, now, "lease_lapsed")
+
+
 class CutFleet(CrashingFleet):
     """Workers that may also be cut off and come back as the same process."""
 
@@ -89,8 +94,7 @@
         engine = fx.engine(fx.worker("w1", process_started_ms=5))
         progress = engine.accept(fx.workflow("job"), 0.0)
         fx.confirm(engine, fx.starts(engine.plan(0.0, 0.0)))
-        engine.worker_lost("w1", 6.0)
-        engine.interrupt_worker("w1", 6.0, "lease_lapsed")
+        lapse(engine, "w1")
         engine.report("w1", [], 6.5, polled_at=0.1)
         engine.plan(6.5, 6.5)
         (task,) = progress.tasks()
@@ -102,8 +106,7 @@
         progress = engine.accept(fx.workflow("job"), 0.0)
         (start,) = fx.starts(engine.plan(0.0, 0.0))
         fx.confirm(engine, [start], 0.0)
-        engine.worker_lost(start.worker_id, 6.0)
-        engine.interrupt_worker(start.worker_id, 6.0, "lease_lapsed")
+        lapse(engine, start.worker_id)
         (start,) = fx.starts(engine.plan(8.5, 8.5))
         fx.confirm(engine, [start], 8.5)
         (task,) = progress.tasks()
@@ -124,8 +127,7 @@
         fx.confirm(engine, [first, second])
         engine.report(second.worker_id, [fx.running(second)], 3.0)
         engine.worker_restarted(second.worker_id, 4.0)
-        engine.worker_lost(first.worker_id, 6.0)
-        engine.interrupt_worker(first.worker_id, 6.0, "lease_lapsed")
+        lapse(engine, first.worker_id)
         engine.report(first.worker_id, [], 9.0)
         engine.plan(9.0, 9.0)
         (evidence,) = task.crash_evidence_by_run.values()
@@ -147,13 +149,8 @@
         """Guards against a successor that takes an old entry for a restart."""
         engine = fx.engine(fx.worker("w1", process_started_ms=5))
         progress = engine.accept(fx.workflow("job"), 0.0)
-        document = (
-            b'{"term":1,"state":"running","done":[],"failures":[],"crashes":[],'
-            b'"silent_workers":[[0,0,0,1,"w1","10.0.0.1:2",9,true,true,true]],'
-            b'"suspected":[[0,0,0]],"runs":[[0,0,0,1]],"placed":[],'
-            b'"checkpoints":[]}'
-        )
-        records.restore_progress(progress, records.decode_progress("job", document))
+        silent = [0, 0, 0, 1, "w1", "10.0.0.1:2", 9, True, True, True]
+        fx.restore(progress, silent_workers=[silent], runs=[[0, 0, 0, 1]])
         (task,) = progress.tasks()
         engine.plan(0.0, 0.0)
         (evidence,) = task.crash_evidence_by_run.values()
@@ -168,8 +165,7 @@
         engine = fx.engine(fx.worker("w1", process_started_ms=9))
         progress = engine.accept(fx.workflow("job"), 0.0)
         fx.confirm(engine, fx.starts(engine.plan(0.0, 0.0)))
-        engine.worker_lost("w1", 6.0)
-        engine.interrupt_worker("w1", 6.0, "lease_lapsed")
+        lapse(engine, "w1")
         engine.set_worker(fx.worker("w1", process_started_ms=5), 7.0)
         engine.report("w1", [], 7.5)
         engine.plan(7.5, 7.5)
@@ -181,13 +177,11 @@
         """Guards against records in which lapses look like crashes."""
         engine = fx.engine(fx.worker("w1"))
         progress = engine.accept(fx.workflow("old"), 0)
-        document = (
-            b'{"term":1,"state":"running","done":[],"failures":[],"crashes":[],'
-            b'"crashed_runs":[[0,0,0,1,false,true],[0,0,0,2,false,true,false]],'
-            b'"suspected":[[0,0,0]],"runs":[[0,0,0,2]],"placed":[],'
-            b'"checkpoints":[]}'
+        fx.restore(
+            progress,
+            crashed_runs=[[0, 0, 0, 1, False, True], [0, 0, 0, 2, False, True, False]],
+            runs=[[0, 0, 0, 2]],
         )
-        records.restore_progress(progress, records.decode_progress("old", document))
         fx.confirm(engine, fx.starts(engine.plan(1.0, 1.0)), 1.0)
         engine.worker_restarted("w1", 1.1)
         engine.interrupt_worker("w1", 1.1, "crashed")
--- a/tests/test_repeated_vacancies.py
+++ b/tests/test_repeated_vacancies.py
@@ -5,12 +5,10 @@
 from twisted.internet.defer import Deferred
 
 from redwingrudder._store_requests import Transact
-from redwingrudder.coordination.gateways import COORDINATOR
-from redwingrudder.coordination.leadership import WATCH_TIMEOUT_S, Identity, Leadership
-from redwingrudder.coordination.messages import BeginTerm, EndTerm, LeaseConfirmed
-from redwingrudder.timers import TimerService
+from redwingrudder.coordination.leadership import WATCH_TIMEOUT_S
+from redwingrudder.coordination.messages import BeginTerm, EndTerm
 
-from .coordination_fakes import Recording, node_system, run_for
+from .coordination_fakes import leadership_of_one_node, node_system, run_for
 
 # Shortly after the first watch is answered without changes.
 ANSWER_AT_S = WATCH_TIMEOUT_S + 0.02
@@ -25,10 +23,7 @@
         """
         clock, system, store = node_system()
         store.watch_limit_s = 0.4
-        TimerService(system)
-        handled = {BeginTerm: None, EndTerm: None, LeaseConfirmed: None}
-        coordinator = Recording(system, COORDINATOR, handled)
-        leadership = Leadership(system, Identity("n1", "10.0.0.1:1", "life"), ())
+        leadership, coordinator = leadership_of_one_node(system)
         transact = store._handlers_by_type[Transact]
 
         def answer_late(message):
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -5,7 +5,7 @@
 
 from redwingrudder.coordination.progress_writer import ProgressWriter
 from redwingrudder.coordination.recorder import WriteOutcome
-from redwingrudder.coordination.worker_session import RESTART_TAKES_S
+from redwingrudder.coordination.worker_session import MIN_RESTART_S
 from redwingrudder.simulation._workers import ProtocolChannel
 from redwingrudder.workflows.model import NO_RESOURCES
 from redwingrudder.workflows.records import PlacedRun
@@ -45,7 +45,7 @@
                 self.setUp()
                 self.run_for(tenths / 10)
                 self.w1.restart()
-                self.run_for(RESTART_TAKES_S + 0.01)
+                self.run_for(MIN_RESTART_S + 0.01)
                 self.submit("job", 0.1)
                 self.assertEqual(self.w1.process.runs_by_key, {})
                 self.register("w1", ROOM)
--- a/tests/test_resigned_nodes.py
+++ b/tests/test_resigned_nodes.py
@@ -5,26 +5,20 @@
 
 from redwingrudder._store_requests import Transact
 from redwingrudder.coordination.gateways import (
-    COORDINATOR,
     COORDINATOR_KEY,
     LEADERSHIP,
 )
 from redwingrudder.coordination.leadership import (
     CAMPAIGN_JITTER_S,
     RESIGNED_DELAY_S,
-    Identity,
-    Leadership,
 )
 from redwingrudder.coordination.messages import (
     BeginTerm,
-    EndTerm,
-    LeaseConfirmed,
     Resign,
 )
 from redwingrudder.exceptions import StoreUnavailableError
-from redwingrudder.timers import TimerService
 
-from .coordination_fakes import Recording, node_system, run_for
+from .coordination_fakes import leadership_of_one_node, node_system, run_for
 
 ELECTION_S = CAMPAIGN_JITTER_S + 0.1
 OTHER_RECORD = {"node": "n2", "address": "10.0.0.1:2", "life": "other", "term": 2}
@@ -38,14 +32,7 @@
         self.contents = self.store.contents
         # A watch without changes is answered after its wait.
         self.store.watch_limit_s = 0.4
-        TimerService(self.system)
-        self.coordinator = Recording(
-            self.system,
-            COORDINATOR,
-            {BeginTerm: None, EndTerm: None, LeaseConfirmed: None},
-        )
-        identity = Identity("n1", "10.0.0.1:1", "life")
-        self.leadership = Leadership(self.system, identity, ())
+        self.leadership, self.coordinator = leadership_of_one_node(self.system)
         self.leadership.start()
         self.run_for(ELECTION_S)
         self.assertTrue(self.leadership.leading)
--- a/tests/workflow_fixtures.py
+++ b/tests/workflow_fixtures.py
@@ -1,5 +1,8 @@
 """Builders of workflows, workers, engines and reports for tests."""
 
+import json
+
+from redwingrudder.workflows import records
 from redwingrudder.workflows.advice import Tickets
 from redwingrudder.workflows.engine import Engine
 from redwingrudder.workflows.model import (
@@ -82,5 +85,24 @@
     return RunReport(start.key, start.run, checkpoint, percent)
 
 
+def restore(progress, **fields):
+    """Restore a suspected workflow of one task from a record.
+
+    Args:
+        progress: The workflow.
+        fields: Fields of the record, see ``records.encode_progress``.
+    """
+    document = {
+        "term": 1,
+        "state": "running",
+        **dict.fromkeys(("done", "failures", "crashes", "placed", "checkpoints"), []),
+        "suspected": [[0, 0, 0]],
+        **fields,
+    }
+    workflow_id = progress.workflow.workflow_id
+    record = records.decode_progress(workflow_id, json.dumps(document).encode())
+    records.restore_progress(progress, record)
+
+
 def key(workflow_id="job", occurrence=0, step_index=0, index=0):
     return TaskKey(workflow_id, occurrence, step_index, index)
