--- a/src/redwingrudder/coordination/leadership.py
+++ b/src/redwingrudder/coordination/leadership.py
@@ -187,8 +187,7 @@
         self._subscribers = subscribers
         self._random = random.Random(identity.incarnation)
         self._extra_delay_s = resources.extra_campaign_delay_s()
-        # Whether this node has resigned and no other node has been elected
-        # since.
+        # Whether this node has resigned and no node has been elected since.
         self._resigned = False
         # Node-clock time of the next campaign, None if none is scheduled.
         self._campaign_at: float | None = None
--- a/src/redwingrudder/coordination/worker_session.py
+++ b/src/redwingrudder/coordination/worker_session.py
@@ -68,8 +68,8 @@
 MIN_LEASE_SHARE = 0.5
 MAX_CLOCK_DRIFT_RATIO = 0.02  # a worker's clock may be slow by this fraction
 LAPSE_MARGIN_S = 0.3  # added to the computed end of a lease
-# A worker that has answered a poll this recently has not started again since.
-RESTART_TAKES_S = 0.3
+# A worker takes at least this long to end and to start again.
+MIN_RESTART_S = 0.3
 # A drained worker whose entry is removed within this many heartbeats after an
 # answered poll has removed the entry itself: the entry of a silent worker is
 # removed only after three heartbeats.
@@ -692,7 +692,7 @@
         return self._polling or self._has_just_answered()
 
     def _has_just_answered(self) -> bool:
-        return self.system.clock.seconds() - self._polled_at <= RESTART_TAKES_S
+        return self.system.clock.seconds() - self._polled_at <= MIN_RESTART_S
 
     def _record_unanswered_start(self, run_key: tuple[TaskKey, int]) -> None:
         """Record that an attempt was sent and got no reply.
--- a/src/redwingrudder/coordination/worker_table.py
+++ b/src/redwingrudder/coordination/worker_table.py
@@ -94,8 +94,8 @@
         # Pools that the operators' configuration names, None before the first
         # one: then each pool counts as known.
         self._configured_pools: frozenset[str] | None = None
-        # Current entries that are not used, with their values.
-        self._foreign_entries_by_worker: dict[str, tuple[WorkerFacts, str]] = {}
+        # Current entries whose pool is not known, with their values.
+        self._unused_entries_by_worker: dict[str, tuple[WorkerFacts, str]] = {}
         # Newest registry entries, also those of processes that seemed to have
         # ended.
         self._newest_facts_by_worker: dict[str, WorkerFacts] = {}
@@ -158,7 +158,7 @@
         under its id. It is applied once its pool is known.
         """
         worker_id = key.removeprefix(self._registry.prefix)
-        was_foreign = self._foreign_entries_by_worker.pop(worker_id, None) is not None
+        was_unused = self._unused_entries_by_worker.pop(worker_id, None) is not None
         if value is None:
             self._mark_unlisted(worker_id)
             return
@@ -168,8 +168,8 @@
         if not self._is_configured(facts) and not self._is_in_use(
             facts, self._engine.pools_in_use()
         ):
-            self._foreign_entries_by_worker[worker_id] = (facts, value)
-            if not was_foreign:
+            self._unused_entries_by_worker[worker_id] = (facts, value)
+            if not was_unused:
                 _logger.warning(
                     "registry entry names an unknown pool and is not used",
                     extra={"worker": worker_id, "pool": facts.pool},
@@ -201,10 +201,10 @@
         for key, value in pairs_by_key.items():
             if self._is_applied(key, value):
                 worker_id = key.removeprefix(self._registry.prefix)
-                self._foreign_entries_by_worker.pop(worker_id, None)
+                self._unused_entries_by_worker.pop(worker_id, None)
             else:
                 self._try_set_entry(key, value)
-        for worker_id in {*self._sessions_by_worker, *self._foreign_entries_by_worker}:
+        for worker_id in {*self._sessions_by_worker, *self._unused_entries_by_worker}:
             if self._registry.prefix + worker_id not in pairs_by_key:
                 self.set_entry(self._registry.prefix + worker_id, None)
 
@@ -253,7 +253,7 @@
             and worker.facts.pool
             and not self._is_configured(worker.facts)
         ]
-        if not excluded and not self._foreign_entries_by_worker:
+        if not excluded and not self._unused_entries_by_worker:
             return
         pools_in_use = self._engine.pools_in_use()
         for facts in excluded:
@@ -262,12 +262,12 @@
                 value = self._entries_by_worker.pop(facts.worker_id, None)
                 if value is not None:
                     entry = (facts, value)
-                    self._foreign_entries_by_worker.setdefault(facts.worker_id, entry)
+                    self._unused_entries_by_worker.setdefault(facts.worker_id, entry)
                 _logger.info(
                     "pool of a worker is not in use any more",
                     extra={"worker": facts.worker_id, "pool": facts.pool},
                 )
-        for worker_id, (facts, value) in list(self._foreign_entries_by_worker.items()):
+        for worker_id, (facts, value) in list(self._unused_entries_by_worker.items()):
             if self._is_configured(facts) or self._is_in_use(facts, pools_in_use):
                 self._try_set_entry(self._registry.prefix + worker_id, value)
 
--- a/src/redwingrudder/workflows/crash_evidence.py
+++ b/src/redwingrudder/workflows/crash_evidence.py
@@ -174,9 +174,9 @@
     crash: WorkerCrash,
     worker: WorkerFacts,
     certain: bool,
-    start_confirmed: bool,
-    suspect: bool,
-    alone: bool,
+    start_confirmed: bool = False,
+    suspect: bool = False,
+    alone: bool = False,
     undated: bool = False,
 ) -> None:
     """Count a crash under a run; several under one run of a gang count once.
@@ -332,10 +332,10 @@
 
 
 def refute_evidence(holder: Task, history: CrashHistory) -> bool:
-    """Drop the evidence of crashes that have a common cause.
+    """Mark the evidence of crashes that have a common cause as refuted.
 
     Returns:
-        Whether any has been dropped.
+        Whether any has been marked.
     """
     refuted = {
         run: evidence._replace(refuted=True)
--- a/src/redwingrudder/workflows/crashes.py
+++ b/src/redwingrudder/workflows/crashes.py
@@ -5,10 +5,11 @@
 happens to its task again and again. A suspected task next runs where no other
 run can be the cause, so that further crashes are conclusive, and a task that
 stood beside the cause is cleared by a run that does not crash its worker.
-A worker that falls silent may have crashed or be cut off; it sets its runs
-apart, and is evidence only once its process is known to have ended. Crashes
-that have a common cause outside the tasks are evidence against none
-(``crash_evidence``), so the verdict waits until they would have been seen.
+A worker that falls silent may have crashed or be cut off: the tasks that it
+had just started are suspected, but it is evidence only once its process is
+known to have ended. Crashes that have a common cause outside the tasks are
+evidence against none (``crash_evidence``), so the verdict waits until they
+would have been seen.
 """
 
 import math
@@ -221,30 +222,18 @@
     for task in open_runs:
         if _crashed_runs(task) >= MAX_UNEXPLAINED_CRASHES:
             step_suspicion(task, "suspect")
-    # Nor are they known to be harmless: they count towards the limit until a
-    # run goes on.
-    for task in _one_per_gang([run for run in unproved if not _is_blamed(run)]):
+    # A run of an earlier term may have begun just before the crash, so it
+    # counts towards the limit until another run goes on.
+    for task in _one_per_gang(unproved):
+        if is_suspected(task) or is_guilty(task):
+            continue
         holder = suspicion_holder(task)
-        add_evidence(
-            holder,
-            task.run,
-            crash,
-            worker.facts,
-            certain,
-            start_confirmed=False,
-            suspect=False,
-            alone=False,
-            undated=True,
-        )
+        add_evidence(holder, task.run, crash, worker.facts, certain, undated=True)
         if _possible_crashes(holder) >= MAX_UNEXPLAINED_CRASHES:
             step_suspicion(task, "suspect")
     return suspects
 
 
-def _is_blamed(task: Task) -> bool:
-    return is_suspected(task) or is_guilty(task)
-
-
 def settle_suspicion(
     holder: Task,
     history: CrashHistory,
--- a/src/redwingrudder/workflows/engine.py
+++ b/src/redwingrudder/workflows/engine.py
@@ -979,9 +979,7 @@
                 crash,
                 self.workers_by_id[worker_id].facts,
                 certain=True,
-                start_confirmed=False,
                 suspect=True,
-                alone=False,
             )
             step_suspicion(task, "suspect")
             _logger.warning(
